Add the thin path: client, daemon, filter chain, placer, backend server

Cause: nothing runs yet, and every later measurement needs one path from end to end in the shape that docs/design.md fixes.

Change: controllers as pure state machines (singledispatch over messages that returns effects), one task each; peers over pynng push/pull; filter chain parse, admit, route, claim, dispatch, answer; claims decided by a quorum of three acceptors in memory; one placer per availability zone with late binding; an example backend server, a demonstration, and process-level tests with shared fixtures.

Conclusion: a job submitted at either of two daemons is answered whole, and a resubmission at the other one starts no task again. Configuration, catching up of restarted acceptors, admission, learning and graceful stop are still to come.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+SEED ?= $(shell date +%s)
+
+.PHONY: setup test lint demo bench fuzz
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+lint: setup
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+test: lint
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m examples.demo
+
+bench: setup
+	$(BIN)/python -m benchmarks
+
+fuzz: setup
+	@echo "seed $(SEED)"
+	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest properties --hypothesis-seed=$(SEED)
--- /dev/null
+++ b/boragetide/api/__init__.py
@@ -0,0 +1,1 @@
+"""Border models and HTTP handlers."""
--- /dev/null
+++ b/boragetide/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""State machines, one per kind of state."""
--- /dev/null
+++ b/boragetide/daemon/performer.py
@@ -0,0 +1,95 @@
+"""Performs the effects that controllers return."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+from tornado.httpclient import AsyncHTTPClient
+
+from boragetide import effects
+from boragetide.daemon.logs import log_event
+from boragetide.daemon.runtime import Runtime
+from boragetide.links import backend_client
+from boragetide.messages import TaskReport
+
+
+@dataclass(slots=True)
+class Performer:
+    """What effects act on: the runtime and the client of the backend servers."""
+
+    runtime: Runtime
+    client: AsyncHTTPClient
+    calls: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def start_call(self, call: Awaitable[None]) -> None:
+        """Run an HTTP call as a task of its own and keep it referenced."""
+        task = asyncio.ensure_future(call)
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+    def report(self, message: TaskReport) -> None:
+        """Hand the end of a task to its controller."""
+        self.runtime.send(self.runtime.local("backend_servers"), message)
+
+
+def make_perform(performer: Performer) -> Callable[..., Awaitable[None] | None]:
+    """Bind the performer for `run_controller`."""
+
+    def bound(effect: effects.Effect, controller: str) -> Awaitable[None] | None:
+        return perform(effect, performer, controller)
+
+    return bound
+
+
+@singledispatch
+def perform(
+    effect: effects.Effect, performer: Performer, controller: str
+) -> Awaitable[None] | None:
+    """Perform one effect; a returned awaitable ends when the effect is durable."""
+    raise TypeError(f"no performer for {effect!r}")
+
+
+@perform.register
+def _(effect: effects.Send, performer: Performer, controller: str) -> None:
+    performer.runtime.send(effect.to, effect.message)
+
+
+@perform.register
+def _(effect: effects.Reply, performer: Performer, controller: str) -> None:
+    performer.runtime.reply(effect.to, effect.message)
+
+
+@perform.register
+def _(effect: effects.StartTasks, performer: Performer, controller: str) -> None:
+    performer.runtime.metrics.count("dispatches", {"server": effect.server})
+    performer.start_call(
+        backend_client.dispatch(performer.client, effect, performer.report)
+    )
+
+
+@perform.register
+def _(effect: effects.CancelTasks, performer: Performer, controller: str) -> None:
+    performer.start_call(backend_client.cancel(performer.client, effect))
+
+
+@perform.register
+def _(effect: effects.Reconnect, performer: Performer, controller: str) -> None:
+    performer.runtime.links_by_id[effect.instance].reconnect.set()
+
+
+@perform.register
+def _(effect: effects.AbandonRequests, performer: Performer, controller: str) -> None:
+    performer.runtime.abandon_requests(effect.instance)
+
+
+@perform.register
+def _(effect: effects.LogEvent, performer: Performer, controller: str) -> None:
+    log_event(effect.event, **effect.fields)
+
+
+@perform.register
+def _(effect: effects.Count, performer: Performer, controller: str) -> None:
+    performer.runtime.metrics.count(effect.metric, effect.labels, effect.value)
--- /dev/null
+++ b/boragetide/daemon/runtime.py
@@ -0,0 +1,232 @@
+"""Mailboxes, controller tasks and the delivery of messages between them."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+from boragetide.daemon.clock import read_clock, read_incarnation
+from boragetide.daemon.logs import log_event
+from boragetide.daemon.metrics import Metrics
+from boragetide.effects import Effect
+from boragetide.errors import LinkError, PeerUnreachable, ReplyTimeout
+from boragetide.links.codec import (
+    REPLY_CONTROLLER,
+    Envelope,
+    decode_body,
+    encode_body,
+)
+from boragetide.links.peers import PeerLink, post
+from boragetide.messages import Request, Tick, WokeUp
+from boragetide.settings import Settings
+from boragetide.types import CONTROLLERS, Address, InstanceId, ReplyTo, Seconds
+
+TICK_JITTER = 0.2  # share of the tick period
+
+Handle: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
+
+
+@dataclass(slots=True)
+class _Pending:
+    future: asyncio.Future[Any]
+    instance: InstanceId
+
+
+@dataclass(slots=True)
+class Runtime:
+    """Owner of the mailboxes and of the requests that wait for replies."""
+
+    settings: Settings
+    links_by_id: dict[InstanceId, PeerLink]
+    metrics: Metrics = field(default_factory=Metrics)
+    incarnation: int = field(default_factory=read_incarnation)
+    mailboxes_by_controller: dict[str, asyncio.Queue[Any]] = field(
+        default_factory=lambda: {name: asyncio.Queue() for name in CONTROLLERS}
+    )
+    stopping: bool = False
+    _pending_by_request: dict[int, _Pending] = field(default_factory=dict)
+    _requests: Iterable[int] = field(default_factory=lambda: itertools.count(1))
+
+    def local(self, controller: str) -> Address:
+        """Address of a controller on this instance."""
+        return Address(self.settings.id, controller)
+
+    def send(self, to: Address, message: Any) -> None:
+        """Deliver a message or lose it; never waits."""
+        if to.instance == self.settings.id:
+            self.mailboxes_by_controller[to.controller].put_nowait(message)
+            return
+        request = message.reply_to.request if _expects_own_reply(self, message) else 0
+        if not self._post(to.instance, to.controller, request, message):
+            self._fail(request, PeerUnreachable(f"no link to {to.instance!r}"))
+
+    def reply(self, to: ReplyTo | None, message: Any) -> None:
+        """Answer a request that came from here or from another instance."""
+        if to is None:
+            return
+        if to.instance == self.settings.id:
+            self._resolve(to.request, message)
+        else:
+            self._post(to.instance, REPLY_CONTROLLER, to.request, message)
+
+    async def ask(self, to: Address, message: Request, timeout: Seconds) -> Any:
+        """Send a request and wait for its reply.
+
+        Parameters
+        ----------
+        to
+            Controller on this or another instance.
+        message
+            Its ``reply_to`` is filled in here.
+        timeout
+            Seconds.
+
+        Raises
+        ------
+        PeerUnreachable
+            The message was certainly not sent.
+        ReplyTimeout
+            The peer may have received the message.
+        """
+        request = next(self._requests)
+        future = asyncio.get_running_loop().create_future()
+        self._pending_by_request[request] = _Pending(future, to.instance)
+        reply_to = ReplyTo(self.settings.id, request)
+        try:
+            self.send(to, dataclasses.replace(message, reply_to=reply_to))
+            return await asyncio.wait_for(future, timeout)
+        except TimeoutError as error:
+            raise ReplyTimeout(
+                f"no reply from {to.instance!r} within {timeout} s"
+            ) from error
+        finally:
+            self._pending_by_request.pop(request, None)
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Put a message from another instance into its mailbox."""
+        try:
+            message = decode_body(envelope)
+        except LinkError as error:
+            self.report_fault(error)
+            return
+        self.metrics.count("peer_messages_received", {"kind": envelope.kind})
+        if envelope.controller == REPLY_CONTROLLER:
+            self._resolve(envelope.request, message)
+        elif envelope.controller in self.mailboxes_by_controller:
+            self.mailboxes_by_controller[envelope.controller].put_nowait(message)
+
+    def report_fault(self, error: LinkError) -> None:
+        """Log a frame or message that could not be decoded."""
+        log_event("message_dropped", error=str(error))
+
+    def report_unsent(self, envelope: Envelope) -> None:
+        """End the wait for a request that was certainly not sent."""
+        self._fail(
+            envelope.request if envelope.controller != REPLY_CONTROLLER else 0,
+            PeerUnreachable("link refused the message"),
+        )
+
+    def abandon_requests(self, instance: InstanceId) -> None:
+        """End every wait for a reply from a lost instance."""
+        for request, pending in list(self._pending_by_request.items()):
+            if pending.instance == instance:
+                self._fail(request, ReplyTimeout(f"instance {instance!r} was lost"))
+
+    def _post(
+        self, instance: InstanceId, controller: str, request: int, message: Any
+    ) -> bool:
+        link = self.links_by_id.get(instance)
+        if link is None:
+            return False
+        kind = type(message).__name__
+        self.metrics.count("peer_messages_sent", {"kind": kind})
+        return post(
+            link,
+            Envelope(
+                sender=self.settings.id,
+                sender_incarnation=self.incarnation,
+                controller=controller,
+                request=request,
+                kind=kind,
+                body=encode_body(message),
+            ),
+        )
+
+    def _resolve(self, request: int, message: Any) -> None:
+        pending = self._pending_by_request.get(request)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(message)
+        else:
+            self.metrics.count("late_replies", {"kind": type(message).__name__})
+
+    def _fail(self, request: int, error: LinkError) -> None:
+        pending = self._pending_by_request.get(request)
+        if pending is not None and not pending.future.done():
+            pending.future.set_exception(error)
+
+
+def _expects_own_reply(runtime: Runtime, message: Any) -> bool:
+    reply_to = getattr(message, "reply_to", None)
+    return reply_to is not None and reply_to.instance == runtime.settings.id
+
+
+async def run_controller(
+    runtime: Runtime,
+    name: str,
+    handle: Handle,
+    state: Any,
+    perform: Callable[[Effect, str], Any],
+) -> None:
+    """Own a controller's state: take messages one by one and perform their effects.
+
+    Parameters
+    ----------
+    runtime
+        Holds the mailbox.
+    name
+        Name of the controller.
+    handle
+        Its state machine, ``handle(message, state, now)``.
+    state
+        Touched by this task only.
+    perform
+        Performs one effect; a returned awaitable is awaited before the next one.
+    """
+    mailbox = runtime.mailboxes_by_controller[name]
+    silence = runtime.settings.timing.instance_silence
+    last_handled = read_clock()
+    while True:
+        message = await mailbox.get()
+        now = read_clock()
+        if now - last_handled > silence:
+            await _handle_one(WokeUp(last_handled), now, handle, state, perform, name)
+        last_handled = now
+        await _handle_one(message, now, handle, state, perform, name)
+
+
+async def _handle_one(
+    message: Any,
+    now: Seconds,
+    handle: Handle,
+    state: Any,
+    perform: Callable[[Effect, str], Any],
+    name: str,
+) -> None:
+    for effect in handle(message, state, now):
+        waiting = perform(effect, name)
+        if waiting is not None:
+            await waiting
+
+
+async def run_ticks(runtime: Runtime) -> None:
+    """Wake every controller periodically, with jitter."""
+    period = runtime.settings.timing.tick
+    while True:
+        await asyncio.sleep(period * random.uniform(1 - TICK_JITTER, 1 + TICK_JITTER))
+        for mailbox in runtime.mailboxes_by_controller.values():
+            mailbox.put_nowait(Tick())
--- /dev/null
+++ b/boragetide/errors.py
@@ -0,0 +1,58 @@
+"""One error class per layer; each layer turns errors from below into its own."""
+
+from __future__ import annotations
+
+from boragetide.types import Status
+
+
+class BoragetideError(Exception):
+    """Base of all errors of this package."""
+
+
+class SettingsError(BoragetideError):
+    """The settings file has faults.
+
+    Parameters
+    ----------
+    faults
+        One line per fault, each naming the section, the option and the value.
+    """
+
+    def __init__(self, faults: tuple[str, ...]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class StorageError(BoragetideError):
+    """The data folder cannot be read or written."""
+
+
+class LinkError(BoragetideError):
+    """A message to another instance was not delivered or not answered."""
+
+
+class PeerUnreachable(LinkError):
+    """The message was certainly not sent."""
+
+
+class ReplyTimeout(LinkError):
+    """No reply came; the peer may have received the message."""
+
+
+class RequestError(BoragetideError):
+    """A request ends with this answer instead of a result.
+
+    Parameters
+    ----------
+    status
+        ``NOT_RUN`` only where it is certain that no task started.
+    http_status
+        Status code of the response.
+    message
+        What the caller reads.
+    """
+
+    def __init__(self, status: Status, http_status: int, message: str):
+        super().__init__(message)
+        self.status = status
+        self.http_status = http_status
--- /dev/null
+++ b/boragetide/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of steps that every request passes."""
--- /dev/null
+++ b/boragetide/filters/answer.py
@@ -0,0 +1,31 @@
+"""Outermost filter: turns errors into answers and observes the response time."""
+
+from __future__ import annotations
+
+from boragetide.daemon.clock import read_clock
+from boragetide.errors import RequestError
+from boragetide.filters.chain import Exchange, Next
+from boragetide.types import Answer, Status
+
+HTTP_STATUS_BY_STATUS = {
+    Status.COMPLETE: 200,
+    Status.FAILED: 200,
+    Status.NOT_RUN: 503,
+    Status.UNKNOWN: 504,
+}
+
+
+async def answer(exchange: Exchange, call_next: Next) -> Answer:
+    """Return the whole answer, whatever happens behind this filter."""
+    try:
+        result = await call_next(exchange)
+        exchange.http_status = HTTP_STATUS_BY_STATUS[result.status]
+    except RequestError as error:
+        job_id = exchange.submission.id if exchange.submission else ""
+        result = Answer(job_id, error.status, error=str(error))
+        exchange.http_status = error.http_status
+    class_name = exchange.submission.class_name if exchange.submission else ""
+    exchange.runtime.metrics.observe_response(
+        class_name, result.status, read_clock() - exchange.received_at
+    )
+    return result
--- /dev/null
+++ b/boragetide/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to other instances and to backend servers."""
--- /dev/null
+++ b/boragetide/links/backend_client.py
@@ -0,0 +1,161 @@
+"""Client of the backend servers: batched dispatch and cancellation over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from boragetide.effects import CancelTasks, StartTasks
+from boragetide.messages import TaskReport
+from boragetide.types import Seconds, TaskOutcome, TaskStatus
+
+CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
+CONNECT_TIMEOUT = 1.0  # seconds
+CANCEL_TIMEOUT = 2.0  # seconds
+CLIENT_CONNECTIONS = 1024
+RESULT_MARGIN = 2.0  # seconds that a result may take beyond the task's timeout
+
+_HTTP_REFUSED = frozenset({409, 503})
+_CURL_NOT_CONNECTED = frozenset({5, 6, 7})  # proxy, host, connect
+
+
+class _ResultLine(msgspec.Struct):
+    id: str
+    status: str
+    result: Any = None
+    error: str | None = None
+    seconds: Seconds | None = None
+
+
+_LINE_DECODER = msgspec.json.Decoder(_ResultLine)
+_OUTCOMES_BY_WORD = {
+    "done": TaskStatus.DONE,
+    "failed": TaskStatus.FAILED,
+    "not_run": TaskStatus.NOT_RUN,
+    "cancelled": TaskStatus.CANCELLED,
+}
+
+
+def make_client() -> AsyncHTTPClient:
+    """Make the curl client that all calls to backend servers share."""
+    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CLIENT_CONNECTIONS)
+    return AsyncHTTPClient()
+
+
+async def dispatch(
+    client: AsyncHTTPClient, start: StartTasks, report: Callable[[TaskReport], None]
+) -> None:
+    """Start a batch of tasks and report the end of each exactly once.
+
+    Parameters
+    ----------
+    client
+        HTTP client.
+    start
+        The batch, its backend server and the lease.
+    report
+        Called once per task. A task is reported ``NOT_RUN`` only where that is
+        certain, and ``UNKNOWN`` where the connection ended before its result.
+    """
+    waiting = {task.id for task in start.tasks}
+    parser = _LineParser(start, waiting, report)
+    timeout = max(task.timeout for task in start.tasks) + RESULT_MARGIN
+    request = HTTPRequest(
+        f"{start.address}/v1/tasks",
+        method="POST",
+        headers={"Content-Type": "application/json"},
+        body=msgspec.json.encode(
+            {"lease": start.lease, "tasks": [_encode_task(t) for t in start.tasks]}
+        ),
+        connect_timeout=CONNECT_TIMEOUT,
+        request_timeout=timeout,
+        streaming_callback=parser.feed,
+    )
+    status, error = TaskStatus.UNKNOWN, "response ended without a result"
+    try:
+        await client.fetch(request)
+    except HTTPClientError as failure:
+        status, error = _classify(failure)
+    except (TimeoutError, OSError) as failure:
+        error = str(failure)
+    parser.close()
+    for task_id in sorted(waiting):
+        outcome = TaskOutcome(status, error=error)
+        report(TaskReport(start.server, start.lease, task_id, outcome))
+
+
+def _encode_task(task: Any) -> dict[str, Any]:
+    return {
+        "id": task.id,
+        "job": task.job_id,
+        "class": task.class_name,
+        "payload": task.payload,
+        "timeout": task.timeout,
+    }
+
+
+def _classify(failure: HTTPClientError) -> tuple[TaskStatus, str]:
+    """Tell a certain refusal from a dispatch that may have reached the server."""
+    if failure.code in _HTTP_REFUSED:
+        return TaskStatus.NOT_RUN, f"refused with HTTP status {failure.code}"
+    if getattr(failure, "errno", None) in _CURL_NOT_CONNECTED:
+        return TaskStatus.NOT_RUN, "connection refused"
+    return TaskStatus.UNKNOWN, str(failure)
+
+
+class _LineParser:
+    """Splits a streamed response into lines and reports each task once."""
+
+    def __init__(
+        self,
+        start: StartTasks,
+        waiting: set[str],
+        report: Callable[[TaskReport], None],
+    ):
+        self._start = start
+        self._waiting = waiting
+        self._report = report
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> None:
+        *lines, self._buffer = (self._buffer + chunk).split(b"\n")
+        for line in lines:
+            self._read(line)
+
+    def close(self) -> None:
+        self._read(self._buffer)
+        self._buffer = b""
+
+    def _read(self, line: bytes) -> None:
+        try:
+            entry = _LINE_DECODER.decode(line)
+        except msgspec.DecodeError:
+            return
+        status = _OUTCOMES_BY_WORD.get(entry.status)
+        if entry.id not in self._waiting or status is None:
+            return
+        self._waiting.discard(entry.id)
+        outcome = TaskOutcome(status, entry.result, entry.error)
+        self._report(
+            TaskReport(
+                self._start.server, self._start.lease, entry.id, outcome, entry.seconds
+            )
+        )
+
+
+async def cancel(client: AsyncHTTPClient, request: CancelTasks) -> None:
+    """Ask a backend server to stop tasks; failures are ignored."""
+    for task_id in request.task_ids:
+        await client.fetch(
+            HTTPRequest(
+                f"{request.address}/v1/tasks/{quote(task_id, safe='')}",
+                method="DELETE",
+                connect_timeout=CONNECT_TIMEOUT,
+                request_timeout=CANCEL_TIMEOUT,
+            ),
+            raise_error=False,
+        )
--- /dev/null
+++ b/boragetide/links/codec.py
@@ -0,0 +1,97 @@
+"""Encoding of messages between instances, as msgpack."""
+
+from __future__ import annotations
+
+import dataclasses
+import inspect
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from boragetide import messages
+from boragetide.errors import LinkError
+from boragetide.types import InstanceId
+
+REPLY_CONTROLLER = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """One message on the way to another instance.
+
+    Parameters
+    ----------
+    sender, sender_incarnation
+        Where the message comes from.
+    controller
+        Mailbox it goes to; `REPLY_CONTROLLER` for a reply to ``request``.
+    request
+        Number of the answered request, for replies.
+    kind
+        Class name of the message.
+    body
+        The message, encoded.
+    """
+
+    sender: InstanceId
+    sender_incarnation: int
+    controller: str
+    request: int
+    kind: str
+    body: msgspec.Raw
+
+
+_TYPES_BY_KIND = {
+    name: value
+    for name, value in vars(messages).items()
+    if inspect.isclass(value)
+    and dataclasses.is_dataclass(value)
+    and value.__module__ == messages.__name__
+}
+_DECODERS_BY_KIND = {
+    kind: msgspec.msgpack.Decoder(type_) for kind, type_ in _TYPES_BY_KIND.items()
+}
+_FRAME_DECODER = msgspec.msgpack.Decoder(list[Envelope])
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_body(message: Any) -> msgspec.Raw:
+    """Encode one message."""
+    return msgspec.Raw(_ENCODER.encode(message))
+
+
+def encode_frame(envelopes: list[Envelope]) -> bytes:
+    """Encode the envelopes that travel together."""
+    return _ENCODER.encode(envelopes)
+
+
+def decode_frame(frame: bytes) -> list[Envelope]:
+    """Decode a frame.
+
+    Raises
+    ------
+    LinkError
+        If the frame is not a list of envelopes.
+    """
+    try:
+        return _FRAME_DECODER.decode(frame)
+    except msgspec.DecodeError as error:
+        raise LinkError(f"frame of {len(frame)} bytes: {error}") from error
+
+
+def decode_body(envelope: Envelope) -> Any:
+    """Decode the message of an envelope.
+
+    Raises
+    ------
+    LinkError
+        If the kind is unknown or the body does not fit it.
+    """
+    decoder = _DECODERS_BY_KIND.get(envelope.kind)
+    if decoder is None:
+        raise LinkError(f"unknown message kind {envelope.kind!r}")
+    try:
+        return decoder.decode(envelope.body)
+    except msgspec.DecodeError as error:
+        raise LinkError(f"{envelope.kind} from {envelope.sender!r}: {error}") from error
--- /dev/null
+++ b/boragetide/messages.py
@@ -0,0 +1,310 @@
+"""Messages between controllers, on one instance or between instances.
+
+A message that expects a reply derives from `Request`; the runtime fills in
+``reply_to`` when the message is asked rather than sent.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from boragetide.types import (
+    Answer,
+    BackendServer,
+    BackendServerId,
+    Claim,
+    ClassName,
+    Configuration,
+    InstanceId,
+    JobId,
+    ReplyTo,
+    Seconds,
+    Submission,
+    Task,
+    TaskId,
+    TaskOutcome,
+    ZoneId,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A message that is answered with a `Reply` effect."""
+
+    reply_to: ReplyTo | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Periodic wake-up of a controller, so that timers are its own decisions."""
+
+
+@dataclass(frozen=True, slots=True)
+class WokeUp:
+    """The process did not run between ``asleep_since`` and now."""
+
+    asleep_since: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """A planned stop began: take nothing new, finish what is in progress."""
+
+
+# Controller ``jobs``.
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitJob(Request):
+    """Runs a job under a decided claim, or joins it; answered with `JobAnswer`."""
+
+    submission: Submission
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """Final answer of a job; ``refused_for`` names why it was not admitted."""
+
+    answer: Answer
+    refused_for: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LookUpJob(Request):
+    """Asks the owner for a job; answered with `JobState`."""
+
+    id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class CancelJob(Request):
+    """Cancels a job at its owner; answered with `JobState`."""
+
+    id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class JobState:
+    """State of a job at its owner; ``answer`` is set once it has ended."""
+
+    id: JobId
+    state: str
+    answer: Answer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TasksQueued:
+    """The pool took the tasks of a job."""
+
+    job_id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class TasksRefused:
+    """The pool refused a job; none of its tasks started."""
+
+    job_id: JobId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """A task ended, or will never start."""
+
+    job_id: JobId
+    index: int
+    outcome: TaskOutcome
+
+
+# Controller ``claims``.
+
+
+class ClaimStatus(StrEnum):
+    """What an acceptor says of a claim request."""
+
+    GRANTED = "granted"
+    HELD = "held"
+    INCOMPLETE = "incomplete"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRequest(Request):
+    """Asks an acceptor to hold a claim; answered with `ClaimReply`."""
+
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class LookUpClaim(Request):
+    """Asks an acceptor what it holds for an id; answered with `ClaimReply`."""
+
+    id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReply:
+    """An acceptor's answer; ``claim`` is what it holds, if anything."""
+
+    status: ClaimStatus
+    claim: Claim | None = None
+
+
+# Controller ``backend_servers``.
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceBackendServer(Request):
+    """A backend server announced or renewed itself; answered with `LeaseGranted`."""
+
+    server: BackendServer
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """Lease of a backend server to the placer of its zone.
+
+    Parameters
+    ----------
+    lease
+        Token that each dispatch to the backend server carries.
+    holder, holder_address
+        The instance that may dispatch, and its HTTP address for renewals.
+    renew_every, expires_after
+        Seconds.
+    """
+
+    lease: str
+    holder: InstanceId
+    holder_address: str
+    renew_every: Seconds
+    expires_after: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class QueueTasks:
+    """Queues the tasks of a job; answered with `TasksQueued` or `TasksRefused`."""
+
+    job_id: JobId
+    class_name: ClassName
+    tasks: tuple[Task, ...]
+    idempotent: bool
+    team: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CancelQueued:
+    """Drops the queued tasks of a job and cancels those that run."""
+
+    job_id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class TaskReport:
+    """A backend server reported the end of a task.
+
+    Parameters
+    ----------
+    server, lease, task_id
+        Which dispatch the report belongs to.
+    outcome
+        How the task ended.
+    seconds
+        Run time that the backend server measured, if it said so.
+    """
+
+    server: BackendServerId
+    lease: str
+    task_id: TaskId
+    outcome: TaskOutcome
+    seconds: Seconds | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ListBackendServers(Request):
+    """Asks for the backend servers this placer leases."""
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServerList:
+    """Backend servers with their state, as plain records for operators."""
+
+    servers: tuple[dict[str, Any], ...]
+
+
+# Controller ``instances``.
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Says that an instance lives and what it has heard.
+
+    Parameters
+    ----------
+    sequence
+        Counts this sender's heartbeats.
+    echoes
+        Last sequence number heard, by instance.
+    """
+
+    instance: InstanceId
+    zone: ZoneId
+    incarnation: int
+    sequence: int
+    echoes: dict[InstanceId, int]
+    configuration_version: int
+    backend_servers: int
+    stopping: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ChoosePlacer(Request):
+    """Asks which instance places jobs that enter here; answered `PlacerChosen`."""
+
+    zone: ZoneId
+
+
+@dataclass(frozen=True, slots=True)
+class PlacerChosen:
+    """The placer for a zone, or ``None`` where no instance qualifies."""
+
+    placer: InstanceId | None
+    incarnation: int
+    candidates: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSize:
+    """Number of live backend servers this instance leases."""
+
+    backend_servers: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListInstances(Request):
+    """Asks for this instance's view of all instances."""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceList:
+    """The instances that one instance sees, as plain records for operators."""
+
+    instances: tuple[dict[str, Any], ...]
+
+
+# Controller ``configuration``.
+
+
+@dataclass(frozen=True, slots=True)
+class FetchConfiguration(Request):
+    """Asks for the configuration in force; answered with `ConfigurationChanged`."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """The configuration in force on this instance."""
+
+    configuration: Configuration
--- /dev/null
+++ b/boragetide/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions."""
--- /dev/null
+++ b/boragetide/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Journals and snapshots on disk."""
--- /dev/null
+++ b/boragetide/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module per module."""
--- /dev/null
+++ b/boragetide/tests/conftest.py
@@ -0,0 +1,267 @@
+"""Shared fixtures: settings, and real daemons and backend servers as processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from boragetide.settings import Settings, parse_settings
+
+WAIT_LIMIT = 20.0  # seconds until an awaited event counts as missing
+POLL = 0.05  # seconds
+
+
+def free_port() -> int:
+    """Return a TCP port of the loopback address that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_for(condition: Callable[[], Any], what: str, limit: float = WAIT_LIMIT) -> Any:
+    """Poll until a condition is true and return its value."""
+    deadline = time.monotonic() + limit
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL)
+    raise AssertionError(f"timed out waiting for {what}")
+
+
+def call(
+    method: str, url: str, body: Any = None, timeout: float = 60.0
+) -> tuple[int, Any]:
+    """Make one HTTP call and return its status code and JSON body."""
+    data = (
+        body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+    )
+    request = urllib.request.Request(
+        url, data, {"Content-Type": "application/json"}, method=method
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return response.status, json.load(response)
+    except urllib.error.HTTPError as error:
+        return error.code, json.load(error)
+
+
+@dataclass
+class Daemon:
+    """A daemon as a process."""
+
+    id: str
+    zone: str
+    url: str
+    config: Path
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process and wait until it answers."""
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "boragetide.daemon", "--config", self.config],
+                stderr=log,
+            )
+        wait_for(self.is_up, f"daemon {self.id}")
+
+    def is_up(self) -> bool:
+        """Tell whether the daemon answers."""
+        try:
+            return call("GET", f"{self.url}/healthz", timeout=1.0)[0] == 200
+        except OSError:
+            return False
+
+    def stop(self) -> int:
+        """Stop the process gracefully and return its exit code."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(WAIT_LIMIT)
+
+    def kill(self) -> None:
+        """Kill the process without warning."""
+        self.process.kill()
+        self.process.wait(WAIT_LIMIT)
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        os.kill(self.process.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        os.kill(self.process.pid, signal.SIGCONT)
+
+    def status(self) -> dict[str, Any]:
+        """Return the daemon's view of the system."""
+        return call("GET", f"{self.url}/v1/status")[1]
+
+    def log_lines(self, event: str) -> list[str]:
+        """Return the log lines of an event."""
+        lines = self.log.read_text().splitlines()
+        return [line for line in lines if f"event={event} " in line + " "]
+
+
+@dataclass
+class System:
+    """Daemons and backend servers of one test."""
+
+    folder: Path
+    daemons_by_id: dict[str, Daemon] = field(default_factory=dict)
+    servers_by_id: dict[str, str] = field(default_factory=dict)
+    processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
+
+    def start(
+        self,
+        zones_by_id: dict[str, str],
+        *,
+        disks: tuple[str, ...] | None = None,
+        timing: str = "",
+    ) -> None:
+        """Start one daemon per entry and wait until all see each other."""
+        ids = tuple(zones_by_id)
+        disks = ids[:3] if disks is None else disks
+        ports = {peer: (free_port(), free_port()) for peer in ids}
+        for own in ids:
+            config = self.folder / f"{own}.ini"
+            sections = [
+                _format_peer(
+                    peer, own, zones_by_id[peer], ports[peer], disks, self.folder
+                )
+                for peer in ids
+            ]
+            config.write_text("\n".join([*sections, f"[timing]\n{timing}"]))
+            url = f"http://127.0.0.1:{ports[own][0]}"
+            log = self.folder / f"{own}.log"
+            self.daemons_by_id[own] = Daemon(own, zones_by_id[own], url, config, log)
+        for daemon in self.daemons_by_id.values():
+            daemon.start()
+        self.wait_for_members(len(ids))
+
+    def wait_for_members(self, count: int) -> None:
+        """Wait until every running daemon sees ``count`` instances."""
+        for daemon in self.daemons_by_id.values():
+            if daemon.process.poll() is None:
+                wait_for(
+                    lambda daemon=daemon: len(daemon.status()["instances"]) == count,
+                    f"{daemon.id} to see {count} instances",
+                )
+
+    def add_server(
+        self, server_id: str, zone: str, *, slots: int = 8, speed: float = 1.0
+    ) -> None:
+        """Start a backend server and wait until a placer of its zone leases it."""
+        daemons = [d for d in self.daemons_by_id.values() if d.zone == zone]
+        command = [sys.executable, "-m", "examples.backend_server"]
+        command += [f"--id={server_id}", f"--zone={zone}", f"--slots={slots}"]
+        command += [f"--speed={speed}", *(f"--daemon={d.url}" for d in daemons)]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE)
+        self.processes.append(process)
+        self.servers_by_id[server_id] = process.stdout.readline().decode().strip()
+        wait_for(
+            lambda: any(
+                f"server={server_id} " in line + " "
+                for daemon in daemons
+                for line in daemon.log_lines("backend_server_joined")
+            ),
+            f"backend server {server_id} to join",
+        )
+
+    def starts_by_task(self) -> dict[str, int]:
+        """Return how often each task was started, over all backend servers."""
+        total: dict[str, int] = {}
+        for address in self.servers_by_id.values():
+            for task, count in call("GET", f"{address}/starts")[1].items():
+                total[task] = total.get(task, 0) + count
+        return total
+
+    def control(self, server_id: str, **options: Any) -> None:
+        """Change the behaviour of a backend server."""
+        call("POST", f"{self.servers_by_id[server_id]}/control", options)
+
+    def submit(self, daemon_id: str, body: dict[str, Any]) -> tuple[int, Any]:
+        """Submit a job and wait for its answer."""
+        return call("POST", f"{self.daemons_by_id[daemon_id].url}/v1/jobs", body)
+
+    def submit_later(
+        self, daemon_id: str, body: dict[str, Any]
+    ) -> Future[tuple[int, Any]]:
+        """Submit a job in the background."""
+        return self.pool.submit(self.submit, daemon_id, body)
+
+    def close(self) -> None:
+        """End every process that this system started."""
+        daemons = [d.process for d in self.daemons_by_id.values() if d.process]
+        for process in [*daemons, *self.processes]:
+            if process.poll() is None:
+                process.kill()
+                process.wait(WAIT_LIMIT)
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+
+def _format_peer(
+    peer: str,
+    own: str,
+    zone: str,
+    ports: tuple[int, int],
+    disks: tuple[str, ...],
+    folder: Path,
+) -> str:
+    lines = [f"[instance]\nid = {peer}" if peer == own else f"[peer {peer}]"]
+    lines.append(f"availability-zone = {zone}")
+    lines.append(f"http-address = 127.0.0.1:{ports[0]}")
+    lines.append(f"peer-address = 127.0.0.1:{ports[1]}")
+    if peer in disks:
+        lines.append("disk = yes")
+        if peer == own:
+            lines.append(f"data-folder = {folder / own}-data")
+    return "\n".join(lines)
+
+
+def make_job(job_id: str, tasks: int = 4, work: float = 0.1) -> dict[str, Any]:
+    """Build the body of a job whose tasks take ``work`` seconds at speed 1."""
+    return {
+        "id": job_id,
+        "class": "default",
+        "tasks": [
+            {"payload": {"work": work, "number": number}, "size": work}
+            for number in range(tasks)
+        ],
+    }
+
+
+@pytest.fixture
+def system(tmp_path: Path) -> Iterator[System]:
+    """Real daemons and backend servers, ended after the test."""
+    made = System(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def settings() -> Settings:
+    """Settings of instance ``a1`` among three instances of one zone."""
+    return make_settings("a1", {"a1": "a", "a2": "a", "a3": "a"})
+
+
+def make_settings(own: str, zones_by_id: dict[str, str]) -> Settings:
+    """Build settings for unit tests; every instance has a disk."""
+    sections = [
+        _format_peer(peer, own, zone, (8000, 9000), tuple(zones_by_id), Path("unused"))
+        for peer, zone in zones_by_id.items()
+    ]
+    return parse_settings("\n".join(sections))
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples: a backend server and a demonstration."""
