--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -12,7 +12,7 @@
 
 from tornado.httpserver import HTTPServer
 
-from boragetide.api.handlers import make_application
+from boragetide.api.application import make_application
 from boragetide.controllers import (
     backend_servers,
     claims,
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,11 +27,23 @@
 POLL = 0.05  # seconds
 
 
+# Ports below the range from which the kernel takes those of outgoing connections, so
+# that a port that was free stays free until the daemon listens on it.
+_PORTS = itertools.cycle(range(12_000, 32_000))
+for _ in range(random.SystemRandom().randrange(20_000)):
+    next(_PORTS)
+
+
 def free_port() -> int:
     """Return a TCP port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise AssertionError("no free port")
 
 
 def wait_for(condition: Callable[[], Any], what: str, limit: float = WAIT_LIMIT) -> Any:
