--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from asyncio import Future
 from typing import Any
 
 import msgspec
@@ -18,6 +19,25 @@
         """Keep the runtime."""
         self.runtime = runtime
 
+    def prepare(self) -> None:
+        """Note the open request, and keep no connection open while stopping."""
+        self.runtime.open_requests.add(self)
+        if self.runtime.stopping:
+            self.set_header("Connection", "close")
+
+    def finish(self, chunk: Any = None) -> Future[None]:
+        """Count the request as open until its response is written."""
+        try:
+            written = super().finish(chunk)
+        except BaseException:
+            self.runtime.open_requests.discard(self)
+            raise
+        written.add_done_callback(self._close_request)
+        return written
+
+    def _close_request(self, written: Future[None]) -> None:
+        self.runtime.open_requests.discard(self)
+
     def respond(self, status: int, body: Any) -> None:
         """Write a JSON body."""
         self.set_status(status)
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -53,7 +53,11 @@
 
 
 class BackendServerBody(_Body):
-    """Body of ``PUT /v1/backend-servers/{id}``; memory is in bytes."""
+    """Body of ``PUT /v1/backend-servers/{id}``; memory is in bytes.
+
+    A ``lease`` names the newest lease that the backend server holds and is empty if it
+    holds none, as after a restart.
+    """
 
     address: Annotated[str, Field(pattern=r"^http://[^/\s]+$")]
     availability_zone: NameField
@@ -63,6 +67,7 @@
     cores: Annotated[float, Field(gt=0)] = 1.0
     memory: Annotated[int, Field(gt=0)] = 1 << 30
     leaving: bool = False
+    lease: Annotated[str, Field(max_length=200)] | None = None
 
 
 @singledispatch
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from boragetide.api.base import Handler
-from boragetide.messages import ListInstances
+from boragetide.messages import FindPlacer, ListInstances
 
 
 class StatusHandler(Handler):
@@ -48,7 +48,13 @@
 class ReadinessHandler(Handler):
     """Says whether this instance takes new requests."""
 
-    def get(self) -> None:
-        """Answer 503 while stopping."""
-        ready = not self.runtime.stopping
+    async def get(self) -> None:
+        """Answer 503 while stopping, and after a start until a placer is known."""
+        runtime = self.runtime
+        found = await runtime.ask(
+            runtime.local("instances"),
+            FindPlacer(runtime.settings.zone),
+            runtime.settings.timing.request_timeout,
+        )
+        ready = found.placer is not None and not runtime.stopping
         self.respond(200 if ready else 503, {"ready": ready})
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -6,15 +6,17 @@
 from functools import singledispatch
 from typing import Any
 
+from boragetide.controllers import leases
 from boragetide.effects import Effect, LogEvent, Reply, Send, StartTasks
 from boragetide.messages import (
     AnnounceBackendServer,
     BackendServerList,
     CancelQueued,
     ConfigurationChanged,
-    LeaseGranted,
+    Drain,
+    DrainState,
     ListBackendServers,
-    PoolSize,
+    PlacerChanged,
     QueueTasks,
     StopRequested,
     TaskEnded,
@@ -31,6 +33,7 @@
     BackendServer,
     BackendServerId,
     Configuration,
+    InstanceId,
     JobId,
     Seconds,
     Task,
@@ -41,12 +44,23 @@
 
 @dataclass(slots=True)
 class LeasedServer:
-    """A backend server under this instance's lease."""
+    """A backend server under this instance's lease.
+
+    Parameters
+    ----------
+    confirmed
+        Whether the backend server knows the lease; it refuses dispatches until then.
+    tasks_end_by
+        Unix time at which tasks that still run under a lost lease end as unknown;
+        ``None`` where their own timeouts bound them.
+    """
 
     server: BackendServer
     lease: str
     renewed_at: Seconds
     running_by_id: dict[TaskId, RunningTask] = field(default_factory=dict)
+    confirmed: bool = False
+    tasks_end_by: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,16 +84,36 @@
 
 @dataclass(slots=True)
 class BackendServersState:
-    """The pool of one placer."""
+    """The pool of one placer.
+
+    Parameters
+    ----------
+    retired_by_lease
+        Leases that take no new task and under which tasks still run.
+    placer, role_lost_at
+        Who places for this zone, and since when this instance, having done so, does
+        not, in Unix time.
+    """
 
     settings: Settings
     incarnation: int
     servers_by_id: dict[BackendServerId, LeasedServer] = field(default_factory=dict)
+    retired_by_lease: dict[str, LeasedServer] = field(default_factory=dict)
     jobs_by_id: dict[JobId, QueuedJob] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
     leases: int = 0
+    placer: InstanceId | None = None
+    role_lost_at: Seconds | None = None
     stopping: bool = False
 
+    def grant_lease(self, server: BackendServer, now: Seconds) -> LeasedServer:
+        """Put a backend server under a new lease."""
+        self.leases += 1
+        lease = f"{self.settings.id}/{self.incarnation}/{self.leases}"
+        leased = LeasedServer(server, lease, now)
+        self.servers_by_id[server.id] = leased
+        return leased
+
 
 @singledispatch
 def handle(message: Any, state: BackendServersState, now: Seconds) -> list[Effect]:
@@ -91,33 +125,13 @@
 def _(
     message: AnnounceBackendServer, state: BackendServersState, now: Seconds
 ) -> list[Effect]:
-    server = message.server
-    leased = state.servers_by_id.get(server.id)
-    effects: list[Effect] = []
-    if leased is None:
-        state.leases += 1
-        lease = f"{state.settings.id}/{state.incarnation}/{state.leases}"
-        leased = LeasedServer(server, lease, now)
-        state.servers_by_id[server.id] = leased
-        effects.append(
-            LogEvent("backend_server_joined", {"server": server.id, "lease": lease})
-        )
-        effects.append(_tell_pool_size(state))
-    leased.server = server
-    leased.renewed_at = now
-    granted = LeaseGranted(
-        lease=leased.lease,
-        holder=state.settings.id,
-        holder_address=f"http://{state.settings.own.http_address}",
-        renew_every=state.settings.timing.lease_renewal,
-        expires_after=state.settings.timing.lease_expiry,
-    )
-    return [*effects, Reply(message.reply_to, granted), *_place(state, now)]
+    effects = leases.announce(message, state, now)
+    return [*effects, *_place(state, now)]
 
 
-def _tell_pool_size(state: BackendServersState) -> Effect:
-    size = PoolSize(len(state.servers_by_id))
-    return Send(Address(state.settings.id, "instances"), size)
+@handle.register
+def _(message: PlacerChanged, state: BackendServersState, now: Seconds) -> list[Effect]:
+    return leases.change_placer(message, state, now)
 
 
 @handle.register
@@ -169,7 +183,9 @@
             server_id, leased.server.slots - len(leased.running_by_id), 1.0
         )
         for server_id, leased in state.servers_by_id.items()
-        if not leased.server.leaving and server_id not in state.configuration.drained
+        if leased.confirmed
+        and not leased.server.leaving
+        and server_id not in state.configuration.drained
     ]
 
 
@@ -196,8 +212,8 @@
 
 @handle.register
 def _(message: TaskReport, state: BackendServersState, now: Seconds) -> list[Effect]:
-    leased = state.servers_by_id.get(message.server)
-    if leased is None or leased.lease != message.lease:
+    leased = leases.find_lease(message.server, message.lease, state)
+    if leased is None:
         return [LogEvent("late_report", {"task": message.task_id})]
     running = leased.running_by_id.pop(message.task_id, None)
     if running is None:
@@ -246,21 +262,23 @@
     return []
 
 
+@handle.register
+def _(message: Drain, state: BackendServersState, now: Seconds) -> list[Effect]:
+    leased = [*state.servers_by_id.values(), *state.retired_by_lease.values()]
+    waiting = sum(len(job.waiting) for job in state.jobs_by_id.values())
+    running = sum(len(entry.running_by_id) for entry in leased)
+    return [Reply(message.reply_to, DrainState(waiting + running))]
+
+
 @handle.register
 def _(message: WokeUp, state: BackendServersState, now: Seconds) -> list[Effect]:
     """Drop the queue and every lease; backend servers announce themselves again."""
     state.jobs_by_id.clear()
     state.servers_by_id.clear()
-    return [_tell_pool_size(state)]
+    state.retired_by_lease.clear()
+    return [leases.tell_pool_size(state)]
 
 
 @handle.register
 def _(message: Tick, state: BackendServersState, now: Seconds) -> list[Effect]:
-    expiry = state.settings.timing.lease_expiry
-    effects: list[Effect] = []
-    for server_id, leased in list(state.servers_by_id.items()):
-        if now - leased.renewed_at > expiry and not leased.running_by_id:
-            del state.servers_by_id[server_id]
-            effects.append(LogEvent("backend_server_lost", {"server": server_id}))
-            effects.append(_tell_pool_size(state))
-    return effects
+    return leases.expire(state, now)
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -11,6 +11,8 @@
     ClaimReply,
     ClaimRequest,
     ClaimStatus,
+    Drain,
+    DrainState,
     LookUpClaim,
     StopRequested,
     Tick,
@@ -49,6 +51,11 @@
     return [Reply(message.reply_to, ClaimReply(status, held))]
 
 
+@handle.register
+def _(message: Drain, state: ClaimsState, now: Seconds) -> list[Effect]:
+    return [Reply(message.reply_to, DrainState(0))]
+
+
 @handle.register(Tick)
 @handle.register(WokeUp)
 @handle.register(StopRequested)
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -9,6 +9,8 @@
 from boragetide.effects import Effect, Reply
 from boragetide.messages import (
     ConfigurationChanged,
+    Drain,
+    DrainState,
     FetchConfiguration,
     StopRequested,
     Tick,
@@ -40,6 +42,11 @@
     return [Reply(message.reply_to, ConfigurationChanged(state.configuration))]
 
 
+@handle.register
+def _(message: Drain, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    return [Reply(message.reply_to, DrainState(0))]
+
+
 @handle.register(Tick)
 @handle.register(WokeUp)
 @handle.register(StopRequested)
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -11,18 +11,25 @@
 from boragetide.messages import (
     ChoosePlacer,
     ConfigurationChanged,
+    Drain,
+    DrainState,
+    FindPlacer,
+    Flush,
+    Flushed,
     Heartbeat,
     InstanceList,
     ListInstances,
+    PlacerChanged,
     PlacerChosen,
     PoolSize,
     StopRequested,
     Tick,
     WokeUp,
 )
-from boragetide.policy.membership import Candidate, choose_placer, is_live
+from boragetide.policy import membership
+from boragetide.policy.membership import Candidate
 from boragetide.settings import Settings
-from boragetide.types import Address, InstanceId, Seconds
+from boragetide.types import Address, InstanceId, ReplyTo, Seconds, ZoneId
 
 HEARTBEAT_JITTER = 0.1  # share of the heartbeat interval
 
@@ -36,16 +43,19 @@
     heartbeat
         The newest one, if any was heard.
     last_heard
-        When it came, in Unix time.
+        When it came, in Unix time; ``None`` if nothing came since this process started
+        or woke up.
     last_echo, echo_at
         The newest of our sequence numbers that the peer has heard, and when it said so.
-    linked_at
-        When the link to the peer was made.
+    linked_at, link_patience
+        When the link to the peer was made, and the seconds without an echo after which
+        it is replaced.
     live
-        Whether the last tick counted the peer as live.
+        Whether the last tick or heartbeat counted the peer as live.
     """
 
     linked_at: Seconds
+    link_patience: Seconds
     heartbeat: Heartbeat | None = None
     last_heard: Seconds | None = None
     last_echo: int = 0
@@ -55,18 +65,41 @@
 
 @dataclass(slots=True)
 class InstancesState:
-    """View that this instance has of the others."""
+    """View that this instance has of the others.
+
+    Parameters
+    ----------
+    in_service_since
+        Unix time in milliseconds; set anew after a pause or an isolation.
+    awake_since
+        Unix time in seconds of the first tick after the start or a pause.
+    settled
+        Whether the zone's other instances were heard, or had their time to be heard.
+    isolated
+        Whether this instance is not, or not yet, connected to half of its zone.
+    flushing
+        Requests to answer once the peers have echoed a sequence number.
+    """
 
     settings: Settings
     incarnation: int
+    in_service_since: int = 0
     peers_by_id: dict[InstanceId, PeerView] = field(default_factory=dict)
     sequence: int = 0
     next_heartbeat: Seconds = 0.0
+    awake_since: Seconds | None = None
+    settled: bool = False
+    isolated: bool = True
+    placer: InstanceId | None = None
     configuration_version: int = 0
     backend_servers: int = 0
     stopping: bool = False
+    flushing: list[tuple[ReplyTo | None, int]] = field(default_factory=list)
     jitter: random.Random = field(default_factory=random.Random)
 
+    def __post_init__(self) -> None:
+        self.in_service_since = self.in_service_since or self.incarnation
+
 
 @singledispatch
 def handle(message: Any, state: InstancesState, now: Seconds) -> list[Effect]:
@@ -76,7 +109,15 @@
 
 @handle.register
 def _(message: Tick, state: InstancesState, now: Seconds) -> list[Effect]:
+    if state.awake_since is None:
+        state.awake_since = now
+        silence = state.settings.timing.instance_silence
+        for peer_id in state.settings.peers_by_id:
+            if peer_id != state.settings.id:
+                state.peers_by_id.setdefault(peer_id, PeerView(now, silence))
     effects = _check_peers(state, now)
+    effects += _check_role(state, now)
+    effects += _end_flushes(state)
     if now >= state.next_heartbeat:
         effects += _send_heartbeats(state, now)
     return effects
@@ -86,106 +127,189 @@
     silence = state.settings.timing.instance_silence
     effects: list[Effect] = []
     for peer_id, view in state.peers_by_id.items():
-        live = is_live(view.last_heard, now, silence)
+        live = membership.is_live(view.last_heard, now, silence)
         if view.live and not live:
-            effects.append(AbandonRequests(peer_id))
             effects.append(LogEvent("instance_lost", {"peer": peer_id}))
         view.live = live
-        if live and now - max(view.echo_at, view.linked_at) > silence:
+        if _is_lost(view, state, now):
+            # On every tick, so that requests sent after the loss do not wait either.
+            effects.append(AbandonRequests(peer_id))
+        if now - max(view.echo_at, view.linked_at) > view.link_patience:
+            # A peer that is not heard may wait for this link to be replaced too.
             view.linked_at = now
+            view.link_patience = silence * state.jitter.uniform(1, 2)
             effects.append(Reconnect(peer_id))
-            effects.append(LogEvent("link_silent", {"peer": peer_id}))
+            if live:
+                effects.append(LogEvent("link_silent", {"peer": peer_id}))
     return effects
 
 
+def _is_lost(view: PeerView, state: InstancesState, now: Seconds) -> bool:
+    quiet_since = max(view.last_heard or 0.0, state.awake_since or now)
+    return now - quiet_since > state.settings.timing.instance_silence
+
+
+def _check_role(state: InstancesState, now: Seconds) -> list[Effect]:
+    """Settle after a start or a pause, and tell the pool who is the placer."""
+    silence = state.settings.timing.instance_silence
+    zone_peers = [
+        view
+        for peer_id, view in state.peers_by_id.items()
+        if state.settings.peers_by_id[peer_id].zone == state.settings.zone
+    ]
+    if all(view.live for view in zone_peers) or now - state.awake_since > silence:
+        state.settled = True
+    connected = sum(view.live and now - view.echo_at <= silence for view in zone_peers)
+    isolated = membership.is_isolated(connected + 1, len(zone_peers) + 1)
+    effects: list[Effect] = []
+    if isolated and not state.isolated:
+        # The others have chosen another placer; it keeps the role when they meet again.
+        state.in_service_since = _milliseconds(now)
+        effects.append(LogEvent("isolated", {"connected": connected}))
+    state.isolated = isolated
+    return effects + _tell_placer(state, now)
+
+
+def _tell_placer(state: InstancesState, now: Seconds) -> list[Effect]:
+    candidates = _list_candidates(state, now)
+    found = membership.find_placer(state.settings.zone, candidates)
+    placer = None if found is None else found.id
+    if placer == state.placer:
+        return []
+    state.placer = placer
+    return [
+        Send(Address(state.settings.id, "backend_servers"), PlacerChanged(placer)),
+        LogEvent("placer_changed", {"placer": placer, "candidates": len(candidates)}),
+    ]
+
+
+def _milliseconds(now: Seconds) -> int:
+    return int(now * 1000)
+
+
 def _send_heartbeats(state: InstancesState, now: Seconds) -> list[Effect]:
     interval = state.settings.timing.heartbeat_interval
     spread = state.jitter.uniform(1 - HEARTBEAT_JITTER, 1 + HEARTBEAT_JITTER)
     state.next_heartbeat = now + interval * spread
     state.sequence += 1
-    heartbeat = Heartbeat(
+    return [
+        Send(Address(peer_id, "instances"), _make_heartbeat(view, state))
+        for peer_id, view in state.peers_by_id.items()
+    ]
+
+
+def _make_heartbeat(view: PeerView, state: InstancesState) -> Heartbeat:
+    return Heartbeat(
         instance=state.settings.id,
         zone=state.settings.zone,
         incarnation=state.incarnation,
+        in_service_since=state.in_service_since,
         sequence=state.sequence,
-        echoes={
-            peer_id: view.heartbeat.sequence
-            for peer_id, view in state.peers_by_id.items()
-            if view.heartbeat is not None
-        },
+        echo=0 if view.heartbeat is None else view.heartbeat.sequence,
         configuration_version=state.configuration_version,
         backend_servers=state.backend_servers,
         stopping=state.stopping,
     )
-    effects: list[Effect] = []
-    for peer_id in state.settings.peers_by_id:
-        if peer_id == state.settings.id:
-            continue
-        state.peers_by_id.setdefault(peer_id, PeerView(linked_at=now))
-        effects.append(Send(Address(peer_id, "instances"), heartbeat))
-    return effects
 
 
 @handle.register
 def _(message: Heartbeat, state: InstancesState, now: Seconds) -> list[Effect]:
     if message.instance not in state.settings.peers_by_id:
         return [LogEvent("unknown_instance", {"peer": message.instance})]
-    view = state.peers_by_id.setdefault(message.instance, PeerView(linked_at=now))
+    silence = state.settings.timing.instance_silence
+    view = state.peers_by_id.setdefault(message.instance, PeerView(now, silence))
     known = view.heartbeat
-    if known is not None and known.incarnation > message.incarnation:
+    if known is not None and not _is_newer(message, view, state, now):
         return []
     effects: list[Effect] = []
-    if known is not None and known.incarnation < message.incarnation:
+    restarted = known is not None and known.incarnation != message.incarnation
+    if restarted:
         effects.append(AbandonRequests(message.instance))
-    if known is None or known.incarnation != message.incarnation:
+    if known is None or restarted or not view.live:
         fields = {"peer": message.instance, "incarnation": message.incarnation}
         effects.append(LogEvent("instance_heard", fields))
     view.heartbeat = message
     view.last_heard = now
     view.live = True
-    echo = message.echoes.get(state.settings.id, 0)
-    if echo > view.last_echo or echo == state.sequence:
-        view.last_echo = echo
+    # An echo above our own sequence number belongs to our previous incarnation.
+    if restarted or view.last_echo < message.echo <= state.sequence:
+        view.last_echo = min(message.echo, state.sequence)
         view.echo_at = now
-    return effects
+        view.link_patience = silence
+    return effects + _end_flushes(state)
+
+
+def _is_newer(
+    message: Heartbeat, view: PeerView, state: InstancesState, now: Seconds
+) -> bool:
+    """Tell a new heartbeat from a delayed one.
+
+    A lower incarnation is believed once the higher one is lost: the clock of a machine
+    may have been set back between two starts.
+    """
+    known = view.heartbeat
+    if message.incarnation == known.incarnation:
+        return message.sequence > known.sequence
+    return message.incarnation > known.incarnation or _is_lost(view, state, now)
 
 
 @handle.register
 def _(message: ChoosePlacer, state: InstancesState, now: Seconds) -> list[Effect]:
     candidates = _list_candidates(state, now)
-    placer = choose_placer(message.zone, candidates)
+    placer = membership.choose_placer(message.zone, candidates)
+    return [Reply(message.reply_to, _describe(placer, message.zone, len(candidates)))]
+
+
+@handle.register
+def _(message: FindPlacer, state: InstancesState, now: Seconds) -> list[Effect]:
+    candidates = _list_candidates(state, now)
+    placer = membership.find_placer(message.zone, candidates)
+    return [Reply(message.reply_to, _describe(placer, message.zone, len(candidates)))]
+
+
+def _describe(placer: Candidate | None, zone: ZoneId, candidates: int) -> PlacerChosen:
     if placer is None:
-        chosen = PlacerChosen(None, 0, len(candidates), "no live instance in the zone")
-    else:
-        reason = "longest_running" if placer.zone == message.zone else "other_zone"
-        chosen = PlacerChosen(placer.id, placer.incarnation, len(candidates), reason)
-    return [Reply(message.reply_to, chosen)]
+        return PlacerChosen(None, 0, candidates, f"no instance places for zone {zone}")
+    reason = "longest_in_service" if placer.zone == zone else "other_zone"
+    return PlacerChosen(placer.id, placer.incarnation, candidates, reason)
 
 
 def _list_candidates(state: InstancesState, now: Seconds) -> list[Candidate]:
-    own = Candidate(
-        state.settings.id,
-        state.settings.zone,
-        state.incarnation,
-        state.backend_servers,
-        state.stopping,
-    )
+    """List the live instances; none until this one knows of the others."""
+    return _list_live(state, now) if state.settled else []
+
+
+def _list_live(state: InstancesState, now: Seconds) -> list[Candidate]:
     silence = state.settings.timing.instance_silence
-    return [own] + [
+    peers = [
         Candidate(
             peer_id,
             view.heartbeat.zone,
             view.heartbeat.incarnation,
+            view.heartbeat.in_service_since,
             view.heartbeat.backend_servers,
             view.heartbeat.stopping,
         )
         for peer_id, view in state.peers_by_id.items()
-        if view.heartbeat is not None and is_live(view.last_heard, now, silence)
+        if membership.is_live(view.last_heard, now, silence)
     ]
+    return [_describe_self(state), *peers]
+
+
+def _describe_self(state: InstancesState) -> Candidate:
+    return Candidate(
+        state.settings.id,
+        state.settings.zone,
+        state.incarnation,
+        state.in_service_since,
+        state.backend_servers,
+        state.stopping,
+    )
 
 
 @handle.register
 def _(message: ListInstances, state: InstancesState, now: Seconds) -> list[Effect]:
+    candidates = _list_live(state, now)
     records = tuple(
         {
             "id": candidate.id,
@@ -193,8 +317,9 @@
             "incarnation": candidate.incarnation,
             "backend_servers": candidate.backend_servers,
             "stopping": candidate.stopping,
+            "placer": candidate == membership.find_placer(candidate.zone, candidates),
         }
-        for candidate in _list_candidates(state, now)
+        for candidate in candidates
     )
     return [Reply(message.reply_to, InstanceList(records))]
 
@@ -219,11 +344,41 @@
     return _send_heartbeats(state, now)
 
 
+@handle.register
+def _(message: Drain, state: InstancesState, now: Seconds) -> list[Effect]:
+    return [Reply(message.reply_to, DrainState(0))]
+
+
+@handle.register
+def _(message: Flush, state: InstancesState, now: Seconds) -> list[Effect]:
+    """Send heartbeats behind what was sent before; their echo is the receipt."""
+    effects = _send_heartbeats(state, now)
+    state.flushing.append((message.reply_to, state.sequence))
+    return effects + _end_flushes(state)
+
+
+def _end_flushes(state: InstancesState) -> list[Effect]:
+    if not state.flushing:
+        return []
+    echoed = min(
+        (view.last_echo for view in state.peers_by_id.values() if view.live),
+        default=state.sequence,
+    )
+    ended = [to for to, sequence in state.flushing if sequence <= echoed]
+    state.flushing = [entry for entry in state.flushing if entry[1] > echoed]
+    return [Reply(to, Flushed()) for to in ended]
+
+
 @handle.register
 def _(message: WokeUp, state: InstancesState, now: Seconds) -> list[Effect]:
     """Forget what was heard before the pause; heartbeats will say who still lives."""
+    state.in_service_since = _milliseconds(now)
+    state.awake_since = now
+    state.settled = False
+    state.isolated = True
     for view in state.peers_by_id.values():
         view.last_heard = None
         view.live = False
         view.linked_at = now
-    return [LogEvent("woke_up", {"seconds": now - message.asleep_since})]
+    fields = {"seconds": now - message.asleep_since}
+    return [LogEvent("woke_up", fields), *_tell_placer(state, now)]
--- a/boragetide/controllers/jobs.py
+++ b/boragetide/controllers/jobs.py
@@ -11,6 +11,8 @@
 from boragetide.messages import (
     CancelJob,
     CancelQueued,
+    Drain,
+    DrainState,
     JobAnswer,
     JobState,
     LookUpJob,
@@ -223,6 +225,12 @@
     return []
 
 
+@handle.register
+def _(message: Drain, state: JobsState, now: Seconds) -> list[Effect]:
+    running = sum(job.phase is JobPhase.RUNNING for job in state.jobs_by_id.values())
+    return [Reply(message.reply_to, DrainState(running))]
+
+
 @handle.register
 def _(message: WokeUp, state: JobsState, now: Seconds) -> list[Effect]:
     """Fence this instance: peers gave up on its jobs while it did not run."""
--- /dev/null
+++ b/boragetide/controllers/leases.py
@@ -0,0 +1,208 @@
+"""Leases of the backend servers: grants, renewals, losses and release.
+
+Part of the backend servers controller, whose state it changes. A lease that takes no
+new task is retired: it is kept while tasks run under it, so that their results count.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetide.effects import Effect, LogEvent, Reply, Send
+from boragetide.messages import (
+    AnnounceBackendServer,
+    LeaseGranted,
+    LeaseRefused,
+    PlacerChanged,
+    PoolSize,
+    TaskEnded,
+    TasksRefused,
+)
+from boragetide.types import (
+    Address,
+    BackendServerId,
+    Seconds,
+    TaskOutcome,
+    TaskStatus,
+)
+
+if TYPE_CHECKING:
+    from boragetide.controllers.backend_servers import (
+        BackendServersState,
+        LeasedServer,
+    )
+
+# Entry instances that chose this placer before they heard of the change still send
+# their jobs once the claim is settled, which takes a few round trips.
+RELEASE_DELAY = 1.0  # seconds
+RELEASE_RENEWAL = 0.2  # seconds between renewals while the queue is being finished
+CONFIRMATION = 0.005  # seconds until the renewal that confirms a new lease
+
+
+def announce(
+    message: AnnounceBackendServer, state: BackendServersState, now: Seconds
+) -> list[Effect]:
+    """Grant, renew or refuse the lease of a backend server.
+
+    Only the placer of the zone grants leases. An instance that lost the role goes on
+    renewing the ones it holds until it has started everything in its queue.
+    """
+    server = message.server
+    leased = state.servers_by_id.get(server.id)
+    if state.placer != state.settings.id and not message.fence:
+        if leased is None or not _is_current(message, leased):
+            return [Reply(message.reply_to, _refuse(state))]
+        if is_released(state, now):
+            retired = _retire(leased, state, None)
+            return [*retired, Reply(message.reply_to, _refuse(state))]
+    effects: list[Effect] = []
+    if leased is not None and not _is_current(message, leased):
+        effects += _retire(leased, state, None)
+        leased = None
+    if leased is None:
+        leased = state.grant_lease(server, now)
+        effects.append(
+            LogEvent(
+                "backend_server_joined", {"server": server.id, "lease": leased.lease}
+            )
+        )
+    leased.server = server
+    leased.renewed_at = now
+    # A backend server that does not name its lease is taken to know it at once.
+    leased.confirmed = message.lease is None or message.lease == leased.lease
+    effects.append(tell_pool_size(state))
+    return [*effects, Reply(message.reply_to, _describe(leased, state))]
+
+
+def _is_current(message: AnnounceBackendServer, leased: LeasedServer) -> bool:
+    """Tell whether the announcement comes from the process that holds the lease."""
+    return message.server.address == leased.server.address and (
+        message.lease is None or message.lease == leased.lease
+    )
+
+
+def _refuse(state: BackendServersState) -> LeaseRefused:
+    return LeaseRefused(
+        f"instance {state.settings.id} does not place for its zone, "
+        f"{state.placer or 'no instance'} does"
+    )
+
+
+def _describe(leased: LeasedServer, state: BackendServersState) -> LeaseGranted:
+    timing = state.settings.timing
+    renew_every = timing.lease_renewal
+    if not leased.confirmed:
+        renew_every = CONFIRMATION
+    elif state.placer != state.settings.id:
+        renew_every = RELEASE_RENEWAL
+    return LeaseGranted(
+        lease=leased.lease,
+        holder=state.settings.id,
+        holder_address=f"http://{state.settings.own.http_address}",
+        renew_every=renew_every,
+        expires_after=timing.lease_expiry,
+    )
+
+
+def tell_pool_size(state: BackendServersState) -> Effect:
+    """Tell the instances controller how many backend servers can take tasks."""
+    able = sum(not leased.server.leaving for leased in state.servers_by_id.values())
+    return Send(Address(state.settings.id, "instances"), PoolSize(able))
+
+
+def change_placer(
+    message: PlacerChanged, state: BackendServersState, now: Seconds
+) -> list[Effect]:
+    """Take note of who places for this zone."""
+    if state.placer == state.settings.id:
+        state.role_lost_at = now
+    state.placer = message.placer
+    return []
+
+
+def is_released(state: BackendServersState, now: Seconds) -> bool:
+    """Tell whether a former placer has started all that was sent to it."""
+    lost_at = state.role_lost_at
+    settled = lost_at is None or now - lost_at > RELEASE_DELAY
+    return settled and not state.jobs_by_id
+
+
+def find_lease(
+    server_id: BackendServerId, lease: str, state: BackendServersState
+) -> LeasedServer | None:
+    """Find a lease, current or retired, that tasks were started under."""
+    leased = state.servers_by_id.get(server_id)
+    if leased is not None and leased.lease == lease:
+        return leased
+    return state.retired_by_lease.get(lease)
+
+
+def _retire(
+    leased: LeasedServer, state: BackendServersState, tasks_end_by: Seconds | None
+) -> list[Effect]:
+    """Start nothing more under a lease, and keep it while tasks run under it."""
+    del state.servers_by_id[leased.server.id]
+    if leased.running_by_id:
+        leased.tasks_end_by = tasks_end_by
+        state.retired_by_lease[leased.lease] = leased
+    return [tell_pool_size(state)]
+
+
+def expire(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """Retire the leases that were not renewed and end the tasks of lost servers.
+
+    A lost server may only be cut off from its renewals, so its tasks get another lease
+    period in which their results can arrive.
+    """
+    expiry = state.settings.timing.lease_expiry
+    effects: list[Effect] = []
+    for server_id, leased in list(state.servers_by_id.items()):
+        if now - leased.renewed_at > expiry:
+            fields = {"server": server_id, "running": len(leased.running_by_id)}
+            effects.append(LogEvent("backend_server_lost", fields))
+            effects += _retire(leased, state, now + expiry)
+    for lease, leased in list(state.retired_by_lease.items()):
+        if leased.tasks_end_by is not None and now > leased.tasks_end_by:
+            effects += _end_tasks(leased, state)
+        if not leased.running_by_id:
+            del state.retired_by_lease[lease]
+    return effects + _refuse_stranded(state, now)
+
+
+def _refuse_stranded(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """Refuse jobs that wait where no backend server will come, as on a former placer.
+
+    An instance that is about to get the role keeps them for one lease period.
+    """
+    if state.placer == state.settings.id or state.servers_by_id:
+        return []
+    expiry = state.settings.timing.lease_expiry
+    queued = {
+        job_id: job
+        for job_id, job in state.jobs_by_id.items()
+        if now - job.queued_at > expiry
+    }
+    jobs = Address(state.settings.id, "jobs")
+    error = "the instance is not the placer and has no backend servers"
+    outcome = TaskOutcome(TaskStatus.NOT_RUN, error=error)
+    effects: list[Effect] = []
+    for job_id, job in queued.items():
+        del state.jobs_by_id[job_id]
+        if len(job.waiting) == len(job.queued.tasks):
+            effects.append(Send(jobs, TasksRefused(job_id, error)))
+        else:
+            ended = (TaskEnded(job_id, index, outcome) for index in job.waiting)
+            effects += [Send(jobs, message) for message in ended]
+    return effects
+
+
+def _end_tasks(leased: LeasedServer, state: BackendServersState) -> list[Effect]:
+    error = f"backend server {leased.server.id!r} was lost while the task ran"
+    outcome = TaskOutcome(TaskStatus.UNKNOWN, error=error)
+    jobs = Address(state.settings.id, "jobs")
+    ended = [
+        Send(jobs, TaskEnded(running.job_id, running.index, outcome))
+        for running in leased.running_by_id.values()
+    ]
+    leased.running_by_id.clear()
+    return ended
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -6,7 +6,10 @@
 import asyncio
 import signal
 import sys
+import traceback
+from collections.abc import Awaitable
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -22,13 +25,21 @@
 )
 from boragetide.daemon.logs import configure_logs, log_event
 from boragetide.daemon.performer import Performer, make_perform
-from boragetide.daemon.runtime import Runtime, run_controller, run_ticks
+from boragetide.daemon.runtime import (
+    Runtime,
+    keep_running,
+    run_controller,
+    run_ticks,
+)
+from boragetide.daemon.stopping import StopSignals, stop_gracefully
 from boragetide.errors import SettingsError
 from boragetide.links.backend_client import make_client
 from boragetide.links.peers import PeerLink, run_link, run_listener
 from boragetide.settings import Settings, load_settings
 
 EXIT_SETTINGS = 2
+EXIT_FAILURE = 70
+CANCEL_PERIOD = 0.1  # seconds
 
 
 def main() -> None:
@@ -48,24 +59,45 @@
         settings = replace(settings, data_folder=arguments.data_folder)
     if not arguments.check:
         configure_logs(settings.id)
-        asyncio.run(run_daemon(settings))
+        sys.exit(asyncio.run(run_daemon(settings)))
 
 
-async def run_daemon(settings: Settings) -> None:
-    """Run all tasks of a daemon until it is asked to stop."""
+async def run_daemon(settings: Settings) -> int:
+    """Run all tasks of a daemon until it is asked to stop; returns the exit code."""
+    signals = StopSignals()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, signals.note)
     runtime = Runtime(settings, _make_links(settings))
     listening = asyncio.Event()
-    tasks = [
-        asyncio.create_task(
-            run_listener(settings, runtime.deliver, runtime.report_fault, listening)
-        ),
-        *(
-            asyncio.create_task(run_link(link, runtime.report_unsent))
-            for link in runtime.links_by_id.values()
-        ),
+    links = _start_links(runtime, listening)
+    controllers = [
         *_start_controllers(runtime),
-        asyncio.create_task(run_ticks(runtime)),
+        asyncio.create_task(run_ticks(runtime), name="ticks"),
     ]
+    serving = asyncio.create_task(_serve(runtime, listening, signals))
+    await asyncio.wait({serving, *controllers}, return_when=asyncio.FIRST_COMPLETED)
+    code = _report_failures([*controllers, serving])
+    await _end_tasks({serving, *links, *controllers})
+    log_event("stopped", code=code)
+    return code
+
+
+async def _end_tasks(tasks: set[asyncio.Task[None]]) -> None:
+    """Cancel tasks until they have ended.
+
+    pynng drops a cancellation that meets a send or receive that has just ended, so the
+    task of a busy link may have to be cancelled more than once.
+    """
+    while tasks:
+        for task in tasks:
+            task.cancel()
+        _, tasks = await asyncio.wait(tasks, timeout=CANCEL_PERIOD)
+
+
+async def _serve(
+    runtime: Runtime, listening: asyncio.Event, signals: StopSignals
+) -> None:
+    settings = runtime.settings
     await listening.wait()
     server = HTTPServer(
         make_application(runtime), max_body_size=settings.limits.body_bytes
@@ -78,13 +110,38 @@
         http_address=settings.own.http_address,
         incarnation=runtime.incarnation,
     )
-    await _wait_for_signal()
-    runtime.stopping = True
+    await signals.first.wait()
+    await stop_gracefully(runtime, signals)
     server.stop()
-    log_event("stopped")
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _report_failures(tasks: list[asyncio.Task[None]]) -> int:
+    """Log tasks that failed; without one of them the state may be inconsistent."""
+    failed = [task for task in tasks if task.done() and task.exception() is not None]
+    for task in failed:
+        frames = traceback.format_exception(task.exception())
+        log_event("task_failed", task=task.get_name(), error="".join(frames))
+    return EXIT_FAILURE if failed else 0
+
+
+def _start_links(
+    runtime: Runtime, listening: asyncio.Event
+) -> list[asyncio.Task[None]]:
+    count = runtime.metrics.count
+
+    def listen() -> Awaitable[None]:
+        return run_listener(
+            runtime.settings, runtime.deliver, runtime.report_fault, count, listening
+        )
+
+    links = {
+        f"link {peer_id}": partial(run_link, link, runtime.report_unsent, count)
+        for peer_id, link in runtime.links_by_id.items()
+    }
+    return [
+        asyncio.create_task(keep_running(name, run))
+        for name, run in {"listener": listen, **links}.items()
+    ]
 
 
 def _make_links(settings: Settings) -> dict[str, PeerLink]:
@@ -113,19 +170,11 @@
     }
     return [
         asyncio.create_task(
-            run_controller(runtime, name, module.handle, state, perform)
+            run_controller(runtime, name, module.handle, state, perform), name=name
         )
         for name, (module, state) in machines.items()
     ]
 
 
-async def _wait_for_signal() -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await stop.wait()
-
-
 if __name__ == "__main__":
     main()
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -13,6 +13,7 @@
 from boragetide.daemon.logs import log_event
 from boragetide.daemon.runtime import Runtime
 from boragetide.links import backend_client
+from boragetide.links.peers import replace_socket
 from boragetide.messages import TaskReport
 
 
@@ -28,7 +29,12 @@
         """Run an HTTP call as a task of its own and keep it referenced."""
         task = asyncio.ensure_future(call)
         self.calls.add(task)
-        task.add_done_callback(self.calls.discard)
+        task.add_done_callback(self._end_call)
+
+    def _end_call(self, task: asyncio.Task[None]) -> None:
+        self.calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event("call_failed", error=repr(task.exception()))
 
     def report(self, message: TaskReport) -> None:
         """Hand the end of a task to its controller."""
@@ -77,7 +83,7 @@
 
 @perform.register
 def _(effect: effects.Reconnect, performer: Performer, controller: str) -> None:
-    performer.runtime.links_by_id[effect.instance].reconnect.set()
+    replace_socket(performer.runtime.links_by_id[effect.instance])
 
 
 @perform.register
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -6,7 +6,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeAlias
 
@@ -27,6 +27,8 @@
 from boragetide.types import CONTROLLERS, Address, InstanceId, ReplyTo, Seconds
 
 TICK_JITTER = 0.2  # share of the tick period
+TICK_BACKLOG = 1000  # messages
+RESTART_DELAY = 0.5  # seconds
 
 Handle: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
@@ -39,7 +41,15 @@
 
 @dataclass(slots=True)
 class Runtime:
-    """Owner of the mailboxes and of the requests that wait for replies."""
+    """Owner of the mailboxes and of the requests that wait for replies.
+
+    Parameters
+    ----------
+    stopping
+        Set once a planned stop began.
+    open_requests
+        HTTP requests that are not answered yet.
+    """
 
     settings: Settings
     links_by_id: dict[InstanceId, PeerLink]
@@ -49,6 +59,7 @@
         default_factory=lambda: {name: asyncio.Queue() for name in CONTROLLERS}
     )
     stopping: bool = False
+    open_requests: set[Any] = field(default_factory=set)
     _pending_by_request: dict[int, _Pending] = field(default_factory=dict)
     _requests: Iterable[int] = field(default_factory=lambda: itertools.count(1))
 
@@ -202,6 +213,9 @@
     last_handled = read_clock()
     while True:
         message = await mailbox.get()
+        if handle.dispatch(type(message)) is handle.dispatch(object):
+            log_event("message_dropped", error=f"{name} cannot handle {message!r}")
+            continue
         now = read_clock()
         if now - last_handled > silence:
             await _handle_one(WokeUp(last_handled), now, handle, state, perform, name)
@@ -223,10 +237,26 @@
             await waiting
 
 
+async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Run a link's task and restart it after an unexpected error.
+
+    A link has no state beyond its socket, so a new start is safe.
+    """
+    while True:
+        try:
+            await run()
+        except Exception as error:
+            log_event("task_restarted", task=name, error=repr(error))
+        await asyncio.sleep(RESTART_DELAY)
+
+
 async def run_ticks(runtime: Runtime) -> None:
     """Wake every controller periodically, with jitter."""
     period = runtime.settings.timing.tick
     while True:
         await asyncio.sleep(period * random.uniform(1 - TICK_JITTER, 1 + TICK_JITTER))
         for mailbox in runtime.mailboxes_by_controller.values():
-            mailbox.put_nowait(Tick())
+            # A controller that is behind gets no further ticks, which it would have to
+            # handle all at once later.
+            if mailbox.qsize() < TICK_BACKLOG:
+                mailbox.put_nowait(Tick())
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -82,10 +82,12 @@
         status, error = _classify(failure)
     except (TimeoutError, OSError) as failure:
         error = str(failure)
-    parser.close()
-    for task_id in sorted(waiting):
-        outcome = TaskOutcome(status, error=error)
-        report(TaskReport(start.server, start.lease, task_id, outcome))
+    finally:
+        # Also after an unexpected error, since a task without a report never ends.
+        parser.close()
+        for task_id in sorted(waiting):
+            outcome = TaskOutcome(status, error=error)
+            report(TaskReport(start.server, start.lease, task_id, outcome))
 
 
 def _encode_task(task: Any) -> dict[str, Any]:
--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import inspect
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -16,9 +15,8 @@
 REPLY_CONTROLLER = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Envelope:
-    """One message on the way to another instance.
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One message on the way to another instance, encoded without field names.
 
     Parameters
     ----------
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TypeAlias
@@ -17,9 +18,10 @@
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
 FRAME_ENVELOPES = 256
-MAILBOX_ENVELOPES = 20_000
+OUTBOX_ENVELOPES = 20_000
 
 OnUnsent: TypeAlias = Callable[[Envelope], None]
+CountBytes: TypeAlias = Callable[[str, dict[str, str], float], None]
 
 
 @dataclass(slots=True)
@@ -27,36 +29,47 @@
     """Mailbox of the task that sends to one peer."""
 
     peer: Peer
-    outbox: asyncio.Queue[Envelope] = field(
-        default_factory=lambda: asyncio.Queue(MAILBOX_ENVELOPES)
-    )
-    reconnect: asyncio.Event = field(default_factory=asyncio.Event)
+    outbox: deque[Envelope] = field(default_factory=deque)
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    replaced: bool = False
 
 
 def post(link: PeerLink, envelope: Envelope) -> bool:
     """Queue an envelope; false means that it was certainly not sent."""
-    try:
-        link.outbox.put_nowait(envelope)
-    except asyncio.QueueFull:
+    if len(link.outbox) >= OUTBOX_ENVELOPES:
         return False
+    link.outbox.append(envelope)
+    link.wake.set()
     return True
 
 
-async def run_link(link: PeerLink, on_unsent: OnUnsent) -> None:
+def replace_socket(link: PeerLink) -> None:
+    """Ask the link's task to go on with a new socket, even when it is idle."""
+    link.replaced = True
+    link.wake.set()
+
+
+async def run_link(link: PeerLink, on_unsent: OnUnsent, count: CountBytes) -> None:
     """Send a peer's envelopes, batched, over one socket that this task owns.
 
     Parameters
     ----------
     link
-        Mailbox of the peer; its ``reconnect`` event replaces the socket.
+        Mailbox of the peer.
     on_unsent
         Called with each envelope that was certainly not sent.
+    count
+        Adds to a metric; called with the bytes sent.
     """
     while True:
         with _open_push(link.peer) as socket:
-            link.reconnect.clear()
-            while not link.reconnect.is_set():
-                await _send_batch(link, socket, on_unsent)
+            link.replaced = False
+            while not link.replaced:
+                if link.outbox:
+                    await _send_batch(link, socket, on_unsent, count)
+                else:
+                    link.wake.clear()
+                    await link.wake.wait()
 
 
 def _open_push(peer: Peer) -> pynng.Push0:
@@ -69,21 +82,33 @@
     return socket
 
 
-async def _send_batch(link: PeerLink, socket: pynng.Push0, on_unsent: OnUnsent) -> None:
-    batch = [await link.outbox.get()]
-    while len(batch) < FRAME_ENVELOPES and not link.outbox.empty():
-        batch.append(link.outbox.get_nowait())
+async def _send_batch(
+    link: PeerLink, socket: pynng.Push0, on_unsent: OnUnsent, count: CountBytes
+) -> None:
+    size = min(FRAME_ENVELOPES, len(link.outbox))
+    batch = [link.outbox.popleft() for _ in range(size)]
+    frame = encode_frame(batch)
     try:
-        await socket.asend(encode_frame(batch))
+        # Without a connection a send would wait for its timeout, and pynng would not
+        # free the message after it.
+        if not socket.pipes:
+            raise pynng.Timeout("no connection", 0)
+        await socket.asend(frame)
     except pynng.NNGException:
+        # What waits behind a send that timed out would wait as long again.
+        batch += link.outbox
+        link.outbox.clear()
         for envelope in batch:
             on_unsent(envelope)
+    else:
+        count("link_bytes_sent", {"peer": link.peer.id}, len(frame))
 
 
 async def run_listener(
     settings: Settings,
     deliver: Callable[[Envelope], None],
     on_fault: Callable[[LinkError], None],
+    count: CountBytes,
     listening: asyncio.Event,
 ) -> None:
     """Receive from all peers on one socket that this task owns.
@@ -96,14 +121,21 @@
         Called with each envelope.
     on_fault
         Called for a frame that cannot be decoded.
+    count
+        Adds to a metric; called with the bytes received.
     listening
         Set once the socket accepts connections.
     """
     with pynng.Pull0(listen=f"tcp://{settings.own.peer_address}") as socket:
         listening.set()
         while True:
+            frame = await socket.arecv()
             try:
-                for envelope in decode_frame(await socket.arecv()):
-                    deliver(envelope)
+                envelopes = decode_frame(frame)
             except LinkError as error:
                 on_fault(error)
+                continue
+            if envelopes:
+                count("link_bytes_received", {"peer": envelopes[0].sender}, len(frame))
+            for envelope in envelopes:
+                deliver(envelope)
--- a/boragetide/messages.py
+++ b/boragetide/messages.py
@@ -53,6 +53,18 @@
     """A planned stop began: take nothing new, finish what is in progress."""
 
 
+@dataclass(frozen=True, slots=True)
+class Drain(Request):
+    """Asks a controller of a stopping instance what it still has to finish."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainState:
+    """Number of pieces of work that a controller must finish before the exit."""
+
+    remaining: int
+
+
 # Controller ``jobs``.
 
 
@@ -157,9 +169,23 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnounceBackendServer(Request):
-    """A backend server announced or renewed itself; answered with `LeaseGranted`."""
+    """A backend server announced or renewed itself.
+
+    Answered with `LeaseGranted` or `LeaseRefused`.
+
+    Parameters
+    ----------
+    lease
+        Newest lease that the backend server holds, empty if it holds none, ``None`` if
+        it does not say.
+    fence
+        Grants a lease even on an instance that is not the placer, so that the backend
+        server accepts nothing under the lease it held before.
+    """
 
     server: BackendServer
+    lease: str | None = None
+    fence: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +209,20 @@
     expires_after: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseRefused:
+    """The instance does not place for the zone of the backend server."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlacerChanged:
+    """Another instance, or none, now has the placer role of this instance's zone."""
+
+    placer: InstanceId | None
+
+
 @dataclass(frozen=True, slots=True)
 class QueueTasks:
     """Queues the tasks of a job; answered with `TasksQueued` or `TasksRefused`."""
@@ -243,17 +283,20 @@
 
     Parameters
     ----------
+    in_service_since
+        Unix time in milliseconds; the longest in service of a zone is its placer.
     sequence
         Counts this sender's heartbeats.
-    echoes
-        Last sequence number heard, by instance.
+    echo
+        Last sequence number that the sender heard from the receiver.
     """
 
     instance: InstanceId
     zone: ZoneId
     incarnation: int
+    in_service_since: int
     sequence: int
-    echoes: dict[InstanceId, int]
+    echo: int
     configuration_version: int
     backend_servers: int
     stopping: bool = False
@@ -266,6 +309,13 @@
     zone: ZoneId
 
 
+@dataclass(frozen=True, slots=True)
+class FindPlacer(Request):
+    """Asks which instance has the placer role of a zone; answered `PlacerChosen`."""
+
+    zone: ZoneId
+
+
 @dataclass(frozen=True, slots=True)
 class PlacerChosen:
     """The placer for a zone, or ``None`` where no instance qualifies."""
@@ -283,6 +333,16 @@
     backend_servers: int
 
 
+@dataclass(frozen=True, slots=True)
+class Flush(Request):
+    """Answered with `Flushed` once the peers have read all that was sent before."""
+
+
+@dataclass(frozen=True, slots=True)
+class Flushed:
+    """Every live peer has read what this instance had sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class ListInstances(Request):
     """Asks for this instance's view of all instances."""
--- a/boragetide/policy/membership.py
+++ b/boragetide/policy/membership.py
@@ -10,11 +10,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """An instance as the choice of a placer sees it."""
+    """An instance as the choice of a placer sees it.
+
+    Parameters
+    ----------
+    in_service_since
+        Unix time in milliseconds since which the instance has run without a pause and
+        without being cut off from most of its zone.
+    """
 
     id: InstanceId
     zone: ZoneId
     incarnation: int
+    in_service_since: int
     backend_servers: int
     stopping: bool
 
@@ -24,18 +32,39 @@
     return last_heard is not None and now - last_heard <= silence
 
 
+def is_isolated(connected: int, zone_size: int) -> bool:
+    """Tell whether an instance is connected to a minority of its zone.
+
+    Parameters
+    ----------
+    connected
+        Instances of the zone with which messages pass both ways, this one included.
+    zone_size
+        Configured instances of the zone.
+    """
+    return 2 * connected < zone_size
+
+
+def find_placer(zone: ZoneId, candidates: Iterable[Candidate]) -> Candidate | None:
+    """Return the instance that has the placer role of a zone.
+
+    The instance that has been in service longest keeps the role, so that a restarted,
+    resumed or reconnected instance does not take it back.
+    """
+    able = (c for c in candidates if c.zone == zone and not c.stopping)
+    return min(able, key=lambda c: (c.in_service_since, c.id), default=None)
+
+
 def choose_placer(zone: ZoneId, candidates: Iterable[Candidate]) -> Candidate | None:
     """Return the live instance that places the jobs of a zone.
 
-    The longest running instance keeps the role, so that a restart never moves it. A
-    zone without instances that can place uses the zone with the most backend servers.
+    A zone whose placer has no backend servers uses the placer with the most of them.
     """
-    able = [candidate for candidate in candidates if not candidate.stopping]
-    in_zone = [candidate for candidate in able if candidate.zone == zone]
-    if not in_zone:
-        return None
-    placer = min(in_zone, key=lambda c: (c.incarnation, c.id))
-    if placer.backend_servers > 0:
+    candidates = tuple(candidates)
+    placer = find_placer(zone, candidates)
+    if placer is None or placer.backend_servers > 0:
         return placer
-    elsewhere = [c for c in able if c.zone != zone and c.backend_servers > 0]
-    return max(elsewhere, key=lambda c: (c.backend_servers, c.id), default=placer)
+    zones = {candidate.zone for candidate in candidates}
+    placers = (find_placer(other, candidates) for other in zones)
+    able = [c for c in placers if c is not None and c.backend_servers > 0]
+    return max(able, key=lambda c: (c.backend_servers, c.id), default=placer)
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -13,7 +14,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -22,6 +23,7 @@
 import pytest
 
 from boragetide.settings import Settings, parse_settings
+from boragetide.tests.relay import Relay, RelayLoop
 
 WAIT_LIMIT = 20.0  # seconds until an awaited event counts as missing
 POLL = 0.05  # seconds
@@ -101,6 +103,13 @@
         except OSError:
             return False
 
+    def is_ready(self) -> bool:
+        """Tell whether the daemon takes requests."""
+        try:
+            return call("GET", f"{self.url}/readyz", timeout=5.0)[0] == 200
+        except OSError:
+            return False
+
     def stop(self) -> int:
         """Stop the process gracefully and return its exit code."""
         self.process.send_signal(signal.SIGTERM)
@@ -123,6 +132,13 @@
         """Return the daemon's view of the system."""
         return call("GET", f"{self.url}/v1/status")[1]
 
+    def metric(self, name: str) -> float:
+        """Return the sum of a counter over all its labels."""
+        with urllib.request.urlopen(f"{self.url}/metrics", timeout=5.0) as response:
+            lines = response.read().decode().splitlines()
+        pattern = re.compile(rf"boragetide_{name}_total({{.*}})? ")
+        return sum(float(line.split()[-1]) for line in lines if pattern.match(line))
+
     def log_lines(self, event: str) -> list[str]:
         """Return the log lines of an event."""
         lines = self.log.read_text().splitlines()
@@ -137,6 +153,8 @@
     daemons_by_id: dict[str, Daemon] = field(default_factory=dict)
     servers_by_id: dict[str, str] = field(default_factory=dict)
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    relays_by_link: dict[tuple[str, str], Relay] = field(default_factory=dict)
+    relay_loop: RelayLoop | None = None
     pool: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
 
     def start(
@@ -145,16 +163,21 @@
         *,
         disks: tuple[str, ...] | None = None,
         timing: str = "",
+        relayed: bool = False,
     ) -> None:
-        """Start one daemon per entry and wait until all see each other."""
+        """Start one daemon per entry and wait until all see each other.
+
+        With ``relayed``, each link between two of them passes its own relay.
+        """
         ids = tuple(zones_by_id)
         disks = ids[:3] if disks is None else disks
         ports = {peer: (free_port(), free_port()) for peer in ids}
         for own in ids:
             config = self.folder / f"{own}.ini"
+            dialed = self._relay(own, ports) if relayed else ports
             sections = [
                 _format_peer(
-                    peer, own, zones_by_id[peer], ports[peer], disks, self.folder
+                    peer, own, zones_by_id[peer], dialed[peer], disks, self.folder
                 )
                 for peer in ids
             ]
@@ -166,6 +189,27 @@
             daemon.start()
         self.wait_for_members(len(ids))
 
+    def _relay(
+        self, own: str, ports: dict[str, tuple[int, int]]
+    ) -> dict[str, tuple[int, int]]:
+        self.relay_loop = self.relay_loop or RelayLoop()
+        dialed = dict(ports)
+        for peer, (http_port, peer_port) in ports.items():
+            if peer != own:
+                relay = Relay(self.relay_loop, free_port(), peer_port)
+                self.relays_by_link[own, peer] = relay
+                dialed[peer] = (http_port, relay.port)
+        return dialed
+
+    def relays_across(self, inside: Iterable[str]) -> list[Relay]:
+        """Return the relays between some daemons and all others."""
+        inside = set(inside)
+        return [
+            relay
+            for ends, relay in self.relays_by_link.items()
+            if len(inside.intersection(ends)) == 1
+        ]
+
     def wait_for_members(self, count: int) -> None:
         """Wait until every running daemon sees ``count`` instances."""
         for daemon in self.daemons_by_id.values():
@@ -224,6 +268,8 @@
             if process.poll() is None:
                 process.kill()
                 process.wait(WAIT_LIMIT)
+        if self.relay_loop is not None:
+            self.relay_loop.close()
         self.pool.shutdown(wait=False, cancel_futures=True)
 
 
--- /dev/null
+++ b/boragetide/tests/test_runtime.py
@@ -0,0 +1,102 @@
+"""The runtime's tasks: links, controllers and their failures."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import singledispatch
+from typing import Any
+
+from boragetide.daemon.__main__ import EXIT_FAILURE, run_daemon
+from boragetide.links.codec import Envelope, encode_body
+from boragetide.links.peers import PeerLink, post, replace_socket, run_link
+from boragetide.messages import Tick
+from boragetide.settings import parse_settings
+from boragetide.tests.conftest import free_port
+
+ALONE = """
+[instance]
+id = a1
+availability-zone = a
+http-address = 127.0.0.1:{}
+peer-address = 127.0.0.1:{}
+"""
+
+
+# What a Pull0 socket sends first: the protocol number 0x51, then a reserved field.
+PULL_GREETING = b"\0SP\0\0\x51\0\0"
+
+
+def make_envelope(size: int = 1) -> Envelope:
+    return Envelope("a1", 1, "jobs", 0, "Tick", encode_body("x" * size))
+
+
+def make_link(port: int) -> PeerLink:
+    text = ALONE.format(1, port)
+    return PeerLink(parse_settings(text).own)
+
+
+def ignore_count(name: str, labels: dict[str, str], value: float) -> None:
+    """Take no note of bytes."""
+
+
+async def wait_until(condition: Any, limit: float = 5.0) -> None:
+    async with asyncio.timeout(limit):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_link_without_a_peer_reports_what_is_unsent() -> None:
+    """Guards against requests that wait for a peer that is not there."""
+
+    async def run() -> None:
+        link, unsent = make_link(free_port()), []
+        task = asyncio.create_task(run_link(link, unsent.append, ignore_count))
+        post(link, make_envelope())
+        await wait_until(lambda: unsent, limit=1.0)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_blocked_send_ends_and_an_idle_link_is_replaced() -> None:
+    """Guards against a link that hangs in a send or waits for its next message."""
+    target = free_port()
+
+    async def run() -> None:
+        accepted: list[Any] = []
+        server = await asyncio.start_server(
+            lambda reader, writer: accepted.append(writer), "127.0.0.1", target
+        )
+        link, unsent = make_link(target), []
+        task = asyncio.create_task(run_link(link, unsent.append, ignore_count))
+        await wait_until(lambda: len(accepted) == 1)
+        replace_socket(link)
+        await wait_until(lambda: len(accepted) == 2)
+        accepted[1].write(PULL_GREETING)
+        await wait_until(lambda: post(link, make_envelope(4_000_000)) and unsent)
+        replace_socket(link)
+        await wait_until(lambda: len(accepted) == 3)
+        task.cancel()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_failed_controller_ends_the_process(monkeypatch: Any) -> None:
+    """Guards against a daemon that goes on without one of its controllers."""
+
+    @singledispatch
+    def handle(message: Any, state: Any, now: float) -> list[Any]:
+        return []
+
+    @handle.register
+    def fail(message: Tick, state: Any, now: float) -> list[Any]:
+        raise ValueError("unexpected")
+
+    async def run() -> int:
+        async with asyncio.timeout(10.0):
+            return await run_daemon(parse_settings(ALONE.format(*ports)))
+
+    ports = free_port(), free_port()
+    monkeypatch.setattr("boragetide.controllers.jobs.handle", handle)
+    assert asyncio.run(run()) == EXIT_FAILURE
--- a/examples/backend_server.py
+++ b/examples/backend_server.py
@@ -7,7 +7,9 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
+import random
 import signal
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,6 +20,8 @@
 from tornado.web import Application, RequestHandler
 
 RETRY_DELAY = 0.2  # seconds between announcements that found no daemon
+ANNOUNCE_TIMEOUT = 2.0  # seconds, longer than a daemon takes to reach the placer
+DELAY_JITTER = 0.1  # share by which a delay is shortened at most
 
 
 @dataclass
@@ -30,6 +34,8 @@
         Work is divided by it.
     starts_by_task
         How often each task was started, to check at-most-once starts.
+    announce_at
+        The only daemon to announce at, to test announcements far from the placer.
     """
 
     id: str
@@ -41,7 +47,9 @@
     address: str = ""
     fail_all: bool = False
     leaving: bool = False
-    lease: str | None = None
+    lease: str = ""
+    announce_at: str | None = None
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
     starts_by_task: dict[str, int] = field(default_factory=dict)
     running_by_task: dict[str, asyncio.Task[Any]] = field(default_factory=dict)
 
@@ -122,18 +130,22 @@
     """Changes the behaviour of this backend server during a test."""
 
     def post(self) -> None:
-        """Set ``speed``, ``fail_all`` or ``leaving``."""
+        """Set ``speed``, ``fail_all``, ``leaving`` or ``announce_at``."""
         for name, value in json.loads(self.request.body).items():
-            if name not in ("speed", "fail_all", "leaving"):
+            if name not in ("speed", "fail_all", "leaving", "announce_at"):
                 self.set_status(400)
                 self.finish({"error": f"unknown option {name!r}"})
                 return
             setattr(self.state, name, value)
+        self.state.changed.set()
         self.finish({})
 
 
 async def announce(state: BackendServerState) -> None:
-    """Announce and renew for ever: at the lease holder, else at any daemon."""
+    """Announce and renew for ever: at the lease holder, else at the other daemons.
+
+    A change, such as leaving, is announced at once.
+    """
     client = AsyncHTTPClient()
     targets = list(state.daemons)
     while True:
@@ -141,11 +153,11 @@
         try:
             response = await client.fetch(
                 HTTPRequest(
-                    f"{targets[0]}/v1/backend-servers/{state.id}",
+                    f"{state.announce_at or targets[0]}/v1/backend-servers/{state.id}",
                     method="PUT",
                     body=json.dumps(_describe(state)),
                     connect_timeout=1.0,
-                    request_timeout=3.0,
+                    request_timeout=ANNOUNCE_TIMEOUT,
                 )
             )
             granted = json.loads(response.body)
@@ -154,7 +166,14 @@
             delay = granted["renew_every"]
         except (HTTPClientError, OSError):
             targets = [*targets[1:], targets[0]]
-        await asyncio.sleep(delay)
+        await _wait_for_change(state, delay)
+
+
+async def _wait_for_change(state: BackendServerState, limit: float) -> None:
+    jittered = limit * random.uniform(1 - DELAY_JITTER, 1)
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(state.changed.wait(), jittered)
+    state.changed.clear()
 
 
 def _describe(state: BackendServerState) -> dict[str, Any]:
@@ -167,6 +186,7 @@
         "cores": 64.0,
         "memory": 128 << 30,
         "leaving": state.leaving,
+        "lease": state.lease,
     }
 
 
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Properties checked by hypothesis against small oracles."""
