Add a load benchmark against real daemons and backend servers

Cause: no figure existed for response time over ideal or for wasted messages, so no change of policy could be judged.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: load on real processes, and replay of traces."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,104 @@
+"""Measures real daemons and backend servers under load.
+
+``python -m benchmarks`` runs the short form in under two minutes; ``--full`` runs
+longer and adds the other scenarios; ``--compare FILE`` sets the run against an earlier
+one.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from benchmarks.load import measure_round_trip, run_trace
+from benchmarks.messages import count_wasted, read_metrics
+from benchmarks.report import compare, format_table, summarize
+from benchmarks.scenarios import Scenario, list_scenarios
+from benchmarks.workload import SLOTS, SPEEDS, make_trace
+from boragetide.tests.conftest import System
+
+ZONE = "a"
+DAEMONS = ("a1", "a2", "a3")
+WARM_UP = 8.0  # seconds during which speeds and sizes are learned
+
+
+def main() -> None:
+    """Run the scenarios and print a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--full", action="store_true")
+    parser.add_argument("--only", help="run scenarios whose name contains this")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--output", type=Path, help="write the figures as JSON")
+    parser.add_argument("--compare", type=Path, help="JSON of an earlier run")
+    arguments = parser.parse_args()
+    runs: dict[str, Any] = {}
+    for scenario in list_scenarios(full=arguments.full):
+        if arguments.only is None or arguments.only in scenario.name:
+            runs[scenario.name] = run_scenario(scenario, arguments.seed)
+            print(scenario.name, json.dumps(runs[scenario.name]), flush=True)
+    if arguments.compare is not None:
+        print(compare(json.loads(arguments.compare.read_text()), runs))
+    else:
+        print(format_table(runs))
+    if arguments.output is not None:
+        arguments.output.write_text(json.dumps(runs, indent=2))
+
+
+def run_scenario(scenario: Scenario, seed: int) -> dict[str, Any]:
+    """Run one scenario on fresh processes and return its figures."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = System(Path(folder))
+        try:
+            system.start(dict.fromkeys(DAEMONS, ZONE))
+            for number, speed in enumerate(SPEEDS, 1):
+                system.add_server(f"s{number}", ZONE, slots=SLOTS, speed=speed)
+            return asyncio.run(_measure(system, scenario, seed))
+        finally:
+            system.close()
+
+
+async def _measure(system: System, scenario: Scenario, seed: int) -> dict[str, Any]:
+    daemons = list(system.daemons_by_id.values())
+    urls = [daemon.url for daemon in daemons]
+    round_trip = await measure_round_trip(urls[0])
+    warm_up = make_trace(
+        seed=seed + 1, load=0.5, duration=WARM_UP, tasks=scenario.tasks
+    )
+    await run_trace(urls, warm_up, f"{ZONE}:warm-up-")
+    for server_id, options in scenario.faults_by_server.items():
+        system.control(server_id, **options)
+    trace = scenario.make_trace(seed)
+    tasks = sum(len(plan.works) for plan in trace)
+    before = [read_metrics(url) for url in urls]
+    cpu_before = [_cpu_seconds(daemon.process.pid) for daemon in daemons]
+    measured = await run_trace(urls, trace, f"{ZONE}:job-")
+    cpu = [
+        _cpu_seconds(daemon.process.pid) - earlier
+        for daemon, earlier in zip(daemons, cpu_before, strict=True)
+    ]
+    after = [read_metrics(url) for url in urls]
+    summary = summarize(measured, scenario.speeds, round_trip)
+    summary["tasks"] = tasks
+    summary["wasted"] = count_wasted(_total(before), _total(after), tasks)
+    summary["cpu_ms"] = 1000 * sum(cpu) / tasks
+    summary["cpu_ms_by_daemon"] = [1000 * seconds / tasks for seconds in cpu]
+    summary["round_trip"] = round_trip
+    return summary
+
+
+def _total(counters: list[Any]) -> Any:
+    return sum(counters[1:], counters[0])
+
+
+def _cpu_seconds(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    ticks_per_second = 100
+    return (int(fields[11]) + int(fields[12])) / ticks_per_second
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,111 @@
+"""Sends a trace to real daemons and measures each answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import statistics
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from benchmarks.workload import JobPlan
+from boragetide.types import Seconds
+
+CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
+CLIENT_CONNECTIONS = 2000
+REQUEST_TIMEOUT: Seconds = 120.0
+TASK_TIMEOUT: Seconds = 60.0
+PROBES = 50
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """One answered job.
+
+    Parameters
+    ----------
+    plan
+        The job.
+    status
+        Status of its answer.
+    seconds
+        Response time as the client saw it.
+    """
+
+    plan: JobPlan
+    status: str
+    seconds: Seconds
+
+
+def make_client() -> AsyncHTTPClient:
+    """Make the HTTP client of the load generator."""
+    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CLIENT_CONNECTIONS)
+    return AsyncHTTPClient()
+
+
+async def run_trace(
+    urls: list[str], plans: list[JobPlan], prefix: str, class_name: str = "default"
+) -> list[Measured]:
+    """Submit every job at its time, at the daemons in turn.
+
+    Parameters
+    ----------
+    urls
+        Addresses of the daemons.
+    plans
+        The trace.
+    prefix
+        Starts every job id; it names the home availability zone.
+    """
+    client = make_client()
+    start = time.monotonic()
+    calls = []
+    for number, plan in enumerate(plans):
+        await asyncio.sleep(start + plan.arrives_at - time.monotonic())
+        url = urls[number % len(urls)]
+        body = _describe_job(f"{prefix}{number}", class_name, plan)
+        calls.append(asyncio.ensure_future(_submit(client, url, body, plan)))
+    return list(await asyncio.gather(*calls))
+
+
+def _describe_job(job_id: str, class_name: str, plan: JobPlan) -> dict[str, Any]:
+    tasks = [
+        {"payload": {"work": work}, "size": size, "timeout": TASK_TIMEOUT}
+        for work, size in zip(plan.works, plan.sizes, strict=True)
+    ]
+    return {"id": job_id, "class": class_name, "tasks": tasks}
+
+
+async def _submit(
+    client: AsyncHTTPClient, url: str, body: dict[str, Any], plan: JobPlan
+) -> Measured:
+    start = time.monotonic()
+    response = await client.fetch(
+        HTTPRequest(
+            f"{url}/v1/jobs",
+            method="POST",
+            body=json.dumps(body),
+            request_timeout=REQUEST_TIMEOUT,
+        ),
+        raise_error=False,
+    )
+    seconds = time.monotonic() - start
+    try:
+        status = json.loads(response.body)["status"]
+    except (KeyError, TypeError, ValueError):
+        status = f"http_{response.code}"
+    return Measured(plan, status, seconds)
+
+
+async def measure_round_trip(url: str) -> Seconds:
+    """Return the median time of an empty call to a daemon, in seconds."""
+    client = make_client()
+    times = []
+    for _ in range(PROBES):
+        start = time.monotonic()
+        await client.fetch(f"{url}/healthz")
+        times.append(time.monotonic() - start)
+    return statistics.median(times)
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,77 @@
+"""Summaries of measured jobs and tables that compare two runs."""
+
+from __future__ import annotations
+
+import statistics
+from typing import Any
+
+from benchmarks.load import Measured
+from benchmarks.workload import ideal_response
+from boragetide.types import Seconds
+
+COLUMNS = ("jobs", "complete", "not_run", "mean", "p50", "p99", "wasted", "cpu_ms")
+
+
+def summarize(
+    measured: list[Measured], speeds: tuple[float, ...], round_trip: Seconds
+) -> dict[str, Any]:
+    """Return counts by status and response time over ideal of the complete jobs."""
+    ratios = sorted(
+        job.seconds / ideal_response(job.plan.works, speeds, round_trip)
+        for job in measured
+        if job.status == "complete"
+    )
+    refused = [job.seconds for job in measured if job.status == "not_run"]
+    statuses = [job.status for job in measured]
+    summary: dict[str, Any] = {
+        "jobs": len(measured),
+        "statuses": {
+            status: statuses.count(status) for status in sorted(set(statuses))
+        },
+    }
+    if ratios:
+        summary["mean"] = statistics.fmean(ratios)
+        summary["p50"] = _percentile(ratios, 0.50)
+        summary["p99"] = _percentile(ratios, 0.99)
+    if refused:
+        summary["refusal_p99_seconds"] = _percentile(sorted(refused), 0.99)
+    return summary
+
+
+def _percentile(ordered: list[float], share: float) -> float:
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def format_table(runs: dict[str, dict[str, Any]]) -> str:
+    """Return a table with one line per run."""
+    lines = [f"{'run':<44}" + "".join(f"{name:>10}" for name in COLUMNS)]
+    for name, run in runs.items():
+        lines.append(f"{name:<44}" + "".join(_format_cells(run)))
+    return "\n".join(lines)
+
+
+def _format_cells(run: dict[str, Any]) -> list[str]:
+    statuses = run.get("statuses", {})
+    values = {
+        **run,
+        "complete": statuses.get("complete", 0),
+        "not_run": statuses.get("not_run", 0),
+        "wasted": run.get("wasted", {}).get("total"),
+    }
+    return [f"{_format_number(values.get(name)):>10}" for name in COLUMNS]
+
+
+def _format_number(value: float | None) -> str:
+    if value is None:
+        return "-"
+    return str(value) if isinstance(value, int) else f"{value:.2f}"
+
+
+def compare(old: dict[str, Any], new: dict[str, Any]) -> str:
+    """Return a table of two runs of the same scenarios, one above the other."""
+    rows = {}
+    for name, run in new.items():
+        if name in old:
+            rows[f"{name} (old)"] = old[name]
+        rows[name] = run
+    return format_table(rows)
--- /dev/null
+++ b/benchmarks/scenarios.py
@@ -0,0 +1,98 @@
+"""Scenarios: load, job sizes and faults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from benchmarks.workload import SPEEDS, JobPlan, make_trace
+from boragetide.types import Seconds
+
+SMALL_JOBS = (1, 16)
+LARGE_JOBS = (4, 256)
+SHORT: Seconds = 15.0
+LONG: Seconds = 60.0
+BURST_PERIOD: Seconds = 5.0
+STRAGGLER = "s6"
+STRAGGLER_INDEX = 5
+STRAGGLER_FACTOR = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One measurement.
+
+    Parameters
+    ----------
+    load
+        Offered work as a share of what all slots can do.
+    tasks
+        Least and greatest number of tasks of a job.
+    duration
+        Seconds.
+    burst
+        Whether the jobs of each `BURST_PERIOD` arrive together at its start.
+    faults_by_server
+        Options of backend servers that change after the warm-up.
+    speeds
+        Speeds of the backend servers in service, for the ideal response time.
+    """
+
+    name: str
+    load: float
+    tasks: tuple[int, int]
+    duration: Seconds
+    burst: bool = False
+    faults_by_server: dict[str, dict[str, Any]] = field(default_factory=dict)
+    speeds: tuple[float, ...] = SPEEDS
+
+    def make_trace(self, seed: int) -> list[JobPlan]:
+        """Make the scenario's trace."""
+        plans = make_trace(
+            seed=seed, load=self.load, duration=self.duration, tasks=self.tasks
+        )
+        if not self.burst:
+            return plans
+        return [
+            replace(plan, arrives_at=plan.arrives_at // BURST_PERIOD * BURST_PERIOD)
+            for plan in plans
+        ]
+
+
+def list_scenarios(*, full: bool) -> list[Scenario]:
+    """Return the scenarios of the short or of the full form."""
+    duration = LONG if full else SHORT
+    scenarios = [
+        Scenario("load 70%, jobs of 1 to 16", 0.7, SMALL_JOBS, duration),
+        Scenario("load 95%, jobs of 1 to 16", 0.95, SMALL_JOBS, duration),
+    ]
+    if not full:
+        return scenarios
+    slow = (*SPEEDS[:STRAGGLER_INDEX], SPEEDS[STRAGGLER_INDEX] / STRAGGLER_FACTOR)
+    slow += SPEEDS[STRAGGLER_INDEX + 1 :]
+    straggler = {STRAGGLER: {"speed": slow[STRAGGLER_INDEX]}}
+    return [
+        Scenario("light load, jobs of 1 to 16", 0.1, SMALL_JOBS, duration),
+        *scenarios,
+        Scenario("load 70%, jobs of 4 to 256", 0.7, LARGE_JOBS, duration),
+        Scenario("load 95%, jobs of 4 to 256", 0.95, LARGE_JOBS, duration),
+        Scenario(
+            "burst at 70%, jobs of 1 to 16", 0.7, SMALL_JOBS, duration, burst=True
+        ),
+        Scenario("overload 200%, jobs of 1 to 16", 2.0, SMALL_JOBS, duration),
+        Scenario(
+            "4x straggler at 70%, jobs of 1 to 16",
+            0.7,
+            SMALL_JOBS,
+            duration,
+            faults_by_server=straggler,
+        ),
+        Scenario(
+            "a server that fails everything at 70%",
+            0.7,
+            SMALL_JOBS,
+            duration,
+            faults_by_server={STRAGGLER: {"fail_all": True}},
+            speeds=tuple(s for i, s in enumerate(SPEEDS) if i != STRAGGLER_INDEX),
+        ),
+    ]
