--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -62,7 +62,7 @@
         certain, and ``UNKNOWN`` where the connection ended before its result.
     """
     waiting = {task.id for task in start.tasks}
-    parser = _LineParser(start, waiting, report)
+    parser = LineParser(start, waiting, report)
     timeout = max(task.timeout for task in start.tasks) + RESULT_MARGIN
     request = HTTPRequest(
         f"{start.address}/v1/tasks",
@@ -107,7 +107,7 @@
     return TaskStatus.UNKNOWN, str(failure)
 
 
-class _LineParser:
+class LineParser:
     """Splits a streamed response into lines and reports each task once."""
 
     def __init__(
@@ -122,11 +122,13 @@
         self._buffer = b""
 
     def feed(self, chunk: bytes) -> None:
+        """Take the next chunk of the response."""
         *lines, self._buffer = (self._buffer + chunk).split(b"\n")
         for line in lines:
             self._read(line)
 
     def close(self) -> None:
+        """Take what is left as the last line."""
         self._read(self._buffer)
         self._buffer = b""
 
--- /dev/null
+++ b/boragetide/tests/test_backend_client.py
@@ -0,0 +1,124 @@
+"""What the client of the backend servers reports for each way a dispatch can end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from boragetide.effects import StartTasks
+from boragetide.links.backend_client import dispatch, make_client
+from boragetide.messages import TaskReport
+from boragetide.tests.conftest import free_port
+from boragetide.types import TaskStart, TaskStatus
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+LINE = {"id": "j.0", "status": "done", "result": 1, "seconds": 0.1}
+HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+
+def run_dispatch(
+    serve: Serve | None, tasks: int = 2, timeout: float = 0.2
+) -> list[TaskReport]:
+    """Dispatch tasks to a stand-in that speaks raw HTTP; ``None`` does not listen."""
+
+    async def run() -> list[TaskReport]:
+        port = free_port()
+        server = None
+        if serve is not None:
+            server = await asyncio.start_server(serve, "127.0.0.1", port)
+        starts = tuple(
+            TaskStart(f"j.{index}", "j", "default", None, timeout)
+            for index in range(tasks)
+        )
+        address = f"http://127.0.0.1:{port}"
+        reports: list[TaskReport] = []
+        start = StartTasks("s1", address, "lease-1", starts)
+        await dispatch(make_client(), start, reports.append)
+        if server is not None:
+            server.close()
+        return reports
+
+    return asyncio.run(run())
+
+
+def respond(head: bytes, *lines: dict[str, object]) -> Serve:
+    """Read a request and write a response, then close the connection."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(65536)
+        body = b"".join(json.dumps(line).encode() + b"\n" for line in lines)
+        writer.write(head + body)
+        await writer.drain()
+        writer.close()
+
+    return serve
+
+
+def statuses(reports: list[TaskReport]) -> dict[str, TaskStatus]:
+    """Return the reported status of each task; each is reported once."""
+    assert len({report.task_id for report in reports}) == len(reports)
+    return {report.task_id: report.outcome.status for report in reports}
+
+
+def test_each_result_line_is_reported_with_its_run_time() -> None:
+    """Guards against results given to another task of the batch."""
+    second = {"id": "j.1", "status": "failed", "error": "out of ink"}
+    reports = run_dispatch(respond(HEAD, second, LINE))
+    assert statuses(reports) == {
+        "j.0": TaskStatus.DONE,
+        "j.1": TaskStatus.FAILED,
+    }
+    assert reports[1].seconds == 0.1
+
+
+def test_refused_connection_has_certainly_not_run() -> None:
+    """Guards against a needless ``unknown``, which forbids a retry."""
+    assert set(statuses(run_dispatch(None)).values()) == {TaskStatus.NOT_RUN}
+
+
+@pytest.mark.parametrize("code", [b"409 Conflict", b"503 Service Unavailable"])
+def test_explicit_refusal_has_certainly_not_run(code: bytes) -> None:
+    """Guards against a needless ``unknown`` after a refusal."""
+    head = b"HTTP/1.1 " + code + b"\r\nConnection: close\r\n\r\n"
+    assert set(statuses(run_dispatch(respond(head))).values()) == {TaskStatus.NOT_RUN}
+
+
+@pytest.mark.parametrize(
+    "head", [b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 500 Oops\r\n\r\n", HEAD]
+)
+def test_connection_that_ends_early_may_have_run(head: bytes) -> None:
+    """Guards against a second start after a half-received dispatch."""
+    assert set(statuses(run_dispatch(respond(head))).values()) == {TaskStatus.UNKNOWN}
+
+
+def test_tasks_after_the_break_of_a_stream_may_have_run() -> None:
+    """Guards against one broken stream changing results that had arrived."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n"
+    reports = run_dispatch(respond(head, LINE))
+    assert statuses(reports) == {"j.0": TaskStatus.DONE, "j.1": TaskStatus.UNKNOWN}
+
+
+def test_silent_connection_ends_within_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an unbounded wait for a connection that says nothing."""
+    monkeypatch.setattr("boragetide.links.backend_client.RESULT_MARGIN", 0.3)
+
+    async def swallow(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(65536)
+        await asyncio.sleep(1.0)
+        writer.close()
+
+    assert set(statuses(run_dispatch(swallow)).values()) == {TaskStatus.UNKNOWN}
+
+
+def test_lines_for_other_tasks_and_repeated_lines_are_dropped() -> None:
+    """Guards against a result that belongs to another dispatch."""
+    other = {**LINE, "id": "j.7"}
+    again = {**LINE, "status": "failed"}
+    reports = run_dispatch(respond(HEAD, other, LINE, again), tasks=1)
+    assert statuses(reports) == {"j.0": TaskStatus.DONE}
--- /dev/null
+++ b/properties/test_codec.py
@@ -0,0 +1,90 @@
+"""Every message survives encoding; damaged frames are refused, not misread."""
+
+from __future__ import annotations
+
+import dataclasses
+import inspect
+import typing
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragetide import messages, types
+from boragetide.errors import LinkError
+from boragetide.links.codec import (
+    Envelope,
+    decode_body,
+    decode_frame,
+    encode_body,
+    encode_frame,
+)
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**40), 2**40) | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+NUMBERS = st.floats(allow_nan=False, allow_infinity=False)
+KINDS = [
+    value
+    for value in vars(messages).values()
+    if inspect.isclass(value)
+    and dataclasses.is_dataclass(value)
+    and value.__module__ == messages.__name__
+]
+
+
+def build(type_: type) -> st.SearchStrategy[Any]:
+    """Strategy for a data class, with JSON values where a field takes anything."""
+    hints = typing.get_type_hints(type_, vars(types) | vars(messages))
+    return st.builds(
+        type_, **{name: _build_field(hint) for name, hint in hints.items()}
+    )
+
+
+def _build_field(hint: Any) -> st.SearchStrategy[Any]:
+    arguments = typing.get_args(hint)
+    origin = typing.get_origin(hint)
+    if hint is Any:
+        return JSON
+    if hint is float:
+        return NUMBERS
+    if hint is int:
+        return st.integers(-(2**62), 2**62)
+    if origin is tuple and arguments[-1] is ...:
+        return st.lists(_build_field(arguments[0]), max_size=3).map(tuple)
+    if origin is dict:
+        keys, values = map(_build_field, arguments)
+        return st.dictionaries(keys, values, max_size=3)
+    if origin is frozenset:
+        return st.frozensets(_build_field(arguments[0]), max_size=3)
+    if arguments:
+        return st.one_of(*map(_build_field, arguments))
+    if dataclasses.is_dataclass(hint):
+        return build(hint)
+    return st.from_type(hint)
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.__name__)
+@given(data=st.data())
+def test_message_decodes_to_what_was_encoded(kind: type, data: st.DataObject) -> None:
+    """Guards against a message type whose fields change on the way."""
+    message = data.draw(build(kind))
+    envelope = Envelope("a1", 1, "jobs", 0, kind.__name__, encode_body(message))
+    (received,) = decode_frame(encode_frame([envelope]))
+    assert decode_body(received) == message
+
+
+@given(frame=st.binary(max_size=200))
+def test_arbitrary_bytes_never_raise_another_error(frame: bytes) -> None:
+    """Guards against a listener that a damaged frame can stop."""
+    try:
+        for envelope in decode_frame(frame):
+            decode_body(envelope)
+    except LinkError:
+        pass
