Check settings across sections and report each fault on one line

The settings reader accepted files that no installation can run: two instances on one address, an instance without any disk in the system, a lease that expires before it is renewed. Some faults were printed as pydantic texts or as the whole section, so that operators could not find the option.

The border models move to settings_file.py, which also checks addresses, zones, disks and identities across sections; settings.py keeps the data classes.

--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -6,7 +6,6 @@
 import asyncio
 import signal
 import sys
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -39,13 +38,11 @@
     parser.add_argument("--data-folder", type=Path, help="overrides the settings")
     arguments = parser.parse_args()
     try:
-        settings = load_settings(arguments.config)
+        settings = load_settings(arguments.config, arguments.data_folder)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    if arguments.data_folder is not None:
-        settings = replace(settings, data_folder=arguments.data_folder)
     if not arguments.check:
         configure_logs(settings.id)
         asyncio.run(run_daemon(settings))
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import configparser
-import re
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, Any
-
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from typing import Any
 
 from boragetide.errors import SettingsError
+from boragetide.settings_file import (
+    PEER_PREFIX,
+    PeerSection,
+    check_durations,
+    read_sections,
+)
 from boragetide.types import InstanceId, Seconds, ZoneId
 
-_PEER_PREFIX = "peer "
-_UNITS_IN_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
-
 EMBEDDED_DEFAULT = """
 [instance]
 id = local
@@ -99,73 +98,15 @@
         return tuple(sorted(p.id for p in self.peers_by_id.values() if p.disk))
 
 
-def _parse_duration(value: Any) -> float:
-    match = re.fullmatch(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h)", str(value).strip())
-    if match is None:
-        raise ValueError(
-            f"duration {value!r} is not a number with a unit of "
-            f"{', '.join(_UNITS_IN_SECONDS)}"
-        )
-    return float(match[1]) * _UNITS_IN_SECONDS[match[2]]
-
-
-Duration = Annotated[float, BeforeValidator(_parse_duration), Field(gt=0)]
-HostPort = Annotated[str, Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d{1,5}$")]
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]*$")]
-
-
-def _dashed(name: str) -> str:
-    return name.replace("_", "-")
-
-
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", alias_generator=_dashed)
-
-
-class _PeerSection(_Section):
-    availability_zone: Name
-    http_address: HostPort
-    peer_address: HostPort
-    disk: bool = False
-
-
-class _InstanceSection(_PeerSection):
-    id: Name
-    data_folder: Path | None = None
-
-
-class _TimingSection(_Section):
-    heartbeat_interval: Duration | None = None
-    instance_silence: Duration | None = None
-    lease_renewal: Duration | None = None
-    lease_expiry: Duration | None = None
-    resubmission_window: Duration | None = None
-    answer_retention: Duration | None = None
-    request_timeout: Duration | None = None
-    stop_timeout: Duration | None = None
-    tick: Duration | None = None
-
-
-class _LimitsSection(_Section):
-    tasks_per_job: Annotated[int, Field(gt=0)] | None = None
-    body_bytes: Annotated[int, Field(gt=0)] | None = None
-    queued_tasks: Annotated[int, Field(gt=0)] | None = None
-
-
-_MODELS_BY_SECTION = {
-    "instance": _InstanceSection,
-    "timing": _TimingSection,
-    "limits": _LimitsSection,
-}
-
-
-def load_settings(path: Path | None) -> Settings:
+def load_settings(path: Path | None, data_folder: Path | None = None) -> Settings:
     """Read and validate a settings file.
 
     Parameters
     ----------
     path
         INI file; ``None`` takes the embedded default of one instance.
+    data_folder
+        Replaces the data folder of the file, if given.
 
     Raises
     ------
@@ -173,16 +114,19 @@
         With one line per fault.
     """
     if path is None:
-        return parse_settings(EMBEDDED_DEFAULT)
+        return parse_settings(EMBEDDED_DEFAULT, data_folder)
     try:
-        return parse_settings(path.read_text())
+        text = path.read_text(encoding="utf-8")
     except OSError as error:
-        raise SettingsError((f"settings file {str(path)!r}: {error.strerror}",)) from (
-            error
-        )
+        fault = f"settings file {str(path)!r}: {error.strerror}"
+        raise SettingsError((fault,)) from error
+    except UnicodeDecodeError as error:
+        fault = f"settings file {str(path)!r}: not UTF-8 at byte {error.start}"
+        raise SettingsError((fault,)) from error
+    return parse_settings(text, data_folder)
 
 
-def parse_settings(text: str) -> Settings:
+def parse_settings(text: str, data_folder: Path | None = None) -> Settings:
     """Validate INI text and build the settings.
 
     Raises
@@ -190,59 +134,33 @@
     SettingsError
         With one line per fault.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        raise SettingsError((str(error).replace("\n", " "),)) from error
-    faults: list[str] = []
-    sections = {
-        name: _validate_section(name, dict(parser[name]), faults)
-        for name in parser.sections()
-    }
-    if "instance" not in sections:
-        faults.append("section [instance] is missing")
-    if faults:
-        raise SettingsError(tuple(faults))
-    return _build_settings(sections)
-
-
-def _validate_section(name: str, options: dict[str, str], faults: list[str]) -> Any:
-    model = (
-        _PeerSection if name.startswith(_PEER_PREFIX) else _MODELS_BY_SECTION.get(name)
-    )
-    if model is None:
-        faults.append(f"[{name}]: unknown section")
-        return None
-    try:
-        return model.model_validate(options)
-    except ValidationError as error:
-        for fault in error.errors():
-            option = ".".join(str(part) for part in fault["loc"])
-            faults.append(f"[{name}] {option} = {fault['input']!r}: {fault['msg']}")
-        return None
-
-
-def _build_settings(sections: dict[str, Any]) -> Settings:
+    sections = read_sections(text, data_folder)
     own = sections["instance"]
     peers = {own.id: _build_peer(own.id, own)}
     for name, section in sections.items():
-        if name.startswith(_PEER_PREFIX):
-            peer_id = name.removeprefix(_PEER_PREFIX)
+        if name.startswith(PEER_PREFIX):
+            peer_id = name.removeprefix(PEER_PREFIX)
             peers[peer_id] = _build_peer(peer_id, section)
-    timing = sections.get("timing") or _TimingSection()
-    limits = sections.get("limits") or _LimitsSection()
+    timing = Timing(**_given(sections, "timing"))
+    faults = tuple(check_durations(timing))
+    if faults:
+        raise SettingsError(faults)
     return Settings(
         id=own.id,
         zone=own.availability_zone,
         peers_by_id=peers,
-        data_folder=own.data_folder if own.disk else None,
-        timing=Timing(**timing.model_dump(exclude_none=True)),
-        limits=Limits(**limits.model_dump(exclude_none=True)),
+        data_folder=own.data_folder,
+        timing=timing,
+        limits=Limits(**_given(sections, "limits")),
     )
 
 
-def _build_peer(peer_id: InstanceId, section: _PeerSection) -> Peer:
+def _given(sections: dict[str, Any], name: str) -> dict[str, Any]:
+    section = sections.get(name)
+    return section.model_dump(exclude_none=True) if section is not None else {}
+
+
+def _build_peer(peer_id: InstanceId, section: PeerSection) -> Peer:
     return Peer(
         id=peer_id,
         zone=section.availability_zone,
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -275,7 +275,14 @@
 def make_settings(own: str, zones_by_id: dict[str, str]) -> Settings:
     """Build settings for unit tests; every instance has a disk."""
     sections = [
-        _format_peer(peer, own, zone, (8000, 9000), tuple(zones_by_id), Path("unused"))
-        for peer, zone in zones_by_id.items()
+        _format_peer(
+            peer,
+            own,
+            zone,
+            (8000 + number, 9000 + number),
+            tuple(zones_by_id),
+            Path("unused"),
+        )
+        for number, (peer, zone) in enumerate(zones_by_id.items())
     ]
     return parse_settings("\n".join(sections))
