Answer every bad request with a named field and show operators more

Bad input could reach a traceback or a closed connection: bodies above the limit got no answer, integers above 64 bits and NaN passed the border and broke the codec between instances, and class names of refused requests became metric labels. Log lines of tornado, asyncio and warnings had their own formats.

parse_body checks every body and names the field; BodyLimit answers 413 without keeping the body; unknown paths and methods get JSON; 503 not_run has Retry-After. GET /v1/backend-servers collects from the placers of all zones, /v1/status has roles, incarnation, configuration version and pool size, /metrics has queue lengths and escaped labels. Records of the standard library's logging become events.

--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from boragetide.api.backend_servers import BackendServerHandler
+from boragetide.api.backend_servers import BackendServerHandler, BackendServersHandler
+from boragetide.api.base import NotFoundHandler
+from boragetide.api.body_limit import BodyLimit
 from boragetide.api.models import JobBody, RequestBody
 from boragetide.api.operators import (
     HealthHandler,
@@ -15,6 +18,16 @@
 from boragetide.api.submissions import SubmissionHandler
 from boragetide.daemon.runtime import Runtime
 
+BODY_TIMEOUT = 60.0  # seconds within which a request body must arrive
+
+
+def make_server(runtime: Runtime) -> HTTPServer:
+    """Build the HTTP server of a daemon."""
+    limited = BodyLimit(make_application(runtime), runtime.settings.limits.body_bytes)
+    return HTTPServer(
+        limited, max_body_size=limited.longest_discarded, body_timeout=BODY_TIMEOUT
+    )
+
 
 def make_application(runtime: Runtime) -> Application:
     """Build the HTTP application of a daemon."""
@@ -23,12 +36,15 @@
         [
             (r"/v1/jobs", SubmissionHandler, {**shared, "kind": JobBody}),
             (r"/v1/requests", SubmissionHandler, {**shared, "kind": RequestBody}),
+            (r"/v1/backend-servers", BackendServersHandler, shared),
             (r"/v1/backend-servers/([^/]+)", BackendServerHandler, shared),
             (r"/v1/status", StatusHandler, shared),
             (r"/metrics", MetricsHandler, shared),
             (r"/healthz", HealthHandler, shared),
             (r"/readyz", ReadinessHandler, shared),
         ],
+        default_handler_class=NotFoundHandler,
+        default_handler_args=shared,
         log_function=_skip_access_log,
     )
 
--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -1,14 +1,30 @@
-"""HTTP handlers towards backend servers."""
+"""HTTP handlers towards backend servers, and the list of them for operators."""
 
 from __future__ import annotations
 
-from pydantic import ValidationError
+import asyncio
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
 
 from boragetide.api.base import Handler
-from boragetide.api.models import BackendServerBody, to_backend_server
+from boragetide.api.models import (
+    BackendServerBody,
+    NameField,
+    parse_body,
+    to_backend_server,
+)
+from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError
-from boragetide.messages import AnnounceBackendServer, ChoosePlacer
-from boragetide.types import Address
+from boragetide.messages import (
+    AnnounceBackendServer,
+    ChoosePlacer,
+    ListBackendServers,
+    PlacerChosen,
+)
+from boragetide.types import Address, InstanceId, ZoneId
+
+_NAME = TypeAdapter(NameField)
 
 
 class BackendServerHandler(Handler):
@@ -16,26 +32,97 @@
 
     async def put(self, server_id: str) -> None:
         """Announce or renew a backend server at the placer of its zone."""
-        try:
-            body = BackendServerBody.model_validate_json(self.request.body)
-        except ValidationError as error:
-            fault = error.errors(include_url=False)[0]
-            name = ".".join(str(part) for part in fault["loc"]) or "body"
-            self.respond(400, {"error": f"{name}: {fault['msg']}"})
-            return
-        timeout = self.runtime.settings.timing.request_timeout
-        server = to_backend_server(server_id, body)
-        try:
-            chosen = await self.runtime.ask(
-                self.runtime.local("instances"), ChoosePlacer(server.zone), timeout
-            )
-            placer = chosen.placer or self.runtime.settings.id
-            granted = await self.runtime.ask(
-                Address(placer, "backend_servers"),
-                AnnounceBackendServer(server),
-                timeout,
-            )
-        except LinkError as error:
-            self.respond(503, {"error": str(error)})
+        parsed = parse_body(BackendServerBody, self.request.body)
+        fault = (
+            _find_id_fault(server_id)
+            or (parsed.error.message if parsed.is_error() else None)
+            or _find_zone_fault(parsed.ok.availability_zone, self.runtime)
+        )
+        if fault is not None:
+            self.refuse(400, fault)
             return
+        server = to_backend_server(server_id, parsed.ok)
+        chosen = await choose_placer(self.runtime, server.zone)
+        granted = await self.runtime.ask(
+            Address(chosen.placer or self.runtime.settings.id, "backend_servers"),
+            AnnounceBackendServer(server),
+            self.runtime.settings.timing.request_timeout,
+        )
         self.respond(200, granted)
+
+
+def _find_id_fault(server_id: str) -> str | None:
+    try:
+        _NAME.validate_python(server_id)
+    except ValidationError as error:
+        return f"id: {error.errors(include_url=False)[0]['msg']}"
+    return None
+
+
+def _find_zone_fault(zone: ZoneId, runtime: Runtime) -> str | None:
+    if zone in runtime.settings.zones:
+        return None
+    return f"availability_zone: unknown availability zone {zone!r}"
+
+
+async def choose_placer(runtime: Runtime, zone: ZoneId) -> PlacerChosen:
+    """Ask for the instance that leases the backend servers of an availability zone.
+
+    Raises
+    ------
+    LinkError
+        If the controller did not answer in time.
+    """
+    return await runtime.ask(
+        runtime.local("instances"),
+        ChoosePlacer(zone, for_jobs=False),
+        runtime.settings.timing.request_timeout,
+    )
+
+
+class BackendServersHandler(Handler):
+    """Lists the backend servers of all availability zones."""
+
+    async def get(self) -> None:
+        """Collect the lists of all reachable placers within the request timeout."""
+        zones = self.runtime.settings.zones
+        chosen = await asyncio.gather(
+            *(choose_placer(self.runtime, zone) for zone in zones)
+        )
+        placers = sorted({each.placer for each in chosen if each.placer is not None})
+        lists = await asyncio.gather(
+            *(_list_servers(self.runtime, placer) for placer in placers)
+        )
+        records = [record for listed in lists for record in listed or ()]
+        silent = [
+            placer
+            for placer, listed in zip(placers, lists, strict=True)
+            if listed is None
+        ]
+        without = [
+            zone
+            for zone, each in zip(zones, chosen, strict=True)
+            if each.placer is None
+        ]
+        self.respond(
+            200,
+            {
+                "backend_servers": sorted(records, key=lambda record: record["id"]),
+                "silent_placers": silent,
+                "zones_without_placer": without,
+            },
+        )
+
+
+async def _list_servers(
+    runtime: Runtime, placer: InstanceId
+) -> tuple[dict[str, Any], ...] | None:
+    try:
+        listed = await runtime.ask(
+            Address(placer, "backend_servers"),
+            ListBackendServers(),
+            runtime.settings.timing.request_timeout,
+        )
+    except LinkError:
+        return None
+    return listed.servers
--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any
 
 import msgspec
-from tornado.web import RequestHandler
+from tornado.web import HTTPError, RequestHandler
 
 from boragetide.daemon.runtime import Runtime
+from boragetide.errors import LinkError
 from boragetide.types import Status
 
+RETRY_AFTER = 1  # seconds that a refused caller should wait
+
+_logger = logging.getLogger(__name__)
+
 
 class Handler(RequestHandler):
     """Handler with access to the runtime; answers errors without a traceback."""
@@ -24,7 +30,52 @@
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(body))
 
+    def refuse(self, status: int, message: str) -> None:
+        """Answer that nothing ran, with the reason."""
+        if status == 503:
+            self.set_header("Retry-After", RETRY_AFTER)
+        self.respond(status, {"status": Status.NOT_RUN, "error": message})
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer without a traceback."""
-        status = Status.NOT_RUN if 400 <= status_code < 500 else Status.UNKNOWN
-        self.respond(status_code, {"status": status, "error": self._reason})
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, LinkError):
+            self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
+        elif status_code == 404:
+            self.refuse(404, f"path {self.request.path!r} does not exist")
+        elif status_code == 405:
+            self.set_header("Allow", ", ".join(self._list_methods()))
+            method, path = self.request.method, self.request.path
+            self.refuse(405, f"method {method} is not allowed on {path!r}")
+        elif 400 <= status_code < 500:
+            self.refuse(status_code, _describe(error) or self._reason)
+        else:
+            self.respond(status_code, {"status": "unknown", "error": self._reason})
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log what is a fault of this program; callers read the other errors."""
+        if not isinstance(value, HTTPError | LinkError):
+            where = f"{self.request.method} {self.request.path}"
+            _logger.error("exception in %s", where, exc_info=(typ, value, tb))
+
+    def _list_methods(self) -> list[str]:
+        return [
+            name
+            for name in self.SUPPORTED_METHODS
+            if getattr(type(self), name.lower())
+            is not getattr(RequestHandler, name.lower())
+        ]
+
+
+class NotFoundHandler(Handler):
+    """Answers every path that no route matches."""
+
+    def prepare(self) -> None:
+        """Refuse any method."""
+        raise HTTPError(404)
+
+
+def _describe(error: Any) -> str:
+    if not isinstance(error, HTTPError) or not error.log_message:
+        return ""
+    return error.log_message % error.args if error.args else error.log_message
--- /dev/null
+++ b/boragetide/api/body_limit.py
@@ -0,0 +1,107 @@
+"""Answers 413 to bodies above the limit, before they are kept in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+
+import msgspec
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+
+from boragetide.types import Status
+
+# A client that is still sending when the connection closes may lose the answer, so
+# that a body up to this many times the limit is read and discarded first.
+DISCARD_FACTOR = 8
+MAX_DIGITS = 18  # of a declared length; more are above any limit all the same
+
+
+class BodyLimit(HTTPServerConnectionDelegate):
+    """Passes requests on to ``inner`` unless their body is above ``limit`` bytes."""
+
+    def __init__(self, inner: HTTPServerConnectionDelegate, limit: int):
+        self._inner = inner
+        self._limit = limit
+
+    @property
+    def longest_discarded(self) -> int:
+        """Body size, in bytes, up to which the server must read."""
+        return self._limit * DISCARD_FACTOR
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Watch one request."""
+        inner = self._inner.start_request(server_conn, request_conn)
+        return _LimitedRequest(inner, request_conn, self._limit)
+
+    def on_close(self, server_conn: object) -> None:
+        """Tell the inner delegate that a connection closed."""
+        self._inner.on_close(server_conn)
+
+
+class _LimitedRequest(HTTPMessageDelegate):
+    def __init__(
+        self, inner: HTTPMessageDelegate, connection: HTTPConnection, limit: int
+    ):
+        self._inner = inner
+        self._connection = connection
+        self._limit = limit
+        self._received = 0
+        self._answered = False
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        length = headers.get("Content-Length", "")
+        self._received = int(length[:MAX_DIGITS]) if length.isdecimal() else 0
+        if not self._is_too_large():
+            self._received = 0
+            return self._inner.headers_received(start_line, headers)
+        expects = headers.get("Expect", "").lower() == "100-continue"
+        if expects or self._received > self._limit * DISCARD_FACTOR:
+            self._answer(unread=True)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._is_too_large():
+            return None
+        self._received += len(chunk)
+        if self._is_too_large():
+            self._inner.on_connection_close()
+            return None
+        return self._inner.data_received(chunk)
+
+    def finish(self) -> None:
+        if not self._is_too_large():
+            self._inner.finish()
+        elif not self._answered:
+            self._answer()
+
+    def on_connection_close(self) -> None:
+        if not self._is_too_large():
+            self._inner.on_connection_close()
+
+    def _is_too_large(self) -> bool:
+        return self._received > self._limit
+
+    def _answer(self, unread: bool = False) -> None:
+        self._answered = True
+        message = f"body: larger than {self._limit} bytes"
+        body = msgspec.json.encode({"status": Status.NOT_RUN, "error": message})
+        headers = HTTPHeaders()
+        headers["Content-Type"] = "application/json"
+        headers["Content-Length"] = str(len(body))
+        if unread:
+            headers["Connection"] = "close"
+        start_line = ResponseStartLine("", 413, "Content Too Large")
+        self._connection.write_headers(start_line, headers, body)
+        self._connection.finish()
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import singledispatch
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from boragetide.json_values import find_value_fault
 from boragetide.types import BackendServer, Submission, Task
 
+# Validation stops there, so that a body full of tasks does not hold up the event loop
+# until the limit of the settings is checked.
+MAX_TASKS = 10_000
+
+MAX_CORES = 4096
+MAX_BYTES = 1 << 50
+
 JobIdField = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[!-~]+$")]
 NameField = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$")]
 TimeoutField = Annotated[float, Field(gt=0, le=120)]
@@ -16,7 +26,9 @@
 
 
 class _Body(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, populate_by_name=True)
+    model_config = ConfigDict(
+        extra="forbid", strict=True, populate_by_name=True, allow_inf_nan=False
+    )
 
 
 class TaskBody(_Body):
@@ -25,8 +37,8 @@
     payload: Any
     size: SizeField | None = None
     timeout: TimeoutField = 30.0
-    cores: Annotated[float, Field(ge=0)] = 0.0
-    memory: Annotated[int, Field(ge=0)] = 0
+    cores: Annotated[float, Field(ge=0, le=MAX_CORES)] = 0.0
+    memory: Annotated[int, Field(ge=0, le=MAX_BYTES)] = 0
 
 
 class SubmissionBody(_Body):
@@ -40,7 +52,7 @@
 class JobBody(SubmissionBody):
     """Body of ``POST /v1/jobs``."""
 
-    tasks: Annotated[list[TaskBody], Field(min_length=1)]
+    tasks: Annotated[list[TaskBody], Field(min_length=1, max_length=MAX_TASKS)]
 
 
 class RequestBody(SubmissionBody):
@@ -55,16 +67,69 @@
 class BackendServerBody(_Body):
     """Body of ``PUT /v1/backend-servers/{id}``; memory is in bytes."""
 
-    address: Annotated[str, Field(pattern=r"^http://[^/\s]+$")]
+    address: Annotated[str, Field(pattern=r"^http://[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$")]
     availability_zone: NameField
-    rack: str = ""
+    rack: Annotated[str, Field(max_length=100)] = ""
     slots: Annotated[int, Field(gt=0, le=4096)]
-    connections: Annotated[int, Field(gt=0)] = 64
-    cores: Annotated[float, Field(gt=0)] = 1.0
-    memory: Annotated[int, Field(gt=0)] = 1 << 30
+    connections: Annotated[int, Field(gt=0, le=65_536)] = 64
+    cores: Annotated[float, Field(gt=0, le=MAX_CORES)] = 1.0
+    memory: Annotated[int, Field(gt=0, le=MAX_BYTES)] = 1 << 30
     leaving: bool = False
 
 
+_MESSAGES_BY_FAULT = {
+    "missing": "field is missing",
+    "extra_forbidden": "unknown field",
+}
+
+BodyType = TypeVar("BodyType", bound=_Body)
+
+
+@dataclass(frozen=True, slots=True)
+class BodyFault:
+    """Why a request body was refused; the message names the field."""
+
+    http_status: int
+    message: str
+
+
+def parse_body(kind: type[BodyType], text: bytes) -> Result[BodyType, BodyFault]:
+    """Validate the JSON text of a request body."""
+    try:
+        body = kind.model_validate_json(text)
+    except ValidationError as error:
+        return Error(_describe_fault(error))
+    for name, payload in list_payloads(body):
+        fault = find_value_fault(text, payload)
+        if fault is not None:
+            return Error(BodyFault(400, f"{name}: {fault}"))
+    return Ok(body)
+
+
+def _describe_fault(error: ValidationError) -> BodyFault:
+    fault = error.errors(include_url=False)[0]
+    name = ".".join(str(part) for part in fault["loc"]) or "body"
+    status = 413 if fault["type"] == "too_long" else 400
+    message = _MESSAGES_BY_FAULT.get(fault["type"], fault["msg"])
+    return BodyFault(status, f"{name}: {message}")
+
+
+@singledispatch
+def list_payloads(body: _Body) -> list[tuple[str, Any]]:
+    """Return the payloads of a body with the names of their fields."""
+    return []
+
+
+@list_payloads.register
+def _(body: JobBody) -> list[tuple[str, Any]]:
+    return [(f"tasks.{n}.payload", task.payload) for n, task in enumerate(body.tasks)]
+
+
+@list_payloads.register
+def _(body: RequestBody) -> list[tuple[str, Any]]:
+    return [("payload", body.payload)]
+
+
 @singledispatch
 def to_submission(body: SubmissionBody) -> Submission:
     """Turn a validated body into a submission."""
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -2,41 +2,100 @@
 
 from __future__ import annotations
 
+import asyncio
+import dataclasses
+from typing import Any
+
+from boragetide.api.backend_servers import choose_placer
 from boragetide.api.base import Handler
-from boragetide.messages import ListInstances
+from boragetide.daemon.runtime import Runtime
+from boragetide.errors import LinkError
+from boragetide.messages import (
+    DescribePool,
+    FetchConfiguration,
+    InstanceList,
+    ListInstances,
+    PoolDescription,
+    Request,
+)
+from boragetide.types import InstanceId
+
+
+async def _ask_local(runtime: Runtime, controller: str, message: Request) -> Any:
+    return await runtime.ask(
+        runtime.local(controller), message, runtime.settings.timing.request_timeout
+    )
 
 
 class StatusHandler(Handler):
     """Shows this instance's view of the system."""
 
     async def get(self) -> None:
-        """List the live instances."""
-        listed = await self.runtime.ask(
-            self.runtime.local("instances"),
-            ListInstances(),
-            self.runtime.settings.timing.request_timeout,
+        """Describe this instance and list the live ones with their roles."""
+        runtime, settings = self.runtime, self.runtime.settings
+        listed, changed, pool, *chosen = await asyncio.gather(
+            _ask_local(runtime, "instances", ListInstances()),
+            _ask_local(runtime, "configuration", FetchConfiguration()),
+            _ask_local(runtime, "backend_servers", DescribePool()),
+            *(choose_placer(runtime, zone) for zone in settings.zones),
         )
+        placers = {each.placer for each in chosen}
         self.respond(
             200,
             {
-                "instance": self.runtime.settings.id,
-                "availability_zone": self.runtime.settings.zone,
-                "instances": listed.instances,
+                "instance": settings.id,
+                "availability_zone": settings.zone,
+                "incarnation": runtime.incarnation,
+                "stopping": runtime.stopping,
+                "configuration_version": changed.configuration.version,
+                "known_instances": len(settings.peers_by_id),
+                "instances": _add_roles(listed, placers),
+                "pool": dataclasses.asdict(pool),
             },
         )
 
 
+def _add_roles(
+    listed: InstanceList, placers: set[InstanceId | None]
+) -> list[dict[str, Any]]:
+    return [
+        {**record, "role": "placer" if record["id"] in placers else "entry"}
+        for record in sorted(listed.instances, key=lambda record: record["id"])
+    ]
+
+
 class MetricsHandler(Handler):
     """Serves the metrics to Prometheus."""
 
-    def get(self) -> None:
-        """Render all metrics."""
+    async def get(self) -> None:
+        """Read the gauges and render all metrics."""
+        await _set_gauges(self.runtime)
         content, headers = self.runtime.metrics.render()
         for name, value in headers.items():
             self.set_header(name, value)
         self.finish(content)
 
 
+async def _set_gauges(runtime: Runtime) -> None:
+    """Set the gauges; those of a controller that does not answer keep their value."""
+    metrics = runtime.metrics
+    for controller, mailbox in runtime.mailboxes_by_controller.items():
+        labels = {"controller": controller}
+        metrics.set_gauge("mailbox_messages", labels, mailbox.qsize())
+    for peer_id, link in runtime.links_by_id.items():
+        metrics.set_gauge("link_messages", {"peer": peer_id}, link.outbox.qsize())
+    try:
+        pool: PoolDescription = await _ask_local(
+            runtime, "backend_servers", DescribePool()
+        )
+        listed: InstanceList = await _ask_local(runtime, "instances", ListInstances())
+    except LinkError:
+        return
+    metrics.set_gauge("live_instances", {}, len(listed.instances))
+    for name, value in dataclasses.asdict(pool).items():
+        metrics.set_gauge(f"pool_{name}", {}, value)
+
+
 class HealthHandler(Handler):
     """Says that the process runs."""
 
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -12,8 +12,10 @@
     BackendServerList,
     CancelQueued,
     ConfigurationChanged,
+    DescribePool,
     LeaseGranted,
     ListBackendServers,
+    PoolDescription,
     PoolSize,
     QueueTasks,
     StopRequested,
@@ -232,6 +234,19 @@
     return [Reply(message.reply_to, BackendServerList(records))]
 
 
+@handle.register
+def _(message: DescribePool, state: BackendServersState, now: Seconds) -> list[Effect]:
+    servers = state.servers_by_id.values()
+    described = PoolDescription(
+        backend_servers=len(servers),
+        slots=sum(leased.server.slots for leased in servers),
+        running_tasks=sum(len(leased.running_by_id) for leased in servers),
+        queued_jobs=len(state.jobs_by_id),
+        queued_tasks=sum(len(job.waiting) for job in state.jobs_by_id.values()),
+    )
+    return [Reply(message.reply_to, described)]
+
+
 @handle.register
 def _(
     message: ConfigurationChanged, state: BackendServersState, now: Seconds
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -153,7 +153,7 @@
 @handle.register
 def _(message: ChoosePlacer, state: InstancesState, now: Seconds) -> list[Effect]:
     candidates = _list_candidates(state, now)
-    placer = choose_placer(message.zone, candidates)
+    placer = choose_placer(message.zone, candidates, message.for_jobs)
     if placer is None:
         chosen = PlacerChosen(None, 0, len(candidates), "no live instance in the zone")
     else:
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -9,9 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from tornado.httpserver import HTTPServer
-
-from boragetide.api.application import make_application
+from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
     claims,
@@ -64,9 +62,7 @@
         asyncio.create_task(run_ticks(runtime)),
     ]
     await listening.wait()
-    server = HTTPServer(
-        make_application(runtime), max_body_size=settings.limits.body_bytes
-    )
+    server = make_server(runtime)
     host, port = settings.own.http_address.split(":")
     server.listen(int(port), host)
     log_event(
--- a/boragetide/daemon/logs.py
+++ b/boragetide/daemon/logs.py
@@ -1,54 +1,128 @@
-"""Logs: one line of key=value pairs per event, through eliot."""
+"""Logs: one line of key=value pairs per event, through eliot.
+
+A value of printable ASCII without spaces, quotes and equals signs stands as it is; any
+other value is written as a JSON string, so that every event stays one line.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import atexit
 import json
+import logging
 import re
 import sys
+import time
+import traceback
+from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from functools import lru_cache
 from typing import Any, TextIO
 
 import eliot
 
-_PLAIN = re.compile(r"[^\s\"=]+")
+_PLAIN = re.compile(r"[!#-<>-~]+")
 _ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
+_LOGGER = eliot.Logger()
+# Formatting the seconds anew for each line took a third of the time of a line.
+_TIMES_KEPT = 4
+
+
+@dataclass(slots=True)
+class _Writer:
+    """Collects the lines of one turn of the event loop and writes them at once."""
+
+    stream: TextIO
+    lines: list[str] = field(default_factory=list)
+
+    def __call__(self, message: dict[str, Any]) -> None:
+        """Take one eliot message; without an event loop it is written at once."""
+        self.lines.append(format_event(message))
+        if len(self.lines) > 1:
+            return
+        try:
+            asyncio.get_running_loop().call_soon(self.flush)
+        except RuntimeError:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write the collected lines."""
+        if self.lines:
+            self.stream.write("\n".join(self.lines) + "\n")
+            self.lines.clear()
+            self.stream.flush()
+
+
+class _EventHandler(logging.Handler):
+    """Turns records of the standard library's logging into events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {
+            "logger": record.name,
+            "level": record.levelname.lower(),
+            "message": record.getMessage(),
+        }
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["traceback"] = "".join(
+                traceback.format_exception(record.exc_info[1])
+            )
+        log_event("library", **fields)
 
 
 def configure_logs(instance: str, stream: TextIO = sys.stderr) -> None:
-    """Write every event to ``stream`` as one line."""
+    """Write every event to ``stream`` as one line.
+
+    Records of the standard library's logging, warnings and uncaught exceptions become
+    events as well.
+    """
     eliot.add_global_fields(instance=instance)
+    writer = _Writer(stream)
+    eliot.add_destinations(writer)
+    atexit.register(writer.flush)
+    logging.captureWarnings(True)
+    logging.basicConfig(handlers=[_EventHandler()], level=logging.WARNING, force=True)
+    sys.excepthook = _log_uncaught
 
-    def write(message: dict[str, Any]) -> None:
-        stream.write(format_event(message) + "\n")
-        stream.flush()
 
-    eliot.add_destinations(write)
+def _log_uncaught(kind: type[BaseException], value: BaseException, trace: Any) -> None:
+    text = "".join(traceback.format_exception(kind, value, trace))
+    log_event("crashed", error=repr(value), traceback=text)
 
 
 def log_event(event: str, **fields: Any) -> None:
-    """Write one event."""
-    eliot.log_message(message_type=event, **fields)
+    """Write one event.
+
+    The message goes to eliot's logger directly: `eliot.log_message` makes an action
+    with a new UUID for each message, which nothing here reads.
+    """
+    _LOGGER.write({"timestamp": time.time(), "message_type": event, **fields})
 
 
 def format_event(message: dict[str, Any]) -> str:
     """Format an eliot message as one line of key=value pairs."""
-    time = datetime.fromtimestamp(message["timestamp"], UTC)
+    seconds, milliseconds = divmod(int(message["timestamp"] * 1000), 1000)
     pairs = [
-        f"time={time.isoformat(timespec='milliseconds')}",
-        f"event={message.get('message_type', 'event')}",
-    ]
-    pairs += [
-        f"{key}={_format_value(value)}"
-        for key, value in message.items()
-        if key not in _ELIOT_FIELDS
+        f"time={_format_seconds(seconds)}.{milliseconds:03}Z "
+        f"event={message.get('message_type', 'event')}"
     ]
+    for key, value in message.items():
+        if key not in _ELIOT_FIELDS:
+            pairs.append(f"{key}={_format_value(value)}")
     return " ".join(pairs)
 
 
+@lru_cache(_TIMES_KEPT)
+def _format_seconds(seconds: int) -> str:
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%dT%H:%M:%S")
+
+
 def _format_value(value: Any) -> str:
-    if isinstance(value, float):
+    if isinstance(value, str):
+        text = str(value)
+    elif isinstance(value, float):
         return f"{value:.6g}"
-    if isinstance(value, list | tuple | set | frozenset):
-        value = ",".join(str(item) for item in value)
-    text = str(value)
+    elif isinstance(value, list | tuple | set | frozenset):
+        text = ",".join(str(item) for item in value)
+    else:
+        text = str(value)
     return text if _PLAIN.fullmatch(text) else json.dumps(text)
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -2,43 +2,66 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from typing import TypeAlias
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 RESPONSE_BUCKETS = (0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)  # seconds
 
+_Series: TypeAlias = tuple[tuple[str, str], ...]
+
+_DESCRIPTIONS_BY_NAME = {
+    "dispatches": "Batches of tasks sent, by backend server.",
+    "jobs": "Ended jobs by class and status.",
+    "late_outcomes": "Task outcomes that came after the end of their job.",
+    "late_replies": "Replies that nothing waited for any more, by message.",
+    "peer_messages_received": "Messages from other instances, by message.",
+    "peer_messages_sent": "Messages to other instances, by message.",
+    "mailbox_messages": "Messages that wait for a controller.",
+    "link_messages": "Messages that wait to be sent to an instance.",
+    "live_instances": "Instances that this one hears, itself included.",
+    "pool_backend_servers": "Backend servers that this instance leases.",
+    "pool_slots": "Slots of the leased backend servers.",
+    "pool_running_tasks": "Tasks that run on the leased backend servers.",
+}
+
 
 class Metrics:
-    """All metrics of one process, by name."""
+    """All metrics of one process, by name.
+
+    Counters are summed in plain dictionaries and handed to their collectors when the
+    metrics are read, because a collector encodes the labels as JSON on each change.
+    """
 
     def __init__(self) -> None:
         self._registry = Registry()
+        self._totals_by_name: dict[str, dict[_Series, float]] = {}
         self._counters_by_name: dict[str, Counter] = {}
         self._gauges_by_name: dict[str, Gauge] = {}
         self._response_seconds = Histogram(
             "boragetide_response_seconds",
             "Response time of submissions by class and status.",
+            registry=self._registry,
             buckets=RESPONSE_BUCKETS,
         )
-        self._registry.register(self._response_seconds)
 
     def count(self, name: str, labels: dict[str, str], value: float = 1.0) -> None:
         """Add to a counter, made on first use."""
-        counter = self._counters_by_name.get(name)
-        if counter is None:
-            counter = Counter(f"boragetide_{name}_total", name.replace("_", " "))
-            self._registry.register(counter)
-            self._counters_by_name[name] = counter
-        counter.add(labels, value)
+        totals = self._totals_by_name.get(name)
+        if totals is None:
+            totals = self._totals_by_name[name] = defaultdict(float)
+        totals[tuple(labels.items())] += value
 
     def set_gauge(self, name: str, labels: dict[str, str], value: float) -> None:
         """Set a gauge, made on first use."""
         gauge = self._gauges_by_name.get(name)
         if gauge is None:
-            gauge = Gauge(f"boragetide_{name}", name.replace("_", " "))
-            self._registry.register(gauge)
-            self._gauges_by_name[name] = gauge
-        gauge.set(labels, value)
+            gauge = self._gauges_by_name[name] = Gauge(
+                f"boragetide_{name}", _describe(name), registry=self._registry
+            )
+        gauge.set(_escape(labels), value)
 
     def observe_response(self, class_name: str, status: str, seconds: float) -> None:
         """Record the response time of one submission."""
@@ -46,5 +69,25 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the exposition text and its headers."""
+        for name, totals in self._totals_by_name.items():
+            counter = self._counters_by_name.get(name)
+            if counter is None:
+                counter = self._counters_by_name[name] = Counter(
+                    f"boragetide_{name}_total", _describe(name), registry=self._registry
+                )
+            for series, total in totals.items():
+                counter.set(_escape(dict(series)), total)
         content, headers = render(self._registry, ["text/plain"])
         return content, dict(headers)
+
+
+def _describe(name: str) -> str:
+    return _DESCRIPTIONS_BY_NAME.get(name, name.replace("_", " "))
+
+
+def _escape(labels: dict[str, str]) -> dict[str, str]:
+    """Escape label values, which aioprometheus writes as they are."""
+    return {
+        key: str(value).replace("\\", r"\\").replace("\n", r"\n").replace('"', r"\"")
+        for key, value in labels.items()
+    }
--- a/boragetide/filters/admit.py
+++ b/boragetide/filters/admit.py
@@ -22,4 +22,5 @@
     if class_name not in changed.configuration.classes_by_name:
         message = f"class: unknown class {class_name!r}"
         raise RequestError(Status.NOT_RUN, 404, message)
+    exchange.class_label = class_name
     return await call_next(exchange)
--- a/boragetide/filters/answer.py
+++ b/boragetide/filters/answer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from boragetide.daemon.clock import read_clock
-from boragetide.errors import RequestError
+from boragetide.errors import LinkError, RequestError
 from boragetide.filters.chain import Exchange, Next
 from boragetide.types import Answer, Status
 
@@ -24,8 +24,11 @@
         job_id = exchange.submission.id if exchange.submission else ""
         result = Answer(job_id, error.status, error=str(error))
         exchange.http_status = error.http_status
-    class_name = exchange.submission.class_name if exchange.submission else ""
+    except LinkError as error:
+        job_id = exchange.submission.id if exchange.submission else ""
+        result = Answer(job_id, Status.UNKNOWN, error=str(error))
+        exchange.http_status = 503
     exchange.runtime.metrics.observe_response(
-        class_name, result.status, read_clock() - exchange.received_at
+        exchange.class_label, result.status, read_clock() - exchange.received_at
     )
     return result
--- a/boragetide/filters/chain.py
+++ b/boragetide/filters/chain.py
@@ -29,6 +29,9 @@
         Unix time in seconds.
     http_status
         Status code of the response, set with the answer.
+    class_label
+        Class in metrics; empty until the class is known to exist, so that callers
+        cannot make up labels.
     """
 
     runtime: Runtime
@@ -39,6 +42,7 @@
     placer: PlacerChosen | None = None
     claim: Claim | None = None
     http_status: int = 200
+    class_label: str = ""
 
 
 Next: TypeAlias = Callable[[Exchange], Awaitable[Answer]]
--- a/boragetide/filters/parse.py
+++ b/boragetide/filters/parse.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from pydantic import ValidationError
-
-from boragetide.api.models import to_submission
+from boragetide.api.models import parse_body, to_submission
 from boragetide.errors import RequestError
 from boragetide.filters.chain import Exchange, Next
 from boragetide.types import Answer, Status
@@ -12,14 +10,11 @@
 
 async def parse(exchange: Exchange, call_next: Next) -> Answer:
     """Refuse a body that does not fit its model, naming the field."""
-    try:
-        model = exchange.kind.model_validate_json(exchange.body)
-    except ValidationError as error:
-        fault = error.errors(include_url=False)[0]
-        name = ".".join(str(part) for part in fault["loc"]) or "body"
-        message = f"{name}: {fault['msg']}"
-        raise RequestError(Status.NOT_RUN, 400, message) from error
-    exchange.submission = to_submission(model)
+    parsed = parse_body(exchange.kind, exchange.body)
+    if parsed.is_error():
+        fault = parsed.error
+        raise RequestError(Status.NOT_RUN, fault.http_status, fault.message)
+    exchange.submission = to_submission(parsed.ok)
     limit = exchange.runtime.settings.limits.tasks_per_job
     if len(exchange.submission.tasks) > limit:
         count = len(exchange.submission.tasks)
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.effects import CancelTasks, StartTasks
+from boragetide.json_values import find_value_fault
 from boragetide.messages import TaskReport
 from boragetide.types import Seconds, TaskOutcome, TaskStatus
 
@@ -135,13 +136,16 @@
     def _read(self, line: bytes) -> None:
         try:
             entry = _LINE_DECODER.decode(line)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return
         status = _OUTCOMES_BY_WORD.get(entry.status)
         if entry.id not in self._waiting or status is None:
             return
         self._waiting.discard(entry.id)
         outcome = TaskOutcome(status, entry.result, entry.error)
+        fault = find_value_fault(line, entry.result)
+        if fault is not None:
+            outcome = TaskOutcome(TaskStatus.FAILED, error=f"result: {fault}")
         self._report(
             TaskReport(
                 self._start.server, self._start.lease, entry.id, outcome, entry.seconds
--- a/boragetide/messages.py
+++ b/boragetide/messages.py
@@ -234,6 +234,22 @@
     servers: tuple[dict[str, Any], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DescribePool(Request):
+    """Asks how busy the pool of this instance is; answered with `PoolDescription`."""
+
+
+@dataclass(frozen=True, slots=True)
+class PoolDescription:
+    """Sizes of the pool that one instance places for."""
+
+    backend_servers: int
+    slots: int
+    running_tasks: int
+    queued_jobs: int
+    queued_tasks: int
+
+
 # Controller ``instances``.
 
 
@@ -261,9 +277,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ChoosePlacer(Request):
-    """Asks which instance places jobs that enter here; answered `PlacerChosen`."""
+    """Asks for the placer of a zone; answered with `PlacerChosen`.
+
+    Parameters
+    ----------
+    for_jobs
+        Whether another zone's placer may be chosen where this zone has no backend
+        servers; announcements always go to the zone's own placer.
+    """
 
     zone: ZoneId
+    for_jobs: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -224,6 +224,8 @@
             if process.poll() is None:
                 process.kill()
                 process.wait(WAIT_LIMIT)
+            if process.stdout is not None:
+                process.stdout.close()
         self.pool.shutdown(wait=False, cancel_futures=True)
 
 
