Add the command-line client for operators

There was no boragetide program, only an entry for it in pyproject.toml.

Every change carries a command id and an expected version. Reads exit 4 instead of 3 where no answer came.

--- /dev/null
+++ b/boragetide/cli/client.py
@@ -0,0 +1,124 @@
+"""Calls of the command-line client: tries daemons in order and resends."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import random
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from boragetide.errors import LinkError, PeerUnreachable, ReplyTimeout
+from boragetide.links.backend_client import make_client
+from boragetide.types import Seconds
+
+CONNECT_TIMEOUT: Seconds = 2.0
+RESEND_DELAY: Seconds = 0.2  # before the second pass over the servers; doubles
+MAX_RESEND_DELAY: Seconds = 2.0
+
+# Answers after which the next server may do better: the same command id or job id has
+# one outcome however often it is sent.
+_RETRIED = frozenset({503})
+_CURL_NOT_CONNECTED = frozenset({5, 6, 7})  # proxy, host, connect
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request that may be sent several times.
+
+    Parameters
+    ----------
+    timeout
+        Seconds for one attempt.
+    resend_for
+        Seconds from the first attempt during which a lost answer leads to another one.
+    """
+
+    method: str
+    path: str
+    body: Any = None
+    timeout: Seconds = 10.0
+    resend_for: Seconds = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """An answer; ``earlier_lost`` tells whether an earlier attempt may have counted."""
+
+    http_status: int
+    body: Any
+    earlier_lost: bool = False
+
+
+async def send(call: Call, servers: tuple[str, ...]) -> Response:
+    """Send a request to the first server that answers it.
+
+    Raises
+    ------
+    PeerUnreachable
+        No server was reached, so that the request was certainly not taken.
+    ReplyTimeout
+        The answer was lost and did not come within the bound; a server may have taken
+        the request.
+    """
+    client = make_client()
+    deadline = time.monotonic() + call.resend_for
+    delays = (RESEND_DELAY * 2**number for number in itertools.count())
+    lost = False
+    for delay in delays:
+        refusal: Response | None = None
+        faults: list[str] = []
+        for server in servers:
+            try:
+                response = await _fetch(client, server, call)
+            except LinkError as error:
+                lost = lost or isinstance(error, ReplyTimeout)
+                faults.append(f"{server}: {error}")
+                continue
+            answer = Response(response.http_status, response.body, lost)
+            if response.http_status not in _RETRIED:
+                return answer
+            lost = lost or answer.body.get("status") == "unknown"
+            refusal = answer
+        if time.monotonic() + delay > deadline or not lost:
+            break
+        await asyncio.sleep(min(delay, MAX_RESEND_DELAY) * random.uniform(0.5, 1.0))
+    if refusal is not None:
+        return refusal
+    raise (ReplyTimeout if lost else PeerUnreachable)("; ".join(faults))
+
+
+async def _fetch(client: AsyncHTTPClient, server: str, call: Call) -> Response:
+    request = HTTPRequest(
+        server.rstrip("/") + call.path,
+        method=call.method,
+        headers={"Content-Type": "application/json"},
+        body=None if call.body is None else json.dumps(call.body).encode(),
+        connect_timeout=CONNECT_TIMEOUT,
+        request_timeout=call.timeout,
+    )
+    try:
+        response = await client.fetch(request, raise_error=False)
+        if response.code == 599:
+            response.rethrow()
+        return Response(response.code, _decode(response.body))
+    except HTTPClientError as error:
+        if getattr(error, "errno", None) in _CURL_NOT_CONNECTED:
+            raise PeerUnreachable("connection refused") from error
+        raise ReplyTimeout(f"answer lost: {error.message}") from error
+    except (OSError, UnicodeError) as error:
+        raise PeerUnreachable(str(error)) from error
+
+
+def _decode(body: bytes) -> dict[str, Any]:
+    try:
+        decoded = json.loads(body)
+    except ValueError as error:
+        raise ReplyTimeout("answer is not JSON") from error
+    if not isinstance(decoded, dict):
+        raise ReplyTimeout("answer is not a JSON object")
+    return decoded
--- /dev/null
+++ b/boragetide/cli/jobs.py
@@ -0,0 +1,145 @@
+"""Commands for jobs."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any, ClassVar
+from urllib.parse import quote
+
+from cleo.helpers import argument, option
+
+from boragetide.cli.base import (
+    SHARED_OPTIONS,
+    ExitCode,
+    OperatorCommand,
+    check_answer,
+)
+from boragetide.errors import CommandLineError
+from boragetide.settings_file import parse_duration
+
+_EXIT_CODES_BY_STATUS = {
+    "complete": ExitCode.DONE,
+    "failed": ExitCode.REFUSED,
+    "not_run": ExitCode.REFUSED,
+}
+
+
+class JobSubmitCommand(OperatorCommand):
+    """Submits a job and waits for its whole answer."""
+
+    name = "job submit"
+    description = "Submit a job and wait for its answer"
+    help = (
+        "Example: boragetide job submit job.json\n"
+        "Example: make-job | boragetide job submit - --server=http://10.0.0.1:8080\n"
+        "A body without an id gets one, which is printed. A lost answer leads to the "
+        "same id again, which starts nothing twice."
+    )
+    arguments: ClassVar = [
+        argument("file", "JSON file with the body, or - for standard input")
+    ]
+    options: ClassVar = [
+        *SHARED_OPTIONS,
+        option(
+            "id", description="Id of the job, replaces the one in the body", flag=False
+        ),
+        option(
+            "timeout",
+            description="How long to wait for an answer",
+            flag=False,
+            default="3m",
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Submit the body under one id until an answer comes or the bound is met."""
+        timeout = self.read_option("timeout", parse_duration)
+        body = _read_body(self.argument("file"))
+        if self.option("id"):
+            body["id"] = self.option("id")
+        if "id" not in body:
+            body["id"] = self._mint_id()
+        try:
+            response = self.call_daemon("POST", "/v1/jobs", body, timeout)
+        except CommandLineError as error:
+            text = f"{error}\nsubmit it again with --id={body['id']}"
+            raise CommandLineError(
+                error.exit_code, text, {**error.body, "id": body["id"]}
+            ) from error
+        answer = response.body
+        code = _EXIT_CODES_BY_STATUS.get(answer.get("status"), ExitCode.UNKNOWN)
+        if answer.get("status") == "not_run" and response.earlier_lost:
+            # An attempt before this refusal may have run.
+            answer, code = {**answer, "status": "unknown"}, ExitCode.UNKNOWN
+        self.emit(answer, _format_answer(answer))
+        return code
+
+    def _mint_id(self) -> str:
+        job_id = self.read_body("POST", "/v1/job-ids", {"count": 1})["ids"][0]
+        print(f"job id {job_id}", file=sys.stderr, flush=True)
+        return job_id
+
+
+def _read_body(name: str) -> dict[str, Any]:
+    try:
+        text = sys.stdin.read() if name == "-" else Path(name).read_text()
+        body = json.loads(text)
+    except OSError as error:
+        message = f"file {name!r}: {error.strerror}"
+        raise CommandLineError(ExitCode.USAGE, message) from error
+    except ValueError as error:
+        message = f"file {name!r}: not JSON: {error}"
+        raise CommandLineError(ExitCode.USAGE, message) from error
+    if not isinstance(body, dict):
+        raise CommandLineError(ExitCode.USAGE, f"file {name!r}: not a JSON object")
+    return body
+
+
+def _format_answer(answer: dict[str, Any]) -> str:
+    lines = [f"{answer.get('id', '')}: {answer.get('status', 'unknown')}"]
+    if answer.get("error"):
+        lines.append(answer["error"])
+    lines += [json.dumps(result) for result in answer.get("results", ())]
+    return "\n".join(lines)
+
+
+class _OneJobCommand(OperatorCommand):
+    arguments: ClassVar = [argument("id", "Id of the job")]
+
+    def fetch(self, path: str) -> dict[str, Any]:
+        """Return the state of the job."""
+        return self.read_body("GET", path)
+
+    def handle(self) -> int:
+        """Print the state of the job, and its answer once it has ended."""
+        path = f"/v1/jobs/{quote(self.argument('id'), safe='')}"
+        body = self.fetch(path)
+        text = f"{body['id']}: {body['state']}"
+        if body.get("answer"):
+            text += f"\n{_format_answer(body['answer'])}"
+        self.emit(body, text)
+        return ExitCode.UNKNOWN if body["state"] == "unknown" else ExitCode.DONE
+
+
+class JobShowCommand(_OneJobCommand):
+    """Shows a job."""
+
+    name = "job show"
+    description = "Show the state of a job and its answer"
+    help = "Example: boragetide job show a:a1:1790000000000:1"
+
+
+class JobCancelCommand(_OneJobCommand):
+    """Cancels a job."""
+
+    name = "job cancel"
+    description = "Cancel a job; an ended job keeps its answer"
+    help = "Example: boragetide job cancel a:a1:1790000000000:1"
+
+    def fetch(self, path: str) -> dict[str, Any]:
+        """Cancel the job; a lost answer leaves the outcome unknown."""
+        response = self.call_daemon("DELETE", path)
+        check_answer(response)
+        return response.body
--- a/boragetide/errors.py
+++ b/boragetide/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from boragetide.types import Status
 
 
@@ -56,3 +58,24 @@
         super().__init__(message)
         self.status = status
         self.http_status = http_status
+
+
+class CommandLineError(BoragetideError):
+    """A command of the command-line client ends with this exit code.
+
+    Parameters
+    ----------
+    exit_code
+        One of `boragetide.cli.base.ExitCode`.
+    message
+        What the operator reads.
+    body
+        Further fields of the JSON output.
+    """
+
+    def __init__(
+        self, exit_code: int, message: str, body: dict[str, Any] | None = None
+    ):
+        super().__init__(message)
+        self.exit_code = exit_code
+        self.body = body or {}
--- /dev/null
+++ b/boragetide/tests/test_cli.py
@@ -0,0 +1,265 @@
+"""The command-line client against a scripted daemon, and against a real one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from boragetide.cli.__main__ import COMMANDS, run
+from boragetide.cli.base import SERVER_VARIABLE
+from boragetide.tests.conftest import System, free_port, make_job
+
+LOST = object()  # closes the connection without an answer
+CONFIGURATION = {
+    "version": 7,
+    "classes": [{"name": "default", "response_time": 10.0, "busy_share": 1.0}],
+    "drained": ["s9"],
+}
+
+
+@dataclass
+class Script:
+    """A daemon that answers by script and keeps what it was sent."""
+
+    url: str = ""
+    answers_by_request: dict[str, list[Any]] = field(default_factory=dict)
+    requests: list[tuple[str, Any]] = field(default_factory=list)
+
+    def add(self, request: str, *answers: Any) -> None:
+        """Answer a request, the last answer repeatedly; ``(status, body)`` or LOST."""
+        self.answers_by_request[request] = list(answers)
+
+    def bodies(self, request: str) -> list[Any]:
+        """Return the bodies that were sent with a request."""
+        return [body for name, body in self.requests if name == request]
+
+
+class _ScriptHandler(RequestHandler):
+    def initialize(self, script: Script) -> None:
+        self.script = script
+
+    def answer(self) -> None:
+        name = f"{self.request.method} {self.request.uri}"
+        body = json.loads(self.request.body) if self.request.body else None
+        self.script.requests.append((name, body))
+        answers = self.script.answers_by_request[name]
+        answer = answers.pop(0) if len(answers) > 1 else answers[0]
+        if answer is LOST:
+            self.detach().close()
+            return
+        self.set_status(answer[0])
+        self.finish(answer[1])
+
+    get = post = delete = answer
+
+
+@pytest.fixture
+def script() -> Iterator[Script]:
+    """A scripted daemon in a thread of its own."""
+    made = Script()
+    made.add("GET /v1/configuration", (200, CONFIGURATION))
+    loop = asyncio.new_event_loop()
+    started, stop = threading.Event(), asyncio.Event()
+
+    async def serve() -> None:
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(Application([(r".*", _ScriptHandler, {"script": made})]))
+        server.add_sockets(sockets)
+        made.url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
+        started.set()
+        await stop.wait()
+        server.stop()
+
+    thread = threading.Thread(target=loop.run_until_complete, args=(serve(),))
+    thread.start()
+    started.wait(10)
+    yield made
+    loop.call_soon_threadsafe(stop.set)
+    thread.join(10)
+    loop.close()
+
+
+PROPOSE = "POST /v1/configuration/commands"
+
+
+def test_change_reads_the_version_and_prints_its_command_id(
+    script: Script, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against changes that cannot be resent, and against lost values."""
+    script.add(PROPOSE, (200, {"status": "accepted", "version": 8}))
+    arguments = ["class", "set", "default", "--busy-share=25%", "--json"]
+    assert run([*arguments, f"--server={script.url}"]) == 0
+    printed = json.loads(capsys.readouterr().out)
+    (sent,) = script.bodies(PROPOSE)
+    assert sent["command_id"] == printed["command_id"]
+    assert (sent["expected_version"], printed["version"]) == (7, 8)
+    assert sent["command"] == {
+        "kind": "set_class",
+        "name": "default",
+        "response_time": 10.0,
+        "busy_share": 0.25,
+    }
+
+
+def test_lost_answer_leads_to_the_same_command_again(
+    script: Script, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a second change after an answer that was lost."""
+    unknown = (503, {"status": "unknown", "error": "no leader"})
+    accepted = (200, {"status": "accepted", "version": 8})
+    script.add(PROPOSE, LOST, unknown, accepted)
+    assert run(["backend-server", "drain", "s1", f"--server={script.url}"]) == 0
+    bodies = script.bodies(PROPOSE)
+    assert len(bodies) == 3
+    assert bodies[0] == bodies[1] == bodies[2]
+    assert bodies[0]["command"] == {"kind": "drain_backend_server", "id": "s1"}
+
+
+@pytest.mark.parametrize(
+    ("answer", "code", "text"),
+    [
+        ((409, {"status": "conflict", "version": 9}), 1, "expected version 5, current"),
+        ((400, {"status": "not_run", "error": "id: bad"}), 1, "refused: id: bad"),
+        ((503, {"status": "unknown", "error": "x"}), 3, "--command-id=c1"),
+        (LOST, 3, "--expected-version=5"),
+    ],
+)
+def test_each_outcome_has_its_exit_code(
+    script: Script,
+    capsys: pytest.CaptureFixture[str],
+    answer: Any,
+    code: int,
+    text: str,
+) -> None:
+    """Guards against scripts that take an unknown outcome for a refusal."""
+    script.add(PROPOSE, answer)
+    arguments = ["backend-server", "return", "s1", "--command-id=c1"]
+    arguments += ["--expected-version=5", "--resend-for=300ms", "--json"]
+    assert run([*arguments, f"--server={script.url}"]) == code
+    printed = capsys.readouterr()
+    assert text in printed.err
+    assert json.loads(printed.out)["command_id"] == "c1"
+
+
+def test_refusal_after_a_lost_answer_is_unknown(
+    script: Script, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    """Guards against ``not_run`` for a job whose first submission may have run."""
+    job = tmp_path / "job.json"
+    job.write_text(json.dumps(make_job("job-1")))
+    refusal = (503, {"id": "job-1", "status": "not_run", "error": "the queue is full"})
+    script.add("POST /v1/jobs", LOST, refusal)
+    arguments = ["job", "submit", str(job), f"--server={script.url}", "--json"]
+    assert run([*arguments, "--resend-for=300ms"]) == 3
+    assert json.loads(capsys.readouterr().out)["status"] == "unknown"
+    script.add("POST /v1/jobs", refusal)
+    assert run(arguments) == 1
+
+
+def test_servers_are_tried_in_order(
+    script: Script,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a client that needs one certain daemon."""
+    closed = f"http://127.0.0.1:{free_port()}"
+    monkeypatch.setenv(SERVER_VARIABLE, f"{closed}, {script.url}")
+    assert run(["config", "show"]) == 0
+    assert "version 7" in capsys.readouterr().out
+    assert run(["config", "show", f"--server={closed}"]) == 4
+    assert run(["class", "show", "none"]) == 1
+
+
+def test_job_without_an_id_gets_one(
+    script: Script, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    """Guards against jobs that cannot be submitted again."""
+    job = tmp_path / "job.json"
+    job.write_text('{"class": "default", "tasks": [{"payload": 1}]}')
+    script.add("POST /v1/job-ids", (200, {"ids": ["a:a1:1:1"]}))
+    answer = {"id": "a:a1:1:1", "status": "complete", "results": [1]}
+    script.add("POST /v1/jobs", (200, answer))
+    assert run(["job", "submit", str(job), f"--server={script.url}"]) == 0
+    printed = capsys.readouterr()
+    assert "job id a:a1:1:1" in printed.err
+    assert printed.out == "a:a1:1:1: complete\n1\n"
+    assert script.bodies("POST /v1/jobs")[0]["id"] == "a:a1:1:1"
+
+
+def test_jobs_and_history_are_shown(
+    script: Script, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against ids that change on their way into a path."""
+    ended = {"id": "a/b", "status": "failed", "error": "cancelled"}
+    state = {"id": "a/b", "state": "ended", "answer": ended}
+    script.add("DELETE /v1/jobs/a%2Fb", (200, state))
+    server = f"--server={script.url}"
+    assert run(["job", "cancel", "a/b", server]) == 0
+    assert capsys.readouterr().out == "a/b: ended\na/b: failed\ncancelled\n"
+    script.add("DELETE /v1/jobs/y", LOST)
+    assert run(["job", "cancel", "y", server, "--resend-for=100ms"]) == 3
+    script.add("GET /v1/jobs/y", LOST)
+    assert run(["job", "show", "y", server, "--resend-for=100ms"]) == 4
+    script.add("GET /v1/jobs/x", (404, {"status": "not_run", "error": "never claimed"}))
+    assert run(["job", "show", "x", server]) == 1
+    entry = {"version": 7, "command_id": "c", "command": {}, "accepted_at": 0.0}
+    script.add("GET /v1/configuration/history?limit=2", (200, {"entries": [entry]}))
+    assert run(["config", "history", "--limit=2", server]) == 0
+    assert "1970-01-01T00:00:00Z" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("arguments", "text"),
+    [
+        (["frob"], '"frob" does not exist'),
+        (["class", "set"], 'missing: "name"'),
+        (["class", "set", "x", "--response-time=5"], "--response-time = 5: not a num"),
+        (["class", "set", "x", "--busy-share=200%"], "--busy-share = 200%: not above"),
+        (["class", "set", "x", "--busy-share=x"], "not a percentage"),
+        (["config", "history", "--limit=-1"], "not a positive whole number"),
+        (["status", "--server=localhost"], "--server = localhost: not a URL"),
+        (["job", "submit", "/none/job.json"], "No such file"),
+    ],
+)
+def test_wrong_usage_exits_2(
+    capsys: pytest.CaptureFixture[str], arguments: list[str], text: str
+) -> None:
+    """Guards against mistyped commands that reach a daemon or give a traceback."""
+    assert run(arguments) == 2
+    assert text in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("name", [command.name for command in COMMANDS])
+def test_help_shows_an_example(capsys: pytest.CaptureFixture[str], name: str) -> None:
+    """Guards against commands that operators must read the code for."""
+    assert run([*name.split(), "--help"]) == 0
+    printed = capsys.readouterr().out
+    assert f"Example: boragetide {name}" in printed
+    assert "--json" in printed
+
+
+def test_real_daemon_is_shown_and_runs_a_job(
+    system: System, capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    """Guards against bodies that only the scripted daemon understands."""
+    system.start({"a1": "a", "a2": "a"})
+    system.add_server("s1", "a", speed=4.0)
+    servers = [f"--server={d.url}" for d in system.daemons_by_id.values()]
+    job = tmp_path / "job.json"
+    job.write_text(json.dumps(make_job("job-1", tasks=2)))
+    assert run(["job", "submit", str(job), *servers]) == 0
+    assert capsys.readouterr().out.startswith("job-1: complete\n")
+    assert run(["status", *servers]) == 0
+    assert "2 of 2 instances live" in capsys.readouterr().out
+    assert run(["backend-server", "list", *servers]) == 0
+    assert "s1" in capsys.readouterr().out
