--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -6,13 +6,10 @@
 import asyncio
 import signal
 import sys
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
-from tornado.httpserver import HTTPServer
-
-from boragetide.api.application import make_application
+from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
     claims,
@@ -39,13 +36,11 @@
     parser.add_argument("--data-folder", type=Path, help="overrides the settings")
     arguments = parser.parse_args()
     try:
-        settings = load_settings(arguments.config)
+        settings = load_settings(arguments.config, arguments.data_folder)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    if arguments.data_folder is not None:
-        settings = replace(settings, data_folder=arguments.data_folder)
     if not arguments.check:
         configure_logs(settings.id)
         asyncio.run(run_daemon(settings))
@@ -67,9 +62,7 @@
         asyncio.create_task(run_ticks(runtime)),
     ]
     await listening.wait()
-    server = HTTPServer(
-        make_application(runtime), max_body_size=settings.limits.body_bytes
-    )
+    server = make_server(runtime)
     host, port = settings.own.http_address.split(":")
     server.listen(int(port), host)
     log_event(
