--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -13,7 +13,6 @@
     ConfigurationChanged,
     Drain,
     DrainState,
-    FindPlacer,
     Flush,
     Flushed,
     Heartbeat,
@@ -256,14 +255,7 @@
 @handle.register
 def _(message: ChoosePlacer, state: InstancesState, now: Seconds) -> list[Effect]:
     candidates = _list_candidates(state, now)
-    placer = membership.choose_placer(message.zone, candidates)
-    return [Reply(message.reply_to, _describe(placer, message.zone, len(candidates)))]
-
-
-@handle.register
-def _(message: FindPlacer, state: InstancesState, now: Seconds) -> list[Effect]:
-    candidates = _list_candidates(state, now)
-    placer = membership.find_placer(message.zone, candidates)
+    placer = membership.choose_placer(message.zone, candidates, message.for_jobs)
     return [Reply(message.reply_to, _describe(placer, message.zone, len(candidates)))]
 
 
@@ -317,7 +309,6 @@
             "incarnation": candidate.incarnation,
             "backend_servers": candidate.backend_servers,
             "stopping": candidate.stopping,
-            "placer": candidate == membership.find_placer(candidate.zone, candidates),
         }
         for candidate in candidates
     )
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -8,14 +8,11 @@
 import sys
 import traceback
 from collections.abc import Awaitable
-from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
 
-from tornado.httpserver import HTTPServer
-
-from boragetide.api.application import make_application
+from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
     claims,
@@ -50,13 +47,11 @@
     parser.add_argument("--data-folder", type=Path, help="overrides the settings")
     arguments = parser.parse_args()
     try:
-        settings = load_settings(arguments.config)
+        settings = load_settings(arguments.config, arguments.data_folder)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    if arguments.data_folder is not None:
-        settings = replace(settings, data_folder=arguments.data_folder)
     if not arguments.check:
         configure_logs(settings.id)
         sys.exit(asyncio.run(run_daemon(settings)))
@@ -99,9 +94,7 @@
 ) -> None:
     settings = runtime.settings
     await listening.wait()
-    server = HTTPServer(
-        make_application(runtime), max_body_size=settings.limits.body_bytes
-    )
+    server = make_server(runtime)
     host, port = settings.own.http_address.split(":")
     server.listen(int(port), host)
     log_event(
--- a/boragetide/policy/membership.py
+++ b/boragetide/policy/membership.py
@@ -55,14 +55,17 @@
     return min(able, key=lambda c: (c.in_service_since, c.id), default=None)
 
 
-def choose_placer(zone: ZoneId, candidates: Iterable[Candidate]) -> Candidate | None:
+def choose_placer(
+    zone: ZoneId, candidates: Iterable[Candidate], for_jobs: bool = True
+) -> Candidate | None:
     """Return the live instance that places the jobs of a zone.
 
-    A zone whose placer has no backend servers uses the placer with the most of them.
+    A zone whose placer has no backend servers uses the placer with the most of them,
+    but only for jobs: announcements go to the zone's own placer.
     """
     candidates = tuple(candidates)
     placer = find_placer(zone, candidates)
-    if placer is None or placer.backend_servers > 0:
+    if placer is None or placer.backend_servers > 0 or not for_jobs:
         return placer
     zones = {candidate.zone for candidate in candidates}
     placers = (find_placer(other, candidates) for other in zones)
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -268,6 +268,10 @@
             if process.poll() is None:
                 process.kill()
                 process.wait(WAIT_LIMIT)
+            if process.stdout is not None:
+                process.stdout.close()
+        for relay in self.relays_by_link.values():
+            relay.cut()
         if self.relay_loop is not None:
             self.relay_loop.close()
         self.pool.shutdown(wait=False, cancel_futures=True)
@@ -321,7 +325,14 @@
 def make_settings(own: str, zones_by_id: dict[str, str]) -> Settings:
     """Build settings for unit tests; every instance has a disk."""
     sections = [
-        _format_peer(peer, own, zone, (8000, 9000), tuple(zones_by_id), Path("unused"))
-        for peer, zone in zones_by_id.items()
+        _format_peer(
+            peer,
+            own,
+            zone,
+            (8000 + number, 9000 + number),
+            tuple(zones_by_id),
+            Path("unused"),
+        )
+        for number, (peer, zone) in enumerate(zones_by_id.items())
     ]
     return parse_settings("\n".join(sections))
--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -12,6 +12,7 @@
 FROM_TARGET = "from_target"
 DIRECTIONS = frozenset({TO_TARGET, FROM_TARGET})
 CHUNK = 65536  # bytes
+LAST_TURNS = 10
 
 
 class RelayLoop:
@@ -27,7 +28,7 @@
         return asyncio.run_coroutine_threadsafe(work, self.loop).result()
 
     def close(self) -> None:
-        """End the thread; the sockets end with the loop's tasks."""
+        """End the thread once all relays are cut."""
         self.run(self._cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
@@ -38,6 +39,9 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        # Closed transports release their sockets in the next turns of the loop.
+        for _ in range(LAST_TURNS):
+            await asyncio.sleep(0)
 
 
 @dataclass(eq=False)
@@ -51,10 +55,14 @@
 
 
 class Relay:
-    """Listens on a port and forwards each connection to a target port."""
+    """Listens on a port and forwards each connection to a target port.
+
+    ``forwarded`` counts the bytes that reached the target.
+    """
 
     def __init__(self, loop: RelayLoop, port: int, target_port: int):
         self.port = port
+        self.forwarded = 0
         self._loop = loop
         self._target_port = target_port
         self._connections: set[_Connection] = set()
@@ -128,9 +136,12 @@
     ) -> None:
         try:
             while data := await reader.read(CHUNK):
-                if direction not in connection.silent:
-                    writer.write(data)
-                    await writer.drain()
+                if direction in connection.silent:
+                    continue
+                writer.write(data)
+                await writer.drain()
+                if direction == TO_TARGET:
+                    self.forwarded += len(data)
         except OSError:
             pass
         if direction not in connection.silent:
--- a/boragetide/tests/test_membership.py
+++ b/boragetide/tests/test_membership.py
@@ -24,7 +24,7 @@
 def find_placer(daemon: Daemon, zone: str = "a") -> str | None:
     """Return the placer of a zone as a daemon sees it."""
     for record in daemon.status()["instances"]:
-        if record["availability_zone"] == zone and record["placer"]:
+        if record["availability_zone"] == zone and record["role"] == "placer":
             return record["id"]
     return None
 
@@ -106,27 +106,24 @@
     wait_for(is_served, f"{daemon} to serve", SERVICE_LIMIT)
 
 
-@pytest.mark.parametrize("stopped", [("a1",), ("a1", "a2", "a3")])
-def test_planned_restarts_lose_no_request(
-    system: System, stopped: tuple[str, ...]
-) -> None:
+def test_planned_restarts_of_each_placer_lose_no_request(system: System) -> None:
     """Guards against requests that a planned stop fails, cuts off or leaves unknown."""
     system.start(THREE)
     for number in range(3):
         system.add_server(f"s{number}", "a")
     with load(system, "a1", "a2", "a3") as answers:
         wait_for_more(answers, 10)
-        for daemon_id in stopped:
+        for daemon_id, placer in (("a1", "a2"), ("a2", "a3"), ("a3", "a1")):
+            wait_for_placer(system, daemon_id, "a1", "a2", "a3")
             daemon = system.daemons_by_id[daemon_id]
             assert daemon.stop() == 0
             daemon.start()
             system.wait_for_members(3)
             wait_for(daemon.is_ready, f"{daemon_id} to be ready")
+            wait_for_placer(system, placer, "a1", "a2", "a3")
             wait_for_more(answers, 10)
-    assert refusals(answers, *stopped) == []
+    assert refusals(answers, "a1", "a2", "a3") == []
     assert set(system.starts_by_task().values()) == {1}
-    if len(stopped) == 1:
-        wait_for_placer(system, "a2", "a1", "a2", "a3")
 
 
 def test_killed_placer_is_replaced_within_5_s(system: System) -> None:
@@ -162,13 +159,19 @@
 def test_silent_link_is_replaced_within_5_s(system: System, both: bool) -> None:
     """Guards against an open connection that delivers nothing for ever."""
     system.start(THREE, relayed=True)
-    for ends in (("a1", "a2"), ("a2", "a1")) if both else (("a1", "a2"),):
-        system.relays_by_link[ends].silence()
-    silent_at = time.time()
-    daemon = system.daemons_by_id["a2"]
-    wait_for(lambda: daemon.log_lines("instance_lost"), "the loss of a1")
-    wait_for(lambda: len(daemon.status()["instances"]) == 3, "a1 to be heard again")
-    assert read_times(daemon, "instance_heard")[-1] - silent_at < 5.0
+    ends = [("a1", "a2"), ("a2", "a1")] if both else [("a1", "a2")]
+    relays = [system.relays_by_link[link] for link in ends]
+    for relay in relays:
+        relay.silence()
+    before = [relay.forwarded for relay in relays]
+    wait_for(
+        lambda: all(
+            relay.forwarded > count for relay, count in zip(relays, before, strict=True)
+        ),
+        "new connections to carry messages",
+        5.0,
+    )
+    system.wait_for_members(3)
 
 
 def test_zone_that_was_cut_off_serves_and_heals_without_a_surge(
@@ -196,7 +199,7 @@
     assert count_role_changes(system) == changes
 
 
-def count_messages(system: System, seconds: float = 2.0) -> float:
+def count_messages(system: System, seconds: float = 1.0) -> float:
     """Count the messages that all daemons send in a while."""
 
     def read() -> float:
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from functools import singledispatch
+from pathlib import Path
 from typing import Any
 
 from boragetide.daemon.__main__ import EXIT_FAILURE, run_daemon
@@ -19,6 +20,8 @@
 availability-zone = a
 http-address = 127.0.0.1:{}
 peer-address = 127.0.0.1:{}
+disk = yes
+data-folder = {}
 """
 
 
@@ -31,7 +34,7 @@
 
 
 def make_link(port: int) -> PeerLink:
-    text = ALONE.format(1, port)
+    text = ALONE.format(1, port, "unused")
     return PeerLink(parse_settings(text).own)
 
 
@@ -82,7 +85,7 @@
     asyncio.run(run())
 
 
-def test_failed_controller_ends_the_process(monkeypatch: Any) -> None:
+def test_failed_controller_ends_the_process(monkeypatch: Any, tmp_path: Path) -> None:
     """Guards against a daemon that goes on without one of its controllers."""
 
     @singledispatch
@@ -95,7 +98,7 @@
 
     async def run() -> int:
         async with asyncio.timeout(10.0):
-            return await run_daemon(parse_settings(ALONE.format(*ports)))
+            return await run_daemon(parse_settings(ALONE.format(*ports, tmp_path)))
 
     ports = free_port(), free_port()
     monkeypatch.setattr("boragetide.controllers.jobs.handle", handle)
