--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -230,10 +230,11 @@
     view.heartbeat = message
     view.last_heard = now
     view.live = True
+    if restarted:
+        view.last_echo, view.echo_at = 0, now
     # An echo above our own sequence number belongs to our previous incarnation.
-    if restarted or view.last_echo < message.echo <= state.sequence:
-        view.last_echo = min(message.echo, state.sequence)
-        view.echo_at = now
+    if view.last_echo < message.echo <= state.sequence:
+        view.last_echo, view.echo_at = message.echo, now
         view.link_patience = silence
     return effects + _end_flushes(state)
 
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -72,12 +72,12 @@
     serving = asyncio.create_task(_serve(runtime, listening, signals))
     await asyncio.wait({serving, *controllers}, return_when=asyncio.FIRST_COMPLETED)
     code = _report_failures([*controllers, serving])
-    await _end_tasks({serving, *links, *controllers})
+    await end_tasks({serving, *links, *controllers})
     log_event("stopped", code=code)
     return code
 
 
-async def _end_tasks(tasks: set[asyncio.Task[None]]) -> None:
+async def end_tasks(tasks: set[asyncio.Task[None]]) -> None:
     """Cancel tasks until they have ended.
 
     pynng drops a cancellation that meets a send or receive that has just ended, so the
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -17,6 +17,8 @@
     "jobs": "Ended jobs by class and status.",
     "late_outcomes": "Task outcomes that came after the end of their job.",
     "late_replies": "Replies that nothing waited for any more, by message.",
+    "link_bytes_received": "Bytes of message frames from an instance.",
+    "link_bytes_sent": "Bytes of message frames to an instance.",
     "peer_messages_received": "Messages from other instances, by message.",
     "peer_messages_sent": "Messages to other instances, by message.",
     "mailbox_messages": "Messages that wait for a controller.",
--- /dev/null
+++ b/boragetide/tests/test_instances.py
@@ -0,0 +1,114 @@
+"""The view that one instance has of the others."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragetide.controllers.instances import InstancesState, handle
+from boragetide.effects import AbandonRequests, Effect, Reconnect, Reply
+from boragetide.messages import Flush, Flushed, Heartbeat, Tick, WokeUp
+from boragetide.settings import Settings
+from boragetide.types import ReplyTo
+
+STARTED = 1_000_000.0  # Unix time in seconds
+
+
+@pytest.fixture
+def view(settings: Settings) -> InstancesState:
+    """View of ``a1``, the placer, that has heard ``a2`` and ``a3``."""
+    state = InstancesState(settings, int(STARTED * 1000))
+    advance(state, STARTED, STARTED + 1.0)
+    return state
+
+
+def hear(
+    state: InstancesState, peer: str, now: float, *, echo: int = 0, **changes: int
+) -> list[Effect]:
+    """Deliver a heartbeat; its sequence number is its time in milliseconds."""
+    started = int(STARTED * 1000) + 1
+    fields = {"incarnation": started, "in_service_since": started}
+    fields |= {"sequence": int(now * 1000), "configuration_version": 0, **changes}
+    message = Heartbeat(peer, "a", echo=echo, backend_servers=0, **fields)
+    return handle(message, state, now)
+
+
+def advance(
+    state: InstancesState,
+    start: float,
+    end: float,
+    peers: tuple[str, ...] = ("a2", "a3"),
+) -> list[Effect]:
+    """Tick for a while and hear some peers, which echo what they were sent."""
+    effects: list[Effect] = []
+    for step in range(round((end - start) / 0.1)):
+        now = start + 0.1 * step
+        effects += handle(Tick(), state, now)
+        for peer in peers:
+            effects += hear(state, peer, now, echo=state.sequence)
+    return effects
+
+
+def test_isolated_placer_loses_the_role_for_good(view: InstancesState) -> None:
+    """Guards against a role that comes back when a partition heals."""
+    assert view.placer == "a1"
+    advance(view, STARTED + 1.0, STARTED + 9.0, peers=())
+    assert view.placer == "a1"
+    advance(view, STARTED + 9.0, STARTED + 9.3)
+    assert view.placer == "a2"
+
+
+def test_resumed_placer_loses_the_role_for_good(view: InstancesState) -> None:
+    """Guards against a placer that goes on after the others have replaced it."""
+    handle(WokeUp(STARTED + 1.0), view, STARTED + 9.0)
+    assert view.placer is None
+    advance(view, STARTED + 9.0, STARTED + 9.3)
+    assert view.placer == "a2"
+
+
+def test_delayed_heartbeat_does_not_count_as_heard(view: InstancesState) -> None:
+    """Guards against a dead peer that lives on in messages that were held up."""
+    heard = view.peers_by_id["a2"].last_heard
+    assert hear(view, "a2", STARTED + 0.5) == []
+    assert view.peers_by_id["a2"].last_heard == heard
+
+
+def test_restarted_peer_with_a_clock_set_back_is_heard(view: InstancesState) -> None:
+    """Guards against a peer that is ignored for as long as its clock was ahead."""
+    old = int(STARTED * 1000) - 60_000
+    later = STARTED + 4.0
+    assert hear(view, "a2", STARTED + 1.5, incarnation=old) == []
+    assert AbandonRequests("a2") in hear(view, "a2", later, incarnation=old)
+    assert view.peers_by_id["a2"].last_heard == later
+
+
+def test_echo_of_an_earlier_incarnation_is_no_echo(settings: Settings) -> None:
+    """Guards against a link that is replaced again and again after a restart."""
+    state = InstancesState(settings, int(STARTED * 1000))
+    handle(Tick(), state, STARTED)
+    hear(state, "a2", STARTED, echo=500)
+    effects = advance(state, STARTED + 0.1, STARTED + 5.0)
+    assert not [effect for effect in effects if isinstance(effect, Reconnect)]
+
+
+def test_link_without_echo_is_replaced_though_its_peer_is_silent(
+    view: InstancesState,
+) -> None:
+    """Guards against two peers that wait for each other behind silent links."""
+    effects = advance(view, STARTED + 1.0, STARTED + 3.3, peers=("a3",))
+    assert Reconnect("a2") in effects
+    assert Reconnect("a3") not in effects
+
+
+def test_requests_to_a_lost_peer_end_on_each_tick(view: InstancesState) -> None:
+    """Guards against a request that was sent to a peer after its loss."""
+    advance(view, STARTED + 1.0, STARTED + 4.0, peers=("a3",))
+    assert AbandonRequests("a2") in handle(Tick(), view, STARTED + 4.0)
+
+
+def test_flush_ends_once_every_live_peer_has_echoed_it(view: InstancesState) -> None:
+    """Guards against an exit that cuts off replies on their way."""
+    asked = ReplyTo("a1", 1)
+    now = STARTED + 1.0
+    assert Reply(asked, Flushed()) not in handle(Flush(reply_to=asked), view, now)
+    assert Reply(asked, Flushed()) not in hear(view, "a2", now, echo=view.sequence)
+    assert Reply(asked, Flushed()) in hear(view, "a3", now, echo=view.sequence)
--- a/boragetide/tests/test_membership.py
+++ b/boragetide/tests/test_membership.py
@@ -237,14 +237,18 @@
 def test_leaving_announced_far_from_the_placer_ends_its_dispatches(
     system: System,
 ) -> None:
-    """Guards against a cut off placer that goes on using a leaving server."""
+    """Guards against a placer that goes on using a server whose leaving it cannot hear.
+
+    The announcement reaches only ``a3``, which is cut off from the placer and for which
+    ``a2``, which still follows the placer, is the next in line.
+    """
     system.start(THREE, relayed=True)
     system.add_server("s1", "a", slots=4)
     system.submit_later("a1", make_job("job-1", tasks=400, work=0.1))
     wait_for(system.starts_by_task, "the job to start")
-    for relay in system.relays_across(("a1",)):
-        relay.silence(new=True)
-    url = system.daemons_by_id["a2"].url
+    for ends in (("a1", "a3"), ("a3", "a1")):
+        system.relays_by_link[ends].silence(new=True)
+    url = system.daemons_by_id["a3"].url
     system.control("s1", leaving=True, announce_at=url)
     left_at = time.time()
     wait_for(lambda: time.time() > left_at + 3.0, "3 s")
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from functools import singledispatch
 from pathlib import Path
 from typing import Any
 
-from boragetide.daemon.__main__ import EXIT_FAILURE, run_daemon
+from boragetide.daemon.__main__ import EXIT_FAILURE, end_tasks, run_daemon
 from boragetide.links.codec import Envelope, encode_body
 from boragetide.links.peers import PeerLink, post, replace_socket, run_link
 from boragetide.messages import Tick
@@ -85,6 +86,24 @@
     asyncio.run(run())
 
 
+def test_task_that_lost_its_cancellation_is_cancelled_again() -> None:
+    """Guards against an exit that waits for a link's task for ever."""
+
+    async def lose_one() -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(60.0)
+        await asyncio.sleep(60.0)
+
+    async def run() -> None:
+        task = asyncio.create_task(lose_one())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(5.0):
+            await end_tasks({task})
+        assert task.cancelled()
+
+    asyncio.run(run())
+
+
 def test_failed_controller_ends_the_process(monkeypatch: Any, tmp_path: Path) -> None:
     """Guards against a daemon that goes on without one of its controllers."""
 
--- /dev/null
+++ b/boragetide/tests/test_stopping.py
@@ -0,0 +1,75 @@
+"""The order and the bounds of a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from boragetide.daemon import stopping
+from boragetide.daemon.runtime import Runtime
+from boragetide.errors import ReplyTimeout
+from boragetide.messages import Drain, DrainState, Flush, Flushed
+from boragetide.settings import Settings
+from boragetide.types import CONTROLLERS
+
+
+class ScriptedRuntime(Runtime):
+    """A runtime whose controllers still have work for some of the questions."""
+
+    def __init__(self, settings: Settings, busy: int):
+        super().__init__(settings, {})
+        self.asked: list[str] = []
+        self.remaining = itertools.chain([1] * busy, itertools.repeat(0))
+
+    async def ask(self, to: Any, message: Any, timeout: float) -> Any:
+        """Answer from the script and note the question."""
+        self.asked.append(type(message).__name__)
+        if isinstance(message, Drain):
+            return DrainState(next(self.remaining))
+        if isinstance(message, Flush):
+            return Flushed()
+        raise ReplyTimeout("not expected")
+
+
+def run_stop(runtime: Runtime, signals: stopping.StopSignals) -> None:
+    async def run() -> None:
+        async with asyncio.timeout(5.0):
+            await stopping.stop_gracefully(runtime, signals)
+
+    asyncio.run(run())
+
+
+@pytest.fixture(autouse=True)
+def short(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten the time in which late jobs may come."""
+    monkeypatch.setattr(stopping, "SHORTEST_STOP", 0.1)
+
+
+def test_links_are_flushed_after_everything_is_finished(settings: Settings) -> None:
+    """Guards against an exit before the last replies were read."""
+    runtime = ScriptedRuntime(settings, busy=2)
+    run_stop(runtime, stopping.StopSignals())
+    assert runtime.asked == ["Drain"] * (2 + len(CONTROLLERS)) + ["Flush"]
+
+
+def test_open_request_holds_the_stop_until_its_bound(settings: Settings) -> None:
+    """Guards against an exit that cuts off a caller and a stop without an end."""
+    timing = replace(settings.timing, stop_timeout=0.5)
+    runtime = ScriptedRuntime(replace(settings, timing=timing), busy=0)
+    runtime.open_requests.add("request")
+    run_stop(runtime, stopping.StopSignals())
+    assert runtime.asked == []
+
+
+def test_second_signal_ends_the_wait(settings: Settings) -> None:
+    """Guards against a stop that an operator cannot cut short."""
+    runtime = ScriptedRuntime(settings, busy=1_000_000)
+    signals = stopping.StopSignals()
+    signals.note()
+    signals.note()
+    run_stop(runtime, signals)
+    assert "Flush" not in runtime.asked
