--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -87,12 +87,16 @@
 
     def start(self) -> None:
         """Start the process and wait until it answers."""
+        self.spawn()
+        wait_for(self.is_up, f"daemon {self.id}")
+
+    def spawn(self) -> None:
+        """Start the process without waiting for it."""
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "boragetide.daemon", "--config", self.config],
                 stderr=log,
             )
-        wait_for(self.is_up, f"daemon {self.id}")
 
     def is_up(self) -> bool:
         """Tell whether the daemon answers."""
