--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -10,12 +10,9 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from boragetide.json_values import find_value_fault
+from boragetide.settings_file import MAX_TASKS
 from boragetide.types import BackendServer, Submission, Task
 
-# Validation stops there, so that a body full of tasks does not hold up the event loop
-# until the limit of the settings is checked.
-MAX_TASKS = 10_000
-
 MAX_CORES = 4096
 MAX_BYTES = 1 << 50
 
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -17,7 +17,7 @@
     instances,
     jobs,
 )
-from boragetide.daemon.logs import configure_logs, log_event
+from boragetide.daemon.logs import configure_logs, log_event, log_uncaught
 from boragetide.daemon.performer import Performer, make_perform
 from boragetide.daemon.runtime import Runtime, run_controller, run_ticks
 from boragetide.errors import SettingsError
@@ -25,6 +25,7 @@
 from boragetide.links.peers import PeerLink, run_link, run_listener
 from boragetide.settings import Settings, load_settings
 
+EXIT_FAULT = 1
 EXIT_SETTINGS = 2
 
 
@@ -61,6 +62,8 @@
         *_start_controllers(runtime),
         asyncio.create_task(run_ticks(runtime)),
     ]
+    for task in tasks:
+        task.add_done_callback(_exit_on_fault)
     await listening.wait()
     server = make_server(runtime)
     host, port = settings.own.http_address.split(":")
@@ -80,6 +83,17 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _exit_on_fault(task: asyncio.Task[None]) -> None:
+    """End the process when one of its tasks fails.
+
+    A daemon without one of its controllers would answer nothing and still count as
+    live; a supervisor restarts a process that has ended.
+    """
+    if not task.cancelled() and (error := task.exception()) is not None:
+        log_uncaught(type(error), error, error.__traceback__)
+        sys.exit(EXIT_FAULT)
+
+
 def _make_links(settings: Settings) -> dict[str, PeerLink]:
     return {
         peer_id: PeerLink(peer)
--- a/boragetide/daemon/logs.py
+++ b/boragetide/daemon/logs.py
@@ -81,10 +81,11 @@
     atexit.register(writer.flush)
     logging.captureWarnings(True)
     logging.basicConfig(handlers=[_EventHandler()], level=logging.WARNING, force=True)
-    sys.excepthook = _log_uncaught
+    sys.excepthook = log_uncaught
 
 
-def _log_uncaught(kind: type[BaseException], value: BaseException, trace: Any) -> None:
+def log_uncaught(kind: type[BaseException], value: BaseException, trace: Any) -> None:
+    """Write the event of an exception that ends the process."""
     text = "".join(traceback.format_exception(kind, value, trace))
     log_event("crashed", error=repr(value), traceback=text)
 
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -24,6 +24,8 @@
     "live_instances": "Instances that this one hears, itself included.",
     "pool_backend_servers": "Backend servers that this instance leases.",
     "pool_slots": "Slots of the leased backend servers.",
+    "pool_queued_jobs": "Jobs with tasks that wait for a slot.",
+    "pool_queued_tasks": "Tasks that wait for a slot.",
     "pool_running_tasks": "Tasks that run on the leased backend servers.",
 }
 
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -23,6 +23,7 @@
 
 PEER_PREFIX = "peer "
 MAX_PORT = 65_535
+MAX_TASKS = 10_000  # per job; bounds the time that reading one body takes
 
 _UNITS_IN_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 _MESSAGES_BY_FAULT = {
@@ -120,7 +121,7 @@
 class LimitsSection(_Section):
     """Section ``[limits]``; what is absent keeps its default."""
 
-    tasks_per_job: Positive | None = None
+    tasks_per_job: Annotated[int, Field(gt=0, le=MAX_TASKS)] | None = None
     body_bytes: Positive | None = None
     queued_tasks: Positive | None = None
 
--- a/boragetide/tests/test_api.py
+++ b/boragetide/tests/test_api.py
@@ -20,9 +20,8 @@
 def daemon(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
     """One daemon with small limits, shared by the tests of this module."""
     made = System(tmp_path_factory.mktemp("api"))
-    made.start(
-        {"a1": "a"}, timing=f"[limits]\nbody-bytes = {LIMIT}\ntasks-per-job = 5\n"
-    )
+    limits = f"body-bytes = {LIMIT}\ntasks-per-job = 5\nqueued-tasks = 3\n"
+    made.start({"a1": "a"}, timing=f"[limits]\n{limits}")
     yield made
     made.close()
 
@@ -129,6 +128,22 @@
         assert connection.makefile("rb").read().startswith(b"HTTP/1.1 413 ")
 
 
+def test_overload_is_not_run_with_retry_after(daemon: System) -> None:
+    """Guards against refused callers that come back at once."""
+    address = daemon.daemons_by_id["a1"].url.removeprefix("http://")
+    connection = http.client.HTTPConnection(address, timeout=10)
+    connection.request("POST", "/v1/jobs", json.dumps(make_job("full", tasks=4)))
+    response = connection.getresponse()
+    assert (response.status, response.headers["Retry-After"]) == (503, "1")
+    assert json.load(response)["status"] == "not_run"
+    connection.request("GET", "/metrics")
+    samples = connection.getresponse().read().decode().splitlines()
+    assert "boragetide_pool_queued_tasks 0" in samples
+    assert 'boragetide_mailbox_messages{controller="jobs"} 0' in samples
+    assert any('_count{class="default",status="not_run"} 1' in line for line in samples)
+    connection.close()
+
+
 def test_deep_payload_is_refused() -> None:
     """Guards against values that the codec between instances cannot encode."""
     text = b"[" * 300 + b"]" * 300
--- a/boragetide/tests/test_logs.py
+++ b/boragetide/tests/test_logs.py
@@ -6,14 +6,19 @@
 import io
 import json
 import re
+import socket
 import subprocess
 import sys
+from pathlib import Path
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from boragetide.daemon.logs import _Writer, format_event
 from boragetide.daemon.metrics import Metrics
+from boragetide.settings import EMBEDDED_DEFAULT
+from boragetide.tests.conftest import free_port
 
 PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|[!#-<>-~]+)(?: |$)')
 SAMPLE = re.compile(
@@ -81,6 +86,25 @@
     assert {line["instance"] for line in lines} == {"a1"}
 
 
+@pytest.mark.parametrize("old", ["127.0.0.1:8080", "127.0.0.1:8090"])
+def test_daemon_that_cannot_listen_ends_with_one_line(tmp_path: Path, old: str) -> None:
+    """Guards against a daemon that waits for ever on a port that is in use."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        text = EMBEDDED_DEFAULT.replace(old, f"127.0.0.1:{taken.getsockname()[1]}")
+        text = re.sub(r":80[89]0", lambda _: f":{free_port()}", text)
+        config = tmp_path / "one.ini"
+        config.write_text(text.replace("= data", f"= {tmp_path}/data"))
+        run = subprocess.run(
+            [sys.executable, "-m", "boragetide.daemon", "--config", config],
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
+    (line,) = [parse_line(line) for line in run.stderr.splitlines()]
+    assert (run.returncode, line["event"]) == (1, "crashed")
+    assert "in use" in line["error"]
+
+
 def test_metrics_are_valid_exposition_text() -> None:
     """Guards against label values that end the scrape of every metric."""
     metrics = Metrics()
