Look for values that cannot be carried once per body, not once per task

parse_body searched the whole text of a body again for each of its payloads, so that a job of 1,200 tasks held up the event loop. The search is now one call per body, and payloads are walked only where it finds something.

/healthz and /readyz also answer HEAD, which some load balancers send.

--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from boragetide.json_values import find_value_fault
+from boragetide.json_values import find_fault, needs_walk
 from boragetide.settings_file import MAX_TASKS
 from boragetide.types import BackendServer, Submission, Task
 
@@ -96,8 +96,8 @@
         body = kind.model_validate_json(text)
     except ValidationError as error:
         return Error(_describe_fault(error))
-    for name, payload in list_payloads(body):
-        fault = find_value_fault(text, payload)
+    for name, payload in list_payloads(body) if needs_walk(text) else ():
+        fault = find_fault(payload)
         if fault is not None:
             return Error(BodyFault(400, f"{name}: {fault}"))
     return Ok(body)
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -103,6 +103,8 @@
         """Answer 200 while the event loop turns."""
         self.respond(200, {"status": "ok"})
 
+    head = get  # some load balancers check with HEAD
+
 
 class ReadinessHandler(Handler):
     """Says whether this instance takes new requests."""
@@ -111,3 +113,5 @@
         """Answer 503 while stopping."""
         ready = not self.runtime.stopping
         self.respond(200 if ready else 503, {"ready": ready})
+
+    head = get
--- a/boragetide/json_values.py
+++ b/boragetide/json_values.py
@@ -15,21 +15,17 @@
 _SUSPECT = re.compile(rb"NaN|Infinity|\d{19}|[eE]\+?\d{3}")
 
 
-def find_value_fault(text: bytes, value: Any) -> str | None:
+def needs_walk(text: bytes) -> bool:
+    """Tell whether a JSON text can hold a value that `find_fault` objects to."""
+    brackets = text.count(b"[") + text.count(b"{")
+    return brackets > MAX_DEPTH or _SUSPECT.search(text) is not None
+
+
+def find_fault(value: Any) -> str | None:
     """Return why a decoded JSON value cannot be carried unchanged, if so.
 
     msgpack has no integers above 64 bits, and JSON has neither NaN nor infinity.
-
-    Parameters
-    ----------
-    text
-        The JSON text that ``value`` is a part of.
-    value
-        Decoded value.
     """
-    brackets = text.count(b"[") + text.count(b"{")
-    if brackets <= MAX_DEPTH and _SUSPECT.search(text) is None:
-        return None
     return _walk(value, MAX_DEPTH)
 
 
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -10,7 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.effects import CancelTasks, StartTasks
-from boragetide.json_values import find_value_fault
+from boragetide.json_values import find_fault, needs_walk
 from boragetide.messages import TaskReport
 from boragetide.types import Seconds, TaskOutcome, TaskStatus
 
@@ -143,7 +143,7 @@
             return
         self._waiting.discard(entry.id)
         outcome = TaskOutcome(status, entry.result, entry.error)
-        fault = find_value_fault(line, entry.result)
+        fault = find_fault(entry.result) if needs_walk(line) else None
         if fault is not None:
             outcome = TaskOutcome(TaskStatus.FAILED, error=f"result: {fault}")
         self._report(
