Move leases and placement out of the backend servers controller

Cause: announcements, lease expiry and waking up are extended elsewhere while the queue and the placement policy change in the same controller module.

Change: controllers/pool.py has the state, controllers/placing.py starts queued tasks, and controllers/leases.py has the handlers of AnnounceBackendServer and WokeUp and the expiry of leases, unchanged. backend_servers.py registers them.

Conclusion: no change in behaviour; the two lines of work touch different modules.

--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from functools import singledispatch
 from typing import Any
 
-from boragetide.effects import Effect, LogEvent, Reply, Send, StartTasks
+from boragetide.controllers import leases
+from boragetide.controllers.placing import place
+from boragetide.controllers.pool import BackendServersState, QueuedJob
+from boragetide.effects import Effect, LogEvent, Reply, Send
 from boragetide.messages import (
     AnnounceBackendServer,
     BackendServerList,
     CancelQueued,
     ConfigurationChanged,
-    LeaseGranted,
     ListBackendServers,
-    PoolSize,
     QueueTasks,
     StopRequested,
     TaskEnded,
@@ -24,61 +24,8 @@
     Tick,
     WokeUp,
 )
-from boragetide.policy import ordering, placement
-from boragetide.settings import Settings
-from boragetide.types import (
-    Address,
-    BackendServer,
-    BackendServerId,
-    Configuration,
-    JobId,
-    Seconds,
-    Task,
-    TaskId,
-    TaskStart,
-)
-
-
-@dataclass(slots=True)
-class LeasedServer:
-    """A backend server under this instance's lease."""
-
-    server: BackendServer
-    lease: str
-    renewed_at: Seconds
-    running_by_id: dict[TaskId, RunningTask] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class RunningTask:
-    """A task that was dispatched."""
-
-    job_id: JobId
-    index: int
-    task: Task
-    started_at: Seconds
-
-
-@dataclass(slots=True)
-class QueuedJob:
-    """The tasks of a job that wait for a slot, by position; longest first."""
-
-    queued: QueueTasks
-    queued_at: Seconds
-    waiting: list[int]
-
-
-@dataclass(slots=True)
-class BackendServersState:
-    """The pool of one placer."""
-
-    settings: Settings
-    incarnation: int
-    servers_by_id: dict[BackendServerId, LeasedServer] = field(default_factory=dict)
-    jobs_by_id: dict[JobId, QueuedJob] = field(default_factory=dict)
-    configuration: Configuration = field(default_factory=Configuration)
-    leases: int = 0
-    stopping: bool = False
+from boragetide.policy import ordering
+from boragetide.types import Address, Seconds
 
 
 @singledispatch
@@ -87,39 +34,6 @@
     raise TypeError(f"backend servers controller cannot handle {message!r}")
 
 
-@handle.register
-def _(
-    message: AnnounceBackendServer, state: BackendServersState, now: Seconds
-) -> list[Effect]:
-    server = message.server
-    leased = state.servers_by_id.get(server.id)
-    effects: list[Effect] = []
-    if leased is None:
-        state.leases += 1
-        lease = f"{state.settings.id}/{state.incarnation}/{state.leases}"
-        leased = LeasedServer(server, lease, now)
-        state.servers_by_id[server.id] = leased
-        effects.append(
-            LogEvent("backend_server_joined", {"server": server.id, "lease": lease})
-        )
-        effects.append(_tell_pool_size(state))
-    leased.server = server
-    leased.renewed_at = now
-    granted = LeaseGranted(
-        lease=leased.lease,
-        holder=state.settings.id,
-        holder_address=f"http://{state.settings.own.http_address}",
-        renew_every=state.settings.timing.lease_renewal,
-        expires_after=state.settings.timing.lease_expiry,
-    )
-    return [*effects, Reply(message.reply_to, granted), *_place(state, now)]
-
-
-def _tell_pool_size(state: BackendServersState) -> Effect:
-    size = PoolSize(len(state.servers_by_id))
-    return Send(Address(state.settings.id, "instances"), size)
-
-
 @handle.register
 def _(message: QueueTasks, state: BackendServersState, now: Seconds) -> list[Effect]:
     jobs = Address(state.settings.id, "jobs")
@@ -131,67 +45,7 @@
         key=lambda index: ordering.expected_size(message.tasks[index]),
     )
     state.jobs_by_id[message.job_id] = QueuedJob(message, now, waiting)
-    return [Send(jobs, TasksQueued(message.job_id)), *_place(state, now)]
-
-
-def _place(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """Start as many queued tasks as there are free slots, batched by server."""
-    starts_by_server: dict[BackendServerId, list[TaskStart]] = {}
-    effects: list[Effect] = []
-    while state.jobs_by_id:
-        candidates = _list_candidates(state)
-        chosen = placement.choose_server(candidates)
-        if chosen is None:
-            break
-        job = min(state.jobs_by_id.values(), key=lambda job: _rank(job, now))
-        start = _start_next(job, state.servers_by_id[chosen.id], now)
-        starts_by_server.setdefault(chosen.id, []).append(start)
-        fields = {
-            "task": start.id,
-            "server": chosen.id,
-            "candidates": len(candidates),
-            "reason": "fastest_free",
-        }
-        effects.append(LogEvent("placement", fields))
-        if not job.waiting:
-            del state.jobs_by_id[job.queued.job_id]
-    for server_id, starts in starts_by_server.items():
-        leased = state.servers_by_id[server_id]
-        effects.append(
-            StartTasks(server_id, leased.server.address, leased.lease, tuple(starts))
-        )
-    return effects
-
-
-def _list_candidates(state: BackendServersState) -> list[placement.Candidate]:
-    return [
-        placement.Candidate(
-            server_id, leased.server.slots - len(leased.running_by_id), 1.0
-        )
-        for server_id, leased in state.servers_by_id.items()
-        if not leased.server.leaving and server_id not in state.configuration.drained
-    ]
-
-
-def _rank(job: QueuedJob, now: Seconds) -> Seconds:
-    remaining = sum(
-        ordering.expected_size(job.queued.tasks[index]) for index in job.waiting
-    )
-    return ordering.rank_job(remaining, job.queued_at, now)
-
-
-def _start_next(job: QueuedJob, leased: LeasedServer, now: Seconds) -> TaskStart:
-    index = job.waiting.pop()
-    task = job.queued.tasks[index]
-    task_id = f"{job.queued.job_id}.{index}"
-    leased.running_by_id[task_id] = RunningTask(job.queued.job_id, index, task, now)
-    return TaskStart(
-        id=task_id,
-        job_id=job.queued.job_id,
-        class_name=job.queued.class_name,
-        payload=task.payload,
-        timeout=task.timeout,
-    )
+    return [Send(jobs, TasksQueued(message.job_id)), *place(state, now)]
 
 
 @handle.register
@@ -203,7 +57,7 @@
     if running is None:
         return [LogEvent("late_report", {"task": message.task_id})]
     ended = TaskEnded(running.job_id, running.index, message.outcome)
-    return [Send(Address(state.settings.id, "jobs"), ended), *_place(state, now)]
+    return [Send(Address(state.settings.id, "jobs"), ended), *place(state, now)]
 
 
 @handle.register
@@ -237,7 +91,7 @@
     message: ConfigurationChanged, state: BackendServersState, now: Seconds
 ) -> list[Effect]:
     state.configuration = message.configuration
-    return _place(state, now)
+    return place(state, now)
 
 
 @handle.register
@@ -246,21 +100,10 @@
     return []
 
 
-@handle.register
-def _(message: WokeUp, state: BackendServersState, now: Seconds) -> list[Effect]:
-    """Drop the queue and every lease; backend servers announce themselves again."""
-    state.jobs_by_id.clear()
-    state.servers_by_id.clear()
-    return [_tell_pool_size(state)]
+handle.register(AnnounceBackendServer, leases.announce)
+handle.register(WokeUp, leases.wake_up)
 
 
 @handle.register
 def _(message: Tick, state: BackendServersState, now: Seconds) -> list[Effect]:
-    expiry = state.settings.timing.lease_expiry
-    effects: list[Effect] = []
-    for server_id, leased in list(state.servers_by_id.items()):
-        if now - leased.renewed_at > expiry and not leased.running_by_id:
-            del state.servers_by_id[server_id]
-            effects.append(LogEvent("backend_server_lost", {"server": server_id}))
-            effects.append(_tell_pool_size(state))
-    return effects
+    return leases.expire_leases(state, now)
