Place tasks by learned speeds, with admission, ejection and retries

Cause: the placer served jobs by a rank that it summed anew for every task, knew no speeds, believed declared sizes, and neither refused, retried, cancelled nor gave up on anything.

Change: the queue, the walk over it, outcomes and the periodic review are modules of their own beside controllers/pool.py. Jobs are ordered by least remaining expected work with an aging that keeps the order independent of the time; teams share a class equally and a class keeps to its busy share while others wait. A task is started on the fastest free server unless a faster one is expected to end it in 65% of that time. Sizes are a decayed regression by class, speeds a mean by server and class with a test for abrupt changes that also counts tasks that overrun. Broken servers are ejected by a sequential probability ratio test and return by probing tasks. Admission predicts the response time, and retries have a budget of 10% of the dispatches of the last 10 s, with a floor of 10.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: replayed traces and loads against real daemons."""
--- /dev/null
+++ b/benchmarks/trace.py
@@ -0,0 +1,158 @@
+"""Traces: recorded or generated arrivals, as JSON lines.
+
+The first line describes the backend servers, what happens to them and the class
+targets; each further line is a job with the true work and the declared size of each
+task, in seconds at speed 1.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+import math
+import random
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+SPEEDS = (1.0, 1.0, 1.5, 2.0, 2.0, 3.0, 3.0, 4.0)
+SLOTS = 8
+MEDIAN_WORK = math.sqrt(0.05 * 1.0)  # seconds
+DEVIATION = math.log(20) / 4  # 50 ms to 1 s are two deviations from the median
+LONG_SHARE = 0.02
+SIZE_ERROR = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class TracedServer:
+    """A backend server of a trace."""
+
+    id: str
+    slots: int
+    speed: float
+
+
+@dataclass(frozen=True, slots=True)
+class TracedJob:
+    """A job of a trace; ``tasks`` are (true work, declared size) in seconds."""
+
+    at: float
+    class_name: str
+    team: str
+    tasks: tuple[tuple[float, float | None], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Trace:
+    """A trace; ``events`` change servers, ``targets`` are response times by class.
+
+    An event is ``{"at": seconds, "server": id}`` with ``"slower": factor`` or
+    ``"fails": true``.
+    """
+
+    servers: tuple[TracedServer, ...]
+    jobs: tuple[TracedJob, ...]
+    events: tuple[dict[str, Any], ...] = ()
+    targets: dict[str, float] = field(default_factory=dict)
+
+
+def generate(
+    seed: int,
+    load: float,
+    tasks: tuple[int, int],
+    jobs: int,
+    *,
+    burst: tuple[float, int] | None = None,
+    events: Iterable[dict[str, Any]] = (),
+    target: float = 1000.0,
+) -> Trace:
+    """Generate a trace with Poisson arrivals on the eight servers of the targets.
+
+    Parameters
+    ----------
+    seed
+        Of the random numbers.
+    load
+        Share of the total speed that the work takes. It is exact over the trace: a
+        chance deviation of a few percent would decide the results at high load.
+    tasks
+        Lowest and highest number of tasks of a job, uniformly drawn.
+    jobs
+        Number of jobs.
+    burst
+        Time in seconds at which this many additional jobs arrive at once.
+    events
+        What happens to servers.
+    target
+        Response time of the class, in seconds.
+    """
+    draw = random.Random(seed)
+    servers = tuple(
+        TracedServer(f"s{number}", SLOTS, speed)
+        for number, speed in enumerate(SPEEDS, 1)
+    )
+    gaps = [draw.expovariate(1.0) for _ in range(jobs)]
+    made = [_generate_job(draw, 0.0, tasks) for _ in range(jobs)]
+    work = sum(size for job in made for size, _ in job.tasks)
+    scale = work / (load * SLOTS * sum(SPEEDS) * sum(gaps))
+    times = itertools.accumulate(gap * scale for gap in gaps)
+    made = [replace(job, at=round(at, 4)) for job, at in zip(made, times, strict=True)]
+    if burst is not None:
+        made += [_generate_job(draw, burst[0], tasks) for _ in range(burst[1])]
+    made.sort(key=lambda job: job.at)
+    return Trace(servers, tuple(made), tuple(events), {"default": target})
+
+
+def _draw_work(draw: random.Random) -> float:
+    if draw.random() < LONG_SHARE:
+        return draw.uniform(2.0, 5.0)
+    return min(max(draw.lognormvariate(math.log(MEDIAN_WORK), DEVIATION), 0.05), 1.0)
+
+
+def _generate_job(draw: random.Random, at: float, tasks: tuple[int, int]) -> TracedJob:
+    sizes = []
+    for _ in range(draw.randint(*tasks)):
+        work = _draw_work(draw)
+        error = math.exp(draw.uniform(-1, 1) * math.log(SIZE_ERROR))
+        sizes.append((round(work, 3), round(work * error, 3)))
+    return TracedJob(round(at, 4), "default", "", tuple(sizes))
+
+
+def write(trace: Trace, path: Path) -> None:
+    """Write a trace as JSON lines."""
+    with path.open("w") as file:
+        for record in _to_records(trace):
+            file.write(json.dumps(record, separators=(",", ":")) + "\n")
+
+
+def _to_records(trace: Trace) -> Iterator[dict[str, Any]]:
+    yield {
+        "servers": [[s.id, s.slots, s.speed] for s in trace.servers],
+        "events": list(trace.events),
+        "targets": trace.targets,
+    }
+    for job in trace.jobs:
+        yield {
+            "at": job.at,
+            "class": job.class_name,
+            "team": job.team,
+            "tasks": job.tasks,
+        }
+
+
+def read(path: Path) -> Trace:
+    """Read a trace from JSON lines."""
+    lines = path.read_text().splitlines()
+    header = json.loads(lines[0])
+    jobs = []
+    for line in lines[1:]:
+        record = json.loads(line)
+        sizes = tuple((work, declared) for work, declared in record["tasks"])
+        jobs.append(TracedJob(record["at"], record["class"], record["team"], sizes))
+    return Trace(
+        tuple(TracedServer(*server) for server in header["servers"]),
+        tuple(jobs),
+        tuple(header["events"]),
+        header["targets"],
+    )
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -1,14 +1,19 @@
-"""The pool this instance places for: leases, the queue and running tasks."""
+"""The pool this instance places for: messages of its queue and its running tasks."""
 
 from __future__ import annotations
 
 from functools import singledispatch
 from typing import Any
 
-from boragetide.controllers import leases
+from boragetide.controllers import leases, outcomes, reviewing
 from boragetide.controllers.placing import place
-from boragetide.controllers.pool import BackendServersState, QueuedJob
-from boragetide.effects import Effect, LogEvent, Reply, Send
+from boragetide.controllers.pool import (
+    BackendServersState,
+    find_target,
+    refresh_server,
+)
+from boragetide.controllers.queueing import ClassQueue, QueuedJob, add_waiting
+from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
     AnnounceBackendServer,
     BackendServerList,
@@ -17,15 +22,16 @@
     ListBackendServers,
     QueueTasks,
     StopRequested,
-    TaskEnded,
     TaskReport,
     TasksQueued,
     TasksRefused,
     Tick,
     WokeUp,
 )
-from boragetide.policy import ordering
-from boragetide.types import Address, Seconds
+from boragetide.policy import admission, learning, ordering
+from boragetide.types import Address, ClassName, Seconds
+
+__all__ = ["BackendServersState", "handle"]
 
 
 @singledispatch
@@ -36,34 +42,93 @@
 
 @handle.register
 def _(message: QueueTasks, state: BackendServersState, now: Seconds) -> list[Effect]:
+    if message.job_id in state.jobs_by_id:
+        return []
     jobs = Address(state.settings.id, "jobs")
-    queued = sum(len(job.waiting) for job in state.jobs_by_id.values())
-    if queued + len(message.tasks) > state.settings.limits.queued_tasks:
-        return [Send(jobs, TasksRefused(message.job_id, "the queue is full"))]
-    waiting = sorted(
-        range(len(message.tasks)),
-        key=lambda index: ordering.expected_size(message.tasks[index]),
-    )
-    state.jobs_by_id[message.job_id] = QueuedJob(message, now, waiting)
+    model = state.sizes_by_class.setdefault(message.class_name, learning.SizeModel())
+    sizes = [learning.predict_size(model, task.size) for task in message.tasks]
+    label, reason = _refuse(message, sizes, state)
+    if reason is not None:
+        labels = {"class": message.class_name, "reason": label}
+        refused = TasksRefused(message.job_id, reason)
+        return [Count("refusals", labels), Send(jobs, refused)]
+    queue = find_queue(state, message.class_name)
+    job = QueuedJob(message, now)
+    state.jobs_by_id[message.job_id] = job
+    if any(task.cores or task.memory for task in message.tasks):
+        state.demanding.add(message.job_id)
+    state.queued_tasks += len(sizes)
+    add_waiting(queue, job, zip(sizes, range(len(sizes)), strict=True))
     return [Send(jobs, TasksQueued(message.job_id)), *place(state, now)]
 
 
+def _refuse(
+    message: QueueTasks, sizes: list[Seconds], state: BackendServersState
+) -> tuple[str, str | None]:
+    """Return the label and the reason of a refusal; the reason is ``None`` without."""
+    if state.queued_tasks + len(sizes) > state.settings.limits.queued_tasks:
+        return "queue_full", "the queue is full"
+    servers = (leased.server for leased in state.servers_by_id.values())
+    reason = admission.refuse_for_size(message.tasks, servers)
+    if reason is not None:
+        return "never_fits", reason
+    reason = admission.refuse_for_target(
+        _measure_load(state, message.class_name),
+        find_target(state, message.class_name),
+        sum(sizes),
+        max(sizes),
+    )
+    return "target", reason
+
+
+def _measure_load(state: BackendServersState, class_name: ClassName) -> admission.Load:
+    queues_by_class = state.queues_by_class
+    own = queues_by_class.get(class_name)
+    own_waiting = own.work if own is not None else 0.0
+    waiting = sum(queue.work for queue in queues_by_class.values())
+    return admission.Load(
+        total_speed=state.total_speed,
+        top_speed=-state.speeds[0][0] if state.speeds else 0.0,
+        waiting=waiting + state.running_work / 2,
+        own_waiting=own_waiting,
+        contended=any(
+            queue.waiting
+            for name, queue in queues_by_class.items()
+            if name != class_name
+        ),
+    )
+
+
+def find_queue(state: BackendServersState, class_name: ClassName) -> ClassQueue:
+    """Return the queue of a class, made on first use."""
+    queue = state.queues_by_class.get(class_name)
+    if queue is None:
+        target = find_target(state, class_name)
+        aging = ordering.aging_rate(state.total_speed, target.response_time)
+        queue = state.queues_by_class[class_name] = ClassQueue(aging)
+    return queue
+
+
 @handle.register
 def _(message: TaskReport, state: BackendServersState, now: Seconds) -> list[Effect]:
     leased = state.servers_by_id.get(message.server)
     if leased is None or leased.lease != message.lease:
         return [LogEvent("late_report", {"task": message.task_id})]
-    running = leased.running_by_id.pop(message.task_id, None)
+    running = leased.running_by_id.get(message.task_id)
     if running is None:
         return [LogEvent("late_report", {"task": message.task_id})]
-    ended = TaskEnded(running.job_id, running.index, message.outcome)
-    return [Send(Address(state.settings.id, "jobs"), ended), *place(state, now)]
+    ended = outcomes.end_running(
+        state, leased, running, message.outcome, message.seconds, now
+    )
+    return [*ended, *place(state, now)]
 
 
 @handle.register
 def _(message: CancelQueued, state: BackendServersState, now: Seconds) -> list[Effect]:
-    state.jobs_by_id.pop(message.job_id, None)
-    return []
+    job = state.jobs_by_id.get(message.job_id)
+    if job is None:
+        return []
+    return outcomes.cancel_job(state, job, now)
 
 
 @handle.register
@@ -80,6 +145,8 @@
             "running": len(leased.running_by_id),
             "leaving": leased.server.leaving,
             "drained": server_id in state.configuration.drained,
+            "ejected": server_id in state.ejected,
+            "speed": learning.predict_speed(leased.speeds, ""),
         }
         for server_id, leased in sorted(state.servers_by_id.items())
     )
@@ -91,6 +158,9 @@
     message: ConfigurationChanged, state: BackendServersState, now: Seconds
 ) -> list[Effect]:
     state.configuration = message.configuration
+    for server_id in state.servers_by_id:
+        refresh_server(state, server_id, now)
+    reviewing.update_aging(state)
     return place(state, now)
 
 
@@ -106,4 +176,8 @@
 
 @handle.register
 def _(message: Tick, state: BackendServersState, now: Seconds) -> list[Effect]:
-    return leases.expire_leases(state, now)
+    return [
+        *leases.expire_leases(state, now),
+        *reviewing.review(state, now),
+        *place(state, now),
+    ]
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from boragetide.controllers.placing import place
-from boragetide.controllers.pool import BackendServersState, LeasedServer
+from boragetide.controllers.pool import (
+    BackendServersState,
+    LeasedServer,
+    clear_pool,
+    forget_server,
+    refresh_server,
+)
 from boragetide.effects import Effect, LogEvent, Reply, Send
 from boragetide.messages import AnnounceBackendServer, LeaseGranted, PoolSize, WokeUp
 from boragetide.types import Address, Seconds
@@ -27,6 +33,7 @@
         effects.append(_tell_pool_size(state))
     leased.server = server
     leased.renewed_at = now
+    refresh_server(state, server.id, now)
     granted = LeaseGranted(
         lease=leased.lease,
         holder=state.settings.id,
@@ -44,8 +51,7 @@
 
 def wake_up(message: WokeUp, state: BackendServersState, now: Seconds) -> list[Effect]:
     """Drop the queue and every lease; backend servers announce themselves again."""
-    state.jobs_by_id.clear()
-    state.servers_by_id.clear()
+    clear_pool(state, now)
     return [_tell_pool_size(state)]
 
 
@@ -55,7 +61,7 @@
     effects: list[Effect] = []
     for server_id, leased in list(state.servers_by_id.items()):
         if now - leased.renewed_at > expiry and not leased.running_by_id:
-            del state.servers_by_id[server_id]
+            forget_server(state, server_id, now)
             effects.append(LogEvent("backend_server_lost", {"server": server_id}))
             effects.append(_tell_pool_size(state))
     return effects
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -2,72 +2,288 @@
 
 from __future__ import annotations
 
+import heapq
+from bisect import bisect_right
+from dataclasses import dataclass, field
+from itertools import islice
+
 from boragetide.controllers.pool import (
     BackendServersState,
     LeasedServer,
-    QueuedJob,
     RunningTask,
+    find_target,
+    is_available,
+    refresh_server,
+)
+from boragetide.controllers.queueing import (
+    QueuedJob,
+    count_running,
+    is_capped,
+    is_over_share,
+    put_job,
+    take_waiting,
+    walk_jobs,
 )
 from boragetide.effects import Effect, LogEvent, StartTasks
-from boragetide.policy import ordering, placement
-from boragetide.types import BackendServerId, Seconds, TaskStart
+from boragetide.policy import learning, ordering, placement, retries
+from boragetide.types import BackendServerId, ClassName, Seconds, TaskStart
+
+# How far one pass looks: free servers compared for a task, expected releases, tasks of
+# one job that are kept for a faster server, and such tasks in all.
+COMPARED_SERVERS = 4
+COMPARED_RELEASES = 32
+HELD_PER_JOB = 6
+HELD_PER_PASS = 16
+
+# A result arrives at the placer this long after the time that the backend server
+# itself gives a task. The client gives up after 2 s, so this comes after it.
+OVERDUE_MARGIN: Seconds = 3.0
+DISPATCH_OVERHEAD: Seconds = 0.001
+
+
+@dataclass(slots=True)
+class _Pass:
+    """One pass over the queue; ``settled`` once the whole order was walked."""
+
+    now: Seconds
+    settled: bool = False
+    releases: list[placement.Release] | None = None
+    held: int = 0
+    calls_by_server: dict[BackendServerId, int] = field(default_factory=dict)
+    starts_by_server: dict[BackendServerId, list[TaskStart]] = field(
+        default_factory=dict
+    )
+    effects: list[Effect] = field(default_factory=list)
 
 
 def place(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """Start as many queued tasks as there are free slots, batched by server."""
-    starts_by_server: dict[BackendServerId, list[TaskStart]] = {}
-    effects: list[Effect] = []
-    while state.jobs_by_id:
-        candidates = _list_candidates(state)
-        chosen = placement.choose_server(candidates)
-        if chosen is None:
-            break
-        job = min(state.jobs_by_id.values(), key=lambda job: _rank(job, now))
-        start = _start_next(job, state.servers_by_id[chosen.id], now)
-        starts_by_server.setdefault(chosen.id, []).append(start)
-        fields = {
-            "task": start.id,
-            "server": chosen.id,
-            "candidates": len(candidates),
-            "reason": "fastest_free",
-        }
-        effects.append(LogEvent("placement", fields))
-        if not job.waiting:
-            del state.jobs_by_id[job.queued.job_id]
-    for server_id, starts in starts_by_server.items():
+    """Start as many queued tasks as there are useful free slots, batched by server."""
+    current = _Pass(now)
+    while state.free and state.queued_tasks and not current.settled:
+        current.settled = True
+        _walk(state, current)
+    if not current.starts_by_server:
+        return []
+    started = sum(map(len, current.starts_by_server.values()))
+    retries.record(state.budget, now, started, 0)
+    for server_id, starts in current.starts_by_server.items():
+        refresh_server(state, server_id, now)
         leased = state.servers_by_id[server_id]
-        effects.append(
+        current.effects.append(
             StartTasks(server_id, leased.server.address, leased.lease, tuple(starts))
         )
-    return effects
+    return current.effects
+
+
+def _walk(state: BackendServersState, current: _Pass) -> None:
+    """Offer the free slots to the waiting jobs in their order."""
+    queues_by_class = state.queues_by_class
+    caps_by_class = {
+        name: ordering.slots_of_share(
+            state.total_slots, find_target(state, name).busy_share
+        )
+        for name in queues_by_class
+    }
+    touched = []
+    for _, job_id in walk_jobs(queues_by_class, caps_by_class, current.now):
+        job = state.jobs_by_id[job_id]
+        if _place_job(state, job, current, caps_by_class):
+            touched.append(job)
+        if not state.free or not current.settled:
+            break
+    for job in touched:
+        put_job(queues_by_class[job.queued.class_name], job)
+
+
+def _place_job(
+    state: BackendServersState,
+    job: QueuedJob,
+    current: _Pass,
+    caps_by_class: dict[ClassName, int],
+) -> int:
+    """Start tasks of a job, the longest first, and hold those that gain by waiting.
+
+    Returns
+    -------
+    int
+        Number of tasks started. It stops early where the class or the team reached its
+        share, and marks the pass as not settled.
+    """
+    class_name = job.queued.class_name
+    queue = state.queues_by_class[class_name]
+    started = held = 0
+    position = len(job.waiting) - 1
+    while position >= 0 and state.free and held < HELD_PER_JOB:
+        size, index = job.waiting[position]
+        leased, reason = _choose(state, job, size, index, current)
+        if leased is not None:
+            take_waiting(queue, job, position)
+            _start(state, job, index, size, leased, reason, current)
+            started += 1
+            if is_over_share(
+                queue, job.queued.team, caps_by_class[class_name]
+            ) or is_capped(state.queues_by_class, caps_by_class, class_name):
+                current.settled = False
+                break
+        else:
+            held += 1
+            current.held += 1
+            if held == HELD_PER_JOB // 2 and current.releases:
+                position = _skip_held(state, job, class_name, position, current)
+        position -= 1
+    return started
+
+
+def _skip_held(
+    state: BackendServersState,
+    job: QueuedJob,
+    class_name: ClassName,
+    position: int,
+    current: _Pass,
+) -> int:
+    """Return the position after the longest task that a free slot still suits."""
+    best = _compare_free(state, class_name)
+    if not best:
+        return position
+    speed = placement.choose_server(best).speed
+    limit = placement.largest_size_to_start(speed, current.releases)
+    return min(position, bisect_right(job.waiting, (limit, -1)))
+
+
+def _compare_free(
+    state: BackendServersState, class_name: ClassName
+) -> list[placement.Candidate]:
+    """Return the free servers with the highest speeds."""
+    return [
+        placement.Candidate(
+            server_id,
+            learning.predict_speed(state.servers_by_id[server_id].speeds, class_name),
+        )
+        for _, server_id in islice(state.free, COMPARED_SERVERS)
+    ]
+
+
+def _choose(
+    state: BackendServersState,
+    job: QueuedJob,
+    size: Seconds,
+    index: int,
+    current: _Pass,
+) -> tuple[LeasedServer | None, str]:
+    """Return the server for a task and the reason, or ``None`` to hold it."""
+    task = job.queued.tasks[index]
+    class_name = job.queued.class_name
+    if task.cores or task.memory:
+        candidates = _list_fitting(state, class_name, task.cores, task.memory)
+    else:
+        candidates = _compare_free(state, class_name)
+    if not candidates:
+        return None, "no_fitting_server"
+    chosen = placement.choose_server(candidates)
+    leased = state.servers_by_id[chosen.id]
+    if leased.health.limit < leased.server.slots:
+        return leased, "probe"
+    if current.held >= HELD_PER_PASS:
+        return leased, "work_conserving"
+    if -state.speeds[0][0] <= chosen.speed:
+        return leased, "fastest"
+    if current.releases is None:
+        current.releases = _list_releases(state, class_name, current.now)
+    release = placement.find_faster_release(size, chosen.speed, current.releases)
+    if release is None:
+        return leased, "earliest_end"
+    release.claimed = True
+    return None, "faster_server_soon"
 
 
-def _list_candidates(state: BackendServersState) -> list[placement.Candidate]:
+def _list_fitting(
+    state: BackendServersState, class_name: ClassName, cores: float, memory: int
+) -> list[placement.Candidate]:
+    """Return the free servers with enough cores and memory for a task."""
     return [
         placement.Candidate(
-            server_id, leased.server.slots - len(leased.running_by_id), 1.0
+            server_id, learning.predict_speed(leased.speeds, class_name)
         )
-        for server_id, leased in state.servers_by_id.items()
-        if not leased.server.leaving and server_id not in state.configuration.drained
+        for _, server_id in state.free
+        if (leased := state.servers_by_id[server_id]).used_cores + cores
+        <= leased.server.cores
+        and leased.used_memory + memory <= leased.server.memory
     ]
 
 
-def _rank(job: QueuedJob, now: Seconds) -> Seconds:
-    remaining = sum(
-        ordering.expected_size(job.queued.tasks[index]) for index in job.waiting
-    )
-    return ordering.rank_job(remaining, job.queued_at, now)
+def _list_releases(
+    state: BackendServersState, class_name: ClassName, now: Seconds
+) -> list[placement.Release]:
+    """Return the next expected releases of slots, the earliest first."""
+    releases = []
+    for expected_end, server_id, task_id in islice(state.releases, COMPARED_RELEASES):
+        leased = state.servers_by_id.get(server_id)
+        if leased is None or not is_available(state, leased):
+            continue
+        running = leased.running_by_id[task_id]
+        wait = placement.expected_wait(expected_end, running.started_at, now)
+        speed = learning.predict_speed(leased.speeds, class_name)
+        releases.append(placement.Release(wait, speed))
+    releases.sort(key=lambda release: release.wait)
+    return releases
 
 
-def _start_next(job: QueuedJob, leased: LeasedServer, now: Seconds) -> TaskStart:
-    index = job.waiting.pop()
-    task = job.queued.tasks[index]
-    task_id = f"{job.queued.job_id}.{index}"
-    leased.running_by_id[task_id] = RunningTask(job.queued.job_id, index, task, now)
-    return TaskStart(
+def _start(
+    state: BackendServersState,
+    job: QueuedJob,
+    index: int,
+    size: Seconds,
+    leased: LeasedServer,
+    reason: str,
+    current: _Pass,
+) -> None:
+    queued, server_id, now = job.queued, leased.server.id, current.now
+    task = queued.tasks[index]
+    attempt = job.attempts_by_index.get(index, 0) + 1
+    job.attempts_by_index[index] = attempt
+    task_id = f"{queued.job_id}.{index}"
+    if attempt > 1:
+        task_id = f"{task_id}~{attempt}"
+    if server_id not in current.starts_by_server:
+        state.calls += 1
+        current.starts_by_server[server_id] = []
+        current.calls_by_server[server_id] = state.calls
+        leased.tasks_by_call[state.calls] = 0
+    call = current.calls_by_server[server_id]
+    leased.tasks_by_call[call] += 1
+    model = state.sizes_by_class[queued.class_name]
+    speed = learning.predict_speed(leased.speeds, queued.class_name)
+    running = RunningTask(
         id=task_id,
-        job_id=job.queued.job_id,
-        class_name=job.queued.class_name,
-        payload=task.payload,
-        timeout=task.timeout,
+        job=job,
+        index=index,
+        task=task,
+        started_at=now,
+        size=size,
+        log_size=learning.predict_log_size(model, task.size),
+        expected_end=now + size / speed + DISPATCH_OVERHEAD,
+        call=call,
+        probe=reason == "probe",
+    )
+    leased.running_by_id[task_id] = running
+    job.servers_by_running[task_id] = server_id
+    leased.used_cores += task.cores
+    leased.used_memory += task.memory
+    count_running(state.queues_by_class[queued.class_name], queued.team, 1)
+    state.queued_tasks -= 1
+    state.running_work += size
+    state.releases.add((running.expected_end, server_id, task_id))
+    deadline = now + task.timeout + OVERDUE_MARGIN
+    heapq.heappush(state.deadlines, (deadline, call, server_id, task_id))
+    current.starts_by_server[server_id].append(
+        TaskStart(task_id, queued.job_id, queued.class_name, task.payload, task.timeout)
     )
+    fields = {
+        "task": task_id,
+        "server": server_id,
+        "candidates": len(state.free),
+        "reason": reason,
+    }
+    current.effects.append(LogEvent("placement", fields))
+    if len(leased.running_by_id) >= min(leased.server.slots, leased.health.limit):
+        refresh_server(state, server_id, now)
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -1,14 +1,22 @@
-"""State of the pool that this instance places for."""
+"""State of the pool that this instance places for, and the indexes of its servers."""
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 
-from boragetide.messages import QueueTasks
+from sortedcontainers import SortedList
+
+from boragetide.controllers.queueing import ClassQueue, QueuedJob
+from boragetide.policy.ejection import ServerHealth, Tally
+from boragetide.policy.learning import SizeModel, SpeedModel, predict_speed
+from boragetide.policy.retries import RetryBudget
 from boragetide.settings import Settings
 from boragetide.types import (
     BackendServer,
     BackendServerId,
+    ClassName,
+    ClassTarget,
     Configuration,
     JobId,
     Seconds,
@@ -16,44 +24,229 @@
     TaskId,
 )
 
-
-@dataclass(slots=True)
-class LeasedServer:
-    """A backend server under this instance's lease."""
-
-    server: BackendServer
-    lease: str
-    renewed_at: Seconds
-    running_by_id: dict[TaskId, RunningTask] = field(default_factory=dict)
+# The indexes follow a learned speed only when it moved by more than this share.
+INDEXED_SPEED_STEP = 0.03
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RunningTask:
-    """A task that was dispatched."""
+    """A task that was dispatched.
 
-    job_id: JobId
+    Parameters
+    ----------
+    size
+        Expected work in seconds at the mean speed of the pool.
+    log_size
+        Expected logarithm of it, from the size model of the class.
+    expected_end
+        Unix time; moved on while the task overruns it.
+    call
+        Number of the dispatch call that holds a connection for the task.
+    probe
+        Whether the task tests a server that was ejected.
+    overruns, learned_log_speed
+        How often the task exceeded its expected time by a further doubling, and what
+        the speed model learned from that.
+    """
+
+    id: TaskId
+    job: QueuedJob
     index: int
     task: Task
     started_at: Seconds
+    size: Seconds
+    log_size: float
+    expected_end: Seconds
+    call: int
+    probe: bool = False
+    overruns: int = 0
+    learned_log_speed: float | None = None
 
 
 @dataclass(slots=True)
-class QueuedJob:
-    """The tasks of a job that wait for a slot, by position; longest first."""
+class LeasedServer:
+    """A backend server under this instance's lease.
 
-    queued: QueueTasks
-    queued_at: Seconds
-    waiting: list[int]
+    Parameters
+    ----------
+    running_by_id
+        Tasks that hold a slot: no report has come, and they are not overdue.
+    tasks_by_call
+        How many tasks of each dispatch call still run. Each call holds a connection.
+    indexed_speed, indexed_free
+        What the indexes of the pool hold for this server.
+    """
+
+    server: BackendServer
+    lease: str
+    renewed_at: Seconds
+    running_by_id: dict[TaskId, RunningTask] = field(default_factory=dict)
+    tasks_by_call: dict[int, int] = field(default_factory=dict)
+    speeds: SpeedModel = field(default_factory=SpeedModel)
+    health: ServerHealth = field(default_factory=ServerHealth)
+    used_cores: float = 0.0
+    used_memory: int = 0
+    indexed_speed: float = 0.0
+    indexed_slots: int = 0
+    indexed_free: tuple[float, BackendServerId] | None = None
 
 
 @dataclass(slots=True)
 class BackendServersState:
-    """The pool of one placer."""
+    """The pool of one placer.
+
+    Parameters
+    ----------
+    free
+        Servers that may take a task now, as (negative speed, id).
+    speeds
+        Available servers in the same form.
+    ejected
+        Servers that wait for their next probe.
+    releases
+        Running tasks as (expected end, server, task).
+    deadlines
+        Running tasks as (time at which they are overdue, call, server, task); a heap
+        from which ended tasks are dropped lazily.
+    delayed
+        Tasks that wait for another attempt, as a heap of (time, number, job, index).
+    demanding
+        Jobs with tasks that need cores or memory.
+    total_slots, total_speed
+        Of the available servers; the speed counts every slot.
+    running_work
+        Expected work of all running tasks, in seconds at the mean speed.
+    unavailable_since
+        When the pool had no available server left.
+    """
 
     settings: Settings
     incarnation: int
     servers_by_id: dict[BackendServerId, LeasedServer] = field(default_factory=dict)
     jobs_by_id: dict[JobId, QueuedJob] = field(default_factory=dict)
+    queues_by_class: dict[ClassName, ClassQueue] = field(default_factory=dict)
+    sizes_by_class: dict[ClassName, SizeModel] = field(default_factory=dict)
+    tallies_by_class: dict[ClassName, Tally] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
+    free: SortedList = field(default_factory=SortedList)
+    speeds: SortedList = field(default_factory=SortedList)
+    ejected: set[BackendServerId] = field(default_factory=set)
+    releases: SortedList = field(default_factory=SortedList)
+    deadlines: list[tuple[Seconds, int, BackendServerId, TaskId]] = field(
+        default_factory=list
+    )
+    delayed: list[tuple[Seconds, int, QueuedJob, int]] = field(default_factory=list)
+    demanding: set[JobId] = field(default_factory=set)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    jitter: random.Random = field(default_factory=random.Random)
+    total_slots: int = 0
+    total_speed: float = 0.0
+    running_work: Seconds = 0.0
+    queued_tasks: int = 0
+    unavailable_since: Seconds | None = None
+    next_review: Seconds = 0.0
+    calls: int = 0
+    retries: int = 0
     leases: int = 0
     stopping: bool = False
+
+
+def is_available(state: BackendServersState, leased: LeasedServer) -> bool:
+    """Tell whether a server may take any task, apart from its load."""
+    server = leased.server
+    return (
+        not server.leaving
+        and server.id not in state.configuration.drained
+        and leased.health.limit > 0
+    )
+
+
+def has_free_slot(leased: LeasedServer) -> bool:
+    """Tell whether a slot and a connection are free."""
+    return (
+        len(leased.running_by_id) < min(leased.server.slots, leased.health.limit)
+        and len(leased.tasks_by_call) < leased.server.connections
+    )
+
+
+def refresh_server(
+    state: BackendServersState, server_id: BackendServerId, now: Seconds
+) -> None:
+    """Bring the indexes in line with a server that changed, joined or went."""
+    leased = state.servers_by_id.get(server_id)
+    if leased is None:
+        return
+    available = is_available(state, leased)
+    speed, slots = 0.0, 0
+    if available:
+        speed = predict_speed(leased.speeds, "")
+        slots = leased.server.slots
+        if abs(speed - leased.indexed_speed) < INDEXED_SPEED_STEP * speed:
+            speed = leased.indexed_speed
+    if (speed, slots) != (leased.indexed_speed, leased.indexed_slots):
+        _index_speed(state, leased, speed, slots)
+    free = (-speed, server_id) if available and has_free_slot(leased) else None
+    if free != leased.indexed_free:
+        if leased.indexed_free is not None:
+            state.free.discard(leased.indexed_free)
+        if free is not None:
+            state.free.add(free)
+        leased.indexed_free = free
+    if state.total_slots:
+        state.unavailable_since = None
+    elif state.unavailable_since is None:
+        state.unavailable_since = now
+
+
+def _index_speed(
+    state: BackendServersState, leased: LeasedServer, speed: float, slots: int
+) -> None:
+    server_id = leased.server.id
+    if leased.indexed_slots:
+        state.speeds.discard((-leased.indexed_speed, server_id))
+        state.total_slots -= leased.indexed_slots
+        state.total_speed -= leased.indexed_slots * leased.indexed_speed
+    if slots:
+        state.speeds.add((-speed, server_id))
+        state.total_slots += slots
+        state.total_speed += slots * speed
+    leased.indexed_speed, leased.indexed_slots = speed, slots
+
+
+def forget_server(
+    state: BackendServersState, server_id: BackendServerId, now: Seconds
+) -> LeasedServer | None:
+    """Remove a server and its index entries; its running tasks are not ended here."""
+    leased = state.servers_by_id.pop(server_id, None)
+    if leased is None:
+        return None
+    if leased.indexed_free is not None:
+        state.free.discard(leased.indexed_free)
+        leased.indexed_free = None
+    _index_speed(state, leased, 0.0, 0)
+    state.ejected.discard(server_id)
+    if not state.total_slots and state.unavailable_since is None:
+        state.unavailable_since = now
+    return leased
+
+
+def clear_pool(state: BackendServersState, now: Seconds) -> None:
+    """Drop the queue and every lease; learned sizes stay."""
+    for server_id in list(state.servers_by_id):
+        forget_server(state, server_id, now)
+    for job in state.jobs_by_id.values():
+        job.dropped = True
+    state.jobs_by_id.clear()
+    state.queues_by_class.clear()
+    state.releases.clear()
+    state.deadlines.clear()
+    state.delayed.clear()
+    state.demanding.clear()
+    state.running_work = 0.0
+    state.queued_tasks = 0
+
+
+def find_target(state: BackendServersState, class_name: ClassName) -> ClassTarget:
+    """Return the target of a class; an unknown class has the default target."""
+    target = state.configuration.classes_by_name.get(class_name)
+    return target if target is not None else ClassTarget(class_name)
--- /dev/null
+++ b/boragetide/controllers/queueing.py
@@ -0,0 +1,251 @@
+"""Jobs that wait for slots, by class and team."""
+
+from __future__ import annotations
+
+import heapq
+from bisect import insort
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from sortedcontainers import SortedList
+
+from boragetide.messages import QueueTasks
+from boragetide.policy import ordering
+from boragetide.types import BackendServerId, ClassName, JobId, Seconds, TaskId
+
+
+@dataclass(slots=True)
+class QueuedJob:
+    """A job with tasks that wait or run.
+
+    Parameters
+    ----------
+    waiting
+        Tasks that wait for a slot as (expected size, index), the longest last.
+    remaining
+        Expected work of the waiting tasks, in seconds at the mean speed.
+    rank
+        Place in the queue of its team, or ``None`` while no task waits.
+    delayed
+        Number of tasks that wait for another attempt.
+    attempts_by_index
+        Starts of the tasks that were started more than once or may be.
+    may_have_run
+        Whether any task ended otherwise than as not run.
+    dropped
+        Whether the job was cancelled; outcomes are then of no interest.
+    """
+
+    queued: QueueTasks
+    queued_at: Seconds
+    waiting: list[tuple[Seconds, int]] = field(default_factory=list)
+    remaining: Seconds = 0.0
+    rank: float | None = None
+    delayed: int = 0
+    servers_by_running: dict[TaskId, BackendServerId] = field(default_factory=dict)
+    attempts_by_index: dict[int, int] = field(default_factory=dict)
+    may_have_run: bool = False
+    dropped: bool = False
+
+
+@dataclass(slots=True)
+class ClassQueue:
+    """Jobs of one class.
+
+    Parameters
+    ----------
+    jobs_by_team
+        Waiting jobs of each team as (rank, job id).
+    heads
+        First job of each team as (rank, team).
+    running_by_team
+        Slots in use.
+    waiting, work
+        Number of waiting tasks, and their expected work in seconds at the mean speed.
+    aging
+        See `policy.ordering.aging_rate`.
+    """
+
+    aging: float
+    jobs_by_team: dict[str, SortedList] = field(default_factory=dict)
+    heads: SortedList = field(default_factory=SortedList)
+    running_by_team: dict[str, int] = field(default_factory=dict)
+    running: int = 0
+    waiting: int = 0
+    work: Seconds = 0.0
+
+
+def put_job(queue: ClassQueue, job: QueuedJob) -> None:
+    """Insert a job, or move it to its place after its waiting tasks changed."""
+    take_job(queue, job)
+    if not job.waiting or job.dropped:
+        return
+    job.rank = ordering.rank_job(job.remaining, job.queued_at, queue.aging)
+    team = job.queued.team
+    jobs = queue.jobs_by_team.setdefault(team, SortedList())
+    old = jobs[0][0] if jobs else None
+    jobs.add((job.rank, job.queued.job_id))
+    _move_head(queue, team, old)
+
+
+def take_job(queue: ClassQueue, job: QueuedJob) -> None:
+    """Remove a job from the order, if it is there."""
+    if job.rank is None:
+        return
+    team = job.queued.team
+    jobs = queue.jobs_by_team[team]
+    old = jobs[0][0]
+    jobs.remove((job.rank, job.queued.job_id))
+    job.rank = None
+    _move_head(queue, team, old)
+    if not jobs:
+        del queue.jobs_by_team[team]
+
+
+def _move_head(queue: ClassQueue, team: str, old: float | None) -> None:
+    jobs = queue.jobs_by_team[team]
+    new = jobs[0][0] if jobs else None
+    if new == old:
+        return
+    if old is not None:
+        queue.heads.remove((old, team))
+    if new is not None:
+        queue.heads.add((new, team))
+
+
+def add_waiting(
+    queue: ClassQueue, job: QueuedJob, sizes: Iterable[tuple[Seconds, int]]
+) -> None:
+    """Let tasks, given as (expected size, index), wait for a slot."""
+    for size, index in sizes:
+        insort(job.waiting, (size, index))
+        job.remaining += size
+        queue.work += size
+        queue.waiting += 1
+    put_job(queue, job)
+
+
+def take_waiting(queue: ClassQueue, job: QueuedJob, position: int) -> tuple[float, int]:
+    """Remove a waiting task to start it; `put_job` must follow."""
+    size, index = job.waiting.pop(position)
+    job.remaining -= size
+    queue.work -= size
+    queue.waiting -= 1
+    if queue.waiting == 0:
+        queue.work = 0.0
+    return size, index
+
+
+def drop_waiting(queue: ClassQueue, job: QueuedJob) -> list[int]:
+    """Remove all waiting tasks of a job and return their indexes."""
+    indexes = [index for _, index in job.waiting]
+    while job.waiting:
+        take_waiting(queue, job, -1)
+    take_job(queue, job)
+    return indexes
+
+
+def count_running(queue: ClassQueue, team: str, change: int) -> None:
+    """Add to the slots that a team of the class uses."""
+    queue.running += change
+    running = queue.running_by_team.get(team, 0) + change
+    if running:
+        queue.running_by_team[team] = running
+    else:
+        queue.running_by_team.pop(team, None)
+
+
+def is_capped(
+    queues_by_class: dict[ClassName, ClassQueue],
+    caps_by_class: dict[ClassName, int],
+    name: ClassName,
+) -> bool:
+    """Tell whether a class uses its busy share while a class below its own waits."""
+    if queues_by_class[name].running < caps_by_class[name]:
+        return False
+    return any(
+        queue.waiting > 0 and queue.running < caps_by_class[other]
+        for other, queue in queues_by_class.items()
+        if other != name
+    )
+
+
+# An entry of the walk: over its share, rank, class, team by position in ``heads``, and
+# job by position in the queue of the team.
+_Entry: TypeAlias = tuple[bool, float, ClassName, int, int]
+
+
+def walk_jobs(
+    queues_by_class: dict[ClassName, ClassQueue],
+    caps_by_class: dict[ClassName, int],
+    now: Seconds,
+) -> Iterator[tuple[ClassName, JobId]]:
+    """Yield waiting jobs in the order in which they are to be placed.
+
+    A class at its cap is left out while others wait, and within a class the teams
+    above their equal share come last. Counts of tasks may change between two steps,
+    the order of the queues must not. A step costs time in the number of classes and of
+    teams above their share, not in the number of jobs.
+
+    Parameters
+    ----------
+    queues_by_class
+        Queues to walk.
+    caps_by_class
+        Slots that each class may use while others wait.
+    now
+        Unix time in seconds.
+    """
+    heap: list[_Entry] = []
+    capped: list[_Entry] = []
+    for name, queue in queues_by_class.items():
+        if queue.heads:
+            heapq.heappush(heap, _make_entry(False, name, queue, 0, 0, now))
+    while heap:
+        entry = heapq.heappop(heap)
+        over, _, name, position, place = entry
+        queue = queues_by_class[name]
+        if is_capped(queues_by_class, caps_by_class, name):
+            capped.append(entry)
+        else:
+            team = queue.heads[position][1]
+            jobs = queue.jobs_by_team[team]
+            if place == 0 and not over and position + 1 < len(queue.heads):
+                following = _make_entry(False, name, queue, position + 1, 0, now)
+                heapq.heappush(heap, following)
+            if not over and is_over_share(queue, team, caps_by_class[name]):
+                heapq.heappush(heap, (True, *entry[1:]))
+            else:
+                if place + 1 < len(jobs):
+                    following = _make_entry(over, name, queue, position, place + 1, now)
+                    heapq.heappush(heap, following)
+                yield name, jobs[place][1]
+        if not heap:
+            heap = [
+                e for e in capped if not is_capped(queues_by_class, caps_by_class, e[2])
+            ]
+            heapq.heapify(heap)
+            capped = []
+
+
+def _make_entry(
+    over: bool,
+    name: ClassName,
+    queue: ClassQueue,
+    position: int,
+    place: int,
+    now: Seconds,
+) -> _Entry:
+    jobs = queue.jobs_by_team[queue.heads[position][1]]
+    rank = ordering.age_rank(jobs[place][0], queue.aging, now)
+    return over, rank, name, position, place
+
+
+def is_over_share(queue: ClassQueue, team: str, cap: int) -> bool:
+    """Tell whether a team uses its equal share of the class while others wait."""
+    waiting = len(queue.heads)
+    if waiting < 2:
+        return False
+    share = ordering.slots_of_share(cap, 1 / waiting)
+    return queue.running_by_team.get(team, 0) >= share
--- /dev/null
+++ b/boragetide/controllers/reviewing.py
@@ -0,0 +1,121 @@
+"""Periodic review of the pool: overdue tasks, probes, retries and waits."""
+
+from __future__ import annotations
+
+from boragetide.controllers.outcomes import (
+    drop_job,
+    end_overdue,
+    extend_overruns,
+    is_untouched,
+    refuse_job,
+    requeue_delayed,
+)
+from boragetide.controllers.pool import (
+    BackendServersState,
+    find_target,
+    refresh_server,
+)
+from boragetide.controllers.queueing import QueuedJob, put_job, take_job
+from boragetide.effects import Effect, Send
+from boragetide.messages import TaskEnded
+from boragetide.policy import admission, ejection, learning, ordering
+from boragetide.types import Address, Seconds, TaskOutcome, TaskStatus
+
+REVIEW_INTERVAL: Seconds = 1.0
+
+# Ranks are computed anew when the rate of aging moved by more than this share.
+AGING_STEP = 0.25
+
+
+def review(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """Do at a tick what no other message triggers."""
+    effects = end_overdue(state, now)
+    extend_overruns(state, now)
+    requeue_delayed(state, now)
+    for server_id in list(state.ejected):
+        leased = state.servers_by_id.get(server_id)
+        if leased is not None and now < leased.health.probe_at:
+            continue
+        state.ejected.discard(server_id)
+        if leased is not None:
+            ejection.start_probing(leased.health)
+            refresh_server(state, server_id, now)
+    if now >= state.next_review:
+        state.next_review = now + REVIEW_INTERVAL
+        effects += _review_slowly(state, now)
+    return effects
+
+
+def _review_slowly(state: BackendServersState, now: Seconds) -> list[Effect]:
+    learning.anchor_speeds(
+        [leased.speeds for leased in state.servers_by_id.values()],
+        state.sizes_by_class.values(),
+    )
+    for server_id in state.servers_by_id:
+        refresh_server(state, server_id, now)
+    update_aging(state)
+    return _end_hopeless(state, now)
+
+
+def update_aging(state: BackendServersState) -> None:
+    """Follow targets and the speed of the pool; order the queues anew if needed."""
+    for name, queue in state.queues_by_class.items():
+        target = find_target(state, name)
+        aging = ordering.aging_rate(state.total_speed, target.response_time)
+        if abs(aging - queue.aging) <= AGING_STEP * queue.aging:
+            continue
+        ids = [job_id for jobs in queue.jobs_by_team.values() for _, job_id in jobs]
+        for job_id in ids:
+            take_job(queue, state.jobs_by_id[job_id])
+        queue.aging = aging
+        for job_id in ids:
+            put_job(queue, state.jobs_by_id[job_id])
+
+
+def _end_hopeless(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """End the wait of jobs that no known server can run.
+
+    A pool that just lost its last server waits for the length of a lease, because
+    servers that moved to another placer come back within one.
+    """
+    since, bound = state.unavailable_since, state.settings.timing.lease_expiry
+    if not state.total_slots:
+        if since is None:
+            state.unavailable_since = now
+        elif now - since > bound:
+            return _end_all(state, list(state.jobs_by_id.values()), now)
+        return []
+    demanding = [state.jobs_by_id[job_id] for job_id in state.demanding]
+    servers = [leased.server for leased in state.servers_by_id.values()]
+    return _end_all(
+        state,
+        [
+            job
+            for job in demanding
+            if now - job.queued_at > bound
+            and admission.refuse_for_size(
+                (job.queued.tasks[index] for _, index in job.waiting), servers
+            )
+        ],
+        now,
+    )
+
+
+def _end_all(
+    state: BackendServersState, jobs: list[QueuedJob], now: Seconds
+) -> list[Effect]:
+    effects: list[Effect] = []
+    reason = "no backend server can run the task"
+    for job in jobs:
+        if now - job.queued_at <= state.settings.timing.lease_expiry:
+            continue
+        if is_untouched(job):
+            effects += refuse_job(state, job, reason, "no_server")
+            continue
+        outcome = TaskOutcome(TaskStatus.NOT_RUN, error=reason)
+        to = Address(state.settings.id, "jobs")
+        effects += [
+            Send(to, TaskEnded(job.queued.job_id, index, outcome))
+            for index in drop_job(state, job)
+        ]
+    return effects
--- /dev/null
+++ b/boragetide/policy/learning.py
@@ -0,0 +1,211 @@
+"""Learns the sizes of tasks and the speeds of backend servers from run times.
+
+Both are kept as natural logarithms, because declared sizes are wrong by a factor and
+speeds act as a factor. Speeds are relative to the pool: their mean logarithm is 0.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from boragetide.types import ClassName, Seconds
+
+DEFAULT_SIZE: Seconds = 0.4
+MIN_SECONDS: Seconds = 1e-4
+
+# Declared sizes are believed as they are until about this many tasks have ended.
+PRIOR_SAMPLES = 10
+SIZE_GAIN = 0.005
+SPEED_GAIN = 0.03
+RECENT_GAIN = 0.25
+MAX_LOG_ERROR = 1.4  # a factor of 4
+MAX_RATIO = 10.0
+
+# A recent mean this many of its standard deviations from the long one replaces it: a
+# change by 4x passes after about three tasks, and a chance deviation rarely.
+CHANGE_DEVIATIONS = 3.5
+_RECENT_DEVIATION = math.sqrt(RECENT_GAIN / (2 - RECENT_GAIN))
+
+# A class has its own speed on a server once about this many of its tasks ended there.
+CLASS_SAMPLES = 20
+ANCHOR_SAMPLES = 5
+
+
+@dataclass(slots=True)
+class SizeModel:
+    """Sizes of one class, as a decayed regression on the declared sizes.
+
+    Parameters
+    ----------
+    mean_declared, mean_size
+        Mean logarithms of the declared and of the observed sizes.
+    variance_declared, covariance
+        Of the logarithms. Their ratio tells how far declarations can be trusted.
+    ratio
+        Mean of observed over predicted size.
+    deviation
+        Mean square error of the predicted logarithm.
+    """
+
+    samples: int = PRIOR_SAMPLES
+    mean_declared: float = math.log(DEFAULT_SIZE)
+    mean_size: float = math.log(DEFAULT_SIZE)
+    variance_declared: float = 1.0
+    covariance: float = 1.0
+    ratio: float = 1.0
+    variance: float = 0.5
+    undeclared_samples: int = 0
+    undeclared_mean: float = math.log(DEFAULT_SIZE)
+
+
+def predict_log_size(model: SizeModel, declared: Seconds | None) -> float:
+    """Return the expected logarithm of a task's size at the mean speed of the pool."""
+    if declared is None:
+        return model.undeclared_mean if model.undeclared_samples else model.mean_size
+    slope = model.covariance / max(model.variance_declared, 1e-3)
+    slope = min(max(slope, 0.0), 1.0)
+    log_declared = math.log(max(declared, MIN_SECONDS))
+    return model.mean_size + slope * (log_declared - model.mean_declared)
+
+
+def predict_size(model: SizeModel, declared: Seconds | None) -> Seconds:
+    """Return the expected size of a task, in seconds at the mean speed of the pool."""
+    return model.ratio * math.exp(predict_log_size(model, declared))
+
+
+def observe_size(model: SizeModel, declared: Seconds | None, size: Seconds) -> None:
+    """Learn from a task that ended.
+
+    Parameters
+    ----------
+    model
+        Of the task's class.
+    declared
+        Declared size in seconds, if any.
+    size
+        Run time in seconds multiplied by the speed of the backend server.
+    """
+    log_size = math.log(max(size, MIN_SECONDS))
+    error = _clip(log_size - predict_log_size(model, declared), MAX_LOG_ERROR)
+    gain = max(1 / (model.samples + 1), SIZE_GAIN)
+    model.variance += gain * (error * error - model.variance)
+    model.ratio += gain * (min(math.exp(error), MAX_RATIO) - model.ratio)
+    model.samples += 1
+    if declared is None:
+        model.undeclared_samples += 1
+        gain = max(1 / (model.undeclared_samples + 1), SIZE_GAIN)
+        model.undeclared_mean += gain * (log_size - model.undeclared_mean)
+        return
+    from_declared = math.log(max(declared, MIN_SECONDS)) - model.mean_declared
+    from_size = log_size - model.mean_size
+    model.mean_declared += gain * from_declared
+    model.mean_size += gain * from_size
+    model.variance_declared += gain * (
+        (1 - gain) * from_declared**2 - model.variance_declared
+    )
+    model.covariance += gain * (
+        (1 - gain) * from_declared * from_size - model.covariance
+    )
+
+
+@dataclass(slots=True)
+class SpeedModel:
+    """Speed of one backend server, with a correction by class.
+
+    Parameters
+    ----------
+    log_speed
+        Slowly moving mean over all classes.
+    recent
+        Quickly moving mean, to notice a change.
+    offsets_by_class
+        Mean deviation of a class from ``log_speed``, and the number of its samples.
+    """
+
+    log_speed: float = 0.0
+    recent: float = 0.0
+    samples: int = 0
+    offsets_by_class: dict[ClassName, tuple[float, int]] = field(default_factory=dict)
+
+
+def predict_speed(model: SpeedModel, class_name: ClassName) -> float:
+    """Return the expected speed of a backend server for a class."""
+    return math.exp(model.log_speed + _offset(model, class_name))
+
+
+def _offset(model: SpeedModel, class_name: ClassName) -> float:
+    offset, samples = model.offsets_by_class.get(class_name, (0.0, 0))
+    return offset * samples / (samples + CLASS_SAMPLES)
+
+
+def observe_speed(
+    model: SpeedModel,
+    class_name: ClassName,
+    log_speed: float,
+    variance: float,
+    earlier: float | None = None,
+) -> bool:
+    """Learn from a task that ended, or that runs far beyond its expected time.
+
+    Parameters
+    ----------
+    model
+        Of the backend server.
+    class_name
+        Class of the task.
+    log_speed
+        Expected logarithm of the size minus the logarithm of the run time.
+    variance
+        Mean square error of the expected logarithm of the size.
+    earlier
+        What was learned from the same task while it ran; it is corrected, so that a
+        single long task does not count several times.
+
+    Returns
+    -------
+    bool
+        Whether the speed changed abruptly.
+    """
+    error = _clip(log_speed - model.log_speed, MAX_LOG_ERROR)
+    offset, samples = model.offsets_by_class.get(class_name, (0.0, 0))
+    if earlier is None:
+        model.samples += 1
+        gain = max(1 / (samples + 1), SPEED_GAIN)
+        offset += gain * (error - offset)
+        model.offsets_by_class[class_name] = (offset, samples + 1)
+        model.recent += RECENT_GAIN * (model.log_speed + error - model.recent)
+        model.log_speed += max(1 / (model.samples + 1), SPEED_GAIN) * error
+    else:
+        change = error - _clip(earlier - model.log_speed, MAX_LOG_ERROR)
+        model.recent += RECENT_GAIN * change
+        model.log_speed += max(1 / (model.samples + 1), SPEED_GAIN) * change
+    if model.samples < PRIOR_SAMPLES:
+        model.recent = model.log_speed
+        return False
+    limit = CHANGE_DEVIATIONS * _RECENT_DEVIATION * math.sqrt(max(variance, 0.04))
+    if abs(model.recent - model.log_speed) <= limit:
+        return False
+    model.log_speed = model.recent
+    model.samples = PRIOR_SAMPLES // 2
+    model.offsets_by_class.clear()
+    return True
+
+
+def anchor_speeds(speeds: Collection[SpeedModel], sizes: Iterable[SizeModel]) -> None:
+    """Move the mean logarithm of the speeds back to 0, and the sizes with it."""
+    known = [model for model in speeds if model.samples >= ANCHOR_SAMPLES]
+    if not known:
+        return
+    mean = sum(model.log_speed for model in known) / len(known)
+    for model in known:
+        model.log_speed -= mean
+        model.recent -= mean
+    for size in sizes:
+        size.mean_size -= mean
+        size.undeclared_mean -= mean if size.undeclared_samples else 0.0
+
+
+def _clip(value: float, limit: float) -> float:
+    return min(max(value, -limit), limit)
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Hypothesis state machines, checked against small oracles."""
