--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -83,7 +83,7 @@
         labels = {"controller": controller}
         metrics.set_gauge("mailbox_messages", labels, mailbox.qsize())
     for peer_id, link in runtime.links_by_id.items():
-        metrics.set_gauge("link_messages", {"peer": peer_id}, link.outbox.qsize())
+        metrics.set_gauge("link_messages", {"peer": peer_id}, len(link.outbox))
     try:
         pool: PoolDescription = await _ask_local(
             runtime, "backend_servers", DescribePool()
@@ -109,9 +109,11 @@
 class ReadinessHandler(Handler):
     """Says whether this instance takes new requests."""
 
-    def get(self) -> None:
-        """Answer 503 while stopping."""
-        ready = not self.runtime.stopping
+    async def get(self) -> None:
+        """Answer 503 while stopping, and after a start until a placer is known."""
+        runtime = self.runtime
+        found = await choose_placer(runtime, runtime.settings.zone)
+        ready = found.placer is not None and not runtime.stopping
         self.respond(200 if ready else 503, {"ready": ready})
 
     head = get
