--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -5,6 +5,7 @@
 from tornado.web import Application, RequestHandler
 
 from boragetide.api.backend_servers import BackendServerHandler
+from boragetide.api.jobs import JobHandler, JobIdsHandler
 from boragetide.api.models import JobBody, RequestBody
 from boragetide.api.operators import (
     HealthHandler,
@@ -22,6 +23,8 @@
     return Application(
         [
             (r"/v1/jobs", SubmissionHandler, {**shared, "kind": JobBody}),
+            (r"/v1/jobs/(.+)", JobHandler, shared),
+            (r"/v1/job-ids", JobIdsHandler, shared),
             (r"/v1/requests", SubmissionHandler, {**shared, "kind": RequestBody}),
             (r"/v1/backend-servers/([^/]+)", BackendServerHandler, shared),
             (r"/v1/status", StatusHandler, shared),
--- /dev/null
+++ b/boragetide/api/jobs.py
@@ -0,0 +1,73 @@
+"""HTTP handlers for single jobs and for job ids."""
+
+from __future__ import annotations
+
+import itertools
+import secrets
+from typing import Any
+
+from pydantic import ValidationError
+
+from boragetide.api.base import Handler
+from boragetide.api.models import JobIdsBody
+from boragetide.api.submissions import describe_answer
+from boragetide.daemon.clock import read_clock
+from boragetide.errors import LinkError
+from boragetide.filters.lookup import ask_owner
+from boragetide.messages import CancelJob, JobState, LookUpJob
+from boragetide.policy.ids import mint_id
+from boragetide.types import Status
+
+# Starts at a random number so that a restart within a millisecond repeats no id.
+_COUNTER = itertools.count(secrets.randbelow(1 << 32))
+
+
+class JobHandler(Handler):
+    """Shows or cancels a job, whichever instance owns it."""
+
+    async def get(self, job_id: str) -> None:
+        """Show a job; 404 where no instance has claimed its id."""
+        await self._ask(LookUpJob(id=job_id))
+
+    async def delete(self, job_id: str) -> None:
+        """Cancel a job and show it."""
+        await self._ask(CancelJob(id=job_id))
+
+    async def _ask(self, message: LookUpJob | CancelJob) -> None:
+        try:
+            state = await ask_owner(self.runtime, message.id, message)
+        except LinkError as error:
+            self.respond(503, {"id": message.id, "error": str(error)})
+            return
+        if state is None:
+            window = self.runtime.settings.timing.resubmission_window
+            error = f"no job has had this id within the last {window:g} s"
+            self.respond(404, {"id": message.id, "error": error})
+        else:
+            self.respond(200, describe_job(state))
+
+
+def describe_job(state: JobState) -> dict[str, Any]:
+    """Render the state of a job; an ended job has its answer while that is kept."""
+    body: dict[str, Any] = {"id": state.id, "state": state.state}
+    if state.answer is not None:
+        body["answer"] = describe_answer(state.answer)
+    return body
+
+
+class JobIdsHandler(Handler):
+    """Mints job ids whose home is the zone of this instance."""
+
+    def post(self) -> None:
+        """Return as many new ids as asked for."""
+        try:
+            body = JobIdsBody.model_validate_json(self.request.body or b"{}")
+        except ValidationError as error:
+            fault = error.errors(include_url=False)[0]
+            name = ".".join(str(part) for part in fault["loc"]) or "body"
+            message = f"{name}: {fault['msg']}"
+            self.respond(400, {"status": Status.NOT_RUN, "error": message})
+            return
+        settings, now = self.runtime.settings, read_clock()
+        minted = [mint_id(settings, now, next(_COUNTER)) for _ in range(body.count)]
+        self.respond(200, {"ids": minted})
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import hashlib
 from functools import singledispatch
 from typing import Annotated, Any
 
+import msgspec
 from pydantic import BaseModel, ConfigDict, Field
 
 from boragetide.types import BackendServer, Submission, Task
@@ -52,6 +54,12 @@
     timeout: TimeoutField = 30.0
 
 
+class JobIdsBody(_Body):
+    """Body of ``POST /v1/job-ids``."""
+
+    count: Annotated[int, Field(ge=1, le=1000)] = 1
+
+
 class BackendServerBody(_Body):
     """Body of ``PUT /v1/backend-servers/{id}``; memory is in bytes."""
 
@@ -74,17 +82,30 @@
 @to_submission.register
 def _(body: JobBody) -> Submission:
     tasks = tuple(Task(**dict(task)) for task in body.tasks)
-    return Submission(body.id, body.class_name, tasks, team=body.team)
+    digest = digest_payloads(tasks)
+    return Submission(body.id, body.class_name, tasks, team=body.team, digest=digest)
 
 
 @to_submission.register
 def _(body: RequestBody) -> Submission:
     task = Task(body.payload, body.size, body.timeout)
     return Submission(
-        body.id, body.class_name, (task,), idempotent=body.idempotent, team=body.team
+        body.id,
+        body.class_name,
+        (task,),
+        idempotent=body.idempotent,
+        team=body.team,
+        digest=digest_payloads((task,)),
     )
 
 
+def digest_payloads(tasks: tuple[Task, ...]) -> str:
+    """Return the same digest for equal payloads, in whatever order their keys are."""
+    payloads = [task.payload for task in tasks]
+    encoded = msgspec.json.encode(payloads, order="deterministic")
+    return hashlib.blake2b(encoded, digest_size=16).hexdigest()
+
+
 def to_backend_server(server_id: str, body: BackendServerBody) -> BackendServer:
     """Turn a validated announcement into a backend server."""
     return BackendServer(
--- /dev/null
+++ b/boragetide/controllers/catch_up.py
@@ -0,0 +1,93 @@
+"""How a restarted acceptor gets the claims that it has lost from the other members."""
+
+from __future__ import annotations
+
+from boragetide.controllers.claim_table import (
+    ClaimTable,
+    Fetch,
+    merge_fetched,
+    read_page,
+)
+from boragetide.messages import ClaimsPage, FetchClaims
+from boragetide.policy.claiming import claim_lifetime
+from boragetide.settings import Settings
+from boragetide.types import MAX_CLOCK_SKEW, InstanceId, Seconds
+
+PAGE_CLAIMS = 1000  # about 100 KB
+FETCH_RETRY: Seconds = 1.0
+
+
+def answer_fetch(
+    table: ClaimTable, message: FetchClaims, own: InstanceId, incarnation: int
+) -> ClaimsPage:
+    """Return the page that another acceptor asks for."""
+    claims, last = read_page(table, message.after, PAGE_CLAIMS)
+    return ClaimsPage(
+        zone=table.zone,
+        sender=own,
+        incarnation=incarnation,
+        after=message.after,
+        claims=claims if table.complete else (),
+        complete=table.complete,
+        last=last,
+    )
+
+
+def select_members_to_ask(
+    table: ClaimTable, own: InstanceId, now: Seconds
+) -> list[InstanceId]:
+    """Return the other members that owe this acceptor a page."""
+    chosen = []
+    for member in table.group:
+        if member == own:
+            continue
+        fetch = table.fetches_by_member.setdefault(member, Fetch())
+        waited = fetch.asked_at is None or now - fetch.asked_at >= FETCH_RETRY
+        if waited and not fetch.done:
+            chosen.append(member)
+    return chosen
+
+
+def take_page(table: ClaimTable, page: ClaimsPage, now: Seconds) -> bool:
+    """Keep a page; true if the next one is to be asked for now.
+
+    The pages of one member must all come from one incarnation: a member that restarts
+    in between may have lost what the next pages would have shown.
+    """
+    fetch = table.fetches_by_member.get(page.sender)
+    if fetch is None or page.incarnation < fetch.incarnation:
+        return False
+    if page.incarnation > fetch.incarnation:
+        fetch.restart()
+        fetch.incarnation = page.incarnation
+    if not page.complete or page.after != fetch.after or fetch.done:
+        return False
+    for claim in page.claims:
+        fetch.claims_by_id[claim.id] = claim
+    if page.claims:
+        fetch.after = page.claims[-1]
+    fetch.done = page.last
+    return not page.last
+
+
+def has_all_members(table: ClaimTable, own: InstanceId) -> bool:
+    """Tell whether every other member of the group has sent all its claims."""
+    others = [member for member in table.group if member != own]
+    return bool(others) and all(
+        member in table.fetches_by_member and table.fetches_by_member[member].done
+        for member in others
+    )
+
+
+def adopt(table: ClaimTable, settings: Settings) -> None:
+    """Hold what the other members hold."""
+    merge_fetched(table, claim_lifetime(settings.timing.resubmission_window))
+
+
+def has_outlived_window(incarnation: int, settings: Settings, now: Seconds) -> bool:
+    """Tell whether every claim granted before the start of this process has expired.
+
+    The claimant's clock may have been ahead of this one.
+    """
+    lifetime = claim_lifetime(settings.timing.resubmission_window)
+    return now > incarnation / 1000 + lifetime + MAX_CLOCK_SKEW
--- /dev/null
+++ b/boragetide/controllers/claim_table.py
@@ -0,0 +1,130 @@
+"""Claims of one home zone as an acceptor holds them, and its catching up."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import islice
+from typing import TypeAlias
+
+from sortedcontainers import SortedSet
+
+from boragetide.policy.claiming import is_expired
+from boragetide.types import Claim, InstanceId, JobId, Seconds, ZoneId
+
+ClaimKey: TypeAlias = tuple[Seconds, JobId]
+
+
+@dataclass(slots=True)
+class Fetch:
+    """Progress of fetching the claims of one other acceptor.
+
+    Parameters
+    ----------
+    incarnation
+        Of the other acceptor; a restart of it starts the fetch again.
+    after
+        The last claim received.
+    asked_at
+        When the next page was asked for, in Unix time.
+    """
+
+    incarnation: int = 0
+    after: Claim | None = None
+    asked_at: Seconds | None = None
+    done: bool = False
+    claims_by_id: dict[JobId, Claim] = field(default_factory=dict)
+
+    def restart(self) -> None:
+        """Drop what was fetched."""
+        self.after = None
+        self.asked_at = None
+        self.done = False
+        self.claims_by_id = {}
+
+
+@dataclass(slots=True)
+class ClaimTable:
+    """Claims whose home is one zone.
+
+    Parameters
+    ----------
+    group
+        The claim group of the zone, this instance included.
+    complete
+        Whether this acceptor holds everything it has granted in earlier incarnations.
+    keys
+        Keys of the claims in the order in which they expire.
+    disputed_until_by_id
+        Ids for which the others hold claims on different owners, so that the vote that
+        this acceptor has lost may have decided for either, with the time of expiry.
+    """
+
+    zone: ZoneId
+    group: tuple[InstanceId, ...]
+    complete: bool = False
+    claims_by_id: dict[JobId, Claim] = field(default_factory=dict)
+    keys: SortedSet = field(default_factory=SortedSet)
+    disputed_until_by_id: dict[JobId, Seconds] = field(default_factory=dict)
+    fetches_by_member: dict[InstanceId, Fetch] = field(default_factory=dict)
+
+
+def add_claim(table: ClaimTable, claim: Claim) -> None:
+    """Hold a claim in place of any other on its id."""
+    drop_claim(table, claim.id)
+    table.claims_by_id[claim.id] = claim
+    table.keys.add((claim.claimed_at, claim.id))
+
+
+def drop_claim(table: ClaimTable, job_id: JobId) -> None:
+    """Forget the claim on an id, if there is one."""
+    held = table.claims_by_id.pop(job_id, None)
+    if held is not None:
+        table.keys.discard((held.claimed_at, job_id))
+
+
+def expire_claims(table: ClaimTable, window: Seconds, now: Seconds) -> int:
+    """Drop the claims that have expired and return their number."""
+    dropped = 0
+    while table.keys:
+        claim = table.claims_by_id[table.keys[0][1]]
+        if not is_expired(claim, window, now):
+            break
+        drop_claim(table, claim.id)
+        dropped += 1
+    for job_id, until in list(table.disputed_until_by_id.items()):
+        if now >= until:
+            del table.disputed_until_by_id[job_id]
+    return dropped
+
+
+def read_page(
+    table: ClaimTable, after: Claim | None, size: int
+) -> tuple[tuple[Claim, ...], bool]:
+    """Return the claims after another, and whether they are the last ones."""
+    start = None if after is None else (after.claimed_at, after.id)
+    keys = list(islice(table.keys.irange(start, inclusive=(False, True)), size + 1))
+    claims = tuple(table.claims_by_id[job_id] for _, job_id in keys[:size])
+    return claims, len(keys) <= size
+
+
+def merge_fetched(table: ClaimTable, lifetime: Seconds) -> None:
+    """Adopt what all other members hold; own grants stay.
+
+    Parameters
+    ----------
+    lifetime
+        Seconds after ``claimed_at`` at which a claim expires.
+    """
+    claims_by_id: dict[JobId, list[Claim]] = {}
+    for fetch in table.fetches_by_member.values():
+        for job_id, claim in fetch.claims_by_id.items():
+            claims_by_id.setdefault(job_id, []).append(claim)
+    for job_id, claims in claims_by_id.items():
+        if job_id in table.claims_by_id:
+            continue
+        newest = max(claims, key=lambda claim: claim.claimed_at)
+        if len({(claim.owner, claim.owner_incarnation) for claim in claims}) > 1:
+            table.disputed_until_by_id[job_id] = newest.claimed_at + lifetime
+        else:
+            add_claim(table, newest)
+    table.fetches_by_member.clear()
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -6,27 +6,73 @@
 from functools import singledispatch
 from typing import Any
 
-from boragetide.effects import Effect, Reply
+from boragetide.controllers import catch_up
+from boragetide.controllers.claim_table import ClaimTable, add_claim, expire_claims
+from boragetide.effects import (
+    Count,
+    Effect,
+    LogEvent,
+    Persist,
+    Reply,
+    SaveSnapshot,
+    Send,
+)
 from boragetide.messages import (
+    AcceptorRegistered,
+    ClaimAndSubmit,
     ClaimReply,
     ClaimRequest,
+    ClaimsPage,
+    ClaimsRecovered,
     ClaimStatus,
+    FetchClaims,
     LookUpClaim,
+    SavedClaims,
     StopRequested,
+    SubmitJob,
     Tick,
     WokeUp,
 )
+from boragetide.policy import ids
+from boragetide.policy.claiming import Decided, decide_claim, is_expired, is_too_late
+from boragetide.policy.routing import find_claim_group, find_home_zone
 from boragetide.settings import Settings
-from boragetide.types import Claim, JobId, Seconds
+from boragetide.types import Address, Claim, InstanceId, JobId, Seconds, ZoneId
+
+# The journal of a group of one is replaced by a snapshot when it has this many records
+# more than there are claims.
+SURPLUS_RECORDS = 10_000
 
 
 @dataclass(slots=True)
 class ClaimsState:
-    """What one acceptor holds."""
+    """What one acceptor holds.
+
+    Parameters
+    ----------
+    tables_by_zone
+        One table per claim group that this instance belongs to.
+    restarts_by_id
+        Newest incarnation of the acceptors that have caught up with this one, or that
+        this one has caught up with.
+    journal_records
+        Number of claims in the journal.
+    saved
+        Whether a snapshot of a planned stop exists, so that nothing may change.
+    """
 
     settings: Settings
     incarnation: int
-    claims_by_id: dict[JobId, Claim] = field(default_factory=dict)
+    tables_by_zone: dict[ZoneId, ClaimTable] = field(default_factory=dict)
+    restarts_by_id: dict[InstanceId, int] = field(default_factory=dict)
+    journal_records: int = 0
+    saved: bool = False
+
+    def __post_init__(self) -> None:
+        for zone in self.settings.zones:
+            group = find_claim_group(zone, self.settings)
+            if self.settings.id in group:
+                self.tables_by_zone[zone] = ClaimTable(zone, group)
 
 
 @singledispatch
@@ -37,20 +83,225 @@
 
 @handle.register
 def _(message: ClaimRequest, state: ClaimsState, now: Seconds) -> list[Effect]:
-    held = state.claims_by_id.setdefault(message.claim.id, message.claim)
-    status = ClaimStatus.GRANTED if held is message.claim else ClaimStatus.HELD
-    return [Reply(message.reply_to, ClaimReply(status, held))]
+    reply, effects = _grant(message, state, now)
+    return [*effects, Reply(message.reply_to, reply)]
+
+
+@handle.register
+def _(message: ClaimAndSubmit, state: ClaimsState, now: Seconds) -> list[Effect]:
+    """Complete the quorum with the own grant and hand the job over."""
+    own, effects = _grant(message, state, now)
+    replies = {**message.replies_by_acceptor, state.settings.id: own}
+    group = find_claim_group(
+        find_home_zone(message.claim.id, state.settings), state.settings
+    )
+    step = decide_claim(message.claim, group, replies)
+    if not isinstance(step, Decided) or step.claim.owner != state.settings.id:
+        return [*effects, Reply(message.reply_to, own)]
+    submit = SubmitJob(
+        submission=message.submission, claim=step.claim, reply_to=message.reply_to
+    )
+    return [*effects, Send(Address(state.settings.id, "jobs"), submit)]
+
+
+def _grant(
+    message: ClaimRequest | ClaimAndSubmit, state: ClaimsState, now: Seconds
+) -> tuple[ClaimReply, list[Effect]]:
+    """Hold a claim unless another one is held or may have been granted before."""
+    claim = message.claim
+    window = state.settings.timing.resubmission_window
+    table = _find_table(claim.id, state)
+    held = _find_held(claim.id, state, now)
+    if held is not None:
+        return _reply(ClaimStatus.HELD, held, state), []
+    too_late = is_too_late(claim, message.asked_at, window, now)
+    if table is None or too_late or not _knows_all(claim.id, table, state, now):
+        return _reply(ClaimStatus.INCOMPLETE, None, state), []
+    add_claim(table, claim)
+    effects: list[Effect] = []
+    if len(table.group) == 1:
+        effects.append(Persist((claim,)))
+        state.journal_records += 1
+    return _reply(ClaimStatus.GRANTED, claim, state), effects
+
+
+def _find_table(job_id: JobId, state: ClaimsState) -> ClaimTable | None:
+    return state.tables_by_zone.get(find_home_zone(job_id, state.settings))
+
+
+def _find_held(job_id: JobId, state: ClaimsState, now: Seconds) -> Claim | None:
+    table = _find_table(job_id, state)
+    held = table.claims_by_id.get(job_id) if table is not None else None
+    window = state.settings.timing.resubmission_window
+    return None if held is None or is_expired(held, window, now) else held
+
+
+def _knows_all(
+    job_id: JobId, table: ClaimTable, state: ClaimsState, now: Seconds
+) -> bool:
+    """Tell whether this acceptor never granted an id that it does not hold."""
+    settings = state.settings
+    if state.saved or job_id in table.disputed_until_by_id:
+        return False
+    if ids.is_past_window(job_id, settings, now):
+        return False
+    if ids.is_minted_later(job_id, settings, now):
+        return False
+    started_at = state.incarnation / 1000
+    return table.complete or ids.is_minted_after(job_id, settings, started_at)
+
+
+def _reply(status: ClaimStatus, claim: Claim | None, state: ClaimsState) -> ClaimReply:
+    return ClaimReply(status, claim, state.incarnation, dict(state.restarts_by_id))
 
 
 @handle.register
 def _(message: LookUpClaim, state: ClaimsState, now: Seconds) -> list[Effect]:
-    held = state.claims_by_id.get(message.id)
-    status = ClaimStatus.INCOMPLETE if held is None else ClaimStatus.HELD
-    return [Reply(message.reply_to, ClaimReply(status, held))]
+    table = _find_table(message.id, state)
+    held = _find_held(message.id, state, now)
+    if held is not None:
+        status = ClaimStatus.HELD
+    elif table is not None and _knows_all(message.id, table, state, now):
+        status = ClaimStatus.NOT_HELD
+    else:
+        status = ClaimStatus.INCOMPLETE
+    return [Reply(message.reply_to, _reply(status, held, state))]
+
+
+@handle.register
+def _(message: FetchClaims, state: ClaimsState, now: Seconds) -> list[Effect]:
+    table = state.tables_by_zone.get(message.zone)
+    if table is None or state.saved:
+        return []
+    _note_restart(message.sender, message.incarnation, state)
+    page = catch_up.answer_fetch(table, message, state.settings.id, state.incarnation)
+    return [Send(Address(message.sender, "claims"), page)]
+
+
+@handle.register
+def _(message: ClaimsPage, state: ClaimsState, now: Seconds) -> list[Effect]:
+    table = state.tables_by_zone.get(message.zone)
+    if table is None or table.complete or state.saved:
+        return []
+    _note_restart(message.sender, message.incarnation, state)
+    more = catch_up.take_page(table, message, now)
+    if more:
+        return [_ask_page(message.sender, table, state, now)]
+    if not catch_up.has_all_members(table, state.settings.id):
+        return []
+    catch_up.adopt(table, state.settings)
+    return _complete(table, "caught_up", state)
 
 
-@handle.register(Tick)
-@handle.register(WokeUp)
-@handle.register(StopRequested)
-def _(message: Any, state: ClaimsState, now: Seconds) -> list[Effect]:
+def _note_restart(member: InstanceId, incarnation: int, state: ClaimsState) -> None:
+    known = state.restarts_by_id.get(member, 0)
+    state.restarts_by_id[member] = max(known, incarnation)
+
+
+def _ask_page(
+    member: InstanceId, table: ClaimTable, state: ClaimsState, now: Seconds
+) -> Effect:
+    fetch = table.fetches_by_member[member]
+    fetch.asked_at = now
+    request = FetchClaims(table.zone, state.settings.id, state.incarnation, fetch.after)
+    return Send(Address(member, "claims"), request)
+
+
+def _complete(table: ClaimTable, reason: str, state: ClaimsState) -> list[Effect]:
+    table.complete = True
+    table.fetches_by_member.clear()
+    fields = {"zone": table.zone, "reason": reason, "claims": len(table.claims_by_id)}
+    effects: list[Effect] = [LogEvent("acceptor_complete", fields)]
+    if len(table.group) == 1:
+        effects.append(_save(state, clean=False))
+    return effects
+
+
+@handle.register
+def _(message: AcceptorRegistered, state: ClaimsState, now: Seconds) -> list[Effect]:
+    if not message.first or state.saved:
+        return []
+    effects: list[Effect] = []
+    for table in state.tables_by_zone.values():
+        if not table.complete:
+            effects += _complete(table, "first_registration", state)
+    return effects
+
+
+@handle.register
+def _(message: ClaimsRecovered, state: ClaimsState, now: Seconds) -> list[Effect]:
+    """Take over what is on disk where nothing was granted after it was written."""
+    snapshot = message.snapshot
+    if snapshot is None:
+        return []
+    effects: list[Effect] = []
+    for member, incarnation in snapshot.restarts_by_id.items():
+        _note_restart(member, incarnation, state)
+    for claim in (*snapshot.claims, *message.claims):
+        table = _find_table(claim.id, state)
+        if table is not None and (snapshot.clean or len(table.group) == 1):
+            add_claim(table, claim)
+    for zone in snapshot.complete_zones:
+        table = state.tables_by_zone.get(zone)
+        if table is not None and (snapshot.clean or len(table.group) == 1):
+            effects += _complete(table, "on_disk", state)
+    if snapshot.clean:
+        effects.append(_save(state, clean=False))
+    return effects
+
+
+def _save(state: ClaimsState, *, clean: bool) -> Effect:
+    """Replace the journal; only a clean one has claims of groups with several members.
+
+    Disputes are not saved: a zone that has any must be caught up again.
+    """
+    tables = [
+        table
+        for table in state.tables_by_zone.values()
+        if clean or len(table.group) == 1
+    ]
+    claims = tuple(claim for table in tables for claim in table.claims_by_id.values())
+    zones = tuple(
+        table.zone
+        for table in tables
+        if table.complete and not table.disputed_until_by_id
+    )
+    state.journal_records = len(claims)
+    return SaveSnapshot(SavedClaims(claims, zones, dict(state.restarts_by_id), clean))
+
+
+@handle.register
+def _(message: StopRequested, state: ClaimsState, now: Seconds) -> list[Effect]:
+    """Write the claims and grant nothing more, so that they are all on disk."""
+    if state.settings.data_folder is None or state.saved:
+        return []
+    state.saved = True
+    return [_save(state, clean=True)]
+
+
+@handle.register
+def _(message: Tick, state: ClaimsState, now: Seconds) -> list[Effect]:
+    if state.saved:
+        return []
+    effects: list[Effect] = []
+    window = state.settings.timing.resubmission_window
+    for table in state.tables_by_zone.values():
+        dropped = expire_claims(table, window, now)
+        if dropped:
+            effects.append(Count("claims_expired", {}, dropped))
+        if table.complete:
+            continue
+        if catch_up.has_outlived_window(state.incarnation, state.settings, now):
+            effects += _complete(table, "window_passed", state)
+            continue
+        for member in catch_up.select_members_to_ask(table, state.settings.id, now):
+            effects.append(_ask_page(member, table, state, now))
+    held = sum(len(table.claims_by_id) for table in state.tables_by_zone.values())
+    if state.journal_records > held + SURPLUS_RECORDS:
+        effects.append(_save(state, clean=False))
+    return effects
+
+
+@handle.register
+def _(message: WokeUp, state: ClaimsState, now: Seconds) -> list[Effect]:
     return []
--- a/boragetide/controllers/jobs.py
+++ b/boragetide/controllers/jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
 from functools import singledispatch
@@ -9,6 +11,7 @@
 
 from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
+    OTHER_CONTENT,
     CancelJob,
     CancelQueued,
     JobAnswer,
@@ -51,26 +54,49 @@
 
     Parameters
     ----------
+    submission
+        Dropped when the job ends.
+    digest
+        Tells a resubmission from another job under the same id.
+    deadline
+        When the claim becomes too old for further starts, in Unix time.
+    keep_until
+        When the record may be dropped, in Unix time.
     outcomes_by_index
         Outcomes that have arrived, by position of the task.
     """
 
-    submission: Submission
+    submission: Submission | None
+    digest: str
     submitted_at: Seconds
+    deadline: Seconds
+    keep_until: Seconds
     phase: JobPhase = JobPhase.RUNNING
     waiting: list[ReplyTo] = field(default_factory=list)
     outcomes_by_index: dict[int, TaskOutcome] = field(default_factory=dict)
     answer: Answer | None = None
-    ended_at: Seconds | None = None
 
 
 @dataclass(slots=True)
 class JobsState:
-    """The job table of one incarnation of this instance."""
+    """The job table of one incarnation of this instance.
+
+    Parameters
+    ----------
+    records
+        Heap of the times at which to look at a record again, with its id.
+    answers
+        Ids of ended jobs with the time until which the answer is kept, in that order.
+    kept_results
+        Number of results in the kept answers.
+    """
 
     settings: Settings
     incarnation: int
     jobs_by_id: dict[JobId, Job] = field(default_factory=dict)
+    records: list[tuple[Seconds, JobId]] = field(default_factory=list)
+    answers: deque[tuple[Seconds, JobId]] = field(default_factory=deque)
+    kept_results: int = 0
     stopping: bool = False
 
 
@@ -82,20 +108,32 @@
 
 @handle.register
 def _(message: SubmitJob, state: JobsState, now: Seconds) -> list[Effect]:
-    submission = message.submission
     if not _is_owner(message, state, now):
         return [_answer_unknown(message, "the owner of this job has restarted")]
-    job = state.jobs_by_id.get(submission.id)
+    job = state.jobs_by_id.get(message.submission.id)
     if job is None:
-        job = Job(submission, now)
-        state.jobs_by_id[submission.id] = job
-    elif job.phase is JobPhase.ENDED:
+        return _run(message, state, now)
+    job.keep_until = now + _retention(state)
+    if job.phase is JobPhase.REFUSED:
+        return _run(message, state, now)
+    if job.digest != message.submission.digest:
+        return [_refuse_other_content(message)]
+    if job.phase is JobPhase.ENDED:
         return [_answer_again(message, job)]
-    elif job.phase is JobPhase.RUNNING:
+    if message.reply_to not in job.waiting:
         job.waiting.append(message.reply_to)
-        return []
-    job.phase = JobPhase.RUNNING
+    return []
+
+
+def _run(message: SubmitJob, state: JobsState, now: Seconds) -> list[Effect]:
+    submission = message.submission
+    window = state.settings.timing.resubmission_window
+    deadline = message.claim.claimed_at + window
+    keep_until = now + _retention(state)
+    job = Job(submission, submission.digest, now, deadline, keep_until)
     job.waiting.append(message.reply_to)
+    state.jobs_by_id[submission.id] = job
+    heapq.heappush(state.records, (deadline, submission.id))
     queue = QueueTasks(
         job_id=submission.id,
         class_name=submission.class_name,
@@ -106,6 +144,14 @@
     return [Send(Address(state.settings.id, "backend_servers"), queue)]
 
 
+def _retention(state: JobsState) -> Seconds:
+    """Return how long a record is kept after the last submission of its id.
+
+    A claim made just before the end of the window is good for another window.
+    """
+    return 2 * state.settings.timing.resubmission_window
+
+
 def _is_owner(message: SubmitJob, state: JobsState, now: Seconds) -> bool:
     claim = message.claim
     return (
@@ -120,6 +166,13 @@
     return Reply(message.reply_to, JobAnswer(answer))
 
 
+def _refuse_other_content(message: SubmitJob) -> Effect:
+    """Refuse payloads that this id did not run and, while it is held, will not run."""
+    error = "id: another job with other payloads has this id; these did not run"
+    answer = Answer(message.submission.id, Status.NOT_RUN, error=error)
+    return Reply(message.reply_to, JobAnswer(answer, OTHER_CONTENT))
+
+
 def _answer_again(message: SubmitJob, job: Job) -> Effect:
     if job.answer is None:
         return _answer_unknown(message, "the answer is no longer kept")
@@ -137,6 +190,7 @@
     if job is None or job.phase is not JobPhase.RUNNING:
         return []
     job.phase = JobPhase.REFUSED
+    job.submission = None
     answer = Answer(message.job_id, Status.NOT_RUN, error=message.reason)
     waiting, job.waiting = job.waiting, []
     return [
@@ -150,16 +204,21 @@
     job = state.jobs_by_id.get(message.job_id)
     if job is None or job.phase is not JobPhase.RUNNING:
         return [Count("late_outcomes", {})]
-    job.outcomes_by_index.setdefault(message.index, message.outcome)
+    if message.index in job.outcomes_by_index:
+        return [Count("duplicate_outcomes", {})]
+    if not 0 <= message.index < len(job.submission.tasks):
+        return [Count("late_outcomes", {})]
+    job.outcomes_by_index[message.index] = message.outcome
     if message.outcome.status is not TaskStatus.DONE:
-        return [*_drop_rest(job, state), *_end(job, _failed_answer(job), now)]
+        return [*_drop_rest(job, state), *_end(job, _failed_answer(job), state, now)]
     if len(job.outcomes_by_index) < len(job.submission.tasks):
         return []
     results = tuple(
         job.outcomes_by_index[index].result
         for index in range(len(job.submission.tasks))
     )
-    return _end(job, Answer(job.submission.id, Status.COMPLETE, results), now)
+    answer = Answer(job.submission.id, Status.COMPLETE, results)
+    return _end(job, answer, state, now)
 
 
 def _failed_answer(job: Job) -> Answer:
@@ -177,24 +236,46 @@
     return [Send(Address(state.settings.id, "backend_servers"), message)]
 
 
-def _end(job: Job, answer: Answer, now: Seconds) -> list[Effect]:
+def _end(job: Job, answer: Answer, state: JobsState, now: Seconds) -> list[Effect]:
+    submission, job.submission = job.submission, None
+    waiting, job.waiting = job.waiting, []
     job.phase = JobPhase.ENDED
+    job.outcomes_by_index = {}
     job.answer = answer
-    job.ended_at = now
-    waiting, job.waiting = job.waiting, []
+    state.kept_results += len(answer.results)
+    kept_until = now + state.settings.timing.answer_retention
+    state.answers.append((kept_until, answer.id))
     fields = {
         "job": answer.id,
         "status": answer.status,
-        "tasks": len(job.submission.tasks),
+        "tasks": len(submission.tasks),
         "seconds": now - job.submitted_at,
     }
     return [
         LogEvent("job_ended", fields),
-        Count("jobs", {"class": job.submission.class_name, "status": answer.status}),
+        Count("jobs", {"class": submission.class_name, "status": answer.status}),
         *(Reply(to, JobAnswer(answer)) for to in waiting),
+        *_drop_answers(state, now),
     ]
 
 
+def _drop_answers(state: JobsState, now: Seconds) -> list[Effect]:
+    """Drop answers that were kept long enough, and the oldest ones beyond the limit."""
+    limit = state.settings.limits.kept_results
+    early = 0
+    while state.answers:
+        kept_until, job_id = state.answers[0]
+        if now < kept_until and state.kept_results <= limit:
+            break
+        state.answers.popleft()
+        job = state.jobs_by_id.get(job_id)
+        if job is not None and job.answer is not None:
+            state.kept_results -= len(job.answer.results)
+            job.answer = None
+            early += now < kept_until
+    return [Count("answers_dropped_early", {}, early)] if early else []
+
+
 @handle.register
 def _(message: LookUpJob, state: JobsState, now: Seconds) -> list[Effect]:
     return [Reply(message.reply_to, _describe(message.id, state))]
@@ -213,7 +294,7 @@
     effects: list[Effect] = []
     if job is not None and job.phase is JobPhase.RUNNING:
         answer = Answer(message.id, Status.FAILED, error="cancelled")
-        effects = [*_drop_rest(job, state), *_end(job, answer, now)]
+        effects = [*_drop_rest(job, state), *_end(job, answer, state, now)]
     return [*effects, Reply(message.reply_to, _describe(message.id, state))]
 
 
@@ -226,23 +307,44 @@
 @handle.register
 def _(message: WokeUp, state: JobsState, now: Seconds) -> list[Effect]:
     """Fence this instance: peers gave up on its jobs while it did not run."""
+    error = "the owner did not run for a while"
+    return _give_up(list(state.jobs_by_id.values()), error, state, now)
+
+
+def _give_up(
+    jobs: list[Job], error: str, state: JobsState, now: Seconds
+) -> list[Effect]:
+    """End running jobs with an unknown outcome; no further task of them starts."""
     effects: list[Effect] = []
-    for job in state.jobs_by_id.values():
+    for job in jobs:
         if job.phase is JobPhase.RUNNING:
-            error = "the owner did not run for a while"
             answer = Answer(job.submission.id, Status.UNKNOWN, error=error)
-            effects += [*_drop_rest(job, state), *_end(job, answer, now)]
+            effects += [*_drop_rest(job, state), *_end(job, answer, state, now)]
     return effects
 
 
 @handle.register
 def _(message: Tick, state: JobsState, now: Seconds) -> list[Effect]:
-    timing = state.settings.timing
-    for job_id, job in list(state.jobs_by_id.items()):
-        if job.ended_at is None:
+    return [*_drop_answers(state, now), *_drop_records(state, now)]
+
+
+def _drop_records(state: JobsState, now: Seconds) -> list[Effect]:
+    """End the jobs, and later drop the records, that have outlived their claims.
+
+    Acceptors drop a claim after its deadline, and another instance may then own the id.
+    """
+    effects: list[Effect] = []
+    while state.records and now >= state.records[0][0]:
+        _, job_id = heapq.heappop(state.records)
+        job = state.jobs_by_id.get(job_id)
+        if job is None:
             continue
-        if now - job.ended_at > timing.answer_retention:
-            job.answer = None
-        if now - job.submitted_at > 2 * timing.resubmission_window:
+        if now >= job.deadline:
+            effects += _give_up([job], "the job outlived its claim", state, now)
+        if now >= job.keep_until:
             del state.jobs_by_id[job_id]
-    return []
+            continue
+        running = job.phase is JobPhase.RUNNING
+        again = job.deadline if running else job.keep_until
+        heapq.heappush(state.records, (again, job_id))
+    return effects
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -26,6 +26,7 @@
 from boragetide.errors import SettingsError
 from boragetide.links.backend_client import make_client
 from boragetide.links.peers import PeerLink, run_link, run_listener
+from boragetide.messages import AcceptorRegistered
 from boragetide.settings import Settings, load_settings
 
 EXIT_SETTINGS = 2
@@ -67,6 +68,8 @@
         asyncio.create_task(run_ticks(runtime)),
     ]
     await listening.wait()
+    # Stand-in until the configuration registers acceptors.
+    runtime.send(runtime.local("claims"), AcceptorRegistered(first=True))
     server = HTTPServer(
         make_application(runtime), max_body_size=settings.limits.body_bytes
     )
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -93,3 +93,9 @@
 @perform.register
 def _(effect: effects.Count, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count(effect.metric, effect.labels, effect.value)
+
+
+@perform.register(effects.Persist)
+@perform.register(effects.SaveSnapshot)
+def _(effect: effects.Effect, performer: Performer, controller: str) -> None:
+    """Stand-in until the journal exists."""
--- a/boragetide/filters/admit.py
+++ b/boragetide/filters/admit.py
@@ -12,7 +12,8 @@
     """Refuse unknown classes, and everything while this instance stops."""
     runtime = exchange.runtime
     if runtime.stopping:
-        raise RequestError(Status.NOT_RUN, 503, "this instance is stopping")
+        # An earlier submission of the same id may have run.
+        raise RequestError(Status.UNKNOWN, 503, "this instance is stopping")
     changed = await runtime.ask(
         runtime.local("configuration"),
         FetchConfiguration(),
--- a/boragetide/filters/chain.py
+++ b/boragetide/filters/chain.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import reduce
 from typing import TypeAlias
 
 from boragetide.api.models import SubmissionBody
 from boragetide.daemon.runtime import Runtime
-from boragetide.messages import PlacerChosen
-from boragetide.types import Answer, Claim, Seconds, Submission
+from boragetide.messages import ClaimReply, PlacerChosen
+from boragetide.types import Answer, Claim, InstanceId, Seconds, Submission
 
 
 @dataclass(slots=True)
@@ -27,6 +27,13 @@
         Request body as received.
     received_at
         Unix time in seconds.
+    claim
+        The claim that names the owner.
+    replies_by_acceptor
+        Grants that the owner completes with its own; ``None`` once a quorum holds the
+        claim.
+    live
+        Incarnations of the instances that count as live, by id.
     http_status
         Status code of the response, set with the answer.
     """
@@ -38,6 +45,8 @@
     submission: Submission | None = None
     placer: PlacerChosen | None = None
     claim: Claim | None = None
+    replies_by_acceptor: dict[InstanceId, ClaimReply] | None = None
+    live: dict[InstanceId, int] = field(default_factory=dict)
     http_status: int = 200
 
 
--- a/boragetide/filters/claim.py
+++ b/boragetide/filters/claim.py
@@ -2,44 +2,129 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+from functools import singledispatch
+
 from boragetide.daemon.clock import read_clock
+from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError, RequestError
 from boragetide.filters.chain import Exchange, Next
-from boragetide.messages import ClaimReply, ClaimRequest
-from boragetide.policy.claiming import AskAcceptor, Undecided, decide_claim
+from boragetide.filters.dispatch import ClaimNotGranted
+from boragetide.messages import ClaimReply, ClaimRequest, ListInstances
+from boragetide.policy.claiming import (
+    AskAcceptor,
+    AskOwner,
+    Decided,
+    Step,
+    Undecided,
+    decide_claim,
+)
+from boragetide.policy.ids import is_minted_later
 from boragetide.policy.routing import find_claim_group, find_home_zone
-from boragetide.types import Address, Answer, Claim, InstanceId, Status
+from boragetide.types import Address, Answer, Claim, InstanceId, Seconds, Status
+
+# An instance that counts as lost is asked last. If it lives after all, it answers
+# within a few round trips of 1 ms.
+LOST_TIMEOUT: Seconds = 0.2
+
+
+@dataclass(slots=True)
+class _Attempt:
+    exchange: Exchange
+    call_next: Next
+    group: tuple[InstanceId, ...]
+    replies_by_acceptor: dict[InstanceId, ClaimReply | None] = field(
+        default_factory=dict
+    )
 
 
 async def claim(exchange: Exchange, call_next: Next) -> Answer:
     """Ask the claim group of the job's home zone until a quorum agrees."""
     runtime = exchange.runtime
+    settings = runtime.settings
     job_id = exchange.submission.id
-    group = find_claim_group(find_home_zone(job_id, runtime.settings), runtime.settings)
+    now = read_clock()
+    if is_minted_later(job_id, settings, now):
+        message = f"id: {job_id!r} was minted in the future"
+        raise RequestError(Status.NOT_RUN, 400, message)
     proposed = Claim(
-        id=job_id,
-        owner=exchange.placer.placer,
-        owner_incarnation=exchange.placer.incarnation,
-        claimed_at=read_clock(),
+        job_id, exchange.placer.placer, exchange.placer.incarnation, claimed_at=now
     )
-    replies_by_acceptor: dict[InstanceId, ClaimReply | None] = {}
-    step = decide_claim(proposed, group, replies_by_acceptor)
-    while isinstance(step, AskAcceptor):
-        replies_by_acceptor[step.acceptor] = await _ask(exchange, step)
-        step = decide_claim(proposed, group, replies_by_acceptor)
-    if isinstance(step, Undecided):
-        raise RequestError(Status.UNKNOWN, 503, f"claim not settled: {step.reason}")
-    exchange.claim = step.claim
-    return await call_next(exchange)
+    group = find_claim_group(find_home_zone(job_id, settings), settings)
+    exchange.live = await list_live(runtime)
+    attempt = _Attempt(exchange, call_next, group)
+    dead = frozenset(group) - exchange.live.keys()
+    while True:
+        replies = attempt.replies_by_acceptor
+        step = decide_claim(proposed, group, replies, settings.id, dead)
+        result = await _follow(step, attempt)
+        if result is not None:
+            return result
 
 
-async def _ask(exchange: Exchange, step: AskAcceptor) -> ClaimReply | None:
-    runtime = exchange.runtime
+async def list_live(runtime: Runtime) -> dict[InstanceId, int]:
+    """Return the incarnations of the instances that count as live, by id."""
+    listed = await runtime.ask(
+        runtime.local("instances"),
+        ListInstances(),
+        runtime.settings.timing.request_timeout,
+    )
+    return {record["id"]: record["incarnation"] for record in listed.instances}
+
+
+def choose_timeout(
+    runtime: Runtime, live: dict[InstanceId, int], to: InstanceId
+) -> Seconds:
+    """Return how long to wait for a short answer of an instance, in seconds."""
+    timeout = runtime.settings.timing.request_timeout
+    return timeout if to in live else min(timeout, LOST_TIMEOUT)
+
+
+@singledispatch
+async def _follow(step: Step, attempt: _Attempt) -> Answer | None:
+    """Take one step; ``None`` if another one is needed."""
+    raise TypeError(f"no way to take {step!r}")
+
+
+@_follow.register
+async def _(step: AskAcceptor, attempt: _Attempt) -> None:
+    exchange = attempt.exchange
     try:
-        return await runtime.ask(
+        reply = await exchange.runtime.ask(
             Address(step.acceptor, "claims"),
-            ClaimRequest(step.claim),
-            runtime.settings.timing.request_timeout,
+            ClaimRequest(claim=step.claim, asked_at=exchange.received_at),
+            choose_timeout(exchange.runtime, exchange.live, step.acceptor),
         )
     except LinkError:
+        reply = None
+    attempt.replies_by_acceptor[step.acceptor] = reply
+
+
+@_follow.register
+async def _(step: AskOwner, attempt: _Attempt) -> Answer | None:
+    exchange = attempt.exchange
+    exchange.claim = step.claim
+    exchange.replies_by_acceptor = {
+        acceptor: reply
+        for acceptor, reply in attempt.replies_by_acceptor.items()
+        if reply is not None
+    }
+    try:
+        return await attempt.call_next(exchange)
+    except ClaimNotGranted as error:
+        attempt.replies_by_acceptor[step.claim.owner] = error.reply
         return None
+
+
+@_follow.register
+async def _(step: Decided, attempt: _Attempt) -> Answer:
+    exchange = attempt.exchange
+    exchange.claim = step.claim
+    exchange.replies_by_acceptor = None
+    exchange.runtime.metrics.count("claims_decided", {"asked": str(step.asked)})
+    return await attempt.call_next(exchange)
+
+
+@_follow.register
+async def _(step: Undecided, attempt: _Attempt) -> Answer:
+    raise RequestError(Status.UNKNOWN, 503, f"claim not settled: {step.reason}")
--- a/boragetide/filters/dispatch.py
+++ b/boragetide/filters/dispatch.py
@@ -2,27 +2,81 @@
 
 from __future__ import annotations
 
-from boragetide.errors import LinkError, RequestError
+from boragetide.errors import BoragetideError, LinkError, PeerUnreachable, RequestError
 from boragetide.filters.chain import Exchange, Next
-from boragetide.messages import JobAnswer, SubmitJob
+from boragetide.messages import (
+    OTHER_CONTENT,
+    ClaimAndSubmit,
+    ClaimReply,
+    Request,
+    SubmitJob,
+)
 from boragetide.types import Address, Answer, Seconds, Status, Submission
 
 QUEUEING_MARGIN: Seconds = 60.0
 
 
+class ClaimNotGranted(BoragetideError):
+    """The owner did not complete the quorum; the job was not handed over."""
+
+    def __init__(self, reply: ClaimReply | None):
+        super().__init__("the owner's grant does not complete the quorum")
+        self.reply = reply
+
+
 async def dispatch(exchange: Exchange, call_next: Next) -> Answer:
-    """Submit the job to the owner that its claim names."""
-    runtime = exchange.runtime
-    owner = Address(exchange.claim.owner, "jobs")
-    message = SubmitJob(submission=exchange.submission, claim=exchange.claim)
+    """Submit the job to the owner that its claim names.
+
+    Raises
+    ------
+    ClaimNotGranted
+        If the owner was to complete the quorum and did not.
+    RequestError
+        With ``UNKNOWN`` where no answer came.
+    """
+    claim = exchange.claim
+    if exchange.live.get(claim.owner, 0) > claim.owner_incarnation:
+        message = f"the owner {claim.owner!r} of this job has restarted"
+        raise RequestError(Status.UNKNOWN, 504, message)
     try:
-        reply: JobAnswer = await runtime.ask(
-            owner, message, _longest_wait(exchange.submission)
+        reply = await exchange.runtime.ask(
+            *_address(exchange), _choose_timeout(exchange)
         )
+    except PeerUnreachable as error:
+        if exchange.replies_by_acceptor is not None:
+            raise ClaimNotGranted(None) from error
+        raise RequestError(Status.UNKNOWN, 504, str(error)) from error
     except LinkError as error:
         raise RequestError(Status.UNKNOWN, 504, str(error)) from error
+    if isinstance(reply, ClaimReply):
+        raise ClaimNotGranted(reply)
+    if reply.refused_for == OTHER_CONTENT:
+        raise RequestError(reply.answer.status, 409, reply.answer.error)
     return reply.answer
 
 
+def _address(exchange: Exchange) -> tuple[Address, Request]:
+    claim, submission = exchange.claim, exchange.submission
+    replies = exchange.replies_by_acceptor
+    if replies is None:
+        return Address(claim.owner, "jobs"), SubmitJob(
+            submission=submission, claim=claim
+        )
+    message = ClaimAndSubmit(
+        submission=submission,
+        claim=claim,
+        asked_at=exchange.received_at,
+        replies_by_acceptor=replies,
+    )
+    return Address(claim.owner, "claims"), message
+
+
+def _choose_timeout(exchange: Exchange) -> Seconds:
+    """Wait for the whole job only at an owner that can still run it."""
+    if exchange.live.get(exchange.claim.owner) != exchange.claim.owner_incarnation:
+        return exchange.runtime.settings.timing.request_timeout
+    return _longest_wait(exchange.submission)
+
+
 def _longest_wait(submission: Submission) -> Seconds:
     return QUEUEING_MARGIN + max(task.timeout for task in submission.tasks)
--- a/boragetide/messages.py
+++ b/boragetide/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
 
@@ -28,6 +28,8 @@
     ZoneId,
 )
 
+OTHER_CONTENT = "other_content"
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Request:
@@ -66,7 +68,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobAnswer:
-    """Final answer of a job; ``refused_for`` names why it was not admitted."""
+    """Final answer of a job; ``refused_for`` names why it was not admitted.
+
+    It is `OTHER_CONTENT` where the id belongs to a job with other payloads.
+    """
 
     answer: Answer
     refused_for: str | None = None
@@ -128,13 +133,18 @@
     GRANTED = "granted"
     HELD = "held"
     INCOMPLETE = "incomplete"
+    NOT_HELD = "not_held"
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimRequest(Request):
-    """Asks an acceptor to hold a claim; answered with `ClaimReply`."""
+    """Asks an acceptor to hold a claim; answered with `ClaimReply`.
+
+    ``asked_at`` is when the submission came in, by the clock of its entry instance.
+    """
 
     claim: Claim
+    asked_at: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,10 +156,106 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimReply:
-    """An acceptor's answer; ``claim`` is what it holds, if anything."""
+    """An acceptor's answer.
+
+    Parameters
+    ----------
+    claim
+        What the acceptor holds, if anything.
+    incarnation
+        Of the acceptor.
+    restarts_by_id
+        Newest incarnation of each other acceptor that has caught up from this one. A
+        grant of an older incarnation is forgotten and must not be counted with this.
+    """
 
     status: ClaimStatus
     claim: Claim | None = None
+    incarnation: int = 0
+    restarts_by_id: dict[InstanceId, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAndSubmit(Request):
+    """Asks the owner to complete the quorum with its own grant and to run the job.
+
+    Answered with `JobAnswer`, or with `ClaimReply` where the claim is not decided.
+    """
+
+    submission: Submission
+    claim: Claim
+    asked_at: Seconds
+    replies_by_acceptor: dict[InstanceId, ClaimReply]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchClaims:
+    """A restarted acceptor asks another one for its claims of a zone, by page.
+
+    Parameters
+    ----------
+    after
+        Last claim of the previous page; ``None`` asks for the first page.
+    """
+
+    zone: ZoneId
+    sender: InstanceId
+    incarnation: int
+    after: Claim | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimsPage:
+    """A page of claims; ``complete`` says whether the sender has them all.
+
+    Parameters
+    ----------
+    after
+        Copied from the request.
+    last
+        Whether no page follows.
+    """
+
+    zone: ZoneId
+    sender: InstanceId
+    incarnation: int
+    after: Claim | None
+    claims: tuple[Claim, ...]
+    complete: bool
+    last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptorRegistered:
+    """The configuration knows this acceptor; ``first`` if it never did before."""
+
+    first: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SavedClaims:
+    """Snapshot of an acceptor on its disk.
+
+    Parameters
+    ----------
+    complete_zones
+        Zones for which the acceptor was complete.
+    clean
+        Whether the acceptor granted nothing after this snapshot.
+    """
+
+    claims: tuple[Claim, ...]
+    complete_zones: tuple[ZoneId, ...]
+    restarts_by_id: dict[InstanceId, int]
+    clean: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimsRecovered:
+    """What the acceptor's journal held when this process started, oldest first."""
+
+    snapshot: SavedClaims | None
+    claims: tuple[Claim, ...]
 
 
 # Controller ``backend_servers``.
--- /dev/null
+++ b/boragetide/policy/ids.py
@@ -0,0 +1,68 @@
+"""Pure functions of job ids that the system mints."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from boragetide.policy.routing import ZONE_SEPARATOR
+from boragetide.settings import Settings
+from boragetide.types import MAX_CLOCK_SKEW, InstanceId, JobId, Seconds, ZoneId
+
+_MINTED = re.compile(r"([^:]+):([^:]+):(\d{1,15}):(\d{1,20})")
+
+
+@dataclass(frozen=True, slots=True)
+class MintedId:
+    """What a minted id says; ``minted_at`` is Unix time by the minter's clock."""
+
+    zone: ZoneId
+    instance: InstanceId
+    minted_at: Seconds
+
+
+def mint_id(settings: Settings, now: Seconds, counter: int) -> JobId:
+    """Return a new job id whose home zone is the zone of this instance.
+
+    Parameters
+    ----------
+    now
+        Unix time in seconds.
+    counter
+        Different for each id that this process mints.
+    """
+    parts = (settings.zone, settings.id, str(int(now * 1000)), str(counter))
+    return ZONE_SEPARATOR.join(parts)
+
+
+def parse_minted(job_id: JobId, settings: Settings) -> MintedId | None:
+    """Return what a minted id says, or ``None`` for an id of a caller's own."""
+    match = _MINTED.fullmatch(job_id)
+    if match is None or match[2] not in settings.peers_by_id:
+        return None
+    if settings.peers_by_id[match[2]].zone != match[1]:
+        return None
+    return MintedId(match[1], match[2], int(match[3]) / 1000)
+
+
+def is_minted_later(job_id: JobId, settings: Settings, now: Seconds) -> bool:
+    """Tell whether a minted id claims a time that no clock can show yet."""
+    minted = parse_minted(job_id, settings)
+    return minted is not None and minted.minted_at > now + MAX_CLOCK_SKEW
+
+
+def is_minted_after(job_id: JobId, settings: Settings, moment: Seconds) -> bool:
+    """Tell whether an id was certainly minted after a moment of this clock."""
+    minted = parse_minted(job_id, settings)
+    return minted is not None and minted.minted_at > moment + MAX_CLOCK_SKEW
+
+
+def is_past_window(job_id: JobId, settings: Settings, now: Seconds) -> bool:
+    """Tell whether a minted id is older than the resubmission window.
+
+    An acceptor keeps a claim longer than the window and `MAX_CLOCK_SKEW`, so that it
+    never drops the claim of a minted id before this function is true for the id.
+    """
+    minted = parse_minted(job_id, settings)
+    window = settings.timing.resubmission_window
+    return minted is not None and now >= minted.minted_at + window
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -55,11 +55,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what one request or one instance takes."""
+    """Bounds on what one request or one instance takes.
+
+    Parameters
+    ----------
+    kept_results
+        Number of results in the answers that an instance keeps for resubmissions.
+    """
 
     tasks_per_job: int = 1200
     body_bytes: int = 8 * 1024 * 1024
     queued_tasks: int = 50_000
+    kept_results: int = 500_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +157,7 @@
     tasks_per_job: Annotated[int, Field(gt=0)] | None = None
     body_bytes: Annotated[int, Field(gt=0)] | None = None
     queued_tasks: Annotated[int, Field(gt=0)] | None = None
+    kept_results: Annotated[int, Field(gt=0)] | None = None
 
 
 _MODELS_BY_SECTION = {
--- a/boragetide/types.py
+++ b/boragetide/types.py
@@ -16,6 +16,7 @@
 
 CONTROLLERS = ("instances", "configuration", "claims", "backend_servers", "jobs")
 DEFAULT_CLASS: ClassName = "default"
+MAX_CLOCK_SKEW: Seconds = 5.0  # between any two instances
 
 
 class Status(StrEnum):
@@ -62,13 +63,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """A job, or a single request, as a caller submitted it."""
+    """A job, or a single request, as a caller submitted it.
+
+    Parameters
+    ----------
+    digest
+        Digest of the payloads, which tells a resubmission from another job.
+    """
 
     id: JobId
     class_name: ClassName
     tasks: tuple[Task, ...]
     idempotent: bool = False
     team: str = ""
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
