--- a/boragetide/api/jobs.py
+++ b/boragetide/api/jobs.py
@@ -6,17 +6,13 @@
 import secrets
 from typing import Any
 
-from pydantic import ValidationError
-
 from boragetide.api.base import Handler
-from boragetide.api.models import JobIdsBody
+from boragetide.api.models import JobIdsBody, parse_body
 from boragetide.api.submissions import describe_answer
 from boragetide.daemon.clock import read_clock
-from boragetide.errors import LinkError
 from boragetide.filters.lookup import ask_owner
 from boragetide.messages import CancelJob, JobState, LookUpJob
 from boragetide.policy.ids import mint_id
-from boragetide.types import Status
 
 # Starts at a random number so that a restart within a millisecond repeats no id.
 _COUNTER = itertools.count(secrets.randbelow(1 << 32))
@@ -34,11 +30,7 @@
         await self._ask(CancelJob(id=job_id))
 
     async def _ask(self, message: LookUpJob | CancelJob) -> None:
-        try:
-            state = await ask_owner(self.runtime, message.id, message)
-        except LinkError as error:
-            self.respond(503, {"id": message.id, "error": str(error)})
-            return
+        state = await ask_owner(self.runtime, message.id, message)
         if state is None:
             window = self.runtime.settings.timing.resubmission_window
             error = f"no job has had this id within the last {window:g} s"
@@ -60,14 +52,12 @@
 
     def post(self) -> None:
         """Return as many new ids as asked for."""
-        try:
-            body = JobIdsBody.model_validate_json(self.request.body or b"{}")
-        except ValidationError as error:
-            fault = error.errors(include_url=False)[0]
-            name = ".".join(str(part) for part in fault["loc"]) or "body"
-            message = f"{name}: {fault['msg']}"
-            self.respond(400, {"status": Status.NOT_RUN, "error": message})
+        parsed = parse_body(JobIdsBody, self.request.body or b"{}")
+        if parsed.is_error():
+            self.refuse(parsed.error.http_status, parsed.error.message)
             return
         settings, now = self.runtime.settings, read_clock()
-        minted = [mint_id(settings, now, next(_COUNTER)) for _ in range(body.count)]
+        minted = [
+            mint_id(settings, now, next(_COUNTER)) for _ in range(parsed.ok.count)
+        ]
         self.respond(200, {"ids": minted})
--- a/boragetide/filters/chain.py
+++ b/boragetide/filters/chain.py
@@ -36,6 +36,9 @@
         Incarnations of the instances that count as live, by id.
     http_status
         Status code of the response, set with the answer.
+    class_label
+        Class in metrics; empty until the class is known to exist, so that callers
+        cannot make up labels.
     """
 
     runtime: Runtime
@@ -48,6 +51,7 @@
     replies_by_acceptor: dict[InstanceId, ClaimReply] | None = None
     live: dict[InstanceId, int] = field(default_factory=dict)
     http_status: int = 200
+    class_label: str = ""
 
 
 Next: TypeAlias = Callable[[Exchange], Awaitable[Answer]]
