--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -11,13 +11,10 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from boragetide.json_values import find_value_fault
+from boragetide.json_values import find_fault, needs_walk
+from boragetide.settings_file import MAX_TASKS
 from boragetide.types import BackendServer, Submission, Task
 
-# Validation stops there, so that a body full of tasks does not hold up the event loop
-# until the limit of the settings is checked.
-MAX_TASKS = 10_000
-
 MAX_CORES = 4096
 MAX_BYTES = 1 << 50
 
@@ -107,8 +104,8 @@
         body = kind.model_validate_json(text)
     except ValidationError as error:
         return Error(_describe_fault(error))
-    for name, payload in list_payloads(body):
-        fault = find_value_fault(text, payload)
+    for name, payload in list_payloads(body) if needs_walk(text) else ():
+        fault = find_fault(payload)
         if fault is not None:
             return Error(BodyFault(400, f"{name}: {fault}"))
     return Ok(body)
