--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -5,12 +5,15 @@
 import argparse
 import asyncio
 import signal
+import socket
 import sys
 from collections.abc import Awaitable
 from functools import partial
 from pathlib import Path
 from typing import Any
 
+from tornado.netutil import bind_sockets
+
 from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
@@ -31,6 +34,7 @@
 from boragetide.errors import SettingsError
 from boragetide.links.backend_client import make_client
 from boragetide.links.peers import PeerLink, run_link, run_listener
+from boragetide.messages import AcceptorRegistered
 from boragetide.settings import Settings, load_settings
 
 EXIT_SETTINGS = 2
@@ -61,6 +65,8 @@
     signals = StopSignals()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, signals.note)
+    host, port = settings.own.http_address.split(":")
+    sockets = bind_sockets(int(port), host)
     runtime = Runtime(settings, _make_links(settings))
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
@@ -69,7 +75,7 @@
         *_start_controllers(runtime),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
     ]
-    serving = asyncio.create_task(_serve(runtime, listening, signals))
+    serving = asyncio.create_task(_serve(runtime, sockets, listening, signals))
     await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
     code = _report_failures([*required, serving])
     await _end_tasks({serving, *links, *required})
@@ -91,13 +97,17 @@
 
 
 async def _serve(
-    runtime: Runtime, listening: asyncio.Event, signals: StopSignals
+    runtime: Runtime,
+    sockets: list[socket.socket],
+    listening: asyncio.Event,
+    signals: StopSignals,
 ) -> None:
     settings = runtime.settings
     await listening.wait()
+    # Stand-in until the configuration registers acceptors.
+    runtime.send(runtime.local("claims"), AcceptorRegistered(first=True))
     server = make_server(runtime)
-    host, port = settings.own.http_address.split(":")
-    server.listen(int(port), host)
+    server.add_sockets(sockets)
     log_event(
         "started",
         zone=settings.zone,
