Send Retry-After with every 503

Only refusals because of overload told a caller how long to wait. A stopping instance and a claim that cannot be settled now also answer 503, and callers came back at once. The header is now set where every body is written. The tests of test_api.py pass.

--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -27,13 +27,13 @@
     def respond(self, status: int, body: Any) -> None:
         """Write a JSON body."""
         self.set_status(status)
+        if status == 503:
+            self.set_header("Retry-After", RETRY_AFTER)
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(body))
 
     def refuse(self, status: int, message: str) -> None:
         """Answer that nothing ran, with the reason."""
-        if status == 503:
-            self.set_header("Retry-After", RETRY_AFTER)
         self.respond(status, {"status": Status.NOT_RUN, "error": message})
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
--- a/boragetide/api/submissions.py
+++ b/boragetide/api/submissions.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from boragetide.api.base import RETRY_AFTER, Handler
+from boragetide.api.base import Handler
 from boragetide.api.models import SubmissionBody
 from boragetide.daemon.clock import read_clock
 from boragetide.daemon.runtime import Runtime
@@ -42,6 +42,4 @@
         """Run a submission and answer it whole."""
         exchange = Exchange(self.runtime, self.kind, self.request.body, read_clock())
         result = await SUBMISSION_CHAIN(exchange)
-        if exchange.http_status == 503 and result.status is Status.NOT_RUN:
-            self.set_header("Retry-After", RETRY_AFTER)
         self.respond(exchange.http_status, describe_answer(result))
