--- a/boragetide/cli/views.py
+++ b/boragetide/cli/views.py
@@ -136,12 +136,13 @@
                 each["availability_zone"],
                 each["rack"],
                 f"{each['running']}/{each['slots']}",
+                f"{each['speed']:.2f}",
                 _format_state(each),
                 each["address"],
             )
             for each in listed["backend_servers"]
         ]
-        headers = ("ID", "ZONE", "RACK", "BUSY", "STATE", "ADDRESS")
+        headers = ("ID", "ZONE", "RACK", "BUSY", "SPEED", "STATE", "ADDRESS")
         text = format_table(headers, rows)
         silent = listed.get("silent_placers", [])
         silent += listed.get("zones_without_placer", [])
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -14,11 +14,15 @@
 
 _DESCRIPTIONS_BY_NAME = {
     "dispatches": "Batches of tasks sent, by backend server.",
+    "ejections": "Ejections of backend servers.",
     "jobs": "Ended jobs by class and status.",
     "late_outcomes": "Task outcomes that came after the end of their job.",
     "late_replies": "Replies that nothing waited for any more, by message.",
     "peer_messages_received": "Messages from other instances, by message.",
     "peer_messages_sent": "Messages to other instances, by message.",
+    "refusals": "Jobs that the pool refused, by class and reason.",
+    "retries": "Tasks that were sent again, by class and outcome.",
+    "tasks": "Ended tasks by class and outcome.",
     "mailbox_messages": "Messages that wait for a controller.",
     "link_messages": "Messages that wait to be sent to an instance.",
     "live_instances": "Instances that this one hears, itself included.",
