--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 from pydantic import TypeAdapter, ValidationError
@@ -19,11 +20,17 @@
 from boragetide.messages import (
     AnnounceBackendServer,
     ChoosePlacer,
+    LeaseGranted,
+    LeaseRefused,
     ListBackendServers,
     PlacerChosen,
 )
 from boragetide.types import Address, InstanceId, ZoneId
 
+# Leaves time for a second attempt at another instance within the 3 s after which a
+# leaving backend server must be free of new work.
+FORWARD_TIMEOUT = 1.0  # seconds
+
 _NAME = TypeAdapter(NameField)
 
 
@@ -42,15 +49,55 @@
             self.refuse(400, fault)
             return
         server = to_backend_server(server_id, parsed.ok)
-        chosen = await choose_placer(self.runtime, server.zone)
-        granted = await self.runtime.ask(
-            Address(chosen.placer or self.runtime.settings.id, "backend_servers"),
-            AnnounceBackendServer(server),
-            self.runtime.settings.timing.request_timeout,
-        )
+        message = AnnounceBackendServer(server, parsed.ok.lease)
+        granted = await _announce(self.runtime, message)
         self.respond(200, granted)
 
 
+async def _announce(runtime: Runtime, message: AnnounceBackendServer) -> LeaseGranted:
+    """Get a lease here or from the placer of the backend server's zone.
+
+    Raises
+    ------
+    LinkError
+        If no placer granted a lease; the backend server tries another instance.
+    """
+    reply = await _ask_here(runtime, message)
+    if isinstance(reply, LeaseRefused):
+        try:
+            reply = await _ask_placer(runtime, message)
+        except LinkError:
+            if not message.server.leaving:
+                raise
+    if isinstance(reply, LeaseRefused) and message.server.leaving:
+        # The placer is not reached: under another lease the backend server refuses what
+        # the placer still dispatches.
+        reply = await _ask_here(runtime, replace(message, fence=True))
+    if isinstance(reply, LeaseRefused):
+        raise LinkError(reply.reason)
+    return reply
+
+
+async def _ask_here(
+    runtime: Runtime, message: AnnounceBackendServer
+) -> LeaseGranted | LeaseRefused:
+    if message.server.zone != runtime.settings.zone:
+        return LeaseRefused(f"zone {message.server.zone!r} has other instances")
+    timeout = runtime.settings.timing.request_timeout
+    return await runtime.ask(runtime.local("backend_servers"), message, timeout)
+
+
+async def _ask_placer(
+    runtime: Runtime, message: AnnounceBackendServer
+) -> LeaseGranted | LeaseRefused:
+    zone = message.server.zone
+    found = await choose_placer(runtime, zone)
+    if found.placer is None or found.placer == runtime.settings.id:
+        return LeaseRefused(found.reason)
+    placer = Address(found.placer, "backend_servers")
+    return await runtime.ask(placer, message, FORWARD_TIMEOUT)
+
+
 def _find_id_fault(server_id: str) -> str | None:
     try:
         _NAME.validate_python(server_id)
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -1,67 +1,192 @@
-"""Leases of backend servers: announcements, expiry and fencing."""
+"""Leases of the backend servers: grants, renewals, losses and release.
+
+Part of the backend servers controller, whose state it changes. A lease that takes no
+new task is retired: it is kept while tasks run under it, so that their results count.
+"""
 
 from __future__ import annotations
 
+from boragetide.controllers import outcomes
 from boragetide.controllers.placing import place
 from boragetide.controllers.pool import (
     BackendServersState,
     LeasedServer,
     clear_pool,
     forget_server,
+    grant_lease,
     refresh_server,
 )
 from boragetide.effects import Effect, LogEvent, Reply, Send
-from boragetide.messages import AnnounceBackendServer, LeaseGranted, PoolSize, WokeUp
-from boragetide.types import Address, Seconds
+from boragetide.messages import (
+    AnnounceBackendServer,
+    LeaseGranted,
+    LeaseRefused,
+    PlacerChanged,
+    PoolSize,
+    WokeUp,
+)
+from boragetide.types import (
+    Address,
+    BackendServerId,
+    Seconds,
+    TaskOutcome,
+    TaskStatus,
+)
+
+# Entry instances that chose this placer before they heard of the change still send
+# their jobs once the claim is settled, which takes a few round trips.
+RELEASE_DELAY = 1.0  # seconds
+RELEASE_RENEWAL = 0.2  # seconds between renewals while the queue is being finished
+CONFIRMATION = 0.005  # seconds until the renewal that confirms a new lease
 
 
 def announce(
     message: AnnounceBackendServer, state: BackendServersState, now: Seconds
 ) -> list[Effect]:
-    """Lease a backend server that announced or renewed itself."""
+    """Grant, renew or refuse the lease of a backend server.
+
+    Only the placer of the zone grants leases. An instance that lost the role goes on
+    renewing the ones it holds until it has started everything in its queue.
+    """
     server = message.server
     leased = state.servers_by_id.get(server.id)
+    if state.placer != state.settings.id and not message.fence:
+        if leased is None or not _is_current(message, leased):
+            return [Reply(message.reply_to, _refuse(state))]
+        if is_released(state, now):
+            retired = _retire(leased, state, None, now)
+            return [*retired, Reply(message.reply_to, _refuse(state))]
     effects: list[Effect] = []
+    if leased is not None and not _is_current(message, leased):
+        effects += _retire(leased, state, None, now)
+        leased = None
     if leased is None:
-        state.leases += 1
-        lease = f"{state.settings.id}/{state.incarnation}/{state.leases}"
-        leased = LeasedServer(server, lease, now)
-        state.servers_by_id[server.id] = leased
+        leased = grant_lease(state, server, now)
         effects.append(
-            LogEvent("backend_server_joined", {"server": server.id, "lease": lease})
+            LogEvent(
+                "backend_server_joined", {"server": server.id, "lease": leased.lease}
+            )
         )
-        effects.append(_tell_pool_size(state))
     leased.server = server
     leased.renewed_at = now
+    # A backend server that does not name its lease is taken to know it at once.
+    leased.confirmed = message.lease is None or message.lease == leased.lease
     refresh_server(state, server.id, now)
-    granted = LeaseGranted(
+    effects.append(tell_pool_size(state))
+    granted = Reply(message.reply_to, _describe(leased, state))
+    return [*effects, granted, *place(state, now)]
+
+
+def _is_current(message: AnnounceBackendServer, leased: LeasedServer) -> bool:
+    """Tell whether the announcement comes from the process that holds the lease."""
+    return message.server.address == leased.server.address and (
+        message.lease is None or message.lease == leased.lease
+    )
+
+
+def _refuse(state: BackendServersState) -> LeaseRefused:
+    return LeaseRefused(
+        f"instance {state.settings.id} does not place for its zone, "
+        f"{state.placer or 'no instance'} does"
+    )
+
+
+def _describe(leased: LeasedServer, state: BackendServersState) -> LeaseGranted:
+    timing = state.settings.timing
+    renew_every = timing.lease_renewal
+    if not leased.confirmed:
+        renew_every = CONFIRMATION
+    elif state.placer != state.settings.id:
+        renew_every = RELEASE_RENEWAL
+    return LeaseGranted(
         lease=leased.lease,
         holder=state.settings.id,
         holder_address=f"http://{state.settings.own.http_address}",
-        renew_every=state.settings.timing.lease_renewal,
-        expires_after=state.settings.timing.lease_expiry,
+        renew_every=renew_every,
+        expires_after=timing.lease_expiry,
     )
-    return [*effects, Reply(message.reply_to, granted), *place(state, now)]
 
 
-def _tell_pool_size(state: BackendServersState) -> Effect:
-    size = PoolSize(len(state.servers_by_id))
-    return Send(Address(state.settings.id, "instances"), size)
+def tell_pool_size(state: BackendServersState) -> Effect:
+    """Tell the instances controller how many backend servers can take tasks."""
+    able = sum(not leased.server.leaving for leased in state.servers_by_id.values())
+    return Send(Address(state.settings.id, "instances"), PoolSize(able))
 
 
-def wake_up(message: WokeUp, state: BackendServersState, now: Seconds) -> list[Effect]:
-    """Drop the queue and every lease; backend servers announce themselves again."""
-    clear_pool(state, now)
-    return [_tell_pool_size(state)]
+def change_placer(
+    message: PlacerChanged, state: BackendServersState, now: Seconds
+) -> list[Effect]:
+    """Take note of who places for this zone."""
+    if state.placer == state.settings.id:
+        state.role_lost_at = now
+    state.placer = message.placer
+    return []
+
 
+def is_released(state: BackendServersState, now: Seconds) -> bool:
+    """Tell whether a former placer has started all that was sent to it."""
+    lost_at = state.role_lost_at
+    settled = lost_at is None or now - lost_at > RELEASE_DELAY
+    return settled and not state.queued_tasks and not state.delayed
 
-def expire_leases(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """Drop backend servers that did not renew their lease in time."""
+
+def find_lease(
+    server_id: BackendServerId, lease: str, state: BackendServersState
+) -> LeasedServer | None:
+    """Find a lease, current or retired, that tasks were started under."""
+    leased = state.servers_by_id.get(server_id)
+    if leased is not None and leased.lease == lease:
+        return leased
+    return state.retired_by_lease.get(lease)
+
+
+def _retire(
+    leased: LeasedServer,
+    state: BackendServersState,
+    tasks_end_by: Seconds | None,
+    now: Seconds,
+) -> list[Effect]:
+    """Start nothing more under a lease, and keep it while tasks run under it."""
+    forget_server(state, leased.server.id, now)
+    if leased.running_by_id:
+        leased.tasks_end_by = tasks_end_by
+        state.retired_by_lease[leased.lease] = leased
+    return [tell_pool_size(state)]
+
+
+def expire(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """Retire the leases that were not renewed and end the tasks of lost servers.
+
+    A lost server may only be cut off from its renewals, so its tasks get another lease
+    period in which their results can arrive.
+    """
     expiry = state.settings.timing.lease_expiry
     effects: list[Effect] = []
     for server_id, leased in list(state.servers_by_id.items()):
-        if now - leased.renewed_at > expiry and not leased.running_by_id:
-            forget_server(state, server_id, now)
-            effects.append(LogEvent("backend_server_lost", {"server": server_id}))
-            effects.append(_tell_pool_size(state))
+        if now - leased.renewed_at > expiry:
+            fields = {"server": server_id, "running": len(leased.running_by_id)}
+            effects.append(LogEvent("backend_server_lost", fields))
+            effects += _retire(leased, state, now + expiry, now)
+    for lease, leased in list(state.retired_by_lease.items()):
+        if leased.tasks_end_by is not None and now > leased.tasks_end_by:
+            effects += _end_tasks(leased, state, now)
+        if not leased.running_by_id:
+            del state.retired_by_lease[lease]
     return effects
+
+
+def _end_tasks(
+    leased: LeasedServer, state: BackendServersState, now: Seconds
+) -> list[Effect]:
+    error = f"backend server {leased.server.id!r} was lost while the task ran"
+    outcome = TaskOutcome(TaskStatus.UNKNOWN, error=error)
+    effects: list[Effect] = []
+    for running in list(leased.running_by_id.values()):
+        effects += outcomes.end_running(state, leased, running, outcome, None, now)
+    return effects
+
+
+def wake_up(message: WokeUp, state: BackendServersState, now: Seconds) -> list[Effect]:
+    """Drop the queue and every lease; backend servers announce themselves again."""
+    clear_pool(state, now)
+    return [tell_pool_size(state)]
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -18,6 +18,7 @@
     ClassName,
     ClassTarget,
     Configuration,
+    InstanceId,
     JobId,
     Seconds,
     Task,
@@ -73,6 +74,11 @@
         Tasks that hold a slot: no report has come, and they are not overdue.
     tasks_by_call
         How many tasks of each dispatch call still run. Each call holds a connection.
+    confirmed
+        Whether the backend server knows the lease; it refuses dispatches until then.
+    tasks_end_by
+        Unix time at which tasks that still run under a lost lease end as unknown;
+        ``None`` where their own timeouts bound them.
     indexed_speed, indexed_free
         What the indexes of the pool hold for this server.
     """
@@ -86,6 +92,8 @@
     health: ServerHealth = field(default_factory=ServerHealth)
     used_cores: float = 0.0
     used_memory: int = 0
+    confirmed: bool = False
+    tasks_end_by: Seconds | None = None
     indexed_speed: float = 0.0
     indexed_slots: int = 0
     indexed_free: tuple[float, BackendServerId] | None = None
@@ -97,6 +105,8 @@
 
     Parameters
     ----------
+    retired_by_lease
+        Leases that take no new task and under which tasks still run.
     free
         Servers that may take a task now, as (negative speed, id).
     speeds
@@ -118,11 +128,15 @@
         Expected work of all running tasks, in seconds at the mean speed.
     unavailable_since
         When the pool had no available server left.
+    placer, role_lost_at
+        Who places for this zone, and since when this instance, having done so, does
+        not, in Unix time.
     """
 
     settings: Settings
     incarnation: int
     servers_by_id: dict[BackendServerId, LeasedServer] = field(default_factory=dict)
+    retired_by_lease: dict[str, LeasedServer] = field(default_factory=dict)
     jobs_by_id: dict[JobId, QueuedJob] = field(default_factory=dict)
     queues_by_class: dict[ClassName, ClassQueue] = field(default_factory=dict)
     sizes_by_class: dict[ClassName, SizeModel] = field(default_factory=dict)
@@ -148,6 +162,8 @@
     calls: int = 0
     retries: int = 0
     leases: int = 0
+    placer: InstanceId | None = None
+    role_lost_at: Seconds | None = None
     stopping: bool = False
 
 
@@ -155,12 +171,39 @@
     """Tell whether a server may take any task, apart from its load."""
     server = leased.server
     return (
-        not server.leaving
+        leased.confirmed
+        and not server.leaving
         and server.id not in state.configuration.drained
         and leased.health.limit > 0
     )
 
 
+def grant_lease(
+    state: BackendServersState, server: BackendServer, now: Seconds
+) -> LeasedServer:
+    """Put a backend server under a new lease."""
+    state.leases += 1
+    lease = f"{state.settings.id}/{state.incarnation}/{state.leases}"
+    leased = state.servers_by_id[server.id] = LeasedServer(server, lease, now)
+    return leased
+
+
+def find_running(
+    state: BackendServersState, server_id: BackendServerId, task_id: TaskId
+) -> tuple[LeasedServer, RunningTask] | None:
+    """Return a running task with the lease, current or retired, that it runs under."""
+    for leased in (
+        state.servers_by_id.get(server_id),
+        *state.retired_by_lease.values(),
+    ):
+        if leased is None or leased.server.id != server_id:
+            continue
+        running = leased.running_by_id.get(task_id)
+        if running is not None:
+            return leased, running
+    return None
+
+
 def has_free_slot(leased: LeasedServer) -> bool:
     """Tell whether a slot and a connection are free."""
     return (
@@ -236,6 +279,7 @@
         forget_server(state, server_id, now)
     for job in state.jobs_by_id.values():
         job.dropped = True
+    state.retired_by_lease.clear()
     state.jobs_by_id.clear()
     state.queues_by_class.clear()
     state.releases.clear()
