--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -25,6 +25,8 @@
     "tasks": "Ended tasks by class and outcome.",
     "mailbox_messages": "Messages that wait for a controller.",
     "link_messages": "Messages that wait to be sent to an instance.",
+    "link_bytes_received": "Bytes from other instances.",
+    "link_bytes_sent": "Bytes to other instances.",
     "live_instances": "Instances that this one hears, itself included.",
     "pool_backend_servers": "Backend servers that this instance leases.",
     "pool_slots": "Slots of the leased backend servers.",
