--- a/benchmarks/messages.py
+++ b/benchmarks/messages.py
@@ -12,6 +12,9 @@
 PARTS_BY_KIND = {
     "ClaimRequest": "claims",
     "ClaimReply": "claims",
+    "FetchClaims": "replication",
+    "ClaimsPage": "replication",
+    "ClaimAndSubmit": "forwarding",
     "SubmitJob": "forwarding",
     "JobAnswer": "forwarding",
     "Heartbeat": "heartbeats",
--- a/boragetide/controllers/catch_up.py
+++ b/boragetide/controllers/catch_up.py
@@ -30,6 +30,7 @@
         claims=claims if table.complete else (),
         complete=table.complete,
         last=last,
+        disputed_until_by_id=dict(table.disputed_until_by_id) if last else {},
     )
 
 
@@ -64,6 +65,7 @@
         return False
     for claim in page.claims:
         fetch.claims_by_id[claim.id] = claim
+    fetch.disputed_until_by_id.update(page.disputed_until_by_id)
     if page.claims:
         fetch.after = page.claims[-1]
     fetch.done = page.last
--- a/boragetide/controllers/claim_table.py
+++ b/boragetide/controllers/claim_table.py
@@ -33,6 +33,7 @@
     asked_at: Seconds | None = None
     done: bool = False
     claims_by_id: dict[JobId, Claim] = field(default_factory=dict)
+    disputed_until_by_id: dict[JobId, Seconds] = field(default_factory=dict)
 
     def restart(self) -> None:
         """Drop what was fetched."""
@@ -40,6 +41,7 @@
         self.asked_at = None
         self.done = False
         self.claims_by_id = {}
+        self.disputed_until_by_id = {}
 
 
 @dataclass(slots=True)
@@ -119,8 +121,9 @@
     for fetch in table.fetches_by_member.values():
         for job_id, claim in fetch.claims_by_id.items():
             claims_by_id.setdefault(job_id, []).append(claim)
+        table.disputed_until_by_id.update(fetch.disputed_until_by_id)
     for job_id, claims in claims_by_id.items():
-        if job_id in table.claims_by_id:
+        if job_id in table.claims_by_id or job_id in table.disputed_until_by_id:
             continue
         newest = max(claims, key=lambda claim: claim.claimed_at)
         if len({(claim.owner, claim.owner_incarnation) for claim in claims}) > 1:
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -66,8 +66,6 @@
     for task in tasks:
         task.add_done_callback(_exit_on_fault)
     await listening.wait()
-    # Stand-in until the configuration registers acceptors.
-    runtime.send(runtime.local("claims"), AcceptorRegistered(first=True))
     server = make_server(runtime)
     host, port = settings.own.http_address.split(":")
     server.listen(int(port), host)
@@ -77,6 +75,8 @@
         http_address=settings.own.http_address,
         incarnation=runtime.incarnation,
     )
+    # Stand-in until the configuration registers acceptors.
+    runtime.send(runtime.local("claims"), AcceptorRegistered(first=True))
     await _wait_for_signal()
     runtime.stopping = True
     server.stop()
--- a/boragetide/messages.py
+++ b/boragetide/messages.py
@@ -212,6 +212,8 @@
     ----------
     after
         Copied from the request.
+    disputed_until_by_id
+        Ids whose vote the sender has lost, with the time of their expiry.
     last
         Whether no page follows.
     """
@@ -223,6 +225,7 @@
     claims: tuple[Claim, ...]
     complete: bool
     last: bool
+    disputed_until_by_id: dict[JobId, Seconds] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
