--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -70,7 +70,11 @@
 
 
 class BackendServerBody(_Body):
-    """Body of ``PUT /v1/backend-servers/{id}``; memory is in bytes."""
+    """Body of ``PUT /v1/backend-servers/{id}``; memory is in bytes.
+
+    A ``lease`` names the newest lease that the backend server holds and is empty if it
+    holds none, as after a restart.
+    """
 
     address: Annotated[str, Field(pattern=r"^http://[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$")]
     availability_zone: NameField
@@ -80,6 +84,7 @@
     cores: Annotated[float, Field(gt=0, le=MAX_CORES)] = 1.0
     memory: Annotated[int, Field(gt=0, le=MAX_BYTES)] = 1 << 30
     leaving: bool = False
+    lease: Annotated[str, Field(max_length=200)] | None = None
 
 
 _MESSAGES_BY_FAULT = {
--- a/boragetide/controllers/outcomes.py
+++ b/boragetide/controllers/outcomes.py
@@ -9,6 +9,7 @@
     BackendServersState,
     LeasedServer,
     RunningTask,
+    find_running,
     refresh_server,
 )
 from boragetide.controllers.queueing import (
@@ -59,7 +60,9 @@
     """
     _free_slot(state, leased, running)
     elapsed = now - running.started_at if seconds is None else seconds
-    effects = _judge(state, leased, running, outcome, elapsed, now)
+    effects: list[Effect] = []
+    if state.servers_by_id.get(leased.server.id) is leased:
+        effects += _judge(state, leased, running, outcome, elapsed, now)
     refresh_server(state, leased.server.id, now)
     job = running.job
     class_name = job.queued.class_name
@@ -226,20 +229,19 @@
     has ended.
     """
     drop_job(state, job)
-    tasks_by_server: dict[BackendServerId, list[str]] = {}
+    tasks_by_server: dict[tuple[BackendServerId, str], list[str]] = {}
     for task_id, server_id in job.servers_by_running.items():
-        leased = state.servers_by_id.get(server_id)
-        running = leased.running_by_id.get(task_id) if leased else None
-        if running is None:
+        found = find_running(state, server_id, task_id)
+        if found is None:
             continue
+        leased, running = found
         wait = placement.expected_wait(running.expected_end, running.started_at, now)
         if wait > CANCEL_HORIZON:
-            tasks_by_server.setdefault(server_id, []).append(task_id)
+            key = (server_id, leased.server.address)
+            tasks_by_server.setdefault(key, []).append(task_id)
     return [
-        CancelTasks(
-            server_id, state.servers_by_id[server_id].server.address, tuple(ids)
-        )
-        for server_id, ids in tasks_by_server.items()
+        CancelTasks(server_id, address, tuple(ids))
+        for (server_id, address), ids in tasks_by_server.items()
     ]
 
 
@@ -248,10 +250,10 @@
     effects: list[Effect] = []
     while state.deadlines and state.deadlines[0][0] <= now:
         _, call, server_id, task_id = heapq.heappop(state.deadlines)
-        leased = state.servers_by_id.get(server_id)
-        running = leased.running_by_id.get(task_id) if leased else None
-        if running is None or running.call != call:
+        found = find_running(state, server_id, task_id)
+        if found is None or found[1].call != call:
             continue
+        leased, running = found
         outcome = TaskOutcome(TaskStatus.UNKNOWN, error="no result in time")
         effects += end_running(state, leased, running, outcome, None, now, True)
     return effects
@@ -261,10 +263,10 @@
     """Move on the expected end of tasks past it, and learn from long overruns."""
     while state.releases and state.releases[0][0] < now:
         _, server_id, task_id = state.releases.pop(0)
-        leased = state.servers_by_id.get(server_id)
-        running = leased.running_by_id.get(task_id) if leased else None
-        if running is None:
+        found = find_running(state, server_id, task_id)
+        if found is None:
             continue
+        leased, running = found
         elapsed = now - running.started_at
         extension = max(placement.OVERRUN_SHARE * elapsed, MIN_EXTENSION)
         running.expected_end = now + extension
--- a/boragetide/messages.py
+++ b/boragetide/messages.py
@@ -55,6 +55,18 @@
     """A planned stop began: take nothing new, finish what is in progress."""
 
 
+@dataclass(frozen=True, slots=True)
+class Drain(Request):
+    """Asks a controller of a stopping instance what it still has to finish."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainState:
+    """Number of pieces of work that a controller must finish before the exit."""
+
+    remaining: int
+
+
 # Controller ``jobs``.
 
 
@@ -253,6 +265,14 @@
     clean: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SaveClaims(Request):
+    """Writes the claims to the disk, if there is one, as the last act of this process.
+
+    Answered with `DrainState`; the acceptor grants nothing afterwards.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimsRecovered:
     """What the acceptor's journal held when this process started, oldest first."""
@@ -266,9 +286,23 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnounceBackendServer(Request):
-    """A backend server announced or renewed itself; answered with `LeaseGranted`."""
+    """A backend server announced or renewed itself.
+
+    Answered with `LeaseGranted` or `LeaseRefused`.
+
+    Parameters
+    ----------
+    lease
+        Newest lease that the backend server holds, empty if it holds none, ``None`` if
+        it does not say.
+    fence
+        Grants a lease even on an instance that is not the placer, so that the backend
+        server accepts nothing under the lease it held before.
+    """
 
     server: BackendServer
+    lease: str | None = None
+    fence: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -292,6 +326,20 @@
     expires_after: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseRefused:
+    """The instance does not place for the zone of the backend server."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlacerChanged:
+    """Another instance, or none, now has the placer role of this instance's zone."""
+
+    placer: InstanceId | None
+
+
 @dataclass(frozen=True, slots=True)
 class QueueTasks:
     """Queues the tasks of a job; answered with `TasksQueued` or `TasksRefused`."""
@@ -368,17 +416,20 @@
 
     Parameters
     ----------
+    in_service_since
+        Unix time in milliseconds; the longest in service of a zone is its placer.
     sequence
         Counts this sender's heartbeats.
-    echoes
-        Last sequence number heard, by instance.
+    echo
+        Last sequence number that the sender heard from the receiver.
     """
 
     instance: InstanceId
     zone: ZoneId
     incarnation: int
+    in_service_since: int
     sequence: int
-    echoes: dict[InstanceId, int]
+    echo: int
     configuration_version: int
     backend_servers: int
     stopping: bool = False
@@ -416,6 +467,16 @@
     backend_servers: int
 
 
+@dataclass(frozen=True, slots=True)
+class Flush(Request):
+    """Answered with `Flushed` once the peers have read all that was sent before."""
+
+
+@dataclass(frozen=True, slots=True)
+class Flushed:
+    """Every live peer has read what this instance had sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class ListInstances(Request):
     """Asks for this instance's view of all instances."""
