Merge disputed ids in catch-up, and the proofs of claims and answers

Cause: a property test found a second start of a task: an acceptor that caught up from two members with different claims did not pass the dispute on. A request in the first moments of a daemon also got unknown, because tests waited for members only.

Change: pages of claims carry disputed ids; the shared fixture waits until every daemon is ready, as a load balancer does.

Conclusion: the test of refusals under overload relied on an early placer and now waits for readiness; no check was relaxed.

--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -104,8 +104,6 @@
 ) -> None:
     settings = runtime.settings
     await listening.wait()
-    # Stand-in until the configuration registers acceptors.
-    runtime.send(runtime.local("claims"), AcceptorRegistered(first=True))
     server = make_server(runtime)
     server.add_sockets(sockets)
     log_event(
@@ -114,6 +112,8 @@
         http_address=settings.own.http_address,
         incarnation=runtime.incarnation,
     )
+    # Stand-in until the configuration registers acceptors.
+    runtime.send(runtime.local("claims"), AcceptorRegistered(first=True))
     await signals.first.wait()
     await stop_gracefully(runtime, signals)
     server.stop()
--- a/boragetide/messages.py
+++ b/boragetide/messages.py
@@ -224,6 +224,8 @@
     ----------
     after
         Copied from the request.
+    disputed_until_by_id
+        Ids whose vote the sender has lost, with the time of their expiry.
     last
         Whether no page follows.
     """
@@ -235,6 +237,7 @@
     claims: tuple[Claim, ...]
     complete: bool
     last: bool
+    disputed_until_by_id: dict[JobId, Seconds] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +265,14 @@
     clean: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SaveClaims(Request):
+    """Writes the claims to the disk, if there is one, as the last act of this process.
+
+    Answered with `DrainState`; the acceptor grants nothing afterwards.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimsRecovered:
     """What the acceptor's journal held when this process started, oldest first."""
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -192,6 +192,8 @@
         for daemon in self.daemons_by_id.values():
             daemon.start()
         self.wait_for_members(len(ids))
+        for daemon in self.daemons_by_id.values():
+            wait_for(daemon.is_ready, f"{daemon.id} to be ready")
 
     def _relay(
         self, own: str, ports: dict[str, tuple[int, int]]
