--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -5,12 +5,15 @@
 import argparse
 import asyncio
 import signal
+import socket
 import sys
 from collections.abc import Awaitable
 from functools import partial
 from pathlib import Path
 from typing import Any
 
+from tornado.netutil import bind_sockets
+
 from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
@@ -62,6 +65,8 @@
     signals = StopSignals()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, signals.note)
+    host, port = settings.own.http_address.split(":")
+    sockets = bind_sockets(int(port), host)
     runtime = Runtime(settings, _make_links(settings))
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
@@ -70,7 +75,7 @@
         *_start_controllers(runtime),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
     ]
-    serving = asyncio.create_task(_serve(runtime, listening, signals))
+    serving = asyncio.create_task(_serve(runtime, sockets, listening, signals))
     await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
     code = _report_failures([*required, serving])
     await _end_tasks({serving, *links, *required})
@@ -92,13 +97,15 @@
 
 
 async def _serve(
-    runtime: Runtime, listening: asyncio.Event, signals: StopSignals
+    runtime: Runtime,
+    sockets: list[socket.socket],
+    listening: asyncio.Event,
+    signals: StopSignals,
 ) -> None:
     settings = runtime.settings
     await listening.wait()
     server = make_server(runtime)
-    host, port = settings.own.http_address.split(":")
-    server.listen(int(port), host)
+    server.add_sockets(sockets)
     log_event(
         "started",
         zone=settings.zone,
--- a/boragetide/filters/admit.py
+++ b/boragetide/filters/admit.py
@@ -4,7 +4,8 @@
 
 from boragetide.errors import RequestError
 from boragetide.filters.chain import Exchange, Next
-from boragetide.messages import FetchConfiguration
+from boragetide.filters.lookup import ask_owner
+from boragetide.messages import FetchConfiguration, LookUpJob
 from boragetide.types import Answer, Status
 
 
@@ -12,7 +13,7 @@
     """Refuse unknown classes, and everything while this instance stops."""
     runtime = exchange.runtime
     if runtime.stopping:
-        raise RequestError(Status.NOT_RUN, 503, "this instance is stopping")
+        await _refuse_while_stopping(exchange)
     changed = await runtime.ask(
         runtime.local("configuration"),
         FetchConfiguration(),
@@ -24,3 +25,11 @@
         raise RequestError(Status.NOT_RUN, 404, message)
     exchange.class_label = class_name
     return await call_next(exchange)
+
+
+async def _refuse_while_stopping(exchange: Exchange) -> None:
+    """Refuse a submission; an earlier one of the same id may have run elsewhere."""
+    job_id = exchange.submission.id
+    state = await ask_owner(exchange.runtime, job_id, LookUpJob(id=job_id))
+    status = Status.NOT_RUN if state is None else Status.UNKNOWN
+    raise RequestError(status, 503, "this instance is stopping")
