Learn the margin of admission from the responses of admitted jobs

Cause: admission compared the predicted response time with a fixed 80% of the target.

Change: the margin is the 99% quantile of the excess of the response over its prediction, by class, followed by steps. It is a share of the class target between 5% and 75%. Jobs carry the prediction made at their admission.

A target of 2 s is hardly reachable for large jobs, of which tasks of 5 s take 1.25 s or more on the fastest server.

--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -47,13 +47,16 @@
     jobs = Address(state.settings.id, "jobs")
     model = state.sizes_by_class.setdefault(message.class_name, learning.SizeModel())
     sizes = [learning.predict_size(model, task.size) for task in message.tasks]
-    label, reason = _refuse(message, sizes, state)
+    load = _measure_load(state, message.class_name)
+    target = find_target(state, message.class_name)
+    predicted = admission.predict_response(load, target, sum(sizes), max(sizes))
+    label, reason = _refuse(message, load, predicted, state)
     if reason is not None:
         labels = {"class": message.class_name, "reason": label}
         refused = TasksRefused(message.job_id, reason)
         return [Count("refusals", labels), Send(jobs, refused)]
     queue = find_queue(state, message.class_name)
-    job = QueuedJob(message, now)
+    job = QueuedJob(message, now, predicted)
     state.jobs_by_id[message.job_id] = job
     if any(task.cores or task.memory for task in message.tasks):
         state.demanding.add(message.job_id)
@@ -63,22 +66,21 @@
 
 
 def _refuse(
-    message: QueueTasks, sizes: list[Seconds], state: BackendServersState
+    message: QueueTasks,
+    load: admission.Load,
+    predicted: Seconds,
+    state: BackendServersState,
 ) -> tuple[str, str | None]:
     """Return the label and the reason of a refusal; the reason is ``None`` without."""
-    if state.queued_tasks + len(sizes) > state.settings.limits.queued_tasks:
+    if state.queued_tasks + len(message.tasks) > state.settings.limits.queued_tasks:
         return "queue_full", "the queue is full"
     servers = (leased.server for leased in state.servers_by_id.values())
     reason = admission.refuse_for_size(message.tasks, servers)
     if reason is not None:
         return "never_fits", reason
-    reason = admission.refuse_for_target(
-        _measure_load(state, message.class_name),
-        find_target(state, message.class_name),
-        sum(sizes),
-        max(sizes),
-    )
-    return "target", reason
+    target = find_target(state, message.class_name)
+    margin = state.margins_by_class.setdefault(message.class_name, admission.Margin())
+    return "target", admission.refuse_for_target(load, target, margin, predicted)
 
 
 def _measure_load(state: BackendServersState, class_name: ClassName) -> admission.Load:
--- a/boragetide/controllers/outcomes.py
+++ b/boragetide/controllers/outcomes.py
@@ -9,6 +9,7 @@
     BackendServersState,
     LeasedServer,
     RunningTask,
+    find_target,
     refresh_server,
 )
 from boragetide.controllers.queueing import (
@@ -19,7 +20,7 @@
 )
 from boragetide.effects import CancelTasks, Count, Effect, LogEvent, Send
 from boragetide.messages import TaskEnded, TasksRefused
-from boragetide.policy import ejection, learning, placement, retries
+from boragetide.policy import admission, ejection, learning, placement, retries
 from boragetide.types import (
     Address,
     BackendServerId,
@@ -177,6 +178,12 @@
     if outcome.status is not TaskStatus.DONE:
         return effects + cancel_job(state, job, now)
     if not (job.waiting or job.servers_by_running or job.delayed):
+        margin = state.margins_by_class.setdefault(
+            queued.class_name, admission.Margin()
+        )
+        target = find_target(state, queued.class_name)
+        actual = now - job.queued_at
+        admission.observe_response(margin, target, job.predicted, actual)
         _forget_job(state, job)
     return effects
 
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -8,6 +8,7 @@
 from sortedcontainers import SortedList
 
 from boragetide.controllers.queueing import ClassQueue, QueuedJob
+from boragetide.policy.admission import Margin
 from boragetide.policy.ejection import ServerHealth, Tally
 from boragetide.policy.learning import SizeModel, SpeedModel, predict_speed
 from boragetide.policy.retries import RetryBudget
@@ -126,6 +127,7 @@
     jobs_by_id: dict[JobId, QueuedJob] = field(default_factory=dict)
     queues_by_class: dict[ClassName, ClassQueue] = field(default_factory=dict)
     sizes_by_class: dict[ClassName, SizeModel] = field(default_factory=dict)
+    margins_by_class: dict[ClassName, Margin] = field(default_factory=dict)
     tallies_by_class: dict[ClassName, Tally] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
     free: SortedList = field(default_factory=SortedList)
--- a/boragetide/controllers/queueing.py
+++ b/boragetide/controllers/queueing.py
@@ -21,6 +21,8 @@
 
     Parameters
     ----------
+    predicted
+        Expected response time at admission, in seconds.
     waiting
         Tasks that wait for a slot as (expected size, index), the longest last.
     remaining
@@ -39,6 +41,7 @@
 
     queued: QueueTasks
     queued_at: Seconds
+    predicted: Seconds = 0.0
     waiting: list[tuple[Seconds, int]] = field(default_factory=list)
     remaining: Seconds = 0.0
     rank: float | None = None
--- a/boragetide/policy/admission.py
+++ b/boragetide/policy/admission.py
@@ -10,9 +10,41 @@
 # A pool with less queued work than this share of the target counts as nearly idle.
 IDLE_SHARE = 0.1
 
-# The prediction is a mean. The share of the target that it may take leaves room for
-# sizes that turn out larger.
-TARGET_SHARE = 0.8
+# Share of the admitted jobs that are to meet their target.
+MET_SHARE = 0.99
+
+# Bounds of the margin and its step after a job, as shares of the target. The first
+# margin is between the bounds.
+FIRST_MARGIN = 0.25
+LEAST_MARGIN = 0.05
+LARGEST_MARGIN = 0.75
+MARGIN_STEP = 0.05
+
+
+@dataclass(slots=True)
+class Margin:
+    """By how much the responses of a class exceed their prediction.
+
+    Parameters
+    ----------
+    share
+        The `MET_SHARE` quantile of the excess, as a share of the class target.
+    """
+
+    share: float = FIRST_MARGIN
+
+
+def observe_response(
+    margin: Margin, target: ClassTarget, predicted: Seconds, actual: Seconds
+) -> None:
+    """Learn from the response time of an admitted job, in seconds.
+
+    The margin follows a quantile by steps: up after a job that exceeded it, and down
+    by a smaller step after one that did not.
+    """
+    exceeded = actual - predicted > margin.share * target.response_time
+    step = MARGIN_STEP * (MET_SHARE if exceeded else MET_SHARE - 1)
+    margin.share = min(max(margin.share + step, LEAST_MARGIN), LARGEST_MARGIN)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +75,12 @@
 def predict_response(
     load: Load, target: ClassTarget, work: Seconds, longest: Seconds
 ) -> Seconds:
-    """Return the expected response time of a job that is queued now, in seconds."""
+    """Return the expected response time of a job that is queued now, in seconds.
+
+    It is 0 while no server is available.
+    """
+    if load.total_speed <= 0 or load.top_speed <= 0:
+        return 0.0
     wait = load.waiting / load.total_speed
     if load.contended:
         share = load.total_speed * max(target.busy_share, 1e-3)
@@ -57,22 +94,28 @@
 
 
 def refuse_for_target(
-    load: Load, target: ClassTarget, work: Seconds, longest: Seconds
+    load: Load, target: ClassTarget, margin: Margin, predicted: Seconds
 ) -> str | None:
     """Return why a job cannot meet the target of its class, or ``None``.
 
     A job that even an empty pool could not answer in time is admitted while the pool
     is nearly idle; otherwise it could never run.
+
+    Parameters
+    ----------
+    load, target, margin
+        What the pool has to do, and the target and the margin of the class.
+    predicted
+        See `predict_response`.
     """
-    if load.total_speed <= 0 or load.top_speed <= 0:
+    if load.total_speed <= 0:
         return None
-    predicted = predict_response(load, target, work, longest)
-    if predicted <= TARGET_SHARE * target.response_time:
+    if predicted <= (1 - margin.share) * target.response_time:
         return None
     if load.waiting / load.total_speed <= IDLE_SHARE * target.response_time:
         return None
     return (
-        f"expected response time of {predicted:.3g} s exceeds the target of "
+        f"expected response time of {predicted:.3g} s is too close to the target of "
         f"{target.response_time:.3g} s for class {target.name!r}"
     )
 
