--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: replayed traces and loads against real daemons."""
+"""Measurements: load on real processes, and replay of traces."""
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -19,7 +19,12 @@
     BackendServerList,
     CancelQueued,
     ConfigurationChanged,
+    DescribePool,
+    Drain,
+    DrainState,
     ListBackendServers,
+    PlacerChanged,
+    PoolDescription,
     QueueTasks,
     StopRequested,
     TaskReport,
@@ -55,6 +60,8 @@
         labels = {"class": message.class_name, "reason": label}
         refused = TasksRefused(message.job_id, reason)
         return [Count("refusals", labels), Send(jobs, refused)]
+    if not state.total_slots and state.unavailable_since is None:
+        state.unavailable_since = now
     queue = find_queue(state, message.class_name)
     job = QueuedJob(message, now, predicted)
     state.jobs_by_id[message.job_id] = job
@@ -113,8 +120,8 @@
 
 @handle.register
 def _(message: TaskReport, state: BackendServersState, now: Seconds) -> list[Effect]:
-    leased = state.servers_by_id.get(message.server)
-    if leased is None or leased.lease != message.lease:
+    leased = leases.find_lease(message.server, message.lease, state)
+    if leased is None:
         return [LogEvent("late_report", {"task": message.task_id})]
     running = leased.running_by_id.get(message.task_id)
     if running is None:
@@ -155,6 +162,19 @@
     return [Reply(message.reply_to, BackendServerList(records))]
 
 
+@handle.register
+def _(message: DescribePool, state: BackendServersState, now: Seconds) -> list[Effect]:
+    servers = state.servers_by_id.values()
+    described = PoolDescription(
+        backend_servers=len(servers),
+        slots=sum(leased.server.slots for leased in servers),
+        running_tasks=sum(len(leased.running_by_id) for leased in servers),
+        queued_jobs=sum(1 for job in state.jobs_by_id.values() if job.waiting),
+        queued_tasks=sum(len(job.waiting) for job in state.jobs_by_id.values()),
+    )
+    return [Reply(message.reply_to, described)]
+
+
 @handle.register
 def _(
     message: ConfigurationChanged, state: BackendServersState, now: Seconds
@@ -172,14 +192,23 @@
     return []
 
 
+@handle.register
+def _(message: Drain, state: BackendServersState, now: Seconds) -> list[Effect]:
+    leased = [*state.servers_by_id.values(), *state.retired_by_lease.values()]
+    running = sum(len(entry.running_by_id) for entry in leased)
+    waiting = state.queued_tasks + len(state.delayed)
+    return [Reply(message.reply_to, DrainState(waiting + running))]
+
+
 handle.register(AnnounceBackendServer, leases.announce)
+handle.register(PlacerChanged, leases.change_placer)
 handle.register(WokeUp, leases.wake_up)
 
 
 @handle.register
 def _(message: Tick, state: BackendServersState, now: Seconds) -> list[Effect]:
     return [
-        *leases.expire_leases(state, now),
+        *leases.expire(state, now),
         *reviewing.review(state, now),
         *place(state, now),
     ]
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -226,7 +226,9 @@
         leased = state.servers_by_id.get(server_id)
         if leased is None or not is_available(state, leased):
             continue
-        running = leased.running_by_id[task_id]
+        running = leased.running_by_id.get(task_id)
+        if running is None:
+            continue
         wait = placement.expected_wait(expected_end, running.started_at, now)
         speed = learning.predict_speed(leased.speeds, class_name)
         releases.append(placement.Release(wait, speed))
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -37,6 +37,7 @@
         if leased is not None:
             ejection.start_probing(leased.health)
             refresh_server(state, server_id, now)
+    effects += _end_without_servers(state, now)
     if now >= state.next_review:
         state.next_review = now + REVIEW_INTERVAL
         effects += _review_slowly(state, now)
@@ -51,7 +52,7 @@
     if moved:
         for server_id in state.servers_by_id:
             refresh_server(state, server_id, now)
-    return _end_hopeless(state, now)
+    return _end_misfits(state, now)
 
 
 def update_aging(state: BackendServersState) -> None:
@@ -69,18 +70,24 @@
             put_job(queue, state.jobs_by_id[job_id])
 
 
-def _end_hopeless(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """End the wait of jobs that no known server can run.
+def _end_without_servers(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """End the wait of all jobs in a pool that has no available server.
 
     A pool that just lost its last server waits for the length of a lease, because
     servers that moved to another placer come back within one.
     """
-    since, bound = state.unavailable_since, state.settings.timing.lease_expiry
+    if state.total_slots:
+        return []
+    if state.unavailable_since is None:
+        state.unavailable_since = now
+    if now - state.unavailable_since <= state.settings.timing.lease_expiry:
+        return []
+    return _end_all(state, list(state.jobs_by_id.values()), now)
+
+
+def _end_misfits(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """End the wait of jobs with a task that none of the known servers fits."""
     if not state.total_slots:
-        if since is None:
-            state.unavailable_since = now
-        elif now - since > bound:
-            return _end_all(state, list(state.jobs_by_id.values()), now)
         return []
     demanding = [state.jobs_by_id[job_id] for job_id in state.demanding]
     servers = [leased.server for leased in state.servers_by_id.values()]
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.effects import CancelTasks, StartTasks
+from boragetide.json_values import find_fault, needs_walk
 from boragetide.messages import TaskReport
 from boragetide.types import Seconds, TaskOutcome, TaskStatus
 
@@ -62,7 +63,7 @@
         certain, and ``UNKNOWN`` where the connection ended before its result.
     """
     waiting = {task.id for task in start.tasks}
-    parser = _LineParser(start, waiting, report)
+    parser = LineParser(start, waiting, report)
     timeout = max(task.timeout for task in start.tasks) + RESULT_MARGIN
     request = HTTPRequest(
         f"{start.address}/v1/tasks",
@@ -82,10 +83,12 @@
         status, error = _classify(failure)
     except (TimeoutError, OSError) as failure:
         error = str(failure)
-    parser.close()
-    for task_id in sorted(waiting):
-        outcome = TaskOutcome(status, error=error)
-        report(TaskReport(start.server, start.lease, task_id, outcome))
+    finally:
+        # Also after an unexpected error, since a task without a report never ends.
+        parser.close()
+        for task_id in sorted(waiting):
+            outcome = TaskOutcome(status, error=error)
+            report(TaskReport(start.server, start.lease, task_id, outcome))
 
 
 def _encode_task(task: Any) -> dict[str, Any]:
@@ -107,7 +110,7 @@
     return TaskStatus.UNKNOWN, str(failure)
 
 
-class _LineParser:
+class LineParser:
     """Splits a streamed response into lines and reports each task once."""
 
     def __init__(
@@ -122,24 +125,29 @@
         self._buffer = b""
 
     def feed(self, chunk: bytes) -> None:
+        """Take the next chunk of the response."""
         *lines, self._buffer = (self._buffer + chunk).split(b"\n")
         for line in lines:
             self._read(line)
 
     def close(self) -> None:
+        """Take what is left as the last line."""
         self._read(self._buffer)
         self._buffer = b""
 
     def _read(self, line: bytes) -> None:
         try:
             entry = _LINE_DECODER.decode(line)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return
         status = _OUTCOMES_BY_WORD.get(entry.status)
         if entry.id not in self._waiting or status is None:
             return
         self._waiting.discard(entry.id)
         outcome = TaskOutcome(status, entry.result, entry.error)
+        fault = find_fault(entry.result) if needs_walk(line) else None
+        if fault is not None:
+            outcome = TaskOutcome(TaskStatus.FAILED, error=f"result: {fault}")
         self._report(
             TaskReport(
                 self._start.server, self._start.lease, entry.id, outcome, entry.seconds
