--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -8,6 +8,7 @@
 from boragetide.api.backend_servers import BackendServerHandler, BackendServersHandler
 from boragetide.api.base import NotFoundHandler
 from boragetide.api.body_limit import BodyLimit
+from boragetide.api.jobs import JobHandler, JobIdsHandler
 from boragetide.api.models import JobBody, RequestBody
 from boragetide.api.operators import (
     HealthHandler,
@@ -35,6 +36,8 @@
     return Application(
         [
             (r"/v1/jobs", SubmissionHandler, {**shared, "kind": JobBody}),
+            (r"/v1/jobs/(.+)", JobHandler, shared),
+            (r"/v1/job-ids", JobIdsHandler, shared),
             (r"/v1/requests", SubmissionHandler, {**shared, "kind": RequestBody}),
             (r"/v1/backend-servers", BackendServersHandler, shared),
             (r"/v1/backend-servers/([^/]+)", BackendServerHandler, shared),
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -54,11 +54,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what one request or one instance takes."""
+    """Bounds on what one request or one instance takes.
+
+    Parameters
+    ----------
+    kept_results
+        Number of results in the answers that an instance keeps for resubmissions.
+    """
 
     tasks_per_job: int = 1200
     body_bytes: int = 8 * 1024 * 1024
     queued_tasks: int = 50_000
+    kept_results: int = 500_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -124,6 +124,7 @@
     tasks_per_job: Annotated[int, Field(gt=0, le=MAX_TASKS)] | None = None
     body_bytes: Positive | None = None
     queued_tasks: Positive | None = None
+    kept_results: Positive | None = None
 
 
 class ZonesSection(_Section):
