--- /dev/null
+++ b/benchmarks/placements.py
@@ -0,0 +1,145 @@
+"""Time per placement for pools and queues of several sizes.
+
+Run ``python -m benchmarks.placements``. Each report of an ended task frees a slot, in
+which the controller places the next task; the queue is kept at its length.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from benchmarks.trace import SLOTS, SPEEDS
+from boragetide.controllers import backend_servers
+from boragetide.effects import StartTasks
+from boragetide.messages import (
+    AnnounceBackendServer,
+    ConfigurationChanged,
+    PlacerChanged,
+    QueueTasks,
+    TaskReport,
+    Tick,
+)
+from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
+from boragetide.types import (
+    BackendServer,
+    ClassTarget,
+    Configuration,
+    Task,
+    TaskOutcome,
+    TaskStatus,
+)
+
+REPORTS = 4000
+TICK = 0.1  # seconds
+
+
+@dataclass
+class Pool:
+    """A controller under a steady load; times are in seconds."""
+
+    state: backend_servers.BackendServersState
+    draw: random.Random
+    now: float = 1000.0
+    running: list[tuple[float, int, TaskReport]] = field(default_factory=list)
+    placed: int = 0
+    jobs: int = 0
+
+    def deliver(self, message: Any) -> float:
+        """Apply a message and return how long that took."""
+        begun = time.perf_counter()
+        made = backend_servers.handle(message, self.state, self.now)
+        taken = time.perf_counter() - begun
+        for effect in made:
+            if not isinstance(effect, StartTasks):
+                continue
+            speed = SPEEDS[int(effect.server.removeprefix("s")) % len(SPEEDS)]
+            for start in effect.tasks:
+                self.placed += 1
+                seconds = self.draw.lognormvariate(-1.5, 0.75) / speed
+                outcome = TaskOutcome(TaskStatus.DONE)
+                report = TaskReport(
+                    effect.server, effect.lease, start.id, outcome, seconds
+                )
+                entry = (self.now + seconds, self.placed, report)
+                heapq.heappush(self.running, entry)
+        return taken
+
+    def queue_job(self) -> float:
+        """Queue a job of 1 to 16 tasks."""
+        self.jobs += 1
+        tasks = tuple(
+            Task(None, self.draw.lognormvariate(-1.5, 1.0))
+            for _ in range(self.draw.randint(1, 16))
+        )
+        return self.deliver(QueueTasks(f"j{self.jobs}", "default", tasks, False))
+
+    def end_next(self) -> float:
+        """Report the end of the task that ends next."""
+        self.now, _, report = heapq.heappop(self.running)
+        return self.deliver(report)
+
+
+def make_pool(servers: int) -> Pool:
+    """Make a pool without a reachable target, so that it admits everything."""
+    settings = parse_settings(EMBEDDED_DEFAULT)
+    limits = replace(settings.limits, queued_tasks=10**7)
+    settings = replace(settings, limits=limits)
+    draw = random.Random(1)
+    state = backend_servers.BackendServersState(settings, 1, jitter=draw)
+    pool = Pool(state, draw)
+    pool.deliver(PlacerChanged(settings.id))
+    targets = {"default": ClassTarget("default", 1e6)}
+    pool.deliver(ConfigurationChanged(Configuration(1, targets)))
+    announce_all(pool, servers)
+    return pool
+
+
+def announce_all(pool: Pool, servers: int) -> None:
+    """Announce the servers of the pool, or renew their leases."""
+    for number in range(servers):
+        server = BackendServer(
+            f"s{number}", "http://s", "local", "", SLOTS, 64, 64.0, 1 << 37
+        )
+        pool.deliver(AnnounceBackendServer(server))
+
+
+def measure(servers: int, jobs: int) -> str:
+    """Return one line with the mean times of a pool at a queue length."""
+    pool = make_pool(servers)
+    reports, queueing, ticks = [], [], []
+    next_tick = pool.now
+    while len(reports) < 2 * REPORTS:
+        while _count_jobs(pool) < jobs:
+            queueing.append(pool.queue_job())
+        reports.append(pool.end_next())
+        if pool.now >= next_tick:
+            next_tick = pool.now + TICK
+            ticks.append(pool.deliver(Tick()))
+            announce_all(pool, servers)
+    steady = reports[REPORTS:]
+    return (
+        f"servers={servers} queued_jobs={jobs} "
+        f"report_us={1e6 * sum(steady) / len(steady):.0f} "
+        f"queue_job_us={1e6 * sum(queueing[-200:]) / len(queueing[-200:]):.0f} "
+        f"tick_ms={1e3 * sum(ticks) / max(len(ticks), 1):.2f}"
+    )
+
+
+def _count_jobs(pool: Pool) -> int:
+    queue = pool.state.queues_by_class.get("default")
+    return sum(map(len, queue.jobs_by_team.values())) if queue else 0
+
+
+def main() -> None:
+    """Print one line per size."""
+    for servers in (8, 800):
+        for jobs in (10, 10_000):
+            print(measure(servers, jobs))
+
+
+if __name__ == "__main__":
+    main()
--- a/properties/test_pool.py
+++ b/properties/test_pool.py
@@ -15,6 +15,7 @@
     AnnounceBackendServer,
     CancelQueued,
     ConfigurationChanged,
+    PlacerChanged,
     QueueTasks,
     TaskEnded,
     TaskReport,
@@ -45,6 +46,7 @@
         self.state = BackendServersState(
             parse_settings(EMBEDDED_DEFAULT), 1, jitter=random.Random(0)
         )
+        backend_servers.handle(PlacerChanged("local"), self.state, self.now)
         self.servers: dict[str, BackendServer] = {}
         self.jobs: dict[str, QueueTasks] = {}
         self.running: dict[str, dict[str, float]] = {name: {} for name in SERVERS}
