Check ids in paths and show jobs with the client against real daemons

Ids in the paths of GET and DELETE /v1/jobs/{id} were not checked, so that any text reached the claim group. They now follow the same rule as in bodies and get a 400 that names the id.

--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -6,12 +6,10 @@
 from dataclasses import replace
 from typing import Any
 
-from pydantic import TypeAdapter, ValidationError
-
 from boragetide.api.base import Handler
 from boragetide.api.models import (
     BackendServerBody,
-    NameField,
+    find_id_fault,
     parse_body,
     to_backend_server,
 )
@@ -31,8 +29,6 @@
 # leaving backend server must be free of new work.
 FORWARD_TIMEOUT = 1.0  # seconds
 
-_NAME = TypeAdapter(NameField)
-
 
 class BackendServerHandler(Handler):
     """Takes the announcements of backend servers."""
@@ -41,7 +37,7 @@
         """Announce or renew a backend server at the placer of its zone."""
         parsed = parse_body(BackendServerBody, self.request.body)
         fault = (
-            _find_id_fault(server_id)
+            find_id_fault(server_id)
             or (parsed.error.message if parsed.is_error() else None)
             or _find_zone_fault(parsed.ok.availability_zone, self.runtime)
         )
@@ -98,14 +94,6 @@
     return await runtime.ask(placer, message, FORWARD_TIMEOUT)
 
 
-def _find_id_fault(server_id: str) -> str | None:
-    try:
-        _NAME.validate_python(server_id)
-    except ValidationError as error:
-        return f"id: {error.errors(include_url=False)[0]['msg']}"
-    return None
-
-
 def _find_zone_fault(zone: ZoneId, runtime: Runtime) -> str | None:
     if zone in runtime.settings.zones:
         return None
--- a/boragetide/api/jobs.py
+++ b/boragetide/api/jobs.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from boragetide.api.base import Handler
-from boragetide.api.models import JobIdsBody, parse_body
+from boragetide.api.models import JobIdsBody, find_id_fault, parse_body
 from boragetide.api.submissions import describe_answer
 from boragetide.daemon.clock import read_clock
 from boragetide.filters.lookup import ask_owner
@@ -30,6 +30,10 @@
         await self._ask(CancelJob(id=job_id))
 
     async def _ask(self, message: LookUpJob | CancelJob) -> None:
+        fault = find_id_fault(message.id, job=True)
+        if fault is not None:
+            self.refuse(400, fault)
+            return
         state = await ask_owner(self.runtime, message.id, message)
         if state is None:
             window = self.runtime.settings.timing.resubmission_window
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
 from boragetide.json_values import find_fault, needs_walk
 from boragetide.settings_file import MAX_TASKS
@@ -92,6 +92,19 @@
     "extra_forbidden": "unknown field",
 }
 
+_JOB_ID = TypeAdapter(JobIdField)
+_NAME = TypeAdapter(NameField)
+
+
+def find_id_fault(text: str, *, job: bool = False) -> str | None:
+    """Return why the id in a path is wrong, if so."""
+    try:
+        (_JOB_ID if job else _NAME).validate_python(text)
+    except ValidationError as error:
+        return f"id: {error.errors(include_url=False)[0]['msg']}"
+    return None
+
+
 BodyType = TypeVar("BodyType", bound=_Body)
 
 
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -259,6 +259,15 @@
     job.write_text(json.dumps(make_job("job-1", tasks=2)))
     assert run(["job", "submit", str(job), *servers]) == 0
     assert capsys.readouterr().out.startswith("job-1: complete\n")
+    assert run(["job", "show", "job-1", *servers]) == 0
+    assert capsys.readouterr().out.startswith("job-1: ended\njob-1: complete\n")
+    assert run(["job", "cancel", "job-1", *servers]) == 0
+    assert run(["job", "show", "none", *servers]) == 1
+    job.write_text(json.dumps({k: v for k, v in make_job("").items() if k != "id"}))
+    capsys.readouterr()
+    assert run(["job", "submit", str(job), "--json", *servers]) == 0
+    printed = capsys.readouterr()
+    assert printed.err == f"job id {json.loads(printed.out)['id']}\n"
     assert run(["status", *servers]) == 0
     assert "2 of 2 instances live" in capsys.readouterr().out
     assert run(["backend-server", "list", *servers]) == 0
--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -99,6 +99,25 @@
     check(installation, "POST", "/v1/requests", body)
 
 
+@given(
+    job_id=st.text(min_size=1, max_size=20), method=st.sampled_from(["GET", "DELETE"])
+)
+def test_any_job_id_in_a_path_is_answered(
+    installation: System, job_id: str, method: str
+) -> None:
+    """Guards against ids that only a body checks."""
+    path = "".join(f"%{byte:02x}" for byte in job_id.encode())
+    url = f"{installation.daemons_by_id['a2'].url}/v1/jobs/{path}"
+    code, answer = call(method, url, timeout=20.0)
+    assert code in {400, 404}, (code, answer)
+
+
+@given(body=json_values.filter(lambda value: value != {}))
+def test_bad_requests_for_ids_are_refused(installation: System, body: Any) -> None:
+    """Guards against counts that make a daemon mint without end."""
+    check(installation, "POST", "/v1/job-ids", body)
+
+
 @given(body=servers, server_id=st.text(min_size=1, max_size=10))
 def test_bad_announcements_are_refused(
     installation: System, body: Any, server_id: str
