--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -27,6 +27,7 @@
     AnnounceBackendServer,
     ConfigurationChanged,
     JobAnswer,
+    PlacerChanged,
     SubmitJob,
     TaskReport,
     Tick,
@@ -108,6 +109,7 @@
     pool: Any = None
     table: Any = None
     counts: dict[str, float] = field(default_factory=dict)
+    failed_tasks: int = 0
 
     def finish(self, number: int, status: Status) -> None:
         """Record the end of a job, by its number in the trace."""
@@ -165,6 +167,7 @@
     classes = {
         name: ClassTarget(name, target) for name, target in run.trace.targets.items()
     }
+    _deliver(run, "backend_servers", PlacerChanged(settings.id))
     _deliver(run, "backend_servers", ConfigurationChanged(Configuration(1, classes)))
     _tick(run)
     return lambda number: _submit(run, number)
@@ -243,6 +246,7 @@
         number = int(start.job_id.removeprefix("j"))
         work = run.trace.jobs[number].tasks[start.payload][0]
         seconds = server.run_time(work)
+        run.failed_tasks += server.fails
         status = TaskStatus.FAILED if server.fails else TaskStatus.DONE
         report = TaskReport(
             effect.server, effect.lease, start.id, TaskOutcome(status), seconds
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -29,6 +29,7 @@
     DrainState,
     FetchClaims,
     LookUpClaim,
+    SaveClaims,
     SavedClaims,
     StopRequested,
     SubmitJob,
@@ -170,12 +171,6 @@
     return [Reply(message.reply_to, _reply(status, held, state))]
 
 
-@handle.register
-def _(message: Drain, state: ClaimsState, now: Seconds) -> list[Effect]:
-    """Answer once the claims are on disk, because effects are performed in order."""
-    return [Reply(message.reply_to, DrainState(0))]
-
-
 @handle.register
 def _(message: FetchClaims, state: ClaimsState, now: Seconds) -> list[Effect]:
     table = state.tables_by_zone.get(message.zone)
@@ -279,12 +274,18 @@
 
 
 @handle.register
-def _(message: StopRequested, state: ClaimsState, now: Seconds) -> list[Effect]:
+def _(message: SaveClaims, state: ClaimsState, now: Seconds) -> list[Effect]:
     """Write the claims and grant nothing more, so that they are all on disk."""
-    if state.settings.data_folder is None or state.saved:
-        return []
-    state.saved = True
-    return [_save(state, clean=True)]
+    effects: list[Effect] = []
+    if state.settings.data_folder is not None and not state.saved:
+        state.saved = True
+        effects.append(_save(state, clean=True))
+    return [*effects, Reply(message.reply_to, DrainState(0))]
+
+
+@handle.register
+def _(message: Drain, state: ClaimsState, now: Seconds) -> list[Effect]:
+    return [Reply(message.reply_to, DrainState(0))]
 
 
 @handle.register
@@ -310,6 +311,7 @@
     return effects
 
 
-@handle.register
-def _(message: WokeUp, state: ClaimsState, now: Seconds) -> list[Effect]:
+@handle.register(WokeUp)
+@handle.register(StopRequested)
+def _(message: Any, state: ClaimsState, now: Seconds) -> list[Effect]:
     return []
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from boragetide.controllers.outcomes import (
-    drop_job,
+    cancel_job,
     end_overdue,
     extend_overruns,
     is_untouched,
@@ -23,9 +23,6 @@
 
 REVIEW_INTERVAL: Seconds = 1.0
 
-# Ranks are computed anew when the rate of aging moved by more than this share.
-AGING_STEP = 0.25
-
 
 def review(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Do at a tick what no other message triggers."""
@@ -48,22 +45,22 @@
 
 
 def _review_slowly(state: BackendServersState, now: Seconds) -> list[Effect]:
-    learning.anchor_speeds(
+    moved = learning.anchor_speeds(
         [leased.speeds for leased in state.servers_by_id.values()],
         state.sizes_by_class.values(),
     )
-    for server_id in state.servers_by_id:
-        refresh_server(state, server_id, now)
-    update_aging(state)
+    if moved:
+        for server_id in state.servers_by_id:
+            refresh_server(state, server_id, now)
     return _end_misfits(state, now)
 
 
 def update_aging(state: BackendServersState) -> None:
-    """Follow targets and the speed of the pool; order the queues anew if needed."""
+    """Follow the targets of the classes; order the queues anew if needed."""
     for name, queue in state.queues_by_class.items():
         target = find_target(state, name)
-        aging = ordering.aging_rate(state.total_speed, target.response_time)
-        if abs(aging - queue.aging) <= AGING_STEP * queue.aging:
+        aging = ordering.aging_rate(target.response_time)
+        if aging == queue.aging:
             continue
         ids = [job_id for jobs in queue.jobs_by_team.values() for _, job_id in jobs]
         for job_id in ids:
@@ -92,7 +89,6 @@
     """End the wait of jobs with a task that none of the known servers fits."""
     if not state.total_slots:
         return []
-    bound = state.settings.timing.lease_expiry
     demanding = [state.jobs_by_id[job_id] for job_id in state.demanding]
     servers = [leased.server for leased in state.servers_by_id.values()]
     return _end_all(
@@ -100,8 +96,7 @@
         [
             job
             for job in demanding
-            if now - job.queued_at > bound
-            and admission.refuse_for_size(
+            if admission.refuse_for_size(
                 (job.queued.tasks[index] for _, index in job.waiting), servers
             )
         ],
@@ -113,17 +108,19 @@
     state: BackendServersState, jobs: list[QueuedJob], now: Seconds
 ) -> list[Effect]:
     effects: list[Effect] = []
+    bound = state.settings.timing.lease_expiry
     reason = "no backend server can run the task"
     for job in jobs:
-        if now - job.queued_at <= state.settings.timing.lease_expiry:
+        if not job.waiting or now - job.queued_at <= bound:
             continue
         if is_untouched(job):
             effects += refuse_job(state, job, reason, "no_server")
             continue
-        outcome = TaskOutcome(TaskStatus.NOT_RUN, error=reason)
-        to = Address(state.settings.id, "jobs")
-        effects += [
-            Send(to, TaskEnded(job.queued.job_id, index, outcome))
-            for index in drop_job(state, job)
-        ]
+        ended = TaskEnded(
+            job.queued.job_id,
+            job.waiting[-1][1],
+            TaskOutcome(TaskStatus.NOT_RUN, error=reason),
+        )
+        effects.append(Send(Address(state.settings.id, "jobs"), ended))
+        effects += cancel_job(state, job, now)
     return effects
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -9,7 +9,7 @@
 from boragetide.daemon.logs import log_event
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError
-from boragetide.messages import Drain, Flush, StopRequested
+from boragetide.messages import Drain, Flush, SaveClaims, StopRequested
 from boragetide.types import CONTROLLERS, Seconds
 
 # Jobs from entry instances that had already chosen this placer arrive until their claim
@@ -63,6 +63,7 @@
     while read_clock() - began < SHORTEST_STOP or await _is_busy(runtime):
         await asyncio.sleep(POLL)
     try:
+        await runtime.ask(runtime.local("claims"), SaveClaims(), FLUSH_TIMEOUT)
         await runtime.ask(runtime.local("instances"), Flush(), FLUSH_TIMEOUT)
     except LinkError as error:
         log_event("flush_failed", error=str(error))
