--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -78,13 +78,13 @@
     serving = asyncio.create_task(_serve(runtime, sockets, listening, signals))
     await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
     code = _report_failures([*required, serving])
-    await _end_tasks({serving, *links, *required})
+    await end_tasks({serving, *links, *required})
     if code == 0:
         log_event("stopped")
     return code
 
 
-async def _end_tasks(tasks: set[asyncio.Task[None]]) -> None:
+async def end_tasks(tasks: set[asyncio.Task[None]]) -> None:
     """Cancel tasks until they have ended.
 
     pynng drops a cancellation that meets a send or receive that has just ended, so the
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -259,12 +259,16 @@
 
 
 async def run_ticks(runtime: Runtime) -> None:
-    """Wake every controller periodically, with jitter."""
+    """Wake every controller periodically, with jitter.
+
+    The first tick comes before any request, so that an instance that is alone in its
+    zone knows that it is the placer.
+    """
     period = runtime.settings.timing.tick
     while True:
-        await asyncio.sleep(period * random.uniform(1 - TICK_JITTER, 1 + TICK_JITTER))
         for mailbox in runtime.mailboxes_by_controller.values():
             # A controller that is behind gets no further ticks, which it would have to
             # handle all at once later.
             if mailbox.qsize() < TICK_BACKLOG:
                 mailbox.put_nowait(Tick())
+        await asyncio.sleep(period * random.uniform(1 - TICK_JITTER, 1 + TICK_JITTER))
