Follow the changed messages in the slope measurement

Cause: heartbeats carry one echo per receiver now, claims need the time of asking, and only the placer grants leases; benchmarks/slopes.py still used the former messages.

Change: the measurement builds the present messages and a complete acceptor.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,10 +15,12 @@
 from boragetide.controllers import backend_servers, claims, instances, jobs
 from boragetide.links.codec import Envelope, decode_body, encode_body, encode_frame
 from boragetide.messages import (
+    AcceptorRegistered,
     AnnounceBackendServer,
     ClaimRequest,
     ConfigurationChanged,
     Heartbeat,
+    PlacerChanged,
     SubmitJob,
     TaskEnded,
     Tick,
@@ -85,8 +87,9 @@
         instance=peers[0],
         zone="a",
         incarnation=INCARNATION,
+        in_service_since=INCARNATION,
         sequence=100_000,
-        echoes=dict.fromkeys(settings.peers_by_id, 100_000),
+        echo=100_000,
         configuration_version=1_000,
         backend_servers=8,
     )
@@ -122,10 +125,12 @@
     def make_messages() -> Iterator[Any]:
         for number in range(count):
             claim = Claim(f"a:job-{number}", "instance-1", INCARNATION, NOW)
-            yield ClaimRequest(claim)
+            yield ClaimRequest(claim=claim, asked_at=NOW)
 
     def make_state() -> Any:
-        return claims.ClaimsState(settings, INCARNATION)
+        state = claims.ClaimsState(settings, INCARNATION)
+        claims.handle(AcceptorRegistered(first=True), state, NOW)
+        return state
 
     return _measure_each(make_messages, make_state, claims.handle, count)
 
@@ -164,8 +169,10 @@
             )
 
     def make_state() -> Any:
-        states.append(backend_servers.BackendServersState(settings, INCARNATION))
-        return states[-1]
+        state = backend_servers.BackendServersState(settings, INCARNATION)
+        backend_servers.handle(PlacerChanged(settings.id), state, NOW)
+        states.append(state)
+        return state
 
     figures = _measure_each(make_messages, make_state, backend_servers.handle, count)
     announcement = next(make_messages())
