Let tasks pass those that wait for cores, and compare free servers once

Cause: tasks that fit no free server counted as held for a faster one, so that 13 of them at the head of the queue kept every other task waiting. A pass also computed the speeds of the free servers anew for each task it looked at.

Change: a job whose next task fits no free server is passed over, up to 256 of them in a pass. The fastest free servers are kept by class until a server of the pass is full.

--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -34,6 +34,9 @@
 COMPARED_RELEASES = 32
 HELD_PER_PASS = 12
 
+# Jobs passed over in one pass because no free server has the cores or the memory.
+MISFITS_PER_PASS = 256
+
 # A result arrives at the placer this long after the time that the backend server
 # itself gives a task. The client gives up after 2 s, so this comes after it.
 OVERDUE_MARGIN: Seconds = 3.0
@@ -42,12 +45,26 @@
 
 @dataclass(slots=True)
 class _Pass:
-    """One pass over the queue; ``settled`` once the whole order was walked."""
+    """One pass over the queue.
+
+    Parameters
+    ----------
+    settled
+        Whether the whole order was walked.
+    releases
+        Expected releases, with speeds for the class that first needed them.
+    compared_by_class
+        Fastest free servers; dropped when a server has no free slot left.
+    """
 
     now: Seconds
     settled: bool = False
     releases: list[placement.Release] | None = None
+    compared_by_class: dict[ClassName, list[placement.Candidate]] = field(
+        default_factory=dict
+    )
     held: int = 0
+    misfits: int = 0
     calls_by_server: dict[BackendServerId, int] = field(default_factory=dict)
     starts_by_server: dict[BackendServerId, list[TaskStart]] = field(
         default_factory=dict
@@ -90,6 +107,8 @@
             touched.append(job)
         if not state.free or not current.settled or current.held > HELD_PER_PASS:
             break
+        if current.misfits >= MISFITS_PER_PASS:
+            break
     for job in touched:
         put_job(queues_by_class[job.queued.class_name], job)
 
@@ -124,6 +143,9 @@
             ) or is_capped(state.queues_by_class, caps_by_class, class_name):
                 current.settled = False
                 break
+        elif reason == "no_fitting_server":
+            current.misfits += 1
+            break
         else:
             current.held += 1
             if current.held > HELD_PER_PASS:
@@ -179,7 +201,10 @@
     if task.cores or task.memory:
         candidates = _list_fitting(state, class_name, task.cores, task.memory)
     else:
-        candidates = _compare_free(state, class_name)
+        candidates = current.compared_by_class.get(class_name)
+        if candidates is None:
+            candidates = _compare_free(state, class_name)
+            current.compared_by_class[class_name] = candidates
     if not candidates:
         return None, "no_fitting_server"
     chosen = placement.choose_server(candidates)
@@ -295,3 +320,4 @@
     current.effects.append(LogEvent("placement", fields))
     if len(leased.running_by_id) >= min(leased.server.slots, leased.health.limit):
         refresh_server(state, server_id, now)
+        current.compared_by_class.clear()
--- a/boragetide/tests/test_pool.py
+++ b/boragetide/tests/test_pool.py
@@ -76,6 +76,15 @@
     assert all({"task", "candidates", "reason"} <= set(x.fields) for x in lines)
 
 
+def test_tasks_that_do_not_fit_now_let_others_pass(apply) -> None:
+    """Guards against a queue that stops behind tasks that wait for cores."""
+    apply(AnnounceBackendServer(describe("s1", slots=30)))
+    large = tuple(Task(None, 0.01, cores=8.0) for _ in range(20))
+    for number in range(20):
+        apply(QueueTasks(f"large-{number}", "default", large, False))
+    assert pick(apply(queue("plain", 1.0)), StartTasks)
+
+
 def test_batch_holds_its_connection_until_its_last_task_ends(apply) -> None:
     """Guards against more connections than a backend server takes."""
     apply(AnnounceBackendServer(describe("s1", connections=1)))
