Count announcements and cancellations in the wasted messages

Cause: the benchmark read counters that no code kept, so that announcements of backend servers and cancellations were missing from the waste.

Change: the daemon counts announcements received and cancellations sent, and the benchmark reads these and the retries by their names.

--- a/benchmarks/messages.py
+++ b/benchmarks/messages.py
@@ -53,9 +53,9 @@
             parts[PARTS_BY_KIND.get(label, _OTHER)] += value
         elif name == "boragetide_announcements_total":
             parts["announcements"] += 2 * value
-        elif name == "boragetide_task_cancellations_total":
+        elif name == "boragetide_cancellations_total":
             parts["cancellations"] += 2 * value
-        elif name == "boragetide_task_retries_total":
+        elif name == "boragetide_retries_total":
             parts["retries"] += 2 * value
     wasted = {part: value / tasks for part, value in sorted(parts.items())}
     wasted["total"] = sum(wasted.values())
--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -35,6 +35,7 @@
 
     async def put(self, server_id: str) -> None:
         """Announce or renew a backend server at the placer of its zone."""
+        self.runtime.metrics.count("announcements", {})
         parsed = parse_body(BackendServerBody, self.request.body)
         fault = (
             find_id_fault(server_id)
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -13,6 +13,8 @@
 _Series: TypeAlias = tuple[tuple[str, str], ...]
 
 _DESCRIPTIONS_BY_NAME = {
+    "announcements": "Announcements of backend servers received here.",
+    "cancellations": "Cancellations of tasks sent, by backend server.",
     "dispatches": "Batches of tasks sent, by backend server.",
     "ejections": "Ejections of backend servers.",
     "jobs": "Ended jobs by class and status.",
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -78,6 +78,9 @@
 
 @perform.register
 def _(effect: effects.CancelTasks, performer: Performer, controller: str) -> None:
+    performer.runtime.metrics.count(
+        "cancellations", {"server": effect.server}, len(effect.task_ids)
+    )
     performer.start_call(backend_client.cancel(performer.client, effect))
 
 
