Start the controllers only once the listener has its port

Cause: a daemon whose peer port was in use wrote placer_changed before it ended, because controllers had started while the listener was still about to bind.

Change: the daemon waits for the listener before it starts any controller.

--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -70,12 +70,13 @@
     runtime = Runtime(settings, _make_links(settings))
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
+    await _wait_until_listening(listener, listening)
     required = [
         listener,
         *_start_controllers(runtime),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
     ]
-    serving = asyncio.create_task(_serve(runtime, sockets, listening, signals))
+    serving = asyncio.create_task(_serve(runtime, sockets, signals))
     await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
     code = _report_failures([*required, serving])
     await end_tasks({serving, *links, *required})
@@ -84,6 +85,17 @@
     return code
 
 
+async def _wait_until_listening(
+    listener: asyncio.Task[None], listening: asyncio.Event
+) -> None:
+    """Wait for the listener, so that no controller starts where it cannot listen."""
+    waiting = asyncio.create_task(listening.wait())
+    await asyncio.wait({listener, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if listener.done():
+        listener.result()
+
+
 async def end_tasks(tasks: set[asyncio.Task[None]]) -> None:
     """Cancel tasks until they have ended.
 
@@ -99,11 +111,9 @@
 async def _serve(
     runtime: Runtime,
     sockets: list[socket.socket],
-    listening: asyncio.Event,
     signals: StopSignals,
 ) -> None:
     settings = runtime.settings
-    await listening.wait()
     server = make_server(runtime)
     server.add_sockets(sockets)
     log_event(
