--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -73,7 +73,7 @@
     required = [
         listener,
         *_start_controllers(runtime),
-        asyncio.create_task(run_ticks(runtime), name="ticks"),
+        asyncio.create_task(run_ticks(runtime, listening), name="ticks"),
     ]
     serving = asyncio.create_task(_serve(runtime, sockets, listening, signals))
     await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -258,12 +258,13 @@
         await asyncio.sleep(RESTART_DELAY)
 
 
-async def run_ticks(runtime: Runtime) -> None:
+async def run_ticks(runtime: Runtime, listening: asyncio.Event) -> None:
     """Wake every controller periodically, with jitter.
 
-    The first tick comes before any request, so that an instance that is alone in its
-    zone knows that it is the placer.
+    The first tick comes once peers can connect and before any request, so that an
+    instance that is alone in its zone knows that it is the placer.
     """
+    await listening.wait()
     period = runtime.settings.timing.tick
     while True:
         for mailbox in runtime.mailboxes_by_controller.values():
--- a/boragetide/tests/test_stopping.py
+++ b/boragetide/tests/test_stopping.py
@@ -12,7 +12,7 @@
 from boragetide.daemon import stopping
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import ReplyTimeout
-from boragetide.messages import Drain, DrainState, Flush, Flushed
+from boragetide.messages import Drain, DrainState, Flush, Flushed, SaveClaims
 from boragetide.settings import Settings
 from boragetide.types import CONTROLLERS
 
@@ -30,7 +30,7 @@
         self.asked.append(type(message).__name__)
         if isinstance(message, Drain):
             return DrainState(next(self.remaining))
-        if isinstance(message, Flush):
+        if isinstance(message, Flush | SaveClaims):
             return Flushed()
         raise ReplyTimeout("not expected")
 
@@ -53,7 +53,11 @@
     """Guards against an exit before the last replies were read."""
     runtime = ScriptedRuntime(settings, busy=2)
     run_stop(runtime, stopping.StopSignals())
-    assert runtime.asked == ["Drain"] * (2 + len(CONTROLLERS)) + ["Flush"]
+    assert runtime.asked == [
+        *["Drain"] * (2 + len(CONTROLLERS)),
+        "SaveClaims",
+        "Flush",
+    ]
 
 
 def test_open_request_holds_the_stop_until_its_bound(settings: Settings) -> None:
