Check the target against the baselines on long traces

Cause: the committed traces are too short for queues to build up at 95% load, so that the stated target, at most half of the best baseline, was checked with a bound of 75%.

Change: a further test replays generated traces of 1,500 small and 250 large jobs and checks mean and p99 against half of random, round robin and fewest outstanding.

--- a/boragetide/tests/test_replay.py
+++ b/boragetide/tests/test_replay.py
@@ -49,6 +49,21 @@
         assert summary.p99 < 0.75 * other.p99, baseline
 
 
+@pytest.mark.parametrize(
+    ("tasks", "jobs"), [((1, 16), 1500), ((4, 256), 250)], ids=["small", "large"]
+)
+def test_mean_and_p99_are_half_of_those_of_binding_on_arrival(
+    tasks: tuple[int, int], jobs: int
+) -> None:
+    """Guards the target for 95% load, on traces long enough for queues to build up."""
+    trace = traces.generate(seed=1, load=0.95, tasks=tasks, jobs=jobs)
+    summary = summarize(replay(trace, "boragetide"))
+    for baseline in ("random", "round_robin", "fewest_outstanding"):
+        other = summarize(replay(trace, baseline))
+        assert summary.mean <= 0.5 * other.mean, baseline
+        assert summary.p99 <= 0.5 * other.p99, baseline
+
+
 def test_failing_server_costs_at_most_one_percent_of_the_tasks() -> None:
     """Guards against a server that attracts tasks by failing them at once."""
     trace = traces.read(FOLDER / "failing.jsonl")
