--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -5,6 +5,11 @@
 from tornado.web import Application, RequestHandler
 
 from boragetide.api.backend_servers import BackendServerHandler
+from boragetide.api.configuration import (
+    CommandHandler,
+    ConfigurationHandler,
+    HistoryHandler,
+)
 from boragetide.api.models import JobBody, RequestBody
 from boragetide.api.operators import (
     HealthHandler,
@@ -24,6 +29,9 @@
             (r"/v1/jobs", SubmissionHandler, {**shared, "kind": JobBody}),
             (r"/v1/requests", SubmissionHandler, {**shared, "kind": RequestBody}),
             (r"/v1/backend-servers/([^/]+)", BackendServerHandler, shared),
+            (r"/v1/configuration", ConfigurationHandler, shared),
+            (r"/v1/configuration/commands", CommandHandler, shared),
+            (r"/v1/configuration/history", HistoryHandler, shared),
             (r"/v1/status", StatusHandler, shared),
             (r"/metrics", MetricsHandler, shared),
             (r"/healthz", HealthHandler, shared),
--- /dev/null
+++ b/boragetide/api/configuration.py
@@ -0,0 +1,196 @@
+"""HTTP handlers of the configuration."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from boragetide.api.base import Handler
+from boragetide.api.models import JobIdField, NameField
+from boragetide.commands import (
+    Command,
+    CommandStatus,
+    DrainBackendServer,
+    ReturnBackendServer,
+    SetClass,
+)
+from boragetide.errors import LinkError
+from boragetide.messages import FetchConfiguration, History, ListHistory, Propose
+from boragetide.policy.catalogue import RETAINED_HISTORY
+from boragetide.policy.proposals import PROPOSAL_TIMEOUT
+from boragetide.types import Address, Configuration, Seconds, Status
+
+# The controller answers within its own timeout, so that this one passes only when it
+# is stuck.
+COMMAND_TIMEOUT: Seconds = PROPOSAL_TIMEOUT + 1.0
+DEFAULT_HISTORY = 100
+
+HTTP_STATUS_BY_OUTCOME = {
+    CommandStatus.ACCEPTED: 200,
+    CommandStatus.CONFLICT: 409,
+    CommandStatus.UNKNOWN: 503,
+}
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class SetClassBody(_Body):
+    """The command ``set_class``; times are in seconds."""
+
+    kind: Literal["set_class"]
+    name: NameField
+    response_time: Annotated[float, Field(gt=0, le=3600)]
+    busy_share: Annotated[float, Field(ge=0, le=1)]
+
+
+class DrainBody(_Body):
+    """The command ``drain_backend_server``."""
+
+    kind: Literal["drain_backend_server"]
+    id: JobIdField
+
+
+class ReturnBody(_Body):
+    """The command ``return_backend_server``."""
+
+    kind: Literal["return_backend_server"]
+    id: JobIdField
+
+
+class CommandBody(_Body):
+    """Body of ``POST /v1/configuration/commands``."""
+
+    command_id: JobIdField
+    expected_version: Annotated[int, Field(ge=0)]
+    command: Annotated[
+        SetClassBody | DrainBody | ReturnBody, Field(discriminator="kind")
+    ]
+
+
+@singledispatch
+def to_command(body: BaseModel) -> Command:
+    """Turn a validated body into a command."""
+    raise TypeError(f"no command for {body!r}")
+
+
+@to_command.register
+def _(body: SetClassBody) -> Command:
+    return SetClass(body.name, body.response_time, body.busy_share)
+
+
+@to_command.register
+def _(body: DrainBody) -> Command:
+    return DrainBackendServer(body.id)
+
+
+@to_command.register
+def _(body: ReturnBody) -> Command:
+    return ReturnBackendServer(body.id)
+
+
+def describe_configuration(configuration: Configuration) -> dict[str, Any]:
+    """Render a configuration for operators."""
+    classes = configuration.classes_by_name
+    return {
+        "version": configuration.version,
+        "classes": [classes[name] for name in sorted(classes)],
+        "drained": sorted(configuration.drained),
+    }
+
+
+class CommandHandler(Handler):
+    """Takes the commands of operators."""
+
+    async def post(self) -> None:
+        """Propose a command and answer with its one outcome."""
+        try:
+            body = CommandBody.model_validate_json(self.request.body)
+        except ValidationError as error:
+            fault = error.errors(include_url=False)[0]
+            name = ".".join(str(part) for part in fault["loc"]) or "body"
+            message = f"{name}: {fault['msg']}"
+            self.respond(400, {"status": Status.NOT_RUN, "error": message})
+            return
+        propose = Propose(
+            to_command(body.command), body.command_id, body.expected_version
+        )
+        try:
+            outcome = await self.runtime.ask(
+                self.runtime.local("configuration"), propose, COMMAND_TIMEOUT
+            )
+        except LinkError as error:
+            self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
+            return
+        if outcome.status is CommandStatus.UNKNOWN:
+            message = (
+                "no majority of the instances with a disk has agreed on the command "
+                f"within {PROPOSAL_TIMEOUT} s; resend it with the same command_id"
+            )
+            self.respond(503, {"status": outcome.status, "error": message})
+            return
+        self.respond(
+            HTTP_STATUS_BY_OUTCOME[outcome.status],
+            {"status": outcome.status, "version": outcome.version},
+        )
+
+
+class ConfigurationHandler(Handler):
+    """Shows the configuration in force on this instance."""
+
+    async def get(self) -> None:
+        """Answer 503 before there is one."""
+        try:
+            changed = await self.runtime.ask(
+                self.runtime.local("configuration"),
+                FetchConfiguration(),
+                self.runtime.settings.timing.request_timeout,
+            )
+        except LinkError as error:
+            self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
+            return
+        if not changed.in_force:
+            message = "this instance has no configuration in force yet"
+            self.respond(503, {"status": Status.UNKNOWN, "error": message})
+            return
+        self.respond(200, describe_configuration(changed.configuration))
+
+
+class HistoryHandler(Handler):
+    """Shows the accepted commands."""
+
+    async def get(self) -> None:
+        """Answer from an instance with a disk, this one first."""
+        text = self.get_query_argument("limit", str(DEFAULT_HISTORY))
+        if not text.isdecimal() or not 1 <= int(text) <= RETAINED_HISTORY:
+            message = f"limit: {text!r} is not a number from 1 to {RETAINED_HISTORY}"
+            self.respond(400, {"status": Status.NOT_RUN, "error": message})
+            return
+        history = await self._find_history(int(text))
+        if history is None:
+            message = "no instance with a disk has the history up to this version"
+            self.respond(503, {"status": Status.UNKNOWN, "error": message})
+            return
+        self.respond(200, {"entries": history.entries})
+
+    async def _find_history(self, limit: int) -> History | None:
+        """Ask the members in turn; one whose log lags lacks the newest commands."""
+        settings = self.runtime.settings
+        timeout = settings.timing.request_timeout
+        own = self.runtime.local("configuration")
+        try:
+            in_force = await self.runtime.ask(own, FetchConfiguration(), timeout)
+        except LinkError:
+            return None
+        for member in sorted(settings.disk_ids, key=lambda id_: id_ != settings.id):
+            to = Address(member, "configuration")
+            try:
+                history = await self.runtime.ask(to, ListHistory(limit), timeout)
+            except LinkError:
+                continue
+            if history.version >= in_force.configuration.version:
+                return history
+        return None
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from boragetide.api.base import Handler
-from boragetide.messages import ListInstances
+from boragetide.errors import LinkError
+from boragetide.messages import FetchConfiguration, ListInstances
 
 
 class StatusHandler(Handler):
@@ -48,7 +49,16 @@
 class ReadinessHandler(Handler):
     """Says whether this instance takes new requests."""
 
-    def get(self) -> None:
-        """Answer 503 while stopping."""
-        ready = not self.runtime.stopping
+    async def get(self) -> None:
+        """Answer 503 while stopping, or without a configuration in force."""
+        try:
+            changed = await self.runtime.ask(
+                self.runtime.local("configuration"),
+                FetchConfiguration(),
+                self.runtime.settings.timing.request_timeout,
+            )
+        except LinkError:
+            ready = False
+        else:
+            ready = changed.in_force and not self.runtime.stopping
         self.respond(200 if ready else 503, {"ready": ready})
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -1,30 +1,98 @@
-"""The configuration in force."""
+"""The configuration in force, and the commands that wait for an outcome."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatch
 from typing import Any
 
-from boragetide.effects import Effect, Reply
+from boragetide.commands import FetchedConfiguration, Outcome, Proposal
+from boragetide.effects import Effect, Persist, Reply, Send
 from boragetide.messages import (
+    AppendEntries,
+    AppendReply,
+    CatchUpState,
     ConfigurationChanged,
+    ConfigurationOffered,
     FetchConfiguration,
+    ForwardProposal,
+    History,
+    InstallSnapshot,
+    ListHistory,
+    NewerConfiguration,
+    ProposalDecided,
+    Propose,
+    RequestCatchUp,
+    RequestConfiguration,
+    RequestVote,
     StopRequested,
     Tick,
+    VoteReply,
     WokeUp,
 )
+from boragetide.policy import catch_up, elections, proposals, replication
+from boragetide.policy.catalogue import find_outcome
+from boragetide.policy.distribution import (
+    Distribution,
+    choose_offer,
+    fetch_newer,
+    look_for_configuration,
+    put_in_force,
+)
+from boragetide.policy.proposals import Proposals
+from boragetide.policy.replica import (
+    ELECTION_MIN,
+    Replica,
+    Role,
+    apply_committed,
+    compact,
+    follow,
+    restore_replica,
+    schedule_election,
+    step,
+)
 from boragetide.settings import Settings
-from boragetide.types import Configuration, Seconds
+from boragetide.types import Address, Configuration, InstanceId, Seconds
 
 
 @dataclass(slots=True)
 class ConfigurationState:
-    """The configuration that this instance puts in force."""
+    """State of the controller.
+
+    Parameters
+    ----------
+    distribution
+        The configuration in force on this instance.
+    proposals
+        Commands that this instance has to find the outcome of.
+    replica
+        Member of the agreement, on an instance with a disk.
+    contact
+        Position of the member that an instance without a disk asks next.
+    """
 
     settings: Settings
-    incarnation: int
-    configuration: Configuration = field(default_factory=Configuration)
+    distribution: Distribution
+    proposals: Proposals
+    replica: Replica | None = None
+    contact: int = 0
+
+    @property
+    def member(self) -> Replica | None:
+        """The replica, where it takes part in the agreement."""
+        if self.replica is None or self.replica.role is Role.BLANK:
+            return None
+        return self.replica
+
+
+def make_state(
+    settings: Settings, incarnation: int, records: tuple[Any, ...] = ()
+) -> ConfigurationState:
+    """Build the state from the records of the journal, if there is a disk."""
+    state = ConfigurationState(settings, Distribution(settings), Proposals(settings))
+    if settings.id in settings.disk_ids:
+        state.replica = restore_replica(settings, incarnation, records)
+    return state
 
 
 @singledispatch
@@ -33,15 +101,217 @@
     raise TypeError(f"configuration controller cannot handle {message!r}")
 
 
+@handle.register
+def _(message: Tick, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    effects: list[Effect] = []
+    if state.replica is not None:
+        effects += _tick_replica(state.replica, now)
+    effects += _settle(state)
+    effects += look_for_configuration(state.distribution, now)
+    effects += _take_offer(state, now)
+    effects += proposals.expire(state.proposals, state.distribution.version, now)
+    return effects + _send_due(state, now)
+
+
+def _tick_replica(replica: Replica, now: Seconds) -> list[Effect]:
+    if replica.role is Role.BLANK:
+        return catch_up.check_catch_up(replica, now)
+    if replica.role is Role.LEADER:
+        return replication.check_leader(replica, now)
+    return elections.check_election(replica, now)
+
+
+@handle.register(RequestVote)
+@handle.register(VoteReply)
+@handle.register(AppendEntries)
+@handle.register(AppendReply)
+@handle.register(InstallSnapshot)
+def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    if state.member is None:
+        return []
+    return step(message, state.member, now) + _settle(state)
+
+
+@handle.register(RequestCatchUp)
+@handle.register(CatchUpState)
+def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    if state.replica is None:
+        return []
+    return step(message, state.replica, now) + _settle(state)
+
+
+def _settle(state: ConfigurationState) -> list[Effect]:
+    """Put in force what is committed, and answer those who wait for it."""
+    replica = state.replica
+    if replica is None:
+        return []
+    decided = apply_committed(replica)
+    known = [] if replica.fetched is None else [replica.fetched]
+    if replica.role is not Role.BLANK and replica.commit >= replica.floor:
+        known.append(replica.catalogue.configuration)
+    effects: list[Effect] = []
+    if known:
+        newest = max(known, key=lambda configuration: configuration.version)
+        effects += put_in_force(state.distribution, newest)
+    for proposal in decided:
+        outcome = find_outcome(proposal, replica.catalogue)
+        waiting = replica.proposers_by_command.pop(proposal.command_id, set())
+        effects += [
+            _tell_outcome(state, proposal, outcome, proposer)
+            for proposer in sorted(waiting - {state.settings.id})
+        ]
+        effects += proposals.resolve(state.proposals, proposal.command_id, outcome)
+    return effects + compact(replica)
+
+
+@handle.register
+def _(message: Propose, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    proposal = proposals.identify(message)
+    if state.member is not None:
+        outcome = find_outcome(proposal, state.member.catalogue)
+        if outcome is not None:
+            return [proposals.answer(state.proposals, message.reply_to, outcome)]
+    proposals.add_waiter(state.proposals, proposal, message.reply_to, now)
+    return _send_due(state, now)
+
+
+def _send_due(state: ConfigurationState, now: Seconds) -> list[Effect]:
+    effects: list[Effect] = []
+    for proposal in proposals.take_due(state.proposals, now):
+        forwarded = ForwardProposal(proposal, state.settings.id)
+        if state.member is not None and state.member.role is Role.LEADER:
+            effects += handle(forwarded, state, now)
+            continue
+        to = _choose_contact(state)
+        if to is not None:
+            effects.append(Send(Address(to, "configuration"), forwarded))
+    return effects
+
+
+def _choose_contact(state: ConfigurationState) -> InstanceId | None:
+    if state.member is not None:
+        return state.member.leader
+    members = [id_ for id_ in state.settings.disk_ids if id_ != state.settings.id]
+    if not members:
+        return None
+    state.contact += 1
+    return members[state.contact % len(members)]
+
+
+@handle.register
+def _(
+    message: ForwardProposal, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    replica, proposal = state.member, message.proposal
+    if replica is None:
+        return []
+    outcome = find_outcome(proposal, replica.catalogue)
+    if outcome is not None:
+        return [_tell_outcome(state, proposal, outcome, message.sender)]
+    if replica.role is Role.LEADER:
+        proposers = replica.proposers_by_command.setdefault(proposal.command_id, set())
+        proposers.add(message.sender)
+        if _is_in_log(replica, proposal):
+            return []
+        return replication.append_proposal(replica, proposal, now) + _settle(state)
+    if replica.leader is None or message.to_leader:
+        return []
+    onward = ForwardProposal(proposal, message.sender, to_leader=True)
+    return [Send(Address(replica.leader, "configuration"), onward)]
+
+
+def _is_in_log(replica: Replica, proposal: Proposal) -> bool:
+    uncommitted = replica.log[replica.commit - replica.log_start :]
+    return any(
+        entry.proposal is not None and entry.proposal.command_id == proposal.command_id
+        for entry in uncommitted
+    )
+
+
+def _tell_outcome(
+    state: ConfigurationState, proposal: Proposal, outcome: Outcome, to: InstanceId
+) -> Send:
+    decided = ProposalDecided(proposal.command_id, outcome)
+    return Send(Address(to, "configuration"), decided)
+
+
+@handle.register
+def _(
+    message: ProposalDecided, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    return proposals.resolve(state.proposals, message.command_id, message.outcome)
+
+
 @handle.register
 def _(
     message: FetchConfiguration, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    return [Reply(message.reply_to, ConfigurationChanged(state.configuration))]
+    in_force = state.distribution.in_force
+    changed = ConfigurationChanged(in_force or Configuration(), in_force is not None)
+    return [Reply(message.reply_to, changed)]
 
 
-@handle.register(Tick)
-@handle.register(WokeUp)
-@handle.register(StopRequested)
-def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
+@handle.register
+def _(message: ListHistory, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    if state.replica is None:
+        return [Reply(message.reply_to, History(-1, ()))]
+    catalogue = state.replica.catalogue
+    newest = tuple(reversed(catalogue.history[-message.limit :]))
+    return [Reply(message.reply_to, History(catalogue.configuration.version, newest))]
+
+
+@handle.register
+def _(
+    message: NewerConfiguration, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    """Fetch from a peer, but on a member that hears a leader: the log brings it."""
+    member = state.member
+    if member is not None and (
+        member.role is Role.LEADER or now - member.leader_heard_at < ELECTION_MIN
+    ):
+        return []
+    return fetch_newer(state.distribution, message.instance, message.version, now)
+
+
+@handle.register
+def _(
+    message: RequestConfiguration, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    offer = ConfigurationOffered(state.settings.id, state.distribution.in_force)
+    return [Send(Address(message.sender, "configuration"), offer)]
+
+
+@handle.register
+def _(
+    message: ConfigurationOffered, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    if message.configuration is None:
+        return []
+    state.distribution.offers_by_id[message.sender] = message.configuration
+    return _take_offer(state, now)
+
+
+def _take_offer(state: ConfigurationState, now: Seconds) -> list[Effect]:
+    """Put a peer's configuration in force; a member syncs it before."""
+    configuration = choose_offer(state.distribution, now)
+    if configuration is None:
+        return []
+    effects: list[Effect] = []
+    if state.replica is not None:
+        state.replica.fetched = configuration
+        effects.append(Persist((FetchedConfiguration(configuration),)))
+    return effects + put_in_force(state.distribution, configuration)
+
+
+@handle.register
+def _(message: WokeUp, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    """Stand back from leading: the others may have elected another leader."""
+    if state.member is not None:
+        follow(state.member, None)
+        schedule_election(state.member, now)
+    return []
+
+
+@handle.register
+def _(message: StopRequested, state: ConfigurationState, now: Seconds) -> list[Effect]:
     return []
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -14,6 +14,7 @@
     Heartbeat,
     InstanceList,
     ListInstances,
+    NewerConfiguration,
     PlacerChosen,
     PoolSize,
     StopRequested,
@@ -147,7 +148,17 @@
     if echo > view.last_echo or echo == state.sequence:
         view.last_echo = echo
         view.echo_at = now
-    return effects
+    return effects + _report_newer_configuration(message, state)
+
+
+def _report_newer_configuration(
+    heartbeat: Heartbeat, state: InstancesState
+) -> list[Effect]:
+    version = heartbeat.configuration_version
+    if version <= state.configuration_version:
+        return []
+    newer = NewerConfiguration(heartbeat.instance, version)
+    return [Send(Address(state.settings.id, "configuration"), newer)]
 
 
 @handle.register
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -12,16 +12,19 @@
 from boragetide import effects
 from boragetide.daemon.logs import log_event
 from boragetide.daemon.runtime import Runtime
+from boragetide.errors import StorageError
 from boragetide.links import backend_client
 from boragetide.messages import TaskReport
+from boragetide.storage.journal import Journals
 
 
 @dataclass(slots=True)
 class Performer:
-    """What effects act on: the runtime and the client of the backend servers."""
+    """What effects act on: the runtime, the client of the backend servers, files."""
 
     runtime: Runtime
     client: AsyncHTTPClient
+    journals: Journals | None = None
     calls: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start_call(self, call: Awaitable[None]) -> None:
@@ -62,6 +65,26 @@
     performer.runtime.reply(effect.to, effect.message)
 
 
+@perform.register
+def _(
+    effect: effects.Persist, performer: Performer, controller: str
+) -> Awaitable[None]:
+    return _get_journals(performer).append(controller, effect.records)
+
+
+@perform.register
+def _(
+    effect: effects.SaveSnapshot, performer: Performer, controller: str
+) -> Awaitable[None]:
+    return _get_journals(performer).save_snapshot(controller, effect.record)
+
+
+def _get_journals(performer: Performer) -> Journals:
+    if performer.journals is None:
+        raise StorageError("this instance has no disk to keep records on")
+    return performer.journals
+
+
 @perform.register
 def _(effect: effects.StartTasks, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count("dispatches", {"server": effect.server})
--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from boragetide import messages
+from boragetide.encoding import restore
 from boragetide.errors import LinkError
 from boragetide.types import InstanceId
 
@@ -50,7 +51,8 @@
     and value.__module__ == messages.__name__
 }
 _DECODERS_BY_KIND = {
-    kind: msgspec.msgpack.Decoder(type_) for kind, type_ in _TYPES_BY_KIND.items()
+    kind: msgspec.msgpack.Decoder(type_, dec_hook=restore)
+    for kind, type_ in _TYPES_BY_KIND.items()
 }
 _FRAME_DECODER = msgspec.msgpack.Decoder(list[Envelope])
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/boragetide/policy/distribution.py
@@ -0,0 +1,97 @@
+"""Which configuration is in force on an instance, and when a peer's is taken."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from boragetide.effects import Effect, LogEvent, Send
+from boragetide.messages import ConfigurationChanged, RequestConfiguration
+from boragetide.settings import Settings
+from boragetide.types import Address, Configuration, InstanceId, Seconds
+
+FETCH_INTERVAL = 0.3  # seconds
+# An instance without a configuration takes the newest one that a majority of the
+# members has; after this time it serves with the newest that it can reach.
+FETCH_WAIT = 2.0  # seconds
+
+
+@dataclass(slots=True)
+class Distribution:
+    """What is in force on this instance.
+
+    Parameters
+    ----------
+    in_force
+        ``None`` until there is one; then its version never decreases.
+    offers_by_id
+        Configurations of peers, while there is none in force.
+    fetch_at
+        Earliest time of the next request to a peer.
+    started_at
+        First time that this instance looked for a configuration.
+    """
+
+    settings: Settings
+    in_force: Configuration | None = None
+    offers_by_id: dict[InstanceId, Configuration] = field(default_factory=dict)
+    fetch_at: Seconds = 0.0
+    started_at: Seconds | None = None
+
+    @property
+    def version(self) -> int:
+        """Version in force, or -1."""
+        return -1 if self.in_force is None else self.in_force.version
+
+
+def put_in_force(state: Distribution, configuration: Configuration) -> list[Effect]:
+    """Put a configuration in force and tell the local controllers, if it is newer."""
+    if configuration.version <= state.version:
+        return []
+    state.in_force = configuration
+    state.offers_by_id = {}
+    changed = ConfigurationChanged(configuration)
+    own = state.settings.id
+    return [
+        LogEvent("configuration_in_force", {"version": configuration.version}),
+        Send(Address(own, "backend_servers"), changed),
+        Send(Address(own, "instances"), changed),
+    ]
+
+
+def look_for_configuration(state: Distribution, now: Seconds) -> list[Effect]:
+    """Ask all peers while this instance has no configuration."""
+    if state.started_at is None:
+        state.started_at = now
+    if state.in_force is not None or now < state.fetch_at:
+        return []
+    state.fetch_at = now + FETCH_INTERVAL
+    request = RequestConfiguration(state.settings.id)
+    return [
+        Send(Address(peer, "configuration"), request)
+        for peer in state.settings.peers_by_id
+        if peer != state.settings.id
+    ]
+
+
+def fetch_newer(
+    state: Distribution, peer: InstanceId, version: int, now: Seconds
+) -> list[Effect]:
+    """Ask a peer that shows a newer version for its configuration."""
+    if state.in_force is None or version <= state.version or now < state.fetch_at:
+        return []
+    state.fetch_at = now + FETCH_INTERVAL
+    request = RequestConfiguration(state.settings.id)
+    return [Send(Address(peer, "configuration"), request)]
+
+
+def choose_offer(state: Distribution, now: Seconds) -> Configuration | None:
+    """Return the peer's configuration to put in force now, if any."""
+    if not state.offers_by_id:
+        return None
+    members = set(state.settings.disk_ids)
+    answered = len(members & state.offers_by_id.keys())
+    waited = state.started_at is not None and now - state.started_at >= FETCH_WAIT
+    if state.in_force is None and answered <= len(members) // 2 and not waited:
+        return None
+    best = max(state.offers_by_id.values(), key=lambda offer: offer.version)
+    return best if best.version > state.version else None
--- /dev/null
+++ b/boragetide/policy/elections.py
@@ -0,0 +1,131 @@
+"""Elections among the members, with pre-votes that disturb no working leader."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from boragetide.effects import Effect, Persist, Send
+from boragetide.messages import RequestVote, VoteReply
+from boragetide.policy.replica import (
+    ELECTION_MIN,
+    FIRST_ELECTION_MAX,
+    FIRST_ELECTION_MIN,
+    Replica,
+    Role,
+    adopt_term,
+    is_fenced,
+    merge_fences,
+    schedule_election,
+    step,
+)
+from boragetide.policy.replication import become_leader
+from boragetide.types import Address, Seconds
+
+
+def check_election(replica: Replica, now: Seconds) -> list[Effect]:
+    """Ask for pre-votes when no leader was heard for too long."""
+    if not replica.others:
+        return _stand(replica, now, preliminary=False)
+    if replica.election_at is None:
+        schedule_election(replica, now, FIRST_ELECTION_MIN, FIRST_ELECTION_MAX)
+    if now < replica.election_at:
+        return []
+    replica.leader = None
+    return _stand(replica, now, preliminary=True)
+
+
+def _stand(replica: Replica, now: Seconds, *, preliminary: bool) -> list[Effect]:
+    schedule_election(replica, now)
+    replica.role = Role.CANDIDATE
+    replica.preliminary = preliminary
+    replica.votes_by_id = {replica.id: replica.incarnation}
+    effects: list[Effect] = []
+    if not preliminary:
+        term = replica.ballot.term + 1
+        replica.ballot = replace(replica.ballot, term=term, voted_for=replica.id)
+        effects.append(Persist((replica.ballot,)))
+    request = RequestVote(
+        term=replica.ballot.term + preliminary,
+        candidate=replica.id,
+        last_index=replica.last_index,
+        last_term=replica.last_term,
+        preliminary=preliminary,
+        incarnation=replica.incarnation,
+    )
+    effects += [
+        Send(Address(member, "configuration"), request) for member in replica.others
+    ]
+    return effects + _count_votes(replica, now)
+
+
+def _count_votes(replica: Replica, now: Seconds) -> list[Effect]:
+    if len(replica.votes_by_id) < replica.quorum:
+        return []
+    if replica.preliminary:
+        return _stand(replica, now, preliminary=False)
+    return become_leader(replica, now)
+
+
+@step.register
+def _(message: RequestVote, replica: Replica, now: Seconds) -> list[Effect]:
+    if message.preliminary:
+        led = replica.role is Role.LEADER or (
+            now - replica.leader_heard_at < ELECTION_MIN
+        )
+        granted = (
+            not led
+            and message.term > replica.ballot.term
+            and _is_up_to_date(message, replica)
+        )
+        return [_make_reply(message, replica, granted)]
+    before = replica.ballot
+    adopt_term(replica, message.term)
+    granted = (
+        message.term == replica.ballot.term
+        and replica.ballot.voted_for in (None, message.candidate)
+        and _is_up_to_date(message, replica)
+    )
+    if granted:
+        replica.ballot = replace(replica.ballot, voted_for=message.candidate)
+        schedule_election(replica, now)
+    effects: list[Effect] = []
+    if replica.ballot != before:
+        effects.append(Persist((replica.ballot,)))
+    return [*effects, _make_reply(message, replica, granted)]
+
+
+def _is_up_to_date(message: RequestVote, replica: Replica) -> bool:
+    own = (replica.last_term, replica.last_index)
+    return (message.last_term, message.last_index) >= own
+
+
+def _make_reply(message: RequestVote, replica: Replica, granted: bool) -> Send:
+    reply = VoteReply(
+        term=replica.ballot.term,
+        requested_term=message.term,
+        preliminary=message.preliminary,
+        for_incarnation=message.incarnation,
+        voter=replica.id,
+        incarnation=replica.incarnation,
+        granted=granted,
+        fences_by_id=replica.ballot.fences_by_id,
+    )
+    return Send(Address(message.candidate, "configuration"), reply)
+
+
+@step.register
+def _(message: VoteReply, replica: Replica, now: Seconds) -> list[Effect]:
+    merge_fences(replica, message.fences_by_id)
+    if message.term > replica.ballot.term:
+        return adopt_term(replica, message.term)
+    expected = (replica.preliminary, replica.ballot.term + replica.preliminary)
+    if (
+        replica.role is not Role.CANDIDATE
+        or (message.preliminary, message.requested_term) != expected
+        or message.for_incarnation != replica.incarnation
+        or not message.granted
+        or is_fenced(replica, message.voter, message.incarnation)
+    ):
+        return []
+    replica.votes_by_id[message.voter] = message.incarnation
+    return _count_votes(replica, now)
--- /dev/null
+++ b/boragetide/policy/replica.py
@@ -0,0 +1,287 @@
+"""One member of the configuration group: its durable state and what it derives."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+from functools import singledispatch
+from typing import Any
+
+from boragetide.commands import (
+    Ballot,
+    Catalogue,
+    CommitIndex,
+    FetchedConfiguration,
+    LogEntry,
+    Proposal,
+    Snapshot,
+)
+from boragetide.effects import Effect, Persist, SaveSnapshot
+from boragetide.messages import CatchUpState
+from boragetide.policy.catalogue import apply_entry
+from boragetide.settings import Settings
+from boragetide.types import Configuration, InstanceId, Seconds
+
+# A leader counts as lost after at least this silence; twice its longest heartbeat gap.
+ELECTION_MIN = 1.0  # seconds
+ELECTION_MAX = 2.0  # seconds
+# After a start no leader is known, and pre-votes protect one that exists.
+FIRST_ELECTION_MIN = 0.1  # seconds
+FIRST_ELECTION_MAX = 0.6  # seconds
+
+SNAPSHOT_ENTRIES = 256  # log entries applied between two snapshots
+TRAILING_ENTRIES = 64  # kept in the log, so that a slow member needs no snapshot
+
+
+class Role(StrEnum):
+    """Role of a member; a blank one has no durable state and takes no part yet."""
+
+    BLANK = "blank"
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of a member's log.
+
+    Parameters
+    ----------
+    next_index
+        First entry that was not sent yet.
+    match_index
+        Last entry that the member has certainly synced.
+    incarnation
+        Process of the member that acknowledged it.
+    heard_at
+        When the member last answered.
+    """
+
+    next_index: int
+    heard_at: Seconds
+    match_index: int = 0
+    incarnation: int = 0
+
+
+@dataclass(slots=True)
+class Replica:
+    """State of one member.
+
+    Parameters
+    ----------
+    ballot, log, log_start, log_start_term, commit, catalogue, fetched, floor
+        Durable state; see `Snapshot`.
+    leader, leader_heard_at
+        Leader of the current term, if known, and when it was last heard.
+    election_at
+        When to stand for election unless a leader is heard.
+    preliminary, votes_by_id
+        Election in progress: incarnations of the members that voted for this one.
+    progress_by_id, next_heartbeat, proposers_by_command
+        State of a leader: the other members, and who waits for which command.
+    catch_up_by_id, started_at, next_request
+        State of a blank member: the newest answer of each other member.
+    """
+
+    settings: Settings
+    incarnation: int
+    role: Role = Role.BLANK
+    ballot: Ballot = field(default_factory=Ballot)
+    log: list[LogEntry] = field(default_factory=list)
+    log_start: int = 0
+    log_start_term: int = 0
+    commit: int = 0
+    catalogue: Catalogue = field(default_factory=Catalogue)
+    fetched: Configuration | None = None
+    floor: int = 0
+    leader: InstanceId | None = None
+    leader_heard_at: Seconds = 0.0
+    election_at: Seconds | None = None
+    preliminary: bool = True
+    votes_by_id: dict[InstanceId, int] = field(default_factory=dict)
+    progress_by_id: dict[InstanceId, Progress] = field(default_factory=dict)
+    next_heartbeat: Seconds = 0.0
+    proposers_by_command: dict[str, set[InstanceId]] = field(default_factory=dict)
+    catch_up_by_id: dict[InstanceId, CatchUpState] = field(default_factory=dict)
+    started_at: Seconds | None = None
+    next_request: Seconds = 0.0
+    jitter: random.Random = field(default_factory=random.Random)
+
+    @property
+    def id(self) -> InstanceId:
+        """Id of this instance."""
+        return self.settings.id
+
+    @property
+    def others(self) -> tuple[InstanceId, ...]:
+        """The other members."""
+        return tuple(id_ for id_ in self.settings.disk_ids if id_ != self.id)
+
+    @property
+    def quorum(self) -> int:
+        """Number of members that make a majority."""
+        return len(self.settings.disk_ids) // 2 + 1
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last log entry."""
+        return self.log_start + len(self.log)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last log entry."""
+        return self.term_at(self.last_index)
+
+    def term_at(self, index: int) -> int:
+        """Return the term of an entry from ``log_start`` on."""
+        if index == self.log_start:
+            return self.log_start_term
+        return self.log[index - self.log_start - 1].term
+
+
+@singledispatch
+def step(message: Any, replica: Replica, now: Seconds) -> list[Effect]:
+    """Apply one message between members."""
+    raise TypeError(f"no step for {message!r}")
+
+
+def restore_replica(
+    settings: Settings, incarnation: int, records: tuple[Any, ...]
+) -> Replica:
+    """Build a member from its journal; without any ballot it is blank."""
+    replica = Replica(settings, incarnation)
+    for record in records:
+        load(record, replica)
+    return replica
+
+
+@singledispatch
+def load(record: Any, replica: Replica) -> None:
+    """Apply one record of the journal."""
+    raise TypeError(f"no member state in {record!r}")
+
+
+@load.register
+def _(record: Ballot, replica: Replica) -> None:
+    replica.ballot = record
+    replica.role = Role.FOLLOWER
+
+
+@load.register
+def _(record: LogEntry, replica: Replica) -> None:
+    put_entries(replica, (record,))
+
+
+@load.register
+def _(record: CommitIndex, replica: Replica) -> None:
+    replica.commit = record.index
+
+
+@load.register
+def _(record: FetchedConfiguration, replica: Replica) -> None:
+    replica.fetched = record.configuration
+
+
+@load.register
+def _(record: Snapshot, replica: Replica) -> None:
+    replica.role = Role.FOLLOWER
+    replica.ballot = record.ballot
+    replica.commit = record.commit
+    replica.catalogue = record.catalogue
+    replica.log_start = record.log_start
+    replica.log_start_term = record.log_start_term
+    replica.log = list(record.entries)
+    replica.fetched = record.fetched
+    replica.floor = record.floor
+
+
+def make_snapshot(replica: Replica) -> Snapshot:
+    """Collect the durable state of a member."""
+    return Snapshot(
+        ballot=replica.ballot,
+        commit=replica.commit,
+        catalogue=replica.catalogue,
+        log_start=replica.log_start,
+        log_start_term=replica.log_start_term,
+        entries=tuple(replica.log),
+        fetched=replica.fetched,
+        floor=replica.floor,
+    )
+
+
+def put_entries(replica: Replica, entries: tuple[LogEntry, ...]) -> None:
+    """Put entries into the log in place of all entries from the first of them on."""
+    del replica.log[entries[0].index - replica.log_start - 1 :]
+    replica.log.extend(entries)
+
+
+def apply_committed(replica: Replica) -> list[Proposal]:
+    """Apply what is committed and return the commands that now have an outcome."""
+    entries = replica.log[
+        replica.catalogue.index - replica.log_start : replica.commit - replica.log_start
+    ]
+    for entry in entries:
+        apply_entry(entry, replica.catalogue)
+    return [entry.proposal for entry in entries if entry.proposal is not None]
+
+
+def compact(replica: Replica) -> list[Effect]:
+    """Replace the journal by a snapshot once enough entries are applied."""
+    applied = replica.catalogue.index - replica.log_start
+    if applied < SNAPSHOT_ENTRIES + TRAILING_ENTRIES:
+        return []
+    start = replica.catalogue.index - TRAILING_ENTRIES
+    replica.log_start_term = replica.term_at(start)
+    del replica.log[: start - replica.log_start]
+    replica.log_start = start
+    return [SaveSnapshot(make_snapshot(replica))]
+
+
+def adopt_term(replica: Replica, term: int) -> list[Effect]:
+    """Follow a newer term without a vote in it."""
+    if term <= replica.ballot.term:
+        return []
+    replica.ballot = replace(replica.ballot, term=term, voted_for=None)
+    follow(replica, None)
+    return [Persist((replica.ballot,))]
+
+
+def follow(replica: Replica, leader: InstanceId | None) -> None:
+    """Become a follower of a leader, or of none that is known."""
+    replica.role = Role.FOLLOWER
+    replica.leader = leader
+    replica.votes_by_id = {}
+    replica.progress_by_id = {}
+    replica.proposers_by_command = {}
+
+
+def schedule_election(
+    replica: Replica,
+    now: Seconds,
+    shortest: Seconds = ELECTION_MIN,
+    longest: Seconds = ELECTION_MAX,
+) -> None:
+    """Draw the time at which this member stands for election."""
+    replica.election_at = now + replica.jitter.uniform(shortest, longest)
+
+
+def merge_fences(replica: Replica, fences_by_id: dict[InstanceId, int]) -> None:
+    """Stop counting what members said before they lost their disk."""
+    known = replica.ballot.fences_by_id
+    newer = {i: at for i, at in fences_by_id.items() if at > known.get(i, 0)}
+    if not newer:
+        return
+    replica.ballot = replace(replica.ballot, fences_by_id={**known, **newer})
+    for member, incarnation in newer.items():
+        if replica.votes_by_id.get(member, incarnation) < incarnation:
+            del replica.votes_by_id[member]
+        progress = replica.progress_by_id.get(member)
+        if progress is not None and progress.incarnation < incarnation:
+            progress.match_index = 0
+
+
+def is_fenced(replica: Replica, member: InstanceId, incarnation: int) -> bool:
+    """Tell whether a message comes from a process that has lost its disk since."""
+    return incarnation < replica.ballot.fences_by_id.get(member, 0)
--- /dev/null
+++ b/boragetide/policy/replication.py
@@ -0,0 +1,220 @@
+"""Replication of the log from the leader to the other members."""
+
+from __future__ import annotations
+
+from boragetide.commands import CommitIndex, LogEntry, Proposal
+from boragetide.effects import Effect, LogEvent, Persist, SaveSnapshot, Send
+from boragetide.messages import AppendEntries, AppendReply, InstallSnapshot
+from boragetide.policy.catalogue import copy_catalogue
+from boragetide.policy.replica import (
+    ELECTION_MAX,
+    Progress,
+    Replica,
+    Role,
+    adopt_term,
+    follow,
+    is_fenced,
+    make_snapshot,
+    merge_fences,
+    put_entries,
+    schedule_election,
+    step,
+)
+from boragetide.types import Address, InstanceId, Seconds
+
+LEADER_HEARTBEAT = 0.4  # seconds
+LEADER_HEARTBEAT_JITTER = 0.1  # share of the heartbeat interval
+BATCH_ENTRIES = 64  # log entries in one message
+
+
+def become_leader(replica: Replica, now: Seconds) -> list[Effect]:
+    """Lead the current term; its first entry commits those of earlier terms."""
+    replica.role = Role.LEADER
+    replica.leader = replica.id
+    replica.proposers_by_command = {}
+    replica.progress_by_id = {
+        member: Progress(replica.last_index + 1, now) for member in replica.others
+    }
+    elected = LogEvent("leader_elected", {"term": replica.ballot.term})
+    return [elected, *append_proposal(replica, None, now)]
+
+
+def append_proposal(
+    replica: Replica, proposal: Proposal | None, now: Seconds
+) -> list[Effect]:
+    """Append a command to the leader's log and send it to the other members."""
+    entry = LogEntry(replica.last_index + 1, replica.ballot.term, now, proposal)
+    replica.log.append(entry)
+    effects: list[Effect] = [Persist((entry,))]
+    return effects + _send_all(replica, now) + _advance_commit(replica, now)
+
+
+def check_leader(replica: Replica, now: Seconds) -> list[Effect]:
+    """Send heartbeats; stand back when no majority answers any more."""
+    heard = [
+        progress
+        for progress in replica.progress_by_id.values()
+        if now - progress.heard_at < ELECTION_MAX
+    ]
+    if len(heard) + 1 < replica.quorum:
+        follow(replica, None)
+        schedule_election(replica, now)
+        return [LogEvent("leader_stood_back", {"term": replica.ballot.term})]
+    return _send_all(replica, now) if now >= replica.next_heartbeat else []
+
+
+def _send_all(replica: Replica, now: Seconds) -> list[Effect]:
+    spread = LEADER_HEARTBEAT * LEADER_HEARTBEAT_JITTER
+    replica.next_heartbeat = (
+        now + LEADER_HEARTBEAT + replica.jitter.uniform(-spread, spread)
+    )
+    return [_send_log(replica, member) for member in replica.progress_by_id]
+
+
+def _send_log(replica: Replica, member: InstanceId) -> Send:
+    progress = replica.progress_by_id[member]
+    to = Address(member, "configuration")
+    term = replica.ballot.term
+    previous = progress.next_index - 1
+    if previous < replica.log_start:
+        catalogue = copy_catalogue(replica.catalogue)
+        catalogue_term = replica.term_at(catalogue.index)
+        progress.next_index = catalogue.index + 1
+        return Send(to, InstallSnapshot(term, replica.id, catalogue, catalogue_term))
+    start = previous - replica.log_start
+    entries = tuple(replica.log[start : start + BATCH_ENTRIES])
+    progress.next_index += len(entries)
+    message = AppendEntries(
+        term=term,
+        leader=replica.id,
+        previous_index=previous,
+        previous_term=replica.term_at(previous),
+        entries=entries,
+        commit=replica.commit,
+    )
+    return Send(to, message)
+
+
+def _advance_commit(replica: Replica, now: Seconds) -> list[Effect]:
+    synced = [progress.match_index for progress in replica.progress_by_id.values()]
+    synced = sorted([*synced, replica.last_index], reverse=True)
+    index = synced[replica.quorum - 1]
+    if index <= replica.commit or replica.term_at(index) != replica.ballot.term:
+        return []
+    replica.commit = index
+    return [Persist((CommitIndex(index),)), *_send_all(replica, now)]
+
+
+@step.register
+def _(message: AppendReply, replica: Replica, now: Seconds) -> list[Effect]:
+    merge_fences(replica, message.fences_by_id)
+    if message.term > replica.ballot.term:
+        return adopt_term(replica, message.term)
+    if (
+        replica.role is not Role.LEADER
+        or message.term < replica.ballot.term
+        or is_fenced(replica, message.member, message.incarnation)
+    ):
+        return []
+    progress = replica.progress_by_id[message.member]
+    progress.heard_at = now
+    progress.incarnation = message.incarnation
+    if message.matched:
+        progress.match_index = max(progress.match_index, message.index)
+        progress.next_index = max(progress.next_index, message.index + 1)
+    else:
+        earlier = min(progress.next_index, message.index + 1)
+        progress.next_index = max(progress.match_index + 1, earlier)
+    effects = _advance_commit(replica, now)
+    if progress.next_index <= replica.last_index:
+        effects.append(_send_log(replica, message.member))
+    return effects
+
+
+@step.register
+def _(message: AppendEntries, replica: Replica, now: Seconds) -> list[Effect]:
+    if message.term < replica.ballot.term:
+        return [_make_reply(replica, message.leader, matched=False, index=0)]
+    effects = _follow_leader(replica, message.leader, message.term, now)
+    previous = message.previous_index
+    if previous > replica.last_index:
+        index = replica.last_index
+        return [*effects, _make_reply(replica, message.leader, False, index)]
+    if (
+        previous >= replica.log_start
+        and replica.term_at(previous) != message.previous_term
+    ):
+        # What is committed is equal everywhere, so that the leader can go on there.
+        index = replica.commit
+        return [*effects, _make_reply(replica, message.leader, False, index)]
+    records: list[LogEntry | CommitIndex] = [*_take_entries(replica, message.entries)]
+    matched = previous + len(message.entries)
+    if min(message.commit, matched) > replica.commit:
+        replica.commit = min(message.commit, matched)
+        records.append(CommitIndex(replica.commit))
+    if records:
+        effects.append(Persist(tuple(records)))
+    return [*effects, _make_reply(replica, message.leader, True, matched)]
+
+
+def _take_entries(
+    replica: Replica, entries: tuple[LogEntry, ...]
+) -> tuple[LogEntry, ...]:
+    """Put in the entries that the log does not have and return them."""
+    for position, entry in enumerate(entries):
+        if entry.index <= replica.log_start:
+            continue
+        if entry.index <= replica.last_index and (
+            replica.term_at(entry.index) == entry.term
+        ):
+            continue
+        put_entries(replica, entries[position:])
+        return entries[position:]
+    return ()
+
+
+@step.register
+def _(message: InstallSnapshot, replica: Replica, now: Seconds) -> list[Effect]:
+    if message.term < replica.ballot.term:
+        return [_make_reply(replica, message.leader, matched=False, index=0)]
+    effects = _follow_leader(replica, message.leader, message.term, now)
+    index = message.catalogue.index
+    if index > replica.commit:
+        replica.log = _keep_suffix(replica, index, message.catalogue_term)
+        replica.log_start = index
+        replica.log_start_term = message.catalogue_term
+        replica.commit = index
+        replica.catalogue = message.catalogue
+        effects.append(SaveSnapshot(make_snapshot(replica)))
+    return [*effects, _make_reply(replica, message.leader, True, replica.commit)]
+
+
+def _keep_suffix(replica: Replica, index: int, term: int) -> list[LogEntry]:
+    if index > replica.last_index or replica.term_at(index) != term:
+        return []
+    return replica.log[index - replica.log_start :]
+
+
+def _follow_leader(
+    replica: Replica, leader: InstanceId, term: int, now: Seconds
+) -> list[Effect]:
+    effects = adopt_term(replica, term)
+    if replica.role is not Role.FOLLOWER or replica.leader != leader:
+        follow(replica, leader)
+    replica.leader_heard_at = now
+    schedule_election(replica, now)
+    return effects
+
+
+def _make_reply(
+    replica: Replica, leader: InstanceId, matched: bool, index: int
+) -> Send:
+    reply = AppendReply(
+        term=replica.ballot.term,
+        member=replica.id,
+        incarnation=replica.incarnation,
+        matched=matched,
+        index=index,
+        fences_by_id=replica.ballot.fences_by_id,
+    )
+    return Send(Address(leader, "configuration"), reply)
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -200,6 +200,9 @@
         name: _validate_section(name, dict(parser[name]), faults)
         for name in parser.sections()
     }
+    own = sections.get("instance")
+    if own is not None and own.disk and own.data_folder is None:
+        faults.append("[instance] data-folder is missing, but disk = yes")
     if "instance" not in sections:
         faults.append("section [instance] is missing")
     if faults:
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests against small oracles."""
--- /dev/null
+++ b/properties/test_configuration.py
@@ -0,0 +1,330 @@
+"""Agreement on the configuration over a bad network, with crashes and lost disks."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from boragetide.commands import (
+    RECORD_TYPES,
+    CommandStatus,
+    DrainBackendServer,
+    RegisterAcceptor,
+    SetClass,
+)
+from boragetide.controllers.configuration import ConfigurationState, handle, make_state
+from boragetide.effects import Effect, LogEvent, Persist, Reply, SaveSnapshot, Send
+from boragetide.encoding import restore
+from boragetide.links.codec import Envelope, decode_body, encode_body
+from boragetide.messages import ConfigurationChanged, NewerConfiguration, Propose, Tick
+from boragetide.policy import replica as replica_module
+from boragetide.policy.replica import Replica, Role, restore_replica
+from boragetide.settings import Peer, Settings
+from boragetide.types import ReplyTo
+
+STEP = 0.05  # seconds of simulated time
+CONVERGENCE = 12.0  # seconds within which a healed system must agree
+TYPES_BY_NAME = {type_.__name__: type_ for type_ in RECORD_TYPES}
+COMMAND_IDS = [f"c{number}" for number in range(8)]
+
+
+@dataclass
+class Node:
+    """One instance: its state while it runs, and what is on its disk."""
+
+    id: str
+    incarnation: int = 0
+    state: ConfigurationState | None = None
+    disk: list[bytes] = field(default_factory=list)
+    effects_left: int | None = None
+    version: int = -1
+    proposals: list[Propose] = field(default_factory=list)
+
+
+class Agreement(RuleBasedStateMachine):
+    """Members ``m0`` to ``m2`` with disks and an instance ``x0`` without."""
+
+    members = 3
+
+    @initialize(seed=st.integers(0, 2**32 - 1))
+    def start(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = 1_000.0
+        ids = [*(f"m{number}" for number in range(self.members)), "x0"]
+        self.peers_by_id = {
+            id_: Peer(id_, "a", "", "", disk=id_.startswith("m")) for id_ in ids
+        }
+        self.nodes_by_id = {id_: Node(id_) for id_ in ids}
+        self.network: list[tuple[str, str, Envelope]] = []
+        self.cut: frozenset[str] = frozenset()
+        self.commands = 0
+        self.outcomes_by_command: dict[Any, Any] = {}
+        self.commands_by_version: dict[int, str] = {}
+        self.contents_by_version: dict[int, Any] = {}
+        self.leaders_by_term: dict[int, tuple[str, int]] = {}
+        self.first_by_instance: dict[str, int] = {}
+        for node in self.nodes_by_id.values():
+            self.boot(node)
+        self.run_for(3.0, loss=0.0)
+
+    def boot(self, node: Node) -> None:
+        self.incarnations = getattr(self, "incarnations", 0) + 1
+        node.incarnation = self.incarnations
+        node.effects_left = None
+        records = tuple(self.decode_record(data) for data in node.disk)
+        node.state = make_state(self.make_settings(node), node.incarnation, records)
+        if node.state.replica is not None:
+            node.state.replica.jitter = random.Random(self.random.random())
+
+    def make_settings(self, node: Node) -> Settings:
+        return Settings(node.id, "a", self.peers_by_id, None)
+
+    @staticmethod
+    def decode_record(data: bytes) -> Any:
+        name, raw = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
+        return msgspec.msgpack.decode(raw, type=TYPES_BY_NAME[name], dec_hook=restore)
+
+    def handle(self, node: Node, message: Any) -> None:
+        if node.state is None:
+            return
+        for effect in handle(message, node.state, self.now):
+            if node.effects_left is not None:
+                node.effects_left -= 1
+                if node.effects_left < 0:
+                    self.stop(node)
+                    return
+            self.perform(node, effect)
+
+    def stop(self, node: Node) -> None:
+        node.state = None
+        if node.id == "x0":
+            node.version = -1
+
+    def perform(self, node: Node, effect: Effect) -> None:
+        match effect:
+            case Persist(records):
+                node.disk += [self.encode_record(record) for record in records]
+            case SaveSnapshot(record):
+                node.disk = [self.encode_record(record)]
+            case Send(to, ConfigurationChanged(configuration)):
+                if to.controller == "instances":
+                    self.check_in_force(node, configuration)
+            case Send(to, message):
+                kind = type(message).__name__
+                body = encode_body(message)
+                envelope = Envelope(node.id, 0, "configuration", 0, kind, body)
+                self.network.append((node.id, to.instance, envelope))
+            case Reply(to, message):
+                self.check_outcome(to, message)
+            case LogEvent("leader_elected", fields):
+                leader = (node.id, node.incarnation)
+                assert self.leaders_by_term.setdefault(fields["term"], leader) == leader
+
+    @staticmethod
+    def encode_record(record: Any) -> bytes:
+        return msgspec.msgpack.encode((type(record).__name__, record))
+
+    def check_in_force(self, node: Node, configuration: Any) -> None:
+        assert configuration.version >= node.version
+        node.version = configuration.version
+        known = self.contents_by_version.setdefault(node.version, configuration)
+        assert known == configuration
+
+    def check_outcome(self, to: ReplyTo, message: Any) -> None:
+        propose = self.nodes_by_id[to.instance].proposals[to.request]
+        if message.status is CommandStatus.UNKNOWN:
+            return
+        command = propose.command
+        if isinstance(command, RegisterAcceptor):
+            if message.first:
+                first = self.first_by_instance.setdefault(
+                    command.instance, command.incarnation
+                )
+                assert first == command.incarnation
+            key: Any = (command.instance, command.incarnation)
+            assert self.outcomes_by_command.setdefault(key, message.first) == (
+                message.first
+            )
+            return
+        outcome = (message.status, message.version)
+        known = self.outcomes_by_command.setdefault(propose.command_id, outcome)
+        assert known == outcome
+        if message.status is CommandStatus.ACCEPTED:
+            assert (
+                self.commands_by_version.setdefault(message.version, propose.command_id)
+                == propose.command_id
+            )
+
+    def run_for(self, seconds: float, loss: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            for node in self.nodes_by_id.values():
+                if self.random.random() < 0.5:
+                    self.handle(node, Tick())
+            self.send_heartbeats()
+            waiting, self.network = self.network, []
+            self.random.shuffle(waiting)
+            for sender, to, envelope in waiting:
+                self.deliver(sender, to, envelope, loss)
+
+    def deliver(self, sender: str, to: str, envelope: Envelope, loss: float) -> None:
+        if (sender in self.cut) != (to in self.cut):
+            return
+        draw = self.random.random()
+        if draw < loss:
+            return
+        if draw < 2 * loss:
+            self.network.append((sender, to, envelope))
+            if draw < 1.5 * loss:
+                return
+        self.handle(self.nodes_by_id[to], decode_body(envelope))
+
+    def send_heartbeats(self) -> None:
+        for node in self.nodes_by_id.values():
+            if node.state is None or self.random.random() > 0.1:
+                continue
+            for peer in self.nodes_by_id.values():
+                if peer.version < node.version:
+                    newer = NewerConfiguration(node.id, node.version)
+                    body = encode_body(newer)
+                    kind = type(newer).__name__
+                    envelope = Envelope(node.id, 0, "configuration", 0, kind, body)
+                    self.network.append((node.id, peer.id, envelope))
+
+    def pick(self, number: int) -> Node:
+        nodes = list(self.nodes_by_id.values())
+        return nodes[number % len(nodes)]
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 4.0]), loss=st.sampled_from([0, 0.3]))
+    def pass_time(self, seconds: float, loss: float) -> None:
+        self.run_for(seconds, loss)
+
+    @rule(
+        number=st.integers(0, 9),
+        command_id=st.sampled_from(COMMAND_IDS),
+        ahead=st.sampled_from([0, 0, 0, -1, 1]),
+        operators=st.integers(1, 2),
+    )
+    def propose(self, number: int, command_id: str, ahead: int, operators: int) -> None:
+        newest = max(self.contents_by_version, default=0)
+        for operator in range(operators):
+            own_id = f"{command_id}-{operator}"
+            command = (
+                SetClass("batch", 1.0, 0.5) if operator else DrainBackendServer(own_id)
+            )
+            propose = Propose(command, own_id, max(newest + ahead, 0))
+            self.ask(self.pick(number + operator), propose)
+
+    @rule(
+        numbers=st.lists(st.integers(0, 9), min_size=1, max_size=6),
+        loss=st.sampled_from([0, 0.2]),
+        pause=st.sampled_from([0.0, 0.1, 0.4]),
+    )
+    def operate(self, numbers: list[int], loss: float, pause: float) -> None:
+        """Send a change after the other, each on top of the newest version seen."""
+        for number in numbers:
+            self.commands += 1
+            command = DrainBackendServer(f"s{self.commands}")
+            version = max(self.contents_by_version, default=0)
+            self.ask(self.pick(number), Propose(command, f"o{self.commands}", version))
+            self.run_for(pause, loss)
+
+    @rule(number=st.integers(0, 9), instance=st.sampled_from(["i1", "i2"]))
+    def register(self, number: int, instance: str) -> None:
+        node = self.pick(number)
+        self.ask(node, Propose(RegisterAcceptor(instance, self.random.randrange(3))))
+
+    def ask(self, node: Node, propose: Propose) -> None:
+        reply_to = ReplyTo(node.id, len(node.proposals))
+        node.proposals.append(propose)
+        self.handle(node, replace(propose, reply_to=reply_to))
+
+    @rule(number=st.integers(0, 9), effects=st.integers(0, 6))
+    def crash(self, number: int, effects: int) -> None:
+        node = self.pick(number)
+        if node.state is not None:
+            node.effects_left = effects
+
+    @rule(number=st.integers(0, 9))
+    def restart(self, number: int) -> None:
+        node = self.pick(number)
+        self.stop(node)
+        self.boot(node)
+
+    @rule(isolated=st.sets(st.integers(0, 9), max_size=2))
+    def partition(self, isolated: set[int]) -> None:
+        self.cut = frozenset(self.pick(number).id for number in isolated)
+
+    def may_lose_a_disk(self) -> bool:
+        """Tell whether each member has caught up since the last lost disk."""
+        members = [n for n in self.nodes_by_id.values() if n.id != "x0"]
+        return all(self.load(node).role is not Role.BLANK for node in members)
+
+    def load(self, node: Node) -> Replica:
+        records = tuple(self.decode_record(data) for data in node.disk)
+        return restore_replica(self.make_settings(node), 0, records)
+
+    @precondition(lambda self: self.may_lose_a_disk())
+    @rule(number=st.integers(0, 9))
+    def lose_disk(self, number: int) -> None:
+        node = self.nodes_by_id[f"m{number % self.members}"]
+        self.stop(node)
+        node.disk = []
+        node.version = -1
+        self.boot(node)
+
+    def teardown(self) -> None:
+        """Heal everything; all must agree on everything that was accepted."""
+        if not hasattr(self, "nodes_by_id"):
+            return
+        self.cut = frozenset()
+        for node in self.nodes_by_id.values():
+            if node.state is None or node.effects_left is not None:
+                self.stop(node)
+                self.boot(node)
+        self.run_for(CONVERGENCE, loss=0.05)
+        newest = max([0, *self.commands_by_version])
+        for node in self.nodes_by_id.values():
+            in_force = node.state.distribution.in_force
+            assert in_force is not None, node.id
+            assert in_force == self.contents_by_version[in_force.version]
+            assert newest <= in_force.version == max(self.contents_by_version)
+            if node.state.member is not None:
+                self.check_history(node)
+
+    def check_history(self, node: Node) -> None:
+        history = node.state.member.catalogue.history
+        found = {entry.version: entry.command_id for entry in history}
+        assert found.items() >= self.commands_by_version.items()
+
+
+class AgreementOfFive(Agreement):
+    """Five members, so that two may be away at the same time."""
+
+    members = 5
+
+
+def test_three_members_agree(monkeypatch: Any) -> None:
+    """Guards against lost, doubled or reverted changes with three disks."""
+    monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
+    monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
+    run_state_machine_as_test(Agreement)
+
+
+def test_five_members_agree(monkeypatch: Any) -> None:
+    """Guards against lost, doubled or reverted changes with five disks."""
+    monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
+    monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
+    run_state_machine_as_test(AgreementOfFive)
