--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -8,6 +8,11 @@
 from boragetide.api.backend_servers import BackendServerHandler, BackendServersHandler
 from boragetide.api.base import NotFoundHandler
 from boragetide.api.body_limit import BodyLimit
+from boragetide.api.configuration import (
+    CommandHandler,
+    ConfigurationHandler,
+    HistoryHandler,
+)
 from boragetide.api.jobs import JobHandler, JobIdsHandler
 from boragetide.api.models import JobBody, RequestBody
 from boragetide.api.operators import (
@@ -41,6 +46,9 @@
             (r"/v1/requests", SubmissionHandler, {**shared, "kind": RequestBody}),
             (r"/v1/backend-servers", BackendServersHandler, shared),
             (r"/v1/backend-servers/([^/]+)", BackendServerHandler, shared),
+            (r"/v1/configuration", ConfigurationHandler, shared),
+            (r"/v1/configuration/commands", CommandHandler, shared),
+            (r"/v1/configuration/history", HistoryHandler, shared),
             (r"/v1/status", StatusHandler, shared),
             (r"/metrics", MetricsHandler, shared),
             (r"/healthz", HealthHandler, shared),
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -110,10 +110,12 @@
     """Says whether this instance takes new requests."""
 
     async def get(self) -> None:
-        """Answer 503 while stopping, and after a start until a placer is known."""
+        """Answer 503 while stopping, or without a placer or a configuration."""
         runtime = self.runtime
         found = await choose_placer(runtime, runtime.settings.zone)
-        ready = found.placer is not None and not runtime.stopping
+        changed = await _ask_local(runtime, "configuration", FetchConfiguration())
+        serving = found.placer is not None and changed.in_force
+        ready = serving and not runtime.stopping
         self.respond(200 if ready else 503, {"ready": ready})
 
     head = get
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -6,6 +6,7 @@
 from functools import singledispatch
 from typing import Any
 
+from boragetide.commands import RegisterAcceptor
 from boragetide.controllers import catch_up
 from boragetide.controllers.claim_table import ClaimTable, add_claim, expire_claims
 from boragetide.effects import (
@@ -29,6 +30,7 @@
     DrainState,
     FetchClaims,
     LookUpClaim,
+    Propose,
     SaveClaims,
     SavedClaims,
     StopRequested,
@@ -60,6 +62,8 @@
         this one has caught up with.
     journal_records
         Number of claims in the journal.
+    registering
+        Whether the configuration was asked to register this acceptor.
     saved
         Whether a snapshot of a planned stop exists, so that nothing may change.
     """
@@ -69,6 +73,7 @@
     tables_by_zone: dict[ZoneId, ClaimTable] = field(default_factory=dict)
     restarts_by_id: dict[InstanceId, int] = field(default_factory=dict)
     journal_records: int = 0
+    registering: bool = False
     saved: bool = False
 
     def __post_init__(self) -> None:
@@ -78,6 +83,13 @@
                 self.tables_by_zone[zone] = ClaimTable(zone, group)
 
 
+def read_journal(records: tuple[Any, ...]) -> ClaimsRecovered:
+    """Return what the records of the journal say, as the first message to handle."""
+    snapshots = [record for record in records if isinstance(record, SavedClaims)]
+    claims = tuple(record for record in records if isinstance(record, Claim))
+    return ClaimsRecovered(snapshots[-1] if snapshots else None, claims)
+
+
 @singledispatch
 def handle(message: Any, state: ClaimsState, now: Seconds) -> list[Effect]:
     """Apply one message to the acceptor."""
@@ -122,12 +134,17 @@
         return _reply(ClaimStatus.INCOMPLETE, None, state), []
     add_claim(table, claim)
     effects: list[Effect] = []
-    if len(table.group) == 1:
+    if _is_journaled(table, state):
         effects.append(Persist((claim,)))
         state.journal_records += 1
     return _reply(ClaimStatus.GRANTED, claim, state), effects
 
 
+def _is_journaled(table: ClaimTable, state: ClaimsState) -> bool:
+    """Tell whether no other acceptor remembers the claims of a zone."""
+    return len(table.group) == 1 and state.settings.data_folder is not None
+
+
 def _find_table(job_id: JobId, state: ClaimsState) -> ClaimTable | None:
     return state.tables_by_zone.get(find_home_zone(job_id, state.settings))
 
@@ -215,7 +232,7 @@
     table.fetches_by_member.clear()
     fields = {"zone": table.zone, "reason": reason, "claims": len(table.claims_by_id)}
     effects: list[Effect] = [LogEvent("acceptor_complete", fields)]
-    if len(table.group) == 1:
+    if _is_journaled(table, state):
         effects.append(_save(state, clean=False))
     return effects
 
@@ -292,7 +309,7 @@
 def _(message: Tick, state: ClaimsState, now: Seconds) -> list[Effect]:
     if state.saved:
         return []
-    effects: list[Effect] = []
+    effects = _register(state)
     window = state.settings.timing.resubmission_window
     for table in state.tables_by_zone.values():
         dropped = expire_claims(table, window, now)
@@ -311,6 +328,16 @@
     return effects
 
 
+def _register(state: ClaimsState) -> list[Effect]:
+    """Ask once whether this is the first incarnation; the answer is a message."""
+    if state.registering:
+        return []
+    state.registering = True
+    own = state.settings.id
+    command = RegisterAcceptor(own, state.incarnation)
+    return [Send(Address(own, "configuration"), Propose(command=command))]
+
+
 @handle.register(WokeUp)
 @handle.register(StopRequested)
 def _(message: Any, state: ClaimsState, now: Seconds) -> list[Effect]:
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -18,6 +18,7 @@
     Heartbeat,
     InstanceList,
     ListInstances,
+    NewerConfiguration,
     PlacerChanged,
     PlacerChosen,
     PoolSize,
@@ -235,6 +236,7 @@
         view.last_echo = min(message.echo, state.sequence)
         view.echo_at = now
         view.link_patience = silence
+    effects += _report_newer_configuration(message, state)
     return effects + _end_flushes(state)
 
 
@@ -252,6 +254,16 @@
     return message.incarnation > known.incarnation or _is_lost(view, state, now)
 
 
+def _report_newer_configuration(
+    heartbeat: Heartbeat, state: InstancesState
+) -> list[Effect]:
+    version = heartbeat.configuration_version
+    if version <= state.configuration_version:
+        return []
+    newer = NewerConfiguration(heartbeat.instance, version)
+    return [Send(Address(state.settings.id, "configuration"), newer)]
+
+
 @handle.register
 def _(message: ChoosePlacer, state: InstancesState, now: Seconds) -> list[Effect]:
     candidates = _list_candidates(state, now)
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -14,6 +14,7 @@
 
 from tornado.netutil import bind_sockets
 
+from boragetide import commands
 from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
@@ -31,16 +32,24 @@
     run_ticks,
 )
 from boragetide.daemon.stopping import StopSignals, stop_gracefully
-from boragetide.errors import SettingsError
+from boragetide.errors import SettingsError, StorageError
 from boragetide.links.backend_client import make_client
 from boragetide.links.peers import PeerLink, run_link, run_listener
-from boragetide.messages import AcceptorRegistered
+from boragetide.messages import SavedClaims
 from boragetide.settings import Settings, load_settings
+from boragetide.storage.journal import Journals, Recovered, open_journal, run_journals
+from boragetide.types import Claim
 
+EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
 EXIT_FAILURE = 1
 CANCEL_PERIOD = 0.1  # seconds
 
+RECORD_TYPES_BY_CONTROLLER = {
+    "configuration": commands.RECORD_TYPES,
+    "claims": (SavedClaims, Claim),
+}
+
 
 def main() -> None:
     """Run the daemon, or check its settings."""
@@ -67,12 +76,14 @@
         asyncio.get_running_loop().add_signal_handler(number, signals.note)
     host, port = settings.own.http_address.split(":")
     sockets = bind_sockets(int(port), host)
+    journals, recovered = _open_journals(settings)
     runtime = Runtime(settings, _make_links(settings))
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
     required = [
         listener,
-        *_start_controllers(runtime),
+        asyncio.create_task(run_journals(journals), name="journals"),
+        *_start_controllers(runtime, journals, recovered),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
     ]
     serving = asyncio.create_task(_serve(runtime, sockets, listening, signals))
@@ -112,8 +123,6 @@
         http_address=settings.own.http_address,
         incarnation=runtime.incarnation,
     )
-    # Stand-in until the configuration registers acceptors.
-    runtime.send(runtime.local("claims"), AcceptorRegistered(first=True))
     await signals.first.wait()
     await stop_gracefully(runtime, signals)
     server.stop()
@@ -156,14 +165,40 @@
     }
 
 
-def _start_controllers(runtime: Runtime) -> list[asyncio.Task[None]]:
-    perform = make_perform(Performer(runtime, make_client()))
+def _open_journals(settings: Settings) -> tuple[Journals, dict[str, Recovered]]:
+    journals = Journals({})
+    recovered: dict[str, Recovered] = {}
+    if settings.data_folder is None:
+        return journals, recovered
+    for controller, types in RECORD_TYPES_BY_CONTROLLER.items():
+        path = settings.data_folder / f"{controller}.journal"
+        journal, recovered[controller] = open_journal(path, types)
+        journals.journals_by_controller[controller] = journal
+        if recovered[controller].lost:
+            log_event("journal_corrupt", controller=controller, path=str(path))
+    configuration_lost = recovered["configuration"].lost
+    if configuration_lost and len(settings.disk_ids) == 1:
+        raise StorageError(
+            f"{settings.data_folder}: the journal of the configuration is corrupt, and "
+            "no other instance has a disk to restore it from"
+        )
+    return journals, recovered
+
+
+def _start_controllers(
+    runtime: Runtime, journals: Journals, recovered: dict[str, Recovered]
+) -> list[asyncio.Task[None]]:
+    perform = make_perform(Performer(runtime, make_client(), journals))
     settings, incarnation = runtime.settings, runtime.incarnation
+    kept = claims.read_journal(_get_records(recovered, "claims"))
+    runtime.send(runtime.local("claims"), kept)
     machines: dict[str, tuple[Any, Any]] = {
         "instances": (instances, instances.InstancesState(settings, incarnation)),
         "configuration": (
             configuration,
-            configuration.ConfigurationState(settings, incarnation),
+            configuration.make_state(
+                settings, incarnation, _get_records(recovered, "configuration")
+            ),
         ),
         "claims": (claims, claims.ClaimsState(settings, incarnation)),
         "backend_servers": (
@@ -180,5 +215,9 @@
     ]
 
 
+def _get_records(recovered: dict[str, Recovered], controller: str) -> tuple[Any, ...]:
+    return recovered[controller].records if controller in recovered else ()
+
+
 if __name__ == "__main__":
     main()
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -22,7 +22,8 @@
 
 import pytest
 
-from boragetide.settings import Settings, parse_settings
+from boragetide.policy.routing import find_claim_group
+from boragetide.settings import Settings, load_settings, parse_settings
 from boragetide.tests.relay import Relay, RelayLoop
 
 WAIT_LIMIT = 20.0  # seconds until an awaited event counts as missing
@@ -194,6 +195,15 @@
         self.wait_for_members(len(ids))
         for daemon in self.daemons_by_id.values():
             wait_for(daemon.is_ready, f"{daemon.id} to be ready")
+        settings = load_settings(self.daemons_by_id[ids[0]].config)
+        for zone in settings.zones:
+            for acceptor in find_claim_group(zone, settings):
+                wait_for(
+                    lambda name=acceptor: self.daemons_by_id[name].log_lines(
+                        "acceptor_complete"
+                    ),
+                    f"{acceptor} to be registered",
+                )
 
     def _relay(
         self, own: str, ports: dict[str, tuple[int, int]]
--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -131,6 +131,8 @@
         }[controller]
         for effect in module.handle(message, state, now):
             match effect:
+                case Send(Address(_, "configuration")):
+                    pass
                 case Send(to, sent):
                     self.post(process, to, sent)
                 case Reply(None):
