--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -14,6 +14,8 @@
     CatchUpState,
     ConfigurationChanged,
     ConfigurationOffered,
+    Drain,
+    DrainState,
     FetchConfiguration,
     ForwardProposal,
     History,
@@ -312,6 +314,11 @@
     return []
 
 
+@handle.register
+def _(message: Drain, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    return [Reply(message.reply_to, DrainState(0))]
+
+
 @handle.register
 def _(message: StopRequested, state: ConfigurationState, now: Seconds) -> list[Effect]:
     return []
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -6,14 +6,13 @@
 import asyncio
 import signal
 import sys
-from dataclasses import replace
+from collections.abc import Awaitable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
-from tornado.httpserver import HTTPServer
-
 from boragetide import commands
-from boragetide.api.application import make_application
+from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
     claims,
@@ -21,17 +20,24 @@
     instances,
     jobs,
 )
-from boragetide.daemon.logs import configure_logs, log_event
+from boragetide.daemon.logs import configure_logs, log_event, log_uncaught
 from boragetide.daemon.performer import Performer, make_perform
-from boragetide.daemon.runtime import Runtime, run_controller, run_ticks
-from boragetide.errors import BoragetideError, SettingsError, StorageError
+from boragetide.daemon.runtime import (
+    Runtime,
+    keep_running,
+    run_controller,
+    run_ticks,
+)
+from boragetide.daemon.stopping import StopSignals, stop_gracefully
+from boragetide.errors import SettingsError, StorageError
 from boragetide.links.backend_client import make_client
 from boragetide.links.peers import PeerLink, run_link, run_listener
 from boragetide.settings import Settings, load_settings
 from boragetide.storage.journal import Journals, Recovered, open_journal, run_journals
 
-EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
+EXIT_FAILURE = 1
+CANCEL_PERIOD = 0.1  # seconds
 
 RECORD_TYPES_BY_CONTROLLER = {"configuration": commands.RECORD_TYPES}
 
@@ -44,49 +50,68 @@
     parser.add_argument("--data-folder", type=Path, help="overrides the settings")
     arguments = parser.parse_args()
     try:
-        settings = load_settings(arguments.config)
+        settings = load_settings(arguments.config, arguments.data_folder)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
-    if arguments.data_folder is not None:
-        settings = replace(settings, data_folder=arguments.data_folder)
     if not arguments.check:
         configure_logs(settings.id)
         try:
-            asyncio.run(run_daemon(settings))
-        except BoragetideError as error:
+            sys.exit(asyncio.run(run_daemon(settings)))
+        except StorageError as error:
             log_event("failed", error=str(error))
             sys.exit(EXIT_FAILURE)
 
 
-async def run_daemon(settings: Settings) -> None:
-    """Run all tasks of a daemon until it is asked to stop.
+async def run_daemon(settings: Settings) -> int:
+    """Run all tasks of a daemon until it is asked to stop; returns the exit code.
 
     Raises
     ------
     StorageError
-        If the files of the data folder cannot be used.
+        If the data folder cannot be read, or is lost for good.
     """
     journals, recovered = _open_journals(settings)
+    signals = StopSignals()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, signals.note)
     runtime = Runtime(settings, _make_links(settings))
     listening = asyncio.Event()
-    tasks = [
-        asyncio.create_task(
-            run_listener(settings, runtime.deliver, runtime.report_fault, listening)
-        ),
-        *(
-            asyncio.create_task(run_link(link, runtime.report_unsent))
-            for link in runtime.links_by_id.values()
-        ),
-        asyncio.create_task(run_journals(journals)),
+    listener, *links = _start_links(runtime, listening)
+    required = [
+        listener,
+        asyncio.create_task(run_journals(journals), name="journals"),
         *_start_controllers(runtime, journals, recovered),
-        asyncio.create_task(run_ticks(runtime)),
+        asyncio.create_task(run_ticks(runtime), name="ticks"),
     ]
+    serving = asyncio.create_task(_serve(runtime, listening, signals))
+    await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
+    code = _report_failures([*required, serving])
+    await _end_tasks({serving, *links, *required})
+    if code == 0:
+        log_event("stopped")
+    return code
+
+
+async def _end_tasks(tasks: set[asyncio.Task[None]]) -> None:
+    """Cancel tasks until they have ended.
+
+    pynng drops a cancellation that meets a send or receive that has just ended, so the
+    task of a busy link may have to be cancelled more than once.
+    """
+    while tasks:
+        for task in tasks:
+            task.cancel()
+        _, tasks = await asyncio.wait(tasks, timeout=CANCEL_PERIOD)
+
+
+async def _serve(
+    runtime: Runtime, listening: asyncio.Event, signals: StopSignals
+) -> None:
+    settings = runtime.settings
     await listening.wait()
-    server = HTTPServer(
-        make_application(runtime), max_body_size=settings.limits.body_bytes
-    )
+    server = make_server(runtime)
     host, port = settings.own.http_address.split(":")
     server.listen(int(port), host)
     log_event(
@@ -95,13 +120,38 @@
         http_address=settings.own.http_address,
         incarnation=runtime.incarnation,
     )
-    await _wait_for_signal(tasks)
-    runtime.stopping = True
+    await signals.first.wait()
+    await stop_gracefully(runtime, signals)
     server.stop()
-    log_event("stopped")
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _report_failures(tasks: list[asyncio.Task[None]]) -> int:
+    """Log tasks that failed; without one of them the state may be inconsistent."""
+    failed = [task for task in tasks if task.done() and task.exception() is not None]
+    for task in failed:
+        error = task.exception()
+        log_uncaught(type(error), error, error.__traceback__)
+    return EXIT_FAILURE if failed else 0
+
+
+def _start_links(
+    runtime: Runtime, listening: asyncio.Event
+) -> list[asyncio.Task[None]]:
+    count = runtime.metrics.count
+
+    def listen() -> Awaitable[None]:
+        return run_listener(
+            runtime.settings, runtime.deliver, runtime.report_fault, count, listening
+        )
+
+    links = {
+        f"link {peer_id}": partial(run_link, link, runtime.report_unsent, count)
+        for peer_id, link in runtime.links_by_id.items()
+    }
+    return [
+        asyncio.create_task(keep_running("listener", listen, needed=listening)),
+        *(asyncio.create_task(keep_running(name, run)) for name, run in links.items()),
+    ]
 
 
 def _make_links(settings: Settings) -> dict[str, PeerLink]:
@@ -114,8 +164,8 @@
 
 def _open_journals(settings: Settings) -> tuple[Journals, dict[str, Recovered]]:
     journals = Journals({})
-    recovered: dict[str, Recovered] = {}
-    if settings.data_folder is None:
+    recovered = {controller: Recovered(()) for controller in RECORD_TYPES_BY_CONTROLLER}
+    if not settings.own.disk:
         return journals, recovered
     for controller, types in RECORD_TYPES_BY_CONTROLLER.items():
         path = settings.data_folder / f"{controller}.journal"
@@ -123,8 +173,7 @@
         journals.journals_by_controller[controller] = journal
         if recovered[controller].lost:
             log_event("journal_corrupt", controller=controller, path=str(path))
-    configuration_lost = recovered["configuration"].lost
-    if configuration_lost and len(settings.disk_ids) == 1:
+    if recovered["configuration"].lost and len(settings.disk_ids) == 1:
         raise StorageError(
             f"{settings.data_folder}: the journal of the configuration is corrupt, and "
             "no other instance has a disk to restore it from"
@@ -142,7 +191,7 @@
         "configuration": (
             configuration,
             configuration.make_state(
-                settings, incarnation, _get_records(recovered, "configuration")
+                settings, incarnation, recovered["configuration"].records
             ),
         ),
         "claims": (claims, claims.ClaimsState(settings, incarnation)),
@@ -154,29 +203,11 @@
     }
     return [
         asyncio.create_task(
-            run_controller(runtime, name, module.handle, state, perform)
+            run_controller(runtime, name, module.handle, state, perform), name=name
         )
         for name, (module, state) in machines.items()
     ]
 
 
-def _get_records(recovered: dict[str, Recovered], controller: str) -> tuple[Any, ...]:
-    return recovered[controller].records if controller in recovered else ()
-
-
-async def _wait_for_signal(tasks: list[asyncio.Task[None]]) -> None:
-    """Wait for a signal to stop, or raise the error of a task that failed."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    stopped = asyncio.create_task(stop.wait())
-    ended, _ = await asyncio.wait(
-        [stopped, *tasks], return_when=asyncio.FIRST_COMPLETED
-    )
-    for task in ended:
-        task.result()
-
-
 if __name__ == "__main__":
     main()
--- a/boragetide/tests/test_journal.py
+++ b/boragetide/tests/test_journal.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from boragetide.commands import (
@@ -19,7 +20,8 @@
     SetClass,
     Snapshot,
 )
-from boragetide.errors import StorageError
+from boragetide.errors import LinkError, StorageError
+from boragetide.links.codec import Envelope, decode_body
 from boragetide.storage import journal
 from boragetide.storage.journal import (
     Journals,
@@ -56,6 +58,14 @@
     assert recover(tmp_path / "j") == Recovered(RECORDS)
 
 
+@pytest.mark.parametrize("command", [None, 7, [], {"kind": []}, {"kind": "no"}])
+def test_unknown_command_is_a_decoding_error(command: Any) -> None:
+    """Guards against a damaged message that ends the listener."""
+    body = msgspec.Raw(msgspec.msgpack.encode({"command": command}))
+    with pytest.raises(LinkError):
+        decode_body(Envelope("a1", 1, "configuration", 0, "Propose", body))
+
+
 def test_torn_tail_is_cut_at_every_byte(tmp_path: Path) -> None:
     """Guards against a crash in the middle of a write that stops the next start."""
     path = tmp_path / "j"
--- a/properties/__init__.py
+++ b/properties/__init__.py
@@ -1,1 +1,1 @@
-"""Property tests against small oracles."""
+"""Hypothesis state machines, checked against small oracles."""
