--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -5,10 +5,10 @@
 from functools import singledispatch
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
 from boragetide.api.base import Handler
-from boragetide.api.models import JobIdField, NameField
+from boragetide.api.models import JobIdField, NameField, parse_body
 from boragetide.commands import (
     Command,
     CommandStatus,
@@ -107,14 +107,11 @@
 
     async def post(self) -> None:
         """Propose a command and answer with its one outcome."""
-        try:
-            body = CommandBody.model_validate_json(self.request.body)
-        except ValidationError as error:
-            fault = error.errors(include_url=False)[0]
-            name = ".".join(str(part) for part in fault["loc"]) or "body"
-            message = f"{name}: {fault['msg']}"
-            self.respond(400, {"status": Status.NOT_RUN, "error": message})
+        parsed = parse_body(CommandBody, self.request.body)
+        if parsed.is_error():
+            self.refuse(parsed.error.http_status, parsed.error.message)
             return
+        body = parsed.ok
         propose = Propose(
             to_command(body.command), body.command_id, body.expected_version
         )
@@ -167,7 +164,7 @@
         text = self.get_query_argument("limit", str(DEFAULT_HISTORY))
         if not text.isdecimal() or not 1 <= int(text) <= RETAINED_HISTORY:
             message = f"limit: {text!r} is not a number from 1 to {RETAINED_HISTORY}"
-            self.respond(400, {"status": Status.NOT_RUN, "error": message})
+            self.refuse(400, message)
             return
         history = await self._find_history(int(text))
         if history is None:
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -253,11 +253,6 @@
     return [Reply(message.reply_to, changed)]
 
 
-@handle.register
-def _(message: Drain, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    return [Reply(message.reply_to, DrainState(0))]
-
-
 @handle.register
 def _(message: ListHistory, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.replica is None:
@@ -319,6 +314,11 @@
     return []
 
 
+@handle.register
+def _(message: Drain, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    return [Reply(message.reply_to, DrainState(0))]
+
+
 @handle.register
 def _(message: StopRequested, state: ConfigurationState, now: Seconds) -> list[Effect]:
     return []
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -241,6 +241,16 @@
     return effects + _end_flushes(state)
 
 
+def _report_newer_configuration(
+    heartbeat: Heartbeat, state: InstancesState
+) -> list[Effect]:
+    version = heartbeat.configuration_version
+    if version <= state.configuration_version:
+        return []
+    newer = NewerConfiguration(heartbeat.instance, version)
+    return [Send(Address(state.settings.id, "configuration"), newer)]
+
+
 def _is_newer(
     message: Heartbeat, view: PeerView, state: InstancesState, now: Seconds
 ) -> bool:
@@ -255,16 +265,6 @@
     return message.incarnation > known.incarnation or _is_lost(view, state, now)
 
 
-def _report_newer_configuration(
-    heartbeat: Heartbeat, state: InstancesState
-) -> list[Effect]:
-    version = heartbeat.configuration_version
-    if version <= state.configuration_version:
-        return []
-    newer = NewerConfiguration(heartbeat.instance, version)
-    return [Send(Address(state.settings.id, "configuration"), newer)]
-
-
 @handle.register
 def _(message: ChoosePlacer, state: InstancesState, now: Seconds) -> list[Effect]:
     candidates = _list_candidates(state, now)
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -7,10 +7,10 @@
 import signal
 import socket
 import sys
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeAlias
 
 from tornado.netutil import bind_sockets
 
@@ -26,6 +26,7 @@
 from boragetide.daemon.logs import configure_logs, log_event, log_uncaught
 from boragetide.daemon.performer import Performer, make_perform
 from boragetide.daemon.runtime import (
+    Handle,
     Runtime,
     keep_running,
     run_controller,
@@ -42,9 +43,10 @@
 
 EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
-EXIT_FAILURE = 1
 CANCEL_PERIOD = 0.1  # seconds
 
+Machines: TypeAlias = dict[str, tuple[Handle, Any]]
+
 RECORD_TYPES_BY_CONTROLLER = {
     "configuration": commands.RECORD_TYPES,
     "claims": (SavedClaims, Claim),
@@ -66,11 +68,28 @@
         sys.exit(EXIT_SETTINGS)
     if not arguments.check:
         configure_logs(settings.id)
-        sys.exit(asyncio.run(run_daemon(settings)))
-
-
-async def run_daemon(settings: Settings) -> int:
-    """Run all tasks of a daemon until it is asked to stop; returns the exit code."""
+        try:
+            sys.exit(asyncio.run(run_daemon(settings)))
+        except StorageError as error:
+            log_event("failed", error=str(error))
+            sys.exit(EXIT_FAILURE)
+
+
+async def run_daemon(
+    settings: Settings, make: Callable[..., Machines] | None = None
+) -> int:
+    """Run all tasks of a daemon until it is asked to stop; returns the exit code.
+
+    Parameters
+    ----------
+    make
+        Makes the state machines; `make_machines` unless another policy is measured.
+
+    Raises
+    ------
+    StorageError
+        If the data folder cannot be read, or is lost for good.
+    """
     signals = StopSignals()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, signals.note)
@@ -81,10 +100,13 @@
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
     await _wait_until_listening(listener, listening)
+    machines = (make or make_machines)(settings, runtime.incarnation, recovered)
+    kept = claims.read_journal(_get_records(recovered, "claims"))
+    runtime.send(runtime.local("claims"), kept)
     required = [
         listener,
         asyncio.create_task(run_journals(journals), name="journals"),
-        *_start_controllers(runtime, journals, recovered),
+        *_start_controllers(runtime, journals, machines),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
     ]
     serving = asyncio.create_task(_serve(runtime, sockets, signals))
@@ -177,8 +199,8 @@
 
 def _open_journals(settings: Settings) -> tuple[Journals, dict[str, Recovered]]:
     journals = Journals({})
-    recovered: dict[str, Recovered] = {}
-    if settings.data_folder is None:
+    recovered = {controller: Recovered(()) for controller in RECORD_TYPES_BY_CONTROLLER}
+    if not settings.own.disk:
         return journals, recovered
     for controller, types in RECORD_TYPES_BY_CONTROLLER.items():
         path = settings.data_folder / f"{controller}.journal"
@@ -186,8 +208,7 @@
         journals.journals_by_controller[controller] = journal
         if recovered[controller].lost:
             log_event("journal_corrupt", controller=controller, path=str(path))
-    configuration_lost = recovered["configuration"].lost
-    if configuration_lost and len(settings.disk_ids) == 1:
+    if recovered["configuration"].lost and len(settings.disk_ids) == 1:
         raise StorageError(
             f"{settings.data_folder}: the journal of the configuration is corrupt, and "
             "no other instance has a disk to restore it from"
@@ -195,33 +216,46 @@
     return journals, recovered
 
 
-def _start_controllers(
-    runtime: Runtime, journals: Journals, recovered: dict[str, Recovered]
-) -> list[asyncio.Task[None]]:
-    perform = make_perform(Performer(runtime, make_client(), journals))
-    settings, incarnation = runtime.settings, runtime.incarnation
-    kept = claims.read_journal(_get_records(recovered, "claims"))
-    runtime.send(runtime.local("claims"), kept)
-    machines: dict[str, tuple[Any, Any]] = {
-        "instances": (instances, instances.InstancesState(settings, incarnation)),
+def make_machines(
+    settings: Settings, incarnation: int, recovered: dict[str, Recovered]
+) -> Machines:
+    """Return the state machine of each controller with its first state.
+
+    Parameters
+    ----------
+    settings, incarnation
+        Of this process.
+    recovered
+        Records of the journals, by controller.
+    """
+    records = _get_records(recovered, "configuration")
+    return {
+        "instances": (
+            instances.handle,
+            instances.InstancesState(settings, incarnation),
+        ),
         "configuration": (
-            configuration,
-            configuration.make_state(
-                settings, incarnation, _get_records(recovered, "configuration")
-            ),
+            configuration.handle,
+            configuration.make_state(settings, incarnation, records),
         ),
-        "claims": (claims, claims.ClaimsState(settings, incarnation)),
+        "claims": (claims.handle, claims.ClaimsState(settings, incarnation)),
         "backend_servers": (
-            backend_servers,
+            backend_servers.handle,
             backend_servers.BackendServersState(settings, incarnation),
         ),
-        "jobs": (jobs, jobs.JobsState(settings, incarnation)),
+        "jobs": (jobs.handle, jobs.JobsState(settings, incarnation)),
     }
+
+
+def _start_controllers(
+    runtime: Runtime, journals: Journals, machines: Machines
+) -> list[asyncio.Task[None]]:
+    perform = make_perform(Performer(runtime, make_client(), journals))
     return [
         asyncio.create_task(
-            run_controller(runtime, name, module.handle, state, perform), name=name
+            run_controller(runtime, name, handle, state, perform), name=name
         )
-        for name, (module, state) in machines.items()
+        for name, (handle, state) in machines.items()
     ]
 
 
--- a/boragetide/encoding.py
+++ b/boragetide/encoding.py
@@ -21,7 +21,7 @@
     """
     if declared is not Command:
         raise NotImplementedError(f"cannot decode {declared!r}")
-    command_type = COMMANDS_BY_KIND.get(value.get("kind"))
-    if command_type is None:
-        raise ValueError(f"unknown command kind {value.get('kind')!r}")
-    return msgspec.convert(value, command_type)
+    kind = value.get("kind") if isinstance(value, dict) else None
+    if kind not in COMMANDS_BY_KIND:
+        raise ValueError(f"unknown command kind {kind!r}")
+    return msgspec.convert(value, COMMANDS_BY_KIND[kind])
--- /dev/null
+++ b/boragetide/tests/test_catch_up.py
@@ -0,0 +1,148 @@
+"""A member that lost its disk, in situations that random schedules hardly reach."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from boragetide.commands import Ballot, LogEntry, Snapshot
+from boragetide.effects import Effect, Persist, Send
+from boragetide.messages import (
+    AppendReply,
+    CatchUpState,
+    RequestCatchUp,
+    RequestVote,
+    VoteReply,
+)
+from boragetide.policy import catch_up, elections
+from boragetide.policy.replica import (
+    Replica,
+    Role,
+    make_snapshot,
+    restore_replica,
+    step,
+)
+from boragetide.policy.replication import append_proposal, become_leader
+from boragetide.settings import Settings
+from boragetide.tests.conftest import make_settings
+
+FIVE = {f"a{number}": "a" for number in range(1, 6)}
+NOW = 100.0
+
+
+def restore(settings: Settings, term: int, entries: int, commit: int = 0) -> Replica:
+    """Build a member with entries of its term."""
+    log = tuple(LogEntry(index, term, NOW) for index in range(1, entries + 1))
+    held = Snapshot(Ballot(term), commit, Replica(settings, 1).catalogue, 0, 0, log)
+    return restore_replica(settings, 1, (held,))
+
+
+def rejoin(settings: Settings, *others: Replica) -> Replica:
+    """Let ``a1`` come back without its disk and hear the others."""
+    blank = restore_replica(replace(settings, id="a1"), 7, ())
+    for other in others:
+        state = CatchUpState(other.id, 1, 7, make_snapshot(other))
+        step(state, blank, NOW)
+    return blank
+
+
+def get_replies(effects: list[Effect], kind: type) -> list[object]:
+    return [
+        e.message for e in effects if isinstance(e, Send) and type(e.message) is kind
+    ]
+
+
+def test_blank_member_waits_for_enough_others(settings: Settings) -> None:
+    """Guards against a change that only the member not asked still knows."""
+    known = restore(replace(settings, id="a2"), term=3, entries=2)
+    other = restore(replace(settings, id="a3"), term=4, entries=1)
+    assert rejoin(settings, known).role is Role.BLANK
+    rejoined = rejoin(settings, known, other)
+    assert (rejoined.role, rejoined.last_index) == (Role.FOLLOWER, 1)
+
+
+def test_rejoined_member_does_not_vote_again_in_a_known_term(
+    settings: Settings,
+) -> None:
+    """Guards against two leaders of one term through a forgotten vote."""
+    others = [restore(replace(settings, id=i), term=5, entries=1) for i in ("a2", "a3")]
+    rejoined = rejoin(settings, *others)
+    request = RequestVote(5, "a3", 9, 5, preliminary=False, incarnation=1)
+    (reply,) = get_replies(step(request, rejoined, NOW), VoteReply)
+    assert not reply.granted
+    (reply,) = get_replies(step(replace(request, term=6), rejoined, NOW), VoteReply)
+    assert reply.granted
+
+
+def test_rejoined_member_puts_nothing_older_in_force(settings: Settings) -> None:
+    """Guards against a version that is reverted because the commit index was lost."""
+    others = [
+        restore(replace(settings, id=i), term=5, entries=4, commit=2)
+        for i in ("a2", "a3")
+    ]
+    rejoined = rejoin(settings, *others)
+    assert (rejoined.commit, rejoined.floor) == (2, 4)
+    restarted = restore_replica(settings, 8, (make_snapshot(rejoined),))
+    assert restarted.floor == 4
+
+
+def test_acknowledgement_before_the_loss_does_not_count(settings: Settings) -> None:
+    """Guards against a commit that relies on a disk that was lost meanwhile."""
+    settings = make_settings("a2", FIVE)
+    leader = restore(settings, term=5, entries=0)
+    become_leader(leader, NOW)
+    append_proposal(leader, None, NOW)
+    acknowledge = AppendReply(5, "a1", 1, matched=True, index=2, fences_by_id={})
+    step(acknowledge, leader, NOW)
+    fenced = replace(acknowledge, member="a3", fences_by_id={"a1": 7})
+    step(fenced, leader, NOW)
+    assert leader.commit == 0
+    step(acknowledge, leader, NOW)
+    assert leader.commit == 0
+    step(replace(acknowledge, member="a4"), leader, NOW)
+    assert leader.commit == 2
+
+
+def test_vote_before_the_loss_does_not_count(settings: Settings) -> None:
+    """Guards against a leader that is elected by a forgotten vote."""
+    settings = make_settings("a2", FIVE)
+    candidate = restore(settings, term=5, entries=0)
+    candidate.election_at = 0.0
+    elections.check_election(candidate, NOW)
+    elections._stand(candidate, NOW, preliminary=False)
+    vote = VoteReply(6, 6, False, 1, "a1", 1, granted=True, fences_by_id={})
+    step(vote, candidate, NOW)
+    step(replace(vote, voter="a3", fences_by_id={"a1": 7}), candidate, NOW)
+    assert candidate.role is Role.CANDIDATE
+    step(replace(vote, voter="a4"), candidate, NOW)
+    assert candidate.role is Role.LEADER
+
+
+def test_promise_is_synced_before_the_state_is_sent(settings: Settings) -> None:
+    """Guards against a fence that a crash forgets."""
+    member = restore(settings, term=5, entries=1)
+    effects = step(RequestCatchUp("a2", 9), member, NOW)
+    assert [type(effect) for effect in effects] == [Persist, Send]
+    assert effects[0].records[0].fences_by_id == {"a2": 9}
+    assert restore_replica(settings, 2, effects[0].records).ballot == member.ballot
+
+
+def test_first_members_found_the_group(settings: Settings) -> None:
+    """Guards against a new system that waits forever, or forms twice."""
+    first = restore_replica(settings, 1, ())
+    catch_up.check_catch_up(first, NOW)
+    step(CatchUpState("a2", 1, 1, None), first, NOW)
+    catch_up.check_catch_up(first, NOW + 1.0)
+    assert first.role is Role.BLANK
+    catch_up.check_catch_up(first, NOW + catch_up.FOUNDING_WAIT)
+    assert first.ballot.founders_by_id == {"a1": 1, "a2": 1}
+
+
+def test_rejoining_member_does_not_disturb_the_leader(settings: Settings) -> None:
+    """Guards against elections that an isolated member forces when it comes back."""
+    member = restore(settings, term=5, entries=1)
+    member.leader_heard_at = NOW
+    request = RequestVote(6, "a3", 9, 5, preliminary=True, incarnation=1)
+    (reply,) = get_replies(step(request, member, NOW + 0.5), VoteReply)
+    assert not reply.granted and member.ballot.term == 5
+    (reply,) = get_replies(step(request, member, NOW + 1.5), VoteReply)
+    assert reply.granted and member.ballot.term == 5
