--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -19,7 +19,7 @@
 from benchmarks.report import compare, format_table, summarize
 from benchmarks.scenarios import Scenario, list_scenarios
 from benchmarks.workload import SLOTS, SPEEDS, make_trace
-from boragetide.tests.conftest import System
+from boragetide.tests.conftest import DAEMON_MODULE, System
 
 ZONE = "a"
 DAEMONS = ("a1", "a2", "a3")
@@ -30,15 +30,19 @@
     """Run the scenarios and print a table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--full", action="store_true")
+    parser.add_argument("--seconds", type=float, help="length of each scenario")
     parser.add_argument("--only", help="run scenarios whose name contains this")
+    parser.add_argument("--policy", help="run a policy of benchmarks.baseline_daemon")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--output", type=Path, help="write the figures as JSON")
     parser.add_argument("--compare", type=Path, help="JSON of an earlier run")
     arguments = parser.parse_args()
     runs: dict[str, Any] = {}
-    for scenario in list_scenarios(full=arguments.full):
+    for scenario in list_scenarios(full=arguments.full, duration=arguments.seconds):
         if arguments.only is None or arguments.only in scenario.name:
-            runs[scenario.name] = run_scenario(scenario, arguments.seed)
+            runs[scenario.name] = run_scenario(
+                scenario, arguments.seed, arguments.policy
+            )
             print(scenario.name, json.dumps(runs[scenario.name]), flush=True)
     if arguments.compare is not None:
         print(compare(json.loads(arguments.compare.read_text()), runs))
@@ -48,10 +52,21 @@
         arguments.output.write_text(json.dumps(runs, indent=2))
 
 
-def run_scenario(scenario: Scenario, seed: int) -> dict[str, Any]:
-    """Run one scenario on fresh processes and return its figures."""
+def run_scenario(
+    scenario: Scenario, seed: int, policy: str | None = None
+) -> dict[str, Any]:
+    """Run one scenario on fresh processes and return its figures.
+
+    Parameters
+    ----------
+    policy
+        Name of a baseline; the policy of the daemon without.
+    """
+    module = DAEMON_MODULE
+    if policy is not None:
+        module = ("benchmarks.baseline_daemon", "--policy", policy)
     with tempfile.TemporaryDirectory() as folder:
-        system = System(Path(folder))
+        system = System(Path(folder), module)
         try:
             system.start(dict.fromkeys(DAEMONS, ZONE))
             for number, speed in enumerate(SPEEDS, 1):
--- a/benchmarks/messages.py
+++ b/benchmarks/messages.py
@@ -6,7 +6,7 @@
 import urllib.request
 from collections import Counter
 
-_SAMPLE = re.compile(r"^(\w+)\{(.*)\} (\S+)$")
+_SAMPLE = re.compile(r"^(\w+)(?:\{(.*)\})? (\S+)$")
 _LABEL = re.compile(r'(\w+)="([^"]*)"')
 
 PARTS_BY_KIND = {
@@ -18,6 +18,8 @@
     "SubmitJob": "forwarding",
     "JobAnswer": "forwarding",
     "Heartbeat": "heartbeats",
+    "AppendEntries": "configuration",
+    "AppendReply": "configuration",
     "AnnounceBackendServer": "announcements",
     "LeaseGranted": "announcements",
 }
@@ -32,7 +34,7 @@
     for line in text.splitlines():
         match = _SAMPLE.match(line)
         if match:
-            labels = dict(_LABEL.findall(match[2]))
+            labels = dict(_LABEL.findall(match[2] or ""))
             label = labels.get("kind") or labels.get("status") or ""
             values[match[1], label] += float(match[3])
     return values
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -59,9 +59,9 @@
         ]
 
 
-def list_scenarios(*, full: bool) -> list[Scenario]:
+def list_scenarios(*, full: bool, duration: Seconds | None = None) -> list[Scenario]:
     """Return the scenarios of the short or of the full form."""
-    duration = LONG if full else SHORT
+    duration = duration or (LONG if full else SHORT)
     scenarios = [
         Scenario("load 70%, jobs of 1 to 16", 0.7, SMALL_JOBS, duration),
         Scenario("load 95%, jobs of 1 to 16", 0.95, SMALL_JOBS, duration),
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -28,6 +28,7 @@
 
 WAIT_LIMIT = 20.0  # seconds until an awaited event counts as missing
 POLL = 0.05  # seconds
+DAEMON_MODULE = ("boragetide.daemon",)
 
 
 # Ports below the range from which the kernel takes those of outgoing connections, so
@@ -86,6 +87,7 @@
     url: str
     config: Path
     log: Path
+    module: tuple[str, ...] = DAEMON_MODULE
     process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -97,7 +99,7 @@
         """Start the process without waiting for it."""
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "boragetide.daemon", "--config", self.config],
+                [sys.executable, "-m", *self.module, "--config", self.config],
                 stderr=log,
             )
 
@@ -155,6 +157,7 @@
     """Daemons and backend servers of one test."""
 
     folder: Path
+    module: tuple[str, ...] = DAEMON_MODULE
     daemons_by_id: dict[str, Daemon] = field(default_factory=dict)
     servers_by_id: dict[str, str] = field(default_factory=dict)
     processes: list[subprocess.Popen[bytes]] = field(default_factory=list)
@@ -189,7 +192,9 @@
             config.write_text("\n".join([*sections, f"[timing]\n{timing}"]))
             url = f"http://127.0.0.1:{ports[own][0]}"
             log = self.folder / f"{own}.log"
-            self.daemons_by_id[own] = Daemon(own, zones_by_id[own], url, config, log)
+            self.daemons_by_id[own] = Daemon(
+                own, zones_by_id[own], url, config, log, self.module
+            )
         for daemon in self.daemons_by_id.values():
             daemon.start()
         self.wait_for_members(len(ids))
