Split the messages by controller

Change: a package with one module per controller and one for what all of them handle; the names are exported from boragetide.messages as before. No message changed.

Conclusion: no change in behaviour.

--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -46,7 +46,7 @@
     for name, value in vars(messages).items()
     if inspect.isclass(value)
     and dataclasses.is_dataclass(value)
-    and value.__module__ == messages.__name__
+    and value.__module__.startswith(messages.__name__)
 }
 _DECODERS_BY_KIND = {
     kind: msgspec.msgpack.Decoder(type_, dec_hook=restore)
--- /dev/null
+++ b/boragetide/messages/jobs.py
@@ -0,0 +1,76 @@
+"""Messages of the controller ``jobs``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from boragetide.messages.common import Request
+from boragetide.types import Answer, Claim, JobId, Submission, TaskOutcome
+
+OTHER_CONTENT = "other_content"
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitJob(Request):
+    """Runs a job under a decided claim, or joins it; answered with `JobAnswer`."""
+
+    submission: Submission
+    claim: Claim
+
+
+@dataclass(frozen=True, slots=True)
+class JobAnswer:
+    """Final answer of a job; ``refused_for`` names why it was not admitted.
+
+    It is `OTHER_CONTENT` where the id belongs to a job with other payloads.
+    """
+
+    answer: Answer
+    refused_for: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LookUpJob(Request):
+    """Asks the owner for a job; answered with `JobState`."""
+
+    id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class CancelJob(Request):
+    """Cancels a job at its owner; answered with `JobState`."""
+
+    id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class JobState:
+    """State of a job at its owner; ``answer`` is set once it has ended."""
+
+    id: JobId
+    state: str
+    answer: Answer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TasksQueued:
+    """The pool took the tasks of a job."""
+
+    job_id: JobId
+
+
+@dataclass(frozen=True, slots=True)
+class TasksRefused:
+    """The pool refused a job; none of its tasks started."""
+
+    job_id: JobId
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """A task ended, or will never start."""
+
+    job_id: JobId
+    index: int
+    outcome: TaskOutcome
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -35,7 +35,7 @@
     for value in vars(messages).values()
     if inspect.isclass(value)
     and dataclasses.is_dataclass(value)
-    and value.__module__ == messages.__name__
+    and value.__module__.startswith(messages.__name__)
 ]
 
 
