Prove operators' changes and drains on real daemons, and bound their numbers

Cause: the commands of operators had run against a scripted daemon only, and a version of more than 64 bits or a limit of thousands of digits raised an error inside the daemon.

Change: a process test sets a target and drains a backend server with the client, and checks that every daemon has it in force within 5 s and that nothing starts there; the HTTP border bounds expected_version and limit.

Conclusion: a drain accepted at one daemon holds at the placer before the next job.

--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -26,6 +26,8 @@
 # is stuck.
 COMMAND_TIMEOUT: Seconds = PROPOSAL_TIMEOUT + 1.0
 DEFAULT_HISTORY = 100
+MAX_VERSION = 2**62  # messages between instances carry 64-bit integers
+LIMIT_DIGITS = 9
 
 HTTP_STATUS_BY_OUTCOME = {
     CommandStatus.ACCEPTED: 200,
@@ -65,7 +67,7 @@
     """Body of ``POST /v1/configuration/commands``."""
 
     command_id: JobIdField
-    expected_version: Annotated[int, Field(ge=0)]
+    expected_version: Annotated[int, Field(ge=0, le=MAX_VERSION)]
     command: Annotated[
         SetClassBody | DrainBody | ReturnBody, Field(discriminator="kind")
     ]
@@ -162,11 +164,12 @@
     async def get(self) -> None:
         """Answer from an instance with a disk, this one first."""
         text = self.get_query_argument("limit", str(DEFAULT_HISTORY))
-        if not text.isdecimal() or not 1 <= int(text) <= RETAINED_HISTORY:
+        limit = int(text) if text.isdecimal() and len(text) <= LIMIT_DIGITS else 0
+        if not 1 <= limit <= RETAINED_HISTORY:
             message = f"limit: {text!r} is not a number from 1 to {RETAINED_HISTORY}"
             self.refuse(400, message)
             return
-        history = await self._find_history(int(text))
+        history = await self._find_history(limit)
         if history is None:
             message = "no instance with a disk has the history up to this version"
             self.respond(503, {"status": Status.UNKNOWN, "error": message})
--- a/boragetide/tests/test_api.py
+++ b/boragetide/tests/test_api.py
@@ -37,6 +37,11 @@
 
 
 SERVER = {"address": "http://127.0.0.1:9", "availability_zone": "a", "slots": 1}
+COMMAND = {
+    "command_id": "c1",
+    "expected_version": 0,
+    "command": {"kind": "drain_backend_server", "id": "s1"},
+}
 REQUEST = {"id": "r", "class": "default", "payload": 1, "idempotent": False}
 
 
@@ -90,6 +95,27 @@
         ("POST", "/v1/job-ids", {"count": 1001}, 400, "count: "),
         ("GET", "/v1/jobs/a%20b", None, 400, "id: "),
         ("DELETE", "/v1/jobs/" + "x" * 201, None, 400, "id: "),
+        (
+            "POST",
+            "/v1/configuration/commands",
+            COMMAND | {"expected_version": 2**70},
+            400,
+            "expected_version: ",
+        ),
+        (
+            "POST",
+            "/v1/configuration/commands",
+            COMMAND | {"command": 1},
+            400,
+            "command",
+        ),
+        (
+            "GET",
+            "/v1/configuration/history?limit=" + "9" * 5000,
+            None,
+            400,
+            "limit: ",
+        ),
         ("GET", "/v2/none", None, 404, "path '/v2/none' does not exist"),
         ("POST", "/v2/none", b"x" * (LIMIT + 1), 413, "body: larger"),
         ("GET", "/v1/jobs", None, 405, "method GET is not allowed on '/v1/jobs'"),
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -17,7 +17,14 @@
 
 from boragetide.cli.__main__ import COMMANDS, run
 from boragetide.cli.base import SERVER_VARIABLE
-from boragetide.tests.conftest import System, free_port, make_job
+from boragetide.tests.conftest import (
+    Daemon,
+    System,
+    call,
+    free_port,
+    make_job,
+    wait_for,
+)
 
 LOST = object()  # closes the connection without an answer
 CONFIGURATION = {
@@ -272,3 +279,34 @@
     assert "2 of 2 instances live" in capsys.readouterr().out
     assert run(["backend-server", "list", *servers]) == 0
     assert "s1" in capsys.readouterr().out
+
+
+def test_operators_change_targets_and_drain_on_real_daemons(
+    system: System, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against accepted changes that do not reach the placer within 5 s."""
+    system.start({"a1": "a", "a2": "a", "a3": "a"})
+    system.add_server("s1", "a")
+    system.add_server("s2", "a")
+    servers = [f"--server={system.daemons_by_id['a3'].url}"]
+    target = ["--response-time=2s", "--busy-share=50%"]
+    assert run(["class", "set", "proofs", *target, *servers]) == 0
+    assert run(["backend-server", "drain", "s1", *servers]) == 0
+    assert run(["class", "set", "proofs", *target, "--expected-version=0", *servers])
+    capsys.readouterr()
+    assert run(["class", "show", "proofs", *servers]) == 0
+    assert "proofs" in capsys.readouterr().out
+    assert run(["config", "history", "--json", *servers]) == 0
+    assert len(json.loads(capsys.readouterr().out)["entries"]) == 2
+    for daemon in system.daemons_by_id.values():
+        wait_for(lambda daemon=daemon: knows_drained(daemon, "s1"), "the drain", 5.0)
+    job = make_job("job-1", tasks=12) | {"class": "proofs"}
+    assert system.submit("a2", job)[1]["status"] == "complete"
+    assert call("GET", f"{system.servers_by_id['s1']}/starts")[1] == {}
+    assert run(["backend-server", "return", "s1", *servers]) == 0
+
+
+def knows_drained(daemon: Daemon, server_id: str) -> bool:
+    """Tell whether the configuration in force at a daemon drains a server."""
+    configuration = call("GET", f"{daemon.url}/v1/configuration")[1]
+    return server_id in configuration["drained"]
