Use one generator of traces for load and replay

Change: the load benchmark uses benchmarks/trace.py, whose offered load is exact over the trace; the ideal response time is computed in one place; the report also gives the 99th percentile of the response time in seconds.

Conclusion: replay and real processes can be compared on the same jobs.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -18,7 +18,7 @@
 from benchmarks.messages import count_wasted, read_metrics
 from benchmarks.report import compare, format_table, summarize
 from benchmarks.scenarios import Scenario, list_scenarios
-from benchmarks.workload import SLOTS, SPEEDS, make_trace
+from benchmarks.trace import generate_for, list_servers
 from boragetide.tests.conftest import DAEMON_MODULE, System
 
 ZONE = "a"
@@ -69,8 +69,10 @@
         system = System(Path(folder), module)
         try:
             system.start(dict.fromkeys(DAEMONS, ZONE))
-            for number, speed in enumerate(SPEEDS, 1):
-                system.add_server(f"s{number}", ZONE, slots=SLOTS, speed=speed)
+            for server in list_servers():
+                system.add_server(
+                    server.id, ZONE, slots=server.slots, speed=server.speed
+                )
             return asyncio.run(_measure(system, scenario, seed))
         finally:
             system.close()
@@ -80,23 +82,21 @@
     daemons = list(system.daemons_by_id.values())
     urls = [daemon.url for daemon in daemons]
     round_trip = await measure_round_trip(urls[0])
-    warm_up = make_trace(
-        seed=seed + 1, load=0.5, duration=WARM_UP, tasks=scenario.tasks
-    )
-    await run_trace(urls, warm_up, f"{ZONE}:warm-up-")
+    warm_up = generate_for(WARM_UP, seed=seed + 1, load=0.5, tasks=scenario.tasks)
+    await run_trace(urls, warm_up.jobs, f"{ZONE}:warm-up-")
     for server_id, options in scenario.faults_by_server.items():
         system.control(server_id, **options)
-    trace = scenario.make_trace(seed)
-    tasks = sum(len(plan.works) for plan in trace)
+    jobs = scenario.make_jobs(seed)
+    tasks = sum(len(job.tasks) for job in jobs)
     before = [read_metrics(url) for url in urls]
     cpu_before = [_cpu_seconds(daemon.process.pid) for daemon in daemons]
-    measured = await run_trace(urls, trace, f"{ZONE}:job-")
+    measured = await run_trace(urls, jobs, f"{ZONE}:job-")
     cpu = [
         _cpu_seconds(daemon.process.pid) - earlier
         for daemon, earlier in zip(daemons, cpu_before, strict=True)
     ]
     after = [read_metrics(url) for url in urls]
-    summary = summarize(measured, scenario.speeds, round_trip)
+    summary = summarize(measured, scenario.servers, round_trip)
     summary["tasks"] = tasks
     summary["wasted"] = count_wasted(_total(before), _total(after), tasks)
     summary["cpu_ms"] = 1000 * sum(cpu) / tasks
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -6,12 +6,13 @@
 import json
 import statistics
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from benchmarks.workload import JobPlan
+from benchmarks.trace import TracedJob
 from boragetide.types import Seconds
 
 CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
@@ -27,15 +28,15 @@
 
     Parameters
     ----------
-    plan
-        The job.
+    job
+        The job of the trace.
     status
         Status of its answer.
     seconds
         Response time as the client saw it.
     """
 
-    plan: JobPlan
+    job: TracedJob
     status: str
     seconds: Seconds
 
@@ -47,7 +48,7 @@
 
 
 async def run_trace(
-    urls: list[str], plans: list[JobPlan], prefix: str, class_name: str = "default"
+    urls: list[str], jobs: Iterable[TracedJob], prefix: str, class_name: str = "default"
 ) -> list[Measured]:
     """Submit every job at its time, at the daemons in turn.
 
@@ -55,32 +56,32 @@
     ----------
     urls
         Addresses of the daemons.
-    plans
-        The trace.
+    jobs
+        Of the trace, in order of arrival.
     prefix
         Starts every job id; it names the home availability zone.
     """
     client = make_client()
     start = time.monotonic()
     calls = []
-    for number, plan in enumerate(plans):
-        await asyncio.sleep(start + plan.arrives_at - time.monotonic())
+    for number, job in enumerate(jobs):
+        await asyncio.sleep(start + job.at - time.monotonic())
         url = urls[number % len(urls)]
-        body = _describe_job(f"{prefix}{number}", class_name, plan)
-        calls.append(asyncio.ensure_future(_submit(client, url, body, plan)))
+        body = _describe_job(f"{prefix}{number}", class_name, job)
+        calls.append(asyncio.ensure_future(_submit(client, url, body, job)))
     return list(await asyncio.gather(*calls))
 
 
-def _describe_job(job_id: str, class_name: str, plan: JobPlan) -> dict[str, Any]:
+def _describe_job(job_id: str, class_name: str, job: TracedJob) -> dict[str, Any]:
     tasks = [
         {"payload": {"work": work}, "size": size, "timeout": TASK_TIMEOUT}
-        for work, size in zip(plan.works, plan.sizes, strict=True)
+        for work, size in job.tasks
     ]
     return {"id": job_id, "class": class_name, "tasks": tasks}
 
 
 async def _submit(
-    client: AsyncHTTPClient, url: str, body: dict[str, Any], plan: JobPlan
+    client: AsyncHTTPClient, url: str, body: dict[str, Any], job: TracedJob
 ) -> Measured:
     start = time.monotonic()
     response = await client.fetch(
@@ -97,7 +98,7 @@
         status = json.loads(response.body)["status"]
     except (KeyError, TypeError, ValueError):
         status = f"http_{response.code}"
-    return Measured(plan, status, seconds)
+    return Measured(job, status, seconds)
 
 
 async def measure_round_trip(url: str) -> Seconds:
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from benchmarks import trace as traces
-from benchmarks.trace import Trace, TracedJob
+from benchmarks.trace import Trace, TracedJob, ideal_response
 from boragetide import effects
 from boragetide.controllers import backend_servers, jobs
 from boragetide.messages import (
@@ -115,18 +115,10 @@
         """Record the end of a job, by its number in the trace."""
         job = self.trace.jobs[number]
         response = self.clock.now - START - job.at + 2 * CLIENT_ONE_WAY
-        stretch = response / ideal_response(job, self.trace)
+        stretch = response / ideal_response(job, self.trace.servers, 2 * CLIENT_ONE_WAY)
         self.results.append(Result(job, status, response, stretch))
 
 
-def ideal_response(job: TracedJob, trace: Trace) -> float:
-    """Return the ideal response time of a job in seconds, alone in the pool."""
-    work = [task[0] for task in job.tasks]
-    fastest = max(server.speed for server in trace.servers)
-    total = sum(server.speed * server.slots for server in trace.servers)
-    return max(max(work) / fastest, sum(work) / total) + 2 * CLIENT_ONE_WAY
-
-
 def replay(trace: Trace, policy: str, seed: int = 1) -> Replay:
     """Run a trace to its end.
 
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -6,23 +6,23 @@
 from typing import Any
 
 from benchmarks.load import Measured
-from benchmarks.workload import ideal_response
+from benchmarks.trace import TracedServer, ideal_response
 from boragetide.types import Seconds
 
 COLUMNS = ("jobs", "complete", "not_run", "mean", "p50", "p99", "wasted", "cpu_ms")
 
 
 def summarize(
-    measured: list[Measured], speeds: tuple[float, ...], round_trip: Seconds
+    measured: list[Measured], servers: tuple[TracedServer, ...], round_trip: Seconds
 ) -> dict[str, Any]:
     """Return counts by status and response time over ideal of the complete jobs."""
     ratios = sorted(
-        job.seconds / ideal_response(job.plan.works, speeds, round_trip)
-        for job in measured
-        if job.status == "complete"
+        each.seconds / ideal_response(each.job, servers, round_trip)
+        for each in measured
+        if each.status == "complete"
     )
-    refused = [job.seconds for job in measured if job.status == "not_run"]
-    statuses = [job.status for job in measured]
+    refused = [each.seconds for each in measured if each.status == "not_run"]
+    statuses = [each.status for each in measured]
     summary: dict[str, Any] = {
         "jobs": len(measured),
         "statuses": {
@@ -33,6 +33,9 @@
         summary["mean"] = statistics.fmean(ratios)
         summary["p50"] = _percentile(ratios, 0.50)
         summary["p99"] = _percentile(ratios, 0.99)
+    seconds = sorted(each.seconds for each in measured if each.status == "complete")
+    if seconds:
+        summary["p99_seconds"] = _percentile(seconds, 0.99)
     if refused:
         summary["refusal_p99_seconds"] = _percentile(sorted(refused), 0.99)
     return summary
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -5,7 +5,13 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from benchmarks.workload import SPEEDS, JobPlan, make_trace
+from benchmarks.trace import (
+    SPEEDS,
+    TracedJob,
+    TracedServer,
+    generate_for,
+    list_servers,
+)
 from boragetide.types import Seconds
 
 SMALL_JOBS = (1, 16)
@@ -34,8 +40,8 @@
         Whether the jobs of each `BURST_PERIOD` arrive together at its start.
     faults_by_server
         Options of backend servers that change after the warm-up.
-    speeds
-        Speeds of the backend servers in service, for the ideal response time.
+    servers
+        Backend servers in service, for the ideal response time.
     """
 
     name: str
@@ -44,19 +50,16 @@
     duration: Seconds
     burst: bool = False
     faults_by_server: dict[str, dict[str, Any]] = field(default_factory=dict)
-    speeds: tuple[float, ...] = SPEEDS
+    servers: tuple[TracedServer, ...] = field(default_factory=list_servers)
 
-    def make_trace(self, seed: int) -> list[JobPlan]:
-        """Make the scenario's trace."""
-        plans = make_trace(
-            seed=seed, load=self.load, duration=self.duration, tasks=self.tasks
-        )
+    def make_jobs(self, seed: int) -> tuple[TracedJob, ...]:
+        """Make the jobs of the scenario, in order of arrival."""
+        trace = generate_for(self.duration, seed=seed, load=self.load, tasks=self.tasks)
         if not self.burst:
-            return plans
-        return [
-            replace(plan, arrives_at=plan.arrives_at // BURST_PERIOD * BURST_PERIOD)
-            for plan in plans
-        ]
+            return trace.jobs
+        return tuple(
+            replace(job, at=job.at // BURST_PERIOD * BURST_PERIOD) for job in trace.jobs
+        )
 
 
 def list_scenarios(*, full: bool, duration: Seconds | None = None) -> list[Scenario]:
@@ -68,9 +71,8 @@
     ]
     if not full:
         return scenarios
-    slow = (*SPEEDS[:STRAGGLER_INDEX], SPEEDS[STRAGGLER_INDEX] / STRAGGLER_FACTOR)
-    slow += SPEEDS[STRAGGLER_INDEX + 1 :]
-    straggler = {STRAGGLER: {"speed": slow[STRAGGLER_INDEX]}}
+    speed = SPEEDS[STRAGGLER_INDEX] / STRAGGLER_FACTOR
+    straggler = {STRAGGLER: {"speed": speed}}
     return [
         Scenario("light load, jobs of 1 to 16", 0.1, SMALL_JOBS, duration),
         *scenarios,
@@ -93,6 +95,6 @@
             SMALL_JOBS,
             duration,
             faults_by_server={STRAGGLER: {"fail_all": True}},
-            speeds=tuple(s for i, s in enumerate(SPEEDS) if i != STRAGGLER_INDEX),
+            servers=tuple(s for s in list_servers() if s.id != STRAGGLER),
         ),
     ]
--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -22,6 +22,7 @@
 DEVIATION = math.log(20) / 4  # 50 ms to 1 s are two deviations from the median
 LONG_SHARE = 0.02
 SIZE_ERROR = 4.0
+SAMPLE_JOBS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,10 +89,7 @@
         Response time of the class, in seconds.
     """
     draw = random.Random(seed)
-    servers = tuple(
-        TracedServer(f"s{number}", SLOTS, speed)
-        for number, speed in enumerate(SPEEDS, 1)
-    )
+    servers = list_servers()
     gaps = [draw.expovariate(1.0) for _ in range(jobs)]
     made = [_generate_job(draw, 0.0, tasks) for _ in range(jobs)]
     work = sum(size for job in made for size, _ in job.tasks)
@@ -104,6 +102,42 @@
     return Trace(servers, tuple(made), tuple(events), {"default": target})
 
 
+def generate_for(
+    seconds: float, *, seed: int, load: float, tasks: tuple[int, int]
+) -> Trace:
+    """Generate a trace of about this length in seconds; see `generate`."""
+    sample = generate(seed, load, tasks, SAMPLE_JOBS)
+    jobs = max(1, round(SAMPLE_JOBS * seconds / sample.jobs[-1].at))
+    return generate(seed, load, tasks, jobs)
+
+
+def ideal_response(
+    job: TracedJob, servers: Iterable[TracedServer], round_trip: float
+) -> float:
+    """Return the ideal response time of a job alone in the pool, in seconds.
+
+    Parameters
+    ----------
+    servers
+        Backend servers in service.
+    round_trip
+        Two one-way trips, in seconds.
+    """
+    in_service = tuple(servers)
+    work = [task[0] for task in job.tasks]
+    fastest = max(server.speed for server in in_service)
+    total = sum(server.speed * server.slots for server in in_service)
+    return max(max(work) / fastest, sum(work) / total) + round_trip
+
+
+def list_servers(speeds: Iterable[float] = SPEEDS) -> tuple[TracedServer, ...]:
+    """Return the backend servers of the targets, or others of these speeds."""
+    return tuple(
+        TracedServer(f"s{number}", SLOTS, speed)
+        for number, speed in enumerate(speeds, 1)
+    )
+
+
 def _draw_work(draw: random.Random) -> float:
     if draw.random() < LONG_SHARE:
         return draw.uniform(2.0, 5.0)
