Use the field's terms for steps of election, discovery and placement

Cause: a read-through found names and log events that a newcomer would have to look up: leader_stood_back, settled in three meanings, patience, misfits.

Change: leader_stepped_down, discovery_done, complete, link_timeout, unplaceable; claims are decided.

Conclusion: no change in behaviour.

--- a/boragetide/controllers/catch_up.py
+++ b/boragetide/controllers/catch_up.py
@@ -86,7 +86,7 @@
     merge_fetched(table, claim_lifetime(settings.timing.resubmission_window))
 
 
-def has_outlived_window(incarnation: int, settings: Settings, now: Seconds) -> bool:
+def has_window_passed(incarnation: int, settings: Settings, now: Seconds) -> bool:
     """Tell whether every claim granted before the start of this process has expired.
 
     The claimant's clock may have been ahead of this one.
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -317,7 +317,7 @@
             effects.append(Count("claims_expired", {}, dropped))
         if table.complete:
             continue
-        if catch_up.has_outlived_window(state.incarnation, state.settings, now):
+        if catch_up.has_window_passed(state.incarnation, state.settings, now):
             effects += _complete(table, "window_passed", state)
             continue
         for member in catch_up.select_members_to_ask(table, state.settings.id, now):
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -307,7 +307,7 @@
 
 @handle.register
 def _(message: WokeUp, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Stand back from leading: the others may have elected another leader."""
+    """Step down as leader: the others may have elected another leader."""
     if state.member is not None:
         follow(state.member, None)
         schedule_election(state.member, now)
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -47,7 +47,7 @@
         or woke up.
     last_echo, echo_at
         The newest of our sequence numbers that the peer has heard, and when it said so.
-    linked_at, link_patience
+    linked_at, link_timeout
         When the link to the peer was made, and the seconds without an echo after which
         it is replaced.
     live
@@ -55,7 +55,7 @@
     """
 
     linked_at: Seconds
-    link_patience: Seconds
+    link_timeout: Seconds
     heartbeat: Heartbeat | None = None
     last_heard: Seconds | None = None
     last_echo: int = 0
@@ -73,7 +73,7 @@
         Unix time in milliseconds; set anew after a pause or an isolation.
     awake_since
         Unix time in seconds of the first tick after the start or a pause.
-    settled
+    discovery_done
         Whether the zone's other instances were heard, or had their time to be heard.
     isolated
         Whether this instance is not, or not yet, connected to half of its zone.
@@ -88,7 +88,7 @@
     sequence: int = 0
     next_heartbeat: Seconds = 0.0
     awake_since: Seconds | None = None
-    settled: bool = False
+    discovery_done: bool = False
     isolated: bool = True
     placer: InstanceId | None = None
     configuration_version: int = 0
@@ -134,10 +134,10 @@
         if _is_lost(view, state, now):
             # On every tick, so that requests sent after the loss do not wait either.
             effects.append(AbandonRequests(peer_id))
-        if now - max(view.echo_at, view.linked_at) > view.link_patience:
+        if now - max(view.echo_at, view.linked_at) > view.link_timeout:
             # A peer that is not heard may wait for this link to be replaced too.
             view.linked_at = now
-            view.link_patience = silence * state.jitter.uniform(1, 2)
+            view.link_timeout = silence * state.jitter.uniform(1, 2)
             effects.append(Reconnect(peer_id))
             if live:
                 effects.append(LogEvent("link_silent", {"peer": peer_id}))
@@ -158,7 +158,7 @@
         if state.settings.peers_by_id[peer_id].zone == state.settings.zone
     ]
     if all(view.live for view in zone_peers) or now - state.awake_since > silence:
-        state.settled = True
+        state.discovery_done = True
     connected = sum(view.live and now - view.echo_at <= silence for view in zone_peers)
     isolated = membership.is_isolated(connected + 1, len(zone_peers) + 1)
     effects: list[Effect] = []
@@ -236,7 +236,7 @@
     # An echo above our own sequence number belongs to our previous incarnation.
     if view.last_echo < message.echo <= state.sequence:
         view.last_echo, view.echo_at = message.echo, now
-        view.link_patience = silence
+        view.link_timeout = silence
     effects += _report_newer_configuration(message, state)
     return effects + _end_flushes(state)
 
@@ -281,7 +281,7 @@
 
 def _list_candidates(state: InstancesState, now: Seconds) -> list[Candidate]:
     """List the live instances; none until this one knows of the others."""
-    return _list_live(state, now) if state.settled else []
+    return _list_live(state, now) if state.discovery_done else []
 
 
 def _list_live(state: InstancesState, now: Seconds) -> list[Candidate]:
@@ -378,7 +378,7 @@
     """Forget what was heard before the pause; heartbeats will say who still lives."""
     state.in_service_since = _milliseconds(now)
     state.awake_since = now
-    state.settled = False
+    state.discovery_done = False
     state.isolated = True
     for view in state.peers_by_id.values():
         view.last_heard = None
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -34,7 +34,7 @@
 )
 
 # Entry instances that chose this placer before they heard of the change still send
-# their jobs once the claim is settled, which takes a few round trips.
+# their jobs once the claim is decided, which takes a few round trips.
 RELEASE_DELAY = 1.0  # seconds
 RELEASE_RENEWAL = 0.2  # seconds between renewals while the queue is being finished
 CONFIRMATION = 0.005  # seconds until the renewal that confirms a new lease
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -35,7 +35,7 @@
 HELD_PER_PASS = 12
 
 # Jobs passed over in one pass because no free server has the cores or the memory.
-MISFITS_PER_PASS = 256
+UNPLACEABLE_PER_PASS = 256
 
 # A result arrives at the placer this long after the time that the backend server
 # itself gives a task. The client gives up after 2 s, so this comes after it.
@@ -49,7 +49,7 @@
 
     Parameters
     ----------
-    settled
+    complete
         Whether the whole order was walked.
     releases
         Expected releases, with speeds for the class that first needed them.
@@ -58,13 +58,13 @@
     """
 
     now: Seconds
-    settled: bool = False
+    complete: bool = False
     releases: list[placement.Release] | None = None
     compared_by_class: dict[ClassName, list[placement.Candidate]] = field(
         default_factory=dict
     )
     held: int = 0
-    misfits: int = 0
+    unplaceable: int = 0
     calls_by_server: dict[BackendServerId, int] = field(default_factory=dict)
     starts_by_server: dict[BackendServerId, list[TaskStart]] = field(
         default_factory=dict
@@ -75,8 +75,8 @@
 def place(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Start as many queued tasks as there are useful free slots, batched by server."""
     current = _Pass(now)
-    while state.free and state.queued_tasks and not current.settled:
-        current.settled = True
+    while state.free and state.queued_tasks and not current.complete:
+        current.complete = True
         _walk(state, current)
     if not current.starts_by_server:
         return []
@@ -105,9 +105,9 @@
         job = state.jobs_by_id[job_id]
         if _place_job(state, job, current, caps_by_class):
             touched.append(job)
-        if not state.free or not current.settled or current.held > HELD_PER_PASS:
+        if not state.free or not current.complete or current.held > HELD_PER_PASS:
             break
-        if current.misfits >= MISFITS_PER_PASS:
+        if current.unplaceable >= UNPLACEABLE_PER_PASS:
             break
     for job in touched:
         put_job(queues_by_class[job.queued.class_name], job)
@@ -125,7 +125,7 @@
     -------
     int
         Number of tasks started. It stops early where the class or the team reached its
-        share, and marks the pass as not settled.
+        share, and marks the pass as not complete.
     """
     class_name = job.queued.class_name
     queue = state.queues_by_class[class_name]
@@ -141,10 +141,10 @@
             if is_over_share(
                 queue, job.queued.team, caps_by_class[class_name]
             ) or is_capped(state.queues_by_class, caps_by_class, class_name):
-                current.settled = False
+                current.complete = False
                 break
         elif reason == "no_fitting_server":
-            current.misfits += 1
+            current.unplaceable += 1
             break
         else:
             current.held += 1
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -52,7 +52,7 @@
     if moved:
         for server_id in state.servers_by_id:
             refresh_server(state, server_id, now)
-    return _end_misfits(state, now)
+    return _end_unplaceable(state, now)
 
 
 def update_aging(state: BackendServersState) -> None:
@@ -85,7 +85,7 @@
     return _end_all(state, list(state.jobs_by_id.values()), now)
 
 
-def _end_misfits(state: BackendServersState, now: Seconds) -> list[Effect]:
+def _end_unplaceable(state: BackendServersState, now: Seconds) -> list[Effect]:
     """End the wait of jobs with a task that none of the known servers fits."""
     if not state.total_slots:
         return []
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -13,7 +13,7 @@
 from boragetide.types import CONTROLLERS, Seconds
 
 # Jobs from entry instances that had already chosen this placer arrive until their claim
-# is settled; see also RELEASE_DELAY in the leases.
+# is decided; see also RELEASE_DELAY in the leases.
 SHORTEST_STOP = 1.0  # seconds
 POLL = 0.05  # seconds
 FLUSH_TIMEOUT = 2.0  # seconds
--- a/boragetide/filters/claim.py
+++ b/boragetide/filters/claim.py
@@ -127,4 +127,4 @@
 
 @_follow.register
 async def _(step: Undecided, attempt: _Attempt) -> Answer:
-    raise RequestError(Status.UNKNOWN, 503, f"claim not settled: {step.reason}")
+    raise RequestError(Status.UNKNOWN, 503, f"claim not decided: {step.reason}")
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -50,7 +50,7 @@
 
 
 def check_leader(replica: Replica, now: Seconds) -> list[Effect]:
-    """Send heartbeats; stand back when no majority answers any more."""
+    """Send heartbeats; step down when no majority answers any more."""
     heard = [
         progress
         for progress in replica.progress_by_id.values()
@@ -59,7 +59,7 @@
     if len(heard) + 1 < replica.quorum:
         follow(replica, None)
         schedule_election(replica, now)
-        return [LogEvent("leader_stood_back", {"term": replica.ballot.term})]
+        return [LogEvent("leader_stepped_down", {"term": replica.ballot.term})]
     return _send_all(replica, now) if now >= replica.next_heartbeat else []
 
 
