--- a/benchmarks/baseline_daemon.py
+++ b/benchmarks/baseline_daemon.py
@@ -101,8 +101,8 @@
 
 @singledispatch
 def handle(message: Any, state: BaselineState, now: Seconds) -> list[Effect]:
-    """Leave everything but tasks to the controller of the real placer."""
-    return backend_servers.handle(message, state.pool, now)
+    """Apply one message to the pool."""
+    raise TypeError(f"baseline cannot handle {message!r}")
 
 
 @handle.register
@@ -161,6 +161,15 @@
     return []
 
 
+def _leave_to_pool(message: Any, state: BaselineState, now: Seconds) -> list[Effect]:
+    """Leave everything but tasks to the controller of the real placer."""
+    return backend_servers.handle(message, state.pool, now)
+
+
+for _kind in backend_servers.handle.registry.keys() - handle.registry.keys():
+    handle.register(_kind, _leave_to_pool)
+
+
 def main() -> None:
     """Run a daemon with a baseline policy."""
     parser = argparse.ArgumentParser(description=__doc__)
