Wait with readiness until the acceptor can decide claims

Cause: make demo answered unknown: the acceptor of a new daemon is registered with the configuration some tenths of a second after the daemon reports that it is ready, and the demonstration did not wait for readiness at all.

Change: /readyz is 503 until the acceptor is complete, for at most 5 s after the start; the demonstration waits for it.

Conclusion: a caller behind a balancer that respects readiness gets no unknown answer at a cold start. The demonstration itself is not part of make test, because its ports are fixed.

--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -8,9 +8,11 @@
 
 from boragetide.api.backend_servers import choose_placer
 from boragetide.api.base import Handler
+from boragetide.daemon.clock import read_clock
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError
 from boragetide.messages import (
+    DescribeAcceptor,
     DescribePool,
     FetchConfiguration,
     InstanceList,
@@ -18,7 +20,9 @@
     PoolDescription,
     Request,
 )
-from boragetide.types import InstanceId
+from boragetide.types import InstanceId, Seconds
+
+ACCEPTOR_WAIT: Seconds = 5.0
 
 
 async def _ask_local(runtime: Runtime, controller: str, message: Request) -> Any:
@@ -110,12 +114,20 @@
     """Says whether this instance takes new requests."""
 
     async def get(self) -> None:
-        """Answer 503 while stopping, or without a placer or a configuration."""
+        """Answer 503 while stopping, or without a placer or a configuration.
+
+        After a start, wait for the acceptor too: until it is complete, new ids of
+        callers cannot be decided. The wait is bounded, because an acceptor whose group
+        has lost another member may need the whole resubmission window.
+        """
         runtime = self.runtime
         found = await choose_placer(runtime, runtime.settings.zone)
         changed = await _ask_local(runtime, "configuration", FetchConfiguration())
+        acceptor = await _ask_local(runtime, "claims", DescribeAcceptor())
+        uptime = read_clock() - runtime.incarnation / 1000
         serving = found.placer is not None and changed.in_force
-        ready = serving and not runtime.stopping
+        claiming = acceptor.complete or uptime > ACCEPTOR_WAIT
+        ready = serving and claiming and not runtime.stopping
         self.respond(200 if ready else 503, {"ready": ready})
 
     head = get
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -20,12 +20,14 @@
 )
 from boragetide.messages import (
     AcceptorRegistered,
+    AcceptorState,
     ClaimAndSubmit,
     ClaimReply,
     ClaimRequest,
     ClaimsPage,
     ClaimsRecovered,
     ClaimStatus,
+    DescribeAcceptor,
     Drain,
     DrainState,
     FetchClaims,
@@ -300,6 +302,12 @@
     return [*effects, Reply(message.reply_to, DrainState(0))]
 
 
+@handle.register
+def _(message: DescribeAcceptor, state: ClaimsState, now: Seconds) -> list[Effect]:
+    complete = all(table.complete for table in state.tables_by_zone.values())
+    return [Reply(message.reply_to, AcceptorState(complete))]
+
+
 @handle.register
 def _(message: Drain, state: ClaimsState, now: Seconds) -> list[Effect]:
     return [Reply(message.reply_to, DrainState(0))]
--- a/boragetide/messages/__init__.py
+++ b/boragetide/messages/__init__.py
@@ -21,12 +21,14 @@
 )
 from boragetide.messages.claims import (
     AcceptorRegistered,
+    AcceptorState,
     ClaimAndSubmit,
     ClaimReply,
     ClaimRequest,
     ClaimsPage,
     ClaimsRecovered,
     ClaimStatus,
+    DescribeAcceptor,
     FetchClaims,
     LookUpClaim,
     SaveClaims,
@@ -85,6 +87,7 @@
 __all__ = [
     "OTHER_CONTENT",
     "AcceptorRegistered",
+    "AcceptorState",
     "AnnounceBackendServer",
     "AppendEntries",
     "AppendReply",
@@ -102,6 +105,7 @@
     "CommandOutcome",
     "ConfigurationChanged",
     "ConfigurationOffered",
+    "DescribeAcceptor",
     "DescribePool",
     "Drain",
     "DrainState",
--- a/boragetide/messages/claims.py
+++ b/boragetide/messages/claims.py
@@ -135,6 +135,18 @@
     clean: bool
 
 
+@dataclass(frozen=True, slots=True)
+class DescribeAcceptor(Request):
+    """Asks whether the acceptor is complete; answered with `AcceptorState`."""
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptorState:
+    """Whether the acceptor may grant any new id of every group it belongs to."""
+
+    complete: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SaveClaims(Request):
     """Writes the claims to the disk, if there is one, as the last act of this process.
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -52,6 +52,7 @@
     deadline = time.monotonic() + START_TIMEOUT
     while time.monotonic() < deadline:
         try:
+            urllib.request.urlopen(f"{DAEMON}/readyz").close()
             with urllib.request.urlopen(f"{DAEMON}/v1/status") as response:
                 instances = json.load(response)["instances"]
             if instances[0]["backend_servers"] == len(SPEEDS):
