--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -6,11 +6,14 @@
 from enum import StrEnum
 from typing import Literal
 
+from boragetide.durable import DurableJob, JobRecord, RunEnd
 from boragetide.types import (
     BackendServerId,
     ClassName,
+    ClassTarget,
     Configuration,
     InstanceId,
+    JobId,
     Seconds,
 )
 
@@ -56,11 +59,63 @@
     kind: Literal["register_acceptor"] = "register_acceptor"
 
 
+@dataclass(frozen=True, slots=True)
+class PublishConfiguration(Command):
+    """Replaces all classes, if ``revision`` is higher than the one in force.
+
+    Parameters
+    ----------
+    classes
+        All classes there are.
+    document
+        See `Configuration`.
+    """
+
+    revision: int
+    classes: tuple[ClassTarget, ...]
+    document: str
+    kind: Literal["publish_configuration"] = "publish_configuration"
+
+
+class JobCommand(Command):
+    """Base of the commands of the dispatcher; each is idempotent."""
+
+    __slots__ = ()
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptJob(JobCommand):
+    """Keeps a durable job."""
+
+    job: DurableJob
+    kind: Literal["accept_job"] = "accept_job"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordEnds(JobCommand):
+    """Keeps ends of runs."""
+
+    ends: tuple[RunEnd, ...]
+    kind: Literal["record_ends"] = "record_ends"
+
+
+@dataclass(frozen=True, slots=True)
+class CancelJobs(JobCommand):
+    """Cancels durable jobs that have not ended."""
+
+    job_ids: tuple[JobId, ...]
+    kind: Literal["cancel_jobs"] = "cancel_jobs"
+
+
 COMMANDS_BY_KIND: dict[str, type[Command]] = {
     "set_class": SetClass,
     "drain_backend_server": DrainBackendServer,
     "return_backend_server": ReturnBackendServer,
     "register_acceptor": RegisterAcceptor,
+    "publish_configuration": PublishConfiguration,
+    "accept_job": AcceptJob,
+    "record_ends": RecordEnds,
+    "cancel_jobs": CancelJobs,
 }
 
 
@@ -136,6 +191,8 @@
         Accepted operator commands, oldest first.
     acceptors_by_id
         Incarnation in which each instance first became an acceptor.
+    jobs_by_id
+        Durable jobs, oldest first.
     """
 
     index: int = 0
@@ -143,6 +200,7 @@
     outcomes_by_id: dict[str, Outcome] = field(default_factory=dict)
     history: list[HistoryEntry] = field(default_factory=list)
     acceptors_by_id: dict[InstanceId, int] = field(default_factory=dict)
+    jobs_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -6,17 +6,20 @@
 from functools import singledispatch
 from typing import Any
 
-from boragetide.commands import FetchedConfiguration, Outcome, Proposal
+from boragetide.commands import FetchedConfiguration, JobCommand, Outcome, Proposal
 from boragetide.effects import Effect, Persist, Reply, Send
 from boragetide.messages import (
+    AppendCommands,
     AppendEntries,
     AppendReply,
     CatchUpState,
     ConfigurationChanged,
     ConfigurationOffered,
+    ConfigurationRead,
     Drain,
     DrainState,
     FetchConfiguration,
+    FollowLeader,
     ForwardProposal,
     History,
     InstallSnapshot,
@@ -24,6 +27,7 @@
     NewerConfiguration,
     ProposalDecided,
     Propose,
+    ReadConfiguration,
     RequestCatchUp,
     RequestConfiguration,
     RequestVote,
@@ -32,7 +36,13 @@
     VoteReply,
     WokeUp,
 )
-from boragetide.policy import catch_up, elections, proposals, replication
+from boragetide.policy import (
+    catch_up,
+    elections,
+    leadership,
+    proposals,
+    replication,
+)
 from boragetide.policy.catalogue import find_outcome
 from boragetide.policy.distribution import (
     Distribution,
@@ -41,6 +51,7 @@
     look_for_configuration,
     put_in_force,
 )
+from boragetide.policy.leadership import Leadership
 from boragetide.policy.proposals import Proposals
 from boragetide.policy.replica import (
     ELECTION_MIN,
@@ -76,6 +87,7 @@
     settings: Settings
     distribution: Distribution
     proposals: Proposals
+    leadership: Leadership
     replica: Replica | None = None
     contact: int = 0
 
@@ -91,7 +103,9 @@
     settings: Settings, incarnation: int, records: tuple[Any, ...] = ()
 ) -> ConfigurationState:
     """Build the state from the records of the journal, if there is a disk."""
-    state = ConfigurationState(settings, Distribution(settings), Proposals(settings))
+    state = ConfigurationState(
+        settings, Distribution(settings), Proposals(settings), Leadership(settings)
+    )
     if settings.id in settings.disk_ids:
         state.replica = restore_replica(settings, incarnation, records)
     return state
@@ -108,7 +122,7 @@
     effects: list[Effect] = []
     if state.replica is not None:
         effects += _tick_replica(state.replica, now)
-    effects += _settle(state)
+    effects += _settle(state, now)
     effects += look_for_configuration(state.distribution, now)
     effects += _take_offer(state, now)
     effects += proposals.expire(state.proposals, state.distribution.version, now)
@@ -131,7 +145,7 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.member is None:
         return []
-    return step(message, state.member, now) + _settle(state)
+    return step(message, state.member, now) + _settle(state, now)
 
 
 @handle.register(RequestCatchUp)
@@ -139,23 +153,20 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.replica is None:
         return []
-    return step(message, state.replica, now) + _settle(state)
+    return step(message, state.replica, now) + _settle(state, now)
 
 
-def _settle(state: ConfigurationState) -> list[Effect]:
+def _settle(state: ConfigurationState, now: Seconds) -> list[Effect]:
     """Put in force what is committed, and answer those who wait for it."""
     replica = state.replica
     if replica is None:
         return []
-    decided = apply_committed(replica)
-    known = [] if replica.fetched is None else [replica.fetched]
-    if replica.role is not Role.BLANK and replica.commit >= replica.floor:
-        known.append(replica.catalogue.configuration)
-    effects: list[Effect] = []
-    if known:
-        newest = max(known, key=lambda configuration: configuration.version)
-        effects += put_in_force(state.distribution, newest)
-    for proposal in decided:
+    applied = apply_committed(replica)
+    effects = _put_newest_in_force(state, replica, now)
+    effects += leadership.announce(state.leadership, replica, applied, now)
+    for proposal in applied.proposals:
+        if isinstance(proposal.command, JobCommand):
+            continue
         outcome = find_outcome(proposal, replica.catalogue)
         waiting = replica.proposers_by_command.pop(proposal.command_id, set())
         effects += [
@@ -166,6 +177,23 @@
     return effects + compact(replica)
 
 
+def _put_newest_in_force(
+    state: ConfigurationState, replica: Replica, now: Seconds
+) -> list[Effect]:
+    known = [] if replica.fetched is None else [replica.fetched]
+    if replica.role is not Role.BLANK and replica.commit >= replica.floor:
+        known.append(replica.catalogue.configuration)
+    if not known:
+        return []
+    newest = max(known, key=lambda configuration: configuration.version)
+    effects = put_in_force(state.distribution, newest)
+    if effects:
+        effects += leadership.notify_all(
+            state.leadership, replica, state.distribution.in_force, now
+        )
+    return effects
+
+
 @handle.register
 def _(message: Propose, state: ConfigurationState, now: Seconds) -> list[Effect]:
     proposal = proposals.identify(message)
@@ -215,13 +243,32 @@
         proposers.add(message.sender)
         if _is_in_log(replica, proposal):
             return []
-        return replication.append_proposal(replica, proposal, now) + _settle(state)
+        appended = replication.append_proposals(replica, (proposal,), now)
+        return appended + _settle(state, now)
     if replica.leader is None or message.to_leader:
         return []
     onward = ForwardProposal(proposal, message.sender, to_leader=True)
     return [Send(Address(replica.leader, "configuration"), onward)]
 
 
+@handle.register
+def _(message: AppendCommands, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    """Append commands of the dispatcher, unless it leads another term by now."""
+    replica = state.member
+    if (
+        replica is None
+        or replica.role is not Role.LEADER
+        or replica.ballot.term != message.term
+    ):
+        return []
+    appended = [
+        Proposal(command_id, command)
+        for command_id, command in message.commands_by_id.items()
+    ]
+    effects = replication.append_proposals(replica, appended, now)
+    return effects + _settle(state, now)
+
+
 def _is_in_log(replica: Replica, proposal: Proposal) -> bool:
     uncommitted = replica.log[replica.commit - replica.log_start :]
     return any(
@@ -253,6 +300,29 @@
     return [Reply(message.reply_to, changed)]
 
 
+@handle.register
+def _(
+    message: ReadConfiguration, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    """Answer with the configuration only where no other leader can have a newer one."""
+    replica = state.member
+    if replica is None:
+        return [Reply(message.reply_to, ConfigurationRead(None))]
+    newest = None
+    if state.leadership.announced_term and now < replica.authority_until(now):
+        newest = state.distribution.in_force
+    return [Reply(message.reply_to, ConfigurationRead(newest, replica.leader))]
+
+
+@handle.register
+def _(message: FollowLeader, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    leadership.note_follower(state.leadership, message.sender, message.version, now)
+    in_force = state.distribution.in_force
+    return [
+        leadership.notify(state.leadership, state.member, in_force, message.sender, now)
+    ]
+
+
 @handle.register
 def _(message: ListHistory, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.replica is None:
--- /dev/null
+++ b/boragetide/controllers/directory.py
@@ -0,0 +1,134 @@
+"""Who leads and what is in force, on an instance without a log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any
+
+from boragetide.effects import Effect, LogEvent, Reconnect, Reply, Send
+from boragetide.messages import (
+    ContactsChanged,
+    Drain,
+    DrainState,
+    FindLeader,
+    FollowLeader,
+    LeaderFound,
+    LeaderNotice,
+    StopRequested,
+    Tick,
+    WokeUp,
+)
+from boragetide.settings import Settings
+from boragetide.types import Address, Configuration, InstanceId, Seconds
+
+ASK_INTERVAL: Seconds = 0.5
+# A member whose link was silent this long is dialled anew.
+CONTACT_SILENCE: Seconds = 2.0
+# Without a leader for longer than this the instance does not report ready.
+LEADER_SILENCE: Seconds = 3.0
+
+
+@dataclass(slots=True)
+class DirectoryState:
+    """State of the controller.
+
+    Parameters
+    ----------
+    contacts
+        Members that the settings or a notice named.
+    heard_by_id
+        When each contact last answered.
+    term, leader, leader_heard_at
+        Newest leader, and when it last spoke.
+    configuration
+        In force here; its version never decreases.
+    next_ask
+        When the contacts are asked again.
+    """
+
+    settings: Settings
+    contacts: tuple[InstanceId, ...]
+    heard_by_id: dict[InstanceId, Seconds]
+    term: int = 0
+    leader: InstanceId | None = None
+    leader_heard_at: Seconds = 0.0
+    configuration: Configuration | None = None
+    next_ask: Seconds = 0.0
+
+
+def make_state(settings: Settings) -> DirectoryState:
+    """Build the first state: the contacts are the members that the settings name."""
+    return DirectoryState(settings, settings.disk_ids, {})
+
+
+@singledispatch
+def handle(message: Any, state: DirectoryState, now: Seconds) -> list[Effect]:
+    """Apply one message to the directory."""
+    raise TypeError(f"directory cannot handle {message!r}")
+
+
+@handle.register
+def _(message: Tick, state: DirectoryState, now: Seconds) -> list[Effect]:
+    if now < state.next_ask:
+        return []
+    state.next_ask = now + ASK_INTERVAL
+    version = -1 if state.configuration is None else state.configuration.version
+    question = FollowLeader(state.settings.id, version)
+    effects: list[Effect] = []
+    for contact in state.contacts:
+        heard_at = state.heard_by_id.setdefault(contact, now)
+        if now - heard_at > CONTACT_SILENCE:
+            state.heard_by_id[contact] = now
+            silence = now - heard_at
+            fields = {"peer": contact, "silence": silence}
+            effects += [LogEvent("link_silent", fields), Reconnect(contact)]
+        effects.append(Send(Address(contact, "configuration"), question))
+    return effects
+
+
+@handle.register
+def _(message: LeaderNotice, state: DirectoryState, now: Seconds) -> list[Effect]:
+    state.heard_by_id[message.sender] = now
+    known = set(state.contacts)
+    state.contacts += tuple(id_ for id_ in message.members if id_ not in known)
+    effects: list[Effect] = []
+    if message.term >= state.term and message.leader is not None:
+        if (message.term, message.leader) != (state.term, state.leader):
+            fields = {"term": message.term, "leader": message.leader}
+            effects.append(LogEvent("leader_found", fields))
+        state.term, state.leader = message.term, message.leader
+        if message.sender == message.leader:
+            state.leader_heard_at = now
+    offered, held = message.configuration, state.configuration
+    if offered is not None and (held is None or offered.version > held.version):
+        state.configuration = offered
+        fields = {"version": offered.version, "revision": offered.revision}
+        effects.append(LogEvent("configuration_in_force", fields))
+    return effects
+
+
+@handle.register
+def _(message: ContactsChanged, state: DirectoryState, now: Seconds) -> list[Effect]:
+    state.contacts = tuple(dict.fromkeys((*message.contacts, *state.contacts)))
+    return [LogEvent("contacts_changed", {"contacts": state.contacts})]
+
+
+@handle.register
+def _(message: FindLeader, state: DirectoryState, now: Seconds) -> list[Effect]:
+    is_led = state.leader is not None and now - state.leader_heard_at < LEADER_SILENCE
+    found = LeaderFound(
+        state.leader, state.configuration, is_led and state.configuration is not None
+    )
+    return [Reply(message.reply_to, found)]
+
+
+@handle.register
+def _(message: Drain, state: DirectoryState, now: Seconds) -> list[Effect]:
+    return [Reply(message.reply_to, DrainState(0))]
+
+
+@handle.register(StopRequested)
+@handle.register(WokeUp)
+def _(message: Any, state: DirectoryState, now: Seconds) -> list[Effect]:
+    return []
--- /dev/null
+++ b/boragetide/controllers/placing_runs.py
@@ -0,0 +1,210 @@
+"""Starts runs of durable tasks where there is room."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from boragetide.controllers.dispatch_state import (
+    LAPSE_MARGIN,
+    LEASE,
+    SLOWEST_CLOCK,
+    DispatcherState,
+    Run,
+    Server,
+    has_authority,
+    next_run,
+)
+from boragetide.durable import JobPhase, Step, refer_to_task
+from boragetide.effects import Effect, LogEvent, StartRun
+from boragetide.policy.job_queue import WaitingJob
+from boragetide.policy.replica import AUTHORITY
+from boragetide.policy.scheduling import Candidate, choose_server, find_ready_tasks
+from boragetide.types import JobId, Seconds
+
+# An announcement comes every 1.5 s; a backend server that missed three is not used.
+ANNOUNCEMENT_SILENCE: Seconds = 5.0
+# Announcements of all backend servers have come by then.
+YOUNG_PROCESS: Seconds = 3.5
+# After this time neither the authority of an earlier leader nor a lease that it gave
+# can last any longer.
+TAKEOVER_WAIT: Seconds = AUTHORITY + LEASE / SLOWEST_CLOCK + 2 * LAPSE_MARGIN
+
+
+def requeue(state: DispatcherState, job_id: JobId) -> None:
+    """Put what may start of a job into the queue."""
+    record = state.records_by_id.get(job_id)
+    if record is None or record.phase is not JobPhase.ACTIVE:
+        state.queue.remove(job_id)
+        return
+    tasks = {
+        number: step
+        for number, step in find_ready_tasks(record)
+        if (job_id, number) not in state.occupied
+    }
+    state.queue.put(record.job, tasks)
+
+
+def has_taken_over(state: DispatcherState, now: Seconds) -> bool:
+    """Tell whether a task that no backend server lists is certainly not running.
+
+    An earlier leader may have started any job that is submitted again.
+    """
+    if now - state.leading_since >= TAKEOVER_WAIT:
+        return True
+    if now - state.incarnation / 1000 < YOUNG_PROCESS:
+        return False
+    return all(
+        server.read_term == state.term
+        for server in state.servers_by_id.values()
+        if not server.gone
+    )
+
+
+def place(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Start as many waiting tasks as there is room for."""
+    if not has_authority(state, now) or not state.queue.waiting_by_id:
+        return []
+    effects: list[Effect] = []
+    if not state.taken_over:
+        if not has_taken_over(state, now):
+            return []
+        state.taken_over = True
+        fields = {"term": state.term, "after": now - state.leading_since}
+        effects.append(LogEvent("takeover_done", fields))
+    candidates_by_pool = _find_candidates(state, now)
+    for waiting in state.queue.iterate(now):
+        pool = _find_pool(state, waiting)
+        candidates = candidates_by_pool.get(pool)
+        if candidates:
+            effects += _place_job(state, waiting, candidates, now)
+    return effects
+
+
+def _find_pool(state: DispatcherState, waiting: WaitingJob) -> str:
+    """Return the pool of a class now, or that of its job if the class was dropped."""
+    job = waiting.job
+    if state.configuration is not None:
+        target = state.configuration.classes_by_name.get(job.class_name)
+        if target is not None and target.durable is not None:
+            return target.durable.pool
+    return job.starts.pool
+
+
+def _find_candidates(
+    state: DispatcherState, now: Seconds
+) -> dict[str, list[Candidate]]:
+    candidates: dict[str, list[Candidate]] = {}
+    for server in state.servers_by_id.values():
+        if not is_usable(state, server, now):
+            continue
+        room = server.room
+        if room.millicores > 0:
+            report = server.report
+            candidates.setdefault(report.pool, []).append(
+                Candidate(report.id, room, server.speed, report.labels)
+            )
+    return candidates
+
+
+def is_usable(state: DispatcherState, server: Server, now: Seconds) -> bool:
+    """Tell whether a backend server may get new runs."""
+    return (
+        server.read_term == state.term
+        and server.clock_ahead is not None
+        and not (server.report.draining or server.gone or server.silent)
+        and not server.foreign
+        and now >= server.avoided_until
+        and now - server.heard_at < ANNOUNCEMENT_SILENCE
+    )
+
+
+def _place_job(
+    state: DispatcherState,
+    waiting: WaitingJob,
+    candidates: list[Candidate],
+    now: Seconds,
+) -> list[Effect]:
+    job_id = waiting.job.id
+    counts_by_step: dict[int, Counter[str]] = {}
+    effects: list[Effect] = []
+    foreign = {
+        task for server in state.servers_by_id.values() for task, _ in server.foreign
+    }
+    for number, step in list(waiting.tasks.items()):
+        if foreign and refer_to_task(waiting.job, number) in foreign:
+            continue
+        counts = Counter()
+        if step.max_per_server:
+            counts = counts_by_step.setdefault(
+                id(step), _count_on_servers(state, waiting, step)
+            )
+        chosen = choose_server(step, candidates, counts)
+        if chosen is None:
+            continue
+        counts[chosen.id] += 1
+        chosen.room = chosen.room.minus(step.needs)
+        effects += _start(state, waiting, number, step, chosen, now)
+        del waiting.tasks[number]
+    if not waiting.tasks:
+        state.queue.remove(job_id)
+    return effects
+
+
+def _count_on_servers(
+    state: DispatcherState, waiting: WaitingJob, step: Step
+) -> Counter[str]:
+    """Count the runs of a step on each backend server."""
+    position = waiting.job.steps.index(step)
+    first = sum(earlier.count for earlier in waiting.job.steps[:position])
+    return Counter(
+        state.occupied[waiting.job.id, number]
+        for number in range(first, first + step.count)
+        if (waiting.job.id, number) in state.occupied
+    )
+
+
+def _start(
+    state: DispatcherState,
+    waiting: WaitingJob,
+    number: int,
+    step: Step,
+    chosen: Candidate,
+    now: Seconds,
+) -> list[Effect]:
+    job = waiting.job
+    server = state.servers_by_id[chosen.id]
+    key = (job.id, number)
+    run = Run(job.id, number, next_run(state, key), step.needs, now)
+    run.estimate = step.estimate
+    server.runs_by_task[key] = run
+    state.occupied[key] = chosen.id
+    state.started.add(job.id)
+    start = StartRun(
+        server=chosen.id,
+        address=server.report.address,
+        task=refer_to_task(job, number),
+        number=number,
+        run=run.number,
+        spec=job.spec,
+        fence=state.term,
+        lease_until=extend_lease(server, now),
+    )
+    fields = {
+        "job": job.id,
+        "task": number,
+        "run": run.number,
+        "server": chosen.id,
+        "term": state.term,
+        "waited": now - job.submitted_at,
+        "slack": waiting.latest_start - now,
+        "speed": chosen.speed,
+        "room_left": chosen.room.millicores,
+        "heard_ago": now - server.heard_at,
+    }
+    return [LogEvent("run_ordered", fields), start]
+
+
+def extend_lease(server: Server, now: Seconds) -> Seconds:
+    """Return the end of a new lease on the backend server's clock, in seconds."""
+    server.lapsed_at = max(server.lapsed_at, now + LEASE / SLOWEST_CLOCK + LAPSE_MARGIN)
+    return now + server.clock_ahead + LEASE
--- a/boragetide/daemon/clock.py
+++ b/boragetide/daemon/clock.py
@@ -7,12 +7,13 @@
 from boragetide.types import Seconds
 
 _START_UNIX = time.time()
-_START_MONOTONIC = time.monotonic()
+# Unlike the monotonic clock, it counts the time in which the machine was suspended.
+_START_BOOTTIME = time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def read_clock() -> Seconds:
-    """Return Unix time in seconds, advanced by the monotonic clock since start."""
-    return _START_UNIX + (time.monotonic() - _START_MONOTONIC)
+    """Return Unix time in seconds, advanced by the boot-time clock since start."""
+    return _START_UNIX + (time.clock_gettime(time.CLOCK_BOOTTIME) - _START_BOOTTIME)
 
 
 def read_incarnation() -> int:
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -15,17 +15,27 @@
 from boragetide.errors import StorageError
 from boragetide.links import backend_client
 from boragetide.links.peers import replace_socket
+from boragetide.links.run_client import RunClient
 from boragetide.messages import TaskReport
 from boragetide.storage.journal import Journals
 
 
 @dataclass(slots=True)
 class Performer:
-    """What effects act on: the runtime, the client of the backend servers, files."""
+    """What effects act on: the runtime, the clients of the backend servers, files.
+
+    Parameters
+    ----------
+    client
+        For tasks that start at most once.
+    run_client
+        For runs of durable tasks.
+    """
 
     runtime: Runtime
-    client: AsyncHTTPClient
+    client: AsyncHTTPClient | None = None
     journals: Journals | None = None
+    run_client: RunClient | None = None
     calls: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start_call(self, call: Awaitable[None]) -> None:
@@ -107,9 +117,32 @@
     performer.start_call(backend_client.cancel(performer.client, effect))
 
 
+@perform.register(effects.StartRun)
+@perform.register(effects.StopRun)
+@perform.register(effects.ReadRuns)
+def _(
+    effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
+    performer: Performer,
+    controller: str,
+) -> None:
+    performer.start_call(_call_server(effect, performer, controller))
+
+
+async def _call_server(
+    effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
+    performer: Performer,
+    controller: str,
+) -> None:
+    """Give an order to a backend server and hand its answer to the controller."""
+    answer = await performer.run_client(effect)
+    performer.runtime.send(performer.runtime.local(controller), answer)
+
+
 @perform.register
 def _(effect: effects.Reconnect, performer: Performer, controller: str) -> None:
-    replace_socket(performer.runtime.links_by_id[effect.instance])
+    link = performer.runtime.links_by_id.get(effect.instance)
+    if link is not None:
+        replace_socket(link)
 
 
 @perform.register
--- /dev/null
+++ b/boragetide/daemon/process.py
@@ -0,0 +1,260 @@
+"""One daemon process: its controllers, links, journals and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import dataclass
+from functools import partial
+from typing import Any, TypeAlias
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from boragetide.daemon.logs import log_event, log_uncaught
+from boragetide.daemon.performer import Performer, make_perform
+from boragetide.daemon.runtime import (
+    Handle,
+    Runtime,
+    keep_running,
+    run_controller,
+    run_ticks,
+)
+from boragetide.daemon.stopping import StopSignals, stop_gracefully
+from boragetide.errors import StorageError
+from boragetide.links.peers import PeerLink, run_link, run_listener
+from boragetide.messages import Request
+from boragetide.settings import Peer, Settings
+from boragetide.storage.journal import Journals, Recovered, open_journal, run_journals
+from boragetide.types import InstanceId, Seconds
+
+EXIT_FAILURE = 1
+CANCEL_PERIOD = 0.1  # seconds
+
+Machines: TypeAlias = dict[str, tuple[Handle, Any]]
+Recoveries: TypeAlias = dict[str, Recovered]
+
+
+@dataclass(frozen=True, slots=True)
+class Composition:
+    """What a daemon consists of.
+
+    Parameters
+    ----------
+    make_machines
+        Makes the state machine of each controller with its first state.
+    servers_by_address
+        Makes the HTTP server for each address that is listened on.
+    record_types_by_controller
+        Controllers that keep a journal, where there is a disk.
+    make_performer
+        Makes the clients that effects act on.
+    make_first_messages
+        Messages that controllers get before any other.
+    last_requests
+        Requests that a planned stop makes when all work is finished.
+    shortest_stop
+        How long a planned stop goes on serving, so that those who still send here
+        learn of it.
+    background
+        Further tasks of the process.
+    """
+
+    make_machines: Callable[[Settings, int, Recoveries], Machines]
+    servers_by_address: Mapping[str, Callable[[Runtime], HTTPServer]]
+    record_types_by_controller: Mapping[str, Iterable[type]]
+    make_performer: Callable[[Runtime, Journals], Performer]
+    make_first_messages: Callable[[Recoveries], dict[str, Any]] = lambda recovered: {}
+    last_requests: tuple[tuple[str, Request], ...] = ()
+    shortest_stop: Seconds | None = None
+    background: tuple[Callable[[Runtime], Awaitable[None]], ...] = ()
+
+
+async def run_process(settings: Settings, composition: Composition) -> int:
+    """Run all tasks of a daemon until it is asked to stop; returns the exit code.
+
+    Raises
+    ------
+    StorageError
+        If the data folder cannot be read, or is lost for good.
+    """
+    signals = StopSignals()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, signals.note)
+    sockets_by_address = {
+        address: _bind(address) for address in composition.servers_by_address
+    }
+    types = composition.record_types_by_controller
+    journals, recovered = open_journals(settings, types)
+    runtime = Runtime(settings, _make_links(settings))
+    listening = asyncio.Event()
+    listener, *links = _start_links(runtime, listening)
+    await _wait_until_listening(listener, listening)
+    machines = composition.make_machines(settings, runtime.incarnation, recovered)
+    for controller, message in composition.make_first_messages(recovered).items():
+        runtime.send(runtime.local(controller), message)
+    required = [
+        listener,
+        asyncio.create_task(run_journals(journals), name="journals"),
+        *_start_controllers(composition.make_performer(runtime, journals), machines),
+        asyncio.create_task(run_ticks(runtime), name="ticks"),
+        *(asyncio.create_task(run(runtime)) for run in composition.background),
+    ]
+    serving = asyncio.create_task(
+        _serve(runtime, composition, sockets_by_address, signals)
+    )
+    await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
+    code = _report_failures([*required, serving])
+    await end_tasks({serving, *links, *required})
+    if code == 0:
+        log_event("stopped")
+    return code
+
+
+def _bind(address: str) -> list[socket.socket]:
+    host, port = address.split(":")
+    return bind_sockets(int(port), host)
+
+
+async def _wait_until_listening(
+    listener: asyncio.Task[None], listening: asyncio.Event
+) -> None:
+    """Wait for the listener, so that no controller starts where it cannot listen."""
+    waiting = asyncio.create_task(listening.wait())
+    await asyncio.wait({listener, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if listener.done():
+        listener.result()
+
+
+async def end_tasks(tasks: set[asyncio.Task[None]]) -> None:
+    """Cancel tasks until they have ended.
+
+    pynng drops a cancellation that meets a send or receive that has just ended, so the
+    task of a busy link may have to be cancelled more than once.
+    """
+    while tasks:
+        for task in tasks:
+            task.cancel()
+        _, tasks = await asyncio.wait(tasks, timeout=CANCEL_PERIOD)
+
+
+async def _serve(
+    runtime: Runtime,
+    composition: Composition,
+    sockets_by_address: dict[str, list[socket.socket]],
+    signals: StopSignals,
+) -> None:
+    settings = runtime.settings
+    servers = []
+    for address, make_server in composition.servers_by_address.items():
+        server = make_server(runtime)
+        server.add_sockets(sockets_by_address[address])
+        servers.append(server)
+    log_event(
+        "started",
+        zone=settings.zone,
+        http_address=settings.own.http_address,
+        incarnation=runtime.incarnation,
+    )
+    await signals.first.wait()
+    await stop_gracefully(
+        runtime, signals, composition.last_requests, composition.shortest_stop
+    )
+    for server in servers:
+        server.stop()
+
+
+def _report_failures(tasks: list[asyncio.Task[None]]) -> int:
+    """Log tasks that failed; without one of them the state may be inconsistent."""
+    failed = [task for task in tasks if task.done() and task.exception() is not None]
+    for task in failed:
+        error = task.exception()
+        log_uncaught(type(error), error, error.__traceback__)
+    return EXIT_FAILURE if failed else 0
+
+
+def _start_links(
+    runtime: Runtime, listening: asyncio.Event
+) -> list[asyncio.Task[None]]:
+    count = runtime.metrics.count
+
+    def listen() -> Awaitable[None]:
+        return run_listener(
+            runtime.settings, runtime.deliver, runtime.report_fault, count, listening
+        )
+
+    links = {
+        f"link {peer_id}": partial(run_link, link, runtime.report_unsent, count)
+        for peer_id, link in runtime.links_by_id.items()
+    }
+
+    def make_link(instance: InstanceId) -> PeerLink:
+        link = PeerLink(_address_peer(instance, runtime.settings))
+        run = partial(run_link, link, runtime.report_unsent, count)
+        made.add(asyncio.create_task(keep_running(f"link {instance}", run)))
+        return link
+
+    made: set[asyncio.Task[None]] = set()
+    if runtime.settings.names_are_addresses:
+        runtime.make_link = make_link
+    return [
+        asyncio.create_task(keep_running("listener", listen, needed=listening)),
+        *(asyncio.create_task(keep_running(name, run)) for name, run in links.items()),
+    ]
+
+
+def _address_peer(instance: InstanceId, settings: Settings) -> Peer:
+    """Return the peer whose id is its IP address; all listen on the same port."""
+    port = settings.own.peer_address.rpartition(":")[2]
+    return Peer(instance, "", "", f"{instance}:{port}", disk=False)
+
+
+def _make_links(settings: Settings) -> dict[InstanceId, PeerLink]:
+    return {
+        peer_id: PeerLink(peer)
+        for peer_id, peer in settings.peers_by_id.items()
+        if peer_id != settings.id
+    }
+
+
+def open_journals(
+    settings: Settings, types_by_controller: Mapping[str, Iterable[type]]
+) -> tuple[Journals, Recoveries]:
+    """Open the journals of an instance with a disk, and read what they hold.
+
+    Raises
+    ------
+    StorageError
+        If they cannot be read, or if the only copy of the configuration is corrupt.
+    """
+    journals = Journals({})
+    recovered = {controller: Recovered(()) for controller in types_by_controller}
+    if not settings.own.disk:
+        return journals, recovered
+    for controller, types in types_by_controller.items():
+        path = settings.data_folder / f"{controller}.journal"
+        journal, recovered[controller] = open_journal(path, types)
+        journals.journals_by_controller[controller] = journal
+        if recovered[controller].lost:
+            log_event("journal_corrupt", controller=controller, path=str(path))
+    if recovered["configuration"].lost and len(settings.disk_ids) == 1:
+        raise StorageError(
+            f"{settings.data_folder}: the journal of the configuration is corrupt, and "
+            "no other instance has a disk to restore it from"
+        )
+    return journals, recovered
+
+
+def _start_controllers(
+    performer: Performer, machines: Machines
+) -> list[asyncio.Task[None]]:
+    perform = make_perform(performer)
+    return [
+        asyncio.create_task(
+            run_controller(performer.runtime, name, handle, state, perform), name=name
+        )
+        for name, (handle, state) in machines.items()
+    ]
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -8,9 +8,11 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, TypeAlias
 
 from boragetide.daemon.clock import read_clock, read_incarnation
+from boragetide.daemon.effect_queue import EffectQueue
 from boragetide.daemon.logs import log_event
 from boragetide.daemon.metrics import Metrics
 from boragetide.effects import Effect
@@ -24,7 +26,7 @@
 from boragetide.links.peers import PeerLink, post
 from boragetide.messages import Request, Tick, WokeUp
 from boragetide.settings import Settings
-from boragetide.types import CONTROLLERS, Address, InstanceId, ReplyTo, Seconds
+from boragetide.types import Address, InstanceId, ReplyTo, Seconds
 
 TICK_JITTER = 0.2  # share of the tick period
 TICK_BACKLOG = 1000  # messages
@@ -49,20 +51,25 @@
         Set once a planned stop began.
     open_requests
         HTTP requests that are not answered yet.
+    make_link
+        Makes and starts the link to an instance that the settings do not name.
     """
 
     settings: Settings
     links_by_id: dict[InstanceId, PeerLink]
     metrics: Metrics = field(default_factory=Metrics)
     incarnation: int = field(default_factory=read_incarnation)
-    mailboxes_by_controller: dict[str, asyncio.Queue[Any]] = field(
-        default_factory=lambda: {name: asyncio.Queue() for name in CONTROLLERS}
-    )
+    mailboxes_by_controller: dict[str, asyncio.Queue[Any]] = field(default_factory=dict)
     stopping: bool = False
     open_requests: set[Any] = field(default_factory=set)
+    make_link: Callable[[InstanceId], PeerLink] | None = None
     _pending_by_request: dict[int, _Pending] = field(default_factory=dict)
     _requests: Iterable[int] = field(default_factory=lambda: itertools.count(1))
 
+    def __post_init__(self) -> None:
+        for name in self.settings.controllers:
+            self.mailboxes_by_controller.setdefault(name, asyncio.Queue())
+
     def local(self, controller: str) -> Address:
         """Address of a controller on this instance."""
         return Address(self.settings.id, controller)
@@ -153,7 +160,9 @@
     ) -> bool:
         link = self.links_by_id.get(instance)
         if link is None:
-            return False
+            if self.make_link is None:
+                return False
+            link = self.links_by_id[instance] = self.make_link(instance)
         kind = type(message).__name__
         self.metrics.count("peer_messages_sent", {"kind": kind})
         return post(
@@ -206,35 +215,29 @@
     state
         Touched by this task only.
     perform
-        Performs one effect; a returned awaitable is awaited before the next one.
+        Performs one effect; a returned awaitable ends when the effect is durable.
+
+    Notes
+    -----
+    Messages are handled while earlier effects become durable. Effects are performed in
+    the order in which they were returned, so that whatever others see of a message is
+    behind the records that it depends on.
     """
     mailbox = runtime.mailboxes_by_controller[name]
     silence = runtime.settings.timing.instance_silence
     last_handled = read_clock()
-    while True:
-        message = await mailbox.get()
-        if handle.dispatch(type(message)) is handle.dispatch(object):
-            log_event("message_dropped", error=f"{name} cannot handle {message!r}")
-            continue
-        now = read_clock()
-        if now - last_handled > silence:
-            await _handle_one(WokeUp(last_handled), now, handle, state, perform, name)
-        last_handled = now
-        await _handle_one(message, now, handle, state, perform, name)
-
-
-async def _handle_one(
-    message: Any,
-    now: Seconds,
-    handle: Handle,
-    state: Any,
-    perform: Callable[[Effect, str], Any],
-    name: str,
-) -> None:
-    for effect in handle(message, state, now):
-        waiting = perform(effect, name)
-        if waiting is not None:
-            await waiting
+    async with asyncio.TaskGroup() as group:
+        effects = EffectQueue(partial(perform, controller=name), group)
+        while True:
+            message = await mailbox.get()
+            if handle.dispatch(type(message)) is handle.dispatch(object):
+                log_event("message_dropped", error=f"{name} cannot handle {message!r}")
+                continue
+            now = read_clock()
+            if now - last_handled > silence:
+                effects.put(handle(WokeUp(last_handled), state, now))
+            last_handled = now
+            effects.put(handle(message, state, now))
 
 
 async def keep_running(
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -9,8 +9,8 @@
 from boragetide.daemon.logs import log_event
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError
-from boragetide.messages import Drain, Flush, SaveClaims, StopRequested
-from boragetide.types import CONTROLLERS, Seconds
+from boragetide.messages import Drain, Request, StopRequested
+from boragetide.types import Seconds
 
 # Jobs from entry instances that had already chosen this placer arrive until their claim
 # is decided; see also RELEASE_DELAY in the leases.
@@ -31,17 +31,30 @@
         (self.second if self.first.is_set() else self.first).set()
 
 
-async def stop_gracefully(runtime: Runtime, signals: StopSignals) -> None:
+async def stop_gracefully(
+    runtime: Runtime,
+    signals: StopSignals,
+    last_requests: tuple[tuple[str, Request], ...],
+    shortest: Seconds | None = None,
+) -> None:
     """Announce the stop and wait until all that is in progress is finished.
 
     The stop ends early, with a log line, at a second signal or after ``stop-timeout``.
+
+    Parameters
+    ----------
+    last_requests
+        Controllers and what they are asked when all work is finished.
+    shortest
+        Seconds for which the instance goes on in any case; `SHORTEST_STOP` if ``None``.
     """
+    shortest = SHORTEST_STOP if shortest is None else shortest
     timeout = runtime.settings.timing.stop_timeout
     runtime.stopping = True
     log_event("stopping", timeout=timeout, requests=len(runtime.open_requests))
     for mailbox in runtime.mailboxes_by_controller.values():
         mailbox.put_nowait(StopRequested())
-    finishing = asyncio.create_task(_finish(runtime))
+    finishing = asyncio.create_task(_finish(runtime, last_requests, shortest))
     second = asyncio.create_task(signals.second.wait())
     await asyncio.wait(
         {finishing, second}, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
@@ -58,13 +71,17 @@
     )
 
 
-async def _finish(runtime: Runtime) -> None:
+async def _finish(
+    runtime: Runtime,
+    last_requests: tuple[tuple[str, Request], ...],
+    shortest: Seconds,
+) -> None:
     began = read_clock()
-    while read_clock() - began < SHORTEST_STOP or await _is_busy(runtime):
+    while read_clock() - began < shortest or await _is_busy(runtime):
         await asyncio.sleep(POLL)
     try:
-        await runtime.ask(runtime.local("claims"), SaveClaims(), FLUSH_TIMEOUT)
-        await runtime.ask(runtime.local("instances"), Flush(), FLUSH_TIMEOUT)
+        for controller, request in last_requests:
+            await runtime.ask(runtime.local(controller), request, FLUSH_TIMEOUT)
     except LinkError as error:
         log_event("flush_failed", error=str(error))
 
@@ -77,7 +94,7 @@
     """
     if runtime.open_requests:
         return True
-    for controller in CONTROLLERS:
+    for controller in runtime.settings.controllers:
         if await _count_remaining(runtime, controller) > 0:
             return True
     return False
--- a/boragetide/effects.py
+++ b/boragetide/effects.py
@@ -5,11 +5,13 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeAlias
 
+from boragetide.durable import TaskRef
 from boragetide.types import (
     Address,
     BackendServerId,
     InstanceId,
     ReplyTo,
+    Seconds,
     TaskId,
     TaskStart,
 )
@@ -64,6 +66,66 @@
     task_ids: tuple[TaskId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Orders one run of a durable task; reported with `RunOrdered`.
+
+    Parameters
+    ----------
+    number
+        The task, numbered through all steps of its job.
+    fence
+        Term of the leader that orders.
+    lease_until
+        Time on the backend server's clock at which its leases lapse.
+    """
+
+    server: BackendServerId
+    address: str
+    task: TaskRef
+    number: int
+    run: int
+    spec: str
+    fence: int
+    lease_until: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Orders the end of one run; reported with `RunOrdered`."""
+
+    server: BackendServerId
+    address: str
+    task: TaskRef
+    number: int
+    run: int
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRuns:
+    """Renews the leases of a backend server and reads its runs.
+
+    Reported with `RunsRead` or `ReadFailed`.
+
+    Parameters
+    ----------
+    acknowledged
+        Number of the last end that is kept.
+    lease_until
+        Time on the backend server's clock; ``None`` renews nothing.
+    wait
+        How long the backend server waits for an end, in seconds.
+    """
+
+    server: BackendServerId
+    address: str
+    fence: int
+    acknowledged: int
+    lease_until: Seconds | None
+    wait: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class Reconnect:
     """Replaces the link to a peer by a new connection."""
@@ -102,6 +164,9 @@
     | SaveSnapshot
     | StartTasks
     | CancelTasks
+    | StartRun
+    | StopRun
+    | ReadRuns
     | Reconnect
     | AbandonRequests
     | LogEvent
--- /dev/null
+++ b/boragetide/filters/durable.py
@@ -0,0 +1,113 @@
+"""The chain that every request for durable jobs passes, from any front end."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from boragetide.daemon.clock import read_clock
+from boragetide.daemon.logs import log_event
+from boragetide.daemon.runtime import Runtime
+from boragetide.errors import PeerUnreachable, ReplyTimeout, RequestError
+from boragetide.filters.chain import Next, build_chain
+from boragetide.messages import DispatcherReply, FindLeader, ReplyStatus, Request
+from boragetide.types import Address, Seconds, Status
+
+# A leader answers within a few syncs of 9 ms; one that has not by then may be lost.
+LEADER_TIMEOUT: Seconds = 0.7
+LEADER_RETRY: Seconds = 0.03
+# What is left of the caller's time when it gets its last answer.
+ANSWER_MARGIN: Seconds = 0.05
+
+
+@dataclass(slots=True)
+class DurableExchange:
+    """One request for a durable job on its way to the leader.
+
+    Parameters
+    ----------
+    message
+        What the dispatcher is asked.
+    name
+        Kind of request, in logs and metrics.
+    job_id, class_name
+        For logs and metrics.
+    deadline
+        Unix time until which the caller waits.
+    attempts
+        Times that a leader was asked.
+    """
+
+    runtime: Runtime
+    message: Request
+    name: str
+    job_id: str
+    class_name: str
+    received_at: Seconds
+    deadline: Seconds
+    attempts: int = 0
+
+
+async def observe(exchange: DurableExchange, call_next: Next) -> DispatcherReply:
+    """Log the outcome of a request and record its response time."""
+    outcome = Status.UNKNOWN
+    reason = ""
+    try:
+        reply = await call_next(exchange)
+        outcome, reason = reply.status, reply.reason or reply.state
+        return reply
+    except RequestError as error:
+        outcome, reason = error.status, str(error)
+        raise
+    finally:
+        seconds = read_clock() - exchange.received_at
+        exchange.runtime.metrics.observe_response(exchange.name, outcome, seconds)
+        if exchange.name != "look_up" or exchange.attempts != 1:
+            log_event(
+                "request",
+                kind=exchange.name,
+                job=exchange.job_id,
+                **{"class": exchange.class_name},
+                outcome=outcome,
+                reason=reason,
+                attempts=exchange.attempts,
+                seconds=seconds,
+            )
+
+
+async def ask_leader(exchange: DurableExchange, call_next: Next) -> DispatcherReply:
+    """Ask the leader, and the next one if it changes, until the caller's deadline.
+
+    Every request names its job by the caller's id, so that asking twice is harmless.
+
+    Raises
+    ------
+    RequestError
+        ``NOT_RUN`` where no leader was ever handed the request, else ``UNKNOWN``.
+    """
+    runtime = exchange.runtime
+    handed_over = False
+    while (left := exchange.deadline - ANSWER_MARGIN - read_clock()) > 0:
+        found = await runtime.ask(runtime.local("directory"), FindLeader(), left)
+        if found.leader is not None:
+            exchange.attempts += 1
+            to = Address(found.leader, "dispatcher")
+            try:
+                timeout = min(left, LEADER_TIMEOUT)
+                reply = await runtime.ask(to, exchange.message, timeout)
+            except PeerUnreachable:
+                pass
+            except ReplyTimeout:
+                handed_over = True
+            else:
+                if reply.status is ReplyStatus.UNDECIDED:
+                    handed_over = True
+                elif reply.status is not ReplyStatus.NOT_LEADER:
+                    return reply
+        await asyncio.sleep(LEADER_RETRY)
+    if handed_over:
+        raise RequestError(Status.UNKNOWN, 504, "no leader answered in time")
+    raise RequestError(Status.NOT_RUN, 503, "no leader is known")
+
+
+DURABLE_CHAIN = build_chain(observe, ask_leader)
--- a/boragetide/messages/configuration.py
+++ b/boragetide/messages/configuration.py
@@ -15,7 +15,7 @@
     Snapshot,
 )
 from boragetide.messages.common import Request
-from boragetide.types import Configuration, InstanceId
+from boragetide.types import Configuration, InstanceId, Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +144,7 @@
     previous_term: int
     entries: tuple[LogEntry, ...]
     commit: int
+    sent_at: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +163,8 @@
         Otherwise the last entry at which the logs may still be equal.
     fences_by_id
         See `Ballot`.
+    sent_at
+        The leader's time at which the answered message was sent.
     """
 
     term: int
@@ -170,6 +173,7 @@
     matched: bool
     index: int
     fences_by_id: dict[InstanceId, int]
+    sent_at: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +184,7 @@
     leader: InstanceId
     catalogue: Catalogue
     catalogue_term: int
+    sent_at: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -7,19 +7,25 @@
 from itertools import islice
 
 from boragetide.commands import (
+    AcceptJob,
+    CancelJobs,
     Catalogue,
     Command,
     CommandStatus,
     DrainBackendServer,
     HistoryEntry,
+    JobCommand,
     LogEntry,
     Outcome,
     Proposal,
+    PublishConfiguration,
+    RecordEnds,
     RegisterAcceptor,
     ReturnBackendServer,
     SetClass,
 )
-from boragetide.types import ClassTarget, Configuration
+from boragetide.policy import job_table
+from boragetide.types import ClassTarget, Configuration, JobId, Seconds
 
 # An operator may resend a command for a day; 15,000 changes a day are expected.
 RETAINED_OUTCOMES = 20_000
@@ -45,25 +51,43 @@
         outcomes_by_id=dict(catalogue.outcomes_by_id),
         history=list(catalogue.history),
         acceptors_by_id=dict(catalogue.acceptors_by_id),
+        jobs_by_id=dict(catalogue.jobs_by_id),
     )
 
 
-def apply_entry(entry: LogEntry, catalogue: Catalogue) -> None:
-    """Apply the next log entry; a command id that has an outcome changes nothing."""
+def apply_entry(entry: LogEntry, catalogue: Catalogue) -> set[JobId]:
+    """Apply the next log entry and return the durable jobs that it changed.
+
+    A command id that has an outcome changes nothing.
+    """
     catalogue.index = entry.index
     proposal = entry.proposal
-    if proposal is None or find_outcome(proposal, catalogue) is not None:
-        return
+    if proposal is None:
+        return set()
+    if isinstance(proposal.command, JobCommand):
+        changed = change_jobs(proposal.command, catalogue, entry.accepted_at)
+        job_table.forget_ended(catalogue.jobs_by_id, entry.accepted_at)
+        return changed
+    if find_outcome(proposal, catalogue) is None:
+        _apply_command(proposal, catalogue, entry.accepted_at)
+    return set()
+
+
+def _apply_command(
+    proposal: Proposal, catalogue: Catalogue, accepted_at: Seconds
+) -> None:
     command = proposal.command
     if isinstance(command, RegisterAcceptor):
         catalogue.acceptors_by_id[command.instance] = command.incarnation
         return
     current = catalogue.configuration
-    if proposal.expected_version == current.version:
+    if _is_overtaken(command, current):
+        outcome = Outcome(CommandStatus.ACCEPTED, current.version)
+    elif proposal.expected_version in (None, current.version):
         version = current.version + 1
         catalogue.configuration = replace(change(command, current), version=version)
         catalogue.history.append(
-            HistoryEntry(version, proposal.command_id, command, entry.accepted_at)
+            HistoryEntry(version, proposal.command_id, _summarize(command), accepted_at)
         )
         outcome = Outcome(CommandStatus.ACCEPTED, version)
     else:
@@ -72,6 +96,21 @@
     _forget_oldest(catalogue)
 
 
+def _summarize(command: Command) -> Command:
+    """Leave out of the history what only the newest configuration needs."""
+    if isinstance(command, PublishConfiguration):
+        return replace(command, classes=(), document="")
+    return command
+
+
+def _is_overtaken(command: Command, current: Configuration) -> bool:
+    """Tell whether a published configuration changes nothing: the highest one holds."""
+    return (
+        isinstance(command, PublishConfiguration)
+        and command.revision <= current.revision
+    )
+
+
 def _forget_oldest(catalogue: Catalogue) -> None:
     del catalogue.history[:-RETAINED_HISTORY]
     surplus = len(catalogue.outcomes_by_id) - RETAINED_OUTCOMES
@@ -100,3 +139,37 @@
 @change.register
 def _(command: ReturnBackendServer, configuration: Configuration) -> Configuration:
     return replace(configuration, drained=configuration.drained - {command.id})
+
+
+@change.register
+def _(command: PublishConfiguration, configuration: Configuration) -> Configuration:
+    return replace(
+        configuration,
+        classes_by_name={target.name: target for target in command.classes},
+        revision=command.revision,
+        document=command.document,
+    )
+
+
+@singledispatch
+def change_jobs(command: JobCommand, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    """Apply a command of the dispatcher and return the jobs that it changed."""
+    raise TypeError(f"no change for {command!r}")
+
+
+@change_jobs.register
+def _(command: AcceptJob, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    return job_table.accept_job(catalogue.jobs_by_id, command.job, now)
+
+
+@change_jobs.register
+def _(command: RecordEnds, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    return job_table.record_ends(catalogue.jobs_by_id, command.ends, now)
+
+
+@change_jobs.register
+def _(command: CancelJobs, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    changed: set[JobId] = set()
+    for job_id in command.job_ids:
+        changed |= job_table.cancel_job(catalogue.jobs_by_id, job_id, now)
+    return changed
--- a/boragetide/policy/catch_up.py
+++ b/boragetide/policy/catch_up.py
@@ -60,6 +60,8 @@
     # Any majority minus this member overlaps with so many others.
     if held and len(held) >= members - replica.quorum + 1:
         return _adopt(replica, now, held)
+    if not replica.settings.may_found:
+        return []
     waited = now - (replica.started_at or now) >= FOUNDING_WAIT
     if len(blank) == members or (waited and not held and len(blank) >= replica.quorum):
         return _found(replica, now, blank)
--- a/boragetide/policy/distribution.py
+++ b/boragetide/policy/distribution.py
@@ -51,10 +51,13 @@
     state.offers_by_id = {}
     changed = ConfigurationChanged(configuration)
     own = state.settings.id
+    fields = {"version": configuration.version, "revision": configuration.revision}
     return [
-        LogEvent("configuration_in_force", {"version": configuration.version}),
-        Send(Address(own, "backend_servers"), changed),
-        Send(Address(own, "instances"), changed),
+        LogEvent("configuration_in_force", fields),
+        *(
+            Send(Address(own, controller), changed)
+            for controller in state.settings.configured_controllers
+        ),
     ]
 
 
--- /dev/null
+++ b/boragetide/policy/job_table.py
@@ -0,0 +1,104 @@
+"""How an agreed command changes the durable jobs.
+
+Every member applies the same commands in the same order, so that these functions read
+nothing but their arguments. Each command is idempotent: a new leader may propose an end
+again that its predecessor has already committed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from boragetide.durable import DurableJob, JobPhase, JobRecord, RunEnd
+from boragetide.types import JobId, Seconds
+
+# The platform asks for the state of an ended job for 120 s.
+RETENTION = 150.0  # seconds
+# A caller that lost the answer to a best-effort job asks again within this time.
+BEST_EFFORT_RETENTION = 5.0  # seconds
+
+
+def accept_job(
+    jobs_by_id: dict[JobId, JobRecord], job: DurableJob, now: Seconds
+) -> set[JobId]:
+    """Keep a new job; an id that is known changes nothing."""
+    if job.id in jobs_by_id:
+        return set()
+    jobs_by_id[job.id] = JobRecord(job, changed_at=now)
+    return {job.id}
+
+
+def record_ends(
+    jobs_by_id: dict[JobId, JobRecord], ends: tuple[RunEnd, ...], now: Seconds
+) -> set[JobId]:
+    """Keep the ends of runs and return the jobs that they changed."""
+    changed = set()
+    for end in ends:
+        record = jobs_by_id.get(end.job_id)
+        if record is None or record.phase is not JobPhase.ACTIVE:
+            continue
+        updated = _record_end(record, end, now)
+        if updated is not record:
+            jobs_by_id[end.job_id] = updated
+            changed.add(end.job_id)
+    return changed
+
+
+def _record_end(record: JobRecord, end: RunEnd, now: Seconds) -> JobRecord:
+    if end.task in record.done:
+        return record
+    if end.failed:
+        return _record_failure(record, end, now)
+    done = record.done | {end.task}
+    if len(done) == record.job.task_count:
+        return _finish(record, JobPhase.SUCCEEDED, now, done)
+    return replace(record, done=done, changed_at=now)
+
+
+def _record_failure(record: JobRecord, end: RunEnd, now: Seconds) -> JobRecord:
+    attempt = (end.task, end.run)
+    if attempt in record.failures:
+        return record
+    failures = (*record.failures, attempt)
+    record = replace(record, failures=failures, changed_at=now)
+    if count_failures(record, end.task) >= record.job.starts.attempts:
+        return _finish(record, JobPhase.FAILED, now, record.done)
+    return record
+
+
+def count_failures(record: JobRecord, task: int) -> int:
+    """Return how many runs of a task have failed."""
+    return sum(number == task for number, _ in record.failures)
+
+
+def cancel_job(
+    jobs_by_id: dict[JobId, JobRecord], job_id: JobId, now: Seconds
+) -> set[JobId]:
+    """Cancel a job that has not ended."""
+    record = jobs_by_id.get(job_id)
+    if record is None or record.phase is not JobPhase.ACTIVE:
+        return set()
+    jobs_by_id[job_id] = _finish(record, JobPhase.CANCELLED, now, record.done)
+    return {job_id}
+
+
+def forget_ended(jobs_by_id: dict[JobId, JobRecord], now: Seconds) -> None:
+    """Drop jobs that ended long ago; the oldest stand first."""
+    forgotten = []
+    for job_id, record in jobs_by_id.items():
+        best_effort = record.job.best_effort
+        retention = BEST_EFFORT_RETENTION if best_effort else RETENTION
+        if now - record.job.submitted_at <= retention:
+            break
+        if record.phase is not JobPhase.ACTIVE and now - record.changed_at > retention:
+            forgotten.append(job_id)
+    for job_id in forgotten:
+        del jobs_by_id[job_id]
+
+
+def _finish(
+    record: JobRecord, phase: JobPhase, now: Seconds, done: frozenset[int]
+) -> JobRecord:
+    """End a job; what only its runs need is not kept any longer."""
+    job = replace(record.job, spec="")
+    return replace(record, job=job, phase=phase, done=done, changed_at=now)
--- /dev/null
+++ b/boragetide/policy/leadership.py
@@ -0,0 +1,120 @@
+"""What the log's member tells its dispatcher and the instances without a log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from boragetide.effects import Effect, Send
+from boragetide.messages import (
+    AuthorityExtended,
+    JobsCommitted,
+    LeaderNotice,
+    LeadershipGained,
+    LeadershipLost,
+)
+from boragetide.policy.replica import Applied, Replica, Role
+from boragetide.settings import Settings
+from boragetide.types import Address, Configuration, InstanceId, Seconds
+
+# The dispatcher is told of its authority at most this often; a fifth of `AUTHORITY`.
+AUTHORITY_STEP = 0.15  # seconds
+# An instance without a log that has not asked for this long gets no more notices.
+FOLLOWER_SILENCE = 3.0  # seconds
+
+
+@dataclass(slots=True)
+class Leadership:
+    """What was told last.
+
+    Parameters
+    ----------
+    announced_term
+        Term that the dispatcher believes it leads, or 0.
+    announced_until
+        Its authority as the dispatcher knows it.
+    followers_by_id
+        Instances without a log: when each last asked, and the version it has.
+    """
+
+    settings: Settings
+    announced_term: int = 0
+    announced_until: Seconds = 0.0
+    followers_by_id: dict[InstanceId, tuple[Seconds, int]] = field(default_factory=dict)
+
+
+def announce(
+    state: Leadership, replica: Replica | None, applied: Applied, now: Seconds
+) -> list[Effect]:
+    """Tell the dispatcher what changed; nothing where there is no dispatcher."""
+    if not state.settings.dispatches or replica is None:
+        return []
+    to = Address(state.settings.id, "dispatcher")
+    term = _leading_term(replica)
+    until = replica.authority_until(now)
+    effects: list[Effect] = []
+    if state.announced_term not in (0, term):
+        state.announced_term = 0
+        effects.append(Send(to, LeadershipLost()))
+    if term and state.announced_term != term:
+        state.announced_term, state.announced_until = term, until
+        records = tuple(replica.catalogue.jobs_by_id.values())
+        return [*effects, Send(to, LeadershipGained(term, records, until))]
+    if term and applied.proposals:
+        command_ids = tuple(proposal.command_id for proposal in applied.proposals)
+        effects.append(Send(to, JobsCommitted(command_ids, applied.jobs)))
+    if term and until >= state.announced_until + AUTHORITY_STEP:
+        state.announced_until = until
+        effects.append(Send(to, AuthorityExtended(until)))
+    return effects
+
+
+def _leading_term(replica: Replica) -> int:
+    """Return the term in which all earlier entries are known to be committed, or 0."""
+    term = replica.ballot.term
+    if replica.role is not Role.LEADER or replica.commit < replica.log_start:
+        return 0
+    return term if replica.term_at(replica.commit) == term else 0
+
+
+def note_follower(
+    state: Leadership, follower: InstanceId, version: int, now: Seconds
+) -> None:
+    """Take note of an instance that follows the leader."""
+    state.followers_by_id[follower] = (now, version)
+
+
+def notify(
+    state: Leadership,
+    replica: Replica | None,
+    in_force: Configuration | None,
+    follower: InstanceId,
+    now: Seconds,
+) -> Effect:
+    """Tell one instance who leads, and the leader's configuration if it is newer."""
+    _, version = state.followers_by_id.get(follower, (now, -1))
+    leads = replica is not None and now < replica.authority_until(now)
+    newer = leads and in_force is not None and in_force.version > version
+    notice = LeaderNotice(
+        sender=state.settings.id,
+        term=0 if replica is None else replica.ballot.term,
+        leader=None if replica is None else replica.leader,
+        members=state.settings.disk_ids,
+        configuration=in_force if newer else None,
+    )
+    return Send(Address(follower, "directory"), notice)
+
+
+def notify_all(
+    state: Leadership,
+    replica: Replica | None,
+    in_force: Configuration | None,
+    now: Seconds,
+) -> list[Effect]:
+    """Tell all instances that asked lately."""
+    for follower, (asked_at, _) in list(state.followers_by_id.items()):
+        if now - asked_at > FOLLOWER_SILENCE:
+            del state.followers_by_id[follower]
+    return [
+        notify(state, replica, in_force, follower, now)
+        for follower in state.followers_by_id
+    ]
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -13,15 +13,17 @@
     Catalogue,
     CommitIndex,
     FetchedConfiguration,
+    JobCommand,
     LogEntry,
     Proposal,
     Snapshot,
 )
+from boragetide.durable import JobRecord
 from boragetide.effects import Effect, Persist, SaveSnapshot
 from boragetide.messages import CatchUpState
-from boragetide.policy.catalogue import apply_entry
+from boragetide.policy.catalogue import apply_entry, copy_catalogue
 from boragetide.settings import Settings
-from boragetide.types import Configuration, InstanceId, Seconds
+from boragetide.types import Configuration, InstanceId, JobId, Seconds
 
 # A leader counts as lost after at least this silence; twice its longest heartbeat gap.
 ELECTION_MIN = 1.0  # seconds
@@ -30,8 +32,13 @@
 FIRST_ELECTION_MIN = 0.1  # seconds
 FIRST_ELECTION_MAX = 0.6  # seconds
 
-SNAPSHOT_ENTRIES = 256  # log entries applied between two snapshots
-TRAILING_ENTRIES = 64  # kept in the log, so that a slow member needs no snapshot
+SNAPSHOT_ENTRIES = 2048  # log entries applied between two snapshots
+TRAILING_ENTRIES = 256  # kept in the log, so that a slow member needs no snapshot
+
+# How long after the sending of an append that a majority answered no other instance can
+# lead. Members grant no pre-vote for `ELECTION_MIN`; the rest allows for a clock that
+# runs slow and for a vote that was under way.
+AUTHORITY = 0.8  # seconds
 
 
 class Role(StrEnum):
@@ -57,12 +64,15 @@
         Process of the member that acknowledged it.
     heard_at
         When the member last answered.
+    answered_at
+        When the newest append that the member answered was sent.
     """
 
     next_index: int
     heard_at: Seconds
     match_index: int = 0
     incarnation: int = 0
+    answered_at: Seconds = 0.0
 
 
 @dataclass(slots=True)
@@ -140,6 +150,14 @@
             return self.log_start_term
         return self.log[index - self.log_start - 1].term
 
+    def authority_until(self, now: Seconds) -> Seconds:
+        """Return the time before which no other member can lead; 0 if not a leader."""
+        if self.role is not Role.LEADER:
+            return 0.0
+        answered = [progress.answered_at for progress in self.progress_by_id.values()]
+        newest_first = sorted([*answered, now], reverse=True)
+        return newest_first[self.quorum - 1] + AUTHORITY
+
 
 @singledispatch
 def step(message: Any, replica: Replica, now: Seconds) -> list[Effect]:
@@ -202,7 +220,7 @@
     return Snapshot(
         ballot=replica.ballot,
         commit=replica.commit,
-        catalogue=replica.catalogue,
+        catalogue=copy_catalogue(replica.catalogue),
         log_start=replica.log_start,
         log_start_term=replica.log_start_term,
         entries=tuple(replica.log),
@@ -217,14 +235,50 @@
     replica.log.extend(entries)
 
 
-def apply_committed(replica: Replica) -> list[Proposal]:
-    """Apply what is committed and return the commands that now have an outcome."""
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """What `apply_committed` did.
+
+    Parameters
+    ----------
+    proposals
+        Commands that now have an outcome.
+    jobs
+        Durable jobs that changed.
+    """
+
+    proposals: tuple[Proposal, ...]
+    jobs: tuple[JobRecord, ...]
+
+
+def apply_committed(replica: Replica) -> Applied:
+    """Apply what is committed."""
     entries = replica.log[
         replica.catalogue.index - replica.log_start : replica.commit - replica.log_start
     ]
+    changed: dict[JobId, None] = {}
     for entry in entries:
-        apply_entry(entry, replica.catalogue)
-    return [entry.proposal for entry in entries if entry.proposal is not None]
+        changed |= dict.fromkeys(apply_entry(entry, replica.catalogue))
+    jobs_by_id = replica.catalogue.jobs_by_id
+    return Applied(
+        tuple(entry.proposal for entry in entries if entry.proposal is not None),
+        tuple(jobs_by_id[job_id] for job_id in changed if job_id in jobs_by_id),
+    )
+
+
+def is_restored_by_leader(replica: Replica, after: int) -> bool:
+    """Tell whether a restart may forget that the entries after ``after`` are committed.
+
+    Durable jobs are read at a leader alone, which learns anew what is committed. What
+    an instance puts in force by itself must not be older after its restart.
+    """
+    entries = replica.log[
+        after - replica.log_start : replica.commit - replica.log_start
+    ]
+    return all(
+        entry.proposal is None or isinstance(entry.proposal.command, JobCommand)
+        for entry in entries
+    )
 
 
 def compact(replica: Replica) -> list[Effect]:
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from boragetide.commands import CommitIndex, LogEntry, Proposal
 from boragetide.effects import Effect, LogEvent, Persist, SaveSnapshot, Send
 from boragetide.messages import AppendEntries, AppendReply, InstallSnapshot
@@ -14,6 +16,7 @@
     adopt_term,
     follow,
     is_fenced,
+    is_restored_by_leader,
     make_snapshot,
     merge_fences,
     put_entries,
@@ -36,17 +39,27 @@
         member: Progress(replica.last_index + 1, now) for member in replica.others
     }
     elected = LogEvent("leader_elected", {"term": replica.ballot.term})
-    return [elected, *append_proposal(replica, None, now)]
+    return [elected, *append_proposals(replica, (None,), now)]
 
 
-def append_proposal(
-    replica: Replica, proposal: Proposal | None, now: Seconds
+def append_proposals(
+    replica: Replica, proposals: Iterable[Proposal | None], now: Seconds
 ) -> list[Effect]:
-    """Append a command to the leader's log and send it to the other members."""
-    entry = LogEntry(replica.last_index + 1, replica.ballot.term, now, proposal)
-    replica.log.append(entry)
-    effects: list[Effect] = [Persist((entry,))]
-    return effects + _send_all(replica, now) + _advance_commit(replica, now)
+    """Append commands to the leader's log and send them to the other members.
+
+    They are sent before they are synced here: the members sync them at the same time.
+    Effects are performed in order, so that nothing that follows from the leader's own
+    copy leaves before it is synced.
+    """
+    term = replica.ballot.term
+    first = replica.last_index + 1
+    entries = tuple(
+        LogEntry(index, term, now, proposal)
+        for index, proposal in enumerate(proposals, first)
+    )
+    replica.log.extend(entries)
+    effects: list[Effect] = [*_send_all(replica, now), Persist(entries)]
+    return effects + _advance_commit(replica, now)
 
 
 def check_leader(replica: Replica, now: Seconds) -> list[Effect]:
@@ -68,10 +81,10 @@
     replica.next_heartbeat = (
         now + LEADER_HEARTBEAT + replica.jitter.uniform(-spread, spread)
     )
-    return [_send_log(replica, member) for member in replica.progress_by_id]
+    return [_send_log(replica, member, now) for member in replica.progress_by_id]
 
 
-def _send_log(replica: Replica, member: InstanceId) -> Send:
+def _send_log(replica: Replica, member: InstanceId, now: Seconds) -> Send:
     progress = replica.progress_by_id[member]
     to = Address(member, "configuration")
     term = replica.ballot.term
@@ -80,7 +93,9 @@
         catalogue = copy_catalogue(replica.catalogue)
         catalogue_term = replica.term_at(catalogue.index)
         progress.next_index = catalogue.index + 1
-        return Send(to, InstallSnapshot(term, replica.id, catalogue, catalogue_term))
+        return Send(
+            to, InstallSnapshot(term, replica.id, catalogue, catalogue_term, now)
+        )
     start = previous - replica.log_start
     entries = tuple(replica.log[start : start + BATCH_ENTRIES])
     progress.next_index += len(entries)
@@ -91,6 +106,7 @@
         previous_term=replica.term_at(previous),
         entries=entries,
         commit=replica.commit,
+        sent_at=now,
     )
     return Send(to, message)
 
@@ -101,7 +117,9 @@
     index = synced[replica.quorum - 1]
     if index <= replica.commit or replica.term_at(index) != replica.ballot.term:
         return []
-    replica.commit = index
+    before, replica.commit = replica.commit, index
+    if is_restored_by_leader(replica, before):
+        return []
     return [Persist((CommitIndex(index),)), *_send_all(replica, now)]
 
 
@@ -119,6 +137,7 @@
     progress = replica.progress_by_id[message.member]
     progress.heard_at = now
     progress.incarnation = message.incarnation
+    progress.answered_at = max(progress.answered_at, message.sent_at)
     if message.matched:
         progress.match_index = max(progress.match_index, message.index)
         progress.next_index = max(progress.next_index, message.index + 1)
@@ -127,34 +146,35 @@
         progress.next_index = max(progress.match_index + 1, earlier)
     effects = _advance_commit(replica, now)
     if progress.next_index <= replica.last_index:
-        effects.append(_send_log(replica, message.member))
+        effects.append(_send_log(replica, message.member, now))
     return effects
 
 
 @step.register
 def _(message: AppendEntries, replica: Replica, now: Seconds) -> list[Effect]:
     if message.term < replica.ballot.term:
-        return [_make_reply(replica, message.leader, matched=False, index=0)]
+        return [_make_reply(replica, message, matched=False, index=0)]
     effects = _follow_leader(replica, message.leader, message.term, now)
     previous = message.previous_index
     if previous > replica.last_index:
         index = replica.last_index
-        return [*effects, _make_reply(replica, message.leader, False, index)]
+        return [*effects, _make_reply(replica, message, False, index)]
     if (
         previous >= replica.log_start
         and replica.term_at(previous) != message.previous_term
     ):
         # What is committed is equal everywhere, so that the leader can go on there.
         index = replica.commit
-        return [*effects, _make_reply(replica, message.leader, False, index)]
+        return [*effects, _make_reply(replica, message, False, index)]
     records: list[LogEntry | CommitIndex] = [*_take_entries(replica, message.entries)]
     matched = previous + len(message.entries)
     if min(message.commit, matched) > replica.commit:
-        replica.commit = min(message.commit, matched)
-        records.append(CommitIndex(replica.commit))
+        before, replica.commit = replica.commit, min(message.commit, matched)
+        if not is_restored_by_leader(replica, before):
+            records.append(CommitIndex(replica.commit))
     if records:
         effects.append(Persist(tuple(records)))
-    return [*effects, _make_reply(replica, message.leader, True, matched)]
+    return [*effects, _make_reply(replica, message, True, matched)]
 
 
 def _take_entries(
@@ -176,7 +196,7 @@
 @step.register
 def _(message: InstallSnapshot, replica: Replica, now: Seconds) -> list[Effect]:
     if message.term < replica.ballot.term:
-        return [_make_reply(replica, message.leader, matched=False, index=0)]
+        return [_make_reply(replica, message, matched=False, index=0)]
     effects = _follow_leader(replica, message.leader, message.term, now)
     index = message.catalogue.index
     if index > replica.commit:
@@ -186,7 +206,7 @@
         replica.commit = index
         replica.catalogue = message.catalogue
         effects.append(SaveSnapshot(make_snapshot(replica)))
-    return [*effects, _make_reply(replica, message.leader, True, replica.commit)]
+    return [*effects, _make_reply(replica, message, True, replica.commit)]
 
 
 def _keep_suffix(replica: Replica, index: int, term: int) -> list[LogEntry]:
@@ -207,7 +227,10 @@
 
 
 def _make_reply(
-    replica: Replica, leader: InstanceId, matched: bool, index: int
+    replica: Replica,
+    message: AppendEntries | InstallSnapshot,
+    matched: bool,
+    index: int,
 ) -> Send:
     reply = AppendReply(
         term=replica.ballot.term,
@@ -216,5 +239,6 @@
         matched=matched,
         index=index,
         fences_by_id=replica.ballot.fences_by_id,
+        sent_at=message.sent_at,
     )
-    return Send(Address(leader, "configuration"), reply)
+    return Send(Address(message.leader, "configuration"), reply)
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -4,16 +4,13 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from boragetide.errors import SettingsError
-from boragetide.settings_file import (
-    PEER_PREFIX,
-    PeerSection,
-    check_durations,
-    read_sections,
-)
-from boragetide.types import InstanceId, Seconds, ZoneId
+from boragetide.types import CONTROLLERS, InstanceId, Seconds, ZoneId
+
+if TYPE_CHECKING:
+    from boragetide.settings_file import PeerSection
 
 EMBEDDED_DEFAULT = """
 [instance]
@@ -80,6 +77,15 @@
         Every instance of the system, this one included.
     data_folder
         Where files live; ``None`` on an instance without a disk.
+    may_found
+        Whether members without durable state may form a new log.
+    controllers
+        Controllers that run on this instance.
+    configured_controllers
+        Those that are told of each configuration in force.
+    names_are_addresses
+        Whether the id of an instance is its IP address, so that links to instances
+        that the settings do not name can be made when they are needed.
     """
 
     id: InstanceId
@@ -88,6 +94,15 @@
     data_folder: Path | None
     timing: Timing = field(default_factory=Timing)
     limits: Limits = field(default_factory=Limits)
+    may_found: bool = True
+    controllers: tuple[str, ...] = CONTROLLERS
+    configured_controllers: tuple[str, ...] = ("backend_servers", "instances")
+    names_are_addresses: bool = False
+
+    @property
+    def dispatches(self) -> bool:
+        """Whether durable jobs are dispatched by the leader of the log."""
+        return "dispatcher" in self.controllers
 
     @property
     def own(self) -> Peer:
@@ -141,6 +156,9 @@
     SettingsError
         With one line per fault.
     """
+    # The models of the file are not loaded where settings come from elsewhere.
+    from boragetide.settings_file import PEER_PREFIX, check_durations, read_sections
+
     sections = read_sections(text, data_folder)
     own = sections["instance"]
     peers = {own.id: _build_peer(own.id, own)}
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import itertools
 import json
 import os
@@ -11,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -18,7 +20,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import pytest
 
@@ -36,11 +38,17 @@
 _PORTS = itertools.cycle(range(12_000, 32_000))
 for _ in range(random.SystemRandom().randrange(20_000)):
     next(_PORTS)
+# A port that was probed is free until its daemon listens, so that another test process
+# could choose it as well. Each process holds a lock on the ports that it has chosen.
+_PORT_LOCKS = Path(tempfile.gettempdir()) / "boragetide-test-ports"
+_held_locks: list[IO[bytes]] = []
 
 
 def free_port() -> int:
-    """Return a TCP port of the loopback address that is free now."""
+    """Return a TCP port of the loopback address that no other test process has."""
     for port in _PORTS:
+        if not _lock_port(port):
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -50,6 +58,18 @@
     raise AssertionError("no free port")
 
 
+def _lock_port(port: int) -> bool:
+    _PORT_LOCKS.mkdir(exist_ok=True)
+    lock = (_PORT_LOCKS / str(port)).open("ab")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return False
+    _held_locks.append(lock)
+    return True
+
+
 def wait_for(condition: Callable[[], Any], what: str, limit: float = WAIT_LIMIT) -> Any:
     """Poll until a condition is true and return its value."""
     deadline = time.monotonic() + limit
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from boragetide.daemon.__main__ import EXIT_FAILURE, end_tasks, run_daemon
+from boragetide.daemon.__main__ import run_daemon
+from boragetide.daemon.process import EXIT_FAILURE, end_tasks
 from boragetide.links.codec import Envelope, encode_body
 from boragetide.links.peers import PeerLink, post, replace_socket, run_link
 from boragetide.messages import Tick
--- a/boragetide/tests/test_stopping.py
+++ b/boragetide/tests/test_stopping.py
@@ -38,7 +38,8 @@
 def run_stop(runtime: Runtime, signals: stopping.StopSignals) -> None:
     async def run() -> None:
         async with asyncio.timeout(5.0):
-            await stopping.stop_gracefully(runtime, signals)
+            last = (("claims", SaveClaims()), ("instances", Flush()))
+            await stopping.stop_gracefully(runtime, signals, last)
 
     asyncio.run(run())
 
--- a/boragetide/types.py
+++ b/boragetide/types.py
@@ -10,6 +10,7 @@
 ClassName: TypeAlias = str
 InstanceId: TypeAlias = str
 JobId: TypeAlias = str
+PoolName: TypeAlias = str
 Seconds: TypeAlias = float
 TaskId: TypeAlias = str
 ZoneId: TypeAlias = str
@@ -123,6 +124,29 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DurableStarts:
+    """How the tasks of a class are started that may run again after a loss.
+
+    Parameters
+    ----------
+    pool
+        Backend servers that run the tasks.
+    attempts
+        Runs of a task that may fail before its job fails.
+    priority
+        Lower goes first.
+    stretch
+        Target for the response time as a multiple of the longest chain of work, to
+        which the class's ``response_time`` is added.
+    """
+
+    pool: PoolName
+    attempts: int = 1
+    priority: int = 0
+    stretch: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class ClassTarget:
     """An operator's target for one class of work.
@@ -135,22 +159,37 @@
         Target for the response time of a job, in seconds.
     busy_share
         Share (0 to 1) of all slots that the class may keep busy.
+    durable
+        How its tasks are started again after a loss; ``None`` starts them at most once.
     """
 
     name: ClassName
     response_time: Seconds = 10.0
     busy_share: float = 1.0
+    durable: DurableStarts | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """Everything operators have set; never goes back to a lower version."""
+    """Everything operators have set; never goes back to a lower version.
+
+    Parameters
+    ----------
+    version
+        Rises by one with each accepted change.
+    revision
+        Number that the operator gave to the published configuration, if one was.
+    document
+        The published configuration as a front end received it, for that front end.
+    """
 
     version: int = 0
     classes_by_name: dict[ClassName, ClassTarget] = field(
         default_factory=lambda: {DEFAULT_CLASS: ClassTarget(DEFAULT_CLASS)}
     )
     drained: frozenset[BackendServerId] = frozenset()
+    revision: int = 0
+    document: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from boragetide import commands, messages, types
+from boragetide import commands, durable, messages, types
 from boragetide.errors import LinkError
 from boragetide.links.codec import (
     Envelope,
@@ -41,7 +41,7 @@
 
 def build(type_: type) -> st.SearchStrategy[Any]:
     """Strategy for a data class, with JSON values where a field takes anything."""
-    names = vars(types) | vars(commands) | vars(messages)
+    names = vars(types) | vars(durable) | vars(commands) | vars(messages)
     hints = typing.get_type_hints(type_, names)
     return st.builds(
         type_, **{name: _build_field(hint) for name, hint in hints.items()}
