--- /dev/null
+++ b/boragetide/tests/durable_fixtures.py
@@ -0,0 +1,175 @@
+"""Builders for tests of durable jobs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from boragetide.controllers import dispatcher
+from boragetide.controllers.dispatch_state import DispatcherState
+from boragetide.durable import (
+    DurableJob,
+    EndReason,
+    ListedEnd,
+    ListedRun,
+    Resources,
+    ServerReport,
+    Step,
+    TaskRef,
+)
+from boragetide.effects import Effect, ReadRuns, Reply, StartRun, StopRun
+from boragetide.messages import (
+    LeadershipGained,
+    OrderResult,
+    ReportServer,
+    RunOrdered,
+    RunsRead,
+)
+from boragetide.settings import Settings
+from boragetide.types import DurableStarts, ReplyTo
+
+BEGIN = 1_000_000.0  # Unix time at which the tests begin, in seconds
+BORN = 900_000_000  # Unix milliseconds
+CAPACITY = Resources(64_000, 100_000)
+NEEDS = Resources(27_000, 64)
+HEARING = 60.0  # seconds for which the process has run when a test begins
+
+
+def make_durable_job(
+    job_id: str = "j1",
+    *steps: Step,
+    attempts: int = 2,
+    best_effort: bool = False,
+    submitted_at: float = BEGIN,
+) -> DurableJob:
+    """Build a job of one step with two tasks, unless steps are given."""
+    return DurableJob(
+        id=job_id,
+        class_name="proofs",
+        spec="spec",
+        steps=steps or (Step(2, NEEDS, 0.2),),
+        starts=DurableStarts("pool", attempts=attempts, stretch=1.6),
+        submitted_at=submitted_at,
+        response_time=0.06,
+        best_effort=best_effort,
+    )
+
+
+def make_report(
+    server_id: str = "s1", *, sequence: int = 1, born: int = BORN, **fields: Any
+) -> ServerReport:
+    """Build an announcement of a backend server with room for two tasks."""
+    return ServerReport(
+        id=server_id,
+        address=f"{server_id}:80",
+        pool="pool",
+        zone="a",
+        capacity=fields.pop("capacity", CAPACITY),
+        born=born,
+        sequence=sequence,
+        **fields,
+    )
+
+
+class Leader:
+    """A dispatcher that leads, with the effects that it returned last."""
+
+    def __init__(self, settings: Settings, term: int = 1):
+        incarnation = int((BEGIN - HEARING) * 1000)
+        self.state = DispatcherState(settings, incarnation)
+        self.effects: list[Effect] = []
+        self.term = term
+
+    def lead(self, now: float = BEGIN, records: tuple[Any, ...] = ()) -> None:
+        """Gain the leadership."""
+        self.handle(LeadershipGained(self.term, records, now + 1000.0), now)
+
+    def handle(self, message: Any, now: float = BEGIN) -> list[Effect]:
+        """Handle one message."""
+        self.effects = dispatcher.handle(message, self.state, now)
+        return self.effects
+
+    def join(self, server_id: str = "s1", now: float = BEGIN, **fields: Any) -> None:
+        """Announce a backend server, and let it list nothing."""
+        report = make_report(server_id, **fields)
+        self.handle(ReportServer(report=report, reply_to=ReplyTo("a1", 1)), now)
+        self.list_runs(server_id, now=now)
+
+    def list_runs(
+        self,
+        server_id: str = "s1",
+        *,
+        running: tuple[ListedRun, ...] = (),
+        ended: tuple[ListedEnd, ...] = (),
+        now: float = BEGIN,
+        sent_at: float | None = None,
+        **fields: Any,
+    ) -> list[Effect]:
+        """Let a backend server list its runs."""
+        return self.handle(
+            RunsRead(
+                server=server_id,
+                term=fields.pop("term", self.term),
+                sent_at=now if sent_at is None else sent_at,
+                clock=500.0 + now - BEGIN,
+                born=fields.pop("born", BORN),
+                running=running,
+                ended=ended,
+                **fields,
+            ),
+            now,
+        )
+
+    def answer(
+        self,
+        order: StartRun | StopRun,
+        result: OrderResult = OrderResult.DONE,
+        now: float = BEGIN,
+    ) -> list[Effect]:
+        """Let a backend server answer an order."""
+        return self.handle(
+            RunOrdered(
+                server=order.server,
+                term=order.fence,
+                job_id=order.task.job_id,
+                task=order.number,
+                run=order.run,
+                result=result,
+                started=isinstance(order, StartRun),
+                clock=500.0 + now - BEGIN,
+                sent_at=now,
+            ),
+            now,
+        )
+
+    def starts(self) -> list[StartRun]:
+        """Return the starts that were ordered last."""
+        return [each for each in self.effects if isinstance(each, StartRun)]
+
+    def stops(self) -> list[StopRun]:
+        """Return the stops that were ordered last."""
+        return [each for each in self.effects if isinstance(each, StopRun)]
+
+    def reads(self) -> list[ReadRuns]:
+        """Return the questions that were asked last."""
+        return [each for each in self.effects if isinstance(each, ReadRuns)]
+
+    def replies(self) -> list[Any]:
+        """Return the answers that were given last."""
+        return [each.message for each in self.effects if isinstance(each, Reply)]
+
+
+def list_run(start: StartRun) -> ListedRun:
+    """Return the run that a start makes, as the backend server lists it."""
+    return ListedRun(start.task, start.run)
+
+
+def list_end(
+    start: StartRun, number: int, reason: EndReason = EndReason.DONE
+) -> ListedEnd:
+    """Return the end of a run as the backend server lists it."""
+    return ListedEnd(number, start.task, start.run, reason)
+
+
+def refer(job_id: str, index: int, step: int = 0) -> TaskRef:
+    """Name a task."""
+    return TaskRef(job_id, step, index)
--- /dev/null
+++ b/boragetide/tests/test_directory.py
@@ -0,0 +1,77 @@
+"""What an instance without a log believes of the leader and the configuration."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragetide.controllers import directory
+from boragetide.controllers.directory import DirectoryState
+from boragetide.effects import Reconnect, Send
+from boragetide.messages import ContactsChanged, FindLeader, LeaderNotice, Tick
+from boragetide.settings import Settings
+from boragetide.tests.durable_fixtures import BEGIN
+from boragetide.types import Configuration, ReplyTo
+
+
+@pytest.fixture
+def state(settings: Settings) -> DirectoryState:
+    """A directory whose contacts are the three members."""
+    return directory.make_state(settings)
+
+
+def notify(
+    state: DirectoryState,
+    sender: str,
+    term: int,
+    leader: str | None,
+    configuration: Configuration | None = None,
+    now: float = BEGIN,
+) -> None:
+    notice = LeaderNotice(sender, term, leader, ("a1", "a2", "a3"), configuration)
+    directory.handle(notice, state, now)
+
+
+def find(state: DirectoryState, now: float = BEGIN) -> tuple[str | None, bool]:
+    (reply,) = directory.handle(FindLeader(reply_to=ReplyTo("e", 1)), state, now)
+    return reply.message.leader, reply.message.ready
+
+
+def test_newest_term_names_the_leader(state: DirectoryState) -> None:
+    """Guards against an instance that follows a deposed leader."""
+    notify(state, "a2", 2, "a2")
+    notify(state, "a1", 1, "a1")
+    assert find(state)[0] == "a2"
+
+
+def test_configuration_never_goes_back(state: DirectoryState) -> None:
+    """Guards against a late notice with an older configuration."""
+    notify(state, "a1", 1, "a1", Configuration(version=5))
+    notify(state, "a1", 1, "a1", Configuration(version=4))
+    assert state.configuration.version == 5
+
+
+def test_ready_only_while_the_leader_itself_is_heard(state: DirectoryState) -> None:
+    """Guards against an instance in rotation that can serve nothing."""
+    notify(state, "a1", 1, "a1")
+    assert find(state) == ("a1", False)
+    notify(state, "a1", 1, "a1", Configuration(version=1))
+    assert find(state) == ("a1", True)
+    notify(state, "a2", 1, "a1", now=BEGIN + 4.0)
+    assert find(state, BEGIN + 4.0) == ("a1", False)
+
+
+def test_silent_contact_is_dialled_anew(state: DirectoryState) -> None:
+    """Guards against a connection that went silent for good."""
+    directory.handle(Tick(), state, BEGIN)
+    for contact in ("a1", "a2"):
+        notify(state, contact, 1, "a1", now=BEGIN + 2.0)
+    effects = directory.handle(Tick(), state, BEGIN + 2.5)
+    assert [e.instance for e in effects if isinstance(e, Reconnect)] == ["a3"]
+
+
+def test_new_seeds_are_asked_beside_the_members(state: DirectoryState) -> None:
+    """Guards against an instance that knows only members that are gone."""
+    directory.handle(ContactsChanged(("a9",)), state, BEGIN)
+    effects = directory.handle(Tick(), state, BEGIN)
+    asked = [each.to.instance for each in effects if isinstance(each, Send)]
+    assert asked == ["a9", "a1", "a2", "a3"]
--- /dev/null
+++ b/boragetide/tests/test_dispatcher.py
@@ -0,0 +1,384 @@
+"""The dispatcher of durable jobs: runs, leases, takeover, best-effort jobs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from boragetide.commands import AcceptJob, RecordEnds
+from boragetide.durable import (
+    EndReason,
+    JobPhase,
+    JobRecord,
+    ListedEnd,
+    ListedRun,
+    Resources,
+    Step,
+)
+from boragetide.effects import Send
+from boragetide.messages import (
+    AppendCommands,
+    CancelDurableJob,
+    JobsCommitted,
+    LeadershipLost,
+    LookUpDurableJob,
+    OrderResult,
+    ReadFailed,
+    ReplyStatus,
+    ReportServer,
+    SubmitDurableJob,
+    Tick,
+)
+from boragetide.policy import job_table
+from boragetide.settings import Settings
+from boragetide.tests.durable_fixtures import (
+    BEGIN,
+    BORN,
+    Leader,
+    list_end,
+    list_run,
+    make_durable_job,
+    make_report,
+    refer,
+)
+from boragetide.types import ReplyTo
+
+CALLER = ReplyTo("e1", 7)
+
+
+@pytest.fixture
+def leader(settings: Settings) -> Leader:
+    """A leader with one backend server that has room for two tasks."""
+    made = Leader(settings)
+    made.lead()
+    made.join()
+    return made
+
+
+def submit(leader: Leader, **fields: Any) -> None:
+    job = make_durable_job(best_effort=True, **fields)
+    leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
+
+
+def appended(leader: Leader) -> AppendCommands:
+    (message,) = [
+        effect.message
+        for effect in leader.effects
+        if isinstance(effect, Send) and isinstance(effect.message, AppendCommands)
+    ]
+    return message
+
+
+def commit(leader: Leader, message: AppendCommands, now: float = BEGIN) -> None:
+    """Apply commands as the log does, and tell the dispatcher."""
+    records = leader.state.records_by_id.copy()
+    changed = set()
+    for command in message.commands_by_id.values():
+        if isinstance(command, AcceptJob):
+            changed |= job_table.accept_job(records, command.job, now)
+        if isinstance(command, RecordEnds):
+            changed |= job_table.record_ends(records, command.ends, now)
+    committed = tuple(records[job_id] for job_id in sorted(changed))
+    leader.handle(JobsCommitted(tuple(message.commands_by_id), committed), now)
+
+
+def test_best_effort_job_starts_at_once_and_is_answered_at_its_end(
+    leader: Leader,
+) -> None:
+    """Guards against an answer before the end, and a wait for the log."""
+    submit(leader)
+    first, second = leader.starts()
+    assert leader.replies() == []
+    for start in (first, second):
+        leader.answer(start)
+    leader.list_runs(running=(list_run(second),), ended=(list_end(first, 1),))
+    assert leader.replies() == []
+    leader.list_runs(ended=(list_end(first, 1), list_end(second, 2)))
+    (reply,) = leader.replies()
+    assert (reply.status, reply.state) == (ReplyStatus.ACCEPTED, "succeeded")
+
+
+def test_capacity_is_never_exceeded(leader: Leader) -> None:
+    """Guards against a third task of 27 cores on a backend server of 64."""
+    submit(leader, job_id="j1")
+    submit(leader, job_id="j2")
+    assert leader.starts() == []
+    assert leader.state.servers_by_id["s1"].room == Resources(10_000, 99_872)
+
+
+def test_end_of_a_run_gives_its_room_to_the_next_task(leader: Leader) -> None:
+    """Guards against capacity that stays idle until the next tick."""
+    submit(leader, job_id="j1")
+    first, second = leader.starts()
+    submit(leader, job_id="j2")
+    leader.answer(first)
+    leader.answer(second)
+    leader.list_runs(running=(list_run(second),), ended=(list_end(first, 1),))
+    assert [start.task.job_id for start in leader.starts()] == ["j2"]
+
+
+def test_failed_attempts_end_the_job_as_failed(leader: Leader) -> None:
+    """Guards against attempts without end, and against a lost count of them."""
+    submit(leader, attempts=2)
+    first, second = leader.starts()
+    leader.answer(first)
+    leader.answer(second)
+    failed = list_end(first, 1, EndReason.FAILED)
+    leader.list_runs(running=(list_run(second),), ended=(failed,))
+    (again,) = leader.starts()
+    assert again.run == first.run + 1
+    leader.answer(again)
+    failed = list_end(again, 2, EndReason.FAILED)
+    leader.list_runs(running=(list_run(second),), ended=(failed,))
+    assert [reply.state for reply in leader.replies()] == ["failed"]
+    assert [stop.run for stop in leader.stops()] == [second.run]
+
+
+def test_unanswered_start_occupies_its_task_until_the_server_tells(
+    leader: Leader,
+) -> None:
+    """Guards against two runs of one task when an order is carried out late."""
+    leader.join("s2")
+    submit(leader)
+    first, second = leader.starts()
+    leader.answer(second)
+    leader.answer(first, OrderResult.UNANSWERED)
+    assert leader.starts() == []
+    (stop,) = leader.stops()
+    leader.handle(Tick(), BEGIN + 0.1)
+    assert leader.starts() == []
+    leader.answer(stop, now=BEGIN + 0.2)
+    running = (list_run(second),) if second.server == stop.server else ()
+    leader.list_runs(stop.server, running=running, now=BEGIN + 0.3)
+    assert [start.task for start in leader.starts()] == [first.task]
+
+
+def test_silent_server_keeps_its_tasks_until_their_leases_lapse(
+    leader: Leader,
+) -> None:
+    """Guards against two runs of one task while a backend server is cut off."""
+    submit(leader)
+    starts = leader.starts()
+    for start in starts:
+        leader.answer(start)
+    leader.handle(ReadFailed("s1", 1), BEGIN + 0.1)
+    leader.join("s2", BEGIN + 0.5)
+    assert leader.starts() == []
+    leader.handle(Tick(), BEGIN + 1.0)
+    assert leader.starts() == []
+    leader.handle(Tick(), BEGIN + 1.3)
+    assert [start.server for start in leader.starts()] == ["s2", "s2"]
+
+
+def test_silent_server_is_asked_without_a_new_lease(leader: Leader) -> None:
+    """Guards against a lease that never lapses because questions extend it."""
+    submit(leader)
+    for start in leader.starts():
+        leader.answer(start)
+    leader.handle(ReadFailed("s1", 1), BEGIN + 0.1)
+    leader.handle(Tick(), BEGIN + 0.3)
+    (question,) = leader.reads()
+    assert question.lease_until is None
+
+
+def test_restarted_server_frees_its_tasks_at_once(leader: Leader) -> None:
+    """Guards against waiting for a run of a life that is over."""
+    submit(leader)
+    for start in leader.starts():
+        leader.answer(start)
+    report = make_report(born=BORN + 5)
+    leader.handle(ReportServer(report=report, passed_on=True), BEGIN + 0.2)
+    leader.list_runs(born=BORN + 5, now=BEGIN + 0.3)
+    assert [start.run for start in leader.starts()] == [2, 2]
+
+
+def test_late_announcement_of_an_earlier_life_changes_nothing(leader: Leader) -> None:
+    """Guards against a heartbeat that was held up by a partition."""
+    late = make_report(born=BORN - 5, sequence=99, draining=True)
+    leader.handle(ReportServer(report=late, passed_on=True))
+    assert not leader.state.servers_by_id["s1"].report.draining
+
+
+def test_draining_server_gets_nothing_new(leader: Leader) -> None:
+    """Guards against starts after a drain was acknowledged."""
+    draining = make_report(sequence=2, draining=True)
+    leader.handle(ReportServer(report=draining, passed_on=True))
+    submit(leader)
+    assert leader.starts() == []
+
+
+def test_new_leader_waits_for_every_server_it_knows(settings: Settings) -> None:
+    """Guards against a start while a task of an earlier leader runs elsewhere."""
+    leader = Leader(settings, term=2)
+    for server_id in ("s1", "s2"):
+        leader.handle(ReportServer(report=make_report(server_id)))
+    leader.lead()
+    leader.list_runs("s1")
+    submit(leader)
+    assert leader.starts() == []
+    leader.list_runs("s2")
+    assert len(leader.starts()) == 2
+
+
+def test_new_leader_waits_for_leases_on_a_server_out_of_reach(
+    settings: Settings,
+) -> None:
+    """Guards against two runs when the old leader's servers cannot be asked."""
+    leader = Leader(settings, term=2)
+    for server_id in ("s1", "s2"):
+        leader.handle(ReportServer(report=make_report(server_id)))
+    leader.lead()
+    leader.list_runs("s1")
+    submit(leader)
+    leader.handle(ReadFailed("s2", 2), BEGIN + 0.5)
+    leader.handle(Tick(), BEGIN + 1.9)
+    assert leader.starts() == []
+    leader.list_runs("s1", now=BEGIN + 2.1)
+    assert len(leader.starts()) == 2
+
+
+def test_run_of_a_job_that_is_not_known_is_stopped_first(settings: Settings) -> None:
+    """Guards against two runs of a best-effort job that is submitted again."""
+    leader = Leader(settings, term=2)
+    leader.handle(ReportServer(report=make_report()))
+    leader.lead()
+    listed = ListedRun(refer("j1", 0), 1)
+    leader.list_runs(running=(listed,))
+    assert [stop.task for stop in leader.stops()] == [listed.task]
+    leader.join("s2")
+    submit(leader)
+    assert [start.task.index for start in leader.starts()] == [1]
+    leader.list_runs("s1", now=BEGIN + 0.1)
+    assert [start.task.index for start in leader.starts()] == [0]
+
+
+def test_run_numbers_of_a_new_term_are_higher(settings: Settings) -> None:
+    """Guards against a run that a backend server refuses as old."""
+    leader = Leader(settings, term=3)
+    leader.lead()
+    leader.join()
+    submit(leader)
+    assert {start.run for start in leader.starts()} == {2001}
+    assert {start.fence for start in leader.starts()} == {3}
+
+
+def test_fenced_leader_gives_no_more_orders(leader: Leader) -> None:
+    """Guards against an old leader that goes on beside a new one."""
+    submit(leader, job_id="j1")
+    start = leader.starts()[0]
+    leader.answer(start, OrderResult.FENCED)
+    leader.handle(Tick(), BEGIN + 0.1)
+    assert (leader.starts(), leader.reads()) == ([], [])
+    leader.handle(LookUpDurableJob(id="j1", reply_to=CALLER))
+    assert leader.replies()[0].status is ReplyStatus.NOT_LEADER
+
+
+def test_leader_without_authority_neither_starts_nor_answers(
+    settings: Settings,
+) -> None:
+    """Guards against a frozen leader that wakes up after another was elected."""
+    leader = Leader(settings)
+    leader.lead()
+    leader.join()
+    leader.state.authority_until = BEGIN + 0.8
+    job = make_durable_job()
+    leader.handle(SubmitDurableJob(job=job, reply_to=CALLER), BEGIN + 0.9)
+    assert leader.replies()[0].status is ReplyStatus.NOT_LEADER
+    assert leader.starts() == []
+
+
+def test_lost_leadership_leaves_requests_undecided(leader: Leader) -> None:
+    """Guards against a refusal of a job whose tasks may have run."""
+    submit(leader)
+    leader.handle(LeadershipLost())
+    assert [reply.status for reply in leader.replies()] == [ReplyStatus.UNDECIDED]
+
+
+def test_durable_job_is_accepted_only_when_it_is_kept(leader: Leader) -> None:
+    """Guards against an acknowledged job that a lost leader takes with it."""
+    job = make_durable_job()
+    leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
+    assert (leader.replies(), leader.starts()) == ([], [])
+    commit(leader, appended(leader))
+    assert [reply.status for reply in leader.replies()] == [ReplyStatus.ACCEPTED]
+    assert len(leader.starts()) == 2
+
+
+def test_end_is_acknowledged_only_when_it_is_kept(leader: Leader) -> None:
+    """Guards against an end that neither the worker nor the log remembers."""
+    leader.handle(SubmitDurableJob(job=make_durable_job(), reply_to=CALLER))
+    commit(leader, appended(leader))
+    first, second = leader.starts()
+    leader.answer(first)
+    leader.answer(second)
+    ends = (list_end(first, 1), list_end(second, 2))
+    leader.list_runs(ended=ends)
+    kept = appended(leader)
+    leader.handle(Tick(), BEGIN + 0.9)
+    assert [read.acknowledged for read in leader.reads()] in ([], [0])
+    leader.handle(LookUpDurableJob(id="j1", reply_to=CALLER))
+    assert leader.replies()[0].state == "running"
+    leader.state.servers_by_id["s1"].reading = False
+    commit(leader, kept)
+    assert [read.acknowledged for read in leader.reads()] == [2]
+    leader.handle(LookUpDurableJob(id="j1", reply_to=CALLER))
+    assert leader.replies()[0].state == "succeeded"
+
+
+def test_end_under_an_earlier_leader_is_kept_and_not_run_again(
+    settings: Settings,
+) -> None:
+    """Guards against a second run of a task that is done."""
+    leader = Leader(settings, term=2)
+    leader.handle(ReportServer(report=make_report()))
+    leader.lead(records=(JobRecord(make_durable_job()),))
+    done = replace(list_end_of("j1", 0), run=4)
+    leader.list_runs(ended=(done,))
+    assert [start.task.index for start in leader.starts()] == [1]
+    (command,) = appended(leader).commands_by_id.values()
+    assert [(end.task, end.run, end.failed) for end in command.ends] == [(0, 4, False)]
+
+
+def list_end_of(job_id: str, index: int) -> ListedEnd:
+    return ListedEnd(1, refer(job_id, index), 1, EndReason.DONE)
+
+
+def test_cancelled_best_effort_job_stops_and_frees_its_room(leader: Leader) -> None:
+    """Guards against work for a caller that has left."""
+    submit(leader)
+    starts = leader.starts()
+    for start in starts:
+        leader.answer(start)
+    leader.handle(CancelDurableJob(id="j1"))
+    assert [stop.run for stop in leader.stops()] == [start.run for start in starts]
+    assert leader.state.records_by_id["j1"].phase is JobPhase.CANCELLED
+
+
+def test_resubmission_of_a_running_job_waits_for_the_same_end(leader: Leader) -> None:
+    """Guards against a second run of a job that its caller asks for again."""
+    submit(leader)
+    submit(leader)
+    assert leader.starts() == []
+    assert len(leader.state.waiters_by_job["j1"]) == 2
+
+
+def test_job_that_fits_no_server_is_refused_at_once(leader: Leader) -> None:
+    """Guards against a caller that waits for what can never run."""
+    step = Step(1, Resources(70_000, 64), 0.2)
+    job = make_durable_job("j1", step, best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
+    assert [reply.status for reply in leader.replies()] == [ReplyStatus.REFUSED]
+
+
+def test_run_that_is_not_listed_any_longer_is_started_again(leader: Leader) -> None:
+    """Guards against a task that is lost with its run."""
+    submit(leader)
+    first, second = leader.starts()
+    leader.answer(first, now=BEGIN + 0.1)
+    leader.answer(second, now=BEGIN + 0.1)
+    leader.list_runs(running=(list_run(second),), now=BEGIN + 0.3, sent_at=BEGIN + 0.05)
+    assert leader.starts() == []
+    leader.list_runs(running=(list_run(second),), now=BEGIN + 0.4, sent_at=BEGIN + 0.2)
+    assert [start.task for start in leader.starts()] == [first.task]
--- /dev/null
+++ b/boragetide/tests/test_effect_queue.py
@@ -0,0 +1,91 @@
+"""Order of a controller's effects around what must be durable."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from boragetide.daemon.effect_queue import EffectQueue
+from boragetide.effects import LogEvent, Persist, SaveSnapshot
+
+
+class Disk:
+    """Performs effects; a sync lasts until `finish`."""
+
+    def __init__(self) -> None:
+        self.performed: list[Any] = []
+        self.syncs: list[asyncio.Future[None]] = []
+
+    def perform(self, effect: Any) -> Any:
+        """Note the effect; what must be durable is not until `finish`."""
+        self.performed.append(effect)
+        if not isinstance(effect, Persist | SaveSnapshot):
+            return None
+        self.syncs.append(asyncio.get_running_loop().create_future())
+        return self.syncs[-1]
+
+    async def finish(self) -> None:
+        """End all syncs that were begun."""
+        for sync in self.syncs:
+            if not sync.done():
+                sync.set_result(None)
+        for _ in range(3):
+            await asyncio.sleep(0)
+
+
+def run(scenario: Any) -> None:
+    async def main() -> None:
+        disk = Disk()
+        async with asyncio.TaskGroup() as group:
+            await scenario(disk, EffectQueue(disk.perform, group))
+
+    asyncio.run(main())
+
+
+SENT = [LogEvent(f"sent {number}") for number in range(4)]
+RECORDS = [Persist((number,)) for number in range(3)]
+
+
+def test_effects_wait_for_the_record_in_front_of_them() -> None:
+    """Guards against an answer that leaves before its record is durable."""
+
+    async def scenario(disk: Disk, queue: EffectQueue) -> None:
+        queue.put([SENT[0], RECORDS[0], SENT[1]])
+        assert disk.performed == [SENT[0], RECORDS[0]]
+        queue.put([SENT[2]])
+        assert disk.performed == [SENT[0], RECORDS[0]]
+        await disk.finish()
+        assert disk.performed == [SENT[0], RECORDS[0], SENT[1], SENT[2]]
+
+    run(scenario)
+
+
+def test_records_that_wait_share_the_next_sync() -> None:
+    """Guards against one sync after the other for messages that came together."""
+
+    async def scenario(disk: Disk, queue: EffectQueue) -> None:
+        queue.put([RECORDS[0]])
+        queue.put([RECORDS[1], SENT[1]])
+        queue.put([RECORDS[2], SENT[2]])
+        await disk.finish()
+        assert disk.performed == [*RECORDS]
+        await disk.finish()
+        assert disk.performed == [*RECORDS, SENT[1], SENT[2]]
+
+    run(scenario)
+
+
+def test_snapshot_is_not_overtaken_by_later_records() -> None:
+    """Guards against a snapshot that replaces records written after it."""
+
+    async def scenario(disk: Disk, queue: EffectQueue) -> None:
+        snapshot = SaveSnapshot("all")
+        queue.put([RECORDS[0], snapshot, RECORDS[1]])
+        assert disk.performed == [RECORDS[0]]
+        await disk.finish()
+        assert disk.performed == [RECORDS[0], snapshot]
+        await disk.finish()
+        assert disk.performed == [RECORDS[0], snapshot, RECORDS[1]]
+        await disk.finish()
+
+    run(scenario)
--- /dev/null
+++ b/boragetide/tests/test_job_table.py
@@ -0,0 +1,108 @@
+"""The replicated state of durable jobs."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragetide.commands import (
+    AcceptJob,
+    Catalogue,
+    LogEntry,
+    Proposal,
+    PublishConfiguration,
+    RecordEnds,
+)
+from boragetide.durable import JobPhase, JobRecord, RunEnd
+from boragetide.policy import job_table
+from boragetide.policy.catalogue import apply_entry
+from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
+from boragetide.types import ClassTarget
+
+Jobs = dict[str, JobRecord]
+
+
+@pytest.fixture
+def jobs() -> Jobs:
+    """One accepted job of two tasks and two attempts."""
+    jobs: Jobs = {}
+    job_table.accept_job(jobs, make_durable_job(), BEGIN)
+    return jobs
+
+
+def end(jobs: Jobs, task: int, run: int = 1, *, failed: bool = False) -> set[str]:
+    return job_table.record_ends(jobs, (RunEnd("j1", task, run, failed),), BEGIN)
+
+
+def test_job_succeeds_with_its_last_task(jobs: Jobs) -> None:
+    """Guards against a success with a task that has not ended."""
+    end(jobs, 0)
+    assert jobs["j1"].phase is JobPhase.ACTIVE
+    end(jobs, 1)
+    assert jobs["j1"].phase is JobPhase.SUCCEEDED
+
+
+def test_end_that_is_listed_twice_counts_once(jobs: Jobs) -> None:
+    """Guards against a job that fails because a new leader lists an end again."""
+    end(jobs, 0, failed=True)
+    assert end(jobs, 0, failed=True) == set()
+    assert jobs["j1"].phase is JobPhase.ACTIVE
+    end(jobs, 0, run=2, failed=True)
+    assert jobs["j1"].phase is JobPhase.FAILED
+
+
+def test_failure_after_the_task_is_done_changes_nothing(jobs: Jobs) -> None:
+    """Guards against a copy that fails a job whose task is done."""
+    end(jobs, 0)
+    assert end(jobs, 0, run=2, failed=True) == set()
+
+
+def test_job_that_ended_stays_as_it_is(jobs: Jobs) -> None:
+    """Guards against a cancelled job that succeeds later."""
+    job_table.cancel_job(jobs, "j1", BEGIN)
+    assert (end(jobs, 0), end(jobs, 1)) == (set(), set())
+    assert jobs["j1"].phase is JobPhase.CANCELLED
+    assert job_table.accept_job(jobs, make_durable_job(), BEGIN) == set()
+
+
+def test_ended_jobs_are_forgotten_after_their_retention(jobs: Jobs) -> None:
+    """Guards against memory that grows with all jobs ever seen."""
+    job_table.accept_job(jobs, make_durable_job("j2"), BEGIN)
+    end(jobs, 0), end(jobs, 1)
+    job_table.forget_ended(jobs, BEGIN + job_table.RETENTION)
+    assert set(jobs) == {"j1", "j2"}
+    job_table.forget_ended(jobs, BEGIN + job_table.RETENTION + 1.0)
+    assert set(jobs) == {"j2"}
+
+
+def apply(catalogue: Catalogue, command: object, command_id: str = "") -> set[str]:
+    index = catalogue.index + 1
+    proposal = Proposal(command_id or f"c{index}", command)
+    return apply_entry(LogEntry(index, 1, BEGIN, proposal), catalogue)
+
+
+def test_log_entries_of_jobs_leave_the_configuration_alone() -> None:
+    """Guards against a job that counts as a change of the configuration."""
+    catalogue = Catalogue()
+    assert apply(catalogue, AcceptJob(make_durable_job())) == {"j1"}
+    assert apply(catalogue, RecordEnds((RunEnd("j1", 0, 1, False),))) == {"j1"}
+    assert (catalogue.configuration.version, catalogue.outcomes_by_id) == (0, {})
+
+
+def test_highest_revision_is_in_force_whatever_the_order() -> None:
+    """Guards against an older configuration that arrives late and takes effect."""
+    catalogue = Catalogue()
+    for revision in (7, 5, 7):
+        classes = (ClassTarget(f"class-{revision}"),)
+        apply(catalogue, PublishConfiguration(revision, classes, f"text {revision}"))
+    assert catalogue.configuration.revision == 7
+    assert catalogue.configuration.document == "text 7"
+    assert set(catalogue.configuration.classes_by_name) == {"class-7"}
+    assert catalogue.configuration.version == 1
+
+
+def test_other_content_under_the_revision_in_force_changes_nothing() -> None:
+    """Guards against two contents of one revision."""
+    catalogue = Catalogue()
+    apply(catalogue, PublishConfiguration(7, (), "first"))
+    apply(catalogue, PublishConfiguration(7, (), "second"))
+    assert catalogue.configuration.document == "first"
--- /dev/null
+++ b/boragetide/tests/test_scheduling.py
@@ -0,0 +1,96 @@
+"""Order and placement of durable tasks, decided without a network."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from boragetide.durable import JobRecord, Resources, Step
+from boragetide.policy.job_queue import JobQueue
+from boragetide.policy.scheduling import (
+    Candidate,
+    can_ever_fit,
+    choose_server,
+    find_ready_tasks,
+    latest_start,
+    longest_chain,
+)
+from boragetide.tests.durable_fixtures import BEGIN, NEEDS, make_durable_job
+
+STEP = Step(2, NEEDS, 0.2)
+
+
+def make_candidate(server_id: str, millicores: int, speed: float = 1.0) -> Candidate:
+    return Candidate(server_id, Resources(millicores, 1000), speed, ("a", "r1"))
+
+
+def test_steps_wait_for_those_they_depend_on() -> None:
+    """Guards against a start before the steps in front of it are done."""
+    job = make_durable_job("j1", STEP, replace(STEP, depends_on=(0,)))
+    record = JobRecord(job)
+    assert [number for number, _ in find_ready_tasks(record)] == [0, 1]
+    record = replace(record, done=frozenset({0}))
+    assert [number for number, _ in find_ready_tasks(record)] == [1]
+    record = replace(record, done=frozenset({0, 1}))
+    assert [number for number, _ in find_ready_tasks(record)] == [2, 3]
+
+
+def test_longest_chain_follows_the_dependencies() -> None:
+    """Guards against an objective that counts parallel steps one after the other."""
+    steps = STEP, replace(STEP, estimate=0.5), replace(STEP, depends_on=(0, 1))
+    assert longest_chain(make_durable_job("j1", *steps)) == 0.7
+
+
+def test_fastest_server_goes_first_and_the_fullest_among_equals() -> None:
+    """Guards against tasks on slow servers and against scattered room."""
+    slow, fast = make_candidate("s1", 64_000, 0.7), make_candidate("s2", 30_000, 1.7)
+    assert choose_server(STEP, [slow, fast], {}).id == "s2"
+    empty, partly = make_candidate("s3", 64_000), make_candidate("s4", 30_000)
+    assert choose_server(STEP, [empty, partly], {}).id == "s4"
+
+
+def test_server_must_have_room_label_and_fewer_tasks_of_the_step() -> None:
+    """Guards against a start that breaks what the step asks for."""
+    server = make_candidate("s1", 64_000)
+    assert choose_server(STEP, [make_candidate("s1", 20_000)], {}) is None
+    assert choose_server(replace(STEP, required_label="b"), [server], {}) is None
+    bounded = replace(STEP, max_per_server=1)
+    assert choose_server(bounded, [server], {"s1": 1}) is None
+    assert choose_server(bounded, [server], {"s1": 0}) is server
+
+
+def test_server_near_the_data_goes_before_a_faster_one() -> None:
+    """Guards against a task that takes several times as long away from its data."""
+    near, fast = make_candidate("s1", 64_000), make_candidate("s2", 64_000, 1.7)
+    fast.labels = ("a", "r2")
+    step = replace(STEP, data_rack="r1")
+    assert choose_server(step, [near, fast], {}).id == "s1"
+
+
+def test_job_fits_where_no_server_is_known_yet() -> None:
+    """Guards against refusals before the first announcement."""
+    large = make_durable_job("j1", Step(1, Resources(70_000), 0.2))
+    assert can_ever_fit(large, [])
+    assert not can_ever_fit(large, [Resources(64_000, 1000)])
+
+
+def test_queue_serves_what_can_be_in_time_before_what_is_late() -> None:
+    """Guards against late jobs that make further jobs late."""
+    queue = JobQueue()
+    late = make_durable_job("late", submitted_at=BEGIN - 1.0)
+    soon = make_durable_job("soon", submitted_at=BEGIN)
+    later = make_durable_job("later", submitted_at=BEGIN + 0.1)
+    for job in (later, late, soon):
+        queue.put(job, {0: STEP})
+    order = [waiting.job.id for waiting in queue.iterate(BEGIN)]
+    assert order == ["soon", "later", "late"]
+    assert latest_start(late) < BEGIN
+
+
+def test_job_leaves_the_queue_with_its_last_task() -> None:
+    """Guards against a job that is looked at for ever."""
+    queue = JobQueue()
+    job = make_durable_job()
+    queue.put(job, {0: STEP})
+    queue.put(job, {})
+    assert list(queue.iterate(BEGIN)) == []
+    assert (list(queue.in_time), queue.waiting_by_id) == ([], {})
