Hand leadership over, adopt runs of an earlier leader, refuse what comes too late

Change: election after 0.6 to 1.0 s with an authority of 0.5 s; a leader that stops asks its successor to stand; a new leader tells the edges at once, keeps runs of unknown best-effort jobs for 1 s and goes on with them when their callers ask again; link_health finds links that are silent in either direction; best-effort jobs that come too late are refused, and edges refuse where the leader has been lost for more than 2 s.

--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from asyncio import Future
 from typing import Any
 
@@ -11,7 +12,7 @@
 
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError
-from boragetide.types import Status
+from boragetide.types import Seconds, Status
 
 RETRY_AFTER = 1  # seconds that a refused caller should wait
 
@@ -44,17 +45,19 @@
     def _close_request(self, written: Future[None]) -> None:
         self.runtime.open_requests.discard(self)
 
-    def respond(self, status: int, body: Any) -> None:
-        """Write a JSON body."""
+    def respond(self, status: int, body: Any, retry_after: Seconds = 0.0) -> None:
+        """Write a JSON body; a refusal says when the caller should come back."""
         self.set_status(status)
         if status == 503:
-            self.set_header("Retry-After", RETRY_AFTER)
+            seconds = math.ceil(retry_after) or RETRY_AFTER
+            self.set_header("Retry-After", seconds)
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(body))
 
-    def refuse(self, status: int, message: str) -> None:
+    def refuse(self, status: int, message: str, retry_after: Seconds = 0.0) -> None:
         """Answer that nothing ran, with the reason."""
-        self.respond(status, {"status": Status.NOT_RUN, "error": message})
+        body = {"status": Status.NOT_RUN, "error": message}
+        self.respond(status, body, retry_after)
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer without a traceback."""
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -31,6 +31,7 @@
     RequestCatchUp,
     RequestConfiguration,
     RequestVote,
+    StandForElection,
     StopRequested,
     Tick,
     VoteReply,
@@ -138,6 +139,7 @@
 
 
 @handle.register(RequestVote)
+@handle.register(StandForElection)
 @handle.register(VoteReply)
 @handle.register(AppendEntries)
 @handle.register(AppendReply)
@@ -163,7 +165,12 @@
         return []
     applied = apply_committed(replica)
     effects = _put_newest_in_force(state, replica, now)
+    led_before = state.leadership.announced_term
     effects += leadership.announce(state.leadership, replica, applied, now)
+    if state.leadership.announced_term not in (0, led_before):
+        effects += leadership.notify_all(
+            state.leadership, replica, state.distribution.in_force, now
+        )
     for proposal in applied.proposals:
         if isinstance(proposal.command, JobCommand):
             continue
@@ -317,10 +324,15 @@
 @handle.register
 def _(message: FollowLeader, state: ConfigurationState, now: Seconds) -> list[Effect]:
     leadership.note_follower(state.leadership, message.sender, message.version, now)
-    in_force = state.distribution.in_force
-    return [
-        leadership.notify(state.leadership, state.member, in_force, message.sender, now)
-    ]
+    links = state.leadership.links.check(message.sender, now, message.waits)
+    notice = leadership.notify(
+        state.leadership,
+        state.member,
+        state.distribution.in_force,
+        message.sender,
+        now,
+    )
+    return [*links, notice]
 
 
 @handle.register
@@ -391,4 +403,4 @@
 
 @handle.register
 def _(message: StopRequested, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    return []
+    return [] if state.member is None else replication.hand_over(state.member)
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import singledispatch
 from typing import Any
 
-from boragetide.effects import Effect, LogEvent, Reconnect, Reply, Send
+from boragetide.effects import AbandonRequests, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
     ContactsChanged,
     Drain,
@@ -19,14 +19,13 @@
     Tick,
     WokeUp,
 )
+from boragetide.policy.link_health import LinkHealth
 from boragetide.settings import Settings
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
-ASK_INTERVAL: Seconds = 0.5
-# A member whose link was silent this long is dialled anew.
-CONTACT_SILENCE: Seconds = 2.0
-# Without a leader for longer than this the instance does not report ready.
-LEADER_SILENCE: Seconds = 3.0
+ASK_INTERVAL: Seconds = 0.4
+# A leader that has not answered two questions counts as lost.
+LEADER_SILENCE: Seconds = 1.0
 
 
 @dataclass(slots=True)
@@ -37,29 +36,32 @@
     ----------
     contacts
         Members that the settings or a notice named.
-    heard_by_id
-        When each contact last answered.
+    links
+        Which contacts answer.
     term, leader, leader_heard_at
         Newest leader, and when it last spoke.
     configuration
         In force here; its version never decreases.
     next_ask
         When the contacts are asked again.
+    started_at
+        When the contacts were first asked.
     """
 
     settings: Settings
     contacts: tuple[InstanceId, ...]
-    heard_by_id: dict[InstanceId, Seconds]
+    links: LinkHealth = field(default_factory=LinkHealth)
     term: int = 0
     leader: InstanceId | None = None
     leader_heard_at: Seconds = 0.0
     configuration: Configuration | None = None
     next_ask: Seconds = 0.0
+    started_at: Seconds = 0.0
 
 
 def make_state(settings: Settings) -> DirectoryState:
     """Build the first state: the contacts are the members that the settings name."""
-    return DirectoryState(settings, settings.disk_ids, {})
+    return DirectoryState(settings, settings.disk_ids)
 
 
 @singledispatch
@@ -70,26 +72,23 @@
 
 @handle.register
 def _(message: Tick, state: DirectoryState, now: Seconds) -> list[Effect]:
+    state.started_at = state.started_at or now
     if now < state.next_ask:
         return []
     state.next_ask = now + ASK_INTERVAL
     version = -1 if state.configuration is None else state.configuration.version
-    question = FollowLeader(state.settings.id, version)
     effects: list[Effect] = []
     for contact in state.contacts:
-        heard_at = state.heard_by_id.setdefault(contact, now)
-        if now - heard_at > CONTACT_SILENCE:
-            state.heard_by_id[contact] = now
-            silence = now - heard_at
-            fields = {"peer": contact, "silence": silence}
-            effects += [LogEvent("link_silent", fields), Reconnect(contact)]
+        waits = state.links.note_sent(contact, now)
+        question = FollowLeader(state.settings.id, version, waits)
+        effects += state.links.check(contact, now)
         effects.append(Send(Address(contact, "configuration"), question))
     return effects
 
 
 @handle.register
 def _(message: LeaderNotice, state: DirectoryState, now: Seconds) -> list[Effect]:
-    state.heard_by_id[message.sender] = now
+    state.links.note_heard(message.sender)
     known = set(state.contacts)
     state.contacts += tuple(id_ for id_ in message.members if id_ not in known)
     effects: list[Effect] = []
@@ -97,6 +96,8 @@
         if (message.term, message.leader) != (state.term, state.leader):
             fields = {"term": message.term, "leader": message.leader}
             effects.append(LogEvent("leader_found", fields))
+            if state.leader not in (None, message.leader):
+                effects.append(AbandonRequests(state.leader))
         state.term, state.leader = message.term, message.leader
         if message.sender == message.leader:
             state.leader_heard_at = now
@@ -116,9 +117,11 @@
 
 @handle.register
 def _(message: FindLeader, state: DirectoryState, now: Seconds) -> list[Effect]:
-    is_led = state.leader is not None and now - state.leader_heard_at < LEADER_SILENCE
+    lost_for = now - max(state.leader_heard_at, state.started_at)
+    is_led = state.leader is not None and lost_for < LEADER_SILENCE
+    ready = is_led and state.configuration is not None
     found = LeaderFound(
-        state.leader, state.configuration, is_led and state.configuration is not None
+        state.leader if is_led else None, state.configuration, ready, lost_for
     )
     return [Reply(message.reply_to, found)]
 
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -8,6 +8,7 @@
 from boragetide.durable import (
     JobPhase,
     JobRecord,
+    ListedRun,
     Resources,
     ServerReport,
     TaskRef,
@@ -102,8 +103,9 @@
     unkept
         Ends that were listed and are not kept yet.
     foreign
-        Runs of jobs that are not known here, which are being stopped. What they use is
-        not known either, so that nothing is started beside them.
+        Runs of jobs that are not known here, with the time at which they were first
+        listed. What they use is not known either, so that nothing is started beside
+        them.
     failures_in_row, avoided_until
         Runs that failed there since one was done, and until when it gets no more.
     speed
@@ -125,7 +127,7 @@
     acknowledged: int = 0
     acknowledged_sent: int = 0
     unkept: set[int] = field(default_factory=set)
-    foreign: set[tuple[TaskRef, int]] = field(default_factory=set)
+    foreign: dict[ListedRun, Seconds] = field(default_factory=dict)
     failures_in_row: int = 0
     avoided_until: Seconds = 0.0
     speed: float = 1.0
@@ -194,6 +196,8 @@
         Command that keeps a new job, until it is kept.
     waiters_by_job
         Requests that wait for the end of a best-effort job.
+    foreign_done
+        Tasks of jobs that are not known here whose end was listed, with its time.
     next_command
         Number of the next command.
     next_review
@@ -217,10 +221,18 @@
     replies_by_command: dict[str, list[ReplyTo | None]] = field(default_factory=dict)
     command_by_job: dict[JobId, str] = field(default_factory=dict)
     waiters_by_job: dict[JobId, list[ReplyTo | None]] = field(default_factory=dict)
+    foreign_done: dict[TaskRef, Seconds] = field(default_factory=dict)
     ends_by_command: dict[str, KeptEnds] = field(default_factory=dict)
     next_command: int = 1
     next_review: Seconds = 0.0
 
+    def forget_job(self, job_id: JobId) -> None:
+        """Drop all that is known of a job that has not run."""
+        self.records_by_id.pop(job_id, None)
+        self.active.pop(job_id, None)
+        self.started.discard(job_id)
+        self.queue.remove(job_id)
+
     @property
     def others(self) -> tuple[InstanceId, ...]:
         """The other members of the log."""
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -18,10 +18,12 @@
 )
 from boragetide.controllers.placing_runs import (
     ANNOUNCEMENT_SILENCE,
+    check_takeover,
     place,
     requeue,
 )
 from boragetide.controllers.runs import (
+    adopt_foreign,
     append_command,
     free_lapsed,
     free_run,
@@ -65,6 +67,9 @@
 
 REVIEW_INTERVAL: Seconds = 1.0
 FORGET_SERVER: Seconds = 30.0
+# The usual burst of a site is over by then.
+RETRY_AFTER: Seconds = 4.0
+FORGET_FOREIGN: Seconds = 3.0
 
 
 @singledispatch
@@ -93,6 +98,7 @@
     if not can_ever_fit(job, capacities):
         reason = "no backend server is large enough for one of its tasks"
         fields = {"job": job.id, "class": job.class_name, "reason": reason}
+        # Nothing larger joins soon: a caller need not come back before it is told.
         refused = _reply(message, ReplyStatus.REFUSED, reason=reason)
         return [LogEvent("job_refused", fields), refused]
     if job.best_effort:
@@ -126,7 +132,9 @@
     job = message.job
     state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [message.reply_to]
-    effects = take_record(state, JobRecord(job, changed_at=now), now, is_new=True)
+    record = JobRecord(job, changed_at=now)
+    effects = take_record(state, record, now, is_new=True)
+    effects += adopt_foreign(state, record, now)
     return [*effects, *place(state, now)]
 
 
@@ -248,6 +256,7 @@
     state.started.clear()
     state.taken_over = False
     state.waiters_by_job.clear()
+    state.foreign_done.clear()
     state.run_by_task.clear()
     state.ends_by_command.clear()
     state.replies_by_command.clear()
@@ -349,6 +358,7 @@
 @handle.register
 def _(message: RunsRead, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects = take_runs(state, message, now)
+    effects += check_takeover(state, now)
     server = state.servers_by_id.get(message.server)
     effects += place(state, now)
     if server is not None:
@@ -385,12 +395,35 @@
         state.next_review = now + REVIEW_INTERVAL
         job_table.forget_ended(state.records_by_id, now)
         _forget_servers(state, now)
+        _forget_foreign(state, now)
     if not has_authority(state, now):
         return effects
+    effects += check_takeover(state, now)
     effects += free_lapsed(state, now)
+    effects += _refuse_expired(state, now)
     return [*effects, *_place_and_read(state, now)]
 
 
+def _refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Refuse best-effort jobs that come too late, unless a task was started."""
+    effects: list[Effect] = []
+    for waiting in state.queue.list_expired(now):
+        job = waiting.job
+        if not job.best_effort or job.id in state.started:
+            continue
+        reason = "it cannot be served in time"
+        refused = DispatcherReply(
+            ReplyStatus.REFUSED, reason=reason, retry_after=RETRY_AFTER
+        )
+        fields = {"job": job.id, "class": job.class_name, "reason": reason}
+        fields |= {"age": now - job.submitted_at, "waiting": len(state.queue.late)}
+        effects.append(LogEvent("job_refused", fields))
+        waiters = state.waiters_by_job.pop(job.id, ())
+        effects += [Reply(reply_to, refused) for reply_to in waiters]
+        state.forget_job(job.id)
+    return effects
+
+
 def _forget_servers(state: DispatcherState, now: Seconds) -> None:
     for server_id, server in list(state.servers_by_id.items()):
         silence = now - server.heard_at
@@ -399,6 +432,12 @@
             del state.servers_by_id[server_id]
 
 
+def _forget_foreign(state: DispatcherState, now: Seconds) -> None:
+    for task, listed_at in list(state.foreign_done.items()):
+        if now - listed_at > FORGET_FOREIGN:
+            del state.foreign_done[task]
+
+
 def _place_and_read(state: DispatcherState, now: Seconds) -> list[Effect]:
     return [*place(state, now), *_read_all(state, now)]
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -60,17 +60,22 @@
     )
 
 
+def check_takeover(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Allow starts once no run of an earlier leader can be in the way."""
+    if state.taken_over or not has_taken_over(state, now):
+        return []
+    state.taken_over = True
+    fields = {"term": state.term, "after": now - state.leading_since}
+    return [LogEvent("takeover_done", fields)]
+
+
 def place(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Start as many waiting tasks as there is room for."""
     if not has_authority(state, now) or not state.queue.waiting_by_id:
         return []
-    effects: list[Effect] = []
     if not state.taken_over:
-        if not has_taken_over(state, now):
-            return []
-        state.taken_over = True
-        fields = {"term": state.term, "after": now - state.leading_since}
-        effects.append(LogEvent("takeover_done", fields))
+        return []
+    effects: list[Effect] = []
     candidates_by_pool = _find_candidates(state, now)
     for waiting in state.queue.iterate(now):
         pool = _find_pool(state, waiting)
@@ -127,12 +132,7 @@
     job_id = waiting.job.id
     counts_by_step: dict[int, Counter[str]] = {}
     effects: list[Effect] = []
-    foreign = {
-        task for server in state.servers_by_id.values() for task, _ in server.foreign
-    }
     for number, step in list(waiting.tasks.items()):
-        if foreign and refer_to_task(waiting.job, number) in foreign:
-            continue
         counts = Counter()
         if step.max_per_server:
             counts = counts_by_step.setdefault(
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -49,6 +49,8 @@
 # row, gets no new ones for a while.
 AVOID_UNHEALTHY: Seconds = 1.0
 FAILURES_TO_AVOID = 3
+# Callers ask a new leader again within some tenths of a second.
+FOREIGN_WAIT: Seconds = 1.0
 AVOID_LONGEST: Seconds = 8.0
 # Share of a new observation in the learned speed; declared times are off by 40%.
 SPEED_LEARNING = 0.1
@@ -74,7 +76,8 @@
     server.acknowledged_sent = server.acknowledged
     # An unanswered renewal may arrive: where one was not answered no other is sent, so
     # that the lease certainly lapses if the backend server stays out of reach.
-    renews = server.clock_ahead is not None and has_runs and not server.silent
+    holds = has_runs or bool(server.foreign)
+    renews = server.clock_ahead is not None and holds and not server.silent
     waits = has_runs and not (is_first or server.unkept or server.silent)
     return [
         ReadRuns(
@@ -134,25 +137,56 @@
         if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
             run.phase, run.started_at = RunPhase.RUNNING, now
         return []
-    if number is None or not _is_wanted(state, record, server, key, listed.run):
-        is_new = (listed.task, listed.run) not in server.foreign
-        server.foreign.add((listed.task, listed.run))
-        if not is_new:
-            return []
-        stop = StopRun(
-            server.report.id,
-            server.report.address,
-            listed.task,
-            key[1],
-            listed.run,
-            state.term,
-        )
-        fields = {"job": key[0], "task": key[1], "run": listed.run}
-        fields |= {"server": server.report.id, "reason": "not_wanted"}
-        return [LogEvent("run_stopped", fields), stop]
+    if number is None:
+        return _take_foreign(state, server, listed, now)
+    if not _is_wanted(state, record, server, key, listed.run):
+        return _stop_unknown(state, server, listed, now)
+    return adopt_run(state, server, record, listed, sent_at, now)
+
+
+def _take_foreign(
+    state: DispatcherState, server: Server, listed: ListedRun, now: Seconds
+) -> list[Effect]:
+    """Keep a run of an unknown job for a while: its caller may ask again here."""
+    since = server.foreign.setdefault(listed, now)
+    if now - since < FOREIGN_WAIT:
+        return []
+    return _stop_unknown(state, server, listed, now)
+
+
+def _stop_unknown(
+    state: DispatcherState, server: Server, listed: ListedRun, now: Seconds
+) -> list[Effect]:
+    """Stop a run that is not wanted; it is in the way until it is no longer listed."""
+    server.foreign.setdefault(listed, now)
+    fields = {"job": listed.task.job_id, "task": listed.task.index, "run": listed.run}
+    fields |= {"server": server.report.id, "reason": "not_wanted"}
+    stop = StopRun(
+        server.report.id,
+        server.report.address,
+        listed.task,
+        listed.task.index,
+        listed.run,
+        state.term,
+    )
+    return [LogEvent("run_stopped", fields), stop]
+
+
+def adopt_run(
+    state: DispatcherState,
+    server: Server,
+    record: JobRecord,
+    listed: ListedRun,
+    sent_at: Seconds,
+    now: Seconds,
+) -> list[Effect]:
+    """Go on with a run that an earlier leader started."""
+    number = number_task(record.job, listed.task)
+    key = (record.job.id, number)
     step = record.job.steps[listed.task.step]
     run = Run(key[0], number, listed.run, step.needs, now, RunPhase.RUNNING)
     run.settled_at = sent_at
+    server.foreign.pop(listed, None)
     server.runs_by_task[key] = run
     state.occupied[key] = server.report.id
     state.started.add(key[0])
@@ -162,6 +196,25 @@
     return [LogEvent("run_adopted", {**fields, "server": server.report.id})]
 
 
+def adopt_foreign(
+    state: DispatcherState, record: JobRecord, now: Seconds
+) -> list[Effect]:
+    """Go on with what an earlier leader started of a job that is submitted again."""
+    effects: list[Effect] = []
+    job_id = record.job.id
+    for server in state.servers_by_id.values():
+        for listed in [run for run in server.foreign if run.task.job_id == job_id]:
+            number = number_task(record.job, listed.task)
+            if number is not None and (job_id, number) not in state.occupied:
+                effects += adopt_run(state, server, record, listed, now, now)
+    done = [task for task in state.foreign_done if task.job_id == job_id]
+    numbers = [number_task(record.job, task) for task in done]
+    ends = tuple(RunEnd(job_id, n, 0, False) for n in numbers if n is not None)
+    if job_table.record_ends(state.records_by_id, ends, now):
+        effects += take_record(state, state.records_by_id[job_id], now)
+    return effects
+
+
 def _is_wanted(
     state: DispatcherState,
     record: JobRecord,
@@ -187,7 +240,11 @@
     listed: answers overtake each other.
     """
     listed = {(run.task, run.run) for run in message.running}
-    server.foreign &= listed
+    server.foreign = {
+        run: since
+        for run, since in server.foreign.items()
+        if (run.task, run.run) in listed
+    }
     effects: list[Effect] = []
     for run in list(server.runs_by_task.values()):
         if run.phase is RunPhase.ENDED or run.settled_at is None:
@@ -274,6 +331,8 @@
     }
     log = LogEvent("run_ended", fields)
     if number is None:
+        if record is None and end.reason is EndReason.DONE:
+            state.foreign_done[end.task] = now
         return None, [log]
     key = (end.task.job_id, number)
     run = server.runs_by_task.get(key)
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -16,6 +16,9 @@
 # A leader answers within a few syncs of 9 ms; one that has not by then may be lost.
 LEADER_TIMEOUT: Seconds = 0.7
 LEADER_RETRY: Seconds = 0.03
+# A leader that is lost is replaced within this time, unless this instance is cut off
+# from the members or most of them are down. Then nothing is gained by waiting.
+TAKEOVER_TIME: Seconds = 2.0
 # What is left of the caller's time when it gets its last answer.
 ANSWER_MARGIN: Seconds = 0.05
 
@@ -34,6 +37,8 @@
         For logs and metrics.
     deadline
         Unix time until which the caller waits.
+    useful_until
+        Unix time after which a job that was not started is of no use to its caller.
     attempts
         Times that a leader was asked.
     """
@@ -45,6 +50,7 @@
     class_name: str
     received_at: Seconds
     deadline: Seconds
+    useful_until: Seconds
     attempts: int = 0
 
 
@@ -89,7 +95,10 @@
     handed_over = False
     while (left := exchange.deadline - ANSWER_MARGIN - read_clock()) > 0:
         found = await runtime.ask(runtime.local("directory"), FindLeader(), left)
-        if found.leader is not None:
+        if found.leader is None:
+            if read_clock() >= exchange.useful_until or found.lost_for > TAKEOVER_TIME:
+                break
+        else:
             exchange.attempts += 1
             to = Address(found.leader, "dispatcher")
             try:
--- a/boragetide/messages/__init__.py
+++ b/boragetide/messages/__init__.py
@@ -60,6 +60,7 @@
     RequestCatchUp,
     RequestConfiguration,
     RequestVote,
+    StandForElection,
     VoteReply,
 )
 from boragetide.messages.durable import (
@@ -192,6 +193,7 @@
     "SaveClaims",
     "SavedClaims",
     "ServerReported",
+    "StandForElection",
     "StopRequested",
     "SubmitDurableJob",
     "SubmitJob",
--- a/boragetide/messages/configuration.py
+++ b/boragetide/messages/configuration.py
@@ -96,7 +96,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestVote:
-    """Asks a member for its vote; a pre-vote binds nobody."""
+    """Asks a member for its vote; a pre-vote binds nobody.
+
+    ``waits`` is for how long the candidate has been waiting for a sign of the member.
+    """
 
     term: int
     candidate: InstanceId
@@ -104,6 +107,15 @@
     last_term: int
     preliminary: bool
     incarnation: int
+    waits: Seconds = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class StandForElection:
+    """A leader that stops asks the receiver to take its place in the next term."""
+
+    term: int
+    leader: InstanceId
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +148,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendEntries:
-    """The leader's log after ``previous_index``, which must match; also a heartbeat."""
+    """The leader's log after ``previous_index``, which must match; also a heartbeat.
+
+    ``waits`` is for how long the leader has been waiting for a sign of the member.
+    """
 
     term: int
     leader: InstanceId
@@ -145,6 +160,7 @@
     entries: tuple[LogEntry, ...]
     commit: int
     sent_at: Seconds = 0.0
+    waits: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -223,10 +223,13 @@
     ----------
     version
         Version of the configuration that the sender has, or -1.
+    waits
+        For how long the sender has been waiting for an answer.
     """
 
     sender: InstanceId
     version: int
+    waits: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,11 +262,20 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderFound:
-    """The leader, if one was heard lately, and the configuration in force here."""
+    """The leader, if one was heard lately, and the configuration in force here.
+
+    Parameters
+    ----------
+    ready
+        Whether requests can be served.
+    lost_for
+        Seconds since the leader was last heard.
+    """
 
     leader: InstanceId | None
     configuration: Configuration | None
     ready: bool
+    lost_for: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/elections.py
+++ b/boragetide/policy/elections.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from boragetide.effects import Effect, Persist, Send
-from boragetide.messages import RequestVote, VoteReply
+from boragetide.messages import RequestVote, StandForElection, VoteReply
 from boragetide.policy.replica import (
     ELECTION_MIN,
     FIRST_ELECTION_MAX,
@@ -44,17 +44,18 @@
         term = replica.ballot.term + 1
         replica.ballot = replace(replica.ballot, term=term, voted_for=replica.id)
         effects.append(Persist((replica.ballot,)))
-    request = RequestVote(
-        term=replica.ballot.term + preliminary,
-        candidate=replica.id,
-        last_index=replica.last_index,
-        last_term=replica.last_term,
-        preliminary=preliminary,
-        incarnation=replica.incarnation,
-    )
-    effects += [
-        Send(Address(member, "configuration"), request) for member in replica.others
-    ]
+    for member in replica.others:
+        request = RequestVote(
+            term=replica.ballot.term + preliminary,
+            candidate=replica.id,
+            last_index=replica.last_index,
+            last_term=replica.last_term,
+            preliminary=preliminary,
+            incarnation=replica.incarnation,
+            waits=replica.links.note_sent(member, now),
+        )
+        effects += replica.links.check(member, now)
+        effects.append(Send(Address(member, "configuration"), request))
     return effects + _count_votes(replica, now)
 
 
@@ -66,8 +67,21 @@
     return become_leader(replica, now)
 
 
+@step.register
+def _(message: StandForElection, replica: Replica, now: Seconds) -> list[Effect]:
+    """Stand at once: the leader that asks for it gives way."""
+    if replica.role is not Role.FOLLOWER or message.term != replica.ballot.term:
+        return []
+    return _stand(replica, now, preliminary=False)
+
+
 @step.register
 def _(message: RequestVote, replica: Replica, now: Seconds) -> list[Effect]:
+    links = replica.links.check(message.candidate, now, message.waits)
+    return links + _vote(message, replica, now)
+
+
+def _vote(message: RequestVote, replica: Replica, now: Seconds) -> list[Effect]:
     if message.preliminary:
         led = replica.role is Role.LEADER or (
             now - replica.leader_heard_at < ELECTION_MIN
@@ -115,6 +129,7 @@
 
 @step.register
 def _(message: VoteReply, replica: Replica, now: Seconds) -> list[Effect]:
+    replica.links.note_heard(message.voter)
     merge_fences(replica, message.fences_by_id)
     if message.term > replica.ballot.term:
         return adopt_term(replica, message.term)
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -79,6 +79,11 @@
                 if waiting is not None:
                     yield waiting
 
+    def list_expired(self, now: Seconds) -> list[WaitingJob]:
+        """Return the jobs that are of no use any more; they stay in the queue."""
+        self._sort(now)
+        return [self.waiting_by_id[job_id] for _, job_id in self.expired]
+
     def _sort(self, now: Seconds) -> None:
         while self.in_time and self.in_time[0][0] < now:
             self.late.add(self.in_time.pop(0))
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -12,12 +12,13 @@
     LeadershipGained,
     LeadershipLost,
 )
+from boragetide.policy.link_health import LinkHealth
 from boragetide.policy.replica import Applied, Replica, Role
 from boragetide.settings import Settings
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
 # The dispatcher is told of its authority at most this often; a fifth of `AUTHORITY`.
-AUTHORITY_STEP = 0.15  # seconds
+AUTHORITY_STEP = 0.1  # seconds
 # An instance without a log that has not asked for this long gets no more notices.
 FOLLOWER_SILENCE = 3.0  # seconds
 
@@ -34,12 +35,15 @@
         Its authority as the dispatcher knows it.
     followers_by_id
         Instances without a log: when each last asked, and the version it has.
+    links
+        Links to these.
     """
 
     settings: Settings
     announced_term: int = 0
     announced_until: Seconds = 0.0
     followers_by_id: dict[InstanceId, tuple[Seconds, int]] = field(default_factory=dict)
+    links: LinkHealth = field(default_factory=LinkHealth)
 
 
 def announce(
--- a/boragetide/policy/proposals.py
+++ b/boragetide/policy/proposals.py
@@ -10,7 +10,7 @@
 from boragetide.settings import Settings
 from boragetide.types import Address, ReplyTo, Seconds
 
-PROPOSAL_TIMEOUT = 5.0  # seconds; a lost leader is replaced within 2 to 3 s
+PROPOSAL_TIMEOUT = 5.0  # seconds; a lost leader is replaced within 1 to 2 s
 RESEND_INTERVAL = 0.3  # seconds
 
 
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -22,12 +22,13 @@
 from boragetide.effects import Effect, Persist, SaveSnapshot
 from boragetide.messages import CatchUpState
 from boragetide.policy.catalogue import apply_entry, copy_catalogue
+from boragetide.policy.link_health import LinkHealth
 from boragetide.settings import Settings
 from boragetide.types import Configuration, InstanceId, JobId, Seconds
 
 # A leader counts as lost after at least this silence; twice its longest heartbeat gap.
-ELECTION_MIN = 1.0  # seconds
-ELECTION_MAX = 2.0  # seconds
+ELECTION_MIN = 0.6  # seconds
+ELECTION_MAX = 1.0  # seconds
 # After a start no leader is known, and pre-votes protect one that exists.
 FIRST_ELECTION_MIN = 0.1  # seconds
 FIRST_ELECTION_MAX = 0.6  # seconds
@@ -38,7 +39,7 @@
 # How long after the sending of an append that a majority answered no other instance can
 # lead. Members grant no pre-vote for `ELECTION_MIN`; the rest allows for a clock that
 # runs slow and for a vote that was under way.
-AUTHORITY = 0.8  # seconds
+AUTHORITY = 0.5  # seconds
 
 
 class Role(StrEnum):
@@ -93,6 +94,8 @@
         State of a leader: the other members, and who waits for which command.
     catch_up_by_id, started_at, next_request
         State of a blank member: the newest answer of each other member.
+    links
+        Which members answer.
     """
 
     settings: Settings
@@ -117,6 +120,7 @@
     catch_up_by_id: dict[InstanceId, CatchUpState] = field(default_factory=dict)
     started_at: Seconds | None = None
     next_request: Seconds = 0.0
+    links: LinkHealth = field(default_factory=LinkHealth)
     jitter: random.Random = field(default_factory=random.Random)
 
     @property
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -6,7 +6,12 @@
 
 from boragetide.commands import CommitIndex, LogEntry, Proposal
 from boragetide.effects import Effect, LogEvent, Persist, SaveSnapshot, Send
-from boragetide.messages import AppendEntries, AppendReply, InstallSnapshot
+from boragetide.messages import (
+    AppendEntries,
+    AppendReply,
+    InstallSnapshot,
+    StandForElection,
+)
 from boragetide.policy.catalogue import copy_catalogue
 from boragetide.policy.replica import (
     ELECTION_MAX,
@@ -25,7 +30,7 @@
 )
 from boragetide.types import Address, InstanceId, Seconds
 
-LEADER_HEARTBEAT = 0.4  # seconds
+LEADER_HEARTBEAT = 0.2  # seconds
 LEADER_HEARTBEAT_JITTER = 0.1  # share of the heartbeat interval
 BATCH_ENTRIES = 64  # log entries in one message
 
@@ -73,7 +78,26 @@
         follow(replica, None)
         schedule_election(replica, now)
         return [LogEvent("leader_stepped_down", {"term": replica.ballot.term})]
-    return _send_all(replica, now) if now >= replica.next_heartbeat else []
+    if now < replica.next_heartbeat:
+        return []
+    effects: list[Effect] = []
+    for member in replica.progress_by_id:
+        effects += replica.links.check(member, now)
+    return effects + _send_all(replica, now)
+
+
+def hand_over(replica: Replica) -> list[Effect]:
+    """Ask the member that has most of the log to lead, because this one stops."""
+    if replica.role is not Role.LEADER or not replica.progress_by_id:
+        return []
+    progress = replica.progress_by_id
+    successor = max(progress, key=lambda member: progress[member].match_index)
+    message = StandForElection(replica.ballot.term, replica.id)
+    fields = {"term": replica.ballot.term, "successor": successor}
+    return [
+        LogEvent("leadership_handed_over", fields),
+        Send(Address(successor, "configuration"), message),
+    ]
 
 
 def _send_all(replica: Replica, now: Seconds) -> list[Effect]:
@@ -107,6 +131,7 @@
         entries=entries,
         commit=replica.commit,
         sent_at=now,
+        waits=replica.links.note_sent(member, now),
     )
     return Send(to, message)
 
@@ -125,6 +150,7 @@
 
 @step.register
 def _(message: AppendReply, replica: Replica, now: Seconds) -> list[Effect]:
+    replica.links.note_heard(message.member)
     merge_fences(replica, message.fences_by_id)
     if message.term > replica.ballot.term:
         return adopt_term(replica, message.term)
@@ -155,6 +181,7 @@
     if message.term < replica.ballot.term:
         return [_make_reply(replica, message, matched=False, index=0)]
     effects = _follow_leader(replica, message.leader, message.term, now)
+    effects += replica.links.check(message.leader, now, message.waits)
     previous = message.previous_index
     if previous > replica.last_index:
         index = replica.last_index
@@ -222,6 +249,7 @@
     if replica.role is not Role.FOLLOWER or replica.leader != leader:
         follow(replica, leader)
     replica.leader_heard_at = now
+    replica.links.note_heard(leader)
     schedule_election(replica, now)
     return effects
 
