Trust a refusal only of the leader that alone had the job

A request was handed to one leader, which started a task; after the change of the leader the next one, which did not know the job, refused it as too late, and the edge answered 503.

Change: replies name the term; the edge answers 504 where a leader of another term may have started the job. test_durable_chain.py plays the changes of leaders.

--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -121,7 +121,11 @@
     is_led = state.leader is not None and lost_for < LEADER_SILENCE
     ready = is_led and state.configuration is not None
     found = LeaderFound(
-        state.leader if is_led else None, state.configuration, ready, lost_for
+        state.leader if is_led else None,
+        state.configuration,
+        ready,
+        lost_for,
+        state.term,
     )
     return [Reply(message.reply_to, found)]
 
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -99,7 +99,7 @@
         reason = "no backend server is large enough for one of its tasks"
         fields = {"job": job.id, "class": job.class_name, "reason": reason}
         # Nothing larger joins soon: a caller need not come back before it is told.
-        refused = _reply(message, ReplyStatus.REFUSED, reason=reason)
+        refused = _reply(message, ReplyStatus.REFUSED, reason=reason, term=state.term)
         return [LogEvent("job_refused", fields), refused]
     if job.best_effort:
         return _accept_best_effort(message, state, now)
@@ -413,7 +413,10 @@
             continue
         reason = "it cannot be served in time"
         refused = DispatcherReply(
-            ReplyStatus.REFUSED, reason=reason, retry_after=RETRY_AFTER
+            ReplyStatus.REFUSED,
+            reason=reason,
+            retry_after=RETRY_AFTER,
+            term=state.term,
         )
         fields = {"job": job.id, "class": job.class_name, "reason": reason}
         fields |= {"age": now - job.submitted_at, "waiting": len(state.queue.late)}
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -92,7 +92,7 @@
         ``NOT_RUN`` where no leader was ever handed the request, else ``UNKNOWN``.
     """
     runtime = exchange.runtime
-    handed_over = False
+    handed_to: set[int] = set()
     while (left := exchange.deadline - ANSWER_MARGIN - read_clock()) > 0:
         found = await runtime.ask(runtime.local("directory"), FindLeader(), left)
         if found.leader is None:
@@ -107,16 +107,27 @@
             except PeerUnreachable:
                 pass
             except ReplyTimeout:
-                handed_over = True
+                handed_to.add(found.term)
             else:
                 if reply.status is ReplyStatus.UNDECIDED:
-                    handed_over = True
+                    handed_to.add(found.term)
                 elif reply.status is not ReplyStatus.NOT_LEADER:
-                    return reply
+                    return _check_refusal(reply, handed_to)
         await asyncio.sleep(LEADER_RETRY)
-    if handed_over:
+    if handed_to:
         raise RequestError(Status.UNKNOWN, 504, "no leader answered in time")
     raise RequestError(Status.NOT_RUN, 503, "no leader is known")
 
 
+def _check_refusal(reply: DispatcherReply, handed_to: set[int]) -> DispatcherReply:
+    """Return an answer, unless it is a refusal that an earlier leader may belie.
+
+    The leader of one term knows whether it has started a job. It does not know what the
+    leader of another term has done.
+    """
+    if reply.status is ReplyStatus.REFUSED and handed_to - {reply.term}:
+        raise RequestError(Status.UNKNOWN, 504, reply.reason)
+    return reply
+
+
 DURABLE_CHAIN = build_chain(observe, ask_leader)
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -43,6 +43,8 @@
         Why the job was refused.
     retry_after
         Seconds after which a refused job may be tried again.
+    term
+        Term of the leader that answers.
     """
 
     status: ReplyStatus
@@ -50,6 +52,7 @@
     count: int = 0
     reason: str = ""
     retry_after: Seconds = 0.0
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -270,12 +273,15 @@
         Whether requests can be served.
     lost_for
         Seconds since the leader was last heard.
+    term
+        Term of the leader.
     """
 
     leader: InstanceId | None
     configuration: Configuration | None
     ready: bool
     lost_for: Seconds = 0.0
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/boragetide/tests/test_durable_chain.py
@@ -0,0 +1,110 @@
+"""What a caller is told while leaders change."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from boragetide.daemon.clock import read_clock
+from boragetide.daemon.metrics import Metrics
+from boragetide.errors import PeerUnreachable, ReplyTimeout, RequestError
+from boragetide.filters.durable import DURABLE_CHAIN, DurableExchange
+from boragetide.messages import (
+    DispatcherReply,
+    FindLeader,
+    LeaderFound,
+    LookUpDurableJob,
+    ReplyStatus,
+)
+from boragetide.types import Address, Status
+
+PATIENCE = 0.5  # seconds
+ACCEPTED = DispatcherReply(ReplyStatus.ACCEPTED)
+NOT_LEADER = DispatcherReply(ReplyStatus.NOT_LEADER)
+UNDECIDED = DispatcherReply(ReplyStatus.UNDECIDED)
+LOST = LeaderFound(None, None, False, lost_for=0.5)
+UNREACHABLE = PeerUnreachable("not sent")
+TIMEOUT = ReplyTimeout("no reply")
+
+
+def refuse(term: int) -> DispatcherReply:
+    return DispatcherReply(ReplyStatus.REFUSED, reason="too late", term=term)
+
+
+class ScriptedRuntime:
+    """Answers the chain from a script: terms of the leaders, and their replies."""
+
+    def __init__(self, *steps: tuple[int, Any]):
+        self.steps = list(steps)
+        self.metrics = Metrics()
+        self.term = 0
+
+    def local(self, controller: str) -> Address:
+        """Address of a controller of this instance."""
+        return Address("e1", controller)
+
+    async def ask(self, to: Address, message: Any, timeout: float) -> Any:
+        """Name the leader of the next step, or give its reply."""
+        if isinstance(message, FindLeader):
+            if not self.steps:
+                return LOST
+            return LeaderFound("a1", None, True, term=self.steps[0][0])
+        _, reply = self.steps.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+def ask(*steps: tuple[int, Any]) -> DispatcherReply:
+    now = read_clock()
+    exchange = DurableExchange(
+        runtime=ScriptedRuntime(*steps),
+        message=LookUpDurableJob(id="j1"),
+        name="submit",
+        job_id="j1",
+        class_name="c",
+        received_at=now,
+        deadline=now + PATIENCE,
+        useful_until=now + PATIENCE / 2,
+    )
+    return asyncio.run(DURABLE_CHAIN(exchange))
+
+
+@pytest.mark.parametrize("first", [UNREACHABLE, TIMEOUT, NOT_LEADER, UNDECIDED])
+def test_next_leader_is_asked(first: Any) -> None:
+    """Guards against a caller that sees the change of the leader."""
+    assert ask((1, first), (2, ACCEPTED)) is ACCEPTED
+
+
+@pytest.mark.parametrize("first", [TIMEOUT, UNDECIDED])
+def test_refusal_does_not_speak_for_an_earlier_leader(first: Any) -> None:
+    """Guards against a refusal of a job of which an earlier leader ran a task."""
+    with pytest.raises(RequestError) as caught:
+        ask((1, first), (2, refuse(2)))
+    assert (caught.value.status, caught.value.http_status) == (Status.UNKNOWN, 504)
+
+
+@pytest.mark.parametrize("first", [UNREACHABLE, NOT_LEADER])
+def test_refusal_stands_where_no_other_leader_had_the_job(first: Any) -> None:
+    """Guards against a refusal that is hidden from its caller."""
+    assert ask((1, first), (2, refuse(2))).status is ReplyStatus.REFUSED
+
+
+def test_refusal_of_the_same_leader_stands_after_a_lost_reply() -> None:
+    """Guards against jobs that are sent again although they were refused."""
+    assert ask((2, TIMEOUT), (2, refuse(2))).status is ReplyStatus.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("first", "status"),
+    [(UNREACHABLE, Status.NOT_RUN), (TIMEOUT, Status.UNKNOWN)],
+)
+def test_end_without_a_leader_tells_whether_the_job_may_have_run(
+    first: Any, status: Status
+) -> None:
+    """Guards against a false refusal, and against a doubt where there is none."""
+    with pytest.raises(RequestError) as caught:
+        ask((1, first))
+    assert caught.value.status is status
