Draw tuples of fixed length in the codec's property test

Cause: test_codec drew an integer for a field of type tuple[tuple[int, int], ...], which no message had before the failed attempts of a job; shrinking the failure took minutes.

Conclusion: the test covers the new messages.

--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -63,6 +63,8 @@
         return st.integers(-(2**62), 2**62)
     if origin is tuple and arguments[-1] is ...:
         return st.lists(_build_field(arguments[0]), max_size=3).map(tuple)
+    if origin is tuple:
+        return st.tuples(*map(_build_field, arguments))
     if origin is list:
         return st.lists(_build_field(arguments[0]), max_size=3)
     if origin is dict:
