Leave slow, failing and hung backend servers alone sooner

Cause: a failed task was placed on the same backend server again, which had room and was rated fastest; a task that stands still held its job until the caller left; a backend server that turned slow was learned with a tenth of each observation.

Change: a failure pauses its backend server for 0.25 s, four times longer with each in a row; runs that take over 3 times as long as expected plus 0.3 s are stopped and started elsewhere; slow-downs are learned faster; a backend server that makes a job late is left out while the job can be in time.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -29,6 +29,7 @@
     free_run,
     note_kept,
     read_runs,
+    stop_overdue,
     take_failed_read,
     take_order,
     take_record,
@@ -400,6 +401,7 @@
         return effects
     effects += check_takeover(state, now)
     effects += free_lapsed(state, now)
+    effects += stop_overdue(state, now)
     effects += _refuse_expired(state, now)
     return [*effects, *_place_and_read(state, now)]
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -132,13 +132,14 @@
     job_id = waiting.job.id
     counts_by_step: dict[int, Counter[str]] = {}
     effects: list[Effect] = []
+    slack = waiting.latest_start - now if now < waiting.latest_start else None
     for number, step in list(waiting.tasks.items()):
         counts = Counter()
         if step.max_per_server:
             counts = counts_by_step.setdefault(
                 id(step), _count_on_servers(state, waiting, step)
             )
-        chosen = choose_server(step, candidates, counts)
+        chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
             continue
         counts[chosen.id] += 1
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -45,15 +45,24 @@
 # A lease is renewed although ends wait to be kept when less than this is left of it.
 RENEW_BEFORE: Seconds = 0.5
 READ_RETRY: Seconds = 0.1
-# A backend server that refuses because it is unhealthy, or fails this many runs in a
-# row, gets no new ones for a while.
+# A backend server that refuses because it is unhealthy, or stops answering for a run,
+# gets no new ones for a while.
 AVOID_UNHEALTHY: Seconds = 1.0
-FAILURES_TO_AVOID = 3
+# So does one that failed a run, longer with each failure in a row: the next attempt
+# goes elsewhere. One run in 500 fails by itself, so that the first pause is short.
+AVOID_FAILED: Seconds = 0.25
 # Callers ask a new leader again within some tenths of a second.
 FOREIGN_WAIT: Seconds = 1.0
 AVOID_LONGEST: Seconds = 8.0
-# Share of a new observation in the learned speed; declared times are off by 40%.
+# Share of a new observation in the learned speed; declared times are off by 40%. A run
+# that took more than twice as long as expected shows more than that.
 SPEED_LEARNING = 0.1
+SLOWDOWN_LEARNING = 0.4
+# A declared time that is 40% too short on a backend server that is as slow as learned
+# takes 1.7 times as long as expected.
+OVERDUE_FACTOR = 3.0
+OVERDUE_MARGIN: Seconds = 0.3
+AVOID_OVERDUE: Seconds = 2.0
 SPEED_MIN, SPEED_MAX = 0.05, 10.0
 
 
@@ -400,18 +409,18 @@
 
 def _learn(server: Server, run: Run, failed: bool, now: Seconds) -> None:
     if failed:
+        pause = min(AVOID_LONGEST, AVOID_FAILED * 4**server.failures_in_row)
         server.failures_in_row += 1
-        excess = server.failures_in_row - FAILURES_TO_AVOID
-        if excess >= 0:
-            pause = min(AVOID_LONGEST, AVOID_UNHEALTHY * 2**excess)
-            server.avoided_until = now + pause
+        server.avoided_until = now + pause
         return
     server.failures_in_row = 0
     if run.started_at is None or not run.estimate:
         return
     observed = run.estimate / max(now - run.started_at, 0.001)
     observed = min(SPEED_MAX, max(SPEED_MIN, observed))
-    server.speed += SPEED_LEARNING * (observed - server.speed)
+    slowed = observed < server.speed / 2
+    learning = SLOWDOWN_LEARNING if slowed else SPEED_LEARNING
+    server.speed += learning * (observed - server.speed)
 
 
 def _advance_acknowledged(server: Server) -> None:
@@ -577,6 +586,28 @@
     return [LogEvent("backend_server_silent", fields)]
 
 
+def stop_overdue(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Stop runs that take far longer than expected; their tasks start elsewhere."""
+    effects: list[Effect] = []
+    for server in state.servers_by_id.values():
+        overdue = [
+            run for run in server.runs_by_task.values() if _is_overdue(server, run, now)
+        ]
+        if overdue:
+            server.avoided_until = now + AVOID_OVERDUE
+            server.speed = max(SPEED_MIN, server.speed / 2)
+        for run in overdue:
+            effects += stop_run(state, server, run, "overdue")
+    return effects
+
+
+def _is_overdue(server: Server, run: Run, now: Seconds) -> bool:
+    if run.phase is not RunPhase.RUNNING or run.started_at is None:
+        return False
+    expected = run.estimate / server.speed
+    return now - run.started_at > OVERDUE_FACTOR * expected + OVERDUE_MARGIN
+
+
 def free_lapsed(state: DispatcherState, now: Seconds) -> list[Effect]:
     """End the runs of backend servers that were not reached until all leases lapsed."""
     effects: list[Effect] = []
--- a/boragetide/policy/scheduling.py
+++ b/boragetide/policy/scheduling.py
@@ -93,6 +93,7 @@
     step: Step,
     candidates: Iterable[Candidate],
     counts_by_id: dict[BackendServerId, int],
+    slack: Seconds | None = None,
 ) -> Candidate | None:
     """Return the backend server for one task of a step.
 
@@ -103,11 +104,17 @@
     ----------
     counts_by_id
         Tasks of this step that run on each backend server.
+    slack
+        Seconds that the task may take longer than at speed 1 for its job to be in time;
+        a backend server that needs more is left out. ``None`` where it is late anyway.
     """
     best, best_key = None, None
     for candidate in candidates:
         if not step.needs.fits_in(candidate.room):
             continue
+        extra = step.estimate / candidate.speed - step.estimate
+        if slack is not None and extra > slack:
+            continue
         if step.required_label and step.required_label not in candidate.labels:
             continue
         if 0 < step.max_per_server <= counts_by_id.get(candidate.id, 0):
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -94,3 +94,11 @@
     queue.put(job, {})
     assert list(queue.iterate(BEGIN)) == []
     assert (list(queue.in_time), queue.waiting_by_id) == ([], {})
+
+
+def test_server_that_makes_the_job_late_is_left_out_while_it_can_be_in_time() -> None:
+    """Guards against urgent tasks on a backend server that turned slow."""
+    slow = make_candidate("s1", 64_000, 0.15)
+    assert choose_server(STEP, [slow], {}, slack=0.2) is None
+    assert choose_server(STEP, [slow], {}, slack=None) is slow
+    assert choose_server(STEP, [slow], {}, slack=1.2) is slow
