Bound the log, and serve counters and histograms on the metrics address

Cause: a reader of standard output that stops would have blocked a process in a write, and the dispatcher had log lines but no metrics.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -36,7 +36,7 @@
     take_runs,
 )
 from boragetide.durable import JobPhase, JobRecord, ServerReport
-from boragetide.effects import Effect, LogEvent, Reply, Send
+from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
     AuthorityExtended,
     CancelDurableJob,
@@ -101,7 +101,8 @@
         fields = {"job": job.id, "class": job.class_name, "reason": reason}
         # Nothing larger joins soon: a caller need not come back before it is told.
         refused = _reply(message, ReplyStatus.REFUSED, reason=reason, term=state.term)
-        return [LogEvent("job_refused", fields), refused]
+        count = Count("durable_jobs_refused")
+        return [LogEvent("job_refused", fields), count, refused]
     if job.best_effort:
         return _accept_best_effort(message, state, now)
     append = append_command(state, AcceptJob(job))
@@ -422,7 +423,7 @@
         )
         fields = {"job": job.id, "class": job.class_name, "reason": reason}
         fields |= {"age": now - job.submitted_at, "waiting": len(state.queue.late)}
-        effects.append(LogEvent("job_refused", fields))
+        effects += [LogEvent("job_refused", fields), Count("durable_jobs_refused")]
         waiters = state.waiters_by_job.pop(job.id, ())
         effects += [Reply(reply_to, refused) for reply_to in waiters]
         state.forget_job(job.id)
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -15,7 +15,7 @@
     next_run,
 )
 from boragetide.durable import JobPhase, Step, refer_to_task
-from boragetide.effects import Effect, LogEvent, StartRun
+from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
 from boragetide.policy.job_queue import WaitingJob
 from boragetide.policy.replica import AUTHORITY
 from boragetide.policy.scheduling import Candidate, choose_server, find_ready_tasks
@@ -202,7 +202,8 @@
         "room_left": chosen.room.millicores,
         "heard_ago": now - server.heard_at,
     }
-    return [LogEvent("run_ordered", fields), start]
+    wait = Observe("run_wait_seconds", now - job.submitted_at)
+    return [LogEvent("run_ordered", fields), Count("runs_ordered"), wait, start]
 
 
 def extend_lease(server: Server, now: Seconds) -> Seconds:
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from boragetide.commands import JobCommand, RecordEnds
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
@@ -26,7 +28,16 @@
     number_task,
     refer_to_task,
 )
-from boragetide.effects import Effect, LogEvent, ReadRuns, Reply, Send, StopRun
+from boragetide.effects import (
+    Count,
+    Effect,
+    LogEvent,
+    Observe,
+    ReadRuns,
+    Reply,
+    Send,
+    StopRun,
+)
 from boragetide.messages import (
     AppendCommands,
     DispatcherReply,
@@ -291,15 +302,18 @@
     effects: list[Effect] = []
     to_keep: list[RunEnd] = []
     numbers: list[int] = []
-    for end in sorted(ended, key=lambda end: end.number):
-        if end.number <= server.listed:
-            continue
+    new = [end for end in ended if end.number > server.listed]
+    for end in sorted(new, key=lambda end: end.number):
         server.listed = end.number
         kept, more = _take_end(state, server, end, now)
         effects += more
         if kept is not None:
             to_keep.append(kept)
             numbers.append(end.number)
+    effects += [
+        Count("runs_ended", {"how": reason.value}, count)
+        for reason, count in Counter(end.reason for end in new).items()
+    ]
     server.unkept.update(numbers)
     _advance_acknowledged(server)
     if not to_keep:
@@ -461,8 +475,10 @@
     if record.phase is JobPhase.ACTIVE:
         return [LogEvent("job_accepted", fields)] if is_new else []
     ended = DispatcherReply(ReplyStatus.ACCEPTED, state=record.phase.value)
+    age = now - record.job.submitted_at
     return [
         LogEvent("job_ended", fields),
+        Observe("durable_job_seconds", age, {"phase": record.phase.value}),
         *(Reply(to, ended) for to in state.waiters_by_job.pop(job_id, ())),
         *_stop_runs(state, job_id),
     ]
--- a/boragetide/daemon/logs.py
+++ b/boragetide/daemon/logs.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import atexit
+import contextlib
 import json
 import logging
+import os
 import re
 import sys
 import time
@@ -24,16 +26,24 @@
 _PLAIN = re.compile(r"[!#-<>-~]+")
 _ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
 _LOGGER = eliot.Logger()
+# About 1,500 lines: what a busy leader writes in a second or two.
+BACKLOG_BYTES = 256 * 1024
 # Formatting the seconds anew for each line took a third of the time of a line.
 _TIMES_KEPT = 4
 
 
 @dataclass(slots=True)
 class _Writer:
-    """Collects the lines of one turn of the event loop and writes them at once."""
+    """Collects the lines of one turn of the event loop and writes them at once.
+
+    Never waits for the reader of the stream: what does not fit into its pipe is kept,
+    up to `BACKLOG_BYTES`, and further lines are dropped and counted.
+    """
 
     stream: TextIO
     lines: list[str] = field(default_factory=list)
+    backlog: bytes = b""
+    dropped: int = 0
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Take one eliot message; without an event loop it is written at once."""
@@ -46,11 +56,36 @@
             self.flush()
 
     def flush(self) -> None:
-        """Write the collected lines."""
-        if self.lines:
-            self.stream.write("\n".join(self.lines) + "\n")
+        """Write the collected lines as far as the stream takes them."""
+        if len(self.backlog) > BACKLOG_BYTES:
+            self.dropped += len(self.lines)
             self.lines.clear()
+        elif self.lines:
+            if self.dropped:
+                self.lines.append(_describe_dropped(self.dropped))
+                self.dropped = 0
+            self.backlog += ("\n".join(self.lines) + "\n").encode()
+            self.lines.clear()
+        if self.backlog:
+            self._write()
+
+    def _write(self) -> None:
+        try:
+            written = os.write(self.stream.fileno(), self.backlog)
+        except BlockingIOError:
+            return
+        except (OSError, ValueError):
+            # A stream without a descriptor, such as one that a test captures.
+            self.stream.write(self.backlog.decode())
             self.stream.flush()
+            written = len(self.backlog)
+        self.backlog = self.backlog[written:]
+
+
+def _describe_dropped(count: int) -> str:
+    return format_event(
+        {"timestamp": time.time(), "message_type": "log_lines_dropped", "count": count}
+    )
 
 
 class _EventHandler(logging.Handler):
@@ -77,6 +112,8 @@
     """
     eliot.add_global_fields(instance=instance)
     writer = _Writer(stream)
+    with contextlib.suppress(OSError, ValueError):
+        os.set_blocking(stream.fileno(), False)
     eliot.add_destinations(writer)
     atexit.register(writer.flush)
     logging.captureWarnings(True)
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -26,6 +26,11 @@
     "retries": "Tasks that were sent again, by class and outcome.",
     "tasks": "Ended tasks by class and outcome.",
     "mailbox_messages": "Messages that wait for a controller.",
+    "durable_job_seconds": "Time from submission to the end, by phase.",
+    "durable_jobs_refused": "Refused durable jobs.",
+    "run_wait_seconds": "Time from the submission of a job to the start of a task.",
+    "runs_ended": "Ended runs of durable tasks, by how they ended.",
+    "runs_ordered": "Runs of durable tasks that were ordered.",
     "link_messages": "Messages that wait to be sent to an instance.",
     "link_bytes_received": "Bytes from other instances.",
     "link_bytes_sent": "Bytes to other instances.",
@@ -50,6 +55,7 @@
         self._totals_by_name: dict[str, dict[_Series, float]] = {}
         self._counters_by_name: dict[str, Counter] = {}
         self._gauges_by_name: dict[str, Gauge] = {}
+        self._histograms_by_name: dict[str, Histogram] = {}
         self._response_seconds = Histogram(
             "boragetide_response_seconds",
             "Response time of submissions by class and status.",
@@ -73,6 +79,18 @@
             )
         gauge.set(_escape(labels), value)
 
+    def observe(self, name: str, labels: dict[str, str], seconds: float) -> None:
+        """Add a duration to a histogram, made on first use."""
+        histogram = self._histograms_by_name.get(name)
+        if histogram is None:
+            histogram = self._histograms_by_name[name] = Histogram(
+                f"boragetide_{name}",
+                _describe(name),
+                registry=self._registry,
+                buckets=RESPONSE_BUCKETS,
+            )
+        histogram.observe(_escape(labels), seconds)
+
     def observe_response(self, class_name: str, status: str, seconds: float) -> None:
         """Record the response time of one submission."""
         self._response_seconds.observe({"class": class_name, "status": status}, seconds)
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -155,6 +155,11 @@
     log_event(effect.event, **effect.fields)
 
 
+@perform.register
+def _(effect: effects.Observe, performer: Performer, controller: str) -> None:
+    performer.runtime.metrics.observe(effect.metric, effect.labels, effect.seconds)
+
+
 @perform.register
 def _(effect: effects.Count, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count(effect.metric, effect.labels, effect.value)
--- a/boragetide/effects.py
+++ b/boragetide/effects.py
@@ -148,6 +148,15 @@
     fields: dict[str, Any] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Observe:
+    """Adds a duration in seconds to a histogram."""
+
+    metric: str
+    seconds: Seconds
+    labels: dict[str, str] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class Count:
     """Adds to a counter metric."""
@@ -171,4 +180,5 @@
     | AbandonRequests
     | LogEvent
     | Count
+    | Observe
 )
