Parse submissions at the border, so that the chain knows no front end

Cause: filters/ imported the border models of api/; the platform is a second front end. ReadinessHandler asked three controllers in turn.

Change: SubmissionHandler validates the body; filters get a Submission. admit has the bound on the number of tasks. The readiness questions are asked together.

--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -121,9 +121,11 @@
         has lost another member may need the whole resubmission window.
         """
         runtime = self.runtime
-        found = await choose_placer(runtime, runtime.settings.zone)
-        changed = await _ask_local(runtime, "configuration", FetchConfiguration())
-        acceptor = await _ask_local(runtime, "claims", DescribeAcceptor())
+        found, changed, acceptor = await asyncio.gather(
+            choose_placer(runtime, runtime.settings.zone),
+            _ask_local(runtime, "configuration", FetchConfiguration()),
+            _ask_local(runtime, "claims", DescribeAcceptor()),
+        )
         uptime = read_clock() - runtime.incarnation / 1000
         serving = found.placer is not None and changed.in_force
         claiming = acceptor.complete or uptime > ACCEPTOR_WAIT
--- a/boragetide/api/submissions.py
+++ b/boragetide/api/submissions.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from boragetide.api.base import Handler
-from boragetide.api.models import SubmissionBody
+from boragetide.api.models import BodyFault, SubmissionBody, parse_body, to_submission
 from boragetide.daemon.clock import read_clock
 from boragetide.daemon.runtime import Runtime
 from boragetide.filters.admit import admit
@@ -13,11 +13,10 @@
 from boragetide.filters.chain import Exchange, build_chain
 from boragetide.filters.claim import claim
 from boragetide.filters.dispatch import dispatch
-from boragetide.filters.parse import parse
 from boragetide.filters.route import route
-from boragetide.types import Answer, Status
+from boragetide.types import Answer, Seconds, Status
 
-SUBMISSION_CHAIN = build_chain(answer, parse, admit, route, claim, dispatch)
+SUBMISSION_CHAIN = build_chain(answer, admit, route, claim, dispatch)
 
 
 def describe_answer(result: Answer) -> dict[str, Any]:
@@ -40,6 +39,18 @@
 
     async def post(self) -> None:
         """Run a submission and answer it whole."""
-        exchange = Exchange(self.runtime, self.kind, self.request.body, read_clock())
+        received_at = read_clock()
+        parsed = parse_body(self.kind, self.request.body)
+        if parsed.is_error():
+            self._refuse_body(parsed.error, received_at)
+            return
+        exchange = Exchange(self.runtime, to_submission(parsed.ok), received_at)
         result = await SUBMISSION_CHAIN(exchange)
         self.respond(exchange.http_status, describe_answer(result))
+
+    def _refuse_body(self, fault: BodyFault, received_at: Seconds) -> None:
+        """Refuse a body that does not fit its model, naming the field."""
+        refused = Answer("", Status.NOT_RUN, error=fault.message)
+        seconds = read_clock() - received_at
+        self.runtime.metrics.observe_response("", refused.status, seconds)
+        self.respond(fault.http_status, describe_answer(refused))
--- a/boragetide/filters/admit.py
+++ b/boragetide/filters/admit.py
@@ -10,8 +10,12 @@
 
 
 async def admit(exchange: Exchange, call_next: Next) -> Answer:
-    """Refuse unknown classes, and everything while this instance stops."""
+    """Refuse jobs of too many tasks, unknown classes, and all while stopping."""
     runtime = exchange.runtime
+    count, limit = len(exchange.submission.tasks), runtime.settings.limits.tasks_per_job
+    if count > limit:
+        message = f"tasks: {count} tasks, at most {limit} are allowed"
+        raise RequestError(Status.NOT_RUN, 413, message)
     if runtime.stopping:
         await _refuse_while_stopping(exchange)
     changed = await runtime.ask(
--- a/boragetide/filters/answer.py
+++ b/boragetide/filters/answer.py
@@ -21,12 +21,10 @@
         result = await call_next(exchange)
         exchange.http_status = HTTP_STATUS_BY_STATUS[result.status]
     except RequestError as error:
-        job_id = exchange.submission.id if exchange.submission else ""
-        result = Answer(job_id, error.status, error=str(error))
+        result = Answer(exchange.submission.id, error.status, error=str(error))
         exchange.http_status = error.http_status
     except LinkError as error:
-        job_id = exchange.submission.id if exchange.submission else ""
-        result = Answer(job_id, Status.UNKNOWN, error=str(error))
+        result = Answer(exchange.submission.id, Status.UNKNOWN, error=str(error))
         exchange.http_status = 503
     exchange.runtime.metrics.observe_response(
         exchange.class_label, result.status, read_clock() - exchange.received_at
--- a/boragetide/filters/chain.py
+++ b/boragetide/filters/chain.py
@@ -7,7 +7,6 @@
 from functools import reduce
 from typing import TypeAlias
 
-from boragetide.api.models import SubmissionBody
 from boragetide.daemon.runtime import Runtime
 from boragetide.messages import ClaimReply, PlacerChosen
 from boragetide.types import Answer, Claim, InstanceId, Seconds, Submission
@@ -21,10 +20,8 @@
     ----------
     runtime
         Gives access to the controllers.
-    kind
-        Border model that the body must satisfy.
-    body
-        Request body as received.
+    submission
+        What the border has validated.
     received_at
         Unix time in seconds.
     claim
@@ -42,10 +39,8 @@
     """
 
     runtime: Runtime
-    kind: type[SubmissionBody]
-    body: bytes
+    submission: Submission
     received_at: Seconds
-    submission: Submission | None = None
     placer: PlacerChosen | None = None
     claim: Claim | None = None
     replies_by_acceptor: dict[InstanceId, ClaimReply] | None = None
