--- /dev/null
+++ b/boragetide/controllers/best_effort.py
@@ -0,0 +1,99 @@
+"""Best-effort jobs: they live at the leader, and their callers wait for the end."""
+
+from __future__ import annotations
+
+from boragetide.controllers.dispatch_state import DispatcherState
+from boragetide.controllers.job_records import take_record
+from boragetide.controllers.placing_runs import place
+from boragetide.controllers.runs import adopt_run
+from boragetide.durable import JobPhase, JobRecord, RunEnd, number_task
+from boragetide.effects import Count, Effect, LogEvent, Reply
+from boragetide.messages import DispatcherReply, ReplyStatus, SubmitDurableJob
+from boragetide.policy import job_table
+from boragetide.types import Seconds
+
+# The usual burst of a site is over by then.
+RETRY_AFTER: Seconds = 4.0
+
+
+def runs_again(record: JobRecord) -> bool:
+    """Tell whether a job that is submitted again runs again from the start."""
+    return record.job.best_effort and record.phase is JobPhase.CANCELLED
+
+
+def attach(
+    message: SubmitDurableJob, state: DispatcherState, record: JobRecord
+) -> list[Effect]:
+    """Answer a resubmission, or let it wait for the end of a best-effort job."""
+    if record.job.best_effort and record.phase is JobPhase.ACTIVE:
+        waiters = state.waiters_by_job.setdefault(record.job.id, [])
+        waiters.append(message.reply_to)
+        return []
+    ended = DispatcherReply(ReplyStatus.ACCEPTED, state=record.phase.value)
+    return [Reply(message.reply_to, ended)]
+
+
+def accept_best_effort(
+    message: SubmitDurableJob, state: DispatcherState, now: Seconds
+) -> list[Effect]:
+    """Start a job at once, or go on with what an earlier leader started of it."""
+    job = message.job
+    state.records_by_id.pop(job.id, None)
+    state.waiters_by_job[job.id] = [message.reply_to]
+    record = JobRecord(job, changed_at=now)
+    effects = take_record(state, record, now, is_new=True)
+    effects += adopt_foreign(state, record, now)
+    return [*effects, *place(state, now)]
+
+
+def cancel_best_effort(
+    state: DispatcherState, record: JobRecord, now: Seconds
+) -> list[Effect]:
+    """Cancel a job whose caller is gone, unless another request waits for it."""
+    job_id = record.job.id
+    if len(state.waiters_by_job.get(job_id, ())) > 1:
+        return []
+    job_table.cancel_job(state.records_by_id, job_id, now)
+    return take_record(state, state.records_by_id[job_id], now)
+
+
+def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Refuse best-effort jobs that come too late, unless a task was started."""
+    effects: list[Effect] = []
+    for waiting in state.queue.list_expired(now):
+        job = waiting.job
+        if not job.best_effort or job.id in state.started:
+            continue
+        reason = "it cannot be served in time"
+        refused = DispatcherReply(
+            ReplyStatus.REFUSED,
+            reason=reason,
+            retry_after=RETRY_AFTER,
+            term=state.term,
+        )
+        fields = {"job": job.id, "class": job.class_name, "reason": reason}
+        fields |= {"age": now - job.submitted_at, "waiting": len(state.queue.late)}
+        effects += [LogEvent("job_refused", fields), Count("durable_jobs_refused")]
+        waiters = state.waiters_by_job.pop(job.id, ())
+        effects += [Reply(reply_to, refused) for reply_to in waiters]
+        state.forget_job(job.id)
+    return effects
+
+
+def adopt_foreign(
+    state: DispatcherState, record: JobRecord, now: Seconds
+) -> list[Effect]:
+    """Go on with what an earlier leader started of a job that is submitted again."""
+    effects: list[Effect] = []
+    job_id = record.job.id
+    for server in state.servers_by_id.values():
+        for listed in [run for run in server.foreign if run.task.job_id == job_id]:
+            number = number_task(record.job, listed.task)
+            if number is not None and (job_id, number) not in state.occupied:
+                effects += adopt_run(state, server, record, listed, now, now)
+    done = [task for task in state.foreign_done if task.job_id == job_id]
+    numbers = [number_task(record.job, task) for task in done]
+    ends = tuple(RunEnd(job_id, n, 0, False) for n in numbers if n is not None)
+    if job_table.record_ends(state.records_by_id, ends, now):
+        effects += take_record(state, state.records_by_id[job_id], now)
+    return effects
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -9,33 +9,37 @@
 from typing import Any
 
 from boragetide.commands import AcceptJob, CancelJobs
+from boragetide.controllers.best_effort import (
+    accept_best_effort,
+    attach,
+    cancel_best_effort,
+    refuse_expired,
+    runs_again,
+)
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
-    RunPhase,
-    Server,
     has_authority,
     keep_record,
 )
+from boragetide.controllers.job_records import append_command, take_record
+from boragetide.controllers.orders import (
+    free_lapsed,
+    stop_overdue,
+    take_failed_read,
+    take_order,
+)
 from boragetide.controllers.placing_runs import (
-    ANNOUNCEMENT_SILENCE,
     check_takeover,
     place,
     requeue,
 )
 from boragetide.controllers.runs import (
-    adopt_foreign,
-    append_command,
-    free_lapsed,
-    free_run,
     note_kept,
     read_runs,
-    stop_overdue,
-    take_failed_read,
-    take_order,
-    take_record,
     take_runs,
 )
-from boragetide.durable import JobPhase, JobRecord, ServerReport
+from boragetide.controllers.server_table import forget_servers, take_report
+from boragetide.durable import JobPhase, JobRecord
 from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
     AuthorityExtended,
@@ -67,9 +71,6 @@
 from boragetide.types import Address, ReplyTo, Seconds
 
 REVIEW_INTERVAL: Seconds = 1.0
-FORGET_SERVER: Seconds = 30.0
-# The usual burst of a site is over by then.
-RETRY_AFTER: Seconds = 4.0
 FORGET_FOREIGN: Seconds = 3.0
 
 
@@ -85,8 +86,8 @@
         return [_reply(message, ReplyStatus.NOT_LEADER)]
     job = message.job
     record = state.records_by_id.get(job.id)
-    if record is not None and not _runs_again(record):
-        return _attach(message, state, record)
+    if record is not None and not runs_again(record):
+        return attach(message, state, record)
     pending = state.command_by_job.get(job.id)
     if pending is not None:
         state.replies_by_command[pending].append(message.reply_to)
@@ -104,7 +105,7 @@
         count = Count("durable_jobs_refused")
         return [LogEvent("job_refused", fields), count, refused]
     if job.best_effort:
-        return _accept_best_effort(message, state, now)
+        return accept_best_effort(message, state, now)
     append = append_command(state, AcceptJob(job))
     (command_id,) = append.message.commands_by_id
     state.command_by_job[job.id] = command_id
@@ -112,34 +113,6 @@
     return [append]
 
 
-def _runs_again(record: JobRecord) -> bool:
-    """Tell whether a job that is submitted again runs again from the start."""
-    return record.job.best_effort and record.phase is JobPhase.CANCELLED
-
-
-def _attach(
-    message: SubmitDurableJob, state: DispatcherState, record: JobRecord
-) -> list[Effect]:
-    """Answer a resubmission, or let it wait for the end of a best-effort job."""
-    if record.job.best_effort and record.phase is JobPhase.ACTIVE:
-        waiters = state.waiters_by_job.setdefault(record.job.id, [])
-        waiters.append(message.reply_to)
-        return []
-    return [_reply(message, ReplyStatus.ACCEPTED, state=record.phase.value)]
-
-
-def _accept_best_effort(
-    message: SubmitDurableJob, state: DispatcherState, now: Seconds
-) -> list[Effect]:
-    job = message.job
-    state.records_by_id.pop(job.id, None)
-    state.waiters_by_job[job.id] = [message.reply_to]
-    record = JobRecord(job, changed_at=now)
-    effects = take_record(state, record, now, is_new=True)
-    effects += adopt_foreign(state, record, now)
-    return [*effects, *place(state, now)]
-
-
 @handle.register
 def _(message: CancelDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
@@ -151,7 +124,7 @@
         return [_reply(message, ReplyStatus.ACCEPTED)]
     if record is not None and record.job.best_effort:
         return [
-            *_cancel_best_effort(state, record, now),
+            *cancel_best_effort(state, record, now),
             _reply(message, ReplyStatus.ACCEPTED),
         ]
     append = append_command(state, CancelJobs((message.id,)))
@@ -160,17 +133,6 @@
     return [append]
 
 
-def _cancel_best_effort(
-    state: DispatcherState, record: JobRecord, now: Seconds
-) -> list[Effect]:
-    """Cancel a job whose caller is gone, unless another request waits for it."""
-    job_id = record.job.id
-    if len(state.waiters_by_job.get(job_id, ())) > 1:
-        return []
-    job_table.cancel_job(state.records_by_id, job_id, now)
-    return take_record(state, state.records_by_id[job_id], now)
-
-
 @handle.register
 def _(message: LookUpDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
@@ -293,7 +255,7 @@
 @handle.register
 def _(message: ReportServer, state: DispatcherState, now: Seconds) -> list[Effect]:
     report = message.report
-    effects = _take_report(state, report, now)
+    effects = take_report(state, report, now)
     if not message.passed_on:
         effects += _pass_on(state, ReportServer(report=report, passed_on=True))
     leads = has_authority(state, now)
@@ -308,43 +270,6 @@
     return [Send(Address(other, "dispatcher"), message) for other in state.others]
 
 
-def _take_report(
-    state: DispatcherState, report: ServerReport, now: Seconds
-) -> list[Effect]:
-    server = state.servers_by_id.get(report.id)
-    if server is None or report.born > server.report.born:
-        return _take_new_life(state, report, server, now)
-    if report.born < server.report.born or (report.sequence <= server.report.sequence):
-        return []
-    was_draining = server.report.draining
-    server.report = report
-    server.heard_at = now
-    if report.draining and not was_draining:
-        return [LogEvent("backend_server_draining", {"server": report.id})]
-    return []
-
-
-def _take_new_life(
-    state: DispatcherState, report: ServerReport, former: Server | None, now: Seconds
-) -> list[Effect]:
-    """Take a backend server that is new, or that knows nothing of its earlier life."""
-    effects: list[Effect] = []
-    if former is not None:
-        for run in list(former.runs_by_task.values()):
-            if run.phase is not RunPhase.ENDED:
-                effects += free_run(state, former, run, "server_restarted")
-    state.servers_by_id[report.id] = Server(report, now)
-    fields = {
-        "server": report.id,
-        "pool": report.pool,
-        "zone": report.zone,
-        "born": report.born,
-        "millicores": report.capacity.millicores,
-        "servers": len(state.servers_by_id),
-    }
-    return [*effects, LogEvent("backend_server_joined", fields)]
-
-
 @handle.register
 def _(message: RemoveServer, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects: list[Effect] = []
@@ -398,48 +323,17 @@
     if now >= state.next_review:
         state.next_review = now + REVIEW_INTERVAL
         job_table.forget_ended(state.records_by_id, now)
-        _forget_servers(state, now)
+        forget_servers(state, now)
         _forget_foreign(state, now)
     if not has_authority(state, now):
         return effects
     effects += check_takeover(state, now)
     effects += free_lapsed(state, now)
     effects += stop_overdue(state, now)
-    effects += _refuse_expired(state, now)
+    effects += refuse_expired(state, now)
     return [*effects, *_place_and_read(state, now)]
 
 
-def _refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Refuse best-effort jobs that come too late, unless a task was started."""
-    effects: list[Effect] = []
-    for waiting in state.queue.list_expired(now):
-        job = waiting.job
-        if not job.best_effort or job.id in state.started:
-            continue
-        reason = "it cannot be served in time"
-        refused = DispatcherReply(
-            ReplyStatus.REFUSED,
-            reason=reason,
-            retry_after=RETRY_AFTER,
-            term=state.term,
-        )
-        fields = {"job": job.id, "class": job.class_name, "reason": reason}
-        fields |= {"age": now - job.submitted_at, "waiting": len(state.queue.late)}
-        effects += [LogEvent("job_refused", fields), Count("durable_jobs_refused")]
-        waiters = state.waiters_by_job.pop(job.id, ())
-        effects += [Reply(reply_to, refused) for reply_to in waiters]
-        state.forget_job(job.id)
-    return effects
-
-
-def _forget_servers(state: DispatcherState, now: Seconds) -> None:
-    for server_id, server in list(state.servers_by_id.items()):
-        silence = now - server.heard_at
-        is_over = server.gone and silence > ANNOUNCEMENT_SILENCE
-        if (is_over or silence > FORGET_SERVER) and not server.runs_by_task:
-            del state.servers_by_id[server_id]
-
-
 def _forget_foreign(state: DispatcherState, now: Seconds) -> None:
     for task, listed_at in list(state.foreign_done.items()):
         if now - listed_at > FORGET_FOREIGN:
--- /dev/null
+++ b/boragetide/controllers/job_records.py
@@ -0,0 +1,75 @@
+"""What is kept of durable jobs: commands to the log, and changes that take effect."""
+
+from __future__ import annotations
+
+from boragetide.commands import JobCommand
+from boragetide.controllers.dispatch_state import (
+    DispatcherState,
+    KeptEnds,
+    keep_record,
+    name_command,
+)
+from boragetide.controllers.orders import stop_run
+from boragetide.controllers.placing_runs import requeue
+from boragetide.durable import JobPhase, JobRecord
+from boragetide.effects import Effect, LogEvent, Observe, Reply, Send
+from boragetide.messages import AppendCommands, DispatcherReply, ReplyStatus
+from boragetide.types import Address, JobId, Seconds
+
+
+def append_command(
+    state: DispatcherState,
+    command: JobCommand,
+    *,
+    ends: KeptEnds | None = None,
+) -> Effect:
+    """Hand a command to the log; `JobsCommitted` says that it is kept."""
+    command_id = name_command(state)
+    if ends is not None:
+        state.ends_by_command[command_id] = ends
+    to = Address(state.settings.id, "configuration")
+    return Send(to, AppendCommands(state.term, {command_id: command}))
+
+
+def take_record(
+    state: DispatcherState, record: JobRecord, now: Seconds, *, is_new: bool = False
+) -> list[Effect]:
+    """Take over a change of a job; its end stops its runs and answers its waiters."""
+    job_id = record.job.id
+    keep_record(state, record)
+    state.command_by_job.pop(job_id, None)
+    requeue(state, job_id)
+    fields = {
+        "job": job_id,
+        "class": record.job.class_name,
+        "phase": record.phase.value,
+        "done": len(record.done),
+        "tasks": record.job.task_count,
+        "failures": len(record.failures),
+        "age": now - record.job.submitted_at,
+        "term": state.term,
+    }
+    if record.phase is JobPhase.ACTIVE:
+        return [LogEvent("job_accepted", fields)] if is_new else []
+    ended = DispatcherReply(ReplyStatus.ACCEPTED, state=record.phase.value)
+    age = now - record.job.submitted_at
+    return [
+        LogEvent("job_ended", fields),
+        Observe("durable_job_seconds", age, {"phase": record.phase.value}),
+        *(Reply(to, ended) for to in state.waiters_by_job.pop(job_id, ())),
+        *_stop_runs(state, job_id),
+    ]
+
+
+def _stop_runs(state: DispatcherState, job_id: JobId) -> list[Effect]:
+    effects: list[Effect] = []
+    record = state.records_by_id[job_id]
+    for number in range(record.job.task_count):
+        server_id = state.occupied.get((job_id, number))
+        if server_id is None:
+            continue
+        server = state.servers_by_id[server_id]
+        effects += stop_run(
+            state, server, server.runs_by_task[job_id, number], "job_ended"
+        )
+    return effects
--- /dev/null
+++ b/boragetide/controllers/orders.py
@@ -0,0 +1,191 @@
+"""Orders to backend servers: what becomes of them, and when a run is certainly over."""
+
+from __future__ import annotations
+
+from boragetide.controllers.dispatch_state import (
+    DispatcherState,
+    Run,
+    RunPhase,
+    Server,
+)
+from boragetide.controllers.placing_runs import requeue
+from boragetide.durable import TaskRef, refer_to_task
+from boragetide.effects import Effect, LogEvent, StopRun
+from boragetide.messages import OrderResult, ReadFailed, RunOrdered
+from boragetide.types import BackendServerId, Seconds
+
+READ_RETRY: Seconds = 0.1
+# A backend server that refuses because it is unhealthy, or stops answering for a run,
+# gets no new ones for a while.
+AVOID_UNHEALTHY: Seconds = 1.0
+# A declared time that is 40% too short on a backend server that is as slow as learned
+# takes 1.7 times as long as expected.
+OVERDUE_FACTOR = 3.0
+OVERDUE_MARGIN: Seconds = 0.3
+AVOID_OVERDUE: Seconds = 2.0
+SPEED_MIN = 0.05  # of a backend server that runs a task in its declared time
+
+
+def take_order(
+    state: DispatcherState, message: RunOrdered, now: Seconds
+) -> list[Effect]:
+    """Take over how a start or stop ended."""
+    server = state.servers_by_id.get(message.server)
+    if server is None or message.term != state.term:
+        return []
+    run = server.runs_by_task.get((message.job_id, message.task))
+    if run is None or run.number != message.run:
+        return []
+    if message.result is OrderResult.FENCED:
+        return [lose_authority(state, server.report.id)]
+    if message.clock is not None:
+        server.heard_at = now
+        server.clock_ahead = message.clock - now
+    if message.started:
+        return _take_start(state, server, run, message.result, now)
+    return _take_stop(state, server, run, message.result, now)
+
+
+def _take_start(
+    state: DispatcherState,
+    server: Server,
+    run: Run,
+    result: OrderResult,
+    now: Seconds,
+) -> list[Effect]:
+    if result is OrderResult.DONE:
+        if run.phase is RunPhase.ORDERED:
+            run.phase, run.started_at = RunPhase.RUNNING, now
+        run.settled_at = now
+        return []
+    fields = {"job": run.job_id, "task": run.task, "run": run.number}
+    fields |= {"server": server.report.id, "result": result.value}
+    log = LogEvent("run_refused", fields)
+    if result is OrderResult.UNANSWERED:
+        return [log, *stop_run(state, server, run, "unanswered")]
+    if run.phase not in (RunPhase.ORDERED, RunPhase.UNSURE):
+        return [log]
+    if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
+        server.avoided_until = now + AVOID_UNHEALTHY
+    if result is OrderResult.OTHER_LIFE:
+        server.gone = True
+    return [log, *free_run(state, server, run, result.value)]
+
+
+def _take_stop(
+    state: DispatcherState,
+    server: Server,
+    run: Run,
+    result: OrderResult,
+    now: Seconds,
+) -> list[Effect]:
+    if result in (OrderResult.DONE, OrderResult.OLD_RUN):
+        # It is listed until its end is; where it never arrived it never will run.
+        run.settled_at = now
+    elif result is OrderResult.OTHER_LIFE:
+        server.gone = True
+    return []
+
+
+def stop_run(
+    state: DispatcherState, server: Server, run: Run, reason: str
+) -> list[Effect]:
+    """Order the end of a run; it occupies its task until the end is certain."""
+    record = state.records_by_id.get(run.job_id)
+    if record is None or run.phase is RunPhase.ENDED:
+        return []
+    run.phase = RunPhase.STOPPING
+    run.settled_at = None
+    task: TaskRef = refer_to_task(record.job, run.task)
+    fields = {"job": run.job_id, "task": run.task, "run": run.number}
+    fields |= {"server": server.report.id, "reason": reason}
+    return [
+        LogEvent("run_stopped", fields),
+        StopRun(
+            server.report.id,
+            server.report.address,
+            task,
+            run.task,
+            run.number,
+            state.term,
+        ),
+    ]
+
+
+def take_failed_read(
+    state: DispatcherState, message: ReadFailed, now: Seconds
+) -> list[Effect]:
+    """Start nothing where a question was not answered, and ask again."""
+    server = state.servers_by_id.get(message.server)
+    if server is None or message.term != state.term:
+        return []
+    server.reading = False
+    server.read_again_at = now + READ_RETRY
+    if message.other_life:
+        server.gone = True
+    if server.silent:
+        return []
+    server.silent = True
+    fields = {"server": message.server, "heard_ago": now - server.heard_at}
+    return [LogEvent("backend_server_silent", fields)]
+
+
+def stop_overdue(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Stop runs that stand still, as far as can be told; their tasks start elsewhere.
+
+    A task is stopped for this once: its declared time may be what is wrong.
+    """
+    effects: list[Effect] = []
+    for server in state.servers_by_id.values():
+        overdue = [
+            run
+            for run in server.runs_by_task.values()
+            if run.key not in state.stopped_once and _is_overdue(server, run, now)
+        ]
+        if overdue:
+            server.avoided_until = now + AVOID_OVERDUE
+            server.speed = max(SPEED_MIN, server.speed / 2)
+        for run in overdue:
+            state.stopped_once.add(run.key)
+            effects += stop_run(state, server, run, "overdue")
+    return effects
+
+
+def _is_overdue(server: Server, run: Run, now: Seconds) -> bool:
+    if run.phase is not RunPhase.RUNNING or run.started_at is None:
+        return False
+    if server.done_at > run.started_at:
+        return False
+    expected = run.estimate / server.speed
+    return now - run.started_at > OVERDUE_FACTOR * expected + OVERDUE_MARGIN
+
+
+def free_lapsed(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """End the runs of backend servers that were not reached until all leases lapsed."""
+    effects: list[Effect] = []
+    for server in state.servers_by_id.values():
+        if not (server.silent or server.gone) or now < server.lapsed_at:
+            continue
+        for run in list(server.runs_by_task.values()):
+            if run.phase is not RunPhase.ENDED:
+                effects += free_run(state, server, run, "lease_lapsed")
+    return effects
+
+
+def free_run(
+    state: DispatcherState, server: Server, run: Run, reason: str
+) -> list[Effect]:
+    """Forget a run that is certainly over; its task may start again."""
+    server.runs_by_task.pop(run.key, None)
+    if state.occupied.get(run.key) == server.report.id:
+        del state.occupied[run.key]
+    requeue(state, run.job_id)
+    fields = {"job": run.job_id, "task": run.task, "run": run.number}
+    fields |= {"server": server.report.id, "reason": reason, "term": state.term}
+    return [LogEvent("run_over", fields)]
+
+
+def lose_authority(state: DispatcherState, server_id: BackendServerId) -> Effect:
+    """Give no more orders in this term: a newer leader does."""
+    state.authority_until = 0.0
+    return LogEvent("fenced", {"server": server_id, "term": state.term})
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from boragetide.commands import JobCommand, RecordEnds
+from boragetide.commands import RecordEnds
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
     KeptEnds,
@@ -12,9 +12,9 @@
     RunPhase,
     Server,
     has_authority,
-    keep_record,
-    name_command,
 )
+from boragetide.controllers.job_records import append_command, take_record
+from boragetide.controllers.orders import SPEED_MIN, free_run, lose_authority
 from boragetide.controllers.placing_runs import extend_lease, requeue
 from boragetide.durable import (
     EndReason,
@@ -24,7 +24,6 @@
     ListedRun,
     Resources,
     RunEnd,
-    TaskRef,
     number_task,
     refer_to_task,
 )
@@ -32,35 +31,23 @@
     Count,
     Effect,
     LogEvent,
-    Observe,
     ReadRuns,
-    Reply,
-    Send,
     StopRun,
 )
 from boragetide.messages import (
-    AppendCommands,
-    DispatcherReply,
-    OrderResult,
-    ReadFailed,
-    ReplyStatus,
-    RunOrdered,
     RunsRead,
 )
 from boragetide.policy import job_table
-from boragetide.types import Address, BackendServerId, JobId, Seconds
+from boragetide.types import JobId, Seconds
 
 # A read waits this long for an end, so that a lease of `LEASE` is renewed twice even if
 # one answer is lost.
 READ_WAIT: Seconds = 0.25
 # A lease is renewed although ends wait to be kept when less than this is left of it.
 RENEW_BEFORE: Seconds = 0.4
-READ_RETRY: Seconds = 0.1
-# A backend server that refuses because it is unhealthy, or stops answering for a run,
-# gets no new ones for a while.
-AVOID_UNHEALTHY: Seconds = 1.0
-# So does one that failed a run, longer with each failure in a row: the next attempt
-# goes elsewhere. One run in 500 fails by itself, so that the first pause is short.
+# A backend server that failed a run gets no new ones for a while, longer with each
+# failure in a row: the next attempt goes elsewhere. One run in 500 fails by itself, so
+# that the first pause is short.
 AVOID_FAILED: Seconds = 0.25
 # Callers ask a new leader again within some tenths of a second.
 FOREIGN_WAIT: Seconds = 1.0
@@ -69,12 +56,7 @@
 # that took more than twice as long as expected shows more than that.
 SPEED_LEARNING = 0.1
 SLOWDOWN_LEARNING = 0.4
-# A declared time that is 40% too short on a backend server that is as slow as learned
-# takes 1.7 times as long as expected.
-OVERDUE_FACTOR = 3.0
-OVERDUE_MARGIN: Seconds = 0.3
-AVOID_OVERDUE: Seconds = 2.0
-SPEED_MIN, SPEED_MAX = 0.05, 10.0
+SPEED_MAX = 10.0
 
 
 def read_runs(state: DispatcherState, server: Server, now: Seconds) -> list[Effect]:
@@ -136,12 +118,6 @@
     return effects
 
 
-def lose_authority(state: DispatcherState, server_id: BackendServerId) -> Effect:
-    """Give no more orders in this term: a newer leader does."""
-    state.authority_until = 0.0
-    return LogEvent("fenced", {"server": server_id, "term": state.term})
-
-
 def _take_running(
     state: DispatcherState,
     server: Server,
@@ -216,25 +192,6 @@
     return [LogEvent("run_adopted", {**fields, "server": server.report.id})]
 
 
-def adopt_foreign(
-    state: DispatcherState, record: JobRecord, now: Seconds
-) -> list[Effect]:
-    """Go on with what an earlier leader started of a job that is submitted again."""
-    effects: list[Effect] = []
-    job_id = record.job.id
-    for server in state.servers_by_id.values():
-        for listed in [run for run in server.foreign if run.task.job_id == job_id]:
-            number = number_task(record.job, listed.task)
-            if number is not None and (job_id, number) not in state.occupied:
-                effects += adopt_run(state, server, record, listed, now, now)
-    done = [task for task in state.foreign_done if task.job_id == job_id]
-    numbers = [number_task(record.job, task) for task in done]
-    ends = tuple(RunEnd(job_id, n, 0, False) for n in numbers if n is not None)
-    if job_table.record_ends(state.records_by_id, ends, now):
-        effects += take_record(state, state.records_by_id[job_id], now)
-    return effects
-
-
 def _is_wanted(
     state: DispatcherState,
     record: JobRecord,
@@ -279,19 +236,6 @@
     return effects
 
 
-def free_run(
-    state: DispatcherState, server: Server, run: Run, reason: str
-) -> list[Effect]:
-    """Forget a run that is certainly over; its task may start again."""
-    server.runs_by_task.pop(run.key, None)
-    if state.occupied.get(run.key) == server.report.id:
-        del state.occupied[run.key]
-    requeue(state, run.job_id)
-    fields = {"job": run.job_id, "task": run.task, "run": run.number}
-    fields |= {"server": server.report.id, "reason": reason, "term": state.term}
-    return [LogEvent("run_over", fields)]
-
-
 def _take_ends(
     state: DispatcherState,
     server: Server,
@@ -324,20 +268,6 @@
     return [*effects, append_command(state, command, ends=kept_ends)]
 
 
-def append_command(
-    state: DispatcherState,
-    command: JobCommand,
-    *,
-    ends: KeptEnds | None = None,
-) -> Effect:
-    """Hand a command to the log; `JobsCommitted` says that it is kept."""
-    command_id = name_command(state)
-    if ends is not None:
-        state.ends_by_command[command_id] = ends
-    to = Address(state.settings.id, "configuration")
-    return Send(to, AppendCommands(state.term, {command_id: command}))
-
-
 def _take_end(
     state: DispatcherState, server: Server, end: ListedEnd, now: Seconds
 ) -> tuple[RunEnd | None, list[Effect]]:
@@ -453,193 +383,3 @@
         run = server.runs_by_task.get(key)
         if run is not None and run.phase is RunPhase.ENDED:
             free_run(state, server, run, "kept")
-
-
-def take_record(
-    state: DispatcherState, record: JobRecord, now: Seconds, *, is_new: bool = False
-) -> list[Effect]:
-    """Take over a change of a job; its end stops its runs and answers its waiters."""
-    job_id = record.job.id
-    keep_record(state, record)
-    state.command_by_job.pop(job_id, None)
-    requeue(state, job_id)
-    fields = {
-        "job": job_id,
-        "class": record.job.class_name,
-        "phase": record.phase.value,
-        "done": len(record.done),
-        "tasks": record.job.task_count,
-        "failures": len(record.failures),
-        "age": now - record.job.submitted_at,
-        "term": state.term,
-    }
-    if record.phase is JobPhase.ACTIVE:
-        return [LogEvent("job_accepted", fields)] if is_new else []
-    ended = DispatcherReply(ReplyStatus.ACCEPTED, state=record.phase.value)
-    age = now - record.job.submitted_at
-    return [
-        LogEvent("job_ended", fields),
-        Observe("durable_job_seconds", age, {"phase": record.phase.value}),
-        *(Reply(to, ended) for to in state.waiters_by_job.pop(job_id, ())),
-        *_stop_runs(state, job_id),
-    ]
-
-
-def _stop_runs(state: DispatcherState, job_id: JobId) -> list[Effect]:
-    effects: list[Effect] = []
-    record = state.records_by_id[job_id]
-    for number in range(record.job.task_count):
-        server_id = state.occupied.get((job_id, number))
-        if server_id is None:
-            continue
-        server = state.servers_by_id[server_id]
-        effects += stop_run(
-            state, server, server.runs_by_task[job_id, number], "job_ended"
-        )
-    return effects
-
-
-def take_order(
-    state: DispatcherState, message: RunOrdered, now: Seconds
-) -> list[Effect]:
-    """Take over how a start or stop ended."""
-    server = state.servers_by_id.get(message.server)
-    if server is None or message.term != state.term:
-        return []
-    run = server.runs_by_task.get((message.job_id, message.task))
-    if run is None or run.number != message.run:
-        return []
-    if message.result is OrderResult.FENCED:
-        return [lose_authority(state, server.report.id)]
-    if message.clock is not None:
-        server.heard_at = now
-        server.clock_ahead = message.clock - now
-    if message.started:
-        return _take_start(state, server, run, message.result, now)
-    return _take_stop(state, server, run, message.result, now)
-
-
-def _take_start(
-    state: DispatcherState,
-    server: Server,
-    run: Run,
-    result: OrderResult,
-    now: Seconds,
-) -> list[Effect]:
-    if result is OrderResult.DONE:
-        if run.phase is RunPhase.ORDERED:
-            run.phase, run.started_at = RunPhase.RUNNING, now
-        run.settled_at = now
-        return []
-    fields = {"job": run.job_id, "task": run.task, "run": run.number}
-    fields |= {"server": server.report.id, "result": result.value}
-    log = LogEvent("run_refused", fields)
-    if result is OrderResult.UNANSWERED:
-        return [log, *stop_run(state, server, run, "unanswered")]
-    if run.phase not in (RunPhase.ORDERED, RunPhase.UNSURE):
-        return [log]
-    if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
-        server.avoided_until = now + AVOID_UNHEALTHY
-    if result is OrderResult.OTHER_LIFE:
-        server.gone = True
-    return [log, *free_run(state, server, run, result.value)]
-
-
-def _take_stop(
-    state: DispatcherState,
-    server: Server,
-    run: Run,
-    result: OrderResult,
-    now: Seconds,
-) -> list[Effect]:
-    if result in (OrderResult.DONE, OrderResult.OLD_RUN):
-        # It is listed until its end is; where it never arrived it never will run.
-        run.settled_at = now
-    elif result is OrderResult.OTHER_LIFE:
-        server.gone = True
-    return []
-
-
-def stop_run(
-    state: DispatcherState, server: Server, run: Run, reason: str
-) -> list[Effect]:
-    """Order the end of a run; it occupies its task until the end is certain."""
-    record = state.records_by_id.get(run.job_id)
-    if record is None or run.phase is RunPhase.ENDED:
-        return []
-    run.phase = RunPhase.STOPPING
-    run.settled_at = None
-    task: TaskRef = refer_to_task(record.job, run.task)
-    fields = {"job": run.job_id, "task": run.task, "run": run.number}
-    fields |= {"server": server.report.id, "reason": reason}
-    return [
-        LogEvent("run_stopped", fields),
-        StopRun(
-            server.report.id,
-            server.report.address,
-            task,
-            run.task,
-            run.number,
-            state.term,
-        ),
-    ]
-
-
-def take_failed_read(
-    state: DispatcherState, message: ReadFailed, now: Seconds
-) -> list[Effect]:
-    """Start nothing where a question was not answered, and ask again."""
-    server = state.servers_by_id.get(message.server)
-    if server is None or message.term != state.term:
-        return []
-    server.reading = False
-    server.read_again_at = now + READ_RETRY
-    if message.other_life:
-        server.gone = True
-    if server.silent:
-        return []
-    server.silent = True
-    fields = {"server": message.server, "heard_ago": now - server.heard_at}
-    return [LogEvent("backend_server_silent", fields)]
-
-
-def stop_overdue(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Stop runs that stand still, as far as can be told; their tasks start elsewhere.
-
-    A task is stopped for this once: its declared time may be what is wrong.
-    """
-    effects: list[Effect] = []
-    for server in state.servers_by_id.values():
-        overdue = [
-            run
-            for run in server.runs_by_task.values()
-            if run.key not in state.stopped_once and _is_overdue(server, run, now)
-        ]
-        if overdue:
-            server.avoided_until = now + AVOID_OVERDUE
-            server.speed = max(SPEED_MIN, server.speed / 2)
-        for run in overdue:
-            state.stopped_once.add(run.key)
-            effects += stop_run(state, server, run, "overdue")
-    return effects
-
-
-def _is_overdue(server: Server, run: Run, now: Seconds) -> bool:
-    if run.phase is not RunPhase.RUNNING or run.started_at is None:
-        return False
-    if server.done_at > run.started_at:
-        return False
-    expected = run.estimate / server.speed
-    return now - run.started_at > OVERDUE_FACTOR * expected + OVERDUE_MARGIN
-
-
-def free_lapsed(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """End the runs of backend servers that were not reached until all leases lapsed."""
-    effects: list[Effect] = []
-    for server in state.servers_by_id.values():
-        if not (server.silent or server.gone) or now < server.lapsed_at:
-            continue
-        for run in list(server.runs_by_task.values()):
-            if run.phase is not RunPhase.ENDED:
-                effects += free_run(state, server, run, "lease_lapsed")
-    return effects
