Forget the run numbers of jobs that are not known any longer

Cause: reading the change showed that run_by_task grew with all tasks that a leader had ever started.

Change: the review drops the numbers with their jobs; a test checks that an ended job leaves nothing behind. A comment without a reason is gone.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -243,6 +243,12 @@
         self.started.discard(job_id)
         self.queue.remove(job_id)
 
+    def forget_run_numbers(self) -> None:
+        """Drop the run numbers of jobs that are not known any longer."""
+        known = self.records_by_id
+        for key in [key for key in self.run_by_task if key[0] not in known]:
+            del self.run_by_task[key]
+
     @property
     def others(self) -> tuple[InstanceId, ...]:
         """The other members of the log."""
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -100,7 +100,6 @@
     if not can_ever_fit(job, capacities):
         reason = "no backend server is large enough for one of its tasks"
         fields = {"job": job.id, "class": job.class_name, "reason": reason}
-        # Nothing larger joins soon: a caller need not come back before it is told.
         refused = _reply(message, ReplyStatus.REFUSED, reason=reason, term=state.term)
         count = Count("durable_jobs_refused")
         return [LogEvent("job_refused", fields), count, refused]
@@ -323,6 +322,7 @@
     if now >= state.next_review:
         state.next_review = now + REVIEW_INTERVAL
         job_table.forget_ended(state.records_by_id, now)
+        state.forget_run_numbers()
         forget_servers(state, now)
         _forget_foreign(state, now)
     if not has_authority(state, now):
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -27,16 +27,8 @@
     number_task,
     refer_to_task,
 )
-from boragetide.effects import (
-    Count,
-    Effect,
-    LogEvent,
-    ReadRuns,
-    StopRun,
-)
-from boragetide.messages import (
-    RunsRead,
-)
+from boragetide.effects import Count, Effect, LogEvent, ReadRuns, StopRun
+from boragetide.messages import RunsRead
 from boragetide.policy import job_table
 from boragetide.types import JobId, Seconds
 
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -503,3 +503,17 @@
         leader.answer(start, now=BEGIN + 0.98)
     leader.handle(Tick(), BEGIN + 9.0)
     assert leader.stops() == []
+
+
+def test_ended_jobs_leave_nothing_behind(leader: Leader) -> None:
+    """Guards against memory that grows with all jobs that a leader has run."""
+    submit(leader)
+    first, second = leader.starts()
+    leader.answer(first)
+    leader.answer(second)
+    leader.list_runs(ended=(list_end(first, 1), list_end(second, 2)))
+    leader.handle(Tick(), BEGIN + 2 * job_table.BEST_EFFORT_RETENTION)
+    state = leader.state
+    assert not (state.records_by_id or state.run_by_task or state.occupied)
+    assert not (state.active or state.started or state.waiters_by_job)
+    assert not (state.queue.waiting_by_id or state.stopped_once)
