--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -37,7 +37,6 @@
 
     ORDERED = "ordered"
     RUNNING = "running"
-    UNSURE = "unsure"  # the order was not answered
     STOPPING = "stopping"
     ENDED = "ended"  # listed as done or failed, and not kept yet
 
--- a/boragetide/controllers/job_records.py
+++ b/boragetide/controllers/job_records.py
@@ -39,6 +39,7 @@
     keep_record(state, record)
     state.command_by_job.pop(job_id, None)
     requeue(state, job_id)
+    age = now - record.job.submitted_at
     fields = {
         "job": job_id,
         "class": record.job.class_name,
@@ -46,13 +47,12 @@
         "done": len(record.done),
         "tasks": record.job.task_count,
         "failures": len(record.failures),
-        "age": now - record.job.submitted_at,
+        "age": age,
         "term": state.term,
     }
     if record.phase is JobPhase.ACTIVE:
         return [LogEvent("job_accepted", fields)] if is_new else []
     ended = DispatcherReply(ReplyStatus.ACCEPTED, state=record.phase.value)
-    age = now - record.job.submitted_at
     return [
         LogEvent("job_ended", fields),
         Observe("durable_job_seconds", age, {"phase": record.phase.value}),
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -63,7 +63,7 @@
     log = LogEvent("run_refused", fields)
     if result is OrderResult.UNANSWERED:
         return [log, *stop_run(state, server, run, "unanswered")]
-    if run.phase not in (RunPhase.ORDERED, RunPhase.UNSURE):
+    if run.phase is not RunPhase.ORDERED:
         return [log]
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.avoided_until = now + AVOID_UNHEALTHY
@@ -96,22 +96,23 @@
         return []
     run.phase = RunPhase.STOPPING
     run.settled_at = None
-    task: TaskRef = refer_to_task(record.job, run.task)
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "reason": reason}
+    task = refer_to_task(record.job, run.task)
     return [
         LogEvent("run_stopped", fields),
-        StopRun(
-            server.report.id,
-            server.report.address,
-            task,
-            run.task,
-            run.number,
-            state.term,
-        ),
+        make_stop(state, server, task, run.task, run.number),
     ]
 
 
+def make_stop(
+    state: DispatcherState, server: Server, task: TaskRef, number: int, run: int
+) -> StopRun:
+    """Return the order that ends a run of a task."""
+    report = server.report
+    return StopRun(report.id, report.address, task, number, run, state.term)
+
+
 def take_failed_read(
     state: DispatcherState, message: ReadFailed, now: Seconds
 ) -> list[Effect]:
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -14,7 +14,12 @@
     has_authority,
 )
 from boragetide.controllers.job_records import append_command, take_record
-from boragetide.controllers.orders import SPEED_MIN, free_run, lose_authority
+from boragetide.controllers.orders import (
+    SPEED_MIN,
+    free_run,
+    lose_authority,
+    make_stop,
+)
 from boragetide.controllers.placing_runs import extend_lease, requeue
 from boragetide.durable import (
     EndReason,
@@ -27,7 +32,7 @@
     number_task,
     refer_to_task,
 )
-from boragetide.effects import Count, Effect, LogEvent, ReadRuns, StopRun
+from boragetide.effects import Count, Effect, LogEvent, ReadRuns
 from boragetide.messages import RunsRead
 from boragetide.policy import job_table
 from boragetide.types import JobId, Seconds
@@ -122,7 +127,7 @@
     key = (listed.task.job_id, -1 if number is None else number)
     run = server.runs_by_task.get(key)
     if run is not None and run.number == listed.run:
-        if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
+        if run.phase is RunPhase.ORDERED:
             run.phase, run.started_at = RunPhase.RUNNING, now
         return []
     if number is None:
@@ -149,14 +154,7 @@
     server.foreign.setdefault(listed, now)
     fields = {"job": listed.task.job_id, "task": listed.task.index, "run": listed.run}
     fields |= {"server": server.report.id, "reason": "not_wanted"}
-    stop = StopRun(
-        server.report.id,
-        server.report.address,
-        listed.task,
-        listed.task.index,
-        listed.run,
-        state.term,
-    )
+    stop = make_stop(state, server, listed.task, listed.task.index, listed.run)
     return [LogEvent("run_stopped", fields), stop]
 
 
