--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -1,4 +1,4 @@
-"""Commands that change the replicated configuration, and the records they leave."""
+"""Commands that change the replicated state, and the records stored for them."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 
 
 class Command:
-    """Base of all commands; ``kind`` names the command wherever it is encoded."""
+    """Base class of all commands; ``kind`` names the command in its encoded form."""
 
     __slots__ = ()
 
 
 @dataclass(frozen=True, slots=True)
 class SetClass(Command):
-    """Creates a class of work or replaces its target (see `ClassTarget`)."""
+    """Creates a class of work or replaces its target, see `ClassTarget`."""
 
     name: ClassName
     response_time: Seconds
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainBackendServer(Command):
-    """Keeps new work away from a backend server."""
+    """Stops dispatching new work to a backend server."""
 
     id: BackendServerId
     kind: Literal["drain_backend_server"] = "drain_backend_server"
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReturnBackendServer(Command):
-    """Gives work to a drained backend server again."""
+    """Resumes dispatching work to a drained backend server."""
 
     id: BackendServerId
     kind: Literal["return_backend_server"] = "return_backend_server"
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RegisterAcceptor(Command):
-    """Records that an instance becomes an acceptor in an incarnation."""
+    """Records the incarnation in which an instance became an acceptor."""
 
     instance: InstanceId
     incarnation: int
@@ -63,12 +63,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishConfiguration(Command):
-    """Replaces all classes, if ``revision`` is higher than the one in force.
+    """Replaces all classes if ``revision`` is higher than the one in force.
 
     Parameters
     ----------
     classes
-        All classes there are.
+        The complete new set of classes.
     document
         See `Configuration`.
     """
@@ -80,28 +80,28 @@
 
 
 class InternalCommand(Command):
-    """Base of the commands of the system itself, whose outcome nobody waits for."""
+    """Base class of commands issued by the system itself; no caller awaits them."""
 
     __slots__ = ()
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeMembers(InternalCommand):
-    """Makes these instances the members of the log."""
+    """Replaces the members of the replicated log by these instances."""
 
     members: tuple[InstanceId, ...]
     kind: Literal["change_members"] = "change_members"
 
 
 class JobCommand(InternalCommand):
-    """Base of the commands of the dispatcher; each is idempotent."""
+    """Base class of the dispatcher's commands; each of them is idempotent."""
 
     __slots__ = ()
 
 
 @dataclass(frozen=True, slots=True)
 class AcceptJob(JobCommand):
-    """Keeps a durable job."""
+    """Stores a durable job."""
 
     job: DurableJob
     kind: Literal["accept_job"] = "accept_job"
@@ -109,7 +109,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordEnds(JobCommand):
-    """Keeps ends of runs."""
+    """Stores how runs ended."""
 
     ends: tuple[RunEnd, ...]
     kind: Literal["record_ends"] = "record_ends"
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelJobs(JobCommand):
-    """Cancels durable jobs that have not ended."""
+    """Cancels those of the durable jobs that have not ended."""
 
     job_ids: tuple[JobId, ...]
     kind: Literal["cancel_jobs"] = "cancel_jobs"
@@ -137,7 +137,7 @@
 
 
 class CommandStatus(StrEnum):
-    """Outcome of a command as its proposer sees it."""
+    """Outcome of a command as reported to its proposer."""
 
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
@@ -146,16 +146,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """The one outcome of a command.
+    """Outcome of a command, the same on every member.
 
     Parameters
     ----------
     status
         Never ``UNKNOWN`` in the replicated state.
     version
-        Version of the configuration right after the command.
+        Version of the configuration right after the command was applied.
     first
-        For `RegisterAcceptor`: whether the instance was never an acceptor before.
+        For `RegisterAcceptor`: whether the instance had never been an acceptor before.
     """
 
     status: CommandStatus
@@ -165,7 +165,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Proposal:
-    """A command with its identity; commands of the system expect no version."""
+    """A command with its id; an `InternalCommand` has no expected version."""
 
     command_id: str
     command: Command
@@ -190,7 +190,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryEntry:
-    """An accepted operator command and the version it made."""
+    """An accepted operator command and the configuration version it created."""
 
     version: int
     command_id: str
@@ -200,14 +200,14 @@
 
 @dataclass(slots=True)
 class Catalogue:
-    """State that the replicated log builds.
+    """State that results from applying the replicated log.
 
     Parameters
     ----------
     index
-        Last log entry applied.
+        Index of the last log entry applied.
     configuration
-        Rises by one version with each accepted operator command.
+        Its version increases by one with each accepted operator command.
     outcomes_by_id
         Outcomes of operator commands by command id, oldest first.
     history
@@ -217,7 +217,7 @@
     jobs_by_id
         Durable jobs, oldest first.
     members
-        Members of the log; none as long as they are those of the settings.
+        Members of the log; empty while the members named in the settings apply.
     """
 
     index: int = 0
@@ -231,17 +231,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Ballot:
-    """What a member must not forget about elections.
+    """Election state that a member must persist.
 
     Parameters
     ----------
     term, voted_for
-        Newest term seen, and the candidate that got this member's vote in it.
+        Newest term seen, and the candidate that this member voted for in that term.
     fences_by_id
-        Members that lost their disk, with the incarnation in which they came back:
+        Members that lost their disk, with the incarnation in which they rejoined:
         votes and acknowledgements of earlier incarnations no longer count.
     founders_by_id
-        Incarnations of the members that formed the group with this one.
+        Incarnations of the members that formed the log together with this one.
     """
 
     term: int = 0
@@ -252,35 +252,35 @@
 
 @dataclass(frozen=True, slots=True)
 class CommitIndex:
-    """All entries up to this one are in force, after any restart as well."""
+    """All entries up to this index are in force and stay so after a restart."""
 
     index: int
 
 
 @dataclass(frozen=True, slots=True)
 class FetchedConfiguration:
-    """A configuration that a member took from a peer, ahead of its own log."""
+    """A configuration fetched from a peer that is newer than the member's own log."""
 
     configuration: Configuration
 
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All durable state of a member.
+    """Complete durable state of a member.
 
     Parameters
     ----------
     ballot, commit, catalogue
-        As in the member's state.
+        Election state, commit index and applied state of the member.
     log_start, log_start_term
         Index and term of the entry before the first one of ``entries``.
     entries
         Log entries that a lagging member may still need.
     fetched
-        Newest configuration taken from a peer, if any.
+        Newest configuration fetched from a peer, if any.
     floor
-        Entries up to here may have been in force before the disk was lost, so that
-        nothing older is put in force.
+        Entries up to this index may have been in force before the disk was lost, so
+        the member puts no older state in force.
     """
 
     ballot: Ballot
--- a/boragetide/daemon/__init__.py
+++ b/boragetide/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon's process."""
+"""The daemon process and its runtime."""
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -49,8 +49,12 @@
     """Run the daemon, or check its settings."""
     parser = argparse.ArgumentParser(prog="boragetided", description=__doc__)
     parser.add_argument("--config", type=Path, help="INI file with the settings")
-    parser.add_argument("--check", action="store_true", help="validate and exit")
-    parser.add_argument("--data-folder", type=Path, help="overrides the settings")
+    parser.add_argument(
+        "--check", action="store_true", help="validate the settings and exit"
+    )
+    parser.add_argument(
+        "--data-folder", type=Path, help="overrides the data folder in the settings"
+    )
     arguments = parser.parse_args()
     try:
         settings = load_settings(arguments.config, arguments.data_folder)
@@ -70,17 +74,18 @@
 async def run_daemon(
     settings: Settings, make: Callable[..., Machines] | None = None
 ) -> int:
-    """Run the product's daemon until it is asked to stop; returns the exit code.
+    """Run the daemon until it is asked to stop, and return the exit code.
 
     Parameters
     ----------
     make
-        Makes the state machines; `make_machines` unless another policy is measured.
+        Makes the state machines; defaults to `make_machines`. Benchmarks pass another
+        function to measure other policies.
 
     Raises
     ------
     StorageError
-        If the data folder cannot be read, or is lost for good.
+        If the data folder cannot be read or its content cannot be recovered.
     """
     composition = Composition(
         make_machines=make or make_machines,
@@ -102,14 +107,14 @@
 def make_machines(
     settings: Settings, incarnation: int, recovered: Recoveries
 ) -> Machines:
-    """Return the state machine of each controller with its first state.
+    """Return the state machine of each controller with its initial state.
 
     Parameters
     ----------
     settings, incarnation
-        Of this process.
+        Settings and incarnation of this process.
     recovered
-        Records of the journals, by controller.
+        Records recovered from the journals, by controller.
     """
     records = _get_records(recovered, "configuration")
     machines = {
--- a/boragetide/daemon/effect_queue.py
+++ b/boragetide/daemon/effect_queue.py
@@ -1,4 +1,4 @@
-"""Performs the effects of one controller in order, with grouped syncs."""
+"""Executes the effects of one controller in order and groups journal syncs."""
 
 from __future__ import annotations
 
@@ -12,14 +12,18 @@
 
 @dataclass(slots=True)
 class EffectQueue:
-    """Effects that wait until an earlier one is durable.
+    """Queue of effects that wait until an earlier effect is durable.
 
     Parameters
     ----------
     perform
-        Performs one effect; a returned awaitable ends when the effect is durable.
+        Executes one effect; a returned awaitable completes when the effect is durable.
     group
-        Owner of the task that waits.
+        Task group for the tasks that await syncs.
+    waiting
+        Effects that have not been executed, in order.
+    is_syncing
+        Whether a task is awaiting a sync.
     """
 
     perform: Callable[[Effect], Awaitable[None] | None]
@@ -28,7 +32,7 @@
     is_syncing: bool = False
 
     def put(self, effects: Iterable[Effect]) -> None:
-        """Perform effects now, or behind those that wait."""
+        """Execute effects after all earlier ones, at once if none of these waits."""
         self.waiting.extend(effects)
         if not self.is_syncing:
             self._advance()
@@ -42,9 +46,9 @@
             self.perform(self.waiting.popleft())
 
     def _take_records(self) -> list[Awaitable[None]]:
-        """Hand over all waiting records up to a snapshot, so that they share a sync.
+        """Write all waiting records up to the next snapshot, so that they share a sync.
 
-        A record may become durable before the effects that stand in front of it.
+        A record may therefore become durable before effects that precede it.
         """
         if isinstance(self.waiting[0], SaveSnapshot):
             return [self.perform(self.waiting.popleft())]
--- a/boragetide/daemon/logs.py
+++ b/boragetide/daemon/logs.py
@@ -1,7 +1,7 @@
-"""Logs: one line of key=value pairs per event, through eliot.
+"""Logging through eliot: one line of key=value pairs per event.
 
-A value of printable ASCII without spaces, quotes and equals signs stands as it is; any
-other value is written as a JSON string, so that every event stays one line.
+A value of printable ASCII without spaces, quotes and equals signs is written as it is.
+Any other value is written as a JSON string, so that every event stays on one line.
 """
 
 from __future__ import annotations
@@ -26,18 +26,19 @@
 _PLAIN = re.compile(r"[!#-<>-~]+")
 _ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
 _LOGGER = eliot.Logger()
-# About 1,500 lines: what a busy leader writes in a second or two.
+# Holds about 1,500 lines, which a busy leader writes in one to two seconds.
 BACKLOG_BYTES = 256 * 1024
-# Formatting the seconds anew for each line took a third of the time of a line.
+# Cache size. Without the cache, formatting the seconds took a third of the time that a
+# line takes.
 _TIMES_KEPT = 4
 
 
 @dataclass(slots=True)
 class _Writer:
-    """Collects the lines of one turn of the event loop and writes them at once.
+    """Collects the lines of one event loop iteration and writes them together.
 
-    Never waits for the reader of the stream: what does not fit into its pipe is kept,
-    up to `BACKLOG_BYTES`, and further lines are dropped and counted.
+    Never blocks on the reader of the stream: output that does not fit into the pipe is
+    buffered. Once the buffer exceeds `BACKLOG_BYTES`, lines are dropped and counted.
     """
 
     stream: TextIO
@@ -46,7 +47,7 @@
     dropped: int = 0
 
     def __call__(self, message: dict[str, Any]) -> None:
-        """Take one eliot message; without an event loop it is written at once."""
+        """Queue one eliot message; write it at once if no event loop is running."""
         self.lines.append(format_event(message))
         if len(self.lines) > 1:
             return
@@ -56,7 +57,7 @@
             self.flush()
 
     def flush(self) -> None:
-        """Write the collected lines as far as the stream takes them."""
+        """Write as many of the collected lines as the stream accepts."""
         if len(self.backlog) > BACKLOG_BYTES:
             self.dropped += len(self.lines)
             self.lines.clear()
@@ -75,7 +76,7 @@
         except BlockingIOError:
             return
         except (OSError, ValueError):
-            # A stream without a descriptor, such as one that a test captures.
+            # The stream has no file descriptor, such as one captured by a test.
             self.stream.write(self.backlog.decode())
             self.stream.flush()
             written = len(self.backlog)
@@ -89,7 +90,7 @@
 
 
 class _EventHandler(logging.Handler):
-    """Turns records of the standard library's logging into events."""
+    """Converts records of the standard library's logging into events."""
 
     def emit(self, record: logging.LogRecord) -> None:
         fields = {
@@ -107,8 +108,8 @@
 def configure_logs(instance: str, stream: TextIO = sys.stderr) -> None:
     """Write every event to ``stream`` as one line.
 
-    Records of the standard library's logging, warnings and uncaught exceptions become
-    events as well.
+    Records of the standard library's logging, warnings and uncaught exceptions are
+    written as events as well.
     """
     eliot.add_global_fields(instance=instance)
     writer = _Writer(stream)
@@ -122,7 +123,7 @@
 
 
 def log_uncaught(kind: type[BaseException], value: BaseException, trace: Any) -> None:
-    """Write the event of an exception that ends the process."""
+    """Write a ``crashed`` event for an exception that ends the process."""
     text = "".join(traceback.format_exception(kind, value, trace))
     log_event("crashed", error=repr(value), traceback=text)
 
@@ -130,8 +131,8 @@
 def log_event(event: str, **fields: Any) -> None:
     """Write one event.
 
-    The message goes to eliot's logger directly: `eliot.log_message` makes an action
-    with a new UUID for each message, which nothing here reads.
+    The message is passed to eliot's logger directly: `eliot.log_message` creates an
+    action with a new UUID for each message, which is not used here.
     """
     _LOGGER.write({"timestamp": time.time(), "message_type": event, **fields})
 
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -46,8 +46,8 @@
 class Metrics:
     """All metrics of one process, by name.
 
-    Counters are summed in plain dictionaries and handed to their collectors when the
-    metrics are read, because a collector encodes the labels as JSON on each change.
+    Counters are summed in plain dictionaries and copied to their collectors when the
+    metrics are rendered, because a collector encodes the labels as JSON on each change.
     """
 
     def __init__(self) -> None:
@@ -64,14 +64,14 @@
         )
 
     def count(self, name: str, labels: dict[str, str], value: float = 1.0) -> None:
-        """Add to a counter, made on first use."""
+        """Add to a counter, which is created on first use."""
         totals = self._totals_by_name.get(name)
         if totals is None:
             totals = self._totals_by_name[name] = defaultdict(float)
         totals[tuple(labels.items())] += value
 
     def set_gauge(self, name: str, labels: dict[str, str], value: float) -> None:
-        """Set a gauge, made on first use."""
+        """Set a gauge, which is created on first use."""
         gauge = self._gauges_by_name.get(name)
         if gauge is None:
             gauge = self._gauges_by_name[name] = Gauge(
@@ -80,7 +80,7 @@
         gauge.set(_escape(labels), value)
 
     def observe(self, name: str, labels: dict[str, str], seconds: float) -> None:
-        """Add a duration to a histogram, made on first use."""
+        """Add a duration to a histogram, which is created on first use."""
         histogram = self._histograms_by_name.get(name)
         if histogram is None:
             histogram = self._histograms_by_name[name] = Histogram(
@@ -96,7 +96,7 @@
         self._response_seconds.observe({"class": class_name, "status": status}, seconds)
 
     def render(self) -> tuple[bytes, dict[str, str]]:
-        """Return the exposition text and its headers."""
+        """Return the metrics in the Prometheus text format, and the HTTP headers."""
         for name, totals in self._totals_by_name.items():
             counter = self._counters_by_name.get(name)
             if counter is None:
@@ -114,7 +114,7 @@
 
 
 def _escape(labels: dict[str, str]) -> dict[str, str]:
-    """Escape label values, which aioprometheus writes as they are."""
+    """Escape label values, because aioprometheus writes them unescaped."""
     return {
         key: str(value).replace("\\", r"\\").replace("\n", r"\n").replace('"', r"\"")
         for key, value in labels.items()
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -1,4 +1,4 @@
-"""Performs the effects that controllers return."""
+"""Executes the effects that controllers return."""
 
 from __future__ import annotations
 
@@ -22,14 +22,18 @@
 
 @dataclass(slots=True)
 class Performer:
-    """What effects act on: the runtime, the clients of the backend servers, files.
+    """Resources that effects act on: the runtime, HTTP clients and journals.
 
     Parameters
     ----------
     client
-        For tasks that start at most once.
+        Client of backend servers for tasks that are started at most once.
+    journals
+        Journals of the controllers; ``None`` in a process that stores no records.
     run_client
-        For runs of durable tasks.
+        Client of backend servers for the runs of durable tasks.
+    calls
+        HTTP calls in progress.
     """
 
     runtime: Runtime
@@ -39,7 +43,7 @@
     calls: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start_call(self, call: Awaitable[None]) -> None:
-        """Run an HTTP call as a task of its own and keep it referenced."""
+        """Run an HTTP call in a new task and hold a reference to the task."""
         task = asyncio.ensure_future(call)
         self.calls.add(task)
         task.add_done_callback(self._end_call)
@@ -50,12 +54,12 @@
             log_event("call_failed", error=repr(task.exception()))
 
     def report(self, message: TaskReport) -> None:
-        """Hand the end of a task to its controller."""
+        """Send the report of a task's end to its controller."""
         self.runtime.send(self.runtime.local("backend_servers"), message)
 
 
 def make_perform(performer: Performer) -> Callable[..., Awaitable[None] | None]:
-    """Bind the performer for `run_controller`."""
+    """Return `perform` bound to a performer, as `run_controller` expects it."""
 
     def bound(effect: effects.Effect, controller: str) -> Awaitable[None] | None:
         return perform(effect, performer, controller)
@@ -67,8 +71,8 @@
 def perform(
     effect: effects.Effect, performer: Performer, controller: str
 ) -> Awaitable[None] | None:
-    """Perform one effect; a returned awaitable ends when the effect is durable."""
-    raise TypeError(f"no performer for {effect!r}")
+    """Execute one effect; a returned awaitable completes when it is durable."""
+    raise TypeError(f"cannot execute effect {effect!r}")
 
 
 @perform.register
@@ -97,7 +101,7 @@
 
 def _get_journals(performer: Performer) -> Journals:
     if performer.journals is None:
-        raise StorageError("this instance has no disk to keep records on")
+        raise StorageError("this instance has no disk to store records on")
     return performer.journals
 
 
@@ -133,7 +137,7 @@
     performer: Performer,
     controller: str,
 ) -> None:
-    """Give an order to a backend server and hand its answer to the controller."""
+    """Send an order to a backend server and its answer to the controller."""
     answer = await performer.run_client(effect)
     performer.runtime.send(performer.runtime.local(controller), answer)
 
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -1,4 +1,4 @@
-"""One daemon process: its controllers, links, journals and servers."""
+"""One daemon process: its controllers, links, journals and HTTP servers."""
 
 from __future__ import annotations
 
@@ -39,27 +39,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Composition:
-    """What a daemon consists of.
+    """Components of a daemon.
 
     Parameters
     ----------
     make_machines
-        Makes the state machine of each controller with its first state.
+        Makes the state machine of each controller with its initial state.
     servers_by_address
-        Makes the HTTP server for each address that is listened on.
+        Functions that make the HTTP server for each listening address.
     record_types_by_controller
-        Controllers that keep a journal, where there is a disk.
+        Record types of the controllers that have a journal on an instance with a disk.
     make_performer
-        Makes the clients that effects act on.
+        Makes the `Performer` that executes effects.
     make_first_messages
-        Messages that controllers get before any other.
+        Makes the messages that controllers receive before any other.
     last_requests
-        Requests that a planned stop makes when all work is finished.
+        Requests that a planned stop sends when all work is finished.
     shortest_stop
-        How long a planned stop goes on serving, so that those who still send here
-        learn of it.
+        Minimum time for which the process keeps serving during a planned stop, in
+        seconds, so that instances that still send to it learn of the stop.
     background
-        Further tasks of the process.
+        Additional tasks of the process.
     """
 
     make_machines: Callable[[Settings, int, Recoveries], Machines]
@@ -73,12 +73,12 @@
 
 
 async def run_process(settings: Settings, composition: Composition) -> int:
-    """Run all tasks of a daemon until it is asked to stop; returns the exit code.
+    """Run all tasks of a daemon until it is asked to stop, and return the exit code.
 
     Raises
     ------
     StorageError
-        If the data folder cannot be read, or is lost for good.
+        If the data folder cannot be read or its content cannot be recovered.
     """
     signals = StopSignals()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -121,7 +121,7 @@
 async def _wait_until_listening(
     listener: asyncio.Task[None], listening: asyncio.Event
 ) -> None:
-    """Wait for the listener, so that no controller starts where it cannot listen."""
+    """Wait for the listener, so that no controller starts if it cannot listen."""
     waiting = asyncio.create_task(listening.wait())
     await asyncio.wait({listener, waiting}, return_when=asyncio.FIRST_COMPLETED)
     waiting.cancel()
@@ -130,10 +130,10 @@
 
 
 async def end_tasks(tasks: set[asyncio.Task[None]]) -> None:
-    """Cancel tasks until they have ended.
+    """Cancel tasks and wait until all have ended.
 
-    pynng drops a cancellation that meets a send or receive that has just ended, so the
-    task of a busy link may have to be cancelled more than once.
+    pynng drops a cancellation that arrives when a send or receive has just completed,
+    so the task of a busy link may have to be cancelled more than once.
     """
     while tasks:
         for task in tasks:
@@ -168,7 +168,10 @@
 
 
 def _report_failures(tasks: list[asyncio.Task[None]]) -> int:
-    """Log tasks that failed; without one of them the state may be inconsistent."""
+    """Log the tasks that failed and return the exit code.
+
+    The process ends after such a failure because its state may be inconsistent.
+    """
     failed = [task for task in tasks if task.done() and task.exception() is not None]
     for task in failed:
         error = task.exception()
@@ -207,7 +210,7 @@
 
 
 def _address_peer(instance: InstanceId, settings: Settings) -> Peer:
-    """Return the peer whose id is its IP address; all listen on the same port."""
+    """Return a peer whose id is its IP address; all peers listen on the same port."""
     port = settings.own.peer_address.rpartition(":")[2]
     return Peer(instance, "", "", f"{instance}:{port}", disk=False)
 
@@ -223,7 +226,7 @@
 def open_journals(
     settings: Settings, types_by_controller: Mapping[str, Iterable[type]]
 ) -> tuple[Journals, Recoveries]:
-    """Open the journals of an instance with a disk, and read what they hold.
+    """Open the journals of an instance with a disk and read their records.
 
     Raises
     ------
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -1,4 +1,4 @@
-"""Mailboxes, controller tasks and the delivery of messages between them."""
+"""Controller tasks, their mailboxes and message delivery between controllers."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 from boragetide.settings import Settings
 from boragetide.types import Address, InstanceId, ReplyTo, Seconds
 
-TICK_JITTER = 0.2  # share of the tick period
+TICK_JITTER = 0.2  # fraction of the tick period
 TICK_BACKLOG = 1000  # messages
 RESTART_DELAY = 0.5  # seconds
 
@@ -44,16 +44,16 @@
 
 @dataclass(slots=True)
 class Runtime:
-    """Owner of the mailboxes and of the requests that wait for replies.
+    """Owns the mailboxes and the pending requests of a process.
 
     Parameters
     ----------
     stopping
-        Set once a planned stop began.
+        Whether a planned stop has begun.
     open_requests
-        HTTP requests that are not answered yet.
+        HTTP requests that have not been answered.
     make_link
-        Makes and starts the link to an instance that the settings do not name.
+        Makes and starts the link to an instance that is not named in the settings.
     """
 
     settings: Settings
@@ -72,11 +72,11 @@
             self.mailboxes_by_controller.setdefault(name, asyncio.Queue())
 
     def local(self, controller: str) -> Address:
-        """Address of a controller on this instance."""
+        """Return the address of a controller on this instance."""
         return Address(self.settings.id, controller)
 
     def send(self, to: Address, message: Any) -> None:
-        """Deliver a message or lose it; never waits."""
+        """Send a message without waiting; delivery is not guaranteed."""
         if to.instance == self.settings.id:
             message = note_arrival(message, read_clock())
             self.mailboxes_by_controller[to.controller].put_nowait(message)
@@ -86,7 +86,7 @@
             self._fail(request, PeerUnreachable(f"no link to {to.instance!r}"))
 
     def reply(self, to: ReplyTo | None, message: Any) -> None:
-        """Answer a request that came from here or from another instance."""
+        """Answer a request from this or another instance."""
         if to is None:
             return
         if to.instance == self.settings.id:
@@ -102,16 +102,16 @@
         to
             Controller on this or another instance.
         message
-            Its ``reply_to`` is filled in here.
+            Request; its ``reply_to`` is set here.
         timeout
-            Seconds.
+            Seconds to wait for the reply.
 
         Raises
         ------
         PeerUnreachable
-            The message was certainly not sent.
+            If the message was certainly not sent.
         ReplyTimeout
-            The peer may have received the message.
+            If no reply arrived; the peer may have received the message.
         """
         request = next(self._requests)
         future = asyncio.get_running_loop().create_future()
@@ -146,14 +146,14 @@
         log_event("message_dropped", error=str(error))
 
     def report_unsent(self, envelope: Envelope) -> None:
-        """End the wait for a request that was certainly not sent."""
+        """Fail the pending request of an envelope that was certainly not sent."""
         self._fail(
             envelope.request if envelope.controller != REPLY_CONTROLLER else 0,
-            PeerUnreachable("link refused the message"),
+            PeerUnreachable("link did not send the message"),
         )
 
     def abandon_requests(self, instance: InstanceId) -> None:
-        """End every wait for a reply from a lost instance."""
+        """Fail all pending requests to a lost instance."""
         for request, pending in list(self._pending_by_request.items()):
             if pending.instance == instance:
                 self._fail(request, ReplyTimeout(f"instance {instance!r} was lost"))
@@ -205,26 +205,26 @@
     state: Any,
     perform: Callable[[Effect, str], Any],
 ) -> None:
-    """Own a controller's state: take messages one by one and perform their effects.
+    """Handle a controller's messages one by one and execute the returned effects.
 
     Parameters
     ----------
     runtime
-        Holds the mailbox.
+        Runtime that owns the controller's mailbox.
     name
         Name of the controller.
     handle
-        Its state machine, ``handle(message, state, now)``.
+        State machine of the controller, called as ``handle(message, state, now)``.
     state
-        Touched by this task only.
+        State of the controller, accessed by this task only.
     perform
-        Performs one effect; a returned awaitable ends when the effect is durable.
+        Executes one effect; a returned awaitable completes when the effect is durable.
 
     Notes
     -----
-    Messages are handled while earlier effects become durable. Effects are performed in
-    the order in which they were returned, so that whatever others see of a message is
-    behind the records that it depends on.
+    Messages are handled while earlier effects become durable. Effects are executed in
+    the order in which they were returned, so a message's effects become visible to
+    others only after the records that they depend on are durable.
     """
     mailbox = runtime.mailboxes_by_controller[name]
     silence = runtime.settings.timing.instance_silence
@@ -251,8 +251,9 @@
 ) -> None:
     """Run a link's task and restart it after an unexpected error.
 
-    A link has no state beyond its socket, so a new start is safe. An error before
-    ``needed`` is set is raised: a port in use at the start will not become free.
+    A link has no state besides its socket, so a restart is safe. An error raised before
+    the event ``needed`` is set is not retried: a port that is in use at start will not
+    become free.
     """
     while True:
         try:
@@ -265,16 +266,16 @@
 
 
 async def run_ticks(runtime: Runtime) -> None:
-    """Wake every controller periodically, with jitter.
+    """Send a `Tick` to every controller periodically, with jitter.
 
-    The first tick comes before any request, so that an instance that is alone in its
-    zone knows that it is the placer.
+    The first tick is sent before any request is served, so that an instance that is
+    alone in its zone already knows that it is the placer.
     """
     period = runtime.settings.timing.tick
     while True:
         for mailbox in runtime.mailboxes_by_controller.values():
-            # A controller that is behind gets no further ticks, which it would have to
-            # handle all at once later.
+            # Ticks are skipped for a controller with a long backlog, which would only
+            # have to handle them all at once later.
             if mailbox.qsize() < TICK_BACKLOG:
                 mailbox.put_nowait(Tick())
         await asyncio.sleep(period * random.uniform(1 - TICK_JITTER, 1 + TICK_JITTER))
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -1,4 +1,4 @@
-"""Planned stop: finish and answer everything in progress, then end."""
+"""Planned stop: finishes all work in progress before the process exits."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from boragetide.messages import Drain, Request, StopRequested
 from boragetide.types import Seconds
 
-# Jobs from entry instances that had already chosen this placer arrive until their claim
-# is decided; see also RELEASE_DELAY in the leases.
+# Entry instances that chose this placer before the stop still send their jobs once the
+# claims are decided; see also `RELEASE_DELAY` in `boragetide.controllers.leases`.
 SHORTEST_STOP = 1.0  # seconds
 POLL = 0.05  # seconds
 FLUSH_TIMEOUT = 2.0  # seconds
@@ -21,13 +21,13 @@
 
 @dataclass(slots=True)
 class StopSignals:
-    """What the process was asked: a second signal does not wait any longer."""
+    """Stop signals: the first starts a planned stop, the second ends it early."""
 
     first: asyncio.Event = field(default_factory=asyncio.Event)
     second: asyncio.Event = field(default_factory=asyncio.Event)
 
     def note(self) -> None:
-        """Take note of one signal."""
+        """Record the receipt of one signal."""
         (self.second if self.first.is_set() else self.first).set()
 
 
@@ -37,16 +37,16 @@
     last_requests: tuple[tuple[str, Request], ...],
     shortest: Seconds | None = None,
 ) -> None:
-    """Announce the stop and wait until all that is in progress is finished.
+    """Announce the stop and wait until all work in progress is finished.
 
-    The stop ends early, with a log line, at a second signal or after ``stop-timeout``.
+    The wait ends early, with a log line, at a second signal or after ``stop-timeout``.
 
     Parameters
     ----------
     last_requests
-        Controllers and what they are asked when all work is finished.
+        Controllers and the requests sent to them when all work is finished.
     shortest
-        Seconds for which the instance goes on in any case; `SHORTEST_STOP` if ``None``.
+        Minimum duration of the stop in seconds; `SHORTEST_STOP` if ``None``.
     """
     shortest = SHORTEST_STOP if shortest is None else shortest
     timeout = runtime.settings.timing.stop_timeout
@@ -87,10 +87,10 @@
 
 
 async def _is_busy(runtime: Runtime) -> bool:
-    """Tell whether requests are open or a controller has something to finish.
+    """Return whether requests are open or a controller has work left.
 
-    A controller that hands something over, such as its claims, begins with it at
-    `StopRequested` and answers `Drain` with what is left.
+    A controller that hands over state, such as its claims, starts to do so on
+    `StopRequested` and answers `Drain` with the amount of work left.
     """
     if runtime.open_requests:
         return True
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -1,4 +1,4 @@
-"""Durable jobs: what is kept of them, and the runs of their tasks."""
+"""Durable jobs: their stored state and the runs of their tasks."""
 
 from __future__ import annotations
 
@@ -17,16 +17,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Resources:
-    """What a task needs or a backend server has.
+    """Resources that a task needs or that a backend server has.
 
     Parameters
     ----------
     millicores
-        Thousandths of a core.
+        CPU, in thousandths of a core.
     memory
-        MiB.
+        Memory, in MiB.
     accelerators
-        Number of them.
+        Number of accelerators.
     """
 
     millicores: int = 0
@@ -34,7 +34,7 @@
     accelerators: int = 0
 
     def fits_in(self, room: Resources) -> bool:
-        """Tell whether this much is available in ``room``."""
+        """Return whether ``room`` has at least these resources."""
         return (
             self.millicores <= room.millicores
             and self.memory <= room.memory
@@ -60,24 +60,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Equal tasks of a job.
+    """A group of identical tasks of a job.
 
     Parameters
     ----------
     count
         Number of tasks.
     needs
-        What one task needs of one backend server.
+        Resources that one task needs on one backend server.
     estimate
-        Declared run time of a task on a backend server of speed 1; often wrong.
+        Run time of a task on a backend server of speed 1, in seconds, as declared by
+        the submitter; often wrong.
     depends_on
-        Positions of earlier steps whose tasks must all be done first.
+        Positions of earlier steps, all of whose tasks must be done first.
     required_label
         Label that the backend server must have, or empty.
     data_rack
         Rack on which the tasks run fastest, or empty.
     max_per_server
-        Tasks of this step that may run on one backend server at a time; 0 is no bound.
+        Maximum number of tasks of this step that run on one backend server at a time;
+        0 means no limit.
     """
 
     count: int
@@ -93,21 +95,22 @@
 class DurableJob:
     """A job whose tasks may run again after a loss.
 
-    Unless it is ``best_effort`` it is kept by a majority before it is accepted.
+    Unless it is ``best_effort``, a majority of the members stores the job before it is
+    accepted.
 
     Parameters
     ----------
     spec
         Passed to the backend servers unchanged.
     starts
-        Policy of its class when it was submitted.
+        Start policy of the job's class when the job was submitted.
     submitted_at
-        Unix time at which the leader received it.
+        Unix time at which the leader received the job.
     response_time
-        Target of its class when it was submitted.
+        Response time target of the job's class when the job was submitted, in seconds.
     best_effort
-        The job lives at the leader only and is lost with it; its caller waits for its
-        end and submits it again after a loss.
+        Whether the job is held only in the leader's memory and is lost with the leader.
+        The caller waits for the end of such a job and resubmits it after a loss.
     """
 
     id: JobId
@@ -121,12 +124,12 @@
 
     @property
     def task_count(self) -> int:
-        """Number of tasks of all steps."""
+        """Total number of tasks over all steps."""
         return sum(step.count for step in self.steps)
 
 
 class JobPhase(StrEnum):
-    """How far a durable job is, as far as it is kept."""
+    """Stored phase of a durable job."""
 
     ACTIVE = "active"
     SUCCEEDED = "succeeded"
@@ -136,14 +139,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRecord:
-    """What the replicated log keeps of a job.
+    """State of a job in the replicated log.
 
     Parameters
     ----------
     done
-        Tasks that have ended as done, numbered through all steps.
+        Tasks that have ended successfully, numbered consecutively over all steps.
     failures
-        Task and run of each failed attempt.
+        Task number and run number of each failed attempt.
     changed_at
         Unix time of the last change.
     """
@@ -157,7 +160,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskRef:
-    """One task of a durable job, by its step and its position in the step."""
+    """Identifies a task of a durable job by its step and its position in the step."""
 
     job_id: JobId
     step: int
@@ -175,7 +178,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEnd:
-    """A run that ended as done or failed; ``task`` is numbered through all steps."""
+    """A run that ended as done or failed; ``task`` is numbered over all steps."""
 
     job_id: JobId
     task: int
@@ -185,7 +188,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedRun:
-    """A run that a backend server says it is executing."""
+    """A run that a backend server reports as executing."""
 
     task: TaskRef
     run: int
@@ -193,12 +196,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedEnd:
-    """An end that a backend server lists until it is acknowledged.
+    """The end of a run, which a backend server reports until it is acknowledged.
 
     Parameters
     ----------
     number
-        Rises by one with each end in one life of the backend server.
+        Sequence number, which increases by one with each end; it starts over when the
+        backend server restarts.
     """
 
     number: int
@@ -209,16 +213,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerReport:
-    """What a backend server announces of itself.
+    """Announcement that a backend server sends about itself.
 
     Parameters
     ----------
     born
-        Unix time in milliseconds of its start; a newer one is another life.
+        Unix time of the backend server's start, in milliseconds; a higher value means
+        that it has restarted.
     sequence
-        Rises with each announcement of one life.
+        Increases with each announcement until the backend server restarts.
     clock
-        Its steady clock in seconds, if it said so.
+        Monotonic clock of the backend server, in seconds, if it was announced.
     """
 
     id: BackendServerId
@@ -234,7 +239,7 @@
 
 
 def number_task(job: DurableJob, task: TaskRef) -> int | None:
-    """Return the number of a task through all steps, or ``None`` if there is none."""
+    """Return a task's number over all steps, or ``None`` if the task does not exist."""
     if not 0 <= task.step < len(job.steps):
         return None
     if not 0 <= task.index < job.steps[task.step].count:
@@ -243,7 +248,13 @@
 
 
 def refer_to_task(job: DurableJob, number: int) -> TaskRef:
-    """Return the step and the position of a numbered task."""
+    """Return the step and the position of the task with this number.
+
+    Raises
+    ------
+    ValueError
+        If the job has no task of this number.
+    """
     for position, step in enumerate(job.steps):
         if number < step.count:
             return TaskRef(job.id, position, number)
--- a/boragetide/effects.py
+++ b/boragetide/effects.py
@@ -1,4 +1,4 @@
-"""What a controller asks its runtime to do, in the order returned."""
+"""Effects: actions that a controller returns for the runtime to execute in order."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Delivers a message to a controller here or on another instance, or loses it."""
+    """Sends a message to a local or remote controller; delivery is not guaranteed."""
 
     to: Address
     message: Any
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Answers a request, wherever it came from."""
+    """Answers a request from this or another instance."""
 
     to: ReplyTo | None
     message: Any
@@ -35,14 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Persist:
-    """Appends records to the controller's journal and syncs it before going on."""
+    """Appends records to the controller's journal and syncs it before later effects."""
 
     records: tuple[Any, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class SaveSnapshot:
-    """Replaces the controller's journal by one synced record."""
+    """Replaces the controller's journal by a single record and syncs it."""
 
     record: Any
 
@@ -68,16 +68,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Orders one run of a durable task; reported with `RunOrdered`.
+    """Orders a backend server to start one run; the result is a `RunOrdered`.
 
     Parameters
     ----------
     number
-        The task, numbered through all steps of its job.
+        Number of the task over all steps of its job.
     fence
-        Term of the leader that orders.
+        Fencing token: term of the leader that gives the order.
     lease_until
-        Time on the backend server's clock at which its leases lapse.
+        Time on the backend server's clock at which its leases expire.
     """
 
     server: BackendServerId
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Orders the end of one run; reported with `RunOrdered`."""
+    """Orders a backend server to stop one run; the result is a `RunOrdered`."""
 
     server: BackendServerId
     address: str
@@ -104,18 +104,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadRuns:
-    """Renews the leases of a backend server and reads its runs.
+    """Renews the leases of a backend server and lists its runs.
 
-    Reported with `RunsRead` or `ReadFailed`.
+    The result is a `RunsRead` or a `ReadFailed`.
 
     Parameters
     ----------
     acknowledged
-        Number of the last end that is kept.
+        Number of the last `ListedEnd` that has been stored.
     lease_until
-        Time on the backend server's clock; ``None`` renews nothing.
+        New expiry of the leases, on the backend server's clock; ``None`` renews none.
     wait
-        How long the backend server waits for an end, in seconds.
+        How long the backend server holds its answer until a run ends, in seconds.
     """
 
     server: BackendServerId
@@ -128,21 +128,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Reconnect:
-    """Replaces the link to a peer by a new connection."""
+    """Replaces the connection to a peer by a new one."""
 
     instance: InstanceId
 
 
 @dataclass(frozen=True, slots=True)
 class AbandonRequests:
-    """Ends every wait for a reply from an instance that counts as lost."""
+    """Fails all pending requests to an instance that is considered lost."""
 
     instance: InstanceId
 
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
-    """Writes one key=value log line."""
+    """Writes one log line of key=value pairs."""
 
     event: str
     fields: dict[str, Any] = field(default_factory=dict)
@@ -150,7 +150,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Observe:
-    """Adds a duration in seconds to a histogram."""
+    """Records a duration in a histogram metric."""
 
     metric: str
     seconds: Seconds
@@ -159,7 +159,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Count:
-    """Adds to a counter metric."""
+    """Increments a counter metric by ``value``."""
 
     metric: str
     labels: dict[str, str] = field(default_factory=dict)
--- a/boragetide/encoding.py
+++ b/boragetide/encoding.py
@@ -1,4 +1,4 @@
-"""How msgspec restores values whose declared type is only a base class."""
+"""Decoding of values whose declared type is only a base class, for msgspec."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 
 def restore(declared: type, value: Any) -> Any:
-    """Restore a command by its kind; a ``dec_hook`` of msgspec.
+    """Decode a command by its ``kind``; serves as a ``dec_hook`` of msgspec.
 
     Raises
     ------
     NotImplementedError
-        For any other declared type.
+        If the declared type is not `Command`.
     ValueError
         If the kind is unknown.
     """
--- a/boragetide/errors.py
+++ b/boragetide/errors.py
@@ -1,4 +1,4 @@
-"""One error class per layer; each layer turns errors from below into its own."""
+"""Exceptions of the package: each layer has its own and translates those below it."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 
 class BoragetideError(Exception):
-    """Base of all errors of this package."""
+    """Base class of all exceptions of this package."""
 
 
 class SettingsError(BoragetideError):
-    """The settings file has faults.
+    """The settings file is invalid.
 
     Parameters
     ----------
@@ -34,24 +34,24 @@
 
 
 class PeerUnreachable(LinkError):
-    """The message was certainly not sent."""
+    """The peer cannot be reached; the message was certainly not sent."""
 
 
 class ReplyTimeout(LinkError):
-    """No reply came; the peer may have received the message."""
+    """No reply arrived in time; the peer may have received the message."""
 
 
 class RequestError(BoragetideError):
-    """A request ends with this answer instead of a result.
+    """A request is answered with an error instead of a result.
 
     Parameters
     ----------
     status
-        ``NOT_RUN`` only where it is certain that no task started.
+        ``NOT_RUN`` only if it is certain that no task started.
     http_status
-        Status code of the response.
+        HTTP status code of the response.
     message
-        What the caller reads.
+        Explanation shown to the caller.
     """
 
     def __init__(self, status: Status, http_status: int, message: str):
@@ -61,16 +61,16 @@
 
 
 class CommandLineError(BoragetideError):
-    """A command of the command-line client ends with this exit code.
+    """A command of the command-line client fails with this exit code.
 
     Parameters
     ----------
     exit_code
         One of `boragetide.cli.base.ExitCode`.
     message
-        What the operator reads.
+        Explanation shown to the operator.
     body
-        Further fields of the JSON output.
+        Additional fields of the JSON output.
     """
 
     def __init__(
--- a/boragetide/filters/__init__.py
+++ b/boragetide/filters/__init__.py
@@ -1,1 +1,1 @@
-"""The chain of steps that every request passes."""
+"""The chain of filters that every request passes through."""
--- a/boragetide/filters/admit.py
+++ b/boragetide/filters/admit.py
@@ -1,4 +1,4 @@
-"""Refuses what this instance must not take."""
+"""Filter that refuses submissions which this instance must not accept."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 async def admit(exchange: Exchange, call_next: Next) -> Answer:
-    """Refuse jobs of too many tasks, unknown classes, and all while stopping."""
+    """Refuse jobs with too many tasks or an unknown class, and all jobs on a stop."""
     runtime = exchange.runtime
     count, limit = len(exchange.submission.tasks), runtime.settings.limits.tasks_per_job
     if count > limit:
@@ -32,7 +32,11 @@
 
 
 async def _refuse_while_stopping(exchange: Exchange) -> None:
-    """Refuse a submission; an earlier one of the same id may have run elsewhere."""
+    """Refuse a submission, as ``NOT_RUN`` only if its id is certainly not claimed.
+
+    Otherwise the status is ``UNKNOWN``: the job may have run on another instance after
+    an earlier submission.
+    """
     job_id = exchange.submission.id
     state = await ask_owner(exchange.runtime, job_id, LookUpJob(id=job_id))
     status = Status.NOT_RUN if state is None else Status.UNKNOWN
--- a/boragetide/filters/answer.py
+++ b/boragetide/filters/answer.py
@@ -1,4 +1,4 @@
-"""Outermost filter: turns errors into answers and observes the response time."""
+"""Outermost filter: converts errors to answers and records the response time."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 async def answer(exchange: Exchange, call_next: Next) -> Answer:
-    """Return the whole answer, whatever happens behind this filter."""
+    """Return the answer; errors raised by the inner filters become error answers."""
     try:
         result = await call_next(exchange)
         exchange.http_status = HTTP_STATUS_BY_STATUS[result.status]
--- a/boragetide/filters/chain.py
+++ b/boragetide/filters/chain.py
@@ -1,4 +1,4 @@
-"""The chain of filters that every submission passes."""
+"""The chain of filters that every submission passes through."""
 
 from __future__ import annotations
 
@@ -14,28 +14,30 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """One submission on its way through the chain; filters fill it in.
+    """State of one submission as it passes through the chain; filters set the fields.
 
     Parameters
     ----------
     runtime
         Gives access to the controllers.
     submission
-        What the border has validated.
+        The submission, already validated by the front end.
     received_at
         Unix time in seconds.
+    placer
+        The placer that will own a new job.
     claim
         The claim that names the owner.
     replies_by_acceptor
-        Grants that the owner completes with its own; ``None`` once a quorum holds the
-        claim.
+        Grants to which the owner adds its own to complete the quorum; ``None`` once a
+        quorum holds the claim.
     live
-        Incarnations of the instances that count as live, by id.
+        Incarnations of the instances considered live, by id.
     http_status
-        Status code of the response, set with the answer.
+        HTTP status code of the response, set together with the answer.
     class_label
-        Class in metrics; empty until the class is known to exist, so that callers
-        cannot make up labels.
+        Class name for metrics; empty until the class is known to exist, so that callers
+        cannot create arbitrary labels.
     """
 
     runtime: Runtime
@@ -54,7 +56,7 @@
 
 
 def build_chain(*filters: Filter) -> Next:
-    """Compose filters; the first one is the outermost."""
+    """Compose filters into a chain; the first one is the outermost."""
 
     async def end(exchange: Exchange) -> Answer:
         raise RuntimeError("no filter produced an answer")
--- a/boragetide/filters/claim.py
+++ b/boragetide/filters/claim.py
@@ -1,4 +1,4 @@
-"""Finds or makes the claim that names the owner of a job."""
+"""Filter that finds or creates the claim that names the owner of a job."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
 from boragetide.policy.routing import find_claim_group, find_home_zone
 from boragetide.types import Address, Answer, Claim, InstanceId, Seconds, Status
 
-# An instance that counts as lost is asked last. If it lives after all, it answers
-# within a few round trips of 1 ms.
+# Instances considered lost are asked last. One that is alive after all answers within a
+# few round trips of 1 ms.
 LOST_TIMEOUT: Seconds = 0.2
 
 
@@ -39,7 +39,7 @@
 
 
 async def claim(exchange: Exchange, call_next: Next) -> Answer:
-    """Ask the claim group of the job's home zone until a quorum agrees."""
+    """Ask the claim group of the job's home zone until a quorum agrees on a claim."""
     runtime = exchange.runtime
     settings = runtime.settings
     job_id = exchange.submission.id
@@ -63,7 +63,7 @@
 
 
 async def list_live(runtime: Runtime) -> dict[InstanceId, int]:
-    """Return the incarnations of the instances that count as live, by id."""
+    """Return the incarnations of the instances considered live, by id."""
     listed = await runtime.ask(
         runtime.local("instances"),
         ListInstances(),
@@ -75,15 +75,15 @@
 def choose_timeout(
     runtime: Runtime, live: dict[InstanceId, int], to: InstanceId
 ) -> Seconds:
-    """Return how long to wait for a short answer of an instance, in seconds."""
+    """Return the timeout, in seconds, of a request that is answered at once."""
     timeout = runtime.settings.timing.request_timeout
     return timeout if to in live else min(timeout, LOST_TIMEOUT)
 
 
 @singledispatch
 async def _follow(step: Step, attempt: _Attempt) -> Answer | None:
-    """Take one step; ``None`` if another one is needed."""
-    raise TypeError(f"no way to take {step!r}")
+    """Execute one step; return ``None`` if another step is needed."""
+    raise TypeError(f"unknown claim step {step!r}")
 
 
 @_follow.register
--- a/boragetide/filters/dispatch.py
+++ b/boragetide/filters/dispatch.py
@@ -1,4 +1,4 @@
-"""Innermost filter: hands the job to its owner and waits for the answer."""
+"""Innermost filter: submits the job to its owner and waits for the answer."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class ClaimNotGranted(BoragetideError):
-    """The owner did not complete the quorum; the job was not handed over."""
+    """The owner did not complete the quorum and did not accept the job."""
 
     def __init__(self, reply: ClaimReply | None):
         super().__init__("the owner's grant does not complete the quorum")
@@ -30,9 +30,9 @@
     Raises
     ------
     ClaimNotGranted
-        If the owner was to complete the quorum and did not.
+        If the owner was asked to complete the quorum and did not.
     RequestError
-        With ``UNKNOWN`` where no answer came.
+        With ``UNKNOWN`` if no answer arrived.
     """
     claim = exchange.claim
     if exchange.live.get(claim.owner, 0) > claim.owner_incarnation:
@@ -72,7 +72,7 @@
 
 
 def _choose_timeout(exchange: Exchange) -> Seconds:
-    """Wait for the whole job only at an owner that can still run it."""
+    """Return a timeout that covers the whole job only if the owner can still run it."""
     if exchange.live.get(exchange.claim.owner) != exchange.claim.owner_incarnation:
         return exchange.runtime.settings.timing.request_timeout
     return _longest_wait(exchange.submission)
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -1,4 +1,4 @@
-"""The chain that every request for durable jobs passes, from any front end."""
+"""The chain of filters that requests for durable jobs from all front ends pass."""
 
 from __future__ import annotations
 
@@ -21,36 +21,39 @@
 )
 from boragetide.types import Address, Seconds, Status
 
-# A leader answers within a few syncs of 9 ms; one that has not by then may be lost, or
-# the message was. Each repetition to the same leader waits twice as long: one that is
-# overloaded gets no more questions for being slow.
+# A leader answers within a few syncs of 9 ms each. If there is no answer within the
+# timeout, the leader or the message may be lost. The timeout doubles with each
+# repetition to the same leader, so that an overloaded one does not get more requests
+# because it is slow.
 LEADER_TIMEOUT: Seconds = 0.7
 LEADER_RETRY: Seconds = 0.03
-# A leader that is lost is replaced within this time, unless this instance is cut off
-# from the members or most of them are down. Then nothing is gained by waiting.
+# A lost leader is replaced within this time, unless this instance is cut off from the
+# members or most of them are down. In these cases waiting longer is of no use.
 TAKEOVER_TIME: Seconds = 2.0
-# What is left of the caller's time when it gets its last answer.
+# Reserved before the caller's deadline for delivering the final answer.
 ANSWER_MARGIN: Seconds = 0.05
 
 
 @dataclass(slots=True)
 class DurableExchange:
-    """One request for a durable job on its way to the leader.
+    """State of one request for a durable job as it passes through the chain.
 
     Parameters
     ----------
     message
-        What the dispatcher is asked.
+        Request to the dispatcher.
     name
-        Kind of request, in logs and metrics.
+        Kind of request, for logs and metrics.
     job_id, class_name
-        For logs and metrics.
+        Id and class of the job, for logs.
+    received_at
+        Unix time at which the request arrived.
     deadline
         Unix time until which the caller waits.
     useful_until
-        Unix time after which a job that was not started is of no use to its caller.
+        Unix time after which the caller no longer needs a job that has not started.
     attempts
-        Times that a leader was asked.
+        Number of requests sent to a leader.
     """
 
     runtime: Runtime
@@ -92,14 +95,14 @@
 
 
 async def ask_leader(exchange: DurableExchange, call_next: Next) -> DispatcherReply:
-    """Ask the leader, and the next one if it changes, until the caller's deadline.
+    """Ask the leader, or its successor, until one answers or the deadline is near.
 
-    Every request names its job by the caller's id, so that asking twice is harmless.
+    Every request identifies its job by the caller's id, so repeating it is safe.
 
     Raises
     ------
     RequestError
-        ``NOT_RUN`` where no leader was ever handed the request, else ``UNKNOWN``.
+        ``NOT_RUN`` if no leader can have received the request, else ``UNKNOWN``.
     """
     runtime = exchange.runtime
     handed_to: Counter[int] = Counter()
@@ -133,7 +136,7 @@
 
 @singledispatch
 def stamp_age(message: Request, age: Seconds) -> Request:
-    """Return a message with its age, where its receiver needs that."""
+    """Return a message with its age added, if its type has one."""
     return message
 
 
@@ -143,10 +146,11 @@
 
 
 def _check_refusal(reply: DispatcherReply, handed_to: set[int]) -> DispatcherReply:
-    """Return an answer, unless it is a refusal that an earlier leader may belie.
+    """Return the reply, unless it is a refusal that may not hold for other terms.
 
-    The leader of one term knows whether it has started a job. It does not know what the
-    leader of another term has done.
+    The leader of one term knows whether it has started a job, but not whether the
+    leader of another term has. A refusal is therefore reported as ``UNKNOWN`` if the
+    request may have reached the leader of another term.
     """
     if reply.status is ReplyStatus.REFUSED and handed_to - {reply.term}:
         raise RequestError(Status.UNKNOWN, 504, reply.reason)
--- a/boragetide/filters/lookup.py
+++ b/boragetide/filters/lookup.py
@@ -1,4 +1,4 @@
-"""Finds a job by its id, from any instance."""
+"""Looks up or cancels a job by its id from any instance."""
 
 from __future__ import annotations
 
@@ -30,8 +30,8 @@
     Returns
     -------
     JobState or None
-        ``None`` where the id is certainly not claimed; the state ``unknown`` where the
-        owner or the claim group does not answer.
+        ``None`` if the id is certainly not claimed; the state ``unknown`` if the owner
+        or the claim group does not answer.
     """
     settings = runtime.settings
     live = await list_live(runtime)
@@ -63,7 +63,7 @@
     claim: Claim,
     message: LookUpJob | CancelJob,
 ) -> JobState | None:
-    """Ask the owner that one claim names; ``None`` where it does not know the job."""
+    """Ask the owner that a claim names; ``None`` if it does not know the job."""
     if live.get(claim.owner, 0) > claim.owner_incarnation:
         return None
     state = await _ask(runtime, live, Address(claim.owner, "jobs"), message)
--- a/boragetide/filters/route.py
+++ b/boragetide/filters/route.py
@@ -1,4 +1,4 @@
-"""Chooses the placer that will own a new job."""
+"""Filter that chooses the placer that will own a new job."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 async def route(exchange: Exchange, call_next: Next) -> Answer:
-    """Ask the instances controller for the placer and log its choice."""
+    """Ask the ``instances`` controller for the placer and log the choice."""
     runtime = exchange.runtime
     exchange.placer = await runtime.ask(
         runtime.local("instances"),
--- a/boragetide/json_values.py
+++ b/boragetide/json_values.py
@@ -1,4 +1,4 @@
-"""JSON values that links between instances can carry unchanged."""
+"""Checks that JSON values can be sent between instances without loss."""
 
 from __future__ import annotations
 
@@ -6,23 +6,23 @@
 import re
 from typing import Any
 
-MAX_DEPTH = 200  # levels; the JSON parser of request bodies stops there as well
+MAX_DEPTH = 200  # nesting levels; same limit as the JSON parser of request bodies
 
 _MIN_INTEGER = -(2**63)
 _MAX_INTEGER = 2**64 - 1
-# Matches every text that can hold a number outside the ranges below, so that other
-# texts need no walk through their values.
+# Matches every JSON text that can contain a number outside of the ranges above or a
+# non-finite one, so that the values of other texts need not be checked one by one.
 _SUSPECT = re.compile(rb"NaN|Infinity|\d{19}|[eE]\+?\d{3}")
 
 
 def needs_walk(text: bytes) -> bool:
-    """Tell whether a JSON text can hold a value that `find_fault` objects to."""
+    """Return whether a JSON text can contain a value that `find_fault` rejects."""
     brackets = text.count(b"[") + text.count(b"{")
     return brackets > MAX_DEPTH or _SUSPECT.search(text) is not None
 
 
 def find_fault(value: Any) -> str | None:
-    """Return why a decoded JSON value cannot be carried unchanged, if so.
+    """Return why a decoded JSON value cannot be sent unchanged, or ``None`` if it can.
 
     msgpack has no integers above 64 bits, and JSON has neither NaN nor infinity.
     """
@@ -35,7 +35,7 @@
     if isinstance(value, float) and not math.isfinite(value):
         return "number is not finite"
     if isinstance(value, int) and not _MIN_INTEGER <= value <= _MAX_INTEGER:
-        return "integer does not fit 64 bits"
+        return "integer does not fit in 64 bits"
     if isinstance(value, dict):
         value = value.values()
     elif not isinstance(value, list):
--- a/boragetide/links/__init__.py
+++ b/boragetide/links/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to other instances and to backend servers."""
+"""Network connections to other instances and to backend servers."""
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -1,4 +1,4 @@
-"""Client of the backend servers: batched dispatch and cancellation over HTTP."""
+"""HTTP client of the backend servers: batched dispatch and cancellation of tasks."""
 
 from __future__ import annotations
 
@@ -18,10 +18,11 @@
 CONNECT_TIMEOUT = 1.0  # seconds
 CANCEL_TIMEOUT = 2.0  # seconds
 CLIENT_CONNECTIONS = 1024
-RESULT_MARGIN = 2.0  # seconds that a result may take beyond the task's timeout
+RESULT_MARGIN = 2.0  # seconds beyond the task's timeout for its result to arrive
 
 _HTTP_REFUSED = frozenset({409, 503})
-_CURL_NOT_CONNECTED = frozenset({5, 6, 7})  # proxy, host, connect
+# curl error codes: proxy not resolved, host not resolved, connection failed.
+_CURL_NOT_CONNECTED = frozenset({5, 6, 7})
 
 
 class _ResultLine(msgspec.Struct):
@@ -42,7 +43,7 @@
 
 
 def make_client() -> AsyncHTTPClient:
-    """Make the curl client that all calls to backend servers share."""
+    """Make the curl client that all task calls to backend servers share."""
     AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CLIENT_CONNECTIONS)
     return AsyncHTTPClient()
 
@@ -59,8 +60,8 @@
     start
         The batch, its backend server and the lease.
     report
-        Called once per task. A task is reported ``NOT_RUN`` only where that is
-        certain, and ``UNKNOWN`` where the connection ended before its result.
+        Called once per task. A task is reported as ``NOT_RUN`` only if that is certain,
+        and as ``UNKNOWN`` if the connection ended before its result.
     """
     waiting = {task.id for task in start.tasks}
     parser = LineParser(start, waiting, report)
@@ -84,7 +85,7 @@
     except (TimeoutError, OSError) as failure:
         error = str(failure)
     finally:
-        # Also after an unexpected error, since a task without a report never ends.
+        # Runs after unexpected errors as well: a task that is not reported never ends.
         parser.close()
         for task_id in sorted(waiting):
             outcome = TaskOutcome(status, error=error)
@@ -102,16 +103,19 @@
 
 
 def _classify(failure: HTTPClientError) -> tuple[TaskStatus, str]:
-    """Tell a certain refusal from a dispatch that may have reached the server."""
+    """Return the status and error text of the tasks of a failed dispatch.
+
+    The status is ``NOT_RUN`` only if the dispatch certainly did not start any task.
+    """
     if failure.code in _HTTP_REFUSED:
         return TaskStatus.NOT_RUN, f"refused with HTTP status {failure.code}"
     if getattr(failure, "errno", None) in _CURL_NOT_CONNECTED:
-        return TaskStatus.NOT_RUN, "connection refused"
+        return TaskStatus.NOT_RUN, "cannot connect to the backend server"
     return TaskStatus.UNKNOWN, str(failure)
 
 
 class LineParser:
-    """Splits a streamed response into lines and reports each task once."""
+    """Parses a streamed response line by line and reports each task once."""
 
     def __init__(
         self,
@@ -125,13 +129,13 @@
         self._buffer = b""
 
     def feed(self, chunk: bytes) -> None:
-        """Take the next chunk of the response."""
+        """Parse the next chunk of the response."""
         *lines, self._buffer = (self._buffer + chunk).split(b"\n")
         for line in lines:
             self._read(line)
 
     def close(self) -> None:
-        """Take what is left as the last line."""
+        """Parse the remaining bytes as the last line."""
         self._read(self._buffer)
         self._buffer = b""
 
--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of messages between instances, as msgpack."""
+"""msgpack encoding of messages between instances."""
 
 from __future__ import annotations
 
@@ -17,20 +17,21 @@
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """One message on the way to another instance, encoded without field names.
+    """One message to another instance, encoded as an array without field names.
 
     Parameters
     ----------
     sender, sender_incarnation
-        Where the message comes from.
+        Instance that sends the message, and its incarnation.
     controller
-        Mailbox it goes to; `REPLY_CONTROLLER` for a reply to ``request``.
+        Receiving mailbox; `REPLY_CONTROLLER` for a reply to ``request``.
     request
-        Number of the answered request, for replies.
+        Number of the answered request in a reply; in a request, the number under which
+        the sender waits for the reply; otherwise 0.
     kind
         Class name of the message.
     body
-        The message, encoded.
+        Encoded message.
     """
 
     sender: InstanceId
@@ -62,7 +63,7 @@
 
 
 def encode_frame(envelopes: list[Envelope]) -> bytes:
-    """Encode the envelopes that travel together."""
+    """Encode envelopes that are sent together."""
     return _ENCODER.encode(envelopes)
 
 
@@ -86,7 +87,7 @@
     Raises
     ------
     LinkError
-        If the kind is unknown or the body does not fit it.
+        If the kind is unknown or the body does not match it.
     """
     decoder = _DECODERS_BY_KIND.get(envelope.kind)
     if decoder is None:
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -1,6 +1,7 @@
-"""Orders to backend servers that run durable tasks, in the product's own protocol.
+"""HTTP client of backend servers that run durable tasks.
 
-``docs/interfaces.md`` describes it for those who write such a backend server.
+An order is a request to start a run, to stop a run or to list the runs. The protocol is
+described in ``docs/interfaces.md`` for authors of such backend servers.
 """
 
 from __future__ import annotations
@@ -25,11 +26,11 @@
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
 from boragetide.types import Seconds
 
-OTHER_SERVER = 421  # HTTP status of a backend server that was not meant
+OTHER_SERVER = 421  # HTTP status if another backend server answers at the address
 
 
 class _OrderAnswer(msgspec.Struct):
-    """Answer to a start or stop; ``result`` is empty for one that was carried out."""
+    """Answer to a start or stop; ``result`` is absent if the order was executed."""
 
     clock: Seconds
     result: OrderResult = OrderResult.DONE
@@ -42,7 +43,7 @@
     run: int
 
     def to_task(self) -> TaskRef:
-        """Return the task of the run."""
+        """Return the reference of the run's task."""
         return TaskRef(self.job, self.step, self.index)
 
 
@@ -52,7 +53,7 @@
 
 
 class _Runs(msgspec.Struct):
-    """Answer to a question."""
+    """Answer to a request for the list of runs."""
 
     clock: Seconds
     born: int
@@ -61,7 +62,7 @@
 
 
 def make_run_client() -> Callable[[Any], Awaitable[Any]]:
-    """Make the client that performs orders, with kept connections."""
+    """Make the client that sends orders over persistent connections."""
     client = make_order_client()
 
     def give(order: StartRun | StopRun | ReadRuns) -> Awaitable[Any]:
@@ -72,7 +73,7 @@
 
 @singledispatch
 async def give_order(order: Any, client: AsyncHTTPClient) -> Any:
-    """Give one order and translate its answer."""
+    """Send one order and convert the answer to a message for the controller."""
     raise TypeError(f"no order {order!r}")
 
 
--- a/boragetide/links/order_call.py
+++ b/boragetide/links/order_call.py
@@ -1,4 +1,4 @@
-"""One call to a backend server that runs durable tasks, over a kept connection."""
+"""HTTP call to a backend server that runs durable tasks."""
 
 from __future__ import annotations
 
@@ -14,16 +14,17 @@
 CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
 CONNECTIONS = 256
 CONNECT_TIMEOUT: Seconds = 0.3
-# Orders are answered within a round trip of a few milliseconds, and can be repeated.
+# An order is answered within a round trip of a few milliseconds and can be repeated
+# safely, so the timeout is short.
 ORDER_TIMEOUT: Seconds = 0.2
-# Beyond the time that a question waits for an end.
+# Added to the time for which the backend server may hold its answer until a run ends.
 READ_MARGIN: Seconds = 0.2
 NO_RESPONSE = 0
 
 
 @dataclass(frozen=True, slots=True)
 class CallResponse:
-    """Status and body of a response; without one the status is `NO_RESPONSE`."""
+    """Status and body of a response; `NO_RESPONSE` if the call got none."""
 
     status: int
     body: bytes
@@ -43,7 +44,7 @@
     timeout: Seconds,
     headers: dict[str, str] | None = None,
 ) -> CallResponse:
-    """Make one call; it never raises for what happens on the way."""
+    """Make one call; HTTP and network errors are logged and not raised."""
     request = HTTPRequest(
         url,
         method="POST",
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -1,4 +1,4 @@
-"""Links to other instances: one sending task per peer and one receiving task."""
+"""Links to other instances: one sender task per peer and one receiver task."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class PeerLink:
-    """Mailbox of the task that sends to one peer."""
+    """Outbox of the task that sends to one peer."""
 
     peer: Peer
     outbox: deque[Envelope] = field(default_factory=deque)
@@ -35,7 +35,7 @@
 
 
 def post(link: PeerLink, envelope: Envelope) -> bool:
-    """Queue an envelope; false means that it was certainly not sent."""
+    """Queue an envelope; return false if the outbox is full and nothing is sent."""
     if len(link.outbox) >= OUTBOX_ENVELOPES:
         return False
     link.outbox.append(envelope)
@@ -44,22 +44,22 @@
 
 
 def replace_socket(link: PeerLink) -> None:
-    """Ask the link's task to go on with a new socket, even when it is idle."""
+    """Ask the link's task to continue with a new socket, even if it is idle."""
     link.replaced = True
     link.wake.set()
 
 
 async def run_link(link: PeerLink, on_unsent: OnUnsent, count: CountBytes) -> None:
-    """Send a peer's envelopes, batched, over one socket that this task owns.
+    """Send a peer's envelopes in batches over one socket that this task owns.
 
     Parameters
     ----------
     link
-        Mailbox of the peer.
+        Outbox of the peer.
     on_unsent
         Called with each envelope that was certainly not sent.
     count
-        Adds to a metric; called with the bytes sent.
+        Adds to a counter metric; called with the number of bytes sent.
     """
     while True:
         with _open_push(link.peer) as socket:
@@ -89,13 +89,14 @@
     batch = [link.outbox.popleft() for _ in range(size)]
     frame = encode_frame(batch)
     try:
-        # Without a connection a send would wait for its timeout, and pynng would not
-        # free the message after it.
+        # Without a connection the send would block until its timeout, and pynng would
+        # not free the message afterwards.
         if not socket.pipes:
             raise pynng.Timeout("no connection", 0)
         await socket.asend(frame)
     except pynng.NNGException:
-        # What waits behind a send that timed out would wait as long again.
+        # The envelopes queued behind a send that timed out would wait just as long, so
+        # they fail together with it.
         batch += link.outbox
         link.outbox.clear()
         for envelope in batch:
@@ -116,13 +117,13 @@
     Parameters
     ----------
     settings
-        Give the address to listen on.
+        Settings with the address to listen on.
     deliver
         Called with each envelope.
     on_fault
-        Called for a frame that cannot be decoded.
+        Called with the error of each frame that cannot be decoded.
     count
-        Adds to a metric; called with the bytes received.
+        Adds to a counter metric; called with the number of bytes received.
     listening
         Set once the socket accepts connections.
     """
--- a/boragetide/links/run_client.py
+++ b/boragetide/links/run_client.py
@@ -1,4 +1,4 @@
-"""What a client of backend servers that run durable tasks must do."""
+"""Interface of the clients of backend servers that run durable tasks."""
 
 from __future__ import annotations
 
@@ -9,14 +9,15 @@
 
 
 class RunClient(Protocol):
-    """Carries an order to a backend server.
+    """Sends an order to a backend server.
 
-    Never raises: an order that may have been carried out without an answer ends as
-    `OrderResult.UNANSWERED`, a question as `ReadFailed`.
+    Never raises. A start or stop without an answer, which may have been executed,
+    results in `OrderResult.UNANSWERED`; a `ReadRuns` without an answer results in
+    `ReadFailed`.
     """
 
     async def __call__(
         self, order: StartRun | StopRun | ReadRuns
     ) -> RunOrdered | RunsRead | ReadFailed:
-        """Give the order and return what the backend server said."""
+        """Send the order and return the backend server's answer as a message."""
         ...
--- a/boragetide/messages/__init__.py
+++ b/boragetide/messages/__init__.py
@@ -1,7 +1,7 @@
 """Messages between controllers, on one instance or between instances.
 
-A message that expects a reply derives from `Request`; the runtime fills in
-``reply_to`` when the message is asked rather than sent.
+A message that expects a reply derives from `Request`. The runtime sets ``reply_to``
+in `Runtime.ask`; a request passed to `Runtime.send` is delivered as it is.
 """
 
 from __future__ import annotations
--- a/boragetide/messages/backend_servers.py
+++ b/boragetide/messages/backend_servers.py
@@ -21,18 +21,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AnnounceBackendServer(Request):
-    """A backend server announced or renewed itself.
+    """A backend server announces itself or renews its announcement.
 
     Answered with `LeaseGranted` or `LeaseRefused`.
 
     Parameters
     ----------
     lease
-        Newest lease that the backend server holds, empty if it holds none, ``None`` if
-        it does not say.
+        Newest lease token that the backend server holds; empty if it holds none,
+        ``None`` if the announcement does not include one.
     fence
-        Grants a lease even on an instance that is not the placer, so that the backend
-        server accepts nothing under the lease it held before.
+        Whether to grant a lease even if the receiving instance is not the placer, so
+        that the backend server rejects dispatches under its previous lease.
     """
 
     server: BackendServer
@@ -42,16 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseGranted:
-    """Lease of a backend server to the placer of its zone.
+    """Leases a backend server to the placer of its zone.
 
     Parameters
     ----------
     lease
         Token that each dispatch to the backend server carries.
     holder, holder_address
-        The instance that may dispatch, and its HTTP address for renewals.
+        Instance that may dispatch to the backend server, and its HTTP address, to which
+        the backend server sends renewals.
     renew_every, expires_after
-        Seconds.
+        Renewal interval and lifetime of the lease, in seconds.
     """
 
     lease: str
@@ -63,14 +64,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRefused:
-    """The instance does not place for the zone of the backend server."""
+    """The instance is not the placer of the backend server's zone."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class PlacerChanged:
-    """Another instance, or none, now has the placer role of this instance's zone."""
+    """The placer of this instance's zone changed to another instance or to none."""
 
     placer: InstanceId | None
 
@@ -88,23 +89,23 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelQueued:
-    """Drops the queued tasks of a job and cancels those that run."""
+    """Removes the queued tasks of a job and cancels its running tasks."""
 
     job_id: JobId
 
 
 @dataclass(frozen=True, slots=True)
 class TaskReport:
-    """A backend server reported the end of a task.
+    """A backend server reports the end of a task.
 
     Parameters
     ----------
     server, lease, task_id
-        Which dispatch the report belongs to.
+        Identify the dispatch that the report belongs to.
     outcome
         How the task ended.
     seconds
-        Run time that the backend server measured, if it said so.
+        Run time measured by the backend server, if it is reported.
     """
 
     server: BackendServerId
@@ -116,24 +117,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ListBackendServers(Request):
-    """Asks for the backend servers this placer leases."""
+    """Asks for the backend servers leased to this placer."""
 
 
 @dataclass(frozen=True, slots=True)
 class BackendServerList:
-    """Backend servers with their state, as plain records for operators."""
+    """Backend servers and their state, as plain records shown to operators."""
 
     servers: tuple[dict[str, Any], ...]
 
 
 @dataclass(frozen=True, slots=True)
 class DescribePool(Request):
-    """Asks how busy the pool of this instance is; answered with `PoolDescription`."""
+    """Asks for the load of this instance's pool; answered with `PoolDescription`."""
 
 
 @dataclass(frozen=True, slots=True)
 class PoolDescription:
-    """Sizes of the pool that one instance places for."""
+    """Size and load of the pool whose placer this instance is."""
 
     backend_servers: int
     slots: int
--- a/boragetide/messages/claims.py
+++ b/boragetide/messages/claims.py
@@ -10,7 +10,7 @@
 
 
 class ClaimStatus(StrEnum):
-    """What an acceptor says of a claim request."""
+    """Answer of an acceptor to a claim request."""
 
     GRANTED = "granted"
     HELD = "held"
@@ -20,9 +20,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRequest(Request):
-    """Asks an acceptor to hold a claim; answered with `ClaimReply`.
+    """Asks an acceptor to grant a claim; answered with `ClaimReply`.
 
-    ``asked_at`` is when the submission came in, by the clock of its entry instance.
+    Parameters
+    ----------
+    asked_at
+        Time at which the submission arrived, by the clock of its entry instance.
     """
 
     claim: Claim
@@ -31,24 +34,24 @@
 
 @dataclass(frozen=True, slots=True)
 class LookUpClaim(Request):
-    """Asks an acceptor what it holds for an id; answered with `ClaimReply`."""
+    """Asks an acceptor for the claim it holds on an id; answered with `ClaimReply`."""
 
     id: JobId
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimReply:
-    """An acceptor's answer.
+    """Answer of an acceptor to `ClaimRequest` or `LookUpClaim`.
 
     Parameters
     ----------
     claim
-        What the acceptor holds, if anything.
+        Claim that the acceptor holds, if any.
     incarnation
-        Of the acceptor.
+        Incarnation of the acceptor.
     restarts_by_id
         Newest incarnation of each other acceptor that has caught up from this one. A
-        grant of an older incarnation is forgotten and must not be counted with this.
+        grant by an older incarnation is lost and must not be counted with this reply.
     """
 
     status: ClaimStatus
@@ -61,7 +64,7 @@
 class ClaimAndSubmit(Request):
     """Asks the owner to complete the quorum with its own grant and to run the job.
 
-    Answered with `JobAnswer`, or with `ClaimReply` where the claim is not decided.
+    Answered with `JobAnswer`, or with `ClaimReply` if the claim is not decided.
     """
 
     submission: Submission
@@ -72,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchClaims:
-    """A restarted acceptor asks another one for its claims of a zone, by page.
+    """Asks another acceptor for a page of its claims of a zone, after a restart.
 
     Parameters
     ----------
@@ -88,16 +91,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimsPage:
-    """A page of claims; ``complete`` says whether the sender has them all.
+    """A page of claims, the answer to `FetchClaims`.
 
     Parameters
     ----------
     after
         Copied from the request.
-    disputed_until_by_id
-        Ids whose vote the sender has lost, with the time of their expiry.
+    complete
+        Whether the sender knows all claims that it has granted; if not, ``claims`` is
+        empty.
     last
-        Whether no page follows.
+        Whether this is the last page.
+    disputed_until_by_id
+        Ids for which the sender no longer knows its own grant, with the time at which
+        their claims expire.
     """
 
     zone: ZoneId
@@ -112,21 +119,21 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptorRegistered:
-    """The configuration knows this acceptor; ``first`` if it never did before."""
+    """The acceptor is registered; ``first`` if it had never been registered before."""
 
     first: bool
 
 
 @dataclass(frozen=True, slots=True)
 class SavedClaims:
-    """Snapshot of an acceptor on its disk.
+    """Snapshot of an acceptor, as stored on its disk.
 
     Parameters
     ----------
     complete_zones
         Zones for which the acceptor was complete.
     clean
-        Whether the acceptor granted nothing after this snapshot.
+        Whether the acceptor granted no claim after this snapshot.
     """
 
     claims: tuple[Claim, ...]
@@ -142,22 +149,22 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptorState:
-    """Whether the acceptor may grant any new id of every group it belongs to."""
+    """Whether the acceptor may grant new ids in all claim groups it belongs to."""
 
     complete: bool
 
 
 @dataclass(frozen=True, slots=True)
 class SaveClaims(Request):
-    """Writes the claims to the disk, if there is one, as the last act of this process.
+    """Writes the claims to the disk, if there is one, before the process exits.
 
-    Answered with `DrainState`; the acceptor grants nothing afterwards.
+    Answered with `DrainState`; the acceptor grants no claims afterwards.
     """
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimsRecovered:
-    """What the acceptor's journal held when this process started, oldest first."""
+    """Content of the acceptor's journal at process start, oldest claim first."""
 
     snapshot: SavedClaims | None
     claims: tuple[Claim, ...]
--- a/boragetide/messages/common.py
+++ b/boragetide/messages/common.py
@@ -1,4 +1,4 @@
-"""Messages that every controller handles, and the base of requests."""
+"""Messages that every controller handles, and the base class of requests."""
 
 from __future__ import annotations
 
@@ -18,34 +18,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Periodic wake-up of a controller, so that timers are its own decisions."""
+    """Periodic message on which a controller checks its own timers."""
 
 
 @dataclass(frozen=True, slots=True)
 class WokeUp:
-    """The process did not run between ``asleep_since`` and now."""
+    """The process was suspended or blocked from ``asleep_since`` until now."""
 
     asleep_since: Seconds
 
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """A planned stop began: take nothing new, finish what is in progress."""
+    """A planned stop began: accept no new work and finish the work in progress."""
 
 
 @dataclass(frozen=True, slots=True)
 class Drain(Request):
-    """Asks a controller of a stopping instance what it still has to finish."""
+    """Asks a controller of a stopping instance how much work it has left."""
 
 
 @dataclass(frozen=True, slots=True)
 class DrainState:
-    """Number of pieces of work that a controller must finish before the exit."""
+    """Number of work items that a controller must finish before the process exits."""
 
     remaining: int
 
 
 @singledispatch
 def note_arrival(message: Any, now: Seconds) -> Any:
-    """Return a message with its time of arrival, where its controller needs that."""
+    """Return a message with its arrival time added, if its type has one."""
     return message
--- a/boragetide/messages/configuration.py
+++ b/boragetide/messages/configuration.py
@@ -25,7 +25,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChanged:
-    """The configuration in force on this instance; a default before there is one."""
+    """The configuration in force on this instance, or a default one.
+
+    Parameters
+    ----------
+    in_force
+        False if no configuration is in force yet and this is the default.
+    """
 
     configuration: Configuration
     in_force: bool = True
@@ -40,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """Accepted commands up to a version, newest first."""
+    """Accepted operator commands up to ``version``, newest first."""
 
     version: int
     entries: tuple[HistoryEntry, ...]
@@ -56,11 +62,11 @@
     Parameters
     ----------
     command
-        What to change.
+        Command to propose.
     command_id
-        Identity of an operator command, kept when it is resent.
+        Id of an operator command, which stays the same when the command is resent.
     expected_version
-        Version that an operator command is to change.
+        Configuration version to which an operator command applies.
     """
 
     command: Command
@@ -70,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CommandOutcome:
-    """Outcome of a command; ``first`` is that of `RegisterAcceptor`."""
+    """Outcome of a command; for ``first`` see `Outcome`."""
 
     status: CommandStatus
     version: int
@@ -79,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardProposal:
-    """Hands a command to a member; ``sender`` waits for `ProposalDecided`."""
+    """Forwards a command to a member; ``sender`` waits for `ProposalDecided`."""
 
     proposal: Proposal
     sender: InstanceId
@@ -88,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProposalDecided:
-    """A command has this outcome, permanently."""
+    """The outcome of a command is final."""
 
     command_id: str
     outcome: Outcome
@@ -96,9 +102,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestVote:
-    """Asks a member for its vote; a pre-vote binds nobody.
+    """Asks a member for its vote.
 
-    ``waits`` is for how long the candidate has been waiting for a sign of the member.
+    Parameters
+    ----------
+    preliminary
+        Whether this is a pre-vote, which does not bind the voter.
+    waits
+        How long the candidate has been waiting for a message from the member, in
+        seconds.
     """
 
     term: int
@@ -112,7 +124,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StandForElection:
-    """A leader that stops asks the receiver to take its place in the next term."""
+    """Asks the receiver to stand for election in the next term.
+
+    Sent by a leader that is stopping, to hand its leadership over.
+    """
 
     term: int
     leader: InstanceId
@@ -120,22 +135,22 @@
 
 @dataclass(frozen=True, slots=True)
 class VoteReply:
-    """A member's answer to `RequestVote`.
+    """Answer of a member to `RequestVote`.
 
     Parameters
     ----------
     term
         Term of the voter.
     requested_term, preliminary, for_incarnation
-        Which request of which process is answered.
+        Identify the request that is answered and the incarnation of its sender.
     voter, incarnation
-        The member and its process.
+        The answering member and its incarnation.
     granted
-        Whether it votes for the candidate.
+        Whether the member votes for the candidate.
     fences_by_id
         See `Ballot`.
     leader_heard_ago
-        For how long the voter has heard no leader.
+        Time since the voter last heard from a leader, in seconds.
     """
 
     term: int
@@ -151,9 +166,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendEntries:
-    """The leader's log after ``previous_index``, which must match; also a heartbeat.
+    """Entries of the leader's log after ``previous_index``; also the heartbeat.
 
-    ``waits`` is for how long the leader has been waiting for a sign of the member.
+    Parameters
+    ----------
+    previous_index, previous_term
+        Entry before the first of ``entries``; the member's log must contain it.
+    waits
+        How long the leader has been waiting for a message from the member, in seconds.
     """
 
     term: int
@@ -168,22 +188,22 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendReply:
-    """A member's answer to `AppendEntries` or `InstallSnapshot`.
+    """Answer of a member to `AppendEntries` or `InstallSnapshot`.
 
     Parameters
     ----------
     term
         Term of the member.
     member, incarnation
-        The member and its process.
+        The answering member and its incarnation.
     matched
         Whether the member's log now equals the leader's up to ``index``.
     index
-        Otherwise the last entry at which the logs may still be equal.
+        If ``matched`` is false, the last entry up to which the logs may be equal.
     fences_by_id
         See `Ballot`.
     sent_at
-        The leader's time at which the answered message was sent.
+        Time at which the answered message was sent, by the leader's clock.
     """
 
     term: int
@@ -197,7 +217,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InstallSnapshot:
-    """Replaces the log of a member that lags behind the leader's log."""
+    """Replaces the log of a member that lags behind the start of the leader's log."""
 
     term: int
     leader: InstanceId
@@ -208,7 +228,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestCatchUp:
-    """A member without its disk asks for everything another member holds."""
+    """Asks another member for all of its state, sent by a member that lost its disk."""
 
     sender: InstanceId
     incarnation: int
@@ -216,7 +236,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JoinRequest:
-    """An instance that is no member asks the leader to be replicated to."""
+    """Asks the leader to replicate the log to ``sender``, which is not a member."""
 
     sender: InstanceId
     forwarded: bool = False
@@ -224,7 +244,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CatchUpState:
-    """All state of a member; ``None`` says that it has no durable state either."""
+    """Complete state of a member; ``held`` is ``None`` if it has no durable state."""
 
     sender: InstanceId
     sender_incarnation: int
@@ -234,7 +254,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NewerConfiguration:
-    """The heartbeat of an instance shows a newer version than the one in force."""
+    """The heartbeat of an instance shows a newer version than the one in force here."""
 
     instance: InstanceId
     version: int
@@ -242,7 +262,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestConfiguration:
-    """Asks the controller of a peer for its configuration in force."""
+    """Asks the controller of a peer for the configuration in force there."""
 
     sender: InstanceId
 
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -19,30 +19,30 @@
 
 
 class ReplyStatus(StrEnum):
-    """Answer of the dispatcher to a question about a durable job."""
+    """Status of the dispatcher's answer to a request about durable jobs."""
 
     ACCEPTED = "accepted"
-    REFUSED = "refused"  # was not kept and never runs
+    REFUSED = "refused"  # the job was not stored and never runs
     FOUND = "found"
     NOT_FOUND = "not_found"
-    NOT_LEADER = "not_leader"  # ask another instance; nothing was done here
-    UNDECIDED = "undecided"  # ask the next leader; it may have been kept
+    NOT_LEADER = "not_leader"  # nothing was done; ask another instance
+    UNDECIDED = "undecided"  # the job may have been stored; ask the next leader
 
 
 @dataclass(frozen=True, slots=True)
 class DispatcherReply:
-    """Answer to a question about durable jobs.
+    """Answer to a request about durable jobs.
 
     Parameters
     ----------
     state
         ``queued``, ``running`` or the phase in which the job ended.
     count
-        Jobs that wait, for `CountWaiting`.
+        Number of waiting jobs, in the answer to `CountWaiting`.
     reason
         Why the job was refused.
     retry_after
-        Seconds after which a refused job may be tried again.
+        Seconds after which a refused job may be submitted again.
     term
         Term of the leader that answers.
     """
@@ -57,17 +57,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitDurableJob(Request):
-    """Asks for a job to be kept and run; answered with `DispatcherReply`.
+    """Asks for a job to be stored and run; answered with `DispatcherReply`.
 
-    The clocks of two instances may be seconds apart, so that no time of the sender is
-    compared with one of the receiver.
+    The clocks of two instances may differ by seconds, so the message carries the age
+    of the job; times by the sender's clock are not compared with the receiver's.
 
     Parameters
     ----------
     age
-        For how long the sender had known the job when it sent this.
+        Seconds from the arrival of the job at the sender until this message was sent.
     arrived_at
-        When this reached the receiver's process, by the receiver's clock.
+        Arrival time of this message, by the receiver's clock.
     """
 
     job: DurableJob
@@ -89,26 +89,26 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelDurableJob(Request):
-    """Asks for a job to be cancelled; answered once the cancellation is kept."""
+    """Asks for a job to be cancelled; answered once the cancellation is stored."""
 
     id: JobId
 
 
 @dataclass(frozen=True, slots=True)
 class CountWaiting(Request):
-    """Asks how many jobs of a class have no started task."""
+    """Asks how many jobs of a class have not started any task."""
 
     class_name: ClassName
 
 
 @dataclass(frozen=True, slots=True)
 class ReportServer(Request):
-    """An announcement of a backend server; answered with `ServerReported`.
+    """Delivers the announcement of a backend server; answered with `ServerReported`.
 
     Parameters
     ----------
     passed_on
-        Whether it comes from another member.
+        Whether another member forwarded the announcement.
     """
 
     report: ServerReport
@@ -117,14 +117,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerReported:
-    """The announcement is known; ``by_leader`` says that the leader knows it."""
+    """The announcement was recorded; ``by_leader`` if the leader has recorded it."""
 
     by_leader: bool
 
 
 @dataclass(frozen=True, slots=True)
 class RemoveServer(Request):
-    """A backend server says that it ends now; answered with `ServerReported`."""
+    """Removes a backend server that is shutting down.
+
+    Answered with `ServerReported`.
+    """
 
     id: BackendServerId
     born: int = 0
@@ -133,12 +136,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendCommands:
-    """Asks the log of this instance, as leader of ``term``, to append commands.
+    """Asks the local log to append commands, as the leader of ``term``.
 
     Parameters
     ----------
     commands_by_id
-        Commands by the id under which `JobsCommitted` names them.
+        Commands by the id that `JobsCommitted` refers to.
     """
 
     term: int
@@ -147,7 +150,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobsCommitted:
-    """Commands were applied, and these are the jobs that they changed."""
+    """Commands were applied; ``records`` are the jobs that they changed."""
 
     command_ids: tuple[str, ...]
     records: tuple[JobRecord, ...]
@@ -155,12 +158,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LeadershipGained:
-    """The instance leads ``term`` and has applied all that was committed before.
+    """The instance leads ``term`` and has applied all entries committed before.
 
     Parameters
     ----------
+    records
+        Durable jobs in the replicated log.
+    authority_until
+        Time before which no other instance can become leader.
     predecessor_until
-        Time after which no earlier leader gives orders.
+        Time after which no earlier leader sends orders to backend servers.
     """
 
     term: int
@@ -171,19 +178,22 @@
 
 @dataclass(frozen=True, slots=True)
 class AuthorityExtended:
-    """No other instance can lead before this time."""
+    """No other instance can become leader before ``authority_until``."""
 
     authority_until: Seconds
 
 
 @dataclass(frozen=True, slots=True)
 class LeadershipLost:
-    """The instance leads no longer."""
+    """The instance is no longer the leader."""
 
 
 @dataclass(frozen=True, slots=True)
 class MembersChanged:
-    """The members of the log, which all hear of each backend server."""
+    """The members of the log changed.
+
+    Announcements of backend servers are forwarded to all members.
+    """
 
     members: tuple[InstanceId, ...]
 
@@ -195,11 +205,14 @@
     Parameters
     ----------
     sent_at
-        Our time at which the question was sent.
+        Time at which the request was sent, by the clock of this instance.
     clock
-        Steady clock of the backend server, in seconds.
+        Monotonic clock of the backend server, in seconds.
+    born
+        Unix time of the backend server's start, in milliseconds.
     fenced
-        A higher fence was seen there; nothing else is filled in.
+        Whether the backend server has seen a higher fencing token; if so, the fields
+        other than ``server``, ``term`` and ``sent_at`` are not set.
     """
 
     server: BackendServerId
@@ -213,22 +226,34 @@
 
 
 class OrderResult(StrEnum):
-    """What a backend server said to an order."""
+    """Answer of a backend server to an order, a request to start or stop a run."""
 
     DONE = "done"
-    FENCED = "fenced"  # a newer leader gave orders there
-    OLD_RUN = "old_run"  # a run as high ended or was stopped there
-    LATE = "late"  # the lease had lapsed when the order arrived
+    FENCED = "fenced"  # the backend server has had orders from a newer leader
+    OLD_RUN = "old_run"  # a run with the same or a higher number ended or was stopped
+    LATE = "late"  # the lease had expired when the order arrived
     NO_ROOM = "no_room"
-    REJECTED = "rejected"  # the order makes no sense there
+    REJECTED = "rejected"  # the backend server considers the order invalid
     UNHEALTHY = "unhealthy"  # nothing was done
-    OTHER_LIFE = "other_life"  # another backend server answers at the address
-    UNANSWERED = "unanswered"  # the order may have been or may yet be carried out
+    OTHER_LIFE = "other_life"  # another backend server answered at this address
+    UNANSWERED = "unanswered"  # the order may have been or may still be executed
 
 
 @dataclass(frozen=True, slots=True)
 class RunOrdered:
-    """How a `StartRun` or `StopRun` ended."""
+    """Result of a `StartRun` or `StopRun`.
+
+    Parameters
+    ----------
+    task
+        Number of the task over all steps of its job.
+    started
+        Whether the order was a `StartRun`.
+    clock
+        Monotonic clock of the backend server, in seconds, if it answered.
+    sent_at
+        Time at which the order was sent, by the clock of this instance.
+    """
 
     server: BackendServerId
     term: int
@@ -243,7 +268,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadFailed:
-    """A `ReadRuns` was not answered."""
+    """A `ReadRuns` got no valid answer.
+
+    Parameters
+    ----------
+    other_life
+        Whether another backend server answered at the address.
+    """
 
     server: BackendServerId
     term: int
@@ -252,14 +283,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FollowLeader:
-    """An instance without a log asks a member who leads and what is in force.
+    """Asks a member for the leader and the configuration in force.
+
+    Sent by an instance that has no replicated log.
 
     Parameters
     ----------
     version
         Version of the configuration that the sender has, or -1.
     waits
-        For how long the sender has been waiting for an answer.
+        How long the sender has been waiting for an answer, in seconds.
     """
 
     sender: InstanceId
@@ -269,18 +302,19 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderNotice:
-    """What a member says to `FollowLeader`, and at each change of the configuration.
+    """Answer of a member to `FollowLeader`; also sent when the configuration changes.
 
     Parameters
     ----------
     sender
         The member.
     term, leader
-        Newest term it knows, and its leader if known.
+        Newest term that the member knows, and the leader of that term, if known.
     members
         All members of the log.
     configuration
-        What is in force, where the leader sends it and the receiver has an older one.
+        Configuration in force, if the sender is the leader and the receiver has an
+        older one.
     """
 
     sender: InstanceId
@@ -292,19 +326,19 @@
 
 @dataclass(frozen=True, slots=True)
 class FindLeader(Request):
-    """Asks the local directory; answered with `LeaderFound`."""
+    """Asks the local directory for the leader; answered with `LeaderFound`."""
 
 
 @dataclass(frozen=True, slots=True)
 class LeaderFound:
-    """The leader, if one was heard lately, and the configuration in force here.
+    """The leader, if there was recent contact, and the configuration in force here.
 
     Parameters
     ----------
     ready
         Whether requests can be served.
     lost_for
-        Seconds since the leader was last heard.
+        Seconds since the last contact with a leader.
     term
         Term of the leader.
     """
@@ -318,24 +352,27 @@
 
 @dataclass(frozen=True, slots=True)
 class ContactsChanged:
-    """The settings name other instances to ask for the leader."""
+    """The instances to ask for the leader have changed in the settings."""
 
     contacts: tuple[InstanceId, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ReadConfiguration(Request):
-    """Asks for the configuration that is certainly newest: `ConfigurationRead`."""
+    """Asks for a linearizable read of the configuration.
+
+    Answered with `ConfigurationRead`.
+    """
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
-    """The newest configuration; ``None`` where that is not certain.
+    """The newest configuration, or ``None`` if it may not be the newest.
 
     Parameters
     ----------
     leader
-        Whom to ask instead, if known.
+        Instance to ask instead, if known.
     """
 
     configuration: Configuration | None
--- a/boragetide/messages/instances.py
+++ b/boragetide/messages/instances.py
@@ -11,16 +11,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Says that an instance lives and what it has heard.
+    """Periodic sign of life of an instance, with its load and the last one received.
 
     Parameters
     ----------
     in_service_since
-        Unix time in milliseconds; the longest in service of a zone is its placer.
+        Unix time in milliseconds; the instance of a zone that has been in service
+        longest is its placer.
     sequence
-        Counts this sender's heartbeats.
+        Sequence number of this heartbeat at the sender.
     echo
-        Last sequence number that the sender heard from the receiver.
+        Last sequence number that the sender has received from the receiver.
+    configuration_version
+        Version of the configuration in force at the sender.
+    backend_servers
+        Number of live backend servers that the sender leases.
     """
 
     instance: InstanceId
@@ -41,7 +46,7 @@
     Parameters
     ----------
     for_jobs
-        Whether another zone's placer may be chosen where this zone has no backend
+        Whether another zone's placer may be chosen if this zone has no backend
         servers; announcements always go to the zone's own placer.
     """
 
@@ -51,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacerChosen:
-    """The placer for a zone, or ``None`` where no instance qualifies."""
+    """The placer for a zone, or ``None`` if no instance qualifies."""
 
     placer: InstanceId | None
     incarnation: int
@@ -61,19 +66,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolSize:
-    """Number of live backend servers this instance leases."""
+    """Number of live backend servers that this instance leases."""
 
     backend_servers: int
 
 
 @dataclass(frozen=True, slots=True)
 class Flush(Request):
-    """Answered with `Flushed` once the peers have read all that was sent before."""
+    """Answered with `Flushed` once the peers have read all earlier messages."""
 
 
 @dataclass(frozen=True, slots=True)
 class Flushed:
-    """Every live peer has read what this instance had sent."""
+    """All live peers have read the messages sent before the `Flush`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +88,6 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceList:
-    """The instances that one instance sees, as plain records for operators."""
+    """One instance's view of all instances, as plain records shown to operators."""
 
     instances: tuple[dict[str, Any], ...]
--- a/boragetide/messages/jobs.py
+++ b/boragetide/messages/jobs.py
@@ -12,7 +12,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitJob(Request):
-    """Runs a job under a decided claim, or joins it; answered with `JobAnswer`."""
+    """Runs a job under a decided claim; answered with `JobAnswer`.
+
+    If the job is already known, the sender waits for its answer.
+    """
 
     submission: Submission
     claim: Claim
@@ -20,9 +23,13 @@
 
 @dataclass(frozen=True, slots=True)
 class JobAnswer:
-    """Final answer of a job; ``refused_for`` names why it was not admitted.
+    """Final answer of a job.
 
-    It is `OTHER_CONTENT` where the id belongs to a job with other payloads.
+    Parameters
+    ----------
+    refused_for
+        Why the job was not admitted, if so; `OTHER_CONTENT` if the id belongs to a job
+        with other payloads.
     """
 
     answer: Answer
@@ -54,14 +61,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TasksQueued:
-    """The pool took the tasks of a job."""
+    """The pool queued the tasks of a job."""
 
     job_id: JobId
 
 
 @dataclass(frozen=True, slots=True)
 class TasksRefused:
-    """The pool refused a job; none of its tasks started."""
+    """The pool refused the tasks of a job; none of them started."""
 
     job_id: JobId
     reason: str
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -1,4 +1,4 @@
-"""Settings of one daemon: INI text, validated once, then passed whole."""
+"""Settings of one daemon, read from INI text and validated once at start."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Peer:
-    """An instance of the system, this one included, as the settings name it."""
+    """An instance of the system named in the settings, including this instance."""
 
     id: InstanceId
     zone: ZoneId
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """Periods and bounds, in seconds."""
+    """Intervals and time limits, in seconds."""
 
     heartbeat_interval: Seconds = 0.5
     instance_silence: Seconds = 2.0
@@ -51,12 +51,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds on what one request or one instance takes.
+    """Limits on the size of one request and on the load of one instance.
 
     Parameters
     ----------
+    tasks_per_job
+        Tasks of one job.
+    body_bytes
+        Size of one request body, in bytes.
+    queued_tasks
+        Tasks that wait in the queue of one instance.
     kept_results
-        Number of results in the answers that an instance keeps for resubmissions.
+        Task results, over all answers that an instance keeps for resubmissions.
     """
 
     tasks_per_job: int = 1200
@@ -74,25 +80,25 @@
     id, zone
         Name and availability zone of this instance.
     peers_by_id
-        Every instance of the system, this one included.
+        Every instance of the system, including this one.
     data_folder
-        Where files live; ``None`` on an instance without a disk.
+        Folder of the journals; ``None`` on an instance without a disk.
     may_found
         Whether members without durable state may form a new log.
     controllers
         Controllers that run on this instance.
     configured_controllers
-        Those that are told of each configuration in force.
+        Controllers that are notified of each configuration in force.
     founders
-        First members of the log, where they are not all instances with a disk.
+        Initial members of the log, if these are not all instances with a disk.
     member_count
-        Number of members that the log should have; 0 keeps the first ones.
+        Number of members that the log should have; 0 keeps the initial members.
     follows_leader
-        Whether an instance asks all the time who leads the log, or only while it is
-        asked for that.
+        Whether an instance asks continuously who leads the log, or only while requests
+        ask it for the leader.
     names_are_addresses
         Whether the id of an instance is its IP address, so that links to instances
-        that the settings do not name can be made when they are needed.
+        that are not named in the settings can be created on demand.
     """
 
     id: InstanceId
@@ -111,12 +117,12 @@
 
     @property
     def dispatches(self) -> bool:
-        """Whether durable jobs are dispatched by the leader of the log."""
+        """Whether this instance runs the dispatcher of durable jobs."""
         return "dispatcher" in self.controllers
 
     @property
     def own(self) -> Peer:
-        """Entry of this instance among the peers."""
+        """Entry of this instance in ``peers_by_id``."""
         return self.peers_by_id[self.id]
 
     @property
@@ -126,12 +132,12 @@
 
     @property
     def first_members(self) -> tuple[InstanceId, ...]:
-        """Members of the log before any change of them, sorted."""
+        """Members of the log before the first membership change, sorted."""
         return self.founders or self.disk_ids
 
     @property
     def disk_ids(self) -> tuple[InstanceId, ...]:
-        """Instances that have a disk, sorted."""
+        """Ids of the instances that have a disk, sorted."""
         return tuple(sorted(p.id for p in self.peers_by_id.values() if p.disk))
 
 
@@ -141,9 +147,9 @@
     Parameters
     ----------
     path
-        INI file; ``None`` takes the embedded default of one instance.
+        INI file; ``None`` selects the embedded default, a single local instance.
     data_folder
-        Replaces the data folder of the file, if given.
+        Overrides the data folder named in the file, if given.
 
     Raises
     ------
@@ -171,7 +177,8 @@
     SettingsError
         With one line per fault.
     """
-    # The models of the file are not loaded where settings come from elsewhere.
+    # Imported here so that processes with another source of settings do not load the
+    # models of the settings file.
     from boragetide.settings_file import PEER_PREFIX, check_durations, read_sections
 
     sections = read_sections(text, data_folder)
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -1,4 +1,4 @@
-"""Border models of the settings file and the checks across its sections."""
+"""Validation models of the settings file and checks across its sections."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 PEER_PREFIX = "peer "
 MAX_PORT = 65_535
-MAX_TASKS = 10_000  # per job; bounds the time that reading one body takes
+MAX_TASKS = 10_000  # per job; limits the time that parsing one request body takes
 
 _UNITS_IN_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 _MESSAGES_BY_FAULT = {
@@ -35,7 +35,7 @@
 
 
 def parse_duration(value: Any) -> float:
-    """Turn a number with a unit, such as ``200ms`` or ``2s``, into seconds.
+    """Convert a number with a unit, such as ``200ms`` or ``2s``, to seconds.
 
     Raises
     ------
@@ -105,7 +105,7 @@
 
 
 class TimingSection(_Section):
-    """Section ``[timing]``; what is absent keeps its default."""
+    """Section ``[timing]``; options that are not given keep their defaults."""
 
     heartbeat_interval: Duration | None = None
     instance_silence: Duration | None = None
@@ -119,7 +119,7 @@
 
 
 class LimitsSection(_Section):
-    """Section ``[limits]``; what is absent keeps its default."""
+    """Section ``[limits]``; options that are not given keep their defaults."""
 
     tasks_per_job: Annotated[int, Field(gt=0, le=MAX_TASKS)] | None = None
     body_bytes: Positive | None = None
@@ -128,7 +128,7 @@
 
 
 class ZonesSection(_Section):
-    """Section ``[availability-zones]``: every zone that may be named elsewhere."""
+    """Section ``[availability-zones]``: all zones that other sections may name."""
 
     names: Annotated[tuple[str, ...], BeforeValidator(_split_names)]
 
@@ -149,12 +149,12 @@
     text
         Content of the settings file.
     data_folder
-        Replaces the option ``data-folder`` of ``[instance]``, if given.
+        Overrides the option ``data-folder`` of ``[instance]``, if given.
 
     Raises
     ------
     SettingsError
-        With one line per fault, each naming section, option and value.
+        With one line per fault, each naming the section, the option and the value.
     """
     parser = _parse_ini(text)
     options_by_section = {name: dict(parser[name]) for name in parser.sections()}
@@ -181,8 +181,8 @@
 
 
 def _parse_ini(text: str) -> configparser.ConfigParser:
-    # An empty name of the default section makes [DEFAULT] an unknown section, so that
-    # its options do not appear in every other section.
+    # With an empty default section name, [DEFAULT] is rejected as an unknown section.
+    # Otherwise configparser would copy its options into every other section.
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         parser.read_string(text)
@@ -240,7 +240,7 @@
 def _check_identities(sections: dict[str, Any]) -> Iterator[str]:
     own = sections["instance"].id
     if f"{PEER_PREFIX}{own}" in sections:
-        yield f"[peer {own}]: this is the own instance, [instance] id = {own}"
+        yield f"[peer {own}]: peer is this instance itself, [instance] id = {own}"
 
 
 def _check_addresses(sections: dict[str, Any]) -> Iterator[str]:
@@ -272,7 +272,7 @@
 def _check_disks(sections: dict[str, Any]) -> Iterator[str]:
     own = sections["instance"]
     if not any(section.disk for _, section in _iterate_instances(sections)):
-        yield "[instance] disk = no: no instance has a disk, at least one needs it"
+        yield "[instance] disk = no: no instance has a disk, at least one must have one"
     if own.disk and own.data_folder is None:
         yield "[instance] disk = yes: option data-folder is missing"
     if own.data_folder is None:
@@ -281,11 +281,11 @@
     if not own.disk:
         yield f"{option}: only allowed with disk = yes"
     elif not _is_writable(own.data_folder):
-        yield f"{option}: folder is not writable and cannot be made"
+        yield f"{option}: folder is not writable and cannot be created"
 
 
 def _is_writable(folder: Path) -> bool:
-    """Tell whether files can be made in a folder, or the folder itself be made."""
+    """Return whether the folder is writable or, if missing, can be created."""
     existing = folder.absolute()
     while not os.path.lexists(existing):
         existing = existing.parent
@@ -293,12 +293,12 @@
 
 
 def check_durations(timing: Any) -> Iterator[str]:
-    """Yield a fault for each two durations that contradict each other.
+    """Yield one fault for each pair of durations that contradict each other.
 
     Parameters
     ----------
     timing
-        The `Timing` that results from section ``[timing]`` and the defaults.
+        `Timing` with the values of section ``[timing]`` and the defaults.
     """
     if timing.lease_expiry <= timing.lease_renewal:
         yield (
--- a/boragetide/types.py
+++ b/boragetide/types.py
@@ -1,4 +1,4 @@
-"""Data classes and aliases that the whole package shares."""
+"""Data classes and type aliases shared by the whole package."""
 
 from __future__ import annotations
 
@@ -17,11 +17,11 @@
 
 CONTROLLERS = ("instances", "configuration", "claims", "backend_servers", "jobs")
 DEFAULT_CLASS: ClassName = "default"
-MAX_CLOCK_SKEW: Seconds = 5.0  # between any two instances
+MAX_CLOCK_SKEW: Seconds = 5.0  # assumed bound between any two instances
 
 
 class Status(StrEnum):
-    """Outcome of a job or of a single request, as its caller sees it."""
+    """Outcome of a job or of a single request as reported to its caller."""
 
     COMPLETE = "complete"
     FAILED = "failed"
@@ -48,11 +48,11 @@
     payload
         Passed to the backend server unchanged.
     size
-        Declared run time in seconds on a backend server of speed 1, if any.
+        Declared run time on a backend server of speed 1, in seconds, if any.
     timeout
-        Seconds after its start at which the task counts as failed.
+        Seconds after its start at which the task is considered failed.
     cores, memory
-        What the task needs of one backend server: cores, and memory in bytes.
+        CPU cores, and memory in bytes, that the task needs on one backend server.
     """
 
     payload: Any
@@ -64,12 +64,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """A job, or a single request, as a caller submitted it.
+    """A job, or a single request, as submitted by a caller.
 
     Parameters
     ----------
     digest
-        Digest of the payloads, which tells a resubmission from another job.
+        Digest of the payloads, which distinguishes a resubmission from another job.
     """
 
     id: JobId
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The whole answer to a submission; results are in the order of the tasks."""
+    """Complete answer to a submission, with the results in the order of the tasks."""
 
     id: JobId
     status: Status
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskOutcome:
-    """How one task ended; only ``DONE`` has a result."""
+    """How one task ended; only a task with status ``DONE`` has a result."""
 
     status: TaskStatus
     result: Any = None
@@ -101,7 +101,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """The one instance, in one incarnation, that may start the tasks of a job."""
+    """Names the only instance and incarnation that may start the tasks of a job."""
 
     id: JobId
     owner: InstanceId
@@ -111,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
-    """A backend server as it announced itself; memory is in bytes."""
+    """A backend server as announced by itself; memory is in bytes."""
 
     id: BackendServerId
     address: str
@@ -126,19 +126,19 @@
 
 @dataclass(frozen=True, slots=True)
 class DurableStarts:
-    """How the tasks of a class are started that may run again after a loss.
+    """Start policy of a class whose tasks may be restarted after a loss.
 
     Parameters
     ----------
     pool
-        Backend servers that run the tasks.
+        Pool of backend servers that run the tasks.
     attempts
-        Runs of a task that may fail before its job fails.
+        Number of failed runs of one task at which its job fails.
     priority
-        Lower goes first.
+        Jobs with a lower number go first.
     stretch
-        Target for the response time as a multiple of the longest chain of work, to
-        which the class's ``response_time`` is added.
+        Response time target as a multiple of the job's critical path; the class's
+        ``response_time`` is added to that.
     """
 
     pool: PoolName
@@ -158,9 +158,10 @@
     response_time
         Target for the response time of a job, in seconds.
     busy_share
-        Share (0 to 1) of all slots that the class may keep busy.
+        Fraction (0 to 1) of all slots that the class may occupy.
     durable
-        How its tasks are started again after a loss; ``None`` starts them at most once.
+        Start policy if the tasks may be restarted after a loss; with ``None`` each task
+        is started at most once.
     """
 
     name: ClassName
@@ -171,16 +172,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """Everything operators have set; never goes back to a lower version.
+    """Configuration set by operators; its version never decreases.
 
     Parameters
     ----------
     version
-        Rises by one with each accepted change.
+        Increases by one with each accepted change.
+    drained
+        Backend servers that get no new work.
     revision
-        Number that the operator gave to the published configuration, if one was.
+        Number that the operator gave to the published configuration, if there is one.
     document
-        The published configuration as a front end received it, for that front end.
+        Text of the published configuration as a front end received it, stored for that
+        front end only.
     """
 
     version: int = 0
@@ -205,7 +209,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Address:
-    """Names the mailbox of a controller on an instance."""
+    """Identifies the mailbox of a controller on an instance."""
 
     instance: InstanceId
     controller: str
@@ -213,7 +217,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplyTo:
-    """Names a request that waits for a reply on an instance."""
+    """Identifies a pending request on the instance that waits for the reply."""
 
     instance: InstanceId
     request: int
