Rename private names of the daemon, links, filters and settings

Names that were figurative, vague or private to the project take the terms of the field: effects are executed rather than performed, requests are resolved or failed, a batch has unreported tasks, limits are called MAX_..., a link requests a reconnect, orders are sent, and a leader lookup counts its attempts by term. Only names whose every use lies in these folders are changed; docstrings that named them follow.

--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -94,13 +94,13 @@
         make_performer=lambda runtime, journals: Performer(
             runtime, make_client(), journals, make_run_client()
         ),
-        make_first_messages=_read_claims,
+        make_first_messages=_make_first_messages,
         last_requests=(("claims", SaveClaims()), ("instances", Flush())),
     )
     return await run_process(settings, composition)
 
 
-def _read_claims(recovered: Recoveries) -> dict[str, Any]:
+def _make_first_messages(recovered: Recoveries) -> dict[str, Any]:
     return {"claims": claims.read_journal(_get_records(recovered, "claims"))}
 
 
@@ -117,7 +117,7 @@
         Records recovered from the journals, by controller.
     """
     records = _get_records(recovered, "configuration")
-    machines = {
+    state_machines = {
         "instances": (
             instances.handle,
             instances.InstancesState(settings, incarnation),
@@ -136,8 +136,8 @@
     }
     if settings.dispatches:
         state = DispatcherState(settings, incarnation)
-        machines["dispatcher"] = (dispatcher.handle, state)
-    return machines
+        state_machines["dispatcher"] = (dispatcher.handle, state)
+    return state_machines
 
 
 def _get_records(recovered: Recoveries, controller: str) -> tuple[Any, ...]:
--- a/boragetide/daemon/effect_queue.py
+++ b/boragetide/daemon/effect_queue.py
@@ -16,9 +16,9 @@
 
     Parameters
     ----------
-    perform
+    execute
         Executes one effect; a returned awaitable completes when the effect is durable.
-    group
+    task_group
         Task group for the tasks that await syncs.
     waiting
         Effects that have not been executed, in order.
@@ -26,8 +26,8 @@
         Whether a task is awaiting a sync.
     """
 
-    perform: Callable[[Effect], Awaitable[None] | None]
-    group: asyncio.TaskGroup
+    execute: Callable[[Effect], Awaitable[None] | None]
+    task_group: asyncio.TaskGroup
     waiting: deque[Effect] = field(default_factory=deque)
     is_syncing: bool = False
 
@@ -35,35 +35,35 @@
         """Execute effects after all earlier ones, at once if none of these waits."""
         self.waiting.extend(effects)
         if not self.is_syncing:
-            self._advance()
+            self._execute_until_sync()
 
-    def _advance(self) -> None:
+    def _execute_until_sync(self) -> None:
         while self.waiting:
             if isinstance(self.waiting[0], Persist | SaveSnapshot):
                 self.is_syncing = True
-                self.group.create_task(self._sync(self._take_records()))
+                self.task_group.create_task(self._await_syncs(self._write_records()))
                 return
-            self.perform(self.waiting.popleft())
+            self.execute(self.waiting.popleft())
 
-    def _take_records(self) -> list[Awaitable[None]]:
+    def _write_records(self) -> list[Awaitable[None]]:
         """Write all waiting records up to the next snapshot, so that they share a sync.
 
         A record may therefore become durable before effects that precede it.
         """
         if isinstance(self.waiting[0], SaveSnapshot):
-            return [self.perform(self.waiting.popleft())]
-        synced, others = [], []
+            return [self.execute(self.waiting.popleft())]
+        syncs, others = [], []
         while self.waiting and not isinstance(self.waiting[0], SaveSnapshot):
             effect = self.waiting.popleft()
             if isinstance(effect, Persist):
-                synced.append(self.perform(effect))
+                syncs.append(self.execute(effect))
             else:
                 others.append(effect)
         self.waiting.extendleft(reversed(others))
-        return synced
+        return syncs
 
-    async def _sync(self, synced: list[Awaitable[None]]) -> None:
-        for each in synced:
-            await each
+    async def _await_syncs(self, syncs: list[Awaitable[None]]) -> None:
+        for sync in syncs:
+            await sync
         self.is_syncing = False
-        self._advance()
+        self._execute_until_sync()
--- a/boragetide/daemon/logs.py
+++ b/boragetide/daemon/logs.py
@@ -23,14 +23,14 @@
 
 import eliot
 
-_PLAIN = re.compile(r"[!#-<>-~]+")
+_UNQUOTED_VALUE = re.compile(r"[!#-<>-~]+")
 _ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
 _LOGGER = eliot.Logger()
 # Holds about 1,500 lines, which a busy leader writes in one to two seconds.
-BACKLOG_BYTES = 256 * 1024
+MAX_BACKLOG_BYTES = 256 * 1024
 # Cache size. Without the cache, formatting the seconds took a third of the time that a
 # line takes.
-_TIMES_KEPT = 4
+_FORMATTED_SECONDS_CACHE_SIZE = 4
 
 
 @dataclass(slots=True)
@@ -38,7 +38,8 @@
     """Collects the lines of one event loop iteration and writes them together.
 
     Never blocks on the reader of the stream: output that does not fit into the pipe is
-    buffered. Once the buffer exceeds `BACKLOG_BYTES`, lines are dropped and counted.
+    buffered. Once the buffer exceeds `MAX_BACKLOG_BYTES`, new lines are dropped and
+    counted.
     """
 
     stream: TextIO
@@ -58,7 +59,7 @@
 
     def flush(self) -> None:
         """Write as many of the collected lines as the stream accepts."""
-        if len(self.backlog) > BACKLOG_BYTES:
+        if len(self.backlog) > MAX_BACKLOG_BYTES:
             self.dropped += len(self.lines)
             self.lines.clear()
         elif self.lines:
@@ -150,7 +151,7 @@
     return " ".join(pairs)
 
 
-@lru_cache(_TIMES_KEPT)
+@lru_cache(_FORMATTED_SECONDS_CACHE_SIZE)
 def _format_seconds(seconds: int) -> str:
     return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%dT%H:%M:%S")
 
@@ -164,4 +165,4 @@
         text = ",".join(str(item) for item in value)
     else:
         text = str(value)
-    return text if _PLAIN.fullmatch(text) else json.dumps(text)
+    return text if _UNQUOTED_VALUE.fullmatch(text) else json.dumps(text)
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -53,46 +53,46 @@
         if not task.cancelled() and task.exception() is not None:
             log_event("call_failed", error=repr(task.exception()))
 
-    def report(self, message: TaskReport) -> None:
+    def report_task(self, message: TaskReport) -> None:
         """Send the report of a task's end to its controller."""
         self.runtime.send(self.runtime.local("backend_servers"), message)
 
 
-def make_perform(performer: Performer) -> Callable[..., Awaitable[None] | None]:
-    """Return `perform` bound to a performer, as `run_controller` expects it."""
+def bind_execute_effect(performer: Performer) -> Callable[..., Awaitable[None] | None]:
+    """Return `execute_effect` bound to a performer, as `run_controller` expects it."""
 
     def bound(effect: effects.Effect, controller: str) -> Awaitable[None] | None:
-        return perform(effect, performer, controller)
+        return execute_effect(effect, performer, controller)
 
     return bound
 
 
 @singledispatch
-def perform(
+def execute_effect(
     effect: effects.Effect, performer: Performer, controller: str
 ) -> Awaitable[None] | None:
     """Execute one effect; a returned awaitable completes when it is durable."""
     raise TypeError(f"cannot execute effect {effect!r}")
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Send, performer: Performer, controller: str) -> None:
     performer.runtime.send(effect.to, effect.message)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Reply, performer: Performer, controller: str) -> None:
     performer.runtime.reply(effect.to, effect.message)
 
 
-@perform.register
+@execute_effect.register
 def _(
     effect: effects.Persist, performer: Performer, controller: str
 ) -> Awaitable[None]:
     return _get_journals(performer).append(controller, effect.records)
 
 
-@perform.register
+@execute_effect.register
 def _(
     effect: effects.SaveSnapshot, performer: Performer, controller: str
 ) -> Awaitable[None]:
@@ -105,15 +105,15 @@
     return performer.journals
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.StartTasks, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count("dispatches", {"server": effect.server})
     performer.start_call(
-        backend_client.dispatch(performer.client, effect, performer.report)
+        backend_client.dispatch(performer.client, effect, performer.report_task)
     )
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.CancelTasks, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count(
         "cancellations", {"server": effect.server}, len(effect.task_ids)
@@ -121,18 +121,18 @@
     performer.start_call(backend_client.cancel(performer.client, effect))
 
 
-@perform.register(effects.StartRun)
-@perform.register(effects.StopRun)
-@perform.register(effects.ReadRuns)
+@execute_effect.register(effects.StartRun)
+@execute_effect.register(effects.StopRun)
+@execute_effect.register(effects.ReadRuns)
 def _(
     effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
     performer: Performer,
     controller: str,
 ) -> None:
-    performer.start_call(_call_server(effect, performer, controller))
+    performer.start_call(_send_order(effect, performer, controller))
 
 
-async def _call_server(
+async def _send_order(
     effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
     performer: Performer,
     controller: str,
@@ -142,28 +142,28 @@
     performer.runtime.send(performer.runtime.local(controller), answer)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Reconnect, performer: Performer, controller: str) -> None:
     link = performer.runtime.links_by_id.get(effect.instance)
     if link is not None:
         replace_socket(link)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.AbandonRequests, performer: Performer, controller: str) -> None:
     performer.runtime.abandon_requests(effect.instance)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.LogEvent, performer: Performer, controller: str) -> None:
     log_event(effect.event, **effect.fields)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Observe, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.observe(effect.metric, effect.labels, effect.seconds)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Count, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count(effect.metric, effect.labels, effect.value)
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -14,13 +14,13 @@
 from tornado.netutil import bind_sockets
 
 from boragetide.daemon.logs import log_event, log_uncaught
-from boragetide.daemon.performer import Performer, make_perform
+from boragetide.daemon.performer import Performer, bind_execute_effect
 from boragetide.daemon.runtime import (
     Handle,
     Runtime,
-    keep_running,
     run_controller,
     run_ticks,
+    run_with_restarts,
 )
 from boragetide.daemon.stopping import StopSignals, stop_gracefully
 from boragetide.errors import StorageError
@@ -92,13 +92,15 @@
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
     await _wait_until_listening(listener, listening)
-    machines = composition.make_machines(settings, runtime.incarnation, recovered)
+    state_machines = composition.make_machines(settings, runtime.incarnation, recovered)
     for controller, message in composition.make_first_messages(recovered).items():
         runtime.send(runtime.local(controller), message)
     required = [
         listener,
         asyncio.create_task(run_journals(journals), name="journals"),
-        *_start_controllers(composition.make_performer(runtime, journals), machines),
+        *_start_controllers(
+            composition.make_performer(runtime, journals), state_machines
+        ),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
         *(asyncio.create_task(run(runtime)) for run in composition.background),
     ]
@@ -106,11 +108,11 @@
         _serve(runtime, composition, sockets_by_address, signals)
     )
     await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
-    code = _report_failures([*required, serving])
+    exit_code = _report_failures([*required, serving])
     await end_tasks({serving, *links, *required})
-    if code == 0:
+    if exit_code == 0:
         log_event("stopped")
-    return code
+    return exit_code
 
 
 def _bind(address: str) -> list[socket.socket]:
@@ -186,30 +188,39 @@
 
     def listen() -> Awaitable[None]:
         return run_listener(
-            runtime.settings, runtime.deliver, runtime.report_fault, count, listening
+            runtime.settings,
+            runtime.deliver,
+            runtime.log_decode_error,
+            count,
+            listening,
         )
 
     links = {
-        f"link {peer_id}": partial(run_link, link, runtime.report_unsent, count)
+        f"link {peer_id}": partial(run_link, link, runtime.fail_unsent_request, count)
         for peer_id, link in runtime.links_by_id.items()
     }
 
     def make_link(instance: InstanceId) -> PeerLink:
-        link = PeerLink(_address_peer(instance, runtime.settings))
-        run = partial(run_link, link, runtime.report_unsent, count)
-        made.add(asyncio.create_task(keep_running(f"link {instance}", run)))
+        link = PeerLink(_make_peer_from_address(instance, runtime.settings))
+        run = partial(run_link, link, runtime.fail_unsent_request, count)
+        on_demand_tasks.add(
+            asyncio.create_task(run_with_restarts(f"link {instance}", run))
+        )
         return link
 
-    made: set[asyncio.Task[None]] = set()
+    on_demand_tasks: set[asyncio.Task[None]] = set()
     if runtime.settings.names_are_addresses:
         runtime.make_link = make_link
     return [
-        asyncio.create_task(keep_running("listener", listen, needed=listening)),
-        *(asyncio.create_task(keep_running(name, run)) for name, run in links.items()),
+        asyncio.create_task(run_with_restarts("listener", listen, started=listening)),
+        *(
+            asyncio.create_task(run_with_restarts(name, run))
+            for name, run in links.items()
+        ),
     ]
 
 
-def _address_peer(instance: InstanceId, settings: Settings) -> Peer:
+def _make_peer_from_address(instance: InstanceId, settings: Settings) -> Peer:
     """Return a peer whose id is its IP address; all peers listen on the same port."""
     port = settings.own.peer_address.rpartition(":")[2]
     return Peer(instance, "", "", f"{instance}:{port}", disk=False)
@@ -252,12 +263,13 @@
 
 
 def _start_controllers(
-    performer: Performer, machines: Machines
+    performer: Performer, state_machines: Machines
 ) -> list[asyncio.Task[None]]:
-    perform = make_perform(performer)
+    execute_effect = bind_execute_effect(performer)
     return [
         asyncio.create_task(
-            run_controller(performer.runtime, name, handle, state, perform), name=name
+            run_controller(performer.runtime, name, handle, state, execute_effect),
+            name=name,
         )
-        for name, (handle, state) in machines.items()
+        for name, (handle, state) in state_machines.items()
     ]
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -30,14 +30,14 @@
 from boragetide.types import Address, InstanceId, ReplyTo, Seconds
 
 TICK_JITTER = 0.2  # fraction of the tick period
-TICK_BACKLOG = 1000  # messages
+MAX_TICK_BACKLOG = 1000  # messages
 RESTART_DELAY = 0.5  # seconds
 
 Handle: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
 
 @dataclass(slots=True)
-class _Pending:
+class _PendingRequest:
     future: asyncio.Future[Any]
     instance: InstanceId
 
@@ -64,8 +64,8 @@
     stopping: bool = False
     open_requests: set[Any] = field(default_factory=set)
     make_link: Callable[[InstanceId], PeerLink] | None = None
-    _pending_by_request: dict[int, _Pending] = field(default_factory=dict)
-    _requests: Iterable[int] = field(default_factory=lambda: itertools.count(1))
+    _pending_by_request: dict[int, _PendingRequest] = field(default_factory=dict)
+    _request_numbers: Iterable[int] = field(default_factory=lambda: itertools.count(1))
 
     def __post_init__(self) -> None:
         for name in self.settings.controllers:
@@ -81,18 +81,18 @@
             message = note_arrival(message, read_clock())
             self.mailboxes_by_controller[to.controller].put_nowait(message)
             return
-        request = message.reply_to.request if _expects_own_reply(self, message) else 0
-        if not self._post(to.instance, to.controller, request, message):
-            self._fail(request, PeerUnreachable(f"no link to {to.instance!r}"))
+        request = message.reply_to.request if _expects_local_reply(self, message) else 0
+        if not self._enqueue_envelope(to.instance, to.controller, request, message):
+            self._fail_request(request, PeerUnreachable(f"no link to {to.instance!r}"))
 
     def reply(self, to: ReplyTo | None, message: Any) -> None:
         """Answer a request from this or another instance."""
         if to is None:
             return
         if to.instance == self.settings.id:
-            self._resolve(to.request, message)
+            self._resolve_request(to.request, message)
         else:
-            self._post(to.instance, REPLY_CONTROLLER, to.request, message)
+            self._enqueue_envelope(to.instance, REPLY_CONTROLLER, to.request, message)
 
     async def ask(self, to: Address, message: Request, timeout: Seconds) -> Any:
         """Send a request and wait for its reply.
@@ -113,9 +113,9 @@
         ReplyTimeout
             If no reply arrived; the peer may have received the message.
         """
-        request = next(self._requests)
+        request = next(self._request_numbers)
         future = asyncio.get_running_loop().create_future()
-        self._pending_by_request[request] = _Pending(future, to.instance)
+        self._pending_by_request[request] = _PendingRequest(future, to.instance)
         reply_to = ReplyTo(self.settings.id, request)
         try:
             self.send(to, dataclasses.replace(message, reply_to=reply_to))
@@ -132,22 +132,22 @@
         try:
             message = decode_body(envelope)
         except LinkError as error:
-            self.report_fault(error)
+            self.log_decode_error(error)
             return
         self.metrics.count("peer_messages_received", {"kind": envelope.kind})
         if envelope.controller == REPLY_CONTROLLER:
-            self._resolve(envelope.request, message)
+            self._resolve_request(envelope.request, message)
         elif envelope.controller in self.mailboxes_by_controller:
             message = note_arrival(message, read_clock())
             self.mailboxes_by_controller[envelope.controller].put_nowait(message)
 
-    def report_fault(self, error: LinkError) -> None:
-        """Log a frame or message that could not be decoded."""
+    def log_decode_error(self, error: LinkError) -> None:
+        """Log a frame or message that cannot be decoded."""
         log_event("message_dropped", error=str(error))
 
-    def report_unsent(self, envelope: Envelope) -> None:
+    def fail_unsent_request(self, envelope: Envelope) -> None:
         """Fail the pending request of an envelope that was certainly not sent."""
-        self._fail(
+        self._fail_request(
             envelope.request if envelope.controller != REPLY_CONTROLLER else 0,
             PeerUnreachable("link did not send the message"),
         )
@@ -156,9 +156,11 @@
         """Fail all pending requests to a lost instance."""
         for request, pending in list(self._pending_by_request.items()):
             if pending.instance == instance:
-                self._fail(request, ReplyTimeout(f"instance {instance!r} was lost"))
+                self._fail_request(
+                    request, ReplyTimeout(f"instance {instance!r} was lost")
+                )
 
-    def _post(
+    def _enqueue_envelope(
         self, instance: InstanceId, controller: str, request: int, message: Any
     ) -> bool:
         link = self.links_by_id.get(instance)
@@ -180,20 +182,20 @@
             ),
         )
 
-    def _resolve(self, request: int, message: Any) -> None:
+    def _resolve_request(self, request: int, message: Any) -> None:
         pending = self._pending_by_request.get(request)
         if pending is not None and not pending.future.done():
             pending.future.set_result(message)
         else:
             self.metrics.count("late_replies", {"kind": type(message).__name__})
 
-    def _fail(self, request: int, error: LinkError) -> None:
+    def _fail_request(self, request: int, error: LinkError) -> None:
         pending = self._pending_by_request.get(request)
         if pending is not None and not pending.future.done():
             pending.future.set_exception(error)
 
 
-def _expects_own_reply(runtime: Runtime, message: Any) -> bool:
+def _expects_local_reply(runtime: Runtime, message: Any) -> bool:
     reply_to = getattr(message, "reply_to", None)
     return reply_to is not None and reply_to.instance == runtime.settings.id
 
@@ -203,7 +205,7 @@
     name: str,
     handle: Handle,
     state: Any,
-    perform: Callable[[Effect, str], Any],
+    execute_effect: Callable[[Effect, str], Any],
 ) -> None:
     """Handle a controller's messages one by one and execute the returned effects.
 
@@ -217,7 +219,7 @@
         State machine of the controller, called as ``handle(message, state, now)``.
     state
         State of the controller, accessed by this task only.
-    perform
+    execute_effect
         Executes one effect; a returned awaitable completes when the effect is durable.
 
     Notes
@@ -227,39 +229,39 @@
     others only after the records that they depend on are durable.
     """
     mailbox = runtime.mailboxes_by_controller[name]
-    silence = runtime.settings.timing.instance_silence
+    suspension_threshold = runtime.settings.timing.instance_silence
     last_handled = read_clock()
     async with asyncio.TaskGroup() as group:
-        effects = EffectQueue(partial(perform, controller=name), group)
+        effects = EffectQueue(partial(execute_effect, controller=name), group)
         while True:
             message = await mailbox.get()
             if handle.dispatch(type(message)) is handle.dispatch(object):
                 log_event("message_dropped", error=f"{name} cannot handle {message!r}")
                 continue
             now = read_clock()
-            if now - last_handled > silence:
+            if now - last_handled > suspension_threshold:
                 effects.put(handle(WokeUp(last_handled), state, now))
             last_handled = now
             effects.put(handle(message, state, now))
 
 
-async def keep_running(
+async def run_with_restarts(
     name: str,
     run: Callable[[], Awaitable[None]],
     *,
-    needed: asyncio.Event | None = None,
+    started: asyncio.Event | None = None,
 ) -> None:
     """Run a link's task and restart it after an unexpected error.
 
     A link has no state besides its socket, so a restart is safe. An error raised before
-    the event ``needed`` is set is not retried: a port that is in use at start will not
+    the event ``started`` is set is not retried: a port that is in use at start will not
     become free.
     """
     while True:
         try:
             await run()
         except Exception as error:
-            if needed is not None and not needed.is_set():
+            if started is not None and not started.is_set():
                 raise
             log_event("task_restarted", task=name, error=repr(error))
         await asyncio.sleep(RESTART_DELAY)
@@ -276,6 +278,6 @@
         for mailbox in runtime.mailboxes_by_controller.values():
             # Ticks are skipped for a controller with a long backlog, which would only
             # have to handle them all at once later.
-            if mailbox.qsize() < TICK_BACKLOG:
+            if mailbox.qsize() < MAX_TICK_BACKLOG:
                 mailbox.put_nowait(Tick())
         await asyncio.sleep(period * random.uniform(1 - TICK_JITTER, 1 + TICK_JITTER))
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -15,7 +15,7 @@
 # Entry instances that chose this placer before the stop still send their jobs once the
 # claims are decided; see also `RELEASE_DELAY` in `boragetide.controllers.leases`.
 SHORTEST_STOP = 1.0  # seconds
-POLL = 0.05  # seconds
+POLL_INTERVAL = 0.05  # seconds
 FLUSH_TIMEOUT = 2.0  # seconds
 
 
@@ -35,7 +35,7 @@
     runtime: Runtime,
     signals: StopSignals,
     last_requests: tuple[tuple[str, Request], ...],
-    shortest: Seconds | None = None,
+    min_duration: Seconds | None = None,
 ) -> None:
     """Announce the stop and wait until all work in progress is finished.
 
@@ -45,16 +45,16 @@
     ----------
     last_requests
         Controllers and the requests sent to them when all work is finished.
-    shortest
+    min_duration
         Minimum duration of the stop in seconds; `SHORTEST_STOP` if ``None``.
     """
-    shortest = SHORTEST_STOP if shortest is None else shortest
+    min_duration = SHORTEST_STOP if min_duration is None else min_duration
     timeout = runtime.settings.timing.stop_timeout
     runtime.stopping = True
     log_event("stopping", timeout=timeout, requests=len(runtime.open_requests))
     for mailbox in runtime.mailboxes_by_controller.values():
         mailbox.put_nowait(StopRequested())
-    finishing = asyncio.create_task(_finish(runtime, last_requests, shortest))
+    finishing = asyncio.create_task(_finish_work(runtime, last_requests, min_duration))
     second = asyncio.create_task(signals.second.wait())
     await asyncio.wait(
         {finishing, second}, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
@@ -71,14 +71,14 @@
     )
 
 
-async def _finish(
+async def _finish_work(
     runtime: Runtime,
     last_requests: tuple[tuple[str, Request], ...],
-    shortest: Seconds,
+    min_duration: Seconds,
 ) -> None:
     began = read_clock()
-    while read_clock() - began < shortest or await _is_busy(runtime):
-        await asyncio.sleep(POLL)
+    while read_clock() - began < min_duration or await _has_work_left(runtime):
+        await asyncio.sleep(POLL_INTERVAL)
     try:
         for controller, request in last_requests:
             await runtime.ask(runtime.local(controller), request, FLUSH_TIMEOUT)
@@ -86,7 +86,7 @@
         log_event("flush_failed", error=str(error))
 
 
-async def _is_busy(runtime: Runtime) -> bool:
+async def _has_work_left(runtime: Runtime) -> bool:
     """Return whether requests are open or a controller has work left.
 
     A controller that hands over state, such as its claims, starts to do so on
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -33,12 +33,12 @@
     memory: int = 0
     accelerators: int = 0
 
-    def fits_in(self, room: Resources) -> bool:
-        """Return whether ``room`` has at least these resources."""
+    def fits_in(self, available: Resources) -> bool:
+        """Return whether ``available`` has at least these resources."""
         return (
-            self.millicores <= room.millicores
-            and self.memory <= room.memory
-            and self.accelerators <= room.accelerators
+            self.millicores <= available.millicores
+            and self.memory <= available.memory
+            and self.accelerators <= available.accelerators
         )
 
     def plus(self, other: Resources) -> Resources:
--- a/boragetide/filters/claim.py
+++ b/boragetide/filters/claim.py
@@ -25,11 +25,11 @@
 
 # Instances considered lost are asked last. One that is alive after all answers within a
 # few round trips of 1 ms.
-LOST_TIMEOUT: Seconds = 0.2
+LOST_INSTANCE_TIMEOUT: Seconds = 0.2
 
 
 @dataclass(slots=True)
-class _Attempt:
+class _ClaimAttempt:
     exchange: Exchange
     call_next: Next
     group: tuple[InstanceId, ...]
@@ -51,18 +51,18 @@
         job_id, exchange.placer.placer, exchange.placer.incarnation, claimed_at=now
     )
     group = find_claim_group(find_home_zone(job_id, settings), settings)
-    exchange.live = await list_live(runtime)
-    attempt = _Attempt(exchange, call_next, group)
+    exchange.live = await list_live_incarnations(runtime)
+    attempt = _ClaimAttempt(exchange, call_next, group)
     dead = frozenset(group) - exchange.live.keys()
     while True:
         replies = attempt.replies_by_acceptor
         step = decide_claim(proposed, group, replies, settings.id, dead)
-        result = await _follow(step, attempt)
+        result = await _execute_step(step, attempt)
         if result is not None:
             return result
 
 
-async def list_live(runtime: Runtime) -> dict[InstanceId, int]:
+async def list_live_incarnations(runtime: Runtime) -> dict[InstanceId, int]:
     """Return the incarnations of the instances considered live, by id."""
     listed = await runtime.ask(
         runtime.local("instances"),
@@ -72,36 +72,36 @@
     return {record["id"]: record["incarnation"] for record in listed.instances}
 
 
-def choose_timeout(
+def choose_reply_timeout(
     runtime: Runtime, live: dict[InstanceId, int], to: InstanceId
 ) -> Seconds:
     """Return the timeout, in seconds, of a request that is answered at once."""
     timeout = runtime.settings.timing.request_timeout
-    return timeout if to in live else min(timeout, LOST_TIMEOUT)
+    return timeout if to in live else min(timeout, LOST_INSTANCE_TIMEOUT)
 
 
 @singledispatch
-async def _follow(step: Step, attempt: _Attempt) -> Answer | None:
+async def _execute_step(step: Step, attempt: _ClaimAttempt) -> Answer | None:
     """Execute one step; return ``None`` if another step is needed."""
     raise TypeError(f"unknown claim step {step!r}")
 
 
-@_follow.register
-async def _(step: AskAcceptor, attempt: _Attempt) -> None:
+@_execute_step.register
+async def _(step: AskAcceptor, attempt: _ClaimAttempt) -> None:
     exchange = attempt.exchange
     try:
         reply = await exchange.runtime.ask(
             Address(step.acceptor, "claims"),
             ClaimRequest(claim=step.claim, asked_at=exchange.received_at),
-            choose_timeout(exchange.runtime, exchange.live, step.acceptor),
+            choose_reply_timeout(exchange.runtime, exchange.live, step.acceptor),
         )
     except LinkError:
         reply = None
     attempt.replies_by_acceptor[step.acceptor] = reply
 
 
-@_follow.register
-async def _(step: AskOwner, attempt: _Attempt) -> Answer | None:
+@_execute_step.register
+async def _(step: AskOwner, attempt: _ClaimAttempt) -> Answer | None:
     exchange = attempt.exchange
     exchange.claim = step.claim
     exchange.replies_by_acceptor = {
@@ -116,8 +116,8 @@
         return None
 
 
-@_follow.register
-async def _(step: Decided, attempt: _Attempt) -> Answer:
+@_execute_step.register
+async def _(step: Decided, attempt: _ClaimAttempt) -> Answer:
     exchange = attempt.exchange
     exchange.claim = step.claim
     exchange.replies_by_acceptor = None
@@ -125,6 +125,6 @@
     return await attempt.call_next(exchange)
 
 
-@_follow.register
-async def _(step: Undecided, attempt: _Attempt) -> Answer:
+@_execute_step.register
+async def _(step: Undecided, attempt: _ClaimAttempt) -> Answer:
     raise RequestError(Status.UNKNOWN, 503, f"claim not decided: {step.reason}")
--- a/boragetide/filters/dispatch.py
+++ b/boragetide/filters/dispatch.py
@@ -40,7 +40,7 @@
         raise RequestError(Status.UNKNOWN, 504, message)
     try:
         reply = await exchange.runtime.ask(
-            *_address(exchange), _choose_timeout(exchange)
+            *_make_owner_request(exchange), _choose_answer_timeout(exchange)
         )
     except PeerUnreachable as error:
         if exchange.replies_by_acceptor is not None:
@@ -55,7 +55,7 @@
     return reply.answer
 
 
-def _address(exchange: Exchange) -> tuple[Address, Request]:
+def _make_owner_request(exchange: Exchange) -> tuple[Address, Request]:
     claim, submission = exchange.claim, exchange.submission
     replies = exchange.replies_by_acceptor
     if replies is None:
@@ -71,12 +71,12 @@
     return Address(claim.owner, "claims"), message
 
 
-def _choose_timeout(exchange: Exchange) -> Seconds:
+def _choose_answer_timeout(exchange: Exchange) -> Seconds:
     """Return a timeout that covers the whole job only if the owner can still run it."""
     if exchange.live.get(exchange.claim.owner) != exchange.claim.owner_incarnation:
         return exchange.runtime.settings.timing.request_timeout
-    return _longest_wait(exchange.submission)
+    return _compute_job_timeout(exchange.submission)
 
 
-def _longest_wait(submission: Submission) -> Seconds:
+def _compute_job_timeout(submission: Submission) -> Seconds:
     return QUEUEING_MARGIN + max(task.timeout for task in submission.tasks)
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -26,7 +26,7 @@
 # repetition to the same leader, so that an overloaded one does not get more requests
 # because it is slow.
 LEADER_TIMEOUT: Seconds = 0.7
-LEADER_RETRY: Seconds = 0.03
+LEADER_RETRY_DELAY: Seconds = 0.03
 # A lost leader is replaced within this time, unless this instance is cut off from the
 # members or most of them are down. In these cases waiting longer is of no use.
 TAKEOVER_TIME: Seconds = 2.0
@@ -105,54 +105,56 @@
         ``NOT_RUN`` if no leader can have received the request, else ``UNKNOWN``.
     """
     runtime = exchange.runtime
-    handed_to: Counter[int] = Counter()
-    while (left := exchange.deadline - ANSWER_MARGIN - read_clock()) > 0:
-        found = await runtime.ask(runtime.local("directory"), FindLeader(), left)
-        if found.leader is None:
-            if read_clock() >= exchange.useful_until or found.lost_for > TAKEOVER_TIME:
+    attempts_by_term: Counter[int] = Counter()
+    while (remaining := exchange.deadline - ANSWER_MARGIN - read_clock()) > 0:
+        lookup = await runtime.ask(runtime.local("directory"), FindLeader(), remaining)
+        if lookup.leader is None:
+            if read_clock() >= exchange.useful_until or lookup.lost_for > TAKEOVER_TIME:
                 break
         else:
             exchange.attempts += 1
-            to = Address(found.leader, "dispatcher")
+            to = Address(lookup.leader, "dispatcher")
             try:
-                timeout = min(left, LEADER_TIMEOUT * 2 ** handed_to[found.term])
+                timeout = min(
+                    remaining, LEADER_TIMEOUT * 2 ** attempts_by_term[lookup.term]
+                )
                 age = read_clock() - exchange.received_at
-                message = stamp_age(exchange.message, age)
+                message = add_age(exchange.message, age)
                 reply = await runtime.ask(to, message, timeout)
             except PeerUnreachable:
                 pass
             except ReplyTimeout:
-                handed_to[found.term] += 1
+                attempts_by_term[lookup.term] += 1
             else:
                 if reply.status is ReplyStatus.UNDECIDED:
-                    handed_to[found.term] += 1
+                    attempts_by_term[lookup.term] += 1
                 elif reply.status is not ReplyStatus.NOT_LEADER:
-                    return _check_refusal(reply, set(handed_to))
-        await asyncio.sleep(LEADER_RETRY)
-    if handed_to:
+                    return _check_refusal(reply, set(attempts_by_term))
+        await asyncio.sleep(LEADER_RETRY_DELAY)
+    if attempts_by_term:
         raise RequestError(Status.UNKNOWN, 504, "no leader answered in time")
     raise RequestError(Status.NOT_RUN, 503, "no leader is known")
 
 
 @singledispatch
-def stamp_age(message: Request, age: Seconds) -> Request:
+def add_age(message: Request, age: Seconds) -> Request:
     """Return a message with its age added, if its type has one."""
     return message
 
 
-@stamp_age.register
+@add_age.register
 def _(message: SubmitDurableJob, age: Seconds) -> Request:
     return replace(message, age=age)
 
 
-def _check_refusal(reply: DispatcherReply, handed_to: set[int]) -> DispatcherReply:
+def _check_refusal(reply: DispatcherReply, asked_terms: set[int]) -> DispatcherReply:
     """Return the reply, unless it is a refusal that may not hold for other terms.
 
     The leader of one term knows whether it has started a job, but not whether the
     leader of another term has. A refusal is therefore reported as ``UNKNOWN`` if the
     request may have reached the leader of another term.
     """
-    if reply.status is ReplyStatus.REFUSED and handed_to - {reply.term}:
+    if reply.status is ReplyStatus.REFUSED and asked_terms - {reply.term}:
         raise RequestError(Status.UNKNOWN, 504, reply.reason)
     return reply
 
--- a/boragetide/filters/lookup.py
+++ b/boragetide/filters/lookup.py
@@ -6,7 +6,7 @@
 
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError
-from boragetide.filters.claim import choose_timeout, list_live
+from boragetide.filters.claim import choose_reply_timeout, list_live_incarnations
 from boragetide.messages import (
     CancelJob,
     ClaimReply,
@@ -19,7 +19,7 @@
 from boragetide.policy.routing import find_claim_group, find_home_zone
 from boragetide.types import Address, Claim, InstanceId, JobId
 
-STATES = frozenset({"running", "refused", "ended"})
+KNOWN_JOB_STATES = frozenset({"running", "refused", "ended"})
 
 
 async def ask_owner(
@@ -34,13 +34,13 @@
         or the claim group does not answer.
     """
     settings = runtime.settings
-    live = await list_live(runtime)
+    live = await list_live_incarnations(runtime)
     group = find_claim_group(find_home_zone(job_id, settings), settings)
     dead = frozenset(group) - live.keys()
     replies_by_acceptor: dict[InstanceId, ClaimReply | None] = {}
     claims_by_owner: dict[tuple[InstanceId, int], Claim] = {}
     for acceptor in order_acceptors(group, settings.id, dead):
-        reply = await _ask(
+        reply = await _ask_or_none(
             runtime, live, Address(acceptor, "claims"), LookUpClaim(id=job_id)
         )
         replies_by_acceptor[acceptor] = reply
@@ -49,7 +49,7 @@
             owner = (claim.owner, claim.owner_incarnation)
             if owner not in claims_by_owner:
                 claims_by_owner[owner] = claim
-                state = await _ask_one(runtime, live, claim, message)
+                state = await _ask_claim_owner(runtime, live, claim, message)
                 if state is not None:
                     return state
         elif not claims_by_owner and is_certainly_unclaimed(group, replies_by_acceptor):
@@ -57,7 +57,7 @@
     return JobState(job_id, "unknown")
 
 
-async def _ask_one(
+async def _ask_claim_owner(
     runtime: Runtime,
     live: dict[InstanceId, int],
     claim: Claim,
@@ -66,16 +66,16 @@
     """Ask the owner that a claim names; ``None`` if it does not know the job."""
     if live.get(claim.owner, 0) > claim.owner_incarnation:
         return None
-    state = await _ask(runtime, live, Address(claim.owner, "jobs"), message)
-    return state if state is not None and state.state in STATES else None
+    state = await _ask_or_none(runtime, live, Address(claim.owner, "jobs"), message)
+    return state if state is not None and state.state in KNOWN_JOB_STATES else None
 
 
-async def _ask(
+async def _ask_or_none(
     runtime: Runtime, live: dict[InstanceId, int], to: Address, message: Request
 ) -> Any:
     try:
         return await runtime.ask(
-            to, message, choose_timeout(runtime, live, to.instance)
+            to, message, choose_reply_timeout(runtime, live, to.instance)
         )
     except LinkError:
         return None
--- a/boragetide/json_values.py
+++ b/boragetide/json_values.py
@@ -12,13 +12,13 @@
 _MAX_INTEGER = 2**64 - 1
 # Matches every JSON text that can contain a number outside of the ranges above or a
 # non-finite one, so that the values of other texts need not be checked one by one.
-_SUSPECT = re.compile(rb"NaN|Infinity|\d{19}|[eE]\+?\d{3}")
+_UNSUPPORTED_NUMBER_HINT = re.compile(rb"NaN|Infinity|\d{19}|[eE]\+?\d{3}")
 
 
 def needs_walk(text: bytes) -> bool:
     """Return whether a JSON text can contain a value that `find_fault` rejects."""
     brackets = text.count(b"[") + text.count(b"{")
-    return brackets > MAX_DEPTH or _SUSPECT.search(text) is not None
+    return brackets > MAX_DEPTH or _UNSUPPORTED_NUMBER_HINT.search(text) is not None
 
 
 def find_fault(value: Any) -> str | None:
@@ -26,10 +26,10 @@
 
     msgpack has no integers above 64 bits, and JSON has neither NaN nor infinity.
     """
-    return _walk(value, MAX_DEPTH)
+    return _find_fault_within(value, MAX_DEPTH)
 
 
-def _walk(value: Any, depth: int) -> str | None:
+def _find_fault_within(value: Any, depth: int) -> str | None:
     if depth < 0:
         return f"nested more than {MAX_DEPTH} levels deep"
     if isinstance(value, float) and not math.isfinite(value):
@@ -40,4 +40,6 @@
         value = value.values()
     elif not isinstance(value, list):
         return None
-    return next((f for item in value if (f := _walk(item, depth - 1))), None)
+    return next(
+        (f for item in value if (f := _find_fault_within(item, depth - 1))), None
+    )
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -17,7 +17,7 @@
 CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
 CONNECT_TIMEOUT = 1.0  # seconds
 CANCEL_TIMEOUT = 2.0  # seconds
-CLIENT_CONNECTIONS = 1024
+MAX_CONNECTIONS = 1024
 RESULT_MARGIN = 2.0  # seconds beyond the task's timeout for its result to arrive
 
 _HTTP_REFUSED = frozenset({409, 503})
@@ -34,7 +34,7 @@
 
 
 _LINE_DECODER = msgspec.json.Decoder(_ResultLine)
-_OUTCOMES_BY_WORD = {
+_STATUSES_BY_NAME = {
     "done": TaskStatus.DONE,
     "failed": TaskStatus.FAILED,
     "not_run": TaskStatus.NOT_RUN,
@@ -44,7 +44,7 @@
 
 def make_client() -> AsyncHTTPClient:
     """Make the curl client that all task calls to backend servers share."""
-    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CLIENT_CONNECTIONS)
+    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=MAX_CONNECTIONS)
     return AsyncHTTPClient()
 
 
@@ -63,8 +63,8 @@
         Called once per task. A task is reported as ``NOT_RUN`` only if that is certain,
         and as ``UNKNOWN`` if the connection ended before its result.
     """
-    waiting = {task.id for task in start.tasks}
-    parser = LineParser(start, waiting, report)
+    unreported = {task.id for task in start.tasks}
+    parser = LineParser(start, unreported, report)
     timeout = max(task.timeout for task in start.tasks) + RESULT_MARGIN
     request = HTTPRequest(
         f"{start.address}/v1/tasks",
@@ -81,13 +81,13 @@
     try:
         await client.fetch(request)
     except HTTPClientError as failure:
-        status, error = _classify(failure)
+        status, error = _classify_failure(failure)
     except (TimeoutError, OSError) as failure:
         error = str(failure)
     finally:
         # Runs after unexpected errors as well: a task that is not reported never ends.
         parser.close()
-        for task_id in sorted(waiting):
+        for task_id in sorted(unreported):
             outcome = TaskOutcome(status, error=error)
             report(TaskReport(start.server, start.lease, task_id, outcome))
 
@@ -102,7 +102,7 @@
     }
 
 
-def _classify(failure: HTTPClientError) -> tuple[TaskStatus, str]:
+def _classify_failure(failure: HTTPClientError) -> tuple[TaskStatus, str]:
     """Return the status and error text of the tasks of a failed dispatch.
 
     The status is ``NOT_RUN`` only if the dispatch certainly did not start any task.
@@ -120,11 +120,11 @@
     def __init__(
         self,
         start: StartTasks,
-        waiting: set[str],
+        unreported: set[str],
         report: Callable[[TaskReport], None],
     ):
         self._start = start
-        self._waiting = waiting
+        self._unreported = unreported
         self._report = report
         self._buffer = b""
 
@@ -132,22 +132,22 @@
         """Parse the next chunk of the response."""
         *lines, self._buffer = (self._buffer + chunk).split(b"\n")
         for line in lines:
-            self._read(line)
+            self._parse_line(line)
 
     def close(self) -> None:
         """Parse the remaining bytes as the last line."""
-        self._read(self._buffer)
+        self._parse_line(self._buffer)
         self._buffer = b""
 
-    def _read(self, line: bytes) -> None:
+    def _parse_line(self, line: bytes) -> None:
         try:
             entry = _LINE_DECODER.decode(line)
         except (msgspec.DecodeError, RecursionError):
             return
-        status = _OUTCOMES_BY_WORD.get(entry.status)
-        if entry.id not in self._waiting or status is None:
+        status = _STATUSES_BY_NAME.get(entry.status)
+        if entry.id not in self._unreported or status is None:
             return
-        self._waiting.discard(entry.id)
+        self._unreported.discard(entry.id)
         outcome = TaskOutcome(status, entry.result, entry.error)
         fault = find_fault(entry.result) if needs_walk(line) else None
         if fault is not None:
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -26,7 +26,8 @@
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
 from boragetide.types import Seconds
 
-OTHER_SERVER = 421  # HTTP status if another backend server answers at the address
+# Status of the response if another backend server answers at the address.
+HTTP_MISDIRECTED_REQUEST = 421
 
 
 class _OrderAnswer(msgspec.Struct):
@@ -42,7 +43,7 @@
     index: int
     run: int
 
-    def to_task(self) -> TaskRef:
+    def to_task_ref(self) -> TaskRef:
         """Return the reference of the run's task."""
         return TaskRef(self.job, self.step, self.index)
 
@@ -65,10 +66,10 @@
     """Make the client that sends orders over persistent connections."""
     client = make_order_client()
 
-    def give(order: StartRun | StopRun | ReadRuns) -> Awaitable[Any]:
+    def send(order: StartRun | StopRun | ReadRuns) -> Awaitable[Any]:
         return give_order(order, client)
 
-    return give
+    return send
 
 
 @singledispatch
@@ -80,16 +81,16 @@
 @give_order.register
 async def _(order: StartRun, client: AsyncHTTPClient) -> RunOrdered:
     body = {"spec": order.spec, "lease_until": order.lease_until}
-    return await _order(order, client, "start", body)
+    return await _send_run_order(order, client, "start", body)
 
 
 @give_order.register
 async def _(order: StopRun, client: AsyncHTTPClient) -> RunOrdered:
-    return await _order(order, client, "stop", {})
+    return await _send_run_order(order, client, "stop", {})
 
 
-async def _order(
-    order: StartRun | StopRun, client: AsyncHTTPClient, verb: str, fields: dict
+async def _send_run_order(
+    order: StartRun | StopRun, client: AsyncHTTPClient, action: str, fields: dict
 ) -> RunOrdered:
     sent_at = read_clock()
     body = {
@@ -101,7 +102,7 @@
         "fence": order.fence,
         **fields,
     }
-    url = f"{order.address}/v1/runs/{verb}"
+    url = f"{order.address}/v1/runs/{action}"
     response = await call_server(client, order.server, url, body, ORDER_TIMEOUT)
     result, clock = _read_answer(response)
     return RunOrdered(
@@ -111,14 +112,14 @@
         task=order.number,
         run=order.run,
         result=result,
-        started=verb == "start",
+        started=action == "start",
         clock=clock,
         sent_at=sent_at,
     )
 
 
 def _read_answer(response: CallResponse) -> tuple[OrderResult, Seconds | None]:
-    if response.status == OTHER_SERVER:
+    if response.status == HTTP_MISDIRECTED_REQUEST:
         return OrderResult.OTHER_LIFE, None
     if response.status not in (200, 409):
         return OrderResult.UNANSWERED, None
@@ -146,7 +147,7 @@
     if response.status == 409:
         return RunsRead(order.server, order.fence, sent_at, fenced=True)
     if response.status != 200:
-        other = response.status == OTHER_SERVER
+        other = response.status == HTTP_MISDIRECTED_REQUEST
         return ReadFailed(order.server, order.fence, other_life=other)
     try:
         listed = msgspec.json.decode(response.body, type=_Runs)
@@ -158,9 +159,9 @@
         sent_at=sent_at,
         clock=listed.clock,
         born=listed.born,
-        running=tuple(ListedRun(run.to_task(), run.run) for run in listed.running),
+        running=tuple(ListedRun(run.to_task_ref(), run.run) for run in listed.running),
         ended=tuple(
-            ListedEnd(end.number, end.to_task(), end.run, end.reason)
+            ListedEnd(end.number, end.to_task_ref(), end.run, end.reason)
             for end in listed.ended
         ),
     )
--- a/boragetide/links/order_call.py
+++ b/boragetide/links/order_call.py
@@ -12,7 +12,7 @@
 from boragetide.types import BackendServerId, Seconds
 
 CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
-CONNECTIONS = 256
+MAX_CONNECTIONS = 256
 CONNECT_TIMEOUT: Seconds = 0.3
 # An order is answered within a round trip of a few milliseconds and can be repeated
 # safely, so the timeout is short.
@@ -32,7 +32,7 @@
 
 def make_order_client() -> AsyncHTTPClient:
     """Make the curl client that all orders share."""
-    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CONNECTIONS)
+    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=MAX_CONNECTIONS)
     return AsyncHTTPClient()
 
 
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -17,8 +17,8 @@
 SEND_TIMEOUT = 0.5  # seconds
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
-FRAME_ENVELOPES = 256
-OUTBOX_ENVELOPES = 20_000
+MAX_FRAME_ENVELOPES = 256
+MAX_OUTBOX_ENVELOPES = 20_000
 
 OnUnsent: TypeAlias = Callable[[Envelope], None]
 CountBytes: TypeAlias = Callable[[str, dict[str, str], float], None]
@@ -31,12 +31,12 @@
     peer: Peer
     outbox: deque[Envelope] = field(default_factory=deque)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
-    replaced: bool = False
+    reconnect_requested: bool = False
 
 
 def post(link: PeerLink, envelope: Envelope) -> bool:
     """Queue an envelope; return false if the outbox is full and nothing is sent."""
-    if len(link.outbox) >= OUTBOX_ENVELOPES:
+    if len(link.outbox) >= MAX_OUTBOX_ENVELOPES:
         return False
     link.outbox.append(envelope)
     link.wake.set()
@@ -45,7 +45,7 @@
 
 def replace_socket(link: PeerLink) -> None:
     """Ask the link's task to continue with a new socket, even if it is idle."""
-    link.replaced = True
+    link.reconnect_requested = True
     link.wake.set()
 
 
@@ -62,9 +62,9 @@
         Adds to a counter metric; called with the number of bytes sent.
     """
     while True:
-        with _open_push(link.peer) as socket:
-            link.replaced = False
-            while not link.replaced:
+        with _open_push_socket(link.peer) as socket:
+            link.reconnect_requested = False
+            while not link.reconnect_requested:
                 if link.outbox:
                     await _send_batch(link, socket, on_unsent, count)
                 else:
@@ -72,7 +72,7 @@
                     await link.wake.wait()
 
 
-def _open_push(peer: Peer) -> pynng.Push0:
+def _open_push_socket(peer: Peer) -> pynng.Push0:
     socket = pynng.Push0(
         send_timeout=int(SEND_TIMEOUT * 1000),
         reconnect_time_min=RECONNECT_MIN_MS,
@@ -85,7 +85,7 @@
 async def _send_batch(
     link: PeerLink, socket: pynng.Push0, on_unsent: OnUnsent, count: CountBytes
 ) -> None:
-    size = min(FRAME_ENVELOPES, len(link.outbox))
+    size = min(MAX_FRAME_ENVELOPES, len(link.outbox))
     batch = [link.outbox.popleft() for _ in range(size)]
     frame = encode_frame(batch)
     try:
@@ -108,7 +108,7 @@
 async def run_listener(
     settings: Settings,
     deliver: Callable[[Envelope], None],
-    on_fault: Callable[[LinkError], None],
+    on_decode_error: Callable[[LinkError], None],
     count: CountBytes,
     listening: asyncio.Event,
 ) -> None:
@@ -120,7 +120,7 @@
         Settings with the address to listen on.
     deliver
         Called with each envelope.
-    on_fault
+    on_decode_error
         Called with the error of each frame that cannot be decoded.
     count
         Adds to a counter metric; called with the number of bytes received.
@@ -134,7 +134,7 @@
             try:
                 envelopes = decode_frame(frame)
             except LinkError as error:
-                on_fault(error)
+                on_decode_error(error)
                 continue
             if envelopes:
                 count("link_bytes_received", {"peer": envelopes[0].sender}, len(frame))
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -188,7 +188,7 @@
         if name.startswith(PEER_PREFIX):
             peer_id = name.removeprefix(PEER_PREFIX)
             peers[peer_id] = _build_peer(peer_id, section)
-    timing = Timing(**_given(sections, "timing"))
+    timing = Timing(**_collect_given_options(sections, "timing"))
     faults = tuple(check_durations(timing))
     if faults:
         raise SettingsError(faults)
@@ -198,7 +198,7 @@
         peers_by_id=peers,
         data_folder=own.data_folder,
         timing=timing,
-        limits=Limits(**_given(sections, "limits")),
+        limits=Limits(**_collect_given_options(sections, "limits")),
         controllers=(
             *CONTROLLERS,
             "directory",
@@ -213,7 +213,7 @@
     )
 
 
-def _given(sections: dict[str, Any], name: str) -> dict[str, Any]:
+def _collect_given_options(sections: dict[str, Any], name: str) -> dict[str, Any]:
     section = sections.get(name)
     return section.model_dump(exclude_none=True) if section is not None else {}
 
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -80,12 +80,12 @@
 Positive = Annotated[int, Field(gt=0)]
 
 
-def _dashed(name: str) -> str:
+def _to_option_name(name: str) -> str:
     return name.replace("_", "-")
 
 
 class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", alias_generator=_dashed)
+    model_config = ConfigDict(extra="forbid", alias_generator=_to_option_name)
 
 
 class PeerSection(_Section):
@@ -248,7 +248,7 @@
     for name, section in _iterate_instances(sections):
         for option in ("http_address", "peer_address"):
             address = getattr(section, option)
-            user = f"[{name}] {_dashed(option)}"
+            user = f"[{name}] {_to_option_name(option)}"
             if address in users_by_address:
                 first = users_by_address[address]
                 yield f"{user} = {address}: already used by {first}"
@@ -310,5 +310,5 @@
         if timing.instance_silence <= 2 * period:
             yield (
                 f"[timing] instance-silence = {timing.instance_silence:g}s: must be "
-                f"above twice the {_dashed(name)} = {period:g}s"
+                f"above twice the {_to_option_name(name)} = {period:g}s"
             )
