--- a/boragetide/daemon/effect_queue.py
+++ b/boragetide/daemon/effect_queue.py
@@ -1,4 +1,4 @@
-"""Performs the effects of one controller in order, with grouped syncs."""
+"""Executes the effects of one controller in order and groups journal syncs."""
 
 from __future__ import annotations
 
@@ -12,54 +12,58 @@
 
 @dataclass(slots=True)
 class EffectQueue:
-    """Effects that wait until an earlier one is durable.
+    """Queue of effects that wait until an earlier effect is durable.
 
     Parameters
     ----------
-    perform
-        Performs one effect; a returned awaitable ends when the effect is durable.
-    group
-        Owner of the task that waits.
+    execute
+        Executes one effect; a returned awaitable completes when the effect is durable.
+    task_group
+        Task group for the tasks that await syncs.
+    waiting
+        Effects that have not been executed, in order.
+    is_syncing
+        Whether a task is awaiting a sync.
     """
 
-    perform: Callable[[Effect], Awaitable[None] | None]
-    group: asyncio.TaskGroup
+    execute: Callable[[Effect], Awaitable[None] | None]
+    task_group: asyncio.TaskGroup
     waiting: deque[Effect] = field(default_factory=deque)
     is_syncing: bool = False
 
     def put(self, effects: Iterable[Effect]) -> None:
-        """Perform effects now, or behind those that wait."""
+        """Execute effects after all earlier ones, at once if none of these waits."""
         self.waiting.extend(effects)
         if not self.is_syncing:
-            self._advance()
+            self._execute_until_sync()
 
-    def _advance(self) -> None:
+    def _execute_until_sync(self) -> None:
         while self.waiting:
             if isinstance(self.waiting[0], Persist | SaveSnapshot):
                 self.is_syncing = True
-                self.group.create_task(self._sync(self._take_records()))
+                self.task_group.create_task(self._await_syncs(self._write_records()))
                 return
-            self.perform(self.waiting.popleft())
+            self.execute(self.waiting.popleft())
 
-    def _take_records(self) -> list[Awaitable[None]]:
-        """Hand over all waiting records up to a snapshot, so that they share a sync.
+    def _write_records(self) -> list[Awaitable[None]]:
+        """Write all waiting records up to the next snapshot, so that they share a sync.
 
-        A record may become durable before the effects that stand in front of it.
+        A record may therefore become durable before effects that precede it.
         """
         if isinstance(self.waiting[0], SaveSnapshot):
-            return [self.perform(self.waiting.popleft())]
-        synced, others = [], []
+            return [self.execute(self.waiting.popleft())]
+        syncs, others = [], []
         while self.waiting and not isinstance(self.waiting[0], SaveSnapshot):
             effect = self.waiting.popleft()
             if isinstance(effect, Persist):
-                synced.append(self.perform(effect))
+                syncs.append(self.execute(effect))
             else:
                 others.append(effect)
         self.waiting.extendleft(reversed(others))
-        return synced
+        return syncs
 
-    async def _sync(self, synced: list[Awaitable[None]]) -> None:
-        for each in synced:
-            await each
+    async def _await_syncs(self, syncs: list[Awaitable[None]]) -> None:
+        for sync in syncs:
+            await sync
         self.is_syncing = False
-        self._advance()
+        self._execute_until_sync()
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/performer.py
@@ -1,4 +1,4 @@
-"""Performs the effects that controllers return."""
+"""Executes the effects that controllers return."""
 
 from __future__ import annotations
 
@@ -22,14 +22,18 @@
 
 @dataclass(slots=True)
 class Performer:
-    """What effects act on: the runtime, the clients of the backend servers, files.
+    """Resources that effects act on: the runtime, HTTP clients and journals.
 
     Parameters
     ----------
     client
-        For tasks that start at most once.
+        Client of backend servers for tasks that are started at most once.
+    journals
+        Journals of the controllers; ``None`` in a process that stores no records.
     run_client
-        For runs of durable tasks.
+        Client of backend servers for the runs of durable tasks.
+    calls
+        HTTP calls in progress.
     """
 
     runtime: Runtime
@@ -39,7 +43,7 @@
     calls: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start_call(self, call: Awaitable[None]) -> None:
-        """Run an HTTP call as a task of its own and keep it referenced."""
+        """Run an HTTP call in a new task and hold a reference to the task."""
         task = asyncio.ensure_future(call)
         self.calls.add(task)
         task.add_done_callback(self._end_call)
@@ -49,46 +53,46 @@
         if not task.cancelled() and task.exception() is not None:
             log_event("call_failed", error=repr(task.exception()))
 
-    def report(self, message: TaskReport) -> None:
-        """Hand the end of a task to its controller."""
+    def report_task(self, message: TaskReport) -> None:
+        """Send the report of a task's end to its controller."""
         self.runtime.send(self.runtime.local("backend_servers"), message)
 
 
-def make_perform(performer: Performer) -> Callable[..., Awaitable[None] | None]:
-    """Bind the performer for `run_controller`."""
+def bind_execute_effect(performer: Performer) -> Callable[..., Awaitable[None] | None]:
+    """Return `execute_effect` bound to a performer, as `run_controller` expects it."""
 
     def bound(effect: effects.Effect, controller: str) -> Awaitable[None] | None:
-        return perform(effect, performer, controller)
+        return execute_effect(effect, performer, controller)
 
     return bound
 
 
 @singledispatch
-def perform(
+def execute_effect(
     effect: effects.Effect, performer: Performer, controller: str
 ) -> Awaitable[None] | None:
-    """Perform one effect; a returned awaitable ends when the effect is durable."""
-    raise TypeError(f"no performer for {effect!r}")
+    """Execute one effect; a returned awaitable completes when it is durable."""
+    raise TypeError(f"cannot execute effect {effect!r}")
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Send, performer: Performer, controller: str) -> None:
     performer.runtime.send(effect.to, effect.message)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Reply, performer: Performer, controller: str) -> None:
     performer.runtime.reply(effect.to, effect.message)
 
 
-@perform.register
+@execute_effect.register
 def _(
     effect: effects.Persist, performer: Performer, controller: str
 ) -> Awaitable[None]:
     return _get_journals(performer).append(controller, effect.records)
 
 
-@perform.register
+@execute_effect.register
 def _(
     effect: effects.SaveSnapshot, performer: Performer, controller: str
 ) -> Awaitable[None]:
@@ -97,19 +101,19 @@
 
 def _get_journals(performer: Performer) -> Journals:
     if performer.journals is None:
-        raise StorageError("this instance has no disk to keep records on")
+        raise StorageError("this instance has no disk to store records on")
     return performer.journals
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.StartTasks, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count("dispatches", {"server": effect.server})
     performer.start_call(
-        backend_client.dispatch(performer.client, effect, performer.report)
+        backend_client.dispatch(performer.client, effect, performer.report_task)
     )
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.CancelTasks, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count(
         "cancellations", {"server": effect.server}, len(effect.task_ids)
@@ -117,49 +121,49 @@
     performer.start_call(backend_client.cancel(performer.client, effect))
 
 
-@perform.register(effects.StartRun)
-@perform.register(effects.StopRun)
-@perform.register(effects.ReadRuns)
+@execute_effect.register(effects.StartRun)
+@execute_effect.register(effects.StopRun)
+@execute_effect.register(effects.ReadRuns)
 def _(
     effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
     performer: Performer,
     controller: str,
 ) -> None:
-    performer.start_call(_call_server(effect, performer, controller))
+    performer.start_call(_send_order(effect, performer, controller))
 
 
-async def _call_server(
+async def _send_order(
     effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
     performer: Performer,
     controller: str,
 ) -> None:
-    """Give an order to a backend server and hand its answer to the controller."""
+    """Send an order to a backend server and its answer to the controller."""
     answer = await performer.run_client(effect)
     performer.runtime.send(performer.runtime.local(controller), answer)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Reconnect, performer: Performer, controller: str) -> None:
     link = performer.runtime.links_by_id.get(effect.instance)
     if link is not None:
         replace_socket(link)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.AbandonRequests, performer: Performer, controller: str) -> None:
     performer.runtime.abandon_requests(effect.instance)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.LogEvent, performer: Performer, controller: str) -> None:
     log_event(effect.event, **effect.fields)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Observe, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.observe(effect.metric, effect.labels, effect.seconds)
 
 
-@perform.register
+@execute_effect.register
 def _(effect: effects.Count, performer: Performer, controller: str) -> None:
     performer.runtime.metrics.count(effect.metric, effect.labels, effect.value)
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -1,4 +1,4 @@
-"""One daemon process: its controllers, links, journals and servers."""
+"""One daemon process: its controllers, links, journals and HTTP servers."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
 from tornado.netutil import bind_sockets
 
 from boragetide.daemon.logs import log_event, log_uncaught
-from boragetide.daemon.performer import Performer, make_perform
+from boragetide.daemon.performer import Performer, bind_execute_effect
 from boragetide.daemon.runtime import (
     Handle,
     Runtime,
-    keep_running,
     run_controller,
     run_ticks,
+    run_with_restarts,
 )
 from boragetide.daemon.stopping import StopSignals, stop_gracefully
 from boragetide.errors import StorageError
@@ -39,27 +39,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Composition:
-    """What a daemon consists of.
+    """Components of a daemon.
 
     Parameters
     ----------
     make_machines
-        Makes the state machine of each controller with its first state.
+        Makes the state machine of each controller with its initial state.
     servers_by_address
-        Makes the HTTP server for each address that is listened on.
+        Functions that make the HTTP server for each listening address.
     record_types_by_controller
-        Controllers that keep a journal, where there is a disk.
+        Record types of the controllers that have a journal on an instance with a disk.
     make_performer
-        Makes the clients that effects act on.
+        Makes the `Performer` that executes effects.
     make_first_messages
-        Messages that controllers get before any other.
+        Makes the messages that controllers receive before any other.
     last_requests
-        Requests that a planned stop makes when all work is finished.
+        Requests that a planned stop sends when all work is finished.
     shortest_stop
-        How long a planned stop goes on serving, so that those who still send here
-        learn of it.
+        Minimum time for which the process keeps serving during a planned stop, in
+        seconds, so that instances that still send to it learn of the stop.
     background
-        Further tasks of the process.
+        Additional tasks of the process.
     """
 
     make_machines: Callable[[Settings, int, Recoveries], Machines]
@@ -73,12 +73,12 @@
 
 
 async def run_process(settings: Settings, composition: Composition) -> int:
-    """Run all tasks of a daemon until it is asked to stop; returns the exit code.
+    """Run all tasks of a daemon until it is asked to stop, and return the exit code.
 
     Raises
     ------
     StorageError
-        If the data folder cannot be read, or is lost for good.
+        If the data folder cannot be read or its content cannot be recovered.
     """
     signals = StopSignals()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -92,13 +92,15 @@
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
     await _wait_until_listening(listener, listening)
-    machines = composition.make_machines(settings, runtime.incarnation, recovered)
+    state_machines = composition.make_machines(settings, runtime.incarnation, recovered)
     for controller, message in composition.make_first_messages(recovered).items():
         runtime.send(runtime.local(controller), message)
     required = [
         listener,
         asyncio.create_task(run_journals(journals), name="journals"),
-        *_start_controllers(composition.make_performer(runtime, journals), machines),
+        *_start_controllers(
+            composition.make_performer(runtime, journals), state_machines
+        ),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
         *(asyncio.create_task(run(runtime)) for run in composition.background),
     ]
@@ -106,11 +108,11 @@
         _serve(runtime, composition, sockets_by_address, signals)
     )
     await asyncio.wait({serving, *required}, return_when=asyncio.FIRST_COMPLETED)
-    code = _report_failures([*required, serving])
+    exit_code = _report_failures([*required, serving])
     await end_tasks({serving, *links, *required})
-    if code == 0:
+    if exit_code == 0:
         log_event("stopped")
-    return code
+    return exit_code
 
 
 def _bind(address: str) -> list[socket.socket]:
@@ -121,7 +123,7 @@
 async def _wait_until_listening(
     listener: asyncio.Task[None], listening: asyncio.Event
 ) -> None:
-    """Wait for the listener, so that no controller starts where it cannot listen."""
+    """Wait for the listener, so that no controller starts if it cannot listen."""
     waiting = asyncio.create_task(listening.wait())
     await asyncio.wait({listener, waiting}, return_when=asyncio.FIRST_COMPLETED)
     waiting.cancel()
@@ -130,10 +132,10 @@
 
 
 async def end_tasks(tasks: set[asyncio.Task[None]]) -> None:
-    """Cancel tasks until they have ended.
+    """Cancel tasks and wait until all have ended.
 
-    pynng drops a cancellation that meets a send or receive that has just ended, so the
-    task of a busy link may have to be cancelled more than once.
+    pynng drops a cancellation that arrives when a send or receive has just completed,
+    so the task of a busy link may have to be cancelled more than once.
     """
     while tasks:
         for task in tasks:
@@ -168,7 +170,10 @@
 
 
 def _report_failures(tasks: list[asyncio.Task[None]]) -> int:
-    """Log tasks that failed; without one of them the state may be inconsistent."""
+    """Log the tasks that failed and return the exit code.
+
+    The process ends after such a failure because its state may be inconsistent.
+    """
     failed = [task for task in tasks if task.done() and task.exception() is not None]
     for task in failed:
         error = task.exception()
@@ -183,31 +188,40 @@
 
     def listen() -> Awaitable[None]:
         return run_listener(
-            runtime.settings, runtime.deliver, runtime.report_fault, count, listening
+            runtime.settings,
+            runtime.deliver,
+            runtime.log_decode_error,
+            count,
+            listening,
         )
 
     links = {
-        f"link {peer_id}": partial(run_link, link, runtime.report_unsent, count)
+        f"link {peer_id}": partial(run_link, link, runtime.fail_unsent_request, count)
         for peer_id, link in runtime.links_by_id.items()
     }
 
     def make_link(instance: InstanceId) -> PeerLink:
-        link = PeerLink(_address_peer(instance, runtime.settings))
-        run = partial(run_link, link, runtime.report_unsent, count)
-        made.add(asyncio.create_task(keep_running(f"link {instance}", run)))
+        link = PeerLink(_make_peer_from_address(instance, runtime.settings))
+        run = partial(run_link, link, runtime.fail_unsent_request, count)
+        on_demand_tasks.add(
+            asyncio.create_task(run_with_restarts(f"link {instance}", run))
+        )
         return link
 
-    made: set[asyncio.Task[None]] = set()
+    on_demand_tasks: set[asyncio.Task[None]] = set()
     if runtime.settings.names_are_addresses:
         runtime.make_link = make_link
     return [
-        asyncio.create_task(keep_running("listener", listen, needed=listening)),
-        *(asyncio.create_task(keep_running(name, run)) for name, run in links.items()),
+        asyncio.create_task(run_with_restarts("listener", listen, started=listening)),
+        *(
+            asyncio.create_task(run_with_restarts(name, run))
+            for name, run in links.items()
+        ),
     ]
 
 
-def _address_peer(instance: InstanceId, settings: Settings) -> Peer:
-    """Return the peer whose id is its IP address; all listen on the same port."""
+def _make_peer_from_address(instance: InstanceId, settings: Settings) -> Peer:
+    """Return a peer whose id is its IP address; all peers listen on the same port."""
     port = settings.own.peer_address.rpartition(":")[2]
     return Peer(instance, "", "", f"{instance}:{port}", disk=False)
 
@@ -223,7 +237,7 @@
 def open_journals(
     settings: Settings, types_by_controller: Mapping[str, Iterable[type]]
 ) -> tuple[Journals, Recoveries]:
-    """Open the journals of an instance with a disk, and read what they hold.
+    """Open the journals of an instance with a disk and read their records.
 
     Raises
     ------
@@ -249,12 +263,13 @@
 
 
 def _start_controllers(
-    performer: Performer, machines: Machines
+    performer: Performer, state_machines: Machines
 ) -> list[asyncio.Task[None]]:
-    perform = make_perform(performer)
+    execute_effect = bind_execute_effect(performer)
     return [
         asyncio.create_task(
-            run_controller(performer.runtime, name, handle, state, perform), name=name
+            run_controller(performer.runtime, name, handle, state, execute_effect),
+            name=name,
         )
-        for name, (handle, state) in machines.items()
+        for name, (handle, state) in state_machines.items()
     ]
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -1,4 +1,4 @@
-"""Planned stop: finish and answer everything in progress, then end."""
+"""Planned stop: finishes all work in progress before the process exits."""
 
 from __future__ import annotations
 
@@ -12,22 +12,22 @@
 from boragetide.messages import Drain, Request, StopRequested
 from boragetide.types import Seconds
 
-# Jobs from entry instances that had already chosen this placer arrive until their claim
-# is decided; see also RELEASE_DELAY in the leases.
+# Entry instances that chose this placer before the stop still send their jobs once the
+# claims are decided; see also `RELEASE_DELAY` in `boragetide.controllers.leases`.
 SHORTEST_STOP = 1.0  # seconds
-POLL = 0.05  # seconds
+POLL_INTERVAL = 0.05  # seconds
 FLUSH_TIMEOUT = 2.0  # seconds
 
 
 @dataclass(slots=True)
 class StopSignals:
-    """What the process was asked: a second signal does not wait any longer."""
+    """Stop signals: the first starts a planned stop, the second ends it early."""
 
     first: asyncio.Event = field(default_factory=asyncio.Event)
     second: asyncio.Event = field(default_factory=asyncio.Event)
 
     def note(self) -> None:
-        """Take note of one signal."""
+        """Record the receipt of one signal."""
         (self.second if self.first.is_set() else self.first).set()
 
 
@@ -35,26 +35,26 @@
     runtime: Runtime,
     signals: StopSignals,
     last_requests: tuple[tuple[str, Request], ...],
-    shortest: Seconds | None = None,
+    min_duration: Seconds | None = None,
 ) -> None:
-    """Announce the stop and wait until all that is in progress is finished.
+    """Announce the stop and wait until all work in progress is finished.
 
-    The stop ends early, with a log line, at a second signal or after ``stop-timeout``.
+    The wait ends early, with a log line, at a second signal or after ``stop-timeout``.
 
     Parameters
     ----------
     last_requests
-        Controllers and what they are asked when all work is finished.
-    shortest
-        Seconds for which the instance goes on in any case; `SHORTEST_STOP` if ``None``.
+        Controllers and the requests sent to them when all work is finished.
+    min_duration
+        Minimum duration of the stop in seconds; `SHORTEST_STOP` if ``None``.
     """
-    shortest = SHORTEST_STOP if shortest is None else shortest
+    min_duration = SHORTEST_STOP if min_duration is None else min_duration
     timeout = runtime.settings.timing.stop_timeout
     runtime.stopping = True
     log_event("stopping", timeout=timeout, requests=len(runtime.open_requests))
     for mailbox in runtime.mailboxes_by_controller.values():
         mailbox.put_nowait(StopRequested())
-    finishing = asyncio.create_task(_finish(runtime, last_requests, shortest))
+    finishing = asyncio.create_task(_finish_work(runtime, last_requests, min_duration))
     second = asyncio.create_task(signals.second.wait())
     await asyncio.wait(
         {finishing, second}, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
@@ -71,14 +71,14 @@
     )
 
 
-async def _finish(
+async def _finish_work(
     runtime: Runtime,
     last_requests: tuple[tuple[str, Request], ...],
-    shortest: Seconds,
+    min_duration: Seconds,
 ) -> None:
     began = read_clock()
-    while read_clock() - began < shortest or await _is_busy(runtime):
-        await asyncio.sleep(POLL)
+    while read_clock() - began < min_duration or await _has_work_left(runtime):
+        await asyncio.sleep(POLL_INTERVAL)
     try:
         for controller, request in last_requests:
             await runtime.ask(runtime.local(controller), request, FLUSH_TIMEOUT)
@@ -86,11 +86,11 @@
         log_event("flush_failed", error=str(error))
 
 
-async def _is_busy(runtime: Runtime) -> bool:
-    """Tell whether requests are open or a controller has something to finish.
+async def _has_work_left(runtime: Runtime) -> bool:
+    """Return whether requests are open or a controller has work left.
 
-    A controller that hands something over, such as its claims, begins with it at
-    `StopRequested` and answers `Drain` with what is left.
+    A controller that hands over state, such as its claims, starts to do so on
+    `StopRequested` and answers `Drain` with the amount of work left.
     """
     if runtime.open_requests:
         return True
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -1,4 +1,4 @@
-"""The chain that every request for durable jobs passes, from any front end."""
+"""The chain of filters that requests for durable jobs from all front ends pass."""
 
 from __future__ import annotations
 
@@ -21,36 +21,39 @@
 )
 from boragetide.types import Address, Seconds, Status
 
-# A leader answers within a few syncs of 9 ms; one that has not by then may be lost, or
-# the message was. Each repetition to the same leader waits twice as long: one that is
-# overloaded gets no more questions for being slow.
+# A leader answers within a few syncs of 9 ms each. If there is no answer within the
+# timeout, the leader or the message may be lost. The timeout doubles with each
+# repetition to the same leader, so that an overloaded one does not get more requests
+# because it is slow.
 LEADER_TIMEOUT: Seconds = 0.7
-LEADER_RETRY: Seconds = 0.03
-# A leader that is lost is replaced within this time, unless this instance is cut off
-# from the members or most of them are down. Then nothing is gained by waiting.
+LEADER_RETRY_DELAY: Seconds = 0.03
+# A lost leader is replaced within this time, unless this instance is cut off from the
+# members or most of them are down. In these cases waiting longer is of no use.
 TAKEOVER_TIME: Seconds = 2.0
-# What is left of the caller's time when it gets its last answer.
+# Reserved before the caller's deadline for delivering the final answer.
 ANSWER_MARGIN: Seconds = 0.05
 
 
 @dataclass(slots=True)
 class DurableExchange:
-    """One request for a durable job on its way to the leader.
+    """State of one request for a durable job as it passes through the chain.
 
     Parameters
     ----------
     message
-        What the dispatcher is asked.
+        Request to the dispatcher.
     name
-        Kind of request, in logs and metrics.
+        Kind of request, for logs and metrics.
     job_id, class_name
-        For logs and metrics.
+        Id and class of the job, for logs.
+    received_at
+        Unix time at which the request arrived.
     deadline
         Unix time until which the caller waits.
     useful_until
-        Unix time after which a job that was not started is of no use to its caller.
+        Unix time after which the caller no longer needs a job that has not started.
     attempts
-        Times that a leader was asked.
+        Number of requests sent to a leader.
     """
 
     runtime: Runtime
@@ -92,63 +95,66 @@
 
 
 async def ask_leader(exchange: DurableExchange, call_next: Next) -> DispatcherReply:
-    """Ask the leader, and the next one if it changes, until the caller's deadline.
+    """Ask the leader, or its successor, until one answers or the deadline is near.
 
-    Every request names its job by the caller's id, so that asking twice is harmless.
+    Every request identifies its job by the caller's id, so repeating it is safe.
 
     Raises
     ------
     RequestError
-        ``NOT_RUN`` where no leader was ever handed the request, else ``UNKNOWN``.
+        ``NOT_RUN`` if no leader can have received the request, else ``UNKNOWN``.
     """
     runtime = exchange.runtime
-    handed_to: Counter[int] = Counter()
-    while (left := exchange.deadline - ANSWER_MARGIN - read_clock()) > 0:
-        found = await runtime.ask(runtime.local("directory"), FindLeader(), left)
-        if found.leader is None:
-            if read_clock() >= exchange.useful_until or found.lost_for > TAKEOVER_TIME:
+    attempts_by_term: Counter[int] = Counter()
+    while (remaining := exchange.deadline - ANSWER_MARGIN - read_clock()) > 0:
+        lookup = await runtime.ask(runtime.local("directory"), FindLeader(), remaining)
+        if lookup.leader is None:
+            if read_clock() >= exchange.useful_until or lookup.lost_for > TAKEOVER_TIME:
                 break
         else:
             exchange.attempts += 1
-            to = Address(found.leader, "dispatcher")
+            to = Address(lookup.leader, "dispatcher")
             try:
-                timeout = min(left, LEADER_TIMEOUT * 2 ** handed_to[found.term])
+                timeout = min(
+                    remaining, LEADER_TIMEOUT * 2 ** attempts_by_term[lookup.term]
+                )
                 age = read_clock() - exchange.received_at
-                message = stamp_age(exchange.message, age)
+                message = add_age(exchange.message, age)
                 reply = await runtime.ask(to, message, timeout)
             except PeerUnreachable:
                 pass
             except ReplyTimeout:
-                handed_to[found.term] += 1
+                attempts_by_term[lookup.term] += 1
             else:
                 if reply.status is ReplyStatus.UNDECIDED:
-                    handed_to[found.term] += 1
+                    attempts_by_term[lookup.term] += 1
                 elif reply.status is not ReplyStatus.NOT_LEADER:
-                    return _check_refusal(reply, set(handed_to))
-        await asyncio.sleep(LEADER_RETRY)
-    if handed_to:
+                    return _check_refusal(reply, set(attempts_by_term))
+        await asyncio.sleep(LEADER_RETRY_DELAY)
+    if attempts_by_term:
         raise RequestError(Status.UNKNOWN, 504, "no leader answered in time")
     raise RequestError(Status.NOT_RUN, 503, "no leader is known")
 
 
 @singledispatch
-def stamp_age(message: Request, age: Seconds) -> Request:
-    """Return a message with its age, where its receiver needs that."""
+def add_age(message: Request, age: Seconds) -> Request:
+    """Return a message with its age added, if its type has one."""
     return message
 
 
-@stamp_age.register
+@add_age.register
 def _(message: SubmitDurableJob, age: Seconds) -> Request:
     return replace(message, age=age)
 
 
-def _check_refusal(reply: DispatcherReply, handed_to: set[int]) -> DispatcherReply:
-    """Return an answer, unless it is a refusal that an earlier leader may belie.
+def _check_refusal(reply: DispatcherReply, asked_terms: set[int]) -> DispatcherReply:
+    """Return the reply, unless it is a refusal that may not hold for other terms.
 
-    The leader of one term knows whether it has started a job. It does not know what the
-    leader of another term has done.
+    The leader of one term knows whether it has started a job, but not whether the
+    leader of another term has. A refusal is therefore reported as ``UNKNOWN`` if the
+    request may have reached the leader of another term.
     """
-    if reply.status is ReplyStatus.REFUSED and handed_to - {reply.term}:
+    if reply.status is ReplyStatus.REFUSED and asked_terms - {reply.term}:
         raise RequestError(Status.UNKNOWN, 504, reply.reason)
     return reply
 
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -1,4 +1,4 @@
-"""Client of the backend servers: batched dispatch and cancellation over HTTP."""
+"""HTTP client of the backend servers: batched dispatch and cancellation of tasks."""
 
 from __future__ import annotations
 
@@ -17,11 +17,12 @@
 CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
 CONNECT_TIMEOUT = 1.0  # seconds
 CANCEL_TIMEOUT = 2.0  # seconds
-CLIENT_CONNECTIONS = 1024
-RESULT_MARGIN = 2.0  # seconds that a result may take beyond the task's timeout
+MAX_CONNECTIONS = 1024
+RESULT_MARGIN = 2.0  # seconds beyond the task's timeout for its result to arrive
 
 _HTTP_REFUSED = frozenset({409, 503})
-_CURL_NOT_CONNECTED = frozenset({5, 6, 7})  # proxy, host, connect
+# curl error codes: proxy not resolved, host not resolved, connection failed.
+_CURL_NOT_CONNECTED = frozenset({5, 6, 7})
 
 
 class _ResultLine(msgspec.Struct):
@@ -33,7 +34,7 @@
 
 
 _LINE_DECODER = msgspec.json.Decoder(_ResultLine)
-_OUTCOMES_BY_WORD = {
+_STATUSES_BY_NAME = {
     "done": TaskStatus.DONE,
     "failed": TaskStatus.FAILED,
     "not_run": TaskStatus.NOT_RUN,
@@ -42,8 +43,8 @@
 
 
 def make_client() -> AsyncHTTPClient:
-    """Make the curl client that all calls to backend servers share."""
-    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CLIENT_CONNECTIONS)
+    """Make the curl client that all task calls to backend servers share."""
+    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=MAX_CONNECTIONS)
     return AsyncHTTPClient()
 
 
@@ -59,11 +60,11 @@
     start
         The batch, its backend server and the lease.
     report
-        Called once per task. A task is reported ``NOT_RUN`` only where that is
-        certain, and ``UNKNOWN`` where the connection ended before its result.
+        Called once per task. A task is reported as ``NOT_RUN`` only if that is certain,
+        and as ``UNKNOWN`` if the connection ended before its result.
     """
-    waiting = {task.id for task in start.tasks}
-    parser = LineParser(start, waiting, report)
+    unreported = {task.id for task in start.tasks}
+    parser = LineParser(start, unreported, report)
     timeout = max(task.timeout for task in start.tasks) + RESULT_MARGIN
     request = HTTPRequest(
         f"{start.address}/v1/tasks",
@@ -80,13 +81,13 @@
     try:
         await client.fetch(request)
     except HTTPClientError as failure:
-        status, error = _classify(failure)
+        status, error = _classify_failure(failure)
     except (TimeoutError, OSError) as failure:
         error = str(failure)
     finally:
-        # Also after an unexpected error, since a task without a report never ends.
+        # Runs after unexpected errors as well: a task that is not reported never ends.
         parser.close()
-        for task_id in sorted(waiting):
+        for task_id in sorted(unreported):
             outcome = TaskOutcome(status, error=error)
             report(TaskReport(start.server, start.lease, task_id, outcome))
 
@@ -101,49 +102,52 @@
     }
 
 
-def _classify(failure: HTTPClientError) -> tuple[TaskStatus, str]:
-    """Tell a certain refusal from a dispatch that may have reached the server."""
+def _classify_failure(failure: HTTPClientError) -> tuple[TaskStatus, str]:
+    """Return the status and error text of the tasks of a failed dispatch.
+
+    The status is ``NOT_RUN`` only if the dispatch certainly did not start any task.
+    """
     if failure.code in _HTTP_REFUSED:
         return TaskStatus.NOT_RUN, f"refused with HTTP status {failure.code}"
     if getattr(failure, "errno", None) in _CURL_NOT_CONNECTED:
-        return TaskStatus.NOT_RUN, "connection refused"
+        return TaskStatus.NOT_RUN, "cannot connect to the backend server"
     return TaskStatus.UNKNOWN, str(failure)
 
 
 class LineParser:
-    """Splits a streamed response into lines and reports each task once."""
+    """Parses a streamed response line by line and reports each task once."""
 
     def __init__(
         self,
         start: StartTasks,
-        waiting: set[str],
+        unreported: set[str],
         report: Callable[[TaskReport], None],
     ):
         self._start = start
-        self._waiting = waiting
+        self._unreported = unreported
         self._report = report
         self._buffer = b""
 
     def feed(self, chunk: bytes) -> None:
-        """Take the next chunk of the response."""
+        """Parse the next chunk of the response."""
         *lines, self._buffer = (self._buffer + chunk).split(b"\n")
         for line in lines:
-            self._read(line)
+            self._parse_line(line)
 
     def close(self) -> None:
-        """Take what is left as the last line."""
-        self._read(self._buffer)
+        """Parse the remaining bytes as the last line."""
+        self._parse_line(self._buffer)
         self._buffer = b""
 
-    def _read(self, line: bytes) -> None:
+    def _parse_line(self, line: bytes) -> None:
         try:
             entry = _LINE_DECODER.decode(line)
         except (msgspec.DecodeError, RecursionError):
             return
-        status = _OUTCOMES_BY_WORD.get(entry.status)
-        if entry.id not in self._waiting or status is None:
+        status = _STATUSES_BY_NAME.get(entry.status)
+        if entry.id not in self._unreported or status is None:
             return
-        self._waiting.discard(entry.id)
+        self._unreported.discard(entry.id)
         outcome = TaskOutcome(status, entry.result, entry.error)
         fault = find_fault(entry.result) if needs_walk(line) else None
         if fault is not None:
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -1,4 +1,4 @@
-"""Links to other instances: one sending task per peer and one receiving task."""
+"""Links to other instances: one sender task per peer and one receiver task."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 SEND_TIMEOUT = 0.5  # seconds
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
-FRAME_ENVELOPES = 256
-OUTBOX_ENVELOPES = 20_000
+MAX_FRAME_ENVELOPES = 256
+MAX_OUTBOX_ENVELOPES = 20_000
 
 OnUnsent: TypeAlias = Callable[[Envelope], None]
 CountBytes: TypeAlias = Callable[[str, dict[str, str], float], None]
@@ -26,17 +26,17 @@
 
 @dataclass(slots=True)
 class PeerLink:
-    """Mailbox of the task that sends to one peer."""
+    """Outbox of the task that sends to one peer."""
 
     peer: Peer
     outbox: deque[Envelope] = field(default_factory=deque)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
-    replaced: bool = False
+    reconnect_requested: bool = False
 
 
 def post(link: PeerLink, envelope: Envelope) -> bool:
-    """Queue an envelope; false means that it was certainly not sent."""
-    if len(link.outbox) >= OUTBOX_ENVELOPES:
+    """Queue an envelope; return false if the outbox is full and nothing is sent."""
+    if len(link.outbox) >= MAX_OUTBOX_ENVELOPES:
         return False
     link.outbox.append(envelope)
     link.wake.set()
@@ -44,27 +44,27 @@
 
 
 def replace_socket(link: PeerLink) -> None:
-    """Ask the link's task to go on with a new socket, even when it is idle."""
-    link.replaced = True
+    """Ask the link's task to continue with a new socket, even if it is idle."""
+    link.reconnect_requested = True
     link.wake.set()
 
 
 async def run_link(link: PeerLink, on_unsent: OnUnsent, count: CountBytes) -> None:
-    """Send a peer's envelopes, batched, over one socket that this task owns.
+    """Send a peer's envelopes in batches over one socket that this task owns.
 
     Parameters
     ----------
     link
-        Mailbox of the peer.
+        Outbox of the peer.
     on_unsent
         Called with each envelope that was certainly not sent.
     count
-        Adds to a metric; called with the bytes sent.
+        Adds to a counter metric; called with the number of bytes sent.
     """
     while True:
-        with _open_push(link.peer) as socket:
-            link.replaced = False
-            while not link.replaced:
+        with _open_push_socket(link.peer) as socket:
+            link.reconnect_requested = False
+            while not link.reconnect_requested:
                 if link.outbox:
                     await _send_batch(link, socket, on_unsent, count)
                 else:
@@ -72,7 +72,7 @@
                     await link.wake.wait()
 
 
-def _open_push(peer: Peer) -> pynng.Push0:
+def _open_push_socket(peer: Peer) -> pynng.Push0:
     socket = pynng.Push0(
         send_timeout=int(SEND_TIMEOUT * 1000),
         reconnect_time_min=RECONNECT_MIN_MS,
@@ -85,17 +85,18 @@
 async def _send_batch(
     link: PeerLink, socket: pynng.Push0, on_unsent: OnUnsent, count: CountBytes
 ) -> None:
-    size = min(FRAME_ENVELOPES, len(link.outbox))
+    size = min(MAX_FRAME_ENVELOPES, len(link.outbox))
     batch = [link.outbox.popleft() for _ in range(size)]
     frame = encode_frame(batch)
     try:
-        # Without a connection a send would wait for its timeout, and pynng would not
-        # free the message after it.
+        # Without a connection the send would block until its timeout, and pynng would
+        # not free the message afterwards.
         if not socket.pipes:
             raise pynng.Timeout("no connection", 0)
         await socket.asend(frame)
     except pynng.NNGException:
-        # What waits behind a send that timed out would wait as long again.
+        # The envelopes queued behind a send that timed out would wait just as long, so
+        # they fail together with it.
         batch += link.outbox
         link.outbox.clear()
         for envelope in batch:
@@ -107,7 +108,7 @@
 async def run_listener(
     settings: Settings,
     deliver: Callable[[Envelope], None],
-    on_fault: Callable[[LinkError], None],
+    on_decode_error: Callable[[LinkError], None],
     count: CountBytes,
     listening: asyncio.Event,
 ) -> None:
@@ -116,13 +117,13 @@
     Parameters
     ----------
     settings
-        Give the address to listen on.
+        Settings with the address to listen on.
     deliver
         Called with each envelope.
-    on_fault
-        Called for a frame that cannot be decoded.
+    on_decode_error
+        Called with the error of each frame that cannot be decoded.
     count
-        Adds to a metric; called with the bytes received.
+        Adds to a counter metric; called with the number of bytes received.
     listening
         Set once the socket accepts connections.
     """
@@ -133,7 +134,7 @@
             try:
                 envelopes = decode_frame(frame)
             except LinkError as error:
-                on_fault(error)
+                on_decode_error(error)
                 continue
             if envelopes:
                 count("link_bytes_received", {"peer": envelopes[0].sender}, len(frame))
