--- a/boragetide/policy/__init__.py
+++ b/boragetide/policy/__init__.py
@@ -1,1 +1,1 @@
-"""Pure decisions."""
+"""Decision logic as pure functions, without input or output."""
--- a/boragetide/policy/admission.py
+++ b/boragetide/policy/admission.py
@@ -1,4 +1,4 @@
-"""Admits a job, or refuses it at once where its class target cannot be met."""
+"""Admission control: refuses a job on arrival if its class target cannot be met."""
 
 from __future__ import annotations
 
@@ -7,14 +7,15 @@
 
 from boragetide.types import BackendServer, ClassTarget, Seconds, Task
 
-# A pool with less queued work than this share of the target counts as nearly idle.
+# A pool is nearly idle if it needs at most this share of the class target to finish
+# its waiting work.
 IDLE_SHARE = 0.1
 
-# Share of the admitted jobs that are to meet their target.
+# Share of the admitted jobs that should meet their class target.
 MET_SHARE = 0.99
 
-# Bounds of the margin and its step after a job, as shares of the target. The first
-# margin is between the bounds.
+# Initial value, bounds and step of the margin, as shares of the class target. The
+# initial value lies between the bounds.
 FIRST_MARGIN = 0.25
 LEAST_MARGIN = 0.05
 LARGEST_MARGIN = 0.75
@@ -23,7 +24,7 @@
 
 @dataclass(slots=True)
 class Margin:
-    """By how much the responses of a class exceed their prediction.
+    """Safety margin of a class: by how much its response times exceed the prediction.
 
     Parameters
     ----------
@@ -37,10 +38,17 @@
 def observe_response(
     margin: Margin, target: ClassTarget, predicted: Seconds, actual: Seconds
 ) -> None:
-    """Learn from the response time of an admitted job, in seconds.
+    """Update the margin from the predicted and the actual response time of a job.
 
-    The margin follows a quantile by steps: up after a job that exceeded it, and down
-    by a smaller step after one that did not.
+    The margin tracks a quantile in steps: it grows after a job that exceeded it, and
+    shrinks by a smaller step after any other job.
+
+    Parameters
+    ----------
+    margin, target
+        Margin and target of the job's class.
+    predicted, actual
+        Response times in seconds.
     """
     exceeded = actual - predicted > margin.share * target.response_time
     step = MARGIN_STEP * (MET_SHARE if exceeded else MET_SHARE - 1)
@@ -49,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """What the pool has to do when a job arrives; work in seconds at the mean speed.
+    """Load of the pool when a job arrives; work is in seconds at the mean speed.
 
     Parameters
     ----------
@@ -58,9 +66,9 @@
     top_speed
         Speed of the fastest available server.
     waiting
-        Queued work of all classes and half of the work that runs.
+        Queued work of all classes, and half of the running work.
     own_waiting
-        The part of it that belongs to the class of the job.
+        Part of ``waiting`` that belongs to the class of the job.
     contended
         Whether other classes have queued work.
     """
@@ -77,7 +85,15 @@
 ) -> Seconds:
     """Return the expected response time of a job that is queued now, in seconds.
 
-    It is 0 while no server is available.
+    The result is 0 while no server is available.
+
+    Parameters
+    ----------
+    load, target
+        Load of the pool, and the target of the job's class.
+    work, longest
+        Expected work of the whole job and of its longest task, in seconds at the mean
+        speed.
     """
     if load.total_speed <= 0 or load.top_speed <= 0:
         return 0.0
@@ -89,24 +105,24 @@
 
 
 def ideal_response(load: Load, work: Seconds, longest: Seconds) -> Seconds:
-    """Return the response time of a job alone in the pool, in seconds."""
+    """Return the response time, in seconds, of a job that is alone in the pool."""
     return max(work / load.total_speed, longest / load.top_speed)
 
 
 def refuse_for_target(
     load: Load, target: ClassTarget, margin: Margin, predicted: Seconds
 ) -> str | None:
-    """Return why a job cannot meet the target of its class, or ``None``.
+    """Return why a job cannot meet the target of its class, or ``None`` if it can.
 
-    A job that even an empty pool could not answer in time is admitted while the pool
-    is nearly idle; otherwise it could never run.
+    A job that even an empty pool could not finish in time is admitted while the pool
+    is nearly idle; otherwise such a job could never run.
 
     Parameters
     ----------
     load, target, margin
-        What the pool has to do, and the target and the margin of the class.
+        Load of the pool, and the target and the margin of the job's class.
     predicted
-        See `predict_response`.
+        Expected response time in seconds; see `predict_response`.
     """
     if load.total_speed <= 0:
         return None
@@ -123,7 +139,7 @@
 def refuse_for_size(
     tasks: Iterable[Task], servers: Iterable[BackendServer]
 ) -> str | None:
-    """Return why a task fits none of the known servers, or ``None``."""
+    """Return why a task fits on none of the known servers, or ``None`` if all fit."""
     needs = {(task.cores, task.memory) for task in tasks} - {(0.0, 0)}
     known = list(servers) if needs else []
     for cores, memory in sorted(needs):
@@ -133,5 +149,5 @@
 
 
 def fits(server: BackendServer, cores: float, memory: int) -> bool:
-    """Tell whether a task fits an otherwise empty backend server."""
+    """Return whether a task fits on an otherwise empty backend server."""
     return cores <= server.cores and memory <= server.memory
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -1,4 +1,4 @@
-"""How an agreed command changes the configuration, and what its outcome is."""
+"""Applies committed commands to the catalogue and records their outcomes."""
 
 from __future__ import annotations
 
@@ -28,13 +28,14 @@
 from boragetide.policy import job_table
 from boragetide.types import ClassTarget, Configuration, JobId, Seconds
 
-# An operator may resend a command for a day; 15,000 changes a day are expected.
+# Operators may resend a command for a day, and get its recorded outcome. Up to 15,000
+# changes a day are expected.
 RETAINED_OUTCOMES = 20_000
 RETAINED_HISTORY = 2_000
 
 
 def find_outcome(proposal: Proposal, catalogue: Catalogue) -> Outcome | None:
-    """Return the outcome of a command, or ``None`` while it is not agreed."""
+    """Return the outcome of a command, or ``None`` if it is not committed yet."""
     command = proposal.command
     if not isinstance(command, RegisterAcceptor):
         return catalogue.outcomes_by_id.get(proposal.command_id)
@@ -46,7 +47,7 @@
 
 
 def copy_catalogue(catalogue: Catalogue) -> Catalogue:
-    """Copy the catalogue, so that entries applied later do not change the copy."""
+    """Return a copy of the catalogue that entries applied later do not change."""
     return replace(
         catalogue,
         outcomes_by_id=dict(catalogue.outcomes_by_id),
@@ -57,9 +58,9 @@
 
 
 def apply_entry(entry: LogEntry, catalogue: Catalogue) -> set[JobId]:
-    """Apply the next log entry and return the durable jobs that it changed.
+    """Apply the next log entry and return the ids of the durable jobs that it changed.
 
-    A command id that has an outcome changes nothing.
+    A command whose id already has an outcome is ignored.
     """
     catalogue.index = entry.index
     proposal = entry.proposal
@@ -101,14 +102,17 @@
 
 
 def _summarize(command: Command) -> Command:
-    """Leave out of the history what only the newest configuration needs."""
+    """Return a command without the parts that only the newest configuration needs."""
     if isinstance(command, PublishConfiguration):
         return replace(command, classes=(), document="")
     return command
 
 
 def _is_overtaken(command: Command, current: Configuration) -> bool:
-    """Tell whether a published configuration changes nothing: the highest one holds."""
+    """Return whether a published configuration is no newer than the current one.
+
+    The configuration with the highest revision stays in force.
+    """
     return (
         isinstance(command, PublishConfiguration)
         and command.revision <= current.revision
@@ -124,8 +128,8 @@
 
 @singledispatch
 def change(command: Command, configuration: Configuration) -> Configuration:
-    """Return the configuration that an operator command makes."""
-    raise TypeError(f"no change for {command!r}")
+    """Return the configuration that results from an operator command."""
+    raise TypeError(f"unsupported operator command: {command!r}")
 
 
 @change.register
@@ -159,8 +163,8 @@
 
 @singledispatch
 def change_jobs(command: JobCommand, catalogue: Catalogue, now: Seconds) -> set[JobId]:
-    """Apply a command of the dispatcher and return the jobs that it changed."""
-    raise TypeError(f"no change for {command!r}")
+    """Apply a command of the dispatcher and return the ids of the jobs it changed."""
+    raise TypeError(f"unsupported dispatcher command: {command!r}")
 
 
 @change_jobs.register
--- a/boragetide/policy/catch_up.py
+++ b/boragetide/policy/catch_up.py
@@ -1,9 +1,10 @@
-"""How a member without durable state joins: it founds the group or catches up.
+"""Joining of a member without durable state: it founds the group or catches up.
 
-A member that lost its disk may have voted and acknowledged entries that it no longer
-knows. It takes no part until enough other members have told it everything they hold
-and have promised to count nothing that it said before (a fence). Every majority that
-relied on it contains one of these members.
+A member that lost its disk may have cast votes and acknowledged entries that it no
+longer knows. It takes no part in elections and replication until enough other members
+have sent it their whole state and have promised to ignore all votes and
+acknowledgements that it gave before (a fence). Every majority that included the
+returning member also contains one of these members.
 """
 
 from __future__ import annotations
@@ -29,13 +30,13 @@
 from boragetide.types import Address, InstanceId, Seconds
 
 REQUEST_INTERVAL = 0.3  # seconds
-# A majority without durable state founds a group only if no other member, which may
-# hold one, is heard in this time.
+# A majority of members without durable state founds a group only if no other member,
+# which may have durable state, answers within this time.
 FOUNDING_WAIT = 2.0  # seconds
 
 
 def check_catch_up(replica: Replica, now: Seconds) -> list[Effect]:
-    """Ask all other members for their state and take part as soon as it is safe."""
+    """Request the state of all other members, and join as soon as this is safe."""
     if replica.started_at is None:
         replica.started_at = now
     effects: list[Effect] = []
@@ -50,7 +51,7 @@
 
 
 def _find_contacts(replica: Replica) -> set[InstanceId]:
-    """Return whom to ask: the first members, and those that the answers name."""
+    """Return the members to ask: the first members and those named in the answers."""
     contacts = set(replica.settings.first_members)
     for answer in replica.catch_up_by_id.values():
         if answer.held is not None:
@@ -59,7 +60,7 @@
 
 
 def _list_members(replica: Replica, held: Snapshot) -> tuple[InstanceId, ...]:
-    """Return the members as a durable state has them."""
+    """Return the members according to the durable state of another member."""
     return restore_replica(replica.settings, replica.incarnation, (held,)).members
 
 
@@ -92,7 +93,7 @@
 ) -> list[Effect]:
     members = _list_members(replica, max(held_by_id.values(), key=_rank_log))
     held = [state for id_, state in held_by_id.items() if id_ in members]
-    # Any majority minus this member overlaps with so many others.
+    # Any majority that included this member shares a member with this many others.
     if len(held) < len(members) - count_majority(len(members)) + 1:
         return []
     return _adopt(replica, now, held)
@@ -111,7 +112,8 @@
     fetched = replica.fetched
     load(best, replica)
     replica.fetched = fetched
-    # It may have voted in the newest term; its own vote keeps it from voting again.
+    # This member may have voted in the newest term before it lost its disk. Recording
+    # a vote for itself prevents a second vote in that term.
     term = max(state.ballot.term for state in held)
     replica.ballot = Ballot(term, replica.id)
     for state in held:
--- a/boragetide/policy/claiming.py
+++ b/boragetide/policy/claiming.py
@@ -1,4 +1,4 @@
-"""Decides, from the replies of acceptors, which claim on a job id holds."""
+"""Decides from the replies of acceptors which claim on a job id is valid."""
 
 from __future__ import annotations
 
@@ -9,14 +9,15 @@
 from boragetide.messages import ClaimReply, ClaimStatus
 from boragetide.types import MAX_CLOCK_SKEW, Claim, InstanceId, Seconds
 
-ASKING_LIMIT: Seconds = 10.0  # from a submission to the last grant for it
+# Longest time from a submission to a grant for it.
+ASKING_LIMIT: Seconds = 10.0
 
 Replies: TypeAlias = Mapping[InstanceId, ClaimReply | None]
 
 
 @dataclass(frozen=True, slots=True)
 class AskAcceptor:
-    """Ask this acceptor next, proposing this claim."""
+    """Propose this claim to this acceptor next."""
 
     acceptor: InstanceId
     claim: Claim
@@ -24,14 +25,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AskOwner:
-    """Submit to the owner, whose own grant completes the quorum."""
+    """Submit the job to the owner, whose own grant completes the quorum."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
 class Decided:
-    """A quorum holds this claim; ``asked`` counts the acceptors it took."""
+    """A quorum holds this claim; ``asked`` is the number of acceptors asked."""
 
     claim: Claim
     asked: int
@@ -59,24 +60,24 @@
     entry: InstanceId | None = None,
     dead: frozenset[InstanceId] = frozenset(),
 ) -> Step:
-    """Decide the next step of claiming a job id.
+    """Return the next step of claiming a job id.
 
-    Claims count together when they name the same owner in the same incarnation, because
-    the owner's job table starts a job once whichever of them arrives. The decided claim
-    is the oldest of them, which is the first that an acceptor drops.
+    Claims that name the same owner in the same incarnation count as one, because the
+    owner's job table starts a job only once, whichever of these claims arrives. The
+    decided claim is the oldest of them, which is the first one that an acceptor drops.
 
     Parameters
     ----------
     proposed
-        The claim to propose where no acceptor holds one.
+        Claim to propose if no acceptor holds one.
     group
-        The claim group, the preferred acceptors first.
+        Acceptors of the claim group, the preferred ones first.
     replies_by_acceptor
         Replies so far; ``None`` for an acceptor that did not answer.
     entry
-        The asking instance; its own acceptor costs no message and goes first.
+        Instance that asks; its own acceptor costs no message and is asked first.
     dead
-        Acceptors that count as lost; they go last.
+        Acceptors that count as lost; they are asked last.
     """
     quorum = quorum_of(group)
     held = _select_most_named(replies_by_acceptor)
@@ -101,10 +102,11 @@
     dead: frozenset[InstanceId] = frozenset(),
     owner: InstanceId | None = None,
 ) -> tuple[InstanceId, ...]:
-    """Order a claim group for asking.
+    """Return the acceptors of a claim group in the order in which to ask them.
 
-    The asking instance costs no message and goes first. The owner goes after the other
-    live ones, because its grant can travel with the job. Lost instances go last.
+    The asking instance comes first, because asking its own acceptor costs no message.
+    The owner comes after the other live instances, because its grant can be combined
+    with the submission of the job. Lost instances come last.
     """
     return tuple(
         sorted(group, key=lambda name: (name in dead, name != entry, name == owner))
@@ -112,7 +114,7 @@
 
 
 def _select_most_named(replies_by_acceptor: Replies) -> list[Claim]:
-    """Return the claims on the owner that most acceptors hold."""
+    """Return the claims for the owner that most acceptors name."""
     claims_by_owner: dict[tuple[InstanceId, int], list[Claim]] = {}
     for acceptor, reply in replies_by_acceptor.items():
         if reply is None or reply.claim is None:
@@ -126,10 +128,11 @@
 def is_forgotten(
     acceptor: InstanceId, reply: ClaimReply, replies_by_acceptor: Replies
 ) -> bool:
-    """Tell whether an acceptor has restarted since its reply.
+    """Return whether an acceptor has restarted since its reply.
 
-    Another acceptor that served the restarted one before it made its own reply may
-    have granted too late for the catch-up to include the claim.
+    Such a reply no longer counts. Another acceptor may have served the catch-up of the
+    restarted one before it granted the claim itself, so that the restarted acceptor
+    does not know the claim.
     """
     return any(
         other is not None and other.restarts_by_id.get(acceptor, 0) > reply.incarnation
@@ -140,7 +143,7 @@
 def is_certainly_unclaimed(
     group: tuple[InstanceId, ...], replies_by_acceptor: Replies
 ) -> bool:
-    """Tell whether a quorum of complete acceptors holds nothing for an id."""
+    """Return whether a quorum of complete acceptors holds no claim on an id."""
     without = [
         acceptor
         for acceptor, reply in replies_by_acceptor.items()
@@ -152,28 +155,36 @@
 
 
 def claim_lifetime(window: Seconds) -> Seconds:
-    """Return how long after ``claimed_at`` an acceptor holds a claim, in seconds.
+    """Return for how many seconds after ``claimed_at`` an acceptor holds a claim.
 
-    A resubmission at the end of the window may reach the acceptor `ASKING_LIMIT` later,
-    and the clocks of both claimants may differ from the acceptor's.
+    A resubmission at the end of the resubmission window may reach the acceptor
+    `ASKING_LIMIT` later, and the clocks of both claimants may differ from the
+    acceptor's by `MAX_CLOCK_SKEW` each.
+
+    Parameters
+    ----------
+    window
+        Resubmission window in seconds.
     """
     return window + ASKING_LIMIT + 2 * MAX_CLOCK_SKEW
 
 
 def is_expired(claim: Claim, window: Seconds, now: Seconds) -> bool:
-    """Tell whether an acceptor may drop a claim.
+    """Return whether an acceptor may drop a claim.
 
-    The owner has then refused it for long, because it is older than the window.
+    By then the owner has refused the claim for a long time, because the claim is older
+    than the resubmission window.
     """
     return now > claim.claimed_at + claim_lifetime(window)
 
 
 def is_too_late(claim: Claim, asked_at: Seconds, window: Seconds, now: Seconds) -> bool:
-    """Tell whether an acceptor must not grant a request any more.
+    """Return whether it is too late for an acceptor to grant a request.
 
     Parameters
     ----------
     asked_at
-        When the submission came in, by the clock of its entry instance.
+        Unix time at which the submission arrived, by the clock of the instance that
+        received it.
     """
     return now >= claim.claimed_at + window or now > asked_at + ASKING_LIMIT
--- a/boragetide/policy/distribution.py
+++ b/boragetide/policy/distribution.py
@@ -1,4 +1,4 @@
-"""Which configuration is in force on an instance, and when a peer's is taken."""
+"""Chooses the configuration in force on an instance, and fetches it from peers."""
 
 from __future__ import annotations
 
@@ -10,25 +10,25 @@
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
 FETCH_INTERVAL = 0.3  # seconds
-# An instance without a configuration takes the newest one that a majority of the
-# members has; after this time it serves with the newest that it can reach.
+# An instance without a configuration waits for the offers of a majority of the members
+# and takes the newest. After this time it takes the newest offer that it has.
 FETCH_WAIT = 2.0  # seconds
 
 
 @dataclass(slots=True)
 class Distribution:
-    """What is in force on this instance.
+    """State of the configuration in force on this instance.
 
     Parameters
     ----------
     in_force
-        ``None`` until there is one; then its version never decreases.
+        ``None`` until there is one; after that its version never decreases.
     offers_by_id
-        Configurations of peers, while there is none in force.
+        Configurations offered by peers since the last one was put in force.
     fetch_at
         Earliest time of the next request to a peer.
     started_at
-        First time that this instance looked for a configuration.
+        Time at which this instance first looked for a configuration.
     """
 
     settings: Settings
@@ -39,12 +39,12 @@
 
     @property
     def version(self) -> int:
-        """Version in force, or -1."""
+        """Version in force, or -1 if there is none."""
         return -1 if self.in_force is None else self.in_force.version
 
 
 def put_in_force(state: Distribution, configuration: Configuration) -> list[Effect]:
-    """Put a configuration in force and tell the local controllers, if it is newer."""
+    """Put a configuration in force if it is newer, and notify local controllers."""
     if configuration.version <= state.version:
         return []
     state.in_force = configuration
@@ -62,7 +62,7 @@
 
 
 def look_for_configuration(state: Distribution, now: Seconds) -> list[Effect]:
-    """Ask all peers while this instance has no configuration."""
+    """Request the configuration of all peers while none is in force here."""
     if state.started_at is None:
         state.started_at = now
     if state.in_force is not None or now < state.fetch_at:
@@ -79,7 +79,7 @@
 def fetch_newer(
     state: Distribution, peer: InstanceId, version: int, now: Seconds
 ) -> list[Effect]:
-    """Ask a peer that shows a newer version for its configuration."""
+    """Request the configuration of a peer that reports a newer version."""
     if state.in_force is None or version <= state.version or now < state.fetch_at:
         return []
     state.fetch_at = now + FETCH_INTERVAL
@@ -88,7 +88,7 @@
 
 
 def choose_offer(state: Distribution, now: Seconds) -> Configuration | None:
-    """Return the peer's configuration to put in force now, if any."""
+    """Return the offered configuration to put in force now, or ``None``."""
     if not state.offers_by_id:
         return None
     members = set(state.settings.first_members)
--- a/boragetide/policy/ejection.py
+++ b/boragetide/policy/ejection.py
@@ -1,7 +1,8 @@
-"""Ejects backend servers that fail what others complete, and takes them back slowly.
+"""Ejects backend servers that fail tasks which others complete, and readmits them.
 
-Evidence is a sequential probability ratio test: a broken server against one that fails
-each class as often as the other servers do.
+Evidence is collected by a sequential probability ratio test, which compares a broken
+server with one that fails each class as often as the other servers do. An ejected
+server returns gradually.
 """
 
 from __future__ import annotations
@@ -17,8 +18,8 @@
 EXPECTED_WEIGHT = 5.0
 FORGET_AFTER: Seconds = 30.0
 
-# Reached by three failures in a row, or two fast ones. A healthy server that fails 2%
-# of its tasks has three in a row once in 125,000 tasks.
+# Three failures in a row reach this evidence, and so do two fast ones. A healthy server
+# that fails 2% of its tasks has three failures in a row once in 125,000 tasks.
 EJECTION_EVIDENCE = math.log(10_000)
 FAST_SHARE = 0.1
 FAST_WEIGHT = 1.5
@@ -34,7 +35,7 @@
 
 @dataclass(slots=True)
 class Tally:
-    """Numbers of ended and of failed tasks, forgotten exponentially."""
+    """Numbers of ended and of failed tasks, with exponential decay."""
 
     ended: float = 0.0
     failed: float = 0.0
@@ -43,18 +44,19 @@
 
 @dataclass(slots=True)
 class ServerHealth:
-    """What is held against one backend server.
+    """Failure statistics of one backend server.
 
     Parameters
     ----------
     evidence
         Logarithm of the likelihood ratio for a broken server; never below 0.
     limit
-        How many tasks may run at once: 0 while ejected, then doubled by each success.
+        Number of tasks that may run at once: 0 while the server is ejected, then
+        doubled by each success.
     probe_at
-        When an ejected server gets its next probing task.
+        Time at which an ejected server gets its next probe task.
     ejections
-        In a row, without a full return in between.
+        Number of consecutive ejections, without a full return in between.
     """
 
     evidence: float = 0.0
@@ -65,7 +67,7 @@
 
 
 def is_failure(status: TaskStatus) -> bool:
-    """Tell whether an outcome speaks against the backend server."""
+    """Return whether an outcome counts as a failure of the backend server."""
     return status in _FAILURES
 
 
@@ -77,19 +79,19 @@
     fast: bool,
     now: Seconds,
 ) -> None:
-    """Weigh one outcome of a class.
+    """Update the evidence and the tallies with the outcome of one task.
 
     Parameters
     ----------
     health
-        Of the server that ran the task.
+        Statistics of the server that ran the task.
     pool
         Tally of the class over all servers.
     class_name
         Class of the task.
     failed, fast
-        Whether it failed, and whether it took less than `FAST_SHARE` of the expected
-        time.
+        Whether the task failed, and whether it took less than `FAST_SHARE` of its
+        expected time.
     now
         Unix time in seconds.
     """
@@ -125,14 +127,14 @@
 
 
 def should_eject(health: ServerHealth, ejected: int, servers: int) -> bool:
-    """Tell whether the evidence suffices and enough other servers remain.
+    """Return whether the evidence suffices and enough other servers remain.
 
     Parameters
     ----------
     health
-        Of the server in question.
+        Statistics of the server in question.
     ejected, servers
-        How many servers are ejected already, of how many.
+        Number of servers that are already ejected, and number of all servers.
     """
     if health.evidence < EJECTION_EVIDENCE or health.limit == 0:
         return False
@@ -140,7 +142,7 @@
 
 
 def eject(health: ServerHealth, now: Seconds, jitter: random.Random) -> None:
-    """Stop new tasks until the next probe; the wait doubles with each ejection."""
+    """Eject a server until its next probe; the wait doubles with each ejection."""
     wait = min(FIRST_PROBE * 2**health.ejections, LAST_PROBE)
     spread = jitter.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
     health.limit = 0
@@ -150,16 +152,21 @@
 
 
 def start_probing(health: ServerHealth) -> None:
-    """Let one probing task run."""
+    """Allow one probe task on an ejected server."""
     health.limit = 1
     health.evidence = 0.0
 
 
 def observe_probe(health: ServerHealth, failed: bool, slots: int) -> bool:
-    """Widen the limit of a returning server; return whether it is to be ejected again.
+    """Raise the limit of a returning server after a success.
 
-    A failure counts against it only where the evidence of `observe_outcome` says that
-    other servers complete the class.
+    A failure counts against the server only if other servers complete the class,
+    according to the evidence of `observe_outcome`.
+
+    Returns
+    -------
+    bool
+        Whether the server must be ejected again.
     """
     if health.limit in (0, UNLIMITED):
         return False
--- a/boragetide/policy/elections.py
+++ b/boragetide/policy/elections.py
@@ -1,4 +1,7 @@
-"""Elections among the members, with pre-votes that disturb no working leader."""
+"""Leader elections among the members, with pre-votes.
+
+Pre-votes keep a candidate from disturbing a working leader.
+"""
 
 from __future__ import annotations
 
@@ -25,7 +28,7 @@
 
 
 def check_election(replica: Replica, now: Seconds) -> list[Effect]:
-    """Ask for pre-votes when no leader was heard for too long; a learner does not."""
+    """Request pre-votes if no leader was heard for too long; a learner asks to join."""
     if not replica.is_member:
         return ask_to_join(replica, now)
     if not replica.others:
@@ -43,7 +46,7 @@
     replica.role = Role.CANDIDATE
     replica.preliminary = preliminary
     replica.votes_by_id = {replica.id: replica.incarnation}
-    # Every majority that an earlier leader had contains one of the voters.
+    # Each majority that an earlier leader relied on contains one of the voters.
     replica.predecessor_until = now + AUTHORITY - replica.leader_heard_ago(now)
     effects: list[Effect] = []
     if not preliminary:
@@ -75,7 +78,7 @@
 
 @step.register
 def _(message: StandForElection, replica: Replica, now: Seconds) -> list[Effect]:
-    """Stand at once: the leader that asks for it gives way."""
+    """Stand for election at once, because the leader hands over its leadership."""
     if replica.role is not Role.FOLLOWER or message.term != replica.ballot.term:
         return []
     if not replica.is_member:
@@ -86,7 +89,8 @@
 @step.register
 def _(message: RequestVote, replica: Replica, now: Seconds) -> list[Effect]:
     effects = replica.links.check(message.candidate, now, message.waits)
-    # A member that was replaced while it was away does not know it yet.
+    # The candidate may be a member that was replaced while it was unreachable and does
+    # not know this yet. It is then replicated to as a learner.
     effects += note_learner(replica, message.candidate, now)
     return effects + _vote(message, replica, now)
 
--- a/boragetide/policy/ids.py
+++ b/boragetide/policy/ids.py
@@ -1,4 +1,4 @@
-"""Pure functions of job ids that the system mints."""
+"""Creation and interpretation of job ids that the system mints."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MintedId:
-    """What a minted id says; ``minted_at`` is Unix time by the minter's clock."""
+    """Parts of a minted id; ``minted_at`` is Unix time on the minting instance."""
 
     zone: ZoneId
     instance: InstanceId
@@ -29,14 +29,14 @@
     now
         Unix time in seconds.
     counter
-        Different for each id that this process mints.
+        Number that is different for each id that this process mints.
     """
     parts = (settings.zone, settings.id, str(int(now * 1000)), str(counter))
     return ZONE_SEPARATOR.join(parts)
 
 
 def parse_minted(job_id: JobId, settings: Settings) -> MintedId | None:
-    """Return what a minted id says, or ``None`` for an id of a caller's own."""
+    """Return the parts of a minted id, or ``None`` if the caller chose the id."""
     match = _MINTED.fullmatch(job_id)
     if match is None or match[2] not in settings.peers_by_id:
         return None
@@ -46,21 +46,21 @@
 
 
 def is_minted_later(job_id: JobId, settings: Settings, now: Seconds) -> bool:
-    """Tell whether a minted id claims a time that no clock can show yet."""
+    """Return whether a minted id is further in the future than clocks can differ."""
     minted = parse_minted(job_id, settings)
     return minted is not None and minted.minted_at > now + MAX_CLOCK_SKEW
 
 
 def is_minted_after(job_id: JobId, settings: Settings, moment: Seconds) -> bool:
-    """Tell whether an id was certainly minted after a moment of this clock."""
+    """Return whether an id was certainly minted after ``moment`` by this clock."""
     minted = parse_minted(job_id, settings)
     return minted is not None and minted.minted_at > moment + MAX_CLOCK_SKEW
 
 
 def is_past_window(job_id: JobId, settings: Settings, now: Seconds) -> bool:
-    """Tell whether a minted id is older than the resubmission window.
+    """Return whether a minted id is older than the resubmission window.
 
-    An acceptor keeps a claim longer than the window and `MAX_CLOCK_SKEW`, so that it
+    An acceptor keeps a claim longer than the window plus `MAX_CLOCK_SKEW`, so that it
     never drops the claim of a minted id before this function is true for the id.
     """
     minted = parse_minted(job_id, settings)
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -1,7 +1,7 @@
-"""The durable jobs that have tasks to start, in the order in which they go.
+"""Queue of the durable jobs that have tasks to start, in scheduling order.
 
-Answers bursts in which not all jobs can be in time: one large job would make many small
-ones late.
+The order is designed for bursts in which not all jobs can be in time: one large job
+that goes first would make many small ones late.
 """
 
 from __future__ import annotations
@@ -15,27 +15,28 @@
 from boragetide.policy.scheduling import expires_at, latest_start
 from boragetide.types import ClassName, JobId, Seconds
 
-# Jobs that are looked at when the first ones do not fit into what is free; bounds the
-# time of a decision under overload.
+# Number of jobs that are considered if the first ones do not fit into the free
+# resources. This bounds the time of a decision under overload.
 LOOK_AHEAD = 24
-# A job of the mean work of its class goes as if it could wait so much longer, one of
-# twice that work twice as much longer. Of jobs that are as urgent small ones go first;
-# a large one is passed over for a bounded time only.
+# A job with the mean work of its class is ranked as if it could start this much later,
+# and a job with twice that work as if it could start twice as much later. Among equally
+# urgent jobs small ones go first, but a large one is passed over for a bounded time
+# only.
 SIZE_DELAY: Seconds = 0.05
-# Share of a new job in the mean work of its class.
+# Weight of a new job in the moving mean of the work of its class.
 MEAN_LEARNING = 0.02
 
 
 @dataclass(slots=True)
 class WaitingJob:
-    """A job in the queue, with its tasks that may start now.
+    """A queued job with those of its tasks that may start now.
 
     Parameters
     ----------
     rank
-        Its place among the jobs that can be in time.
+        Sort key among the jobs that can be in time; the lowest goes first.
     narrowest
-        Thousandths of a core that the smallest of its steps needs.
+        Thousandths of a core that the smallest step of the job needs.
     """
 
     job: DurableJob
@@ -48,17 +49,18 @@
 
 @dataclass(slots=True)
 class JobQueue:
-    """Jobs by the time at which they must start to be in time, and by their size.
+    """Queued jobs, by the time at which they must start to be in time and by size.
 
     Parameters
     ----------
     in_time, turning_late
-        Jobs that can still be in time, by their rank and by their latest start.
+        Jobs that can still be in time, sorted by rank and by latest start.
     late, expired
-        Jobs that are late, and those that are of little use to their callers by now, by
-        their latest start.
+        Jobs that are late, and jobs whose result is by now of little use to their
+        callers, sorted by latest start.
     mean_work_by_class
-        Declared work of a job of each class, in seconds of one thousandth of a core.
+        Mean declared work of a job of each class, in seconds of one thousandth of a
+        core.
     """
 
     waiting_by_id: dict[JobId, WaitingJob] = field(default_factory=dict)
@@ -69,7 +71,7 @@
     mean_work_by_class: dict[ClassName, float] = field(default_factory=dict)
 
     def put(self, job: DurableJob, tasks: dict[int, Step]) -> None:
-        """Replace what waits of a job; nothing takes it out."""
+        """Replace the waiting tasks of a job; without tasks the job is removed."""
         waiting = self.waiting_by_id.get(job.id)
         if waiting is not None:
             waiting.tasks = tasks
@@ -91,7 +93,10 @@
         self.turning_late.add((waiting.latest_start, job.id))
 
     def _compare_work(self, job: DurableJob) -> float:
-        """Return the declared work of a job as a multiple of the mean of its class."""
+        """Update the mean work of a class, and return the work of a job relative to it.
+
+        The work is the declared one.
+        """
         work = sum(
             step.count * step.estimate * step.needs.millicores for step in job.steps
         )
@@ -101,19 +106,19 @@
         return work / mean if mean > 0 else 1.0
 
     def remove(self, job_id: JobId) -> None:
-        """Take a job out, if it waits."""
+        """Remove a job if it is queued."""
         waiting = self.waiting_by_id.get(job_id)
         if waiting is not None:
             self._take(waiting)
 
     def clear(self) -> None:
-        """Take all jobs out."""
+        """Remove all jobs."""
         self.waiting_by_id.clear()
         for jobs in (self.in_time, self.turning_late, self.late, self.expired):
             jobs.clear()
 
     def iterate(self, now: Seconds) -> Iterator[WaitingJob]:
-        """Yield the jobs to look at now, first the one that goes first."""
+        """Yield the jobs to consider now, in scheduling order."""
         self._sort(now)
         looked = 0
         for jobs in (self.in_time, self.late, self.expired):
@@ -124,7 +129,7 @@
                     yield waiting
 
     def list_expired(self, now: Seconds) -> list[WaitingJob]:
-        """Return the jobs that are of no use any more; they stay in the queue."""
+        """Return the jobs that are too late to be of use; they stay queued."""
         self._sort(now)
         return [self.waiting_by_id[job_id] for _, job_id in self.expired]
 
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -1,8 +1,8 @@
-"""How an agreed command changes the durable jobs.
+"""Applies committed commands to the table of durable jobs.
 
-Every member applies the same commands in the same order, so that these functions read
-nothing but their arguments. Each command is idempotent: a new leader may propose an end
-again that its predecessor has already committed.
+Every member applies the same commands in the same order, so these functions depend on
+nothing but their arguments. Each command is idempotent: a new leader may propose the
+end of a run again that its predecessor has already committed.
 """
 
 from __future__ import annotations
@@ -12,17 +12,17 @@
 from boragetide.durable import DurableJob, JobPhase, JobRecord, RunEnd
 from boragetide.types import JobId, Seconds
 
-# The platform asks for the state of an ended job for 120 s.
+# The state of an ended job may be requested for 120 s after its end.
 RETENTION = 150.0  # seconds
-# An edge that lost the answer to a best-effort job asks again within this time: its
-# patience doubles up to 5.6 s.
+# An edge instance that lost the reply to a best-effort job repeats its request within
+# this time: its request timeout doubles up to 5.6 s.
 BEST_EFFORT_RETENTION = 10.0  # seconds
 
 
 def accept_job(
     jobs_by_id: dict[JobId, JobRecord], job: DurableJob, now: Seconds
 ) -> set[JobId]:
-    """Keep a new job; an id that is known changes nothing."""
+    """Add a job unless its id is known; return the ids of the changed jobs."""
     if job.id in jobs_by_id:
         return set()
     jobs_by_id[job.id] = JobRecord(job, changed_at=now)
@@ -32,7 +32,7 @@
 def record_ends(
     jobs_by_id: dict[JobId, JobRecord], ends: tuple[RunEnd, ...], now: Seconds
 ) -> set[JobId]:
-    """Keep the ends of runs and return the jobs that they changed."""
+    """Record the ends of runs and return the ids of the jobs that they changed."""
     changed = set()
     for end in ends:
         record = jobs_by_id.get(end.job_id)
@@ -68,14 +68,14 @@
 
 
 def count_failures(record: JobRecord, task: int) -> int:
-    """Return how many runs of a task have failed."""
+    """Return the number of failed runs of a task."""
     return sum(number == task for number, _ in record.failures)
 
 
 def cancel_job(
     jobs_by_id: dict[JobId, JobRecord], job_id: JobId, now: Seconds
 ) -> set[JobId]:
-    """Cancel a job that has not ended."""
+    """Cancel a job unless it has ended; return the ids of the changed jobs."""
     record = jobs_by_id.get(job_id)
     if record is None or record.phase is not JobPhase.ACTIVE:
         return set()
@@ -84,7 +84,7 @@
 
 
 def forget_ended(jobs_by_id: dict[JobId, JobRecord], now: Seconds) -> None:
-    """Drop jobs that ended long ago; the oldest stand first."""
+    """Drop jobs whose retention time has passed; the oldest jobs come first."""
     forgotten = []
     for job_id, record in jobs_by_id.items():
         best_effort = record.job.best_effort
@@ -100,6 +100,6 @@
 def _finish(
     record: JobRecord, phase: JobPhase, now: Seconds, done: frozenset[int]
 ) -> JobRecord:
-    """End a job; what only its runs need is not kept any longer."""
+    """Return a record of the ended job, without the spec that only its runs need."""
     job = replace(record.job, spec="")
     return replace(record, job=job, phase=phase, done=done, changed_at=now)
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -1,4 +1,4 @@
-"""What the log's member tells its dispatcher and the instances without a log."""
+"""Notices of a member to its dispatcher and to the instances without a log."""
 
 from __future__ import annotations
 
@@ -18,28 +18,30 @@
 from boragetide.settings import Settings
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
-# The dispatcher is told of its authority at most this often; a fifth of `AUTHORITY`.
+# The dispatcher is notified only of extensions of its authority by at least this much,
+# a quarter of `AUTHORITY`.
 AUTHORITY_STEP = 0.1  # seconds
-# An instance without a log that has not asked for this long gets no more notices.
+# An instance without a log that has sent no request for this long gets no more notices.
 FOLLOWER_SILENCE = 3.0  # seconds
 
 
 @dataclass(slots=True)
 class Leadership:
-    """What was told last.
+    """State that the other instances and the dispatcher were last notified of.
 
     Parameters
     ----------
     announced_term
-        Term that the dispatcher believes it leads, or 0.
+        Term that the dispatcher was notified it leads, or 0.
     announced_until
-        Its authority as the dispatcher knows it.
+        End of the authority that the dispatcher was notified of, in Unix time.
     announced_members
-        Members of the log as the dispatcher knows them.
+        Members of the log that the dispatcher was notified of.
     followers_by_id
-        Instances without a log: when each last asked, and the version it has.
+        Instances without a log, with the time of their last request and the version of
+        the configuration that they have.
     links
-        Links to these.
+        Links to these instances.
     """
 
     settings: Settings
@@ -53,7 +55,7 @@
 def announce(
     state: Leadership, replica: Replica | None, applied: Applied, now: Seconds
 ) -> list[Effect]:
-    """Tell the dispatcher what changed; nothing where there is no dispatcher."""
+    """Notify the dispatcher of changes, if this instance has one."""
     if not state.settings.dispatches or replica is None:
         return []
     to = Address(state.settings.id, "dispatcher")
@@ -81,7 +83,7 @@
 
 
 def _leading_term(replica: Replica) -> int:
-    """Return the term in which all earlier entries are known to be committed, or 0."""
+    """Return the term of this leader once all earlier entries are committed, or 0."""
     term = replica.ballot.term
     if replica.role is not Role.LEADER or replica.commit < replica.log_start:
         return 0
@@ -91,7 +93,7 @@
 def note_follower(
     state: Leadership, follower: InstanceId, version: int, now: Seconds
 ) -> None:
-    """Take note of an instance that follows the leader."""
+    """Record the request of an instance that follows the leader."""
     state.followers_by_id[follower] = (now, version)
 
 
@@ -102,7 +104,11 @@
     follower: InstanceId,
     now: Seconds,
 ) -> Effect:
-    """Tell one instance who leads, and the leader's configuration if it is newer."""
+    """Notify one instance of the leader.
+
+    If this instance leads, the notice includes the configuration in force, provided
+    that it is newer than the one that the follower has.
+    """
     _, version = state.followers_by_id.get(follower, (now, -1))
     leads = replica is not None and now < replica.authority_until(now)
     newer = leads and in_force is not None and in_force.version > version
@@ -122,7 +128,7 @@
     in_force: Configuration | None,
     now: Seconds,
 ) -> list[Effect]:
-    """Tell all instances that asked lately."""
+    """Notify all instances that have sent a request recently."""
     for follower, (asked_at, _) in list(state.followers_by_id.items()):
         if now - asked_at > FOLLOWER_SILENCE:
             del state.followers_by_id[follower]
--- a/boragetide/policy/learning.py
+++ b/boragetide/policy/learning.py
@@ -1,7 +1,7 @@
 """Learns the sizes of tasks and the speeds of backend servers from run times.
 
-Both are kept as natural logarithms, because declared sizes are wrong by a factor and
-speeds act as a factor. Speeds are relative to the pool: their mean logarithm is 0.
+Both are stored as natural logarithms, because errors of declared sizes and differences
+of speed are factors. Speeds are relative to the pool: their mean logarithm is 0.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 DEFAULT_SIZE: Seconds = 0.4
 MIN_SECONDS: Seconds = 1e-4
 
-# Declared sizes are believed as they are until about this many tasks have ended.
+# Declared sizes are used unchanged until about this many tasks have ended.
 PRIOR_SAMPLES = 10
 SIZE_GAIN = 0.005
 SPEED_GAIN = 0.03
@@ -23,12 +23,14 @@
 MAX_LOG_ERROR = 1.4  # a factor of 4
 MAX_RATIO = 10.0
 
-# A recent mean this many of its standard deviations from the long one replaces it: a
-# change by 4x passes after about three tasks, and a chance deviation rarely.
+# If the recent mean deviates from the long-term mean by more than this many of its
+# standard deviations, it replaces the long-term mean. A change by a factor of 4 is
+# detected after about three tasks, and a chance deviation rarely passes.
 CHANGE_DEVIATIONS = 3.5
 _RECENT_DEVIATION = math.sqrt(RECENT_GAIN / (2 - RECENT_GAIN))
 
-# A class has its own speed on a server once about this many of its tasks ended there.
+# A class has its own speed on a server once about this many of its tasks have ended
+# there.
 CLASS_SAMPLES = 20
 ANCHOR_SAMPLES = 5
 ANCHOR_STEP = 0.02
@@ -36,17 +38,18 @@
 
 @dataclass(slots=True)
 class SizeModel:
-    """Sizes of one class, as a decayed regression on the declared sizes.
+    """Sizes of one class, as a regression on the declared sizes with decaying weights.
 
     Parameters
     ----------
     mean_declared, mean_size
         Mean logarithms of the declared and of the observed sizes.
     variance_declared, covariance
-        Of the logarithms. Their ratio tells how far declarations can be trusted.
+        Variance of the declared logarithm, and its covariance with the observed one.
+        Their quotient shows how far declared sizes can be trusted.
     ratio
-        Mean of observed over predicted size.
-    deviation
+        Mean ratio of the observed to the predicted size.
+    variance
         Mean square error of the predicted logarithm.
     """
 
@@ -77,12 +80,12 @@
 
 
 def observe_size(model: SizeModel, declared: Seconds | None, size: Seconds) -> None:
-    """Learn from a task that ended.
+    """Update the size model of a class with a task that ended.
 
     Parameters
     ----------
     model
-        Of the task's class.
+        Size model of the task's class.
     declared
         Declared size in seconds, if any.
     size
@@ -118,9 +121,9 @@
     Parameters
     ----------
     log_speed
-        Slowly moving mean over all classes.
+        Slowly moving mean of the logarithm over all classes.
     recent
-        Quickly moving mean, to notice a change.
+        Quickly moving mean, which serves to detect a change.
     offsets_by_class
         Mean deviation of a class from ``log_speed``, and the number of its samples.
     """
@@ -148,12 +151,12 @@
     variance: float,
     earlier: float | None = None,
 ) -> bool:
-    """Learn from a task that ended, or that runs far beyond its expected time.
+    """Update a speed with a task that ended or that far exceeds its expected time.
 
     Parameters
     ----------
     model
-        Of the backend server.
+        Speed model of the backend server.
     class_name
         Class of the task.
     log_speed
@@ -161,8 +164,8 @@
     variance
         Mean square error of the expected logarithm of the size.
     earlier
-        What was learned from the same task while it ran; it is corrected, so that a
-        single long task does not count several times.
+        ``log_speed`` of the last update from the same task while it ran. That update is
+        corrected, so that a single long task does not count several times.
 
     Returns
     -------
@@ -195,12 +198,12 @@
 
 
 def anchor_speeds(speeds: Iterable[SpeedModel], sizes: Iterable[SizeModel]) -> bool:
-    """Move the mean logarithm of the speeds back to 0, and the sizes with it.
+    """Shift the mean logarithm of the speeds back to 0, and the sizes accordingly.
 
     Returns
     -------
     bool
-        Whether they moved; a mean below `ANCHOR_STEP` is left alone.
+        Whether they were shifted; a mean below `ANCHOR_STEP` is left as it is.
     """
     known = [model for model in speeds if model.samples >= ANCHOR_SAMPLES]
     if not known:
--- a/boragetide/policy/link_health.py
+++ b/boragetide/policy/link_health.py
@@ -1,7 +1,8 @@
-"""Finds links that went silent without an error, in either direction.
+"""Detects links that fail without an error, in either direction.
 
-Only an answer shows that a link works. The side that waits for it dials anew, and tells
-the other for how long it has been waiting, because the answers may be what is lost.
+Only an answer shows that a link works. The side that waits for an answer reconnects. It
+also reports its waiting time to the other side, because the answers may be what is
+lost.
 """
 
 from __future__ import annotations
@@ -11,32 +12,32 @@
 from boragetide.effects import Effect, LogEvent, Reconnect
 from boragetide.types import InstanceId, Seconds
 
-# Above several heartbeats of the log and questions of the directory, and below the
-# `contact_ms` of 3 s after which the platform expects a harmed link to work again.
+# Longer than several heartbeats of the log and requests of the directory, and shorter
+# than the 3 s within which a damaged link must work again (`contact_ms`).
 LINK_SILENCE: Seconds = 1.2
 
 
 @dataclass(slots=True)
 class LinkHealth:
-    """When this instance began to wait for a sign of each peer.
+    """Times since which this instance has been waiting for a message of each peer.
 
     Parameters
     ----------
     waiting_since_by_id
-        Time of the first message to a peer that was not answered.
+        Time of the first message to a peer that has not been answered.
     dialled_at_by_id
-        When the link to a peer was last replaced.
+        Time at which the link to a peer was last replaced.
     """
 
     waiting_since_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
     dialled_at_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
 
     def note_sent(self, peer: InstanceId, now: Seconds) -> Seconds:
-        """Take note of a message and return for how long an answer is owed."""
+        """Record a sent message and return for how many seconds an answer is due."""
         return now - self.waiting_since_by_id.setdefault(peer, now)
 
     def note_heard(self, peer: InstanceId) -> None:
-        """Take note of a message from a peer."""
+        """Record a message from a peer."""
         self.waiting_since_by_id.pop(peer, None)
 
     def check(
@@ -47,7 +48,7 @@
         Parameters
         ----------
         peer_waits
-            For how long the peer says that it has been waiting.
+            Time in seconds for which the peer reports that it has been waiting.
         """
         own_wait = now - self.waiting_since_by_id.get(peer, now)
         silence = max(own_wait, peer_waits)
--- a/boragetide/policy/member_changes.py
+++ b/boragetide/policy/member_changes.py
@@ -1,11 +1,11 @@
-"""Changes of the members of the log, one member at a time, through the log itself.
-
-An instance with a disk that is not a member follows the leader as a learner: it has the
-log and no vote. The leader adds learners up to the number of members that the settings
-ask for, and removes a member that is silent while a learner can take its place. Each
-change is an entry of the log and is in force from the moment that it is appended; the
-next one waits until it is committed, so that majorities of neighbouring memberships
-always overlap (Ongaro, "Consensus: Bridging Theory and Practice", section 4.1).
+"""Changes of the membership of the log, one member at a time, through the log itself.
+
+An instance with a disk that is not a member follows the leader as a learner: it
+receives the log and has no vote. The leader adds learners up to the number of members
+that the settings ask for, and removes a silent member if a learner can take its place.
+Each change is a log entry and takes effect as soon as it is appended. The next change
+waits until this entry is committed, so that majorities of successive memberships always
+overlap (Ongaro, "Consensus: Bridging Theory and Practice", section 4.1).
 """
 
 from __future__ import annotations
@@ -21,16 +21,15 @@
 from boragetide.types import Address, InstanceId, Seconds
 
 JOIN_INTERVAL: Seconds = 0.5
-# A learner that has not asked for this long is given up.
+# A learner that has not asked to join for this long is dropped.
 LEARNER_SILENCE: Seconds = 2.0
-# A member that was silent for so long is replaced. Longer than an election and a
-# restart, shorter than the 4 s after which the platform expects the next loss to be
-# borne.
+# A member that was silent for this long is replaced. This is longer than an election
+# and a restart, and shorter than the 4 s after which the next loss must be tolerated.
 MEMBER_SILENCE: Seconds = 2.5
 
 
 def ask_to_join(replica: Replica, now: Seconds) -> list[Effect]:
-    """Ask the members, on an instance that is none, to be replicated to."""
+    """Ask the members to replicate the log to this instance, which is no member."""
     if now < replica.next_request:
         return []
     replica.next_request = now + JOIN_INTERVAL
@@ -48,7 +47,7 @@
 def note_learner(
     replica: Replica, learner: InstanceId, now: Seconds, forwarded: bool = False
 ) -> list[Effect]:
-    """Replicate to an instance that is no member, or tell the leader of it."""
+    """Replicate to an instance that is no member, or forward it to the leader."""
     if learner in replica.members:
         return []
     if replica.role is Role.LEADER:
@@ -64,7 +63,7 @@
 
 
 def review_members(replica: Replica, now: Seconds) -> list[Effect]:
-    """Propose the next change of the members, on the leader, if one is due."""
+    """Propose the next change of the members if one is due; for the leader only."""
     _forget_learners(replica, now)
     if not replica.settings.member_count or _is_change_pending(replica):
         return []
@@ -98,16 +97,16 @@
     silent: Collection[InstanceId],
     ready: Collection[InstanceId],
 ) -> tuple[InstanceId, ...]:
-    """Return the members after the next change, which differ in one at most.
+    """Return the members after the next change, which differ by one member at most.
 
     Parameters
     ----------
     count
-        Number of members there should be.
+        Number of members that the log should have.
     silent
-        Members that have not answered for long.
+        Members that have not answered for `MEMBER_SILENCE`.
     ready
-        Learners that have all that is committed.
+        Learners that have all committed entries.
 
     Examples
     --------
@@ -127,7 +126,7 @@
 
 
 def _is_change_pending(replica: Replica) -> bool:
-    """Tell whether the last change, or the first entry of the term, is uncommitted."""
+    """Return whether the last change or the first entry of the term is uncommitted."""
     if replica.commit < replica.log_start:
         return True
     if replica.term_at(replica.commit) != replica.ballot.term:
@@ -137,7 +136,7 @@
 
 
 def _follow_members(replica: Replica, now: Seconds) -> None:
-    """Keep the progress of the members and learners, and of nobody else."""
+    """Track the progress of the members and learners, and of no other instance."""
     for member in replica.others:
         replica.learners_by_id.pop(member, None)
         replica.progress_by_id.setdefault(member, Progress(replica.last_index + 1, now))
--- a/boragetide/policy/membership.py
+++ b/boragetide/policy/membership.py
@@ -1,4 +1,4 @@
-"""Which instances live, and which of them places the jobs of a zone."""
+"""Liveness of instances, and the choice of the instance that places a zone's jobs."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """An instance as the choice of a placer sees it.
+    """An instance that may become the placer of its zone.
 
     Parameters
     ----------
@@ -28,25 +28,26 @@
 
 
 def is_live(last_heard: Seconds | None, now: Seconds, silence: Seconds) -> bool:
-    """Tell whether an instance was heard within ``silence`` seconds."""
+    """Return whether an instance was heard within the last ``silence`` seconds."""
     return last_heard is not None and now - last_heard <= silence
 
 
 def is_isolated(connected: int, zone_size: int) -> bool:
-    """Tell whether an instance is connected to a minority of its zone.
+    """Return whether an instance is connected only to a minority of its zone.
 
     Parameters
     ----------
     connected
-        Instances of the zone with which messages pass both ways, this one included.
+        Number of instances of the zone with which messages pass both ways, including
+        this one.
     zone_size
-        Configured instances of the zone.
+        Number of configured instances of the zone.
     """
     return 2 * connected < zone_size
 
 
 def find_placer(zone: ZoneId, candidates: Iterable[Candidate]) -> Candidate | None:
-    """Return the instance that has the placer role of a zone.
+    """Return the instance that has the placer role of a zone, or ``None``.
 
     The instance that has been in service longest keeps the role, so that a restarted,
     resumed or reconnected instance does not take it back.
@@ -58,10 +59,10 @@
 def choose_placer(
     zone: ZoneId, candidates: Iterable[Candidate], for_jobs: bool = True
 ) -> Candidate | None:
-    """Return the live instance that places the jobs of a zone.
+    """Return the live instance that places the jobs of a zone, or ``None``.
 
-    A zone whose placer has no backend servers uses the placer with the most of them,
-    but only for jobs: announcements go to the zone's own placer.
+    If the placer of a zone has no backend servers, jobs of the zone go to the placer
+    with the most of them. Announcements always go to the zone's own placer.
     """
     candidates = tuple(candidates)
     placer = find_placer(zone, candidates)
--- a/boragetide/policy/ordering.py
+++ b/boragetide/policy/ordering.py
@@ -6,8 +6,8 @@
 
 from boragetide.types import Seconds
 
-# Number of times that a waiting job's rank falls by a factor of e within the target of
-# its class.
+# A job that has waited as long as the response-time target of its class ranks as if its
+# remaining work had fallen by a factor of e this many times.
 AGING = 3.0
 MIN_WORK: Seconds = 1e-3
 
@@ -15,37 +15,39 @@
 def rank_job(remaining: Seconds, queued_at: Seconds, aging: float) -> float:
     """Return the rank of a job within its class; the lowest rank goes first.
 
-    It is the logarithm of the remaining work, less the aged wait. All jobs of a class
-    age at the same rate, so the order of two waiting jobs does not depend on the
-    current time. A job with ``n`` times the work of another one is overtaken by it only
-    if that one arrives less than ``log(n) / aging`` seconds later.
+    The rank is the logarithm of the remaining work, minus the aged wait. All jobs of a
+    class age at the same rate, so the order of two waiting jobs does not depend on the
+    current time. A job with ``n`` times the work of another job is overtaken by the
+    other one only if that arrives less than ``log(n) / aging`` seconds later.
 
     Parameters
     ----------
     remaining
-        Expected work of the job that has not started, in seconds at the mean speed.
+        Expected work of the job's tasks that have not started, in seconds at the mean
+        speed.
     queued_at
-        Unix time in seconds.
+        Unix time in seconds at which the job was queued.
     aging
-        See `aging_rate`.
+        Rate per second; see `aging_rate`.
     """
     return math.log(max(remaining, MIN_WORK)) + aging * queued_at
 
 
 def age_rank(rank: float, aging: float, now: Seconds) -> float:
-    """Return a rank that is comparable between classes at this time."""
+    """Return a rank that is comparable between classes at the time ``now``."""
     return rank - aging * now
 
 
 def aging_rate(response_time: Seconds) -> float:
     """Return the rate of aging per second for a target in seconds.
 
-    A linear rate in work instead, high enough to bound the wait of large jobs, orders
-    small ones by arrival: the mean of response over ideal at 95% load was 3.3 then.
+    Aging that is linear in the work, and fast enough to bound the wait of large jobs,
+    orders small jobs by arrival: the mean ratio of response time to ideal response time
+    was 3.3 at 95% load with it.
     """
     return AGING / max(response_time, MIN_WORK)
 
 
 def slots_of_share(slots: int, share: float) -> int:
-    """Return how many of ``slots`` a share (0 to 1) stands for; at least one."""
+    """Return the number of slots that a share (0 to 1) amounts to; at least one."""
     return max(1, math.ceil(slots * share))
--- a/boragetide/policy/placement.py
+++ b/boragetide/policy/placement.py
@@ -1,4 +1,4 @@
-"""Chooses a backend server for the next task, or a faster one that is still busy."""
+"""Chooses a free backend server for a task, or a faster one that is still busy."""
 
 from __future__ import annotations
 
@@ -7,22 +7,23 @@
 
 from boragetide.types import BackendServerId, Seconds
 
-# Waiting for a faster server must promise to end the task at this share of the time
-# that it needs on a free one, because expected ends of running tasks are uncertain.
+# A task waits for a faster server only if it is expected to end there within this share
+# of the time that it needs on a free one. The margin is needed because the expected
+# ends of running tasks are uncertain.
 HOLD_SHARE = 0.85
 
-# A slow server takes a task that others of its queue would not wait for, if the task
+# If many tasks already wait for faster servers, a slow server still takes a task that
 # ends within this many times the time in which the pool drains the queue.
 DRAIN_SHARE = 2.0
 
-# A running task past its expected end is expected to go on for this share of the time
-# it has run.
+# A running task that is past its expected end is expected to run on for this share of
+# the time that it has run so far.
 OVERRUN_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A backend server with a free slot, as placement sees it."""
+    """A backend server with a free slot."""
 
     id: BackendServerId
     speed: float
@@ -30,7 +31,7 @@
 
 @dataclass(slots=True)
 class Release:
-    """A slot that is expected to become free; ``wait`` is in seconds from now."""
+    """A slot that is expected to become free in ``wait`` seconds."""
 
     wait: Seconds
     speed: float
@@ -38,7 +39,7 @@
 
 
 def expected_wait(expected_end: Seconds, started_at: Seconds, now: Seconds) -> Seconds:
-    """Return in how many seconds a running task is expected to end."""
+    """Return the number of seconds in which a running task is expected to end."""
     if expected_end > now:
         return expected_end - now
     return OVERRUN_SHARE * (now - started_at)
@@ -52,7 +53,9 @@
 def find_faster_release(
     size: Seconds, speed: float, releases: Sequence[Release]
 ) -> Release | None:
-    """Return the release that ends a task clearly earlier than a free slot does.
+    """Return the release at which a task ends clearly earlier than on a free slot.
+
+    The result is ``None`` if there is no such release.
 
     Parameters
     ----------
@@ -61,8 +64,8 @@
     speed
         Speed of the fastest free server.
     releases
-        Expected releases, the earliest first. Claimed ones belong to tasks that go
-        first.
+        Expected releases, the earliest first. Claimed ones are reserved for tasks that
+        come earlier in the order.
     """
     best, best_finish = None, HOLD_SHARE * size / speed
     for release in releases:
@@ -77,7 +80,9 @@
 
 
 def is_worth_starting(size: Seconds, speed: float, drain: Seconds) -> bool:
-    """Tell whether a slow server ends a task before the pool has drained its queue.
+    """Return whether a slow server ends a task in time compared with the queue.
+
+    The limit is `DRAIN_SHARE` times the time in which the pool drains its queue.
 
     Parameters
     ----------
@@ -86,13 +91,13 @@
     speed
         Speed of the free server.
     drain
-        Queued work over the speed of the pool, in seconds.
+        Queued work divided by the speed of the pool, in seconds.
     """
     return size / speed <= DRAIN_SHARE * drain
 
 
 def largest_size_to_start(speed: float, releases: Sequence[Release]) -> Seconds:
-    """Return the largest size that no unclaimed release ends clearly earlier."""
+    """Return the largest task size that no unclaimed release ends clearly earlier."""
     limit = float("inf")
     for release in releases:
         gain = HOLD_SHARE / speed - 1 / release.speed
--- a/boragetide/policy/proposals.py
+++ b/boragetide/policy/proposals.py
@@ -1,4 +1,4 @@
-"""Commands of this instance that wait for their outcome."""
+"""Commands proposed by this instance that have no outcome yet."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
     proposal
         The command.
     expires_at
-        When the waiting requests are answered with an unknown outcome.
+        Time at which the waiting requests are answered with an unknown outcome.
     waiters
         Requests to answer; ``None`` stands for the ``claims`` controller, which waits
-        as long as it takes.
+        without a time limit.
     resend_at
-        When the command is sent to a member again.
+        Time at which the command is sent to a member again.
     """
 
     proposal: Proposal
@@ -46,10 +46,10 @@
 
 
 def identify(message: Propose) -> Proposal:
-    """Give a command its identity."""
+    """Return the proposal of a command, with its command id."""
     command = message.command
     if isinstance(command, RegisterAcceptor):
-        # The space keeps it apart from the ids of operators, which have none.
+        # Command ids of operators contain no space, so they cannot equal this one.
         command_id = f"acceptor {command.instance} {command.incarnation}"
         return Proposal(command_id, command)
     return Proposal(message.command_id, command, message.expected_version)
@@ -58,7 +58,7 @@
 def add_waiter(
     state: Proposals, proposal: Proposal, waiter: ReplyTo | None, now: Seconds
 ) -> None:
-    """Let a request wait for the outcome of a command."""
+    """Register a request that waits for the outcome of a command."""
     expires_at = now + PROPOSAL_TIMEOUT
     pending = state.pending_by_command.setdefault(
         proposal.command_id, PendingProposal(proposal, expires_at)
@@ -69,7 +69,7 @@
 
 
 def take_due(state: Proposals, now: Seconds) -> list[Proposal]:
-    """Return the commands that must be sent to a member now."""
+    """Return the commands to send to a member now, and schedule their next sending."""
     due = [p for p in state.pending_by_command.values() if now >= p.resend_at]
     for pending in due:
         pending.resend_at = now + RESEND_INTERVAL
@@ -77,7 +77,13 @@
 
 
 def expire(state: Proposals, version: int, now: Seconds) -> list[Effect]:
-    """Answer the requests that have waited too long; ``version`` is in force."""
+    """Answer the requests that have waited too long with an unknown outcome.
+
+    Parameters
+    ----------
+    version
+        Version of the configuration in force.
+    """
     unknown = CommandOutcome(CommandStatus.UNKNOWN, version)
     effects: list[Effect] = []
     for command_id, pending in list(state.pending_by_command.items()):
@@ -91,7 +97,7 @@
 
 
 def resolve(state: Proposals, command_id: str, outcome: Outcome) -> list[Effect]:
-    """Answer all that wait for a command."""
+    """Answer all requests that wait for the outcome of a command."""
     pending = state.pending_by_command.pop(command_id, None)
     if pending is None:
         return []
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -1,4 +1,4 @@
-"""One member of the configuration group: its durable state and what it derives."""
+"""One member of the configuration group: its durable and its derived state."""
 
 from __future__ import annotations
 
@@ -26,24 +26,28 @@
 from boragetide.settings import Settings
 from boragetide.types import Configuration, InstanceId, JobId, Seconds
 
-# A leader counts as lost after at least this silence; twice its longest heartbeat gap.
+# A leader counts as lost after at least this silence, which is twice the longest gap
+# between its heartbeats.
 ELECTION_MIN = 0.5  # seconds
 ELECTION_MAX = 0.9  # seconds
-# After a start no leader is known, and pre-votes protect one that exists.
+# Election timeouts are shorter after a start: no leader is known then, and pre-votes
+# protect a leader that exists.
 FIRST_ELECTION_MIN = 0.1  # seconds
 FIRST_ELECTION_MAX = 0.6  # seconds
 
 SNAPSHOT_ENTRIES = 2048  # log entries applied between two snapshots
-TRAILING_ENTRIES = 256  # kept in the log, so that a slow member needs no snapshot
+# Number of applied entries that stay in the log, so that a slow member needs no
+# snapshot.
+TRAILING_ENTRIES = 256
 
-# How long after the sending of an append that a majority answered no other instance can
-# lead. Members grant no pre-vote for `ELECTION_MIN`; the rest allows for a clock that
-# runs slow and for a vote that was under way.
+# For this time after the leader sent an append that a majority answered, no other
+# instance can lead. Members grant no pre-vote for `ELECTION_MIN`; the difference allows
+# for a clock that runs slow and for a vote that was in progress.
 AUTHORITY = 0.4  # seconds
 
 
 class Role(StrEnum):
-    """Role of a member; a blank one has no durable state and takes no part yet."""
+    """Role of a member; a blank member has no durable state and takes no part yet."""
 
     BLANK = "blank"
     FOLLOWER = "follower"
@@ -53,20 +57,20 @@
 
 @dataclass(slots=True)
 class Progress:
-    """What the leader knows of a member's log.
+    """Replication progress of a member, as known to the leader.
 
     Parameters
     ----------
     next_index
-        First entry that was not sent yet.
+        Index of the first entry that was not sent yet.
     match_index
-        Last entry that the member has certainly synced.
+        Index of the last entry that the member has certainly synced.
     incarnation
-        Process of the member that acknowledged it.
+        Incarnation of the member that acknowledged ``match_index``.
     heard_at
-        When the member last answered.
+        Time at which the member last answered.
     answered_at
-        When the newest append that the member answered was sent.
+        Time at which the newest append that the member answered was sent.
     """
 
     next_index: int
@@ -85,22 +89,25 @@
     ballot, log, log_start, log_start_term, commit, catalogue, fetched, floor
         Durable state; see `Snapshot`.
     leader, leader_heard_at
-        Leader of the current term, if known, and when it was last heard.
+        Leader of the current term, if known, and the time at which it was last heard.
     election_at
-        When to stand for election unless a leader is heard.
+        Time at which this member stands for election unless it hears a leader.
     preliminary, votes_by_id
-        Election in progress: incarnations of the members that voted for this one.
+        Election in progress: whether it is a pre-vote, and the incarnations of the
+        members that voted for this one.
     predecessor_until
-        Time after which no earlier leader has authority, as the voters tell.
+        Time after which no earlier leader has authority, according to the voters.
     progress_by_id, next_heartbeat, proposers_by_command
-        State of a leader: the others, and who waits for which command.
+        State of a leader: progress of the other instances, time of the next heartbeat,
+        and the instances that wait for the outcome of each command.
     learners_by_id
-        State of a leader: instances that are no members but are replicated to, with
-        the time at which each last asked for it.
+        State of a leader: instances that are no members but receive the log, with the
+        time at which each last asked to join.
     catch_up_by_id, started_at, next_request
-        State of a blank member: the newest answer of each other member.
+        State of a blank member: the newest answer of each other member, the time of the
+        first request, and the time of the next one.
     links
-        Which members answer.
+        Health of the links to the other members.
     """
 
     settings: Settings
@@ -137,7 +144,7 @@
 
     @property
     def members(self) -> tuple[InstanceId, ...]:
-        """Members as of the newest entry of the log, committed or not."""
+        """Members according to the newest log entry, committed or not."""
         for entry in reversed(self.log[self.catalogue.index - self.log_start :]):
             if entry.changes_members:
                 return entry.proposal.command.members
@@ -145,7 +152,7 @@
 
     @property
     def is_member(self) -> bool:
-        """Whether this instance is a member, and not a learner."""
+        """Whether this instance is a member rather than a learner."""
         return self.id in self.members
 
     @property
@@ -155,7 +162,7 @@
 
     @property
     def quorum(self) -> int:
-        """Number of members that make a majority."""
+        """Number of members that form a majority."""
         return count_majority(len(self.members))
 
     @property
@@ -177,21 +184,24 @@
         return self.term_at(self.last_index)
 
     def term_at(self, index: int) -> int:
-        """Return the term of an entry from ``log_start`` on."""
+        """Return the term of the entry at ``index``, from ``log_start`` on."""
         if index == self.log_start:
             return self.log_start_term
         return self.log[index - self.log_start - 1].term
 
     def leader_heard_ago(self, now: Seconds) -> Seconds:
-        """Return for how long no leader was heard.
+        """Return for how many seconds no leader was heard.
 
-        What an earlier process of this member acknowledged came before the start of
-        this one, which its incarnation tells.
+        Whatever an earlier process of this member acknowledged came before the start of
+        this process, and the incarnation is the time of that start.
         """
         return now - (self.leader_heard_at or self.incarnation / 1000)
 
     def authority_until(self, now: Seconds) -> Seconds:
-        """Return the time before which no other member can lead; 0 if not a leader."""
+        """Return the Unix time before which no other member can lead.
+
+        The result is 0 if this member is not the leader.
+        """
         if self.role is not Role.LEADER:
             return 0.0
         answered = [progress.answered_at for progress in self.member_progress]
@@ -200,20 +210,23 @@
 
 
 def count_majority(members: int) -> int:
-    """Return how many of so many members make a majority."""
+    """Return the number of members that form a majority."""
     return members // 2 + 1
 
 
 @singledispatch
 def step(message: Any, replica: Replica, now: Seconds) -> list[Effect]:
-    """Apply one message between members."""
-    raise TypeError(f"no step for {message!r}")
+    """Apply one message from another member."""
+    raise TypeError(f"unsupported message between members: {message!r}")
 
 
 def restore_replica(
     settings: Settings, incarnation: int, records: tuple[Any, ...]
 ) -> Replica:
-    """Build a member from its journal; without any ballot it is blank."""
+    """Build a member from the records of its journal.
+
+    A member whose journal has no ballot is blank.
+    """
     replica = Replica(settings, incarnation)
     for record in records:
         load(record, replica)
@@ -223,7 +236,7 @@
 @singledispatch
 def load(record: Any, replica: Replica) -> None:
     """Apply one record of the journal."""
-    raise TypeError(f"no member state in {record!r}")
+    raise TypeError(f"unsupported record of the configuration journal: {record!r}")
 
 
 @load.register
@@ -261,7 +274,7 @@
 
 
 def make_snapshot(replica: Replica) -> Snapshot:
-    """Collect the durable state of a member."""
+    """Return the durable state of a member."""
     return Snapshot(
         ballot=replica.ballot,
         commit=replica.commit,
@@ -275,14 +288,14 @@
 
 
 def put_entries(replica: Replica, entries: tuple[LogEntry, ...]) -> None:
-    """Put entries into the log in place of all entries from the first of them on."""
+    """Replace all log entries from the index of the first new entry on."""
     del replica.log[entries[0].index - replica.log_start - 1 :]
     replica.log.extend(entries)
 
 
 @dataclass(frozen=True, slots=True)
 class Applied:
-    """What `apply_committed` did.
+    """Result of `apply_committed`.
 
     Parameters
     ----------
@@ -297,7 +310,7 @@
 
 
 def apply_committed(replica: Replica) -> Applied:
-    """Apply what is committed."""
+    """Apply the committed entries that are not applied yet."""
     entries = replica.log[
         replica.catalogue.index - replica.log_start : replica.commit - replica.log_start
     ]
@@ -312,11 +325,12 @@
 
 
 def is_restored_by_leader(replica: Replica, after: int) -> bool:
-    """Tell whether a restart may forget that the entries after ``after`` are committed.
+    """Return whether the commit of the entries after ``after`` needs no journal record.
 
-    Durable jobs are read at a leader alone, which learns anew what is committed, and
-    the members are those of the newest entry. What an instance puts in force by itself
-    must not be older after its restart.
+    After a restart the member then does not know that these entries are committed.
+    Durable jobs are read only at a leader, which determines again what is committed,
+    and the members are those of the newest entry. A configuration that an instance puts
+    in force by itself must not be older after its restart, so its commit is recorded.
     """
     entries = replica.log[
         after - replica.log_start : replica.commit - replica.log_start
@@ -340,7 +354,7 @@
 
 
 def adopt_term(replica: Replica, term: int) -> list[Effect]:
-    """Follow a newer term without a vote in it."""
+    """Become a follower in a newer term, without a vote in that term."""
     if term <= replica.ballot.term:
         return []
     replica.ballot = replace(replica.ballot, term=term, voted_for=None)
@@ -349,7 +363,7 @@
 
 
 def follow(replica: Replica, leader: InstanceId | None) -> None:
-    """Become a follower of a leader, or of none that is known."""
+    """Become a follower of ``leader``, which is ``None`` if the leader is unknown."""
     replica.role = Role.FOLLOWER
     replica.leader = leader
     replica.votes_by_id = {}
@@ -364,12 +378,12 @@
     shortest: Seconds = ELECTION_MIN,
     longest: Seconds = ELECTION_MAX,
 ) -> None:
-    """Draw the time at which this member stands for election."""
+    """Choose a random time at which this member stands for election."""
     replica.election_at = now + replica.jitter.uniform(shortest, longest)
 
 
 def merge_fences(replica: Replica, fences_by_id: dict[InstanceId, int]) -> None:
-    """Stop counting what members said before they lost their disk."""
+    """Ignore what members voted and acknowledged before they lost their disk."""
     known = replica.ballot.fences_by_id
     newer = {i: at for i, at in fences_by_id.items() if at > known.get(i, 0)}
     if not newer:
@@ -384,5 +398,5 @@
 
 
 def is_fenced(replica: Replica, member: InstanceId, incarnation: int) -> bool:
-    """Tell whether a message comes from a process that has lost its disk since."""
+    """Return whether a message is from before its member lost its disk."""
     return incarnation < replica.ballot.fences_by_id.get(member, 0)
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -36,7 +36,7 @@
 
 
 def become_leader(replica: Replica, now: Seconds) -> list[Effect]:
-    """Lead the current term; its first entry commits those of earlier terms."""
+    """Lead the current term; its first entry also commits entries of earlier terms."""
     replica.role = Role.LEADER
     replica.leader = replica.id
     replica.proposers_by_command = {}
@@ -52,9 +52,9 @@
 ) -> list[Effect]:
     """Append commands to the leader's log and send them to the other members.
 
-    They are sent before they are synced here: the members sync them at the same time.
-    Effects are performed in order, so that nothing that follows from the leader's own
-    copy leaves before it is synced.
+    The entries are sent before they are synced on the leader, so that the members sync
+    them at the same time. Effects are performed in order, so that nothing that depends
+    on the leader's own copy is sent before this copy is synced.
     """
     term = replica.ballot.term
     first = replica.last_index + 1
@@ -68,8 +68,8 @@
 
 
 def check_leader(replica: Replica, now: Seconds) -> list[Effect]:
-    """Send heartbeats; step down when no majority answers any more."""
-    # As a voter it will tell the next leader until when this one led.
+    """Send heartbeats, or step down if a majority no longer answers."""
+    # As a voter this member later reports to the next leader until when it led.
     replica.leader_heard_at = now
     heard = [
         progress
@@ -89,7 +89,7 @@
 
 
 def hand_over(replica: Replica) -> list[Effect]:
-    """Ask the member that has most of the log to lead, because this one stops."""
+    """Ask the member with the longest synced log to lead; this instance stops."""
     if replica.role is not Role.LEADER or not replica.others:
         return []
     progress = replica.progress_by_id
@@ -194,7 +194,7 @@
         previous >= replica.log_start
         and replica.term_at(previous) != message.previous_term
     ):
-        # What is committed is equal everywhere, so that the leader can go on there.
+        # Committed entries are equal on all members, so the leader can continue there.
         index = replica.commit
         return [*effects, _make_reply(replica, message, False, index)]
     records: list[LogEntry | CommitIndex] = [*_take_entries(replica, message.entries)]
@@ -211,7 +211,10 @@
 def _take_entries(
     replica: Replica, entries: tuple[LogEntry, ...]
 ) -> tuple[LogEntry, ...]:
-    """Put in the entries that the log does not have and return them."""
+    """Add the entries that are missing in the log and return them.
+
+    The first missing entry replaces all entries of the log from its index on.
+    """
     for position, entry in enumerate(entries):
         if entry.index <= replica.log_start:
             continue
--- a/boragetide/policy/retries.py
+++ b/boragetide/policy/retries.py
@@ -1,4 +1,4 @@
-"""Which tasks may be started again, within a budget."""
+"""Decides which tasks may be started again, within a retry budget."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 BUDGET_SHARE = 0.1
 BUDGET_WINDOW: Seconds = 10.0
 
-# Allows retries in a pool that dispatches next to nothing, where 10% is less than one.
+# Allows retries in a pool with so few dispatches that 10% of them is less than one.
 BUDGET_FLOOR = 10
 MAX_ATTEMPTS = 4
 FIRST_BACKOFF: Seconds = 0.05
@@ -19,13 +19,13 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Dispatches and retries of the last window, counted by second."""
+    """Numbers of dispatches and retries in the last window, for each second."""
 
     counts: deque[tuple[int, int, int]] = field(default_factory=deque)
 
 
 def record(budget: RetryBudget, now: Seconds, dispatches: int, retries: int) -> None:
-    """Count dispatches and retries at this time."""
+    """Add dispatches and retries to the counts of the current second."""
     second = int(now)
     if budget.counts and budget.counts[-1][0] == second:
         _, known_dispatches, known_retries = budget.counts.pop()
@@ -37,7 +37,7 @@
 
 
 def has_budget(budget: RetryBudget, now: Seconds) -> bool:
-    """Tell whether one more retry is within the budget."""
+    """Return whether one more retry is within the budget."""
     recent = [count for count in budget.counts if count[0] > now - BUDGET_WINDOW - 1]
     dispatches = sum(count[1] for count in recent)
     retries = sum(count[2] for count in recent)
@@ -47,18 +47,18 @@
 def may_start_again(
     status: TaskStatus, attempts: int, idempotent: bool, overdue: bool
 ) -> bool:
-    """Tell whether a task with this outcome may be started again.
+    """Return whether a task with this outcome may be started again.
 
     Parameters
     ----------
     status
         Outcome of the last attempt. ``UNKNOWN`` means that its connection was lost.
     attempts
-        Starts so far.
+        Number of starts so far.
     idempotent
         Whether the task is a single request that may run more than once.
     overdue
-        Whether the attempt ran out of time; another one would come too late.
+        Whether the attempt timed out; another one would be too late.
     """
     if attempts >= MAX_ATTEMPTS or overdue:
         return False
@@ -68,5 +68,8 @@
 
 
 def backoff(attempts: int, jitter: random.Random) -> Seconds:
-    """Return the wait before the next attempt, doubled and jittered by attempt."""
+    """Return the jittered wait in seconds before the next attempt.
+
+    The wait doubles with each attempt.
+    """
     return FIRST_BACKOFF * 2 ** (attempts - 1) * jitter.uniform(0.5, 1.5)
--- a/boragetide/policy/routing.py
+++ b/boragetide/policy/routing.py
@@ -1,4 +1,4 @@
-"""Pure functions of ids: home availability zones and claim groups."""
+"""Home availability zones of job ids, and the claim groups of zones."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 def find_home_zone(job_id: JobId, settings: Settings) -> ZoneId:
     """Return the availability zone whose claim group decides the owner of an id.
 
-    An id ``zone:rest`` names its zone; any other id is placed by rendezvous hashing
+    An id ``zone:rest`` names its zone; any other id is mapped by rendezvous hashing
     over the configured availability zones (Thaler and Ravishankar, 1998).
     """
     prefix, separator, _ = job_id.partition(ZONE_SEPARATOR)
@@ -27,7 +27,7 @@
 def find_claim_group(zone: ZoneId, settings: Settings) -> tuple[InstanceId, ...]:
     """Return the acceptors of an availability zone, the preferred ones first.
 
-    A zone with fewer than three instances borrows acceptors from other zones, those
+    A zone with fewer than three instances also uses acceptors of other zones, those
     with a disk first, so that the loss of one instance leaves a quorum.
     """
     peers = settings.peers_by_id
--- a/boragetide/policy/scheduling.py
+++ b/boragetide/policy/scheduling.py
@@ -1,7 +1,8 @@
-"""Which task of the durable jobs goes next, and to which backend server.
+"""Ready tasks and time limits of durable jobs, and the choice of a backend server.
 
-Answers the load of the two sites: wide jobs of large tasks, of which two or three fill
-a backend server, in bursts of up to 1.8 times the usual rate.
+The rules are designed for the load of the two sites: jobs of many parallel large tasks,
+of which two or three fill a backend server, in bursts of up to 1.8 times the usual
+rate.
 """
 
 from __future__ import annotations
@@ -12,10 +13,10 @@
 from boragetide.durable import DurableJob, JobRecord, Resources, Step
 from boragetide.types import BackendServerId, Seconds
 
-# A job that ends within this many times its objective is still worth something to its
-# caller; the platform's pages count it as late up to there.
+# A job that ends within this many times its objective counts as late, but is still of
+# value to its caller.
 LATE_FACTOR = 3.0
-# Backend servers whose speeds differ by less count as equal.
+# Backend servers whose speeds differ by less than this count as equally fast.
 SPEED_STEP = 0.2
 
 
@@ -26,9 +27,9 @@
     Parameters
     ----------
     room
-        What is free.
+        Free resources.
     speed
-        Learned speed; 1 runs a task in its declared time.
+        Learned speed; a server of speed 1 runs a task in its declared time.
     """
 
     id: BackendServerId
@@ -47,26 +48,26 @@
 
 
 def objective(job: DurableJob) -> Seconds:
-    """Return the Unix time by which the job is to be done."""
+    """Return the Unix time by which a job should be done."""
     allowed = job.starts.stretch * longest_chain(job) + job.response_time
     return job.submitted_at + allowed
 
 
 def latest_start(job: DurableJob) -> Seconds:
-    """Return the Unix time at which a job must start to meet its objective."""
+    """Return the latest Unix time at which a job can start to meet its objective."""
     return objective(job) - longest_chain(job)
 
 
 def expires_at(job: DurableJob) -> Seconds:
-    """Return the Unix time at which a start is too late to be of use to the caller."""
+    """Return the Unix time after which a start is of no use to the caller."""
     allowed = LATE_FACTOR * (objective(job) - job.submitted_at)
     return job.submitted_at + allowed - longest_chain(job)
 
 
 def find_ready_tasks(record: JobRecord) -> list[tuple[int, Step]]:
-    """Return the tasks that are not done and depend on nothing unfinished.
+    """Return the tasks that are not done and whose dependencies are all done.
 
-    Each with its number through all steps.
+    Each task is a pair of its number, counted through all steps, and its step.
     """
     ready: list[tuple[int, Step]] = []
     first_by_step: list[int] = []
@@ -90,7 +91,7 @@
 
 
 def rank_speed(speed: float) -> int:
-    """Return the class of backend servers that are about as fast; higher is faster."""
+    """Return the speed class of a backend server; a higher class is faster."""
     return round(speed / SPEED_STEP)
 
 
@@ -102,17 +103,19 @@
 ) -> Candidate | None:
     """Return the backend server for one task of a step.
 
-    The first candidate that may take it, or the first of those near its data.
+    This is the first candidate near the data of the step that may take the task, or
+    else the first candidate that may take it.
 
     Parameters
     ----------
     candidates
-        In the order of `ServerIndex.iterate`.
+        Backend servers in the order of `ServerIndex.iterate`.
     counts_by_id
-        Tasks of this step that run on each backend server.
+        Number of tasks of this step that run on each backend server.
     slack
-        Seconds that the task may take longer than at speed 1 for its job to be in time;
-        a backend server that needs more is left out. ``None`` where it is late anyway.
+        Seconds by which the task may exceed its run time at speed 1 while its job is
+        still in time. A backend server that needs more is skipped. ``None`` if the job
+        is late in any case.
     """
     far = None
     for candidate in candidates:
@@ -141,7 +144,10 @@
 
 
 def can_ever_fit(job: DurableJob, capacities: Iterable[Resources]) -> bool:
-    """Tell whether each step fits one of the known backend servers when it is empty."""
+    """Return whether each step fits on a known backend server that is empty.
+
+    The result is true while no backend server is known.
+    """
     known = list(capacities)
     return not known or all(
         any(step.needs.fits_in(capacity) for capacity in known) for step in job.steps
--- a/boragetide/policy/server_index.py
+++ b/boragetide/policy/server_index.py
@@ -1,7 +1,7 @@
-"""Backend servers in the order in which tasks are offered to them.
+"""Index of the backend servers, in the order in which they are tried for a task.
 
-A decision looks at a few backend servers with room instead of all of them: 176 servers
-and 1,500 starts a second would otherwise take more than one core.
+A decision examines a few backend servers with free resources instead of all of them.
+Otherwise 176 servers and 1,500 starts a second would take more than one core.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Place:
-    """Where a backend server stands in the index."""
+    """Position of a backend server in the index."""
 
     pool: PoolName
     speed_rank: int
@@ -26,16 +26,16 @@
 
 @dataclass(slots=True)
 class ServerIndex:
-    """Backend servers of each pool by speed, then by the room that is left.
+    """Backend servers of each pool, by speed and then by their free cores.
 
     Parameters
     ----------
     servers_by_speed_by_pool
-        For each pool, from the fastest class of speeds to the slowest (the keys are
-        negative ranks), free thousandths of a core and id of each backend server with
-        any room.
+        For each pool and speed class, the free thousandths of a core and the id of each
+        backend server with any free cores. Classes are sorted from the fastest to the
+        slowest; the keys are their negative ranks.
     place_by_id
-        Where each of them stands.
+        Position of each of these backend servers.
     """
 
     servers_by_speed_by_pool: dict[PoolName, SortedDict] = field(default_factory=dict)
@@ -44,7 +44,7 @@
     def put(
         self, server: BackendServerId, pool: PoolName, speed: float, millicores: int
     ) -> None:
-        """Take over what is free on a backend server."""
+        """Insert a backend server, or update its position; remove it if it is full."""
         place = _Place(pool, rank_speed(speed), millicores)
         if self.place_by_id.get(server) == place:
             return
@@ -57,7 +57,7 @@
         servers.add((millicores, server))
 
     def remove(self, server: BackendServerId) -> None:
-        """Take a backend server out, if it is there."""
+        """Remove a backend server if it is in the index."""
         place = self.place_by_id.pop(server, None)
         if place is None:
             return
@@ -68,12 +68,15 @@
             del servers_by_speed[-place.speed_rank]
 
     def find_widest(self, pool: PoolName) -> int:
-        """Return the most room that any backend server of a pool has."""
+        """Return the largest number of free millicores on any server of a pool."""
         servers_by_speed = self.servers_by_speed_by_pool.get(pool, {})
         return max((servers[-1][0] for servers in servers_by_speed.values()), default=0)
 
     def iterate(self, pool: PoolName, millicores: int) -> Iterator[BackendServerId]:
-        """Yield those with so much room: the fastest first, then the fullest."""
+        """Yield the backend servers of a pool with at least ``millicores`` free.
+
+        The fastest come first, and the fullest first among equally fast ones.
+        """
         for servers in self.servers_by_speed_by_pool.get(pool, {}).values():
             if servers[-1][0] < millicores:
                 continue
--- a/boragetide/storage/journal.py
+++ b/boragetide/storage/journal.py
@@ -1,7 +1,7 @@
-"""Journals: synced records of one controller each, with snapshots and recovery.
+"""Journals of synced records, one for each controller, with snapshots and recovery.
 
-A record is its length, a CRC-32 of length and body, and the body: msgpack of the
-record's class name and its fields.
+A record consists of the length of its body, a CRC-32 of length and body, and the body,
+which is the msgpack encoding of the record's class name and its fields.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 
 _HEADER = struct.Struct("<II")  # length of the body, CRC-32
 _LENGTH = struct.Struct("<I")
-GROUP_REQUESTS = 64  # requests that share one sync at most
+GROUP_REQUESTS = 64  # maximum number of requests that share one sync
 
 _ENCODER = msgspec.msgpack.Encoder()
 _TAG_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
@@ -30,12 +30,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Recovered:
-    """What a journal held when it was opened.
+    """Content of a journal when it was opened.
 
     Parameters
     ----------
     records
-        All records before the torn tail, in order; none if the disk counts as lost.
+        All records before the torn tail, in order; empty if the disk counts as lost.
     lost
         Whether a record before the tail was corrupt, so that nothing can be trusted.
     """
@@ -62,17 +62,17 @@
 
 @dataclass(slots=True)
 class Journals:
-    """Mailbox of the task that owns the journals of all controllers."""
+    """Request queue of the task that owns the journals of all controllers."""
 
     journals_by_controller: dict[str, Journal]
     requests: asyncio.Queue[_Request] = field(default_factory=asyncio.Queue)
 
     def append(self, controller: str, records: tuple[Any, ...]) -> asyncio.Future[None]:
-        """Append records; the future ends when they are synced."""
+        """Append records; the future completes when they are synced."""
         return self._request(controller, records, replace=False)
 
     def save_snapshot(self, controller: str, record: Any) -> asyncio.Future[None]:
-        """Replace a journal by one record; the future ends when it is synced."""
+        """Replace a journal by one record; the future completes when it is synced."""
         return self._request(controller, (record,), replace=True)
 
     def _request(
@@ -93,13 +93,13 @@
 def open_journal(path: Path, types: Iterable[type]) -> tuple[Journal, Recovered]:
     """Open a journal and read its records.
 
-    A torn tail is cut off. A journal with a corrupt record before the tail is moved to
-    a file ending in ``.corrupt``, and a new one is begun.
+    A torn tail is truncated. A journal with a corrupt record before the tail is renamed
+    to a file ending in ``.corrupt``, and a new journal is started.
 
     Raises
     ------
     StorageError
-        If the files cannot be read or written.
+        If the files cannot be read or written, or if a record cannot be decoded.
     """
     try:
         path.parent.mkdir(parents=True, exist_ok=True)
@@ -113,13 +113,18 @@
         os.fsync(file)
         _sync_folder(path.parent)
     except OSError as error:
-        raise StorageError(f"journal {str(path)!r}: {error.strerror}") from error
+        raise StorageError(
+            f"journal {str(path)!r} cannot be opened: {error.strerror}"
+        ) from error
     records = tuple(_decode(body, path, types) for body in bodies or ())
     return Journal(path, file), Recovered(records, lost=bodies is None)
 
 
 def _split(data: bytes) -> tuple[list[bytes] | None, int]:
-    """Return the bodies and where they end; no bodies if one is corrupt."""
+    """Return the record bodies and the offset of their end.
+
+    The bodies are ``None`` if one of the records is corrupt.
+    """
     bodies = []
     offset = 0
     while offset < len(data):
@@ -144,11 +149,11 @@
 
 
 def _is_torn(data: bytes, offset: int) -> bool:
-    """Tell an incomplete last record from a corrupt one.
+    """Return whether an invalid record is an incomplete last one rather than corrupt.
 
-    A file system may lengthen a file before it writes the data, so that zeros up to
-    the end are a torn tail as well. A damaged length can make a record seem to reach
-    past the end: then whole records follow, which a torn tail never has.
+    A file system may extend a file before it writes the data, so zeros up to the end
+    are a torn tail as well. A damaged length can make a record appear to extend past
+    the end of the file. In this case whole records follow, which a torn tail never has.
     """
     if not any(data[offset:]):
         return True
@@ -167,7 +172,9 @@
         name, raw = _TAG_DECODER.decode(body)
         return msgspec.msgpack.decode(raw, type=types_by_name[name], dec_hook=restore)
     except (msgspec.DecodeError, KeyError) as error:
-        raise StorageError(f"journal {str(path)!r}: {error}") from error
+        raise StorageError(
+            f"journal {str(path)!r}: record cannot be decoded: {error}"
+        ) from error
 
 
 def _sync_folder(folder: Path) -> None:
@@ -179,13 +186,15 @@
 
 
 async def run_journals(journals: Journals) -> None:
-    """Own the files: write the waiting requests in groups and sync in a thread.
+    """Write the queued requests in groups, and sync each group in a thread.
+
+    Only this task writes to the journals.
 
     Raises
     ------
     StorageError
-        If a write fails. What the file then holds is not known, so that the process
-        must not go on.
+        If a write fails. The content of the file is then unknown, so the process must
+        not continue.
     """
     while True:
         group = [await journals.requests.get()]
@@ -216,14 +225,14 @@
 
 
 def append(journal: Journal, records: tuple[Any, ...]) -> None:
-    """Write records at the end of a journal, without syncing."""
+    """Write records at the end of a journal without syncing them."""
     data = memoryview(b"".join(encode_record(record) for record in records))
     while data:
         data = data[os.write(journal.file, data) :]
 
 
 def replace_journal(journal: Journal, records: tuple[Any, ...]) -> Journal:
-    """Put a new, synced file in the place of a journal."""
+    """Replace a journal by a new, synced file with these records."""
     new_path = journal.path.with_name(journal.path.name + ".new")
     new = Journal(
         journal.path,
