Rename internal names of policy and storage to terms of the field

Only names whose every use lies in these two folders. Figurative verbs give way to what the code does: forget becomes drop or decay, keep becomes retain, put_entries becomes truncate_and_append.

Fields are named after their content: next_fetch, recent_log_speed, reconnected_at_by_id, in_time_by_start, position_by_id. No name that leaves the process changes.

--- a/boragetide/policy/admission.py
+++ b/boragetide/policy/admission.py
@@ -12,13 +12,13 @@
 IDLE_SHARE = 0.1
 
 # Share of the admitted jobs that should meet their class target.
-MET_SHARE = 0.99
+TARGET_MET_SHARE = 0.99
 
 # Initial value, bounds and step of the margin, as shares of the class target. The
 # initial value lies between the bounds.
-FIRST_MARGIN = 0.25
-LEAST_MARGIN = 0.05
-LARGEST_MARGIN = 0.75
+INITIAL_MARGIN = 0.25
+MIN_MARGIN = 0.05
+MAX_MARGIN = 0.75
 MARGIN_STEP = 0.05
 
 
@@ -29,10 +29,10 @@
     Parameters
     ----------
     share
-        The `MET_SHARE` quantile of the excess, as a share of the class target.
+        The `TARGET_MET_SHARE` quantile of the excess, as a share of the class target.
     """
 
-    share: float = FIRST_MARGIN
+    share: float = INITIAL_MARGIN
 
 
 def observe_response(
@@ -51,8 +51,8 @@
         Response times in seconds.
     """
     exceeded = actual - predicted > margin.share * target.response_time
-    step = MARGIN_STEP * (MET_SHARE if exceeded else MET_SHARE - 1)
-    margin.share = min(max(margin.share + step, LEAST_MARGIN), LARGEST_MARGIN)
+    step = MARGIN_STEP * (TARGET_MET_SHARE if exceeded else TARGET_MET_SHARE - 1)
+    margin.share = min(max(margin.share + step, MIN_MARGIN), MAX_MARGIN)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -86,11 +86,13 @@
         catalogue.acceptors_by_id[command.instance] = command.incarnation
         return
     current = catalogue.configuration
-    if _is_overtaken(command, current):
+    if _is_superseded(command, current):
         outcome = Outcome(CommandStatus.ACCEPTED, current.version)
     elif proposal.expected_version in (None, current.version):
         version = current.version + 1
-        catalogue.configuration = replace(change(command, current), version=version)
+        catalogue.configuration = replace(
+            change_configuration(command, current), version=version
+        )
         catalogue.history.append(
             HistoryEntry(version, proposal.command_id, _summarize(command), accepted_at)
         )
@@ -98,7 +100,7 @@
     else:
         outcome = Outcome(CommandStatus.CONFLICT, current.version)
     catalogue.outcomes_by_id[proposal.command_id] = outcome
-    _forget_oldest(catalogue)
+    _drop_oldest(catalogue)
 
 
 def _summarize(command: Command) -> Command:
@@ -108,7 +110,7 @@
     return command
 
 
-def _is_overtaken(command: Command, current: Configuration) -> bool:
+def _is_superseded(command: Command, current: Configuration) -> bool:
     """Return whether a published configuration is no newer than the current one.
 
     The configuration with the highest revision stays in force.
@@ -119,7 +121,7 @@
     )
 
 
-def _forget_oldest(catalogue: Catalogue) -> None:
+def _drop_oldest(catalogue: Catalogue) -> None:
     del catalogue.history[:-RETAINED_HISTORY]
     surplus = len(catalogue.outcomes_by_id) - RETAINED_OUTCOMES
     for command_id in list(islice(catalogue.outcomes_by_id, max(surplus, 0))):
@@ -127,12 +129,14 @@
 
 
 @singledispatch
-def change(command: Command, configuration: Configuration) -> Configuration:
+def change_configuration(
+    command: Command, configuration: Configuration
+) -> Configuration:
     """Return the configuration that results from an operator command."""
     raise TypeError(f"unsupported operator command: {command!r}")
 
 
-@change.register
+@change_configuration.register
 def _(command: SetClass, configuration: Configuration) -> Configuration:
     target = ClassTarget(
         command.name, command.response_time, command.busy_share, command.durable
@@ -141,17 +145,17 @@
     return replace(configuration, classes_by_name=classes)
 
 
-@change.register
+@change_configuration.register
 def _(command: DrainBackendServer, configuration: Configuration) -> Configuration:
     return replace(configuration, drained=configuration.drained | {command.id})
 
 
-@change.register
+@change_configuration.register
 def _(command: ReturnBackendServer, configuration: Configuration) -> Configuration:
     return replace(configuration, drained=configuration.drained - {command.id})
 
 
-@change.register
+@change_configuration.register
 def _(command: PublishConfiguration, configuration: Configuration) -> Configuration:
     return replace(
         configuration,
--- a/boragetide/policy/catch_up.py
+++ b/boragetide/policy/catch_up.py
@@ -19,8 +19,8 @@
     FIRST_ELECTION_MIN,
     Replica,
     Role,
-    count_majority,
-    load,
+    apply_record,
+    majority_size,
     make_snapshot,
     merge_fences,
     restore_replica,
@@ -59,79 +59,83 @@
     return contacts - {replica.id}
 
 
-def _list_members(replica: Replica, held: Snapshot) -> tuple[InstanceId, ...]:
+def _list_members(replica: Replica, snapshot: Snapshot) -> tuple[InstanceId, ...]:
     """Return the members according to the durable state of another member."""
-    return restore_replica(replica.settings, replica.incarnation, (held,)).members
+    return restore_replica(replica.settings, replica.incarnation, (snapshot,)).members
 
 
 def _try_to_join(replica: Replica, now: Seconds) -> list[Effect]:
     answers = replica.catch_up_by_id.values()
-    held_by_id = {a.sender: a.held for a in answers if a.held is not None}
+    snapshots_by_id = {a.sender: a.held for a in answers if a.held is not None}
     founders = replica.settings.first_members
-    blank = {
+    blank_by_id = {
         answer.sender: answer.sender_incarnation
         for answer in answers
         if answer.held is None and answer.sender in founders
     }
-    blank[replica.id] = replica.incarnation
+    blank_by_id[replica.id] = replica.incarnation
     if any(
         state.ballot.founders_by_id.get(replica.id) == replica.incarnation
-        for state in held_by_id.values()
+        for state in snapshots_by_id.values()
     ):
-        return _found(replica, now, blank)
-    if held_by_id:
-        return _try_to_adopt(replica, now, held_by_id)
+        return _found_group(replica, now, blank_by_id)
+    if snapshots_by_id:
+        return _try_to_adopt(replica, now, snapshots_by_id)
     if not replica.settings.may_found or replica.id not in founders:
         return []
     waited = now - (replica.started_at or now) >= FOUNDING_WAIT
-    needed = count_majority(len(founders)) if waited else len(founders)
-    return _found(replica, now, blank) if len(blank) >= needed else []
+    needed = majority_size(len(founders)) if waited else len(founders)
+    return _found_group(replica, now, blank_by_id) if len(blank_by_id) >= needed else []
 
 
 def _try_to_adopt(
-    replica: Replica, now: Seconds, held_by_id: dict[InstanceId, Snapshot]
+    replica: Replica, now: Seconds, snapshots_by_id: dict[InstanceId, Snapshot]
 ) -> list[Effect]:
-    members = _list_members(replica, max(held_by_id.values(), key=_rank_log))
-    held = [state for id_, state in held_by_id.items() if id_ in members]
+    members = _list_members(
+        replica, max(snapshots_by_id.values(), key=_last_log_position)
+    )
+    snapshots = [state for id_, state in snapshots_by_id.items() if id_ in members]
     # Any majority that included this member shares a member with this many others.
-    if len(held) < len(members) - count_majority(len(members)) + 1:
+    if len(snapshots) < len(members) - majority_size(len(members)) + 1:
         return []
-    return _adopt(replica, now, held)
+    return _adopt_state(replica, now, snapshots)
 
 
-def _found(
+def _found_group(
     replica: Replica, now: Seconds, founders_by_id: dict[str, int]
 ) -> list[Effect]:
     replica.ballot = Ballot(founders_by_id=founders_by_id)
-    _take_part(replica, now)
+    _finish_catch_up(replica, now)
     return [Persist((replica.ballot,))]
 
 
-def _adopt(replica: Replica, now: Seconds, held: list[Snapshot]) -> list[Effect]:
-    best = max(held, key=_rank_log)
+def _adopt_state(
+    replica: Replica, now: Seconds, snapshots: list[Snapshot]
+) -> list[Effect]:
+    best = max(snapshots, key=_last_log_position)
     fetched = replica.fetched
-    load(best, replica)
+    apply_record(best, replica)
     replica.fetched = fetched
     # This member may have voted in the newest term before it lost its disk. Recording
     # a vote for itself prevents a second vote in that term.
-    term = max(state.ballot.term for state in held)
+    term = max(state.ballot.term for state in snapshots)
     replica.ballot = Ballot(term, replica.id)
-    for state in held:
+    for state in snapshots:
         merge_fences(replica, state.ballot.fences_by_id)
-    replica.commit = max(state.commit for state in held)
+    replica.commit = max(state.commit for state in snapshots)
     replica.floor = replica.last_index
-    _take_part(replica, now)
+    _finish_catch_up(replica, now)
     caught_up = LogEvent("disk_caught_up", {"index": replica.last_index})
     return [SaveSnapshot(make_snapshot(replica)), caught_up]
 
 
-def _rank_log(state: Snapshot) -> tuple[int, int]:
+def _last_log_position(state: Snapshot) -> tuple[int, int]:
     if state.entries:
         return state.entries[-1].term, state.entries[-1].index
     return state.log_start_term, state.log_start
 
 
-def _take_part(replica: Replica, now: Seconds) -> None:
+def _finish_catch_up(replica: Replica, now: Seconds) -> None:
     replica.role = Role.FOLLOWER
     replica.catch_up_by_id = {}
     schedule_election(replica, now, FIRST_ELECTION_MIN, FIRST_ELECTION_MAX)
--- a/boragetide/policy/claiming.py
+++ b/boragetide/policy/claiming.py
@@ -10,7 +10,7 @@
 from boragetide.types import MAX_CLOCK_SKEW, Claim, InstanceId, Seconds
 
 # Longest time from a submission to a grant for it.
-ASKING_LIMIT: Seconds = 10.0
+GRANT_TIMEOUT: Seconds = 10.0
 
 Replies: TypeAlias = Mapping[InstanceId, ClaimReply | None]
 
@@ -48,7 +48,7 @@
 Step: TypeAlias = AskAcceptor | AskOwner | Decided | Undecided
 
 
-def quorum_of(group: tuple[InstanceId, ...]) -> int:
+def quorum_size(group: tuple[InstanceId, ...]) -> int:
     """Return the size of a majority of a claim group."""
     return len(group) // 2 + 1
 
@@ -79,8 +79,8 @@
     dead
         Acceptors that count as lost; they are asked last.
     """
-    quorum = quorum_of(group)
-    held = _select_most_named(replies_by_acceptor)
+    quorum = quorum_size(group)
+    held = _select_most_common_claims(replies_by_acceptor)
     if len(held) >= quorum:
         claim = min(held, key=lambda claim: claim.claimed_at)
         return Decided(claim, len(replies_by_acceptor))
@@ -90,8 +90,8 @@
     if len(held) + len(waiting) < quorum:
         return Undecided(f"{len(held)} of {quorum} acceptors hold the same claim")
     owner = candidate.owner
-    completes = len(held) + 1 == quorum and owner != entry
-    if completes and owner in waiting and owner not in dead:
+    completes_quorum = len(held) + 1 == quorum and owner != entry
+    if completes_quorum and owner in waiting and owner not in dead:
         return AskOwner(candidate)
     return AskAcceptor(waiting[0], candidate)
 
@@ -113,19 +113,19 @@
     )
 
 
-def _select_most_named(replies_by_acceptor: Replies) -> list[Claim]:
+def _select_most_common_claims(replies_by_acceptor: Replies) -> list[Claim]:
     """Return the claims for the owner that most acceptors name."""
     claims_by_owner: dict[tuple[InstanceId, int], list[Claim]] = {}
     for acceptor, reply in replies_by_acceptor.items():
         if reply is None or reply.claim is None:
             continue
-        if not is_forgotten(acceptor, reply, replies_by_acceptor):
+        if not has_restarted_since(acceptor, reply, replies_by_acceptor):
             owner = (reply.claim.owner, reply.claim.owner_incarnation)
             claims_by_owner.setdefault(owner, []).append(reply.claim)
     return max(claims_by_owner.values(), key=len, default=[])
 
 
-def is_forgotten(
+def has_restarted_since(
     acceptor: InstanceId, reply: ClaimReply, replies_by_acceptor: Replies
 ) -> bool:
     """Return whether an acceptor has restarted since its reply.
@@ -144,21 +144,21 @@
     group: tuple[InstanceId, ...], replies_by_acceptor: Replies
 ) -> bool:
     """Return whether a quorum of complete acceptors holds no claim on an id."""
-    without = [
+    unclaimed = [
         acceptor
         for acceptor, reply in replies_by_acceptor.items()
         if reply is not None
         and reply.status is ClaimStatus.NOT_HELD
-        and not is_forgotten(acceptor, reply, replies_by_acceptor)
+        and not has_restarted_since(acceptor, reply, replies_by_acceptor)
     ]
-    return len(without) >= quorum_of(group)
+    return len(unclaimed) >= quorum_size(group)
 
 
 def claim_lifetime(window: Seconds) -> Seconds:
     """Return for how many seconds after ``claimed_at`` an acceptor holds a claim.
 
     A resubmission at the end of the resubmission window may reach the acceptor
-    `ASKING_LIMIT` later, and the clocks of both claimants may differ from the
+    `GRANT_TIMEOUT` later, and the clocks of both claimants may differ from the
     acceptor's by `MAX_CLOCK_SKEW` each.
 
     Parameters
@@ -166,7 +166,7 @@
     window
         Resubmission window in seconds.
     """
-    return window + ASKING_LIMIT + 2 * MAX_CLOCK_SKEW
+    return window + GRANT_TIMEOUT + 2 * MAX_CLOCK_SKEW
 
 
 def is_expired(claim: Claim, window: Seconds, now: Seconds) -> bool:
@@ -187,4 +187,4 @@
         Unix time at which the submission arrived, by the clock of the instance that
         received it.
     """
-    return now >= claim.claimed_at + window or now > asked_at + ASKING_LIMIT
+    return now >= claim.claimed_at + window or now > asked_at + GRANT_TIMEOUT
--- a/boragetide/policy/distribution.py
+++ b/boragetide/policy/distribution.py
@@ -25,7 +25,7 @@
         ``None`` until there is one; after that its version never decreases.
     offers_by_id
         Configurations offered by peers since the last one was put in force.
-    fetch_at
+    next_fetch
         Earliest time of the next request to a peer.
     started_at
         Time at which this instance first looked for a configuration.
@@ -34,7 +34,7 @@
     settings: Settings
     in_force: Configuration | None = None
     offers_by_id: dict[InstanceId, Configuration] = field(default_factory=dict)
-    fetch_at: Seconds = 0.0
+    next_fetch: Seconds = 0.0
     started_at: Seconds | None = None
 
     @property
@@ -65,9 +65,9 @@
     """Request the configuration of all peers while none is in force here."""
     if state.started_at is None:
         state.started_at = now
-    if state.in_force is not None or now < state.fetch_at:
+    if state.in_force is not None or now < state.next_fetch:
         return []
-    state.fetch_at = now + FETCH_INTERVAL
+    state.next_fetch = now + FETCH_INTERVAL
     request = RequestConfiguration(state.settings.id)
     return [
         Send(Address(peer, "configuration"), request)
@@ -80,9 +80,9 @@
     state: Distribution, peer: InstanceId, version: int, now: Seconds
 ) -> list[Effect]:
     """Request the configuration of a peer that reports a newer version."""
-    if state.in_force is None or version <= state.version or now < state.fetch_at:
+    if state.in_force is None or version <= state.version or now < state.next_fetch:
         return []
-    state.fetch_at = now + FETCH_INTERVAL
+    state.next_fetch = now + FETCH_INTERVAL
     request = RequestConfiguration(state.settings.id)
     return [Send(Address(peer, "configuration"), request)]
 
--- a/boragetide/policy/ejection.py
+++ b/boragetide/policy/ejection.py
@@ -15,8 +15,8 @@
 
 BROKEN_FAILURE_RATE = 0.9
 EXPECTED_FAILURE_RATE = 0.02
-EXPECTED_WEIGHT = 5.0
-FORGET_AFTER: Seconds = 30.0
+PRIOR_WEIGHT = 5.0
+TALLY_DECAY_TIME: Seconds = 30.0
 
 # Three failures in a row reach this evidence, and so do two fast ones. A healthy server
 # that fails 2% of its tasks has three failures in a row once in 125,000 tasks.
@@ -25,8 +25,8 @@
 FAST_WEIGHT = 1.5
 MAX_EJECTED_SHARE = 0.5
 
-FIRST_PROBE: Seconds = 1.0
-LAST_PROBE: Seconds = 30.0
+FIRST_PROBE_DELAY: Seconds = 1.0
+MAX_PROBE_DELAY: Seconds = 30.0
 PROBE_JITTER = 0.2
 
 UNLIMITED = 1 << 30
@@ -96,8 +96,8 @@
         Unix time in seconds.
     """
     own = health.tallies_by_class.setdefault(class_name, Tally())
-    _forget(own, now)
-    _forget(pool, now)
+    _decay_tally(own, now)
+    _decay_tally(pool, now)
     rate = _failure_rate_elsewhere(pool, own)
     if failed:
         evidence = math.log(BROKEN_FAILURE_RATE / rate)
@@ -110,10 +110,10 @@
         tally.failed += failed
 
 
-def _forget(tally: Tally, now: Seconds) -> None:
-    share = math.exp((tally.updated_at - now) / FORGET_AFTER)
-    tally.ended *= share
-    tally.failed *= share
+def _decay_tally(tally: Tally, now: Seconds) -> None:
+    factor = math.exp((tally.updated_at - now) / TALLY_DECAY_TIME)
+    tally.ended *= factor
+    tally.failed *= factor
     tally.updated_at = now
 
 
@@ -121,8 +121,8 @@
     """Return the failure rate of a class on the other servers, with a prior."""
     failed = max(pool.failed - own.failed, 0.0)
     ended = max(pool.ended - own.ended, failed)
-    prior = EXPECTED_FAILURE_RATE * EXPECTED_WEIGHT
-    rate = (failed + prior) / (ended + EXPECTED_WEIGHT)
+    prior = EXPECTED_FAILURE_RATE * PRIOR_WEIGHT
+    rate = (failed + prior) / (ended + PRIOR_WEIGHT)
     return min(max(rate, EXPECTED_FAILURE_RATE), BROKEN_FAILURE_RATE)
 
 
@@ -143,7 +143,7 @@
 
 def eject(health: ServerHealth, now: Seconds, jitter: random.Random) -> None:
     """Eject a server until its next probe; the wait doubles with each ejection."""
-    wait = min(FIRST_PROBE * 2**health.ejections, LAST_PROBE)
+    wait = min(FIRST_PROBE_DELAY * 2**health.ejections, MAX_PROBE_DELAY)
     spread = jitter.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
     health.limit = 0
     health.evidence = 0.0
--- a/boragetide/policy/elections.py
+++ b/boragetide/policy/elections.py
@@ -9,7 +9,7 @@
 
 from boragetide.effects import Effect, Persist, Send
 from boragetide.messages import RequestVote, StandForElection, VoteReply
-from boragetide.policy.member_changes import ask_to_join, note_learner
+from boragetide.policy.member_changes import ask_to_join, register_learner
 from boragetide.policy.replica import (
     AUTHORITY,
     ELECTION_MIN,
@@ -91,17 +91,17 @@
     effects = replica.links.check(message.candidate, now, message.waits)
     # The candidate may be a member that was replaced while it was unreachable and does
     # not know this yet. It is then replicated to as a learner.
-    effects += note_learner(replica, message.candidate, now)
+    effects += register_learner(replica, message.candidate, now)
     return effects + _vote(message, replica, now)
 
 
 def _vote(message: RequestVote, replica: Replica, now: Seconds) -> list[Effect]:
     if message.preliminary:
-        led = replica.role is Role.LEADER or (
+        has_leader = replica.role is Role.LEADER or (
             now - replica.leader_heard_at < ELECTION_MIN
         )
         granted = (
-            not led
+            not has_leader
             and message.term > replica.ballot.term
             and _is_up_to_date(message, replica)
         )
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -24,7 +24,7 @@
 # only.
 SIZE_DELAY: Seconds = 0.05
 # Weight of a new job in the moving mean of the work of its class.
-MEAN_LEARNING = 0.02
+MEAN_WORK_GAIN = 0.02
 
 
 @dataclass(slots=True)
@@ -53,7 +53,7 @@
 
     Parameters
     ----------
-    in_time, turning_late
+    in_time, in_time_by_start
         Jobs that can still be in time, sorted by rank and by latest start.
     late, expired
         Jobs that are late, and jobs whose result is by now of little use to their
@@ -65,7 +65,7 @@
 
     waiting_by_id: dict[JobId, WaitingJob] = field(default_factory=dict)
     in_time: SortedList = field(default_factory=SortedList)
-    turning_late: SortedList = field(default_factory=SortedList)
+    in_time_by_start: SortedList = field(default_factory=SortedList)
     late: SortedList = field(default_factory=SortedList)
     expired: SortedList = field(default_factory=SortedList)
     mean_work_by_class: dict[ClassName, float] = field(default_factory=dict)
@@ -76,23 +76,23 @@
         if waiting is not None:
             waiting.tasks = tasks
             if not tasks:
-                self._take(waiting)
+                self._discard(waiting)
             return
         if not tasks:
             return
         waiting = WaitingJob(
             job=job,
             tasks=tasks,
-            rank=latest_start(job) + SIZE_DELAY * self._compare_work(job),
+            rank=latest_start(job) + SIZE_DELAY * self._relative_work(job),
             latest_start=latest_start(job),
             expires_at=expires_at(job),
             narrowest=min(step.needs.millicores for step in job.steps),
         )
         self.waiting_by_id[job.id] = waiting
         self.in_time.add((waiting.rank, job.id))
-        self.turning_late.add((waiting.latest_start, job.id))
+        self.in_time_by_start.add((waiting.latest_start, job.id))
 
-    def _compare_work(self, job: DurableJob) -> float:
+    def _relative_work(self, job: DurableJob) -> float:
         """Update the mean work of a class, and return the work of a job relative to it.
 
         The work is the declared one.
@@ -101,7 +101,7 @@
             step.count * step.estimate * step.needs.millicores for step in job.steps
         )
         mean = self.mean_work_by_class.get(job.class_name, work)
-        mean += MEAN_LEARNING * (work - mean)
+        mean += MEAN_WORK_GAIN * (work - mean)
         self.mean_work_by_class[job.class_name] = mean
         return work / mean if mean > 0 else 1.0
 
@@ -109,33 +109,33 @@
         """Remove a job if it is queued."""
         waiting = self.waiting_by_id.get(job_id)
         if waiting is not None:
-            self._take(waiting)
+            self._discard(waiting)
 
     def clear(self) -> None:
         """Remove all jobs."""
         self.waiting_by_id.clear()
-        for jobs in (self.in_time, self.turning_late, self.late, self.expired):
+        for jobs in (self.in_time, self.in_time_by_start, self.late, self.expired):
             jobs.clear()
 
     def iterate(self, now: Seconds) -> Iterator[WaitingJob]:
         """Yield the jobs to consider now, in scheduling order."""
-        self._sort(now)
-        looked = 0
+        self._update_lateness(now)
+        examined = 0
         for jobs in (self.in_time, self.late, self.expired):
-            for _, job_id in list(jobs.islice(0, LOOK_AHEAD - looked)):
-                looked += 1
+            for _, job_id in list(jobs.islice(0, LOOK_AHEAD - examined)):
+                examined += 1
                 waiting = self.waiting_by_id.get(job_id)
                 if waiting is not None:
                     yield waiting
 
     def list_expired(self, now: Seconds) -> list[WaitingJob]:
         """Return the jobs that are too late to be of use; they stay queued."""
-        self._sort(now)
+        self._update_lateness(now)
         return [self.waiting_by_id[job_id] for _, job_id in self.expired]
 
-    def _sort(self, now: Seconds) -> None:
-        while self.turning_late and self.turning_late[0][0] < now:
-            entry = self.turning_late.pop(0)
+    def _update_lateness(self, now: Seconds) -> None:
+        while self.in_time_by_start and self.in_time_by_start[0][0] < now:
+            entry = self.in_time_by_start.pop(0)
             self.in_time.remove((self.waiting_by_id[entry[1]].rank, entry[1]))
             self.late.add(entry)
         while self.late and self._is_expired(self.late[0][1], now):
@@ -144,9 +144,9 @@
     def _is_expired(self, job_id: JobId, now: Seconds) -> bool:
         return self.waiting_by_id[job_id].expires_at < now
 
-    def _take(self, waiting: WaitingJob) -> None:
+    def _discard(self, waiting: WaitingJob) -> None:
         job_id = waiting.job.id
         del self.waiting_by_id[job_id]
         self.in_time.discard((waiting.rank, job_id))
-        for jobs in (self.turning_late, self.late, self.expired):
+        for jobs in (self.in_time_by_start, self.late, self.expired):
             jobs.discard((waiting.latest_start, job_id))
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -85,15 +85,15 @@
 
 def forget_ended(jobs_by_id: dict[JobId, JobRecord], now: Seconds) -> None:
     """Drop jobs whose retention time has passed; the oldest jobs come first."""
-    forgotten = []
+    expired = []
     for job_id, record in jobs_by_id.items():
         best_effort = record.job.best_effort
         retention = BEST_EFFORT_RETENTION if best_effort else RETENTION
         if now - record.job.submitted_at <= retention:
             break
         if record.phase is not JobPhase.ACTIVE and now - record.changed_at > retention:
-            forgotten.append(job_id)
-    for job_id in forgotten:
+            expired.append(job_id)
+    for job_id in expired:
         del jobs_by_id[job_id]
 
 
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -20,7 +20,7 @@
 
 # The dispatcher is notified only of extensions of its authority by at least this much,
 # a quarter of `AUTHORITY`.
-AUTHORITY_STEP = 0.1  # seconds
+MIN_AUTHORITY_EXTENSION = 0.1  # seconds
 # An instance without a log that has sent no request for this long gets no more notices.
 FOLLOWER_SILENCE = 3.0  # seconds
 
@@ -76,7 +76,7 @@
     if term and applied.proposals:
         command_ids = tuple(proposal.command_id for proposal in applied.proposals)
         effects.append(Send(to, JobsCommitted(command_ids, applied.jobs)))
-    if term and until >= state.announced_until + AUTHORITY_STEP:
+    if term and until >= state.announced_until + MIN_AUTHORITY_EXTENSION:
         state.announced_until = until
         effects.append(Send(to, AuthorityExtended(until)))
     return effects
--- a/boragetide/policy/learning.py
+++ b/boragetide/policy/learning.py
@@ -122,24 +122,24 @@
     ----------
     log_speed
         Slowly moving mean of the logarithm over all classes.
-    recent
+    recent_log_speed
         Quickly moving mean, which serves to detect a change.
     offsets_by_class
         Mean deviation of a class from ``log_speed``, and the number of its samples.
     """
 
     log_speed: float = 0.0
-    recent: float = 0.0
+    recent_log_speed: float = 0.0
     samples: int = 0
     offsets_by_class: dict[ClassName, tuple[float, int]] = field(default_factory=dict)
 
 
 def predict_speed(model: SpeedModel, class_name: ClassName) -> float:
     """Return the expected speed of a backend server for a class."""
-    return math.exp(model.log_speed + _offset(model, class_name))
+    return math.exp(model.log_speed + _class_offset(model, class_name))
 
 
-def _offset(model: SpeedModel, class_name: ClassName) -> float:
+def _class_offset(model: SpeedModel, class_name: ClassName) -> float:
     offset, samples = model.offsets_by_class.get(class_name, (0.0, 0))
     return offset * samples / (samples + CLASS_SAMPLES)
 
@@ -179,19 +179,21 @@
         gain = max(1 / (samples + 1), SPEED_GAIN)
         offset += gain * (error - offset)
         model.offsets_by_class[class_name] = (offset, samples + 1)
-        model.recent += RECENT_GAIN * (model.log_speed + error - model.recent)
+        model.recent_log_speed += RECENT_GAIN * (
+            model.log_speed + error - model.recent_log_speed
+        )
         model.log_speed += max(1 / (model.samples + 1), SPEED_GAIN) * error
     else:
         change = error - _clip(earlier - model.log_speed, MAX_LOG_ERROR)
-        model.recent += RECENT_GAIN * change
+        model.recent_log_speed += RECENT_GAIN * change
         model.log_speed += max(1 / (model.samples + 1), SPEED_GAIN) * change
     if model.samples < PRIOR_SAMPLES:
-        model.recent = model.log_speed
+        model.recent_log_speed = model.log_speed
         return False
     limit = CHANGE_DEVIATIONS * _RECENT_DEVIATION * math.sqrt(max(variance, 0.04))
-    if abs(model.recent - model.log_speed) <= limit:
+    if abs(model.recent_log_speed - model.log_speed) <= limit:
         return False
-    model.log_speed = model.recent
+    model.log_speed = model.recent_log_speed
     model.samples = PRIOR_SAMPLES // 2
     model.offsets_by_class.clear()
     return True
@@ -213,7 +215,7 @@
         return False
     for model in known:
         model.log_speed -= mean
-        model.recent -= mean
+        model.recent_log_speed -= mean
     for size in sizes:
         size.mean_size -= mean
         size.undeclared_mean -= mean if size.undeclared_samples else 0.0
--- a/boragetide/policy/link_health.py
+++ b/boragetide/policy/link_health.py
@@ -25,12 +25,12 @@
     ----------
     waiting_since_by_id
         Time of the first message to a peer that has not been answered.
-    dialled_at_by_id
+    reconnected_at_by_id
         Time at which the link to a peer was last replaced.
     """
 
     waiting_since_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
-    dialled_at_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
+    reconnected_at_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
 
     def note_sent(self, peer: InstanceId, now: Seconds) -> Seconds:
         """Record a sent message and return for how many seconds an answer is due."""
@@ -54,8 +54,8 @@
         silence = max(own_wait, peer_waits)
         if silence <= LINK_SILENCE:
             return []
-        if now - self.dialled_at_by_id.get(peer, 0.0) <= LINK_SILENCE:
+        if now - self.reconnected_at_by_id.get(peer, 0.0) <= LINK_SILENCE:
             return []
-        self.dialled_at_by_id[peer] = now
+        self.reconnected_at_by_id[peer] = now
         fields = {"peer": peer, "own_wait": own_wait, "peer_waits": peer_waits}
         return [LogEvent("link_silent", fields), Reconnect(peer)]
--- a/boragetide/policy/member_changes.py
+++ b/boragetide/policy/member_changes.py
@@ -41,10 +41,10 @@
 
 @step.register
 def _(message: JoinRequest, replica: Replica, now: Seconds) -> list[Effect]:
-    return note_learner(replica, message.sender, now, message.forwarded)
+    return register_learner(replica, message.sender, now, message.forwarded)
 
 
-def note_learner(
+def register_learner(
     replica: Replica, learner: InstanceId, now: Seconds, forwarded: bool = False
 ) -> list[Effect]:
     """Replicate to an instance that is no member, or forward it to the leader."""
@@ -58,13 +58,13 @@
         return [LogEvent("learner_found", {"learner": learner})]
     if forwarded or replica.leader in (None, replica.id):
         return []
-    onward = JoinRequest(learner, forwarded=True)
-    return [Send(Address(replica.leader, "configuration"), onward)]
+    request = JoinRequest(learner, forwarded=True)
+    return [Send(Address(replica.leader, "configuration"), request)]
 
 
 def review_members(replica: Replica, now: Seconds) -> list[Effect]:
     """Propose the next change of the members if one is due; for the leader only."""
-    _forget_learners(replica, now)
+    _drop_silent_learners(replica, now)
     if not replica.settings.member_count or _is_change_pending(replica):
         return []
     silent = [
@@ -86,7 +86,7 @@
     command_id = f"members {replica.ballot.term}:{replica.last_index + 1}"
     proposal = Proposal(command_id, ChangeMembers(members))
     effects = append_proposals(replica, (proposal,), now)
-    _follow_members(replica, now)
+    _track_progress(replica, now)
     fields = {"before": before, "after": members, "silent": silent}
     return [LogEvent("members_changed", fields), *effects]
 
@@ -135,25 +135,25 @@
     return any(entry.changes_members for entry in uncommitted)
 
 
-def _follow_members(replica: Replica, now: Seconds) -> None:
+def _track_progress(replica: Replica, now: Seconds) -> None:
     """Track the progress of the members and learners, and of no other instance."""
     for member in replica.others:
         replica.learners_by_id.pop(member, None)
         replica.progress_by_id.setdefault(member, Progress(replica.last_index + 1, now))
-    _keep(replica.progress_by_id, {*replica.others, *replica.learners_by_id})
+    _retain_only(replica.progress_by_id, {*replica.others, *replica.learners_by_id})
 
 
-def _forget_learners(replica: Replica, now: Seconds) -> None:
-    fresh = {
+def _drop_silent_learners(replica: Replica, now: Seconds) -> None:
+    active = {
         learner
         for learner, asked_at in replica.learners_by_id.items()
         if now - asked_at <= LEARNER_SILENCE
     }
-    if len(fresh) < len(replica.learners_by_id):
-        _keep(replica.learners_by_id, fresh)
-        _keep(replica.progress_by_id, {*replica.others, *fresh})
+    if len(active) < len(replica.learners_by_id):
+        _retain_only(replica.learners_by_id, active)
+        _retain_only(replica.progress_by_id, {*replica.others, *active})
 
 
-def _keep(by_id: Mapping[InstanceId, Any], kept: set[InstanceId]) -> None:
+def _retain_only(by_id: Mapping[InstanceId, Any], kept: set[InstanceId]) -> None:
     for instance in by_id.keys() - kept:
         del by_id[instance]
--- a/boragetide/policy/membership.py
+++ b/boragetide/policy/membership.py
@@ -52,8 +52,8 @@
     The instance that has been in service longest keeps the role, so that a restarted,
     resumed or reconnected instance does not take it back.
     """
-    able = (c for c in candidates if c.zone == zone and not c.stopping)
-    return min(able, key=lambda c: (c.in_service_since, c.id), default=None)
+    eligible = (c for c in candidates if c.zone == zone and not c.stopping)
+    return min(eligible, key=lambda c: (c.in_service_since, c.id), default=None)
 
 
 def choose_placer(
@@ -70,5 +70,5 @@
         return placer
     zones = {candidate.zone for candidate in candidates}
     placers = (find_placer(other, candidates) for other in zones)
-    able = [c for c in placers if c is not None and c.backend_servers > 0]
-    return max(able, key=lambda c: (c.backend_servers, c.id), default=placer)
+    eligible = [c for c in placers if c is not None and c.backend_servers > 0]
+    return max(eligible, key=lambda c: (c.backend_servers, c.id), default=placer)
--- a/boragetide/policy/placement.py
+++ b/boragetide/policy/placement.py
@@ -10,11 +10,11 @@
 # A task waits for a faster server only if it is expected to end there within this share
 # of the time that it needs on a free one. The margin is needed because the expected
 # ends of running tasks are uncertain.
-HOLD_SHARE = 0.85
+MAX_FINISH_SHARE = 0.85
 
 # If many tasks already wait for faster servers, a slow server still takes a task that
 # ends within this many times the time in which the pool drains the queue.
-DRAIN_SHARE = 2.0
+DRAIN_FACTOR = 2.0
 
 # A running task that is past its expected end is expected to run on for this share of
 # the time that it has run so far.
@@ -67,7 +67,7 @@
         Expected releases, the earliest first. Claimed ones are reserved for tasks that
         come earlier in the order.
     """
-    best, best_finish = None, HOLD_SHARE * size / speed
+    best, best_finish = None, MAX_FINISH_SHARE * size / speed
     for release in releases:
         if release.wait >= best_finish:
             break
@@ -79,10 +79,10 @@
     return best
 
 
-def is_worth_starting(size: Seconds, speed: float, drain: Seconds) -> bool:
+def is_worth_starting(size: Seconds, speed: float, drain_time: Seconds) -> bool:
     """Return whether a slow server ends a task in time compared with the queue.
 
-    The limit is `DRAIN_SHARE` times the time in which the pool drains its queue.
+    The limit is `DRAIN_FACTOR` times the time in which the pool drains its queue.
 
     Parameters
     ----------
@@ -90,17 +90,17 @@
         Expected work of the task, in seconds at the mean speed.
     speed
         Speed of the free server.
-    drain
+    drain_time
         Queued work divided by the speed of the pool, in seconds.
     """
-    return size / speed <= DRAIN_SHARE * drain
+    return size / speed <= DRAIN_FACTOR * drain_time
 
 
 def largest_size_to_start(speed: float, releases: Sequence[Release]) -> Seconds:
     """Return the largest task size that no unclaimed release ends clearly earlier."""
     limit = float("inf")
     for release in releases:
-        gain = HOLD_SHARE / speed - 1 / release.speed
+        gain = MAX_FINISH_SHARE / speed - 1 / release.speed
         if not release.claimed and gain > 0:
             limit = min(limit, release.wait / gain)
     return limit
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -163,7 +163,7 @@
     @property
     def quorum(self) -> int:
         """Number of members that form a majority."""
-        return count_majority(len(self.members))
+        return majority_size(len(self.members))
 
     @property
     def member_progress(self) -> list[Progress]:
@@ -209,9 +209,9 @@
         return newest_first[self.quorum - 1] + AUTHORITY
 
 
-def count_majority(members: int) -> int:
+def majority_size(member_count: int) -> int:
     """Return the number of members that form a majority."""
-    return members // 2 + 1
+    return member_count // 2 + 1
 
 
 @singledispatch
@@ -229,38 +229,38 @@
     """
     replica = Replica(settings, incarnation)
     for record in records:
-        load(record, replica)
+        apply_record(record, replica)
     return replica
 
 
 @singledispatch
-def load(record: Any, replica: Replica) -> None:
+def apply_record(record: Any, replica: Replica) -> None:
     """Apply one record of the journal."""
     raise TypeError(f"unsupported record of the configuration journal: {record!r}")
 
 
-@load.register
+@apply_record.register
 def _(record: Ballot, replica: Replica) -> None:
     replica.ballot = record
     replica.role = Role.FOLLOWER
 
 
-@load.register
+@apply_record.register
 def _(record: LogEntry, replica: Replica) -> None:
-    put_entries(replica, (record,))
+    truncate_and_append(replica, (record,))
 
 
-@load.register
+@apply_record.register
 def _(record: CommitIndex, replica: Replica) -> None:
     replica.commit = record.index
 
 
-@load.register
+@apply_record.register
 def _(record: FetchedConfiguration, replica: Replica) -> None:
     replica.fetched = record.configuration
 
 
-@load.register
+@apply_record.register
 def _(record: Snapshot, replica: Replica) -> None:
     replica.role = Role.FOLLOWER
     replica.ballot = record.ballot
@@ -287,7 +287,7 @@
     )
 
 
-def put_entries(replica: Replica, entries: tuple[LogEntry, ...]) -> None:
+def truncate_and_append(replica: Replica, entries: tuple[LogEntry, ...]) -> None:
     """Replace all log entries from the index of the first new entry on."""
     del replica.log[entries[0].index - replica.log_start - 1 :]
     replica.log.extend(entries)
@@ -324,7 +324,7 @@
     )
 
 
-def is_restored_by_leader(replica: Replica, after: int) -> bool:
+def is_commit_recoverable(replica: Replica, after: int) -> bool:
     """Return whether the commit of the entries after ``after`` needs no journal record.
 
     After a restart the member then does not know that these entries are committed.
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -20,13 +20,13 @@
     Role,
     adopt_term,
     follow,
+    is_commit_recoverable,
     is_fenced,
-    is_restored_by_leader,
     make_snapshot,
     merge_fences,
-    put_entries,
     schedule_election,
     step,
+    truncate_and_append,
 )
 from boragetide.types import Address, InstanceId, Seconds
 
@@ -63,7 +63,7 @@
         for index, proposal in enumerate(proposals, first)
     )
     replica.log.extend(entries)
-    effects: list[Effect] = [*_send_all(replica, now), Persist(entries)]
+    effects: list[Effect] = [*_send_log_to_all(replica, now), Persist(entries)]
     return effects + _advance_commit(replica, now)
 
 
@@ -71,12 +71,12 @@
     """Send heartbeats, or step down if a majority no longer answers."""
     # As a voter this member later reports to the next leader until when it led.
     replica.leader_heard_at = now
-    heard = [
+    responsive = [
         progress
         for progress in replica.member_progress
         if now - progress.heard_at < ELECTION_MAX
     ]
-    if len(heard) + 1 < replica.quorum:
+    if len(responsive) + 1 < replica.quorum:
         follow(replica, None)
         schedule_election(replica, now)
         return [LogEvent("leader_stepped_down", {"term": replica.ballot.term})]
@@ -85,7 +85,7 @@
     effects: list[Effect] = []
     for member in replica.progress_by_id:
         effects += replica.links.check(member, now)
-    return effects + _send_all(replica, now)
+    return effects + _send_log_to_all(replica, now)
 
 
 def hand_over(replica: Replica) -> list[Effect]:
@@ -102,7 +102,7 @@
     ]
 
 
-def _send_all(replica: Replica, now: Seconds) -> list[Effect]:
+def _send_log_to_all(replica: Replica, now: Seconds) -> list[Effect]:
     spread = LEADER_HEARTBEAT * LEADER_HEARTBEAT_JITTER
     replica.next_heartbeat = (
         now + LEADER_HEARTBEAT + replica.jitter.uniform(-spread, spread)
@@ -145,9 +145,9 @@
     if index <= replica.commit or replica.term_at(index) != replica.ballot.term:
         return []
     before, replica.commit = replica.commit, index
-    if is_restored_by_leader(replica, before):
+    if is_commit_recoverable(replica, before):
         return []
-    return [Persist((CommitIndex(index),)), *_send_all(replica, now)]
+    return [Persist((CommitIndex(index),)), *_send_log_to_all(replica, now)]
 
 
 @step.register
@@ -197,18 +197,18 @@
         # Committed entries are equal on all members, so the leader can continue there.
         index = replica.commit
         return [*effects, _make_reply(replica, message, False, index)]
-    records: list[LogEntry | CommitIndex] = [*_take_entries(replica, message.entries)]
+    records: list[LogEntry | CommitIndex] = [*_append_missing(replica, message.entries)]
     matched = previous + len(message.entries)
     if min(message.commit, matched) > replica.commit:
         before, replica.commit = replica.commit, min(message.commit, matched)
-        if not is_restored_by_leader(replica, before):
+        if not is_commit_recoverable(replica, before):
             records.append(CommitIndex(replica.commit))
     if records:
         effects.append(Persist(tuple(records)))
     return [*effects, _make_reply(replica, message, True, matched)]
 
 
-def _take_entries(
+def _append_missing(
     replica: Replica, entries: tuple[LogEntry, ...]
 ) -> tuple[LogEntry, ...]:
     """Add the entries that are missing in the log and return them.
@@ -222,7 +222,7 @@
             replica.term_at(entry.index) == entry.term
         ):
             continue
-        put_entries(replica, entries[position:])
+        truncate_and_append(replica, entries[position:])
         return entries[position:]
     return ()
 
--- a/boragetide/policy/scheduling.py
+++ b/boragetide/policy/scheduling.py
@@ -117,17 +117,17 @@
         still in time. A backend server that needs more is skipped. ``None`` if the job
         is late in any case.
     """
-    far = None
+    fallback = None
     for candidate in candidates:
-        if not _may_take(step, candidate, counts_by_id, slack):
+        if not _can_run(step, candidate, counts_by_id, slack):
             continue
         if not step.data_rack or step.data_rack in candidate.labels:
             return candidate
-        far = far or candidate
-    return far
+        fallback = fallback or candidate
+    return fallback
 
 
-def _may_take(
+def _can_run(
     step: Step,
     candidate: Candidate,
     counts_by_id: dict[BackendServerId, int],
--- a/boragetide/policy/server_index.py
+++ b/boragetide/policy/server_index.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Place:
+class _Position:
     """Position of a backend server in the index."""
 
     pool: PoolName
@@ -34,38 +34,38 @@
         For each pool and speed class, the free thousandths of a core and the id of each
         backend server with any free cores. Classes are sorted from the fastest to the
         slowest; the keys are their negative ranks.
-    place_by_id
+    position_by_id
         Position of each of these backend servers.
     """
 
     servers_by_speed_by_pool: dict[PoolName, SortedDict] = field(default_factory=dict)
-    place_by_id: dict[BackendServerId, _Place] = field(default_factory=dict)
+    position_by_id: dict[BackendServerId, _Position] = field(default_factory=dict)
 
     def put(
         self, server: BackendServerId, pool: PoolName, speed: float, millicores: int
     ) -> None:
         """Insert a backend server, or update its position; remove it if it is full."""
-        place = _Place(pool, rank_speed(speed), millicores)
-        if self.place_by_id.get(server) == place:
+        position = _Position(pool, rank_speed(speed), millicores)
+        if self.position_by_id.get(server) == position:
             return
         self.remove(server)
         if millicores <= 0:
             return
-        self.place_by_id[server] = place
+        self.position_by_id[server] = position
         servers_by_speed = self.servers_by_speed_by_pool.setdefault(pool, SortedDict())
-        servers = servers_by_speed.setdefault(-place.speed_rank, SortedList())
+        servers = servers_by_speed.setdefault(-position.speed_rank, SortedList())
         servers.add((millicores, server))
 
     def remove(self, server: BackendServerId) -> None:
         """Remove a backend server if it is in the index."""
-        place = self.place_by_id.pop(server, None)
-        if place is None:
+        position = self.position_by_id.pop(server, None)
+        if position is None:
             return
-        servers_by_speed = self.servers_by_speed_by_pool[place.pool]
-        servers = servers_by_speed[-place.speed_rank]
-        servers.remove((place.millicores, server))
+        servers_by_speed = self.servers_by_speed_by_pool[position.pool]
+        servers = servers_by_speed[-position.speed_rank]
+        servers.remove((position.millicores, server))
         if not servers:
-            del servers_by_speed[-place.speed_rank]
+            del servers_by_speed[-position.speed_rank]
 
     def find_widest(self, pool: PoolName) -> int:
         """Return the largest number of free millicores on any server of a pool."""
--- a/boragetide/storage/journal.py
+++ b/boragetide/storage/journal.py
@@ -104,7 +104,7 @@
     try:
         path.parent.mkdir(parents=True, exist_ok=True)
         data = path.read_bytes() if path.exists() else b""
-        bodies, end = _split(data)
+        bodies, end = _split_records(data)
         if bodies is None:
             path.replace(path.with_name(path.name + ".corrupt"))
         file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o644)
@@ -120,7 +120,7 @@
     return Journal(path, file), Recovered(records, lost=bodies is None)
 
 
-def _split(data: bytes) -> tuple[list[bytes] | None, int]:
+def _split_records(data: bytes) -> tuple[list[bytes] | None, int]:
     """Return the record bodies and the offset of their end.
 
     The bodies are ``None`` if one of the records is corrupt.
