--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -1,4 +1,4 @@
-"""How an agreed command changes the configuration, and what its outcome is."""
+"""Applies committed commands to the catalogue and records their outcomes."""
 
 from __future__ import annotations
 
@@ -28,13 +28,14 @@
 from boragetide.policy import job_table
 from boragetide.types import ClassTarget, Configuration, JobId, Seconds
 
-# An operator may resend a command for a day; 15,000 changes a day are expected.
+# Operators may resend a command for a day, and get its recorded outcome. Up to 15,000
+# changes a day are expected.
 RETAINED_OUTCOMES = 20_000
 RETAINED_HISTORY = 2_000
 
 
 def find_outcome(proposal: Proposal, catalogue: Catalogue) -> Outcome | None:
-    """Return the outcome of a command, or ``None`` while it is not agreed."""
+    """Return the outcome of a command, or ``None`` if it is not committed yet."""
     command = proposal.command
     if not isinstance(command, RegisterAcceptor):
         return catalogue.outcomes_by_id.get(proposal.command_id)
@@ -46,7 +47,7 @@
 
 
 def copy_catalogue(catalogue: Catalogue) -> Catalogue:
-    """Copy the catalogue, so that entries applied later do not change the copy."""
+    """Return a copy of the catalogue that entries applied later do not change."""
     return replace(
         catalogue,
         outcomes_by_id=dict(catalogue.outcomes_by_id),
@@ -57,9 +58,9 @@
 
 
 def apply_entry(entry: LogEntry, catalogue: Catalogue) -> set[JobId]:
-    """Apply the next log entry and return the durable jobs that it changed.
+    """Apply the next log entry and return the ids of the durable jobs that it changed.
 
-    A command id that has an outcome changes nothing.
+    A command whose id already has an outcome is ignored.
     """
     catalogue.index = entry.index
     proposal = entry.proposal
@@ -85,11 +86,13 @@
         catalogue.acceptors_by_id[command.instance] = command.incarnation
         return
     current = catalogue.configuration
-    if _is_overtaken(command, current):
+    if _is_superseded(command, current):
         outcome = Outcome(CommandStatus.ACCEPTED, current.version)
     elif proposal.expected_version in (None, current.version):
         version = current.version + 1
-        catalogue.configuration = replace(change(command, current), version=version)
+        catalogue.configuration = replace(
+            change_configuration(command, current), version=version
+        )
         catalogue.history.append(
             HistoryEntry(version, proposal.command_id, _summarize(command), accepted_at)
         )
@@ -97,25 +100,28 @@
     else:
         outcome = Outcome(CommandStatus.CONFLICT, current.version)
     catalogue.outcomes_by_id[proposal.command_id] = outcome
-    _forget_oldest(catalogue)
+    _drop_oldest(catalogue)
 
 
 def _summarize(command: Command) -> Command:
-    """Leave out of the history what only the newest configuration needs."""
+    """Return a command without the parts that only the newest configuration needs."""
     if isinstance(command, PublishConfiguration):
         return replace(command, classes=(), document="")
     return command
 
 
-def _is_overtaken(command: Command, current: Configuration) -> bool:
-    """Tell whether a published configuration changes nothing: the highest one holds."""
+def _is_superseded(command: Command, current: Configuration) -> bool:
+    """Return whether a published configuration is no newer than the current one.
+
+    The configuration with the highest revision stays in force.
+    """
     return (
         isinstance(command, PublishConfiguration)
         and command.revision <= current.revision
     )
 
 
-def _forget_oldest(catalogue: Catalogue) -> None:
+def _drop_oldest(catalogue: Catalogue) -> None:
     del catalogue.history[:-RETAINED_HISTORY]
     surplus = len(catalogue.outcomes_by_id) - RETAINED_OUTCOMES
     for command_id in list(islice(catalogue.outcomes_by_id, max(surplus, 0))):
@@ -123,12 +129,14 @@
 
 
 @singledispatch
-def change(command: Command, configuration: Configuration) -> Configuration:
-    """Return the configuration that an operator command makes."""
-    raise TypeError(f"no change for {command!r}")
+def change_configuration(
+    command: Command, configuration: Configuration
+) -> Configuration:
+    """Return the configuration that results from an operator command."""
+    raise TypeError(f"unsupported operator command: {command!r}")
 
 
-@change.register
+@change_configuration.register
 def _(command: SetClass, configuration: Configuration) -> Configuration:
     target = ClassTarget(
         command.name, command.response_time, command.busy_share, command.durable
@@ -137,17 +145,17 @@
     return replace(configuration, classes_by_name=classes)
 
 
-@change.register
+@change_configuration.register
 def _(command: DrainBackendServer, configuration: Configuration) -> Configuration:
     return replace(configuration, drained=configuration.drained | {command.id})
 
 
-@change.register
+@change_configuration.register
 def _(command: ReturnBackendServer, configuration: Configuration) -> Configuration:
     return replace(configuration, drained=configuration.drained - {command.id})
 
 
-@change.register
+@change_configuration.register
 def _(command: PublishConfiguration, configuration: Configuration) -> Configuration:
     return replace(
         configuration,
@@ -159,8 +167,8 @@
 
 @singledispatch
 def change_jobs(command: JobCommand, catalogue: Catalogue, now: Seconds) -> set[JobId]:
-    """Apply a command of the dispatcher and return the jobs that it changed."""
-    raise TypeError(f"no change for {command!r}")
+    """Apply a command of the dispatcher and return the ids of the jobs it changed."""
+    raise TypeError(f"unsupported dispatcher command: {command!r}")
 
 
 @change_jobs.register
--- a/boragetide/policy/claiming.py
+++ b/boragetide/policy/claiming.py
@@ -1,4 +1,4 @@
-"""Decides, from the replies of acceptors, which claim on a job id holds."""
+"""Decides from the replies of acceptors which claim on a job id is valid."""
 
 from __future__ import annotations
 
@@ -9,14 +9,15 @@
 from boragetide.messages import ClaimReply, ClaimStatus
 from boragetide.types import MAX_CLOCK_SKEW, Claim, InstanceId, Seconds
 
-ASKING_LIMIT: Seconds = 10.0  # from a submission to the last grant for it
+# Longest time from a submission to a grant for it.
+GRANT_TIMEOUT: Seconds = 10.0
 
 Replies: TypeAlias = Mapping[InstanceId, ClaimReply | None]
 
 
 @dataclass(frozen=True, slots=True)
 class AskAcceptor:
-    """Ask this acceptor next, proposing this claim."""
+    """Propose this claim to this acceptor next."""
 
     acceptor: InstanceId
     claim: Claim
@@ -24,14 +25,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AskOwner:
-    """Submit to the owner, whose own grant completes the quorum."""
+    """Submit the job to the owner, whose own grant completes the quorum."""
 
     claim: Claim
 
 
 @dataclass(frozen=True, slots=True)
 class Decided:
-    """A quorum holds this claim; ``asked`` counts the acceptors it took."""
+    """A quorum holds this claim; ``asked`` is the number of acceptors asked."""
 
     claim: Claim
     asked: int
@@ -47,7 +48,7 @@
 Step: TypeAlias = AskAcceptor | AskOwner | Decided | Undecided
 
 
-def quorum_of(group: tuple[InstanceId, ...]) -> int:
+def quorum_size(group: tuple[InstanceId, ...]) -> int:
     """Return the size of a majority of a claim group."""
     return len(group) // 2 + 1
 
@@ -59,27 +60,27 @@
     entry: InstanceId | None = None,
     dead: frozenset[InstanceId] = frozenset(),
 ) -> Step:
-    """Decide the next step of claiming a job id.
+    """Return the next step of claiming a job id.
 
-    Claims count together when they name the same owner in the same incarnation, because
-    the owner's job table starts a job once whichever of them arrives. The decided claim
-    is the oldest of them, which is the first that an acceptor drops.
+    Claims that name the same owner in the same incarnation count as one, because the
+    owner's job table starts a job only once, whichever of these claims arrives. The
+    decided claim is the oldest of them, which is the first one that an acceptor drops.
 
     Parameters
     ----------
     proposed
-        The claim to propose where no acceptor holds one.
+        Claim to propose if no acceptor holds one.
     group
-        The claim group, the preferred acceptors first.
+        Acceptors of the claim group, the preferred ones first.
     replies_by_acceptor
         Replies so far; ``None`` for an acceptor that did not answer.
     entry
-        The asking instance; its own acceptor costs no message and goes first.
+        Instance that asks; its own acceptor costs no message and is asked first.
     dead
-        Acceptors that count as lost; they go last.
+        Acceptors that count as lost; they are asked last.
     """
-    quorum = quorum_of(group)
-    held = _select_most_named(replies_by_acceptor)
+    quorum = quorum_size(group)
+    held = _select_most_common_claims(replies_by_acceptor)
     if len(held) >= quorum:
         claim = min(held, key=lambda claim: claim.claimed_at)
         return Decided(claim, len(replies_by_acceptor))
@@ -89,8 +90,8 @@
     if len(held) + len(waiting) < quorum:
         return Undecided(f"{len(held)} of {quorum} acceptors hold the same claim")
     owner = candidate.owner
-    completes = len(held) + 1 == quorum and owner != entry
-    if completes and owner in waiting and owner not in dead:
+    completes_quorum = len(held) + 1 == quorum and owner != entry
+    if completes_quorum and owner in waiting and owner not in dead:
         return AskOwner(candidate)
     return AskAcceptor(waiting[0], candidate)
 
@@ -101,35 +102,37 @@
     dead: frozenset[InstanceId] = frozenset(),
     owner: InstanceId | None = None,
 ) -> tuple[InstanceId, ...]:
-    """Order a claim group for asking.
+    """Return the acceptors of a claim group in the order in which to ask them.
 
-    The asking instance costs no message and goes first. The owner goes after the other
-    live ones, because its grant can travel with the job. Lost instances go last.
+    The asking instance comes first, because asking its own acceptor costs no message.
+    The owner comes after the other live instances, because its grant can be combined
+    with the submission of the job. Lost instances come last.
     """
     return tuple(
         sorted(group, key=lambda name: (name in dead, name != entry, name == owner))
     )
 
 
-def _select_most_named(replies_by_acceptor: Replies) -> list[Claim]:
-    """Return the claims on the owner that most acceptors hold."""
+def _select_most_common_claims(replies_by_acceptor: Replies) -> list[Claim]:
+    """Return the claims for the owner that most acceptors name."""
     claims_by_owner: dict[tuple[InstanceId, int], list[Claim]] = {}
     for acceptor, reply in replies_by_acceptor.items():
         if reply is None or reply.claim is None:
             continue
-        if not is_forgotten(acceptor, reply, replies_by_acceptor):
+        if not has_restarted_since(acceptor, reply, replies_by_acceptor):
             owner = (reply.claim.owner, reply.claim.owner_incarnation)
             claims_by_owner.setdefault(owner, []).append(reply.claim)
     return max(claims_by_owner.values(), key=len, default=[])
 
 
-def is_forgotten(
+def has_restarted_since(
     acceptor: InstanceId, reply: ClaimReply, replies_by_acceptor: Replies
 ) -> bool:
-    """Tell whether an acceptor has restarted since its reply.
+    """Return whether an acceptor has restarted since its reply.
 
-    Another acceptor that served the restarted one before it made its own reply may
-    have granted too late for the catch-up to include the claim.
+    Such a reply no longer counts. Another acceptor may have served the catch-up of the
+    restarted one before it granted the claim itself, so that the restarted acceptor
+    does not know the claim.
     """
     return any(
         other is not None and other.restarts_by_id.get(acceptor, 0) > reply.incarnation
@@ -140,40 +143,48 @@
 def is_certainly_unclaimed(
     group: tuple[InstanceId, ...], replies_by_acceptor: Replies
 ) -> bool:
-    """Tell whether a quorum of complete acceptors holds nothing for an id."""
-    without = [
+    """Return whether a quorum of complete acceptors holds no claim on an id."""
+    unclaimed = [
         acceptor
         for acceptor, reply in replies_by_acceptor.items()
         if reply is not None
         and reply.status is ClaimStatus.NOT_HELD
-        and not is_forgotten(acceptor, reply, replies_by_acceptor)
+        and not has_restarted_since(acceptor, reply, replies_by_acceptor)
     ]
-    return len(without) >= quorum_of(group)
+    return len(unclaimed) >= quorum_size(group)
 
 
 def claim_lifetime(window: Seconds) -> Seconds:
-    """Return how long after ``claimed_at`` an acceptor holds a claim, in seconds.
+    """Return for how many seconds after ``claimed_at`` an acceptor holds a claim.
 
-    A resubmission at the end of the window may reach the acceptor `ASKING_LIMIT` later,
-    and the clocks of both claimants may differ from the acceptor's.
+    A resubmission at the end of the resubmission window may reach the acceptor
+    `GRANT_TIMEOUT` later, and the clocks of both claimants may differ from the
+    acceptor's by `MAX_CLOCK_SKEW` each.
+
+    Parameters
+    ----------
+    window
+        Resubmission window in seconds.
     """
-    return window + ASKING_LIMIT + 2 * MAX_CLOCK_SKEW
+    return window + GRANT_TIMEOUT + 2 * MAX_CLOCK_SKEW
 
 
 def is_expired(claim: Claim, window: Seconds, now: Seconds) -> bool:
-    """Tell whether an acceptor may drop a claim.
+    """Return whether an acceptor may drop a claim.
 
-    The owner has then refused it for long, because it is older than the window.
+    By then the owner has refused the claim for a long time, because the claim is older
+    than the resubmission window.
     """
     return now > claim.claimed_at + claim_lifetime(window)
 
 
 def is_too_late(claim: Claim, asked_at: Seconds, window: Seconds, now: Seconds) -> bool:
-    """Tell whether an acceptor must not grant a request any more.
+    """Return whether it is too late for an acceptor to grant a request.
 
     Parameters
     ----------
     asked_at
-        When the submission came in, by the clock of its entry instance.
+        Unix time at which the submission arrived, by the clock of the instance that
+        received it.
     """
-    return now >= claim.claimed_at + window or now > asked_at + ASKING_LIMIT
+    return now >= claim.claimed_at + window or now > asked_at + GRANT_TIMEOUT
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -1,7 +1,7 @@
-"""The durable jobs that have tasks to start, in the order in which they go.
+"""Queue of the durable jobs that have tasks to start, in scheduling order.
 
-Answers bursts in which not all jobs can be in time: one large job would make many small
-ones late.
+The order is designed for bursts in which not all jobs can be in time: one large job
+that goes first would make many small ones late.
 """
 
 from __future__ import annotations
@@ -15,27 +15,28 @@
 from boragetide.policy.scheduling import expires_at, latest_start
 from boragetide.types import ClassName, JobId, Seconds
 
-# Jobs that are looked at when the first ones do not fit into what is free; bounds the
-# time of a decision under overload.
+# Number of jobs that are considered if the first ones do not fit into the free
+# resources. This bounds the time of a decision under overload.
 LOOK_AHEAD = 24
-# A job of the mean work of its class goes as if it could wait so much longer, one of
-# twice that work twice as much longer. Of jobs that are as urgent small ones go first;
-# a large one is passed over for a bounded time only.
+# A job with the mean work of its class is ranked as if it could start this much later,
+# and a job with twice that work as if it could start twice as much later. Among equally
+# urgent jobs small ones go first, but a large one is passed over for a bounded time
+# only.
 SIZE_DELAY: Seconds = 0.05
-# Share of a new job in the mean work of its class.
-MEAN_LEARNING = 0.02
+# Weight of a new job in the moving mean of the work of its class.
+MEAN_WORK_GAIN = 0.02
 
 
 @dataclass(slots=True)
 class WaitingJob:
-    """A job in the queue, with its tasks that may start now.
+    """A queued job with those of its tasks that may start now.
 
     Parameters
     ----------
     rank
-        Its place among the jobs that can be in time.
+        Sort key among the jobs that can be in time; the lowest goes first.
     narrowest
-        Thousandths of a core that the smallest of its steps needs.
+        Thousandths of a core that the smallest step of the job needs.
     """
 
     job: DurableJob
@@ -48,89 +49,93 @@
 
 @dataclass(slots=True)
 class JobQueue:
-    """Jobs by the time at which they must start to be in time, and by their size.
+    """Queued jobs, by the time at which they must start to be in time and by size.
 
     Parameters
     ----------
-    in_time, turning_late
-        Jobs that can still be in time, by their rank and by their latest start.
+    in_time, in_time_by_start
+        Jobs that can still be in time, sorted by rank and by latest start.
     late, expired
-        Jobs that are late, and those that are of little use to their callers by now, by
-        their latest start.
+        Jobs that are late, and jobs whose result is by now of little use to their
+        callers, sorted by latest start.
     mean_work_by_class
-        Declared work of a job of each class, in seconds of one thousandth of a core.
+        Mean declared work of a job of each class, in seconds of one thousandth of a
+        core.
     """
 
     waiting_by_id: dict[JobId, WaitingJob] = field(default_factory=dict)
     in_time: SortedList = field(default_factory=SortedList)
-    turning_late: SortedList = field(default_factory=SortedList)
+    in_time_by_start: SortedList = field(default_factory=SortedList)
     late: SortedList = field(default_factory=SortedList)
     expired: SortedList = field(default_factory=SortedList)
     mean_work_by_class: dict[ClassName, float] = field(default_factory=dict)
 
     def put(self, job: DurableJob, tasks: dict[int, Step]) -> None:
-        """Replace what waits of a job; nothing takes it out."""
+        """Replace the waiting tasks of a job; without tasks the job is removed."""
         waiting = self.waiting_by_id.get(job.id)
         if waiting is not None:
             waiting.tasks = tasks
             if not tasks:
-                self._take(waiting)
+                self._discard(waiting)
             return
         if not tasks:
             return
         waiting = WaitingJob(
             job=job,
             tasks=tasks,
-            rank=latest_start(job) + SIZE_DELAY * self._compare_work(job),
+            rank=latest_start(job) + SIZE_DELAY * self._relative_work(job),
             latest_start=latest_start(job),
             expires_at=expires_at(job),
             narrowest=min(step.needs.millicores for step in job.steps),
         )
         self.waiting_by_id[job.id] = waiting
         self.in_time.add((waiting.rank, job.id))
-        self.turning_late.add((waiting.latest_start, job.id))
+        self.in_time_by_start.add((waiting.latest_start, job.id))
 
-    def _compare_work(self, job: DurableJob) -> float:
-        """Return the declared work of a job as a multiple of the mean of its class."""
+    def _relative_work(self, job: DurableJob) -> float:
+        """Update the mean work of a class, and return the work of a job relative to it.
+
+        The work is the declared one.
+        """
         work = sum(
             step.count * step.estimate * step.needs.millicores for step in job.steps
         )
         mean = self.mean_work_by_class.get(job.class_name, work)
-        mean += MEAN_LEARNING * (work - mean)
+        mean += MEAN_WORK_GAIN * (work - mean)
         self.mean_work_by_class[job.class_name] = mean
         return work / mean if mean > 0 else 1.0
 
     def remove(self, job_id: JobId) -> None:
-        """Take a job out, if it waits."""
+        """Remove a job if it is queued."""
         waiting = self.waiting_by_id.get(job_id)
         if waiting is not None:
-            self._take(waiting)
+            self._discard(waiting)
 
     def clear(self) -> None:
-        """Take all jobs out."""
+        """Remove all jobs."""
         self.waiting_by_id.clear()
-        for jobs in (self.in_time, self.turning_late, self.late, self.expired):
+        for jobs in (self.in_time, self.in_time_by_start, self.late, self.expired):
             jobs.clear()
 
     def iterate(self, now: Seconds) -> Iterator[WaitingJob]:
-        """Yield the jobs to look at now, first the one that goes first."""
-        self._sort(now)
-        looked = 0
+        """Yield the jobs to consider now, in scheduling order."""
+        self._update_lateness(now)
+        examined = 0
         for jobs in (self.in_time, self.late, self.expired):
-            for _, job_id in list(jobs.islice(0, LOOK_AHEAD - looked)):
-                looked += 1
+            for _, job_id in list(jobs.islice(0, LOOK_AHEAD - examined)):
+                examined += 1
                 waiting = self.waiting_by_id.get(job_id)
                 if waiting is not None:
                     yield waiting
 
     def list_expired(self, now: Seconds) -> list[WaitingJob]:
-        """Return the jobs that are of no use any more; they stay in the queue."""
-        self._sort(now)
+        """Return the jobs that are too late to be of use; they stay queued."""
+        self._update_lateness(now)
         return [self.waiting_by_id[job_id] for _, job_id in self.expired]
 
-    def _sort(self, now: Seconds) -> None:
-        while self.turning_late and self.turning_late[0][0] < now:
-            entry = self.turning_late.pop(0)
+    def _update_lateness(self, now: Seconds) -> None:
+        while self.in_time_by_start and self.in_time_by_start[0][0] < now:
+            entry = self.in_time_by_start.pop(0)
             self.in_time.remove((self.waiting_by_id[entry[1]].rank, entry[1]))
             self.late.add(entry)
         while self.late and self._is_expired(self.late[0][1], now):
@@ -139,9 +144,9 @@
     def _is_expired(self, job_id: JobId, now: Seconds) -> bool:
         return self.waiting_by_id[job_id].expires_at < now
 
-    def _take(self, waiting: WaitingJob) -> None:
+    def _discard(self, waiting: WaitingJob) -> None:
         job_id = waiting.job.id
         del self.waiting_by_id[job_id]
         self.in_time.discard((waiting.rank, job_id))
-        for jobs in (self.turning_late, self.late, self.expired):
+        for jobs in (self.in_time_by_start, self.late, self.expired):
             jobs.discard((waiting.latest_start, job_id))
--- a/boragetide/policy/server_index.py
+++ b/boragetide/policy/server_index.py
@@ -1,7 +1,7 @@
-"""Backend servers in the order in which tasks are offered to them.
+"""Index of the backend servers, in the order in which they are tried for a task.
 
-A decision looks at a few backend servers with room instead of all of them: 176 servers
-and 1,500 starts a second would otherwise take more than one core.
+A decision examines a few backend servers with free resources instead of all of them.
+Otherwise 176 servers and 1,500 starts a second would take more than one core.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Place:
-    """Where a backend server stands in the index."""
+class _Position:
+    """Position of a backend server in the index."""
 
     pool: PoolName
     speed_rank: int
@@ -26,54 +26,57 @@
 
 @dataclass(slots=True)
 class ServerIndex:
-    """Backend servers of each pool by speed, then by the room that is left.
+    """Backend servers of each pool, by speed and then by their free cores.
 
     Parameters
     ----------
     servers_by_speed_by_pool
-        For each pool, from the fastest class of speeds to the slowest (the keys are
-        negative ranks), free thousandths of a core and id of each backend server with
-        any room.
-    place_by_id
-        Where each of them stands.
+        For each pool and speed class, the free thousandths of a core and the id of each
+        backend server with any free cores. Classes are sorted from the fastest to the
+        slowest; the keys are their negative ranks.
+    position_by_id
+        Position of each of these backend servers.
     """
 
     servers_by_speed_by_pool: dict[PoolName, SortedDict] = field(default_factory=dict)
-    place_by_id: dict[BackendServerId, _Place] = field(default_factory=dict)
+    position_by_id: dict[BackendServerId, _Position] = field(default_factory=dict)
 
     def put(
         self, server: BackendServerId, pool: PoolName, speed: float, millicores: int
     ) -> None:
-        """Take over what is free on a backend server."""
-        place = _Place(pool, rank_speed(speed), millicores)
-        if self.place_by_id.get(server) == place:
+        """Insert a backend server, or update its position; remove it if it is full."""
+        position = _Position(pool, rank_speed(speed), millicores)
+        if self.position_by_id.get(server) == position:
             return
         self.remove(server)
         if millicores <= 0:
             return
-        self.place_by_id[server] = place
+        self.position_by_id[server] = position
         servers_by_speed = self.servers_by_speed_by_pool.setdefault(pool, SortedDict())
-        servers = servers_by_speed.setdefault(-place.speed_rank, SortedList())
+        servers = servers_by_speed.setdefault(-position.speed_rank, SortedList())
         servers.add((millicores, server))
 
     def remove(self, server: BackendServerId) -> None:
-        """Take a backend server out, if it is there."""
-        place = self.place_by_id.pop(server, None)
-        if place is None:
+        """Remove a backend server if it is in the index."""
+        position = self.position_by_id.pop(server, None)
+        if position is None:
             return
-        servers_by_speed = self.servers_by_speed_by_pool[place.pool]
-        servers = servers_by_speed[-place.speed_rank]
-        servers.remove((place.millicores, server))
+        servers_by_speed = self.servers_by_speed_by_pool[position.pool]
+        servers = servers_by_speed[-position.speed_rank]
+        servers.remove((position.millicores, server))
         if not servers:
-            del servers_by_speed[-place.speed_rank]
+            del servers_by_speed[-position.speed_rank]
 
     def find_widest(self, pool: PoolName) -> int:
-        """Return the most room that any backend server of a pool has."""
+        """Return the largest number of free millicores on any server of a pool."""
         servers_by_speed = self.servers_by_speed_by_pool.get(pool, {})
         return max((servers[-1][0] for servers in servers_by_speed.values()), default=0)
 
     def iterate(self, pool: PoolName, millicores: int) -> Iterator[BackendServerId]:
-        """Yield those with so much room: the fastest first, then the fullest."""
+        """Yield the backend servers of a pool with at least ``millicores`` free.
+
+        The fastest come first, and the fullest first among equally fast ones.
+        """
         for servers in self.servers_by_speed_by_pool.get(pool, {}).values():
             if servers[-1][0] < millicores:
                 continue
