--- a/boragetide/controllers/__init__.py
+++ b/boragetide/controllers/__init__.py
@@ -1,1 +1,1 @@
-"""State machines, one per kind of state."""
+"""Controllers: state machines that apply messages, one per kind of state."""
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -1,4 +1,4 @@
-"""The pool this instance places for: messages of its queue and its running tasks."""
+"""Controller of the pool that this instance places for: its queue and its tasks."""
 
 from __future__ import annotations
 
@@ -78,7 +78,7 @@
     predicted: Seconds,
     state: BackendServersState,
 ) -> tuple[str, str | None]:
-    """Return the label and the reason of a refusal; the reason is ``None`` without."""
+    """Return the label and reason of a refusal; an accepted job has no reason."""
     if state.queued_tasks + len(message.tasks) > state.settings.limits.queued_tasks:
         return "queue_full", "the queue is full"
     servers = (leased.server for leased in state.servers_by_id.values())
@@ -109,7 +109,7 @@
 
 
 def find_queue(state: BackendServersState, class_name: ClassName) -> ClassQueue:
-    """Return the queue of a class, made on first use."""
+    """Return the queue of a class, which is created on first use."""
     queue = state.queues_by_class.get(class_name)
     if queue is None:
         target = find_target(state, class_name)
--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -1,4 +1,4 @@
-"""Best-effort jobs: they live at the leader, and their callers wait for the end."""
+"""Best-effort jobs, which only the leader holds and whose callers wait for the end."""
 
 from __future__ import annotations
 
@@ -19,12 +19,12 @@
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import JobId, ReplyTo, Seconds
 
-# The usual burst of a site is over by then.
+# The usual burst of a site is over after this time.
 RETRY_AFTER: Seconds = 4.0
 
 
 def runs_again(record: JobRecord) -> bool:
-    """Tell whether a job that is submitted again runs again from the start."""
+    """Return whether a job that is submitted again runs again from the start."""
     return record.job.best_effort and record.phase is JobPhase.CANCELLED
 
 
@@ -43,9 +43,9 @@
 def accept_best_effort(
     job: DurableJob, reply_to: ReplyTo | None, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
-    """Start a job at once, or go on with what an earlier leader started of it."""
+    """Accept a job without a commit, and adopt what an earlier leader started of it."""
     if now > expires_at(job) and not _has_run_before(state, job.id):
-        # It waited for this leader, or for its predecessor, for too long.
+        # The job waited too long for this leader or for its predecessor.
         return _refuse(state, job, [reply_to], now)
     state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [reply_to]
@@ -67,7 +67,7 @@
 
 
 def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Refuse best-effort jobs that come too late, unless a task was started."""
+    """Refuse expired best-effort jobs, unless a task was started."""
     effects: list[Effect] = []
     for waiting in state.queue.list_expired(now):
         job = waiting.job
@@ -99,7 +99,7 @@
 
 
 def _has_run_before(state: DispatcherState, job_id: JobId) -> bool:
-    """Tell whether a run of an earlier leader is known, which the job goes on with."""
+    """Return whether a run that an earlier leader started for the job is known."""
     return any(
         run.task.job_id == job_id
         for server in state.servers_by_id.values()
@@ -110,7 +110,7 @@
 def adopt_foreign(
     state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
-    """Go on with what an earlier leader started of a job that is submitted again."""
+    """Adopt the runs and ends that an earlier leader left of a resubmitted job."""
     effects: list[Effect] = []
     job_id = record.job.id
     for server in [each for each in state.servers_by_id.values() if each.foreign]:
--- a/boragetide/controllers/catch_up.py
+++ b/boragetide/controllers/catch_up.py
@@ -1,4 +1,4 @@
-"""How a restarted acceptor gets the claims that it has lost from the other members."""
+"""Catch-up of a restarted acceptor, which fetches its claims from the other members."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 def answer_fetch(
     table: ClaimTable, message: FetchClaims, own: InstanceId, incarnation: int
 ) -> ClaimsPage:
-    """Return the page that another acceptor asks for."""
+    """Return the page of claims that another acceptor requests."""
     claims, last = read_page(table, message.after, PAGE_CLAIMS)
     return ClaimsPage(
         zone=table.zone,
@@ -37,7 +37,7 @@
 def select_members_to_ask(
     table: ClaimTable, own: InstanceId, now: Seconds
 ) -> list[InstanceId]:
-    """Return the other members that owe this acceptor a page."""
+    """Return the other members from which the next page is to be requested now."""
     chosen = []
     for member in table.group:
         if member == own:
@@ -50,10 +50,10 @@
 
 
 def take_page(table: ClaimTable, page: ClaimsPage, now: Seconds) -> bool:
-    """Keep a page; true if the next one is to be asked for now.
+    """Store a page; return whether the next one is to be requested now.
 
     The pages of one member must all come from one incarnation: a member that restarts
-    in between may have lost what the next pages would have shown.
+    in between may have lost claims that the next pages would have contained.
     """
     fetch = table.fetches_by_member.get(page.sender)
     if fetch is None or page.incarnation < fetch.incarnation:
@@ -73,7 +73,7 @@
 
 
 def has_all_members(table: ClaimTable, own: InstanceId) -> bool:
-    """Tell whether every other member of the group has sent all its claims."""
+    """Return whether every other member of the group has sent all its claims."""
     others = [member for member in table.group if member != own]
     return bool(others) and all(
         member in table.fetches_by_member and table.fetches_by_member[member].done
@@ -82,14 +82,14 @@
 
 
 def adopt(table: ClaimTable, settings: Settings) -> None:
-    """Hold what the other members hold."""
+    """Add the claims that were fetched from the other members to the table."""
     merge_fetched(table, claim_lifetime(settings.timing.resubmission_window))
 
 
 def has_window_passed(incarnation: int, settings: Settings, now: Seconds) -> bool:
-    """Tell whether every claim granted before the start of this process has expired.
+    """Return whether every claim granted before the start of this process has expired.
 
-    The claimant's clock may have been ahead of this one.
+    The claimant's clock may have been ahead of this one by up to `MAX_CLOCK_SKEW`.
     """
     lifetime = claim_lifetime(settings.timing.resubmission_window)
     return now > incarnation / 1000 + lifetime + MAX_CLOCK_SKEW
--- a/boragetide/controllers/claim_table.py
+++ b/boragetide/controllers/claim_table.py
@@ -1,4 +1,4 @@
-"""Claims of one home zone as an acceptor holds them, and its catching up."""
+"""Claims of one home zone that an acceptor holds, and the progress of its catch-up."""
 
 from __future__ import annotations
 
@@ -21,11 +21,14 @@
     Parameters
     ----------
     incarnation
-        Of the other acceptor; a restart of it starts the fetch again.
+        Incarnation of the other acceptor. The fetch starts again when that acceptor
+        restarts.
     after
         The last claim received.
     asked_at
-        When the next page was asked for, in Unix time.
+        Unix time at which the next page was requested.
+    done
+        Whether the last page was received.
     """
 
     incarnation: int = 0
@@ -36,7 +39,7 @@
     disputed_until_by_id: dict[JobId, Seconds] = field(default_factory=dict)
 
     def restart(self) -> None:
-        """Drop what was fetched."""
+        """Discard everything that was fetched."""
         self.after = None
         self.asked_at = None
         self.done = False
@@ -53,12 +56,13 @@
     group
         The claim group of the zone, this instance included.
     complete
-        Whether this acceptor holds everything it has granted in earlier incarnations.
+        Whether this acceptor holds all claims it has granted in earlier incarnations.
     keys
         Keys of the claims in the order in which they expire.
     disputed_until_by_id
-        Ids for which the others hold claims on different owners, so that the vote that
-        this acceptor has lost may have decided for either, with the time of expiry.
+        Ids for which the other members hold claims of different owners, with the time
+        of expiry. The vote that this acceptor has lost may have decided for any of
+        these owners.
     """
 
     zone: ZoneId
@@ -71,14 +75,14 @@
 
 
 def add_claim(table: ClaimTable, claim: Claim) -> None:
-    """Hold a claim in place of any other on its id."""
+    """Add a claim, replacing any other claim on its id."""
     drop_claim(table, claim.id)
     table.claims_by_id[claim.id] = claim
     table.keys.add((claim.claimed_at, claim.id))
 
 
 def drop_claim(table: ClaimTable, job_id: JobId) -> None:
-    """Forget the claim on an id, if there is one."""
+    """Remove the claim on an id, if there is one."""
     held = table.claims_by_id.pop(job_id, None)
     if held is not None:
         table.keys.discard((held.claimed_at, job_id))
@@ -102,7 +106,7 @@
 def read_page(
     table: ClaimTable, after: Claim | None, size: int
 ) -> tuple[tuple[Claim, ...], bool]:
-    """Return the claims after another, and whether they are the last ones."""
+    """Return up to ``size`` claims after another, and whether these are the last."""
     start = None if after is None else (after.claimed_at, after.id)
     keys = list(islice(table.keys.irange(start, inclusive=(False, True)), size + 1))
     claims = tuple(table.claims_by_id[job_id] for _, job_id in keys[:size])
@@ -110,7 +114,7 @@
 
 
 def merge_fetched(table: ClaimTable, lifetime: Seconds) -> None:
-    """Adopt what all other members hold; own grants stay.
+    """Add the claims fetched from all other members; own grants are not replaced.
 
     Parameters
     ----------
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -1,4 +1,4 @@
-"""Claims that this instance has granted as an acceptor."""
+"""Controller of the claims that this instance has granted as an acceptor."""
 
 from __future__ import annotations
 
@@ -46,28 +46,29 @@
 from boragetide.settings import Settings
 from boragetide.types import Address, Claim, InstanceId, JobId, Seconds, ZoneId
 
-# The journal of a group of one is replaced by a snapshot when it has this many records
-# more than there are claims.
+# The journal of a claim group with one member is replaced by a snapshot when it has
+# this many more records than there are claims.
 SURPLUS_RECORDS = 10_000
 
 
 @dataclass(slots=True)
 class ClaimsState:
-    """What one acceptor holds.
+    """State of one acceptor.
 
     Parameters
     ----------
     tables_by_zone
         One table per claim group that this instance belongs to.
     restarts_by_id
-        Newest incarnation of the acceptors that have caught up with this one, or that
-        this one has caught up with.
+        Newest known incarnation of the acceptors that fetched claims from this one, or
+        from which this one fetched claims.
     journal_records
         Number of claims in the journal.
     registering
-        Whether the configuration was asked to register this acceptor.
+        Whether the registration of this acceptor was proposed to the configuration.
     saved
-        Whether a snapshot of a planned stop exists, so that nothing may change.
+        Whether the snapshot of a planned stop was written. The claims may not change
+        after that.
     """
 
     settings: Settings
@@ -86,7 +87,7 @@
 
 
 def read_journal(records: tuple[Any, ...]) -> ClaimsRecovered:
-    """Return what the records of the journal say, as the first message to handle."""
+    """Convert the records of the journal into the first message to handle."""
     snapshots = [record for record in records if isinstance(record, SavedClaims)]
     claims = tuple(record for record in records if isinstance(record, Claim))
     return ClaimsRecovered(snapshots[-1] if snapshots else None, claims)
@@ -106,7 +107,11 @@
 
 @handle.register
 def _(message: ClaimAndSubmit, state: ClaimsState, now: Seconds) -> list[Effect]:
-    """Complete the quorum with the own grant and hand the job over."""
+    """Complete the quorum with this acceptor's grant and, as the owner, run the job.
+
+    If the quorum is not complete or decides for another owner, only the reply of this
+    acceptor is returned.
+    """
     own, effects = _grant(message, state, now)
     replies = {**message.replies_by_acceptor, state.settings.id: own}
     group = find_claim_group(
@@ -124,7 +129,7 @@
 def _grant(
     message: ClaimRequest | ClaimAndSubmit, state: ClaimsState, now: Seconds
 ) -> tuple[ClaimReply, list[Effect]]:
-    """Hold a claim unless another one is held or may have been granted before."""
+    """Grant a claim unless another one is held or may have been granted before."""
     claim = message.claim
     window = state.settings.timing.resubmission_window
     table = _find_table(claim.id, state)
@@ -143,7 +148,7 @@
 
 
 def _is_journaled(table: ClaimTable, state: ClaimsState) -> bool:
-    """Tell whether no other acceptor remembers the claims of a zone."""
+    """Return whether claims are journaled because no other acceptor holds them."""
     return len(table.group) == 1 and state.settings.data_folder is not None
 
 
@@ -161,7 +166,7 @@
 def _knows_all(
     job_id: JobId, table: ClaimTable, state: ClaimsState, now: Seconds
 ) -> bool:
-    """Tell whether this acceptor never granted an id that it does not hold."""
+    """Return whether this acceptor certainly never granted an id it does not hold."""
     settings = state.settings
     if state.saved or job_id in table.disputed_until_by_id:
         return False
@@ -252,7 +257,7 @@
 
 @handle.register
 def _(message: ClaimsRecovered, state: ClaimsState, now: Seconds) -> list[Effect]:
-    """Take over what is on disk where nothing was granted after it was written."""
+    """Restore the claims on disk if no later ones can have been granted."""
     snapshot = message.snapshot
     if snapshot is None:
         return []
@@ -273,9 +278,10 @@
 
 
 def _save(state: ClaimsState, *, clean: bool) -> Effect:
-    """Replace the journal; only a clean one has claims of groups with several members.
+    """Replace the journal by a snapshot.
 
-    Disputes are not saved: a zone that has any must be caught up again.
+    Only a clean snapshot has the claims of groups with several members. Disputes are
+    not saved: a zone that has any must be caught up again.
     """
     tables = [
         table
@@ -294,7 +300,7 @@
 
 @handle.register
 def _(message: SaveClaims, state: ClaimsState, now: Seconds) -> list[Effect]:
-    """Write the claims and grant nothing more, so that they are all on disk."""
+    """Write the claims and grant no more, so that all granted claims are on disk."""
     effects: list[Effect] = []
     if state.settings.data_folder is not None and not state.saved:
         state.saved = True
@@ -337,7 +343,7 @@
 
 
 def _register(state: ClaimsState) -> list[Effect]:
-    """Ask once whether this is the first incarnation; the answer is a message."""
+    """Propose the registration once; `AcceptorRegistered` tells if it is the first."""
     if state.registering:
         return []
     state.registering = True
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration in force, and the commands that wait for an outcome."""
+"""Controller of the configuration in force and the commands that await an outcome."""
 
 from __future__ import annotations
 
@@ -85,11 +85,11 @@
     distribution
         The configuration in force on this instance.
     proposals
-        Commands that this instance has to find the outcome of.
+        Commands whose outcome this instance has to find.
     replica
-        Member of the agreement, on an instance with a disk.
+        Member of the consensus group, on an instance with a disk.
     contact
-        Position of the member that an instance without a disk asks next.
+        Counter that selects the member that an instance without a disk asks, in turn.
     """
 
     settings: Settings
@@ -101,7 +101,7 @@
 
     @property
     def member(self) -> Replica | None:
-        """The replica, where it takes part in the agreement."""
+        """The replica, if it takes part in the consensus."""
         if self.replica is None or self.replica.role is Role.BLANK:
             return None
         return self.replica
@@ -170,7 +170,7 @@
 
 
 def _settle(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put in force what is committed, and answer those who wait for it."""
+    """Put the committed configuration in force, and answer those who wait for it."""
     replica = state.replica
     if replica is None:
         return []
@@ -272,7 +272,7 @@
 
 @handle.register
 def _(message: AppendCommands, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Append commands of the dispatcher, unless it leads another term by now."""
+    """Append commands of the dispatcher, unless its term is over by now."""
     replica = state.member
     if (
         replica is None
@@ -323,7 +323,7 @@
 def _(
     message: ReadConfiguration, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    """Answer with the configuration only where no other leader can have a newer one."""
+    """Answer with the configuration only if no other leader can have a newer one."""
     replica = state.member
     if replica is None:
         return [Reply(message.reply_to, ConfigurationRead(None))]
@@ -360,7 +360,10 @@
 def _(
     message: NewerConfiguration, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    """Fetch from a peer, but on a member that hears a leader: the log brings it."""
+    """Fetch a newer configuration from a peer.
+
+    A member that hears a leader does not fetch it, because the log brings it.
+    """
     member = state.member
     if member is not None and (
         member.role is Role.LEADER or now - member.leader_heard_at < ELECTION_MIN
@@ -388,7 +391,7 @@
 
 
 def _take_offer(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put a peer's configuration in force; a member syncs it before."""
+    """Put a peer's configuration in force; a replica writes it to disk before."""
     configuration = choose_offer(state.distribution, now)
     if configuration is None:
         return []
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -1,4 +1,4 @@
-"""Who leads and what is in force, on an instance without a log."""
+"""Controller that finds the leader and its configuration on an instance without log."""
 
 from __future__ import annotations
 
@@ -24,9 +24,9 @@
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
 ASK_INTERVAL: Seconds = 0.4
-# A leader that has not answered two questions counts as lost.
+# A leader that has not answered two requests counts as lost.
 LEADER_SILENCE: Seconds = 1.0
-# An instance that follows on demand stops after so long without a question.
+# An instance that follows the leader on demand stops this long after the last request.
 IDLE_AFTER: Seconds = 10.0
 
 
@@ -37,19 +37,20 @@
     Parameters
     ----------
     contacts
-        Members that the settings or a notice named.
+        Members of the log that the settings or a notice named.
     links
-        Which contacts answer.
+        Health of the links to the contacts.
     term, leader, leader_heard_at
-        Newest leader, and when it last spoke.
+        Newest known term and its leader, and the time of the leader's last notice.
     configuration
-        In force here; its version never decreases.
+        Configuration in force on this instance; its version never decreases.
     next_ask
-        When the contacts are asked again.
+        Time at which the contacts are asked again.
     started_at
-        When the contacts were first asked.
+        Time at which this instance began to ask its contacts.
     wanted_until
-        Until when an instance that follows on demand asks its contacts.
+        Time until which an instance that follows the leader on demand asks its
+        contacts.
     """
 
     settings: Settings
@@ -65,7 +66,7 @@
 
 
 def make_state(settings: Settings) -> DirectoryState:
-    """Build the first state: the contacts are the members that the settings name."""
+    """Build the initial state, with the members that the settings name as contacts."""
     return DirectoryState(settings, settings.first_members)
 
 
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -25,21 +25,23 @@
     Seconds,
 )
 
-# Renewed about three times while it lasts; the platform shortens one of over 1 s.
+# A lease is renewed about three times before it expires. The platform shortens leases
+# of more than 1 s.
 LEASE: Seconds = 0.8
-SLOWEST_CLOCK = 0.98  # a backend server's clock may be 2% slow
+SLOWEST_CLOCK = 0.98  # the clock of a backend server may run 2% slow
 LAPSE_MARGIN: Seconds = 0.1
-# Runs are numbered from here in each term, so that no leader reuses a number.
+# Each term numbers the runs of a task from its own multiple of this number, so that no
+# leader reuses a number of an earlier one.
 RUNS_PER_TERM = 1000
 
 
 class RunPhase(StrEnum):
-    """What is known of a run that occupies its task."""
+    """Phase of a run that occupies its task, as far as the leader knows."""
 
     ORDERED = "ordered"
     RUNNING = "running"
     STOPPING = "stopping"
-    ENDED = "ended"  # listed as done or failed, and not kept yet
+    ENDED = "ended"  # listed as done or failed; the end is not committed yet
 
 
 @dataclass(slots=True)
@@ -49,16 +51,17 @@
     Parameters
     ----------
     ordered_at
-        When it was ordered or first listed.
+        Time at which the run was ordered or first listed.
     started_at
-        When it was first known to run.
+        Time at which the run was first known to be running.
     settled_at
-        When its last order was answered: a list that was asked for later names it,
-        unless it is over.
+        Time at which the last order for the run was answered. A list of runs that is
+        requested later contains the run, unless the run is over.
     stop_again_at
-        When its stop is ordered again, because the last one may not have arrived.
+        Time at which the stop is ordered again, because the last stop order may not
+        have arrived.
     repeated
-        Whether its start was ordered twice, because the first was not answered.
+        Whether the start was ordered twice, because the first order was not answered.
     """
 
     job_id: JobId
@@ -86,45 +89,52 @@
     Parameters
     ----------
     report
-        Its newest announcement.
+        Newest announcement of the backend server.
     heard_at
-        When it last announced itself or answered.
+        Time of the last announcement or answer.
     clock_ahead
-        Its clock less ours, as a lower bound, in seconds; unknown before an answer.
+        Lower bound of the backend server's clock minus this instance's clock, in
+        seconds; ``None`` before the first answer.
     read_term
-        Term in which it listed its runs: before that nothing is started there.
-    reading, read_sent_at
+        Term in which the backend server last listed its runs. Nothing is started there
+        before it has done so in the current term.
+    reading
         Whether a `ReadRuns` is in progress.
     read_again_at
         Earliest time of the next `ReadRuns`.
     unanswered
-        Questions in a row that were not answered.
+        Number of consecutive `ReadRuns` requests that were not answered.
     lapsed_at
-        Our time at which the last lease that was granted has certainly lapsed.
+        Time on this instance's clock at which the last granted lease has certainly
+        expired.
     runs_by_task
-        Runs that use its capacity.
+        Runs that occupy their tasks. Those that have not ended use capacity.
     listed, acknowledged
-        Number of the last end that was listed, and up to which all ends are kept.
+        Number of the last end that was listed, and the number up to which all ends are
+        committed.
     acknowledged_sent
-        What was last acknowledged to the backend server.
+        Number that was last acknowledged to the backend server.
     unkept
-        Ends that were listed and are not kept yet.
+        Numbers of the ends that were listed and are not committed yet.
     foreign
-        Runs of jobs that are not known here, with the time at which they were first
-        listed. What they use is not known either, so that nothing is started beside
-        them.
+        Runs of jobs that are not known here, and runs that are being stopped as
+        unwanted, with the time at which they were first listed. The resources of
+        unknown jobs are not known, so nothing is started on the backend server while
+        there are such runs.
     failures_in_row, avoided_until
-        Runs that failed there since one was done, and until when it gets no more.
+        Number of runs that failed since the last one was done, and the time until which
+        the backend server gets no new runs.
     speed
-        Learned speed.
+        Learned speed; 1 if tasks run in their declared time.
     learned_at
-        When a run there last showed its speed.
+        Time at which the learned speed was last updated from a run.
     listed_at
-        When it last listed its runs.
+        Time at which the backend server last listed its runs.
     done_at
-        When a run was last listed there as done.
+        Time at which a run was last listed as done.
     gone
-        Another life began or it has left: its runs end when their lease has lapsed.
+        Whether the backend server has left or its process was replaced. Its runs end
+        when their lease has expired.
     """
 
     report: ServerReport
@@ -150,7 +160,7 @@
     gone: bool = False
 
     def reset_runs(self) -> None:
-        """Forget what a leader knew; the next one reads it from the backend server."""
+        """Clear the leader's view of the runs; the next leader reads them again."""
         self.read_term = 0
         self.reading = False
         self.runs_by_task.clear()
@@ -160,12 +170,12 @@
 
     @property
     def silent(self) -> bool:
-        """Whether the last question was not answered."""
+        """Whether the last `ReadRuns` was not answered."""
         return self.unanswered > 0
 
     @property
     def room(self) -> Resources:
-        """What no run uses."""
+        """Capacity that no run uses."""
         room = self.report.capacity
         for run in self.runs_by_task.values():
             if run.phase is not RunPhase.ENDED:
@@ -175,7 +185,7 @@
 
 @dataclass(slots=True)
 class KeptEnds:
-    """Ends of one backend server that a command keeps."""
+    """Ends of runs on one backend server that a pending command records in the log."""
 
     server_id: BackendServerId
     born: int
@@ -192,45 +202,49 @@
     term
         Term that this instance leads, or 0.
     authority_until
-        Until when it may give orders and answer questions.
+        Time until which this instance may send orders and answer requests.
     leading_since
-        When the term was gained here.
+        Time at which this instance became the leader of the term.
     predecessor_until
-        Time after which no earlier leader gives orders.
+        Time after which no earlier leader sends orders.
     configuration
-        In force on this instance.
+        Configuration in force on this instance.
     members
-        Members of the log; none before the log has named them.
+        Members of the log; empty before the log has named them.
     records_by_id
-        Jobs as they are kept.
+        Records of the jobs. Those of best-effort jobs exist only at the leader, all
+        others are committed.
     active
         Jobs that have not ended, oldest first.
     occupied
-        Backend server of each task that may be running or has an end to be kept.
+        Backend server of each task that may be running or whose end is not committed
+        yet.
     taken_over
-        Whether a task that no backend server lists is certainly not running.
+        Whether the takeover is complete, that is, a task that no backend server lists
+        is certainly not running.
     queue
-        Jobs with tasks that may start.
+        Jobs with tasks that are ready to start.
     index
-        What is free on which backend server.
+        Free capacity and speed of the backend servers.
     started
         Jobs of which a task was started or has ended.
     run_by_task
-        Number of the newest run of each task that was started in this term.
+        Newest run number of each task that was started or adopted in this term.
     replies_by_command, ends_by_command
-        What to do once a command is kept.
+        Requests to answer and ends to acknowledge once a command is committed.
     command_by_job
-        Command that keeps a new job, until it is kept.
+        Command that accepts a new job, until it is committed.
     waiters_by_job
         Requests that wait for the end of a best-effort job.
     stopped_once
-        Tasks of which a run was stopped because it seemed to stand still.
+        Tasks of which a run was stopped because it appeared to make no progress.
     foreign_done
-        Tasks of jobs that are not known here whose end was listed, with its time.
+        Tasks of jobs that are not known here that were listed as done, with the time of
+        the list.
     next_command
         Number of the next command.
     next_review
-        When ended jobs and silent backend servers are reviewed next.
+        Time of the next review of ended jobs and silent backend servers.
     """
 
     settings: Settings
@@ -260,14 +274,14 @@
     next_review: Seconds = 0.0
 
     def forget_job(self, job_id: JobId) -> None:
-        """Drop all that is known of a job that has not run."""
+        """Remove all state of a job that has not run."""
         self.records_by_id.pop(job_id, None)
         self.active.pop(job_id, None)
         self.started.discard(job_id)
         self.queue.remove(job_id)
 
     def forget_run_numbers(self) -> None:
-        """Drop the run numbers of jobs that are not known any longer."""
+        """Remove the run numbers of jobs that are no longer known."""
         known = self.records_by_id
         for key in [key for key in self.run_by_task if key[0] not in known]:
             del self.run_by_task[key]
@@ -280,13 +294,13 @@
 
 
 def note_room(state: DispatcherState, server: Server) -> None:
-    """Take over into the index what is free on a backend server, and its speed."""
+    """Update the index with the free capacity and the speed of a backend server."""
     report = server.report
     state.index.put(report.id, report.pool, server.speed, server.room.millicores)
 
 
 def occupy(state: DispatcherState, server: Server, run: Run) -> None:
-    """Take note of a run that occupies its task and some room."""
+    """Record a run that occupies its task and capacity of a backend server."""
     server.runs_by_task[run.key] = run
     state.occupied[run.key] = server.report.id
     state.started.add(run.job_id)
@@ -294,12 +308,12 @@
 
 
 def has_authority(state: DispatcherState, now: Seconds) -> bool:
-    """Tell whether this instance may give orders and answer questions."""
+    """Return whether this instance may send orders and answer requests."""
     return state.term > 0 and now < state.authority_until
 
 
 def keep_record(state: DispatcherState, record: JobRecord) -> None:
-    """Take over what is kept of a job."""
+    """Store the current record of a job."""
     job_id = record.job.id
     state.records_by_id[job_id] = record
     if record.phase is JobPhase.ACTIVE:
@@ -314,7 +328,7 @@
 
 
 def next_run(state: DispatcherState, key: tuple[JobId, int]) -> int:
-    """Return a number for the next run of a task, higher than all before."""
+    """Return the number of the next run of a task, higher than all earlier ones."""
     first = (state.term - 1) * RUNS_PER_TERM + 1
     number = max(first, state.run_by_task.get(key, 0) + 1)
     state.run_by_task[key] = number
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -1,6 +1,7 @@
-"""Dispatches durable jobs: at the leader of the log, which alone gives orders.
+"""Controller that dispatches durable jobs on the leader of the replicated log.
 
-The other members keep the table of backend servers: a new leader begins with it.
+Only the leader sends orders to backend servers. The other members maintain the table of
+backend servers, so that a new leader starts with a current one.
 """
 
 from __future__ import annotations
@@ -111,13 +112,17 @@
 
 
 def _date_job(message: SubmitDurableJob, now: Seconds) -> DurableJob:
-    """Return the job with its time of submission by the own clock."""
+    """Return the job with its submission time on this instance's clock."""
     arrived_at = now if message.arrived_at is None else message.arrived_at
     return replace(message.job, submitted_at=arrived_at - message.age)
 
 
 def _can_ever_fit(job: DurableJob, state: DispatcherState) -> bool:
-    """Tell whether a job fits some backend server; one with room now is enough."""
+    """Return whether a job can run on the known backend servers.
+
+    If each step fits a backend server with free capacity, the total capacities need not
+    be compared.
+    """
     servers = state.servers_by_id
     roomy = {
         step: next(state.index.iterate(job.starts.pool, step.needs.millicores), None)
@@ -211,7 +216,7 @@
 
 @handle.register
 def _(message: LeadershipGained, state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Begin with what is kept, and ask every backend server what runs there."""
+    """Load the committed jobs and read the runs of every backend server."""
     _drop_leadership(state)
     state.term = message.term
     state.authority_until = message.authority_until
@@ -235,7 +240,7 @@
 
 
 def _drop_leadership(state: DispatcherState) -> None:
-    """Forget all that only a leader knows; the kept records stay with the log."""
+    """Clear the state that only a leader holds; committed records stay in the log."""
     state.term = 0
     state.authority_until = 0.0
     state.records_by_id.clear()
@@ -258,7 +263,7 @@
 
 @handle.register
 def _(message: LeadershipLost, state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Send those who wait to the next leader, which decides."""
+    """Answer pending requests as undecided, so that callers ask the next leader."""
     term = state.term
     waiting = _list_waiting(state)
     _drop_leadership(state)
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -1,4 +1,4 @@
-"""Other instances: heartbeats, silence and the choice of the placer."""
+"""Controller of the other instances: heartbeats, silence and choice of the placer."""
 
 from __future__ import annotations
 
@@ -41,15 +41,16 @@
     Parameters
     ----------
     heartbeat
-        The newest one, if any was heard.
+        Newest heartbeat of the peer, if any was received.
     last_heard
-        When it came, in Unix time; ``None`` if nothing came since this process started
-        or woke up.
+        Unix time at which the newest heartbeat was received; ``None`` if none was since
+        this process started or woke up.
     last_echo, echo_at
-        The newest of our sequence numbers that the peer has heard, and when it said so.
+        Newest sequence number of this instance that the peer has echoed, and the Unix
+        time at which the echo was received.
     linked_at, link_timeout
-        When the link to the peer was made, and the seconds without an echo after which
-        it is replaced.
+        Unix time at which the link to the peer was made, and the seconds without an
+        echo after which the link is replaced.
     live
         Whether the last tick or heartbeat counted the peer as live.
     """
@@ -65,16 +66,17 @@
 
 @dataclass(slots=True)
 class InstancesState:
-    """View that this instance has of the others.
+    """State of the controller: this instance's view of the other instances.
 
     Parameters
     ----------
     in_service_since
-        Unix time in milliseconds; set anew after a pause or an isolation.
+        Unix time in milliseconds; reset after a pause or an isolation.
     awake_since
         Unix time in seconds of the first tick after the start or a pause.
     discovery_done
-        Whether the zone's other instances were heard, or had their time to be heard.
+        Whether all other instances of the zone were heard, or the time to wait for them
+        is over.
     isolated
         Whether this instance is not, or not yet, connected to half of its zone.
     flushing
@@ -132,10 +134,12 @@
             effects.append(LogEvent("instance_lost", {"peer": peer_id}))
         view.live = live
         if _is_lost(view, state, now):
-            # On every tick, so that requests sent after the loss do not wait either.
+            # Repeated on every tick, so that requests sent after the loss are abandoned
+            # too.
             effects.append(AbandonRequests(peer_id))
         if now - max(view.echo_at, view.linked_at) > view.link_timeout:
-            # A peer that is not heard may wait for this link to be replaced too.
+            # This includes peers that are not heard: such a peer may be waiting for
+            # this link to be replaced too.
             view.linked_at = now
             view.link_timeout = silence * state.jitter.uniform(1, 2)
             effects.append(Reconnect(peer_id))
@@ -150,7 +154,7 @@
 
 
 def _check_role(state: InstancesState, now: Seconds) -> list[Effect]:
-    """Settle after a start or a pause, and tell the pool who is the placer."""
+    """Update discovery and isolation, and report a change of placer to the pool."""
     silence = state.settings.timing.instance_silence
     zone_peers = [
         view
@@ -163,7 +167,8 @@
     isolated = membership.is_isolated(connected + 1, len(zone_peers) + 1)
     effects: list[Effect] = []
     if isolated and not state.isolated:
-        # The others have chosen another placer; it keeps the role when they meet again.
+        # The others have chosen another placer, which keeps the role when they are
+        # connected again.
         state.in_service_since = _milliseconds(now)
         effects.append(LogEvent("isolated", {"connected": connected}))
     state.isolated = isolated
@@ -254,9 +259,9 @@
 def _is_newer(
     message: Heartbeat, view: PeerView, state: InstancesState, now: Seconds
 ) -> bool:
-    """Tell a new heartbeat from a delayed one.
+    """Return whether a heartbeat is newer than the known one, and not a delayed one.
 
-    A lower incarnation is believed once the higher one is lost: the clock of a machine
+    A lower incarnation is accepted once the higher one is lost: the clock of a machine
     may have been set back between two starts.
     """
     known = view.heartbeat
@@ -280,7 +285,7 @@
 
 
 def _list_candidates(state: InstancesState, now: Seconds) -> list[Candidate]:
-    """List the live instances; none until this one knows of the others."""
+    """List the live instances; the list is empty until discovery is done."""
     return _list_live(state, now) if state.discovery_done else []
 
 
@@ -355,7 +360,7 @@
 
 @handle.register
 def _(message: Flush, state: InstancesState, now: Seconds) -> list[Effect]:
-    """Send heartbeats behind what was sent before; their echo is the receipt."""
+    """Send heartbeats after all earlier messages; their echo confirms the arrival."""
     effects = _send_heartbeats(state, now)
     state.flushing.append((message.reply_to, state.sequence))
     return effects + _end_flushes(state)
@@ -375,7 +380,7 @@
 
 @handle.register
 def _(message: WokeUp, state: InstancesState, now: Seconds) -> list[Effect]:
-    """Forget what was heard before the pause; heartbeats will say who still lives."""
+    """Discard what was heard before the pause; new heartbeats show who is live."""
     state.in_service_since = _milliseconds(now)
     state.awake_since = now
     state.discovery_done = False
--- a/boragetide/controllers/job_records.py
+++ b/boragetide/controllers/job_records.py
@@ -1,4 +1,4 @@
-"""What is kept of durable jobs: commands to the log, and changes that take effect."""
+"""Records of durable jobs: appends commands to the log and applies changed records."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     *,
     ends: KeptEnds | None = None,
 ) -> Effect:
-    """Hand a command to the log; `JobsCommitted` says that it is kept."""
+    """Append a command to the log; `JobsCommitted` reports when it is committed."""
     command_id = name_command(state)
     if ends is not None:
         state.ends_by_command[command_id] = ends
@@ -34,7 +34,13 @@
 def take_record(
     state: DispatcherState, record: JobRecord, now: Seconds, *, is_new: bool = False
 ) -> list[Effect]:
-    """Take over a change of a job; its end stops its runs and answers its waiters."""
+    """Apply a changed record; the end of a job stops its runs and answers its waiters.
+
+    Parameters
+    ----------
+    is_new
+        Whether the job was accepted by this change.
+    """
     job_id = record.job.id
     keep_record(state, record)
     state.command_by_job.pop(job_id, None)
--- a/boragetide/controllers/jobs.py
+++ b/boragetide/controllers/jobs.py
@@ -1,4 +1,4 @@
-"""Jobs that this instance owns: their tasks, waiting callers and kept answers."""
+"""Controller of the jobs that this instance owns: tasks, callers and kept answers."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 class JobPhase(StrEnum):
-    """Where a job stands at its owner."""
+    """Phase of a job at its owner."""
 
     REFUSED = "refused"
     RUNNING = "running"
@@ -57,13 +57,13 @@
     Parameters
     ----------
     submission
-        Dropped when the job ends.
+        The submitted job; ``None`` once the job was refused or has ended.
     digest
-        Tells a resubmission from another job under the same id.
+        Distinguishes a resubmission from another job with the same id.
     deadline
-        When the claim becomes too old for further starts, in Unix time.
+        Unix time at which the claim becomes too old for further starts.
     keep_until
-        When the record may be dropped, in Unix time.
+        Unix time from which the record may be dropped.
     outcomes_by_index
         Outcomes that have arrived, by position of the task.
     """
@@ -86,9 +86,10 @@
     Parameters
     ----------
     records
-        Heap of the times at which to look at a record again, with its id.
+        Heap of (Unix time at which to check the record again, job id).
     answers
-        Ids of ended jobs with the time until which the answer is kept, in that order.
+        Ended jobs as (Unix time until which the answer is kept, job id), in the order
+        of these times.
     kept_results
         Number of results in the kept answers.
     """
@@ -149,7 +150,7 @@
 def _retention(state: JobsState) -> Seconds:
     """Return how long a record is kept after the last submission of its id.
 
-    A claim made just before the end of the window is good for another window.
+    A claim made just before the end of the window is valid for another window.
     """
     return 2 * state.settings.timing.resubmission_window
 
@@ -169,8 +170,14 @@
 
 
 def _refuse_other_content(message: SubmitJob) -> Effect:
-    """Refuse payloads that this id did not run and, while it is held, will not run."""
-    error = "id: another job with other payloads has this id; these did not run"
+    """Refuse a submission whose id belongs to a job with other payloads.
+
+    The refused payloads did not run, and will not run while the id is held.
+    """
+    error = (
+        "id: another job with other payloads has this id; "
+        "the payloads of this request did not run"
+    )
     answer = Answer(message.submission.id, Status.NOT_RUN, error=error)
     return Reply(message.reply_to, JobAnswer(answer, OTHER_CONTENT))
 
@@ -262,7 +269,7 @@
 
 
 def _drop_answers(state: JobsState, now: Seconds) -> list[Effect]:
-    """Drop answers that were kept long enough, and the oldest ones beyond the limit."""
+    """Drop answers whose retention is over, and the oldest ones beyond the limit."""
     limit = state.settings.limits.kept_results
     early = 0
     while state.answers:
@@ -314,15 +321,15 @@
 
 @handle.register
 def _(message: WokeUp, state: JobsState, now: Seconds) -> list[Effect]:
-    """Fence this instance: peers gave up on its jobs while it did not run."""
-    error = "the owner did not run for a while"
+    """Fence this instance: peers gave up on its jobs while its process was paused."""
+    error = "the process of the owner was paused"
     return _give_up(list(state.jobs_by_id.values()), error, state, now)
 
 
 def _give_up(
     jobs: list[Job], error: str, state: JobsState, now: Seconds
 ) -> list[Effect]:
-    """End running jobs with an unknown outcome; no further task of them starts."""
+    """End running jobs with an unknown outcome; none of their waiting tasks starts."""
     effects: list[Effect] = []
     for job in jobs:
         if job.phase is JobPhase.RUNNING:
@@ -337,7 +344,7 @@
 
 
 def _drop_records(state: JobsState, now: Seconds) -> list[Effect]:
-    """End the jobs, and later drop the records, that have outlived their claims.
+    """End jobs that have outlived their claims, and later drop their records.
 
     Acceptors drop a claim after its deadline, and another instance may then own the id.
     """
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -33,10 +33,10 @@
     TaskStatus,
 )
 
-# Entry instances that chose this placer before they heard of the change still send
-# their jobs once the claim is decided, which takes a few round trips.
+# Entry instances that chose this placer before they learned of the change still send
+# their jobs to it once the claim is decided, which takes a few round trips.
 RELEASE_DELAY = 1.0  # seconds
-RELEASE_RENEWAL = 0.2  # seconds between renewals while the queue is being finished
+RELEASE_RENEWAL = 0.2  # seconds between renewals while a former placer ends its queue
 CONFIRMATION = 0.005  # seconds until the renewal that confirms a new lease
 
 
@@ -45,8 +45,8 @@
 ) -> list[Effect]:
     """Grant, renew or refuse the lease of a backend server.
 
-    Only the placer of the zone grants leases. An instance that lost the role goes on
-    renewing the ones it holds until it has started everything in its queue.
+    Only the placer of the zone grants leases. An instance that lost the role continues
+    to renew the leases it has granted until it has started all tasks in its queue.
     """
     server = message.server
     leased = state.servers_by_id.get(server.id)
@@ -69,7 +69,7 @@
         )
     leased.server = server
     leased.renewed_at = now
-    # A backend server that does not name its lease is taken to know it at once.
+    # A backend server whose announcement names no lease counts as confirmed at once.
     leased.confirmed = message.lease is None or message.lease == leased.lease
     refresh_server(state, server.id, now)
     effects.append(tell_pool_size(state))
@@ -78,7 +78,7 @@
 
 
 def _is_current(message: AnnounceBackendServer, leased: LeasedServer) -> bool:
-    """Tell whether the announcement comes from the process that holds the lease."""
+    """Return whether the announcement comes from the process that holds the lease."""
     return message.server.address == leased.server.address and (
         message.lease is None or message.lease == leased.lease
     )
@@ -86,8 +86,8 @@
 
 def _refuse(state: BackendServersState) -> LeaseRefused:
     return LeaseRefused(
-        f"instance {state.settings.id} does not place for its zone, "
-        f"{state.placer or 'no instance'} does"
+        f"instance {state.settings.id} is not the placer of its zone; "
+        f"the placer is {state.placer or 'not known'}"
     )
 
 
@@ -116,7 +116,7 @@
 def change_placer(
     message: PlacerChanged, state: BackendServersState, now: Seconds
 ) -> list[Effect]:
-    """Take note of who places for this zone."""
+    """Record which instance places for this zone."""
     if state.placer == state.settings.id:
         state.role_lost_at = now
     state.placer = message.placer
@@ -124,7 +124,7 @@
 
 
 def is_released(state: BackendServersState, now: Seconds) -> bool:
-    """Tell whether a former placer has started all that was sent to it."""
+    """Return whether a former placer has started all tasks that were sent to it."""
     lost_at = state.role_lost_at
     settled = lost_at is None or now - lost_at > RELEASE_DELAY
     return settled and not state.queued_tasks and not state.delayed
@@ -146,7 +146,14 @@
     tasks_end_by: Seconds | None,
     now: Seconds,
 ) -> list[Effect]:
-    """Start nothing more under a lease, and keep it while tasks run under it."""
+    """Start no more tasks under a lease, and keep the lease while tasks run under it.
+
+    Parameters
+    ----------
+    tasks_end_by
+        Unix time at which tasks that still run end as unknown; ``None`` if their own
+        timeouts bound them.
+    """
     forget_server(state, leased.server.id, now)
     if leased.running_by_id:
         leased.tasks_end_by = tasks_end_by
@@ -157,8 +164,8 @@
 def expire(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Retire the leases that were not renewed and end the tasks of lost servers.
 
-    A lost server may only be cut off from its renewals, so its tasks get another lease
-    period in which their results can arrive.
+    A lost server may have been unable only to renew its lease, so its tasks get another
+    lease period in which their results can arrive.
     """
     expiry = state.settings.timing.lease_expiry
     effects: list[Effect] = []
@@ -187,6 +194,6 @@
 
 
 def wake_up(message: WokeUp, state: BackendServersState, now: Seconds) -> list[Effect]:
-    """Drop the queue and every lease; backend servers announce themselves again."""
+    """Drop the queue and all leases; backend servers announce themselves again."""
     clear_pool(state, now)
     return [tell_pool_size(state)]
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -1,4 +1,4 @@
-"""Orders to backend servers: what becomes of them, and when a run is certainly over."""
+"""Orders to backend servers: their results, and when a run is certainly over."""
 
 from __future__ import annotations
 
@@ -17,25 +17,26 @@
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered
 from boragetide.types import BackendServerId, Seconds
 
-# The first question that is not answered is repeated at once, because its answer may be
-# lost; the pauses before further ones double.
+# Pauses before an unanswered `ReadRuns` is repeated. The first repetition follows at
+# once, because only the answer may have been lost; the pauses before later ones double.
 READ_RETRIES: tuple[Seconds, ...] = (0.0, 0.1, 0.2, 0.4)
 STOP_RETRY: Seconds = 0.1
 LISTED_END = "listed"  # reason of a run that is over because its end was listed
-# A backend server that refuses because it is unhealthy, or stops answering for a run,
-# gets no new ones for a while.
+# A backend server that refuses a run because it is unhealthy or has no room gets no new
+# runs for this long.
 AVOID_UNHEALTHY: Seconds = 1.0
-# A declared time that is 40% too short on a backend server that is as slow as learned
-# takes 1.7 times as long as expected.
+# A task whose declared time is 40% too short takes 1.7 times as long as expected on a
+# backend server whose learned speed is right.
 OVERDUE_FACTOR = 3.0
 OVERDUE_MARGIN: Seconds = 0.3
+# A backend server with an overdue run gets no new runs for this long.
 AVOID_OVERDUE: Seconds = 2.0
 
 
 def take_order(
     state: DispatcherState, message: RunOrdered, now: Seconds
 ) -> list[Effect]:
-    """Take over how a start or stop ended."""
+    """Apply the result of a start or stop order."""
     server = state.servers_by_id.get(message.server)
     if server is None or message.term != state.term:
         return []
@@ -68,7 +69,7 @@
     fields |= {"server": server.report.id, "result": result.value}
     log = LogEvent("run_refused", fields)
     if run.phase is RunPhase.RUNNING:
-        # A list has named it, although the answer was lost.
+        # The run has been listed, so it was started although the answer was lost.
         run.settled_at = now
         return [log]
     if run.phase is not RunPhase.ORDERED:
@@ -76,8 +77,8 @@
     if result is OrderResult.UNANSWERED and not run.repeated:
         return [log, *_repeat_start(state, server, run, now)]
     if result is OrderResult.OLD_RUN and run.repeated:
-        # The first order was carried out: the end is listed next, or the run was
-        # stopped.
+        # The first order was carried out: either the end of the run is listed next, or
+        # the run was stopped.
         run.settled_at = now
         return [log]
     if result is OrderResult.UNANSWERED or run.repeated:
@@ -92,7 +93,7 @@
 def _repeat_start(
     state: DispatcherState, server: Server, run: Run, now: Seconds
 ) -> list[Effect]:
-    """Order a start again, with the same number: the backend server runs it once."""
+    """Repeat a start with the same run number, so that the task runs only once."""
     record = state.records_by_id.get(run.job_id)
     if record is None or not has_authority(state, now):
         return []
@@ -108,7 +109,8 @@
     now: Seconds,
 ) -> list[Effect]:
     if result in (OrderResult.DONE, OrderResult.OLD_RUN):
-        # It is listed until its end is; where it never arrived it never will run.
+        # The run is listed until its end is. If its start has not arrived, the run will
+        # never begin.
         run.settled_at = now
     elif result is OrderResult.OTHER_LIFE:
         server.gone = True
@@ -120,7 +122,7 @@
 def stop_run(
     state: DispatcherState, server: Server, run: Run, reason: str
 ) -> list[Effect]:
-    """Order the end of a run; it occupies its task until the end is certain."""
+    """Order the stop of a run; it occupies its task until it is certainly over."""
     record = state.records_by_id.get(run.job_id)
     if record is None or run.phase is RunPhase.ENDED:
         return []
@@ -137,10 +139,10 @@
 
 
 def repeat_stops(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Order stops again that may not have arrived, where a backend server answers.
+    """Repeat stop orders that may not have arrived, on backend servers that answer.
 
-    Without an answer it is not known whether the run can still begin. Where nothing is
-    answered at all, the lease of the run ends it.
+    Without an answer to the stop, the run may still begin. On a backend server that
+    answers nothing at all, the expiry of the lease ends the run.
     """
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
@@ -157,7 +159,7 @@
 def make_stop(
     state: DispatcherState, server: Server, task: TaskRef, number: int, run: int
 ) -> StopRun:
-    """Return the order that ends a run of a task."""
+    """Return the order that stops a run of a task."""
     report = server.report
     return StopRun(report.id, report.address, task, number, run, state.term)
 
@@ -165,7 +167,10 @@
 def take_failed_read(
     state: DispatcherState, message: ReadFailed, now: Seconds
 ) -> list[Effect]:
-    """Start nothing where a question was not answered, until another one is."""
+    """Mark a backend server as silent until it answers another `ReadRuns`.
+
+    Nothing is started there in the meantime.
+    """
     server = state.servers_by_id.get(message.server)
     if server is None or message.term != state.term:
         return []
@@ -182,9 +187,9 @@
 
 
 def stop_overdue(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Stop runs that stand still, as far as can be told; their tasks start elsewhere.
+    """Stop runs that appear to make no progress, so that their tasks start elsewhere.
 
-    A task is stopped for this once: its declared time may be what is wrong.
+    A task is stopped for this reason only once, because its declared time may be wrong.
     """
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
@@ -210,13 +215,13 @@
     if server.done_at > run.started_at:
         return False
     expected = run.estimate / server.speed
-    # How long it runs is known up to the last list only.
+    # The run is known to have been running only up to the last list.
     seen = server.listed_at - run.started_at
     return seen > OVERDUE_FACTOR * expected + OVERDUE_MARGIN
 
 
 def free_lapsed(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """End the runs of backend servers that were not reached until all leases lapsed."""
+    """Free the runs of silent or departed backend servers whose leases have expired."""
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
         if not (server.silent or server.gone) or now < server.lapsed_at:
@@ -230,14 +235,14 @@
 def free_run(
     state: DispatcherState, server: Server, run: Run, reason: str
 ) -> list[Effect]:
-    """Forget a run that is certainly over; its task may start again."""
+    """Remove a run that is certainly over, so that its task may start again."""
     server.runs_by_task.pop(run.key, None)
     note_room(state, server)
     if state.occupied.get(run.key) == server.report.id:
         del state.occupied[run.key]
     requeue(state, run.job_id)
     if reason == LISTED_END:
-        # The line of the listed end says as much.
+        # The end was already logged when it was listed.
         return []
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "reason": reason, "term": state.term}
@@ -245,6 +250,6 @@
 
 
 def lose_authority(state: DispatcherState, server_id: BackendServerId) -> Effect:
-    """Give no more orders in this term: a newer leader does."""
+    """Send no more orders in this term, because a newer leader sends them."""
     state.authority_until = 0.0
     return LogEvent("fenced", {"server": server_id, "term": state.term})
--- a/boragetide/controllers/outcomes.py
+++ b/boragetide/controllers/outcomes.py
@@ -1,4 +1,4 @@
-"""Ends of running tasks: what they teach, whether they are retried, who is told."""
+"""Handles the ends of tasks: learning, ejection, retries and reports to the jobs."""
 
 from __future__ import annotations
 
@@ -30,8 +30,8 @@
     TaskStatus,
 )
 
-# A task that runs this many times its expected time speaks for a slow server; so does
-# each further doubling.
+# A task that runs for this many times its expected time indicates a slow server, and so
+# does each further doubling.
 OVERRUN_FACTOR = 2.0
 MIN_EXTENSION: Seconds = 0.02
 CANCEL_HORIZON: Seconds = 0.05
@@ -46,7 +46,7 @@
     now: Seconds,
     overdue: bool = False,
 ) -> list[Effect]:
-    """Free the slot of a task, learn from its end, and retry it or tell its job.
+    """Free the slot of a task, learn from its end, and retry it or notify its job.
 
     Parameters
     ----------
@@ -55,9 +55,9 @@
     outcome
         How the task ended.
     seconds
-        Run time that the backend server measured, if it did.
+        Run time that the backend server measured; ``None`` if it reported none.
     overdue
-        Whether no result came in time.
+        Whether the task is ended because no result arrived in time.
     """
     _free_slot(state, leased, running)
     elapsed = now - running.started_at if seconds is None else seconds
@@ -100,7 +100,7 @@
     elapsed: Seconds,
     now: Seconds,
 ) -> list[Effect]:
-    """Learn from an outcome; return the effects of an ejection."""
+    """Update the speed, size and health of a server; return effects of an ejection."""
     if outcome.status is TaskStatus.CANCELLED:
         return []
     class_name = running.job.queued.class_name
@@ -158,7 +158,7 @@
     overdue: bool,
     now: Seconds,
 ) -> list[Effect]:
-    """Retry a task within the budget, or tell the job how it ended."""
+    """Retry a task if the retry budget allows, or report its outcome to the job."""
     queued = job.queued
     attempts = job.attempts_by_index[index]
     idempotent = queued.idempotent and len(queued.tasks) == 1
@@ -192,7 +192,7 @@
 
 
 def is_untouched(job: QueuedJob) -> bool:
-    """Tell whether certainly no task of a job has run."""
+    """Return whether it is certain that no task of a job has run."""
     return not job.may_have_run and not job.servers_by_running
 
 
@@ -204,7 +204,7 @@
 def refuse_job(
     state: BackendServersState, job: QueuedJob, reason: str, label: str
 ) -> list[Effect]:
-    """Drop an untouched job and tell its owner that nothing ran."""
+    """Drop a job of which no task has run, and report that to its owner."""
     drop_job(state, job)
     labels = {"class": job.queued.class_name, "reason": label}
     return [
@@ -217,7 +217,10 @@
 
 
 def drop_job(state: BackendServersState, job: QueuedJob) -> list[int]:
-    """Remove a job; its running tasks keep their slots. Return its waiting tasks."""
+    """Remove a job and return the indexes of its waiting tasks.
+
+    Running tasks of the job keep their slots.
+    """
     job.dropped = True
     queue = state.queues_by_class[job.queued.class_name]
     indexes = drop_waiting(queue, job)
@@ -232,8 +235,8 @@
     """Drop a job and cancel its running tasks, in one batch for each server.
 
     A job that was cancelled or of which a task failed needs no further outcome. A task
-    that is expected to end soon is left alone: the cancellation would arrive when it
-    has ended.
+    that is expected to end within `CANCEL_HORIZON` is not cancelled, because the
+    cancellation would arrive after its end.
     """
     drop_job(state, job)
     tasks_by_server: dict[tuple[BackendServerId, str], list[str]] = {}
@@ -253,7 +256,7 @@
 
 
 def end_overdue(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """End tasks whose result did not come in time as unknown."""
+    """End tasks whose result did not arrive in time with an unknown outcome."""
     effects: list[Effect] = []
     while state.deadlines and state.deadlines[0][0] <= now:
         _, call, server_id, task_id = heapq.heappop(state.deadlines)
@@ -261,13 +264,13 @@
         if found is None or found[1].call != call:
             continue
         leased, running = found
-        outcome = TaskOutcome(TaskStatus.UNKNOWN, error="no result in time")
+        outcome = TaskOutcome(TaskStatus.UNKNOWN, error="no result arrived in time")
         effects += end_running(state, leased, running, outcome, None, now, True)
     return effects
 
 
 def extend_overruns(state: BackendServersState, now: Seconds) -> None:
-    """Move on the expected end of tasks past it, and learn from long overruns."""
+    """Postpone the expected end of tasks that passed it; learn from long overruns."""
     while state.releases and state.releases[0][0] < now:
         _, server_id, task_id = state.releases.pop(0)
         found = find_running(state, server_id, task_id)
@@ -304,7 +307,7 @@
 
 
 def requeue_delayed(state: BackendServersState, now: Seconds) -> None:
-    """Let tasks wait for a slot again after their backoff."""
+    """Put delayed tasks back into the queue when their backoff is over."""
     while state.delayed and state.delayed[0][0] <= now:
         _, _, job, index = heapq.heappop(state.delayed)
         if job.dropped:
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -1,4 +1,4 @@
-"""Starts queued tasks on free slots."""
+"""Placement of queued tasks on free slots of the pool."""
 
 from __future__ import annotations
 
@@ -28,33 +28,39 @@
 from boragetide.policy import learning, ordering, placement, retries
 from boragetide.types import BackendServerId, ClassName, Seconds, TaskStart
 
-# How far one pass looks: free servers compared for a task, expected releases, and tasks
-# that are kept for a faster server before the next ones take what is free.
+# Limits of one placement round: free servers compared for a task, expected slot
+# releases, and tasks held back for a faster server before later tasks may take the free
+# slots.
 COMPARED_SERVERS = 4
 COMPARED_RELEASES = 32
 HELD_PER_PASS = 12
 
-# Jobs passed over in one pass because no free server has the cores or the memory.
+# Jobs skipped in one round because no free server has the cores or the memory.
 UNPLACEABLE_PER_PASS = 256
 
-# A result arrives at the placer this long after the time that the backend server
-# itself gives a task. The client gives up after 2 s, so this comes after it.
+# The placer waits this long for a result after the timeout of a task, which the backend
+# server itself enforces. The client gives up after 2 s, so the wait ends after that.
 OVERDUE_MARGIN: Seconds = 3.0
 DISPATCH_OVERHEAD: Seconds = 0.001
 
 
 @dataclass(slots=True)
 class _Pass:
-    """One pass over the queue.
+    """State of one placement round over the queue.
 
     Parameters
     ----------
     complete
-        Whether the whole order was walked.
+        Whether the round needs no further iteration over the queue. An iteration that
+        brings a class or team to its share is followed by another one.
     releases
         Expected releases, with speeds for the class that first needed them.
     compared_by_class
-        Fastest free servers; dropped when a server has no free slot left.
+        Fastest free servers; cleared when a server has no free slot left.
+    held
+        Number of tasks held back for a faster server.
+    unplaceable
+        Number of jobs skipped because no free server fits one of their tasks.
     """
 
     now: Seconds
@@ -92,7 +98,7 @@
 
 
 def _walk(state: BackendServersState, current: _Pass) -> None:
-    """Offer the free slots to the waiting jobs in their order."""
+    """Offer the free slots to the waiting jobs in queue order."""
     queues_by_class = state.queues_by_class
     caps_by_class = {
         name: ordering.slots_of_share(
@@ -124,8 +130,8 @@
     Returns
     -------
     int
-        Number of tasks started. It stops early where the class or the team reached its
-        share, and marks the pass as not complete.
+        Number of tasks started. If the class or the team reaches its share, placement
+        stops early and the round is marked as not complete.
     """
     class_name = job.queued.class_name
     queue = state.queues_by_class[class_name]
@@ -164,9 +170,9 @@
     position: int,
     current: _Pass,
 ) -> int:
-    """Return the position of the longest task that a free slot suits.
+    """Return the position of the longest task that is worth starting on a free slot.
 
-    It is the shortest task where a faster server would end each of them earlier.
+    If every task would end earlier on a faster server, this is the shortest task.
     """
     free = _compare_free(state, class_name)
     speed = placement.choose_server(free).speed
@@ -195,7 +201,7 @@
     index: int,
     current: _Pass,
 ) -> tuple[LeasedServer | None, str]:
-    """Return the server for a task and the reason, or ``None`` to hold it."""
+    """Return the server for a task, or ``None`` to hold the task, and the reason."""
     task = job.queued.tasks[index]
     class_name = job.queued.class_name
     if task.cores or task.memory:
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -1,4 +1,4 @@
-"""Starts runs of durable tasks where there is room."""
+"""Placement of durable tasks: starts runs on backend servers with free capacity."""
 
 from __future__ import annotations
 
@@ -22,16 +22,17 @@
 from boragetide.policy.scheduling import Candidate, choose_server, find_ready_tasks
 from boragetide.types import JobId, PoolName, Seconds
 
-# An announcement comes every 1.5 s; a backend server that missed three is not used.
+# Backend servers announce themselves every 1.5 s. One that missed three announcements
+# gets no new runs.
 ANNOUNCEMENT_SILENCE: Seconds = 5.0
-# Announcements of all backend servers have come by then.
+# All backend servers have announced themselves to a process of this age.
 YOUNG_PROCESS: Seconds = 3.5
-# Leases that an earlier leader gave have lapsed so long after its last order.
+# Leases that an earlier leader granted have expired this long after its last order.
 LAPSE_WAIT: Seconds = LEASE / SLOWEST_CLOCK + 2 * LAPSE_MARGIN
 
 
 def requeue(state: DispatcherState, job_id: JobId) -> None:
-    """Put what may start of a job into the queue."""
+    """Update the queue with the tasks of a job that are ready to start."""
     record = state.records_by_id.get(job_id)
     if record is None or record.phase is not JobPhase.ACTIVE:
         state.queue.remove(job_id)
@@ -45,9 +46,9 @@
 
 
 def has_taken_over(state: DispatcherState, now: Seconds) -> bool:
-    """Tell whether a task that no backend server lists is certainly not running.
+    """Return whether a task that no backend server lists is certainly not running.
 
-    An earlier leader may have started any job that is submitted again.
+    Any job that is submitted again may have been started by an earlier leader.
     """
     if now >= state.predecessor_until + LAPSE_WAIT:
         return True
@@ -61,7 +62,7 @@
 
 
 def check_takeover(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Allow starts once no run of an earlier leader can be in the way."""
+    """Allow starts once every run of an earlier leader is known or over."""
     if state.taken_over or not has_authority(state, now):
         return []
     if not has_taken_over(state, now):
@@ -72,7 +73,7 @@
 
 
 def place(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Start as many waiting tasks as there is room for."""
+    """Start as many waiting tasks as the free capacity allows."""
     if not has_authority(state, now) or not state.queue.waiting_by_id:
         return []
     if not state.taken_over:
@@ -93,7 +94,7 @@
 
 
 def _find_pool(state: DispatcherState, waiting: WaitingJob) -> PoolName:
-    """Return the pool of a class now, or that of its job if the class was dropped."""
+    """Return the current pool of the job's class, or the job's own if there is none."""
     job = waiting.job
     if state.configuration is not None:
         target = state.configuration.classes_by_name.get(job.class_name)
@@ -105,7 +106,7 @@
 def _find_candidates(
     state: DispatcherState, pool: PoolName, step: Step, now: Seconds
 ) -> Iterator[Candidate]:
-    """Yield the backend servers that may have room for a task, the best one first."""
+    """Yield the backend servers that may have capacity for a task, the best first."""
     for server_id in state.index.iterate(pool, max(step.needs.millicores, 1)):
         server = state.servers_by_id[server_id]
         if is_usable(state, server, now):
@@ -114,7 +115,7 @@
 
 
 def is_usable(state: DispatcherState, server: Server, now: Seconds) -> bool:
-    """Tell whether a backend server may get new runs."""
+    """Return whether a backend server may get new runs."""
     return (
         server.read_term == state.term
         and server.clock_ahead is not None
@@ -201,7 +202,7 @@
 def make_start(
     state: DispatcherState, server: Server, job: DurableJob, run: Run, now: Seconds
 ) -> StartRun:
-    """Return the order that begins a run; repeating it begins no second one."""
+    """Return the order that starts a run; repeating it does not start a second run."""
     return StartRun(
         server=server.report.id,
         address=server.report.address,
@@ -215,6 +216,6 @@
 
 
 def extend_lease(server: Server, now: Seconds) -> Seconds:
-    """Return the end of a new lease on the backend server's clock, in seconds."""
+    """Extend the lease; return its end on the backend server's clock, in seconds."""
     server.lapsed_at = max(server.lapsed_at, now + LEASE / SLOWEST_CLOCK + LAPSE_MARGIN)
     return now + server.clock_ahead + LEASE
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -26,7 +26,7 @@
     TaskId,
 )
 
-# The indexes follow a learned speed only when it moved by more than this share.
+# A learned speed is updated in the indexes only if it changed by at least this share.
 INDEXED_SPEED_STEP = 0.03
 
 
@@ -39,16 +39,16 @@
     size
         Expected work in seconds at the mean speed of the pool.
     log_size
-        Expected logarithm of it, from the size model of the class.
+        Expected logarithm of the work, from the size model of the class.
     expected_end
-        Unix time; moved on while the task overruns it.
+        Unix time; postponed while the task overruns it.
     call
         Number of the dispatch call that holds a connection for the task.
     probe
         Whether the task tests a server that was ejected.
     overruns, learned_log_speed
-        How often the task exceeded its expected time by a further doubling, and what
-        the speed model learned from that.
+        Number of doublings of its expected time that the task has exceeded, and the
+        logarithm of the speed that the speed model learned from the last one.
     """
 
     id: TaskId
@@ -72,16 +72,17 @@
     Parameters
     ----------
     running_by_id
-        Tasks that hold a slot: no report has come, and they are not overdue.
+        Tasks that hold a slot: they have not been reported as ended and are not
+        overdue.
     tasks_by_call
-        How many tasks of each dispatch call still run. Each call holds a connection.
+        Number of running tasks of each dispatch call. Each call holds a connection.
     confirmed
         Whether the backend server knows the lease; it refuses dispatches until then.
     tasks_end_by
         Unix time at which tasks that still run under a lost lease end as unknown;
-        ``None`` where their own timeouts bound them.
-    indexed_speed, indexed_free
-        What the indexes of the pool hold for this server.
+        ``None`` if their own timeouts bound them.
+    indexed_speed, indexed_slots, indexed_free
+        Values of this server in the indexes and totals of the pool.
     """
 
     server: BackendServer
@@ -102,7 +103,7 @@
 
 @dataclass(slots=True)
 class BackendServersState:
-    """The pool of one placer.
+    """State of the backend servers controller: the pool of one placer.
 
     Parameters
     ----------
@@ -124,14 +125,14 @@
     demanding
         Jobs with tasks that need cores or memory.
     total_slots, total_speed
-        Of the available servers; the speed counts every slot.
+        Totals over the available servers; the speed is summed over all slots.
     running_work
         Expected work of all running tasks, in seconds at the mean speed.
     unavailable_since
-        When the pool had no available server left.
+        Unix time since which the pool has had no available server.
     placer, role_lost_at
-        Who places for this zone, and since when this instance, having done so, does
-        not, in Unix time.
+        Instance that places for this zone, and the Unix time at which this instance
+        lost that role, if it had it.
     """
 
     settings: Settings
@@ -170,7 +171,7 @@
 
 
 def is_available(state: BackendServersState, leased: LeasedServer) -> bool:
-    """Tell whether a server may take any task, apart from its load."""
+    """Return whether a server may take tasks, regardless of its load."""
     server = leased.server
     return (
         leased.confirmed
@@ -207,7 +208,7 @@
 
 
 def has_free_slot(leased: LeasedServer) -> bool:
-    """Tell whether a slot and a connection are free."""
+    """Return whether a slot and a connection are free."""
     return (
         len(leased.running_by_id) < min(leased.server.slots, leased.health.limit)
         and len(leased.tasks_by_call) < leased.server.connections
@@ -217,7 +218,7 @@
 def refresh_server(
     state: BackendServersState, server_id: BackendServerId, now: Seconds
 ) -> None:
-    """Bring the indexes in line with a server that changed, joined or went."""
+    """Update the indexes after a server changed, joined or left."""
     leased = state.servers_by_id.get(server_id)
     if leased is None:
         return
@@ -261,7 +262,7 @@
 def forget_server(
     state: BackendServersState, server_id: BackendServerId, now: Seconds
 ) -> LeasedServer | None:
-    """Remove a server and its index entries; its running tasks are not ended here."""
+    """Remove a server and its index entries without ending its running tasks."""
     leased = state.servers_by_id.pop(server_id, None)
     if leased is None:
         return None
@@ -276,7 +277,7 @@
 
 
 def clear_pool(state: BackendServersState, now: Seconds) -> None:
-    """Drop the queue and every lease; learned sizes stay."""
+    """Drop the queue and all leases, but keep the learned sizes."""
     for server_id in list(state.servers_by_id):
         forget_server(state, server_id, now)
     for job in state.jobs_by_id.values():
--- a/boragetide/controllers/queueing.py
+++ b/boragetide/controllers/queueing.py
@@ -28,15 +28,15 @@
     remaining
         Expected work of the waiting tasks, in seconds at the mean speed.
     rank
-        Place in the queue of its team, or ``None`` while no task waits.
+        Sort key in the queue of its team, or ``None`` while no task waits.
     delayed
         Number of tasks that wait for another attempt.
     attempts_by_index
-        Starts of the tasks that were started more than once or may be.
+        Number of starts of each task that was started.
     may_have_run
-        Whether any task ended otherwise than as not run.
+        Whether any task ended with another outcome than not run.
     dropped
-        Whether the job was cancelled; outcomes are then of no interest.
+        Whether the job was removed from the pool; outcomes are then ignored.
     """
 
     queued: QueueTasks
@@ -63,7 +63,7 @@
     heads
         First job of each team as (rank, team).
     running_by_team
-        Slots in use.
+        Number of slots in use by each team.
     waiting, work
         Number of waiting tasks, and their expected work in seconds at the mean speed.
     aging
@@ -80,7 +80,7 @@
 
 
 def put_job(queue: ClassQueue, job: QueuedJob) -> None:
-    """Insert a job, or move it to its place after its waiting tasks changed."""
+    """Insert a job, or reposition it after its waiting tasks changed."""
     take_job(queue, job)
     if not job.waiting or job.dropped:
         return
@@ -93,7 +93,7 @@
 
 
 def take_job(queue: ClassQueue, job: QueuedJob) -> None:
-    """Remove a job from the order, if it is there."""
+    """Remove a job from the queue of its team, if it is there."""
     if job.rank is None:
         return
     team = job.queued.team
@@ -120,7 +120,7 @@
 def add_waiting(
     queue: ClassQueue, job: QueuedJob, sizes: Iterable[tuple[Seconds, int]]
 ) -> None:
-    """Let tasks, given as (expected size, index), wait for a slot."""
+    """Add waiting tasks, given as (expected size, index), to a job and its queue."""
     for size, index in sizes:
         insort(job.waiting, (size, index))
         job.remaining += size
@@ -150,7 +150,7 @@
 
 
 def count_running(queue: ClassQueue, team: str, change: int) -> None:
-    """Add to the slots that a team of the class uses."""
+    """Change the number of slots that a team of the class uses."""
     queue.running += change
     running = queue.running_by_team.get(team, 0) + change
     if running:
@@ -164,7 +164,7 @@
     caps_by_class: dict[ClassName, int],
     name: ClassName,
 ) -> bool:
-    """Tell whether a class uses its busy share while a class below its own waits."""
+    """Return whether a class uses its busy share while one below its share waits."""
     if queues_by_class[name].running < caps_by_class[name]:
         return False
     return any(
@@ -174,8 +174,8 @@
     )
 
 
-# An entry of the walk: over its share, rank, class, team by position in ``heads``, and
-# job by position in the queue of the team.
+# Heap entry of `walk_jobs`: whether the team is over its share, rank, class, position
+# of the team in ``heads``, and position of the job in the queue of the team.
 _Entry: TypeAlias = tuple[bool, float, ClassName, int, int]
 
 
@@ -187,14 +187,15 @@
     """Yield waiting jobs in the order in which they are to be placed.
 
     A class at its cap is left out while others wait, and within a class the teams
-    above their equal share come last. Counts of tasks may change between two steps,
-    the order of the queues must not. A step costs time in the number of classes and of
-    teams above their share, not in the number of jobs.
+    above their equal share come last. Between two steps of the iterator, the caller may
+    change the counts of tasks but not the order of the queues. The cost of a step
+    depends on the number of classes and of teams above their share, not on the number
+    of jobs.
 
     Parameters
     ----------
     queues_by_class
-        Queues to walk.
+        Queues to iterate over.
     caps_by_class
         Slots that each class may use while others wait.
     now
@@ -246,7 +247,7 @@
 
 
 def is_over_share(queue: ClassQueue, team: str, cap: int) -> bool:
-    """Tell whether a team uses its equal share of the class while others wait."""
+    """Return whether a team uses its equal share of the class while others wait."""
     waiting = len(queue.heads)
     if waiting < 2:
         return False
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -1,4 +1,4 @@
-"""Periodic review of the pool: overdue tasks, probes, retries and waits."""
+"""Periodic review of the pool: overdue tasks, probes, retries and unplaceable jobs."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 def review(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """Do at a tick what no other message triggers."""
+    """Do the periodic work that no other message triggers."""
     effects = end_overdue(state, now)
     extend_overruns(state, now)
     requeue_delayed(state, now)
@@ -56,7 +56,7 @@
 
 
 def update_aging(state: BackendServersState) -> None:
-    """Follow the targets of the classes; order the queues anew if needed."""
+    """Apply changed targets of the classes, and reorder the queues they affect."""
     for name, queue in state.queues_by_class.items():
         target = find_target(state, name)
         aging = ordering.aging_rate(target.response_time)
@@ -71,9 +71,9 @@
 
 
 def _end_without_servers(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """End the wait of all jobs in a pool that has no available server.
+    """Refuse or end all waiting jobs of a pool that has no available server.
 
-    A pool that just lost its last server waits for the length of a lease, because
+    A pool that has just lost its last server waits for the length of a lease, because
     servers that moved to another placer come back within one.
     """
     if state.total_slots:
@@ -86,7 +86,7 @@
 
 
 def _end_unplaceable(state: BackendServersState, now: Seconds) -> list[Effect]:
-    """End the wait of jobs with a task that none of the known servers fits."""
+    """Refuse or end jobs with a waiting task that fits none of the known servers."""
     if not state.total_slots:
         return []
     demanding = [state.jobs_by_id[job_id] for job_id in state.demanding]
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -1,4 +1,4 @@
-"""Ends of runs that backend servers list: what is kept of them and what they free."""
+"""Ends of runs that backend servers list: commits them to the log and frees runs."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
     may_learn: bool,
     now: Seconds,
 ) -> list[Effect]:
-    """Hand new ends to the log; the others are over as soon as they are listed."""
+    """Append new ends to the log; those that need no commit take effect at once."""
     effects: list[Effect] = []
     to_keep: list[RunEnd] = []
     numbers: list[int] = []
@@ -71,7 +71,7 @@
     may_learn: bool,
     now: Seconds,
 ) -> tuple[RunEnd | None, list[Effect]]:
-    """Return what must be kept of an end, if anything."""
+    """Apply a listed end; return the end to commit, if any, and the effects."""
     record = state.records_by_id.get(end.task.job_id)
     number = None if record is None else number_task(record.job, end.task)
     fields = {
@@ -101,7 +101,7 @@
         if may_learn and not (failed or run.repeated):
             learn_speed(server, run, now)
     elif end.run < state.run_by_task.get(key, 0) or key in state.occupied:
-        # A newer run exists: this one counts only as a failed attempt.
+        # A newer run exists, so this end counts only if it is a failed attempt.
         if not failed:
             return None, [log]
     elif not failed and not record.job.best_effort:
@@ -122,7 +122,7 @@
     end: RunEnd,
     now: Seconds,
 ) -> list[Effect]:
-    """Take over an end at once: nothing of a best-effort job is kept."""
+    """Apply an end at once, because nothing of a best-effort job is committed."""
     effects: list[Effect] = []
     changed = job_table.record_ends(state.records_by_id, (end,), now)
     if run is not None:
@@ -146,7 +146,7 @@
     record: JobRecord,
     now: Seconds,
 ) -> None:
-    """Occupy a task whose run ended under an earlier leader, until that is kept."""
+    """Occupy a task until the end of a run from an earlier leader is committed."""
     run = Run(key[0], key[1], end.run, Resources(), now, RunPhase.ENDED)
     occupy(state, server, run)
     state.run_by_task[key] = end.run
@@ -158,7 +158,7 @@
 
 
 def note_kept(state: DispatcherState, ends: KeptEnds) -> None:
-    """Acknowledge ends that are kept, and let their tasks go."""
+    """Acknowledge committed ends to the backend server and free their runs."""
     server = state.servers_by_id.get(ends.server_id)
     if server is None:
         return
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -1,4 +1,4 @@
-"""What backend servers say of the runs on them, and the leases of these runs."""
+"""Lists of runs that are read from backend servers, and the leases of these runs."""
 
 from __future__ import annotations
 
@@ -33,12 +33,13 @@
 from boragetide.messages import RunsRead
 from boragetide.types import JobId, Seconds
 
-# A read waits this long for an end, so that a lease of `LEASE` is renewed twice even if
-# one answer is lost.
+# A backend server delays its answer to a `ReadRuns` by up to this long until a run
+# ends. A lease of `LEASE` is thus renewed twice even if one answer is lost.
 READ_WAIT: Seconds = 0.25
-# A lease is renewed although ends wait to be kept when less than this is left of it.
+# While ends wait to be committed, a lease is renewed only if less than this is left.
 RENEW_BEFORE: Seconds = 0.4
-# Callers ask a new leader again within some tenths of a second.
+# A run of an unknown job is stopped after this time. Callers submit their jobs again to
+# a new leader within some tenths of a second.
 FOREIGN_WAIT: Seconds = 1.0
 
 
@@ -62,8 +63,9 @@
         return []
     server.reading = True
     server.acknowledged_sent = server.acknowledged
-    # An unanswered renewal may arrive: where two were not answered no other is sent, so
-    # that the lease certainly lapses if the backend server stays out of reach.
+    # An unanswered renewal may have arrived. After two unanswered requests no further
+    # renewal is sent, so that the lease certainly expires if the backend server stays
+    # unreachable.
     holds = has_runs or bool(server.foreign)
     renews = server.clock_ahead is not None and holds and server.unanswered <= 1
     waits = has_runs and not (is_first or server.unkept or server.silent)
@@ -80,7 +82,7 @@
 
 
 def take_runs(state: DispatcherState, message: RunsRead, now: Seconds) -> list[Effect]:
-    """Compare what a backend server lists with what is known of it."""
+    """Reconcile the known runs of a backend server with the runs that it lists."""
     server = state.servers_by_id.get(message.server)
     if server is None or message.term != state.term:
         return []
@@ -90,7 +92,7 @@
     if message.born and server.report.born and message.born != server.report.born:
         return []
     server.heard_at = now
-    # An end that waited for its list shows no speed.
+    # An end that was listed late, after unanswered requests, does not show the speed.
     may_learn = not server.silent
     server.unanswered = 0
     server.listed_at = now
@@ -133,7 +135,7 @@
 def _take_foreign(
     state: DispatcherState, server: Server, listed: ListedRun, now: Seconds
 ) -> list[Effect]:
-    """Keep a run of an unknown job for a while: its caller may ask again here."""
+    """Let a run of an unknown job go on for a while: the job may be submitted again."""
     since = server.foreign.setdefault(listed, now)
     if now - since < FOREIGN_WAIT:
         return []
@@ -143,7 +145,7 @@
 def _stop_unknown(
     state: DispatcherState, server: Server, listed: ListedRun, now: Seconds
 ) -> list[Effect]:
-    """Stop a run that is not wanted; it is in the way until it is no longer listed."""
+    """Stop an unwanted run; it blocks new runs on its server while it is listed."""
     server.foreign.setdefault(listed, now)
     fields = {"job": listed.task.job_id, "task": listed.task.index, "run": listed.run}
     fields |= {"server": server.report.id, "reason": "not_wanted"}
@@ -159,7 +161,7 @@
     sent_at: Seconds,
     now: Seconds,
 ) -> list[Effect]:
-    """Go on with a run that an earlier leader started."""
+    """Adopt a run that an earlier leader started."""
     number = number_task(record.job, listed.task)
     key = (record.job.id, number)
     step = record.job.steps[listed.task.step]
@@ -180,7 +182,7 @@
     key: tuple[JobId, int],
     run: int,
 ) -> bool:
-    """Tell whether a run that is not known here may go on."""
+    """Return whether a listed run that is not known here may go on."""
     return (
         record.phase is JobPhase.ACTIVE
         and key[1] not in record.done
@@ -192,10 +194,10 @@
 def _free_missing(
     state: DispatcherState, server: Server, message: RunsRead, now: Seconds
 ) -> list[Effect]:
-    """End the runs that should be listed and are not.
+    """Free the runs that should be listed but are not.
 
-    Only a run whose last order was answered before the question was sent must be
-    listed: answers overtake each other.
+    Only a run whose last order was answered before the list was requested must be in
+    the list, because answers may overtake each other.
     """
     listed = {(run.task, run.run) for run in message.running}
     server.foreign = {
--- a/boragetide/controllers/server_health.py
+++ b/boragetide/controllers/server_health.py
@@ -1,4 +1,4 @@
-"""What the runs of a backend server show of it: failures in a row, and its speed."""
+"""Health of a backend server as its runs show it: consecutive failures and speed."""
 
 from __future__ import annotations
 
@@ -10,26 +10,29 @@
 )
 from boragetide.types import Seconds
 
-# A backend server that failed a run gets no new ones for a while, longer with each
-# failure in a row: the next attempt goes elsewhere. One run in 500 fails by itself, so
-# that the first pause is short.
+# After a failed run, a backend server gets no new runs for a while, so that the next
+# attempt goes elsewhere. The pause grows with each consecutive failure. The first pause
+# is short, because one run in 500 fails regardless of the backend server.
 AVOID_FAILED: Seconds = 0.25
 AVOID_LONGEST: Seconds = 8.0
-# Share of a new observation in the learned speed; declared times are off by 40%. A run
-# that took more than twice as long as expected shows more than that.
+# Weight of a new observation in the learned speed; it is low because declared times are
+# off by 40%. A run that took more than twice as long as expected is more than that
+# error explains, and has the higher weight.
 SPEED_LEARNING = 0.1
 SLOWDOWN_LEARNING = 0.4
-# Of a backend server that runs a task in its declared time the speed is 1.
+# Bounds of the learned speed. The speed of a backend server that runs tasks in their
+# declared time is 1.
 SPEED_MIN = 0.05
 SPEED_MAX = 10.0
-# Without a run for this long, a slow backend server's speed returns towards 1 by this
-# share in each review, so that it is tried again within some seconds.
+# If no run was observed for this long, the learned speed of a slow backend server moves
+# towards 1 by this share in each review, so that the backend server gets runs again
+# within some seconds.
 SLOWNESS_KEPT: Seconds = 2.0
 SPEED_RETURN = 0.25
 
 
 def note_outcome(server: Server, failed: bool, now: Seconds) -> None:
-    """Avoid a backend server on which runs fail in a row."""
+    """Record whether a run failed; avoid the backend server for a while if it did."""
     if failed:
         pause = min(AVOID_LONGEST, AVOID_FAILED * 4**server.failures_in_row)
         server.failures_in_row += 1
@@ -40,7 +43,7 @@
 
 
 def learn_speed(server: Server, run: Run, now: Seconds) -> None:
-    """Move the learned speed towards what a run that was done shows."""
+    """Move the learned speed towards the speed that a completed run shows."""
     if run.started_at is None or not run.estimate:
         return
     observed = run.estimate / max(now - run.started_at, 0.001)
@@ -52,9 +55,9 @@
 
 
 def forget_slowness(state: DispatcherState, now: Seconds) -> None:
-    """Let backend servers that count as slow show their speed again.
+    """Move the speed of slow backend servers without recent runs back towards 1.
 
-    One that is left out runs nothing that would show that it works as usual again.
+    A backend server that gets no runs cannot show that it is as fast as usual again.
     """
     for server in state.servers_by_id.values():
         if server.speed < 1.0 and now - server.learned_at > SLOWNESS_KEPT:
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -1,4 +1,4 @@
-"""The table of backend servers, from what they announce of themselves."""
+"""The table of backend servers, which is built from their announcements."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 def take_report(
     state: DispatcherState, report: ServerReport, now: Seconds
 ) -> list[Effect]:
-    """Take an announcement, unless it is older than what is known."""
+    """Apply an announcement unless a newer one is known."""
     server = state.servers_by_id.get(report.id)
     if server is None or report.born > server.report.born:
         return _take_new_life(state, report, server, now)
@@ -32,10 +32,11 @@
 def _take_new_life(
     state: DispatcherState, report: ServerReport, former: Server | None, now: Seconds
 ) -> list[Effect]:
-    """Take a backend server that is new, or that knows nothing of its earlier life.
+    """Add a backend server that is new or whose process was replaced.
 
-    The runs that were ordered there go over: the new life may have carried out an order
-    before it was heard of. Its first list tells, and frees the others.
+    The runs that were ordered there are carried over, because the new process may have
+    carried out an order before its first announcement arrived. Its first list of runs
+    shows which ones, and the others are freed.
     """
     server = Server(report, now)
     if former is not None:
@@ -55,7 +56,7 @@
 
 
 def forget_servers(state: DispatcherState, now: Seconds) -> None:
-    """Drop backend servers that have left or that were not heard for long."""
+    """Remove backend servers that have left or have been silent for a long time."""
     for server_id, server in list(state.servers_by_id.items()):
         silence = now - server.heard_at
         is_over = server.gone and silence > ANNOUNCEMENT_SILENCE
