--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -50,7 +50,9 @@
     if message.job_id in state.jobs_by_id:
         return []
     jobs = Address(state.settings.id, "jobs")
-    model = state.sizes_by_class.setdefault(message.class_name, learning.SizeModel())
+    model = state.size_models_by_class.setdefault(
+        message.class_name, learning.SizeModel()
+    )
     sizes = [learning.predict_size(model, task.size) for task in message.tasks]
     load = _measure_load(state, message.class_name)
     target = find_target(state, message.class_name)
@@ -66,7 +68,7 @@
     job = QueuedJob(message, now, predicted)
     state.jobs_by_id[message.job_id] = job
     if any(task.cores or task.memory for task in message.tasks):
-        state.demanding.add(message.job_id)
+        state.jobs_needing_resources.add(message.job_id)
     state.queued_tasks += len(sizes)
     add_waiting(queue, job, zip(sizes, range(len(sizes)), strict=True))
     return [Send(jobs, TasksQueued(message.job_id)), *place(state, now)]
@@ -97,7 +99,7 @@
     waiting = sum(queue.work for queue in queues_by_class.values())
     return admission.Load(
         total_speed=state.total_speed,
-        top_speed=-state.speeds[0][0] if state.speeds else 0.0,
+        top_speed=-state.available_servers[0][0] if state.available_servers else 0.0,
         waiting=waiting + state.running_work / 2,
         own_waiting=own_waiting,
         contended=any(
@@ -155,7 +157,7 @@
             "leaving": leased.server.leaving,
             "drained": server_id in state.configuration.drained,
             "ejected": server_id in state.ejected,
-            "speed": learning.predict_speed(leased.speeds, ""),
+            "speed": learning.predict_speed(leased.speed_model, ""),
         }
         for server_id, leased in sorted(state.servers_by_id.items())
     )
@@ -196,7 +198,7 @@
 def _(message: Drain, state: BackendServersState, now: Seconds) -> list[Effect]:
     leased = [*state.servers_by_id.values(), *state.retired_by_lease.values()]
     running = sum(len(entry.running_by_id) for entry in leased)
-    waiting = state.queued_tasks + len(state.delayed)
+    waiting = state.queued_tasks + len(state.delayed_tasks)
     return [Reply(message.reply_to, DrainState(waiting + running))]
 
 
@@ -208,7 +210,7 @@
 @handle.register
 def _(message: Tick, state: BackendServersState, now: Seconds) -> list[Effect]:
     return [
-        *leases.expire(state, now),
+        *leases.expire_leases(state, now),
         *reviewing.review(state, now),
         *place(state, now),
     ]
--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.controllers.job_records import take_record
+from boragetide.controllers.job_records import apply_record
 from boragetide.controllers.placing_runs import place
 from boragetide.controllers.runs import adopt_run
 from boragetide.durable import (
@@ -23,12 +23,12 @@
 RETRY_AFTER: Seconds = 4.0
 
 
-def runs_again(record: JobRecord) -> bool:
+def restarts_when_resubmitted(record: JobRecord) -> bool:
     """Return whether a job that is submitted again runs again from the start."""
     return record.job.best_effort and record.phase is JobPhase.CANCELLED
 
 
-def attach(
+def answer_resubmission(
     message: SubmitDurableJob, state: DispatcherState, record: JobRecord
 ) -> list[Effect]:
     """Answer a resubmission, or let it wait for the end of a best-effort job."""
@@ -44,14 +44,14 @@
     job: DurableJob, reply_to: ReplyTo | None, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
     """Accept a job without a commit, and adopt what an earlier leader started of it."""
-    if now > expires_at(job) and not _has_run_before(state, job.id):
+    if now > expires_at(job) and not _has_earlier_run(state, job.id):
         # The job waited too long for this leader or for its predecessor.
         return _refuse(state, job, [reply_to], now)
     state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [reply_to]
     record = JobRecord(job, changed_at=now)
-    effects = take_record(state, record, now, is_new=True)
-    effects += adopt_foreign(state, record, now)
+    effects = apply_record(state, record, now, is_new=True)
+    effects += adopt_earlier_runs(state, record, now)
     return [*effects, *place(state, now)]
 
 
@@ -63,7 +63,7 @@
     if len(state.waiters_by_job.get(job_id, ())) > 1:
         return []
     job_table.cancel_job(state.records_by_id, job_id, now)
-    return take_record(state, state.records_by_id[job_id], now)
+    return apply_record(state, state.records_by_id[job_id], now)
 
 
 def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
@@ -75,7 +75,7 @@
             continue
         waiters = state.waiters_by_job.pop(job.id, [])
         effects += _refuse(state, job, waiters, now)
-        state.forget_job(job.id)
+        state.remove_job(job.id)
     return effects
 
 
@@ -98,29 +98,33 @@
     ]
 
 
-def _has_run_before(state: DispatcherState, job_id: JobId) -> bool:
+def _has_earlier_run(state: DispatcherState, job_id: JobId) -> bool:
     """Return whether a run that an earlier leader started for the job is known."""
     return any(
         run.task.job_id == job_id
         for server in state.servers_by_id.values()
-        for run in server.foreign
-    ) or any(task.job_id == job_id for task in state.foreign_done)
+        for run in server.unexpected_runs
+    ) or any(task.job_id == job_id for task in state.done_tasks_of_unknown_jobs)
 
 
-def adopt_foreign(
+def adopt_earlier_runs(
     state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
     """Adopt the runs and ends that an earlier leader left of a resubmitted job."""
     effects: list[Effect] = []
     job_id = record.job.id
-    for server in [each for each in state.servers_by_id.values() if each.foreign]:
-        for listed in [run for run in server.foreign if run.task.job_id == job_id]:
+    for server in [
+        each for each in state.servers_by_id.values() if each.unexpected_runs
+    ]:
+        for listed in [
+            run for run in server.unexpected_runs if run.task.job_id == job_id
+        ]:
             number = number_task(record.job, listed.task)
             if number is not None and (job_id, number) not in state.occupied:
                 effects += adopt_run(state, server, record, listed, now, now)
-    done = [task for task in state.foreign_done if task.job_id == job_id]
+    done = [task for task in state.done_tasks_of_unknown_jobs if task.job_id == job_id]
     numbers = [number_task(record.job, task) for task in done]
     ends = tuple(RunEnd(job_id, n, 0, False) for n in numbers if n is not None)
     if job_table.record_ends(state.records_by_id, ends, now):
-        effects += take_record(state, state.records_by_id[job_id], now)
+        effects += apply_record(state, state.records_by_id[job_id], now)
     return effects
--- a/boragetide/controllers/catch_up.py
+++ b/boragetide/controllers/catch_up.py
@@ -13,18 +13,18 @@
 from boragetide.settings import Settings
 from boragetide.types import MAX_CLOCK_SKEW, InstanceId, Seconds
 
-PAGE_CLAIMS = 1000  # about 100 KB
-FETCH_RETRY: Seconds = 1.0
+PAGE_SIZE = 1000  # about 100 KB
+FETCH_RETRY_DELAY: Seconds = 1.0
 
 
 def answer_fetch(
-    table: ClaimTable, message: FetchClaims, own: InstanceId, incarnation: int
+    table: ClaimTable, message: FetchClaims, own_id: InstanceId, incarnation: int
 ) -> ClaimsPage:
     """Return the page of claims that another acceptor requests."""
-    claims, last = read_page(table, message.after, PAGE_CLAIMS)
+    claims, last = read_page(table, message.after, PAGE_SIZE)
     return ClaimsPage(
         zone=table.zone,
-        sender=own,
+        sender=own_id,
         incarnation=incarnation,
         after=message.after,
         claims=claims if table.complete else (),
@@ -35,21 +35,21 @@
 
 
 def select_members_to_ask(
-    table: ClaimTable, own: InstanceId, now: Seconds
+    table: ClaimTable, own_id: InstanceId, now: Seconds
 ) -> list[InstanceId]:
     """Return the other members from which the next page is to be requested now."""
     chosen = []
     for member in table.group:
-        if member == own:
+        if member == own_id:
             continue
         fetch = table.fetches_by_member.setdefault(member, Fetch())
-        waited = fetch.asked_at is None or now - fetch.asked_at >= FETCH_RETRY
+        waited = fetch.asked_at is None or now - fetch.asked_at >= FETCH_RETRY_DELAY
         if waited and not fetch.done:
             chosen.append(member)
     return chosen
 
 
-def take_page(table: ClaimTable, page: ClaimsPage, now: Seconds) -> bool:
+def store_page(table: ClaimTable, page: ClaimsPage, now: Seconds) -> bool:
     """Store a page; return whether the next one is to be requested now.
 
     The pages of one member must all come from one incarnation: a member that restarts
@@ -72,16 +72,16 @@
     return not page.last
 
 
-def has_all_members(table: ClaimTable, own: InstanceId) -> bool:
+def has_fetched_from_all(table: ClaimTable, own_id: InstanceId) -> bool:
     """Return whether every other member of the group has sent all its claims."""
-    others = [member for member in table.group if member != own]
+    others = [member for member in table.group if member != own_id]
     return bool(others) and all(
         member in table.fetches_by_member and table.fetches_by_member[member].done
         for member in others
     )
 
 
-def adopt(table: ClaimTable, settings: Settings) -> None:
+def adopt_fetched_claims(table: ClaimTable, settings: Settings) -> None:
     """Add the claims that were fetched from the other members to the table."""
     merge_fetched(table, claim_lifetime(settings.timing.resubmission_window))
 
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -48,7 +48,7 @@
 
 # The journal of a claim group with one member is replaced by a snapshot when it has
 # this many more records than there are claims.
-SURPLUS_RECORDS = 10_000
+MAX_SURPLUS_RECORDS = 10_000
 
 
 @dataclass(slots=True)
@@ -64,9 +64,9 @@
         from which this one fetched claims.
     journal_records
         Number of claims in the journal.
-    registering
+    registration_proposed
         Whether the registration of this acceptor was proposed to the configuration.
-    saved
+    snapshot_saved
         Whether the snapshot of a planned stop was written. The claims may not change
         after that.
     """
@@ -76,8 +76,8 @@
     tables_by_zone: dict[ZoneId, ClaimTable] = field(default_factory=dict)
     restarts_by_id: dict[InstanceId, int] = field(default_factory=dict)
     journal_records: int = 0
-    registering: bool = False
-    saved: bool = False
+    registration_proposed: bool = False
+    snapshot_saved: bool = False
 
     def __post_init__(self) -> None:
         for zone in self.settings.zones:
@@ -137,7 +137,7 @@
     if held is not None:
         return _reply(ClaimStatus.HELD, held, state), []
     too_late = is_too_late(claim, message.asked_at, window, now)
-    if table is None or too_late or not _knows_all(claim.id, table, state, now):
+    if table is None or too_late or not _knows_all_grants(claim.id, table, state, now):
         return _reply(ClaimStatus.INCOMPLETE, None, state), []
     add_claim(table, claim)
     effects: list[Effect] = []
@@ -163,12 +163,12 @@
     return None if held is None or is_expired(held, window, now) else held
 
 
-def _knows_all(
+def _knows_all_grants(
     job_id: JobId, table: ClaimTable, state: ClaimsState, now: Seconds
 ) -> bool:
     """Return whether this acceptor certainly never granted an id it does not hold."""
     settings = state.settings
-    if state.saved or job_id in table.disputed_until_by_id:
+    if state.snapshot_saved or job_id in table.disputed_until_by_id:
         return False
     if ids.is_past_window(job_id, settings, now):
         return False
@@ -188,7 +188,7 @@
     held = _find_held(message.id, state, now)
     if held is not None:
         status = ClaimStatus.HELD
-    elif table is not None and _knows_all(message.id, table, state, now):
+    elif table is not None and _knows_all_grants(message.id, table, state, now):
         status = ClaimStatus.NOT_HELD
     else:
         status = ClaimStatus.INCOMPLETE
@@ -198,9 +198,9 @@
 @handle.register
 def _(message: FetchClaims, state: ClaimsState, now: Seconds) -> list[Effect]:
     table = state.tables_by_zone.get(message.zone)
-    if table is None or state.saved:
+    if table is None or state.snapshot_saved:
         return []
-    _note_restart(message.sender, message.incarnation, state)
+    _record_incarnation(message.sender, message.incarnation, state)
     page = catch_up.answer_fetch(table, message, state.settings.id, state.incarnation)
     return [Send(Address(message.sender, "claims"), page)]
 
@@ -208,19 +208,21 @@
 @handle.register
 def _(message: ClaimsPage, state: ClaimsState, now: Seconds) -> list[Effect]:
     table = state.tables_by_zone.get(message.zone)
-    if table is None or table.complete or state.saved:
+    if table is None or table.complete or state.snapshot_saved:
         return []
-    _note_restart(message.sender, message.incarnation, state)
-    more = catch_up.take_page(table, message, now)
+    _record_incarnation(message.sender, message.incarnation, state)
+    more = catch_up.store_page(table, message, now)
     if more:
         return [_ask_page(message.sender, table, state, now)]
-    if not catch_up.has_all_members(table, state.settings.id):
+    if not catch_up.has_fetched_from_all(table, state.settings.id):
         return []
-    catch_up.adopt(table, state.settings)
-    return _complete(table, "caught_up", state)
+    catch_up.adopt_fetched_claims(table, state.settings)
+    return _mark_complete(table, "caught_up", state)
 
 
-def _note_restart(member: InstanceId, incarnation: int, state: ClaimsState) -> None:
+def _record_incarnation(
+    member: InstanceId, incarnation: int, state: ClaimsState
+) -> None:
     known = state.restarts_by_id.get(member, 0)
     state.restarts_by_id[member] = max(known, incarnation)
 
@@ -234,24 +236,24 @@
     return Send(Address(member, "claims"), request)
 
 
-def _complete(table: ClaimTable, reason: str, state: ClaimsState) -> list[Effect]:
+def _mark_complete(table: ClaimTable, reason: str, state: ClaimsState) -> list[Effect]:
     table.complete = True
     table.fetches_by_member.clear()
     fields = {"zone": table.zone, "reason": reason, "claims": len(table.claims_by_id)}
     effects: list[Effect] = [LogEvent("acceptor_complete", fields)]
     if _is_journaled(table, state):
-        effects.append(_save(state, clean=False))
+        effects.append(_make_snapshot(state, clean=False))
     return effects
 
 
 @handle.register
 def _(message: AcceptorRegistered, state: ClaimsState, now: Seconds) -> list[Effect]:
-    if not message.first or state.saved:
+    if not message.first or state.snapshot_saved:
         return []
     effects: list[Effect] = []
     for table in state.tables_by_zone.values():
         if not table.complete:
-            effects += _complete(table, "first_registration", state)
+            effects += _mark_complete(table, "first_registration", state)
     return effects
 
 
@@ -263,7 +265,7 @@
         return []
     effects: list[Effect] = []
     for member, incarnation in snapshot.restarts_by_id.items():
-        _note_restart(member, incarnation, state)
+        _record_incarnation(member, incarnation, state)
     for claim in (*snapshot.claims, *message.claims):
         table = _find_table(claim.id, state)
         if table is not None and (snapshot.clean or len(table.group) == 1):
@@ -271,13 +273,13 @@
     for zone in snapshot.complete_zones:
         table = state.tables_by_zone.get(zone)
         if table is not None and (snapshot.clean or len(table.group) == 1):
-            effects += _complete(table, "on_disk", state)
+            effects += _mark_complete(table, "on_disk", state)
     if snapshot.clean:
-        effects.append(_save(state, clean=False))
+        effects.append(_make_snapshot(state, clean=False))
     return effects
 
 
-def _save(state: ClaimsState, *, clean: bool) -> Effect:
+def _make_snapshot(state: ClaimsState, *, clean: bool) -> Effect:
     """Replace the journal by a snapshot.
 
     Only a clean snapshot has the claims of groups with several members. Disputes are
@@ -302,9 +304,9 @@
 def _(message: SaveClaims, state: ClaimsState, now: Seconds) -> list[Effect]:
     """Write the claims and grant no more, so that all granted claims are on disk."""
     effects: list[Effect] = []
-    if state.settings.data_folder is not None and not state.saved:
-        state.saved = True
-        effects.append(_save(state, clean=True))
+    if state.settings.data_folder is not None and not state.snapshot_saved:
+        state.snapshot_saved = True
+        effects.append(_make_snapshot(state, clean=True))
     return [*effects, Reply(message.reply_to, DrainState(0))]
 
 
@@ -321,7 +323,7 @@
 
 @handle.register
 def _(message: Tick, state: ClaimsState, now: Seconds) -> list[Effect]:
-    if state.saved:
+    if state.snapshot_saved:
         return []
     effects = _register(state)
     window = state.settings.timing.resubmission_window
@@ -332,21 +334,21 @@
         if table.complete:
             continue
         if catch_up.has_window_passed(state.incarnation, state.settings, now):
-            effects += _complete(table, "window_passed", state)
+            effects += _mark_complete(table, "window_passed", state)
             continue
         for member in catch_up.select_members_to_ask(table, state.settings.id, now):
             effects.append(_ask_page(member, table, state, now))
     held = sum(len(table.claims_by_id) for table in state.tables_by_zone.values())
-    if state.journal_records > held + SURPLUS_RECORDS:
-        effects.append(_save(state, clean=False))
+    if state.journal_records > held + MAX_SURPLUS_RECORDS:
+        effects.append(_make_snapshot(state, clean=False))
     return effects
 
 
 def _register(state: ClaimsState) -> list[Effect]:
     """Propose the registration once; `AcceptorRegistered` tells if it is the first."""
-    if state.registering:
+    if state.registration_proposed:
         return []
-    state.registering = True
+    state.registration_proposed = True
     own = state.settings.id
     command = RegisterAcceptor(own, state.incarnation)
     return [Send(Address(own, "configuration"), Propose(command=command))]
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -88,7 +88,7 @@
         Commands whose outcome this instance has to find.
     replica
         Member of the consensus group, on an instance with a disk.
-    contact
+    contact_counter
         Counter that selects the member that an instance without a disk asks, in turn.
     """
 
@@ -97,7 +97,7 @@
     proposals: Proposals
     leadership: Leadership
     replica: Replica | None = None
-    contact: int = 0
+    contact_counter: int = 0
 
     @property
     def member(self) -> Replica | None:
@@ -130,7 +130,7 @@
     effects: list[Effect] = []
     if state.replica is not None:
         effects += _tick_replica(state.replica, now)
-    effects += _settle(state, now)
+    effects += _apply_committed_changes(state, now)
     effects += look_for_configuration(state.distribution, now)
     effects += _take_offer(state, now)
     effects += proposals.expire(state.proposals, state.distribution.version, now)
@@ -158,7 +158,7 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.member is None:
         return []
-    return step(message, state.member, now) + _settle(state, now)
+    return step(message, state.member, now) + _apply_committed_changes(state, now)
 
 
 @handle.register(RequestCatchUp)
@@ -166,10 +166,10 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.replica is None:
         return []
-    return step(message, state.replica, now) + _settle(state, now)
+    return step(message, state.replica, now) + _apply_committed_changes(state, now)
 
 
-def _settle(state: ConfigurationState, now: Seconds) -> list[Effect]:
+def _apply_committed_changes(state: ConfigurationState, now: Seconds) -> list[Effect]:
     """Put the committed configuration in force, and answer those who wait for it."""
     replica = state.replica
     if replica is None:
@@ -188,7 +188,7 @@
         outcome = find_outcome(proposal, replica.catalogue)
         waiting = replica.proposers_by_command.pop(proposal.command_id, set())
         effects += [
-            _tell_outcome(state, proposal, outcome, proposer)
+            _send_outcome(state, proposal, outcome, proposer)
             for proposer in sorted(waiting - {state.settings.id})
         ]
         effects += proposals.resolve(state.proposals, proposal.command_id, outcome)
@@ -243,8 +243,8 @@
     members = [id_ for id_ in first if id_ != state.settings.id]
     if not members:
         return None
-    state.contact += 1
-    return members[state.contact % len(members)]
+    state.contact_counter += 1
+    return members[state.contact_counter % len(members)]
 
 
 @handle.register
@@ -256,14 +256,14 @@
         return []
     outcome = find_outcome(proposal, replica.catalogue)
     if outcome is not None:
-        return [_tell_outcome(state, proposal, outcome, message.sender)]
+        return [_send_outcome(state, proposal, outcome, message.sender)]
     if replica.role is Role.LEADER:
         proposers = replica.proposers_by_command.setdefault(proposal.command_id, set())
         proposers.add(message.sender)
         if _is_in_log(replica, proposal):
             return []
         appended = replication.append_proposals(replica, (proposal,), now)
-        return appended + _settle(state, now)
+        return appended + _apply_committed_changes(state, now)
     if replica.leader is None or message.to_leader:
         return []
     onward = ForwardProposal(proposal, message.sender, to_leader=True)
@@ -285,7 +285,7 @@
         for command_id, command in message.commands_by_id.items()
     ]
     effects = replication.append_proposals(replica, appended, now)
-    return effects + _settle(state, now)
+    return effects + _apply_committed_changes(state, now)
 
 
 def _is_in_log(replica: Replica, proposal: Proposal) -> bool:
@@ -296,7 +296,7 @@
     )
 
 
-def _tell_outcome(
+def _send_outcome(
     state: ConfigurationState, proposal: Proposal, outcome: Outcome, to: InstanceId
 ) -> Send:
     decided = ProposalDecided(proposal.command_id, outcome)
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -44,11 +44,11 @@
         Newest known term and its leader, and the time of the leader's last notice.
     configuration
         Configuration in force on this instance; its version never decreases.
-    next_ask
+    next_request_at
         Time at which the contacts are asked again.
-    started_at
+    asking_since
         Time at which this instance began to ask its contacts.
-    wanted_until
+    follow_until
         Time until which an instance that follows the leader on demand asks its
         contacts.
     """
@@ -60,9 +60,9 @@
     leader: InstanceId | None = None
     leader_heard_at: Seconds = 0.0
     configuration: Configuration | None = None
-    next_ask: Seconds = 0.0
-    started_at: Seconds = 0.0
-    wanted_until: Seconds = 0.0
+    next_request_at: Seconds = 0.0
+    asking_since: Seconds = 0.0
+    follow_until: Seconds = 0.0
 
 
 def make_state(settings: Settings) -> DirectoryState:
@@ -78,13 +78,13 @@
 
 @handle.register
 def _(message: Tick, state: DirectoryState, now: Seconds) -> list[Effect]:
-    if not (state.settings.follows_leader or now < state.wanted_until):
+    if not (state.settings.follows_leader or now < state.follow_until):
         state.leader = None
         return []
-    state.started_at = state.started_at or now
-    if now < state.next_ask:
+    state.asking_since = state.asking_since or now
+    if now < state.next_request_at:
         return []
-    state.next_ask = now + ASK_INTERVAL
+    state.next_request_at = now + ASK_INTERVAL
     version = -1 if state.configuration is None else state.configuration.version
     effects: list[Effect] = []
     for contact in state.contacts:
@@ -126,10 +126,10 @@
 
 @handle.register
 def _(message: FindLeader, state: DirectoryState, now: Seconds) -> list[Effect]:
-    if not state.settings.follows_leader and now >= state.wanted_until:
-        state.started_at = now
-    state.wanted_until = now + IDLE_AFTER
-    lost_for = now - max(state.leader_heard_at, state.started_at)
+    if not state.settings.follows_leader and now >= state.follow_until:
+        state.asking_since = now
+    state.follow_until = now + IDLE_AFTER
+    lost_for = now - max(state.leader_heard_at, state.asking_since)
     is_led = state.leader is not None and lost_for < LEADER_SILENCE
     ready = is_led and state.configuration is not None
     found = LeaderFound(
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -28,8 +28,8 @@
 # A lease is renewed about three times before it expires. The platform shortens leases
 # of more than 1 s.
 LEASE: Seconds = 0.8
-SLOWEST_CLOCK = 0.98  # the clock of a backend server may run 2% slow
-LAPSE_MARGIN: Seconds = 0.1
+MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
+LEASE_EXPIRY_MARGIN: Seconds = 0.1
 # Each term numbers the runs of a task from its own multiple of this number, so that no
 # leader reuses a number of an earlier one.
 RUNS_PER_TERM = 1000
@@ -54,13 +54,13 @@
         Time at which the run was ordered or first listed.
     started_at
         Time at which the run was first known to be running.
-    settled_at
+    order_answered_at
         Time at which the last order for the run was answered. A list of runs that is
         requested later contains the run, unless the run is over.
-    stop_again_at
+    next_stop_at
         Time at which the stop is ordered again, because the last stop order may not
         have arrived.
-    repeated
+    start_repeated
         Whether the start was ordered twice, because the first order was not answered.
     """
 
@@ -71,9 +71,9 @@
     ordered_at: Seconds
     phase: RunPhase = RunPhase.ORDERED
     started_at: Seconds | None = None
-    settled_at: Seconds | None = None
-    stop_again_at: Seconds | None = None
-    repeated: bool = False
+    order_answered_at: Seconds | None = None
+    next_stop_at: Seconds | None = None
+    start_repeated: bool = False
     estimate: Seconds = 0.0
 
     @property
@@ -90,9 +90,9 @@
     ----------
     report
         Newest announcement of the backend server.
-    heard_at
+    last_contact_at
         Time of the last announcement or answer.
-    clock_ahead
+    clock_offset
         Lower bound of the backend server's clock minus this instance's clock, in
         seconds; ``None`` before the first answer.
     read_term
@@ -100,11 +100,11 @@
         before it has done so in the current term.
     reading
         Whether a `ReadRuns` is in progress.
-    read_again_at
+    next_read_at
         Earliest time of the next `ReadRuns`.
     unanswered
         Number of consecutive `ReadRuns` requests that were not answered.
-    lapsed_at
+    leases_expired_at
         Time on this instance's clock at which the last granted lease has certainly
         expired.
     runs_by_task
@@ -114,23 +114,23 @@
         committed.
     acknowledged_sent
         Number that was last acknowledged to the backend server.
-    unkept
+    uncommitted_ends
         Numbers of the ends that were listed and are not committed yet.
-    foreign
+    unexpected_runs
         Runs of jobs that are not known here, and runs that are being stopped as
         unwanted, with the time at which they were first listed. The resources of
         unknown jobs are not known, so nothing is started on the backend server while
         there are such runs.
-    failures_in_row, avoided_until
+    consecutive_failures, cooldown_until
         Number of runs that failed since the last one was done, and the time until which
         the backend server gets no new runs.
     speed
         Learned speed; 1 if tasks run in their declared time.
-    learned_at
+    speed_updated_at
         Time at which the learned speed was last updated from a run.
-    listed_at
+    runs_listed_at
         Time at which the backend server last listed its runs.
-    done_at
+    last_run_done_at
         Time at which a run was last listed as done.
     gone
         Whether the backend server has left or its process was replaced. Its runs end
@@ -138,35 +138,35 @@
     """
 
     report: ServerReport
-    heard_at: Seconds
-    clock_ahead: Seconds | None = None
+    last_contact_at: Seconds
+    clock_offset: Seconds | None = None
     read_term: int = 0
     reading: bool = False
-    read_again_at: Seconds = 0.0
+    next_read_at: Seconds = 0.0
     unanswered: int = 0
-    lapsed_at: Seconds = 0.0
+    leases_expired_at: Seconds = 0.0
     runs_by_task: dict[tuple[JobId, int], Run] = field(default_factory=dict)
     listed: int = 0
     acknowledged: int = 0
     acknowledged_sent: int = 0
-    unkept: set[int] = field(default_factory=set)
-    foreign: dict[ListedRun, Seconds] = field(default_factory=dict)
-    failures_in_row: int = 0
-    avoided_until: Seconds = 0.0
+    uncommitted_ends: set[int] = field(default_factory=set)
+    unexpected_runs: dict[ListedRun, Seconds] = field(default_factory=dict)
+    consecutive_failures: int = 0
+    cooldown_until: Seconds = 0.0
     speed: float = 1.0
-    learned_at: Seconds = 0.0
-    listed_at: Seconds = 0.0
-    done_at: Seconds = 0.0
+    speed_updated_at: Seconds = 0.0
+    runs_listed_at: Seconds = 0.0
+    last_run_done_at: Seconds = 0.0
     gone: bool = False
 
-    def reset_runs(self) -> None:
+    def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
         self.read_term = 0
         self.reading = False
         self.runs_by_task.clear()
         self.listed = self.acknowledged = self.acknowledged_sent = 0
-        self.unkept.clear()
-        self.foreign.clear()
+        self.uncommitted_ends.clear()
+        self.unexpected_runs.clear()
 
     @property
     def silent(self) -> bool:
@@ -176,15 +176,15 @@
     @property
     def room(self) -> Resources:
         """Capacity that no run uses."""
-        room = self.report.capacity
+        free = self.report.capacity
         for run in self.runs_by_task.values():
             if run.phase is not RunPhase.ENDED:
-                room = room.minus(run.needs)
-        return room
+                free = free.minus(run.needs)
+        return free
 
 
 @dataclass(slots=True)
-class KeptEnds:
+class PendingEnds:
     """Ends of runs on one backend server that a pending command records in the log."""
 
     server_id: BackendServerId
@@ -203,7 +203,7 @@
         Term that this instance leads, or 0.
     authority_until
         Time until which this instance may send orders and answer requests.
-    leading_since
+    leader_since
         Time at which this instance became the leader of the term.
     predecessor_until
         Time after which no earlier leader sends orders.
@@ -230,7 +230,7 @@
         Jobs of which a task was started or has ended.
     run_by_task
         Newest run number of each task that was started or adopted in this term.
-    replies_by_command, ends_by_command
+    replies_by_command, pending_ends_by_command
         Requests to answer and ends to acknowledge once a command is committed.
     command_by_job
         Command that accepts a new job, until it is committed.
@@ -238,7 +238,7 @@
         Requests that wait for the end of a best-effort job.
     stopped_once
         Tasks of which a run was stopped because it appeared to make no progress.
-    foreign_done
+    done_tasks_of_unknown_jobs
         Tasks of jobs that are not known here that were listed as done, with the time of
         the list.
     next_command
@@ -251,7 +251,7 @@
     incarnation: int
     term: int = 0
     authority_until: Seconds = 0.0
-    leading_since: Seconds = 0.0
+    leader_since: Seconds = 0.0
     predecessor_until: Seconds = 0.0
     configuration: Configuration | None = None
     members: tuple[InstanceId, ...] = ()
@@ -268,43 +268,43 @@
     command_by_job: dict[JobId, str] = field(default_factory=dict)
     waiters_by_job: dict[JobId, list[ReplyTo | None]] = field(default_factory=dict)
     stopped_once: set[tuple[JobId, int]] = field(default_factory=set)
-    foreign_done: dict[TaskRef, Seconds] = field(default_factory=dict)
-    ends_by_command: dict[str, KeptEnds] = field(default_factory=dict)
+    done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
+    pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     next_command: int = 1
     next_review: Seconds = 0.0
 
-    def forget_job(self, job_id: JobId) -> None:
+    def remove_job(self, job_id: JobId) -> None:
         """Remove all state of a job that has not run."""
         self.records_by_id.pop(job_id, None)
         self.active.pop(job_id, None)
         self.started.discard(job_id)
         self.queue.remove(job_id)
 
-    def forget_run_numbers(self) -> None:
+    def remove_unused_run_numbers(self) -> None:
         """Remove the run numbers of jobs that are no longer known."""
         known = self.records_by_id
         for key in [key for key in self.run_by_task if key[0] not in known]:
             del self.run_by_task[key]
 
     @property
-    def others(self) -> tuple[InstanceId, ...]:
+    def other_members(self) -> tuple[InstanceId, ...]:
         """The other members of the log."""
         members = self.members or self.settings.first_members
         return tuple(id_ for id_ in members if id_ != self.settings.id)
 
 
-def note_room(state: DispatcherState, server: Server) -> None:
+def update_server_index(state: DispatcherState, server: Server) -> None:
     """Update the index with the free capacity and the speed of a backend server."""
     report = server.report
     state.index.put(report.id, report.pool, server.speed, server.room.millicores)
 
 
-def occupy(state: DispatcherState, server: Server, run: Run) -> None:
+def add_run(state: DispatcherState, server: Server, run: Run) -> None:
     """Record a run that occupies its task and capacity of a backend server."""
     server.runs_by_task[run.key] = run
     state.occupied[run.key] = server.report.id
     state.started.add(run.job_id)
-    note_room(state, server)
+    update_server_index(state, server)
 
 
 def has_authority(state: DispatcherState, now: Seconds) -> bool:
@@ -312,7 +312,7 @@
     return state.term > 0 and now < state.authority_until
 
 
-def keep_record(state: DispatcherState, record: JobRecord) -> None:
+def store_record(state: DispatcherState, record: JobRecord) -> None:
     """Store the current record of a job."""
     job_id = record.job.id
     state.records_by_id[job_id] = record
@@ -327,7 +327,7 @@
     )
 
 
-def next_run(state: DispatcherState, key: tuple[JobId, int]) -> int:
+def assign_run_number(state: DispatcherState, key: tuple[JobId, int]) -> int:
     """Return the number of the next run of a task, higher than all earlier ones."""
     first = (state.term - 1) * RUNS_PER_TERM + 1
     number = max(first, state.run_by_task.get(key, 0) + 1)
@@ -335,7 +335,7 @@
     return number
 
 
-def name_command(state: DispatcherState) -> str:
+def make_command_id(state: DispatcherState) -> str:
     """Return the id of the next command of this term."""
     command_id = f"{state.settings.id}:{state.term}:{state.next_command}"
     state.next_command += 1
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -13,34 +13,34 @@
 from boragetide.commands import AcceptJob, CancelJobs
 from boragetide.controllers.best_effort import (
     accept_best_effort,
-    attach,
+    answer_resubmission,
     cancel_best_effort,
     refuse_expired,
-    runs_again,
+    restarts_when_resubmitted,
 )
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
     has_authority,
-    keep_record,
-    note_room,
+    store_record,
+    update_server_index,
 )
-from boragetide.controllers.job_records import append_command, take_record
+from boragetide.controllers.job_records import append_command, apply_record
 from boragetide.controllers.orders import (
-    free_lapsed,
+    apply_order_result,
+    free_expired_runs,
+    record_failed_read,
     repeat_stops,
     stop_overdue,
-    take_failed_read,
-    take_order,
 )
 from boragetide.controllers.placing_runs import (
     check_takeover,
     place,
-    requeue,
+    update_queue,
 )
-from boragetide.controllers.run_ends import note_kept
-from boragetide.controllers.runs import read_runs, take_runs
-from boragetide.controllers.server_health import forget_slowness
-from boragetide.controllers.server_table import forget_servers, take_report
+from boragetide.controllers.run_ends import acknowledge_ends
+from boragetide.controllers.runs import read_runs, reconcile_runs
+from boragetide.controllers.server_health import recover_speeds
+from boragetide.controllers.server_table import apply_report, remove_stale_servers
 from boragetide.durable import DurableJob, JobPhase, JobRecord
 from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
@@ -74,7 +74,7 @@
 from boragetide.types import Address, ReplyTo, Seconds
 
 REVIEW_INTERVAL: Seconds = 1.0
-FORGET_FOREIGN: Seconds = 3.0
+UNKNOWN_TASK_RETENTION: Seconds = 3.0
 
 
 @singledispatch
@@ -89,13 +89,13 @@
         return [_reply(message, ReplyStatus.NOT_LEADER)]
     job = message.job
     record = state.records_by_id.get(job.id)
-    if record is not None and not runs_again(record):
-        return attach(message, state, record)
+    if record is not None and not restarts_when_resubmitted(record):
+        return answer_resubmission(message, state, record)
     pending = state.command_by_job.get(job.id)
     if pending is not None:
         state.replies_by_command[pending].append(message.reply_to)
         return []
-    job = _date_job(message, now)
+    job = _with_submission_time(message, now)
     if not _can_ever_fit(job, state):
         reason = "no backend server is large enough for one of its tasks"
         fields = {"job": job.id, "class": job.class_name, "reason": reason}
@@ -111,7 +111,7 @@
     return [append]
 
 
-def _date_job(message: SubmitDurableJob, now: Seconds) -> DurableJob:
+def _with_submission_time(message: SubmitDurableJob, now: Seconds) -> DurableJob:
     """Return the job with its submission time on this instance's clock."""
     arrived_at = now if message.arrived_at is None else message.arrived_at
     return replace(message.job, submitted_at=arrived_at - message.age)
@@ -124,13 +124,13 @@
     be compared.
     """
     servers = state.servers_by_id
-    roomy = {
+    server_by_step = {
         step: next(state.index.iterate(job.starts.pool, step.needs.millicores), None)
         for step in job.steps
     }
     if all(
         server is not None and step.needs.fits_in(servers[server].room)
-        for step, server in roomy.items()
+        for step, server in server_by_step.items()
     ):
         return True
     capacities = [
@@ -168,11 +168,11 @@
     record = state.records_by_id.get(message.id)
     if record is None:
         return [_reply(message, ReplyStatus.NOT_FOUND)]
-    shown = _show(state, record)
+    shown = _describe_state(state, record)
     return [_reply(message, ReplyStatus.FOUND, state=shown)]
 
 
-def _show(state: DispatcherState, record: JobRecord) -> str:
+def _describe_state(state: DispatcherState, record: JobRecord) -> str:
     if record.phase is not JobPhase.ACTIVE:
         return record.phase.value
     has_started = record.job.id in state.started or record.done or record.failures
@@ -184,7 +184,8 @@
     if not has_authority(state, now):
         return [_reply(message, ReplyStatus.NOT_LEADER)]
     count = sum(
-        record.job.class_name == message.class_name and _show(state, record) == "queued"
+        record.job.class_name == message.class_name
+        and _describe_state(state, record) == "queued"
         for record in (state.records_by_id[job_id] for job_id in state.active)
     )
     return [_reply(message, ReplyStatus.FOUND, count=count)]
@@ -199,15 +200,15 @@
     effects: list[Effect] = []
     for record in message.records:
         is_new = record.job.id not in state.records_by_id
-        effects += take_record(state, record, now, is_new=is_new)
+        effects += apply_record(state, record, now, is_new=is_new)
     for command_id in message.command_ids:
         waiting = state.replies_by_command.pop(command_id, ())
         accepted = DispatcherReply(ReplyStatus.ACCEPTED)
         effects += [Reply(reply_to, accepted) for reply_to in waiting]
-        ends = state.ends_by_command.pop(command_id, None)
+        ends = state.pending_ends_by_command.pop(command_id, None)
         if ends is None:
             continue
-        note_kept(state, ends)
+        acknowledge_ends(state, ends)
         server = state.servers_by_id.get(ends.server_id)
         if server is not None:
             effects += read_runs(state, server, now)
@@ -217,29 +218,29 @@
 @handle.register
 def _(message: LeadershipGained, state: DispatcherState, now: Seconds) -> list[Effect]:
     """Load the committed jobs and read the runs of every backend server."""
-    _drop_leadership(state)
+    _clear_leader_state(state)
     state.term = message.term
     state.authority_until = message.authority_until
-    state.leading_since = now
+    state.leader_since = now
     state.predecessor_until = message.predecessor_until
     for record in message.records:
-        keep_record(state, record)
+        store_record(state, record)
     state.started = {
         job_id
         for job_id in state.active
         if state.records_by_id[job_id].done or state.records_by_id[job_id].failures
     }
     for job_id in state.active:
-        requeue(state, job_id)
+        update_queue(state, job_id)
     fields = {
         "term": state.term,
         "jobs": len(state.active),
         "servers": len(state.servers_by_id),
     }
-    return [LogEvent("dispatch_began", fields), *_read_all(state, now)]
+    return [LogEvent("dispatch_began", fields), *_read_all_servers(state, now)]
 
 
-def _drop_leadership(state: DispatcherState) -> None:
+def _clear_leader_state(state: DispatcherState) -> None:
     """Clear the state that only a leader holds; committed records stay in the log."""
     state.term = 0
     state.authority_until = 0.0
@@ -249,24 +250,24 @@
     state.started.clear()
     state.taken_over = False
     state.waiters_by_job.clear()
-    state.foreign_done.clear()
+    state.done_tasks_of_unknown_jobs.clear()
     state.stopped_once.clear()
     state.run_by_task.clear()
-    state.ends_by_command.clear()
+    state.pending_ends_by_command.clear()
     state.replies_by_command.clear()
     state.command_by_job.clear()
     state.queue.clear()
     for server in state.servers_by_id.values():
-        server.reset_runs()
-        note_room(state, server)
+        server.clear_runs()
+        update_server_index(state, server)
 
 
 @handle.register
 def _(message: LeadershipLost, state: DispatcherState, now: Seconds) -> list[Effect]:
     """Answer pending requests as undecided, so that callers ask the next leader."""
     term = state.term
-    waiting = _list_waiting(state)
-    _drop_leadership(state)
+    waiting = _list_pending_requests(state)
+    _clear_leader_state(state)
     undecided = DispatcherReply(ReplyStatus.UNDECIDED)
     return [
         LogEvent("dispatch_ended", {"term": term, "waiting": len(waiting)}),
@@ -290,9 +291,11 @@
 @handle.register
 def _(message: ReportServer, state: DispatcherState, now: Seconds) -> list[Effect]:
     report = message.report
-    effects = take_report(state, report, now)
+    effects = apply_report(state, report, now)
     if not message.passed_on:
-        effects += _pass_on(state, ReportServer(report=report, passed_on=True))
+        effects += _forward_to_members(
+            state, ReportServer(report=report, passed_on=True)
+        )
     leads = has_authority(state, now)
     effects.append(Reply(message.reply_to, ServerReported(leads)))
     server = state.servers_by_id.get(report.id)
@@ -301,8 +304,10 @@
     return effects
 
 
-def _pass_on(state: DispatcherState, message: Request) -> list[Effect]:
-    return [Send(Address(other, "dispatcher"), message) for other in state.others]
+def _forward_to_members(state: DispatcherState, message: Request) -> list[Effect]:
+    return [
+        Send(Address(other, "dispatcher"), message) for other in state.other_members
+    ]
 
 
 @handle.register
@@ -314,14 +319,14 @@
         effects.append(LogEvent("backend_server_left", {"server": message.id}))
     if not message.passed_on:
         onward = RemoveServer(id=message.id, born=message.born, passed_on=True)
-        effects += _pass_on(state, onward)
+        effects += _forward_to_members(state, onward)
     known = ServerReported(has_authority(state, now))
     return [*effects, Reply(message.reply_to, known)]
 
 
 @handle.register
 def _(message: RunsRead, state: DispatcherState, now: Seconds) -> list[Effect]:
-    effects = take_runs(state, message, now)
+    effects = reconcile_runs(state, message, now)
     effects += check_takeover(state, now)
     server = state.servers_by_id.get(message.server)
     effects += place(state, now)
@@ -332,7 +337,7 @@
 
 @handle.register
 def _(message: ReadFailed, state: DispatcherState, now: Seconds) -> list[Effect]:
-    effects = take_failed_read(state, message, now)
+    effects = record_failed_read(state, message, now)
     server = state.servers_by_id.get(message.server)
     if server is not None:
         effects += read_runs(state, server, now)
@@ -341,7 +346,7 @@
 
 @handle.register
 def _(message: RunOrdered, state: DispatcherState, now: Seconds) -> list[Effect]:
-    effects = take_order(state, message, now)
+    effects = apply_order_result(state, message, now)
     server = state.servers_by_id.get(message.server)
     if server is not None:
         effects += read_runs(state, server, now)
@@ -362,31 +367,31 @@
     if now >= state.next_review:
         state.next_review = now + REVIEW_INTERVAL
         job_table.forget_ended(state.records_by_id, now)
-        state.forget_run_numbers()
-        forget_servers(state, now)
-        forget_slowness(state, now)
-        _forget_foreign(state, now)
+        state.remove_unused_run_numbers()
+        remove_stale_servers(state, now)
+        recover_speeds(state, now)
+        _remove_old_unknown_tasks(state, now)
     if not has_authority(state, now):
         return effects
     effects += check_takeover(state, now)
-    effects += free_lapsed(state, now)
+    effects += free_expired_runs(state, now)
     effects += stop_overdue(state, now)
     effects += repeat_stops(state, now)
     effects += refuse_expired(state, now)
     return [*effects, *_place_and_read(state, now)]
 
 
-def _forget_foreign(state: DispatcherState, now: Seconds) -> None:
-    for task, listed_at in list(state.foreign_done.items()):
-        if now - listed_at > FORGET_FOREIGN:
-            del state.foreign_done[task]
+def _remove_old_unknown_tasks(state: DispatcherState, now: Seconds) -> None:
+    for task, listed_at in list(state.done_tasks_of_unknown_jobs.items()):
+        if now - listed_at > UNKNOWN_TASK_RETENTION:
+            del state.done_tasks_of_unknown_jobs[task]
 
 
 def _place_and_read(state: DispatcherState, now: Seconds) -> list[Effect]:
-    return [*place(state, now), *_read_all(state, now)]
+    return [*place(state, now), *_read_all_servers(state, now)]
 
 
-def _read_all(state: DispatcherState, now: Seconds) -> list[Effect]:
+def _read_all_servers(state: DispatcherState, now: Seconds) -> list[Effect]:
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
         effects += read_runs(state, server, now)
@@ -395,10 +400,10 @@
 
 @handle.register
 def _(message: Drain, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return [Reply(message.reply_to, DrainState(len(_list_waiting(state))))]
+    return [Reply(message.reply_to, DrainState(len(_list_pending_requests(state))))]
 
 
-def _list_waiting(state: DispatcherState) -> list[ReplyTo | None]:
+def _list_pending_requests(state: DispatcherState) -> list[ReplyTo | None]:
     """Return all requests that have no answer yet."""
     return [
         reply_to
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -48,14 +48,14 @@
     last_echo, echo_at
         Newest sequence number of this instance that the peer has echoed, and the Unix
         time at which the echo was received.
-    linked_at, link_timeout
+    link_opened_at, link_timeout
         Unix time at which the link to the peer was made, and the seconds without an
         echo after which the link is replaced.
     live
         Whether the last tick or heartbeat counted the peer as live.
     """
 
-    linked_at: Seconds
+    link_opened_at: Seconds
     link_timeout: Seconds
     heartbeat: Heartbeat | None = None
     last_heard: Seconds | None = None
@@ -79,7 +79,7 @@
         is over.
     isolated
         Whether this instance is not, or not yet, connected to half of its zone.
-    flushing
+    pending_flushes
         Requests to answer once the peers have echoed a sequence number.
     """
 
@@ -96,7 +96,7 @@
     configuration_version: int = 0
     backend_servers: int = 0
     stopping: bool = False
-    flushing: list[tuple[ReplyTo | None, int]] = field(default_factory=list)
+    pending_flushes: list[tuple[ReplyTo | None, int]] = field(default_factory=list)
     jitter: random.Random = field(default_factory=random.Random)
 
     def __post_init__(self) -> None:
@@ -119,7 +119,7 @@
                 state.peers_by_id.setdefault(peer_id, PeerView(now, silence))
     effects = _check_peers(state, now)
     effects += _check_role(state, now)
-    effects += _end_flushes(state)
+    effects += _answer_flushes(state)
     if now >= state.next_heartbeat:
         effects += _send_heartbeats(state, now)
     return effects
@@ -137,10 +137,10 @@
             # Repeated on every tick, so that requests sent after the loss are abandoned
             # too.
             effects.append(AbandonRequests(peer_id))
-        if now - max(view.echo_at, view.linked_at) > view.link_timeout:
+        if now - max(view.echo_at, view.link_opened_at) > view.link_timeout:
             # This includes peers that are not heard: such a peer may be waiting for
             # this link to be replaced too.
-            view.linked_at = now
+            view.link_opened_at = now
             view.link_timeout = silence * state.jitter.uniform(1, 2)
             effects.append(Reconnect(peer_id))
             if live:
@@ -149,8 +149,8 @@
 
 
 def _is_lost(view: PeerView, state: InstancesState, now: Seconds) -> bool:
-    quiet_since = max(view.last_heard or 0.0, state.awake_since or now)
-    return now - quiet_since > state.settings.timing.instance_silence
+    silent_since = max(view.last_heard or 0.0, state.awake_since or now)
+    return now - silent_since > state.settings.timing.instance_silence
 
 
 def _check_role(state: InstancesState, now: Seconds) -> list[Effect]:
@@ -169,13 +169,13 @@
     if isolated and not state.isolated:
         # The others have chosen another placer, which keeps the role when they are
         # connected again.
-        state.in_service_since = _milliseconds(now)
+        state.in_service_since = _to_milliseconds(now)
         effects.append(LogEvent("isolated", {"connected": connected}))
     state.isolated = isolated
-    return effects + _tell_placer(state, now)
+    return effects + _report_placer(state, now)
 
 
-def _tell_placer(state: InstancesState, now: Seconds) -> list[Effect]:
+def _report_placer(state: InstancesState, now: Seconds) -> list[Effect]:
     candidates = _list_candidates(state, now)
     found = membership.find_placer(state.settings.zone, candidates)
     placer = None if found is None else found.id
@@ -188,7 +188,7 @@
     ]
 
 
-def _milliseconds(now: Seconds) -> int:
+def _to_milliseconds(now: Seconds) -> int:
     return int(now * 1000)
 
 
@@ -243,7 +243,7 @@
         view.last_echo, view.echo_at = message.echo, now
         view.link_timeout = silence
     effects += _report_newer_configuration(message, state)
-    return effects + _end_flushes(state)
+    return effects + _answer_flushes(state)
 
 
 def _report_newer_configuration(
@@ -362,32 +362,34 @@
 def _(message: Flush, state: InstancesState, now: Seconds) -> list[Effect]:
     """Send heartbeats after all earlier messages; their echo confirms the arrival."""
     effects = _send_heartbeats(state, now)
-    state.flushing.append((message.reply_to, state.sequence))
-    return effects + _end_flushes(state)
+    state.pending_flushes.append((message.reply_to, state.sequence))
+    return effects + _answer_flushes(state)
 
 
-def _end_flushes(state: InstancesState) -> list[Effect]:
-    if not state.flushing:
+def _answer_flushes(state: InstancesState) -> list[Effect]:
+    if not state.pending_flushes:
         return []
     echoed = min(
         (view.last_echo for view in state.peers_by_id.values() if view.live),
         default=state.sequence,
     )
-    ended = [to for to, sequence in state.flushing if sequence <= echoed]
-    state.flushing = [entry for entry in state.flushing if entry[1] > echoed]
+    ended = [to for to, sequence in state.pending_flushes if sequence <= echoed]
+    state.pending_flushes = [
+        entry for entry in state.pending_flushes if entry[1] > echoed
+    ]
     return [Reply(to, Flushed()) for to in ended]
 
 
 @handle.register
 def _(message: WokeUp, state: InstancesState, now: Seconds) -> list[Effect]:
     """Discard what was heard before the pause; new heartbeats show who is live."""
-    state.in_service_since = _milliseconds(now)
+    state.in_service_since = _to_milliseconds(now)
     state.awake_since = now
     state.discovery_done = False
     state.isolated = True
     for view in state.peers_by_id.values():
         view.last_heard = None
         view.live = False
-        view.linked_at = now
+        view.link_opened_at = now
     fields = {"seconds": now - message.asleep_since}
-    return [LogEvent("woke_up", fields), *_tell_placer(state, now)]
+    return [LogEvent("woke_up", fields), *_report_placer(state, now)]
--- a/boragetide/controllers/job_records.py
+++ b/boragetide/controllers/job_records.py
@@ -5,12 +5,12 @@
 from boragetide.commands import JobCommand
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
-    KeptEnds,
-    keep_record,
-    name_command,
+    PendingEnds,
+    make_command_id,
+    store_record,
 )
 from boragetide.controllers.orders import stop_run
-from boragetide.controllers.placing_runs import requeue
+from boragetide.controllers.placing_runs import update_queue
 from boragetide.durable import JobPhase, JobRecord
 from boragetide.effects import Effect, LogEvent, Observe, Reply, Send
 from boragetide.messages import AppendCommands, DispatcherReply, ReplyStatus
@@ -21,17 +21,17 @@
     state: DispatcherState,
     command: JobCommand,
     *,
-    ends: KeptEnds | None = None,
+    ends: PendingEnds | None = None,
 ) -> Effect:
     """Append a command to the log; `JobsCommitted` reports when it is committed."""
-    command_id = name_command(state)
+    command_id = make_command_id(state)
     if ends is not None:
-        state.ends_by_command[command_id] = ends
+        state.pending_ends_by_command[command_id] = ends
     to = Address(state.settings.id, "configuration")
     return Send(to, AppendCommands(state.term, {command_id: command}))
 
 
-def take_record(
+def apply_record(
     state: DispatcherState, record: JobRecord, now: Seconds, *, is_new: bool = False
 ) -> list[Effect]:
     """Apply a changed record; the end of a job stops its runs and answers its waiters.
@@ -42,9 +42,9 @@
         Whether the job was accepted by this change.
     """
     job_id = record.job.id
-    keep_record(state, record)
+    store_record(state, record)
     state.command_by_job.pop(job_id, None)
-    requeue(state, job_id)
+    update_queue(state, job_id)
     age = now - record.job.submitted_at
     fields = {
         "job": job_id,
--- a/boragetide/controllers/jobs.py
+++ b/boragetide/controllers/jobs.py
@@ -87,7 +87,7 @@
     ----------
     records
         Heap of (Unix time at which to check the record again, job id).
-    answers
+    kept_answers
         Ended jobs as (Unix time until which the answer is kept, job id), in the order
         of these times.
     kept_results
@@ -98,7 +98,7 @@
     incarnation: int
     jobs_by_id: dict[JobId, Job] = field(default_factory=dict)
     records: list[tuple[Seconds, JobId]] = field(default_factory=list)
-    answers: deque[tuple[Seconds, JobId]] = field(default_factory=deque)
+    kept_answers: deque[tuple[Seconds, JobId]] = field(default_factory=deque)
     kept_results: int = 0
     stopping: bool = False
 
@@ -115,10 +115,10 @@
         return [_answer_unknown(message, "the owner of this job has restarted")]
     job = state.jobs_by_id.get(message.submission.id)
     if job is None:
-        return _run(message, state, now)
+        return _start_job(message, state, now)
     job.keep_until = now + _retention(state)
     if job.phase is JobPhase.REFUSED:
-        return _run(message, state, now)
+        return _start_job(message, state, now)
     if job.digest != message.submission.digest:
         return [_refuse_other_content(message)]
     if job.phase is JobPhase.ENDED:
@@ -128,7 +128,7 @@
     return []
 
 
-def _run(message: SubmitJob, state: JobsState, now: Seconds) -> list[Effect]:
+def _start_job(message: SubmitJob, state: JobsState, now: Seconds) -> list[Effect]:
     submission = message.submission
     window = state.settings.timing.resubmission_window
     deadline = message.claim.claimed_at + window
@@ -219,7 +219,10 @@
         return [Count("late_outcomes", {})]
     job.outcomes_by_index[message.index] = message.outcome
     if message.outcome.status is not TaskStatus.DONE:
-        return [*_drop_rest(job, state), *_end(job, _failed_answer(job), state, now)]
+        return [
+            *_cancel_remaining_tasks(job, state),
+            *_end_job(job, _failed_answer(job), state, now),
+        ]
     if len(job.outcomes_by_index) < len(job.submission.tasks):
         return []
     results = tuple(
@@ -227,7 +230,7 @@
         for index in range(len(job.submission.tasks))
     )
     answer = Answer(job.submission.id, Status.COMPLETE, results)
-    return _end(job, answer, state, now)
+    return _end_job(job, answer, state, now)
 
 
 def _failed_answer(job: Job) -> Answer:
@@ -240,12 +243,12 @@
     return Answer(job.submission.id, Status.FAILED, error=error)
 
 
-def _drop_rest(job: Job, state: JobsState) -> list[Effect]:
+def _cancel_remaining_tasks(job: Job, state: JobsState) -> list[Effect]:
     message = CancelQueued(job.submission.id)
     return [Send(Address(state.settings.id, "backend_servers"), message)]
 
 
-def _end(job: Job, answer: Answer, state: JobsState, now: Seconds) -> list[Effect]:
+def _end_job(job: Job, answer: Answer, state: JobsState, now: Seconds) -> list[Effect]:
     submission, job.submission = job.submission, None
     waiting, job.waiting = job.waiting, []
     job.phase = JobPhase.ENDED
@@ -253,7 +256,7 @@
     job.answer = answer
     state.kept_results += len(answer.results)
     kept_until = now + state.settings.timing.answer_retention
-    state.answers.append((kept_until, answer.id))
+    state.kept_answers.append((kept_until, answer.id))
     fields = {
         "job": answer.id,
         "status": answer.status,
@@ -271,18 +274,18 @@
 def _drop_answers(state: JobsState, now: Seconds) -> list[Effect]:
     """Drop answers whose retention is over, and the oldest ones beyond the limit."""
     limit = state.settings.limits.kept_results
-    early = 0
-    while state.answers:
-        kept_until, job_id = state.answers[0]
+    dropped_early = 0
+    while state.kept_answers:
+        kept_until, job_id = state.kept_answers[0]
         if now < kept_until and state.kept_results <= limit:
             break
-        state.answers.popleft()
+        state.kept_answers.popleft()
         job = state.jobs_by_id.get(job_id)
         if job is not None and job.answer is not None:
             state.kept_results -= len(job.answer.results)
             job.answer = None
-            early += now < kept_until
-    return [Count("answers_dropped_early", {}, early)] if early else []
+            dropped_early += now < kept_until
+    return [Count("answers_dropped_early", {}, dropped_early)] if dropped_early else []
 
 
 @handle.register
@@ -303,7 +306,10 @@
     effects: list[Effect] = []
     if job is not None and job.phase is JobPhase.RUNNING:
         answer = Answer(message.id, Status.FAILED, error="cancelled")
-        effects = [*_drop_rest(job, state), *_end(job, answer, state, now)]
+        effects = [
+            *_cancel_remaining_tasks(job, state),
+            *_end_job(job, answer, state, now),
+        ]
     return [*effects, Reply(message.reply_to, _describe(message.id, state))]
 
 
@@ -323,10 +329,10 @@
 def _(message: WokeUp, state: JobsState, now: Seconds) -> list[Effect]:
     """Fence this instance: peers gave up on its jobs while its process was paused."""
     error = "the process of the owner was paused"
-    return _give_up(list(state.jobs_by_id.values()), error, state, now)
+    return _abandon_jobs(list(state.jobs_by_id.values()), error, state, now)
 
 
-def _give_up(
+def _abandon_jobs(
     jobs: list[Job], error: str, state: JobsState, now: Seconds
 ) -> list[Effect]:
     """End running jobs with an unknown outcome; none of their waiting tasks starts."""
@@ -334,16 +340,19 @@
     for job in jobs:
         if job.phase is JobPhase.RUNNING:
             answer = Answer(job.submission.id, Status.UNKNOWN, error=error)
-            effects += [*_drop_rest(job, state), *_end(job, answer, state, now)]
+            effects += [
+                *_cancel_remaining_tasks(job, state),
+                *_end_job(job, answer, state, now),
+            ]
     return effects
 
 
 @handle.register
 def _(message: Tick, state: JobsState, now: Seconds) -> list[Effect]:
-    return [*_drop_answers(state, now), *_drop_records(state, now)]
+    return [*_drop_answers(state, now), *_review_records(state, now)]
 
 
-def _drop_records(state: JobsState, now: Seconds) -> list[Effect]:
+def _review_records(state: JobsState, now: Seconds) -> list[Effect]:
     """End jobs that have outlived their claims, and later drop their records.
 
     Acceptors drop a claim after its deadline, and another instance may then own the id.
@@ -355,11 +364,11 @@
         if job is None:
             continue
         if now >= job.deadline:
-            effects += _give_up([job], "the job outlived its claim", state, now)
+            effects += _abandon_jobs([job], "the job outlived its claim", state, now)
         if now >= job.keep_until:
             del state.jobs_by_id[job_id]
             continue
         running = job.phase is JobPhase.RUNNING
-        again = job.deadline if running else job.keep_until
-        heapq.heappush(state.records, (again, job_id))
+        next_check = job.deadline if running else job.keep_until
+        heapq.heappush(state.records, (next_check, job_id))
     return effects
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -12,9 +12,9 @@
     BackendServersState,
     LeasedServer,
     clear_pool,
-    forget_server,
     grant_lease,
     refresh_server,
+    remove_server,
 )
 from boragetide.effects import Effect, LogEvent, Reply, Send
 from boragetide.messages import (
@@ -37,7 +37,7 @@
 # their jobs to it once the claim is decided, which takes a few round trips.
 RELEASE_DELAY = 1.0  # seconds
 RELEASE_RENEWAL = 0.2  # seconds between renewals while a former placer ends its queue
-CONFIRMATION = 0.005  # seconds until the renewal that confirms a new lease
+CONFIRMATION_DELAY = 0.005  # seconds until the renewal that confirms a new lease
 
 
 def announce(
@@ -72,8 +72,8 @@
     # A backend server whose announcement names no lease counts as confirmed at once.
     leased.confirmed = message.lease is None or message.lease == leased.lease
     refresh_server(state, server.id, now)
-    effects.append(tell_pool_size(state))
-    granted = Reply(message.reply_to, _describe(leased, state))
+    effects.append(report_pool_size(state))
+    granted = Reply(message.reply_to, _describe_lease(leased, state))
     return [*effects, granted, *place(state, now)]
 
 
@@ -91,11 +91,11 @@
     )
 
 
-def _describe(leased: LeasedServer, state: BackendServersState) -> LeaseGranted:
+def _describe_lease(leased: LeasedServer, state: BackendServersState) -> LeaseGranted:
     timing = state.settings.timing
     renew_every = timing.lease_renewal
     if not leased.confirmed:
-        renew_every = CONFIRMATION
+        renew_every = CONFIRMATION_DELAY
     elif state.placer != state.settings.id:
         renew_every = RELEASE_RENEWAL
     return LeaseGranted(
@@ -107,10 +107,12 @@
     )
 
 
-def tell_pool_size(state: BackendServersState) -> Effect:
+def report_pool_size(state: BackendServersState) -> Effect:
     """Tell the instances controller how many backend servers can take tasks."""
-    able = sum(not leased.server.leaving for leased in state.servers_by_id.values())
-    return Send(Address(state.settings.id, "instances"), PoolSize(able))
+    accepting = sum(
+        not leased.server.leaving for leased in state.servers_by_id.values()
+    )
+    return Send(Address(state.settings.id, "instances"), PoolSize(accepting))
 
 
 def change_placer(
@@ -126,8 +128,8 @@
 def is_released(state: BackendServersState, now: Seconds) -> bool:
     """Return whether a former placer has started all tasks that were sent to it."""
     lost_at = state.role_lost_at
-    settled = lost_at is None or now - lost_at > RELEASE_DELAY
-    return settled and not state.queued_tasks and not state.delayed
+    delay_passed = lost_at is None or now - lost_at > RELEASE_DELAY
+    return delay_passed and not state.queued_tasks and not state.delayed_tasks
 
 
 def find_lease(
@@ -154,14 +156,14 @@
         Unix time at which tasks that still run end as unknown; ``None`` if their own
         timeouts bound them.
     """
-    forget_server(state, leased.server.id, now)
+    remove_server(state, leased.server.id, now)
     if leased.running_by_id:
         leased.tasks_end_by = tasks_end_by
         state.retired_by_lease[leased.lease] = leased
-    return [tell_pool_size(state)]
+    return [report_pool_size(state)]
 
 
-def expire(state: BackendServersState, now: Seconds) -> list[Effect]:
+def expire_leases(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Retire the leases that were not renewed and end the tasks of lost servers.
 
     A lost server may have been unable only to renew its lease, so its tasks get another
@@ -196,4 +198,4 @@
 def wake_up(message: WokeUp, state: BackendServersState, now: Seconds) -> list[Effect]:
     """Drop the queue and all leases; backend servers announce themselves again."""
     clear_pool(state, now)
-    return [tell_pool_size(state)]
+    return [report_pool_size(state)]
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -8,10 +8,10 @@
     RunPhase,
     Server,
     has_authority,
-    note_room,
+    update_server_index,
 )
-from boragetide.controllers.placing_runs import make_start, requeue
-from boragetide.controllers.server_health import SPEED_MIN
+from boragetide.controllers.placing_runs import make_start, update_queue
+from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.durable import TaskRef, refer_to_task
 from boragetide.effects import Effect, LogEvent, StopRun
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered
@@ -19,21 +19,21 @@
 
 # Pauses before an unanswered `ReadRuns` is repeated. The first repetition follows at
 # once, because only the answer may have been lost; the pauses before later ones double.
-READ_RETRIES: tuple[Seconds, ...] = (0.0, 0.1, 0.2, 0.4)
+READ_RETRY_DELAYS: tuple[Seconds, ...] = (0.0, 0.1, 0.2, 0.4)
 STOP_RETRY: Seconds = 0.1
-LISTED_END = "listed"  # reason of a run that is over because its end was listed
+REASON_LISTED = "listed"  # reason of a run that is over because its end was listed
 # A backend server that refuses a run because it is unhealthy or has no room gets no new
 # runs for this long.
-AVOID_UNHEALTHY: Seconds = 1.0
+REFUSAL_COOLDOWN: Seconds = 1.0
 # A task whose declared time is 40% too short takes 1.7 times as long as expected on a
 # backend server whose learned speed is right.
 OVERDUE_FACTOR = 3.0
 OVERDUE_MARGIN: Seconds = 0.3
 # A backend server with an overdue run gets no new runs for this long.
-AVOID_OVERDUE: Seconds = 2.0
+OVERDUE_COOLDOWN: Seconds = 2.0
 
 
-def take_order(
+def apply_order_result(
     state: DispatcherState, message: RunOrdered, now: Seconds
 ) -> list[Effect]:
     """Apply the result of a start or stop order."""
@@ -46,14 +46,14 @@
     if message.result is OrderResult.FENCED:
         return [lose_authority(state, server.report.id)]
     if message.clock is not None:
-        server.heard_at = now
-        server.clock_ahead = message.clock - now
+        server.last_contact_at = now
+        server.clock_offset = message.clock - now
     if message.started:
-        return _take_start(state, server, run, message.result, now)
-    return _take_stop(state, server, run, message.result, now)
+        return _apply_start_result(state, server, run, message.result, now)
+    return _apply_stop_result(state, server, run, message.result, now)
 
 
-def _take_start(
+def _apply_start_result(
     state: DispatcherState,
     server: Server,
     run: Run,
@@ -63,28 +63,28 @@
     if result is OrderResult.DONE:
         if run.phase is RunPhase.ORDERED:
             run.phase, run.started_at = RunPhase.RUNNING, now
-        run.settled_at = now
+        run.order_answered_at = now
         return []
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "result": result.value}
     log = LogEvent("run_refused", fields)
     if run.phase is RunPhase.RUNNING:
         # The run has been listed, so it was started although the answer was lost.
-        run.settled_at = now
+        run.order_answered_at = now
         return [log]
     if run.phase is not RunPhase.ORDERED:
         return [log]
-    if result is OrderResult.UNANSWERED and not run.repeated:
+    if result is OrderResult.UNANSWERED and not run.start_repeated:
         return [log, *_repeat_start(state, server, run, now)]
-    if result is OrderResult.OLD_RUN and run.repeated:
+    if result is OrderResult.OLD_RUN and run.start_repeated:
         # The first order was carried out: either the end of the run is listed next, or
         # the run was stopped.
-        run.settled_at = now
+        run.order_answered_at = now
         return [log]
-    if result is OrderResult.UNANSWERED or run.repeated:
+    if result is OrderResult.UNANSWERED or run.start_repeated:
         return [log, *stop_run(state, server, run, result.value)]
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
-        server.avoided_until = now + AVOID_UNHEALTHY
+        server.cooldown_until = now + REFUSAL_COOLDOWN
     if result is OrderResult.OTHER_LIFE:
         server.gone = True
     return [log, *free_run(state, server, run, result.value)]
@@ -97,11 +97,11 @@
     record = state.records_by_id.get(run.job_id)
     if record is None or not has_authority(state, now):
         return []
-    run.repeated = True
+    run.start_repeated = True
     return [make_start(state, server, record.job, run, now)]
 
 
-def _take_stop(
+def _apply_stop_result(
     state: DispatcherState,
     server: Server,
     run: Run,
@@ -111,11 +111,11 @@
     if result in (OrderResult.DONE, OrderResult.OLD_RUN):
         # The run is listed until its end is. If its start has not arrived, the run will
         # never begin.
-        run.settled_at = now
+        run.order_answered_at = now
     elif result is OrderResult.OTHER_LIFE:
         server.gone = True
     else:
-        run.stop_again_at = now + STOP_RETRY
+        run.next_stop_at = now + STOP_RETRY
     return []
 
 
@@ -127,8 +127,8 @@
     if record is None or run.phase is RunPhase.ENDED:
         return []
     run.phase = RunPhase.STOPPING
-    run.settled_at = None
-    run.stop_again_at = None
+    run.order_answered_at = None
+    run.next_stop_at = None
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "reason": reason}
     task = refer_to_task(record.job, run.task)
@@ -149,9 +149,9 @@
         if server.silent or server.gone:
             continue
         for run in list(server.runs_by_task.values()):
-            if run.phase is not RunPhase.STOPPING or run.stop_again_at is None:
+            if run.phase is not RunPhase.STOPPING or run.next_stop_at is None:
                 continue
-            if now >= run.stop_again_at:
+            if now >= run.next_stop_at:
                 effects += stop_run(state, server, run, "stop_unanswered")
     return effects
 
@@ -164,7 +164,7 @@
     return StopRun(report.id, report.address, task, number, run, state.term)
 
 
-def take_failed_read(
+def record_failed_read(
     state: DispatcherState, message: ReadFailed, now: Seconds
 ) -> list[Effect]:
     """Mark a backend server as silent until it answers another `ReadRuns`.
@@ -177,12 +177,12 @@
     server.reading = False
     if message.other_life:
         server.gone = True
-    pause = READ_RETRIES[min(server.unanswered, len(READ_RETRIES) - 1)]
-    server.read_again_at = now + pause
+    pause = READ_RETRY_DELAYS[min(server.unanswered, len(READ_RETRY_DELAYS) - 1)]
+    server.next_read_at = now + pause
     server.unanswered += 1
     if server.unanswered > 1:
         return []
-    fields = {"server": message.server, "heard_ago": now - server.heard_at}
+    fields = {"server": message.server, "heard_ago": now - server.last_contact_at}
     return [LogEvent("backend_server_silent", fields)]
 
 
@@ -199,10 +199,10 @@
             if run.key not in state.stopped_once and _is_overdue(server, run)
         ]
         if overdue:
-            server.avoided_until = now + AVOID_OVERDUE
-            server.speed = max(SPEED_MIN, server.speed / 2)
-            server.learned_at = now
-            note_room(state, server)
+            server.cooldown_until = now + OVERDUE_COOLDOWN
+            server.speed = max(MIN_SPEED, server.speed / 2)
+            server.speed_updated_at = now
+            update_server_index(state, server)
         for run in overdue:
             state.stopped_once.add(run.key)
             effects += stop_run(state, server, run, "overdue")
@@ -212,19 +212,19 @@
 def _is_overdue(server: Server, run: Run) -> bool:
     if run.phase is not RunPhase.RUNNING or run.started_at is None:
         return False
-    if server.done_at > run.started_at:
+    if server.last_run_done_at > run.started_at:
         return False
     expected = run.estimate / server.speed
     # The run is known to have been running only up to the last list.
-    seen = server.listed_at - run.started_at
-    return seen > OVERDUE_FACTOR * expected + OVERDUE_MARGIN
+    observed = server.runs_listed_at - run.started_at
+    return observed > OVERDUE_FACTOR * expected + OVERDUE_MARGIN
 
 
-def free_lapsed(state: DispatcherState, now: Seconds) -> list[Effect]:
+def free_expired_runs(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Free the runs of silent or departed backend servers whose leases have expired."""
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
-        if not (server.silent or server.gone) or now < server.lapsed_at:
+        if not (server.silent or server.gone) or now < server.leases_expired_at:
             continue
         for run in list(server.runs_by_task.values()):
             if run.phase is not RunPhase.ENDED:
@@ -237,11 +237,11 @@
 ) -> list[Effect]:
     """Remove a run that is certainly over, so that its task may start again."""
     server.runs_by_task.pop(run.key, None)
-    note_room(state, server)
+    update_server_index(state, server)
     if state.occupied.get(run.key) == server.report.id:
         del state.occupied[run.key]
-    requeue(state, run.job_id)
-    if reason == LISTED_END:
+    update_queue(state, run.job_id)
+    if reason == REASON_LISTED:
         # The end was already logged when it was listed.
         return []
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
--- a/boragetide/controllers/outcomes.py
+++ b/boragetide/controllers/outcomes.py
@@ -34,7 +34,7 @@
 # does each further doubling.
 OVERRUN_FACTOR = 2.0
 MIN_EXTENSION: Seconds = 0.02
-CANCEL_HORIZON: Seconds = 0.05
+MIN_CANCEL_WAIT: Seconds = 0.05
 
 
 def end_running(
@@ -63,7 +63,7 @@
     elapsed = now - running.started_at if seconds is None else seconds
     effects: list[Effect] = []
     if state.servers_by_id.get(leased.server.id) is leased:
-        effects += _judge(state, leased, running, outcome, elapsed, now)
+        effects += _observe_outcome(state, leased, running, outcome, elapsed, now)
     refresh_server(state, leased.server.id, now)
     job = running.job
     class_name = job.queued.class_name
@@ -71,7 +71,7 @@
     effects.append(Count("tasks", labels))
     if job.dropped:
         return effects
-    return effects + _settle(state, job, running.index, outcome, overdue, now)
+    return effects + _retry_or_report(state, job, running.index, outcome, overdue, now)
 
 
 def _free_slot(
@@ -92,7 +92,7 @@
         count_running(queue, job.queued.team, -1)
 
 
-def _judge(
+def _observe_outcome(
     state: BackendServersState,
     leased: LeasedServer,
     running: RunningTask,
@@ -105,16 +105,16 @@
         return []
     class_name = running.job.queued.class_name
     failed = ejection.is_failure(outcome.status)
-    speed = learning.predict_speed(leased.speeds, class_name)
+    speed = learning.predict_speed(leased.speed_model, class_name)
     if not failed:
         _learn(state, leased, running, elapsed)
     health = leased.health
     fast = elapsed < ejection.FAST_SHARE * running.size / speed
     tally = state.tallies_by_class.setdefault(class_name, ejection.Tally())
     ejection.observe_outcome(health, tally, class_name, failed, fast, now)
-    again = ejection.observe_probe(health, failed, leased.server.slots)
+    failed_probe = ejection.observe_probe(health, failed, leased.server.slots)
     servers, ejected = len(state.servers_by_id), len(state.ejected)
-    if not again and not ejection.should_eject(health, ejected, servers):
+    if not failed_probe and not ejection.should_eject(health, ejected, servers):
         return []
     ejection.eject(health, now, state.jitter)
     server_id = leased.server.id
@@ -122,7 +122,7 @@
     fields = {
         "server": server_id,
         "probe_in": health.probe_at - now,
-        "reason": "failed_probe" if again else "failures",
+        "reason": "failed_probe" if failed_probe else "failures",
     }
     return [
         LogEvent("backend_server_ejected", fields),
@@ -137,20 +137,20 @@
     elapsed: Seconds,
 ) -> None:
     class_name = running.job.queued.class_name
-    model = state.sizes_by_class.setdefault(class_name, learning.SizeModel())
+    model = state.size_models_by_class.setdefault(class_name, learning.SizeModel())
     log_elapsed = math.log(max(elapsed, learning.MIN_SECONDS))
     learning.observe_speed(
-        leased.speeds,
+        leased.speed_model,
         class_name,
         running.log_size - log_elapsed,
         model.variance,
         running.learned_log_speed,
     )
-    size = elapsed * learning.predict_speed(leased.speeds, class_name)
+    size = elapsed * learning.predict_speed(leased.speed_model, class_name)
     learning.observe_size(model, running.task.size, size)
 
 
-def _settle(
+def _retry_or_report(
     state: BackendServersState,
     job: QueuedJob,
     index: int,
@@ -164,16 +164,16 @@
     idempotent = queued.idempotent and len(queued.tasks) == 1
     if outcome.status is not TaskStatus.NOT_RUN:
         job.may_have_run = True
-    again = retries.may_start_again(outcome.status, attempts, idempotent, overdue)
-    if again and retries.has_budget(state.budget, now):
-        retries.record(state.budget, now, 0, 1)
+    may_retry = retries.may_start_again(outcome.status, attempts, idempotent, overdue)
+    if may_retry and retries.has_budget(state.retry_budget, now):
+        retries.record(state.retry_budget, now, 0, 1)
         job.delayed += 1
         due = now + retries.backoff(attempts, state.jitter)
         state.retries += 1
-        heapq.heappush(state.delayed, (due, state.retries, job, index))
+        heapq.heappush(state.delayed_tasks, (due, state.retries, job, index))
         labels = {"class": queued.class_name, "outcome": str(outcome.status)}
         return [Count("retries", labels)]
-    if outcome.status is TaskStatus.NOT_RUN and is_untouched(job):
+    if outcome.status is TaskStatus.NOT_RUN and has_not_run(job):
         reason = outcome.error or "no backend server took the task"
         return refuse_job(state, job, reason, "not_taken")
     ended = TaskEnded(queued.job_id, index, outcome)
@@ -187,18 +187,18 @@
         target = find_target(state, queued.class_name)
         actual = now - job.queued_at
         admission.observe_response(margin, target, job.predicted, actual)
-        _forget_job(state, job)
+        _remove_job(state, job)
     return effects
 
 
-def is_untouched(job: QueuedJob) -> bool:
+def has_not_run(job: QueuedJob) -> bool:
     """Return whether it is certain that no task of a job has run."""
     return not job.may_have_run and not job.servers_by_running
 
 
-def _forget_job(state: BackendServersState, job: QueuedJob) -> None:
+def _remove_job(state: BackendServersState, job: QueuedJob) -> None:
     state.jobs_by_id.pop(job.queued.job_id, None)
-    state.demanding.discard(job.queued.job_id)
+    state.jobs_needing_resources.discard(job.queued.job_id)
 
 
 def refuse_job(
@@ -225,7 +225,7 @@
     queue = state.queues_by_class[job.queued.class_name]
     indexes = drop_waiting(queue, job)
     state.queued_tasks -= len(indexes)
-    _forget_job(state, job)
+    _remove_job(state, job)
     return indexes
 
 
@@ -235,7 +235,7 @@
     """Drop a job and cancel its running tasks, in one batch for each server.
 
     A job that was cancelled or of which a task failed needs no further outcome. A task
-    that is expected to end within `CANCEL_HORIZON` is not cancelled, because the
+    that is expected to end within `MIN_CANCEL_WAIT` is not cancelled, because the
     cancellation would arrive after its end.
     """
     drop_job(state, job)
@@ -246,7 +246,7 @@
             continue
         leased, running = found
         wait = placement.expected_wait(running.expected_end, running.started_at, now)
-        if wait > CANCEL_HORIZON:
+        if wait > MIN_CANCEL_WAIT:
             key = (server_id, leased.server.address)
             tasks_by_server.setdefault(key, []).append(task_id)
     return [
@@ -292,15 +292,19 @@
     now: Seconds,
 ) -> None:
     class_name = running.job.queued.class_name
-    speed = learning.predict_speed(leased.speeds, class_name)
+    speed = learning.predict_speed(leased.speed_model, class_name)
     expected = math.exp(running.log_size) / speed
     if elapsed < expected * OVERRUN_FACTOR ** (running.overruns + 1):
         return
     running.overruns += 1
-    model = state.sizes_by_class[class_name]
+    model = state.size_models_by_class[class_name]
     log_speed = running.log_size - math.log(elapsed)
     learning.observe_speed(
-        leased.speeds, class_name, log_speed, model.variance, running.learned_log_speed
+        leased.speed_model,
+        class_name,
+        log_speed,
+        model.variance,
+        running.learned_log_speed,
     )
     running.learned_log_speed = log_speed
     refresh_server(state, leased.server.id, now)
@@ -308,12 +312,12 @@
 
 def requeue_delayed(state: BackendServersState, now: Seconds) -> None:
     """Put delayed tasks back into the queue when their backoff is over."""
-    while state.delayed and state.delayed[0][0] <= now:
-        _, _, job, index = heapq.heappop(state.delayed)
+    while state.delayed_tasks and state.delayed_tasks[0][0] <= now:
+        _, _, job, index = heapq.heappop(state.delayed_tasks)
         if job.dropped:
             continue
         job.delayed -= 1
-        model = state.sizes_by_class[job.queued.class_name]
+        model = state.size_models_by_class[job.queued.class_name]
         size = learning.predict_size(model, job.queued.tasks[index].size)
         queue = state.queues_by_class[job.queued.class_name]
         add_waiting(queue, job, [(size, index)])
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -20,8 +20,8 @@
     count_running,
     is_capped,
     is_over_share,
+    pop_waiting,
     put_job,
-    take_waiting,
     walk_jobs,
 )
 from boragetide.effects import Effect, LogEvent, StartTasks
@@ -31,12 +31,12 @@
 # Limits of one placement round: free servers compared for a task, expected slot
 # releases, and tasks held back for a faster server before later tasks may take the free
 # slots.
-COMPARED_SERVERS = 4
-COMPARED_RELEASES = 32
-HELD_PER_PASS = 12
+MAX_COMPARED_SERVERS = 4
+MAX_COMPARED_RELEASES = 32
+MAX_HELD_TASKS = 12
 
 # Jobs skipped in one round because no free server has the cores or the memory.
-UNPLACEABLE_PER_PASS = 256
+MAX_UNPLACEABLE_JOBS = 256
 
 # The placer waits this long for a result after the timeout of a task, which the backend
 # server itself enforces. The client gives up after 2 s, so the wait ends after that.
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class _Pass:
+class _PlacementRound:
     """State of one placement round over the queue.
 
     Parameters
@@ -59,7 +59,7 @@
         Fastest free servers; cleared when a server has no free slot left.
     held
         Number of tasks held back for a faster server.
-    unplaceable
+    unplaceable_jobs
         Number of jobs skipped because no free server fits one of their tasks.
     """
 
@@ -70,7 +70,7 @@
         default_factory=dict
     )
     held: int = 0
-    unplaceable: int = 0
+    unplaceable_jobs: int = 0
     calls_by_server: dict[BackendServerId, int] = field(default_factory=dict)
     starts_by_server: dict[BackendServerId, list[TaskStart]] = field(
         default_factory=dict
@@ -80,24 +80,26 @@
 
 def place(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Start as many queued tasks as there are useful free slots, batched by server."""
-    current = _Pass(now)
-    while state.free and state.queued_tasks and not current.complete:
-        current.complete = True
-        _walk(state, current)
-    if not current.starts_by_server:
+    placement_round = _PlacementRound(now)
+    while state.free_servers and state.queued_tasks and not placement_round.complete:
+        placement_round.complete = True
+        _offer_free_slots(state, placement_round)
+    if not placement_round.starts_by_server:
         return []
-    started = sum(map(len, current.starts_by_server.values()))
-    retries.record(state.budget, now, started, 0)
-    for server_id, starts in current.starts_by_server.items():
+    started = sum(map(len, placement_round.starts_by_server.values()))
+    retries.record(state.retry_budget, now, started, 0)
+    for server_id, starts in placement_round.starts_by_server.items():
         refresh_server(state, server_id, now)
         leased = state.servers_by_id[server_id]
-        current.effects.append(
+        placement_round.effects.append(
             StartTasks(server_id, leased.server.address, leased.lease, tuple(starts))
         )
-    return current.effects
+    return placement_round.effects
 
 
-def _walk(state: BackendServersState, current: _Pass) -> None:
+def _offer_free_slots(
+    state: BackendServersState, placement_round: _PlacementRound
+) -> None:
     """Offer the free slots to the waiting jobs in queue order."""
     queues_by_class = state.queues_by_class
     caps_by_class = {
@@ -106,23 +108,27 @@
         )
         for name in queues_by_class
     }
-    touched = []
-    for _, job_id in walk_jobs(queues_by_class, caps_by_class, current.now):
+    changed_jobs = []
+    for _, job_id in walk_jobs(queues_by_class, caps_by_class, placement_round.now):
         job = state.jobs_by_id[job_id]
-        if _place_job(state, job, current, caps_by_class):
-            touched.append(job)
-        if not state.free or not current.complete or current.held > HELD_PER_PASS:
+        if _place_job(state, job, placement_round, caps_by_class):
+            changed_jobs.append(job)
+        if (
+            not state.free_servers
+            or not placement_round.complete
+            or placement_round.held > MAX_HELD_TASKS
+        ):
             break
-        if current.unplaceable >= UNPLACEABLE_PER_PASS:
+        if placement_round.unplaceable_jobs >= MAX_UNPLACEABLE_JOBS:
             break
-    for job in touched:
+    for job in changed_jobs:
         put_job(queues_by_class[job.queued.class_name], job)
 
 
 def _place_job(
     state: BackendServersState,
     job: QueuedJob,
-    current: _Pass,
+    placement_round: _PlacementRound,
     caps_by_class: dict[ClassName, int],
 ) -> int:
     """Start tasks of a job, the longest first, and hold those that gain by waiting.
@@ -137,27 +143,27 @@
     queue = state.queues_by_class[class_name]
     started = 0
     position = len(job.waiting) - 1
-    while position >= 0 and state.free:
+    while position >= 0 and state.free_servers:
         size, index = job.waiting[position]
-        leased, reason = _choose(state, job, size, index, current)
+        leased, reason = _choose(state, job, size, index, placement_round)
         if leased is not None:
-            take_waiting(queue, job, position)
-            _start(state, job, index, size, leased, reason, current)
+            pop_waiting(queue, job, position)
+            _start(state, job, index, size, leased, reason, placement_round)
             started += 1
             if is_over_share(
                 queue, job.queued.team, caps_by_class[class_name]
             ) or is_capped(state.queues_by_class, caps_by_class, class_name):
-                current.complete = False
+                placement_round.complete = False
                 break
         elif reason == "no_fitting_server":
-            current.unplaceable += 1
+            placement_round.unplaceable_jobs += 1
             break
         else:
-            current.held += 1
-            if current.held > HELD_PER_PASS:
+            placement_round.held += 1
+            if placement_round.held > MAX_HELD_TASKS:
                 break
-            if current.held == HELD_PER_PASS:
-                position = _skip_held(state, job, class_name, position, current)
+            if placement_round.held == MAX_HELD_TASKS:
+                position = _skip_held(state, job, class_name, position, placement_round)
                 continue
         position -= 1
     return started
@@ -168,7 +174,7 @@
     job: QueuedJob,
     class_name: ClassName,
     position: int,
-    current: _Pass,
+    placement_round: _PlacementRound,
 ) -> int:
     """Return the position of the longest task that is worth starting on a free slot.
 
@@ -176,7 +182,7 @@
     """
     free = _compare_free(state, class_name)
     speed = placement.choose_server(free).speed
-    limit = placement.largest_size_to_start(speed, current.releases or [])
+    limit = placement.largest_size_to_start(speed, placement_round.releases or [])
     suitable = bisect_right(job.waiting, (limit, -1)) - 1
     return max(0, min(position - 1, suitable))
 
@@ -188,9 +194,11 @@
     return [
         placement.Candidate(
             server_id,
-            learning.predict_speed(state.servers_by_id[server_id].speeds, class_name),
+            learning.predict_speed(
+                state.servers_by_id[server_id].speed_model, class_name
+            ),
         )
-        for _, server_id in islice(state.free, COMPARED_SERVERS)
+        for _, server_id in islice(state.free_servers, MAX_COMPARED_SERVERS)
     ]
 
 
@@ -199,7 +207,7 @@
     job: QueuedJob,
     size: Seconds,
     index: int,
-    current: _Pass,
+    placement_round: _PlacementRound,
 ) -> tuple[LeasedServer | None, str]:
     """Return the server for a task, or ``None`` to hold the task, and the reason."""
     task = job.queued.tasks[index]
@@ -207,26 +215,32 @@
     if task.cores or task.memory:
         candidates = _list_fitting(state, class_name, task.cores, task.memory)
     else:
-        candidates = current.compared_by_class.get(class_name)
+        candidates = placement_round.compared_by_class.get(class_name)
         if candidates is None:
             candidates = _compare_free(state, class_name)
-            current.compared_by_class[class_name] = candidates
+            placement_round.compared_by_class[class_name] = candidates
     if not candidates:
         return None, "no_fitting_server"
     chosen = placement.choose_server(candidates)
     leased = state.servers_by_id[chosen.id]
     if leased.health.limit < leased.server.slots:
         return leased, "probe"
-    if current.held >= HELD_PER_PASS:
-        drain = sum(q.work for q in state.queues_by_class.values()) / state.total_speed
-        if placement.is_worth_starting(size, chosen.speed, drain):
+    if placement_round.held >= MAX_HELD_TASKS:
+        drain_time = (
+            sum(q.work for q in state.queues_by_class.values()) / state.total_speed
+        )
+        if placement.is_worth_starting(size, chosen.speed, drain_time):
             return leased, "long_queue"
         return None, "slower_than_queue"
-    if -state.speeds[0][0] <= chosen.speed:
+    if -state.available_servers[0][0] <= chosen.speed:
         return leased, "fastest"
-    if current.releases is None:
-        current.releases = _list_releases(state, class_name, current.now)
-    release = placement.find_faster_release(size, chosen.speed, current.releases)
+    if placement_round.releases is None:
+        placement_round.releases = _list_releases(
+            state, class_name, placement_round.now
+        )
+    release = placement.find_faster_release(
+        size, chosen.speed, placement_round.releases
+    )
     if release is None:
         return leased, "earliest_end"
     release.claimed = True
@@ -239,9 +253,9 @@
     """Return the free servers with enough cores and memory for a task."""
     return [
         placement.Candidate(
-            server_id, learning.predict_speed(leased.speeds, class_name)
+            server_id, learning.predict_speed(leased.speed_model, class_name)
         )
-        for _, server_id in state.free
+        for _, server_id in state.free_servers
         if (leased := state.servers_by_id[server_id]).used_cores + cores
         <= leased.server.cores
         and leased.used_memory + memory <= leased.server.memory
@@ -253,7 +267,9 @@
 ) -> list[placement.Release]:
     """Return the next expected releases of slots, the earliest first."""
     releases = []
-    for expected_end, server_id, task_id in islice(state.releases, COMPARED_RELEASES):
+    for expected_end, server_id, task_id in islice(
+        state.releases, MAX_COMPARED_RELEASES
+    ):
         leased = state.servers_by_id.get(server_id)
         if leased is None or not is_available(state, leased):
             continue
@@ -261,7 +277,7 @@
         if running is None:
             continue
         wait = placement.expected_wait(expected_end, running.started_at, now)
-        speed = learning.predict_speed(leased.speeds, class_name)
+        speed = learning.predict_speed(leased.speed_model, class_name)
         releases.append(placement.Release(wait, speed))
     releases.sort(key=lambda release: release.wait)
     return releases
@@ -274,24 +290,24 @@
     size: Seconds,
     leased: LeasedServer,
     reason: str,
-    current: _Pass,
+    placement_round: _PlacementRound,
 ) -> None:
-    queued, server_id, now = job.queued, leased.server.id, current.now
+    queued, server_id, now = job.queued, leased.server.id, placement_round.now
     task = queued.tasks[index]
     attempt = job.attempts_by_index.get(index, 0) + 1
     job.attempts_by_index[index] = attempt
     task_id = f"{queued.job_id}.{index}"
     if attempt > 1:
         task_id = f"{task_id}~{attempt}"
-    if server_id not in current.starts_by_server:
-        state.calls += 1
-        current.starts_by_server[server_id] = []
-        current.calls_by_server[server_id] = state.calls
-        leased.tasks_by_call[state.calls] = 0
-    call = current.calls_by_server[server_id]
+    if server_id not in placement_round.starts_by_server:
+        state.call_count += 1
+        placement_round.starts_by_server[server_id] = []
+        placement_round.calls_by_server[server_id] = state.call_count
+        leased.tasks_by_call[state.call_count] = 0
+    call = placement_round.calls_by_server[server_id]
     leased.tasks_by_call[call] += 1
-    model = state.sizes_by_class[queued.class_name]
-    speed = learning.predict_speed(leased.speeds, queued.class_name)
+    model = state.size_models_by_class[queued.class_name]
+    speed = learning.predict_speed(leased.speed_model, queued.class_name)
     running = RunningTask(
         id=task_id,
         job=job,
@@ -314,16 +330,16 @@
     state.releases.add((running.expected_end, server_id, task_id))
     deadline = now + task.timeout + OVERDUE_MARGIN
     heapq.heappush(state.deadlines, (deadline, call, server_id, task_id))
-    current.starts_by_server[server_id].append(
+    placement_round.starts_by_server[server_id].append(
         TaskStart(task_id, queued.job_id, queued.class_name, task.payload, task.timeout)
     )
     fields = {
         "task": task_id,
         "server": server_id,
-        "candidates": len(state.free),
+        "candidates": len(state.free_servers),
         "reason": reason,
     }
-    current.effects.append(LogEvent("placement", fields))
+    placement_round.effects.append(LogEvent("placement", fields))
     if len(leased.running_by_id) >= min(leased.server.slots, leased.health.limit):
         refresh_server(state, server_id, now)
-        current.compared_by_class.clear()
+        placement_round.compared_by_class.clear()
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -6,15 +6,15 @@
 from collections.abc import Iterator
 
 from boragetide.controllers.dispatch_state import (
-    LAPSE_MARGIN,
     LEASE,
-    SLOWEST_CLOCK,
+    LEASE_EXPIRY_MARGIN,
+    MIN_CLOCK_RATE,
     DispatcherState,
     Run,
     Server,
+    add_run,
+    assign_run_number,
     has_authority,
-    next_run,
-    occupy,
 )
 from boragetide.durable import DurableJob, JobPhase, Step, refer_to_task
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
@@ -24,14 +24,14 @@
 
 # Backend servers announce themselves every 1.5 s. One that missed three announcements
 # gets no new runs.
-ANNOUNCEMENT_SILENCE: Seconds = 5.0
+ANNOUNCEMENT_TIMEOUT: Seconds = 5.0
 # All backend servers have announced themselves to a process of this age.
-YOUNG_PROCESS: Seconds = 3.5
+DISCOVERY_PERIOD: Seconds = 3.5
 # Leases that an earlier leader granted have expired this long after its last order.
-LAPSE_WAIT: Seconds = LEASE / SLOWEST_CLOCK + 2 * LAPSE_MARGIN
+LAPSE_WAIT: Seconds = LEASE / MIN_CLOCK_RATE + 2 * LEASE_EXPIRY_MARGIN
 
 
-def requeue(state: DispatcherState, job_id: JobId) -> None:
+def update_queue(state: DispatcherState, job_id: JobId) -> None:
     """Update the queue with the tasks of a job that are ready to start."""
     record = state.records_by_id.get(job_id)
     if record is None or record.phase is not JobPhase.ACTIVE:
@@ -45,14 +45,14 @@
     state.queue.put(record.job, tasks)
 
 
-def has_taken_over(state: DispatcherState, now: Seconds) -> bool:
+def is_takeover_complete(state: DispatcherState, now: Seconds) -> bool:
     """Return whether a task that no backend server lists is certainly not running.
 
     Any job that is submitted again may have been started by an earlier leader.
     """
     if now >= state.predecessor_until + LAPSE_WAIT:
         return True
-    if now - state.incarnation / 1000 < YOUNG_PROCESS:
+    if now - state.incarnation / 1000 < DISCOVERY_PERIOD:
         return False
     return all(
         server.read_term == state.term
@@ -65,10 +65,10 @@
     """Allow starts once every run of an earlier leader is known or over."""
     if state.taken_over or not has_authority(state, now):
         return []
-    if not has_taken_over(state, now):
+    if not is_takeover_complete(state, now):
         return []
     state.taken_over = True
-    fields = {"term": state.term, "after": now - state.leading_since}
+    fields = {"term": state.term, "after": now - state.leader_since}
     return [LogEvent("takeover_done", fields)]
 
 
@@ -86,10 +86,10 @@
             widest_by_pool[pool] = state.index.find_widest(pool)
         if waiting.narrowest > widest_by_pool[pool]:
             continue
-        placed = _place_job(state, waiting, pool, now)
-        if placed:
+        job_effects = _place_job(state, waiting, pool, now)
+        if job_effects:
             del widest_by_pool[pool]
-            effects += placed
+            effects += job_effects
     return effects
 
 
@@ -118,11 +118,11 @@
     """Return whether a backend server may get new runs."""
     return (
         server.read_term == state.term
-        and server.clock_ahead is not None
+        and server.clock_offset is not None
         and not (server.report.draining or server.gone or server.silent)
-        and not server.foreign
-        and now >= server.avoided_until
-        and now - server.heard_at < ANNOUNCEMENT_SILENCE
+        and not server.unexpected_runs
+        and now >= server.cooldown_until
+        and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
     )
 
 
@@ -131,11 +131,11 @@
 ) -> list[Effect]:
     job_id = waiting.job.id
     counts_by_step: dict[int, Counter[str]] = {}
-    full_for: Step | None = None
+    unplaceable_step: Step | None = None
     effects: list[Effect] = []
     slack = waiting.latest_start - now if now < waiting.latest_start else None
     for number, step in list(waiting.tasks.items()):
-        if step is full_for:
+        if step is unplaceable_step:
             continue
         counts = Counter()
         if step.max_per_server:
@@ -145,7 +145,7 @@
         candidates = _find_candidates(state, pool, step, now)
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
-            full_for = step
+            unplaceable_step = step
             continue
         counts[chosen.id] += 1
         effects += _start(state, waiting, number, step, chosen, now)
@@ -179,9 +179,9 @@
     job = waiting.job
     server = state.servers_by_id[chosen.id]
     key = (job.id, number)
-    run = Run(job.id, number, next_run(state, key), step.needs, now)
+    run = Run(job.id, number, assign_run_number(state, key), step.needs, now)
     run.estimate = step.estimate
-    occupy(state, server, run)
+    add_run(state, server, run)
     start = make_start(state, server, job, run, now)
     fields = {
         "job": job.id,
@@ -193,7 +193,7 @@
         "slack": waiting.latest_start - now,
         "speed": chosen.speed,
         "room_left": server.room.millicores,
-        "heard_ago": now - server.heard_at,
+        "heard_ago": now - server.last_contact_at,
     }
     wait = Observe("run_wait_seconds", now - job.submitted_at)
     return [LogEvent("run_ordered", fields), Count("runs_ordered"), wait, start]
@@ -217,5 +217,7 @@
 
 def extend_lease(server: Server, now: Seconds) -> Seconds:
     """Extend the lease; return its end on the backend server's clock, in seconds."""
-    server.lapsed_at = max(server.lapsed_at, now + LEASE / SLOWEST_CLOCK + LAPSE_MARGIN)
-    return now + server.clock_ahead + LEASE
+    server.leases_expired_at = max(
+        server.leases_expired_at, now + LEASE / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
+    )
+    return now + server.clock_offset + LEASE
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -90,7 +90,7 @@
     renewed_at: Seconds
     running_by_id: dict[TaskId, RunningTask] = field(default_factory=dict)
     tasks_by_call: dict[int, int] = field(default_factory=dict)
-    speeds: SpeedModel = field(default_factory=SpeedModel)
+    speed_model: SpeedModel = field(default_factory=SpeedModel)
     health: ServerHealth = field(default_factory=ServerHealth)
     used_cores: float = 0.0
     used_memory: int = 0
@@ -109,10 +109,10 @@
     ----------
     retired_by_lease
         Leases that take no new task and under which tasks still run.
-    free
+    free_servers
         Servers that may take a task now, as (negative speed, id).
-    speeds
-        Available servers in the same form.
+    available_servers
+        Available servers as (negative speed, id).
     ejected
         Servers that wait for their next probe.
     releases
@@ -120,9 +120,9 @@
     deadlines
         Running tasks as (time at which they are overdue, call, server, task); a heap
         from which ended tasks are dropped lazily.
-    delayed
+    delayed_tasks
         Tasks that wait for another attempt, as a heap of (time, number, job, index).
-    demanding
+    jobs_needing_resources
         Jobs with tasks that need cores or memory.
     total_slots, total_speed
         Totals over the available servers; the speed is summed over all slots.
@@ -141,20 +141,22 @@
     retired_by_lease: dict[str, LeasedServer] = field(default_factory=dict)
     jobs_by_id: dict[JobId, QueuedJob] = field(default_factory=dict)
     queues_by_class: dict[ClassName, ClassQueue] = field(default_factory=dict)
-    sizes_by_class: dict[ClassName, SizeModel] = field(default_factory=dict)
+    size_models_by_class: dict[ClassName, SizeModel] = field(default_factory=dict)
     margins_by_class: dict[ClassName, Margin] = field(default_factory=dict)
     tallies_by_class: dict[ClassName, Tally] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
-    free: SortedList = field(default_factory=SortedList)
-    speeds: SortedList = field(default_factory=SortedList)
+    free_servers: SortedList = field(default_factory=SortedList)
+    available_servers: SortedList = field(default_factory=SortedList)
     ejected: set[BackendServerId] = field(default_factory=set)
     releases: SortedList = field(default_factory=SortedList)
     deadlines: list[tuple[Seconds, int, BackendServerId, TaskId]] = field(
         default_factory=list
     )
-    delayed: list[tuple[Seconds, int, QueuedJob, int]] = field(default_factory=list)
-    demanding: set[JobId] = field(default_factory=set)
-    budget: RetryBudget = field(default_factory=RetryBudget)
+    delayed_tasks: list[tuple[Seconds, int, QueuedJob, int]] = field(
+        default_factory=list
+    )
+    jobs_needing_resources: set[JobId] = field(default_factory=set)
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
     jitter: random.Random = field(default_factory=random.Random)
     total_slots: int = 0
     total_speed: float = 0.0
@@ -162,9 +164,9 @@
     queued_tasks: int = 0
     unavailable_since: Seconds | None = None
     next_review: Seconds = 0.0
-    calls: int = 0
+    call_count: int = 0
     retries: int = 0
-    leases: int = 0
+    lease_count: int = 0
     placer: InstanceId | None = None
     role_lost_at: Seconds | None = None
     stopping: bool = False
@@ -185,8 +187,8 @@
     state: BackendServersState, server: BackendServer, now: Seconds
 ) -> LeasedServer:
     """Put a backend server under a new lease."""
-    state.leases += 1
-    lease = f"{state.settings.id}/{state.incarnation}/{state.leases}"
+    state.lease_count += 1
+    lease = f"{state.settings.id}/{state.incarnation}/{state.lease_count}"
     leased = state.servers_by_id[server.id] = LeasedServer(server, lease, now)
     return leased
 
@@ -225,7 +227,7 @@
     available = is_available(state, leased)
     speed, slots = 0.0, 0
     if available:
-        speed = predict_speed(leased.speeds, "")
+        speed = predict_speed(leased.speed_model, "")
         slots = leased.server.slots
         if abs(speed - leased.indexed_speed) < INDEXED_SPEED_STEP * speed:
             speed = leased.indexed_speed
@@ -234,9 +236,9 @@
     free = (-speed, server_id) if available and has_free_slot(leased) else None
     if free != leased.indexed_free:
         if leased.indexed_free is not None:
-            state.free.discard(leased.indexed_free)
+            state.free_servers.discard(leased.indexed_free)
         if free is not None:
-            state.free.add(free)
+            state.free_servers.add(free)
         leased.indexed_free = free
     if state.total_slots:
         state.unavailable_since = None
@@ -249,17 +251,17 @@
 ) -> None:
     server_id = leased.server.id
     if leased.indexed_slots:
-        state.speeds.discard((-leased.indexed_speed, server_id))
+        state.available_servers.discard((-leased.indexed_speed, server_id))
         state.total_slots -= leased.indexed_slots
         state.total_speed -= leased.indexed_slots * leased.indexed_speed
     if slots:
-        state.speeds.add((-speed, server_id))
+        state.available_servers.add((-speed, server_id))
         state.total_slots += slots
         state.total_speed += slots * speed
     leased.indexed_speed, leased.indexed_slots = speed, slots
 
 
-def forget_server(
+def remove_server(
     state: BackendServersState, server_id: BackendServerId, now: Seconds
 ) -> LeasedServer | None:
     """Remove a server and its index entries without ending its running tasks."""
@@ -267,7 +269,7 @@
     if leased is None:
         return None
     if leased.indexed_free is not None:
-        state.free.discard(leased.indexed_free)
+        state.free_servers.discard(leased.indexed_free)
         leased.indexed_free = None
     _index_speed(state, leased, 0.0, 0)
     state.ejected.discard(server_id)
@@ -279,7 +281,7 @@
 def clear_pool(state: BackendServersState, now: Seconds) -> None:
     """Drop the queue and all leases, but keep the learned sizes."""
     for server_id in list(state.servers_by_id):
-        forget_server(state, server_id, now)
+        remove_server(state, server_id, now)
     for job in state.jobs_by_id.values():
         job.dropped = True
     state.retired_by_lease.clear()
@@ -287,8 +289,8 @@
     state.queues_by_class.clear()
     state.releases.clear()
     state.deadlines.clear()
-    state.delayed.clear()
-    state.demanding.clear()
+    state.delayed_tasks.clear()
+    state.jobs_needing_resources.clear()
     state.running_work = 0.0
     state.queued_tasks = 0
 
--- a/boragetide/controllers/queueing.py
+++ b/boragetide/controllers/queueing.py
@@ -60,7 +60,7 @@
     ----------
     jobs_by_team
         Waiting jobs of each team as (rank, job id).
-    heads
+    team_heads
         First job of each team as (rank, team).
     running_by_team
         Number of slots in use by each team.
@@ -72,7 +72,7 @@
 
     aging: float
     jobs_by_team: dict[str, SortedList] = field(default_factory=dict)
-    heads: SortedList = field(default_factory=SortedList)
+    team_heads: SortedList = field(default_factory=SortedList)
     running_by_team: dict[str, int] = field(default_factory=dict)
     running: int = 0
     waiting: int = 0
@@ -89,7 +89,7 @@
     jobs = queue.jobs_by_team.setdefault(team, SortedList())
     old = jobs[0][0] if jobs else None
     jobs.add((job.rank, job.queued.job_id))
-    _move_head(queue, team, old)
+    _update_head(queue, team, old)
 
 
 def take_job(queue: ClassQueue, job: QueuedJob) -> None:
@@ -101,20 +101,20 @@
     old = jobs[0][0]
     jobs.remove((job.rank, job.queued.job_id))
     job.rank = None
-    _move_head(queue, team, old)
+    _update_head(queue, team, old)
     if not jobs:
         del queue.jobs_by_team[team]
 
 
-def _move_head(queue: ClassQueue, team: str, old: float | None) -> None:
+def _update_head(queue: ClassQueue, team: str, old: float | None) -> None:
     jobs = queue.jobs_by_team[team]
     new = jobs[0][0] if jobs else None
     if new == old:
         return
     if old is not None:
-        queue.heads.remove((old, team))
+        queue.team_heads.remove((old, team))
     if new is not None:
-        queue.heads.add((new, team))
+        queue.team_heads.add((new, team))
 
 
 def add_waiting(
@@ -129,7 +129,7 @@
     put_job(queue, job)
 
 
-def take_waiting(queue: ClassQueue, job: QueuedJob, position: int) -> tuple[float, int]:
+def pop_waiting(queue: ClassQueue, job: QueuedJob, position: int) -> tuple[float, int]:
     """Remove a waiting task to start it; `put_job` must follow."""
     size, index = job.waiting.pop(position)
     job.remaining -= size
@@ -144,7 +144,7 @@
     """Remove all waiting tasks of a job and return their indexes."""
     indexes = [index for _, index in job.waiting]
     while job.waiting:
-        take_waiting(queue, job, -1)
+        pop_waiting(queue, job, -1)
     take_job(queue, job)
     return indexes
 
@@ -175,8 +175,8 @@
 
 
 # Heap entry of `walk_jobs`: whether the team is over its share, rank, class, position
-# of the team in ``heads``, and position of the job in the queue of the team.
-_Entry: TypeAlias = tuple[bool, float, ClassName, int, int]
+# of the team in ``team_heads``, and position of the job in the queue of the team.
+_HeapEntry: TypeAlias = tuple[bool, float, ClassName, int, int]
 
 
 def walk_jobs(
@@ -201,30 +201,36 @@
     now
         Unix time in seconds.
     """
-    heap: list[_Entry] = []
-    capped: list[_Entry] = []
+    heap: list[_HeapEntry] = []
+    capped: list[_HeapEntry] = []
     for name, queue in queues_by_class.items():
-        if queue.heads:
+        if queue.team_heads:
             heapq.heappush(heap, _make_entry(False, name, queue, 0, 0, now))
     while heap:
         entry = heapq.heappop(heap)
-        over, _, name, position, place = entry
+        is_over, _, name, team_position, job_position = entry
         queue = queues_by_class[name]
         if is_capped(queues_by_class, caps_by_class, name):
             capped.append(entry)
         else:
-            team = queue.heads[position][1]
+            team = queue.team_heads[team_position][1]
             jobs = queue.jobs_by_team[team]
-            if place == 0 and not over and position + 1 < len(queue.heads):
-                following = _make_entry(False, name, queue, position + 1, 0, now)
+            if (
+                job_position == 0
+                and not is_over
+                and team_position + 1 < len(queue.team_heads)
+            ):
+                following = _make_entry(False, name, queue, team_position + 1, 0, now)
                 heapq.heappush(heap, following)
-            if not over and is_over_share(queue, team, caps_by_class[name]):
+            if not is_over and is_over_share(queue, team, caps_by_class[name]):
                 heapq.heappush(heap, (True, *entry[1:]))
             else:
-                if place + 1 < len(jobs):
-                    following = _make_entry(over, name, queue, position, place + 1, now)
+                if job_position + 1 < len(jobs):
+                    following = _make_entry(
+                        is_over, name, queue, team_position, job_position + 1, now
+                    )
                     heapq.heappush(heap, following)
-                yield name, jobs[place][1]
+                yield name, jobs[job_position][1]
         if not heap:
             heap = [
                 e for e in capped if not is_capped(queues_by_class, caps_by_class, e[2])
@@ -234,21 +240,21 @@
 
 
 def _make_entry(
-    over: bool,
+    is_over: bool,
     name: ClassName,
     queue: ClassQueue,
-    position: int,
-    place: int,
+    team_position: int,
+    job_position: int,
     now: Seconds,
-) -> _Entry:
-    jobs = queue.jobs_by_team[queue.heads[position][1]]
-    rank = ordering.age_rank(jobs[place][0], queue.aging, now)
-    return over, rank, name, position, place
+) -> _HeapEntry:
+    jobs = queue.jobs_by_team[queue.team_heads[team_position][1]]
+    rank = ordering.age_rank(jobs[job_position][0], queue.aging, now)
+    return is_over, rank, name, team_position, job_position
 
 
 def is_over_share(queue: ClassQueue, team: str, cap: int) -> bool:
     """Return whether a team uses its equal share of the class while others wait."""
-    waiting = len(queue.heads)
+    waiting = len(queue.team_heads)
     if waiting < 2:
         return False
     share = ordering.slots_of_share(cap, 1 / waiting)
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -6,7 +6,7 @@
     cancel_job,
     end_overdue,
     extend_overruns,
-    is_untouched,
+    has_not_run,
     refuse_job,
     requeue_delayed,
 )
@@ -37,22 +37,22 @@
         if leased is not None:
             ejection.start_probing(leased.health)
             refresh_server(state, server_id, now)
-    effects += _end_without_servers(state, now)
+    effects += _end_jobs_without_servers(state, now)
     if now >= state.next_review:
         state.next_review = now + REVIEW_INTERVAL
-        effects += _review_slowly(state, now)
+        effects += _review_at_interval(state, now)
     return effects
 
 
-def _review_slowly(state: BackendServersState, now: Seconds) -> list[Effect]:
-    moved = learning.anchor_speeds(
-        [leased.speeds for leased in state.servers_by_id.values()],
-        state.sizes_by_class.values(),
+def _review_at_interval(state: BackendServersState, now: Seconds) -> list[Effect]:
+    speeds_changed = learning.anchor_speeds(
+        [leased.speed_model for leased in state.servers_by_id.values()],
+        state.size_models_by_class.values(),
     )
-    if moved:
+    if speeds_changed:
         for server_id in state.servers_by_id:
             refresh_server(state, server_id, now)
-    return _end_unplaceable(state, now)
+    return _end_unplaceable_jobs(state, now)
 
 
 def update_aging(state: BackendServersState) -> None:
@@ -70,7 +70,7 @@
             put_job(queue, state.jobs_by_id[job_id])
 
 
-def _end_without_servers(state: BackendServersState, now: Seconds) -> list[Effect]:
+def _end_jobs_without_servers(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Refuse or end all waiting jobs of a pool that has no available server.
 
     A pool that has just lost its last server waits for the length of a lease, because
@@ -82,16 +82,16 @@
         state.unavailable_since = now
     if now - state.unavailable_since <= state.settings.timing.lease_expiry:
         return []
-    return _end_all(state, list(state.jobs_by_id.values()), now)
+    return _end_waiting_jobs(state, list(state.jobs_by_id.values()), now)
 
 
-def _end_unplaceable(state: BackendServersState, now: Seconds) -> list[Effect]:
+def _end_unplaceable_jobs(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Refuse or end jobs with a waiting task that fits none of the known servers."""
     if not state.total_slots:
         return []
-    demanding = [state.jobs_by_id[job_id] for job_id in state.demanding]
+    demanding = [state.jobs_by_id[job_id] for job_id in state.jobs_needing_resources]
     servers = [leased.server for leased in state.servers_by_id.values()]
-    return _end_all(
+    return _end_waiting_jobs(
         state,
         [
             job
@@ -104,16 +104,16 @@
     )
 
 
-def _end_all(
+def _end_waiting_jobs(
     state: BackendServersState, jobs: list[QueuedJob], now: Seconds
 ) -> list[Effect]:
     effects: list[Effect] = []
-    bound = state.settings.timing.lease_expiry
+    min_wait = state.settings.timing.lease_expiry
     reason = "no backend server can run the task"
     for job in jobs:
-        if not job.waiting or now - job.queued_at <= bound:
+        if not job.waiting or now - job.queued_at <= min_wait:
             continue
-        if is_untouched(job):
+        if has_not_run(job):
             effects += refuse_job(state, job, reason, "no_server")
             continue
         ended = TaskEnded(
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -7,16 +7,16 @@
 from boragetide.commands import RecordEnds
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
-    KeptEnds,
+    PendingEnds,
     Run,
     RunPhase,
     Server,
-    occupy,
+    add_run,
 )
-from boragetide.controllers.job_records import append_command, take_record
-from boragetide.controllers.orders import LISTED_END, free_run
-from boragetide.controllers.placing_runs import requeue
-from boragetide.controllers.server_health import learn_speed, note_outcome
+from boragetide.controllers.job_records import append_command, apply_record
+from boragetide.controllers.orders import REASON_LISTED, free_run
+from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.server_health import learn_speed, record_outcome
 from boragetide.durable import (
     EndReason,
     JobPhase,
@@ -31,7 +31,7 @@
 from boragetide.types import JobId, Seconds
 
 
-def take_ends(
+def apply_ends(
     state: DispatcherState,
     server: Server,
     ended: tuple[ListedEnd, ...],
@@ -40,31 +40,33 @@
 ) -> list[Effect]:
     """Append new ends to the log; those that need no commit take effect at once."""
     effects: list[Effect] = []
-    to_keep: list[RunEnd] = []
+    to_commit: list[RunEnd] = []
     numbers: list[int] = []
     new = [end for end in ended if end.number > server.listed]
     for end in sorted(new, key=lambda end: end.number):
         server.listed = end.number
-        kept, more = _take_end(state, server, end, may_learn, now)
-        effects += more
-        if kept is not None:
-            to_keep.append(kept)
+        run_end, end_effects = _apply_end(state, server, end, may_learn, now)
+        effects += end_effects
+        if run_end is not None:
+            to_commit.append(run_end)
             numbers.append(end.number)
     effects += [
         Count("runs_ended", {"how": reason.value}, count)
         for reason, count in Counter(end.reason for end in new).items()
     ]
-    server.unkept.update(numbers)
+    server.uncommitted_ends.update(numbers)
     _advance_acknowledged(server)
-    if not to_keep:
+    if not to_commit:
         return effects
-    tasks = tuple((end.job_id, end.task) for end in to_keep)
-    kept_ends = KeptEnds(server.report.id, server.report.born, tuple(numbers), tasks)
-    command = RecordEnds(tuple(to_keep))
-    return [*effects, append_command(state, command, ends=kept_ends)]
+    tasks = tuple((end.job_id, end.task) for end in to_commit)
+    pending_ends = PendingEnds(
+        server.report.id, server.report.born, tuple(numbers), tasks
+    )
+    command = RecordEnds(tuple(to_commit))
+    return [*effects, append_command(state, command, ends=pending_ends)]
 
 
-def _take_end(
+def _apply_end(
     state: DispatcherState,
     server: Server,
     end: ListedEnd,
@@ -85,7 +87,7 @@
     log = LogEvent("run_ended", fields)
     if number is None:
         if record is None and end.reason is EndReason.DONE:
-            state.foreign_done[end.task] = now
+            state.done_tasks_of_unknown_jobs[end.task] = now
         return None, [log]
     key = (end.task.job_id, number)
     run = server.runs_by_task.get(key)
@@ -97,25 +99,28 @@
     failed = end.reason is EndReason.FAILED
     if is_current:
         run.phase = RunPhase.ENDED
-        note_outcome(server, failed, now)
-        if may_learn and not (failed or run.repeated):
+        record_outcome(server, failed, now)
+        if may_learn and not (failed or run.start_repeated):
             learn_speed(server, run, now)
     elif end.run < state.run_by_task.get(key, 0) or key in state.occupied:
         # A newer run exists, so this end counts only if it is a failed attempt.
         if not failed:
             return None, [log]
     elif not failed and not record.job.best_effort:
-        _hold_task(state, server, key, end, record, now)
+        _occupy_until_committed(state, server, key, end, record, now)
     if record.phase is not JobPhase.ACTIVE:
-        return None, [log, *_drop_ended(state, server, run, is_current)]
-    kept = RunEnd(key[0], number, end.run, failed)
+        return None, [log, *_free_run_of_ended_job(state, server, run, is_current)]
+    run_end = RunEnd(key[0], number, end.run, failed)
     if record.job.best_effort:
-        over = run if is_current else None
-        return None, [log, *_end_best_effort(state, server, over, kept, now)]
-    return kept, [log]
+        current_run = run if is_current else None
+        return None, [
+            log,
+            *_apply_best_effort_end(state, server, current_run, run_end, now),
+        ]
+    return run_end, [log]
 
 
-def _end_best_effort(
+def _apply_best_effort_end(
     state: DispatcherState,
     server: Server,
     run: Run | None,
@@ -126,19 +131,19 @@
     effects: list[Effect] = []
     changed = job_table.record_ends(state.records_by_id, (end,), now)
     if run is not None:
-        effects += free_run(state, server, run, LISTED_END)
+        effects += free_run(state, server, run, REASON_LISTED)
     if changed:
-        effects += take_record(state, state.records_by_id[end.job_id], now)
+        effects += apply_record(state, state.records_by_id[end.job_id], now)
     return effects
 
 
-def _drop_ended(
+def _free_run_of_ended_job(
     state: DispatcherState, server: Server, run: Run | None, is_current: bool
 ) -> list[Effect]:
     return free_run(state, server, run, "job_ended") if is_current else []
 
 
-def _hold_task(
+def _occupy_until_committed(
     state: DispatcherState,
     server: Server,
     key: tuple[JobId, int],
@@ -148,22 +153,22 @@
 ) -> None:
     """Occupy a task until the end of a run from an earlier leader is committed."""
     run = Run(key[0], key[1], end.run, Resources(), now, RunPhase.ENDED)
-    occupy(state, server, run)
+    add_run(state, server, run)
     state.run_by_task[key] = end.run
-    requeue(state, key[0])
+    update_queue(state, key[0])
 
 
 def _advance_acknowledged(server: Server) -> None:
-    server.acknowledged = min(server.unkept, default=server.listed + 1) - 1
+    server.acknowledged = min(server.uncommitted_ends, default=server.listed + 1) - 1
 
 
-def note_kept(state: DispatcherState, ends: KeptEnds) -> None:
+def acknowledge_ends(state: DispatcherState, ends: PendingEnds) -> None:
     """Acknowledge committed ends to the backend server and free their runs."""
     server = state.servers_by_id.get(ends.server_id)
     if server is None:
         return
     if server.report.born == ends.born:
-        server.unkept.difference_update(ends.numbers)
+        server.uncommitted_ends.difference_update(ends.numbers)
         _advance_acknowledged(server)
     for key in ends.tasks:
         run = server.runs_by_task.get(key)
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -7,9 +7,9 @@
     Run,
     RunPhase,
     Server,
+    add_run,
     has_authority,
-    note_room,
-    occupy,
+    update_server_index,
 )
 from boragetide.controllers.orders import (
     free_run,
@@ -17,11 +17,11 @@
     make_stop,
 )
 from boragetide.controllers.placing_runs import (
-    ANNOUNCEMENT_SILENCE,
+    ANNOUNCEMENT_TIMEOUT,
     extend_lease,
-    requeue,
+    update_queue,
 )
-from boragetide.controllers.run_ends import take_ends
+from boragetide.controllers.run_ends import apply_ends
 from boragetide.durable import (
     JobPhase,
     JobRecord,
@@ -37,15 +37,15 @@
 # ends. A lease of `LEASE` is thus renewed twice even if one answer is lost.
 READ_WAIT: Seconds = 0.25
 # While ends wait to be committed, a lease is renewed only if less than this is left.
-RENEW_BEFORE: Seconds = 0.4
+RENEWAL_THRESHOLD: Seconds = 0.4
 # A run of an unknown job is stopped after this time. Callers submit their jobs again to
 # a new leader within some tenths of a second.
-FOREIGN_WAIT: Seconds = 1.0
+UNKNOWN_JOB_GRACE_PERIOD: Seconds = 1.0
 
 
 def read_runs(state: DispatcherState, server: Server, now: Seconds) -> list[Effect]:
     """Read the runs of a backend server if there is a reason to."""
-    if server.reading or server.gone or now < server.read_again_at:
+    if server.reading or server.gone or now < server.next_read_at:
         return []
     if not has_authority(state, now):
         return []
@@ -55,20 +55,20 @@
     )
     owes_acknowledgement = server.acknowledged > server.acknowledged_sent
     # A silent backend server is used again only after an answer.
-    is_back = server.silent and now - server.heard_at < ANNOUNCEMENT_SILENCE
+    is_back = server.silent and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
     has_reason = is_first or has_runs or owes_acknowledgement or is_back
-    if not (has_reason or server.foreign):
+    if not (has_reason or server.unexpected_runs):
         return []
-    if server.unkept and now < server.lapsed_at - RENEW_BEFORE:
+    if server.uncommitted_ends and now < server.leases_expired_at - RENEWAL_THRESHOLD:
         return []
     server.reading = True
     server.acknowledged_sent = server.acknowledged
     # An unanswered renewal may have arrived. After two unanswered requests no further
     # renewal is sent, so that the lease certainly expires if the backend server stays
     # unreachable.
-    holds = has_runs or bool(server.foreign)
-    renews = server.clock_ahead is not None and holds and server.unanswered <= 1
-    waits = has_runs and not (is_first or server.unkept or server.silent)
+    holds_runs = has_runs or bool(server.unexpected_runs)
+    renews = server.clock_offset is not None and holds_runs and server.unanswered <= 1
+    waits = has_runs and not (is_first or server.uncommitted_ends or server.silent)
     return [
         ReadRuns(
             server=server.report.id,
@@ -81,7 +81,9 @@
     ]
 
 
-def take_runs(state: DispatcherState, message: RunsRead, now: Seconds) -> list[Effect]:
+def reconcile_runs(
+    state: DispatcherState, message: RunsRead, now: Seconds
+) -> list[Effect]:
     """Reconcile the known runs of a backend server with the runs that it lists."""
     server = state.servers_by_id.get(message.server)
     if server is None or message.term != state.term:
@@ -91,26 +93,26 @@
         return [lose_authority(state, server.report.id)]
     if message.born and server.report.born and message.born != server.report.born:
         return []
-    server.heard_at = now
+    server.last_contact_at = now
     # An end that was listed late, after unanswered requests, does not show the speed.
     may_learn = not server.silent
     server.unanswered = 0
-    server.listed_at = now
-    server.clock_ahead = message.clock - now
+    server.runs_listed_at = now
+    server.clock_offset = message.clock - now
     effects: list[Effect] = []
     if server.read_term != state.term:
         server.read_term = state.term
         fields = {"server": message.server, "term": state.term}
         effects.append(LogEvent("backend_server_read", fields))
-    effects += take_ends(state, server, message.ended, may_learn, now)
+    effects += apply_ends(state, server, message.ended, may_learn, now)
     for listed in message.running:
-        effects += _take_running(state, server, listed, message.sent_at, now)
-    effects += _free_missing(state, server, message, now)
-    note_room(state, server)
+        effects += _reconcile_run(state, server, listed, message.sent_at, now)
+    effects += _free_unlisted_runs(state, server, message, now)
+    update_server_index(state, server)
     return effects
 
 
-def _take_running(
+def _reconcile_run(
     state: DispatcherState,
     server: Server,
     listed: ListedRun,
@@ -126,27 +128,27 @@
             run.phase, run.started_at = RunPhase.RUNNING, now
         return []
     if number is None:
-        return _take_foreign(state, server, listed, now)
+        return _tolerate_unknown_run(state, server, listed, now)
     if not _is_wanted(state, record, server, key, listed.run):
-        return _stop_unknown(state, server, listed, now)
+        return _stop_unexpected_run(state, server, listed, now)
     return adopt_run(state, server, record, listed, sent_at, now)
 
 
-def _take_foreign(
+def _tolerate_unknown_run(
     state: DispatcherState, server: Server, listed: ListedRun, now: Seconds
 ) -> list[Effect]:
     """Let a run of an unknown job go on for a while: the job may be submitted again."""
-    since = server.foreign.setdefault(listed, now)
-    if now - since < FOREIGN_WAIT:
+    since = server.unexpected_runs.setdefault(listed, now)
+    if now - since < UNKNOWN_JOB_GRACE_PERIOD:
         return []
-    return _stop_unknown(state, server, listed, now)
+    return _stop_unexpected_run(state, server, listed, now)
 
 
-def _stop_unknown(
+def _stop_unexpected_run(
     state: DispatcherState, server: Server, listed: ListedRun, now: Seconds
 ) -> list[Effect]:
     """Stop an unwanted run; it blocks new runs on its server while it is listed."""
-    server.foreign.setdefault(listed, now)
+    server.unexpected_runs.setdefault(listed, now)
     fields = {"job": listed.task.job_id, "task": listed.task.index, "run": listed.run}
     fields |= {"server": server.report.id, "reason": "not_wanted"}
     stop = make_stop(state, server, listed.task, listed.task.index, listed.run)
@@ -166,11 +168,11 @@
     key = (record.job.id, number)
     step = record.job.steps[listed.task.step]
     run = Run(key[0], number, listed.run, step.needs, now, RunPhase.RUNNING)
-    run.settled_at = sent_at
-    server.foreign.pop(listed, None)
-    occupy(state, server, run)
+    run.order_answered_at = sent_at
+    server.unexpected_runs.pop(listed, None)
+    add_run(state, server, run)
     state.run_by_task[key] = max(state.run_by_task.get(key, 0), listed.run)
-    requeue(state, key[0])
+    update_queue(state, key[0])
     fields = {"job": key[0], "task": number, "run": listed.run}
     return [LogEvent("run_adopted", {**fields, "server": server.report.id})]
 
@@ -191,7 +193,7 @@
     )
 
 
-def _free_missing(
+def _free_unlisted_runs(
     state: DispatcherState, server: Server, message: RunsRead, now: Seconds
 ) -> list[Effect]:
     """Free the runs that should be listed but are not.
@@ -200,16 +202,16 @@
     the list, because answers may overtake each other.
     """
     listed = {(run.task, run.run) for run in message.running}
-    server.foreign = {
+    server.unexpected_runs = {
         run: since
-        for run, since in server.foreign.items()
+        for run, since in server.unexpected_runs.items()
         if (run.task, run.run) in listed
     }
     effects: list[Effect] = []
     for run in list(server.runs_by_task.values()):
-        if run.phase is RunPhase.ENDED or run.settled_at is None:
+        if run.phase is RunPhase.ENDED or run.order_answered_at is None:
             continue
-        if run.settled_at >= message.sent_at:
+        if run.order_answered_at >= message.sent_at:
             continue
         record = state.records_by_id.get(run.job_id)
         task = None if record is None else refer_to_task(record.job, run.task)
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -2,35 +2,39 @@
 
 from __future__ import annotations
 
-from boragetide.controllers.dispatch_state import DispatcherState, Server, note_room
-from boragetide.controllers.placing_runs import ANNOUNCEMENT_SILENCE
+from boragetide.controllers.dispatch_state import (
+    DispatcherState,
+    Server,
+    update_server_index,
+)
+from boragetide.controllers.placing_runs import ANNOUNCEMENT_TIMEOUT
 from boragetide.durable import ServerReport
 from boragetide.effects import Effect, LogEvent
 from boragetide.types import Seconds
 
-FORGET_SERVER: Seconds = 30.0
+SERVER_RETENTION: Seconds = 30.0
 
 
-def take_report(
+def apply_report(
     state: DispatcherState, report: ServerReport, now: Seconds
 ) -> list[Effect]:
     """Apply an announcement unless a newer one is known."""
     server = state.servers_by_id.get(report.id)
     if server is None or report.born > server.report.born:
-        return _take_new_life(state, report, server, now)
+        return _add_server(state, report, server, now)
     if report.born < server.report.born or (report.sequence <= server.report.sequence):
         return []
     was_draining = server.report.draining
     server.report = report
-    server.heard_at = now
-    note_room(state, server)
+    server.last_contact_at = now
+    update_server_index(state, server)
     if report.draining and not was_draining:
         return [LogEvent("backend_server_draining", {"server": report.id})]
     return []
 
 
-def _take_new_life(
-    state: DispatcherState, report: ServerReport, former: Server | None, now: Seconds
+def _add_server(
+    state: DispatcherState, report: ServerReport, previous: Server | None, now: Seconds
 ) -> list[Effect]:
     """Add a backend server that is new or whose process was replaced.
 
@@ -39,11 +43,11 @@
     shows which ones, and the others are freed.
     """
     server = Server(report, now)
-    if former is not None:
-        server.runs_by_task = dict(former.runs_by_task)
-        server.lapsed_at = former.lapsed_at
+    if previous is not None:
+        server.runs_by_task = dict(previous.runs_by_task)
+        server.leases_expired_at = previous.leases_expired_at
     state.servers_by_id[report.id] = server
-    note_room(state, server)
+    update_server_index(state, server)
     fields = {
         "server": report.id,
         "pool": report.pool,
@@ -55,11 +59,11 @@
     return [LogEvent("backend_server_joined", fields)]
 
 
-def forget_servers(state: DispatcherState, now: Seconds) -> None:
+def remove_stale_servers(state: DispatcherState, now: Seconds) -> None:
     """Remove backend servers that have left or have been silent for a long time."""
     for server_id, server in list(state.servers_by_id.items()):
-        silence = now - server.heard_at
-        is_over = server.gone and silence > ANNOUNCEMENT_SILENCE
-        if (is_over or silence > FORGET_SERVER) and not server.runs_by_task:
+        silence = now - server.last_contact_at
+        has_departed = server.gone and silence > ANNOUNCEMENT_TIMEOUT
+        if (has_departed or silence > SERVER_RETENTION) and not server.runs_by_task:
             del state.servers_by_id[server_id]
             state.index.remove(server_id)
