Clarify four comments of the controllers

The unit of PAGE_SIZE, the answer to the registration of an acceptor, which tasks placement holds back, and when a former placer renews leases often.

--- a/boragetide/controllers/catch_up.py
+++ b/boragetide/controllers/catch_up.py
@@ -13,7 +13,7 @@
 from boragetide.settings import Settings
 from boragetide.types import MAX_CLOCK_SKEW, InstanceId, Seconds
 
-PAGE_SIZE = 1000  # about 100 KB
+PAGE_SIZE = 1000  # claims; about 100 KB
 FETCH_RETRY_DELAY: Seconds = 1.0
 
 
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -345,7 +345,10 @@
 
 
 def _register(state: ClaimsState) -> list[Effect]:
-    """Propose the registration once; `AcceptorRegistered` tells if it is the first."""
+    """Propose the registration of this acceptor once.
+
+    `AcceptorRegistered` reports whether this is its first incarnation.
+    """
     if state.registration_proposed:
         return []
     state.registration_proposed = True
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -36,7 +36,7 @@
 # Entry instances that chose this placer before they learned of the change still send
 # their jobs to it once the claim is decided, which takes a few round trips.
 RELEASE_DELAY = 1.0  # seconds
-RELEASE_RENEWAL = 0.2  # seconds between renewals while a former placer ends its queue
+RELEASE_RENEWAL = 0.2  # seconds between renewals while a former placer has a queue
 CONFIRMATION_DELAY = 0.005  # seconds until the renewal that confirms a new lease
 
 
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -131,7 +131,7 @@
     placement_round: _PlacementRound,
     caps_by_class: dict[ClassName, int],
 ) -> int:
-    """Start tasks of a job, the longest first, and hold those that gain by waiting.
+    """Start tasks of a job, longest first, and hold back those that gain by waiting.
 
     Returns
     -------
