--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -1,9 +1,9 @@
-"""Best-effort jobs: they live at the leader, and their callers wait for the end."""
+"""Best-effort jobs, which only the leader holds and whose callers wait for the end."""
 
 from __future__ import annotations
 
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.controllers.job_records import take_record
+from boragetide.controllers.job_records import apply_record
 from boragetide.controllers.placing_runs import place
 from boragetide.controllers.runs import adopt_run
 from boragetide.durable import (
@@ -19,16 +19,16 @@
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import JobId, ReplyTo, Seconds
 
-# The usual burst of a site is over by then.
+# The usual burst of a site is over after this time.
 RETRY_AFTER: Seconds = 4.0
 
 
-def runs_again(record: JobRecord) -> bool:
-    """Tell whether a job that is submitted again runs again from the start."""
+def restarts_when_resubmitted(record: JobRecord) -> bool:
+    """Return whether a job that is submitted again runs again from the start."""
     return record.job.best_effort and record.phase is JobPhase.CANCELLED
 
 
-def attach(
+def answer_resubmission(
     message: SubmitDurableJob, state: DispatcherState, record: JobRecord
 ) -> list[Effect]:
     """Answer a resubmission, or let it wait for the end of a best-effort job."""
@@ -43,15 +43,15 @@
 def accept_best_effort(
     job: DurableJob, reply_to: ReplyTo | None, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
-    """Start a job at once, or go on with what an earlier leader started of it."""
-    if now > expires_at(job) and not _has_run_before(state, job.id):
-        # It waited for this leader, or for its predecessor, for too long.
+    """Accept a job without a commit, and adopt what an earlier leader started of it."""
+    if now > expires_at(job) and not _has_earlier_run(state, job.id):
+        # The job waited too long for this leader or for its predecessor.
         return _refuse(state, job, [reply_to], now)
     state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [reply_to]
     record = JobRecord(job, changed_at=now)
-    effects = take_record(state, record, now, is_new=True)
-    effects += adopt_foreign(state, record, now)
+    effects = apply_record(state, record, now, is_new=True)
+    effects += adopt_earlier_runs(state, record, now)
     return [*effects, *place(state, now)]
 
 
@@ -63,11 +63,11 @@
     if len(state.waiters_by_job.get(job_id, ())) > 1:
         return []
     job_table.cancel_job(state.records_by_id, job_id, now)
-    return take_record(state, state.records_by_id[job_id], now)
+    return apply_record(state, state.records_by_id[job_id], now)
 
 
 def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Refuse best-effort jobs that come too late, unless a task was started."""
+    """Refuse expired best-effort jobs, unless a task was started."""
     effects: list[Effect] = []
     for waiting in state.queue.list_expired(now):
         job = waiting.job
@@ -75,7 +75,7 @@
             continue
         waiters = state.waiters_by_job.pop(job.id, [])
         effects += _refuse(state, job, waiters, now)
-        state.forget_job(job.id)
+        state.remove_job(job.id)
     return effects
 
 
@@ -98,29 +98,33 @@
     ]
 
 
-def _has_run_before(state: DispatcherState, job_id: JobId) -> bool:
-    """Tell whether a run of an earlier leader is known, which the job goes on with."""
+def _has_earlier_run(state: DispatcherState, job_id: JobId) -> bool:
+    """Return whether a run that an earlier leader started for the job is known."""
     return any(
         run.task.job_id == job_id
         for server in state.servers_by_id.values()
-        for run in server.foreign
-    ) or any(task.job_id == job_id for task in state.foreign_done)
+        for run in server.unexpected_runs
+    ) or any(task.job_id == job_id for task in state.done_tasks_of_unknown_jobs)
 
 
-def adopt_foreign(
+def adopt_earlier_runs(
     state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
-    """Go on with what an earlier leader started of a job that is submitted again."""
+    """Adopt the runs and ends that an earlier leader left of a resubmitted job."""
     effects: list[Effect] = []
     job_id = record.job.id
-    for server in [each for each in state.servers_by_id.values() if each.foreign]:
-        for listed in [run for run in server.foreign if run.task.job_id == job_id]:
+    for server in [
+        each for each in state.servers_by_id.values() if each.unexpected_runs
+    ]:
+        for listed in [
+            run for run in server.unexpected_runs if run.task.job_id == job_id
+        ]:
             number = number_task(record.job, listed.task)
             if number is not None and (job_id, number) not in state.occupied:
                 effects += adopt_run(state, server, record, listed, now, now)
-    done = [task for task in state.foreign_done if task.job_id == job_id]
+    done = [task for task in state.done_tasks_of_unknown_jobs if task.job_id == job_id]
     numbers = [number_task(record.job, task) for task in done]
     ends = tuple(RunEnd(job_id, n, 0, False) for n in numbers if n is not None)
     if job_table.record_ends(state.records_by_id, ends, now):
-        effects += take_record(state, state.records_by_id[job_id], now)
+        effects += apply_record(state, state.records_by_id[job_id], now)
     return effects
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration in force, and the commands that wait for an outcome."""
+"""Controller of the configuration in force and the commands that await an outcome."""
 
 from __future__ import annotations
 
@@ -85,11 +85,11 @@
     distribution
         The configuration in force on this instance.
     proposals
-        Commands that this instance has to find the outcome of.
+        Commands whose outcome this instance has to find.
     replica
-        Member of the agreement, on an instance with a disk.
-    contact
-        Position of the member that an instance without a disk asks next.
+        Member of the consensus group, on an instance with a disk.
+    contact_counter
+        Counter that selects the member that an instance without a disk asks, in turn.
     """
 
     settings: Settings
@@ -97,11 +97,11 @@
     proposals: Proposals
     leadership: Leadership
     replica: Replica | None = None
-    contact: int = 0
+    contact_counter: int = 0
 
     @property
     def member(self) -> Replica | None:
-        """The replica, where it takes part in the agreement."""
+        """The replica, if it takes part in the consensus."""
         if self.replica is None or self.replica.role is Role.BLANK:
             return None
         return self.replica
@@ -130,7 +130,7 @@
     effects: list[Effect] = []
     if state.replica is not None:
         effects += _tick_replica(state.replica, now)
-    effects += _settle(state, now)
+    effects += _apply_committed_changes(state, now)
     effects += look_for_configuration(state.distribution, now)
     effects += _take_offer(state, now)
     effects += proposals.expire(state.proposals, state.distribution.version, now)
@@ -158,7 +158,7 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.member is None:
         return []
-    return step(message, state.member, now) + _settle(state, now)
+    return step(message, state.member, now) + _apply_committed_changes(state, now)
 
 
 @handle.register(RequestCatchUp)
@@ -166,11 +166,11 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.replica is None:
         return []
-    return step(message, state.replica, now) + _settle(state, now)
+    return step(message, state.replica, now) + _apply_committed_changes(state, now)
 
 
-def _settle(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put in force what is committed, and answer those who wait for it."""
+def _apply_committed_changes(state: ConfigurationState, now: Seconds) -> list[Effect]:
+    """Put the committed configuration in force, and answer those who wait for it."""
     replica = state.replica
     if replica is None:
         return []
@@ -188,7 +188,7 @@
         outcome = find_outcome(proposal, replica.catalogue)
         waiting = replica.proposers_by_command.pop(proposal.command_id, set())
         effects += [
-            _tell_outcome(state, proposal, outcome, proposer)
+            _send_outcome(state, proposal, outcome, proposer)
             for proposer in sorted(waiting - {state.settings.id})
         ]
         effects += proposals.resolve(state.proposals, proposal.command_id, outcome)
@@ -243,8 +243,8 @@
     members = [id_ for id_ in first if id_ != state.settings.id]
     if not members:
         return None
-    state.contact += 1
-    return members[state.contact % len(members)]
+    state.contact_counter += 1
+    return members[state.contact_counter % len(members)]
 
 
 @handle.register
@@ -256,14 +256,14 @@
         return []
     outcome = find_outcome(proposal, replica.catalogue)
     if outcome is not None:
-        return [_tell_outcome(state, proposal, outcome, message.sender)]
+        return [_send_outcome(state, proposal, outcome, message.sender)]
     if replica.role is Role.LEADER:
         proposers = replica.proposers_by_command.setdefault(proposal.command_id, set())
         proposers.add(message.sender)
         if _is_in_log(replica, proposal):
             return []
         appended = replication.append_proposals(replica, (proposal,), now)
-        return appended + _settle(state, now)
+        return appended + _apply_committed_changes(state, now)
     if replica.leader is None or message.to_leader:
         return []
     onward = ForwardProposal(proposal, message.sender, to_leader=True)
@@ -272,7 +272,7 @@
 
 @handle.register
 def _(message: AppendCommands, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Append commands of the dispatcher, unless it leads another term by now."""
+    """Append commands of the dispatcher, unless its term is over by now."""
     replica = state.member
     if (
         replica is None
@@ -285,7 +285,7 @@
         for command_id, command in message.commands_by_id.items()
     ]
     effects = replication.append_proposals(replica, appended, now)
-    return effects + _settle(state, now)
+    return effects + _apply_committed_changes(state, now)
 
 
 def _is_in_log(replica: Replica, proposal: Proposal) -> bool:
@@ -296,7 +296,7 @@
     )
 
 
-def _tell_outcome(
+def _send_outcome(
     state: ConfigurationState, proposal: Proposal, outcome: Outcome, to: InstanceId
 ) -> Send:
     decided = ProposalDecided(proposal.command_id, outcome)
@@ -323,7 +323,7 @@
 def _(
     message: ReadConfiguration, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    """Answer with the configuration only where no other leader can have a newer one."""
+    """Answer with the configuration only if no other leader can have a newer one."""
     replica = state.member
     if replica is None:
         return [Reply(message.reply_to, ConfigurationRead(None))]
@@ -360,7 +360,10 @@
 def _(
     message: NewerConfiguration, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    """Fetch from a peer, but on a member that hears a leader: the log brings it."""
+    """Fetch a newer configuration from a peer.
+
+    A member that hears a leader does not fetch it, because the log brings it.
+    """
     member = state.member
     if member is not None and (
         member.role is Role.LEADER or now - member.leader_heard_at < ELECTION_MIN
@@ -388,7 +391,7 @@
 
 
 def _take_offer(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put a peer's configuration in force; a member syncs it before."""
+    """Put a peer's configuration in force; a replica writes it to disk before."""
     configuration = choose_offer(state.distribution, now)
     if configuration is None:
         return []
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -1,4 +1,4 @@
-"""Who leads and what is in force, on an instance without a log."""
+"""Controller that finds the leader and its configuration on an instance without log."""
 
 from __future__ import annotations
 
@@ -24,9 +24,9 @@
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
 ASK_INTERVAL: Seconds = 0.4
-# A leader that has not answered two questions counts as lost.
+# A leader that has not answered two requests counts as lost.
 LEADER_SILENCE: Seconds = 1.0
-# An instance that follows on demand stops after so long without a question.
+# An instance that follows the leader on demand stops this long after the last request.
 IDLE_AFTER: Seconds = 10.0
 
 
@@ -37,19 +37,20 @@
     Parameters
     ----------
     contacts
-        Members that the settings or a notice named.
+        Members of the log that the settings or a notice named.
     links
-        Which contacts answer.
+        Health of the links to the contacts.
     term, leader, leader_heard_at
-        Newest leader, and when it last spoke.
+        Newest known term and its leader, and the time of the leader's last notice.
     configuration
-        In force here; its version never decreases.
-    next_ask
-        When the contacts are asked again.
-    started_at
-        When the contacts were first asked.
-    wanted_until
-        Until when an instance that follows on demand asks its contacts.
+        Configuration in force on this instance; its version never decreases.
+    next_request_at
+        Time at which the contacts are asked again.
+    asking_since
+        Time at which this instance began to ask its contacts.
+    follow_until
+        Time until which an instance that follows the leader on demand asks its
+        contacts.
     """
 
     settings: Settings
@@ -59,13 +60,13 @@
     leader: InstanceId | None = None
     leader_heard_at: Seconds = 0.0
     configuration: Configuration | None = None
-    next_ask: Seconds = 0.0
-    started_at: Seconds = 0.0
-    wanted_until: Seconds = 0.0
+    next_request_at: Seconds = 0.0
+    asking_since: Seconds = 0.0
+    follow_until: Seconds = 0.0
 
 
 def make_state(settings: Settings) -> DirectoryState:
-    """Build the first state: the contacts are the members that the settings name."""
+    """Build the initial state, with the members that the settings name as contacts."""
     return DirectoryState(settings, settings.first_members)
 
 
@@ -77,13 +78,13 @@
 
 @handle.register
 def _(message: Tick, state: DirectoryState, now: Seconds) -> list[Effect]:
-    if not (state.settings.follows_leader or now < state.wanted_until):
+    if not (state.settings.follows_leader or now < state.follow_until):
         state.leader = None
         return []
-    state.started_at = state.started_at or now
-    if now < state.next_ask:
+    state.asking_since = state.asking_since or now
+    if now < state.next_request_at:
         return []
-    state.next_ask = now + ASK_INTERVAL
+    state.next_request_at = now + ASK_INTERVAL
     version = -1 if state.configuration is None else state.configuration.version
     effects: list[Effect] = []
     for contact in state.contacts:
@@ -125,10 +126,10 @@
 
 @handle.register
 def _(message: FindLeader, state: DirectoryState, now: Seconds) -> list[Effect]:
-    if not state.settings.follows_leader and now >= state.wanted_until:
-        state.started_at = now
-    state.wanted_until = now + IDLE_AFTER
-    lost_for = now - max(state.leader_heard_at, state.started_at)
+    if not state.settings.follows_leader and now >= state.follow_until:
+        state.asking_since = now
+    state.follow_until = now + IDLE_AFTER
+    lost_for = now - max(state.leader_heard_at, state.asking_since)
     is_led = state.leader is not None and lost_for < LEADER_SILENCE
     ready = is_led and state.configuration is not None
     found = LeaderFound(
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -1,4 +1,4 @@
-"""Starts runs of durable tasks where there is room."""
+"""Placement of durable tasks: starts runs on backend servers with free capacity."""
 
 from __future__ import annotations
 
@@ -6,15 +6,15 @@
 from collections.abc import Iterator
 
 from boragetide.controllers.dispatch_state import (
-    LAPSE_MARGIN,
     LEASE,
-    SLOWEST_CLOCK,
+    LEASE_EXPIRY_MARGIN,
+    MIN_CLOCK_RATE,
     DispatcherState,
     Run,
     Server,
+    add_run,
+    assign_run_number,
     has_authority,
-    next_run,
-    occupy,
 )
 from boragetide.durable import DurableJob, JobPhase, Step, refer_to_task
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
@@ -22,16 +22,17 @@
 from boragetide.policy.scheduling import Candidate, choose_server, find_ready_tasks
 from boragetide.types import JobId, PoolName, Seconds
 
-# An announcement comes every 1.5 s; a backend server that missed three is not used.
-ANNOUNCEMENT_SILENCE: Seconds = 5.0
-# Announcements of all backend servers have come by then.
-YOUNG_PROCESS: Seconds = 3.5
-# Leases that an earlier leader gave have lapsed so long after its last order.
-LAPSE_WAIT: Seconds = LEASE / SLOWEST_CLOCK + 2 * LAPSE_MARGIN
+# Backend servers announce themselves every 1.5 s. One that missed three announcements
+# gets no new runs.
+ANNOUNCEMENT_TIMEOUT: Seconds = 5.0
+# All backend servers have announced themselves to a process of this age.
+DISCOVERY_PERIOD: Seconds = 3.5
+# Leases that an earlier leader granted have expired this long after its last order.
+LAPSE_WAIT: Seconds = LEASE / MIN_CLOCK_RATE + 2 * LEASE_EXPIRY_MARGIN
 
 
-def requeue(state: DispatcherState, job_id: JobId) -> None:
-    """Put what may start of a job into the queue."""
+def update_queue(state: DispatcherState, job_id: JobId) -> None:
+    """Update the queue with the tasks of a job that are ready to start."""
     record = state.records_by_id.get(job_id)
     if record is None or record.phase is not JobPhase.ACTIVE:
         state.queue.remove(job_id)
@@ -44,14 +45,14 @@
     state.queue.put(record.job, tasks)
 
 
-def has_taken_over(state: DispatcherState, now: Seconds) -> bool:
-    """Tell whether a task that no backend server lists is certainly not running.
+def is_takeover_complete(state: DispatcherState, now: Seconds) -> bool:
+    """Return whether a task that no backend server lists is certainly not running.
 
-    An earlier leader may have started any job that is submitted again.
+    Any job that is submitted again may have been started by an earlier leader.
     """
     if now >= state.predecessor_until + LAPSE_WAIT:
         return True
-    if now - state.incarnation / 1000 < YOUNG_PROCESS:
+    if now - state.incarnation / 1000 < DISCOVERY_PERIOD:
         return False
     return all(
         server.read_term == state.term
@@ -61,18 +62,18 @@
 
 
 def check_takeover(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Allow starts once no run of an earlier leader can be in the way."""
+    """Allow starts once every run of an earlier leader is known or over."""
     if state.taken_over or not has_authority(state, now):
         return []
-    if not has_taken_over(state, now):
+    if not is_takeover_complete(state, now):
         return []
     state.taken_over = True
-    fields = {"term": state.term, "after": now - state.leading_since}
+    fields = {"term": state.term, "after": now - state.leader_since}
     return [LogEvent("takeover_done", fields)]
 
 
 def place(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Start as many waiting tasks as there is room for."""
+    """Start as many waiting tasks as the free capacity allows."""
     if not has_authority(state, now) or not state.queue.waiting_by_id:
         return []
     if not state.taken_over:
@@ -85,15 +86,15 @@
             widest_by_pool[pool] = state.index.find_widest(pool)
         if waiting.narrowest > widest_by_pool[pool]:
             continue
-        placed = _place_job(state, waiting, pool, now)
-        if placed:
+        job_effects = _place_job(state, waiting, pool, now)
+        if job_effects:
             del widest_by_pool[pool]
-            effects += placed
+            effects += job_effects
     return effects
 
 
 def _find_pool(state: DispatcherState, waiting: WaitingJob) -> PoolName:
-    """Return the pool of a class now, or that of its job if the class was dropped."""
+    """Return the current pool of the job's class, or the job's own if there is none."""
     job = waiting.job
     if state.configuration is not None:
         target = state.configuration.classes_by_name.get(job.class_name)
@@ -105,7 +106,7 @@
 def _find_candidates(
     state: DispatcherState, pool: PoolName, step: Step, now: Seconds
 ) -> Iterator[Candidate]:
-    """Yield the backend servers that may have room for a task, the best one first."""
+    """Yield the backend servers that may have capacity for a task, the best first."""
     for server_id in state.index.iterate(pool, max(step.needs.millicores, 1)):
         server = state.servers_by_id[server_id]
         if is_usable(state, server, now):
@@ -114,14 +115,14 @@
 
 
 def is_usable(state: DispatcherState, server: Server, now: Seconds) -> bool:
-    """Tell whether a backend server may get new runs."""
+    """Return whether a backend server may get new runs."""
     return (
         server.read_term == state.term
-        and server.clock_ahead is not None
+        and server.clock_offset is not None
         and not (server.report.draining or server.gone or server.silent)
-        and not server.foreign
-        and now >= server.avoided_until
-        and now - server.heard_at < ANNOUNCEMENT_SILENCE
+        and not server.unexpected_runs
+        and now >= server.cooldown_until
+        and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
     )
 
 
@@ -130,11 +131,11 @@
 ) -> list[Effect]:
     job_id = waiting.job.id
     counts_by_step: dict[int, Counter[str]] = {}
-    full_for: Step | None = None
+    unplaceable_step: Step | None = None
     effects: list[Effect] = []
     slack = waiting.latest_start - now if now < waiting.latest_start else None
     for number, step in list(waiting.tasks.items()):
-        if step is full_for:
+        if step is unplaceable_step:
             continue
         counts = Counter()
         if step.max_per_server:
@@ -144,7 +145,7 @@
         candidates = _find_candidates(state, pool, step, now)
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
-            full_for = step
+            unplaceable_step = step
             continue
         counts[chosen.id] += 1
         effects += _start(state, waiting, number, step, chosen, now)
@@ -178,9 +179,9 @@
     job = waiting.job
     server = state.servers_by_id[chosen.id]
     key = (job.id, number)
-    run = Run(job.id, number, next_run(state, key), step.needs, now)
+    run = Run(job.id, number, assign_run_number(state, key), step.needs, now)
     run.estimate = step.estimate
-    occupy(state, server, run)
+    add_run(state, server, run)
     start = make_start(state, server, job, run, now)
     fields = {
         "job": job.id,
@@ -192,7 +193,7 @@
         "slack": waiting.latest_start - now,
         "speed": chosen.speed,
         "room_left": server.room.millicores,
-        "heard_ago": now - server.heard_at,
+        "heard_ago": now - server.last_contact_at,
     }
     wait = Observe("run_wait_seconds", now - job.submitted_at)
     return [LogEvent("run_ordered", fields), Count("runs_ordered"), wait, start]
@@ -201,7 +202,7 @@
 def make_start(
     state: DispatcherState, server: Server, job: DurableJob, run: Run, now: Seconds
 ) -> StartRun:
-    """Return the order that begins a run; repeating it begins no second one."""
+    """Return the order that starts a run; repeating it does not start a second run."""
     return StartRun(
         server=server.report.id,
         address=server.report.address,
@@ -215,6 +216,8 @@
 
 
 def extend_lease(server: Server, now: Seconds) -> Seconds:
-    """Return the end of a new lease on the backend server's clock, in seconds."""
-    server.lapsed_at = max(server.lapsed_at, now + LEASE / SLOWEST_CLOCK + LAPSE_MARGIN)
-    return now + server.clock_ahead + LEASE
+    """Extend the lease; return its end on the backend server's clock, in seconds."""
+    server.leases_expired_at = max(
+        server.leases_expired_at, now + LEASE / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
+    )
+    return now + server.clock_offset + LEASE
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -26,7 +26,7 @@
     TaskId,
 )
 
-# The indexes follow a learned speed only when it moved by more than this share.
+# A learned speed is updated in the indexes only if it changed by at least this share.
 INDEXED_SPEED_STEP = 0.03
 
 
@@ -39,16 +39,16 @@
     size
         Expected work in seconds at the mean speed of the pool.
     log_size
-        Expected logarithm of it, from the size model of the class.
+        Expected logarithm of the work, from the size model of the class.
     expected_end
-        Unix time; moved on while the task overruns it.
+        Unix time; postponed while the task overruns it.
     call
         Number of the dispatch call that holds a connection for the task.
     probe
         Whether the task tests a server that was ejected.
     overruns, learned_log_speed
-        How often the task exceeded its expected time by a further doubling, and what
-        the speed model learned from that.
+        Number of doublings of its expected time that the task has exceeded, and the
+        logarithm of the speed that the speed model learned from the last one.
     """
 
     id: TaskId
@@ -72,16 +72,17 @@
     Parameters
     ----------
     running_by_id
-        Tasks that hold a slot: no report has come, and they are not overdue.
+        Tasks that hold a slot: they have not been reported as ended and are not
+        overdue.
     tasks_by_call
-        How many tasks of each dispatch call still run. Each call holds a connection.
+        Number of running tasks of each dispatch call. Each call holds a connection.
     confirmed
         Whether the backend server knows the lease; it refuses dispatches until then.
     tasks_end_by
         Unix time at which tasks that still run under a lost lease end as unknown;
-        ``None`` where their own timeouts bound them.
-    indexed_speed, indexed_free
-        What the indexes of the pool hold for this server.
+        ``None`` if their own timeouts bound them.
+    indexed_speed, indexed_slots, indexed_free
+        Values of this server in the indexes and totals of the pool.
     """
 
     server: BackendServer
@@ -89,7 +90,7 @@
     renewed_at: Seconds
     running_by_id: dict[TaskId, RunningTask] = field(default_factory=dict)
     tasks_by_call: dict[int, int] = field(default_factory=dict)
-    speeds: SpeedModel = field(default_factory=SpeedModel)
+    speed_model: SpeedModel = field(default_factory=SpeedModel)
     health: ServerHealth = field(default_factory=ServerHealth)
     used_cores: float = 0.0
     used_memory: int = 0
@@ -102,16 +103,16 @@
 
 @dataclass(slots=True)
 class BackendServersState:
-    """The pool of one placer.
+    """State of the backend servers controller: the pool of one placer.
 
     Parameters
     ----------
     retired_by_lease
         Leases that take no new task and under which tasks still run.
-    free
+    free_servers
         Servers that may take a task now, as (negative speed, id).
-    speeds
-        Available servers in the same form.
+    available_servers
+        Available servers as (negative speed, id).
     ejected
         Servers that wait for their next probe.
     releases
@@ -119,19 +120,19 @@
     deadlines
         Running tasks as (time at which they are overdue, call, server, task); a heap
         from which ended tasks are dropped lazily.
-    delayed
+    delayed_tasks
         Tasks that wait for another attempt, as a heap of (time, number, job, index).
-    demanding
+    jobs_needing_resources
         Jobs with tasks that need cores or memory.
     total_slots, total_speed
-        Of the available servers; the speed counts every slot.
+        Totals over the available servers; the speed is summed over all slots.
     running_work
         Expected work of all running tasks, in seconds at the mean speed.
     unavailable_since
-        When the pool had no available server left.
+        Unix time since which the pool has had no available server.
     placer, role_lost_at
-        Who places for this zone, and since when this instance, having done so, does
-        not, in Unix time.
+        Instance that places for this zone, and the Unix time at which this instance
+        lost that role, if it had it.
     """
 
     settings: Settings
@@ -140,20 +141,22 @@
     retired_by_lease: dict[str, LeasedServer] = field(default_factory=dict)
     jobs_by_id: dict[JobId, QueuedJob] = field(default_factory=dict)
     queues_by_class: dict[ClassName, ClassQueue] = field(default_factory=dict)
-    sizes_by_class: dict[ClassName, SizeModel] = field(default_factory=dict)
+    size_models_by_class: dict[ClassName, SizeModel] = field(default_factory=dict)
     margins_by_class: dict[ClassName, Margin] = field(default_factory=dict)
     tallies_by_class: dict[ClassName, Tally] = field(default_factory=dict)
     configuration: Configuration = field(default_factory=Configuration)
-    free: SortedList = field(default_factory=SortedList)
-    speeds: SortedList = field(default_factory=SortedList)
+    free_servers: SortedList = field(default_factory=SortedList)
+    available_servers: SortedList = field(default_factory=SortedList)
     ejected: set[BackendServerId] = field(default_factory=set)
     releases: SortedList = field(default_factory=SortedList)
     deadlines: list[tuple[Seconds, int, BackendServerId, TaskId]] = field(
         default_factory=list
     )
-    delayed: list[tuple[Seconds, int, QueuedJob, int]] = field(default_factory=list)
-    demanding: set[JobId] = field(default_factory=set)
-    budget: RetryBudget = field(default_factory=RetryBudget)
+    delayed_tasks: list[tuple[Seconds, int, QueuedJob, int]] = field(
+        default_factory=list
+    )
+    jobs_needing_resources: set[JobId] = field(default_factory=set)
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
     jitter: random.Random = field(default_factory=random.Random)
     total_slots: int = 0
     total_speed: float = 0.0
@@ -161,16 +164,16 @@
     queued_tasks: int = 0
     unavailable_since: Seconds | None = None
     next_review: Seconds = 0.0
-    calls: int = 0
+    call_count: int = 0
     retries: int = 0
-    leases: int = 0
+    lease_count: int = 0
     placer: InstanceId | None = None
     role_lost_at: Seconds | None = None
     stopping: bool = False
 
 
 def is_available(state: BackendServersState, leased: LeasedServer) -> bool:
-    """Tell whether a server may take any task, apart from its load."""
+    """Return whether a server may take tasks, regardless of its load."""
     server = leased.server
     return (
         leased.confirmed
@@ -184,8 +187,8 @@
     state: BackendServersState, server: BackendServer, now: Seconds
 ) -> LeasedServer:
     """Put a backend server under a new lease."""
-    state.leases += 1
-    lease = f"{state.settings.id}/{state.incarnation}/{state.leases}"
+    state.lease_count += 1
+    lease = f"{state.settings.id}/{state.incarnation}/{state.lease_count}"
     leased = state.servers_by_id[server.id] = LeasedServer(server, lease, now)
     return leased
 
@@ -207,7 +210,7 @@
 
 
 def has_free_slot(leased: LeasedServer) -> bool:
-    """Tell whether a slot and a connection are free."""
+    """Return whether a slot and a connection are free."""
     return (
         len(leased.running_by_id) < min(leased.server.slots, leased.health.limit)
         and len(leased.tasks_by_call) < leased.server.connections
@@ -217,14 +220,14 @@
 def refresh_server(
     state: BackendServersState, server_id: BackendServerId, now: Seconds
 ) -> None:
-    """Bring the indexes in line with a server that changed, joined or went."""
+    """Update the indexes after a server changed, joined or left."""
     leased = state.servers_by_id.get(server_id)
     if leased is None:
         return
     available = is_available(state, leased)
     speed, slots = 0.0, 0
     if available:
-        speed = predict_speed(leased.speeds, "")
+        speed = predict_speed(leased.speed_model, "")
         slots = leased.server.slots
         if abs(speed - leased.indexed_speed) < INDEXED_SPEED_STEP * speed:
             speed = leased.indexed_speed
@@ -233,9 +236,9 @@
     free = (-speed, server_id) if available and has_free_slot(leased) else None
     if free != leased.indexed_free:
         if leased.indexed_free is not None:
-            state.free.discard(leased.indexed_free)
+            state.free_servers.discard(leased.indexed_free)
         if free is not None:
-            state.free.add(free)
+            state.free_servers.add(free)
         leased.indexed_free = free
     if state.total_slots:
         state.unavailable_since = None
@@ -248,25 +251,25 @@
 ) -> None:
     server_id = leased.server.id
     if leased.indexed_slots:
-        state.speeds.discard((-leased.indexed_speed, server_id))
+        state.available_servers.discard((-leased.indexed_speed, server_id))
         state.total_slots -= leased.indexed_slots
         state.total_speed -= leased.indexed_slots * leased.indexed_speed
     if slots:
-        state.speeds.add((-speed, server_id))
+        state.available_servers.add((-speed, server_id))
         state.total_slots += slots
         state.total_speed += slots * speed
     leased.indexed_speed, leased.indexed_slots = speed, slots
 
 
-def forget_server(
+def remove_server(
     state: BackendServersState, server_id: BackendServerId, now: Seconds
 ) -> LeasedServer | None:
-    """Remove a server and its index entries; its running tasks are not ended here."""
+    """Remove a server and its index entries without ending its running tasks."""
     leased = state.servers_by_id.pop(server_id, None)
     if leased is None:
         return None
     if leased.indexed_free is not None:
-        state.free.discard(leased.indexed_free)
+        state.free_servers.discard(leased.indexed_free)
         leased.indexed_free = None
     _index_speed(state, leased, 0.0, 0)
     state.ejected.discard(server_id)
@@ -276,9 +279,9 @@
 
 
 def clear_pool(state: BackendServersState, now: Seconds) -> None:
-    """Drop the queue and every lease; learned sizes stay."""
+    """Drop the queue and all leases, but keep the learned sizes."""
     for server_id in list(state.servers_by_id):
-        forget_server(state, server_id, now)
+        remove_server(state, server_id, now)
     for job in state.jobs_by_id.values():
         job.dropped = True
     state.retired_by_lease.clear()
@@ -286,8 +289,8 @@
     state.queues_by_class.clear()
     state.releases.clear()
     state.deadlines.clear()
-    state.delayed.clear()
-    state.demanding.clear()
+    state.delayed_tasks.clear()
+    state.jobs_needing_resources.clear()
     state.running_work = 0.0
     state.queued_tasks = 0
 
--- a/boragetide/controllers/queueing.py
+++ b/boragetide/controllers/queueing.py
@@ -28,15 +28,15 @@
     remaining
         Expected work of the waiting tasks, in seconds at the mean speed.
     rank
-        Place in the queue of its team, or ``None`` while no task waits.
+        Sort key in the queue of its team, or ``None`` while no task waits.
     delayed
         Number of tasks that wait for another attempt.
     attempts_by_index
-        Starts of the tasks that were started more than once or may be.
+        Number of starts of each task that was started.
     may_have_run
-        Whether any task ended otherwise than as not run.
+        Whether any task ended with another outcome than not run.
     dropped
-        Whether the job was cancelled; outcomes are then of no interest.
+        Whether the job was removed from the pool; outcomes are then ignored.
     """
 
     queued: QueueTasks
@@ -60,10 +60,10 @@
     ----------
     jobs_by_team
         Waiting jobs of each team as (rank, job id).
-    heads
+    team_heads
         First job of each team as (rank, team).
     running_by_team
-        Slots in use.
+        Number of slots in use by each team.
     waiting, work
         Number of waiting tasks, and their expected work in seconds at the mean speed.
     aging
@@ -72,7 +72,7 @@
 
     aging: float
     jobs_by_team: dict[str, SortedList] = field(default_factory=dict)
-    heads: SortedList = field(default_factory=SortedList)
+    team_heads: SortedList = field(default_factory=SortedList)
     running_by_team: dict[str, int] = field(default_factory=dict)
     running: int = 0
     waiting: int = 0
@@ -80,7 +80,7 @@
 
 
 def put_job(queue: ClassQueue, job: QueuedJob) -> None:
-    """Insert a job, or move it to its place after its waiting tasks changed."""
+    """Insert a job, or reposition it after its waiting tasks changed."""
     take_job(queue, job)
     if not job.waiting or job.dropped:
         return
@@ -89,11 +89,11 @@
     jobs = queue.jobs_by_team.setdefault(team, SortedList())
     old = jobs[0][0] if jobs else None
     jobs.add((job.rank, job.queued.job_id))
-    _move_head(queue, team, old)
+    _update_head(queue, team, old)
 
 
 def take_job(queue: ClassQueue, job: QueuedJob) -> None:
-    """Remove a job from the order, if it is there."""
+    """Remove a job from the queue of its team, if it is there."""
     if job.rank is None:
         return
     team = job.queued.team
@@ -101,26 +101,26 @@
     old = jobs[0][0]
     jobs.remove((job.rank, job.queued.job_id))
     job.rank = None
-    _move_head(queue, team, old)
+    _update_head(queue, team, old)
     if not jobs:
         del queue.jobs_by_team[team]
 
 
-def _move_head(queue: ClassQueue, team: str, old: float | None) -> None:
+def _update_head(queue: ClassQueue, team: str, old: float | None) -> None:
     jobs = queue.jobs_by_team[team]
     new = jobs[0][0] if jobs else None
     if new == old:
         return
     if old is not None:
-        queue.heads.remove((old, team))
+        queue.team_heads.remove((old, team))
     if new is not None:
-        queue.heads.add((new, team))
+        queue.team_heads.add((new, team))
 
 
 def add_waiting(
     queue: ClassQueue, job: QueuedJob, sizes: Iterable[tuple[Seconds, int]]
 ) -> None:
-    """Let tasks, given as (expected size, index), wait for a slot."""
+    """Add waiting tasks, given as (expected size, index), to a job and its queue."""
     for size, index in sizes:
         insort(job.waiting, (size, index))
         job.remaining += size
@@ -129,7 +129,7 @@
     put_job(queue, job)
 
 
-def take_waiting(queue: ClassQueue, job: QueuedJob, position: int) -> tuple[float, int]:
+def pop_waiting(queue: ClassQueue, job: QueuedJob, position: int) -> tuple[float, int]:
     """Remove a waiting task to start it; `put_job` must follow."""
     size, index = job.waiting.pop(position)
     job.remaining -= size
@@ -144,13 +144,13 @@
     """Remove all waiting tasks of a job and return their indexes."""
     indexes = [index for _, index in job.waiting]
     while job.waiting:
-        take_waiting(queue, job, -1)
+        pop_waiting(queue, job, -1)
     take_job(queue, job)
     return indexes
 
 
 def count_running(queue: ClassQueue, team: str, change: int) -> None:
-    """Add to the slots that a team of the class uses."""
+    """Change the number of slots that a team of the class uses."""
     queue.running += change
     running = queue.running_by_team.get(team, 0) + change
     if running:
@@ -164,7 +164,7 @@
     caps_by_class: dict[ClassName, int],
     name: ClassName,
 ) -> bool:
-    """Tell whether a class uses its busy share while a class below its own waits."""
+    """Return whether a class uses its busy share while one below its share waits."""
     if queues_by_class[name].running < caps_by_class[name]:
         return False
     return any(
@@ -174,9 +174,9 @@
     )
 
 
-# An entry of the walk: over its share, rank, class, team by position in ``heads``, and
-# job by position in the queue of the team.
-_Entry: TypeAlias = tuple[bool, float, ClassName, int, int]
+# Heap entry of `walk_jobs`: whether the team is over its share, rank, class, position
+# of the team in ``team_heads``, and position of the job in the queue of the team.
+_HeapEntry: TypeAlias = tuple[bool, float, ClassName, int, int]
 
 
 def walk_jobs(
@@ -187,43 +187,50 @@
     """Yield waiting jobs in the order in which they are to be placed.
 
     A class at its cap is left out while others wait, and within a class the teams
-    above their equal share come last. Counts of tasks may change between two steps,
-    the order of the queues must not. A step costs time in the number of classes and of
-    teams above their share, not in the number of jobs.
+    above their equal share come last. Between two steps of the iterator, the caller may
+    change the counts of tasks but not the order of the queues. The cost of a step
+    depends on the number of classes and of teams above their share, not on the number
+    of jobs.
 
     Parameters
     ----------
     queues_by_class
-        Queues to walk.
+        Queues to iterate over.
     caps_by_class
         Slots that each class may use while others wait.
     now
         Unix time in seconds.
     """
-    heap: list[_Entry] = []
-    capped: list[_Entry] = []
+    heap: list[_HeapEntry] = []
+    capped: list[_HeapEntry] = []
     for name, queue in queues_by_class.items():
-        if queue.heads:
+        if queue.team_heads:
             heapq.heappush(heap, _make_entry(False, name, queue, 0, 0, now))
     while heap:
         entry = heapq.heappop(heap)
-        over, _, name, position, place = entry
+        is_over, _, name, team_position, job_position = entry
         queue = queues_by_class[name]
         if is_capped(queues_by_class, caps_by_class, name):
             capped.append(entry)
         else:
-            team = queue.heads[position][1]
+            team = queue.team_heads[team_position][1]
             jobs = queue.jobs_by_team[team]
-            if place == 0 and not over and position + 1 < len(queue.heads):
-                following = _make_entry(False, name, queue, position + 1, 0, now)
+            if (
+                job_position == 0
+                and not is_over
+                and team_position + 1 < len(queue.team_heads)
+            ):
+                following = _make_entry(False, name, queue, team_position + 1, 0, now)
                 heapq.heappush(heap, following)
-            if not over and is_over_share(queue, team, caps_by_class[name]):
+            if not is_over and is_over_share(queue, team, caps_by_class[name]):
                 heapq.heappush(heap, (True, *entry[1:]))
             else:
-                if place + 1 < len(jobs):
-                    following = _make_entry(over, name, queue, position, place + 1, now)
+                if job_position + 1 < len(jobs):
+                    following = _make_entry(
+                        is_over, name, queue, team_position, job_position + 1, now
+                    )
                     heapq.heappush(heap, following)
-                yield name, jobs[place][1]
+                yield name, jobs[job_position][1]
         if not heap:
             heap = [
                 e for e in capped if not is_capped(queues_by_class, caps_by_class, e[2])
@@ -233,21 +240,21 @@
 
 
 def _make_entry(
-    over: bool,
+    is_over: bool,
     name: ClassName,
     queue: ClassQueue,
-    position: int,
-    place: int,
+    team_position: int,
+    job_position: int,
     now: Seconds,
-) -> _Entry:
-    jobs = queue.jobs_by_team[queue.heads[position][1]]
-    rank = ordering.age_rank(jobs[place][0], queue.aging, now)
-    return over, rank, name, position, place
+) -> _HeapEntry:
+    jobs = queue.jobs_by_team[queue.team_heads[team_position][1]]
+    rank = ordering.age_rank(jobs[job_position][0], queue.aging, now)
+    return is_over, rank, name, team_position, job_position
 
 
 def is_over_share(queue: ClassQueue, team: str, cap: int) -> bool:
-    """Tell whether a team uses its equal share of the class while others wait."""
-    waiting = len(queue.heads)
+    """Return whether a team uses its equal share of the class while others wait."""
+    waiting = len(queue.team_heads)
     if waiting < 2:
         return False
     share = ordering.slots_of_share(cap, 1 / waiting)
