Reword comments and texts of the HTTP API and the command line

Docstrings said who a module is turned to or what is 'kept' and 'told'; they now state what a handler accepts, what it responds with and when. Raises sections name the condition instead of 'if it does not fit'. Option and help texts of the command line are complete sentences. Two error messages changed: 'zone X has other instances' is now 'this instance is not in zone X', and a report of a leaving server that did not reach the leader says so instead of 'the leader is not known'.

--- a/boragetide/api/__init__.py
+++ b/boragetide/api/__init__.py
@@ -1,1 +1,1 @@
-"""Border models and HTTP handlers."""
+"""HTTP API: models of the request bodies and request handlers."""
--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -1,4 +1,4 @@
-"""HTTP handlers towards backend servers, and the list of them for operators."""
+"""HTTP handlers for the announcements and for the list of backend servers."""
 
 from __future__ import annotations
 
@@ -25,16 +25,16 @@
 )
 from boragetide.types import Address, InstanceId, ZoneId
 
-# Leaves time for a second attempt at another instance within the 3 s after which a
-# leaving backend server must be free of new work.
+# Leaves time for a second attempt at another instance within 3 s. After that time, a
+# backend server that is leaving must not receive new tasks.
 FORWARD_TIMEOUT = 1.0  # seconds
 
 
 class BackendServerHandler(Handler):
-    """Takes the announcements of backend servers."""
+    """Accepts announcements of backend servers."""
 
     async def put(self, server_id: str) -> None:
-        """Announce or renew a backend server at the placer of its zone."""
+        """Register a backend server with the placer of its zone or renew its lease."""
         self.runtime.metrics.count("announcements", {})
         parsed = parse_body(BackendServerBody, self.request.body)
         fault = (
@@ -52,12 +52,12 @@
 
 
 async def _announce(runtime: Runtime, message: AnnounceBackendServer) -> LeaseGranted:
-    """Get a lease here or from the placer of the backend server's zone.
+    """Return a lease from this instance or from the placer of the zone.
 
     Raises
     ------
     LinkError
-        If no placer granted a lease; the backend server tries another instance.
+        If no placer granted a lease. The backend server then tries another instance.
     """
     reply = await _ask_here(runtime, message)
     if isinstance(reply, LeaseRefused):
@@ -67,8 +67,8 @@
             if not message.server.leaving:
                 raise
     if isinstance(reply, LeaseRefused) and message.server.leaving:
-        # The placer is not reached: under another lease the backend server refuses what
-        # the placer still dispatches.
+        # The placer cannot be reached. With a new lease, the backend server rejects the
+        # tasks that the placer still dispatches under the old one.
         reply = await _ask_here(runtime, replace(message, fence=True))
     if isinstance(reply, LeaseRefused):
         raise LinkError(reply.reason)
@@ -79,7 +79,7 @@
     runtime: Runtime, message: AnnounceBackendServer
 ) -> LeaseGranted | LeaseRefused:
     if message.server.zone != runtime.settings.zone:
-        return LeaseRefused(f"zone {message.server.zone!r} has other instances")
+        return LeaseRefused(f"this instance is not in zone {message.server.zone!r}")
     timeout = runtime.settings.timing.request_timeout
     return await runtime.ask(runtime.local("backend_servers"), message, timeout)
 
@@ -102,7 +102,7 @@
 
 
 async def choose_placer(runtime: Runtime, zone: ZoneId) -> PlacerChosen:
-    """Ask for the instance that leases the backend servers of an availability zone.
+    """Find the instance that leases the backend servers of an availability zone.
 
     Raises
     ------
--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -1,4 +1,4 @@
-"""What all HTTP handlers share."""
+"""Base class of the HTTP handlers and the handler of unknown paths."""
 
 from __future__ import annotations
 
@@ -14,26 +14,26 @@
 from boragetide.errors import LinkError
 from boragetide.types import Seconds, Status
 
-RETRY_AFTER = 1  # seconds that a refused caller should wait
+RETRY_AFTER = 1  # seconds; default of the Retry-After header
 
 _logger = logging.getLogger(__name__)
 
 
 class Handler(RequestHandler):
-    """Handler with access to the runtime; answers errors without a traceback."""
+    """Base class of HTTP handlers; error responses contain no traceback."""
 
     def initialize(self, runtime: Runtime) -> None:
-        """Keep the runtime."""
+        """Store the runtime that the handler reads."""
         self.runtime = runtime
 
     def prepare(self) -> None:
-        """Note the open request, and keep no connection open while stopping."""
+        """Register the open request; while stopping, disable keep-alive."""
         self.runtime.open_requests.add(self)
         if self.runtime.stopping:
             self.set_header("Connection", "close")
 
     def finish(self, chunk: Any = None) -> Future[None]:
-        """Count the request as open until its response is written."""
+        """Send the response; the request counts as open until it is written."""
         try:
             written = super().finish(chunk)
         except BaseException:
@@ -46,7 +46,18 @@
         self.runtime.open_requests.discard(self)
 
     def respond(self, status: int, body: Any, retry_after: Seconds = 0.0) -> None:
-        """Write a JSON body; a refusal says when the caller should come back."""
+        """Send a JSON response.
+
+        Parameters
+        ----------
+        status
+            HTTP status code.
+        body
+            Object to encode as JSON.
+        retry_after
+            Seconds for the ``Retry-After`` header of a 503 response, rounded up; if
+            zero, the header is `RETRY_AFTER`.
+        """
         self.set_status(status)
         if status == 503:
             seconds = math.ceil(retry_after) or RETRY_AFTER
@@ -55,12 +66,12 @@
         self.finish(msgspec.json.encode(body))
 
     def refuse(self, status: int, message: str, retry_after: Seconds = 0.0) -> None:
-        """Answer that nothing ran, with the reason."""
+        """Send an error response which states that no task has run, and why."""
         body = {"status": Status.NOT_RUN, "error": message}
         self.respond(status, body, retry_after)
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
-        """Answer without a traceback."""
+        """Send an error response without a traceback."""
         error = kwargs.get("exc_info", (None, None, None))[1]
         if isinstance(error, LinkError):
             self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
@@ -76,7 +87,7 @@
             self.respond(status_code, {"status": "unknown", "error": self._reason})
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
-        """Log what is a fault of this program; callers read the other errors."""
+        """Log unexpected exceptions; other errors are only reported to the caller."""
         if not isinstance(value, HTTPError | LinkError):
             where = f"{self.request.method} {self.request.path}"
             _logger.error("exception in %s", where, exc_info=(typ, value, tb))
@@ -91,10 +102,10 @@
 
 
 class NotFoundHandler(Handler):
-    """Answers every path that no route matches."""
+    """Responds with 404 to every path that matches no route."""
 
     def prepare(self) -> None:
-        """Refuse any method."""
+        """Raise a 404 error for every method."""
         raise HTTPError(404)
 
 
--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -1,4 +1,4 @@
-"""Answers 413 to bodies above the limit, before they are kept in memory."""
+"""Rejects oversized request bodies with 413 before they are buffered in memory."""
 
 from __future__ import annotations
 
@@ -16,14 +16,15 @@
 
 from boragetide.types import Status
 
-# A client that is still sending when the connection closes may lose the answer, so
-# that a body up to this many times the limit is read and discarded first.
+# A client that is still sending when the connection closes may not receive the
+# response. A body of up to this many times the limit is therefore read and discarded
+# before the response is sent.
 DISCARD_FACTOR = 8
-MAX_DIGITS = 18  # of a declared length; more are above any limit all the same
+MAX_DIGITS = 18  # parsed digits of Content-Length; longer values exceed any limit
 
 
 class BodyLimit(HTTPServerConnectionDelegate):
-    """Passes requests on to ``inner`` unless their body is above ``limit`` bytes."""
+    """Forwards requests to ``inner`` unless their body exceeds ``limit`` bytes."""
 
     def __init__(self, inner: HTTPServerConnectionDelegate, limit: int):
         self._inner = inner
@@ -31,18 +32,18 @@
 
     @property
     def longest_discarded(self) -> int:
-        """Body size, in bytes, up to which the server must read."""
+        """Size in bytes of the largest body that the server must read."""
         return self._limit * DISCARD_FACTOR
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        """Watch one request."""
+        """Create the delegate that limits the body of one request."""
         inner = self._inner.start_request(server_conn, request_conn)
         return _LimitedRequest(inner, request_conn, self._limit)
 
     def on_close(self, server_conn: object) -> None:
-        """Tell the inner delegate that a connection closed."""
+        """Notify the inner delegate that a connection was closed."""
         self._inner.on_close(server_conn)
 
 
--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -1,4 +1,4 @@
-"""HTTP handlers of the configuration."""
+"""HTTP handlers for the configuration, its history and its commands."""
 
 from __future__ import annotations
 
@@ -28,8 +28,8 @@
     Status,
 )
 
-# The controller answers within its own timeout, so that this one passes only when it
-# is stuck.
+# The controller answers within `PROPOSAL_TIMEOUT`, so this timeout expires only if the
+# controller is stuck.
 COMMAND_TIMEOUT: Seconds = PROPOSAL_TIMEOUT + 1.0
 DEFAULT_HISTORY = 100
 MAX_VERSION = 2**62  # messages between instances carry 64-bit integers
@@ -93,7 +93,7 @@
 
 @singledispatch
 def to_command(body: BaseModel) -> Command:
-    """Turn a validated body into a command."""
+    """Convert a validated body to a command."""
     raise TypeError(f"no command for {body!r}")
 
 
@@ -114,7 +114,7 @@
 
 
 def describe_configuration(configuration: Configuration) -> dict[str, Any]:
-    """Render a configuration for operators."""
+    """Return the JSON body for a configuration."""
     classes = configuration.classes_by_name
     return {
         "version": configuration.version,
@@ -124,10 +124,10 @@
 
 
 class CommandHandler(Handler):
-    """Takes the commands of operators."""
+    """Accepts configuration commands of operators."""
 
     async def post(self) -> None:
-        """Propose a command and answer with its one outcome."""
+        """Propose a command and respond with the single outcome of its command id."""
         parsed = parse_body(CommandBody, self.request.body)
         if parsed.is_error():
             self.refuse(parsed.error.http_status, parsed.error.message)
@@ -160,7 +160,7 @@
     """Shows the configuration in force on this instance."""
 
     async def get(self) -> None:
-        """Answer 503 before there is one."""
+        """Return the configuration, or 503 if none is in force yet."""
         try:
             changed = await self.runtime.ask(
                 self.runtime.local("configuration"),
@@ -178,10 +178,10 @@
 
 
 class HistoryHandler(Handler):
-    """Shows the accepted commands."""
+    """Lists the accepted commands."""
 
     async def get(self) -> None:
-        """Answer from an instance with a disk, this one first."""
+        """Return the history of an instance with a disk, preferably of this one."""
         text = self.get_query_argument("limit", str(DEFAULT_HISTORY))
         limit = int(text) if text.isdecimal() and len(text) <= LIMIT_DIGITS else 0
         if not 1 <= limit <= RETAINED_HISTORY:
@@ -196,7 +196,11 @@
         self.respond(200, {"entries": history.entries})
 
     async def _find_history(self, limit: int) -> History | None:
-        """Ask the members in turn; one whose log lags lacks the newest commands."""
+        """Return the history of the first member that is up to date.
+
+        A member whose log lags behind the configuration in force does not have the
+        newest commands. Returns ``None`` if no member is up to date.
+        """
         settings = self.runtime.settings
         timeout = settings.timing.request_timeout
         own = self.runtime.local("configuration")
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -32,16 +32,16 @@
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import Address, ClassTarget, Seconds
 
-# Longer than an election and a takeover.
+# Longer than the election of a leader and its takeover take together.
 DECISION_TIME: Seconds = 10.0
-# A caller of a best-effort job waits for its end.
+# The caller of a best-effort job waits until the job has ended.
 BEST_EFFORT_TIME: Seconds = 120.0
 LOCAL_TIMEOUT: Seconds = 2.0
 ANNOUNCE_TIMEOUT: Seconds = 1.0
 
 
 class _DurableHandler(Handler):
-    """What the handlers of durable jobs share."""
+    """Base class of the handlers of durable jobs."""
 
     async def ask_dispatcher(
         self,
@@ -52,7 +52,27 @@
         useful_until: Seconds | None = None,
         patience: Seconds = DECISION_TIME,
     ) -> DispatcherReply | None:
-        """Ask the leader; where there is no answer, tell the caller so."""
+        """Send a request to the leader and return its reply.
+
+        Parameters
+        ----------
+        name
+            Kind of request, in logs and metrics.
+        message
+            Request to the dispatcher.
+        job_id, class_name
+            For logs and metrics.
+        useful_until
+            Unix time after which a job that was not started is of no use to its caller;
+            ``None`` stands for the end of ``patience``.
+        patience
+            Seconds for which the caller waits.
+
+        Returns
+        -------
+        DispatcherReply or None
+            ``None`` if the request failed and the caller got an error response.
+        """
         now = read_clock()
         exchange = DurableExchange(
             runtime=self.runtime,
@@ -73,10 +93,14 @@
 
 
 class DurableJobsHandler(_DurableHandler):
-    """Takes durable jobs."""
+    """Accepts durable jobs."""
 
     async def post(self) -> None:
-        """Accept a job once it is kept; answer a best-effort one at its end."""
+        """Submit a job.
+
+        Responds when a majority has stored the job, or, for a best-effort job, when the
+        job has ended.
+        """
         parsed = parse_body(DurableJobBody, self.request.body)
         if parsed.is_error():
             self.refuse(parsed.error.http_status, parsed.error.message)
@@ -107,7 +131,10 @@
             self.respond(200, {"id": job.id, "state": reply.state or "accepted"})
 
     async def _find_target(self, class_name: str) -> ClassTarget | None:
-        """Return the target of a durable class, or answer that there is none."""
+        """Return the target of a durable class.
+
+        If there is no such class, sends an error response and returns ``None``.
+        """
         changed = await self.runtime.ask(
             self.runtime.local("configuration"), FetchConfiguration(), LOCAL_TIMEOUT
         )
@@ -125,11 +152,11 @@
     """Shows or cancels one durable job."""
 
     async def get(self, job_id: str) -> None:
-        """Show the state of a job."""
+        """Return the state of a job."""
         await self._answer(job_id, "look_up", LookUpDurableJob(id=job_id))
 
     async def delete(self, job_id: str) -> None:
-        """Cancel a job; the answer says that this is kept."""
+        """Cancel a job; the response confirms that the cancellation is stored."""
         await self._answer(job_id, "cancel", CancelDurableJob(id=job_id))
 
     async def _answer(self, job_id: str, name: str, message: Request) -> None:
@@ -148,10 +175,14 @@
 
 
 class RunServerHandler(Handler):
-    """Takes the announcements of backend servers that run durable tasks."""
+    """Accepts announcements of backend servers that run durable tasks."""
 
     async def put(self, server_id: str) -> None:
-        """Announce; that of one that leaves is answered once the leader has it."""
+        """Report a backend server to the dispatcher.
+
+        If the backend server is leaving, the response is 200 only after the leader has
+        received the report.
+        """
         parsed = parse_body(RunServerBody, self.request.body)
         fault = find_id_fault(server_id) or (
             parsed.error.message if parsed.is_error() else None
@@ -162,23 +193,23 @@
         report = to_server_report(server_id, parsed.ok)
         reported = await report_server(self.runtime, ReportServer(report=report))
         if report.draining and not reported.by_leader:
-            self.refuse(503, "the leader is not known")
+            self.refuse(503, "the report did not reach the leader")
         else:
             self.respond(200, {})
 
     async def delete(self, server_id: str) -> None:
-        """Take note that a backend server has left."""
+        """Report that a backend server has left."""
         await report_server(self.runtime, RemoveServer(id=server_id))
         self.respond(200, {})
 
 
 async def report_server(runtime: Runtime, message: Any) -> ServerReported:
-    """Hand a message about a backend server to the leader, or else to any member.
+    """Send a message about a backend server to the leader, or else to any member.
 
     Raises
     ------
     LinkError
-        If no member was reached.
+        If no member replied.
     """
     found = await runtime.ask(runtime.local("directory"), FindLeader(), LOCAL_TIMEOUT)
     members = [found.leader] if found.leader is not None else []
--- a/boragetide/api/durable_models.py
+++ b/boragetide/api/durable_models.py
@@ -1,4 +1,4 @@
-"""Validated models of the bodies about durable jobs and their backend servers."""
+"""Validated models of request bodies for durable jobs and their servers."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class StepBody(_Body):
-    """Equal tasks of a job; memory is in bytes, ``estimate`` in seconds."""
+    """Identical tasks of a job; memory is in bytes, ``estimate`` in seconds."""
 
     count: Annotated[int, Field(ge=1, le=MAX_TASKS)] = 1
     cores: Annotated[float, Field(gt=0, le=MAX_CORES)] = 1.0
@@ -58,8 +58,9 @@
 class RunServerBody(_Body):
     """Body of ``PUT /v1/run-servers/{id}``.
 
-    ``born`` is the Unix time of its start in milliseconds, ``sequence`` rises with
-    each announcement of one life, ``clock`` is its steady clock in seconds.
+    ``born`` is the Unix time in milliseconds at which the process started. ``sequence``
+    increases with each announcement of that process. ``clock`` is its monotonic clock
+    in seconds.
     """
 
     address: Annotated[str, Field(pattern=r"^http://[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$")]
@@ -78,7 +79,7 @@
 def to_durable_job(
     body: DurableJobBody, target: ClassTarget, now: Seconds
 ) -> DurableJob:
-    """Turn a validated body into a job of a durable class."""
+    """Convert a validated body to a job of a durable class."""
     return DurableJob(
         id=body.id,
         class_name=target.name,
@@ -108,7 +109,7 @@
 
 
 def to_server_report(server_id: str, body: RunServerBody) -> ServerReport:
-    """Turn a validated announcement into a report for the dispatcher."""
+    """Convert a validated announcement to a report for the dispatcher."""
     return ServerReport(
         id=server_id,
         address=body.address,
--- a/boragetide/api/jobs.py
+++ b/boragetide/api/jobs.py
@@ -14,7 +14,8 @@
 from boragetide.messages import CancelJob, JobState, LookUpJob
 from boragetide.policy.ids import mint_id
 
-# Starts at a random number so that a restart within a millisecond repeats no id.
+# Starts at a random number so that a process that restarts within the same millisecond
+# does not generate the same ids again.
 _COUNTER = itertools.count(secrets.randbelow(1 << 32))
 
 
@@ -22,11 +23,11 @@
     """Shows or cancels a job, whichever instance owns it."""
 
     async def get(self, job_id: str) -> None:
-        """Show a job; 404 where no instance has claimed its id."""
+        """Return the state of a job, or 404 if no instance has claimed its id."""
         await self._ask(LookUpJob(id=job_id))
 
     async def delete(self, job_id: str) -> None:
-        """Cancel a job and show it."""
+        """Cancel a job and return its state."""
         await self._ask(CancelJob(id=job_id))
 
     async def _ask(self, message: LookUpJob | CancelJob) -> None:
@@ -44,7 +45,10 @@
 
 
 def describe_job(state: JobState) -> dict[str, Any]:
-    """Render the state of a job; an ended job has its answer while that is kept."""
+    """Return the JSON body for the state of a job.
+
+    An ended job includes its answer for as long as the answer is retained.
+    """
     body: dict[str, Any] = {"id": state.id, "state": state.state}
     if state.answer is not None:
         body["answer"] = describe_answer(state.answer)
@@ -52,10 +56,10 @@
 
 
 class JobIdsHandler(Handler):
-    """Mints job ids whose home is the zone of this instance."""
+    """Generates job ids whose home zone is the zone of this instance."""
 
     def post(self) -> None:
-        """Return as many new ids as asked for."""
+        """Return the requested number of new job ids."""
         parsed = parse_body(JobIdsBody, self.request.body or b"{}")
         if parsed.is_error():
             self.refuse(parsed.error.http_status, parsed.error.message)
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -41,7 +41,7 @@
 
 
 class SubmissionBody(_Body):
-    """What jobs and single requests share."""
+    """Fields that jobs and single requests have in common."""
 
     id: JobIdField
     class_name: Annotated[NameField, Field(alias="class")]
@@ -72,8 +72,8 @@
 class BackendServerBody(_Body):
     """Body of ``PUT /v1/backend-servers/{id}``; memory is in bytes.
 
-    A ``lease`` names the newest lease that the backend server holds and is empty if it
-    holds none, as after a restart.
+    ``lease`` is the newest lease that the backend server holds. It is empty if the
+    backend server holds none, for example after a restart.
     """
 
     address: Annotated[str, Field(pattern=r"^http://[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$")]
@@ -97,7 +97,7 @@
 
 
 def find_id_fault(text: str, *, job: bool = False) -> str | None:
-    """Return why the id in a path is wrong, if so."""
+    """Return why an id from a URL path is invalid, or ``None`` if it is valid."""
     try:
         (_JOB_ID if job else _NAME).validate_python(text)
     except ValidationError as error:
@@ -110,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyFault:
-    """Why a request body was refused; the message names the field."""
+    """Reason why a request body was rejected; the message names the field."""
 
     http_status: int
     message: str
@@ -155,7 +155,7 @@
 
 @singledispatch
 def to_submission(body: SubmissionBody) -> Submission:
-    """Turn a validated body into a submission."""
+    """Convert a validated body to a submission."""
     raise TypeError(f"no submission for {body!r}")
 
 
@@ -180,14 +180,14 @@
 
 
 def digest_payloads(tasks: tuple[Task, ...]) -> str:
-    """Return the same digest for equal payloads, in whatever order their keys are."""
+    """Return a digest of the payloads that is independent of the order of keys."""
     payloads = [task.payload for task in tasks]
     encoded = msgspec.json.encode(payloads, order="deterministic")
     return hashlib.blake2b(encoded, digest_size=16).hexdigest()
 
 
 def to_backend_server(server_id: str, body: BackendServerBody) -> BackendServer:
-    """Turn a validated announcement into a backend server."""
+    """Convert a validated announcement to a backend server."""
     return BackendServer(
         id=server_id,
         address=body.address,
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -1,4 +1,4 @@
-"""HTTP handlers towards operators and the platform."""
+"""HTTP handlers for status, metrics, liveness and readiness."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
     """Shows this instance's view of the system."""
 
     async def get(self) -> None:
-        """Describe this instance and list the live ones with their roles."""
+        """Describe this instance and list the live instances with their roles."""
         runtime, settings = self.runtime, self.runtime.settings
         listed, changed, pool, *chosen = await asyncio.gather(
             _ask_local(runtime, "instances", ListInstances()),
@@ -72,7 +72,7 @@
     """Serves the metrics to Prometheus."""
 
     async def get(self) -> None:
-        """Read the gauges and render all metrics."""
+        """Update the gauges and render all metrics."""
         await _set_gauges(self.runtime)
         content, headers = self.runtime.metrics.render()
         for name, value in headers.items():
@@ -81,7 +81,11 @@
 
 
 async def _set_gauges(runtime: Runtime) -> None:
-    """Set the gauges; those of a controller that does not answer keep their value."""
+    """Update the gauges.
+
+    If a controller does not answer in time, the gauges of the pool and of the live
+    instances keep their last values.
+    """
     metrics = runtime.metrics
     for controller, mailbox in runtime.mailboxes_by_controller.items():
         labels = {"controller": controller}
@@ -101,23 +105,24 @@
 
 
 class HealthHandler(Handler):
-    """Says that the process runs."""
+    """Reports that the process is alive."""
 
     def get(self) -> None:
-        """Answer 200 while the event loop turns."""
+        """Respond with 200, which shows that the event loop is running."""
         self.respond(200, {"status": "ok"})
 
-    head = get  # some load balancers check with HEAD
+    head = get  # some load balancers send HEAD requests
 
 
 class ReadinessHandler(Handler):
-    """Says whether this instance takes new requests."""
+    """Reports whether this instance accepts new requests."""
 
     async def get(self) -> None:
-        """Answer 503 while stopping, or without a placer or a configuration.
+        """Respond with 503 while stopping or without a placer or a configuration.
 
-        After a start, wait for the acceptor too: until it is complete, new ids of
-        callers cannot be decided. The wait is bounded, because an acceptor whose group
+        After a start, the instance also becomes ready only when its acceptor is
+        complete, because claims of new ids chosen by callers cannot be decided before.
+        This condition is dropped after `ACCEPTOR_WAIT`, because an acceptor whose group
         has lost another member may need the whole resubmission window.
         """
         runtime = self.runtime
--- a/boragetide/api/submissions.py
+++ b/boragetide/api/submissions.py
@@ -1,4 +1,4 @@
-"""HTTP handlers towards callers."""
+"""HTTP handler for submissions of jobs and single requests."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def describe_answer(result: Answer) -> dict[str, Any]:
-    """Render an answer; only a complete one has results."""
+    """Return the JSON body for an answer; only a complete answer has results."""
     body: dict[str, Any] = {"id": result.id, "status": result.status}
     if result.status is Status.COMPLETE:
         body["results"] = result.results
@@ -30,15 +30,15 @@
 
 
 class SubmissionHandler(Handler):
-    """Takes jobs or single requests, by the border model of their body."""
+    """Accepts jobs or single requests, depending on the model of the body."""
 
     def initialize(self, runtime: Runtime, kind: type[SubmissionBody]) -> None:
-        """Keep the border model beside the runtime."""
+        """Store the model of the request body and the runtime."""
         super().initialize(runtime)
         self.kind = kind
 
     async def post(self) -> None:
-        """Run a submission and answer it whole."""
+        """Run a submission and send its complete answer in one response."""
         received_at = read_clock()
         parsed = parse_body(self.kind, self.request.body)
         if parsed.is_error():
@@ -49,7 +49,7 @@
         self.respond(exchange.http_status, describe_answer(result))
 
     def _refuse_body(self, fault: BodyFault, received_at: Seconds) -> None:
-        """Refuse a body that does not fit its model, naming the field."""
+        """Reject a body that fails validation; the message names the field."""
         refused = Answer("", Status.NOT_RUN, error=fault.message)
         seconds = read_clock() - received_at
         self.runtime.metrics.observe_response("", refused.status, seconds)
--- a/boragetide/cli/__init__.py
+++ b/boragetide/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command-line client."""
+"""Command-line client for operators."""
--- a/boragetide/cli/__main__.py
+++ b/boragetide/cli/__main__.py
@@ -41,8 +41,9 @@
 def run(arguments: list[str]) -> int:
     """Run one command and return its exit code.
 
-    The codes are 0 for done; 1 for refused, in conflict, or answered as failed; 2 for
-    wrong usage; 3 for an outcome that is not known; 4 where no daemon is reachable.
+    The exit code is 0 for success; 1 if the request is refused, conflicts with another
+    change or is answered as failed; 2 for wrong usage; 3 if the outcome is unknown; 4
+    if no daemon is reachable.
     """
     application = Application("boragetide", __version__)
     application.auto_exits(False)
--- a/boragetide/cli/base.py
+++ b/boragetide/cli/base.py
@@ -1,4 +1,4 @@
-"""What all commands share: options, exit codes and output."""
+"""Base class, options, exit codes and output of all commands."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
     option("json", description="Print one JSON object"),
     option(
         "resend-for",
-        description="How long a lost answer leads to the same request again",
+        description="How long to resend a request whose answer was lost",
         flag=False,
         default="10s",
     ),
@@ -54,7 +54,7 @@
 
 
 class OperatorCommand(Command):
-    """A command that calls daemons."""
+    """Base class of the commands; calls daemons."""
 
     options: ClassVar = SHARED_OPTIONS
 
@@ -66,7 +66,7 @@
         Raises
         ------
         CommandLineError
-            If no daemon was reached, or the outcome is not known.
+            If no daemon was reached or the outcome is unknown.
         """
         resend_for = self.read_option("resend-for", parse_duration)
         call = Call(method, path, body, timeout, resend_for)
@@ -87,12 +87,13 @@
             ) from error
 
     def read_body(self, method: str, path: str, body: Any = None) -> dict[str, Any]:
-        """Return the body of a request that changes nothing.
+        """Return the response body of a read-only request.
 
         Raises
         ------
         CommandLineError
-            ``UNREACHABLE`` rather than ``UNKNOWN`` where no answer came.
+            If the request fails. Without an answer, the exit code is ``UNREACHABLE``
+            rather than ``UNKNOWN``.
         """
         try:
             response = self.call_daemon(method, path, body)
@@ -110,7 +111,7 @@
         Raises
         ------
         CommandLineError
-            If the value does not fit; the message shows option and value.
+            If the value is invalid; the message shows the option and the value.
         """
         value = self.option(name)
         if value is None:
@@ -122,7 +123,7 @@
             raise CommandLineError(ExitCode.USAGE, message) from error
 
     def emit(self, body: dict[str, Any], text: str) -> None:
-        """Print the JSON body or the text, as the caller asked."""
+        """Print the body if ``--json`` is given, otherwise the text."""
         print(json.dumps(body) if self.option("json") else text)
 
     def _list_servers(self) -> tuple[str, ...]:
@@ -138,12 +139,12 @@
 
 
 def check_answer(response: Response) -> None:
-    """Turn every answer that is not a success into an error.
+    """Raise an error unless the response is a success.
 
     Raises
     ------
     CommandLineError
-        With the answer as the JSON body.
+        If the response is not a success; its body becomes the JSON output.
     """
     if response.http_status == 200:
         return
@@ -158,12 +159,12 @@
 
 
 def parse_share(text: str) -> float:
-    """Turn a percentage such as ``25%``, or a fraction such as ``0.25``, into 0 to 1.
+    """Parse a percentage such as ``25%`` or a fraction such as ``0.25``.
 
     Raises
     ------
     ValueError
-        If it is neither, or outside 0% to 100%.
+        If the text is neither, or the share is 0% or above 100%.
     """
     match = re.fullmatch(r"(\d+(?:\.\d+)?)\s*(%?)", text.strip())
     if match is None:
@@ -175,12 +176,12 @@
 
 
 def parse_count(text: str) -> int:
-    """Turn a positive whole number into an integer.
+    """Parse a positive integer.
 
     Raises
     ------
     ValueError
-        If it is none.
+        If the text is not a positive integer of at most 9 digits.
     """
     if re.fullmatch(r"[1-9][0-9]{0,8}", text) is None:
         raise ValueError("not a positive whole number")
@@ -188,12 +189,12 @@
 
 
 def parse_version(text: str) -> int:
-    """Turn a configuration version into an integer.
+    """Parse a configuration version.
 
     Raises
     ------
     ValueError
-        If it is none.
+        If the text is not an integer of at most 15 digits.
     """
     if re.fullmatch(r"[0-9]{1,15}", text) is None:
         raise ValueError("not a configuration version")
@@ -201,7 +202,7 @@
 
 
 def format_table(headers: tuple[str, ...], rows: Iterable[Iterable[Any]]) -> str:
-    """Align columns by their widest cell."""
+    """Return a text table in which each column is as wide as its widest cell."""
     cells = [headers, *(tuple(str(cell) for cell in row) for row in rows)]
     widths = [max(len(row[column]) for row in cells) for column in range(len(headers))]
     return "\n".join(
--- a/boragetide/cli/changes.py
+++ b/boragetide/cli/changes.py
@@ -24,19 +24,19 @@
     *SHARED_OPTIONS,
     option(
         "command-id",
-        description="Id of this change; the same id has one outcome however often sent",
+        description="Id of this change; sending an id again does not repeat the change",
         flag=False,
     ),
     option(
         "expected-version",
-        description="Version that the change builds on; read first if absent",
+        description="Version on which the change is based; the current one if absent",
         flag=False,
     ),
 ]
 
 
 class ChangeCommand(OperatorCommand):
-    """A command that proposes one change of the configuration."""
+    """Base class of commands that propose a change of the configuration."""
 
     options: ClassVar = CHANGE_OPTIONS
 
@@ -52,7 +52,8 @@
         command
             Body of the command.
         version
-            Expected version where the operator named none; read first if absent.
+            Expected version if the operator specified none. If it is ``None`` too, the
+            version of the configuration in force is read.
         """
         expected = self.read_option("expected-version", parse_version)
         if expected is None:
@@ -96,8 +97,8 @@
     help = (
         "Example: boragetide class set thumbnails --response-time=800ms "
         "--busy-share=25%\n"
-        "An option that is left out keeps its value; a new class needs a response "
-        "time, and may keep the whole installation busy if no share is given."
+        "An omitted option keeps its value. A new class needs a response time, and "
+        "may occupy all slots if no busy share is given."
     )
     arguments: ClassVar = [argument("name", "Name of the class")]
     options: ClassVar = [
@@ -114,23 +115,23 @@
         ),
         option(
             "pool",
-            description="Makes the class durable: backend servers that run its tasks",
+            description="Pool of backend servers; makes the class durable",
             flag=False,
         ),
         option(
             "attempts",
-            description="Runs of a task of a durable class that may fail",
+            description="Failed runs of a task after which a durable job fails",
             flag=False,
         ),
         option(
             "stretch",
-            description="Multiple of its longest chain of work that a job may take",
+            description="Target time as a multiple of a job's longest chain of work",
             flag=False,
         ),
     ]
 
     def handle(self) -> int:
-        """Complete the target from the one in force and propose it."""
+        """Propose a target; omitted options keep the values in force."""
         given = {
             "response_time": self.read_option("response-time", parse_duration),
             "busy_share": self.read_option("busy-share", parse_share),
@@ -154,7 +155,10 @@
         return ExitCode.DONE
 
     def _complete_durable(self, known: dict[str, Any]) -> dict[str, Any] | None:
-        """Return how tasks are started again, as given or as in force."""
+        """Return the start policy of a durable class; omitted options keep their value.
+
+        Returns ``None`` if the class is not durable and no option makes it durable.
+        """
         given = {
             "pool": self.option("pool"),
             "attempts": self.read_option("attempts", parse_count),
@@ -175,7 +179,7 @@
     """Takes a backend server out of use."""
 
     name = "backend-server drain"
-    description = "Place no new tasks on a backend server; running ones go on"
+    description = "Place no new tasks on a backend server; running tasks continue"
     help = "Example: boragetide backend-server drain server-7"
     arguments: ClassVar = [argument("id", "Id of the backend server")]
 
--- a/boragetide/cli/client.py
+++ b/boragetide/cli/client.py
@@ -1,4 +1,4 @@
-"""Calls of the command-line client: tries daemons in order and resends."""
+"""HTTP client of the command line: tries the daemons in order and resends."""
 
 from __future__ import annotations
 
@@ -17,13 +17,13 @@
 from boragetide.types import Seconds
 
 CONNECT_TIMEOUT: Seconds = 2.0
-RESEND_DELAY: Seconds = 0.2  # before the second pass over the servers; doubles
+RESEND_DELAY: Seconds = 0.2  # before the second round over the servers; doubles
 MAX_RESEND_DELAY: Seconds = 2.0
 
-# Answers after which the next server may do better: the same command id or job id has
-# one outcome however often it is sent.
+# HTTP status codes after which the request is sent to the next server. This is safe
+# because a command id or job id has one outcome, however often it is sent.
 _RETRIED = frozenset({503})
-_CURL_NOT_CONNECTED = frozenset({5, 6, 7})  # proxy, host, connect
+_CURL_NOT_CONNECTED = frozenset({5, 6, 7})  # curl errors: proxy, host, connect
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """An answer; ``earlier_lost`` tells whether an earlier attempt may have counted."""
+    """An answer; ``earlier_lost`` if an earlier attempt may have taken effect."""
 
     http_status: int
     body: Any
@@ -60,10 +60,10 @@
     Raises
     ------
     PeerUnreachable
-        No server was reached, so that the request was certainly not taken.
+        If no server was reached, so that the request was certainly not accepted.
     ReplyTimeout
-        The answer was lost and did not come within the bound; a server may have taken
-        the request.
+        If an answer was lost and none arrived within ``call.resend_for`` seconds; a
+        server may have accepted the request.
     """
     client = make_client()
     deadline = time.monotonic() + call.resend_for
--- a/boragetide/cli/durable.py
+++ b/boragetide/cli/durable.py
@@ -21,10 +21,10 @@
     """Submits a durable job."""
 
     name = "durable submit"
-    description = "Submit a durable job; a best-effort one is answered at its end"
+    description = "Submit a durable job; for a best-effort job, wait until it has ended"
     help = (
         "Example: boragetide durable submit job.json\n"
-        "The body has an id, so that submitting it again starts nothing twice."
+        "The body contains an id, so submitting it again does not start the job twice."
     )
     arguments: ClassVar = [
         argument("file", "JSON file with the body, or - for standard input")
--- a/boragetide/cli/jobs.py
+++ b/boragetide/cli/jobs.py
@@ -34,8 +34,8 @@
     help = (
         "Example: boragetide job submit job.json\n"
         "Example: make-job | boragetide job submit - --server=http://10.0.0.1:8080\n"
-        "A body without an id gets one, which is printed. A lost answer leads to the "
-        "same id again, which starts nothing twice."
+        "If the body has no id, one is generated and printed. If the answer is lost, "
+        "the job is sent again under the same id and is not started twice."
     )
     arguments: ClassVar = [
         argument("file", "JSON file with the body, or - for standard input")
@@ -54,7 +54,7 @@
     ]
 
     def handle(self) -> int:
-        """Submit the body under one id until an answer comes or the bound is met."""
+        """Submit the body, sending it again under the same id if the answer is lost."""
         timeout = self.read_option("timeout", parse_duration)
         body = read_body_file(self.argument("file"))
         if self.option("id"):
@@ -71,7 +71,7 @@
         answer = response.body
         code = _EXIT_CODES_BY_STATUS.get(answer.get("status"), ExitCode.UNKNOWN)
         if answer.get("status") == "not_run" and response.earlier_lost:
-            # An attempt before this refusal may have run.
+            # An earlier attempt, whose answer was lost, may have started tasks.
             answer, code = {**answer, "status": "unknown"}, ExitCode.UNKNOWN
         self.emit(answer, _format_answer(answer))
         return code
@@ -88,7 +88,7 @@
     Raises
     ------
     CommandLineError
-        If it cannot be read or is no JSON object.
+        If the file cannot be read or does not contain a JSON object.
     """
     try:
         text = sys.stdin.read() if name == "-" else Path(name).read_text()
@@ -146,7 +146,7 @@
     help = "Example: boragetide job cancel a:a1:1790000000000:1"
 
     def fetch(self, path: str) -> dict[str, Any]:
-        """Cancel the job; a lost answer leaves the outcome unknown."""
+        """Cancel the job; if the answer is lost, the outcome is unknown."""
         response = self.call_daemon("DELETE", path)
         check_answer(response)
         return response.body
--- a/boragetide/cli/views.py
+++ b/boragetide/cli/views.py
@@ -1,4 +1,4 @@
-"""Commands that only read."""
+"""Read-only commands."""
 
 from __future__ import annotations
 
@@ -71,7 +71,7 @@
     help = "Example: boragetide config show"
 
     def handle(self) -> int:
-        """Print version, classes and drained backend servers."""
+        """Print the version, the classes and the drained backend servers."""
         configuration = self.read_body("GET", "/v1/configuration")
         drained = " ".join(configuration["drained"]) or "none"
         text = [
