--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -36,7 +36,7 @@
     """Build the HTTP server of a daemon."""
     limited = BodyLimit(make_application(runtime), runtime.settings.limits.body_bytes)
     return HTTPServer(
-        limited, max_body_size=limited.longest_discarded, body_timeout=BODY_TIMEOUT
+        limited, max_body_size=limited.max_read_bytes, body_timeout=BODY_TIMEOUT
     )
 
 
--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -47,11 +47,13 @@
             return
         server = to_backend_server(server_id, parsed.ok)
         message = AnnounceBackendServer(server, parsed.ok.lease)
-        granted = await _announce(self.runtime, message)
+        granted = await _obtain_lease(self.runtime, message)
         self.respond(200, granted)
 
 
-async def _announce(runtime: Runtime, message: AnnounceBackendServer) -> LeaseGranted:
+async def _obtain_lease(
+    runtime: Runtime, message: AnnounceBackendServer
+) -> LeaseGranted:
     """Return a lease from this instance or from the placer of the zone.
 
     Raises
@@ -59,23 +61,23 @@
     LinkError
         If no placer granted a lease. The backend server then tries another instance.
     """
-    reply = await _ask_here(runtime, message)
+    reply = await _request_lease_locally(runtime, message)
     if isinstance(reply, LeaseRefused):
         try:
-            reply = await _ask_placer(runtime, message)
+            reply = await _request_lease_from_placer(runtime, message)
         except LinkError:
             if not message.server.leaving:
                 raise
     if isinstance(reply, LeaseRefused) and message.server.leaving:
         # The placer cannot be reached. With a new lease, the backend server rejects the
         # tasks that the placer still dispatches under the old one.
-        reply = await _ask_here(runtime, replace(message, fence=True))
+        reply = await _request_lease_locally(runtime, replace(message, fence=True))
     if isinstance(reply, LeaseRefused):
         raise LinkError(reply.reason)
     return reply
 
 
-async def _ask_here(
+async def _request_lease_locally(
     runtime: Runtime, message: AnnounceBackendServer
 ) -> LeaseGranted | LeaseRefused:
     if message.server.zone != runtime.settings.zone:
@@ -84,7 +86,7 @@
     return await runtime.ask(runtime.local("backend_servers"), message, timeout)
 
 
-async def _ask_placer(
+async def _request_lease_from_placer(
     runtime: Runtime, message: AnnounceBackendServer
 ) -> LeaseGranted | LeaseRefused:
     zone = message.server.zone
@@ -130,12 +132,12 @@
             *(_list_servers(self.runtime, placer) for placer in placers)
         )
         records = [record for listed in lists for record in listed or ()]
-        silent = [
+        silent_placers = [
             placer
             for placer, listed in zip(placers, lists, strict=True)
             if listed is None
         ]
-        without = [
+        zones_without_placer = [
             zone
             for zone, each in zip(zones, chosen, strict=True)
             if each.placer is None
@@ -144,8 +146,8 @@
             200,
             {
                 "backend_servers": sorted(records, key=lambda record: record["id"]),
-                "silent_placers": silent,
-                "zones_without_placer": without,
+                "silent_placers": silent_placers,
+                "zones_without_placer": zones_without_placer,
             },
         )
 
--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -89,8 +89,8 @@
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log unexpected exceptions; other errors are only reported to the caller."""
         if not isinstance(value, HTTPError | LinkError):
-            where = f"{self.request.method} {self.request.path}"
-            _logger.error("exception in %s", where, exc_info=(typ, value, tb))
+            request_line = f"{self.request.method} {self.request.path}"
+            _logger.error("exception in %s", request_line, exc_info=(typ, value, tb))
 
     def _list_methods(self) -> list[str]:
         return [
--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -31,7 +31,7 @@
         self._limit = limit
 
     @property
-    def longest_discarded(self) -> int:
+    def max_read_bytes(self) -> int:
         """Size in bytes of the largest body that the server must read."""
         return self._limit * DISCARD_FACTOR
 
@@ -55,7 +55,7 @@
         self._connection = connection
         self._limit = limit
         self._received = 0
-        self._answered = False
+        self._rejected = False
 
     def headers_received(
         self,
@@ -69,7 +69,7 @@
             return self._inner.headers_received(start_line, headers)
         expects = headers.get("Expect", "").lower() == "100-continue"
         if expects or self._received > self._limit * DISCARD_FACTOR:
-            self._answer(unread=True)
+            self._reject(unread=True)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -84,8 +84,8 @@
     def finish(self) -> None:
         if not self._is_too_large():
             self._inner.finish()
-        elif not self._answered:
-            self._answer()
+        elif not self._rejected:
+            self._reject()
 
     def on_connection_close(self) -> None:
         if not self._is_too_large():
@@ -94,8 +94,8 @@
     def _is_too_large(self) -> bool:
         return self._received > self._limit
 
-    def _answer(self, unread: bool = False) -> None:
-        self._answered = True
+    def _reject(self, unread: bool = False) -> None:
+        self._rejected = True
         message = f"body: larger than {self._limit} bytes"
         body = msgspec.json.encode({"status": Status.NOT_RUN, "error": message})
         headers = HTTPHeaders()
--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -33,7 +33,7 @@
 COMMAND_TIMEOUT: Seconds = PROPOSAL_TIMEOUT + 1.0
 DEFAULT_HISTORY = 100
 MAX_VERSION = 2**62  # messages between instances carry 64-bit integers
-LIMIT_DIGITS = 9
+MAX_LIMIT_DIGITS = 9
 MAX_ATTEMPTS = 100
 MAX_PRIORITY = 100
 
@@ -133,12 +133,12 @@
             self.refuse(parsed.error.http_status, parsed.error.message)
             return
         body = parsed.ok
-        propose = Propose(
+        proposal = Propose(
             to_command(body.command), body.command_id, body.expected_version
         )
         try:
             outcome = await self.runtime.ask(
-                self.runtime.local("configuration"), propose, COMMAND_TIMEOUT
+                self.runtime.local("configuration"), proposal, COMMAND_TIMEOUT
             )
         except LinkError as error:
             self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
@@ -162,7 +162,7 @@
     async def get(self) -> None:
         """Return the configuration, or 503 if none is in force yet."""
         try:
-            changed = await self.runtime.ask(
+            reply = await self.runtime.ask(
                 self.runtime.local("configuration"),
                 FetchConfiguration(),
                 self.runtime.settings.timing.request_timeout,
@@ -170,11 +170,11 @@
         except LinkError as error:
             self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
             return
-        if not changed.in_force:
+        if not reply.in_force:
             message = "this instance has no configuration in force yet"
             self.respond(503, {"status": Status.UNKNOWN, "error": message})
             return
-        self.respond(200, describe_configuration(changed.configuration))
+        self.respond(200, describe_configuration(reply.configuration))
 
 
 class HistoryHandler(Handler):
@@ -183,7 +183,7 @@
     async def get(self) -> None:
         """Return the history of an instance with a disk, preferably of this one."""
         text = self.get_query_argument("limit", str(DEFAULT_HISTORY))
-        limit = int(text) if text.isdecimal() and len(text) <= LIMIT_DIGITS else 0
+        limit = int(text) if text.isdecimal() and len(text) <= MAX_LIMIT_DIGITS else 0
         if not 1 <= limit <= RETAINED_HISTORY:
             message = f"limit: {text!r} is not a number from 1 to {RETAINED_HISTORY}"
             self.refuse(400, message)
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -33,9 +33,9 @@
 from boragetide.types import Address, ClassTarget, Seconds
 
 # Longer than the election of a leader and its takeover take together.
-DECISION_TIME: Seconds = 10.0
+DECISION_TIMEOUT: Seconds = 10.0
 # The caller of a best-effort job waits until the job has ended.
-BEST_EFFORT_TIME: Seconds = 120.0
+BEST_EFFORT_TIMEOUT: Seconds = 120.0
 LOCAL_TIMEOUT: Seconds = 2.0
 ANNOUNCE_TIMEOUT: Seconds = 1.0
 
@@ -50,7 +50,7 @@
         job_id: str,
         class_name: str = "",
         useful_until: Seconds | None = None,
-        patience: Seconds = DECISION_TIME,
+        timeout: Seconds = DECISION_TIMEOUT,
     ) -> DispatcherReply | None:
         """Send a request to the leader and return its reply.
 
@@ -64,8 +64,8 @@
             For logs and metrics.
         useful_until
             Unix time after which a job that was not started is of no use to its caller;
-            ``None`` stands for the end of ``patience``.
-        patience
+            ``None`` stands for the end of ``timeout``.
+        timeout
             Seconds for which the caller waits.
 
         Returns
@@ -81,8 +81,8 @@
             job_id=job_id,
             class_name=class_name,
             received_at=now,
-            deadline=now + patience,
-            useful_until=now + patience if useful_until is None else useful_until,
+            deadline=now + timeout,
+            useful_until=now + timeout if useful_until is None else useful_until,
         )
         try:
             return await DURABLE_CHAIN(exchange)
@@ -121,7 +121,7 @@
             job.id,
             target.name,
             expires_at(job) if job.best_effort else None,
-            BEST_EFFORT_TIME if job.best_effort else DECISION_TIME,
+            BEST_EFFORT_TIMEOUT if job.best_effort else DECISION_TIMEOUT,
         )
         if reply is None:
             return
@@ -135,10 +135,10 @@
 
         If there is no such class, sends an error response and returns ``None``.
         """
-        changed = await self.runtime.ask(
+        reply = await self.runtime.ask(
             self.runtime.local("configuration"), FetchConfiguration(), LOCAL_TIMEOUT
         )
-        target = changed.configuration.classes_by_name.get(class_name)
+        target = reply.configuration.classes_by_name.get(class_name)
         if target is None:
             self.refuse(404, f"class: class {class_name!r} does not exist")
         elif target.durable is None:
@@ -153,13 +153,15 @@
 
     async def get(self, job_id: str) -> None:
         """Return the state of a job."""
-        await self._answer(job_id, "look_up", LookUpDurableJob(id=job_id))
+        await self._respond_with_reply(job_id, "look_up", LookUpDurableJob(id=job_id))
 
     async def delete(self, job_id: str) -> None:
         """Cancel a job; the response confirms that the cancellation is stored."""
-        await self._answer(job_id, "cancel", CancelDurableJob(id=job_id))
+        await self._respond_with_reply(job_id, "cancel", CancelDurableJob(id=job_id))
 
-    async def _answer(self, job_id: str, name: str, message: Request) -> None:
+    async def _respond_with_reply(
+        self, job_id: str, name: str, message: Request
+    ) -> None:
         fault = find_id_fault(job_id, job=True)
         if fault is not None:
             self.refuse(400, fault)
@@ -213,8 +215,10 @@
     """
     found = await runtime.ask(runtime.local("directory"), FindLeader(), LOCAL_TIMEOUT)
     members = [found.leader] if found.leader is not None else []
-    own = runtime.settings.id
-    members += sorted(runtime.settings.first_members, key=lambda member: member != own)
+    own_id = runtime.settings.id
+    members += sorted(
+        runtime.settings.first_members, key=lambda member: member != own_id
+    )
     failure = LinkError("the settings name no instance with a disk")
     for member in members:
         try:
--- a/boragetide/api/durable_models.py
+++ b/boragetide/api/durable_models.py
@@ -11,9 +11,9 @@
 from boragetide.settings_file import MAX_TASKS
 from boragetide.types import ClassTarget, Seconds
 
-MILLI = 1000
-MIB = 1 << 20
-LONGEST_SPEC = 4000  # characters
+MILLICORES_PER_CORE = 1000
+BYTES_PER_MIB = 1 << 20
+MAX_SPEC_LENGTH = 4000  # characters
 MAX_STEPS = 64
 LabelField = Annotated[str, Field(max_length=100)]
 
@@ -41,7 +41,7 @@
 
     id: JobIdField
     class_name: Annotated[NameField, Field(alias="class")]
-    spec: Annotated[str, Field(max_length=LONGEST_SPEC)] = ""
+    spec: Annotated[str, Field(max_length=MAX_SPEC_LENGTH)] = ""
     steps: Annotated[list[StepBody], Field(min_length=1, max_length=MAX_STEPS)]
     best_effort: bool = False
 
@@ -105,7 +105,9 @@
 
 
 def _to_resources(cores: float, memory: int, accelerators: int) -> Resources:
-    return Resources(round(cores * MILLI), memory // MIB, accelerators)
+    return Resources(
+        round(cores * MILLICORES_PER_CORE), memory // BYTES_PER_MIB, accelerators
+    )
 
 
 def to_server_report(server_id: str, body: RunServerBody) -> ServerReport:
--- a/boragetide/api/jobs.py
+++ b/boragetide/api/jobs.py
@@ -24,13 +24,13 @@
 
     async def get(self, job_id: str) -> None:
         """Return the state of a job, or 404 if no instance has claimed its id."""
-        await self._ask(LookUpJob(id=job_id))
+        await self._ask_owner(LookUpJob(id=job_id))
 
     async def delete(self, job_id: str) -> None:
         """Cancel a job and return its state."""
-        await self._ask(CancelJob(id=job_id))
+        await self._ask_owner(CancelJob(id=job_id))
 
-    async def _ask(self, message: LookUpJob | CancelJob) -> None:
+    async def _ask_owner(self, message: LookUpJob | CancelJob) -> None:
         fault = find_id_fault(message.id, job=True)
         if fault is not None:
             self.refuse(400, fault)
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -87,7 +87,7 @@
     lease: Annotated[str, Field(max_length=200)] | None = None
 
 
-_MESSAGES_BY_FAULT = {
+_MESSAGES_BY_ERROR_TYPE = {
     "missing": "field is missing",
     "extra_forbidden": "unknown field",
 }
@@ -116,10 +116,10 @@
     message: str
 
 
-def parse_body(kind: type[BodyType], text: bytes) -> Result[BodyType, BodyFault]:
+def parse_body(model: type[BodyType], text: bytes) -> Result[BodyType, BodyFault]:
     """Validate the JSON text of a request body."""
     try:
-        body = kind.model_validate_json(text)
+        body = model.model_validate_json(text)
     except ValidationError as error:
         return Error(_describe_fault(error))
     for name, payload in list_payloads(body) if needs_walk(text) else ():
@@ -133,7 +133,7 @@
     fault = error.errors(include_url=False)[0]
     name = ".".join(str(part) for part in fault["loc"]) or "body"
     status = 413 if fault["type"] == "too_long" else 400
-    message = _MESSAGES_BY_FAULT.get(fault["type"], fault["msg"])
+    message = _MESSAGES_BY_ERROR_TYPE.get(fault["type"], fault["msg"])
     return BodyFault(status, f"{name}: {message}")
 
 
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -22,7 +22,7 @@
 )
 from boragetide.types import InstanceId, Seconds
 
-ACCEPTOR_WAIT: Seconds = 5.0
+MAX_ACCEPTOR_WAIT: Seconds = 5.0
 
 
 async def _ask_local(runtime: Runtime, controller: str, message: Request) -> Any:
@@ -37,7 +37,7 @@
     async def get(self) -> None:
         """Describe this instance and list the live instances with their roles."""
         runtime, settings = self.runtime, self.runtime.settings
-        listed, changed, pool, *chosen = await asyncio.gather(
+        listed, configuration_reply, pool, *chosen = await asyncio.gather(
             _ask_local(runtime, "instances", ListInstances()),
             _ask_local(runtime, "configuration", FetchConfiguration()),
             _ask_local(runtime, "backend_servers", DescribePool()),
@@ -51,7 +51,7 @@
                 "availability_zone": settings.zone,
                 "incarnation": runtime.incarnation,
                 "stopping": runtime.stopping,
-                "configuration_version": changed.configuration.version,
+                "configuration_version": configuration_reply.configuration.version,
                 "known_instances": len(settings.peers_by_id),
                 "instances": _add_roles(listed, placers),
                 "pool": dataclasses.asdict(pool),
@@ -122,18 +122,18 @@
 
         After a start, the instance also becomes ready only when its acceptor is
         complete, because claims of new ids chosen by callers cannot be decided before.
-        This condition is dropped after `ACCEPTOR_WAIT`, because an acceptor whose group
-        has lost another member may need the whole resubmission window.
+        This condition is dropped after `MAX_ACCEPTOR_WAIT`, because an acceptor whose
+        group has lost another member may need the whole resubmission window.
         """
         runtime = self.runtime
-        found, changed, acceptor = await asyncio.gather(
+        placer_reply, configuration_reply, acceptor = await asyncio.gather(
             choose_placer(runtime, runtime.settings.zone),
             _ask_local(runtime, "configuration", FetchConfiguration()),
             _ask_local(runtime, "claims", DescribeAcceptor()),
         )
         uptime = read_clock() - runtime.incarnation / 1000
-        serving = found.placer is not None and changed.in_force
-        claiming = acceptor.complete or uptime > ACCEPTOR_WAIT
+        serving = placer_reply.placer is not None and configuration_reply.in_force
+        claiming = acceptor.complete or uptime > MAX_ACCEPTOR_WAIT
         ready = serving and claiming and not runtime.stopping
         self.respond(200 if ready else 503, {"ready": ready})
 
--- a/boragetide/api/submissions.py
+++ b/boragetide/api/submissions.py
@@ -35,12 +35,12 @@
     def initialize(self, runtime: Runtime, kind: type[SubmissionBody]) -> None:
         """Store the model of the request body and the runtime."""
         super().initialize(runtime)
-        self.kind = kind
+        self.body_model = kind
 
     async def post(self) -> None:
         """Run a submission and send its complete answer in one response."""
         received_at = read_clock()
-        parsed = parse_body(self.kind, self.request.body)
+        parsed = parse_body(self.body_model, self.request.body)
         if parsed.is_error():
             self._refuse_body(parsed.error, received_at)
             return
--- a/boragetide/cli/__main__.py
+++ b/boragetide/cli/__main__.py
@@ -53,14 +53,14 @@
     try:
         return application.run(ArgvInput(["boragetide", *arguments]))
     except CommandLineError as error:
-        _report(str(error), error, "--json" in arguments)
+        _print_error(str(error), error, "--json" in arguments)
         return error.exit_code
     except CleoError as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
 
 
-def _report(message: str, error: CommandLineError, as_json: bool) -> None:
+def _print_error(message: str, error: CommandLineError, as_json: bool) -> None:
     if as_json:
         print(json.dumps({"error": message, **error.body}))
     print(message, file=sys.stderr)
--- a/boragetide/cli/base.py
+++ b/boragetide/cli/base.py
@@ -152,7 +152,7 @@
     message = body.get("error") or f"HTTP status {response.http_status}"
     if response.http_status >= 500 and body.get("status") != "not_run":
         raise CommandLineError(ExitCode.UNKNOWN, f"outcome unknown: {message}", body)
-    if response.earlier_lost:
+    if response.earlier_answer_lost:
         message = f"outcome unknown: an earlier answer was lost, then: {message}"
         raise CommandLineError(ExitCode.UNKNOWN, message, {**body, "status": "unknown"})
     raise CommandLineError(ExitCode.REFUSED, f"refused: {message}", body)
--- a/boragetide/cli/changes.py
+++ b/boragetide/cli/changes.py
@@ -72,8 +72,8 @@
                 raise CommandLineError(ExitCode.REFUSED, message, response.body)
             check_answer(response)
         except CommandLineError as error:
-            again = f"--command-id={command_id} --expected-version={expected}"
-            hint = f"\nresend it with {again}"
+            resend_options = f"--command-id={command_id} --expected-version={expected}"
+            hint = f"\nresend it with {resend_options}"
             text = f"{error}{hint if error.exit_code == ExitCode.UNKNOWN else ''}"
             raise CommandLineError(
                 error.exit_code, text, {**error.body, **sent}
@@ -148,13 +148,13 @@
             message = f"class {name!r} is new: --response-time is missing"
             raise CommandLineError(ExitCode.USAGE, message)
         command = {"kind": "set_class", "name": name, **given}
-        durable = self._complete_durable(known)
+        durable = self._merge_start_policy(known)
         if durable is not None:
             command["durable"] = durable
         self.propose(command, version)
         return ExitCode.DONE
 
-    def _complete_durable(self, known: dict[str, Any]) -> dict[str, Any] | None:
+    def _merge_start_policy(self, known: dict[str, Any]) -> dict[str, Any] | None:
         """Return the start policy of a durable class; omitted options keep their value.
 
         Returns ``None`` if the class is not durable and no option makes it durable.
--- a/boragetide/cli/client.py
+++ b/boragetide/cli/client.py
@@ -22,8 +22,8 @@
 
 # HTTP status codes after which the request is sent to the next server. This is safe
 # because a command id or job id has one outcome, however often it is sent.
-_RETRIED = frozenset({503})
-_CURL_NOT_CONNECTED = frozenset({5, 6, 7})  # curl errors: proxy, host, connect
+_RETRIED_STATUSES = frozenset({503})
+_CURL_CONNECT_ERRORS = frozenset({5, 6, 7})  # curl errors: proxy, host, connect
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,11 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """An answer; ``earlier_lost`` if an earlier attempt may have taken effect."""
+    """The answer to a call.
+
+    Parameters
+    ----------
+    earlier_answer_lost
+        Whether an earlier attempt got no answer and may have taken effect.
+    """
 
     http_status: int
     body: Any
-    earlier_lost: bool = False
+    earlier_answer_lost: bool = False
 
 
 async def send(call: Call, servers: tuple[str, ...]) -> Response:
@@ -68,28 +74,28 @@
     client = make_client()
     deadline = time.monotonic() + call.resend_for
     delays = (RESEND_DELAY * 2**number for number in itertools.count())
-    lost = False
+    answer_lost = False
     for delay in delays:
         refusal: Response | None = None
-        faults: list[str] = []
+        failures: list[str] = []
         for server in servers:
             try:
                 response = await _fetch(client, server, call)
             except LinkError as error:
-                lost = lost or isinstance(error, ReplyTimeout)
-                faults.append(f"{server}: {error}")
+                answer_lost = answer_lost or isinstance(error, ReplyTimeout)
+                failures.append(f"{server}: {error}")
                 continue
-            answer = Response(response.http_status, response.body, lost)
-            if response.http_status not in _RETRIED:
+            answer = Response(response.http_status, response.body, answer_lost)
+            if response.http_status not in _RETRIED_STATUSES:
                 return answer
-            lost = lost or answer.body.get("status") == "unknown"
+            answer_lost = answer_lost or answer.body.get("status") == "unknown"
             refusal = answer
-        if time.monotonic() + delay > deadline or not lost:
+        if time.monotonic() + delay > deadline or not answer_lost:
             break
         await asyncio.sleep(min(delay, MAX_RESEND_DELAY) * random.uniform(0.5, 1.0))
     if refusal is not None:
         return refusal
-    raise (ReplyTimeout if lost else PeerUnreachable)("; ".join(faults))
+    raise (ReplyTimeout if answer_lost else PeerUnreachable)("; ".join(failures))
 
 
 async def _fetch(client: AsyncHTTPClient, server: str, call: Call) -> Response:
@@ -107,7 +113,7 @@
             response.rethrow()
         return Response(response.code, _decode(response.body))
     except HTTPClientError as error:
-        if getattr(error, "errno", None) in _CURL_NOT_CONNECTED:
+        if getattr(error, "errno", None) in _CURL_CONNECT_ERRORS:
             raise PeerUnreachable("connection refused") from error
         raise ReplyTimeout(f"answer lost: {error.message}") from error
     except (OSError, UnicodeError) as error:
--- a/boragetide/cli/jobs.py
+++ b/boragetide/cli/jobs.py
@@ -60,7 +60,7 @@
         if self.option("id"):
             body["id"] = self.option("id")
         if "id" not in body:
-            body["id"] = self._mint_id()
+            body["id"] = self._request_job_id()
         try:
             response = self.call_daemon("POST", "/v1/jobs", body, timeout)
         except CommandLineError as error:
@@ -70,13 +70,13 @@
             ) from error
         answer = response.body
         code = _EXIT_CODES_BY_STATUS.get(answer.get("status"), ExitCode.UNKNOWN)
-        if answer.get("status") == "not_run" and response.earlier_lost:
+        if answer.get("status") == "not_run" and response.earlier_answer_lost:
             # An earlier attempt, whose answer was lost, may have started tasks.
             answer, code = {**answer, "status": "unknown"}, ExitCode.UNKNOWN
         self.emit(answer, _format_answer(answer))
         return code
 
-    def _mint_id(self) -> str:
+    def _request_job_id(self) -> str:
         job_id = self.read_body("POST", "/v1/job-ids", {"count": 1})["ids"][0]
         print(f"job id {job_id}", file=sys.stderr, flush=True)
         return job_id
