--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -69,4 +69,4 @@
 
 
 def _skip_access_log(handler: RequestHandler) -> None:
-    """Suppress the access log, because routing and placement log every request."""
+    """Suppress the access log, because routing and placement log the requests."""
