--- a/boragetide/cli/client.py
+++ b/boragetide/cli/client.py
@@ -35,7 +35,8 @@
     timeout
         Seconds for one attempt.
     resend_for
-        Seconds from the first attempt during which a lost answer leads to another one.
+        Seconds from the first attempt during which the request is sent again if an
+        answer is lost.
     """
 
     method: str
