--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -1,4 +1,4 @@
-"""HTTP handlers towards backend servers, and the list of them for operators."""
+"""HTTP handlers for the announcements and for the list of backend servers."""
 
 from __future__ import annotations
 
@@ -25,16 +25,16 @@
 )
 from boragetide.types import Address, InstanceId, ZoneId
 
-# Leaves time for a second attempt at another instance within the 3 s after which a
-# leaving backend server must be free of new work.
+# Leaves time for a second attempt at another instance within 3 s. After that time, a
+# backend server that is leaving must not receive new tasks.
 FORWARD_TIMEOUT = 1.0  # seconds
 
 
 class BackendServerHandler(Handler):
-    """Takes the announcements of backend servers."""
+    """Accepts announcements of backend servers."""
 
     async def put(self, server_id: str) -> None:
-        """Announce or renew a backend server at the placer of its zone."""
+        """Register a backend server with the placer of its zone or renew its lease."""
         self.runtime.metrics.count("announcements", {})
         parsed = parse_body(BackendServerBody, self.request.body)
         fault = (
@@ -47,44 +47,46 @@
             return
         server = to_backend_server(server_id, parsed.ok)
         message = AnnounceBackendServer(server, parsed.ok.lease)
-        granted = await _announce(self.runtime, message)
+        granted = await _obtain_lease(self.runtime, message)
         self.respond(200, granted)
 
 
-async def _announce(runtime: Runtime, message: AnnounceBackendServer) -> LeaseGranted:
-    """Get a lease here or from the placer of the backend server's zone.
+async def _obtain_lease(
+    runtime: Runtime, message: AnnounceBackendServer
+) -> LeaseGranted:
+    """Return a lease from this instance or from the placer of the zone.
 
     Raises
     ------
     LinkError
-        If no placer granted a lease; the backend server tries another instance.
+        If no placer granted a lease. The backend server then tries another instance.
     """
-    reply = await _ask_here(runtime, message)
+    reply = await _request_lease_locally(runtime, message)
     if isinstance(reply, LeaseRefused):
         try:
-            reply = await _ask_placer(runtime, message)
+            reply = await _request_lease_from_placer(runtime, message)
         except LinkError:
             if not message.server.leaving:
                 raise
     if isinstance(reply, LeaseRefused) and message.server.leaving:
-        # The placer is not reached: under another lease the backend server refuses what
-        # the placer still dispatches.
-        reply = await _ask_here(runtime, replace(message, fence=True))
+        # The placer cannot be reached. With a new lease, the backend server rejects the
+        # tasks that the placer still dispatches under the old one.
+        reply = await _request_lease_locally(runtime, replace(message, fence=True))
     if isinstance(reply, LeaseRefused):
         raise LinkError(reply.reason)
     return reply
 
 
-async def _ask_here(
+async def _request_lease_locally(
     runtime: Runtime, message: AnnounceBackendServer
 ) -> LeaseGranted | LeaseRefused:
     if message.server.zone != runtime.settings.zone:
-        return LeaseRefused(f"zone {message.server.zone!r} has other instances")
+        return LeaseRefused(f"this instance is not in zone {message.server.zone!r}")
     timeout = runtime.settings.timing.request_timeout
     return await runtime.ask(runtime.local("backend_servers"), message, timeout)
 
 
-async def _ask_placer(
+async def _request_lease_from_placer(
     runtime: Runtime, message: AnnounceBackendServer
 ) -> LeaseGranted | LeaseRefused:
     zone = message.server.zone
@@ -102,7 +104,7 @@
 
 
 async def choose_placer(runtime: Runtime, zone: ZoneId) -> PlacerChosen:
-    """Ask for the instance that leases the backend servers of an availability zone.
+    """Find the instance that leases the backend servers of an availability zone.
 
     Raises
     ------
@@ -130,12 +132,12 @@
             *(_list_servers(self.runtime, placer) for placer in placers)
         )
         records = [record for listed in lists for record in listed or ()]
-        silent = [
+        silent_placers = [
             placer
             for placer, listed in zip(placers, lists, strict=True)
             if listed is None
         ]
-        without = [
+        zones_without_placer = [
             zone
             for zone, each in zip(zones, chosen, strict=True)
             if each.placer is None
@@ -144,8 +146,8 @@
             200,
             {
                 "backend_servers": sorted(records, key=lambda record: record["id"]),
-                "silent_placers": silent,
-                "zones_without_placer": without,
+                "silent_placers": silent_placers,
+                "zones_without_placer": zones_without_placer,
             },
         )
 
--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -1,4 +1,4 @@
-"""Answers 413 to bodies above the limit, before they are kept in memory."""
+"""Rejects oversized request bodies with 413 before they are buffered in memory."""
 
 from __future__ import annotations
 
@@ -16,33 +16,34 @@
 
 from boragetide.types import Status
 
-# A client that is still sending when the connection closes may lose the answer, so
-# that a body up to this many times the limit is read and discarded first.
+# A client that is still sending when the connection closes may not receive the
+# response. A body of up to this many times the limit is therefore read and discarded
+# before the response is sent.
 DISCARD_FACTOR = 8
-MAX_DIGITS = 18  # of a declared length; more are above any limit all the same
+MAX_DIGITS = 18  # parsed digits of Content-Length; longer values exceed any limit
 
 
 class BodyLimit(HTTPServerConnectionDelegate):
-    """Passes requests on to ``inner`` unless their body is above ``limit`` bytes."""
+    """Forwards requests to ``inner`` unless their body exceeds ``limit`` bytes."""
 
     def __init__(self, inner: HTTPServerConnectionDelegate, limit: int):
         self._inner = inner
         self._limit = limit
 
     @property
-    def longest_discarded(self) -> int:
-        """Body size, in bytes, up to which the server must read."""
+    def max_read_bytes(self) -> int:
+        """Size in bytes of the largest body that the server must read."""
         return self._limit * DISCARD_FACTOR
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        """Watch one request."""
+        """Create the delegate that limits the body of one request."""
         inner = self._inner.start_request(server_conn, request_conn)
         return _LimitedRequest(inner, request_conn, self._limit)
 
     def on_close(self, server_conn: object) -> None:
-        """Tell the inner delegate that a connection closed."""
+        """Notify the inner delegate that a connection was closed."""
         self._inner.on_close(server_conn)
 
 
@@ -54,7 +55,7 @@
         self._connection = connection
         self._limit = limit
         self._received = 0
-        self._answered = False
+        self._rejected = False
 
     def headers_received(
         self,
@@ -68,7 +69,7 @@
             return self._inner.headers_received(start_line, headers)
         expects = headers.get("Expect", "").lower() == "100-continue"
         if expects or self._received > self._limit * DISCARD_FACTOR:
-            self._answer(unread=True)
+            self._reject(unread=True)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -83,8 +84,8 @@
     def finish(self) -> None:
         if not self._is_too_large():
             self._inner.finish()
-        elif not self._answered:
-            self._answer()
+        elif not self._rejected:
+            self._reject()
 
     def on_connection_close(self) -> None:
         if not self._is_too_large():
@@ -93,8 +94,8 @@
     def _is_too_large(self) -> bool:
         return self._received > self._limit
 
-    def _answer(self, unread: bool = False) -> None:
-        self._answered = True
+    def _reject(self, unread: bool = False) -> None:
+        self._rejected = True
         message = f"body: larger than {self._limit} bytes"
         body = msgspec.json.encode({"status": Status.NOT_RUN, "error": message})
         headers = HTTPHeaders()
--- a/boragetide/cli/__main__.py
+++ b/boragetide/cli/__main__.py
@@ -41,8 +41,9 @@
 def run(arguments: list[str]) -> int:
     """Run one command and return its exit code.
 
-    The codes are 0 for done; 1 for refused, in conflict, or answered as failed; 2 for
-    wrong usage; 3 for an outcome that is not known; 4 where no daemon is reachable.
+    The exit code is 0 for success; 1 if the request is refused, conflicts with another
+    change or is answered as failed; 2 for wrong usage; 3 if the outcome is unknown; 4
+    if no daemon is reachable.
     """
     application = Application("boragetide", __version__)
     application.auto_exits(False)
@@ -52,14 +53,14 @@
     try:
         return application.run(ArgvInput(["boragetide", *arguments]))
     except CommandLineError as error:
-        _report(str(error), error, "--json" in arguments)
+        _print_error(str(error), error, "--json" in arguments)
         return error.exit_code
     except CleoError as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
 
 
-def _report(message: str, error: CommandLineError, as_json: bool) -> None:
+def _print_error(message: str, error: CommandLineError, as_json: bool) -> None:
     if as_json:
         print(json.dumps({"error": message, **error.body}))
     print(message, file=sys.stderr)
