--- a/boragetide/tests/__init__.py
+++ b/boragetide/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests, one module per module."""
+"""Tests of the boragetide package."""
--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -28,24 +28,24 @@
 from boragetide.settings import Settings, load_settings, parse_settings
 from boragetide.tests.relay import Relay, RelayLoop
 
-WAIT_LIMIT = 20.0  # seconds until an awaited event counts as missing
+WAIT_LIMIT = 20.0  # seconds to wait for an event before the test fails
 POLL = 0.05  # seconds
 DAEMON_MODULE = ("boragetide.daemon",)
 
 
-# Ports below the range from which the kernel takes those of outgoing connections, so
-# that a port that was free stays free until the daemon listens on it.
+# Ports below the kernel's ephemeral range, so that no outgoing connection takes a port
+# between the check that it is free and the moment when the daemon listens on it.
 _PORTS = itertools.cycle(range(12_000, 32_000))
 for _ in range(random.SystemRandom().randrange(20_000)):
     next(_PORTS)
-# A port that was probed is free until its daemon listens, so that another test process
-# could choose it as well. Each process holds a lock on the ports that it has chosen.
+# A port stays free until its daemon listens, so another test process could choose the
+# same one. Each test process therefore holds a file lock on the ports it has chosen.
 _PORT_LOCKS = Path(tempfile.gettempdir()) / "boragetide-test-ports"
 _held_locks: list[IO[bytes]] = []
 
 
 def free_port() -> int:
-    """Return a TCP port of the loopback address that no other test process has."""
+    """Return a free loopback TCP port and reserve it for this test process."""
     for port in _PORTS:
         if not _lock_port(port):
             continue
@@ -78,7 +78,7 @@
         if value:
             return value
         time.sleep(POLL)
-    raise AssertionError(f"timed out waiting for {what}")
+    raise AssertionError(f"timed out after {limit} s waiting for {what}")
 
 
 def call(
@@ -124,14 +124,14 @@
             )
 
     def is_up(self) -> bool:
-        """Tell whether the daemon answers."""
+        """Return whether the daemon answers health checks."""
         try:
             return call("GET", f"{self.url}/healthz", timeout=1.0)[0] == 200
         except OSError:
             return False
 
     def is_ready(self) -> bool:
-        """Tell whether the daemon takes requests."""
+        """Return whether the daemon accepts requests."""
         try:
             return call("GET", f"{self.url}/readyz", timeout=5.0)[0] == 200
         except OSError:
@@ -143,20 +143,20 @@
         return self.process.wait(WAIT_LIMIT)
 
     def kill(self) -> None:
-        """Kill the process without warning."""
+        """Kill the process with SIGKILL."""
         self.process.kill()
         self.process.wait(WAIT_LIMIT)
 
     def pause(self) -> None:
-        """Freeze the process."""
+        """Pause the process with SIGSTOP."""
         os.kill(self.process.pid, signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Let a frozen process go on."""
+        """Resume a paused process."""
         os.kill(self.process.pid, signal.SIGCONT)
 
     def status(self) -> dict[str, Any]:
-        """Return the daemon's view of the system."""
+        """Return the status that the daemon reports."""
         return call("GET", f"{self.url}/v1/status")[1]
 
     def metric(self, name: str) -> float:
@@ -193,9 +193,21 @@
         timing: str = "",
         relayed: bool = False,
     ) -> None:
-        """Start one daemon per entry and wait until all see each other.
-
-        With ``relayed``, each link between two of them passes its own relay.
+        """Start one daemon per entry and wait until all of them are ready.
+
+        Ready means that the daemons see each other, accept requests and have registered
+        their acceptors.
+
+        Parameters
+        ----------
+        zones_by_id
+            Availability zone of each instance.
+        disks
+            Ids of the instances that have a disk; by default the first three.
+        timing
+            Lines of the settings section ``[timing]``, and sections that follow it.
+        relayed
+            Whether each link from one daemon to another goes through its own relay.
         """
         ids = tuple(zones_by_id)
         disks = ids[:3] if disks is None else disks
@@ -243,7 +255,7 @@
         return dialed
 
     def relays_across(self, inside: Iterable[str]) -> list[Relay]:
-        """Return the relays between some daemons and all others."""
+        """Return the relays between the daemons in ``inside`` and all others."""
         inside = set(inside)
         return [
             relay
@@ -303,7 +315,7 @@
         return self.pool.submit(self.submit, daemon_id, body)
 
     def close(self) -> None:
-        """End every process that this system started."""
+        """Kill every process that this system started and close the relays."""
         daemons = [d.process for d in self.daemons_by_id.values() if d.process]
         for process in [*daemons, *self.processes]:
             if process.poll() is None:
@@ -351,7 +363,7 @@
 
 @pytest.fixture
 def system(tmp_path: Path) -> Iterator[System]:
-    """Real daemons and backend servers, ended after the test."""
+    """Real daemons and backend servers, killed after the test."""
     made = System(tmp_path)
     yield made
     made.close()
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -28,11 +28,11 @@
 from boragetide.types import DurableStarts, ReplyTo
 
 BEGIN = 1_000_000.0  # Unix time at which the tests begin, in seconds
-BORN = 900_000_000  # Unix milliseconds
+BORN = 900_000_000  # Unix milliseconds at which the backend servers started
 CAPACITY = Resources(64_000, 100_000)
 NEEDS = Resources(27_000, 64)
-PREDECESSOR = 0.4  # seconds for which an earlier leader may give orders
-HEARING = 60.0  # seconds for which the process has run when a test begins
+PREDECESSOR = 0.4  # seconds for which an earlier leader may still give orders
+HEARING = 60.0  # seconds for which the instance has run when a test begins
 
 
 def make_durable_job(
@@ -42,7 +42,7 @@
     best_effort: bool = False,
     submitted_at: float = BEGIN,
 ) -> DurableJob:
-    """Build a job of one step with two tasks, unless steps are given."""
+    """Build a job, by default one of a single step with two tasks."""
     return DurableJob(
         id=job_id,
         class_name="proofs",
@@ -58,7 +58,7 @@
 def make_report(
     server_id: str = "s1", *, sequence: int = 1, born: int = BORN, **fields: Any
 ) -> ServerReport:
-    """Build an announcement of a backend server with room for two tasks."""
+    """Build an announcement of a backend server with capacity for two tasks."""
     return ServerReport(
         id=server_id,
         address=f"{server_id}:80",
@@ -72,7 +72,7 @@
 
 
 class Leader:
-    """A dispatcher that leads, with the effects that it returned last."""
+    """A leading dispatcher that records the effects of the last message."""
 
     def __init__(self, settings: Settings, term: int = 1):
         incarnation = int((BEGIN - HEARING) * 1000)
@@ -91,7 +91,7 @@
         return self.effects
 
     def join(self, server_id: str = "s1", now: float = BEGIN, **fields: Any) -> None:
-        """Announce a backend server, and let it list nothing."""
+        """Announce a backend server and deliver its empty list of runs."""
         report = make_report(server_id, **fields)
         self.handle(ReportServer(report=report, reply_to=ReplyTo("a1", 1)), now)
         self.list_runs(server_id, now=now)
@@ -106,7 +106,7 @@
         sent_at: float | None = None,
         **fields: Any,
     ) -> list[Effect]:
-        """Let a backend server list its runs."""
+        """Deliver a backend server's list of its runs."""
         return self.handle(
             RunsRead(
                 server=server_id,
@@ -127,7 +127,7 @@
         result: OrderResult = OrderResult.DONE,
         now: float = BEGIN,
     ) -> list[Effect]:
-        """Let a backend server answer an order."""
+        """Deliver a backend server's answer to an order."""
         return self.handle(
             RunOrdered(
                 server=order.server,
@@ -144,24 +144,24 @@
         )
 
     def starts(self) -> list[StartRun]:
-        """Return the starts that were ordered last."""
+        """Return the starts that the last message ordered."""
         return [each for each in self.effects if isinstance(each, StartRun)]
 
     def stops(self) -> list[StopRun]:
-        """Return the stops that were ordered last."""
+        """Return the stops that the last message ordered."""
         return [each for each in self.effects if isinstance(each, StopRun)]
 
     def reads(self) -> list[ReadRuns]:
-        """Return the questions that were asked last."""
+        """Return the requests for lists of runs that the last message caused."""
         return [each for each in self.effects if isinstance(each, ReadRuns)]
 
     def replies(self) -> list[Any]:
-        """Return the answers that were given last."""
+        """Return the replies that the last message caused."""
         return [each.message for each in self.effects if isinstance(each, Reply)]
 
 
 def list_run(start: StartRun) -> ListedRun:
-    """Return the run that a start makes, as the backend server lists it."""
+    """Return the run that a start order begins, as the backend server lists it."""
     return ListedRun(start.task, start.run)
 
 
@@ -173,5 +173,5 @@
 
 
 def refer(job_id: str, index: int, step: int = 0) -> TaskRef:
-    """Name a task."""
+    """Build a reference to a task."""
     return TaskRef(job_id, step, index)
--- a/boragetide/tests/features/refusals.feature
+++ b/boragetide/tests/features/refusals.feature
@@ -1,11 +1,11 @@
 Feature: Refusals
-  What is refused with not_run has not run.
+  A job that is refused with not_run has not started any task.
 
   Background:
     Given instances a1 in zone a and b1 in zone b
     And backend server s1 in zone a, known to every instance
 
-  Scenario Outline: Bad input is refused and names the field
+  Scenario Outline: Invalid input is refused with a message that names the field
     When job "job-1" with <field> set to <value> is submitted at b1
     Then it is refused with <code> and a message about <field>
     And no task started
--- a/boragetide/tests/pool_fixtures.py
+++ b/boragetide/tests/pool_fixtures.py
@@ -1,4 +1,4 @@
-"""A placer without backend servers, for what tests or measures the pool."""
+"""Builders for tests and benchmarks of the pool controller."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
     Parameters
     ----------
     settings
-        Those of the embedded default, unless others are given.
+        Settings of the instance; those of the embedded default if omitted.
     jitter
-        Source of randomness; with a fixed seed unless one is given.
+        Source of randomness; a generator with a fixed seed if omitted.
     """
     settings = settings or parse_settings(EMBEDDED_DEFAULT)
     state = BackendServersState(settings, 1, jitter=jitter or random.Random(1))
@@ -32,7 +32,7 @@
 
 
 def describe_server(server_id: str, **fields: Any) -> BackendServer:
-    """Describe a backend server of four slots, unless other fields are given."""
+    """Build a backend server, by default one with four slots in zone ``a``."""
     described = {
         "address": f"http://{server_id}",
         "zone": "a",
--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay between two daemons that can be cut or go silent."""
+"""A TCP relay between two daemons that can close or silence its connections."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
         return asyncio.run_coroutine_threadsafe(work, self.loop).result()
 
     def close(self) -> None:
-        """End the thread once all relays are cut."""
+        """Cancel the remaining tasks and end the thread, once all relays are cut."""
         self.run(self._cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
@@ -39,7 +39,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        # Closed transports release their sockets in the next turns of the loop.
+        # Closed transports release their sockets in the next iterations of the loop.
         for _ in range(LAST_TURNS):
             await asyncio.sleep(0)
 
@@ -75,15 +75,15 @@
         self._loop.run(self._cut())
 
     def heal(self) -> None:
-        """Accept and forward connections; those that went silent are closed."""
+        """Accept and forward connections again, and close the silenced ones."""
         self._loop.run(self._heal())
 
     def silence(
         self, directions: frozenset[str] = DIRECTIONS, *, new: bool = False
     ) -> None:
-        """Swallow everything in some directions and keep the connections open.
+        """Discard all data in some directions and keep the connections open.
 
-        With ``new``, connections that are made later are silent as well.
+        With ``new``, connections that are made later are silenced as well.
         """
         self._loop.run(self._silence(directions, new))
 
--- a/boragetide/tests/test_admission.py
+++ b/boragetide/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Admission by class target and by size."""
+"""Admission by the target of the class and by the size of the tasks."""
 
 from __future__ import annotations
 
@@ -33,20 +33,20 @@
 
 
 def test_busy_share_counts_while_other_classes_wait() -> None:
-    """Guards against promises of slots that belong to other classes."""
+    """Guards against predictions that count slots which belong to other classes."""
     load = replace(IDLE, waiting=100.0, own_waiting=100.0)
     assert refuse(load, 1.0, 0.1) is None
     assert refuse(replace(load, contended=True), 1.0, 0.1)
 
 
 def test_job_too_large_for_its_target_runs_on_an_idle_pool() -> None:
-    """Guards against jobs that could never run."""
+    """Guards against jobs that never run because they exceed the target on any pool."""
     assert refuse(IDLE, 1000.0, 1.0) is None
     assert refuse(replace(IDLE, waiting=50.0), 1000.0, 1.0)
 
 
 def test_margin_follows_the_worst_percent_of_the_responses() -> None:
-    """Guards against predictions of the mean that many admitted jobs exceed."""
+    """Guards against predicting the mean, which many admitted jobs exceed."""
     margin, draw = Margin(), random.Random(1)
     for _ in range(5000):
         observe_response(margin, TARGET, 1.0, 1.0 + draw.uniform(0.0, 1.0))
--- a/boragetide/tests/test_api.py
+++ b/boragetide/tests/test_api.py
@@ -1,4 +1,4 @@
-"""Bad input at every endpoint, and what operators read."""
+"""Invalid input at every endpoint, and the state that operators read."""
 
 from __future__ import annotations
 
@@ -134,7 +134,7 @@
 
 
 def test_chunked_body_above_the_limit_gets_413(daemon: System) -> None:
-    """Guards against a limit that only a declared length meets."""
+    """Guards against a limit that is enforced only for a declared length."""
     address = daemon.daemons_by_id["a1"].url.removeprefix("http://")
     connection = http.client.HTTPConnection(address, timeout=10)
     for _ in range(2):
@@ -147,7 +147,7 @@
 
 
 def test_client_that_asks_first_does_not_send_a_large_body(daemon: System) -> None:
-    """Guards against a transfer whose refusal is already certain."""
+    """Guards against transferring a body that is certain to be refused."""
     host, port = daemon.daemons_by_id["a1"].url.removeprefix("http://").split(":")
     with socket.create_connection((host, int(port)), timeout=10) as connection:
         connection.sendall(
@@ -158,7 +158,7 @@
 
 
 def test_overload_is_not_run_with_retry_after(daemon: System) -> None:
-    """Guards against refused callers that come back at once."""
+    """Guards against refused callers that retry immediately."""
     address = daemon.daemons_by_id["a1"].url.removeprefix("http://")
     connection = http.client.HTTPConnection(address, timeout=10)
     connection.request("POST", "/v1/jobs", json.dumps(make_job("full", tasks=4)))
@@ -183,7 +183,7 @@
 
 
 def test_operators_see_servers_of_all_zones_and_roles(system: System) -> None:
-    """Guards against lists that show only the own zone."""
+    """Guards against lists that show only the daemon's own zone."""
     system.start({"a1": "a", "a2": "a", "b1": "b"})
     system.add_server("s1", "a", slots=4)
     system.add_server("s2", "b")
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -23,7 +23,7 @@
 def run_dispatch(
     serve: Serve | None, tasks: int = 2, timeout: float = 0.2
 ) -> list[TaskReport]:
-    """Dispatch tasks to a stand-in that speaks raw HTTP; ``None`` does not listen."""
+    """Dispatch tasks to a raw HTTP server; with ``None`` nothing listens there."""
 
     async def run() -> list[TaskReport]:
         port = free_port()
@@ -46,7 +46,7 @@
 
 
 def respond(head: bytes, *lines: dict[str, object]) -> Serve:
-    """Read a request and write a response, then close the connection."""
+    """Build a handler that answers one request and closes the connection."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.read(65536)
@@ -65,7 +65,7 @@
 
 
 def test_each_result_line_is_reported_with_its_run_time() -> None:
-    """Guards against results given to another task of the batch."""
+    """Guards against assigning a result to another task of the batch."""
     second = {"id": "j.1", "status": "failed", "error": "out of ink"}
     reports = run_dispatch(respond(HEAD, second, LINE))
     assert statuses(reports) == {
@@ -91,19 +91,19 @@
     "head", [b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 500 Oops\r\n\r\n", HEAD]
 )
 def test_connection_that_ends_early_may_have_run(head: bytes) -> None:
-    """Guards against a second start after a half-received dispatch."""
+    """Guards against a second start after a dispatch that was received in part."""
     assert set(statuses(run_dispatch(respond(head))).values()) == {TaskStatus.UNKNOWN}
 
 
 def test_tasks_after_the_break_of_a_stream_may_have_run() -> None:
-    """Guards against one broken stream changing results that had arrived."""
+    """Guards against a broken stream that changes results that had arrived."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n"
     reports = run_dispatch(respond(head, LINE))
     assert statuses(reports) == {"j.0": TaskStatus.DONE, "j.1": TaskStatus.UNKNOWN}
 
 
 def test_silent_connection_ends_within_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against an unbounded wait for a connection that says nothing."""
+    """Guards against an unbounded wait for a connection that sends nothing."""
     monkeypatch.setattr("boragetide.links.backend_client.RESULT_MARGIN", 0.3)
 
     async def swallow(
@@ -117,7 +117,7 @@
 
 
 def test_lines_for_other_tasks_and_repeated_lines_are_dropped() -> None:
-    """Guards against a result that belongs to another dispatch."""
+    """Guards against reporting a result that belongs to another dispatch."""
     other = {**LINE, "id": "j.7"}
     again = {**LINE, "status": "failed"}
     reports = run_dispatch(respond(HEAD, other, LINE, again), tasks=1)
--- a/boragetide/tests/test_catch_up.py
+++ b/boragetide/tests/test_catch_up.py
@@ -1,4 +1,4 @@
-"""A member that lost its disk, in situations that random schedules hardly reach."""
+"""A member that lost its disk, in situations that randomized tests seldom reach."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 def rejoin(settings: Settings, *others: Replica) -> Replica:
-    """Let ``a1`` come back without its disk and hear the others."""
+    """Restart ``a1`` without its disk and deliver the states of the others."""
     blank = restore_replica(replace(settings, id="a1"), 7, ())
     for other in others:
         state = CatchUpState(other.id, 1, 7, make_snapshot(other))
@@ -53,7 +53,7 @@
 
 
 def test_blank_member_waits_for_enough_others(settings: Settings) -> None:
-    """Guards against a change that only the member not asked still knows."""
+    """Guards against losing a change that only a member not asked still holds."""
     known = restore(replace(settings, id="a2"), term=3, entries=2)
     other = restore(replace(settings, id="a3"), term=4, entries=1)
     assert rejoin(settings, known).role is Role.BLANK
@@ -64,7 +64,7 @@
 def test_rejoined_member_does_not_vote_again_in_a_known_term(
     settings: Settings,
 ) -> None:
-    """Guards against two leaders of one term through a forgotten vote."""
+    """Guards against two leaders of one term because a vote was lost with the disk."""
     others = [restore(replace(settings, id=i), term=5, entries=1) for i in ("a2", "a3")]
     rejoined = rejoin(settings, *others)
     request = RequestVote(5, "a3", 9, 5, preliminary=False, incarnation=1)
@@ -87,7 +87,7 @@
 
 
 def test_acknowledgement_before_the_loss_does_not_count(settings: Settings) -> None:
-    """Guards against a commit that relies on a disk that was lost meanwhile."""
+    """Guards against a commit that counts on a copy that was lost with its disk."""
     settings = make_settings("a2", FIVE)
     leader = restore(settings, term=5, entries=0)
     become_leader(leader, NOW)
@@ -104,7 +104,7 @@
 
 
 def test_vote_before_the_loss_does_not_count(settings: Settings) -> None:
-    """Guards against a leader that is elected by a forgotten vote."""
+    """Guards against a leader that is elected by a vote that its voter lost."""
     settings = make_settings("a2", FIVE)
     candidate = restore(settings, term=5, entries=0)
     candidate.election_at = 0.0
@@ -119,7 +119,7 @@
 
 
 def test_promise_is_synced_before_the_state_is_sent(settings: Settings) -> None:
-    """Guards against a fence that a crash forgets."""
+    """Guards against a fence that is lost in a crash."""
     member = restore(settings, term=5, entries=1)
     effects = step(RequestCatchUp("a2", 9), member, NOW)
     assert [type(effect) for effect in effects] == [Persist, Send]
@@ -128,7 +128,7 @@
 
 
 def test_first_members_found_the_group(settings: Settings) -> None:
-    """Guards against a new system that waits forever, or forms twice."""
+    """Guards against a new system that never forms a group, or forms two."""
     first = restore_replica(settings, 1, ())
     catch_up.check_catch_up(first, NOW)
     step(CatchUpState("a2", 1, 1, None), first, NOW)
@@ -139,7 +139,7 @@
 
 
 def test_rejoining_member_does_not_disturb_the_leader(settings: Settings) -> None:
-    """Guards against elections that an isolated member forces when it comes back."""
+    """Guards against elections that an isolated member forces when it reconnects."""
     member = restore(settings, term=5, entries=1)
     member.leader_heard_at = NOW
     request = RequestVote(6, "a3", 9, 5, preliminary=True, incarnation=1)
--- a/boragetide/tests/test_claims.py
+++ b/boragetide/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Rules of acceptors and owners that random schedules seldom reach."""
+"""Rules of acceptors and owners that randomized tests seldom reach."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 @pytest.fixture
 def acceptor(settings: Settings) -> claims.ClaimsState:
-    """Acceptor ``a1`` that started now and has never been one before."""
+    """Acceptor ``a1`` that has just registered for the first time."""
     state = claims.ClaimsState(settings, int(START * 1000))
     claims.handle(AcceptorRegistered(first=True), state, START)
     return state
@@ -44,19 +44,19 @@
 
 @pytest.fixture
 def restarted(settings: Settings) -> claims.ClaimsState:
-    """Acceptor ``a1`` that has just lost its memory."""
+    """Acceptor ``a1`` that has just restarted without its claims."""
     return claims.ClaimsState(settings, int(START * 1000))
 
 
 def request(state: claims.ClaimsState, claim: Claim, now: float, **options: Any) -> str:
-    """Return the status of an acceptor's reply."""
+    """Request a claim and return the status of the acceptor's reply."""
     asked = ClaimRequest(claim=claim, asked_at=options.get("asked_at", now))
     (effect,) = claims.handle(asked, state, now)
     return effect.message.status
 
 
 def test_grant_from_before_a_restart_is_not_counted() -> None:
-    """Guards against a quorum with a vote that its acceptor has forgotten."""
+    """Guards against a quorum with a grant that its acceptor lost in a restart."""
     replies = {"a1": ClaimReply(ClaimStatus.GRANTED, CLAIM, 1)}
     replies["a2"] = ClaimReply(ClaimStatus.GRANTED, CLAIM, 1, {"a1": 2})
     assert decide_claim(CLAIM, GROUP, replies) == AskAcceptor("a3", CLAIM)
@@ -67,7 +67,7 @@
 def test_planned_stop_grants_nothing_after_the_claims_are_written(
     acceptor: claims.ClaimsState, restarted: claims.ClaimsState
 ) -> None:
-    """Guards against grants that the next start does not find on disk."""
+    """Guards against grants that are not on disk at the next start."""
     assert request(acceptor, CLAIM, START) == "granted"
     claims.handle(FetchClaims("a", "a2", 7), acceptor, START)
     saved, _ = claims.handle(SaveClaims(reply_to=TO), acceptor, START)
@@ -84,7 +84,7 @@
 def test_claim_outlives_every_request_of_the_window(
     acceptor: claims.ClaimsState,
 ) -> None:
-    """Guards against clocks that differ and requests that come late."""
+    """Guards against two grants for one id because of clock skew or late requests."""
     late = Claim("a:x", "a2", 1, START + WINDOW)
     assert request(acceptor, CLAIM, START) == "granted"
     assert request(acceptor, late, START + WINDOW + 19) == "held"
@@ -96,7 +96,7 @@
 def test_restarted_acceptor_grants_when_all_old_claims_have_expired(
     restarted: claims.ClaimsState,
 ) -> None:
-    """Guards against an acceptor that is complete too early, or never."""
+    """Guards against an acceptor that becomes complete too early, or never."""
     for age, status in ((WINDOW + 24, "incomplete"), (WINDOW + 26, "granted")):
         now = START + age
         claims.handle(Tick(), restarted, now)
@@ -106,7 +106,7 @@
 def test_restarted_acceptor_grants_ids_minted_after_its_start(
     restarted: claims.ClaimsState,
 ) -> None:
-    """Guards against a zone that settles nothing until its acceptors are complete."""
+    """Guards against a zone that decides no claims until its acceptors are complete."""
     now = START + 20
     for minted_at, status in ((START + 4, "incomplete"), (START + 6, "granted")):
         job_id = mint_id(restarted.settings, minted_at, 1)
@@ -117,14 +117,14 @@
 def test_minted_ids_from_another_time_are_not_granted(
     acceptor: claims.ClaimsState, age: float
 ) -> None:
-    """Guards against a second run of an old id, and against ids set in the future."""
+    """Guards against a second run of an old id, and against ids of a future time."""
     now = START + WINDOW
     job_id = mint_id(acceptor.settings, now - age, 1)
     assert request(acceptor, Claim(job_id, "a1", 1, now), now) == "incomplete"
 
 
 def test_owner_starts_a_job_only_with_a_quorum(acceptor: claims.ClaimsState) -> None:
-    """Guards against jobs that run with one grant of three."""
+    """Guards against jobs that run with only one grant of three."""
     other = ClaimReply(ClaimStatus.HELD, Claim("a:x", "a3", 1, START), 1)
     for reply, kind in ((other, Reply), (ClaimReply(ClaimStatus.HELD, CLAIM, 1), Send)):
         message = ClaimAndSubmit(
@@ -141,7 +141,7 @@
 def test_owner_takes_no_claim_and_runs_no_job_beyond_the_window(
     settings: Settings,
 ) -> None:
-    """Guards against starts that overlap those of the next owner of the id."""
+    """Guards against task starts that overlap with those of the id's next owner."""
     submit = SubmitJob(submission=JOB, claim=CLAIM, reply_to=TO)
     state = jobs.JobsState(settings, CLAIM.owner_incarnation)
     (refused,) = jobs.handle(submit, state, START + WINDOW)
--- a/boragetide/tests/test_claims_processes.py
+++ b/boragetide/tests/test_claims_processes.py
@@ -1,4 +1,4 @@
-"""Claims through real processes that are killed, restarted and frozen."""
+"""Claims with real processes that are killed, restarted and paused."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def start_zone(system: System, *, slots: int = 8) -> None:
-    """Start three instances of one zone; ``a1`` runs longest and places."""
+    """Start three instances of one zone; ``a1`` starts first and is the placer."""
     system.start(ZONE)
     system.add_server("s1", "a", slots=slots)
 
@@ -21,7 +21,7 @@
 
 
 def lose_placer(system: System, lose: Callable[[], None]) -> None:
-    """Kill or freeze ``a1`` and wait until another instance places in its stead."""
+    """Kill or pause ``a1`` and wait until another instance is the placer."""
     others = [system.daemons_by_id["a2"], system.daemons_by_id["a3"]]
     known = [len(daemon.log_lines("backend_server_joined")) for daemon in others]
     lose()
@@ -40,7 +40,7 @@
 
 
 def test_job_of_a_killed_owner_is_never_run_again(system: System) -> None:
-    """Guards against a new placer that takes over jobs that may have run."""
+    """Guards against a new placer that runs jobs of its predecessor a second time."""
     start_zone(system)
     job = make_job("job-1", work=5.0)
     running = system.submit_later("a2", job)
@@ -56,7 +56,7 @@
 def test_resubmission_gets_the_answer_that_a_killed_entry_missed(
     system: System,
 ) -> None:
-    """Guards against answers that are lost with the instance that took the job."""
+    """Guards against answers that are lost with the instance that accepted the job."""
     start_zone(system)
     job = make_job("job-1", work=0.5)
     system.submit_later("a2", job)
@@ -70,7 +70,7 @@
 def test_restarted_acceptor_and_the_loss_of_another_start_nothing_again(
     system: System,
 ) -> None:
-    """Guards against an acceptor that grants what it granted before its restart."""
+    """Guards against an acceptor that grants an id again after its restart."""
     start_zone(system)
     job = make_job("job-1")
     assert system.submit("a2", job)[1]["status"] == "complete"
@@ -90,7 +90,7 @@
 
 
 def test_owner_that_was_frozen_starts_no_further_task(system: System) -> None:
-    """Guards against an owner that goes on with jobs that others gave up."""
+    """Guards against an owner that continues jobs that were reported as unknown."""
     start_zone(system, slots=2)
     job = make_job("job-1", work=3.0)
     running = system.submit_later("a2", job)
@@ -108,7 +108,7 @@
 
 
 def test_single_daemon_keeps_its_claims_on_disk(system: System) -> None:
-    """Guards against a restart of the only instance that forgets what has run."""
+    """Guards against running jobs again after a restart of the only instance."""
     system.start({"a1": "a"})
     system.add_server("s1", "a")
     job = make_job("job-1")
@@ -137,7 +137,7 @@
 
 
 def test_id_with_other_payloads_is_refused(system: System) -> None:
-    """Guards against answers of one job that are given to another."""
+    """Guards against returning the answer of one job to another job of the same id."""
     start_zone(system)
     first = system.submit("a2", make_job("job-1"))
     code, answer = system.submit("a3", make_job("job-1", tasks=5))
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -26,7 +26,7 @@
     wait_for,
 )
 
-LOST = object()  # closes the connection without an answer
+LOST = object()  # scripted answer: close the connection without a response
 CONFIGURATION = {
     "version": 7,
     "classes": [{"name": "default", "response_time": 10.0, "busy_share": 1.0}],
@@ -36,18 +36,21 @@
 
 @dataclass
 class Script:
-    """A daemon that answers by script and keeps what it was sent."""
+    """A daemon that answers from a script and records the requests."""
 
     url: str = ""
     answers_by_request: dict[str, list[Any]] = field(default_factory=dict)
     requests: list[tuple[str, Any]] = field(default_factory=list)
 
     def add(self, request: str, *answers: Any) -> None:
-        """Answer a request, the last answer repeatedly; ``(status, body)`` or LOST."""
+        """Set the answers to a request, of which the last one is repeated.
+
+        Each answer is ``(status, body)`` or `LOST`.
+        """
         self.answers_by_request[request] = list(answers)
 
     def bodies(self, request: str) -> list[Any]:
-        """Return the bodies that were sent with a request."""
+        """Return the bodies of all requests of this method and path."""
         return [body for name, body in self.requests if name == request]
 
 
@@ -72,7 +75,7 @@
 
 @pytest.fixture
 def script() -> Iterator[Script]:
-    """A scripted daemon in a thread of its own."""
+    """A scripted daemon that runs in its own thread."""
     made = Script()
     made.add("GET /v1/configuration", (200, CONFIGURATION))
     loop = asyncio.new_event_loop()
@@ -102,7 +105,7 @@
 def test_change_reads_the_version_and_prints_its_command_id(
     script: Script, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    """Guards against changes that cannot be resent, and against lost values."""
+    """Guards against changes that cannot be resent, or that reset values not given."""
     script.add(PROPOSE, (200, {"status": "accepted", "version": 8}))
     arguments = ["class", "set", "default", "--busy-share=25%", "--json"]
     assert run([*arguments, f"--server={script.url}"]) == 0
@@ -121,7 +124,7 @@
 def test_lost_answer_leads_to_the_same_command_again(
     script: Script, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    """Guards against a second change after an answer that was lost."""
+    """Guards against applying a change twice because its first answer was lost."""
     unknown = (503, {"status": "unknown", "error": "no leader"})
     accepted = (200, {"status": "accepted", "version": 8})
     script.add(PROPOSE, LOST, unknown, accepted)
@@ -148,7 +151,7 @@
     code: int,
     text: str,
 ) -> None:
-    """Guards against scripts that take an unknown outcome for a refusal."""
+    """Guards against scripts that mistake an unknown outcome for a refusal."""
     script.add(PROPOSE, answer)
     arguments = ["backend-server", "return", "s1", "--command-id=c1"]
     arguments += ["--expected-version=5", "--resend-for=300ms", "--json"]
@@ -178,7 +181,7 @@
     capsys: pytest.CaptureFixture[str],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a client that needs one certain daemon."""
+    """Guards against a client that depends on one particular daemon."""
     closed = f"http://127.0.0.1:{free_port()}"
     monkeypatch.setenv(SERVER_VARIABLE, f"{closed}, {script.url}")
     assert run(["config", "show"]) == 0
@@ -190,7 +193,7 @@
 def test_job_without_an_id_gets_one(
     script: Script, capsys: pytest.CaptureFixture[str], tmp_path: Path
 ) -> None:
-    """Guards against jobs that cannot be submitted again."""
+    """Guards against jobs that cannot be resubmitted because they have no id."""
     job = tmp_path / "job.json"
     job.write_text('{"class": "default", "tasks": [{"payload": 1}]}')
     script.add("POST /v1/job-ids", (200, {"ids": ["a:a1:1:1"]}))
@@ -206,7 +209,7 @@
 def test_jobs_and_history_are_shown(
     script: Script, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    """Guards against ids that change on their way into a path."""
+    """Guards against job ids that are not escaped in URL paths."""
     ended = {"id": "a/b", "status": "failed", "error": "cancelled"}
     state = {"id": "a/b", "state": "ended", "answer": ended}
     script.add("DELETE /v1/jobs/a%2Fb", (200, state))
@@ -248,7 +251,7 @@
 
 @pytest.mark.parametrize("name", [command.name for command in COMMANDS])
 def test_help_shows_an_example(capsys: pytest.CaptureFixture[str], name: str) -> None:
-    """Guards against commands that operators must read the code for."""
+    """Guards against commands whose help does not show how to use them."""
     assert run([*name.split(), "--help"]) == 0
     printed = capsys.readouterr().out
     assert f"Example: boragetide {name}" in printed
@@ -258,7 +261,7 @@
 def test_real_daemon_is_shown_and_runs_a_job(
     system: System, capsys: pytest.CaptureFixture[str], tmp_path: Path
 ) -> None:
-    """Guards against bodies that only the scripted daemon understands."""
+    """Guards against request bodies that only the scripted daemon accepts."""
     system.start({"a1": "a", "a2": "a"})
     system.add_server("s1", "a", speed=4.0)
     servers = [f"--server={d.url}" for d in system.daemons_by_id.values()]
@@ -307,6 +310,6 @@
 
 
 def knows_drained(daemon: Daemon, server_id: str) -> bool:
-    """Tell whether the configuration in force at a daemon drains a server."""
+    """Return whether the configuration in force at a daemon drains a server."""
     configuration = call("GET", f"{daemon.url}/v1/configuration")[1]
     return server_id in configuration["drained"]
--- a/boragetide/tests/test_configuration_processes.py
+++ b/boragetide/tests/test_configuration_processes.py
@@ -1,4 +1,4 @@
-"""The configuration through real daemons, with kills, pauses and lost folders."""
+"""The configuration of real daemons that are killed, paused or lose their data."""
 
 from __future__ import annotations
 
@@ -11,13 +11,13 @@
 from boragetide.tests.conftest import WAIT_LIMIT, System, call, wait_for
 
 ZONES = {"a1": "a", "a2": "a", "a3": "a"}
-IN_FORCE_EVERYWHERE = 5.0  # seconds, promise 8
+IN_FORCE_EVERYWHERE = 5.0  # seconds until all instances use an accepted change
 
 
 def change(
     system: System, daemon: str, command_id: str, version: int, **command: Any
 ) -> tuple[int, Any]:
-    """Send a command that sets the class ``batch``, or the one given."""
+    """Propose the given command, or one that sets the class ``batch`` if omitted."""
     target = {"kind": "set_class", "name": "batch", "response_time": 2.0}
     body = {
         "command_id": command_id,
@@ -72,7 +72,7 @@
 
 
 def test_single_instance_is_ready_within_seconds(system: System) -> None:
-    """Guards against a sole disk that waits for others."""
+    """Guards against a single instance that waits for other members."""
     system.start({"a1": "a"})
     wait_for(lambda: is_ready(system, "a1"), "a1 to be ready", 1.0)
     assert change(system, "a1", "c1", 0) == (200, {"status": "accepted", "version": 1})
@@ -97,7 +97,7 @@
 
 
 def test_racing_operators_and_a_resent_command(system: System) -> None:
-    """Guards against two winners of a version, and a command that counts twice."""
+    """Guards against two accepted commands for one version, and applying one twice."""
     start(system)
     racing = [
         system.pool.submit(change, system, daemon, f"c-{daemon}", 0) for daemon in ZONES
@@ -113,7 +113,7 @@
 
 
 def test_invalid_commands_are_named(system: System) -> None:
-    """Guards against commands that change the configuration by mistake."""
+    """Guards against invalid commands that change the configuration."""
     start(system, {"a1": "a"})
     code, body = change(
         system, "a1", "c1", 0, kind="set_class", name="x", response_time=1, busy_share=2
@@ -124,7 +124,7 @@
 
 
 def test_killed_leader_loses_no_accepted_change(system: System) -> None:
-    """Guards against accepted changes that only the leader had."""
+    """Guards against losing accepted changes that only the leader had."""
     leader = start(system)
     others = [daemon for daemon in ZONES if daemon != leader]
     accepted: dict[int, str] = {}
@@ -155,7 +155,7 @@
 
 @pytest.mark.parametrize("damage", ["lost", "corrupt"])
 def test_lost_disk_followed_by_a_second_loss(system: System, damage: str) -> None:
-    """Guards against a member that forgot changes and then decides about them."""
+    """Guards against a member that lost changes and then takes part in decisions."""
     leader = start(system)
     lost, second = leader, next(daemon for daemon in ZONES if daemon != leader)
     for version in range(5):
@@ -186,7 +186,7 @@
 
 
 def test_restart_after_a_thousand_changes(system: System) -> None:
-    """Guards against a restart that replays everything or reverts."""
+    """Guards against a restart that replays all changes, or reverts some."""
     start(system, {"a1": "a"})
     for version in range(1_000):
         assert change(system, "a1", f"c{version}", version)[0] == 200
@@ -204,7 +204,7 @@
 
 
 def test_minority_refuses_changes_and_serves(system: System) -> None:
-    """Guards against a change that a minority accepts, and one lost afterwards."""
+    """Guards against a change that a minority accepts, or one that is lost later."""
     leader = start(system)
     assert change(system, leader, "c0", 0)[0] == 200
     paused = [daemon for daemon in ZONES if daemon != leader]
--- a/boragetide/tests/test_directory.py
+++ b/boragetide/tests/test_directory.py
@@ -1,4 +1,4 @@
-"""What an instance without a log believes of the leader and the configuration."""
+"""What an instance without a log knows about the leader and the configuration."""
 
 from __future__ import annotations
 
@@ -46,14 +46,14 @@
 
 
 def test_configuration_never_goes_back(state: DirectoryState) -> None:
-    """Guards against a late notice with an older configuration."""
+    """Guards against applying an older configuration from a late notice."""
     notify(state, "a1", 1, "a1", Configuration(version=5))
     notify(state, "a1", 1, "a1", Configuration(version=4))
     assert state.configuration.version == 5
 
 
 def test_ready_only_while_the_leader_itself_is_heard(state: DirectoryState) -> None:
-    """Guards against an instance in rotation that can serve nothing."""
+    """Guards against reporting an instance as ready that cannot serve requests."""
     notify(state, "a1", 1, "a1")
     assert find(state) == ("a1", False)
     notify(state, "a1", 1, "a1", Configuration(version=1))
@@ -63,7 +63,7 @@
 
 
 def test_silent_contact_is_dialled_anew(state: DirectoryState) -> None:
-    """Guards against a connection that went silent for good."""
+    """Guards against keeping a connection that stays silent."""
     directory.handle(Tick(), state, BEGIN)
     for contact in ("a1", "a2"):
         notify(state, contact, 1, "a1", now=BEGIN + 2.0)
@@ -82,7 +82,7 @@
 def test_instance_that_follows_on_demand_asks_nothing_while_idle(
     settings: Settings,
 ) -> None:
-    """Guards against control messages of an instance without durable jobs."""
+    """Guards against needless control messages of an instance without durable jobs."""
     state = directory.make_state(settings)
     assert directory.handle(Tick(), state, BEGIN) == []
     assert find(state) == (None, False)
--- a/boragetide/tests/test_dispatch_load.py
+++ b/boragetide/tests/test_dispatch_load.py
@@ -1,4 +1,4 @@
-"""What callers get when the load of a site comes in bursts, on a virtual clock."""
+"""Value of the jobs done in time under bursts of load, on a virtual clock."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 def earn(outcomes: dict[str, Outcome]) -> float:
-    """Return the share of the worth that was earned."""
+    """Return the earned share of the total value of all jobs."""
     owed = sum(outcome.owed for outcome in outcomes.values())
     return sum(outcome.earned for outcome in outcomes.values()) / owed
 
@@ -39,7 +39,7 @@
 
 
 def test_burst_is_served_nearly_as_well_as_can_be() -> None:
-    """Guards against an order that wastes the room of a burst of 1.8 times."""
+    """Guards against an order of jobs that wastes capacity in a burst of 1.8 times."""
     load = LOADS_BY_NAME["burst of 1.8"]
     _, jobs, earned = play(load)
     ideal = earn(BaselineRun(load, jobs, SEED, true_worth).run())
@@ -47,7 +47,7 @@
 
 
 def test_overload_is_served_better_than_first_come_first_served() -> None:
-    """Guards against jobs that are all late because none is passed over."""
+    """Guards against overload in which all jobs are late because none is skipped."""
     load = LOADS_BY_NAME["overload of 3"]
     _, jobs, earned = play(load)
     baseline = earn(BaselineRun(load, jobs, SEED, first_come).run())
@@ -56,7 +56,7 @@
 
 @pytest.mark.parametrize("name", ["burst of 1.8", "overload of 3"])
 def test_large_jobs_are_served_too(name: str) -> None:
-    """Guards against large jobs that pay for the small ones of their class."""
+    """Guards against starving large jobs in favour of the small ones of their class."""
     run, jobs, _ = play(LOADS_BY_NAME[name])
     for kind in KINDS:
         of_kind = [traced for traced in jobs if traced.kind is kind]
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -57,7 +57,7 @@
 
 @pytest.fixture
 def leader(settings: Settings) -> Leader:
-    """A leader with one backend server that has room for two tasks."""
+    """A leader with one backend server that has capacity for two tasks."""
     made = Leader(settings)
     made.lead()
     made.join()
@@ -80,7 +80,7 @@
 
 
 def commit(leader: Leader, message: AppendCommands, now: float = BEGIN) -> None:
-    """Apply commands as the log does, and tell the dispatcher."""
+    """Apply commands as the replicated log does and notify the dispatcher."""
     records = leader.state.records_by_id.copy()
     changed = set()
     for command in message.commands_by_id.values():
@@ -95,7 +95,7 @@
 def test_best_effort_job_starts_at_once_and_is_answered_at_its_end(
     leader: Leader,
 ) -> None:
-    """Guards against an answer before the end, and a wait for the log."""
+    """Guards against an answer before the job ended, and a wait for the log."""
     submit(leader)
     first, second = leader.starts()
     assert leader.replies() == []
@@ -109,7 +109,7 @@
 
 
 def test_capacity_is_never_exceeded(leader: Leader) -> None:
-    """Guards against a third task of 27 cores on a backend server of 64."""
+    """Guards against a third task of 27 cores on a backend server with 64 cores."""
     submit(leader, job_id="j1")
     submit(leader, job_id="j2")
     assert leader.starts() == []
@@ -117,7 +117,7 @@
 
 
 def test_end_of_a_run_gives_its_room_to_the_next_task(leader: Leader) -> None:
-    """Guards against capacity that stays idle until the next tick."""
+    """Guards against freed capacity that stays idle until the next tick."""
     submit(leader, job_id="j1")
     first, second = leader.starts()
     submit(leader, job_id="j2")
@@ -128,7 +128,7 @@
 
 
 def test_failed_attempts_end_the_job_as_failed(leader: Leader) -> None:
-    """Guards against attempts without end, and against a lost count of them."""
+    """Guards against unlimited attempts because failed runs are not counted."""
     submit(leader, attempts=2)
     first, second = leader.starts()
     leader.answer(first)
@@ -148,7 +148,7 @@
 def test_unanswered_start_occupies_its_task_until_the_server_tells(
     leader: Leader,
 ) -> None:
-    """Guards against two runs of one task when an order is carried out late."""
+    """Guards against two runs of one task when a server carries out a start late."""
     leader.join("s2")
     submit(leader)
     first, second = leader.starts()
@@ -165,7 +165,7 @@
 
 
 def test_silent_server_is_used_again_after_its_runs_lapsed(leader: Leader) -> None:
-    """Guards against a backend server that stays out of use after one lost answer."""
+    """Guards against a backend server that stays unused after a lost answer."""
     submit(leader)
     for start in leader.starts():
         leader.answer(start)
@@ -181,14 +181,14 @@
 
 
 def lose_start(leader: Leader, start: StartRun) -> None:
-    """Leave a start and its repetition without an answer."""
+    """Lose the answers to a start and to its repetition."""
     leader.answer(start, OrderResult.UNANSWERED)
     (repeated,) = leader.starts()
     leader.answer(repeated, OrderResult.UNANSWERED)
 
 
 def test_unanswered_start_is_repeated_with_the_same_number(leader: Leader) -> None:
-    """Guards against work that is stopped because one answer was lost."""
+    """Guards against stopping a run because the answer to its start was lost."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(second)
@@ -206,7 +206,7 @@
 
 
 def test_repeated_start_of_a_run_that_ended_waits_for_its_end(leader: Leader) -> None:
-    """Guards against a second run of a task whose end is not listed yet."""
+    """Guards against a second run of a task that ended, before its end is listed."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(second)
@@ -221,7 +221,7 @@
 
 
 def test_refused_repetition_of_a_start_is_stopped_first(leader: Leader) -> None:
-    """Guards against two runs: the first order may still be carried out."""
+    """Guards against two runs of a task: the first start may still be carried out."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(second)
@@ -232,7 +232,7 @@
 
 
 def test_unanswered_start_that_is_listed_goes_on(leader: Leader) -> None:
-    """Guards against a stop of a run that works, because its answer was lost."""
+    """Guards against stopping a listed run because the answer to its start was lost."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(second)
@@ -242,7 +242,7 @@
 
 
 def test_restart_of_a_server_keeps_an_end_that_is_on_its_way(leader: Leader) -> None:
-    """Guards against a task that starts again after it was done."""
+    """Guards against a second run of a task whose end is still being committed."""
     job = make_durable_job()
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
     commit(leader, appended(leader))
@@ -260,7 +260,7 @@
 
 
 def test_end_of_an_earlier_leaders_run_leaves_nothing_behind(leader: Leader) -> None:
-    """Guards against a failure when that backend server restarts later."""
+    """Guards against a leftover entry that fails when the server restarts later."""
     submit(leader, submitted_at=BEGIN)
     first, second = leader.starts()
     leader.answer(first, OrderResult.NO_ROOM)
@@ -270,7 +270,7 @@
 
 
 def test_ends_that_come_in_parts_are_all_acknowledged(leader: Leader) -> None:
-    """Guards against a list of ends that never grows shorter."""
+    """Guards against a backend server whose list of ends never becomes shorter."""
     tasks = [ListedEnd(n, refer(f"x{n}", 0), 1, EndReason.DONE) for n in range(1, 601)]
     leader.list_runs(ended=tuple(tasks[:500]), now=BEGIN + 0.1)
     (question,) = leader.reads()
@@ -281,7 +281,7 @@
 
 
 def test_takeover_ends_with_the_leadership(settings: Settings) -> None:
-    """Guards against a takeover that an instance reports after it lost the lead."""
+    """Guards against an instance that completes a takeover after losing leadership."""
     leader = Leader(settings, term=2)
     leader.lead()
     leader.handle(ReportServer(report=make_report(), reply_to=CALLER))
@@ -292,7 +292,7 @@
 
 
 def test_late_failure_of_an_old_run_leaves_the_new_one_alone(leader: Leader) -> None:
-    """Guards against a second run beside one that is at work."""
+    """Guards against a second run of a task while another one is in progress."""
     submit(leader, attempts=4)
     first, second = leader.starts()
     leader.answer(second)
@@ -307,7 +307,7 @@
 
 
 def test_job_that_arrives_too_late_is_refused_at_once(leader: Leader) -> None:
-    """Guards against an overloaded leader that starts what is of no use any more."""
+    """Guards against an overloaded leader that starts jobs that have expired."""
     job = make_durable_job(best_effort=True, submitted_at=BEGIN)
     now = expires_at(job) + 0.1
     age = now - job.submitted_at
@@ -319,7 +319,7 @@
 
 
 def test_late_job_that_an_earlier_leader_started_goes_on(settings: Settings) -> None:
-    """Guards against a refusal of a job of which a task runs."""
+    """Guards against refusing an expired job while one of its tasks is running."""
     leader = Leader(settings, term=2)
     leader.lead()
     job = make_durable_job(best_effort=True, submitted_at=BEGIN)
@@ -337,7 +337,7 @@
 def test_clock_of_the_submitting_instance_may_be_seconds_off(
     leader: Leader, ahead: float
 ) -> None:
-    """Guards against jobs that seem too late because a clock was set."""
+    """Guards against jobs that seem too late because an instance's clock is off."""
     job = make_durable_job(best_effort=True, submitted_at=BEGIN + ahead)
     leader.handle(SubmitDurableJob(job=job, age=0.25, reply_to=CALLER), BEGIN)
     assert len(leader.starts()) == 2
@@ -345,7 +345,7 @@
 
 
 def test_time_in_the_mailbox_counts_as_age(leader: Leader) -> None:
-    """Guards against an overloaded leader that starts what waited for itself."""
+    """Guards against an overloaded leader that ignores the wait in its own mailbox."""
     job = make_durable_job(best_effort=True, submitted_at=BEGIN)
     submission = SubmitDurableJob(job=job, reply_to=CALLER)
     arrived = note_arrival(submission, BEGIN)
@@ -355,7 +355,7 @@
 
 
 def test_unanswered_stop_is_ordered_again(leader: Leader) -> None:
-    """Guards against a task that waits for ever after a start and a stop were lost."""
+    """Guards against a task that waits forever after a start and a stop were lost."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(second)
@@ -377,7 +377,7 @@
 def test_silent_server_keeps_its_tasks_until_their_leases_lapse(
     leader: Leader,
 ) -> None:
-    """Guards against two runs of one task while a backend server is cut off."""
+    """Guards against two runs of one task while a backend server is unreachable."""
     submit(leader)
     starts = leader.starts()
     for start in starts:
@@ -392,7 +392,7 @@
 
 
 def test_silent_server_is_asked_without_a_new_lease(leader: Leader) -> None:
-    """Guards against a lease that never lapses because questions extend it."""
+    """Guards against a lease that never lapses because requests for lists extend it."""
     submit(leader)
     for start in leader.starts():
         leader.answer(start)
@@ -404,7 +404,7 @@
 
 
 def test_lost_answer_is_asked_for_again_at_once(leader: Leader) -> None:
-    """Guards against ends that wait because one answer of a server was lost."""
+    """Guards against a late read of ends because one answer of a server was lost."""
     submit(leader)
     for start in leader.starts():
         leader.answer(start)
@@ -417,7 +417,7 @@
 
 
 def test_restarted_server_frees_its_tasks_at_once(leader: Leader) -> None:
-    """Guards against waiting for a run of a life that is over."""
+    """Guards against waiting for runs of a backend server's earlier process."""
     submit(leader)
     for start in leader.starts():
         leader.answer(start)
@@ -431,7 +431,7 @@
 def test_new_life_may_have_carried_out_an_order_before_it_was_heard_of(
     leader: Leader, result: OrderResult
 ) -> None:
-    """Guards against a second run after a restart that is announced late."""
+    """Guards against a second run of a task after a restart that is announced late."""
     leader.join("s2")
     submit(leader)
     starts = leader.starts()
@@ -449,14 +449,17 @@
 
 
 def test_late_announcement_of_an_earlier_life_changes_nothing(leader: Leader) -> None:
-    """Guards against a heartbeat that was held up by a partition."""
+    """Guards against applying an old announcement after a server's restart.
+
+    A partition can hold up such an announcement.
+    """
     late = make_report(born=BORN - 5, sequence=99, draining=True)
     leader.handle(ReportServer(report=late, passed_on=True))
     assert not leader.state.servers_by_id["s1"].report.draining
 
 
 def test_draining_server_gets_nothing_new(leader: Leader) -> None:
-    """Guards against starts after a drain was acknowledged."""
+    """Guards against new runs on a backend server after its drain was acknowledged."""
     draining = make_report(sequence=2, draining=True)
     leader.handle(ReportServer(report=draining, passed_on=True))
     submit(leader)
@@ -464,7 +467,7 @@
 
 
 def test_new_leader_waits_for_every_server_it_knows(settings: Settings) -> None:
-    """Guards against a start while a task of an earlier leader runs elsewhere."""
+    """Guards against a second run of a task that an earlier leader has started."""
     leader = Leader(settings, term=2)
     for server_id in ("s1", "s2"):
         leader.handle(ReportServer(report=make_report(server_id)))
@@ -479,7 +482,7 @@
 def test_new_leader_waits_for_leases_on_a_server_out_of_reach(
     settings: Settings,
 ) -> None:
-    """Guards against two runs when the old leader's servers cannot be asked."""
+    """Guards against two runs of a task when an old leader's server cannot be asked."""
     leader = Leader(settings, term=2)
     for server_id in ("s1", "s2"):
         leader.handle(ReportServer(report=make_report(server_id)))
@@ -496,7 +499,7 @@
 
 @pytest.fixture
 def successor(settings: Settings) -> Leader:
-    """A new leader; a run of an unknown job is listed, and the end of another."""
+    """A new leader that reads a run of unknown job j1 and an end of unknown job j2."""
     made = Leader(settings, term=2)
     made.handle(ReportServer(report=make_report()))
     made.lead()
@@ -507,7 +510,7 @@
 def test_run_of_an_unknown_job_goes_on_when_its_caller_asks_again(
     successor: Leader,
 ) -> None:
-    """Guards against two runs of a best-effort job, and against work thrown away."""
+    """Guards against two runs of a best-effort task, and against discarding a run."""
     submit(successor)
     assert [start.task.index for start in successor.starts()] == [1]
     successor.list_runs(
@@ -528,7 +531,7 @@
 
 
 def test_run_that_nobody_asks_for_is_stopped(successor: Leader) -> None:
-    """Guards against capacity that is held for ever for a caller that is gone."""
+    """Guards against capacity that stays occupied for a caller that is gone."""
     listed = ListedRun(refer("j1", 0), 1)
     successor.list_runs(running=(listed,), now=BEGIN + 0.5)
     assert successor.stops() == []
@@ -537,13 +540,13 @@
 
 
 def test_nothing_is_started_beside_a_run_of_unknown_size(successor: Leader) -> None:
-    """Guards against a capacity that is exceeded after a change of the leader."""
+    """Guards against exceeding a server's capacity after a change of leader."""
     submit(successor, job_id="j3")
     assert successor.starts() == []
 
 
 def test_run_numbers_of_a_new_term_are_higher(settings: Settings) -> None:
-    """Guards against a run that a backend server refuses as old."""
+    """Guards against a new run that a backend server refuses because of its number."""
     leader = Leader(settings, term=3)
     leader.lead()
     leader.join()
@@ -553,7 +556,7 @@
 
 
 def test_fenced_leader_gives_no_more_orders(leader: Leader) -> None:
-    """Guards against an old leader that goes on beside a new one."""
+    """Guards against an old leader that still gives orders beside a new one."""
     submit(leader, job_id="j1")
     start = leader.starts()[0]
     leader.answer(start, OrderResult.FENCED)
@@ -566,7 +569,7 @@
 def test_leader_without_authority_neither_starts_nor_answers(
     settings: Settings,
 ) -> None:
-    """Guards against a frozen leader that wakes up after another was elected."""
+    """Guards against a paused leader that resumes after another one was elected."""
     leader = Leader(settings)
     leader.lead()
     leader.join()
@@ -578,14 +581,14 @@
 
 
 def test_lost_leadership_leaves_requests_undecided(leader: Leader) -> None:
-    """Guards against a refusal of a job whose tasks may have run."""
+    """Guards against reporting a job as refused although its tasks may have run."""
     submit(leader)
     leader.handle(LeadershipLost())
     assert [reply.status for reply in leader.replies()] == [ReplyStatus.UNDECIDED]
 
 
 def test_durable_job_is_accepted_only_when_it_is_kept(leader: Leader) -> None:
-    """Guards against an acknowledged job that a lost leader takes with it."""
+    """Guards against an acknowledged job that is lost together with its leader."""
     job = make_durable_job()
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
     assert (leader.replies(), leader.starts()) == ([], [])
@@ -595,7 +598,7 @@
 
 
 def test_end_is_acknowledged_only_when_it_is_kept(leader: Leader) -> None:
-    """Guards against an end that neither the worker nor the log remembers."""
+    """Guards against an end that neither the backend server nor the log keeps."""
     leader.handle(SubmitDurableJob(job=make_durable_job(), reply_to=CALLER))
     commit(leader, appended(leader))
     first, second = leader.starts()
@@ -618,7 +621,7 @@
 def test_end_under_an_earlier_leader_is_kept_and_not_run_again(
     settings: Settings,
 ) -> None:
-    """Guards against a second run of a task that is done."""
+    """Guards against a second run of a task that was done under an earlier leader."""
     leader = Leader(settings, term=2)
     leader.handle(ReportServer(report=make_report()))
     leader.lead(records=(JobRecord(make_durable_job()),))
@@ -634,7 +637,7 @@
 
 
 def test_cancelled_best_effort_job_stops_and_frees_its_room(leader: Leader) -> None:
-    """Guards against work for a caller that has left."""
+    """Guards against running tasks for a caller that has left."""
     submit(leader)
     starts = leader.starts()
     for start in starts:
@@ -645,7 +648,7 @@
 
 
 def test_resubmission_of_a_running_job_waits_for_the_same_end(leader: Leader) -> None:
-    """Guards against a second run of a job that its caller asks for again."""
+    """Guards against a second run of a job that its caller submits again."""
     submit(leader)
     submit(leader)
     assert leader.starts() == []
@@ -653,7 +656,7 @@
 
 
 def test_job_that_fits_no_server_is_refused_at_once(leader: Leader) -> None:
-    """Guards against a caller that waits for what can never run."""
+    """Guards against a caller that waits for a job that can never run."""
     step = Step(1, Resources(70_000, 64), 0.2)
     job = make_durable_job("j1", step, best_effort=True)
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
@@ -661,7 +664,7 @@
 
 
 def test_run_that_is_not_listed_any_longer_is_started_again(leader: Leader) -> None:
-    """Guards against a task that is lost with its run."""
+    """Guards against a task that is lost when its run disappears from the server."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(first, now=BEGIN + 0.1)
@@ -675,7 +678,7 @@
 def test_job_that_comes_too_late_is_refused_before_its_caller_gives_up(
     leader: Leader,
 ) -> None:
-    """Guards against a caller that waits for a job that is of no use any more."""
+    """Guards against a caller that waits for a job that has expired."""
     submit(leader, job_id="j1")
     submit(leader, job_id="j2")
     late = expires_at(make_durable_job("j2"))
@@ -690,7 +693,7 @@
 
 
 def test_next_attempt_goes_to_another_server(leader: Leader) -> None:
-    """Guards against all attempts of a task on one backend server that fails all."""
+    """Guards against spending all attempts of a task on one faulty backend server."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(first)
@@ -704,7 +707,7 @@
 def test_run_that_stands_still_is_stopped_and_started_elsewhere(
     leader: Leader,
 ) -> None:
-    """Guards against a job that waits for a worker that hangs."""
+    """Guards against a job that waits for a backend server that hangs."""
     submit(leader)
     starts = leader.starts()
     for start in starts:
@@ -725,7 +728,7 @@
 
 
 def test_run_is_not_overdue_where_nothing_was_listed(leader: Leader) -> None:
-    """Guards against stops of runs that ended while answers were lost."""
+    """Guards against stopping runs that may have ended while answers were lost."""
     submit(leader)
     for start in leader.starts():
         leader.answer(start)
@@ -735,7 +738,7 @@
 
 
 def test_late_list_shows_no_speed(leader: Leader) -> None:
-    """Guards against a backend server that counts as slow because answers were lost."""
+    """Guards against rating a backend server as slow because answers were lost."""
     submit(leader)
     starts = leader.starts()
     for start in starts:
@@ -747,7 +750,7 @@
 
 
 def test_slow_server_is_tried_again(leader: Leader) -> None:
-    """Guards against capacity that stays unused after a backend server was slow."""
+    """Guards against a backend server that stays unused after it was slow."""
     submit(leader)
     starts = leader.starts()
     for start in starts:
@@ -762,7 +765,7 @@
 
 
 def test_run_is_not_overdue_where_others_end(leader: Leader) -> None:
-    """Guards against a backend server that is blamed for a wrong declared time."""
+    """Guards against rating a backend server as slow for a wrong declared run time."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(first)
@@ -777,7 +780,10 @@
 def test_task_that_is_longer_than_declared_ends_at_the_second_run(
     leader: Leader,
 ) -> None:
-    """Guards against a task that is stopped again and again."""
+    """Guards against stopping a task repeatedly.
+
+    This happens when its declared run time is too short.
+    """
     submit(leader)
     starts = leader.starts()
     for start in starts:
@@ -801,7 +807,7 @@
 
 
 def test_ended_jobs_leave_nothing_behind(leader: Leader) -> None:
-    """Guards against memory that grows with all jobs that a leader has run."""
+    """Guards against memory that grows with the number of jobs a leader has run."""
     submit(leader)
     first, second = leader.starts()
     leader.answer(first)
--- a/boragetide/tests/test_durable_api.py
+++ b/boragetide/tests/test_durable_api.py
@@ -1,4 +1,4 @@
-"""Durable jobs through the product's own interface, with real processes."""
+"""Durable jobs through the product's HTTP interface, with real processes."""
 
 from __future__ import annotations
 
@@ -24,14 +24,14 @@
         self.processes: list[subprocess.Popen[bytes]] = []
 
     def add_server(self, server_id: str) -> None:
-        """Start a backend server; it announces itself at any daemon."""
+        """Start a backend server that knows the addresses of all daemons."""
         command = [sys.executable, "-m", "examples.run_server", f"--id={server_id}"]
         command += ["--pool=renders", "--zone=a"]
         command += [f"--daemon={d.url}" for d in self.system.daemons_by_id.values()]
         self.system.processes.append(subprocess.Popen(command, stdout=subprocess.PIPE))
 
     def set_class(self, name: str, durable: dict[str, Any] | None) -> None:
-        """Set a class."""
+        """Set a class in the configuration."""
         version = call("GET", f"{self.url}/v1/configuration")[1]["version"]
         command = {
             "kind": "set_class",
@@ -53,7 +53,7 @@
         return call("POST", f"{self.url}/v1/durable-jobs", {**body, **fields})
 
     def show(self, job_id: str, url: str | None = None) -> tuple[int, Any]:
-        """Show a job."""
+        """Return the state of a job as a daemon shows it."""
         return call("GET", f"{url or self.url}/v1/durable-jobs/{job_id}")
 
     def wait_for_state(self, job_id: str, state: str, url: str | None = None) -> None:
@@ -79,7 +79,7 @@
 def test_job_with_dependent_steps_ends_and_is_shown_everywhere(
     durable: DurableSystem,
 ) -> None:
-    """Guards against a path that only the platform's front end has."""
+    """Guards against durable jobs that work only through the platform's front end."""
     step = {"count": 2, "cores": 27.0, "estimate": 0.1}
     steps = [step, {**step, "depends_on": [0]}]
     assert durable.submit("j1", steps=steps) == (200, {"id": "j1", "state": "accepted"})
@@ -98,7 +98,7 @@
 def test_accepted_job_survives_its_leader_and_can_be_cancelled(
     durable: DurableSystem,
 ) -> None:
-    """Guards against a job that is lost with a daemon, or runs on after its end."""
+    """Guards against a job that is lost with a daemon or runs on when cancelled."""
     assert durable.submit("j1", spec="1.0")[0] == 200
     leader = next(
         daemon
@@ -117,7 +117,7 @@
 
 
 def test_wrong_jobs_are_refused_with_a_reason(durable: DurableSystem) -> None:
-    """Guards against jobs that wait for ever or fail without a word."""
+    """Guards against invalid jobs that wait forever or fail without a reason."""
     step = {"cores": 1.0, "estimate": 0.1}
     cases = [
         ({"class": "none"}, 404, "class 'none' does not exist"),
@@ -137,7 +137,7 @@
 def test_command_line_submits_shows_and_cancels(
     durable: DurableSystem, tmp_path: Any, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    """Guards against a command line that lags behind the interface."""
+    """Guards against a command line that lacks operations of the HTTP interface."""
     server = f"--server={durable.url}"
     options = ["--response-time=1s", "--pool=renders", "--attempts=3", server]
     assert run_cli(["class", "set", "etchings", *options]) == 0
--- a/boragetide/tests/test_durable_chain.py
+++ b/boragetide/tests/test_durable_chain.py
@@ -1,4 +1,4 @@
-"""What a caller is told while leaders change."""
+"""Answers to callers of durable jobs while the leader changes."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 )
 from boragetide.types import Address, Status
 
-PATIENCE = 0.5  # seconds
+PATIENCE = 0.5  # seconds for which a caller waits
 ACCEPTED = DispatcherReply(ReplyStatus.ACCEPTED)
 NOT_LEADER = DispatcherReply(ReplyStatus.NOT_LEADER)
 UNDECIDED = DispatcherReply(ReplyStatus.UNDECIDED)
@@ -38,7 +38,7 @@
 
 
 class ScriptedRuntime:
-    """Answers the chain from a script: terms of the leaders, and their replies."""
+    """Answers the chain from a script of steps: the term of a leader and its reply."""
 
     def __init__(self, *steps: tuple[int, Any]):
         self.steps = list(steps)
@@ -51,7 +51,7 @@
         return Address("e1", controller)
 
     async def ask(self, to: Address, message: Any, timeout: float) -> Any:
-        """Name the leader of the next step, or give its reply."""
+        """Return the leader of the next step, or that leader's reply."""
         if isinstance(message, FindLeader):
             if not self.steps:
                 return LOST
@@ -86,13 +86,13 @@
 
 @pytest.mark.parametrize("first", [UNREACHABLE, TIMEOUT, NOT_LEADER, UNDECIDED])
 def test_next_leader_is_asked(first: Any) -> None:
-    """Guards against a caller that sees the change of the leader."""
+    """Guards against a change of leader that becomes visible to the caller."""
     assert ask((1, first), (2, ACCEPTED)) is ACCEPTED
 
 
 @pytest.mark.parametrize("first", [TIMEOUT, UNDECIDED])
 def test_refusal_does_not_speak_for_an_earlier_leader(first: Any) -> None:
-    """Guards against a refusal of a job of which an earlier leader ran a task."""
+    """Guards against reporting a refusal although an earlier leader ran a task."""
     with pytest.raises(RequestError) as caught:
         ask((1, first), (2, refuse(2)))
     assert (caught.value.status, caught.value.http_status) == (Status.UNKNOWN, 504)
@@ -100,12 +100,12 @@
 
 @pytest.mark.parametrize("first", [UNREACHABLE, NOT_LEADER])
 def test_refusal_stands_where_no_other_leader_had_the_job(first: Any) -> None:
-    """Guards against a refusal that is hidden from its caller."""
+    """Guards against reporting an unknown outcome although the job was refused."""
     assert ask((1, first), (2, refuse(2))).status is ReplyStatus.REFUSED
 
 
 def test_refusal_of_the_same_leader_stands_after_a_lost_reply() -> None:
-    """Guards against jobs that are sent again although they were refused."""
+    """Guards against resubmissions of jobs that were refused."""
     assert ask((2, TIMEOUT), (2, refuse(2))).status is ReplyStatus.REFUSED
 
 
@@ -116,7 +116,7 @@
 def test_end_without_a_leader_tells_whether_the_job_may_have_run(
     first: Any, status: Status
 ) -> None:
-    """Guards against a false refusal, and against a doubt where there is none."""
+    """Guards against a wrong ``not_run``, and against a needless ``unknown``."""
     with pytest.raises(RequestError) as caught:
         ask((1, first))
     assert caught.value.status is status
--- a/boragetide/tests/test_effect_queue.py
+++ b/boragetide/tests/test_effect_queue.py
@@ -1,4 +1,4 @@
-"""Order of a controller's effects around what must be durable."""
+"""Order of a controller's effects around records that must be durable."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 
 
 class Disk:
-    """Performs effects; a sync lasts until `finish`."""
+    """Records the effects it is given; its syncs complete when `finish` is called."""
 
     def __init__(self) -> None:
         self.performed: list[Any] = []
         self.syncs: list[asyncio.Future[None]] = []
 
     def perform(self, effect: Any) -> Any:
-        """Note the effect; what must be durable is not until `finish`."""
+        """Record an effect and return its sync, if the effect must be durable."""
         self.performed.append(effect)
         if not isinstance(effect, Persist | SaveSnapshot):
             return None
@@ -25,7 +25,7 @@
         return self.syncs[-1]
 
     async def finish(self) -> None:
-        """End all syncs that were begun."""
+        """Complete all syncs in progress."""
         for sync in self.syncs:
             if not sync.done():
                 sync.set_result(None)
@@ -47,7 +47,7 @@
 
 
 def test_effects_wait_for_the_record_in_front_of_them() -> None:
-    """Guards against an answer that leaves before its record is durable."""
+    """Guards against an answer that is sent before its record is durable."""
 
     async def scenario(disk: Disk, queue: EffectQueue) -> None:
         queue.put([SENT[0], RECORDS[0], SENT[1]])
@@ -61,7 +61,7 @@
 
 
 def test_records_that_wait_share_the_next_sync() -> None:
-    """Guards against one sync after the other for messages that came together."""
+    """Guards against one sync per record for messages that arrived together."""
 
     async def scenario(disk: Disk, queue: EffectQueue) -> None:
         queue.put([RECORDS[0]])
--- a/boragetide/tests/test_ejection.py
+++ b/boragetide/tests/test_ejection.py
@@ -17,7 +17,10 @@
 
 
 def count_failures_until_ejection(pool: Tally, *, fast: bool, limit: int = 50) -> int:
-    """Let a server fail every task; return after how many it is ejected."""
+    """Fail every task of a server; return the number of tasks before its ejection.
+
+    Returns 0 if the server is not ejected within ``limit`` tasks.
+    """
     health = ServerHealth()
     for number in range(1, limit + 1):
         observe_outcome(health, pool, "c", True, fast, 1.0)
@@ -27,20 +30,20 @@
 
 
 def test_server_that_fails_everything_is_ejected_after_few_tasks() -> None:
-    """Guards against a server that attracts tasks by failing them at once."""
+    """Guards against a server that attracts tasks by failing them immediately."""
     healthy = Tally(ended=100.0, updated_at=1.0)
     assert count_failures_until_ejection(healthy, fast=False) <= 3
     assert count_failures_until_ejection(healthy, fast=True) <= 2
 
 
 def test_class_that_fails_everywhere_ejects_no_server() -> None:
-    """Guards against a broken class that takes every server out of service."""
+    """Guards against ejecting every server because of one faulty class."""
     poisoned = Tally(ended=50.0, failed=48.0, updated_at=1.0)
     assert count_failures_until_ejection(poisoned, fast=True) == 0
 
 
 def test_occasional_failures_eject_no_server() -> None:
-    """Guards against ejections by the usual rate of failures."""
+    """Guards against ejecting servers at the usual rate of failures."""
     health, pool, draw = ServerHealth(), Tally(), random.Random(1)
     for number in range(2000):
         failed = draw.random() < 0.02
@@ -49,7 +52,7 @@
 
 
 def test_most_servers_are_never_ejected() -> None:
-    """Guards against an empty pool."""
+    """Guards against ejecting so many servers that the pool becomes empty."""
     health = ServerHealth(evidence=100.0)
     assert should_eject(health, 3, 8)
     assert not should_eject(health, 4, 8)
@@ -57,7 +60,7 @@
 
 
 def test_server_returns_gradually_and_waits_longer_after_a_failed_probe() -> None:
-    """Guards against a full load for a server that still fails."""
+    """Guards against sending the full load to a server that still fails."""
     health, draw, pool = ServerHealth(), random.Random(1), Tally(100.0, 0.0, 1.0)
     eject(health, 10.0, draw)
     first = health.probe_at - 10.0
--- a/boragetide/tests/test_elections.py
+++ b/boragetide/tests/test_elections.py
@@ -1,4 +1,4 @@
-"""What a new leader knows of the leader before it."""
+"""Elections: what a new leader knows about its predecessor, and handovers."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def replica(settings: Settings) -> Replica:
-    """A member in term 1 that heard its leader last at `BEGIN`."""
+    """A member in term 1 that last heard from its leader at `BEGIN`."""
     made = Replica(settings, incarnation=1, role=Role.FOLLOWER, ballot=Ballot(1))
     made.leader, made.leader_heard_at = "a2", BEGIN
     return made
@@ -41,7 +41,7 @@
 
 
 def test_latest_sign_of_a_leader_bounds_its_authority(replica: Replica) -> None:
-    """Guards against starts while an earlier leader can still give orders."""
+    """Guards against starting runs while an earlier leader can still give orders."""
     stand(replica, BEGIN + 1.0)
     vote(replica, heard_ago=0.3, now=BEGIN + 1.1)
     assert replica.role is Role.LEADER
@@ -74,7 +74,7 @@
 
 
 def test_candidate_that_gets_no_answer_dials_anew(replica: Replica) -> None:
-    """Guards against elections over connections that are silent for good."""
+    """Guards against elections that fail because connections stay silent."""
     effects: list[object] = []
     for tenth in range(40):
         effects += elections.check_election(replica, BEGIN + 1.0 + tenth / 10)
@@ -85,7 +85,7 @@
 
 
 def test_leader_that_is_deposed_tells_that_it_led_until_now(replica: Replica) -> None:
-    """Guards against a successor that takes the deposed leader for long silent."""
+    """Guards against a successor that believes the deposed leader stopped long ago."""
     stand(replica, BEGIN + 1.0)
     vote(replica, heard_ago=0.3, now=BEGIN + 1.0)
     replication.check_leader(replica, BEGIN + 3.0)
--- a/boragetide/tests/test_examples.py
+++ b/boragetide/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The example settings files start what they promise."""
+"""The example settings files describe systems that start."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 SEVEN = sorted((EXAMPLES / "seven").glob("*.ini"))
-MEETING_LIMIT = 5.0  # seconds
+MEETING_LIMIT = 5.0  # seconds until all instances see each other
 
 
 def test_one_instance_file_repeats_the_defaults(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against documented defaults that are no longer the defaults."""
+    """Guards against documented defaults that differ from the built-in ones."""
     monkeypatch.chdir(tmp_path)
     assert load_settings(EXAMPLES / "one-instance.ini") == parse_settings(
         EMBEDDED_DEFAULT
@@ -27,7 +27,7 @@
 
 
 def test_seven_instances_of_the_examples_meet_within_5_s(system: System) -> None:
-    """Guards against example files that do not fit each other."""
+    """Guards against example settings files that do not match each other."""
     ports = dict.fromkeys(range(8101, 8108), 0) | dict.fromkeys(range(8201, 8208), 0)
     ports = {port: free_port() for port in ports}
     for path in SEVEN:
--- a/boragetide/tests/test_features.py
+++ b/boragetide/tests/test_features.py
@@ -1,4 +1,4 @@
-"""Steps of the features, which state what users are promised."""
+"""Step definitions of the feature files, which state the promises to users."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
             lambda daemon=daemon: any(
                 instance["backend_servers"] for instance in daemon.status()["instances"]
             ),
-            f"{daemon.id} to hear of {server}",
+            f"{daemon.id} to learn of {server}",
         )
 
 
--- a/boragetide/tests/test_instances.py
+++ b/boragetide/tests/test_instances.py
@@ -1,4 +1,4 @@
-"""The view that one instance has of the others."""
+"""Membership as one instance sees it."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def view(settings: Settings) -> InstancesState:
-    """View of ``a1``, the placer, that has heard ``a2`` and ``a3``."""
+    """State of the placer ``a1`` after heartbeats from ``a2`` and ``a3``."""
     state = InstancesState(settings, int(STARTED * 1000))
     advance(state, STARTED, STARTED + 1.0)
     return state
@@ -38,7 +38,7 @@
     end: float,
     peers: tuple[str, ...] = ("a2", "a3"),
 ) -> list[Effect]:
-    """Tick for a while and hear some peers, which echo what they were sent."""
+    """Tick from ``start`` to ``end`` while some peers send heartbeats with echoes."""
     effects: list[Effect] = []
     for step in range(round((end - start) / 0.1)):
         now = start + 0.1 * step
@@ -49,7 +49,7 @@
 
 
 def test_isolated_placer_loses_the_role_for_good(view: InstancesState) -> None:
-    """Guards against a role that comes back when a partition heals."""
+    """Guards against a placer role that moves back when a partition heals."""
     assert view.placer == "a1"
     advance(view, STARTED + 1.0, STARTED + 9.0, peers=())
     assert view.placer == "a1"
@@ -58,7 +58,7 @@
 
 
 def test_resumed_placer_loses_the_role_for_good(view: InstancesState) -> None:
-    """Guards against a placer that goes on after the others have replaced it."""
+    """Guards against a paused placer that continues after others have replaced it."""
     handle(WokeUp(STARTED + 1.0), view, STARTED + 9.0)
     assert view.placer is None
     advance(view, STARTED + 9.0, STARTED + 9.3)
@@ -66,14 +66,14 @@
 
 
 def test_delayed_heartbeat_does_not_count_as_heard(view: InstancesState) -> None:
-    """Guards against a dead peer that lives on in messages that were held up."""
+    """Guards against a dead peer that counts as live because of delayed messages."""
     heard = view.peers_by_id["a2"].last_heard
     assert hear(view, "a2", STARTED + 0.5) == []
     assert view.peers_by_id["a2"].last_heard == heard
 
 
 def test_restarted_peer_with_a_clock_set_back_is_heard(view: InstancesState) -> None:
-    """Guards against a peer that is ignored for as long as its clock was ahead."""
+    """Guards against ignoring a restarted peer until its clock has caught up."""
     old = int(STARTED * 1000) - 60_000
     later = STARTED + 4.0
     assert hear(view, "a2", STARTED + 1.5, incarnation=old) == []
@@ -82,7 +82,7 @@
 
 
 def test_echo_of_an_earlier_incarnation_is_no_echo(settings: Settings) -> None:
-    """Guards against a link that is replaced again and again after a restart."""
+    """Guards against replacing a link repeatedly after a restart."""
     state = InstancesState(settings, int(STARTED * 1000))
     handle(Tick(), state, STARTED)
     hear(state, "a2", STARTED, echo=500)
@@ -100,13 +100,13 @@
 
 
 def test_requests_to_a_lost_peer_end_on_each_tick(view: InstancesState) -> None:
-    """Guards against a request that was sent to a peer after its loss."""
+    """Guards against a request that never ends because it was sent to a lost peer."""
     advance(view, STARTED + 1.0, STARTED + 4.0, peers=("a3",))
     assert AbandonRequests("a2") in handle(Tick(), view, STARTED + 4.0)
 
 
 def test_flush_ends_once_every_live_peer_has_echoed_it(view: InstancesState) -> None:
-    """Guards against an exit that cuts off replies on their way."""
+    """Guards against an exit that loses replies in transit."""
     asked = ReplyTo("a1", 1)
     now = STARTED + 1.0
     assert Reply(asked, Flushed()) not in handle(Flush(reply_to=asked), view, now)
--- a/boragetide/tests/test_job_table.py
+++ b/boragetide/tests/test_job_table.py
@@ -34,7 +34,7 @@
 
 
 def test_job_succeeds_with_its_last_task(jobs: Jobs) -> None:
-    """Guards against a success with a task that has not ended."""
+    """Guards against a job that succeeds before all of its tasks have ended."""
     end(jobs, 0)
     assert jobs["j1"].phase is JobPhase.ACTIVE
     end(jobs, 1)
@@ -42,7 +42,10 @@
 
 
 def test_end_that_is_listed_twice_counts_once(jobs: Jobs) -> None:
-    """Guards against a job that fails because a new leader lists an end again."""
+    """Guards against a job that fails because one failed run is counted twice.
+
+    A new leader reads the list of ends again.
+    """
     end(jobs, 0, failed=True)
     assert end(jobs, 0, failed=True) == set()
     assert jobs["j1"].phase is JobPhase.ACTIVE
@@ -51,7 +54,7 @@
 
 
 def test_failure_after_the_task_is_done_changes_nothing(jobs: Jobs) -> None:
-    """Guards against a copy that fails a job whose task is done."""
+    """Guards against a second run that fails a job whose task is done."""
     end(jobs, 0)
     assert end(jobs, 0, run=2, failed=True) == set()
 
@@ -65,7 +68,7 @@
 
 
 def test_ended_jobs_are_forgotten_after_their_retention(jobs: Jobs) -> None:
-    """Guards against memory that grows with all jobs ever seen."""
+    """Guards against memory that grows with the number of jobs ever accepted."""
     job_table.accept_job(jobs, make_durable_job("j2"), BEGIN)
     end(jobs, 0), end(jobs, 1)
     job_table.forget_ended(jobs, BEGIN + job_table.RETENTION)
@@ -101,7 +104,7 @@
 
 
 def test_other_content_under_the_revision_in_force_changes_nothing() -> None:
-    """Guards against two contents of one revision."""
+    """Guards against two different contents under one revision."""
     catalogue = Catalogue()
     apply(catalogue, PublishConfiguration(7, (), "first"))
     apply(catalogue, PublishConfiguration(7, (), "second"))
--- a/boragetide/tests/test_journal.py
+++ b/boragetide/tests/test_journal.py
@@ -1,4 +1,4 @@
-"""Journals: recovery of what was synced, and of nothing else."""
+"""Journals: recovery of exactly those records that were synced."""
 
 from __future__ import annotations
 
@@ -53,21 +53,21 @@
 
 
 def test_records_come_back_with_their_types(tmp_path: Path) -> None:
-    """Guards against commands that come back as plain dicts."""
+    """Guards against commands that are recovered as plain dicts."""
     write(tmp_path / "j")
     assert recover(tmp_path / "j") == Recovered(RECORDS)
 
 
 @pytest.mark.parametrize("command", [None, 7, [], {"kind": []}, {"kind": "no"}])
 def test_unknown_command_is_a_decoding_error(command: Any) -> None:
-    """Guards against a damaged message that ends the listener."""
+    """Guards against a damaged message that terminates the listener."""
     body = msgspec.Raw(msgspec.msgpack.encode({"command": command}))
     with pytest.raises(LinkError):
         decode_body(Envelope("a1", 1, "configuration", 0, "Propose", body))
 
 
 def test_torn_tail_is_cut_at_every_byte(tmp_path: Path) -> None:
-    """Guards against a crash in the middle of a write that stops the next start."""
+    """Guards against a failed start after a crash in the middle of a write."""
     path = tmp_path / "j"
     data = write(path)
     ends = [len(b"".join(map(encode_record, RECORDS[:n]))) for n in range(4)]
@@ -80,14 +80,17 @@
 
 
 def test_tail_of_zeros_is_torn(tmp_path: Path) -> None:
-    """Guards against file systems that lengthen a file before they write the data."""
+    """Guards against a failed start after a crash that left zeros at the end.
+
+    Some file systems extend a file before they write its data.
+    """
     path = tmp_path / "j"
     path.write_bytes(write(path) + bytes(100))
     assert recover(path) == Recovered(RECORDS)
 
 
 def test_corrupt_record_loses_the_disk(tmp_path: Path) -> None:
-    """Guards against acknowledged records that vanish behind a damaged byte."""
+    """Guards against silent loss of acknowledged records behind a damaged byte."""
     path = tmp_path / "j"
     data = write(path)
     last = len(data) - len(encode_record(RECORDS[-1]))
@@ -101,7 +104,7 @@
 
 
 def test_snapshot_replaces_the_journal(tmp_path: Path) -> None:
-    """Guards against a journal that grows, or that loses what follows a snapshot."""
+    """Guards against a journal that grows, or that loses records after a snapshot."""
     snapshot = Snapshot(Ballot(4), 7, Catalogue(index=7), 7, 4, ())
 
     async def save() -> None:
@@ -141,7 +144,7 @@
 
 
 def test_failed_write_ends_the_owner(tmp_path: Path) -> None:
-    """Guards against a daemon that goes on with records it could not write."""
+    """Guards against a daemon that keeps running after a failed write."""
 
     async def save() -> None:
         opened, _ = open_journal(tmp_path / "j", RECORD_TYPES)
--- a/boragetide/tests/test_learning.py
+++ b/boragetide/tests/test_learning.py
@@ -1,4 +1,4 @@
-"""Learning of sizes and speeds."""
+"""Learning of task sizes and server speeds."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def learn_sizes(factor: float, spread: float, count: int = 2000) -> SizeModel:
-    """Learn from lognormal sizes that are declared wrongly."""
+    """Train a model with lognormal sizes whose declarations are wrong."""
     draw, model = random.Random(1), SizeModel()
     for _ in range(count):
         size = draw.lognormvariate(math.log(0.3), 0.75)
@@ -31,21 +31,21 @@
 
 @pytest.mark.parametrize("factor", [0.25, 1.0, 4.0])
 def test_constant_error_of_declared_sizes_is_corrected(factor: float) -> None:
-    """Guards against waits computed from sizes that a client declares too small."""
+    """Guards against predicted waits that rely on sizes a client declares too small."""
     model = learn_sizes(factor, 0.0)
     for size in (0.1, 0.3, 1.0):
         assert predict_size(model, size * factor) == pytest.approx(size, rel=0.1)
 
 
 def test_noisy_declarations_are_drawn_towards_the_mean_of_the_class() -> None:
-    """Guards against ordering tasks by the errors of their declared sizes."""
+    """Guards against ordering tasks by the noise in their declared sizes."""
     model = learn_sizes(1.0, math.log(4))
     ratio = predict_size(model, 1.2) / predict_size(model, 0.3)
     assert 1.5 < ratio < 2.5
 
 
 def test_classes_without_declarations_have_an_expected_size() -> None:
-    """Guards against one default size for tasks of every kind."""
+    """Guards against one default size for the undeclared tasks of every class."""
     model = SizeModel()
     for _ in range(300):
         observe_size(model, None, 2.0)
@@ -53,7 +53,10 @@
 
 
 def learn_speeds(model: SpeedModel, speed: float, count: int, seed: int = 1) -> int:
-    """Observe tasks with the usual spread; return after how many a change showed."""
+    """Observe tasks with the usual spread of run times.
+
+    Returns the number of the task at which a change of speed was detected, or 0.
+    """
     draw = random.Random(seed)
     for number in range(1, count + 1):
         observed = math.log(speed) + draw.gauss(0, 0.55)
@@ -63,14 +66,14 @@
 
 
 def test_speed_is_learned_from_few_tasks() -> None:
-    """Guards against long tasks on slow servers long after these were seen slow."""
+    """Guards against long tasks on a server that was already seen to be slow."""
     model = SpeedModel()
     learn_speeds(model, 0.5, 20)
     assert 0.35 < predict_speed(model, "c") < 0.75
 
 
 def test_server_that_becomes_four_times_slower_is_noticed_within_a_few_tasks() -> None:
-    """Guards against a straggler that keeps its good name."""
+    """Guards against rating a server as fast after it became slow."""
     for seed in range(20):
         model = SpeedModel()
         learn_speeds(model, 2.0, 200)
@@ -79,7 +82,7 @@
 
 
 def test_long_task_counts_once_however_often_it_overruns() -> None:
-    """Guards against one task of 5 s that makes a good server look slow."""
+    """Guards against rating a good server as slow because of one task of 5 s."""
     model = SpeedModel()
     learn_speeds(model, 1.0, 200)
     before = predict_speed(model, "c")
@@ -91,7 +94,7 @@
 
 
 def test_anchoring_keeps_expected_run_times() -> None:
-    """Guards against speeds and sizes that drift away together."""
+    """Guards against learned speeds and sizes that drift in the same direction."""
     speeds = [SpeedModel(log_speed=value, samples=50) for value in (1.0, 3.0)]
     size = SizeModel()
     before = predict_log_size(size, 0.5) - speeds[0].log_speed
--- a/boragetide/tests/test_leases.py
+++ b/boragetide/tests/test_leases.py
@@ -68,7 +68,7 @@
 
 
 def test_task_of_a_lost_server_ends_as_unknown(pool: BackendServersState) -> None:
-    """Guards against a task that never ends because its server is silent."""
+    """Guards against a task that never ends because its server stopped answering."""
     join(pool, 0.0)
     assert find_starts(queue(pool, 0.0))
     assert find_ended(handle(Tick(), pool, 6.1)) == []
@@ -77,7 +77,7 @@
 
 
 def test_late_result_under_a_retired_lease_counts(pool: BackendServersState) -> None:
-    """Guards against an unknown outcome where the result did arrive."""
+    """Guards against an unknown outcome although the result arrived."""
     lease = join(pool, 0.0)
     queue(pool, 0.0)
     handle(Tick(), pool, 6.1)
@@ -92,7 +92,7 @@
 def test_restarted_server_gets_a_new_lease(
     pool: BackendServersState, lease: str | None, changes: dict[str, str]
 ) -> None:
-    """Guards against dispatches that a new process takes for its own."""
+    """Guards against a restarted server that accepts dispatches to its old process."""
     first = join(pool, 0.0)
     assert announce(pool, 1.0, first).lease == first
     assert announce(pool, 2.0, lease, **changes).lease != first
@@ -101,7 +101,7 @@
 def test_nothing_starts_before_the_server_knows_its_lease(
     pool: BackendServersState,
 ) -> None:
-    """Guards against a dispatch that overtakes the lease and is refused."""
+    """Guards against a dispatch that arrives before the lease and is refused."""
     queue(pool, 0.0)
     granted = announce(pool, 0.0, "")
     assert pool.queued_tasks
@@ -111,14 +111,14 @@
 
 
 def test_leaving_server_gets_no_task(pool: BackendServersState) -> None:
-    """Guards against new work after an announcement that a server leaves."""
+    """Guards against new tasks on a server that has announced that it is leaving."""
     lease = join(pool, 0.0)
     announce(pool, 1.0, lease, leaving=True)
     assert find_starts(queue(pool, 1.0)) == []
 
 
 def test_only_the_placer_grants_leases(pool: BackendServersState) -> None:
-    """Guards against servers that an instance without the role takes over."""
+    """Guards against an instance that leases servers although it is not the placer."""
     handle(PlacerChanged("a2"), pool, 0.0)
     assert isinstance(announce(pool, 0.0, ""), LeaseRefused)
     assert isinstance(announce(pool, 0.0, "", fence=True), LeaseGranted)
@@ -127,7 +127,7 @@
 def test_former_placer_keeps_its_servers_until_its_queue_is_started(
     pool: BackendServersState,
 ) -> None:
-    """Guards against a queue that is stranded when the role moves."""
+    """Guards against queued tasks that never start after the placer role moved."""
     lease = join(pool, 0.0)
     queue(pool, 0.0, tasks=2)
     handle(PlacerChanged("a2"), pool, 1.0)
@@ -141,7 +141,7 @@
 def test_job_on_an_instance_without_servers_is_refused(
     pool: BackendServersState,
 ) -> None:
-    """Guards against a job that waits for ever where no server will come."""
+    """Guards against a job that waits forever at an instance that gets no servers."""
     handle(PlacerChanged("a2"), pool, 0.0)
     queue(pool, 1.0)
     assert find_ended(handle(Tick(), pool, 6.9)) == []
--- a/boragetide/tests/test_link_health.py
+++ b/boragetide/tests/test_link_health.py
@@ -1,4 +1,4 @@
-"""Links that go silent without an error."""
+"""Links that stop delivering messages without an error."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def test_link_without_an_answer_is_dialled_anew() -> None:
-    """Guards against messages into a connection that is silent for good."""
+    """Guards against sending messages into a connection that stays silent."""
     health = LinkHealth()
     health.note_sent("a2", BEGIN)
     assert count_dials(health, BEGIN + LINK_SILENCE) == 0
@@ -22,7 +22,7 @@
 
 
 def test_any_answer_shows_that_the_link_works() -> None:
-    """Guards against working links that are dialled again and again."""
+    """Guards against reconnecting a working link repeatedly."""
     health = LinkHealth()
     health.note_sent("a2", BEGIN)
     health.note_heard("a2")
@@ -31,5 +31,5 @@
 
 
 def test_side_that_only_answers_learns_that_its_answers_are_lost() -> None:
-    """Guards against a link that is silent in the other direction."""
+    """Guards against keeping a link that is silent in the other direction."""
     assert count_dials(LinkHealth(), BEGIN, peer_waits=LINK_SILENCE + 0.1) == 1
--- a/boragetide/tests/test_logs.py
+++ b/boragetide/tests/test_logs.py
@@ -27,7 +27,7 @@
 
 
 def parse_line(line: str) -> dict[str, str]:
-    """Read a log line as an operator's tool does."""
+    """Parse a log line as an operator's tool does."""
     assert PAIR.sub("", line) == ""
     return {
         key: json.loads(value) if value.startswith('"') else value
@@ -37,7 +37,7 @@
 
 @given(st.dictionaries(st.sampled_from(["job", "error"]), st.text()))
 def test_any_text_stays_one_line_and_is_read_back(fields: dict[str, str]) -> None:
-    """Guards against values that break a line or forge a field."""
+    """Guards against values that break a line or inject a field."""
     line = format_event({"timestamp": 1.5, "message_type": "routing", **fields})
     expected = {"time": "1970-01-01T00:00:01.500Z", "event": "routing", **fields}
     assert parse_line(line) == expected
@@ -62,7 +62,7 @@
 
 
 def test_other_libraries_log_in_the_same_format() -> None:
-    """Guards against tracebacks and warnings over several lines in the log."""
+    """Guards against tracebacks and warnings that span several lines of the log."""
     script = """
 import logging, warnings
 from boragetide.daemon.logs import configure_logs
@@ -88,7 +88,7 @@
 
 @pytest.mark.parametrize("old", ["127.0.0.1:8080", "127.0.0.1:8090"])
 def test_daemon_that_cannot_listen_ends_with_one_line(tmp_path: Path, old: str) -> None:
-    """Guards against a daemon that waits for ever on a port that is in use."""
+    """Guards against a daemon that waits forever for a port that is in use."""
     with socket.create_server(("127.0.0.1", 0)) as taken:
         text = EMBEDDED_DEFAULT.replace(old, f"127.0.0.1:{taken.getsockname()[1]}")
         text = re.sub(r":80[89]0", lambda _: f":{free_port()}", text)
@@ -106,7 +106,7 @@
 
 
 def test_metrics_are_valid_exposition_text() -> None:
-    """Guards against label values that end the scrape of every metric."""
+    """Guards against label values that make the scrape of all metrics fail."""
     metrics = Metrics()
     metrics.count("jobs", {"class": "a", "status": "complete"}, 2)
     metrics.count("jobs", {"class": "a", "status": "complete"})
@@ -123,7 +123,7 @@
 
 
 def test_two_processes_worth_of_metrics_do_not_share_a_registry() -> None:
-    """Guards against collectors in the global registry, which refuses a second one."""
+    """Guards against collectors in the global registry, which refuses duplicates."""
     Metrics().count("jobs", {})
     first = Metrics()
     first.count("jobs", {})
--- a/boragetide/tests/test_member_changes.py
+++ b/boragetide/tests/test_member_changes.py
@@ -1,4 +1,4 @@
-"""Changes of the members of the log: who is added, who is removed, and when."""
+"""Membership changes of the replicated log: who is added or removed, and when."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 def acknowledge(replica: Replica, member: str, now: float) -> list[Effect]:
-    """Let a member or learner say that it has the whole log."""
+    """Deliver a member's or learner's acknowledgement of the whole log."""
     reply = AppendReply(
         term=replica.ballot.term,
         member=member,
@@ -48,13 +48,13 @@
 
 
 def join(replica: Replica, learner: str, now: float) -> None:
-    """Let a learner ask and get the whole log."""
+    """Let a learner ask to join and acknowledge the whole log."""
     step(JoinRequest(learner), replica, now)
     acknowledge(replica, learner, now)
 
 
 def test_silent_member_is_replaced_by_a_learner(leader: Replica) -> None:
-    """Guards against a log without a spare member after a machine was replaced."""
+    """Guards against a log without a spare member after an instance was replaced."""
     now = BEGIN + MEMBER_SILENCE + 0.1
     acknowledge(leader, "a2", now)
     join(leader, "a9", now)
@@ -68,7 +68,7 @@
 
 
 def test_member_is_not_removed_before_a_learner_has_the_log(leader: Replica) -> None:
-    """Guards against fewer members than there should be."""
+    """Guards against removing a member before its replacement has the log."""
     now = BEGIN + MEMBER_SILENCE + 0.1
     acknowledge(leader, "a2", now)
     review_members(leader, now)
@@ -88,7 +88,7 @@
 
 
 def test_change_waits_for_the_first_entry_of_the_term(settings: Settings) -> None:
-    """Guards against a change that an earlier leader's change does not know."""
+    """Guards against a change that overlaps with one of an earlier leader."""
     settings = replace(settings, member_count=3)
     leader = Replica(settings, incarnation=1, role=Role.FOLLOWER, ballot=Ballot(1))
     become_leader(leader, BEGIN)
@@ -98,7 +98,7 @@
 
 
 def test_learner_has_no_vote_and_is_in_no_majority(leader: Replica) -> None:
-    """Guards against an entry that is committed by instances that are no members."""
+    """Guards against an entry that is committed by instances that are not members."""
     join(leader, "a9", BEGIN)
     leader.log.append(LogEntry(leader.last_index + 1, 1, BEGIN))
     before = leader.commit
@@ -109,7 +109,7 @@
 
 
 def test_learner_does_not_stand_for_election(settings: Settings) -> None:
-    """Guards against a leader that the members do not count among them."""
+    """Guards against a leader that is not a member."""
     learner = Replica(replace(settings, founders=("a2", "a3")), 1, Role.FOLLOWER)
     learner.election_at = BEGIN
     effects = elections.check_election(learner, BEGIN + 1.0)
@@ -119,7 +119,7 @@
 
 
 def test_removed_member_that_stands_becomes_a_learner(leader: Replica) -> None:
-    """Guards against a member that stays outside after it was away."""
+    """Guards against a replaced member that cannot rejoin after its absence."""
     now = BEGIN + MEMBER_SILENCE + 0.1
     for member in ("a2", "a9"):
         join(leader, "a9", now)
@@ -133,7 +133,7 @@
 
 
 def test_follower_tells_its_leader_of_a_learner(settings: Settings) -> None:
-    """Guards against a learner that knows no address of the leader."""
+    """Guards against a learner that cannot join because it does not know the leader."""
     follower = Replica(settings, 1, Role.FOLLOWER, leader="a2")
     (effect,) = step(JoinRequest("a9"), follower, BEGIN)
     assert isinstance(effect, Send)
@@ -152,7 +152,7 @@
 
 
 def test_uncommitted_change_is_in_force_and_can_be_undone(settings: Settings) -> None:
-    """Guards against a majority that is counted by the wrong membership."""
+    """Guards against a majority that is counted with the wrong membership."""
     replica = Replica(settings, 1, Role.FOLLOWER)
     change = Proposal("members 1:1", ChangeMembers(("a1", "a2")))
     replica.log.append(LogEntry(1, 1, BEGIN, change))
@@ -180,7 +180,7 @@
 
 
 def test_members_of_the_settings_stay_where_no_number_is_set(leader: Replica) -> None:
-    """Guards against changes where the operator's settings name the members."""
+    """Guards against changing the members that the operator's settings name."""
     leader.settings = replace(leader.settings, member_count=0)
     now = BEGIN + MEMBER_SILENCE + 0.1
     acknowledge(leader, "a2", now)
--- a/boragetide/tests/test_membership.py
+++ b/boragetide/tests/test_membership.py
@@ -43,8 +43,8 @@
 def load(system: System, *daemons: str, clients: int = 2) -> Iterator[list[Any]]:
     """Submit jobs one after another through each daemon; yields the answers.
 
-    A client that is refused for a stop waits until its daemon is ready again, as a load
-    balancer does.
+    A client that is refused because its daemon is stopping waits until the daemon is
+    ready again, as a load balancer does.
     """
     stop = threading.Event()
     answers: list[tuple[str, int, Any]] = []
@@ -74,7 +74,11 @@
 
 
 def refusals(answers: list[Any], *stopped: str) -> list[Any]:
-    """Return what did not end as it must while the named daemons are stopped."""
+    """Return the unexpected answers of a load during which some daemons were stopped.
+
+    Every answer must be ``complete``, except that a stopped daemon may refuse a job
+    with status 503 and ``not_run``.
+    """
     return [
         (daemon, code, answer)
         for daemon, code, answer in answers
@@ -84,7 +88,7 @@
 
 
 def wait_for_more(answers: list[Any], count: int) -> None:
-    """Wait until ``count`` further answers have come."""
+    """Wait until ``count`` further answers have arrived."""
     wanted = len(answers) + count
     wait_for(lambda: len(answers) >= wanted, f"{count} answers")
 
@@ -96,7 +100,7 @@
 
 
 def wait_for_service(system: System, daemon: str, name: str) -> None:
-    """Wait until a daemon completes a job, in the time that a role change may take."""
+    """Wait until a daemon completes a job, for as long as a role change may take."""
     numbers = itertools.count()
 
     def is_served() -> bool:
@@ -127,7 +131,7 @@
 
 
 def test_killed_placer_is_replaced_within_5_s(system: System) -> None:
-    """Guards against a zone that waits for a dead placer."""
+    """Guards against a zone that is not served any more after its placer was killed."""
     system.start(THREE)
     system.add_server("s1", "a")
     running = system.submit_later("a2", make_job("job-1", work=10.0))
@@ -140,7 +144,7 @@
 def test_frozen_placer_is_replaced_and_does_not_take_the_role_back(
     system: System,
 ) -> None:
-    """Guards against a role that follows a pausing instance back and forth."""
+    """Guards against a placer role that moves back to an instance after its pause."""
     system.start(THREE)
     system.add_server("s1", "a")
     frozen = system.daemons_by_id["a1"]
@@ -157,7 +161,7 @@
 
 @pytest.mark.parametrize("both", [False, True])
 def test_silent_link_is_replaced_within_5_s(system: System, both: bool) -> None:
-    """Guards against an open connection that delivers nothing for ever."""
+    """Guards against keeping an open connection that no longer delivers anything."""
     system.start(THREE, relayed=True)
     ends = [("a1", "a2"), ("a2", "a1")] if both else [("a1", "a2")]
     relays = [system.relays_by_link[link] for link in ends]
@@ -200,7 +204,7 @@
 
 
 def count_messages(system: System, seconds: float = 1.0) -> float:
-    """Count the messages that all daemons send in a while."""
+    """Count the messages that all daemons send in ``seconds``."""
 
     def read() -> float:
         daemons = system.daemons_by_id.values()
@@ -212,13 +216,13 @@
 
 
 def count_role_changes(system: System) -> int:
-    """Count the changes of the placer that all daemons have seen."""
+    """Count the changes of placer that all daemons have logged."""
     daemons = system.daemons_by_id.values()
     return sum(len(daemon.log_lines("placer_changed")) for daemon in daemons)
 
 
 def test_leaving_server_finishes_its_task_and_gets_nothing_new(system: System) -> None:
-    """Guards against work for a leaving server and against its interruption."""
+    """Guards against new tasks on a leaving server, and against stopping its task."""
     system.start(THREE)
     system.add_server("s1", "a", slots=1)
     long = system.submit_later("a2", make_job("long", tasks=1, work=4.0))
@@ -237,10 +241,10 @@
 def test_leaving_announced_far_from_the_placer_ends_its_dispatches(
     system: System,
 ) -> None:
-    """Guards against a placer that goes on using a server whose leaving it cannot hear.
+    """Guards against a placer that keeps using a leaving server it was not told about.
 
-    The announcement reaches only ``a3``, which is cut off from the placer and for which
-    ``a2``, which still follows the placer, is the next in line.
+    The announcement reaches only ``a3``, which is cut off from the placer ``a1``.
+    ``a3`` regards ``a2`` as the next placer, while ``a2`` still follows ``a1``.
     """
     system.start(THREE, relayed=True)
     system.add_server("s1", "a", slots=4)
@@ -261,7 +265,7 @@
 def test_seven_daemons_over_three_zones_see_each_other_within_5_s(
     system: System,
 ) -> None:
-    """Guards against slow or partial views at the expected number of instances."""
+    """Guards against slow or incomplete views with the expected number of instances."""
     zones = {f"{zone}{number}": zone for zone in "abc" for number in (1, 2)}
     system.start({**zones, "c3": "c"})
     daemons = system.daemons_by_id.values()
--- a/boragetide/tests/test_ordering.py
+++ b/boragetide/tests/test_ordering.py
@@ -26,7 +26,7 @@
 
 
 def walk(queues: dict[str, ClassQueue], caps: dict[str, int]) -> list[str]:
-    """Return the ids of the jobs in the order of the walk."""
+    """Return the ids of the jobs in the order in which they are placed."""
     return [job_id for _, job_id in walk_jobs(queues, caps, NOW)]
 
 
@@ -39,7 +39,7 @@
 
 
 def test_aging_bounds_how_long_a_large_job_is_overtaken() -> None:
-    """Guards against large jobs that never run while small ones keep coming."""
+    """Guards against starving large jobs while small ones keep arriving."""
     queue = ClassQueue(aging=2.0)
     put(queue, "large", 10.0, at=NOW - 6.0)
     put(queue, "small", 1.0)
@@ -47,7 +47,7 @@
 
 
 def test_removed_job_leaves_no_trace_in_the_order() -> None:
-    """Guards against heads of teams that no longer have a job."""
+    """Guards against a queue that still lists a team without jobs."""
     queue = ClassQueue(aging=1.0)
     job = put(queue, "only", 1.0, "a")
     put(queue, "other", 1.0, "b")
@@ -56,7 +56,7 @@
 
 
 def test_burst_of_a_team_does_not_keep_another_team_waiting() -> None:
-    """Guards against a team that fills the class with many small jobs."""
+    """Guards against a team that occupies its whole class with many small jobs."""
     queue = ClassQueue(aging=1.0)
     for number in range(5):
         put(queue, f"burst-{number}", 0.1, "busy")
@@ -66,7 +66,7 @@
 
 
 def test_class_at_its_busy_share_waits_for_the_other_classes() -> None:
-    """Guards against a class that keeps more slots than its share."""
+    """Guards against a class that gets more slots than its share while others wait."""
     queues = {"c": ClassQueue(aging=1.0), "d": ClassQueue(aging=1.0)}
     put(queues["c"], "capped", 0.1)
     put(queues["d"], "entitled", 9.0)
--- a/boragetide/tests/test_path.py
+++ b/boragetide/tests/test_path.py
@@ -1,4 +1,4 @@
-"""The whole path through real processes."""
+"""Jobs from submission to answer, with real processes."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 def test_job_submitted_at_any_instance_gets_its_whole_answer(system: System) -> None:
-    """Guards against answers that only the placer itself can give."""
+    """Guards against jobs that get their whole answer only at the placer itself."""
     system.start({"a1": "a", "a2": "a"})
     system.add_server("s1", "a", speed=2.0)
     for daemon_id in ("a1", "a2"):
@@ -17,7 +17,7 @@
 
 
 def test_resubmission_at_another_instance_starts_no_task_again(system: System) -> None:
-    """Guards against a second start of a job that ran elsewhere."""
+    """Guards against a second start of a job that was submitted at another instance."""
     system.start({"a1": "a", "a2": "a"})
     system.add_server("s1", "a")
     job = make_job("job-1")
@@ -29,7 +29,7 @@
 
 
 def test_placement_writes_one_log_line_per_task(system: System) -> None:
-    """Guards against placements that operators cannot follow."""
+    """Guards against placements that operators cannot trace in the log."""
     system.start({"a1": "a"})
     system.add_server("s1", "a")
     system.submit("a1", make_job("job-1", tasks=3))
--- a/boragetide/tests/test_placement.py
+++ b/boragetide/tests/test_placement.py
@@ -18,7 +18,7 @@
 
 
 def test_long_task_waits_for_a_fast_slot_and_a_short_one_does_not() -> None:
-    """Guards against long tasks on slow servers and needless waits of short ones."""
+    """Guards against long tasks on slow servers, and against short ones that wait."""
     releases = [Release(wait=0.1, speed=4.0)]
     assert find_faster_release(2.0, 1.0, releases) is releases[0]
     assert find_faster_release(0.1, 1.0, releases) is None
--- a/boragetide/tests/test_pool.py
+++ b/boragetide/tests/test_pool.py
@@ -1,4 +1,4 @@
-"""The pool controller: placement, cancellation, deadlines and promises to servers."""
+"""The pool controller: placement, cancellation, deadlines and limits of servers."""
 
 from __future__ import annotations
 
@@ -37,12 +37,12 @@
 
 @pytest.fixture
 def apply(pool: BackendServersState) -> Callable[..., list[Effect]]:
-    """Apply a message to the pool."""
+    """Return a function that applies a message to the pool."""
     return lambda message, now=NOW: handle(message, pool, now)
 
 
 def queue(job_id: str, *sizes: float, **options: Any) -> QueueTasks:
-    """Describe a job with tasks of these declared sizes."""
+    """Build the request to queue a job with tasks of these declared sizes."""
     tasks = tuple(Task(None, size, timeout=5.0) for size in sizes)
     return QueueTasks(job_id, "default", tasks, **{"idempotent": False, **options})
 
@@ -54,7 +54,7 @@
 
 
 def test_tasks_for_one_server_travel_in_one_batch_with_a_log_line_each(apply) -> None:
-    """Guards against one message per task and against placements without a trace."""
+    """Guards against one message per task, and placements without a log line."""
     apply(AnnounceBackendServer(describe_server("s1")))
     effects = apply(queue("j", 0.1, 0.3, 0.2))
     (start,) = pick(effects, StartTasks)
@@ -65,7 +65,7 @@
 
 
 def test_tasks_that_do_not_fit_now_let_others_pass(apply) -> None:
-    """Guards against a queue that stops behind tasks that wait for cores."""
+    """Guards against a queue that is blocked by tasks that wait for cores."""
     apply(AnnounceBackendServer(describe_server("s1", slots=30)))
     large = tuple(Task(None, 0.01, cores=8.0) for _ in range(20))
     for number in range(20):
@@ -74,7 +74,7 @@
 
 
 def test_batch_holds_its_connection_until_its_last_task_ends(apply) -> None:
-    """Guards against more connections than a backend server takes."""
+    """Guards against more connections than a backend server accepts."""
     apply(AnnounceBackendServer(describe_server("s1", connections=1)))
     (start,) = pick(apply(queue("j", 0.1, 0.1)), StartTasks)
     assert not pick(apply(queue("k", 0.1)), StartTasks)
@@ -86,7 +86,7 @@
 
 
 def test_cancellation_is_one_batch_without_tasks_that_end_soon(apply) -> None:
-    """Guards against cancellations that arrive when the task has ended."""
+    """Guards against cancellations that arrive after the task has ended."""
     apply(AnnounceBackendServer(describe_server("s1")))
     apply(queue("j", 1.0, 2.0, 0.02))
     (cancel,) = pick(apply(CancelQueued("j")), CancelTasks)
@@ -94,7 +94,7 @@
 
 
 def test_result_that_is_overdue_ends_the_task_as_unknown(apply) -> None:
-    """Guards against callers that wait for ever and against slots that stay taken."""
+    """Guards against callers that wait forever, and against slots that stay taken."""
     apply(AnnounceBackendServer(describe_server("s1", slots=1)))
     (start,) = pick(apply(queue("j", 0.1)), StartTasks)
     apply(queue("k", 0.1))
@@ -110,7 +110,7 @@
 
 @pytest.mark.parametrize("how", ["leaving", "drained"])
 def test_leaving_and_drained_servers_get_nothing_new(apply, how: str) -> None:
-    """Guards against new work on a server that is about to stop."""
+    """Guards against new tasks on a server that is about to stop."""
     apply(AnnounceBackendServer(describe_server("s1")))
     assert pick(apply(queue("j", 0.1)), StartTasks)
     if how == "leaving":
@@ -130,7 +130,7 @@
 
 
 def test_refused_dispatch_is_retried_and_then_refused_as_not_run(apply) -> None:
-    """Guards against failed jobs where nothing ran."""
+    """Guards against failing a job although none of its tasks ran."""
     apply(AnnounceBackendServer(describe_server("s1")))
     effects, now = apply(queue("j", 0.1)), NOW
     attempts = 0
--- a/boragetide/tests/test_replay.py
+++ b/boragetide/tests/test_replay.py
@@ -1,4 +1,4 @@
-"""Recorded traces through the decision functions, with stated outcomes."""
+"""Replays of recorded traces through the policies, with expected outcomes."""
 
 from __future__ import annotations
 
@@ -12,7 +12,8 @@
 
 FOLDER = Path(traces.__file__).parent / "traces"
 
-# Mean of response over ideal of the complete jobs, refused jobs, failed jobs.
+# Mean ratio of response time to ideal response time of the complete jobs, number of
+# refused jobs, number of failed jobs.
 OUTCOMES_BY_TRACE = {
     "burst": (2.454, 0, 0),
     "failing": (1.896, 0, 3),
@@ -32,7 +33,7 @@
 
 @pytest.mark.parametrize("name", sorted(OUTCOMES_BY_TRACE))
 def test_trace_has_its_stated_outcome(name: str) -> None:
-    """Guards against a change of the policy that nobody noticed or measured."""
+    """Guards against a change of the policy that was not noticed or measured."""
     mean, refused, failed = OUTCOMES_BY_TRACE[name]
     summary = run(name)
     assert summary.mean == pytest.approx(mean, abs=0.001)
@@ -41,7 +42,7 @@
 
 @pytest.mark.parametrize("name", ["small_95", "large_95"])
 def test_mean_and_p99_at_high_load_beat_every_baseline(name: str) -> None:
-    """Guards against a policy that a simple one would replace."""
+    """Guards against a policy that is no better than a simple one."""
     summary = run(name)
     for baseline in BASELINES:
         other = run(name, baseline)
@@ -55,7 +56,10 @@
 def test_mean_and_p99_are_half_of_those_of_binding_on_arrival(
     tasks: tuple[int, int], jobs: int
 ) -> None:
-    """Guards the target for 95% load, on traces long enough for queues to build up."""
+    """Guards against missing the target for 95% load.
+
+    The traces are long enough for queues to build up.
+    """
     trace = traces.generate(seed=1, load=0.95, tasks=tasks, jobs=jobs)
     summary = summarize(replay(trace, "boragetide"))
     for baseline in ("random", "round_robin", "fewest_outstanding"):
@@ -65,7 +69,7 @@
 
 
 def test_failing_server_costs_at_most_one_percent_of_the_tasks() -> None:
-    """Guards against a server that attracts tasks by failing them at once."""
+    """Guards against a server that attracts tasks by failing them immediately."""
     trace = traces.read(FOLDER / "failing.jsonl")
     done = replay(trace, "boragetide")
     tasks = sum(len(job.tasks) for job in trace.jobs)
@@ -73,7 +77,7 @@
 
 
 def test_admitted_jobs_meet_their_target_at_double_load() -> None:
-    """Guards against admission that promises what the pool cannot do."""
+    """Guards against admitting jobs that the pool cannot complete within the target."""
     trace = traces.read(FOLDER / "overload.jsonl")
     results = replay(trace, "boragetide").results
     admitted = [r for r in results if r.status is Status.COMPLETE]
--- a/boragetide/tests/test_retries.py
+++ b/boragetide/tests/test_retries.py
@@ -44,7 +44,7 @@
 
 
 def test_quiet_pool_may_retry_a_little() -> None:
-    """Guards against a lone task that fails because 10% of one is none."""
+    """Guards against a lone task that is not retried because 10% of one is none."""
     budget = RetryBudget()
     record(budget, 100.0, 1, BUDGET_FLOOR - 1)
     assert has_budget(budget, 100.0)
@@ -53,7 +53,7 @@
 
 
 def test_backoff_grows_and_is_jittered() -> None:
-    """Guards against retries in step with each other."""
+    """Guards against many tasks that retry at the same time."""
     draw = random.Random(1)
     first = {backoff(1, draw) for _ in range(10)}
     assert len(first) == 10
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -27,7 +27,7 @@
 """
 
 
-# What a Pull0 socket sends first: the protocol number 0x51, then a reserved field.
+# Greeting of a Pull0 socket: the protocol number 0x51, then a reserved field.
 PULL_GREETING = b"\0SP\0\0\x51\0\0"
 
 
@@ -41,7 +41,7 @@
 
 
 def ignore_count(name: str, labels: dict[str, str], value: float) -> None:
-    """Take no note of bytes."""
+    """Discard the counts of bytes."""
 
 
 async def wait_until(condition: Any, limit: float = 5.0) -> None:
@@ -51,7 +51,7 @@
 
 
 def test_link_without_a_peer_reports_what_is_unsent() -> None:
-    """Guards against requests that wait for a peer that is not there."""
+    """Guards against requests that wait for a peer that does not listen."""
 
     async def run() -> None:
         link, unsent = make_link(free_port()), []
@@ -64,7 +64,7 @@
 
 
 def test_blocked_send_ends_and_an_idle_link_is_replaced() -> None:
-    """Guards against a link that hangs in a send or waits for its next message."""
+    """Guards against a send that hangs, and an idle link that is not replaced."""
     target = free_port()
 
     async def run() -> None:
@@ -88,7 +88,7 @@
 
 
 def test_task_that_lost_its_cancellation_is_cancelled_again() -> None:
-    """Guards against an exit that waits for a link's task for ever."""
+    """Guards against an exit that waits forever for the task of a link."""
 
     async def lose_one() -> None:
         with contextlib.suppress(asyncio.CancelledError):
@@ -106,7 +106,7 @@
 
 
 def test_failed_controller_ends_the_process(monkeypatch: Any, tmp_path: Path) -> None:
-    """Guards against a daemon that goes on without one of its controllers."""
+    """Guards against a daemon that keeps running without one of its controllers."""
 
     @singledispatch
     def handle(message: Any, state: Any, now: float) -> list[Any]:
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -1,4 +1,4 @@
-"""Order and placement of durable tasks, decided without a network."""
+"""Order and placement of durable tasks, without a network."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 def test_steps_wait_for_those_they_depend_on() -> None:
-    """Guards against a start before the steps in front of it are done."""
+    """Guards against starting a step before the steps it depends on are done."""
     job = make_durable_job("j1", STEP, replace(STEP, depends_on=(0,)))
     record = JobRecord(job)
     assert [number for number, _ in find_ready_tasks(record)] == [0, 1]
@@ -36,13 +36,13 @@
 
 
 def test_longest_chain_follows_the_dependencies() -> None:
-    """Guards against an objective that counts parallel steps one after the other."""
+    """Guards against an objective that adds up steps that run in parallel."""
     steps = STEP, replace(STEP, estimate=0.5), replace(STEP, depends_on=(0, 1))
     assert longest_chain(make_durable_job("j1", *steps)) == 0.7
 
 
 def test_fastest_server_goes_first_and_the_fullest_among_equals() -> None:
-    """Guards against tasks on slow servers and against scattered room."""
+    """Guards against tasks on slow servers, and against fragmented free capacity."""
     index = ServerIndex()
     index.put("slow", "pool", 0.7, 64_000)
     index.put("fast", "pool", 1.7, 30_000)
@@ -53,7 +53,7 @@
 
 
 def test_index_follows_room_and_speed() -> None:
-    """Guards against tasks on backend servers that are full, gone or elsewhere."""
+    """Guards against tasks on servers that are full, gone or in another pool."""
     index = ServerIndex()
     for server in ("s1", "s2", "s3"):
         index.put(server, "pool", 1.0, 64_000)
@@ -70,7 +70,7 @@
 
 
 def test_server_must_have_room_label_and_fewer_tasks_of_the_step() -> None:
-    """Guards against a start that breaks what the step asks for."""
+    """Guards against a start that violates the requirements of the step."""
     server = make_candidate("s1", 64_000)
     assert choose_server(STEP, [make_candidate("s1", 20_000)], {}) is None
     assert choose_server(replace(STEP, required_label="b"), [server], {}) is None
@@ -80,7 +80,10 @@
 
 
 def test_server_near_the_data_goes_before_a_faster_one() -> None:
-    """Guards against a task that takes several times as long away from its data."""
+    """Guards against placing a task away from its data.
+
+    It takes several times as long there.
+    """
     near, fast = make_candidate("s1", 64_000), make_candidate("s2", 64_000, 1.7)
     fast.labels = ("a", "r2")
     step = replace(STEP, data_rack="r1")
@@ -88,14 +91,14 @@
 
 
 def test_job_fits_where_no_server_is_known_yet() -> None:
-    """Guards against refusals before the first announcement."""
+    """Guards against refusing jobs before the first backend server is announced."""
     large = make_durable_job("j1", Step(1, Resources(70_000), 0.2))
     assert can_ever_fit(large, [])
     assert not can_ever_fit(large, [Resources(64_000, 1000)])
 
 
 def test_queue_serves_what_can_be_in_time_before_what_is_late() -> None:
-    """Guards against late jobs that make further jobs late."""
+    """Guards against late jobs that delay jobs that can still be in time."""
     queue = JobQueue()
     late = make_durable_job("late", submitted_at=BEGIN - 1.0)
     soon = make_durable_job("soon", submitted_at=BEGIN)
@@ -119,7 +122,7 @@
 
 
 def test_large_job_is_not_passed_over_for_long() -> None:
-    """Guards against large jobs that never start while small ones keep coming."""
+    """Guards against starving large jobs while small ones keep arriving."""
     queue = JobQueue()
     long = replace(STEP, estimate=2.0)
     large = replace(long, count=6)
@@ -133,7 +136,7 @@
 
 
 def test_classes_are_measured_by_their_own_mean() -> None:
-    """Guards against classes of wide jobs that wait behind those of narrow ones."""
+    """Guards against classes of wide jobs that wait behind classes of narrow ones."""
     queue = JobQueue()
     wide = replace(STEP, count=40)
     for name, step in (("wide", wide), ("narrow", STEP)):
@@ -146,7 +149,7 @@
 
 
 def test_most_urgent_job_goes_first() -> None:
-    """Guards against short tasks that are late because long ones came before."""
+    """Guards against short tasks that are late because long ones were queued first."""
     queue = JobQueue()
     long = replace(STEP, estimate=2.0)
     orders = replace(make_durable_job("order", long), class_name="orders")
@@ -157,7 +160,7 @@
 
 
 def test_job_leaves_the_queue_with_its_last_task() -> None:
-    """Guards against a job that is looked at for ever."""
+    """Guards against a job that stays in the queue after its last task has started."""
     queue = JobQueue()
     job = make_durable_job()
     queue.put(job, {0: STEP})
@@ -167,7 +170,7 @@
 
 
 def test_server_that_makes_the_job_late_is_left_out_while_it_can_be_in_time() -> None:
-    """Guards against urgent tasks on a backend server that turned slow."""
+    """Guards against urgent tasks on a backend server that became slow."""
     slow = make_candidate("s1", 64_000, 0.15)
     assert choose_server(STEP, [slow], {}, slack=0.2) is None
     assert choose_server(STEP, [slow], {}, slack=None) is slow
--- a/boragetide/tests/test_settings.py
+++ b/boragetide/tests/test_settings.py
@@ -96,7 +96,7 @@
     ],
 )
 def test_each_fault_is_one_line(valid: str, old: str, new: str, fault: str) -> None:
-    """Guards against faults that start a daemon or that an operator cannot place."""
+    """Guards against starting a daemon with a fault, and against unclear messages."""
     text = valid.replace(old, new, 1) if old else valid + new
     faults = find_faults(text)
     assert any(fault in line for line in faults), faults
@@ -104,7 +104,7 @@
 
 
 def test_file_without_any_disk_is_refused(valid: str) -> None:
-    """Guards against an installation that can never keep a configuration."""
+    """Guards against a system that can never store a configuration."""
     text = valid.replace("disk = yes", "disk = no").replace("data-folder", "#")
     assert find_faults(text) == (
         "[instance] disk = no: no instance has a disk, at least one needs it",
@@ -112,7 +112,7 @@
 
 
 def test_data_folder_below_a_file_is_refused(valid: str, tmp_path: Path) -> None:
-    """Guards against a daemon that notices only at its first write."""
+    """Guards against a daemon that detects the fault only at its first write."""
     (tmp_path / "file").touch()
     text = valid.replace(str(tmp_path / "data"), str(tmp_path / "file" / "data"))
     assert find_faults(text) == (
@@ -122,7 +122,7 @@
 
 
 def test_command_line_replaces_the_data_folder(tmp_path: Path) -> None:
-    """Guards against an override that escapes the checks."""
+    """Guards against an override that bypasses the checks."""
     settings = load_settings(None, tmp_path)
     assert settings.data_folder == tmp_path
     (tmp_path / "file").touch()
--- a/boragetide/tests/test_stopping.py
+++ b/boragetide/tests/test_stopping.py
@@ -1,4 +1,4 @@
-"""The order and the bounds of a planned stop."""
+"""Order and time limits of a planned stop."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class ScriptedRuntime(Runtime):
-    """A runtime whose controllers still have work for some of the questions."""
+    """A runtime whose controllers report work to the first ``busy`` drain requests."""
 
     def __init__(self, settings: Settings, busy: int):
         super().__init__(settings, {})
@@ -25,7 +25,7 @@
         self.remaining = itertools.chain([1] * busy, itertools.repeat(0))
 
     async def ask(self, to: Any, message: Any, timeout: float) -> Any:
-        """Answer from the script and note the question."""
+        """Record a request and answer it from the script."""
         self.asked.append(type(message).__name__)
         if isinstance(message, Drain):
             return DrainState(next(self.remaining))
@@ -45,12 +45,12 @@
 
 @pytest.fixture(autouse=True)
 def short(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Shorten the time in which late jobs may come."""
+    """Shorten the time for which a stop waits for late jobs."""
     monkeypatch.setattr(stopping, "SHORTEST_STOP", 0.1)
 
 
 def test_links_are_flushed_after_everything_is_finished(settings: Settings) -> None:
-    """Guards against an exit before the last replies were read."""
+    """Guards against an exit before the peers have read the last replies."""
     runtime = ScriptedRuntime(settings, busy=2)
     run_stop(runtime, stopping.StopSignals())
     assert runtime.asked == [
@@ -61,7 +61,7 @@
 
 
 def test_open_request_holds_the_stop_until_its_bound(settings: Settings) -> None:
-    """Guards against an exit that cuts off a caller and a stop without an end."""
+    """Guards against an exit that cuts off a caller, and against a stop without end."""
     timing = replace(settings.timing, stop_timeout=0.5)
     runtime = ScriptedRuntime(replace(settings, timing=timing), busy=0)
     runtime.open_requests.add("request")
