--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -214,10 +214,15 @@
         ports = {peer: (free_port(), free_port()) for peer in ids}
         for own in ids:
             config = self.folder / f"{own}.ini"
-            dialed = self._relay(own, ports) if relayed else ports
+            connect_ports = self._relay(own, ports) if relayed else ports
             sections = [
                 _format_peer(
-                    peer, own, zones_by_id[peer], dialed[peer], disks, self.folder
+                    peer,
+                    own,
+                    zones_by_id[peer],
+                    connect_ports[peer],
+                    disks,
+                    self.folder,
                 )
                 for peer in ids
             ]
@@ -246,13 +251,13 @@
         self, own: str, ports: dict[str, tuple[int, int]]
     ) -> dict[str, tuple[int, int]]:
         self.relay_loop = self.relay_loop or RelayLoop()
-        dialed = dict(ports)
+        connect_ports = dict(ports)
         for peer, (http_port, peer_port) in ports.items():
             if peer != own:
                 relay = Relay(self.relay_loop, free_port(), peer_port)
                 self.relays_by_link[own, peer] = relay
-                dialed[peer] = (http_port, relay.port)
-        return dialed
+                connect_ports[peer] = (http_port, relay.port)
+        return connect_ports
 
     def relays_across(self, inside: Iterable[str]) -> list[Relay]:
         """Return the relays between the daemons in ``inside`` and all others."""
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -31,8 +31,8 @@
 BORN = 900_000_000  # Unix milliseconds at which the backend servers started
 CAPACITY = Resources(64_000, 100_000)
 NEEDS = Resources(27_000, 64)
-PREDECESSOR = 0.4  # seconds for which an earlier leader may still give orders
-HEARING = 60.0  # seconds for which the instance has run when a test begins
+PREDECESSOR_AUTHORITY = 0.4  # seconds for which an earlier leader may still give orders
+UPTIME = 60.0  # seconds for which the instance has run when a test begins
 
 
 def make_durable_job(
@@ -75,14 +75,16 @@
     """A leading dispatcher that records the effects of the last message."""
 
     def __init__(self, settings: Settings, term: int = 1):
-        incarnation = int((BEGIN - HEARING) * 1000)
+        incarnation = int((BEGIN - UPTIME) * 1000)
         self.state = DispatcherState(settings, incarnation)
         self.effects: list[Effect] = []
         self.term = term
 
     def lead(self, now: float = BEGIN, records: tuple[Any, ...] = ()) -> None:
         """Gain the leadership."""
-        gained = LeadershipGained(self.term, records, now + 1000.0, now + PREDECESSOR)
+        gained = LeadershipGained(
+            self.term, records, now + 1000.0, now + PREDECESSOR_AUTHORITY
+        )
         self.handle(gained, now)
 
     def handle(self, message: Any, now: float = BEGIN) -> list[Effect]:
@@ -172,6 +174,6 @@
     return ListedEnd(number, start.task, start.run, reason)
 
 
-def refer(job_id: str, index: int, step: int = 0) -> TaskRef:
+def make_task_ref(job_id: str, index: int, step: int = 0) -> TaskRef:
     """Build a reference to a task."""
     return TaskRef(job_id, step, index)
--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -12,7 +12,7 @@
 FROM_TARGET = "from_target"
 DIRECTIONS = frozenset({TO_TARGET, FROM_TARGET})
 CHUNK = 65536  # bytes
-LAST_TURNS = 10
+CLOSE_ITERATIONS = 10
 
 
 class RelayLoop:
@@ -23,9 +23,9 @@
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
 
-    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
         """Run a coroutine in the loop and return its result."""
-        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
 
     def close(self) -> None:
         """Cancel the remaining tasks and end the thread, once all relays are cut."""
@@ -40,7 +40,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         # Closed transports release their sockets in the next iterations of the loop.
-        for _ in range(LAST_TURNS):
+        for _ in range(CLOSE_ITERATIONS):
             await asyncio.sleep(0)
 
 
--- a/boragetide/tests/test_api.py
+++ b/boragetide/tests/test_api.py
@@ -13,14 +13,14 @@
 from boragetide.json_values import find_fault, needs_walk
 from boragetide.tests.conftest import System, call, make_job
 
-LIMIT = 20_000  # bytes
+BODY_LIMIT = 20_000  # bytes
 
 
 @pytest.fixture(scope="module")
-def daemon(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
+def limited_system(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
     """One daemon with small limits, shared by the tests of this module."""
     made = System(tmp_path_factory.mktemp("api"))
-    limits = f"body-bytes = {LIMIT}\ntasks-per-job = 5\nqueued-tasks = 3\n"
+    limits = f"body-bytes = {BODY_LIMIT}\ntasks-per-job = 5\nqueued-tasks = 3\n"
     made.start({"a1": "a"}, timing=f"[limits]\n{limits}")
     yield made
     made.close()
@@ -71,8 +71,20 @@
             400,
             "tasks.0.payload: number",
         ),
-        ("POST", "/v1/jobs", change_task(payload="x" * LIMIT), 413, "body: larger"),
-        ("POST", "/v1/jobs", b"x" * (LIMIT * 9), 413, "body: larger than 20000 bytes"),
+        (
+            "POST",
+            "/v1/jobs",
+            change_task(payload="x" * BODY_LIMIT),
+            413,
+            "body: larger",
+        ),
+        (
+            "POST",
+            "/v1/jobs",
+            b"x" * (BODY_LIMIT * 9),
+            413,
+            "body: larger than 20000 bytes",
+        ),
         ("POST", "/v1/requests", REQUEST | {"idempotent": 1}, 400, "idempotent: "),
         ("POST", "/v1/requests", REQUEST | {"timeout": None}, 400, "timeout: "),
         ("PUT", "/v1/backend-servers/a%20b", SERVER, 400, "id: "),
@@ -117,28 +129,28 @@
             "limit: ",
         ),
         ("GET", "/v2/none", None, 404, "path '/v2/none' does not exist"),
-        ("POST", "/v2/none", b"x" * (LIMIT + 1), 413, "body: larger"),
+        ("POST", "/v2/none", b"x" * (BODY_LIMIT + 1), 413, "body: larger"),
         ("GET", "/v1/jobs", None, 405, "method GET is not allowed on '/v1/jobs'"),
         ("DELETE", "/v1/status", None, 405, "method DELETE is not allowed"),
     ],
 )
 def test_bad_input_is_not_run_and_names_the_field(
-    daemon: System, method: str, path: str, body: Any, code: int, error: str
+    limited_system: System, method: str, path: str, body: Any, code: int, error: str
 ) -> None:
     """Guards against refusals that callers cannot act on, and against tracebacks."""
-    url = daemon.daemons_by_id["a1"].url
+    url = limited_system.daemons_by_id["a1"].url
     answered, answer = call(method, url + path, body)
     assert (answered, answer["status"]) == (code, "not_run")
     assert answer["error"].startswith(error), answer
-    assert "traceback" not in daemon.daemons_by_id["a1"].log.read_text().lower()
+    assert "traceback" not in limited_system.daemons_by_id["a1"].log.read_text().lower()
 
 
-def test_chunked_body_above_the_limit_gets_413(daemon: System) -> None:
+def test_chunked_body_above_the_limit_gets_413(limited_system: System) -> None:
     """Guards against a limit that is enforced only for a declared length."""
-    address = daemon.daemons_by_id["a1"].url.removeprefix("http://")
+    address = limited_system.daemons_by_id["a1"].url.removeprefix("http://")
     connection = http.client.HTTPConnection(address, timeout=10)
     for _ in range(2):
-        chunks = (b"x" * (LIMIT // 2) for _ in range(3))
+        chunks = (b"x" * (BODY_LIMIT // 2) for _ in range(3))
         connection.request("POST", "/v1/jobs", chunks, encode_chunked=True)
         response = connection.getresponse()
         assert response.status == 413
@@ -146,9 +158,13 @@
     connection.close()
 
 
-def test_client_that_asks_first_does_not_send_a_large_body(daemon: System) -> None:
+def test_expect_100_continue_is_refused_before_a_large_body(
+    limited_system: System,
+) -> None:
     """Guards against transferring a body that is certain to be refused."""
-    host, port = daemon.daemons_by_id["a1"].url.removeprefix("http://").split(":")
+    host, port = (
+        limited_system.daemons_by_id["a1"].url.removeprefix("http://").split(":")
+    )
     with socket.create_connection((host, int(port)), timeout=10) as connection:
         connection.sendall(
             b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 30000\r\n"
@@ -157,9 +173,9 @@
         assert connection.makefile("rb").read().startswith(b"HTTP/1.1 413 ")
 
 
-def test_overload_is_not_run_with_retry_after(daemon: System) -> None:
+def test_overload_is_not_run_with_retry_after(limited_system: System) -> None:
     """Guards against refused callers that retry immediately."""
-    address = daemon.daemons_by_id["a1"].url.removeprefix("http://")
+    address = limited_system.daemons_by_id["a1"].url.removeprefix("http://")
     connection = http.client.HTTPConnection(address, timeout=10)
     connection.request("POST", "/v1/jobs", json.dumps(make_job("full", tasks=4)))
     response = connection.getresponse()
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -16,8 +16,8 @@
 
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
-LINE = {"id": "j.0", "status": "done", "result": 1, "seconds": 0.1}
-HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+RESULT_LINE = {"id": "j.0", "status": "done", "result": 1, "seconds": 0.1}
+RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 
 
 def run_dispatch(
@@ -67,7 +67,7 @@
 def test_each_result_line_is_reported_with_its_run_time() -> None:
     """Guards against assigning a result to another task of the batch."""
     second = {"id": "j.1", "status": "failed", "error": "out of ink"}
-    reports = run_dispatch(respond(HEAD, second, LINE))
+    reports = run_dispatch(respond(RESPONSE_HEAD, second, RESULT_LINE))
     assert statuses(reports) == {
         "j.0": TaskStatus.DONE,
         "j.1": TaskStatus.FAILED,
@@ -88,7 +88,7 @@
 
 
 @pytest.mark.parametrize(
-    "head", [b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 500 Oops\r\n\r\n", HEAD]
+    "head", [b"", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 500 Oops\r\n\r\n", RESPONSE_HEAD]
 )
 def test_connection_that_ends_early_may_have_run(head: bytes) -> None:
     """Guards against a second start after a dispatch that was received in part."""
@@ -98,7 +98,7 @@
 def test_tasks_after_the_break_of_a_stream_may_have_run() -> None:
     """Guards against a broken stream that changes results that had arrived."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n"
-    reports = run_dispatch(respond(head, LINE))
+    reports = run_dispatch(respond(head, RESULT_LINE))
     assert statuses(reports) == {"j.0": TaskStatus.DONE, "j.1": TaskStatus.UNKNOWN}
 
 
@@ -106,19 +106,19 @@
     """Guards against an unbounded wait for a connection that sends nothing."""
     monkeypatch.setattr("boragetide.links.backend_client.RESULT_MARGIN", 0.3)
 
-    async def swallow(
+    async def stay_silent(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.read(65536)
         await asyncio.sleep(1.0)
         writer.close()
 
-    assert set(statuses(run_dispatch(swallow)).values()) == {TaskStatus.UNKNOWN}
+    assert set(statuses(run_dispatch(stay_silent)).values()) == {TaskStatus.UNKNOWN}
 
 
 def test_lines_for_other_tasks_and_repeated_lines_are_dropped() -> None:
     """Guards against reporting a result that belongs to another dispatch."""
-    other = {**LINE, "id": "j.7"}
-    again = {**LINE, "status": "failed"}
-    reports = run_dispatch(respond(HEAD, other, LINE, again), tasks=1)
+    other = {**RESULT_LINE, "id": "j.7"}
+    again = {**RESULT_LINE, "status": "failed"}
+    reports = run_dispatch(respond(RESPONSE_HEAD, other, RESULT_LINE, again), tasks=1)
     assert statuses(reports) == {"j.0": TaskStatus.DONE}
--- a/boragetide/tests/test_catch_up.py
+++ b/boragetide/tests/test_catch_up.py
@@ -26,7 +26,7 @@
 from boragetide.settings import Settings
 from boragetide.tests.conftest import make_settings
 
-FIVE = {f"a{number}": "a" for number in range(1, 6)}
+FIVE_INSTANCES = {f"a{number}": "a" for number in range(1, 6)}
 NOW = 100.0
 
 
@@ -88,7 +88,7 @@
 
 def test_acknowledgement_before_the_loss_does_not_count(settings: Settings) -> None:
     """Guards against a commit that counts on a copy that was lost with its disk."""
-    settings = make_settings("a2", FIVE)
+    settings = make_settings("a2", FIVE_INSTANCES)
     leader = restore(settings, term=5, entries=0)
     become_leader(leader, NOW)
     append_proposals(leader, (None,), NOW)
@@ -105,7 +105,7 @@
 
 def test_vote_before_the_loss_does_not_count(settings: Settings) -> None:
     """Guards against a leader that is elected by a vote that its voter lost."""
-    settings = make_settings("a2", FIVE)
+    settings = make_settings("a2", FIVE_INSTANCES)
     candidate = restore(settings, term=5, entries=0)
     candidate.election_at = 0.0
     elections.check_election(candidate, NOW)
--- a/boragetide/tests/test_claims.py
+++ b/boragetide/tests/test_claims.py
@@ -29,9 +29,9 @@
 GROUP = ("a1", "a2", "a3")
 START = 1_000.0
 WINDOW = 600.0
-TO = ReplyTo("a2", 1)
+REPLY_TO = ReplyTo("a2", 1)
 CLAIM = Claim("a:x", "a1", 1_000_000, START)
-JOB = Submission("a:x", "default", (Task(0),))
+SUBMISSION = Submission("a:x", "default", (Task(0),))
 
 
 @pytest.fixture
@@ -70,7 +70,7 @@
     """Guards against grants that are not on disk at the next start."""
     assert request(acceptor, CLAIM, START) == "granted"
     claims.handle(FetchClaims("a", "a2", 7), acceptor, START)
-    saved, _ = claims.handle(SaveClaims(reply_to=TO), acceptor, START)
+    saved, _ = claims.handle(SaveClaims(reply_to=REPLY_TO), acceptor, START)
     assert request(acceptor, Claim("a:y", "a1", 1, START), START) == "incomplete"
     recovered = ClaimsRecovered(saved.record, ())
     *_, cleared = claims.handle(recovered, restarted, START)
@@ -128,11 +128,11 @@
     other = ClaimReply(ClaimStatus.HELD, Claim("a:x", "a3", 1, START), 1)
     for reply, kind in ((other, Reply), (ClaimReply(ClaimStatus.HELD, CLAIM, 1), Send)):
         message = ClaimAndSubmit(
-            submission=JOB,
+            submission=SUBMISSION,
             claim=CLAIM,
             asked_at=START,
             replies_by_acceptor={"a2": reply},
-            reply_to=TO,
+            reply_to=REPLY_TO,
         )
         (effect,) = claims.handle(message, acceptor, START)
         assert isinstance(effect, kind)
@@ -142,7 +142,7 @@
     settings: Settings,
 ) -> None:
     """Guards against task starts that overlap with those of the id's next owner."""
-    submit = SubmitJob(submission=JOB, claim=CLAIM, reply_to=TO)
+    submit = SubmitJob(submission=SUBMISSION, claim=CLAIM, reply_to=REPLY_TO)
     state = jobs.JobsState(settings, CLAIM.owner_incarnation)
     (refused,) = jobs.handle(submit, state, START + WINDOW)
     assert refused.message.answer.status is Status.UNKNOWN
--- a/boragetide/tests/test_claims_processes.py
+++ b/boragetide/tests/test_claims_processes.py
@@ -20,11 +20,11 @@
     wait_for(lambda: len(system.starts_by_task()) >= tasks, f"{tasks} started tasks")
 
 
-def lose_placer(system: System, lose: Callable[[], None]) -> None:
+def disable_placer(system: System, disable: Callable[[], None]) -> None:
     """Kill or pause ``a1`` and wait until another instance is the placer."""
     others = [system.daemons_by_id["a2"], system.daemons_by_id["a3"]]
     known = [len(daemon.log_lines("backend_server_joined")) for daemon in others]
-    lose()
+    disable()
     wait_for(
         lambda: [len(d.log_lines("backend_server_joined")) for d in others] != known,
         "the new placer to lease s1",
@@ -35,7 +35,9 @@
     assert list(system.starts_by_task().values()) == [1] * tasks
 
 
-def ask(system: System, method: str, daemon_id: str, path: str) -> tuple[int, Any]:
+def call_daemon(
+    system: System, method: str, daemon_id: str, path: str
+) -> tuple[int, Any]:
     return call(method, system.daemons_by_id[daemon_id].url + path)
 
 
@@ -45,7 +47,7 @@
     job = make_job("job-1", work=5.0)
     running = system.submit_later("a2", job)
     wait_for_starts(system, 4)
-    lose_placer(system, system.daemons_by_id["a1"].kill)
+    disable_placer(system, system.daemons_by_id["a1"].kill)
     assert running.result()[1]["status"] == "unknown"
     for daemon_id in ("a2", "a3"):
         assert system.submit(daemon_id, job)[1]["status"] == "unknown"
@@ -83,7 +85,7 @@
         "a2 to catch up",
     )
     system.wait_for_members(3)
-    lose_placer(system, system.daemons_by_id["a1"].kill)
+    disable_placer(system, system.daemons_by_id["a1"].kill)
     assert system.submit("a3", job)[1]["status"] == "unknown"
     assert system.submit("a2", job)[1]["status"] == "unknown"
     check_single_starts(system, 4)
@@ -96,7 +98,7 @@
     running = system.submit_later("a2", job)
     wait_for_starts(system, 2)
     owner = system.daemons_by_id["a1"]
-    lose_placer(system, owner.pause)
+    disable_placer(system, owner.pause)
     assert running.result()[1]["status"] == "unknown"
     assert system.submit("a3", job)[1]["status"] == "unknown"
     assert system.submit("a3", make_job("job-2", tasks=1))[1]["status"] == "complete"
@@ -129,11 +131,13 @@
     (job_id,) = call("POST", f"{url}/v1/job-ids", {"count": 1})[1]["ids"]
     running = system.submit_later("a2", make_job(job_id, work=10.0))
     wait_for_starts(system, 4)
-    assert ask(system, "GET", "a3", f"/v1/jobs/{job_id}")[1]["state"] == "running"
-    code, body = ask(system, "DELETE", "a3", f"/v1/jobs/{job_id}")
+    assert (
+        call_daemon(system, "GET", "a3", f"/v1/jobs/{job_id}")[1]["state"] == "running"
+    )
+    code, body = call_daemon(system, "DELETE", "a3", f"/v1/jobs/{job_id}")
     assert (code, body["state"], body["answer"]["status"]) == (200, "ended", "failed")
     assert running.result()[1] == body["answer"]
-    assert ask(system, "GET", "a2", "/v1/jobs/never")[0] == 404
+    assert call_daemon(system, "GET", "a2", "/v1/jobs/never")[0] == 404
 
 
 def test_id_with_other_payloads_is_refused(system: System) -> None:
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -26,7 +26,7 @@
     wait_for,
 )
 
-LOST = object()  # scripted answer: close the connection without a response
+CLOSE_CONNECTION = object()  # scripted answer: close the connection without a response
 CONFIGURATION = {
     "version": 7,
     "classes": [{"name": "default", "response_time": 10.0, "busy_share": 1.0}],
@@ -35,17 +35,17 @@
 
 
 @dataclass
-class Script:
+class ScriptedDaemon:
     """A daemon that answers from a script and records the requests."""
 
     url: str = ""
     answers_by_request: dict[str, list[Any]] = field(default_factory=dict)
     requests: list[tuple[str, Any]] = field(default_factory=list)
 
-    def add(self, request: str, *answers: Any) -> None:
+    def set_answers(self, request: str, *answers: Any) -> None:
         """Set the answers to a request, of which the last one is repeated.
 
-        Each answer is ``(status, body)`` or `LOST`.
+        Each answer is ``(status, body)`` or `CLOSE_CONNECTION`.
         """
         self.answers_by_request[request] = list(answers)
 
@@ -54,8 +54,8 @@
         return [body for name, body in self.requests if name == request]
 
 
-class _ScriptHandler(RequestHandler):
-    def initialize(self, script: Script) -> None:
+class _ScriptedHandler(RequestHandler):
+    def initialize(self, script: ScriptedDaemon) -> None:
         self.script = script
 
     def answer(self) -> None:
@@ -64,7 +64,7 @@
         self.script.requests.append((name, body))
         answers = self.script.answers_by_request[name]
         answer = answers.pop(0) if len(answers) > 1 else answers[0]
-        if answer is LOST:
+        if answer is CLOSE_CONNECTION:
             self.detach().close()
             return
         self.set_status(answer[0])
@@ -74,16 +74,16 @@
 
 
 @pytest.fixture
-def script() -> Iterator[Script]:
+def script() -> Iterator[ScriptedDaemon]:
     """A scripted daemon that runs in its own thread."""
-    made = Script()
-    made.add("GET /v1/configuration", (200, CONFIGURATION))
+    made = ScriptedDaemon()
+    made.set_answers("GET /v1/configuration", (200, CONFIGURATION))
     loop = asyncio.new_event_loop()
     started, stop = threading.Event(), asyncio.Event()
 
     async def serve() -> None:
         sockets = bind_sockets(0, "127.0.0.1")
-        server = HTTPServer(Application([(r".*", _ScriptHandler, {"script": made})]))
+        server = HTTPServer(Application([(r".*", _ScriptedHandler, {"script": made})]))
         server.add_sockets(sockets)
         made.url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
         started.set()
@@ -103,10 +103,10 @@
 
 
 def test_change_reads_the_version_and_prints_its_command_id(
-    script: Script, capsys: pytest.CaptureFixture[str]
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str]
 ) -> None:
     """Guards against changes that cannot be resent, or that reset values not given."""
-    script.add(PROPOSE, (200, {"status": "accepted", "version": 8}))
+    script.set_answers(PROPOSE, (200, {"status": "accepted", "version": 8}))
     arguments = ["class", "set", "default", "--busy-share=25%", "--json"]
     assert run([*arguments, f"--server={script.url}"]) == 0
     printed = json.loads(capsys.readouterr().out)
@@ -122,12 +122,12 @@
 
 
 def test_lost_answer_leads_to_the_same_command_again(
-    script: Script, capsys: pytest.CaptureFixture[str]
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str]
 ) -> None:
     """Guards against applying a change twice because its first answer was lost."""
     unknown = (503, {"status": "unknown", "error": "no leader"})
     accepted = (200, {"status": "accepted", "version": 8})
-    script.add(PROPOSE, LOST, unknown, accepted)
+    script.set_answers(PROPOSE, CLOSE_CONNECTION, unknown, accepted)
     assert run(["backend-server", "drain", "s1", f"--server={script.url}"]) == 0
     bodies = script.bodies(PROPOSE)
     assert len(bodies) == 3
@@ -141,18 +141,18 @@
         ((409, {"status": "conflict", "version": 9}), 1, "expected version 5, current"),
         ((400, {"status": "not_run", "error": "id: bad"}), 1, "refused: id: bad"),
         ((503, {"status": "unknown", "error": "x"}), 3, "--command-id=c1"),
-        (LOST, 3, "--expected-version=5"),
+        (CLOSE_CONNECTION, 3, "--expected-version=5"),
     ],
 )
 def test_each_outcome_has_its_exit_code(
-    script: Script,
+    script: ScriptedDaemon,
     capsys: pytest.CaptureFixture[str],
     answer: Any,
     code: int,
     text: str,
 ) -> None:
     """Guards against scripts that mistake an unknown outcome for a refusal."""
-    script.add(PROPOSE, answer)
+    script.set_answers(PROPOSE, answer)
     arguments = ["backend-server", "return", "s1", "--command-id=c1"]
     arguments += ["--expected-version=5", "--resend-for=300ms", "--json"]
     assert run([*arguments, f"--server={script.url}"]) == code
@@ -162,22 +162,22 @@
 
 
 def test_refusal_after_a_lost_answer_is_unknown(
-    script: Script, capsys: pytest.CaptureFixture[str], tmp_path: Path
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str], tmp_path: Path
 ) -> None:
     """Guards against ``not_run`` for a job whose first submission may have run."""
     job = tmp_path / "job.json"
     job.write_text(json.dumps(make_job("job-1")))
     refusal = (503, {"id": "job-1", "status": "not_run", "error": "the queue is full"})
-    script.add("POST /v1/jobs", LOST, refusal)
+    script.set_answers("POST /v1/jobs", CLOSE_CONNECTION, refusal)
     arguments = ["job", "submit", str(job), f"--server={script.url}", "--json"]
     assert run([*arguments, "--resend-for=300ms"]) == 3
     assert json.loads(capsys.readouterr().out)["status"] == "unknown"
-    script.add("POST /v1/jobs", refusal)
+    script.set_answers("POST /v1/jobs", refusal)
     assert run(arguments) == 1
 
 
 def test_servers_are_tried_in_order(
-    script: Script,
+    script: ScriptedDaemon,
     capsys: pytest.CaptureFixture[str],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -191,14 +191,14 @@
 
 
 def test_job_without_an_id_gets_one(
-    script: Script, capsys: pytest.CaptureFixture[str], tmp_path: Path
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str], tmp_path: Path
 ) -> None:
     """Guards against jobs that cannot be resubmitted because they have no id."""
     job = tmp_path / "job.json"
     job.write_text('{"class": "default", "tasks": [{"payload": 1}]}')
-    script.add("POST /v1/job-ids", (200, {"ids": ["a:a1:1:1"]}))
+    script.set_answers("POST /v1/job-ids", (200, {"ids": ["a:a1:1:1"]}))
     answer = {"id": "a:a1:1:1", "status": "complete", "results": [1]}
-    script.add("POST /v1/jobs", (200, answer))
+    script.set_answers("POST /v1/jobs", (200, answer))
     assert run(["job", "submit", str(job), f"--server={script.url}"]) == 0
     printed = capsys.readouterr()
     assert "job id a:a1:1:1" in printed.err
@@ -207,23 +207,27 @@
 
 
 def test_jobs_and_history_are_shown(
-    script: Script, capsys: pytest.CaptureFixture[str]
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str]
 ) -> None:
     """Guards against job ids that are not escaped in URL paths."""
     ended = {"id": "a/b", "status": "failed", "error": "cancelled"}
     state = {"id": "a/b", "state": "ended", "answer": ended}
-    script.add("DELETE /v1/jobs/a%2Fb", (200, state))
+    script.set_answers("DELETE /v1/jobs/a%2Fb", (200, state))
     server = f"--server={script.url}"
     assert run(["job", "cancel", "a/b", server]) == 0
     assert capsys.readouterr().out == "a/b: ended\na/b: failed\ncancelled\n"
-    script.add("DELETE /v1/jobs/y", LOST)
+    script.set_answers("DELETE /v1/jobs/y", CLOSE_CONNECTION)
     assert run(["job", "cancel", "y", server, "--resend-for=100ms"]) == 3
-    script.add("GET /v1/jobs/y", LOST)
+    script.set_answers("GET /v1/jobs/y", CLOSE_CONNECTION)
     assert run(["job", "show", "y", server, "--resend-for=100ms"]) == 4
-    script.add("GET /v1/jobs/x", (404, {"status": "not_run", "error": "never claimed"}))
+    script.set_answers(
+        "GET /v1/jobs/x", (404, {"status": "not_run", "error": "never claimed"})
+    )
     assert run(["job", "show", "x", server]) == 1
     entry = {"version": 7, "command_id": "c", "command": {}, "accepted_at": 0.0}
-    script.add("GET /v1/configuration/history?limit=2", (200, {"entries": [entry]}))
+    script.set_answers(
+        "GET /v1/configuration/history?limit=2", (200, {"entries": [entry]})
+    )
     assert run(["config", "history", "--limit=2", server]) == 0
     assert "1970-01-01T00:00:00Z" in capsys.readouterr().out
 
@@ -302,14 +306,14 @@
     assert run(["config", "history", "--json", *servers]) == 0
     assert len(json.loads(capsys.readouterr().out)["entries"]) == 2
     for daemon in system.daemons_by_id.values():
-        wait_for(lambda daemon=daemon: knows_drained(daemon, "s1"), "the drain", 5.0)
+        wait_for(lambda daemon=daemon: has_drained(daemon, "s1"), "the drain", 5.0)
     job = make_job("job-1", tasks=12) | {"class": "proofs"}
     assert system.submit("a2", job)[1]["status"] == "complete"
     assert call("GET", f"{system.servers_by_id['s1']}/starts")[1] == {}
     assert run(["backend-server", "return", "s1", *servers]) == 0
 
 
-def knows_drained(daemon: Daemon, server_id: str) -> bool:
+def has_drained(daemon: Daemon, server_id: str) -> bool:
     """Return whether the configuration in force at a daemon drains a server."""
     configuration = call("GET", f"{daemon.url}/v1/configuration")[1]
     return server_id in configuration["drained"]
--- a/boragetide/tests/test_configuration_processes.py
+++ b/boragetide/tests/test_configuration_processes.py
@@ -11,10 +11,10 @@
 from boragetide.tests.conftest import WAIT_LIMIT, System, call, wait_for
 
 ZONES = {"a1": "a", "a2": "a", "a3": "a"}
-IN_FORCE_EVERYWHERE = 5.0  # seconds until all instances use an accepted change
+PROPAGATION_LIMIT = 5.0  # seconds until all instances use an accepted change
 
 
-def change(
+def propose(
     system: System, daemon: str, command_id: str, version: int, **command: Any
 ) -> tuple[int, Any]:
     """Propose the given command, or one that sets the class ``batch`` if omitted."""
@@ -28,7 +28,7 @@
     return call("POST", url, body)
 
 
-def show(system: System, daemon: str) -> dict[str, Any]:
+def read_configuration(system: System, daemon: str) -> dict[str, Any]:
     return call("GET", f"{system.daemons_by_id[daemon].url}/v1/configuration")[1]
 
 
@@ -47,9 +47,9 @@
 
 def wait_for_version(system: System, daemon: str, version: int) -> None:
     wait_for(
-        lambda: show(system, daemon).get("version") == version,
+        lambda: read_configuration(system, daemon).get("version") == version,
         f"version {version} at {daemon}",
-        IN_FORCE_EVERYWHERE,
+        PROPAGATION_LIMIT,
     )
 
 
@@ -75,7 +75,7 @@
     """Guards against a single instance that waits for other members."""
     system.start({"a1": "a"})
     wait_for(lambda: is_ready(system, "a1"), "a1 to be ready", 1.0)
-    assert change(system, "a1", "c1", 0) == (200, {"status": "accepted", "version": 1})
+    assert propose(system, "a1", "c1", 0) == (200, {"status": "accepted", "version": 1})
 
 
 def test_seven_instances_elect_and_distribute(system: System) -> None:
@@ -85,13 +85,13 @@
     wait_for(lambda: find_leader(system), "a leader", 5.0)
     for daemon in zones:
         wait_ready(system, daemon)
-    assert change(system, "a3", "c1", 0)[0] == 200
+    assert propose(system, "a3", "c1", 0)[0] == 200
     for daemon in zones:
         wait_for_version(system, daemon, 1)
         lines = system.daemons_by_id[daemon].log_lines("configuration_in_force")
         assert "version=1" in lines[-1]
     drain = {"kind": "drain_backend_server", "id": "s1"}
-    assert change(system, "b2", "c2", 1, **drain)[0] == 200
+    assert propose(system, "b2", "c2", 1, **drain)[0] == 200
     assert [entry["command_id"] for entry in list_history(system, "a3")] == ["c2", "c1"]
     assert list_history(system, "a3")[0]["command"] == drain
 
@@ -100,27 +100,28 @@
     """Guards against two accepted commands for one version, and applying one twice."""
     start(system)
     racing = [
-        system.pool.submit(change, system, daemon, f"c-{daemon}", 0) for daemon in ZONES
+        system.pool.submit(propose, system, daemon, f"c-{daemon}", 0)
+        for daemon in ZONES
     ]
     outcomes = [future.result() for future in racing]
     assert sorted(code for code, _ in outcomes) == [200, 409, 409]
     assert {body["version"] for _, body in outcomes} == {1}
-    assert change(system, "a1", "late", 1)[1]["version"] == 2
+    assert propose(system, "a1", "late", 1)[1]["version"] == 2
     for daemon, outcome in zip(ZONES, outcomes, strict=True):
         for other in ZONES:
-            assert change(system, other, f"c-{daemon}", 0) == outcome
+            assert propose(system, other, f"c-{daemon}", 0) == outcome
     assert len(list_history(system, "a1")) == 2
 
 
-def test_invalid_commands_are_named(system: System) -> None:
+def test_invalid_command_is_refused_with_its_field(system: System) -> None:
     """Guards against invalid commands that change the configuration."""
     start(system, {"a1": "a"})
-    code, body = change(
+    code, body = propose(
         system, "a1", "c1", 0, kind="set_class", name="x", response_time=1, busy_share=2
     )
     assert (code, body["status"]) == (400, "not_run")
     assert "busy_share" in body["error"]
-    assert show(system, "a1")["version"] == 0
+    assert read_configuration(system, "a1")["version"] == 0
 
 
 def test_killed_leader_loses_no_accepted_change(system: System) -> None:
@@ -134,9 +135,9 @@
         while len(accepted) < 40:
             number += 1
             command_id = f"{daemon}-{number}"
-            code, body = change(system, daemon, command_id, version)
+            code, body = propose(system, daemon, command_id, version)
             while code == 503:
-                code, body = change(system, daemon, command_id, version)
+                code, body = propose(system, daemon, command_id, version)
             if code == 200:
                 accepted[body["version"]] = command_id
             version = body["version"]
@@ -159,7 +160,7 @@
     leader = start(system)
     lost, second = leader, next(daemon for daemon in ZONES if daemon != leader)
     for version in range(5):
-        assert change(system, second, f"c{version}", version)[0] == 200
+        assert propose(system, second, f"c{version}", version)[0] == 200
     system.daemons_by_id[lost].kill()
     folder = system.folder / f"{lost}-data"
     if damage == "lost":
@@ -177,7 +178,7 @@
     system.daemons_by_id[second].kill()
     wait_for(
         lambda: (
-            change(system, lost, "after", 5)
+            propose(system, lost, "after", 5)
             == (200, {"status": "accepted", "version": 6})
         ),
         "a change without the second member",
@@ -189,7 +190,7 @@
     """Guards against a restart that replays all changes, or reverts some."""
     start(system, {"a1": "a"})
     for version in range(1_000):
-        assert change(system, "a1", f"c{version}", version)[0] == 200
+        assert propose(system, "a1", f"c{version}", version)[0] == 200
     journal = system.folder / "a1-data" / "configuration.journal"
     assert journal.stat().st_size < 400_000
     daemon = system.daemons_by_id["a1"]
@@ -199,33 +200,35 @@
     wait_ready(system, "a1")
     print(f"ready {time.monotonic() - began:.2f} s after the restart")
     assert time.monotonic() - began < 3.0
-    assert show(system, "a1")["version"] == 1_000
-    assert change(system, "a1", "c17", 17)[1] == {"status": "accepted", "version": 18}
+    assert read_configuration(system, "a1")["version"] == 1_000
+    assert propose(system, "a1", "c17", 17)[1] == {"status": "accepted", "version": 18}
 
 
 def test_minority_refuses_changes_and_serves(system: System) -> None:
     """Guards against a change that a minority accepts, or one that is lost later."""
     leader = start(system)
-    assert change(system, leader, "c0", 0)[0] == 200
+    assert propose(system, leader, "c0", 0)[0] == 200
     paused = [daemon for daemon in ZONES if daemon != leader]
     for daemon in paused:
         system.daemons_by_id[daemon].pause()
-    code, body = change(system, leader, "c1", 1)
+    code, body = propose(system, leader, "c1", 1)
     assert (code, body["status"]) == (503, "unknown")
-    assert show(system, leader)["version"] == 1
+    assert read_configuration(system, leader)["version"] == 1
     assert is_ready(system, leader)
     for daemon in paused:
         system.daemons_by_id[daemon].resume()
-    wait_for(lambda: change(system, paused[0], "c1", 1)[0] == 200, "the resent command")
+    wait_for(
+        lambda: propose(system, paused[0], "c1", 1)[0] == 200, "the resent command"
+    )
     for daemon in ZONES:
         wait_for_version(system, daemon, 2)
 
 
-def test_restarts_never_revert(system: System) -> None:
+def test_restarts_never_revert_the_configuration(system: System) -> None:
     """Guards against an instance that serves an older version after a restart."""
     zones = {**ZONES, "x1": "a"}
     start(system, zones, disks=tuple(ZONES))
-    assert change(system, "x1", "c0", 0)[0] == 200
+    assert propose(system, "x1", "c0", 0)[0] == 200
     for daemon in zones:
         wait_for_version(system, daemon, 1)
     for daemon in system.daemons_by_id.values():
@@ -234,7 +237,7 @@
         daemon.start()
     for daemon in zones:
         wait_ready(system, daemon)
-        assert show(system, daemon)["version"] == 1
+        assert read_configuration(system, daemon)["version"] == 1
         lines = system.daemons_by_id[daemon].log_lines("configuration_in_force")
         versions = [int(line.split(" version=")[1].split()[0]) for line in lines]
         assert versions == sorted(versions)
--- a/boragetide/tests/test_directory.py
+++ b/boragetide/tests/test_directory.py
@@ -33,7 +33,7 @@
     directory.handle(notice, state, now)
 
 
-def find(state: DirectoryState, now: float = BEGIN) -> tuple[str | None, bool]:
+def find_leader(state: DirectoryState, now: float = BEGIN) -> tuple[str | None, bool]:
     (reply,) = directory.handle(FindLeader(reply_to=ReplyTo("e", 1)), state, now)
     return reply.message.leader, reply.message.ready
 
@@ -42,7 +42,7 @@
     """Guards against an instance that follows a deposed leader."""
     notify(state, "a2", 2, "a2")
     notify(state, "a1", 1, "a1")
-    assert find(state)[0] == "a2"
+    assert find_leader(state)[0] == "a2"
 
 
 def test_configuration_never_goes_back(state: DirectoryState) -> None:
@@ -55,14 +55,14 @@
 def test_ready_only_while_the_leader_itself_is_heard(state: DirectoryState) -> None:
     """Guards against reporting an instance as ready that cannot serve requests."""
     notify(state, "a1", 1, "a1")
-    assert find(state) == ("a1", False)
+    assert find_leader(state) == ("a1", False)
     notify(state, "a1", 1, "a1", Configuration(version=1))
-    assert find(state) == ("a1", True)
+    assert find_leader(state) == ("a1", True)
     notify(state, "a2", 1, "a1", now=BEGIN + 4.0)
-    assert find(state, BEGIN + 4.0) == (None, False)
+    assert find_leader(state, BEGIN + 4.0) == (None, False)
 
 
-def test_silent_contact_is_dialled_anew(state: DirectoryState) -> None:
+def test_silent_contact_is_reconnected(state: DirectoryState) -> None:
     """Guards against keeping a connection that stays silent."""
     directory.handle(Tick(), state, BEGIN)
     for contact in ("a1", "a2"):
@@ -85,10 +85,10 @@
     """Guards against needless control messages of an instance without durable jobs."""
     state = directory.make_state(settings)
     assert directory.handle(Tick(), state, BEGIN) == []
-    assert find(state) == (None, False)
+    assert find_leader(state) == (None, False)
     assert len(directory.handle(Tick(), state, BEGIN + 0.1)) == 3
     notify(state, "a1", 1, "a1", now=BEGIN + 0.2)
-    assert find(state, BEGIN + 0.3)[0] == "a1"
+    assert find_leader(state, BEGIN + 0.3)[0] == "a1"
     idle = BEGIN + 0.3 + IDLE_AFTER
     assert directory.handle(Tick(), state, idle) == []
-    assert find(state, idle)[0] is None
+    assert find_leader(state, idle)[0] is None
--- a/boragetide/tests/test_dispatch_load.py
+++ b/boragetide/tests/test_dispatch_load.py
@@ -26,38 +26,38 @@
 LEAST_SHARE_OF_LARGE = 0.5
 
 
-def earn(outcomes: dict[str, Outcome]) -> float:
+def compute_earned_share(outcomes: dict[str, Outcome]) -> float:
     """Return the earned share of the total value of all jobs."""
     owed = sum(outcome.owed for outcome in outcomes.values())
     return sum(outcome.earned for outcome in outcomes.values()) / owed
 
 
-def play(load: Load) -> tuple[ProductRun, list[TracedJob], float]:
+def run_product(load: Load) -> tuple[ProductRun, list[TracedJob], float]:
     jobs = generate(load, SEED)
     run = ProductRun(load, jobs, SEED)
-    return run, jobs, earn(run.run())
+    return run, jobs, compute_earned_share(run.run())
 
 
 def test_burst_is_served_nearly_as_well_as_can_be() -> None:
     """Guards against an order of jobs that wastes capacity in a burst of 1.8 times."""
     load = LOADS_BY_NAME["burst of 1.8"]
-    _, jobs, earned = play(load)
-    ideal = earn(BaselineRun(load, jobs, SEED, true_worth).run())
+    _, jobs, earned = run_product(load)
+    ideal = compute_earned_share(BaselineRun(load, jobs, SEED, true_worth).run())
     assert earned >= SHARE_OF_IDEAL * ideal
 
 
 def test_overload_is_served_better_than_first_come_first_served() -> None:
     """Guards against overload in which all jobs are late because none is skipped."""
     load = LOADS_BY_NAME["overload of 3"]
-    _, jobs, earned = play(load)
-    baseline = earn(BaselineRun(load, jobs, SEED, first_come).run())
+    _, jobs, earned = run_product(load)
+    baseline = compute_earned_share(BaselineRun(load, jobs, SEED, first_come).run())
     assert earned >= GAIN_OVER_FIRST_COME * baseline
 
 
 @pytest.mark.parametrize("name", ["burst of 1.8", "overload of 3"])
 def test_large_jobs_are_served_too(name: str) -> None:
     """Guards against starving large jobs in favour of the small ones of their class."""
-    run, jobs, _ = play(LOADS_BY_NAME[name])
+    run, jobs, _ = run_product(LOADS_BY_NAME[name])
     for kind in KINDS:
         of_kind = [traced for traced in jobs if traced.kind is kind]
         of_kind.sort(key=lambda traced: sum(traced.work))
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -42,13 +42,13 @@
     BEGIN,
     BORN,
     NEEDS,
-    PREDECESSOR,
+    PREDECESSOR_AUTHORITY,
     Leader,
     list_end,
     list_run,
     make_durable_job,
     make_report,
-    refer,
+    make_task_ref,
 )
 from boragetide.types import ReplyTo
 
@@ -70,7 +70,7 @@
     leader.handle(SubmitDurableJob(job=job, age=age, reply_to=CALLER))
 
 
-def appended(leader: Leader) -> AppendCommands:
+def find_append(leader: Leader) -> AppendCommands:
     (message,) = [
         effect.message
         for effect in leader.effects
@@ -245,12 +245,12 @@
     """Guards against a second run of a task whose end is still being committed."""
     job = make_durable_job()
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
-    commit(leader, appended(leader))
+    commit(leader, find_append(leader))
     first, second = leader.starts()
     leader.answer(first)
     leader.answer(second)
     leader.list_runs(ended=(list_end(first, 1),), running=(list_run(second),))
-    ends = appended(leader)
+    ends = find_append(leader)
     report = make_report(born=BORN + 5)
     leader.handle(ReportServer(report=report, reply_to=CALLER), BEGIN + 0.1)
     leader.list_runs(born=BORN + 5, now=BEGIN + 0.2)
@@ -271,7 +271,10 @@
 
 def test_ends_that_come_in_parts_are_all_acknowledged(leader: Leader) -> None:
     """Guards against a backend server whose list of ends never becomes shorter."""
-    tasks = [ListedEnd(n, refer(f"x{n}", 0), 1, EndReason.DONE) for n in range(1, 601)]
+    tasks = [
+        ListedEnd(n, make_task_ref(f"x{n}", 0), 1, EndReason.DONE)
+        for n in range(1, 601)
+    ]
     leader.list_runs(ended=tuple(tasks[:500]), now=BEGIN + 0.1)
     (question,) = leader.reads()
     assert question.acknowledged == 500
@@ -323,7 +326,7 @@
     leader = Leader(settings, term=2)
     leader.lead()
     job = make_durable_job(best_effort=True, submitted_at=BEGIN)
-    listed = ListedRun(refer(job.id, 0), 1)
+    listed = ListedRun(make_task_ref(job.id, 0), 1)
     leader.handle(ReportServer(report=make_report(), reply_to=CALLER))
     now = expires_at(job) + 0.1
     leader.list_runs(running=(listed,), now=now)
@@ -428,7 +431,7 @@
 
 
 @pytest.mark.parametrize("result", [OrderResult.DONE, OrderResult.UNANSWERED])
-def test_new_life_may_have_carried_out_an_order_before_it_was_heard_of(
+def test_restarted_server_may_carry_out_an_order_before_its_announcement(
     leader: Leader, result: OrderResult
 ) -> None:
     """Guards against a second run of a task after a restart that is announced late."""
@@ -491,9 +494,9 @@
     job = make_durable_job("j1", Step(2, NEEDS, 2.0), best_effort=True)
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
     leader.handle(ReadFailed("s2", 2), BEGIN + 0.5)
-    leader.handle(Tick(), BEGIN + PREDECESSOR + LAPSE_WAIT - 0.1)
+    leader.handle(Tick(), BEGIN + PREDECESSOR_AUTHORITY + LAPSE_WAIT - 0.1)
     assert leader.starts() == []
-    leader.list_runs("s1", now=BEGIN + PREDECESSOR + LAPSE_WAIT + 0.1)
+    leader.list_runs("s1", now=BEGIN + PREDECESSOR_AUTHORITY + LAPSE_WAIT + 0.1)
     assert len(leader.starts()) == 2
 
 
@@ -503,7 +506,9 @@
     made = Leader(settings, term=2)
     made.handle(ReportServer(report=make_report()))
     made.lead()
-    made.list_runs(running=(ListedRun(refer("j1", 0), 1),), ended=(list_end_of("j2"),))
+    made.list_runs(
+        running=(ListedRun(make_task_ref("j1", 0), 1),), ended=(list_end_of("j2"),)
+    )
     return made
 
 
@@ -532,7 +537,7 @@
 
 def test_run_that_nobody_asks_for_is_stopped(successor: Leader) -> None:
     """Guards against capacity that stays occupied for a caller that is gone."""
-    listed = ListedRun(refer("j1", 0), 1)
+    listed = ListedRun(make_task_ref("j1", 0), 1)
     successor.list_runs(running=(listed,), now=BEGIN + 0.5)
     assert successor.stops() == []
     successor.list_runs(running=(listed,), now=BEGIN + 1.1)
@@ -592,7 +597,7 @@
     job = make_durable_job()
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
     assert (leader.replies(), leader.starts()) == ([], [])
-    commit(leader, appended(leader))
+    commit(leader, find_append(leader))
     assert [reply.status for reply in leader.replies()] == [ReplyStatus.ACCEPTED]
     assert len(leader.starts()) == 2
 
@@ -600,13 +605,13 @@
 def test_end_is_acknowledged_only_when_it_is_kept(leader: Leader) -> None:
     """Guards against an end that neither the backend server nor the log keeps."""
     leader.handle(SubmitDurableJob(job=make_durable_job(), reply_to=CALLER))
-    commit(leader, appended(leader))
+    commit(leader, find_append(leader))
     first, second = leader.starts()
     leader.answer(first)
     leader.answer(second)
     ends = (list_end(first, 1), list_end(second, 2))
     leader.list_runs(ended=ends)
-    kept = appended(leader)
+    kept = find_append(leader)
     leader.handle(Tick(), BEGIN + 0.9)
     assert [read.acknowledged for read in leader.reads()] in ([], [0])
     leader.handle(LookUpDurableJob(id="j1", reply_to=CALLER))
@@ -628,12 +633,12 @@
     done = replace(list_end_of("j1"), run=4)
     leader.list_runs(ended=(done,))
     assert [start.task.index for start in leader.starts()] == [1]
-    (command,) = appended(leader).commands_by_id.values()
+    (command,) = find_append(leader).commands_by_id.values()
     assert [(end.task, end.run, end.failed) for end in command.ends] == [(0, 4, False)]
 
 
 def list_end_of(job_id: str) -> ListedEnd:
-    return ListedEnd(1, refer(job_id, 0), 1, EndReason.DONE)
+    return ListedEnd(1, make_task_ref(job_id, 0), 1, EndReason.DONE)
 
 
 def test_cancelled_best_effort_job_stops_and_frees_its_room(leader: Leader) -> None:
@@ -704,7 +709,7 @@
     assert [start.server for start in leader.starts()] == ["s2"]
 
 
-def test_run_that_stands_still_is_stopped_and_started_elsewhere(
+def test_stalled_run_is_stopped_and_started_elsewhere(
     leader: Leader,
 ) -> None:
     """Guards against a job that waits for a backend server that hangs."""
@@ -727,7 +732,7 @@
     assert [start.server for start in leader.starts()] == ["s2", "s2"]
 
 
-def test_run_is_not_overdue_where_nothing_was_listed(leader: Leader) -> None:
+def test_run_is_not_overdue_if_nothing_was_listed(leader: Leader) -> None:
     """Guards against stopping runs that may have ended while answers were lost."""
     submit(leader)
     for start in leader.starts():
@@ -737,7 +742,7 @@
     assert leader.stops() == []
 
 
-def test_late_list_shows_no_speed(leader: Leader) -> None:
+def test_speed_is_not_learned_from_a_late_list(leader: Leader) -> None:
     """Guards against rating a backend server as slow because answers were lost."""
     submit(leader)
     starts = leader.starts()
@@ -764,7 +769,7 @@
     assert leader.state.servers_by_id["s1"].speed > 0.9
 
 
-def test_run_is_not_overdue_where_others_end(leader: Leader) -> None:
+def test_run_is_not_overdue_if_other_runs_end(leader: Leader) -> None:
     """Guards against rating a backend server as slow for a wrong declared run time."""
     submit(leader)
     first, second = leader.starts()
--- a/boragetide/tests/test_durable_chain.py
+++ b/boragetide/tests/test_durable_chain.py
@@ -24,11 +24,11 @@
 )
 from boragetide.types import Address, Status
 
-PATIENCE = 0.5  # seconds for which a caller waits
+CALLER_TIMEOUT = 0.5  # seconds for which a caller waits
 ACCEPTED = DispatcherReply(ReplyStatus.ACCEPTED)
 NOT_LEADER = DispatcherReply(ReplyStatus.NOT_LEADER)
 UNDECIDED = DispatcherReply(ReplyStatus.UNDECIDED)
-LOST = LeaderFound(None, None, False, lost_for=0.5)
+NO_LEADER = LeaderFound(None, None, False, lost_for=0.5)
 UNREACHABLE = PeerUnreachable("not sent")
 TIMEOUT = ReplyTimeout("no reply")
 
@@ -54,7 +54,7 @@
         """Return the leader of the next step, or that leader's reply."""
         if isinstance(message, FindLeader):
             if not self.steps:
-                return LOST
+                return NO_LEADER
             return LeaderFound("a1", None, True, term=self.steps[0][0])
         self.timeouts.append(timeout)
         _, reply = self.steps.pop(0)
@@ -68,7 +68,7 @@
 
 
 def ask_through(
-    runtime: ScriptedRuntime, patience: float = PATIENCE
+    runtime: ScriptedRuntime, caller_timeout: float = CALLER_TIMEOUT
 ) -> DispatcherReply:
     now = read_clock()
     exchange = DurableExchange(
@@ -78,8 +78,8 @@
         job_id="j1",
         class_name="c",
         received_at=now,
-        deadline=now + patience,
-        useful_until=now + patience / 2,
+        deadline=now + caller_timeout,
+        useful_until=now + caller_timeout / 2,
     )
     return asyncio.run(DURABLE_CHAIN(exchange))
 
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize("first", [TIMEOUT, UNDECIDED])
-def test_refusal_does_not_speak_for_an_earlier_leader(first: Any) -> None:
+def test_refusal_does_not_cover_an_earlier_leader(first: Any) -> None:
     """Guards against reporting a refusal although an earlier leader ran a task."""
     with pytest.raises(RequestError) as caught:
         ask((1, first), (2, refuse(2)))
@@ -122,10 +122,10 @@
     assert caught.value.status is status
 
 
-def test_leader_that_is_slow_is_asked_less_and_less_often() -> None:
+def test_slow_leader_is_asked_with_longer_timeouts() -> None:
     """Guards against an overloaded leader that gets each request many times."""
     runtime = ScriptedRuntime((1, TIMEOUT), (1, TIMEOUT), (2, TIMEOUT), (2, ACCEPTED))
-    assert ask_through(runtime, patience=60.0) == ACCEPTED
+    assert ask_through(runtime, caller_timeout=60.0) == ACCEPTED
     first, second, next_leader, last = runtime.timeouts
     assert (first, next_leader) == (LEADER_TIMEOUT, LEADER_TIMEOUT)
     assert (second, last) == (2 * LEADER_TIMEOUT, 2 * LEADER_TIMEOUT)
--- a/boragetide/tests/test_effect_queue.py
+++ b/boragetide/tests/test_effect_queue.py
@@ -9,22 +9,22 @@
 from boragetide.effects import LogEvent, Persist, SaveSnapshot
 
 
-class Disk:
-    """Records the effects it is given; its syncs complete when `finish` is called."""
+class FakeDisk:
+    """Records the effects it is given; `finish_syncs` completes their syncs."""
 
     def __init__(self) -> None:
-        self.performed: list[Any] = []
+        self.executed: list[Any] = []
         self.syncs: list[asyncio.Future[None]] = []
 
-    def perform(self, effect: Any) -> Any:
+    def execute(self, effect: Any) -> Any:
         """Record an effect and return its sync, if the effect must be durable."""
-        self.performed.append(effect)
+        self.executed.append(effect)
         if not isinstance(effect, Persist | SaveSnapshot):
             return None
         self.syncs.append(asyncio.get_running_loop().create_future())
         return self.syncs[-1]
 
-    async def finish(self) -> None:
+    async def finish_syncs(self) -> None:
         """Complete all syncs in progress."""
         for sync in self.syncs:
             if not sync.done():
@@ -35,9 +35,9 @@
 
 def run(scenario: Any) -> None:
     async def main() -> None:
-        disk = Disk()
+        disk = FakeDisk()
         async with asyncio.TaskGroup() as group:
-            await scenario(disk, EffectQueue(disk.perform, group))
+            await scenario(disk, EffectQueue(disk.execute, group))
 
     asyncio.run(main())
 
@@ -46,16 +46,16 @@
 RECORDS = [Persist((number,)) for number in range(3)]
 
 
-def test_effects_wait_for_the_record_in_front_of_them() -> None:
+def test_effects_wait_for_the_record_before_them() -> None:
     """Guards against an answer that is sent before its record is durable."""
 
-    async def scenario(disk: Disk, queue: EffectQueue) -> None:
+    async def scenario(disk: FakeDisk, queue: EffectQueue) -> None:
         queue.put([SENT[0], RECORDS[0], SENT[1]])
-        assert disk.performed == [SENT[0], RECORDS[0]]
+        assert disk.executed == [SENT[0], RECORDS[0]]
         queue.put([SENT[2]])
-        assert disk.performed == [SENT[0], RECORDS[0]]
-        await disk.finish()
-        assert disk.performed == [SENT[0], RECORDS[0], SENT[1], SENT[2]]
+        assert disk.executed == [SENT[0], RECORDS[0]]
+        await disk.finish_syncs()
+        assert disk.executed == [SENT[0], RECORDS[0], SENT[1], SENT[2]]
 
     run(scenario)
 
@@ -63,14 +63,14 @@
 def test_records_that_wait_share_the_next_sync() -> None:
     """Guards against one sync per record for messages that arrived together."""
 
-    async def scenario(disk: Disk, queue: EffectQueue) -> None:
+    async def scenario(disk: FakeDisk, queue: EffectQueue) -> None:
         queue.put([RECORDS[0]])
         queue.put([RECORDS[1], SENT[1]])
         queue.put([RECORDS[2], SENT[2]])
-        await disk.finish()
-        assert disk.performed == [*RECORDS]
-        await disk.finish()
-        assert disk.performed == [*RECORDS, SENT[1], SENT[2]]
+        await disk.finish_syncs()
+        assert disk.executed == [*RECORDS]
+        await disk.finish_syncs()
+        assert disk.executed == [*RECORDS, SENT[1], SENT[2]]
 
     run(scenario)
 
@@ -78,14 +78,14 @@
 def test_snapshot_is_not_overtaken_by_later_records() -> None:
     """Guards against a snapshot that replaces records written after it."""
 
-    async def scenario(disk: Disk, queue: EffectQueue) -> None:
+    async def scenario(disk: FakeDisk, queue: EffectQueue) -> None:
         snapshot = SaveSnapshot("all")
         queue.put([RECORDS[0], snapshot, RECORDS[1]])
-        assert disk.performed == [RECORDS[0]]
-        await disk.finish()
-        assert disk.performed == [RECORDS[0], snapshot]
-        await disk.finish()
-        assert disk.performed == [RECORDS[0], snapshot, RECORDS[1]]
-        await disk.finish()
+        assert disk.executed == [RECORDS[0]]
+        await disk.finish_syncs()
+        assert disk.executed == [RECORDS[0], snapshot]
+        await disk.finish_syncs()
+        assert disk.executed == [RECORDS[0], snapshot, RECORDS[1]]
+        await disk.finish_syncs()
 
     run(scenario)
--- a/boragetide/tests/test_ejection.py
+++ b/boragetide/tests/test_ejection.py
@@ -38,8 +38,8 @@
 
 def test_class_that_fails_everywhere_ejects_no_server() -> None:
     """Guards against ejecting every server because of one faulty class."""
-    poisoned = Tally(ended=50.0, failed=48.0, updated_at=1.0)
-    assert count_failures_until_ejection(poisoned, fast=True) == 0
+    failing = Tally(ended=50.0, failed=48.0, updated_at=1.0)
+    assert count_failures_until_ejection(failing, fast=True) == 0
 
 
 def test_occasional_failures_eject_no_server() -> None:
@@ -51,7 +51,7 @@
         assert not should_eject(health, 0, 8)
 
 
-def test_most_servers_are_never_ejected() -> None:
+def test_at_most_half_of_the_servers_are_ejected() -> None:
     """Guards against ejecting so many servers that the pool becomes empty."""
     health = ServerHealth(evidence=100.0)
     assert should_eject(health, 3, 8)
--- a/boragetide/tests/test_elections.py
+++ b/boragetide/tests/test_elections.py
@@ -78,8 +78,8 @@
     effects: list[object] = []
     for tenth in range(40):
         effects += elections.check_election(replica, BEGIN + 1.0 + tenth / 10)
-    dialled = {each.instance for each in effects if isinstance(each, Reconnect)}
-    assert dialled == {"a2", "a3"}
+    reconnected = {each.instance for each in effects if isinstance(each, Reconnect)}
+    assert reconnected == {"a2", "a3"}
     asked = [each.message for each in effects if isinstance(each, Send)]
     assert max(m.waits for m in asked if isinstance(m, RequestVote)) > 1.0
 
--- a/boragetide/tests/test_examples.py
+++ b/boragetide/tests/test_examples.py
@@ -13,7 +13,7 @@
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 SEVEN = sorted((EXAMPLES / "seven").glob("*.ini"))
-MEETING_LIMIT = 5.0  # seconds until all instances see each other
+MEMBERSHIP_LIMIT = 5.0  # seconds until all instances see each other
 
 
 def test_one_instance_file_repeats_the_defaults(
@@ -26,7 +26,9 @@
     )
 
 
-def test_seven_instances_of_the_examples_meet_within_5_s(system: System) -> None:
+def test_seven_instances_of_the_examples_see_each_other_within_5_s(
+    system: System,
+) -> None:
     """Guards against example settings files that do not match each other."""
     ports = dict.fromkeys(range(8101, 8108), 0) | dict.fromkeys(range(8201, 8208), 0)
     ports = {port: free_port() for port in ports}
@@ -51,7 +53,7 @@
         wait_for(daemon.is_up, f"daemon {daemon.id}")
     started = time.monotonic()
     system.wait_for_members(7)
-    assert time.monotonic() - started < MEETING_LIMIT
+    assert time.monotonic() - started < MEMBERSHIP_LIMIT
     zones = [daemon.zone for daemon in system.daemons_by_id.values()]
     assert sorted(zones) == ["a", "a", "a", "b", "b", "c", "c"]
     assert own.disk_ids == ("a1", "b1", "c1")
--- a/boragetide/tests/test_instances.py
+++ b/boragetide/tests/test_instances.py
@@ -21,7 +21,7 @@
     return state
 
 
-def hear(
+def deliver_heartbeat(
     state: InstancesState, peer: str, now: float, *, echo: int = 0, **changes: int
 ) -> list[Effect]:
     """Deliver a heartbeat; its sequence number is its time in milliseconds."""
@@ -44,7 +44,7 @@
         now = start + 0.1 * step
         effects += handle(Tick(), state, now)
         for peer in peers:
-            effects += hear(state, peer, now, echo=state.sequence)
+            effects += deliver_heartbeat(state, peer, now, echo=state.sequence)
     return effects
 
 
@@ -68,7 +68,7 @@
 def test_delayed_heartbeat_does_not_count_as_heard(view: InstancesState) -> None:
     """Guards against a dead peer that counts as live because of delayed messages."""
     heard = view.peers_by_id["a2"].last_heard
-    assert hear(view, "a2", STARTED + 0.5) == []
+    assert deliver_heartbeat(view, "a2", STARTED + 0.5) == []
     assert view.peers_by_id["a2"].last_heard == heard
 
 
@@ -76,8 +76,10 @@
     """Guards against ignoring a restarted peer until its clock has caught up."""
     old = int(STARTED * 1000) - 60_000
     later = STARTED + 4.0
-    assert hear(view, "a2", STARTED + 1.5, incarnation=old) == []
-    assert AbandonRequests("a2") in hear(view, "a2", later, incarnation=old)
+    assert deliver_heartbeat(view, "a2", STARTED + 1.5, incarnation=old) == []
+    assert AbandonRequests("a2") in deliver_heartbeat(
+        view, "a2", later, incarnation=old
+    )
     assert view.peers_by_id["a2"].last_heard == later
 
 
@@ -85,7 +87,7 @@
     """Guards against replacing a link repeatedly after a restart."""
     state = InstancesState(settings, int(STARTED * 1000))
     handle(Tick(), state, STARTED)
-    hear(state, "a2", STARTED, echo=500)
+    deliver_heartbeat(state, "a2", STARTED, echo=500)
     effects = advance(state, STARTED + 0.1, STARTED + 5.0)
     assert not [effect for effect in effects if isinstance(effect, Reconnect)]
 
@@ -110,5 +112,9 @@
     asked = ReplyTo("a1", 1)
     now = STARTED + 1.0
     assert Reply(asked, Flushed()) not in handle(Flush(reply_to=asked), view, now)
-    assert Reply(asked, Flushed()) not in hear(view, "a2", now, echo=view.sequence)
-    assert Reply(asked, Flushed()) in hear(view, "a3", now, echo=view.sequence)
+    assert Reply(asked, Flushed()) not in deliver_heartbeat(
+        view, "a2", now, echo=view.sequence
+    )
+    assert Reply(asked, Flushed()) in deliver_heartbeat(
+        view, "a3", now, echo=view.sequence
+    )
--- a/boragetide/tests/test_job_table.py
+++ b/boragetide/tests/test_job_table.py
@@ -29,15 +29,17 @@
     return jobs
 
 
-def end(jobs: Jobs, task: int, run: int = 1, *, failed: bool = False) -> set[str]:
+def record_end(
+    jobs: Jobs, task: int, run: int = 1, *, failed: bool = False
+) -> set[str]:
     return job_table.record_ends(jobs, (RunEnd("j1", task, run, failed),), BEGIN)
 
 
 def test_job_succeeds_with_its_last_task(jobs: Jobs) -> None:
     """Guards against a job that succeeds before all of its tasks have ended."""
-    end(jobs, 0)
+    record_end(jobs, 0)
     assert jobs["j1"].phase is JobPhase.ACTIVE
-    end(jobs, 1)
+    record_end(jobs, 1)
     assert jobs["j1"].phase is JobPhase.SUCCEEDED
 
 
@@ -46,23 +48,23 @@
 
     A new leader reads the list of ends again.
     """
-    end(jobs, 0, failed=True)
-    assert end(jobs, 0, failed=True) == set()
+    record_end(jobs, 0, failed=True)
+    assert record_end(jobs, 0, failed=True) == set()
     assert jobs["j1"].phase is JobPhase.ACTIVE
-    end(jobs, 0, run=2, failed=True)
+    record_end(jobs, 0, run=2, failed=True)
     assert jobs["j1"].phase is JobPhase.FAILED
 
 
 def test_failure_after_the_task_is_done_changes_nothing(jobs: Jobs) -> None:
     """Guards against a second run that fails a job whose task is done."""
-    end(jobs, 0)
-    assert end(jobs, 0, run=2, failed=True) == set()
+    record_end(jobs, 0)
+    assert record_end(jobs, 0, run=2, failed=True) == set()
 
 
-def test_job_that_ended_stays_as_it_is(jobs: Jobs) -> None:
+def test_ended_job_does_not_change(jobs: Jobs) -> None:
     """Guards against a cancelled job that succeeds later."""
     job_table.cancel_job(jobs, "j1", BEGIN)
-    assert (end(jobs, 0), end(jobs, 1)) == (set(), set())
+    assert (record_end(jobs, 0), record_end(jobs, 1)) == (set(), set())
     assert jobs["j1"].phase is JobPhase.CANCELLED
     assert job_table.accept_job(jobs, make_durable_job(), BEGIN) == set()
 
@@ -70,7 +72,7 @@
 def test_ended_jobs_are_forgotten_after_their_retention(jobs: Jobs) -> None:
     """Guards against memory that grows with the number of jobs ever accepted."""
     job_table.accept_job(jobs, make_durable_job("j2"), BEGIN)
-    end(jobs, 0), end(jobs, 1)
+    record_end(jobs, 0), record_end(jobs, 1)
     job_table.forget_ended(jobs, BEGIN + job_table.RETENTION)
     assert set(jobs) == {"j1", "j2"}
     job_table.forget_ended(jobs, BEGIN + job_table.RETENTION + 1.0)
--- a/boragetide/tests/test_journal.py
+++ b/boragetide/tests/test_journal.py
@@ -89,7 +89,7 @@
     assert recover(path) == Recovered(RECORDS)
 
 
-def test_corrupt_record_loses_the_disk(tmp_path: Path) -> None:
+def test_corrupt_record_counts_as_a_lost_disk(tmp_path: Path) -> None:
     """Guards against silent loss of acknowledged records behind a damaged byte."""
     path = tmp_path / "j"
     data = write(path)
@@ -143,7 +143,7 @@
     assert recover(tmp_path / "j").records == RECORDS * 20
 
 
-def test_failed_write_ends_the_owner(tmp_path: Path) -> None:
+def test_failed_write_raises_a_storage_error(tmp_path: Path) -> None:
     """Guards against a daemon that keeps running after a failed write."""
 
     async def save() -> None:
--- a/boragetide/tests/test_learning.py
+++ b/boragetide/tests/test_learning.py
@@ -37,7 +37,7 @@
         assert predict_size(model, size * factor) == pytest.approx(size, rel=0.1)
 
 
-def test_noisy_declarations_are_drawn_towards_the_mean_of_the_class() -> None:
+def test_noisy_declarations_are_shrunk_towards_the_class_mean() -> None:
     """Guards against ordering tasks by the noise in their declared sizes."""
     model = learn_sizes(1.0, math.log(4))
     ratio = predict_size(model, 1.2) / predict_size(model, 0.3)
--- a/boragetide/tests/test_leases.py
+++ b/boragetide/tests/test_leases.py
@@ -22,7 +22,7 @@
 from boragetide.settings import Settings
 from boragetide.types import BackendServer, ReplyTo, Task, TaskOutcome, TaskStatus
 
-ASKED = ReplyTo("a1", 1)
+REPLY_TO = ReplyTo("a1", 1)
 DONE = TaskOutcome(TaskStatus.DONE)
 
 
@@ -41,7 +41,7 @@
     fields = {"address": "http://s1", "zone": "a", "rack": "r", "slots": 1}
     fields |= {"connections": 1, "cores": 1.0, "memory": 1, **changes}
     server = BackendServer("s1", **fields)
-    message = AnnounceBackendServer(server, lease, fence, reply_to=ASKED)
+    message = AnnounceBackendServer(server, lease, fence, reply_to=REPLY_TO)
     replies = [e for e in handle(message, pool, now) if isinstance(e, Reply)]
     return replies[0].message
 
--- a/boragetide/tests/test_link_health.py
+++ b/boragetide/tests/test_link_health.py
@@ -7,18 +7,18 @@
 from boragetide.tests.durable_fixtures import BEGIN
 
 
-def count_dials(health: LinkHealth, now: float, peer_waits: float = 0.0) -> int:
+def count_reconnects(health: LinkHealth, now: float, peer_waits: float = 0.0) -> int:
     effects = health.check("a2", now, peer_waits)
     return sum(isinstance(effect, Reconnect) for effect in effects)
 
 
-def test_link_without_an_answer_is_dialled_anew() -> None:
+def test_link_without_an_answer_is_reconnected() -> None:
     """Guards against sending messages into a connection that stays silent."""
     health = LinkHealth()
     health.note_sent("a2", BEGIN)
-    assert count_dials(health, BEGIN + LINK_SILENCE) == 0
-    assert count_dials(health, BEGIN + LINK_SILENCE + 0.1) == 1
-    assert count_dials(health, BEGIN + LINK_SILENCE + 0.2) == 0
+    assert count_reconnects(health, BEGIN + LINK_SILENCE) == 0
+    assert count_reconnects(health, BEGIN + LINK_SILENCE + 0.1) == 1
+    assert count_reconnects(health, BEGIN + LINK_SILENCE + 0.2) == 0
 
 
 def test_any_answer_shows_that_the_link_works() -> None:
@@ -27,9 +27,9 @@
     health.note_sent("a2", BEGIN)
     health.note_heard("a2")
     assert health.note_sent("a2", BEGIN + 2.0) == 0.0
-    assert count_dials(health, BEGIN + 2.1) == 0
+    assert count_reconnects(health, BEGIN + 2.1) == 0
 
 
 def test_side_that_only_answers_learns_that_its_answers_are_lost() -> None:
     """Guards against keeping a link that is silent in the other direction."""
-    assert count_dials(LinkHealth(), BEGIN, peer_waits=LINK_SILENCE + 0.1) == 1
+    assert count_reconnects(LinkHealth(), BEGIN, peer_waits=LINK_SILENCE + 0.1) == 1
--- a/boragetide/tests/test_logs.py
+++ b/boragetide/tests/test_logs.py
@@ -45,7 +45,7 @@
     assert line.isprintable()
 
 
-def test_lines_of_one_turn_are_written_at_once() -> None:
+def test_lines_of_one_loop_iteration_are_written_together() -> None:
     """Guards against one write call per line on the hot path."""
     stream = io.StringIO()
 
@@ -122,7 +122,7 @@
     assert metrics.render()[0] == content
 
 
-def test_two_processes_worth_of_metrics_do_not_share_a_registry() -> None:
+def test_two_metrics_objects_do_not_share_a_registry() -> None:
     """Guards against collectors in the global registry, which refuses duplicates."""
     Metrics().count("jobs", {})
     first = Metrics()
--- a/boragetide/tests/test_member_changes.py
+++ b/boragetide/tests/test_member_changes.py
@@ -132,7 +132,7 @@
     assert "a3" in leader.learners_by_id
 
 
-def test_follower_tells_its_leader_of_a_learner(settings: Settings) -> None:
+def test_follower_forwards_a_join_request_to_its_leader(settings: Settings) -> None:
     """Guards against a learner that cannot join because it does not know the leader."""
     follower = Replica(settings, 1, Role.FOLLOWER, leader="a2")
     (effect,) = step(JoinRequest("a9"), follower, BEGIN)
@@ -179,7 +179,9 @@
     assert chosen == tuple(expected)
 
 
-def test_members_of_the_settings_stay_where_no_number_is_set(leader: Replica) -> None:
+def test_members_of_the_settings_stay_if_no_member_count_is_set(
+    leader: Replica,
+) -> None:
     """Guards against changing the members that the operator's settings name."""
     leader.settings = replace(leader.settings, member_count=0)
     now = BEGIN + MEMBER_SILENCE + 0.1
--- a/boragetide/tests/test_membership.py
+++ b/boragetide/tests/test_membership.py
@@ -16,8 +16,8 @@
 
 from boragetide.tests.conftest import Daemon, System, call, make_job, wait_for
 
-QUICK = "heartbeat-interval = 200 ms\ninstance-silence = 1 s"
-THREE = {"a1": "a", "a2": "a", "a3": "a"}
+QUICK_TIMING = "heartbeat-interval = 200 ms\ninstance-silence = 1 s"
+THREE_INSTANCES = {"a1": "a", "a2": "a", "a3": "a"}
 SERVICE_LIMIT = 5.0  # seconds until a zone serves again
 
 
@@ -40,7 +40,9 @@
 
 
 @contextmanager
-def load(system: System, *daemons: str, clients: int = 2) -> Iterator[list[Any]]:
+def generate_load(
+    system: System, *daemons: str, clients: int = 2
+) -> Iterator[list[Any]]:
     """Submit jobs one after another through each daemon; yields the answers.
 
     A client that is refused because its daemon is stopping waits until the daemon is
@@ -73,7 +75,7 @@
         future.result(30.0)
 
 
-def refusals(answers: list[Any], *stopped: str) -> list[Any]:
+def find_unexpected_answers(answers: list[Any], *stopped: str) -> list[Any]:
     """Return the unexpected answers of a load during which some daemons were stopped.
 
     Every answer must be ``complete``, except that a stopped daemon may refuse a job
@@ -112,10 +114,10 @@
 
 def test_planned_restarts_of_each_placer_lose_no_request(system: System) -> None:
     """Guards against requests that a planned stop fails, cuts off or leaves unknown."""
-    system.start(THREE)
+    system.start(THREE_INSTANCES)
     for number in range(3):
         system.add_server(f"s{number}", "a")
-    with load(system, "a1", "a2", "a3") as answers:
+    with generate_load(system, "a1", "a2", "a3") as answers:
         wait_for_more(answers, 10)
         for daemon_id, placer in (("a1", "a2"), ("a2", "a3"), ("a3", "a1")):
             wait_for_placer(system, daemon_id, "a1", "a2", "a3")
@@ -126,13 +128,13 @@
             wait_for(daemon.is_ready, f"{daemon_id} to be ready")
             wait_for_placer(system, placer, "a1", "a2", "a3")
             wait_for_more(answers, 10)
-    assert refusals(answers, "a1", "a2", "a3") == []
+    assert find_unexpected_answers(answers, "a1", "a2", "a3") == []
     assert set(system.starts_by_task().values()) == {1}
 
 
 def test_killed_placer_is_replaced_within_5_s(system: System) -> None:
     """Guards against a zone that is not served any more after its placer was killed."""
-    system.start(THREE)
+    system.start(THREE_INSTANCES)
     system.add_server("s1", "a")
     running = system.submit_later("a2", make_job("job-1", work=10.0))
     wait_for(system.starts_by_task, "the job to start")
@@ -145,7 +147,7 @@
     system: System,
 ) -> None:
     """Guards against a placer role that moves back to an instance after its pause."""
-    system.start(THREE)
+    system.start(THREE_INSTANCES)
     system.add_server("s1", "a")
     frozen = system.daemons_by_id["a1"]
     frozen.pause()
@@ -162,7 +164,7 @@
 @pytest.mark.parametrize("both", [False, True])
 def test_silent_link_is_replaced_within_5_s(system: System, both: bool) -> None:
     """Guards against keeping an open connection that no longer delivers anything."""
-    system.start(THREE, relayed=True)
+    system.start(THREE_INSTANCES, relayed=True)
     ends = [("a1", "a2"), ("a2", "a1")] if both else [("a1", "a2")]
     relays = [system.relays_by_link[link] for link in ends]
     for relay in relays:
@@ -183,7 +185,7 @@
 ) -> None:
     """Guards against bursts of messages and of role changes when a partition heals."""
     system.start(
-        {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}, relayed=True, timing=QUICK
+        {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}, relayed=True, timing=QUICK_TIMING
     )
     system.add_server("s1", "a")
     system.add_server("s2", "b")
@@ -223,22 +225,22 @@
 
 def test_leaving_server_finishes_its_task_and_gets_nothing_new(system: System) -> None:
     """Guards against new tasks on a leaving server, and against stopping its task."""
-    system.start(THREE)
+    system.start(THREE_INSTANCES)
     system.add_server("s1", "a", slots=1)
     long = system.submit_later("a2", make_job("long", tasks=1, work=4.0))
     wait_for(system.starts_by_task, "the task to start")
     system.control("s1", leaving=True)
     left_at = time.time()
     system.add_server("s2", "a", slots=1)
-    with load(system, "a1", "a2", "a3") as answers:
+    with generate_load(system, "a1", "a2", "a3") as answers:
         wait_for(lambda: time.time() > left_at + 3.0, "3 s")
         wait_for_more(answers, 5)
-    assert refusals(answers) == []
+    assert find_unexpected_answers(answers) == []
     assert long.result()[1]["status"] == "complete"
     assert list(call("GET", f"{system.servers_by_id['s1']}/starts")[1]) == ["long.0"]
 
 
-def test_leaving_announced_far_from_the_placer_ends_its_dispatches(
+def test_leaving_announced_behind_a_partition_ends_dispatches(
     system: System,
 ) -> None:
     """Guards against a placer that keeps using a leaving server it was not told about.
@@ -246,7 +248,7 @@
     The announcement reaches only ``a3``, which is cut off from the placer ``a1``.
     ``a3`` regards ``a2`` as the next placer, while ``a2`` still follows ``a1``.
     """
-    system.start(THREE, relayed=True)
+    system.start(THREE_INSTANCES, relayed=True)
     system.add_server("s1", "a", slots=4)
     system.submit_later("a1", make_job("job-1", tasks=400, work=0.1))
     wait_for(system.starts_by_task, "the job to start")
--- a/boragetide/tests/test_ordering.py
+++ b/boragetide/tests/test_ordering.py
@@ -25,7 +25,7 @@
     return job
 
 
-def walk(queues: dict[str, ClassQueue], caps: dict[str, int]) -> list[str]:
+def list_job_ids(queues: dict[str, ClassQueue], caps: dict[str, int]) -> list[str]:
     """Return the ids of the jobs in the order in which they are placed."""
     return [job_id for _, job_id in walk_jobs(queues, caps, NOW)]
 
@@ -35,7 +35,7 @@
     queue = ClassQueue(aging=1.0)
     for job_id, work in (("large", 9.0), ("small", 1.0), ("middle", 3.0)):
         put(queue, job_id, work)
-    assert walk({"c": queue}, {"c": 8}) == ["small", "middle", "large"]
+    assert list_job_ids({"c": queue}, {"c": 8}) == ["small", "middle", "large"]
 
 
 def test_aging_bounds_how_long_a_large_job_is_overtaken() -> None:
@@ -43,7 +43,7 @@
     queue = ClassQueue(aging=2.0)
     put(queue, "large", 10.0, at=NOW - 6.0)
     put(queue, "small", 1.0)
-    assert walk({"c": queue}, {"c": 8}) == ["large", "small"]
+    assert list_job_ids({"c": queue}, {"c": 8}) == ["large", "small"]
 
 
 def test_removed_job_leaves_no_trace_in_the_order() -> None:
@@ -52,7 +52,7 @@
     job = put(queue, "only", 1.0, "a")
     put(queue, "other", 1.0, "b")
     take_job(queue, job)
-    assert walk({"c": queue}, {"c": 8}) == ["other"]
+    assert list_job_ids({"c": queue}, {"c": 8}) == ["other"]
 
 
 def test_burst_of_a_team_does_not_keep_another_team_waiting() -> None:
@@ -62,7 +62,7 @@
         put(queue, f"burst-{number}", 0.1, "busy")
     put(queue, "other", 5.0, "calm")
     count_running(queue, "busy", 4)
-    assert walk({"c": queue}, {"c": 8})[0] == "other"
+    assert list_job_ids({"c": queue}, {"c": 8})[0] == "other"
 
 
 def test_class_at_its_busy_share_waits_for_the_other_classes() -> None:
@@ -71,6 +71,6 @@
     put(queues["c"], "capped", 0.1)
     put(queues["d"], "entitled", 9.0)
     count_running(queues["c"], "", 2)
-    assert walk(queues, {"c": 2, "d": 8}) == ["entitled"]
+    assert list_job_ids(queues, {"c": 2, "d": 8}) == ["entitled"]
     count_running(queues["d"], "", 8)
-    assert walk(queues, {"c": 2, "d": 8})[0] == "capped"
+    assert list_job_ids(queues, {"c": 2, "d": 8})[0] == "capped"
--- a/boragetide/tests/test_retries.py
+++ b/boragetide/tests/test_retries.py
@@ -43,7 +43,7 @@
     assert has_budget(budget, 115.0)
 
 
-def test_quiet_pool_may_retry_a_little() -> None:
+def test_quiet_pool_has_a_minimum_retry_budget() -> None:
     """Guards against a lone task that is not retried because 10% of one is none."""
     budget = RetryBudget()
     record(budget, 100.0, 1, BUDGET_FLOOR - 1)
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -16,7 +16,7 @@
 from boragetide.settings import parse_settings
 from boragetide.tests.conftest import free_port
 
-ALONE = """
+SINGLE_INSTANCE = """
 [instance]
 id = a1
 availability-zone = a
@@ -36,7 +36,7 @@
 
 
 def make_link(port: int) -> PeerLink:
-    text = ALONE.format(1, port, "unused")
+    text = SINGLE_INSTANCE.format(1, port, "unused")
     return PeerLink(parse_settings(text).own)
 
 
@@ -118,7 +118,9 @@
 
     async def run() -> int:
         async with asyncio.timeout(10.0):
-            return await run_daemon(parse_settings(ALONE.format(*ports, tmp_path)))
+            return await run_daemon(
+                parse_settings(SINGLE_INSTANCE.format(*ports, tmp_path))
+            )
 
     ports = free_port(), free_port()
     monkeypatch.setattr("boragetide.controllers.jobs.handle", handle)
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -135,7 +135,7 @@
     assert order == ["usual", "large", "small"]
 
 
-def test_classes_are_measured_by_their_own_mean() -> None:
+def test_job_size_is_relative_to_the_mean_of_its_class() -> None:
     """Guards against classes of wide jobs that wait behind classes of narrow ones."""
     queue = JobQueue()
     wide = replace(STEP, count=40)
--- a/boragetide/tests/test_stopping.py
+++ b/boragetide/tests/test_stopping.py
@@ -37,14 +37,14 @@
 def run_stop(runtime: Runtime, signals: stopping.StopSignals) -> None:
     async def run() -> None:
         async with asyncio.timeout(5.0):
-            last = (("claims", SaveClaims()), ("instances", Flush()))
-            await stopping.stop_gracefully(runtime, signals, last)
+            last_requests = (("claims", SaveClaims()), ("instances", Flush()))
+            await stopping.stop_gracefully(runtime, signals, last_requests)
 
     asyncio.run(run())
 
 
 @pytest.fixture(autouse=True)
-def short(monkeypatch: pytest.MonkeyPatch) -> None:
+def shorten_stop(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten the time for which a stop waits for late jobs."""
     monkeypatch.setattr(stopping, "SHORTEST_STOP", 0.1)
 
