Rename further vague names in the product's tests

pick, vote, stand, wait_for's parameter "what" and Relay.forwarded did not say what they find, deliver, describe or count. "For good" in two test names now reads "permanently". All renames lie inside boragetide/tests/.

--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -70,7 +70,9 @@
     return True
 
 
-def wait_for(condition: Callable[[], Any], what: str, limit: float = WAIT_LIMIT) -> Any:
+def wait_for(
+    condition: Callable[[], Any], description: str, limit: float = WAIT_LIMIT
+) -> Any:
     """Poll until a condition is true and return its value."""
     deadline = time.monotonic() + limit
     while time.monotonic() < deadline:
@@ -78,7 +80,7 @@
         if value:
             return value
         time.sleep(POLL)
-    raise AssertionError(f"timed out after {limit} s waiting for {what}")
+    raise AssertionError(f"timed out after {limit} s waiting for {description}")
 
 
 def call(
--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -57,12 +57,12 @@
 class Relay:
     """Listens on a port and forwards each connection to a target port.
 
-    ``forwarded`` counts the bytes that reached the target.
+    ``forwarded_bytes`` counts the bytes that reached the target.
     """
 
     def __init__(self, loop: RelayLoop, port: int, target_port: int):
         self.port = port
-        self.forwarded = 0
+        self.forwarded_bytes = 0
         self._loop = loop
         self._target_port = target_port
         self._connections: set[_Connection] = set()
@@ -141,7 +141,7 @@
                 writer.write(data)
                 await writer.drain()
                 if direction == TO_TARGET:
-                    self.forwarded += len(data)
+                    self.forwarded_bytes += len(data)
         except OSError:
             pass
         if direction not in connection.silent:
--- a/boragetide/tests/test_ejection.py
+++ b/boragetide/tests/test_ejection.py
@@ -16,14 +16,16 @@
 )
 
 
-def count_failures_until_ejection(pool: Tally, *, fast: bool, limit: int = 50) -> int:
+def count_failures_until_ejection(
+    pool_tally: Tally, *, fast: bool, limit: int = 50
+) -> int:
     """Fail every task of a server; return the number of tasks before its ejection.
 
     Returns 0 if the server is not ejected within ``limit`` tasks.
     """
     health = ServerHealth()
     for number in range(1, limit + 1):
-        observe_outcome(health, pool, "c", True, fast, 1.0)
+        observe_outcome(health, pool_tally, "c", True, fast, 1.0)
         if should_eject(health, 0, 8):
             return number
     return 0
--- a/boragetide/tests/test_elections.py
+++ b/boragetide/tests/test_elections.py
@@ -21,7 +21,7 @@
     return made
 
 
-def vote(replica: Replica, heard_ago: float, now: float) -> None:
+def deliver_vote(replica: Replica, heard_ago: float, now: float) -> None:
     reply = VoteReply(
         term=replica.ballot.term,
         requested_term=replica.ballot.term,
@@ -36,14 +36,14 @@
     step(reply, replica, now)
 
 
-def stand(replica: Replica, now: float) -> list[object]:
+def stand_for_election(replica: Replica, now: float) -> list[object]:
     return step(StandForElection(replica.ballot.term, "a2"), replica, now)
 
 
 def test_latest_sign_of_a_leader_bounds_its_authority(replica: Replica) -> None:
     """Guards against starting runs while an earlier leader can still give orders."""
-    stand(replica, BEGIN + 1.0)
-    vote(replica, heard_ago=0.3, now=BEGIN + 1.1)
+    stand_for_election(replica, BEGIN + 1.0)
+    deliver_vote(replica, heard_ago=0.3, now=BEGIN + 1.1)
     assert replica.role is Role.LEADER
     assert replica.predecessor_until == pytest.approx(BEGIN + 0.8 + AUTHORITY)
 
@@ -54,7 +54,7 @@
     """Guards against a restarted member that takes over too early, or too late."""
     replica.leader_heard_at = 0.0
     replica.incarnation = int((BEGIN + 0.7) * 1000)
-    stand(replica, BEGIN + 1.0)
+    stand_for_election(replica, BEGIN + 1.0)
     assert replica.predecessor_until == pytest.approx(BEGIN + 0.7 + AUTHORITY)
 
 
@@ -65,8 +65,8 @@
 
 def test_leader_that_stops_names_its_successor(replica: Replica) -> None:
     """Guards against seconds without a leader at every planned restart."""
-    stand(replica, BEGIN + 1.0)
-    vote(replica, heard_ago=0.3, now=BEGIN + 1.0)
+    stand_for_election(replica, BEGIN + 1.0)
+    deliver_vote(replica, heard_ago=0.3, now=BEGIN + 1.0)
     replica.progress_by_id["a3"].match_index = 9
     sent = [each for each in replication.hand_over(replica) if isinstance(each, Send)]
     assert [each.to.instance for each in sent] == ["a3"]
@@ -86,8 +86,8 @@
 
 def test_leader_that_is_deposed_tells_that_it_led_until_now(replica: Replica) -> None:
     """Guards against a successor that believes the deposed leader stopped long ago."""
-    stand(replica, BEGIN + 1.0)
-    vote(replica, heard_ago=0.3, now=BEGIN + 1.0)
+    stand_for_election(replica, BEGIN + 1.0)
+    deliver_vote(replica, heard_ago=0.3, now=BEGIN + 1.0)
     replication.check_leader(replica, BEGIN + 3.0)
     request = RequestVote(
         term=replica.ballot.term + 1,
--- a/boragetide/tests/test_instances.py
+++ b/boragetide/tests/test_instances.py
@@ -48,7 +48,7 @@
     return effects
 
 
-def test_isolated_placer_loses_the_role_for_good(view: InstancesState) -> None:
+def test_isolated_placer_loses_the_role_permanently(view: InstancesState) -> None:
     """Guards against a placer role that moves back when a partition heals."""
     assert view.placer == "a1"
     advance(view, STARTED + 1.0, STARTED + 9.0, peers=())
@@ -57,7 +57,7 @@
     assert view.placer == "a2"
 
 
-def test_resumed_placer_loses_the_role_for_good(view: InstancesState) -> None:
+def test_resumed_placer_loses_the_role_permanently(view: InstancesState) -> None:
     """Guards against a paused placer that continues after others have replaced it."""
     handle(WokeUp(STARTED + 1.0), view, STARTED + 9.0)
     assert view.placer is None
--- a/boragetide/tests/test_membership.py
+++ b/boragetide/tests/test_membership.py
@@ -169,10 +169,11 @@
     relays = [system.relays_by_link[link] for link in ends]
     for relay in relays:
         relay.silence()
-    before = [relay.forwarded for relay in relays]
+    before = [relay.forwarded_bytes for relay in relays]
     wait_for(
         lambda: all(
-            relay.forwarded > count for relay, count in zip(relays, before, strict=True)
+            relay.forwarded_bytes > count
+            for relay, count in zip(relays, before, strict=True)
         ),
         "new connections to carry messages",
         5.0,
--- a/boragetide/tests/test_pool.py
+++ b/boragetide/tests/test_pool.py
@@ -47,7 +47,7 @@
     return QueueTasks(job_id, "default", tasks, **{"idempotent": False, **options})
 
 
-def pick(effects: list[Effect], kind: type) -> list[Any]:
+def find_by_kind(effects: list[Effect], kind: type) -> list[Any]:
     """Return the effects of a kind, or the messages sent of a kind."""
     sent = [effect.message for effect in effects if isinstance(effect, Send)]
     return [found for found in [*effects, *sent] if isinstance(found, kind)]
@@ -57,9 +57,11 @@
     """Guards against one message per task, and placements without a log line."""
     apply(AnnounceBackendServer(describe_server("s1")))
     effects = apply(queue("j", 0.1, 0.3, 0.2))
-    (start,) = pick(effects, StartTasks)
+    (start,) = find_by_kind(effects, StartTasks)
     assert [task.id for task in start.tasks] == ["j.1", "j.2", "j.0"]
-    lines = [line for line in pick(effects, LogEvent) if line.event == "placement"]
+    lines = [
+        line for line in find_by_kind(effects, LogEvent) if line.event == "placement"
+    ]
     assert [line.fields["server"] for line in lines] == ["s1"] * 3
     assert all({"task", "candidates", "reason"} <= set(x.fields) for x in lines)
 
@@ -70,63 +72,63 @@
     large = tuple(Task(None, 0.01, cores=8.0) for _ in range(20))
     for number in range(20):
         apply(QueueTasks(f"large-{number}", "default", large, False))
-    assert pick(apply(queue("plain", 1.0)), StartTasks)
+    assert find_by_kind(apply(queue("plain", 1.0)), StartTasks)
 
 
 def test_batch_holds_its_connection_until_its_last_task_ends(apply) -> None:
     """Guards against more connections than a backend server accepts."""
     apply(AnnounceBackendServer(describe_server("s1", connections=1)))
-    (start,) = pick(apply(queue("j", 0.1, 0.1)), StartTasks)
-    assert not pick(apply(queue("k", 0.1)), StartTasks)
+    (start,) = find_by_kind(apply(queue("j", 0.1, 0.1)), StartTasks)
+    assert not find_by_kind(apply(queue("k", 0.1)), StartTasks)
     done = TaskOutcome(TaskStatus.DONE)
     report = TaskReport("s1", start.lease, "j.0", done, 0.1)
-    assert not pick(apply(report, NOW + 0.1), StartTasks)
+    assert not find_by_kind(apply(report, NOW + 0.1), StartTasks)
     report = TaskReport("s1", start.lease, "j.1", done, 0.1)
-    assert pick(apply(report, NOW + 0.1), StartTasks)
+    assert find_by_kind(apply(report, NOW + 0.1), StartTasks)
 
 
 def test_cancellation_is_one_batch_without_tasks_that_end_soon(apply) -> None:
     """Guards against cancellations that arrive after the task has ended."""
     apply(AnnounceBackendServer(describe_server("s1")))
     apply(queue("j", 1.0, 2.0, 0.02))
-    (cancel,) = pick(apply(CancelQueued("j")), CancelTasks)
+    (cancel,) = find_by_kind(apply(CancelQueued("j")), CancelTasks)
     assert sorted(cancel.task_ids) == ["j.0", "j.1"]
 
 
 def test_result_that_is_overdue_ends_the_task_as_unknown(apply) -> None:
     """Guards against callers that wait forever, and against slots that stay taken."""
     apply(AnnounceBackendServer(describe_server("s1", slots=1)))
-    (start,) = pick(apply(queue("j", 0.1)), StartTasks)
+    (start,) = find_by_kind(apply(queue("j", 0.1)), StartTasks)
     apply(queue("k", 0.1))
     for now in (NOW + 4.0, NOW + 8.0):
         apply(AnnounceBackendServer(describe_server("s1", slots=1)), now)
     effects = apply(Tick(), NOW + 8.1)
-    (ended,) = pick(effects, TaskEnded)
+    (ended,) = find_by_kind(effects, TaskEnded)
     assert (ended.job_id, ended.outcome.status) == ("j", TaskStatus.UNKNOWN)
-    assert [s.tasks[0].id for s in pick(effects, StartTasks)] == ["k.0"]
+    assert [s.tasks[0].id for s in find_by_kind(effects, StartTasks)] == ["k.0"]
     late = TaskReport("s1", start.lease, "j.0", TaskOutcome(TaskStatus.DONE), 8.0)
-    assert not pick(apply(late, NOW + 8.2), TaskEnded)
+    assert not find_by_kind(apply(late, NOW + 8.2), TaskEnded)
 
 
 @pytest.mark.parametrize("how", ["leaving", "drained"])
 def test_leaving_and_drained_servers_get_nothing_new(apply, how: str) -> None:
     """Guards against new tasks on a server that is about to stop."""
     apply(AnnounceBackendServer(describe_server("s1")))
-    assert pick(apply(queue("j", 0.1)), StartTasks)
+    assert find_by_kind(apply(queue("j", 0.1)), StartTasks)
     if how == "leaving":
         effects = apply(AnnounceBackendServer(describe_server("s1", leaving=True)))
     else:
         changed = Configuration(version=1, drained=frozenset({"s1"}))
         effects = apply(ConfigurationChanged(changed))
-    assert not pick(effects, CancelTasks)
-    assert not pick(apply(queue("k", 0.1)), StartTasks)
+    assert not find_by_kind(effects, CancelTasks)
+    assert not find_by_kind(apply(queue("k", 0.1)), StartTasks)
 
 
 def test_job_waits_for_a_first_server_no_longer_than_a_lease(apply) -> None:
     """Guards against callers that wait in a zone that has no backend servers."""
-    assert not pick(apply(queue("j", 0.1)), TasksRefused)
-    assert not pick(apply(Tick(), NOW + 5.0), TasksRefused)
-    assert pick(apply(Tick(), NOW + 6.5), TasksRefused)
+    assert not find_by_kind(apply(queue("j", 0.1)), TasksRefused)
+    assert not find_by_kind(apply(Tick(), NOW + 5.0), TasksRefused)
+    assert find_by_kind(apply(Tick(), NOW + 6.5), TasksRefused)
 
 
 def test_refused_dispatch_is_retried_and_then_refused_as_not_run(apply) -> None:
@@ -134,12 +136,12 @@
     apply(AnnounceBackendServer(describe_server("s1")))
     effects, now = apply(queue("j", 0.1)), NOW
     attempts = 0
-    while starts := pick(effects, StartTasks):
+    while starts := find_by_kind(effects, StartTasks):
         attempts += 1
         (start,) = starts
         outcome = TaskOutcome(TaskStatus.NOT_RUN, error="refused")
         report = TaskReport("s1", start.lease, start.tasks[0].id, outcome)
-        assert not pick(apply(report, now), TaskEnded)
+        assert not find_by_kind(apply(report, now), TaskEnded)
         now += 1.0
         effects = apply(Tick(), now)
     assert attempts > 1
@@ -149,8 +151,10 @@
     """Guards against a second start of a task that may have run."""
     apply(AnnounceBackendServer(describe_server("s1")))
     for job_id, idempotent in (("once", False), ("again", True)):
-        (start,) = pick(apply(queue(job_id, 0.1, idempotent=idempotent)), StartTasks)
+        (start,) = find_by_kind(
+            apply(queue(job_id, 0.1, idempotent=idempotent)), StartTasks
+        )
         outcome = TaskOutcome(TaskStatus.UNKNOWN, error="connection lost")
         report = TaskReport("s1", start.lease, f"{job_id}.0", outcome)
-        assert bool(pick(apply(report), TaskEnded)) is not idempotent
-    assert pick(apply(Tick(), NOW + 1.0), StartTasks)
+        assert bool(find_by_kind(apply(report), TaskEnded)) is not idempotent
+    assert find_by_kind(apply(Tick(), NOW + 1.0), StartTasks)
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -110,7 +110,7 @@
     assert latest_start(late) < BEGIN
 
 
-def test_small_job_goes_before_a_large_one_that_came_with_it() -> None:
+def test_small_job_goes_before_a_large_one_submitted_with_it() -> None:
     """Guards against one large job that makes many small ones late."""
     queue = JobQueue()
     large, small = replace(STEP, count=6), replace(STEP, count=1)
