--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay between two daemons that can be cut or go silent."""
+"""A TCP relay between two daemons that can close or silence its connections."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 FROM_TARGET = "from_target"
 DIRECTIONS = frozenset({TO_TARGET, FROM_TARGET})
 CHUNK = 65536  # bytes
-LAST_TURNS = 10
+CLOSE_ITERATIONS = 10
 
 
 class RelayLoop:
@@ -23,12 +23,12 @@
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
 
-    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
         """Run a coroutine in the loop and return its result."""
-        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
 
     def close(self) -> None:
-        """End the thread once all relays are cut."""
+        """Cancel the remaining tasks and end the thread, once all relays are cut."""
         self.run(self._cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
@@ -39,8 +39,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        # Closed transports release their sockets in the next turns of the loop.
-        for _ in range(LAST_TURNS):
+        # Closed transports release their sockets in the next iterations of the loop.
+        for _ in range(CLOSE_ITERATIONS):
             await asyncio.sleep(0)
 
 
@@ -57,12 +57,12 @@
 class Relay:
     """Listens on a port and forwards each connection to a target port.
 
-    ``forwarded`` counts the bytes that reached the target.
+    ``forwarded_bytes`` counts the bytes that reached the target.
     """
 
     def __init__(self, loop: RelayLoop, port: int, target_port: int):
         self.port = port
-        self.forwarded = 0
+        self.forwarded_bytes = 0
         self._loop = loop
         self._target_port = target_port
         self._connections: set[_Connection] = set()
@@ -75,15 +75,15 @@
         self._loop.run(self._cut())
 
     def heal(self) -> None:
-        """Accept and forward connections; those that went silent are closed."""
+        """Accept and forward connections again, and close the silenced ones."""
         self._loop.run(self._heal())
 
     def silence(
         self, directions: frozenset[str] = DIRECTIONS, *, new: bool = False
     ) -> None:
-        """Swallow everything in some directions and keep the connections open.
+        """Discard all data in some directions and keep the connections open.
 
-        With ``new``, connections that are made later are silent as well.
+        With ``new``, connections that are made later are silenced as well.
         """
         self._loop.run(self._silence(directions, new))
 
@@ -141,7 +141,7 @@
                 writer.write(data)
                 await writer.drain()
                 if direction == TO_TARGET:
-                    self.forwarded += len(data)
+                    self.forwarded_bytes += len(data)
         except OSError:
             pass
         if direction not in connection.silent:
--- a/boragetide/tests/test_claims_processes.py
+++ b/boragetide/tests/test_claims_processes.py
@@ -1,4 +1,4 @@
-"""Claims through real processes that are killed, restarted and frozen."""
+"""Claims with real processes that are killed, restarted and paused."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def start_zone(system: System, *, slots: int = 8) -> None:
-    """Start three instances of one zone; ``a1`` runs longest and places."""
+    """Start three instances of one zone; ``a1`` starts first and is the placer."""
     system.start(ZONE)
     system.add_server("s1", "a", slots=slots)
 
@@ -20,11 +20,11 @@
     wait_for(lambda: len(system.starts_by_task()) >= tasks, f"{tasks} started tasks")
 
 
-def lose_placer(system: System, lose: Callable[[], None]) -> None:
-    """Kill or freeze ``a1`` and wait until another instance places in its stead."""
+def disable_placer(system: System, disable: Callable[[], None]) -> None:
+    """Kill or pause ``a1`` and wait until another instance is the placer."""
     others = [system.daemons_by_id["a2"], system.daemons_by_id["a3"]]
     known = [len(daemon.log_lines("backend_server_joined")) for daemon in others]
-    lose()
+    disable()
     wait_for(
         lambda: [len(d.log_lines("backend_server_joined")) for d in others] != known,
         "the new placer to lease s1",
@@ -35,17 +35,19 @@
     assert list(system.starts_by_task().values()) == [1] * tasks
 
 
-def ask(system: System, method: str, daemon_id: str, path: str) -> tuple[int, Any]:
+def call_daemon(
+    system: System, method: str, daemon_id: str, path: str
+) -> tuple[int, Any]:
     return call(method, system.daemons_by_id[daemon_id].url + path)
 
 
 def test_job_of_a_killed_owner_is_never_run_again(system: System) -> None:
-    """Guards against a new placer that takes over jobs that may have run."""
+    """Guards against a new placer that runs jobs of its predecessor a second time."""
     start_zone(system)
     job = make_job("job-1", work=5.0)
     running = system.submit_later("a2", job)
     wait_for_starts(system, 4)
-    lose_placer(system, system.daemons_by_id["a1"].kill)
+    disable_placer(system, system.daemons_by_id["a1"].kill)
     assert running.result()[1]["status"] == "unknown"
     for daemon_id in ("a2", "a3"):
         assert system.submit(daemon_id, job)[1]["status"] == "unknown"
@@ -56,7 +58,7 @@
 def test_resubmission_gets_the_answer_that_a_killed_entry_missed(
     system: System,
 ) -> None:
-    """Guards against answers that are lost with the instance that took the job."""
+    """Guards against answers that are lost with the instance that accepted the job."""
     start_zone(system)
     job = make_job("job-1", work=0.5)
     system.submit_later("a2", job)
@@ -70,7 +72,7 @@
 def test_restarted_acceptor_and_the_loss_of_another_start_nothing_again(
     system: System,
 ) -> None:
-    """Guards against an acceptor that grants what it granted before its restart."""
+    """Guards against an acceptor that grants an id again after its restart."""
     start_zone(system)
     job = make_job("job-1")
     assert system.submit("a2", job)[1]["status"] == "complete"
@@ -83,20 +85,20 @@
         "a2 to catch up",
     )
     system.wait_for_members(3)
-    lose_placer(system, system.daemons_by_id["a1"].kill)
+    disable_placer(system, system.daemons_by_id["a1"].kill)
     assert system.submit("a3", job)[1]["status"] == "unknown"
     assert system.submit("a2", job)[1]["status"] == "unknown"
     check_single_starts(system, 4)
 
 
 def test_owner_that_was_frozen_starts_no_further_task(system: System) -> None:
-    """Guards against an owner that goes on with jobs that others gave up."""
+    """Guards against an owner that continues jobs that were reported as unknown."""
     start_zone(system, slots=2)
     job = make_job("job-1", work=3.0)
     running = system.submit_later("a2", job)
     wait_for_starts(system, 2)
     owner = system.daemons_by_id["a1"]
-    lose_placer(system, owner.pause)
+    disable_placer(system, owner.pause)
     assert running.result()[1]["status"] == "unknown"
     assert system.submit("a3", job)[1]["status"] == "unknown"
     assert system.submit("a3", make_job("job-2", tasks=1))[1]["status"] == "complete"
@@ -108,7 +110,7 @@
 
 
 def test_single_daemon_keeps_its_claims_on_disk(system: System) -> None:
-    """Guards against a restart of the only instance that forgets what has run."""
+    """Guards against running jobs again after a restart of the only instance."""
     system.start({"a1": "a"})
     system.add_server("s1", "a")
     job = make_job("job-1")
@@ -129,15 +131,17 @@
     (job_id,) = call("POST", f"{url}/v1/job-ids", {"count": 1})[1]["ids"]
     running = system.submit_later("a2", make_job(job_id, work=10.0))
     wait_for_starts(system, 4)
-    assert ask(system, "GET", "a3", f"/v1/jobs/{job_id}")[1]["state"] == "running"
-    code, body = ask(system, "DELETE", "a3", f"/v1/jobs/{job_id}")
+    assert (
+        call_daemon(system, "GET", "a3", f"/v1/jobs/{job_id}")[1]["state"] == "running"
+    )
+    code, body = call_daemon(system, "DELETE", "a3", f"/v1/jobs/{job_id}")
     assert (code, body["state"], body["answer"]["status"]) == (200, "ended", "failed")
     assert running.result()[1] == body["answer"]
-    assert ask(system, "GET", "a2", "/v1/jobs/never")[0] == 404
+    assert call_daemon(system, "GET", "a2", "/v1/jobs/never")[0] == 404
 
 
 def test_id_with_other_payloads_is_refused(system: System) -> None:
-    """Guards against answers of one job that are given to another."""
+    """Guards against returning the answer of one job to another job of the same id."""
     start_zone(system)
     first = system.submit("a2", make_job("job-1"))
     code, answer = system.submit("a3", make_job("job-1", tasks=5))
