Reword docstrings and comments of the property tests

Docstrings named things by figures (heal everything, what became of, the border, bodies that reach a traceback). They now name the fault that each test guards against, the simulated faults and the oracle in the usual terms. No assertion, bound, seed or parameter changes. Hypothesis derives the examples of the deterministic profile from the source of the test, so that other examples may be drawn.

--- a/properties/__init__.py
+++ b/properties/__init__.py
@@ -1,1 +1,1 @@
-"""Hypothesis state machines, checked against small oracles."""
+"""Property-based tests: Hypothesis state machines checked against test oracles."""
--- a/properties/conftest.py
+++ b/properties/conftest.py
@@ -1,4 +1,4 @@
-"""Hypothesis profiles: ``ci`` is the same every time, ``fuzz`` runs for longer."""
+"""Hypothesis profiles: ``ci`` is deterministic, ``fuzz`` runs more examples."""
 
 from __future__ import annotations
 
--- a/properties/test_answers.py
+++ b/properties/test_answers.py
@@ -1,4 +1,4 @@
-"""Every waiter gets the one whole answer of its job, in whatever order tasks end."""
+"""Every waiting request gets the same complete answer, in any order of task ends."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 
 
 class AnswersMachine(RuleBasedStateMachine):
-    """One owner with crossed, late and duplicate outcomes of a few jobs."""
+    """One owner instance that gets reordered, late and duplicate task outcomes."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -80,7 +80,7 @@
         self.check(reply.message)
 
     def check(self, message: JobAnswer) -> None:
-        """Compare an answer with the first one and with the outcomes that came."""
+        """Compare an answer with the first answer and with the reported outcomes."""
         answer = message.answer
         job_id = answer.id
         if message.refused_for == OTHER_CONTENT:
@@ -123,7 +123,7 @@
 
     @rule(job_id=JOBS, order=st.permutations(range(3)), twice=st.booleans())
     def end_all_tasks(self, job_id: str, order: list[int], twice: bool) -> None:
-        """End the tasks of a job in any order, as single random ends seldom do."""
+        """End all tasks of a job in any order; random calls of `end_task` rarely do."""
         for index in order:
             if index < self.queued.get(job_id, 0):
                 for _ in range(1 + twice):
--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -1,4 +1,4 @@
-"""No request body makes a daemon fail: every answer is a whole one or a 4xx."""
+"""No request body makes a daemon fail: every response is a 200 or an expected 4xx."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
 
 @pytest.fixture(scope="module")
 def installation(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
-    """Two daemons, so that bodies also pass the codec between instances."""
+    """Start two daemons, so that bodies also pass the codec between instances."""
     made = System(tmp_path_factory.mktemp("border"))
     made.start({"a1": "a", "a2": "a"})
     made.add_server("s1", "a", speed=1000.0)
@@ -70,7 +70,7 @@
 
 
 def check(system: System, method: str, path: str, body: Any) -> None:
-    """Send a body to the instance that does not place, and judge the answer."""
+    """Send a body to the instance that is not the placer, and check the response."""
     daemon = system.daemons_by_id["a2"]
     code, answer = call(method, daemon.url + path, body, timeout=20.0)
     assert code in ALLOWED, (code, answer)
@@ -83,19 +83,19 @@
 
 @given(body=st.binary(max_size=200) | json_values.map(lambda v: json.dumps(v).encode()))
 def test_any_bytes_are_refused(installation: System, body: bytes) -> None:
-    """Guards against bodies that reach a traceback instead of a refusal."""
+    """Guards against bodies that cause an unhandled exception, not a refusal."""
     check(installation, "POST", "/v1/jobs", body)
 
 
 @given(body=jobs)
 def test_nearly_valid_jobs_are_answered(installation: System, body: Any) -> None:
-    """Guards against values that pass the border and break something behind it."""
+    """Guards against values that pass validation but fail in later processing."""
     check(installation, "POST", "/v1/jobs", body)
 
 
 @given(body=requests)
 def test_nearly_valid_requests_are_answered(installation: System, body: Any) -> None:
-    """Guards against values that pass the border and break something behind it."""
+    """Guards against values that pass validation but fail in later processing."""
     check(installation, "POST", "/v1/requests", body)
 
 
@@ -105,7 +105,7 @@
 def test_any_job_id_in_a_path_is_answered(
     installation: System, job_id: str, method: str
 ) -> None:
-    """Guards against ids that only a body checks."""
+    """Guards against job ids that are validated in a body but not in a path."""
     path = "".join(f"%{byte:02x}" for byte in job_id.encode())
     url = f"{installation.daemons_by_id['a2'].url}/v1/jobs/{path}"
     code, answer = call(method, url, timeout=20.0)
@@ -114,7 +114,7 @@
 
 @given(body=json_values.filter(lambda value: value != {}))
 def test_bad_requests_for_ids_are_refused(installation: System, body: Any) -> None:
-    """Guards against counts that make a daemon mint without end."""
+    """Guards against counts that make a daemon generate ids without a limit."""
     check(installation, "POST", "/v1/job-ids", body)
 
 
@@ -122,6 +122,6 @@
 def test_bad_announcements_are_refused(
     installation: System, body: Any, server_id: str
 ) -> None:
-    """Guards against announcements that put a broken record into a pool."""
+    """Guards against announcements that add an invalid record to a pool."""
     path = "".join(f"%{byte:02x}" for byte in server_id.encode("utf-8"))
     check(installation, "PUT", f"/v1/backend-servers/{path}", body)
--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -1,4 +1,8 @@
-"""No task starts twice, whatever the network, the clocks and the instances do."""
+"""No task starts twice under network faults, clock skew, restarts and freezes.
+
+Messages are delivered late, out of order or never, clocks differ between instances,
+and instances restart or are suspended and resumed.
+"""
 
 from __future__ import annotations
 
@@ -59,7 +63,7 @@
 
 @dataclass
 class Process:
-    """One incarnation of an instance, with the tasks that wait at its pool."""
+    """One incarnation of an instance, with the queued and started tasks of its pool."""
 
     name: str
     skew: float
@@ -72,7 +76,7 @@
 
 @dataclass
 class Attempt:
-    """A submission on its way through the claim filter of an entry instance."""
+    """A submission that the claim filter of its entry instance is processing."""
 
     entry: Process
     claim: Claim
@@ -115,7 +119,7 @@
             jobs.JobsState(own, incarnation),
         )
         self.processes[name] = process
-        # What a process has sent to itself is lost with it.
+        # Messages that a process sent to itself are lost when it restarts.
         self.network = [
             sent for sent in self.network if sent[2] is None or sent[2] is not previous
         ]
@@ -157,7 +161,7 @@
     def deliver(self, number: int) -> None:
         if not self.network:
             return
-        # Half of the time the oldest one, so that most exchanges come to an end.
+        # Deliver the oldest message half of the time, so that most exchanges complete.
         position = number // 2 % len(self.network) if number % 2 else 0
         to, message, _ = self.network[position]
         process = self.processes[to.instance]
@@ -189,7 +193,7 @@
             self.follow(attempt)
 
     def follow(self, attempt: Attempt) -> None:
-        """Take the next step, as the claim filter does."""
+        """Decide on the next step and send its message, as the claim filter does."""
         own = attempt.entry.claims.settings
         job_id = attempt.claim.id
         group = find_claim_group(find_home_zone(job_id, own), own)
@@ -228,7 +232,7 @@
 
     @rule(seed=NUMBERS, steps=st.integers(1, 60))
     def submit(self, seed: int, steps: int) -> None:
-        """Submit new jobs or resubmit known ones, at the same time."""
+        """Submit new jobs and resubmit known jobs concurrently."""
         random = Random(seed)
         for _ in range(3):
             for _ in range(random.randint(1, 3)):
@@ -256,7 +260,7 @@
 
     @rule(seed=NUMBERS, steps=st.integers(1, 60))
     def run(self, seed: int, steps: int) -> None:
-        """Let the network, the waits and the backend servers go on, in some order."""
+        """Deliver or lose messages, time out requests, start or end tasks at random."""
         random = Random(seed)
         actions = (
             self.deliver,
@@ -274,7 +278,7 @@
             del self.network[number % len(self.network)]
 
     def time_out(self, number: int) -> None:
-        """End a wait; the message may still arrive later."""
+        """Time out a pending request; its message may still arrive later."""
         if not self.attempts:
             return
         attempt = self.attempts.pop(pick(list(self.attempts), number))
@@ -330,7 +334,7 @@
 
     @rule(name=NUMBERS)
     def refuse_jobs(self, name: int) -> None:
-        """Refuse the jobs of which no task has started."""
+        """Refuse the queued jobs none of whose tasks has started."""
         process = pick(list(self.processes.values()), name)
         for job_id in {task[0] for task in process.queued}:
             if {(job_id, 0), (job_id, 1)} <= set(process.queued):
@@ -344,13 +348,13 @@
 
 
 class PairMachine(ClaimsMachine):
-    """A claim group of two."""
+    """A claim group of two instances."""
 
     zones_by_id: ClassVar = {"a1": "a", "b1": "b"}
 
 
 class SingleMachine(ClaimsMachine):
-    """A claim group of one, with a journal."""
+    """A claim group of one instance, with a journal."""
 
     zones_by_id: ClassVar = {"a1": "a"}
 
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -1,4 +1,4 @@
-"""Every message survives encoding; damaged frames are refused, not misread."""
+"""Messages round-trip through the codec; damaged frames are rejected."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 
 def build(type_: type) -> st.SearchStrategy[Any]:
-    """Strategy for a data class, with JSON values where a field takes anything."""
+    """Build a strategy for a data class; fields of type `Any` get JSON values."""
     names = vars(types) | vars(durable) | vars(commands) | vars(messages)
     hints = typing.get_type_hints(type_, names)
     return st.builds(
@@ -82,7 +82,7 @@
 @pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.__name__)
 @given(data=st.data())
 def test_message_decodes_to_what_was_encoded(kind: type, data: st.DataObject) -> None:
-    """Guards against a message type whose fields change on the way."""
+    """Guards against a message type whose fields change in encoding or decoding."""
     message = data.draw(build(kind))
     envelope = Envelope("a1", 1, "jobs", 0, kind.__name__, encode_body(message))
     (received,) = decode_frame(encode_frame([envelope]))
@@ -91,7 +91,7 @@
 
 @given(frame=st.binary(max_size=200))
 def test_arbitrary_bytes_never_raise_another_error(frame: bytes) -> None:
-    """Guards against a listener that a damaged frame can stop."""
+    """Guards against damaged frames that stop the listener with another exception."""
     try:
         for envelope in decode_frame(frame):
             decode_body(envelope)
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -1,4 +1,4 @@
-"""Agreement on the configuration over a bad network, with crashes and lost disks."""
+"""Consensus on the configuration under message loss, crashes and lost disks."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 @dataclass
 class Node:
-    """One instance: its state while it runs, and what is on its disk."""
+    """One instance: its state while it runs, and the records on its disk."""
 
     id: str
     incarnation: int = 0
@@ -56,7 +56,7 @@
 
 
 class Agreement(RuleBasedStateMachine):
-    """Members ``m0`` to ``m2`` with disks and an instance ``x0`` without."""
+    """Members ``m0`` to ``m2`` with disks, and an instance ``x0`` without a disk."""
 
     members = 3
     spares = 0
@@ -169,7 +169,7 @@
         known = self.outcomes_by_command.setdefault(propose.command_id, outcome)
         assert known == outcome
         if message.status is CommandStatus.ACCEPTED:
-            # An id that was used with another version keeps its one outcome.
+            # A command id that is reused with another version keeps its first outcome.
             expected = self.versions_by_command[propose.command_id]
             assert message.version - 1 in expected
             assert (
@@ -244,7 +244,7 @@
         pause=st.sampled_from([0.0, 0.1, 0.4]),
     )
     def operate(self, numbers: list[int], loss: float, pause: float) -> None:
-        """Send a change after the other, each on top of the newest version seen."""
+        """Propose changes one after another, each based on the newest known version."""
         for number in numbers:
             self.commands += 1
             command = DrainBackendServer(f"s{self.commands}")
@@ -284,7 +284,7 @@
     @precondition(lambda self: self.may_lose_a_disk())
     @rule(lost=st.integers(0, 9), away=st.integers(0, 9), later=st.integers(0, 9))
     def lose_disk_apart(self, lost: int, away: int, later: int) -> None:
-        """Lose a disk while those that know the newest changes are cut off."""
+        """Lose a disk while the members that know the newest changes are cut off."""
         self.partition({away % self.members})
         self.operate([lost % self.members], 0.0, 0.4)
         self.lose_disk(lost)
@@ -298,11 +298,11 @@
             self.ask(self.pick(number), sent[which % len(sent)])
 
     def may_lose_a_disk(self) -> bool:
-        """Tell whether each member has caught up since the last lost disk."""
+        """Return whether each member has caught up since the last lost disk."""
         return all(self.load(n).role is not Role.BLANK for n in self.list_disks())
 
     def list_disks(self) -> list[Node]:
-        """Return the instances with a disk that were not taken away."""
+        """Return the instances with a disk that are not retired."""
         nodes = self.nodes_by_id.values()
         return [node for node in nodes if node.id != "x0" and not node.retired]
 
@@ -321,7 +321,7 @@
         self.boot(node)
 
     def teardown(self) -> None:
-        """Heal everything; all must agree on everything that was accepted."""
+        """Repair all faults; all nodes must agree on every accepted command."""
         if not hasattr(self, "nodes_by_id"):
             return
         self.cut = frozenset()
@@ -344,7 +344,7 @@
         assert {member.role for member in members} <= {Role.LEADER, Role.FOLLOWER}
         for member in members:
             self.check_history(member)
-        # A learner may still be unknown to a leader that was elected just now.
+        # A newly elected leader may not know a learner yet.
         catalogues = [member.catalogue for member in members if member.is_member]
         assert all(catalogue == catalogues[0] for catalogue in catalogues)
 
@@ -355,13 +355,13 @@
 
 
 class AgreementOfFive(Agreement):
-    """Five members, so that two may be away at the same time."""
+    """Five members, so that two may be unavailable at the same time."""
 
     members = 5
 
 
 class AgreementWithSpare(Agreement):
-    """Three members and a spare, which takes the place of one that is taken away."""
+    """Three members and a spare, which replaces a member that is retired."""
 
     spares = 1
 
@@ -372,7 +372,7 @@
         )
 
     def may_lose_a_disk(self) -> bool:
-        """Tell whether the last loss is repaired: each majority can spare a member."""
+        """Return whether the last loss is repaired: each majority can lose a member."""
         return super().may_lose_a_disk() and all(
             self.has_all_members(self.load(node)) for node in self.list_disks()
         )
@@ -386,7 +386,7 @@
     @precondition(lambda self: self.may_be_replaced())
     @rule(number=st.integers(0, 9), seconds=st.sampled_from([0.0, 1.0, 5.0]))
     def take_away(self, number: int, seconds: float) -> None:
-        """Lose an instance for good."""
+        """Remove an instance permanently."""
         disks = self.list_disks()
         node = disks[number % len(disks)]
         self.stop(node)
@@ -398,14 +398,14 @@
         return nobody_left and self.may_lose_a_disk()
 
     def teardown(self) -> None:
-        """Heal everything; the members must be those that are there."""
+        """Repair all faults; the members must be the instances that are not retired."""
         super().teardown()
         for node in self.list_disks() if hasattr(self, "nodes_by_id") else ():
             assert self.has_all_members(node.state.replica), node.id
 
 
 def make_profile() -> settings:
-    """Extend the selected profile: rare faults need more examples than its default."""
+    """Return the selected profile with more examples, which rare faults need."""
     return settings(
         max_examples=max(EXAMPLES, settings.default.max_examples),
         stateful_step_count=40,
@@ -414,7 +414,7 @@
 
 
 def test_three_members_agree(monkeypatch: Any) -> None:
-    """Guards against lost, doubled or reverted changes with three disks."""
+    """Guards against lost, duplicate or reverted changes with three disks."""
     monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
     monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
     run_state_machine_as_test(Agreement, settings=make_profile())
@@ -428,7 +428,7 @@
 
 
 def test_five_members_agree(monkeypatch: Any) -> None:
-    """Guards against lost, doubled or reverted changes with five disks."""
+    """Guards against lost, duplicate or reverted changes with five disks."""
     monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
     monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
     run_state_machine_as_test(AgreementOfFive, settings=make_profile())
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -1,7 +1,8 @@
-"""The dispatcher against backend servers that lose answers, lag, crash and are cut off.
+"""The dispatcher with backend servers that lose responses, lag, crash or are cut off.
 
-The oracle is the backend servers' side: which runs are at work there, and which ends
-were acknowledged. Leaders follow each other with fences, as the log makes them.
+The oracle is the state of the backend servers: which runs are in progress there, and
+which ends were acknowledged. Each new leader has a higher fence, as in the replicated
+log.
 """
 
 from __future__ import annotations
@@ -56,7 +57,7 @@
 STEP: Seconds = 0.05
 AUTHORITY: Seconds = 0.4
 ORDER_TIMEOUT: Seconds = 0.2
-# Before and after the lease of an order has lapsed.
+# Delays that end before ("delayed") and after ("late") the lease of the order lapses.
 LATENESS_BY_FATE: dict[str, Seconds] = {"delayed": 0.5, "late": 2.0}
 SERVERS = ("s1", "s2", "s3")
 WORK: Seconds = 0.3
@@ -71,7 +72,10 @@
 
 @dataclass
 class Backend:
-    """A backend server as its protocol has it; its clock is ours less ``behind``."""
+    """A backend server that follows the protocol for runs.
+
+    Its clock is ``behind`` seconds behind the virtual clock of the test.
+    """
 
     id: str
     behind: Seconds
@@ -86,7 +90,7 @@
     hangs: bool = False
 
     def restart(self) -> None:
-        """Forget everything, as a crash does."""
+        """Lose all state, as in a crash."""
         self.born += 1
         self.sequence = self.fence = self.last_end = 0
         self.running.clear()
@@ -102,14 +106,14 @@
                 self.end(task, run, EndReason.DONE)
 
     def end(self, task: TaskRef, run: int, reason: EndReason) -> None:
-        """End a run and list it."""
+        """End a run and add it to the list of ends."""
         del self.running[task]
         self.last_end += 1
         self.ends.append(ListedEnd(self.last_end, task, run, reason))
 
 
 class Dispatch(RuleBasedStateMachine):
-    """One leader at a time; late orders of earlier ones still arrive."""
+    """One leader at a time; delayed orders of earlier leaders still arrive."""
 
     best_effort = False
 
@@ -137,7 +141,7 @@
         return DispatcherState(parse_settings(EMBEDDED_DEFAULT), started_at)
 
     def lead(self) -> None:
-        """Let the next leader begin, up to `AUTHORITY` after the last one's orders."""
+        """Start the next leader; its predecessor's authority lasts `AUTHORITY` more."""
         self.term += 1
         records = tuple(self.catalogue.jobs_by_id.values())
         self.appended.clear()
@@ -166,7 +170,7 @@
 
     @singledispatchmethod
     def perform(self, effect: Any) -> None:
-        """Perform an effect; logs and metrics have none here."""
+        """Execute an effect; log lines and metrics are ignored here."""
 
     @perform.register
     def _(self, effect: Send) -> None:
@@ -186,7 +190,7 @@
         self.order(effect, started=False)
 
     def order(self, order: StartRun | StopRun, *, started: bool) -> None:
-        """Carry out an order now or late, and answer it or not."""
+        """Execute an order at once, late or never; schedule its answer or time-out."""
         backend = self.backends[order.server]
         fate = self.draw_fate(backend)
         result = OrderResult.UNANSWERED
@@ -314,7 +318,7 @@
         )
 
     def run_for(self, seconds: Seconds) -> None:
-        """Let time pass: answers arrive, leases lapse, commands are kept."""
+        """Advance the clock: answers arrive, leases lapse, commands are committed."""
         end = self.now + seconds
         while self.now < end:
             self.now += STEP
@@ -329,7 +333,7 @@
             self.handle(Tick())
 
     def commit(self) -> None:
-        """Keep what was appended, and tell the dispatcher."""
+        """Commit the appended commands of this term and notify the dispatcher."""
         appended, self.appended = self.appended, []
         for message in appended:
             if message.term != self.term:
@@ -382,7 +386,7 @@
         )
     )
     def disturb(self, fates: list[str]) -> None:
-        """Decide what becomes of the next orders and questions."""
+        """Set the fates of the next orders and of the next requests for the runs."""
         self.fates = tuple(fates)
 
     @rule()
@@ -409,7 +413,7 @@
 
     @rule(same=st.booleans(), seconds=st.sampled_from([0.0, 0.3, 1.0]))
     def change_leader(self, same: bool, seconds: float) -> None:
-        """Replace the leader; callers ask the next one again at once."""
+        """Replace the leader; best-effort jobs are resubmitted to the next at once."""
         if same:
             self.handle(LeadershipLost())
         else:
@@ -422,7 +426,7 @@
 
     @invariant()
     def no_task_runs_twice(self) -> None:
-        """Check all backend servers, also those that are cut off."""
+        """Check all backend servers, including those that are cut off."""
         tasks = [task for each in self.backends.values() for task in each.running]
         assert len(tasks) == len(set(tasks))
 
@@ -433,7 +437,7 @@
                 assert len(record.done) == record.job.task_count
 
     def teardown(self) -> None:
-        """Heal everything; what was accepted and not cancelled must be finished."""
+        """Repair all faults; accepted jobs that were not cancelled must be finished."""
         self.fates = ("carried_out",)
         for backend in self.backends.values():
             backend.cut = backend.hangs = False
@@ -447,16 +451,16 @@
 
 
 class BestEffortDispatch(Dispatch):
-    """Jobs that live at the leader only."""
+    """Jobs whose state is kept only in the memory of the leader."""
 
     best_effort = True
 
 
 def test_durable_jobs_run_once_and_finish() -> None:
-    """Guards against doubled, lost and endless tasks of durable jobs."""
+    """Guards against tasks of durable jobs that run twice, are lost or never end."""
     run_state_machine_as_test(Dispatch, settings=PROFILE)
 
 
 def test_best_effort_jobs_run_once_at_a_time() -> None:
-    """Guards against two runs of one task after a change of the leader."""
+    """Guards against two concurrent runs of a task after a change of the leader."""
     run_state_machine_as_test(BestEffortDispatch, settings=PROFILE)
--- a/properties/test_membership.py
+++ b/properties/test_membership.py
@@ -1,4 +1,4 @@
-"""Instances controllers over lossy links: agreement and bounded waits."""
+"""Controllers of instances over lossy links: agreement and bounded waits."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 ZONES_BY_ID = {"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
 STEP = 0.1  # seconds between ticks
-QUIET = 10.0  # seconds after which all must agree
+QUIET = 10.0  # seconds without faults after which all instances must agree
 LOSS = 0.2  # share of messages that a lossy link drops
 
 ids = st.sampled_from(sorted(ZONES_BY_ID))
@@ -83,7 +83,7 @@
                     self.check_waits(instance, self.handle(instance, Tick()))
 
     def check_waits(self, instance: str, effects: list[Effect]) -> None:
-        """No request waits for an instance that was silent for too long."""
+        """Check that requests to an instance silent for too long are abandoned."""
         state = self.states_by_id[instance]
         abandoned = {e.instance for e in effects if isinstance(e, AbandonRequests)}
         for peer, view in state.peers_by_id.items():
@@ -141,7 +141,7 @@
 
     @rule()
     def quiet(self) -> None:
-        """After quiet time all agree on one placer per zone, and it is live."""
+        """Check that after `QUIET` without faults all agree on live placers."""
         self.heal()
         for instance in sorted(self.frozen):
             self.resume(instance)
--- a/properties/test_pool.py
+++ b/properties/test_pool.py
@@ -1,4 +1,4 @@
-"""The pool controller against an oracle of starts, slots and outcomes."""
+"""The pool controller, checked against an oracle of starts, slots and outcomes."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class Pool(RuleBasedStateMachine):
-    """Drives the controller; the oracle is what its effects and messages imply."""
+    """Drives the controller; the oracle follows its effects and messages."""
 
     def __init__(self):
         super().__init__()
--- a/properties/test_result_stream.py
+++ b/properties/test_result_stream.py
@@ -1,4 +1,4 @@
-"""Result streams of backend servers, cut into arbitrary chunks and damaged."""
+"""Result streams of backend servers in arbitrary chunks and with invalid lines."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 def test_each_task_is_reported_at_most_once_whatever_the_chunks(
     lines: list[bytes], cuts: list[int]
 ) -> None:
-    """Guards against results lost or doubled where a chunk ends inside a line."""
+    """Guards against lost or duplicate results when a chunk ends inside a line."""
     stream = b"\n".join(lines)
     reports: list[TaskReport] = []
     starts = tuple(TaskStart(task, "j", "c", None, 1.0) for task in TASK_IDS)
