Reword docstrings of the benchmarks

Fields without a unit or meaning (worth, owed, room, unlisted, waiting) are now described in numpydoc sections. Phrases such as 'do something one way later', 'what is replayed' and 'answer a question' now say what is scheduled, generated and answered.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: load on real processes, and replay of traces."""
+"""Benchmarks: load on real processes, and replay on a virtual clock."""
--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,8 +1,8 @@
 """Measures real daemons and backend servers under load.
 
 ``python -m benchmarks`` runs the short form in under two minutes; ``--full`` runs
-longer and adds the other scenarios; ``--compare FILE`` sets the run against an earlier
-one.
+longer and adds the other scenarios; ``--compare FILE`` prints the run next to an
+earlier one.
 """
 
 from __future__ import annotations
@@ -55,12 +55,13 @@
 def run_scenario(
     scenario: Scenario, seed: int, policy: str | None = None
 ) -> dict[str, Any]:
-    """Run one scenario on fresh processes and return its figures.
+    """Run one scenario on newly started processes and return its measurements.
 
     Parameters
     ----------
     policy
-        Name of a baseline; the policy of the daemon without.
+        Name of a policy of `benchmarks.baseline_daemon`; None for the policy of the
+        product.
     """
     module = DAEMON_MODULE
     if policy is not None:
--- a/benchmarks/baseline_daemon.py
+++ b/benchmarks/baseline_daemon.py
@@ -2,7 +2,7 @@
 
 ``python -m benchmarks.baseline_daemon --policy random --config FILE`` differs from
 ``boragetided`` in the choice of the backend server only: leases, claims, jobs and
-messages are the same, so that the policies compare in the same harness.
+messages are the same, so that the policies are compared in the same harness.
 """
 
 from __future__ import annotations
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class BaselineState:
-    """The leases of a pool, and one queue for each backend server.
+    """State of a pool: its leases, and one queue for each backend server.
 
     Parameters
     ----------
@@ -64,7 +64,7 @@
     )
 
     def outstanding(self, server_id: BackendServerId) -> int:
-        """Number of tasks that are queued for or run on a server."""
+        """Return the number of tasks that are queued for or running on a server."""
         queued = len(self.queues_by_server.get(server_id, ()))
         return queued + len(self.running_by_server.get(server_id, ()))
 
@@ -73,19 +73,19 @@
 
 
 def make_random() -> Choose:
-    """Choose any server."""
+    """Return a policy that chooses a server uniformly at random."""
     rng = random.Random(SEED)
     return lambda state, servers: rng.choice(servers)
 
 
 def make_round_robin() -> Choose:
-    """Choose the servers in turn."""
+    """Return a policy that chooses the servers in turn."""
     turns: Iterator[int] = itertools.count()
     return lambda state, servers: servers[next(turns) % len(servers)]
 
 
 def make_fewest_outstanding() -> Choose:
-    """Choose the server with the fewest queued and running tasks."""
+    """Return a policy that chooses the server with the fewest outstanding tasks."""
     rng = random.Random(SEED)
     return lambda state, servers: min(
         servers, key=lambda server: (state.outstanding(server), rng.random())
@@ -162,7 +162,7 @@
 
 
 def _leave_to_pool(message: Any, state: BaselineState, now: Seconds) -> list[Effect]:
-    """Leave everything but tasks to the controller of the real placer."""
+    """Delegate messages that are not about tasks to the product's controller."""
     return backend_servers.handle(message, state.pool, now)
 
 
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -1,7 +1,7 @@
-"""Measures what a claim costs: ``python -m benchmarks.claims``.
+"""Measures the cost of a claim: ``python -m benchmarks.claims``.
 
-Jobs of one short task are submitted one by one, with ids whose claim group the entry
-instance belongs to or not; then synced writes of the size of a claim are timed.
+Jobs of one short task are submitted one by one, at entry instances inside and outside
+of the claim group of the job id. Then synced writes of the size of a claim are timed.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 def main() -> None:
-    """Print one line per case."""
+    """Print one line per entry instance and one for the disk."""
     with tempfile.TemporaryDirectory() as folder:
         system = System(Path(folder))
         try:
@@ -44,7 +44,10 @@
 
 
 def measure_jobs(system: System, entry: str) -> None:
-    """Submit new jobs at one instance; ``a1`` owns them, ``a`` is their home zone."""
+    """Submit jobs at one instance, and print their messages and response times.
+
+    The jobs are owned by ``a1``; their home zone is ``a``.
+    """
     for number in range(20):
         system.submit(entry, make_job(f"a:warm-{entry}-{number}", tasks=1, work=0.01))
     before = _count_sent(system)
@@ -72,7 +75,7 @@
 
 
 def measure_disk(path: Path) -> None:
-    """Time appends of one claim, each synced."""
+    """Time appends of the size of a claim, each followed by an fsync."""
     seconds = []
     with path.open("ab", buffering=0) as file:
         for _ in range(JOBS):
--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -1,9 +1,9 @@
 """Replays the load of a site through the dispatcher alone, on a virtual clock.
 
-The dispatcher is the product's controller as it is; the baselines and the ideal are
-policies of the same harness. Run ``python -m benchmarks.dispatch``: it prints, for each
-policy and class, how many jobs were done in time, late and refused, and for the product
-also the processor time of a start.
+The dispatcher is the unmodified controller of the product; the baselines and the ideal
+policies run in the same harness. ``python -m benchmarks.dispatch`` prints, for each
+policy and class, how many jobs were served in time, late and not at all, and for the
+product also the processor time per start.
 """
 
 from __future__ import annotations
@@ -54,12 +54,24 @@
 SERVER_CORES = 64_000  # thousandths of a core
 SPEEDS = (0.7, 0.7, 1.7)
 ESTIMATE_ERROR = 0.4  # standard deviation of the logarithm
-LATE_WORTH = 0.2  # share of the worth of a job in time
+LATE_WORTH = 0.2  # share of its worth that a late job earns
 
 
 @dataclass(frozen=True, slots=True)
 class JobKind:
-    """A class of jobs as the sites have it; times in seconds, rates a second."""
+    """A class of jobs, as the sites submit it.
+
+    Parameters
+    ----------
+    rate
+        Jobs per second.
+    width
+        Typical number of tasks of a job.
+    work
+        Typical work of a task, in seconds at speed 1.
+    worth
+        Worth of a job of typical work that is served in time.
+    """
 
     name: str
     rate: float
@@ -77,16 +89,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """What is replayed.
+    """A load to replay.
 
     Parameters
     ----------
+    cores
+        Typical need of a task, in thousandths of a core.
     rate
-        Factor to the rates of `KINDS`.
+        Factor applied to the rates of `KINDS`.
     burst
-        Factor to the rates in the middle third.
+        Additional factor applied to the rates in the middle third of the load.
     slow_share, slowdown
-        Backend servers that run so many times slower in the middle third.
+        Share of the backend servers that are slower in the middle third, and the
+        factor by which they are slower.
+    seconds
+        Time during which jobs arrive.
     """
 
     name: str
@@ -111,7 +128,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TracedJob:
-    """A job of the trace, with the true work of each task at speed 1."""
+    """A generated job with the true work of each task, in seconds at speed 1."""
 
     job: DurableJob
     kind: JobKind
@@ -119,7 +136,7 @@
 
 
 def generate(load: Load, seed: int) -> list[TracedJob]:
-    """Draw the jobs of a load, in the order in which they come."""
+    """Generate the jobs of a load at random, in order of arrival."""
     draw = random.Random(seed)
     jobs: list[TracedJob] = []
     for kind in KINDS:
@@ -157,7 +174,17 @@
 
 @dataclass
 class Outcome:
-    """What became of the jobs of one class."""
+    """Outcome of the jobs of one class.
+
+    Parameters
+    ----------
+    in_time, late, unserved
+        Numbers of jobs.
+    earned
+        Worth of the jobs in time, and the share `LATE_WORTH` of that of late jobs.
+    owed
+        Worth of all jobs.
+    """
 
     in_time: int = 0
     late: int = 0
@@ -166,7 +193,7 @@
     owed: float = 0.0
 
     def note(self, traced: TracedJob, ended_at: Seconds | None) -> None:
-        """Count a job that ended at a time, or was not served."""
+        """Count a job that ended at ``ended_at``, or was not served if that is None."""
         work = sum(traced.work) / (traced.kind.width * traced.kind.work)
         worth = traced.kind.worth * min(4.0, 0.3 + 0.7 * work)
         self.owed += worth
@@ -184,7 +211,19 @@
 
 @dataclass
 class Machine:
-    """A backend server on the virtual clock."""
+    """A backend server on the virtual clock.
+
+    Parameters
+    ----------
+    room
+        Free thousandths of a core; used by the baselines only.
+    unlisted
+        Ends that the dispatcher has not acknowledged.
+    ends
+        Number of ends so far; numbers the listed ends.
+    waiting
+        Request for the list of runs that waits for an end.
+    """
 
     id: str
     speed: float
@@ -196,7 +235,7 @@
 
 
 class Clock:
-    """Events in the order of their time."""
+    """Virtual clock: runs scheduled actions in order of time."""
 
     def __init__(self) -> None:
         self.now = BEGIN
@@ -204,18 +243,18 @@
         self.numbers = itertools.count()
 
     def at(self, when: Seconds, action: Callable[[], None]) -> None:
-        """Do something at a time."""
+        """Schedule an action at a time."""
         heapq.heappush(self.events, (when, next(self.numbers), action))
 
     def run(self, until: Seconds) -> None:
-        """Do everything that is due until a time."""
+        """Run the scheduled actions that are due by a time."""
         while self.events and self.events[0][0] <= until:
             self.now, _, action = heapq.heappop(self.events)
             action()
 
 
 def make_machines(load: Load) -> list[Machine]:
-    """Make the backend servers of a load."""
+    """Return the backend servers of a load."""
     return [
         Machine(f"s{number}", SPEEDS[number % len(SPEEDS)])
         for number in range(load.servers)
@@ -225,7 +264,7 @@
 def schedule_slowness(
     clock: Clock, machines: list[Machine], load: Load, seed: int
 ) -> None:
-    """Let some backend servers run slower in the middle third."""
+    """Schedule a slowdown of some backend servers for the middle third of the load."""
     count = round(load.slow_share * len(machines))
     for machine in random.Random(seed).sample(machines, count):
         usual = machine.speed
@@ -243,7 +282,10 @@
 
 
 class ProductRun:
-    """The product's dispatcher as the leader, with backend servers that obey it."""
+    """Replay with the product's dispatcher as the leader and simulated backend servers.
+
+    Orders, answers and submissions each take `ONE_WAY` seconds.
+    """
 
     def __init__(self, load: Load, jobs: list[TracedJob], seed: int):
         self.load = load
@@ -277,7 +319,7 @@
         return outcomes
 
     def handle(self, message: Any) -> None:
-        """Hand a message to the dispatcher and perform what it returns."""
+        """Pass a message to the dispatcher and execute the effects that it returns."""
         begun = time.perf_counter()
         effects = dispatcher.handle(message, self.state, self.clock.now)
         self.processor_time += time.perf_counter() - begun
@@ -285,18 +327,18 @@
             perform(effect, self)
 
     def later(self, action: Callable[[], None]) -> None:
-        """Do something one way later."""
+        """Schedule an action after `ONE_WAY` seconds."""
         self.clock.at(self.clock.now + ONE_WAY, action)
 
     def submit(self, traced: TracedJob) -> None:
-        """Submit one job."""
+        """Submit a job to the dispatcher."""
         number = len(self.requests)
         self.requests[number] = traced.job.id
         reply_to = ReplyTo("e", number)
         self.handle(SubmitDurableJob(job=traced.job, age=0.0, reply_to=reply_to))
 
     def announce(self, sequence: int) -> None:
-        """Announce all backend servers."""
+        """Announce all backend servers, and again every `ANNOUNCEMENT` seconds."""
         for machine in self.machines_by_id.values():
             report = ServerReport(
                 id=machine.id,
@@ -312,12 +354,12 @@
         self.clock.at(next_at, lambda: self.announce(sequence + 1))
 
     def tick(self) -> None:
-        """Tick for ever."""
+        """Send a `Tick` to the dispatcher every `TICK` seconds."""
         self.handle(Tick())
         self.clock.at(self.clock.now + TICK, self.tick)
 
     def start(self, order: StartRun) -> None:
-        """Begin a run at its backend server and answer the order."""
+        """Start a run on its backend server and answer the order."""
         machine = self.machines_by_id[order.server]
         self.starts += 1
         traced = self.traced_by_id[order.task.job_id]
@@ -330,7 +372,7 @@
         self.answer(order, started=True)
 
     def stop(self, order: StopRun) -> None:
-        """End a run and answer the order."""
+        """Stop a run and answer the order."""
         machine = self.machines_by_id[order.server]
         key = (order.task.job_id, order.task.index)
         if key in machine.running:
@@ -340,7 +382,7 @@
         self.answer(order, started=False)
 
     def answer(self, order: StartRun | StopRun, *, started: bool) -> None:
-        """Answer an order."""
+        """Send the dispatcher the answer to a start or stop order."""
         message = RunOrdered(
             server=order.server,
             term=order.fence,
@@ -355,7 +397,7 @@
         self.later(lambda: self.handle(message))
 
     def end(self, machine: Machine, key: tuple[str, int], reason: EndReason) -> None:
-        """End a run, and answer the question that waits for an end."""
+        """End a run, and answer the pending request for the list of runs, if any."""
         run = machine.running.pop(key, None)
         if run is None:
             return
@@ -365,7 +407,10 @@
             self.list_runs(machine, machine.waiting)
 
     def read(self, order: ReadRuns) -> None:
-        """Answer a question, or let it wait for an end."""
+        """Answer a request for the list of runs, at the latest after ``order.wait``.
+
+        The answer waits for an end if no unacknowledged end is listed.
+        """
         machine = self.machines_by_id[order.server]
         machine.unlisted = [
             end for end in machine.unlisted if end.number > order.acknowledged
@@ -377,12 +422,12 @@
         self.clock.at(self.clock.now + order.wait, lambda: self.give_up(machine, order))
 
     def give_up(self, machine: Machine, order: ReadRuns) -> None:
-        """Answer a question whose time is over."""
+        """Answer a request for the list of runs that is pending at its deadline."""
         if machine.waiting is order:
             self.list_runs(machine, order)
 
     def list_runs(self, machine: Machine, order: ReadRuns) -> None:
-        """Answer a question."""
+        """Send the dispatcher the list of runs of a backend server."""
         machine.waiting = None
         message = RunsRead(
             server=machine.id,
@@ -398,7 +443,7 @@
 
 @singledispatch
 def perform(effect: Effect, run: ProductRun) -> None:
-    """Perform one effect; logs and metrics have none here."""
+    """Execute one effect; log lines and metrics are ignored here."""
 
 
 @perform.register
@@ -445,13 +490,13 @@
 
 
 def true_deadline(traced: TracedJob, now: Seconds) -> Any:
-    """Order jobs by their true latest start; those that are late come last."""
+    """Order jobs by their true latest start; jobs past it come last."""
     due = traced.job.submitted_at + 0.6 * max(traced.work) + 0.06
     return due < now, due
 
 
 def true_worth(traced: TracedJob, now: Seconds) -> Any:
-    """Order jobs by worth for a core-second; those that are late come last."""
+    """Order jobs by worth per core-second; jobs past their latest start come last."""
     due = traced.job.submitted_at + 0.6 * max(traced.work) + 0.06
     (step,) = traced.job.steps
     work = sum(traced.work) * step.needs.millicores
@@ -459,10 +504,16 @@
 
 
 class BaselineRun:
-    """One queue for all backend servers, which knows at once what ends.
+    """Replay with one queue for all backend servers, without network delays.
+
+    The next task starts on the fastest backend server with enough free cores. A job
+    none of whose tasks has started is dropped once it would end too late to be of any
+    use to its caller.
 
-    The fastest backend server with room takes the next task. A job that is of no use to
-    its caller any longer is dropped.
+    Parameters
+    ----------
+    order
+        Returns the sort key of a queued job at a time; the lowest key is first.
     """
 
     def __init__(self, load: Load, jobs: list[TracedJob], seed: int, order: Order):
@@ -487,13 +538,13 @@
         return outcomes
 
     def submit(self, traced: TracedJob) -> None:
-        """Take a job."""
+        """Queue a job and start as many tasks as fit."""
         self.waiting[traced.job.id] = (traced, list(range(len(traced.work))))
         self.left[traced.job.id] = len(traced.work)
         self.place()
 
     def place(self) -> None:
-        """Start as many tasks as there is room for."""
+        """Start as many queued tasks as fit on the backend servers."""
         now = self.clock.now
         roomy = [m for m in self.machines if m.room >= self.load.cores * 0.6]
         if not roomy:
@@ -513,7 +564,7 @@
     def place_job(
         self, traced: TracedJob, tasks: list[int], roomy: list[Machine]
     ) -> None:
-        """Start the tasks of one job that find room."""
+        """Start the tasks of one job that fit; remove the job once all have started."""
         cores = traced.job.steps[0].needs.millicores
         for task in list(tasks):
             machine = next((each for each in roomy if each.room >= cores), None)
@@ -529,7 +580,7 @@
         self.waiting.pop(traced.job.id, None)
 
     def end(self, traced: TracedJob, machine: Machine, cores: int) -> None:
-        """End one task."""
+        """End one task, free its cores and start queued tasks."""
         machine.room += cores
         self.left[traced.job.id] -= 1
         if not self.left[traced.job.id]:
@@ -547,7 +598,7 @@
 
 
 def summarize(name: str, outcomes: dict[str, Outcome]) -> str:
-    """Return one line: the share of the worth that was earned, and counts by class."""
+    """Return a line with the earned share of the worth and the counts by class."""
     total: Counter[str] = Counter()
     for outcome in outcomes.values():
         total["earned"] += outcome.earned
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -1,4 +1,4 @@
-"""Sends a trace to real daemons and measures each answer."""
+"""Submits the jobs of a trace to real daemons and measures each response."""
 
 from __future__ import annotations
 
@@ -31,9 +31,9 @@
     job
         The job of the trace.
     status
-        Status of its answer.
+        Status in its answer, or ``http_CODE`` if the body has none.
     seconds
-        Response time as the client saw it.
+        Response time, measured by the client.
     """
 
     job: TracedJob
@@ -42,7 +42,7 @@
 
 
 def make_client() -> AsyncHTTPClient:
-    """Make the HTTP client of the load generator."""
+    """Return the HTTP client of the load generator."""
     AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CLIENT_CONNECTIONS)
     return AsyncHTTPClient()
 
@@ -50,16 +50,16 @@
 async def run_trace(
     urls: list[str], jobs: Iterable[TracedJob], prefix: str, class_name: str = "default"
 ) -> list[Measured]:
-    """Submit every job at its time, at the daemons in turn.
+    """Submit every job at its arrival time, to the daemons in turn.
 
     Parameters
     ----------
     urls
         Addresses of the daemons.
     jobs
-        Of the trace, in order of arrival.
+        Jobs of the trace, in order of arrival.
     prefix
-        Starts every job id; it names the home availability zone.
+        Prefix of every job id, which names the home availability zone.
     """
     client = make_client()
     start = time.monotonic()
@@ -102,7 +102,7 @@
 
 
 async def measure_round_trip(url: str) -> Seconds:
-    """Return the median time of an empty call to a daemon, in seconds."""
+    """Return the median time of a health check of a daemon, in seconds."""
     client = make_client()
     times = []
     for _ in range(PROBES):
--- a/benchmarks/messages.py
+++ b/benchmarks/messages.py
@@ -27,7 +27,10 @@
 
 
 def read_metrics(url: str) -> Counter[tuple[str, str]]:
-    """Return the value of each counter, by name and by its last label's value."""
+    """Return the samples of a daemon's metrics, summed by name and by one label.
+
+    The label is ``kind`` or else ``status``; its value is empty if both are missing.
+    """
     with urllib.request.urlopen(f"{url}/metrics") as response:
         text = response.read().decode()
     values: Counter[tuple[str, str]] = Counter()
@@ -43,11 +46,11 @@
 def count_wasted(
     before: Counter[tuple[str, str]], after: Counter[tuple[str, str]], tasks: int
 ) -> dict[str, float]:
-    """Return the wasted messages per task, by part and in all.
+    """Return the wasted messages per task, by part and in total.
 
     The request and the answer of a caller, and one dispatch and one result per task,
-    must be there and do not count. Batches save dispatches; the saving is shown as a
-    part of its own and is not set off against the waste.
+    are necessary and do not count as wasted. Batches save dispatches; this saving is
+    reported as a separate figure and is not subtracted from the waste.
     """
     parts: Counter[str] = Counter()
     for (name, label), value in (after - before).items():
--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -1,7 +1,7 @@
 """Time per placement for pools and queues of several sizes.
 
 Run ``python -m benchmarks.placements``. Each report of an ended task frees a slot, in
-which the controller places the next task; the queue is kept at its length.
+which the controller places the next task; new jobs keep the queue at a fixed length.
 """
 
 from __future__ import annotations
@@ -38,7 +38,17 @@
 
 @dataclass
 class Pool:
-    """A controller under a steady load; times are in seconds."""
+    """The controller of a pool under a steady load.
+
+    Parameters
+    ----------
+    now
+        Time of the virtual clock, in seconds.
+    running
+        Heap of (time of the end, number of the task, report of the end).
+    placed, jobs
+        Numbers of placed tasks and of queued jobs so far.
+    """
 
     state: backend_servers.BackendServersState
     draw: random.Random
@@ -48,7 +58,7 @@
     jobs: int = 0
 
     def deliver(self, message: Any) -> float:
-        """Apply a message and return how long that took."""
+        """Apply a message and return the time that this took, in seconds."""
         begun = time.perf_counter()
         made = backend_servers.handle(message, self.state, self.now)
         taken = time.perf_counter() - begun
@@ -68,7 +78,7 @@
         return taken
 
     def queue_job(self) -> float:
-        """Queue a job of 1 to 16 tasks."""
+        """Queue a job of 1 to 16 tasks and return the time that this took."""
         self.jobs += 1
         tasks = tuple(
             Task(None, self.draw.lognormvariate(-1.5, 1.0))
@@ -77,13 +87,13 @@
         return self.deliver(QueueTasks(f"j{self.jobs}", "default", tasks, False))
 
     def end_next(self) -> float:
-        """Report the end of the task that ends next."""
+        """Report the end of the task that ends next; return the time that this took."""
         self.now, _, report = heapq.heappop(self.running)
         return self.deliver(report)
 
 
 def make_pool(servers: int) -> Pool:
-    """Make a pool without a reachable target, so that it admits everything."""
+    """Return a pool that admits every job: its target and limit are never reached."""
     settings = parse_settings(EMBEDDED_DEFAULT)
     limits = replace(settings.limits, queued_tasks=10**7)
     settings = replace(settings, limits=limits)
@@ -103,7 +113,7 @@
 
 
 def measure(servers: int, jobs: int) -> str:
-    """Return one line with the mean times of a pool at a queue length."""
+    """Return a line with the mean times of a pool at a queue length of ``jobs``."""
     pool = make_pool(servers)
     reports, queueing, ticks = [], [], []
     next_tick = pool.now
@@ -130,7 +140,7 @@
 
 
 def main() -> None:
-    """Print one line per size."""
+    """Print one line per pool size and queue length."""
     for servers in (8, 800):
         for jobs in (10, 10_000):
             print(measure(servers, jobs))
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -1,7 +1,7 @@
-"""Replays a trace through the decision functions on a virtual clock.
+"""Replays a trace through the pure controllers on a virtual clock.
 
-The policy of the daemon is the pure controllers ``backend_servers`` and ``jobs``; the
-baselines are small functions in the same harness. Run ``python -m benchmarks.replay
+The policy of the daemon is that of the controllers ``backend_servers`` and ``jobs``;
+the baselines are small functions in the same harness. Run ``python -m benchmarks.replay
 --help`` for the options.
 """
 
@@ -55,7 +55,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """How one job ended; ``stretch`` is its response time over the ideal one."""
+    """Result of one job.
+
+    Parameters
+    ----------
+    response
+        Response time, in seconds.
+    stretch
+        Ratio of the response time to the ideal response time.
+    """
 
     job: TracedJob
     status: Status
@@ -65,7 +73,13 @@
 
 @dataclass(slots=True)
 class VirtualServer:
-    """A backend server on the virtual clock; baselines queue tasks at it."""
+    """A backend server on the virtual clock.
+
+    Parameters
+    ----------
+    queue
+        Tasks that a baseline has bound to this server, as (number of the job, work).
+    """
 
     id: str
     slots: int
@@ -75,24 +89,24 @@
     queue: deque[tuple[int, float]] = field(default_factory=deque)
 
     def run_time(self, work: float) -> float:
-        """Return how long a task of this work holds a slot, in seconds."""
+        """Return how long a task of this work occupies a slot, in seconds."""
         return FAILURE_TIME if self.fails else work / self.speed
 
 
 @dataclass(slots=True)
 class Clock:
-    """Virtual clock: calls ordered by time."""
+    """Virtual clock: makes scheduled calls in order of time."""
 
     now: float = START
     calls: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     numbers: Any = field(default_factory=itertools.count)
 
     def at(self, time: float, call: Callable[[], None]) -> None:
-        """Call something at a time."""
+        """Schedule a call at a time."""
         heapq.heappush(self.calls, (time, next(self.numbers), call))
 
     def run(self, done: Callable[[], bool]) -> None:
-        """Make the calls in order until done."""
+        """Make the scheduled calls in order until ``done`` returns true."""
         while self.calls and not done():
             self.now, _, call = heapq.heappop(self.calls)
             call()
@@ -120,7 +134,7 @@
 
 
 def replay(trace: Trace, policy: str, seed: int = 1) -> Replay:
-    """Run a trace to its end.
+    """Replay a trace until every job has ended.
 
     Parameters
     ----------
@@ -130,7 +144,7 @@
         ``boragetide`` or a baseline: ``random``, ``round_robin``,
         ``fewest_outstanding``, ``first_come``.
     seed
-        Of the random choices.
+        Seed of the random choices.
     """
     servers_by_id = {s.id: VirtualServer(s.id, s.slots, s.speed) for s in trace.servers}
     run = Replay(trace, Clock(), servers_by_id)
@@ -193,7 +207,7 @@
 
 
 def _deliver(run: Replay, controller: str, message: Any) -> None:
-    """Apply a message and everything that it causes at once."""
+    """Apply a message, and the messages that it causes without a delay."""
     pending = deque([(controller, message)])
     while pending:
         controller, message = pending.popleft()
@@ -209,7 +223,7 @@
 
 @singledispatch
 def _perform(effect: Any, run: Replay) -> list[tuple[str, Any]]:
-    """Perform an effect; return the messages it sends at once."""
+    """Execute an effect; return the messages that it sends without a delay."""
     return []
 
 
@@ -253,7 +267,11 @@
 def _use_baseline(
     run: Replay, policy: str, draw: random.Random
 ) -> Callable[[int], None]:
-    """Bind tasks on arrival to a server, or late to any free slot in order."""
+    """Return the submit function of a baseline policy.
+
+    ``first_come`` binds tasks in order of arrival, each when a slot is free; the other
+    baselines bind each task to a server on arrival.
+    """
     servers = list(run.servers_by_id.values())
     turns = itertools.cycle(servers)
     choose: dict[str, Callable[[], VirtualServer]] = {
@@ -306,7 +324,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """Response time over ideal of the complete jobs, and how the others ended."""
+    """Summary of a replay.
+
+    Parameters
+    ----------
+    mean, p50, p99
+        Stretch of the complete jobs: response time over ideal response time.
+    complete, refused, failed
+        Numbers of jobs.
+    """
 
     mean: float
     p50: float
@@ -317,7 +343,7 @@
 
 
 def summarize(run: Replay, skip: int = 0) -> Summary:
-    """Summarize a run without the first ``skip`` results."""
+    """Summarize a replay without its first ``skip`` results."""
     results = run.results[skip:]
     stretches = sorted(r.stretch for r in results if r.status is Status.COMPLETE)
     count = len(stretches)
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -15,7 +15,10 @@
 def summarize(
     measured: list[Measured], servers: tuple[TracedServer, ...], round_trip: Seconds
 ) -> dict[str, Any]:
-    """Return counts by status and response time over ideal of the complete jobs."""
+    """Return the counts by status and the response times of the complete jobs.
+
+    ``mean``, ``p50`` and ``p99`` are ratios to the ideal response time.
+    """
     ratios = sorted(
         each.seconds / ideal_response(each.job, servers, round_trip)
         for each in measured
@@ -71,7 +74,7 @@
 
 
 def compare(old: dict[str, Any], new: dict[str, Any]) -> str:
-    """Return a table of two runs of the same scenarios, one above the other."""
+    """Return a table of two runs, with the old line of a scenario above the new one."""
     rows = {}
     for name, run in new.items():
         if name in old:
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -1,4 +1,4 @@
-"""Scenarios: load, job sizes and faults."""
+"""Benchmark scenarios: load, job sizes and faults."""
 
 from __future__ import annotations
 
@@ -31,15 +31,15 @@
     Parameters
     ----------
     load
-        Offered work as a share of what all slots can do.
+        Offered work as a share of the capacity of all slots.
     tasks
-        Least and greatest number of tasks of a job.
+        Lowest and highest number of tasks of a job.
     duration
-        Seconds.
+        Length of the measurement, in seconds.
     burst
         Whether the jobs of each `BURST_PERIOD` arrive together at its start.
     faults_by_server
-        Options of backend servers that change after the warm-up.
+        Options of backend servers that are set after the warm-up, by server id.
     servers
         Backend servers in service, for the ideal response time.
     """
@@ -53,7 +53,7 @@
     servers: tuple[TracedServer, ...] = field(default_factory=list_servers)
 
     def make_jobs(self, seed: int) -> tuple[TracedJob, ...]:
-        """Make the jobs of the scenario, in order of arrival."""
+        """Generate the jobs of the scenario, in order of arrival."""
         trace = generate_for(self.duration, seed=seed, load=self.load, tasks=self.tasks)
         if not self.burst:
             return trace.jobs
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,7 +1,8 @@
-"""Measures how cost grows with instances, backend servers, classes and jobs.
+"""Measures how costs grow with instances, backend servers, classes and jobs.
 
-``python -m benchmarks.slopes`` prints one line per quantity: bytes on the wire, memory
-and processor time of the pure controllers. ``docs/CAPACITY.md`` is worked out from it.
+``python -m benchmarks.slopes`` prints one line per quantity and size: bytes on the
+wire, memory and processor time of the pure controllers. The figures of
+``docs/CAPACITY.md`` are derived from its output.
 """
 
 from __future__ import annotations
@@ -46,7 +47,7 @@
 
 
 def main() -> None:
-    """Print every slope."""
+    """Print the costs of every quantity at several sizes."""
     for count in (3, 7, 70, 700):
         settings = make_settings(count)
         _print("heartbeat", f"instances={count}", **measure_heartbeat(settings))
@@ -108,7 +109,7 @@
 
 
 def make_envelope(message: Any) -> Envelope:
-    """Wrap a message as the runtime does."""
+    """Wrap a message in an envelope, as the runtime does."""
     return Envelope(
         "instance-1",
         INCARNATION,
@@ -120,7 +121,7 @@
 
 
 def measure_claims(settings: Settings, count: int) -> dict[str, float]:
-    """Return bytes of memory and microseconds per claim held."""
+    """Return bytes of memory and microseconds per stored claim."""
 
     def make_messages() -> Iterator[Any]:
         for number in range(count):
@@ -136,7 +137,7 @@
 
 
 def measure_jobs(settings: Settings, count: int) -> dict[str, float]:
-    """Return bytes of memory per ended job, and microseconds for its whole life."""
+    """Return bytes of memory per ended job, and microseconds to handle its messages."""
 
     def make_messages() -> Iterator[Any]:
         for number in range(count):
@@ -227,7 +228,7 @@
 
 
 def time_call(call: Callable[[], Any], count: int = 200) -> Seconds:
-    """Return the least mean time of a call over several rounds, in seconds."""
+    """Return the mean time of a call in the fastest of several rounds, in seconds."""
     best = float("inf")
     for _ in range(REPEATS):
         start = time.perf_counter()
--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -1,6 +1,6 @@
 """Traces: recorded or generated arrivals, as JSON lines.
 
-The first line describes the backend servers, what happens to them and the class
+The first line describes the backend servers, the events that change them and the class
 targets; each further line is a job with the true work and the declared size of each
 task, in seconds at speed 1.
 """
@@ -36,7 +36,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TracedJob:
-    """A job of a trace; ``tasks`` are (true work, declared size) in seconds."""
+    """A job of a trace.
+
+    Parameters
+    ----------
+    at
+        Arrival time from the start of the trace, in seconds.
+    tasks
+        Pairs of true work and declared size, in seconds at speed 1.
+    """
 
     at: float
     class_name: str
@@ -46,10 +54,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Trace:
-    """A trace; ``events`` change servers, ``targets`` are response times by class.
+    """A trace of arrivals.
 
-    An event is ``{"at": seconds, "server": id}`` with ``"slower": factor`` or
-    ``"fails": true``.
+    Parameters
+    ----------
+    events
+        Changes of servers: ``{"at": seconds, "server": id}`` with
+        ``"slower": factor`` or ``"fails": true``.
+    targets
+        Response time by class, in seconds.
     """
 
     servers: tuple[TracedServer, ...]
@@ -73,10 +86,11 @@
     Parameters
     ----------
     seed
-        Of the random numbers.
+        Seed of the random numbers.
     load
-        Share of the total speed that the work takes. It is exact over the trace: a
-        chance deviation of a few percent would decide the results at high load.
+        Share of the total speed of all slots that the work takes. The trace has
+        exactly this load: a random deviation of a few percent would determine the
+        results at high load.
     tasks
         Lowest and highest number of tasks of a job, uniformly drawn.
     jobs
@@ -84,7 +98,7 @@
     burst
         Time in seconds at which this many additional jobs arrive at once.
     events
-        What happens to servers.
+        Changes of servers, as in `Trace`.
     target
         Response time of the class, in seconds.
     """
@@ -105,7 +119,7 @@
 def generate_for(
     seconds: float, *, seed: int, load: float, tasks: tuple[int, int]
 ) -> Trace:
-    """Generate a trace of about this length in seconds; see `generate`."""
+    """Generate a trace of about ``seconds`` in length; see `generate`."""
     sample = generate(seed, load, tasks, SAMPLE_JOBS)
     jobs = max(1, round(SAMPLE_JOBS * seconds / sample.jobs[-1].at))
     return generate(seed, load, tasks, jobs)
@@ -114,14 +128,14 @@
 def ideal_response(
     job: TracedJob, servers: Iterable[TracedServer], round_trip: float
 ) -> float:
-    """Return the ideal response time of a job alone in the pool, in seconds.
+    """Return the ideal response time of a job that has the pool to itself, in seconds.
 
     Parameters
     ----------
     servers
         Backend servers in service.
     round_trip
-        Two one-way trips, in seconds.
+        Network round trip of the caller, in seconds.
     """
     in_service = tuple(servers)
     work = [task[0] for task in job.tasks]
@@ -131,7 +145,7 @@
 
 
 def list_servers(speeds: Iterable[float] = SPEEDS) -> tuple[TracedServer, ...]:
-    """Return the backend servers of the targets, or others of these speeds."""
+    """Return a backend server per speed; by default the eight of the targets."""
     return tuple(
         TracedServer(f"s{number}", SLOTS, speed)
         for number, speed in enumerate(speeds, 1)
