Reword docstrings, comments and error texts of the examples

Error texts of the example backend server and of the demonstration now say what was refused or requested, and the time-out that passed. Docstrings say which status code is the response to which fault and when an order is refused.

--- a/examples/__init__.py
+++ b/examples/__init__.py
@@ -1,1 +1,1 @@
-"""Runnable examples: a backend server and a demonstration."""
+"""Runnable examples: two backend servers and a demonstration."""
--- a/examples/backend_server.py
+++ b/examples/backend_server.py
@@ -1,6 +1,7 @@
-"""A small backend server: sleeps for the declared work and echoes the payload.
+"""A minimal backend server: sleeps for the work of a task and echoes its payload.
 
-Payloads are ``{"work": seconds, ...}``; a payload with ``"fail": true`` fails.
+Payloads are ``{"work": seconds, ...}``. A payload with ``"fail": true`` makes its task
+fail.
 """
 
 from __future__ import annotations
@@ -19,9 +20,9 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-RETRY_DELAY = 0.2  # seconds between announcements that found no daemon
-ANNOUNCE_TIMEOUT = 2.0  # seconds, longer than a daemon takes to reach the placer
-DELAY_JITTER = 0.1  # share by which a delay is shortened at most
+RETRY_DELAY = 0.2  # seconds after an announcement that no daemon answered
+ANNOUNCE_TIMEOUT = 2.0  # seconds; longer than a daemon needs to reach the placer
+DELAY_JITTER = 0.1  # largest share by which a delay is shortened at random
 
 
 @dataclass
@@ -31,11 +32,11 @@
     Parameters
     ----------
     speed
-        Work is divided by it.
+        Divisor of the work: a task takes its work divided by the speed.
     starts_by_task
         How often each task was started, to check at-most-once starts.
     announce_at
-        The only daemon to announce at, to test announcements far from the placer.
+        The only daemon to announce to, to test announcements far from the placer.
     """
 
     id: str
@@ -63,11 +64,16 @@
     """Starts a batch of tasks and streams one result line per task."""
 
     async def post(self) -> None:
-        """Run the batch; 409 for a dispatch that is not under the newest lease."""
+        """Run the batch; respond with 409 if it was not sent under the newest lease."""
         batch = json.loads(self.request.body)
         if batch["lease"] != self.state.lease:
             self.set_status(409)
-            self.finish({"status": "not_run", "error": "not under the newest lease"})
+            self.finish(
+                {
+                    "status": "not_run",
+                    "error": "batch was not sent under the newest lease",
+                }
+            )
             return
         self.set_header("Content-Type", "application/x-ndjson")
         runs = [self._start(task) for task in batch["tasks"]]
@@ -89,7 +95,11 @@
     seconds = float(payload.get("work", 0.05)) / state.speed
     try:
         if state.fail_all or payload.get("fail"):
-            return {"id": task["id"], "status": "failed", "error": "asked to fail"}
+            return {
+                "id": task["id"],
+                "status": "failed",
+                "error": "failure was requested",
+            }
         await asyncio.sleep(min(seconds, task["timeout"]))
     except asyncio.CancelledError:
         return {"id": task["id"], "status": "cancelled", "error": "cancelled"}
@@ -109,7 +119,7 @@
     """Cancels one task."""
 
     def delete(self, task_id: str) -> None:
-        """Cancel a running task; 404 where it does not run."""
+        """Cancel a running task; respond with 404 if the task is not running."""
         run = self.state.running_by_task.get(task_id)
         if run is None:
             self.set_status(404)
@@ -142,9 +152,10 @@
 
 
 async def announce(state: BackendServerState) -> None:
-    """Announce and renew for ever: at the lease holder, else at the other daemons.
+    """Announce this backend server and renew its lease until cancelled.
 
-    A change, such as leaving, is announced at once.
+    Announcements go to the lease holder, or to the other daemons in turn if it does
+    not answer. A change, such as leaving, is announced at once.
     """
     client = AsyncHTTPClient()
     targets = list(state.daemons)
@@ -191,7 +202,7 @@
 
 
 async def run(state: BackendServerState, port: int) -> None:
-    """Serve until SIGTERM; prints the address once it listens."""
+    """Serve until SIGTERM or SIGINT; print the address once the server listens."""
     shared = {"state": state}
     application = Application(
         [
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -19,7 +19,7 @@
 
 
 def main() -> None:
-    """Run the demonstration; exits 0 if the answer is complete."""
+    """Run the demonstration; exit with 0 if the answer is complete."""
     processes: list[subprocess.Popen[Any]] = []
     with tempfile.TemporaryDirectory() as folder, open(f"{folder}/log", "w+") as log:
         try:
@@ -60,7 +60,7 @@
         except urllib.error.URLError:
             pass
         time.sleep(POLL)
-    sys.exit("demo failed: the backend servers did not join")
+    sys.exit(f"demo failed: the backend servers did not join within {START_TIMEOUT} s")
 
 
 def _make_job() -> dict[str, Any]:
--- a/examples/run_server.py
+++ b/examples/run_server.py
@@ -1,6 +1,7 @@
-"""A small backend server for durable tasks: sleeps for as long as the spec says.
+"""A minimal backend server for durable tasks: sleeps for the seconds in the spec.
 
-It keeps what the protocol asks for: fences, run numbers, leases and the list of ends.
+The server implements the protocol for runs: fences, run numbers, leases and the list of
+ended runs.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 from tornado.web import Application, RequestHandler
 
 ANNOUNCEMENT = 0.5  # seconds between announcements
-LEASE_CHECK = 0.02  # seconds
+LEASE_CHECK = 0.02  # seconds between checks for lapsed leases
 CORES = 64.0
 MEMORY = 64 << 30  # bytes
 DONE, STOPPED, LAPSED, FAILED = "done", "stopped", "lapsed", "failed"
@@ -44,7 +45,12 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def start(self, body: dict[str, Any]) -> str:
-        """Start a run, unless a newer leader, run or the lease forbid it."""
+        """Start a run and return the result of the order.
+
+        The order is refused if a newer leader has given an order (``fenced``), if this
+        or a newer run of the task was known before (``old_run``), or if the lease of
+        the order has lapsed (``late``). A run that is in progress is not started again.
+        """
         task = name_task(body)
         if body["fence"] < self.fence:
             return "fenced"
@@ -70,7 +76,7 @@
             self.end(task, DONE)
 
     def stop(self, body: dict[str, Any]) -> str:
-        """Stop a run; it does not start later either."""
+        """Stop a run; a start order for it that arrives later is refused."""
         task = name_task(body)
         if body["fence"] < self.fence:
             return "fenced"
@@ -84,7 +90,7 @@
         return DONE
 
     def end(self, task: tuple, reason: str) -> None:
-        """End a run and list it until that is acknowledged."""
+        """End a run and list the end until it is acknowledged."""
         run = self.running.pop(task)
         self.end_count += 1
         listed = {key: run[key] for key in ("job", "step", "index", "run")}
@@ -92,7 +98,11 @@
         self.changed.set()
 
     async def list_runs(self, body: dict[str, Any]) -> dict[str, Any] | None:
-        """Renew the leases and list all runs, after waiting for an end."""
+        """Renew the leases and list all runs.
+
+        If no end is listed, wait for one for up to ``body["wait"]`` seconds. Returns
+        None if a newer leader has given an order.
+        """
         if body["fence"] < self.fence:
             return None
         self.fence = body["fence"]
@@ -119,7 +129,7 @@
                     self.end(task, LAPSED)
 
     async def announce(self) -> None:
-        """Announce this backend server at the first daemon that answers."""
+        """Announce this backend server regularly, to the first daemon that answers."""
         client = AsyncHTTPClient()
         while True:
             for daemon in self.daemons:
@@ -158,14 +168,14 @@
 
 
 class RunsHandler(RequestHandler):
-    """Takes starts, stops and questions."""
+    """Handles start and stop orders and requests for the list of runs."""
 
     def initialize(self, server: RunServer) -> None:
-        """Keep the state."""
+        """Store the state of the backend server."""
         self.server = server
 
     async def post(self, verb: str) -> None:
-        """Carry out an order; 421 where another backend server is meant."""
+        """Execute an order; respond with 421 if it is for another backend server."""
         body = json.loads(self.request.body)
         if body["server"] != self.server.id:
             self.set_status(421)
