Rename figurative and vague names in the benchmarks and examples

Simulated backend servers were called machines with room and unlisted ends; generators of random numbers were called draw in one module and rng in another; intervals and delays had bare names (TICK, ONE_WAY, ANNOUNCEMENT). Docstrings follow the new names.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from benchmarks.load import measure_round_trip, run_trace
-from benchmarks.messages import count_wasted, read_metrics
+from benchmarks.messages import count_wasted_messages, read_metrics
 from benchmarks.report import compare, format_table, summarize
 from benchmarks.scenarios import Scenario, list_scenarios
 from benchmarks.trace import generate_for, list_servers
@@ -99,14 +99,16 @@
     after = [read_metrics(url) for url in urls]
     summary = summarize(measured, scenario.servers, round_trip)
     summary["tasks"] = tasks
-    summary["wasted"] = count_wasted(_total(before), _total(after), tasks)
+    summary["wasted"] = count_wasted_messages(
+        _sum_counters(before), _sum_counters(after), tasks
+    )
     summary["cpu_ms"] = 1000 * sum(cpu) / tasks
     summary["cpu_ms_by_daemon"] = [1000 * seconds / tasks for seconds in cpu]
     summary["round_trip"] = round_trip
     return summary
 
 
-def _total(counters: list[Any]) -> Any:
+def _sum_counters(counters: list[Any]) -> Any:
     return sum(counters[1:], counters[0])
 
 
--- a/benchmarks/baseline_daemon.py
+++ b/benchmarks/baseline_daemon.py
@@ -48,14 +48,14 @@
 
     Parameters
     ----------
-    choose
+    choose_server
         Returns the backend server for the next task.
     running_by_server
         Started tasks as (job, index), by task id.
     """
 
     pool: backend_servers.BackendServersState
-    choose: Choose
+    choose_server: ChooseServer
     queues_by_server: dict[BackendServerId, deque[TaskStart]] = field(
         default_factory=dict
     )
@@ -63,32 +63,34 @@
         default_factory=dict
     )
 
-    def outstanding(self, server_id: BackendServerId) -> int:
+    def count_outstanding(self, server_id: BackendServerId) -> int:
         """Return the number of tasks that are queued for or running on a server."""
         queued = len(self.queues_by_server.get(server_id, ()))
         return queued + len(self.running_by_server.get(server_id, ()))
 
 
-Choose: TypeAlias = Callable[[BaselineState, list[BackendServerId]], BackendServerId]
+ChooseServer: TypeAlias = Callable[
+    [BaselineState, list[BackendServerId]], BackendServerId
+]
 
 
-def make_random() -> Choose:
+def make_random() -> ChooseServer:
     """Return a policy that chooses a server uniformly at random."""
     rng = random.Random(SEED)
     return lambda state, servers: rng.choice(servers)
 
 
-def make_round_robin() -> Choose:
+def make_round_robin() -> ChooseServer:
     """Return a policy that chooses the servers in turn."""
     turns: Iterator[int] = itertools.count()
     return lambda state, servers: servers[next(turns) % len(servers)]
 
 
-def make_fewest_outstanding() -> Choose:
+def make_fewest_outstanding() -> ChooseServer:
     """Return a policy that chooses the server with the fewest outstanding tasks."""
     rng = random.Random(SEED)
     return lambda state, servers: min(
-        servers, key=lambda server: (state.outstanding(server), rng.random())
+        servers, key=lambda server: (state.count_outstanding(server), rng.random())
     )
 
 
@@ -110,7 +112,7 @@
     servers = sorted(state.pool.servers_by_id)
     bound: set[BackendServerId] = set()
     for index, task in enumerate(message.tasks):
-        server_id = state.choose(state, servers)
+        server_id = state.choose_server(state, servers)
         start = TaskStart(
             f"{message.job_id}.{index}",
             message.job_id,
@@ -121,11 +123,13 @@
         state.queues_by_server.setdefault(server_id, deque()).append(start)
         bound.add(server_id)
     jobs = Address(state.pool.settings.id, "jobs")
-    starts = [effect for server in sorted(bound) for effect in _start(state, server)]
+    starts = [
+        effect for server in sorted(bound) for effect in _start_queued(state, server)
+    ]
     return [Send(jobs, TasksQueued(message.job_id)), *starts]
 
 
-def _start(state: BaselineState, server_id: BackendServerId) -> list[Effect]:
+def _start_queued(state: BaselineState, server_id: BackendServerId) -> list[Effect]:
     leased = state.pool.servers_by_id.get(server_id)
     queue = state.queues_by_server.get(server_id)
     if leased is None or not queue:
@@ -150,7 +154,7 @@
         return []
     ended = TaskEnded(*found, message.outcome)
     jobs = Address(state.pool.settings.id, "jobs")
-    return [Send(jobs, ended), *_start(state, message.server)]
+    return [Send(jobs, ended), *_start_queued(state, message.server)]
 
 
 @handle.register
@@ -161,13 +165,13 @@
     return []
 
 
-def _leave_to_pool(message: Any, state: BaselineState, now: Seconds) -> list[Effect]:
+def _delegate_to_pool(message: Any, state: BaselineState, now: Seconds) -> list[Effect]:
     """Delegate messages that are not about tasks to the product's controller."""
     return backend_servers.handle(message, state.pool, now)
 
 
-for _kind in backend_servers.handle.registry.keys() - handle.registry.keys():
-    handle.register(_kind, _leave_to_pool)
+for _message_type in backend_servers.handle.registry.keys() - handle.registry.keys():
+    handle.register(_message_type, _delegate_to_pool)
 
 
 def main() -> None:
@@ -180,10 +184,10 @@
     configure_logs(settings.id)
 
     def make(*args: Any) -> dict[str, Any]:
-        machines = make_machines(*args)
-        _, pool = machines["backend_servers"]
+        state_machines = make_machines(*args)
+        _, pool = state_machines["backend_servers"]
         state = BaselineState(pool, POLICIES[arguments.policy]())
-        return {**machines, "backend_servers": (handle, state)}
+        return {**state_machines, "backend_servers": (handle, state)}
 
     raise SystemExit(asyncio.run(run_daemon(settings, make)))
 
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -19,8 +19,14 @@
 ZONES_BY_ID = {"a1": "a", "a2": "a", "a3": "a", "b1": "b"}
 JOBS = 200
 CLAIM_BYTES = 120
-SENT = "boragetide_peer_messages_sent_total"
-KINDS = ("ClaimRequest", "ClaimReply", "ClaimAndSubmit", "SubmitJob", "JobAnswer")
+SENT_METRIC = "boragetide_peer_messages_sent_total"
+MESSAGE_KINDS = (
+    "ClaimRequest",
+    "ClaimReply",
+    "ClaimAndSubmit",
+    "SubmitJob",
+    "JobAnswer",
+)
 
 
 def main() -> None:
@@ -58,7 +64,7 @@
         assert system.submit(entry, job)[1]["status"] == "complete"
         seconds.append(time.perf_counter() - start)
     sent = _count_sent(system) - before
-    parts = {kind: sent[kind] / JOBS for kind in KINDS if sent[kind]}
+    parts = {kind: sent[kind] / JOBS for kind in MESSAGE_KINDS if sent[kind]}
     print(
         f"entry {entry}: {sum(parts.values()):.2f} messages per job {parts}, "
         f"response {_describe(seconds)}"
@@ -69,7 +75,7 @@
     total: Counter[str] = Counter()
     for daemon in system.daemons_by_id.values():
         for (name, kind), value in read_metrics(daemon.url).items():
-            if name == SENT:
+            if name == SENT_METRIC:
                 total[kind] += value
     return total
 
--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -47,14 +47,14 @@
 from boragetide.types import DurableStarts, ReplyTo, Seconds
 
 BEGIN: Seconds = 1_000_000.0
-ONE_WAY: Seconds = 0.001
-TICK: Seconds = 0.1
-ANNOUNCEMENT: Seconds = 1.5
+ONE_WAY_DELAY: Seconds = 0.001
+TICK_INTERVAL: Seconds = 0.1
+ANNOUNCEMENT_INTERVAL: Seconds = 1.5
 BORN = 900_000_000  # Unix milliseconds
 SERVER_CORES = 64_000  # thousandths of a core
 SPEEDS = (0.7, 0.7, 1.7)
 ESTIMATE_ERROR = 0.4  # standard deviation of the logarithm
-LATE_WORTH = 0.2  # share of its worth that a late job earns
+LATE_WORTH_SHARE = 0.2  # share of its worth that a late job earns
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,28 +137,26 @@
 
 def generate(load: Load, seed: int) -> list[TracedJob]:
     """Generate the jobs of a load at random, in order of arrival."""
-    draw = random.Random(seed)
+    rng = random.Random(seed)
     jobs: list[TracedJob] = []
     for kind in KINDS:
         now = 0.0
         while now < load.seconds:
             in_burst = load.seconds / 3 < now < load.seconds * 2 / 3
             rate = kind.rate * load.rate * (load.burst if in_burst else 1.0)
-            now += draw.expovariate(rate)
-            jobs.append(_draw_job(kind, load, BEGIN + now, len(jobs), draw))
+            now += rng.expovariate(rate)
+            jobs.append(_generate_job(kind, load, BEGIN + now, len(jobs), rng))
     return sorted(jobs, key=lambda traced: traced.job.submitted_at)
 
 
-def _draw_job(
-    kind: JobKind, load: Load, at: Seconds, number: int, draw: random.Random
+def _generate_job(
+    kind: JobKind, load: Load, at: Seconds, number: int, rng: random.Random
 ) -> TracedJob:
-    width = max(1, round(kind.width * draw.lognormvariate(-0.08, 0.4)))
-    mean = kind.work * draw.lognormvariate(-0.08, 0.4)
-    cores = min(
-        int(load.cores * draw.lognormvariate(-0.02, 0.2)), int(load.cores * 1.5)
-    )
-    work = tuple(mean * draw.uniform(0.85, 1.15) for _ in range(width))
-    declared = mean * draw.lognormvariate(0.0, ESTIMATE_ERROR)
+    width = max(1, round(kind.width * rng.lognormvariate(-0.08, 0.4)))
+    mean = kind.work * rng.lognormvariate(-0.08, 0.4)
+    cores = min(int(load.cores * rng.lognormvariate(-0.02, 0.2)), int(load.cores * 1.5))
+    work = tuple(mean * rng.uniform(0.85, 1.15) for _ in range(width))
+    declared = mean * rng.lognormvariate(0.0, ESTIMATE_ERROR)
     job = DurableJob(
         id=f"{kind.name}-{number}",
         class_name=kind.name,
@@ -181,7 +179,8 @@
     in_time, late, unserved
         Numbers of jobs.
     earned
-        Worth of the jobs in time, and the share `LATE_WORTH` of that of late jobs.
+        Worth of the jobs in time, and the share `LATE_WORTH_SHARE` of that of
+        late jobs.
     owed
         Worth of all jobs.
     """
@@ -192,7 +191,7 @@
     earned: float = 0.0
     owed: float = 0.0
 
-    def note(self, traced: TracedJob, ended_at: Seconds | None) -> None:
+    def record(self, traced: TracedJob, ended_at: Seconds | None) -> None:
         """Count a job that ended at ``ended_at``, or was not served if that is None."""
         work = sum(traced.work) / (traced.kind.width * traced.kind.work)
         worth = traced.kind.worth * min(4.0, 0.3 + 0.7 * work)
@@ -204,34 +203,34 @@
             self.earned += worth
         elif ended_at is not None and ended_at <= limit:
             self.late += 1
-            self.earned += worth * LATE_WORTH
+            self.earned += worth * LATE_WORTH_SHARE
         else:
             self.unserved += 1
 
 
 @dataclass
-class Machine:
+class VirtualServer:
     """A backend server on the virtual clock.
 
     Parameters
     ----------
-    room
+    free_millicores
         Free thousandths of a core; used by the baselines only.
-    unlisted
+    unacknowledged_ends
         Ends that the dispatcher has not acknowledged.
-    ends
-        Number of ends so far; numbers the listed ends.
-    waiting
+    end_count
+        Number of ends so far, which is the number of the last listed end.
+    pending_read
         Request for the list of runs that waits for an end.
     """
 
     id: str
     speed: float
-    room: int = SERVER_CORES
+    free_millicores: int = SERVER_CORES
     running: dict[tuple[str, int], ListedRun] = field(default_factory=dict)
-    unlisted: list[ListedEnd] = field(default_factory=list)
-    ends: int = 0
-    waiting: ReadRuns | None = None
+    unacknowledged_ends: list[ListedEnd] = field(default_factory=list)
+    end_count: int = 0
+    pending_read: ReadRuns | None = None
 
 
 class Clock:
@@ -242,7 +241,7 @@
         self.events: list[tuple[Seconds, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
 
-    def at(self, when: Seconds, action: Callable[[], None]) -> None:
+    def schedule(self, when: Seconds, action: Callable[[], None]) -> None:
         """Schedule an action at a time."""
         heapq.heappush(self.events, (when, next(self.numbers), action))
 
@@ -253,38 +252,38 @@
             action()
 
 
-def make_machines(load: Load) -> list[Machine]:
+def make_servers(load: Load) -> list[VirtualServer]:
     """Return the backend servers of a load."""
     return [
-        Machine(f"s{number}", SPEEDS[number % len(SPEEDS)])
+        VirtualServer(f"s{number}", SPEEDS[number % len(SPEEDS)])
         for number in range(load.servers)
     ]
 
 
-def schedule_slowness(
-    clock: Clock, machines: list[Machine], load: Load, seed: int
+def schedule_slowdown(
+    clock: Clock, servers: list[VirtualServer], load: Load, seed: int
 ) -> None:
     """Schedule a slowdown of some backend servers for the middle third of the load."""
-    count = round(load.slow_share * len(machines))
-    for machine in random.Random(seed).sample(machines, count):
-        usual = machine.speed
+    count = round(load.slow_share * len(servers))
+    for server in random.Random(seed).sample(servers, count):
+        usual = server.speed
 
-        def set_speed(machine: Machine, speed: float) -> None:
-            machine.speed = speed
+        def set_speed(server: VirtualServer, speed: float) -> None:
+            server.speed = speed
 
-        clock.at(
+        clock.schedule(
             BEGIN + load.seconds / 3,
-            lambda m=machine, s=usual / load.slowdown: set_speed(m, s),
+            lambda m=server, s=usual / load.slowdown: set_speed(m, s),
         )
-        clock.at(
-            BEGIN + load.seconds * 2 / 3, lambda m=machine, s=usual: set_speed(m, s)
+        clock.schedule(
+            BEGIN + load.seconds * 2 / 3, lambda m=server, s=usual: set_speed(m, s)
         )
 
 
 class ProductRun:
     """Replay with the product's dispatcher as the leader and simulated backend servers.
 
-    Orders, answers and submissions each take `ONE_WAY` seconds.
+    Orders, answers and submissions each take `ONE_WAY_DELAY` seconds.
     """
 
     def __init__(self, load: Load, jobs: list[TracedJob], seed: int):
@@ -292,9 +291,9 @@
         self.clock = Clock()
         self.traced_by_id = {traced.job.id: traced for traced in jobs}
         self.ended_by_id: dict[str, Seconds] = {}
-        self.machines_by_id = {each.id: each for each in make_machines(load)}
-        machines = list(self.machines_by_id.values())
-        schedule_slowness(self.clock, machines, load, seed)
+        self.servers_by_id = {each.id: each for each in make_servers(load)}
+        servers = list(self.servers_by_id.values())
+        schedule_slowdown(self.clock, servers, load, seed)
         settings = parse_settings(EMBEDDED_DEFAULT)
         self.state = DispatcherState(settings, int((BEGIN - 60.0) * 1000))
         self.requests: dict[int, str] = {}
@@ -302,8 +301,8 @@
         self.starts = 0
         self.wasted = 0.0
         for traced in jobs:
-            self.clock.at(
-                traced.job.submitted_at + ONE_WAY, lambda t=traced: self.submit(t)
+            self.clock.schedule(
+                traced.job.submitted_at + ONE_WAY_DELAY, lambda t=traced: self.submit(t)
             )
 
     def run(self) -> dict[str, Outcome]:
@@ -315,20 +314,20 @@
         self.clock.run(BEGIN + self.load.seconds + 10.0)
         outcomes = {kind.name: Outcome() for kind in KINDS}
         for job_id, traced in self.traced_by_id.items():
-            outcomes[traced.kind.name].note(traced, self.ended_by_id.get(job_id))
+            outcomes[traced.kind.name].record(traced, self.ended_by_id.get(job_id))
         return outcomes
 
     def handle(self, message: Any) -> None:
         """Pass a message to the dispatcher and execute the effects that it returns."""
-        begun = time.perf_counter()
+        start_time = time.perf_counter()
         effects = dispatcher.handle(message, self.state, self.clock.now)
-        self.processor_time += time.perf_counter() - begun
+        self.processor_time += time.perf_counter() - start_time
         for effect in effects:
-            perform(effect, self)
+            execute_effect(effect, self)
 
-    def later(self, action: Callable[[], None]) -> None:
-        """Schedule an action after `ONE_WAY` seconds."""
-        self.clock.at(self.clock.now + ONE_WAY, action)
+    def schedule_delayed(self, action: Callable[[], None]) -> None:
+        """Schedule an action after `ONE_WAY_DELAY` seconds."""
+        self.clock.schedule(self.clock.now + ONE_WAY_DELAY, action)
 
     def submit(self, traced: TracedJob) -> None:
         """Submit a job to the dispatcher."""
@@ -338,11 +337,11 @@
         self.handle(SubmitDurableJob(job=traced.job, age=0.0, reply_to=reply_to))
 
     def announce(self, sequence: int) -> None:
-        """Announce all backend servers, and again every `ANNOUNCEMENT` seconds."""
-        for machine in self.machines_by_id.values():
+        """Announce all backend servers every `ANNOUNCEMENT_INTERVAL` seconds."""
+        for server in self.servers_by_id.values():
             report = ServerReport(
-                id=machine.id,
-                address=machine.id,
+                id=server.id,
+                address=server.id,
                 pool="pool",
                 zone="a",
                 capacity=Resources(SERVER_CORES, 262_144),
@@ -350,38 +349,38 @@
                 sequence=sequence,
             )
             self.handle(ReportServer(report=report, passed_on=True))
-        next_at = self.clock.now + ANNOUNCEMENT
-        self.clock.at(next_at, lambda: self.announce(sequence + 1))
+        next_at = self.clock.now + ANNOUNCEMENT_INTERVAL
+        self.clock.schedule(next_at, lambda: self.announce(sequence + 1))
 
     def tick(self) -> None:
-        """Send a `Tick` to the dispatcher every `TICK` seconds."""
+        """Send a `Tick` to the dispatcher every `TICK_INTERVAL` seconds."""
         self.handle(Tick())
-        self.clock.at(self.clock.now + TICK, self.tick)
+        self.clock.schedule(self.clock.now + TICK_INTERVAL, self.tick)
 
     def start(self, order: StartRun) -> None:
         """Start a run on its backend server and answer the order."""
-        machine = self.machines_by_id[order.server]
+        server = self.servers_by_id[order.server]
         self.starts += 1
         traced = self.traced_by_id[order.task.job_id]
         key = (order.task.job_id, order.task.index)
-        machine.running[key] = ListedRun(order.task, order.run)
-        seconds = traced.work[order.task.index] / machine.speed
-        self.clock.at(
-            self.clock.now + seconds, lambda: self.end(machine, key, EndReason.DONE)
+        server.running[key] = ListedRun(order.task, order.run)
+        seconds = traced.work[order.task.index] / server.speed
+        self.clock.schedule(
+            self.clock.now + seconds, lambda: self.end_run(server, key, EndReason.DONE)
         )
-        self.answer(order, started=True)
+        self.answer_order(order, started=True)
 
     def stop(self, order: StopRun) -> None:
         """Stop a run and answer the order."""
-        machine = self.machines_by_id[order.server]
+        server = self.servers_by_id[order.server]
         key = (order.task.job_id, order.task.index)
-        if key in machine.running:
+        if key in server.running:
             traced = self.traced_by_id[order.task.job_id]
             self.wasted += traced.work[order.task.index]
-        self.end(machine, key, EndReason.STOPPED)
-        self.answer(order, started=False)
+        self.end_run(server, key, EndReason.STOPPED)
+        self.answer_order(order, started=False)
 
-    def answer(self, order: StartRun | StopRun, *, started: bool) -> None:
+    def answer_order(self, order: StartRun | StopRun, *, started: bool) -> None:
         """Send the dispatcher the answer to a start or stop order."""
         message = RunOrdered(
             server=order.server,
@@ -392,85 +391,91 @@
             result=OrderResult.DONE,
             started=started,
             clock=self.clock.now,
-            sent_at=self.clock.now - ONE_WAY,
+            sent_at=self.clock.now - ONE_WAY_DELAY,
         )
-        self.later(lambda: self.handle(message))
+        self.schedule_delayed(lambda: self.handle(message))
 
-    def end(self, machine: Machine, key: tuple[str, int], reason: EndReason) -> None:
+    def end_run(
+        self, server: VirtualServer, key: tuple[str, int], reason: EndReason
+    ) -> None:
         """End a run, and answer the pending request for the list of runs, if any."""
-        run = machine.running.pop(key, None)
+        run = server.running.pop(key, None)
         if run is None:
             return
-        machine.ends += 1
-        machine.unlisted.append(ListedEnd(machine.ends, run.task, run.run, reason))
-        if machine.waiting is not None:
-            self.list_runs(machine, machine.waiting)
+        server.end_count += 1
+        server.unacknowledged_ends.append(
+            ListedEnd(server.end_count, run.task, run.run, reason)
+        )
+        if server.pending_read is not None:
+            self.send_runs(server, server.pending_read)
 
-    def read(self, order: ReadRuns) -> None:
+    def answer_read(self, order: ReadRuns) -> None:
         """Answer a request for the list of runs, at the latest after ``order.wait``.
 
         The answer waits for an end if no unacknowledged end is listed.
         """
-        machine = self.machines_by_id[order.server]
-        machine.unlisted = [
-            end for end in machine.unlisted if end.number > order.acknowledged
+        server = self.servers_by_id[order.server]
+        server.unacknowledged_ends = [
+            end for end in server.unacknowledged_ends if end.number > order.acknowledged
         ]
-        if machine.unlisted or not order.wait:
-            self.list_runs(machine, order)
+        if server.unacknowledged_ends or not order.wait:
+            self.send_runs(server, order)
             return
-        machine.waiting = order
-        self.clock.at(self.clock.now + order.wait, lambda: self.give_up(machine, order))
+        server.pending_read = order
+        self.clock.schedule(
+            self.clock.now + order.wait, lambda: self.end_read_wait(server, order)
+        )
 
-    def give_up(self, machine: Machine, order: ReadRuns) -> None:
+    def end_read_wait(self, server: VirtualServer, order: ReadRuns) -> None:
         """Answer a request for the list of runs that is pending at its deadline."""
-        if machine.waiting is order:
-            self.list_runs(machine, order)
+        if server.pending_read is order:
+            self.send_runs(server, order)
 
-    def list_runs(self, machine: Machine, order: ReadRuns) -> None:
+    def send_runs(self, server: VirtualServer, order: ReadRuns) -> None:
         """Send the dispatcher the list of runs of a backend server."""
-        machine.waiting = None
+        server.pending_read = None
         message = RunsRead(
-            server=machine.id,
+            server=server.id,
             term=order.fence,
-            sent_at=self.clock.now - ONE_WAY,
+            sent_at=self.clock.now - ONE_WAY_DELAY,
             clock=self.clock.now,
             born=BORN,
-            running=tuple(machine.running.values()),
-            ended=tuple(machine.unlisted),
+            running=tuple(server.running.values()),
+            ended=tuple(server.unacknowledged_ends),
         )
-        self.later(lambda: self.handle(message))
+        self.schedule_delayed(lambda: self.handle(message))
 
 
 @singledispatch
-def perform(effect: Effect, run: ProductRun) -> None:
+def execute_effect(effect: Effect, run: ProductRun) -> None:
     """Execute one effect; log lines and metrics are ignored here."""
 
 
-@perform.register
+@execute_effect.register
 def _(effect: StartRun, run: ProductRun) -> None:
-    run.later(lambda: run.start(effect))
+    run.schedule_delayed(lambda: run.start(effect))
 
 
-@perform.register
+@execute_effect.register
 def _(effect: StopRun, run: ProductRun) -> None:
-    run.later(lambda: run.stop(effect))
+    run.schedule_delayed(lambda: run.stop(effect))
 
 
-@perform.register
+@execute_effect.register
 def _(effect: ReadRuns, run: ProductRun) -> None:
-    run.later(lambda: run.read(effect))
+    run.schedule_delayed(lambda: run.answer_read(effect))
 
 
-@perform.register
+@execute_effect.register
 def _(effect: Reply, run: ProductRun) -> None:
     if effect.to is None or effect.to.instance != "e":
         return
     if effect.message.status is ReplyStatus.ACCEPTED:
         job_id = run.requests[effect.to.request]
-        run.ended_by_id[job_id] = run.clock.now + ONE_WAY
+        run.ended_by_id[job_id] = run.clock.now + ONE_WAY_DELAY
 
 
-Order = Callable[[TracedJob, Seconds], Any]
+SortKey = Callable[[TracedJob, Seconds], Any]
 
 
 def first_come(traced: TracedJob, now: Seconds) -> Any:
@@ -512,21 +517,23 @@
 
     Parameters
     ----------
-    order
+    sort_key
         Returns the sort key of a queued job at a time; the lowest key is first.
     """
 
-    def __init__(self, load: Load, jobs: list[TracedJob], seed: int, order: Order):
-        self.load, self.order = load, order
+    def __init__(self, load: Load, jobs: list[TracedJob], seed: int, sort_key: SortKey):
+        self.load, self.sort_key = load, sort_key
         self.clock = Clock()
-        self.machines = make_machines(load)
-        schedule_slowness(self.clock, self.machines, load, seed)
+        self.servers = make_servers(load)
+        schedule_slowdown(self.clock, self.servers, load, seed)
         self.jobs = jobs
-        self.waiting: dict[str, tuple[TracedJob, list[int]]] = {}
-        self.left: dict[str, int] = {}
+        self.queued_by_id: dict[str, tuple[TracedJob, list[int]]] = {}
+        self.remaining_by_id: dict[str, int] = {}
         self.ended_by_id: dict[str, Seconds] = {}
         for traced in jobs:
-            self.clock.at(traced.job.submitted_at, lambda t=traced: self.submit(t))
+            self.clock.schedule(
+                traced.job.submitted_at, lambda t=traced: self.submit(t)
+            )
 
     def run(self) -> dict[str, Outcome]:
         """Replay the load and return the outcomes by class."""
@@ -534,61 +541,65 @@
         outcomes = {kind.name: Outcome() for kind in KINDS}
         for traced in self.jobs:
             ended_at = self.ended_by_id.get(traced.job.id)
-            outcomes[traced.kind.name].note(traced, ended_at)
+            outcomes[traced.kind.name].record(traced, ended_at)
         return outcomes
 
     def submit(self, traced: TracedJob) -> None:
         """Queue a job and start as many tasks as fit."""
-        self.waiting[traced.job.id] = (traced, list(range(len(traced.work))))
-        self.left[traced.job.id] = len(traced.work)
-        self.place()
+        self.queued_by_id[traced.job.id] = (traced, list(range(len(traced.work))))
+        self.remaining_by_id[traced.job.id] = len(traced.work)
+        self.place_jobs()
 
-    def place(self) -> None:
+    def place_jobs(self) -> None:
         """Start as many queued tasks as fit on the backend servers."""
         now = self.clock.now
-        roomy = [m for m in self.machines if m.room >= self.load.cores * 0.6]
-        if not roomy:
+        candidates = [
+            m for m in self.servers if m.free_millicores >= self.load.cores * 0.6
+        ]
+        if not candidates:
             return
-        roomy.sort(key=lambda machine: (-machine.speed, machine.room))
+        candidates.sort(key=lambda server: (-server.speed, server.free_millicores))
         ordered = sorted(
-            self.waiting.values(), key=lambda each: self.order(each[0], now)
+            self.queued_by_id.values(), key=lambda each: self.sort_key(each[0], now)
         )
         for traced, tasks in ordered[:LOOK_AHEAD]:
             due = objective(traced.job) - traced.job.submitted_at
             if now > latest_start(traced.job) + (LATE_FACTOR - 1) * due:
                 if len(tasks) == len(traced.work):
-                    del self.waiting[traced.job.id]
+                    del self.queued_by_id[traced.job.id]
                 continue
-            self.place_job(traced, tasks, roomy)
+            self.place_job(traced, tasks, candidates)
 
     def place_job(
-        self, traced: TracedJob, tasks: list[int], roomy: list[Machine]
+        self, traced: TracedJob, tasks: list[int], candidates: list[VirtualServer]
     ) -> None:
         """Start the tasks of one job that fit; remove the job once all have started."""
         cores = traced.job.steps[0].needs.millicores
         for task in list(tasks):
-            machine = next((each for each in roomy if each.room >= cores), None)
-            if machine is None:
+            server = next(
+                (each for each in candidates if each.free_millicores >= cores), None
+            )
+            if server is None:
                 return
-            machine.room -= cores
+            server.free_millicores -= cores
             tasks.remove(task)
-            seconds = traced.work[task] / machine.speed
-            self.clock.at(
+            seconds = traced.work[task] / server.speed
+            self.clock.schedule(
                 self.clock.now + seconds,
-                lambda m=machine: self.end(traced, m, cores),
+                lambda m=server: self.end_task(traced, m, cores),
             )
-        self.waiting.pop(traced.job.id, None)
+        self.queued_by_id.pop(traced.job.id, None)
 
-    def end(self, traced: TracedJob, machine: Machine, cores: int) -> None:
+    def end_task(self, traced: TracedJob, server: VirtualServer, cores: int) -> None:
         """End one task, free its cores and start queued tasks."""
-        machine.room += cores
-        self.left[traced.job.id] -= 1
-        if not self.left[traced.job.id]:
+        server.free_millicores += cores
+        self.remaining_by_id[traced.job.id] -= 1
+        if not self.remaining_by_id[traced.job.id]:
             self.ended_by_id[traced.job.id] = self.clock.now
-        self.place()
+        self.place_jobs()
 
 
-BASELINES: dict[str, Order] = {
+BASELINES: dict[str, SortKey] = {
     "first come": first_come,
     "shortest first": shortest_first,
     "strict priority": strict_priority,
@@ -625,10 +636,12 @@
         print(f"-- {load.name}: {len(jobs)} jobs, {tasks} tasks")
         product = ProductRun(load, jobs, arguments.seed)
         print(summarize("product", product.run()))
-        micros = product.processor_time / max(product.starts, 1) * 1e6
-        print(f"   {micros:.0f} microseconds a start, {product.wasted:.1f} s wasted")
-        for name, order in BASELINES.items() if not arguments.product_only else ():
-            baseline = BaselineRun(load, jobs, arguments.seed, order)
+        us_per_start = product.processor_time / max(product.starts, 1) * 1e6
+        print(
+            f"   {us_per_start:.0f} microseconds a start, {product.wasted:.1f} s wasted"
+        )
+        for name, sort_key in BASELINES.items() if not arguments.product_only else ():
+            baseline = BaselineRun(load, jobs, arguments.seed, sort_key)
             print(summarize(name, baseline.run()))
 
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -19,11 +19,11 @@
 CLIENT_CONNECTIONS = 2000
 REQUEST_TIMEOUT: Seconds = 120.0
 TASK_TIMEOUT: Seconds = 60.0
-PROBES = 50
+PROBE_COUNT = 50
 
 
 @dataclass(frozen=True, slots=True)
-class Measured:
+class MeasuredJob:
     """One answered job.
 
     Parameters
@@ -49,7 +49,7 @@
 
 async def run_trace(
     urls: list[str], jobs: Iterable[TracedJob], prefix: str, class_name: str = "default"
-) -> list[Measured]:
+) -> list[MeasuredJob]:
     """Submit every job at its arrival time, to the daemons in turn.
 
     Parameters
@@ -82,7 +82,7 @@
 
 async def _submit(
     client: AsyncHTTPClient, url: str, body: dict[str, Any], job: TracedJob
-) -> Measured:
+) -> MeasuredJob:
     start = time.monotonic()
     response = await client.fetch(
         HTTPRequest(
@@ -98,14 +98,14 @@
         status = json.loads(response.body)["status"]
     except (KeyError, TypeError, ValueError):
         status = f"http_{response.code}"
-    return Measured(job, status, seconds)
+    return MeasuredJob(job, status, seconds)
 
 
 async def measure_round_trip(url: str) -> Seconds:
     """Return the median time of a health check of a daemon, in seconds."""
     client = make_client()
     times = []
-    for _ in range(PROBES):
+    for _ in range(PROBE_COUNT):
         start = time.monotonic()
         await client.fetch(f"{url}/healthz")
         times.append(time.monotonic() - start)
--- a/benchmarks/messages.py
+++ b/benchmarks/messages.py
@@ -43,7 +43,7 @@
     return values
 
 
-def count_wasted(
+def count_wasted_messages(
     before: Counter[tuple[str, str]], after: Counter[tuple[str, str]], tasks: int
 ) -> dict[str, float]:
     """Return the wasted messages per task, by part and in total.
--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -32,8 +32,8 @@
     TaskStatus,
 )
 
-REPORTS = 4000
-TICK = 0.1  # seconds
+REPORT_COUNT = 4000
+TICK_INTERVAL = 0.1  # seconds
 
 
 @dataclass
@@ -46,45 +46,45 @@
         Time of the virtual clock, in seconds.
     running
         Heap of (time of the end, number of the task, report of the end).
-    placed, jobs
+    placed_tasks, queued_jobs
         Numbers of placed tasks and of queued jobs so far.
     """
 
     state: backend_servers.BackendServersState
-    draw: random.Random
+    rng: random.Random
     now: float = NOW
     running: list[tuple[float, int, TaskReport]] = field(default_factory=list)
-    placed: int = 0
-    jobs: int = 0
+    placed_tasks: int = 0
+    queued_jobs: int = 0
 
     def deliver(self, message: Any) -> float:
         """Apply a message and return the time that this took, in seconds."""
-        begun = time.perf_counter()
-        made = backend_servers.handle(message, self.state, self.now)
-        taken = time.perf_counter() - begun
-        for effect in made:
+        start_time = time.perf_counter()
+        effects = backend_servers.handle(message, self.state, self.now)
+        elapsed = time.perf_counter() - start_time
+        for effect in effects:
             if not isinstance(effect, StartTasks):
                 continue
             speed = SPEEDS[int(effect.server.removeprefix("s")) % len(SPEEDS)]
             for start in effect.tasks:
-                self.placed += 1
-                seconds = self.draw.lognormvariate(-1.5, 0.75) / speed
+                self.placed_tasks += 1
+                seconds = self.rng.lognormvariate(-1.5, 0.75) / speed
                 outcome = TaskOutcome(TaskStatus.DONE)
                 report = TaskReport(
                     effect.server, effect.lease, start.id, outcome, seconds
                 )
-                entry = (self.now + seconds, self.placed, report)
+                entry = (self.now + seconds, self.placed_tasks, report)
                 heapq.heappush(self.running, entry)
-        return taken
+        return elapsed
 
     def queue_job(self) -> float:
         """Queue a job of 1 to 16 tasks and return the time that this took."""
-        self.jobs += 1
+        self.queued_jobs += 1
         tasks = tuple(
-            Task(None, self.draw.lognormvariate(-1.5, 1.0))
-            for _ in range(self.draw.randint(1, 16))
+            Task(None, self.rng.lognormvariate(-1.5, 1.0))
+            for _ in range(self.rng.randint(1, 16))
         )
-        return self.deliver(QueueTasks(f"j{self.jobs}", "default", tasks, False))
+        return self.deliver(QueueTasks(f"j{self.queued_jobs}", "default", tasks, False))
 
     def end_next(self) -> float:
         """Report the end of the task that ends next; return the time that this took."""
@@ -97,8 +97,8 @@
     settings = parse_settings(EMBEDDED_DEFAULT)
     limits = replace(settings.limits, queued_tasks=10**7)
     settings = replace(settings, limits=limits)
-    draw = random.Random(1)
-    pool = Pool(make_placer(settings, draw), draw)
+    rng = random.Random(1)
+    pool = Pool(make_placer(settings, rng), rng)
     targets = {"default": ClassTarget("default", 1e6)}
     pool.deliver(ConfigurationChanged(Configuration(1, targets)))
     announce_all(pool, servers)
@@ -117,15 +117,15 @@
     pool = make_pool(servers)
     reports, queueing, ticks = [], [], []
     next_tick = pool.now
-    while len(reports) < 2 * REPORTS:
+    while len(reports) < 2 * REPORT_COUNT:
         while _count_jobs(pool) < jobs:
             queueing.append(pool.queue_job())
         reports.append(pool.end_next())
         if pool.now >= next_tick:
-            next_tick = pool.now + TICK
+            next_tick = pool.now + TICK_INTERVAL
             ticks.append(pool.deliver(Tick()))
             announce_all(pool, servers)
-    steady = reports[REPORTS:]
+    steady = reports[REPORT_COUNT:]
     return (
         f"servers={servers} queued_jobs={jobs} "
         f"report_us={1e6 * sum(steady) / len(steady):.0f} "
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -46,10 +46,10 @@
     TaskStatus,
 )
 
-CLIENT_ONE_WAY = 0.001  # seconds between caller and instance
-SERVER_ONE_WAY = 0.0005  # seconds between instance and backend server
+CLIENT_ONE_WAY_DELAY = 0.001  # seconds between caller and instance
+SERVER_ONE_WAY_DELAY = 0.0005  # seconds between instance and backend server
 FAILURE_TIME = 0.001  # seconds after which a server that fails everything answers
-TICK = 0.1  # seconds
+TICK_INTERVAL = 0.1  # seconds
 START = 1_000_000.0  # Unix time at which the virtual clock starts
 
 
@@ -101,7 +101,7 @@
     calls: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     numbers: Any = field(default_factory=itertools.count)
 
-    def at(self, time: float, call: Callable[[], None]) -> None:
+    def schedule(self, time: float, call: Callable[[], None]) -> None:
         """Schedule a call at a time."""
         heapq.heappush(self.calls, (time, next(self.numbers), call))
 
@@ -120,16 +120,18 @@
     clock: Clock
     servers_by_id: dict[str, VirtualServer]
     results: list[Result] = field(default_factory=list)
-    pool: Any = None
-    table: Any = None
+    pool_state: Any = None
+    jobs_state: Any = None
     counts: dict[str, float] = field(default_factory=dict)
     failed_tasks: int = 0
 
-    def finish(self, number: int, status: Status) -> None:
+    def record_result(self, number: int, status: Status) -> None:
         """Record the end of a job, by its number in the trace."""
         job = self.trace.jobs[number]
-        response = self.clock.now - START - job.at + 2 * CLIENT_ONE_WAY
-        stretch = response / ideal_response(job, self.trace.servers, 2 * CLIENT_ONE_WAY)
+        response = self.clock.now - START - job.at + 2 * CLIENT_ONE_WAY_DELAY
+        stretch = response / ideal_response(
+            job, self.trace.servers, 2 * CLIENT_ONE_WAY_DELAY
+        )
         self.results.append(Result(job, status, response, stretch))
 
 
@@ -149,27 +151,31 @@
     servers_by_id = {s.id: VirtualServer(s.id, s.slots, s.speed) for s in trace.servers}
     run = Replay(trace, Clock(), servers_by_id)
     for event in trace.events:
-        run.clock.at(START + event["at"], lambda event=event: _change(run, event))
-    make_submit = _use_controllers if policy == "boragetide" else _use_baseline
+        run.clock.schedule(
+            START + event["at"], lambda event=event: _apply_event(run, event)
+        )
+    make_submit = (
+        _make_controller_submit if policy == "boragetide" else _make_baseline_submit
+    )
     submit = make_submit(run, policy, random.Random(seed))
     for number, job in enumerate(trace.jobs):
-        run.clock.at(START + job.at, lambda number=number: submit(number))
+        run.clock.schedule(START + job.at, lambda number=number: submit(number))
     run.clock.run(lambda: len(run.results) == len(trace.jobs))
     return run
 
 
-def _change(run: Replay, event: dict[str, Any]) -> None:
+def _apply_event(run: Replay, event: dict[str, Any]) -> None:
     server = run.servers_by_id[event["server"]]
     server.speed /= event.get("slower", 1.0)
     server.fails = event.get("fails", server.fails)
 
 
-def _use_controllers(
-    run: Replay, policy: str, draw: random.Random
+def _make_controller_submit(
+    run: Replay, policy: str, rng: random.Random
 ) -> Callable[[int], None]:
     settings = parse_settings(EMBEDDED_DEFAULT)
-    run.pool = backend_servers.BackendServersState(settings, 1, jitter=draw)
-    run.table = jobs.JobsState(settings, 1)
+    run.pool_state = backend_servers.BackendServersState(settings, 1, jitter=rng)
+    run.jobs_state = jobs.JobsState(settings, 1)
     classes = {
         name: ClassTarget(name, target) for name, target in run.trace.targets.items()
     }
@@ -182,14 +188,14 @@
 def _tick(run: Replay) -> None:
     now = run.clock.now
     for server in run.servers_by_id.values():
-        known = run.pool.servers_by_id.get(server.id)
+        known = run.pool_state.servers_by_id.get(server.id)
         if known is None or now - known.renewed_at > 2.0:
             record = BackendServer(
                 server.id, f"http://{server.id}", "local", "", server.slots, 64, 64, 1
             )
             _deliver(run, "backend_servers", AnnounceBackendServer(record))
     _deliver(run, "backend_servers", Tick())
-    run.clock.at(now + TICK, lambda: _tick(run))
+    run.clock.schedule(now + TICK_INTERVAL, lambda: _tick(run))
 
 
 def _submit(run: Replay, number: int) -> None:
@@ -212,40 +218,42 @@
     while pending:
         controller, message = pending.popleft()
         if controller == "jobs":
-            made = jobs.handle(message, run.table, run.clock.now)
+            made_effects = jobs.handle(message, run.jobs_state, run.clock.now)
         elif controller == "backend_servers":
-            made = backend_servers.handle(message, run.pool, run.clock.now)
+            made_effects = backend_servers.handle(
+                message, run.pool_state, run.clock.now
+            )
         else:
             continue
-        for effect in made:
-            pending.extend(_perform(effect, run))
+        for effect in made_effects:
+            pending.extend(_execute_effect(effect, run))
 
 
 @singledispatch
-def _perform(effect: Any, run: Replay) -> list[tuple[str, Any]]:
+def _execute_effect(effect: Any, run: Replay) -> list[tuple[str, Any]]:
     """Execute an effect; return the messages that it sends without a delay."""
     return []
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.Send, run: Replay) -> list[tuple[str, Any]]:
     return [(effect.to.controller, effect.message)]
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.Count, run: Replay) -> list[tuple[str, Any]]:
     run.counts[effect.metric] = run.counts.get(effect.metric, 0.0) + effect.value
     return []
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.Reply, run: Replay) -> list[tuple[str, Any]]:
     if isinstance(effect.message, JobAnswer):
-        run.finish(effect.to.request, effect.message.answer.status)
+        run.record_result(effect.to.request, effect.message.answer.status)
     return []
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.StartTasks, run: Replay) -> list[tuple[str, Any]]:
     server = run.servers_by_id[effect.server]
     for start in effect.tasks:
@@ -257,15 +265,15 @@
         report = TaskReport(
             effect.server, effect.lease, start.id, TaskOutcome(status), seconds
         )
-        run.clock.at(
-            run.clock.now + seconds + 2 * SERVER_ONE_WAY,
+        run.clock.schedule(
+            run.clock.now + seconds + 2 * SERVER_ONE_WAY_DELAY,
             lambda report=report: _deliver(run, "backend_servers", report),
         )
     return []
 
 
-def _use_baseline(
-    run: Replay, policy: str, draw: random.Random
+def _make_baseline_submit(
+    run: Replay, policy: str, rng: random.Random
 ) -> Callable[[int], None]:
     """Return the submit function of a baseline policy.
 
@@ -275,21 +283,21 @@
     servers = list(run.servers_by_id.values())
     turns = itertools.cycle(servers)
     choose: dict[str, Callable[[], VirtualServer]] = {
-        "random": lambda: draw.choice(servers),
+        "random": lambda: rng.choice(servers),
         "round_robin": lambda: next(turns),
         "fewest_outstanding": lambda: min(
-            servers, key=lambda s: (s.running + len(s.queue), draw.random())
+            servers, key=lambda s: (s.running + len(s.queue), rng.random())
         ),
     }
     shared: deque[tuple[int, float]] = deque()
-    left = [len(job.tasks) for job in run.trace.jobs]
+    remaining_tasks = [len(job.tasks) for job in run.trace.jobs]
     failed: set[int] = set()
 
     def start(server: VirtualServer, number: int, work: float) -> None:
         server.running += 1
         fails = server.fails
-        run.clock.at(
-            run.clock.now + server.run_time(work) + 2 * SERVER_ONE_WAY,
+        run.clock.schedule(
+            run.clock.now + server.run_time(work) + 2 * SERVER_ONE_WAY_DELAY,
             lambda: end(server, number, fails),
         )
 
@@ -298,11 +306,13 @@
         queue = shared if policy == "first_come" else server.queue
         if queue:
             start(server, *queue.popleft())
-        left[number] -= 1
+        remaining_tasks[number] -= 1
         if fails:
             failed.add(number)
-        if not left[number]:
-            run.finish(number, Status.FAILED if number in failed else Status.COMPLETE)
+        if not remaining_tasks[number]:
+            run.record_result(
+                number, Status.FAILED if number in failed else Status.COMPLETE
+            )
 
     def submit(number: int) -> None:
         for work, _ in run.trace.jobs[number].tasks:
@@ -311,7 +321,7 @@
                 if not free:
                     shared.append((number, work))
                     continue
-                start(draw.choice(free), number, work)
+                start(rng.choice(free), number, work)
                 continue
             server = choose[policy]()
             if server.running < server.slots:
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -5,7 +5,7 @@
 import statistics
 from typing import Any
 
-from benchmarks.load import Measured
+from benchmarks.load import MeasuredJob
 from benchmarks.trace import TracedServer, ideal_response
 from boragetide.types import Seconds
 
@@ -13,7 +13,7 @@
 
 
 def summarize(
-    measured: list[Measured], servers: tuple[TracedServer, ...], round_trip: Seconds
+    measured: list[MeasuredJob], servers: tuple[TracedServer, ...], round_trip: Seconds
 ) -> dict[str, Any]:
     """Return the counts by status and the response times of the complete jobs.
 
--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -19,9 +19,9 @@
 SPEEDS = (1.0, 1.0, 1.5, 2.0, 2.0, 3.0, 3.0, 4.0)
 SLOTS = 8
 MEDIAN_WORK = math.sqrt(0.05 * 1.0)  # seconds
-DEVIATION = math.log(20) / 4  # 50 ms to 1 s are two deviations from the median
-LONG_SHARE = 0.02
-SIZE_ERROR = 4.0
+WORK_SIGMA = math.log(20) / 4  # 50 ms to 1 s are two deviations from the median
+LONG_TASK_SHARE = 0.02
+MAX_SIZE_ERROR_FACTOR = 4.0
 SAMPLE_JOBS = 500
 
 
@@ -102,18 +102,20 @@
     target
         Response time of the class, in seconds.
     """
-    draw = random.Random(seed)
+    rng = random.Random(seed)
     servers = list_servers()
-    gaps = [draw.expovariate(1.0) for _ in range(jobs)]
-    made = [_generate_job(draw, 0.0, tasks) for _ in range(jobs)]
-    work = sum(size for job in made for size, _ in job.tasks)
+    gaps = [rng.expovariate(1.0) for _ in range(jobs)]
+    generated = [_generate_job(rng, 0.0, tasks) for _ in range(jobs)]
+    work = sum(size for job in generated for size, _ in job.tasks)
     scale = work / (load * SLOTS * sum(SPEEDS) * sum(gaps))
     times = itertools.accumulate(gap * scale for gap in gaps)
-    made = [replace(job, at=round(at, 4)) for job, at in zip(made, times, strict=True)]
+    generated = [
+        replace(job, at=round(at, 4)) for job, at in zip(generated, times, strict=True)
+    ]
     if burst is not None:
-        made += [_generate_job(draw, burst[0], tasks) for _ in range(burst[1])]
-    made.sort(key=lambda job: job.at)
-    return Trace(servers, tuple(made), tuple(events), {"default": target})
+        generated += [_generate_job(rng, burst[0], tasks) for _ in range(burst[1])]
+    generated.sort(key=lambda job: job.at)
+    return Trace(servers, tuple(generated), tuple(events), {"default": target})
 
 
 def generate_for(
@@ -152,17 +154,17 @@
     )
 
 
-def _draw_work(draw: random.Random) -> float:
-    if draw.random() < LONG_SHARE:
-        return draw.uniform(2.0, 5.0)
-    return min(max(draw.lognormvariate(math.log(MEDIAN_WORK), DEVIATION), 0.05), 1.0)
+def _draw_work(rng: random.Random) -> float:
+    if rng.random() < LONG_TASK_SHARE:
+        return rng.uniform(2.0, 5.0)
+    return min(max(rng.lognormvariate(math.log(MEDIAN_WORK), WORK_SIGMA), 0.05), 1.0)
 
 
-def _generate_job(draw: random.Random, at: float, tasks: tuple[int, int]) -> TracedJob:
+def _generate_job(rng: random.Random, at: float, tasks: tuple[int, int]) -> TracedJob:
     sizes = []
-    for _ in range(draw.randint(*tasks)):
-        work = _draw_work(draw)
-        error = math.exp(draw.uniform(-1, 1) * math.log(SIZE_ERROR))
+    for _ in range(rng.randint(*tasks)):
+        work = _draw_work(rng)
+        error = math.exp(rng.uniform(-1, 1) * math.log(MAX_SIZE_ERROR_FACTOR))
         sizes.append((round(work, 3), round(work * error, 3)))
     return TracedJob(round(at, 4), "default", "", tuple(sizes))
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -15,7 +15,7 @@
 SPEEDS = (1.0, 2.0, 4.0)
 TASKS = 20
 START_TIMEOUT = 15.0  # seconds
-POLL = 0.1  # seconds
+POLL_INTERVAL = 0.1  # seconds
 
 
 def main() -> None:
@@ -23,11 +23,13 @@
     processes: list[subprocess.Popen[Any]] = []
     with tempfile.TemporaryDirectory() as folder, open(f"{folder}/log", "w+") as log:
         try:
-            processes.append(_start("boragetide.daemon", folder, log))
+            processes.append(_start_process("boragetide.daemon", folder, log))
             for number, speed in enumerate(SPEEDS, 1):
                 options = [f"--id=server-{number}", f"--speed={speed}"]
                 options.append(f"--daemon={DAEMON}")
-                processes.append(_start("examples.backend_server", None, log, *options))
+                processes.append(
+                    _start_process("examples.backend_server", None, log, *options)
+                )
             _wait_for_servers()
             answer = _post("/v1/jobs", _make_job())
         finally:
@@ -41,7 +43,7 @@
         sys.exit(f"demo failed: status {answer['status']!r}, exit codes {codes}")
 
 
-def _start(module: str, folder: str | None, log: Any, *options: str) -> Any:
+def _start_process(module: str, folder: str | None, log: Any, *options: str) -> Any:
     command = [sys.executable, "-m", module, *options]
     if folder is not None:
         command.append(f"--data-folder={folder}/data")
@@ -59,7 +61,7 @@
                 return
         except urllib.error.URLError:
             pass
-        time.sleep(POLL)
+        time.sleep(POLL_INTERVAL)
     sys.exit(f"demo failed: the backend servers did not join within {START_TIMEOUT} s")
 
 
--- a/examples/run_server.py
+++ b/examples/run_server.py
@@ -19,8 +19,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-ANNOUNCEMENT = 0.5  # seconds between announcements
-LEASE_CHECK = 0.02  # seconds between checks for lapsed leases
+ANNOUNCEMENT_INTERVAL = 0.5  # seconds between announcements
+LEASE_CHECK_INTERVAL = 0.02  # seconds between checks for lapsed leases
 CORES = 64.0
 MEMORY = 64 << 30  # bytes
 DONE, STOPPED, LAPSED, FAILED = "done", "stopped", "lapsed", "failed"
@@ -51,23 +51,23 @@
         or a newer run of the task was known before (``old_run``), or if the lease of
         the order has lapsed (``late``). A run that is in progress is not started again.
         """
-        task = name_task(body)
+        task = make_task_key(body)
         if body["fence"] < self.fence:
             return "fenced"
         self.fence = body["fence"]
-        known = self.running.get(task)
-        if known is not None and known["run"] == body["run"]:
+        current = self.running.get(task)
+        if current is not None and current["run"] == body["run"]:
             return DONE
         if body["run"] <= self.highest_runs.get(task, 0):
             return "old_run"
         if body["lease_until"] <= time.monotonic():
             return "late"
         self.highest_runs[task] = body["run"]
-        work = asyncio.create_task(self._work(task, body["spec"]))
+        work = asyncio.create_task(self._run_task(task, body["spec"]))
         self.running[task] = {**body, "work": work}
         return DONE
 
-    async def _work(self, task: tuple, spec: str) -> None:
+    async def _run_task(self, task: tuple, spec: str) -> None:
         try:
             await asyncio.sleep(float(spec or 0.05))
         except ValueError:
@@ -77,15 +77,15 @@
 
     def stop(self, body: dict[str, Any]) -> str:
         """Stop a run; a start order for it that arrives later is refused."""
-        task = name_task(body)
+        task = make_task_key(body)
         if body["fence"] < self.fence:
             return "fenced"
         self.fence = body["fence"]
         highest = self.highest_runs.get(task, 0)
         self.highest_runs[task] = max(highest, body["run"])
-        known = self.running.get(task)
-        if known is not None and known["run"] <= body["run"]:
-            known["work"].cancel()
+        current = self.running.get(task)
+        if current is not None and current["run"] <= body["run"]:
+            current["work"].cancel()
             self.end(task, STOPPED)
         return DONE
 
@@ -121,7 +121,7 @@
     async def watch_leases(self) -> None:
         """End the runs whose lease has lapsed."""
         while True:
-            await asyncio.sleep(LEASE_CHECK)
+            await asyncio.sleep(LEASE_CHECK_INTERVAL)
             now = time.monotonic()
             for task, run in list(self.running.items()):
                 if run["lease_until"] < now:
@@ -135,7 +135,7 @@
             for daemon in self.daemons:
                 if await self._announce_at(client, daemon):
                     break
-            await asyncio.sleep(ANNOUNCEMENT)
+            await asyncio.sleep(ANNOUNCEMENT_INTERVAL)
 
     async def _announce_at(self, client: AsyncHTTPClient, daemon: str) -> bool:
         self.sequence += 1
@@ -162,7 +162,7 @@
         return True
 
 
-def name_task(body: dict[str, Any]) -> tuple:
+def make_task_key(body: dict[str, Any]) -> tuple:
     """Return the key of the task that a body names."""
     return body["job"], body["step"], body["index"]
 
@@ -174,21 +174,21 @@
         """Store the state of the backend server."""
         self.server = server
 
-    async def post(self, verb: str) -> None:
+    async def post(self, action: str) -> None:
         """Execute an order; respond with 421 if it is for another backend server."""
         body = json.loads(self.request.body)
         if body["server"] != self.server.id:
             self.set_status(421)
             return
-        if verb == "list":
+        if action == "list":
             answer = await self.server.list_runs(body)
-            self._answer(200 if answer else 409, answer or {})
+            self._respond(200 if answer else 409, answer or {})
             return
-        carry_out = self.server.start if verb == "start" else self.server.stop
-        result = carry_out(body)
-        self._answer(200 if result == DONE else 409, {"result": result})
+        execute = self.server.start if action == "start" else self.server.stop
+        result = execute(body)
+        self._respond(200 if result == DONE else 409, {"result": result})
 
-    def _answer(self, status: int, body: dict[str, Any]) -> None:
+    def _respond(self, status: int, body: dict[str, Any]) -> None:
         self.set_status(status)
         self.finish(json.dumps({"clock": time.monotonic(), **body}))
 
