--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -242,7 +242,7 @@
         self.numbers = itertools.count()
 
     def schedule(self, when: Seconds, action: Callable[[], None]) -> None:
-        """Schedule an action at a time."""
+        """Schedule an action for a point in time."""
         heapq.heappush(self.events, (when, next(self.numbers), action))
 
     def run(self, until: Seconds) -> None:
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -48,7 +48,7 @@
 
 CLIENT_ONE_WAY_DELAY = 0.001  # seconds between caller and instance
 SERVER_ONE_WAY_DELAY = 0.0005  # seconds between instance and backend server
-FAILURE_TIME = 0.001  # seconds after which a server that fails everything answers
+FAILURE_TIME = 0.001  # seconds; a server that fails every task answers after this
 TICK_INTERVAL = 0.1  # seconds
 START = 1_000_000.0  # Unix time at which the virtual clock starts
 
--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -19,7 +19,8 @@
 SPEEDS = (1.0, 1.0, 1.5, 2.0, 2.0, 3.0, 3.0, 4.0)
 SLOTS = 8
 MEDIAN_WORK = math.sqrt(0.05 * 1.0)  # seconds
-WORK_SIGMA = math.log(20) / 4  # 50 ms to 1 s are two deviations from the median
+# Standard deviation of the logarithm: 50 ms and 1 s are two of them from the median.
+WORK_SIGMA = math.log(20) / 4
 LONG_TASK_SHARE = 0.02
 MAX_SIZE_ERROR_FACTOR = 4.0
 SAMPLE_JOBS = 500
