--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -30,12 +30,12 @@
     """Run the scenarios and print a table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--full", action="store_true")
-    parser.add_argument("--seconds", type=float, help="length of each scenario")
+    parser.add_argument("--seconds", type=float, help="duration of each scenario")
     parser.add_argument("--only", help="run scenarios whose name contains this")
     parser.add_argument("--policy", help="run a policy of benchmarks.baseline_daemon")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--output", type=Path, help="write the figures as JSON")
-    parser.add_argument("--compare", type=Path, help="JSON of an earlier run")
+    parser.add_argument("--output", type=Path, help="write the measurements as JSON")
+    parser.add_argument("--compare", type=Path, help="JSON output of an earlier run")
     arguments = parser.parse_args()
     runs: dict[str, Any] = {}
     for scenario in list_scenarios(full=arguments.full, duration=arguments.seconds):
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -36,7 +36,7 @@
         try:
             system.start(ZONES_BY_ID)
             system.add_server("s1", "a", speed=100.0)
-            wait_for(lambda: _knows_server(system), "b1 to hear of s1")
+            wait_for(lambda: _knows_server(system), "b1 to learn of s1")
             for entry in ("a1", "a2", "b1"):
                 measure_jobs(system, entry)
         finally:
