Rename figurative and vague names in the property tests

Rules and invariants keep their names, because Hypothesis orders them by name. The use of Process.skew through a value of type Any was renamed by hand. test_dispatcher.py is not renamed.

--- a/properties/test_answers.py
+++ b/properties/test_answers.py
@@ -61,7 +61,7 @@
     def handle(self, message: Any) -> None:
         for effect in jobs.handle(message, self.state, self.now):
             if isinstance(effect, Reply):
-                self.take_reply(effect)
+                self.handle_reply(effect)
             elif isinstance(effect, Send) and isinstance(effect.message, QueueTasks):
                 job_id = effect.message.job_id
                 assert job_id not in self.queued, "queued twice"
@@ -70,16 +70,16 @@
             elif isinstance(effect, Send):
                 assert isinstance(effect.message, CancelQueued)
 
-    def take_reply(self, reply: Reply) -> None:
+    def handle_reply(self, reply: Reply) -> None:
         request = reply.to.request
         assert request not in self.replied, "two replies to one request"
         self.replied.add(request)
         if not isinstance(reply.message, JobAnswer):
             return
         del self.waiting[request]
-        self.check(reply.message)
+        self.check_answer(reply.message)
 
-    def check(self, message: JobAnswer) -> None:
+    def check_answer(self, message: JobAnswer) -> None:
         """Compare an answer with the first answer and with the reported outcomes."""
         answer = message.answer
         job_id = answer.id
--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -62,14 +62,14 @@
 @pytest.fixture(scope="module")
 def installation(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
     """Start two daemons, so that bodies also pass the codec between instances."""
-    made = System(tmp_path_factory.mktemp("border"))
-    made.start({"a1": "a", "a2": "a"})
-    made.add_server("s1", "a", speed=1000.0)
-    yield made
-    made.close()
+    system = System(tmp_path_factory.mktemp("border"))
+    system.start({"a1": "a", "a2": "a"})
+    system.add_server("s1", "a", speed=1000.0)
+    yield system
+    system.close()
 
 
-def check(system: System, method: str, path: str, body: Any) -> None:
+def check_response(system: System, method: str, path: str, body: Any) -> None:
     """Send a body to the instance that is not the placer, and check the response."""
     daemon = system.daemons_by_id["a2"]
     code, answer = call(method, daemon.url + path, body, timeout=20.0)
@@ -84,19 +84,19 @@
 @given(body=st.binary(max_size=200) | json_values.map(lambda v: json.dumps(v).encode()))
 def test_any_bytes_are_refused(installation: System, body: bytes) -> None:
     """Guards against bodies that cause an unhandled exception, not a refusal."""
-    check(installation, "POST", "/v1/jobs", body)
+    check_response(installation, "POST", "/v1/jobs", body)
 
 
 @given(body=jobs)
 def test_nearly_valid_jobs_are_answered(installation: System, body: Any) -> None:
     """Guards against values that pass validation but fail in later processing."""
-    check(installation, "POST", "/v1/jobs", body)
+    check_response(installation, "POST", "/v1/jobs", body)
 
 
 @given(body=requests)
 def test_nearly_valid_requests_are_answered(installation: System, body: Any) -> None:
     """Guards against values that pass validation but fail in later processing."""
-    check(installation, "POST", "/v1/requests", body)
+    check_response(installation, "POST", "/v1/requests", body)
 
 
 @given(
@@ -115,7 +115,7 @@
 @given(body=json_values.filter(lambda value: value != {}))
 def test_bad_requests_for_ids_are_refused(installation: System, body: Any) -> None:
     """Guards against counts that make a daemon generate ids without a limit."""
-    check(installation, "POST", "/v1/job-ids", body)
+    check_response(installation, "POST", "/v1/job-ids", body)
 
 
 @given(body=servers, server_id=st.text(min_size=1, max_size=10))
@@ -124,4 +124,4 @@
 ) -> None:
     """Guards against announcements that add an invalid record to a pool."""
     path = "".join(f"%{byte:02x}" for byte in server_id.encode("utf-8"))
-    check(installation, "PUT", f"/v1/backend-servers/{path}", body)
+    check_response(installation, "PUT", f"/v1/backend-servers/{path}", body)
--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -56,7 +56,7 @@
 )
 
 START = 1_000_000.0
-WINDOW = 600.0
+RESUBMISSION_WINDOW = 600.0
 PROFILE = settings(max_examples=3 * settings().max_examples)
 NUMBERS = st.integers(0, 1 << 20)
 
@@ -66,7 +66,7 @@
     """One incarnation of an instance, with the queued and started tasks of its pool."""
 
     name: str
-    skew: float
+    clock_skew: float
     claims: claims.ClaimsState
     jobs: jobs.JobsState
     queued: list[tuple[str, int]] = field(default_factory=list)
@@ -75,13 +75,13 @@
 
 
 @dataclass
-class Attempt:
+class ClaimAttempt:
     """A submission that the claim filter of its entry instance is processing."""
 
     entry: Process
     claim: Claim
     asked_at: float
-    dead: frozenset[str]
+    lost: frozenset[str]
     replies: dict[str, ClaimReply | None] = field(default_factory=dict)
     asked: str | None = None
 
@@ -97,26 +97,26 @@
         self.disks: dict[str, ClaimsRecovered] = {}
         self.processes: dict[str, Process] = {}
         self.network: list[tuple[Address, Any, Process | None]] = []
-        self.attempts: dict[int, Attempt] = {}
+        self.attempts: dict[int, ClaimAttempt] = {}
         self.requests = itertools.count(1)
         self.starts: Counter[tuple[str, int]] = Counter()
         self.submitted_at: dict[str, float] = {}
         for name in self.zones_by_id:
-            self.boot(name, first=True)
+            self.start_process(name, first=True)
 
-    def boot(self, name: str, *, first: bool) -> None:
+    def start_process(self, name: str, *, first: bool) -> None:
         self.now += 0.01
-        skew = 5.0 * (hash_of(name, len(self.network)) % 11 - 5) / 10
-        own = make_settings(name, self.zones_by_id)
+        skew = 5.0 * (hash_name(name, len(self.network)) % 11 - 5) / 10
+        instance_settings = make_settings(name, self.zones_by_id)
         incarnation = int((self.now + skew) * 1000)
         previous = self.processes.get(name)
         if previous is not None:
             incarnation = max(incarnation, previous.claims.incarnation + 1)
         process = Process(
             name,
-            skew if previous is None else previous.skew,
-            claims.ClaimsState(own, incarnation),
-            jobs.JobsState(own, incarnation),
+            skew if previous is None else previous.clock_skew,
+            claims.ClaimsState(instance_settings, incarnation),
+            jobs.JobsState(instance_settings, incarnation),
         )
         self.processes[name] = process
         # Messages that a process sent to itself are lost when it restarts.
@@ -128,7 +128,7 @@
 
     def handle(self, name: str, controller: str, message: Any) -> None:
         process = self.processes[name]
-        now = self.now + process.skew
+        now = self.now + process.clock_skew
         module, state = {
             "claims": (claims, process.claims),
             "jobs": (jobs, process.jobs),
@@ -138,19 +138,19 @@
                 case Send(Address(_, "configuration")):
                     pass
                 case Send(to, sent):
-                    self.post(process, to, sent)
+                    self.send(process, to, sent)
                 case Reply(None):
                     pass
                 case Reply(to, sent):
                     self.check_answer(sent)
-                    self.post(process, Address(to.instance, str(to.request)), sent)
+                    self.send(process, Address(to.instance, str(to.request)), sent)
                 case SaveSnapshot(record):
                     self.disks[name] = ClaimsRecovered(record, ())
                 case Persist(records):
                     disk = self.disks[name]
                     self.disks[name] = replace(disk, claims=disk.claims + records)
 
-    def post(self, sender: Process, to: Address, message: Any) -> None:
+    def send(self, sender: Process, to: Address, message: Any) -> None:
         local = sender if to.instance == sender.name else None
         self.network.append((to, message, local))
 
@@ -170,13 +170,13 @@
             return
         del self.network[position]
         if to.controller == "backend_servers":
-            self.queue(process, message)
+            self.handle_pool_message(process, message)
         elif to.controller.isdigit():
             self.take_reply(int(to.controller), process, message)
         else:
             self.handle(to.instance, to.controller, message)
 
-    def queue(self, process: Process, message: Any) -> None:
+    def handle_pool_message(self, process: Process, message: Any) -> None:
         if isinstance(message, QueueTasks):
             tasks = range(len(message.tasks))
             process.queued += [(message.job_id, index) for index in tasks]
@@ -190,16 +190,16 @@
         del self.attempts[request]
         if isinstance(message, ClaimReply):
             attempt.replies[attempt.asked] = message
-            self.follow(attempt)
+            self.continue_attempt(attempt)
 
-    def follow(self, attempt: Attempt) -> None:
+    def continue_attempt(self, attempt: ClaimAttempt) -> None:
         """Decide on the next step and send its message, as the claim filter does."""
         own = attempt.entry.claims.settings
         job_id = attempt.claim.id
         group = find_claim_group(find_home_zone(job_id, own), own)
         replies: Replies = attempt.replies
         entry = attempt.entry.name
-        step = decide_claim(attempt.claim, group, replies, entry, attempt.dead)
+        step = decide_claim(attempt.claim, group, replies, entry, attempt.lost)
         request = next(self.requests)
         reply_to = ReplyTo(entry, request)
         submission = Submission(job_id, "default", (Task(0), Task(1)))
@@ -228,7 +228,7 @@
                 return
         attempt.asked = to.instance
         self.attempts[request] = attempt
-        self.post(attempt.entry, to, message)
+        self.send(attempt.entry, to, message)
 
     @rule(seed=NUMBERS, steps=st.integers(1, 60))
     def submit(self, seed: int, steps: int) -> None:
@@ -239,24 +239,26 @@
                 self.submit_one(*(random.randrange(1 << 20) for _ in range(4)))
             self.run(seed, steps)
 
-    def submit_one(self, entry: int, owner: int, job: int, dead: int) -> None:
-        chosen = pick(list(self.processes.values()), entry)
-        now = self.now + chosen.skew
+    def submit_one(self, entry: int, owner: int, job: int, lost_mask: int) -> None:
+        chosen = select(list(self.processes.values()), entry)
+        now = self.now + chosen.clock_skew
         number = len(self.submitted_at)
         new_id = mint_id(chosen.claims.settings, now, number)
-        job_id = pick([f"a:{number}", new_id, *list(self.submitted_at)[-3:] * 2], job)
+        job_id = select([f"a:{number}", new_id, *list(self.submitted_at)[-3:] * 2], job)
         first = self.submitted_at.setdefault(job_id, self.now)
         if chosen.frozen_at is not None:
             return
         if (
             parse_minted(job_id, chosen.claims.settings) is None
-            and self.now > first + WINDOW
+            and self.now > first + RESUBMISSION_WINDOW
         ):
             return
-        named = pick(list(self.processes.values()), owner)
+        named = select(list(self.processes.values()), owner)
         claim = Claim(job_id, named.name, named.jobs.incarnation, now)
-        lost = {name for bit, name in enumerate(self.processes) if dead >> bit & 1}
-        self.follow(Attempt(chosen, claim, now, frozenset(lost if dead % 3 else ())))
+        lost = {name for bit, name in enumerate(self.processes) if lost_mask >> bit & 1}
+        self.continue_attempt(
+            ClaimAttempt(chosen, claim, now, frozenset(lost if lost_mask % 3 else ()))
+        )
 
     @rule(seed=NUMBERS, steps=st.integers(1, 60))
     def run(self, seed: int, steps: int) -> None:
@@ -264,8 +266,8 @@
         random = Random(seed)
         actions = (
             self.deliver,
-            self.lose,
-            self.time_out,
+            self.drop_message,
+            self.time_out_request,
             self.start_task,
             self.end_task,
         )
@@ -273,46 +275,48 @@
             (action,) = random.choices(actions, (30, 1, 1, 6, 2))
             action(random.randrange(1 << 20))
 
-    def lose(self, number: int) -> None:
+    def drop_message(self, number: int) -> None:
         if self.network:
             del self.network[number % len(self.network)]
 
-    def time_out(self, number: int) -> None:
+    def time_out_request(self, number: int) -> None:
         """Time out a pending request; its message may still arrive later."""
         if not self.attempts:
             return
-        attempt = self.attempts.pop(pick(list(self.attempts), number))
+        attempt = self.attempts.pop(select(list(self.attempts), number))
         if attempt.entry is self.processes[attempt.entry.name]:
             attempt.replies[attempt.asked] = None
-            self.follow(attempt)
+            self.continue_attempt(attempt)
 
     def start_task(self, number: int) -> None:
-        able = [p for p in self.processes.values() if p.queued and p.frozen_at is None]
-        if able:
-            process = pick(able, number)
+        runnable = [
+            p for p in self.processes.values() if p.queued and p.frozen_at is None
+        ]
+        if runnable:
+            process = select(runnable, number)
             task = process.queued.pop(number % len(process.queued))
             process.started.append(task)
             self.starts[task] += 1
 
     def end_task(self, number: int) -> None:
-        able = [p for p in self.processes.values() if p.started]
-        if able:
-            process = pick(able, number)
+        runnable = [p for p in self.processes.values() if p.started]
+        if runnable:
+            process = select(runnable, number)
             job_id, index = process.started.pop(number % len(process.started))
             ended = TaskEnded(job_id, index, TaskOutcome(TaskStatus.DONE, index))
-            self.post(process, Address(process.name, "jobs"), ended)
+            self.send(process, Address(process.name, "jobs"), ended)
 
     @rule(name=NUMBERS, clean=st.booleans())
     def restart(self, name: int, clean: bool) -> None:
-        process = pick(list(self.processes.values()), name)
+        process = select(list(self.processes.values()), name)
         if clean and process.frozen_at is None:
             self.handle(process.name, "claims", SaveClaims())
-        self.boot(process.name, first=False)
+        self.start_process(process.name, first=False)
         self.tick()
 
     @rule(name=NUMBERS)
     def freeze_or_thaw(self, name: int) -> None:
-        process = pick(list(self.processes.values()), name)
+        process = select(list(self.processes.values()), name)
         if process.frozen_at is None:
             process.frozen_at = self.now
             return
@@ -335,7 +339,7 @@
     @rule(name=NUMBERS)
     def refuse_jobs(self, name: int) -> None:
         """Refuse the queued jobs none of whose tasks has started."""
-        process = pick(list(self.processes.values()), name)
+        process = select(list(self.processes.values()), name)
         for job_id in {task[0] for task in process.queued}:
             if {(job_id, 0), (job_id, 1)} <= set(process.queued):
                 process.queued = [t for t in process.queued if t[0] != job_id]
@@ -359,11 +363,11 @@
     zones_by_id: ClassVar = {"a1": "a"}
 
 
-def pick(choices: list[Any], number: int) -> Any:
+def select(choices: list[Any], number: int) -> Any:
     return choices[number % len(choices)]
 
 
-def hash_of(name: str, number: int) -> int:
+def hash_name(name: str, number: int) -> int:
     return sum(name.encode()) * 7 + number
 
 
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -36,7 +36,7 @@
 
 STEP = 0.05  # seconds of simulated time
 EXAMPLES = 150
-CONVERGENCE = 12.0  # seconds within which a healed system must agree
+CONVERGENCE_TIME = 12.0  # seconds within which all agree once faults are repaired
 TYPES_BY_NAME = {type_.__name__: type_ for type_ in RECORD_TYPES}
 COMMAND_IDS = [f"c{number}" for number in range(8)]
 
@@ -81,10 +81,10 @@
         self.leaders_by_term: dict[int, tuple[str, int]] = {}
         self.first_by_instance: dict[str, int] = {}
         for node in self.nodes_by_id.values():
-            self.boot(node)
+            self.start_node(node)
         self.run_for(3.0, loss=0.0)
 
-    def boot(self, node: Node) -> None:
+    def start_node(self, node: Node) -> None:
         if node.retired:
             return
         self.incarnations = getattr(self, "incarnations", 0) + 1
@@ -110,16 +110,16 @@
             if node.effects_left is not None:
                 node.effects_left -= 1
                 if node.effects_left < 0:
-                    self.stop(node)
+                    self.stop_node(node)
                     return
-            self.perform(node, effect)
+            self.execute_effect(node, effect)
 
-    def stop(self, node: Node) -> None:
+    def stop_node(self, node: Node) -> None:
         node.state = None
         if node.id == "x0":
             node.version = -1
 
-    def perform(self, node: Node, effect: Effect) -> None:
+    def execute_effect(self, node: Node, effect: Effect) -> None:
         match effect:
             case Persist(records):
                 node.disk += [self.encode_record(record) for record in records]
@@ -214,7 +214,7 @@
                     envelope = Envelope(node.id, 0, "configuration", 0, kind, body)
                     self.network.append((node.id, peer.id, envelope))
 
-    def pick(self, number: int) -> Node:
+    def select_node(self, number: int) -> Node:
         nodes = list(self.nodes_by_id.values())
         return nodes[number % len(nodes)]
 
@@ -236,7 +236,7 @@
                 SetClass("batch", 1.0, 0.5) if operator else DrainBackendServer(own_id)
             )
             propose = Propose(command, own_id, max(newest + ahead, 0))
-            self.ask(self.pick(number + operator), propose)
+            self.send_proposal(self.select_node(number + operator), propose)
 
     @rule(
         numbers=st.lists(st.integers(0, 9), min_size=1, max_size=6),
@@ -249,15 +249,19 @@
             self.commands += 1
             command = DrainBackendServer(f"s{self.commands}")
             version = max(self.contents_by_version, default=0)
-            self.ask(self.pick(number), Propose(command, f"o{self.commands}", version))
+            self.send_proposal(
+                self.select_node(number), Propose(command, f"o{self.commands}", version)
+            )
             self.run_for(pause, loss)
 
     @rule(number=st.integers(0, 9), instance=st.sampled_from(["i1", "i2"]))
     def register(self, number: int, instance: str) -> None:
-        node = self.pick(number)
-        self.ask(node, Propose(RegisterAcceptor(instance, self.random.randrange(3))))
+        node = self.select_node(number)
+        self.send_proposal(
+            node, Propose(RegisterAcceptor(instance, self.random.randrange(3)))
+        )
 
-    def ask(self, node: Node, propose: Propose) -> None:
+    def send_proposal(self, node: Node, propose: Propose) -> None:
         reply_to = ReplyTo(node.id, len(node.proposals))
         node.proposals.append(propose)
         if propose.expected_version is not None:
@@ -267,19 +271,19 @@
 
     @rule(number=st.integers(0, 9), effects=st.integers(0, 6))
     def crash(self, number: int, effects: int) -> None:
-        node = self.pick(number)
+        node = self.select_node(number)
         if node.state is not None:
             node.effects_left = effects
 
     @rule(number=st.integers(0, 9))
     def restart(self, number: int) -> None:
-        node = self.pick(number)
-        self.stop(node)
-        self.boot(node)
+        node = self.select_node(number)
+        self.stop_node(node)
+        self.start_node(node)
 
     @rule(isolated=st.sets(st.integers(0, 9), max_size=2))
     def partition(self, isolated: set[int]) -> None:
-        self.cut = frozenset(self.pick(number).id for number in isolated)
+        self.cut = frozenset(self.select_node(number).id for number in isolated)
 
     @precondition(lambda self: self.may_lose_a_disk())
     @rule(lost=st.integers(0, 9), away=st.integers(0, 9), later=st.integers(0, 9))
@@ -295,18 +299,20 @@
     def resend(self, number: int, which: int) -> None:
         sent = [p for node in self.nodes_by_id.values() for p in node.proposals]
         if sent:
-            self.ask(self.pick(number), sent[which % len(sent)])
+            self.send_proposal(self.select_node(number), sent[which % len(sent)])
 
     def may_lose_a_disk(self) -> bool:
         """Return whether each member has caught up since the last lost disk."""
-        return all(self.load(n).role is not Role.BLANK for n in self.list_disks())
+        return all(
+            self.load_replica(n).role is not Role.BLANK for n in self.list_disks()
+        )
 
     def list_disks(self) -> list[Node]:
         """Return the instances with a disk that are not retired."""
         nodes = self.nodes_by_id.values()
         return [node for node in nodes if node.id != "x0" and not node.retired]
 
-    def load(self, node: Node) -> Replica:
+    def load_replica(self, node: Node) -> Replica:
         records = tuple(self.decode_record(data) for data in node.disk)
         return restore_replica(self.make_settings(node), 0, records)
 
@@ -315,10 +321,10 @@
     def lose_disk(self, number: int) -> None:
         disks = self.list_disks()
         node = disks[number % len(disks)]
-        self.stop(node)
+        self.stop_node(node)
         node.disk = []
         node.version = -1
-        self.boot(node)
+        self.start_node(node)
 
     def teardown(self) -> None:
         """Repair all faults; all nodes must agree on every accepted command."""
@@ -327,9 +333,9 @@
         self.cut = frozenset()
         for node in self.nodes_by_id.values():
             if node.state is None or node.effects_left is not None:
-                self.stop(node)
-                self.boot(node)
-        self.run_for(CONVERGENCE, loss=0.05)
+                self.stop_node(node)
+                self.start_node(node)
+        self.run_for(CONVERGENCE_TIME, loss=0.05)
         for node in self.nodes_by_id.values():
             for number in range(0 if node.retired else 4):
                 self.resend(list(self.nodes_by_id).index(node.id), number)
@@ -374,7 +380,7 @@
     def may_lose_a_disk(self) -> bool:
         """Return whether the last loss is repaired: each majority can lose a member."""
         return super().may_lose_a_disk() and all(
-            self.has_all_members(self.load(node)) for node in self.list_disks()
+            self.has_all_members(self.load_replica(node)) for node in self.list_disks()
         )
 
     def has_all_members(self, replica: Replica) -> bool:
@@ -389,7 +395,7 @@
         """Remove an instance permanently."""
         disks = self.list_disks()
         node = disks[number % len(disks)]
-        self.stop(node)
+        self.stop_node(node)
         node.retired = True
         self.run_for(seconds, loss=0.0)
 
--- a/properties/test_membership.py
+++ b/properties/test_membership.py
@@ -14,9 +14,9 @@
 from boragetide.tests.conftest import make_settings
 
 ZONES_BY_ID = {"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
-STEP = 0.1  # seconds between ticks
-QUIET = 10.0  # seconds without faults after which all instances must agree
-LOSS = 0.2  # share of messages that a lossy link drops
+TICK_INTERVAL = 0.1  # seconds between ticks
+QUIET_PERIOD = 10.0  # seconds without faults after which all instances must agree
+LOSS_RATE = 0.2  # share of messages that a lossy link drops
 
 ids = st.sampled_from(sorted(ZONES_BY_ID))
 links = st.tuples(ids, ids).filter(lambda ends: ends[0] != ends[1])
@@ -30,8 +30,8 @@
         self.now = 1_000_000.0
         self.random = random.Random(0)
         self.cut: set[tuple[str, str]] = set()
-        self.silent: set[tuple[str, str]] = set()
-        self.lossy: set[tuple[str, str]] = set()
+        self.silent_links: set[tuple[str, str]] = set()
+        self.lossy_links: set[tuple[str, str]] = set()
         self.frozen: set[str] = set()
         self.handled_at: dict[str, float] = {}
         self.states_by_id: dict[str, instances.InstancesState] = {}
@@ -47,37 +47,37 @@
         self.handled_at[instance] = self.now
 
     @property
-    def silence(self) -> float:
+    def instance_silence(self) -> float:
         return self.states_by_id["a1"].settings.timing.instance_silence
 
     def handle(self, instance: str, message: object) -> list[Effect]:
         state = self.states_by_id[instance]
         effects: list[Effect] = []
         asleep_since = self.handled_at[instance]
-        if self.now - asleep_since > self.silence:
+        if self.now - asleep_since > self.instance_silence:
             effects += instances.handle(WokeUp(asleep_since), state, self.now)
         self.handled_at[instance] = self.now
         effects += instances.handle(message, state, self.now)
-        self.perform(instance, effects)
+        self.execute_effects(instance, effects)
         return effects
 
-    def perform(self, instance: str, effects: list[Effect]) -> None:
+    def execute_effects(self, instance: str, effects: list[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Reconnect):
-                self.silent.discard((instance, effect.instance))
+                self.silent_links.discard((instance, effect.instance))
             if isinstance(effect, Send) and isinstance(effect.message, Heartbeat):
                 self.deliver((instance, effect.to.instance), effect.message)
 
     def deliver(self, link: tuple[str, str], message: Heartbeat) -> None:
-        lost = link in self.lossy and self.random.random() < LOSS
-        if lost or link in self.cut | self.silent or link[1] in self.frozen:
+        lost = link in self.lossy_links and self.random.random() < LOSS_RATE
+        if lost or link in self.cut | self.silent_links or link[1] in self.frozen:
             return
         self.handle(link[1], message)
 
     @rule(seconds=st.sampled_from([0.1, 0.6, 2.5, 5.0]))
     def advance(self, seconds: float) -> None:
-        for _ in range(round(seconds / STEP)):
-            self.now += STEP
+        for _ in range(round(seconds / TICK_INTERVAL)):
+            self.now += TICK_INTERVAL
             for instance in ZONES_BY_ID:
                 if instance not in self.frozen:
                     self.check_waits(instance, self.handle(instance, Tick()))
@@ -88,7 +88,7 @@
         abandoned = {e.instance for e in effects if isinstance(e, AbandonRequests)}
         for peer, view in state.peers_by_id.items():
             quiet_since = max(view.last_heard or 0.0, state.awake_since)
-            if self.now - quiet_since > self.silence:
+            if self.now - quiet_since > self.instance_silence:
                 assert peer in abandoned
 
     @rule(link=links)
@@ -108,16 +108,16 @@
 
     @rule(link=links)
     def silence_link(self, link: tuple[str, str]) -> None:
-        self.silent.add(link)
+        self.silent_links.add(link)
 
     @rule(link=links)
     def make_lossy(self, link: tuple[str, str]) -> None:
-        self.lossy.add(link)
+        self.lossy_links.add(link)
 
     @rule()
     def heal(self) -> None:
         self.cut.clear()
-        self.lossy.clear()
+        self.lossy_links.clear()
 
     @rule(instance=ids)
     def restart(self, instance: str) -> None:
@@ -141,11 +141,11 @@
 
     @rule()
     def quiet(self) -> None:
-        """Check that after `QUIET` without faults all agree on live placers."""
+        """Check that after `QUIET_PERIOD` without faults all agree on live placers."""
         self.heal()
         for instance in sorted(self.frozen):
             self.resume(instance)
-        self.advance(QUIET)
+        self.advance(QUIET_PERIOD)
         for zone in "ab":
             able = [
                 instance
@@ -158,7 +158,7 @@
             }
             assert len(placers) == 1
             assert placers <= (set(able) or {None})
-        assert not self.silent
+        assert not self.silent_links
 
     def list_candidates(self, instance: str) -> list[object]:
         return instances._list_candidates(self.states_by_id[instance], self.now)
@@ -171,10 +171,12 @@
             for candidate in self.list_candidates(instance):
                 if candidate.id != instance:
                     heard = state.peers_by_id[candidate.id].last_heard
-                    assert self.now - heard <= self.silence
+                    assert self.now - heard <= self.instance_silence
             marked = [view for view in state.peers_by_id.values() if view.live]
             for view in marked:
-                assert self.now - view.last_heard <= self.silence + STEP
+                assert (
+                    self.now - view.last_heard <= self.instance_silence + TICK_INTERVAL
+                )
 
     def teardown(self) -> None:
         self.quiet()
--- a/properties/test_pool.py
+++ b/properties/test_pool.py
@@ -34,7 +34,7 @@
 STATUSES = tuple(TaskStatus)
 
 
-class Pool(RuleBasedStateMachine):
+class PoolMachine(RuleBasedStateMachine):
     """Drives the controller; the oracle follows its effects and messages."""
 
     def __init__(self):
@@ -45,7 +45,7 @@
         self.jobs: dict[str, QueueTasks] = {}
         self.running: dict[str, dict[str, float]] = {name: {} for name in SERVERS}
         self.leases: dict[str, str] = {}
-        self.last: dict[tuple[str, int], TaskStatus | None] = {}
+        self.last_statuses: dict[tuple[str, int], TaskStatus | None] = {}
         self.ended: Counter[tuple[str, int]] = Counter()
         self.overdue: set[str] = set()
         self.cancelled: set[str] = set()
@@ -71,14 +71,14 @@
         for start in effect.tasks:
             index = int(start.id.rpartition(".")[2].partition("~")[0])
             key = (start.job_id, index)
-            if key in self.last:
+            if key in self.last_statuses:
                 job = self.jobs[start.job_id]
-                again = {TaskStatus.NOT_RUN}
+                restartable = {TaskStatus.NOT_RUN}
                 if job.idempotent:
-                    again.add(TaskStatus.UNKNOWN)
-                assert self.last[key] in again
+                    restartable.add(TaskStatus.UNKNOWN)
+                assert self.last_statuses[key] in restartable
             assert start.job_id not in self.cancelled | self.refused
-            self.last[key] = None
+            self.last_statuses[key] = None
             running[start.id] = self.now
         assert len(running) <= min(server.slots, max(health.limit, 1))
         self.leases[effect.server] = effect.lease
@@ -94,7 +94,7 @@
         elif isinstance(message, TasksRefused):
             assert all(
                 status is TaskStatus.NOT_RUN
-                for (job, _), status in self.last.items()
+                for (job, _), status in self.last_statuses.items()
                 if job == message.job_id
             )
             self.refused.add(message.job_id)
@@ -140,16 +140,16 @@
         running = [(s, t) for s in SERVERS for t in self.running[s]]
         server, task_id = data.draw(st.sampled_from(running))
         started = self.running[server].pop(task_id)
-        self.settle(task_id, status)
+        self.record_status(task_id, status)
         outcome = TaskOutcome(status, error="reported")
         lease = self.leases[server]
         report = TaskReport(server, lease, task_id, outcome, self.now - started)
         self.deliver(report)
         self.deliver(report)
 
-    def settle(self, task_id, status):
+    def record_status(self, task_id, status):
         job_id, _, rest = task_id.rpartition(".")
-        self.last[job_id, int(rest.partition("~")[0])] = status
+        self.last_statuses[job_id, int(rest.partition("~")[0])] = status
 
     @precondition(lambda self: bool(self.jobs))
     @rule(data=st.data())
@@ -166,7 +166,7 @@
                 if self.now >= started + TIMEOUT + 3.0:
                     del tasks[task_id]
                     self.overdue.add(task_id)
-                    self.settle(task_id, TaskStatus.UNKNOWN)
+                    self.record_status(task_id, TaskStatus.UNKNOWN)
         for server in self.servers.values():
             self.deliver(AnnounceBackendServer(server))
         self.deliver(Tick())
@@ -211,4 +211,4 @@
             assert ended + left == len(job.tasks)
 
 
-TestPool = Pool.TestCase
+TestPool = PoolMachine.TestCase
--- a/properties/test_result_stream.py
+++ b/properties/test_result_stream.py
@@ -34,8 +34,8 @@
     parser = LineParser(
         StartTasks("s", "http://s", "l", starts), waiting, reports.append
     )
-    edges = [0, *sorted(min(cut, len(stream)) for cut in cuts), len(stream)]
-    for start, end in itertools.pairwise(edges):
+    boundaries = [0, *sorted(min(cut, len(stream)) for cut in cuts), len(stream)]
+    for start, end in itertools.pairwise(boundaries):
         parser.feed(stream[start:end])
     parser.close()
     reported = [report.task_id for report in reports]
