--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,8 +1,8 @@
 """Measures real daemons and backend servers under load.
 
 ``python -m benchmarks`` runs the short form in under two minutes; ``--full`` runs
-longer and adds the other scenarios; ``--compare FILE`` sets the run against an earlier
-one.
+longer and adds the other scenarios; ``--compare FILE`` prints the run next to an
+earlier one.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from typing import Any
 
 from benchmarks.load import measure_round_trip, run_trace
-from benchmarks.messages import count_wasted, read_metrics
+from benchmarks.messages import count_wasted_messages, read_metrics
 from benchmarks.report import compare, format_table, summarize
 from benchmarks.scenarios import Scenario, list_scenarios
 from benchmarks.trace import generate_for, list_servers
@@ -30,12 +30,12 @@
     """Run the scenarios and print a table."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--full", action="store_true")
-    parser.add_argument("--seconds", type=float, help="length of each scenario")
+    parser.add_argument("--seconds", type=float, help="duration of each scenario")
     parser.add_argument("--only", help="run scenarios whose name contains this")
     parser.add_argument("--policy", help="run a policy of benchmarks.baseline_daemon")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--output", type=Path, help="write the figures as JSON")
-    parser.add_argument("--compare", type=Path, help="JSON of an earlier run")
+    parser.add_argument("--output", type=Path, help="write the measurements as JSON")
+    parser.add_argument("--compare", type=Path, help="JSON output of an earlier run")
     arguments = parser.parse_args()
     runs: dict[str, Any] = {}
     for scenario in list_scenarios(full=arguments.full, duration=arguments.seconds):
@@ -55,12 +55,13 @@
 def run_scenario(
     scenario: Scenario, seed: int, policy: str | None = None
 ) -> dict[str, Any]:
-    """Run one scenario on fresh processes and return its figures.
+    """Run one scenario on newly started processes and return its measurements.
 
     Parameters
     ----------
     policy
-        Name of a baseline; the policy of the daemon without.
+        Name of a policy of `benchmarks.baseline_daemon`; None for the policy of the
+        product.
     """
     module = DAEMON_MODULE
     if policy is not None:
@@ -98,14 +99,16 @@
     after = [read_metrics(url) for url in urls]
     summary = summarize(measured, scenario.servers, round_trip)
     summary["tasks"] = tasks
-    summary["wasted"] = count_wasted(_total(before), _total(after), tasks)
+    summary["wasted"] = count_wasted_messages(
+        _sum_counters(before), _sum_counters(after), tasks
+    )
     summary["cpu_ms"] = 1000 * sum(cpu) / tasks
     summary["cpu_ms_by_daemon"] = [1000 * seconds / tasks for seconds in cpu]
     summary["round_trip"] = round_trip
     return summary
 
 
-def _total(counters: list[Any]) -> Any:
+def _sum_counters(counters: list[Any]) -> Any:
     return sum(counters[1:], counters[0])
 
 
--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -1,7 +1,7 @@
-"""Measures what a claim costs: ``python -m benchmarks.claims``.
+"""Measures the cost of a claim: ``python -m benchmarks.claims``.
 
-Jobs of one short task are submitted one by one, with ids whose claim group the entry
-instance belongs to or not; then synced writes of the size of a claim are timed.
+Jobs of one short task are submitted one by one, at entry instances inside and outside
+of the claim group of the job id. Then synced writes of the size of a claim are timed.
 """
 
 from __future__ import annotations
@@ -19,18 +19,24 @@
 ZONES_BY_ID = {"a1": "a", "a2": "a", "a3": "a", "b1": "b"}
 JOBS = 200
 CLAIM_BYTES = 120
-SENT = "boragetide_peer_messages_sent_total"
-KINDS = ("ClaimRequest", "ClaimReply", "ClaimAndSubmit", "SubmitJob", "JobAnswer")
+SENT_METRIC = "boragetide_peer_messages_sent_total"
+MESSAGE_KINDS = (
+    "ClaimRequest",
+    "ClaimReply",
+    "ClaimAndSubmit",
+    "SubmitJob",
+    "JobAnswer",
+)
 
 
 def main() -> None:
-    """Print one line per case."""
+    """Print one line per entry instance and one for the disk."""
     with tempfile.TemporaryDirectory() as folder:
         system = System(Path(folder))
         try:
             system.start(ZONES_BY_ID)
             system.add_server("s1", "a", speed=100.0)
-            wait_for(lambda: _knows_server(system), "b1 to hear of s1")
+            wait_for(lambda: _knows_server(system), "b1 to learn of s1")
             for entry in ("a1", "a2", "b1"):
                 measure_jobs(system, entry)
         finally:
@@ -44,7 +50,10 @@
 
 
 def measure_jobs(system: System, entry: str) -> None:
-    """Submit new jobs at one instance; ``a1`` owns them, ``a`` is their home zone."""
+    """Submit jobs at one instance, and print their messages and response times.
+
+    The jobs are owned by ``a1``; their home zone is ``a``.
+    """
     for number in range(20):
         system.submit(entry, make_job(f"a:warm-{entry}-{number}", tasks=1, work=0.01))
     before = _count_sent(system)
@@ -55,7 +64,7 @@
         assert system.submit(entry, job)[1]["status"] == "complete"
         seconds.append(time.perf_counter() - start)
     sent = _count_sent(system) - before
-    parts = {kind: sent[kind] / JOBS for kind in KINDS if sent[kind]}
+    parts = {kind: sent[kind] / JOBS for kind in MESSAGE_KINDS if sent[kind]}
     print(
         f"entry {entry}: {sum(parts.values()):.2f} messages per job {parts}, "
         f"response {_describe(seconds)}"
@@ -66,13 +75,13 @@
     total: Counter[str] = Counter()
     for daemon in system.daemons_by_id.values():
         for (name, kind), value in read_metrics(daemon.url).items():
-            if name == SENT:
+            if name == SENT_METRIC:
                 total[kind] += value
     return total
 
 
 def measure_disk(path: Path) -> None:
-    """Time appends of one claim, each synced."""
+    """Time appends of the size of a claim, each followed by an fsync."""
     seconds = []
     with path.open("ab", buffering=0) as file:
         for _ in range(JOBS):
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -1,4 +1,4 @@
-"""Sends a trace to real daemons and measures each answer."""
+"""Submits the jobs of a trace to real daemons and measures each response."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
 CLIENT_CONNECTIONS = 2000
 REQUEST_TIMEOUT: Seconds = 120.0
 TASK_TIMEOUT: Seconds = 60.0
-PROBES = 50
+PROBE_COUNT = 50
 
 
 @dataclass(frozen=True, slots=True)
-class Measured:
+class MeasuredJob:
     """One answered job.
 
     Parameters
@@ -31,9 +31,9 @@
     job
         The job of the trace.
     status
-        Status of its answer.
+        Status in its answer, or ``http_CODE`` if the body has none.
     seconds
-        Response time as the client saw it.
+        Response time, measured by the client.
     """
 
     job: TracedJob
@@ -42,24 +42,24 @@
 
 
 def make_client() -> AsyncHTTPClient:
-    """Make the HTTP client of the load generator."""
+    """Return the HTTP client of the load generator."""
     AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=CLIENT_CONNECTIONS)
     return AsyncHTTPClient()
 
 
 async def run_trace(
     urls: list[str], jobs: Iterable[TracedJob], prefix: str, class_name: str = "default"
-) -> list[Measured]:
-    """Submit every job at its time, at the daemons in turn.
+) -> list[MeasuredJob]:
+    """Submit every job at its arrival time, to the daemons in turn.
 
     Parameters
     ----------
     urls
         Addresses of the daemons.
     jobs
-        Of the trace, in order of arrival.
+        Jobs of the trace, in order of arrival.
     prefix
-        Starts every job id; it names the home availability zone.
+        Prefix of every job id, which names the home availability zone.
     """
     client = make_client()
     start = time.monotonic()
@@ -82,7 +82,7 @@
 
 async def _submit(
     client: AsyncHTTPClient, url: str, body: dict[str, Any], job: TracedJob
-) -> Measured:
+) -> MeasuredJob:
     start = time.monotonic()
     response = await client.fetch(
         HTTPRequest(
@@ -98,14 +98,14 @@
         status = json.loads(response.body)["status"]
     except (KeyError, TypeError, ValueError):
         status = f"http_{response.code}"
-    return Measured(job, status, seconds)
+    return MeasuredJob(job, status, seconds)
 
 
 async def measure_round_trip(url: str) -> Seconds:
-    """Return the median time of an empty call to a daemon, in seconds."""
+    """Return the median time of a health check of a daemon, in seconds."""
     client = make_client()
     times = []
-    for _ in range(PROBES):
+    for _ in range(PROBE_COUNT):
         start = time.monotonic()
         await client.fetch(f"{url}/healthz")
         times.append(time.monotonic() - start)
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -1,7 +1,7 @@
-"""Replays a trace through the decision functions on a virtual clock.
+"""Replays a trace through the pure controllers on a virtual clock.
 
-The policy of the daemon is the pure controllers ``backend_servers`` and ``jobs``; the
-baselines are small functions in the same harness. Run ``python -m benchmarks.replay
+The policy of the daemon is that of the controllers ``backend_servers`` and ``jobs``;
+the baselines are small functions in the same harness. Run ``python -m benchmarks.replay
 --help`` for the options.
 """
 
@@ -46,16 +46,24 @@
     TaskStatus,
 )
 
-CLIENT_ONE_WAY = 0.001  # seconds between caller and instance
-SERVER_ONE_WAY = 0.0005  # seconds between instance and backend server
-FAILURE_TIME = 0.001  # seconds after which a server that fails everything answers
-TICK = 0.1  # seconds
+CLIENT_ONE_WAY_DELAY = 0.001  # seconds between caller and instance
+SERVER_ONE_WAY_DELAY = 0.0005  # seconds between instance and backend server
+FAILURE_TIME = 0.001  # seconds; a server that fails every task answers after this
+TICK_INTERVAL = 0.1  # seconds
 START = 1_000_000.0  # Unix time at which the virtual clock starts
 
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """How one job ended; ``stretch`` is its response time over the ideal one."""
+    """Result of one job.
+
+    Parameters
+    ----------
+    response
+        Response time, in seconds.
+    stretch
+        Ratio of the response time to the ideal response time.
+    """
 
     job: TracedJob
     status: Status
@@ -65,7 +73,13 @@
 
 @dataclass(slots=True)
 class VirtualServer:
-    """A backend server on the virtual clock; baselines queue tasks at it."""
+    """A backend server on the virtual clock.
+
+    Parameters
+    ----------
+    queue
+        Tasks that a baseline has bound to this server, as (number of the job, work).
+    """
 
     id: str
     slots: int
@@ -75,24 +89,24 @@
     queue: deque[tuple[int, float]] = field(default_factory=deque)
 
     def run_time(self, work: float) -> float:
-        """Return how long a task of this work holds a slot, in seconds."""
+        """Return how long a task of this work occupies a slot, in seconds."""
         return FAILURE_TIME if self.fails else work / self.speed
 
 
 @dataclass(slots=True)
 class Clock:
-    """Virtual clock: calls ordered by time."""
+    """Virtual clock: makes scheduled calls in order of time."""
 
     now: float = START
     calls: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     numbers: Any = field(default_factory=itertools.count)
 
-    def at(self, time: float, call: Callable[[], None]) -> None:
-        """Call something at a time."""
+    def schedule(self, time: float, call: Callable[[], None]) -> None:
+        """Schedule a call at a time."""
         heapq.heappush(self.calls, (time, next(self.numbers), call))
 
     def run(self, done: Callable[[], bool]) -> None:
-        """Make the calls in order until done."""
+        """Make the scheduled calls in order until ``done`` returns true."""
         while self.calls and not done():
             self.now, _, call = heapq.heappop(self.calls)
             call()
@@ -106,21 +120,23 @@
     clock: Clock
     servers_by_id: dict[str, VirtualServer]
     results: list[Result] = field(default_factory=list)
-    pool: Any = None
-    table: Any = None
+    pool_state: Any = None
+    jobs_state: Any = None
     counts: dict[str, float] = field(default_factory=dict)
     failed_tasks: int = 0
 
-    def finish(self, number: int, status: Status) -> None:
+    def record_result(self, number: int, status: Status) -> None:
         """Record the end of a job, by its number in the trace."""
         job = self.trace.jobs[number]
-        response = self.clock.now - START - job.at + 2 * CLIENT_ONE_WAY
-        stretch = response / ideal_response(job, self.trace.servers, 2 * CLIENT_ONE_WAY)
+        response = self.clock.now - START - job.at + 2 * CLIENT_ONE_WAY_DELAY
+        stretch = response / ideal_response(
+            job, self.trace.servers, 2 * CLIENT_ONE_WAY_DELAY
+        )
         self.results.append(Result(job, status, response, stretch))
 
 
 def replay(trace: Trace, policy: str, seed: int = 1) -> Replay:
-    """Run a trace to its end.
+    """Replay a trace until every job has ended.
 
     Parameters
     ----------
@@ -130,32 +146,36 @@
         ``boragetide`` or a baseline: ``random``, ``round_robin``,
         ``fewest_outstanding``, ``first_come``.
     seed
-        Of the random choices.
+        Seed of the random choices.
     """
     servers_by_id = {s.id: VirtualServer(s.id, s.slots, s.speed) for s in trace.servers}
     run = Replay(trace, Clock(), servers_by_id)
     for event in trace.events:
-        run.clock.at(START + event["at"], lambda event=event: _change(run, event))
-    make_submit = _use_controllers if policy == "boragetide" else _use_baseline
+        run.clock.schedule(
+            START + event["at"], lambda event=event: _apply_event(run, event)
+        )
+    make_submit = (
+        _make_controller_submit if policy == "boragetide" else _make_baseline_submit
+    )
     submit = make_submit(run, policy, random.Random(seed))
     for number, job in enumerate(trace.jobs):
-        run.clock.at(START + job.at, lambda number=number: submit(number))
+        run.clock.schedule(START + job.at, lambda number=number: submit(number))
     run.clock.run(lambda: len(run.results) == len(trace.jobs))
     return run
 
 
-def _change(run: Replay, event: dict[str, Any]) -> None:
+def _apply_event(run: Replay, event: dict[str, Any]) -> None:
     server = run.servers_by_id[event["server"]]
     server.speed /= event.get("slower", 1.0)
     server.fails = event.get("fails", server.fails)
 
 
-def _use_controllers(
-    run: Replay, policy: str, draw: random.Random
+def _make_controller_submit(
+    run: Replay, policy: str, rng: random.Random
 ) -> Callable[[int], None]:
     settings = parse_settings(EMBEDDED_DEFAULT)
-    run.pool = backend_servers.BackendServersState(settings, 1, jitter=draw)
-    run.table = jobs.JobsState(settings, 1)
+    run.pool_state = backend_servers.BackendServersState(settings, 1, jitter=rng)
+    run.jobs_state = jobs.JobsState(settings, 1)
     classes = {
         name: ClassTarget(name, target) for name, target in run.trace.targets.items()
     }
@@ -168,14 +188,14 @@
 def _tick(run: Replay) -> None:
     now = run.clock.now
     for server in run.servers_by_id.values():
-        known = run.pool.servers_by_id.get(server.id)
+        known = run.pool_state.servers_by_id.get(server.id)
         if known is None or now - known.renewed_at > 2.0:
             record = BackendServer(
                 server.id, f"http://{server.id}", "local", "", server.slots, 64, 64, 1
             )
             _deliver(run, "backend_servers", AnnounceBackendServer(record))
     _deliver(run, "backend_servers", Tick())
-    run.clock.at(now + TICK, lambda: _tick(run))
+    run.clock.schedule(now + TICK_INTERVAL, lambda: _tick(run))
 
 
 def _submit(run: Replay, number: int) -> None:
@@ -193,45 +213,47 @@
 
 
 def _deliver(run: Replay, controller: str, message: Any) -> None:
-    """Apply a message and everything that it causes at once."""
+    """Apply a message, and the messages that it causes without a delay."""
     pending = deque([(controller, message)])
     while pending:
         controller, message = pending.popleft()
         if controller == "jobs":
-            made = jobs.handle(message, run.table, run.clock.now)
+            made_effects = jobs.handle(message, run.jobs_state, run.clock.now)
         elif controller == "backend_servers":
-            made = backend_servers.handle(message, run.pool, run.clock.now)
+            made_effects = backend_servers.handle(
+                message, run.pool_state, run.clock.now
+            )
         else:
             continue
-        for effect in made:
-            pending.extend(_perform(effect, run))
+        for effect in made_effects:
+            pending.extend(_execute_effect(effect, run))
 
 
 @singledispatch
-def _perform(effect: Any, run: Replay) -> list[tuple[str, Any]]:
-    """Perform an effect; return the messages it sends at once."""
+def _execute_effect(effect: Any, run: Replay) -> list[tuple[str, Any]]:
+    """Execute an effect; return the messages that it sends without a delay."""
     return []
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.Send, run: Replay) -> list[tuple[str, Any]]:
     return [(effect.to.controller, effect.message)]
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.Count, run: Replay) -> list[tuple[str, Any]]:
     run.counts[effect.metric] = run.counts.get(effect.metric, 0.0) + effect.value
     return []
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.Reply, run: Replay) -> list[tuple[str, Any]]:
     if isinstance(effect.message, JobAnswer):
-        run.finish(effect.to.request, effect.message.answer.status)
+        run.record_result(effect.to.request, effect.message.answer.status)
     return []
 
 
-@_perform.register
+@_execute_effect.register
 def _(effect: effects.StartTasks, run: Replay) -> list[tuple[str, Any]]:
     server = run.servers_by_id[effect.server]
     for start in effect.tasks:
@@ -243,35 +265,39 @@
         report = TaskReport(
             effect.server, effect.lease, start.id, TaskOutcome(status), seconds
         )
-        run.clock.at(
-            run.clock.now + seconds + 2 * SERVER_ONE_WAY,
+        run.clock.schedule(
+            run.clock.now + seconds + 2 * SERVER_ONE_WAY_DELAY,
             lambda report=report: _deliver(run, "backend_servers", report),
         )
     return []
 
 
-def _use_baseline(
-    run: Replay, policy: str, draw: random.Random
+def _make_baseline_submit(
+    run: Replay, policy: str, rng: random.Random
 ) -> Callable[[int], None]:
-    """Bind tasks on arrival to a server, or late to any free slot in order."""
+    """Return the submit function of a baseline policy.
+
+    ``first_come`` binds tasks in order of arrival, each when a slot is free; the other
+    baselines bind each task to a server on arrival.
+    """
     servers = list(run.servers_by_id.values())
     turns = itertools.cycle(servers)
     choose: dict[str, Callable[[], VirtualServer]] = {
-        "random": lambda: draw.choice(servers),
+        "random": lambda: rng.choice(servers),
         "round_robin": lambda: next(turns),
         "fewest_outstanding": lambda: min(
-            servers, key=lambda s: (s.running + len(s.queue), draw.random())
+            servers, key=lambda s: (s.running + len(s.queue), rng.random())
         ),
     }
     shared: deque[tuple[int, float]] = deque()
-    left = [len(job.tasks) for job in run.trace.jobs]
+    remaining_tasks = [len(job.tasks) for job in run.trace.jobs]
     failed: set[int] = set()
 
     def start(server: VirtualServer, number: int, work: float) -> None:
         server.running += 1
         fails = server.fails
-        run.clock.at(
-            run.clock.now + server.run_time(work) + 2 * SERVER_ONE_WAY,
+        run.clock.schedule(
+            run.clock.now + server.run_time(work) + 2 * SERVER_ONE_WAY_DELAY,
             lambda: end(server, number, fails),
         )
 
@@ -280,11 +306,13 @@
         queue = shared if policy == "first_come" else server.queue
         if queue:
             start(server, *queue.popleft())
-        left[number] -= 1
+        remaining_tasks[number] -= 1
         if fails:
             failed.add(number)
-        if not left[number]:
-            run.finish(number, Status.FAILED if number in failed else Status.COMPLETE)
+        if not remaining_tasks[number]:
+            run.record_result(
+                number, Status.FAILED if number in failed else Status.COMPLETE
+            )
 
     def submit(number: int) -> None:
         for work, _ in run.trace.jobs[number].tasks:
@@ -293,7 +321,7 @@
                 if not free:
                     shared.append((number, work))
                     continue
-                start(draw.choice(free), number, work)
+                start(rng.choice(free), number, work)
                 continue
             server = choose[policy]()
             if server.running < server.slots:
@@ -306,7 +334,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """Response time over ideal of the complete jobs, and how the others ended."""
+    """Summary of a replay.
+
+    Parameters
+    ----------
+    mean, p50, p99
+        Stretch of the complete jobs: response time over ideal response time.
+    complete, refused, failed
+        Numbers of jobs.
+    """
 
     mean: float
     p50: float
@@ -317,7 +353,7 @@
 
 
 def summarize(run: Replay, skip: int = 0) -> Summary:
-    """Summarize a run without the first ``skip`` results."""
+    """Summarize a replay without its first ``skip`` results."""
     results = run.results[skip:]
     stretches = sorted(r.stretch for r in results if r.status is Status.COMPLETE)
     count = len(stretches)
--- a/benchmarks/trace.py
+++ b/benchmarks/trace.py
@@ -1,6 +1,6 @@
 """Traces: recorded or generated arrivals, as JSON lines.
 
-The first line describes the backend servers, what happens to them and the class
+The first line describes the backend servers, the events that change them and the class
 targets; each further line is a job with the true work and the declared size of each
 task, in seconds at speed 1.
 """
@@ -19,9 +19,10 @@
 SPEEDS = (1.0, 1.0, 1.5, 2.0, 2.0, 3.0, 3.0, 4.0)
 SLOTS = 8
 MEDIAN_WORK = math.sqrt(0.05 * 1.0)  # seconds
-DEVIATION = math.log(20) / 4  # 50 ms to 1 s are two deviations from the median
-LONG_SHARE = 0.02
-SIZE_ERROR = 4.0
+# Standard deviation of the logarithm: 50 ms and 1 s are two of them from the median.
+WORK_SIGMA = math.log(20) / 4
+LONG_TASK_SHARE = 0.02
+MAX_SIZE_ERROR_FACTOR = 4.0
 SAMPLE_JOBS = 500
 
 
@@ -36,7 +37,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TracedJob:
-    """A job of a trace; ``tasks`` are (true work, declared size) in seconds."""
+    """A job of a trace.
+
+    Parameters
+    ----------
+    at
+        Arrival time from the start of the trace, in seconds.
+    tasks
+        Pairs of true work and declared size, in seconds at speed 1.
+    """
 
     at: float
     class_name: str
@@ -46,10 +55,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Trace:
-    """A trace; ``events`` change servers, ``targets`` are response times by class.
+    """A trace of arrivals.
 
-    An event is ``{"at": seconds, "server": id}`` with ``"slower": factor`` or
-    ``"fails": true``.
+    Parameters
+    ----------
+    events
+        Changes of servers: ``{"at": seconds, "server": id}`` with
+        ``"slower": factor`` or ``"fails": true``.
+    targets
+        Response time by class, in seconds.
     """
 
     servers: tuple[TracedServer, ...]
@@ -73,10 +87,11 @@
     Parameters
     ----------
     seed
-        Of the random numbers.
+        Seed of the random numbers.
     load
-        Share of the total speed that the work takes. It is exact over the trace: a
-        chance deviation of a few percent would decide the results at high load.
+        Share of the total speed of all slots that the work takes. The trace has
+        exactly this load: a random deviation of a few percent would determine the
+        results at high load.
     tasks
         Lowest and highest number of tasks of a job, uniformly drawn.
     jobs
@@ -84,28 +99,30 @@
     burst
         Time in seconds at which this many additional jobs arrive at once.
     events
-        What happens to servers.
+        Changes of servers, as in `Trace`.
     target
         Response time of the class, in seconds.
     """
-    draw = random.Random(seed)
+    rng = random.Random(seed)
     servers = list_servers()
-    gaps = [draw.expovariate(1.0) for _ in range(jobs)]
-    made = [_generate_job(draw, 0.0, tasks) for _ in range(jobs)]
-    work = sum(size for job in made for size, _ in job.tasks)
+    gaps = [rng.expovariate(1.0) for _ in range(jobs)]
+    generated = [_generate_job(rng, 0.0, tasks) for _ in range(jobs)]
+    work = sum(size for job in generated for size, _ in job.tasks)
     scale = work / (load * SLOTS * sum(SPEEDS) * sum(gaps))
     times = itertools.accumulate(gap * scale for gap in gaps)
-    made = [replace(job, at=round(at, 4)) for job, at in zip(made, times, strict=True)]
+    generated = [
+        replace(job, at=round(at, 4)) for job, at in zip(generated, times, strict=True)
+    ]
     if burst is not None:
-        made += [_generate_job(draw, burst[0], tasks) for _ in range(burst[1])]
-    made.sort(key=lambda job: job.at)
-    return Trace(servers, tuple(made), tuple(events), {"default": target})
+        generated += [_generate_job(rng, burst[0], tasks) for _ in range(burst[1])]
+    generated.sort(key=lambda job: job.at)
+    return Trace(servers, tuple(generated), tuple(events), {"default": target})
 
 
 def generate_for(
     seconds: float, *, seed: int, load: float, tasks: tuple[int, int]
 ) -> Trace:
-    """Generate a trace of about this length in seconds; see `generate`."""
+    """Generate a trace of about ``seconds`` in length; see `generate`."""
     sample = generate(seed, load, tasks, SAMPLE_JOBS)
     jobs = max(1, round(SAMPLE_JOBS * seconds / sample.jobs[-1].at))
     return generate(seed, load, tasks, jobs)
@@ -114,14 +131,14 @@
 def ideal_response(
     job: TracedJob, servers: Iterable[TracedServer], round_trip: float
 ) -> float:
-    """Return the ideal response time of a job alone in the pool, in seconds.
+    """Return the ideal response time of a job that has the pool to itself, in seconds.
 
     Parameters
     ----------
     servers
         Backend servers in service.
     round_trip
-        Two one-way trips, in seconds.
+        Network round trip of the caller, in seconds.
     """
     in_service = tuple(servers)
     work = [task[0] for task in job.tasks]
@@ -131,24 +148,24 @@
 
 
 def list_servers(speeds: Iterable[float] = SPEEDS) -> tuple[TracedServer, ...]:
-    """Return the backend servers of the targets, or others of these speeds."""
+    """Return a backend server per speed; by default the eight of the targets."""
     return tuple(
         TracedServer(f"s{number}", SLOTS, speed)
         for number, speed in enumerate(speeds, 1)
     )
 
 
-def _draw_work(draw: random.Random) -> float:
-    if draw.random() < LONG_SHARE:
-        return draw.uniform(2.0, 5.0)
-    return min(max(draw.lognormvariate(math.log(MEDIAN_WORK), DEVIATION), 0.05), 1.0)
+def _draw_work(rng: random.Random) -> float:
+    if rng.random() < LONG_TASK_SHARE:
+        return rng.uniform(2.0, 5.0)
+    return min(max(rng.lognormvariate(math.log(MEDIAN_WORK), WORK_SIGMA), 0.05), 1.0)
 
 
-def _generate_job(draw: random.Random, at: float, tasks: tuple[int, int]) -> TracedJob:
+def _generate_job(rng: random.Random, at: float, tasks: tuple[int, int]) -> TracedJob:
     sizes = []
-    for _ in range(draw.randint(*tasks)):
-        work = _draw_work(draw)
-        error = math.exp(draw.uniform(-1, 1) * math.log(SIZE_ERROR))
+    for _ in range(rng.randint(*tasks)):
+        work = _draw_work(rng)
+        error = math.exp(rng.uniform(-1, 1) * math.log(MAX_SIZE_ERROR_FACTOR))
         sizes.append((round(work, 3), round(work * error, 3)))
     return TracedJob(round(at, 4), "default", "", tuple(sizes))
 
--- a/examples/run_server.py
+++ b/examples/run_server.py
@@ -1,6 +1,7 @@
-"""A small backend server for durable tasks: sleeps for as long as the spec says.
+"""A minimal backend server for durable tasks: sleeps for the seconds in the spec.
 
-It keeps what the protocol asks for: fences, run numbers, leases and the list of ends.
+The server implements the protocol for runs: fences, run numbers, leases and the list of
+ended runs.
 """
 
 from __future__ import annotations
@@ -18,8 +19,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-ANNOUNCEMENT = 0.5  # seconds between announcements
-LEASE_CHECK = 0.02  # seconds
+ANNOUNCEMENT_INTERVAL = 0.5  # seconds between announcements
+LEASE_CHECK_INTERVAL = 0.02  # seconds between checks for lapsed leases
 CORES = 64.0
 MEMORY = 64 << 30  # bytes
 DONE, STOPPED, LAPSED, FAILED = "done", "stopped", "lapsed", "failed"
@@ -44,24 +45,29 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def start(self, body: dict[str, Any]) -> str:
-        """Start a run, unless a newer leader, run or the lease forbid it."""
-        task = name_task(body)
+        """Start a run and return the result of the order.
+
+        The order is refused if a newer leader has given an order (``fenced``), if this
+        or a newer run of the task was known before (``old_run``), or if the lease of
+        the order has lapsed (``late``). A run that is in progress is not started again.
+        """
+        task = make_task_key(body)
         if body["fence"] < self.fence:
             return "fenced"
         self.fence = body["fence"]
-        known = self.running.get(task)
-        if known is not None and known["run"] == body["run"]:
+        current = self.running.get(task)
+        if current is not None and current["run"] == body["run"]:
             return DONE
         if body["run"] <= self.highest_runs.get(task, 0):
             return "old_run"
         if body["lease_until"] <= time.monotonic():
             return "late"
         self.highest_runs[task] = body["run"]
-        work = asyncio.create_task(self._work(task, body["spec"]))
+        work = asyncio.create_task(self._run_task(task, body["spec"]))
         self.running[task] = {**body, "work": work}
         return DONE
 
-    async def _work(self, task: tuple, spec: str) -> None:
+    async def _run_task(self, task: tuple, spec: str) -> None:
         try:
             await asyncio.sleep(float(spec or 0.05))
         except ValueError:
@@ -70,21 +76,21 @@
             self.end(task, DONE)
 
     def stop(self, body: dict[str, Any]) -> str:
-        """Stop a run; it does not start later either."""
-        task = name_task(body)
+        """Stop a run; a start order for it that arrives later is refused."""
+        task = make_task_key(body)
         if body["fence"] < self.fence:
             return "fenced"
         self.fence = body["fence"]
         highest = self.highest_runs.get(task, 0)
         self.highest_runs[task] = max(highest, body["run"])
-        known = self.running.get(task)
-        if known is not None and known["run"] <= body["run"]:
-            known["work"].cancel()
+        current = self.running.get(task)
+        if current is not None and current["run"] <= body["run"]:
+            current["work"].cancel()
             self.end(task, STOPPED)
         return DONE
 
     def end(self, task: tuple, reason: str) -> None:
-        """End a run and list it until that is acknowledged."""
+        """End a run and list the end until it is acknowledged."""
         run = self.running.pop(task)
         self.end_count += 1
         listed = {key: run[key] for key in ("job", "step", "index", "run")}
@@ -92,7 +98,11 @@
         self.changed.set()
 
     async def list_runs(self, body: dict[str, Any]) -> dict[str, Any] | None:
-        """Renew the leases and list all runs, after waiting for an end."""
+        """Renew the leases and list all runs.
+
+        If no end is listed, wait for one for up to ``body["wait"]`` seconds. Returns
+        None if a newer leader has given an order.
+        """
         if body["fence"] < self.fence:
             return None
         self.fence = body["fence"]
@@ -111,7 +121,7 @@
     async def watch_leases(self) -> None:
         """End the runs whose lease has lapsed."""
         while True:
-            await asyncio.sleep(LEASE_CHECK)
+            await asyncio.sleep(LEASE_CHECK_INTERVAL)
             now = time.monotonic()
             for task, run in list(self.running.items()):
                 if run["lease_until"] < now:
@@ -119,13 +129,13 @@
                     self.end(task, LAPSED)
 
     async def announce(self) -> None:
-        """Announce this backend server at the first daemon that answers."""
+        """Announce this backend server regularly, to the first daemon that answers."""
         client = AsyncHTTPClient()
         while True:
             for daemon in self.daemons:
                 if await self._announce_at(client, daemon):
                     break
-            await asyncio.sleep(ANNOUNCEMENT)
+            await asyncio.sleep(ANNOUNCEMENT_INTERVAL)
 
     async def _announce_at(self, client: AsyncHTTPClient, daemon: str) -> bool:
         self.sequence += 1
@@ -152,33 +162,33 @@
         return True
 
 
-def name_task(body: dict[str, Any]) -> tuple:
+def make_task_key(body: dict[str, Any]) -> tuple:
     """Return the key of the task that a body names."""
     return body["job"], body["step"], body["index"]
 
 
 class RunsHandler(RequestHandler):
-    """Takes starts, stops and questions."""
+    """Handles start and stop orders and requests for the list of runs."""
 
     def initialize(self, server: RunServer) -> None:
-        """Keep the state."""
+        """Store the state of the backend server."""
         self.server = server
 
-    async def post(self, verb: str) -> None:
-        """Carry out an order; 421 where another backend server is meant."""
+    async def post(self, action: str) -> None:
+        """Execute an order; respond with 421 if it is for another backend server."""
         body = json.loads(self.request.body)
         if body["server"] != self.server.id:
             self.set_status(421)
             return
-        if verb == "list":
+        if action == "list":
             answer = await self.server.list_runs(body)
-            self._answer(200 if answer else 409, answer or {})
+            self._respond(200 if answer else 409, answer or {})
             return
-        carry_out = self.server.start if verb == "start" else self.server.stop
-        result = carry_out(body)
-        self._answer(200 if result == DONE else 409, {"result": result})
+        execute = self.server.start if action == "start" else self.server.stop
+        result = execute(body)
+        self._respond(200 if result == DONE else 409, {"result": result})
 
-    def _answer(self, status: int, body: dict[str, Any]) -> None:
+    def _respond(self, status: int, body: dict[str, Any]) -> None:
         self.set_status(status)
         self.finish(json.dumps({"clock": time.monotonic(), **body}))
 
--- a/properties/test_answers.py
+++ b/properties/test_answers.py
@@ -1,4 +1,4 @@
-"""Every waiter gets the one whole answer of its job, in whatever order tasks end."""
+"""Every waiting request gets the same complete answer, in any order of task ends."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 
 
 class AnswersMachine(RuleBasedStateMachine):
-    """One owner with crossed, late and duplicate outcomes of a few jobs."""
+    """One owner instance that gets reordered, late and duplicate task outcomes."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -61,7 +61,7 @@
     def handle(self, message: Any) -> None:
         for effect in jobs.handle(message, self.state, self.now):
             if isinstance(effect, Reply):
-                self.take_reply(effect)
+                self.handle_reply(effect)
             elif isinstance(effect, Send) and isinstance(effect.message, QueueTasks):
                 job_id = effect.message.job_id
                 assert job_id not in self.queued, "queued twice"
@@ -70,17 +70,17 @@
             elif isinstance(effect, Send):
                 assert isinstance(effect.message, CancelQueued)
 
-    def take_reply(self, reply: Reply) -> None:
+    def handle_reply(self, reply: Reply) -> None:
         request = reply.to.request
         assert request not in self.replied, "two replies to one request"
         self.replied.add(request)
         if not isinstance(reply.message, JobAnswer):
             return
         del self.waiting[request]
-        self.check(reply.message)
+        self.check_answer(reply.message)
 
-    def check(self, message: JobAnswer) -> None:
-        """Compare an answer with the first one and with the outcomes that came."""
+    def check_answer(self, message: JobAnswer) -> None:
+        """Compare an answer with the first answer and with the reported outcomes."""
         answer = message.answer
         job_id = answer.id
         if message.refused_for == OTHER_CONTENT:
@@ -123,7 +123,7 @@
 
     @rule(job_id=JOBS, order=st.permutations(range(3)), twice=st.booleans())
     def end_all_tasks(self, job_id: str, order: list[int], twice: bool) -> None:
-        """End the tasks of a job in any order, as single random ends seldom do."""
+        """End all tasks of a job in any order; random calls of `end_task` rarely do."""
         for index in order:
             if index < self.queued.get(job_id, 0):
                 for _ in range(1 + twice):
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -1,4 +1,4 @@
-"""Agreement on the configuration over a bad network, with crashes and lost disks."""
+"""Consensus on the configuration under message loss, crashes and lost disks."""
 
 from __future__ import annotations
 
@@ -36,14 +36,14 @@
 
 STEP = 0.05  # seconds of simulated time
 EXAMPLES = 150
-CONVERGENCE = 12.0  # seconds within which a healed system must agree
+CONVERGENCE_TIME = 12.0  # seconds within which all agree once faults are repaired
 TYPES_BY_NAME = {type_.__name__: type_ for type_ in RECORD_TYPES}
 COMMAND_IDS = [f"c{number}" for number in range(8)]
 
 
 @dataclass
 class Node:
-    """One instance: its state while it runs, and what is on its disk."""
+    """One instance: its state while it runs, and the records on its disk."""
 
     id: str
     incarnation: int = 0
@@ -56,7 +56,7 @@
 
 
 class Agreement(RuleBasedStateMachine):
-    """Members ``m0`` to ``m2`` with disks and an instance ``x0`` without."""
+    """Members ``m0`` to ``m2`` with disks, and an instance ``x0`` without a disk."""
 
     members = 3
     spares = 0
@@ -81,10 +81,10 @@
         self.leaders_by_term: dict[int, tuple[str, int]] = {}
         self.first_by_instance: dict[str, int] = {}
         for node in self.nodes_by_id.values():
-            self.boot(node)
+            self.start_node(node)
         self.run_for(3.0, loss=0.0)
 
-    def boot(self, node: Node) -> None:
+    def start_node(self, node: Node) -> None:
         if node.retired:
             return
         self.incarnations = getattr(self, "incarnations", 0) + 1
@@ -110,16 +110,16 @@
             if node.effects_left is not None:
                 node.effects_left -= 1
                 if node.effects_left < 0:
-                    self.stop(node)
+                    self.stop_node(node)
                     return
-            self.perform(node, effect)
+            self.execute_effect(node, effect)
 
-    def stop(self, node: Node) -> None:
+    def stop_node(self, node: Node) -> None:
         node.state = None
         if node.id == "x0":
             node.version = -1
 
-    def perform(self, node: Node, effect: Effect) -> None:
+    def execute_effect(self, node: Node, effect: Effect) -> None:
         match effect:
             case Persist(records):
                 node.disk += [self.encode_record(record) for record in records]
@@ -169,7 +169,7 @@
         known = self.outcomes_by_command.setdefault(propose.command_id, outcome)
         assert known == outcome
         if message.status is CommandStatus.ACCEPTED:
-            # An id that was used with another version keeps its one outcome.
+            # A command id that is reused with another version keeps its first outcome.
             expected = self.versions_by_command[propose.command_id]
             assert message.version - 1 in expected
             assert (
@@ -214,7 +214,7 @@
                     envelope = Envelope(node.id, 0, "configuration", 0, kind, body)
                     self.network.append((node.id, peer.id, envelope))
 
-    def pick(self, number: int) -> Node:
+    def select_node(self, number: int) -> Node:
         nodes = list(self.nodes_by_id.values())
         return nodes[number % len(nodes)]
 
@@ -236,7 +236,7 @@
                 SetClass("batch", 1.0, 0.5) if operator else DrainBackendServer(own_id)
             )
             propose = Propose(command, own_id, max(newest + ahead, 0))
-            self.ask(self.pick(number + operator), propose)
+            self.send_proposal(self.select_node(number + operator), propose)
 
     @rule(
         numbers=st.lists(st.integers(0, 9), min_size=1, max_size=6),
@@ -244,20 +244,24 @@
         pause=st.sampled_from([0.0, 0.1, 0.4]),
     )
     def operate(self, numbers: list[int], loss: float, pause: float) -> None:
-        """Send a change after the other, each on top of the newest version seen."""
+        """Propose changes one after another, each based on the newest known version."""
         for number in numbers:
             self.commands += 1
             command = DrainBackendServer(f"s{self.commands}")
             version = max(self.contents_by_version, default=0)
-            self.ask(self.pick(number), Propose(command, f"o{self.commands}", version))
+            self.send_proposal(
+                self.select_node(number), Propose(command, f"o{self.commands}", version)
+            )
             self.run_for(pause, loss)
 
     @rule(number=st.integers(0, 9), instance=st.sampled_from(["i1", "i2"]))
     def register(self, number: int, instance: str) -> None:
-        node = self.pick(number)
-        self.ask(node, Propose(RegisterAcceptor(instance, self.random.randrange(3))))
+        node = self.select_node(number)
+        self.send_proposal(
+            node, Propose(RegisterAcceptor(instance, self.random.randrange(3)))
+        )
 
-    def ask(self, node: Node, propose: Propose) -> None:
+    def send_proposal(self, node: Node, propose: Propose) -> None:
         reply_to = ReplyTo(node.id, len(node.proposals))
         node.proposals.append(propose)
         if propose.expected_version is not None:
@@ -267,24 +271,24 @@
 
     @rule(number=st.integers(0, 9), effects=st.integers(0, 6))
     def crash(self, number: int, effects: int) -> None:
-        node = self.pick(number)
+        node = self.select_node(number)
         if node.state is not None:
             node.effects_left = effects
 
     @rule(number=st.integers(0, 9))
     def restart(self, number: int) -> None:
-        node = self.pick(number)
-        self.stop(node)
-        self.boot(node)
+        node = self.select_node(number)
+        self.stop_node(node)
+        self.start_node(node)
 
     @rule(isolated=st.sets(st.integers(0, 9), max_size=2))
     def partition(self, isolated: set[int]) -> None:
-        self.cut = frozenset(self.pick(number).id for number in isolated)
+        self.cut = frozenset(self.select_node(number).id for number in isolated)
 
     @precondition(lambda self: self.may_lose_a_disk())
     @rule(lost=st.integers(0, 9), away=st.integers(0, 9), later=st.integers(0, 9))
     def lose_disk_apart(self, lost: int, away: int, later: int) -> None:
-        """Lose a disk while those that know the newest changes are cut off."""
+        """Lose a disk while the members that know the newest changes are cut off."""
         self.partition({away % self.members})
         self.operate([lost % self.members], 0.0, 0.4)
         self.lose_disk(lost)
@@ -295,18 +299,20 @@
     def resend(self, number: int, which: int) -> None:
         sent = [p for node in self.nodes_by_id.values() for p in node.proposals]
         if sent:
-            self.ask(self.pick(number), sent[which % len(sent)])
+            self.send_proposal(self.select_node(number), sent[which % len(sent)])
 
     def may_lose_a_disk(self) -> bool:
-        """Tell whether each member has caught up since the last lost disk."""
-        return all(self.load(n).role is not Role.BLANK for n in self.list_disks())
+        """Return whether each member has caught up since the last lost disk."""
+        return all(
+            self.load_replica(n).role is not Role.BLANK for n in self.list_disks()
+        )
 
     def list_disks(self) -> list[Node]:
-        """Return the instances with a disk that were not taken away."""
+        """Return the instances with a disk that are not retired."""
         nodes = self.nodes_by_id.values()
         return [node for node in nodes if node.id != "x0" and not node.retired]
 
-    def load(self, node: Node) -> Replica:
+    def load_replica(self, node: Node) -> Replica:
         records = tuple(self.decode_record(data) for data in node.disk)
         return restore_replica(self.make_settings(node), 0, records)
 
@@ -315,21 +321,21 @@
     def lose_disk(self, number: int) -> None:
         disks = self.list_disks()
         node = disks[number % len(disks)]
-        self.stop(node)
+        self.stop_node(node)
         node.disk = []
         node.version = -1
-        self.boot(node)
+        self.start_node(node)
 
     def teardown(self) -> None:
-        """Heal everything; all must agree on everything that was accepted."""
+        """Repair all faults; all nodes must agree on every accepted command."""
         if not hasattr(self, "nodes_by_id"):
             return
         self.cut = frozenset()
         for node in self.nodes_by_id.values():
             if node.state is None or node.effects_left is not None:
-                self.stop(node)
-                self.boot(node)
-        self.run_for(CONVERGENCE, loss=0.05)
+                self.stop_node(node)
+                self.start_node(node)
+        self.run_for(CONVERGENCE_TIME, loss=0.05)
         for node in self.nodes_by_id.values():
             for number in range(0 if node.retired else 4):
                 self.resend(list(self.nodes_by_id).index(node.id), number)
@@ -344,7 +350,7 @@
         assert {member.role for member in members} <= {Role.LEADER, Role.FOLLOWER}
         for member in members:
             self.check_history(member)
-        # A learner may still be unknown to a leader that was elected just now.
+        # A newly elected leader may not know a learner yet.
         catalogues = [member.catalogue for member in members if member.is_member]
         assert all(catalogue == catalogues[0] for catalogue in catalogues)
 
@@ -355,13 +361,13 @@
 
 
 class AgreementOfFive(Agreement):
-    """Five members, so that two may be away at the same time."""
+    """Five members, so that two may be unavailable at the same time."""
 
     members = 5
 
 
 class AgreementWithSpare(Agreement):
-    """Three members and a spare, which takes the place of one that is taken away."""
+    """Three members and a spare, which replaces a member that is retired."""
 
     spares = 1
 
@@ -372,9 +378,9 @@
         )
 
     def may_lose_a_disk(self) -> bool:
-        """Tell whether the last loss is repaired: each majority can spare a member."""
+        """Return whether the last loss is repaired: each majority can lose a member."""
         return super().may_lose_a_disk() and all(
-            self.has_all_members(self.load(node)) for node in self.list_disks()
+            self.has_all_members(self.load_replica(node)) for node in self.list_disks()
         )
 
     def has_all_members(self, replica: Replica) -> bool:
@@ -386,10 +392,10 @@
     @precondition(lambda self: self.may_be_replaced())
     @rule(number=st.integers(0, 9), seconds=st.sampled_from([0.0, 1.0, 5.0]))
     def take_away(self, number: int, seconds: float) -> None:
-        """Lose an instance for good."""
+        """Remove an instance permanently."""
         disks = self.list_disks()
         node = disks[number % len(disks)]
-        self.stop(node)
+        self.stop_node(node)
         node.retired = True
         self.run_for(seconds, loss=0.0)
 
@@ -398,14 +404,14 @@
         return nobody_left and self.may_lose_a_disk()
 
     def teardown(self) -> None:
-        """Heal everything; the members must be those that are there."""
+        """Repair all faults; the members must be the instances that are not retired."""
         super().teardown()
         for node in self.list_disks() if hasattr(self, "nodes_by_id") else ():
             assert self.has_all_members(node.state.replica), node.id
 
 
 def make_profile() -> settings:
-    """Extend the selected profile: rare faults need more examples than its default."""
+    """Return the selected profile with more examples, which rare faults need."""
     return settings(
         max_examples=max(EXAMPLES, settings.default.max_examples),
         stateful_step_count=40,
@@ -414,7 +420,7 @@
 
 
 def test_three_members_agree(monkeypatch: Any) -> None:
-    """Guards against lost, doubled or reverted changes with three disks."""
+    """Guards against lost, duplicate or reverted changes with three disks."""
     monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
     monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
     run_state_machine_as_test(Agreement, settings=make_profile())
@@ -428,7 +434,7 @@
 
 
 def test_five_members_agree(monkeypatch: Any) -> None:
-    """Guards against lost, doubled or reverted changes with five disks."""
+    """Guards against lost, duplicate or reverted changes with five disks."""
     monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
     monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
     run_state_machine_as_test(AgreementOfFive, settings=make_profile())
