--- a/benchmarks/baseline_daemon.py
+++ b/benchmarks/baseline_daemon.py
@@ -19,7 +19,7 @@
 from typing import Any, TypeAlias
 
 from boragetide.controllers import backend_servers
-from boragetide.daemon.__main__ import make_machines, run_daemon
+from boragetide.daemon.__main__ import make_state_machines, run_daemon
 from boragetide.daemon.logs import configure_logs
 from boragetide.effects import Effect, Send, StartTasks
 from boragetide.messages import (
@@ -184,7 +184,7 @@
     configure_logs(settings.id)
 
     def make(*args: Any) -> dict[str, Any]:
-        state_machines = make_machines(*args)
+        state_machines = make_state_machines(*args)
         _, pool = state_machines["backend_servers"]
         state = BaselineState(pool, POLICIES[arguments.policy]())
         return {**state_machines, "backend_servers": (handle, state)}
--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -42,7 +42,7 @@
     Tick,
 )
 from boragetide.policy.job_queue import LOOK_AHEAD
-from boragetide.policy.scheduling import LATE_FACTOR, latest_start, objective
+from boragetide.policy.scheduling import LATE_LIMIT_FACTOR, due_at, latest_start
 from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
 from boragetide.types import DurableStarts, ReplyTo, Seconds
 
@@ -127,7 +127,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TracedJob:
+class GeneratedJob:
     """A generated job with the true work of each task, in seconds at speed 1."""
 
     job: DurableJob
@@ -135,10 +135,10 @@
     work: tuple[Seconds, ...]
 
 
-def generate(load: Load, seed: int) -> list[TracedJob]:
+def generate(load: Load, seed: int) -> list[GeneratedJob]:
     """Generate the jobs of a load at random, in order of arrival."""
     rng = random.Random(seed)
-    jobs: list[TracedJob] = []
+    jobs: list[GeneratedJob] = []
     for kind in KINDS:
         now = 0.0
         while now < load.seconds:
@@ -146,12 +146,12 @@
             rate = kind.rate * load.rate * (load.burst if in_burst else 1.0)
             now += rng.expovariate(rate)
             jobs.append(_generate_job(kind, load, BEGIN + now, len(jobs), rng))
-    return sorted(jobs, key=lambda traced: traced.job.submitted_at)
+    return sorted(jobs, key=lambda generated: generated.job.submitted_at)
 
 
 def _generate_job(
     kind: JobKind, load: Load, at: Seconds, number: int, rng: random.Random
-) -> TracedJob:
+) -> GeneratedJob:
     width = max(1, round(kind.width * rng.lognormvariate(-0.08, 0.4)))
     mean = kind.work * rng.lognormvariate(-0.08, 0.4)
     cores = min(int(load.cores * rng.lognormvariate(-0.02, 0.2)), int(load.cores * 1.5))
@@ -167,43 +167,45 @@
         response_time=0.06,
         best_effort=True,
     )
-    return TracedJob(job, kind, work)
+    return GeneratedJob(job, kind, work)
 
 
 @dataclass
-class Outcome:
+class ClassOutcome:
     """Outcome of the jobs of one class.
 
     Parameters
     ----------
     in_time, late, unserved
         Numbers of jobs.
-    earned
+    earned_worth
         Worth of the jobs in time, and the share `LATE_WORTH_SHARE` of that of
         late jobs.
-    owed
+    total_worth
         Worth of all jobs.
     """
 
     in_time: int = 0
     late: int = 0
     unserved: int = 0
-    earned: float = 0.0
-    owed: float = 0.0
+    earned_worth: float = 0.0
+    total_worth: float = 0.0
 
-    def record(self, traced: TracedJob, ended_at: Seconds | None) -> None:
+    def record(self, generated: GeneratedJob, ended_at: Seconds | None) -> None:
         """Count a job that ended at ``ended_at``, or was not served if that is None."""
-        work = sum(traced.work) / (traced.kind.width * traced.kind.work)
-        worth = traced.kind.worth * min(4.0, 0.3 + 0.7 * work)
-        self.owed += worth
-        due = traced.job.submitted_at + 1.6 * max(traced.work) + 0.06
-        limit = traced.job.submitted_at + LATE_FACTOR * (due - traced.job.submitted_at)
+        work = sum(generated.work) / (generated.kind.width * generated.kind.work)
+        worth = generated.kind.worth * min(4.0, 0.3 + 0.7 * work)
+        self.total_worth += worth
+        due = generated.job.submitted_at + 1.6 * max(generated.work) + 0.06
+        limit = generated.job.submitted_at + LATE_LIMIT_FACTOR * (
+            due - generated.job.submitted_at
+        )
         if ended_at is not None and ended_at <= due:
             self.in_time += 1
-            self.earned += worth
+            self.earned_worth += worth
         elif ended_at is not None and ended_at <= limit:
             self.late += 1
-            self.earned += worth * LATE_WORTH_SHARE
+            self.earned_worth += worth * LATE_WORTH_SHARE
         else:
             self.unserved += 1
 
@@ -286,10 +288,10 @@
     Orders, answers and submissions each take `ONE_WAY_DELAY` seconds.
     """
 
-    def __init__(self, load: Load, jobs: list[TracedJob], seed: int):
+    def __init__(self, load: Load, jobs: list[GeneratedJob], seed: int):
         self.load = load
         self.clock = Clock()
-        self.traced_by_id = {traced.job.id: traced for traced in jobs}
+        self.generated_by_id = {generated.job.id: generated for generated in jobs}
         self.ended_by_id: dict[str, Seconds] = {}
         self.servers_by_id = {each.id: each for each in make_servers(load)}
         servers = list(self.servers_by_id.values())
@@ -300,21 +302,24 @@
         self.processor_time = 0.0
         self.starts = 0
         self.wasted = 0.0
-        for traced in jobs:
+        for generated in jobs:
             self.clock.schedule(
-                traced.job.submitted_at + ONE_WAY_DELAY, lambda t=traced: self.submit(t)
+                generated.job.submitted_at + ONE_WAY_DELAY,
+                lambda t=generated: self.submit(t),
             )
 
-    def run(self) -> dict[str, Outcome]:
+    def run(self) -> dict[str, ClassOutcome]:
         """Replay the load and return the outcomes by class."""
         gained = LeadershipGained(1, (), BEGIN + 1e6, BEGIN - 10.0)
         self.handle(gained)
         self.announce(1)
         self.tick()
         self.clock.run(BEGIN + self.load.seconds + 10.0)
-        outcomes = {kind.name: Outcome() for kind in KINDS}
-        for job_id, traced in self.traced_by_id.items():
-            outcomes[traced.kind.name].record(traced, self.ended_by_id.get(job_id))
+        outcomes = {kind.name: ClassOutcome() for kind in KINDS}
+        for job_id, generated in self.generated_by_id.items():
+            outcomes[generated.kind.name].record(
+                generated, self.ended_by_id.get(job_id)
+            )
         return outcomes
 
     def handle(self, message: Any) -> None:
@@ -329,12 +334,12 @@
         """Schedule an action after `ONE_WAY_DELAY` seconds."""
         self.clock.schedule(self.clock.now + ONE_WAY_DELAY, action)
 
-    def submit(self, traced: TracedJob) -> None:
+    def submit(self, generated: GeneratedJob) -> None:
         """Submit a job to the dispatcher."""
         number = len(self.requests)
-        self.requests[number] = traced.job.id
+        self.requests[number] = generated.job.id
         reply_to = ReplyTo("e", number)
-        self.handle(SubmitDurableJob(job=traced.job, age=0.0, reply_to=reply_to))
+        self.handle(SubmitDurableJob(job=generated.job, age=0.0, reply_to=reply_to))
 
     def announce(self, sequence: int) -> None:
         """Announce all backend servers every `ANNOUNCEMENT_INTERVAL` seconds."""
@@ -361,10 +366,10 @@
         """Start a run on its backend server and answer the order."""
         server = self.servers_by_id[order.server]
         self.starts += 1
-        traced = self.traced_by_id[order.task.job_id]
+        generated = self.generated_by_id[order.task.job_id]
         key = (order.task.job_id, order.task.index)
         server.running[key] = ListedRun(order.task, order.run)
-        seconds = traced.work[order.task.index] / server.speed
+        seconds = generated.work[order.task.index] / server.speed
         self.clock.schedule(
             self.clock.now + seconds, lambda: self.end_run(server, key, EndReason.DONE)
         )
@@ -375,8 +380,8 @@
         server = self.servers_by_id[order.server]
         key = (order.task.job_id, order.task.index)
         if key in server.running:
-            traced = self.traced_by_id[order.task.job_id]
-            self.wasted += traced.work[order.task.index]
+            generated = self.generated_by_id[order.task.job_id]
+            self.wasted += generated.work[order.task.index]
         self.end_run(server, key, EndReason.STOPPED)
         self.answer_order(order, started=False)
 
@@ -475,37 +480,37 @@
         run.ended_by_id[job_id] = run.clock.now + ONE_WAY_DELAY
 
 
-SortKey = Callable[[TracedJob, Seconds], Any]
+SortKey = Callable[[GeneratedJob, Seconds], Any]
 
 
-def first_come(traced: TracedJob, now: Seconds) -> Any:
+def by_arrival(generated: GeneratedJob, now: Seconds) -> Any:
     """Order jobs by arrival."""
-    return traced.job.submitted_at
+    return generated.job.submitted_at
 
 
-def shortest_first(traced: TracedJob, now: Seconds) -> Any:
+def by_declared_work(generated: GeneratedJob, now: Seconds) -> Any:
     """Order jobs by declared work."""
-    (step,) = traced.job.steps
+    (step,) = generated.job.steps
     return step.count * step.estimate
 
 
-def strict_priority(traced: TracedJob, now: Seconds) -> Any:
+def by_priority(generated: GeneratedJob, now: Seconds) -> Any:
     """Order jobs by the worth of their class, then by arrival."""
-    return -traced.kind.worth, traced.job.submitted_at
+    return -generated.kind.worth, generated.job.submitted_at
 
 
-def true_deadline(traced: TracedJob, now: Seconds) -> Any:
+def by_true_deadline(generated: GeneratedJob, now: Seconds) -> Any:
     """Order jobs by their true latest start; jobs past it come last."""
-    due = traced.job.submitted_at + 0.6 * max(traced.work) + 0.06
+    due = generated.job.submitted_at + 0.6 * max(generated.work) + 0.06
     return due < now, due
 
 
-def true_worth(traced: TracedJob, now: Seconds) -> Any:
+def by_true_worth(generated: GeneratedJob, now: Seconds) -> Any:
     """Order jobs by worth per core-second; jobs past their latest start come last."""
-    due = traced.job.submitted_at + 0.6 * max(traced.work) + 0.06
-    (step,) = traced.job.steps
-    work = sum(traced.work) * step.needs.millicores
-    return due < now, -traced.kind.worth * (0.3 + 0.7 * sum(traced.work)) / work
+    due = generated.job.submitted_at + 0.6 * max(generated.work) + 0.06
+    (step,) = generated.job.steps
+    work = sum(generated.work) * step.needs.millicores
+    return due < now, -generated.kind.worth * (0.3 + 0.7 * sum(generated.work)) / work
 
 
 class BaselineRun:
@@ -521,33 +526,38 @@
         Returns the sort key of a queued job at a time; the lowest key is first.
     """
 
-    def __init__(self, load: Load, jobs: list[TracedJob], seed: int, sort_key: SortKey):
+    def __init__(
+        self, load: Load, jobs: list[GeneratedJob], seed: int, sort_key: SortKey
+    ):
         self.load, self.sort_key = load, sort_key
         self.clock = Clock()
         self.servers = make_servers(load)
         schedule_slowdown(self.clock, self.servers, load, seed)
         self.jobs = jobs
-        self.queued_by_id: dict[str, tuple[TracedJob, list[int]]] = {}
+        self.queued_by_id: dict[str, tuple[GeneratedJob, list[int]]] = {}
         self.remaining_by_id: dict[str, int] = {}
         self.ended_by_id: dict[str, Seconds] = {}
-        for traced in jobs:
+        for generated in jobs:
             self.clock.schedule(
-                traced.job.submitted_at, lambda t=traced: self.submit(t)
+                generated.job.submitted_at, lambda t=generated: self.submit(t)
             )
 
-    def run(self) -> dict[str, Outcome]:
+    def run(self) -> dict[str, ClassOutcome]:
         """Replay the load and return the outcomes by class."""
         self.clock.run(BEGIN + self.load.seconds + 10.0)
-        outcomes = {kind.name: Outcome() for kind in KINDS}
-        for traced in self.jobs:
-            ended_at = self.ended_by_id.get(traced.job.id)
-            outcomes[traced.kind.name].record(traced, ended_at)
+        outcomes = {kind.name: ClassOutcome() for kind in KINDS}
+        for generated in self.jobs:
+            ended_at = self.ended_by_id.get(generated.job.id)
+            outcomes[generated.kind.name].record(generated, ended_at)
         return outcomes
 
-    def submit(self, traced: TracedJob) -> None:
+    def submit(self, generated: GeneratedJob) -> None:
         """Queue a job and start as many tasks as fit."""
-        self.queued_by_id[traced.job.id] = (traced, list(range(len(traced.work))))
-        self.remaining_by_id[traced.job.id] = len(traced.work)
+        self.queued_by_id[generated.job.id] = (
+            generated,
+            list(range(len(generated.work))),
+        )
+        self.remaining_by_id[generated.job.id] = len(generated.work)
         self.place_jobs()
 
     def place_jobs(self) -> None:
@@ -562,19 +572,19 @@
         ordered = sorted(
             self.queued_by_id.values(), key=lambda each: self.sort_key(each[0], now)
         )
-        for traced, tasks in ordered[:LOOK_AHEAD]:
-            due = objective(traced.job) - traced.job.submitted_at
-            if now > latest_start(traced.job) + (LATE_FACTOR - 1) * due:
-                if len(tasks) == len(traced.work):
-                    del self.queued_by_id[traced.job.id]
+        for generated, tasks in ordered[:LOOK_AHEAD]:
+            due = due_at(generated.job) - generated.job.submitted_at
+            if now > latest_start(generated.job) + (LATE_LIMIT_FACTOR - 1) * due:
+                if len(tasks) == len(generated.work):
+                    del self.queued_by_id[generated.job.id]
                 continue
-            self.place_job(traced, tasks, candidates)
+            self.place_job(generated, tasks, candidates)
 
     def place_job(
-        self, traced: TracedJob, tasks: list[int], candidates: list[VirtualServer]
+        self, generated: GeneratedJob, tasks: list[int], candidates: list[VirtualServer]
     ) -> None:
         """Start the tasks of one job that fit; remove the job once all have started."""
-        cores = traced.job.steps[0].needs.millicores
+        cores = generated.job.steps[0].needs.millicores
         for task in list(tasks):
             server = next(
                 (each for each in candidates if each.free_millicores >= cores), None
@@ -583,37 +593,39 @@
                 return
             server.free_millicores -= cores
             tasks.remove(task)
-            seconds = traced.work[task] / server.speed
+            seconds = generated.work[task] / server.speed
             self.clock.schedule(
                 self.clock.now + seconds,
-                lambda m=server: self.end_task(traced, m, cores),
+                lambda m=server: self.end_task(generated, m, cores),
             )
-        self.queued_by_id.pop(traced.job.id, None)
+        self.queued_by_id.pop(generated.job.id, None)
 
-    def end_task(self, traced: TracedJob, server: VirtualServer, cores: int) -> None:
+    def end_task(
+        self, generated: GeneratedJob, server: VirtualServer, cores: int
+    ) -> None:
         """End one task, free its cores and start queued tasks."""
         server.free_millicores += cores
-        self.remaining_by_id[traced.job.id] -= 1
-        if not self.remaining_by_id[traced.job.id]:
-            self.ended_by_id[traced.job.id] = self.clock.now
+        self.remaining_by_id[generated.job.id] -= 1
+        if not self.remaining_by_id[generated.job.id]:
+            self.ended_by_id[generated.job.id] = self.clock.now
         self.place_jobs()
 
 
 BASELINES: dict[str, SortKey] = {
-    "first come": first_come,
-    "shortest first": shortest_first,
-    "strict priority": strict_priority,
-    "ideal by deadline": true_deadline,
-    "ideal by worth": true_worth,
+    "first come": by_arrival,
+    "shortest first": by_declared_work,
+    "strict priority": by_priority,
+    "ideal by deadline": by_true_deadline,
+    "ideal by worth": by_true_worth,
 }
 
 
-def summarize(name: str, outcomes: dict[str, Outcome]) -> str:
+def summarize(name: str, outcomes: dict[str, ClassOutcome]) -> str:
     """Return a line with the earned share of the worth and the counts by class."""
     total: Counter[str] = Counter()
     for outcome in outcomes.values():
-        total["earned"] += outcome.earned
-        total["owed"] += outcome.owed
+        total["earned"] += outcome.earned_worth
+        total["owed"] += outcome.total_worth
     counts = " ".join(
         f"{kind}={each.in_time}/{each.late}/{each.unserved}"
         for kind, each in outcomes.items()
@@ -632,7 +644,7 @@
         if arguments.only is not None and arguments.only not in load.name:
             continue
         jobs = generate(load, arguments.seed)
-        tasks = sum(len(traced.work) for traced in jobs)
+        tasks = sum(len(generated.work) for generated in jobs)
         print(f"-- {load.name}: {len(jobs)} jobs, {tasks} tasks")
         product = ProductRun(load, jobs, arguments.seed)
         print(summarize("product", product.run()))
--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -9,7 +9,7 @@
 from boragetide.api.base import Handler
 from boragetide.api.models import (
     BackendServerBody,
-    find_id_fault,
+    find_id_error,
     parse_body,
     to_backend_server,
 )
@@ -37,13 +37,13 @@
         """Register a backend server with the placer of its zone or renew its lease."""
         self.runtime.metrics.count("announcements", {})
         parsed = parse_body(BackendServerBody, self.request.body)
-        fault = (
-            find_id_fault(server_id)
+        error = (
+            find_id_error(server_id)
             or (parsed.error.message if parsed.is_error() else None)
-            or _find_zone_fault(parsed.ok.availability_zone, self.runtime)
+            or _find_zone_error(parsed.ok.availability_zone, self.runtime)
         )
-        if fault is not None:
-            self.refuse(400, fault)
+        if error is not None:
+            self.refuse(400, error)
             return
         server = to_backend_server(server_id, parsed.ok)
         message = AnnounceBackendServer(server, parsed.ok.lease)
@@ -97,7 +97,7 @@
     return await runtime.ask(placer, message, FORWARD_TIMEOUT)
 
 
-def _find_zone_fault(zone: ZoneId, runtime: Runtime) -> str | None:
+def _find_zone_error(zone: ZoneId, runtime: Runtime) -> str | None:
     if zone in runtime.settings.zones:
         return None
     return f"availability_zone: unknown availability zone {zone!r}"
--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -208,7 +208,9 @@
             in_force = await self.runtime.ask(own, FetchConfiguration(), timeout)
         except LinkError:
             return None
-        for member in sorted(settings.disk_ids, key=lambda id_: id_ != settings.id):
+        for member in sorted(
+            settings.ids_with_disk, key=lambda id_: id_ != settings.id
+        ):
             to = Address(member, "configuration")
             try:
                 history = await self.runtime.ask(to, ListHistory(limit), timeout)
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -11,7 +11,7 @@
     to_durable_job,
     to_server_report,
 )
-from boragetide.api.models import find_id_fault, parse_body
+from boragetide.api.models import find_id_error, parse_body
 from boragetide.daemon.clock import read_clock
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError, RequestError
@@ -162,9 +162,9 @@
     async def _respond_with_reply(
         self, job_id: str, name: str, message: Request
     ) -> None:
-        fault = find_id_fault(job_id, job=True)
-        if fault is not None:
-            self.refuse(400, fault)
+        id_error = find_id_error(job_id, job=True)
+        if id_error is not None:
+            self.refuse(400, id_error)
             return
         reply = await self.ask_dispatcher(name, message, job_id)
         if reply is None:
@@ -186,11 +186,11 @@
         received the report.
         """
         parsed = parse_body(RunServerBody, self.request.body)
-        fault = find_id_fault(server_id) or (
+        error = find_id_error(server_id) or (
             parsed.error.message if parsed.is_error() else None
         )
-        if fault is not None:
-            self.refuse(400, fault)
+        if error is not None:
+            self.refuse(400, error)
             return
         report = to_server_report(server_id, parsed.ok)
         reported = await report_server(self.runtime, ReportServer(report=report))
@@ -217,7 +217,7 @@
     members = [found.leader] if found.leader is not None else []
     own_id = runtime.settings.id
     members += sorted(
-        runtime.settings.first_members, key=lambda member: member != own_id
+        runtime.settings.initial_members, key=lambda member: member != own_id
     )
     failure = LinkError("the settings name no instance with a disk")
     for member in members:
--- a/boragetide/api/jobs.py
+++ b/boragetide/api/jobs.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from boragetide.api.base import Handler
-from boragetide.api.models import JobIdsBody, find_id_fault, parse_body
+from boragetide.api.models import JobIdsBody, find_id_error, parse_body
 from boragetide.api.submissions import describe_answer
 from boragetide.daemon.clock import read_clock
 from boragetide.filters.lookup import ask_owner
 from boragetide.messages import CancelJob, JobState, LookUpJob
-from boragetide.policy.ids import mint_id
+from boragetide.policy.ids import generate_job_id
 
 # Starts at a random number so that a process that restarts within the same millisecond
 # does not generate the same ids again.
@@ -31,9 +31,9 @@
         await self._ask_owner(CancelJob(id=job_id))
 
     async def _ask_owner(self, message: LookUpJob | CancelJob) -> None:
-        fault = find_id_fault(message.id, job=True)
-        if fault is not None:
-            self.refuse(400, fault)
+        id_error = find_id_error(message.id, job=True)
+        if id_error is not None:
+            self.refuse(400, id_error)
             return
         state = await ask_owner(self.runtime, message.id, message)
         if state is None:
@@ -65,7 +65,8 @@
             self.refuse(parsed.error.http_status, parsed.error.message)
             return
         settings, now = self.runtime.settings, read_clock()
-        minted = [
-            mint_id(settings, now, next(_COUNTER)) for _ in range(parsed.ok.count)
+        job_ids = [
+            generate_job_id(settings, now, next(_COUNTER))
+            for _ in range(parsed.ok.count)
         ]
-        self.respond(200, {"ids": minted})
+        self.respond(200, {"ids": job_ids})
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -11,7 +11,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
-from boragetide.json_values import find_fault, needs_walk
+from boragetide.json_values import find_unsupported_value, may_have_unsupported_value
 from boragetide.settings_file import MAX_TASKS
 from boragetide.types import BackendServer, Submission, Task
 
@@ -96,7 +96,7 @@
 _NAME = TypeAdapter(NameField)
 
 
-def find_id_fault(text: str, *, job: bool = False) -> str | None:
+def find_id_error(text: str, *, job: bool = False) -> str | None:
     """Return why an id from a URL path is invalid, or ``None`` if it is valid."""
     try:
         (_JOB_ID if job else _NAME).validate_python(text)
@@ -109,32 +109,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BodyFault:
+class BodyError:
     """Reason why a request body was rejected; the message names the field."""
 
     http_status: int
     message: str
 
 
-def parse_body(model: type[BodyType], text: bytes) -> Result[BodyType, BodyFault]:
+def parse_body(model: type[BodyType], text: bytes) -> Result[BodyType, BodyError]:
     """Validate the JSON text of a request body."""
     try:
         body = model.model_validate_json(text)
     except ValidationError as error:
-        return Error(_describe_fault(error))
-    for name, payload in list_payloads(body) if needs_walk(text) else ():
-        fault = find_fault(payload)
-        if fault is not None:
-            return Error(BodyFault(400, f"{name}: {fault}"))
+        return Error(_describe_error(error))
+    for name, payload in (
+        list_payloads(body) if may_have_unsupported_value(text) else ()
+    ):
+        reason = find_unsupported_value(payload)
+        if reason is not None:
+            return Error(BodyError(400, f"{name}: {reason}"))
     return Ok(body)
 
 
-def _describe_fault(error: ValidationError) -> BodyFault:
-    fault = error.errors(include_url=False)[0]
-    name = ".".join(str(part) for part in fault["loc"]) or "body"
-    status = 413 if fault["type"] == "too_long" else 400
-    message = _MESSAGES_BY_ERROR_TYPE.get(fault["type"], fault["msg"])
-    return BodyFault(status, f"{name}: {message}")
+def _describe_error(error: ValidationError) -> BodyError:
+    detail = error.errors(include_url=False)[0]
+    name = ".".join(str(part) for part in detail["loc"]) or "body"
+    status = 413 if detail["type"] == "too_long" else 400
+    message = _MESSAGES_BY_ERROR_TYPE.get(detail["type"], detail["msg"])
+    return BodyError(status, f"{name}: {message}")
 
 
 @singledispatch
--- a/boragetide/api/submissions.py
+++ b/boragetide/api/submissions.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from boragetide.api.base import Handler
-from boragetide.api.models import BodyFault, SubmissionBody, parse_body, to_submission
+from boragetide.api.models import BodyError, SubmissionBody, parse_body, to_submission
 from boragetide.daemon.clock import read_clock
 from boragetide.daemon.runtime import Runtime
 from boragetide.filters.admit import admit
@@ -48,9 +48,9 @@
         result = await SUBMISSION_CHAIN(exchange)
         self.respond(exchange.http_status, describe_answer(result))
 
-    def _refuse_body(self, fault: BodyFault, received_at: Seconds) -> None:
+    def _refuse_body(self, error: BodyError, received_at: Seconds) -> None:
         """Reject a body that fails validation; the message names the field."""
-        refused = Answer("", Status.NOT_RUN, error=fault.message)
+        refused = Answer("", Status.NOT_RUN, error=error.message)
         seconds = read_clock() - received_at
         self.runtime.metrics.observe_response("", refused.status, seconds)
-        self.respond(fault.http_status, describe_answer(refused))
+        self.respond(error.http_status, describe_answer(refused))
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -115,8 +115,8 @@
     queue = state.queues_by_class.get(class_name)
     if queue is None:
         target = find_target(state, class_name)
-        aging = ordering.aging_rate(target.response_time)
-        queue = state.queues_by_class[class_name] = ClassQueue(aging)
+        aging_rate = ordering.aging_rate(target.response_time)
+        queue = state.queues_by_class[class_name] = ClassQueue(aging_rate)
     return queue
 
 
--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -11,7 +11,7 @@
     JobPhase,
     JobRecord,
     RunEnd,
-    number_task,
+    get_task_number,
 )
 from boragetide.effects import Count, Effect, LogEvent, Reply
 from boragetide.messages import DispatcherReply, ReplyStatus, SubmitDurableJob
@@ -119,11 +119,11 @@
         for listed in [
             run for run in server.unexpected_runs if run.task.job_id == job_id
         ]:
-            number = number_task(record.job, listed.task)
-            if number is not None and (job_id, number) not in state.occupied:
+            number = get_task_number(record.job, listed.task)
+            if number is not None and (job_id, number) not in state.server_by_task:
                 effects += adopt_run(state, server, record, listed, now, now)
     done = [task for task in state.done_tasks_of_unknown_jobs if task.job_id == job_id]
-    numbers = [number_task(record.job, task) for task in done]
+    numbers = [get_task_number(record.job, task) for task in done]
     ends = tuple(RunEnd(job_id, n, 0, False) for n in numbers if n is not None)
     if job_table.record_ends(state.records_by_id, ends, now):
         effects += apply_record(state, state.records_by_id[job_id], now)
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -172,10 +172,10 @@
         return False
     if ids.is_past_window(job_id, settings, now):
         return False
-    if ids.is_minted_later(job_id, settings, now):
+    if ids.is_generated_in_future(job_id, settings, now):
         return False
     started_at = state.incarnation / 1000
-    return table.complete or ids.is_minted_after(job_id, settings, started_at)
+    return table.complete or ids.is_generated_after(job_id, settings, started_at)
 
 
 def _reply(status: ClaimStatus, claim: Claim | None, state: ClaimsState) -> ClaimReply:
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -53,11 +53,11 @@
 )
 from boragetide.policy.catalogue import find_outcome
 from boragetide.policy.distribution import (
-    Distribution,
+    DistributionState,
     choose_offer,
-    fetch_newer,
-    look_for_configuration,
     put_in_force,
+    request_configuration,
+    request_newer,
 )
 from boragetide.policy.leadership import Leadership
 from boragetide.policy.proposals import Proposals
@@ -66,8 +66,8 @@
     Replica,
     Role,
     apply_committed,
+    become_follower,
     compact,
-    follow,
     restore_replica,
     schedule_election,
     step,
@@ -93,7 +93,7 @@
     """
 
     settings: Settings
-    distribution: Distribution
+    distribution: DistributionState
     proposals: Proposals
     leadership: Leadership
     replica: Replica | None = None
@@ -112,7 +112,7 @@
 ) -> ConfigurationState:
     """Build the state from the records of the journal, if there is a disk."""
     state = ConfigurationState(
-        settings, Distribution(settings), Proposals(settings), Leadership(settings)
+        settings, DistributionState(settings), Proposals(settings), Leadership(settings)
     )
     if settings.own.disk:
         state.replica = restore_replica(settings, incarnation, records)
@@ -131,9 +131,11 @@
     if state.replica is not None:
         effects += _tick_replica(state.replica, now)
     effects += _apply_committed_changes(state, now)
-    effects += look_for_configuration(state.distribution, now)
+    effects += request_configuration(state.distribution, now)
     effects += _take_offer(state, now)
-    effects += proposals.expire(state.proposals, state.distribution.version, now)
+    effects += proposals.expire_requests(
+        state.proposals, state.distribution.version, now
+    )
     return effects + _send_due(state, now)
 
 
@@ -143,7 +145,7 @@
     if replica.role is Role.LEADER:
         effects = replication.check_leader(replica, now)
         if replica.role is Role.LEADER:
-            effects += member_changes.review_members(replica, now)
+            effects += member_changes.propose_member_change(replica, now)
         return effects
     return elections.check_election(replica, now)
 
@@ -191,7 +193,9 @@
             _send_outcome(state, proposal, outcome, proposer)
             for proposer in sorted(waiting - {state.settings.id})
         ]
-        effects += proposals.resolve(state.proposals, proposal.command_id, outcome)
+        effects += proposals.answer_waiters(
+            state.proposals, proposal.command_id, outcome
+        )
     return effects + compact(replica)
 
 
@@ -214,11 +218,11 @@
 
 @handle.register
 def _(message: Propose, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    proposal = proposals.identify(message)
+    proposal = proposals.make_proposal(message)
     if state.member is not None:
         outcome = find_outcome(proposal, state.member.catalogue)
         if outcome is not None:
-            return [proposals.answer(state.proposals, message.reply_to, outcome)]
+            return [proposals.make_reply(state.proposals, message.reply_to, outcome)]
     proposals.add_waiter(state.proposals, proposal, message.reply_to, now)
     return _send_due(state, now)
 
@@ -239,7 +243,7 @@
 def _choose_contact(state: ConfigurationState) -> InstanceId | None:
     if state.member is not None:
         return state.member.leader
-    first = state.settings.first_members
+    first = state.settings.initial_members
     members = [id_ for id_ in first if id_ != state.settings.id]
     if not members:
         return None
@@ -307,7 +311,9 @@
 def _(
     message: ProposalDecided, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    return proposals.resolve(state.proposals, message.command_id, message.outcome)
+    return proposals.answer_waiters(
+        state.proposals, message.command_id, message.outcome
+    )
 
 
 @handle.register
@@ -335,8 +341,10 @@
 
 @handle.register
 def _(message: FollowLeader, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    leadership.note_follower(state.leadership, message.sender, message.version, now)
-    links = state.leadership.links.check(message.sender, now, message.waits)
+    leadership.record_subscriber(state.leadership, message.sender, message.version, now)
+    links = state.leadership.links.reconnect_if_silent(
+        message.sender, now, message.waits
+    )
     notice = leadership.notify(
         state.leadership,
         state.member,
@@ -369,7 +377,7 @@
         member.role is Role.LEADER or now - member.leader_heard_at < ELECTION_MIN
     ):
         return []
-    return fetch_newer(state.distribution, message.instance, message.version, now)
+    return request_newer(state.distribution, message.instance, message.version, now)
 
 
 @handle.register
@@ -406,7 +414,7 @@
 def _(message: WokeUp, state: ConfigurationState, now: Seconds) -> list[Effect]:
     """Step down as leader: the others may have elected another leader."""
     if state.member is not None:
-        follow(state.member, None)
+        become_follower(state.member, None)
         schedule_election(state.member, now)
     return []
 
@@ -418,4 +426,4 @@
 
 @handle.register
 def _(message: StopRequested, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    return [] if state.member is None else replication.hand_over(state.member)
+    return [] if state.member is None else replication.transfer_leadership(state.member)
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -27,7 +27,7 @@
 # A leader that has not answered two requests counts as lost.
 LEADER_SILENCE: Seconds = 1.0
 # An instance that follows the leader on demand stops this long after the last request.
-IDLE_AFTER: Seconds = 10.0
+FOLLOW_IDLE_TIMEOUT: Seconds = 10.0
 
 
 @dataclass(slots=True)
@@ -67,7 +67,7 @@
 
 def make_state(settings: Settings) -> DirectoryState:
     """Build the initial state, with the members that the settings name as contacts."""
-    return DirectoryState(settings, settings.first_members)
+    return DirectoryState(settings, settings.initial_members)
 
 
 @singledispatch
@@ -88,16 +88,16 @@
     version = -1 if state.configuration is None else state.configuration.version
     effects: list[Effect] = []
     for contact in state.contacts:
-        waits = state.links.note_sent(contact, now)
+        waits = state.links.record_sent(contact, now)
         question = FollowLeader(state.settings.id, version, waits)
-        effects += state.links.check(contact, now)
+        effects += state.links.reconnect_if_silent(contact, now)
         effects.append(Send(Address(contact, "configuration"), question))
     return effects
 
 
 @handle.register
 def _(message: LeaderNotice, state: DirectoryState, now: Seconds) -> list[Effect]:
-    state.links.note_heard(message.sender)
+    state.links.record_received(message.sender)
     known = set(state.contacts)
     state.contacts += tuple(id_ for id_ in message.members if id_ not in known)
     effects: list[Effect] = []
@@ -128,7 +128,7 @@
 def _(message: FindLeader, state: DirectoryState, now: Seconds) -> list[Effect]:
     if not state.settings.follows_leader and now >= state.follow_until:
         state.asking_since = now
-    state.follow_until = now + IDLE_AFTER
+    state.follow_until = now + FOLLOW_IDLE_TIMEOUT
     lost_for = now - max(state.leader_heard_at, state.asking_since)
     is_led = state.leader is not None and lost_for < LEADER_SILENCE
     ready = is_led and state.configuration is not None
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -27,7 +27,7 @@
 
 # A lease is renewed about three times before it expires. The platform shortens leases
 # of more than 1 s.
-LEASE: Seconds = 0.8
+LEASE_DURATION: Seconds = 0.8
 MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
 # Each term numbers the runs of a task from its own multiple of this number, so that no
@@ -174,7 +174,7 @@
         return self.unanswered > 0
 
     @property
-    def room(self) -> Resources:
+    def free_resources(self) -> Resources:
         """Capacity that no run uses."""
         free = self.report.capacity
         for run in self.runs_by_task.values():
@@ -216,10 +216,10 @@
         others are committed.
     active
         Jobs that have not ended, oldest first.
-    occupied
+    server_by_task
         Backend server of each task that may be running or whose end is not committed
         yet.
-    taken_over
+    takeover_complete
         Whether the takeover is complete, that is, a task that no backend server lists
         is certainly not running.
     queue
@@ -228,7 +228,7 @@
         Free capacity and speed of the backend servers.
     started
         Jobs of which a task was started or has ended.
-    run_by_task
+    run_number_by_task
         Newest run number of each task that was started or adopted in this term.
     replies_by_command, pending_ends_by_command
         Requests to answer and ends to acknowledge once a command is committed.
@@ -236,7 +236,7 @@
         Command that accepts a new job, until it is committed.
     waiters_by_job
         Requests that wait for the end of a best-effort job.
-    stopped_once
+    overdue_stopped_tasks
         Tasks of which a run was stopped because it appeared to make no progress.
     done_tasks_of_unknown_jobs
         Tasks of jobs that are not known here that were listed as done, with the time of
@@ -258,16 +258,18 @@
     servers_by_id: dict[BackendServerId, Server] = field(default_factory=dict)
     records_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
     active: dict[JobId, None] = field(default_factory=dict)
-    occupied: dict[tuple[JobId, int], BackendServerId] = field(default_factory=dict)
-    taken_over: bool = False
+    server_by_task: dict[tuple[JobId, int], BackendServerId] = field(
+        default_factory=dict
+    )
+    takeover_complete: bool = False
     queue: JobQueue = field(default_factory=JobQueue)
     index: ServerIndex = field(default_factory=ServerIndex)
     started: set[JobId] = field(default_factory=set)
-    run_by_task: dict[tuple[JobId, int], int] = field(default_factory=dict)
+    run_number_by_task: dict[tuple[JobId, int], int] = field(default_factory=dict)
     replies_by_command: dict[str, list[ReplyTo | None]] = field(default_factory=dict)
     command_by_job: dict[JobId, str] = field(default_factory=dict)
     waiters_by_job: dict[JobId, list[ReplyTo | None]] = field(default_factory=dict)
-    stopped_once: set[tuple[JobId, int]] = field(default_factory=set)
+    overdue_stopped_tasks: set[tuple[JobId, int]] = field(default_factory=set)
     done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     next_command: int = 1
@@ -283,26 +285,28 @@
     def remove_unused_run_numbers(self) -> None:
         """Remove the run numbers of jobs that are no longer known."""
         known = self.records_by_id
-        for key in [key for key in self.run_by_task if key[0] not in known]:
-            del self.run_by_task[key]
+        for key in [key for key in self.run_number_by_task if key[0] not in known]:
+            del self.run_number_by_task[key]
 
     @property
     def other_members(self) -> tuple[InstanceId, ...]:
         """The other members of the log."""
-        members = self.members or self.settings.first_members
+        members = self.members or self.settings.initial_members
         return tuple(id_ for id_ in members if id_ != self.settings.id)
 
 
 def update_server_index(state: DispatcherState, server: Server) -> None:
     """Update the index with the free capacity and the speed of a backend server."""
     report = server.report
-    state.index.put(report.id, report.pool, server.speed, server.room.millicores)
+    state.index.put(
+        report.id, report.pool, server.speed, server.free_resources.millicores
+    )
 
 
 def add_run(state: DispatcherState, server: Server, run: Run) -> None:
     """Record a run that occupies its task and capacity of a backend server."""
     server.runs_by_task[run.key] = run
-    state.occupied[run.key] = server.report.id
+    state.server_by_task[run.key] = server.report.id
     state.started.add(run.job_id)
     update_server_index(state, server)
 
@@ -322,7 +326,7 @@
     state.active.pop(job_id, None)
     state.started.discard(job_id)
     state.queue.remove(job_id)
-    state.stopped_once.difference_update(
+    state.overdue_stopped_tasks.difference_update(
         (job_id, number) for number in range(record.job.task_count)
     )
 
@@ -330,8 +334,8 @@
 def assign_run_number(state: DispatcherState, key: tuple[JobId, int]) -> int:
     """Return the number of the next run of a task, higher than all earlier ones."""
     first = (state.term - 1) * RUNS_PER_TERM + 1
-    number = max(first, state.run_by_task.get(key, 0) + 1)
-    state.run_by_task[key] = number
+    number = max(first, state.run_number_by_task.get(key, 0) + 1)
+    state.run_number_by_task[key] = number
     return number
 
 
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -129,7 +129,7 @@
         for step in job.steps
     }
     if all(
-        server is not None and step.needs.fits_in(servers[server].room)
+        server is not None and step.needs.fits_in(servers[server].free_resources)
         for step, server in server_by_step.items()
     ):
         return True
@@ -246,13 +246,13 @@
     state.authority_until = 0.0
     state.records_by_id.clear()
     state.active.clear()
-    state.occupied.clear()
+    state.server_by_task.clear()
     state.started.clear()
-    state.taken_over = False
+    state.takeover_complete = False
     state.waiters_by_job.clear()
     state.done_tasks_of_unknown_jobs.clear()
-    state.stopped_once.clear()
-    state.run_by_task.clear()
+    state.overdue_stopped_tasks.clear()
+    state.run_number_by_task.clear()
     state.pending_ends_by_command.clear()
     state.replies_by_command.clear()
     state.command_by_job.clear()
@@ -366,7 +366,7 @@
     effects: list[Effect] = []
     if now >= state.next_review:
         state.next_review = now + REVIEW_INTERVAL
-        job_table.forget_ended(state.records_by_id, now)
+        job_table.drop_ended_jobs(state.records_by_id, now)
         state.remove_unused_run_numbers()
         remove_stale_servers(state, now)
         recover_speeds(state, now)
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -27,7 +27,7 @@
     WokeUp,
 )
 from boragetide.policy import membership
-from boragetide.policy.membership import Candidate
+from boragetide.policy.membership import PlacerCandidate
 from boragetide.settings import Settings
 from boragetide.types import Address, InstanceId, ReplyTo, Seconds, ZoneId
 
@@ -42,7 +42,7 @@
     ----------
     heartbeat
         Newest heartbeat of the peer, if any was received.
-    last_heard
+    last_heartbeat_at
         Unix time at which the newest heartbeat was received; ``None`` if none was since
         this process started or woke up.
     last_echo, echo_at
@@ -58,7 +58,7 @@
     link_opened_at: Seconds
     link_timeout: Seconds
     heartbeat: Heartbeat | None = None
-    last_heard: Seconds | None = None
+    last_heartbeat_at: Seconds | None = None
     last_echo: int = 0
     echo_at: Seconds = 0.0
     live: bool = False
@@ -129,7 +129,7 @@
     silence = state.settings.timing.instance_silence
     effects: list[Effect] = []
     for peer_id, view in state.peers_by_id.items():
-        live = membership.is_live(view.last_heard, now, silence)
+        live = membership.is_live(view.last_heartbeat_at, now, silence)
         if view.live and not live:
             effects.append(LogEvent("instance_lost", {"peer": peer_id}))
         view.live = live
@@ -149,7 +149,7 @@
 
 
 def _is_lost(view: PeerView, state: InstancesState, now: Seconds) -> bool:
-    silent_since = max(view.last_heard or 0.0, state.awake_since or now)
+    silent_since = max(view.last_heartbeat_at or 0.0, state.awake_since or now)
     return now - silent_since > state.settings.timing.instance_silence
 
 
@@ -234,7 +234,7 @@
         fields = {"peer": message.instance, "incarnation": message.incarnation}
         effects.append(LogEvent("instance_heard", fields))
     view.heartbeat = message
-    view.last_heard = now
+    view.last_heartbeat_at = now
     view.live = True
     if restarted:
         view.last_echo, view.echo_at = 0, now
@@ -277,22 +277,24 @@
     return [Reply(message.reply_to, _describe(placer, message.zone, len(candidates)))]
 
 
-def _describe(placer: Candidate | None, zone: ZoneId, candidates: int) -> PlacerChosen:
+def _describe(
+    placer: PlacerCandidate | None, zone: ZoneId, candidates: int
+) -> PlacerChosen:
     if placer is None:
         return PlacerChosen(None, 0, candidates, f"no instance places for zone {zone}")
     reason = "longest_in_service" if placer.zone == zone else "other_zone"
     return PlacerChosen(placer.id, placer.incarnation, candidates, reason)
 
 
-def _list_candidates(state: InstancesState, now: Seconds) -> list[Candidate]:
+def _list_candidates(state: InstancesState, now: Seconds) -> list[PlacerCandidate]:
     """List the live instances; the list is empty until discovery is done."""
     return _list_live(state, now) if state.discovery_done else []
 
 
-def _list_live(state: InstancesState, now: Seconds) -> list[Candidate]:
+def _list_live(state: InstancesState, now: Seconds) -> list[PlacerCandidate]:
     silence = state.settings.timing.instance_silence
     peers = [
-        Candidate(
+        PlacerCandidate(
             peer_id,
             view.heartbeat.zone,
             view.heartbeat.incarnation,
@@ -301,13 +303,13 @@
             view.heartbeat.stopping,
         )
         for peer_id, view in state.peers_by_id.items()
-        if membership.is_live(view.last_heard, now, silence)
+        if membership.is_live(view.last_heartbeat_at, now, silence)
     ]
     return [_describe_self(state), *peers]
 
 
-def _describe_self(state: InstancesState) -> Candidate:
-    return Candidate(
+def _describe_self(state: InstancesState) -> PlacerCandidate:
+    return PlacerCandidate(
         state.settings.id,
         state.settings.zone,
         state.incarnation,
@@ -388,7 +390,7 @@
     state.discovery_done = False
     state.isolated = True
     for view in state.peers_by_id.values():
-        view.last_heard = None
+        view.last_heartbeat_at = None
         view.live = False
         view.link_opened_at = now
     fields = {"seconds": now - message.asleep_since}
--- a/boragetide/controllers/job_records.py
+++ b/boragetide/controllers/job_records.py
@@ -71,7 +71,7 @@
     effects: list[Effect] = []
     record = state.records_by_id[job_id]
     for number in range(record.job.task_count):
-        server_id = state.occupied.get((job_id, number))
+        server_id = state.server_by_task.get((job_id, number))
         if server_id is None:
             continue
         server = state.servers_by_id[server_id]
--- a/boragetide/controllers/jobs.py
+++ b/boragetide/controllers/jobs.py
@@ -42,7 +42,7 @@
 )
 
 
-class JobPhase(StrEnum):
+class OwnedJobPhase(StrEnum):
     """Phase of a job at its owner."""
 
     REFUSED = "refused"
@@ -73,7 +73,7 @@
     submitted_at: Seconds
     deadline: Seconds
     keep_until: Seconds
-    phase: JobPhase = JobPhase.RUNNING
+    phase: OwnedJobPhase = OwnedJobPhase.RUNNING
     waiting: list[ReplyTo] = field(default_factory=list)
     outcomes_by_index: dict[int, TaskOutcome] = field(default_factory=dict)
     answer: Answer | None = None
@@ -117,11 +117,11 @@
     if job is None:
         return _start_job(message, state, now)
     job.keep_until = now + _retention(state)
-    if job.phase is JobPhase.REFUSED:
+    if job.phase is OwnedJobPhase.REFUSED:
         return _start_job(message, state, now)
     if job.digest != message.submission.digest:
         return [_refuse_other_content(message)]
-    if job.phase is JobPhase.ENDED:
+    if job.phase is OwnedJobPhase.ENDED:
         return [_answer_again(message, job)]
     if message.reply_to not in job.waiting:
         job.waiting.append(message.reply_to)
@@ -196,9 +196,9 @@
 @handle.register
 def _(message: TasksRefused, state: JobsState, now: Seconds) -> list[Effect]:
     job = state.jobs_by_id.get(message.job_id)
-    if job is None or job.phase is not JobPhase.RUNNING:
+    if job is None or job.phase is not OwnedJobPhase.RUNNING:
         return []
-    job.phase = JobPhase.REFUSED
+    job.phase = OwnedJobPhase.REFUSED
     job.submission = None
     answer = Answer(message.job_id, Status.NOT_RUN, error=message.reason)
     waiting, job.waiting = job.waiting, []
@@ -211,7 +211,7 @@
 @handle.register
 def _(message: TaskEnded, state: JobsState, now: Seconds) -> list[Effect]:
     job = state.jobs_by_id.get(message.job_id)
-    if job is None or job.phase is not JobPhase.RUNNING:
+    if job is None or job.phase is not OwnedJobPhase.RUNNING:
         return [Count("late_outcomes", {})]
     if message.index in job.outcomes_by_index:
         return [Count("duplicate_outcomes", {})]
@@ -251,7 +251,7 @@
 def _end_job(job: Job, answer: Answer, state: JobsState, now: Seconds) -> list[Effect]:
     submission, job.submission = job.submission, None
     waiting, job.waiting = job.waiting, []
-    job.phase = JobPhase.ENDED
+    job.phase = OwnedJobPhase.ENDED
     job.outcomes_by_index = {}
     job.answer = answer
     state.kept_results += len(answer.results)
@@ -304,7 +304,7 @@
 def _(message: CancelJob, state: JobsState, now: Seconds) -> list[Effect]:
     job = state.jobs_by_id.get(message.id)
     effects: list[Effect] = []
-    if job is not None and job.phase is JobPhase.RUNNING:
+    if job is not None and job.phase is OwnedJobPhase.RUNNING:
         answer = Answer(message.id, Status.FAILED, error="cancelled")
         effects = [
             *_cancel_remaining_tasks(job, state),
@@ -321,7 +321,9 @@
 
 @handle.register
 def _(message: Drain, state: JobsState, now: Seconds) -> list[Effect]:
-    running = sum(job.phase is JobPhase.RUNNING for job in state.jobs_by_id.values())
+    running = sum(
+        job.phase is OwnedJobPhase.RUNNING for job in state.jobs_by_id.values()
+    )
     return [Reply(message.reply_to, DrainState(running))]
 
 
@@ -338,7 +340,7 @@
     """End running jobs with an unknown outcome; none of their waiting tasks starts."""
     effects: list[Effect] = []
     for job in jobs:
-        if job.phase is JobPhase.RUNNING:
+        if job.phase is OwnedJobPhase.RUNNING:
             answer = Answer(job.submission.id, Status.UNKNOWN, error=error)
             effects += [
                 *_cancel_remaining_tasks(job, state),
@@ -368,7 +370,7 @@
         if now >= job.keep_until:
             del state.jobs_by_id[job_id]
             continue
-        running = job.phase is JobPhase.RUNNING
+        running = job.phase is OwnedJobPhase.RUNNING
         next_check = job.deadline if running else job.keep_until
         heapq.heappush(state.records, (next_check, job_id))
     return effects
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -12,7 +12,7 @@
 )
 from boragetide.controllers.placing_runs import make_start, update_queue
 from boragetide.controllers.server_health import MIN_SPEED
-from boragetide.durable import TaskRef, refer_to_task
+from boragetide.durable import TaskRef, get_task_ref
 from boragetide.effects import Effect, LogEvent, StopRun
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered
 from boragetide.types import BackendServerId, Seconds
@@ -20,10 +20,10 @@
 # Pauses before an unanswered `ReadRuns` is repeated. The first repetition follows at
 # once, because only the answer may have been lost; the pauses before later ones double.
 READ_RETRY_DELAYS: tuple[Seconds, ...] = (0.0, 0.1, 0.2, 0.4)
-STOP_RETRY: Seconds = 0.1
+STOP_RETRY_DELAY: Seconds = 0.1
 REASON_LISTED = "listed"  # reason of a run that is over because its end was listed
-# A backend server that refuses a run because it is unhealthy or has no room gets no new
-# runs for this long.
+# A backend server that refuses a run because it is unhealthy or has no free resources
+# gets no new runs for this long.
 REFUSAL_COOLDOWN: Seconds = 1.0
 # A task whose declared time is 40% too short takes 1.7 times as long as expected on a
 # backend server whose learned speed is right.
@@ -115,7 +115,7 @@
     elif result is OrderResult.OTHER_LIFE:
         server.gone = True
     else:
-        run.next_stop_at = now + STOP_RETRY
+        run.next_stop_at = now + STOP_RETRY_DELAY
     return []
 
 
@@ -131,7 +131,7 @@
     run.next_stop_at = None
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "reason": reason}
-    task = refer_to_task(record.job, run.task)
+    task = get_task_ref(record.job, run.task)
     return [
         LogEvent("run_stopped", fields),
         make_stop(state, server, task, run.task, run.number),
@@ -196,7 +196,7 @@
         overdue = [
             run
             for run in server.runs_by_task.values()
-            if run.key not in state.stopped_once and _is_overdue(server, run)
+            if run.key not in state.overdue_stopped_tasks and _is_overdue(server, run)
         ]
         if overdue:
             server.cooldown_until = now + OVERDUE_COOLDOWN
@@ -204,7 +204,7 @@
             server.speed_updated_at = now
             update_server_index(state, server)
         for run in overdue:
-            state.stopped_once.add(run.key)
+            state.overdue_stopped_tasks.add(run.key)
             effects += stop_run(state, server, run, "overdue")
     return effects
 
@@ -238,8 +238,8 @@
     """Remove a run that is certainly over, so that its task may start again."""
     server.runs_by_task.pop(run.key, None)
     update_server_index(state, server)
-    if state.occupied.get(run.key) == server.report.id:
-        del state.occupied[run.key]
+    if state.server_by_task.get(run.key) == server.report.id:
+        del state.server_by_task[run.key]
     update_queue(state, run.job_id)
     if reason == REASON_LISTED:
         # The end was already logged when it was listed.
--- a/boragetide/controllers/outcomes.py
+++ b/boragetide/controllers/outcomes.py
@@ -15,8 +15,8 @@
 )
 from boragetide.controllers.queueing import (
     QueuedJob,
+    add_running,
     add_waiting,
-    count_running,
     drop_waiting,
 )
 from boragetide.effects import CancelTasks, Count, Effect, LogEvent, Send
@@ -84,12 +84,14 @@
         del leased.tasks_by_call[running.call]
     leased.used_cores -= running.task.cores
     leased.used_memory -= running.task.memory
-    state.releases.discard((running.expected_end, leased.server.id, running.id))
+    state.expected_releases.discard(
+        (running.expected_end, leased.server.id, running.id)
+    )
     state.running_work -= running.size
-    job.servers_by_running.pop(running.id, None)
+    job.server_by_running_task.pop(running.id, None)
     queue = state.queues_by_class.get(job.queued.class_name)
     if queue is not None:
-        count_running(queue, job.queued.team, -1)
+        add_running(queue, job.queued.team, -1)
 
 
 def _observe_outcome(
@@ -143,7 +145,7 @@
         leased.speed_model,
         class_name,
         running.log_size - log_elapsed,
-        model.variance,
+        model.error_variance,
         running.learned_log_speed,
     )
     size = elapsed * learning.predict_speed(leased.speed_model, class_name)
@@ -180,7 +182,7 @@
     effects: list[Effect] = [Send(Address(state.settings.id, "jobs"), ended)]
     if outcome.status is not TaskStatus.DONE:
         return effects + cancel_job(state, job, now)
-    if not (job.waiting or job.servers_by_running or job.delayed):
+    if not (job.waiting or job.server_by_running_task or job.delayed):
         margin = state.margins_by_class.setdefault(
             queued.class_name, admission.Margin()
         )
@@ -193,7 +195,7 @@
 
 def has_not_run(job: QueuedJob) -> bool:
     """Return whether it is certain that no task of a job has run."""
-    return not job.may_have_run and not job.servers_by_running
+    return not job.may_have_run and not job.server_by_running_task
 
 
 def _remove_job(state: BackendServersState, job: QueuedJob) -> None:
@@ -240,7 +242,7 @@
     """
     drop_job(state, job)
     tasks_by_server: dict[tuple[BackendServerId, str], list[str]] = {}
-    for task_id, server_id in job.servers_by_running.items():
+    for task_id, server_id in job.server_by_running_task.items():
         found = find_running(state, server_id, task_id)
         if found is None:
             continue
@@ -271,8 +273,8 @@
 
 def extend_overruns(state: BackendServersState, now: Seconds) -> None:
     """Postpone the expected end of tasks that passed it; learn from long overruns."""
-    while state.releases and state.releases[0][0] < now:
-        _, server_id, task_id = state.releases.pop(0)
+    while state.expected_releases and state.expected_releases[0][0] < now:
+        _, server_id, task_id = state.expected_releases.pop(0)
         found = find_running(state, server_id, task_id)
         if found is None:
             continue
@@ -280,7 +282,7 @@
         elapsed = now - running.started_at
         extension = max(placement.OVERRUN_SHARE * elapsed, MIN_EXTENSION)
         running.expected_end = now + extension
-        state.releases.add((running.expected_end, server_id, task_id))
+        state.expected_releases.add((running.expected_end, server_id, task_id))
         _learn_overrun(state, leased, running, elapsed, now)
 
 
@@ -303,7 +305,7 @@
         leased.speed_model,
         class_name,
         log_speed,
-        model.variance,
+        model.error_variance,
         running.learned_log_speed,
     )
     running.learned_log_speed = log_speed
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -17,12 +17,12 @@
 )
 from boragetide.controllers.queueing import (
     QueuedJob,
-    count_running,
+    add_running,
     is_capped,
     is_over_share,
+    iterate_jobs,
     pop_waiting,
     put_job,
-    walk_jobs,
 )
 from boragetide.effects import Effect, LogEvent, StartTasks
 from boragetide.policy import learning, ordering, placement, retries
@@ -66,7 +66,7 @@
     now: Seconds
     complete: bool = False
     releases: list[placement.Release] | None = None
-    compared_by_class: dict[ClassName, list[placement.Candidate]] = field(
+    compared_by_class: dict[ClassName, list[placement.FreeServer]] = field(
         default_factory=dict
     )
     held: int = 0
@@ -109,7 +109,7 @@
         for name in queues_by_class
     }
     changed_jobs = []
-    for _, job_id in walk_jobs(queues_by_class, caps_by_class, placement_round.now):
+    for _, job_id in iterate_jobs(queues_by_class, caps_by_class, placement_round.now):
         job = state.jobs_by_id[job_id]
         if _place_job(state, job, placement_round, caps_by_class):
             changed_jobs.append(job)
@@ -189,10 +189,10 @@
 
 def _compare_free(
     state: BackendServersState, class_name: ClassName
-) -> list[placement.Candidate]:
+) -> list[placement.FreeServer]:
     """Return the free servers with the highest speeds."""
     return [
-        placement.Candidate(
+        placement.FreeServer(
             server_id,
             learning.predict_speed(
                 state.servers_by_id[server_id].speed_model, class_name
@@ -243,16 +243,16 @@
     )
     if release is None:
         return leased, "earliest_end"
-    release.claimed = True
+    release.reserved = True
     return None, "faster_server_soon"
 
 
 def _list_fitting(
     state: BackendServersState, class_name: ClassName, cores: float, memory: int
-) -> list[placement.Candidate]:
+) -> list[placement.FreeServer]:
     """Return the free servers with enough cores and memory for a task."""
     return [
-        placement.Candidate(
+        placement.FreeServer(
             server_id, learning.predict_speed(leased.speed_model, class_name)
         )
         for _, server_id in state.free_servers
@@ -268,7 +268,7 @@
     """Return the next expected releases of slots, the earliest first."""
     releases = []
     for expected_end, server_id, task_id in islice(
-        state.releases, MAX_COMPARED_RELEASES
+        state.expected_releases, MAX_COMPARED_RELEASES
     ):
         leased = state.servers_by_id.get(server_id)
         if leased is None or not is_available(state, leased):
@@ -321,13 +321,13 @@
         probe=reason == "probe",
     )
     leased.running_by_id[task_id] = running
-    job.servers_by_running[task_id] = server_id
+    job.server_by_running_task[task_id] = server_id
     leased.used_cores += task.cores
     leased.used_memory += task.memory
-    count_running(state.queues_by_class[queued.class_name], queued.team, 1)
+    add_running(state.queues_by_class[queued.class_name], queued.team, 1)
     state.queued_tasks -= 1
     state.running_work += size
-    state.releases.add((running.expected_end, server_id, task_id))
+    state.expected_releases.add((running.expected_end, server_id, task_id))
     deadline = now + task.timeout + OVERDUE_MARGIN
     heapq.heappush(state.deadlines, (deadline, call, server_id, task_id))
     placement_round.starts_by_server[server_id].append(
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from boragetide.controllers.dispatch_state import (
-    LEASE,
+    LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
     MIN_CLOCK_RATE,
     DispatcherState,
@@ -16,10 +16,14 @@
     assign_run_number,
     has_authority,
 )
-from boragetide.durable import DurableJob, JobPhase, Step, refer_to_task
+from boragetide.durable import DurableJob, JobPhase, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
 from boragetide.policy.job_queue import WaitingJob
-from boragetide.policy.scheduling import Candidate, choose_server, find_ready_tasks
+from boragetide.policy.scheduling import (
+    ServerCandidate,
+    choose_server,
+    find_ready_tasks,
+)
 from boragetide.types import JobId, PoolName, Seconds
 
 # Backend servers announce themselves every 1.5 s. One that missed three announcements
@@ -28,7 +32,7 @@
 # All backend servers have announced themselves to a process of this age.
 DISCOVERY_PERIOD: Seconds = 3.5
 # Leases that an earlier leader granted have expired this long after its last order.
-LAPSE_WAIT: Seconds = LEASE / MIN_CLOCK_RATE + 2 * LEASE_EXPIRY_MARGIN
+LEASE_EXPIRY_WAIT: Seconds = LEASE_DURATION / MIN_CLOCK_RATE + 2 * LEASE_EXPIRY_MARGIN
 
 
 def update_queue(state: DispatcherState, job_id: JobId) -> None:
@@ -40,7 +44,7 @@
     tasks = {
         number: step
         for number, step in find_ready_tasks(record)
-        if (job_id, number) not in state.occupied
+        if (job_id, number) not in state.server_by_task
     }
     state.queue.put(record.job, tasks)
 
@@ -50,7 +54,7 @@
 
     Any job that is submitted again may have been started by an earlier leader.
     """
-    if now >= state.predecessor_until + LAPSE_WAIT:
+    if now >= state.predecessor_until + LEASE_EXPIRY_WAIT:
         return True
     if now - state.incarnation / 1000 < DISCOVERY_PERIOD:
         return False
@@ -63,11 +67,11 @@
 
 def check_takeover(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Allow starts once every run of an earlier leader is known or over."""
-    if state.taken_over or not has_authority(state, now):
+    if state.takeover_complete or not has_authority(state, now):
         return []
     if not is_takeover_complete(state, now):
         return []
-    state.taken_over = True
+    state.takeover_complete = True
     fields = {"term": state.term, "after": now - state.leader_since}
     return [LogEvent("takeover_done", fields)]
 
@@ -76,19 +80,19 @@
     """Start as many waiting tasks as the free capacity allows."""
     if not has_authority(state, now) or not state.queue.waiting_by_id:
         return []
-    if not state.taken_over:
+    if not state.takeover_complete:
         return []
     effects: list[Effect] = []
-    widest_by_pool: dict[PoolName, int] = {}
+    max_free_by_pool: dict[PoolName, int] = {}
     for waiting in state.queue.iterate(now):
         pool = _find_pool(state, waiting)
-        if pool not in widest_by_pool:
-            widest_by_pool[pool] = state.index.find_widest(pool)
-        if waiting.narrowest > widest_by_pool[pool]:
+        if pool not in max_free_by_pool:
+            max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
+        if waiting.min_millicores > max_free_by_pool[pool]:
             continue
         job_effects = _place_job(state, waiting, pool, now)
         if job_effects:
-            del widest_by_pool[pool]
+            del max_free_by_pool[pool]
             effects += job_effects
     return effects
 
@@ -105,13 +109,15 @@
 
 def _find_candidates(
     state: DispatcherState, pool: PoolName, step: Step, now: Seconds
-) -> Iterator[Candidate]:
+) -> Iterator[ServerCandidate]:
     """Yield the backend servers that may have capacity for a task, the best first."""
     for server_id in state.index.iterate(pool, max(step.needs.millicores, 1)):
         server = state.servers_by_id[server_id]
         if is_usable(state, server, now):
             labels = server.report.labels
-            yield Candidate(server_id, server.room, server.speed, labels)
+            yield ServerCandidate(
+                server_id, server.free_resources, server.speed, labels
+            )
 
 
 def is_usable(state: DispatcherState, server: Server, now: Seconds) -> bool:
@@ -162,9 +168,9 @@
     position = waiting.job.steps.index(step)
     first = sum(earlier.count for earlier in waiting.job.steps[:position])
     return Counter(
-        state.occupied[waiting.job.id, number]
+        state.server_by_task[waiting.job.id, number]
         for number in range(first, first + step.count)
-        if (waiting.job.id, number) in state.occupied
+        if (waiting.job.id, number) in state.server_by_task
     )
 
 
@@ -173,7 +179,7 @@
     waiting: WaitingJob,
     number: int,
     step: Step,
-    chosen: Candidate,
+    chosen: ServerCandidate,
     now: Seconds,
 ) -> list[Effect]:
     job = waiting.job
@@ -192,7 +198,7 @@
         "waited": now - job.submitted_at,
         "slack": waiting.latest_start - now,
         "speed": chosen.speed,
-        "room_left": server.room.millicores,
+        "room_left": server.free_resources.millicores,
         "heard_ago": now - server.last_contact_at,
     }
     wait = Observe("run_wait_seconds", now - job.submitted_at)
@@ -206,7 +212,7 @@
     return StartRun(
         server=server.report.id,
         address=server.report.address,
-        task=refer_to_task(job, run.task),
+        task=get_task_ref(job, run.task),
         number=run.task,
         run=run.number,
         spec=job.spec,
@@ -218,6 +224,7 @@
 def extend_lease(server: Server, now: Seconds) -> Seconds:
     """Extend the lease; return its end on the backend server's clock, in seconds."""
     server.leases_expired_at = max(
-        server.leases_expired_at, now + LEASE / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
+        server.leases_expired_at,
+        now + LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN,
     )
-    return now + server.clock_offset + LEASE
+    return now + server.clock_offset + LEASE_DURATION
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -115,7 +115,7 @@
         Available servers as (negative speed, id).
     ejected
         Servers that wait for their next probe.
-    releases
+    expected_releases
         Running tasks as (expected end, server, task).
     deadlines
         Running tasks as (time at which they are overdue, call, server, task); a heap
@@ -148,7 +148,7 @@
     free_servers: SortedList = field(default_factory=SortedList)
     available_servers: SortedList = field(default_factory=SortedList)
     ejected: set[BackendServerId] = field(default_factory=set)
-    releases: SortedList = field(default_factory=SortedList)
+    expected_releases: SortedList = field(default_factory=SortedList)
     deadlines: list[tuple[Seconds, int, BackendServerId, TaskId]] = field(
         default_factory=list
     )
@@ -287,7 +287,7 @@
     state.retired_by_lease.clear()
     state.jobs_by_id.clear()
     state.queues_by_class.clear()
-    state.releases.clear()
+    state.expected_releases.clear()
     state.deadlines.clear()
     state.delayed_tasks.clear()
     state.jobs_needing_resources.clear()
--- a/boragetide/controllers/queueing.py
+++ b/boragetide/controllers/queueing.py
@@ -46,7 +46,7 @@
     remaining: Seconds = 0.0
     rank: float | None = None
     delayed: int = 0
-    servers_by_running: dict[TaskId, BackendServerId] = field(default_factory=dict)
+    server_by_running_task: dict[TaskId, BackendServerId] = field(default_factory=dict)
     attempts_by_index: dict[int, int] = field(default_factory=dict)
     may_have_run: bool = False
     dropped: bool = False
@@ -66,11 +66,11 @@
         Number of slots in use by each team.
     waiting, work
         Number of waiting tasks, and their expected work in seconds at the mean speed.
-    aging
+    aging_rate
         See `policy.ordering.aging_rate`.
     """
 
-    aging: float
+    aging_rate: float
     jobs_by_team: dict[str, SortedList] = field(default_factory=dict)
     team_heads: SortedList = field(default_factory=SortedList)
     running_by_team: dict[str, int] = field(default_factory=dict)
@@ -81,10 +81,10 @@
 
 def put_job(queue: ClassQueue, job: QueuedJob) -> None:
     """Insert a job, or reposition it after its waiting tasks changed."""
-    take_job(queue, job)
+    remove_job(queue, job)
     if not job.waiting or job.dropped:
         return
-    job.rank = ordering.rank_job(job.remaining, job.queued_at, queue.aging)
+    job.rank = ordering.rank_job(job.remaining, job.queued_at, queue.aging_rate)
     team = job.queued.team
     jobs = queue.jobs_by_team.setdefault(team, SortedList())
     old = jobs[0][0] if jobs else None
@@ -92,7 +92,7 @@
     _update_head(queue, team, old)
 
 
-def take_job(queue: ClassQueue, job: QueuedJob) -> None:
+def remove_job(queue: ClassQueue, job: QueuedJob) -> None:
     """Remove a job from the queue of its team, if it is there."""
     if job.rank is None:
         return
@@ -145,11 +145,11 @@
     indexes = [index for _, index in job.waiting]
     while job.waiting:
         pop_waiting(queue, job, -1)
-    take_job(queue, job)
+    remove_job(queue, job)
     return indexes
 
 
-def count_running(queue: ClassQueue, team: str, change: int) -> None:
+def add_running(queue: ClassQueue, team: str, change: int) -> None:
     """Change the number of slots that a team of the class uses."""
     queue.running += change
     running = queue.running_by_team.get(team, 0) + change
@@ -174,12 +174,13 @@
     )
 
 
-# Heap entry of `walk_jobs`: whether the team is over its share, rank, class, position
-# of the team in ``team_heads``, and position of the job in the queue of the team.
+# Heap entry of `iterate_jobs`: whether the team is over its share, rank, class,
+# position of the team in ``team_heads``, and position of the job in the queue of the
+# team.
 _HeapEntry: TypeAlias = tuple[bool, float, ClassName, int, int]
 
 
-def walk_jobs(
+def iterate_jobs(
     queues_by_class: dict[ClassName, ClassQueue],
     caps_by_class: dict[ClassName, int],
     now: Seconds,
@@ -248,7 +249,7 @@
     now: Seconds,
 ) -> _HeapEntry:
     jobs = queue.jobs_by_team[queue.team_heads[team_position][1]]
-    rank = ordering.age_rank(jobs[job_position][0], queue.aging, now)
+    rank = ordering.age_rank(jobs[job_position][0], queue.aging_rate, now)
     return is_over, rank, name, team_position, job_position
 
 
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -15,7 +15,7 @@
     find_target,
     refresh_server,
 )
-from boragetide.controllers.queueing import QueuedJob, put_job, take_job
+from boragetide.controllers.queueing import QueuedJob, put_job, remove_job
 from boragetide.effects import Effect, Send
 from boragetide.messages import TaskEnded
 from boragetide.policy import admission, ejection, learning, ordering
@@ -45,7 +45,7 @@
 
 
 def _review_at_interval(state: BackendServersState, now: Seconds) -> list[Effect]:
-    speeds_changed = learning.anchor_speeds(
+    speeds_changed = learning.center_speeds(
         [leased.speed_model for leased in state.servers_by_id.values()],
         state.size_models_by_class.values(),
     )
@@ -59,13 +59,13 @@
     """Apply changed targets of the classes, and reorder the queues they affect."""
     for name, queue in state.queues_by_class.items():
         target = find_target(state, name)
-        aging = ordering.aging_rate(target.response_time)
-        if aging == queue.aging:
+        aging_rate = ordering.aging_rate(target.response_time)
+        if aging_rate == queue.aging_rate:
             continue
         ids = [job_id for jobs in queue.jobs_by_team.values() for _, job_id in jobs]
         for job_id in ids:
-            take_job(queue, state.jobs_by_id[job_id])
-        queue.aging = aging
+            remove_job(queue, state.jobs_by_id[job_id])
+        queue.aging_rate = aging_rate
         for job_id in ids:
             put_job(queue, state.jobs_by_id[job_id])
 
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -24,7 +24,7 @@
     ListedEnd,
     Resources,
     RunEnd,
-    number_task,
+    get_task_number,
 )
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy import job_table
@@ -75,7 +75,7 @@
 ) -> tuple[RunEnd | None, list[Effect]]:
     """Apply a listed end; return the end to commit, if any, and the effects."""
     record = state.records_by_id.get(end.task.job_id)
-    number = None if record is None else number_task(record.job, end.task)
+    number = None if record is None else get_task_number(record.job, end.task)
     fields = {
         "job": end.task.job_id,
         "task": -1 if number is None else number,
@@ -102,7 +102,7 @@
         record_outcome(server, failed, now)
         if may_learn and not (failed or run.start_repeated):
             learn_speed(server, run, now)
-    elif end.run < state.run_by_task.get(key, 0) or key in state.occupied:
+    elif end.run < state.run_number_by_task.get(key, 0) or key in state.server_by_task:
         # A newer run exists, so this end counts only if it is a failed attempt.
         if not failed:
             return None, [log]
@@ -154,7 +154,7 @@
     """Occupy a task until the end of a run from an earlier leader is committed."""
     run = Run(key[0], key[1], end.run, Resources(), now, RunPhase.ENDED)
     add_run(state, server, run)
-    state.run_by_task[key] = end.run
+    state.run_number_by_task[key] = end.run
     update_queue(state, key[0])
 
 
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -26,16 +26,16 @@
     JobPhase,
     JobRecord,
     ListedRun,
-    number_task,
-    refer_to_task,
+    get_task_number,
+    get_task_ref,
 )
 from boragetide.effects import Effect, LogEvent, ReadRuns
 from boragetide.messages import RunsRead
 from boragetide.types import JobId, Seconds
 
 # A backend server delays its answer to a `ReadRuns` by up to this long until a run
-# ends. A lease of `LEASE` is thus renewed twice even if one answer is lost.
-READ_WAIT: Seconds = 0.25
+# ends. A lease of `LEASE_DURATION` is thus renewed twice even if one answer is lost.
+READ_MAX_WAIT: Seconds = 0.25
 # While ends wait to be committed, a lease is renewed only if less than this is left.
 RENEWAL_THRESHOLD: Seconds = 0.4
 # A run of an unknown job is stopped after this time. Callers submit their jobs again to
@@ -76,7 +76,7 @@
             fence=state.term,
             acknowledged=server.acknowledged,
             lease_until=extend_lease(server, now) if renews else None,
-            wait=READ_WAIT if waits else 0.0,
+            wait=READ_MAX_WAIT if waits else 0.0,
         )
     ]
 
@@ -120,7 +120,7 @@
     now: Seconds,
 ) -> list[Effect]:
     record = state.records_by_id.get(listed.task.job_id)
-    number = None if record is None else number_task(record.job, listed.task)
+    number = None if record is None else get_task_number(record.job, listed.task)
     key = (listed.task.job_id, -1 if number is None else number)
     run = server.runs_by_task.get(key)
     if run is not None and run.number == listed.run:
@@ -164,14 +164,16 @@
     now: Seconds,
 ) -> list[Effect]:
     """Adopt a run that an earlier leader started."""
-    number = number_task(record.job, listed.task)
+    number = get_task_number(record.job, listed.task)
     key = (record.job.id, number)
     step = record.job.steps[listed.task.step]
     run = Run(key[0], number, listed.run, step.needs, now, RunPhase.RUNNING)
     run.order_answered_at = sent_at
     server.unexpected_runs.pop(listed, None)
     add_run(state, server, run)
-    state.run_by_task[key] = max(state.run_by_task.get(key, 0), listed.run)
+    state.run_number_by_task[key] = max(
+        state.run_number_by_task.get(key, 0), listed.run
+    )
     update_queue(state, key[0])
     fields = {"job": key[0], "task": number, "run": listed.run}
     return [LogEvent("run_adopted", {**fields, "server": server.report.id})]
@@ -188,8 +190,8 @@
     return (
         record.phase is JobPhase.ACTIVE
         and key[1] not in record.done
-        and key not in state.occupied
-        and run >= state.run_by_task.get(key, 0)
+        and key not in state.server_by_task
+        and run >= state.run_number_by_task.get(key, 0)
     )
 
 
@@ -214,7 +216,7 @@
         if run.order_answered_at >= message.sent_at:
             continue
         record = state.records_by_id.get(run.job_id)
-        task = None if record is None else refer_to_task(record.job, run.task)
+        task = None if record is None else get_task_ref(record.job, run.task)
         if (task, run.number) in listed:
             continue
         effects += free_run(state, server, run, "not_listed")
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -21,13 +21,13 @@
     jobs,
 )
 from boragetide.controllers.dispatch_state import DispatcherState
+from boragetide.daemon.effect_execution import EffectContext
 from boragetide.daemon.logs import configure_logs, log_event
-from boragetide.daemon.performer import Performer
 from boragetide.daemon.process import (
     EXIT_FAILURE,
     Composition,
-    Machines,
-    Recoveries,
+    RecoveredByController,
+    StateMachines,
     run_process,
 )
 from boragetide.errors import SettingsError, StorageError
@@ -72,15 +72,15 @@
 
 
 async def run_daemon(
-    settings: Settings, make: Callable[..., Machines] | None = None
+    settings: Settings, make: Callable[..., StateMachines] | None = None
 ) -> int:
     """Run the daemon until it is asked to stop, and return the exit code.
 
     Parameters
     ----------
     make
-        Makes the state machines; defaults to `make_machines`. Benchmarks pass another
-        function to measure other policies.
+        Makes the state machines; defaults to `make_state_machines`. Benchmarks pass
+        another function to measure other policies.
 
     Raises
     ------
@@ -88,10 +88,10 @@
         If the data folder cannot be read or its content cannot be recovered.
     """
     composition = Composition(
-        make_machines=make or make_machines,
+        make_state_machines=make or make_state_machines,
         servers_by_address={settings.own.http_address: make_server},
         record_types_by_controller=RECORD_TYPES_BY_CONTROLLER,
-        make_performer=lambda runtime, journals: Performer(
+        make_effect_context=lambda runtime, journals: EffectContext(
             runtime, make_client(), journals, make_run_client()
         ),
         make_first_messages=_make_first_messages,
@@ -100,13 +100,13 @@
     return await run_process(settings, composition)
 
 
-def _make_first_messages(recovered: Recoveries) -> dict[str, Any]:
+def _make_first_messages(recovered: RecoveredByController) -> dict[str, Any]:
     return {"claims": claims.read_journal(_get_records(recovered, "claims"))}
 
 
-def make_machines(
-    settings: Settings, incarnation: int, recovered: Recoveries
-) -> Machines:
+def make_state_machines(
+    settings: Settings, incarnation: int, recovered: RecoveredByController
+) -> StateMachines:
     """Return the state machine of each controller with its initial state.
 
     Parameters
@@ -140,7 +140,7 @@
     return state_machines
 
 
-def _get_records(recovered: Recoveries, controller: str) -> tuple[Any, ...]:
+def _get_records(recovered: RecoveredByController, controller: str) -> tuple[Any, ...]:
     return recovered[controller].records if controller in recovered else ()
 
 
--- a/boragetide/daemon/performer.py
+++ b/boragetide/daemon/effect_execution.py
@@ -14,14 +14,14 @@
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import StorageError
 from boragetide.links import backend_client
-from boragetide.links.peers import replace_socket
+from boragetide.links.peers import request_reconnect
 from boragetide.links.run_client import RunClient
 from boragetide.messages import TaskReport
 from boragetide.storage.journal import Journals
 
 
 @dataclass(slots=True)
-class Performer:
+class EffectContext:
     """Resources that effects act on: the runtime, HTTP clients and journals.
 
     Parameters
@@ -58,67 +58,69 @@
         self.runtime.send(self.runtime.local("backend_servers"), message)
 
 
-def bind_execute_effect(performer: Performer) -> Callable[..., Awaitable[None] | None]:
-    """Return `execute_effect` bound to a performer, as `run_controller` expects it."""
+def bind_execute_effect(
+    context: EffectContext,
+) -> Callable[..., Awaitable[None] | None]:
+    """Return `execute_effect` bound to a context, as `run_controller` expects it."""
 
     def bound(effect: effects.Effect, controller: str) -> Awaitable[None] | None:
-        return execute_effect(effect, performer, controller)
+        return execute_effect(effect, context, controller)
 
     return bound
 
 
 @singledispatch
 def execute_effect(
-    effect: effects.Effect, performer: Performer, controller: str
+    effect: effects.Effect, context: EffectContext, controller: str
 ) -> Awaitable[None] | None:
     """Execute one effect; a returned awaitable completes when it is durable."""
     raise TypeError(f"cannot execute effect {effect!r}")
 
 
 @execute_effect.register
-def _(effect: effects.Send, performer: Performer, controller: str) -> None:
-    performer.runtime.send(effect.to, effect.message)
+def _(effect: effects.Send, context: EffectContext, controller: str) -> None:
+    context.runtime.send(effect.to, effect.message)
 
 
 @execute_effect.register
-def _(effect: effects.Reply, performer: Performer, controller: str) -> None:
-    performer.runtime.reply(effect.to, effect.message)
+def _(effect: effects.Reply, context: EffectContext, controller: str) -> None:
+    context.runtime.reply(effect.to, effect.message)
 
 
 @execute_effect.register
 def _(
-    effect: effects.Persist, performer: Performer, controller: str
+    effect: effects.Persist, context: EffectContext, controller: str
 ) -> Awaitable[None]:
-    return _get_journals(performer).append(controller, effect.records)
+    return _get_journals(context).append(controller, effect.records)
 
 
 @execute_effect.register
 def _(
-    effect: effects.SaveSnapshot, performer: Performer, controller: str
+    effect: effects.SaveSnapshot, context: EffectContext, controller: str
 ) -> Awaitable[None]:
-    return _get_journals(performer).save_snapshot(controller, effect.record)
+    return _get_journals(context).save_snapshot(controller, effect.record)
 
 
-def _get_journals(performer: Performer) -> Journals:
-    if performer.journals is None:
+def _get_journals(context: EffectContext) -> Journals:
+    if context.journals is None:
         raise StorageError("this instance has no disk to store records on")
-    return performer.journals
+    return context.journals
 
 
 @execute_effect.register
-def _(effect: effects.StartTasks, performer: Performer, controller: str) -> None:
-    performer.runtime.metrics.count("dispatches", {"server": effect.server})
-    performer.start_call(
-        backend_client.dispatch(performer.client, effect, performer.report_task)
+def _(effect: effects.StartTasks, context: EffectContext, controller: str) -> None:
+    context.runtime.metrics.count("dispatches", {"server": effect.server})
+    context.start_call(
+        backend_client.dispatch(context.client, effect, context.report_task)
     )
 
 
 @execute_effect.register
-def _(effect: effects.CancelTasks, performer: Performer, controller: str) -> None:
-    performer.runtime.metrics.count(
+def _(effect: effects.CancelTasks, context: EffectContext, controller: str) -> None:
+    context.runtime.metrics.count(
         "cancellations", {"server": effect.server}, len(effect.task_ids)
     )
-    performer.start_call(backend_client.cancel(performer.client, effect))
+    context.start_call(backend_client.cancel(context.client, effect))
 
 
 @execute_effect.register(effects.StartRun)
@@ -126,44 +128,44 @@
 @execute_effect.register(effects.ReadRuns)
 def _(
     effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
-    performer: Performer,
+    context: EffectContext,
     controller: str,
 ) -> None:
-    performer.start_call(_send_order(effect, performer, controller))
+    context.start_call(_send_order(effect, context, controller))
 
 
 async def _send_order(
     effect: effects.StartRun | effects.StopRun | effects.ReadRuns,
-    performer: Performer,
+    context: EffectContext,
     controller: str,
 ) -> None:
     """Send an order to a backend server and its answer to the controller."""
-    answer = await performer.run_client(effect)
-    performer.runtime.send(performer.runtime.local(controller), answer)
+    answer = await context.run_client(effect)
+    context.runtime.send(context.runtime.local(controller), answer)
 
 
 @execute_effect.register
-def _(effect: effects.Reconnect, performer: Performer, controller: str) -> None:
-    link = performer.runtime.links_by_id.get(effect.instance)
+def _(effect: effects.Reconnect, context: EffectContext, controller: str) -> None:
+    link = context.runtime.links_by_id.get(effect.instance)
     if link is not None:
-        replace_socket(link)
+        request_reconnect(link)
 
 
 @execute_effect.register
-def _(effect: effects.AbandonRequests, performer: Performer, controller: str) -> None:
-    performer.runtime.abandon_requests(effect.instance)
+def _(effect: effects.AbandonRequests, context: EffectContext, controller: str) -> None:
+    context.runtime.abandon_requests(effect.instance)
 
 
 @execute_effect.register
-def _(effect: effects.LogEvent, performer: Performer, controller: str) -> None:
+def _(effect: effects.LogEvent, context: EffectContext, controller: str) -> None:
     log_event(effect.event, **effect.fields)
 
 
 @execute_effect.register
-def _(effect: effects.Observe, performer: Performer, controller: str) -> None:
-    performer.runtime.metrics.observe(effect.metric, effect.labels, effect.seconds)
+def _(effect: effects.Observe, context: EffectContext, controller: str) -> None:
+    context.runtime.metrics.observe(effect.metric, effect.labels, effect.seconds)
 
 
 @execute_effect.register
-def _(effect: effects.Count, performer: Performer, controller: str) -> None:
-    performer.runtime.metrics.count(effect.metric, effect.labels, effect.value)
+def _(effect: effects.Count, context: EffectContext, controller: str) -> None:
+    context.runtime.metrics.count(effect.metric, effect.labels, effect.value)
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -13,10 +13,10 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from boragetide.daemon.effect_execution import EffectContext, bind_execute_effect
 from boragetide.daemon.logs import log_event, log_uncaught
-from boragetide.daemon.performer import Performer, bind_execute_effect
 from boragetide.daemon.runtime import (
-    Handle,
+    MessageHandler,
     Runtime,
     run_controller,
     run_ticks,
@@ -33,8 +33,8 @@
 EXIT_FAILURE = 1
 CANCEL_PERIOD = 0.1  # seconds
 
-Machines: TypeAlias = dict[str, tuple[Handle, Any]]
-Recoveries: TypeAlias = dict[str, Recovered]
+StateMachines: TypeAlias = dict[str, tuple[MessageHandler, Any]]
+RecoveredByController: TypeAlias = dict[str, Recovered]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,32 +43,34 @@
 
     Parameters
     ----------
-    make_machines
+    make_state_machines
         Makes the state machine of each controller with its initial state.
     servers_by_address
         Functions that make the HTTP server for each listening address.
     record_types_by_controller
         Record types of the controllers that have a journal on an instance with a disk.
-    make_performer
-        Makes the `Performer` that executes effects.
+    make_effect_context
+        Makes the `EffectContext` on which effects are executed.
     make_first_messages
         Makes the messages that controllers receive before any other.
     last_requests
         Requests that a planned stop sends when all work is finished.
-    shortest_stop
+    min_stop_time
         Minimum time for which the process keeps serving during a planned stop, in
         seconds, so that instances that still send to it learn of the stop.
     background
         Additional tasks of the process.
     """
 
-    make_machines: Callable[[Settings, int, Recoveries], Machines]
+    make_state_machines: Callable[[Settings, int, RecoveredByController], StateMachines]
     servers_by_address: Mapping[str, Callable[[Runtime], HTTPServer]]
     record_types_by_controller: Mapping[str, Iterable[type]]
-    make_performer: Callable[[Runtime, Journals], Performer]
-    make_first_messages: Callable[[Recoveries], dict[str, Any]] = lambda recovered: {}
+    make_effect_context: Callable[[Runtime, Journals], EffectContext]
+    make_first_messages: Callable[[RecoveredByController], dict[str, Any]] = (
+        lambda recovered: {}
+    )
     last_requests: tuple[tuple[str, Request], ...] = ()
-    shortest_stop: Seconds | None = None
+    min_stop_time: Seconds | None = None
     background: tuple[Callable[[Runtime], Awaitable[None]], ...] = ()
 
 
@@ -82,7 +84,7 @@
     """
     signals = StopSignals()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, signals.note)
+        asyncio.get_running_loop().add_signal_handler(number, signals.record)
     sockets_by_address = {
         address: _bind(address) for address in composition.servers_by_address
     }
@@ -92,14 +94,16 @@
     listening = asyncio.Event()
     listener, *links = _start_links(runtime, listening)
     await _wait_until_listening(listener, listening)
-    state_machines = composition.make_machines(settings, runtime.incarnation, recovered)
+    state_machines = composition.make_state_machines(
+        settings, runtime.incarnation, recovered
+    )
     for controller, message in composition.make_first_messages(recovered).items():
         runtime.send(runtime.local(controller), message)
     required = [
         listener,
         asyncio.create_task(run_journals(journals), name="journals"),
         *_start_controllers(
-            composition.make_performer(runtime, journals), state_machines
+            composition.make_effect_context(runtime, journals), state_machines
         ),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
         *(asyncio.create_task(run(runtime)) for run in composition.background),
@@ -163,7 +167,7 @@
     )
     await signals.first.wait()
     await stop_gracefully(
-        runtime, signals, composition.last_requests, composition.shortest_stop
+        runtime, signals, composition.last_requests, composition.min_stop_time
     )
     for server in servers:
         server.stop()
@@ -209,7 +213,7 @@
         return link
 
     on_demand_tasks: set[asyncio.Task[None]] = set()
-    if runtime.settings.names_are_addresses:
+    if runtime.settings.ids_are_addresses:
         runtime.make_link = make_link
     return [
         asyncio.create_task(run_with_restarts("listener", listen, started=listening)),
@@ -236,7 +240,7 @@
 
 def open_journals(
     settings: Settings, types_by_controller: Mapping[str, Iterable[type]]
-) -> tuple[Journals, Recoveries]:
+) -> tuple[Journals, RecoveredByController]:
     """Open the journals of an instance with a disk and read their records.
 
     Raises
@@ -254,7 +258,7 @@
         journals.journals_by_controller[controller] = journal
         if recovered[controller].lost:
             log_event("journal_corrupt", controller=controller, path=str(path))
-    if recovered["configuration"].lost and len(settings.disk_ids) == 1:
+    if recovered["configuration"].lost and len(settings.ids_with_disk) == 1:
         raise StorageError(
             f"{settings.data_folder}: the journal of the configuration is corrupt, and "
             "no other instance has a disk to restore it from"
@@ -263,12 +267,12 @@
 
 
 def _start_controllers(
-    performer: Performer, state_machines: Machines
+    context: EffectContext, state_machines: StateMachines
 ) -> list[asyncio.Task[None]]:
-    execute_effect = bind_execute_effect(performer)
+    execute_effect = bind_execute_effect(context)
     return [
         asyncio.create_task(
-            run_controller(performer.runtime, name, handle, state, execute_effect),
+            run_controller(context.runtime, name, handle, state, execute_effect),
             name=name,
         )
         for name, (handle, state) in state_machines.items()
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -23,9 +23,9 @@
     decode_body,
     encode_body,
 )
-from boragetide.links.peers import PeerLink, post
+from boragetide.links.peers import PeerLink, enqueue
 from boragetide.messages import Request, Tick, WokeUp
-from boragetide.messages.common import note_arrival
+from boragetide.messages.common import add_arrival_time
 from boragetide.settings import Settings
 from boragetide.types import Address, InstanceId, ReplyTo, Seconds
 
@@ -33,7 +33,7 @@
 MAX_TICK_BACKLOG = 1000  # messages
 RESTART_DELAY = 0.5  # seconds
 
-Handle: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
+MessageHandler: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
 
 @dataclass(slots=True)
@@ -78,7 +78,7 @@
     def send(self, to: Address, message: Any) -> None:
         """Send a message without waiting; delivery is not guaranteed."""
         if to.instance == self.settings.id:
-            message = note_arrival(message, read_clock())
+            message = add_arrival_time(message, read_clock())
             self.mailboxes_by_controller[to.controller].put_nowait(message)
             return
         request = message.reply_to.request if _expects_local_reply(self, message) else 0
@@ -138,7 +138,7 @@
         if envelope.controller == REPLY_CONTROLLER:
             self._resolve_request(envelope.request, message)
         elif envelope.controller in self.mailboxes_by_controller:
-            message = note_arrival(message, read_clock())
+            message = add_arrival_time(message, read_clock())
             self.mailboxes_by_controller[envelope.controller].put_nowait(message)
 
     def log_decode_error(self, error: LinkError) -> None:
@@ -170,7 +170,7 @@
             link = self.links_by_id[instance] = self.make_link(instance)
         kind = type(message).__name__
         self.metrics.count("peer_messages_sent", {"kind": kind})
-        return post(
+        return enqueue(
             link,
             Envelope(
                 sender=self.settings.id,
@@ -203,7 +203,7 @@
 async def run_controller(
     runtime: Runtime,
     name: str,
-    handle: Handle,
+    handle: MessageHandler,
     state: Any,
     execute_effect: Callable[[Effect, str], Any],
 ) -> None:
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -14,7 +14,7 @@
 
 # Entry instances that chose this placer before the stop still send their jobs once the
 # claims are decided; see also `RELEASE_DELAY` in `boragetide.controllers.leases`.
-SHORTEST_STOP = 1.0  # seconds
+MIN_STOP_TIME = 1.0  # seconds
 POLL_INTERVAL = 0.05  # seconds
 FLUSH_TIMEOUT = 2.0  # seconds
 
@@ -26,7 +26,7 @@
     first: asyncio.Event = field(default_factory=asyncio.Event)
     second: asyncio.Event = field(default_factory=asyncio.Event)
 
-    def note(self) -> None:
+    def record(self) -> None:
         """Record the receipt of one signal."""
         (self.second if self.first.is_set() else self.first).set()
 
@@ -46,9 +46,9 @@
     last_requests
         Controllers and the requests sent to them when all work is finished.
     min_duration
-        Minimum duration of the stop in seconds; `SHORTEST_STOP` if ``None``.
+        Minimum duration of the stop in seconds; `MIN_STOP_TIME` if ``None``.
     """
-    min_duration = SHORTEST_STOP if min_duration is None else min_duration
+    min_duration = MIN_STOP_TIME if min_duration is None else min_duration
     timeout = runtime.settings.timing.stop_timeout
     runtime.stopping = True
     log_event("stopping", timeout=timeout, requests=len(runtime.open_requests))
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -238,7 +238,7 @@
     clock: Seconds | None = None
 
 
-def number_task(job: DurableJob, task: TaskRef) -> int | None:
+def get_task_number(job: DurableJob, task: TaskRef) -> int | None:
     """Return a task's number over all steps, or ``None`` if the task does not exist."""
     if not 0 <= task.step < len(job.steps):
         return None
@@ -247,7 +247,7 @@
     return sum(step.count for step in job.steps[: task.step]) + task.index
 
 
-def refer_to_task(job: DurableJob, number: int) -> TaskRef:
+def get_task_ref(job: DurableJob, number: int) -> TaskRef:
     """Return the step and the position of the task with this number.
 
     Raises
--- a/boragetide/encoding.py
+++ b/boragetide/encoding.py
@@ -9,7 +9,7 @@
 from boragetide.commands import COMMANDS_BY_KIND, Command
 
 
-def restore(declared: type, value: Any) -> Any:
+def decode_command(declared: type, value: Any) -> Any:
     """Decode a command by its ``kind``; serves as a ``dec_hook`` of msgspec.
 
     Raises
--- a/boragetide/filters/claim.py
+++ b/boragetide/filters/claim.py
@@ -14,12 +14,12 @@
 from boragetide.policy.claiming import (
     AskAcceptor,
     AskOwner,
+    ClaimStep,
     Decided,
-    Step,
     Undecided,
     decide_claim,
 )
-from boragetide.policy.ids import is_minted_later
+from boragetide.policy.ids import is_generated_in_future
 from boragetide.policy.routing import find_claim_group, find_home_zone
 from boragetide.types import Address, Answer, Claim, InstanceId, Seconds, Status
 
@@ -44,7 +44,7 @@
     settings = runtime.settings
     job_id = exchange.submission.id
     now = read_clock()
-    if is_minted_later(job_id, settings, now):
+    if is_generated_in_future(job_id, settings, now):
         message = f"id: {job_id!r} was minted in the future"
         raise RequestError(Status.NOT_RUN, 400, message)
     proposed = Claim(
@@ -53,10 +53,10 @@
     group = find_claim_group(find_home_zone(job_id, settings), settings)
     exchange.live = await list_live_incarnations(runtime)
     attempt = _ClaimAttempt(exchange, call_next, group)
-    dead = frozenset(group) - exchange.live.keys()
+    lost = frozenset(group) - exchange.live.keys()
     while True:
         replies = attempt.replies_by_acceptor
-        step = decide_claim(proposed, group, replies, settings.id, dead)
+        step = decide_claim(proposed, group, replies, settings.id, lost)
         result = await _execute_step(step, attempt)
         if result is not None:
             return result
@@ -81,7 +81,7 @@
 
 
 @singledispatch
-async def _execute_step(step: Step, attempt: _ClaimAttempt) -> Answer | None:
+async def _execute_step(step: ClaimStep, attempt: _ClaimAttempt) -> Answer | None:
     """Execute one step; return ``None`` if another step is needed."""
     raise TypeError(f"unknown claim step {step!r}")
 
--- a/boragetide/filters/lookup.py
+++ b/boragetide/filters/lookup.py
@@ -15,7 +15,7 @@
     LookUpJob,
     Request,
 )
-from boragetide.policy.claiming import is_certainly_unclaimed, order_acceptors
+from boragetide.policy.claiming import is_unclaimed, order_acceptors
 from boragetide.policy.routing import find_claim_group, find_home_zone
 from boragetide.types import Address, Claim, InstanceId, JobId
 
@@ -36,10 +36,10 @@
     settings = runtime.settings
     live = await list_live_incarnations(runtime)
     group = find_claim_group(find_home_zone(job_id, settings), settings)
-    dead = frozenset(group) - live.keys()
+    lost = frozenset(group) - live.keys()
     replies_by_acceptor: dict[InstanceId, ClaimReply | None] = {}
     claims_by_owner: dict[tuple[InstanceId, int], Claim] = {}
-    for acceptor in order_acceptors(group, settings.id, dead):
+    for acceptor in order_acceptors(group, settings.id, lost):
         reply = await _ask_or_none(
             runtime, live, Address(acceptor, "claims"), LookUpClaim(id=job_id)
         )
@@ -52,7 +52,7 @@
                 state = await _ask_claim_owner(runtime, live, claim, message)
                 if state is not None:
                     return state
-        elif not claims_by_owner and is_certainly_unclaimed(group, replies_by_acceptor):
+        elif not claims_by_owner and is_unclaimed(group, replies_by_acceptor):
             return None
     return JobState(job_id, "unknown")
 
--- a/boragetide/json_values.py
+++ b/boragetide/json_values.py
@@ -15,21 +15,21 @@
 _UNSUPPORTED_NUMBER_HINT = re.compile(rb"NaN|Infinity|\d{19}|[eE]\+?\d{3}")
 
 
-def needs_walk(text: bytes) -> bool:
-    """Return whether a JSON text can contain a value that `find_fault` rejects."""
+def may_have_unsupported_value(text: bytes) -> bool:
+    """Return whether `find_unsupported_value` may reject a value of a JSON text."""
     brackets = text.count(b"[") + text.count(b"{")
     return brackets > MAX_DEPTH or _UNSUPPORTED_NUMBER_HINT.search(text) is not None
 
 
-def find_fault(value: Any) -> str | None:
+def find_unsupported_value(value: Any) -> str | None:
     """Return why a decoded JSON value cannot be sent unchanged, or ``None`` if it can.
 
     msgpack has no integers above 64 bits, and JSON has neither NaN nor infinity.
     """
-    return _find_fault_within(value, MAX_DEPTH)
+    return _find_unsupported_value_within(value, MAX_DEPTH)
 
 
-def _find_fault_within(value: Any, depth: int) -> str | None:
+def _find_unsupported_value_within(value: Any, depth: int) -> str | None:
     if depth < 0:
         return f"nested more than {MAX_DEPTH} levels deep"
     if isinstance(value, float) and not math.isfinite(value):
@@ -41,5 +41,6 @@
     elif not isinstance(value, list):
         return None
     return next(
-        (f for item in value if (f := _find_fault_within(item, depth - 1))), None
+        (f for item in value if (f := _find_unsupported_value_within(item, depth - 1))),
+        None,
     )
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -10,7 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.effects import CancelTasks, StartTasks
-from boragetide.json_values import find_fault, needs_walk
+from boragetide.json_values import find_unsupported_value, may_have_unsupported_value
 from boragetide.messages import TaskReport
 from boragetide.types import Seconds, TaskOutcome, TaskStatus
 
@@ -22,7 +22,7 @@
 
 _HTTP_REFUSED = frozenset({409, 503})
 # curl error codes: proxy not resolved, host not resolved, connection failed.
-_CURL_NOT_CONNECTED = frozenset({5, 6, 7})
+_CURL_CONNECT_ERRORS = frozenset({5, 6, 7})
 
 
 class _ResultLine(msgspec.Struct):
@@ -109,7 +109,7 @@
     """
     if failure.code in _HTTP_REFUSED:
         return TaskStatus.NOT_RUN, f"refused with HTTP status {failure.code}"
-    if getattr(failure, "errno", None) in _CURL_NOT_CONNECTED:
+    if getattr(failure, "errno", None) in _CURL_CONNECT_ERRORS:
         return TaskStatus.NOT_RUN, "cannot connect to the backend server"
     return TaskStatus.UNKNOWN, str(failure)
 
@@ -149,9 +149,13 @@
             return
         self._unreported.discard(entry.id)
         outcome = TaskOutcome(status, entry.result, entry.error)
-        fault = find_fault(entry.result) if needs_walk(line) else None
-        if fault is not None:
-            outcome = TaskOutcome(TaskStatus.FAILED, error=f"result: {fault}")
+        reason = (
+            find_unsupported_value(entry.result)
+            if may_have_unsupported_value(line)
+            else None
+        )
+        if reason is not None:
+            outcome = TaskOutcome(TaskStatus.FAILED, error=f"result: {reason}")
         self._report(
             TaskReport(
                 self._start.server, self._start.lease, entry.id, outcome, entry.seconds
--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from boragetide import messages
-from boragetide.encoding import restore
+from boragetide.encoding import decode_command
 from boragetide.errors import LinkError
 from boragetide.types import InstanceId
 
@@ -50,7 +50,7 @@
     and value.__module__.startswith(messages.__name__)
 }
 _DECODERS_BY_KIND = {
-    kind: msgspec.msgpack.Decoder(type_, dec_hook=restore)
+    kind: msgspec.msgpack.Decoder(type_, dec_hook=decode_command)
     for kind, type_ in _TYPES_BY_KIND.items()
 }
 _FRAME_DECODER = msgspec.msgpack.Decoder(list[Envelope])
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -67,24 +67,24 @@
     client = make_order_client()
 
     def send(order: StartRun | StopRun | ReadRuns) -> Awaitable[Any]:
-        return give_order(order, client)
+        return send_order(order, client)
 
     return send
 
 
 @singledispatch
-async def give_order(order: Any, client: AsyncHTTPClient) -> Any:
+async def send_order(order: Any, client: AsyncHTTPClient) -> Any:
     """Send one order and convert the answer to a message for the controller."""
     raise TypeError(f"no order {order!r}")
 
 
-@give_order.register
+@send_order.register
 async def _(order: StartRun, client: AsyncHTTPClient) -> RunOrdered:
     body = {"spec": order.spec, "lease_until": order.lease_until}
     return await _send_run_order(order, client, "start", body)
 
 
-@give_order.register
+@send_order.register
 async def _(order: StopRun, client: AsyncHTTPClient) -> RunOrdered:
     return await _send_run_order(order, client, "stop", {})
 
@@ -130,7 +130,7 @@
     return answer.result, answer.clock
 
 
-@give_order.register
+@send_order.register
 async def _(order: ReadRuns, client: AsyncHTTPClient) -> RunsRead | ReadFailed:
     body: dict[str, Any] = {
         "server": order.server,
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -34,7 +34,7 @@
     reconnect_requested: bool = False
 
 
-def post(link: PeerLink, envelope: Envelope) -> bool:
+def enqueue(link: PeerLink, envelope: Envelope) -> bool:
     """Queue an envelope; return false if the outbox is full and nothing is sent."""
     if len(link.outbox) >= MAX_OUTBOX_ENVELOPES:
         return False
@@ -43,7 +43,7 @@
     return True
 
 
-def replace_socket(link: PeerLink) -> None:
+def request_reconnect(link: PeerLink) -> None:
     """Ask the link's task to continue with a new socket, even if it is idle."""
     link.reconnect_requested = True
     link.wake.set()
--- a/boragetide/messages/common.py
+++ b/boragetide/messages/common.py
@@ -46,6 +46,6 @@
 
 
 @singledispatch
-def note_arrival(message: Any, now: Seconds) -> Any:
+def add_arrival_time(message: Any, now: Seconds) -> Any:
     """Return a message with its arrival time added, if its type has one."""
     return message
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -7,7 +7,7 @@
 
 from boragetide.commands import Command
 from boragetide.durable import DurableJob, JobRecord, ListedEnd, ListedRun, ServerReport
-from boragetide.messages.common import Request, note_arrival
+from boragetide.messages.common import Request, add_arrival_time
 from boragetide.types import (
     BackendServerId,
     ClassName,
@@ -75,7 +75,7 @@
     arrived_at: Seconds | None = None
 
 
-@note_arrival.register
+@add_arrival_time.register
 def _(message: SubmitDurableJob, now: Seconds) -> SubmitDurableJob:
     return replace(message, arrived_at=now)
 
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -71,7 +71,7 @@
         return set()
     if isinstance(proposal.command, JobCommand):
         changed = change_jobs(proposal.command, catalogue, entry.accepted_at)
-        job_table.forget_ended(catalogue.jobs_by_id, entry.accepted_at)
+        job_table.drop_ended_jobs(catalogue.jobs_by_id, entry.accepted_at)
         return changed
     if find_outcome(proposal, catalogue) is None:
         _apply_command(proposal, catalogue, entry.accepted_at)
--- a/boragetide/policy/catch_up.py
+++ b/boragetide/policy/catch_up.py
@@ -52,7 +52,7 @@
 
 def _find_contacts(replica: Replica) -> set[InstanceId]:
     """Return the members to ask: the first members and those named in the answers."""
-    contacts = set(replica.settings.first_members)
+    contacts = set(replica.settings.initial_members)
     for answer in replica.catch_up_by_id.values():
         if answer.held is not None:
             contacts.update(_list_members(replica, answer.held))
@@ -67,7 +67,7 @@
 def _try_to_join(replica: Replica, now: Seconds) -> list[Effect]:
     answers = replica.catch_up_by_id.values()
     snapshots_by_id = {a.sender: a.held for a in answers if a.held is not None}
-    founders = replica.settings.first_members
+    founders = replica.settings.initial_members
     blank_by_id = {
         answer.sender: answer.sender_incarnation
         for answer in answers
@@ -81,7 +81,7 @@
         return _found_group(replica, now, blank_by_id)
     if snapshots_by_id:
         return _try_to_adopt(replica, now, snapshots_by_id)
-    if not replica.settings.may_found or replica.id not in founders:
+    if not replica.settings.may_found_group or replica.id not in founders:
         return []
     waited = now - (replica.started_at or now) >= FOUNDING_WAIT
     needed = majority_size(len(founders)) if waited else len(founders)
--- a/boragetide/policy/claiming.py
+++ b/boragetide/policy/claiming.py
@@ -45,7 +45,7 @@
     reason: str
 
 
-Step: TypeAlias = AskAcceptor | AskOwner | Decided | Undecided
+ClaimStep: TypeAlias = AskAcceptor | AskOwner | Decided | Undecided
 
 
 def quorum_size(group: tuple[InstanceId, ...]) -> int:
@@ -58,8 +58,8 @@
     group: tuple[InstanceId, ...],
     replies_by_acceptor: Replies,
     entry: InstanceId | None = None,
-    dead: frozenset[InstanceId] = frozenset(),
-) -> Step:
+    lost: frozenset[InstanceId] = frozenset(),
+) -> ClaimStep:
     """Return the next step of claiming a job id.
 
     Claims that name the same owner in the same incarnation count as one, because the
@@ -76,7 +76,7 @@
         Replies so far; ``None`` for an acceptor that did not answer.
     entry
         Instance that asks; its own acceptor costs no message and is asked first.
-    dead
+    lost
         Acceptors that count as lost; they are asked last.
     """
     quorum = quorum_size(group)
@@ -85,13 +85,13 @@
         claim = min(held, key=lambda claim: claim.claimed_at)
         return Decided(claim, len(replies_by_acceptor))
     candidate = held[0] if held else proposed
-    ordered = order_acceptors(group, entry, dead, candidate.owner)
+    ordered = order_acceptors(group, entry, lost, candidate.owner)
     waiting = [name for name in ordered if name not in replies_by_acceptor]
     if len(held) + len(waiting) < quorum:
         return Undecided(f"{len(held)} of {quorum} acceptors hold the same claim")
     owner = candidate.owner
     completes_quorum = len(held) + 1 == quorum and owner != entry
-    if completes_quorum and owner in waiting and owner not in dead:
+    if completes_quorum and owner in waiting and owner not in lost:
         return AskOwner(candidate)
     return AskAcceptor(waiting[0], candidate)
 
@@ -99,7 +99,7 @@
 def order_acceptors(
     group: tuple[InstanceId, ...],
     entry: InstanceId | None = None,
-    dead: frozenset[InstanceId] = frozenset(),
+    lost: frozenset[InstanceId] = frozenset(),
     owner: InstanceId | None = None,
 ) -> tuple[InstanceId, ...]:
     """Return the acceptors of a claim group in the order in which to ask them.
@@ -109,7 +109,7 @@
     with the submission of the job. Lost instances come last.
     """
     return tuple(
-        sorted(group, key=lambda name: (name in dead, name != entry, name == owner))
+        sorted(group, key=lambda name: (name in lost, name != entry, name == owner))
     )
 
 
@@ -140,9 +140,7 @@
     )
 
 
-def is_certainly_unclaimed(
-    group: tuple[InstanceId, ...], replies_by_acceptor: Replies
-) -> bool:
+def is_unclaimed(group: tuple[InstanceId, ...], replies_by_acceptor: Replies) -> bool:
     """Return whether a quorum of complete acceptors holds no claim on an id."""
     unclaimed = [
         acceptor
--- a/boragetide/policy/distribution.py
+++ b/boragetide/policy/distribution.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(slots=True)
-class Distribution:
+class DistributionState:
     """State of the configuration in force on this instance.
 
     Parameters
@@ -43,7 +43,9 @@
         return -1 if self.in_force is None else self.in_force.version
 
 
-def put_in_force(state: Distribution, configuration: Configuration) -> list[Effect]:
+def put_in_force(
+    state: DistributionState, configuration: Configuration
+) -> list[Effect]:
     """Put a configuration in force if it is newer, and notify local controllers."""
     if configuration.version <= state.version:
         return []
@@ -56,12 +58,12 @@
         LogEvent("configuration_in_force", fields),
         *(
             Send(Address(own, controller), changed)
-            for controller in state.settings.configured_controllers
+            for controller in state.settings.configuration_subscribers
         ),
     ]
 
 
-def look_for_configuration(state: Distribution, now: Seconds) -> list[Effect]:
+def request_configuration(state: DistributionState, now: Seconds) -> list[Effect]:
     """Request the configuration of all peers while none is in force here."""
     if state.started_at is None:
         state.started_at = now
@@ -76,8 +78,8 @@
     ]
 
 
-def fetch_newer(
-    state: Distribution, peer: InstanceId, version: int, now: Seconds
+def request_newer(
+    state: DistributionState, peer: InstanceId, version: int, now: Seconds
 ) -> list[Effect]:
     """Request the configuration of a peer that reports a newer version."""
     if state.in_force is None or version <= state.version or now < state.next_fetch:
@@ -87,11 +89,11 @@
     return [Send(Address(peer, "configuration"), request)]
 
 
-def choose_offer(state: Distribution, now: Seconds) -> Configuration | None:
+def choose_offer(state: DistributionState, now: Seconds) -> Configuration | None:
     """Return the offered configuration to put in force now, or ``None``."""
     if not state.offers_by_id:
         return None
-    members = set(state.settings.first_members)
+    members = set(state.settings.initial_members)
     answered = len(members & state.offers_by_id.keys())
     waited = state.started_at is not None and now - state.started_at >= FETCH_WAIT
     if state.in_force is None and answered <= len(members) // 2 and not waited:
--- a/boragetide/policy/elections.py
+++ b/boragetide/policy/elections.py
@@ -11,7 +11,7 @@
 from boragetide.messages import RequestVote, StandForElection, VoteReply
 from boragetide.policy.member_changes import ask_to_join, register_learner
 from boragetide.policy.replica import (
-    AUTHORITY,
+    AUTHORITY_DURATION,
     ELECTION_MIN,
     FIRST_ELECTION_MAX,
     FIRST_ELECTION_MIN,
@@ -32,22 +32,24 @@
     if not replica.is_member:
         return ask_to_join(replica, now)
     if not replica.others:
-        return _stand(replica, now, preliminary=False)
+        return _start_election(replica, now, preliminary=False)
     if replica.election_at is None:
         schedule_election(replica, now, FIRST_ELECTION_MIN, FIRST_ELECTION_MAX)
     if now < replica.election_at:
         return []
     replica.leader = None
-    return _stand(replica, now, preliminary=True)
+    return _start_election(replica, now, preliminary=True)
 
 
-def _stand(replica: Replica, now: Seconds, *, preliminary: bool) -> list[Effect]:
+def _start_election(
+    replica: Replica, now: Seconds, *, preliminary: bool
+) -> list[Effect]:
     schedule_election(replica, now)
     replica.role = Role.CANDIDATE
     replica.preliminary = preliminary
     replica.votes_by_id = {replica.id: replica.incarnation}
     # Each majority that an earlier leader relied on contains one of the voters.
-    replica.predecessor_until = now + AUTHORITY - replica.leader_heard_ago(now)
+    replica.predecessor_until = now + AUTHORITY_DURATION - replica.leader_heard_ago(now)
     effects: list[Effect] = []
     if not preliminary:
         term = replica.ballot.term + 1
@@ -61,9 +63,9 @@
             last_term=replica.last_term,
             preliminary=preliminary,
             incarnation=replica.incarnation,
-            waits=replica.links.note_sent(member, now),
+            waits=replica.links.record_sent(member, now),
         )
-        effects += replica.links.check(member, now)
+        effects += replica.links.reconnect_if_silent(member, now)
         effects.append(Send(Address(member, "configuration"), request))
     return effects + _count_votes(replica, now)
 
@@ -72,7 +74,7 @@
     if len(replica.votes_by_id) < replica.quorum:
         return []
     if replica.preliminary:
-        return _stand(replica, now, preliminary=False)
+        return _start_election(replica, now, preliminary=False)
     return become_leader(replica, now)
 
 
@@ -83,12 +85,12 @@
         return []
     if not replica.is_member:
         return []
-    return _stand(replica, now, preliminary=False)
+    return _start_election(replica, now, preliminary=False)
 
 
 @step.register
 def _(message: RequestVote, replica: Replica, now: Seconds) -> list[Effect]:
-    effects = replica.links.check(message.candidate, now, message.waits)
+    effects = replica.links.reconnect_if_silent(message.candidate, now, message.waits)
     # The candidate may be a member that was replaced while it was unreachable and does
     # not know this yet. It is then replicated to as a learner.
     effects += register_learner(replica, message.candidate, now)
@@ -146,7 +148,7 @@
 
 @step.register
 def _(message: VoteReply, replica: Replica, now: Seconds) -> list[Effect]:
-    replica.links.note_heard(message.voter)
+    replica.links.record_received(message.voter)
     merge_fences(replica, message.fences_by_id)
     if message.term > replica.ballot.term:
         return adopt_term(replica, message.term)
@@ -161,6 +163,6 @@
         return []
     replica.votes_by_id[message.voter] = message.incarnation
     replica.predecessor_until = max(
-        replica.predecessor_until, now + AUTHORITY - message.leader_heard_ago
+        replica.predecessor_until, now + AUTHORITY_DURATION - message.leader_heard_ago
     )
     return _count_votes(replica, now)
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -35,7 +35,7 @@
     ----------
     rank
         Sort key among the jobs that can be in time; the lowest goes first.
-    narrowest
+    min_millicores
         Thousandths of a core that the smallest step of the job needs.
     """
 
@@ -44,7 +44,7 @@
     rank: Seconds
     latest_start: Seconds
     expires_at: Seconds
-    narrowest: int
+    min_millicores: int
 
 
 @dataclass(slots=True)
@@ -86,7 +86,7 @@
             rank=latest_start(job) + SIZE_DELAY * self._relative_work(job),
             latest_start=latest_start(job),
             expires_at=expires_at(job),
-            narrowest=min(step.needs.millicores for step in job.steps),
+            min_millicores=min(step.needs.millicores for step in job.steps),
         )
         self.waiting_by_id[job.id] = waiting
         self.in_time.add((waiting.rank, job.id))
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -83,7 +83,7 @@
     return {job_id}
 
 
-def forget_ended(jobs_by_id: dict[JobId, JobRecord], now: Seconds) -> None:
+def drop_ended_jobs(jobs_by_id: dict[JobId, JobRecord], now: Seconds) -> None:
     """Drop jobs whose retention time has passed; the oldest jobs come first."""
     expired = []
     for job_id, record in jobs_by_id.items():
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -19,10 +19,10 @@
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
 # The dispatcher is notified only of extensions of its authority by at least this much,
-# a quarter of `AUTHORITY`.
+# a quarter of `AUTHORITY_DURATION`.
 MIN_AUTHORITY_EXTENSION = 0.1  # seconds
 # An instance without a log that has sent no request for this long gets no more notices.
-FOLLOWER_SILENCE = 3.0  # seconds
+SUBSCRIBER_SILENCE = 3.0  # seconds
 
 
 @dataclass(slots=True)
@@ -37,7 +37,7 @@
         End of the authority that the dispatcher was notified of, in Unix time.
     announced_members
         Members of the log that the dispatcher was notified of.
-    followers_by_id
+    subscribers_by_id
         Instances without a log, with the time of their last request and the version of
         the configuration that they have.
     links
@@ -48,7 +48,9 @@
     announced_term: int = 0
     announced_until: Seconds = 0.0
     announced_members: tuple[InstanceId, ...] = ()
-    followers_by_id: dict[InstanceId, tuple[Seconds, int]] = field(default_factory=dict)
+    subscribers_by_id: dict[InstanceId, tuple[Seconds, int]] = field(
+        default_factory=dict
+    )
     links: LinkHealth = field(default_factory=LinkHealth)
 
 
@@ -90,36 +92,36 @@
     return term if replica.term_at(replica.commit) == term else 0
 
 
-def note_follower(
-    state: Leadership, follower: InstanceId, version: int, now: Seconds
+def record_subscriber(
+    state: Leadership, subscriber: InstanceId, version: int, now: Seconds
 ) -> None:
     """Record the request of an instance that follows the leader."""
-    state.followers_by_id[follower] = (now, version)
+    state.subscribers_by_id[subscriber] = (now, version)
 
 
 def notify(
     state: Leadership,
     replica: Replica | None,
     in_force: Configuration | None,
-    follower: InstanceId,
+    subscriber: InstanceId,
     now: Seconds,
 ) -> Effect:
     """Notify one instance of the leader.
 
     If this instance leads, the notice includes the configuration in force, provided
-    that it is newer than the one that the follower has.
+    that it is newer than the one that the subscriber has.
     """
-    _, version = state.followers_by_id.get(follower, (now, -1))
+    _, version = state.subscribers_by_id.get(subscriber, (now, -1))
     leads = replica is not None and now < replica.authority_until(now)
     newer = leads and in_force is not None and in_force.version > version
     notice = LeaderNotice(
         sender=state.settings.id,
         term=0 if replica is None else replica.ballot.term,
         leader=None if replica is None else replica.leader,
-        members=state.settings.first_members if replica is None else replica.members,
+        members=state.settings.initial_members if replica is None else replica.members,
         configuration=in_force if newer else None,
     )
-    return Send(Address(follower, "directory"), notice)
+    return Send(Address(subscriber, "directory"), notice)
 
 
 def notify_all(
@@ -129,10 +131,10 @@
     now: Seconds,
 ) -> list[Effect]:
     """Notify all instances that have sent a request recently."""
-    for follower, (asked_at, _) in list(state.followers_by_id.items()):
-        if now - asked_at > FOLLOWER_SILENCE:
-            del state.followers_by_id[follower]
+    for subscriber, (asked_at, _) in list(state.subscribers_by_id.items()):
+        if now - asked_at > SUBSCRIBER_SILENCE:
+            del state.subscribers_by_id[subscriber]
     return [
-        notify(state, replica, in_force, follower, now)
-        for follower in state.followers_by_id
+        notify(state, replica, in_force, subscriber, now)
+        for subscriber in state.subscribers_by_id
     ]
--- a/boragetide/policy/learning.py
+++ b/boragetide/policy/learning.py
@@ -32,8 +32,8 @@
 # A class has its own speed on a server once about this many of its tasks have ended
 # there.
 CLASS_SAMPLES = 20
-ANCHOR_SAMPLES = 5
-ANCHOR_STEP = 0.02
+CENTER_MIN_SAMPLES = 5
+CENTER_MIN_SHIFT = 0.02
 
 
 @dataclass(slots=True)
@@ -49,7 +49,7 @@
         Their quotient shows how far declared sizes can be trusted.
     ratio
         Mean ratio of the observed to the predicted size.
-    variance
+    error_variance
         Mean square error of the predicted logarithm.
     """
 
@@ -59,7 +59,7 @@
     variance_declared: float = 1.0
     covariance: float = 1.0
     ratio: float = 1.0
-    variance: float = 0.5
+    error_variance: float = 0.5
     undeclared_samples: int = 0
     undeclared_mean: float = math.log(DEFAULT_SIZE)
 
@@ -94,7 +94,7 @@
     log_size = math.log(max(size, MIN_SECONDS))
     error = _clip(log_size - predict_log_size(model, declared), MAX_LOG_ERROR)
     gain = max(1 / (model.samples + 1), SIZE_GAIN)
-    model.variance += gain * (error * error - model.variance)
+    model.error_variance += gain * (error * error - model.error_variance)
     model.ratio += gain * (min(math.exp(error), MAX_RATIO) - model.ratio)
     model.samples += 1
     if declared is None:
@@ -148,7 +148,7 @@
     model: SpeedModel,
     class_name: ClassName,
     log_speed: float,
-    variance: float,
+    error_variance: float,
     earlier: float | None = None,
 ) -> bool:
     """Update a speed with a task that ended or that far exceeds its expected time.
@@ -161,7 +161,7 @@
         Class of the task.
     log_speed
         Expected logarithm of the size minus the logarithm of the run time.
-    variance
+    error_variance
         Mean square error of the expected logarithm of the size.
     earlier
         ``log_speed`` of the last update from the same task while it ran. That update is
@@ -190,7 +190,7 @@
     if model.samples < PRIOR_SAMPLES:
         model.recent_log_speed = model.log_speed
         return False
-    limit = CHANGE_DEVIATIONS * _RECENT_DEVIATION * math.sqrt(max(variance, 0.04))
+    limit = CHANGE_DEVIATIONS * _RECENT_DEVIATION * math.sqrt(max(error_variance, 0.04))
     if abs(model.recent_log_speed - model.log_speed) <= limit:
         return False
     model.log_speed = model.recent_log_speed
@@ -199,19 +199,19 @@
     return True
 
 
-def anchor_speeds(speeds: Iterable[SpeedModel], sizes: Iterable[SizeModel]) -> bool:
+def center_speeds(speeds: Iterable[SpeedModel], sizes: Iterable[SizeModel]) -> bool:
     """Shift the mean logarithm of the speeds back to 0, and the sizes accordingly.
 
     Returns
     -------
     bool
-        Whether they were shifted; a mean below `ANCHOR_STEP` is left as it is.
+        Whether they were shifted; a mean below `CENTER_MIN_SHIFT` is left as it is.
     """
-    known = [model for model in speeds if model.samples >= ANCHOR_SAMPLES]
+    known = [model for model in speeds if model.samples >= CENTER_MIN_SAMPLES]
     if not known:
         return False
     mean = sum(model.log_speed for model in known) / len(known)
-    if abs(mean) < ANCHOR_STEP:
+    if abs(mean) < CENTER_MIN_SHIFT:
         return False
     for model in known:
         model.log_speed -= mean
--- a/boragetide/policy/link_health.py
+++ b/boragetide/policy/link_health.py
@@ -32,15 +32,15 @@
     waiting_since_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
     reconnected_at_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
 
-    def note_sent(self, peer: InstanceId, now: Seconds) -> Seconds:
+    def record_sent(self, peer: InstanceId, now: Seconds) -> Seconds:
         """Record a sent message and return for how many seconds an answer is due."""
         return now - self.waiting_since_by_id.setdefault(peer, now)
 
-    def note_heard(self, peer: InstanceId) -> None:
+    def record_received(self, peer: InstanceId) -> None:
         """Record a message from a peer."""
         self.waiting_since_by_id.pop(peer, None)
 
-    def check(
+    def reconnect_if_silent(
         self, peer: InstanceId, now: Seconds, peer_waits: Seconds = 0.0
     ) -> list[Effect]:
         """Replace the link to a peer if it is silent.
--- a/boragetide/policy/member_changes.py
+++ b/boragetide/policy/member_changes.py
@@ -62,7 +62,7 @@
     return [Send(Address(replica.leader, "configuration"), request)]
 
 
-def review_members(replica: Replica, now: Seconds) -> list[Effect]:
+def propose_member_change(replica: Replica, now: Seconds) -> list[Effect]:
     """Propose the next change of the members if one is due; for the leader only."""
     _drop_silent_learners(replica, now)
     if not replica.settings.member_count or _is_change_pending(replica):
--- a/boragetide/policy/membership.py
+++ b/boragetide/policy/membership.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Candidate:
+class PlacerCandidate:
     """An instance that may become the placer of its zone.
 
     Parameters
@@ -27,9 +27,9 @@
     stopping: bool
 
 
-def is_live(last_heard: Seconds | None, now: Seconds, silence: Seconds) -> bool:
+def is_live(last_heartbeat_at: Seconds | None, now: Seconds, silence: Seconds) -> bool:
     """Return whether an instance was heard within the last ``silence`` seconds."""
-    return last_heard is not None and now - last_heard <= silence
+    return last_heartbeat_at is not None and now - last_heartbeat_at <= silence
 
 
 def is_isolated(connected: int, zone_size: int) -> bool:
@@ -46,7 +46,9 @@
     return 2 * connected < zone_size
 
 
-def find_placer(zone: ZoneId, candidates: Iterable[Candidate]) -> Candidate | None:
+def find_placer(
+    zone: ZoneId, candidates: Iterable[PlacerCandidate]
+) -> PlacerCandidate | None:
     """Return the instance that has the placer role of a zone, or ``None``.
 
     The instance that has been in service longest keeps the role, so that a restarted,
@@ -57,8 +59,8 @@
 
 
 def choose_placer(
-    zone: ZoneId, candidates: Iterable[Candidate], for_jobs: bool = True
-) -> Candidate | None:
+    zone: ZoneId, candidates: Iterable[PlacerCandidate], for_jobs: bool = True
+) -> PlacerCandidate | None:
     """Return the live instance that places the jobs of a zone, or ``None``.
 
     If the placer of a zone has no backend servers, jobs of the zone go to the placer
--- a/boragetide/policy/placement.py
+++ b/boragetide/policy/placement.py
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Candidate:
+class FreeServer:
     """A backend server with a free slot."""
 
     id: BackendServerId
@@ -35,7 +35,7 @@
 
     wait: Seconds
     speed: float
-    claimed: bool = False
+    reserved: bool = False
 
 
 def expected_wait(expected_end: Seconds, started_at: Seconds, now: Seconds) -> Seconds:
@@ -45,7 +45,7 @@
     return OVERRUN_SHARE * (now - started_at)
 
 
-def choose_server(free: Sequence[Candidate]) -> Candidate:
+def choose_server(free: Sequence[FreeServer]) -> FreeServer:
     """Return the fastest of the free candidates; ties go to the first."""
     return max(free, key=lambda candidate: candidate.speed)
 
@@ -64,14 +64,14 @@
     speed
         Speed of the fastest free server.
     releases
-        Expected releases, the earliest first. Claimed ones are reserved for tasks that
+        Expected releases, the earliest first. Reserved ones are kept for tasks that
         come earlier in the order.
     """
     best, best_finish = None, MAX_FINISH_SHARE * size / speed
     for release in releases:
         if release.wait >= best_finish:
             break
-        if release.claimed or release.speed <= speed:
+        if release.reserved or release.speed <= speed:
             continue
         finish = release.wait + size / release.speed
         if finish < best_finish:
@@ -101,6 +101,6 @@
     limit = float("inf")
     for release in releases:
         gain = MAX_FINISH_SHARE / speed - 1 / release.speed
-        if not release.claimed and gain > 0:
+        if not release.reserved and gain > 0:
             limit = min(limit, release.wait / gain)
     return limit
--- a/boragetide/policy/proposals.py
+++ b/boragetide/policy/proposals.py
@@ -45,7 +45,7 @@
     pending_by_command: dict[str, PendingProposal] = field(default_factory=dict)
 
 
-def identify(message: Propose) -> Proposal:
+def make_proposal(message: Propose) -> Proposal:
     """Return the proposal of a command, with its command id."""
     command = message.command
     if isinstance(command, RegisterAcceptor):
@@ -76,7 +76,7 @@
     return [pending.proposal for pending in due]
 
 
-def expire(state: Proposals, version: int, now: Seconds) -> list[Effect]:
+def expire_requests(state: Proposals, version: int, now: Seconds) -> list[Effect]:
     """Answer the requests that have waited too long with an unknown outcome.
 
     Parameters
@@ -96,15 +96,15 @@
     return effects
 
 
-def resolve(state: Proposals, command_id: str, outcome: Outcome) -> list[Effect]:
+def answer_waiters(state: Proposals, command_id: str, outcome: Outcome) -> list[Effect]:
     """Answer all requests that wait for the outcome of a command."""
     pending = state.pending_by_command.pop(command_id, None)
     if pending is None:
         return []
-    return [answer(state, waiter, outcome) for waiter in pending.waiters]
+    return [make_reply(state, waiter, outcome) for waiter in pending.waiters]
 
 
-def answer(state: Proposals, waiter: ReplyTo | None, outcome: Outcome) -> Effect:
+def make_reply(state: Proposals, waiter: ReplyTo | None, outcome: Outcome) -> Effect:
     """Answer one request with the outcome of its command."""
     if waiter is None:
         to = Address(state.settings.id, "claims")
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -43,7 +43,7 @@
 # For this time after the leader sent an append that a majority answered, no other
 # instance can lead. Members grant no pre-vote for `ELECTION_MIN`; the difference allows
 # for a clock that runs slow and for a vote that was in progress.
-AUTHORITY = 0.4  # seconds
+AUTHORITY_DURATION = 0.4  # seconds
 
 
 class Role(StrEnum):
@@ -148,7 +148,7 @@
         for entry in reversed(self.log[self.catalogue.index - self.log_start :]):
             if entry.changes_members:
                 return entry.proposal.command.members
-        return self.catalogue.members or self.settings.first_members
+        return self.catalogue.members or self.settings.initial_members
 
     @property
     def is_member(self) -> bool:
@@ -206,7 +206,7 @@
             return 0.0
         answered = [progress.answered_at for progress in self.member_progress]
         newest_first = sorted([*answered, now], reverse=True)
-        return newest_first[self.quorum - 1] + AUTHORITY
+        return newest_first[self.quorum - 1] + AUTHORITY_DURATION
 
 
 def majority_size(member_count: int) -> int:
@@ -358,11 +358,11 @@
     if term <= replica.ballot.term:
         return []
     replica.ballot = replace(replica.ballot, term=term, voted_for=None)
-    follow(replica, None)
+    become_follower(replica, None)
     return [Persist((replica.ballot,))]
 
 
-def follow(replica: Replica, leader: InstanceId | None) -> None:
+def become_follower(replica: Replica, leader: InstanceId | None) -> None:
     """Become a follower of ``leader``, which is ``None`` if the leader is unknown."""
     replica.role = Role.FOLLOWER
     replica.leader = leader
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -19,7 +19,7 @@
     Replica,
     Role,
     adopt_term,
-    follow,
+    become_follower,
     is_commit_recoverable,
     is_fenced,
     make_snapshot,
@@ -77,18 +77,18 @@
         if now - progress.heard_at < ELECTION_MAX
     ]
     if len(responsive) + 1 < replica.quorum:
-        follow(replica, None)
+        become_follower(replica, None)
         schedule_election(replica, now)
         return [LogEvent("leader_stepped_down", {"term": replica.ballot.term})]
     if now < replica.next_heartbeat:
         return []
     effects: list[Effect] = []
     for member in replica.progress_by_id:
-        effects += replica.links.check(member, now)
+        effects += replica.links.reconnect_if_silent(member, now)
     return effects + _send_log_to_all(replica, now)
 
 
-def hand_over(replica: Replica) -> list[Effect]:
+def transfer_leadership(replica: Replica) -> list[Effect]:
     """Ask the member with the longest synced log to lead; this instance stops."""
     if replica.role is not Role.LEADER or not replica.others:
         return []
@@ -133,7 +133,7 @@
         entries=entries,
         commit=replica.commit,
         sent_at=now,
-        waits=replica.links.note_sent(member, now),
+        waits=replica.links.record_sent(member, now),
     )
     return Send(to, message)
 
@@ -152,7 +152,7 @@
 
 @step.register
 def _(message: AppendReply, replica: Replica, now: Seconds) -> list[Effect]:
-    replica.links.note_heard(message.member)
+    replica.links.record_received(message.member)
     merge_fences(replica, message.fences_by_id)
     if message.term > replica.ballot.term:
         return adopt_term(replica, message.term)
@@ -185,7 +185,7 @@
     if message.term < replica.ballot.term:
         return [_make_reply(replica, message, matched=False, index=0)]
     effects = _follow_leader(replica, message.leader, message.term, now)
-    effects += replica.links.check(message.leader, now, message.waits)
+    effects += replica.links.reconnect_if_silent(message.leader, now, message.waits)
     previous = message.previous_index
     if previous > replica.last_index:
         index = replica.last_index
@@ -254,9 +254,9 @@
 ) -> list[Effect]:
     effects = adopt_term(replica, term)
     if replica.role is not Role.FOLLOWER or replica.leader != leader:
-        follow(replica, leader)
+        become_follower(replica, leader)
     replica.leader_heard_at = now
-    replica.links.note_heard(leader)
+    replica.links.record_received(leader)
     schedule_election(replica, now)
     return effects
 
--- a/boragetide/policy/scheduling.py
+++ b/boragetide/policy/scheduling.py
@@ -15,13 +15,13 @@
 
 # A job that ends within this many times its objective counts as late, but is still of
 # value to its caller.
-LATE_FACTOR = 3.0
+LATE_LIMIT_FACTOR = 3.0
 # Backend servers whose speeds differ by less than this count as equally fast.
 SPEED_STEP = 0.2
 
 
 @dataclass(slots=True)
-class Candidate:
+class ServerCandidate:
     """A backend server that may take a task.
 
     Parameters
@@ -47,7 +47,7 @@
     return max(ends, default=0.0)
 
 
-def objective(job: DurableJob) -> Seconds:
+def due_at(job: DurableJob) -> Seconds:
     """Return the Unix time by which a job should be done."""
     allowed = job.starts.stretch * longest_chain(job) + job.response_time
     return job.submitted_at + allowed
@@ -55,12 +55,12 @@
 
 def latest_start(job: DurableJob) -> Seconds:
     """Return the latest Unix time at which a job can start to meet its objective."""
-    return objective(job) - longest_chain(job)
+    return due_at(job) - longest_chain(job)
 
 
 def expires_at(job: DurableJob) -> Seconds:
     """Return the Unix time after which a start is of no use to the caller."""
-    allowed = LATE_FACTOR * (objective(job) - job.submitted_at)
+    allowed = LATE_LIMIT_FACTOR * (due_at(job) - job.submitted_at)
     return job.submitted_at + allowed - longest_chain(job)
 
 
@@ -97,10 +97,10 @@
 
 def choose_server(
     step: Step,
-    candidates: Iterable[Candidate],
+    candidates: Iterable[ServerCandidate],
     counts_by_id: dict[BackendServerId, int],
     slack: Seconds | None = None,
-) -> Candidate | None:
+) -> ServerCandidate | None:
     """Return the backend server for one task of a step.
 
     This is the first candidate near the data of the step that may take the task, or
@@ -129,7 +129,7 @@
 
 def _can_run(
     step: Step,
-    candidate: Candidate,
+    candidate: ServerCandidate,
     counts_by_id: dict[BackendServerId, int],
     slack: Seconds | None,
 ) -> bool:
--- a/boragetide/policy/server_index.py
+++ b/boragetide/policy/server_index.py
@@ -67,7 +67,7 @@
         if not servers:
             del servers_by_speed[-position.speed_rank]
 
-    def find_widest(self, pool: PoolName) -> int:
+    def find_max_free_millicores(self, pool: PoolName) -> int:
         """Return the largest number of free millicores on any server of a pool."""
         servers_by_speed = self.servers_by_speed_by_pool.get(pool, {})
         return max((servers[-1][0] for servers in servers_by_speed.values()), default=0)
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -83,11 +83,11 @@
         Every instance of the system, including this one.
     data_folder
         Folder of the journals; ``None`` on an instance without a disk.
-    may_found
+    may_found_group
         Whether members without durable state may form a new log.
     controllers
         Controllers that run on this instance.
-    configured_controllers
+    configuration_subscribers
         Controllers that are notified of each configuration in force.
     founders
         Initial members of the log, if these are not all instances with a disk.
@@ -96,7 +96,7 @@
     follows_leader
         Whether an instance asks continuously who leads the log, or only while requests
         ask it for the leader.
-    names_are_addresses
+    ids_are_addresses
         Whether the id of an instance is its IP address, so that links to instances
         that are not named in the settings can be created on demand.
     """
@@ -107,13 +107,13 @@
     data_folder: Path | None
     timing: Timing = field(default_factory=Timing)
     limits: Limits = field(default_factory=Limits)
-    may_found: bool = True
+    may_found_group: bool = True
     controllers: tuple[str, ...] = CONTROLLERS
-    configured_controllers: tuple[str, ...] = ("backend_servers", "instances")
+    configuration_subscribers: tuple[str, ...] = ("backend_servers", "instances")
     founders: tuple[InstanceId, ...] = ()
     member_count: int = 0
     follows_leader: bool = True
-    names_are_addresses: bool = False
+    ids_are_addresses: bool = False
 
     @property
     def dispatches(self) -> bool:
@@ -131,12 +131,12 @@
         return tuple(sorted({peer.zone for peer in self.peers_by_id.values()}))
 
     @property
-    def first_members(self) -> tuple[InstanceId, ...]:
+    def initial_members(self) -> tuple[InstanceId, ...]:
         """Members of the log before the first membership change, sorted."""
-        return self.founders or self.disk_ids
+        return self.founders or self.ids_with_disk
 
     @property
-    def disk_ids(self) -> tuple[InstanceId, ...]:
+    def ids_with_disk(self) -> tuple[InstanceId, ...]:
         """Ids of the instances that have a disk, sorted."""
         return tuple(sorted(p.id for p in self.peers_by_id.values() if p.disk))
 
@@ -204,7 +204,7 @@
             "directory",
             *(("dispatcher",) if own.disk else ()),
         ),
-        configured_controllers=(
+        configuration_subscribers=(
             "backend_servers",
             "instances",
             *(("dispatcher",) if own.disk else ()),
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -26,7 +26,7 @@
 MAX_TASKS = 10_000  # per job; limits the time that parsing one request body takes
 
 _UNITS_IN_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
-_MESSAGES_BY_FAULT = {
+_MESSAGES_BY_ERROR_TYPE = {
     "extra_forbidden": "unknown option",
     "bool_parsing": "not yes or no",
     "int_parsing": "not a whole number",
@@ -227,7 +227,7 @@
     if fault["type"] == "value_error":
         message = str(fault["ctx"]["error"])
     else:
-        message = _MESSAGES_BY_FAULT.get(fault["type"], fault["msg"])
+        message = _MESSAGES_BY_ERROR_TYPE.get(fault["type"], fault["msg"])
     return f"[{section}] {option} = {fault['input']}: {message}"
 
 
--- a/boragetide/storage/journal.py
+++ b/boragetide/storage/journal.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from boragetide.encoding import restore
+from boragetide.encoding import decode_command
 from boragetide.errors import StorageError
 
 _HEADER = struct.Struct("<II")  # length of the body, CRC-32
@@ -170,7 +170,9 @@
     types_by_name = {type_.__name__: type_ for type_ in types}
     try:
         name, raw = _TAG_DECODER.decode(body)
-        return msgspec.msgpack.decode(raw, type=types_by_name[name], dec_hook=restore)
+        return msgspec.msgpack.decode(
+            raw, type=types_by_name[name], dec_hook=decode_command
+        )
     except (msgspec.DecodeError, KeyError) as error:
         raise StorageError(
             f"journal {str(path)!r}: record cannot be decoded: {error}"
--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -79,13 +79,13 @@
         self._loop.run(self._heal())
 
     def silence(
-        self, directions: frozenset[str] = DIRECTIONS, *, new: bool = False
+        self, directions: frozenset[str] = DIRECTIONS, *, include_new: bool = False
     ) -> None:
         """Discard all data in some directions and keep the connections open.
 
         With ``new``, connections that are made later are silenced as well.
         """
-        self._loop.run(self._silence(directions, new))
+        self._loop.run(self._silence(directions, include_new))
 
     async def _cut(self) -> None:
         if self._server is not None:
--- a/boragetide/tests/test_api.py
+++ b/boragetide/tests/test_api.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from boragetide.json_values import find_fault, needs_walk
+from boragetide.json_values import find_unsupported_value, may_have_unsupported_value
 from boragetide.tests.conftest import System, call, make_job
 
 BODY_LIMIT = 20_000  # bytes
@@ -192,10 +192,12 @@
 def test_deep_payload_is_refused() -> None:
     """Guards against values that the codec between instances cannot encode."""
     text = b"[" * 300 + b"]" * 300
-    assert needs_walk(text)
-    assert find_fault(json.loads(text)) == "nested more than 200 levels deep"
-    assert not needs_walk(b"[" * 9 + b"]" * 9)
-    assert find_fault([[[1]]]) is None
+    assert may_have_unsupported_value(text)
+    assert (
+        find_unsupported_value(json.loads(text)) == "nested more than 200 levels deep"
+    )
+    assert not may_have_unsupported_value(b"[" * 9 + b"]" * 9)
+    assert find_unsupported_value([[[1]]]) is None
 
 
 def test_operators_see_servers_of_all_zones_and_roles(system: System) -> None:
--- a/boragetide/tests/test_catch_up.py
+++ b/boragetide/tests/test_catch_up.py
@@ -109,7 +109,7 @@
     candidate = restore(settings, term=5, entries=0)
     candidate.election_at = 0.0
     elections.check_election(candidate, NOW)
-    elections._stand(candidate, NOW, preliminary=False)
+    elections._start_election(candidate, NOW, preliminary=False)
     vote = VoteReply(6, 6, False, 1, "a1", 1, granted=True, fences_by_id={})
     step(vote, candidate, NOW)
     step(replace(vote, voter="a3", fences_by_id={"a1": 7}), candidate, NOW)
--- a/boragetide/tests/test_claims.py
+++ b/boragetide/tests/test_claims.py
@@ -22,7 +22,7 @@
     Tick,
 )
 from boragetide.policy.claiming import AskAcceptor, Decided, decide_claim
-from boragetide.policy.ids import mint_id
+from boragetide.policy.ids import generate_job_id
 from boragetide.settings import Settings
 from boragetide.types import Claim, ReplyTo, Status, Submission, Task
 
@@ -103,13 +103,13 @@
         assert request(restarted, Claim("a:x", "a1", 1, now), now) == status
 
 
-def test_restarted_acceptor_grants_ids_minted_after_its_start(
+def test_restarted_acceptor_grants_ids_generated_after_its_start(
     restarted: claims.ClaimsState,
 ) -> None:
     """Guards against a zone that decides no claims until its acceptors are complete."""
     now = START + 20
-    for minted_at, status in ((START + 4, "incomplete"), (START + 6, "granted")):
-        job_id = mint_id(restarted.settings, minted_at, 1)
+    for generated_at, status in ((START + 4, "incomplete"), (START + 6, "granted")):
+        job_id = generate_job_id(restarted.settings, generated_at, 1)
         assert request(restarted, Claim(job_id, "a1", 1, now), now) == status
 
 
@@ -119,7 +119,7 @@
 ) -> None:
     """Guards against a second run of an old id, and against ids of a future time."""
     now = START + WINDOW
-    job_id = mint_id(acceptor.settings, now - age, 1)
+    job_id = generate_job_id(acceptor.settings, now - age, 1)
     assert request(acceptor, Claim(job_id, "a1", 1, now), now) == "incomplete"
 
 
--- a/boragetide/tests/test_directory.py
+++ b/boragetide/tests/test_directory.py
@@ -7,7 +7,7 @@
 import pytest
 
 from boragetide.controllers import directory
-from boragetide.controllers.directory import IDLE_AFTER, DirectoryState
+from boragetide.controllers.directory import FOLLOW_IDLE_TIMEOUT, DirectoryState
 from boragetide.effects import Reconnect, Send
 from boragetide.messages import ContactsChanged, FindLeader, LeaderNotice, Tick
 from boragetide.settings import Settings
@@ -89,6 +89,6 @@
     assert len(directory.handle(Tick(), state, BEGIN + 0.1)) == 3
     notify(state, "a1", 1, "a1", now=BEGIN + 0.2)
     assert find_leader(state, BEGIN + 0.3)[0] == "a1"
-    idle = BEGIN + 0.3 + IDLE_AFTER
+    idle = BEGIN + 0.3 + FOLLOW_IDLE_TIMEOUT
     assert directory.handle(Tick(), state, idle) == []
     assert find_leader(state, idle)[0] is None
--- a/boragetide/tests/test_dispatch_load.py
+++ b/boragetide/tests/test_dispatch_load.py
@@ -10,13 +10,13 @@
     KINDS,
     LOADS,
     BaselineRun,
+    ClassOutcome,
+    GeneratedJob,
     Load,
-    Outcome,
     ProductRun,
-    TracedJob,
-    first_come,
+    by_arrival,
+    by_true_worth,
     generate,
-    true_worth,
 )
 
 SEED = 1
@@ -26,13 +26,13 @@
 LEAST_SHARE_OF_LARGE = 0.5
 
 
-def compute_earned_share(outcomes: dict[str, Outcome]) -> float:
+def compute_earned_share(outcomes: dict[str, ClassOutcome]) -> float:
     """Return the earned share of the total value of all jobs."""
-    owed = sum(outcome.owed for outcome in outcomes.values())
-    return sum(outcome.earned for outcome in outcomes.values()) / owed
+    total_worth = sum(outcome.total_worth for outcome in outcomes.values())
+    return sum(outcome.earned_worth for outcome in outcomes.values()) / total_worth
 
 
-def run_product(load: Load) -> tuple[ProductRun, list[TracedJob], float]:
+def run_product(load: Load) -> tuple[ProductRun, list[GeneratedJob], float]:
     jobs = generate(load, SEED)
     run = ProductRun(load, jobs, SEED)
     return run, jobs, compute_earned_share(run.run())
@@ -42,7 +42,7 @@
     """Guards against an order of jobs that wastes capacity in a burst of 1.8 times."""
     load = LOADS_BY_NAME["burst of 1.8"]
     _, jobs, earned = run_product(load)
-    ideal = compute_earned_share(BaselineRun(load, jobs, SEED, true_worth).run())
+    ideal = compute_earned_share(BaselineRun(load, jobs, SEED, by_true_worth).run())
     assert earned >= SHARE_OF_IDEAL * ideal
 
 
@@ -50,7 +50,7 @@
     """Guards against overload in which all jobs are late because none is skipped."""
     load = LOADS_BY_NAME["overload of 3"]
     _, jobs, earned = run_product(load)
-    baseline = compute_earned_share(BaselineRun(load, jobs, SEED, first_come).run())
+    baseline = compute_earned_share(BaselineRun(load, jobs, SEED, by_arrival).run())
     assert earned >= GAIN_OVER_FIRST_COME * baseline
 
 
@@ -59,8 +59,8 @@
     """Guards against starving large jobs in favour of the small ones of their class."""
     run, jobs, _ = run_product(LOADS_BY_NAME[name])
     for kind in KINDS:
-        of_kind = [traced for traced in jobs if traced.kind is kind]
-        of_kind.sort(key=lambda traced: sum(traced.work))
+        of_kind = [generated for generated in jobs if generated.kind is kind]
+        of_kind.sort(key=lambda generated: sum(generated.work))
         largest = of_kind[int(len(of_kind) * 0.9) :]
         below = of_kind[int(len(of_kind) * 0.7) : int(len(of_kind) * 0.9)]
         usual = count_served(run, of_kind) / len(of_kind)
@@ -69,5 +69,5 @@
             assert share >= LEAST_SHARE_OF_LARGE * usual, kind.name
 
 
-def count_served(run: ProductRun, jobs: Iterable[TracedJob]) -> int:
-    return sum(traced.job.id in run.ended_by_id for traced in jobs)
+def count_served(run: ProductRun, jobs: Iterable[GeneratedJob]) -> int:
+    return sum(generated.job.id in run.ended_by_id for generated in jobs)
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -8,9 +8,9 @@
 import pytest
 
 from boragetide.commands import AcceptJob, RecordEnds
-from boragetide.controllers.dispatch_state import LEASE
-from boragetide.controllers.orders import STOP_RETRY
-from boragetide.controllers.placing_runs import LAPSE_WAIT
+from boragetide.controllers.dispatch_state import LEASE_DURATION
+from boragetide.controllers.orders import STOP_RETRY_DELAY
+from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.durable import (
     EndReason,
     JobPhase,
@@ -34,7 +34,7 @@
     SubmitDurableJob,
     Tick,
 )
-from boragetide.messages.common import note_arrival
+from boragetide.messages.common import add_arrival_time
 from boragetide.policy import job_table
 from boragetide.policy.scheduling import expires_at
 from boragetide.settings import Settings
@@ -113,7 +113,7 @@
     submit(leader, job_id="j1")
     submit(leader, job_id="j2")
     assert leader.starts() == []
-    assert leader.state.servers_by_id["s1"].room == Resources(10_000, 99_872)
+    assert leader.state.servers_by_id["s1"].free_resources == Resources(10_000, 99_872)
 
 
 def test_end_of_a_run_gives_its_room_to_the_next_task(leader: Leader) -> None:
@@ -256,7 +256,7 @@
     leader.list_runs(born=BORN + 5, now=BEGIN + 0.2)
     assert [start.task for start in leader.starts()] == [second.task]
     commit(leader, ends, BEGIN + 0.3)
-    assert leader.state.occupied.keys() == {(job.id, second.number)}
+    assert leader.state.server_by_task.keys() == {(job.id, second.number)}
 
 
 def test_end_of_an_earlier_leaders_run_leaves_nothing_behind(leader: Leader) -> None:
@@ -266,7 +266,7 @@
     leader.answer(first, OrderResult.NO_ROOM)
     leader.answer(second, OrderResult.NO_ROOM)
     leader.list_runs(ended=(list_end(first, 1),), now=BEGIN + 0.1)
-    assert (first.task.job_id, first.number) not in leader.state.occupied
+    assert (first.task.job_id, first.number) not in leader.state.server_by_task
 
 
 def test_ends_that_come_in_parts_are_all_acknowledged(leader: Leader) -> None:
@@ -291,7 +291,7 @@
     leader.handle(LeadershipLost(), BEGIN + 0.1)
     leader.list_runs(now=BEGIN + 0.2)
     assert leader.effects == []
-    assert not leader.state.taken_over
+    assert not leader.state.takeover_complete
 
 
 def test_late_failure_of_an_old_run_leaves_the_new_one_alone(leader: Leader) -> None:
@@ -306,7 +306,7 @@
     running = (list_run(second),)
     leader.list_runs(running=running, ended=(failure,), now=BEGIN + 1.2)
     assert leader.starts() == []
-    assert (first.task.job_id, first.number) in leader.state.occupied
+    assert (first.task.job_id, first.number) in leader.state.server_by_task
 
 
 def test_job_that_arrives_too_late_is_refused_at_once(leader: Leader) -> None:
@@ -351,7 +351,7 @@
     """Guards against an overloaded leader that ignores the wait in its own mailbox."""
     job = make_durable_job(best_effort=True, submitted_at=BEGIN)
     submission = SubmitDurableJob(job=job, reply_to=CALLER)
-    arrived = note_arrival(submission, BEGIN)
+    arrived = add_arrival_time(submission, BEGIN)
     leader.handle(arrived, expires_at(job) + 0.1)
     (reply,) = leader.replies()
     assert reply.status is ReplyStatus.REFUSED
@@ -367,7 +367,7 @@
     leader.answer(stop, OrderResult.UNANSWERED, now=BEGIN + 0.2)
     leader.list_runs(running=(list_run(second),), now=BEGIN + 0.3)
     assert leader.starts() == []
-    leader.handle(Tick(), BEGIN + 0.2 + STOP_RETRY)
+    leader.handle(Tick(), BEGIN + 0.2 + STOP_RETRY_DELAY)
     (again,) = leader.stops()
     assert (again.task, again.run) == (stop.task, stop.run)
     leader.handle(Tick(), BEGIN + 0.4)
@@ -388,9 +388,9 @@
     leader.handle(ReadFailed("s1", 1), BEGIN + 0.1)
     leader.join("s2", BEGIN + 0.5)
     assert leader.starts() == []
-    leader.handle(Tick(), BEGIN + LEASE)
+    leader.handle(Tick(), BEGIN + LEASE_DURATION)
     assert leader.starts() == []
-    leader.handle(Tick(), BEGIN + LEASE + 0.3)
+    leader.handle(Tick(), BEGIN + LEASE_DURATION + 0.3)
     assert [start.server for start in leader.starts()] == ["s2", "s2"]
 
 
@@ -451,7 +451,9 @@
     assert (leader.starts(), leader.stops()) == ([], [])
 
 
-def test_late_announcement_of_an_earlier_life_changes_nothing(leader: Leader) -> None:
+def test_late_announcement_of_an_earlier_process_changes_nothing(
+    leader: Leader,
+) -> None:
     """Guards against applying an old announcement after a server's restart.
 
     A partition can hold up such an announcement.
@@ -494,9 +496,9 @@
     job = make_durable_job("j1", Step(2, NEEDS, 2.0), best_effort=True)
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
     leader.handle(ReadFailed("s2", 2), BEGIN + 0.5)
-    leader.handle(Tick(), BEGIN + PREDECESSOR_AUTHORITY + LAPSE_WAIT - 0.1)
+    leader.handle(Tick(), BEGIN + PREDECESSOR_AUTHORITY + LEASE_EXPIRY_WAIT - 0.1)
     assert leader.starts() == []
-    leader.list_runs("s1", now=BEGIN + PREDECESSOR_AUTHORITY + LAPSE_WAIT + 0.1)
+    leader.list_runs("s1", now=BEGIN + PREDECESSOR_AUTHORITY + LEASE_EXPIRY_WAIT + 0.1)
     assert len(leader.starts()) == 2
 
 
@@ -535,7 +537,7 @@
     assert [start.task.index for start in successor.starts()] == [1]
 
 
-def test_run_that_nobody_asks_for_is_stopped(successor: Leader) -> None:
+def test_run_without_a_waiting_caller_is_stopped(successor: Leader) -> None:
     """Guards against capacity that stays occupied for a caller that is gone."""
     listed = ListedRun(make_task_ref("j1", 0), 1)
     successor.list_runs(running=(listed,), now=BEGIN + 0.5)
@@ -820,6 +822,6 @@
     leader.list_runs(ended=(list_end(first, 1), list_end(second, 2)))
     leader.handle(Tick(), BEGIN + 2 * job_table.BEST_EFFORT_RETENTION)
     state = leader.state
-    assert not (state.records_by_id or state.run_by_task or state.occupied)
+    assert not (state.records_by_id or state.run_number_by_task or state.server_by_task)
     assert not (state.active or state.started or state.waiters_by_job)
-    assert not (state.queue.waiting_by_id or state.stopped_once)
+    assert not (state.queue.waiting_by_id or state.overdue_stopped_tasks)
--- a/boragetide/tests/test_elections.py
+++ b/boragetide/tests/test_elections.py
@@ -8,7 +8,13 @@
 from boragetide.effects import Reconnect, Send
 from boragetide.messages import RequestVote, StandForElection, VoteReply
 from boragetide.policy import elections, replication
-from boragetide.policy.replica import AUTHORITY, ELECTION_MIN, Replica, Role, step
+from boragetide.policy.replica import (
+    AUTHORITY_DURATION,
+    ELECTION_MIN,
+    Replica,
+    Role,
+    step,
+)
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import BEGIN
 
@@ -45,7 +51,7 @@
     stand_for_election(replica, BEGIN + 1.0)
     deliver_vote(replica, heard_ago=0.3, now=BEGIN + 1.1)
     assert replica.role is Role.LEADER
-    assert replica.predecessor_until == pytest.approx(BEGIN + 0.8 + AUTHORITY)
+    assert replica.predecessor_until == pytest.approx(BEGIN + 0.8 + AUTHORITY_DURATION)
 
 
 def test_member_that_heard_no_leader_assumes_one_until_its_start(
@@ -55,12 +61,12 @@
     replica.leader_heard_at = 0.0
     replica.incarnation = int((BEGIN + 0.7) * 1000)
     stand_for_election(replica, BEGIN + 1.0)
-    assert replica.predecessor_until == pytest.approx(BEGIN + 0.7 + AUTHORITY)
+    assert replica.predecessor_until == pytest.approx(BEGIN + 0.7 + AUTHORITY_DURATION)
 
 
 def test_authority_ends_before_another_member_can_be_elected() -> None:
     """Guards against two leaders that give orders at the same time."""
-    assert AUTHORITY < ELECTION_MIN
+    assert AUTHORITY_DURATION < ELECTION_MIN
 
 
 def test_leader_that_stops_names_its_successor(replica: Replica) -> None:
@@ -68,12 +74,16 @@
     stand_for_election(replica, BEGIN + 1.0)
     deliver_vote(replica, heard_ago=0.3, now=BEGIN + 1.0)
     replica.progress_by_id["a3"].match_index = 9
-    sent = [each for each in replication.hand_over(replica) if isinstance(each, Send)]
+    sent = [
+        each
+        for each in replication.transfer_leadership(replica)
+        if isinstance(each, Send)
+    ]
     assert [each.to.instance for each in sent] == ["a3"]
     assert sent[0].message == StandForElection(replica.ballot.term, "a1")
 
 
-def test_candidate_that_gets_no_answer_dials_anew(replica: Replica) -> None:
+def test_candidate_without_an_answer_reconnects(replica: Replica) -> None:
     """Guards against elections that fail because connections stay silent."""
     effects: list[object] = []
     for tenth in range(40):
@@ -84,7 +94,7 @@
     assert max(m.waits for m in asked if isinstance(m, RequestVote)) > 1.0
 
 
-def test_leader_that_is_deposed_tells_that_it_led_until_now(replica: Replica) -> None:
+def test_deposed_leader_reports_that_it_led_until_now(replica: Replica) -> None:
     """Guards against a successor that believes the deposed leader stopped long ago."""
     stand_for_election(replica, BEGIN + 1.0)
     deliver_vote(replica, heard_ago=0.3, now=BEGIN + 1.0)
--- a/boragetide/tests/test_examples.py
+++ b/boragetide/tests/test_examples.py
@@ -56,4 +56,4 @@
     assert time.monotonic() - started < MEMBERSHIP_LIMIT
     zones = [daemon.zone for daemon in system.daemons_by_id.values()]
     assert sorted(zones) == ["a", "a", "a", "b", "b", "c", "c"]
-    assert own.disk_ids == ("a1", "b1", "c1")
+    assert own.ids_with_disk == ("a1", "b1", "c1")
--- a/boragetide/tests/test_instances.py
+++ b/boragetide/tests/test_instances.py
@@ -67,9 +67,9 @@
 
 def test_delayed_heartbeat_does_not_count_as_heard(view: InstancesState) -> None:
     """Guards against a dead peer that counts as live because of delayed messages."""
-    heard = view.peers_by_id["a2"].last_heard
+    heard = view.peers_by_id["a2"].last_heartbeat_at
     assert deliver_heartbeat(view, "a2", STARTED + 0.5) == []
-    assert view.peers_by_id["a2"].last_heard == heard
+    assert view.peers_by_id["a2"].last_heartbeat_at == heard
 
 
 def test_restarted_peer_with_a_clock_set_back_is_heard(view: InstancesState) -> None:
@@ -80,7 +80,7 @@
     assert AbandonRequests("a2") in deliver_heartbeat(
         view, "a2", later, incarnation=old
     )
-    assert view.peers_by_id["a2"].last_heard == later
+    assert view.peers_by_id["a2"].last_heartbeat_at == later
 
 
 def test_echo_of_an_earlier_incarnation_is_no_echo(settings: Settings) -> None:
--- a/boragetide/tests/test_job_table.py
+++ b/boragetide/tests/test_job_table.py
@@ -73,9 +73,9 @@
     """Guards against memory that grows with the number of jobs ever accepted."""
     job_table.accept_job(jobs, make_durable_job("j2"), BEGIN)
     record_end(jobs, 0), record_end(jobs, 1)
-    job_table.forget_ended(jobs, BEGIN + job_table.RETENTION)
+    job_table.drop_ended_jobs(jobs, BEGIN + job_table.RETENTION)
     assert set(jobs) == {"j1", "j2"}
-    job_table.forget_ended(jobs, BEGIN + job_table.RETENTION + 1.0)
+    job_table.drop_ended_jobs(jobs, BEGIN + job_table.RETENTION + 1.0)
     assert set(jobs) == {"j2"}
 
 
--- a/boragetide/tests/test_learning.py
+++ b/boragetide/tests/test_learning.py
@@ -10,7 +10,7 @@
 from boragetide.policy.learning import (
     SizeModel,
     SpeedModel,
-    anchor_speeds,
+    center_speeds,
     observe_size,
     observe_speed,
     predict_log_size,
@@ -98,6 +98,6 @@
     speeds = [SpeedModel(log_speed=value, samples=50) for value in (1.0, 3.0)]
     size = SizeModel()
     before = predict_log_size(size, 0.5) - speeds[0].log_speed
-    anchor_speeds(speeds, [size])
+    center_speeds(speeds, [size])
     assert [model.log_speed for model in speeds] == [-1.0, 1.0]
     assert predict_log_size(size, 0.5) - speeds[0].log_speed == pytest.approx(before)
--- a/boragetide/tests/test_link_health.py
+++ b/boragetide/tests/test_link_health.py
@@ -8,14 +8,14 @@
 
 
 def count_reconnects(health: LinkHealth, now: float, peer_waits: float = 0.0) -> int:
-    effects = health.check("a2", now, peer_waits)
+    effects = health.reconnect_if_silent("a2", now, peer_waits)
     return sum(isinstance(effect, Reconnect) for effect in effects)
 
 
 def test_link_without_an_answer_is_reconnected() -> None:
     """Guards against sending messages into a connection that stays silent."""
     health = LinkHealth()
-    health.note_sent("a2", BEGIN)
+    health.record_sent("a2", BEGIN)
     assert count_reconnects(health, BEGIN + LINK_SILENCE) == 0
     assert count_reconnects(health, BEGIN + LINK_SILENCE + 0.1) == 1
     assert count_reconnects(health, BEGIN + LINK_SILENCE + 0.2) == 0
@@ -24,9 +24,9 @@
 def test_any_answer_shows_that_the_link_works() -> None:
     """Guards against reconnecting a working link repeatedly."""
     health = LinkHealth()
-    health.note_sent("a2", BEGIN)
-    health.note_heard("a2")
-    assert health.note_sent("a2", BEGIN + 2.0) == 0.0
+    health.record_sent("a2", BEGIN)
+    health.record_received("a2")
+    assert health.record_sent("a2", BEGIN + 2.0) == 0.0
     assert count_reconnects(health, BEGIN + 2.1) == 0
 
 
--- a/boragetide/tests/test_member_changes.py
+++ b/boragetide/tests/test_member_changes.py
@@ -14,7 +14,7 @@
     LEARNER_SILENCE,
     MEMBER_SILENCE,
     choose_members,
-    review_members,
+    propose_member_change,
 )
 from boragetide.policy.replica import Replica, Role, step
 from boragetide.policy.replication import become_leader
@@ -58,11 +58,11 @@
     now = BEGIN + MEMBER_SILENCE + 0.1
     acknowledge(leader, "a2", now)
     join(leader, "a9", now)
-    review_members(leader, now)
+    propose_member_change(leader, now)
     assert leader.members == ("a1", "a2")
     acknowledge(leader, "a2", now)
     acknowledge(leader, "a9", now)
-    review_members(leader, now)
+    propose_member_change(leader, now)
     assert leader.members == ("a1", "a2", "a9")
     assert leader.progress_by_id.keys() == {"a2", "a9"}
 
@@ -71,9 +71,9 @@
     """Guards against removing a member before its replacement has the log."""
     now = BEGIN + MEMBER_SILENCE + 0.1
     acknowledge(leader, "a2", now)
-    review_members(leader, now)
+    propose_member_change(leader, now)
     step(JoinRequest("a9"), leader, now)
-    review_members(leader, now)
+    propose_member_change(leader, now)
     assert leader.members == ("a1", "a2", "a3")
 
 
@@ -82,8 +82,8 @@
     now = BEGIN + MEMBER_SILENCE + 0.1
     acknowledge(leader, "a2", now)
     join(leader, "a9", now)
-    review_members(leader, now)
-    review_members(leader, now)
+    propose_member_change(leader, now)
+    propose_member_change(leader, now)
     assert leader.members == ("a1", "a2")
 
 
@@ -94,7 +94,7 @@
     become_leader(leader, BEGIN)
     now = BEGIN + MEMBER_SILENCE + 0.1
     join(leader, "a9", now)
-    assert review_members(leader, now) == []
+    assert propose_member_change(leader, now) == []
 
 
 def test_learner_has_no_vote_and_is_in_no_majority(leader: Replica) -> None:
@@ -124,7 +124,7 @@
     for member in ("a2", "a9"):
         join(leader, "a9", now)
         acknowledge(leader, "a2", now)
-        review_members(leader, now)
+        propose_member_change(leader, now)
         acknowledge(leader, member, now)
     assert leader.members == ("a1", "a2", "a9")
     request = RequestVote(2, "a3", 1, 1, preliminary=True, incarnation=1)
@@ -147,7 +147,7 @@
 def test_learner_that_asks_no_longer_is_forgotten(leader: Replica) -> None:
     """Guards against replication to an instance that is gone."""
     join(leader, "a9", BEGIN)
-    review_members(leader, BEGIN + LEARNER_SILENCE + 0.1)
+    propose_member_change(leader, BEGIN + LEARNER_SILENCE + 0.1)
     assert leader.progress_by_id.keys() == {"a2", "a3"}
 
 
@@ -158,7 +158,7 @@
     replica.log.append(LogEntry(1, 1, BEGIN, change))
     assert (replica.members, replica.quorum) == (("a1", "a2"), 2)
     del replica.log[:]
-    assert replica.members == settings.first_members
+    assert replica.members == settings.initial_members
 
 
 @pytest.mark.parametrize(
@@ -187,4 +187,4 @@
     now = BEGIN + MEMBER_SILENCE + 0.1
     acknowledge(leader, "a2", now)
     join(leader, "a9", now)
-    assert member_changes.review_members(leader, now) == []
+    assert member_changes.propose_member_change(leader, now) == []
--- a/boragetide/tests/test_membership.py
+++ b/boragetide/tests/test_membership.py
@@ -254,7 +254,7 @@
     system.submit_later("a1", make_job("job-1", tasks=400, work=0.1))
     wait_for(system.starts_by_task, "the job to start")
     for ends in (("a1", "a3"), ("a3", "a1")):
-        system.relays_by_link[ends].silence(new=True)
+        system.relays_by_link[ends].silence(include_new=True)
     url = system.daemons_by_id["a3"].url
     system.control("s1", leaving=True, announce_at=url)
     left_at = time.time()
--- a/boragetide/tests/test_placement.py
+++ b/boragetide/tests/test_placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from boragetide.policy.placement import (
-    Candidate,
+    FreeServer,
     Release,
     choose_server,
     expected_wait,
@@ -14,7 +14,7 @@
 
 def test_fastest_free_server_is_chosen() -> None:
     """Guards against tasks on slow servers while fast ones idle."""
-    assert choose_server([Candidate("a", 1.0), Candidate("b", 2.0)]).id == "b"
+    assert choose_server([FreeServer("a", 1.0), FreeServer("b", 2.0)]).id == "b"
 
 
 def test_long_task_waits_for_a_fast_slot_and_a_short_one_does_not() -> None:
@@ -29,7 +29,7 @@
 
 def test_release_is_promised_to_one_task_only() -> None:
     """Guards against many tasks that all wait for the same slot."""
-    releases = [Release(wait=0.1, speed=4.0, claimed=True)]
+    releases = [Release(wait=0.1, speed=4.0, reserved=True)]
     assert find_faster_release(2.0, 1.0, releases) is None
 
 
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -11,7 +11,7 @@
 from boragetide.daemon.__main__ import run_daemon
 from boragetide.daemon.process import EXIT_FAILURE, end_tasks
 from boragetide.links.codec import Envelope, encode_body
-from boragetide.links.peers import PeerLink, post, replace_socket, run_link
+from boragetide.links.peers import PeerLink, enqueue, request_reconnect, run_link
 from boragetide.messages import Tick
 from boragetide.settings import parse_settings
 from boragetide.tests.conftest import free_port
@@ -56,7 +56,7 @@
     async def run() -> None:
         link, unsent = make_link(free_port()), []
         task = asyncio.create_task(run_link(link, unsent.append, ignore_count))
-        post(link, make_envelope())
+        enqueue(link, make_envelope())
         await wait_until(lambda: unsent, limit=1.0)
         task.cancel()
 
@@ -75,11 +75,11 @@
         link, unsent = make_link(target), []
         task = asyncio.create_task(run_link(link, unsent.append, ignore_count))
         await wait_until(lambda: len(accepted) == 1)
-        replace_socket(link)
+        request_reconnect(link)
         await wait_until(lambda: len(accepted) == 2)
         accepted[1].write(PULL_GREETING)
-        await wait_until(lambda: post(link, make_envelope(4_000_000)) and unsent)
-        replace_socket(link)
+        await wait_until(lambda: enqueue(link, make_envelope(4_000_000)) and unsent)
+        request_reconnect(link)
         await wait_until(lambda: len(accepted) == 3)
         task.cancel()
         server.close()
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -7,7 +7,7 @@
 from boragetide.durable import JobRecord, Resources, Step
 from boragetide.policy.job_queue import SIZE_DELAY, JobQueue
 from boragetide.policy.scheduling import (
-    Candidate,
+    ServerCandidate,
     can_ever_fit,
     choose_server,
     find_ready_tasks,
@@ -20,8 +20,10 @@
 STEP = Step(2, NEEDS, 0.2)
 
 
-def make_candidate(server_id: str, millicores: int, speed: float = 1.0) -> Candidate:
-    return Candidate(server_id, Resources(millicores, 1000), speed, ("a", "r1"))
+def make_candidate(
+    server_id: str, millicores: int, speed: float = 1.0
+) -> ServerCandidate:
+    return ServerCandidate(server_id, Resources(millicores, 1000), speed, ("a", "r1"))
 
 
 def test_steps_wait_for_those_they_depend_on() -> None:
@@ -90,7 +92,7 @@
     assert choose_server(step, [near, fast], {}).id == "s1"
 
 
-def test_job_fits_where_no_server_is_known_yet() -> None:
+def test_job_fits_while_no_server_is_known() -> None:
     """Guards against refusing jobs before the first backend server is announced."""
     large = make_durable_job("j1", Step(1, Resources(70_000), 0.2))
     assert can_ever_fit(large, [])
--- a/boragetide/tests/test_stopping.py
+++ b/boragetide/tests/test_stopping.py
@@ -46,7 +46,7 @@
 @pytest.fixture(autouse=True)
 def shorten_stop(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten the time for which a stop waits for late jobs."""
-    monkeypatch.setattr(stopping, "SHORTEST_STOP", 0.1)
+    monkeypatch.setattr(stopping, "MIN_STOP_TIME", 0.1)
 
 
 def test_links_are_flushed_after_everything_is_finished(settings: Settings) -> None:
@@ -60,7 +60,7 @@
     ]
 
 
-def test_open_request_holds_the_stop_until_its_bound(settings: Settings) -> None:
+def test_open_request_delays_the_stop_until_its_timeout(settings: Settings) -> None:
     """Guards against an exit that cuts off a caller, and against a stop without end."""
     timing = replace(settings.timing, stop_timeout=0.5)
     runtime = ScriptedRuntime(replace(settings, timing=timing), busy=0)
@@ -73,7 +73,7 @@
     """Guards against a stop that an operator cannot cut short."""
     runtime = ScriptedRuntime(settings, busy=1_000_000)
     signals = stopping.StopSignals()
-    signals.note()
-    signals.note()
+    signals.record()
+    signals.record()
     run_stop(runtime, signals)
     assert "Flush" not in runtime.asked
--- a/properties/test_answers.py
+++ b/properties/test_answers.py
@@ -165,7 +165,7 @@
         running = {
             job_id
             for job_id, job in self.state.jobs_by_id.items()
-            if job.phase is jobs.JobPhase.RUNNING
+            if job.phase is jobs.OwnedJobPhase.RUNNING
         }
         assert set(self.waiting.values()) <= running
 
--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -41,7 +41,7 @@
     Replies,
     decide_claim,
 )
-from boragetide.policy.ids import mint_id, parse_minted
+from boragetide.policy.ids import generate_job_id, parse_generated_id
 from boragetide.policy.routing import find_claim_group, find_home_zone
 from boragetide.tests.conftest import make_settings
 from boragetide.types import (
@@ -243,13 +243,13 @@
         chosen = select(list(self.processes.values()), entry)
         now = self.now + chosen.clock_skew
         number = len(self.submitted_at)
-        new_id = mint_id(chosen.claims.settings, now, number)
+        new_id = generate_job_id(chosen.claims.settings, now, number)
         job_id = select([f"a:{number}", new_id, *list(self.submitted_at)[-3:] * 2], job)
         first = self.submitted_at.setdefault(job_id, self.now)
         if chosen.frozen_at is not None:
             return
         if (
-            parse_minted(job_id, chosen.claims.settings) is None
+            parse_generated_id(job_id, chosen.claims.settings) is None
             and self.now > first + RESUBMISSION_WINDOW
         ):
             return
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -26,7 +26,7 @@
 )
 from boragetide.controllers.configuration import ConfigurationState, handle, make_state
 from boragetide.effects import Effect, LogEvent, Persist, Reply, SaveSnapshot, Send
-from boragetide.encoding import restore
+from boragetide.encoding import decode_command
 from boragetide.links.codec import Envelope, decode_body, encode_body
 from boragetide.messages import ConfigurationChanged, NewerConfiguration, Propose, Tick
 from boragetide.policy import replica as replica_module
@@ -101,7 +101,9 @@
     @staticmethod
     def decode_record(data: bytes) -> Any:
         name, raw = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
-        return msgspec.msgpack.decode(raw, type=TYPES_BY_NAME[name], dec_hook=restore)
+        return msgspec.msgpack.decode(
+            raw, type=TYPES_BY_NAME[name], dec_hook=decode_command
+        )
 
     def handle(self, node: Node, message: Any) -> None:
         if node.state is None:
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -55,12 +55,12 @@
 from boragetide.types import ReplyTo, Seconds
 
 STEP: Seconds = 0.05
-AUTHORITY: Seconds = 0.4
+AUTHORITY_DURATION: Seconds = 0.4
 ORDER_TIMEOUT: Seconds = 0.2
 # Delays that end before ("delayed") and after ("late") the lease of the order lapses.
-LATENESS_BY_FATE: dict[str, Seconds] = {"delayed": 0.5, "late": 2.0}
+DELAYS_BY_FATE: dict[str, Seconds] = {"delayed": 0.5, "late": 2.0}
 SERVERS = ("s1", "s2", "s3")
-WORK: Seconds = 0.3
+WORK_DURATION: Seconds = 0.3
 CAPACITY = Resources(64_000, 100_000)
 EXAMPLES = 60
 PROFILE = settings(
@@ -74,33 +74,33 @@
 class Backend:
     """A backend server that follows the protocol for runs.
 
-    Its clock is ``behind`` seconds behind the virtual clock of the test.
+    Its clock is ``clock_lag`` seconds behind the virtual clock of the test.
     """
 
     id: str
-    behind: Seconds
+    clock_lag: Seconds
     born: int = 900_000_000
     sequence: int = 0
     fence: int = 0
     running: dict[TaskRef, tuple[int, Seconds, Seconds]] = field(default_factory=dict)
-    highest: dict[TaskRef, int] = field(default_factory=dict)
+    highest_runs: dict[TaskRef, int] = field(default_factory=dict)
     ends: list[ListedEnd] = field(default_factory=list)
-    last_end: int = 0
+    end_count: int = 0
     cut: bool = False
     hangs: bool = False
 
     def restart(self) -> None:
         """Lose all state, as in a crash."""
         self.born += 1
-        self.sequence = self.fence = self.last_end = 0
+        self.sequence = self.fence = self.end_count = 0
         self.running.clear()
-        self.highest.clear()
+        self.highest_runs.clear()
         self.ends.clear()
 
     def advance(self, now: Seconds) -> None:
         """End the runs whose work is done or whose lease has lapsed."""
         for task, (run, ends_at, lease) in list(self.running.items()):
-            if now - self.behind >= lease:
+            if now - self.clock_lag >= lease:
                 self.end(task, run, EndReason.LAPSED)
             elif now >= ends_at and not self.hangs:
                 self.end(task, run, EndReason.DONE)
@@ -108,8 +108,8 @@
     def end(self, task: TaskRef, run: int, reason: EndReason) -> None:
         """End a run and add it to the list of ends."""
         del self.running[task]
-        self.last_end += 1
-        self.ends.append(ListedEnd(self.last_end, task, run, reason))
+        self.end_count += 1
+        self.ends.append(ListedEnd(self.end_count, task, run, reason))
 
 
 class Dispatch(RuleBasedStateMachine):
@@ -123,30 +123,36 @@
         self.term = 0
         self.catalogue = Catalogue()
         self.backends = {
-            name: Backend(name, behind=number * 0.7 - 0.7)
+            name: Backend(name, clock_lag=number * 0.7 - 0.7)
             for number, name in enumerate(SERVERS)
         }
         self.state = self.make_state()
-        self.later: list[tuple[Seconds, Callable[[], None]]] = []
+        self.scheduled: list[tuple[Seconds, Callable[[], None]]] = []
         self.appended: list[AppendCommands] = []
         self.jobs: dict[str, Any] = {}
         self.acknowledged: set[TaskRef] = set()
         self.cancelled: set[str] = set()
         self.replies: dict[int, str] = {}
-        self.lead()
+        self.start_leader()
         self.run_for(1.0)
 
     def make_state(self) -> DispatcherState:
         started_at = int((self.now - 10.0) * 1000)
         return DispatcherState(parse_settings(EMBEDDED_DEFAULT), started_at)
 
-    def lead(self) -> None:
-        """Start the next leader; its predecessor's authority lasts `AUTHORITY` more."""
+    def start_leader(self) -> None:
+        """Start the next leader.
+
+        The predecessor's authority lasts `AUTHORITY_DURATION` more.
+        """
         self.term += 1
         records = tuple(self.catalogue.jobs_by_id.values())
         self.appended.clear()
         gained = LeadershipGained(
-            self.term, records, self.now + AUTHORITY, self.now + AUTHORITY
+            self.term,
+            records,
+            self.now + AUTHORITY_DURATION,
+            self.now + AUTHORITY_DURATION,
         )
         self.announce()
         self.handle(gained)
@@ -166,46 +172,46 @@
 
     def handle(self, message: Any) -> None:
         for effect in dispatcher.handle(message, self.state, self.now):
-            self.perform(effect)
+            self.execute_effect(effect)
 
     @singledispatchmethod
-    def perform(self, effect: Any) -> None:
+    def execute_effect(self, effect: Any) -> None:
         """Execute an effect; log lines and metrics are ignored here."""
 
-    @perform.register
+    @execute_effect.register
     def _(self, effect: Send) -> None:
         if isinstance(effect.message, AppendCommands):
             self.appended.append(effect.message)
 
-    @perform.register
+    @execute_effect.register
     def _(self, effect: Reply) -> None:
         pass
 
-    @perform.register
+    @execute_effect.register
     def _(self, effect: StartRun) -> None:
-        self.order(effect, started=True)
+        self.send_order(effect, started=True)
 
-    @perform.register
+    @execute_effect.register
     def _(self, effect: StopRun) -> None:
-        self.order(effect, started=False)
+        self.send_order(effect, started=False)
 
-    def order(self, order: StartRun | StopRun, *, started: bool) -> None:
+    def send_order(self, order: StartRun | StopRun, *, started: bool) -> None:
         """Execute an order at once, late or never; schedule its answer or time-out."""
         backend = self.backends[order.server]
-        fate = self.draw_fate(backend)
+        fate = self.next_fate(backend)
         result = OrderResult.UNANSWERED
         if fate in ("carried_out", "answer_lost"):
-            done = self.carry_out(order, backend)
+            done = self.execute_order(order, backend)
             result = done if fate == "carried_out" else result
-        elif fate in LATENESS_BY_FATE:
+        elif fate in DELAYS_BY_FATE:
             born = backend.born
-            arrives_at = self.now + LATENESS_BY_FATE[fate]
+            arrives_at = self.now + DELAYS_BY_FATE[fate]
 
             def arrive() -> None:
                 if backend.born == born:
-                    self.carry_out(order, backend)
+                    self.execute_order(order, backend)
 
-            self.later.append((arrives_at, arrive))
+            self.scheduled.append((arrives_at, arrive))
         pause = 0.0 if result is not OrderResult.UNANSWERED else ORDER_TIMEOUT
         answer = RunOrdered(
             server=order.server,
@@ -215,12 +221,12 @@
             run=order.run,
             result=result,
             started=started,
-            clock=None if pause else self.now - backend.behind,
+            clock=None if pause else self.now - backend.clock_lag,
             sent_at=self.now,
         )
-        self.later.append((self.now + pause, lambda: self.handle(answer)))
+        self.scheduled.append((self.now + pause, lambda: self.handle(answer)))
 
-    def draw_fate(self, backend: Backend) -> str:
+    def next_fate(self, backend: Backend) -> str:
         if backend.cut:
             return "lost"
         fates = self.fates
@@ -229,38 +235,42 @@
 
     fates: tuple[str, ...] = ("carried_out",)
 
-    def carry_out(self, order: StartRun | StopRun, backend: Backend) -> OrderResult:
+    def execute_order(self, order: StartRun | StopRun, backend: Backend) -> OrderResult:
         backend.advance(self.now)
         if order.fence < backend.fence:
             return OrderResult.FENCED
         backend.fence = order.fence
         known = backend.running.get(order.task)
         if isinstance(order, StopRun):
-            highest = backend.highest.get(order.task, 0)
-            backend.highest[order.task] = max(highest, order.run)
+            highest = backend.highest_runs.get(order.task, 0)
+            backend.highest_runs[order.task] = max(highest, order.run)
             if known is not None and known[0] <= order.run:
                 backend.end(order.task, known[0], EndReason.STOPPED)
             return OrderResult.DONE
-        return self.start(order, backend, known)
+        return self.start_run(order, backend, known)
 
-    def start(
+    def start_run(
         self, order: StartRun, backend: Backend, known: tuple[int, Any, Any] | None
     ) -> OrderResult:
         if known is not None and known[0] == order.run:
             return OrderResult.DONE
-        if order.run <= backend.highest.get(order.task, 0):
+        if order.run <= backend.highest_runs.get(order.task, 0):
             return OrderResult.OLD_RUN
-        if order.lease_until <= self.now - backend.behind:
+        if order.lease_until <= self.now - backend.clock_lag:
             return OrderResult.LATE
-        used = sum(self.needs(task) for task in backend.running)
-        if used + self.needs(order.task) > CAPACITY.millicores:
+        used = sum(self.get_millicores(task) for task in backend.running)
+        if used + self.get_millicores(order.task) > CAPACITY.millicores:
             return OrderResult.NO_ROOM
         self.check_start(order, backend)
-        backend.highest[order.task] = order.run
-        backend.running[order.task] = (order.run, self.now + WORK, order.lease_until)
+        backend.highest_runs[order.task] = order.run
+        backend.running[order.task] = (
+            order.run,
+            self.now + WORK_DURATION,
+            order.lease_until,
+        )
         return OrderResult.DONE
 
-    def needs(self, task: TaskRef) -> int:
+    def get_millicores(self, task: TaskRef) -> int:
         return self.jobs[task.job_id].steps[task.step].needs.millicores
 
     def check_start(self, order: StartRun, backend: Backend) -> None:
@@ -280,16 +290,18 @@
         numbers = range(first, first + job.steps[position].count)
         return len(record.done.intersection(numbers))
 
-    @perform.register
+    @execute_effect.register
     def _(self, effect: ReadRuns) -> None:
         backend = self.backends[effect.server]
-        fate = self.draw_fate(backend)
+        fate = self.next_fate(backend)
         message: Any = ReadFailed(effect.server, effect.fence)
         if fate in ("carried_out", "answer_lost"):
             listed = self.list_runs(effect, backend)
             message = listed if fate == "carried_out" else message
         pause = effect.wait if isinstance(message, RunsRead) else ORDER_TIMEOUT
-        self.later.append((self.now + max(pause, STEP), lambda: self.handle(message)))
+        self.scheduled.append(
+            (self.now + max(pause, STEP), lambda: self.handle(message))
+        )
 
     def list_runs(self, order: ReadRuns, backend: Backend) -> RunsRead:
         backend.advance(self.now)
@@ -309,7 +321,7 @@
             server=order.server,
             term=order.fence,
             sent_at=self.now,
-            clock=self.now - backend.behind,
+            clock=self.now - backend.clock_lag,
             born=backend.born,
             running=tuple(
                 ListedRun(task, run) for task, (run, _, _) in backend.running.items()
@@ -324,12 +336,12 @@
             self.now += STEP
             for backend in self.backends.values():
                 backend.advance(self.now)
-            due = [each for each in self.later if each[0] <= self.now]
-            self.later = [each for each in self.later if each[0] > self.now]
+            due = [each for each in self.scheduled if each[0] <= self.now]
+            self.scheduled = [each for each in self.scheduled if each[0] > self.now]
             for _, action in due:
                 action()
             self.commit()
-            self.state.authority_until = self.now + AUTHORITY
+            self.state.authority_until = self.now + AUTHORITY_DURATION
             self.handle(Tick())
 
     def commit(self) -> None:
@@ -352,8 +364,8 @@
 
     @rule(width=st.integers(1, 4), chained=st.booleans())
     def submit(self, width: int, chained: bool) -> None:
-        first = Step(width, Resources(27_000, 64), WORK)
-        steps = (first, Step(1, Resources(27_000, 64), WORK, depends_on=(0,)))
+        first = Step(width, Resources(27_000, 64), WORK_DURATION)
+        steps = (first, Step(1, Resources(27_000, 64), WORK_DURATION, depends_on=(0,)))
         job = make_durable_job(
             f"j{len(self.jobs)}",
             *(steps if chained else (first,)),
@@ -362,9 +374,9 @@
             submitted_at=self.now,
         )
         self.jobs[job.id] = job
-        self.ask(job)
+        self.send_submission(job)
 
-    def ask(self, job: Any) -> None:
+    def send_submission(self, job: Any) -> None:
         request = len(self.replies)
         self.replies[request] = job.id
         self.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", request)))
@@ -379,7 +391,7 @@
     @rule(
         fates=st.lists(
             st.sampled_from(
-                ["carried_out"] * 3 + ["answer_lost", "lost", *LATENESS_BY_FATE]
+                ["carried_out"] * 3 + ["answer_lost", "lost", *DELAYS_BY_FATE]
             ),
             min_size=1,
             max_size=6,
@@ -419,10 +431,10 @@
         else:
             self.state = self.make_state()
         self.now += seconds
-        self.lead()
+        self.start_leader()
         for job in list(self.jobs.values()):
             if job.id not in self.cancelled and self.best_effort:
-                self.ask(job)
+                self.send_submission(job)
 
     @invariant()
     def no_task_runs_twice(self) -> None:
--- a/properties/test_membership.py
+++ b/properties/test_membership.py
@@ -87,7 +87,7 @@
         state = self.states_by_id[instance]
         abandoned = {e.instance for e in effects if isinstance(e, AbandonRequests)}
         for peer, view in state.peers_by_id.items():
-            quiet_since = max(view.last_heard or 0.0, state.awake_since)
+            quiet_since = max(view.last_heartbeat_at or 0.0, state.awake_since)
             if self.now - quiet_since > self.instance_silence:
                 assert peer in abandoned
 
@@ -170,12 +170,13 @@
                 continue
             for candidate in self.list_candidates(instance):
                 if candidate.id != instance:
-                    heard = state.peers_by_id[candidate.id].last_heard
+                    heard = state.peers_by_id[candidate.id].last_heartbeat_at
                     assert self.now - heard <= self.instance_silence
             marked = [view for view in state.peers_by_id.values() if view.live]
             for view in marked:
                 assert (
-                    self.now - view.last_heard <= self.instance_silence + TICK_INTERVAL
+                    self.now - view.last_heartbeat_at
+                    <= self.instance_silence + TICK_INTERVAL
                 )
 
     def teardown(self) -> None:
--- a/properties/test_pool.py
+++ b/properties/test_pool.py
@@ -194,7 +194,7 @@
         assert state.queued_tasks == waiting
         assert waiting == sum(q.waiting for q in state.queues_by_class.values())
         running = sum(map(len, self.running.values()))
-        assert len(state.releases) == running
+        assert len(state.expected_releases) == running
         assert sum(q.running for q in state.queues_by_class.values()) == running
 
     @invariant()
@@ -206,7 +206,7 @@
             queued = self.state.jobs_by_id.get(job_id)
             left = 0
             if queued is not None:
-                left = len(queued.waiting) + len(queued.servers_by_running)
+                left = len(queued.waiting) + len(queued.server_by_running_task)
                 left += queued.delayed
             assert ended + left == len(job.tasks)
 
