Clarify texts in policy, storage, messages and the top modules

Comments and docstrings only. Unclear or imprecise before:

- pronouns without a clear referent (learning, membership, ordering, job queue, replica, job table);
- stilted sentences (link health, claiming, leadership, member changes);
- the reason against aging that is linear in the work read as if the code did that;
- texts that did not match the code: a class's speed offset counts gradually rather than from a number of tasks on, speed classes are buckets rather than a maximum difference, admission refuses no job for its target while the pool is nearly idle, the retry floor applies to each window, and the hint for unsupported numbers has one range.

--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -117,7 +117,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelJobs(JobCommand):
-    """Cancels those of the durable jobs that have not ended."""
+    """Cancels the given durable jobs, except those that have ended."""
 
     job_ids: tuple[JobId, ...]
     kind: Literal["cancel_jobs"] = "cancel_jobs"
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -178,7 +178,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEnd:
-    """A run that ended as done or failed; ``task`` is numbered over all steps."""
+    """A run that succeeded or failed; ``task`` is numbered over all steps."""
 
     job_id: JobId
     task: int
--- a/boragetide/json_values.py
+++ b/boragetide/json_values.py
@@ -10,8 +10,8 @@
 
 _MIN_INTEGER = -(2**63)
 _MAX_INTEGER = 2**64 - 1
-# Matches every JSON text that can contain a number outside of the ranges above or a
-# non-finite one, so that the values of other texts need not be checked one by one.
+# Matches every JSON text that can contain a non-finite number or an integer outside the
+# range above, so that the values of other texts need not be checked one by one.
 _UNSUPPORTED_NUMBER_HINT = re.compile(rb"NaN|Infinity|\d{19}|[eE]\+?\d{3}")
 
 
--- a/boragetide/messages/instances.py
+++ b/boragetide/messages/instances.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Periodic sign of life of an instance, with its load and the last one received.
+    """Periodic message that an instance is alive, with its state and load.
 
     Parameters
     ----------
--- a/boragetide/policy/admission.py
+++ b/boragetide/policy/admission.py
@@ -114,8 +114,8 @@
 ) -> str | None:
     """Return why a job cannot meet the target of its class, or ``None`` if it can.
 
-    A job that even an empty pool could not finish in time is admitted while the pool
-    is nearly idle; otherwise such a job could never run.
+    While the pool is nearly idle, no job is refused for its target; otherwise a job
+    that even an empty pool could not finish in time could never run.
 
     Parameters
     ----------
--- a/boragetide/policy/catch_up.py
+++ b/boragetide/policy/catch_up.py
@@ -51,7 +51,7 @@
 
 
 def _find_contacts(replica: Replica) -> set[InstanceId]:
-    """Return the members to ask: the first members and those named in the answers."""
+    """Return the members to ask: the initial members and those named in the answers."""
     contacts = set(replica.settings.initial_members)
     for answer in replica.catch_up_by_id.values():
         if answer.held is not None:
--- a/boragetide/policy/claiming.py
+++ b/boragetide/policy/claiming.py
@@ -170,8 +170,8 @@
 def is_expired(claim: Claim, window: Seconds, now: Seconds) -> bool:
     """Return whether an acceptor may drop a claim.
 
-    By then the owner has refused the claim for a long time, because the claim is older
-    than the resubmission window.
+    By then the owner no longer accepts the claim, because the claim is older than the
+    resubmission window.
     """
     return now > claim.claimed_at + claim_lifetime(window)
 
--- a/boragetide/policy/distribution.py
+++ b/boragetide/policy/distribution.py
@@ -64,7 +64,7 @@
 
 
 def request_configuration(state: DistributionState, now: Seconds) -> list[Effect]:
-    """Request the configuration of all peers while none is in force here."""
+    """Request the configuration from all peers while none is in force here."""
     if state.started_at is None:
         state.started_at = now
     if state.in_force is not None or now < state.next_fetch:
@@ -81,7 +81,7 @@
 def request_newer(
     state: DistributionState, peer: InstanceId, version: int, now: Seconds
 ) -> list[Effect]:
-    """Request the configuration of a peer that reports a newer version."""
+    """Request the configuration from a peer that reports a newer version."""
     if state.in_force is None or version <= state.version or now < state.next_fetch:
         return []
     state.next_fetch = now + FETCH_INTERVAL
--- a/boragetide/policy/elections.py
+++ b/boragetide/policy/elections.py
@@ -28,7 +28,7 @@
 
 
 def check_election(replica: Replica, now: Seconds) -> list[Effect]:
-    """Request pre-votes if no leader was heard for too long; a learner asks to join."""
+    """Request pre-votes if the leader is silent too long; a learner asks to join."""
     if not replica.is_member:
         return ask_to_join(replica, now)
     if not replica.others:
@@ -92,7 +92,7 @@
 def _(message: RequestVote, replica: Replica, now: Seconds) -> list[Effect]:
     effects = replica.links.reconnect_if_silent(message.candidate, now, message.waits)
     # The candidate may be a member that was replaced while it was unreachable and does
-    # not know this yet. It is then replicated to as a learner.
+    # not know this yet. As a learner it receives the log.
     effects += register_learner(replica, message.candidate, now)
     return effects + _vote(message, replica, now)
 
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -18,10 +18,10 @@
 # Number of jobs that are considered if the first ones do not fit into the free
 # resources. This bounds the time of a decision under overload.
 LOOK_AHEAD = 24
-# A job with the mean work of its class is ranked as if it could start this much later,
-# and a job with twice that work as if it could start twice as much later. Among equally
-# urgent jobs small ones go first, but a large one is passed over for a bounded time
-# only.
+# A job with the mean work of its class is ranked as if its latest start were this much
+# later, and a job with twice that work as if it were twice as much later. Among equally
+# urgent jobs small ones go first, but they can overtake a large one only for a bounded
+# time.
 SIZE_DELAY: Seconds = 0.05
 # Weight of a new job in the moving mean of the work of its class.
 MEAN_WORK_GAIN = 0.02
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -1,8 +1,8 @@
 """Applies committed commands to the table of durable jobs.
 
 Every member applies the same commands in the same order, so these functions depend on
-nothing but their arguments. Each command is idempotent: a new leader may propose the
-end of a run again that its predecessor has already committed.
+nothing but their arguments. Each command is idempotent, because a new leader may
+propose the end of a run that its predecessor has already committed.
 """
 
 from __future__ import annotations
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -32,7 +32,8 @@
     Parameters
     ----------
     announced_term
-        Term that the dispatcher was notified it leads, or 0.
+        Term in which this instance leads, according to the last notice to the
+        dispatcher; 0 if it does not lead.
     announced_until
         End of the authority that the dispatcher was notified of, in Unix time.
     announced_members
--- a/boragetide/policy/learning.py
+++ b/boragetide/policy/learning.py
@@ -24,13 +24,13 @@
 MAX_RATIO = 10.0
 
 # If the recent mean deviates from the long-term mean by more than this many of its
-# standard deviations, it replaces the long-term mean. A change by a factor of 4 is
-# detected after about three tasks, and a chance deviation rarely passes.
+# standard deviations, the recent mean replaces the long-term one. A change by a factor
+# of 4 is detected after about three tasks, and a chance deviation rarely passes.
 CHANGE_DEVIATIONS = 3.5
 _RECENT_DEVIATION = math.sqrt(RECENT_GAIN / (2 - RECENT_GAIN))
 
-# A class has its own speed on a server once about this many of its tasks have ended
-# there.
+# The measured deviation of a class from the speed of a server counts for half once this
+# many tasks of the class have ended there, and for more after further tasks.
 CLASS_SAMPLES = 20
 CENTER_MIN_SAMPLES = 5
 CENTER_MIN_SHIFT = 0.02
--- a/boragetide/policy/link_health.py
+++ b/boragetide/policy/link_health.py
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True)
 class LinkHealth:
-    """Times since which this instance has been waiting for a message of each peer.
+    """Waits for answers from the peers, and the last reconnection to each peer.
 
     Parameters
     ----------
@@ -33,7 +33,7 @@
     reconnected_at_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
 
     def record_sent(self, peer: InstanceId, now: Seconds) -> Seconds:
-        """Record a sent message and return for how many seconds an answer is due."""
+        """Record a sent message; return the wait for an answer so far, in seconds."""
         return now - self.waiting_since_by_id.setdefault(peer, now)
 
     def record_received(self, peer: InstanceId) -> None:
--- a/boragetide/policy/member_changes.py
+++ b/boragetide/policy/member_changes.py
@@ -29,7 +29,7 @@
 
 
 def ask_to_join(replica: Replica, now: Seconds) -> list[Effect]:
-    """Ask the members to replicate the log to this instance, which is no member."""
+    """Ask the members to replicate the log to this instance, which is not a member."""
     if now < replica.next_request:
         return []
     replica.next_request = now + JOIN_INTERVAL
@@ -47,7 +47,7 @@
 def register_learner(
     replica: Replica, learner: InstanceId, now: Seconds, forwarded: bool = False
 ) -> list[Effect]:
-    """Replicate to an instance that is no member, or forward it to the leader."""
+    """Replicate to an instance that is not a member, or tell the leader about it."""
     if learner in replica.members:
         return []
     if replica.role is Role.LEADER:
--- a/boragetide/policy/membership.py
+++ b/boragetide/policy/membership.py
@@ -64,7 +64,7 @@
     """Return the live instance that places the jobs of a zone, or ``None``.
 
     If the placer of a zone has no backend servers, jobs of the zone go to the placer
-    with the most of them. Announcements always go to the zone's own placer.
+    with the most backend servers. Announcements always go to the zone's own placer.
     """
     candidates = tuple(candidates)
     placer = find_placer(zone, candidates)
--- a/boragetide/policy/ordering.py
+++ b/boragetide/policy/ordering.py
@@ -17,8 +17,8 @@
 
     The rank is the logarithm of the remaining work, minus the aged wait. All jobs of a
     class age at the same rate, so the order of two waiting jobs does not depend on the
-    current time. A job with ``n`` times the work of another job is overtaken by the
-    other one only if that arrives less than ``log(n) / aging`` seconds later.
+    current time. A job with ``n`` times the work of another job is overtaken by it only
+    if the other job arrives less than ``log(n) / aging`` seconds later.
 
     Parameters
     ----------
@@ -41,9 +41,9 @@
 def aging_rate(response_time: Seconds) -> float:
     """Return the rate of aging per second for a target in seconds.
 
-    Aging that is linear in the work, and fast enough to bound the wait of large jobs,
-    orders small jobs by arrival: the mean ratio of response time to ideal response time
-    was 3.3 at 95% load with it.
+    Aging is relative to the logarithm of the work. Aging that is linear in the work and
+    fast enough to bound the wait of large jobs would order small jobs by arrival: with
+    it, the mean ratio of response time to ideal response time was 3.3 at 95% load.
     """
     return AGING / max(response_time, MIN_WORK)
 
--- a/boragetide/policy/placement.py
+++ b/boragetide/policy/placement.py
@@ -80,7 +80,7 @@
 
 
 def is_worth_starting(size: Seconds, speed: float, drain_time: Seconds) -> bool:
-    """Return whether a slow server ends a task in time compared with the queue.
+    """Return whether a slow server ends a task soon enough while the queue is long.
 
     The limit is `DRAIN_FACTOR` times the time in which the pool drains its queue.
 
@@ -97,7 +97,10 @@
 
 
 def largest_size_to_start(speed: float, releases: Sequence[Release]) -> Seconds:
-    """Return the largest task size that no unclaimed release ends clearly earlier."""
+    """Return the largest task size for which no release ends the task clearly earlier.
+
+    Reserved releases are ignored; see `find_faster_release`.
+    """
     limit = float("inf")
     for release in releases:
         gain = MAX_FINISH_SHARE / speed - 1 / release.speed
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -101,7 +101,7 @@
         State of a leader: progress of the other instances, time of the next heartbeat,
         and the instances that wait for the outcome of each command.
     learners_by_id
-        State of a leader: instances that are no members but receive the log, with the
+        State of a leader: instances that are not members but receive the log, with the
         time at which each last asked to join.
     catch_up_by_id, started_at, next_request
         State of a blank member: the newest answer of each other member, the time of the
@@ -190,10 +190,11 @@
         return self.log[index - self.log_start - 1].term
 
     def leader_heard_ago(self, now: Seconds) -> Seconds:
-        """Return for how many seconds no leader was heard.
+        """Return for how many seconds no leader has been heard.
 
-        Whatever an earlier process of this member acknowledged came before the start of
-        this process, and the incarnation is the time of that start.
+        Before this process has heard a leader, this is the time since the process
+        started, which the incarnation gives in Unix milliseconds: an earlier process of
+        this member acknowledged nothing after that.
         """
         return now - (self.leader_heard_at or self.incarnation / 1000)
 
@@ -328,9 +329,11 @@
     """Return whether the commit of the entries after ``after`` needs no journal record.
 
     After a restart the member then does not know that these entries are committed.
-    Durable jobs are read only at a leader, which determines again what is committed,
-    and the members are those of the newest entry. A configuration that an instance puts
-    in force by itself must not be older after its restart, so its commit is recorded.
+    Durable jobs are read only from a leader, which determines again what is committed,
+    and the members are those of the newest entry, committed or not. A configuration,
+    however, is put in force by each instance without asking a leader, and must not be
+    older after a restart, so the commit of commands other than `InternalCommand` is
+    recorded.
     """
     entries = replica.log[
         after - replica.log_start : replica.commit - replica.log_start
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -69,7 +69,7 @@
 
 def check_leader(replica: Replica, now: Seconds) -> list[Effect]:
     """Send heartbeats, or step down if a majority no longer answers."""
-    # As a voter this member later reports to the next leader until when it led.
+    # A later vote of this member tells the candidate how long ago it still led.
     replica.leader_heard_at = now
     responsive = [
         progress
--- a/boragetide/policy/retries.py
+++ b/boragetide/policy/retries.py
@@ -11,7 +11,7 @@
 BUDGET_SHARE = 0.1
 BUDGET_WINDOW: Seconds = 10.0
 
-# Allows retries in a pool with so few dispatches that 10% of them is less than one.
+# Retries allowed per window in any case: with few dispatches, 10% is less than one.
 BUDGET_FLOOR = 10
 MAX_ATTEMPTS = 4
 FIRST_BACKOFF: Seconds = 0.05
--- a/boragetide/policy/scheduling.py
+++ b/boragetide/policy/scheduling.py
@@ -13,10 +13,10 @@
 from boragetide.durable import DurableJob, JobRecord, Resources, Step
 from boragetide.types import BackendServerId, Seconds
 
-# A job that ends within this many times its objective counts as late, but is still of
-# value to its caller.
+# A late job is still of value to its caller if it ends within this many times its
+# response time target.
 LATE_LIMIT_FACTOR = 3.0
-# Backend servers whose speeds differ by less than this count as equally fast.
+# Width of a speed class; backend servers of the same class count as equally fast.
 SPEED_STEP = 0.2
 
 
@@ -54,7 +54,7 @@
 
 
 def latest_start(job: DurableJob) -> Seconds:
-    """Return the latest Unix time at which a job can start to meet its objective."""
+    """Return the latest Unix time at which a job can start and still end in time."""
     return due_at(job) - longest_chain(job)
 
 
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -94,8 +94,8 @@
     member_count
         Number of members that the log should have; 0 keeps the initial members.
     follows_leader
-        Whether an instance asks continuously who leads the log, or only while requests
-        ask it for the leader.
+        Whether this instance asks for the leader of the log continuously, or only while
+        requests need it.
     ids_are_addresses
         Whether the id of an instance is its IP address, so that links to instances
         that are not named in the settings can be created on demand.
--- a/boragetide/storage/journal.py
+++ b/boragetide/storage/journal.py
@@ -37,7 +37,7 @@
     records
         All records before the torn tail, in order; empty if the disk counts as lost.
     lost
-        Whether a record before the tail was corrupt, so that nothing can be trusted.
+        Whether a record before the tail was corrupt, so that no record is trusted.
     """
 
     records: tuple[Any, ...]
