--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -69,8 +69,8 @@
             if not message.server.leaving:
                 raise
     if isinstance(reply, LeaseRefused) and message.server.leaving:
-        # The placer cannot be reached. With a new lease, the backend server rejects the
-        # tasks that the placer still dispatches under the old one.
+        # No placer was reached or granted a lease. With a new lease, the backend server
+        # rejects the tasks that the placer still dispatches under the old one.
         reply = await _request_lease_locally(runtime, replace(message, fence=True))
     if isinstance(reply, LeaseRefused):
         raise LinkError(reply.reason)
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -32,7 +32,7 @@
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import Address, ClassTarget, Seconds
 
-# Longer than the election of a leader and its takeover take together.
+# Longer than a leader election and the takeover by the new leader together.
 DECISION_TIMEOUT: Seconds = 10.0
 # The caller of a best-effort job waits until the job has ended.
 BEST_EFFORT_TIMEOUT: Seconds = 120.0
@@ -133,7 +133,8 @@
     async def _find_target(self, class_name: str) -> ClassTarget | None:
         """Return the target of a durable class.
 
-        If there is no such class, sends an error response and returns ``None``.
+        If the class does not exist or is not durable, sends an error response and
+        returns ``None``.
         """
         reply = await self.runtime.ask(
             self.runtime.local("configuration"), FetchConfiguration(), LOCAL_TIMEOUT
--- a/boragetide/api/durable_models.py
+++ b/boragetide/api/durable_models.py
@@ -1,4 +1,4 @@
-"""Validated models of request bodies for durable jobs and their servers."""
+"""Models of request bodies for durable jobs and the backend servers that run them."""
 
 from __future__ import annotations
 
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -1,4 +1,4 @@
-"""Validated models of request and response bodies."""
+"""Validated models of request bodies and their conversion to product types."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class TaskBody(_Body):
-    """One task of a job."""
+    """One task of a job; memory is in bytes, ``size`` and ``timeout`` in seconds."""
 
     payload: Any
     size: SizeField | None = None
@@ -55,7 +55,7 @@
 
 
 class RequestBody(SubmissionBody):
-    """Body of ``POST /v1/requests``."""
+    """Body of ``POST /v1/requests``; ``size`` and ``timeout`` are in seconds."""
 
     payload: Any
     idempotent: bool
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -120,9 +120,9 @@
     async def get(self) -> None:
         """Respond with 503 while stopping or without a placer or a configuration.
 
-        After a start, the instance also becomes ready only when its acceptor is
-        complete, because claims of new ids chosen by callers cannot be decided before.
-        This condition is dropped after `MAX_ACCEPTOR_WAIT`, because an acceptor whose
+        After a start, the instance is also not ready until its acceptor is complete,
+        because claims of new ids chosen by callers cannot be decided until then. This
+        condition is dropped after `MAX_ACCEPTOR_WAIT`, because an acceptor whose
         group has lost another member may need the whole resubmission window.
         """
         runtime = self.runtime
--- a/boragetide/cli/client.py
+++ b/boragetide/cli/client.py
@@ -17,7 +17,7 @@
 from boragetide.types import Seconds
 
 CONNECT_TIMEOUT: Seconds = 2.0
-RESEND_DELAY: Seconds = 0.2  # before the second round over the servers; doubles
+RESEND_DELAY: Seconds = 0.2  # before the second round; doubles with each round
 MAX_RESEND_DELAY: Seconds = 2.0
 
 # HTTP status codes after which the request is sent to the next server. This is safe
@@ -115,7 +115,7 @@
         return Response(response.code, _decode(response.body))
     except HTTPClientError as error:
         if getattr(error, "errno", None) in _CURL_CONNECT_ERRORS:
-            raise PeerUnreachable("connection refused") from error
+            raise PeerUnreachable("cannot connect") from error
         raise ReplyTimeout(f"answer lost: {error.message}") from error
     except (OSError, UnicodeError) as error:
         raise PeerUnreachable(str(error)) from error
--- a/boragetide/daemon/effect_execution.py
+++ b/boragetide/daemon/effect_execution.py
@@ -54,7 +54,7 @@
             log_event("call_failed", error=repr(task.exception()))
 
     def report_task(self, message: TaskReport) -> None:
-        """Send the report of a task's end to its controller."""
+        """Send the report of a task's end to the ``backend_servers`` controller."""
         self.runtime.send(self.runtime.local("backend_servers"), message)
 
 
@@ -139,7 +139,7 @@
     context: EffectContext,
     controller: str,
 ) -> None:
-    """Send an order to a backend server and its answer to the controller."""
+    """Send an order to a backend server and pass the answer to the controller."""
     answer = await context.run_client(effect)
     context.runtime.send(context.runtime.local(controller), answer)
 
--- a/boragetide/daemon/logs.py
+++ b/boragetide/daemon/logs.py
@@ -28,8 +28,8 @@
 _LOGGER = eliot.Logger()
 # Holds about 1,500 lines, which a busy leader writes in one to two seconds.
 MAX_BACKLOG_BYTES = 256 * 1024
-# Cache size. Without the cache, formatting the seconds took a third of the time that a
-# line takes.
+# Number of formatted timestamps to cache. Without the cache, formatting the seconds
+# took a third of the time needed for a line.
 _FORMATTED_SECONDS_CACHE_SIZE = 4
 
 
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -57,7 +57,8 @@
         Requests that a planned stop sends when all work is finished.
     min_stop_time
         Minimum time for which the process keeps serving during a planned stop, in
-        seconds, so that instances that still send to it learn of the stop.
+        seconds, so that instances that still send to it learn of the stop. ``None``
+        stands for `MIN_STOP_TIME` in `boragetide.daemon.stopping`.
     background
         Additional tasks of the process.
     """
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -128,7 +128,7 @@
             self._pending_by_request.pop(request, None)
 
     def deliver(self, envelope: Envelope) -> None:
-        """Put a message from another instance into its mailbox."""
+        """Pass a message from another instance to a mailbox or a pending request."""
         try:
             message = decode_body(envelope)
         except LinkError as error:
--- a/boragetide/filters/admit.py
+++ b/boragetide/filters/admit.py
@@ -10,7 +10,7 @@
 
 
 async def admit(exchange: Exchange, call_next: Next) -> Answer:
-    """Refuse jobs with too many tasks or an unknown class, and all jobs on a stop."""
+    """Refuse jobs with too many tasks or an unknown class; while stopping, all jobs."""
     runtime = exchange.runtime
     count, limit = len(exchange.submission.tasks), runtime.settings.limits.tasks_per_job
     if count > limit:
--- a/boragetide/filters/claim.py
+++ b/boragetide/filters/claim.py
@@ -23,8 +23,8 @@
 from boragetide.policy.routing import find_claim_group, find_home_zone
 from boragetide.types import Address, Answer, Claim, InstanceId, Seconds, Status
 
-# Instances considered lost are asked last. One that is alive after all answers within a
-# few round trips of 1 ms.
+# Instances considered lost are asked last. If such an instance is alive nevertheless,
+# it answers within a few round trips of 1 ms each.
 LOST_INSTANCE_TIMEOUT: Seconds = 0.2
 
 
@@ -45,7 +45,7 @@
     job_id = exchange.submission.id
     now = read_clock()
     if is_generated_in_future(job_id, settings, now):
-        message = f"id: {job_id!r} was minted in the future"
+        message = f"id: {job_id!r} was generated in the future"
         raise RequestError(Status.NOT_RUN, 400, message)
     proposed = Claim(
         job_id, exchange.placer.placer, exchange.placer.incarnation, claimed_at=now
--- a/boragetide/filters/dispatch.py
+++ b/boragetide/filters/dispatch.py
@@ -32,7 +32,8 @@
     ClaimNotGranted
         If the owner was asked to complete the quorum and did not.
     RequestError
-        With ``UNKNOWN`` if no answer arrived.
+        With ``UNKNOWN`` if the owner has restarted or did not answer; with HTTP status
+        409 if the id belongs to a job with other payloads.
     """
     claim = exchange.claim
     if exchange.live.get(claim.owner, 0) > claim.owner_incarnation:
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -1,4 +1,4 @@
-"""The chain of filters that requests for durable jobs from all front ends pass."""
+"""Filter chain for requests for durable jobs, shared by all front ends."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
 
 # A leader answers within a few syncs of 9 ms each. If there is no answer within the
 # timeout, the leader or the message may be lost. The timeout doubles with each
-# repetition to the same leader, so that an overloaded one does not get more requests
-# because it is slow.
+# repetition to the same leader, so that retries do not add to the load of a leader that
+# is slow because it is overloaded.
 LEADER_TIMEOUT: Seconds = 0.7
 LEADER_RETRY_DELAY: Seconds = 0.03
 # A lost leader is replaced within this time, unless this instance is cut off from the
-# members or most of them are down. In these cases waiting longer is of no use.
+# members or most of them are down. In these cases, waiting longer does not help.
 TAKEOVER_TIME: Seconds = 2.0
 # Reserved before the caller's deadline for delivering the final answer.
 ANSWER_MARGIN: Seconds = 0.05
--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -164,7 +164,11 @@
 
 
 async def cancel(client: AsyncHTTPClient, request: CancelTasks) -> None:
-    """Ask a backend server to stop tasks; failures are ignored."""
+    """Ask a backend server to stop tasks, one after another.
+
+    HTTP error responses are ignored. If a request gets no response, the error is raised
+    and the remaining tasks are not cancelled.
+    """
     for task_id in request.task_ids:
         await client.fetch(
             HTTPRequest(
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -35,7 +35,7 @@
 
 
 def enqueue(link: PeerLink, envelope: Envelope) -> bool:
-    """Queue an envelope; return false if the outbox is full and nothing is sent."""
+    """Queue an envelope, or return ``False`` without queueing if the outbox is full."""
     if len(link.outbox) >= MAX_OUTBOX_ENVELOPES:
         return False
     link.outbox.append(envelope)
