Clarify texts of the controllers

Texts only; found while reading the folder as a newcomer.

Wrong or incomplete: the contact counter (used by every instance that is no member, not only those without a disk), isolation (less than half of the zone, true until the first check), the grounds on which a claim is not granted, the claims that a complete table holds, the condition under which an end counts only as a failed attempt, the earlier ends that are looked for besides runs.

Unclear: the relation of OVERDUE_MARGIN to the 2 s of the dispatch client, the lost grant behind a disputed id, why no run starts before the takeover is complete, the arguments of read_page, the cap of a class, and several pronouns without a clear referent.

--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -19,7 +19,7 @@
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import JobId, ReplyTo, Seconds
 
-# The usual burst of a site is over after this time.
+# A typical burst of jobs from one site is over after this time.
 RETRY_AFTER: Seconds = 4.0
 
 
@@ -43,7 +43,7 @@
 def accept_best_effort(
     job: DurableJob, reply_to: ReplyTo | None, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
-    """Accept a job without a commit, and adopt what an earlier leader started of it."""
+    """Accept a job without a commit; adopt its runs and ends from an earlier leader."""
     if now > expires_at(job) and not _has_earlier_run(state, job.id):
         # The job waited too long for this leader or for its predecessor.
         return _refuse(state, job, [reply_to], now)
@@ -67,7 +67,7 @@
 
 
 def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Refuse expired best-effort jobs, unless a task was started."""
+    """Refuse expired best-effort jobs of which no task was started."""
     effects: list[Effect] = []
     for waiting in state.queue.list_expired(now):
         job = waiting.job
@@ -99,7 +99,7 @@
 
 
 def _has_earlier_run(state: DispatcherState, job_id: JobId) -> bool:
-    """Return whether a run that an earlier leader started for the job is known."""
+    """Return whether a run or an end of the job from an earlier leader is known."""
     return any(
         run.task.job_id == job_id
         for server in state.servers_by_id.values()
@@ -110,7 +110,7 @@
 def adopt_earlier_runs(
     state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
-    """Adopt the runs and ends that an earlier leader left of a resubmitted job."""
+    """Adopt the runs and ends of a resubmitted job from an earlier leader."""
     effects: list[Effect] = []
     job_id = record.job.id
     for server in [
--- a/boragetide/controllers/claim_table.py
+++ b/boragetide/controllers/claim_table.py
@@ -56,13 +56,14 @@
     group
         The claim group of the zone, this instance included.
     complete
-        Whether this acceptor holds all claims it has granted in earlier incarnations.
+        Whether this acceptor holds all unexpired claims that it granted in earlier
+        incarnations.
     keys
         Keys of the claims in the order in which they expire.
     disputed_until_by_id
         Ids for which the other members hold claims of different owners, with the time
-        of expiry. The vote that this acceptor has lost may have decided for any of
-        these owners.
+        of expiry. This acceptor no longer knows its own grant, which may have decided
+        for any of these owners.
     """
 
     zone: ZoneId
@@ -106,7 +107,10 @@
 def read_page(
     table: ClaimTable, after: Claim | None, size: int
 ) -> tuple[tuple[Claim, ...], bool]:
-    """Return up to ``size`` claims after another, and whether these are the last."""
+    """Return up to ``size`` claims that follow ``after``, and whether they are last.
+
+    If ``after`` is ``None``, the page starts at the first claim.
+    """
     start = None if after is None else (after.claimed_at, after.id)
     keys = list(islice(table.keys.irange(start, inclusive=(False, True)), size + 1))
     claims = tuple(table.claims_by_id[job_id] for _, job_id in keys[:size])
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -60,7 +60,7 @@
     tables_by_zone
         One table per claim group that this instance belongs to.
     restarts_by_id
-        Newest known incarnation of the acceptors that fetched claims from this one, or
+        Newest known incarnation of each acceptor that fetched claims from this one or
         from which this one fetched claims.
     journal_records
         Number of claims in the journal.
@@ -129,7 +129,7 @@
 def _grant(
     message: ClaimRequest | ClaimAndSubmit, state: ClaimsState, now: Seconds
 ) -> tuple[ClaimReply, list[Effect]]:
-    """Grant a claim unless another one is held or may have been granted before."""
+    """Grant a claim unless one is held or may have been, or the request is too late."""
     claim = message.claim
     window = state.settings.timing.resubmission_window
     table = _find_table(claim.id, state)
@@ -282,8 +282,8 @@
 def _make_snapshot(state: ClaimsState, *, clean: bool) -> Effect:
     """Replace the journal by a snapshot.
 
-    Only a clean snapshot has the claims of groups with several members. Disputes are
-    not saved: a zone that has any must be caught up again.
+    Only a clean snapshot contains the claims of groups with several members. Disputes
+    are not saved: a zone with disputes must catch up again after a restart.
     """
     tables = [
         table
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -85,11 +85,12 @@
     distribution
         The configuration in force on this instance.
     proposals
-        Commands whose outcome this instance has to find.
+        Commands whose outcome this instance awaits.
     replica
         Member of the consensus group, on an instance with a disk.
     contact_counter
-        Counter that selects the member that an instance without a disk asks, in turn.
+        Counter that selects the initial members in turn; used while this instance is
+        not a member itself.
     """
 
     settings: Settings
@@ -172,7 +173,7 @@
 
 
 def _apply_committed_changes(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put the committed configuration in force, and answer those who wait for it."""
+    """Put the committed configuration in force, and answer waiting proposers."""
     replica = state.replica
     if replica is None:
         return []
@@ -370,7 +371,8 @@
 ) -> list[Effect]:
     """Fetch a newer configuration from a peer.
 
-    A member that hears a leader does not fetch it, because the log brings it.
+    A member that hears a leader does not fetch it, because the leader replicates it
+    through the log.
     """
     member = state.member
     if member is not None and (
@@ -399,7 +401,7 @@
 
 
 def _take_offer(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put a peer's configuration in force; a replica writes it to disk before."""
+    """Put a peer's configuration in force; a replica first writes it to disk."""
     configuration = choose_offer(state.distribution, now)
     if configuration is None:
         return []
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -1,4 +1,4 @@
-"""Controller that finds the leader and its configuration on an instance without log."""
+"""Controller that finds the leader and configuration on an instance without a log."""
 
 from __future__ import annotations
 
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -239,8 +239,8 @@
     overdue_stopped_tasks
         Tasks of which a run was stopped because it appeared to make no progress.
     done_tasks_of_unknown_jobs
-        Tasks of jobs that are not known here that were listed as done, with the time of
-        the list.
+        Tasks that were listed as done but whose jobs are not known here, with the time
+        of the list.
     next_command
         Number of the next command.
     next_review
--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -71,14 +71,16 @@
     Parameters
     ----------
     in_service_since
-        Unix time in milliseconds; reset after a pause or an isolation.
+        Unix time in milliseconds; reset after a pause and when this instance
+        becomes isolated.
     awake_since
         Unix time in seconds of the first tick after the start or a pause.
     discovery_done
         Whether all other instances of the zone were heard, or the time to wait for them
         is over.
     isolated
-        Whether this instance is not, or not yet, connected to half of its zone.
+        Whether this instance is connected to less than half of its zone. True until the
+        first check after a start or a pause.
     pending_flushes
         Requests to answer once the peers have echoed a sequence number.
     """
@@ -138,8 +140,8 @@
             # too.
             effects.append(AbandonRequests(peer_id))
         if now - max(view.echo_at, view.link_opened_at) > view.link_timeout:
-            # This includes peers that are not heard: such a peer may be waiting for
-            # this link to be replaced too.
+            # This includes peers that are not heard: such a peer may itself be waiting
+            # for this link to be replaced.
             view.link_opened_at = now
             view.link_timeout = silence * state.jitter.uniform(1, 2)
             effects.append(Reconnect(peer_id))
@@ -167,8 +169,8 @@
     isolated = membership.is_isolated(connected + 1, len(zone_peers) + 1)
     effects: list[Effect] = []
     if isolated and not state.isolated:
-        # The others have chosen another placer, which keeps the role when they are
-        # connected again.
+        # The others have chosen another placer, which keeps the role when this
+        # instance is connected again.
         state.in_service_since = _to_milliseconds(now)
         effects.append(LogEvent("isolated", {"connected": connected}))
     state.isolated = isolated
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -109,8 +109,8 @@
     now: Seconds,
 ) -> list[Effect]:
     if result in (OrderResult.DONE, OrderResult.OLD_RUN):
-        # The run is listed until its end is. If its start has not arrived, the run will
-        # never begin.
+        # The run stays in the list until its end is listed. If its start has not
+        # arrived yet, the run will never begin.
         run.order_answered_at = now
     elif result is OrderResult.OTHER_LIFE:
         server.gone = True
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -39,7 +39,8 @@
 MAX_UNPLACEABLE_JOBS = 256
 
 # The placer waits this long for a result after the timeout of a task, which the backend
-# server itself enforces. The client gives up after 2 s, so the wait ends after that.
+# server itself enforces. The margin is longer than the 2 s after that timeout at which
+# the client of the dispatch call gives up.
 OVERDUE_MARGIN: Seconds = 3.0
 DISPATCH_OVERHEAD: Seconds = 0.001
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -52,7 +52,8 @@
 def is_takeover_complete(state: DispatcherState, now: Seconds) -> bool:
     """Return whether a task that no backend server lists is certainly not running.
 
-    Any job that is submitted again may have been started by an earlier leader.
+    No run is started before the takeover is complete, because an earlier leader may
+    have started any job that is submitted again.
     """
     if now >= state.predecessor_until + LEASE_EXPIRY_WAIT:
         return True
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -41,7 +41,8 @@
     log_size
         Expected logarithm of the work, from the size model of the class.
     expected_end
-        Unix time; postponed while the task overruns it.
+        Unix time at which the task is expected to end; postponed while the task
+        overruns it.
     call
         Number of the dispatch call that holds a connection for the task.
     probe
--- a/boragetide/controllers/queueing.py
+++ b/boragetide/controllers/queueing.py
@@ -34,7 +34,7 @@
     attempts_by_index
         Number of starts of each task that was started.
     may_have_run
-        Whether any task ended with another outcome than not run.
+        Whether any task ended with an outcome other than `TaskStatus.NOT_RUN`.
     dropped
         Whether the job was removed from the pool; outcomes are then ignored.
     """
@@ -164,7 +164,7 @@
     caps_by_class: dict[ClassName, int],
     name: ClassName,
 ) -> bool:
-    """Return whether a class uses its busy share while one below its share waits."""
+    """Return whether a class is at its cap while a class below its cap waits."""
     if queues_by_class[name].running < caps_by_class[name]:
         return False
     return any(
@@ -254,7 +254,7 @@
 
 
 def is_over_share(queue: ClassQueue, team: str, cap: int) -> bool:
-    """Return whether a team uses its equal share of the class while others wait."""
+    """Return whether a team uses its equal share of the class while another waits."""
     waiting = len(queue.team_heads)
     if waiting < 2:
         return False
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -74,7 +74,7 @@
     """Refuse or end all waiting jobs of a pool that has no available server.
 
     A pool that has just lost its last server waits for the length of a lease, because
-    servers that moved to another placer come back within one.
+    servers that moved to another placer come back within that time.
     """
     if state.total_slots:
         return []
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -103,7 +103,8 @@
         if may_learn and not (failed or run.start_repeated):
             learn_speed(server, run, now)
     elif end.run < state.run_number_by_task.get(key, 0) or key in state.server_by_task:
-        # A newer run exists, so this end counts only if it is a failed attempt.
+        # A newer run was started or another run occupies the task, so this end counts
+        # only if it is a failed attempt.
         if not failed:
             return None, [log]
     elif not failed and not record.job.best_effort:
--- a/boragetide/controllers/server_health.py
+++ b/boragetide/controllers/server_health.py
@@ -16,7 +16,7 @@
 FIRST_FAILURE_COOLDOWN: Seconds = 0.25
 MAX_FAILURE_COOLDOWN: Seconds = 8.0
 # Weight of a new observation in the learned speed; it is low because declared times are
-# off by 40%. A run that took more than twice as long as expected is more than that
+# off by 40%. A run that took more than twice as long as expected exceeds what that
 # error explains, and has the higher weight.
 SPEED_WEIGHT = 0.1
 SLOWDOWN_WEIGHT = 0.4
