Rename what several parts use to the terms of the field

Placement: the two functions called place are place_tasks and place_runs, since both are imported elsewhere; Release, is_worth_starting and largest_size_to_start say what is expected or compared (ExpectedRelease, fits_drain_time, max_size_without_waiting).

Constants: OVERDUE_MARGIN of placing is RESULT_TIMEOUT_MARGIN and no longer shares its name with the one of orders; MIN_CANCEL_WAIT bounds the remaining time of a task (MIN_REMAINING_TO_CANCEL).

Configuration and leadership: functions that apply commands are named so (apply_job_command, apply_configuration_command); Leadership holds what is announced about it (LeadershipNotices).

Clients and requests: the clients of EffectContext are named after their use (task_client, durable_client); functions that ask another controller or member are named _fetch_... (_fetch_remaining_work, _fetch_history).

Three docstrings follow the names. No name that leaves the process changes. Tests follow the names; no check changes. The text of the state machine in properties/test_dispatcher.py changes by one call, so the known red tests may draw other examples; they were not run.

--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -188,14 +188,14 @@
             message = f"limit: {text!r} is not a number from 1 to {RETAINED_HISTORY}"
             self.refuse(400, message)
             return
-        history = await self._find_history(limit)
+        history = await self._fetch_history(limit)
         if history is None:
             message = "no instance with a disk has the history up to this version"
             self.respond(503, {"status": Status.UNKNOWN, "error": message})
             return
         self.respond(200, {"entries": history.entries})
 
-    async def _find_history(self, limit: int) -> History | None:
+    async def _fetch_history(self, limit: int) -> History | None:
         """Return the history of the first member that is up to date.
 
         A member whose log lags behind the configuration in force does not have the
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from boragetide.controllers import leases, outcomes, reviewing
-from boragetide.controllers.placing import place
+from boragetide.controllers.placing import place_tasks
 from boragetide.controllers.pool import (
     BackendServersState,
     find_target,
@@ -71,7 +71,7 @@
         state.jobs_needing_resources.add(message.job_id)
     state.queued_tasks += len(sizes)
     add_waiting(queue, job, zip(sizes, range(len(sizes)), strict=True))
-    return [Send(jobs, TasksQueued(message.job_id)), *place(state, now)]
+    return [Send(jobs, TasksQueued(message.job_id)), *place_tasks(state, now)]
 
 
 def _refuse(
@@ -131,7 +131,7 @@
     ended = outcomes.end_running(
         state, leased, running, message.outcome, message.seconds, now
     )
-    return [*ended, *place(state, now)]
+    return [*ended, *place_tasks(state, now)]
 
 
 @handle.register
@@ -185,7 +185,7 @@
     for server_id in state.servers_by_id:
         refresh_server(state, server_id, now)
     reviewing.update_aging(state)
-    return place(state, now)
+    return place_tasks(state, now)
 
 
 @handle.register
@@ -212,5 +212,5 @@
     return [
         *leases.expire_leases(state, now),
         *reviewing.review(state, now),
-        *place(state, now),
+        *place_tasks(state, now),
     ]
--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -4,7 +4,7 @@
 
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.job_records import apply_record
-from boragetide.controllers.placing_runs import place
+from boragetide.controllers.placing_runs import place_runs
 from boragetide.controllers.runs import adopt_run
 from boragetide.durable import (
     DurableJob,
@@ -52,7 +52,7 @@
     record = JobRecord(job, changed_at=now)
     effects = apply_record(state, record, now, is_new=True)
     effects += adopt_earlier_runs(state, record, now)
-    return [*effects, *place(state, now)]
+    return [*effects, *place_runs(state, now)]
 
 
 def cancel_best_effort(
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -59,7 +59,7 @@
     request_configuration,
     request_newer,
 )
-from boragetide.policy.leadership import Leadership
+from boragetide.policy.leadership import LeadershipNotices
 from boragetide.policy.proposals import Proposals
 from boragetide.policy.replica import (
     ELECTION_MIN,
@@ -96,7 +96,7 @@
     settings: Settings
     distribution: DistributionState
     proposals: Proposals
-    leadership: Leadership
+    leadership: LeadershipNotices
     replica: Replica | None = None
     contact_counter: int = 0
 
@@ -113,9 +113,12 @@
 ) -> ConfigurationState:
     """Build the state from the records of the journal, if there is a disk."""
     state = ConfigurationState(
-        settings, DistributionState(settings), Proposals(settings), Leadership(settings)
+        settings,
+        DistributionState(settings),
+        Proposals(settings),
+        LeadershipNotices(settings),
     )
-    if settings.own.disk:
+    if settings.own_peer.disk:
         state.replica = restore_replica(settings, incarnation, records)
     return state
 
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -132,7 +132,7 @@
         Time at which the backend server last listed its runs.
     last_run_done_at
         Time at which a run was last listed as done.
-    gone
+    departed
         Whether the backend server has left or its process was replaced. Its runs end
         when their lease has expired.
     """
@@ -157,7 +157,7 @@
     speed_updated_at: Seconds = 0.0
     runs_listed_at: Seconds = 0.0
     last_run_done_at: Seconds = 0.0
-    gone: bool = False
+    departed: bool = False
 
     def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -34,7 +34,7 @@
 )
 from boragetide.controllers.placing_runs import (
     check_takeover,
-    place,
+    place_runs,
     update_queue,
 )
 from boragetide.controllers.run_ends import acknowledge_ends
@@ -136,7 +136,7 @@
     capacities = [
         server.report.capacity
         for server in servers.values()
-        if server.report.pool == job.starts.pool and not server.gone
+        if server.report.pool == job.starts.pool and not server.departed
     ]
     return can_ever_fit(job, capacities)
 
@@ -315,7 +315,7 @@
     effects: list[Effect] = []
     server = state.servers_by_id.get(message.id)
     if server is not None and message.born in (0, server.report.born):
-        server.gone = True
+        server.departed = True
         effects.append(LogEvent("backend_server_left", {"server": message.id}))
     if not message.passed_on:
         onward = RemoveServer(id=message.id, born=message.born, passed_on=True)
@@ -329,7 +329,7 @@
     effects = reconcile_runs(state, message, now)
     effects += check_takeover(state, now)
     server = state.servers_by_id.get(message.server)
-    effects += place(state, now)
+    effects += place_runs(state, now)
     if server is not None:
         effects += read_runs(state, server, now)
     return effects
@@ -350,7 +350,7 @@
     server = state.servers_by_id.get(message.server)
     if server is not None:
         effects += read_runs(state, server, now)
-    return [*effects, *place(state, now)] if effects else []
+    return [*effects, *place_runs(state, now)] if effects else []
 
 
 @handle.register
@@ -388,7 +388,7 @@
 
 
 def _place_and_read(state: DispatcherState, now: Seconds) -> list[Effect]:
-    return [*place(state, now), *_read_all_servers(state, now)]
+    return [*place_runs(state, now), *_read_all_servers(state, now)]
 
 
 def _read_all_servers(state: DispatcherState, now: Seconds) -> list[Effect]:
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from boragetide.controllers import outcomes
-from boragetide.controllers.placing import place
+from boragetide.controllers.placing import place_tasks
 from boragetide.controllers.pool import (
     BackendServersState,
     LeasedServer,
@@ -74,7 +74,7 @@
     refresh_server(state, server.id, now)
     effects.append(report_pool_size(state))
     granted = Reply(message.reply_to, _describe_lease(leased, state))
-    return [*effects, granted, *place(state, now)]
+    return [*effects, granted, *place_tasks(state, now)]
 
 
 def _is_current(message: AnnounceBackendServer, leased: LeasedServer) -> bool:
@@ -101,7 +101,7 @@
     return LeaseGranted(
         lease=leased.lease,
         holder=state.settings.id,
-        holder_address=f"http://{state.settings.own.http_address}",
+        holder_address=f"http://{state.settings.own_peer.http_address}",
         renew_every=renew_every,
         expires_after=timing.lease_expiry,
     )
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -86,7 +86,7 @@
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.cooldown_until = now + REFUSAL_COOLDOWN
     if result is OrderResult.OTHER_LIFE:
-        server.gone = True
+        server.departed = True
     return [log, *free_run(state, server, run, result.value)]
 
 
@@ -113,7 +113,7 @@
         # arrived yet, the run will never begin.
         run.order_answered_at = now
     elif result is OrderResult.OTHER_LIFE:
-        server.gone = True
+        server.departed = True
     else:
         run.next_stop_at = now + STOP_RETRY_DELAY
     return []
@@ -146,7 +146,7 @@
     """
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
-        if server.silent or server.gone:
+        if server.silent or server.departed:
             continue
         for run in list(server.runs_by_task.values()):
             if run.phase is not RunPhase.STOPPING or run.next_stop_at is None:
@@ -176,7 +176,7 @@
         return []
     server.reading = False
     if message.other_life:
-        server.gone = True
+        server.departed = True
     pause = READ_RETRY_DELAYS[min(server.unanswered, len(READ_RETRY_DELAYS) - 1)]
     server.next_read_at = now + pause
     server.unanswered += 1
@@ -224,7 +224,7 @@
     """Free the runs of silent or departed backend servers whose leases have expired."""
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
-        if not (server.silent or server.gone) or now < server.leases_expired_at:
+        if not (server.silent or server.departed) or now < server.leases_expired_at:
             continue
         for run in list(server.runs_by_task.values()):
             if run.phase is not RunPhase.ENDED:
--- a/boragetide/controllers/outcomes.py
+++ b/boragetide/controllers/outcomes.py
@@ -34,7 +34,7 @@
 # does each further doubling.
 OVERRUN_FACTOR = 2.0
 MIN_EXTENSION: Seconds = 0.02
-MIN_CANCEL_WAIT: Seconds = 0.05
+MIN_REMAINING_TO_CANCEL: Seconds = 0.05
 
 
 def end_running(
@@ -237,8 +237,8 @@
     """Drop a job and cancel its running tasks, in one batch for each server.
 
     A job that was cancelled or of which a task failed needs no further outcome. A task
-    that is expected to end within `MIN_CANCEL_WAIT` is not cancelled, because the
-    cancellation would arrive after its end.
+    that is expected to end within `MIN_REMAINING_TO_CANCEL` is not cancelled, because
+    the cancellation would arrive after its end.
     """
     drop_job(state, job)
     tasks_by_server: dict[tuple[BackendServerId, str], list[str]] = {}
@@ -248,7 +248,7 @@
             continue
         leased, running = found
         wait = placement.expected_wait(running.expected_end, running.started_at, now)
-        if wait > MIN_CANCEL_WAIT:
+        if wait > MIN_REMAINING_TO_CANCEL:
             key = (server_id, leased.server.address)
             tasks_by_server.setdefault(key, []).append(task_id)
     return [
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -41,7 +41,7 @@
 # The placer waits this long for a result after the timeout of a task, which the backend
 # server itself enforces. The margin is longer than the 2 s after that timeout at which
 # the client of the dispatch call gives up.
-OVERDUE_MARGIN: Seconds = 3.0
+RESULT_TIMEOUT_MARGIN: Seconds = 3.0
 DISPATCH_OVERHEAD: Seconds = 0.001
 
 
@@ -66,7 +66,7 @@
 
     now: Seconds
     complete: bool = False
-    releases: list[placement.Release] | None = None
+    releases: list[placement.ExpectedRelease] | None = None
     compared_by_class: dict[ClassName, list[placement.FreeServer]] = field(
         default_factory=dict
     )
@@ -79,7 +79,7 @@
     effects: list[Effect] = field(default_factory=list)
 
 
-def place(state: BackendServersState, now: Seconds) -> list[Effect]:
+def place_tasks(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Start as many queued tasks as there are useful free slots, batched by server."""
     placement_round = _PlacementRound(now)
     while state.free_servers and state.queued_tasks and not placement_round.complete:
@@ -183,7 +183,7 @@
     """
     free = _compare_free(state, class_name)
     speed = placement.choose_server(free).speed
-    limit = placement.largest_size_to_start(speed, placement_round.releases or [])
+    limit = placement.max_size_without_waiting(speed, placement_round.releases or [])
     suitable = bisect_right(job.waiting, (limit, -1)) - 1
     return max(0, min(position - 1, suitable))
 
@@ -230,7 +230,7 @@
         drain_time = (
             sum(q.work for q in state.queues_by_class.values()) / state.total_speed
         )
-        if placement.is_worth_starting(size, chosen.speed, drain_time):
+        if placement.fits_drain_time(size, chosen.speed, drain_time):
             return leased, "long_queue"
         return None, "slower_than_queue"
     if -state.available_servers[0][0] <= chosen.speed:
@@ -265,7 +265,7 @@
 
 def _list_releases(
     state: BackendServersState, class_name: ClassName, now: Seconds
-) -> list[placement.Release]:
+) -> list[placement.ExpectedRelease]:
     """Return the next expected releases of slots, the earliest first."""
     releases = []
     for expected_end, server_id, task_id in islice(
@@ -279,7 +279,7 @@
             continue
         wait = placement.expected_wait(expected_end, running.started_at, now)
         speed = learning.predict_speed(leased.speed_model, class_name)
-        releases.append(placement.Release(wait, speed))
+        releases.append(placement.ExpectedRelease(wait, speed))
     releases.sort(key=lambda release: release.wait)
     return releases
 
@@ -329,7 +329,7 @@
     state.queued_tasks -= 1
     state.running_work += size
     state.expected_releases.add((running.expected_end, server_id, task_id))
-    deadline = now + task.timeout + OVERDUE_MARGIN
+    deadline = now + task.timeout + RESULT_TIMEOUT_MARGIN
     heapq.heappush(state.deadlines, (deadline, call, server_id, task_id))
     placement_round.starts_by_server[server_id].append(
         TaskStart(task_id, queued.job_id, queued.class_name, task.payload, task.timeout)
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -62,7 +62,7 @@
     return all(
         server.read_term == state.term
         for server in state.servers_by_id.values()
-        if not server.gone
+        if not server.departed
     )
 
 
@@ -77,7 +77,7 @@
     return [LogEvent("takeover_done", fields)]
 
 
-def place(state: DispatcherState, now: Seconds) -> list[Effect]:
+def place_runs(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Start as many waiting tasks as the free capacity allows."""
     if not has_authority(state, now) or not state.queue.waiting_by_id:
         return []
@@ -126,7 +126,7 @@
     return (
         server.read_term == state.term
         and server.clock_offset is not None
-        and not (server.report.draining or server.gone or server.silent)
+        and not (server.report.draining or server.departed or server.silent)
         and not server.unexpected_runs
         and now >= server.cooldown_until
         and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -40,11 +40,11 @@
     effects += _end_jobs_without_servers(state, now)
     if now >= state.next_review:
         state.next_review = now + REVIEW_INTERVAL
-        effects += _review_at_interval(state, now)
+        effects += _review_speeds_and_jobs(state, now)
     return effects
 
 
-def _review_at_interval(state: BackendServersState, now: Seconds) -> list[Effect]:
+def _review_speeds_and_jobs(state: BackendServersState, now: Seconds) -> list[Effect]:
     speeds_changed = learning.center_speeds(
         [leased.speed_model for leased in state.servers_by_id.values()],
         state.size_models_by_class.values(),
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -45,7 +45,7 @@
 
 def read_runs(state: DispatcherState, server: Server, now: Seconds) -> list[Effect]:
     """Read the runs of a backend server if there is a reason to."""
-    if server.reading or server.gone or now < server.next_read_at:
+    if server.reading or server.departed or now < server.next_read_at:
         return []
     if not has_authority(state, now):
         return []
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -63,7 +63,7 @@
     """Remove backend servers that have left or have been silent for a long time."""
     for server_id, server in list(state.servers_by_id.items()):
         silence = now - server.last_contact_at
-        has_departed = server.gone and silence > ANNOUNCEMENT_TIMEOUT
+        has_departed = server.departed and silence > ANNOUNCEMENT_TIMEOUT
         if (has_departed or silence > SERVER_RETENTION) and not server.runs_by_task:
             del state.servers_by_id[server_id]
             state.index.remove(server_id)
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -89,7 +89,7 @@
     """
     composition = Composition(
         make_state_machines=make or make_state_machines,
-        servers_by_address={settings.own.http_address: make_server},
+        servers_by_address={settings.own_peer.http_address: make_server},
         record_types_by_controller=RECORD_TYPES_BY_CONTROLLER,
         make_effect_context=lambda runtime, journals: EffectContext(
             runtime, make_client(), journals, make_run_client()
--- a/boragetide/daemon/effect_execution.py
+++ b/boragetide/daemon/effect_execution.py
@@ -26,20 +26,20 @@
 
     Parameters
     ----------
-    client
+    task_client
         Client of backend servers for tasks that are started at most once.
     journals
         Journals of the controllers; ``None`` in a process that stores no records.
-    run_client
+    durable_client
         Client of backend servers for the runs of durable tasks.
     calls
         HTTP calls in progress.
     """
 
     runtime: Runtime
-    client: AsyncHTTPClient | None = None
+    task_client: AsyncHTTPClient | None = None
     journals: Journals | None = None
-    run_client: RunClient | None = None
+    durable_client: RunClient | None = None
     calls: set[asyncio.Task[None]] = field(default_factory=set)
 
     def start_call(self, call: Awaitable[None]) -> None:
@@ -111,7 +111,7 @@
 def _(effect: effects.StartTasks, context: EffectContext, controller: str) -> None:
     context.runtime.metrics.count("dispatches", {"server": effect.server})
     context.start_call(
-        backend_client.dispatch(context.client, effect, context.report_task)
+        backend_client.dispatch(context.task_client, effect, context.report_task)
     )
 
 
@@ -120,7 +120,7 @@
     context.runtime.metrics.count(
         "cancellations", {"server": effect.server}, len(effect.task_ids)
     )
-    context.start_call(backend_client.cancel(context.client, effect))
+    context.start_call(backend_client.cancel(context.task_client, effect))
 
 
 @execute_effect.register(effects.StartRun)
@@ -140,7 +140,7 @@
     controller: str,
 ) -> None:
     """Send an order to a backend server and pass the answer to the controller."""
-    answer = await context.run_client(effect)
+    answer = await context.durable_client(effect)
     context.runtime.send(context.runtime.local(controller), answer)
 
 
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -163,7 +163,7 @@
     log_event(
         "started",
         zone=settings.zone,
-        http_address=settings.own.http_address,
+        http_address=settings.own_peer.http_address,
         incarnation=runtime.incarnation,
     )
     await signals.first.wait()
@@ -227,7 +227,7 @@
 
 def _make_peer_from_address(instance: InstanceId, settings: Settings) -> Peer:
     """Return a peer whose id is its IP address; all peers listen on the same port."""
-    port = settings.own.peer_address.rpartition(":")[2]
+    port = settings.own_peer.peer_address.rpartition(":")[2]
     return Peer(instance, "", "", f"{instance}:{port}", disk=False)
 
 
@@ -251,7 +251,7 @@
     """
     journals = Journals({})
     recovered = {controller: Recovered(()) for controller in types_by_controller}
-    if not settings.own.disk:
+    if not settings.own_peer.disk:
         return journals, recovered
     for controller, types in types_by_controller.items():
         path = settings.data_folder / f"{controller}.journal"
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -95,12 +95,12 @@
     if runtime.open_requests:
         return True
     for controller in runtime.settings.controllers:
-        if await _count_remaining(runtime, controller) > 0:
+        if await _fetch_remaining_work(runtime, controller) > 0:
             return True
     return False
 
 
-async def _count_remaining(runtime: Runtime, controller: str) -> int:
+async def _fetch_remaining_work(runtime: Runtime, controller: str) -> int:
     timeout: Seconds = runtime.settings.timing.request_timeout
     try:
         state = await runtime.ask(runtime.local(controller), Drain(), timeout)
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -127,7 +127,7 @@
     listening
         Set once the socket accepts connections.
     """
-    with pynng.Pull0(listen=f"tcp://{settings.own.peer_address}") as socket:
+    with pynng.Pull0(listen=f"tcp://{settings.own_peer.peer_address}") as socket:
         listening.set()
         while True:
             frame = await socket.arecv()
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -70,7 +70,7 @@
         catalogue.members = proposal.command.members
         return set()
     if isinstance(proposal.command, JobCommand):
-        changed = change_jobs(proposal.command, catalogue, entry.accepted_at)
+        changed = apply_job_command(proposal.command, catalogue, entry.accepted_at)
         job_table.drop_ended_jobs(catalogue.jobs_by_id, entry.accepted_at)
         return changed
     if find_outcome(proposal, catalogue) is None:
@@ -91,7 +91,7 @@
     elif proposal.expected_version in (None, current.version):
         version = current.version + 1
         catalogue.configuration = replace(
-            change_configuration(command, current), version=version
+            apply_configuration_command(command, current), version=version
         )
         catalogue.history.append(
             HistoryEntry(version, proposal.command_id, _summarize(command), accepted_at)
@@ -129,14 +129,14 @@
 
 
 @singledispatch
-def change_configuration(
+def apply_configuration_command(
     command: Command, configuration: Configuration
 ) -> Configuration:
     """Return the configuration that results from an operator command."""
     raise TypeError(f"unsupported operator command: {command!r}")
 
 
-@change_configuration.register
+@apply_configuration_command.register
 def _(command: SetClass, configuration: Configuration) -> Configuration:
     target = ClassTarget(
         command.name, command.response_time, command.busy_share, command.durable
@@ -145,17 +145,17 @@
     return replace(configuration, classes_by_name=classes)
 
 
-@change_configuration.register
+@apply_configuration_command.register
 def _(command: DrainBackendServer, configuration: Configuration) -> Configuration:
     return replace(configuration, drained=configuration.drained | {command.id})
 
 
-@change_configuration.register
+@apply_configuration_command.register
 def _(command: ReturnBackendServer, configuration: Configuration) -> Configuration:
     return replace(configuration, drained=configuration.drained - {command.id})
 
 
-@change_configuration.register
+@apply_configuration_command.register
 def _(command: PublishConfiguration, configuration: Configuration) -> Configuration:
     return replace(
         configuration,
@@ -166,22 +166,24 @@
 
 
 @singledispatch
-def change_jobs(command: JobCommand, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+def apply_job_command(
+    command: JobCommand, catalogue: Catalogue, now: Seconds
+) -> set[JobId]:
     """Apply a command of the dispatcher and return the ids of the jobs it changed."""
     raise TypeError(f"unsupported dispatcher command: {command!r}")
 
 
-@change_jobs.register
+@apply_job_command.register
 def _(command: AcceptJob, catalogue: Catalogue, now: Seconds) -> set[JobId]:
     return job_table.accept_job(catalogue.jobs_by_id, command.job, now)
 
 
-@change_jobs.register
+@apply_job_command.register
 def _(command: RecordEnds, catalogue: Catalogue, now: Seconds) -> set[JobId]:
     return job_table.record_ends(catalogue.jobs_by_id, command.ends, now)
 
 
-@change_jobs.register
+@apply_job_command.register
 def _(command: CancelJobs, catalogue: Catalogue, now: Seconds) -> set[JobId]:
     changed: set[JobId] = set()
     for job_id in command.job_ids:
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True)
-class Leadership:
+class LeadershipNotices:
     """State that the other instances and the dispatcher were last notified of.
 
     Parameters
@@ -56,7 +56,7 @@
 
 
 def announce(
-    state: Leadership, replica: Replica | None, applied: Applied, now: Seconds
+    state: LeadershipNotices, replica: Replica | None, applied: Applied, now: Seconds
 ) -> list[Effect]:
     """Notify the dispatcher of changes, if this instance has one."""
     if not state.settings.dispatches or replica is None:
@@ -94,14 +94,14 @@
 
 
 def record_subscriber(
-    state: Leadership, subscriber: InstanceId, version: int, now: Seconds
+    state: LeadershipNotices, subscriber: InstanceId, version: int, now: Seconds
 ) -> None:
     """Record the request of an instance that follows the leader."""
     state.subscribers_by_id[subscriber] = (now, version)
 
 
 def notify(
-    state: Leadership,
+    state: LeadershipNotices,
     replica: Replica | None,
     in_force: Configuration | None,
     subscriber: InstanceId,
@@ -126,7 +126,7 @@
 
 
 def notify_all(
-    state: Leadership,
+    state: LeadershipNotices,
     replica: Replica | None,
     in_force: Configuration | None,
     now: Seconds,
--- a/boragetide/policy/placement.py
+++ b/boragetide/policy/placement.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(slots=True)
-class Release:
+class ExpectedRelease:
     """A slot that is expected to become free in ``wait`` seconds."""
 
     wait: Seconds
@@ -51,8 +51,8 @@
 
 
 def find_faster_release(
-    size: Seconds, speed: float, releases: Sequence[Release]
-) -> Release | None:
+    size: Seconds, speed: float, releases: Sequence[ExpectedRelease]
+) -> ExpectedRelease | None:
     """Return the release at which a task ends clearly earlier than on a free slot.
 
     The result is ``None`` if there is no such release.
@@ -79,7 +79,7 @@
     return best
 
 
-def is_worth_starting(size: Seconds, speed: float, drain_time: Seconds) -> bool:
+def fits_drain_time(size: Seconds, speed: float, drain_time: Seconds) -> bool:
     """Return whether a slow server ends a task soon enough while the queue is long.
 
     The limit is `DRAIN_FACTOR` times the time in which the pool drains its queue.
@@ -96,7 +96,9 @@
     return size / speed <= DRAIN_FACTOR * drain_time
 
 
-def largest_size_to_start(speed: float, releases: Sequence[Release]) -> Seconds:
+def max_size_without_waiting(
+    speed: float, releases: Sequence[ExpectedRelease]
+) -> Seconds:
     """Return the largest task size for which no release ends the task clearly earlier.
 
     Reserved releases are ignored; see `find_faster_release`.
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -121,7 +121,7 @@
         return "dispatcher" in self.controllers
 
     @property
-    def own(self) -> Peer:
+    def own_peer(self) -> Peer:
         """Entry of this instance in ``peers_by_id``."""
         return self.peers_by_id[self.id]
 
--- a/boragetide/tests/test_examples.py
+++ b/boragetide/tests/test_examples.py
@@ -43,7 +43,7 @@
         system.daemons_by_id[own.id] = Daemon(
             own.id,
             own.zone,
-            f"http://{own.own.http_address}",
+            f"http://{own.own_peer.http_address}",
             config,
             system.folder / f"{own.id}.log",
         )
--- a/boragetide/tests/test_placement.py
+++ b/boragetide/tests/test_placement.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from boragetide.policy.placement import (
+    ExpectedRelease,
     FreeServer,
-    Release,
     choose_server,
     expected_wait,
     find_faster_release,
-    largest_size_to_start,
+    max_size_without_waiting,
 )
 
 
@@ -19,17 +19,17 @@
 
 def test_long_task_waits_for_a_fast_slot_and_a_short_one_does_not() -> None:
     """Guards against long tasks on slow servers, and against short ones that wait."""
-    releases = [Release(wait=0.1, speed=4.0)]
+    releases = [ExpectedRelease(wait=0.1, speed=4.0)]
     assert find_faster_release(2.0, 1.0, releases) is releases[0]
     assert find_faster_release(0.1, 1.0, releases) is None
-    limit = largest_size_to_start(1.0, releases)
+    limit = max_size_without_waiting(1.0, releases)
     assert find_faster_release(limit * 1.01, 1.0, releases) is not None
     assert find_faster_release(limit * 0.99, 1.0, releases) is None
 
 
 def test_release_is_promised_to_one_task_only() -> None:
     """Guards against many tasks that all wait for the same slot."""
-    releases = [Release(wait=0.1, speed=4.0, reserved=True)]
+    releases = [ExpectedRelease(wait=0.1, speed=4.0, reserved=True)]
     assert find_faster_release(2.0, 1.0, releases) is None
 
 
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -37,7 +37,7 @@
 
 def make_link(port: int) -> PeerLink:
     text = SINGLE_INSTANCE.format(1, port, "unused")
-    return PeerLink(parse_settings(text).own)
+    return PeerLink(parse_settings(text).own_peer)
 
 
 def ignore_count(name: str, labels: dict[str, str], value: float) -> None:
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -49,7 +49,7 @@
     SubmitDurableJob,
     Tick,
 )
-from boragetide.policy.catalogue import change_jobs
+from boragetide.policy.catalogue import apply_job_command
 from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job, make_report
 from boragetide.types import ReplyTo, Seconds
@@ -353,7 +353,7 @@
             changed: set[str] = set()
             for command in message.commands_by_id.values():
                 assert isinstance(command, JobCommand)
-                changed |= change_jobs(command, self.catalogue, self.now)
+                changed |= apply_job_command(command, self.catalogue, self.now)
             known = self.catalogue.jobs_by_id
             records = tuple(known[job_id] for job_id in sorted(changed))
             self.handle(JobsCommitted(tuple(message.commands_by_id), records))
