Register backend servers in the log before the first start there

Cause: members learn of backend servers from announcements that are passed on without an acknowledgement. A leader used a server that had joined a moment before. Its successor had missed the announcement, took the takeover for complete once the servers that it knew had listed their runs, neither fenced nor read the unknown one, and started its runs elsewhere. A process that had left, or that seemed to be replaced, was passed over in the same way.

Change: the command RegisterBackendServers names server and start of its process (born). The leader appends it for the servers that have listed their runs in its term, one command at a time, and starts nothing at a process whose registration is not committed. LeadershipGained carries the registrations; a registered process counts as read only if it or a later process of the same server has listed its runs in this term, else the successor waits for the leases of its predecessors, the bound that exists. A process that said that it leaves counts as well: it may go on for some seconds after it said so. UnregisterBackendServers removes in one command departed servers whose leases have lapsed, and those that are not in the leader's table. It names born too, so that it removes no process that was registered since. Nothing is registered or unregistered before the takeover is complete, as an earlier process may still have runs.

Changes to tests, none of them to a check: * the fixture Leader commits registrations at once, as a log without delay does, and hands them to the next leader; log_is_held_up turns this off. * properties/test_dispatcher.py: further servers join, announcements that are passed on to the standby are lost, and a leader that is replaced after its standby missed a server. While they are lost a new leader is not helped by an announcement of all servers. All invariants are unchanged. * the benchmarks commit registrations after 15 ms, and the busy leader sends to edges only what is for an edge.

Conclusion: a leader starts runs only at processes that a majority has stored, so that no successor can take them for idle.

--- a/benchmarks/busy_leader.py
+++ b/benchmarks/busy_leader.py
@@ -163,7 +163,7 @@
     def finish_message(self, effects: Iterable[Effect]) -> None:
         """Execute the effects of a message and handle the next one."""
         for effect in effects:
-            if isinstance(effect, Send):
+            if isinstance(effect, Send) and effect.to.instance in self.edges_by_id:
                 self.schedule_delayed(partial(self.deliver, effect))
             execute_effect(effect, self)
         self.process_next()
--- a/benchmarks/product_run.py
+++ b/benchmarks/product_run.py
@@ -18,9 +18,11 @@
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.durable import EndReason, ListedEnd, ListedRun, Resources, ServerReport
-from boragetide.effects import Effect, ReadRuns, Reply, StartRun, StopRun
+from boragetide.effects import Effect, ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.messages import (
+    AppendCommands,
     DispatcherReply,
+    JobsCommitted,
     LeadershipGained,
     OrderResult,
     ReplyStatus,
@@ -34,6 +36,7 @@
 from boragetide.types import InstanceId, ReplyTo, Seconds
 
 ONE_WAY_DELAY: Seconds = 0.001
+COMMIT_DELAY: Seconds = 0.015
 TICK_INTERVAL: Seconds = 0.1
 ANNOUNCEMENT_INTERVAL: Seconds = 1.5
 EDGE = "e"  # instance that submits the jobs
@@ -110,6 +113,13 @@
         if reply.status is ReplyStatus.ACCEPTED:
             self.ended_by_id[self.requests[to.request]] = self.clock.now
 
+    def append(self, message: AppendCommands) -> None:
+        """Commit commands that change no job after `COMMIT_DELAY` seconds."""
+        committed = JobsCommitted(tuple(message.commands_by_id), ())
+        self.clock.schedule(
+            self.clock.now + COMMIT_DELAY, lambda: self.handle(committed)
+        )
+
     def announce(self, sequence: int) -> None:
         """Announce all backend servers every `ANNOUNCEMENT_INTERVAL` seconds."""
         for server in self.servers_by_id.values():
@@ -225,6 +235,12 @@
     """Execute one effect; log lines and metrics are ignored here."""
 
 
+@execute_effect.register
+def _(effect: Send, run: ProductRun) -> None:
+    if isinstance(effect.message, AppendCommands):
+        run.append(effect.message)
+
+
 @execute_effect.register
 def _(effect: StartRun, run: ProductRun) -> None:
     run.schedule_delayed(lambda: run.start(effect))
--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -123,6 +123,31 @@
     kind: Literal["cancel_jobs"] = "cancel_jobs"
 
 
+@dataclass(frozen=True, slots=True)
+class RegisterBackendServers(JobCommand):
+    """Registers processes of backend servers before the leader starts runs there.
+
+    Parameters
+    ----------
+    born_by_id
+        Start of the registered process of each backend server, in Unix milliseconds.
+    """
+
+    born_by_id: dict[BackendServerId, int]
+    kind: Literal["register_backend_servers"] = "register_backend_servers"
+
+
+@dataclass(frozen=True, slots=True)
+class UnregisterBackendServers(JobCommand):
+    """Removes processes of backend servers on which no run can be in progress.
+
+    A backend server of which another process is registered stays registered.
+    """
+
+    born_by_id: dict[BackendServerId, int]
+    kind: Literal["unregister_backend_servers"] = "unregister_backend_servers"
+
+
 COMMANDS_BY_KIND: dict[str, type[Command]] = {
     "set_class": SetClass,
     "drain_backend_server": DrainBackendServer,
@@ -133,6 +158,8 @@
     "accept_job": AcceptJob,
     "record_ends": RecordEnds,
     "cancel_jobs": CancelJobs,
+    "register_backend_servers": RegisterBackendServers,
+    "unregister_backend_servers": UnregisterBackendServers,
 }
 
 
@@ -218,6 +245,9 @@
         Durable jobs, oldest first.
     members
         Members of the log; empty while the members named in the settings apply.
+    server_born_by_id
+        Backend servers on which runs may be in progress, with the start of the process
+        in Unix milliseconds.
     """
 
     index: int = 0
@@ -227,6 +257,7 @@
     acceptors_by_id: dict[InstanceId, int] = field(default_factory=dict)
     jobs_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
     members: tuple[InstanceId, ...] = ()
+    server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -246,6 +246,14 @@
     tasks: tuple[tuple[JobId, int], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PendingRegistration:
+    """Processes of backend servers that a pending command registers in the log."""
+
+    command_id: str
+    born_by_id: dict[BackendServerId, int]
+
+
 @dataclass(slots=True)
 class DispatcherState:
     """State of the controller.
@@ -304,6 +312,11 @@
     done_tasks_of_unknown_jobs
         Tasks that were listed as done but whose jobs are not known here, with the time
         of the list.
+    server_born_by_id
+        Backend servers whose registration is committed, with the start of the
+        registered process. Nothing is started at another one.
+    pending_registration
+        Registration that is not committed yet, if any.
     next_command
         Number of the next command.
     next_review
@@ -339,6 +352,8 @@
     overdue_stopped_tasks: set[tuple[JobId, int]] = field(default_factory=set)
     done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
+    server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
+    pending_registration: PendingRegistration | None = None
     next_command: int = 1
     next_review: Seconds = 0.0
 
@@ -384,6 +399,11 @@
     return state.term > 0 and now < state.authority_until
 
 
+def is_registered(state: DispatcherState, server: Server) -> bool:
+    """Return whether the registration of a backend server's process is committed."""
+    return state.server_born_by_id.get(server.report.id) == server.report.born
+
+
 def store_record(state: DispatcherState, record: JobRecord) -> None:
     """Store the current record of a job."""
     job_id = record.job.id
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -51,6 +51,12 @@
     refuse_job,
     refuse_void_submission,
 )
+from boragetide.controllers.registrations import (
+    apply_registration,
+    needs_registration,
+    register_servers,
+    unregister_servers,
+)
 from boragetide.controllers.run_ends import acknowledge_ends
 from boragetide.controllers.runs import read_runs, reconcile_runs
 from boragetide.controllers.server_health import recover_speeds
@@ -274,6 +280,8 @@
         server = state.servers_by_id.get(ends.server_id)
         if server is not None:
             effects += read_runs(state, server, now)
+    effects += apply_registration(state, message.command_ids)
+    effects += register_servers(state, now)
     return [*effects, *_place_and_read(state, now)]
 
 
@@ -286,6 +294,7 @@
     state.leader_since = now
     state.predecessor_until = message.predecessor_until
     state.missed_predecessor = message.missed_predecessor
+    state.server_born_by_id = dict(message.server_born_by_id)
     for record in message.records:
         store_record(state, record)
     state.started = {
@@ -299,6 +308,7 @@
         "term": state.term,
         "jobs": len(state.active),
         "servers": len(state.servers_by_id),
+        "registered": len(state.server_born_by_id),
         "missed_predecessor": state.missed_predecessor,
     }
     return [LogEvent("dispatch_began", fields), *_read_all_servers(state, now)]
@@ -321,6 +331,8 @@
     state.pending_ends_by_command.clear()
     state.replies_by_command.clear()
     state.command_by_job.clear()
+    state.server_born_by_id.clear()
+    state.pending_registration = None
     state.queue.clear()
     for server in state.servers_by_id.values():
         server.clear_runs()
@@ -388,8 +400,11 @@
 @handle.register
 def _(message: RunsRead, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects = reconcile_runs(state, message, now)
-    effects += check_takeover(state, now)
+    takeover = check_takeover(state, now)
+    effects += takeover
     server = state.servers_by_id.get(message.server)
+    if takeover or (server is not None and needs_registration(state, server)):
+        effects += register_servers(state, now)
     effects += place_runs(state, now)
     if server is not None:
         effects += read_runs(state, server, now)
@@ -438,10 +453,12 @@
         _remove_old_unknown_tasks(state, now)
         if has_authority(state, now):
             effects += pass_on_servers(state, now)
+            effects += unregister_servers(state, now)
     if not has_authority(state, now):
         return effects
     effects += check_admission(state, now)
     effects += check_takeover(state, now)
+    effects += register_servers(state, now)
     effects += free_expired_runs(state, now)
     effects += stop_overdue(state, now)
     effects += repeat_stops(state, now)
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -15,6 +15,7 @@
     add_run,
     assign_run_number,
     has_authority,
+    is_registered,
 )
 from boragetide.durable import DurableJob, JobPhase, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
@@ -25,7 +26,7 @@
     find_ready_tasks,
     min_useful_speed,
 )
-from boragetide.types import JobId, PoolName, Seconds
+from boragetide.types import BackendServerId, JobId, PoolName, Seconds
 
 # Backend servers announce themselves every 1.5 s. One that missed three announcements
 # gets no new runs.
@@ -56,10 +57,10 @@
     No run is started before the takeover is complete, because an earlier leader may
     have started any job that is submitted again.
     """
-    if now >= state.predecessor_until + LEASE_EXPIRY_WAIT:
+    if have_predecessor_leases_expired(state, now):
         return True
     is_young = now - state.incarnation / 1000 < DISCOVERY_PERIOD
-    if is_young or state.missed_predecessor:
+    if is_young or state.missed_predecessor or count_unread_registered(state):
         return False
     return all(
         server.read_term == state.term
@@ -68,6 +69,30 @@
     )
 
 
+def have_predecessor_leases_expired(state: DispatcherState, now: Seconds) -> bool:
+    """Return whether all leases that earlier leaders granted have expired."""
+    return now >= state.predecessor_until + LEASE_EXPIRY_WAIT
+
+
+def count_unread_registered(state: DispatcherState) -> int:
+    """Count the registered backend servers that have not listed their runs.
+
+    A process that leaves may go on with its runs for a while, so it counts as well.
+    """
+    return sum(
+        not _is_read(state, server_id, born)
+        for server_id, born in state.server_born_by_id.items()
+    )
+
+
+def _is_read(state: DispatcherState, server_id: BackendServerId, born: int) -> bool:
+    """Return whether the registered process or a later one has listed its runs."""
+    server = state.servers_by_id.get(server_id)
+    if server is None or server.report.born < born:
+        return False
+    return server.read_term == state.term
+
+
 def check_takeover(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Allow starts once every run of an earlier leader is known or over."""
     if state.takeover_complete or not has_authority(state, now):
@@ -75,7 +100,12 @@
     if not is_takeover_complete(state, now):
         return []
     state.takeover_complete = True
-    fields = {"term": state.term, "after": now - state.leader_since}
+    fields = {
+        "term": state.term,
+        "after": now - state.leader_since,
+        "registered": len(state.server_born_by_id),
+        "unread": count_unread_registered(state),
+    }
     return [LogEvent("takeover_done", fields)]
 
 
@@ -133,6 +163,7 @@
     """Return whether a backend server may get new runs."""
     return (
         server.read_term == state.term
+        and is_registered(state, server)
         and server.clock.offset is not None
         and server.announced
         and not (server.report.draining or server.departed or server.silent)
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from boragetide.commands import Command
@@ -222,6 +222,8 @@
         Time after which no earlier leader sends orders to backend servers.
     missed_predecessor
         Whether announcements that an earlier leader passed on may not have arrived.
+    server_born_by_id
+        Registered backend servers; see `Catalogue`.
     """
 
     term: int
@@ -229,6 +231,7 @@
     authority_until: Seconds
     predecessor_until: Seconds
     missed_predecessor: bool = False
+    server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -22,8 +22,10 @@
     PublishConfiguration,
     RecordEnds,
     RegisterAcceptor,
+    RegisterBackendServers,
     ReturnBackendServer,
     SetClass,
+    UnregisterBackendServers,
 )
 from boragetide.policy import job_table
 from boragetide.types import ClassTarget, Configuration, JobId, Seconds
@@ -54,6 +56,7 @@
         history=list(catalogue.history),
         acceptors_by_id=dict(catalogue.acceptors_by_id),
         jobs_by_id=dict(catalogue.jobs_by_id),
+        server_born_by_id=dict(catalogue.server_born_by_id),
     )
 
 
@@ -189,3 +192,22 @@
     for job_id in command.job_ids:
         changed |= job_table.cancel_job(catalogue.jobs_by_id, job_id, now)
     return changed
+
+
+@apply_job_command.register
+def _(
+    command: RegisterBackendServers, catalogue: Catalogue, now: Seconds
+) -> set[JobId]:
+    catalogue.server_born_by_id.update(command.born_by_id)
+    return set()
+
+
+@apply_job_command.register
+def _(
+    command: UnregisterBackendServers, catalogue: Catalogue, now: Seconds
+) -> set[JobId]:
+    registered = catalogue.server_born_by_id
+    for server_id, born in command.born_by_id.items():
+        if registered.get(server_id) == born:
+            del registered[server_id]
+    return set()
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -88,6 +88,7 @@
             until,
             replica.predecessor_until,
             replica.missed_predecessor,
+            dict(replica.catalogue.server_born_by_id),
         )
         return [*effects, Send(to, gained)]
     if term and applied.proposals:
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -4,6 +4,11 @@
 
 from typing import Any
 
+from boragetide.commands import (
+    Catalogue,
+    RegisterBackendServers,
+    UnregisterBackendServers,
+)
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.durable import (
@@ -16,14 +21,17 @@
     Step,
     TaskRef,
 )
-from boragetide.effects import Effect, ReadRuns, Reply, StartRun, StopRun
+from boragetide.effects import Effect, ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.messages import (
+    AppendCommands,
+    JobsCommitted,
     LeadershipGained,
     OrderResult,
     ReportServer,
     RunOrdered,
     RunsRead,
 )
+from boragetide.policy.catalogue import apply_job_command
 from boragetide.settings import Settings
 from boragetide.types import DurableStarts, ReplyTo
 
@@ -73,26 +81,62 @@
 
 
 class Leader:
-    """A leading dispatcher that records the effects of the last message."""
+    """A leading dispatcher that records the effects of the last message.
+
+    Registrations of backend servers are committed at once, unless the log is held up.
+    """
 
-    def __init__(self, settings: Settings, term: int = 1):
+    def __init__(
+        self, settings: Settings, term: int = 1, catalogue: Catalogue | None = None
+    ):
         incarnation = int((BEGIN - UPTIME) * 1000)
         self.state = DispatcherState(settings, incarnation)
         self.effects: list[Effect] = []
         self.term = term
+        self.catalogue = catalogue or Catalogue()
+        self.log_is_held_up = False
 
     def lead(self, now: float = BEGIN, records: tuple[Any, ...] = ()) -> None:
         """Gain the leadership."""
         gained = LeadershipGained(
-            self.term, records, now + 1000.0, now + PREDECESSOR_AUTHORITY
+            self.term,
+            records,
+            now + 1000.0,
+            now + PREDECESSOR_AUTHORITY,
+            server_born_by_id=dict(self.catalogue.server_born_by_id),
         )
         self.handle(gained, now)
 
     def handle(self, message: Any, now: float = BEGIN) -> list[Effect]:
-        """Handle one message."""
+        """Handle one message, and the commit of the registrations that it appends."""
         self.effects = dispatcher.handle(message, self.state, now)
+        if not self.log_is_held_up:
+            for appended in self.registrations():
+                self.commit(appended, now)
         return self.effects
 
+    def registrations(self) -> list[Send]:
+        """Return the appended commands about registrations of the last message."""
+        return [
+            effect
+            for effect in self.effects
+            if isinstance(effect, Send)
+            and isinstance(effect.message, AppendCommands)
+            and all(
+                isinstance(command, RegisterBackendServers | UnregisterBackendServers)
+                for command in effect.message.commands_by_id.values()
+            )
+        ]
+
+    def commit(self, appended: Send, now: float = BEGIN) -> None:
+        """Commit appended commands; the effects join those of the message."""
+        commands_by_id = appended.message.commands_by_id
+        for command in commands_by_id.values():
+            apply_job_command(command, self.catalogue, now)
+        committed = JobsCommitted(tuple(commands_by_id), ())
+        self.effects = [effect for effect in self.effects if effect is not appended]
+        self.effects += dispatcher.handle(committed, self.state, now)
+
     def join(self, server_id: str = "s1", now: float = BEGIN, **fields: Any) -> None:
         """Announce a backend server and deliver its empty list of runs."""
         report = make_report(server_id, **fields)
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -62,6 +62,7 @@
 # Delays that end before ("delayed") and after ("late") the lease of the order lapses.
 DELAYS_BY_FATE: dict[str, Seconds] = {"delayed": 0.5, "late": 2.0}
 SERVERS = ("s1", "s2", "s3")
+MAX_SERVERS = 6
 ANNOUNCEMENT_INTERVAL: Seconds = 1.5
 # Time after the last fault until the leases of lost runs have lapsed, a new leader has
 # taken over and no backend server is passed over any more.
@@ -160,6 +161,7 @@
         self.acknowledged: set[TaskRef] = set()
         self.cancelled: set[str] = set()
         self.replies: dict[int, str] = {}
+        self.standby_is_deaf = False
         self.start_leader()
         self.run_for(1.0)
 
@@ -182,14 +184,21 @@
             records,
             self.now + AUTHORITY_DURATION,
             self.now + AUTHORITY_DURATION,
+            server_born_by_id=dict(self.catalogue.server_born_by_id),
         )
-        self.announce()
+        if not self.standby_is_deaf:
+            self.announce()
         self.handle(gained)
 
     def announce(self) -> None:
         """Announce the backend servers to the leader, who passes it on."""
         for report in self.make_reports():
             self.handle(report)
+            self.pass_on(report)
+
+    def pass_on(self, report: ReportServer) -> None:
+        """Pass an announcement on to the standby; it may be lost on the way."""
+        if not self.standby_is_deaf:
             dispatcher.handle(report, self.standby, self.now)
 
     def make_reports(self) -> list[ReportServer]:
@@ -213,7 +222,7 @@
         if self.now >= self.next_announcement:
             self.next_announcement += ANNOUNCEMENT_INTERVAL
             for report in self.make_reports():
-                dispatcher.handle(report, self.standby, self.now)
+                self.pass_on(report)
         dispatcher.handle(Tick(), self.standby, self.now)
 
     def handle(self, message: Any) -> None:
@@ -229,7 +238,7 @@
         if isinstance(effect.message, AppendCommands):
             self.appended.append(effect.message)
         elif isinstance(effect.message, ReportServer):
-            dispatcher.handle(effect.message, self.standby, self.now)
+            self.pass_on(effect.message)
 
     @execute_effect.register
     def _(self, effect: Reply) -> None:
@@ -475,6 +484,32 @@
         if heard:
             self.announce()
 
+    @precondition(lambda self: len(self.backends) < MAX_SERVERS)
+    @rule(hangs=st.booleans())
+    def join(self, hangs: bool) -> None:
+        """Add a backend server, which announces itself at the leader."""
+        name = f"s{len(self.backends) + 1}"
+        self.backends[name] = Backend(name, clock_lag=0.3, hangs=hangs)
+        self.announce()
+
+    @precondition(lambda self: len(self.backends) < MAX_SERVERS)
+    @rule(seconds=st.sampled_from([0.05, 0.2]))
+    def lose_leader_after_join(self, seconds: float) -> None:
+        """Replace a leader that uses a backend server that its standby missed."""
+        self.standby_is_deaf = True
+        self.join(hangs=True)
+        self.run_for(seconds)
+        for _ in range(len(self.backends) // 2):
+            self.submit(width=4, chained=False)
+        self.run_for(seconds)
+        self.change_leader(same=False, seconds=0.0)
+        self.standby_is_deaf = False
+
+    @rule(deaf=st.booleans())
+    def deafen_standby(self, deaf: bool) -> None:
+        """Lose the announcements that are passed on to the standby, or no longer."""
+        self.standby_is_deaf = deaf
+
     @rule()
     def heartbeat(self) -> None:
         self.announce()
@@ -514,6 +549,7 @@
         self.fates = ("carried_out",)
         for backend in self.backends.values():
             backend.cut = backend.hangs = False
+        self.standby_is_deaf = False
         repaired_at = self.now
         self.run_with_announcements(SETTLING_DURATION + self.compute_work_duration())
         if not self.best_effort:
