Let a result of an earlier process only end its call

Seen by callers: nothing on its own; it is a way to two runs of one task. A ReadRuns or an order that was meant for an earlier process of a backend server and failed late marked the next process as silent or departed.

Cause: ReadFailed and the result of a StopRun name no process; for a start it was taken from the run, which is carried over from one process to the next.

Evidence, on the controllers before this change with the new field in the messages: test_failed_read_of_an_earlier_life_leaves_the_next_one_in_use[False] AssertionError: assert not (False or True) (silent) test_failed_read_of_an_earlier_life_leaves_the_next_one_in_use[True] AssertionError: assert not (True) (departed) test_misdirected_stop_for_an_earlier_life_leaves_the_next_one_in_use AssertionError: assert not True (departed)

Change: StartRun, StopRun and ReadRuns carry the start of the process that they are meant for (target_born), and their results return it. The clock in an answer, a failed read and 421 count only for that process. A stop that was misdirected is repeated if the server announces itself again.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -212,6 +212,10 @@
         self.uncommitted_ends.clear()
         self.unexpected_runs.clear()
 
+    def is_target(self, target_born: int) -> bool:
+        """Return whether a call was meant for this process, as far as is known."""
+        return target_born in (0, self.report.born)
+
     @property
     def announced(self) -> bool:
         """Whether the process has announced itself.
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -45,12 +45,15 @@
     run = server.runs_by_task.get((message.job_id, message.task))
     if run is None or run.number != message.run:
         return []
+    is_current = server.is_target(message.target_born)
     answered_at = now
-    if message.clock is not None and _was_ordered_in_this_life(server, run):
+    if message.clock is not None and is_current:
         answered_at = server.record_answer(message.clock, message.sent_at, now)
+    if message.result is OrderResult.OTHER_LIFE and is_current:
+        server.departed = True
     if message.started:
         return _apply_start_result(state, server, run, message.result, answered_at, now)
-    return _apply_stop_result(state, server, run, message.result, now)
+    return _apply_stop_result(run, message.result, now)
 
 
 def _was_ordered_in_this_life(server: Server, run: Run) -> bool:
@@ -92,8 +95,6 @@
         return [log, *stop_run(state, server, run, result.value)]
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.cooldown_until = now + REFUSAL_COOLDOWN
-    if result is OrderResult.OTHER_LIFE and _was_ordered_in_this_life(server, run):
-        server.departed = True
     return [log, *free_run(state, server, run, result.value)]
 
 
@@ -108,19 +109,11 @@
     return [make_start(state, server, record.job, run, now)]
 
 
-def _apply_stop_result(
-    state: DispatcherState,
-    server: Server,
-    run: Run,
-    result: OrderResult,
-    now: Seconds,
-) -> list[Effect]:
+def _apply_stop_result(run: Run, result: OrderResult, now: Seconds) -> list[Effect]:
     if result in (OrderResult.DONE, OrderResult.OLD_RUN):
         # The run stays in the list until its end is listed. If its start has not
         # arrived yet, the run will never begin.
         run.order_answered_at = now
-    elif result is OrderResult.OTHER_LIFE:
-        server.departed = True
     else:
         run.next_stop_at = now + STOP_RETRY_DELAY
     return []
@@ -168,7 +161,9 @@
 ) -> StopRun:
     """Return the order that stops a run of a task."""
     report = server.report
-    return StopRun(report.id, report.address, task, number, run, state.term)
+    return StopRun(
+        report.id, report.address, task, number, run, state.term, report.born
+    )
 
 
 def record_failed_read(
@@ -182,6 +177,8 @@
     if server is None or message.term != state.term:
         return []
     server.reading = False
+    if not server.is_target(message.target_born):
+        return []
     server.acknowledged_sent = 0
     if message.other_life:
         server.departed = True
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -228,6 +228,7 @@
         spec=job.spec,
         fence=state.term,
         lease_until=extend_lease(server, now),
+        target_born=server.report.born,
     )
 
 
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -85,6 +85,7 @@
             acknowledged=server.acknowledged if acknowledges else 0,
             lease_until=extend_lease(server, now) if renews else None,
             wait=READ_MAX_WAIT if waits else 0.0,
+            target_born=server.report.born,
         )
     ]
 
--- a/boragetide/effects.py
+++ b/boragetide/effects.py
@@ -78,6 +78,8 @@
         Fencing token: term of the leader that gives the order.
     lease_until
         Time on the backend server's clock at which its leases expire.
+    target_born
+        Start of the process that the order is meant for, in Unix milliseconds.
     """
 
     server: BackendServerId
@@ -88,11 +90,18 @@
     spec: str
     fence: int
     lease_until: Seconds
+    target_born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Orders a backend server to stop one run; the result is a `RunOrdered`."""
+    """Orders a backend server to stop one run; the result is a `RunOrdered`.
+
+    Parameters
+    ----------
+    target_born
+        Start of the process that the order is meant for, in Unix milliseconds.
+    """
 
     server: BackendServerId
     address: str
@@ -100,6 +109,7 @@
     number: int
     run: int
     fence: int
+    target_born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +126,8 @@
         New expiry of the leases, on the backend server's clock; ``None`` renews none.
     wait
         How long the backend server holds its answer until a run ends, in seconds.
+    target_born
+        Start of the process that the request is meant for, in Unix milliseconds.
     """
 
     server: BackendServerId
@@ -124,6 +136,7 @@
     acknowledged: int
     lease_until: Seconds | None
     wait: Seconds
+    target_born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -115,6 +115,7 @@
         started=action == "start",
         clock=clock,
         sent_at=sent_at,
+        target_born=order.target_born,
     )
 
 
@@ -144,15 +145,16 @@
     url = f"{order.address}/v1/runs/list"
     timeout = order.wait + READ_MARGIN
     response = await call_server(client, order.server, url, body, timeout)
+    target = {"target_born": order.target_born}
     if response.status == 409:
-        return RunsRead(order.server, order.fence, sent_at, fenced=True)
+        return RunsRead(order.server, order.fence, sent_at, fenced=True, **target)
     if response.status != 200:
         other = response.status == HTTP_MISDIRECTED_REQUEST
-        return ReadFailed(order.server, order.fence, other_life=other)
+        return ReadFailed(order.server, order.fence, other_life=other, **target)
     try:
         listed = msgspec.json.decode(response.body, type=_Runs)
     except msgspec.DecodeError:
-        return ReadFailed(order.server, order.fence)
+        return ReadFailed(order.server, order.fence, **target)
     return RunsRead(
         server=order.server,
         term=order.fence,
@@ -164,4 +166,5 @@
             ListedEnd(end.number, end.to_task_ref(), end.run, end.reason)
             for end in listed.ended
         ),
+        **target,
     )
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -281,7 +281,9 @@
         Unix time of the backend server's start, in milliseconds.
     fenced
         Whether the backend server has seen a higher fencing token; if so, the fields
-        other than ``server``, ``term`` and ``sent_at`` are not set.
+        that it fills in are not set.
+    target_born
+        Start of the process that the request was meant for, or 0 if it was not known.
     """
 
     server: BackendServerId
@@ -292,6 +294,7 @@
     running: tuple[ListedRun, ...] = ()
     ended: tuple[ListedEnd, ...] = ()
     fenced: bool = False
+    target_born: int = 0
 
 
 class OrderResult(StrEnum):
@@ -322,6 +325,8 @@
         Monotonic clock of the backend server, in seconds, if it answered.
     sent_at
         Time at which the order was sent, by the clock of this instance.
+    target_born
+        Start of the process that the order was meant for, or 0 if it was not known.
     """
 
     server: BackendServerId
@@ -333,6 +338,7 @@
     started: bool
     clock: Seconds | None = None
     sent_at: Seconds = 0.0
+    target_born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -343,11 +349,14 @@
     ----------
     other_life
         Whether another backend server answered at the address.
+    target_born
+        Start of the process that the request was meant for, or 0 if it was not known.
     """
 
     server: BackendServerId
     term: int
     other_life: bool = False
+    target_born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -144,6 +144,7 @@
                 started=isinstance(order, StartRun),
                 clock=SERVER_CLOCK + now - BEGIN,
                 sent_at=now,
+                target_born=order.target_born,
             ),
             now,
         )
--- a/boragetide/tests/test_server_lives.py
+++ b/boragetide/tests/test_server_lives.py
@@ -8,6 +8,7 @@
 
 from boragetide.effects import StartRun
 from boragetide.messages import (
+    CancelDurableJob,
     OrderResult,
     ReadFailed,
     RemoveServer,
@@ -103,6 +104,38 @@
     assert not leader.state.servers_by_id["s1"].departed
 
 
+def use_next_life(leader: Leader) -> None:
+    """Announce the next life and deliver its empty list of runs."""
+    announce_next_life(leader, BEGIN + 0.1)
+    leader.list_runs(born=NEXT_BORN, now=BEGIN + 0.2)
+
+
+@pytest.mark.parametrize("other_life", [False, True])
+def test_failed_read_of_an_earlier_life_leaves_the_next_one_in_use(
+    leader: Leader, other_life: bool
+) -> None:
+    """Guards against a takeover that does not wait for a server that is there."""
+    use_next_life(leader)
+    failed = ReadFailed("s1", 1, other_life=other_life, target_born=BORN)
+    leader.handle(failed, BEGIN + 0.3)
+    server = leader.state.servers_by_id["s1"]
+    assert not (server.departed or server.silent)
+    assert len(start_job(leader)) == 2
+
+
+def test_misdirected_stop_for_an_earlier_life_leaves_the_next_one_in_use(
+    leader: Leader,
+) -> None:
+    """Guards against a takeover that does not wait for a server that is there."""
+    starts = start_job(leader)
+    leader.handle(CancelDurableJob(id="j1", reply_to=CALLER))
+    (stop, _) = leader.stops()
+    assert stop.task == starts[0].task
+    announce_next_life(leader, BEGIN + 0.1)
+    leader.answer(stop, OrderResult.OTHER_LIFE, now=BEGIN + 0.15)
+    assert not leader.state.servers_by_id["s1"].departed
+
+
 def end_all(leader: Leader, starts: list[StartRun], now: float) -> None:
     """List the runs as done, in the order of their starts."""
     ended = tuple(list_end(start, number) for number, start in enumerate(starts, 1))
