Fence the orders that were meant for an earlier process

The restarted process has seen no fence and no run number, and its clock is far behind the lease of the order, so that it carries out what its predecessor was told.

Cause: a start whose first copy had no answer and whose second copy had one was taken for over as soon as the next process listed its runs without it; the first copy could still begin there, beside the run that had replaced it. Late renewals and acknowledgements of the earlier process were carried out by the next one as well.

Change: the fencing token of an order rises with the term and, within a term, with each process that the leader comes to know (policy/fencing.py). Once a process has answered a request with its own token it refuses everything that was meant for an earlier one, and its list is final: what it does not list is over, also what had no answer. No stop is needed for that. A list for a request that was meant for an earlier process frees nothing and is followed by the next request at once. A refusal of an order for an earlier process by its fence is no sign of a newer leader.

test_nothing_is_started_at_a_life_that_is_not_announced_yet delivers a second list, which the leader asks for now; it still guards against a start before the announcement.

--- a/benchmarks/product_run.py
+++ b/benchmarks/product_run.py
@@ -30,6 +30,7 @@
     SubmitDurableJob,
     Tick,
 )
+from boragetide.policy.fencing import get_term
 from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
 from boragetide.types import InstanceId, ReplyTo, Seconds
 
@@ -158,7 +159,7 @@
         """Send the dispatcher the answer to a start or stop order."""
         message = RunOrdered(
             server=order.server,
-            term=order.fence,
+            term=get_term(order.fence),
             job_id=order.task.job_id,
             task=order.number,
             run=order.run,
@@ -210,7 +211,7 @@
         server.pending_read = None
         message = RunsRead(
             server=server.id,
-            term=order.fence,
+            term=get_term(order.fence),
             sent_at=self.clock.now - ONE_WAY_DELAY,
             clock=self.clock.now,
             born=BORN,
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -13,6 +13,7 @@
     ServerReport,
     TaskRef,
 )
+from boragetide.policy.fencing import make_fence
 from boragetide.policy.job_queue import JobQueue
 from boragetide.policy.overload import AdmissionControl
 from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
@@ -110,9 +111,13 @@
     clock
         Lower bound of the backend server's clock. A lease that is granted by it ends no
         later than one that is granted by the clock itself.
+    process
+        Number of the process among those that this leader has come to know.
     read_term
-        Term in which the backend server last listed its runs. Nothing is started there
-        before it has done so in the current term.
+        Term in which the process last listed its runs for a request with its own
+        fencing token. Nothing is started there before it has done so in the current
+        term. From then on it carries out no order that an earlier leader gave or that
+        was meant for an earlier process.
     reading
         Whether a `ReadRuns` is in progress.
     next_read_at
@@ -161,6 +166,7 @@
     report: ServerReport
     last_contact_at: Seconds
     clock: PeerClock = field(default_factory=make_server_clock)
+    process: int = 0
     read_term: int = 0
     reading: bool = False
     next_read_at: Seconds = 0.0
@@ -310,6 +316,8 @@
         of the list.
     next_command
         Number of the next command.
+    process_count
+        Number of processes of backend servers that joined in this term.
     next_review
         Time of the next review of ended jobs and silent backend servers.
     """
@@ -344,6 +352,7 @@
     done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     next_command: int = 1
+    process_count: int = 0
     next_review: Seconds = 0.0
 
     def remove_job(self, job_id: JobId) -> None:
@@ -403,6 +412,11 @@
     )
 
 
+def get_fence(state: DispatcherState, server: Server) -> int:
+    """Return the fencing token of the orders to the known process of a server."""
+    return make_fence(state.term, server.process)
+
+
 def assign_run_number(state: DispatcherState, key: tuple[JobId, int]) -> int:
     """Return the number of the next run of a task, higher than all earlier ones."""
     first = (state.term - 1) * RUNS_PER_TERM + 1
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -7,6 +7,7 @@
     Run,
     RunPhase,
     Server,
+    get_fence,
     has_authority,
     update_server_index,
 )
@@ -40,12 +41,12 @@
     server = state.servers_by_id.get(message.server)
     if server is None or message.term != state.term:
         return []
-    if message.result is OrderResult.FENCED:
+    is_current = server.is_target(message.target_born)
+    if message.result is OrderResult.FENCED and is_current:
         return [lose_authority(state, server.report.id)]
     run = server.runs_by_task.get((message.job_id, message.task))
     if run is None or run.number != message.run:
         return []
-    is_current = server.is_target(message.target_born)
     answered_at = now
     if message.clock is not None and is_current:
         answered_at = server.record_answer(message.clock, message.sent_at, now)
@@ -162,7 +163,13 @@
     """Return the order that stops a run of a task."""
     report = server.report
     return StopRun(
-        report.id, report.address, task, number, run, state.term, report.born
+        server=report.id,
+        address=report.address,
+        task=task,
+        number=number,
+        run=run,
+        fence=get_fence(state, server),
+        target_born=report.born,
     )
 
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -14,6 +14,7 @@
     Server,
     add_run,
     assign_run_number,
+    get_fence,
     has_authority,
 )
 from boragetide.durable import DurableJob, JobPhase, Step, get_task_ref
@@ -226,7 +227,7 @@
         number=run.task,
         run=run.number,
         spec=job.spec,
-        fence=state.term,
+        fence=get_fence(state, server),
         lease_until=extend_lease(server, now),
         target_born=server.report.born,
     )
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -8,6 +8,7 @@
     RunPhase,
     Server,
     add_run,
+    get_fence,
     has_authority,
     update_server_index,
 )
@@ -81,7 +82,7 @@
         ReadRuns(
             server=server.report.id,
             address=server.report.address,
-            fence=state.term,
+            fence=get_fence(state, server),
             acknowledged=server.acknowledged if acknowledges else 0,
             lease_until=extend_lease(server, now) if renews else None,
             wait=READ_MAX_WAIT if waits else 0.0,
@@ -111,27 +112,31 @@
     if server is None or message.term != state.term:
         return []
     server.reading = False
+    is_current = server.is_target(message.target_born)
     if message.fenced:
-        return [lose_authority(state, server.report.id)]
+        return [lose_authority(state, server.report.id)] if is_current else []
     effects: list[Effect] = []
     if message.born and server.report.born and message.born != server.report.born:
         if message.born < server.report.born:
             return []
         effects += replace_process(state, server, message.born, now)
         server = state.servers_by_id[message.server]
+        is_current = False
     listed_at = server.record_answer(message.clock, message.sent_at, now)
     # An end that was listed late, after unanswered requests, does not show the speed.
     may_learn = not server.silent
     server.unanswered = 0
     server.runs_listed_at = listed_at
-    if server.read_term != state.term:
+    if is_current and server.read_term != state.term:
         server.read_term = state.term
         fields = {"server": message.server, "term": state.term}
         effects.append(LogEvent("backend_server_read", fields))
     effects += apply_ends(state, server, message.ended, may_learn, listed_at, now)
     for listed in message.running:
         effects += _reconcile_run(state, server, listed, message.sent_at, now)
-    effects += _free_unlisted_runs(state, server, message, now)
+    _forget_unlisted_unexpected_runs(server, message)
+    if is_current:
+        effects += _free_unlisted_runs(state, server, message, now)
     update_server_index(state, server)
     return effects
 
@@ -219,25 +224,24 @@
     )
 
 
+def _forget_unlisted_unexpected_runs(server: Server, message: RunsRead) -> None:
+    listed = set(message.running)
+    server.unexpected_runs = {
+        run: since for run, since in server.unexpected_runs.items() if run in listed
+    }
+
+
 def _free_unlisted_runs(
     state: DispatcherState, server: Server, message: RunsRead, now: Seconds
 ) -> list[Effect]:
     """Free the runs that should be listed but are not.
 
-    Only a run whose last order was answered before the list was requested must be in
-    the list, because answers may overtake each other.
+    The list was requested with the fencing token of the process that made it.
     """
     listed = {(run.task, run.run) for run in message.running}
-    server.unexpected_runs = {
-        run: since
-        for run, since in server.unexpected_runs.items()
-        if (run.task, run.run) in listed
-    }
     effects: list[Effect] = []
     for run in list(server.runs_by_task.values()):
-        if run.phase is RunPhase.ENDED or run.order_answered_at is None:
-            continue
-        if run.order_answered_at >= message.sent_at:
+        if run.phase is RunPhase.ENDED or not _must_be_listed(server, run, message):
             continue
         record = state.records_by_id.get(run.job_id)
         task = None if record is None else get_task_ref(record.job, run.task)
@@ -245,3 +249,16 @@
             continue
         effects += free_run(state, server, run, "not_listed")
     return effects
+
+
+def _must_be_listed(server: Server, run: Run, message: RunsRead) -> bool:
+    """Return whether a run that is not in the list is certainly over.
+
+    Answers may overtake each other, so only a run whose last order was answered before
+    the list was requested must be in it. What was ordered from an earlier process
+    either had begun when the list was made, or is refused.
+    """
+    if run.server_born != server.report.born:
+        return True
+    answered_at = run.order_answered_at
+    return answered_at is not None and answered_at < message.sent_at
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -86,7 +86,8 @@
     carried out an order before its first announcement arrived. Its first list of runs
     shows which ones, and the others are freed.
     """
-    server = Server(report, now, announced_at=now)
+    state.process_count += 1
+    server = Server(report, now, announced_at=now, process=state.process_count)
     if previous is not None:
         server.runs_by_task = dict(previous.runs_by_task)
         server.leases_expired_at = previous.leases_expired_at
--- a/boragetide/effects.py
+++ b/boragetide/effects.py
@@ -75,7 +75,7 @@
     number
         Number of the task over all steps of its job.
     fence
-        Fencing token: term of the leader that gives the order.
+        Fencing token (`policy.fencing`).
     lease_until
         Time on the backend server's clock at which its leases expire.
     target_born
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -24,6 +24,7 @@
 )
 from boragetide.links.order_client import OrderClient
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
+from boragetide.policy.fencing import get_term
 from boragetide.types import Seconds
 
 # Status of the response if another backend server answers at the address.
@@ -107,7 +108,7 @@
     result, clock = _read_answer(response)
     return RunOrdered(
         server=order.server,
-        term=order.fence,
+        term=get_term(order.fence),
         job_id=order.task.job_id,
         task=order.number,
         run=order.run,
@@ -145,19 +146,19 @@
     url = f"{order.address}/v1/runs/list"
     timeout = order.wait + READ_MARGIN
     response = await call_server(client, order.server, url, body, timeout)
-    target = {"target_born": order.target_born}
+    term, target = get_term(order.fence), {"target_born": order.target_born}
     if response.status == 409:
-        return RunsRead(order.server, order.fence, sent_at, fenced=True, **target)
+        return RunsRead(order.server, term, sent_at, fenced=True, **target)
     if response.status != 200:
         other = response.status == HTTP_MISDIRECTED_REQUEST
-        return ReadFailed(order.server, order.fence, other_life=other, **target)
+        return ReadFailed(order.server, term, other_life=other, **target)
     try:
         listed = msgspec.json.decode(response.body, type=_Runs)
     except msgspec.DecodeError:
-        return ReadFailed(order.server, order.fence, **target)
+        return ReadFailed(order.server, term, **target)
     return RunsRead(
         server=order.server,
-        term=order.fence,
+        term=get_term(order.fence),
         sent_at=sent_at,
         clock=listed.clock,
         born=listed.born,
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -24,6 +24,7 @@
     RunOrdered,
     RunsRead,
 )
+from boragetide.policy.fencing import get_term
 from boragetide.settings import Settings
 from boragetide.types import DurableStarts, ReplyTo
 
@@ -136,7 +137,7 @@
         return self.handle(
             RunOrdered(
                 server=order.server,
-                term=order.fence,
+                term=get_term(order.fence),
                 job_id=order.task.job_id,
                 task=order.number,
                 run=order.run,
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -39,6 +39,7 @@
 )
 from boragetide.messages.common import add_arrival_time
 from boragetide.policy import job_table
+from boragetide.policy.fencing import get_term
 from boragetide.policy.scheduling import expires_at
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import (
@@ -562,7 +563,7 @@
     leader.join()
     submit(leader)
     assert {start.run for start in leader.starts()} == {2001}
-    assert {start.fence for start in leader.starts()} == {3}
+    assert {get_term(start.fence) for start in leader.starts()} == {3}
 
 
 def test_fenced_leader_gives_no_more_orders(leader: Leader) -> None:
--- a/boragetide/tests/test_server_lives.py
+++ b/boragetide/tests/test_server_lives.py
@@ -13,6 +13,7 @@
     ReadFailed,
     RemoveServer,
     ReportServer,
+    RunsRead,
     SubmitDurableJob,
     Tick,
 )
@@ -136,6 +137,51 @@
     assert not leader.state.servers_by_id["s1"].departed
 
 
+def test_first_copy_of_a_start_may_begin_at_the_next_life(leader: Leader) -> None:
+    """Guards against a second run beside one that a restarted server began late.
+
+    The second copy was answered, and the next life lists its runs for a request that
+    was meant for the earlier one.
+    """
+    first, second = start_job(leader)
+    leader.answer(second)
+    leader.answer(first, OrderResult.UNANSWERED, now=BEGIN + 0.2)
+    (again,) = leader.starts()
+    leader.answer(again, now=BEGIN + 0.21)
+    leader.list_runs(born=NEXT_BORN, target_born=BORN, now=BEGIN + 0.3)
+    reads = leader.reads()
+    leader.join("s2", now=BEGIN + 0.3)
+    assert leader.starts() == []
+    (read,) = reads
+    assert (read.target_born, read.wait) == (NEXT_BORN, 0.0)
+    assert read.fence > again.fence
+    running = (list_run(first),)
+    leader.list_runs(
+        born=NEXT_BORN, target_born=NEXT_BORN, running=running, now=BEGIN + 0.31
+    )
+    assert [start.task for start in leader.starts()] == [second.task]
+
+
+def test_start_that_the_next_life_has_fenced_starts_again(leader: Leader) -> None:
+    """Guards against a leader that loses its authority to its own later orders."""
+    first, second = start_job(leader)
+    leader.answer(second)
+    announce_next_life(leader, BEGIN + 0.1)
+    leader.answer(first, OrderResult.FENCED, now=BEGIN + 0.15)
+    leader.list_runs(born=NEXT_BORN, target_born=NEXT_BORN, now=BEGIN + 0.2)
+    assert {start.run for start in leader.starts()} == {first.run + 1}
+
+
+def test_late_list_of_an_earlier_life_is_no_sign_of_a_newer_leader(
+    leader: Leader,
+) -> None:
+    """Guards against a leader that loses its authority to its own later requests."""
+    announce_next_life(leader, BEGIN + 0.1)
+    leader.handle(RunsRead("s1", 1, BEGIN, fenced=True, target_born=BORN), BEGIN + 0.15)
+    leader.list_runs(born=NEXT_BORN, now=BEGIN + 0.2)
+    assert len(start_job(leader)) == 2
+
+
 def end_all(leader: Leader, starts: list[StartRun], now: float) -> None:
     """List the runs as done, in the order of their starts."""
     ended = tuple(list_end(start, number) for number, start in enumerate(starts, 1))
@@ -196,6 +242,7 @@
 ) -> None:
     """Guards against a start for another capacity, label or pool than is known."""
     leader.list_runs(born=NEXT_BORN, now=BEGIN + 0.1)
+    leader.list_runs(born=NEXT_BORN, now=BEGIN + 0.15)
     job = make_durable_job(best_effort=True)
     leader.handle(SubmitDurableJob(job=job, reply_to=CALLER), BEGIN + 0.2)
     assert leader.starts() == []
