Wait for orders that the next process may carry out

Cause: leases counted as lapsed 0.92 s after the last call was sent. By the clock of an earlier process the next one grants the platform's full 1.0 s, on a clock up to 2% slow and from the arrival of the order, which may be seconds after it was sent.

Change: at a silent or departed server, a run with a start that has no answer, and any run of a process that has not answered a request with its own fence yet, is free 3.2 s after the leases of the known process (MAX_ORDER_DELAY and the difference of the leases). An answer by another clock shows another process: nothing is started there before it has listed its runs, and the longest lease counts from the answer. The same for the first list of a process.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -29,9 +29,13 @@
     Seconds,
 )
 
-# A lease is renewed about three times before it expires. The platform shortens leases
-# of more than 1 s.
+# A lease is renewed about three times before it expires.
 LEASE_DURATION: Seconds = 0.8
+# A backend server shortens longer leases, for example those that were granted by the
+# clock of an earlier process.
+MAX_LEASE_DURATION: Seconds = 1.0
+# An order without an answer may be carried out this much later.
+MAX_ORDER_DELAY: Seconds = 3.0
 MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
 MAX_SERVER_CLOCK_DRIFT = 1.0 - MIN_CLOCK_RATE + MAX_CLOCK_DRIFT
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
@@ -69,6 +73,9 @@
         have arrived.
     start_repeated
         Whether the start was ordered twice, because the first order was not answered.
+    start_unanswered_at
+        Time at which the last start was ordered, if one is not answered. It may begin
+        the run at the next process of the backend server.
     server_born
         Start of the backend server's process that was known when the run was ordered or
         first listed, in Unix milliseconds.
@@ -84,6 +91,7 @@
     order_answered_at: Seconds | None = None
     next_stop_at: Seconds | None = None
     start_repeated: bool = False
+    start_unanswered_at: Seconds | None = None
     estimate: Seconds = 0.0
     server_born: int = 0
 
@@ -125,8 +133,11 @@
     unanswered
         Number of consecutive `ReadRuns` requests that were not answered.
     leases_expired_at
-        Time on this instance's clock at which the last granted lease has certainly
-        expired.
+        Time on this instance's clock at which the last lease that was granted by the
+        clock of the known process has certainly expired.
+    unknown_leases_expired_at
+        The same for the leases that another leader granted, or that were granted by the
+        clock of an earlier process.
     runs_by_task
         Runs that occupy their tasks. Those that have not ended use capacity.
     listed, acknowledged
@@ -172,6 +183,7 @@
     next_read_at: Seconds = 0.0
     unanswered: int = 0
     leases_expired_at: Seconds = 0.0
+    unknown_leases_expired_at: Seconds = 0.0
     runs_by_task: dict[tuple[JobId, int], Run] = field(default_factory=dict)
     listed: int = 0
     acknowledged: int = 0
@@ -204,11 +216,24 @@
             Latest time, on the clock of this instance, at which the backend server
             can have answered. The answer may have arrived or been handled later.
         """
+        if self.clock.shows_restart(clock, now, sent_at):
+            self.bound_unknown_leases(now)
+            self.read_term = 0
         self.clock.record_reading(clock, now, sent_at)
         answered_at = min(now, max(sent_at, clock - self.clock.find_offset(now)))
         self.last_contact_at = max(self.last_contact_at, answered_at)
         return answered_at
 
+    def bound_unknown_leases(self, now: Seconds) -> None:
+        """Bound the leases that another leader or for another process were granted.
+
+        The process has just shown that it holds no other leases than these.
+        """
+        self.unknown_leases_expired_at = max(
+            self.unknown_leases_expired_at,
+            now + MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN,
+        )
+
     def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
         self.read_term = 0
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from boragetide.controllers.dispatch_state import (
+    LEASE_DURATION,
+    MAX_LEASE_DURATION,
+    MAX_ORDER_DELAY,
+    MIN_CLOCK_RATE,
     DispatcherState,
     Run,
     RunPhase,
@@ -30,6 +34,11 @@
 # backend server whose learned speed is right.
 OVERDUE_FACTOR = 3.0
 OVERDUE_MARGIN: Seconds = 0.3
+# Time from the end of a lease until it has expired at a process that carries the order
+# out late, by the clock of an earlier one.
+LATE_ORDER_WAIT: Seconds = (
+    MAX_ORDER_DELAY + (MAX_LEASE_DURATION - LEASE_DURATION) / MIN_CLOCK_RATE
+)
 # A backend server with an overdue run gets no new runs for this long.
 OVERDUE_COOLDOWN: Seconds = 2.0
 
@@ -53,6 +62,8 @@
     if message.result is OrderResult.OTHER_LIFE and is_current:
         server.departed = True
     if message.started:
+        if message.result is not OrderResult.UNANSWERED and not run.start_repeated:
+            run.start_unanswered_at = None
         return _apply_start_result(state, server, run, message.result, answered_at, now)
     return _apply_stop_result(run, message.result, now)
 
@@ -239,11 +250,32 @@
         if not (server.silent or server.departed) or now < server.leases_expired_at:
             continue
         for run in list(server.runs_by_task.values()):
-            if run.phase is not RunPhase.ENDED:
+            if run.phase is not RunPhase.ENDED and _has_lapsed(state, server, run, now):
                 effects += free_run(state, server, run, "lease_lapsed")
     return effects
 
 
+def _has_lapsed(state: DispatcherState, server: Server, run: Run, now: Seconds) -> bool:
+    """Return whether the lease of a run that is not listed has certainly expired.
+
+    Any call without an answer may be carried out late. That changes nothing at the
+    process that it was meant for, whose clock has passed the end of the lease, but the
+    next one may begin the run by it, or hold its lease for longer.
+    """
+    expired_at = server.leases_expired_at
+    if server.read_term != state.term or _may_begin_late(server, run):
+        expired_at += LATE_ORDER_WAIT
+    return now >= max(expired_at, server.unknown_leases_expired_at)
+
+
+def _may_begin_late(server: Server, run: Run) -> bool:
+    """Return whether the next process of a server may begin a run."""
+    ordered_at = run.start_unanswered_at
+    return ordered_at is not None and (
+        server.runs_listed_at < ordered_at + MAX_ORDER_DELAY
+    )
+
+
 def free_run(
     state: DispatcherState, server: Server, run: Run, reason: str
 ) -> list[Effect]:
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -220,6 +220,7 @@
     state: DispatcherState, server: Server, job: DurableJob, run: Run, now: Seconds
 ) -> StartRun:
     """Return the order that starts a run; repeating it does not start a second run."""
+    run.start_unanswered_at = now
     return StartRun(
         server=server.report.id,
         address=server.report.address,
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -129,6 +129,8 @@
     server.runs_listed_at = listed_at
     if is_current and server.read_term != state.term:
         server.read_term = state.term
+        if message.running:
+            server.bound_unknown_leases(now)
         fields = {"server": message.server, "term": state.term}
         effects.append(LogEvent("backend_server_read", fields))
     effects += apply_ends(state, server, message.ended, may_learn, listed_at, now)
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -74,7 +74,10 @@
     report = replace(
         previous.report, born=born, sequence=UNANNOUNCED_SEQUENCE, clock=None
     )
-    return _add_server(state, report, previous, now)
+    effects = _add_server(state, report, previous, now)
+    # It may have carried out orders by the clock of the earlier process.
+    state.servers_by_id[report.id].bound_unknown_leases(now)
+    return effects
 
 
 def _add_server(
@@ -91,6 +94,7 @@
     if previous is not None:
         server.runs_by_task = dict(previous.runs_by_task)
         server.leases_expired_at = previous.leases_expired_at
+        server.unknown_leases_expired_at = previous.unknown_leases_expired_at
         # The previous process has yet to answer its read, or the read to fail.
         server.reading = previous.reading
     _record_clock(server, now)
--- a/boragetide/policy/peer_clock.py
+++ b/boragetide/policy/peer_clock.py
@@ -54,18 +54,20 @@
         """
         known = self.find_offset(now)
         offset = reading - now
-        if known is None or self._has_changed(reading, known, asked_at):
+        if known is None or self.shows_restart(reading, now, asked_at):
             self.offset = offset
         else:
             self.offset = max(known, offset)
         self.updated_at = now
 
-    @staticmethod
-    def _has_changed(
-        reading: Seconds, known: Seconds, asked_at: Seconds | None
+    def shows_restart(
+        self, reading: Seconds, now: Seconds, asked_at: Seconds | None
     ) -> bool:
         """Return whether a reading shows another clock than the known bound."""
-        return asked_at is not None and reading < asked_at + known - READING_PRECISION
+        known = self.find_offset(now)
+        if known is None or asked_at is None:
+            return False
+        return reading < asked_at + known - READING_PRECISION
 
     def find_offset(self, now: Seconds) -> Seconds | None:
         """Return the bound at ``now``, or ``None`` if there is none."""
--- /dev/null
+++ b/boragetide/tests/test_late_orders.py
@@ -0,0 +1,129 @@
+"""The dispatcher and orders that the next process of a backend server carries out."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragetide.controllers.dispatch_state import (
+    MAX_LEASE_DURATION,
+    MIN_CLOCK_RATE,
+    Server,
+)
+from boragetide.controllers.orders import LATE_ORDER_WAIT
+from boragetide.effects import StartRun
+from boragetide.messages import (
+    OrderResult,
+    ReadFailed,
+    RunOrdered,
+    SubmitDurableJob,
+    Tick,
+)
+from boragetide.settings import Settings
+from boragetide.tests.durable_fixtures import (
+    BEGIN,
+    BORN,
+    Leader,
+    list_run,
+    make_durable_job,
+)
+from boragetide.types import ReplyTo
+
+NEXT_BORN = BORN + 5
+NEXT_CLOCK = 0.5  # seconds; clock of the next process when it answers
+
+
+@pytest.fixture
+def leader(settings: Settings) -> Leader:
+    """A leader with two runs at one backend server, beside one without runs."""
+    made = Leader(settings)
+    made.lead()
+    made.join()
+    job = make_durable_job(best_effort=True)
+    made.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", 7)))
+    return made
+
+
+def lose_server(leader: Leader, now: float) -> Server:
+    """Let the requests to the backend server fail from now on."""
+    leader.handle(ReadFailed("s1", 1), now)
+    leader.handle(ReadFailed("s1", 1), now + 0.01)
+    return leader.state.servers_by_id["s1"]
+
+
+def start_again(leader: Leader, now: float) -> list[StartRun]:
+    """Return what is started at the other backend server."""
+    leader.join("s2", now=now - 0.001)
+    early = leader.starts()
+    leader.handle(Tick(), now)
+    return early + leader.starts()
+
+
+def test_start_without_an_answer_may_begin_at_the_next_process(leader: Leader) -> None:
+    """Guards against a second run beside one that a restarted server began late."""
+    unanswered, answered = leader.starts()
+    leader.answer(answered)
+    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
+    (again,) = leader.starts()
+    leader.answer(again, OrderResult.UNANSWERED, now=BEGIN + 0.4)
+    lapsed_at = lose_server(leader, BEGIN + 0.45).leases_expired_at
+    assert {s.task for s in start_again(leader, lapsed_at + 0.01)} == {answered.task}
+    leader.list_runs("s2", now=lapsed_at + LATE_ORDER_WAIT - 0.1)
+    assert leader.starts() == []
+    leader.handle(Tick(), lapsed_at + LATE_ORDER_WAIT + 0.01)
+    assert {start.task for start in leader.starts()} == {unanswered.task}
+
+
+def test_answered_starts_are_free_when_their_lease_has_lapsed(leader: Leader) -> None:
+    """Guards against tasks of a lost server that wait for longer than they must."""
+    starts = leader.starts()
+    for start in starts:
+        leader.answer(start)
+    lapsed_at = lose_server(leader, BEGIN + 0.1).leases_expired_at
+    assert len(start_again(leader, lapsed_at + 0.01)) == len(starts)
+
+
+def answer_by_the_next_clock(leader: Leader, start: StartRun, now: float) -> None:
+    answer = RunOrdered(
+        server=start.server,
+        term=leader.term,
+        job_id=start.task.job_id,
+        task=start.number,
+        run=start.run,
+        result=OrderResult.DONE,
+        started=True,
+        clock=NEXT_CLOCK,
+        sent_at=now,
+        target_born=start.target_born,
+    )
+    leader.handle(answer, now)
+
+
+def test_lease_by_the_clock_of_an_earlier_process_lasts_for_the_longest_time(
+    leader: Leader,
+) -> None:
+    """Guards against a second run under a lease that the platform has shortened.
+
+    The answer to a start shows that a restarted server has carried it out.
+    """
+    answered_at = BEGIN + 0.19
+    for start in leader.starts():
+        answer_by_the_next_clock(leader, start, answered_at)
+    server = leader.state.servers_by_id["s1"]
+    lapsed_at = answered_at + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    leader.handle(ReadFailed("s1", 1, other_life=True), answered_at + 0.01)
+    assert server.departed
+    assert start_again(leader, lapsed_at) == []
+
+
+def test_listed_run_of_the_next_process_has_the_longest_lease(leader: Leader) -> None:
+    """Guards against a second run beside one under the lease of an earlier process."""
+    starts = leader.starts()
+    for start in starts:
+        leader.answer(start)
+    listed_at = BEGIN + 0.15
+    running = tuple(list_run(start) for start in starts)
+    leader.list_runs(born=NEXT_BORN, target_born=BORN, running=running, now=listed_at)
+    failed = ReadFailed("s1", 1, other_life=True, target_born=NEXT_BORN)
+    leader.handle(failed, listed_at + 0.01)
+    lapsed_at = listed_at + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    assert start_again(leader, lapsed_at) == []
