Let restarted servers of the dispatcher's test follow the protocol

The oracle of properties/test_dispatcher.py was kinder than the protocol. Now the clock of each process begins at 0 and may be 2% slow, a lease is shortened to 1.0 s from its arrival, a start extends the lease of everything that runs, and a process that starts again may be down for a while, with its address in use by another server or not. Late orders, renewals and acknowledgements are carried out by whatever process runs then. Answers, failures and announcements may be handled late and in another order. Runs may last longer than a lease. The predecessor's authority may end exactly with its last order. A rule crashes a server that was sent a start shortly before.

Not carried out by a later process: a start whose run an earlier process has ended, stopped or refused, or that an earlier leader has ordered. No leader can avoid these at a process that it has not called yet, except by starting no task again for as long as any order may be under way. The test was kinder there before: no order reached a later process.

The checks are the same. The bound on the time to finish counts the longest work of the jobs instead of the only one; for jobs of that length it is the same number.

--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -9,7 +9,6 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any
 
@@ -27,15 +26,7 @@
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.runs import READ_MAX_WAIT
-from boragetide.durable import (
-    EndReason,
-    JobPhase,
-    ListedEnd,
-    ListedRun,
-    Resources,
-    Step,
-    TaskRef,
-)
+from boragetide.durable import JobPhase, Resources, Step
 from boragetide.effects import ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.messages import (
     AppendCommands,
@@ -52,23 +43,36 @@
     Tick,
 )
 from boragetide.policy.catalogue import apply_job_command
+from boragetide.policy.fencing import get_term
 from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
-from boragetide.tests.durable_fixtures import BEGIN, make_durable_job, make_report
+from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
 from boragetide.types import ReplyTo, Seconds
+from properties.simulated_server import CAPACITY, SimulatedServer
 
 STEP: Seconds = 0.05
 AUTHORITY_DURATION: Seconds = 0.4
 ORDER_TIMEOUT: Seconds = 0.2
 # Delays that end before ("delayed") and after ("late") the lease of the order lapses.
 DELAYS_BY_FATE: dict[str, Seconds] = {"delayed": 0.5, "late": 2.0}
+# Time until a busy leader handles an answer that has arrived.
+HANDLING_DELAY: Seconds = 0.6
+FATES = (
+    *["carried_out"] * 3,
+    *("answer_lost", "lost", "handled_late", "failure_handled_late"),
+    *DELAYS_BY_FATE,
+)
+WORK_DURATION: Seconds = 0.3
+LONG_WORK_DURATION: Seconds = 1.5  # longer than a lease
+START_FATES = ("carried_out", "answer_lost", "handled_late", *DELAYS_BY_FATE)
 SERVERS = ("s1", "s2", "s3")
+CLOCK_RATES = (1.0, 0.98, 1.0)
+# Time for which the first processes have run when a test begins.
+UPTIMES: tuple[Seconds, ...] = (500.0, 300.0, 20.0)
 ANNOUNCEMENT_INTERVAL: Seconds = 1.5
 # Time after the last fault until the leases of lost runs have lapsed, a new leader has
 # taken over and no backend server is passed over any more.
 SETTLING_DURATION: Seconds = 6.0
 CALM_DURATION: Seconds = 12.0
-WORK_DURATION: Seconds = 0.3
-CAPACITY = Resources(64_000, 100_000)
 NEEDS = Resources(27_000, 64)
 SLOTS = len(SERVERS) * (CAPACITY.millicores // NEEDS.millicores)
 EXAMPLES = 60
@@ -79,60 +83,6 @@
 )
 
 
-@dataclass
-class Backend:
-    """A backend server that follows the protocol for runs.
-
-    Its clock is ``clock_lag`` seconds behind the virtual clock of the test. Its lease
-    lasts until ``lease_until`` on its clock. ``lapsed_ends`` are the ends that were
-    listed when it lapsed. By the rule TWICE, these are never taken note of.
-    """
-
-    id: str
-    clock_lag: Seconds
-    born: int = 900_000_000
-    sequence: int = 0
-    fence: int = 0
-    running: dict[TaskRef, tuple[int, Seconds, Seconds]] = field(default_factory=dict)
-    highest_runs: dict[TaskRef, int] = field(default_factory=dict)
-    ends: list[ListedEnd] = field(default_factory=list)
-    end_count: int = 0
-    lease_until: Seconds = 0.0
-    lapsed_ends: set[int] = field(default_factory=set)
-    cut: bool = False
-    hangs: bool = False
-
-    def restart(self) -> None:
-        """Lose all state, as in a crash."""
-        self.born += 1
-        self.sequence = self.fence = self.end_count = 0
-        self.lease_until = 0.0
-        self.lapsed_ends.clear()
-        self.running.clear()
-        self.highest_runs.clear()
-        self.ends.clear()
-
-    def advance(self, now: Seconds) -> None:
-        """End the runs whose work is done or whose lease has lapsed."""
-        for task, (run, ends_at, lease) in list(self.running.items()):
-            if now - self.clock_lag >= lease:
-                self.end(task, run, EndReason.LAPSED)
-            elif now >= ends_at and not self.hangs:
-                self.end(task, run, EndReason.DONE)
-        if now - self.clock_lag >= self.lease_until:
-            self.lapsed_ends.update(end.number for end in self.ends)
-
-    def extend_lease(self, lease_until: Seconds) -> None:
-        """Extend the lease of the backend server, which never shortens."""
-        self.lease_until = max(self.lease_until, lease_until)
-
-    def end(self, task: TaskRef, run: int, reason: EndReason) -> None:
-        """End a run and add it to the list of ends."""
-        del self.running[task]
-        self.end_count += 1
-        self.ends.append(ListedEnd(self.end_count, task, run, reason))
-
-
 class Dispatch(RuleBasedStateMachine):
     """One leader at a time; delayed orders of earlier leaders still arrive.
 
@@ -148,8 +98,8 @@
         self.term = 0
         self.catalogue = Catalogue()
         self.backends = {
-            name: Backend(name, clock_lag=number * 0.7 - 0.7)
-            for number, name in enumerate(SERVERS)
+            name: SimulatedServer(name, self.now - uptime, clock_rate=rate)
+            for name, uptime, rate in zip(SERVERS, UPTIMES, CLOCK_RATES, strict=True)
         }
         self.state = self.make_state(age=10.0)
         self.standby = self.make_state(age=10.0)
@@ -157,10 +107,10 @@
         self.scheduled: list[tuple[Seconds, Callable[[], None]]] = []
         self.appended: list[AppendCommands] = []
         self.jobs: dict[str, Any] = {}
-        self.acknowledged: set[TaskRef] = set()
         self.cancelled: set[str] = set()
         self.replies: dict[int, str] = {}
-        self.start_leader()
+        self.started_at: set[str] = set()
+        self.start_leader(predecessor_until=self.now)
         self.run_for(1.0)
 
     def make_state(self, age: Seconds) -> DispatcherState:
@@ -169,10 +119,10 @@
         embedded = parse_settings(EMBEDDED_DEFAULT)
         return DispatcherState(embedded, started_at, members=("local", "standby"))
 
-    def start_leader(self) -> None:
+    def start_leader(self, predecessor_until: Seconds) -> None:
         """Start the next leader.
 
-        The predecessor's authority lasts `AUTHORITY_DURATION` more.
+        The predecessor gave its last orders at ``predecessor_until``.
         """
         self.term += 1
         records = tuple(self.catalogue.jobs_by_id.values())
@@ -181,39 +131,53 @@
             self.term,
             records,
             self.now + AUTHORITY_DURATION,
-            self.now + AUTHORITY_DURATION,
+            predecessor_until,
         )
         self.announce()
         self.handle(gained)
 
     def announce(self) -> None:
-        """Announce the backend servers to the leader, who passes it on."""
+        """Announce the backend servers to the leader and the standby."""
         for report in self.make_reports():
-            self.handle(report)
-            dispatcher.handle(report, self.standby, self.now)
+            self.deliver_report(report, to_leader=True)
 
     def make_reports(self) -> list[ReportServer]:
-        """Return the next announcement of each backend server that is not cut off."""
-        reports = []
-        for backend in self.backends.values():
-            if backend.cut:
-                continue
-            backend.sequence += 1
-            report = make_report(
-                backend.id,
-                sequence=backend.sequence,
-                born=backend.born,
-                capacity=CAPACITY,
-            )
-            reports.append(ReportServer(report=report, passed_on=True))
-        return reports
+        """Return the next announcement of each backend server that can send one."""
+        return [
+            ReportServer(report=backend.make_report(self.now), passed_on=True)
+            for backend in self.backends.values()
+            if backend.is_up(self.now) and not backend.cut
+        ]
+
+    def deliver_report(self, report: ReportServer, *, to_leader: bool) -> None:
+        """Deliver an announcement, late if a rule says so.
+
+        One that makes a backend server known is in time: what an instance does without
+        knowing of a backend server is not tested here.
+        """
+
+        def arrive() -> None:
+            if to_leader:
+                self.handle(report)
+            dispatcher.handle(report, self.standby, self.now)
+
+        delays = self.announcement_delays
+        self.announcement_delays = delays[1:] + delays[:1]
+        states = (self.state, self.standby) if to_leader else (self.standby,)
+        server_id = report.report.id
+        if delays[0] and all(server_id in each.servers_by_id for each in states):
+            self.scheduled.append((self.now + delays[0], arrive))
+        else:
+            arrive()
+
+    announcement_delays: tuple[Seconds, ...] = (0.0,)
 
     def inform_standby(self) -> None:
         """Announce the backend servers to the standby and advance its clock."""
         if self.now >= self.next_announcement:
             self.next_announcement += ANNOUNCEMENT_INTERVAL
             for report in self.make_reports():
-                dispatcher.handle(report, self.standby, self.now)
+                self.deliver_report(report, to_leader=False)
         dispatcher.handle(Tick(), self.standby, self.now)
 
     def handle(self, message: Any) -> None:
@@ -246,88 +210,102 @@
     def send_order(self, order: StartRun | StopRun, *, started: bool) -> None:
         """Execute an order at once, late or never; schedule its answer or time-out."""
         backend = self.backends[order.server]
+        if started:
+            self.started_at.add(order.server)
         fate = self.next_fate(backend)
         result = OrderResult.UNANSWERED
-        if fate in ("carried_out", "answer_lost"):
+        if fate.startswith("misdirected"):
+            result = OrderResult.OTHER_LIFE
+        elif fate in ("carried_out", "answer_lost", "handled_late"):
             done = self.execute_order(order, backend)
-            result = done if fate == "carried_out" else result
+            result = result if fate == "answer_lost" else done
         elif fate in DELAYS_BY_FATE:
-            born = backend.born
-            arrives_at = self.now + DELAYS_BY_FATE[fate]
-
-            def arrive() -> None:
-                if backend.born == born:
-                    self.execute_order(order, backend)
-
-            self.scheduled.append((arrives_at, arrive))
-        pause = 0.0 if result is not OrderResult.UNANSWERED else ORDER_TIMEOUT
+            self.execute_late(order, backend, self.now + DELAYS_BY_FATE[fate])
+        answered = result not in (OrderResult.UNANSWERED, OrderResult.OTHER_LIFE)
         answer = RunOrdered(
             server=order.server,
-            term=order.fence,
+            term=get_term(order.fence),
             job_id=order.task.job_id,
             task=order.number,
             run=order.run,
             result=result,
             started=started,
-            clock=None if pause else self.now - backend.clock_lag,
+            clock=backend.read_clock(self.now) if answered else None,
             sent_at=self.now,
+            target_born=order.target_born,
         )
-        self.scheduled.append((self.now + pause, lambda: self.handle(answer)))
+        pause = ORDER_TIMEOUT if result is OrderResult.UNANSWERED else 0.0
+        self.schedule_answer(answer, self.now + pause, fate)
+
+    def schedule_answer(self, answer: Any, arrives_at: Seconds, fate: str) -> None:
+        """Schedule the handling of an answer or of a time-out by the leader."""
+        if fate.endswith("handled_late"):
+            arrives_at += HANDLING_DELAY
+        self.scheduled.append((arrives_at, lambda: self.handle(answer)))
+
+    def execute_late(
+        self, order: Any, backend: SimulatedServer, arrives_at: Seconds
+    ) -> None:
+        """Execute an order later, perhaps by the next process of its server."""
+        born = backend.born
+
+        def arrive() -> None:
+            if not backend.is_up(self.now):
+                return
+            if isinstance(order, ReadRuns):
+                backend.list_runs(order, self.now)
+            elif backend.born == born or self.may_reach_next_process(order, backend):
+                self.execute_order(order, backend)
+
+        self.scheduled.append((arrives_at, arrive))
+
+    def may_reach_next_process(
+        self, order: StartRun | StopRun, backend: SimulatedServer
+    ) -> bool:
+        """Return whether a later process may carry out an order.
+
+        No leader can avoid that a process which it has not called yet begins a run that
+        an earlier process has ended, stopped or refused, or that an earlier leader has
+        ordered.
+        """
+        if isinstance(order, StopRun):
+            return True
+        is_current = get_term(order.fence) == self.term
+        return is_current and not backend.has_settled(order)
 
-    def next_fate(self, backend: Backend) -> str:
+    def next_fate(self, backend: SimulatedServer) -> str:
         if backend.cut:
             return "lost"
-        fates = self.fates
-        self.fates = fates[1:] + fates[:1]
-        return fates[0]
+        fate, *others = self.fates
+        self.fates = (*others, fate)
+        if backend.is_up(self.now):
+            return fate
+        late = "_handled_late" if fate.endswith("handled_late") else ""
+        return ("misdirected" if backend.address_reused else "failure") + late
 
     fates: tuple[str, ...] = ("carried_out",)
 
-    def execute_order(self, order: StartRun | StopRun, backend: Backend) -> OrderResult:
-        backend.advance(self.now)
-        if order.fence < backend.fence:
-            return OrderResult.FENCED
-        backend.fence = order.fence
-        known = backend.running.get(order.task)
-        if isinstance(order, StartRun):
-            backend.extend_lease(order.lease_until)
-        if isinstance(order, StopRun):
-            highest = backend.highest_runs.get(order.task, 0)
-            backend.highest_runs[order.task] = max(highest, order.run)
-            if known is not None and known[0] <= order.run:
-                backend.end(order.task, known[0], EndReason.STOPPED)
-            return OrderResult.DONE
-        return self.start_run(order, backend, known)
-
-    def start_run(
-        self, order: StartRun, backend: Backend, known: tuple[int, Any, Any] | None
+    def execute_order(
+        self, order: StartRun | StopRun, backend: SimulatedServer
     ) -> OrderResult:
-        if known is not None and known[0] == order.run:
-            return OrderResult.DONE
-        if order.run <= backend.highest_runs.get(order.task, 0):
-            return OrderResult.OLD_RUN
-        if order.lease_until <= self.now - backend.clock_lag:
-            return OrderResult.LATE
-        used = sum(self.get_millicores(task) for task in backend.running)
-        if used + self.get_millicores(order.task) > CAPACITY.millicores:
-            return OrderResult.NO_ROOM
-        self.check_start(order, backend)
-        backend.highest_runs[order.task] = order.run
-        backend.running[order.task] = (
-            order.run,
-            self.now + WORK_DURATION,
-            order.lease_until,
+        if isinstance(order, StopRun):
+            return backend.stop(order, self.now)
+        step = self.jobs[order.task.job_id].steps[order.task.step]
+        return backend.start(
+            order,
+            self.now,
+            step,
+            lambda: self.check_start(order, backend),
         )
-        return OrderResult.DONE
 
-    def get_millicores(self, task: TaskRef) -> int:
-        return self.jobs[task.job_id].steps[task.step].needs.millicores
-
-    def check_start(self, order: StartRun, backend: Backend) -> None:
+    def check_start(self, order: StartRun, backend: SimulatedServer) -> None:
         others = [b for b in self.backends.values() if order.task in b.running]
         assert not others, (order.task, backend.id, [b.id for b in others])
         if not self.best_effort:
-            assert order.task not in self.acknowledged, order.task
+            noted_by = [
+                b for b in self.backends.values() if order.task in b.acknowledged
+            ]
+            assert not noted_by, order.task
         step = self.jobs[order.task.job_id].steps[order.task.step]
         for position in step.depends_on:
             done = self.count_done(order.task.job_id, position)
@@ -344,46 +322,43 @@
     def _(self, effect: ReadRuns) -> None:
         backend = self.backends[effect.server]
         fate = self.next_fate(backend)
-        message: Any = ReadFailed(effect.server, effect.fence)
-        if fate in ("carried_out", "answer_lost"):
-            listed = self.list_runs(effect, backend)
-            message = listed if fate == "carried_out" else message
-        pause = effect.wait if isinstance(message, RunsRead) else ORDER_TIMEOUT
-        self.scheduled.append(
-            (self.now + max(pause, STEP), lambda: self.handle(message))
+        misdirected = fate.startswith("misdirected")
+        message: Any = ReadFailed(
+            effect.server,
+            get_term(effect.fence),
+            other_life=misdirected,
+            target_born=effect.target_born,
         )
-
-    def list_runs(self, order: ReadRuns, backend: Backend) -> RunsRead:
-        backend.advance(self.now)
-        if order.fence < backend.fence:
-            return RunsRead(order.server, order.fence, self.now, fenced=True)
-        backend.fence = order.fence
-        for end in backend.ends:
-            if end.number <= order.acknowledged and self.is_noted(backend, end):
-                self.acknowledged.add(end.task)
-        backend.ends = [e for e in backend.ends if e.number > order.acknowledged]
-        if order.lease_until is not None:
-            backend.extend_lease(order.lease_until)
-            backend.running = {
-                task: (run, ends_at, max(lease, order.lease_until))
-                for task, (run, ends_at, lease) in backend.running.items()
-            }
+        if fate in ("carried_out", "answer_lost", "handled_late"):
+            listed = self.list_runs(effect, backend)
+            message = message if fate == "answer_lost" else listed
+        elif fate in DELAYS_BY_FATE:
+            self.execute_late(effect, backend, self.now + DELAYS_BY_FATE[fate])
+        is_answer = isinstance(message, RunsRead)
+        pause = effect.wait if is_answer else 0.0 if misdirected else ORDER_TIMEOUT
+        self.schedule_answer(message, self.now + max(pause, STEP), fate)
+
+    def list_runs(self, order: ReadRuns, backend: SimulatedServer) -> RunsRead:
+        listed = backend.list_runs(order, self.now)
+        if listed is None:
+            return RunsRead(
+                order.server,
+                get_term(order.fence),
+                self.now,
+                fenced=True,
+                target_born=order.target_born,
+            )
         return RunsRead(
             server=order.server,
-            term=order.fence,
+            term=get_term(order.fence),
             sent_at=self.now,
-            clock=self.now - backend.clock_lag,
-            born=backend.born,
-            running=tuple(
-                ListedRun(task, run) for task, (run, _, _) in backend.running.items()
-            ),
-            ended=tuple(backend.ends),
+            target_born=order.target_born,
+            clock=listed.clock,
+            born=listed.born,
+            running=listed.running,
+            ended=listed.ended,
         )
 
-    def is_noted(self, backend: Backend, end: ListedEnd) -> bool:
-        """Return whether an acknowledgement of an end forbids another start."""
-        return end.reason is EndReason.DONE and end.number not in backend.lapsed_ends
-
     def run_for(self, seconds: Seconds) -> None:
         """Advance the clock: answers arrive, leases lapse, commands are committed."""
         end = self.now + seconds
@@ -418,10 +393,14 @@
     def pass_time(self, seconds: float) -> None:
         self.run_for(seconds)
 
-    @rule(width=st.integers(1, 4), chained=st.booleans())
-    def submit(self, width: int, chained: bool) -> None:
-        first = Step(width, NEEDS, WORK_DURATION)
-        steps = (first, Step(1, NEEDS, WORK_DURATION, depends_on=(0,)))
+    @rule(
+        width=st.integers(1, 4),
+        chained=st.booleans(),
+        work=st.sampled_from([WORK_DURATION, LONG_WORK_DURATION]),
+    )
+    def submit(self, width: int, chained: bool, work: Seconds = WORK_DURATION) -> None:
+        first = Step(width, NEEDS, work)
+        steps = (first, Step(1, NEEDS, work, depends_on=(0,)))
         job = make_durable_job(
             f"j{len(self.jobs)}",
             *(steps if chained else (first,)),
@@ -444,15 +423,7 @@
         self.cancelled.add(job_id)
         self.handle(CancelDurableJob(id=job_id, reply_to=ReplyTo("e1", -1)))
 
-    @rule(
-        fates=st.lists(
-            st.sampled_from(
-                ["carried_out"] * 3 + ["answer_lost", "lost", *DELAYS_BY_FATE]
-            ),
-            min_size=1,
-            max_size=6,
-        )
-    )
+    @rule(fates=st.lists(st.sampled_from(FATES), min_size=1, max_size=6))
     def disturb(self, fates: list[str]) -> None:
         """Set the fates of the next orders and of the next requests for the runs."""
         self.fates = tuple(fates)
@@ -469,12 +440,60 @@
     def hang(self, number: int, hangs: bool) -> None:
         self.backends[SERVERS[number]].hangs = hangs
 
-    @rule(number=st.integers(0, 2), heard=st.booleans())
-    def crash(self, number: int, heard: bool) -> None:
-        self.backends[SERVERS[number]].restart()
+    @rule(
+        number=st.integers(0, 2),
+        heard=st.booleans(),
+        downtime=st.sampled_from([0.0, 0.0, 0.3, 1.5, 4.0]),
+        slow_clock=st.booleans(),
+        address_reused=st.booleans(),
+    )
+    def crash(
+        self,
+        number: int,
+        heard: bool,
+        downtime: Seconds = 0.0,
+        slow_clock: bool = False,
+        address_reused: bool = False,
+    ) -> None:
+        self.backends[SERVERS[number]].restart(
+            self.now, downtime, slow_clock=slow_clock, address_reused=address_reused
+        )
         if heard:
             self.announce()
 
+    @rule(
+        fates=st.lists(st.sampled_from(START_FATES), min_size=1, max_size=4),
+        width=st.integers(1, 4),
+        work=st.sampled_from([WORK_DURATION, LONG_WORK_DURATION]),
+        number=st.integers(0, 2),
+        downtime=st.sampled_from([0.0, 0.3, 1.5]),
+        seconds=st.sampled_from([0.0, 0.1, 0.3]),
+    )
+    def crash_during_starts(
+        self,
+        fates: list[str],
+        width: int,
+        work: Seconds,
+        number: int,
+        downtime: Seconds,
+        seconds: Seconds,
+    ) -> None:
+        """Crash a backend server that was sent a start shortly before."""
+        self.fates = tuple(fates)
+        self.started_at.clear()
+        self.submit(width, False, work)
+        self.run_for(seconds)
+        candidates = sorted(self.started_at) or SERVERS
+        server = self.backends[candidates[number % len(candidates)]]
+        server.restart(self.now, downtime)
+
+    @rule(
+        delays=st.lists(st.sampled_from([0.0, 0.3, 1.0]), min_size=1, max_size=4),
+    )
+    def delay_announcements(self, delays: list[Seconds]) -> None:
+        """Set the delays of the next announcements, which may overtake each other."""
+        self.announcement_delays = tuple(delays)
+
     @rule()
     def heartbeat(self) -> None:
         self.announce()
@@ -486,8 +505,9 @@
             self.handle(LeadershipLost())
         else:
             self.state, self.standby = self.standby, self.make_state(age=0.0)
+        stopped_at = self.now
         self.now += seconds
-        self.start_leader()
+        self.start_leader(predecessor_until=stopped_at)
         for job in list(self.jobs.values()):
             if job.id not in self.cancelled and self.best_effort:
                 self.send_submission(job)
@@ -512,8 +532,10 @@
     def teardown(self) -> None:
         """Repair all faults; accepted jobs that were not cancelled must be finished."""
         self.fates = ("carried_out",)
+        self.announcement_delays = (0.0,)
         for backend in self.backends.values():
             backend.cut = backend.hangs = False
+            backend.start_process(self.now)
         repaired_at = self.now
         self.run_with_announcements(SETTLING_DURATION + self.compute_work_duration())
         if not self.best_effort:
@@ -527,12 +549,21 @@
         A list shows the runs at its request and arrives up to `READ_MAX_WAIT` later. An
         end that is too late for one list is therefore known after twice that time.
         """
-        tasks = sum(
-            job.task_count - self.count_done_tasks(job_id)
+        tasks_left_by_job = {
+            job_id: job.task_count - self.count_done_tasks(job_id)
             for job_id, job in self.jobs.items()
             if job_id not in self.cancelled
+        }
+        longest = max(
+            (
+                self.jobs[job_id].steps[0].estimate
+                for job_id, left in tasks_left_by_job.items()
+                if left
+            ),
+            default=WORK_DURATION,
         )
-        return math.ceil(tasks / SLOTS) * (WORK_DURATION + 2 * READ_MAX_WAIT)
+        rounds = math.ceil(sum(tasks_left_by_job.values()) / SLOTS)
+        return rounds * (longest + 2 * READ_MAX_WAIT)
 
     def count_done_tasks(self, job_id: str) -> int:
         record = self.catalogue.jobs_by_id.get(job_id)
