--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -13,6 +13,7 @@
     ServerReport,
     TaskRef,
 )
+from boragetide.policy.fencing import make_fence
 from boragetide.policy.job_queue import JobQueue
 from boragetide.policy.overload import AdmissionControl
 from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
@@ -28,9 +29,13 @@
     Seconds,
 )
 
-# A lease is renewed about three times before it expires. The platform shortens leases
-# of more than 1 s.
+# A lease is renewed about three times before it expires.
 LEASE_DURATION: Seconds = 0.8
+# A backend server shortens longer leases, for example those that were granted by the
+# clock of an earlier process.
+MAX_LEASE_DURATION: Seconds = 1.0
+# An order without an answer may be carried out this much later.
+MAX_ORDER_DELAY: Seconds = 3.0
 MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
 MAX_SERVER_CLOCK_DRIFT = 1.0 - MIN_CLOCK_RATE + MAX_CLOCK_DRIFT
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
@@ -68,6 +73,9 @@
         have arrived.
     start_repeated
         Whether the start was ordered twice, because the first order was not answered.
+    start_unanswered_at
+        Time at which the last start was ordered, if one is not answered. It may begin
+        the run at the next process of the backend server.
     server_born
         Start of the backend server's process that was known when the run was ordered or
         first listed, in Unix milliseconds.
@@ -83,6 +91,7 @@
     order_answered_at: Seconds | None = None
     next_stop_at: Seconds | None = None
     start_repeated: bool = False
+    start_unanswered_at: Seconds | None = None
     estimate: Seconds = 0.0
     server_born: int = 0
 
@@ -110,9 +119,13 @@
     clock
         Lower bound of the backend server's clock. A lease that is granted by it ends no
         later than one that is granted by the clock itself.
+    process
+        Number of the process among those that this leader has come to know.
     read_term
-        Term in which the backend server last listed its runs. Nothing is started there
-        before it has done so in the current term.
+        Term in which the process last listed its runs for a request with its own
+        fencing token. Nothing is started there before it has done so in the current
+        term. From then on it carries out no order that an earlier leader gave or that
+        was meant for an earlier process.
     reading
         Whether a `ReadRuns` is in progress.
     next_read_at
@@ -120,8 +133,11 @@
     unanswered
         Number of consecutive `ReadRuns` requests that were not answered.
     leases_expired_at
-        Time on this instance's clock at which the last granted lease has certainly
-        expired.
+        Time on this instance's clock at which the last lease that was granted by the
+        clock of the known process has certainly expired.
+    unknown_leases_expired_at
+        The same for the leases that another leader granted, or that were granted by the
+        clock of an earlier process.
     runs_by_task
         Runs that occupy their tasks. Those that have not ended use capacity.
     listed, acknowledged
@@ -161,11 +177,13 @@
     report: ServerReport
     last_contact_at: Seconds
     clock: PeerClock = field(default_factory=make_server_clock)
+    process: int = 0
     read_term: int = 0
     reading: bool = False
     next_read_at: Seconds = 0.0
     unanswered: int = 0
     leases_expired_at: Seconds = 0.0
+    unknown_leases_expired_at: Seconds = 0.0
     runs_by_task: dict[tuple[JobId, int], Run] = field(default_factory=dict)
     listed: int = 0
     acknowledged: int = 0
@@ -198,11 +216,24 @@
             Latest time, on the clock of this instance, at which the backend server
             can have answered. The answer may have arrived or been handled later.
         """
+        if self.clock.shows_restart(clock, now, sent_at):
+            self.bound_unknown_leases(now)
+            self.read_term = 0
         self.clock.record_reading(clock, now, sent_at)
         answered_at = min(now, max(sent_at, clock - self.clock.find_offset(now)))
         self.last_contact_at = max(self.last_contact_at, answered_at)
         return answered_at
 
+    def bound_unknown_leases(self, now: Seconds) -> None:
+        """Bound the leases that another leader or for another process were granted.
+
+        The process has just shown that it holds no other leases than these.
+        """
+        self.unknown_leases_expired_at = max(
+            self.unknown_leases_expired_at,
+            now + MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN,
+        )
+
     def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
         self.read_term = 0
@@ -212,6 +243,10 @@
         self.uncommitted_ends.clear()
         self.unexpected_runs.clear()
 
+    def is_target(self, target_born: int) -> bool:
+        """Return whether a call was meant for this process, as far as is known."""
+        return target_born in (0, self.report.born)
+
     @property
     def announced(self) -> bool:
         """Whether the process has announced itself.
@@ -319,6 +354,8 @@
         Registration that is not committed yet, if any.
     next_command
         Number of the next command.
+    process_count
+        Number of processes of backend servers that joined in this term.
     next_review
         Time of the next review of ended jobs and silent backend servers.
     """
@@ -355,6 +392,7 @@
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
     pending_registration: PendingRegistration | None = None
     next_command: int = 1
+    process_count: int = 0
     next_review: Seconds = 0.0
 
     def remove_job(self, job_id: JobId) -> None:
@@ -419,6 +457,11 @@
     )
 
 
+def get_fence(state: DispatcherState, server: Server) -> int:
+    """Return the fencing token of the orders to the known process of a server."""
+    return make_fence(state.term, server.process)
+
+
 def assign_run_number(state: DispatcherState, key: tuple[JobId, int]) -> int:
     """Return the number of the next run of a task, higher than all earlier ones."""
     first = (state.term - 1) * RUNS_PER_TERM + 1
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from boragetide.controllers.dispatch_state import (
+    LEASE_DURATION,
+    MAX_LEASE_DURATION,
+    MAX_ORDER_DELAY,
+    MIN_CLOCK_RATE,
     DispatcherState,
     Run,
     RunPhase,
     Server,
+    get_fence,
     has_authority,
     update_server_index,
 )
@@ -29,6 +34,11 @@
 # backend server whose learned speed is right.
 OVERDUE_FACTOR = 3.0
 OVERDUE_MARGIN: Seconds = 0.3
+# Time from the end of a lease until it has expired at a process that carries the order
+# out late, by the clock of an earlier one.
+LATE_ORDER_WAIT: Seconds = (
+    MAX_ORDER_DELAY + (MAX_LEASE_DURATION - LEASE_DURATION) / MIN_CLOCK_RATE
+)
 # A backend server with an overdue run gets no new runs for this long.
 OVERDUE_COOLDOWN: Seconds = 2.0
 
@@ -40,17 +50,22 @@
     server = state.servers_by_id.get(message.server)
     if server is None or message.term != state.term:
         return []
-    if message.result is OrderResult.FENCED:
+    is_current = server.is_target(message.target_born)
+    if message.result is OrderResult.FENCED and is_current:
         return [lose_authority(state, server.report.id)]
     run = server.runs_by_task.get((message.job_id, message.task))
     if run is None or run.number != message.run:
         return []
     answered_at = now
-    if message.clock is not None and _was_ordered_in_this_life(server, run):
+    if message.clock is not None and is_current:
         answered_at = server.record_answer(message.clock, message.sent_at, now)
+    if message.result is OrderResult.OTHER_LIFE and is_current:
+        server.departed = True
     if message.started:
+        if message.result is not OrderResult.UNANSWERED and not run.start_repeated:
+            run.start_unanswered_at = None
         return _apply_start_result(state, server, run, message.result, answered_at, now)
-    return _apply_stop_result(state, server, run, message.result, now)
+    return _apply_stop_result(run, message.result, now)
 
 
 def _was_ordered_in_this_life(server: Server, run: Run) -> bool:
@@ -92,8 +107,6 @@
         return [log, *stop_run(state, server, run, result.value)]
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.cooldown_until = now + REFUSAL_COOLDOWN
-    if result is OrderResult.OTHER_LIFE and _was_ordered_in_this_life(server, run):
-        server.departed = True
     return [log, *free_run(state, server, run, result.value)]
 
 
@@ -108,19 +121,11 @@
     return [make_start(state, server, record.job, run, now)]
 
 
-def _apply_stop_result(
-    state: DispatcherState,
-    server: Server,
-    run: Run,
-    result: OrderResult,
-    now: Seconds,
-) -> list[Effect]:
+def _apply_stop_result(run: Run, result: OrderResult, now: Seconds) -> list[Effect]:
     if result in (OrderResult.DONE, OrderResult.OLD_RUN):
         # The run stays in the list until its end is listed. If its start has not
         # arrived yet, the run will never begin.
         run.order_answered_at = now
-    elif result is OrderResult.OTHER_LIFE:
-        server.departed = True
     else:
         run.next_stop_at = now + STOP_RETRY_DELAY
     return []
@@ -168,7 +173,15 @@
 ) -> StopRun:
     """Return the order that stops a run of a task."""
     report = server.report
-    return StopRun(report.id, report.address, task, number, run, state.term)
+    return StopRun(
+        server=report.id,
+        address=report.address,
+        task=task,
+        number=number,
+        run=run,
+        fence=get_fence(state, server),
+        target_born=report.born,
+    )
 
 
 def record_failed_read(
@@ -182,6 +195,8 @@
     if server is None or message.term != state.term:
         return []
     server.reading = False
+    if not server.is_target(message.target_born):
+        return []
     server.acknowledged_sent = 0
     if message.other_life:
         server.departed = True
@@ -235,11 +250,32 @@
         if not (server.silent or server.departed) or now < server.leases_expired_at:
             continue
         for run in list(server.runs_by_task.values()):
-            if run.phase is not RunPhase.ENDED:
+            if run.phase is not RunPhase.ENDED and _has_lapsed(state, server, run, now):
                 effects += free_run(state, server, run, "lease_lapsed")
     return effects
 
 
+def _has_lapsed(state: DispatcherState, server: Server, run: Run, now: Seconds) -> bool:
+    """Return whether the lease of a run that is not listed has certainly expired.
+
+    Any call without an answer may be carried out late. That changes nothing at the
+    process that it was meant for, whose clock has passed the end of the lease, but the
+    next one may begin the run by it, or hold its lease for longer.
+    """
+    expired_at = server.leases_expired_at
+    if server.read_term != state.term or _may_begin_late(server, run):
+        expired_at += LATE_ORDER_WAIT
+    return now >= max(expired_at, server.unknown_leases_expired_at)
+
+
+def _may_begin_late(server: Server, run: Run) -> bool:
+    """Return whether the next process of a server may begin a run."""
+    ordered_at = run.start_unanswered_at
+    return ordered_at is not None and (
+        server.runs_listed_at < ordered_at + MAX_ORDER_DELAY
+    )
+
+
 def free_run(
     state: DispatcherState, server: Server, run: Run, reason: str
 ) -> list[Effect]:
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -14,6 +14,7 @@
     Server,
     add_run,
     assign_run_number,
+    get_fence,
     has_authority,
     is_registered,
 )
@@ -256,6 +257,7 @@
     state: DispatcherState, server: Server, job: DurableJob, run: Run, now: Seconds
 ) -> StartRun:
     """Return the order that starts a run; repeating it does not start a second run."""
+    run.start_unanswered_at = now
     return StartRun(
         server=server.report.id,
         address=server.report.address,
@@ -263,8 +265,9 @@
         number=run.task,
         run=run.number,
         spec=job.spec,
-        fence=state.term,
+        fence=get_fence(state, server),
         lease_until=extend_lease(server, now),
+        target_born=server.report.born,
     )
 
 
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -74,7 +74,10 @@
     report = replace(
         previous.report, born=born, sequence=UNANNOUNCED_SEQUENCE, clock=None
     )
-    return _add_server(state, report, previous, now)
+    effects = _add_server(state, report, previous, now)
+    # It may have carried out orders by the clock of the earlier process.
+    state.servers_by_id[report.id].bound_unknown_leases(now)
+    return effects
 
 
 def _add_server(
@@ -86,10 +89,12 @@
     carried out an order before its first announcement arrived. Its first list of runs
     shows which ones, and the others are freed.
     """
-    server = Server(report, now, announced_at=now)
+    state.process_count += 1
+    server = Server(report, now, announced_at=now, process=state.process_count)
     if previous is not None:
         server.runs_by_task = dict(previous.runs_by_task)
         server.leases_expired_at = previous.leases_expired_at
+        server.unknown_leases_expired_at = previous.unknown_leases_expired_at
         # The previous process has yet to answer its read, or the read to fail.
         server.reading = previous.reading
     _record_clock(server, now)
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -32,6 +32,7 @@
     RunsRead,
 )
 from boragetide.policy.catalogue import apply_job_command
+from boragetide.policy.fencing import get_term
 from boragetide.settings import Settings
 from boragetide.types import DurableStarts, ReplyTo
 
@@ -180,7 +181,7 @@
         return self.handle(
             RunOrdered(
                 server=order.server,
-                term=order.fence,
+                term=get_term(order.fence),
                 job_id=order.task.job_id,
                 task=order.number,
                 run=order.run,
@@ -188,6 +189,7 @@
                 started=isinstance(order, StartRun),
                 clock=SERVER_CLOCK + now - BEGIN,
                 sent_at=now,
+                target_born=order.target_born,
             ),
             now,
         )
--- a/boragetide/tests/test_registrations.py
+++ b/boragetide/tests/test_registrations.py
@@ -301,6 +301,8 @@
     predecessor: Leader,
 ) -> None:
     """Guards against runs at a server whose removal from the log is committed later."""
+    for start in predecessor.starts():
+        predecessor.answer(start)
     predecessor.handle(RemoveServer(id="s1"))
     predecessor.log_is_held_up = True
     now = BEGIN + 3.0
