Wait for the longest lease at a takeover

Cause: a takeover without the list of every server ended 0.8 / 0.98 + 0.2 = 1.02 s after the predecessor's last order. At a process that the predecessor did not know, the order's lease is by another clock and lasts for 1.0 / 0.98 = 1.02 s from its arrival.

Evidence: test_takeover_waits_for_the_longest_lease before: assert leader.starts() == [] AssertionError: assert [StartRun(server='s2', ... run=1001, ...)] == []

Change: the wait counts the platform's longest lease, 1.22 s. Only takeovers with a server that does not answer, or of a young process, last longer, by 0.2 s.

--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -8,6 +8,7 @@
 from boragetide.controllers.dispatch_state import (
     LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
+    MAX_LEASE_DURATION,
     MIN_CLOCK_RATE,
     DispatcherState,
     Run,
@@ -33,8 +34,11 @@
 ANNOUNCEMENT_TIMEOUT: Seconds = 5.0
 # All backend servers have announced themselves to a process of this age.
 DISCOVERY_PERIOD: Seconds = 3.5
-# Leases that an earlier leader granted have expired this long after its last order.
-LEASE_EXPIRY_WAIT: Seconds = LEASE_DURATION / MIN_CLOCK_RATE + 2 * LEASE_EXPIRY_MARGIN
+# Leases that an earlier leader granted have expired this long after its last order,
+# also at a process whose clock it did not know.
+LEASE_EXPIRY_WAIT: Seconds = (
+    MAX_LEASE_DURATION / MIN_CLOCK_RATE + 2 * LEASE_EXPIRY_MARGIN
+)
 
 
 def update_queue(state: DispatcherState, job_id: JobId) -> None:
--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -5,6 +5,7 @@
 import pytest
 
 from boragetide.controllers.dispatch_state import (
+    LEASE_EXPIRY_MARGIN,
     MAX_LEASE_DURATION,
     MIN_CLOCK_RATE,
     Server,
@@ -14,6 +15,7 @@
 from boragetide.messages import (
     OrderResult,
     ReadFailed,
+    ReportServer,
     RunOrdered,
     SubmitDurableJob,
     Tick,
@@ -22,9 +24,11 @@
 from boragetide.tests.durable_fixtures import (
     BEGIN,
     BORN,
+    PREDECESSOR_AUTHORITY,
     Leader,
     list_run,
     make_durable_job,
+    make_report,
 )
 from boragetide.types import ReplyTo
 
@@ -127,3 +131,24 @@
     leader.handle(failed, listed_at + 0.01)
     lapsed_at = listed_at + MAX_LEASE_DURATION / MIN_CLOCK_RATE
     assert start_again(leader, lapsed_at) == []
+
+
+def test_takeover_waits_for_the_longest_lease(settings: Settings) -> None:
+    """Guards against a second run at a change of the leader after a restart.
+
+    The predecessor's last start arrived at a process that it did not know.
+    """
+    leader = Leader(settings, term=2)
+    for server_id in ("s1", "s2"):
+        report = make_report(server_id)
+        leader.handle(ReportServer(report=report, passed_on=True))
+    leader.lead()
+    leader.list_runs("s2")
+    job = make_durable_job(best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", 7)))
+    arrived_at = BEGIN + PREDECESSOR_AUTHORITY + LEASE_EXPIRY_MARGIN
+    lapsed_at = arrived_at + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    leader.list_runs("s2", now=lapsed_at - 0.001)
+    assert leader.starts() == []
+    leader.list_runs("s2", now=lapsed_at + LEASE_EXPIRY_MARGIN + 0.001)
+    assert len(leader.starts()) == 2
