--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -1,4 +1,4 @@
-"""No request body makes a daemon fail: every response is a 200 or an expected 4xx."""
+"""No entry makes a daemon fail: each one is used, refused or skipped by itself."""
 
 from __future__ import annotations
 
@@ -7,10 +7,15 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
-from boragetide.tests.conftest import System, call
+from boragetide.effects import Reply, Send
+from boragetide.links.codec import Envelope, decode_body, encode_body
+from boragetide.messages import MembersChanged, ReportServer, Tick
+from boragetide.tests.conftest import System, call, make_settings
+from boragetide.tests.durable_fixtures import BEGIN, Leader
+from boragetide_platform.wire import HeartbeatBody, WireError, decode, to_server_report
 
 ALLOWED = frozenset({200, 400, 404, 409, 413})
 
@@ -59,6 +64,99 @@
 )
 
 
+GOOD_HEARTBEAT = {
+    "service": "pool",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "state": "ready",
+    "capacity": {"cpu": 64_000, "mem_mb": 32_768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482_113,
+    "seq": 4,
+    "born": 1_796_383_723_336,
+}
+extremes = st.sampled_from(
+    [-1, 0, 2**53 + 1, 2**63, 2**64, -(2**63) - 1, 10**30, -1e-9, 1e300, "9" * 5000]
+)
+odd_values = st.booleans().flatmap(lambda odd: extremes if odd else json_values)
+
+
+@st.composite
+def nearly_valid(draw: st.DrawFn, good: dict[str, Any]) -> dict[str, Any]:
+    """Draw a body of which one or two fields are changed, missing or unknown."""
+    body = dict(good)
+    names = st.sampled_from([*good, "unknown"])
+    for name in draw(st.lists(names, min_size=1, max_size=2)):
+        if isinstance(good.get(name), dict) and draw(st.booleans()):
+            body[name] = draw(nearly_valid(good[name]))
+        elif draw(st.integers(0, 9)) or name not in body:
+            body[name] = draw(odd_values)
+        else:
+            del body[name]
+    return body
+
+
+def encode_deeply_nested(name: str, good: dict[str, Any]) -> bytes:
+    """Encode a body of which one field is nested too deeply for any decoder."""
+    text = json.dumps({**good, name: None})
+    return text.replace("null", "[" * 100_000 + "]" * 100_000).encode()
+
+
+def deeply_nested(good: dict[str, Any]) -> st.SearchStrategy[bytes]:
+    """Draw a field of a body that is nested too deeply for any decoder."""
+    names = st.sampled_from([*good, "unknown"])
+    return names.map(lambda name: encode_deeply_nested(name, good))
+
+
+def check_messages_can_be_sent(leader: Leader) -> None:
+    """Check that another member reads what the last message caused to be sent."""
+    for effect in leader.effects:
+        if isinstance(effect, Send | Reply):
+            kind = type(effect.message).__name__
+            body = encode_body(effect.message)
+            envelope = Envelope("a1", 1, "dispatcher", 0, kind, body)
+            assert decode_body(envelope) == effect.message
+
+
+def make_leader() -> Leader:
+    """Build a dispatcher that leads three members."""
+    leader = Leader(make_settings("a1", {"a1": "a", "a2": "a", "a3": "a"}))
+    leader.handle(MembersChanged(("a1", "a2", "a3")))
+    leader.lead()
+    return leader
+
+
+def announce(leader: Leader, server_id: str, body: bytes) -> bool:
+    """Deliver an announcement to a leader; return whether it was accepted."""
+    try:
+        report = to_server_report(decode(body, HeartbeatBody), server_id)
+    except WireError:
+        return False
+    leader.handle(ReportServer(report=report))
+    check_messages_can_be_sent(leader)
+    return True
+
+
+@example(body=json.dumps({**GOOD_HEARTBEAT, "born": 2**70}).encode(), server_id="i1")
+@given(
+    body=nearly_valid(GOOD_HEARTBEAT).map(lambda v: json.dumps(v).encode())
+    | deeply_nested(GOOD_HEARTBEAT)
+    | st.binary(max_size=100),
+    server_id=st.just("i1") | st.text(max_size=300),
+)
+def test_odd_announcement_costs_only_itself(body: bytes, server_id: str) -> None:
+    """Guards against an entry of a worker that ends each process that passes it on."""
+    leader = make_leader()
+    announce(leader, server_id, body)
+    assert announce(leader, "good", json.dumps(GOOD_HEARTBEAT).encode())
+    assert "good" in leader.state.servers_by_id
+    leader.list_runs("good", born=GOOD_HEARTBEAT["born"])
+    for later in (1.0, 3.0, 4.5, 40.0):
+        leader.handle(Tick(), BEGIN + later)
+        check_messages_can_be_sent(leader)
+
+
 @pytest.fixture(scope="module")
 def installation(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
     """Start two daemons, so that bodies also pass the codec between instances."""
