Skip a row of a list of runs that cannot be read

The number of an end that is text, or a run number that is a list, reached the dispatcher, which raised TypeError: the process ends, and so does each next leader that reads the list. An index of 5,000 digits raised ValueError in the client, which promises never to raise: the read never ended, and the runs of that backend server were not read again. A number of 2^70 was acknowledged, so that later ends were ignored. One short row hid all others: the backend server stayed silent for good.

Cause: the rows were not validated (platform), or together with the whole list (own interface).

Change: links/run_lists.py validates each row by itself, for both interfaces, and clients log a skipped row once. What keeps the rest working: - A task that is listed under a run number that cannot be used still occupies its task, as the row may be a damaged one of ours. - No end behind one whose number cannot be read is acknowledged, as it would be lost; the others count all the same.

Conclusion: an odd row costs that row, and in the worst case the backend server that lists it.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -132,6 +132,11 @@
         acknowledgement may not have arrived.
     uncommitted_ends
         Numbers of the ends that were listed and are not committed yet.
+    acknowledge_until
+        Number of the last end before one whose number cannot be read, which would be
+        lost if a later one were acknowledged; ``None`` if there is no such end.
+    held_ends
+        Number of ends in the last list that wait behind such an end.
     unexpected_runs
         Runs of jobs that are not known here, and runs that are being stopped as
         unwanted, with the time at which they were first listed. The resources of
@@ -171,6 +176,8 @@
     acknowledged: int = 0
     acknowledged_sent: int = 0
     uncommitted_ends: set[int] = field(default_factory=set)
+    acknowledge_until: int | None = None
+    held_ends: int = 0
     unexpected_runs: dict[ListedRun, Seconds] = field(default_factory=dict)
     consecutive_failures: int = 0
     cooldown_until: Seconds = 0.0
@@ -210,6 +217,7 @@
         self.runs_by_task.clear()
         self.listed = self.acknowledged = self.acknowledged_sent = 0
         self.uncommitted_ends.clear()
+        self.acknowledge_until, self.held_ends = None, 0
         self.unexpected_runs.clear()
 
     @property
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -27,6 +27,9 @@
 )
 from boragetide.types import JobId, PoolName, Seconds
 
+# A backend server lists up to 500 ends. One that holds more than this number of them
+# gets no new runs, so that the ends of all its runs are still listed.
+MAX_HELD_ENDS = 250
 # Backend servers announce themselves every 1.5 s. One that missed three announcements
 # gets no new runs.
 ANNOUNCEMENT_TIMEOUT: Seconds = 5.0
@@ -137,6 +140,7 @@
         and server.announced
         and not (server.report.draining or server.departed or server.silent)
         and not server.unexpected_runs
+        and server.held_ends <= MAX_HELD_ENDS
         and now >= server.cooldown_until
         and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
     )
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -177,7 +177,10 @@
 
 
 def _advance_acknowledged(server: Server) -> None:
-    server.acknowledged = min(server.uncommitted_ends, default=server.listed + 1) - 1
+    last = min(server.uncommitted_ends, default=server.listed + 1) - 1
+    if server.acknowledge_until is not None:
+        last = min(last, server.acknowledge_until)
+    server.acknowledged = max(server.acknowledged, last)
 
 
 def acknowledge_ends(state: DispatcherState, ends: PendingEnds) -> None:
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -77,6 +77,8 @@
     holds_runs = has_runs or bool(server.unexpected_runs)
     renews = server.clock.offset is not None and holds_runs and server.unanswered <= 1
     waits = has_runs and not (is_first or server.uncommitted_ends or server.silent)
+    # Ends that are not acknowledged are listed at once, each time.
+    waits = waits and server.acknowledge_until is None
     return [
         ReadRuns(
             server=server.report.id,
@@ -127,6 +129,7 @@
         server.read_term = state.term
         fields = {"server": message.server, "term": state.term}
         effects.append(LogEvent("backend_server_read", fields))
+    _note_unreadable_ends(server, message, now)
     effects += apply_ends(state, server, message.ended, may_learn, listed_at, now)
     for listed in message.running:
         effects += _reconcile_run(state, server, listed, message.sent_at, now)
@@ -135,6 +138,16 @@
     return effects
 
 
+def _note_unreadable_ends(server: Server, message: RunsRead, now: Seconds) -> None:
+    """Acknowledge no end behind one that cannot be read, and read less often."""
+    until = message.acknowledge_until
+    server.acknowledge_until = until
+    server.held_ends = 0
+    if until is not None:
+        server.held_ends = sum(end.number > until for end in message.ended)
+        server.next_read_at = now + READ_MAX_WAIT
+
+
 def _reconcile_run(
     state: DispatcherState,
     server: Server,
@@ -240,7 +253,7 @@
             continue
         record = state.records_by_id.get(run.job_id)
         task = None if record is None else get_task_ref(record.job, run.task)
-        if (task, run.number) in listed:
+        if (task, run.number) in listed or task in message.unreadable:
             continue
         effects += free_run(state, server, run, "not_listed")
     return effects
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -8,13 +8,24 @@
 
 from collections.abc import Awaitable, Callable
 from functools import singledispatch
-from typing import Any
+from typing import Annotated, Any, TypeAlias
 
 import msgspec
+from msgspec import Meta
 
 from boragetide.daemon.clock import read_clock
-from boragetide.durable import EndReason, ListedEnd, ListedRun, TaskRef
+from boragetide.daemon.repeated_logs import FaultLog
+from boragetide.durable import EndReason, TaskRef
 from boragetide.effects import ReadRuns, StartRun, StopRun
+from boragetide.limits import (
+    ID_PATTERN,
+    MAX_CLOCK,
+    MAX_END_NUMBER,
+    MAX_RUN_NUMBER,
+    MAX_STEPS,
+    MAX_TASKS,
+    MAX_TIMESTAMP_MS,
+)
 from boragetide.links.order_call import (
     ORDER_TIMEOUT,
     READ_MARGIN,
@@ -23,69 +34,86 @@
     make_order_client,
 )
 from boragetide.links.order_client import OrderClient
+from boragetide.links.run_lists import RowTypes, read_run_lists
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
 from boragetide.types import Seconds
 
 # Status of the response if another backend server answers at the address.
 HTTP_MISDIRECTED_REQUEST = 421
 
+_Clock: TypeAlias = Annotated[Seconds, Meta(ge=0, le=MAX_CLOCK)]
+
 
 class _OrderAnswer(msgspec.Struct):
     """Answer to a start or stop; ``result`` is absent if the order was executed."""
 
-    clock: Seconds
+    clock: _Clock
     result: OrderResult = OrderResult.DONE
 
 
-class _Run(msgspec.Struct):
-    job: str
-    step: int
-    index: int
-    run: int
+class _Task(msgspec.Struct):
+    job: Annotated[str, Meta(pattern=rf"^{ID_PATTERN}\Z")]
+    step: Annotated[int, Meta(ge=0, lt=MAX_STEPS)]
+    index: Annotated[int, Meta(ge=0, lt=MAX_TASKS)]
 
     def to_task_ref(self) -> TaskRef:
         """Return the reference of the run's task."""
         return TaskRef(self.job, self.step, self.index)
 
 
+class _Run(_Task):
+    run: Annotated[int, Meta(ge=1, le=MAX_RUN_NUMBER)]
+
+
+class _Number(msgspec.Struct):
+    number: Annotated[int, Meta(ge=1, le=MAX_END_NUMBER)]
+
+
 class _End(_Run):
-    number: int
+    number: Annotated[int, Meta(ge=1, le=MAX_END_NUMBER)]
     reason: EndReason
 
+    def to_reason(self) -> EndReason:
+        """Return how the run ended."""
+        return self.reason
+
+
+_ROW_TYPES = RowTypes(_Run, _Task, _End, _Number)
+
 
 class _Runs(msgspec.Struct):
-    """Answer to a request for the list of runs."""
+    """Answer to a request for the list of runs; each row is validated on its own."""
 
-    clock: Seconds
-    born: int
-    running: list[_Run]
-    ended: list[_End]
+    clock: _Clock
+    born: Annotated[int, Meta(ge=0, le=MAX_TIMESTAMP_MS)]
+    running: list[Any]
+    ended: list[Any]
 
 
 def make_run_client() -> Callable[[Any], Awaitable[Any]]:
     """Make the client that sends orders over persistent connections."""
-    client = make_order_client()
+    client, faults = make_order_client(), FaultLog()
 
     def send(order: StartRun | StopRun | ReadRuns) -> Awaitable[Any]:
-        return send_order(order, client)
+        return send_order(order, client, faults)
 
     return send
 
 
 @singledispatch
-async def send_order(order: Any, client: OrderClient) -> Any:
+async def send_order(order: Any, client: OrderClient, faults: FaultLog) -> Any:
     """Send one order and convert the answer to a message for the controller."""
     raise TypeError(f"no order {order!r}")
 
 
 @send_order.register
-async def _(order: StartRun, client: OrderClient) -> RunOrdered:
+async def _(order: StartRun, client: OrderClient, faults: FaultLog) -> RunOrdered:
     body = {"spec": order.spec, "lease_until": order.lease_until}
     return await _send_run_order(order, client, "start", body)
 
 
 @send_order.register
-async def _(order: StopRun, client: OrderClient) -> RunOrdered:
+async def _(order: StopRun, client: OrderClient, faults: FaultLog) -> RunOrdered:
     return await _send_run_order(order, client, "stop", {})
 
 
@@ -131,7 +159,9 @@
 
 
 @send_order.register
-async def _(order: ReadRuns, client: OrderClient) -> RunsRead | ReadFailed:
+async def _(
+    order: ReadRuns, client: OrderClient, faults: FaultLog
+) -> RunsRead | ReadFailed:
     body: dict[str, Any] = {
         "server": order.server,
         "fence": order.fence,
@@ -149,19 +179,28 @@
     if response.status != 200:
         other = response.status == HTTP_MISDIRECTED_REQUEST
         return ReadFailed(order.server, order.fence, other_life=other)
+    return _read_list(order, response.body, sent_at, faults)
+
+
+def _read_list(
+    order: ReadRuns, body: bytes, sent_at: Seconds, faults: FaultLog
+) -> RunsRead | ReadFailed:
     try:
-        listed = msgspec.json.decode(response.body, type=_Runs)
-    except msgspec.DecodeError:
+        listed = msgspec.json.decode(body, type=_Runs)
+    except msgspec.DecodeError as error:
+        faults.record("list_unreadable", order.server, str(error))
         return ReadFailed(order.server, order.fence)
+    lists = read_run_lists(listed.running, listed.ended, _ROW_TYPES)
+    for fault in lists.faults:
+        faults.record("row_skipped", order.server, fault)
     return RunsRead(
         server=order.server,
         term=order.fence,
         sent_at=sent_at,
         clock=listed.clock,
         born=listed.born,
-        running=tuple(ListedRun(run.to_task_ref(), run.run) for run in listed.running),
-        ended=tuple(
-            ListedEnd(end.number, end.to_task_ref(), end.run, end.reason)
-            for end in listed.ended
-        ),
+        running=lists.running,
+        unreadable=lists.unreadable,
+        ended=lists.ended,
+        acknowledge_until=lists.acknowledge_until,
     )
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -6,7 +6,14 @@
 from enum import StrEnum
 
 from boragetide.commands import Command
-from boragetide.durable import DurableJob, JobRecord, ListedEnd, ListedRun, ServerReport
+from boragetide.durable import (
+    DurableJob,
+    JobRecord,
+    ListedEnd,
+    ListedRun,
+    ServerReport,
+    TaskRef,
+)
 from boragetide.messages.common import Request, add_arrival_time
 from boragetide.types import (
     BackendServerId,
@@ -279,6 +286,11 @@
         Monotonic clock of the backend server, in seconds.
     born
         Unix time of the backend server's start, in milliseconds.
+    unreadable
+        Tasks that are listed as running under a run number that cannot be read.
+    acknowledge_until
+        Number of the last end that may be acknowledged, because the number of the next
+        one cannot be read; ``None`` if all could be read.
     fenced
         Whether the backend server has seen a higher fencing token; if so, the fields
         other than ``server``, ``term`` and ``sent_at`` are not set.
@@ -291,6 +303,8 @@
     born: int = 0
     running: tuple[ListedRun, ...] = ()
     ended: tuple[ListedEnd, ...] = ()
+    unreadable: tuple[TaskRef, ...] = ()
+    acknowledge_until: int | None = None
     fenced: bool = False
 
 
--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -2,19 +2,38 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Any
 
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from boragetide.effects import Reply, Send
+from boragetide.daemon.repeated_logs import FaultLog
+from boragetide.effects import ReadRuns, Reply, Send
+from boragetide.links import durable_client
 from boragetide.links.codec import Envelope, decode_body, encode_body
-from boragetide.messages import MembersChanged, ReportServer, Tick
+from boragetide.links.order_client import CallResponse
+from boragetide.messages import (
+    MembersChanged,
+    ReadFailed,
+    ReportServer,
+    RunsRead,
+    SubmitDurableJob,
+    Tick,
+)
 from boragetide.tests.conftest import System, call, make_settings
-from boragetide.tests.durable_fixtures import BEGIN, Leader
+from boragetide.tests.durable_fixtures import (
+    BEGIN,
+    Leader,
+    make_durable_job,
+    make_report,
+)
+from boragetide.types import ReplyTo
+from boragetide_platform import worker_client
 from boragetide_platform.wire import HeartbeatBody, WireError, decode, to_server_report
 
 ALLOWED = frozenset({200, 400, 404, 409, 413})
@@ -157,6 +176,101 @@
         check_messages_can_be_sent(leader)
 
 
+class ScriptedClient:
+    """Answers each call of an order with a fixed body."""
+
+    def __init__(self, body: bytes, status: int = 200):
+        self.response = CallResponse(status, body)
+
+    async def post(self, *arguments: Any) -> CallResponse:
+        """Return the answer."""
+        return self.response
+
+
+PLATFORM_END = [58, "j1.0.0.0", 1, "done", ""]
+OWN_END = {
+    "number": 58,
+    "job": "j1",
+    "step": 0,
+    "index": 0,
+    "run": 1,
+    "reason": "done",
+}
+GOOD_LISTS = {
+    worker_client: {
+        "clock_ms": 482_113,
+        "born": 1_796_383_723_336,
+        "running": [["j1.0.0.1", 1, "00000bb87a21d94b", 41, 8]],
+        "ended": [PLATFORM_END],
+    },
+    durable_client: {
+        "clock": 482.113,
+        "born": 1_796_383_723_336,
+        "running": [{"job": "j1", "step": 0, "index": 1, "run": 1}],
+        "ended": [OWN_END],
+    },
+}
+odd_rows = (
+    odd_values
+    | st.tuples(odd_values, odd_values, odd_values, odd_values)
+    | st.tuples(odd_values, st.just("j1.0.0.1"), odd_values, odd_values)
+    | st.tuples(st.just("j1.0.0.1"), odd_values, odd_values, odd_values)
+    | nearly_valid(OWN_END)
+)
+
+
+def read_list(client: Any, body: bytes) -> RunsRead | ReadFailed:
+    """Return what a client reads from an answer of the backend server s1."""
+    order = ReadRuns("s1", "127.0.0.1:9", 1, 0, None, 0.0)
+    return asyncio.run(client.send_order(order, ScriptedClient(body), FaultLog()))
+
+
+def start_job(client: Any) -> Leader:
+    """Build a leader that has started the two tasks of job j1 on the server s1."""
+    leader = make_leader()
+    leader.handle(ReportServer(report=make_report(born=GOOD_HEARTBEAT["born"])))
+    leader.list_runs(born=GOOD_HEARTBEAT["born"])
+    job = make_durable_job(best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", 7)))
+    assert len(leader.starts()) == 2
+    return leader
+
+
+@pytest.mark.parametrize("client", GOOD_LISTS, ids=lambda each: each.__name__)
+@given(data=st.data())
+def test_odd_row_of_a_list_costs_only_itself(client: Any, data: st.DataObject) -> None:
+    """Guards against a row that ends the leader, or that hides the other rows."""
+    body = json.loads(json.dumps(GOOD_LISTS[client]))
+    for name in ("running", "ended"):
+        odd = data.draw(st.lists(odd_rows, max_size=2))
+        body[name] = data.draw(st.permutations([*body[name], *odd]))
+    leader = start_job(client)
+    answer = read_list(client, json.dumps(body).encode())
+    assert isinstance(answer, RunsRead)
+    leader.handle(replace(answer, sent_at=BEGIN), BEGIN + 0.01)
+    check_messages_can_be_sent(leader)
+    assert leader.state.records_by_id["j1"].done == {0}
+    for later in (1.0, 2.0, 4.5):
+        leader.handle(Tick(), BEGIN + later)
+        check_messages_can_be_sent(leader)
+
+
+@pytest.mark.parametrize("client", GOOD_LISTS, ids=lambda each: each.__name__)
+@given(data=st.data())
+def test_odd_list_of_runs_is_an_answer_or_none(
+    client: Any, data: st.DataObject
+) -> None:
+    """Guards against an answer after which the runs of a server are never read."""
+    good = GOOD_LISTS[client]
+    encoded = nearly_valid(good).map(lambda value: json.dumps(value).encode())
+    body = data.draw(encoded | st.binary(max_size=100))
+    leader = start_job(client)
+    leader.handle(read_list(client, body), BEGIN + 0.01)
+    check_messages_can_be_sent(leader)
+    leader.handle(Tick(), BEGIN + 1.0)
+    assert leader.state.servers_by_id["s1"].reading
+
+
 @pytest.fixture(scope="module")
 def installation(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
     """Start two daemons, so that bodies also pass the codec between instances."""
