Turn deep nesting into the error of each layer

Seen: a list of runs or an answer to an order that is nested too deeply raised RecursionError in the own client, which promises never to raise: the read of that backend server never ended. A message of a peer did so in the task that receives from all peers.

Evidence: test_deeply_nested_message_is_a_link_error (three kinds), test_odd_list_of_runs_is_an_answer_or_none and test_odd_answer_to_an_order_is_a_result of the own client failed before with "RecursionError: maximum recursion depth exceeded while deserializing an object".

Change: each of these places turns it into its own error (LinkError, StorageError).

Conclusion: a body that is nested too deeply is one that cannot be read.

--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -4,17 +4,20 @@
 
 import dataclasses
 import inspect
-from typing import Any
+from typing import Annotated, Any, TypeAlias
 
 import msgspec
+from msgspec import Meta
 
 from boragetide import messages
 from boragetide.encoding import decode_command
 from boragetide.errors import LinkError
-from boragetide.types import InstanceId
+from boragetide.limits import MAX_NAME_LENGTH
 
 REPLY_CONTROLLER = ""
 
+_Name: TypeAlias = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
+
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """One message to another instance, encoded as an array without field names.
@@ -34,11 +37,11 @@
         Encoded message.
     """
 
-    sender: InstanceId
+    sender: _Name
     sender_incarnation: int
-    controller: str
+    controller: _Name
     request: int
-    kind: str
+    kind: _Name
     body: msgspec.Raw
 
 
@@ -77,7 +80,7 @@
     """
     try:
         return _FRAME_DECODER.decode(frame)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise LinkError(f"frame of {len(frame)} bytes: {error}") from error
 
 
@@ -94,5 +97,5 @@
         raise LinkError(f"unknown message kind {envelope.kind!r}")
     try:
         return decoder.decode(envelope.body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise LinkError(f"{envelope.kind} from {envelope.sender!r}: {error}") from error
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -17,6 +17,7 @@
 from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.durable import EndReason, TaskRef
 from boragetide.effects import ReadRuns, StartRun, StopRun
+from boragetide.errors import LinkError
 from boragetide.limits import (
     ID_PATTERN,
     MAX_CLOCK,
@@ -152,12 +153,19 @@
     if response.status not in (200, 409):
         return OrderResult.UNANSWERED, None
     try:
-        answer = msgspec.json.decode(response.body, type=_OrderAnswer)
-    except msgspec.DecodeError:
+        answer = _decode(response.body, _OrderAnswer)
+    except LinkError:
         return OrderResult.UNANSWERED, None
     return answer.result, answer.clock
 
 
+def _decode(body: bytes, type_: type) -> Any:
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise LinkError(str(error)) from error
+
+
 @send_order.register
 async def _(
     order: ReadRuns, client: OrderClient, faults: FaultLog
@@ -186,8 +194,8 @@
     order: ReadRuns, body: bytes, sent_at: Seconds, faults: FaultLog
 ) -> RunsRead | ReadFailed:
     try:
-        listed = msgspec.json.decode(body, type=_Runs)
-    except msgspec.DecodeError as error:
+        listed = _decode(body, _Runs)
+    except LinkError as error:
         faults.record("list_unreadable", order.server, str(error))
         return ReadFailed(order.server, order.fence)
     lists = read_run_lists(listed.running, listed.ended, _ROW_TYPES)
--- a/boragetide/storage/journal.py
+++ b/boragetide/storage/journal.py
@@ -173,7 +173,7 @@
         return msgspec.msgpack.decode(
             raw, type=types_by_name[name], dec_hook=decode_command
         )
-    except (msgspec.DecodeError, KeyError) as error:
+    except (msgspec.DecodeError, RecursionError, KeyError) as error:
         raise StorageError(
             f"journal {str(path)!r}: record cannot be decoded: {error}"
         ) from error
--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -21,6 +21,7 @@
     MembersChanged,
     ReadFailed,
     ReportServer,
+    RunOrdered,
     RunsRead,
     SubmitDurableJob,
     Tick,
@@ -263,7 +264,7 @@
     """Guards against an answer after which the runs of a server are never read."""
     good = GOOD_LISTS[client]
     encoded = nearly_valid(good).map(lambda value: json.dumps(value).encode())
-    body = data.draw(encoded | st.binary(max_size=100))
+    body = data.draw(encoded | deeply_nested(good) | st.binary(max_size=100))
     leader = start_job(client)
     leader.handle(read_list(client, body), BEGIN + 0.01)
     check_messages_can_be_sent(leader)
@@ -271,6 +272,25 @@
     assert leader.state.servers_by_id["s1"].reading
 
 
+@pytest.mark.parametrize("client", GOOD_LISTS, ids=lambda each: each.__name__)
+@given(data=st.data(), status=st.sampled_from([200, 409]))
+def test_odd_answer_to_an_order_is_a_result(
+    client: Any, data: st.DataObject, status: int
+) -> None:
+    """Guards against a start whose odd answer is never reported to the leader."""
+    names = {"clock_ms": 482_113, "clock": 482.113, "reason": "old", "result": "late"}
+    encoded = nearly_valid(names).map(lambda value: json.dumps(value).encode())
+    body = data.draw(encoded | deeply_nested(names) | st.binary(max_size=100))
+    leader = start_job(client)
+    (order, _) = leader.starts()
+    scripted = ScriptedClient(body, status)
+    answer = asyncio.run(client.send_order(order, scripted, FaultLog()))
+    assert isinstance(answer, RunOrdered)
+    for later in (0.01, 1.0, 4.5):
+        leader.handle(answer if later < 1.0 else Tick(), BEGIN + later)
+        check_messages_can_be_sent(leader)
+
+
 @pytest.fixture(scope="module")
 def installation(tmp_path_factory: pytest.TempPathFactory) -> Iterator[System]:
     """Start two daemons, so that bodies also pass the codec between instances."""
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -7,6 +7,7 @@
 import typing
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -89,6 +90,20 @@
     assert decode_body(received) == message
 
 
+DEEP_ARRAY = b"\x91" * 100_000 + b"\x90"
+
+
+@pytest.mark.parametrize("kind", ["Tick", "ReportServer", "AppendCommands"])
+def test_deeply_nested_message_is_a_link_error(kind: str) -> None:
+    """Guards against a frame that stops the listener with a RecursionError."""
+    envelope = Envelope("a1", 1, "jobs", 0, kind, msgspec.Raw(DEEP_ARRAY))
+    with pytest.raises(LinkError):
+        decode_body(envelope)
+    for frame in (DEEP_ARRAY, encode_frame([envelope])):
+        with pytest.raises(LinkError):
+            decode_frame(frame)
+
+
 @given(frame=st.binary(max_size=200))
 def test_arbitrary_bytes_never_raise_another_error(frame: bytes) -> None:
     """Guards against damaged frames that stop the listener with another exception."""
