--- a/boragetide/limits.py
+++ b/boragetide/limits.py
@@ -30,6 +30,7 @@
 MAX_STEPS = 1000
 MAX_TASKS = 10_000  # per job; limits the time that parsing one request body takes
 
+MAX_PORT = 65_535
 # Unanchored, because regular expression engines anchor in different ways.
 ID_PATTERN = rf"[!-~]{{1,{MAX_NAME_LENGTH}}}"
 HOST_PATTERN = r"[A-Za-z0-9.-]{1,253}"
