Drop a message that cannot be encoded, not the process

Seen: OverflowError of encode_body left EffectQueue and the task of the controller, and the process ended; so did each next leader that had the value.

Cause: encode_body documents no error and no caller expects one. Border checks make such values rare, but a message from a member with older code, or a value of which a border forgot the range, would still end every leader in turn.

Evidence: of the new tests, five cases failed before with "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1" and "TypeError: Encoding objects of type object is unsupported"; the controller's task had ended and its next message was not sent. The cases of a lone surrogate end pytest itself when they fail (its report cannot be encoded), so their failure was not recorded.

Change: encode_body raises LinkError. The runtime logs message_not_encoded with the kind, counts messages_not_encoded and drops the message; a request of this process fails at once as not sent.

Conclusion: a value that cannot be sent costs the message that carries it.

--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -83,7 +83,9 @@
             return
         request = message.reply_to.request if _expects_local_reply(self, message) else 0
         if not self._enqueue_envelope(to.instance, to.controller, request, message):
-            self._fail_request(request, PeerUnreachable(f"no link to {to.instance!r}"))
+            self._fail_request(
+                request, PeerUnreachable(f"cannot send to {to.instance!r}")
+            )
 
     def reply(self, to: ReplyTo | None, message: Any) -> None:
         """Answer a request from this or another instance."""
@@ -169,6 +171,13 @@
                 return False
             link = self.links_by_id[instance] = self.make_link(instance)
         kind = type(message).__name__
+        try:
+            body = encode_body(message)
+        except LinkError as error:
+            # Without this message the process goes on; the others are still sent.
+            self.metrics.count("messages_not_encoded", {"kind": kind})
+            log_event("message_not_encoded", kind=kind, error=str(error))
+            return False
         self.metrics.count("peer_messages_sent", {"kind": kind})
         return enqueue(
             link,
@@ -178,7 +187,7 @@
                 controller=controller,
                 request=request,
                 kind=kind,
-                body=encode_body(message),
+                body=body,
             ),
         )
 
--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -58,11 +58,22 @@
 }
 _FRAME_DECODER = msgspec.msgpack.Decoder(list[Envelope])
 _ENCODER = msgspec.msgpack.Encoder()
+# Integers above 64 bits, lone surrogates, other types, and values nested too deeply.
+_ENCODE_ERRORS = (OverflowError, ValueError, TypeError, RecursionError)
 
 
 def encode_body(message: Any) -> msgspec.Raw:
-    """Encode one message."""
-    return msgspec.Raw(_ENCODER.encode(message))
+    """Encode one message.
+
+    Raises
+    ------
+    LinkError
+        If a value of the message cannot be encoded.
+    """
+    try:
+        return msgspec.Raw(_ENCODER.encode(message))
+    except _ENCODE_ERRORS as error:
+        raise LinkError(f"{type(message).__name__} not encoded: {error}") from error
 
 
 def encode_frame(envelopes: list[Envelope]) -> bytes:
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -8,14 +8,22 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from boragetide.daemon.__main__ import run_daemon
+from boragetide.daemon.effect_execution import EffectContext, bind_execute_effect
 from boragetide.daemon.process import EXIT_FAILURE, end_tasks
+from boragetide.daemon.runtime import Runtime, run_controller
+from boragetide.effects import Reply, Send
+from boragetide.errors import PeerUnreachable
 from boragetide.links.codec import Envelope, encode_body
 from boragetide.links.peers import PeerLink, enqueue, request_reconnect, run_link
-from boragetide.messages import Tick
+from boragetide.messages import ReportServer, Tick
 from boragetide.settings import parse_settings
-from boragetide.tests.conftest import free_port
+from boragetide.tests.conftest import free_port, make_settings
+from boragetide.tests.durable_fixtures import make_report
 from boragetide.tests.stream_server import serve_streams
+from boragetide.types import Address, ReplyTo
 
 SINGLE_INSTANCE = """
 [instance]
@@ -102,6 +110,67 @@
     asyncio.run(run())
 
 
+def make_runtime() -> Runtime:
+    """Build a runtime with a mailbox for the dispatcher and links to two members."""
+    settings = make_settings("a1", {"a1": "a", "a2": "a", "a3": "a"})
+    links = {id_: PeerLink(settings.peers_by_id[id_]) for id_ in ("a2", "a3")}
+    return Runtime(settings, links)
+
+
+def list_kinds(runtime: Runtime) -> list[str]:
+    """Return the kinds of the messages that wait in the link to a2."""
+    return [envelope.kind for envelope in runtime.links_by_id["a2"].outbox]
+
+
+@pytest.mark.parametrize(
+    "odd", [make_report(born=2**70), make_report(labels=("\ud800",))]
+)
+def test_message_that_cannot_be_encoded_leaves_the_controller_running(
+    odd: Any,
+) -> None:
+    """Guards against a value that ends each process that sends it on."""
+
+    @singledispatch
+    def handle(message: Any, state: Any, now: float) -> list[Any]:
+        return []
+
+    @handle.register
+    def send_odd(message: Tick, state: Any, now: float) -> list[Any]:
+        to, asker = Address("a2", "dispatcher"), ReplyTo("a2", 3)
+        odd_message = ReportServer(report=odd)
+        return [Send(to, odd_message), Reply(asker, odd_message), Send(to, message)]
+
+    async def run() -> None:
+        runtime = make_runtime()
+        execute = bind_execute_effect(EffectContext(runtime))
+        controller = "dispatcher"
+        runtime.mailboxes_by_controller[controller] = asyncio.Queue()
+        task = asyncio.create_task(
+            run_controller(runtime, controller, handle, None, execute)
+        )
+        runtime.send(runtime.local(controller), Tick())
+        runtime.send(runtime.local(controller), Tick())
+        await wait_until(lambda: len(list_kinds(runtime)) == 2 or task.done())
+        assert list_kinds(runtime) == ["Tick", "Tick"]
+        content, _ = runtime.metrics.render()
+        assert b'messages_not_encoded_total{kind="ReportServer"} 4' in content
+        task.cancel()
+
+    asyncio.run(run())
+
+
+def test_request_that_cannot_be_encoded_fails_at_once() -> None:
+    """Guards against a request that waits for the answer to a dropped message."""
+
+    async def run() -> None:
+        runtime = make_runtime()
+        request = ReportServer(report=make_report(born=2**70))
+        with pytest.raises(PeerUnreachable):
+            await runtime.ask(Address("a2", "dispatcher"), request, 60.0)
+
+    asyncio.run(run())
+
+
 def test_failed_controller_ends_the_process(monkeypatch: Any, tmp_path: Path) -> None:
     """Guards against a daemon that keeps running without one of its controllers."""
 
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -90,6 +90,13 @@
     assert decode_body(received) == message
 
 
+@pytest.mark.parametrize("value", [2**64, -(2**63) - 1, "\ud800", object()])
+def test_message_that_cannot_be_encoded_is_a_link_error(value: Any) -> None:
+    """Guards against a value that ends the process of the sender."""
+    with pytest.raises(LinkError):
+        encode_body(messages.CountWaiting(class_name=value))
+
+
 DEEP_ARRAY = b"\x91" * 100_000 + b"\x90"
 
 
