Bound the announcements of the product's own interface

Seen: PUT /v1/run-servers accepted a born of 2^63, a sequence of 2^64, a clock of -1 or 1e300 s and port 0; DELETE accepted ids of any form, and a born of any 18 digits. Every beat of such an entry would have been refused without a line in the log, or sent on to the other members.

Cause: the models of the own interface have bounds for most fields, but not for these; the id was checked in PUT and not in DELETE.

Properties throw nearly valid announcements and durable jobs through the models, the dispatcher and the encoding.

--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -27,6 +27,7 @@
     StatusHandler,
 )
 from boragetide.api.submissions import SubmissionHandler
+from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.daemon.runtime import Runtime
 
 BODY_TIMEOUT = 60.0  # seconds within which a request body must arrive
@@ -43,6 +44,7 @@
 def make_application(runtime: Runtime) -> Application:
     """Build the HTTP application of a daemon."""
     shared = {"runtime": runtime}
+    announced = {**shared, "faults": FaultLog()}
     return Application(
         [
             (r"/v1/jobs", SubmissionHandler, {**shared, "kind": JobBody}),
@@ -50,10 +52,10 @@
             (r"/v1/job-ids", JobIdsHandler, shared),
             (r"/v1/requests", SubmissionHandler, {**shared, "kind": RequestBody}),
             (r"/v1/backend-servers", BackendServersHandler, shared),
-            (r"/v1/backend-servers/([^/]+)", BackendServerHandler, shared),
+            (r"/v1/backend-servers/([^/]+)", BackendServerHandler, announced),
             (r"/v1/durable-jobs", DurableJobsHandler, shared),
             (r"/v1/durable-jobs/(.+)", DurableJobHandler, shared),
-            (r"/v1/run-servers/([^/]+)", RunServerHandler, shared),
+            (r"/v1/run-servers/([^/]+)", RunServerHandler, announced),
             (r"/v1/configuration", ConfigurationHandler, shared),
             (r"/v1/configuration/commands", CommandHandler, shared),
             (r"/v1/configuration/history", HistoryHandler, shared),
--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
-from boragetide.api.base import Handler
+from boragetide.api.base import EntryHandler, Handler
 from boragetide.api.models import (
     BackendServerBody,
     find_id_error,
@@ -30,7 +30,7 @@
 FORWARD_TIMEOUT = 1.0  # seconds
 
 
-class BackendServerHandler(Handler):
+class BackendServerHandler(EntryHandler):
     """Accepts announcements of backend servers."""
 
     async def put(self, server_id: str) -> None:
@@ -43,7 +43,7 @@
             or _find_zone_error(parsed.ok.availability_zone, self.runtime)
         )
         if error is not None:
-            self.refuse(400, error)
+            self.refuse_entry(server_id, error)
             return
         server = to_backend_server(server_id, parsed.ok)
         message = AnnounceBackendServer(server, parsed.ok.lease)
--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -10,6 +10,7 @@
 import msgspec
 from tornado.web import HTTPError, RequestHandler
 
+from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError
 from boragetide.types import Seconds, Status
@@ -101,6 +102,20 @@
         ]
 
 
+class EntryHandler(Handler):
+    """Base class of the handlers of what backend servers say about themselves."""
+
+    def initialize(self, runtime: Runtime, faults: FaultLog) -> None:
+        """Store the runtime and the log of refused entries."""
+        super().initialize(runtime)
+        self.faults = faults
+
+    def refuse_entry(self, sender: str, reason: str) -> None:
+        """Respond with 400, and log the reason once for each sender."""
+        self.faults.record("entry_refused", sender, reason)
+        self.refuse(400, reason)
+
+
 class NotFoundHandler(Handler):
     """Responds with 404 to every path that matches no route."""
 
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
-from boragetide.api.base import Handler
+from boragetide.api.base import EntryHandler, Handler
 from boragetide.api.durable_models import (
     DurableJobBody,
     RunServerBody,
@@ -16,6 +17,7 @@
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import LinkError, RequestError
 from boragetide.filters.durable import DURABLE_CHAIN, DurableExchange
+from boragetide.limits import MAX_TIMESTAMP_MS
 from boragetide.messages import (
     CancelDurableJob,
     DispatcherReply,
@@ -38,7 +40,7 @@
 BEST_EFFORT_TIMEOUT: Seconds = 120.0
 LOCAL_TIMEOUT: Seconds = 2.0
 ANNOUNCE_TIMEOUT: Seconds = 1.0
-MAX_BORN_DIGITS = 18
+MAX_BORN_DIGITS = len(str(MAX_TIMESTAMP_MS))
 
 
 class _DurableHandler(Handler):
@@ -178,7 +180,7 @@
             self.respond(200, {"id": job_id, "state": state})
 
 
-class RunServerHandler(Handler):
+class RunServerHandler(EntryHandler):
     """Accepts announcements of backend servers that run durable tasks."""
 
     async def put(self, server_id: str) -> None:
@@ -192,7 +194,7 @@
             parsed.error.message if parsed.is_error() else None
         )
         if error is not None:
-            self.refuse(400, error)
+            self.refuse_entry(server_id, error)
             return
         report = to_server_report(server_id, parsed.ok)
         reported = await report_server(self.runtime, ReportServer(report=report))
@@ -207,13 +209,21 @@
         The query argument ``born`` names the process that ends, as in announcements.
         """
         born = self.get_query_argument("born", "0")
-        if not (born.isascii() and born.isdigit() and len(born) <= MAX_BORN_DIGITS):
-            self.refuse(400, f"born: {born!r} is not a time in Unix milliseconds")
+        error = find_id_error(server_id) or _find_born_error(born)
+        if error is not None:
+            self.refuse_entry(server_id, error)
             return
         await report_server(self.runtime, RemoveServer(id=server_id, born=int(born)))
         self.respond(200, {})
 
 
+def _find_born_error(text: str) -> str | None:
+    is_number = re.fullmatch(rf"[0-9]{{1,{MAX_BORN_DIGITS}}}", text) is not None
+    if is_number and int(text) <= MAX_TIMESTAMP_MS:
+        return None
+    return f"born: {text!r} is not a time in Unix milliseconds"
+
+
 async def report_server(runtime: Runtime, message: Any) -> ServerReported:
     """Send a message about a backend server to the leader, or else to any member.
 
--- a/boragetide/api/durable_models.py
+++ b/boragetide/api/durable_models.py
@@ -6,14 +6,23 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from boragetide.api.models import MAX_BYTES, MAX_CORES, JobIdField, NameField, SizeField
+from boragetide.api.models import AddressField, JobIdField, NameField, SizeField
 from boragetide.durable import DurableJob, Resources, ServerReport, Step
-from boragetide.settings_file import MAX_TASKS
+from boragetide.limits import (
+    MAX_ACCELERATORS,
+    MAX_CLOCK,
+    MAX_CORES,
+    MAX_LABELS,
+    MAX_MEMORY,
+    MAX_SEQUENCE,
+    MAX_SPEC_LENGTH,
+    MAX_TASKS,
+    MAX_TIMESTAMP_MS,
+)
 from boragetide.types import ClassTarget, Seconds
 
 MILLICORES_PER_CORE = 1000
 BYTES_PER_MIB = 1 << 20
-MAX_SPEC_LENGTH = 4000  # characters
 MAX_STEPS = 64
 LabelField = Annotated[str, Field(max_length=100)]
 
@@ -27,8 +36,8 @@
 
     count: Annotated[int, Field(ge=1, le=MAX_TASKS)] = 1
     cores: Annotated[float, Field(gt=0, le=MAX_CORES)] = 1.0
-    memory: Annotated[int, Field(ge=0, le=MAX_BYTES)] = 0
-    accelerators: Annotated[int, Field(ge=0, le=1024)] = 0
+    memory: Annotated[int, Field(ge=0, le=MAX_MEMORY)] = 0
+    accelerators: Annotated[int, Field(ge=0, le=MAX_ACCELERATORS)] = 0
     estimate: SizeField
     depends_on: Annotated[list[int], Field(max_length=MAX_STEPS)] = []
     required_label: LabelField = ""
@@ -63,17 +72,17 @@
     in seconds.
     """
 
-    address: Annotated[str, Field(pattern=r"^http://[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$")]
+    address: AddressField
     pool: NameField
     availability_zone: NameField
     cores: Annotated[float, Field(gt=0, le=MAX_CORES)]
-    memory: Annotated[int, Field(gt=0, le=MAX_BYTES)]
-    accelerators: Annotated[int, Field(ge=0, le=1024)] = 0
-    labels: Annotated[list[LabelField], Field(max_length=64)] = []
+    memory: Annotated[int, Field(gt=0, le=MAX_MEMORY)]
+    accelerators: Annotated[int, Field(ge=0, le=MAX_ACCELERATORS)] = 0
+    labels: Annotated[list[LabelField], Field(max_length=MAX_LABELS)] = []
     leaving: bool = False
-    born: Annotated[int, Field(gt=0)]
-    sequence: Annotated[int, Field(ge=0)]
-    clock: float | None = None
+    born: Annotated[int, Field(gt=0, le=MAX_TIMESTAMP_MS)]
+    sequence: Annotated[int, Field(ge=0, le=MAX_SEQUENCE)]
+    clock: Annotated[float, Field(ge=0, le=MAX_CLOCK)] | None = None
 
 
 def to_durable_job(
--- a/boragetide/api/models.py
+++ b/boragetide/api/models.py
@@ -12,13 +12,20 @@
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
 from boragetide.json_values import find_unsupported_value, may_have_unsupported_value
-from boragetide.settings_file import MAX_TASKS
+from boragetide.limits import (
+    HOST_PATTERN,
+    MAX_CORES,
+    MAX_MEMORY,
+    MAX_NAME_LENGTH,
+    MAX_TASKS,
+    PORT_PATTERN,
+)
 from boragetide.types import BackendServer, Submission, Task
 
-MAX_CORES = 4096
-MAX_BYTES = 1 << 50
-
-JobIdField = Annotated[str, Field(min_length=1, max_length=200, pattern=r"^[!-~]+$")]
+JobIdField = Annotated[
+    str, Field(min_length=1, max_length=MAX_NAME_LENGTH, pattern=r"^[!-~]+$")
+]
+AddressField = Annotated[str, Field(pattern=rf"^http://{HOST_PATTERN}:{PORT_PATTERN}$")]
 NameField = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,99}$")]
 TimeoutField = Annotated[float, Field(gt=0, le=120)]
 SizeField = Annotated[float, Field(gt=0, le=3600)]
@@ -37,7 +44,7 @@
     size: SizeField | None = None
     timeout: TimeoutField = 30.0
     cores: Annotated[float, Field(ge=0, le=MAX_CORES)] = 0.0
-    memory: Annotated[int, Field(ge=0, le=MAX_BYTES)] = 0
+    memory: Annotated[int, Field(ge=0, le=MAX_MEMORY)] = 0
 
 
 class SubmissionBody(_Body):
@@ -76,13 +83,13 @@
     backend server holds none, for example after a restart.
     """
 
-    address: Annotated[str, Field(pattern=r"^http://[A-Za-z0-9.-]{1,253}:[0-9]{1,5}$")]
+    address: AddressField
     availability_zone: NameField
     rack: Annotated[str, Field(max_length=100)] = ""
     slots: Annotated[int, Field(gt=0, le=4096)]
     connections: Annotated[int, Field(gt=0, le=65_536)] = 64
     cores: Annotated[float, Field(gt=0, le=MAX_CORES)] = 1.0
-    memory: Annotated[int, Field(gt=0, le=MAX_BYTES)] = 1 << 30
+    memory: Annotated[int, Field(gt=0, le=MAX_MEMORY)] = 1 << 30
     leaving: bool = False
     lease: Annotated[str, Field(max_length=200)] | None = None
 
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -20,10 +20,9 @@
 )
 
 from boragetide.errors import SettingsError
+from boragetide.limits import MAX_PORT, MAX_TASKS
 
 PEER_PREFIX = "peer "
-MAX_PORT = 65_535
-MAX_TASKS = 10_000  # per job; limits the time that parsing one request body takes
 
 _UNITS_IN_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 _MESSAGES_BY_ERROR_TYPE = {
--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -12,7 +12,11 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from boragetide.api import durable_models
+from boragetide.api.durable_models import DurableJobBody, RunServerBody
+from boragetide.api.models import parse_body
 from boragetide.daemon.repeated_logs import FaultLog
+from boragetide.durable import DurableJob
 from boragetide.effects import ReadRuns, Reply, Send
 from boragetide.links import durable_client
 from boragetide.links.codec import Envelope, decode_body, encode_body
@@ -29,11 +33,12 @@
 from boragetide.tests.conftest import System, call, make_settings
 from boragetide.tests.durable_fixtures import (
     BEGIN,
+    BORN,
     Leader,
     make_durable_job,
     make_report,
 )
-from boragetide.types import ReplyTo
+from boragetide.types import ClassTarget, DurableStarts, ReplyTo
 from boragetide_platform import worker_client
 from boragetide_platform.wire import HeartbeatBody, WireError, decode, to_server_report
 
@@ -331,6 +336,109 @@
     check_response(installation, "POST", "/v1/requests", body)
 
 
+GOOD_SERVER = {
+    "address": "http://127.0.0.1:9",
+    "pool": "pool",
+    "availability_zone": "a",
+    "cores": 64.0,
+    "memory": 1 << 37,
+    "labels": ["rack-1"],
+    "leaving": False,
+    "born": BORN,
+    "sequence": 12,
+    "clock": 8132.25,
+}
+GOOD_JOB = {
+    "id": "j1",
+    "class": "proofs",
+    "spec": "bottle 4",
+    "steps": [{"count": 2, "cores": 4.0, "memory": 1 << 20, "estimate": 0.5}],
+    "best_effort": True,
+}
+
+
+def list_events(system: System, event: str) -> int:
+    """Count the lines of an event in the log of the instance that is asked."""
+    return system.daemons_by_id["a2"].log.read_text().count(f"event={event} ")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"born": 2**63},
+        {"sequence": 2**64},
+        {"clock": -1.0},
+        {"clock": 1e300},
+        {"address": "http://127.0.0.1:808080"},
+        {"address": "http://127.0.0.1:0"},
+    ],
+)
+def test_run_server_out_of_range_is_refused_and_logged_once(
+    installation: System, changes: dict[str, Any]
+) -> None:
+    """Guards against an announcement that ends each instance that passes it on."""
+    url = installation.daemons_by_id["a2"].url + "/v1/run-servers/s9"
+    before = list_events(installation, "entry_refused")
+    for _ in range(3):
+        assert call("PUT", url, {**GOOD_SERVER, **changes}, timeout=20.0)[0] == 400
+    assert call("PUT", url, GOOD_SERVER, timeout=20.0)[0] == 200
+    assert list_events(installation, "entry_refused") <= before + 1
+
+
+def test_odd_departures_are_refused(installation: System) -> None:
+    """Guards against ids and times that are validated in a body but not in a URL."""
+    servers_url = installation.daemons_by_id["a2"].url + "/v1/run-servers"
+    odd = ["s9?born=999999999999999999", "s9?born=-1", "s9?born=x", "s%0A9", "s" * 201]
+    for path in odd:
+        code, answer = call("DELETE", f"{servers_url}/{path}", timeout=20.0)
+        assert code == 400, (path, answer)
+
+
+@given(body=nearly_valid(GOOD_SERVER))
+def test_odd_run_server_costs_only_itself(body: dict[str, Any]) -> None:
+    """Guards against an announcement that cannot be sent to the other members."""
+    leader = make_leader()
+    parsed = parse_body(RunServerBody, json.dumps(body).encode())
+    if parsed.is_ok():
+        report = durable_models.to_server_report("i1", parsed.ok)
+        leader.handle(ReportServer(report=report))
+        check_messages_can_be_sent(leader)
+    leader.join("good")
+    for later in (1.0, 3.0, 4.5, 40.0):
+        leader.handle(Tick(), BEGIN + later)
+        check_messages_can_be_sent(leader)
+
+
+@given(
+    body=nearly_valid(GOOD_JOB),
+    step=st.none() | nearly_valid(GOOD_JOB["steps"][0]),
+    best_effort=st.booleans(),
+)
+def test_odd_durable_job_costs_only_itself(
+    body: dict[str, Any], step: dict[str, Any] | None, best_effort: bool
+) -> None:
+    """Guards against a job that ends the leader or that cannot be stored."""
+    leader = make_leader()
+    leader.join()
+    body = {**body, "best_effort": best_effort}
+    if step is not None:
+        body["steps"] = [step]
+    parsed = parse_body(DurableJobBody, json.dumps(body).encode())
+    if parsed.is_ok():
+        target = ClassTarget("proofs", 0.06, durable=DurableStarts("pool"))
+        job = durable_models.to_durable_job(parsed.ok, target, BEGIN)
+        check_job_can_be_served(leader, job)
+
+
+def check_job_can_be_served(leader: Leader, job: DurableJob) -> None:
+    """Submit a job, and check all messages that follow from it."""
+    leader.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("a2", 7)))
+    check_messages_can_be_sent(leader)
+    for later in (1.0, 4.5):
+        leader.handle(Tick(), BEGIN + later)
+        check_messages_can_be_sent(leader)
+
+
 @given(
     job_id=st.text(min_size=1, max_size=20), method=st.sampled_from(["GET", "DELETE"])
 )
