Bound jobs and configurations of the platform

Seen: a job with count 10^9, cpu -1 or mem_mb 2^70, and a configuration of version 10^20 or priority 2^70 were accepted. The first fills the memory of the leader, the second frees capacity that is not there, the others cannot be stored or sent. A configuration with bytes that are no UTF-8 in an unknown field raised UnicodeDecodeError after it had been accepted, and the operator got a 500.

Cause: the models check types and not ranges; unknown fields are skipped without being decoded.

Change: the bounds of boragetide/limits.py; at most 10,000 tasks a job, as in the product's own interface. Properties throw nearly valid jobs and configurations through the models, the dispatcher and the encoding.

Conclusion: what is accepted can be stored and sent to every member.

--- a/boragetide/limits.py
+++ b/boragetide/limits.py
@@ -30,6 +30,13 @@
 MAX_STEPS = 1000
 MAX_TASKS = 10_000  # per job; limits the time that parsing one request body takes
 
+MAX_TEXT_LENGTH = 2000  # characters of a host or a path
+MAX_DURATION: Seconds = 30 * 86_400.0
+MAX_VERSION = MAX_EXACT_INTEGER
+MAX_PRIORITY = 1_000_000
+MAX_ATTEMPTS = 1_000_000
+MAX_STRETCH = 1_000_000.0
+
 MAX_PORT = 65_535
 # Unanchored, because regular expression engines anchor in different ways.
 ID_PATTERN = rf"[!-~]{{1,{MAX_NAME_LENGTH}}}"
--- a/properties/test_border.py
+++ b/properties/test_border.py
@@ -15,6 +15,7 @@
 from boragetide.api import durable_models
 from boragetide.api.durable_models import DurableJobBody, RunServerBody
 from boragetide.api.models import parse_body
+from boragetide.commands import PublishConfiguration
 from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.durable import DurableJob
 from boragetide.effects import ReadRuns, Reply, Send
@@ -23,6 +24,7 @@
 from boragetide.links.order_client import CallResponse
 from boragetide.messages import (
     MembersChanged,
+    Propose,
     ReadFailed,
     ReportServer,
     RunOrdered,
@@ -40,7 +42,16 @@
 )
 from boragetide.types import ClassTarget, DurableStarts, ReplyTo
 from boragetide_platform import worker_client
-from boragetide_platform.wire import HeartbeatBody, WireError, decode, to_server_report
+from boragetide_platform.wire import (
+    HeartbeatBody,
+    WireError,
+    decode,
+    parse_configuration,
+    to_classes,
+    to_job,
+    to_server_report,
+)
+from boragetide_platform.wire import JobBody as PlatformJobBody
 
 ALLOWED = frozenset({200, 400, 404, 409, 413})
 
@@ -439,6 +450,77 @@
         check_messages_can_be_sent(leader)
 
 
+PLATFORM_STEP = {
+    "count": 2,
+    "cpu": 500,
+    "mem_mb": 256,
+    "gpu": 0,
+    "estimate_ms": 900,
+    "depends_on": [],
+    "required_label": "",
+    "data_rack": "r1-3",
+    "max_per_server": 1,
+}
+PLATFORM_JOB = {"spec": "text", "steps": [PLATFORM_STEP], "best_effort": True}
+
+
+@given(
+    body=nearly_valid(PLATFORM_JOB) | st.just(PLATFORM_JOB),
+    step=st.none() | nearly_valid(PLATFORM_STEP),
+)
+def test_odd_job_of_the_platform_costs_only_itself(
+    body: dict[str, Any], step: dict[str, Any] | None
+) -> None:
+    """Guards against a job that ends the leader or that cannot be stored."""
+    leader = make_leader()
+    leader.join()
+    if step is not None:
+        body = {**body, "steps": [PLATFORM_STEP, step]}
+    target = ClassTarget("proofs", 0.06, durable=DurableStarts("pool"))
+    try:
+        job = to_job(
+            decode(json.dumps(body).encode(), PlatformJobBody), "j", target, BEGIN
+        )
+    except WireError:
+        return
+    check_job_can_be_served(leader, job)
+
+
+ROUTE = {
+    "name": "r",
+    "host": "nony24.example",
+    "path_prefix": "/p/",
+    "timeout_ms": 1500,
+    "target_latency_ms": 60,
+    "priority": 0,
+    "service": "s",
+    "attempts": 4,
+    "stretch": 1.6,
+}
+CONFIGURATION = {"version": 7, "routes": [ROUTE], "services": [{"name": "s"}]}
+
+
+@given(
+    body=nearly_valid(CONFIGURATION) | st.just(CONFIGURATION),
+    route=st.none() | nearly_valid(ROUTE),
+)
+def test_odd_configuration_can_be_stored_or_is_refused(
+    body: dict[str, Any], route: dict[str, Any] | None
+) -> None:
+    """Guards against a configuration that ends each member that stores it."""
+    body = body if route is None else {**body, "routes": [route]}
+    text = json.dumps(body).encode()
+    try:
+        configuration = parse_configuration(text)
+    except WireError:
+        return
+    classes = to_classes(configuration)
+    command = PublishConfiguration(configuration.version, classes, text.decode())
+    proposal = Propose(command=command, command_id="revision")
+    envelope = Envelope("a1", 1, "configuration", 0, "Propose", encode_body(proposal))
+    assert decode_body(envelope) == proposal
+
+
 @given(
     job_id=st.text(min_size=1, max_size=20), method=st.sampled_from(["GET", "DELETE"])
 )
