Start nothing by a capacity that was announced long ago

A backend server that answers its leader stayed usable for ever while its announcements did not reach the leader (they go to one member that is cut off from it, and is answered there), by the capacity that it had announced last.

Cause: is_usable looked at the time of the last contact, which answers renew, and not at the time of the last announcement.

Evidence: test_server_whose_announcements_are_lost_gets_nothing_new[3.5] failed before with "assert 2 == 0". The other tests of the file pass on the code before: a server over its shrunken capacity gets nothing and keeps its runs; runs being stopped, starts without an answer, adopted runs and runs of unknown jobs count; growth is used at the next tick; an older announcement that comes late or is passed on does not raise the capacity again.

Change: a backend server gets new runs for 3.5 s after an announcement, which is two that are missed and a second for the way of the announcement and of the order.

Conclusion: what runs there goes on and is read. Price: while the announcements of a backend server reach only a member that is cut off from the leader, it gets nothing new; before, it was used.

--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -33,6 +33,9 @@
 # Backend servers announce themselves every 1.5 s. One that missed three announcements
 # gets no new runs.
 ANNOUNCEMENT_TIMEOUT: Seconds = 5.0
+# A capacity may have shrunk since it was announced, and must not be relied upon 4.5 s
+# later. The announcement and the order may have been under way for some of that time.
+MAX_ANNOUNCEMENT_AGE: Seconds = 3.5
 # All backend servers have announced themselves to a process of this age.
 DISCOVERY_PERIOD: Seconds = 3.5
 # Leases that an earlier leader granted have expired this long after its last order.
@@ -143,6 +146,7 @@
         and server.held_ends <= MAX_HELD_ENDS
         and now >= server.cooldown_until
         and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
+        and now - server.announced_at < MAX_ANNOUNCEMENT_AGE
     )
 
 
