Pass the age of an announcement on with it

Seen: the leader passes on a backend server that misses announcements. A member that hears of it for the first time took the report for a new one, however old it was. As the next leader it started by a capacity that may have shrunk long ago.

Cause: the message names no time, and _add_server set announced_at to now.

Evidence: test_new_leader_starts_nothing_by_an_old_report_that_was_passed_on failed before with "Left contains 2 more items, first extra item: StartRun(...)".

Change: ReportServer has the age of the report in seconds, 0 when it is new; it is a difference of times of one clock.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -356,7 +356,7 @@
 @handle.register
 def _(message: ReportServer, state: DispatcherState, now: Seconds) -> list[Effect]:
     report = message.report
-    effects = apply_report(state, report, now)
+    effects = apply_report(state, report, message.age, now)
     if not message.passed_on:
         effects += _forward_to_members(
             state, ReportServer(report=report, passed_on=True)
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -22,18 +22,18 @@
 
 
 def apply_report(
-    state: DispatcherState, report: ServerReport, now: Seconds
+    state: DispatcherState, report: ServerReport, age: Seconds, now: Seconds
 ) -> list[Effect]:
-    """Apply an announcement unless a newer one is known."""
+    """Apply an announcement that was heard ``age`` ago unless a newer one is known."""
     server = state.servers_by_id.get(report.id)
     if server is None or report.born > server.report.born:
-        return _add_server(state, report, server, now)
+        return _add_server(state, report, server, now, age)
     if report.born < server.report.born or (report.sequence <= server.report.sequence):
         return []
     was_draining = server.report.draining
     server.report = report
     server.departed = server.left
-    server.announced_at = now
+    server.announced_at = now - age
     server.last_contact_at = now
     _record_clock(server, now)
     update_server_index(state, server)
@@ -78,7 +78,11 @@
 
 
 def _add_server(
-    state: DispatcherState, report: ServerReport, previous: Server | None, now: Seconds
+    state: DispatcherState,
+    report: ServerReport,
+    previous: Server | None,
+    now: Seconds,
+    age: Seconds = 0.0,
 ) -> list[Effect]:
     """Add a backend server that is new or whose process was replaced.
 
@@ -86,7 +90,7 @@
     carried out an order before its first announcement arrived. Its first list of runs
     shows which ones, and the others are freed.
     """
-    server = Server(report, now, announced_at=now)
+    server = Server(report, now, announced_at=now - age)
     if previous is not None:
         server.runs_by_task = dict(previous.runs_by_task)
         server.leases_expired_at = previous.leases_expired_at
@@ -113,15 +117,16 @@
     whose process is younger than the last announcement would not know it, and would
     start its tasks elsewhere after a change of the leader.
     """
-    return [
-        Send(
-            Address(other, "dispatcher"),
-            ReportServer(report=server.report, passed_on=True),
-        )
-        for server in state.servers_by_id.values()
-        if _is_passed_on(server, now)
-        for other in state.other_members
-    ]
+    effects: list[Effect] = []
+    for server in state.servers_by_id.values():
+        if not _is_passed_on(server, now):
+            continue
+        age = now - server.announced_at
+        message = ReportServer(report=server.report, passed_on=True, age=age)
+        effects += [
+            Send(Address(other, "dispatcher"), message) for other in state.other_members
+        ]
+    return effects
 
 
 def _is_passed_on(server: Server, now: Seconds) -> bool:
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -162,10 +162,13 @@
     ----------
     passed_on
         Whether another member forwarded the announcement.
+    age
+        Seconds since the member that passes the announcement on heard it.
     """
 
     report: ServerReport
     passed_on: bool = False
+    age: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/tests/test_capacity_changes.py
+++ b/boragetide/tests/test_capacity_changes.py
@@ -7,7 +7,7 @@
 from boragetide.controllers.placing_runs import MAX_ANNOUNCEMENT_AGE
 from boragetide.controllers.runs import UNKNOWN_JOB_GRACE_PERIOD
 from boragetide.durable import JobRecord, ListedRun, Resources, Step
-from boragetide.effects import StartRun
+from boragetide.effects import Send, StartRun
 from boragetide.messages import (
     CancelDurableJob,
     MembersChanged,
@@ -172,3 +172,31 @@
     announce(leader, ROOM_FOR_ONE, 2, now)
     leader.list_runs(now=now + 0.01)
     assert len(leader.starts()) == (0 if starts else 1)
+
+
+def list_passed_on(leader: Leader) -> list[ReportServer]:
+    """Return the reports that the last message passed on to one other member."""
+    return [
+        effect.message
+        for effect in leader.effects
+        if isinstance(effect, Send)
+        and isinstance(effect.message, ReportServer)
+        and effect.to.instance == "a2"
+    ]
+
+
+def test_new_leader_starts_nothing_by_an_old_report_that_was_passed_on(
+    settings: Settings, leader: Leader
+) -> None:
+    """Guards against a member that takes a report for new when it first hears it."""
+    leader.list_runs(now=BEGIN + 3.0)
+    leader.handle(Tick(), BEGIN + 3.0)
+    (passed_on,) = list_passed_on(leader)
+    member, now = Leader(settings, term=2), BEGIN + 5.0
+    member.handle(passed_on, BEGIN + 3.0)
+    member.lead(now, (JobRecord(make_durable_job("j1", submitted_at=now)),))
+    member.list_runs(now=now)
+    assert member.starts() == []
+    announce(member, ROOM_FOR_ONE, 2, now)
+    member.list_runs(now=now + 0.01)
+    assert len(member.starts()) == 1
