--- a/boragetide/tests/test_handlers.py
+++ b/boragetide/tests/test_handlers.py
@@ -16,6 +16,7 @@
 from boragetide.api.durable import RunServerHandler
 from boragetide.api.models import JobBody
 from boragetide.api.submissions import SubmissionHandler
+from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.filters.chain import Exchange
 from boragetide.messages import FindLeader, LeaderFound, RemoveServer, ServerReported
 from boragetide.settings import Settings
@@ -118,6 +119,7 @@
         response = await client.fetch(url, method="DELETE", raise_error=False)
         return response.code
 
-    routes = [("/([^/]+)", RunServerHandler, {"runtime": runtime})]
+    fields = {"runtime": runtime, "faults": FaultLog()}
+    routes = [("/([^/]+)", RunServerHandler, fields)]
     assert serve(routes, remove) == status
     assert [removal.born for removal in runtime.removals] == removed
