Refuse no job as too large that fits the largest capacity

Seen: a job that needs more than every backend server has at the moment was refused at once as too large, and the refusal holds for its id. A capacity that has shrunk may grow again.

Cause: can_ever_fit was asked with the newest capacities.

Change: each process of a backend server keeps the largest amount of each resource that it has announced, at every member. The next process is as large as it says. A job that fits none of them is refused at once, as before. The fuzz of the dispatcher has a rule for capacities that change while the leader hears no announcement; a start above a capacity that has counted for 4.5 s fails it.

Conclusion: such a job waits, as long as it is of use, for the capacity to return. A member that has known a process only since it shrank still refuses.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -161,6 +161,8 @@
         Whether the process itself said that it leaves; it announces nothing later.
     announced_at
         Time of the last announcement.
+    largest_capacity
+        Largest amount of each resource that the process has announced.
     """
 
     report: ServerReport
@@ -188,6 +190,13 @@
     departed: bool = False
     left: bool = False
     announced_at: Seconds = 0.0
+    largest_capacity: Resources = field(default_factory=Resources)
+
+    def record_report(self, report: ServerReport, announced_at: Seconds) -> None:
+        """Record an announcement, which is newer than the known one."""
+        self.report = report
+        self.announced_at = announced_at
+        self.largest_capacity = self.largest_capacity.maximum(report.capacity)
 
     def record_answer(self, clock: Seconds, sent_at: Seconds, now: Seconds) -> Seconds:
         """Record the clock in an answer; return when it was read.
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -172,7 +172,7 @@
     """Return whether a job can run on the known backend servers.
 
     If each step fits a backend server with free capacity, the total capacities need not
-    be compared.
+    be compared. A capacity that has shrunk may grow again.
     """
     servers = state.servers_by_id
     server_by_step = {
@@ -185,7 +185,7 @@
     ):
         return True
     capacities = [
-        server.report.capacity
+        server.largest_capacity
         for server in servers.values()
         if server.report.pool == job.starts.pool and not server.departed
     ]
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -31,9 +31,8 @@
     if report.born < server.report.born or (report.sequence <= server.report.sequence):
         return []
     was_draining = server.report.draining
-    server.report = report
+    server.record_report(report, now - age)
     server.departed = server.left
-    server.announced_at = now - age
     server.last_contact_at = now
     _record_clock(server, now)
     update_server_index(state, server)
@@ -90,7 +89,8 @@
     carried out an order before its first announcement arrived. Its first list of runs
     shows which ones, and the others are freed.
     """
-    server = Server(report, now, announced_at=now - age)
+    server = Server(report, now)
+    server.record_report(report, now - age)
     if previous is not None:
         server.runs_by_task = dict(previous.runs_by_task)
         server.leases_expired_at = previous.leases_expired_at
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -49,6 +49,14 @@
             self.accelerators + other.accelerators,
         )
 
+    def maximum(self, other: Resources) -> Resources:
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.millicores, other.millicores),
+            max(self.memory, other.memory),
+            max(self.accelerators, other.accelerators),
+        )
+
     def minus(self, other: Resources) -> Resources:
         """Return the difference, which may be negative."""
         return Resources(
--- a/boragetide/tests/test_capacity_changes.py
+++ b/boragetide/tests/test_capacity_changes.py
@@ -6,12 +6,13 @@
 
 from boragetide.controllers.placing_runs import MAX_ANNOUNCEMENT_AGE
 from boragetide.controllers.runs import UNKNOWN_JOB_GRACE_PERIOD
-from boragetide.durable import JobRecord, ListedRun, Resources, Step
+from boragetide.durable import JobRecord, ListedRun, Resources, ServerReport, Step
 from boragetide.effects import Send, StartRun
 from boragetide.messages import (
     CancelDurableJob,
     MembersChanged,
     OrderResult,
+    ReplyStatus,
     ReportServer,
     SubmitDurableJob,
     Tick,
@@ -19,6 +20,7 @@
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import (
     BEGIN,
+    BORN,
     CAPACITY,
     NEEDS,
     Leader,
@@ -200,3 +202,29 @@
     announce(member, ROOM_FOR_ONE, 2, now)
     member.list_runs(now=now + 0.01)
     assert len(member.starts()) == 1
+
+
+def test_job_that_fits_the_largest_capacity_is_not_refused_as_too_large(
+    leader: Leader,
+) -> None:
+    """Guards against a refusal for ever because of a capacity that grows again."""
+    announce(leader, ROOM_FOR_NONE, 2)
+    assert submit(leader, "j1", ONE_TASK) == []
+    assert ReplyStatus.REFUSED not in [each.status for each in leader.replies()]
+    announce(leader, CAPACITY, 3, BEGIN + 0.05)
+    assert len(tick(leader, BEGIN + 0.1)) == 1
+
+
+def test_job_that_never_fitted_is_refused_at_once(leader: Leader) -> None:
+    """Guards against a job that waits although no server was ever large enough."""
+    announce(leader, ROOM_FOR_NONE, 2)
+    submit(leader, "j1", Step(1, ROOM_FOR_FOUR, 0.2))
+    assert ReplyStatus.REFUSED in [each.status for each in leader.replies()]
+
+
+def test_next_process_is_as_large_as_it_says(leader: Leader) -> None:
+    """Guards against a job that waits for the capacity of a process that is gone."""
+    report: ServerReport = make_report(born=BORN + 5, capacity=ROOM_FOR_NONE)
+    leader.handle(ReportServer(report=report))
+    submit(leader, "j1", ONE_TASK)
+    assert ReplyStatus.REFUSED in [each.status for each in leader.replies()]
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -70,6 +70,9 @@
 WORK_DURATION: Seconds = 0.3
 CAPACITY = Resources(64_000, 100_000)
 NEEDS = Resources(27_000, 64)
+SMALL_CAPACITY = Resources(30_000, 100_000)
+# A capacity that has shrunk counts after this time.
+SHRINKING_COUNTS_AFTER: Seconds = 4.5
 SLOTS = len(SERVERS) * (CAPACITY.millicores // NEEDS.millicores)
 EXAMPLES = 60
 PROFILE = settings(
@@ -101,6 +104,8 @@
     lapsed_ends: set[int] = field(default_factory=set)
     cut: bool = False
     hangs: bool = False
+    capacity: Resources = CAPACITY
+    shrunk_at: Seconds = 0.0
 
     def restart(self) -> None:
         """Lose all state, as in a crash."""
@@ -203,7 +208,7 @@
                 backend.id,
                 sequence=backend.sequence,
                 born=backend.born,
-                capacity=CAPACITY,
+                capacity=backend.capacity,
             )
             reports.append(ReportServer(report=report, passed_on=True))
         return reports
@@ -309,7 +314,8 @@
         if order.lease_until <= self.now - backend.clock_lag:
             return OrderResult.LATE
         used = sum(self.get_millicores(task) for task in backend.running)
-        if used + self.get_millicores(order.task) > CAPACITY.millicores:
+        if used + self.get_millicores(order.task) > backend.capacity.millicores:
+            assert self.now < backend.shrunk_at + SHRINKING_COUNTS_AFTER, order
             return OrderResult.NO_ROOM
         self.check_start(order, backend)
         backend.highest_runs[order.task] = order.run
@@ -475,6 +481,17 @@
         if heard:
             self.announce()
 
+    @rule(number=st.integers(0, 2), small=st.booleans())
+    def resize(self, number: int, small: bool) -> None:
+        """Change a capacity while the leader has work and hears no announcement."""
+        backend = self.backends[SERVERS[number]]
+        if small and backend.capacity == CAPACITY:
+            backend.shrunk_at = self.now
+        backend.capacity = SMALL_CAPACITY if small else CAPACITY
+        for _ in range(10):
+            self.submit(4, chained=False)
+            self.run_for(0.5)
+
     @rule()
     def heartbeat(self) -> None:
         self.announce()
@@ -514,6 +531,7 @@
         self.fates = ("carried_out",)
         for backend in self.backends.values():
             backend.cut = backend.hangs = False
+            backend.capacity = CAPACITY
         repaired_at = self.now
         self.run_with_announcements(SETTLING_DURATION + self.compute_work_duration())
         if not self.best_effort:
