--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -148,6 +148,11 @@
         acknowledgement may not have arrived.
     uncommitted_ends
         Numbers of the ends that were listed and are not committed yet.
+    acknowledge_until
+        Number of the last end before one whose number cannot be read, which would be
+        lost if a later one were acknowledged; ``None`` if there is no such end.
+    held_ends
+        Number of ends in the last list that wait behind such an end.
     unexpected_runs
         Runs of jobs that are not known here, and runs that are being stopped as
         unwanted, with the time at which they were first listed. The resources of
@@ -172,6 +177,8 @@
         Whether the process itself said that it leaves; it announces nothing later.
     announced_at
         Time of the last announcement.
+    largest_capacity
+        Largest amount of each resource that the process has announced.
     """
 
     report: ServerReport
@@ -189,6 +196,8 @@
     acknowledged: int = 0
     acknowledged_sent: int = 0
     uncommitted_ends: set[int] = field(default_factory=set)
+    acknowledge_until: int | None = None
+    held_ends: int = 0
     unexpected_runs: dict[ListedRun, Seconds] = field(default_factory=dict)
     consecutive_failures: int = 0
     cooldown_until: Seconds = 0.0
@@ -199,6 +208,13 @@
     departed: bool = False
     left: bool = False
     announced_at: Seconds = 0.0
+    largest_capacity: Resources = field(default_factory=Resources)
+
+    def record_report(self, report: ServerReport, announced_at: Seconds) -> None:
+        """Record an announcement, which is newer than the known one."""
+        self.report = report
+        self.announced_at = announced_at
+        self.largest_capacity = self.largest_capacity.maximum(report.capacity)
 
     def record_answer(self, clock: Seconds, sent_at: Seconds, now: Seconds) -> Seconds:
         """Record the clock in an answer; return when it was read.
@@ -241,6 +257,7 @@
         self.runs_by_task.clear()
         self.listed = self.acknowledged = self.acknowledged_sent = 0
         self.uncommitted_ends.clear()
+        self.acknowledge_until, self.held_ends = None, 0
         self.unexpected_runs.clear()
 
     def is_target(self, target_born: int) -> bool:
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -178,7 +178,7 @@
     """Return whether a job can run on the known backend servers.
 
     If each step fits a backend server with free capacity, the total capacities need not
-    be compared.
+    be compared. A capacity that has shrunk may grow again.
     """
     servers = state.servers_by_id
     server_by_step = {
@@ -191,7 +191,7 @@
     ):
         return True
     capacities = [
-        server.report.capacity
+        server.largest_capacity
         for server in servers.values()
         if server.report.pool == job.starts.pool and not server.departed
     ]
@@ -372,7 +372,7 @@
 @handle.register
 def _(message: ReportServer, state: DispatcherState, now: Seconds) -> list[Effect]:
     report = message.report
-    effects = apply_report(state, report, now)
+    effects = apply_report(state, report, message.age, now)
     if not message.passed_on:
         effects += _forward_to_members(
             state, ReportServer(report=report, passed_on=True)
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -30,9 +30,15 @@
 )
 from boragetide.types import BackendServerId, JobId, PoolName, Seconds
 
+# A backend server lists up to 500 ends. One that holds more than this number of them
+# gets no new runs, so that the ends of all its runs are still listed.
+MAX_HELD_ENDS = 250
 # Backend servers announce themselves every 1.5 s. One that missed three announcements
 # gets no new runs.
 ANNOUNCEMENT_TIMEOUT: Seconds = 5.0
+# A capacity may have shrunk since it was announced, and must not be relied upon 4.5 s
+# later. The announcement and the order may have been under way for some of that time.
+MAX_ANNOUNCEMENT_AGE: Seconds = 3.5
 # All backend servers have announced themselves to a process of this age.
 DISCOVERY_PERIOD: Seconds = 3.5
 # Leases that an earlier leader granted have expired this long after its last order,
@@ -179,8 +185,10 @@
         and server.announced
         and not (server.report.draining or server.departed or server.silent)
         and not server.unexpected_runs
+        and server.held_ends <= MAX_HELD_ENDS
         and now >= server.cooldown_until
         and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
+        and now - server.announced_at < MAX_ANNOUNCEMENT_AGE
     )
 
 
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -6,7 +6,14 @@
 from enum import StrEnum
 
 from boragetide.commands import Command
-from boragetide.durable import DurableJob, JobRecord, ListedEnd, ListedRun, ServerReport
+from boragetide.durable import (
+    DurableJob,
+    JobRecord,
+    ListedEnd,
+    ListedRun,
+    ServerReport,
+    TaskRef,
+)
 from boragetide.messages.common import Request, add_arrival_time
 from boragetide.types import (
     BackendServerId,
@@ -155,10 +162,13 @@
     ----------
     passed_on
         Whether another member forwarded the announcement.
+    age
+        Seconds since the member that passes the announcement on heard it.
     """
 
     report: ServerReport
     passed_on: bool = False
+    age: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,6 +292,11 @@
         Monotonic clock of the backend server, in seconds.
     born
         Unix time of the backend server's start, in milliseconds.
+    unreadable
+        Tasks that are listed as running under a run number that cannot be read.
+    acknowledge_until
+        Number of the last end that may be acknowledged, because the number of the next
+        one cannot be read; ``None`` if all could be read.
     fenced
         Whether the backend server has seen a higher fencing token; if so, the fields
         that it fills in are not set.
@@ -296,6 +311,8 @@
     born: int = 0
     running: tuple[ListedRun, ...] = ()
     ended: tuple[ListedEnd, ...] = ()
+    unreadable: tuple[TaskRef, ...] = ()
+    acknowledge_until: int | None = None
     fenced: bool = False
     target_born: int = 0
 
--- a/properties/simulated_server.py
+++ b/properties/simulated_server.py
@@ -72,6 +72,8 @@
         Time until which no process answers; calls fail.
     address_reused
         Whether another backend server answers at the address while this one is down.
+    shrunk_at
+        Time at which the capacity last became smaller.
     """
 
     id: str
@@ -93,6 +95,8 @@
     hangs: bool = False
     down_until: Seconds = 0.0
     address_reused: bool = False
+    capacity: Resources = CAPACITY
+    shrunk_at: Seconds = 0.0
 
     def restart(
         self,
@@ -134,7 +138,7 @@
             self.id,
             sequence=self.sequence,
             born=self.born,
-            capacity=CAPACITY,
+            capacity=self.capacity,
             clock=self.read_clock(now),
         )
 
@@ -205,7 +209,7 @@
         if order.lease_until <= self.read_clock(now):
             return OrderResult.LATE
         used = sum(each.millicores for each in self.running.values())
-        if used + step.needs.millicores > CAPACITY.millicores:
+        if used + step.needs.millicores > self.capacity.millicores:
             return OrderResult.NO_ROOM
         check_start()
         self.highest_runs[order.task] = order.run
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -75,6 +75,9 @@
 SETTLING_DURATION: Seconds = 6.0
 CALM_DURATION: Seconds = 12.0
 NEEDS = Resources(27_000, 64)
+SMALL_CAPACITY = Resources(30_000, 100_000)
+# A capacity that has shrunk counts after this time.
+SHRINKING_COUNTS_AFTER: Seconds = 4.5
 SLOTS = len(SERVERS) * (CAPACITY.millicores // NEEDS.millicores)
 EXAMPLES = 60
 PROFILE = settings(
@@ -300,12 +303,15 @@
         if isinstance(order, StopRun):
             return backend.stop(order, self.now)
         step = self.jobs[order.task.job_id].steps[order.task.step]
-        return backend.start(
+        result = backend.start(
             order,
             self.now,
             step,
             lambda: self.check_start(order, backend),
         )
+        if result is OrderResult.NO_ROOM:
+            assert self.now < backend.shrunk_at + SHRINKING_COUNTS_AFTER, order
+        return result
 
     def check_start(self, order: StartRun, backend: SimulatedServer) -> None:
         others = [b for b in self.backends.values() if order.task in b.running]
@@ -529,6 +535,17 @@
         """Set the delays of the next announcements, which may overtake each other."""
         self.announcement_delays = tuple(delays)
 
+    @rule(number=st.integers(0, 2), small=st.booleans())
+    def resize(self, number: int, small: bool) -> None:
+        """Change a capacity while the leader has work and hears no announcement."""
+        backend = self.backends[SERVERS[number]]
+        if small and backend.capacity == CAPACITY:
+            backend.shrunk_at = self.now
+        backend.capacity = SMALL_CAPACITY if small else CAPACITY
+        for _ in range(10):
+            self.submit(4, chained=False)
+            self.run_for(0.5)
+
     @rule()
     def heartbeat(self) -> None:
         self.announce()
@@ -571,6 +588,7 @@
         for backend in self.backends.values():
             backend.cut = backend.hangs = False
             backend.start_process(self.now)
+            backend.capacity = CAPACITY
         self.standby_is_deaf = False
         repaired_at = self.now
         self.run_with_announcements(SETTLING_DURATION + self.compute_work_duration())
