--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Literal
 
-from boragetide.durable import DurableJob, JobRecord, RunEnd
+from boragetide.durable import DurableJob, JobRecord, RunEnd, RunLoss
 from boragetide.types import (
     BackendServerId,
     ClassName,
@@ -115,6 +115,14 @@
     kind: Literal["record_ends"] = "record_ends"
 
 
+@dataclass(frozen=True, slots=True)
+class RecordLosses(JobCommand):
+    """Stores which runs were lost with their backend servers."""
+
+    losses: tuple[RunLoss, ...]
+    kind: Literal["record_losses"] = "record_losses"
+
+
 @dataclass(frozen=True, slots=True)
 class CancelJobs(JobCommand):
     """Cancels the given durable jobs, except those that have ended."""
@@ -132,6 +140,7 @@
     "change_members": ChangeMembers,
     "accept_job": AcceptJob,
     "record_ends": RecordEnds,
+    "record_losses": RecordLosses,
     "cancel_jobs": CancelJobs,
 }
 
--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -6,6 +6,7 @@
 
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.job_records import apply_record
+from boragetide.controllers.lost_runs import apply_known_losses
 from boragetide.controllers.placing_runs import place_runs
 from boragetide.controllers.refusals import (
     REASON_TOO_LATE,
@@ -23,7 +24,7 @@
     RunEnd,
     get_task_number,
 )
-from boragetide.effects import Effect, Reply
+from boragetide.effects import Effect, LogEvent, Reply
 from boragetide.messages import (
     DispatcherReply,
     ReplyStatus,
@@ -103,6 +104,7 @@
     record = JobRecord(job, changed_at=now)
     effects = apply_record(state, record, now, is_new=True, arrival=arrival)
     effects += adopt_earlier_runs(state, record, now)
+    effects += apply_known_losses(state, job.id, now)
     return [*effects, *place_runs(state, now)]
 
 
@@ -143,6 +145,21 @@
     return apply_record(state, state.records_by_id[job_id], now)
 
 
+def leave_unserved(
+    state: DispatcherState, record: JobRecord, now: Seconds
+) -> list[Effect]:
+    """Answer the callers of a job that has started and cannot be of use any more."""
+    job_id = record.job.id
+    undecided = DispatcherReply(ReplyStatus.UNDECIDED, term=state.term)
+    waiters = state.waiters_by_job.pop(job_id, [])
+    fields = {"job": job_id, "reason": "run_lost", "term": state.term}
+    return [
+        LogEvent("job_undecided", fields),
+        *(Reply(reply_to, undecided) for reply_to in waiters),
+        *_cancel(state, job_id, now),
+    ]
+
+
 def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Refuse expired best-effort jobs of which no task was started."""
     effects: list[Effect] = []
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -10,7 +10,9 @@
     JobRecord,
     ListedRun,
     Resources,
+    RunLoss,
     ServerReport,
+    Step,
     TaskRef,
 )
 from boragetide.policy.job_queue import JobQueue
@@ -71,6 +73,10 @@
     server_born
         Start of the backend server's process that was known when the run was ordered or
         first listed, in Unix milliseconds.
+    seen_born
+        Start of the process that listed the run last, or to which it was ordered.
+    alone
+        Whether nothing else is started on the backend server while the run is there.
     """
 
     job_id: JobId
@@ -85,6 +91,8 @@
     start_repeated: bool = False
     estimate: Seconds = 0.0
     server_born: int = 0
+    seen_born: int = 0
+    alone: bool = False
 
     @property
     def key(self) -> tuple[JobId, int]:
@@ -156,6 +164,10 @@
         Whether the process itself said that it leaves; it announces nothing later.
     announced_at
         Time of the last announcement.
+    isolated
+        Whether the backend server is set apart for tasks that run alone.
+    follows_planned_end
+        Whether the end of the previous process was announced.
     """
 
     report: ServerReport
@@ -181,6 +193,8 @@
     departed: bool = False
     left: bool = False
     announced_at: Seconds = 0.0
+    isolated: bool = False
+    follows_planned_end: bool = False
 
     def record_answer(self, clock: Seconds, sent_at: Seconds, now: Seconds) -> Seconds:
         """Record the clock in an answer; return when it was read.
@@ -211,6 +225,7 @@
         self.listed = self.acknowledged = self.acknowledged_sent = 0
         self.uncommitted_ends.clear()
         self.unexpected_runs.clear()
+        self.isolated = False
 
     @property
     def announced(self) -> bool:
@@ -226,9 +241,16 @@
         """Whether the last `ReadRuns` was not answered."""
         return self.unanswered > 0
 
+    @property
+    def ends_as_planned(self) -> bool:
+        """Whether the process itself said that it will end."""
+        return self.left or self.report.draining
+
     @property
     def free_resources(self) -> Resources:
-        """Capacity that no run uses."""
+        """Capacity that no run uses; none if the backend server is set apart."""
+        if self.isolated:
+            return Resources()
         free = self.report.capacity
         for run in self.runs_by_task.values():
             if run.phase is not RunPhase.ENDED:
@@ -236,6 +258,15 @@
         return free
 
 
+@dataclass(slots=True)
+class LostRun:
+    """A run that was lost with the process of its backend server."""
+
+    run: Run
+    server: BackendServerId
+    address: str
+
+
 @dataclass(slots=True)
 class PendingEnds:
     """Ends of runs on one backend server that a pending command records in the log."""
@@ -304,6 +335,17 @@
     done_tasks_of_unknown_jobs
         Tasks that were listed as done but whose jobs are not known here, with the time
         of the list.
+    lost_runs
+        Runs that were lost since the last `assess_lost_runs`.
+    losses_by_job
+        Losses of runs that count for the suspicion of their tasks. Those of durable
+        jobs are also stored in the log.
+    lost_servers
+        Backend servers with which runs were lost and whose fate is not known.
+    suspects_by_job
+        Jobs with suspects, and those of the suspects that wait for a start.
+    isolated_servers
+        Backend servers that are set apart for suspects.
     next_command
         Number of the next command.
     next_review
@@ -339,6 +381,11 @@
     overdue_stopped_tasks: set[tuple[JobId, int]] = field(default_factory=set)
     done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
+    lost_runs: list[LostRun] = field(default_factory=list)
+    losses_by_job: dict[JobId, tuple[RunLoss, ...]] = field(default_factory=dict)
+    lost_servers: set[BackendServerId] = field(default_factory=set)
+    suspects_by_job: dict[JobId, dict[int, Step]] = field(default_factory=dict)
+    isolated_servers: set[BackendServerId] = field(default_factory=set)
     next_command: int = 1
     next_review: Seconds = 0.0
 
@@ -347,6 +394,7 @@
         self.records_by_id.pop(job_id, None)
         self.active.pop(job_id, None)
         self.started.discard(job_id)
+        self.suspects_by_job.pop(job_id, None)
         self.queue.remove(job_id)
 
     def remove_unused_run_numbers(self) -> None:
@@ -372,7 +420,7 @@
 
 def add_run(state: DispatcherState, server: Server, run: Run) -> None:
     """Record a run that occupies its task and capacity of a backend server."""
-    run.server_born = server.report.born
+    run.server_born = run.seen_born = server.report.born
     server.runs_by_task[run.key] = run
     state.server_by_task[run.key] = server.report.id
     state.started.add(run.job_id)
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -27,7 +27,16 @@
     store_record,
     update_server_index,
 )
+from boragetide.controllers.isolating import place_suspects
 from boragetide.controllers.job_records import append_command, apply_record
+from boragetide.controllers.lost_runs import (
+    assess_lost_runs,
+    load_losses,
+    remove_old_losses,
+    settle_announced,
+    settle_crashes,
+    settle_survival,
+)
 from boragetide.controllers.orders import (
     apply_order_result,
     free_expired_runs,
@@ -293,6 +302,7 @@
         for job_id in state.active
         if state.records_by_id[job_id].done or state.records_by_id[job_id].failures
     }
+    effects = load_losses(state, message.records, now)
     for job_id in state.active:
         update_queue(state, job_id)
     fields = {
@@ -301,7 +311,8 @@
         "servers": len(state.servers_by_id),
         "missed_predecessor": state.missed_predecessor,
     }
-    return [LogEvent("dispatch_began", fields), *_read_all_servers(state, now)]
+    began = LogEvent("dispatch_began", fields)
+    return [began, *effects, *_read_all_servers(state, now)]
 
 
 def _clear_leader_state(state: DispatcherState) -> None:
@@ -322,6 +333,11 @@
     state.replies_by_command.clear()
     state.command_by_job.clear()
     state.queue.clear()
+    state.lost_runs.clear()
+    state.losses_by_job.clear()
+    state.lost_servers.clear()
+    state.suspects_by_job.clear()
+    state.isolated_servers.clear()
     for server in state.servers_by_id.values():
         server.clear_runs()
         update_server_index(state, server)
@@ -357,6 +373,7 @@
 def _(message: ReportServer, state: DispatcherState, now: Seconds) -> list[Effect]:
     report = message.report
     effects = apply_report(state, report, now)
+    effects += settle_announced(state, report, now)
     if not message.passed_on:
         effects += _forward_to_members(
             state, ReportServer(report=report, passed_on=True)
@@ -378,6 +395,8 @@
 @handle.register
 def _(message: RemoveServer, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects = remove_server(state, message.id, message.born)
+    if has_authority(state, now):
+        effects += settle_survival(state, message.id, message.born, now)
     if not message.passed_on:
         onward = RemoveServer(id=message.id, born=message.born, passed_on=True)
         effects += _forward_to_members(state, onward)
@@ -388,14 +407,32 @@
 @handle.register
 def _(message: RunsRead, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects = reconcile_runs(state, message, now)
+    settled = _settle_listed(state, message, now)
+    effects += settled
     effects += check_takeover(state, now)
     server = state.servers_by_id.get(message.server)
+    if settled or (server is not None and server.isolated):
+        effects += place_suspects(state, now)
     effects += place_runs(state, now)
     if server is not None:
         effects += read_runs(state, server, now)
     return effects
 
 
+def _settle_listed(
+    state: DispatcherState, message: RunsRead, now: Seconds
+) -> list[Effect]:
+    """Settle the losses whose fate a list of runs shows."""
+    effects = assess_lost_runs(state, now)
+    server = state.servers_by_id.get(message.server)
+    if message.server not in state.lost_servers or not has_authority(state, now):
+        return effects
+    if server is None or message.born < server.report.born:
+        return effects
+    effects += settle_crashes(state, server.report, now)
+    return [*effects, *settle_survival(state, message.server, message.born, now)]
+
+
 @handle.register
 def _(message: ReadFailed, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects = record_failed_read(state, message, now)
@@ -436,6 +473,7 @@
         remove_stale_servers(state, now)
         recover_speeds(state, now)
         _remove_old_unknown_tasks(state, now)
+        remove_old_losses(state, now)
         if has_authority(state, now):
             effects += pass_on_servers(state, now)
     if not has_authority(state, now):
@@ -443,9 +481,11 @@
     effects += check_admission(state, now)
     effects += check_takeover(state, now)
     effects += free_expired_runs(state, now)
+    effects += assess_lost_runs(state, now)
     effects += stop_overdue(state, now)
     effects += repeat_stops(state, now)
     effects += refuse_expired(state, now)
+    effects += place_suspects(state, now)
     return [*effects, *_place_and_read(state, now)]
 
 
--- /dev/null
+++ b/boragetide/controllers/isolating.py
@@ -0,0 +1,209 @@
+"""Isolation: suspects run alone on backend servers that are set apart for them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+from boragetide.controllers.best_effort import leave_unserved
+from boragetide.controllers.dispatch_state import (
+    DispatcherState,
+    RunPhase,
+    Server,
+    has_authority,
+    update_server_index,
+)
+from boragetide.controllers.placing_runs import find_pool, is_usable, start_task
+from boragetide.durable import DurableJob, Step
+from boragetide.effects import Count, Effect, LogEvent
+from boragetide.policy.crash_suspicion import (
+    awaits_fate,
+    max_empty_isolated_servers,
+    max_isolated_servers,
+    may_start_at,
+)
+from boragetide.policy.scheduling import ServerCandidate, choose_server, expires_at
+from boragetide.types import JobId, PoolName, Seconds
+
+
+def place_suspects(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Start the waiting suspects, each alone on a backend server."""
+    if not (state.suspects_by_job or state.isolated_servers):
+        return []
+    if not has_authority(state, now) or not state.takeover_complete:
+        return []
+    effects = _leave_useless_jobs(state, now)
+    _release_lost_servers(state, now)
+    unplaced: set[tuple[PoolName, str]] = set()
+    for job_id, tasks in list(state.suspects_by_job.items()):
+        job = state.records_by_id[job_id].job
+        pool = find_pool(state, job)
+        for number, step in list(tasks.items()):
+            kind = (pool, step.required_label)
+            if kind in unplaced or now < _may_start_at(state, job_id, number):
+                continue
+            placed = _place_suspect(state, job, pool, number, step, now)
+            effects += placed
+            if not placed:
+                unplaced.add(kind)
+    _release_idle_servers(state, keeps_busy=bool(unplaced))
+    return effects
+
+
+def _may_start_at(state: DispatcherState, job_id: JobId, number: int) -> Seconds:
+    return may_start_at(state.losses_by_job.get(job_id, ()), number)
+
+
+def _leave_useless_jobs(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """End the best-effort jobs for which another start comes too late."""
+    effects: list[Effect] = []
+    for job_id, tasks in list(state.suspects_by_job.items()):
+        record = state.records_by_id[job_id]
+        if tasks and record.job.best_effort and now > expires_at(record.job):
+            effects += leave_unserved(state, record, now)
+    return effects
+
+
+def _place_suspect(
+    state: DispatcherState,
+    job: DurableJob,
+    pool: PoolName,
+    number: int,
+    step: Step,
+    now: Seconds,
+) -> list[Effect]:
+    """Start a suspect on an empty server, or set a server apart that will be empty."""
+    isolated = [state.servers_by_id[id_] for id_ in state.isolated_servers]
+    empty = [server for server in isolated if _is_empty(server)]
+    chosen = choose_server(step, _make_candidates(empty, pool), {})
+    if chosen is not None:
+        return _start_alone(state, job, number, step, chosen, now)
+    max_runs = _max_runs_to_isolate(state, pool, now)
+    if max_runs is None:
+        return []
+    usable = [
+        server
+        for server in state.servers_by_id.values()
+        if not server.isolated
+        and _count_active_runs(server) <= max_runs
+        and is_usable(state, server, now)
+    ]
+    chosen = choose_server(step, _make_candidates(_sort_by_load(usable), pool), {})
+    if chosen is None:
+        return []
+    server = state.servers_by_id[chosen.id]
+    _isolate(state, server)
+    if not _is_empty(server):
+        return []
+    return _start_alone(state, job, number, step, chosen, now)
+
+
+def _start_alone(
+    state: DispatcherState,
+    job: DurableJob,
+    number: int,
+    step: Step,
+    chosen: ServerCandidate,
+    now: Seconds,
+) -> list[Effect]:
+    start = start_task(state, job, number, step, chosen, now, alone=True)
+    tasks = state.suspects_by_job[job.id]
+    tasks.pop(number, None)
+    server = state.servers_by_id[chosen.id]
+    fields = {"job": job.id, "task": number, "server": chosen.id}
+    fields |= {"born": server.report.born, "losses": len(state.losses_by_job[job.id])}
+    return [LogEvent("suspect_placed", fields), Count("suspects_placed"), *start]
+
+
+def _make_candidates(
+    servers: list[Server], pool: PoolName
+) -> Iterator[ServerCandidate]:
+    for server in servers:
+        report = server.report
+        if report.pool == pool:
+            yield ServerCandidate(
+                report.id, report.capacity, server.speed, report.labels
+            )
+
+
+def _sort_by_load(servers: list[Server]) -> list[Server]:
+    """Return the servers that are empty or will soon be empty first."""
+    return sorted(
+        servers, key=lambda server: (_count_active_runs(server), -server.speed)
+    )
+
+
+def _max_runs_to_isolate(
+    state: DispatcherState, pool: PoolName, now: Seconds
+) -> float | None:
+    """Return how many runs another server to be set apart may have; `None` for none.
+
+    Servers that were lost with a suspect count as set apart while their fate is
+    awaited.
+    """
+    size = sum(
+        server.report.pool == pool and not server.departed
+        for server in state.servers_by_id.values()
+    )
+    lost = {
+        (loss.server, loss.born)
+        for losses in state.losses_by_job.values()
+        for loss in losses
+        if loss.alone and awaits_fate(loss, now)
+    }
+    used = len(state.isolated_servers) + len(lost)
+    if used < max_isolated_servers(size):
+        return math.inf
+    if not lost and used < max_empty_isolated_servers(size):
+        return 0
+    return None
+
+
+def _count_active_runs(server: Server) -> int:
+    """Return the number of runs that have not ended on a backend server."""
+    return sum(run.phase is not RunPhase.ENDED for run in server.runs_by_task.values())
+
+
+def _is_empty(server: Server) -> bool:
+    return _count_active_runs(server) == 0
+
+
+def _isolate(state: DispatcherState, server: Server) -> None:
+    server.isolated = True
+    state.isolated_servers.add(server.report.id)
+    update_server_index(state, server)
+
+
+def _release(state: DispatcherState, server: Server) -> None:
+    server.isolated = False
+    state.isolated_servers.discard(server.report.id)
+    update_server_index(state, server)
+
+
+def _release_lost_servers(state: DispatcherState, now: Seconds) -> None:
+    """Release the servers that were replaced, or are not usable and run no suspect."""
+    for server_id in list(state.isolated_servers):
+        server = state.servers_by_id.get(server_id)
+        if server is None or not server.isolated:
+            state.isolated_servers.discard(server_id)
+        elif not _runs_suspect(server) and not is_usable(state, server, now):
+            _release(state, server)
+
+
+def _release_idle_servers(state: DispatcherState, *, keeps_busy: bool) -> None:
+    """Release the servers that no suspect uses or waits for.
+
+    Parameters
+    ----------
+    keeps_busy
+        Whether suspects wait for the servers that are not empty yet.
+    """
+    for server_id in list(state.isolated_servers):
+        server = state.servers_by_id[server_id]
+        awaited = keeps_busy and not _is_empty(server)
+        if not (awaited or _runs_suspect(server)):
+            _release(state, server)
+
+
+def _runs_suspect(server: Server) -> bool:
+    return any(run.alone for run in server.runs_by_task.values())
--- /dev/null
+++ b/boragetide/controllers/lost_runs.py
@@ -0,0 +1,255 @@
+"""Runs that were lost with their backend servers, and what became of these servers.
+
+A later process with the same id or at the same address shows that a backend server has
+crashed. An answer of the same process shows that it was only cut off or paused.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import replace
+
+from boragetide.commands import RecordLosses
+from boragetide.controllers.dispatch_state import (
+    DispatcherState,
+    LostRun,
+    has_authority,
+)
+from boragetide.controllers.job_records import append_command, apply_record
+from boragetide.controllers.placing_runs import update_queue
+from boragetide.durable import JobPhase, JobRecord, LossFate, RunLoss, ServerReport
+from boragetide.effects import Count, Effect, LogEvent
+from boragetide.policy import job_table
+from boragetide.policy.crash_suspicion import (
+    count_crashes,
+    is_guilty,
+    merge_losses,
+)
+from boragetide.types import BackendServerId, JobId, Seconds
+
+# Losses of a best-effort job are remembered this long, because its caller may submit it
+# again.
+LOSS_RETENTION: Seconds = 60.0
+
+
+def assess_lost_runs(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Put the tasks of newly lost runs under suspicion."""
+    lost_runs, state.lost_runs = state.lost_runs, []
+    losses = [
+        _make_loss(state, lost, now)
+        for lost in lost_runs
+        if _is_unfinished(state, lost.run.job_id, lost.run.task)
+    ]
+    if not losses:
+        return []
+    logs = [_describe("task_suspected", state, loss) for loss in losses]
+    crashed = [loss for loss in losses if loss.fate is LossFate.CRASHED]
+    return [
+        *logs,
+        Count("runs_lost", value=len(losses)),
+        *_describe_crashes(crashed),
+        *_store_losses(state, losses, now),
+    ]
+
+
+def _make_loss(state: DispatcherState, lost: LostRun, now: Seconds) -> RunLoss:
+    run = lost.run
+    loss = RunLoss(
+        job_id=run.job_id,
+        task=run.task,
+        server=lost.server,
+        address=lost.address,
+        born=run.seen_born,
+        lost_at=now,
+        alone=run.alone,
+    )
+    has_crashed = any(
+        _is_later_life(server.report, loss) for server in state.servers_by_id.values()
+    )
+    return replace(loss, fate=LossFate.CRASHED) if has_crashed else loss
+
+
+def _is_unfinished(state: DispatcherState, job_id: JobId, task: int) -> bool:
+    record = state.records_by_id.get(job_id)
+    if record is None or record.phase is not JobPhase.ACTIVE:
+        return False
+    return task not in record.done
+
+
+def _is_later_life(report: ServerReport, loss: RunLoss) -> bool:
+    """Return whether a process has taken the place of the one that ran a lost run."""
+    if report.born <= loss.born:
+        return False
+    return report.id == loss.server or report.address == loss.address
+
+
+def settle_crashes(
+    state: DispatcherState, report: ServerReport, now: Seconds
+) -> list[Effect]:
+    """Count a crash for all tasks that ran on the predecessor of a process."""
+    crashed = [
+        replace(loss, fate=LossFate.CRASHED)
+        for loss in _list_open_losses(state)
+        if _is_later_life(report, loss)
+    ]
+    if not crashed:
+        return []
+    return [*_describe_crashes(crashed), *_store_losses(state, crashed, now)]
+
+
+def settle_survival(
+    state: DispatcherState, server_id: BackendServerId, born: int, now: Seconds
+) -> list[Effect]:
+    """Clear the tasks whose runs were lost with a process that has not crashed."""
+    if server_id not in state.lost_servers:
+        return []
+    survived = [
+        replace(loss, fate=LossFate.SURVIVED)
+        for loss in _list_open_losses(state)
+        if loss.server == server_id and loss.born == born
+    ]
+    logs = [_describe("task_cleared", state, loss) for loss in survived]
+    return [*logs, *_store_losses(state, survived, now)]
+
+
+def settle_announced(
+    state: DispatcherState, report: ServerReport, now: Seconds
+) -> list[Effect]:
+    """Settle the losses whose fate an announcement shows."""
+    if not (state.lost_servers and has_authority(state, now)):
+        return []
+    if report.draining:
+        return settle_survival(state, report.id, report.born, now)
+    return settle_crashes(state, report, now)
+
+
+def load_losses(
+    state: DispatcherState, records: Iterable[JobRecord], now: Seconds
+) -> list[Effect]:
+    """Load the stored losses and settle those whose fate has been announced."""
+    state.losses_by_job = {
+        record.job.id: record.losses
+        for record in records
+        if record.losses and record.phase is JobPhase.ACTIVE
+    }
+    _update_lost_servers(state)
+    effects: list[Effect] = []
+    for server in state.servers_by_id.values():
+        effects += settle_crashes(state, server.report, now)
+    return effects
+
+
+def apply_known_losses(
+    state: DispatcherState, job_id: JobId, now: Seconds
+) -> list[Effect]:
+    """Apply the known losses of a best-effort job that was submitted again."""
+    losses = state.losses_by_job.get(job_id, ())
+    if not job_table.record_losses(state.records_by_id, losses, now):
+        return []
+    return apply_record(state, state.records_by_id[job_id], now)
+
+
+def remove_old_losses(state: DispatcherState, now: Seconds) -> None:
+    """Forget the losses of jobs that ended long ago, and of silent servers."""
+    for job_id, losses in list(state.losses_by_job.items()):
+        is_old = now - losses[-1].lost_at > LOSS_RETENTION
+        if is_old and job_id not in state.active:
+            del state.losses_by_job[job_id]
+    _update_lost_servers(state)
+
+
+def _list_open_losses(state: DispatcherState) -> list[RunLoss]:
+    """Return the losses with backend servers whose fate is not known."""
+    return [
+        loss
+        for losses in state.losses_by_job.values()
+        for loss in losses
+        if loss.fate is LossFate.UNKNOWN
+    ]
+
+
+def _update_lost_servers(state: DispatcherState) -> None:
+    state.lost_servers = {loss.server for loss in _list_open_losses(state)}
+
+
+def _store_losses(
+    state: DispatcherState, losses: list[RunLoss], now: Seconds
+) -> list[Effect]:
+    """Remember losses, and commit those of jobs that outlive the leader."""
+    by_job: dict[JobId, list[RunLoss]] = defaultdict(list)
+    for loss in losses:
+        by_job[loss.job_id].append(loss)
+    effects: list[Effect] = []
+    to_commit: list[RunLoss] = []
+    for job_id, of_job in by_job.items():
+        known = state.losses_by_job.pop(job_id, ())
+        merged = merge_losses(known, of_job)
+        if merged:
+            state.losses_by_job[job_id] = merged
+        update_queue(state, job_id)
+        record = state.records_by_id.get(job_id)
+        if record is None or record.phase is not JobPhase.ACTIVE:
+            continue
+        effects += _describe_guilt(state, record)
+        if not record.job.best_effort:
+            to_commit += of_job
+        elif job_table.record_losses(state.records_by_id, tuple(of_job), now):
+            effects += apply_record(state, state.records_by_id[job_id], now)
+    _update_lost_servers(state)
+    if to_commit:
+        effects.append(append_command(state, RecordLosses(tuple(to_commit))))
+    return effects
+
+
+def describe_cleared(state: DispatcherState, job_id: JobId, task: int) -> list[Effect]:
+    """Describe that a suspect was done; return no effects if it is no suspect."""
+    losses = state.losses_by_job.get(job_id, ())
+    of_task = [loss for loss in losses if loss.task == task]
+    return [_describe("task_cleared", state, loss) for loss in of_task[-1:]]
+
+
+def _describe(event: str, state: DispatcherState, loss: RunLoss) -> LogEvent:
+    losses = state.losses_by_job.get(loss.job_id, ())
+    fields = {
+        "job": loss.job_id,
+        "task": loss.task,
+        "server": loss.server,
+        "born": loss.born,
+        "alone": loss.alone,
+        "fate": loss.fate.value,
+        "crashes": count_crashes(losses, loss.task),
+    }
+    return LogEvent(event, fields)
+
+
+def _describe_crashes(crashed: list[RunLoss]) -> list[Effect]:
+    tasks_by_server: dict[tuple[BackendServerId, int], list[str]] = defaultdict(list)
+    for loss in crashed:
+        tasks = tasks_by_server[loss.server, loss.born]
+        tasks.append(f"{loss.job_id}/{loss.task}")
+    return [
+        each
+        for (server, born), tasks in tasks_by_server.items()
+        for each in (
+            LogEvent(
+                "server_crashed",
+                {"server": server, "born": born, "runs_lost": ",".join(tasks)},
+            ),
+            Count("server_crashes"),
+        )
+    ]
+
+
+def _describe_guilt(state: DispatcherState, record: JobRecord) -> list[Effect]:
+    """Describe the tasks of a job that are given up for their crashes."""
+    losses = state.losses_by_job.get(record.job.id, ())
+    effects: list[Effect] = []
+    for loss in losses:
+        is_last = (
+            loss.key == [each.key for each in losses if each.task == loss.task][-1]
+        )
+        if is_last and loss.task not in record.done and is_guilty(losses, loss.task):
+            effects.append(_describe("task_given_up", state, loss))
+            effects.append(Count("tasks_given_up"))
+    return effects
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -4,6 +4,7 @@
 
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
+    LostRun,
     Run,
     RunPhase,
     Server,
@@ -22,6 +23,8 @@
 READ_RETRY_DELAYS: tuple[Seconds, ...] = (0.0, 0.1, 0.2, 0.4)
 STOP_RETRY_DELAY: Seconds = 0.1
 REASON_LISTED = "listed"  # reason of a run that is over because its end was listed
+REASON_LEASE_LAPSED = "lease_lapsed"
+REASON_NOT_LISTED = "not_listed"
 # A backend server that refuses a run because it is unhealthy or has no free resources
 # gets no new runs for this long.
 REFUSAL_COOLDOWN: Seconds = 1.0
@@ -236,7 +239,7 @@
             continue
         for run in list(server.runs_by_task.values()):
             if run.phase is not RunPhase.ENDED:
-                effects += free_run(state, server, run, "lease_lapsed")
+                effects += free_run(state, server, run, REASON_LEASE_LAPSED)
     return effects
 
 
@@ -248,6 +251,9 @@
     update_server_index(state, server)
     if state.server_by_task.get(run.key) == server.report.id:
         del state.server_by_task[run.key]
+    if _was_lost_with_server(server, run, reason):
+        report = server.report
+        state.lost_runs.append(LostRun(run, report.id, report.address))
     update_queue(state, run.job_id)
     if reason == REASON_LISTED:
         # The end was already logged when it was listed.
@@ -257,6 +263,18 @@
     return [LogEvent("run_over", fields)]
 
 
+def _was_lost_with_server(server: Server, run: Run, reason: str) -> bool:
+    """Return whether a run ended because its backend server did not go on with it."""
+    if reason == REASON_LEASE_LAPSED:
+        return not server.ends_as_planned
+    is_of_earlier_life = run.seen_born < server.report.born
+    return (
+        reason == REASON_NOT_LISTED
+        and is_of_earlier_life
+        and not server.follows_planned_end
+    )
+
+
 def lose_authority(state: DispatcherState, server_id: BackendServerId) -> Effect:
     """Send no more orders in this term, because a newer leader sends them."""
     state.authority_until = 0.0
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -16,13 +16,15 @@
     assign_run_number,
     has_authority,
 )
-from boragetide.durable import DurableJob, JobPhase, Step, get_task_ref
+from boragetide.durable import DurableJob, JobPhase, JobRecord, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
+from boragetide.policy.crash_suspicion import find_suspects, holds_other_tasks
 from boragetide.policy.job_queue import WaitingJob
 from boragetide.policy.scheduling import (
     ServerCandidate,
     choose_server,
     find_ready_tasks,
+    latest_start,
     min_useful_speed,
 )
 from boragetide.types import JobId, PoolName, Seconds
@@ -41,15 +43,36 @@
     record = state.records_by_id.get(job_id)
     if record is None or record.phase is not JobPhase.ACTIVE:
         state.queue.remove(job_id)
+        state.suspects_by_job.pop(job_id, None)
         return
     tasks = {
         number: step
         for number, step in find_ready_tasks(record)
         if (job_id, number) not in state.server_by_task
     }
+    if job_id in state.losses_by_job or job_id in state.suspects_by_job:
+        tasks = _hold_suspects(state, record, tasks)
     state.queue.put(record.job, tasks)
 
 
+def _hold_suspects(
+    state: DispatcherState, record: JobRecord, tasks: dict[int, Step]
+) -> dict[int, Step]:
+    """Keep the suspects out of the queue; return the tasks that need not wait."""
+    job_id = record.job.id
+    losses = state.losses_by_job.get(job_id, ())
+    suspects = find_suspects(losses, record.done)
+    if not suspects:
+        state.suspects_by_job.pop(job_id, None)
+        return tasks
+    state.suspects_by_job[job_id] = {
+        number: step for number, step in tasks.items() if number in suspects
+    }
+    if holds_other_tasks(losses):
+        return {}
+    return {number: step for number, step in tasks.items() if number not in suspects}
+
+
 def is_takeover_complete(state: DispatcherState, now: Seconds) -> bool:
     """Return whether a task that no backend server lists is certainly not running.
 
@@ -88,7 +111,7 @@
     effects: list[Effect] = []
     max_free_by_pool: dict[PoolName, int] = {}
     for waiting in state.queue.iterate(now):
-        pool = _find_pool(state, waiting)
+        pool = find_pool(state, waiting.job)
         if pool not in max_free_by_pool:
             max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
         if waiting.min_millicores > max_free_by_pool[pool]:
@@ -100,9 +123,8 @@
     return effects
 
 
-def _find_pool(state: DispatcherState, waiting: WaitingJob) -> PoolName:
+def find_pool(state: DispatcherState, job: DurableJob) -> PoolName:
     """Return the current pool of the job's class, or the job's own if there is none."""
-    job = waiting.job
     if state.configuration is not None:
         target = state.configuration.classes_by_name.get(job.class_name)
         if target is not None and target.durable is not None:
@@ -164,7 +186,7 @@
             unplaceable_step = step
             continue
         counts[chosen.id] += 1
-        effects += _start(state, waiting, number, step, chosen, now)
+        effects += start_task(state, waiting.job, number, step, chosen, now)
         del waiting.tasks[number]
     if not waiting.tasks:
         state.queue.remove(job_id)
@@ -184,19 +206,28 @@
     )
 
 
-def _start(
+def start_task(
     state: DispatcherState,
-    waiting: WaitingJob,
+    job: DurableJob,
     number: int,
     step: Step,
     chosen: ServerCandidate,
     now: Seconds,
+    *,
+    alone: bool = False,
 ) -> list[Effect]:
-    job = waiting.job
+    """Start a task on a backend server.
+
+    Parameters
+    ----------
+    alone
+        Whether the backend server is set apart for this task.
+    """
     server = state.servers_by_id[chosen.id]
     key = (job.id, number)
     run = Run(job.id, number, assign_run_number(state, key), step.needs, now)
     run.estimate = step.estimate
+    run.alone = alone
     add_run(state, server, run)
     start = make_start(state, server, job, run, now)
     fields = {
@@ -206,7 +237,7 @@
         "server": chosen.id,
         "term": state.term,
         "waited": now - job.submitted_at,
-        "slack": waiting.latest_start - now,
+        "slack": latest_start(job) - now,
         "speed": chosen.speed,
         "room_left": server.free_resources.millicores,
         "heard_ago": now - server.last_contact_at,
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -14,6 +14,7 @@
     add_run,
 )
 from boragetide.controllers.job_records import append_command, apply_record
+from boragetide.controllers.lost_runs import describe_cleared
 from boragetide.controllers.orders import REASON_LISTED, free_run
 from boragetide.controllers.placing_runs import update_queue
 from boragetide.controllers.server_health import learn_speed, record_outcome
@@ -114,6 +115,7 @@
     if end.reason not in (EndReason.DONE, EndReason.FAILED):
         return None, [log]
     failed = end.reason is EndReason.FAILED
+    cleared = [] if failed else describe_cleared(state, *key)
     if is_current:
         run.phase = RunPhase.ENDED
         record_outcome(server, failed, now)
@@ -133,9 +135,10 @@
         current_run = run if is_current else None
         return None, [
             log,
+            *cleared,
             *_apply_best_effort_end(state, server, current_run, run_end, now),
         ]
-    return run_end, [log]
+    return run_end, [log, *cleared]
 
 
 def _apply_best_effort_end(
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -12,6 +12,7 @@
     update_server_index,
 )
 from boragetide.controllers.orders import (
+    REASON_NOT_LISTED,
     free_run,
     lose_authority,
     make_stop,
@@ -147,6 +148,7 @@
     key = (listed.task.job_id, -1 if number is None else number)
     run = server.runs_by_task.get(key)
     if run is not None and run.number == listed.run:
+        run.seen_born = server.report.born
         if run.phase is RunPhase.ORDERED:
             run.phase, run.started_at = RunPhase.RUNNING, server.runs_listed_at
         return []
@@ -242,5 +244,5 @@
         task = None if record is None else get_task_ref(record.job, run.task)
         if (task, run.number) in listed:
             continue
-        effects += free_run(state, server, run, "not_listed")
+        effects += free_run(state, server, run, REASON_NOT_LISTED)
     return effects
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -89,6 +89,7 @@
     server = Server(report, now, announced_at=now)
     if previous is not None:
         server.runs_by_task = dict(previous.runs_by_task)
+        server.follows_planned_end = previous.ends_as_planned
         server.leases_expired_at = previous.leases_expired_at
         # The previous process has yet to answer its read, or the read to fail.
         server.reading = previous.reading
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -137,6 +137,45 @@
     CANCELLED = "cancelled"
 
 
+class LossFate(StrEnum):
+    """What became of a backend server with which a run was lost."""
+
+    UNKNOWN = "unknown"
+    CRASHED = "crashed"
+    SURVIVED = "survived"  # it was cut off or paused, or its end was planned
+
+
+@dataclass(frozen=True, slots=True)
+class RunLoss:
+    """A run that was lost with its backend server.
+
+    Parameters
+    ----------
+    task
+        Number of the task over all steps.
+    server, address, born
+        The process of the backend server that ran the task.
+    lost_at
+        Unix time at which the run was known to be over.
+    alone
+        Whether nothing else ran on the backend server.
+    """
+
+    job_id: JobId
+    task: int
+    server: BackendServerId
+    address: str
+    born: int
+    lost_at: Seconds
+    alone: bool = False
+    fate: LossFate = LossFate.UNKNOWN
+
+    @property
+    def key(self) -> tuple[int, BackendServerId, int]:
+        """Identifies the loss among those of its job."""
+        return self.task, self.server, self.born
+
+
 @dataclass(frozen=True, slots=True)
 class JobRecord:
     """State of a job in the replicated log.
@@ -149,6 +188,9 @@
         Task number and run number of each failed attempt.
     changed_at
         Unix time of the last change.
+    losses
+        Runs that were lost with their backend servers, oldest first, except those whose
+        backend server has survived.
     """
 
     job: DurableJob
@@ -156,6 +198,7 @@
     done: frozenset[int] = frozenset()
     failures: tuple[tuple[int, int], ...] = ()
     changed_at: Seconds = 0.0
+    losses: tuple[RunLoss, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -21,6 +21,7 @@
     Proposal,
     PublishConfiguration,
     RecordEnds,
+    RecordLosses,
     RegisterAcceptor,
     ReturnBackendServer,
     SetClass,
@@ -183,6 +184,11 @@
     return job_table.record_ends(catalogue.jobs_by_id, command.ends, now)
 
 
+@apply_job_command.register
+def _(command: RecordLosses, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    return job_table.record_losses(catalogue.jobs_by_id, command.losses, now)
+
+
 @apply_job_command.register
 def _(command: CancelJobs, catalogue: Catalogue, now: Seconds) -> set[JobId]:
     changed: set[JobId] = set()
--- /dev/null
+++ b/boragetide/policy/crash_suspicion.py
@@ -0,0 +1,108 @@
+"""Which tasks are suspected of crashing the backend servers that run them.
+
+A crash puts all tasks that ran on the backend server under suspicion. A suspect runs
+next alone on a backend server, so that the next crash shows whether it is to blame.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from boragetide.durable import JobRecord, LossFate, RunLoss
+from boragetide.types import Seconds
+
+Losses = tuple[RunLoss, ...]
+
+# A task is given up after this many crashes, the last of them while it ran alone.
+MAX_CRASHES = 2
+# A suspect that was lost while it ran alone starts again only when the fate of that
+# backend server is known, or after this time. The wait doubles with each such loss.
+FATE_WAIT: Seconds = 10.0
+# Share of the backend servers of a pool that may be set apart for suspects.
+MAX_ISOLATED_SHARE = 0.15
+# As long as no suspect was lost alone, it may be this share if the servers are empty,
+# because most suspects are innocent.
+MAX_EMPTY_ISOLATED_SHARE = 0.5
+# The ready tasks of a job that are not suspected wait once runs of the job were lost
+# with this many backend servers.
+HOLDING_SERVER_COUNT = 2
+
+
+def merge_losses(known: Losses, new: Iterable[RunLoss]) -> Losses:
+    """Return the losses after an update; the update is idempotent.
+
+    A known fate replaces an unknown one. The loss of a run whose backend server has
+    survived is removed.
+    """
+    by_key = {loss.key: loss for loss in known}
+    for loss in new:
+        current = by_key.get(loss.key)
+        if current is None or current.fate is LossFate.UNKNOWN:
+            by_key[loss.key] = loss
+    return tuple(loss for loss in by_key.values() if loss.fate is not LossFate.SURVIVED)
+
+
+def find_suspects(losses: Losses, done: frozenset[int]) -> set[int]:
+    """Return the tasks that are not done and of which a run was lost."""
+    return {loss.task for loss in losses} - done
+
+
+def count_crashes(losses: Losses, task: int) -> int:
+    """Return the number of backend servers that have crashed under a task."""
+    return len(_list_crashes(losses, task))
+
+
+def is_guilty(losses: Losses, task: int) -> bool:
+    """Return whether a task certainly crashes the backend servers that run it."""
+    crashes = _list_crashes(losses, task)
+    return len(crashes) >= MAX_CRASHES and crashes[-1].alone
+
+
+def find_guilty(record: JobRecord) -> int | None:
+    """Return a task of a job that is to blame for crashes, or ``None``."""
+    suspects = find_suspects(record.losses, record.done)
+    return next((task for task in suspects if is_guilty(record.losses, task)), None)
+
+
+def _list_crashes(losses: Losses, task: int) -> list[RunLoss]:
+    return [
+        loss for loss in losses if loss.task == task and loss.fate is LossFate.CRASHED
+    ]
+
+
+def awaits_fate(loss: RunLoss, now: Seconds) -> bool:
+    """Return whether the fate of a backend server may still become known."""
+    return loss.fate is LossFate.UNKNOWN and now < loss.lost_at + FATE_WAIT
+
+
+def may_start_at(losses: Losses, task: int) -> Seconds:
+    """Return the time from which a suspect may start again; never if it is guilty."""
+    if is_guilty(losses, task):
+        return math.inf
+    open_losses = [
+        loss
+        for loss in losses
+        if loss.task == task and loss.alone and loss.fate is LossFate.UNKNOWN
+    ]
+    if not open_losses:
+        return 0.0
+    return open_losses[-1].lost_at + FATE_WAIT * 2 ** (len(open_losses) - 1)
+
+
+def holds_other_tasks(losses: Losses) -> bool:
+    """Return whether the other tasks of a job wait for its suspects.
+
+    Several tasks of such a job may crash their backend servers.
+    """
+    return len({(loss.server, loss.born) for loss in losses}) >= HOLDING_SERVER_COUNT
+
+
+def max_isolated_servers(pool_size: int) -> int:
+    """Return how many backend servers of a pool suspects may use at a time."""
+    return max(1, math.floor(pool_size * MAX_ISOLATED_SHARE))
+
+
+def max_empty_isolated_servers(pool_size: int) -> int:
+    """Return how many suspects may use if no server has to be emptied for them."""
+    return max(1, math.floor(pool_size * MAX_EMPTY_ISOLATED_SHARE))
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -9,7 +9,8 @@
 
 from dataclasses import replace
 
-from boragetide.durable import DurableJob, JobPhase, JobRecord, RunEnd
+from boragetide.durable import DurableJob, JobPhase, JobRecord, RunEnd, RunLoss
+from boragetide.policy.crash_suspicion import find_guilty, merge_losses
 from boragetide.types import JobId, Seconds
 
 # The state of an ended job may be requested for 120 s after its end.
@@ -67,6 +68,34 @@
     return record
 
 
+def record_losses(
+    jobs_by_id: dict[JobId, JobRecord], losses: tuple[RunLoss, ...], now: Seconds
+) -> set[JobId]:
+    """Record runs that were lost with their backend servers.
+
+    A job of which a task crashes its backend servers ends as failed.
+
+    Returns
+    -------
+    set
+        Ids of the jobs that changed.
+    """
+    changed = set()
+    for loss in losses:
+        record = jobs_by_id.get(loss.job_id)
+        if record is None or record.phase is not JobPhase.ACTIVE:
+            continue
+        merged = merge_losses(record.losses, (loss,))
+        if merged == record.losses:
+            continue
+        updated = replace(record, losses=merged, changed_at=now)
+        if find_guilty(updated) is not None:
+            updated = _finish(updated, JobPhase.FAILED, now, updated.done)
+        jobs_by_id[loss.job_id] = updated
+        changed.add(loss.job_id)
+    return changed
+
+
 def count_failures(record: JobRecord, task: int) -> int:
     """Return the number of failed runs of a task."""
     return sum(number == task for number, _ in record.failures)
--- /dev/null
+++ b/boragetide/tests/test_crash_suspicion.py
@@ -0,0 +1,91 @@
+"""Suspicion of tasks whose runs were lost with their backend servers."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from boragetide.durable import LossFate, RunLoss
+from boragetide.policy.crash_suspicion import (
+    FATE_WAIT,
+    find_suspects,
+    holds_other_tasks,
+    is_guilty,
+    max_isolated_servers,
+    may_start_at,
+    merge_losses,
+)
+from boragetide.tests.durable_fixtures import BEGIN
+
+CRASHED, UNKNOWN, SURVIVED = LossFate.CRASHED, LossFate.UNKNOWN, LossFate.SURVIVED
+
+
+def make_loss(
+    server: str, fate: LossFate = CRASHED, *, task: int = 0, alone: bool = False
+) -> RunLoss:
+    return RunLoss("j1", task, server, f"{server}:80", 1, BEGIN, alone, fate)
+
+
+def test_crash_of_one_server_counts_once() -> None:
+    """Guards against a task that is given up because a crash is reported twice."""
+    crash = make_loss("s1", alone=True)
+    losses = merge_losses((), (crash, crash, make_loss("s1", UNKNOWN)))
+    assert losses == (crash,)
+
+
+def test_known_fate_replaces_an_unknown_one() -> None:
+    """Guards against a suspect that is never cleared after a cut."""
+    lost = make_loss("s1", UNKNOWN)
+    assert merge_losses((lost,), (make_loss("s1"),)) == (make_loss("s1"),)
+    assert merge_losses((lost,), (make_loss("s1", SURVIVED),)) == ()
+
+
+@pytest.mark.parametrize(
+    ("losses", "guilty"),
+    [
+        ([make_loss("s1")], False),
+        ([make_loss("s1"), make_loss("s2")], False),
+        ([make_loss("s1"), make_loss("s2", UNKNOWN, alone=True)], False),
+        ([make_loss("s1"), make_loss("s2", task=1, alone=True)], False),
+        ([make_loss("s1"), make_loss("s2", alone=True)], True),
+    ],
+)
+def test_only_a_second_crash_alone_proves_guilt(
+    losses: list[RunLoss], guilty: bool
+) -> None:
+    """Guards against an innocent task that is given up with a deadly one."""
+    assert is_guilty(tuple(losses), 0) is guilty
+
+
+def test_done_task_is_no_suspect() -> None:
+    """Guards against a job that waits for a suspect that has ended."""
+    losses = (make_loss("s1"), make_loss("s1", task=1))
+    assert find_suspects(losses, frozenset({0})) == {1}
+
+
+def test_suspect_lost_alone_waits_longer_each_time() -> None:
+    """Guards against a task that takes down server after server that never returns."""
+    first = make_loss("s1", UNKNOWN, alone=True)
+    second = make_loss("s2", UNKNOWN, alone=True)
+    assert may_start_at((make_loss("s0", UNKNOWN),), 0) == 0
+    assert may_start_at((first,), 0) == BEGIN + FATE_WAIT
+    assert may_start_at((first, second), 0) == BEGIN + 2 * FATE_WAIT
+
+
+def test_guilty_task_never_starts_again() -> None:
+    """Guards against a start while the end of its job is being committed."""
+    losses = (make_loss("s1"), make_loss("s2", alone=True))
+    assert may_start_at(losses, 0) == math.inf
+
+
+def test_other_tasks_wait_after_the_loss_of_two_servers() -> None:
+    """Guards against a job whose tasks take a server each, and against idle ones."""
+    assert not holds_other_tasks((make_loss("s1"), make_loss("s1", task=1)))
+    assert holds_other_tasks((make_loss("s1"), make_loss("s2", task=1)))
+
+
+@pytest.mark.parametrize(("size", "limit"), [(1, 1), (3, 1), (24, 3), (176, 26)])
+def test_suspects_use_a_small_share_of_a_pool(size: int, limit: int) -> None:
+    """Guards against deadly tasks that take most of the servers down."""
+    assert max_isolated_servers(size) == limit
--- /dev/null
+++ b/boragetide/tests/test_lost_runs.py
@@ -0,0 +1,385 @@
+"""The dispatcher and tasks that crash the backend servers that run them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from boragetide.commands import AcceptJob, Catalogue, JobCommand, RecordLosses
+from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
+from boragetide.durable import JobPhase, LossFate, Resources, Step
+from boragetide.effects import LogEvent, Reply, Send, StartRun
+from boragetide.messages import (
+    AppendCommands,
+    DispatcherReply,
+    JobsCommitted,
+    LeadershipLost,
+    ReadFailed,
+    RemoveServer,
+    ReplyStatus,
+    ReportServer,
+    SubmitDurableJob,
+    Tick,
+    WithdrawSubmissions,
+)
+from boragetide.policy.catalogue import apply_job_command
+from boragetide.policy.crash_suspicion import FATE_WAIT
+from boragetide.settings import Settings
+from boragetide.tests.durable_fixtures import (
+    BEGIN,
+    BORN,
+    NEEDS,
+    Leader,
+    list_end,
+    list_run,
+    make_durable_job,
+    make_report,
+)
+from boragetide.types import ReplyTo
+
+CALLER = ReplyTo("e1", 7)
+NEXT_BORN = BORN + 5000
+SERVERS = ("s1", "s2", "s3", "s4")
+# Time after which a run that was lost with a silent server is certainly over.
+LOST_AFTER = LEASE_EXPIRY_WAIT + 0.1
+LONG_STEP = Step(1, NEEDS, 5.0)
+WHOLE_SERVER = Resources(60_000, 64)
+
+
+class Site:
+    """A leader, its log, and backend servers that crash at command."""
+
+    def __init__(self, settings: Settings):
+        self.leader = Leader(settings)
+        self.catalogue = Catalogue()
+        self.now = BEGIN
+        self.born = dict.fromkeys(SERVERS, BORN)
+        self.sequence = 1
+        self.starts: list[StartRun] = []
+        self.replies: list[Any] = []
+        self.events: list[LogEvent] = []
+        self.leader.lead()
+        for server in SERVERS:
+            self.leader.join(server)
+
+    def handle(self, message: Any) -> None:
+        """Handle a message; commit what it appends."""
+        effects = self.leader.handle(message, self.now)
+        self.take(effects)
+
+    def take(self, effects: list[Any]) -> None:
+        """Collect effects; commit what they append."""
+        self.starts += [each for each in effects if isinstance(each, StartRun)]
+        self.replies += [
+            each.message
+            for each in effects
+            if isinstance(each, Reply) and isinstance(each.message, DispatcherReply)
+        ]
+        self.events += [each for each in effects if isinstance(each, LogEvent)]
+        for effect in effects:
+            if isinstance(effect, Send) and isinstance(effect.message, AppendCommands):
+                self.commit(effect.message)
+
+    def commit(self, message: AppendCommands) -> None:
+        """Apply commands as the log does and notify the dispatcher."""
+        changed: set[str] = set()
+        for command in message.commands_by_id.values():
+            assert isinstance(command, JobCommand)
+            changed |= apply_job_command(command, self.catalogue, self.now)
+        records = tuple(self.catalogue.jobs_by_id[each] for each in sorted(changed))
+        self.handle(JobsCommitted(tuple(message.commands_by_id), records))
+
+    def submit(self, job_id: str, *steps: Step, best_effort: bool = True) -> None:
+        """Submit a job, by default one of a single long task."""
+        job = make_durable_job(
+            job_id,
+            *(steps or (LONG_STEP,)),
+            best_effort=best_effort,
+            submitted_at=self.now,
+        )
+        message = SubmitDurableJob(job=job, submitted_at=self.now, reply_to=CALLER)
+        self.handle(message)
+
+    def take_start(self) -> StartRun:
+        """Return the only start since the last call, and answer it."""
+        (start,) = self.take_starts()
+        return start
+
+    def take_starts(self) -> list[StartRun]:
+        """Return the starts since the last call, and answer them."""
+        starts, self.starts = self.starts, []
+        for start in starts:
+            self.take(self.leader.answer(start, now=self.now))
+        return starts
+
+    def answer_stops(self) -> None:
+        """Answer the stops that the last message ordered."""
+        for stop in self.leader.stops():
+            self.take(self.leader.answer(stop, now=self.now))
+
+    def pass_time(self, seconds: float) -> None:
+        """Advance the clock; servers that are up announce themselves."""
+        self.now += seconds
+        self.handle(Tick())
+
+    def lose(self, server: str) -> None:
+        """Let a server answer nothing until the leases of its runs have lapsed."""
+        self.handle(ReadFailed(server, 1))
+        for other in SERVERS:
+            if other != server and not self.leader.state.servers_by_id[other].silent:
+                self.announce(other)
+        self.pass_time(LOST_AFTER)
+
+    def announce(self, server: str, **fields: Any) -> None:
+        """Announce the current process of a server."""
+        self.sequence += 1
+        fields = {"born": self.born[server], "sequence": self.sequence} | fields
+        self.handle(ReportServer(report=make_report(server, **fields), passed_on=True))
+
+    def return_server(self, server: str, *, crashed: bool) -> None:
+        """Let a server answer again, as a new process if it has crashed."""
+        if crashed:
+            self.born[server] += 5000
+        self.announce(server)
+        born = self.born[server]
+        self.take(self.leader.list_runs(server, born=born, now=self.now))
+
+    def crash(self, start: StartRun) -> None:
+        """Let the server of a run crash and return."""
+        self.lose(start.server)
+        self.return_server(start.server, crashed=True)
+
+    def find_events(self, name: str) -> list[dict[str, Any]]:
+        """Return the fields of the log lines of an event."""
+        return [each.fields for each in self.events if each.event == name]
+
+
+@pytest.fixture
+def site(settings: Settings) -> Site:
+    """A leader with four backend servers for two tasks each."""
+    return Site(settings)
+
+
+@pytest.mark.parametrize("best_effort", [True, False])
+def test_deadly_task_is_given_up_after_two_crashes(
+    site: Site, best_effort: bool
+) -> None:
+    """Guards against a task that crashes one backend server after another (BUDGET)."""
+    site.submit("j1", best_effort=best_effort)
+    for _ in range(2):
+        site.crash(site.take_start())
+    assert site.leader.state.records_by_id["j1"].phase is JobPhase.FAILED
+    site.pass_time(1.0)
+    assert site.starts == []
+    if best_effort:
+        assert [(r.status, r.state) for r in site.replies] == [
+            (ReplyStatus.ACCEPTED, "failed")
+        ]
+
+
+def test_next_life_under_another_id_shows_the_crash(site: Site) -> None:
+    """Guards against crashes that do not count because servers return with new ids."""
+    site.submit("j1")
+    for number in range(2):
+        start = site.take_start()
+        site.lose(start.server)
+        address = f"{start.server}:80"
+        report = replace(make_report(f"n{number}", born=NEXT_BORN), address=address)
+        site.handle(ReportServer(report=report, passed_on=True))
+    assert site.leader.state.records_by_id["j1"].phase is JobPhase.FAILED
+
+
+def test_task_lost_beside_a_deadly_one_is_served(site: Site) -> None:
+    """Guards against an innocent task that is given up with a deadly one."""
+    site.submit("deadly")
+    site.submit("innocent")
+    first, second = site.take_starts()
+    assert first.server == second.server
+    site.crash(first)
+    starts = {start.task.job_id: start for start in site.take_starts()}
+    assert starts["deadly"].server != starts["innocent"].server
+    site.crash(starts["deadly"])
+    assert site.leader.state.records_by_id["deadly"].phase is JobPhase.FAILED
+    assert site.leader.state.records_by_id["innocent"].phase is JobPhase.ACTIVE
+    assert ("innocent", 0) in site.leader.state.server_by_task
+
+
+def test_nothing_is_started_beside_a_suspect(site: Site) -> None:
+    """Guards against an innocent task that is lost because a suspect runs beside it."""
+    site.submit("j1")
+    site.crash(site.take_start())
+    suspect = site.take_start()
+    for number in range(2 * len(SERVERS)):
+        site.submit(f"other{number}")
+    others = site.take_starts()
+    assert len(others) == 2 * (len(SERVERS) - 1)
+    assert suspect.server not in {start.server for start in others}
+
+
+def test_busy_server_is_emptied_for_a_suspect(site: Site) -> None:
+    """Guards against a suspect that never starts because no server is ever empty."""
+    site.submit("j1", Step(1, WHOLE_SERVER, 5.0))
+    suspect = site.take_start()
+    for number in range(2 * (len(SERVERS) - 1)):
+        site.submit(f"long{number}")
+    others = site.take_starts()
+    site.crash(suspect)
+    site.take_starts()
+    isolated = site.leader.state.isolated_servers
+    assert len(isolated) == 1
+    assert {start.server for start in others} != isolated
+
+
+@pytest.mark.parametrize("end", ["survived", "left", "draining"])
+def test_cut_or_planned_end_of_a_server_blames_no_task(site: Site, end: str) -> None:
+    """Guards against a job that is given up although no server has crashed."""
+    site.submit("j1")
+    for _ in range(3):
+        start = site.take_start()
+        born = site.born[start.server]
+        if end == "left":
+            site.handle(RemoveServer(start.server, born, passed_on=True))
+        if end == "draining":
+            site.announce(start.server, draining=True)
+        site.lose(start.server)
+        site.return_server(start.server, crashed=end != "survived")
+        site.pass_time(0.1)
+    assert site.leader.state.records_by_id["j1"].phase is JobPhase.ACTIVE
+    assert site.leader.state.losses_by_job == {}
+
+
+def test_suspect_lost_alone_waits_for_the_fate_of_its_server(site: Site) -> None:
+    """Guards against a deadly task that starts again before its crash is known."""
+    site.submit("j1", best_effort=False)
+    site.lose(site.take_start().server)
+    site.lose(site.take_start().server)
+    assert site.starts == []
+    for _ in range(9):
+        for server in SERVERS[2:]:
+            site.announce(server)
+        site.pass_time((FATE_WAIT - LOST_AFTER) / 9)
+    assert site.starts == []
+    for server in SERVERS[2:]:
+        site.return_server(server, crashed=False)
+    site.pass_time(LOST_AFTER)
+    assert len(site.starts) == 1
+
+
+@pytest.mark.parametrize("departure", ["withdrawn", "failed"])
+def test_job_that_is_submitted_again_keeps_its_crashes(
+    site: Site, departure: str
+) -> None:
+    """Guards against a deadly job whose count starts over when its caller returns."""
+    site.submit("j1")
+    if departure == "failed":
+        site.crash(site.take_start())
+    site.crash(site.take_start())
+    if departure == "withdrawn":
+        site.take_start()
+        site.handle(WithdrawSubmissions("j1", "e1", site.now))
+        site.answer_stops()
+        site.now += 0.1
+        for server in SERVERS:
+            site.return_server(server, crashed=False)
+    site.now += 0.5
+    site.submit("j1")
+    if departure == "failed":
+        assert site.replies[-1].state == "failed"
+        return
+    site.pass_time(0.1)
+    site.crash(site.take_start())
+    assert site.replies[-1].state == "failed"
+
+
+def test_useless_job_is_not_started_again(site: Site) -> None:
+    """Guards against a task that crashes servers although no caller waits for it."""
+    site.submit("j1", Step(1, NEEDS, 0.1))
+    site.lose(site.take_start().server)
+    assert site.starts == []
+    assert [reply.status for reply in site.replies] == [ReplyStatus.UNDECIDED]
+    site.pass_time(1.0)
+    assert site.starts == []
+
+
+def test_crashes_under_a_durable_job_outlive_the_leader(
+    site: Site, settings: Settings
+) -> None:
+    """Guards against a count of crashes that starts over with each leader (BUDGET)."""
+    site.submit("j1", best_effort=False)
+    site.crash(site.take_start())
+    site.take_start()
+    site.handle(LeadershipLost())
+    (record,) = site.catalogue.jobs_by_id.values()
+    assert [loss.fate for loss in record.losses] == [LossFate.CRASHED]
+    site.leader.term = 2
+    site.now += 1.0
+    site.leader.lead(site.now, (record,))
+    site.now += LOST_AFTER
+    for server in SERVERS:
+        site.return_server(server, crashed=False)
+    site.pass_time(0.1)
+    site.crash(site.take_start())
+    assert site.catalogue.jobs_by_id["j1"].phase is JobPhase.FAILED
+
+
+def test_crash_between_two_leaders_counts(site: Site) -> None:
+    """Guards against a crash that is forgotten because the leader changed meanwhile."""
+    site.submit("j1", best_effort=False)
+    start = site.take_start()
+    site.lose(start.server)
+    site.take_start()
+    site.handle(LeadershipLost())
+    (record,) = site.catalogue.jobs_by_id.values()
+    assert [loss.fate for loss in record.losses] == [LossFate.UNKNOWN]
+    site.born[start.server] += 5000
+    site.announce(start.server)
+    site.leader.term = 2
+    site.take(site.leader.lead(site.now, (record,)) or site.leader.effects)
+    (record,) = site.catalogue.jobs_by_id.values()
+    assert [loss.fate for loss in record.losses] == [LossFate.CRASHED]
+
+
+def test_loss_is_stored_once(site: Site) -> None:
+    """Guards against a count that rises when a command is applied again."""
+    site.submit("j1", best_effort=False)
+    site.crash(site.take_start())
+    record = site.catalogue.jobs_by_id["j1"]
+    command = RecordLosses(record.losses)
+    assert apply_job_command(command, site.catalogue, site.now) == set()
+    accept = AcceptJob(record.job)
+    assert apply_job_command(accept, site.catalogue, site.now) == set()
+
+
+def test_decisions_on_a_deadly_task_are_logged(site: Site) -> None:
+    """Guards against crashes that nobody can trace to their task."""
+    site.submit("j1")
+    for _ in range(2):
+        site.crash(site.take_start())
+    assert len(site.find_events("task_suspected")) == 2
+    assert [e["runs_lost"] for e in site.find_events("server_crashed")] == ["j1/0"] * 2
+    assert len(site.find_events("suspect_placed")) == 1
+    (given_up,) = site.find_events("task_given_up")
+    assert (given_up["job"], given_up["crashes"]) == ("j1", 2)
+
+
+def test_suspect_that_ends_is_cleared(site: Site) -> None:
+    """Guards against a task that stays under suspicion after it was done."""
+    site.submit("j1")
+    site.crash(site.take_start())
+    start = site.take_start()
+    born = site.born[start.server]
+    running = (list_run(start),)
+    site.take(
+        site.leader.list_runs(
+            start.server, born=born, running=running, now=site.now + 0.1
+        )
+    )
+    site.now += 0.2
+    ended = (list_end(start, 1),)
+    site.take(site.leader.list_runs(start.server, born=born, ended=ended, now=site.now))
+    assert site.replies[-1].state == "succeeded"
+    assert len(site.find_events("task_cleared")) == 1
+    site.pass_time(0.1)
+    assert site.leader.state.isolated_servers == set()
