--- a/boragetide/tests/test_job_table.py
+++ b/boragetide/tests/test_job_table.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from boragetide.commands import (
     AcceptJob,
     Catalogue,
+    Command,
     LogEntry,
     Proposal,
     PublishConfiguration,
     RecordEnds,
+    RecordLosses,
 )
-from boragetide.durable import JobPhase, JobRecord, RunEnd
+from boragetide.durable import JobPhase, JobRecord, LossFate, RunEnd, RunLoss
+from boragetide.encoding import decode_command
 from boragetide.policy import job_table
 from boragetide.policy.catalogue import apply_entry
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
@@ -111,3 +115,36 @@
     apply(catalogue, PublishConfiguration(7, (), "first"))
     apply(catalogue, PublishConfiguration(7, (), "second"))
     assert catalogue.configuration.document == "first"
+
+
+def lose_run(jobs: Jobs, server: str, fate: LossFate, *, alone: bool) -> set[str]:
+    loss = RunLoss("j1", 0, server, f"{server}:80", 1, BEGIN, alone, fate)
+    return job_table.record_losses(jobs, (loss,), BEGIN)
+
+
+def test_second_crash_alone_ends_the_job_as_failed(jobs: Jobs) -> None:
+    """Guards against a task that crashes one backend server after another."""
+    assert lose_run(jobs, "s1", LossFate.CRASHED, alone=False) == {"j1"}
+    assert lose_run(jobs, "s2", LossFate.UNKNOWN, alone=True) == {"j1"}
+    assert jobs["j1"].phase is JobPhase.ACTIVE
+    assert lose_run(jobs, "s2", LossFate.CRASHED, alone=True) == {"j1"}
+    assert jobs["j1"].phase is JobPhase.FAILED
+    assert lose_run(jobs, "s3", LossFate.CRASHED, alone=True) == set()
+
+
+def test_record_that_was_stored_before_losses_were_is_read(jobs: Jobs) -> None:
+    """Guards against an instance that cannot read its own disk after an upgrade."""
+    stored = msgspec.to_builtins(jobs["j1"])
+    del stored["losses"]
+    assert msgspec.convert(stored, JobRecord) == jobs["j1"]
+
+
+def test_stored_losses_are_read_again(jobs: Jobs) -> None:
+    """Guards against a member that cannot follow the log after a lost run."""
+    lose_run(jobs, "s1", LossFate.UNKNOWN, alone=True)
+    command = RecordLosses(jobs["j1"].losses)
+    encoded = msgspec.msgpack.encode(command)
+    decoded = msgspec.msgpack.decode(encoded, type=Command, dec_hook=decode_command)
+    assert decoded == command
+    stored = msgspec.to_builtins(jobs["j1"])
+    assert msgspec.convert(stored, JobRecord) == jobs["j1"]
