--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -10,7 +10,9 @@
     JobRecord,
     ListedRun,
     Resources,
+    RunLoss,
     ServerReport,
+    Step,
     TaskRef,
 )
 from boragetide.policy.fencing import make_fence
@@ -79,6 +81,10 @@
     server_born
         Start of the backend server's process that was known when the run was ordered or
         first listed, in Unix milliseconds.
+    seen_born
+        Start of the process that listed the run last, or to which it was ordered.
+    alone
+        Whether nothing else is started on the backend server while the run is there.
     """
 
     job_id: JobId
@@ -94,6 +100,8 @@
     start_unanswered_at: Seconds | None = None
     estimate: Seconds = 0.0
     server_born: int = 0
+    seen_born: int = 0
+    alone: bool = False
 
     @property
     def key(self) -> tuple[JobId, int]:
@@ -179,6 +187,10 @@
         Time of the last announcement.
     largest_capacity
         Largest amount of each resource that the process has announced.
+    isolated
+        Whether the backend server is set apart for tasks that run alone.
+    follows_planned_end
+        Whether the end of the previous process was announced.
     """
 
     report: ServerReport
@@ -209,6 +221,8 @@
     left: bool = False
     announced_at: Seconds = 0.0
     largest_capacity: Resources = field(default_factory=Resources)
+    isolated: bool = False
+    follows_planned_end: bool = False
 
     def record_report(self, report: ServerReport, announced_at: Seconds) -> None:
         """Record an announcement, which is newer than the known one."""
@@ -259,6 +273,7 @@
         self.uncommitted_ends.clear()
         self.acknowledge_until, self.held_ends = None, 0
         self.unexpected_runs.clear()
+        self.isolated = False
 
     def is_target(self, target_born: int) -> bool:
         """Return whether a call was meant for this process, as far as is known."""
@@ -278,9 +293,16 @@
         """Whether the last `ReadRuns` was not answered."""
         return self.unanswered > 0
 
+    @property
+    def ends_as_planned(self) -> bool:
+        """Whether the process itself said that it will end."""
+        return self.left or self.report.draining
+
     @property
     def free_resources(self) -> Resources:
-        """Capacity that no run uses."""
+        """Capacity that no run uses; none if the backend server is set apart."""
+        if self.isolated:
+            return Resources()
         free = self.report.capacity
         for run in self.runs_by_task.values():
             if run.phase is not RunPhase.ENDED:
@@ -288,6 +310,15 @@
         return free
 
 
+@dataclass(slots=True)
+class LostRun:
+    """A run that was lost with the process of its backend server."""
+
+    run: Run
+    server: BackendServerId
+    address: str
+
+
 @dataclass(slots=True)
 class PendingEnds:
     """Ends of runs on one backend server that a pending command records in the log."""
@@ -369,6 +400,17 @@
         registered process. Nothing is started at another one.
     pending_registration
         Registration that is not committed yet, if any.
+    lost_runs
+        Runs that were lost since the last `assess_lost_runs`.
+    losses_by_job
+        Losses of runs that count for the suspicion of their tasks. Those of durable
+        jobs are also stored in the log.
+    lost_servers
+        Backend servers with which runs were lost and whose fate is not known.
+    suspects_by_job
+        Jobs with suspects, and those of the suspects that wait for a start.
+    isolated_servers
+        Backend servers that are set apart for suspects.
     next_command
         Number of the next command.
     process_count
@@ -408,6 +450,11 @@
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
     pending_registration: PendingRegistration | None = None
+    lost_runs: list[LostRun] = field(default_factory=list)
+    losses_by_job: dict[JobId, tuple[RunLoss, ...]] = field(default_factory=dict)
+    lost_servers: set[BackendServerId] = field(default_factory=set)
+    suspects_by_job: dict[JobId, dict[int, Step]] = field(default_factory=dict)
+    isolated_servers: set[BackendServerId] = field(default_factory=set)
     next_command: int = 1
     process_count: int = 0
     next_review: Seconds = 0.0
@@ -417,6 +464,7 @@
         self.records_by_id.pop(job_id, None)
         self.active.pop(job_id, None)
         self.started.discard(job_id)
+        self.suspects_by_job.pop(job_id, None)
         self.queue.remove(job_id)
 
     def remove_unused_run_numbers(self) -> None:
@@ -442,7 +490,7 @@
 
 def add_run(state: DispatcherState, server: Server, run: Run) -> None:
     """Record a run that occupies its task and capacity of a backend server."""
-    run.server_born = server.report.born
+    run.server_born = run.seen_born = server.report.born
     server.runs_by_task[run.key] = run
     state.server_by_task[run.key] = server.report.id
     state.started.add(run.job_id)
