Build the results of a ReadRuns in one place

Cause: the clients of the platform and of the product's own interface each built the read, fenced and failed results with term, target process and lists, line by line alike. Change: make_runs_read, make_fenced_read and make_failed_read in links/run_lists.py serve both. Behaviour is the same. Evidence: the tests of both clients, of the lists, of the border and of the dispatcher pass.

--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -35,7 +35,13 @@
     make_order_client,
 )
 from boragetide.links.order_client import OrderClient
-from boragetide.links.run_lists import RowTypes, read_run_lists
+from boragetide.links.run_lists import (
+    RowTypes,
+    make_failed_read,
+    make_fenced_read,
+    make_runs_read,
+    read_run_lists,
+)
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
 from boragetide.policy.fencing import get_term
 from boragetide.types import Seconds
@@ -184,36 +190,21 @@
     url = f"{order.address}/v1/runs/list"
     timeout = order.wait + READ_MARGIN
     response = await call_server(client, order.server, url, body, timeout)
-    term, target = get_term(order.fence), {"target_born": order.target_born}
     if response.status == 409:
-        return RunsRead(order.server, term, sent_at, fenced=True, **target)
+        return make_fenced_read(order, sent_at)
     if response.status != 200:
-        other = response.status == HTTP_MISDIRECTED_REQUEST
-        return ReadFailed(order.server, term, other_life=other, **target)
+        other_life = response.status == HTTP_MISDIRECTED_REQUEST
+        return make_failed_read(order, other_life=other_life)
     return _read_list(order, response.body, sent_at, faults)
 
 
 def _read_list(
     order: ReadRuns, body: bytes, sent_at: Seconds, faults: FaultLog
 ) -> RunsRead | ReadFailed:
-    term, target = get_term(order.fence), {"target_born": order.target_born}
     try:
         listed = _decode(body, _Runs)
     except LinkError as error:
         faults.record("list_unreadable", order.server, str(error))
-        return ReadFailed(order.server, term, **target)
+        return make_failed_read(order)
     lists = read_run_lists(listed.running, listed.ended, _ROW_TYPES)
-    for fault in lists.faults:
-        faults.record("row_skipped", order.server, fault)
-    return RunsRead(
-        server=order.server,
-        term=term,
-        sent_at=sent_at,
-        clock=listed.clock,
-        born=listed.born,
-        running=lists.running,
-        unreadable=lists.unreadable,
-        ended=lists.ended,
-        acknowledge_until=lists.acknowledge_until,
-        **target,
-    )
+    return make_runs_read(order, sent_at, listed.clock, listed.born, lists, faults)
