Give the state of a backend server a module of its own

Change: controllers/server_state.py takes Server, Run, RunPhase, LostRun and the bounds of leases; imports follow. No other line differs. Evidence: linter and the tests of the dispatcher, the lost runs and the border pass.

--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -8,12 +8,11 @@
 from boragetide.controllers.best_effort import leave_unserved
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
-    RunPhase,
-    Server,
     has_authority,
     update_server_index,
 )
 from boragetide.controllers.placing_runs import find_pool, is_usable, start_task
+from boragetide.controllers.server_state import RunPhase, Server
 from boragetide.durable import DurableJob, Step
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy.crash_suspicion import (
--- a/boragetide/controllers/lost_runs.py
+++ b/boragetide/controllers/lost_runs.py
@@ -11,13 +11,10 @@
 from dataclasses import replace
 
 from boragetide.commands import RecordLosses
-from boragetide.controllers.dispatch_state import (
-    DispatcherState,
-    LostRun,
-    has_authority,
-)
+from boragetide.controllers.dispatch_state import DispatcherState, has_authority
 from boragetide.controllers.job_records import append_command, apply_record
 from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.server_state import LostRun
 from boragetide.durable import JobPhase, JobRecord, LossFate, RunLoss, ServerReport
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy import job_table
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 from boragetide.controllers.dispatch_state import (
+    DispatcherState,
+    get_fence,
+    has_authority,
+    update_server_index,
+)
+from boragetide.controllers.placing_runs import make_start, update_queue
+from boragetide.controllers.server_health import MIN_SPEED
+from boragetide.controllers.server_state import (
     LEASE_DURATION,
     MAX_LEASE_DURATION,
     MAX_ORDER_DELAY,
     MIN_CLOCK_RATE,
-    DispatcherState,
     LostRun,
     Run,
     RunPhase,
     Server,
-    get_fence,
-    has_authority,
-    update_server_index,
 )
-from boragetide.controllers.placing_runs import make_start, update_queue
-from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.durable import TaskRef, get_task_ref
 from boragetide.effects import Effect, LogEvent, StopRun
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -6,19 +6,21 @@
 from collections.abc import Iterator
 
 from boragetide.controllers.dispatch_state import (
-    LEASE_DURATION,
-    LEASE_EXPIRY_MARGIN,
-    MAX_LEASE_DURATION,
-    MIN_CLOCK_RATE,
     DispatcherState,
-    Run,
-    Server,
     add_run,
     assign_run_number,
     get_fence,
     has_authority,
     is_registered,
 )
+from boragetide.controllers.server_state import (
+    LEASE_DURATION,
+    LEASE_EXPIRY_MARGIN,
+    MAX_LEASE_DURATION,
+    MIN_CLOCK_RATE,
+    Run,
+    Server,
+)
 from boragetide.durable import DurableJob, JobPhase, JobRecord, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
 from boragetide.policy.crash_suspicion import find_suspects, holds_other_tasks
--- a/boragetide/controllers/registrations.py
+++ b/boragetide/controllers/registrations.py
@@ -10,12 +10,12 @@
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
     PendingRegistration,
-    Server,
     has_authority,
     is_registered,
 )
 from boragetide.controllers.job_records import append_command
 from boragetide.controllers.placing_runs import have_predecessor_leases_expired
+from boragetide.controllers.server_state import Server
 from boragetide.effects import Effect, LogEvent
 from boragetide.types import BackendServerId, Seconds
 
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -5,19 +5,13 @@
 from collections import Counter
 
 from boragetide.commands import RecordEnds
-from boragetide.controllers.dispatch_state import (
-    DispatcherState,
-    PendingEnds,
-    Run,
-    RunPhase,
-    Server,
-    add_run,
-)
+from boragetide.controllers.dispatch_state import DispatcherState, PendingEnds, add_run
 from boragetide.controllers.job_records import append_command, apply_record
 from boragetide.controllers.lost_runs import describe_cleared
 from boragetide.controllers.orders import REASON_LISTED, free_run
 from boragetide.controllers.placing_runs import update_queue
 from boragetide.controllers.server_health import learn_speed, record_outcome
+from boragetide.controllers.server_state import Run, RunPhase, Server
 from boragetide.durable import (
     EndReason,
     JobPhase,
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -4,9 +4,6 @@
 
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
-    Run,
-    RunPhase,
-    Server,
     add_run,
     get_fence,
     has_authority,
@@ -24,6 +21,7 @@
     update_queue,
 )
 from boragetide.controllers.run_ends import apply_ends
+from boragetide.controllers.server_state import Run, RunPhase, Server
 from boragetide.controllers.server_table import replace_process
 from boragetide.durable import (
     JobPhase,
--- a/boragetide/controllers/server_health.py
+++ b/boragetide/controllers/server_health.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from boragetide.controllers.dispatch_state import (
-    DispatcherState,
-    Run,
-    Server,
-    update_server_index,
-)
+from boragetide.controllers.dispatch_state import DispatcherState, update_server_index
+from boragetide.controllers.server_state import Run, Server
 from boragetide.types import Seconds
 
 # After a failed run, a backend server gets no new runs for a while, so that the next
--- /dev/null
+++ b/boragetide/controllers/server_state.py
@@ -0,0 +1,294 @@
+"""State of one backend server and of its runs, as the leader knows them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from boragetide.durable import ListedRun, Resources, ServerReport
+from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
+from boragetide.types import BackendServerId, JobId, Seconds
+
+# A lease is renewed about three times before it expires.
+LEASE_DURATION: Seconds = 0.8
+# A backend server shortens longer leases, for example those that were granted by the
+# clock of an earlier process.
+MAX_LEASE_DURATION: Seconds = 1.0
+# An order without an answer may be carried out this much later.
+MAX_ORDER_DELAY: Seconds = 3.0
+MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
+MAX_SERVER_CLOCK_DRIFT = 1.0 - MIN_CLOCK_RATE + MAX_CLOCK_DRIFT
+LEASE_EXPIRY_MARGIN: Seconds = 0.1
+# Sequence number of the report of a process that has not announced itself yet.
+UNANNOUNCED_SEQUENCE = -1
+
+
+class RunPhase(StrEnum):
+    """Phase of a run that occupies its task, as far as the leader knows."""
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    ENDED = "ended"  # listed as done or failed; the end is not committed yet
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task.
+
+    Parameters
+    ----------
+    ordered_at
+        Time at which the run was ordered or first listed.
+    started_at
+        Time at which the run was first known to be running.
+    order_answered_at
+        Time at which the last order for the run was answered. A list of runs that is
+        requested later contains the run, unless the run is over.
+    next_stop_at
+        Time at which the stop is ordered again, because the last stop order may not
+        have arrived.
+    start_repeated
+        Whether the start was ordered twice, because the first order was not answered.
+    start_unanswered_at
+        Time at which the last start was ordered, if one is not answered. It may begin
+        the run at the next process of the backend server.
+    server_born
+        Start of the backend server's process that was known when the run was ordered or
+        first listed, in Unix milliseconds.
+    seen_born
+        Start of the process that listed the run last, or to which it was ordered.
+    alone
+        Whether nothing else is started on the backend server while the run is there.
+    """
+
+    job_id: JobId
+    task: int
+    number: int
+    needs: Resources
+    ordered_at: Seconds
+    phase: RunPhase = RunPhase.ORDERED
+    started_at: Seconds | None = None
+    order_answered_at: Seconds | None = None
+    next_stop_at: Seconds | None = None
+    start_repeated: bool = False
+    start_unanswered_at: Seconds | None = None
+    estimate: Seconds = 0.0
+    server_born: int = 0
+    seen_born: int = 0
+    alone: bool = False
+
+    @property
+    def key(self) -> tuple[JobId, int]:
+        """The task that this run occupies."""
+        return self.job_id, self.task
+
+
+def make_server_clock() -> PeerClock:
+    """Make the bound of a backend server's clock, before its first reading."""
+    return PeerClock(max_drift=MAX_SERVER_CLOCK_DRIFT)
+
+
+@dataclass(slots=True)
+class Server:
+    """A backend server.
+
+    Parameters
+    ----------
+    report
+        Newest announcement of the backend server.
+    last_contact_at
+        Time of the last announcement or answer.
+    clock
+        Lower bound of the backend server's clock. A lease that is granted by it ends no
+        later than one that is granted by the clock itself.
+    process
+        Number of the process among those that this leader has come to know.
+    read_term
+        Term in which the process last listed its runs for a request with its own
+        fencing token. Nothing is started there before it has done so in the current
+        term. From then on it carries out no order that an earlier leader gave or that
+        was meant for an earlier process.
+    reading
+        Whether a `ReadRuns` is in progress.
+    next_read_at
+        Earliest time of the next `ReadRuns`.
+    unanswered
+        Number of consecutive `ReadRuns` requests that were not answered.
+    leases_expired_at
+        Time on this instance's clock at which the last lease that was granted by the
+        clock of the known process has certainly expired.
+    unknown_leases_expired_at
+        The same for the leases that another leader granted, or that were granted by the
+        clock of an earlier process.
+    runs_by_task
+        Runs that occupy their tasks. Those that have not ended use capacity.
+    listed, acknowledged
+        Number of the last end that was listed, and the number up to which all ends are
+        committed.
+    acknowledged_sent
+        Number that was last acknowledged to the backend server; 0 if the
+        acknowledgement may not have arrived.
+    uncommitted_ends
+        Numbers of the ends that were listed and are not committed yet.
+    acknowledge_until
+        Number of the last end before one whose number cannot be read, which would be
+        lost if a later one were acknowledged; ``None`` if there is no such end.
+    held_ends
+        Number of ends in the last list that wait behind such an end.
+    unexpected_runs
+        Runs of jobs that are not known here, and runs that are being stopped as
+        unwanted, with the time at which they were first listed. The resources of
+        unknown jobs are not known, so nothing is started on the backend server while
+        there are such runs.
+    consecutive_failures, cooldown_until
+        Number of runs that failed since the last one was done, and the time until which
+        the backend server gets no new runs.
+    speed
+        Learned speed; 1 if tasks run in their declared time.
+    speed_updated_at
+        Time at which the learned speed was last updated from a run.
+    runs_listed_at
+        Time at which the backend server made its last list of runs.
+    last_run_done_at
+        Time at which the backend server last listed a run as done.
+    departed
+        Whether the backend server has left or its process was replaced. Its runs end
+        when their lease has expired. A later announcement of the process shows that it
+        is there, because what said otherwise may have concerned an earlier process.
+    left
+        Whether the process itself said that it leaves; it announces nothing later.
+    announced_at
+        Time of the last announcement.
+    largest_capacity
+        Largest amount of each resource that the process has announced.
+    isolated
+        Whether the backend server is set apart for tasks that run alone.
+    follows_planned_end
+        Whether the end of the previous process was announced.
+    """
+
+    report: ServerReport
+    last_contact_at: Seconds
+    clock: PeerClock = field(default_factory=make_server_clock)
+    process: int = 0
+    read_term: int = 0
+    reading: bool = False
+    next_read_at: Seconds = 0.0
+    unanswered: int = 0
+    leases_expired_at: Seconds = 0.0
+    unknown_leases_expired_at: Seconds = 0.0
+    runs_by_task: dict[tuple[JobId, int], Run] = field(default_factory=dict)
+    listed: int = 0
+    acknowledged: int = 0
+    acknowledged_sent: int = 0
+    uncommitted_ends: set[int] = field(default_factory=set)
+    acknowledge_until: int | None = None
+    held_ends: int = 0
+    unexpected_runs: dict[ListedRun, Seconds] = field(default_factory=dict)
+    consecutive_failures: int = 0
+    cooldown_until: Seconds = 0.0
+    speed: float = 1.0
+    speed_updated_at: Seconds = 0.0
+    runs_listed_at: Seconds = 0.0
+    last_run_done_at: Seconds = 0.0
+    departed: bool = False
+    left: bool = False
+    announced_at: Seconds = 0.0
+    largest_capacity: Resources = field(default_factory=Resources)
+    isolated: bool = False
+    follows_planned_end: bool = False
+
+    def record_report(self, report: ServerReport, announced_at: Seconds) -> None:
+        """Record an announcement, which is newer than the known one."""
+        self.report = report
+        self.announced_at = announced_at
+        self.largest_capacity = self.largest_capacity.maximum(report.capacity)
+
+    def record_answer(self, clock: Seconds, sent_at: Seconds, now: Seconds) -> Seconds:
+        """Record the clock in an answer; return when it was read.
+
+        Parameters
+        ----------
+        clock
+            Clock of the backend server when it answered.
+        sent_at
+            Time at which the answered request was sent.
+
+        Returns
+        -------
+        Seconds
+            Latest time, on the clock of this instance, at which the backend server
+            can have answered. The answer may have arrived or been handled later.
+        """
+        if self.clock.shows_restart(clock, now, sent_at):
+            self.bound_unknown_leases(now)
+            self.read_term = 0
+        self.clock.record_reading(clock, now, sent_at)
+        answered_at = min(now, max(sent_at, clock - self.clock.find_offset(now)))
+        self.last_contact_at = max(self.last_contact_at, answered_at)
+        return answered_at
+
+    def bound_unknown_leases(self, now: Seconds) -> None:
+        """Bound the leases that another leader or for another process were granted.
+
+        The process has just shown that it holds no other leases than these.
+        """
+        self.unknown_leases_expired_at = max(
+            self.unknown_leases_expired_at,
+            now + MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN,
+        )
+
+    def clear_runs(self) -> None:
+        """Clear the leader's view of the runs; the next leader reads them again."""
+        self.read_term = 0
+        self.reading = False
+        self.runs_by_task.clear()
+        self.listed = self.acknowledged = self.acknowledged_sent = 0
+        self.uncommitted_ends.clear()
+        self.acknowledge_until, self.held_ends = None, 0
+        self.unexpected_runs.clear()
+        self.isolated = False
+
+    def is_target(self, target_born: int) -> bool:
+        """Return whether a call was meant for this process, as far as is known."""
+        return target_born in (0, self.report.born)
+
+    @property
+    def announced(self) -> bool:
+        """Whether the process has announced itself.
+
+        The capacity and the labels of one that has only listed its runs are not known,
+        so nothing is started there.
+        """
+        return self.report.sequence != UNANNOUNCED_SEQUENCE
+
+    @property
+    def silent(self) -> bool:
+        """Whether the last `ReadRuns` was not answered."""
+        return self.unanswered > 0
+
+    @property
+    def ends_as_planned(self) -> bool:
+        """Whether the process itself said that it will end."""
+        return self.left or self.report.draining
+
+    @property
+    def free_resources(self) -> Resources:
+        """Capacity that no run uses; none if the backend server is set apart."""
+        if self.isolated:
+            return Resources()
+        free = self.report.capacity
+        for run in self.runs_by_task.values():
+            if run.phase is not RunPhase.ENDED:
+                free = free.minus(run.needs)
+        return free
+
+
+@dataclass(slots=True)
+class LostRun:
+    """A run that was lost with the process of its backend server."""
+
+    run: Run
+    server: BackendServerId
+    address: str
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -4,13 +4,9 @@
 
 from dataclasses import replace
 
-from boragetide.controllers.dispatch_state import (
-    UNANNOUNCED_SEQUENCE,
-    DispatcherState,
-    Server,
-    update_server_index,
-)
+from boragetide.controllers.dispatch_state import DispatcherState, update_server_index
 from boragetide.controllers.placing_runs import ANNOUNCEMENT_TIMEOUT
+from boragetide.controllers.server_state import UNANNOUNCED_SEQUENCE, Server
 from boragetide.durable import ServerReport
 from boragetide.effects import Effect, LogEvent, Send
 from boragetide.messages import ReportServer
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -8,10 +8,10 @@
 import pytest
 
 from boragetide.commands import AcceptJob, RecordEnds
-from boragetide.controllers.dispatch_state import LEASE_DURATION
 from boragetide.controllers.orders import STOP_RETRY_DELAY
 from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.refusals import REASON_TOO_LATE
+from boragetide.controllers.server_state import LEASE_DURATION
 from boragetide.durable import (
     EndReason,
     JobPhase,
--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from boragetide.controllers.dispatch_state import (
+from boragetide.controllers.orders import LATE_ORDER_WAIT
+from boragetide.controllers.server_state import (
     LEASE_EXPIRY_MARGIN,
     MAX_LEASE_DURATION,
     MIN_CLOCK_RATE,
     Server,
 )
-from boragetide.controllers.orders import LATE_ORDER_WAIT
 from boragetide.durable import Step
 from boragetide.effects import StartRun
 from boragetide.messages import (
--- a/boragetide/tests/test_registrations.py
+++ b/boragetide/tests/test_registrations.py
@@ -14,9 +14,10 @@
     UnregisterBackendServers,
 )
 from boragetide.controllers import placing_runs
-from boragetide.controllers.dispatch_state import LEASE_DURATION, DispatcherState
+from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.registrations import MAX_LOGGED_IDS
+from boragetide.controllers.server_state import LEASE_DURATION
 from boragetide.effects import LogEvent, Send
 from boragetide.encoding import decode_command
 from boragetide.messages import (
--- a/boragetide/tests/test_server_clocks.py
+++ b/boragetide/tests/test_server_clocks.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from boragetide.controllers.dispatch_state import LEASE_DURATION, Server
 from boragetide.controllers.placing_runs import extend_lease
 from boragetide.controllers.runs import MAX_CLOCK_AGE
+from boragetide.controllers.server_state import LEASE_DURATION, Server
 from boragetide.effects import StartRun
 from boragetide.messages import ReportServer, SubmitDurableJob, Tick
 from boragetide.settings import Settings
