Clear the process numbers with the other state of a leader

Cause: the handler of LeadershipGained reset the numbers of the processes itself, beside _clear_leader_state and Server.clear_runs, which it calls and which clear everything else of an earlier term. A docstring on leases could not be read. Change: both functions clear them; the docstring says which leases are bounded. What is reset when the leadership is gained is the same.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -300,9 +300,6 @@
 def _(message: LeadershipGained, state: DispatcherState, now: Seconds) -> list[Effect]:
     """Load the committed jobs and read the runs of every backend server."""
     _clear_leader_state(state)
-    state.process_count = 0
-    for server in state.servers_by_id.values():
-        server.process = 0
     state.term = message.term
     state.authority_until = message.authority_until
     state.leader_since = now
@@ -349,6 +346,7 @@
     state.command_by_job.clear()
     state.server_born_by_id.clear()
     state.pending_registration = None
+    state.process_count = 0
     state.queue.clear()
     state.lost_runs.clear()
     state.losses_by_job.clear()
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -230,7 +230,7 @@
         return answered_at
 
     def bound_unknown_leases(self, now: Seconds) -> None:
-        """Bound the leases that another leader or for another process were granted.
+        """Bound the leases that another leader granted, or that an earlier process got.
 
         The process has just shown that it holds no other leases than these.
         """
@@ -241,6 +241,7 @@
 
     def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
+        self.process = 0
         self.read_term = 0
         self.reading = False
         self.runs_by_task.clear()
