Describe each task that is given up once without comparing keys

Cause: _describe_guilt went over all losses and compared the key of each with that of the last loss of its task, to describe a task once. Change: it goes over the suspects, as find_guilty does, and describes the last loss of each guilty one; a note in properties/test_dispatcher.py said that lost announcements are not tested, which they are since the joins.

--- a/boragetide/controllers/lost_runs.py
+++ b/boragetide/controllers/lost_runs.py
@@ -20,6 +20,7 @@
 from boragetide.policy import job_table
 from boragetide.policy.crash_suspicion import (
     count_crashes,
+    find_suspects,
     is_guilty,
     merge_losses,
 )
@@ -242,11 +243,9 @@
     """Describe the tasks of a job that are given up for their crashes."""
     losses = state.losses_by_job.get(record.job.id, ())
     effects: list[Effect] = []
-    for loss in losses:
-        is_last = (
-            loss.key == [each.key for each in losses if each.task == loss.task][-1]
-        )
-        if is_last and loss.task not in record.done and is_guilty(losses, loss.task):
-            effects.append(_describe("task_given_up", state, loss))
+    for task in sorted(find_suspects(losses, record.done)):
+        if is_guilty(losses, task):
+            last = [loss for loss in losses if loss.task == task][-1]
+            effects.append(_describe("task_given_up", state, last))
             effects.append(Count("tasks_given_up"))
     return effects
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -164,8 +164,8 @@
     def deliver_report(self, report: ReportServer, *, to_leader: bool) -> None:
         """Deliver an announcement, late if a rule says so.
 
-        One that makes a backend server known is in time: what an instance does without
-        knowing of a backend server is not tested here.
+        One that makes a backend server known is in time; `deafen_standby` loses those
+        that are passed on.
         """
 
         def arrive() -> None:
