--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -12,7 +12,7 @@
 
 from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.daemon.runtime import Runtime
-from boragetide.errors import LinkError
+from boragetide.errors import LinkError, RequestError
 from boragetide.types import Seconds, Status
 
 RETRY_AFTER = 1  # seconds; default of the Retry-After header
@@ -74,7 +74,10 @@
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Send an error response without a traceback."""
         error = kwargs.get("exc_info", (None, None, None))[1]
-        if isinstance(error, LinkError):
+        if isinstance(error, RequestError):
+            body = {"status": error.status, "error": str(error)}
+            self.respond(error.http_status, body)
+        elif isinstance(error, LinkError):
             self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
         elif status_code == 404:
             self.refuse(404, f"path {self.request.path!r} does not exist")
@@ -89,7 +92,7 @@
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log unexpected exceptions; other errors are only reported to the caller."""
-        if not isinstance(value, HTTPError | LinkError):
+        if not isinstance(value, HTTPError | LinkError | RequestError):
             request_line = f"{self.request.method} {self.request.path}"
             _logger.error("exception in %s", request_line, exc_info=(typ, value, tb))
 
--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -12,7 +12,7 @@
     Outcome,
     Proposal,
 )
-from boragetide.effects import Effect, Persist, Reply, Send
+from boragetide.effects import Effect, LogEvent, Persist, Reply, Send
 from boragetide.messages import (
     AdmissionChanged,
     AppendCommands,
@@ -22,6 +22,7 @@
     ConfigurationChanged,
     ConfigurationOffered,
     ConfigurationRead,
+    ContactsChanged,
     Drain,
     DrainState,
     FetchConfiguration,
@@ -30,6 +31,7 @@
     History,
     InstallSnapshot,
     JoinRequest,
+    LeaderNotice,
     ListHistory,
     NewerConfiguration,
     ProposalDecided,
@@ -117,7 +119,7 @@
         settings,
         DistributionState(settings),
         Proposals(settings),
-        LeadershipNotices(settings),
+        LeadershipNotices(settings, contacts=settings.contacts),
     )
     if settings.own_peer.disk:
         state.replica = restore_replica(settings, incarnation, records)
@@ -138,6 +140,7 @@
     effects += _apply_committed_changes(state, now)
     effects += request_configuration(state.distribution, now)
     effects += _take_offer(state, now)
+    effects += leadership.notify_contacts(state.leadership, state.member, now)
     effects += proposals.expire_requests(
         state.proposals, state.distribution.version, now
     )
@@ -170,6 +173,7 @@
 
 @handle.register(RequestCatchUp)
 @handle.register(CatchUpState)
+@handle.register(LeaderNotice)
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.replica is None:
         return []
@@ -363,6 +367,16 @@
     return [*links, notice]
 
 
+@handle.register
+def _(
+    message: ContactsChanged, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    state.leadership.contacts = message.contacts
+    if state.replica is not None:
+        state.replica.contacts.update(message.contacts)
+    return [LogEvent("contacts_changed", {"contacts": message.contacts})]
+
+
 @handle.register
 def _(
     message: AdmissionChanged, state: ConfigurationState, now: Seconds
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -54,7 +54,13 @@
     Parameters
     ----------
     contacts
-        Members of the log that the settings or a notice named.
+        Instances that are asked for the leader: those that the settings name, and the
+        members of the log that notices named.
+    seeds
+        Contacts of the settings that need not have the log. They are asked for the
+        members while no leader is heard.
+    without_log
+        Contacts that are known not to have the log.
     links
         Health of the links to the contacts.
     term, leader, leader_found_at, leader_heard_at
@@ -84,6 +90,8 @@
 
     settings: Settings
     contacts: tuple[InstanceId, ...]
+    seeds: tuple[InstanceId, ...] = ()
+    without_log: set[InstanceId] = field(default_factory=set)
     links: LinkHealth = field(default_factory=LinkHealth)
     term: int = 0
     leader: InstanceId | None = None
@@ -106,8 +114,11 @@
 
 
 def make_state(settings: Settings) -> DirectoryState:
-    """Build the initial state, with the members that the settings name as contacts."""
-    return DirectoryState(settings, settings.initial_members)
+    """Build the initial state, with the instances that the settings name."""
+    state = DirectoryState(settings, settings.initial_members, settings.contacts)
+    if not settings.own_peer.disk:
+        state.without_log.add(settings.id)
+    return state
 
 
 @singledispatch
@@ -133,10 +144,15 @@
         return []
     state.next_request_at = now + ASK_INTERVAL
     effects: list[Effect] = []
+    is_led = _is_leader_heard(state, now)
     for contact in state.contacts:
-        question = _ask(contact, state, now)
-        effects += state.links.reconnect_if_silent(contact, now)
-        effects.append(question)
+        if contact not in state.without_log:
+            question = _ask(contact, state, now)
+            effects += state.links.reconnect_if_silent(contact, now)
+            effects.append(question)
+    if not is_led:
+        seeds = (seed for seed in state.seeds if seed != state.settings.id)
+        effects += [_ask_for_members(seed, state, now) for seed in seeds]
     return effects
 
 
@@ -146,10 +162,33 @@
     return Send(Address(contact, "configuration"), question)
 
 
+def _ask_for_members(seed: InstanceId, state: DirectoryState, now: Seconds) -> Effect:
+    """Ask a seed that may have no log; one that has the log does not answer this."""
+    question = FollowLeader(state.settings.id, state.version, sent_at=now)
+    return Send(Address(seed, "directory"), question)
+
+
+@handle.register
+def _(message: FollowLeader, state: DirectoryState, now: Seconds) -> list[Effect]:
+    """Name the members of the log, unless the log's own controller answers."""
+    if state.settings.own_peer.disk:
+        return []
+    notice = LeaderNotice(
+        sender=state.settings.id,
+        term=state.term,
+        leader=state.leader,
+        members=tuple(id_ for id_ in state.contacts if id_ not in state.without_log),
+        asked_at=message.sent_at,
+        has_log=False,
+    )
+    return [Send(Address(message.sender, message.controller), notice)]
+
+
 @handle.register
 def _(message: LeaderNotice, state: DirectoryState, now: Seconds) -> list[Effect]:
     if message.asked_at is not None:
         state.links.record_answer(message.sender, message.asked_at, now)
+    _record_kind(message, state)
     known = set(state.contacts)
     state.contacts += tuple(id_ for id_ in message.members if id_ not in known)
     silence = now - state.leader_heard_at if state.leader_heard_at else None
@@ -160,6 +199,14 @@
     return effects
 
 
+def _record_kind(message: LeaderNotice, state: DirectoryState) -> None:
+    """Record whether the sender has the log; another may have got its address."""
+    if message.has_log:
+        state.without_log.discard(message.sender)
+    else:
+        state.without_log.add(message.sender)
+
+
 def _follow_leader(
     message: LeaderNotice, state: DirectoryState, now: Seconds
 ) -> list[Effect]:
@@ -234,6 +281,7 @@
 
 @handle.register
 def _(message: ContactsChanged, state: DirectoryState, now: Seconds) -> list[Effect]:
+    state.seeds = message.contacts
     state.contacts = tuple(dict.fromkeys((*message.contacts, *state.contacts)))
     return [LogEvent("contacts_changed", {"contacts": state.contacts})]
 
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -386,13 +386,12 @@
 
 @handle.register
 def _(message: ReportServer, state: DispatcherState, now: Seconds) -> list[Effect]:
-    report = message.report
-    effects = apply_report(state, report, message.age, now)
+    report, age = message.report, message.find_age(now)
+    effects = apply_report(state, report, age, now)
     effects += settle_announced(state, report, now)
     if not message.passed_on:
-        effects += _forward_to_members(
-            state, ReportServer(report=report, passed_on=True)
-        )
+        onward = ReportServer(report=report, passed_on=True, age=age)
+        effects += _forward_to_members(state, onward)
     leads = has_authority(state, now)
     effects.append(Reply(message.reply_to, ServerReported(leads)))
     server = state.servers_by_id.get(report.id)
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -164,11 +164,20 @@
         Whether another member forwarded the announcement.
     age
         Seconds since the member that passes the announcement on heard it.
+    heard_at
+        Lower bound of the time at which an instance without the log heard the
+        announcement, on the receiver's clock, if known.
     """
 
     report: ServerReport
     passed_on: bool = False
     age: Seconds = 0.0
+    heard_at: Seconds | None = None
+
+    def find_age(self, now: Seconds) -> Seconds:
+        """Return an upper bound of the age of the announcement, in seconds."""
+        on_way = 0.0 if self.heard_at is None else now - self.heard_at
+        return max(self.age, on_way)
 
 
 @dataclass(frozen=True, slots=True)
@@ -383,7 +392,8 @@
 class FollowLeader:
     """Asks a member for the leader and the configuration in force.
 
-    Sent by an instance that has no replicated log.
+    Sent by an instance that has no replicated log. Other such instances are asked for
+    the members only.
 
     Parameters
     ----------
@@ -393,12 +403,15 @@
         How long the sender has been waiting for an answer, in seconds.
     sent_at
         Time of sending, by the sender's clock.
+    controller
+        Controller of the sender to which the notice goes.
     """
 
     sender: InstanceId
     version: int
     waits: Seconds = 0.0
     sent_at: Seconds | None = None
+    controller: str = "directory"
 
 
 @dataclass(frozen=True, slots=True)
@@ -408,9 +421,9 @@
     Parameters
     ----------
     sender
-        The member.
+        The member, or an instance without the log that names the members it knows.
     term, leader
-        Newest term that the member knows, and the leader of that term, if known.
+        Newest term that the sender knows, and the leader of that term, if known.
     members
         All members of the log.
     configuration
@@ -426,6 +439,8 @@
     version
         Version of the configuration in force at the sender, or -1. If the sender has
         authority, no newer one had been accepted at ``asked_at``.
+    has_log
+        Whether the sender has the log, or a disk for it.
     """
 
     sender: InstanceId
@@ -438,6 +453,7 @@
     asked_at: Seconds | None = None
     admitted_share: float = 1.0
     version: int = -1
+    has_log: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catch_up.py
+++ b/boragetide/policy/catch_up.py
@@ -13,7 +13,12 @@
 
 from boragetide.commands import Ballot, Snapshot
 from boragetide.effects import Effect, LogEvent, Persist, SaveSnapshot, Send
-from boragetide.messages import CatchUpState, RequestCatchUp
+from boragetide.messages import (
+    CatchUpState,
+    FollowLeader,
+    LeaderNotice,
+    RequestCatchUp,
+)
 from boragetide.policy.replica import (
     FIRST_ELECTION_MAX,
     FIRST_ELECTION_MIN,
@@ -43,16 +48,27 @@
     if now >= replica.next_request:
         replica.next_request = now + REQUEST_INTERVAL
         request = RequestCatchUp(replica.id, replica.incarnation)
+        contacts = sorted(_find_contacts(replica))
+        effects += [
+            Send(Address(contact, "configuration"), request) for contact in contacts
+        ]
         effects += [
-            Send(Address(contact, "configuration"), request)
-            for contact in sorted(_find_contacts(replica))
+            _ask_for_members(contact, replica, now)
+            for contact in contacts
+            if contact not in replica.catch_up_by_id
         ]
     return effects + _try_to_join(replica, now)
 
 
+def _ask_for_members(contact: InstanceId, replica: Replica, now: Seconds) -> Send:
+    """Ask a contact that may have no log and know its members."""
+    question = FollowLeader(replica.id, -1, sent_at=now, controller="configuration")
+    return Send(Address(contact, "directory"), question)
+
+
 def _find_contacts(replica: Replica) -> set[InstanceId]:
-    """Return the members to ask: the initial members and those named in the answers."""
-    contacts = set(replica.settings.initial_members)
+    """Return the instances to ask: those that the settings or the answers name."""
+    contacts = {*replica.settings.initial_members, *replica.contacts}
     for answer in replica.catch_up_by_id.values():
         if answer.held is not None:
             contacts.update(_list_members(replica, answer.held))
@@ -161,3 +177,11 @@
         return []
     replica.catch_up_by_id[message.sender] = message
     return _try_to_join(replica, now)
+
+
+@step.register
+def _(message: LeaderNotice, replica: Replica, now: Seconds) -> list[Effect]:
+    """Ask the members that an instance without the log names."""
+    if replica.role is Role.BLANK:
+        replica.contacts.update(message.members)
+    return []
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -24,6 +24,7 @@
 MIN_AUTHORITY_EXTENSION = 0.1  # seconds
 # An instance without a log that has sent no request for this long gets no more notices.
 SUBSCRIBER_SILENCE = 3.0  # seconds
+CONTACT_NOTICE_INTERVAL: Seconds = 1.0
 
 
 @dataclass(slots=True)
@@ -48,6 +49,9 @@
         Links to these instances.
     admitted_share
         Share of the submissions that the dispatcher admits while this instance leads.
+    contacts, contacts_notified_at
+        Instances that the settings name, and the time at which those that have not
+        asked for the leader were last notified.
     """
 
     settings: Settings
@@ -60,6 +64,8 @@
     asked_at_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
     links: LinkHealth = field(default_factory=LinkHealth)
     admitted_share: float = 1.0
+    contacts: tuple[InstanceId, ...] = ()
+    contacts_notified_at: Seconds = 0.0
 
 
 def announce(
@@ -237,3 +243,32 @@
         notify(state, replica, in_force, subscriber, now)
         for subscriber in state.subscribers_by_id
     ]
+
+
+def notify_contacts(
+    state: LeadershipNotices, replica: Replica | None, now: Seconds
+) -> list[Effect]:
+    """Notify the contacts that have not asked for the leader; for the leader only.
+
+    After a loss of all instances, those without a disk know only the instances that the
+    settings name, and none of these may be a member any more.
+    """
+    if replica is None or replica.role is not Role.LEADER:
+        return []
+    if now - state.contacts_notified_at < CONTACT_NOTICE_INTERVAL:
+        return []
+    state.contacts_notified_at = now
+    known = {*replica.members, *replica.learners_by_id, *state.subscribers_by_id}
+    notice = LeaderNotice(
+        sender=state.settings.id,
+        term=replica.ballot.term,
+        leader=replica.leader,
+        members=replica.members,
+        clock=now,
+        admitted_share=state.admitted_share,
+    )
+    return [
+        Send(Address(contact, "directory"), notice)
+        for contact in state.contacts
+        if contact not in known
+    ]
--- a/boragetide/policy/member_changes.py
+++ b/boragetide/policy/member_changes.py
@@ -80,7 +80,9 @@
     members = choose_members(
         replica.members, replica.settings.member_count, silent, ready
     )
-    if members == replica.members:
+    # The first change records the members of the settings, because an instance that
+    # loses its disk may by then find other instances named in its settings.
+    if members == replica.members and replica.catalogue.members:
         return []
     before = replica.members
     command_id = f"members {replica.ballot.term}:{replica.last_index + 1}"
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -106,9 +106,10 @@
     learners_by_id
         State of a leader: instances that are not members but receive the log, with the
         time at which each last asked to join.
-    catch_up_by_id, started_at, next_request
+    catch_up_by_id, started_at, next_request, contacts
         State of a blank member: the newest answer of each other member, the time of the
-        first request, and the time of the next one.
+        first request, the time of the next one, and the instances to ask besides the
+        initial members.
     links
         Health of the links to the other members.
     """
@@ -138,6 +139,7 @@
     catch_up_by_id: dict[InstanceId, CatchUpState] = field(default_factory=dict)
     started_at: Seconds | None = None
     next_request: Seconds = 0.0
+    contacts: set[InstanceId] = field(default_factory=set)
     links: LinkHealth = field(default_factory=LinkHealth)
     jitter: random.Random = field(default_factory=random.Random)
 
@@ -241,7 +243,7 @@
 
     A member whose journal has no ballot is blank.
     """
-    replica = Replica(settings, incarnation)
+    replica = Replica(settings, incarnation, contacts=set(settings.contacts))
     for record in records:
         apply_record(record, replica)
     return replica
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -91,6 +91,8 @@
         Controllers that are notified of each configuration in force.
     founders
         Initial members of the log, if these are not all instances with a disk.
+    contacts
+        Other instances that may know the members of the log; the leader notifies them.
     member_count
         Number of members that the log should have; 0 keeps the initial members.
     follows_leader
@@ -111,6 +113,7 @@
     controllers: tuple[str, ...] = CONTROLLERS
     configuration_subscribers: tuple[str, ...] = ("backend_servers", "instances")
     founders: tuple[InstanceId, ...] = ()
+    contacts: tuple[InstanceId, ...] = ()
     member_count: int = 0
     follows_leader: bool = True
     ids_are_addresses: bool = False
--- a/boragetide/tests/test_catch_up.py
+++ b/boragetide/tests/test_catch_up.py
@@ -4,11 +4,18 @@
 
 from dataclasses import replace
 
-from boragetide.commands import Ballot, LogEntry, Snapshot
+from boragetide.commands import (
+    Ballot,
+    ChangeMembers,
+    LogEntry,
+    Proposal,
+    Snapshot,
+)
 from boragetide.effects import Effect, Persist, Send
 from boragetide.messages import (
     AppendReply,
     CatchUpState,
+    LeaderNotice,
     RequestCatchUp,
     RequestVote,
     VoteReply,
@@ -25,6 +32,7 @@
 from boragetide.policy.replication import append_proposals, become_leader
 from boragetide.settings import Settings
 from boragetide.tests.conftest import make_settings
+from boragetide.types import Address
 
 FIVE_INSTANCES = {f"a{number}": "a" for number in range(1, 6)}
 NOW = 100.0
@@ -148,3 +156,24 @@
     assert not reply.granted and member.ballot.term == 5
     (reply,) = get_replies(step(request, member, NOW + 1.5), VoteReply)
     assert reply.granted and member.ballot.term == 5
+
+
+def test_lost_disk_finds_the_members_behind_instances_without_the_log(
+    settings: Settings,
+) -> None:
+    """Guards against a member that never rejoins because its seeds have no log."""
+    known = [restore(replace(settings, id=i), term=4, entries=2) for i in ("a2", "a3")]
+    members = Proposal("members 4:3", ChangeMembers(("a1", "a2", "a3")))
+    for each in known:
+        each.log.append(LogEntry(3, 4, NOW, members))
+    seeds = ("e1", "e2", "e3")
+    alone = replace(settings, founders=seeds, contacts=seeds, may_found_group=False)
+    blank = restore_replica(replace(alone, id="a1"), 7, ())
+    asked = [each.to for each in catch_up.check_catch_up(blank, NOW)]
+    assert [to.instance for to in asked if to.controller == "directory"] == list(seeds)
+    step(LeaderNotice("e1", 4, "a2", ("a2", "a3"), has_log=False), blank, NOW)
+    asked = [each.to for each in catch_up.check_catch_up(blank, NOW + 1.0)]
+    assert {Address(i, "configuration") for i in ("a2", "a3")} <= set(asked)
+    for each in known:
+        step(CatchUpState(each.id, 1, 7, make_snapshot(each)), blank, NOW + 1.0)
+    assert (blank.role, blank.members) == (Role.FOLLOWER, ("a1", "a2", "a3"))
--- a/boragetide/tests/test_member_changes.py
+++ b/boragetide/tests/test_member_changes.py
@@ -16,7 +16,7 @@
     choose_members,
     propose_member_change,
 )
-from boragetide.policy.replica import Replica, Role, step
+from boragetide.policy.replica import Replica, Role, apply_committed, step
 from boragetide.policy.replication import become_leader
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import BEGIN
@@ -188,3 +188,13 @@
     acknowledge(leader, "a2", now)
     join(leader, "a9", now)
     assert member_changes.propose_member_change(leader, now) == []
+
+
+def test_members_of_the_settings_are_recorded_in_the_log(leader: Replica) -> None:
+    """Guards against a lost disk that takes other instances for the members."""
+    propose_member_change(leader, BEGIN)
+    assert leader.log[-1].proposal.command == ChangeMembers(("a1", "a2", "a3"))
+    for member in ("a2", "a3"):
+        acknowledge(leader, member, BEGIN)
+    apply_committed(leader)
+    assert propose_member_change(leader, BEGIN) == []
--- a/boragetide/tests/test_subscribers.py
+++ b/boragetide/tests/test_subscribers.py
@@ -9,11 +9,16 @@
 from boragetide.effects import Reconnect
 from boragetide.messages import FollowLeader
 from boragetide.policy import leadership
-from boragetide.policy.leadership import LeadershipNotices
+from boragetide.policy.leadership import (
+    CONTACT_NOTICE_INTERVAL,
+    LeadershipNotices,
+)
 from boragetide.policy.link_health import LINK_SILENCE
+from boragetide.policy.replica import Replica, Role
 from boragetide.policy.submission_fence import MAX_DELIVERY_TIME
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import BEGIN
+from boragetide.types import Address
 
 
 @pytest.fixture
@@ -58,3 +63,17 @@
     assert ask(0.0, BEGIN) == []
     assert ask(2 * LINK_SILENCE, BEGIN - 1.0) == []
     assert ask(2 * LINK_SILENCE, BEGIN + 0.4) == ["e1"]
+
+
+def test_leader_notifies_the_seeds_that_do_not_know_it(settings: Settings) -> None:
+    """Guards against instances that all restarted and know nobody with the log."""
+    notices = LeadershipNotices(settings, contacts=("a2", "e1", "e2"))
+    leader = Replica(settings, incarnation=1, role=Role.LEADER, leader="a1")
+    leadership.record_subscriber(notices, "e1", 3, BEGIN)
+    (effect,) = leadership.notify_contacts(notices, leader, BEGIN)
+    assert effect.to == Address("e2", "directory")
+    assert (effect.message.leader, effect.message.members) == ("a1", leader.members)
+    assert leadership.notify_contacts(notices, leader, BEGIN + 0.5) == []
+    leader.role = Role.FOLLOWER
+    later = BEGIN + CONTACT_NOTICE_INTERVAL
+    assert leadership.notify_contacts(notices, leader, later) == []
