--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -116,7 +116,7 @@
 def make_state(settings: Settings) -> DirectoryState:
     """Build the initial state, with the instances that the settings name."""
     state = DirectoryState(settings, settings.initial_members, settings.contacts)
-    if not settings.own_peer.disk:
+    if settings.id not in settings.ids_with_disk:
         state.without_log.add(settings.id)
     return state
 
@@ -171,7 +171,7 @@
 @handle.register
 def _(message: FollowLeader, state: DirectoryState, now: Seconds) -> list[Effect]:
     """Name the members of the log, unless the log's own controller answers."""
-    if state.settings.own_peer.disk:
+    if state.settings.id in state.settings.ids_with_disk:
         return []
     notice = LeaderNotice(
         sender=state.settings.id,
