Count the readiness of a successor anew in each leadership

Cause: a leader that lost its leadership kept the time since which the preferred leader had been ready. If it led again later, it could hand over at its first tick, to a member that had been back for a moment only (found at the last read of the change). Change: become_follower clears it with the other state of a leader. Figures: test_new_leadership_does_not_count_readiness_of_an_earlier_one fails without the change (handed to a2 at once) and passes with it.

--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -393,6 +393,7 @@
     replica.progress_by_id = {}
     replica.learners_by_id = {}
     replica.proposers_by_command = {}
+    replica.successor_ready_since = None
 
 
 def schedule_election(
--- a/boragetide/tests/test_groups.py
+++ b/boragetide/tests/test_groups.py
@@ -28,6 +28,7 @@
     ELECTION_MIN,
     Replica,
     Role,
+    become_follower,
     schedule_election,
 )
 from boragetide.policy.replication import become_leader
@@ -135,6 +136,17 @@
     assert run_for(leader, READY_TIME - 0.5, silent_until, "a2", "a3") == []
 
 
+def test_new_leadership_does_not_count_readiness_of_an_earlier_one(
+    leader: Replica,
+) -> None:
+    """Guards against a takeover by a member that has been back for a moment only."""
+    run_for(leader, READY_TIME - 1.0, BEGIN, "a2", "a3")
+    become_follower(leader, "a3")
+    become_leader(leader, BEGIN + 2 * READY_TIME)
+    again = run_for(leader, READY_TIME - 1.0, BEGIN + 2 * READY_TIME, "a2", "a3")
+    assert list_successors(again) == []
+
+
 def test_leadership_is_kept_until_the_preferred_leader_has_the_log(
     leader: Replica,
 ) -> None:
