--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -71,12 +71,16 @@
         body = {"status": Status.NOT_RUN, "error": message}
         self.respond(status, body, retry_after)
 
+    def respond_error(self, error: RequestError) -> None:
+        """Send the response to a request that ended with an error."""
+        body = {"status": error.status, "error": str(error)}
+        self.respond(error.http_status, body)
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Send an error response without a traceback."""
         error = kwargs.get("exc_info", (None, None, None))[1]
         if isinstance(error, RequestError):
-            body = {"status": error.status, "error": str(error)}
-            self.respond(error.http_status, body)
+            self.respond_error(error)
         elif isinstance(error, LinkError):
             self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
         elif status_code == 404:
