--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -459,11 +459,13 @@
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def add_worker(self, number: int, labels: tuple[str, ...], port: int) -> Worker:
+    def add_worker(
+        self, number: int, labels: tuple[str, ...], port: int, cpu: int = 64_000
+    ) -> Worker:
         """Start a worker; neighbouring numbers have neighbouring addresses."""
         worker_id = f"i-{number:08x}"
         ip = f"{self.network}.{100 + number}"
-        worker = Worker(self, worker_id, ip, port, labels)
+        worker = Worker(self, worker_id, ip, port, labels, cpu)
         self.workers[worker_id] = worker
         worker.start()
         return worker
