--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -357,6 +357,72 @@
         return [line for line in lines if f"event={event} " in line]
 
 
+class Cut:
+    """A proxy in front of the links of one program, which can cut them.
+
+    Parameters
+    ----------
+    ways
+        Address to listen on and address to forward to, of each way.
+    """
+
+    def __init__(self, ways: list[tuple[tuple[str, int], tuple[str, int]]]):
+        self.ways = ways
+        self.is_cut = False
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.servers: list[asyncio.Server] = []
+
+    async def open(self) -> None:
+        """Listen on all addresses."""
+        for (ip, port), target in self.ways:
+
+            def accept(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                target: tuple[str, int] = target,
+            ) -> Any:
+                return self._accept(reader, writer, target)
+
+            self.servers.append(await asyncio.start_server(accept, ip, port))
+
+    def cut(self) -> None:
+        """Hold back all bytes, without a word to either side."""
+        self.is_cut = True
+
+    def heal(self) -> None:
+        """Forward again; the connections of before are reset with what they held."""
+        self.is_cut = False
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        target: tuple[str, int],
+    ) -> None:
+        try:
+            to_reader, to_writer = await asyncio.open_connection(*target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, to_writer}
+        await asyncio.gather(
+            self._pump(reader, to_writer), self._pump(to_reader, writer)
+        )
+        self.writers -= {writer, to_writer}
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                if not self.is_cut:
+                    writer.write(data)
+                    await writer.drain()
+        writer.transport.abort()
+
+
 @dataclass
 class System:
     """A small deployment with its stand-ins.
@@ -366,11 +432,14 @@
     tolerated
         Machines with a disk whose loss is to be borne; twice as many and one run the
         control program.
+    has_cut
+        Whether the links of the first edge pass through a proxy that can cut them.
     """
 
     record: Record
     tolerated: int = 1
     edge_count: int = 2
+    has_cut: bool = False
     controls: list[Program] = field(default_factory=list)
     edges: list[Program] = field(default_factory=list)
     workers: dict[str, Worker] = field(default_factory=dict)
@@ -379,10 +448,12 @@
     seen: list[tuple[float, str, list[Any]]] = field(default_factory=list)
     lapses: list[tuple[float, str]] = field(default_factory=list)
     ports: dict[str, int] = field(default_factory=dict)
+    folder: Path = field(
+        default_factory=lambda: Path(tempfile.mkdtemp(prefix="review-"))
+    )
 
     async def start(self, version: int = 1, **route: Any) -> None:
         """Start all programs, publish a configuration and wait for the edges."""
-        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.client = SimpleAsyncHTTPClient(
             force_instance=True, max_clients=1000, defaults={"connect_timeout": 2.0}
         )
@@ -397,6 +468,8 @@
             words = shlex.split(deploy["roles"][role]["run"])
             program = self._make_program(role, ip, number, words)
             (self.controls if role == "control" else self.edges).append(program)
+        if self.has_cut:
+            await self._open_cut()
         for program in [*self.controls, *self.edges]:
             await program.start()
         await self.publish(version, **route)
@@ -404,6 +477,18 @@
             await self.wait_for(lambda p=program: self._is_ready(p), "a ready edge")
         self.record.write("all edges are ready")
 
+    async def _open_cut(self) -> None:
+        """Give the first edge another link port, and lead its links through a proxy."""
+        edge, *others = [*self.edges, *self.controls]
+        port = self.ports["link"]
+        own_port = port + 20
+        settings = json.loads(edge.settings.read_text())
+        settings["port_range"] = [own_port, own_port + 15]
+        edge.settings.write_text(json.dumps(settings))
+        ways = [((other.ip, own_port), (other.ip, port)) for other in others]
+        self.cut = Cut([((edge.ip, port), (edge.ip, own_port)), *ways])
+        await self.cut.open()
+
     def _make_program(
         self, role: str, ip: str, number: int, words: list[str]
     ) -> Program:
@@ -643,7 +728,7 @@
     found: list[int] = []
     while len(found) < 4:
         port = random.randint(20_000, 30_000)
-        if any(abs(port - other) < 20 for other in found):
+        if any(abs(port - other) < 40 for other in found):
             continue
         with socket.socket() as probe:
             try:
