Transfer a job that its group cannot serve to one that can

Cause: jobs are divided among groups by their id and backend servers by their address, and a group used its own backend servers only. With one of eight workers of a rack lost for good, the jobs of its group had none left.

Change: a waiting job of which no task can start in its group, and of which nothing runs, is transferred: the log of its group stores that it has left, then the log of a group with a fitting backend server stores the job with its ends, attempts and losses. Transfers are numbered between two groups, so that repeated and late deliveries have no effect. Best-effort jobs are submitted there by the instance of their caller, after a note is committed.

Why it works: a job is in exactly one log or on its way to it, and starts only where it is stored, so that moving it neither loses it nor runs it twice.

--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -156,6 +156,73 @@
     kind: Literal["unregister_backend_servers"] = "unregister_backend_servers"
 
 
+@dataclass(frozen=True, slots=True)
+class TransferJobs(JobCommand):
+    """Transfers jobs to another group; this group starts nothing of them any more.
+
+    Parameters
+    ----------
+    job_ids
+        Durable jobs, of which those that have ended stay.
+    best_effort
+        Notes of best-effort jobs of which no task was started.
+    run_span
+        The leader numbered all runs of these jobs at most this far above their
+        ``run_base``.
+    """
+
+    group: int
+    job_ids: tuple[JobId, ...]
+    best_effort: tuple[JobRecord, ...]
+    run_span: int
+    kind: Literal["transfer_jobs"] = "transfer_jobs"
+
+
+@dataclass(frozen=True, slots=True)
+class AdoptJobs(JobCommand):
+    """Stores jobs that another group has transferred to this one.
+
+    Parameters
+    ----------
+    source
+        The other group.
+    records
+        Transferred records by ascending sequence number. Those up to the newest number
+        from this group that is already stored have no effect.
+    """
+
+    source: int
+    records: tuple[JobRecord, ...]
+    kind: Literal["adopt_jobs"] = "adopt_jobs"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmTransfers(JobCommand):
+    """Records that another group has stored the jobs that were transferred to it.
+
+    Parameters
+    ----------
+    until
+        Newest sequence number that is stored there.
+    job_ids
+        Jobs with a sequence number up to that one.
+    """
+
+    group: int
+    until: int
+    job_ids: tuple[JobId, ...]
+    kind: Literal["confirm_transfers"] = "confirm_transfers"
+
+
+@dataclass(frozen=True, slots=True)
+class DropTransfers(JobCommand):
+    """Removes the notes of transferred jobs that the other group has forgotten."""
+
+    group: int
+    job_ids: tuple[JobId, ...]
+    kind: Literal["drop_transfers"] = "drop_transfers"
+
+
 COMMANDS_BY_KIND: dict[str, type[Command]] = {
     "set_class": SetClass,
     "drain_backend_server": DrainBackendServer,
@@ -169,6 +236,10 @@
     "cancel_jobs": CancelJobs,
     "register_backend_servers": RegisterBackendServers,
     "unregister_backend_servers": UnregisterBackendServers,
+    "transfer_jobs": TransferJobs,
+    "adopt_jobs": AdoptJobs,
+    "confirm_transfers": ConfirmTransfers,
+    "drop_transfers": DropTransfers,
 }
 
 
@@ -257,6 +328,9 @@
     server_born_by_id
         Backend servers on which runs may be in progress, with the start of the process
         in Unix milliseconds.
+    transferred_by_group, adopted_by_group
+        Sequence number of the last job that was transferred to each other group, and of
+        the last one that was taken over from it.
     """
 
     index: int = 0
@@ -267,6 +341,8 @@
     jobs_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
     members: tuple[InstanceId, ...] = ()
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
+    transferred_by_group: dict[int, int] = field(default_factory=dict)
+    adopted_by_group: dict[int, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.controllers.job_records import apply_record
+from boragetide.controllers.job_records import apply_record, make_transfer_reply
 from boragetide.controllers.lost_runs import apply_known_losses
 from boragetide.controllers.placing_runs import place_runs
 from boragetide.controllers.refusals import (
@@ -27,6 +27,7 @@
 from boragetide.effects import Effect, LogEvent, Reply
 from boragetide.messages import (
     DispatcherReply,
+    JobRequest,
     ReplyStatus,
     SubmitDurableJob,
     WithdrawSubmissions,
@@ -41,10 +42,20 @@
     return record.job.best_effort and record.phase is JobPhase.CANCELLED
 
 
+def has_returned(record: JobRecord, message: JobRequest) -> bool:
+    """Return whether a best-effort job has come back since it was transferred.
+
+    The request then followed a later transfer than the one that is noted here.
+    """
+    return record.job.best_effort and message.transfers >= record.transfers
+
+
 def answer_resubmission(
     message: SubmitDurableJob, state: DispatcherState, record: JobRecord
 ) -> list[Effect]:
     """Answer a resubmission, or let it wait for the end of a best-effort job."""
+    if record.phase is JobPhase.TRANSFERRED:
+        return [Reply(message.reply_to, _answer_transferred(state, record))]
     if record.job.best_effort and record.phase is JobPhase.ACTIVE:
         waiters = state.waiters_by_job.setdefault(record.job.id, [])
         waiters.append(message.reply_to)
@@ -53,6 +64,16 @@
     return [Reply(message.reply_to, ended)]
 
 
+def _answer_transferred(state: DispatcherState, record: JobRecord) -> DispatcherReply:
+    """Return the answer to the submission of a job that another group has.
+
+    A durable job is stored, so the submission is accepted.
+    """
+    if record.job.best_effort:
+        return make_transfer_reply(state, record)
+    return DispatcherReply(ReplyStatus.ACCEPTED, state=JobPhase.ACTIVE.value)
+
+
 def refuse_if_late(
     message: SubmitDurableJob,
     job: DurableJob,
@@ -91,6 +112,8 @@
     arrival: dict[str, Any],
     state: DispatcherState,
     now: Seconds,
+    *,
+    transfers: int = 0,
 ) -> list[Effect]:
     """Accept a job without a commit; adopt its runs and ends from an earlier leader.
 
@@ -98,10 +121,12 @@
     ----------
     arrival
         Fields of the log line that tell how the submission arrived.
+    transfers
+        How often the job was transferred to another group.
     """
     state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [reply_to]
-    record = JobRecord(job, changed_at=now)
+    record = JobRecord(job, changed_at=now, transfers=transfers)
     effects = apply_record(state, record, now, is_new=True, arrival=arrival)
     effects += adopt_earlier_runs(state, record, now)
     effects += apply_known_losses(state, job.id, now)
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass, field
 
+from sortedcontainers import SortedDict
+
 from boragetide.controllers.server_state import LostRun, Run, Server
+from boragetide.controllers.transfer_state import TransferState
 from boragetide.durable import (
     JobPhase,
     JobRecord,
@@ -17,6 +20,7 @@
 from boragetide.policy.overload import AdmissionControl
 from boragetide.policy.server_index import ServerIndex
 from boragetide.policy.submission_fence import SubmissionFence
+from boragetide.policy.transfer_table import is_undelivered
 from boragetide.settings import Settings
 from boragetide.types import (
     BackendServerId,
@@ -124,6 +128,8 @@
         Jobs with suspects, and those of the suspects that wait for a start.
     isolated_servers
         Backend servers that are set apart for suspects.
+    transfers
+        Jobs that go to other groups or come from them.
     next_command
         Number of the next command.
     process_count
@@ -168,6 +174,7 @@
     lost_servers: set[BackendServerId] = field(default_factory=set)
     suspects_by_job: dict[JobId, dict[int, Step]] = field(default_factory=dict)
     isolated_servers: set[BackendServerId] = field(default_factory=set)
+    transfers: TransferState = field(default_factory=TransferState)
     next_command: int = 1
     process_count: int = 0
     next_review: Seconds = 0.0
@@ -224,6 +231,7 @@
     """Store the current record of a job."""
     job_id = record.job.id
     state.records_by_id[job_id] = record
+    _update_outbox(state, record)
     if record.phase is JobPhase.ACTIVE:
         state.active.setdefault(job_id)
         return
@@ -235,6 +243,19 @@
     )
 
 
+def _update_outbox(state: DispatcherState, record: JobRecord) -> None:
+    """Add a transferred job to those to deliver, or remove it once it is delivered."""
+    transfer = record.transfer
+    if transfer is None:
+        return
+    outboxes = state.transfers.outbox_by_group
+    outbox = outboxes.setdefault(transfer.group, SortedDict())
+    if is_undelivered(record):
+        outbox[transfer.sequence] = record.job.id
+    else:
+        outbox.pop(transfer.sequence, None)
+
+
 def get_fence(state: DispatcherState, server: Server) -> int:
     """Return the fencing token of the orders to the known process of a server."""
     return make_fence(state.term, server.process)
@@ -242,7 +263,8 @@
 
 def assign_run_number(state: DispatcherState, key: tuple[JobId, int]) -> int:
     """Return the number of the next run of a task, higher than all earlier ones."""
-    first = (state.term - 1) * RUNS_PER_TERM + 1
+    base = state.records_by_id[key[0]].run_base
+    first = base + (state.term - 1) * RUNS_PER_TERM + 1
     number = max(first, state.run_number_by_task.get(key, 0) + 1)
     state.run_number_by_task[key] = number
     return number
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -8,6 +8,7 @@
 
 from dataclasses import replace
 from functools import singledispatch
+from itertools import chain
 from typing import Any
 
 from boragetide.commands import AcceptJob, CancelJobs
@@ -16,6 +17,7 @@
     accept_best_effort,
     answer_resubmission,
     cancel_best_effort,
+    has_returned,
     refuse_expired,
     refuse_if_late,
     restarts_when_resubmitted,
@@ -27,9 +29,19 @@
     store_record,
     update_server_index,
 )
+from boragetide.controllers.held_submissions import (
+    fits_elsewhere,
+    hold_submission,
+    list_held_requests,
+)
 from boragetide.controllers.isolating import place_suspects
-from boragetide.controllers.job_records import append_command, apply_record
+from boragetide.controllers.job_records import (
+    append_command,
+    apply_record,
+    make_transfer_reply,
+)
 from boragetide.controllers.lost_runs import (
+    adopt_losses,
     assess_lost_runs,
     load_losses,
     remove_old_losses,
@@ -75,17 +87,32 @@
     remove_server,
     remove_stale_servers,
 )
+from boragetide.controllers.transfer_state import TransferState
+from boragetide.controllers.transfers import (
+    adopt_delivered,
+    answer_review,
+    answer_room_question,
+    apply_commits,
+    ask_for_room,
+    confirm_delivered,
+    drop_reviewed,
+    record_room,
+    review_transfers,
+)
 from boragetide.durable import DurableJob, JobPhase, JobRecord
-from boragetide.effects import Effect, LogEvent, Reply, Send
+from boragetide.effects import Effect, LogEvent, Reply, Send, SetGauge
 from boragetide.messages import (
     AuthorityExtended,
     CancelDurableJob,
     ConfigurationChanged,
     CountWaiting,
+    DeliverJobs,
     DispatcherReply,
     Drain,
     DrainState,
+    FindRoom,
     JobsCommitted,
+    JobsDelivered,
     LeadershipGained,
     LeadershipLost,
     LookUpDurableJob,
@@ -96,18 +123,22 @@
     ReplyStatus,
     ReportServer,
     Request,
+    ReviewTransfers,
+    RoomFound,
     RunOrdered,
     RunsRead,
     ServerReported,
     StopRequested,
     SubmitDurableJob,
     Tick,
+    TransfersReviewed,
     WithdrawSubmissions,
     WokeUp,
 )
 from boragetide.policy import job_table
 from boragetide.policy.overload import AdmissionControl
 from boragetide.policy.scheduling import can_ever_fit
+from boragetide.policy.transfer_table import is_undelivered
 from boragetide.types import Address, ReplyTo, Seconds
 
 REVIEW_INTERVAL: Seconds = 1.0
@@ -151,10 +182,19 @@
     if refused:
         return refused
     if not _can_ever_fit(job, state):
-        waiters = [message.reply_to]
-        return refuse_job(state, job, waiters, REASON_TOO_LARGE, now, arrival=arrival)
+        elsewhere = fits_elsewhere(state, job, now)
+        if elsewhere is None:
+            hold_submission(message, state, now)
+            return ask_for_room(state, now)
+        if not elsewhere:
+            waiters = [message.reply_to]
+            return refuse_job(
+                state, job, waiters, REASON_TOO_LARGE, now, arrival=arrival
+            )
     if job.best_effort:
-        accepted = accept_best_effort(job, message.reply_to, arrival, state, now)
+        accepted = accept_best_effort(
+            job, message.reply_to, arrival, state, now, transfers=message.transfers
+        )
         return [*observe_arrival(message, now), *accepted]
     append = append_command(state, AcceptJob(job))
     (command_id,) = append.message.commands_by_id
@@ -167,6 +207,8 @@
     message: SubmitDurableJob, record: JobRecord, state: DispatcherState
 ) -> bool:
     """Return whether the submission of a known job makes it run from the start."""
+    if record.phase is JobPhase.TRANSFERRED:
+        return has_returned(record, message)
     is_void = state.fence.is_void(record.job.id, message.submitted_at)
     return restarts_when_resubmitted(record) and not is_void
 
@@ -212,6 +254,10 @@
     if not has_authority(state, now):
         return [_reply(message, ReplyStatus.NOT_LEADER)]
     record = state.records_by_id.get(message.id)
+    if message.id in state.transfers.command_by_job:
+        return [_reply(message, ReplyStatus.NOT_LEADER)]
+    if record is not None and record.phase is JobPhase.TRANSFERRED:
+        return _cancel_transferred(message, state, record, now)
     if record is None and message.id not in state.command_by_job:
         # The submission may still be on its way.
         state.fence.void(message.id, now)
@@ -229,6 +275,19 @@
     return [append]
 
 
+def _cancel_transferred(
+    message: CancelDurableJob, state: DispatcherState, record: JobRecord, now: Seconds
+) -> list[Effect]:
+    """Direct a cancellation to the group that has the job."""
+    if has_returned(record, message):
+        # The submission to this group may still be on its way.
+        state.fence.void(message.id, now)
+        return [_reply(message, ReplyStatus.NOT_FOUND)]
+    if is_undelivered(record):
+        return [_reply(message, ReplyStatus.NOT_LEADER)]
+    return [Reply(message.reply_to, make_transfer_reply(state, record))]
+
+
 @handle.register
 def _(
     message: WithdrawSubmissions, state: DispatcherState, now: Seconds
@@ -245,12 +304,14 @@
     record = state.records_by_id.get(message.id)
     if record is None:
         return [_reply(message, ReplyStatus.NOT_FOUND)]
+    if record.phase is JobPhase.TRANSFERRED and record.transfer.delivered:
+        return [Reply(message.reply_to, make_transfer_reply(state, record))]
     shown = _describe_state(state, record)
     return [_reply(message, ReplyStatus.FOUND, state=shown)]
 
 
 def _describe_state(state: DispatcherState, record: JobRecord) -> str:
-    if record.phase is not JobPhase.ACTIVE:
+    if record.phase not in (JobPhase.ACTIVE, JobPhase.TRANSFERRED):
         return record.phase.value
     has_started = record.job.id in state.started or record.done or record.failures
     return "running" if has_started else "queued"
@@ -260,10 +321,15 @@
 def _(message: CountWaiting, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
         return [_reply(message, ReplyStatus.NOT_LEADER)]
+    undelivered = chain.from_iterable(
+        outbox.values() for outbox in state.transfers.outbox_by_group.values()
+    )
     count = sum(
         record.job.class_name == message.class_name
         and _describe_state(state, record) == "queued"
-        for record in (state.records_by_id[job_id] for job_id in state.active)
+        for record in map(
+            state.records_by_id.__getitem__, chain(state.active, undelivered)
+        )
     )
     return [_reply(message, ReplyStatus.FOUND, count=count)]
 
@@ -276,7 +342,10 @@
 def _(message: JobsCommitted, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects: list[Effect] = []
     for record in message.records:
-        is_new = record.job.id not in state.records_by_id
+        known = state.records_by_id.get(record.job.id)
+        is_new = known is None or known.phase is JobPhase.TRANSFERRED
+        if is_new:
+            adopt_losses(state, record)
         effects += apply_record(state, record, now, is_new=is_new)
     for command_id in message.command_ids:
         waiting = state.replies_by_command.pop(command_id, ())
@@ -289,6 +358,7 @@
         server = state.servers_by_id.get(ends.server_id)
         if server is not None:
             effects += read_runs(state, server, now)
+    effects += apply_commits(state, message.command_ids, now)
     registered = apply_registration(state, message.command_ids)
     if registered:
         effects += [*registered, *register_servers(state, now)]
@@ -353,6 +423,7 @@
     state.lost_servers.clear()
     state.suspects_by_job.clear()
     state.isolated_servers.clear()
+    state.transfers = TransferState()
     for server in state.servers_by_id.values():
         server.clear_runs()
         update_server_index(state, server)
@@ -367,6 +438,7 @@
     undecided = DispatcherReply(ReplyStatus.UNDECIDED)
     return [
         LogEvent("dispatch_ended", {"term": term, "waiting": len(waiting)}),
+        SetGauge("stranded_jobs", 0),
         *(Reply(reply_to, undecided) for reply_to in waiting),
     ]
 
@@ -507,6 +579,7 @@
     effects += repeat_stops(state, now)
     effects += refuse_expired(state, now)
     effects += place_suspects(state, now)
+    effects += review_transfers(state, now)
     return [*effects, *_place_and_read(state, now)]
 
 
@@ -534,12 +607,43 @@
 
 def _list_pending_requests(state: DispatcherState) -> list[ReplyTo | None]:
     """Return all requests that have no answer yet."""
-    return [
+    waiting = [
         reply_to
         for waiting in (state.replies_by_command, state.waiters_by_job)
         for each in waiting.values()
         for reply_to in each
     ]
+    return [*waiting, *list_held_requests(state)]
+
+
+@handle.register
+def _(message: FindRoom, state: DispatcherState, now: Seconds) -> list[Effect]:
+    return answer_room_question(message, state, now)
+
+
+@handle.register
+def _(message: RoomFound, state: DispatcherState, now: Seconds) -> list[Effect]:
+    return record_room(message, state, now)
+
+
+@handle.register
+def _(message: DeliverJobs, state: DispatcherState, now: Seconds) -> list[Effect]:
+    return adopt_delivered(message, state, now)
+
+
+@handle.register
+def _(message: JobsDelivered, state: DispatcherState, now: Seconds) -> list[Effect]:
+    return confirm_delivered(message, state, now)
+
+
+@handle.register
+def _(message: ReviewTransfers, state: DispatcherState, now: Seconds) -> list[Effect]:
+    return answer_review(message, state, now)
+
+
+@handle.register
+def _(message: TransfersReviewed, state: DispatcherState, now: Seconds) -> list[Effect]:
+    return drop_reviewed(message, state, now)
 
 
 @handle.register(StopRequested)
--- /dev/null
+++ b/boragetide/controllers/held_submissions.py
@@ -0,0 +1,99 @@
+"""Submissions that wait until it is known whether another group can run them.
+
+A job that is too large for all backend servers of its group is refused only if no other
+group has one that is large enough.
+"""
+
+from __future__ import annotations
+
+from boragetide.controllers.dispatch_state import DispatcherState
+from boragetide.controllers.refusals import (
+    REASON_ROOM_UNKNOWN,
+    REASON_TOO_LARGE,
+    RETRY_AFTER,
+    refuse_job,
+)
+from boragetide.controllers.stranded_jobs import RoomTable, list_needs
+from boragetide.controllers.transfer_state import HeldSubmission
+from boragetide.durable import DurableJob, Fit, Need
+from boragetide.effects import Effect, Send
+from boragetide.messages import SubmitDurableJob
+from boragetide.types import Address, ReplyTo, Seconds
+
+# The answers of other groups hold for this long.
+ANSWER_LIFETIME: Seconds = 1.0
+# A group that has lost its leader may not answer; its next leader does by then.
+HOLD_TIMEOUT: Seconds = 0.5
+
+
+def fits_elsewhere(
+    state: DispatcherState, job: DurableJob, now: Seconds
+) -> bool | None:
+    """Return whether the groups together can run all steps of a job.
+
+    Returns
+    -------
+    bool or None
+        ``None`` if the other groups have not answered lately.
+    """
+    if state.settings.group_count == 1:
+        return False
+    rooms = RoomTable(state, now)
+    for need in list_needs(state, job):
+        if rooms.find_offer(need).fit > Fit.NONE:
+            continue
+        known = state.transfers.known_fit_by_need.get(need)
+        if known is None or now - known.known_at > ANSWER_LIFETIME:
+            return None
+        if known.fit is Fit.NONE:
+            return False
+    return True
+
+
+def hold_submission(
+    message: SubmitDurableJob, state: DispatcherState, now: Seconds
+) -> None:
+    """Let a submission wait for the answers of the other groups."""
+    held = state.transfers.held_by_job.setdefault(message.job.id, [])
+    held.append(HeldSubmission(message, now))
+
+
+def list_held_needs(state: DispatcherState) -> list[Need]:
+    """Return the needs of the jobs that wait for answers."""
+    return [
+        need
+        for held in state.transfers.held_by_job.values()
+        for need in list_needs(state, held[0].message.job)
+    ]
+
+
+def list_held_requests(state: DispatcherState) -> list[ReplyTo | None]:
+    """Return the requests that wait for answers of other groups."""
+    return [
+        each.message.reply_to
+        for held in state.transfers.held_by_job.values()
+        for each in held
+    ]
+
+
+def settle_held(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Submit the held jobs that fit elsewhere, and refuse those that fit nowhere.
+
+    A job is also refused if the other groups do not answer. Nothing of it has run.
+    """
+    effects: list[Effect] = []
+    for job_id, held in list(state.transfers.held_by_job.items()):
+        job = held[0].message.job
+        verdict = fits_elsewhere(state, job, now)
+        if verdict is None and now - held[0].held_at < HOLD_TIMEOUT:
+            continue
+        del state.transfers.held_by_job[job_id]
+        if verdict:
+            to = Address(state.settings.id, "dispatcher")
+            effects += [Send(to, each.message) for each in held]
+            continue
+        waiters = [each.message.reply_to for each in held]
+        reason = REASON_ROOM_UNKNOWN if verdict is None else REASON_TOO_LARGE
+        retry_after = RETRY_AFTER if verdict is None else 0.0
+        effects += refuse_job(state, job, waiters, reason, now, retry_after=retry_after)
+    return effects
--- a/boragetide/controllers/job_records.py
+++ b/boragetide/controllers/job_records.py
@@ -14,7 +14,7 @@
 from boragetide.controllers.orders import stop_run
 from boragetide.controllers.placing_runs import update_queue
 from boragetide.durable import JobPhase, JobRecord
-from boragetide.effects import Effect, LogEvent, Observe, Reply, Send
+from boragetide.effects import Count, Effect, LogEvent, Observe, Reply, Send
 from boragetide.messages import AppendCommands, DispatcherReply, ReplyStatus
 from boragetide.types import Address, JobId, Seconds
 
@@ -54,6 +54,8 @@
     store_record(state, record)
     state.command_by_job.pop(job_id, None)
     update_queue(state, job_id)
+    if record.phase is JobPhase.TRANSFERRED:
+        return _apply_transfer(state, record)
     age = now - record.job.submitted_at
     fields = {
         "job": job_id,
@@ -62,6 +64,7 @@
         "done": len(record.done),
         "tasks": record.job.task_count,
         "failures": len(record.failures),
+        "transfers": record.transfers,
         "age": age,
         "term": state.term,
     }
@@ -76,6 +79,36 @@
     ]
 
 
+def _apply_transfer(state: DispatcherState, record: JobRecord) -> list[Effect]:
+    """Tell the waiters of a best-effort job which group to ask."""
+    job_id, transfer = record.job.id, record.transfer
+    fields = {
+        "job": job_id,
+        "to": transfer.group,
+        "sequence": transfer.sequence,
+        "delivered": transfer.delivered,
+        "transfers": record.transfers,
+        "term": state.term,
+    }
+    waiters = state.waiters_by_job.pop(job_id, ())
+    reply = make_transfer_reply(state, record)
+    return [
+        LogEvent("job_transferred", fields),
+        Count("jobs_transferred", {"delivered": str(transfer.delivered).lower()}),
+        *(Reply(reply_to, reply) for reply_to in waiters),
+    ]
+
+
+def make_transfer_reply(state: DispatcherState, record: JobRecord) -> DispatcherReply:
+    """Return the answer that another group has a job."""
+    return DispatcherReply(
+        ReplyStatus.TRANSFERRED,
+        term=state.term,
+        group=record.transfer.group,
+        transfers=record.transfers,
+    )
+
+
 def _stop_runs(state: DispatcherState, job_id: JobId) -> list[Effect]:
     effects: list[Effect] = []
     record = state.records_by_id[job_id]
--- a/boragetide/controllers/lost_runs.py
+++ b/boragetide/controllers/lost_runs.py
@@ -138,6 +138,13 @@
     return effects
 
 
+def adopt_losses(state: DispatcherState, record: JobRecord) -> None:
+    """Remember the losses of a job that another group has transferred to this one."""
+    if record.losses and record.phase is JobPhase.ACTIVE:
+        state.losses_by_job[record.job.id] = record.losses
+        _update_lost_servers(state)
+
+
 def apply_known_losses(
     state: DispatcherState, job_id: JobId, now: Seconds
 ) -> list[Effect]:
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -55,7 +55,8 @@
 def update_queue(state: DispatcherState, job_id: JobId) -> None:
     """Update the queue with the tasks of a job that are ready to start."""
     record = state.records_by_id.get(job_id)
-    if record is None or record.phase is not JobPhase.ACTIVE:
+    is_leaving = job_id in state.transfers.command_by_job
+    if record is None or record.phase is not JobPhase.ACTIVE or is_leaving:
         state.queue.remove(job_id)
         state.suspects_by_job.pop(job_id, None)
         return
@@ -95,8 +96,7 @@
     """
     if have_predecessor_leases_expired(state, now):
         return True
-    is_young = now - state.incarnation / 1000 < DISCOVERY_PERIOD
-    if is_young or state.missed_predecessor:
+    if is_young(state, now) or state.missed_predecessor:
         return False
     has_unread_registered = any(
         not _is_read(state, server_id, born)
@@ -111,6 +111,11 @@
     )
 
 
+def is_young(state: DispatcherState, now: Seconds) -> bool:
+    """Return whether backend servers may not have announced themselves here yet."""
+    return now - state.incarnation / 1000 < DISCOVERY_PERIOD
+
+
 def have_predecessor_leases_expired(state: DispatcherState, now: Seconds) -> bool:
     """Return whether all leases that earlier leaders granted have expired."""
     return now >= state.predecessor_until + LEASE_EXPIRY_WAIT
@@ -206,11 +211,18 @@
         server.read_term == state.term
         and is_registered(state, server)
         and server.clock.offset is not None
-        and server.announced
-        and not (server.report.draining or server.departed or server.silent)
+        and is_in_service(server, now)
         and not server.unexpected_runs
         and server.held_ends <= MAX_HELD_ENDS
         and now >= server.cooldown_until
+    )
+
+
+def is_in_service(server: Server, now: Seconds) -> bool:
+    """Return whether a backend server is in contact, and is to stay."""
+    return (
+        server.announced
+        and not (server.report.draining or server.departed or server.silent)
         and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
         and now - server.announced_at < MAX_ANNOUNCEMENT_AGE
     )
--- a/boragetide/controllers/refusals.py
+++ b/boragetide/controllers/refusals.py
@@ -17,6 +17,7 @@
 
 REASON_TOO_LATE = "it cannot be served in time"
 REASON_TOO_LARGE = "no backend server is large enough for one of its tasks"
+REASON_ROOM_UNKNOWN = "no known backend server is large enough for one of its tasks"
 REASON_VOID = "an earlier copy was refused or withdrawn"
 
 
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 from boragetide.types import (
     BackendServerId,
@@ -136,6 +136,45 @@
         return sum(step.count for step in self.steps)
 
 
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a backend server must have to run a task.
+
+    Parameters
+    ----------
+    label
+        Label that the backend server must have, or empty.
+    """
+
+    pool: PoolName
+    resources: Resources
+    label: str = ""
+
+
+class Fit(IntEnum):
+    """How well the backend servers of a group fit a need; a higher value is better."""
+
+    NONE = 0  # none is large enough, or none has the label
+    OUT_OF_SERVICE = 1  # those that fit are lost, drained or have shrunk
+    BUSY = 2  # one fits, but can start nothing now
+    FREE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """What a group has for a need.
+
+    Parameters
+    ----------
+    slots
+        Number of such tasks that can start now.
+    """
+
+    need: Need
+    fit: Fit
+    slots: int = 0
+
+
 class JobPhase(StrEnum):
     """Stored phase of a durable job."""
 
@@ -143,6 +182,27 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    TRANSFERRED = "transferred"  # another group has the job
+
+
+@dataclass(frozen=True, slots=True)
+class Transfer:
+    """Where a job went that was transferred to another group.
+
+    Parameters
+    ----------
+    group
+        Group that has the job.
+    sequence
+        Number of the transfer among those between the two groups, from 1; 0 for a
+        best-effort job, which is submitted there by the instance of its caller.
+    delivered
+        Whether the other group has stored the job.
+    """
+
+    group: int
+    sequence: int
+    delivered: bool = False
 
 
 class LossFate(StrEnum):
@@ -199,6 +259,12 @@
     losses
         Runs that were lost with their backend servers, oldest first, except those whose
         backend server has survived.
+    transfers
+        How often the job was transferred to another group.
+    run_base
+        The groups that had the job before gave its runs numbers up to this one.
+    transfer
+        Where a transferred job went, else ``None``.
     """
 
     job: DurableJob
@@ -207,6 +273,9 @@
     failures: tuple[tuple[int, int], ...] = ()
     changed_at: Seconds = 0.0
     losses: tuple[RunLoss, ...] = ()
+    transfers: int = 0
+    run_base: int = 0
+    transfer: Transfer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -289,6 +358,11 @@
     clock: Seconds | None = None
 
 
+def make_need(pool: PoolName, step: Step) -> Need:
+    """Return what a backend server must have to run a task of a step."""
+    return Need(pool, step.needs, step.required_label)
+
+
 def get_task_number(job: DurableJob, task: TaskRef) -> int | None:
     """Return a task's number over all steps, or ``None`` if the task does not exist."""
     if not 0 <= task.step < len(job.steps):
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 from functools import singledispatch
 from operator import attrgetter
+from typing import TypeAlias
 
 from boragetide.daemon.clock import read_clock
 from boragetide.daemon.logs import log_event
@@ -29,7 +30,7 @@
     SubmitDurableJob,
 )
 from boragetide.policy.scheduling import due_at
-from boragetide.types import Address, Seconds, Status
+from boragetide.types import Address, GroupId, Seconds, Status
 
 # A leader answers within a few syncs of 9 ms each, or, for a best-effort job, when the
 # job has ended. If there is no answer within the timeout, the leader or the message may
@@ -46,6 +47,9 @@
 ANSWER_MARGIN: Seconds = 0.05
 REASON_OVERLOADED = "more jobs are submitted than can be served in time"
 
+# Each group counts terms of its own.
+GroupTerm: TypeAlias = tuple[GroupId, int]
+
 
 @dataclass(slots=True)
 class DurableExchange:
@@ -70,7 +74,7 @@
     abandoned
         Whether the caller has left, so that no further request is sent.
     group
-        Group of the job.
+        Group that has the job, as far as is known.
     """
 
     runtime: Runtime
@@ -163,7 +167,7 @@
         ``NOT_RUN`` if no leader can have received the request, else ``UNKNOWN``.
     """
     runtime = exchange.runtime
-    attempts_by_term: Counter[int] = Counter()
+    attempts_by_term: Counter[GroupTerm] = Counter()
     while (remaining := _find_remaining_time(exchange)) > 0:
         try:
             directory = runtime.local(name_controller("directory", exchange.group))
@@ -179,26 +183,51 @@
             to = Address(lookup.leader, dispatcher)
             try:
                 timeout = reply_timeout(exchange.message)
-                timeout = min(remaining, timeout * 2 ** attempts_by_term[lookup.term])
+                timeout *= 2 ** attempts_by_term[exchange.group, lookup.term]
+                timeout = min(remaining, timeout)
                 message = make_copy(exchange.message, exchange, lookup, read_clock())
                 reply = await runtime.ask(to, message, timeout)
             except PeerUnreachable:
                 pass
             except ReplyTimeout:
-                attempts_by_term[lookup.term] += 1
+                attempts_by_term[exchange.group, lookup.term] += 1
             else:
+                if reply.status is ReplyStatus.TRANSFERRED:
+                    attempts_by_term.pop((exchange.group, reply.term), None)
+                    follow_transfer(exchange, reply)
+                    continue
                 if reply.status is ReplyStatus.UNDECIDED:
-                    attempts_by_term[lookup.term] += 1
+                    attempts_by_term[exchange.group, lookup.term] += 1
                     if reply.term:
                         break
                 elif reply.status is not ReplyStatus.NOT_LEADER:
-                    return _check_refusal(reply, set(attempts_by_term))
+                    own_term = (exchange.group, reply.term)
+                    return _check_refusal(reply, set(attempts_by_term) - {own_term})
         await asyncio.sleep(LEADER_RETRY_DELAY)
     if attempts_by_term:
         raise RequestError(Status.UNKNOWN, 504, "no leader answered in time")
     raise RequestError(Status.NOT_RUN, 503, "no leader is known")
 
 
+def follow_transfer(exchange: DurableExchange, reply: DispatcherReply) -> None:
+    """Let a request go to the group that has its job.
+
+    The leader that answers so has started nothing of the job, and no leader of its
+    group will as long as the job is elsewhere.
+    """
+    log_event(
+        "transfer_followed",
+        job=exchange.job_id,
+        kind=exchange.name,
+        group=exchange.group,
+        to=reply.group,
+        transfers=reply.transfers,
+        term=reply.term,
+    )
+    exchange.group = reply.group
+    exchange.message = replace(exchange.message, transfers=reply.transfers)
+
+
 async def wait_for_leader(
     runtime: Runtime, until: Seconds, group: int = 0
 ) -> LeaderFound:
@@ -278,14 +307,16 @@
     )
 
 
-def _check_refusal(reply: DispatcherReply, asked_terms: set[int]) -> DispatcherReply:
+def _check_refusal(
+    reply: DispatcherReply, other_terms: set[GroupTerm]
+) -> DispatcherReply:
     """Return the reply, unless it is a refusal that may not hold for other terms.
 
     The leader of one term knows whether it has started a job, but not whether the
     leader of another term has. A refusal is therefore reported as ``UNKNOWN`` if the
     request may have reached the leader of another term.
     """
-    if reply.status is ReplyStatus.REFUSED and asked_terms - {reply.term}:
+    if reply.status is ReplyStatus.REFUSED and other_terms:
         raise RequestError(Status.UNKNOWN, 504, reply.reason)
     return reply
 
--- a/boragetide/groups.py
+++ b/boragetide/groups.py
@@ -8,7 +8,7 @@
 
 The controllers of group 0 have plain names; its log also holds the configuration. The
 names of the others end with the number of their group. The addresses in the effects of
-a controller are relative to its group.
+a controller are relative to its group, unless they name another (`address_group`).
 """
 
 from __future__ import annotations
@@ -44,11 +44,28 @@
 
 def resolve_address(to: Address, sender: str) -> Address:
     """Return the address that an effect of the controller ``sender`` refers to."""
+    if SEPARATOR in to.controller:
+        controller, _, group = to.controller.partition(SEPARATOR)
+        return Address(to.instance, name_controller(controller, int(group)))
     if SEPARATOR not in sender or to.controller not in GROUPED_CONTROLLERS:
         return to
     return Address(to.instance, name_controller(to.controller, find_group(sender)))
 
 
+def address_group(instance: InstanceId, controller: str, group: int) -> Address:
+    """Return the address of a controller of any group, for use in effects.
+
+    It names the group even if that is group 0, so that `resolve_address` does not take
+    it for the group of the sender.
+
+    Examples
+    --------
+    >>> address_group("a", "dispatcher", 0).controller
+    'dispatcher.0'
+    """
+    return Address(instance, f"{controller}{SEPARATOR}{group}")
+
+
 def find_rank(members: Collection[InstanceId], group: int, member: InstanceId) -> int:
     """Return a member's place in the order in which the members are to lead a group.
 
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -19,6 +19,7 @@
     BackendServerId,
     ClassName,
     Configuration,
+    GroupId,
     InstanceId,
     JobId,
     Seconds,
@@ -32,7 +33,8 @@
     REFUSED = "refused"  # the job was not stored and never runs
     FOUND = "found"
     NOT_FOUND = "not_found"
-    NOT_LEADER = "not_leader"  # nothing was done; ask another instance
+    NOT_LEADER = "not_leader"  # nothing was done; ask again, maybe another instance
+    TRANSFERRED = "transferred"  # nothing was done; ask the group that has the job
     UNDECIDED = "undecided"  # the job may have been stored or may have run
 
 
@@ -52,6 +54,8 @@
         Seconds after which a refused job may be submitted again.
     term
         Term of the leader that answers; 0 if the next leader is to be asked.
+    group, transfers
+        Group that has a transferred job, and the ``transfers`` of the request to it.
     """
 
     status: ReplyStatus
@@ -60,10 +64,25 @@
     reason: str = ""
     retry_after: Seconds = 0.0
     term: int = 0
+    group: GroupId = 0
+    transfers: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobRequest(Request):
+    """Request about one job, which is sent to the leader of the job's group.
+
+    Parameters
+    ----------
+    transfers
+        How often the job had been transferred when it came to the group that is asked.
+    """
+
+    transfers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class SubmitDurableJob(Request):
+class SubmitDurableJob(JobRequest):
     """Asks for a job to be stored and run; answered with `DispatcherReply`.
 
     The clocks of two instances may differ by seconds, so the message carries the age
@@ -113,14 +132,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LookUpDurableJob(Request):
+class LookUpDurableJob(JobRequest):
     """Asks for the state of a job; answered with `DispatcherReply`."""
 
     id: JobId
 
 
 @dataclass(frozen=True, slots=True)
-class CancelDurableJob(Request):
+class CancelDurableJob(JobRequest):
     """Asks for a job to be cancelled; answered once the cancellation is stored."""
 
     id: JobId
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -8,12 +8,15 @@
 
 from boragetide.commands import (
     AcceptJob,
+    AdoptJobs,
     CancelJobs,
     Catalogue,
     ChangeMembers,
     Command,
     CommandStatus,
+    ConfirmTransfers,
     DrainBackendServer,
+    DropTransfers,
     HistoryEntry,
     JobCommand,
     LogEntry,
@@ -26,9 +29,10 @@
     RegisterBackendServers,
     ReturnBackendServer,
     SetClass,
+    TransferJobs,
     UnregisterBackendServers,
 )
-from boragetide.policy import job_table
+from boragetide.policy import job_table, transfer_table
 from boragetide.types import ClassTarget, Configuration, JobId, Seconds
 
 # Operators may resend a command for a day, and get its recorded outcome. Up to 15,000
@@ -58,6 +62,8 @@
         acceptors_by_id=dict(catalogue.acceptors_by_id),
         jobs_by_id=dict(catalogue.jobs_by_id),
         server_born_by_id=dict(catalogue.server_born_by_id),
+        transferred_by_group=dict(catalogue.transferred_by_group),
+        adopted_by_group=dict(catalogue.adopted_by_group),
     )
 
 
@@ -200,6 +206,30 @@
     return changed
 
 
+@apply_job_command.register
+def _(command: TransferJobs, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    return transfer_table.transfer_jobs(
+        catalogue.jobs_by_id, catalogue.transferred_by_group, command, now
+    )
+
+
+@apply_job_command.register
+def _(command: AdoptJobs, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    return transfer_table.adopt_jobs(
+        catalogue.jobs_by_id, catalogue.adopted_by_group, command, now
+    )
+
+
+@apply_job_command.register
+def _(command: ConfirmTransfers, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    return transfer_table.confirm_transfers(catalogue.jobs_by_id, command, now)
+
+
+@apply_job_command.register
+def _(command: DropTransfers, catalogue: Catalogue, now: Seconds) -> set[JobId]:
+    return transfer_table.drop_transfers(catalogue.jobs_by_id, command)
+
+
 @apply_job_command.register
 def _(
     command: RegisterBackendServers, catalogue: Catalogue, now: Seconds
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -18,6 +18,8 @@
 # An edge instance that lost the reply to a best-effort job repeats its request within
 # this time: its request timeout doubles up to 5.6 s.
 BEST_EFFORT_RETENTION = 10.0  # seconds
+# The group that a job was transferred to decides how long the job is known.
+_KEPT_PHASES = frozenset({JobPhase.ACTIVE, JobPhase.TRANSFERRED})
 
 
 def accept_job(
@@ -120,7 +122,9 @@
         retention = BEST_EFFORT_RETENTION if best_effort else RETENTION
         if now - record.job.submitted_at <= retention:
             break
-        if record.phase is not JobPhase.ACTIVE and now - record.changed_at > retention:
+        if record.phase in _KEPT_PHASES:
+            continue
+        if now - record.changed_at > retention:
             expired.append(job_id)
     for job_id in expired:
         del jobs_by_id[job_id]
@@ -129,6 +133,10 @@
 def _finish(
     record: JobRecord, phase: JobPhase, now: Seconds, done: frozenset[int]
 ) -> JobRecord:
-    """Return a record of the ended job, without the spec that only its runs need."""
-    job = replace(record.job, spec="")
-    return replace(record, job=job, phase=phase, done=done, changed_at=now)
+    """Return a record of the ended job."""
+    return replace(without_spec(record), phase=phase, done=done, changed_at=now)
+
+
+def without_spec(record: JobRecord) -> JobRecord:
+    """Return a record without the spec, which only the runs of a job need."""
+    return replace(record, job=replace(record.job, spec=""))
--- a/boragetide/tests/test_durable_chain.py
+++ b/boragetide/tests/test_durable_chain.py
@@ -60,6 +60,7 @@
         self.metrics = Metrics()
         self.term = 0
         self.timeouts: list[float] = []
+        self.asked: list[tuple[str, Any]] = []
         self.admission = Admission.ADMITTED
         self.on_ask: Callable[[], None] = lambda: None
 
@@ -78,6 +79,7 @@
                 raise self.steps.pop(0)
             return LeaderFound("a1", None, True, term=self.steps[0][0])
         self.timeouts.append(timeout)
+        self.asked.append((to.controller, message))
         self.on_ask()
         _, reply = self.steps.pop(0)
         if isinstance(reply, Exception):
@@ -229,6 +231,39 @@
     assert runtime.timeouts == []
 
 
+def transfer(group: int, transfers: int = 1, term: int = 1) -> DispatcherReply:
+    return DispatcherReply(
+        ReplyStatus.TRANSFERRED, group=group, transfers=transfers, term=term
+    )
+
+
+def test_request_follows_its_job_to_other_groups() -> None:
+    """Guards against a caller who is refused because the job has changed groups."""
+    steps = (1, transfer(2)), (7, transfer(0, transfers=2, term=7)), (1, ACCEPTED)
+    runtime = ScriptedRuntime(*steps)
+    assert ask_through(runtime) is ACCEPTED
+    asked = [(controller, message.transfers) for controller, message in runtime.asked]
+    assert asked == [("dispatcher", 0), ("dispatcher.2", 1), ("dispatcher", 2)]
+
+
+def test_refusal_stands_after_a_transfer() -> None:
+    """Guards against an unknown outcome of a job that no group has started."""
+    assert ask((1, transfer(2)), (7, refuse(7))).status is ReplyStatus.REFUSED
+    steps = (1, TIMEOUT), (1, transfer(2)), (7, refuse(7))
+    assert ask_through(ScriptedRuntime(*steps), 60.0).status is ReplyStatus.REFUSED
+
+
+def test_refusal_after_a_transfer_does_not_cover_an_earlier_leader() -> None:
+    """Guards against a refusal of a job that a lost leader may have run.
+
+    The groups count their terms separately.
+    """
+    steps = (1, TIMEOUT), (2, transfer(2, term=2)), (1, refuse(1))
+    with pytest.raises(RequestError) as caught:
+        ask_through(ScriptedRuntime(*steps), 60.0)
+    assert (caught.value.status, caught.value.http_status) == (Status.UNKNOWN, 504)
+
+
 def test_look_up_is_always_sent() -> None:
     """Guards against an overloaded leader that nobody can ask about jobs."""
     runtime = ScriptedRuntime((1, ACCEPTED))
--- a/boragetide/tests/test_groups.py
+++ b/boragetide/tests/test_groups.py
@@ -14,6 +14,7 @@
 from boragetide.daemon.runtime import Runtime
 from boragetide.effects import AbandonRequests, Effect, Send
 from boragetide.groups import (
+    address_group,
     find_group,
     find_job_group,
     find_server_group,
@@ -87,6 +88,11 @@
     assert resolve_address(to, "dispatcher") == to
     named = Address("a1", "dispatcher.2")
     assert resolve_address(named, "configuration") == named
+    for group in range(3):
+        explicit = address_group("a1", "dispatcher", group)
+        expected = Address("a1", name_controller("dispatcher", group))
+        assert resolve_address(explicit, "dispatcher.2") == expected
+        assert resolve_address(explicit, "dispatcher") == expected
     other = Address("a1", "instances")
     assert resolve_address(other, "dispatcher.3") == other
 
--- a/boragetide/types.py
+++ b/boragetide/types.py
@@ -10,6 +10,7 @@
 ClassName: TypeAlias = str
 InstanceId: TypeAlias = str
 JobId: TypeAlias = str
+GroupId: TypeAlias = int  # see `boragetide.groups`
 PoolName: TypeAlias = str
 Seconds: TypeAlias = float
 TaskId: TypeAlias = str
--- a/properties/simulated_server.py
+++ b/properties/simulated_server.py
@@ -96,6 +96,8 @@
     down_until: Seconds = 0.0
     address_reused: bool = False
     capacity: Resources = CAPACITY
+    labels: tuple[str, ...] = ()
+    draining: bool = False
     shrunk_at: Seconds = 0.0
 
     def restart(
@@ -139,6 +141,8 @@
             sequence=self.sequence,
             born=self.born,
             capacity=self.capacity,
+            labels=self.labels,
+            draining=self.draining,
             clock=self.read_clock(now),
         )
 
