Let a job that returns leave the deliveries of its old group

Found by reading the transfers: if a job came back to a group before its delivery from there was confirmed, the group went on delivering it although its record was active again. The other group refuses such a message as not meant for it, and with it all later ones. Now the record that is replaced takes its entry out of the deliveries.

test_job_returns_before_its_delivery_is_confirmed failed before (the later job never ended) and passes now.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -230,8 +230,8 @@
 def store_record(state: DispatcherState, record: JobRecord) -> None:
     """Store the current record of a job."""
     job_id = record.job.id
-    state.records_by_id[job_id] = record
     _update_outbox(state, record)
+    state.records_by_id[job_id] = record
     if record.phase is JobPhase.ACTIVE:
         state.active.setdefault(job_id)
         return
@@ -244,16 +244,14 @@
 
 
 def _update_outbox(state: DispatcherState, record: JobRecord) -> None:
-    """Add a transferred job to those to deliver, or remove it once it is delivered."""
-    transfer = record.transfer
-    if transfer is None:
-        return
+    """Add a job to those to deliver, or remove it once it is delivered or is back."""
     outboxes = state.transfers.outbox_by_group
-    outbox = outboxes.setdefault(transfer.group, SortedDict())
+    previous = state.records_by_id.get(record.job.id)
+    if previous is not None and is_undelivered(previous):
+        del outboxes[previous.transfer.group][previous.transfer.sequence]
     if is_undelivered(record):
-        outbox[transfer.sequence] = record.job.id
-    else:
-        outbox.pop(transfer.sequence, None)
+        outbox = outboxes.setdefault(record.transfer.group, SortedDict())
+        outbox[record.transfer.sequence] = record.job.id
 
 
 def get_fence(state: DispatcherState, server: Server) -> int:
--- a/boragetide/controllers/held_submissions.py
+++ b/boragetide/controllers/held_submissions.py
@@ -50,6 +50,15 @@
     return True
 
 
+def forget_old_answers(state: DispatcherState, now: Seconds) -> None:
+    """Forget the answers of other groups that do not hold any more."""
+    known = state.transfers.known_fit_by_need
+    for need in [
+        need for need, fit in known.items() if now - fit.known_at > ANSWER_LIFETIME
+    ]:
+        del known[need]
+
+
 def hold_submission(
     message: SubmitDurableJob, state: DispatcherState, now: Seconds
 ) -> None:
--- a/boragetide/controllers/stranded_jobs.py
+++ b/boragetide/controllers/stranded_jobs.py
@@ -14,6 +14,8 @@
 
 # Bounds the time of a review under overload; longer queues are examined in parts.
 MAX_EXAMINED_JOBS = 300
+# More jobs with the same needs are found when these have left.
+MAX_STRANDED_JOBS_PER_NEEDS = 64
 
 
 class RoomTable:
@@ -72,13 +74,21 @@
 def find_stranded(
     state: DispatcherState, job_ids: Iterable[JobId], now: Seconds
 ) -> dict[JobId, StrandedJob]:
-    """Return those of the given jobs that wait and cannot start here."""
+    """Return those of the given jobs that wait and cannot start here.
+
+    Of the jobs with the same needs, only the first ones are returned.
+    """
     found: dict[JobId, StrandedJob] = {}
+    counts_by_needs: Counter[frozenset[Need]] = Counter()
     rooms: RoomTable | None = None
     for job_id in job_ids:
         rooms = rooms or RoomTable(state, now)
         stranded = _examine(state, job_id, rooms, now)
-        if stranded is not None:
+        if stranded is None:
+            continue
+        needs = frozenset(stranded.task_count_by_need)
+        counts_by_needs[needs] += 1
+        if counts_by_needs[needs] <= MAX_STRANDED_JOBS_PER_NEEDS:
             found[job_id] = stranded
     return found
 
--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -26,6 +26,7 @@
     has_authority,
 )
 from boragetide.controllers.held_submissions import (
+    forget_old_answers,
     list_held_needs,
     settle_held,
 )
@@ -129,7 +130,7 @@
         return []
     transfers.next_question_at = now + QUESTION_INTERVAL
     transfers.question_count += 1
-    asked = tuple(needs)[:MAX_ASKED_NEEDS]
+    asked = _take_turns(tuple(needs), transfers.question_count)
     transfers.question = RoomQuestion(transfers.question_count, now, asked)
     message = FindRoom(
         state.settings.id, state.settings.group, transfers.question_count, asked
@@ -140,6 +141,12 @@
     ]
 
 
+def _take_turns(needs: tuple[Need, ...], turn: int) -> tuple[Need, ...]:
+    """Return the needs for one question; if there are many, others at each turn."""
+    begin = turn * MAX_ASKED_NEEDS % len(needs)
+    return (needs[begin:] + needs[:begin])[:MAX_ASKED_NEEDS]
+
+
 def _send_to(state: DispatcherState, group: GroupId, message: object) -> list[Effect]:
     """Send a message to the dispatchers of a group; only its leader handles it."""
     members: tuple[InstanceId, ...] = (*state.other_members, state.settings.id)
@@ -188,6 +195,7 @@
     state.transfers.question = None
     offers_by_group = question.offers_by_group
     is_complete = have_all_answered(offers_by_group, state.settings.group_count)
+    forget_old_answers(state, now)
     for need in question.needs:
         fit = find_best_fit(need, offers_by_group)
         if is_complete or fit > Fit.NONE:
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -28,7 +28,7 @@
     "submission_delay_seconds": "Delay of a submission before the leader, by stage.",
     "refusals": "Jobs that the pool refused, by class and reason.",
     "retries": "Tasks that were sent again, by class and outcome.",
-    "stranded_jobs": "Waiting jobs of which no task can start in their group.",
+    "stranded_jobs": "Jobs that cannot start in their group, up to 64 of a kind.",
     "tasks": "Ended tasks by class and outcome.",
     "transfer_notes_dropped": "Notes removed of jobs that another group has forgotten.",
     "mailbox_messages": "Messages that wait for a controller.",
--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -110,6 +110,7 @@
         self.sent: list[tuple[GroupId, GroupId, Any]] = []
         self.cut_pairs: set[frozenset[GroupId]] = set()
         self.message_fates: tuple[str, ...] = ("delivered",)
+        self.lost_types: tuple[type, ...] = ()
         self.next_announcement = self.now
 
     def make_state(self, group: GroupId) -> DispatcherState:
@@ -213,7 +214,8 @@
     def post(self, source: GroupId, target: GroupId, message: Any) -> None:
         """Send a message to the leader of a group; it may be lost or arrive twice."""
         self.sent.append((source, target, message))
-        if frozenset((source, target)) in self.cut_pairs:
+        is_cut = frozenset((source, target)) in self.cut_pairs
+        if is_cut or isinstance(message, self.lost_types):
             return
         fate, *others = self.message_fates
         self.message_fates = (*others, fate)
--- a/properties/test_transfers.py
+++ b/properties/test_transfers.py
@@ -310,6 +310,36 @@
     assert len(list_ended(site, calls)) == 4
 
 
+def test_job_returns_before_its_delivery_is_confirmed(site: GroupSite) -> None:
+    """Guards against a returned job that blocks all later deliveries."""
+    lose(site, "labelled0")
+    site.run_for(6.0)
+    site.lost_types = (JobsDelivered,)
+    submit_jobs(site, 4, replace(TASK, estimate=30.0))
+    site.run_for(2.0)
+    for group in (1, 2):
+        lose(site, f"labelled{group}")
+    site.find_server("labelled0").start_process(site.now)
+    site.run_for(10.0)
+    assert site.groups[HOME].catalogue.adopted_by_group, "some job has returned"
+    site.lost_types = ()
+    later = site.submit(make_long_job("later", replace(TASK, required_label="far")), 0)
+    site.find_server("plain2").labels = ("far",)
+    site.run_for(10.0)
+    assert list_ended(site, [later]) == ["later"]
+
+
+def test_many_jobs_of_one_kind_do_not_hide_another_kind(site: GroupSite) -> None:
+    """Guards against jobs that nobody can run and that keep others from leaving."""
+    submit_jobs(site, 400, replace(TASK, required_label="nowhere"))
+    lose(site, "labelled0")
+    site.run_for(6.0)
+    (last,) = [site.submit(make_long_job("last", TASK), HOME)]
+    site.run_for(5.0)
+    assert list_ended(site, [last]) == ["last"]
+    assert len(site.groups[HOME].state.transfers.stranded_by_id) <= 64
+
+
 def test_late_delivery_of_a_forgotten_job_starts_nothing(site: GroupSite) -> None:
     """Guards against a job that runs again when its records have been dropped."""
     lose(site, "labelled0")
