Move the requests of callers out of the dispatcher's handlers

No change of behaviour; the tests of the dispatcher, of refusals, lost runs, overload and transfers pass.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -208,6 +208,38 @@
     )
 
 
+def clear_leader_state(state: DispatcherState) -> None:
+    """Clear the state that only a leader holds; committed records stay in the log."""
+    state.term = 0
+    state.authority_until = 0.0
+    state.records_by_id.clear()
+    state.active.clear()
+    state.server_by_task.clear()
+    state.started.clear()
+    state.takeover_complete = False
+    state.waiters_by_job.clear()
+    state.admission = AdmissionControl()
+    state.done_tasks_of_unknown_jobs.clear()
+    state.overdue_stopped_tasks.clear()
+    state.run_number_by_task.clear()
+    state.pending_ends_by_command.clear()
+    state.replies_by_command.clear()
+    state.command_by_job.clear()
+    state.server_born_by_id.clear()
+    state.pending_registration = None
+    state.process_count = 0
+    state.queue.clear()
+    state.lost_runs.clear()
+    state.losses_by_job.clear()
+    state.lost_servers.clear()
+    state.suspects_by_job.clear()
+    state.isolated_servers.clear()
+    state.transfers = TransferState()
+    for server in state.servers_by_id.values():
+        server.clear_runs()
+        update_server_index(state, server)
+
+
 def add_run(state: DispatcherState, server: Server, run: Run) -> None:
     """Record a run that occupies its task and capacity of a backend server."""
     run.server_born = run.seen_born = server.report.born
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -6,39 +6,25 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from functools import singledispatch
-from itertools import chain
 from typing import Any
 
-from boragetide.commands import AcceptJob, CancelJobs
-from boragetide.controllers.arrivals import describe_arrival, observe_arrival
-from boragetide.controllers.best_effort import (
-    accept_best_effort,
-    answer_resubmission,
-    cancel_best_effort,
-    has_returned,
-    refuse_expired,
-    refuse_if_late,
-    restarts_when_resubmitted,
-    withdraw_submissions,
-)
+from boragetide.controllers.best_effort import refuse_expired, withdraw_submissions
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
+    clear_leader_state,
     has_authority,
     store_record,
-    update_server_index,
-)
-from boragetide.controllers.held_submissions import (
-    fits_elsewhere,
-    hold_submission,
-    list_held_requests,
 )
+from boragetide.controllers.held_submissions import list_held_requests
 from boragetide.controllers.isolating import place_suspects
-from boragetide.controllers.job_records import (
-    append_command,
-    apply_record,
-    make_transfer_reply,
+from boragetide.controllers.job_records import apply_record
+from boragetide.controllers.job_requests import (
+    cancel_job,
+    count_waiting,
+    look_up_job,
+    make_reply,
+    submit_job,
 )
 from boragetide.controllers.lost_runs import (
     adopt_losses,
@@ -67,11 +53,6 @@
     place_runs,
     update_queue,
 )
-from boragetide.controllers.refusals import (
-    REASON_TOO_LARGE,
-    refuse_job,
-    refuse_void_submission,
-)
 from boragetide.controllers.registrations import (
     apply_registration,
     needs_registration,
@@ -87,19 +68,17 @@
     remove_server,
     remove_stale_servers,
 )
-from boragetide.controllers.transfer_state import TransferState
 from boragetide.controllers.transfers import (
     adopt_delivered,
     answer_review,
     answer_room_question,
     apply_commits,
-    ask_for_room,
     confirm_delivered,
     drop_reviewed,
     record_room,
     review_transfers,
 )
-from boragetide.durable import DurableJob, JobPhase, JobRecord
+from boragetide.durable import JobPhase
 from boragetide.effects import Effect, LogEvent, Reply, Send, SetGauge
 from boragetide.messages import (
     AuthorityExtended,
@@ -136,9 +115,6 @@
     WokeUp,
 )
 from boragetide.policy import job_table
-from boragetide.policy.overload import AdmissionControl
-from boragetide.policy.scheduling import can_ever_fit
-from boragetide.policy.transfer_table import is_undelivered
 from boragetide.types import Address, ReplyTo, Seconds
 
 REVIEW_INTERVAL: Seconds = 1.0
@@ -154,9 +130,9 @@
 @handle.register
 def _(message: SubmitDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
-        return [_reply(message, ReplyStatus.NOT_LEADER)]
+        return [make_reply(message, ReplyStatus.NOT_LEADER)]
     measured = measure_submission(message, state, now)
-    return [*measured, *_submit(message, state, now)]
+    return [*measured, *submit_job(message, state, now)]
 
 
 @handle.register
@@ -164,128 +140,11 @@
     return refuse_submissions(message, state, now)
 
 
-def _submit(
-    message: SubmitDurableJob, state: DispatcherState, now: Seconds
-) -> list[Effect]:
-    job = message.job
-    record = state.records_by_id.get(job.id)
-    if record is not None and not _runs_again(message, record, state):
-        return answer_resubmission(message, state, record)
-    pending = state.command_by_job.get(job.id)
-    if pending is not None:
-        state.replies_by_command[pending].append(message.reply_to)
-        return []
-    job = _with_submission_time(message, now)
-    arrival = describe_arrival(message, now)
-    refused = refuse_void_submission(message, job, state, arrival, now)
-    refused = refused or refuse_if_late(message, job, state, arrival, now)
-    if refused:
-        return refused
-    if not _can_ever_fit(job, state):
-        elsewhere = fits_elsewhere(state, job, now)
-        if elsewhere is None:
-            hold_submission(message, state, now)
-            return ask_for_room(state, now)
-        if not elsewhere:
-            waiters = [message.reply_to]
-            return refuse_job(
-                state, job, waiters, REASON_TOO_LARGE, now, arrival=arrival
-            )
-    if job.best_effort:
-        accepted = accept_best_effort(
-            job, message.reply_to, arrival, state, now, transfers=message.transfers
-        )
-        return [*observe_arrival(message, now), *accepted]
-    append = append_command(state, AcceptJob(job))
-    (command_id,) = append.message.commands_by_id
-    state.command_by_job[job.id] = command_id
-    state.replies_by_command[command_id] = [message.reply_to]
-    return [*observe_arrival(message, now), append]
-
-
-def _runs_again(
-    message: SubmitDurableJob, record: JobRecord, state: DispatcherState
-) -> bool:
-    """Return whether the submission of a known job makes it run from the start."""
-    if record.phase is JobPhase.TRANSFERRED:
-        return has_returned(record, message)
-    is_void = state.fence.is_void(record.job.id, message.submitted_at)
-    return restarts_when_resubmitted(record) and not is_void
-
-
-def _with_submission_time(message: SubmitDurableJob, now: Seconds) -> DurableJob:
-    """Return the job with its submission time on this instance's clock.
-
-    The time on the way is included if the sender knows this clock.
-    """
-    arrived_at = now if message.arrived_at is None else message.arrived_at
-    submitted_at = arrived_at - message.age
-    if message.submitted_at is not None:
-        submitted_at = min(submitted_at, message.submitted_at)
-    return replace(message.job, submitted_at=submitted_at)
-
-
-def _can_ever_fit(job: DurableJob, state: DispatcherState) -> bool:
-    """Return whether a job can run on the known backend servers.
-
-    If each step fits a backend server with free capacity, the total capacities need not
-    be compared. A capacity that has shrunk may grow again.
-    """
-    servers = state.servers_by_id
-    server_by_step = {
-        step: next(state.index.iterate(job.starts.pool, step.needs.millicores), None)
-        for step in job.steps
-    }
-    if all(
-        server is not None and step.needs.fits_in(servers[server].free_resources)
-        for step, server in server_by_step.items()
-    ):
-        return True
-    capacities = [
-        server.largest_capacity
-        for server in servers.values()
-        if server.report.pool == job.starts.pool and not server.departed
-    ]
-    return can_ever_fit(job, capacities)
-
-
 @handle.register
 def _(message: CancelDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
-        return [_reply(message, ReplyStatus.NOT_LEADER)]
-    record = state.records_by_id.get(message.id)
-    if message.id in state.transfers.command_by_job:
-        return [_reply(message, ReplyStatus.NOT_LEADER)]
-    if record is not None and record.phase is JobPhase.TRANSFERRED:
-        return _cancel_transferred(message, state, record, now)
-    if record is None and message.id not in state.command_by_job:
-        # The submission may still be on its way.
-        state.fence.void(message.id, now)
-        return [_reply(message, ReplyStatus.NOT_FOUND)]
-    if record is not None and record.phase is not JobPhase.ACTIVE:
-        return [_reply(message, ReplyStatus.ACCEPTED)]
-    if record is not None and record.job.best_effort:
-        return [
-            *cancel_best_effort(state, record, now),
-            _reply(message, ReplyStatus.ACCEPTED),
-        ]
-    append = append_command(state, CancelJobs((message.id,)))
-    (command_id,) = append.message.commands_by_id
-    state.replies_by_command[command_id] = [message.reply_to]
-    return [append]
-
-
-def _cancel_transferred(
-    message: CancelDurableJob, state: DispatcherState, record: JobRecord, now: Seconds
-) -> list[Effect]:
-    """Direct a cancellation to the group that has the job."""
-    if has_returned(record, message):
-        # The submission to this group may still be on its way.
-        state.fence.void(message.id, now)
-        return [_reply(message, ReplyStatus.NOT_FOUND)]
-    if is_undelivered(record):
-        return [_reply(message, ReplyStatus.NOT_LEADER)]
-    return [Reply(message.reply_to, make_transfer_reply(state, record))]
+        return [make_reply(message, ReplyStatus.NOT_LEADER)]
+    return cancel_job(message, state, now)
 
 
 @handle.register
@@ -300,42 +159,15 @@
 @handle.register
 def _(message: LookUpDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
-        return [_reply(message, ReplyStatus.NOT_LEADER)]
-    record = state.records_by_id.get(message.id)
-    if record is None:
-        return [_reply(message, ReplyStatus.NOT_FOUND)]
-    if record.phase is JobPhase.TRANSFERRED and record.transfer.delivered:
-        return [Reply(message.reply_to, make_transfer_reply(state, record))]
-    shown = _describe_state(state, record)
-    return [_reply(message, ReplyStatus.FOUND, state=shown)]
-
-
-def _describe_state(state: DispatcherState, record: JobRecord) -> str:
-    if record.phase not in (JobPhase.ACTIVE, JobPhase.TRANSFERRED):
-        return record.phase.value
-    has_started = record.job.id in state.started or record.done or record.failures
-    return "running" if has_started else "queued"
+        return [make_reply(message, ReplyStatus.NOT_LEADER)]
+    return look_up_job(message, state)
 
 
 @handle.register
 def _(message: CountWaiting, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
-        return [_reply(message, ReplyStatus.NOT_LEADER)]
-    undelivered = chain.from_iterable(
-        outbox.values() for outbox in state.transfers.outbox_by_group.values()
-    )
-    count = sum(
-        record.job.class_name == message.class_name
-        and _describe_state(state, record) == "queued"
-        for record in map(
-            state.records_by_id.__getitem__, chain(state.active, undelivered)
-        )
-    )
-    return [_reply(message, ReplyStatus.FOUND, count=count)]
-
-
-def _reply(message: Request, status: ReplyStatus, **fields: Any) -> Reply:
-    return Reply(message.reply_to, DispatcherReply(status, **fields))
+        return [make_reply(message, ReplyStatus.NOT_LEADER)]
+    return count_waiting(message, state)
 
 
 @handle.register
@@ -369,7 +201,7 @@
 @handle.register
 def _(message: LeadershipGained, state: DispatcherState, now: Seconds) -> list[Effect]:
     """Load the committed jobs and read the runs of every backend server."""
-    _clear_leader_state(state)
+    clear_leader_state(state)
     state.term = message.term
     state.authority_until = message.authority_until
     state.leader_since = now
@@ -397,44 +229,12 @@
     return [began, *effects, *_read_all_servers(state, now)]
 
 
-def _clear_leader_state(state: DispatcherState) -> None:
-    """Clear the state that only a leader holds; committed records stay in the log."""
-    state.term = 0
-    state.authority_until = 0.0
-    state.records_by_id.clear()
-    state.active.clear()
-    state.server_by_task.clear()
-    state.started.clear()
-    state.takeover_complete = False
-    state.waiters_by_job.clear()
-    state.admission = AdmissionControl()
-    state.done_tasks_of_unknown_jobs.clear()
-    state.overdue_stopped_tasks.clear()
-    state.run_number_by_task.clear()
-    state.pending_ends_by_command.clear()
-    state.replies_by_command.clear()
-    state.command_by_job.clear()
-    state.server_born_by_id.clear()
-    state.pending_registration = None
-    state.process_count = 0
-    state.queue.clear()
-    state.lost_runs.clear()
-    state.losses_by_job.clear()
-    state.lost_servers.clear()
-    state.suspects_by_job.clear()
-    state.isolated_servers.clear()
-    state.transfers = TransferState()
-    for server in state.servers_by_id.values():
-        server.clear_runs()
-        update_server_index(state, server)
-
-
 @handle.register
 def _(message: LeadershipLost, state: DispatcherState, now: Seconds) -> list[Effect]:
     """Answer pending requests as undecided, so that callers ask the next leader."""
     term = state.term
     waiting = _list_pending_requests(state)
-    _clear_leader_state(state)
+    clear_leader_state(state)
     undecided = DispatcherReply(ReplyStatus.UNDECIDED)
     return [
         LogEvent("dispatch_ended", {"term": term, "waiting": len(waiting)}),
