Split the transfers into questions for room and the hand-over

The questions of a leader and the choice of the group go to controllers/room_questions.py, the addresses of other groups to group_messages.py; transfers.py keeps the hand-over and the notes. No change of behaviour; the tests of the dispatcher, of transfers and of the group programs pass.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -59,6 +59,7 @@
     register_servers,
     unregister_servers,
 )
+from boragetide.controllers.room_questions import answer_room_question, record_room
 from boragetide.controllers.run_ends import acknowledge_ends
 from boragetide.controllers.runs import read_runs, reconcile_runs
 from boragetide.controllers.server_health import recover_speeds
@@ -71,11 +72,9 @@
 from boragetide.controllers.transfers import (
     adopt_delivered,
     answer_review,
-    answer_room_question,
     apply_commits,
     confirm_delivered,
     drop_reviewed,
-    record_room,
     review_transfers,
 )
 from boragetide.durable import JobPhase
--- a/boragetide/controllers/held_submissions.py
+++ b/boragetide/controllers/held_submissions.py
@@ -22,7 +22,7 @@
 
 # The answers of other groups hold for this long.
 ANSWER_LIFETIME: Seconds = 1.0
-# A group that has lost its leader may not answer; its next leader does by then.
+# A group without a leader does not answer. Its next leader may take longer than this.
 HOLD_TIMEOUT: Seconds = 0.5
 
 
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -24,7 +24,7 @@
     refuse_job,
     refuse_void_submission,
 )
-from boragetide.controllers.transfers import ask_for_room
+from boragetide.controllers.room_questions import ask_for_room
 from boragetide.durable import DurableJob, JobPhase, JobRecord
 from boragetide.effects import Effect, Reply
 from boragetide.messages import (
