Say once what the transfers between groups said several times

Found in reading the whole change again; no change of behaviour: * FindRoom, DeliverJobs and ReviewTransfers name their sender through one base class, GroupRequest, and the address of a reply is made in one place. * The best fit among a group's offers is rated by one function (find_fit) instead of three. * The log lines of a transfer and of a lack of room share their inputs. * Held submissions are settled with one table of the backend servers instead of one table for each job at each tick, and with none if nothing is held. * Six handlers that only passed their message on are registered directly.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -415,34 +415,12 @@
     return [*waiting, *list_held_requests(state)]
 
 
-@handle.register
-def _(message: FindRoom, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return answer_room_question(message, state, now)
-
-
-@handle.register
-def _(message: RoomFound, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return record_room(message, state, now)
-
-
-@handle.register
-def _(message: DeliverJobs, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return adopt_delivered(message, state, now)
-
-
-@handle.register
-def _(message: JobsDelivered, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return confirm_delivered(message, state, now)
-
-
-@handle.register
-def _(message: ReviewTransfers, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return answer_review(message, state, now)
-
-
-@handle.register
-def _(message: TransfersReviewed, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return drop_reviewed(message, state, now)
+handle.register(FindRoom, answer_room_question)
+handle.register(RoomFound, record_room)
+handle.register(DeliverJobs, adopt_delivered)
+handle.register(JobsDelivered, confirm_delivered)
+handle.register(ReviewTransfers, answer_review)
+handle.register(TransfersReviewed, drop_reviewed)
 
 
 @handle.register(StopRequested)
--- a/boragetide/controllers/group_messages.py
+++ b/boragetide/controllers/group_messages.py
@@ -5,7 +5,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.effects import Effect, Send
 from boragetide.groups import address_group
-from boragetide.messages import DeliverJobs, FindRoom, ReviewTransfers
+from boragetide.messages import GroupRequest
 from boragetide.types import Address, GroupId, InstanceId
 
 
@@ -19,6 +19,6 @@
     ]
 
 
-def address_sender(message: FindRoom | DeliverJobs | ReviewTransfers) -> Address:
+def address_sender(message: GroupRequest) -> Address:
     """Return the address of the leader that has sent a message."""
     return address_group(message.sender, "dispatcher", message.group)
--- a/boragetide/controllers/held_submissions.py
+++ b/boragetide/controllers/held_submissions.py
@@ -27,10 +27,15 @@
 
 
 def fits_elsewhere(
-    state: DispatcherState, job: DurableJob, now: Seconds
+    state: DispatcherState, job: DurableJob, rooms: RoomTable, now: Seconds
 ) -> bool | None:
     """Return whether the groups together can run all steps of a job.
 
+    Parameters
+    ----------
+    rooms
+        What the backend servers of this group have.
+
     Returns
     -------
     bool or None
@@ -38,7 +43,6 @@
     """
     if state.settings.group_count == 1:
         return False
-    rooms = RoomTable(state, now)
     for need in list_needs(state, job):
         if rooms.find_offer(need).fit > Fit.NONE:
             continue
@@ -90,10 +94,13 @@
 
     A job is also refused if the other groups do not answer. Nothing of it has run.
     """
+    if not state.transfers.held_by_job:
+        return []
+    rooms = RoomTable(state, now)
     effects: list[Effect] = []
     for job_id, held in list(state.transfers.held_by_job.items()):
         job = held[0].message.job
-        verdict = fits_elsewhere(state, job, now)
+        verdict = fits_elsewhere(state, job, rooms, now)
         if verdict is None and now - held[0].held_at < HOLD_TIMEOUT:
             continue
         del state.transfers.held_by_job[job_id]
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -25,6 +25,7 @@
     refuse_void_submission,
 )
 from boragetide.controllers.room_questions import ask_for_room
+from boragetide.controllers.stranded_jobs import RoomTable
 from boragetide.durable import DurableJob, JobPhase, JobRecord
 from boragetide.effects import Effect, Reply
 from boragetide.messages import (
@@ -60,7 +61,7 @@
     if refused:
         return refused
     if not _can_ever_fit(job, state):
-        elsewhere = fits_elsewhere(state, job, now)
+        elsewhere = fits_elsewhere(state, job, RoomTable(state, now), now)
         if elsewhere is None:
             hold_submission(message, state, now)
             return ask_for_room(state, now)
--- a/boragetide/controllers/room_questions.py
+++ b/boragetide/controllers/room_questions.py
@@ -8,6 +8,7 @@
 
 from collections import defaultdict
 from collections.abc import Mapping
+from typing import Any
 
 from boragetide.commands import TransferJobs
 from boragetide.controllers.dispatch_state import (
@@ -38,6 +39,7 @@
     StrandedJob,
     assign_groups,
     find_best_fit,
+    find_fit,
     have_all_answered,
     may_leave,
 )
@@ -225,22 +227,31 @@
     fields = {
         "job": job.id,
         "to": group,
-        "own_fit": job.fit.name.lower(),
-        "stranded_for": now - job.since,
-        "offers": _format_offers(job, offers_by_group),
+        **_describe_inputs(job, offers_by_group, now),
         "transfers": job.transfers,
         "term": state.term,
     }
     return LogEvent("transfer_decided", fields)
 
 
+def _describe_inputs(
+    job: StrandedJob, offers_by_group: OffersByGroup, now: Seconds
+) -> dict[str, Any]:
+    """Return the fields of a log line that tell what a decision is based on."""
+    return {
+        "own_fit": job.fit.name.lower(),
+        "stranded_for": now - job.since,
+        "offers": _format_offers(job, offers_by_group),
+    }
+
+
 def _format_offers(job: StrandedJob, offers_by_group: OffersByGroup) -> str:
     """Return the best fit and the slots of each group that has answered."""
     texts = []
     for group, offers in sorted(offers_by_group.items()):
-        known = [offers[need] for need in job.task_count_by_need if need in offers]
-        fit = max((offer.fit for offer in known), default=Fit.NONE)
-        slots = sum(offer.slots for offer in known)
+        needs = job.task_count_by_need
+        fit = find_fit(needs, offers)
+        slots = sum(offers[need].slots for need in needs if need in offers)
         texts.append(f"{group}:{fit.name.lower()}:{slots}")
     return ",".join(texts)
 
@@ -258,9 +269,7 @@
     fields = {
         "jobs": len(jobs),
         "job": oldest.id,
-        "own_fit": oldest.fit.name.lower(),
-        "stranded_for": now - oldest.since,
-        "offers": _format_offers(oldest, offers_by_group),
+        **_describe_inputs(oldest, offers_by_group, now),
         "term": state.term,
     }
     return [LogEvent("no_room_elsewhere", fields)]
--- a/boragetide/controllers/transfer_state.py
+++ b/boragetide/controllers/transfer_state.py
@@ -9,7 +9,7 @@
 from boragetide.durable import Fit, Need, Offer
 from boragetide.messages import SubmitDurableJob
 from boragetide.policy.transfers import StrandedJob
-from boragetide.types import GroupId, InstanceId, JobId, Seconds
+from boragetide.types import Address, GroupId, JobId, Seconds
 
 
 @dataclass(slots=True)
@@ -50,13 +50,13 @@
 
     Parameters
     ----------
-    sender
-        Leader that delivered the jobs.
+    reply_address
+        Address of the leader that delivered the jobs.
     until
         Sequence number of the last one.
     """
 
-    sender: InstanceId
+    reply_address: Address
     group: GroupId
     until: int
 
--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -20,7 +20,6 @@
 from boragetide.controllers.transfer_state import PendingAdoption
 from boragetide.durable import JobPhase, JobRecord
 from boragetide.effects import Count, Effect, LogEvent, Send
-from boragetide.groups import address_group
 from boragetide.messages import (
     DeliverJobs,
     JobsDelivered,
@@ -65,9 +64,8 @@
     effects: list[Effect] = []
     for command_id in committed & transfers.adoption_by_command.keys():
         adoption = transfers.adoption_by_command.pop(command_id)
-        to = address_group(adoption.sender, "dispatcher", adoption.group)
         stored = JobsDelivered(state.settings.group, adoption.until)
-        effects.append(Send(to, stored))
+        effects.append(Send(adoption.reply_address, stored))
     if left:
         transfers.next_delivery_by_group.clear()
     return [*effects, *deliver_jobs(state, now)]
@@ -102,7 +100,8 @@
     append = append_command(state, AdoptJobs(message.group, message.records))
     (command_id,) = append.message.commands_by_id
     until = message.records[-1].transfer.sequence
-    pending[command_id] = PendingAdoption(message.sender, message.group, until)
+    reply_address = address_sender(message)
+    pending[command_id] = PendingAdoption(reply_address, message.group, until)
     return [append]
 
 
--- a/boragetide/messages/__init__.py
+++ b/boragetide/messages/__init__.py
@@ -125,6 +125,7 @@
 from boragetide.messages.transfers import (
     DeliverJobs,
     FindRoom,
+    GroupRequest,
     JobsDelivered,
     ReviewTransfers,
     RoomFound,
@@ -177,6 +178,7 @@
     "Flushed",
     "FollowLeader",
     "ForwardProposal",
+    "GroupRequest",
     "Heartbeat",
     "History",
     "InstallSnapshot",
--- a/boragetide/messages/transfers.py
+++ b/boragetide/messages/transfers.py
@@ -13,19 +13,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FindRoom:
-    """Asks what a group has for some needs; answered with `RoomFound`.
+class GroupRequest:
+    """Request of the leader of one group to that of another.
 
     Parameters
     ----------
     sender, group
         Instance and group of the leader that asks.
-    number
-        Number of the question, which increases with each one.
     """
 
     sender: InstanceId
     group: GroupId
+
+
+@dataclass(frozen=True, slots=True)
+class FindRoom(GroupRequest):
+    """Asks what a group has for some needs; answered with `RoomFound`.
+
+    Parameters
+    ----------
+    number
+        Number of the question, which increases with each one.
+    """
+
     number: int
     needs: tuple[Need, ...]
 
@@ -46,20 +56,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DeliverJobs:
+class DeliverJobs(GroupRequest):
     """Hands over transferred jobs; answered with `JobsDelivered` once they are stored.
 
     Parameters
     ----------
-    sender, group
-        Instance and group of the leader that hands the jobs over.
     records
         Transferred records by ascending sequence number, from the oldest one that is
         not confirmed.
     """
 
-    sender: InstanceId
-    group: GroupId
     records: tuple[JobRecord, ...]
 
 
@@ -72,17 +78,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReviewTransfers:
-    """Asks which of some transferred jobs are still known; see `TransfersReviewed`.
-
-    Parameters
-    ----------
-    sender, group
-        Instance and group of the leader that asks.
-    """
+class ReviewTransfers(GroupRequest):
+    """Asks which of some transferred jobs are still known; see `TransfersReviewed`."""
 
-    sender: InstanceId
-    group: GroupId
     job_ids: tuple[JobId, ...]
 
 
--- a/boragetide/policy/transfers.py
+++ b/boragetide/policy/transfers.py
@@ -131,11 +131,7 @@
 
     def find_fit(self, group: GroupId, job: StrandedJob) -> Fit:
         """Return the best fit that a group offers for any task of a job."""
-        offers = self.offers_by_group[group]
-        return max(
-            (offers[need].fit for need in job.task_count_by_need if need in offers),
-            default=Fit.NONE,
-        )
+        return find_fit(job.task_count_by_need, self.offers_by_group[group])
 
     def count(self, group: GroupId, job: StrandedJob) -> int:
         """Return how many tasks of a job a group can start now."""
@@ -180,11 +176,9 @@
 
 
 def _choose_group(job: StrandedJob, slots: _Slots) -> GroupId | None:
+    least = max(Fit.BUSY, job.fit + 1)
     groups = [
-        group
-        for group in slots.offers_by_group
-        if slots.find_fit(group, job) > job.fit
-        and slots.find_fit(group, job) >= Fit.BUSY
+        group for group in slots.offers_by_group if slots.find_fit(group, job) >= least
     ]
     free = [group for group in groups if slots.count(group, job) > 0]
     if free:
@@ -199,14 +193,17 @@
     return hashlib.blake2b(f"{job_id}/{group}".encode(), digest_size=8).digest()
 
 
+def find_fit(needs: Iterable[Need], offers: Mapping[Need, Offer]) -> Fit:
+    """Return the best fit for any of the needs among the offers of one group."""
+    return max((offers[need].fit for need in needs if need in offers), default=Fit.NONE)
+
+
 def find_best_fit(
     need: Need, offers_by_group: Mapping[GroupId, Mapping[Need, Offer]]
 ) -> Fit:
     """Return the best fit for a need that any of the groups offers."""
-    return max(
-        (offers[need].fit for offers in offers_by_group.values() if need in offers),
-        default=Fit.NONE,
-    )
+    fits = (find_fit((need,), offers) for offers in offers_by_group.values())
+    return max(fits, default=Fit.NONE)
 
 
 def have_all_answered(offers_by_group: Collection[GroupId], group_count: int) -> bool:
