Make the results of calls to backend servers in one place

Cause: both clients of backend servers, of the product's protocol and of the platform's, wrote out the same result of a start or stop and the same binding of the client.

Change: links/order_results.py makes the results; links/run_lists.py only reads lists. make_run_client returns the RunClient protocol that already existed. No behaviour changes.

--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from functools import singledispatch
 from typing import Annotated, Any, TypeAlias
 
@@ -32,18 +31,18 @@
     READ_MARGIN,
     CallResponse,
     call_server,
-    make_order_client,
 )
 from boragetide.links.order_client import OrderClient
-from boragetide.links.run_lists import (
-    RowTypes,
+from boragetide.links.order_results import (
+    bind_run_client,
     make_failed_read,
     make_fenced_read,
+    make_run_ordered,
     make_runs_read,
-    read_run_lists,
 )
+from boragetide.links.run_client import RunClient
+from boragetide.links.run_lists import RowTypes, read_run_lists
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
-from boragetide.policy.fencing import get_term
 from boragetide.types import Seconds
 
 # Status of the response if another backend server answers at the address.
@@ -98,14 +97,9 @@
     ended: list[Any]
 
 
-def make_run_client() -> Callable[[Any], Awaitable[Any]]:
+def make_run_client() -> RunClient:
     """Make the client that sends orders over persistent connections."""
-    client, faults = make_order_client(), FaultLog()
-
-    def send(order: StartRun | StopRun | ReadRuns) -> Awaitable[Any]:
-        return send_order(order, client, faults)
-
-    return send
+    return bind_run_client(send_order)
 
 
 @singledispatch
@@ -141,18 +135,7 @@
     url = f"{order.address}/v1/runs/{action}"
     response = await call_server(client, order.server, url, body, ORDER_TIMEOUT)
     result, clock = _read_answer(response)
-    return RunOrdered(
-        server=order.server,
-        term=get_term(order.fence),
-        job_id=order.task.job_id,
-        task=order.number,
-        run=order.run,
-        result=result,
-        started=action == "start",
-        clock=clock,
-        sent_at=sent_at,
-        target_born=order.target_born,
-    )
+    return make_run_ordered(order, sent_at, result, clock)
 
 
 def _read_answer(response: CallResponse) -> tuple[OrderResult, Seconds | None]:
--- a/boragetide/links/run_lists.py
+++ b/boragetide/links/run_lists.py
@@ -11,12 +11,7 @@
 
 import msgspec
 
-from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.durable import EndReason, ListedEnd, ListedRun, TaskRef
-from boragetide.effects import ReadRuns
-from boragetide.messages import ReadFailed, RunsRead
-from boragetide.policy.fencing import get_term
-from boragetide.types import Seconds
 
 # Stands for the task of an end that can only be acknowledged; no job has this id.
 UNREADABLE_TASK = TaskRef("", 0, 0)
@@ -89,62 +84,6 @@
     faults: tuple[str, ...]
 
 
-def make_failed_read(order: ReadRuns, *, other_life: bool = False) -> ReadFailed:
-    """Return the result of a request that has no answer that can be read."""
-    return ReadFailed(
-        order.server,
-        get_term(order.fence),
-        other_life=other_life,
-        target_born=order.target_born,
-    )
-
-
-def make_fenced_read(order: ReadRuns, sent_at: Seconds) -> RunsRead:
-    """Return the result of a request that was refused for its fencing token."""
-    return RunsRead(
-        order.server,
-        get_term(order.fence),
-        sent_at,
-        fenced=True,
-        target_born=order.target_born,
-    )
-
-
-def make_runs_read(
-    order: ReadRuns,
-    sent_at: Seconds,
-    clock: Seconds,
-    born: int,
-    lists: RunLists,
-    faults: FaultLog,
-) -> RunsRead:
-    """Return the result of an answered request, and log the rows that were skipped.
-
-    Parameters
-    ----------
-    sent_at
-        Time at which the request was sent.
-    clock
-        Monotonic clock of the backend server when it answered, in seconds.
-    born
-        Start of the process that answered, in Unix milliseconds.
-    """
-    for fault in lists.faults:
-        faults.record("row_skipped", order.server, fault)
-    return RunsRead(
-        server=order.server,
-        term=get_term(order.fence),
-        sent_at=sent_at,
-        target_born=order.target_born,
-        clock=clock,
-        born=born,
-        running=lists.running,
-        unreadable=lists.unreadable,
-        ended=lists.ended,
-        acknowledge_until=lists.acknowledge_until,
-    )
-
-
 def read_run_lists(
     running: Iterable[Any], ended: Iterable[Any], types: RowTypes
 ) -> RunLists:
