Keep the note of a transferred job while the other group may run it

A caller whose best-effort job had gone to another group could get two runs of a task at the same time, one in each group, if it submitted the job again more than 30 s after the transfer and a leader changed then.

Cause: the home group dropped the note of the transfer on what single leaders remember. The leader of the other group answered that it did not know a job although a backend server listed a run of it (its predecessor had accepted it); the age of the note did not count from the last caller that was directed to the other group; and the note counted as dropped before its removal was committed, so that the next leader of the home group had it again while a run was in progress at home.

The random run of jobs that change groups did not reach this, because its examples last less than the 30 s after which notes are reviewed.

Now a job that a backend server lists counts as known; a note is dropped 30 s after its last use, or after the beginning of the term, because earlier leaders may have used it; and until its removal is committed neither group serves the job (the caller's instance asks again). As a copy that was under way for more than 30 s is left undecided, none can start the job in the other group after the note is gone, unless the same request is still repeated there more than 30 s after it was directed there.

--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -51,11 +51,11 @@
 
 
 def answer_resubmission(
-    message: SubmitDurableJob, state: DispatcherState, record: JobRecord
+    message: SubmitDurableJob, state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
     """Answer a resubmission, or let it wait for the end of a best-effort job."""
     if record.phase is JobPhase.TRANSFERRED:
-        return [Reply(message.reply_to, _answer_transferred(state, record))]
+        return [Reply(message.reply_to, _answer_transferred(state, record, now))]
     if record.job.best_effort and record.phase is JobPhase.ACTIVE:
         waiters = state.waiters_by_job.setdefault(record.job.id, [])
         waiters.append(message.reply_to)
@@ -64,12 +64,15 @@
     return [Reply(message.reply_to, ended)]
 
 
-def _answer_transferred(state: DispatcherState, record: JobRecord) -> DispatcherReply:
+def _answer_transferred(
+    state: DispatcherState, record: JobRecord, now: Seconds
+) -> DispatcherReply:
     """Return the answer to the submission of a job that another group has.
 
     A durable job is stored, so the submission is accepted.
     """
     if record.job.best_effort:
+        state.transfers.note_used_at_by_job[record.job.id] = now
         return make_transfer_reply(state, record)
     return DispatcherReply(ReplyStatus.ACCEPTED, state=JobPhase.ACTIVE.value)
 
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -47,9 +47,11 @@
 ) -> list[Effect]:
     """Accept a job, refuse it, or answer the resubmission of a known one."""
     job = message.job
+    if job.id in state.transfers.drop_command_by_job:
+        return [make_reply(message, ReplyStatus.NOT_LEADER)]
     record = state.records_by_id.get(job.id)
     if record is not None and not _runs_again(message, record, state):
-        return answer_resubmission(message, state, record)
+        return answer_resubmission(message, state, record, now)
     pending = state.command_by_job.get(job.id)
     if pending is not None:
         state.replies_by_command[pending].append(message.reply_to)
--- a/boragetide/controllers/transfer_state.py
+++ b/boragetide/controllers/transfer_state.py
@@ -91,6 +91,11 @@
         Newest sequence number whose confirmation was appended to the log.
     adoption_by_command
         Adoptions that are not committed yet.
+    note_used_at_by_job
+        Time at which a caller was last directed to the group that a note names.
+    drop_command_by_job
+        Commands that remove notes, until they are committed. Neither group may serve
+        such a job.
     """
 
     stranded_by_id: dict[JobId, StrandedJob] = field(default_factory=dict)
@@ -108,3 +113,5 @@
     next_delivery_by_group: dict[GroupId, Seconds] = field(default_factory=dict)
     confirmed_by_group: dict[GroupId, int] = field(default_factory=dict)
     adoption_by_command: dict[str, PendingAdoption] = field(default_factory=dict)
+    note_used_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
+    drop_command_by_job: dict[JobId, str] = field(default_factory=dict)
--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -16,6 +16,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState, has_authority
 from boragetide.controllers.group_messages import address_sender, send_to_group
 from boragetide.controllers.job_records import append_command
+from boragetide.controllers.refusals import list_jobs_of_earlier_leaders
 from boragetide.controllers.room_questions import find_room
 from boragetide.controllers.transfer_state import PendingAdoption
 from boragetide.durable import JobPhase, JobRecord
@@ -61,6 +62,7 @@
     ]
     for job_id in left:
         del transfers.command_by_job[job_id]
+    _remove_dropped_notes(state, committed)
     effects: list[Effect] = []
     for command_id in committed & transfers.adoption_by_command.keys():
         adoption = transfers.adoption_by_command.pop(command_id)
@@ -71,6 +73,17 @@
     return [*effects, *deliver_jobs(state, now)]
 
 
+def _remove_dropped_notes(state: DispatcherState, committed: set[str]) -> None:
+    """Remove the notes whose removal is committed."""
+    commands = state.transfers.drop_command_by_job
+    removed = [job_id for job_id, each in commands.items() if each in committed]
+    for job_id in removed:
+        del commands[job_id]
+        state.transfers.note_used_at_by_job.pop(job_id, None)
+        if state.records_by_id[job_id].phase is JobPhase.TRANSFERRED:
+            del state.records_by_id[job_id]
+
+
 def deliver_jobs(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Deliver transferred jobs; repeat the deliveries that are not confirmed."""
     transfers = state.transfers
@@ -136,7 +149,7 @@
     state.transfers.next_note_review_at = now + NOTE_REVIEW_INTERVAL
     ids_by_group: dict[GroupId, list[JobId]] = defaultdict(list)
     for job_id, record in state.records_by_id.items():
-        if _is_old_note(record, now):
+        if _is_old_note(state, record, now):
             ids_by_group[record.transfer.group].append(job_id)
     effects: list[Effect] = []
     for group, ids in ids_by_group.items():
@@ -147,13 +160,17 @@
     return effects
 
 
-def _is_old_note(record: JobRecord, now: Seconds) -> bool:
+def _is_old_note(state: DispatcherState, record: JobRecord, now: Seconds) -> bool:
     """Return whether the other group may have forgotten a transferred job."""
     if record.phase is not JobPhase.TRANSFERRED or is_undelivered(record):
         return False
-    # A best-effort job may still be on its way from the instance of its caller.
-    retention = MAX_DELIVERY_TIME if record.job.best_effort else RETENTION
-    return now - record.changed_at > retention
+    if not record.job.best_effort:
+        return now - record.changed_at > RETENTION
+    # A best-effort job may still be on its way from the instance of its caller. When
+    # earlier leaders directed callers to the other group is not known.
+    used_at = state.transfers.note_used_at_by_job.get(record.job.id, 0.0)
+    used_at = max(used_at, record.changed_at, state.leader_since)
+    return now - used_at > MAX_DELIVERY_TIME
 
 
 def answer_review(
@@ -162,10 +179,13 @@
     """Answer which of the jobs are not known here any more."""
     if not has_authority(state, now) or not state.takeover_complete:
         return []
+    listed = list_jobs_of_earlier_leaders(state)
     unknown = tuple(
         job_id
         for job_id in message.job_ids
-        if job_id not in state.records_by_id and job_id not in state.command_by_job
+        if job_id not in state.records_by_id
+        and job_id not in state.command_by_job
+        and job_id not in listed
     )
     if not unknown:
         return []
@@ -182,14 +202,14 @@
     dropped = []
     for job_id in message.unknown:
         record = state.records_by_id.get(job_id)
-        if record is None or not _is_old_note(record, now):
+        if record is None or not _is_old_note(state, record, now):
             continue
-        if record.transfer.group == message.group:
+        is_pending = job_id in state.transfers.drop_command_by_job
+        if record.transfer.group == message.group and not is_pending:
             dropped.append(job_id)
-            del state.records_by_id[job_id]
     if not dropped:
         return []
-    return [
-        Count("transfer_notes_dropped", value=len(dropped)),
-        append_command(state, DropTransfers(message.group, tuple(dropped))),
-    ]
+    append = append_command(state, DropTransfers(message.group, tuple(dropped)))
+    (command_id,) = append.message.commands_by_id
+    state.transfers.drop_command_by_job |= dict.fromkeys(dropped, command_id)
+    return [Count("transfer_notes_dropped", value=len(dropped)), append]
--- a/properties/conftest.py
+++ b/properties/conftest.py
@@ -4,8 +4,11 @@
 
 import os
 
+import pytest
 from hypothesis import HealthCheck, settings
 
+from properties.group_site import LABEL, GroupSite
+
 settings.register_profile(
     "ci", derandomize=True, max_examples=60, deadline=None, database=None
 )
@@ -18,3 +21,14 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.fixture
+def site() -> GroupSite:
+    """Each group has a backend server with the label and one without it."""
+    made = GroupSite()
+    for group in range(3):
+        made.add_server(f"labelled{group}", group, labels=(LABEL,))
+        made.add_server(f"plain{group}", group)
+    made.start()
+    return made
--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -52,6 +52,7 @@
 RETRY_DELAY: Seconds = 0.05
 LATE_DELAY: Seconds = 2.0
 CALLER = "edge"
+LABEL = "r1"
 
 
 @dataclass
--- a/properties/test_transfers.py
+++ b/properties/test_transfers.py
@@ -22,28 +22,16 @@
 from boragetide.policy.crash_suspicion import MAX_CRASHES
 from boragetide.policy.job_table import RETENTION
 from boragetide.tests.durable_fixtures import NEEDS, make_durable_job
-from properties.group_site import Call, GroupSite
+from properties.group_site import LABEL, Call, GroupSite
 from properties.simulated_server import CAPACITY
 
 HOME = 0  # group to which the jobs are submitted
-LABEL = "r1"
 TASK = Step(1, NEEDS, 0.3, required_label=LABEL)
 FOR_EVER = 10_000.0  # seconds for which a lost backend server is down
 EXAMPLES = 40
 KINDS = pytest.mark.parametrize("best_effort", [False, True], ids=["durable", "best"])
 
 
-@pytest.fixture
-def site() -> GroupSite:
-    """Each group has a backend server with the label and one without it."""
-    made = GroupSite()
-    for group in range(3):
-        made.add_server(f"labelled{group}", group, labels=(LABEL,))
-        made.add_server(f"plain{group}", group)
-    made.start()
-    return made
-
-
 def submit_jobs(
     site: GroupSite, count: int, *steps: Step, best_effort: bool = False
 ) -> list[Call]:
