Remove the note of a best-effort job that comes back to its group

A caller could get two runs of a task at the same time, in the group that a job had been transferred to and in its home group, after the job had come back and the leader of the home group had changed.

Cause: a best-effort job that came back replaced its note in the memory of the leader only. When the job had ended there and was forgotten, the other group dropped its own note, but the log of the home group still had the first one, and the next leader directed callers by it.

The leader now removes the note from the log when it accepts the job again. If that is lost with the leader, the next one has the note, so that the other group keeps its own and sends callers back.

--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -4,8 +4,13 @@
 
 from typing import Any
 
+from boragetide.commands import DropTransfers
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.controllers.job_records import apply_record, make_transfer_reply
+from boragetide.controllers.job_records import (
+    append_command,
+    apply_record,
+    make_transfer_reply,
+)
 from boragetide.controllers.lost_runs import apply_known_losses
 from boragetide.controllers.placing_runs import place_runs
 from boragetide.controllers.refusals import (
@@ -127,10 +132,15 @@
     transfers
         How often the job was transferred to another group.
     """
-    state.records_by_id.pop(job.id, None)
+    previous = state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [reply_to]
     record = JobRecord(job, changed_at=now, transfers=transfers)
-    effects = apply_record(state, record, now, is_new=True, arrival=arrival)
+    effects: list[Effect] = []
+    if previous is not None and previous.phase is JobPhase.TRANSFERRED:
+        # The next leader would find the note in the log and direct callers by it.
+        drop = DropTransfers(previous.transfer.group, (job.id,))
+        effects.append(append_command(state, drop))
+    effects += apply_record(state, record, now, is_new=True, arrival=arrival)
     effects += adopt_earlier_runs(state, record, now)
     effects += apply_known_losses(state, job.id, now)
     return [*effects, *place_runs(state, now)]
--- a/properties/test_transfer_notes.py
+++ b/properties/test_transfer_notes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from boragetide.durable import Step
+from boragetide.durable import DurableJob, Step
 from boragetide.messages import TransfersReviewed
 from boragetide.policy.submission_fence import MAX_DELIVERY_TIME
 from boragetide.tests.durable_fixtures import NEEDS, make_durable_job
@@ -17,16 +17,20 @@
 WORK: Seconds = 6.0
 
 
+def make_long_job(job_id: str, task: Step) -> DurableJob:
+    """Build a best-effort job that is of use for some minutes."""
+    job = make_durable_job(job_id, task, best_effort=True)
+    return replace(job, response_time=60.0)
+
+
 @pytest.fixture
 def call(site: GroupSite) -> Call:
     """A caller whose job has gone to the other group and has ended there."""
     for name in ("labelled0", "labelled2"):
         site.find_server(name).draining = True
     site.run_for(2.0)
-    job = make_durable_job(
-        "j0", Step(1, NEEDS, WORK, required_label=LABEL), best_effort=True
-    )
-    made = site.submit(replace(job, response_time=60.0), HOME)
+    task = Step(1, NEEDS, WORK, required_label=LABEL)
+    made = site.submit(make_long_job("j0", task), HOME)
     site.run_for(WORK + 6.0)
     assert (made.group, made.reply.state) == (OTHER, "succeeded")
     return made
@@ -91,3 +95,34 @@
     site.ask(call.request, HOME)
     site.run_for(1.0)
     assert len({start.server for start in site.starts[starts:]}) <= 1
+
+
+def test_job_that_returned_is_not_sent_away_again_by_the_next_leader(
+    site: GroupSite,
+) -> None:
+    """Guards against a second run in the group that a returned job had gone to."""
+    for name in ("labelled0", "labelled2"):
+        site.find_server(name).draining = True
+    site.run_for(2.0)
+    task = Step(1, NEEDS, WORK, required_label=LABEL)
+    busy = [make_long_job(f"b{n}", task) for n in range(2)]
+    for job in busy:
+        site.submit(job, OTHER)
+    site.run_for(0.5)
+    call = site.submit(make_long_job("j0", task), HOME)
+    site.run_for(0.5)
+    assert (call.group, call.reply) == (OTHER, None)
+    site.find_server("labelled0").draining = False
+    site.find_server("labelled1").draining = True
+    site.run_for(WORK + 6.0)
+    assert (call.group, call.reply.state) == (HOME, "succeeded")
+    site.find_server("labelled1").draining = False
+    site.run_for(MAX_DELIVERY_TIME + 12.0)
+    site.ask(call.request, HOME)
+    site.run_for(1.0)
+    site.change_leader(HOME)
+    site.run_for(0.2)
+    starts = len(site.starts)
+    site.ask(call.request, HOME)
+    site.run_for(1.0)
+    assert len(site.starts) == starts
