--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -4,8 +4,13 @@
 
 from typing import Any
 
+from boragetide.commands import DropTransfers
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.controllers.job_records import apply_record, make_transfer_reply
+from boragetide.controllers.job_records import (
+    append_command,
+    apply_record,
+    make_transfer_reply,
+)
 from boragetide.controllers.lost_runs import apply_known_losses
 from boragetide.controllers.placing_runs import place_runs
 from boragetide.controllers.refusals import (
@@ -51,11 +56,11 @@
 
 
 def answer_resubmission(
-    message: SubmitDurableJob, state: DispatcherState, record: JobRecord
+    message: SubmitDurableJob, state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
     """Answer a resubmission, or let it wait for the end of a best-effort job."""
     if record.phase is JobPhase.TRANSFERRED:
-        return [Reply(message.reply_to, _answer_transferred(state, record))]
+        return [Reply(message.reply_to, _answer_transferred(state, record, now))]
     if record.job.best_effort and record.phase is JobPhase.ACTIVE:
         waiters = state.waiters_by_job.setdefault(record.job.id, [])
         waiters.append(message.reply_to)
@@ -64,12 +69,15 @@
     return [Reply(message.reply_to, ended)]
 
 
-def _answer_transferred(state: DispatcherState, record: JobRecord) -> DispatcherReply:
+def _answer_transferred(
+    state: DispatcherState, record: JobRecord, now: Seconds
+) -> DispatcherReply:
     """Return the answer to the submission of a job that another group has.
 
     A durable job is stored, so the submission is accepted.
     """
     if record.job.best_effort:
+        state.transfers.note_used_at_by_job[record.job.id] = now
         return make_transfer_reply(state, record)
     return DispatcherReply(ReplyStatus.ACCEPTED, state=JobPhase.ACTIVE.value)
 
@@ -124,10 +132,15 @@
     transfers
         How often the job was transferred to another group.
     """
-    state.records_by_id.pop(job.id, None)
+    previous = state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [reply_to]
     record = JobRecord(job, changed_at=now, transfers=transfers)
-    effects = apply_record(state, record, now, is_new=True, arrival=arrival)
+    effects: list[Effect] = []
+    if previous is not None and previous.phase is JobPhase.TRANSFERRED:
+        # The next leader would find the note in the log and direct callers by it.
+        drop = DropTransfers(previous.transfer.group, (job.id,))
+        effects.append(append_command(state, drop))
+    effects += apply_record(state, record, now, is_new=True, arrival=arrival)
     effects += adopt_earlier_runs(state, record, now)
     effects += apply_known_losses(state, job.id, now)
     return [*effects, *place_runs(state, now)]
