Stop the runs of a job whose record is dropped

What callers saw: a task of a best-effort job whose id is submitted again stays blocked, and its backend server keeps the capacity of a run that is over, until the server is silent.

Cause: the order that stops a run took the task's reference from the record of the job, and was left out without one. A job that was withdrawn and submitted again is refused as expired, and its record dropped, while the runs of the first submission are being stopped.

Why it works: a run carries the reference of its task, so that stops and the comparison with a list need no record. A run that is listed as running is not freed any more because its job is not known.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -20,7 +20,7 @@
     RunPhase,
     Server,
 )
-from boragetide.durable import TaskRef, get_task_ref
+from boragetide.durable import TaskRef
 from boragetide.effects import Effect, LogEvent, StopRun
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered
 from boragetide.types import BackendServerId, Seconds
@@ -140,18 +140,16 @@
     state: DispatcherState, server: Server, run: Run, reason: str
 ) -> list[Effect]:
     """Order the stop of a run; it occupies its task until it is certainly over."""
-    record = state.records_by_id.get(run.job_id)
-    if record is None or run.phase is RunPhase.ENDED:
+    if run.phase is RunPhase.ENDED:
         return []
     run.phase = RunPhase.STOPPING
     run.order_answered_at = None
     run.next_stop_at = None
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "reason": reason}
-    task = get_task_ref(record.job, run.task)
     return [
         LogEvent("run_stopped", fields),
-        make_stop(state, server, task, run.task, run.number),
+        make_stop(state, server, run.ref, run.task, run.number),
     ]
 
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -289,7 +289,8 @@
     """
     server = state.servers_by_id[chosen.id]
     key = (job.id, number)
-    run = Run(job.id, number, assign_run_number(state, key), step.needs, now)
+    task = get_task_ref(job, number)
+    run = Run(*key, task, assign_run_number(state, key), step.needs, now)
     run.estimate = step.estimate
     run.alone = alone
     add_run(state, server, run)
@@ -318,7 +319,7 @@
     return StartRun(
         server=server.report.id,
         address=server.report.address,
-        task=get_task_ref(job, run.task),
+        task=run.ref,
         number=run.task,
         run=run.number,
         spec=job.spec,
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -167,7 +167,7 @@
     now: Seconds,
 ) -> None:
     """Occupy a task until the end of a run from an earlier leader is committed."""
-    run = Run(key[0], key[1], end.run, Resources(), now, RunPhase.ENDED)
+    run = Run(*key, end.task, end.run, Resources(), now, RunPhase.ENDED)
     add_run(state, server, run)
     state.run_number_by_task[key] = end.run
     update_queue(state, key[0])
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -28,7 +28,6 @@
     JobRecord,
     ListedRun,
     get_task_number,
-    get_task_ref,
 )
 from boragetide.effects import Effect, LogEvent, ReadRuns
 from boragetide.messages import RunsRead
@@ -211,7 +210,7 @@
     number = get_task_number(record.job, listed.task)
     key = (record.job.id, number)
     step = record.job.steps[listed.task.step]
-    run = Run(key[0], number, listed.run, step.needs, now, RunPhase.RUNNING)
+    run = Run(*key, listed.task, listed.run, step.needs, now, RunPhase.RUNNING)
     run.order_answered_at = sent_at
     server.unexpected_runs.pop(listed, None)
     add_run(state, server, run)
@@ -258,9 +257,7 @@
     for run in list(server.runs_by_task.values()):
         if run.phase is RunPhase.ENDED or not _must_be_listed(server, run, message):
             continue
-        record = state.records_by_id.get(run.job_id)
-        task = None if record is None else get_task_ref(record.job, run.task)
-        if (task, run.number) in listed or task in message.unreadable:
+        if (run.ref, run.number) in listed or run.ref in message.unreadable:
             continue
         effects += free_run(state, server, run, REASON_NOT_LISTED)
     return effects
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from boragetide.durable import ListedRun, Resources, ServerReport
+from boragetide.durable import ListedRun, Resources, ServerReport, TaskRef
 from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
 from boragetide.types import BackendServerId, JobId, Seconds
 
@@ -38,6 +38,9 @@
 
     Parameters
     ----------
+    ref
+        Reference of the task; the record of its job may be dropped before the run is
+        over.
     ordered_at
         Time at which the run was ordered or first listed.
     started_at
@@ -64,6 +67,7 @@
 
     job_id: JobId
     task: int
+    ref: TaskRef
     number: int
     needs: Resources
     ordered_at: Seconds
