Wait as long as the platform may delay an order

A start has no answer, its backend server restarts behind a cut under the same id, and the next process carries the start out up to 12 s later, beside the run that has replaced it.

Cause: the leader took 3 s for the longest delay of an order; the platform says 12 s. It freed the task 4.1 s after the last order.

Evidence: the new test fails before ("assert unanswered.task not in started"). Ruled out: the same process does not begin the late start, its clock has passed the end of the lease.

Why it works: a start without an answer occupies its task until 12 s and the longest lease have passed, unless the backend server answers. The cost is at silent servers only: 13.1 s instead of 4.1 s after the last order. A best-effort job has expired long before either. A server that answers is told to stop the run, and its next list frees the task at once.

The work in the tests is longer, so that the job has not expired when its task is free.

--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -15,7 +15,7 @@
 # clock of an earlier process.
 MAX_LEASE_DURATION: Seconds = 1.0
 # An order without an answer may be carried out this much later.
-MAX_ORDER_DELAY: Seconds = 3.0
+MAX_ORDER_DELAY: Seconds = 12.0
 MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
 MAX_SERVER_CLOCK_DRIFT = 1.0 - MIN_CLOCK_RATE + MAX_CLOCK_DRIFT
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -37,6 +37,7 @@
 
 NEXT_BORN = BORN + 5
 NEXT_CLOCK = 0.5  # seconds; clock of the next process when it answers
+PLATFORM_MAX_ORDER_DELAY = 12.0  # seconds
 
 
 @pytest.fixture
@@ -45,7 +46,7 @@
     made = Leader(settings)
     made.lead()
     made.join()
-    job = make_durable_job("j1", Step(2, NEEDS, 2.0), best_effort=True)
+    job = make_durable_job("j1", Step(2, NEEDS, 4.0), best_effort=True)
     made.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", 7)))
     return made
 
@@ -84,6 +85,23 @@
     assert {start.task for start in leader.starts()} == {unanswered.task}
 
 
+def test_start_that_is_carried_out_as_late_as_possible_begins_beside_no_other_run(
+    leader: Leader,
+) -> None:
+    """Guards against a second run beside one that a restarted server begins late."""
+    unanswered, _ = leader.starts()
+    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
+    (again,) = leader.starts()
+    leader.answer(again, OrderResult.UNANSWERED, now=BEGIN + 0.4)
+    lose_server(leader, BEGIN + 0.45)
+    begins_by = BEGIN + 0.2 + PLATFORM_MAX_ORDER_DELAY
+    lapses_by = begins_by + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    started = {start.task for start in start_again(leader, lapses_by)}
+    assert unanswered.task not in started
+    leader.handle(Tick(), lapses_by + 0.5)
+    assert unanswered.task in {each.task for each in leader.starts()}
+
+
 def test_answered_starts_are_free_when_their_lease_has_lapsed(leader: Leader) -> None:
     """Guards against tasks of a lost server that wait for longer than they must."""
     starts = leader.starts()
