--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from boragetide.durable import ListedRun, Resources, ServerReport
+from boragetide.durable import ListedRun, Resources, ServerReport, TaskRef
 from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
 from boragetide.types import BackendServerId, JobId, Seconds
 
@@ -15,7 +15,7 @@
 # clock of an earlier process.
 MAX_LEASE_DURATION: Seconds = 1.0
 # An order without an answer may be carried out this much later.
-MAX_ORDER_DELAY: Seconds = 3.0
+MAX_ORDER_DELAY: Seconds = 12.0
 MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
 MAX_SERVER_CLOCK_DRIFT = 1.0 - MIN_CLOCK_RATE + MAX_CLOCK_DRIFT
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
@@ -38,6 +38,9 @@
 
     Parameters
     ----------
+    ref
+        Reference of the task; the record of its job may be dropped before the run is
+        over.
     ordered_at
         Time at which the run was ordered or first listed.
     started_at
@@ -64,6 +67,7 @@
 
     job_id: JobId
     task: int
+    ref: TaskRef
     number: int
     needs: Resources
     ordered_at: Seconds
