--- a/properties/simulated_server.py
+++ b/properties/simulated_server.py
@@ -234,6 +234,11 @@
         if order.lease_until is not None:
             self._extend_lease(order.lease_until, now)
         self.settled.update((end.task, end.run) for end in self.ends)
+        return self.show_runs(now)
+
+    def show_runs(self, now: Seconds) -> RunList:
+        """Return both lists without a request, as at the end of a request's wait."""
+        self.advance(now)
         return RunList(
             born=self.born,
             clock=self.read_clock(now),
