Recognize the next process also after the time of day was set back

What callers saw (in process): tasks that never end. Their backend server restarts under the same id with a lower `born` than before, because the time of day of its machine was set back. Its lists of runs are ignored while it answers, so that the runs of the earlier process keep their tasks, nothing is started at it, and it is asked again and again.

Cause: which of two processes is the later one was decided by the time of day of their start.

Evidence: the new test fails before ("assert =="). No two runs of a task at a time were seen by this cause: the runs stay occupied, and a takeover waits for the leases.

Why it works: a process that answers a request which was meant for the known process has replaced it, whatever the time of day. Late lists of an earlier process were requested from that one, and are still ignored. A late announcement of the earlier process only costs one more list.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -303,7 +303,7 @@
     """Return whether a run ended because its backend server did not go on with it."""
     if reason == REASON_LEASE_LAPSED:
         return not server.ends_as_planned
-    is_of_earlier_life = run.seen_born < server.report.born
+    is_of_earlier_life = run.seen_born != server.report.born
     return (
         reason == REASON_NOT_LISTED
         and is_of_earlier_life
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -117,7 +117,7 @@
         return [lose_authority(state, server.report.id)] if is_current else []
     effects: list[Effect] = []
     if message.born and server.report.born and message.born != server.report.born:
-        if message.born < server.report.born:
+        if not _is_later_process(server, message):
             return []
         effects += replace_process(state, server, message.born, now)
         server = state.servers_by_id[message.server]
@@ -144,6 +144,16 @@
     return effects
 
 
+def _is_later_process(server: Server, message: RunsRead) -> bool:
+    """Return whether another process than the known one has replaced it.
+
+    It has if it answers a request that was meant for the known one. `born` alone does
+    not tell, because the time of day may have been set back.
+    """
+    answers_for_known = message.target_born == server.report.born
+    return answers_for_known or message.born > server.report.born
+
+
 def _note_unreadable_ends(server: Server, message: RunsRead, now: Seconds) -> None:
     """Acknowledge no end behind one that cannot be read, and read less often."""
     until = message.acknowledge_until
--- a/boragetide/tests/test_server_lives.py
+++ b/boragetide/tests/test_server_lives.py
@@ -54,6 +54,30 @@
     leader.handle(ReportServer(report=report, passed_on=True), now)
 
 
+def test_tasks_start_again_at_a_process_whose_time_of_day_was_set_back(
+    leader: Leader,
+) -> None:
+    """Guards against tasks that a restarted server blocks for as long as it answers."""
+    for start in start_job(leader):
+        leader.answer(start)
+    born = BORN - 2000
+    leader.list_runs(born=born, target_born=BORN, now=BEGIN + 0.2)
+    (read,) = leader.reads()
+    assert read.target_born == born
+    leader.list_runs(born=born, target_born=born, now=BEGIN + 0.21)
+    report = make_report(born=born)
+    leader.handle(ReportServer(report=report, passed_on=True), BEGIN + 0.3)
+    leader.handle(Tick(), BEGIN + 0.4)
+    assert {start.run for start in leader.starts()} == {2}
+
+
+def test_late_list_of_an_earlier_process_is_ignored(leader: Leader) -> None:
+    """Guards against a restarted server that is taken for the process before it."""
+    announce_next_life(leader, BEGIN + 0.1)
+    leader.list_runs(born=BORN, target_born=BORN, now=BEGIN + 0.2)
+    assert leader.state.servers_by_id["s1"].report.born == NEXT_BORN
+
+
 def test_start_is_not_repeated_at_the_next_life_of_a_server(leader: Leader) -> None:
     """Guards against a start for a process whose clock and capacity are not known.
 
