Start no task whose listed end is not committed

Cause: a new leader reads the end of a run that its predecessor ordered and appends it to the log. Until the commit, it kept the task from a start only if the run was its own or the end was "done". A task with an end "failed" stayed in the queue and was started in the same handling of the list.

Change: the leader lists the ends that are on their way into the log, and a task that has one is neither queued nor placed alone, whoever ran it. This replaces the pretended run that held a task for an end "done". The commit of an older end no longer frees a newer run of the same task on the same server, and a stopped or lapsed run no longer releases a task with an older failure on its way.

Conclusion: no start can contradict an end that a leader has read. Other tasks of a job may still start in the 15 ms between its last failed attempt and the commit; they are stopped then.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -11,6 +11,7 @@
 from boragetide.durable import (
     JobPhase,
     JobRecord,
+    RunEnd,
     RunLoss,
     Step,
     TaskRef,
@@ -43,7 +44,7 @@
     server_id: BackendServerId
     born: int
     numbers: tuple[int, ...]
-    tasks: tuple[tuple[JobId, int], ...]
+    ends: tuple[RunEnd, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +86,8 @@
     server_by_task
         Backend server of each task that may be running or whose end is not committed
         yet.
+    uncommitted_ends_by_task
+        Listed ends that are not committed yet. Their tasks are not started.
     takeover_complete
         Whether the takeover is complete, that is, a task that no backend server lists
         is certainly not running.
@@ -154,6 +157,9 @@
     server_by_task: dict[tuple[JobId, int], BackendServerId] = field(
         default_factory=dict
     )
+    uncommitted_ends_by_task: dict[tuple[JobId, int], list[RunEnd]] = field(
+        default_factory=dict
+    )
     takeover_complete: bool = False
     queue: JobQueue = field(default_factory=JobQueue)
     index: ServerIndex = field(default_factory=ServerIndex)
@@ -215,6 +221,7 @@
     state.records_by_id.clear()
     state.active.clear()
     state.server_by_task.clear()
+    state.uncommitted_ends_by_task.clear()
     state.started.clear()
     state.takeover_complete = False
     state.waiters_by_job.clear()
@@ -286,6 +293,15 @@
         outbox[record.transfer.sequence] = record.job.id
 
 
+def may_start(state: DispatcherState, key: tuple[JobId, int]) -> bool:
+    """Return whether no run of a task may be running and no end of it is uncommitted.
+
+    A start before the commit of an end might be one attempt too many, or a second run
+    of a task that is done.
+    """
+    return key not in state.server_by_task and key not in state.uncommitted_ends_by_task
+
+
 def get_fence(state: DispatcherState, server: Server) -> int:
     """Return the fencing token of the orders to the known process of a server."""
     return make_fence(state.term, server.process)
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -12,6 +12,7 @@
     get_fence,
     has_authority,
     is_registered,
+    may_start,
 )
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
@@ -63,7 +64,7 @@
     tasks = {
         number: step
         for number, step in find_ready_tasks(record)
-        if (job_id, number) not in state.server_by_task
+        if may_start(state, (job_id, number))
     }
     if job_id in state.losses_by_job or job_id in state.suspects_by_job:
         tasks = _hold_suspects(state, record, tasks)
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 
 from boragetide.commands import RecordEnds
-from boragetide.controllers.dispatch_state import DispatcherState, PendingEnds, add_run
+from boragetide.controllers.dispatch_state import DispatcherState, PendingEnds
 from boragetide.controllers.job_records import append_command, apply_record
 from boragetide.controllers.lost_runs import describe_cleared
 from boragetide.controllers.orders import REASON_LISTED, free_run
@@ -15,9 +16,7 @@
 from boragetide.durable import (
     EndReason,
     JobPhase,
-    JobRecord,
     ListedEnd,
-    Resources,
     RunEnd,
     get_task_number,
 )
@@ -63,9 +62,9 @@
     _advance_acknowledged(server)
     if not to_commit:
         return effects
-    tasks = tuple((end.job_id, end.task) for end in to_commit)
+    _hold_tasks(state, to_commit)
     pending_ends = PendingEnds(
-        server.report.id, server.report.born, tuple(numbers), tasks
+        server.report.id, server.report.born, tuple(numbers), tuple(to_commit)
     )
     command = RecordEnds(tuple(to_commit))
     return [*effects, append_command(state, command, ends=pending_ends)]
@@ -115,13 +114,8 @@
         record_outcome(server, failed, now)
         if ended_at is not None and not (failed or run.start_repeated):
             learn_speed(server, run, ended_at, now)
-    elif end.run < state.run_number_by_task.get(key, 0) or key in state.server_by_task:
-        # A newer run was started or another run occupies the task, so this end counts
-        # only if it is a failed attempt.
-        if not failed:
-            return None, [log]
-    elif not failed and not record.job.best_effort:
-        _occupy_until_committed(state, server, key, end, record, now)
+    elif not failed and _is_superseded(state, key, end.run):
+        return None, [log]
     if record.phase is not JobPhase.ACTIVE:
         return None, [log, *_free_run_of_ended_job(state, server, run, is_current)]
     run_end = RunEnd(key[0], number, end.run, failed)
@@ -135,6 +129,17 @@
     return run_end, [log, *cleared]
 
 
+def _is_superseded(
+    state: DispatcherState, key: tuple[JobId, int], run_number: int
+) -> bool:
+    """Return whether a newer run was started or another run occupies the task.
+
+    The end of the older run counts only if it is a failed attempt.
+    """
+    is_older = run_number < state.run_number_by_task.get(key, 0)
+    return is_older or key in state.server_by_task
+
+
 def _apply_best_effort_end(
     state: DispatcherState,
     server: Server,
@@ -158,19 +163,29 @@
     return free_run(state, server, run, "job_ended") if is_current else []
 
 
-def _occupy_until_committed(
-    state: DispatcherState,
-    server: Server,
-    key: tuple[JobId, int],
-    end: ListedEnd,
-    record: JobRecord,
-    now: Seconds,
-) -> None:
-    """Occupy a task until the end of a run from an earlier leader is committed."""
-    run = Run(key[0], key[1], end.run, Resources(), now, RunPhase.ENDED)
-    add_run(state, server, run)
-    state.run_number_by_task[key] = end.run
-    update_queue(state, key[0])
+def _hold_tasks(state: DispatcherState, ends: list[RunEnd]) -> None:
+    """Start no task again before its ends are committed, whichever leader ran it."""
+    for end in ends:
+        key = (end.job_id, end.task)
+        state.uncommitted_ends_by_task.setdefault(key, []).append(end)
+        state.started.add(end.job_id)
+    _update_queue(state, ends)
+
+
+def _release_tasks(state: DispatcherState, ends: tuple[RunEnd, ...]) -> None:
+    """Let tasks start again unless another end of theirs is not committed yet."""
+    for end in ends:
+        key = (end.job_id, end.task)
+        uncommitted = state.uncommitted_ends_by_task[key]
+        uncommitted.remove(end)
+        if not uncommitted:
+            del state.uncommitted_ends_by_task[key]
+    _update_queue(state, ends)
+
+
+def _update_queue(state: DispatcherState, ends: Iterable[RunEnd]) -> None:
+    for job_id in {end.job_id for end in ends}:
+        update_queue(state, job_id)
 
 
 def _advance_acknowledged(server: Server) -> None:
@@ -182,13 +197,14 @@
 
 def acknowledge_ends(state: DispatcherState, ends: PendingEnds) -> None:
     """Acknowledge committed ends to the backend server and free their runs."""
+    _release_tasks(state, ends.ends)
     server = state.servers_by_id.get(ends.server_id)
     if server is None:
         return
     if server.report.born == ends.born:
         server.uncommitted_ends.difference_update(ends.numbers)
         _advance_acknowledged(server)
-    for key in ends.tasks:
-        run = server.runs_by_task.get(key)
-        if run is not None and run.phase is RunPhase.ENDED:
+    for end in ends.ends:
+        run = server.runs_by_task.get((end.job_id, end.task))
+        if run is not None and run.number == end.run:
             free_run(state, server, run, "kept")
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -235,10 +235,15 @@
         record.phase is JobPhase.ACTIVE
         and key[1] not in record.done
         and key not in state.server_by_task
+        and not _is_done_without_commit(state, key)
         and run >= state.run_number_by_task.get(key, 0)
     )
 
 
+def _is_done_without_commit(state: DispatcherState, key: tuple[JobId, int]) -> bool:
+    return any(not end.failed for end in state.uncommitted_ends_by_task.get(key, ()))
+
+
 def _forget_unlisted_unexpected_runs(server: Server, message: RunsRead) -> None:
     listed = set(message.running)
     server.unexpected_runs = {
--- a/boragetide/controllers/stranded_jobs.py
+++ b/boragetide/controllers/stranded_jobs.py
@@ -148,11 +148,7 @@
 
     The end or the loss of a run must be in the job's record before the record leaves.
     """
-    has_pending_ends = any(
-        key[0] == job_id
-        for ends in state.pending_ends_by_command.values()
-        for key in ends.tasks
-    )
+    has_pending_ends = any(key[0] == job_id for key in state.uncommitted_ends_by_task)
     is_listed = any(
         run.task.job_id == job_id
         for server in state.servers_by_id.values()
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -116,14 +116,20 @@
                 self.commit(appended, now)
         return self.effects
 
+    def appended(self) -> list[Send]:
+        """Return the commands that the last message appended to the log."""
+        return [
+            effect
+            for effect in self.effects
+            if isinstance(effect, Send) and isinstance(effect.message, AppendCommands)
+        ]
+
     def registrations(self) -> list[Send]:
         """Return the appended commands about registrations of the last message."""
         return [
             effect
-            for effect in self.effects
-            if isinstance(effect, Send)
-            and isinstance(effect.message, AppendCommands)
-            and all(
+            for effect in self.appended()
+            if all(
                 isinstance(command, RegisterBackendServers | UnregisterBackendServers)
                 for command in effect.message.commands_by_id.values()
             )
@@ -132,9 +138,11 @@
     def commit(self, appended: Send, now: float = BEGIN) -> None:
         """Commit appended commands; the effects join those of the message."""
         commands_by_id = appended.message.commands_by_id
+        changed: set[str] = set()
         for command in commands_by_id.values():
-            apply_job_command(command, self.catalogue, now)
-        committed = JobsCommitted(tuple(commands_by_id), ())
+            changed |= apply_job_command(command, self.catalogue, now)
+        records = tuple(self.catalogue.jobs_by_id[id_] for id_ in sorted(changed))
+        committed = JobsCommitted(tuple(commands_by_id), records)
         self.effects = [effect for effect in self.effects if effect is not appended]
         self.effects += dispatcher.handle(committed, self.state, now)
 
--- a/properties/simulated_server.py
+++ b/properties/simulated_server.py
@@ -27,15 +27,23 @@
 CAPACITY = Resources(64_000, 100_000)
 MAX_LEASE: Seconds = 1.0
 MIN_CLOCK_RATE = 0.98
+FAILING_SPEC = "fail"  # spec of the jobs of which all runs fail
 
 
 @dataclass(frozen=True)
 class StartedRun:
-    """A run in progress; ``ends_at`` is the time at which its work is done."""
+    """A run in progress; ``ends_at`` is the time at which its work is done.
+
+    Parameters
+    ----------
+    reason
+        How the run ends if nothing interrupts it.
+    """
 
     run: int
     millicores: int
     ends_at: Seconds
+    reason: EndReason = EndReason.DONE
 
 
 @dataclass(frozen=True)
@@ -68,6 +76,11 @@
         carries out no order with a lower fence.
     acknowledged
         Tasks whose end was taken note of, so that they may not start again.
+    noted_failures
+        Failed attempts that were taken note of, as pairs of the task and the time at
+        which the run ended.
+    ended_at_by_number
+        Time of each end of this process.
     down_until
         Time until which no process answers; calls fail.
     address_reused
@@ -91,6 +104,8 @@
     settled: set[tuple[TaskRef, int]] = field(default_factory=set)
     settled_fence: int = 0
     acknowledged: set[TaskRef] = field(default_factory=set)
+    noted_failures: list[tuple[TaskRef, Seconds]] = field(default_factory=list)
+    ended_at_by_number: dict[int, Seconds] = field(default_factory=dict)
     cut: bool = False
     hangs: bool = False
     down_until: Seconds = 0.0
@@ -116,6 +131,7 @@
         self.running.clear()
         self.highest_runs.clear()
         self.ends.clear()
+        self.ended_at_by_number.clear()
         self.down_until = self.started_at = now + downtime
         self.clock_rate = MIN_CLOCK_RATE if slow_clock else 1.0
         self.address_reused = address_reused
@@ -151,16 +167,17 @@
         lapsed = self.read_clock(now) >= self.lease_until
         for task, started in list(self.running.items()):
             if lapsed:
-                self._end(task, EndReason.LAPSED)
+                self._end(task, EndReason.LAPSED, now)
             elif now >= started.ends_at and not self.hangs:
-                self._end(task, EndReason.DONE)
+                self._end(task, started.reason, now)
         if lapsed:
             self.lapsed_ends.update(end.number for end in self.ends)
 
-    def _end(self, task: TaskRef, reason: EndReason) -> None:
+    def _end(self, task: TaskRef, reason: EndReason, now: Seconds) -> None:
         started = self.running.pop(task)
         self.end_count += 1
         self.ends.append(ListedEnd(self.end_count, task, started.run, reason))
+        self.ended_at_by_number[self.end_count] = now
 
     def _extend_lease(self, lease_until: Seconds, now: Seconds) -> None:
         """Extend the lease of all runs, by at most `MAX_LEASE` from now."""
@@ -190,7 +207,7 @@
         self.settled.add((order.task, order.run))
         started = self.running.get(order.task)
         if started is not None and started.run <= order.run:
-            self._end(order.task, EndReason.STOPPED)
+            self._end(order.task, EndReason.STOPPED, now)
         return OrderResult.DONE
 
     def start(
@@ -216,9 +233,10 @@
         if used + step.needs.millicores > self.capacity.millicores:
             return OrderResult.NO_ROOM
         check_start()
+        reason = EndReason.FAILED if order.spec == FAILING_SPEC else EndReason.DONE
         self.highest_runs[order.task] = order.run
         self.running[order.task] = StartedRun(
-            order.run, step.needs.millicores, now + step.estimate
+            order.run, step.needs.millicores, now + step.estimate, reason
         )
         return OrderResult.DONE
 
@@ -228,8 +246,8 @@
         if self._observe_fence(order.fence):
             return None
         for end in self.ends:
-            if end.number <= order.acknowledged and self._is_noted(end):
-                self.acknowledged.add(end.task)
+            if end.number <= order.acknowledged:
+                self._take_note(end)
         self.ends = [e for e in self.ends if e.number > order.acknowledged]
         if order.lease_until is not None:
             self._extend_lease(order.lease_until, now)
@@ -243,6 +261,12 @@
             ended=tuple(self.ends),
         )
 
-    def _is_noted(self, end: ListedEnd) -> bool:
-        """Return whether an acknowledgement of an end forbids another start."""
-        return end.reason is EndReason.DONE and end.number not in self.lapsed_ends
+    def _take_note(self, end: ListedEnd) -> None:
+        """Record that an end was acknowledged, unless the lease has lapsed since."""
+        if end.number in self.lapsed_ends:
+            return
+        if end.reason is EndReason.DONE:
+            self.acknowledged.add(end.task)
+        if end.reason is EndReason.FAILED:
+            ended_at = self.ended_at_by_number[end.number]
+            self.noted_failures.append((end.task, ended_at))
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
@@ -26,7 +28,8 @@
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.runs import READ_MAX_WAIT
-from boragetide.durable import JobPhase, Resources, Step
+from boragetide.controllers.server_health import MAX_FAILURE_COOLDOWN
+from boragetide.durable import JobPhase, Resources, Step, TaskRef
 from boragetide.effects import ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.messages import (
     AppendCommands,
@@ -47,7 +50,7 @@
 from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
 from boragetide.types import ReplyTo, Seconds
-from properties.simulated_server import CAPACITY, SimulatedServer
+from properties.simulated_server import CAPACITY, FAILING_SPEC, SimulatedServer
 
 STEP: Seconds = 0.05
 AUTHORITY_DURATION: Seconds = 0.4
@@ -79,6 +82,9 @@
 # A capacity that has shrunk counts after this time.
 SHRINKING_COUNTS_AFTER: Seconds = 4.5
 SLOTS = len(SERVERS) * (CAPACITY.millicores // NEEDS.millicores)
+# Each failing job may put backend servers into a cooldown for some time.
+MAX_FAILING_JOBS = 3
+FAILING_ATTEMPTS = 2
 EXAMPLES = 60
 PROFILE = settings(
     max_examples=max(EXAMPLES, settings.default.max_examples // 4),
@@ -115,6 +121,8 @@
         self.replies: dict[int, str] = {}
         self.standby_is_deaf = False
         self.started_at: set[str] = set()
+        self.failing: set[str] = set()
+        self.start_times_by_task: dict[TaskRef, list[Seconds]] = defaultdict(list)
         self.start_leader(predecessor_until=self.now)
         self.run_for(1.0)
 
@@ -321,6 +329,7 @@
                 b for b in self.backends.values() if order.task in b.acknowledged
             ]
             assert not noted_by, order.task
+        self.start_times_by_task[order.task].append(self.now)
         step = self.jobs[order.task.job_id].steps[order.task.step]
         for position in step.depends_on:
             done = self.count_done(order.task.job_id, position)
@@ -426,6 +435,29 @@
         self.jobs[job.id] = job
         self.send_submission(job)
 
+    @precondition(lambda self: len(self.failing) < MAX_FAILING_JOBS)
+    @rule(
+        width=st.integers(1, 2),
+        seconds=st.sampled_from([0.6, 1.1, 1.2, 1.3]),
+        same=st.booleans(),
+    )
+    def change_leader_during_attempts(
+        self, width: int, seconds: Seconds, same: bool
+    ) -> None:
+        """Replace the leader while the tasks of a job fail."""
+        job = make_durable_job(
+            f"j{len(self.jobs)}",
+            Step(width, NEEDS, WORK_DURATION),
+            attempts=FAILING_ATTEMPTS,
+            best_effort=self.best_effort,
+            submitted_at=self.now,
+        )
+        self.jobs[job.id] = replace(job, spec=FAILING_SPEC)
+        self.failing.add(job.id)
+        self.send_submission(self.jobs[job.id])
+        self.run_for(seconds)
+        self.change_leader(same, seconds=0.0)
+
     def send_submission(self, job: Any) -> None:
         request = len(self.replies)
         self.replies[request] = job.id
@@ -575,6 +607,20 @@
         tasks = [task for each in self.backends.values() for task in each.running]
         assert len(tasks) == len(set(tasks))
 
+    @invariant()
+    def no_task_exceeds_its_attempts(self) -> None:
+        """Check that nothing starts after the last attempt that was taken note of."""
+        if self.best_effort:
+            return
+        failures: dict[TaskRef, list[Seconds]] = defaultdict(list)
+        for backend in self.backends.values():
+            for task, ended_at in backend.noted_failures:
+                failures[task].append(ended_at)
+        for task, times in failures.items():
+            attempts = self.jobs[task.job_id].starts.attempts
+            for last_ended_at in sorted(times)[attempts - 1 : attempts]:
+                assert max(self.start_times_by_task[task]) <= last_ended_at, task
+
     @invariant()
     def finished_jobs_have_all_ends(self) -> None:
         for record in self.state.records_by_id.values():
@@ -592,11 +638,28 @@
         self.standby_is_deaf = False
         repaired_at = self.now
         self.run_with_announcements(SETTLING_DURATION + self.compute_work_duration())
+        self.run_failing_jobs()
         if not self.best_effort:
             for record in self.state.records_by_id.values():
                 assert record.phase is not JobPhase.ACTIVE, record.job.id
+        self.no_task_exceeds_its_attempts()
         self.run_with_announcements(CALM_DURATION - (self.now - repaired_at))
 
+    def run_failing_jobs(self) -> None:
+        """Advance the clock until the failing jobs have ended, within a bound.
+
+        Each failed attempt may put a backend server into a cooldown.
+        """
+        runs = FAILING_ATTEMPTS * sum(
+            self.jobs[job_id].task_count for job_id in self.failing
+        )
+        end = self.now + runs * MAX_FAILURE_COOLDOWN
+        while self.now < end and any(
+            record.phase is JobPhase.ACTIVE
+            for record in self.state.records_by_id.values()
+        ):
+            self.run_with_announcements(1.0)
+
     def compute_work_duration(self) -> Seconds:
         """Return how long the tasks that are not done occupy all backend servers.
 
