Examine waiting jobs by what could run on each kind of backend server

Cause: a pass over the queue examined its first 24 jobs, whatever they needed.

A job now counts against the look-ahead of those kinds of backend servers (pool, labels, capacity) that could run it while they are empty. A kind is closed for the rest of a pass once 24 such jobs were examined, as before; further jobs are examined for the kinds that are still open. Jobs are listed by class and required labels, and each list skips blocks of jobs that need more than any open kind has, so that a pass does not depend on the number of jobs that cannot run. Jobs of which each task waits because of `max_per_server` alone do not count.

The order of the jobs that can run is unchanged.

The new tests of the dispatcher fail before the change.

--- a/benchmarks/dispatch_baselines.py
+++ b/benchmarks/dispatch_baselines.py
@@ -12,7 +12,7 @@
     make_servers,
     schedule_slowdown,
 )
-from boragetide.policy.job_queue import LOOK_AHEAD
+from boragetide.policy.look_ahead import LOOK_AHEAD
 from boragetide.policy.scheduling import LATE_LIMIT_FACTOR, due_at, latest_start
 from boragetide.types import Seconds
 
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -204,7 +204,12 @@
     """Update the index with the free capacity and the speed of a backend server."""
     report = server.report
     state.index.put(
-        report.id, report.pool, server.speed, server.free_resources.millicores
+        report.id,
+        report.pool,
+        server.speed,
+        server.free_resources.millicores,
+        report.labels,
+        report.capacity,
     )
 
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from functools import partial
 
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
@@ -25,6 +26,7 @@
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
 from boragetide.policy.crash_suspicion import find_suspects, holds_other_tasks
 from boragetide.policy.job_queue import WaitingJob
+from boragetide.policy.look_ahead import LookAhead
 from boragetide.policy.scheduling import (
     ServerCandidate,
     choose_server,
@@ -32,7 +34,7 @@
     latest_start,
     min_useful_speed,
 )
-from boragetide.types import BackendServerId, JobId, PoolName, Seconds
+from boragetide.types import BackendServerId, ClassName, JobId, PoolName, Seconds
 
 # A backend server lists up to 500 ends. One that holds more than this number of them
 # gets no new runs, so that the ends of all its runs are still listed.
@@ -164,11 +166,12 @@
         return []
     effects: list[Effect] = []
     max_free_by_pool: dict[PoolName, int] = {}
-    for waiting in state.queue.iterate(now):
+    look_ahead = LookAhead(state.index.rooms, partial(find_class_pool, state))
+    for waiting in state.queue.iterate(now, look_ahead):
         pool = find_pool(state, waiting.job)
         if pool not in max_free_by_pool:
             max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
-        if waiting.min_millicores > max_free_by_pool[pool]:
+        if waiting.least_needs.millicores > max_free_by_pool[pool]:
             continue
         job_effects = _place_job(state, waiting, pool, now)
         if job_effects:
@@ -179,11 +182,18 @@
 
 def find_pool(state: DispatcherState, job: DurableJob) -> PoolName:
     """Return the current pool of the job's class, or the job's own if there is none."""
+    return find_class_pool(state, job.class_name, job.starts.pool)
+
+
+def find_class_pool(
+    state: DispatcherState, class_name: ClassName, default: PoolName
+) -> PoolName:
+    """Return the current pool of a class, or ``default`` if there is none."""
     if state.configuration is not None:
-        target = state.configuration.classes_by_name.get(job.class_name)
+        target = state.configuration.classes_by_name.get(class_name)
         if target is not None and target.durable is not None:
             return target.durable.pool
-    return job.starts.pool
+    return default
 
 
 def _find_candidates(
@@ -231,11 +241,11 @@
 def _place_job(
     state: DispatcherState, waiting: WaitingJob, pool: PoolName, now: Seconds
 ) -> list[Effect]:
-    job_id = waiting.job.id
     counts_by_step: dict[int, Counter[str]] = {}
     unplaceable_step: Step | None = None
+    is_held_by_limit = True
     effects: list[Effect] = []
-    slack = waiting.latest_start - now if now < waiting.latest_start else None
+    slack = waiting.find_slack(now)
     for number, step in list(waiting.tasks.items()):
         if step is unplaceable_step:
             continue
@@ -248,15 +258,30 @@
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
             unplaceable_step = step
+            is_held_by_limit &= _is_held_by_limit(state, pool, step, slack, now)
             continue
         counts[chosen.id] += 1
         effects += start_task(state, waiting.job, number, step, chosen, now)
         del waiting.tasks[number]
-    if not waiting.tasks:
-        state.queue.remove(job_id)
+    state.queue.put(waiting.job, waiting.tasks)
+    waiting.is_held_by_limit = is_held_by_limit and bool(waiting.tasks)
     return effects
 
 
+def _is_held_by_limit(
+    state: DispatcherState,
+    pool: PoolName,
+    step: Step,
+    slack: Seconds | None,
+    now: Seconds,
+) -> bool:
+    """Return whether an unplaceable task could start but for ``max_per_server``."""
+    if not step.max_per_server:
+        return False
+    candidates = _find_candidates(state, pool, step, slack, now)
+    return choose_server(step, candidates, {}, slack) is not None
+
+
 def _count_on_servers(
     state: DispatcherState, waiting: WaitingJob, step: Step
 ) -> Counter[str]:
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -57,6 +57,14 @@
             max(self.accelerators, other.accelerators),
         )
 
+    def minimum(self, other: Resources) -> Resources:
+        """Return the smaller amount of each resource."""
+        return Resources(
+            min(self.millicores, other.millicores),
+            min(self.memory, other.memory),
+            min(self.accelerators, other.accelerators),
+        )
+
     def minus(self, other: Resources) -> Resources:
         """Return the difference, which may be negative."""
         return Resources(
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -6,18 +6,20 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import reduce
+from heapq import heappop, heappush
 
 from sortedcontainers import SortedList
 
-from boragetide.durable import DurableJob, Step
+from boragetide.durable import DurableJob, Resources, Step
+from boragetide.policy.demand_list import DemandList, Entry
+from boragetide.policy.look_ahead import LOOK_AHEAD, Demand, LookAhead
 from boragetide.policy.scheduling import expires_at, latest_start
 from boragetide.types import ClassName, JobId, Seconds
 
-# Number of jobs that are considered if the first ones do not fit into the free
-# resources. This bounds the time of a decision under overload.
-LOOK_AHEAD = 24
 # A job with the mean work of its class is ranked as if its latest start were this much
 # later, and a job with twice that work as if it were twice as much later. Among equally
 # urgent jobs small ones go first, but they can overtake a large one only for a bounded
@@ -33,18 +35,98 @@
 
     Parameters
     ----------
-    rank
-        Sort key among the jobs that can be in time; the lowest goes first.
-    min_millicores
-        Thousandths of a core that the smallest step of the job needs.
+    steps
+        Steps of the tasks.
+    demand, least_needs
+        What the job is listed by, and the least resources that any of its tasks needs.
+    lane, entry
+        Where the job is queued now.
+    is_held_by_limit
+        Whether the tasks wait only because each backend server with room has as many of
+        their step as it may run.
     """
 
     job: DurableJob
     tasks: dict[int, Step]
-    rank: Seconds
+    steps: tuple[Step, ...]
+    demand: Demand
+    least_needs: Resources
+    lane: Lane
+    entry: Entry
     latest_start: Seconds
     expires_at: Seconds
-    min_millicores: int
+    is_held_by_limit: bool = False
+
+    def find_slack(self, now: Seconds) -> Seconds | None:
+        """Return how much later the job can start and be in time; none if it cannot."""
+        return self.latest_start - now if now < self.latest_start else None
+
+
+class Lane:
+    """Queued jobs that are as late as each other, in order and by their demand."""
+
+    def __init__(self) -> None:
+        self.entries: SortedList = SortedList()
+        self.lists_by_demand: dict[Demand, DemandList] = {}
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def __iter__(self) -> Iterator[Entry]:
+        return iter(self.entries)
+
+    def add(self, waiting: WaitingJob) -> None:
+        """Insert a job with its entry."""
+        self.entries.add(waiting.entry)
+        demands = self.lists_by_demand.get(waiting.demand)
+        if demands is None:
+            demands = self.lists_by_demand[waiting.demand] = DemandList()
+        demands.add(waiting.entry, waiting.least_needs)
+
+    def remove(self, waiting: WaitingJob) -> None:
+        """Remove a job that was inserted with its entry."""
+        self.entries.remove(waiting.entry)
+        demands = self.lists_by_demand[waiting.demand]
+        demands.remove(waiting.entry)
+        if not demands:
+            del self.lists_by_demand[waiting.demand]
+
+    def clear(self) -> None:
+        """Remove all jobs."""
+        self.entries.clear()
+        self.lists_by_demand.clear()
+
+    def find_least_millicores(self) -> float:
+        """Return a number of millicores that each job needs at least."""
+        lists = self.lists_by_demand.values()
+        return min((each.find_least_millicores() for each in lists), default=math.inf)
+
+    def iterate(self, after: Entry | None, look_ahead: LookAhead) -> Iterator[Entry]:
+        """Yield in order the jobs that may run on the kinds of servers that are open.
+
+        A job may be removed once it was yielded.
+
+        Parameters
+        ----------
+        after
+            Entry after which to begin, or ``None`` for the beginning.
+        """
+        lists = list(self.lists_by_demand.items())
+        heads: list[tuple[Entry, int]] = []
+
+        def push_next(number: int, after: Entry | None) -> None:
+            demand, demands = lists[number]
+            capacities = look_ahead.list_capacities(demand)
+            head = demands.find_next(after, capacities) if capacities else None
+            if head is not None:
+                heappush(heads, (head, number))
+
+        for number in range(len(lists)):
+            push_next(number, after)
+        while heads:
+            entry, number = heappop(heads)
+            yield entry
+            push_next(number, entry)
 
 
 @dataclass(slots=True)
@@ -64,32 +146,38 @@
     """
 
     waiting_by_id: dict[JobId, WaitingJob] = field(default_factory=dict)
-    in_time: SortedList = field(default_factory=SortedList)
+    in_time: Lane = field(default_factory=Lane)
     in_time_by_start: SortedList = field(default_factory=SortedList)
-    late: SortedList = field(default_factory=SortedList)
-    expired: SortedList = field(default_factory=SortedList)
+    late: Lane = field(default_factory=Lane)
+    expired: Lane = field(default_factory=Lane)
     mean_work_by_class: dict[ClassName, float] = field(default_factory=dict)
 
     def put(self, job: DurableJob, tasks: dict[int, Step]) -> None:
         """Replace the waiting tasks of a job; without tasks the job is removed."""
         waiting = self.waiting_by_id.get(job.id)
-        if waiting is not None:
-            waiting.tasks = tasks
-            if not tasks:
-                self._discard(waiting)
-            return
         if not tasks:
-            return
+            self.remove(job.id)
+        elif waiting is not None:
+            _replace_tasks(waiting, tasks)
+        else:
+            self._add(job, tasks)
+
+    def _add(self, job: DurableJob, tasks: dict[int, Step]) -> None:
+        steps = _list_steps(tasks)
+        rank = latest_start(job) + SIZE_DELAY * self._relative_work(job)
         waiting = WaitingJob(
             job=job,
             tasks=tasks,
-            rank=latest_start(job) + SIZE_DELAY * self._relative_work(job),
+            steps=steps,
+            demand=_make_demand(job, steps),
+            least_needs=_find_least_needs(steps),
+            lane=self.in_time,
+            entry=(rank, job.id),
             latest_start=latest_start(job),
             expires_at=expires_at(job),
-            min_millicores=min(step.needs.millicores for step in job.steps),
         )
         self.waiting_by_id[job.id] = waiting
-        self.in_time.add((waiting.rank, job.id))
+        self.in_time.add(waiting)
         self.in_time_by_start.add((waiting.latest_start, job.id))
 
     def _relative_work(self, job: DurableJob) -> float:
@@ -107,9 +195,10 @@
 
     def remove(self, job_id: JobId) -> None:
         """Remove a job if it is queued."""
-        waiting = self.waiting_by_id.get(job_id)
+        waiting = self.waiting_by_id.pop(job_id, None)
         if waiting is not None:
-            self._discard(waiting)
+            waiting.lane.remove(waiting)
+            self.in_time_by_start.discard((waiting.latest_start, job_id))
 
     def clear(self) -> None:
         """Remove all jobs."""
@@ -117,16 +206,45 @@
         for jobs in (self.in_time, self.in_time_by_start, self.late, self.expired):
             jobs.clear()
 
-    def iterate(self, now: Seconds) -> Iterator[WaitingJob]:
-        """Yield the jobs to consider now, in scheduling order."""
+    def iterate(self, now: Seconds, look_ahead: LookAhead) -> Iterator[WaitingJob]:
+        """Yield the jobs to consider now, in scheduling order.
+
+        The tasks that the caller starts have left the job when the next one is asked
+        for.
+        """
         self._update_lateness(now)
-        examined = 0
-        for jobs in (self.in_time, self.late, self.expired):
-            for _, job_id in list(jobs.islice(0, LOOK_AHEAD - examined)):
-                examined += 1
-                waiting = self.waiting_by_id.get(job_id)
-                if waiting is not None:
-                    yield waiting
+        lanes = (self.in_time, self.late, self.expired)
+        examined: list[WaitingJob] = []
+        for lane in lanes:
+            for _, job_id in list(lane.entries.islice(0, LOOK_AHEAD - len(examined))):
+                examined.append(self.waiting_by_id[job_id])
+                yield examined[-1]
+        if len(examined) == LOOK_AHEAD:
+            yield from self._iterate_further(examined, look_ahead)
+
+    def _iterate_further(
+        self, examined: list[WaitingJob], look_ahead: LookAhead
+    ) -> Iterator[WaitingJob]:
+        """Yield the jobs to consider after the first ones."""
+        lanes = [self.in_time, self.late, self.expired]
+        lanes = lanes[lanes.index(examined[-1].lane) :]
+        look_ahead.open_kinds(min(lane.find_least_millicores() for lane in lanes))
+        for waiting in examined:
+            if not waiting.is_held_by_limit:
+                look_ahead.record(look_ahead.find_kinds(waiting.demand, waiting.steps))
+        if not look_ahead.has_open_kinds():
+            return
+        after = examined[-1].entry
+        for lane in lanes:
+            for _, job_id in lane.iterate(after, look_ahead):
+                waiting = self.waiting_by_id[job_id]
+                kinds = look_ahead.find_kinds(waiting.demand, waiting.steps)
+                if not kinds:
+                    continue
+                yield waiting
+                if not waiting.is_held_by_limit:
+                    look_ahead.record(kinds)
+            after = None
 
     def list_expired(self, now: Seconds) -> list[WaitingJob]:
         """Return the jobs that are too late to be of use; they stay queued."""
@@ -136,17 +254,44 @@
     def _update_lateness(self, now: Seconds) -> None:
         while self.in_time_by_start and self.in_time_by_start[0][0] < now:
             entry = self.in_time_by_start.pop(0)
-            self.in_time.remove((self.waiting_by_id[entry[1]].rank, entry[1]))
-            self.late.add(entry)
-        while self.late and self._is_expired(self.late[0][1], now):
-            self.expired.add(self.late.pop(0))
+            _move(self.waiting_by_id[entry[1]], self.late, entry)
+        while self.late.entries and self._is_expired(self.late.entries[0][1], now):
+            entry = self.late.entries[0]
+            _move(self.waiting_by_id[entry[1]], self.expired, entry)
 
     def _is_expired(self, job_id: JobId, now: Seconds) -> bool:
         return self.waiting_by_id[job_id].expires_at < now
 
-    def _discard(self, waiting: WaitingJob) -> None:
-        job_id = waiting.job.id
-        del self.waiting_by_id[job_id]
-        self.in_time.discard((waiting.rank, job_id))
-        for jobs in (self.in_time_by_start, self.late, self.expired):
-            jobs.discard((waiting.latest_start, job_id))
+
+def _list_steps(tasks: dict[int, Step]) -> tuple[Step, ...]:
+    """Return each step of the tasks once."""
+    return tuple({id(step): step for step in tasks.values()}.values())
+
+
+def _make_demand(job: DurableJob, steps: tuple[Step, ...]) -> Demand:
+    labels = frozenset(step.required_label for step in steps)
+    return Demand(job.class_name, job.starts.pool, labels)
+
+
+def _find_least_needs(steps: tuple[Step, ...]) -> Resources:
+    return reduce(Resources.minimum, (step.needs for step in steps))
+
+
+def _replace_tasks(waiting: WaitingJob, tasks: dict[int, Step]) -> None:
+    waiting.tasks = tasks
+    waiting.is_held_by_limit = False
+    steps = _list_steps(tasks)
+    if steps == waiting.steps:
+        return
+    waiting.lane.remove(waiting)
+    waiting.steps = steps
+    waiting.demand = _make_demand(waiting.job, steps)
+    waiting.least_needs = _find_least_needs(steps)
+    waiting.lane.add(waiting)
+
+
+def _move(waiting: WaitingJob, lane: Lane, entry: Entry) -> None:
+    """Move a job to another lane."""
+    waiting.lane.remove(waiting)
+    waiting.lane, waiting.entry = lane, entry
+    lane.add(waiting)
--- /dev/null
+++ b/boragetide/policy/look_ahead.py
@@ -0,0 +1,99 @@
+"""How far a pass over the queue looks past the jobs that do not fit now.
+
+A large job would never start if small ones behind it took all cores that become free.
+A kind of backend server is therefore closed for the rest of a pass once `LOOK_AHEAD`
+jobs that could run on it were examined. Jobs that could not run on it do not count, so
+that they keep nothing from it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from boragetide.durable import Resources, Step
+from boragetide.policy.room_index import RoomIndex, ServerKind
+from boragetide.types import ClassName, PoolName
+
+# Number of jobs that could run on a kind of backend server and are examined in a pass.
+LOOK_AHEAD = 24
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What waiting jobs have in common that are listed together.
+
+    Parameters
+    ----------
+    pool
+        Pool of the class when the jobs were submitted.
+    labels
+        Required labels of the waiting steps; empty for a step that requires none.
+    """
+
+    class_name: ClassName
+    pool: PoolName
+    labels: frozenset[str]
+
+
+class LookAhead:
+    """Kinds of backend servers that a pass over the queue may still use.
+
+    Parameters
+    ----------
+    find_pool
+        Returns the current pool of a class, given its name and its earlier pool.
+    """
+
+    def __init__(
+        self, rooms: RoomIndex, find_pool: Callable[[ClassName, PoolName], PoolName]
+    ):
+        self._rooms = rooms
+        self._find_pool = find_pool
+        self._examined_by_kind: Counter[ServerKind] = Counter()
+        self._open_by_pool: dict[PoolName, list[ServerKind]] = {}
+
+    def open_kinds(self, millicores: float) -> None:
+        """Open the kinds with a backend server that has this many millicores free."""
+        for kind in self._rooms.kind_by_key.values():
+            if max(kind.rooms.values()) >= millicores:
+                self._open_by_pool.setdefault(kind.pool, []).append(kind)
+
+    def has_open_kinds(self) -> bool:
+        """Return whether a backend server may still be used."""
+        return any(self._open_by_pool.values())
+
+    def list_capacities(self, demand: Demand) -> list[Resources]:
+        """Return the capacities of the open kinds that have a label of a demand."""
+        kinds = self._find_open(demand)
+        return list(
+            {kind.capacity: None for kind in kinds if _has_label(kind, demand.labels)}
+        )
+
+    def find_kinds(
+        self, demand: Demand, steps: tuple[Step, ...]
+    ) -> Sequence[ServerKind]:
+        """Return the open kinds that could run a task of any of the steps."""
+        kinds = self._find_open(demand)
+        if not kinds:
+            return ()
+        if len(steps) == 1:
+            return [kind for kind in kinds if kind.could_run(steps[0])]
+        return [kind for kind in kinds if any(map(kind.could_run, steps))]
+
+    def record(self, kinds: Sequence[ServerKind]) -> None:
+        """Count an examined job for the kinds that could run it."""
+        counts = self._examined_by_kind
+        for kind in kinds:
+            counts[kind] += 1
+            if counts[kind] >= LOOK_AHEAD:
+                self._open_by_pool[kind.pool].remove(kind)
+
+    def _find_open(self, demand: Demand) -> Sequence[ServerKind]:
+        pool = self._find_pool(demand.class_name, demand.pool)
+        return self._open_by_pool.get(pool, ())
+
+
+def _has_label(kind: ServerKind, labels: frozenset[str]) -> bool:
+    return "" in labels or not labels.isdisjoint(kind.labels)
--- a/boragetide/policy/server_index.py
+++ b/boragetide/policy/server_index.py
@@ -11,9 +11,13 @@
 
 from sortedcontainers import SortedDict, SortedList
 
+from boragetide.durable import Resources
+from boragetide.policy.room_index import RoomIndex
 from boragetide.policy.scheduling import rank_speed
 from boragetide.types import BackendServerId, PoolName
 
+NO_RESOURCES = Resources()
+
 
 @dataclass(frozen=True, slots=True)
 class _Position:
@@ -75,20 +79,36 @@
         ranks.
     position_by_id
         Position of each of these backend servers.
+    rooms
+        The same backend servers by their kind.
     """
 
     classes_by_speed_by_pool: dict[PoolName, SortedDict] = field(default_factory=dict)
     position_by_id: dict[BackendServerId, _Position] = field(default_factory=dict)
+    rooms: RoomIndex = field(default_factory=RoomIndex)
 
     def put(
-        self, server: BackendServerId, pool: PoolName, speed: float, millicores: int
+        self,
+        server: BackendServerId,
+        pool: PoolName,
+        speed: float,
+        millicores: int,
+        labels: tuple[str, ...] = (),
+        capacity: Resources = NO_RESOURCES,
     ) -> None:
-        """Insert a backend server, or update its position; remove it if it is full."""
+        """Insert a backend server, or update its position; remove it if it is full.
+
+        Parameters
+        ----------
+        millicores
+            Free thousandths of a core.
+        """
         position = _Position(pool, rank_speed(speed), millicores)
+        self.rooms.put(server, pool, labels, capacity, millicores)
         if self.position_by_id.get(server) == position:
             self._get_class(position).put_speed(server, speed)
             return
-        self.remove(server)
+        self._remove_position(server)
         if millicores <= 0:
             return
         self.position_by_id[server] = position
@@ -108,6 +128,10 @@
 
     def remove(self, server: BackendServerId) -> None:
         """Remove a backend server if it is in the index."""
+        self.rooms.remove(server)
+        self._remove_position(server)
+
+    def _remove_position(self, server: BackendServerId) -> None:
         position = self.position_by_id.pop(server, None)
         if position is None:
             return
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -930,3 +930,23 @@
     assert not (state.records_by_id or state.run_number_by_task or state.server_by_task)
     assert not (state.active or state.started or state.waiters_by_job)
     assert not (state.queue.waiting_by_id or state.overdue_stopped_tasks)
+
+
+@pytest.mark.parametrize(
+    "blocking",
+    [Step(1, NEEDS, 0.2, required_label="lost"), Step(1, Resources(60_000), 0.2)],
+    ids=["label", "cores"],
+)
+def test_job_starts_behind_jobs_that_wait_for_a_lost_server(
+    settings: Settings, blocking: Step
+) -> None:
+    """Guards against accepted jobs that never start beside idle backend servers."""
+    waiting = [
+        make_durable_job(f"w{number:02}", blocking, submitted_at=BEGIN - 60.0)
+        for number in range(30)
+    ]
+    job = make_durable_job("j1", Step(1, NEEDS, 0.2), submitted_at=BEGIN - 50.0)
+    leader = Leader(settings)
+    leader.lead(records=tuple(JobRecord(each) for each in [*waiting, job]))
+    leader.join("s1", capacity=Resources(30_000, 100_000), labels=("a",))
+    assert [start.task.job_id for start in leader.starts()] == ["j1"]
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import replace
 from random import Random
 
 import pytest
 
 from boragetide.durable import JobRecord, Resources, Step
-from boragetide.policy.job_queue import SIZE_DELAY, JobQueue
+from boragetide.policy.job_queue import SIZE_DELAY, JobQueue, WaitingJob
+from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.scheduling import (
     ServerCandidate,
     can_ever_fit,
@@ -30,6 +32,15 @@
     return ServerCandidate(server_id, Resources(millicores, 1000), speed, ("a", "r1"))
 
 
+def iterate(queue: JobQueue, *capacities: Resources) -> Iterator[WaitingJob]:
+    """Iterate over a queue beside idle backend servers, one of each capacity."""
+    index = ServerIndex()
+    for number, capacity in enumerate(capacities or (Resources(64_000, 100_000),)):
+        cores = capacity.millicores
+        index.put(f"s{number}", "pool", 1.0, cores, ("a",), capacity)
+    return queue.iterate(BEGIN, LookAhead(index.rooms, lambda _, pool: pool))
+
+
 def test_steps_wait_for_those_they_depend_on() -> None:
     """Guards against starting a step before the steps it depends on are done."""
     job = make_durable_job("j1", STEP, replace(STEP, depends_on=(0,)))
@@ -153,7 +164,7 @@
     later = make_durable_job("later", submitted_at=BEGIN + 0.1)
     for job in (later, late, soon):
         queue.put(job, {0: STEP})
-    order = [waiting.job.id for waiting in queue.iterate(BEGIN)]
+    order = [waiting.job.id for waiting in iterate(queue)]
     assert order == ["soon", "later", "late"]
     assert latest_start(late) < BEGIN
 
@@ -165,7 +176,7 @@
     for number, step in enumerate((STEP, large, small)):
         at = BEGIN + number / 1000
         queue.put(make_durable_job(f"j{number}", step, submitted_at=at), {0: step})
-    order = [waiting.job.id for waiting in queue.iterate(BEGIN)]
+    order = [waiting.job.id for waiting in iterate(queue)]
     assert order == ["j2", "j0", "j1"]
 
 
@@ -179,7 +190,7 @@
     later = BEGIN + 3 * SIZE_DELAY
     small = make_durable_job("small", replace(long, count=1), submitted_at=later)
     queue.put(small, {0: STEP})
-    order = [waiting.job.id for waiting in queue.iterate(BEGIN)]
+    order = [waiting.job.id for waiting in iterate(queue)]
     assert order == ["usual", "large", "small"]
 
 
@@ -192,7 +203,7 @@
             at = BEGIN + number / 1000
             job = make_durable_job(f"{name}{number}", step, submitted_at=at)
             queue.put(replace(job, class_name=name), {0: step})
-    order = [waiting.job.id for waiting in queue.iterate(BEGIN)]
+    order = [waiting.job.id for waiting in iterate(queue)]
     assert order == ["narrow0", "wide0", "narrow1", "wide1", "narrow2", "wide2"]
 
 
@@ -203,7 +214,7 @@
     orders = replace(make_durable_job("order", long), class_name="orders")
     queue.put(orders, {0: long})
     queue.put(make_durable_job("check", submitted_at=BEGIN + 0.01), {0: STEP})
-    order = [waiting.job.id for waiting in queue.iterate(BEGIN)]
+    order = [waiting.job.id for waiting in iterate(queue)]
     assert order == ["check", "order"]
 
 
@@ -213,7 +224,7 @@
     job = make_durable_job()
     queue.put(job, {0: STEP})
     queue.put(job, {})
-    assert list(queue.iterate(BEGIN)) == []
+    assert list(iterate(queue)) == []
     assert (list(queue.in_time), queue.waiting_by_id) == ([], {})
 
 
@@ -223,3 +234,49 @@
     assert choose_server(STEP, [slow], {}, slack=0.2) is None
     assert choose_server(STEP, [slow], {}, slack=None) is slow
     assert choose_server(STEP, [slow], {}, slack=1.2) is slow
+
+
+LARGE = Resources(70_000, 64)
+WIDE_MEMORY = Resources(1_000, 200_000)
+
+
+@pytest.mark.parametrize(
+    "blocking",
+    [
+        Step(1, NEEDS, 0.2, required_label="lost"),
+        Step(1, LARGE, 0.2),
+        Step(1, WIDE_MEMORY, 0.2),
+        Step(1, Resources(1_000, 64, accelerators=1), 0.2),
+    ],
+    ids=["label", "cores", "memory", "accelerators"],
+)
+@pytest.mark.parametrize("age", [0.0, 0.1, 10.0], ids=["in time", "late", "expired"])
+def test_jobs_that_no_server_can_run_do_not_hide_those_behind_them(
+    blocking: Step, age: float
+) -> None:
+    """Guards against jobs that wait for a lost server and fill the look-ahead."""
+    queue = JobQueue()
+    for number in range(5 * LOOK_AHEAD):
+        at = BEGIN - age - 0.01 + number / 1e6
+        queue.put(
+            make_durable_job(f"a{number}", blocking, submitted_at=at), {0: blocking}
+        )
+    queue.put(make_durable_job("b", submitted_at=BEGIN - age), {0: STEP})
+    assert "b" in [waiting.job.id for waiting in iterate(queue)]
+
+
+def test_servers_of_a_kind_are_kept_for_the_first_jobs_that_could_use_them() -> None:
+    """Guards against large jobs that starve while small ones behind them start."""
+    queue = JobQueue()
+    large, small = Step(1, LARGE, 0.2), Step(1, NEEDS, 0.2)
+    for number in range(2 * LOOK_AHEAD):
+        at = BEGIN + number / 1e6
+        job = make_durable_job(f"a{number:02}", large, submitted_at=at)
+        queue.put(job, {0: large})
+    last = make_durable_job("b", small, submitted_at=BEGIN + 1.0)
+    queue.put(last, {0: small})
+    first = [f"a{number:02}" for number in range(LOOK_AHEAD)]
+    for_large, for_small = Resources(96_000, 100_000), Resources(64_000, 100_000)
+    assert [waiting.job.id for waiting in iterate(queue, for_large)] == first
+    order = [waiting.job.id for waiting in iterate(queue, for_large, for_small)]
+    assert order == [*first, "b"]
