Do not search the servers again for needs that had no room

A pass over a queue of jobs that are late in any case tried each of them at every server with free cores, although an earlier one that needs no more had found no room. A pass only takes resources, so that it need not try again. Kinds of servers are compared by value, apart from their rooms.

--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -34,6 +34,7 @@
     latest_start,
     min_useful_speed,
 )
+from boragetide.policy.unplaced_needs import UnplacedNeeds
 from boragetide.types import BackendServerId, ClassName, JobId, PoolName, Seconds
 
 # A backend server lists up to 500 ends. One that holds more than this number of them
@@ -167,13 +168,14 @@
     effects: list[Effect] = []
     max_free_by_pool: dict[PoolName, int] = {}
     look_ahead = LookAhead(state.index.rooms, partial(find_class_pool, state))
+    unplaced = UnplacedNeeds()
     for waiting in state.queue.iterate(now, look_ahead):
         pool = find_pool(state, waiting.job)
         if pool not in max_free_by_pool:
             max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
         if waiting.least_needs.millicores > max_free_by_pool[pool]:
             continue
-        job_effects = _place_job(state, waiting, pool, now)
+        job_effects = _place_job(state, waiting, pool, unplaced, now)
         if job_effects:
             del max_free_by_pool[pool]
             effects += job_effects
@@ -239,7 +241,11 @@
 
 
 def _place_job(
-    state: DispatcherState, waiting: WaitingJob, pool: PoolName, now: Seconds
+    state: DispatcherState,
+    waiting: WaitingJob,
+    pool: PoolName,
+    unplaced: UnplacedNeeds,
+    now: Seconds,
 ) -> list[Effect]:
     counts_by_step: dict[int, Counter[str]] = {}
     unplaceable_step: Step | None = None
@@ -249,6 +255,10 @@
     for number, step in list(waiting.tasks.items()):
         if step is unplaceable_step:
             continue
+        if unplaced.cover(pool, step):
+            unplaceable_step = step
+            is_held_by_limit = False
+            continue
         counts = Counter()
         if step.max_per_server:
             counts = counts_by_step.setdefault(
@@ -259,6 +269,8 @@
         if chosen is None:
             unplaceable_step = step
             is_held_by_limit &= _is_held_by_limit(state, pool, step, slack, now)
+            if slack is None and not step.max_per_server:
+                unplaced.add(pool, step)
             continue
         counts[chosen.id] += 1
         effects += start_task(state, waiting.job, number, step, chosen, now)
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -231,19 +231,19 @@
         look_ahead.open_kinds(min(lane.find_least_millicores() for lane in lanes))
         for waiting in examined:
             if not waiting.is_held_by_limit:
-                look_ahead.record(look_ahead.find_kinds(waiting.demand, waiting.steps))
+                look_ahead.record(look_ahead.find_rooms(waiting.demand, waiting.steps))
         if not look_ahead.has_open_kinds():
             return
         after = examined[-1].entry
         for lane in lanes:
             for _, job_id in lane.iterate(after, look_ahead):
                 waiting = self.waiting_by_id[job_id]
-                kinds = look_ahead.find_kinds(waiting.demand, waiting.steps)
-                if not kinds:
+                rooms = look_ahead.find_rooms(waiting.demand, waiting.steps)
+                if not rooms:
                     continue
                 yield waiting
                 if not waiting.is_held_by_limit:
-                    look_ahead.record(kinds)
+                    look_ahead.record(rooms)
             after = None
 
     def list_expired(self, now: Seconds) -> list[WaitingJob]:
--- a/boragetide/policy/look_ahead.py
+++ b/boragetide/policy/look_ahead.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from boragetide.durable import Resources, Step
-from boragetide.policy.room_index import RoomIndex, ServerKind
+from boragetide.policy.room_index import KindRooms, RoomIndex, ServerKind
 from boragetide.types import ClassName, PoolName
 
 # Number of jobs that could run on a kind of backend server and are examined in a pass.
@@ -51,14 +51,14 @@
     ):
         self._rooms = rooms
         self._find_pool = find_pool
-        self._examined_by_kind: Counter[ServerKind] = Counter()
-        self._open_by_pool: dict[PoolName, list[ServerKind]] = {}
+        self._examined_by_kind: Counter[KindRooms] = Counter()
+        self._open_by_pool: dict[PoolName, list[KindRooms]] = {}
 
     def open_kinds(self, millicores: float) -> None:
         """Open the kinds with a backend server that has this many millicores free."""
-        for kind in self._rooms.kind_by_key.values():
-            if max(kind.rooms.values()) >= millicores:
-                self._open_by_pool.setdefault(kind.pool, []).append(kind)
+        for rooms in self._rooms.rooms_by_kind.values():
+            if max(rooms.millicores_by_id.values()) >= millicores:
+                self._open_by_pool.setdefault(rooms.kind.pool, []).append(rooms)
 
     def has_open_kinds(self) -> bool:
         """Return whether a backend server may still be used."""
@@ -66,31 +66,31 @@
 
     def list_capacities(self, demand: Demand) -> list[Resources]:
         """Return the capacities of the open kinds that have a label of a demand."""
-        kinds = self._find_open(demand)
+        kinds = [rooms.kind for rooms in self._find_open(demand)]
         return list(
             {kind.capacity: None for kind in kinds if _has_label(kind, demand.labels)}
         )
 
-    def find_kinds(
+    def find_rooms(
         self, demand: Demand, steps: tuple[Step, ...]
-    ) -> Sequence[ServerKind]:
+    ) -> Sequence[KindRooms]:
         """Return the open kinds that could run a task of any of the steps."""
-        kinds = self._find_open(demand)
-        if not kinds:
+        open_rooms = self._find_open(demand)
+        if not open_rooms:
             return ()
         if len(steps) == 1:
-            return [kind for kind in kinds if kind.could_run(steps[0])]
-        return [kind for kind in kinds if any(map(kind.could_run, steps))]
+            return [each for each in open_rooms if each.kind.could_run(steps[0])]
+        return [each for each in open_rooms if any(map(each.kind.could_run, steps))]
 
-    def record(self, kinds: Sequence[ServerKind]) -> None:
+    def record(self, examined: Sequence[KindRooms]) -> None:
         """Count an examined job for the kinds that could run it."""
         counts = self._examined_by_kind
-        for kind in kinds:
-            counts[kind] += 1
-            if counts[kind] >= LOOK_AHEAD:
-                self._open_by_pool[kind.pool].remove(kind)
+        for rooms in examined:
+            counts[rooms] += 1
+            if counts[rooms] >= LOOK_AHEAD:
+                self._open_by_pool[rooms.kind.pool].remove(rooms)
 
-    def _find_open(self, demand: Demand) -> Sequence[ServerKind]:
+    def _find_open(self, demand: Demand) -> Sequence[KindRooms]:
         pool = self._find_pool(demand.class_name, demand.pool)
         return self._open_by_pool.get(pool, ())
 
--- a/boragetide/policy/room_index.py
+++ b/boragetide/policy/room_index.py
@@ -12,26 +12,13 @@
 from boragetide.types import BackendServerId, PoolName
 
 
-@dataclass(frozen=True, slots=True, eq=False)
+@dataclass(frozen=True, slots=True)
 class ServerKind:
-    """Backend servers that can run the same tasks while they are empty.
-
-    Parameters
-    ----------
-    rooms
-        Free thousandths of a core of each of them that has any.
-    """
+    """Backend servers that can run the same tasks while they are empty."""
 
     pool: PoolName
     labels: tuple[str, ...]
     capacity: Resources
-    rooms: dict[BackendServerId, int] = field(default_factory=dict)
-
-    def is_like(
-        self, pool: PoolName, labels: tuple[str, ...], capacity: Resources
-    ) -> bool:
-        """Return whether a backend server is of this kind."""
-        return self.pool == pool and self.labels == labels and self.capacity == capacity
 
     def could_run(self, step: Step) -> bool:
         """Return whether an empty backend server of this kind can run a task."""
@@ -40,31 +27,28 @@
         return step.needs.fits_in(self.capacity)
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class KindRooms:
+    """Free thousandths of a core of the backend servers of a kind that have any."""
+
+    kind: ServerKind
+    millicores_by_id: dict[BackendServerId, int] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class RoomIndex:
     """Kinds of the backend servers that have any free cores.
 
     Parameters
     ----------
-    kind_by_key
-        The kinds, by their pool, labels and capacity.
-    kind_by_id
-        Kind of each backend server with free cores.
+    rooms_by_id
+        The rooms to which each backend server with free cores belongs.
     """
 
-    kind_by_key: dict[tuple[PoolName, tuple[str, ...], Resources], ServerKind] = field(
-        default_factory=dict
-    )
-    kind_by_id: dict[BackendServerId, ServerKind] = field(default_factory=dict)
-
-    def put(
-        self,
-        server: BackendServerId,
-        pool: PoolName,
-        labels: tuple[str, ...],
-        capacity: Resources,
-        millicores: int,
-    ) -> None:
+    rooms_by_kind: dict[ServerKind, KindRooms] = field(default_factory=dict)
+    rooms_by_id: dict[BackendServerId, KindRooms] = field(default_factory=dict)
+
+    def put(self, server: BackendServerId, kind: ServerKind, millicores: int) -> None:
         """Insert a backend server, or update it; remove it if it is full.
 
         Parameters
@@ -72,21 +56,20 @@
         millicores
             Free thousandths of a core.
         """
-        kind = self.kind_by_id.get(server)
-        if kind is None or millicores <= 0 or not kind.is_like(pool, labels, capacity):
+        rooms = self.rooms_by_id.get(server)
+        if rooms is None or millicores <= 0 or rooms.kind != kind:
             self.remove(server)
             if millicores <= 0:
                 return
-            key = pool, labels, capacity
-            kind = self.kind_by_key.setdefault(key, ServerKind(*key))
-            self.kind_by_id[server] = kind
-        kind.rooms[server] = millicores
+            rooms = self.rooms_by_kind.setdefault(kind, KindRooms(kind))
+            self.rooms_by_id[server] = rooms
+        rooms.millicores_by_id[server] = millicores
 
     def remove(self, server: BackendServerId) -> None:
         """Remove a backend server if it is in the index."""
-        kind = self.kind_by_id.pop(server, None)
-        if kind is None:
+        rooms = self.rooms_by_id.pop(server, None)
+        if rooms is None:
             return
-        del kind.rooms[server]
-        if not kind.rooms:
-            del self.kind_by_key[kind.pool, kind.labels, kind.capacity]
+        del rooms.millicores_by_id[server]
+        if not rooms.millicores_by_id:
+            del self.rooms_by_kind[rooms.kind]
--- a/boragetide/policy/server_index.py
+++ b/boragetide/policy/server_index.py
@@ -12,7 +12,7 @@
 from sortedcontainers import SortedDict, SortedList
 
 from boragetide.durable import Resources
-from boragetide.policy.room_index import RoomIndex
+from boragetide.policy.room_index import RoomIndex, ServerKind
 from boragetide.policy.scheduling import rank_speed
 from boragetide.types import BackendServerId, PoolName
 
@@ -104,7 +104,7 @@
             Free thousandths of a core.
         """
         position = _Position(pool, rank_speed(speed), millicores)
-        self.rooms.put(server, pool, labels, capacity, millicores)
+        self.rooms.put(server, ServerKind(pool, labels, capacity), millicores)
         if self.position_by_id.get(server) == position:
             self._get_class(position).put_speed(server, speed)
             return
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -21,6 +21,7 @@
     min_useful_speed,
 )
 from boragetide.policy.server_index import ServerIndex
+from boragetide.policy.unplaced_needs import UnplacedNeeds
 from boragetide.tests.durable_fixtures import BEGIN, NEEDS, make_durable_job
 
 STEP = Step(2, NEEDS, 0.2)
@@ -280,3 +281,18 @@
     assert [waiting.job.id for waiting in iterate(queue, for_large)] == first
     order = [waiting.job.id for waiting in iterate(queue, for_large, for_small)]
     assert order == [*first, "b"]
+
+
+def test_only_what_needs_at_least_as_much_is_known_to_be_unplaceable() -> None:
+    """Guards against tasks that are passed over although a server has room."""
+    unplaced = UnplacedNeeds()
+    unplaced.add("pool", replace(STEP, required_label="a"))
+    larger = replace(STEP, needs=Resources(28_000, 64), required_label="a")
+    assert unplaced.cover("pool", larger)
+    assert not unplaced.cover("other", larger)
+    assert not unplaced.cover("pool", replace(larger, required_label=""))
+    assert not unplaced.cover("pool", replace(larger, required_label="b"))
+    smaller = Resources(28_000, 63)
+    assert not unplaced.cover("pool", replace(larger, needs=smaller))
+    unplaced.add("pool", STEP)
+    assert unplaced.cover("pool", replace(larger, required_label="b"))
