Concentrate the faults of the random takeovers

A run now has one to six kinds of faults instead of three to ten, a busy dispatcher gets submissions before its leadership is handed over, and backend servers may be left to a leader that is then lost.

--- a/properties/test_takeovers.py
+++ b/properties/test_takeovers.py
@@ -22,7 +22,7 @@
 from properties.member_site import LABEL, Member, MemberSite
 
 WARM_UP: Seconds = 7.0
-DURATION: Seconds = 25.0
+DURATION: Seconds = 20.0
 READY_TIME: Seconds = 1.0  # so that leaderships are handed over often
 # Notes of transfers are dropped, and ended jobs forgotten, within a run. A note is kept
 # for longer than a caller waits and a member is frozen, taken together.
@@ -63,6 +63,7 @@
             self.cut_any,
             self.cut_server,
             self.cut_server_and_hand_over,
+            self.leave_servers_to_leader,
             self.crash_server,
             self.strand_jobs,
             self.strand_jobs_and_lose_leaders,
@@ -75,7 +76,7 @@
             self.retire,
             self.lose_disk,
         ]
-        self.kept = self.random.sample(self.faults, self.random.randint(3, 10))
+        self.kept = self.random.sample(self.faults, self.random.randint(1, 6))
 
     def run(self) -> None:
         """Run the installation for a while."""
@@ -194,6 +195,9 @@
     def burden_and_hand_over(self) -> None:
         group = self.choose_group()
         self.burden_group(group)
+        for _ in range(self.random.randint(0, 4)):
+            self.site.submit(self.make_job(group, ""), group)
+        self.site.run_for(self.random.uniform(0.0, 0.1))
         self.transfer(group)
 
     def cut_links(self, links: set[tuple[str, str]]) -> None:
@@ -276,6 +280,26 @@
         self.site.run_for(self.random.uniform(0.0, 1.0))
         self.hand_over_all()
 
+    def leave_servers_to_leader(self) -> None:
+        """Cut backend servers off from all members but a leader that is then lost."""
+        group = self.choose_group()
+        leader = self.find_leader(group)
+        if leader is None:
+            return
+        for server in self.random.sample(self.site.servers[3 * group :][:3], 2):
+            others = [id_ for id_ in self.site.members_by_id if id_ != leader.id]
+            links = {(id_, server.id) for id_ in others}
+            self.cut_links(links | {(server.id, id_) for id_ in others})
+        self.site.run_for(self.random.uniform(0.0, 0.2))
+        for _ in range(self.random.randint(1, 4)):
+            self.site.submit(self.make_job(group, ""), group)
+        lose = self.random.choice(
+            [self.cut_member, self.cut_member, self.freeze_member]
+        )
+        lose(leader)
+        if self.random.random() < 0.3:
+            self.transfer(group)
+
     def crash_server(self) -> None:
         server = self.random.choice(self.site.servers)
         if server.is_up(self.site.now):
