Forget when a note was used once its job has come back

The time of the last use stayed in memory until the end of the leadership; and the removal of a note no longer relies on its record still being there.

--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -138,6 +138,7 @@
     effects: list[Effect] = []
     if previous is not None and previous.phase is JobPhase.TRANSFERRED:
         # The next leader would find the note in the log and direct callers by it.
+        state.transfers.note_used_at_by_job.pop(job.id, None)
         drop = DropTransfers(previous.transfer.group, (job.id,))
         effects.append(append_command(state, drop))
     effects += apply_record(state, record, now, is_new=True, arrival=arrival)
--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -80,7 +80,8 @@
     for job_id in removed:
         del commands[job_id]
         state.transfers.note_used_at_by_job.pop(job_id, None)
-        if state.records_by_id[job_id].phase is JobPhase.TRANSFERRED:
+        record = state.records_by_id.get(job_id)
+        if record is not None and record.phase is JobPhase.TRANSFERRED:
             del state.records_by_id[job_id]
 
 
