Record the starts that a silent server may still carry out

A start has no answer, its backend server restarts behind a cut under the same id, and the next process carries the start out up to 12 s later. The next leader waits 1.22 s for its predecessor's leases, knows nothing of the start, and starts the task elsewhere once the caller submits the job again.

Cause: which starts may still be carried out is known to one leader only, as the backend servers were before they were registered in the log: state that its successor lacks.

Evidence: the dispatcher's model with such a start 2 s late and a new leader 0.3 s after the restart fails before, for durable and for best-effort jobs, whether the same instance leads again or the standby: `AssertionError: (TaskRef(job_id='j0', step=0, index=0), 's1', ['s3'])` at 3.0 s. With starts 5 s and 11.9 s late, durable jobs start a task anew whose end was acknowledged. Without the call of `load_unanswered_starts` four of the new tests fail.

Why it works: the leader records the starts without an answer at silent backend servers, and a later leader keeps back exactly these tasks until their server has listed its runs by its fencing token, or until 13.1 s after the predecessor's last order. All other tasks start as before. Callers of best-effort jobs that expire before are answered 504 at once. A record is appended only when it must name another start, one at a time, and none while servers answer.

What remains: starts of the last half second before the leader was lost are not recorded, as a server counts as silent only after 0.45 s.

The fixture of the tests commits the new command as it does the registrations.

--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Literal
 
-from boragetide.durable import DurableJob, JobRecord, RunEnd, RunLoss
+from boragetide.durable import DurableJob, JobRecord, RunEnd, RunLoss, UnansweredStart
 from boragetide.types import (
     BackendServerId,
     ClassName,
@@ -156,6 +156,14 @@
     kind: Literal["unregister_backend_servers"] = "unregister_backend_servers"
 
 
+@dataclass(frozen=True, slots=True)
+class RecordUnansweredStarts(JobCommand):
+    """Records the starts that may still be carried out; replaces the earlier record."""
+
+    starts: tuple[UnansweredStart, ...]
+    kind: Literal["record_unanswered_starts"] = "record_unanswered_starts"
+
+
 @dataclass(frozen=True, slots=True)
 class TransferJobs(JobCommand):
     """Transfers jobs to another group; this group starts nothing of them any more.
@@ -236,6 +244,7 @@
     "cancel_jobs": CancelJobs,
     "register_backend_servers": RegisterBackendServers,
     "unregister_backend_servers": UnregisterBackendServers,
+    "record_unanswered_starts": RecordUnansweredStarts,
     "transfer_jobs": TransferJobs,
     "adopt_jobs": AdoptJobs,
     "confirm_transfers": ConfirmTransfers,
@@ -328,6 +337,8 @@
     server_born_by_id
         Backend servers on which runs may be in progress, with the start of the process
         in Unix milliseconds.
+    unanswered_starts
+        Starts that silent backend servers may still carry out.
     transferred_by_group, adopted_by_group
         Sequence number of the last job that was transferred to each other group, and of
         the last one that was taken over from it.
@@ -341,6 +352,7 @@
     jobs_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
     members: tuple[InstanceId, ...] = ()
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
+    unanswered_starts: tuple[UnansweredStart, ...] = ()
     transferred_by_group: dict[int, int] = field(default_factory=dict)
     adopted_by_group: dict[int, int] = field(default_factory=dict)
 
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -14,6 +14,7 @@
     RunLoss,
     Step,
     TaskRef,
+    UnansweredStart,
 )
 from boragetide.policy.fencing import make_fence
 from boragetide.policy.job_queue import JobQueue
@@ -117,6 +118,11 @@
         registered process. Nothing is started at another one.
     pending_registration
         Registration that is not committed yet, if any.
+    blocked_tasks
+        Tasks that a backend server may begin late, by an order of an earlier leader.
+    recorded_starts, pending_record
+        Starts without an answer that the log names or will name, and the command that
+        records them, if it is not committed yet.
     lost_runs
         Runs that were lost since the last `assess_lost_runs`.
     losses_by_job
@@ -169,6 +175,11 @@
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
     pending_registration: PendingRegistration | None = None
+    blocked_tasks: dict[tuple[JobId, int], BackendServerId] = field(
+        default_factory=dict
+    )
+    recorded_starts: frozenset[UnansweredStart] = frozenset()
+    pending_record: str | None = None
     lost_runs: list[LostRun] = field(default_factory=list)
     losses_by_job: dict[JobId, tuple[RunLoss, ...]] = field(default_factory=dict)
     lost_servers: set[BackendServerId] = field(default_factory=set)
@@ -227,6 +238,9 @@
     state.command_by_job.clear()
     state.server_born_by_id.clear()
     state.pending_registration = None
+    state.blocked_tasks.clear()
+    state.recorded_starts = frozenset()
+    state.pending_record = None
     state.process_count = 0
     state.queue.clear()
     state.lost_runs.clear()
@@ -249,6 +263,11 @@
     update_server_index(state, server)
 
 
+def is_occupied(state: DispatcherState, key: tuple[JobId, int]) -> bool:
+    """Return whether a task may be running, so that no other run of it may start."""
+    return key in state.server_by_task or key in state.blocked_tasks
+
+
 def has_authority(state: DispatcherState, now: Seconds) -> bool:
     """Return whether this instance may send orders and answer requests."""
     return state.term > 0 and now < state.authority_until
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -77,6 +77,12 @@
     drop_reviewed,
     review_transfers,
 )
+from boragetide.controllers.unanswered_starts import (
+    confirm_record,
+    load_unanswered_starts,
+    release_read_server,
+    review_unanswered_starts,
+)
 from boragetide.durable import JobPhase
 from boragetide.effects import Effect, LogEvent, Reply, Send, SetGauge
 from boragetide.messages import (
@@ -190,6 +196,7 @@
         if server is not None:
             effects += read_runs(state, server, now)
     effects += apply_commits(state, message.command_ids, now)
+    confirm_record(state, message.command_ids)
     registered = apply_registration(state, message.command_ids)
     if registered:
         effects += [*registered, *register_servers(state, now)]
@@ -207,6 +214,7 @@
     state.predecessor_until = message.predecessor_until
     state.missed_predecessor = message.missed_predecessor
     state.server_born_by_id = dict(message.server_born_by_id)
+    load_unanswered_starts(state, message.unanswered_starts)
     for record in message.records:
         store_record(state, record)
     state.started = {
@@ -292,6 +300,7 @@
 @handle.register
 def _(message: RunsRead, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects = reconcile_runs(state, message, now)
+    release_read_server(state, message.server)
     settled = _settle_listed(state, message, now)
     effects += settled
     takeover = check_takeover(state, now)
@@ -373,6 +382,7 @@
     if takeover:
         effects += [*takeover, *register_servers(state, now)]
     effects += free_expired_runs(state, now)
+    effects += review_unanswered_starts(state, now)
     effects += assess_lost_runs(state, now)
     effects += stop_overdue(state, now)
     effects += repeat_stops(state, now)
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -266,12 +266,12 @@
     next one may begin the run by it, or hold its lease for longer.
     """
     expired_at = server.leases_expired_at
-    if server.read_term != state.term or _may_begin_late(server, run):
+    if server.read_term != state.term or may_begin_late(server, run):
         expired_at += LATE_ORDER_WAIT
     return now >= max(expired_at, server.unknown_leases_expired_at)
 
 
-def _may_begin_late(server: Server, run: Run) -> bool:
+def may_begin_late(server: Server, run: Run) -> bool:
     """Return whether the next process of a server may begin a run."""
     ordered_at = run.start_unanswered_at
     return ordered_at is not None and (
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -11,6 +11,7 @@
     assign_run_number,
     get_fence,
     has_authority,
+    is_occupied,
     is_registered,
 )
 from boragetide.controllers.server_state import (
@@ -63,7 +64,7 @@
     tasks = {
         number: step
         for number, step in find_ready_tasks(record)
-        if (job_id, number) not in state.server_by_task
+        if not is_occupied(state, (job_id, number))
     }
     if job_id in state.losses_by_job or job_id in state.suspects_by_job:
         tasks = _hold_suspects(state, record, tasks)
--- a/boragetide/controllers/stranded_jobs.py
+++ b/boragetide/controllers/stranded_jobs.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Iterable
 from itertools import chain, islice
 
-from boragetide.controllers.dispatch_state import DispatcherState
+from boragetide.controllers.dispatch_state import DispatcherState, is_occupied
 from boragetide.controllers.placing_runs import find_pool, is_in_service, is_usable
 from boragetide.durable import DurableJob, Fit, Need, Offer, Step, make_need
 from boragetide.policy.transfers import ServerRoom, StrandedJob, make_offer
@@ -138,9 +138,7 @@
 
 def _has_runs(state: DispatcherState, job: DurableJob) -> bool:
     """Return whether a task of a job may run, or has ended without a commit."""
-    return any(
-        (job.id, number) in state.server_by_task for number in range(job.task_count)
-    )
+    return any(is_occupied(state, (job.id, number)) for number in range(job.task_count))
 
 
 def is_settled(state: DispatcherState, job_id: JobId) -> bool:
--- /dev/null
+++ b/boragetide/controllers/unanswered_starts.py
@@ -0,0 +1,129 @@
+"""Starts without an answer, which the leader records in the log for its successor.
+
+A silent backend server may carry out a start up to `MAX_ORDER_DELAY` late, if its next
+process has not been called yet. The leader that gave the order keeps the task occupied.
+A later one knows the task from the log and does not start it meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from boragetide.commands import RecordUnansweredStarts
+from boragetide.controllers.best_effort import leave_unserved
+from boragetide.controllers.dispatch_state import DispatcherState
+from boragetide.controllers.job_records import append_command
+from boragetide.controllers.orders import may_begin_late
+from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.server_state import (
+    LEASE_EXPIRY_MARGIN,
+    MAX_LEASE_DURATION,
+    MAX_ORDER_DELAY,
+    MIN_CLOCK_RATE,
+    RunPhase,
+    Server,
+)
+from boragetide.durable import JobPhase, UnansweredStart
+from boragetide.effects import Effect, LogEvent
+from boragetide.policy.scheduling import expires_at
+from boragetide.types import BackendServerId, JobId, Seconds
+
+# Time from the last order of an earlier leader until the run that it begins is over.
+LATE_RUN_WAIT: Seconds = (
+    MAX_ORDER_DELAY + MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
+)
+
+
+def load_unanswered_starts(
+    state: DispatcherState, starts: Collection[UnansweredStart]
+) -> None:
+    """Block the tasks that earlier leaders may have started at silent servers."""
+    state.recorded_starts = frozenset(starts)
+    state.blocked_tasks = {(each.job_id, each.task): each.server for each in starts}
+
+
+def release_read_server(state: DispatcherState, server_id: BackendServerId) -> None:
+    """Release the tasks of a server that has listed its runs.
+
+    It refuses the orders of earlier leaders, so that its list is final.
+    """
+    server = state.servers_by_id.get(server_id)
+    if not state.blocked_tasks or server is None or server.read_term != state.term:
+        return
+    _release(state, {k for k, id_ in state.blocked_tasks.items() if id_ == server_id})
+
+
+def _release(state: DispatcherState, keys: Collection[tuple[JobId, int]]) -> None:
+    for key in keys:
+        del state.blocked_tasks[key]
+        update_queue(state, key[0])
+
+
+def review_unanswered_starts(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Release the blocked tasks whose time has passed, and record what changed."""
+    if now >= find_release_time(state):
+        _release(state, list(state.blocked_tasks))
+    return [*_leave_blocked_jobs(state, now), *_record_starts(state)]
+
+
+def find_release_time(state: DispatcherState) -> Seconds:
+    """Return the time at which no order of an earlier leader can be in progress."""
+    return state.predecessor_until + LATE_RUN_WAIT
+
+
+def _leave_blocked_jobs(state: DispatcherState, now: Seconds) -> list[Effect]:
+    """Answer the callers of best-effort jobs that expire before they are released."""
+    if not state.takeover_complete:
+        return []
+    effects: list[Effect] = []
+    for job_id in {job_id for job_id, _ in state.blocked_tasks}:
+        record = state.records_by_id.get(job_id)
+        if record is None or record.phase is not JobPhase.ACTIVE:
+            continue
+        expires_first = expires_at(record.job) < find_release_time(state)
+        if record.job.best_effort and expires_first:
+            effects += leave_unserved(state, record, now)
+    return effects
+
+
+def _record_starts(state: DispatcherState) -> list[Effect]:
+    """Append the starts without an answer if the log does not name all of them."""
+    if state.pending_record is not None:
+        return []
+    starts = _list_unanswered_starts(state)
+    is_complete = starts <= state.recorded_starts
+    if is_complete and (starts or not state.recorded_starts):
+        return []
+    state.recorded_starts = starts
+    ordered = sorted(starts, key=lambda each: (each.job_id, each.task))
+    append = append_command(state, RecordUnansweredStarts(tuple(ordered)))
+    (state.pending_record,) = append.message.commands_by_id
+    fields = {"term": state.term, "count": len(starts)}
+    return [LogEvent("unanswered_starts_recorded", fields), append]
+
+
+def _list_unanswered_starts(state: DispatcherState) -> frozenset[UnansweredStart]:
+    """Return the starts that may be carried out, of this and of earlier leaders."""
+    earlier = {
+        UnansweredStart(job_id, task, server_id)
+        for (job_id, task), server_id in state.blocked_tasks.items()
+    }
+    own = {
+        UnansweredStart(run.job_id, run.task, server_id)
+        for server_id, server in state.servers_by_id.items()
+        if _may_be_replaced(state, server)
+        for run in server.runs_by_task.values()
+        if run.phase is not RunPhase.ENDED and may_begin_late(server, run)
+    }
+    return frozenset(earlier | own)
+
+
+def _may_be_replaced(state: DispatcherState, server: Server) -> bool:
+    """Return whether the next process of a server may be there, not yet called."""
+    return server.silent or server.departed or server.read_term != state.term
+
+
+def confirm_record(state: DispatcherState, command_ids: Collection[str]) -> None:
+    """Allow the next record once the last one is committed."""
+    if state.pending_record in command_ids:
+        state.pending_record = None
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -213,6 +213,21 @@
     SURVIVED = "survived"  # it was cut off or paused, or its end was planned
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredStart:
+    """A start that a silent backend server may still carry out.
+
+    Parameters
+    ----------
+    task
+        Number of the task over all steps.
+    """
+
+    job_id: JobId
+    task: int
+    server: BackendServerId
+
+
 @dataclass(frozen=True, slots=True)
 class RunLoss:
     """A run that was lost with its backend server.
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -13,6 +13,7 @@
     ListedRun,
     ServerReport,
     TaskRef,
+    UnansweredStart,
 )
 from boragetide.messages.common import Request, add_arrival_time
 from boragetide.types import (
@@ -260,8 +261,8 @@
         Time after which no earlier leader sends orders to backend servers.
     missed_predecessor
         Whether announcements that an earlier leader passed on may not have arrived.
-    server_born_by_id
-        Registered backend servers; see `Catalogue`.
+    server_born_by_id, unanswered_starts
+        Registered backend servers, and recorded starts; see `Catalogue`.
     """
 
     term: int
@@ -270,6 +271,7 @@
     predecessor_until: Seconds
     missed_predecessor: bool = False
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
+    unanswered_starts: tuple[UnansweredStart, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -25,6 +25,7 @@
     PublishConfiguration,
     RecordEnds,
     RecordLosses,
+    RecordUnansweredStarts,
     RegisterAcceptor,
     RegisterBackendServers,
     ReturnBackendServer,
@@ -230,6 +231,14 @@
     return transfer_table.drop_transfers(catalogue.jobs_by_id, command)
 
 
+@apply_job_command.register
+def _(
+    command: RecordUnansweredStarts, catalogue: Catalogue, now: Seconds
+) -> set[JobId]:
+    catalogue.unanswered_starts = command.starts
+    return set()
+
+
 @apply_job_command.register
 def _(
     command: RegisterBackendServers, catalogue: Catalogue, now: Seconds
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -95,6 +95,7 @@
             replica.predecessor_until,
             replica.missed_predecessor,
             dict(replica.catalogue.server_born_by_id),
+            replica.catalogue.unanswered_starts,
         )
         return [*effects, Send(to, gained)]
     if term and applied.proposals:
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -6,6 +6,7 @@
 
 from boragetide.commands import (
     Catalogue,
+    RecordUnansweredStarts,
     RegisterBackendServers,
     UnregisterBackendServers,
 )
@@ -36,6 +37,12 @@
 from boragetide.settings import Settings
 from boragetide.types import DurableStarts, ReplyTo
 
+# Commands that the leader appends for its successor, whatever the jobs are.
+SERVER_COMMANDS = (
+    RegisterBackendServers,
+    UnregisterBackendServers,
+    RecordUnansweredStarts,
+)
 BEGIN = 1_000_000.0  # Unix time at which the tests begin, in seconds
 BORN = 900_000_000  # Unix milliseconds at which the backend servers started
 CAPACITY = Resources(64_000, 100_000)
@@ -84,7 +91,8 @@
 class Leader:
     """A leading dispatcher that records the effects of the last message.
 
-    Registrations of backend servers are committed at once, unless the log is held up.
+    Registrations of backend servers and starts without an answer are committed at once,
+    unless the log is held up.
     """
 
     def __init__(
@@ -105,6 +113,7 @@
             now + 1000.0,
             now + PREDECESSOR_AUTHORITY,
             server_born_by_id=dict(self.catalogue.server_born_by_id),
+            unanswered_starts=self.catalogue.unanswered_starts,
         )
         self.handle(gained, now)
 
@@ -117,14 +126,14 @@
         return self.effects
 
     def registrations(self) -> list[Send]:
-        """Return the appended commands about registrations of the last message."""
+        """Return the appended commands about backend servers of the last message."""
         return [
             effect
             for effect in self.effects
             if isinstance(effect, Send)
             and isinstance(effect.message, AppendCommands)
             and all(
-                isinstance(command, RegisterBackendServers | UnregisterBackendServers)
+                isinstance(command, SERVER_COMMANDS)
                 for command in effect.message.commands_by_id.values()
             )
         ]
--- /dev/null
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -0,0 +1,125 @@
+"""The dispatcher and starts of an earlier leader that may be carried out late."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
+from boragetide.controllers.unanswered_starts import LATE_RUN_WAIT
+from boragetide.durable import DurableJob, ListedRun, Step
+from boragetide.effects import StartRun
+from boragetide.messages import (
+    DispatcherReply,
+    OrderResult,
+    ReadFailed,
+    ReplyStatus,
+    ReportServer,
+    SubmitDurableJob,
+    Tick,
+)
+from boragetide.settings import Settings
+from boragetide.tests.durable_fixtures import (
+    BEGIN,
+    NEEDS,
+    PREDECESSOR_AUTHORITY,
+    Leader,
+    make_durable_job,
+    make_report,
+    make_task_ref,
+)
+from boragetide.types import ReplyTo
+
+SUCCEEDED_AT = BEGIN + 1.0  # time at which the next leader takes over
+PREDECESSOR_UNTIL = SUCCEEDED_AT + PREDECESSOR_AUTHORITY
+TAKEN_OVER_AT = PREDECESSOR_UNTIL + LEASE_EXPIRY_WAIT + 0.01
+RELEASED_AT = PREDECESSOR_UNTIL + LATE_RUN_WAIT
+
+
+def make_job(estimate: float = 4.0) -> DurableJob:
+    """Build a job that by default has not expired when its tasks are released."""
+    step = Step(2, NEEDS, estimate)
+    return make_durable_job("j1", step, best_effort=True, submitted_at=TAKEN_OVER_AT)
+
+
+def submit(leader: Leader, job: DurableJob, now: float) -> list[StartRun]:
+    leader.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", 7)), now)
+    return leader.starts()
+
+
+@pytest.fixture
+def predecessor(settings: Settings) -> Leader:
+    """A leader whose starts were not answered by a server that is silent since."""
+    made = Leader(settings)
+    made.lead()
+    made.join()
+    for first in submit(made, make_job(), BEGIN):
+        made.answer(first, OrderResult.UNANSWERED, BEGIN + 0.2)
+        for repeated in made.starts():
+            made.answer(repeated, OrderResult.UNANSWERED, BEGIN + 0.4)
+    made.handle(ReadFailed("s1", 1), BEGIN + 0.45)
+    made.handle(Tick(), BEGIN + 0.5)
+    return made
+
+
+@pytest.fixture
+def leader(settings: Settings, predecessor: Leader) -> Leader:
+    """The next leader, which does not reach that server and has another one."""
+    made = Leader(settings, term=2, catalogue=predecessor.catalogue)
+    made.handle(ReportServer(report=make_report(), passed_on=True), SUCCEEDED_AT)
+    made.lead(SUCCEEDED_AT)
+    made.join("s2", now=TAKEN_OVER_AT - 0.2)
+    made.handle(Tick(), TAKEN_OVER_AT)
+    return made
+
+
+def test_next_leader_starts_no_task_that_a_silent_server_may_begin_late(
+    leader: Leader,
+) -> None:
+    """Guards against a second run beside one that an earlier leader has ordered."""
+    assert submit(leader, make_job(), TAKEN_OVER_AT) == []
+    leader.join("s2", now=RELEASED_AT - 0.1, sequence=2)
+    leader.handle(Tick(), RELEASED_AT - 0.01)
+    assert leader.starts() == []
+    leader.handle(Tick(), RELEASED_AT + 0.01)
+    assert [start.server for start in leader.starts()] == ["s2", "s2"]
+
+
+def test_other_jobs_start_while_tasks_are_blocked(leader: Leader) -> None:
+    """Guards against a takeover that stops the service for one silent server."""
+    job = make_durable_job("j2", best_effort=True, submitted_at=TAKEN_OVER_AT)
+    assert len(submit(leader, job, TAKEN_OVER_AT)) == 2
+
+
+def test_server_that_answers_releases_the_tasks_that_it_may_begin(
+    leader: Leader,
+) -> None:
+    """Guards against tasks that wait although no late order can begin them."""
+    submit(leader, make_job(), TAKEN_OVER_AT)
+    leader.list_runs("s1", now=TAKEN_OVER_AT + 0.1)
+    assert {start.number for start in leader.starts()} == {0, 1}
+
+
+def test_late_run_that_the_server_lists_goes_on(leader: Leader) -> None:
+    """Guards against a second run beside one that is listed for the first time."""
+    submit(leader, make_job(), TAKEN_OVER_AT)
+    running = (ListedRun(make_task_ref("j1", 0), 1),)
+    leader.list_runs("s1", running=running, now=TAKEN_OVER_AT + 0.1)
+    assert {start.number for start in leader.starts()} == {1}
+
+
+def test_callers_of_a_job_that_expires_before_are_answered_at_once(
+    leader: Leader,
+) -> None:
+    """Guards against a request that is held although it cannot be served in time."""
+    submit(leader, make_job(estimate=0.2), TAKEN_OVER_AT)
+    leader.handle(Tick(), TAKEN_OVER_AT + 0.05)
+    answers = [r for r in leader.replies() if isinstance(r, DispatcherReply)]
+    assert [answer.status for answer in answers] == [ReplyStatus.UNDECIDED]
+
+
+def test_record_is_emptied_when_the_server_answers(predecessor: Leader) -> None:
+    """Guards against tasks that each later leader blocks anew."""
+    assert len(predecessor.catalogue.unanswered_starts) == 2
+    predecessor.list_runs("s1", now=BEGIN + 0.6)
+    predecessor.handle(Tick(), BEGIN + 0.7)
+    assert predecessor.catalogue.unanswered_starts == ()
--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -144,6 +144,7 @@
             self.now + AUTHORITY_DURATION,
             self.now,
             server_born_by_id=dict(group.catalogue.server_born_by_id),
+            unanswered_starts=group.catalogue.unanswered_starts,
         )
         self.announce(group)
         self.handle(group, gained)
