Count a crash also after the time of day was set back

What callers saw (in process): a durable task that was lost alone with its backend server is not started again for 10 s, twice as long each further time, and a deadly task is given up later, although the backend server has answered as another process.

Evidence: the new test fails before (the job is ACTIVE after two crashes, the last alone).

Why it works: a process that answers a request of its own is the one that runs now, so any other process of the same backend server has ended. Announcements, which may be late, still count by `born`, and so do other backend servers at the same address.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -326,7 +326,8 @@
         return effects
     if server is None or message.born < server.report.born:
         return effects
-    effects += settle_crashes(state, server.report, now)
+    has_answered = message.born == message.target_born == server.report.born
+    effects += settle_crashes(state, server.report, now, has_answered=has_answered)
     return [*effects, *settle_survival(state, message.server, message.born, now)]
 
 
--- a/boragetide/controllers/lost_runs.py
+++ b/boragetide/controllers/lost_runs.py
@@ -63,7 +63,8 @@
         alone=run.alone,
     )
     has_crashed = any(
-        _is_later_life(server.report, loss) for server in state.servers_by_id.values()
+        _is_later_life(server.report, loss, has_answered=True)
+        for server in state.servers_by_id.values()
     )
     return replace(loss, fate=LossFate.CRASHED) if has_crashed else loss
 
@@ -75,21 +76,42 @@
     return task not in record.done
 
 
-def _is_later_life(report: ServerReport, loss: RunLoss) -> bool:
-    """Return whether a process has taken the place of the one that ran a lost run."""
+def _is_later_life(
+    report: ServerReport, loss: RunLoss, *, has_answered: bool = False
+) -> bool:
+    """Return whether a process has taken the place of the one that ran a lost run.
+
+    Parameters
+    ----------
+    has_answered
+        Whether the process is the one that answers at present. The time of day may have
+        been set back before it started.
+    """
+    if has_answered and report.id == loss.server:
+        return report.born != loss.born
     if report.born <= loss.born:
         return False
     return report.id == loss.server or report.address == loss.address
 
 
 def settle_crashes(
-    state: DispatcherState, report: ServerReport, now: Seconds
+    state: DispatcherState,
+    report: ServerReport,
+    now: Seconds,
+    *,
+    has_answered: bool = False,
 ) -> list[Effect]:
-    """Count a crash for all tasks that ran on the predecessor of a process."""
+    """Count a crash for all tasks that ran on the predecessor of a process.
+
+    Parameters
+    ----------
+    has_answered
+        Whether the process has just listed its runs.
+    """
     crashed = [
         replace(loss, fate=LossFate.CRASHED)
         for loss in _list_open_losses(state)
-        if _is_later_life(report, loss)
+        if _is_later_life(report, loss, has_answered=has_answered)
     ]
     if not crashed:
         return []
--- a/boragetide/tests/test_lost_runs.py
+++ b/boragetide/tests/test_lost_runs.py
@@ -191,6 +191,18 @@
     assert site.leader.state.records_by_id["j1"].phase is JobPhase.FAILED
 
 
+def test_crash_counts_after_the_time_of_day_was_set_back(site: Site) -> None:
+    """Guards against a suspect that waits for the fate of a server that is back."""
+    site.submit("j1")
+    for _ in range(2):
+        server = site.take_start().server
+        site.lose(server)
+        for target_born in (BORN, BORN - 2000):
+            fields = {"born": BORN - 2000, "target_born": target_born}
+            site.take(site.leader.list_runs(server, now=site.now, **fields))
+    assert site.leader.state.records_by_id["j1"].phase is JobPhase.FAILED
+
+
 def test_task_lost_beside_a_deadly_one_is_served(site: Site) -> None:
     """Guards against an innocent task that is given up with a deadly one."""
     site.submit("deadly")
