Store the cancellation of every job

Cause: such a cancellation was kept in the memory of one leader, dated by its clock. The edge sends new copies as long as its caller waits, so no bound on the delivery of a copy helps.

Change: CancelJobs is appended for best-effort jobs and for jobs that no leader knows, too, and the log notes for 150 s the ids of which it has no record. The DELETE is answered when the command is committed. A leader answers submissions of such a job with its state, stops runs of it at once, and leaves undecided what was submitted over 120 s ago and does not run.

Conclusion: an acknowledged cancellation holds for every later leader for as long as a copy of the submission can start anything.

--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -125,7 +125,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelJobs(JobCommand):
-    """Cancels the given durable jobs, except those that have ended."""
+    """Cancels the given jobs, except those that have ended.
+
+    Jobs that the log does not know are noted as cancelled. They may be best-effort jobs
+    of which a copy of the submission is still on its way.
+    """
 
     job_ids: tuple[JobId, ...]
     kind: Literal["cancel_jobs"] = "cancel_jobs"
@@ -328,6 +332,9 @@
     server_born_by_id
         Backend servers on which runs may be in progress, with the start of the process
         in Unix milliseconds.
+    cancelled_at_by_job
+        Jobs that were cancelled while the log did not know them, with the Unix time,
+        oldest first.
     transferred_by_group, adopted_by_group
         Sequence number of the last job that was transferred to each other group, and of
         the last one that was taken over from it.
@@ -341,6 +348,7 @@
     jobs_by_id: dict[JobId, JobRecord] = field(default_factory=dict)
     members: tuple[InstanceId, ...] = ()
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
+    cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
     transferred_by_group: dict[int, int] = field(default_factory=dict)
     adopted_by_group: dict[int, int] = field(default_factory=dict)
 
--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -160,11 +160,19 @@
 def cancel_best_effort(
     state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
-    """Cancel a job for all of its callers."""
-    state.fence.void(record.job.id, now)
+    """Cancel a job for all of its callers, unless it has ended."""
+    void_submissions(state, record.job.id, now)
+    if record.phase is not JobPhase.ACTIVE:
+        return []
     return _cancel(state, record.job.id, now)
 
 
+def void_submissions(state: DispatcherState, job_id: JobId, now: Seconds) -> None:
+    """Void all submissions of a job that is cancelled at the request of a caller."""
+    state.fence.void(job_id, now)
+    job_table.note_cancelled(state.cancelled_at_by_job, job_id, now)
+
+
 def _cancel(state: DispatcherState, job_id: JobId, now: Seconds) -> list[Effect]:
     job_table.cancel_job(state.records_by_id, job_id, now)
     return apply_record(state, state.records_by_id[job_id], now)
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -16,6 +16,7 @@
     Step,
     TaskRef,
 )
+from boragetide.effects import Reply
 from boragetide.policy.fencing import make_fence
 from boragetide.policy.job_queue import JobQueue
 from boragetide.policy.overload import AdmissionControl
@@ -101,6 +102,8 @@
         Newest run number of each task that was started or adopted in this term.
     replies_by_command, pending_ends_by_command
         Requests to answer and ends to acknowledge once a command is committed.
+    cancel_replies_by_command
+        Replies to cancellations, which are sent once the command is committed.
     command_by_job
         Command that accepts a new job, until it is committed.
     waiters_by_job
@@ -108,6 +111,9 @@
     fence
         Submissions that were refused or withdrawn; kept when the leadership is lost,
         because copies may arrive when this instance leads again.
+    cancelled_at_by_job
+        Jobs that were cancelled without a stored record, with the time; nothing of them
+        is started. This leader notes them before the commit.
     admission
         Share of the submissions that this leader admits.
     overdue_stopped_tasks
@@ -166,9 +172,11 @@
     started: set[JobId] = field(default_factory=set)
     run_number_by_task: dict[tuple[JobId, int], int] = field(default_factory=dict)
     replies_by_command: dict[str, list[ReplyTo | None]] = field(default_factory=dict)
+    cancel_replies_by_command: dict[str, Reply] = field(default_factory=dict)
     command_by_job: dict[JobId, str] = field(default_factory=dict)
     waiters_by_job: dict[JobId, list[ReplyTo | None]] = field(default_factory=dict)
     fence: SubmissionFence = field(default_factory=SubmissionFence)
+    cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
     admission: AdmissionControl = field(default_factory=AdmissionControl)
     overdue_stopped_tasks: set[tuple[JobId, int]] = field(default_factory=set)
     done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
@@ -231,6 +239,8 @@
     state.run_number_by_task.clear()
     state.pending_ends_by_command.clear()
     state.replies_by_command.clear()
+    state.cancel_replies_by_command.clear()
+    state.cancelled_at_by_job.clear()
     state.command_by_job.clear()
     state.server_born_by_id.clear()
     state.pending_registration = None
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -182,6 +182,8 @@
         waiting = state.replies_by_command.pop(command_id, ())
         accepted = DispatcherReply(ReplyStatus.ACCEPTED)
         effects += [Reply(reply_to, accepted) for reply_to in waiting]
+        cancelled = state.cancel_replies_by_command.pop(command_id, None)
+        effects += [] if cancelled is None else [cancelled]
         ends = state.pending_ends_by_command.pop(command_id, None)
         if ends is None:
             continue
@@ -207,6 +209,7 @@
     state.predecessor_until = message.predecessor_until
     state.missed_predecessor = message.missed_predecessor
     state.server_born_by_id = dict(message.server_born_by_id)
+    state.cancelled_at_by_job = dict(message.cancelled_at_by_job)
     for record in message.records:
         store_record(state, record)
     state.started = {
@@ -358,6 +361,7 @@
         job_table.drop_ended_jobs(state.records_by_id, now)
         state.remove_unused_run_numbers()
         state.fence.remove_old(now)
+        job_table.drop_old_notes(state.cancelled_at_by_job, now)
         remove_stale_servers(state, now)
         recover_speeds(state, now)
         _remove_old_unknown_tasks(state, now)
@@ -412,6 +416,7 @@
         for each in waiting.values()
         for reply_to in each
     ]
+    waiting += [reply.to for reply in state.cancel_replies_by_command.values()]
     return [*waiting, *list_held_requests(state)]
 
 
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -15,6 +15,7 @@
     has_returned,
     refuse_if_late,
     restarts_when_resubmitted,
+    void_submissions,
 )
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.held_submissions import fits_elsewhere, hold_submission
@@ -88,8 +89,10 @@
     """Return whether the submission of a known job makes it run from the start."""
     if record.phase is JobPhase.TRANSFERRED:
         return has_returned(record, message)
+    if not restarts_when_resubmitted(record):
+        return False
     is_void = state.fence.is_void(record.job.id, message.submitted_at)
-    return restarts_when_resubmitted(record) and not is_void
+    return not (is_void or record.job.id in state.cancelled_at_by_job)
 
 
 def _with_submission_time(message: SubmitDurableJob, now: Seconds) -> DurableJob:
@@ -138,20 +141,31 @@
     if record is not None and record.phase is JobPhase.TRANSFERRED:
         return _cancel_transferred(message, state, record, now)
     if record is None and message.id not in state.command_by_job:
-        # The submission may still be on its way.
-        state.fence.void(message.id, now)
-        return [make_reply(message, ReplyStatus.NOT_FOUND)]
+        return [_cancel_unknown(message, state, now)]
+    if record is not None and record.job.best_effort:
+        cancelled = cancel_best_effort(state, record, now)
+        return [*cancelled, _store_cancellation(message, state, ReplyStatus.ACCEPTED)]
     if record is not None and record.phase is not JobPhase.ACTIVE:
         return [make_reply(message, ReplyStatus.ACCEPTED)]
-    if record is not None and record.job.best_effort:
-        return [
-            *cancel_best_effort(state, record, now),
-            make_reply(message, ReplyStatus.ACCEPTED),
-        ]
+    return [_store_cancellation(message, state, ReplyStatus.ACCEPTED)]
+
+
+def _cancel_unknown(
+    message: CancelDurableJob, state: DispatcherState, now: Seconds
+) -> Effect:
+    """Cancel a job of which the submission may still be on its way."""
+    void_submissions(state, message.id, now)
+    return _store_cancellation(message, state, ReplyStatus.NOT_FOUND)
+
+
+def _store_cancellation(
+    message: CancelDurableJob, state: DispatcherState, status: ReplyStatus
+) -> Effect:
+    """Append a cancellation to the log; it is answered once it is committed."""
     append = append_command(state, CancelJobs((message.id,)))
     (command_id,) = append.message.commands_by_id
-    state.replies_by_command[command_id] = [message.reply_to]
-    return [append]
+    state.cancel_replies_by_command[command_id] = make_reply(message, status)
+    return append
 
 
 def _cancel_transferred(
@@ -159,9 +173,7 @@
 ) -> list[Effect]:
     """Direct a cancellation to the group that has the job."""
     if has_returned(record, message):
-        # The submission to this group may still be on its way.
-        state.fence.void(message.id, now)
-        return [make_reply(message, ReplyStatus.NOT_FOUND)]
+        return [_cancel_unknown(message, state, now)]
     if is_undelivered(record):
         return [make_reply(message, ReplyStatus.NOT_LEADER)]
     return [Reply(message.reply_to, make_transfer_reply(state, record))]
--- a/boragetide/controllers/refusals.py
+++ b/boragetide/controllers/refusals.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.durable import DurableJob
+from boragetide.durable import DurableJob, JobPhase
 from boragetide.effects import Count, Effect, LogEvent, Reply
 from boragetide.messages import DispatcherReply, ReplyStatus, SubmitDurableJob
 from boragetide.policy import job_table
@@ -83,18 +83,40 @@
     """Refuse a submission that is void; return no effects if it is not.
 
     The fence stays where it is, because the caller may have submitted the job again in
-    the meantime. A copy that was on its way for so long that a refusal may be forgotten
-    is left undecided, and so is one whose job runs under an earlier leader.
+    the meantime. A copy of a cancelled job is answered with that state. One that was on
+    its way for so long that a refusal may be forgotten is left undecided, and so is one
+    whose job runs under an earlier leader.
     """
     is_void = state.fence.is_void(job.id, message.submitted_at)
     if is_void and not has_earlier_run(state, job.id):
         waiters = [message.reply_to]
         return _refuse(state, job, waiters, REASON_VOID, now, RETRY_AFTER, arrival)
+    if job.id in state.cancelled_at_by_job:
+        return [_make_cancelled_reply(message)]
     if is_void or message.delivery_time(now) > MAX_DELIVERY_TIME:
         return leave_undecided(message, state, arrival)
+    if _may_be_cancelled(message, state, now):
+        return leave_undecided(message, state, arrival)
     return []
 
 
+def _make_cancelled_reply(message: SubmitDurableJob) -> Reply:
+    cancelled = DispatcherReply(ReplyStatus.ACCEPTED, state=JobPhase.CANCELLED.value)
+    return Reply(message.reply_to, cancelled)
+
+
+def _may_be_cancelled(
+    message: SubmitDurableJob, state: DispatcherState, now: Seconds
+) -> bool:
+    """Return whether the note that a job was cancelled may have been dropped.
+
+    The runs of a cancelled job are over long before that.
+    """
+    age = message.age + message.delivery_time(now)
+    is_old = age > job_table.MAX_SUBMISSION_AGE
+    return is_old and not has_earlier_run(state, message.job.id)
+
+
 def leave_undecided(
     message: SubmitDurableJob,
     state: DispatcherState,
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -181,9 +181,13 @@
 def _tolerate_unknown_run(
     state: DispatcherState, server: Server, listed: ListedRun, now: Seconds
 ) -> list[Effect]:
-    """Let a run of an unknown job go on for a while: the job may be submitted again."""
+    """Let a run of an unknown job go on for a while: the job may be submitted again.
+
+    A run of a cancelled job is stopped at once.
+    """
     since = server.unexpected_runs.setdefault(listed, now)
-    if now - since < UNKNOWN_JOB_GRACE_PERIOD:
+    is_cancelled = listed.task.job_id in state.cancelled_at_by_job
+    if not is_cancelled and now - since < UNKNOWN_JOB_GRACE_PERIOD:
         return []
     return _stop_unexpected_run(state, server, listed, now)
 
--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -163,9 +163,7 @@
     if not has_authority(state, now) or not state.takeover_complete:
         return []
     unknown = tuple(
-        job_id
-        for job_id in message.job_ids
-        if job_id not in state.records_by_id and job_id not in state.command_by_job
+        job_id for job_id in message.job_ids if not _is_known(state, job_id)
     )
     if not unknown:
         return []
@@ -173,6 +171,14 @@
     return [Send(address_sender(message), answer)]
 
 
+def _is_known(state: DispatcherState, job_id: JobId) -> bool:
+    return (
+        job_id in state.records_by_id
+        or job_id in state.command_by_job
+        or job_id in state.cancelled_at_by_job
+    )
+
+
 def drop_reviewed(
     message: TransfersReviewed, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -260,8 +260,8 @@
         Time after which no earlier leader sends orders to backend servers.
     missed_predecessor
         Whether announcements that an earlier leader passed on may not have arrived.
-    server_born_by_id
-        Registered backend servers; see `Catalogue`.
+    server_born_by_id, cancelled_at_by_job
+        Registered backend servers and cancelled jobs; see `Catalogue`.
     """
 
     term: int
@@ -270,6 +270,7 @@
     predecessor_until: Seconds
     missed_predecessor: bool = False
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
+    cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -32,6 +32,7 @@
     TransferJobs,
     UnregisterBackendServers,
 )
+from boragetide.durable import JobPhase
 from boragetide.policy import job_table, transfer_table
 from boragetide.types import ClassTarget, Configuration, JobId, Seconds
 
@@ -62,6 +63,7 @@
         acceptors_by_id=dict(catalogue.acceptors_by_id),
         jobs_by_id=dict(catalogue.jobs_by_id),
         server_born_by_id=dict(catalogue.server_born_by_id),
+        cancelled_at_by_job=dict(catalogue.cancelled_at_by_job),
         transferred_by_group=dict(catalogue.transferred_by_group),
         adopted_by_group=dict(catalogue.adopted_by_group),
     )
@@ -82,6 +84,7 @@
     if isinstance(proposal.command, JobCommand):
         changed = apply_job_command(proposal.command, catalogue, entry.accepted_at)
         job_table.drop_ended_jobs(catalogue.jobs_by_id, entry.accepted_at)
+        job_table.drop_old_notes(catalogue.cancelled_at_by_job, entry.accepted_at)
         return changed
     if find_outcome(proposal, catalogue) is None:
         _apply_command(proposal, catalogue, entry.accepted_at)
@@ -203,6 +206,9 @@
     changed: set[JobId] = set()
     for job_id in command.job_ids:
         changed |= job_table.cancel_job(catalogue.jobs_by_id, job_id, now)
+        record = catalogue.jobs_by_id.get(job_id)
+        if record is None or record.phase is JobPhase.TRANSFERRED:
+            job_table.note_cancelled(catalogue.cancelled_at_by_job, job_id, now)
     return changed
 
 
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -15,6 +15,10 @@
 
 # The state of an ended job may be requested for 120 s after its end.
 RETENTION = 150.0  # seconds
+# A submission that is older than this starts nothing, because the note that its job was
+# cancelled may have been dropped. The clocks of two leaders may differ by the remainder
+# of the retention time.
+MAX_SUBMISSION_AGE = RETENTION - 30.0  # seconds
 # An edge instance that lost the reply to a best-effort job repeats its request within
 # this time: its request timeout doubles up to 5.6 s.
 BEST_EFFORT_RETENTION = 10.0  # seconds
@@ -114,6 +118,22 @@
     return {job_id}
 
 
+def note_cancelled(
+    cancelled_at_by_job: dict[JobId, Seconds], job_id: JobId, now: Seconds
+) -> None:
+    """Note that a job of which no record is stored was cancelled."""
+    cancelled_at_by_job.pop(job_id, None)
+    cancelled_at_by_job[job_id] = now
+
+
+def drop_old_notes(cancelled_at_by_job: dict[JobId, Seconds], now: Seconds) -> None:
+    """Drop the notes of cancelled jobs that no submission can concern any more."""
+    for job_id, cancelled_at in list(cancelled_at_by_job.items()):
+        if now - cancelled_at <= RETENTION:
+            break
+        del cancelled_at_by_job[job_id]
+
+
 def drop_ended_jobs(jobs_by_id: dict[JobId, JobRecord], now: Seconds) -> None:
     """Drop jobs whose retention time has passed; the oldest jobs come first."""
     expired = []
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -95,6 +95,7 @@
             replica.predecessor_until,
             replica.missed_predecessor,
             dict(replica.catalogue.server_born_by_id),
+            dict(replica.catalogue.cancelled_at_by_job),
         )
         return [*effects, Send(to, gained)]
     if term and applied.proposals:
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -105,6 +105,7 @@
             now + 1000.0,
             now + PREDECESSOR_AUTHORITY,
             server_born_by_id=dict(self.catalogue.server_born_by_id),
+            cancelled_at_by_job=dict(self.catalogue.cancelled_at_by_job),
         )
         self.handle(gained, now)
 
--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -144,6 +144,7 @@
             self.now + AUTHORITY_DURATION,
             self.now,
             server_born_by_id=dict(group.catalogue.server_born_by_id),
+            cancelled_at_by_job=dict(group.catalogue.cancelled_at_by_job),
         )
         self.announce(group)
         self.handle(group, gained)
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -39,6 +39,7 @@
     LeadershipLost,
     OrderResult,
     ReadFailed,
+    ReplyStatus,
     ReportServer,
     RunOrdered,
     RunsRead,
@@ -67,6 +68,7 @@
 WORK_DURATION: Seconds = 0.3
 LONG_WORK_DURATION: Seconds = 1.5  # longer than a lease
 START_FATES = ("carried_out", "answer_lost", "handled_late", *DELAYS_BY_FATE)
+CANCELLING_EDGE = "e2"
 SERVERS = ("s1", "s2", "s3")
 MAX_SERVERS = 6
 CLOCK_RATES = (1.0, 0.98, 1.0)
@@ -118,6 +120,8 @@
         self.appended: list[AppendCommands] = []
         self.jobs: dict[str, Any] = {}
         self.cancelled: set[str] = set()
+        self.cancellations: list[str] = []
+        self.acknowledged_cancellations: set[str] = set()
         self.replies: dict[int, str] = {}
         self.standby_is_deaf = False
         self.started_at: set[str] = set()
@@ -146,6 +150,7 @@
             self.now + AUTHORITY_DURATION,
             predecessor_until,
             server_born_by_id=dict(self.catalogue.server_born_by_id),
+            cancelled_at_by_job=dict(self.catalogue.cancelled_at_by_job),
         )
         if not self.standby_is_deaf:
             self.announce()
@@ -217,10 +222,15 @@
 
     @execute_effect.register
     def _(self, effect: Reply) -> None:
-        pass
+        if effect.to is None or effect.to.instance != CANCELLING_EDGE:
+            return
+        if effect.message.status in (ReplyStatus.ACCEPTED, ReplyStatus.NOT_FOUND):
+            job_id = self.cancellations[effect.to.request]
+            self.acknowledged_cancellations.add(job_id)
 
     @execute_effect.register
     def _(self, effect: StartRun) -> None:
+        assert effect.task.job_id not in self.acknowledged_cancellations, effect
         self.send_order(effect, started=True)
 
     @execute_effect.register
@@ -468,7 +478,9 @@
     def cancel(self, number: int) -> None:
         job_id = f"j{number % len(self.jobs)}"
         self.cancelled.add(job_id)
-        self.handle(CancelDurableJob(id=job_id, reply_to=ReplyTo("e1", -1)))
+        reply_to = ReplyTo(CANCELLING_EDGE, len(self.cancellations))
+        self.cancellations.append(job_id)
+        self.handle(CancelDurableJob(id=job_id, reply_to=reply_to))
 
     @rule(fates=st.lists(st.sampled_from(FATES), min_size=1, max_size=6))
     def disturb(self, fates: list[str]) -> None:
@@ -584,7 +596,10 @@
 
     @rule(same=st.booleans(), seconds=st.sampled_from([0.0, 0.3, 1.0]))
     def change_leader(self, same: bool, seconds: float) -> None:
-        """Replace the leader; best-effort jobs are resubmitted to the next at once."""
+        """Replace the leader; best-effort jobs are resubmitted to the next at once.
+
+        The instance that does so has not heard of cancellations at other instances.
+        """
         if same:
             self.handle(LeadershipLost())
         else:
@@ -593,7 +608,7 @@
         self.now += seconds
         self.start_leader(predecessor_until=stopped_at)
         for job in list(self.jobs.values()):
-            if job.id not in self.cancelled and self.best_effort:
+            if self.best_effort:
                 self.send_submission(job)
 
     @rule()
