Bind each copy of a submission to the leader it is sent to

What callers could see: a refused job runs, because an early copy of its submission reaches the next process at the address of the leader that refused it.

Cause: refusals are remembered by the process that gives them, and a copy did not name the leader that it was meant for.

Change: a copy names the term of that leader; the leader of another term answers that it does nothing, and the edge asks the one that it knows by now. Refusals need no commit.

Conclusion: a refusal holds without being stored, because no later leader takes a copy that the refusing leader could have got.

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -128,7 +128,7 @@
 
 @handle.register
 def _(message: SubmitDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
-    if not has_authority(state, now):
+    if not has_authority(state, now) or message.term not in (0, state.term):
         return [make_reply(message, ReplyStatus.NOT_LEADER)]
     measured = measure_submission(message, state, now)
     return [*measured, *submit_job(message, state, now)]
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -304,6 +304,7 @@
         age=now - exchange.received_at,
         submitted_at=lookup.to_leader_clock(exchange.received_at),
         attempt=exchange.attempts,
+        term=lookup.term,
     )
 
 
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -99,6 +99,10 @@
         Number of this message among the copies that the sender has sent, from 1.
     arrived_at
         Arrival time of this message, by the receiver's clock.
+    term
+        Term of the leader that the sender asks; 0 if any leader may answer. The leader
+        of another term does nothing, so that a refusal concerns all copies that were
+        sent to the leader that gave it.
     """
 
     job: DurableJob
@@ -106,6 +110,7 @@
     submitted_at: Seconds | None = None
     attempt: int = 1
     arrived_at: Seconds | None = None
+    term: int = 0
 
     def transit(self, now: Seconds) -> Seconds | None:
         """Return the time from sending to arrival, or ``None`` if it is not known.
--- a/boragetide/tests/test_refusals.py
+++ b/boragetide/tests/test_refusals.py
@@ -104,6 +104,21 @@
     assert reply.status is ReplyStatus.REFUSED
 
 
+def test_copy_that_was_sent_to_an_earlier_leader_does_not_run(
+    settings: Settings,
+) -> None:
+    """Guards against a run after a refusal that a restarted instance has forgotten."""
+    successor = Leader(settings, term=2)
+    successor.lead()
+    successor.join()
+    job = make_durable_job("j1", best_effort=True)
+    copy = SubmitDurableJob(job=job, age=JUST_SENT, reply_to=CALLER, term=1)
+    successor.handle(copy, BEGIN + 0.1)
+    (reply,) = successor.replies()
+    assert reply.status is ReplyStatus.NOT_LEADER
+    assert successor.starts() == []
+
+
 def test_late_copy_of_a_job_that_fitted_nowhere_does_not_run(
     leader: Leader, submit: Callable[..., Any]
 ) -> None:
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -69,6 +69,7 @@
 LONG_WORK_DURATION: Seconds = 1.5  # longer than a lease
 START_FATES = ("carried_out", "answer_lost", "handled_late", *DELAYS_BY_FATE)
 CANCELLING_EDGE = "e2"
+EXPIRED_AGE: Seconds = 20.0  # age at which a job is of no use to its caller any more
 SERVERS = ("s1", "s2", "s3")
 MAX_SERVERS = 6
 CLOCK_RATES = (1.0, 0.98, 1.0)
@@ -122,6 +123,7 @@
         self.cancelled: set[str] = set()
         self.cancellations: list[str] = []
         self.acknowledged_cancellations: set[str] = set()
+        self.refused: set[str] = set()
         self.replies: dict[int, str] = {}
         self.standby_is_deaf = False
         self.started_at: set[str] = set()
@@ -231,6 +233,7 @@
     @execute_effect.register
     def _(self, effect: StartRun) -> None:
         assert effect.task.job_id not in self.acknowledged_cancellations, effect
+        assert effect.task.job_id not in self.refused, effect
         self.send_order(effect, started=True)
 
     @execute_effect.register
@@ -714,6 +717,20 @@
 
     best_effort = True
 
+    @rule()
+    def deliver_copy_of_refused_job(self) -> None:
+        """Refuse a job, and deliver an early copy of its submission afterwards.
+
+        The connection was held up until a new process led at the same address.
+        """
+        job = make_durable_job(f"refused{len(self.refused)}", best_effort=True)
+        early = SubmitDurableJob(job=job, reply_to=ReplyTo("e3", 1), term=self.term)
+        self.refused.add(job.id)
+        self.handle(replace(early, age=EXPIRED_AGE))
+        self.change_leader(same=False, seconds=0.0)
+        self.handle(early)
+        self.run_for(1.0)
+
 
 def test_durable_jobs_run_once_and_finish() -> None:
     """Guards against tasks of durable jobs that run twice, are lost or never end."""
