--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -125,7 +125,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelJobs(JobCommand):
-    """Cancels the given durable jobs, except those that have ended."""
+    """Cancels the given jobs, except those that have ended.
+
+    Jobs that the log does not know are noted as cancelled. They may be best-effort jobs
+    of which a copy of the submission is still on its way.
+    """
 
     job_ids: tuple[JobId, ...]
     kind: Literal["cancel_jobs"] = "cancel_jobs"
@@ -339,6 +343,9 @@
         in Unix milliseconds.
     unanswered_starts
         Starts that silent backend servers may still carry out.
+    cancelled_at_by_job
+        Jobs that were cancelled while the log did not know them, with the Unix time,
+        oldest first.
     transferred_by_group, adopted_by_group
         Sequence number of the last job that was transferred to each other group, and of
         the last one that was taken over from it.
@@ -353,6 +360,7 @@
     members: tuple[InstanceId, ...] = ()
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
     unanswered_starts: tuple[UnansweredStart, ...] = ()
+    cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
     transferred_by_group: dict[int, int] = field(default_factory=dict)
     adopted_by_group: dict[int, int] = field(default_factory=dict)
 
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -134,7 +134,7 @@
 
 @handle.register
 def _(message: SubmitDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
-    if not has_authority(state, now):
+    if not has_authority(state, now) or message.term not in (0, state.term):
         return [make_reply(message, ReplyStatus.NOT_LEADER)]
     measured = measure_submission(message, state, now)
     return [*measured, *submit_job(message, state, now)]
@@ -188,6 +188,8 @@
         waiting = state.replies_by_command.pop(command_id, ())
         accepted = DispatcherReply(ReplyStatus.ACCEPTED)
         effects += [Reply(reply_to, accepted) for reply_to in waiting]
+        cancelled = state.cancel_replies_by_command.pop(command_id, None)
+        effects += [] if cancelled is None else [cancelled]
         ends = state.pending_ends_by_command.pop(command_id, None)
         if ends is None:
             continue
@@ -215,6 +217,7 @@
     state.missed_predecessor = message.missed_predecessor
     state.server_born_by_id = dict(message.server_born_by_id)
     load_unanswered_starts(state, message.unanswered_starts)
+    state.cancelled_at_by_job = dict(message.cancelled_at_by_job)
     for record in message.records:
         store_record(state, record)
     state.started = {
@@ -368,6 +371,7 @@
         job_table.drop_ended_jobs(state.records_by_id, now)
         state.remove_unused_run_numbers()
         state.fence.remove_old(now)
+        job_table.drop_old_notes(state.cancelled_at_by_job, now)
         remove_stale_servers(state, now)
         recover_speeds(state, now)
         _remove_old_unknown_tasks(state, now)
@@ -423,6 +427,7 @@
         for each in waiting.values()
         for reply_to in each
     ]
+    waiting += [reply.to for reply in state.cancel_replies_by_command.values()]
     return [*waiting, *list_held_requests(state)]
 
 
--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -184,9 +184,7 @@
     unknown = tuple(
         job_id
         for job_id in message.job_ids
-        if job_id not in state.records_by_id
-        and job_id not in state.command_by_job
-        and job_id not in listed
+        if not _is_known(state, job_id) and job_id not in listed
     )
     if not unknown:
         return []
@@ -194,6 +192,14 @@
     return [Send(address_sender(message), answer)]
 
 
+def _is_known(state: DispatcherState, job_id: JobId) -> bool:
+    return (
+        job_id in state.records_by_id
+        or job_id in state.command_by_job
+        or job_id in state.cancelled_at_by_job
+    )
+
+
 def drop_reviewed(
     message: TransfersReviewed, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -100,6 +100,10 @@
         Number of this message among the copies that the sender has sent, from 1.
     arrived_at
         Arrival time of this message, by the receiver's clock.
+    term
+        Term of the leader that the sender asks; 0 if any leader may answer. The leader
+        of another term does nothing, so that a refusal concerns all copies that were
+        sent to the leader that gave it.
     """
 
     job: DurableJob
@@ -107,6 +111,7 @@
     submitted_at: Seconds | None = None
     attempt: int = 1
     arrived_at: Seconds | None = None
+    term: int = 0
 
     def transit(self, now: Seconds) -> Seconds | None:
         """Return the time from sending to arrival, or ``None`` if it is not known.
@@ -261,8 +266,8 @@
         Time after which no earlier leader sends orders to backend servers.
     missed_predecessor
         Whether announcements that an earlier leader passed on may not have arrived.
-    server_born_by_id, unanswered_starts
-        Registered backend servers, and recorded starts; see `Catalogue`.
+    server_born_by_id, unanswered_starts, cancelled_at_by_job
+        Registered backend servers, recorded starts and cancelled jobs; see `Catalogue`.
     """
 
     term: int
@@ -272,6 +277,7 @@
     missed_predecessor: bool = False
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
     unanswered_starts: tuple[UnansweredStart, ...] = ()
+    cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -94,8 +94,9 @@
             until,
             replica.predecessor_until,
             replica.missed_predecessor,
-            dict(replica.catalogue.server_born_by_id),
-            replica.catalogue.unanswered_starts,
+            server_born_by_id=dict(replica.catalogue.server_born_by_id),
+            unanswered_starts=replica.catalogue.unanswered_starts,
+            cancelled_at_by_job=dict(replica.catalogue.cancelled_at_by_job),
         )
         return [*effects, Send(to, gained)]
     if term and applied.proposals:
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -114,6 +114,7 @@
             now + PREDECESSOR_AUTHORITY,
             server_born_by_id=dict(self.catalogue.server_born_by_id),
             unanswered_starts=self.catalogue.unanswered_starts,
+            cancelled_at_by_job=dict(self.catalogue.cancelled_at_by_job),
         )
         self.handle(gained, now)
 
--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -146,6 +146,7 @@
             self.now,
             server_born_by_id=dict(group.catalogue.server_born_by_id),
             unanswered_starts=group.catalogue.unanswered_starts,
+            cancelled_at_by_job=dict(group.catalogue.cancelled_at_by_job),
         )
         self.announce(group)
         self.handle(group, gained)
