Keep a suspect only from servers that an earlier suspect could use

Cause: tasks that were lost with a server are placed in the order of their losses, and once one found no server, `place_suspects` skipped all others of its pool and required label.

A suspect that cannot start yet now closes the kinds of backend servers (pool, labels, capacity) that could run it, for the later ones of the same pass; one that fits no server closes none. A server that is being emptied stays set apart only while a suspect waits that could run on its kind. Before, it was kept for any suspect.

A pass examines the servers at most once for each kind; a suspect that fits no open kind costs one comparison for each kind.

Both new tests fail before the change. The tests of the dispatcher and the random runs of the dispatcher and of transfers pass.

--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -21,6 +21,7 @@
     max_isolated_servers,
     may_start_at,
 )
+from boragetide.policy.room_index import ServerKind
 from boragetide.policy.scheduling import ServerCandidate, choose_server, expires_at
 from boragetide.types import JobId, PoolName, Seconds
 
@@ -33,22 +34,53 @@
         return []
     effects = _leave_useless_jobs(state, now)
     _release_lost_servers(state, now)
-    unplaced: set[tuple[PoolName, str]] = set()
+    kinds = _OpenKinds(state)
     for job_id, tasks in list(state.suspects_by_job.items()):
         job = state.records_by_id[job_id].job
         pool = find_pool(state, job)
         for number, step in list(tasks.items()):
-            kind = (pool, step.required_label)
-            if kind in unplaced or now < _may_start_at(state, job_id, number):
+            if now < _may_start_at(state, job_id, number):
                 continue
-            placed = _place_suspect(state, job, pool, number, step, now)
+            fitting = kinds.find(pool, step)
+            if not fitting:
+                continue
+            placed = _place_suspect(state, job, fitting, number, step, now)
             effects += placed
             if not placed:
-                unplaced.add(kind)
-    _release_idle_servers(state, keeps_busy=bool(unplaced))
+                kinds.close(fitting)
+    _release_idle_servers(state, kinds)
     return effects
 
 
+class _OpenKinds:
+    """Kinds of backend servers that no suspect waits for.
+
+    A kind is closed while an earlier suspect waits that could run on it, so that the
+    suspects start in the order of their losses. One that fits no backend server closes
+    none.
+    """
+
+    def __init__(self, state: DispatcherState):
+        kinds = {server.kind for server in state.servers_by_id.values()}
+        self._open_by_pool: dict[PoolName, set[ServerKind]] = {}
+        for kind in kinds:
+            self._open_by_pool.setdefault(kind.pool, set()).add(kind)
+
+    def find(self, pool: PoolName, step: Step) -> set[ServerKind]:
+        """Return the open kinds that could run a task of a step."""
+        known = self._open_by_pool.get(pool, ())
+        return {kind for kind in known if kind.could_run(step)}
+
+    def close(self, kinds: set[ServerKind]) -> None:
+        """Keep kinds for a suspect that could not start yet."""
+        for kind in kinds:
+            self._open_by_pool[kind.pool].discard(kind)
+
+    def is_open(self, kind: ServerKind) -> bool:
+        """Return whether no suspect waits for a kind."""
+        return kind in self._open_by_pool.get(kind.pool, ())
+
+
 def _may_start_at(state: DispatcherState, job_id: JobId, number: int) -> Seconds:
     return may_start_at(state.losses_by_job.get(job_id, ()), number)
 
@@ -66,18 +98,24 @@
 def _place_suspect(
     state: DispatcherState,
     job: DurableJob,
-    pool: PoolName,
+    kinds: set[ServerKind],
     number: int,
     step: Step,
     now: Seconds,
 ) -> list[Effect]:
-    """Start a suspect on an empty server, or set a server apart that will be empty."""
+    """Start a suspect on an empty server, or set a server apart that will be empty.
+
+    Parameters
+    ----------
+    kinds
+        Kinds of the backend servers that may be used, all of one pool.
+    """
     isolated = [state.servers_by_id[id_] for id_ in state.isolated_servers]
     empty = [server for server in isolated if _is_empty(server)]
-    chosen = choose_server(step, _make_candidates(empty, pool), {})
+    chosen = choose_server(step, _make_candidates(empty, kinds), {})
     if chosen is not None:
         return _start_alone(state, job, number, step, chosen, now)
-    max_runs = _max_runs_to_isolate(state, pool, now)
+    max_runs = _max_runs_to_isolate(state, find_pool(state, job), now)
     if max_runs is None:
         return []
     usable = [
@@ -87,7 +125,7 @@
         and _count_active_runs(server) <= max_runs
         and is_usable(state, server, now)
     ]
-    chosen = choose_server(step, _make_candidates(_sort_by_load(usable), pool), {})
+    chosen = choose_server(step, _make_candidates(_sort_by_load(usable), kinds), {})
     if chosen is None:
         return []
     server = state.servers_by_id[chosen.id]
@@ -115,11 +153,11 @@
 
 
 def _make_candidates(
-    servers: list[Server], pool: PoolName
+    servers: list[Server], kinds: set[ServerKind]
 ) -> Iterator[ServerCandidate]:
     for server in servers:
         report = server.report
-        if report.pool == pool:
+        if server.kind in kinds:
             yield ServerCandidate(
                 report.id, report.capacity, server.speed, report.labels
             )
@@ -189,17 +227,14 @@
             _release(state, server)
 
 
-def _release_idle_servers(state: DispatcherState, *, keeps_busy: bool) -> None:
+def _release_idle_servers(state: DispatcherState, kinds: _OpenKinds) -> None:
     """Release the servers that no suspect uses or waits for.
 
-    Parameters
-    ----------
-    keeps_busy
-        Whether suspects wait for the servers that are not empty yet.
+    A suspect may wait for a server that is not empty yet.
     """
     for server_id in list(state.isolated_servers):
         server = state.servers_by_id[server_id]
-        awaited = keeps_busy and not _is_empty(server)
+        awaited = not (_is_empty(server) or kinds.is_open(server.kind))
         if not (awaited or _runs_suspect(server)):
             _release(state, server)
 
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -7,6 +7,7 @@
 
 from boragetide.durable import ListedRun, Resources, ServerReport
 from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
+from boragetide.policy.room_index import ServerKind
 from boragetide.types import BackendServerId, JobId, Seconds
 
 # A lease is renewed about three times before it expires.
@@ -274,6 +275,12 @@
         """Whether the process itself said that it will end."""
         return self.left or self.report.draining
 
+    @property
+    def kind(self) -> ServerKind:
+        """Kind of the backend server, as it was announced last."""
+        report = self.report
+        return ServerKind(report.pool, report.labels, report.capacity)
+
     @property
     def free_resources(self) -> Resources:
         """Capacity that no run uses; none if the backend server is set apart."""
--- a/boragetide/tests/test_lost_runs.py
+++ b/boragetide/tests/test_lost_runs.py
@@ -30,6 +30,7 @@
 from boragetide.tests.durable_fixtures import (
     BEGIN,
     BORN,
+    CAPACITY,
     NEEDS,
     Leader,
     list_end,
@@ -46,6 +47,7 @@
 LOST_AFTER = LEASE_EXPIRY_WAIT + 0.1
 LONG_STEP = Step(1, NEEDS, 5.0)
 WHOLE_SERVER = Resources(60_000, 64)
+LARGE_CAPACITY = Resources(96_000, 100_000)
 
 
 class Site:
@@ -56,6 +58,7 @@
         self.catalogue = Catalogue()
         self.now = BEGIN
         self.born = dict.fromkeys(SERVERS, BORN)
+        self.capacity = dict.fromkeys(SERVERS, CAPACITY)
         self.sequence = 1
         self.starts: list[StartRun] = []
         self.replies: list[Any] = []
@@ -136,6 +139,7 @@
         """Announce the current process of a server."""
         self.sequence += 1
         fields = {"born": self.born[server], "sequence": self.sequence} | fields
+        fields = {"capacity": self.capacity[server]} | fields
         self.handle(ReportServer(report=make_report(server, **fields), passed_on=True))
 
     def return_server(self, server: str, *, crashed: bool) -> None:
@@ -383,3 +387,40 @@
     assert len(site.find_events("task_cleared")) == 1
     site.pass_time(0.1)
     assert site.leader.state.isolated_servers == set()
+
+
+def test_suspect_that_fits_no_server_holds_up_no_other(settings: Settings) -> None:
+    """Guards against lost tasks that never start again behind one that fits nobody."""
+    site = Site(settings)
+    site.capacity["s1"] = LARGE_CAPACITY
+    site.announce("s1")
+    site.submit("large", Step(1, Resources(70_000, 64), 5.0), best_effort=False)
+    site.submit("small", Step(1, Resources(5_000, 64), 5.0), best_effort=False)
+    starts = site.take_starts()
+    lost = starts[0].server
+    assert [start.server for start in starts] == [lost, lost]
+    site.lose(lost)
+    start = site.take_start()
+    assert start.task.job_id == "small"
+    assert start.server != lost
+
+
+def test_suspect_does_not_wait_for_a_server_that_is_emptied_for_a_larger_one(
+    settings: Settings,
+) -> None:
+    """Guards against a lost task that waits beside idle servers that fit it alone."""
+    site = Site(settings)
+    for server in ("s1", "s2"):
+        site.capacity[server] = LARGE_CAPACITY
+        site.announce(server)
+    for name, cores in (("large", 70_000), ("small", 5_000), ("other", 70_000)):
+        step = Step(1, Resources(cores, 64), 30.0)
+        site.submit(name, step, best_effort=False)
+    start_by_job = {start.task.job_id: start for start in site.take_starts()}
+    lost, busy = start_by_job["large"].server, start_by_job["other"].server
+    assert start_by_job["small"].server == lost
+    site.lose(lost)
+    start = site.take_start()
+    assert start.task.job_id == "small"
+    assert start.server not in (lost, busy)
+    assert site.leader.state.isolated_servers == {busy, start.server}
