Let orders of the dispatcher's test be as late as the platform allows

properties/test_dispatcher.py was kinder than the platform: orders were at most 2 s late, `born` always rose, callers of best-effort jobs came back only after a change of the leader, and no late start of an earlier leader reached a process that no leader had called.

Now orders are up to 11.9 s late; the time of day of a restarted server may have been set back; a server that carries out orders late restarts behind a cut, also with a change of the leader; callers leave and submit the same id again at any time; a process says that it leaves and goes on with its runs. A start of an earlier leader reaches a later process if the log names it. Still left out, as no leader can avoid them: a start whose run an earlier process has ended, stopped or refused, and one of an earlier leader that is not in the log.

One check is changed, equally strict: a start may be refused for want of room only if it was sent, no longer if it arrived, within 4.5 s after the capacity shrank. The next process of a server may be smaller than the one that the order was meant for, and a leader cannot take an order back. Orders that arrive at once are checked as before.

--- a/properties/simulated_server.py
+++ b/properties/simulated_server.py
@@ -74,6 +74,8 @@
         Whether another backend server answers at the address while this one is down.
     shrunk_at
         Time at which the capacity last became smaller.
+    left
+        Whether the process has said that it leaves; it announces nothing later.
     """
 
     id: str
@@ -99,6 +101,7 @@
     labels: tuple[str, ...] = ()
     draining: bool = False
     shrunk_at: Seconds = 0.0
+    left: bool = False
 
     def restart(
         self,
@@ -107,11 +110,13 @@
         *,
         slow_clock: bool = False,
         address_reused: bool = False,
+        born_change: int = 1,
     ) -> None:
         """Lose all state, as in a crash; the next process starts after a while."""
-        self.born += 1
+        self.born += born_change
         self.sequence = self.fence = self.end_count = 0
         self.lease_until = 0.0
+        self.left = False
         self.lapsed_ends.clear()
         self.running.clear()
         self.highest_runs.clear()
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
@@ -26,7 +27,7 @@
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.runs import READ_MAX_WAIT
-from boragetide.durable import JobPhase, Resources, Step
+from boragetide.durable import JobPhase, Resources, Step, UnansweredStart
 from boragetide.effects import ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.messages import (
     AppendCommands,
@@ -36,11 +37,13 @@
     LeadershipLost,
     OrderResult,
     ReadFailed,
+    RemoveServer,
     ReportServer,
     RunOrdered,
     RunsRead,
     SubmitDurableJob,
     Tick,
+    WithdrawSubmissions,
 )
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.fencing import get_term
@@ -52,8 +55,13 @@
 STEP: Seconds = 0.05
 AUTHORITY_DURATION: Seconds = 0.4
 ORDER_TIMEOUT: Seconds = 0.2
-# Delays that end before ("delayed") and after ("late") the lease of the order lapses.
-DELAYS_BY_FATE: dict[str, Seconds] = {"delayed": 0.5, "late": 2.0}
+# Delays of which only the first ends before the lease of the order lapses.
+DELAYS_BY_FATE: dict[str, Seconds] = {
+    "delayed": 0.5,
+    "late": 2.0,
+    "very_late": 5.0,
+    "latest": 11.9,
+}
 # Time until a busy leader handles an answer that has arrived.
 HANDLING_DELAY: Seconds = 0.6
 FATES = (
@@ -61,11 +69,14 @@
     *("answer_lost", "lost", "handled_late", "failure_handled_late"),
     *DELAYS_BY_FATE,
 )
+LATE_FATES = ("answer_lost", "late", "very_late", "latest")
 WORK_DURATION: Seconds = 0.3
 LONG_WORK_DURATION: Seconds = 1.5  # longer than a lease
 START_FATES = ("carried_out", "answer_lost", "handled_late", *DELAYS_BY_FATE)
 SERVERS = ("s1", "s2", "s3")
 MAX_SERVERS = 6
+# Change of `born` from one process of a backend server to the next, in milliseconds.
+BORN_CHANGES = (1, 1, -2000)
 CLOCK_RATES = (1.0, 0.98, 1.0)
 # Time for which the first processes have run when a test begins.
 UPTIMES: tuple[Seconds, ...] = (500.0, 300.0, 20.0)
@@ -115,6 +126,7 @@
         self.replies: dict[int, str] = {}
         self.standby_is_deaf = False
         self.started_at: set[str] = set()
+        self.recorded_starts: set[UnansweredStart] = set()
         self.start_leader(predecessor_until=self.now)
         self.run_for(1.0)
 
@@ -132,12 +144,14 @@
         self.term += 1
         records = tuple(self.catalogue.jobs_by_id.values())
         self.appended.clear()
+        self.recorded_starts.update(self.catalogue.unanswered_starts)
         gained = LeadershipGained(
             self.term,
             records,
             self.now + AUTHORITY_DURATION,
             predecessor_until,
             server_born_by_id=dict(self.catalogue.server_born_by_id),
+            unanswered_starts=self.catalogue.unanswered_starts,
         )
         if not self.standby_is_deaf:
             self.announce()
@@ -158,7 +172,7 @@
         return [
             ReportServer(report=backend.make_report(self.now), passed_on=True)
             for backend in self.backends.values()
-            if backend.is_up(self.now) and not backend.cut
+            if backend.is_up(self.now) and not (backend.cut or backend.left)
         ]
 
     def deliver_report(self, report: ReportServer, *, to_leader: bool) -> None:
@@ -229,7 +243,7 @@
         if fate.startswith("misdirected"):
             result = OrderResult.OTHER_LIFE
         elif fate in ("carried_out", "answer_lost", "handled_late"):
-            done = self.execute_order(order, backend)
+            done = self.execute_order(order, backend, self.now)
             result = result if fate == "answer_lost" else done
         elif fate in DELAYS_BY_FATE:
             self.execute_late(order, backend, self.now + DELAYS_BY_FATE[fate])
@@ -259,7 +273,7 @@
         self, order: Any, backend: SimulatedServer, arrives_at: Seconds
     ) -> None:
         """Execute an order later, perhaps by the next process of its server."""
-        born = backend.born
+        born, sent_at = backend.born, self.now
 
         def arrive() -> None:
             if not backend.is_up(self.now):
@@ -267,7 +281,7 @@
             if isinstance(order, ReadRuns):
                 backend.list_runs(order, self.now)
             elif backend.born == born or self.may_reach_next_process(order, backend):
-                self.execute_order(order, backend)
+                self.execute_order(order, backend, sent_at)
 
         self.scheduled.append((arrives_at, arrive))
 
@@ -278,12 +292,14 @@
 
         No leader can avoid that a process which it has not called yet begins a run that
         an earlier process has ended, stopped or refused, or that an earlier leader has
-        ordered.
+        ordered without a record of it in the log.
         """
         if isinstance(order, StopRun):
             return True
+        start = UnansweredStart(order.task.job_id, order.number, order.server)
         is_current = get_term(order.fence) == self.term
-        return is_current and not backend.has_settled(order)
+        is_known = is_current or start in self.recorded_starts
+        return is_known and not backend.has_settled(order)
 
     def next_fate(self, backend: SimulatedServer) -> str:
         if backend.cut:
@@ -298,8 +314,9 @@
     fates: tuple[str, ...] = ("carried_out",)
 
     def execute_order(
-        self, order: StartRun | StopRun, backend: SimulatedServer
+        self, order: StartRun | StopRun, backend: SimulatedServer, sent_at: Seconds
     ) -> OrderResult:
+        """Carry out an order that the leader has sent at ``sent_at``."""
         if isinstance(order, StopRun):
             return backend.stop(order, self.now)
         step = self.jobs[order.task.job_id].steps[order.task.step]
@@ -310,7 +327,7 @@
             lambda: self.check_start(order, backend),
         )
         if result is OrderResult.NO_ROOM:
-            assert self.now < backend.shrunk_at + SHRINKING_COUNTS_AFTER, order
+            assert sent_at < backend.shrunk_at + SHRINKING_COUNTS_AFTER, order
         return result
 
     def check_start(self, order: StartRun, backend: SimulatedServer) -> None:
@@ -429,7 +446,11 @@
     def send_submission(self, job: Any) -> None:
         request = len(self.replies)
         self.replies[request] = job.id
-        self.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", request)))
+        self.handle(
+            SubmitDurableJob(
+                job=job, submitted_at=self.now, reply_to=ReplyTo("e1", request)
+            )
+        )
 
     @precondition(lambda self: self.jobs)
     @rule(number=st.integers(0, 99))
@@ -461,6 +482,7 @@
         downtime=st.sampled_from([0.0, 0.0, 0.3, 1.5, 4.0]),
         slow_clock=st.booleans(),
         address_reused=st.booleans(),
+        born_change=st.sampled_from(BORN_CHANGES),
     )
     def crash(
         self,
@@ -469,9 +491,15 @@
         downtime: Seconds = 0.0,
         slow_clock: bool = False,
         address_reused: bool = False,
+        born_change: int = 1,
     ) -> None:
+        """Replace a process; the time of day may have been set back in the meantime."""
         self.backends[SERVERS[number]].restart(
-            self.now, downtime, slow_clock=slow_clock, address_reused=address_reused
+            self.now,
+            downtime,
+            slow_clock=slow_clock,
+            address_reused=address_reused,
+            born_change=born_change,
         )
         if heard:
             self.announce()
@@ -497,6 +525,18 @@
         self.change_leader(same=False, seconds=0.0)
         self.standby_is_deaf = False
 
+    @rule(number=st.integers(0, 2), standby_hears=st.booleans())
+    def leave(self, number: int, standby_hears: bool) -> None:
+        """Let a process say that it leaves; it goes on with its runs until a crash."""
+        backend = self.backends[SERVERS[number]]
+        if not backend.is_up(self.now):
+            return
+        backend.left = True
+        message = RemoveServer(backend.id, backend.born, passed_on=True)
+        self.handle(message)
+        if standby_hears:
+            dispatcher.handle(message, self.standby, self.now)
+
     @rule(deaf=st.booleans())
     def deafen_standby(self, deaf: bool) -> None:
         """Lose the announcements that are passed on to the standby, or no longer."""
@@ -528,6 +568,48 @@
         server = self.backends[candidates[number % len(candidates)]]
         server.restart(self.now, downtime)
 
+    @rule(
+        fates=st.lists(st.sampled_from(LATE_FATES), min_size=1, max_size=3),
+        work=st.sampled_from([WORK_DURATION, LONG_WORK_DURATION]),
+        number=st.integers(0, 2),
+        born_change=st.sampled_from(BORN_CHANGES),
+        seconds=st.sampled_from([0.5, 1.5]),
+        is_cut=st.booleans(),
+        new_leader=st.sampled_from(["", "", "same", "standby"]),
+    )
+    def restart_behind_cut(
+        self,
+        fates: list[str],
+        work: Seconds,
+        number: int,
+        born_change: int,
+        seconds: Seconds,
+        is_cut: bool,
+        new_leader: str,
+    ) -> None:
+        """Restart a backend server that carries out orders late and is not reached.
+
+        The jobs go on, or are submitted again, while its orders are under way.
+        """
+        self.fates = tuple(fates)
+        self.started_at.clear()
+        self.submit(4, False, work)
+        self.run_for(STEP)
+        self.fates = ("carried_out",)
+        candidates = sorted(self.started_at) or SERVERS
+        server = self.backends[candidates[number % len(candidates)]]
+        server.cut = is_cut
+        self.run_for(seconds)
+        server.restart(self.now, born_change=born_change)
+        if new_leader:
+            self.change_leader(same=new_leader == "same", seconds=0.3)
+        for _ in range(8):
+            self.run_for(1.5)
+            self.return_callers()
+
+    def return_callers(self) -> None:
+        """Let the callers of best-effort jobs that have no answer submit them again."""
+
     @rule(
         delays=st.lists(st.sampled_from([0.0, 0.3, 1.0]), min_size=1, max_size=4),
     )
@@ -587,6 +669,8 @@
         self.announcement_delays = (0.0,)
         for backend in self.backends.values():
             backend.cut = backend.hangs = False
+            if backend.left:
+                backend.restart(self.now)
             backend.start_process(self.now)
             backend.capacity = CAPACITY
         self.standby_is_deaf = False
@@ -636,6 +720,23 @@
 
     best_effort = True
 
+    @rule()
+    def return_callers(self) -> None:
+        """Submit all jobs again that have not succeeded, also those without callers."""
+        for job in list(self.jobs.values()):
+            record = self.state.records_by_id.get(job.id)
+            if record is None or record.phase is not JobPhase.SUCCEEDED:
+                self.cancelled.discard(job.id)
+                self.send_submission(replace(job, submitted_at=self.now))
+
+    @precondition(lambda self: self.jobs)
+    @rule(number=st.integers(0, 99))
+    def withdraw(self, number: int) -> None:
+        """Let the callers of a job leave; they may come back."""
+        job_id = f"j{number % len(self.jobs)}"
+        self.cancelled.add(job_id)
+        self.handle(WithdrawSubmissions(job_id, "e1", self.now))
+
 
 def test_durable_jobs_run_once_and_finish() -> None:
     """Guards against tasks of durable jobs that run twice, are lost or never end."""
