--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -61,9 +61,8 @@
     return made
 
 
-@pytest.fixture
-def leader(settings: Settings, predecessor: Leader) -> Leader:
-    """The next leader, which does not reach that server and has another one."""
+def make_next_leader(settings: Settings, predecessor: Leader) -> Leader:
+    """Let a leader take over that does not reach s1 and has another server."""
     made = Leader(settings, term=2, catalogue=predecessor.catalogue)
     made.handle(ReportServer(report=make_report(), passed_on=True), SUCCEEDED_AT)
     made.lead(SUCCEEDED_AT)
@@ -72,6 +71,12 @@
     return made
 
 
+@pytest.fixture
+def leader(settings: Settings, predecessor: Leader) -> Leader:
+    """The next leader, which does not reach the silent server."""
+    return make_next_leader(settings, predecessor)
+
+
 def test_next_leader_starts_no_task_that_a_silent_server_may_begin_late(
     leader: Leader,
 ) -> None:
@@ -84,6 +89,19 @@
     assert [start.server for start in leader.starts()] == ["s2", "s2"]
 
 
+def test_next_leader_starts_no_task_of_its_predecessors_last_half_second(
+    settings: Settings,
+) -> None:
+    """Guards against a second run beside one that was ordered just before."""
+    predecessor = Leader(settings)
+    predecessor.lead()
+    predecessor.join()
+    assert len(submit(predecessor, make_job(), SUCCEEDED_AT - 0.3)) == 2
+    predecessor.handle(Tick(), SUCCEEDED_AT)
+    leader = make_next_leader(settings, predecessor)
+    assert submit(leader, make_job(), TAKEN_OVER_AT) == []
+
+
 def test_other_jobs_start_while_tasks_are_blocked(leader: Leader) -> None:
     """Guards against a takeover that stops the service for one silent server."""
     job = make_durable_job("j2", best_effort=True, submitted_at=TAKEN_OVER_AT)
