Keep a listed run's task while its recorded start may begin it again

A start without an answer is recorded, the next leader reads the server, which lists the run, and the server then crashes and comes back behind a cut. Its next process carries out a copy of the recorded start, while the next leader has started the task elsewhere.

The next leader dropped what the record says when it adopted the run, and took its start for answered: state of one leader that its successor lacks.

Evidence: the new test fails before in both forms (the run is listed before or after the job is submitted again) with a start on s2 before the release time, and passes now.

If the server falls silent, the start is recorded for the next leader again. All other adopted runs are freed as before.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -127,6 +127,8 @@
         registered process. Nothing is started at another one.
     pending_registration
         Registration that is not committed yet, if any.
+    earlier_starts
+        Starts without an answer that earlier leaders recorded.
     blocked_tasks
         Tasks that a backend server may begin late, by an order of an earlier leader.
     recorded_starts, pending_record
@@ -189,6 +191,7 @@
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
     pending_registration: PendingRegistration | None = None
+    earlier_starts: frozenset[UnansweredStart] = frozenset()
     blocked_tasks: dict[tuple[JobId, int], BackendServerId] = field(
         default_factory=dict
     )
@@ -260,6 +263,7 @@
     state.command_by_job.clear()
     state.server_born_by_id.clear()
     state.pending_registration = None
+    state.earlier_starts = frozenset()
     state.blocked_tasks.clear()
     state.recorded_starts = frozenset()
     state.pending_record = None
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -27,6 +27,7 @@
     JobPhase,
     JobRecord,
     ListedRun,
+    UnansweredStart,
     get_task_number,
 )
 from boragetide.effects import Effect, LogEvent, ReadRuns
@@ -226,6 +227,8 @@
     step = record.job.steps[listed.task.step]
     run = Run(*key, listed.task, listed.run, step.needs, now, RunPhase.RUNNING)
     run.order_answered_at = sent_at
+    if UnansweredStart(*key, server.report.id) in state.earlier_starts:
+        run.start_unanswered_at = state.predecessor_until
     server.unexpected_runs.pop(listed, None)
     add_run(state, server, run)
     state.run_number_by_task[key] = max(
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -55,8 +55,8 @@
     start_repeated
         Whether the start was ordered twice, because the first order was not answered.
     start_unanswered_at
-        Time at which the last start was ordered, if one is not answered. It may begin
-        the run at the next process of the backend server.
+        Latest time at which a start was ordered that has no answer, if there is one. It
+        may begin the run at the next process of the backend server.
     server_born
         Start of the backend server's process that was known when the run was ordered or
         first listed, in Unix milliseconds.
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -38,7 +38,7 @@
     state: DispatcherState, starts: Collection[UnansweredStart]
 ) -> None:
     """Block the tasks that earlier leaders may have started at silent servers."""
-    state.recorded_starts = frozenset(starts)
+    state.earlier_starts = state.recorded_starts = frozenset(starts)
     state.blocked_tasks = {(each.job_id, each.task): each.server for each in starts}
 
 
--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -123,3 +123,20 @@
     predecessor.list_runs("s1", now=BEGIN + 0.6)
     predecessor.handle(Tick(), BEGIN + 0.7)
     assert predecessor.catalogue.unanswered_starts == ()
+
+
+@pytest.mark.parametrize("is_listed_first", [False, True])
+def test_listed_run_that_a_late_start_may_begin_again_keeps_its_task(
+    leader: Leader, is_listed_first: bool
+) -> None:
+    """Guards against a second run beside one that the next process begins once more."""
+    running = tuple(ListedRun(make_task_ref("j1", task), 1) for task in range(2))
+    if is_listed_first:
+        leader.list_runs("s1", running=running, now=TAKEN_OVER_AT)
+    submit(leader, make_job(), TAKEN_OVER_AT + 0.1)
+    leader.list_runs("s1", running=running, now=TAKEN_OVER_AT + 0.2)
+    leader.handle(ReadFailed("s1", 2), TAKEN_OVER_AT + 0.6)
+    leader.join("s2", now=RELEASED_AT - 0.2, sequence=2)
+    leader.handle(Tick(), RELEASED_AT - 0.1)
+    assert leader.starts() == []
+    assert len(leader.catalogue.unanswered_starts) == 2
