Leave no job for a recorded start whose task runs elsewhere or is done

Cause: the record of starts without an answer is rewritten only when it must name another start or none at all, so it may name a start whose task has been started elsewhere since. The next leader answers the callers of jobs with recorded starts at once, without looking whether the task still waits.

Evidence: the new test, in which another server lists the runs of both recorded tasks, fails before with the reply UNDECIDED and passes now.

Why it works: only a job with a recorded task that neither runs nor is done cannot end before the release.

--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -23,7 +23,7 @@
     RunPhase,
     Server,
 )
-from boragetide.durable import JobPhase, UnansweredStart
+from boragetide.durable import JobPhase, JobRecord, UnansweredStart
 from boragetide.effects import Effect, LogEvent
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import BackendServerId, JobId, Seconds
@@ -76,16 +76,26 @@
     if not state.takeover_complete:
         return []
     effects: list[Effect] = []
-    for job_id in {job_id for job_id, _ in state.blocked_tasks}:
-        record = state.records_by_id.get(job_id)
-        if record is None or record.phase is not JobPhase.ACTIVE:
-            continue
+    for record in _list_waiting_jobs(state):
         expires_first = expires_at(record.job) < find_release_time(state)
         if record.job.best_effort and expires_first:
             effects += leave_unserved(state, record, now)
     return effects
 
 
+def _list_waiting_jobs(state: DispatcherState) -> list[JobRecord]:
+    """Return the jobs that cannot end before one of their tasks is released."""
+    records_by_id: dict[JobId, JobRecord] = {}
+    for key in state.blocked_tasks:
+        job_id, task = key
+        record = state.records_by_id.get(job_id)
+        if record is None or record.phase is not JobPhase.ACTIVE:
+            continue
+        if task not in record.done and key not in state.server_by_task:
+            records_by_id[job_id] = record
+    return list(records_by_id.values())
+
+
 def _record_starts(state: DispatcherState) -> list[Effect]:
     """Append the starts without an answer if the log does not name all of them."""
     if state.pending_record is not None:
--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -140,3 +140,13 @@
     leader.handle(Tick(), RELEASED_AT - 0.1)
     assert leader.starts() == []
     assert len(leader.catalogue.unanswered_starts) == 2
+
+
+def test_job_whose_recorded_tasks_run_elsewhere_goes_on(leader: Leader) -> None:
+    """Guards against an answer without a result for a job that is being served."""
+    running = tuple(ListedRun(make_task_ref("j1", task), 2) for task in range(2))
+    leader.list_runs("s2", running=running, now=TAKEN_OVER_AT + 0.01)
+    submit(leader, make_job(estimate=0.2), TAKEN_OVER_AT + 0.02)
+    leader.handle(Tick(), TAKEN_OVER_AT + 0.05)
+    assert leader.replies() == []
+    assert leader.stops() == []
