Do not copy all notes of cancelled jobs with each command

What callers could see: a slower leader after a wave of cancellations. Each member applies each command of the dispatcher, and copied all notes of cancelled jobs for it.

The new test counted 1,000 examined notes before, and counts 2 now.

Why it works: the oldest notes come first, so the first one that stays ends the search.

--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -128,9 +128,12 @@
 
 def drop_old_notes(cancelled_at_by_job: dict[JobId, Seconds], now: Seconds) -> None:
     """Drop the notes of cancelled jobs that no submission can concern any more."""
-    for job_id, cancelled_at in list(cancelled_at_by_job.items()):
+    expired = []
+    for job_id, cancelled_at in cancelled_at_by_job.items():
         if now - cancelled_at <= RETENTION:
             break
+        expired.append(job_id)
+    for job_id in expired:
         del cancelled_at_by_job[job_id]
 
 
--- a/boragetide/tests/test_job_table.py
+++ b/boragetide/tests/test_job_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import msgspec
 import pytest
 
@@ -20,7 +22,7 @@
 from boragetide.policy import job_table
 from boragetide.policy.catalogue import apply_entry
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
-from boragetide.types import ClassTarget
+from boragetide.types import ClassTarget, JobId, Seconds
 
 Jobs = dict[str, JobRecord]
 
@@ -148,3 +150,24 @@
     assert decoded == command
     stored = msgspec.to_builtins(jobs["j1"])
     assert msgspec.convert(stored, JobRecord) == jobs["j1"]
+
+
+class CountedNotes(dict[JobId, Seconds]):
+    """Notes of cancelled jobs that count how many of them are examined."""
+
+    examined = 0
+
+    def items(self) -> Iterator[tuple[JobId, Seconds]]:
+        """Yield the notes."""
+        for note in super().items():
+            self.examined += 1
+            yield note
+
+
+def test_notes_that_stay_are_not_examined_with_each_command() -> None:
+    """Guards against an overload by the notes of a wave of cancellations."""
+    notes = CountedNotes({f"j{number}": BEGIN + number for number in range(1000)})
+    job_table.drop_old_notes(notes, BEGIN + job_table.RETENTION + 0.5)
+    assert next(iter(notes)) == "j1"
+    assert len(notes) == 999
+    assert notes.examined == 2
