Record the starts of runs that may begin again at a server that answers

One of the two starts of a run has no answer; the run goes on, and its server answers. A new leader adopts the run, the server crashes, comes back behind a cut, and its next process carries out the other start up to 12 s late, while the new leader has started the task elsewhere after 1.1 s.

Cause: the leader that gave the order holds such a task until the server has listed its runs 12 s after the order, but recorded only starts at servers that are silent at present: state of one leader that its successor lacks. The window is the length of the run, not half a second.

Evidence: the new test fails before, as s2 gets the start of a task before the release time, and passes now.

Why it works: runs that go on with a start without an answer are recorded whether their server is silent or not, also those that the leader has adopted with such a record. The next leader blocks their tasks until the server has listed its runs, and holds the adopted run as its predecessor did.

--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -229,6 +229,7 @@
     run.order_answered_at = sent_at
     if UnansweredStart(*key, server.report.id) in state.earlier_starts:
         run.start_unanswered_at = state.predecessor_until
+        run.start_repeated = True
     server.unexpected_runs.pop(listed, None)
     add_run(state, server, run)
     state.run_number_by_task[key] = max(
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -1,7 +1,7 @@
 """Starts without an answer, which the leader records in the log for its successor.
 
-A silent backend server may carry out a start up to `MAX_ORDER_DELAY` late, if its next
-process has not been called yet. The leader that gave the order keeps the task occupied.
+The next process of a backend server may carry out a start up to `MAX_ORDER_DELAY` late,
+if it has not been called yet. The leader that gave the order keeps the task occupied.
 A later one knows the task from the log and does not start it meanwhile.
 """
 
@@ -20,6 +20,7 @@
     MAX_LEASE_DURATION,
     MAX_ORDER_DELAY,
     MIN_CLOCK_RATE,
+    Run,
     RunPhase,
     Server,
 )
@@ -121,13 +122,21 @@
     own = {
         UnansweredStart(run.job_id, run.task, server_id)
         for server_id, server in state.servers_by_id.items()
-        if _may_be_replaced(state, server)
         for run in server.runs_by_task.values()
+        if _may_begin_again(run) or _may_be_replaced(state, server)
         if run.phase is not RunPhase.ENDED and may_begin_late(server, run)
     }
     return frozenset(earlier | own)
 
 
+def _may_begin_again(run: Run) -> bool:
+    """Return whether a run goes on for which one of two starts has no answer.
+
+    It may take long, so that its server may be replaced before it ends.
+    """
+    return run.phase is RunPhase.RUNNING and run.start_repeated
+
+
 def _may_be_replaced(state: DispatcherState, server: Server) -> bool:
     """Return whether the next process of a server may be there, not yet called."""
     return server.silent or server.departed or server.read_term != state.term
--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -160,3 +160,31 @@
     leader.handle(review, TAKEN_OVER_AT)
     (answer,) = [each.message for each in leader.effects if isinstance(each, Send)]
     assert answer == TransfersReviewed(leader.state.settings.group, ("j2",))
+
+
+def test_late_start_of_a_run_at_an_answering_server_is_known_to_the_next_leader(
+    settings: Settings,
+) -> None:
+    """Guards against a second run beside one that the next process begins once more."""
+    predecessor = Leader(settings)
+    predecessor.lead()
+    predecessor.join()
+    for first in submit(predecessor, make_job(), BEGIN):
+        predecessor.answer(first, OrderResult.UNANSWERED, BEGIN + 0.2)
+        for repeated in predecessor.starts():
+            predecessor.answer(repeated, OrderResult.DONE, BEGIN + 0.21)
+    running = tuple(ListedRun(make_task_ref("j1", task), 1) for task in range(2))
+    predecessor.list_runs("s1", running=running, now=BEGIN + 0.3)
+    predecessor.handle(Tick(), BEGIN + 0.4)
+
+    leader = Leader(settings, term=2, catalogue=predecessor.catalogue)
+    leader.handle(ReportServer(report=make_report(), passed_on=True), SUCCEEDED_AT)
+    leader.lead(SUCCEEDED_AT)
+    leader.list_runs("s1", running=running, now=SUCCEEDED_AT + 0.1)
+    submit(leader, make_job(), SUCCEEDED_AT + 0.2)
+    leader.handle(Tick(), SUCCEEDED_AT + 0.3)
+    assert len(leader.catalogue.unanswered_starts) == 2
+    leader.handle(ReadFailed("s1", 2), SUCCEEDED_AT + 0.6)
+    leader.join("s2", now=RELEASED_AT - 0.2)
+    leader.handle(Tick(), RELEASED_AT - 0.1)
+    assert leader.starts() == []
