--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -1,7 +1,7 @@
 """Starts without an answer, which the leader records in the log for its successor.
 
-A silent backend server may carry out a start up to `MAX_ORDER_DELAY` late, if its next
-process has not been called yet. The leader that gave the order keeps the task occupied.
+The next process of a backend server may carry out a start up to `MAX_ORDER_DELAY` late,
+if it has not been called yet. The leader that gave the order keeps the task occupied.
 A later one knows the task from the log and does not start it meanwhile.
 """
 
@@ -20,10 +20,11 @@
     MAX_LEASE_DURATION,
     MAX_ORDER_DELAY,
     MIN_CLOCK_RATE,
+    Run,
     RunPhase,
     Server,
 )
-from boragetide.durable import JobPhase, UnansweredStart
+from boragetide.durable import JobPhase, JobRecord, UnansweredStart
 from boragetide.effects import Effect, LogEvent
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import BackendServerId, JobId, Seconds
@@ -38,7 +39,7 @@
     state: DispatcherState, starts: Collection[UnansweredStart]
 ) -> None:
     """Block the tasks that earlier leaders may have started at silent servers."""
-    state.recorded_starts = frozenset(starts)
+    state.earlier_starts = state.recorded_starts = frozenset(starts)
     state.blocked_tasks = {(each.job_id, each.task): each.server for each in starts}
 
 
@@ -76,16 +77,26 @@
     if not state.takeover_complete:
         return []
     effects: list[Effect] = []
-    for job_id in {job_id for job_id, _ in state.blocked_tasks}:
-        record = state.records_by_id.get(job_id)
-        if record is None or record.phase is not JobPhase.ACTIVE:
-            continue
+    for record in _list_waiting_jobs(state):
         expires_first = expires_at(record.job) < find_release_time(state)
         if record.job.best_effort and expires_first:
             effects += leave_unserved(state, record, now)
     return effects
 
 
+def _list_waiting_jobs(state: DispatcherState) -> list[JobRecord]:
+    """Return the jobs that cannot end before one of their tasks is released."""
+    records_by_id: dict[JobId, JobRecord] = {}
+    for key in state.blocked_tasks:
+        job_id, task = key
+        record = state.records_by_id.get(job_id)
+        if record is None or record.phase is not JobPhase.ACTIVE:
+            continue
+        if task not in record.done and key not in state.server_by_task:
+            records_by_id[job_id] = record
+    return list(records_by_id.values())
+
+
 def _record_starts(state: DispatcherState) -> list[Effect]:
     """Append the starts without an answer if the log does not name all of them."""
     if state.pending_record is not None:
@@ -111,13 +122,21 @@
     own = {
         UnansweredStart(run.job_id, run.task, server_id)
         for server_id, server in state.servers_by_id.items()
-        if _may_be_replaced(state, server)
         for run in server.runs_by_task.values()
+        if _may_begin_again(run) or _may_be_replaced(state, server)
         if run.phase is not RunPhase.ENDED and may_begin_late(server, run)
     }
     return frozenset(earlier | own)
 
 
+def _may_begin_again(run: Run) -> bool:
+    """Return whether a run goes on for which one of two starts has no answer.
+
+    It may take long, so that its server may be replaced before it ends.
+    """
+    return run.phase is RunPhase.RUNNING and run.start_repeated
+
+
 def _may_be_replaced(state: DispatcherState, server: Server) -> bool:
     """Return whether the next process of a server may be there, not yet called."""
     return server.silent or server.departed or server.read_term != state.term
--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -7,15 +7,17 @@
 from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.unanswered_starts import LATE_RUN_WAIT
 from boragetide.durable import DurableJob, ListedRun, Step
-from boragetide.effects import StartRun
+from boragetide.effects import Send, StartRun
 from boragetide.messages import (
     DispatcherReply,
     OrderResult,
     ReadFailed,
     ReplyStatus,
     ReportServer,
+    ReviewTransfers,
     SubmitDurableJob,
     Tick,
+    TransfersReviewed,
 )
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import (
@@ -141,3 +143,66 @@
     predecessor.list_runs("s1", now=BEGIN + 0.6)
     predecessor.handle(Tick(), BEGIN + 0.7)
     assert predecessor.catalogue.unanswered_starts == ()
+
+
+@pytest.mark.parametrize("is_listed_first", [False, True])
+def test_listed_run_that_a_late_start_may_begin_again_keeps_its_task(
+    leader: Leader, is_listed_first: bool
+) -> None:
+    """Guards against a second run beside one that the next process begins once more."""
+    running = tuple(ListedRun(make_task_ref("j1", task), 1) for task in range(2))
+    if is_listed_first:
+        leader.list_runs("s1", running=running, now=TAKEN_OVER_AT)
+    submit(leader, make_job(), TAKEN_OVER_AT + 0.1)
+    leader.list_runs("s1", running=running, now=TAKEN_OVER_AT + 0.2)
+    leader.handle(ReadFailed("s1", 2), TAKEN_OVER_AT + 0.6)
+    leader.join("s2", now=RELEASED_AT - 0.2, sequence=2)
+    leader.handle(Tick(), RELEASED_AT - 0.1)
+    assert leader.starts() == []
+    assert len(leader.catalogue.unanswered_starts) == 2
+
+
+def test_job_whose_recorded_tasks_run_elsewhere_goes_on(leader: Leader) -> None:
+    """Guards against an answer without a result for a job that is being served."""
+    running = tuple(ListedRun(make_task_ref("j1", task), 2) for task in range(2))
+    leader.list_runs("s2", running=running, now=TAKEN_OVER_AT + 0.01)
+    submit(leader, make_job(estimate=0.2), TAKEN_OVER_AT + 0.02)
+    leader.handle(Tick(), TAKEN_OVER_AT + 0.05)
+    assert leader.replies() == []
+    assert leader.stops() == []
+
+
+def test_note_of_a_job_stays_while_a_late_start_may_begin_it(leader: Leader) -> None:
+    """Guards against a run in the group of the note beside the one that begins late."""
+    review = ReviewTransfers("c2", 1, ("j1", "j2"))
+    leader.handle(review, TAKEN_OVER_AT)
+    (answer,) = [each.message for each in leader.effects if isinstance(each, Send)]
+    assert answer == TransfersReviewed(leader.state.settings.group, ("j2",))
+
+
+def test_late_start_of_a_run_at_an_answering_server_is_known_to_the_next_leader(
+    settings: Settings,
+) -> None:
+    """Guards against a second run beside one that the next process begins once more."""
+    predecessor = Leader(settings)
+    predecessor.lead()
+    predecessor.join()
+    for first in submit(predecessor, make_job(), BEGIN):
+        predecessor.answer(first, OrderResult.UNANSWERED, BEGIN + 0.2)
+        for repeated in predecessor.starts():
+            predecessor.answer(repeated, OrderResult.DONE, BEGIN + 0.21)
+    running = tuple(ListedRun(make_task_ref("j1", task), 1) for task in range(2))
+    predecessor.list_runs("s1", running=running, now=BEGIN + 0.3)
+    predecessor.handle(Tick(), BEGIN + 0.4)
+
+    leader = Leader(settings, term=2, catalogue=predecessor.catalogue)
+    leader.handle(ReportServer(report=make_report(), passed_on=True), SUCCEEDED_AT)
+    leader.lead(SUCCEEDED_AT)
+    leader.list_runs("s1", running=running, now=SUCCEEDED_AT + 0.1)
+    submit(leader, make_job(), SUCCEEDED_AT + 0.2)
+    leader.handle(Tick(), SUCCEEDED_AT + 0.3)
+    assert len(leader.catalogue.unanswered_starts) == 2
+    leader.handle(ReadFailed("s1", 2), SUCCEEDED_AT + 0.6)
+    leader.join("s2", now=RELEASED_AT - 0.2)
+    leader.handle(Tick(), RELEASED_AT - 0.1)
+    assert leader.starts() == []
