--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -50,7 +50,8 @@
     server = state.servers_by_id.get(server_id)
     if not state.blocked_tasks or server is None or server.read_term != state.term:
         return
-    _release(state, {k for k, id_ in state.blocked_tasks.items() if id_ == server_id})
+    keys = [key for key, by in state.blocked_tasks.items() if by == server_id]
+    _release(state, keys)
 
 
 def _release(state: DispatcherState, keys: Collection[tuple[JobId, int]]) -> None:
