--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -6,7 +6,7 @@
 
 from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.unanswered_starts import LATE_RUN_WAIT
-from boragetide.durable import DurableJob, ListedRun, Step
+from boragetide.durable import DurableJob, EndReason, ListedEnd, ListedRun, Step
 from boragetide.effects import Send, StartRun
 from boragetide.messages import (
     DispatcherReply,
@@ -154,6 +154,17 @@
     assert leader.stops() == []
 
 
+def test_job_whose_recorded_task_is_done_goes_on(leader: Leader) -> None:
+    """Guards against an answer without a result for a job that is being served."""
+    ended = (ListedEnd(1, make_task_ref("j1", 0), 2, EndReason.DONE),)
+    running = (ListedRun(make_task_ref("j1", 1), 2),)
+    leader.list_runs("s2", running=running, ended=ended, now=TAKEN_OVER_AT + 0.01)
+    submit(leader, make_job(estimate=0.2), TAKEN_OVER_AT + 0.02)
+    leader.handle(Tick(), TAKEN_OVER_AT + 0.05)
+    assert leader.replies() == []
+    assert leader.stops() == []
+
+
 def test_note_of_a_job_stays_while_a_late_start_may_begin_it(leader: Leader) -> None:
     """Guards against a run in the group of the note beside the one that begins late."""
     review = ReviewTransfers("c2", 1, ("j1", "j2"))
