--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -229,9 +229,13 @@
         lanes = [self.in_time, self.late, self.expired]
         lanes = lanes[lanes.index(examined[-1].lane) :]
         look_ahead.open_kinds(min(lane.find_least_millicores() for lane in lanes))
-        for waiting in examined:
-            if not waiting.is_held_by_limit:
-                look_ahead.record(look_ahead.find_rooms(waiting.demand, waiting.steps))
+        if not look_ahead.has_open_kinds():
+            return
+        look_ahead.record_all(
+            (waiting.demand, waiting.steps)
+            for waiting in examined
+            if not waiting.is_held_by_limit
+        )
         if not look_ahead.has_open_kinds():
             return
         after = examined[-1].entry
--- a/boragetide/policy/look_ahead.py
+++ b/boragetide/policy/look_ahead.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from boragetide.durable import Resources, Step
@@ -75,21 +75,25 @@
         self, demand: Demand, steps: tuple[Step, ...]
     ) -> Sequence[KindRooms]:
         """Return the open kinds that could run a task of any of the steps."""
-        open_rooms = self._find_open(demand)
-        if not open_rooms:
-            return ()
-        if len(steps) == 1:
-            return [each for each in open_rooms if each.kind.could_run(steps[0])]
-        return [each for each in open_rooms if any(map(each.kind.could_run, steps))]
+        return _find_rooms(self._find_open(demand), steps)
 
     def record(self, examined: Sequence[KindRooms]) -> None:
         """Count an examined job for the kinds that could run it."""
         counts = self._examined_by_kind
         for rooms in examined:
             counts[rooms] += 1
-            if counts[rooms] >= LOOK_AHEAD:
+            if counts[rooms] == LOOK_AHEAD:
                 self._open_by_pool[rooms.kind.pool].remove(rooms)
 
+    def record_all(self, examined: Iterable[tuple[Demand, tuple[Step, ...]]]) -> None:
+        """Count jobs that were examined before any kind was closed."""
+        open_by_class: dict[tuple[ClassName, PoolName], list[KindRooms]] = {}
+        for demand, steps in examined:
+            key = demand.class_name, demand.pool
+            if key not in open_by_class:
+                open_by_class[key] = list(self._find_open(demand))
+            self.record(_find_rooms(open_by_class[key], steps))
+
     def _find_open(self, demand: Demand) -> Sequence[KindRooms]:
         pool = self._find_pool(demand.class_name, demand.pool)
         return self._open_by_pool.get(pool, ())
@@ -97,3 +101,11 @@
 
 def _has_label(kind: ServerKind, labels: frozenset[str]) -> bool:
     return "" in labels or not labels.isdisjoint(kind.labels)
+
+
+def _find_rooms(
+    open_rooms: Sequence[KindRooms], steps: tuple[Step, ...]
+) -> Sequence[KindRooms]:
+    if len(steps) == 1:
+        return [each for each in open_rooms if each.kind.could_run(steps[0])]
+    return [each for each in open_rooms if any(map(each.kind.could_run, steps))]
