--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -76,6 +76,8 @@
 WORK_DURATION: Seconds = 0.3
 LONG_WORK_DURATION: Seconds = 1.5  # longer than a lease
 START_FATES = ("carried_out", "answer_lost", "handled_late", *DELAYS_BY_FATE)
+# Time after a cut until the leader has recorded the starts without an answer.
+SILENCE_DURATION: Seconds = 0.7
 CANCELLING_EDGE = "e2"
 EXPIRED_AGE: Seconds = 20.0  # age at which a job is of no use to its caller any more
 SERVERS = ("s1", "s2", "s3")
@@ -136,10 +138,10 @@
         self.refused: set[str] = set()
         self.replies: dict[int, str] = {}
         self.standby_is_deaf = False
+        self.recorded_starts: set[UnansweredStart] = set()
         self.started_at: set[str] = set()
         self.failing: set[str] = set()
         self.start_times_by_task: dict[TaskRef, list[Seconds]] = defaultdict(list)
-        self.recorded_starts: set[UnansweredStart] = set()
         self.start_leader(predecessor_until=self.now)
         self.run_for(1.0)
 
@@ -164,8 +166,8 @@
             self.now + AUTHORITY_DURATION,
             predecessor_until,
             server_born_by_id=dict(self.catalogue.server_born_by_id),
-            cancelled_at_by_job=dict(self.catalogue.cancelled_at_by_job),
             unanswered_starts=self.catalogue.unanswered_starts,
+            cancelled_at_by_job=dict(self.catalogue.cancelled_at_by_job),
         )
         if not self.standby_is_deaf:
             self.announce()
@@ -614,6 +616,23 @@
         server = self.backends[candidates[number % len(candidates)]]
         server.restart(self.now, downtime)
 
+    @rule(width=st.integers(1, 4), same=st.booleans())
+    def lose_leader_after_late_starts(self, width: int, same: bool) -> None:
+        """Replace a leader while silent servers restart and its starts are late."""
+        self.fates = ("late",)
+        self.started_at.clear()
+        self.submit(width, False, LONG_WORK_DURATION)
+        self.run_for(STEP)
+        servers = [self.backends[name] for name in sorted(self.started_at)]
+        for server in servers:
+            server.cut = True
+        self.fates = ("carried_out",)
+        self.run_for(SILENCE_DURATION)
+        for server in servers:
+            server.restart(self.now)
+        self.change_leader(same, seconds=0.0)
+        self.run_for(DELAYS_BY_FATE["late"])
+
     @rule(
         fates=st.lists(st.sampled_from(LATE_FATES), min_size=1, max_size=3),
         work=st.sampled_from([WORK_DURATION, LONG_WORK_DURATION]),
