--- a/boragetide/tests/conftest.py
+++ b/boragetide/tests/conftest.py
@@ -26,6 +26,7 @@
 
 from boragetide.policy.routing import find_claim_group
 from boragetide.settings import Settings, load_settings, parse_settings
+from boragetide.tests.durable_fixtures import Leader
 from boragetide.tests.relay import Relay, RelayLoop
 
 WAIT_LIMIT = 20.0  # seconds to wait for an event before the test fails
@@ -396,3 +397,12 @@
         for number, (peer, zone) in enumerate(zones_by_id.items())
     ]
     return parse_settings("\n".join(sections))
+
+
+@pytest.fixture
+def leader(settings: Settings) -> Leader:
+    """A leader with one backend server that has capacity for two tasks."""
+    made = Leader(settings)
+    made.lead()
+    made.join()
+    return made
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -31,6 +31,7 @@
     ReportServer,
     RunOrdered,
     RunsRead,
+    SubmitDurableJob,
 )
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.fencing import get_term
@@ -49,6 +50,7 @@
 NEEDS = Resources(27_000, 64)
 SERVER_CLOCK = 500.0  # clock of a backend server when the tests begin, in seconds
 PREDECESSOR_AUTHORITY = 0.4  # seconds for which an earlier leader may still give orders
+CALLER = ReplyTo("e1", 7)
 UPTIME = 60.0  # seconds for which the instance has run when a test begins
 
 
@@ -244,3 +246,10 @@
 def make_task_ref(job_id: str, index: int, step: int = 0) -> TaskRef:
     """Build a reference to a task."""
     return TaskRef(job_id, step, index)
+
+
+def submit(leader: Leader, **fields: Any) -> None:
+    """Submit a best-effort job of the caller."""
+    job = make_durable_job(best_effort=True, **fields)
+    age = BEGIN - job.submitted_at
+    leader.handle(SubmitDurableJob(job=job, age=age, reply_to=CALLER))
