Limit the servers set apart for suspects by pool

What callers would see: a durable task that was lost with its server does not start again, beside idle servers of its pool, until a lost task of another pool has ended.

Cause: the limit was computed from the size of one pool and compared with the servers set apart in all pools, and with all servers that were lost with a lone suspect.

Both are now counted in the pool alone; a lost server that is no longer known counts in every pool. The new test fails before the change; the tests of the dispatcher, of lost runs and of transfers and the random runs of these pass.

--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -13,7 +13,7 @@
 )
 from boragetide.controllers.placing_runs import find_pool, is_usable, start_task
 from boragetide.controllers.server_state import RunPhase, Server
-from boragetide.durable import DurableJob, Step
+from boragetide.durable import DurableJob, RunLoss, Step
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy.crash_suspicion import (
     awaits_fate,
@@ -175,8 +175,8 @@
 ) -> float | None:
     """Return how many runs another server to be set apart may have; `None` for none.
 
-    Servers that were lost with a suspect count as set apart while their fate is
-    awaited.
+    Servers of the pool that were lost with a suspect count as set apart while their
+    fate is awaited.
     """
     size = sum(
         server.report.pool == pool and not server.departed
@@ -186,9 +186,13 @@
         (loss.server, loss.born)
         for losses in state.losses_by_job.values()
         for loss in losses
-        if loss.alone and awaits_fate(loss, now)
+        if loss.alone and awaits_fate(loss, now) and _may_be_in(state, loss, pool)
     }
-    used = len(state.isolated_servers) + len(lost)
+    isolated = sum(
+        state.servers_by_id[server_id].report.pool == pool
+        for server_id in state.isolated_servers
+    )
+    used = isolated + len(lost)
     if used < max_isolated_servers(size):
         return math.inf
     if not lost and used < max_empty_isolated_servers(size):
@@ -196,6 +200,12 @@
     return None
 
 
+def _may_be_in(state: DispatcherState, loss: RunLoss, pool: PoolName) -> bool:
+    """Return whether a lost server is of a pool, or is not known any more."""
+    server = state.servers_by_id.get(loss.server)
+    return server is None or server.report.pool == pool
+
+
 def _count_active_runs(server: Server) -> int:
     """Return the number of runs that have not ended on a backend server."""
     return sum(run.phase is not RunPhase.ENDED for run in server.runs_by_task.values())
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -72,7 +72,7 @@
     return ServerReport(
         id=server_id,
         address=f"{server_id}:80",
-        pool="pool",
+        pool=fields.pop("pool", "pool"),
         zone="a",
         capacity=fields.pop("capacity", CAPACITY),
         born=born,
--- a/boragetide/tests/test_lost_runs.py
+++ b/boragetide/tests/test_lost_runs.py
@@ -59,6 +59,7 @@
         self.now = BEGIN
         self.born = dict.fromkeys(SERVERS, BORN)
         self.capacity = dict.fromkeys(SERVERS, CAPACITY)
+        self.pool = dict.fromkeys(SERVERS, "pool")
         self.sequence = 1
         self.starts: list[StartRun] = []
         self.replies: list[Any] = []
@@ -94,7 +95,13 @@
         records = tuple(self.catalogue.jobs_by_id[each] for each in sorted(changed))
         self.handle(JobsCommitted(tuple(message.commands_by_id), records))
 
-    def submit(self, job_id: str, *steps: Step, best_effort: bool = True) -> None:
+    def submit(
+        self,
+        job_id: str,
+        *steps: Step,
+        best_effort: bool = True,
+        pool: str = "pool",
+    ) -> None:
         """Submit a job, by default one of a single long task."""
         job = make_durable_job(
             job_id,
@@ -102,6 +109,7 @@
             best_effort=best_effort,
             submitted_at=self.now,
         )
+        job = replace(job, starts=replace(job.starts, pool=pool))
         message = SubmitDurableJob(job=job, submitted_at=self.now, reply_to=CALLER)
         self.handle(message)
 
@@ -139,7 +147,7 @@
         """Announce the current process of a server."""
         self.sequence += 1
         fields = {"born": self.born[server], "sequence": self.sequence} | fields
-        fields = {"capacity": self.capacity[server]} | fields
+        fields = {"capacity": self.capacity[server], "pool": self.pool[server]} | fields
         self.handle(ReportServer(report=make_report(server, **fields), passed_on=True))
 
     def return_server(self, server: str, *, crashed: bool) -> None:
@@ -424,3 +432,21 @@
     assert start.task.job_id == "small"
     assert start.server not in (lost, busy)
     assert site.leader.state.isolated_servers == {busy, start.server}
+
+
+def test_server_set_apart_in_another_pool_holds_up_no_suspect(
+    settings: Settings,
+) -> None:
+    """Guards against a lost task that waits for a suspect of another pool to end."""
+    site = Site(settings)
+    for server in ("s1", "s2"):
+        site.pool[server] = "other"
+        site.announce(server)
+    site.submit("j1", Step(1, NEEDS, 60.0), best_effort=False)
+    site.submit("j2", Step(1, NEEDS, 60.0), best_effort=False, pool="other")
+    lost = [start.server for start in site.take_starts()]
+    for server in lost:
+        site.lose(server)
+    starts = site.take_starts()
+    assert sorted(start.task.job_id for start in starts) == ["j1", "j2"]
+    assert len({start.server for start in starts} | set(lost)) == len(SERVERS)
