Find waiting jobs by the labels that servers with room have

A pass looked at each list of waiting jobs, of which there is one for each set of labels that jobs require: with a label of its own for each of 99,000 jobs it would look at 99,000 lists. It now looks only at those for the labels of servers with room.

`benchmarks.waiting_jobs`, a pass without room and one that finds an idle server: 130 and 1,080 us before, 35 and 791 us after (100 labels); 34 and 731 us with a label for each job.

--- a/benchmarks/waiting_jobs.py
+++ b/benchmarks/waiting_jobs.py
@@ -23,22 +23,20 @@
 PASSES = 200
 CAPACITY = Resources(64_000, 100_000)
 RUNNABLE = Step(1, Resources(60_000, 64), 0.2)
-LABEL_COUNT = 100
+LABEL_COUNTS = {"one label": 1, "100 labels": 100, "own labels": 1_000_000}
 
 
 def make_blocked_step(lack: str, number: int) -> Step:
     """Return a step that no backend server can run."""
-    if lack == "one label":
-        return Step(1, RUNNABLE.needs, 0.2, required_label="lost")
-    if lack == "100 labels":
-        label = f"lost{number % LABEL_COUNT}"
+    if lack in LABEL_COUNTS:
+        label = f"lost{number % LABEL_COUNTS[lack]}"
         return Step(1, RUNNABLE.needs, 0.2, required_label=label)
     if lack == "cores":
         return Step(1, Resources(70_000 + number, 64), 0.2)
     return Step(1, Resources(1_000, 200_000 + number), 0.2)
 
 
-LACKS = ("one label", "100 labels", "cores", "memory")
+LACKS = (*LABEL_COUNTS, "cores", "memory")
 
 
 def make_state(lack: str, blocked: int, runnable: int) -> DispatcherState:
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import reduce
 from heapq import heappop, heappush
@@ -63,11 +63,16 @@
 
 
 class Lane:
-    """Queued jobs that are as late as each other, in order and by their demand."""
+    """Queued jobs that are as late as each other, in order and by their demand.
+
+    Demands are found by the labels that backend servers have, so that labels that none
+    has cost nothing.
+    """
 
     def __init__(self) -> None:
         self.entries: SortedList = SortedList()
         self.lists_by_demand: dict[Demand, DemandList] = {}
+        self.demands_by_label: dict[str, dict[Demand, None]] = {}
 
     def __len__(self) -> int:
         return len(self.entries)
@@ -81,6 +86,8 @@
         demands = self.lists_by_demand.get(waiting.demand)
         if demands is None:
             demands = self.lists_by_demand[waiting.demand] = DemandList()
+            for label in waiting.demand.labels:
+                self.demands_by_label.setdefault(label, {})[waiting.demand] = None
         demands.add(waiting.entry, waiting.least_needs)
 
     def remove(self, waiting: WaitingJob) -> None:
@@ -90,15 +97,31 @@
         demands.remove(waiting.entry)
         if not demands:
             del self.lists_by_demand[waiting.demand]
+            self._remove_from_labels(waiting.demand)
+
+    def _remove_from_labels(self, demand: Demand) -> None:
+        for label in demand.labels:
+            demands = self.demands_by_label[label]
+            del demands[demand]
+            if not demands:
+                del self.demands_by_label[label]
 
     def clear(self) -> None:
         """Remove all jobs."""
         self.entries.clear()
         self.lists_by_demand.clear()
-
-    def find_least_millicores(self) -> float:
-        """Return a number of millicores that each job needs at least."""
-        lists = self.lists_by_demand.values()
+        self.demands_by_label.clear()
+
+    def find_demands(self, labels: Iterable[str]) -> list[Demand]:
+        """Return the demands of the jobs that require one of the labels."""
+        found: dict[Demand, None] = {}
+        for label in labels:
+            found |= self.demands_by_label.get(label, {})
+        return list(found)
+
+    def find_least_millicores(self, labels: Iterable[str]) -> float:
+        """Return a number of millicores that each job with such a label needs."""
+        lists = [self.lists_by_demand[each] for each in self.find_demands(labels)]
         return min((each.find_least_millicores() for each in lists), default=math.inf)
 
     def iterate(self, after: Entry | None, look_ahead: LookAhead) -> Iterator[Entry]:
@@ -111,7 +134,8 @@
         after
             Entry after which to begin, or ``None`` for the beginning.
         """
-        lists = list(self.lists_by_demand.items())
+        found = self.find_demands(look_ahead.list_labels())
+        lists = [(demand, self.lists_by_demand[demand]) for demand in found]
         heads: list[tuple[Entry, int]] = []
 
         def push_next(number: int, after: Entry | None) -> None:
@@ -228,7 +252,8 @@
         """Yield the jobs to consider after the first ones."""
         lanes = [self.in_time, self.late, self.expired]
         lanes = lanes[lanes.index(examined[-1].lane) :]
-        look_ahead.open_kinds(min(lane.find_least_millicores() for lane in lanes))
+        labels = look_ahead.list_labels()
+        look_ahead.open_kinds(min(lane.find_least_millicores(labels) for lane in lanes))
         if not look_ahead.has_open_kinds():
             return
         look_ahead.record_all(
--- a/boragetide/policy/look_ahead.py
+++ b/boragetide/policy/look_ahead.py
@@ -54,6 +54,11 @@
         self._examined_by_kind: Counter[KindRooms] = Counter()
         self._open_by_pool: dict[PoolName, list[KindRooms]] = {}
 
+    def list_labels(self) -> Sequence[str]:
+        """Return the labels of the backend servers with room, and the empty one."""
+        kinds = self._rooms.rooms_by_kind
+        return sorted({"", *(label for kind in kinds for label in kind.labels)})
+
     def open_kinds(self, millicores: float) -> None:
         """Open the kinds with a backend server that has this many millicores free."""
         for rooms in self._rooms.rooms_by_kind.values():
