--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -241,8 +241,10 @@
         examined: list[WaitingJob] = []
         for lane in lanes:
             for _, job_id in list(lane.entries.islice(0, LOOK_AHEAD - len(examined))):
-                examined.append(self.waiting_by_id[job_id])
-                yield examined[-1]
+                waiting = self.waiting_by_id.get(job_id)
+                if waiting is not None:
+                    examined.append(waiting)
+                    yield waiting
         if len(examined) == LOOK_AHEAD:
             yield from self._iterate_further(examined, look_ahead)
 
@@ -266,7 +268,9 @@
         after = examined[-1].entry
         for lane in lanes:
             for _, job_id in lane.iterate(after, look_ahead):
-                waiting = self.waiting_by_id[job_id]
+                waiting = self.waiting_by_id.get(job_id)
+                if waiting is None:
+                    continue
                 rooms = look_ahead.find_rooms(waiting.demand, waiting.steps)
                 if not rooms:
                     continue
--- a/boragetide/tests/test_dispatcher.py
+++ b/boragetide/tests/test_dispatcher.py
@@ -950,3 +950,19 @@
     leader.lead(records=tuple(JobRecord(each) for each in [*waiting, job]))
     leader.join("s1", capacity=Resources(30_000, 100_000), labels=("a",))
     assert [start.task.job_id for start in leader.starts()] == ["j1"]
+
+
+def test_job_starts_behind_jobs_that_run_as_often_as_a_server_may_run_them(
+    settings: Settings,
+) -> None:
+    """Guards against jobs that wait behind tasks that may not run on a server yet."""
+    limited = Step(2, Resources(1_000, 64), 60.0, max_per_server=1)
+    waiting = [
+        make_durable_job(f"w{number:02}", limited, submitted_at=BEGIN - 300.0)
+        for number in range(30)
+    ]
+    job = make_durable_job("x1", Step(1, NEEDS, 0.2), submitted_at=BEGIN - 50.0)
+    leader = Leader(settings)
+    leader.lead(records=tuple(JobRecord(each) for each in [*waiting, job]))
+    leader.join("s1")
+    assert "x1" in [start.task.job_id for start in leader.starts()]
