--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -294,6 +294,15 @@
     return key in state.server_by_task or key in state.blocked_tasks
 
 
+def may_start(state: DispatcherState, key: tuple[JobId, int]) -> bool:
+    """Return whether no run of a task may be running and no end of it is uncommitted.
+
+    A start before the commit of an end might be one attempt too many, or a second run
+    of a task that is done.
+    """
+    return not is_occupied(state, key) and key not in state.uncommitted_ends_by_task
+
+
 def has_authority(state: DispatcherState, now: Seconds) -> bool:
     """Return whether this instance may send orders and answer requests."""
     return state.term > 0 and now < state.authority_until
@@ -331,15 +340,6 @@
         outbox[record.transfer.sequence] = record.job.id
 
 
-def may_start(state: DispatcherState, key: tuple[JobId, int]) -> bool:
-    """Return whether no run of a task may be running and no end of it is uncommitted.
-
-    A start before the commit of an end might be one attempt too many, or a second run
-    of a task that is done.
-    """
-    return not is_occupied(state, key) and key not in state.uncommitted_ends_by_task
-
-
 def get_fence(state: DispatcherState, server: Server) -> int:
     """Return the fencing token of the orders to the known process of a server."""
     return make_fence(state.term, server.process)
