Name the blocked tasks by their key

The mapping from blocked tasks to the server of their late start is called server_by_blocked_task, as other mappings are.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -129,7 +129,7 @@
         Registration that is not committed yet, if any.
     earlier_starts
         Starts without an answer that earlier leaders recorded.
-    blocked_tasks
+    server_by_blocked_task
         Tasks that a backend server may begin late, by an order of an earlier leader.
     recorded_starts, pending_record
         Starts without an answer that the log names or will name, and the command that
@@ -192,7 +192,7 @@
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
     pending_registration: PendingRegistration | None = None
     earlier_starts: frozenset[UnansweredStart] = frozenset()
-    blocked_tasks: dict[tuple[JobId, int], BackendServerId] = field(
+    server_by_blocked_task: dict[tuple[JobId, int], BackendServerId] = field(
         default_factory=dict
     )
     recorded_starts: frozenset[UnansweredStart] = frozenset()
@@ -264,7 +264,7 @@
     state.server_born_by_id.clear()
     state.pending_registration = None
     state.earlier_starts = frozenset()
-    state.blocked_tasks.clear()
+    state.server_by_blocked_task.clear()
     state.recorded_starts = frozenset()
     state.pending_record = None
     state.process_count = 0
@@ -291,7 +291,7 @@
 
 def is_occupied(state: DispatcherState, key: tuple[JobId, int]) -> bool:
     """Return whether a task may be running, so that no other run of it may start."""
-    return key in state.server_by_task or key in state.blocked_tasks
+    return key in state.server_by_task or key in state.server_by_blocked_task
 
 
 def may_start(state: DispatcherState, key: tuple[JobId, int]) -> bool:
--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -181,7 +181,7 @@
     if not has_authority(state, now) or not state.takeover_complete:
         return []
     may_run = list_jobs_of_earlier_leaders(state)
-    may_run |= {job_id for job_id, _ in state.blocked_tasks}
+    may_run |= {job_id for job_id, _ in state.server_by_blocked_task}
     unknown = tuple(
         job_id
         for job_id in message.job_ids
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -40,7 +40,9 @@
 ) -> None:
     """Block the tasks that earlier leaders may have started at silent servers."""
     state.earlier_starts = state.recorded_starts = frozenset(starts)
-    state.blocked_tasks = {(each.job_id, each.task): each.server for each in starts}
+    state.server_by_blocked_task = {
+        (each.job_id, each.task): each.server for each in starts
+    }
 
 
 def release_read_server(state: DispatcherState, server_id: BackendServerId) -> None:
@@ -49,22 +51,26 @@
     It refuses the orders of earlier leaders, so that its list is final.
     """
     server = state.servers_by_id.get(server_id)
-    if not state.blocked_tasks or server is None or server.read_term != state.term:
+    if (
+        not state.server_by_blocked_task
+        or server is None
+        or server.read_term != state.term
+    ):
         return
-    keys = [key for key, by in state.blocked_tasks.items() if by == server_id]
+    keys = [key for key, by in state.server_by_blocked_task.items() if by == server_id]
     _release(state, keys)
 
 
 def _release(state: DispatcherState, keys: Collection[tuple[JobId, int]]) -> None:
     for key in keys:
-        del state.blocked_tasks[key]
+        del state.server_by_blocked_task[key]
         update_queue(state, key[0])
 
 
 def review_unanswered_starts(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Release the blocked tasks whose time has passed, and record what changed."""
     if now >= find_release_time(state):
-        _release(state, list(state.blocked_tasks))
+        _release(state, list(state.server_by_blocked_task))
     return [*_leave_blocked_jobs(state, now), *_record_starts(state)]
 
 
@@ -88,7 +94,7 @@
 def _list_waiting_jobs(state: DispatcherState) -> list[JobRecord]:
     """Return the jobs that cannot end before one of their tasks is released."""
     records_by_id: dict[JobId, JobRecord] = {}
-    for key in state.blocked_tasks:
+    for key in state.server_by_blocked_task:
         job_id, task = key
         record = state.records_by_id.get(job_id)
         if record is None or record.phase is not JobPhase.ACTIVE:
@@ -118,7 +124,7 @@
     """Return the starts that may be carried out, of this and of earlier leaders."""
     earlier = {
         UnansweredStart(job_id, task, server_id)
-        for (job_id, task), server_id in state.blocked_tasks.items()
+        for (job_id, task), server_id in state.server_by_blocked_task.items()
     }
     own = {
         UnansweredStart(run.job_id, run.task, server_id)
