Write the bound of the longest lease once

Cause: the wait of a recorded start repeated the bound that a takeover and a list of unknown runs already wrote out: the platform's longest lease by a slow clock, and the margin.

Change: LONGEST_LEASE in server_state.py serves all three.

--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -18,7 +18,7 @@
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
-    MAX_LEASE_DURATION,
+    LONGEST_LEASE,
     MIN_CLOCK_RATE,
     Run,
     Server,
@@ -51,9 +51,7 @@
 DISCOVERY_PERIOD: Seconds = 3.5
 # Leases that an earlier leader granted have expired this long after its last order,
 # also at a process whose clock it did not know.
-LEASE_EXPIRY_WAIT: Seconds = (
-    MAX_LEASE_DURATION / MIN_CLOCK_RATE + 2 * LEASE_EXPIRY_MARGIN
-)
+LEASE_EXPIRY_WAIT: Seconds = LONGEST_LEASE + LEASE_EXPIRY_MARGIN
 
 
 def update_queue(state: DispatcherState, job_id: JobId) -> None:
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -20,6 +20,8 @@
 MIN_CLOCK_RATE = 0.98  # the clock of a backend server may run 2% slow
 MAX_SERVER_CLOCK_DRIFT = 1.0 - MIN_CLOCK_RATE + MAX_CLOCK_DRIFT
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
+# Time after which any lease has expired, counted from the arrival of its order.
+LONGEST_LEASE: Seconds = MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
 # Sequence number of the report of a process that has not announced itself yet.
 UNANNOUNCED_SEQUENCE = -1
 
@@ -241,7 +243,7 @@
         """
         self.unknown_leases_expired_at = max(
             self.unknown_leases_expired_at,
-            now + MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN,
+            now + LONGEST_LEASE,
         )
 
     def clear_runs(self) -> None:
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -16,10 +16,8 @@
 from boragetide.controllers.orders import may_begin_late
 from boragetide.controllers.placing_runs import update_queue
 from boragetide.controllers.server_state import (
-    LEASE_EXPIRY_MARGIN,
-    MAX_LEASE_DURATION,
+    LONGEST_LEASE,
     MAX_ORDER_DELAY,
-    MIN_CLOCK_RATE,
     Run,
     RunPhase,
     Server,
@@ -30,9 +28,7 @@
 from boragetide.types import BackendServerId, JobId, Seconds
 
 # Time from the last order of an earlier leader until the run that it begins is over.
-LATE_RUN_WAIT: Seconds = (
-    MAX_ORDER_DELAY + MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
-)
+LATE_RUN_WAIT: Seconds = MAX_ORDER_DELAY + LONGEST_LEASE
 
 
 def load_unanswered_starts(
