Never let curl send a batch of tasks a second time

Callers saw: a task of the product's own interface could run twice, and a job could be refused with `not_run` although its tasks had started. Cause: libcurl (8.23.0) repeats a request on a new connection if a connection that it has used before ends without a response byte, and tornado's client gives it a body that it can rewind. The backend server then gets the batch twice. If it refuses the second copy with 409 or 503, or the new connection is refused, the tasks were reported as `not_run`, although the first copy had arrived whole and may have started them. Evidence: a server that reads a batch on a reused connection and closes it. Fix: the seek callback of a dispatch fails, so that curl cannot repeat a body of which it has read anything. It then ends the transfer with error 65 before it connects again, which is reported as `unknown`. Cancellations may still be repeated; they are idempotent.

--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 import msgspec
+import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.daemon.logs import log_event
@@ -77,6 +78,7 @@
         connect_timeout=CONNECT_TIMEOUT,
         request_timeout=timeout,
         streaming_callback=parser.feed,
+        prepare_curl_callback=_forbid_rewind,
     )
     status, error = TaskStatus.UNKNOWN, "response ended without a result"
     try:
@@ -93,6 +95,15 @@
             report(TaskReport(start.server, start.lease, task_id, outcome))
 
 
+def _forbid_rewind(curl: pycurl.Curl) -> None:
+    """Make curl fail the request where it would send the body a second time.
+
+    curl repeats a request by itself if a connection that it has used before ends
+    without a response. The backend server may have started the tasks of the first copy.
+    """
+    curl.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
+
+
 def _encode_task(task: Any) -> dict[str, Any]:
     return {
         "id": task.id,
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import re
 
 import pytest
 
@@ -18,6 +19,9 @@
 RESULT_LINE = {"id": "j.0", "status": "done", "result": 1, "seconds": 0.1}
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+PERSISTENT_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+REFUSAL_HEADERS = b"\r\nContent-Length: 0\r\n\r\n"
+REFUSALS = [b"409 Conflict", b"503 Service Unavailable"]
 
 
 def run_dispatch(
@@ -44,6 +48,65 @@
     return asyncio.run(run())
 
 
+async def read_body(reader: asyncio.StreamReader) -> bytes:
+    """Read one request and return its body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head, re.IGNORECASE)
+    return await reader.readexactly(int(length[1]))
+
+
+class ClosingServer:
+    """Answers the first request and closes the connection on which the second arrives.
+
+    Parameters
+    ----------
+    answer_to_copy
+        Response to any later request; with ``None`` new connections are refused.
+    """
+
+    def __init__(self, answer_to_copy: bytes | None):
+        self.answer_to_copy = answer_to_copy
+        self.bodies: list[bytes] = []
+        self.listener: asyncio.Server | None = None
+        self.connections: set[asyncio.Task[None]] = set()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        self.connections.add(asyncio.current_task())
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                self.bodies.append(await read_body(reader))
+                if len(self.bodies) == 2:
+                    break
+                is_first = len(self.bodies) == 1
+                writer.write(PERSISTENT_RESPONSE if is_first else self.answer_to_copy)
+        if self.answer_to_copy is None:
+            self.listener.close()
+        writer.close()
+
+    def dispatch_twice(self) -> list[TaskReport]:
+        """Dispatch two batches over one client and return the reports of the second."""
+
+        async def run() -> list[TaskReport]:
+            self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+            port = self.listener.sockets[0].getsockname()[1]
+            client = make_client()
+            for batch in ("first", "second"):
+                task = TaskStart(f"{batch}.0", batch, "default", None, 0.2)
+                address = f"http://127.0.0.1:{port}"
+                reports: list[TaskReport] = []
+                start = StartTasks("s1", address, "lease-1", (task,))
+                await dispatch(client, start, reports.append)
+            client.close()
+            self.listener.close()
+            await asyncio.wait(self.connections)
+            return reports
+
+        return asyncio.run(run())
+
+
 def respond(head: bytes, *lines: dict[str, object]) -> Serve:
     """Build a handler that answers one request and closes the connection."""
 
@@ -79,7 +142,7 @@
     assert set(statuses(run_dispatch(None)).values()) == {TaskStatus.NOT_RUN}
 
 
-@pytest.mark.parametrize("code", [b"409 Conflict", b"503 Service Unavailable"])
+@pytest.mark.parametrize("code", REFUSALS)
 def test_explicit_refusal_has_certainly_not_run(code: bytes) -> None:
     """Guards against a needless ``unknown`` after a refusal."""
     head = b"HTTP/1.1 " + code + b"\r\nConnection: close\r\n\r\n"
@@ -115,6 +178,28 @@
     assert set(statuses(run_dispatch(stay_silent)).values()) == {TaskStatus.UNKNOWN}
 
 
+def test_batch_is_sent_once_when_a_reused_connection_ends() -> None:
+    """Guards against a second copy of a batch, which may start its tasks again."""
+    server = ClosingServer(PERSISTENT_RESPONSE)
+    reports = server.dispatch_twice()
+    assert len(server.bodies) == 2
+    assert statuses(reports) == {"second.0": TaskStatus.UNKNOWN}
+
+
+@pytest.mark.parametrize("code", REFUSALS)
+def test_refusal_of_a_second_copy_does_not_hide_the_first(code: bytes) -> None:
+    """Guards against ``not_run`` for a batch of which the first copy has arrived."""
+    server = ClosingServer(b"HTTP/1.1 " + code + REFUSAL_HEADERS)
+    reports = server.dispatch_twice()
+    assert statuses(reports) == {"second.0": TaskStatus.UNKNOWN}
+
+
+def test_refused_connection_for_a_second_copy_does_not_hide_the_first() -> None:
+    """Guards against ``not_run`` for a batch that arrived before the server ended."""
+    reports = ClosingServer(None).dispatch_twice()
+    assert statuses(reports) == {"second.0": TaskStatus.UNKNOWN}
+
+
 def test_lines_for_other_tasks_and_repeated_lines_are_dropped() -> None:
     """Guards against reporting a result that belongs to another dispatch."""
     other = {**RESULT_LINE, "id": "j.7"}
