Use no connection that a backend server closed while it was idle

Cause: curl looks for closed idle connections once a second only and otherwise sends on them. Now such a batch is `unknown`, which fails its jobs: up to one batch for each idle connection in the second after a backend server has ended or restarted. Evidence: the new test, a server that closes the connection 50 ms before the next batch. Fix: `TaskClient` watches the sockets of idle connections with an epoll object. A connection that ends after the batch was sent is `unknown` as before.

--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -7,16 +7,15 @@
 from urllib.parse import quote
 
 import msgspec
-import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.daemon.logs import log_event
 from boragetide.effects import CancelTasks, StartTasks
 from boragetide.json_values import find_unsupported_value, may_have_unsupported_value
+from boragetide.links.task_client import TaskClient
 from boragetide.messages import TaskReport
 from boragetide.types import Seconds, TaskOutcome, TaskStatus
 
-CLIENT_CLASS = "tornado.curl_httpclient.CurlAsyncHTTPClient"
 CONNECT_TIMEOUT = 1.0  # seconds
 CANCEL_TIMEOUT = 2.0  # seconds
 MAX_CONNECTIONS = 1024
@@ -46,7 +45,7 @@
 
 def make_client() -> AsyncHTTPClient:
     """Make the curl client that all task calls to backend servers share."""
-    AsyncHTTPClient.configure(CLIENT_CLASS, max_clients=MAX_CONNECTIONS)
+    AsyncHTTPClient.configure(TaskClient, max_clients=MAX_CONNECTIONS)
     return AsyncHTTPClient()
 
 
@@ -78,7 +77,6 @@
         connect_timeout=CONNECT_TIMEOUT,
         request_timeout=timeout,
         streaming_callback=parser.feed,
-        prepare_curl_callback=_forbid_rewind,
     )
     status, error = TaskStatus.UNKNOWN, "response ended without a result"
     try:
@@ -95,15 +93,6 @@
             report(TaskReport(start.server, start.lease, task_id, outcome))
 
 
-def _forbid_rewind(curl: pycurl.Curl) -> None:
-    """Make curl fail the request where it would send the body a second time.
-
-    curl repeats a request by itself if a connection that it has used before ends
-    without a response. The backend server may have started the tasks of the first copy.
-    """
-    curl.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
-
-
 def _encode_task(task: Any) -> dict[str, Any]:
     return {
         "id": task.id,
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -8,6 +8,7 @@
 import re
 
 import pytest
+from tornado.httpclient import AsyncHTTPClient
 
 from boragetide.effects import CancelTasks, StartTasks
 from boragetide.links.backend_client import cancel, dispatch, make_client
@@ -21,6 +22,7 @@
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 PERSISTENT_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 REFUSAL_HEADERS = b"\r\nContent-Length: 0\r\n\r\n"
+IDLE_TIME = 0.05  # seconds
 REFUSALS = [b"409 Conflict", b"503 Service Unavailable"]
 
 
@@ -48,6 +50,16 @@
     return asyncio.run(run())
 
 
+async def dispatch_task(
+    client: AsyncHTTPClient, port: int, index: int, reports: list[TaskReport]
+) -> None:
+    """Dispatch one task of a job; then wait until an end of the connection arrives."""
+    task = TaskStart(f"j.{index}", "j", "default", None, 0.2)
+    start = StartTasks("s1", f"http://127.0.0.1:{port}", "lease-1", (task,))
+    await dispatch(client, start, reports.append)
+    await asyncio.sleep(IDLE_TIME)
+
+
 async def read_body(reader: asyncio.StreamReader) -> bytes:
     """Read one request and return its body."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -93,12 +105,9 @@
             self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
             port = self.listener.sockets[0].getsockname()[1]
             client = make_client()
-            for batch in ("first", "second"):
-                task = TaskStart(f"{batch}.0", batch, "default", None, 0.2)
-                address = f"http://127.0.0.1:{port}"
-                reports: list[TaskReport] = []
-                start = StartTasks("s1", address, "lease-1", (task,))
-                await dispatch(client, start, reports.append)
+            reports: list[TaskReport] = []
+            await dispatch_task(client, port, 1, [])
+            await dispatch_task(client, port, 2, reports)
             client.close()
             self.listener.close()
             await asyncio.wait(self.connections)
@@ -183,7 +192,7 @@
     server = ClosingServer(PERSISTENT_RESPONSE)
     reports = server.dispatch_twice()
     assert len(server.bodies) == 2
-    assert statuses(reports) == {"second.0": TaskStatus.UNKNOWN}
+    assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
 
 
 @pytest.mark.parametrize("code", REFUSALS)
@@ -191,13 +200,42 @@
     """Guards against ``not_run`` for a batch of which the first copy has arrived."""
     server = ClosingServer(b"HTTP/1.1 " + code + REFUSAL_HEADERS)
     reports = server.dispatch_twice()
-    assert statuses(reports) == {"second.0": TaskStatus.UNKNOWN}
+    assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
 
 
 def test_refused_connection_for_a_second_copy_does_not_hide_the_first() -> None:
     """Guards against ``not_run`` for a batch that arrived before the server ended."""
     reports = ClosingServer(None).dispatch_twice()
-    assert statuses(reports) == {"second.0": TaskStatus.UNKNOWN}
+    assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
+
+
+def test_connection_closed_while_idle_carries_no_batch() -> None:
+    """Guards against batches that are lost in the first second after a server ends."""
+    bodies: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        bodies.append(await read_body(reader))
+        line = json.dumps({**RESULT_LINE, "id": f"j.{len(bodies)}"}).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(line)}\r\n\r\n"
+        writer.write(head.encode() + line)
+        writer.close()
+
+    async def run() -> list[TaskReport]:
+        port = free_port()
+        client = make_client()
+        reports: list[TaskReport] = []
+        async with serve_streams(port, serve):
+            for index in (1, 2):
+                await dispatch_task(client, port, index, reports)
+        await dispatch_task(client, port, 3, reports)
+        client.close()
+        return reports
+
+    assert statuses(asyncio.run(run())) == {
+        "j.1": TaskStatus.DONE,
+        "j.2": TaskStatus.DONE,
+        "j.3": TaskStatus.NOT_RUN,
+    }
 
 
 def test_lines_for_other_tasks_and_repeated_lines_are_dropped() -> None:
