Do not follow the redirection of a batch of tasks

Callers saw: nothing that is known; found while looking for the cause of the last faults. Cause: as in, the answer to another request was taken for the answer to the batch. tornado follows redirections: a 303 is followed by a GET of its target, and if that is refused, the tasks were reported as `not_run`, although a backend server has read the batch. Evidence: the new test fails for 303 before this change (`not_run`). It passes for 307 since, because the body cannot be sent again. Fix: any redirection is an answer that proves nothing, so its tasks are `unknown`.

--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -77,6 +77,7 @@
         connect_timeout=CONNECT_TIMEOUT,
         request_timeout=timeout,
         streaming_callback=parser.feed,
+        follow_redirects=False,
     )
     status, error = TaskStatus.UNKNOWN, "response ended without a result"
     try:
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -209,6 +209,17 @@
     assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
 
 
+@pytest.mark.parametrize("code", [b"303 See Other", b"307 Temporary Redirect"])
+def test_unreachable_target_of_a_redirection_does_not_hide_the_batch(
+    code: bytes,
+) -> None:
+    """Guards against ``not_run`` for a batch that a backend server has answered."""
+    location = b"\r\nLocation: http://127.0.0.1:%d/" % free_port()
+    head = b"HTTP/1.1 " + code + location + REFUSAL_HEADERS
+    reports = run_dispatch(respond(head))
+    assert set(statuses(reports).values()) == {TaskStatus.UNKNOWN}
+
+
 def test_connection_closed_while_idle_carries_no_batch() -> None:
     """Guards against batches that are lost in the first second after a server ends."""
     bodies: list[bytes] = []
