Command line: a refusal proves nothing if a later answer was lost

Callers saw: "refused", with exit code 1, for a job or a command that a daemon may have executed. Cause: `send` kept the refusal of one daemon as it was when it arrived. Evidence: the new test, a refusal by the first daemon and a connection of the second one that ends: exit code 1 before, 3 (unknown) now. Fix: the refusal is returned with what is known at the end. The field is renamed, since the lost answer may be the earlier or the later one.

--- a/boragetide/cli/base.py
+++ b/boragetide/cli/base.py
@@ -152,8 +152,8 @@
     message = body.get("error") or f"HTTP status {response.http_status}"
     if response.http_status >= 500 and body.get("status") != "not_run":
         raise CommandLineError(ExitCode.UNKNOWN, f"outcome unknown: {message}", body)
-    if response.earlier_answer_lost:
-        message = f"outcome unknown: an earlier answer was lost, then: {message}"
+    if response.other_answer_lost:
+        message = f"outcome unknown: an answer was lost, another is: {message}"
         raise CommandLineError(ExitCode.UNKNOWN, message, {**body, "status": "unknown"})
     raise CommandLineError(ExitCode.REFUSED, f"refused: {message}", body)
 
--- a/boragetide/cli/client.py
+++ b/boragetide/cli/client.py
@@ -7,7 +7,7 @@
 import json
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
@@ -52,13 +52,13 @@
 
     Parameters
     ----------
-    earlier_answer_lost
-        Whether an earlier attempt got no answer and may have taken effect.
+    other_answer_lost
+        Whether another attempt got no answer and may have taken effect.
     """
 
     http_status: int
     body: Any
-    earlier_answer_lost: bool = False
+    other_answer_lost: bool = False
 
 
 async def send(call: Call, servers: tuple[str, ...]) -> Response:
@@ -95,7 +95,7 @@
             break
         await asyncio.sleep(min(delay, MAX_RESEND_DELAY) * random.uniform(0.5, 1.0))
     if refusal is not None:
-        return refusal
+        return replace(refusal, other_answer_lost=answer_lost)
     raise (ReplyTimeout if answer_lost else PeerUnreachable)("; ".join(failures))
 
 
--- a/boragetide/cli/jobs.py
+++ b/boragetide/cli/jobs.py
@@ -70,8 +70,8 @@
             ) from error
         answer = response.body
         code = _EXIT_CODES_BY_STATUS.get(answer.get("status"), ExitCode.UNKNOWN)
-        if answer.get("status") == "not_run" and response.earlier_answer_lost:
-            # An earlier attempt, whose answer was lost, may have started tasks.
+        if answer.get("status") == "not_run" and response.other_answer_lost:
+            # Another attempt, whose answer was lost, may have started tasks.
             answer, code = {**answer, "status": "unknown"}, ExitCode.UNKNOWN
         self.emit(answer, _format_answer(answer))
         return code
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -176,6 +176,19 @@
     assert run(arguments) == 1
 
 
+def test_refusal_before_a_lost_answer_is_unknown(
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against ``refused`` for a command that another daemon may have run."""
+    refusal = (503, {"id": "job-1", "status": "not_run", "error": "the queue is full"})
+    script.set_answers("DELETE /v1/jobs/job-1", refusal, CLOSE_CONNECTION)
+    other_url = script.url.replace("127.0.0.1", "localhost")
+    arguments = ["job", "cancel", "job-1", f"--server={script.url}"]
+    arguments += [f"--server={other_url}", "--resend-for=0s"]
+    assert run(arguments) == 3
+    assert "outcome unknown" in capsys.readouterr().err
+
+
 def test_servers_are_tried_in_order(
     script: ScriptedDaemon,
     capsys: pytest.CaptureFixture[str],
