Command line: keep curl from repeating a request

Callers saw: "refused", with exit code 1, or "no daemon reachable" after a command that a daemon has executed, if the same daemon is named twice. Cause: as in, curl repeats a request by itself on a reused connection that ends. A cancellation has no body, so the refused rewind does not stop it. Within one round only a daemon that is named twice is called again on its connection; in later rounds the outcome is known to be uncertain anyway. Every call that changes something is idempotent by a job id or a command id, so nothing ran twice; only the outcome was wrong. Evidence: the new test, a refusal on a connection that then ends without an answer to the second call, and a refusal of the copy. Fix: the command line uses a new connection for each attempt. `TaskClient` no longer resets this option for requests of its own.

--- a/boragetide/cli/client.py
+++ b/boragetide/cli/client.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.errors import LinkError, PeerUnreachable, ReplyTimeout
@@ -107,6 +108,7 @@
         body=None if call.body is None else json.dumps(call.body).encode(),
         connect_timeout=CONNECT_TIMEOUT,
         request_timeout=call.timeout,
+        prepare_curl_callback=_use_new_connection,
     )
     try:
         response = await client.fetch(request, raise_error=False)
@@ -121,6 +123,11 @@
         raise PeerUnreachable(str(error)) from error
 
 
+def _use_new_connection(curl: pycurl.Curl) -> None:
+    """Keep curl from repeating the request, which it does on a reused connection."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
 def _decode(body: bytes) -> dict[str, Any]:
     try:
         decoded = json.loads(body)
--- a/boragetide/links/task_client.py
+++ b/boragetide/links/task_client.py
@@ -35,7 +35,8 @@
         self, curl: pycurl.Curl, request: HTTPRequest, *arguments: Any
     ) -> None:
         super()._curl_setup_request(curl, request, *arguments)
-        curl.setopt(pycurl.FRESH_CONNECT, self._has_closed_connection())
+        if self._has_closed_connection():
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
         if request.body is not None:
             curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
 
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -189,6 +189,30 @@
     assert "outcome unknown" in capsys.readouterr().err
 
 
+@pytest.mark.parametrize(
+    ("request_line", "arguments"),
+    [
+        ("DELETE /v1/jobs/job-1", ["job", "cancel", "job-1"]),
+        ("POST /v1/jobs", ["job", "submit", "job.json"]),
+    ],
+)
+def test_refusal_after_a_connection_that_ended_is_unknown(
+    script: ScriptedDaemon,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    request_line: str,
+    arguments: list[str],
+) -> None:
+    """Guards against ``refused`` for a request that a daemon has handled."""
+    monkeypatch.chdir(tmp_path)
+    Path("job.json").write_text(json.dumps(make_job("job-1")))
+    refusal = (503, {"id": "job-1", "status": "not_run", "error": "the queue is full"})
+    script.set_answers(request_line, refusal, CLOSE_CONNECTION, refusal)
+    servers = [f"--server={script.url}"] * 2
+    assert run([*arguments, *servers, "--resend-for=0s"]) == 3
+    assert len(script.bodies(request_line)) == 2
+
+
 def test_servers_are_tried_in_order(
     script: ScriptedDaemon,
     capsys: pytest.CaptureFixture[str],
