--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import socket
+import struct
 import threading
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
@@ -13,6 +16,8 @@
 DIRECTIONS = frozenset({TO_TARGET, FROM_TARGET})
 CHUNK = 65536  # bytes
 CLOSE_ITERATIONS = 10
+# Makes the kernel reset a connection when it is closed.
+LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 class RelayLoop:
@@ -53,16 +58,32 @@
         for writer in self.writers:
             writer.close()
 
+    def reset(self) -> None:
+        for writer in self.writers:
+            connected = writer.get_extra_info("socket")
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+            writer.transport.abort()
+
 
 class Relay:
     """Listens on a port and forwards each connection to a target port.
 
-    ``forwarded_bytes`` counts the bytes that reached the target.
+    Parameters
+    ----------
+    forwarded_bytes
+        Number of bytes that reached the target.
+    reset_share
+        Share of the answers, in chunks of data from the target, that are discarded
+        while their connection is reset.
+    jitter
+        Decides which answers these are.
     """
 
     def __init__(self, loop: RelayLoop, port: int, target_port: int):
         self.port = port
         self.forwarded_bytes = 0
+        self.reset_share = 0.0
+        self.jitter = random.Random()
         self._loop = loop
         self._target_port = target_port
         self._connections: set[_Connection] = set()
@@ -127,6 +148,9 @@
             self._pump(connection, FROM_TARGET, target[0], writer),
         )
 
+    def _is_reset_due(self, direction: str) -> bool:
+        return direction == FROM_TARGET and self.jitter.random() < self.reset_share
+
     async def _pump(
         self,
         connection: _Connection,
@@ -138,6 +162,9 @@
             while data := await reader.read(CHUNK):
                 if direction in connection.silent:
                     continue
+                if self._is_reset_due(direction):
+                    connection.reset()
+                    break
                 writer.write(data)
                 await writer.drain()
                 if direction == TO_TARGET:
