Log the orders that curl sends twice

Cause: curl sends a request again by itself when a connection that it has used before ends without a response. Change: curl reads the body from a buffer that it must rewind to repeat the request. The response says so, and `call_repeated` is logged with the path and the status of the second copy. What is sent, and what follows from the answers, is unchanged. Conclusion: a start that was repeated shows in the logs.

--- a/boragetide/links/order_call.py
+++ b/boragetide/links/order_call.py
@@ -36,11 +36,14 @@
     headers: tuple[bytes, ...] = (),
 ) -> CallResponse:
     """Make one call; a call without a response is logged, and no error is raised."""
+    path = url.rpartition("/")[2]
     try:
-        return await client.post(
+        response = await client.post(
             url, [_JSON_HEADER, *headers], msgspec.json.encode(body), timeout
         )
     except LinkError as error:
-        path = url.rpartition("/")[2]
         log_event("call_unanswered", server=server, path=path, error=str(error))
         return CallResponse(NO_RESPONSE, b"")
+    if response.repeated:
+        log_event("call_repeated", server=server, path=path, status=response.status)
+    return response
--- a/boragetide/links/order_client.py
+++ b/boragetide/links/order_client.py
@@ -31,10 +31,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CallResponse:
-    """Status and body of a response."""
+    """Status and body of a response.
+
+    Parameters
+    ----------
+    repeated
+        Whether curl sent the request again, because a connection that it had used
+        before ended without a response. The first copy may have been executed.
+    """
 
     status: int
     body: bytes
+    repeated: bool = False
 
 
 @dataclass(slots=True)
@@ -47,6 +55,17 @@
     timeout: Seconds
     response: asyncio.Future[CallResponse]
     buffer: BytesIO = field(default_factory=BytesIO)
+    unsent: BytesIO = field(init=False)
+    repeated: bool = False
+
+    def __post_init__(self) -> None:
+        self.unsent = BytesIO(self.body)
+
+    def rewind(self, offset: int, origin: int) -> int:
+        """Let curl read the body again, which it does to repeat the request."""
+        self.repeated = True
+        self.unsent.seek(offset, origin)
+        return pycurl.SEEKFUNC_OK
 
 
 class OrderClient(CurlAsyncHTTPClient):
@@ -98,6 +117,7 @@
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT * MS_PER_SECOND))
         curl.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
+        curl.setopt(pycurl.POST, 1)
         return curl
 
     def _process_queue(self) -> None:
@@ -126,7 +146,9 @@
     def _start(self, curl: pycurl.Curl, call: _Call) -> None:
         curl.setopt(pycurl.URL, call.url)
         curl.setopt(pycurl.HTTPHEADER, [*call.headers, _NO_EXPECT])
-        curl.setopt(pycurl.POSTFIELDS, call.body)
+        curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
+        curl.setopt(pycurl.READFUNCTION, call.unsent.read)
+        curl.setopt(pycurl.SEEKFUNCTION, call.rewind)
         curl.setopt(pycurl.TIMEOUT_MS, int(call.timeout * MS_PER_SECOND))
         curl.setopt(pycurl.WRITEFUNCTION, call.buffer.write)
         curl.call = call
@@ -146,7 +168,8 @@
             _fail(call, f"{curl_error}: {curl_message}")
         elif not call.response.done():
             status = curl.getinfo(pycurl.RESPONSE_CODE)
-            call.response.set_result(CallResponse(status, call.buffer.getvalue()))
+            body = call.buffer.getvalue()
+            call.response.set_result(CallResponse(status, body, call.repeated))
 
     def _handle_socket(
         self, event: int, fd: int, multi: pycurl.CurlMulti, data: object
--- a/boragetide/tests/test_order_client.py
+++ b/boragetide/tests/test_order_client.py
@@ -16,6 +16,7 @@
 from boragetide.links.order_call import MAX_CONNECTIONS
 from boragetide.links.order_client import OrderClient
 from boragetide.tests.conftest import free_port
+from boragetide.tests.stream_server import ScriptedServer, serve_streams
 
 SLOW_ANSWER = 0.3  # seconds
 TIMEOUT = 5.0  # seconds
@@ -148,3 +149,20 @@
             await client.post(f"{url}/0", [b"X-Name: w1\r\nX-Other: 1"], b"", TIMEOUT)
 
     run_calls(make_calls)
+
+
+def test_repeated_request_is_reported() -> None:
+    """Guards against logs that do not tell a first copy from a second one."""
+    server = ScriptedServer([("200 OK", "{}"), None, ("503 Busy", "{}")])
+
+    async def run() -> list[bool]:
+        port = free_port()
+        client = OrderClient(force_instance=True, max_clients=1)
+        url = f"http://127.0.0.1:{port}/"
+        async with serve_streams(port, server):
+            calls = [await client.post(url, [], body, TIMEOUT) for body in (b"1", b"2")]
+        client.close()
+        return [response.repeated for response in calls]
+
+    assert asyncio.run(run()) == [False, True]
+    assert server.received == [b"1", b"2", b"2"]
