Send each start once, unless the dispatcher repeats it

Cause: curl sends a request again by itself when a connection that it has used before ends without a response. The first copy of a start may have been carried out. When the second one was refused (429, 503), the client returned the refusal as the answer to the start, and the dispatcher freed the task at once, because a start that was sent once and refused has certainly not run. Change: curl reads the body of a call from a function and must rewind it to send it again. This fails for a start, which then counts as unanswered: the dispatcher repeats it with the same run number or stops the run, and keeps the task until its fate is known. Stops and lists may be repeated, as the answer to any copy of them holds. A call is not idempotent unless its caller says so.

--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -116,11 +116,16 @@
 
 @send_order.register
 async def _(order: StopRun, client: OrderClient, faults: FaultLog) -> RunOrdered:
-    return await _send_run_order(order, client, "stop", {})
+    return await _send_run_order(order, client, "stop", {}, idempotent=True)
 
 
 async def _send_run_order(
-    order: StartRun | StopRun, client: OrderClient, action: str, fields: dict
+    order: StartRun | StopRun,
+    client: OrderClient,
+    action: str,
+    fields: dict[str, Any],
+    *,
+    idempotent: bool = False,
 ) -> RunOrdered:
     sent_at = read_clock()
     body = {
@@ -133,7 +138,9 @@
         **fields,
     }
     url = f"{order.address}/v1/runs/{action}"
-    response = await call_server(client, order.server, url, body, ORDER_TIMEOUT)
+    response = await call_server(
+        client, order.server, url, body, ORDER_TIMEOUT, idempotent=idempotent
+    )
     result, clock = _read_answer(response)
     return make_run_ordered(order, sent_at, result, clock)
 
@@ -172,7 +179,9 @@
     sent_at = read_clock()
     url = f"{order.address}/v1/runs/list"
     timeout = order.wait + READ_MARGIN
-    response = await call_server(client, order.server, url, body, timeout)
+    response = await call_server(
+        client, order.server, url, body, timeout, idempotent=True
+    )
     if response.status == 409:
         return make_fenced_read(order, sent_at)
     if response.status != 200:
--- a/boragetide/links/order_call.py
+++ b/boragetide/links/order_call.py
@@ -34,16 +34,26 @@
     body: dict[str, Any],
     timeout: Seconds,
     headers: tuple[bytes, ...] = (),
+    *,
+    idempotent: bool = False,
 ) -> CallResponse:
-    """Make one call; a call without a response is logged, and no error is raised."""
-    path = url.rpartition("/")[2]
+    """Make one call; a call without a response is logged, and no error is raised.
+
+    Parameters
+    ----------
+    idempotent
+        Whether the response to a second copy of the call also tells what became of the
+        first one, so that a copy may be sent without the caller's knowledge.
+    """
     try:
-        response = await client.post(
-            url, [_JSON_HEADER, *headers], msgspec.json.encode(body), timeout
+        return await client.post(
+            url,
+            [_JSON_HEADER, *headers],
+            msgspec.json.encode(body),
+            timeout,
+            idempotent=idempotent,
         )
     except LinkError as error:
+        path = url.rpartition("/")[2]
         log_event("call_unanswered", server=server, path=path, error=str(error))
         return CallResponse(NO_RESPONSE, b"")
-    if response.repeated:
-        log_event("call_repeated", server=server, path=path, status=response.status)
-    return response
--- a/boragetide/links/order_client.py
+++ b/boragetide/links/order_client.py
@@ -31,18 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallResponse:
-    """Status and body of a response.
-
-    Parameters
-    ----------
-    repeated
-        Whether curl sent the request again, because a connection that it had used
-        before ended without a response. The first copy may have been executed.
-    """
+    """Status and body of a response."""
 
     status: int
     body: bytes
-    repeated: bool = False
 
 
 @dataclass(slots=True)
@@ -53,18 +45,38 @@
     headers: list[bytes]
     body: bytes
     timeout: Seconds
+    idempotent: bool
     response: asyncio.Future[CallResponse]
     buffer: BytesIO = field(default_factory=BytesIO)
-    unsent: BytesIO = field(init=False)
-    repeated: bool = False
 
-    def __post_init__(self) -> None:
-        self.unsent = BytesIO(self.body)
+
+class _Upload:
+    """Body of the request that a handle sends.
+
+    To repeat a request, curl must rewind its body, and fails the request if it cannot.
+    """
+
+    def __init__(self) -> None:
+        self._body = b""
+        self._position = 0
+        self._may_repeat = False
+
+    def begin(self, call: _Call) -> None:
+        """Send the body of another request."""
+        self._body = call.body
+        self._position = 0
+        self._may_repeat = call.idempotent
+
+    def read(self, size: int) -> bytes:
+        """Return the next bytes of the body, at most ``size``."""
+        begin, self._position = self._position, self._position + size
+        return self._body[begin : self._position]
 
     def rewind(self, offset: int, origin: int) -> int:
-        """Let curl read the body again, which it does to repeat the request."""
-        self.repeated = True
-        self.unsent.seek(offset, origin)
+        """Continue at ``offset``, unless the request must not be repeated."""
+        if not self._may_repeat:
+            return pycurl.SEEKFUNC_FAIL
+        self._position = offset
         return pycurl.SEEKFUNC_OK
 
 
@@ -99,14 +111,28 @@
         self._epoll.close()
 
     def post(
-        self, url: str, headers: list[bytes], body: bytes, timeout: Seconds
+        self,
+        url: str,
+        headers: list[bytes],
+        body: bytes,
+        timeout: Seconds,
+        *,
+        idempotent: bool = False,
     ) -> asyncio.Future[CallResponse]:
-        """Send a POST request; the future fails with `LinkError` without a response."""
+        """Send a POST request; the future fails with `LinkError` without a response.
+
+        Parameters
+        ----------
+        idempotent
+            Whether curl may send the request again if a connection that it has used
+            before ends without a response. The response to such a copy does not tell
+            what became of the first one.
+        """
         response = asyncio.get_running_loop().create_future()
         if any(b"\n" in header or b"\r" in header for header in headers):
             response.set_exception(LinkError(f"line break in the headers {headers}"))
             return response
-        self._calls.append(_Call(url, headers, body, timeout, response))
+        self._calls.append(_Call(url, headers, body, timeout, idempotent, response))
         self._process_queue()
         return response
 
@@ -118,6 +144,9 @@
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT * MS_PER_SECOND))
         curl.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
         curl.setopt(pycurl.POST, 1)
+        curl.upload = _Upload()
+        curl.setopt(pycurl.READFUNCTION, curl.upload.read)
+        curl.setopt(pycurl.SEEKFUNCTION, curl.upload.rewind)
         return curl
 
     def _process_queue(self) -> None:
@@ -147,8 +176,7 @@
         curl.setopt(pycurl.URL, call.url)
         curl.setopt(pycurl.HTTPHEADER, [*call.headers, _NO_EXPECT])
         curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
-        curl.setopt(pycurl.READFUNCTION, call.unsent.read)
-        curl.setopt(pycurl.SEEKFUNCTION, call.rewind)
+        curl.upload.begin(call)
         curl.setopt(pycurl.TIMEOUT_MS, int(call.timeout * MS_PER_SECOND))
         curl.setopt(pycurl.WRITEFUNCTION, call.buffer.write)
         curl.call = call
@@ -168,8 +196,7 @@
             _fail(call, f"{curl_error}: {curl_message}")
         elif not call.response.done():
             status = curl.getinfo(pycurl.RESPONSE_CODE)
-            body = call.buffer.getvalue()
-            call.response.set_result(CallResponse(status, body, call.repeated))
+            call.response.set_result(CallResponse(status, call.buffer.getvalue()))
 
     def _handle_socket(
         self, event: int, fd: int, multi: pycurl.CurlMulti, data: object
--- a/boragetide/tests/test_order_client.py
+++ b/boragetide/tests/test_order_client.py
@@ -151,18 +151,38 @@
     run_calls(make_calls)
 
 
-def test_repeated_request_is_reported() -> None:
-    """Guards against logs that do not tell a first copy from a second one."""
+@pytest.mark.parametrize("first_is_idempotent", [False, True])
+def test_request_that_is_not_idempotent_is_sent_once(first_is_idempotent: bool) -> None:
+    """Guards against the answer to a second copy that passes for one to the first."""
     server = ScriptedServer([("200 OK", "{}"), None, ("503 Busy", "{}")])
 
-    async def run() -> list[bool]:
+    async def run() -> None:
         port = free_port()
         client = OrderClient(force_instance=True, max_clients=1)
         url = f"http://127.0.0.1:{port}/"
         async with serve_streams(port, server):
-            calls = [await client.post(url, [], body, TIMEOUT) for body in (b"1", b"2")]
+            await client.post(url, [], b"1", TIMEOUT, idempotent=first_is_idempotent)
+            with pytest.raises(LinkError):
+                await client.post(url, [], b"2", TIMEOUT)
         client.close()
-        return [response.repeated for response in calls]
 
-    assert asyncio.run(run()) == [False, True]
+    asyncio.run(run())
+    assert server.received == [b"1", b"2"]
+
+
+def test_idempotent_request_is_sent_again_after_a_reset() -> None:
+    """Guards against questions that fail whenever a connection was reset."""
+    server = ScriptedServer([("200 OK", "{}"), None, ("200 OK", "[]")])
+
+    async def run() -> bytes:
+        port = free_port()
+        client = OrderClient(force_instance=True, max_clients=1)
+        url = f"http://127.0.0.1:{port}/"
+        async with serve_streams(port, server):
+            await client.post(url, [], b"1", TIMEOUT)
+            answer = await client.post(url, [], b"2", TIMEOUT, idempotent=True)
+        client.close()
+        return answer.body
+
+    assert asyncio.run(run()) == b"[]"
     assert server.received == [b"1", b"2", b"2"]
