--- a/boragetide/links/order_call.py
+++ b/boragetide/links/order_call.py
@@ -34,11 +34,24 @@
     body: dict[str, Any],
     timeout: Seconds,
     headers: tuple[bytes, ...] = (),
+    *,
+    idempotent: bool = False,
 ) -> CallResponse:
-    """Make one call; a call without a response is logged, and no error is raised."""
+    """Make one call; a call without a response is logged, and no error is raised.
+
+    Parameters
+    ----------
+    idempotent
+        Whether the response to a second copy of the call also tells what became of the
+        first one, so that a copy may be sent without the caller's knowledge.
+    """
     try:
         return await client.post(
-            url, [_JSON_HEADER, *headers], msgspec.json.encode(body), timeout
+            url,
+            [_JSON_HEADER, *headers],
+            msgspec.json.encode(body),
+            timeout,
+            idempotent=idempotent,
         )
     except LinkError as error:
         path = url.rpartition("/")[2]
