Bound the leases of every adopted run

What callers may see: two runs of a task at the same time after a change of the leader.

Cause: a run was freed by the leases that this leader granted. For a run of an earlier leader that is no bound: `leases_expired_at` is 0 where this leader granted nothing, and the wait for late orders was added to that 0. `unknown_leases_expired_at` was set only by the first list that was asked for with the process's own token. Missing were a list for a call to the process before, late calls of the earlier leader that extend the lease at a process that has not seen the term, and recorded starts that the next process may begin.

Change: the first list of a process in a term bounds the leases of what runs there, whichever process the call was meant for.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -11,6 +11,7 @@
 from boragetide.controllers.placing_runs import make_start, update_queue
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
+    LATE_RUN_WAIT,
     LEASE_DURATION,
     MAX_LEASE_DURATION,
     MAX_ORDER_DELAY,
@@ -265,10 +266,25 @@
     process that it was meant for, whose clock has passed the end of the lease, but the
     next one may begin the run by it, or hold its lease for longer.
     """
-    expired_at = server.leases_expired_at
-    if server.read_term != state.term or may_begin_late(server, run):
-        expired_at += LATE_ORDER_WAIT
-    return now >= max(expired_at, server.unknown_leases_expired_at)
+    if now < max(server.leases_expired_at, server.unknown_leases_expired_at):
+        return False
+    if server.read_term == state.term and not may_begin_late(server, run):
+        return True
+    return now >= _find_late_runs_over_at(state, server, run)
+
+
+def _find_late_runs_over_at(
+    state: DispatcherState, server: Server, run: Run
+) -> Seconds:
+    """Return when a run is over even if each call was carried out as late as it can be.
+
+    The calls of earlier leaders concern only their own runs: a process that begins a
+    run of this leader has seen its fencing token.
+    """
+    over_at = server.leases_expired_at + LATE_ORDER_WAIT
+    if run.adopted:
+        over_at = max(over_at, state.predecessor_until + LATE_RUN_WAIT)
+    return over_at
 
 
 def may_begin_late(server: Server, run: Run) -> bool:
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -128,10 +128,11 @@
     may_learn = not server.silent
     server.unanswered = 0
     server.runs_listed_at = listed_at
-    if is_current and server.read_term != state.term:
+    is_first = server.read_term != state.term
+    if is_first and message.running:
+        server.bound_unknown_leases(now)
+    if is_first and is_current:
         server.read_term = state.term
-        if message.running:
-            server.bound_unknown_leases(now)
         fields = {"server": message.server, "term": state.term}
         effects.append(LogEvent("backend_server_read", fields))
     _note_unreadable_ends(server, message, now)
@@ -226,6 +227,7 @@
     key = (record.job.id, number)
     step = record.job.steps[listed.task.step]
     run = Run(*key, listed.task, listed.run, step.needs, now, RunPhase.RUNNING)
+    run.adopted = True
     run.order_answered_at = sent_at
     if UnansweredStart(*key, server.report.id) in state.earlier_starts:
         run.start_unanswered_at = state.predecessor_until
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -22,6 +22,8 @@
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
 # Time after which any lease has expired, counted from the arrival of its order.
 LONGEST_LEASE: Seconds = MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
+# Time from an order without an answer until the lease that it grants has expired.
+LATE_RUN_WAIT: Seconds = MAX_ORDER_DELAY + LONGEST_LEASE
 # Sequence number of the report of a process that has not announced itself yet.
 UNANNOUNCED_SEQUENCE = -1
 
@@ -66,6 +68,8 @@
         Start of the process that listed the run last, or to which it was ordered.
     alone
         Whether nothing else is started on the backend server while the run is there.
+    adopted
+        Whether an earlier leader ordered the run.
     """
 
     job_id: JobId
@@ -84,6 +88,7 @@
     server_born: int = 0
     seen_born: int = 0
     alone: bool = False
+    adopted: bool = False
 
     @property
     def key(self) -> tuple[JobId, int]:
