Record every start without an answer that was ordered again

What callers may see: two runs of a task at the same time after a change of the leader.

Cause: the record for the next leader left out a run that was ordered again or was being stopped while its server answered lists. The first copy of its start may still be carried out by the next process of that server, as that of a run that goes on, which was recorded.

Change: a run that was ordered again is recorded until it is over, whatever its phase.

test_record_is_emptied_when_the_server_answers asserted the fault: it let the server answer a list while both stops had no answer, and wanted the record empty. The test that takes its place wants the record kept then, and empty once the server lists the runs as stopped.

Evidence: before the change, both cases of the new test fail with two starts elsewhere, and the replaced test fails with an empty record.

--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -17,7 +17,6 @@
 from boragetide.controllers.placing_runs import update_queue
 from boragetide.controllers.server_state import (
     LATE_RUN_WAIT,
-    Run,
     RunPhase,
     Server,
 )
@@ -113,7 +112,11 @@
 
 
 def _list_unanswered_starts(state: DispatcherState) -> frozenset[UnansweredStart]:
-    """Return the starts that may be carried out, of this and of earlier leaders."""
+    """Return the starts that may be carried out, of this and of earlier leaders.
+
+    A run of which one of two starts has no answer is one of them although its server
+    answers: the next process may begin it.
+    """
     earlier = {
         UnansweredStart(job_id, task, server_id)
         for (job_id, task), server_id in state.server_by_blocked_task.items()
@@ -122,20 +125,12 @@
         UnansweredStart(run.job_id, run.task, server_id)
         for server_id, server in state.servers_by_id.items()
         for run in server.runs_by_task.values()
-        if _may_begin_again(run) or _may_be_replaced(state, server)
+        if run.start_repeated or _may_be_replaced(state, server)
         if run.phase is not RunPhase.ENDED and may_begin_late(server, run)
     }
     return frozenset(earlier | own)
 
 
-def _may_begin_again(run: Run) -> bool:
-    """Return whether a run goes on for which one of two starts has no answer.
-
-    It may take long, so that its server may be replaced before it ends.
-    """
-    return run.phase is RunPhase.RUNNING and run.start_repeated
-
-
 def _may_be_replaced(state: DispatcherState, server: Server) -> bool:
     """Return whether the next process of a server may be there, not yet called."""
     return server.silent or server.departed or server.read_term != state.term
--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -137,14 +137,42 @@
     assert [answer.status for answer in answers] == [ReplyStatus.UNDECIDED]
 
 
-def test_record_is_emptied_when_the_server_answers(predecessor: Leader) -> None:
+def test_record_is_emptied_when_the_server_has_stopped_the_runs(
+    predecessor: Leader,
+) -> None:
     """Guards against tasks that each later leader blocks anew."""
     assert len(predecessor.catalogue.unanswered_starts) == 2
     predecessor.list_runs("s1", now=BEGIN + 0.6)
-    predecessor.handle(Tick(), BEGIN + 0.7)
+    predecessor.handle(Tick(), BEGIN + 0.65)
+    assert len(predecessor.catalogue.unanswered_starts) == 2
+    stopped = tuple(
+        ListedEnd(number, make_task_ref("j1", task), 1, EndReason.STOPPED)
+        for number, task in enumerate(range(2), 1)
+    )
+    predecessor.list_runs("s1", ended=stopped, now=BEGIN + 0.7)
+    predecessor.handle(Tick(), BEGIN + 0.75)
     assert predecessor.catalogue.unanswered_starts == ()
 
 
+@pytest.mark.parametrize("is_repeated_in_vain", [False, True])
+def test_next_leader_starts_no_task_that_was_ordered_again_at_an_answering_server(
+    settings: Settings, is_repeated_in_vain: bool
+) -> None:
+    """Guards against a second run beside one whose first order is carried out late."""
+    predecessor = Leader(settings)
+    predecessor.lead()
+    predecessor.join()
+    for first in submit(predecessor, make_job(), SUCCEEDED_AT - 0.6):
+        predecessor.answer(first, OrderResult.UNANSWERED, SUCCEEDED_AT - 0.4)
+        for repeated in predecessor.starts():
+            if is_repeated_in_vain:
+                predecessor.answer(repeated, OrderResult.UNANSWERED, SUCCEEDED_AT - 0.2)
+    predecessor.list_runs(now=SUCCEEDED_AT - 0.1)
+    predecessor.handle(Tick(), SUCCEEDED_AT - 0.05)
+    leader = make_next_leader(settings, predecessor)
+    assert submit(leader, make_job(), TAKEN_OVER_AT) == []
+
+
 @pytest.mark.parametrize("is_listed_first", [False, True])
 def test_listed_run_that_a_late_start_may_begin_again_keeps_its_task(
     leader: Leader, is_listed_first: bool
