Stop a run whose start cannot be repeated

What callers may see: a task that never starts again, so that a durable job never ends, for as long as its leader stays and its backend server answers. Found by reading.

Cause: the result of a start without an answer is handled once. If the leader was without authority at that moment, it neither repeated the start nor stopped the run, and later nothing looked at the run: it was ordered, had no answer that makes a list count, and was not silent.

Change: such a run counts as one whose stop was not answered, so that the next tick within authority orders the stop. A stop by this leader is refused by its fence if another one leads.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -119,9 +119,14 @@
 def _repeat_start(
     state: DispatcherState, server: Server, run: Run, now: Seconds
 ) -> list[Effect]:
-    """Repeat a start with the same run number, so that the task runs only once."""
+    """Repeat a start with the same run number, so that the task runs only once.
+
+    If that is not possible, `repeat_stops` stops the run.
+    """
     record = state.records_by_id.get(run.job_id)
     if record is None or not has_authority(state, now):
+        run.phase = RunPhase.STOPPING
+        run.next_stop_at = now
         return []
     run.start_repeated = True
     return [make_start(state, server, record.job, run, now)]
--- a/boragetide/tests/test_silent_servers.py
+++ b/boragetide/tests/test_silent_servers.py
@@ -11,6 +11,7 @@
 )
 from boragetide.effects import StartRun
 from boragetide.messages import (
+    AuthorityExtended,
     OrderResult,
     ReadFailed,
     ReportServer,
@@ -72,6 +73,25 @@
     leader.answer(repeated, OrderResult.UNANSWERED)
 
 
+def test_unanswered_start_is_stopped_once_the_leader_has_authority_again(
+    leader: Leader,
+) -> None:
+    """Guards against a task that never starts again after a pause of its leader."""
+    submit(leader)
+    first, second = leader.starts()
+    leader.answer(second)
+    leader.state.authority_until = BEGIN + 0.1
+    leader.answer(first, OrderResult.UNANSWERED, now=BEGIN + 0.2)
+    assert (leader.starts(), leader.stops()) == ([], [])
+    leader.handle(AuthorityExtended(leader.term, BEGIN + 9.0), BEGIN + 0.3)
+    leader.handle(Tick(), BEGIN + 0.4)
+    (stop,) = leader.stops()
+    assert (stop.task, stop.run) == (first.task, first.run)
+    leader.answer(stop, now=BEGIN + 0.5)
+    leader.list_runs(running=(list_run(second),), now=BEGIN + 0.6)
+    assert [start.task for start in leader.starts()] == [first.task]
+
+
 def test_unanswered_start_is_repeated_with_the_same_number(leader: Leader) -> None:
     """Guards against stopping a run because the answer to its start was lost."""
     submit(leader)
