--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -127,7 +127,7 @@
     # An end that was listed late, after unanswered requests, does not show the speed.
     may_learn = not server.silent
     server.unanswered = 0
-    server.runs_listed_at = listed_at
+    server.runs_requested_at, server.runs_listed_at = message.sent_at, listed_at
     is_first = server.read_term != state.term
     if is_first and message.running:
         server.bound_unknown_leases(now)
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -160,8 +160,9 @@
         Learned speed; 1 if tasks run in their declared time.
     speed_updated_at
         Time at which the learned speed was last updated from a run.
-    runs_listed_at
-        Time at which the backend server made its last list of runs.
+    runs_requested_at, runs_listed_at
+        Earliest and latest time at which the backend server can have made its last list
+        of runs.
     last_run_done_at
         Time at which the backend server last listed a run as done.
     departed
@@ -202,6 +203,7 @@
     cooldown_until: Seconds = 0.0
     speed: float = 1.0
     speed_updated_at: Seconds = 0.0
+    runs_requested_at: Seconds = 0.0
     runs_listed_at: Seconds = 0.0
     last_run_done_at: Seconds = 0.0
     departed: bool = False
--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -16,6 +16,7 @@
 from boragetide.messages import (
     OrderResult,
     ReadFailed,
+    RemoveServer,
     ReportServer,
     RunOrdered,
     SubmitDurableJob,
@@ -38,6 +39,7 @@
 NEXT_BORN = BORN + 5
 NEXT_CLOCK = 0.5  # seconds; clock of the next process when it answers
 PLATFORM_MAX_ORDER_DELAY = 12.0  # seconds
+READ_TIMEOUT = 0.4  # seconds
 
 
 @pytest.fixture
@@ -102,6 +104,25 @@
     assert unanswered.task in {each.task for each in leader.starts()}
 
 
+def test_list_dated_by_an_old_clock_reading_does_not_rule_out_a_late_start(
+    leader: Leader,
+) -> None:
+    """Guards against a second run beside one that begins again just after a list."""
+    unanswered, answered = leader.starts()
+    leader.answer(answered)
+    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
+    (again,) = leader.starts()
+    leader.answer(again, now=BEGIN + 0.21)
+    begins_by = BEGIN + 0.2 + PLATFORM_MAX_ORDER_DELAY
+    leader.handle(RemoveServer("s1", passed_on=True), begins_by - 0.2)
+    running = (list_run(again), list_run(answered))
+    leader.list_runs(
+        running=running, read_at=begins_by - 0.1, now=begins_by + READ_TIMEOUT
+    )
+    lapses_by = begins_by + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    assert unanswered.task not in {each.task for each in start_again(leader, lapses_by)}
+
+
 def test_answered_starts_are_free_when_their_lease_has_lapsed(leader: Leader) -> None:
     """Guards against tasks of a lost server that wait for longer than they must."""
     starts = leader.starts()
