Keep a server registered while an earlier leader's lease may last there

What callers may see: two runs of a task at the same time after two changes of the leader within about a second.

Cause: a server without known runs was unregistered by the leases that this leader had granted. A run of an unknown job that it had listed under a lease of an earlier leader did not count, and the next leader does not wait for a server that is not registered.

Change: one rule for both (`Server.have_leases_expired`): all leases count, whoever granted them.

Evidence: the test fails before: the server is unregistered 0.25 s after the list.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -256,7 +256,8 @@
     """Free the runs of silent or departed backend servers whose leases have expired."""
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
-        if not (server.silent or server.departed) or now < server.leases_expired_at:
+        is_lost = server.silent or server.departed
+        if not is_lost or not server.have_leases_expired(now):
             continue
         for run in list(server.runs_by_task.values()):
             if run.phase is not RunPhase.ENDED and _has_lapsed(state, server, run, now):
@@ -265,14 +266,12 @@
 
 
 def _has_lapsed(state: DispatcherState, server: Server, run: Run, now: Seconds) -> bool:
-    """Return whether the lease of a run that is not listed has certainly expired.
+    """Return whether a run is certainly over at a server whose leases have expired.
 
     Any call without an answer may be carried out late. That changes nothing at the
     process that it was meant for, whose clock has passed the end of the lease, but the
     next one may begin the run by it, or hold its lease for longer.
     """
-    if now < max(server.leases_expired_at, server.unknown_leases_expired_at):
-        return False
     if server.read_term == state.term and not may_begin_late(server, run):
         return True
     return now >= _find_late_runs_over_at(state, server, run)
--- a/boragetide/controllers/registrations.py
+++ b/boragetide/controllers/registrations.py
@@ -88,7 +88,7 @@
 def _has_certainly_no_run(
     state: DispatcherState, server_id: BackendServerId, now: Seconds
 ) -> bool:
-    """Return whether all leases that this leader granted a backend server are over.
+    """Return whether all leases at a backend server are over.
 
     One that is not in the table got no lease from this leader.
     """
@@ -96,7 +96,7 @@
     if server is None:
         return True
     is_unused = server.departed or server.silent or server.read_term != state.term
-    return is_unused and not server.runs_by_task and now >= server.leases_expired_at
+    return is_unused and not server.runs_by_task and server.have_leases_expired(now)
 
 
 def _log(
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -253,6 +253,13 @@
             now + LONGEST_LEASE,
         )
 
+    def have_leases_expired(self, now: Seconds) -> bool:
+        """Return whether all known leases have certainly expired, whoever granted them.
+
+        A call that is carried out late may grant another one to the next process.
+        """
+        return now >= max(self.leases_expired_at, self.unknown_leases_expired_at)
+
     def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
         self.process = 0
--- a/boragetide/tests/test_registrations.py
+++ b/boragetide/tests/test_registrations.py
@@ -17,7 +17,11 @@
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.registrations import MAX_LOGGED_IDS
-from boragetide.controllers.server_state import LEASE_DURATION
+from boragetide.controllers.server_state import (
+    LEASE_DURATION,
+    MAX_LEASE_DURATION,
+    MIN_CLOCK_RATE,
+)
 from boragetide.effects import LogEvent, Send
 from boragetide.encoding import decode_command
 from boragetide.messages import (
@@ -261,6 +265,29 @@
     assert "s1" not in successor.catalogue.server_born_by_id
 
 
+def test_server_with_a_lease_of_an_earlier_leader_stays_registered(
+    predecessor: Leader,
+) -> None:
+    """Guards against a next leader that does not wait for a run that goes on."""
+    running = tuple(list_run(start) for start in predecessor.starts())
+    successor = make_successor(predecessor)
+    successor.handle(ReportServer(report=make_report(), passed_on=True))
+    successor.lead()
+    successor.handle(Tick(), LEASES_EXPIRED_AT - 0.9)
+    listed_at = LEASES_EXPIRED_AT - 0.1
+    report = make_report(born=BORN + 5)
+    successor.handle(ReportServer(report=report, passed_on=True), listed_at)
+    successor.handle(RemoveServer("s1", BORN + 5, passed_on=True), listed_at)
+    successor.list_runs(born=BORN + 5, target_born=BORN, running=running, now=listed_at)
+    for seconds in (0.05, 0.15):
+        successor.handle(Tick(), LEASES_EXPIRED_AT + seconds)
+    successor.handle(Tick(), listed_at + MAX_LEASE_DURATION / MIN_CLOCK_RATE)
+    assert "s1" in successor.catalogue.server_born_by_id
+    for seconds in (1.1, 2.2):
+        successor.handle(Tick(), LEASES_EXPIRED_AT + seconds)
+    assert "s1" not in successor.catalogue.server_born_by_id
+
+
 def test_silent_server_is_unregistered_once_its_leases_have_lapsed(
     predecessor: Leader,
 ) -> None:
