--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -6,6 +6,7 @@
 
 from boragetide.controllers.orders import LATE_ORDER_WAIT
 from boragetide.controllers.server_state import (
+    LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
     MAX_LEASE_DURATION,
     MIN_CLOCK_RATE,
@@ -135,6 +136,27 @@
     assert {first.task, second.task} == {start.task for start in starts}
 
 
+@pytest.mark.parametrize("refusal", [OrderResult.NO_ROOM, OrderResult.OLD_RUN])
+def test_lease_that_a_refused_start_extends_counts(
+    settings: Settings, refusal: OrderResult
+) -> None:
+    """Guards against a second run beside one that goes on by a refused start."""
+    leader = Leader(settings)
+    leader.lead()
+    leader.join()
+    starts = []
+    for job_id, now in (("j1", BEGIN), ("j2", BEGIN + 0.5)):
+        job = make_durable_job(job_id, Step(1, NEEDS, 4.0), best_effort=True)
+        leader.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", 7)), now)
+        starts += leader.starts()
+    first, refused = starts
+    leader.answer(first, now=BEGIN + 0.01)
+    leader.answer(refused, refusal, now=BEGIN + 0.51)
+    leader.handle(RemoveServer("s1", passed_on=True), BEGIN + 0.52)
+    leader.handle(Tick(), BEGIN + 0.5 + LEASE_DURATION / MIN_CLOCK_RATE)
+    assert leader.state.server_by_task[first.task.job_id, first.number] == "s1"
+
+
 def answer_by_the_next_clock(leader: Leader, start: StartRun, now: float) -> None:
     answer = RunOrdered(
         server=start.server,
