--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -11,6 +11,7 @@
 from boragetide.controllers.placing_runs import make_start, update_queue
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
+    LATE_RUN_WAIT,
     LEASE_DURATION,
     MAX_LEASE_DURATION,
     MAX_ORDER_DELAY,
@@ -118,9 +119,14 @@
 def _repeat_start(
     state: DispatcherState, server: Server, run: Run, now: Seconds
 ) -> list[Effect]:
-    """Repeat a start with the same run number, so that the task runs only once."""
+    """Repeat a start with the same run number, so that the task runs only once.
+
+    If that is not possible, `repeat_stops` stops the run.
+    """
     record = state.records_by_id.get(run.job_id)
     if record is None or not has_authority(state, now):
+        run.phase = RunPhase.STOPPING
+        run.next_stop_at = now
         return []
     run.start_repeated = True
     return [make_start(state, server, record.job, run, now)]
@@ -250,7 +256,8 @@
     """Free the runs of silent or departed backend servers whose leases have expired."""
     effects: list[Effect] = []
     for server in state.servers_by_id.values():
-        if not (server.silent or server.departed) or now < server.leases_expired_at:
+        is_lost = server.silent or server.departed
+        if not is_lost or not server.have_leases_expired(now):
             continue
         for run in list(server.runs_by_task.values()):
             if run.phase is not RunPhase.ENDED and _has_lapsed(state, server, run, now):
@@ -259,23 +266,36 @@
 
 
 def _has_lapsed(state: DispatcherState, server: Server, run: Run, now: Seconds) -> bool:
-    """Return whether the lease of a run that is not listed has certainly expired.
+    """Return whether a run is certainly over at a server whose leases have expired.
 
     Any call without an answer may be carried out late. That changes nothing at the
     process that it was meant for, whose clock has passed the end of the lease, but the
     next one may begin the run by it, or hold its lease for longer.
     """
-    expired_at = server.leases_expired_at
-    if server.read_term != state.term or may_begin_late(server, run):
-        expired_at += LATE_ORDER_WAIT
-    return now >= max(expired_at, server.unknown_leases_expired_at)
+    if server.read_term == state.term and not may_begin_late(server, run):
+        return True
+    return now >= _find_late_runs_over_at(state, server, run)
+
+
+def _find_late_runs_over_at(
+    state: DispatcherState, server: Server, run: Run
+) -> Seconds:
+    """Return when a run is over even if each call was carried out as late as it can be.
+
+    The calls of earlier leaders concern only their own runs: a process that begins a
+    run of this leader has seen its fencing token.
+    """
+    over_at = server.leases_expired_at + LATE_ORDER_WAIT
+    if run.adopted:
+        over_at = max(over_at, state.predecessor_until + LATE_RUN_WAIT)
+    return over_at
 
 
 def may_begin_late(server: Server, run: Run) -> bool:
     """Return whether the next process of a server may begin a run."""
     ordered_at = run.start_unanswered_at
     return ordered_at is not None and (
-        server.runs_listed_at < ordered_at + MAX_ORDER_DELAY
+        server.runs_requested_at < ordered_at + MAX_ORDER_DELAY
     )
 
 
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -22,6 +22,8 @@
 LEASE_EXPIRY_MARGIN: Seconds = 0.1
 # Time after which any lease has expired, counted from the arrival of its order.
 LONGEST_LEASE: Seconds = MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
+# Time from an order without an answer until the lease that it grants has expired.
+LATE_RUN_WAIT: Seconds = MAX_ORDER_DELAY + LONGEST_LEASE
 # Sequence number of the report of a process that has not announced itself yet.
 UNANNOUNCED_SEQUENCE = -1
 
@@ -66,6 +68,8 @@
         Start of the process that listed the run last, or to which it was ordered.
     alone
         Whether nothing else is started on the backend server while the run is there.
+    adopted
+        Whether an earlier leader ordered the run.
     """
 
     job_id: JobId
@@ -84,6 +88,7 @@
     server_born: int = 0
     seen_born: int = 0
     alone: bool = False
+    adopted: bool = False
 
     @property
     def key(self) -> tuple[JobId, int]:
@@ -155,8 +160,9 @@
         Learned speed; 1 if tasks run in their declared time.
     speed_updated_at
         Time at which the learned speed was last updated from a run.
-    runs_listed_at
-        Time at which the backend server made its last list of runs.
+    runs_requested_at, runs_listed_at
+        Earliest and latest time at which the backend server can have made its last list
+        of runs.
     last_run_done_at
         Time at which the backend server last listed a run as done.
     departed
@@ -197,6 +203,7 @@
     cooldown_until: Seconds = 0.0
     speed: float = 1.0
     speed_updated_at: Seconds = 0.0
+    runs_requested_at: Seconds = 0.0
     runs_listed_at: Seconds = 0.0
     last_run_done_at: Seconds = 0.0
     departed: bool = False
@@ -246,6 +253,13 @@
             now + LONGEST_LEASE,
         )
 
+    def have_leases_expired(self, now: Seconds) -> bool:
+        """Return whether all known leases have certainly expired, whoever granted them.
+
+        A call that is carried out late may grant another one to the next process.
+        """
+        return now >= max(self.leases_expired_at, self.unknown_leases_expired_at)
+
     def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
         self.process = 0
--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -6,6 +6,7 @@
 
 from boragetide.controllers.orders import LATE_ORDER_WAIT
 from boragetide.controllers.server_state import (
+    LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
     MAX_LEASE_DURATION,
     MIN_CLOCK_RATE,
@@ -16,6 +17,7 @@
 from boragetide.messages import (
     OrderResult,
     ReadFailed,
+    RemoveServer,
     ReportServer,
     RunOrdered,
     SubmitDurableJob,
@@ -38,6 +40,7 @@
 NEXT_BORN = BORN + 5
 NEXT_CLOCK = 0.5  # seconds; clock of the next process when it answers
 PLATFORM_MAX_ORDER_DELAY = 12.0  # seconds
+READ_TIMEOUT = 0.4  # seconds
 
 
 @pytest.fixture
@@ -102,6 +105,25 @@
     assert unanswered.task in {each.task for each in leader.starts()}
 
 
+def test_list_dated_by_an_old_clock_reading_does_not_rule_out_a_late_start(
+    leader: Leader,
+) -> None:
+    """Guards against a second run beside one that begins again just after a list."""
+    unanswered, answered = leader.starts()
+    leader.answer(answered)
+    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
+    (again,) = leader.starts()
+    leader.answer(again, now=BEGIN + 0.21)
+    begins_by = BEGIN + 0.2 + PLATFORM_MAX_ORDER_DELAY
+    leader.handle(RemoveServer("s1", passed_on=True), begins_by - 0.2)
+    running = (list_run(again), list_run(answered))
+    leader.list_runs(
+        running=running, read_at=begins_by - 0.1, now=begins_by + READ_TIMEOUT
+    )
+    lapses_by = begins_by + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    assert unanswered.task not in {each.task for each in start_again(leader, lapses_by)}
+
+
 def test_answered_starts_are_free_when_their_lease_has_lapsed(leader: Leader) -> None:
     """Guards against tasks of a lost server that wait for longer than they must."""
     starts = leader.starts()
@@ -114,6 +136,27 @@
     assert {first.task, second.task} == {start.task for start in starts}
 
 
+@pytest.mark.parametrize("refusal", [OrderResult.NO_ROOM, OrderResult.OLD_RUN])
+def test_lease_that_a_refused_start_extends_counts(
+    settings: Settings, refusal: OrderResult
+) -> None:
+    """Guards against a second run beside one that goes on by a refused start."""
+    leader = Leader(settings)
+    leader.lead()
+    leader.join()
+    starts = []
+    for job_id, now in (("j1", BEGIN), ("j2", BEGIN + 0.5)):
+        job = make_durable_job(job_id, Step(1, NEEDS, 4.0), best_effort=True)
+        leader.handle(SubmitDurableJob(job=job, reply_to=ReplyTo("e1", 7)), now)
+        starts += leader.starts()
+    first, refused = starts
+    leader.answer(first, now=BEGIN + 0.01)
+    leader.answer(refused, refusal, now=BEGIN + 0.51)
+    leader.handle(RemoveServer("s1", passed_on=True), BEGIN + 0.52)
+    leader.handle(Tick(), BEGIN + 0.5 + LEASE_DURATION / MIN_CLOCK_RATE)
+    assert leader.state.server_by_task[first.task.job_id, first.number] == "s1"
+
+
 def answer_by_the_next_clock(leader: Leader, start: StartRun, now: float) -> None:
     answer = RunOrdered(
         server=start.server,
