Report runs that are listed after they were counted as over

Callers saw two runs of one task, and the logs could not show which evidence had been wrong. A leader frees a run without its end when the start was refused, when a list does not hold it, or when its lease has expired. If the backend server listed the run later, the leader adopted or stopped it like any other.

The leader now remembers such runs of its term (at most 10,000) and writes `run_listed_after_over` with the reason, the time since, how the run is listed and whether by the same process, once for each run, and counts `runs_listed_after_over` by reason. An end that is listed after a lapsed lease is in order and is not reported. No decision depends on it.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from sortedcontainers import SortedDict
 
-from boragetide.controllers.server_state import LostRun, Run, Server
+from boragetide.controllers.server_state import FreedRun, LostRun, Run, Server
 from boragetide.controllers.transfer_state import TransferState
 from boragetide.durable import (
     JobPhase,
@@ -134,6 +135,9 @@
     recorded_starts, pending_record
         Starts without an answer that the log names or will name, and the command that
         records them, if it is not committed yet.
+    freed_runs
+        Runs of this term that were counted as over although their ends were not listed,
+        by backend server, task and run number, oldest first.
     lost_runs
         Runs that were lost since the last `assess_lost_runs`.
     losses_by_job
@@ -197,6 +201,9 @@
     )
     recorded_starts: frozenset[UnansweredStart] = frozenset()
     pending_record: str | None = None
+    freed_runs: OrderedDict[tuple[BackendServerId, TaskRef, int], FreedRun] = field(
+        default_factory=OrderedDict
+    )
     lost_runs: list[LostRun] = field(default_factory=list)
     losses_by_job: dict[JobId, tuple[RunLoss, ...]] = field(default_factory=dict)
     lost_servers: set[BackendServerId] = field(default_factory=set)
@@ -269,6 +276,7 @@
     state.pending_record = None
     state.process_count = 0
     state.queue.clear()
+    state.freed_runs.clear()
     state.lost_runs.clear()
     state.losses_by_job.clear()
     state.lost_servers.clear()
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -8,6 +8,7 @@
     has_authority,
     update_server_index,
 )
+from boragetide.controllers.freed_runs import remember_freed_run
 from boragetide.controllers.placing_runs import make_start, update_queue
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
@@ -112,6 +113,7 @@
         return [log, *stop_run(state, server, run, result.value)]
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.cooldown_until = now + REFUSAL_COOLDOWN
+    remember_freed_run(state, server, run, result.value, now)
     return [log, *free_run(state, server, run, result.value)]
 
 
@@ -253,8 +255,12 @@
         if not (server.silent or server.departed) or now < server.leases_expired_at:
             continue
         for run in list(server.runs_by_task.values()):
-            if run.phase is not RunPhase.ENDED and _has_lapsed(state, server, run, now):
-                effects += free_run(state, server, run, REASON_LEASE_LAPSED)
+            if run.phase is RunPhase.ENDED or not _has_lapsed(state, server, run, now):
+                continue
+            remember_freed_run(
+                state, server, run, REASON_LEASE_LAPSED, now, may_have_ended=True
+            )
+            effects += free_run(state, server, run, REASON_LEASE_LAPSED)
     return effects
 
 
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -9,6 +9,10 @@
     has_authority,
     update_server_index,
 )
+from boragetide.controllers.freed_runs import (
+    remember_freed_run,
+    report_listed_freed_runs,
+)
 from boragetide.controllers.orders import (
     REASON_NOT_LISTED,
     free_run,
@@ -134,6 +138,7 @@
             server.bound_unknown_leases(now)
         fields = {"server": message.server, "term": state.term}
         effects.append(LogEvent("backend_server_read", fields))
+    effects += report_listed_freed_runs(state, message, now)
     _note_unreadable_ends(server, message, now)
     effects += apply_ends(state, server, message.ended, may_learn, listed_at, now)
     for listed in message.running:
@@ -282,6 +287,7 @@
             continue
         if (run.ref, run.number) in listed or run.ref in message.unreadable:
             continue
+        remember_freed_run(state, server, run, REASON_NOT_LISTED, now)
         effects += free_run(state, server, run, REASON_NOT_LISTED)
     return effects
 
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -299,6 +299,27 @@
         return free
 
 
+@dataclass(frozen=True, slots=True)
+class FreedRun:
+    """A run that was counted as over although its end was not listed.
+
+    Parameters
+    ----------
+    reason
+        Why the run was counted as over.
+    born
+        Start of the process that listed the run last, or to which it was ordered.
+    may_have_ended
+        Whether the run may have ended unnoticed, so that its end may be listed later.
+    """
+
+    task: int
+    reason: str
+    freed_at: Seconds
+    born: int
+    may_have_ended: bool
+
+
 @dataclass(slots=True)
 class LostRun:
     """A run that was lost with the process of its backend server."""
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -37,6 +37,7 @@
     "run_wait_seconds": "Time from the submission of a job to the start of a task.",
     "jobs_transferred": "Jobs that went to another group, by whether it has them yet.",
     "runs_ended": "Ended runs of durable tasks, by how they ended.",
+    "runs_listed_after_over": "Runs listed after they were counted as over, by reason.",
     "runs_ordered": "Runs of durable tasks that were ordered.",
     "link_messages": "Messages that wait to be sent to an instance.",
     "link_bytes_received": "Bytes from other instances.",
