Keep the note of a transferred job while a run of it may begin late

Callers could see two runs of one best-effort task in two groups. The group that a job was transferred to answers a review of notes from its records. The record of a withdrawn job is dropped 10 s after its end, but a start without an answer may be carried out 12 s late, by the next process of its backend server. In between the group said that the job was forgotten, so that its home group removed the note and could start the job for a caller who came back.

The answer now counts each job of which a run still occupies a task.

Evidence: the first test of test_transfer_reviews.py failed before. It needs a caller who was not directed by the note for 30 s.

--- a/boragetide/controllers/transfers.py
+++ b/boragetide/controllers/transfers.py
@@ -180,8 +180,7 @@
     """Answer which of the jobs are not known here any more."""
     if not has_authority(state, now) or not state.takeover_complete:
         return []
-    may_run = list_jobs_of_earlier_leaders(state)
-    may_run |= {job_id for job_id, _ in state.server_by_blocked_task}
+    may_run = _list_jobs_that_may_run(state)
     unknown = tuple(
         job_id
         for job_id in message.job_ids
@@ -193,6 +192,15 @@
     return [Send(address_sender(message), answer)]
 
 
+def _list_jobs_that_may_run(state: DispatcherState) -> set[JobId]:
+    """Return the jobs of which a run may be in progress, known here or not.
+
+    The record of an ended job may be dropped before its last run is certainly over.
+    """
+    occupied = (*state.server_by_task, *state.server_by_blocked_task)
+    return list_jobs_of_earlier_leaders(state) | {job_id for job_id, _ in occupied}
+
+
 def _is_known(state: DispatcherState, job_id: JobId) -> bool:
     return (
         job_id in state.records_by_id
