Give a job that its home group accepts anew higher transfer numbers

Callers could see two runs of one best-effort task in two groups. A group that has noted a transfer serves a caller who names at least the number of the note, because the job has come back since. But the numbers began at 0 each time the home group accepted the job. After a job had gone to another group and back (number 2), and the home group had lost its leader and the server of the run, a new caller made it begin at 0 again and go elsewhere with the note 1. The caller of the first run still named 2, was taken for one who had come back, and the job started at home beside the run in the other group. The same followed when the job had ended at home or was withdrawn there.

The home group now begins above all numbers that callers can know: each term has numbers of its own, and within a term a job begins above the highest number that a caller has named.

--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -130,7 +130,7 @@
     arrival
         Fields of the log line that tell how the submission arrived.
     transfers
-        How often the job was transferred to another group.
+        Number of the job's last transfer to another group.
     """
     previous = state.records_by_id.pop(job.id, None)
     state.waiters_by_job[job.id] = [reply_to]
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -39,6 +39,7 @@
     SubmitDurableJob,
 )
 from boragetide.policy.scheduling import can_ever_fit
+from boragetide.policy.transfer_numbers import find_first_number, is_of_term
 from boragetide.policy.transfer_table import is_undelivered
 from boragetide.types import Seconds
 
@@ -74,8 +75,9 @@
                 state, job, waiters, REASON_TOO_LARGE, now, arrival=arrival
             )
     if job.best_effort:
+        transfers = _find_transfer_number(message, state)
         accepted = accept_best_effort(
-            job, message.reply_to, arrival, state, now, transfers=message.transfers
+            job, message.reply_to, arrival, state, now, transfers=transfers
         )
         return [*observe_arrival(message, now), *accepted]
     append = append_command(state, AcceptJob(job))
@@ -97,6 +99,19 @@
     return not (is_void or record.job.id in state.cancelled_at_by_job)
 
 
+def _find_transfer_number(message: SubmitDurableJob, state: DispatcherState) -> int:
+    """Return the number of the last transfer of a best-effort job.
+
+    Callers ask the home group first, without having followed a transfer.
+    """
+    transfers = state.transfers
+    if message.transfers == 0:
+        return find_first_number(state.term, transfers.highest_number)
+    if is_of_term(message.transfers, state.term):
+        transfers.highest_number = max(transfers.highest_number, message.transfers)
+    return message.transfers
+
+
 def _with_submission_time(message: SubmitDurableJob, now: Seconds) -> DurableJob:
     """Return the job with its submission time on this instance's clock.
 
--- a/boragetide/controllers/stranded_jobs.py
+++ b/boragetide/controllers/stranded_jobs.py
@@ -8,7 +8,16 @@
 
 from boragetide.controllers.dispatch_state import DispatcherState, is_occupied
 from boragetide.controllers.placing_runs import find_pool, is_in_service, is_usable
-from boragetide.durable import DurableJob, Fit, Need, Offer, Step, make_need
+from boragetide.durable import (
+    DurableJob,
+    Fit,
+    JobRecord,
+    Need,
+    Offer,
+    Step,
+    make_need,
+)
+from boragetide.policy.transfer_numbers import count_transfers
 from boragetide.policy.transfers import ServerRoom, StrandedJob, make_offer
 from boragetide.types import JobId, Seconds
 
@@ -119,10 +128,16 @@
         fit=fit,
         since=known.since if is_continued else now,
         best_effort=record.job.best_effort,
-        transfers=record.transfers,
+        transfers=_count_transfers(record),
     )
 
 
+def _count_transfers(record: JobRecord) -> int:
+    if record.job.best_effort:
+        return count_transfers(record.transfers)
+    return record.transfers
+
+
 def _count_by_need(
     state: DispatcherState, job: DurableJob, steps: Collection[Step]
 ) -> Counter[Need]:
--- a/boragetide/controllers/transfer_state.py
+++ b/boragetide/controllers/transfer_state.py
@@ -93,6 +93,9 @@
         Adoptions that are not committed yet.
     note_used_at_by_job
         Time at which a caller was last directed to the group that a note names.
+    highest_number
+        Highest number of a transfer in this term that a caller has named; see
+        `policy.transfer_numbers`.
     drop_command_by_job
         Commands that remove notes, until they are committed. Neither group may serve
         such a job.
@@ -114,4 +117,5 @@
     confirmed_by_group: dict[GroupId, int] = field(default_factory=dict)
     adoption_by_command: dict[str, PendingAdoption] = field(default_factory=dict)
     note_used_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
+    highest_number: int = 0
     drop_command_by_job: dict[JobId, str] = field(default_factory=dict)
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -283,7 +283,8 @@
         Runs that were lost with their backend servers, oldest first, except those whose
         backend server has survived.
     transfers
-        How often the job was transferred to another group.
+        How often the job was transferred to another group; of a best-effort job, the
+        number of its last transfer (`policy.transfer_numbers`).
     run_base
         The groups that had the job before gave its runs numbers up to this one.
     transfer
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -67,7 +67,8 @@
     Parameters
     ----------
     transfers
-        How often the job had been transferred when it came to the group that is asked.
+        The ``transfers`` of the note that directed the request to the group that is
+        asked; 0 if the request goes to the home group of the job.
     """
 
     transfers: int = 0
