Ask the home group again after a request was directed long ago

Callers could see two runs of one best-effort task in two groups. A request that the home group had directed to another group went on trying to reach that one until its caller's deadline, 120 s at most. If its instance was cut off from the other group meanwhile, the home group dropped its note 30 s after the last direction, because the other group did not know the job, and served it for another caller. When the first request arrived at last, the other group started the job, too.

An instance now returns to the home group when it was directed more than 20 s ago. A submission carries the age of its direction, and a leader leaves it undecided if that and the time on the way exceed 30 s.

--- a/boragetide/controllers/refusals.py
+++ b/boragetide/controllers/refusals.py
@@ -84,8 +84,9 @@
 
     The fence stays where it is, because the caller may have submitted the job again in
     the meantime. A copy of a cancelled job is answered with that state. One that was on
-    its way for so long that a refusal may be forgotten is left undecided, and so is one
-    whose job runs under an earlier leader.
+    its way for so long that a refusal may be forgotten, or the note by which another
+    group directed it, is left undecided, and so is one whose job runs under an earlier
+    leader.
     """
     is_void = state.fence.is_void(job.id, message.submitted_at)
     if is_void and not has_earlier_run(state, job.id):
@@ -93,7 +94,8 @@
         return _refuse(state, job, waiters, REASON_VOID, now, RETRY_AFTER, arrival)
     if job.id in state.cancelled_at_by_job:
         return [_make_cancelled_reply(message)]
-    if is_void or message.delivery_time(now) > MAX_DELIVERY_TIME:
+    known_for = message.directed_age + message.delivery_time(now)
+    if is_void or known_for > MAX_DELIVERY_TIME:
         return leave_undecided(message, state, arrival)
     if _may_be_cancelled(message, state, now):
         return leave_undecided(message, state, arrival)
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from functools import singledispatch
 from operator import attrgetter
 from typing import TypeAlias
@@ -43,6 +43,9 @@
 TAKEOVER_TIME: Seconds = 2.0
 # The directory of this instance answers at once unless the process is overloaded.
 LOCAL_TIMEOUT: Seconds = 2.0
+# A group may forget `MAX_DELIVERY_TIME` later that it has directed a request to another
+# one. The request returns to the home group before that.
+DIRECTION_LIFETIME: Seconds = 20.0
 # Reserved before the caller's deadline for delivering the final answer.
 ANSWER_MARGIN: Seconds = 0.05
 REASON_OVERLOADED = "more jobs are submitted than can be served in time"
@@ -74,7 +77,12 @@
     abandoned
         Whether the caller has left, so that no further request is sent.
     group
-        Group that has the job, as far as is known.
+        Group that has the job, as far as is known; at first the home group.
+    home_group
+        Group that is asked first.
+    directed_at
+        Unix time at which the request was sent that was answered with ``group``;
+        ``None`` in the home group.
     """
 
     runtime: Runtime
@@ -87,7 +95,16 @@
     useful_until: Seconds
     attempts: int = 0
     abandoned: bool = False
-    group: int = 0
+    group: GroupId = 0
+    home_group: GroupId = field(init=False)
+    directed_at: Seconds | None = None
+
+    def __post_init__(self) -> None:
+        self.home_group = self.group
+
+    def find_directed_age(self, now: Seconds) -> Seconds:
+        """Return the time since the request was directed to its group."""
+        return 0.0 if self.directed_at is None else now - self.directed_at
 
 
 async def observe(exchange: DurableExchange, call_next: Next) -> DispatcherReply:
@@ -169,6 +186,8 @@
     runtime = exchange.runtime
     attempts_by_term: Counter[GroupTerm] = Counter()
     while (remaining := _find_remaining_time(exchange)) > 0:
+        if exchange.find_directed_age(read_clock()) > DIRECTION_LIFETIME:
+            return_home(exchange)
         try:
             directory = runtime.local(name_controller("directory", exchange.group))
             lookup = await runtime.ask(directory, FindLeader(), remaining)
@@ -185,7 +204,8 @@
                 timeout = reply_timeout(exchange.message)
                 timeout *= 2 ** attempts_by_term[exchange.group, lookup.term]
                 timeout = min(remaining, timeout)
-                message = make_copy(exchange.message, exchange, lookup, read_clock())
+                sent_at = read_clock()
+                message = make_copy(exchange.message, exchange, lookup, sent_at)
                 reply = await runtime.ask(to, message, timeout)
             except PeerUnreachable:
                 pass
@@ -194,7 +214,7 @@
             else:
                 if reply.status is ReplyStatus.TRANSFERRED:
                     attempts_by_term.pop((exchange.group, reply.term), None)
-                    follow_transfer(exchange, reply)
+                    follow_transfer(exchange, reply, sent_at)
                     continue
                 if reply.status is ReplyStatus.UNDECIDED:
                     attempts_by_term[exchange.group, lookup.term] += 1
@@ -209,11 +229,18 @@
     raise RequestError(Status.NOT_RUN, 503, "no leader is known")
 
 
-def follow_transfer(exchange: DurableExchange, reply: DispatcherReply) -> None:
+def follow_transfer(
+    exchange: DurableExchange, reply: DispatcherReply, asked_at: Seconds
+) -> None:
     """Let a request go to the group that has its job.
 
     The leader that answers so has started nothing of the job, and no leader of its
     group will as long as the job is elsewhere.
+
+    Parameters
+    ----------
+    asked_at
+        Unix time at which the request was sent that was answered so.
     """
     log_event(
         "transfer_followed",
@@ -225,9 +252,27 @@
         term=reply.term,
     )
     exchange.group = reply.group
+    exchange.directed_at = asked_at
     exchange.message = replace(exchange.message, transfers=reply.transfers)
 
 
+def return_home(exchange: DurableExchange) -> None:
+    """Let a request that was directed long ago ask the home group of its job again.
+
+    The job may have come back, or have been forgotten, in the meantime.
+    """
+    log_event(
+        "transfer_left",
+        job=exchange.job_id,
+        kind=exchange.name,
+        group=exchange.group,
+        to=exchange.home_group,
+    )
+    exchange.group = exchange.home_group
+    exchange.directed_at = None
+    exchange.message = replace(exchange.message, transfers=0)
+
+
 async def wait_for_leader(
     runtime: Runtime, until: Seconds, group: int = 0
 ) -> LeaderFound:
@@ -302,6 +347,7 @@
     return replace(
         message,
         age=now - exchange.received_at,
+        directed_age=exchange.find_directed_age(now),
         submitted_at=lookup.to_leader_clock(exchange.received_at),
         attempt=exchange.attempts,
         term=lookup.term,
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -90,6 +90,9 @@
         ``None`` if the sender does not know the receiver's clock.
     attempt
         Number of this message among the copies that the sender has sent, from 1.
+    directed_age
+        Seconds from the request to the group that directed the sender to this one until
+        this message was sent; 0 in the home group.
     arrived_at
         Arrival time of this message, by the receiver's clock.
     term
@@ -102,6 +105,7 @@
     age: Seconds = 0.0
     submitted_at: Seconds | None = None
     attempt: int = 1
+    directed_age: Seconds = 0.0
     arrived_at: Seconds | None = None
     term: int = 0
 
--- a/boragetide/tests/test_durable_chain.py
+++ b/boragetide/tests/test_durable_chain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +14,7 @@
 from boragetide.durable import Step
 from boragetide.errors import PeerUnreachable, ReplyTimeout, RequestError
 from boragetide.filters.durable import (
+    DIRECTION_LIFETIME,
     DURABLE_CHAIN,
     LEADER_TIMEOUT,
     DurableExchange,
@@ -246,6 +248,34 @@
     assert asked == [("dispatcher", 0), ("dispatcher.2", 1), ("dispatcher", 2)]
 
 
+def test_request_that_was_directed_long_ago_returns_to_its_home_group() -> None:
+    """Guards against a second run in a group that the home group does not name now."""
+    steps = (1, transfer(2)), (7, UNREACHABLE), (1, ACCEPTED)
+    runtime = ScriptedRuntime(*steps)
+    message = SubmitDurableJob(make_durable_job(best_effort=True))
+    exchange = make_exchange(runtime, CALLER_TIMEOUT, message)
+
+    def pass_time() -> None:
+        if exchange.directed_at is not None:
+            exchange.directed_at -= DIRECTION_LIFETIME
+
+    runtime.on_ask = pass_time
+    assert asyncio.run(DURABLE_CHAIN(exchange)) is ACCEPTED
+    asked = [(controller, message.transfers) for controller, message in runtime.asked]
+    assert asked == [("dispatcher", 0), ("dispatcher.2", 1), ("dispatcher", 0)]
+
+
+def test_copy_tells_since_when_its_sender_knows_the_group() -> None:
+    """Guards against a leader that cannot tell how old the direction is."""
+    runtime = ScriptedRuntime((1, transfer(2)), (7, ACCEPTED))
+    runtime.on_ask = lambda: time.sleep(0.01)
+    message = SubmitDurableJob(make_durable_job(best_effort=True))
+    ask_through(runtime, message=message)
+    (_, first), (_, second) = runtime.asked
+    assert first.directed_age == 0.0
+    assert second.directed_age >= 0.01
+
+
 def test_refusal_stands_after_a_transfer() -> None:
     """Guards against an unknown outcome of a job that no group has started."""
     assert ask((1, transfer(2)), (7, refuse(7))).status is ReplyStatus.REFUSED
--- a/boragetide/tests/test_refusals.py
+++ b/boragetide/tests/test_refusals.py
@@ -228,6 +228,27 @@
     assert leader.starts() == []
 
 
+def test_copy_that_was_directed_here_too_long_ago_is_left_undecided(
+    leader: Leader,
+) -> None:
+    """Guards against a second run beside one in the group that named this one."""
+    job = make_durable_job(best_effort=True)
+    now = BEGIN + 1.0
+    keep_server(leader, now)
+    copy = SubmitDurableJob(
+        job=job,
+        age=0.0,
+        submitted_at=BEGIN,
+        directed_age=MAX_DELIVERY_TIME - 0.5,
+        transfers=1,
+        reply_to=CALLER,
+    )
+    leader.handle(copy, now)
+    (reply,) = leader.replies()
+    assert reply.status is ReplyStatus.UNDECIDED
+    assert leader.starts() == []
+
+
 def test_long_job_survives_a_change_of_leader(settings: Settings) -> None:
     """Guards against stopping the run of a job that is older than all refusals."""
     leader = Leader(settings, term=2)
--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -16,6 +16,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.durable import DurableJob, JobPhase, JobRecord
 from boragetide.effects import LogEvent, ReadRuns, Reply, Send, StartRun, StopRun
+from boragetide.filters.durable import DIRECTION_LIFETIME
 from boragetide.groups import find_group, name_controller, resolve_address
 from boragetide.messages import (
     AppendCommands,
@@ -82,6 +83,10 @@
         Group that was asked first, and the one that is asked now.
     reply
         Final answer, once there is one.
+    directed_at
+        Time at which the request was sent that was answered with the group, if any.
+    is_cut_off
+        Whether the instance of the caller receives and sends nothing.
     """
 
     request: Any
@@ -90,6 +95,8 @@
     sent_at: Seconds
     transfers: int = 0
     reply: DispatcherReply | None = None
+    directed_at: Seconds | None = None
+    is_cut_off: bool = False
 
 
 class GroupSite:
@@ -256,8 +263,11 @@
         if effect.to is None or not isinstance(reply, DispatcherReply):
             return
         call = self.calls[effect.to.request]
+        if call.is_cut_off:
+            return
         if reply.status is ReplyStatus.TRANSFERRED:
             call.group, call.transfers = reply.group, reply.transfers
+            call.directed_at = self.now - TRANSIT
             self.schedule(TRANSIT, lambda: self.send_call(effect.to))
         elif reply.status in (ReplyStatus.NOT_LEADER, ReplyStatus.UNDECIDED):
             if not reply.term:
@@ -268,11 +278,17 @@
     def send_call(self, reply_to: ReplyTo) -> None:
         """Send a copy of a request to the leader of the group that has its job."""
         call = self.calls[reply_to.request]
-        if call.reply is not None:
+        if call.reply is not None or call.is_cut_off:
             return
+        directed_at = self.now if call.directed_at is None else call.directed_at
+        directed_age = self.now - directed_at
+        if directed_age > DIRECTION_LIFETIME:
+            call.group, call.transfers, call.directed_at = call.home, 0, None
+            directed_age = 0.0
         fields: dict[str, Any] = {"reply_to": reply_to, "transfers": call.transfers}
         if isinstance(call.request, SubmitDurableJob):
             fields |= {"age": self.now - call.sent_at, "submitted_at": call.sent_at}
+            fields["directed_age"] = directed_age
         self.handle(self.groups[call.group], replace(call.request, **fields))
 
     def ask(self, request: Any, group: GroupId) -> Call:
@@ -281,6 +297,15 @@
         self.send_call(ReplyTo(CALLER, len(self.calls) - 1))
         return self.calls[-1]
 
+    def cut_off(self, call: Call) -> None:
+        """Cut the instance of a caller off from all groups."""
+        call.is_cut_off = True
+
+    def reconnect(self, call: Call) -> None:
+        """Let the instance of a caller ask again, which it has not ceased to try."""
+        call.is_cut_off = False
+        self.send_call(ReplyTo(CALLER, self.calls.index(call)))
+
     def submit(self, job: DurableJob, group: GroupId) -> Call:
         """Submit a job to its group."""
         job = replace(job, submitted_at=self.now)
--- a/properties/test_transfer_notes.py
+++ b/properties/test_transfer_notes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from boragetide.controllers.transfers import NOTE_REVIEW_INTERVAL
 from boragetide.durable import DurableJob, Step
 from boragetide.messages import TransfersReviewed
 from boragetide.policy.submission_fence import MAX_DELIVERY_TIME
@@ -97,6 +98,31 @@
     assert len({start.server for start in site.starts[starts:]}) <= 1
 
 
+def test_caller_who_was_directed_long_ago_asks_at_home_again(site: GroupSite) -> None:
+    """Guards against a second run for a caller who reaches the other group too late.
+
+    The other group does not know the job, so the home group drops its note.
+    """
+    for name in ("labelled0", "labelled2"):
+        site.find_server(name).draining = True
+    site.run_for(2.0)
+    task = Step(1, NEEDS, WORK, required_label=LABEL)
+    late = site.submit(make_long_job("j0", task), HOME)
+    while late.group != OTHER:
+        site.run_for(0.05)
+    site.cut_off(late)
+    site.find_server("labelled0").draining = False
+    site.run_for(MAX_DELIVERY_TIME + NOTE_REVIEW_INTERVAL + 2.0)
+    assert "j0" not in site.groups[HOME].state.records_by_id
+    site.ask(late.request, HOME)
+    site.run_for(1.0)
+    assert [start.server for start in site.starts] == ["labelled0"]
+    site.reconnect(late)
+    site.run_for(1.0)
+    assert len(site.starts) == 1
+    assert late.group == HOME
+
+
 def test_job_that_returned_is_not_sent_away_again_by_the_next_leader(
     site: GroupSite,
 ) -> None:
--- a/properties/test_transfer_numbers.py
+++ b/properties/test_transfer_numbers.py
@@ -7,11 +7,10 @@
 import pytest
 
 from boragetide.durable import DurableJob, Step
-from boragetide.messages import DispatcherReply, ReplyStatus
 from boragetide.policy.job_table import BEST_EFFORT_RETENTION
 from boragetide.tests.durable_fixtures import NEEDS, make_durable_job
-from boragetide.types import ReplyTo, Seconds
-from properties.group_site import CALLER, LABEL, Call, GroupSite
+from boragetide.types import Seconds
+from properties.group_site import LABEL, Call, GroupSite
 
 HOME, FIRST, SECOND = 0, 1, 2
 WORK: Seconds = 20.0
@@ -48,17 +47,6 @@
     return call
 
 
-def cut_off(call: Call) -> None:
-    """Let the instance of a caller receive and send nothing."""
-    call.reply = DispatcherReply(ReplyStatus.UNDECIDED)
-
-
-def reconnect(site: GroupSite, call: Call) -> None:
-    """Let the instance of a caller ask again, as it would have done before."""
-    call.reply = None
-    site.send_call(ReplyTo(CALLER, site.calls.index(call)))
-
-
 def test_caller_of_an_earlier_life_of_a_job_finds_its_later_one(
     site: GroupSite, returned: Call
 ) -> None:
@@ -66,7 +54,7 @@
 
     The next leader has not read the server of the first run and counts from the start.
     """
-    cut_off(returned)
+    site.cut_off(returned)
     site.find_server("labelled0").cut = True
     site.find_server("labelled2").draining = False
     site.change_leader(HOME)
@@ -77,7 +65,7 @@
     site.find_server("labelled0").cut = False
     site.run_for(2.0)
     starts = len(site.starts)
-    reconnect(site, returned)
+    site.reconnect(returned)
     site.run_for(2.0)
     assert len(site.starts) == starts
     assert returned.group == SECOND
@@ -87,7 +75,7 @@
     site: GroupSite, returned: Call
 ) -> None:
     """Guards against a second run at home within the term of one leader."""
-    cut_off(returned)
+    site.cut_off(returned)
     site.run_for(WORK + BEST_EFFORT_RETENTION + 2.0)
     assert "j0" not in site.groups[HOME].state.records_by_id
     drain_all_but(site, SECOND)
@@ -98,7 +86,7 @@
     site.find_server("labelled0").draining = False
     site.run_for(2.0)
     starts = len(site.starts)
-    reconnect(site, returned)
+    site.reconnect(returned)
     site.run_for(2.0)
     assert len(site.starts) == starts
     assert returned.group == SECOND
