Do not report a run whose number was used again

A best-effort job whose record is dropped and that is submitted again gets the run numbers of its first runs, so that at a later process of the same backend server `run_listed_after_over` named a run that had been ordered since. An order now forgets that an earlier run of that number was counted as over.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -291,6 +291,8 @@
 def add_run(state: DispatcherState, server: Server, run: Run) -> None:
     """Record a run that occupies its task and capacity of a backend server."""
     run.server_born = run.seen_born = server.report.born
+    # A best-effort job that was forgotten and begins anew gets the same run numbers.
+    state.freed_runs.pop((server.report.id, run.ref, run.number), None)
     server.runs_by_task[run.key] = run
     state.server_by_task[run.key] = server.report.id
     state.started.add(run.job_id)
--- a/boragetide/tests/test_freed_runs.py
+++ b/boragetide/tests/test_freed_runs.py
@@ -21,6 +21,7 @@
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import (
     BEGIN,
+    BORN,
     CALLER,
     NEEDS,
     Leader,
@@ -166,6 +167,29 @@
     assert not fields["same_process"]
 
 
+def test_run_of_a_job_that_begins_anew_is_not_reported(
+    leader: Leader, start: StartRun
+) -> None:
+    """Guards against a report of a run that has the number of an earlier one."""
+    leader.answer(start)
+    leader.list_runs(now=BEGIN + 0.2, sent_at=BEGIN + 0.1)
+    (second,) = leader.starts()
+    leader.answer(second, now=BEGIN + 0.3)
+    leader.list_runs(ended=(list_end(second, 1),), now=BEGIN + 0.4)
+    for seconds in (5.0, 11.0):
+        leader.handle(Tick(), BEGIN + seconds)
+    assert not leader.state.run_number_by_task
+    leader.join(born=BORN + 5, now=BEGIN + 11.0)
+    leader.list_runs(born=BORN + 5, target_born=BORN + 5, now=BEGIN + 11.0)
+    job = make_durable_job("j1", Step(1, NEEDS, 5.0), best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, reply_to=CALLER), BEGIN + 11.0)
+    (again,) = leader.starts()
+    assert again.run == start.run
+    running = (list_run(again),)
+    leader.list_runs(running=running, born=BORN + 5, now=BEGIN + 11.2)
+    assert not find_reports(leader)
+
+
 def test_freed_runs_are_bounded(
     leader: Leader, start: StartRun, monkeypatch: pytest.MonkeyPatch
 ) -> None:
