Random runs of best-effort jobs whose callers come back

The random runs of transfers asked for each job once, kept the notes of transfers beyond the end of a run, and changed one leader at a time. The new ones let callers ask again at the home group, cut their instances off, deliver copies late, withdraw and cancel jobs, replace the leaders of both groups of a job, cut backend servers off at the takeover, and let them carry out calls without an answer. Notes are dropped and jobs forgotten within a run. The check is that no task has two runs at a time.

--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -98,6 +98,11 @@
     directed_at: Seconds | None = None
     is_cut_off: bool = False
 
+    @property
+    def is_at_home(self) -> bool:
+        """Whether the home group is asked now."""
+        return self.group == self.home
+
 
 class GroupSite:
     """An installation of several groups on one instance, in simulated time."""
@@ -119,6 +124,7 @@
         self.cut_pairs: set[frozenset[GroupId]] = set()
         self.message_fates: tuple[str, ...] = ("delivered",)
         self.lost_types: tuple[type, ...] = ()
+        self.mute_servers: set[str] = set()  # carry out calls, but nobody hears them
         self.next_announcement = self.now
 
     def make_state(self, group: GroupId) -> DispatcherState:
@@ -341,6 +347,8 @@
             result = server.start(
                 order, self.now, step, lambda: self.check_start(order, server)
             )
+        if server.id in self.mute_servers:
+            is_reached, result = False, OrderResult.UNANSWERED
         answer = RunOrdered(
             server=order.server,
             term=get_term(order.fence),
@@ -370,8 +378,9 @@
         answer: Any = ReadFailed(effect.server, term, target_born=effect.target_born)
         delay = ORDER_TIMEOUT
         if server.is_up(self.now) and not server.cut:
-            answer = self.list_runs(effect, server)
-            delay = max(effect.wait, STEP)
+            listed = self.list_runs(effect, server)
+            if server.id not in self.mute_servers:
+                answer, delay = listed, max(effect.wait, STEP)
         self.schedule(delay, lambda: self.handle(group, answer))
 
     def list_runs(self, order: ReadRuns, server: SimulatedServer) -> RunsRead:
