Tell late starts apart by the time at which a list was requested

A task may run twice at a time.

Cause: a start without an answer may be carried out up to 12 s late by the next process of its backend server, unless a list of runs was made later than that. The time of a list was its latest possible one. On a leader that handles all answers 2 s late the bound of the server's clock is 2 s too low, so that a list counted as made when it was handled. The lease of a run that such a list shows then counted as lapsed without the 12 s, if the server departed at once.

Evidence: the new test failed before: a second start 13.22 s after the unanswered one, whose run may last 0.1 s longer. It is narrow, because the leader renews the lease when it handles the list, and it needs a restart under the same id.

The time at which the list was requested is a bound that does not depend on clocks or on when answers are handled: the list was made after it.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -275,7 +275,7 @@
     """Return whether the next process of a server may begin a run."""
     ordered_at = run.start_unanswered_at
     return ordered_at is not None and (
-        server.runs_listed_at < ordered_at + MAX_ORDER_DELAY
+        server.runs_requested_at < ordered_at + MAX_ORDER_DELAY
     )
 
 
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -128,6 +128,7 @@
     may_learn = not server.silent
     server.unanswered = 0
     server.runs_listed_at = listed_at
+    server.runs_requested_at = message.sent_at
     if is_current and server.read_term != state.term:
         server.read_term = state.term
         if message.running:
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -156,7 +156,9 @@
     speed_updated_at
         Time at which the learned speed was last updated from a run.
     runs_listed_at
-        Time at which the backend server made its last list of runs.
+        Latest time at which the backend server can have made its last list of runs.
+    runs_requested_at
+        Time at which that list was requested; it was made later.
     last_run_done_at
         Time at which the backend server last listed a run as done.
     departed
@@ -198,6 +200,7 @@
     speed: float = 1.0
     speed_updated_at: Seconds = 0.0
     runs_listed_at: Seconds = 0.0
+    runs_requested_at: Seconds = 0.0
     last_run_done_at: Seconds = 0.0
     departed: bool = False
     left: bool = False
--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -102,6 +102,27 @@
     assert unanswered.task in {each.task for each in leader.starts()}
 
 
+def test_list_that_is_handled_late_does_not_show_that_no_start_is_on_its_way(
+    leader: Leader,
+) -> None:
+    """Guards against a second run beside one that begins after the list was made."""
+    unanswered, answered = leader.starts()
+    leader.answer(answered)
+    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
+    (again,) = leader.starts()
+    running = (list_run(unanswered), list_run(answered))
+    leader.list_runs(running=running, now=BEGIN + 0.3)
+    leader.answer(again, OrderResult.UNANSWERED, now=BEGIN + 0.4)
+    begins_by = BEGIN + 0.2 + PLATFORM_MAX_ORDER_DELAY
+    handled_at = begins_by + 0.01
+    leader.state.servers_by_id["s1"].clock.offset -= 2.0  # answers were handled late
+    leader.list_runs(running=running, read_at=handled_at - 2.0, now=handled_at)
+    leader.handle(ReadFailed("s1", 1, other_life=True), handled_at + 0.01)
+    lapses_by = begins_by + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    started = {start.task for start in start_again(leader, lapses_by)}
+    assert unanswered.task not in started
+
+
 def test_answered_starts_are_free_when_their_lease_has_lapsed(leader: Leader) -> None:
     """Guards against tasks of a lost server that wait for longer than they must."""
     starts = leader.starts()
