Test a late announcement of an earlier process with a later birth

After the time of day of a backend server was set back, its next process has a lower `born`, and a late announcement of the earlier one replaces it for a moment. The runs stay known; the test shows that nothing starts twice.

--- a/boragetide/tests/test_server_lives.py
+++ b/boragetide/tests/test_server_lives.py
@@ -71,6 +71,29 @@
     assert {start.run for start in leader.starts()} == {2}
 
 
+def test_runs_go_on_when_an_earlier_process_of_later_birth_is_announced_late(
+    leader: Leader,
+) -> None:
+    """Guards against a second run after the time of day was set back."""
+    born = BORN - 2000
+    leader.list_runs(born=born, target_born=BORN, now=BEGIN + 0.1)
+    leader.list_runs(born=born, target_born=born, now=BEGIN + 0.11)
+    report = make_report(born=born)
+    leader.handle(ReportServer(report=report, passed_on=True), BEGIN + 0.2)
+    starts = start_job(leader)
+    for start in starts:
+        leader.answer(start, now=BEGIN + 0.25)
+    running = tuple(list_run(start) for start in starts)
+    late = make_report(sequence=9)
+    leader.handle(ReportServer(report=late, passed_on=True), BEGIN + 0.3)
+    leader.list_runs(born=born, target_born=born, running=running, now=BEGIN + 0.35)
+    leader.list_runs(born=born, target_born=BORN, running=running, now=BEGIN + 0.4)
+    leader.list_runs(born=born, target_born=born, running=running, now=BEGIN + 0.5)
+    leader.handle(Tick(), BEGIN + 0.6)
+    assert (leader.starts(), leader.stops()) == ([], [])
+    assert len(leader.state.server_by_task) == 2
+
+
 def test_late_list_of_an_earlier_process_is_ignored(leader: Leader) -> None:
     """Guards against a restarted server that is taken for the process before it."""
     announce_next_life(leader, BEGIN + 0.1)
