--- a/boragetide/controllers/refusals.py
+++ b/boragetide/controllers/refusals.py
@@ -94,8 +94,8 @@
         return _refuse(state, job, waiters, REASON_VOID, now, RETRY_AFTER, arrival)
     if job.id in state.cancelled_at_by_job:
         return [_make_cancelled_reply(message)]
-    known_for = message.directed_age + message.delivery_time(now)
-    if is_void or known_for > MAX_DELIVERY_TIME:
+    directed_for = message.directed_age + message.delivery_time(now)
+    if is_void or directed_for > MAX_DELIVERY_TIME:
         return leave_undecided(message, state, arrival)
     if _may_be_cancelled(message, state, now):
         return leave_undecided(message, state, arrival)
