Run groups at random with members that handle everything late

The random takeovers of several groups handled messages late only at the dispatcher of a leader, once for all that waited, and by 0.8 s at most.

`MemberSite` now also checks at each notice to a dispatcher that no authority of an earlier term ends after the time that a later leader assumes.

--- a/properties/member_site.py
+++ b/properties/member_site.py
@@ -31,9 +31,11 @@
     StartRun,
     StopRun,
 )
-from boragetide.groups import name_controller, resolve_address
+from boragetide.groups import find_group, name_controller, resolve_address
 from boragetide.messages import (
+    AuthorityExtended,
     DispatcherReply,
+    LeadershipGained,
     OrderResult,
     ReadFailed,
     RemoveServer,
@@ -58,6 +60,7 @@
 ANNOUNCEMENT_INTERVAL: Seconds = 1.5
 UPTIME: Seconds = 100.0  # for which the first processes have run when a test begins
 MAX_CLOCK_OFFSET: Seconds = 2.0
+CLOCK_PRECISION: Seconds = 1e-6  # of sums of times and offsets
 MAX_HELD_TIME: Seconds = 3.0  # for which a connection holds a message
 LATE_CALL_DELAYS: tuple[Seconds, ...] = (0.3, 1.0, 3.0, 12.0)
 CALLER = "edge"
@@ -65,12 +68,37 @@
 LABEL = "r1"
 
 
+@dataclass(frozen=True)
+class Slowness:
+    """A time in which a member is behind with its work.
+
+    Parameters
+    ----------
+    until
+        Time until which what arrives is handled late.
+    max_lag
+        Longest time by which it is handled late.
+    controllers
+        Kinds of controllers whose messages are handled late.
+    delays_timers
+        Whether ticks, calls and messages to other members are sent late, and answers
+        and timeouts of calls seen late.
+    """
+
+    until: Seconds
+    max_lag: Seconds
+    controllers: tuple[str, ...] = ("configuration", "dispatcher")
+    delays_timers: bool = True
+
+
 @dataclass
 class Mailbox:
     """A controller of a member: its state, waiting messages and waiting effects.
 
     Parameters
     ----------
+    messages
+        Waiting messages, each with the time before which it is not handled.
     free_at
         Time until which the controller handles nothing, because it is busy.
     """
@@ -78,7 +106,7 @@
     name: str
     handle: Callable[[Any, Any, Seconds], Iterable[Effect]]
     state: Any
-    messages: deque[Any] = field(default_factory=deque)
+    messages: deque[tuple[Seconds, Any]] = field(default_factory=deque)
     effects: deque[Effect] = field(default_factory=deque)
     free_at: Seconds = 0.0
     last_handled_at: Seconds = 0.0
@@ -105,6 +133,7 @@
     frozen_until: Seconds = 0.0
     sync_duration: Seconds = 0.01
     is_retired: bool = False
+    slowness: Slowness | None = None
 
     @property
     def is_up(self) -> bool:
@@ -157,6 +186,10 @@
         self.group_by_server: dict[str, GroupId] = {}
         self.submissions: list[Submission] = []
         self.jobs_by_id: dict[JobId, DurableJob] = {}
+        # End of the authority of each term, and when the terms before it are over.
+        groups = range(self.group_count)
+        self.orders_until_by_term: list[dict[int, Seconds]] = [{} for _ in groups]
+        self.predecessor_until_by_term: list[dict[int, Seconds]] = [{} for _ in groups]
         for member in self.members_by_id.values():
             self.start_process(member, age=UPTIME)
 
@@ -185,6 +218,7 @@
         """Start the next process of a member, which reads its journals."""
         member.process += 1
         member.frozen_until = 0.0
+        member.slowness = None
         started_at = self.read_clock(member) - age
         incarnation = int(started_at * 1000)
         for group in range(self.group_count):
@@ -229,14 +263,30 @@
         for box in list(member.mailboxes_by_name.values()):
             self.put(member, box, Tick())
         jitter = self.random.uniform(1 - TICK_JITTER, 1 + TICK_JITTER)
-        self.schedule(TICK * jitter, partial(self.tick, member, process))
+        delay = TICK * jitter + self.draw_lag(member)
+        self.schedule(delay, partial(self.tick, member, process))
 
     def put(self, member: Member, box: Mailbox, message: Any) -> None:
-        """Put a message into a mailbox."""
-        box.messages.append(message)
+        """Put a message into a mailbox, which keeps the order of its messages."""
+        due_at = self.now + self.draw_lag(member, box)
+        if box.messages:
+            due_at = max(due_at, box.messages[-1][0])
+        box.messages.append((due_at, message))
         if len(box.messages) == 1:
             self.drain(member, member.process, box)
 
+    def draw_lag(self, member: Member, box: Mailbox | None = None) -> Seconds:
+        """Return by how much a member is late with a message, or else with a timer."""
+        slowness = member.slowness
+        if slowness is None or self.now >= slowness.until:
+            return 0.0
+        is_affected = slowness.delays_timers
+        if box is not None:
+            is_affected = box.name.partition(".")[0] in slowness.controllers
+        if not is_affected:
+            return 0.0
+        return self.random.uniform(0.0, slowness.max_lag)
+
     def drain(self, member: Member, process: int, box: Mailbox) -> None:
         """Handle the messages of a mailbox."""
         again = partial(self.drain, member, process, box)
@@ -246,7 +296,10 @@
             self.schedule(box.free_at - self.now, again)
             return
         while box.messages:
-            message = box.messages[0]
+            due_at, message = box.messages[0]
+            if self.now < due_at:
+                self.schedule(due_at - self.now, again)
+                return
             now = self.read_clock(member)
             if self.now - box.last_handled_at > SUSPENSION_THRESHOLD:
                 woke_up = WokeUp(box.last_handled_at + member.clock_offset)
@@ -312,6 +365,8 @@
     @execute.register
     def _(self, effect: Send, member: Member, box: Mailbox) -> None:
         to = resolve_address(effect.to, box.name)
+        if isinstance(effect.message, LeadershipGained | AuthorityExtended):
+            self.check_authority(effect.message, member, find_group(box.name))
         is_report = isinstance(effect.message, ReportServer | RemoveServer)
         if is_report and self.random.random() < self.report_loss:
             return
@@ -320,10 +375,44 @@
             if own is not None:
                 self.put(member, own, effect.message)
             return
-        self.send(member.id, to.instance, partial(self.arrive, to, effect.message))
+        arrive = partial(self.arrive, to, effect.message)
+        self.send(member.id, to.instance, arrive, self.draw_lag(member))
+
+    def check_authority(
+        self,
+        message: LeadershipGained | AuthorityExtended,
+        member: Member,
+        group: GroupId,
+    ) -> None:
+        """Check that each later leader knows until when an earlier one gives orders."""
+        term, offset = message.term, member.clock_offset
+        until_by_term = self.orders_until_by_term[group]
+        until = message.authority_until - offset
+        until_by_term[term] = max(until, until_by_term.get(term, until))
+        bounds_by_term = self.predecessor_until_by_term[group]
+        if isinstance(message, LeadershipGained):
+            bounds_by_term[term] = message.predecessor_until - offset
+        for later, bound in bounds_by_term.items():
+            for earlier, until in until_by_term.items():
+                assert earlier >= later or until <= bound + CLOCK_PRECISION, (
+                    f"authority of term {earlier} in group {group} ends at "
+                    f"{until - BEGIN}, term {later} assumes {bound - BEGIN}"
+                )
+
+    def send(
+        self,
+        source: str,
+        target: str,
+        action: Callable[[], None],
+        lag: Seconds = 0.0,
+    ) -> None:
+        """Let an action happen at the other end of a link, unless the link is cut.
 
-    def send(self, source: str, target: str, action: Callable[[], None]) -> None:
-        """Let an action happen at the other end of a link, unless the link is cut."""
+        Parameters
+        ----------
+        lag
+            Time by which the message is sent late.
+        """
         delay = self.random.uniform(0.0005, 0.003)
         if (source, target) in self.cut_links:
             if self.random.random() < 0.7:
@@ -331,7 +420,7 @@
             # A connection delivers what it holds when the cut is over.
             delay = self.random.uniform(0.1, MAX_HELD_TIME)
         link = (source, target)
-        arrives_at = self.now + delay
+        arrives_at = self.now + lag + delay
         if delay < 0.1:
             arrives_at = max(arrives_at, self.last_delivery_by_link.get(link, 0.0))
             self.last_delivery_by_link[link] = arrives_at
@@ -351,7 +440,8 @@
     @execute.register(ReadRuns)
     def _(self, effect: Any, member: Member, box: Mailbox) -> None:
         call = partial(self.send_call, effect, member, member.process, box)
-        self.schedule(self.random.uniform(0.0, 0.001), call)
+        delay = self.random.uniform(0.0, 0.001) + self.draw_lag(member)
+        self.schedule(delay, call)
 
     def send_call(self, order: Any, member: Member, process: int, box: Mailbox) -> None:
         """Send a call, unless the process is frozen or gone."""
@@ -360,7 +450,8 @@
             return
         call = Call(order, member, process, box, self.read_clock(member))
         timeout = ORDER_TIMEOUT + getattr(order, "wait", 0.0)
-        self.schedule(timeout, partial(self.answer, call, None))
+        lag = self.draw_lag(member)
+        self.schedule(timeout + lag, partial(self.answer, call, None))
         draw = self.random.random()
         is_cut = (member.id, order.server) in self.cut_links
         arrives = partial(self.carry_out, call, draw < 2 * self.call_loss)
@@ -394,6 +485,7 @@
             return
         answer = (result, server.read_clock(self.now))
         delay = wait + self.random.uniform(0.0005, 0.003)
+        delay += self.draw_lag(call.member)
         self.schedule(delay, partial(self.answer, call, answer))
 
     def respond_later(self, call: Call, server: SimulatedServer, born: int) -> None:
@@ -403,7 +495,8 @@
         if (server.id, call.member.id) in self.cut_links:
             return
         listed = server.show_runs(self.now)
-        self.schedule(0.001, partial(self.answer, call, (listed, listed.clock)))
+        delay = 0.001 + self.draw_lag(call.member)
+        self.schedule(delay, partial(self.answer, call, (listed, listed.clock)))
 
     def answer(self, call: Call, answer: tuple[Any, Seconds] | None) -> None:
         """Let the controller handle an answer, or the lack of one, once."""
