Test what a new leader knows after two and three changes

The dispatcher of each earlier leader goes on with the last end that it was told of, so the bound is compared with that and the end of a lease that was granted then.

--- a/boragetide/tests/test_successive_leaders.py
+++ b/boragetide/tests/test_successive_leaders.py
@@ -13,7 +13,14 @@
 from boragetide.controllers.server_state import LEASE_DURATION, MIN_CLOCK_RATE
 from boragetide.effects import Effect, Send
 from boragetide.policy import elections, replication
-from boragetide.policy.replica import Replica, Role, step
+from boragetide.policy.replica import (
+    ELECTION_MIN,
+    Replica,
+    Role,
+    make_snapshot,
+    restore_replica,
+    step,
+)
 from boragetide.tests.conftest import make_settings
 from boragetide.tests.durable_fixtures import BEGIN
 from boragetide.types import InstanceId, Seconds
@@ -107,6 +114,14 @@
         effects = replication.transfer_leadership(replica, self.now, successor)
         self.execute(member, effects)
 
+    def restart(self, member: InstanceId) -> None:
+        """Replace the process of a member by one that has read its journal."""
+        previous = self.replicas_by_id[member]
+        incarnation = int(self.now * 1000)
+        records = (make_snapshot(previous),)
+        restarted = restore_replica(previous.settings, incarnation, records)
+        self.replicas_by_id[member] = restarted
+
     def find_leader(self) -> Replica:
         """Return the leader of the newest term."""
         leaders = [
@@ -168,3 +183,77 @@
     group.stand("a3")
     assert group.find_leader().id == "a3"
     check_bounded(group)
+
+
+def test_handover_bounds_the_authority_of_the_leader_that_gives_it_up(
+    group: Group,
+) -> None:
+    """Guards against a takeover beside a dispatcher that has not heard of it yet."""
+    group.now = BEGIN + 0.1
+    group.append("a1")
+    group.hand_over("a1", "a2")
+    assert group.find_leader().id == "a2"
+    check_bounded(group)
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.05, 0.3])
+def test_second_handover_bounds_the_authority_of_both_leaders(
+    group: Group, pause: Seconds
+) -> None:
+    """Guards against a successor that only knows about the last leader.
+
+    The second leader hands over before its first tick, and the third one did not hear
+    the last append of the first.
+    """
+    group.now = BEGIN + 0.1
+    group.cut("a1", "a3")
+    group.append("a1")
+    group.hand_over("a1", "a2")
+    group.now += pause
+    group.hand_over("a2", "a3")
+    assert group.find_leader().id == "a3"
+    check_bounded(group)
+
+
+def test_third_change_bounds_the_authority_of_all_leaders(group: Group) -> None:
+    """Guards against a bound that is lost with the second of three leaders."""
+    group.now = BEGIN + 0.1
+    group.append("a1")
+    group.hand_over("a1", "a2")
+    group.hand_over("a2", "a3")
+    group.cut("a3", "a2")
+    group.hand_over("a3", "a1")
+    assert group.find_leader().id == "a1"
+    assert group.find_leader().ballot.term == 4
+    check_bounded(group)
+
+
+def test_restarted_voter_bounds_the_authority_that_it_acknowledged(
+    group: Group,
+) -> None:
+    """Guards against a new process that does not know what the last one has heard."""
+    group.cut("a1", "a3")
+    group.now = BEGIN + 0.7
+    group.tick_leader("a1")
+    assert group.orders_until_by_term[1] == pytest.approx(BEGIN + 1.1, abs=0.01)
+    group.cut("a1", "a2")
+    group.restart("a2")
+    group.stand("a3")
+    assert group.find_leader().id == "a3"
+    check_bounded(group)
+
+
+def test_leader_without_its_predecessors_vote_waits_for_the_last_append(
+    group: Group,
+) -> None:
+    """Guards against a takeover by what only the successor itself has heard."""
+    group.cut("a1", "a3")
+    group.now = BEGIN + 0.7
+    group.tick_leader("a1")
+    group.cut("a1", "a2")
+    group.now = BEGIN + 0.7 + ELECTION_MIN
+    group.stand("a3")
+    leader = group.find_leader()
+    assert leader.id == "a3"
+    assert leader.missed_predecessor
+    check_bounded(group)
