Tests of the task client: use the scripted server

The client of workers has got a server that answers from a script and closes connections without an answer.

--- a/boragetide/tests/stream_server.py
+++ b/boragetide/tests/stream_server.py
@@ -35,7 +35,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
-        while (body := await _read_request(reader)) is not None:
+        while (body := await read_request(reader)) is not None:
             answer = self.answers[len(self.received)]
             self.received.append(body)
             if answer is None:
@@ -47,7 +47,7 @@
             await writer.drain()
 
 
-async def _read_request(reader: asyncio.StreamReader) -> bytes | None:
+async def read_request(reader: asyncio.StreamReader) -> bytes | None:
     """Return the body of the next request, or ``None`` at the connection's end."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import re
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient
@@ -14,14 +13,18 @@
 from boragetide.links.backend_client import cancel, dispatch, make_client
 from boragetide.messages import TaskReport
 from boragetide.tests.conftest import free_port
-from boragetide.tests.stream_server import Serve, serve_streams
+from boragetide.tests.stream_server import (
+    ScriptedServer,
+    Serve,
+    read_request,
+    serve_streams,
+)
 from boragetide.types import TaskStart, TaskStatus
 
 RESULT_LINE = {"id": "j.0", "status": "done", "result": 1, "seconds": 0.1}
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-PERSISTENT_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-REFUSAL_HEADERS = b"\r\nContent-Length: 0\r\n\r\n"
+EMPTY_ANSWER = ("200 OK", "")
 IDLE_TIME = 0.05  # seconds
 REFUSALS = [b"409 Conflict", b"503 Service Unavailable"]
 
@@ -60,60 +63,20 @@
     await asyncio.sleep(IDLE_TIME)
 
 
-async def read_body(reader: asyncio.StreamReader) -> bytes:
-    """Read one request and return its body."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    length = re.search(rb"content-length: (\d+)", head, re.IGNORECASE)
-    return await reader.readexactly(int(length[1]))
-
-
-class ClosingServer:
-    """Answers the first request and closes the connection on which the second arrives.
-
-    Parameters
-    ----------
-    answer_to_copy
-        Response to any later request; with ``None`` new connections are refused.
-    """
-
-    def __init__(self, answer_to_copy: bytes | None):
-        self.answer_to_copy = answer_to_copy
-        self.bodies: list[bytes] = []
-        self.listener: asyncio.Server | None = None
-        self.connections: set[asyncio.Task[None]] = set()
-
-    async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Serve one connection."""
-        self.connections.add(asyncio.current_task())
-        with contextlib.suppress(asyncio.IncompleteReadError):
-            while True:
-                self.bodies.append(await read_body(reader))
-                if len(self.bodies) == 2:
-                    break
-                is_first = len(self.bodies) == 1
-                writer.write(PERSISTENT_RESPONSE if is_first else self.answer_to_copy)
-        if self.answer_to_copy is None:
-            self.listener.close()
-        writer.close()
-
-    def dispatch_twice(self) -> list[TaskReport]:
-        """Dispatch two batches over one client and return the reports of the second."""
+def dispatch_twice(serve: Serve) -> list[TaskReport]:
+    """Dispatch two tasks over one client and return the report of the second."""
 
-        async def run() -> list[TaskReport]:
-            self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-            port = self.listener.sockets[0].getsockname()[1]
-            client = make_client()
-            reports: list[TaskReport] = []
+    async def run() -> list[TaskReport]:
+        port = free_port()
+        client = make_client()
+        reports: list[TaskReport] = []
+        async with serve_streams(port, serve):
             await dispatch_task(client, port, 1, [])
             await dispatch_task(client, port, 2, reports)
-            client.close()
-            self.listener.close()
-            await asyncio.wait(self.connections)
-            return reports
+        client.close()
+        return reports
 
-        return asyncio.run(run())
+    return asyncio.run(run())
 
 
 def respond(head: bytes, *lines: dict[str, object]) -> Serve:
@@ -189,24 +152,42 @@
 
 def test_batch_is_sent_once_when_a_reused_connection_ends() -> None:
     """Guards against a second copy of a batch, which may start its tasks again."""
-    server = ClosingServer(PERSISTENT_RESPONSE)
-    reports = server.dispatch_twice()
-    assert len(server.bodies) == 2
+    server = ScriptedServer([EMPTY_ANSWER, None, EMPTY_ANSWER])
+    reports = dispatch_twice(server)
+    assert len(server.received) == 2
     assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
 
 
 @pytest.mark.parametrize("code", REFUSALS)
 def test_refusal_of_a_second_copy_does_not_hide_the_first(code: bytes) -> None:
     """Guards against ``not_run`` for a batch of which the first copy has arrived."""
-    server = ClosingServer(b"HTTP/1.1 " + code + REFUSAL_HEADERS)
-    reports = server.dispatch_twice()
-    assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
+    server = ScriptedServer([EMPTY_ANSWER, None, (code.decode(), "")])
+    assert statuses(dispatch_twice(server)) == {"j.2": TaskStatus.UNKNOWN}
 
 
 def test_refused_connection_for_a_second_copy_does_not_hide_the_first() -> None:
     """Guards against ``not_run`` for a batch that arrived before the server ended."""
-    reports = ClosingServer(None).dispatch_twice()
-    assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
+
+    async def run() -> list[TaskReport]:
+        server = ScriptedServer([EMPTY_ANSWER, None])
+        reports: list[TaskReport] = []
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await server(reader, writer)
+            listener.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        client = make_client()
+        await dispatch_task(client, port, 1, [])
+        await dispatch_task(client, port, 2, reports)
+        client.close()
+        assert len(server.received) == 2
+        return reports
+
+    assert statuses(asyncio.run(run())) == {"j.2": TaskStatus.UNKNOWN}
 
 
 @pytest.mark.parametrize("code", [b"303 See Other", b"307 Temporary Redirect"])
@@ -215,7 +196,7 @@
 ) -> None:
     """Guards against ``not_run`` for a batch that a backend server has answered."""
     location = b"\r\nLocation: http://127.0.0.1:%d/" % free_port()
-    head = b"HTTP/1.1 " + code + location + REFUSAL_HEADERS
+    head = b"HTTP/1.1 " + code + location + b"\r\nContent-Length: 0\r\n\r\n"
     reports = run_dispatch(respond(head))
     assert set(statuses(reports).values()) == {TaskStatus.UNKNOWN}
 
@@ -225,7 +206,7 @@
     bodies: list[bytes] = []
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        bodies.append(await read_body(reader))
+        bodies.append(await read_request(reader))
         line = json.dumps({**RESULT_LINE, "id": f"j.{len(bodies)}"}).encode()
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(line)}\r\n\r\n"
         writer.write(head.encode() + line)
