Tell callers that a connection ended, in curl's stead

The error of a task whose batch curl could not repeat (error 65) was shown to callers and in the logs as "HTTP 599: seek callback returned error 1", which says nothing about the cause.

--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 import msgspec
+import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from boragetide.daemon.logs import log_event
@@ -113,6 +114,8 @@
         return TaskStatus.NOT_RUN, f"refused with HTTP status {failure.code}"
     if getattr(failure, "errno", None) in _CURL_CONNECT_ERRORS:
         return TaskStatus.NOT_RUN, "cannot connect to the backend server"
+    if getattr(failure, "errno", None) == pycurl.E_SEND_FAIL_REWIND:
+        return TaskStatus.UNKNOWN, "the connection ended without a response"
     return TaskStatus.UNKNOWN, str(failure)
 
 
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -156,6 +156,7 @@
     reports = dispatch_twice(server)
     assert len(server.received) == 2
     assert statuses(reports) == {"j.2": TaskStatus.UNKNOWN}
+    assert reports[0].outcome.error == "the connection ended without a response"
 
 
 @pytest.mark.parametrize("code", REFUSALS)
