Count late starts from the time at which they were sent

A task may run twice at a time.

Cause: the next process of a backend server may carry out a start without an answer up to 12 s late. The leader counted these from its decision, but a busy one sends the call up to 2 s later. The renewals that follow usually cover this; a server that has departed gets none.

Evidence: the new test failed before: a start that was decided at 0.2 s and sent at 1.7 s may begin at 13.7 s and run until 14.72 s; its task was started again by then (it counted as over at 13.32 s). It needs a restart under the same id.

The result of a call names the time at which it was sent, so the wait for an unanswered start now counts from that. `LATE_RUN_WAIT` moves to `orders.py`, which needs it as well.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -12,6 +12,7 @@
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
+    LONGEST_LEASE,
     MAX_LEASE_DURATION,
     MAX_ORDER_DELAY,
     MIN_CLOCK_RATE,
@@ -44,6 +45,8 @@
 LATE_ORDER_WAIT: Seconds = (
     MAX_ORDER_DELAY + (MAX_LEASE_DURATION - LEASE_DURATION) / MIN_CLOCK_RATE
 )
+# Time from an order until the run that it begins late is over.
+LATE_RUN_WAIT: Seconds = MAX_ORDER_DELAY + LONGEST_LEASE
 # A backend server with an overdue run gets no new runs for this long.
 OVERDUE_COOLDOWN: Seconds = 2.0
 
@@ -67,12 +70,20 @@
     if message.result is OrderResult.OTHER_LIFE and is_current:
         server.departed = True
     if message.started:
-        if message.result is not OrderResult.UNANSWERED and not run.start_repeated:
-            run.start_unanswered_at = None
+        _note_start_answer(run, message)
         return _apply_start_result(state, server, run, message.result, answered_at, now)
     return _apply_stop_result(run, message.result, now)
 
 
+def _note_start_answer(run: Run, message: RunOrdered) -> None:
+    """Note when an unanswered start was sent, which may be after its decision."""
+    if message.result is OrderResult.UNANSWERED:
+        known = run.start_unanswered_at or 0.0
+        run.start_unanswered_at = max(known, message.sent_at)
+    elif not run.start_repeated:
+        run.start_unanswered_at = None
+
+
 def _was_ordered_in_this_life(server: Server, run: Run) -> bool:
     """Return whether the backend server is still the process that got the order."""
     return run.server_born == server.report.born
@@ -266,8 +277,11 @@
     next one may begin the run by it, or hold its lease for longer.
     """
     expired_at = server.leases_expired_at
-    if server.read_term != state.term or may_begin_late(server, run):
+    begins_late = may_begin_late(server, run)
+    if server.read_term != state.term or begins_late:
         expired_at += LATE_ORDER_WAIT
+    if begins_late:
+        expired_at = max(expired_at, run.start_unanswered_at + LATE_RUN_WAIT)
     return now >= max(expired_at, server.unknown_leases_expired_at)
 
 
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -13,23 +13,14 @@
 from boragetide.controllers.best_effort import leave_unserved
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.job_records import append_command
-from boragetide.controllers.orders import may_begin_late
+from boragetide.controllers.orders import LATE_RUN_WAIT, may_begin_late
 from boragetide.controllers.placing_runs import update_queue
-from boragetide.controllers.server_state import (
-    LONGEST_LEASE,
-    MAX_ORDER_DELAY,
-    Run,
-    RunPhase,
-    Server,
-)
+from boragetide.controllers.server_state import Run, RunPhase, Server
 from boragetide.durable import JobPhase, JobRecord, UnansweredStart
 from boragetide.effects import Effect, LogEvent
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import BackendServerId, JobId, Seconds
 
-# Time from the last order of an earlier leader until the run that it begins is over.
-LATE_RUN_WAIT: Seconds = MAX_ORDER_DELAY + LONGEST_LEASE
-
 
 def load_unanswered_starts(
     state: DispatcherState, starts: Collection[UnansweredStart]
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -196,8 +196,9 @@
         order: StartRun | StopRun,
         result: OrderResult = OrderResult.DONE,
         now: float = BEGIN,
+        sent_at: float | None = None,
     ) -> list[Effect]:
-        """Deliver a backend server's answer to an order."""
+        """Deliver the answer to an order, which was sent at ``sent_at``."""
         return self.handle(
             RunOrdered(
                 server=order.server,
@@ -208,7 +209,7 @@
                 result=result,
                 started=isinstance(order, StartRun),
                 clock=SERVER_CLOCK + now - BEGIN,
-                sent_at=now,
+                sent_at=now if sent_at is None else sent_at,
                 target_born=order.target_born,
             ),
             now,
--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -123,6 +123,22 @@
     assert unanswered.task not in started
 
 
+def test_start_that_was_sent_late_begins_beside_no_other_run(leader: Leader) -> None:
+    """Guards against a wait that counts from the decision of a busy leader."""
+    unanswered, _ = leader.starts()
+    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2, sent_at=BEGIN)
+    (again,) = leader.starts()
+    leader.handle(ReadFailed("s1", 1, other_life=True), BEGIN + 0.3)
+    sent_at = BEGIN + 1.7
+    leader.answer(again, OrderResult.UNANSWERED, now=sent_at + 0.2, sent_at=sent_at)
+    begins_by = sent_at + PLATFORM_MAX_ORDER_DELAY
+    lapses_by = begins_by + MAX_LEASE_DURATION / MIN_CLOCK_RATE
+    started = {start.task for start in start_again(leader, lapses_by)}
+    assert unanswered.task not in started
+    leader.handle(Tick(), lapses_by + 0.5)
+    assert leader.state.servers_by_id["s1"].runs_by_task == {}
+
+
 def test_answered_starts_are_free_when_their_lease_has_lapsed(leader: Leader) -> None:
     """Guards against tasks of a lost server that wait for longer than they must."""
     starts = leader.starts()
