--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -69,12 +69,20 @@
     if message.result is OrderResult.OTHER_LIFE and is_current:
         server.departed = True
     if message.started:
-        if message.result is not OrderResult.UNANSWERED and not run.start_repeated:
-            run.start_unanswered_at = None
+        _note_start_answer(run, message)
         return _apply_start_result(state, server, run, message.result, answered_at, now)
     return _apply_stop_result(run, message.result, now)
 
 
+def _note_start_answer(run: Run, message: RunOrdered) -> None:
+    """Note when an unanswered start was sent, which may be after its decision."""
+    if message.result is OrderResult.UNANSWERED:
+        known = run.start_unanswered_at or 0.0
+        run.start_unanswered_at = max(known, message.sent_at)
+    elif not run.start_repeated:
+        run.start_unanswered_at = None
+
+
 def _was_ordered_in_this_life(server: Server, run: Run) -> bool:
     """Return whether the backend server is still the process that got the order."""
     return run.server_born == server.report.born
@@ -292,6 +300,8 @@
     run of this leader has seen its fencing token.
     """
     over_at = server.leases_expired_at + LATE_ORDER_WAIT
+    if run.start_unanswered_at is not None:
+        over_at = max(over_at, run.start_unanswered_at + LATE_RUN_WAIT)
     if run.adopted:
         over_at = max(over_at, state.predecessor_until + LATE_RUN_WAIT)
     return over_at
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -15,11 +15,7 @@
 from boragetide.controllers.job_records import append_command
 from boragetide.controllers.orders import may_begin_late
 from boragetide.controllers.placing_runs import update_queue
-from boragetide.controllers.server_state import (
-    LATE_RUN_WAIT,
-    RunPhase,
-    Server,
-)
+from boragetide.controllers.server_state import LATE_RUN_WAIT, RunPhase, Server
 from boragetide.durable import JobPhase, JobRecord, UnansweredStart
 from boragetide.effects import Effect, LogEvent
 from boragetide.policy.scheduling import expires_at
