Send a start again if its connection was reset before it was used

Cause: curl looks for ended idle connections once a second and otherwise sends on them. Such a start counted as unanswered, although nothing of it can have arrived: it was ordered again, recorded in the log for the next leader, and its task was kept for 13.1 s if the server was lost within 12 s. Change: if curl cannot repeat a request of which no byte of the body was sent, the client sends it again on a new connection, once. One whose body was sent fails as before, also over a connection that the server has closed in order, for which sending succeeds. Conclusion: unanswered starts are again those that may have been carried out.

--- a/boragetide/links/order_client.py
+++ b/boragetide/links/order_client.py
@@ -48,6 +48,7 @@
     idempotent: bool
     response: asyncio.Future[CallResponse]
     buffer: BytesIO = field(default_factory=BytesIO)
+    needs_new_connection: bool = False
 
 
 class _Upload:
@@ -177,6 +178,8 @@
         curl.setopt(pycurl.HTTPHEADER, [*call.headers, _NO_EXPECT])
         curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
         curl.upload.begin(call)
+        if call.needs_new_connection:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.TIMEOUT_MS, int(call.timeout * MS_PER_SECOND))
         curl.setopt(pycurl.WRITEFUNCTION, call.buffer.write)
         curl.call = call
@@ -192,6 +195,12 @@
         curl.call = None
         self._multi.remove_handle(curl)
         self._free_list.append(curl)
+        if call.needs_new_connection:
+            curl.setopt(pycurl.FRESH_CONNECT, 0)
+        elif curl_error and _was_certainly_not_sent(curl, curl_error):
+            call.needs_new_connection = True
+            self._calls.appendleft(call)
+            return
         if curl_error:
             _fail(call, f"{curl_error}: {curl_message}")
         elif not call.response.done():
@@ -247,6 +256,16 @@
         self._timeout = self.io_loop.call_at(due_at, self._handle_timeout)
 
 
+def _was_certainly_not_sent(curl: pycurl.Curl, curl_error: int) -> bool:
+    """Return whether a used connection had ended before any of the body was sent.
+
+    Such a request may be sent again, because no server can have processed it.
+    """
+    if curl_error != pycurl.E_SEND_FAIL_REWIND:
+        return False
+    return curl.getinfo(pycurl.SIZE_UPLOAD_T) == 0
+
+
 def _fail(call: _Call, reason: str) -> None:
     if not call.response.done():
         call.response.set_exception(LinkError(reason))
--- a/boragetide/tests/test_order_client.py
+++ b/boragetide/tests/test_order_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -186,3 +188,32 @@
 
     assert asyncio.run(run()) == b"[]"
     assert server.received == [b"1", b"2", b"2"]
+
+
+def test_request_whose_connection_was_reset_while_idle_is_sent_once_more() -> None:
+    """Guards against starts that count as unanswered after each reset connection."""
+    server = ScriptedServer([("200 OK", "{}"), ("200 OK", "[]")])
+
+    async def run() -> bytes:
+        port = free_port()
+        client = OrderClient(force_instance=True, max_clients=1)
+        url = f"http://127.0.0.1:{port}/"
+        async with serve_streams(port, server) as accepted:
+            await client.post(url, [], b"1", TIMEOUT)
+            reset(accepted[0])
+            await asyncio.sleep(0.05)
+            answer = await client.post(url, [], b"2", TIMEOUT)
+        client.close()
+        return answer.body
+
+    assert asyncio.run(run()) == b"[]"
+    assert server.received == [b"1", b"2"]
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection instead of closing it in order."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
