Give an unhealthy server a pause after a repeated start, too

What callers saw: nothing that is known; found by the reviewer. Cause: a start that was ordered again and then refused (429, 503) stops the run, which returned before the pause of the server was set. The next start went to the same server. Change: the pause is set for each such answer.

--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -110,6 +110,8 @@
         return [log]
     if run.phase is not RunPhase.ORDERED:
         return [log]
+    if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
+        server.cooldown_until = now + REFUSAL_COOLDOWN
     may_repeat = not run.start_repeated and _was_ordered_in_this_life(server, run)
     if result is OrderResult.UNANSWERED and may_repeat:
         return [log, *_repeat_start(state, server, run, now)]
@@ -120,8 +122,6 @@
         return [log]
     if result is OrderResult.UNANSWERED or run.start_repeated:
         return [log, *stop_run(state, server, run, result.value)]
-    if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
-        server.cooldown_until = now + REFUSAL_COOLDOWN
     remember_freed_run(state, server, run, result.value, now)
     return [log, *free_run(state, server, run, result.value)]
 
--- a/boragetide/tests/test_silent_servers.py
+++ b/boragetide/tests/test_silent_servers.py
@@ -6,9 +6,7 @@
 
 from boragetide.controllers.orders import STOP_RETRY_DELAY
 from boragetide.controllers.server_state import LEASE_DURATION
-from boragetide.durable import (
-    EndReason,
-)
+from boragetide.durable import EndReason, Step
 from boragetide.effects import StartRun
 from boragetide.messages import (
     AuthorityExtended,
@@ -22,6 +20,7 @@
     BEGIN,
     BORN,
     CALLER,
+    NEEDS,
     Leader,
     list_end,
     list_run,
@@ -66,6 +65,21 @@
     assert {start.server for start in leader.starts()} == {"s1"}
 
 
+def test_server_that_refuses_a_repeated_start_gets_nothing_new(leader: Leader) -> None:
+    """Guards against starts at an unhealthy server after its connections were reset."""
+    job = make_durable_job("j1", Step(1, NEEDS, 4.0), best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, reply_to=CALLER))
+    (first,) = leader.starts()
+    leader.join("s2", now=BEGIN + 0.005)
+    leader.answer(first, OrderResult.UNANSWERED, now=BEGIN + 0.01)
+    (repeated,) = leader.starts()
+    leader.answer(repeated, OrderResult.UNHEALTHY, now=BEGIN + 0.02)
+    (stop,) = leader.stops()
+    leader.answer(stop, now=BEGIN + 0.03)
+    leader.list_runs(first.server, now=BEGIN + 0.05, sent_at=BEGIN + 0.04)
+    assert [start.server for start in leader.starts()] == ["s2"]
+
+
 def lose_start(leader: Leader, start: StartRun) -> None:
     """Lose the answers to a start and to its repetition."""
     leader.answer(start, OrderResult.UNANSWERED)
