Send an acknowledgement of ends once

What callers may see: a task that runs a second time after its end was lost. Cause: the number of the last kept end is sent once, because the next process of a server would forget its own ends by it. curl repeats such a list on a new connection by itself, as it did with starts, and the copy may reach the next process. Change: a list that carries an acknowledgement is not idempotent.

--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -179,8 +179,10 @@
     sent_at = read_clock()
     url = f"{order.address}/v1/runs/list"
     timeout = order.wait + READ_MARGIN
+    # The next process would take a copy of an acknowledgement for one of its own ends.
+    idempotent = not order.acknowledged
     response = await call_server(
-        client, order.server, url, body, timeout, idempotent=True
+        client, order.server, url, body, timeout, idempotent=idempotent
     )
     if response.status == 409:
         return make_fenced_read(order, sent_at)
--- a/boragetide/tests/test_durable_client.py
+++ b/boragetide/tests/test_durable_client.py
@@ -11,7 +11,7 @@
 from boragetide.durable import TaskRef
 from boragetide.effects import ReadRuns, StartRun, StopRun
 from boragetide.links.durable_client import make_run_client
-from boragetide.messages import OrderResult, RunsRead
+from boragetide.messages import OrderResult, ReadFailed, RunsRead
 from boragetide.tests.conftest import free_port
 from boragetide.tests.stream_server import ScriptedServer, serve_streams
 
@@ -59,3 +59,15 @@
     answer = ("200 OK", EMPTY_LIST)
     result = send_twice(make_order, ScriptedServer([answer, None, answer]))
     assert isinstance(result, RunsRead) or result.result is OrderResult.DONE
+
+
+def test_acknowledgement_of_ends_is_sent_once() -> None:
+    """Guards against a copy that makes the next process forget its own ends."""
+
+    def make_acknowledgement(address: str) -> ReadRuns:
+        return ReadRuns("s1", address, 2, 57, None, 0.0)
+
+    answer = ("200 OK", EMPTY_LIST)
+    server = ScriptedServer([answer, None, answer])
+    assert isinstance(send_twice(make_acknowledgement, server), ReadFailed)
+    assert len(server.received) == 2
