Command line: follow no redirection

Callers may see: "certainly not accepted" for a command that a server has read. Found by the reviewer; the project's own daemons redirect nothing. Cause: as in, tornado follows a redirection, and a failure to reach its target passed for a failure to reach the server that got the command. Evidence: the new test fails on (`PeerUnreachable`). Change: a redirection is an answer that tells no outcome.

--- a/boragetide/cli/client.py
+++ b/boragetide/cli/client.py
@@ -108,6 +108,7 @@
         body=None if call.body is None else json.dumps(call.body).encode(),
         connect_timeout=CONNECT_TIMEOUT,
         request_timeout=call.timeout,
+        follow_redirects=False,
         prepare_curl_callback=_use_new_connection,
     )
     try:
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -17,6 +17,8 @@
 
 from boragetide.cli.__main__ import COMMANDS, run
 from boragetide.cli.base import SERVER_VARIABLE
+from boragetide.cli.client import Call, send
+from boragetide.errors import ReplyTimeout
 from boragetide.tests.conftest import (
     Daemon,
     System,
@@ -25,6 +27,7 @@
     make_job,
     wait_for,
 )
+from boragetide.tests.stream_server import ScriptedServer, serve_streams
 
 CLOSE_CONNECTION = object()  # scripted answer: close the connection without a response
 CONFIGURATION = {
@@ -213,6 +216,22 @@
     assert len(script.bodies(request_line)) == 2
 
 
+def test_command_that_was_redirected_is_not_certainly_refused() -> None:
+    """Guards against "not accepted" because the target of a redirection is down."""
+    port, closed_port = free_port(), free_port()
+    status = f"303 See Other\r\nLocation: http://127.0.0.1:{closed_port}/"
+    server = ScriptedServer([(status, "")])
+
+    async def run_command() -> None:
+        command = Call("POST", "/v1/x", {"a": 1}, timeout=1.0, resend_for=0.0)
+        async with serve_streams(port, server):
+            with pytest.raises(ReplyTimeout):
+                await send(command, (f"http://127.0.0.1:{port}",))
+
+    asyncio.run(run_command())
+    assert len(server.received) == 1
+
+
 def test_servers_are_tried_in_order(
     script: ScriptedDaemon,
     capsys: pytest.CaptureFixture[str],
