--- a/boragetide/tests/test_late_orders.py
+++ b/boragetide/tests/test_late_orders.py
@@ -69,12 +69,18 @@
     return early + leader.starts()
 
 
-def test_start_without_an_answer_may_begin_at_the_next_process(leader: Leader) -> None:
-    """Guards against a second run beside one that a restarted server began late."""
+def order_again(leader: Leader) -> tuple[StartRun, StartRun, StartRun]:
+    """Lose the answer to a start; return it, the answered start and its repetition."""
     unanswered, answered = leader.starts()
     leader.answer(answered)
     leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
     (again,) = leader.starts()
+    return unanswered, answered, again
+
+
+def test_start_without_an_answer_may_begin_at_the_next_process(leader: Leader) -> None:
+    """Guards against a second run beside one that a restarted server began late."""
+    unanswered, answered, again = order_again(leader)
     leader.answer(again, OrderResult.UNANSWERED, now=BEGIN + 0.4)
     lapsed_at = lose_server(leader, BEGIN + 0.45).leases_expired_at
     (other,) = start_again(leader, lapsed_at + 0.01)
@@ -109,10 +115,7 @@
     leader: Leader,
 ) -> None:
     """Guards against a second run beside one that begins again just after a list."""
-    unanswered, answered = leader.starts()
-    leader.answer(answered)
-    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
-    (again,) = leader.starts()
+    unanswered, answered, again = order_again(leader)
     leader.answer(again, now=BEGIN + 0.21)
     begins_by = BEGIN + 0.2 + PLATFORM_MAX_ORDER_DELAY
     leader.handle(RemoveServer("s1", passed_on=True), begins_by - 0.2)
@@ -128,10 +131,7 @@
     leader: Leader,
 ) -> None:
     """Guards against a second run beside one that begins after the list was made."""
-    unanswered, answered = leader.starts()
-    leader.answer(answered)
-    leader.answer(unanswered, OrderResult.UNANSWERED, now=BEGIN + 0.2)
-    (again,) = leader.starts()
+    unanswered, answered, again = order_again(leader)
     running = (list_run(unanswered), list_run(answered))
     leader.list_runs(running=running, now=BEGIN + 0.3)
     leader.answer(again, OrderResult.UNANSWERED, now=BEGIN + 0.4)
@@ -145,6 +145,19 @@
     assert unanswered.task not in started
 
 
+def test_run_that_was_stopped_and_is_not_listed_may_begin_at_the_next_process(
+    leader: Leader,
+) -> None:
+    """Guards against a second run beside one that a restarted server begins late."""
+    unanswered, answered, again = order_again(leader)
+    leader.answer(again, OrderResult.UNHEALTHY, now=BEGIN + 0.21)
+    (stop,) = leader.stops()
+    leader.answer(stop, now=BEGIN + 0.22)
+    leader.list_runs(running=(list_run(answered),), now=BEGIN + 0.3)
+    started = {start.task for start in start_again(leader, BEGIN + 0.5)}
+    assert unanswered.task not in started
+
+
 def test_start_that_was_sent_late_begins_beside_no_other_run(leader: Leader) -> None:
     """Guards against a wait that counts from the decision of a busy leader."""
     unanswered, _ = leader.starts()
