Share the last check of the tests of transfer numbers

Cause: both tests ended with the same five lines. Change: one function with what it checks in its name; nothing is checked less.

--- a/properties/test_transfer_numbers.py
+++ b/properties/test_transfer_numbers.py
@@ -47,6 +47,15 @@
     return call
 
 
+def check_earlier_caller_finds_the_job(site: GroupSite, call: Call) -> None:
+    """Check that a caller who asks again at home is directed, and nothing starts."""
+    starts = len(site.starts)
+    site.reconnect(call)
+    site.run_for(2.0)
+    assert len(site.starts) == starts
+    assert call.group == SECOND
+
+
 def test_caller_of_an_earlier_life_of_a_job_finds_its_later_one(
     site: GroupSite, returned: Call
 ) -> None:
@@ -64,11 +73,7 @@
     assert site.starts[-1].server == "labelled2"
     site.find_server("labelled0").cut = False
     site.run_for(2.0)
-    starts = len(site.starts)
-    site.reconnect(returned)
-    site.run_for(2.0)
-    assert len(site.starts) == starts
-    assert returned.group == SECOND
+    check_earlier_caller_finds_the_job(site, returned)
 
 
 def test_job_that_ended_at_home_begins_anew_with_a_higher_number(
@@ -85,8 +90,4 @@
     assert site.starts[-1].server == "labelled2"
     site.find_server("labelled0").draining = False
     site.run_for(2.0)
-    starts = len(site.starts)
-    site.reconnect(returned)
-    site.run_for(2.0)
-    assert len(site.starts) == starts
-    assert returned.group == SECOND
+    check_earlier_caller_finds_the_job(site, returned)
