Share the two requests over one connection in the tests of the order client

Change: one function sends both requests. Each test keeps its assertions; the failure of the second request must now also be curl's error 65. No program code is changed.

--- a/boragetide/tests/test_order_client.py
+++ b/boragetide/tests/test_order_client.py
@@ -22,6 +22,7 @@
 
 SLOW_ANSWER = 0.3  # seconds
 TIMEOUT = 5.0  # seconds
+IDLE_TIME = 0.05  # seconds; a reset arrives within this time
 
 Calls = Callable[[OrderClient, str], Awaitable[Any]]
 
@@ -153,67 +154,60 @@
     run_calls(make_calls)
 
 
-@pytest.mark.parametrize("first_is_idempotent", [False, True])
-def test_request_that_is_not_idempotent_is_sent_once(first_is_idempotent: bool) -> None:
-    """Guards against the answer to a second copy that passes for one to the first."""
-    server = ScriptedServer([("200 OK", "{}"), None, ("503 Busy", "{}")])
+def post_twice(
+    server: ScriptedServer,
+    *,
+    idempotent: tuple[bool, bool] = (False, False),
+    is_reset_between: bool = False,
+) -> bytes:
+    """Send two requests over one client; return the body of the second response."""
 
-    async def run() -> None:
+    async def run() -> bytes:
         port = free_port()
         client = OrderClient(force_instance=True, max_clients=1)
         url = f"http://127.0.0.1:{port}/"
-        async with serve_streams(port, server):
-            await client.post(url, [], b"1", TIMEOUT, idempotent=first_is_idempotent)
-            with pytest.raises(LinkError):
-                await client.post(url, [], b"2", TIMEOUT)
-        client.close()
+        first, second = idempotent
+        try:
+            async with serve_streams(port, server) as accepted:
+                await client.post(url, [], b"1", TIMEOUT, idempotent=first)
+                if is_reset_between:
+                    reset(accepted[0])
+                    await asyncio.sleep(IDLE_TIME)
+                answer = await client.post(url, [], b"2", TIMEOUT, idempotent=second)
+                return answer.body
+        finally:
+            client.close()
+
+    return asyncio.run(run())
+
 
-    asyncio.run(run())
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection instead of closing it in order."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize("first_is_idempotent", [False, True])
+def test_request_that_is_not_idempotent_is_sent_once(first_is_idempotent: bool) -> None:
+    """Guards against the answer to a second copy that passes for one to the first."""
+    server = ScriptedServer([("200 OK", "{}"), None, ("503 Busy", "{}")])
+    with pytest.raises(LinkError, match=r"^65: "):
+        post_twice(server, idempotent=(first_is_idempotent, False))
     assert server.received == [b"1", b"2"]
 
 
 def test_idempotent_request_is_sent_again_after_a_reset() -> None:
     """Guards against questions that fail whenever a connection was reset."""
     server = ScriptedServer([("200 OK", "{}"), None, ("200 OK", "[]")])
-
-    async def run() -> bytes:
-        port = free_port()
-        client = OrderClient(force_instance=True, max_clients=1)
-        url = f"http://127.0.0.1:{port}/"
-        async with serve_streams(port, server):
-            await client.post(url, [], b"1", TIMEOUT)
-            answer = await client.post(url, [], b"2", TIMEOUT, idempotent=True)
-        client.close()
-        return answer.body
-
-    assert asyncio.run(run()) == b"[]"
+    assert post_twice(server, idempotent=(False, True)) == b"[]"
     assert server.received == [b"1", b"2", b"2"]
 
 
 def test_request_whose_connection_was_reset_while_idle_is_sent_once_more() -> None:
     """Guards against starts that count as unanswered after each reset connection."""
     server = ScriptedServer([("200 OK", "{}"), ("200 OK", "[]")])
-
-    async def run() -> bytes:
-        port = free_port()
-        client = OrderClient(force_instance=True, max_clients=1)
-        url = f"http://127.0.0.1:{port}/"
-        async with serve_streams(port, server) as accepted:
-            await client.post(url, [], b"1", TIMEOUT)
-            reset(accepted[0])
-            await asyncio.sleep(0.05)
-            answer = await client.post(url, [], b"2", TIMEOUT)
-        client.close()
-        return answer.body
-
-    assert asyncio.run(run()) == b"[]"
+    assert post_twice(server, is_reset_between=True) == b"[]"
     assert server.received == [b"1", b"2"]
-
-
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection instead of closing it in order."""
-    linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, linger
-    )
-    writer.transport.abort()
