Replies: answer no request of another process

Cause: an instance is named by its address, and request numbers began at 1 in each process. The reply to a request of a killed process named a number that its next process had given to another request.

Change: request numbers of a process begin at a random number of 62 bits. A reply is also dropped if another instance was asked, or if its type cannot answer the request; the metric replies_dropped has the reason, and the last two write a line. With a number that no earlier process used, a late reply finds no pending request, whatever the clock says.

--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -20,7 +20,7 @@
     "ejections": "Ejections of backend servers.",
     "jobs": "Ended jobs by class and status.",
     "late_outcomes": "Task outcomes that came after the end of their job.",
-    "late_replies": "Replies that nothing waited for any more, by message.",
+    "replies_dropped": "Replies that answer no pending request, by message and reason.",
     "messages_not_encoded": "Messages dropped as they cannot be encoded, by message.",
     "peer_messages_received": "Messages from other instances, by message.",
     "peer_messages_sent": "Messages to other instances, by message.",
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -6,8 +6,9 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from enum import StrEnum
 from functools import partial
 from typing import Any, TypeAlias
 
@@ -27,6 +28,8 @@
 from boragetide.links.peers import PeerLink, enqueue
 from boragetide.messages import Request, Tick, WokeUp
 from boragetide.messages.common import add_arrival_time
+from boragetide.messages.replies import can_answer
+from boragetide.policy.process_numbers import choose_first_number
 from boragetide.settings import Settings
 from boragetide.types import Address, InstanceId, ReplyTo, Seconds
 
@@ -37,10 +40,24 @@
 MessageHandler: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
 
+class DroppedReply(StrEnum):
+    """Why a reply is not passed on to a pending request."""
+
+    LATE = "late"  # its request is not pending any more, or was of an earlier process
+    OTHER_SENDER = "other_sender"  # another instance was asked
+    OTHER_KIND = "other_kind"  # it cannot answer the request
+
+
 @dataclass(slots=True)
 class _PendingRequest:
     future: asyncio.Future[Any]
     to: Address
+    message: Request
+
+
+def _number_requests() -> Iterator[int]:
+    """Yield the request numbers of one process."""
+    return itertools.count(choose_first_number())
 
 
 @dataclass(slots=True)
@@ -66,7 +83,7 @@
     open_requests: set[Any] = field(default_factory=set)
     make_link: Callable[[InstanceId], PeerLink] | None = None
     _pending_by_request: dict[int, _PendingRequest] = field(default_factory=dict)
-    _request_numbers: Iterable[int] = field(default_factory=lambda: itertools.count(1))
+    _request_numbers: Iterator[int] = field(default_factory=_number_requests)
 
     def __post_init__(self) -> None:
         for name in self.settings.controllers:
@@ -93,7 +110,7 @@
         if to is None:
             return
         if to.instance == self.settings.id:
-            self._resolve_request(to.request, message)
+            self._resolve_request(to.request, message, self.settings.id)
         else:
             self._enqueue_envelope(to.instance, REPLY_CONTROLLER, to.request, message)
 
@@ -118,7 +135,7 @@
         """
         request = next(self._request_numbers)
         future = asyncio.get_running_loop().create_future()
-        self._pending_by_request[request] = _PendingRequest(future, to)
+        self._pending_by_request[request] = _PendingRequest(future, to, message)
         reply_to = ReplyTo(self.settings.id, request)
         try:
             self.send(to, dataclasses.replace(message, reply_to=reply_to))
@@ -139,7 +156,7 @@
             return
         self.metrics.count("peer_messages_received", {"kind": envelope.kind})
         if envelope.controller == REPLY_CONTROLLER:
-            self._resolve_request(envelope.request, message)
+            self._resolve_request(envelope.request, message, envelope.sender)
         elif envelope.controller in self.mailboxes_by_controller:
             message = add_arrival_time(message, read_clock())
             self.mailboxes_by_controller[envelope.controller].put_nowait(message)
@@ -193,12 +210,18 @@
             ),
         )
 
-    def _resolve_request(self, request: int, message: Any) -> None:
+    def _resolve_request(self, request: int, message: Any, sender: InstanceId) -> None:
         pending = self._pending_by_request.get(request)
-        if pending is not None and not pending.future.done():
+        reason = _find_reason_to_drop(pending, message, sender)
+        if reason is None:
             pending.future.set_result(message)
-        else:
-            self.metrics.count("late_replies", {"kind": type(message).__name__})
+            return
+        kind = type(message).__name__
+        self.metrics.count("replies_dropped", {"kind": kind, "reason": reason.value})
+        if reason is not DroppedReply.LATE:
+            fields = {"kind": kind, "sender": sender, "asked": pending.to.instance}
+            fields |= {"request": request, "reason": reason.value}
+            log_event("reply_dropped", **fields)
 
     def _fail_request(self, request: int, error: LinkError) -> None:
         pending = self._pending_by_request.get(request)
@@ -206,6 +229,19 @@
             pending.future.set_exception(error)
 
 
+def _find_reason_to_drop(
+    pending: _PendingRequest | None, message: Any, sender: InstanceId
+) -> DroppedReply | None:
+    """Return why a reply cannot answer the request that it names, or ``None``."""
+    if pending is None or pending.future.done():
+        return DroppedReply.LATE
+    if sender != pending.to.instance:
+        return DroppedReply.OTHER_SENDER
+    if not can_answer(message, pending.message):
+        return DroppedReply.OTHER_KIND
+    return None
+
+
 def _expects_local_reply(runtime: Runtime, message: Any) -> bool:
     reply_to = getattr(message, "reply_to", None)
     return reply_to is not None and reply_to.instance == runtime.settings.id
--- a/boragetide/types.py
+++ b/boragetide/types.py
@@ -218,7 +218,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplyTo:
-    """Identifies a pending request on the instance that waits for the reply."""
+    """Identifies a pending request on the instance that waits for the reply.
+
+    Parameters
+    ----------
+    request
+        Number of the request, which no other process of the instance uses.
+    """
 
     instance: InstanceId
     request: int
