Refusals: number the batches of each process differently

Batch numbers began at the time of day, so that the answer to a batch of an earlier process could confirm refusals that the leader had not seen, if the clock was set back between two starts: a refused job could run.

--- a/boragetide/policy/refusal_batches.py
+++ b/boragetide/policy/refusal_batches.py
@@ -10,10 +10,10 @@
 
 from dataclasses import dataclass, field
 
+from boragetide.policy.process_numbers import choose_first_number
 from boragetide.types import ClassName, JobId, ReplyTo, Seconds
 
 CONFIRMATION_TIMEOUT: Seconds = 0.5
-MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,14 +37,13 @@
     sent, sent_at
         Refusals of the batch on its way, and the time at which it was sent.
     number
-        Number of the last batch, higher than those of an earlier process of this
-        instance.
+        Number of the last batch, which no other process of this instance uses.
     """
 
     waiting: list[PendingRefusal] = field(default_factory=list)
     sent: list[PendingRefusal] = field(default_factory=list)
     sent_at: Seconds = 0.0
-    number: int = 0
+    number: int = field(default_factory=choose_first_number)
 
     def start_batch(self, now: Seconds) -> bool:
         """Begin the next batch, unless one is on its way or there is nothing in it."""
@@ -52,7 +51,7 @@
             return False
         self.sent, self.waiting = self.waiting, []
         self.sent_at = now
-        self.number = max(self.number + 1, int(now * MS_PER_SECOND))
+        self.number += 1
         return True
 
     def end_batch(self, number: int) -> list[PendingRefusal]:
--- a/boragetide/tests/test_directory.py
+++ b/boragetide/tests/test_directory.py
@@ -400,3 +400,35 @@
             break
     effects = directory.handle(Tick(), state, now + PERIOD)
     assert list_asked(effects, "configuration") == ["a1", "a2"]
+
+
+def test_refusals_of_an_earlier_process_confirm_none_of_the_next(
+    settings: Settings,
+) -> None:
+    """Guards against refused jobs that run: the clock was set back between two starts.
+
+    The numbers of batches began at the time of day.
+    """
+    batches = [refuse_first(settings) for _ in range(2)]
+    (_, earlier), (state, current) = batches
+    late = SubmissionsRefused(earlier.number)
+    assert directory.handle(late, state, BEGIN) == []
+    effects = directory.handle(SubmissionsRefused(current.number), state, BEGIN)
+    assert [each for each in effects if isinstance(each, Reply)]
+
+
+def refuse_first(
+    settings: Settings,
+) -> tuple[directory.DirectoryState, RefuseSubmissions]:
+    """Refuse one submission in a new process; return the question to the leader."""
+    state = directory.make_state(settings)
+    state.term, state.leader, state.leader_heard_at = 1, "a2", BEGIN
+    state.admitted_share = 0.25
+    effects: list[Effect] = []
+    # The pacer admits the first submission.
+    for number in (1, 2):
+        reply_to = ReplyTo("a1", number)
+        question = AdmitSubmission(f"j{number}", "proofs", True, reply_to=reply_to)
+        effects += directory.handle(question, state, BEGIN)
+    sent = (each.message for each in effects if isinstance(each, Send))
+    return state, next(sent)
