Room questions: name the term in question and answer

Questions for room were numbered from 1 in each term. A late answer to one of an earlier term, or of an earlier process, counted as the answer to the current one, and its missing needs as "no room": a submission that fits in another group was refused as too large.

--- a/boragetide/controllers/room_questions.py
+++ b/boragetide/controllers/room_questions.py
@@ -104,7 +104,11 @@
     asked = _take_turns(tuple(needs), transfers.question_count)
     transfers.question = RoomQuestion(transfers.question_count, now, asked)
     message = FindRoom(
-        state.settings.id, state.settings.group, transfers.question_count, asked
+        state.settings.id,
+        state.settings.group,
+        state.term,
+        transfers.question_count,
+        asked,
     )
     others = set(range(state.settings.group_count)) - {state.settings.group}
     return [
@@ -128,7 +132,7 @@
         return []
     rooms = RoomTable(state, now)
     offers = tuple(rooms.find_offer(need) for need in message.needs)
-    answer = RoomFound(state.settings.group, message.number, offers)
+    answer = RoomFound(state.settings.group, message.term, message.number, offers)
     return [Send(address_sender(message), answer)]
 
 
@@ -139,7 +143,8 @@
     question = state.transfers.question
     if not has_authority(state, now) or question is None:
         return []
-    if question.number != message.number:
+    if (message.term, message.number) != (state.term, question.number):
+        # The question was asked in an earlier term, maybe for other needs.
         return []
     question.offers_by_group[message.group] = {
         offer.need: offer for offer in message.offers
--- a/boragetide/messages/transfers.py
+++ b/boragetide/messages/transfers.py
@@ -32,10 +32,11 @@
 
     Parameters
     ----------
-    number
-        Number of the question, which increases with each one.
+    term, number
+        Term of the leader that asks, and number of its question in this term.
     """
 
+    term: int
     number: int
     needs: tuple[Need, ...]
 
@@ -48,9 +49,12 @@
     ----------
     group
         Group that answers.
+    term, number
+        Copied from the question.
     """
 
     group: GroupId
+    term: int
     number: int
     offers: tuple[Offer, ...]
 
