Claims: accept pages for this process only

A restarted acceptor accepted the first pages that arrived, also those that were sent to its earlier process. They lack what their sender has granted since, so that the acceptor could become complete without these claims, and a job get a second owner. A page now names the incarnation that asked for it.

--- a/boragetide/controllers/catch_up.py
+++ b/boragetide/controllers/catch_up.py
@@ -30,6 +30,7 @@
         claims=claims if table.complete else (),
         complete=table.complete,
         last=last,
+        for_incarnation=message.incarnation,
         disputed_until_by_id=dict(table.disputed_until_by_id) if last else {},
     )
 
--- a/boragetide/controllers/claims.py
+++ b/boragetide/controllers/claims.py
@@ -213,6 +213,9 @@
     table = state.tables_by_zone.get(message.zone)
     if table is None or table.complete or state.snapshot_saved:
         return []
+    if message.for_incarnation != state.incarnation:
+        # The sender may have granted claims since it answered an earlier process.
+        return []
     _record_incarnation(message.sender, message.incarnation, state)
     more = catch_up.store_page(table, message, now)
     if more:
--- a/boragetide/messages/claims.py
+++ b/boragetide/messages/claims.py
@@ -101,8 +101,8 @@
 
     Parameters
     ----------
-    after
-        Copied from the request.
+    after, for_incarnation
+        Copied from the request, which was sent by that incarnation of the receiver.
     complete
         Whether the sender knows all claims that it has granted; if not, ``claims`` is
         empty.
@@ -120,6 +120,7 @@
     claims: tuple[Claim, ...]
     complete: bool
     last: bool
+    for_incarnation: int
     disputed_until_by_id: dict[JobId, Seconds] = field(default_factory=dict)
 
 
--- a/boragetide/tests/test_claims.py
+++ b/boragetide/tests/test_claims.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -154,3 +155,24 @@
     assert state.jobs_by_id
     jobs.handle(Tick(), state, START + 2 * WINDOW)
     assert not state.jobs_by_id and not state.records
+
+
+def test_page_for_an_earlier_process_does_not_complete_an_acceptor(
+    settings: Settings,
+) -> None:
+    """Guards against a second owner of a job: the page lacks what was granted since."""
+    sender = claims.ClaimsState(settings, int(START * 1000))
+    for table in sender.tables_by_zone.values():
+        table.complete = True
+    earlier = FetchClaims("a", "a1", int(START * 1000) - 5_000)
+    (sent,) = claims.handle(earlier, sender, START)
+    restarted = claims.ClaimsState(settings, int(START * 1000))
+    claims.handle(Tick(), restarted, START)
+    for member in ("a2", "a3"):
+        page = replace(sent.message, sender=member)
+        claims.handle(page, restarted, START)
+    assert not restarted.tables_by_zone["a"].complete
+    for member in ("a2", "a3"):
+        page = replace(sent.message, sender=member, for_incarnation=int(START * 1000))
+        claims.handle(page, restarted, START)
+    assert restarted.tables_by_zone["a"].complete
