Heartbeats: number those of each process differently

Heartbeats were numbered from 1, so that a peer's echo of an earlier process could end a flush of a short-lived one, which then exited before its last messages had arrived.

--- a/boragetide/controllers/instances.py
+++ b/boragetide/controllers/instances.py
@@ -28,6 +28,7 @@
 )
 from boragetide.policy import membership
 from boragetide.policy.membership import PlacerCandidate
+from boragetide.policy.process_numbers import choose_first_number
 from boragetide.settings import Settings
 from boragetide.types import Address, InstanceId, ReplyTo, Seconds, ZoneId
 
@@ -83,13 +84,16 @@
         first check after a start or a pause.
     pending_flushes
         Requests to answer once the peers have echoed a sequence number.
+    sequence, first_sequence
+        Number of the last heartbeat, and the number before the first one. No other
+        process of this instance uses the numbers between them.
     """
 
     settings: Settings
     incarnation: int
     in_service_since: int = 0
     peers_by_id: dict[InstanceId, PeerView] = field(default_factory=dict)
-    sequence: int = 0
+    sequence: int = field(default_factory=choose_first_number)
     next_heartbeat: Seconds = 0.0
     awake_since: Seconds | None = None
     discovery_done: bool = False
@@ -100,8 +104,10 @@
     stopping: bool = False
     pending_flushes: list[tuple[ReplyTo | None, int]] = field(default_factory=list)
     jitter: random.Random = field(default_factory=random.Random)
+    first_sequence: int = field(init=False)
 
     def __post_init__(self) -> None:
+        self.first_sequence = self.sequence
         self.in_service_since = self.in_service_since or self.incarnation
 
 
@@ -247,14 +253,22 @@
     view.live = True
     if restarted:
         view.last_echo, view.echo_at = 0, now
-    # An echo above our own sequence number belongs to our previous incarnation.
-    if view.last_echo < message.echo <= state.sequence:
+    if _is_new_echo(message.echo, view, state):
         view.last_echo, view.echo_at = message.echo, now
         view.link_timeout = silence
     effects += _report_newer_configuration(message, state)
     return effects + _answer_flushes(state)
 
 
+def _is_new_echo(echo: int, view: PeerView, state: InstancesState) -> bool:
+    """Return whether an echo names a later heartbeat of this process.
+
+    Other numbers belong to an earlier process of this instance.
+    """
+    last = max(view.last_echo, state.first_sequence)
+    return last < echo <= state.sequence
+
+
 def _report_newer_configuration(
     heartbeat: Heartbeat, state: InstancesState
 ) -> list[Effect]:
--- a/boragetide/tests/test_instances.py
+++ b/boragetide/tests/test_instances.py
@@ -130,3 +130,22 @@
     sent = [each for each in effects if isinstance(each, Send)]
     asked = {each.to.instance for each in sent if isinstance(each.message, Heartbeat)}
     assert asked == {"a2", "a3"}
+
+
+def test_echo_of_an_earlier_process_ends_no_flush(settings: Settings) -> None:
+    """Guards against an exit that loses replies: peers echo the last process."""
+    asked = ReplyTo("a1", 1)
+    earlier = InstancesState(settings, int(STARTED * 1000) - 5_000)
+    handle(Tick(), earlier, STARTED)
+    state = InstancesState(settings, int(STARTED * 1000))
+    for peer in ("a2", "a3"):
+        deliver_heartbeat(state, peer, STARTED)
+    effects = handle(Flush(reply_to=asked), state, STARTED)
+    now = STARTED + 0.1
+    for peer in ("a2", "a3"):
+        effects += deliver_heartbeat(state, peer, now, echo=earlier.sequence)
+    assert Reply(asked, Flushed()) not in effects
+    now = STARTED + 0.2
+    for peer in ("a2", "a3"):
+        effects += deliver_heartbeat(state, peer, now, echo=state.sequence)
+    assert Reply(asked, Flushed()) in effects
