Crash suspicion: count runs that never began for less

Cause: the second run of a suspect was ordered alone at a backend server that had crashed at the same moment but had not been called since. The start had no answer, its lease lapsed, and the next process of that server counted as a second crash, which gave the job up, although no run had begun there.

Change, both ways: - A suspect starts only at a server that has answered a question sent at most 0.5 s ago; an idle one is asked first (suspect_server_asked). One that is down does not answer, and another is chosen. - A loss notes whether its run began: its start was answered, or it was listed. It is stored with the job, so that the next leader knows. A task is given up after two crashes under runs that began, as before. - A task that crashes its servers before they answer is given up after four crashes, certain or possible, so that it starts at most once more after three.

--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -12,6 +12,7 @@
     update_server_index,
 )
 from boragetide.controllers.placing_runs import find_pool, is_usable, start_task
+from boragetide.controllers.runs import read_runs
 from boragetide.controllers.server_state import RunPhase, Server
 from boragetide.durable import DurableJob, RunLoss, Step
 from boragetide.effects import Count, Effect, LogEvent
@@ -23,7 +24,12 @@
 )
 from boragetide.policy.room_index import ServerKind
 from boragetide.policy.scheduling import ServerCandidate, choose_server, expires_at
-from boragetide.types import JobId, PoolName, Seconds
+from boragetide.types import BackendServerId, JobId, PoolName, Seconds
+
+# A suspect starts only at a backend server that has answered a question which was sent
+# at most this long ago. At one that is down already, its start would be lost, and the
+# next process there would count as a crash under it.
+MAX_ANSWER_AGE: Seconds = 0.5
 
 
 def place_suspects(state: DispatcherState, now: Seconds) -> list[Effect]:
@@ -34,33 +40,40 @@
         return []
     effects = _leave_useless_jobs(state, now)
     _release_lost_servers(state, now)
-    kinds = _OpenKinds(state)
+    turn = _Turn(state)
     for job_id, tasks in list(state.suspects_by_job.items()):
         job = state.records_by_id[job_id].job
         pool = find_pool(state, job)
         for number, step in list(tasks.items()):
             if now < _may_start_at(state, job_id, number):
                 continue
-            fitting = kinds.find(pool, step)
+            fitting = turn.find(pool, step)
             if not fitting:
                 continue
-            placed = _place_suspect(state, job, fitting, number, step, now)
-            effects += placed
-            if not placed:
-                kinds.close(fitting)
-    _release_idle_servers(state, kinds)
+            placed = _place_suspect(state, job, fitting, number, step, turn, now)
+            if placed is None:
+                turn.close(fitting)
+            else:
+                effects += placed
+    _release_idle_servers(state, turn)
     return effects
 
 
-class _OpenKinds:
-    """Kinds of backend servers that no suspect waits for.
+class _Turn:
+    """What the suspects that had their turn in one call leave to those after them.
+
+    A kind of backend servers is closed while an earlier suspect waits that could run on
+    it, so that the suspects start in the order of their losses. One that fits no
+    backend server closes none.
 
-    A kind is closed while an earlier suspect waits that could run on it, so that the
-    suspects start in the order of their losses. One that fits no backend server closes
-    none.
+    Parameters
+    ----------
+    asked
+        Servers at which a suspect starts once they have answered.
     """
 
     def __init__(self, state: DispatcherState):
+        self.asked: set[BackendServerId] = set()
         kinds = {server.kind for server in state.servers_by_id.values()}
         self._open_by_pool: dict[PoolName, set[ServerKind]] = {}
         for kind in kinds:
@@ -101,23 +114,35 @@
     kinds: set[ServerKind],
     number: int,
     step: Step,
+    turn: _Turn,
     now: Seconds,
-) -> list[Effect]:
+) -> list[Effect] | None:
     """Start a suspect on an empty server, or set a server apart that will be empty.
 
     Parameters
     ----------
     kinds
         Kinds of the backend servers that may be used, all of one pool.
+
+    Returns
+    -------
+    list of Effect or None
+        ``None`` if the suspect has to wait for a server.
     """
     isolated = [state.servers_by_id[id_] for id_ in state.isolated_servers]
-    empty = [server for server in isolated if _is_empty(server)]
-    chosen = choose_server(step, _make_candidates(empty, kinds), {})
-    if chosen is not None:
-        return _start_alone(state, job, number, step, chosen, now)
+    empty = [
+        server
+        for server in isolated
+        if server.report.id not in turn.asked and _is_empty(server)
+    ]
+    answered = [server for server in empty if _has_just_answered(server, now)]
+    for servers in (answered, empty):
+        chosen = choose_server(step, _make_candidates(servers, kinds), {})
+        if chosen is not None:
+            return _start_or_ask(state, job, number, step, chosen, turn, now)
     max_runs = _max_runs_to_isolate(state, find_pool(state, job), now)
     if max_runs is None:
-        return []
+        return None
     usable = [
         server
         for server in state.servers_by_id.values()
@@ -127,12 +152,39 @@
     ]
     chosen = choose_server(step, _make_candidates(_sort_by_load(usable), kinds), {})
     if chosen is None:
-        return []
+        return None
     server = state.servers_by_id[chosen.id]
     _isolate(state, server)
     if not _is_empty(server):
+        return None
+    return _start_or_ask(state, job, number, step, chosen, turn, now)
+
+
+def _has_just_answered(server: Server, now: Seconds) -> bool:
+    return server.has_answered_since(now - MAX_ANSWER_AGE)
+
+
+def _start_or_ask(
+    state: DispatcherState,
+    job: DurableJob,
+    number: int,
+    step: Step,
+    chosen: ServerCandidate,
+    turn: _Turn,
+    now: Seconds,
+) -> list[Effect]:
+    """Start a suspect, or first ask the server for a sign of life."""
+    server = state.servers_by_id[chosen.id]
+    if _has_just_answered(server, now):
+        return _start_alone(state, job, number, step, chosen, now)
+    turn.asked.add(chosen.id)
+    asked = read_runs(state, server, now, wanted=True)
+    if not asked:
         return []
-    return _start_alone(state, job, number, step, chosen, now)
+    fields = {"job": job.id, "task": number, "server": chosen.id}
+    fields |= {"born": server.report.born}
+    fields["answered_ago"] = now - server.runs_requested_at
+    return [LogEvent("suspect_server_asked", fields), *asked]
 
 
 def _start_alone(
@@ -149,6 +201,7 @@
     server = state.servers_by_id[chosen.id]
     fields = {"job": job.id, "task": number, "server": chosen.id}
     fields |= {"born": server.report.born, "losses": len(state.losses_by_job[job.id])}
+    fields["answered_ago"] = now - server.runs_requested_at
     return [LogEvent("suspect_placed", fields), Count("suspects_placed"), *start]
 
 
@@ -237,15 +290,16 @@
             _release(state, server)
 
 
-def _release_idle_servers(state: DispatcherState, kinds: _OpenKinds) -> None:
+def _release_idle_servers(state: DispatcherState, turn: _Turn) -> None:
     """Release the servers that no suspect uses or waits for.
 
     A suspect may wait for a server that is not empty yet.
     """
     for server_id in list(state.isolated_servers):
         server = state.servers_by_id[server_id]
-        awaited = not (_is_empty(server) or kinds.is_open(server.kind))
-        if not (awaited or _runs_suspect(server)):
+        is_emptied = not (_is_empty(server) or turn.is_open(server.kind))
+        is_awaited = is_emptied or server_id in turn.asked
+        if not (is_awaited or _runs_suspect(server)):
             _release(state, server)
 
 
--- a/boragetide/controllers/lost_runs.py
+++ b/boragetide/controllers/lost_runs.py
@@ -19,6 +19,7 @@
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy import job_table
 from boragetide.policy.crash_suspicion import (
+    count_certain_crashes,
     count_crashes,
     find_suspects,
     is_guilty,
@@ -61,6 +62,7 @@
         born=run.seen_born,
         lost_at=now,
         alone=run.alone,
+        began=run.began,
     )
     has_crashed = any(
         _is_later_life(server.report, loss, has_answered=True)
@@ -244,8 +246,10 @@
         "server": loss.server,
         "born": loss.born,
         "alone": loss.alone,
+        "began": loss.began,
         "fate": loss.fate.value,
         "crashes": count_crashes(losses, loss.task),
+        "certain_crashes": count_certain_crashes(losses, loss.task),
     }
     return LogEvent(event, fields)
 
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -70,6 +70,7 @@
         server.departed = True
     if message.started:
         _note_start_answer(run, message)
+        run.began |= _shows_begin(run, message.result)
         return _apply_start_result(state, server, run, message.result, answered_at, now)
     return _apply_stop_result(run, message.result, now)
 
@@ -83,6 +84,15 @@
         run.start_unanswered_at = None
 
 
+def _shows_begin(run: Run, result: OrderResult) -> bool:
+    """Return whether the answer to a start shows that the run has begun.
+
+    A repeated start is refused as old because the first one was carried out.
+    """
+    is_repeated = run.start_repeated and result is OrderResult.OLD_RUN
+    return result is OrderResult.DONE or is_repeated
+
+
 def _was_ordered_in_this_life(server: Server, run: Run) -> bool:
     """Return whether the backend server is still the process that got the order."""
     return run.server_born == server.report.born
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -50,8 +50,16 @@
 UNKNOWN_JOB_GRACE_PERIOD: Seconds = 1.0
 
 
-def read_runs(state: DispatcherState, server: Server, now: Seconds) -> list[Effect]:
-    """Read the runs of a backend server if there is a reason to."""
+def read_runs(
+    state: DispatcherState, server: Server, now: Seconds, *, wanted: bool = False
+) -> list[Effect]:
+    """Read the runs of a backend server if there is a reason to.
+
+    Parameters
+    ----------
+    wanted
+        Whether the caller has a reason of its own.
+    """
     if server.reading or server.departed or now < server.next_read_at:
         return []
     if not has_authority(state, now):
@@ -66,7 +74,7 @@
     acknowledges = server.acknowledged > server.acknowledged_sent and not server.silent
     # A silent backend server is used again only after an answer.
     is_back = server.silent and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
-    has_reason = is_first or has_runs or acknowledges or is_back
+    has_reason = wanted or is_first or has_runs or acknowledges or is_back
     has_reason = has_reason or _has_old_clock(server, now)
     if not (has_reason or server.unexpected_runs):
         return []
@@ -184,6 +192,7 @@
     run = server.runs_by_task.get(key)
     if run is not None and run.number == listed.run:
         run.seen_born = server.report.born
+        run.began = True
         if run.phase is RunPhase.ORDERED:
             run.phase, run.started_at = RunPhase.RUNNING, server.runs_listed_at
         return []
@@ -232,7 +241,7 @@
     key = (record.job.id, number)
     step = record.job.steps[listed.task.step]
     run = Run(*key, listed.task, listed.run, step.needs, now, RunPhase.RUNNING)
-    run.adopted = True
+    run.adopted = run.began = True
     run.order_answered_at = sent_at
     if UnansweredStart(*key, server.report.id) in state.earlier_starts:
         run.start_unanswered_at = state.predecessor_until
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -70,6 +70,8 @@
         Whether nothing else is started on the backend server while the run is there.
     adopted
         Whether an earlier leader ordered the run.
+    began
+        Whether the backend server has shown that the run began.
     """
 
     job_id: JobId
@@ -89,6 +91,7 @@
     seen_born: int = 0
     alone: bool = False
     adopted: bool = False
+    began: bool = False
 
     @property
     def key(self) -> tuple[JobId, int]:
@@ -290,6 +293,11 @@
         """Whether the last `ReadRuns` was not answered."""
         return self.unanswered > 0
 
+    def has_answered_since(self, moment: Seconds) -> bool:
+        """Return whether the process has certainly listed its runs after a time."""
+        is_lost = self.silent or self.departed
+        return not is_lost and self.runs_requested_at >= moment
+
     @property
     def ends_as_planned(self) -> bool:
         """Whether the process itself said that it will end."""
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -250,6 +250,9 @@
         Unix time at which the run was known to be over.
     alone
         Whether nothing else ran on the backend server.
+    began
+        Whether the run is known to have begun. If not, the process may have ended
+        before the order arrived.
     """
 
     job_id: JobId
@@ -260,6 +263,7 @@
     lost_at: Seconds
     alone: bool = False
     fate: LossFate = LossFate.UNKNOWN
+    began: bool = True
 
     @property
     def key(self) -> tuple[int, BackendServerId, int]:
--- a/boragetide/policy/crash_suspicion.py
+++ b/boragetide/policy/crash_suspicion.py
@@ -2,6 +2,11 @@
 
 A crash puts all tasks that ran on the backend server under suspicion. A suspect runs
 next alone on a backend server, so that the next crash shows whether it is to blame.
+
+A run whose start was neither answered nor listed may not have begun: the backend server
+may have been down already. A crash under such a run is possible, but not certain. A
+task may also crash each backend server before it answers, so that possible crashes
+count as well, but less.
 """
 
 from __future__ import annotations
@@ -14,8 +19,11 @@
 
 Losses = tuple[RunLoss, ...]
 
-# A task is given up after this many crashes, the last of them while it ran alone.
+# A task is given up after this many certain crashes, the last of them while it ran
+# alone.
 MAX_CRASHES = 2
+# It is also given up after this many crashes, certain or possible.
+MAX_POSSIBLE_CRASHES = 4
 # A suspect that was lost while it ran alone starts again only when the fate of that
 # backend server is known, or after this time. The wait doubles with each such loss.
 FATE_WAIT: Seconds = 10.0
@@ -53,10 +61,26 @@
     return len(_list_crashes(losses, task))
 
 
+def count_certain_crashes(losses: Losses, task: int) -> int:
+    """Return the number of backend servers that certainly ran a task and crashed."""
+    return len(_list_certain(_list_crashes(losses, task)))
+
+
 def is_guilty(losses: Losses, task: int) -> bool:
-    """Return whether a task certainly crashes the backend servers that run it."""
+    """Return whether a task is to blame for crashes of the servers that run it."""
     crashes = _list_crashes(losses, task)
-    return len(crashes) >= MAX_CRASHES and crashes[-1].alone
+    return _is_last_alone(_list_certain(crashes), MAX_CRASHES) or _is_last_alone(
+        crashes, MAX_POSSIBLE_CRASHES
+    )
+
+
+def _is_last_alone(crashes: list[RunLoss], count: int) -> bool:
+    """Return whether there are enough crashes, the last of them under one run alone."""
+    return len(crashes) >= count and crashes[-1].alone
+
+
+def _list_certain(crashes: list[RunLoss]) -> list[RunLoss]:
+    return [crash for crash in crashes if crash.began]
 
 
 def find_guilty(record: JobRecord) -> int | None:
--- a/boragetide/tests/test_lost_runs.py
+++ b/boragetide/tests/test_lost_runs.py
@@ -43,6 +43,8 @@
 CALLER = ReplyTo("e1", 7)
 NEXT_BORN = BORN + 5000
 SERVERS = ("s1", "s2", "s3", "s4")
+# After three crashes under a task, it may be started twice more.
+MAX_STARTS = 5
 # Time after which a run that was lost with a silent server is certainly over.
 LOST_AFTER = LEASE_EXPIRY_WAIT + 0.1
 LONG_STEP = Step(1, NEEDS, 5.0)
@@ -62,6 +64,7 @@
         self.pool = dict.fromkeys(SERVERS, "pool")
         self.sequence = 1
         self.starts: list[StartRun] = []
+        self.down: set[str] = set()
         self.replies: list[Any] = []
         self.events: list[LogEvent] = []
         self.leader.lead()
@@ -85,6 +88,14 @@
         for effect in effects:
             if isinstance(effect, Send) and isinstance(effect.message, AppendCommands):
                 self.commit(effect.message)
+            if isinstance(effect, LogEvent) and effect.event == "suspect_server_asked":
+                self.answer_question(effect.fields["server"])
+
+    def answer_question(self, server: str) -> None:
+        """Answer the question to an empty server, if it is up."""
+        if server not in self.down:
+            born = self.born[server]
+            self.take(self.leader.list_runs(server, born=born, now=self.now))
 
     def commit(self, message: AppendCommands) -> None:
         """Apply commands as the log does and notify the dispatcher."""
@@ -118,6 +129,11 @@
         (start,) = self.take_starts()
         return start
 
+    def take_unanswered_start(self) -> StartRun:
+        """Return the only start since the last call, and leave it without an answer."""
+        (start,), self.starts = self.starts, []
+        return start
+
     def take_starts(self) -> list[StartRun]:
         """Return the starts since the last call, and answer them."""
         starts, self.starts = self.starts, []
@@ -137,6 +153,7 @@
 
     def lose(self, server: str) -> None:
         """Let a server answer nothing until the leases of its runs have lapsed."""
+        self.down.add(server)
         self.handle(ReadFailed(server, 1))
         for other in SERVERS:
             if other != server and not self.leader.state.servers_by_id[other].silent:
@@ -152,6 +169,7 @@
 
     def return_server(self, server: str, *, crashed: bool) -> None:
         """Let a server answer again, as a new process if it has crashed."""
+        self.down.discard(server)
         if crashed:
             self.born[server] += 5000
         self.announce(server)
@@ -191,6 +209,63 @@
         ]
 
 
+def test_suspect_starts_at_no_server_that_is_down_already(site: Site) -> None:
+    """Guards against a job that is given up after one server has crashed under it.
+
+    Two servers crash at the same moment: that of the run, and the one that is chosen
+    for the next run before anything shows that it is down.
+    """
+    site.submit("j1", best_effort=False)
+    first = site.take_start()
+    others = [server for server in SERVERS if server != first.server]
+    site.down |= set(others[:2])
+    site.crash(first)
+    while not site.starts:
+        (question,) = site.find_events("suspect_server_asked")[-1:]
+        site.handle(ReadFailed(question["server"], 1))
+        site.pass_time(0.1)
+    start = site.take_start()
+    assert start.server not in site.down
+    for server in others[:2]:
+        site.return_server(server, crashed=True)
+    assert site.leader.state.records_by_id["j1"].phase is JobPhase.ACTIVE
+
+
+@pytest.mark.parametrize("best_effort", [True, False])
+def test_crash_before_the_start_arrived_gives_no_job_up(
+    site: Site, best_effort: bool
+) -> None:
+    """Guards against a run that never began but counts as lost with its server."""
+    site.submit("j1", best_effort=best_effort)
+    site.crash(site.take_start())
+    site.crash(site.take_unanswered_start())
+    assert site.leader.state.records_by_id["j1"].phase is JobPhase.ACTIVE
+    (lost,) = site.find_events("task_suspected")[1:]
+    assert (lost["alone"], lost["began"]) == (True, False)
+    assert (lost["crashes"], lost["certain_crashes"]) == (1, 1)
+    site.crash(site.take_start())
+    assert site.leader.state.records_by_id["j1"].phase is JobPhase.FAILED
+
+
+@pytest.mark.parametrize("answered", [(), (0,), (1,), (2,), (3,)])
+def test_task_that_crashes_servers_before_they_answer_is_given_up(
+    site: Site, answered: tuple[int, ...]
+) -> None:
+    """Guards against a task that takes one server after the other (BUDGET)."""
+    site.submit("j1", best_effort=False)
+    starts = 0
+    while site.leader.state.records_by_id["j1"].phase is JobPhase.ACTIVE:
+        if starts in answered:
+            start = site.take_start()
+        else:
+            start = site.take_unanswered_start()
+        starts += 1
+        assert starts <= MAX_STARTS
+        site.crash(start)
+    site.pass_time(FATE_WAIT)
+    assert site.starts == []
+
+
 def test_next_life_under_another_id_shows_the_crash(site: Site) -> None:
     """Guards against crashes that do not count because servers return with new ids."""
     site.submit("j1")
@@ -337,6 +412,7 @@
     site.handle(LeadershipLost())
     (record,) = site.catalogue.jobs_by_id.values()
     assert [loss.fate for loss in record.losses] == [LossFate.CRASHED]
+    assert record.losses[0].began
     site.leader.term = 2
     site.now += 1.0
     site.leader.lead(site.now, (record,))
--- a/boragetide/tests/test_silent_servers.py
+++ b/boragetide/tests/test_silent_servers.py
@@ -201,6 +201,8 @@
     """Return the starts of suspects, each of which runs alone and is done."""
     starts: list[StartRun] = []
     leader.handle(Tick(), now)
+    # The server answers before the first suspect starts there.
+    leader.list_runs(server, now=now)
     while leader.starts():
         (start,) = leader.starts()
         starts.append(start)
--- a/properties/simulated_server.py
+++ b/properties/simulated_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -89,6 +90,10 @@
         Time at which the capacity last became smaller.
     left
         Whether the process has said that it leaves; it announces nothing later.
+    begun
+        Tasks of which this process has begun a run.
+    crashes_by_task
+        Number of processes that had begun a run of a task and have crashed.
     """
 
     id: str
@@ -117,6 +122,8 @@
     draining: bool = False
     shrunk_at: Seconds = 0.0
     left: bool = False
+    begun: set[TaskRef] = field(default_factory=set)
+    crashes_by_task: Counter[TaskRef] = field(default_factory=Counter)
 
     def restart(
         self,
@@ -132,6 +139,8 @@
         self.sequence = self.fence = self.end_count = 0
         self.lease_until = 0.0
         self.left = False
+        self.crashes_by_task.update(self.begun)
+        self.begun.clear()
         self.lapsed_ends.clear()
         self.running.clear()
         self.highest_runs.clear()
@@ -238,6 +247,7 @@
         if used + step.needs.millicores > self.capacity.millicores:
             return OrderResult.NO_ROOM
         check_start()
+        self.begun.add(order.task)
         reason = EndReason.FAILED if order.spec == FAILING_SPEC else EndReason.DONE
         self.highest_runs[order.task] = order.run
         self.running[order.task] = StartedRun(
