Suspects: start none at a server that is draining

A server that is set apart stays so until the end of its suspect is committed, also when it reports meanwhile that it leaves. Empty servers that are set apart are now asked whether they are usable, as all others are. The test fails without the change.

--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -133,7 +133,9 @@
     empty = [
         server
         for server in isolated
-        if server.report.id not in turn.asked and _is_empty(server)
+        if server.report.id not in turn.asked
+        and _is_empty(server)
+        and is_usable(state, server, now)
     ]
     answered = [server for server in empty if _has_just_answered(server, now)]
     for servers in (answered, empty):
--- a/boragetide/tests/test_lost_runs.py
+++ b/boragetide/tests/test_lost_runs.py
@@ -65,6 +65,7 @@
         self.sequence = 1
         self.starts: list[StartRun] = []
         self.down: set[str] = set()
+        self.log_is_held_up = False
         self.replies: list[Any] = []
         self.events: list[LogEvent] = []
         self.leader.lead()
@@ -86,7 +87,7 @@
         ]
         self.events += [each for each in effects if isinstance(each, LogEvent)]
         for effect in effects:
-            if isinstance(effect, Send) and isinstance(effect.message, AppendCommands):
+            if not self.log_is_held_up and _is_append(effect):
                 self.commit(effect.message)
             if isinstance(effect, LogEvent) and effect.event == "suspect_server_asked":
                 self.answer_question(effect.fields["server"])
@@ -186,6 +187,10 @@
         return [each.fields for each in self.events if each.event == name]
 
 
+def _is_append(effect: Any) -> bool:
+    return isinstance(effect, Send) and isinstance(effect.message, AppendCommands)
+
+
 @pytest.fixture
 def site(settings: Settings) -> Site:
     """A leader with four backend servers for two tasks each."""
@@ -266,6 +271,29 @@
     assert site.starts == []
 
 
+def test_suspect_starts_at_no_server_that_is_draining(site: Site) -> None:
+    """Guards against a start at a server that leaves (DRAIN).
+
+    The server stays set apart while the end of the suspect before is not committed.
+    """
+    small = Step(1, Resources(20_000, 64), 5.0)
+    for number in range(3):
+        site.submit(f"j{number}", small, best_effort=False)
+    lost = site.take_starts()
+    assert len({start.server for start in lost}) == 1
+    site.crash(lost[0])
+    # Suspects may use two of the four servers, so that the third one waits.
+    suspect, _ = site.take_starts()
+    site.announce(suspect.server, draining=True)
+    site.log_is_held_up = True
+    ends, born = (list_end(suspect, 1),), site.born[suspect.server]
+    site.take(
+        site.leader.list_runs(suspect.server, born=born, ended=ends, now=site.now)
+    )
+    site.pass_time(0.1)
+    assert suspect.server not in {start.server for start in site.starts}
+
+
 def test_next_life_under_another_id_shows_the_crash(site: Site) -> None:
     """Guards against crashes that do not count because servers return with new ids."""
     site.submit("j1")
