Server health: compute no power of an unbounded count

Cause: the pause after a failure was 4**failures, and its minimum with 8 s was taken afterwards. From 4**512 on the integer cannot be converted to a float.

Change: grow_wait returns the longest wait for all counts above the one at which it is reached, and computes no larger power.

--- a/boragetide/controllers/server_health.py
+++ b/boragetide/controllers/server_health.py
@@ -4,6 +4,7 @@
 
 from boragetide.controllers.dispatch_state import DispatcherState, update_server_index
 from boragetide.controllers.server_state import Run, Server
+from boragetide.policy.exponential_wait import grow_wait
 from boragetide.types import Seconds
 
 # After a failed run, a backend server gets no new runs for a while, so that the next
@@ -11,6 +12,7 @@
 # is short, because one run in 500 fails regardless of the backend server.
 FIRST_FAILURE_COOLDOWN: Seconds = 0.25
 MAX_FAILURE_COOLDOWN: Seconds = 8.0
+FAILURE_COOLDOWN_FACTOR = 4.0
 # Weight of a new observation in the learned speed; it is low because declared times are
 # off by 40%. A run that took more than twice as long as expected exceeds what that
 # error explains, and has the higher weight.
@@ -30,9 +32,11 @@
 def record_outcome(server: Server, failed: bool, now: Seconds) -> None:
     """Record whether a run failed; avoid the backend server for a while if it did."""
     if failed:
-        pause = min(
+        pause = grow_wait(
+            FIRST_FAILURE_COOLDOWN,
+            server.consecutive_failures,
             MAX_FAILURE_COOLDOWN,
-            FIRST_FAILURE_COOLDOWN * 4**server.consecutive_failures,
+            FAILURE_COOLDOWN_FACTOR,
         )
         server.consecutive_failures += 1
         server.cooldown_until = now + pause
