Waits: bound the other powers of counts

The same power stood in three more places. Fate of a lost server: doubled without end; now an hour at most. Timeout of a question to the leader: would have failed one request after 1,024 attempts in one term.

Not changed, since they cannot overflow: retries.backoff (at most 4 attempts), the overrun factor of outcomes.py (grows only with the time that a task runs; sizes are at least 0.1 ms and speeds within the learned errors), the delay of the command line (ends once it passes the time for resending), exp in overload (rate and length have bounds) and in ejection (its argument is never positive).

--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -29,6 +29,7 @@
     Request,
     SubmitDurableJob,
 )
+from boragetide.policy.exponential_wait import grow_wait
 from boragetide.policy.scheduling import due_at
 from boragetide.types import Address, GroupId, Seconds, Status
 
@@ -201,9 +202,9 @@
             dispatcher = name_controller("dispatcher", exchange.group)
             to = Address(lookup.leader, dispatcher)
             try:
-                timeout = reply_timeout(exchange.message)
-                timeout *= 2 ** attempts_by_term[exchange.group, lookup.term]
-                timeout = min(remaining, timeout)
+                first = min(remaining, reply_timeout(exchange.message))
+                repetitions = attempts_by_term[exchange.group, lookup.term]
+                timeout = grow_wait(first, repetitions, remaining)
                 sent_at = read_clock()
                 message = make_copy(exchange.message, exchange, lookup, sent_at)
                 reply = await runtime.ask(to, message, timeout)
--- a/boragetide/policy/crash_suspicion.py
+++ b/boragetide/policy/crash_suspicion.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable
 
 from boragetide.durable import JobRecord, LossFate, RunLoss
+from boragetide.policy.exponential_wait import grow_wait
 from boragetide.types import Seconds
 
 Losses = tuple[RunLoss, ...]
@@ -27,6 +28,7 @@
 # A suspect that was lost while it ran alone starts again only when the fate of that
 # backend server is known, or after this time. The wait doubles with each such loss.
 FATE_WAIT: Seconds = 10.0
+MAX_FATE_WAIT: Seconds = 3600.0
 # Share of the backend servers of a pool that may be set apart for suspects.
 MAX_ISOLATED_SHARE = 0.15
 # As long as no suspect was lost alone, it may be this share if the servers are empty,
@@ -111,7 +113,8 @@
     ]
     if not open_losses:
         return 0.0
-    return open_losses[-1].lost_at + FATE_WAIT * 2 ** (len(open_losses) - 1)
+    wait = grow_wait(FATE_WAIT, len(open_losses) - 1, MAX_FATE_WAIT)
+    return open_losses[-1].lost_at + wait
 
 
 def holds_other_tasks(losses: Losses) -> bool:
--- a/boragetide/policy/ejection.py
+++ b/boragetide/policy/ejection.py
@@ -11,6 +11,7 @@
 import random
 from dataclasses import dataclass, field
 
+from boragetide.policy.exponential_wait import grow_wait
 from boragetide.types import ClassName, Seconds, TaskStatus
 
 BROKEN_FAILURE_RATE = 0.9
@@ -143,7 +144,7 @@
 
 def eject(health: ServerHealth, now: Seconds, jitter: random.Random) -> None:
     """Eject a server until its next probe; the wait doubles with each ejection."""
-    wait = min(FIRST_PROBE_DELAY * 2**health.ejections, MAX_PROBE_DELAY)
+    wait = grow_wait(FIRST_PROBE_DELAY, health.ejections, MAX_PROBE_DELAY)
     spread = jitter.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
     health.limit = 0
     health.evidence = 0.0
--- a/boragetide/tests/test_crash_suspicion.py
+++ b/boragetide/tests/test_crash_suspicion.py
@@ -9,6 +9,7 @@
 from boragetide.durable import LossFate, RunLoss
 from boragetide.policy.crash_suspicion import (
     FATE_WAIT,
+    MAX_FATE_WAIT,
     find_suspects,
     holds_other_tasks,
     is_guilty,
@@ -117,3 +118,9 @@
 def test_suspects_use_a_small_share_of_a_pool(size: int, limit: int) -> None:
     """Guards against deadly tasks that take most of the servers down."""
     assert max_isolated_servers(size) == limit
+
+
+def test_wait_for_a_fate_has_a_longest() -> None:
+    """Guards against an overflow, and against a task that never starts again."""
+    losses = tuple(make_loss(f"s{n}", UNKNOWN, alone=True) for n in range(2000))
+    assert may_start_at(losses, 0) == BEGIN + MAX_FATE_WAIT
--- a/boragetide/tests/test_ejection.py
+++ b/boragetide/tests/test_ejection.py
@@ -5,6 +5,8 @@
 import random
 
 from boragetide.policy.ejection import (
+    MAX_PROBE_DELAY,
+    PROBE_JITTER,
     UNLIMITED,
     ServerHealth,
     Tally,
@@ -78,3 +80,11 @@
         assert not observe_probe(health, False, 8)
         limits.append(health.limit)
     assert limits == [2, 4, UNLIMITED]
+
+
+def test_server_may_be_ejected_any_number_of_times() -> None:
+    """Guards against an overflow that ends the placer's process after some hours."""
+    health, jitter = ServerHealth(), random.Random(1)
+    for number in range(2000):
+        eject(health, float(number), jitter)
+    assert 0.0 < health.probe_at - 1999.0 <= MAX_PROBE_DELAY * (1 + PROBE_JITTER)
