Task client: learn from no impossible run time

A backend server's answer could name any number as the run time of a task, also a negative one or 1e308, and the predicted sizes of its class became useless. Such a time counts as not reported; the result itself is kept.

--- a/boragetide/links/backend_client.py
+++ b/boragetide/links/backend_client.py
@@ -13,6 +13,7 @@
 from boragetide.daemon.logs import log_event
 from boragetide.effects import CancelTasks, StartTasks
 from boragetide.json_values import find_unsupported_value, may_have_unsupported_value
+from boragetide.limits import MAX_DURATION
 from boragetide.links.task_client import TaskClient
 from boragetide.messages import TaskReport
 from boragetide.types import Seconds, TaskOutcome, TaskStatus
@@ -161,13 +162,19 @@
         )
         if reason is not None:
             outcome = TaskOutcome(TaskStatus.FAILED, error=f"result: {reason}")
+        seconds = entry.seconds if _is_run_time(entry.seconds) else None
         self._report(
             TaskReport(
-                self._start.server, self._start.lease, entry.id, outcome, entry.seconds
+                self._start.server, self._start.lease, entry.id, outcome, seconds
             )
         )
 
 
+def _is_run_time(seconds: Seconds | None) -> bool:
+    """Return whether a backend server's run time can be one, to be learned from."""
+    return seconds is not None and 0.0 <= seconds <= MAX_DURATION
+
+
 async def cancel(client: AsyncHTTPClient, request: CancelTasks) -> None:
     """Ask a backend server to stop tasks, one after another.
 
--- a/boragetide/tests/test_backend_client.py
+++ b/boragetide/tests/test_backend_client.py
@@ -10,7 +10,12 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from boragetide.effects import CancelTasks, StartTasks
-from boragetide.links.backend_client import cancel, dispatch, make_client
+from boragetide.links.backend_client import (
+    LineParser,
+    cancel,
+    dispatch,
+    make_client,
+)
 from boragetide.messages import TaskReport
 from boragetide.tests.conftest import free_port
 from boragetide.tests.stream_server import (
@@ -274,3 +279,18 @@
         await cancel(make_client(), request)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("seconds", ["1e308", "-1.0", "1e-400", "3e6"])
+def test_run_time_that_cannot_be_one_is_not_learned_from(seconds: str) -> None:
+    """Guards against one answer that makes the predicted sizes of a class useless."""
+    reports: list[TaskReport] = []
+    starts = (TaskStart("j.0", "j", "default", None, 1.0),)
+    parser = LineParser(
+        StartTasks("s1", "http://s1", "l", starts), {"j.0"}, reports.append
+    )
+    line = f'{{"id":"j.0","status":"done","result":1,"seconds":{seconds}}}'
+    parser.feed(line.encode() + b"\n")
+    (report,) = reports
+    assert report.outcome.status is TaskStatus.DONE
+    assert report.seconds in (None, 0.0)
