Runtime: log the message that a controller failed on

An exception in a handler ends the process, and the log had its traceback only, not what it was about.

--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import random
@@ -36,6 +37,7 @@
 TICK_JITTER = 0.2  # fraction of the tick period
 MAX_TICK_BACKLOG = 1000  # messages
 RESTART_DELAY = 0.5  # seconds
+MAX_LOGGED_MESSAGE = 2000  # characters
 
 MessageHandler: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
@@ -286,10 +288,30 @@
                 log_event("message_dropped", error=f"{name} cannot handle {message!r}")
                 continue
             now = read_clock()
-            if now - last_handled > suspension_threshold:
-                effects.put(handle(WokeUp(last_handled), state, now))
-            last_handled = now
-            effects.put(handle(message, state, now))
+            with _log_failure(name, message):
+                if now - last_handled > suspension_threshold:
+                    effects.put(handle(WokeUp(last_handled), state, now))
+                last_handled = now
+                effects.put(handle(message, state, now))
+
+
+@contextlib.contextmanager
+def _log_failure(controller: str, message: Any) -> Iterator[None]:
+    """Log the message that a controller failed on.
+
+    The exception then ends the process: the state may hold a part of the change only.
+    """
+    try:
+        yield
+    except Exception as error:
+        log_event(
+            "controller_failed",
+            controller=controller,
+            kind=type(message).__name__,
+            message=repr(message)[:MAX_LOGGED_MESSAGE],
+            error=repr(error),
+        )
+        raise
 
 
 async def run_with_restarts(
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -172,7 +172,10 @@
 
 
 def test_failed_controller_ends_the_process(monkeypatch: Any, tmp_path: Path) -> None:
-    """Guards against a daemon that keeps running without one of its controllers."""
+    """Guards against a daemon that keeps running without one of its controllers.
+
+    The log names the message that the controller failed on.
+    """
 
     @singledispatch
     def handle(message: Any, state: Any, now: float) -> list[Any]:
@@ -189,5 +192,14 @@
             )
 
     ports = free_port(), free_port()
+    events: list[tuple[str, dict[str, Any]]] = []
     monkeypatch.setattr("boragetide.controllers.jobs.handle", handle)
+    monkeypatch.setattr(
+        "boragetide.daemon.runtime.log_event",
+        lambda event, **fields: events.append((event, fields)),
+    )
     assert asyncio.run(run()) == EXIT_FAILURE
+    (failed,) = [fields for event, fields in events if event == "controller_failed"]
+    assert failed["controller"] == "jobs"
+    assert (failed["kind"], failed["message"]) == ("Tick", "Tick()")
+    assert failed["error"] == "ValueError('unexpected')"
