Run lists: free no run by a list that may lack ends

Cause: each run that a list showed neither as running nor as ended was freed, whether the list was complete or not. A new leader took such a list for all that the server had to say as well.

Change: a list of 500 ends is partial. It frees no run, and does not count as the first list in a term. The next one is asked for once the ends can be acknowledged.

--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -43,6 +43,8 @@
 READ_MAX_WAIT: Seconds = 0.25
 # While ends wait to be committed, a lease is renewed only if less than this is left.
 RENEWAL_THRESHOLD: Seconds = 0.4
+# Pause after a list that does not hold all ends, in which these may be committed.
+PARTIAL_LIST_PAUSE: Seconds = 0.05
 # In this time, a lease becomes about 0.1 s shorter if the clock is not read.
 MAX_CLOCK_AGE: Seconds = 5.0
 # A run of an unknown job is stopped after this time. Callers submit their jobs again to
@@ -143,7 +145,7 @@
     is_first = server.read_term != state.term
     if is_first and message.running:
         server.bound_unknown_leases(now)
-    if is_first and is_current:
+    if is_first and is_current and not message.is_partial:
         server.read_term = state.term
         fields = {"server": message.server, "term": state.term}
         effects.append(LogEvent("backend_server_read", fields))
@@ -153,12 +155,23 @@
     for listed in message.running:
         effects += _reconcile_run(state, server, listed, message.sent_at, now)
     _forget_unlisted_unexpected_runs(server, message)
-    if is_current:
+    if message.is_partial:
+        effects.append(_await_further_ends(server, message, now))
+    elif is_current:
         effects += _free_unlisted_runs(state, server, message, now)
     update_server_index(state, server)
     return effects
 
 
+def _await_further_ends(server: Server, message: RunsRead, now: Seconds) -> Effect:
+    """Ask for the other ends only after those of this list can be acknowledged."""
+    if server.uncommitted_ends:
+        server.next_read_at = now + PARTIAL_LIST_PAUSE
+    fields = {"server": message.server, "term": message.term}
+    fields |= {"ends": len(message.ended), "until": server.listed}
+    return LogEvent("runs_listed_in_part", fields)
+
+
 def _is_later_process(server: Server, message: RunsRead) -> bool:
     """Return whether another process than the known one has replaced it.
 
@@ -289,7 +302,8 @@
 ) -> list[Effect]:
     """Free the runs that should be listed but are not.
 
-    The list was requested with the fencing token of the process that made it.
+    The list was requested with the fencing token of the process that made it, and holds
+    all ends that are not acknowledged.
     """
     listed = {(run.task, run.run) for run in message.running}
     effects: list[Effect] = []
--- a/boragetide/links/order_results.py
+++ b/boragetide/links/order_results.py
@@ -114,4 +114,5 @@
         unreadable=lists.unreadable,
         ended=lists.ended,
         acknowledge_until=lists.acknowledge_until,
+        is_partial=lists.is_partial,
     )
--- a/boragetide/links/run_lists.py
+++ b/boragetide/links/run_lists.py
@@ -13,6 +13,8 @@
 
 from boragetide.durable import EndReason, ListedEnd, ListedRun, TaskRef
 
+# A backend server may list its ends in parts of this size.
+MAX_LISTED_ENDS = 500
 # Stands for the task of an end that can only be acknowledged; no job has this id.
 UNREADABLE_TASK = TaskRef("", 0, 0)
 
@@ -73,6 +75,8 @@
         Number of the last end before the first one whose number cannot be read, which
         would be lost if a later number were acknowledged; ``None`` if there is no such
         end.
+    is_partial
+        Whether more ends may follow once these are acknowledged.
     faults
         Why rows were skipped.
     """
@@ -81,6 +85,7 @@
     unreadable: tuple[TaskRef, ...]
     ended: tuple[ListedEnd, ...]
     acknowledge_until: int | None
+    is_partial: bool
     faults: tuple[str, ...]
 
 
@@ -99,7 +104,8 @@
     until = None
     if first_gap is not None:
         until = readable[first_gap - 1].number if first_gap else 0
-    return RunLists(listed_runs, unreadable, readable, until, tuple(faults))
+    is_partial = len(ends) >= MAX_LISTED_ENDS
+    return RunLists(listed_runs, unreadable, readable, until, is_partial, tuple(faults))
 
 
 def _read_running(
--- a/boragetide/messages/dispatcher.py
+++ b/boragetide/messages/dispatcher.py
@@ -177,6 +177,9 @@
     acknowledge_until
         Number of the last end that may be acknowledged, because the number of the next
         one cannot be read; ``None`` if all could be read.
+    is_partial
+        Whether more ends may follow once these are acknowledged. A run that is in
+        neither list may have ended.
     fenced
         Whether the backend server has seen a higher fencing token; if so, the fields
         that it fills in are not set.
@@ -193,6 +196,7 @@
     ended: tuple[ListedEnd, ...] = ()
     unreadable: tuple[TaskRef, ...] = ()
     acknowledge_until: int | None = None
+    is_partial: bool = False
     fenced: bool = False
     target_born: int = 0
 
