Dispatch: order the queue in parts

Cause: a leader ordered its whole queue while it handled one message, and its log sent no heartbeats meanwhile. Each start also summed up the runs of every candidate server, so that the time grew with the square of the runs. The next leader found the same queue.

Change: - At most 256 starts are without an answer at a time. Once half of them have been answered, the next part is ordered; the event loop serves the log, the lists and the callers in between. - A server keeps the sum of the resources that its runs use. The random run of properties/test_dispatcher.py compares it with its runs after each step.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -23,6 +23,7 @@
 from boragetide.policy.job_queue import JobQueue
 from boragetide.policy.overload import AdmissionControl
 from boragetide.policy.server_index import ServerIndex
+from boragetide.policy.start_window import StartWindow
 from boragetide.policy.submission_fence import SubmissionFence
 from boragetide.policy.transfer_table import is_undelivered
 from boragetide.settings import Settings
@@ -120,6 +121,8 @@
         Share of the submissions that this leader admits.
     overdue_stopped_tasks
         Tasks of which a run was stopped because it appeared to make no progress.
+    start_window
+        Starts in progress, whose number is bounded.
     done_tasks_of_unknown_jobs
         Tasks that were listed as done but whose jobs are not known here, with the time
         of the list.
@@ -191,6 +194,7 @@
     cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
     admission: AdmissionControl = field(default_factory=AdmissionControl)
     overdue_stopped_tasks: set[tuple[JobId, int]] = field(default_factory=set)
+    start_window: StartWindow = field(default_factory=StartWindow)
     done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
@@ -278,6 +282,7 @@
     state.queue.clear()
     state.freed_runs.clear()
     state.lost_runs.clear()
+    state.start_window = StartWindow()
     state.losses_by_job.clear()
     state.lost_servers.clear()
     state.suspects_by_job.clear()
@@ -293,7 +298,7 @@
     run.server_born = run.seen_born = server.report.born
     # A best-effort job that was forgotten and begins anew gets the same run numbers.
     state.freed_runs.pop((server.report.id, run.ref, run.number), None)
-    server.runs_by_task[run.key] = run
+    server.put_run(run)
     state.server_by_task[run.key] = server.report.id
     state.started.add(run.job_id)
     update_server_index(state, server)
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -346,11 +346,13 @@
 @handle.register
 def _(message: RunOrdered, state: DispatcherState, now: Seconds) -> list[Effect]:
     measured = measure_order(message, state, now)
+    start = (message.server, message.job_id, message.task, message.run)
+    goes_on = message.started and state.start_window.remove(start)
     effects = apply_order_result(state, message, now)
     server = state.servers_by_id.get(message.server)
     if server is not None:
         effects += read_runs(state, server, now)
-    if not effects:
+    if not (effects or goes_on):
         return measured
     return [*measured, *effects, *place_runs(state, now)]
 
@@ -371,6 +373,7 @@
         job_table.drop_ended_jobs(state.records_by_id, now)
         state.remove_unused_run_numbers()
         state.fence.remove_old(now)
+        state.start_window.remove_old(now)
         job_table.drop_old_notes(state.cancelled_at_by_job, now)
         remove_stale_servers(state, now)
         recover_speeds(state, now)
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -329,7 +329,7 @@
     state: DispatcherState, server: Server, run: Run, reason: str
 ) -> list[Effect]:
     """Remove a run that is certainly over, so that its task may start again."""
-    server.runs_by_task.pop(run.key, None)
+    server.remove_run(run.key)
     update_server_index(state, server)
     if state.server_by_task.get(run.key) == server.report.id:
         del state.server_by_task[run.key]
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -169,6 +169,8 @@
     look_ahead = LookAhead(state.index.rooms, partial(find_class_pool, state))
     unplaced = UnplacedNeeds()
     for waiting in state.queue.iterate(now, look_ahead):
+        if state.start_window.is_full:
+            break
         pool = find_pool(state, waiting.job)
         if pool not in max_free_by_pool:
             max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
@@ -252,6 +254,9 @@
     effects: list[Effect] = []
     slack = waiting.find_slack(now)
     for number, step in list(waiting.tasks.items()):
+        if state.start_window.is_full:
+            is_held_by_limit = False
+            break
         if step is unplaceable_step:
             continue
         if unplaced.cover(pool, step):
@@ -352,6 +357,7 @@
 ) -> StartRun:
     """Return the order that starts a run; repeating it does not start a second run."""
     run.start_unanswered_at = now
+    state.start_window.add((server.report.id, *run.key, run.number), now)
     return StartRun(
         server=server.report.id,
         address=server.report.address,
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -12,7 +12,7 @@
 from boragetide.controllers.orders import REASON_LISTED, free_run
 from boragetide.controllers.placing_runs import update_queue
 from boragetide.controllers.server_health import learn_speed, record_outcome
-from boragetide.controllers.server_state import Run, RunPhase, Server
+from boragetide.controllers.server_state import Run, Server
 from boragetide.durable import (
     EndReason,
     JobPhase,
@@ -110,7 +110,7 @@
     failed = end.reason is EndReason.FAILED
     cleared = [] if failed else describe_cleared(state, *key)
     if is_current:
-        run.phase = RunPhase.ENDED
+        server.end_run(run)
         record_outcome(server, failed, now)
         if ended_at is not None and not (failed or run.start_repeated):
             learn_speed(server, run, ended_at, now)
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -137,7 +137,10 @@
         The same for the leases that another leader granted, or that were granted by the
         clock of an earlier process.
     runs_by_task
-        Runs that occupy their tasks. Those that have not ended use capacity.
+        Runs that occupy their tasks. Those that have not ended use capacity. Changed
+        only by `put_run`, `remove_run`, `end_run` and `clear_runs`.
+    used
+        Resources that these runs use.
     listed, acknowledged
         Number of the last end that was listed, and the number up to which all ends are
         committed.
@@ -195,6 +198,7 @@
     leases_expired_at: Seconds = 0.0
     unknown_leases_expired_at: Seconds = 0.0
     runs_by_task: dict[tuple[JobId, int], Run] = field(default_factory=dict)
+    used: Resources = field(default_factory=Resources)
     listed: int = 0
     acknowledged: int = 0
     acknowledged_sent: int = 0
@@ -263,12 +267,32 @@
         """
         return now >= max(self.leases_expired_at, self.unknown_leases_expired_at)
 
+    def put_run(self, run: Run) -> None:
+        """Add a run."""
+        self.remove_run(run.key)
+        self.runs_by_task[run.key] = run
+        if run.phase is not RunPhase.ENDED:
+            self.used = self.used.plus(run.needs)
+
+    def remove_run(self, task: tuple[JobId, int]) -> None:
+        """Remove the run of a task, if there is one."""
+        run = self.runs_by_task.pop(task, None)
+        if run is not None and run.phase is not RunPhase.ENDED:
+            self.used = self.used.minus(run.needs)
+
+    def end_run(self, run: Run) -> None:
+        """Note that a run has ended, which still occupies its task."""
+        if run.phase is not RunPhase.ENDED:
+            run.phase = RunPhase.ENDED
+            self.used = self.used.minus(run.needs)
+
     def clear_runs(self) -> None:
         """Clear the leader's view of the runs; the next leader reads them again."""
         self.process = 0
         self.read_term = 0
         self.reading = False
         self.runs_by_task.clear()
+        self.used = Resources()
         self.listed = self.acknowledged = self.acknowledged_sent = 0
         self.uncommitted_ends.clear()
         self.acknowledge_until, self.held_ends = None, 0
@@ -314,11 +338,7 @@
         """Capacity that no run uses; none if the backend server is set apart."""
         if self.isolated:
             return Resources()
-        free = self.report.capacity
-        for run in self.runs_by_task.values():
-            if run.phase is not RunPhase.ENDED:
-                free = free.minus(run.needs)
-        return free
+        return self.report.capacity.minus(self.used)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -93,6 +93,7 @@
     server.record_report(report, now - age)
     if previous is not None:
         server.runs_by_task = dict(previous.runs_by_task)
+        server.used = previous.used
         server.follows_planned_end = previous.ends_as_planned
         server.leases_expired_at = previous.leases_expired_at
         server.unknown_leases_expired_at = previous.unknown_leases_expired_at
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -29,6 +29,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.runs import READ_MAX_WAIT
 from boragetide.controllers.server_health import MAX_FAILURE_COOLDOWN
+from boragetide.controllers.server_state import RunPhase
 from boragetide.durable import JobPhase, Resources, Step, TaskRef, UnansweredStart
 from boragetide.effects import ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.messages import (
@@ -725,6 +726,16 @@
         tasks = [task for each in self.backends.values() for task in each.running]
         assert len(tasks) == len(set(tasks))
 
+    @invariant()
+    def resources_in_use_are_those_of_the_runs(self) -> None:
+        """Check the sum that each change of a run updates."""
+        for server in self.state.servers_by_id.values():
+            used = Resources()
+            for run in server.runs_by_task.values():
+                if run.phase is not RunPhase.ENDED:
+                    used = used.plus(run.needs)
+            assert server.used == used
+
     @invariant()
     def no_task_exceeds_its_attempts(self) -> None:
         """Check that nothing starts after the last attempt that was taken note of."""
