--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import itertools
 import random
@@ -288,30 +287,26 @@
                 log_event("message_dropped", error=f"{name} cannot handle {message!r}")
                 continue
             now = read_clock()
-            with _log_failure(name, message):
+            try:
                 if now - last_handled > suspension_threshold:
                     effects.put(handle(WokeUp(last_handled), state, now))
                 last_handled = now
                 effects.put(handle(message, state, now))
+            except Exception as error:
+                # Ends the process: the state may hold a part of the change only.
+                _log_failure(name, message, error)
+                raise
 
 
-@contextlib.contextmanager
-def _log_failure(controller: str, message: Any) -> Iterator[None]:
-    """Log the message that a controller failed on.
-
-    The exception then ends the process: the state may hold a part of the change only.
-    """
-    try:
-        yield
-    except Exception as error:
-        log_event(
-            "controller_failed",
-            controller=controller,
-            kind=type(message).__name__,
-            message=repr(message)[:MAX_LOGGED_MESSAGE],
-            error=repr(error),
-        )
-        raise
+def _log_failure(controller: str, message: Any, error: Exception) -> None:
+    """Log the message that a controller failed on."""
+    log_event(
+        "controller_failed",
+        controller=controller,
+        kind=type(message).__name__,
+        message=repr(message)[:MAX_LOGGED_MESSAGE],
+        error=repr(error),
+    )
 
 
 async def run_with_restarts(
