Property test of the log: wait for the news of a commit

The members must now have applied the same entries within 0.5 s, and are then compared as before: the same content, histories and roles.

--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -36,6 +36,7 @@
 
 STEP = 0.05  # seconds of simulated time
 EXAMPLES = 150
+COMMIT_NEWS_TIME = 0.5  # seconds; some heartbeats of a leader
 CONVERGENCE_TIME = 12.0  # seconds within which all agree once faults are repaired
 TYPES_BY_NAME = {type_.__name__: type_ for type_ in RECORD_TYPES}
 COMMAND_IDS = [f"c{number}" for number in range(8)]
@@ -192,6 +193,20 @@
             for sender, to, envelope in waiting:
                 self.deliver(sender, to, envelope, loss)
 
+    def await_same_entries(self) -> None:
+        """Let the members learn what their leader has committed just now.
+
+        One that was elected just before commits its first entry, which the others apply
+        with its next heartbeat.
+        """
+        end = self.now + COMMIT_NEWS_TIME
+        while self.now < end:
+            members = [node.state.replica for node in self.list_disks()]
+            applied = {each.catalogue.index for each in members if each.is_member}
+            if len(applied) == 1:
+                return
+            self.run_for(STEP, loss=0.0)
+
     def deliver(self, sender: str, to: str, envelope: Envelope, loss: float) -> None:
         if (sender in self.cut) != (to in self.cut):
             return
@@ -342,6 +357,7 @@
             for number in range(0 if node.retired else 4):
                 self.resend(list(self.nodes_by_id).index(node.id), number)
         self.run_for(2.0, loss=0.0)
+        self.await_same_entries()
         newest = max([0, *self.commands_by_version])
         for node in (*self.list_disks(), self.nodes_by_id["x0"]):
             in_force = node.state.distribution.in_force
