--- a/boragetide/tests/test_uncommitted_ends.py
+++ b/boragetide/tests/test_uncommitted_ends.py
@@ -59,13 +59,36 @@
     return appended
 
 
+def read_end(leader: Leader, server: str, run: int, reason: EndReason) -> Send:
+    """Let a server list its first end; return what is appended to the log."""
+    leader.list_runs(server, ended=(list_end_of(1, run, reason),))
+    return take_appended(leader)
+
+
+def end_two_runs(leader: Leader, *reasons: EndReason) -> JobPhase:
+    """Read the ends of two runs before either is committed; nothing may start.
+
+    Returns
+    -------
+    JobPhase
+        Phase of the job once both ends are committed.
+    """
+    appended = [
+        read_end(leader, server, run, reason)
+        for server, run, reason in zip(("s1", "s2"), (1, 2), reasons, strict=True)
+    ]
+    for each in appended:
+        leader.commit(each)
+        assert leader.starts() == []
+    return leader.state.records_by_id["j1"].phase
+
+
 def test_last_failed_attempt_under_an_earlier_leader_is_not_followed_by_another(
     succeed: Callable[..., Leader],
 ) -> None:
     """Guards against a start while the last failure is on its way into the log."""
     leader = succeed(failures=((0, 1),))
-    leader.list_runs("s1", ended=(list_end_of(1, 2, FAILED),))
-    ends = take_appended(leader)
+    ends = read_end(leader, "s1", 2, FAILED)
     leader.list_runs("s2")
     assert leader.starts() == []
     leader.commit(ends, BEGIN + 0.1)
@@ -78,8 +101,7 @@
 ) -> None:
     """Guards against a task that stays held once its end is committed."""
     leader = succeed()
-    leader.list_runs("s1", ended=(list_end_of(1, 1, FAILED),))
-    ends = take_appended(leader)
+    ends = read_end(leader, "s1", 1, FAILED)
     leader.list_runs("s2")
     assert leader.starts() == []
     leader.commit(ends)
@@ -102,16 +124,7 @@
     succeed: Callable[..., Leader],
 ) -> None:
     """Guards against a start after the first of two ends of a task is committed."""
-    leader = succeed()
-    leader.list_runs("s1", ended=(list_end_of(1, 1, FAILED),))
-    first = take_appended(leader)
-    leader.list_runs("s2", ended=(list_end_of(1, 2, FAILED),))
-    second = take_appended(leader)
-    leader.commit(first)
-    assert leader.starts() == []
-    leader.commit(second)
-    assert leader.starts() == []
-    assert leader.state.records_by_id["j1"].phase is JobPhase.FAILED
+    assert end_two_runs(succeed(), FAILED, FAILED) is JobPhase.FAILED
 
 
 def test_end_of_an_older_run_does_not_free_a_newer_one_that_has_ended(
@@ -156,15 +169,7 @@
     succeed: Callable[..., Leader],
 ) -> None:
     """Guards against another run of a task that was done at its second attempt."""
-    leader = succeed()
-    leader.list_runs("s1", ended=(list_end_of(1, 1, FAILED),))
-    first = take_appended(leader)
-    leader.list_runs("s2", ended=(list_end_of(1, 2, DONE),))
-    second = take_appended(leader)
-    leader.commit(first)
-    assert leader.starts() == []
-    leader.commit(second)
-    assert leader.state.records_by_id["j1"].phase is JobPhase.SUCCEEDED
+    assert end_two_runs(succeed(), FAILED, DONE) is JobPhase.SUCCEEDED
 
 
 def test_run_goes_on_beside_a_failure_of_an_earlier_run(
@@ -183,8 +188,7 @@
 ) -> None:
     """Guards against a task that waits for ever because its server has restarted."""
     leader = succeed()
-    leader.list_runs("s1", ended=(list_end_of(1, 1, FAILED),))
-    ends = take_appended(leader)
+    ends = read_end(leader, "s1", 1, FAILED)
     leader.list_runs("s2")
     del leader.state.servers_by_id["s1"]
     leader.handle(ReportServer(report=make_report("s1", born=BORN + 5)))
