Show that copies of a large configuration fill the link of an entry instance

Cause of the loss of service after a configuration has grown by 1,400 routes: every question of an instance with an older version is answered with the whole document, by each member that is asked, while earlier copies are still on their way. A copy has 507 KB, because it has the classes and the text. Late answers make the instance ask all members, which adds copies, and links that wait longer than 1.2 s are replaced, which loses what is on its way.

New log lines large_message_sent and large_message_received (64 KiB and more, with kind, peer, bytes and queue) and the metric peer_message_bytes_sent by kind of message.

--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -24,6 +24,7 @@
     "messages_not_encoded": "Messages dropped as they cannot be encoded, by message.",
     "peer_messages_received": "Messages from other instances, by message.",
     "peer_messages_sent": "Messages to other instances, by message.",
+    "peer_message_bytes_sent": "Bytes of messages to other instances, by message.",
     "submissions_shed": "Submissions refused because the leader is overloaded.",
     "submission_delay_seconds": "Delay of a submission before the leader, by stage.",
     "refusals": "Jobs that the pool refused, by class and reason.",
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -37,6 +37,8 @@
 MAX_TICK_BACKLOG = 1000  # messages
 RESTART_DELAY = 0.5  # seconds
 MAX_LOGGED_MESSAGE = 2000  # characters
+# A link of 9.5 Mbit/s needs 55 ms for this many bytes.
+LARGE_MESSAGE_BYTES = 64 * 1024
 
 MessageHandler: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
@@ -156,6 +158,9 @@
             self.log_decode_error(error)
             return
         self.metrics.count("peer_messages_received", {"kind": envelope.kind})
+        if len(envelope.body) >= LARGE_MESSAGE_BYTES:
+            fields = {"kind": envelope.kind, "bytes": len(envelope.body)}
+            log_event("large_message_received", sender=envelope.sender, **fields)
         if envelope.controller == REPLY_CONTROLLER:
             self._resolve_request(envelope.request, message, envelope.sender)
         elif envelope.controller in self.mailboxes_by_controller:
@@ -199,6 +204,10 @@
             log_event("message_not_encoded", kind=kind, error=str(error))
             return False
         self.metrics.count("peer_messages_sent", {"kind": kind})
+        self.metrics.count("peer_message_bytes_sent", {"kind": kind}, len(body))
+        if len(body) >= LARGE_MESSAGE_BYTES:
+            fields = {"kind": kind, "bytes": len(body), "queued": len(link.outbox)}
+            log_event("large_message_sent", to=instance, **fields)
         return enqueue(
             link,
             Envelope(
--- a/boragetide/tests/relay.py
+++ b/boragetide/tests/relay.py
@@ -1,8 +1,9 @@
-"""A TCP relay between two daemons that can close or silence its connections."""
+"""A TCP relay between two daemons that closes, silences or slows its connections."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
@@ -15,6 +16,11 @@
 FROM_TARGET = "from_target"
 DIRECTIONS = frozenset({TO_TARGET, FROM_TARGET})
 CHUNK = 65536  # bytes
+# A relay of limited rate reads this much at a time, so that connections share the rate,
+# and has small buffers, so that senders notice a full link.
+LIMITED_CHUNK = 4096  # bytes
+LIMITED_BUFFER = 64 * 1024  # bytes
+LOOPBACK = "127.0.0.1"
 CLOSE_ITERATIONS = 10
 # Makes the kernel reset a connection when it is closed.
 LINGER_ZERO = struct.pack("ii", 1, 0)
@@ -49,6 +55,28 @@
             await asyncio.sleep(0)
 
 
+@dataclass
+class RateLimit:
+    """Rate of a link, which all connections of the relays that have it share.
+
+    Parameters
+    ----------
+    rate
+        Bytes per second.
+    free_at
+        Time of the event loop at which the link has sent what it was given.
+    """
+
+    rate: float
+    free_at: float = 0.0
+
+    async def pass_through(self, size: int) -> None:
+        """Wait as long as the link needs for a chunk behind all earlier ones."""
+        now = asyncio.get_running_loop().time()
+        self.free_at = max(now, self.free_at) + size / self.rate
+        await asyncio.sleep(self.free_at - now)
+
+
 @dataclass(eq=False)
 class _Connection:
     writers: list[asyncio.StreamWriter]
@@ -77,10 +105,24 @@
         while their connection is reset.
     jitter
         Decides which answers these are.
+    rate
+        Limits what goes to the target; ``None`` is without a limit.
+    host
+        Address of the relay and of the target.
     """
 
-    def __init__(self, loop: RelayLoop, port: int, target_port: int):
+    def __init__(
+        self,
+        loop: RelayLoop,
+        port: int,
+        target_port: int,
+        *,
+        rate: RateLimit | None = None,
+        host: str = LOOPBACK,
+    ):
         self.port = port
+        self.rate = rate
+        self.host = host
         self.forwarded_bytes = 0
         self.reset_share = 0.0
         self.jitter = random.Random()
@@ -118,9 +160,16 @@
         self._silent = frozenset()
         self._close({c for c in self._connections if c.silent})
         if self._server is None:
-            self._server = await asyncio.start_server(
-                self._accept, "127.0.0.1", self.port
-            )
+            self._server = await asyncio.start_server(self._accept, sock=self._listen())
+
+    def _listen(self) -> socket.socket:
+        """Bind a socket whose connections have small buffers if the rate is limited."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.rate is not None:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LIMITED_BUFFER)
+        listener.bind((self.host, self.port))
+        return listener
 
     async def _silence(self, directions: frozenset[str], new: bool) -> None:
         for connection in self._connections:
@@ -137,16 +186,18 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            target = await asyncio.open_connection("127.0.0.1", self._target_port)
+            target = await asyncio.open_connection(self.host, self._target_port)
         except OSError:
             writer.close()
             return
         connection = _Connection([writer, target[1]], set(self._silent))
         self._connections.add(connection)
-        await asyncio.gather(
-            self._pump(connection, TO_TARGET, reader, target[1]),
-            self._pump(connection, FROM_TARGET, target[0], writer),
-        )
+        # Python 3.11 reports a cancelled handler of a connection as an error.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._pump(connection, TO_TARGET, reader, target[1]),
+                self._pump(connection, FROM_TARGET, target[0], writer),
+            )
 
     def _is_reset_due(self, direction: str) -> bool:
         return direction == FROM_TARGET and self.jitter.random() < self.reset_share
@@ -158,8 +209,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        rate = self.rate if direction == TO_TARGET else None
+        chunk = CHUNK if rate is None else LIMITED_CHUNK
         try:
-            while data := await reader.read(CHUNK):
+            while data := await reader.read(chunk):
+                if rate is not None:
+                    await rate.pass_through(len(data))
                 if direction in connection.silent:
                     continue
                 if self._is_reset_due(direction):
