Fetch a large configuration once, compressed and in pieces

Each question of an instance with an older version was answered with the whole document by each member asked, while a copy was on its way.

Change: a notice carries the version and the confirmation as before, and the content only up to 8 KiB. For larger content it says must_fetch: the directory requests pieces of 16 KiB of the compressed content from one member at a time, one in flight, and continues with the next member from the offset reached after 0.4 s without a piece, with growing waits and jitter. A piece counts as an answer for the health of the link. Members encode and compress a configuration once, when it is needed first. On the platform, classes that follow from the text are not sent; the sender checks that they do. A Configuration is encoded as a whole. Decisions are in policy/configuration_transfer.py.

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -12,6 +12,7 @@
     Outcome,
     Proposal,
 )
+from boragetide.configuration_content import ContentCache
 from boragetide.effects import Effect, LogEvent, Persist, Reply, Send
 from boragetide.messages import (
     AdmissionChanged,
@@ -26,6 +27,7 @@
     Drain,
     DrainState,
     FetchConfiguration,
+    FetchConfigurationPiece,
     FollowLeader,
     ForwardProposal,
     History,
@@ -55,6 +57,7 @@
     replication,
 )
 from boragetide.policy.catalogue import find_outcome
+from boragetide.policy.configuration_transfer import send_piece
 from boragetide.policy.distribution import (
     DistributionState,
     choose_offer,
@@ -116,11 +119,12 @@
     settings: Settings, incarnation: int, records: tuple[Any, ...] = ()
 ) -> ConfigurationState:
     """Build the state from the records of the journal, if there is a disk."""
+    content = ContentCache(settings.derive_classes)
     state = ConfigurationState(
         settings,
         DistributionState(settings),
         Proposals(settings),
-        LeadershipNotices(settings, contacts=settings.contacts),
+        LeadershipNotices(settings, contacts=settings.contacts, content=content),
     )
     if settings.own_peer.disk:
         state.replica = restore_replica(settings, incarnation, records)
@@ -369,6 +373,14 @@
     return [*links, notice]
 
 
+@handle.register
+def _(
+    message: FetchConfigurationPiece, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    in_force, content = state.distribution.in_force, state.leadership.content
+    return send_piece(content, in_force, message, state.settings.id)
+
+
 @handle.register
 def _(
     message: ContactsChanged, state: ConfigurationState, now: Seconds
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -11,6 +11,7 @@
     Admission,
     AdmissionReply,
     AdmitSubmission,
+    ConfigurationPiece,
     ContactsChanged,
     Drain,
     DrainState,
@@ -24,6 +25,13 @@
     Tick,
     WokeUp,
 )
+from boragetide.policy.configuration_transfer import (
+    ConfigurationTransfer,
+    begin_transfer,
+    check_transfer,
+    end_if_obsolete,
+    receive_piece,
+)
 from boragetide.policy.link_health import LinkHealth
 from boragetide.policy.overload import (
     Pacer,
@@ -80,6 +88,8 @@
         Refusals of these that the leader has not confirmed yet.
     configuration
         Configuration in force on this instance; its version never decreases.
+    transfer
+        Transfer of a newer configuration to this instance.
     confirmed_at
         Newest time as of which a leader confirmed that no newer configuration had been
         accepted.
@@ -111,6 +121,12 @@
     asked_count: int = 0
     asking_since: Seconds = 0.0
     follow_until: Seconds = 0.0
+    transfer: ConfigurationTransfer = field(init=False)
+
+    def __post_init__(self) -> None:
+        receiver = Address(self.settings.id, "directory")
+        derive_classes = self.settings.derive_classes
+        self.transfer = ConfigurationTransfer(receiver, derive_classes)
 
     @property
     def version(self) -> int:
@@ -136,7 +152,21 @@
 def _(message: Tick, state: DirectoryState, now: Seconds) -> list[Effect]:
     overdue = state.refusals.take_overdue(now)
     answers = [_answer_pending(each, Admission.UNDECIDED) for each in overdue]
-    return [*answers, *_send_refusals(state, now), *_ask_contacts(state, now)]
+    return [
+        *answers,
+        *_send_refusals(state, now),
+        *_ask_contacts(state, now),
+        *check_transfer(state.transfer, _list_holders(state), now),
+    ]
+
+
+def _list_holders(state: DirectoryState) -> list[InstanceId]:
+    """Return the contacts that may have the newest configuration."""
+    return [
+        id_
+        for id_ in state.contacts
+        if id_ not in state.without_log and id_ != state.settings.id
+    ]
 
 
 def _ask_contacts(state: DirectoryState, now: Seconds) -> list[Effect]:
@@ -217,7 +247,7 @@
     state.contacts += tuple(id_ for id_ in message.members if id_ not in known)
     silence = now - state.leader_heard_at if state.leader_heard_at else None
     effects = _follow_leader(message, state, now)
-    effects += _put_in_force(message, state, silence)
+    effects += _learn_version(message, state, silence, now)
     if _confirms_configuration(message, state, now):
         state.confirmed_at = max(state.confirmed_at, message.asked_at)
     return effects
@@ -264,29 +294,58 @@
     return [*effects, _ask(leader, state, now)]
 
 
+def _learn_version(
+    message: LeaderNotice, state: DirectoryState, silence: Seconds | None, now: Seconds
+) -> list[Effect]:
+    """Put a newer configuration in force, or fetch it if the notice has none."""
+    if message.configuration is not None:
+        return _put_in_force(message.configuration, state, message.sender, silence)
+    if not message.must_fetch:
+        return []
+    version, sender = message.version, message.sender
+    return begin_transfer(state.transfer, version, sender, state.version, now)
+
+
 def _put_in_force(
-    message: LeaderNotice, state: DirectoryState, silence: Seconds | None
+    offered: Configuration,
+    state: DirectoryState,
+    sender: InstanceId,
+    silence: Seconds | None,
 ) -> list[Effect]:
-    """Put an offered configuration in force if it is newer.
+    """Put a configuration in force if it is newer.
 
     Parameters
     ----------
     silence
         Seconds since the last notice of the leader before this one, for the log.
     """
-    offered = message.configuration
-    if offered is None or offered.version <= state.version:
+    if offered.version <= state.version:
         return []
     state.configuration = offered
+    end_if_obsolete(state.transfer, state.version)
     fields = {
         "version": offered.version,
         "revision": offered.revision,
-        "sender": message.sender,
+        "sender": sender,
         "silence": silence,
     }
     return [LogEvent("configuration_in_force", fields)]
 
 
+@handle.register
+def _(message: ConfigurationPiece, state: DirectoryState, now: Seconds) -> list[Effect]:
+    transfer = state.transfer
+    received = len(transfer.data)
+    completed, effects = receive_piece(transfer, message, state.version, now)
+    if completed is not None or len(transfer.data) > received:
+        # A piece answers a request of this instance: both directions work.
+        state.links.record_received(message.sender)
+    if completed is None:
+        return effects
+    silence = now - state.leader_heard_at if state.leader_heard_at else None
+    return effects + _put_in_force(completed, state, message.sender, silence)
+
+
 def _confirms_configuration(
     message: LeaderNotice, state: DirectoryState, now: Seconds
 ) -> bool:
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -16,6 +16,7 @@
     "admitted_share": "Share of the submissions that this leader admits.",
     "announcements": "Announcements of backend servers received here.",
     "cancellations": "Cancellations of tasks sent, by backend server.",
+    "configuration_bytes_sent": "Compressed bytes of configurations, by receiver.",
     "dispatches": "Batches of tasks sent, by backend server.",
     "ejections": "Ejections of backend servers.",
     "jobs": "Ended jobs by class and status.",
--- a/boragetide/errors.py
+++ b/boragetide/errors.py
@@ -33,6 +33,10 @@
     """A message to another instance was not delivered or not answered."""
 
 
+class ContentError(BoragetideError):
+    """The content of a configuration that was received is not usable."""
+
+
 class PeerUnreachable(LinkError):
     """The peer cannot be reached; the message was certainly not sent."""
 
--- a/boragetide/messages/directory.py
+++ b/boragetide/messages/directory.py
@@ -54,7 +54,8 @@
     members
         All members of the log.
     configuration
-        Configuration in force at the sender, if the receiver has an older one.
+        Configuration in force at the sender, if the receiver has an older one and it
+        is small. A larger one is fetched (`FetchConfigurationPiece`).
     has_authority
         Whether the sender is the leader and no other instance can be the leader yet.
     clock
@@ -68,6 +69,9 @@
         authority, no newer one had been accepted at ``asked_at``.
     has_log
         Whether the sender has the log, or a disk for it.
+    must_fetch
+        Whether the receiver has an older configuration, and the one in force is too
+        large for a notice.
     """
 
     sender: InstanceId
@@ -81,6 +85,53 @@
     admitted_share: float = 1.0
     version: int = -1
     has_log: bool = True
+    must_fetch: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FetchConfigurationPiece:
+    """Asks an instance for a piece of its configuration, in compressed form.
+
+    Answered with `ConfigurationPiece`.
+
+    Parameters
+    ----------
+    version
+        Version that the sender wants.
+    digest
+        Digest of the content of which the sender has a part; empty if it has none.
+    offset
+        Number of compressed bytes that the sender has.
+    controller
+        Controller of the sender to which the piece goes.
+    """
+
+    sender: InstanceId
+    version: int
+    digest: str
+    offset: int
+    controller: str = "directory"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPiece:
+    """A piece of the configuration in force at the sender, in compressed form.
+
+    Parameters
+    ----------
+    version, digest
+        Version of the content, and the SHA-256 of all of its compressed bytes. They
+        differ from the requested ones if the sender has another content.
+    offset, total
+        Position of ``data`` and number of all compressed bytes.
+    """
+
+    sender: InstanceId
+    version: int
+    digest: str
+    offset: int
+    total: int
+    data: bytes
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from boragetide.configuration_content import ContentCache
 from boragetide.effects import Effect, LogEvent, Send
 from boragetide.messages import (
     AuthorityExtended,
@@ -52,6 +53,8 @@
     contacts, contacts_notified_at
         Instances that the settings name, and the time at which those that have not
         asked for the leader were last notified.
+    content
+        Encoded content of the configuration in force.
     """
 
     settings: Settings
@@ -66,6 +69,7 @@
     admitted_share: float = 1.0
     contacts: tuple[InstanceId, ...] = ()
     contacts_notified_at: Seconds = 0.0
+    content: ContentCache = field(default_factory=ContentCache)
 
 
 def announce(
@@ -174,11 +178,12 @@
     now: Seconds,
     asked_at: Seconds | None = None,
 ) -> Effect:
-    """Notify one instance of the leader.
+    """Notify one instance of the leader and of the version in force.
 
     The leader, and each member that answers a request, includes the configuration in
-    force if it is newer than the one that the subscriber has. This needs no authority,
-    because a configuration that is in force is never withdrawn.
+    force if it is small, and newer than the one that the subscriber has. The subscriber
+    fetches a larger one, once and from one member. This needs no authority, because a
+    configuration that is in force is never withdrawn.
 
     Parameters
     ----------
@@ -190,17 +195,20 @@
     offers = asked_at is not None or (
         replica is not None and replica.role is Role.LEADER
     )
+    is_offered = offers and in_force is not None and version > known
+    is_small = is_offered and state.content.is_small(in_force)
     notice = LeaderNotice(
         sender=state.settings.id,
         term=0 if replica is None else replica.ballot.term,
         leader=None if replica is None else replica.leader,
         members=state.settings.initial_members if replica is None else replica.members,
-        configuration=in_force if offers and version > known else None,
+        configuration=in_force if is_small else None,
         has_authority=replica is not None and _has_authority(replica, now),
         clock=now,
         asked_at=asked_at,
         admitted_share=state.admitted_share,
         version=version,
+        must_fetch=is_offered and not is_small,
     )
     return Send(Address(subscriber, "directory"), notice)
 
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from boragetide.configuration_content import DeriveClasses
 from boragetide.errors import SettingsError
 from boragetide.types import CONTROLLERS, InstanceId, Seconds, ZoneId
 
@@ -104,6 +105,9 @@
     ids_are_addresses
         Whether the id of an instance is its IP address, so that links to instances
         that are not named in the settings can be created on demand.
+    derive_classes
+        Returns the classes of a published text, on a front end that has such texts, so
+        that a configuration is sent without its classes.
     """
 
     id: InstanceId
@@ -122,6 +126,7 @@
     group_count: int = 1
     follows_leader: bool = True
     ids_are_addresses: bool = False
+    derive_classes: DeriveClasses | None = None
 
     @property
     def dispatches(self) -> bool:
--- a/boragetide/tests/slow_link.py
+++ b/boragetide/tests/slow_link.py
@@ -44,16 +44,18 @@
 def make_document(version: int, size: int) -> str:
     """Return a text of a size whose numbers differ by version."""
     rows = []
-    length = 0
-    for number in itertools.count():
-        if length >= size:
-            return "".join(rows)[:size]
-        timeout = 1000 + number * (version + 7) % 997
-        row = f'{{"name":"r{number}","host":"tenant-{number}.queue.example",'
-        row += f'"path_prefix":"/q{number * 7919 % 1009:x}/","timeout_ms":{timeout}}},'
-        rows.append(row)
-        length += len(row)
-    return None
+    for number in range(size // len(_make_row(0, version)) + 1):
+        rows.append(_make_row(number, version))
+    return "".join(rows)[:size]
+
+
+def _make_row(number: int, version: int) -> str:
+    timeout = 1000 + number * (version + 7) % 997
+    path = f"/q{number * 7919 % 1009:x}/"
+    return (
+        f'{{"name":"r{number}","host":"tenant-{number}.queue.example",'
+        f'"path_prefix":"{path}","timeout_ms":{timeout}}},'
+    )
 
 
 @dataclass(order=True)
