Fetch large configurations among daemons too, and test lost and reordered pieces

Cause: an instance of a daemon's installation that has no configuration, or hears of a newer one, got the whole document from each peer it asked, every 0.3 s until one arrived.

Change: offers carry the version, and the content only up to 8 KiB; larger content is fetched in pieces by the same policy. A configuration that is on its way is not requested again while its pieces arrive. The random runs of the configuration draw the waits from seeds, because hypothesis repeats them.

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -22,6 +22,7 @@
     CatchUpState,
     ConfigurationChanged,
     ConfigurationOffered,
+    ConfigurationPiece,
     ConfigurationRead,
     ContactsChanged,
     Drain,
@@ -57,10 +58,12 @@
     replication,
 )
 from boragetide.policy.catalogue import find_outcome
-from boragetide.policy.configuration_transfer import send_piece
+from boragetide.policy.configuration_transfer import receive_piece, send_piece
 from boragetide.policy.distribution import (
     DistributionState,
+    check_fetch,
     choose_offer,
+    fetch_offer,
     put_in_force,
     request_configuration,
     request_newer,
@@ -145,6 +148,7 @@
     effects += _apply_committed_changes(state, now)
     effects += request_configuration(state.distribution, now)
     effects += _take_offer(state, now)
+    effects += check_fetch(state.distribution, now)
     effects += leadership.notify_contacts(state.leadership, state.member, now)
     effects += proposals.expire_requests(
         state.proposals, state.distribution.version, now
@@ -428,7 +432,11 @@
 def _(
     message: RequestConfiguration, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    offer = ConfigurationOffered(state.settings.id, state.distribution.in_force)
+    in_force = state.distribution.in_force
+    is_small = in_force is not None and state.leadership.content.is_small(in_force)
+    offer = ConfigurationOffered(
+        state.settings.id, state.distribution.version, in_force if is_small else None
+    )
     return [Send(Address(message.sender, "configuration"), offer)]
 
 
@@ -436,17 +444,37 @@
 def _(
     message: ConfigurationOffered, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
-    if message.configuration is None:
+    if message.version < 0:
         return []
-    state.distribution.offers_by_id[message.sender] = message.configuration
+    state.distribution.offers_by_id[message.sender] = message
     return _take_offer(state, now)
 
 
-def _take_offer(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put a peer's configuration in force; a replica first writes it to disk."""
-    configuration = choose_offer(state.distribution, now)
+@handle.register
+def _(
+    message: ConfigurationPiece, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    distribution = state.distribution
+    configuration, effects = receive_piece(
+        distribution.transfer, message, distribution.version, now
+    )
     if configuration is None:
+        return effects
+    return effects + _adopt(state, configuration)
+
+
+def _take_offer(state: ConfigurationState, now: Seconds) -> list[Effect]:
+    """Put a peer's configuration in force, or fetch it if it is large."""
+    offer = choose_offer(state.distribution, now)
+    if offer is None:
         return []
+    if offer.configuration is None:
+        return fetch_offer(state.distribution, offer, now)
+    return _adopt(state, offer.configuration)
+
+
+def _adopt(state: ConfigurationState, configuration: Configuration) -> list[Effect]:
+    """Put a peer's configuration in force; a replica first writes it to disk."""
     effects: list[Effect] = []
     if state.replica is not None:
         state.replica.fetched = configuration
--- a/boragetide/messages/configuration.py
+++ b/boragetide/messages/configuration.py
@@ -269,7 +269,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationOffered:
-    """The configuration in force at a peer, if it has one."""
+    """The configuration in force at a peer, if it has one.
+
+    Parameters
+    ----------
+    version
+        Its version, or -1.
+    configuration
+        ``None`` if there is none, or if it is too large for a message and is fetched
+        (`FetchConfigurationPiece`).
+    """
 
     sender: InstanceId
+    version: int
     configuration: Configuration | None
--- a/boragetide/policy/configuration_transfer.py
+++ b/boragetide/policy/configuration_transfer.py
@@ -88,6 +88,11 @@
         """Whether a configuration is being fetched."""
         return self.version >= 0
 
+    @property
+    def is_under_way(self) -> bool:
+        """Whether a configuration is being fetched and its pieces arrive in time."""
+        return self.in_progress and self.attempts == 0
+
 
 def begin_transfer(
     transfer: ConfigurationTransfer,
--- a/boragetide/policy/distribution.py
+++ b/boragetide/policy/distribution.py
@@ -5,7 +5,17 @@
 from dataclasses import dataclass, field
 
 from boragetide.effects import Effect, LogEvent, Send
-from boragetide.messages import ConfigurationChanged, RequestConfiguration
+from boragetide.messages import (
+    ConfigurationChanged,
+    ConfigurationOffered,
+    RequestConfiguration,
+)
+from boragetide.policy.configuration_transfer import (
+    ConfigurationTransfer,
+    begin_transfer,
+    check_transfer,
+    end_if_obsolete,
+)
 from boragetide.settings import Settings
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
@@ -24,18 +34,27 @@
     in_force
         ``None`` until there is one; after that its version never decreases.
     offers_by_id
-        Configurations offered by peers since the last one was put in force.
+        Offers of peers that are newer than the configuration in force, or all of them
+        while there is none.
     next_fetch
         Earliest time of the next request to a peer.
     started_at
         Time at which this instance first looked for a configuration.
+    transfer
+        Transfer of a large configuration to this instance.
     """
 
     settings: Settings
     in_force: Configuration | None = None
-    offers_by_id: dict[InstanceId, Configuration] = field(default_factory=dict)
+    offers_by_id: dict[InstanceId, ConfigurationOffered] = field(default_factory=dict)
     next_fetch: Seconds = 0.0
     started_at: Seconds | None = None
+    transfer: ConfigurationTransfer = field(init=False)
+
+    def __post_init__(self) -> None:
+        receiver = Address(self.settings.id, "configuration")
+        derive_classes = self.settings.derive_classes
+        self.transfer = ConfigurationTransfer(receiver, derive_classes)
 
     @property
     def version(self) -> int:
@@ -50,7 +69,12 @@
     if configuration.version <= state.version:
         return []
     state.in_force = configuration
-    state.offers_by_id = {}
+    state.offers_by_id = {
+        peer: offer
+        for peer, offer in state.offers_by_id.items()
+        if offer.version > configuration.version
+    }
+    end_if_obsolete(state.transfer, state.version)
     changed = ConfigurationChanged(configuration)
     own = state.settings.id
     fields = {"version": configuration.version, "revision": configuration.revision}
@@ -81,16 +105,22 @@
 def request_newer(
     state: DistributionState, peer: InstanceId, version: int, now: Seconds
 ) -> list[Effect]:
-    """Request the configuration from a peer that reports a newer version."""
-    if state.in_force is None or version <= state.version or now < state.next_fetch:
+    """Request the configuration from a peer that reports a newer version.
+
+    One that is on its way is not requested again while pieces of it arrive.
+    """
+    known = state.version
+    if state.transfer.is_under_way:
+        known = max(known, state.transfer.version)
+    if state.in_force is None or version <= known or now < state.next_fetch:
         return []
     state.next_fetch = now + FETCH_INTERVAL
     request = RequestConfiguration(state.settings.id)
     return [Send(Address(peer, "configuration"), request)]
 
 
-def choose_offer(state: DistributionState, now: Seconds) -> Configuration | None:
-    """Return the offered configuration to put in force now, or ``None``."""
+def choose_offer(state: DistributionState, now: Seconds) -> ConfigurationOffered | None:
+    """Return the offer of the configuration to put in force now, or ``None``."""
     if not state.offers_by_id:
         return None
     members = set(state.settings.initial_members)
@@ -100,3 +130,19 @@
         return None
     best = max(state.offers_by_id.values(), key=lambda offer: offer.version)
     return best if best.version > state.version else None
+
+
+def fetch_offer(
+    state: DistributionState, offer: ConfigurationOffered, now: Seconds
+) -> list[Effect]:
+    """Begin to fetch an offered configuration, unless it is on its way."""
+    version, sender = offer.version, offer.sender
+    return begin_transfer(state.transfer, version, sender, state.version, now)
+
+
+def check_fetch(state: DistributionState, now: Seconds) -> list[Effect]:
+    """Ask another peer that offered the configuration if a piece is late."""
+    wanted = state.transfer.version
+    offers = state.offers_by_id.values()
+    holders = [offer.sender for offer in offers if offer.version >= wanted]
+    return check_transfer(state.transfer, holders, now)
--- a/boragetide/tests/slow_link.py
+++ b/boragetide/tests/slow_link.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from random import Random
 from typing import Any
 
 from boragetide.commands import CommandStatus, PublishConfiguration
@@ -114,7 +115,9 @@
     def __post_init__(self) -> None:
         for number, member in enumerate(self.settings.initial_members):
             own = replace(self.settings, id=member)
-            self.states_by_id[member] = configuration.make_state(own, 1, ())
+            state = configuration.make_state(own, 1, ())
+            state.replica.jitter = Random(number)
+            self.states_by_id[member] = state
             self.schedule(0.01 * number, lambda id_=member: self.tick(id_))
         self.start_edge()
         self.schedule(0.02, lambda: self.tick(EDGE))
@@ -123,7 +126,9 @@
         """Start the entry instance, or its next process."""
         peers = {**self.settings.peers_by_id, EDGE: Peer(EDGE, "a", "", "", disk=False)}
         own = replace(self.settings, id=EDGE, peers_by_id=peers, follows_leader=True)
-        self.states_by_id[EDGE] = directory.make_state(own)
+        state = directory.make_state(own)
+        state.transfer.jitter = Random(1)
+        self.states_by_id[EDGE] = state
 
     @property
     def leader(self) -> str:
--- a/boragetide/tests/test_large_configuration.py
+++ b/boragetide/tests/test_large_configuration.py
@@ -5,7 +5,7 @@
 import pytest
 
 from boragetide.settings import Settings
-from boragetide.tests.slow_link import SlowSite
+from boragetide.tests.slow_link import EDGE, SlowSite
 
 RATE = 9.5e6 / 8  # bytes per second
 SIZE = 290_000  # characters of the document
@@ -48,3 +48,73 @@
     assert len(site.accepted_at_by_version) == 4
     assert (list_late(site), site.unready_at) == ({}, [])
     assert site.list_events("link_silent") == []
+
+
+def test_configuration_is_sent_once_for_each_version(site: SlowSite) -> None:
+    """Guards against copies from several members, or with several questions."""
+    before = site.bytes_to_edge_by_kind.get("ConfigurationPiece", 0)
+    for version in (2, 3, 4):
+        site.publish(version, SIZE, ROUTES)
+        site.run_for(3.0)
+    packed = site.list_events("configuration_packed")
+    assert [fields["version"] for fields in packed] == [2, 3, 4]
+    sent = site.bytes_to_edge_by_kind["ConfigurationPiece"] - before
+    assert sent < 1.05 * sum(fields["bytes"] for fields in packed)
+
+
+def test_instance_on_a_very_slow_link_gets_the_newest_version(
+    site: SlowSite,
+) -> None:
+    """Guards against transfers that displace each other after the last change."""
+    site.rate = 1e6 / 8
+    for version in (2, 3, 4):
+        site.publish(version, SIZE, ROUTES)
+        site.run_for(1 / 3)
+    site.run_for(RECOVERY)
+    assert site.find_leader().ready
+    assert site.states_by_id[EDGE].version == 4
+    assert site.list_events("link_silent") == []
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.02, 0.04])
+def test_loss_of_the_member_that_sends_does_not_end_service(
+    site: SlowSite, delay: float
+) -> None:
+    """Guards against a transfer that waits for a lost member, or begins anew."""
+    site.publish(2, SIZE, ROUTES)
+    while not site.states_by_id[EDGE].transfer.in_progress:
+        site.run_for(0.001)
+    site.run_for(delay)
+    transfer = site.states_by_id[EDGE].transfer
+    received, lost = len(transfer.data), transfer.sender
+    assert transfer.in_progress
+    site.down.add(lost)
+    site.run_for(IN_FORCE_BOUND)
+    assert list_late(site) == {}
+    (repeated,) = site.list_events("configuration_transfer_repeated")
+    assert repeated["late_sender"] == lost
+    assert repeated["offset"] >= received
+    site.run_for(2.0)
+    assert site.find_leader().ready
+
+
+def test_restarted_entry_instance_begins_the_transfer_again(site: SlowSite) -> None:
+    """Guards against an instance that waits for the rest of another's content."""
+    site.publish(2, SIZE, ROUTES)
+    while len(site.states_by_id[EDGE].transfer.data) == 0:
+        site.run_for(0.001)
+    site.is_watched = False
+    site.start_edge()
+    site.run_for(1.0)
+    assert site.find_leader().ready
+    assert site.states_by_id[EDGE].version == 2
+
+
+def test_small_configuration_is_not_fetched(site: SlowSite) -> None:
+    """Guards against more messages for a small change than before."""
+    for version in (2, 3):
+        site.publish(version, 300, 1)
+        site.run_for(1.0)
+    assert site.states_by_id[EDGE].version == 3
+    assert "ConfigurationPiece" not in site.bytes_to_edge_by_kind
+    assert (list_late(site), site.unready_at) == ({}, [])
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -93,6 +93,8 @@
         node.effects_left = None
         records = tuple(self.decode_record(data) for data in node.disk)
         node.state = make_state(self.make_settings(node), node.incarnation, records)
+        transfer = node.state.distribution.transfer
+        transfer.jitter = random.Random(node.incarnation)
         if node.state.replica is not None:
             node.state.replica.jitter = random.Random(self.random.random())
 
--- a/properties/test_confirmation.py
+++ b/properties/test_confirmation.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 from typing import Any
+from unittest.mock import patch
 
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, rule, run_state_machine_as_test
 
+from boragetide import configuration_content
 from boragetide.commands import CommandStatus
 from boragetide.controllers import directory
 from boragetide.controllers.directory import CONFIRMATION_VALIDITY
 from boragetide.effects import Send
 from boragetide.links.codec import Envelope, decode_body, encode_body
 from boragetide.messages import FindLeader, LeaderFound, Tick
+from boragetide.policy import configuration_transfer
 from boragetide.types import ReplyTo
 from properties.test_configuration import STEP, Agreement, make_profile
 
 EDGE = "e0"
+PIECE = 50  # bytes, so that a content has several pieces
 MAX_DELAY = 4.0  # seconds for which a message to or from the edge may be under way
 
 
@@ -36,6 +41,7 @@
     def start_edge(self) -> None:
         settings = replace(self.make_settings(self.nodes_by_id["x0"]), id=EDGE)
         self.edge = directory.make_state(settings)
+        self.edge.transfer.jitter = Random(1)
         self.newest_shown = -1
 
     def check_outcome(self, to: ReplyTo, message: Any) -> None:
@@ -112,3 +118,12 @@
 def test_edge_uses_no_configuration_that_was_replaced_long_ago() -> None:
     """Guards against an answer by a configuration that is older than is allowed."""
     run_state_machine_as_test(Confirmation, settings=make_profile())
+
+
+def test_edge_that_fetches_uses_no_configuration_that_was_replaced_long_ago() -> None:
+    """Guards against the same where each configuration is fetched in pieces."""
+    with (
+        patch.object(configuration_content, "MAX_NOTICE_CONTENT", 0),
+        patch.object(configuration_transfer, "PIECE_BYTES", PIECE),
+    ):
+        run_state_machine_as_test(Confirmation, settings=make_profile())
