Infer from a notice that its configuration must be fetched

Change: the field is gone. Only answers and notices of the leader offer content; if one of these names a newer version without content, it is fetched.

--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -300,7 +300,9 @@
     """Put a newer configuration in force, or fetch it if the notice has none."""
     if message.configuration is not None:
         return _put_in_force(message.configuration, state, message.sender, silence)
-    if not message.must_fetch:
+    if message.asked_at is None and message.sender != message.leader:
+        # The leader's own notice, or the answer to the next question, has the content
+        # unless it is large.
         return []
     version, sender = message.version, message.sender
     return begin_transfer(state.transfer, version, sender, state.version, now)
--- a/boragetide/messages/directory.py
+++ b/boragetide/messages/directory.py
@@ -55,7 +55,8 @@
         All members of the log.
     configuration
         Configuration in force at the sender, if the receiver has an older one and it
-        is small. A larger one is fetched (`FetchConfigurationPiece`).
+        is small. Only answers and notices of the leader have one. A larger one is
+        fetched (`FetchConfigurationPiece`).
     has_authority
         Whether the sender is the leader and no other instance can be the leader yet.
     clock
@@ -69,9 +70,6 @@
         authority, no newer one had been accepted at ``asked_at``.
     has_log
         Whether the sender has the log, or a disk for it.
-    must_fetch
-        Whether the receiver has an older configuration, and the one in force is too
-        large for a notice.
     """
 
     sender: InstanceId
@@ -85,7 +83,6 @@
     admitted_share: float = 1.0
     version: int = -1
     has_log: bool = True
-    must_fetch: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -208,7 +208,6 @@
         asked_at=asked_at,
         admitted_share=state.admitted_share,
         version=version,
-        must_fetch=is_offered and not is_small,
     )
     return Send(Address(subscriber, "directory"), notice)
 
--- a/boragetide/tests/test_configuration_transfer.py
+++ b/boragetide/tests/test_configuration_transfer.py
@@ -410,7 +410,7 @@
 ) -> None:
     """Guards against replacing a link that is receiving pieces, which loses them."""
     state = make_edge(settings)
-    request = find_request(notify(state, BEGIN, version=2, must_fetch=True))
+    request = find_request(notify(state, BEGIN, version=2))
     for now in (BEGIN + ASK_INTERVAL, BEGIN + 2 * ASK_INTERVAL):
         directory.handle(Tick(), state, now)
     if arrives:
@@ -426,7 +426,7 @@
     notify(state, BEGIN, version=1, has_authority=True, configuration=Configuration(1))
     confirmed_at = state.confirmed_at
     later = BEGIN + 0.4
-    notify(state, later, version=2, has_authority=True, must_fetch=True)
+    notify(state, later, version=2, has_authority=True)
     assert (state.version, state.confirmed_at) == (1, confirmed_at)
 
 
@@ -435,8 +435,11 @@
 ) -> None:
     """Guards against fetching what the next notice carries."""
     state = make_edge(settings)
-    assert find_request(notify(state, BEGIN, version=2)) is None
+    notice = LeaderNotice("a2", 1, "a1", MEMBERS, version=2)
+    assert find_request(directory.handle(notice, state, BEGIN)) is None
     assert not state.transfer.in_progress
+    notice = replace(notice, sender="a1")
+    assert find_request(directory.handle(notice, state, BEGIN)) is not None
 
 
 def make_member(
@@ -459,11 +462,10 @@
     effects = configuration.handle(FollowLeader("e1", 1, 0.0, BEGIN), state, BEGIN)
     (notice,) = [each.message for each in effects if isinstance(each, Send)]
     assert notice.version == 2
-    assert notice.must_fetch == is_large
     assert notice.configuration == (None if is_large else in_force)
     effects = configuration.handle(FollowLeader("e1", 2, 0.0, BEGIN), state, BEGIN)
     (notice,) = [each.message for each in effects if isinstance(each, Send)]
-    assert not notice.must_fetch
+    assert notice.configuration is None
 
 
 @pytest.mark.parametrize(("size", "count"), [(100, 1), (290_000, 1400)])
