--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -152,12 +152,10 @@
 def _(message: Tick, state: DirectoryState, now: Seconds) -> list[Effect]:
     overdue = state.refusals.take_overdue(now)
     answers = [_answer_pending(each, Admission.UNDECIDED) for each in overdue]
-    return [
-        *answers,
-        *_send_refusals(state, now),
-        *_ask_contacts(state, now),
-        *check_transfer(state.transfer, _list_holders(state), now),
-    ]
+    effects = [*answers, *_send_refusals(state, now), *_ask_contacts(state, now)]
+    if state.transfer.in_progress:
+        effects += check_transfer(state.transfer, _list_holders(state), now)
+    return effects
 
 
 def _list_holders(state: DirectoryState) -> list[InstanceId]:
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -17,6 +17,8 @@
     "announcements": "Announcements of backend servers received here.",
     "cancellations": "Cancellations of tasks sent, by backend server.",
     "configuration_bytes_sent": "Compressed bytes of configurations, by receiver.",
+    "configuration_pieces_dropped": "Pieces of a configuration not used, by reason.",
+    "configuration_transfer_seconds": "Time to fetch a large configuration.",
     "dispatches": "Batches of tasks sent, by backend server.",
     "ejections": "Ejections of backend servers.",
     "jobs": "Ended jobs by class and status.",
--- a/boragetide/policy/configuration_transfer.py
+++ b/boragetide/policy/configuration_transfer.py
@@ -17,7 +17,7 @@
     PackedConfiguration,
     unpack,
 )
-from boragetide.effects import Count, Effect, LogEvent, Send
+from boragetide.effects import Count, Effect, LogEvent, Observe, Send
 from boragetide.errors import ContentError
 from boragetide.messages import ConfigurationPiece, FetchConfigurationPiece
 from boragetide.policy.exponential_wait import grow_wait
@@ -276,7 +276,10 @@
         "wanted": transfer.version,
         "received": len(transfer.data),
     }
-    return [LogEvent("configuration_piece_dropped", fields)]
+    return [
+        LogEvent("configuration_piece_dropped", fields),
+        Count("configuration_pieces_dropped", {"reason": reason}),
+    ]
 
 
 def _complete(
@@ -300,8 +303,12 @@
         transfer.refusals += 1
         fields["error"] = str(error)
         return None, [LogEvent("configuration_content_refused", fields)]
+    seconds = now - transfer.began_at
     end_transfer(transfer)
-    return configuration, [LogEvent("configuration_transferred", fields)]
+    return configuration, [
+        LogEvent("configuration_transferred", fields),
+        Observe("configuration_transfer_seconds", seconds),
+    ]
 
 
 def send_piece(
