Evacuated zones in the replicated log

Cause: an operator could only drain backend servers one by one. Change: EvacuateZone and ReturnZone change Configuration.evacuated_zones; a command that changes nothing is accepted without a new version.

--- a/boragetide/commands.py
+++ b/boragetide/commands.py
@@ -16,6 +16,7 @@
     InstanceId,
     JobId,
     Seconds,
+    ZoneId,
 )
 
 
@@ -52,6 +53,36 @@
     kind: Literal["return_backend_server"] = "return_backend_server"
 
 
+class ZoneCommand(Command):
+    """Base class of the commands that evacuate or return an availability zone.
+
+    Each of them is idempotent: one that changes nothing is accepted without a new
+    version. ``expected_order`` is the number of zone commands that had been applied for
+    the zone when the command was made; one that is applied after another command than
+    that has no effect, so that a delayed copy does not undo a later command.
+    """
+
+    __slots__ = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuateZone(ZoneCommand):
+    """Stops dispatching new work to the backend servers of a zone."""
+
+    zone: ZoneId
+    expected_order: int | None = None
+    kind: Literal["evacuate_zone"] = "evacuate_zone"
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnZone(ZoneCommand):
+    """Resumes dispatching work to the backend servers of an evacuated zone."""
+
+    zone: ZoneId
+    expected_order: int | None = None
+    kind: Literal["return_zone"] = "return_zone"
+
+
 @dataclass(frozen=True, slots=True)
 class RegisterAcceptor(Command):
     """Records the incarnation in which an instance became an acceptor."""
@@ -239,6 +270,8 @@
     "set_class": SetClass,
     "drain_backend_server": DrainBackendServer,
     "return_backend_server": ReturnBackendServer,
+    "evacuate_zone": EvacuateZone,
+    "return_zone": ReturnZone,
     "register_acceptor": RegisterAcceptor,
     "publish_configuration": PublishConfiguration,
     "change_members": ChangeMembers,
@@ -349,6 +382,8 @@
     transferred_by_group, adopted_by_group
         Sequence number of the last job that was transferred to each other group, and of
         the last one that was taken over from it.
+    order_by_zone
+        Number of zone commands applied for each zone, with those that changed nothing.
     """
 
     index: int = 0
@@ -363,6 +398,7 @@
     cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
     transferred_by_group: dict[int, int] = field(default_factory=dict)
     adopted_by_group: dict[int, int] = field(default_factory=dict)
+    order_by_zone: dict[ZoneId, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -17,6 +17,7 @@
     ConfirmTransfers,
     DrainBackendServer,
     DropTransfers,
+    EvacuateZone,
     HistoryEntry,
     JobCommand,
     LogEntry,
@@ -29,9 +30,11 @@
     RegisterAcceptor,
     RegisterBackendServers,
     ReturnBackendServer,
+    ReturnZone,
     SetClass,
     TransferJobs,
     UnregisterBackendServers,
+    ZoneCommand,
 )
 from boragetide.durable import JobPhase
 from boragetide.policy import job_table, transfer_table
@@ -67,6 +70,7 @@
         cancelled_at_by_job=dict(catalogue.cancelled_at_by_job),
         transferred_by_group=dict(catalogue.transferred_by_group),
         adopted_by_group=dict(catalogue.adopted_by_group),
+        order_by_zone=dict(catalogue.order_by_zone),
     )
 
 
@@ -100,7 +104,9 @@
         catalogue.acceptors_by_id[command.instance] = command.incarnation
         return
     current = catalogue.configuration
-    if _is_superseded(command, current):
+    if _is_overtaken(command, catalogue):
+        outcome = Outcome(CommandStatus.CONFLICT, current.version)
+    elif _is_superseded(command, current):
         outcome = Outcome(CommandStatus.ACCEPTED, current.version)
     elif proposal.expected_version in (None, current.version):
         version = current.version + 1
@@ -113,6 +119,9 @@
         outcome = Outcome(CommandStatus.ACCEPTED, version)
     else:
         outcome = Outcome(CommandStatus.CONFLICT, current.version)
+    if isinstance(command, ZoneCommand) and outcome.status is CommandStatus.ACCEPTED:
+        order = catalogue.order_by_zone.get(command.zone, 0)
+        catalogue.order_by_zone[command.zone] = order + 1
     catalogue.outcomes_by_id[proposal.command_id] = outcome
     _drop_oldest(catalogue)
 
@@ -124,15 +133,25 @@
     return command
 
 
+def _is_overtaken(command: Command, catalogue: Catalogue) -> bool:
+    """Return whether another command for the same zone was applied before this one."""
+    if not isinstance(command, ZoneCommand) or command.expected_order is None:
+        return False
+    return command.expected_order != catalogue.order_by_zone.get(command.zone, 0)
+
+
 def _is_superseded(command: Command, current: Configuration) -> bool:
-    """Return whether a published configuration is no newer than the current one.
+    """Return whether a command asks for what is in force, or for less than that.
 
-    The configuration with the highest revision stays in force.
+    The configuration with the highest revision stays in force. A zone that is evacuated
+    already stays evacuated, and one that is in service stays in service.
     """
-    return (
-        isinstance(command, PublishConfiguration)
-        and command.revision <= current.revision
-    )
+    if isinstance(command, PublishConfiguration):
+        return command.revision <= current.revision
+    if isinstance(command, ZoneCommand):
+        is_evacuated = command.zone in current.evacuated_zones
+        return is_evacuated == isinstance(command, EvacuateZone)
+    return False
 
 
 def _drop_oldest(catalogue: Catalogue) -> None:
@@ -169,6 +188,18 @@
     return replace(configuration, drained=configuration.drained - {command.id})
 
 
+@apply_configuration_command.register
+def _(command: EvacuateZone, configuration: Configuration) -> Configuration:
+    evacuated = configuration.evacuated_zones | {command.zone}
+    return replace(configuration, evacuated_zones=evacuated, evacuation_used=True)
+
+
+@apply_configuration_command.register
+def _(command: ReturnZone, configuration: Configuration) -> Configuration:
+    evacuated = configuration.evacuated_zones - {command.zone}
+    return replace(configuration, evacuated_zones=evacuated)
+
+
 @apply_configuration_command.register
 def _(command: PublishConfiguration, configuration: Configuration) -> Configuration:
     return replace(
--- a/boragetide/types.py
+++ b/boragetide/types.py
@@ -181,6 +181,10 @@
         Increases by one with each accepted change.
     drained
         Backend servers that get no new work.
+    evacuated_zones
+        Availability zones whose backend servers get no new work.
+    evacuation_used
+        Whether any zone was ever evacuated.
     revision
         Number that the operator gave to the published configuration, if there is one.
     document
@@ -193,6 +197,8 @@
         default_factory=lambda: {DEFAULT_CLASS: ClassTarget(DEFAULT_CLASS)}
     )
     drained: frozenset[BackendServerId] = frozenset()
+    evacuated_zones: frozenset[ZoneId] = frozenset()
+    evacuation_used: bool = False
     revision: int = 0
     document: str = ""
 
