Starts obey evacuated zones and the age of the view of them

Cause: an instance that is cut off from the log does not learn of an evacuation, and may lead other groups. Change: policy/zones.py decides for every start of a durable or best-effort task; policy/confirmations.py confirms the version in force by questions to the leader of group 0, on the asker's own clock. A returned zone's servers begin a trial with few runs at a time. Off unless the settings enable it or a zone was ever evacuated.

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -18,6 +18,7 @@
     AppendCommands,
     AppendEntries,
     AppendReply,
+    AskConfirmation,
     CatchUpState,
     ConfigurationChanged,
     ConfigurationOffered,
@@ -37,17 +38,21 @@
     ProposalDecided,
     Propose,
     ReadConfiguration,
+    ReadZone,
     RequestCatchUp,
     RequestConfiguration,
     RequestVote,
     StandForElection,
     StopRequested,
     Tick,
+    VersionConfirmed,
     VoteReply,
     WokeUp,
+    ZoneRead,
 )
 from boragetide.policy import (
     catch_up,
+    confirmations,
     elections,
     leadership,
     member_changes,
@@ -55,6 +60,7 @@
     replication,
 )
 from boragetide.policy.catalogue import find_outcome
+from boragetide.policy.confirmations import Confirmations
 from boragetide.policy.distribution import (
     DistributionState,
     choose_offer,
@@ -90,6 +96,8 @@
         The configuration in force on this instance.
     proposals
         Commands whose outcome this instance awaits.
+    confirmations
+        Confirmations that this instance has the newest configuration.
     replica
         Member of the consensus group, on an instance with a disk.
     contact_counter
@@ -101,6 +109,7 @@
     distribution: DistributionState
     proposals: Proposals
     leadership: LeadershipNotices
+    confirmations: Confirmations
     replica: Replica | None = None
     contact_counter: int = 0
 
@@ -121,6 +130,7 @@
         DistributionState(settings),
         Proposals(settings),
         LeadershipNotices(settings, contacts=settings.contacts),
+        Confirmations(settings),
     )
     if settings.own_peer.disk:
         state.replica = restore_replica(settings, incarnation, records)
@@ -142,12 +152,33 @@
     effects += request_configuration(state.distribution, now)
     effects += _take_offer(state, now)
     effects += leadership.notify_contacts(state.leadership, state.member, now)
+    effects += _confirm_view(state, now)
     effects += proposals.expire_requests(
         state.proposals, state.distribution.version, now
     )
     return effects + _send_due(state, now)
 
 
+def _confirm_view(state: ConfigurationState, now: Seconds) -> list[Effect]:
+    """Confirm the configuration in force here, or ask the leader to do so."""
+    in_force = state.distribution.in_force
+    if _has_authority(state, now):
+        return confirmations.confirm_own(state.confirmations, in_force, now)
+    leader = None if state.member is None else state.member.leader
+    return confirmations.ask_leader(state.confirmations, in_force, leader, now)
+
+
+def _has_authority(state: ConfigurationState, now: Seconds) -> bool:
+    """Return whether this instance leads and has all that any leader has committed."""
+    member = state.member
+    return (
+        member is not None
+        and state.leadership.announced_term > 0
+        and now < member.authority_until(now)
+        and state.distribution.version >= member.catalogue.configuration.version
+    )
+
+
 def _tick_replica(replica: Replica, now: Seconds) -> list[Effect]:
     if replica.role is Role.BLANK:
         return catch_up.check_catch_up(replica, now)
@@ -350,6 +381,47 @@
     return [Reply(message.reply_to, ConfigurationRead(newest, replica.leader))]
 
 
+@handle.register
+def _(message: ReadZone, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    """Answer with the state of a zone only if no other leader can have a newer one."""
+    replica = state.member
+    if replica is None or not _has_authority(state, now):
+        leader = None if replica is None else replica.leader
+        return [Reply(message.reply_to, ZoneRead(None, leader=leader))]
+    catalogue = replica.catalogue
+    read = ZoneRead(
+        catalogue.order_by_zone.get(message.zone, 0),
+        message.zone in catalogue.configuration.evacuated_zones,
+        replica.leader,
+    )
+    return [Reply(message.reply_to, read)]
+
+
+@handle.register
+def _(
+    message: AskConfirmation, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    if not _has_authority(state, now):
+        return []
+    version = state.distribution.version
+    answer = VersionConfirmed(state.settings.id, message.number, version)
+    return [Send(Address(message.sender, "configuration"), answer)]
+
+
+@handle.register
+def _(
+    message: VersionConfirmed, state: ConfigurationState, now: Seconds
+) -> list[Effect]:
+    """Record a confirmation; a member gets newer versions through the log."""
+    distribution = state.distribution
+    effects = confirmations.record_answer(
+        state.confirmations, message, distribution.in_force, now
+    )
+    if state.member is None:
+        effects += request_newer(distribution, message.sender, message.version, now)
+    return effects
+
+
 @handle.register
 def _(message: FollowLeader, state: ConfigurationState, now: Seconds) -> list[Effect]:
     is_newest = leadership.record_subscriber(
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -26,6 +26,7 @@
 from boragetide.policy.start_window import StartWindow
 from boragetide.policy.submission_fence import SubmissionFence
 from boragetide.policy.transfer_table import is_undelivered
+from boragetide.policy.zones import ZoneView
 from boragetide.settings import Settings
 from boragetide.types import (
     BackendServerId,
@@ -34,6 +35,7 @@
     JobId,
     ReplyTo,
     Seconds,
+    ZoneId,
 )
 
 # Each term numbers the runs of a task from its own multiple of this number, so that no
@@ -154,6 +156,12 @@
         Backend servers that are set apart for suspects.
     transfers
         Jobs that go to other groups or come from them.
+    zones
+        What this instance knows of the evacuated zones.
+    returned_at_by_zone
+        Time at which this instance learned that a zone has returned to service.
+    old_view_since
+        Time since which the view of the zones has been too old for starts, if it is.
     next_command
         Number of the next command.
     process_count
@@ -217,6 +225,12 @@
     next_command: int = 1
     process_count: int = 0
     next_review: Seconds = 0.0
+    zones: ZoneView = field(init=False)
+    returned_at_by_zone: dict[ZoneId, Seconds] = field(default_factory=dict)
+    old_view_since: Seconds | None = None
+
+    def __post_init__(self) -> None:
+        self.zones = ZoneView(enabled=self.settings.evacuation)
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove all state of a job that has not run."""
@@ -240,8 +254,12 @@
 
 
 def update_server_index(state: DispatcherState, server: Server) -> None:
-    """Update the index with the free capacity and the speed of a backend server."""
+    """Update the index with the free capacity and the speed of a backend server.
+
+    A server of an evacuated zone has no free capacity.
+    """
     report = server.report
+    server.evacuated = report.zone in state.zones.evacuated
     state.index.put(
         report.id,
         report.pool,
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -83,12 +83,18 @@
     release_read_server,
     review_unanswered_starts,
 )
+from boragetide.controllers.zone_service import (
+    apply_zones,
+    check_zone_view,
+    end_trials,
+)
 from boragetide.durable import JobPhase
 from boragetide.effects import Effect, LogEvent, Reply, Send, SetGauge
 from boragetide.messages import (
     AuthorityExtended,
     CancelDurableJob,
     ConfigurationChanged,
+    ConfigurationConfirmed,
     CountWaiting,
     DeliverJobs,
     DispatcherReply,
@@ -362,7 +368,17 @@
     message: ConfigurationChanged, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
     state.configuration = message.configuration
-    return []
+    return apply_zones(state, message.configuration, now)
+
+
+@handle.register
+def _(
+    message: ConfigurationConfirmed, state: DispatcherState, now: Seconds
+) -> list[Effect]:
+    state.zones.confirm(message.version, message.confirmed_at)
+    if state.old_view_since is None:
+        return []
+    return [*check_zone_view(state, now), *place_runs(state, now)]
 
 
 @handle.register
@@ -383,6 +399,8 @@
             effects += pass_on_servers(state, now)
             effects += unregister_servers(state, now)
             effects += register_servers(state, now)
+        end_trials(state, now)
+    effects += check_zone_view(state, now)
     if not has_authority(state, now):
         return effects
     effects += check_admission(state, now)
--- a/boragetide/controllers/held_submissions.py
+++ b/boragetide/controllers/held_submissions.py
@@ -9,9 +9,9 @@
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.refusals import (
     REASON_ROOM_UNKNOWN,
-    REASON_TOO_LARGE,
     RETRY_AFTER,
     refuse_job,
+    refuse_misfit,
 )
 from boragetide.controllers.stranded_jobs import RoomTable, list_needs
 from boragetide.controllers.transfer_state import HeldSubmission
@@ -109,7 +109,10 @@
             effects += [Send(to, each.message) for each in held]
             continue
         waiters = [each.message.reply_to for each in held]
-        reason = REASON_ROOM_UNKNOWN if verdict is None else REASON_TOO_LARGE
-        retry_after = RETRY_AFTER if verdict is None else 0.0
-        effects += refuse_job(state, job, waiters, reason, now, retry_after=retry_after)
+        if verdict is None:
+            effects += refuse_job(
+                state, job, waiters, REASON_ROOM_UNKNOWN, now, retry_after=RETRY_AFTER
+            )
+        else:
+            effects += refuse_misfit(state, job, waiters, now)
     return effects
--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -74,7 +74,11 @@
 
     def __init__(self, state: DispatcherState):
         self.asked: set[BackendServerId] = set()
-        kinds = {server.kind for server in state.servers_by_id.values()}
+        kinds = {
+            server.kind
+            for server in state.servers_by_id.values()
+            if not server.evacuated
+        }
         self._open_by_pool: dict[PoolName, set[ServerKind]] = {}
         for kind in kinds:
             self._open_by_pool.setdefault(kind.pool, set()).add(kind)
@@ -234,7 +238,7 @@
     fate is awaited.
     """
     size = sum(
-        server.report.pool == pool and not server.departed
+        server.report.pool == pool and not (server.departed or server.evacuated)
         for server in state.servers_by_id.values()
     )
     lost = {
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -21,8 +21,7 @@
 from boragetide.controllers.held_submissions import fits_elsewhere, hold_submission
 from boragetide.controllers.job_records import append_command, make_transfer_reply
 from boragetide.controllers.refusals import (
-    REASON_TOO_LARGE,
-    refuse_job,
+    refuse_misfit,
     refuse_void_submission,
 )
 from boragetide.controllers.room_questions import ask_for_room
@@ -71,9 +70,7 @@
             return ask_for_room(state, now)
         if not elsewhere:
             waiters = [message.reply_to]
-            return refuse_job(
-                state, job, waiters, REASON_TOO_LARGE, now, arrival=arrival
-            )
+            return refuse_misfit(state, job, waiters, now, arrival=arrival)
     if job.best_effort:
         transfers = _find_transfer_number(message, state)
         accepted = accept_best_effort(
@@ -128,7 +125,8 @@
     """Return whether a job can run on the known backend servers.
 
     If each step fits a backend server with free capacity, the total capacities need not
-    be compared. A capacity that has shrunk may grow again.
+    be compared. A capacity that has shrunk may grow again. Servers of evacuated zones
+    do not count.
     """
     servers = state.servers_by_id
     server_by_step = {
@@ -140,12 +138,15 @@
         for step, server in server_by_step.items()
     ):
         return True
-    capacities = [
-        server.largest_capacity
+    known = [
+        server
         for server in servers.values()
         if server.report.pool == job.starts.pool and not server.departed
     ]
-    return can_ever_fit(job, capacities)
+    in_service = [server for server in known if not server.evacuated]
+    if known and not in_service:
+        return False
+    return can_ever_fit(job, [server.largest_capacity for server in in_service])
 
 
 def cancel_job(
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -22,6 +22,7 @@
     RunPhase,
     Server,
 )
+from boragetide.controllers.zone_service import is_open
 from boragetide.durable import TaskRef
 from boragetide.effects import Effect, LogEvent, StopRun
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered
@@ -123,6 +124,8 @@
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.cooldown_until = now + REFUSAL_COOLDOWN
     may_repeat = not run.start_repeated and _was_ordered_in_this_life(server, run)
+    # A repeated start may be the first to arrive.
+    may_repeat = may_repeat and is_open(state, server, now)
     if result is OrderResult.UNANSWERED and may_repeat:
         return [log, *_repeat_start(state, server, run, now)]
     if result is OrderResult.OLD_RUN and run.start_repeated:
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -23,6 +23,7 @@
     Run,
     Server,
 )
+from boragetide.controllers.zone_service import may_start_on
 from boragetide.durable import DurableJob, JobPhase, JobRecord, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
 from boragetide.policy.crash_suspicion import find_suspects, holds_other_tasks
@@ -162,7 +163,7 @@
     """Start as many waiting tasks as the free capacity allows."""
     if not has_authority(state, now) or not state.queue.waiting_by_id:
         return []
-    if not state.takeover_complete:
+    if not state.takeover_complete or not state.zones.is_recent(now):
         return []
     effects: list[Effect] = []
     max_free_by_pool: dict[PoolName, int] = {}
@@ -228,6 +229,7 @@
         and not server.unexpected_runs
         and server.held_ends <= MAX_HELD_ENDS
         and now >= server.cooldown_until
+        and may_start_on(state, server, now)
     )
 
 
--- a/boragetide/controllers/refusals.py
+++ b/boragetide/controllers/refusals.py
@@ -18,6 +18,10 @@
 REASON_TOO_LATE = "it cannot be served in time"
 REASON_TOO_LARGE = "no backend server is large enough for one of its tasks"
 REASON_ROOM_UNKNOWN = "no known backend server is large enough for one of its tasks"
+REASON_EVACUATED = (
+    "no backend server of an availability zone in service is large enough for one of "
+    "its tasks"
+)
 REASON_VOID = "an earlier copy was refused or withdrawn"
 
 
@@ -46,6 +50,33 @@
     return _refuse(state, job, waiters, reason, now, retry_after, arrival or {})
 
 
+def refuse_misfit(
+    state: DispatcherState,
+    job: DurableJob,
+    waiters: list[ReplyTo | None],
+    now: Seconds,
+    *,
+    arrival: dict[str, Any] | None = None,
+) -> list[Effect]:
+    """Refuse a job of which a task fits no backend server in service.
+
+    While a zone is evacuated, the job may be submitted again, because the servers of
+    that zone may be large enough.
+    """
+    if not state.zones.evacuated:
+        return refuse_job(state, job, waiters, REASON_TOO_LARGE, now, arrival=arrival)
+    refused = refuse_job(
+        state,
+        job,
+        waiters,
+        REASON_EVACUATED,
+        now,
+        retry_after=RETRY_AFTER,
+        arrival=arrival,
+    )
+    return [*refused, Count("refusals_for_evacuation")]
+
+
 def _refuse(
     state: DispatcherState,
     job: DurableJob,
--- a/boragetide/controllers/server_health.py
+++ b/boragetide/controllers/server_health.py
@@ -5,6 +5,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState, update_server_index
 from boragetide.controllers.server_state import Run, Server
 from boragetide.policy.exponential_wait import grow_wait
+from boragetide.policy.zones import record_trial_run
 from boragetide.types import Seconds
 
 # After a failed run, a backend server gets no new runs for a while, so that the next
@@ -18,6 +19,8 @@
 # error explains, and has the higher weight.
 SPEED_WEIGHT = 0.1
 SLOWDOWN_WEIGHT = 0.4
+# Weight while a server returns with its zone, because its speed is not known yet.
+TRIAL_WEIGHT = 0.4
 # Bounds of the learned speed. The speed of a backend server that runs tasks in their
 # declared time is 1.
 MIN_SPEED = 0.05
@@ -31,6 +34,8 @@
 
 def record_outcome(server: Server, failed: bool, now: Seconds) -> None:
     """Record whether a run failed; avoid the backend server for a while if it did."""
+    if server.trial is not None:
+        record_trial_run(server.trial, failed=failed)
     if failed:
         pause = grow_wait(
             FIRST_FAILURE_COOLDOWN,
@@ -53,6 +58,8 @@
     observed = min(MAX_SPEED, max(MIN_SPEED, observed))
     slowed = observed < server.speed / 2
     weight = SLOWDOWN_WEIGHT if slowed else SPEED_WEIGHT
+    if server.trial is not None:
+        weight = TRIAL_WEIGHT
     server.speed += weight * (observed - server.speed)
     server.speed_updated_at = now
 
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -8,6 +8,7 @@
 from boragetide.durable import ListedRun, Resources, ServerReport, TaskRef
 from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
 from boragetide.policy.room_index import ServerKind
+from boragetide.policy.zones import Trial
 from boragetide.types import BackendServerId, JobId, Seconds
 
 # A lease is renewed about three times before it expires.
@@ -183,6 +184,10 @@
         Largest amount of each resource that the process has announced.
     isolated
         Whether the backend server is set apart for tasks that run alone.
+    evacuated
+        Whether the zone of the backend server is evacuated; set with its index entry.
+    trial
+        Return of the backend server to service after its zone was evacuated.
     follows_planned_end
         Whether the end of the previous process was announced.
     """
@@ -218,6 +223,8 @@
     announced_at: Seconds = 0.0
     largest_capacity: Resources = field(default_factory=Resources)
     isolated: bool = False
+    evacuated: bool = False
+    trial: Trial | None = None
     follows_planned_end: bool = False
 
     def record_report(self, report: ServerReport, announced_at: Seconds) -> None:
@@ -335,8 +342,8 @@
 
     @property
     def free_resources(self) -> Resources:
-        """Capacity that no run uses; none if the backend server is set apart."""
-        if self.isolated:
+        """Capacity that no run uses; none if the server is set apart or evacuated."""
+        if self.isolated or self.evacuated:
             return Resources()
         return self.report.capacity.minus(self.used)
 
--- a/boragetide/controllers/server_table.py
+++ b/boragetide/controllers/server_table.py
@@ -7,6 +7,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState, update_server_index
 from boragetide.controllers.placing_runs import ANNOUNCEMENT_TIMEOUT
 from boragetide.controllers.server_state import UNANNOUNCED_SEQUENCE, Server
+from boragetide.controllers.zone_service import continue_trial
 from boragetide.durable import ServerReport
 from boragetide.effects import Effect, LogEvent, Send
 from boragetide.messages import ReportServer
@@ -100,6 +101,7 @@
         # The previous process has yet to answer its read, or the read to fail.
         server.reading = previous.reading
     _record_clock(server, now)
+    continue_trial(state, server, previous, now)
     state.servers_by_id[report.id] = server
     update_server_index(state, server)
     fields = {
--- a/boragetide/controllers/stranded_jobs.py
+++ b/boragetide/controllers/stranded_jobs.py
@@ -50,7 +50,7 @@
                 usable=is_usable(state, server, now),
             )
             for server in state.servers_by_id.values()
-            if not server.departed
+            if not (server.departed or server.evacuated)
         ]
         self._offers_by_need: dict[Need, Offer] = {}
 
--- a/boragetide/messages/configuration.py
+++ b/boragetide/messages/configuration.py
@@ -15,7 +15,7 @@
     Snapshot,
 )
 from boragetide.messages.common import Request
-from boragetide.types import Configuration, InstanceId, Seconds
+from boragetide.types import Configuration, InstanceId, Seconds, ZoneId
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +37,73 @@
     in_force: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationConfirmed:
+    """No configuration newer than ``version`` had been committed as of a time.
+
+    Parameters
+    ----------
+    version
+        Version in force on this instance.
+    confirmed_at
+        That time, on the clock of this instance.
+    """
+
+    version: int
+    confirmed_at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class AskConfirmation:
+    """Asks the leader of group 0 for the newest version; a number for each question."""
+
+    sender: InstanceId
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionConfirmed:
+    """Answer to `AskConfirmation` of a leader that no other instance can have replaced.
+
+    Parameters
+    ----------
+    number
+        Number of the question.
+    version
+        Newest version that was committed when the answer was made.
+    """
+
+    sender: InstanceId
+    number: int
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadZone(Request):
+    """Asks for a linearizable read of one zone's state; answered with `ZoneRead`."""
+
+    zone: ZoneId
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneRead:
+    """State of a zone, or ``None`` if it may not be the newest.
+
+    Parameters
+    ----------
+    order
+        Number of commands that were applied for the zone, see `Catalogue`.
+    evacuated
+        Whether the zone is evacuated.
+    leader
+        Instance to ask instead, if known.
+    """
+
+    order: int | None
+    evacuated: bool = False
+    leader: InstanceId | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ListHistory(Request):
     """Asks for the newest accepted commands; answered with `History`."""
--- a/boragetide/messages/replies.py
+++ b/boragetide/messages/replies.py
@@ -31,6 +31,8 @@
     History,
     ListHistory,
     Propose,
+    ReadZone,
+    ZoneRead,
 )
 from boragetide.messages.directory import (
     AdmissionReply,
@@ -89,6 +91,7 @@
     LookUpJob: (JobState,),
     Propose: (CommandOutcome,),
     ReadConfiguration: (ConfigurationRead,),
+    ReadZone: (ZoneRead,),
     RemoveServer: (ServerReported,),
     ReportServer: (ServerReported,),
     SaveClaims: (DrainState,),
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -104,6 +104,9 @@
     ids_are_addresses
         Whether the id of an instance is its IP address, so that links to instances
         that are not named in the settings can be created on demand.
+    evacuation
+        Whether availability zones may be evacuated, so that instances that are cut off
+        from the log start nothing from the beginning; see `policy.zones`.
     """
 
     id: InstanceId
@@ -122,6 +125,7 @@
     group_count: int = 1
     follows_leader: bool = True
     ids_are_addresses: bool = False
+    evacuation: bool = False
 
     @property
     def dispatches(self) -> bool:
@@ -226,6 +230,7 @@
             *(("dispatcher",) if own.disk else ()),
         ),
         follows_leader=False,
+        evacuation="evacuation" in sections and sections["evacuation"].enabled,
     )
 
 
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -132,11 +132,18 @@
     names: Annotated[tuple[str, ...], BeforeValidator(_split_names)]
 
 
+class EvacuationSection(_Section):
+    """Section ``[evacuation]``: whether availability zones may be evacuated."""
+
+    enabled: bool
+
+
 _MODELS_BY_SECTION: dict[str, type[_Section]] = {
     "instance": InstanceSection,
     "timing": TimingSection,
     "limits": LimitsSection,
     "availability-zones": ZonesSection,
+    "evacuation": EvacuationSection,
 }
 
 
