Pool, API and commands for evacuated zones

Cause: the at-most-once pool and the operators' interfaces knew drained backend servers only. Change: a pool places nothing in an evacuated zone or with an old view, refuses jobs at once and tells its size without these servers. Commands zone evacuate, return and list; the API refuses unknown zones and names the known ones.

--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -13,8 +13,11 @@
     Command,
     CommandStatus,
     DrainBackendServer,
+    EvacuateZone,
     ReturnBackendServer,
+    ReturnZone,
     SetClass,
+    ZoneCommand,
 )
 from boragetide.errors import LinkError
 from boragetide.messages import FetchConfiguration, History, ListHistory, Propose
@@ -81,13 +84,28 @@
     id: JobIdField
 
 
+class EvacuateZoneBody(_Body):
+    """The command ``evacuate_zone``."""
+
+    kind: Literal["evacuate_zone"]
+    zone: NameField
+
+
+class ReturnZoneBody(_Body):
+    """The command ``return_zone``."""
+
+    kind: Literal["return_zone"]
+    zone: NameField
+
+
 class CommandBody(_Body):
     """Body of ``POST /v1/configuration/commands``."""
 
     command_id: JobIdField
     expected_version: Annotated[int, Field(ge=0, le=MAX_VERSION)]
     command: Annotated[
-        SetClassBody | DrainBody | ReturnBody, Field(discriminator="kind")
+        SetClassBody | DrainBody | ReturnBody | EvacuateZoneBody | ReturnZoneBody,
+        Field(discriminator="kind"),
     ]
 
 
@@ -113,6 +131,16 @@
     return ReturnBackendServer(body.id)
 
 
+@to_command.register
+def _(body: EvacuateZoneBody) -> Command:
+    return EvacuateZone(body.zone)
+
+
+@to_command.register
+def _(body: ReturnZoneBody) -> Command:
+    return ReturnZone(body.zone)
+
+
 def describe_configuration(configuration: Configuration) -> dict[str, Any]:
     """Return the JSON body for a configuration."""
     classes = configuration.classes_by_name
@@ -120,6 +148,7 @@
         "version": configuration.version,
         "classes": [classes[name] for name in sorted(classes)],
         "drained": sorted(configuration.drained),
+        "evacuated_zones": sorted(configuration.evacuated_zones),
     }
 
 
@@ -137,6 +166,10 @@
             to_command(body.command), body.command_id, body.expected_version
         )
         try:
+            error = await self._find_zone_error(proposal.command)
+            if error is not None:
+                self.refuse(400, error)
+                return
             outcome = await self.runtime.ask(
                 self.runtime.local("configuration"), proposal, COMMAND_TIMEOUT
             )
@@ -155,6 +188,25 @@
             {"status": outcome.status, "version": outcome.version},
         )
 
+    async def _find_zone_error(self, command: Command) -> str | None:
+        """Return why a zone cannot be evacuated or returned, if it is not known.
+
+        A zone that is evacuated can be returned after the settings have dropped it.
+        """
+        if not isinstance(command, ZoneCommand):
+            return None
+        known = set(self.runtime.settings.zones)
+        if command.zone in known:
+            return None
+        if isinstance(command, ReturnZone):
+            own = self.runtime.local("configuration")
+            timeout = self.runtime.settings.timing.request_timeout
+            read = await self.runtime.ask(own, FetchConfiguration(), timeout)
+            if command.zone in read.configuration.evacuated_zones:
+                return None
+        names = ", ".join(sorted(known))
+        return f"zone: unknown availability zone {command.zone!r}; known are {names}"
+
 
 class ConfigurationHandler(Handler):
     """Shows the configuration in force on this instance."""
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -44,6 +44,7 @@
             *(choose_placer(runtime, zone) for zone in settings.zones),
         )
         placers = {each.placer for each in chosen}
+        configuration = configuration_reply.configuration
         self.respond(
             200,
             {
@@ -51,7 +52,9 @@
                 "availability_zone": settings.zone,
                 "incarnation": runtime.incarnation,
                 "stopping": runtime.stopping,
-                "configuration_version": configuration_reply.configuration.version,
+                "configuration_version": configuration.version,
+                "availability_zones": settings.zones,
+                "evacuated_zones": sorted(configuration.evacuated_zones),
                 "known_instances": len(settings.peers_by_id),
                 "instances": _add_roles(listed, placers),
                 "pool": dataclasses.asdict(pool),
--- a/boragetide/cli/changes.py
+++ b/boragetide/cli/changes.py
@@ -201,3 +201,35 @@
         """Propose the change."""
         self.propose({"kind": "return_backend_server", "id": self.argument("id")})
         return ExitCode.DONE
+
+
+class ZoneEvacuateCommand(ChangeCommand):
+    """Takes an availability zone out of service."""
+
+    name = "zone evacuate"
+    description = "Start no more tasks in an availability zone; running tasks continue"
+    help = (
+        "Example: boragetide zone evacuate zone-2\n"
+        "No task starts there from 5 s after the change was accepted. See also: "
+        "zone return, zone list."
+    )
+    arguments: ClassVar = [argument("zone", "Name of the availability zone")]
+
+    def handle(self) -> int:
+        """Propose the change."""
+        self.propose({"kind": "evacuate_zone", "zone": self.argument("zone")})
+        return ExitCode.DONE
+
+
+class ZoneReturnCommand(ChangeCommand):
+    """Takes an evacuated availability zone into service again."""
+
+    name = "zone return"
+    description = "Start tasks in an evacuated availability zone again, gradually"
+    help = "Example: boragetide zone return zone-2"
+    arguments: ClassVar = [argument("zone", "Name of the availability zone")]
+
+    def handle(self) -> int:
+        """Propose the change."""
+        self.propose({"kind": "return_zone", "zone": self.argument("zone")})
+        return ExitCode.DONE
--- a/boragetide/cli/views.py
+++ b/boragetide/cli/views.py
@@ -71,13 +71,15 @@
     help = "Example: boragetide config show"
 
     def handle(self) -> int:
-        """Print the version, the classes and the drained backend servers."""
+        """Print the version, the classes, and what is drained or evacuated."""
         configuration = self.read_body("GET", "/v1/configuration")
         drained = " ".join(configuration["drained"]) or "none"
+        evacuated = " ".join(configuration.get("evacuated_zones", ())) or "none"
         text = [
             f"version {configuration['version']}",
             _format_classes(configuration["classes"]),
             f"drained backend servers: {drained}",
+            f"evacuated availability zones: {evacuated}",
         ]
         self.emit(configuration, "\n".join(text))
         return ExitCode.DONE
@@ -157,6 +159,32 @@
     return ",".join(states) or "in service"
 
 
+class ZoneListCommand(OperatorCommand):
+    """Lists the availability zones."""
+
+    name = "zone list"
+    description = "List the availability zones and whether they are evacuated"
+    help = "Example: boragetide zone list"
+
+    def handle(self) -> int:
+        """Print one line per zone, with those that only the configuration names."""
+        status = self.read_body("GET", "/v1/status")
+        evacuated = set(status["evacuated_zones"])
+        states_by_zone = {
+            zone: "evacuated" if zone in evacuated else "in service"
+            for zone in sorted(evacuated.union(status["availability_zones"]))
+        }
+        listed = {
+            "version": status["configuration_version"],
+            "zones": [
+                {"zone": zone, "evacuated": zone in evacuated}
+                for zone in states_by_zone
+            ],
+        }
+        self.emit(listed, format_table(("ZONE", "STATE"), states_by_zone.items()))
+        return ExitCode.DONE
+
+
 class StatusCommand(OperatorCommand):
     """Shows one daemon's view of the system."""
 
@@ -188,5 +216,8 @@
             f"{pool['queued_tasks']} tasks queued",
             format_table(("ID", "ZONE", "ROLE", "SERVERS", "STATE", "STARTED"), rows),
         ]
+        evacuated = status.get("evacuated_zones")
+        if evacuated:
+            text.append(f"evacuated availability zones: {' '.join(evacuated)}")
         self.emit(status, "\n".join(text))
         return ExitCode.DONE
--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -10,15 +10,18 @@
 from boragetide.controllers.pool import (
     BackendServersState,
     find_target,
+    is_evacuated,
     refresh_server,
 )
 from boragetide.controllers.queueing import ClassQueue, QueuedJob, add_waiting
+from boragetide.controllers.zone_pool import apply_zones, refuse_for_zones
 from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
     AnnounceBackendServer,
     BackendServerList,
     CancelQueued,
     ConfigurationChanged,
+    ConfigurationConfirmed,
     DescribePool,
     Drain,
     DrainState,
@@ -57,7 +60,7 @@
     load = _measure_load(state, message.class_name)
     target = find_target(state, message.class_name)
     predicted = admission.predict_response(load, target, sum(sizes), max(sizes))
-    label, reason = _refuse(message, load, predicted, state)
+    label, reason = _refuse(message, load, predicted, state, now)
     if reason is not None:
         labels = {"class": message.class_name, "reason": label}
         refused = TasksRefused(message.job_id, reason)
@@ -79,11 +82,19 @@
     load: admission.Load,
     predicted: Seconds,
     state: BackendServersState,
+    now: Seconds,
 ) -> tuple[str, str | None]:
     """Return the label and reason of a refusal; an accepted job has no reason."""
+    reason = refuse_for_zones(state, now)
+    if reason is not None:
+        return "evacuation", reason
     if state.queued_tasks + len(message.tasks) > state.settings.limits.queued_tasks:
         return "queue_full", "the queue is full"
-    servers = (leased.server for leased in state.servers_by_id.values())
+    servers = (
+        leased.server
+        for leased in state.servers_by_id.values()
+        if not is_evacuated(state, leased)
+    )
     reason = admission.refuse_for_size(message.tasks, servers)
     if reason is not None:
         return "never_fits", reason
@@ -182,10 +193,20 @@
     message: ConfigurationChanged, state: BackendServersState, now: Seconds
 ) -> list[Effect]:
     state.configuration = message.configuration
+    changed = apply_zones(state, now)
     for server_id in state.servers_by_id:
         refresh_server(state, server_id, now)
     reviewing.update_aging(state)
-    return place_tasks(state, now)
+    return [*changed, *place_tasks(state, now)]
+
+
+@handle.register
+def _(
+    message: ConfigurationConfirmed, state: BackendServersState, now: Seconds
+) -> list[Effect]:
+    was_recent = state.zones.is_recent(now)
+    state.zones.confirm(message.version, message.confirmed_at)
+    return [] if was_recent else place_tasks(state, now)
 
 
 @handle.register
--- a/boragetide/controllers/leases.py
+++ b/boragetide/controllers/leases.py
@@ -15,6 +15,7 @@
     LeasedServer,
     clear_pool,
     grant_lease,
+    is_evacuated,
     refresh_server,
     remove_server,
 )
@@ -125,7 +126,8 @@
 def report_pool_size(state: BackendServersState) -> Effect:
     """Tell the instances controller how many backend servers can take tasks."""
     accepting = sum(
-        not leased.server.leaving for leased in state.servers_by_id.values()
+        not (leased.server.leaving or is_evacuated(state, leased))
+        for leased in state.servers_by_id.values()
     )
     return Send(Address(state.settings.id, "instances"), PoolSize(accepting))
 
--- a/boragetide/controllers/placing.py
+++ b/boragetide/controllers/placing.py
@@ -26,6 +26,7 @@
 )
 from boragetide.effects import Effect, LogEvent, StartTasks
 from boragetide.policy import learning, ordering, placement, retries
+from boragetide.policy.zones import find_obstacle
 from boragetide.types import BackendServerId, ClassName, Seconds, TaskStart
 
 # Limits of one placement round: free servers compared for a task, expected slot
@@ -81,6 +82,8 @@
 
 def place_tasks(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Start as many queued tasks as there are useful free slots, batched by server."""
+    if find_obstacle(state.settings.zone, state.zones, now) is not None:
+        return []
     placement_round = _PlacementRound(now)
     while state.free_servers and state.queued_tasks and not placement_round.complete:
         placement_round.complete = True
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -9,9 +9,10 @@
 
 from boragetide.controllers.queueing import ClassQueue, QueuedJob
 from boragetide.policy.admission import Margin
-from boragetide.policy.ejection import ServerHealth, Tally
+from boragetide.policy.ejection import ServerHealth, Tally, start_probing
 from boragetide.policy.learning import SizeModel, SpeedModel, predict_speed
 from boragetide.policy.retries import RetryBudget
+from boragetide.policy.zones import MAX_TRIAL_TIME, ZoneView
 from boragetide.settings import Settings
 from boragetide.types import (
     BackendServer,
@@ -24,6 +25,7 @@
     Seconds,
     Task,
     TaskId,
+    ZoneId,
 )
 
 # A learned speed is updated in the indexes only if it changed by at least this share.
@@ -134,6 +136,10 @@
     placer, role_lost_at
         Instance that places for this zone, and the Unix time at which this instance
         lost that role, if it had it.
+    zones
+        What this instance knows of the evacuated zones.
+    returned_at_by_zone
+        Time at which this instance learned that a zone has returned to service.
     """
 
     settings: Settings
@@ -171,6 +177,16 @@
     placer: InstanceId | None = None
     role_lost_at: Seconds | None = None
     stopping: bool = False
+    zones: ZoneView = field(init=False)
+    returned_at_by_zone: dict[ZoneId, Seconds] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.zones = ZoneView(enabled=self.settings.evacuation)
+
+
+def is_evacuated(state: BackendServersState, leased: LeasedServer) -> bool:
+    """Return whether the zone of a server is evacuated."""
+    return leased.server.zone in state.zones.evacuated
 
 
 def is_available(state: BackendServersState, leased: LeasedServer) -> bool:
@@ -180,6 +196,7 @@
         leased.confirmed
         and not server.leaving
         and server.id not in state.configuration.drained
+        and not is_evacuated(state, leased)
         and leased.health.limit > 0
     )
 
@@ -191,6 +208,9 @@
     state.lease_count += 1
     lease = f"{state.settings.id}/{state.incarnation}/{state.lease_count}"
     leased = state.servers_by_id[server.id] = LeasedServer(server, lease, now)
+    returned_at = state.returned_at_by_zone.get(server.zone)
+    if returned_at is not None and now - returned_at <= MAX_TRIAL_TIME:
+        start_probing(leased.health)
     return leased
 
 
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -13,12 +13,14 @@
 from boragetide.controllers.pool import (
     BackendServersState,
     find_target,
+    is_evacuated,
     refresh_server,
 )
 from boragetide.controllers.queueing import QueuedJob, put_job, remove_job
 from boragetide.effects import Effect, Send
 from boragetide.messages import TaskEnded
 from boragetide.policy import admission, ejection, learning, ordering
+from boragetide.policy.zones import MAX_VIEW_AGE
 from boragetide.types import Address, Seconds, TaskOutcome, TaskStatus
 
 REVIEW_INTERVAL: Seconds = 1.0
@@ -73,14 +75,20 @@
 def _end_jobs_without_servers(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Refuse or end all waiting jobs of a pool that has no available server.
 
+    A pool whose view of the evacuated zones is too old for starts counts as one.
+
     A pool that has just lost its last server waits for the length of a lease, because
     servers that moved to another placer come back within that time.
     """
-    if state.total_slots:
+    if not state.zones.is_recent(now):
+        unavailable_since = state.zones.confirmed_at + MAX_VIEW_AGE
+    elif state.total_slots:
         return []
-    if state.unavailable_since is None:
-        state.unavailable_since = now
-    if now - state.unavailable_since <= state.settings.timing.lease_expiry:
+    else:
+        if state.unavailable_since is None:
+            state.unavailable_since = now
+        unavailable_since = state.unavailable_since
+    if now - unavailable_since <= state.settings.timing.lease_expiry:
         return []
     return _end_waiting_jobs(state, list(state.jobs_by_id.values()), now)
 
@@ -90,7 +98,11 @@
     if not state.total_slots:
         return []
     demanding = [state.jobs_by_id[job_id] for job_id in state.jobs_needing_resources]
-    servers = [leased.server for leased in state.servers_by_id.values()]
+    servers = [
+        leased.server
+        for leased in state.servers_by_id.values()
+        if not is_evacuated(state, leased)
+    ]
     return _end_waiting_jobs(
         state,
         [
--- /dev/null
+++ b/boragetide/controllers/zone_pool.py
@@ -0,0 +1,64 @@
+"""Evacuation and return of the pool's availability zone."""
+
+from __future__ import annotations
+
+from boragetide.controllers.leases import report_pool_size
+from boragetide.controllers.pool import BackendServersState, is_evacuated
+from boragetide.effects import Effect, LogEvent, SetGauge
+from boragetide.policy import ejection
+from boragetide.policy.learning import SpeedModel
+from boragetide.policy.zones import MAX_TRIAL_TIME, begin_trial
+from boragetide.types import Seconds
+
+
+def refuse_for_zones(state: BackendServersState, now: Seconds) -> str | None:
+    """Return why no job is accepted, as far as the evacuated zones go."""
+    if not state.zones.is_recent(now):
+        return "this instance cannot confirm which availability zones are evacuated"
+    servers = state.servers_by_id.values()
+    if servers and all(is_evacuated(state, leased) for leased in servers):
+        return f"availability zone {state.settings.zone!r} is evacuated"
+    return None
+
+
+def apply_zones(state: BackendServersState, now: Seconds) -> list[Effect]:
+    """Apply the evacuated zones of the configuration in force.
+
+    The servers of a zone that returns get one task each at first, as ejected servers
+    do, and their learned speeds are forgotten. They may have restarted.
+    """
+    before = state.zones.evacuated
+    state.zones.apply(state.configuration)
+    after = state.zones.evacuated
+    if before == after:
+        return []
+    returned = state.returned_at_by_zone
+    for zone, returned_at in list(returned.items()):
+        if zone in after or now - returned_at > MAX_TRIAL_TIME:
+            del returned[zone]
+    returned |= dict.fromkeys(before - after, now)
+    for server_id, leased in state.servers_by_id.items():
+        if leased.server.zone in before - after:
+            leased.speed_model = SpeedModel()
+            trial = begin_trial(server_id, now)
+            ejection.suspend(leased.health, trial.begins_at)
+            state.ejected.add(server_id)
+    own = state.settings.zone
+    effects: list[Effect] = [
+        SetGauge("evacuated_zones", len(after)),
+        report_pool_size(state),
+    ]
+    if (own in before) == (own in after):
+        return effects
+    fields = {
+        "zone": own,
+        "version": state.configuration.version,
+        "evacuated": len(after),
+        "servers": len(state.servers_by_id),
+        "running": sum(
+            len(leased.running_by_id) for leased in state.servers_by_id.values()
+        ),
+        "waiting": state.queued_tasks,
+    }
+    event = "zone_evacuated" if own in after else "zone_returned"
+    return [LogEvent(event, fields), *effects]
--- a/boragetide/policy/ejection.py
+++ b/boragetide/policy/ejection.py
@@ -152,6 +152,13 @@
     health.probe_at = now + wait * spread
 
 
+def suspend(health: ServerHealth, until: Seconds) -> None:
+    """Let a server wait for its first probe, as if it had been ejected."""
+    health.limit = 0
+    health.evidence = 0.0
+    health.probe_at = until
+
+
 def start_probing(health: ServerHealth) -> None:
     """Allow one probe task on an ejected server."""
     health.limit = 1
