Orders of the platform's operators about zones

Cause: the platform's operators send begin and finish without an id, again to any instance, so that a delayed copy could undo a later order. Change: an instance reads the number of the zone's orders from the leader and proposes the command with it; copies with an old number have no effect. The check of authority does not depend on a dispatcher.

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -173,8 +173,7 @@
     member = state.member
     return (
         member is not None
-        and state.leadership.announced_term > 0
-        and now < member.authority_until(now)
+        and confirmations.has_authority(member, now)
         and state.distribution.version >= member.catalogue.configuration.version
     )
 
--- a/boragetide/filters/leader_calls.py
+++ b/boragetide/filters/leader_calls.py
@@ -29,10 +29,12 @@
     LeaderFound,
     Propose,
     ReadConfiguration,
+    ReadZone,
     RemoveServer,
     ReportServer,
     Request,
     ServerReported,
+    ZoneRead,
 )
 from boragetide.types import Address, InstanceId, Seconds, Status
 
@@ -102,7 +104,7 @@
     route: MemberRoute, reply: Any, timeout: Seconds
 ) -> InstanceId | None:
     """Return the leader that the own member of the log knows."""
-    if not isinstance(reply, ConfigurationRead):
+    if not isinstance(reply, ConfigurationRead | ZoneRead):
         to = route.runtime.local(name_controller("configuration", route.group))
         reply = await route.runtime.ask(to, ReadConfiguration(), timeout)
     return reply.leader
@@ -153,6 +155,7 @@
 
 @find_controller.register(Propose)
 @find_controller.register(ReadConfiguration)
+@find_controller.register(ReadZone)
 def _(message: Request) -> str:
     return "configuration"
 
@@ -193,6 +196,11 @@
     return reply.configuration is not None
 
 
+@is_final.register
+def _(reply: ZoneRead, message: Request) -> bool:
+    return reply.order is not None
+
+
 @is_final.register
 def _(reply: ServerReported, message: Request) -> bool:
     """Accept any member's reply, except for a backend server that is leaving."""
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -82,7 +82,7 @@
         id=server_id,
         address=f"{server_id}:80",
         pool=fields.pop("pool", "pool"),
-        zone="a",
+        zone=fields.pop("zone", "a"),
         capacity=fields.pop("capacity", CAPACITY),
         born=born,
         sequence=sequence,
