Random runs evacuate and return zones

The members' random runs check that no view is confirmed that lacks an acknowledged change; the dispatcher's, that nothing is ordered in an evacuated zone later than the bound, and that jobs finish after a return. A member that does not lead forwards a question for confirmation, since an instance without the log may know no leader after members were replaced.

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatch
 from typing import Any
 
@@ -401,12 +401,22 @@
     message: AskConfirmation, state: ConfigurationState, now: Seconds
 ) -> list[Effect]:
     if not _has_authority(state, now):
-        return []
+        return _forward_question(message, state)
     version = state.distribution.version
     answer = VersionConfirmed(state.settings.id, message.number, version)
     return [Send(Address(message.sender, "configuration"), answer)]
 
 
+def _forward_question(
+    message: AskConfirmation, state: ConfigurationState
+) -> list[Effect]:
+    leader = None if state.member is None else state.member.leader
+    if message.forwarded or leader in (None, state.settings.id):
+        return []
+    onward = replace(message, forwarded=True)
+    return [Send(Address(leader, "configuration"), onward)]
+
+
 @handle.register
 def _(
     message: VersionConfirmed, state: ConfigurationState, now: Seconds
--- a/boragetide/messages/configuration.py
+++ b/boragetide/messages/configuration.py
@@ -55,10 +55,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AskConfirmation:
-    """Asks the leader of group 0 for the newest version; a number for each question."""
+    """Asks the leader of group 0 for the newest version; a number for each question.
+
+    A member that does not lead forwards the question once, because an instance without
+    the log may not know the leader.
+    """
 
     sender: InstanceId
     number: int
+    forwarded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/properties/simulated_server.py
+++ b/properties/simulated_server.py
@@ -65,6 +65,8 @@
     ----------
     started_at, clock_rate
         Time at which the clock of this process showed 0, and its rate.
+    zone
+        Availability zone.
     lease_until
         Time on the clock of this process at which everything that runs is killed.
     lapsed_ends
@@ -99,6 +101,7 @@
     id: str
     started_at: Seconds
     clock_rate: float = 1.0
+    zone: str = "a"
     born: int = 900_000_000
     sequence: int = 0
     fence: int = 0
@@ -174,6 +177,7 @@
             labels=self.labels,
             draining=self.draining,
             clock=self.read_clock(now),
+            zone=self.zone,
         )
 
     def advance(self, now: Seconds) -> None:
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -21,14 +21,23 @@
     RECORD_TYPES,
     CommandStatus,
     DrainBackendServer,
+    EvacuateZone,
     RegisterAcceptor,
+    ReturnZone,
     SetClass,
+    ZoneCommand,
 )
 from boragetide.controllers.configuration import ConfigurationState, handle, make_state
 from boragetide.effects import Effect, LogEvent, Persist, Reply, SaveSnapshot, Send
 from boragetide.encoding import decode_command
 from boragetide.links.codec import Envelope, decode_body, encode_body
-from boragetide.messages import ConfigurationChanged, NewerConfiguration, Propose, Tick
+from boragetide.messages import (
+    ConfigurationChanged,
+    ConfigurationConfirmed,
+    NewerConfiguration,
+    Propose,
+    Tick,
+)
 from boragetide.policy import replica as replica_module
 from boragetide.policy.replica import Replica, Role, restore_replica
 from boragetide.settings import Peer, Settings
@@ -38,6 +47,8 @@
 EXAMPLES = 150
 COMMIT_NEWS_TIME = 0.5  # seconds; some heartbeats of a leader
 CONVERGENCE_TIME = 12.0  # seconds within which all agree once faults are repaired
+CALM_TIME = 3.0  # seconds within which an election that has begun is over
+ZONES = ("z1", "z2")
 TYPES_BY_NAME = {type_.__name__: type_ for type_ in RECORD_TYPES}
 COMMAND_IDS = [f"c{number}" for number in range(8)]
 
@@ -79,6 +90,7 @@
         self.versions_by_command: dict[str, set[int]] = {}
         self.commands_by_version: dict[int, str] = {}
         self.contents_by_version: dict[int, Any] = {}
+        self.accepted_at_by_version: dict[int, float] = {}
         self.leaders_by_term: dict[int, tuple[str, int]] = {}
         self.first_by_instance: dict[str, int] = {}
         for node in self.nodes_by_id.values():
@@ -97,7 +109,7 @@
             node.state.replica.jitter = random.Random(self.random.random())
 
     def make_settings(self, node: Node) -> Settings:
-        return Settings(node.id, "a", self.peers_by_id, None)
+        return Settings(node.id, "a", self.peers_by_id, None, evacuation=True)
 
     @staticmethod
     def decode_record(data: bytes) -> Any:
@@ -131,6 +143,9 @@
             case Send(to, ConfigurationChanged(configuration)):
                 if to.controller == "instances":
                     self.check_in_force(node, configuration)
+            case Send(to, ConfigurationConfirmed() as confirmed):
+                assert to.instance == node.id
+                self.check_confirmed(node, confirmed)
             case Send(to, message):
                 kind = type(message).__name__
                 body = encode_body(message)
@@ -152,6 +167,13 @@
         known = self.contents_by_version.setdefault(node.version, configuration)
         assert known == configuration
 
+    def check_confirmed(self, node: Node, confirmed: ConfigurationConfirmed) -> None:
+        """Check that nothing newer was acknowledged before the confirmed time."""
+        assert confirmed.version <= node.version
+        for version, accepted_at in self.accepted_at_by_version.items():
+            is_newer = version > confirmed.version
+            assert not (is_newer and accepted_at < confirmed.confirmed_at), node.id
+
     def check_outcome(self, to: ReplyTo, message: Any) -> None:
         propose = self.nodes_by_id[to.instance].proposals[to.request]
         if message.status is CommandStatus.UNKNOWN:
@@ -172,6 +194,10 @@
         known = self.outcomes_by_command.setdefault(propose.command_id, outcome)
         assert known == outcome
         if message.status is CommandStatus.ACCEPTED:
+            self.accepted_at_by_version.setdefault(message.version, self.now)
+        if isinstance(command, ZoneCommand):
+            self.check_zone(command, message)
+        elif message.status is CommandStatus.ACCEPTED:
             # A command id that is reused with another version keeps its first outcome.
             expected = self.versions_by_command[propose.command_id]
             assert message.version - 1 in expected
@@ -180,6 +206,16 @@
                 == propose.command_id
             )
 
+    def check_zone(self, command: Any, message: Any) -> None:
+        """Check that an accepted command is in force, whether it changed anything.
+
+        A version that was replaced by a newer one at once was in force nowhere.
+        """
+        content = self.contents_by_version.get(message.version)
+        if message.status is CommandStatus.ACCEPTED and content is not None:
+            is_evacuated = command.zone in content.evacuated_zones
+            assert is_evacuated == isinstance(command, EvacuateZone)
+
     def run_for(self, seconds: float, loss: float) -> None:
         end = self.now + seconds
         while self.now < end:
@@ -193,6 +229,21 @@
             for sender, to, envelope in waiting:
                 self.deliver(sender, to, envelope, loss)
 
+    def await_calm(self) -> None:
+        """Let an election end that has begun by chance just before.
+
+        Ticks are random: a leader that has none for 0.5 s, one time in a thousand, is
+        replaced, and the versions of the others lag for a moment.
+        """
+        end = self.now + CALM_TIME
+        while self.now < end:
+            states = [node.state for node in self.list_disks()]
+            roles = {state.replica.role for state in states}
+            versions = {state.distribution.version for state in states}
+            if roles == {Role.LEADER, Role.FOLLOWER} and len(versions) == 1:
+                return
+            self.run_for(STEP, loss=0.0)
+
     def await_same_entries(self) -> None:
         """Let the members learn what their leader has committed just now.
 
@@ -271,6 +322,32 @@
             )
             self.run_for(pause, loss)
 
+    @rule(
+        number=st.integers(0, 9),
+        zone=st.sampled_from(ZONES),
+        evacuates=st.booleans(),
+        ahead=st.sampled_from([None, 0, 0, -1]),
+        order=st.sampled_from([None, 0, 1, 2]),
+        operators=st.integers(1, 2),
+    )
+    def change_zone(
+        self,
+        number: int,
+        zone: str,
+        evacuates: bool,
+        ahead: int | None,
+        order: int | None,
+        operators: int,
+    ) -> None:
+        """Evacuate or return a zone; the second operator asks for the opposite."""
+        newest = max(self.contents_by_version, default=0)
+        version = None if ahead is None else max(newest + ahead, 0)
+        for operator in range(operators):
+            self.commands += 1
+            kind = EvacuateZone if evacuates != bool(operator) else ReturnZone
+            propose = Propose(kind(zone, order), f"z{self.commands}", version)
+            self.send_proposal(self.select_node(number + operator), propose)
+
     @rule(number=st.integers(0, 9), instance=st.sampled_from(["i1", "i2"]))
     def register(self, number: int, instance: str) -> None:
         node = self.select_node(number)
@@ -357,13 +434,16 @@
             for number in range(0 if node.retired else 4):
                 self.resend(list(self.nodes_by_id).index(node.id), number)
         self.run_for(2.0, loss=0.0)
+        self.await_calm()
         self.await_same_entries()
-        newest = max([0, *self.commands_by_version])
+        newest = max([0, *self.accepted_at_by_version])
         for node in (*self.list_disks(), self.nodes_by_id["x0"]):
             in_force = node.state.distribution.in_force
             assert in_force is not None, node.id
             assert in_force == self.contents_by_version[in_force.version]
             assert newest <= in_force.version == max(self.contents_by_version)
+            confirmed_at = node.state.confirmations.confirmed_at
+            assert self.now - confirmed_at < CALM_TIME, node.id
         members = [node.state.replica for node in self.list_disks()]
         assert {member.role for member in members} <= {Role.LEADER, Role.FOLLOWER}
         for member in members:
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -35,6 +35,8 @@
 from boragetide.messages import (
     AppendCommands,
     CancelDurableJob,
+    ConfigurationChanged,
+    ConfigurationConfirmed,
     JobsCommitted,
     LeadershipGained,
     LeadershipLost,
@@ -51,9 +53,10 @@
 )
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.fencing import get_term
+from boragetide.policy.zones import MAX_VIEW_AGE, RETURN_SPREAD
 from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
-from boragetide.types import ReplyTo, Seconds
+from boragetide.types import Configuration, ReplyTo, Seconds
 from properties.simulated_server import CAPACITY, FAILING_SPEC, SimulatedServer
 
 STEP: Seconds = 0.05
@@ -83,6 +86,7 @@
 EXPIRED_AGE: Seconds = 20.0  # age at which a job is of no use to its caller any more
 SERVERS = ("s1", "s2", "s3")
 MAX_SERVERS = 6
+ZONES = ("z1", "z2")  # of the servers in turn
 # Change of `born` from one process of a backend server to the next, in milliseconds.
 BORN_CHANGES = (1, 1, -2000)
 CLOCK_RATES = (1.0, 0.98, 1.0)
@@ -109,6 +113,11 @@
 )
 
 
+def find_zone(server_id: str) -> str:
+    """Return the zone of a server, of which each has some."""
+    return ZONES[int(server_id[1:]) % len(ZONES)]
+
+
 class Dispatch(RuleBasedStateMachine):
     """One leader at a time; delayed orders of earlier leaders still arrive.
 
@@ -121,10 +130,15 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = BEGIN
+        self.configuration: Configuration | None = None
+        self.evacuated_at_by_zone: dict[str, Seconds] = {}
+        self.view_is_cut = False
         self.term = 0
         self.catalogue = Catalogue()
         self.backends = {
-            name: SimulatedServer(name, self.now - uptime, clock_rate=rate)
+            name: SimulatedServer(
+                name, self.now - uptime, clock_rate=rate, zone=find_zone(name)
+            )
             for name, uptime, rate in zip(SERVERS, UPTIMES, CLOCK_RATES, strict=True)
         }
         self.state = self.make_state(age=10.0)
@@ -150,7 +164,10 @@
         """Return the state of a process that started ``age`` seconds ago."""
         started_at = int((self.now - age) * 1000)
         embedded = parse_settings(EMBEDDED_DEFAULT)
-        return DispatcherState(embedded, started_at, members=("local", "standby"))
+        made = DispatcherState(embedded, started_at, members=("local", "standby"))
+        if self.configuration is not None:
+            dispatcher.handle(ConfigurationChanged(self.configuration), made, self.now)
+        return made
 
     def start_leader(self, predecessor_until: Seconds) -> None:
         """Start the next leader.
@@ -261,6 +278,7 @@
         backend = self.backends[order.server]
         if started:
             self.started_at.add(order.server)
+            self.check_zone(backend)
         fate = self.next_fate(backend)
         result = OrderResult.UNANSWERED
         if fate.startswith("misdirected"):
@@ -286,6 +304,23 @@
         pause = ORDER_TIMEOUT if result is OrderResult.UNANSWERED else 0.0
         self.schedule_answer(answer, self.now + pause, fate)
 
+    def check_zone(self, backend: SimulatedServer) -> None:
+        """Check that nothing is ordered in an evacuated zone after the bound."""
+        evacuated_at = self.evacuated_at_by_zone.get(backend.zone)
+        if evacuated_at is not None:
+            assert self.now <= evacuated_at + MAX_VIEW_AGE, backend.id
+
+    def inform_of_zones(self) -> None:
+        """Deliver the newest zones, and the confirmation that they are the newest."""
+        newest = self.configuration
+        if newest is None:
+            return
+        confirmed = ConfigurationConfirmed(newest.version, self.now)
+        for message in (ConfigurationChanged(newest), confirmed):
+            dispatcher.handle(message, self.standby, self.now)
+            if not self.view_is_cut:
+                self.handle(message)
+
     def schedule_answer(self, answer: Any, arrives_at: Seconds, fate: str) -> None:
         """Schedule the handling of an answer or of a time-out by the leader."""
         if fate.endswith("handled_late"):
@@ -428,6 +463,7 @@
                 action()
             self.commit()
             self.state.authority_until = self.now + AUTHORITY_DURATION
+            self.inform_of_zones()
             self.handle(Tick())
             self.inform_standby()
 
@@ -558,7 +594,9 @@
     def join(self, hangs: bool) -> None:
         """Add a backend server, which announces itself at the leader."""
         name = f"s{len(self.backends) + 1}"
-        self.backends[name] = SimulatedServer(name, self.now, hangs=hangs)
+        self.backends[name] = SimulatedServer(
+            name, self.now, hangs=hangs, zone=find_zone(name)
+        )
         self.announce()
 
     @precondition(lambda self: len(self.backends) < MAX_SERVERS)
@@ -694,6 +732,33 @@
             self.submit(4, chained=False)
             self.run_for(0.5)
 
+    @rule(
+        number=st.integers(0, 1),
+        evacuates=st.booleans(),
+        is_cut=st.booleans(),
+        seconds=st.sampled_from([0.0, 0.5, MAX_VIEW_AGE + STEP]),
+    )
+    def change_zone(
+        self, number: int, evacuates: bool, is_cut: bool, seconds: Seconds
+    ) -> None:
+        """Evacuate a zone, or return it; the leader may learn of it later or never."""
+        zone = ZONES[number]
+        self.view_is_cut = is_cut
+        known = self.configuration or Configuration()
+        zones = known.evacuated_zones
+        self.configuration = replace(
+            known,
+            version=known.version + 1,
+            evacuated_zones=zones | {zone} if evacuates else zones - {zone},
+            evacuation_used=True,
+        )
+        if evacuates:
+            self.evacuated_at_by_zone.setdefault(zone, self.now)
+        else:
+            self.evacuated_at_by_zone.pop(zone, None)
+        self.submit(4, chained=False)
+        self.run_for(seconds)
+
     @rule()
     def heartbeat(self) -> None:
         self.announce()
@@ -767,6 +832,7 @@
             backend.start_process(self.now)
             backend.capacity = CAPACITY
         self.standby_is_deaf = False
+        self.return_zones()
         repaired_at = self.now
         self.run_with_announcements(SETTLING_DURATION + self.compute_work_duration())
         self.run_failing_jobs()
@@ -776,6 +842,19 @@
         self.no_task_exceeds_its_attempts()
         self.run_with_announcements(CALM_DURATION - (self.now - repaired_at))
 
+    def return_zones(self) -> None:
+        """Return all zones, and wait until all servers are in service."""
+        self.view_is_cut = False
+        if self.configuration is None:
+            return
+        self.configuration = replace(
+            self.configuration,
+            version=self.configuration.version + 1,
+            evacuated_zones=frozenset(),
+        )
+        self.evacuated_at_by_zone.clear()
+        self.run_with_announcements(RETURN_SPREAD)
+
     def run_failing_jobs(self) -> None:
         """Advance the clock until the failing jobs have ended, within a bound.
 
