--- a/boragetide/messages/replies.py
+++ b/boragetide/messages/replies.py
@@ -32,6 +32,8 @@
     ListHistory,
     PackedProposal,
     Propose,
+    ReadZone,
+    ZoneRead,
 )
 from boragetide.messages.directory import (
     AdmissionReply,
@@ -91,6 +93,7 @@
     PackedProposal: (CommandOutcome,),
     Propose: (CommandOutcome,),
     ReadConfiguration: (ConfigurationRead,),
+    ReadZone: (ZoneRead,),
     RemoveServer: (ServerReported,),
     ReportServer: (ServerReported,),
     SaveClaims: (DrainState,),
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -108,6 +108,9 @@
     derive_classes
         Returns the classes of a published text, on a front end that has such texts, so
         that a configuration is sent without its classes.
+    evacuation
+        Whether availability zones may be evacuated, so that instances that are cut off
+        from the log start nothing from the beginning; see `policy.zones`.
     """
 
     id: InstanceId
@@ -127,6 +130,7 @@
     follows_leader: bool = True
     ids_are_addresses: bool = False
     derive_classes: DeriveClasses | None = None
+    evacuation: bool = False
 
     @property
     def dispatches(self) -> bool:
@@ -231,6 +235,7 @@
             *(("dispatcher",) if own.disk else ()),
         ),
         follows_leader=False,
+        evacuation="evacuation" in sections and sections["evacuation"].enabled,
     )
 
 
--- a/boragetide/types.py
+++ b/boragetide/types.py
@@ -186,6 +186,10 @@
     document
         Text of the published configuration as a front end received it, stored for that
         front end only.
+    evacuated_zones
+        Availability zones whose backend servers get no new work.
+    evacuation_used
+        Whether any zone was ever evacuated.
     """
 
     version: int = 0
@@ -195,6 +199,8 @@
     drained: frozenset[BackendServerId] = frozenset()
     revision: int = 0
     document: str = ""
+    evacuated_zones: frozenset[ZoneId] = frozenset()
+    evacuation_used: bool = False
 
 
 @dataclass(frozen=True, slots=True)
