--- /dev/null
+++ b/boragetide/policy/body_budget.py
@@ -0,0 +1,216 @@
+"""Decides which request bodies a process holds, and which it drops when they are many.
+
+All HTTP servers of a process share one budget. Bodies above a certain size may not
+use the part that is reserved for small ones, so that ordinary callers are served while
+large bodies compete for the rest. When the budget is used up, the unfinished body that
+has gone longest without progress is dropped first. A body that was handed over to be
+handled is never dropped, because its job may have started.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from boragetide.types import Seconds
+
+BodyId: TypeAlias = Hashable
+
+# Parts of the budget that are reserved for small bodies.
+RESERVED_SHARE = 0.125
+# A job with a `spec` of 4,000 bytes and all of its steps stays below this size.
+SMALL_BODY = 64 * 1024  # bytes
+# A handed over body exists twice: in the buffer in which it was received, which tornado
+# keeps until the response is sent, and as the body that is parsed or its parsed form.
+HANDED_OVER_FACTOR = 2
+
+
+@dataclass(slots=True)
+class UnfinishedBody:
+    """A body of which a part has arrived.
+
+    Parameters
+    ----------
+    received
+        Bytes that are held; 0 if what arrives is discarded.
+    began_at, progressed_at
+        Times at which the first and the last bytes arrived.
+    """
+
+    received: int
+    began_at: Seconds
+    progressed_at: Seconds
+
+
+@dataclass(slots=True)
+class BodyBudget:
+    """Bytes that the bodies of a process use.
+
+    Parameters
+    ----------
+    limit
+        Most bytes in use.
+    small_by_id, large_by_id
+        Unfinished bodies up to `SMALL_BODY` and above it. Those without progress for
+        longest come first.
+    handed_over_by_id
+        Bytes charged for bodies that are being handled.
+    used
+        Bytes in use.
+    used_by_large
+        Those of them that bodies above `SMALL_BODY` use.
+    """
+
+    limit: int
+    small_by_id: OrderedDict[BodyId, UnfinishedBody] = field(
+        default_factory=OrderedDict
+    )
+    large_by_id: OrderedDict[BodyId, UnfinishedBody] = field(
+        default_factory=OrderedDict
+    )
+    handed_over_by_id: dict[BodyId, int] = field(default_factory=dict)
+    used: int = 0
+    used_by_large: int = 0
+
+    @property
+    def limit_of_large(self) -> int:
+        """Most bytes that bodies above `SMALL_BODY` may use together."""
+        return self.limit - int(self.limit * RESERVED_SHARE)
+
+
+def compute_smallest_limit(body_bytes: int) -> int:
+    """Return the least limit with which a body of ``body_bytes`` can be handled."""
+    return int(body_bytes * HANDED_OVER_FACTOR / (1 - RESERVED_SHARE)) + 1
+
+
+def receive(
+    budget: BodyBudget, body_id: BodyId, size: int, now: Seconds
+) -> list[BodyId]:
+    """Charge bytes that arrived, and return the bodies that must be dropped for them.
+
+    The dropped bodies are no longer charged. The list contains ``body_id`` itself if no
+    other body can make room for it.
+    """
+    body = _take_unfinished(budget, body_id)
+    received = size + (0 if body is None else body.received)
+    began_at = now if body is None else body.began_at
+    is_large = received > SMALL_BODY
+    by_id = budget.large_by_id if is_large else budget.small_by_id
+    by_id[body_id] = UnfinishedBody(received, began_at, now)
+    _charge(budget, received, is_large)
+    return _make_room(budget, is_large)
+
+
+def discard(budget: BodyBudget, body_id: BodyId, now: Seconds) -> None:
+    """Record that bytes arrived of a body that is too large and not kept."""
+    body = _take_unfinished(budget, body_id)
+    began_at = now if body is None else body.began_at
+    budget.small_by_id[body_id] = UnfinishedBody(0, began_at, now)
+
+
+def hand_over(
+    budget: BodyBudget, body_id: BodyId, size: int
+) -> tuple[bool, list[BodyId]]:
+    """Charge a complete body that is about to be handled.
+
+    Parameters
+    ----------
+    size
+        Bytes of the body, which need not have been passed to `receive`.
+
+    Returns
+    -------
+    bool
+        Whether it can be handled. If not, it is no longer charged and must be refused.
+    list[BodyId]
+        Unfinished bodies that must be dropped for it.
+    """
+    _take_unfinished(budget, body_id)
+    is_large = size > SMALL_BODY
+    charged = size * HANDED_OVER_FACTOR
+    _charge(budget, charged, is_large)
+    dropped = _make_room(budget, is_large)
+    if _has_excess(budget, is_large):
+        _charge(budget, -charged, is_large)
+        return False, dropped
+    budget.handed_over_by_id[body_id] = charged
+    return True, dropped
+
+
+def release(budget: BodyBudget, body_id: BodyId) -> None:
+    """Stop charging a body that was handled or that its client has left."""
+    charged = budget.handed_over_by_id.pop(body_id, None)
+    if charged is None:
+        _take_unfinished(budget, body_id)
+    else:
+        _charge(budget, -charged, charged > SMALL_BODY * HANDED_OVER_FACTOR)
+
+
+def find_stalest(budget: BodyBudget) -> BodyId | None:
+    """Return the unfinished body without progress for longest, if there is one."""
+    heads = [
+        (body.progressed_at, body_id)
+        for by_id in (budget.small_by_id, budget.large_by_id)
+        for body_id, body in _get_first(by_id)
+    ]
+    return min(heads, key=lambda head: head[0])[1] if heads else None
+
+
+def find_overdue(budget: BodyBudget, timeout: Seconds, now: Seconds) -> list[BodyId]:
+    """Return the unfinished bodies whose first byte arrived over ``timeout`` ago."""
+    return [
+        body_id
+        for by_id in (budget.small_by_id, budget.large_by_id)
+        for body_id, body in by_id.items()
+        if now - body.began_at > timeout
+    ]
+
+
+def drop(budget: BodyBudget, body_id: BodyId) -> None:
+    """Stop charging an unfinished body."""
+    _take_unfinished(budget, body_id)
+
+
+def _get_first(
+    by_id: OrderedDict[BodyId, UnfinishedBody],
+) -> list[tuple[BodyId, UnfinishedBody]]:
+    return [next(iter(by_id.items()))] if by_id else []
+
+
+def _take_unfinished(budget: BodyBudget, body_id: BodyId) -> UnfinishedBody | None:
+    """Remove an unfinished body, which is no longer charged, and return it."""
+    for by_id, is_large in ((budget.small_by_id, False), (budget.large_by_id, True)):
+        body = by_id.pop(body_id, None)
+        if body is not None:
+            _charge(budget, -body.received, is_large)
+            return body
+    return None
+
+
+def _charge(budget: BodyBudget, size: int, is_large: bool) -> None:
+    budget.used += size
+    if is_large:
+        budget.used_by_large += size
+
+
+def _has_excess(budget: BodyBudget, is_large: bool) -> bool:
+    if is_large and budget.used_by_large > budget.limit_of_large:
+        return True
+    return budget.used > budget.limit
+
+
+def _make_room(budget: BodyBudget, is_large: bool) -> list[BodyId]:
+    """Drop unfinished bodies until the budget suffices, or none is left to drop."""
+    dropped: list[BodyId] = []
+    while _has_excess(budget, is_large):
+        if is_large and budget.used_by_large > budget.limit_of_large:
+            stalest = next(iter(budget.large_by_id), None)
+        else:
+            stalest = find_stalest(budget)
+        if stalest is None:
+            break
+        drop(budget, stalest)
+        dropped.append(stalest)
+    return dropped
