Limit what clients hold of a process: bodies, connections and unread answers

Cause: a process kept every legal body until its last byte, its own or another client's; the sum over the connections was not bounded, and the servers for readiness and metrics accepted 100 MiB each. Connections were bounded by the descriptors alone, after which no server of the process accepted a caller. Answers were kept whole until they were read, and the kernel's buffers grew with them.

Change: api/body_limit.py has ServerLimits, which all HTTP servers of a process share, and LimitedServer, which replaces tornado's HTTPServer in all of them. Unfinished bodies are charged as they arrive, complete ones twice until their handler has responded. A body that is dropped gets 503 with not_run and Retry-After. At the limit of connections the longest idle one is closed. Bodies, answers and idle connections have time limits, which one check a second applies. Headers have 16 KiB, kernel buffers 64 KiB for each direction.

--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -7,7 +7,7 @@
 
 from boragetide.api.backend_servers import BackendServerHandler, BackendServersHandler
 from boragetide.api.base import NotFoundHandler
-from boragetide.api.body_limit import BodyLimit
+from boragetide.api.body_limit import LimitedServer, get_server_limits
 from boragetide.api.configuration import (
     CommandHandler,
     ConfigurationHandler,
@@ -30,14 +30,14 @@
 from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.daemon.runtime import Runtime
 
-BODY_TIMEOUT = 60.0  # seconds within which a request body must arrive
-
 
 def make_server(runtime: Runtime) -> HTTPServer:
     """Build the HTTP server of a daemon."""
-    limited = BodyLimit(make_application(runtime), runtime.settings.limits.body_bytes)
-    return HTTPServer(
-        limited, max_body_size=limited.max_read_bytes, body_timeout=BODY_TIMEOUT
+    return LimitedServer(
+        make_application(runtime),
+        name="daemon",
+        limits=get_server_limits(runtime),
+        body_bytes=runtime.settings.limits.body_bytes,
     )
 
 
--- a/boragetide/api/backend_servers.py
+++ b/boragetide/api/backend_servers.py
@@ -36,7 +36,7 @@
     async def put(self, server_id: str) -> None:
         """Register a backend server with the placer of its zone or renew its lease."""
         self.runtime.metrics.count("announcements", {})
-        parsed = parse_body(BackendServerBody, self.request.body)
+        parsed = parse_body(BackendServerBody, self.take_body())
         error = (
             find_id_error(server_id)
             or (parsed.error.message if parsed.is_error() else None)
--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -35,17 +35,30 @@
 
     def finish(self, chunk: Any = None) -> Future[None]:
         """Send the response; the request counts as open until it is written."""
+        limits = self.runtime.server_limits
+        stream = self.request.connection.stream
+        if limits is not None:
+            limits.end_request(self.request.connection)
         try:
             written = super().finish(chunk)
         except BaseException:
             self.runtime.open_requests.discard(self)
             raise
+        if limits is not None and not written.done():
+            size = len(chunk) if isinstance(chunk, str | bytes) else 0
+            limits.add_answer(stream, size)
+            written.add_done_callback(lambda _: limits.remove_answer(stream))
         written.add_done_callback(self._close_request)
         return written
 
     def _close_request(self, written: Future[None]) -> None:
         self.runtime.open_requests.discard(self)
 
+    def take_body(self) -> bytes:
+        """Return the body, and keep no reference, so that parsing can release it."""
+        body, self.request.body = self.request.body, b""
+        return body
+
     def respond(self, status: int, body: Any, retry_after: Seconds = 0.0) -> None:
         """Send a JSON response.
 
--- a/boragetide/api/configuration.py
+++ b/boragetide/api/configuration.py
@@ -128,7 +128,7 @@
 
     async def post(self) -> None:
         """Propose a command and respond with the single outcome of its command id."""
-        parsed = parse_body(CommandBody, self.request.body)
+        parsed = parse_body(CommandBody, self.take_body())
         if parsed.is_error():
             self.refuse(parsed.error.http_status, parsed.error.message)
             return
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -104,7 +104,7 @@
         Responds when a majority has stored the job, or, for a best-effort job, when the
         job has ended.
         """
-        parsed = parse_body(DurableJobBody, self.request.body)
+        parsed = parse_body(DurableJobBody, self.take_body())
         if parsed.is_error():
             self.refuse(parsed.error.http_status, parsed.error.message)
             return
@@ -189,7 +189,7 @@
         If the backend server is leaving, the response is 200 only after the leader has
         received the report.
         """
-        parsed = parse_body(RunServerBody, self.request.body)
+        parsed = parse_body(RunServerBody, self.take_body())
         error = find_id_error(server_id) or (
             parsed.error.message if parsed.is_error() else None
         )
--- a/boragetide/api/operators.py
+++ b/boragetide/api/operators.py
@@ -87,6 +87,8 @@
     instances keep their last values.
     """
     metrics = runtime.metrics
+    if runtime.server_limits is not None:
+        runtime.server_limits.set_gauges()
     for controller, mailbox in runtime.mailboxes_by_controller.items():
         labels = {"controller": controller}
         metrics.set_gauge("mailbox_messages", labels, mailbox.qsize())
--- a/boragetide/api/submissions.py
+++ b/boragetide/api/submissions.py
@@ -41,7 +41,7 @@
     async def post(self) -> None:
         """Run a submission and send its complete answer in one response."""
         received_at = read_clock()
-        parsed = parse_body(self.body_model, self.request.body)
+        parsed = parse_body(self.body_model, self.take_body())
         if parsed.is_error():
             self._refuse_body(parsed.error, received_at)
             return
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -13,6 +13,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from boragetide.api.body_limit import get_server_limits
 from boragetide.daemon.effect_execution import EffectContext, bind_execute_effect
 from boragetide.daemon.logs import log_event, log_uncaught
 from boragetide.daemon.runtime import (
@@ -32,6 +33,11 @@
 
 EXIT_FAILURE = 1
 CANCEL_PERIOD = 0.1  # seconds
+OVERDUE_CHECK_PERIOD = 1.0  # seconds
+# Size requested for the kernel's buffers of a client's connection, per direction; Linux
+# uses twice as much. Without a limit they grow to several MiB for each connection whose
+# bytes are not read. A window of this size carries 5 MB/s at a round trip of 6 ms.
+KERNEL_BUFFER_BYTES = 32 * 1024
 
 StateMachines: TypeAlias = dict[str, tuple[MessageHandler, Any]]
 RecoveredByController: TypeAlias = dict[str, Recovered]
@@ -107,6 +113,7 @@
             composition.make_effect_context(runtime, journals), state_machines
         ),
         asyncio.create_task(run_ticks(runtime), name="ticks"),
+        asyncio.create_task(_close_overdue_connections(runtime), name="connections"),
         *(asyncio.create_task(run(runtime)) for run in composition.background),
     ]
     serving = asyncio.create_task(
@@ -122,7 +129,20 @@
 
 def _bind(address: str) -> list[socket.socket]:
     host, port = address.split(":")
-    return bind_sockets(int(port), host)
+    sockets = bind_sockets(int(port), host)
+    # Accepted connections inherit the sizes.
+    for each in sockets:
+        each.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
+        each.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+    return sockets
+
+
+async def _close_overdue_connections(runtime: Runtime) -> None:
+    """Close the connections of clients that do not read their answers in time."""
+    limits = get_server_limits(runtime)
+    while True:
+        await asyncio.sleep(OVERDUE_CHECK_PERIOD)
+        limits.close_overdue()
 
 
 async def _wait_until_listening(
--- a/boragetide/daemon/repeated_logs.py
+++ b/boragetide/daemon/repeated_logs.py
@@ -1,15 +1,18 @@
-"""Logs each fault of an entry once, not each time the entry is sent again."""
+"""Logs that are bounded although what they tell of is repeated."""
 
 from __future__ import annotations
 
 import re
+import time
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import Any
 
 from boragetide.daemon.logs import log_event
 
 MAX_REMEMBERED_FAULTS = 1000
 MAX_LOGGED_LENGTH = 200  # characters of a sender or a reason
+MAX_LINES_PER_SECOND = 10  # of one event
 _DIGITS = re.compile(r"\d+")
 
 
@@ -38,3 +41,35 @@
             self.seen.popitem(last=False)
         if is_new:
             log_event(event, sender=sender, reason=reason)
+
+
+@dataclass(slots=True)
+class RateLimitedLog:
+    """Log of events that clients can cause at any rate.
+
+    Parameters
+    ----------
+    lines_by_event
+        Lines that were written in the second in ``second``.
+    suppressed_by_event
+        Events that were not written since the last line. The next line counts them.
+    """
+
+    second: int = 0
+    lines_by_event: dict[str, int] = field(default_factory=dict)
+    suppressed_by_event: dict[str, int] = field(default_factory=dict)
+
+    def record(self, event: str, **fields: Any) -> None:
+        """Write an event, at most `MAX_LINES_PER_SECOND` times a second."""
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.lines_by_event.clear()
+        lines = self.lines_by_event.get(event, 0)
+        if lines >= MAX_LINES_PER_SECOND:
+            suppressed = self.suppressed_by_event.get(event, 0)
+            self.suppressed_by_event[event] = suppressed + 1
+            return
+        self.lines_by_event[event] = lines + 1
+        suppressed = self.suppressed_by_event.pop(event, 0)
+        log_event(event, **fields, suppressed=suppressed)
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -73,6 +73,8 @@
         HTTP requests that have not been answered.
     make_link
         Makes and starts the link to an instance that is not named in the settings.
+    server_limits
+        Limits that all HTTP servers share (`boragetide.api.body_limit`), once made.
     """
 
     settings: Settings
@@ -83,6 +85,7 @@
     stopping: bool = False
     open_requests: set[Any] = field(default_factory=set)
     make_link: Callable[[InstanceId], PeerLink] | None = None
+    server_limits: Any = None
     _pending_by_request: dict[int, _PendingRequest] = field(default_factory=dict)
     _request_numbers: Iterator[int] = field(default_factory=_number_requests)
 
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -22,6 +22,9 @@
 data-folder = data
 """
 
+# Several bodies of the largest size at a time, whatever that is.
+DEFAULT_HELD_BODIES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Peer:
@@ -63,12 +66,37 @@
         Tasks that wait in the queue of one instance.
     kept_results
         Task results, over all answers that an instance keeps for resubmissions.
+    held_body_bytes
+        Bytes of all request bodies that are unfinished or being handled; by default
+        `DEFAULT_HELD_BODIES` bodies of the largest size.
+    unread_answer_bytes
+        Bytes of all answers that clients have not read; the same default.
+    connections
+        Open connections of clients, over all HTTP servers of a process. It is lowered
+        to what the limit on open files allows.
+    body_timeout
+        Seconds within which a request body must arrive, and an answer must be read.
+    idle_timeout
+        Seconds within which a connection must send the headers of its next request.
     """
 
     tasks_per_job: int = 1200
     body_bytes: int = 8 * 1024 * 1024
     queued_tasks: int = 50_000
     kept_results: int = 500_000
+    held_body_bytes: int | None = None
+    unread_answer_bytes: int | None = None
+    connections: int = 4096
+    body_timeout: Seconds = 60.0
+    idle_timeout: Seconds = 300.0
+
+    def get_held_body_bytes(self) -> int:
+        """Return the limit on the bytes of request bodies."""
+        return self.held_body_bytes or DEFAULT_HELD_BODIES * self.body_bytes
+
+    def get_unread_answer_bytes(self) -> int:
+        """Return the limit on the bytes of unread answers."""
+        return self.unread_answer_bytes or DEFAULT_HELD_BODIES * self.body_bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,7 +223,12 @@
     """
     # Imported here so that processes with another source of settings do not load the
     # models of the settings file.
-    from boragetide.settings_file import PEER_PREFIX, check_durations, read_sections
+    from boragetide.settings_file import (
+        PEER_PREFIX,
+        check_durations,
+        check_limits,
+        read_sections,
+    )
 
     sections = read_sections(text, data_folder)
     own = sections["instance"]
@@ -205,7 +238,8 @@
             peer_id = name.removeprefix(PEER_PREFIX)
             peers[peer_id] = _build_peer(peer_id, section)
     timing = Timing(**_collect_given_options(sections, "timing"))
-    faults = tuple(check_durations(timing))
+    limits = Limits(**_collect_given_options(sections, "limits"))
+    faults = (*check_durations(timing), *check_limits(limits))
     if faults:
         raise SettingsError(faults)
     return Settings(
@@ -214,7 +248,7 @@
         peers_by_id=peers,
         data_folder=own.data_folder,
         timing=timing,
-        limits=Limits(**_collect_given_options(sections, "limits")),
+        limits=limits,
         controllers=(
             *CONTROLLERS,
             "directory",
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -21,6 +21,7 @@
 
 from boragetide.errors import SettingsError
 from boragetide.limits import MAX_PORT, MAX_TASKS
+from boragetide.policy.body_budget import compute_smallest_limit
 
 PEER_PREFIX = "peer "
 
@@ -124,6 +125,11 @@
     body_bytes: Positive | None = None
     queued_tasks: Positive | None = None
     kept_results: Positive | None = None
+    held_body_bytes: Positive | None = None
+    unread_answer_bytes: Positive | None = None
+    connections: Positive | None = None
+    body_timeout: Duration | None = None
+    idle_timeout: Duration | None = None
 
 
 class ZonesSection(_Section):
@@ -311,3 +317,20 @@
                 f"[timing] instance-silence = {timing.instance_silence:g}s: must be "
                 f"above twice the {_to_option_name(name)} = {period:g}s"
             )
+
+
+def check_limits(limits: Any) -> Iterator[str]:
+    """Yield one fault for each pair of limits that contradict each other.
+
+    Parameters
+    ----------
+    limits
+        `Limits` with the values of section ``[limits]`` and the defaults.
+    """
+    held = limits.get_held_body_bytes()
+    least = compute_smallest_limit(limits.body_bytes)
+    if held < least:
+        yield (
+            f"[limits] held-body-bytes = {held}: must be at least {least} for a body "
+            f"of body-bytes = {limits.body_bytes}"
+        )
--- a/boragetide/tests/test_handlers.py
+++ b/boragetide/tests/test_handlers.py
@@ -16,6 +16,7 @@
 from boragetide.api.durable import RunServerHandler
 from boragetide.api.models import JobBody
 from boragetide.api.submissions import SubmissionHandler
+from boragetide.daemon.metrics import Metrics
 from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.filters.chain import Exchange
 from boragetide.messages import FindLeader, LeaderFound, RemoveServer, ServerReported
@@ -35,6 +36,8 @@
     def __init__(self, settings: Settings):
         self.settings = settings
         self.open_requests: set[Any] = set()
+        self.metrics = Metrics()
+        self.server_limits: Any = None
         self.removals: list[RemoveServer] = []
 
     def local(self, controller: str) -> str:
--- a/boragetide/tests/test_settings.py
+++ b/boragetide/tests/test_settings.py
@@ -88,6 +88,17 @@
         ),
         ("", "[timing]\ntick = 1s\n", "above twice the tick = 1s"),
         ("", "[limits]\nqueued-tasks = x\n", "queued-tasks = x: not a whole number"),
+        (
+            "",
+            "[limits]\nconnections = 0\n",
+            "connections = 0: must be greater",
+        ),
+        ("", "[limits]\nidle-timeout = 5\n", "idle-timeout = 5: not a number with a"),
+        (
+            "",
+            "[limits]\nheld-body-bytes = 1000\nbody-bytes = 700\n",
+            "[limits] held-body-bytes = 1000: must be at least 1601 for a body of",
+        ),
         (
             "",
             "[availability-zones]\nnames = b c\n",
@@ -149,3 +160,13 @@
     """Guards against a traceback for a mistyped path."""
     with pytest.raises(SettingsError, match="No such file"):
         load_settings(tmp_path / "absent.ini")
+
+
+def test_limits_on_clients_have_defaults_and_can_be_set(valid: str) -> None:
+    """Guards against a limit in the file that has no effect."""
+    limits = parse_settings(valid + "[limits]\nbody-bytes = 1000\n").limits
+    assert limits.get_held_body_bytes() == limits.get_unread_answer_bytes() == 8000
+    text = "[limits]\nheld-body-bytes = 99000000\nconnections = 7\nidle-timeout = 5s\n"
+    limits = parse_settings(valid + text).limits
+    assert limits.get_held_body_bytes() == 99_000_000
+    assert (limits.connections, limits.idle_timeout) == (7, 5.0)
