--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -93,10 +93,16 @@
         metrics.set_gauge("unread_answer_bytes", {}, self.answers.used)
         metrics.set_gauge("open_connections", {}, self.connections.count)
 
-    def open_connection(self, stream: IOStream, peer: Peer) -> bool:
-        """Return whether a new connection is kept; another one may be closed for it."""
+    def open_connection(self, stream: IOStream, peer: Peer, essential: bool) -> bool:
+        """Return whether a new connection is kept; another one may be closed for it.
+
+        Parameters
+        ----------
+        essential
+            Whether it may use the connections that are reserved.
+        """
         now = time.monotonic()
-        if self.connections.is_full and not self._close_one():
+        if self.connections.is_full(essential) and not self._close_one():
             self._count_closed("limit", peer, 0.0)
             return False
         connection_limit.rest(self.connections, stream, now)
@@ -226,6 +232,7 @@
         name: str,
         limits: ServerLimits,
         body_bytes: int,
+        essential: bool = False,
     ) -> None:
         """Store the limits; tornado calls this instead of ``__init__``.
 
@@ -239,7 +246,11 @@
             Limits of the process.
         body_bytes
             Size of the largest body that is accepted, in bytes.
+        essential
+            Whether the server may use the connections that are reserved for readiness
+            checks and metrics.
         """
+        self._essential = essential
         self._name = name
         self._limits = limits
         limited = BodyLimit(inner, body_bytes, limits)
@@ -257,7 +268,7 @@
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection, unless there are too many."""
         peer = Peer(self._name, f"{address[0]}:{address[1]}")
-        if self._limits.open_connection(stream, peer):
+        if self._limits.open_connection(stream, peer, self._essential):
             super().handle_stream(stream, address)
         else:
             stream.close()
--- a/boragetide/policy/connection_limit.py
+++ b/boragetide/policy/connection_limit.py
@@ -15,6 +15,11 @@
 
 ConnectionId: TypeAlias = Hashable
 
+# Part of the connections that only readiness checks and the reader of the metrics may
+# open, so that they are answered while all others are in use.
+RESERVED_SHARE = 0.1
+MAX_RESERVED = 8
+
 
 @dataclass(slots=True)
 class ConnectionTable:
@@ -43,9 +48,19 @@
         return len(self.idle_since_by_id) + len(self.active)
 
     @property
-    def is_full(self) -> bool:
-        """Whether one more connection would exceed the limit."""
-        return self.count >= self.limit
+    def reserved(self) -> int:
+        """Number of connections that are reserved for essential servers."""
+        return min(int(self.limit * RESERVED_SHARE), MAX_RESERVED)
+
+    def is_full(self, essential: bool = False) -> bool:
+        """Return whether one more connection would exceed the limit.
+
+        Parameters
+        ----------
+        essential
+            Whether it may use the reserved part.
+        """
+        return self.count >= self.limit - (0 if essential else self.reserved)
 
 
 def rest(table: ConnectionTable, connection: ConnectionId, now: Seconds) -> None:
