--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -86,12 +86,17 @@
         return waiting / total if total > 0 else 1.0
 
     def describe_order(self, now: Seconds) -> dict[str, float | bool]:
-        """Return the fields of a log line that tell why the job is where it is."""
+        """Return the fields of a log line that tell why the job is where it is.
+
+        A late job is ranked by its latest start, or by what is left of it.
+        """
+        is_by_time = self.entry[0] > 0
         return {
-            "rank": self.entry[0] - now,
+            "rank": self.entry[0] - now if is_by_time else self.latest_start - now,
             "priority": self.job.starts.priority,
             "given_up": self.given_up,
             "begun": self.has_started,
+            "left": self.find_remaining_share() if self.has_started else 1.0,
         }
 
 
--- a/boragetide/policy/queue_order.py
+++ b/boragetide/policy/queue_order.py
@@ -23,8 +23,8 @@
 # urgent jobs small ones go first, but they can overtake a large one only for a bounded
 # time.
 SIZE_DELAY: Seconds = 0.05
-# A job that has begun is ranked as if its latest start were this much earlier. A longer
-# lead delays quick classes of narrow jobs and completes few more wide ones.
+# A job that has begun is ranked as if its latest start were this much earlier. If begun
+# jobs always went first, fewer jobs of all classes but the longest would be in time.
 BEGUN_LEAD: Seconds = 0.05
 # A job of the lowest priority is ranked as if its latest start were at most this much
 # later. With 0.03 s its class loses more than 0.03 of its jobs in time when three times
--- a/boragetide/tests/test_queue_order.py
+++ b/boragetide/tests/test_queue_order.py
@@ -294,7 +294,7 @@
         if isinstance(effect, LogEvent) and effect.event == "run_ordered"
     ]
     assert fields["priority"] == 1
-    assert fields["begun"] is False
+    assert (fields["begun"], fields["left"]) == (False, 1.0)
     assert fields["given_up"] == MAX_GIVEN_UP
     rank = latest_start(low) - BEGIN + SIZE_DELAY + MAX_GIVEN_UP
     assert fields["rank"] == pytest.approx(rank)
