Test that each waiting job is in one lane in either order

Cause: a stale entry of a job that has left the queue would stop the leader.

Change: random changes of the queue and of the time check the lanes after each step.

--- a/boragetide/tests/test_queue_order.py
+++ b/boragetide/tests/test_queue_order.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -322,3 +323,33 @@
     assert find_timeliness(job, BEGIN + allowed - 1e-6) is Timeliness.IN_TIME
     assert find_timeliness(job, BEGIN + 2.9 * allowed) is Timeliness.LATE
     assert find_timeliness(job, BEGIN + 3.1 * allowed) is Timeliness.TOO_LATE
+
+
+@pytest.mark.parametrize("order", JobOrder)
+def test_each_waiting_job_is_in_one_lane_whatever_happens(order: JobOrder) -> None:
+    """Guards against a leader that fails on a job that has left the queue."""
+    rng = Random(1)
+    queue, now = JobQueue(order), BEGIN
+    jobs = [
+        make_job(f"j{number}", rng.choice((SHORT, LONG)), priority=number % 3, at=at)
+        for number in range(60)
+        for at in [BEGIN + rng.uniform(-1.0, 5.0)]
+    ]
+    for _ in range(3000):
+        now += rng.uniform(0.0, 0.005)
+        job = rng.choice(jobs)
+        (step,) = job.steps
+        tasks = dict.fromkeys(rng.sample(range(4), rng.randrange(5)), step)
+        queue.put(job, tasks, has_started=rng.random() < 0.3)
+        listed = list_order(queue, now)
+        assert len(listed) == len(set(listed))
+        lanes = (queue.in_time, queue.late, queue.expired)
+        entries = [entry for lane in lanes for entry in lane]
+        assert sorted(job_id for _, job_id in entries) == sorted(queue.waiting_by_id)
+        for waiting in queue.waiting_by_id.values():
+            assert waiting.entry in waiting.lane.entries
+            if order is JobOrder.PRIORITY:
+                is_expired = waiting.lane is queue.expired
+                assert is_expired == (waiting.expires_at < now)
+                is_in_time = waiting.lane is queue.in_time
+                assert is_in_time == (waiting.latest_start >= now)
