Test that a pass goes on where it was when a job moves ahead

Cause: the test of a job that starts while the queue is examined passed also when the pass went on from the job's new place, because all jobs moved alike.

Change: the test moves one job only and checks the whole pass; it replaces the former one.

Result: passes; fails with the place of the job read after its start.

--- a/boragetide/tests/test_queue_order.py
+++ b/boragetide/tests/test_queue_order.py
@@ -13,7 +13,7 @@
 from boragetide.durable import DurableJob, Resources, Step
 from boragetide.effects import Count, LogEvent, StartRun
 from boragetide.messages import DispatcherReply, ReplyStatus, SubmitDurableJob, Tick
-from boragetide.policy.job_queue import JobQueue, WaitingJob
+from boragetide.policy.job_queue import JobQueue
 from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.queue_order import (
     BEGUN_LEAD,
@@ -212,27 +212,24 @@
     assert "begun" not in [job_id for _, job_id in (*queue.moves, *queue.expired)]
 
 
-def test_job_that_starts_while_the_queue_is_examined_is_yielded_once(
-    queue: JobQueue,
-) -> None:
-    """Guards against a pass that examines a job again because its rank has changed."""
-    for number in range(3 * LOOK_AHEAD):
-        job = make_job(f"j{number:02}", WHOLE_SERVER, SHORT, at=BEGIN + number / 1e6)
-        queue.put(job, {0: WHOLE_SERVER, 1: SHORT})
+def test_pass_goes_on_where_it_was_after_the_start_of_a_task(queue: JobQueue) -> None:
+    """Guards against jobs that are examined twice because another moved ahead."""
+    usual = replace(SHORT, required_label="a")
+    other = replace(SHORT, required_label="b")
+    for number in range(2 * LOOK_AHEAD):
+        step = other if number == LOOK_AHEAD - 1 else usual
+        job = make_job(f"j{number:02}", step, at=BEGIN + number / 1e6)
+        queue.put(job, dict.fromkeys(range(4), step))
     index = ServerIndex()
-    index.put("s1", "pool", 1.0, 64_000, ("a",), Resources(64_000, 100_000))
-    index.put("s2", "pool", 1.0, 30_000, ("b",), Resources(64_000, 100_000))
+    for label in ("a", "b"):
+        index.put(label, "pool", 1.0, 64_000, (label,), Resources(64_000, 100_000))
     yielded: list[str] = []
     for waiting in queue.iterate(BEGIN, LookAhead(index.rooms, lambda _, pool: pool)):
         yielded.append(waiting.job.id)
-        _start_first(queue, waiting)
-    assert len(yielded) == len(set(yielded)) >= LOOK_AHEAD
-
-
-def _start_first(queue: JobQueue, waiting: WaitingJob) -> None:
-    tasks = dict(waiting.tasks)
-    del tasks[0]
-    queue.put(waiting.job, tasks, has_started=True)
+        if waiting.steps == (other,):
+            queue.put(waiting.job, {3: other}, has_started=True)
+    assert yielded == [f"j{number:02}" for number in range(LOOK_AHEAD + 1)]
+    assert list_order(queue)[0] == f"j{LOOK_AHEAD - 1:02}"
 
 
 def test_job_of_no_use_is_found_behind_a_late_one_with_more_time(
