--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -190,7 +190,7 @@
         default_factory=dict
     )
     takeover_complete: bool = False
-    queue: JobQueue = field(default_factory=JobQueue)
+    queue: JobQueue = field(init=False)
     index: ServerIndex = field(default_factory=ServerIndex)
     started: set[JobId] = field(default_factory=set)
     run_number_by_task: dict[tuple[JobId, int], int] = field(default_factory=dict)
@@ -230,7 +230,9 @@
     old_view_since: Seconds | None = None
 
     def __post_init__(self) -> None:
+        """Make the parts that depend on the settings."""
         self.zones = ZoneView(enabled=self.settings.evacuation)
+        self.queue = JobQueue(self.settings.dispatch.order)
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove all state of a job that has not run."""
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -45,6 +45,7 @@
     "unread_answer_bytes": "Bytes of answers that clients have not read.",
     "mailbox_messages": "Messages that wait for a controller.",
     "durable_job_seconds": "Time from submission to the end, by phase.",
+    "durable_job_outcomes": "Durable jobs by class and outcome.",
     "durable_jobs_refused": "Refused durable jobs.",
     "run_wait_seconds": "Time from the submission of a job to the start of a task.",
     "jobs_transferred": "Jobs that went to another group, by whether it has them yet.",
--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -100,6 +101,36 @@
         return self.unread_answer_bytes or DEFAULT_HELD_BODIES * self.body_bytes
 
 
+class JobOrder(StrEnum):
+    """Order in which waiting durable jobs are considered."""
+
+    LATEST_START = "latest-start"
+    PRIORITY = "priority"  # also by the priority of the job's class
+
+
+class PlacementRule(StrEnum):
+    """How the backend server of a durable task is chosen."""
+
+    FIRST_FIT = "first-fit"
+    LOOK_AHEAD = "look-ahead"  # also by waiting jobs and expected ends
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchSettings:
+    """How the dispatcher orders and places durable jobs.
+
+    Parameters
+    ----------
+    order
+        Order of the waiting jobs.
+    placement
+        Choice of the backend server.
+    """
+
+    order: JobOrder = JobOrder.LATEST_START
+    placement: PlacementRule = PlacementRule.FIRST_FIT
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one daemon.
@@ -139,6 +170,8 @@
     evacuation
         Whether availability zones may be evacuated, so that instances that are cut off
         from the log start nothing from the beginning; see `policy.zones`.
+    dispatch
+        How the dispatcher orders and places durable jobs.
     """
 
     id: InstanceId
@@ -159,6 +192,7 @@
     ids_are_addresses: bool = False
     derive_classes: DeriveClasses | None = None
     evacuation: bool = False
+    dispatch: DispatchSettings = field(default_factory=DispatchSettings)
 
     @property
     def dispatches(self) -> bool:
@@ -270,6 +304,7 @@
         ),
         follows_leader=False,
         evacuation="evacuation" in sections and sections["evacuation"].enabled,
+        dispatch=DispatchSettings(**_collect_given_options(sections, "dispatch")),
     )
 
 
