Settings: order and placement of durable jobs

Cause: the order of waiting jobs and the choice of backend servers get alternatives that an installation selects.

Change: Settings.dispatch (DispatchSettings with order and placement), section [dispatch] of the settings file, validated. The defaults are the present order and placement; no decision reads the settings yet.

--- a/boragetide/settings.py
+++ b/boragetide/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -71,6 +72,36 @@
     kept_results: int = 500_000
 
 
+class JobOrder(StrEnum):
+    """Order in which waiting durable jobs are considered."""
+
+    LATEST_START = "latest-start"
+    PRIORITY = "priority"  # also by the priority of the job's class
+
+
+class PlacementRule(StrEnum):
+    """How the backend server of a durable task is chosen."""
+
+    FIRST_FIT = "first-fit"
+    LOOK_AHEAD = "look-ahead"  # also by waiting jobs and expected ends
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchSettings:
+    """How the dispatcher orders and places durable jobs.
+
+    Parameters
+    ----------
+    order
+        Order of the waiting jobs.
+    placement
+        Choice of the backend server.
+    """
+
+    order: JobOrder = JobOrder.LATEST_START
+    placement: PlacementRule = PlacementRule.FIRST_FIT
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one daemon.
@@ -104,6 +135,8 @@
     ids_are_addresses
         Whether the id of an instance is its IP address, so that links to instances
         that are not named in the settings can be created on demand.
+    dispatch
+        How the dispatcher orders and places durable jobs.
     """
 
     id: InstanceId
@@ -122,6 +155,7 @@
     group_count: int = 1
     follows_leader: bool = True
     ids_are_addresses: bool = False
+    dispatch: DispatchSettings = field(default_factory=DispatchSettings)
 
     @property
     def dispatches(self) -> bool:
@@ -226,6 +260,7 @@
             *(("dispatcher",) if own.disk else ()),
         ),
         follows_leader=False,
+        dispatch=DispatchSettings(**_collect_given_options(sections, "dispatch")),
     )
 
 
--- a/boragetide/settings_file.py
+++ b/boragetide/settings_file.py
@@ -21,6 +21,7 @@
 
 from boragetide.errors import SettingsError
 from boragetide.limits import MAX_PORT, MAX_TASKS
+from boragetide.settings import JobOrder, PlacementRule
 
 PEER_PREFIX = "peer "
 
@@ -126,6 +127,13 @@
     kept_results: Positive | None = None
 
 
+class DispatchSection(_Section):
+    """Section ``[dispatch]``; options that are not given keep their defaults."""
+
+    order: JobOrder | None = None
+    placement: PlacementRule | None = None
+
+
 class ZonesSection(_Section):
     """Section ``[availability-zones]``: all zones that other sections may name."""
 
@@ -136,6 +144,7 @@
     "instance": InstanceSection,
     "timing": TimingSection,
     "limits": LimitsSection,
+    "dispatch": DispatchSection,
     "availability-zones": ZonesSection,
 }
 
@@ -225,6 +234,8 @@
         return f"[{section}] {option}: option is missing"
     if fault["type"] == "value_error":
         message = str(fault["ctx"]["error"])
+    elif fault["type"] == "enum":
+        message = f"must be {fault['ctx']['expected']}"
     else:
         message = _MESSAGES_BY_ERROR_TYPE.get(fault["type"], fault["msg"])
     return f"[{section}] {option} = {fault['input']}: {message}"
--- a/boragetide/tests/test_settings.py
+++ b/boragetide/tests/test_settings.py
@@ -9,7 +9,14 @@
 import pytest
 
 from boragetide.errors import SettingsError
-from boragetide.settings import EMBEDDED_DEFAULT, load_settings, parse_settings
+from boragetide.settings import (
+    EMBEDDED_DEFAULT,
+    DispatchSettings,
+    JobOrder,
+    PlacementRule,
+    load_settings,
+    parse_settings,
+)
 
 INSTANCE = """
 [instance]
@@ -48,6 +55,25 @@
     assert list(tmp_path.iterdir()) == []
 
 
+@pytest.mark.parametrize(
+    ("section", "expected"),
+    [
+        ("", DispatchSettings(JobOrder.LATEST_START, PlacementRule.FIRST_FIT)),
+        ("[dispatch]\n", DispatchSettings()),
+        ("[dispatch]\norder = priority\n", DispatchSettings(JobOrder.PRIORITY)),
+        (
+            "[dispatch]\nplacement = look-ahead\n",
+            DispatchSettings(placement=PlacementRule.LOOK_AHEAD),
+        ),
+    ],
+)
+def test_dispatch_options_keep_their_defaults_unless_given(
+    valid: str, section: str, expected: DispatchSettings
+) -> None:
+    """Guards against an installation whose order changes without its operators."""
+    assert parse_settings(valid + section).dispatch == expected
+
+
 @pytest.mark.parametrize(
     ("old", "new", "fault"),
     [
@@ -88,6 +114,17 @@
         ),
         ("", "[timing]\ntick = 1s\n", "above twice the tick = 1s"),
         ("", "[limits]\nqueued-tasks = x\n", "queued-tasks = x: not a whole number"),
+        (
+            "",
+            "[dispatch]\norder = weight\n",
+            "[dispatch] order = weight: must be 'latest-start' or 'priority'",
+        ),
+        (
+            "",
+            "[dispatch]\nplacement = best\n",
+            "[dispatch] placement = best: must be 'first-fit' or 'look-ahead'",
+        ),
+        ("", "[dispatch]\nweight = 1\n", "[dispatch] weight = 1: unknown option"),
         (
             "",
             "[availability-zones]\nnames = b c\n",
