Benchmarks: placement by class and size of the jobs

Nothing showed which jobs pay for gaps on the backend servers. The replay of loads whose tasks do not fill the servers evenly prints jobs in time, late and refused, response over ideal and waits by class and size, and the cores in use; a model of one saturated server shows the cores in use by how many waiting tasks are examined.

--- /dev/null
+++ b/benchmarks/packing.py
@@ -0,0 +1,90 @@
+"""Cores in use on one saturated backend server, by a model and by the dispatcher.
+
+``python -m benchmarks.packing`` prints the share of the cores that tasks of different
+needs keep in use if the first waiting tasks that fit are started, or the largest ones
+that fit, by the number of waiting tasks that are examined. The model has no delays and
+always enough waiting tasks. The last line is a replay through the dispatcher of the
+product, whose queue is full of jobs of one task.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import random
+
+from benchmarks.dispatch_loads import JobKind
+from benchmarks.placement_load import (
+    PlacementLoad,
+    generate_needs,
+    generate_placement_jobs,
+)
+from benchmarks.placement_sizes import PlacementRun
+from boragetide.settings import PlacementRule
+
+CORES = 64_000
+MEAN_NEEDS = 32_000
+TASKS = 20_000
+CASES = ((1, False), (4, False), (24, False), (24, True))
+
+
+def model_used_share(examined: int, takes_largest: bool, seed: int) -> float:
+    """Return the share of the cores in use on one server with a full queue.
+
+    Parameters
+    ----------
+    examined
+        Number of waiting tasks that are examined for the free cores.
+    takes_largest
+        Whether the largest examined task that fits is started, and not the first.
+    """
+    rng = random.Random(seed)
+    queue = [generate_needs(MEAN_NEEDS, rng) for _ in range(examined)]
+    running: list[tuple[float, int]] = []
+    now, free, used = 0.0, CORES, 0.0
+    for _ in range(TASKS):
+        while True:
+            fitting = [needs for needs in queue if needs <= free]
+            if not fitting:
+                break
+            needs = max(fitting) if takes_largest else fitting[0]
+            queue.remove(needs)
+            queue.append(generate_needs(MEAN_NEEDS, rng))
+            free -= needs
+            seconds = 0.2 * rng.lognormvariate(-0.08, 0.4)
+            used += needs * seconds
+            heapq.heappush(running, (now + seconds, needs))
+        now, needs = heapq.heappop(running)
+        free += needs
+    return used / (now * CORES)
+
+
+def replay_used_share(placement: PlacementRule, seed: int) -> float:
+    """Return the same from a replay with three times the work that can be done."""
+    kind = JobKind("single", 1.0, 1, 0.2, 0.01)
+    load = PlacementLoad(
+        "saturated", MEAN_NEEDS, 3.0, (CORES,), (1.0,), servers=1, kinds=(kind,),
+        seconds=200.0,
+    )  # fmt: skip
+    jobs = generate_placement_jobs(load, seed)
+    run = PlacementRun(load, jobs, seed, placement=placement)
+    run.play()
+    return run.used_share
+
+
+def main() -> None:
+    """Print the share of the cores in use for each rule."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    for examined, takes_largest in CASES:
+        rule = "the largest" if takes_largest else "the first"
+        share = model_used_share(examined, takes_largest, seed)
+        print(f"model: {rule} of {examined} that fits: {share:.3f}")
+    for placement in PlacementRule:
+        share = replay_used_share(placement, seed)
+        print(f"replay: {placement.value}: {share:.3f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/placement_sizes.py
@@ -0,0 +1,299 @@
+"""What callers get from the placement, by class and by size of their jobs.
+
+``python -m benchmarks.placement_sizes`` replays the loads of
+`benchmarks.placement_load` through the dispatcher of the product on a virtual clock. It
+prints for each class and size the jobs in time, late and refused, the mean and the 99th
+percentile of the response time over the ideal one, and the mean time until the last
+task is started; and for each load the cores in use and the processor time per start.
+The ideal response is that of an idle installation. Refused jobs have no response time,
+so the means of two runs are comparable only where about as many jobs are served. The
+column ``all`` has the mean with each unserved job counted as if it had ended at three
+times its target.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from benchmarks.dispatch_loads import BEGIN, GeneratedJob
+from benchmarks.placement_load import (
+    PLACEMENT_LOADS,
+    PlacementLoad,
+    generate_placement_jobs,
+)
+from benchmarks.product_run import (
+    ANNOUNCEMENT_INTERVAL,
+    BORN,
+    ONE_WAY_DELAY,
+    ProductRun,
+)
+from benchmarks.virtual_servers import VirtualServer
+from boragetide.durable import EndReason, Resources, ServerReport
+from boragetide.effects import Effect, LogEvent, StartRun
+from boragetide.messages import LeadershipGained, ReportServer
+from boragetide.policy.scheduling import LATE_LIMIT_FACTOR
+from boragetide.settings import PlacementRule
+from boragetide.types import Seconds
+
+WARM_UP: Seconds = 2.0  # left out of the figures
+SIZES = ("largest", "below", "rest")
+LARGEST_SHARE, BELOW_SHARE = 0.1, 0.2
+TRIPS = 4  # submission, order, list of ends and answer
+
+
+@dataclass(slots=True)
+class SizeOutcome:
+    """Outcome of the jobs of one class and size.
+
+    Parameters
+    ----------
+    in_time, late, unserved
+        Numbers of jobs; a job that ended after three times its target is unserved.
+    response
+        Mean response time over the ideal one, of the jobs in time or late.
+    p99
+        The 99th percentile of the same.
+    bounded_response
+        Mean over all jobs, where an unserved job counts as ended at three times its
+        target.
+    wait
+        Mean time from the submission until the last task was started.
+    """
+
+    in_time: int = 0
+    late: int = 0
+    unserved: int = 0
+    response: float = 0.0
+    p99: float = 0.0
+    bounded_response: float = 0.0
+    wait: Seconds = 0.0
+
+    @property
+    def total(self) -> int:
+        """Number of jobs."""
+        return self.in_time + self.late + self.unserved
+
+
+class PlacementRun(ProductRun):
+    """Replay on backend servers of several sizes that measures waits and cores in use.
+
+    Parameters
+    ----------
+    events
+        Log lines of the dispatcher by name, if they are collected.
+    """
+
+    def __init__(
+        self,
+        load: PlacementLoad,
+        jobs: list[GeneratedJob],
+        seed: int,
+        *,
+        placement: PlacementRule = PlacementRule.FIRST_FIT,
+        collects_events: bool = False,
+    ):
+        self.cores_by_id: dict[str, int] = {}
+        super().__init__(load, jobs, seed)
+        dispatch = replace(self.state.settings.dispatch, placement=placement)
+        self.state.settings = replace(self.state.settings, dispatch=dispatch)
+        self.servers_by_id.clear()
+        count = len(load.server_cores)
+        for number in range(load.servers):
+            speed = load.server_speeds[number % count]
+            server = VirtualServer(f"s{number}", speed)
+            self.servers_by_id[server.id] = server
+            self.cores_by_id[server.id] = load.server_cores[number % count]
+        self.last_start_by_job: dict[str, Seconds] = {}
+        self.core_seconds = 0.0
+        self.collects_events = collects_events
+        self.events: dict[str, list[dict[str, Any]]] = {}
+        self.max_used_share = 0.0
+        self._used_by_id = dict.fromkeys(self.cores_by_id, 0)
+
+    def play(self) -> None:
+        """Replay the load."""
+        self.handle(LeadershipGained(1, (), BEGIN + 1e6, BEGIN - 10.0))
+        self.announce(1)
+        self.tick()
+        self.clock.run(BEGIN + self.load.seconds + 10.0)
+
+    def decide(self, message: Any) -> list[Effect]:
+        """Pass a message to the dispatcher and return the effects."""
+        effects = super().decide(message)
+        if self.collects_events:
+            for effect in effects:
+                if isinstance(effect, LogEvent):
+                    self.events.setdefault(effect.event, []).append(effect.fields)
+        return effects
+
+    def announce(self, sequence: int) -> None:
+        """Announce all backend servers every `ANNOUNCEMENT_INTERVAL` seconds."""
+        for server in self.servers_by_id.values():
+            report = ServerReport(
+                id=server.id,
+                address=server.id,
+                pool="pool",
+                zone="a",
+                capacity=Resources(self.cores_by_id[server.id], 262_144),
+                born=BORN,
+                sequence=sequence,
+            )
+            self.handle(ReportServer(report=report, passed_on=True))
+        next_at = self.clock.now + ANNOUNCEMENT_INTERVAL
+        self.clock.schedule(next_at, lambda: self.announce(sequence + 1))
+
+    def start(self, order: StartRun) -> None:
+        """Start a run, and note its wait and the cores that it uses."""
+        generated = self.generated_by_id[order.task.job_id]
+        server = self.servers_by_id[order.server]
+        seconds = generated.work[order.task.index] / server.speed
+        needs = generated.job.steps[0].needs.millicores
+        begin = max(self.clock.now, BEGIN + WARM_UP)
+        end = min(self.clock.now + seconds, BEGIN + self.load.seconds)
+        self.core_seconds += needs * max(end - begin, 0.0)
+        self._used_by_id[server.id] += needs
+        used_share = self._used_by_id[server.id] / self.cores_by_id[server.id]
+        self.max_used_share = max(self.max_used_share, used_share)
+        self.last_start_by_job[generated.job.id] = self.clock.now
+        super().start(order)
+
+    def end_run(
+        self, server: VirtualServer, key: tuple[str, int], reason: EndReason
+    ) -> None:
+        """End a run and release its cores."""
+        if key in server.running:
+            needs = self.generated_by_id[key[0]].job.steps[0].needs.millicores
+            self._used_by_id[server.id] -= needs
+        super().end_run(server, key, reason)
+
+    @property
+    def used_share(self) -> float:
+        """Share of the cores that was in use while jobs arrived."""
+        total = sum(self.cores_by_id.values()) * (self.load.seconds - WARM_UP)
+        return self.core_seconds / total
+
+    def compute_ideal(self, generated: GeneratedJob) -> Seconds:
+        """Return the response time of a job if nothing else were running."""
+        needs = generated.job.steps[0].needs.millicores / 1000
+        longest = max(generated.work) / max(self.load.server_speeds)
+        spread = sum(generated.work) * needs / self.load.capacity
+        return max(longest, spread) + TRIPS * ONE_WAY_DELAY
+
+    def summarize(self, jobs: Iterable[GeneratedJob]) -> SizeOutcome:
+        """Return the outcome of some of the jobs."""
+        outcome = SizeOutcome()
+        responses: list[float] = []
+        bounds: list[float] = []
+        waits: list[float] = []
+        for generated in jobs:
+            submitted_at = generated.job.submitted_at
+            ended_at = self.ended_by_id.get(generated.job.id)
+            ideal = self.compute_ideal(generated)
+            bound = LATE_LIMIT_FACTOR * (generated.due_at - submitted_at)
+            if ended_at is None or ended_at > submitted_at + bound:
+                outcome.unserved += 1
+                bounds.append(bound / ideal)
+                continue
+            if ended_at <= generated.due_at:
+                outcome.in_time += 1
+            else:
+                outcome.late += 1
+            responses.append((ended_at - submitted_at) / ideal)
+            waits.append(self.last_start_by_job[generated.job.id] - submitted_at)
+        if responses:
+            responses.sort()
+            outcome.response = sum(responses) / len(responses)
+            outcome.p99 = responses[int(len(responses) * 0.99)]
+            outcome.wait = sum(waits) / len(waits)
+        if outcome.total:
+            outcome.bounded_response = sum(responses + bounds) / outcome.total
+        return outcome
+
+
+def find_work_size(generated: GeneratedJob) -> float:
+    """Return the core-seconds of a job."""
+    return sum(generated.work) * generated.job.steps[0].needs.millicores
+
+
+def find_needs(generated: GeneratedJob) -> float:
+    """Return the cores that each task of a job needs."""
+    return generated.job.steps[0].needs.millicores
+
+
+SIZE_KEYS = {"work": find_work_size, "needs": find_needs}
+
+
+def divide_by_size(jobs: list[GeneratedJob], key: Any) -> dict[str, list[GeneratedJob]]:
+    """Return the largest tenth, the fifth below it and the rest of some jobs."""
+    ordered = sorted(jobs, key=key, reverse=True)
+    largest = round(len(ordered) * LARGEST_SHARE)
+    below = largest + round(len(ordered) * BELOW_SHARE)
+    parts = ordered[:largest], ordered[largest:below], ordered[below:]
+    return dict(zip(SIZES, parts, strict=True))
+
+
+def list_rows(
+    run: PlacementRun, jobs: list[GeneratedJob]
+) -> list[tuple[str, str, str, SizeOutcome]]:
+    """Return the outcomes by class, key of the size and size."""
+    counted = [
+        generated for generated in jobs if generated.job.submitted_at >= BEGIN + WARM_UP
+    ]
+    rows = [("all", "", "all", run.summarize(counted))]
+    for kind in run.load.kinds:
+        of_kind = [generated for generated in counted if generated.kind is kind]
+        rows.append((kind.name, "", "all", run.summarize(of_kind)))
+        for title, key in SIZE_KEYS.items():
+            for size, part in divide_by_size(of_kind, key).items():
+                rows.append((kind.name, title, size, run.summarize(part)))
+    return rows
+
+
+def format_row(kind: str, title: str, size: str, outcome: SizeOutcome) -> str:
+    """Return a line of the table."""
+    shares = " ".join(
+        f"{count / max(outcome.total, 1):6.3f}"
+        for count in (outcome.in_time, outcome.late, outcome.unserved)
+    )
+    return (
+        f"{kind:6} {title:5} {size:8} {outcome.total:6} {shares} "
+        f"{outcome.response:8.2f} {outcome.p99:7.2f} {outcome.bounded_response:7.2f} "
+        f"{outcome.wait * 1000:8.1f}"
+    )
+
+
+def main() -> None:
+    """Replay the loads and print the outcomes by class and size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", help="replay loads whose name contains this")
+    parser.add_argument("--seed", type=int, default=1)
+    rules = [rule.value for rule in PlacementRule]
+    parser.add_argument("--placement", choices=rules, default=rules[0])
+    parser.add_argument("--brief", action="store_true", help="without the sizes")
+    arguments = parser.parse_args()
+    for load in PLACEMENT_LOADS:
+        if arguments.only is not None and arguments.only not in load.name:
+            continue
+        jobs = generate_placement_jobs(load, arguments.seed)
+        placement = PlacementRule(arguments.placement)
+        run = PlacementRun(load, jobs, arguments.seed, placement=placement)
+        run.play()
+        us_per_start = run.processor_time / max(run.starts, 1) * 1e6
+        print(
+            f"-- {load.name}: {len(jobs)} jobs, {run.starts} starts, "
+            f"cores in use {run.used_share:.3f}, {us_per_start:.0f} us a start"
+        )
+        print(
+            "class  by    size       jobs in time   late refused "
+            "response     p99     all  wait ms"
+        )
+        for row in list_rows(run, jobs):
+            if not (arguments.brief and row[1]):
+                print(format_row(*row))
+
+
+if __name__ == "__main__":
+    main()
