Placement that looks ahead: best fit and reservations behind a setting

Small tasks leave gaps that large ones cannot use, and large jobs are overtaken for as long as smaller ones arrive. With [dispatch] placement = look-ahead, jobs with larger needs go first among similarly urgent ones, and a job that smaller ones overtake often gets the room of a server whose runs end soon. Expected ends come from a regression on declared run times by class. Nothing is reserved for a job that cannot be in time, and more urgent jobs are not kept from a reserved server.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -19,14 +19,16 @@
     UnansweredStart,
 )
 from boragetide.effects import Reply
+from boragetide.policy.expected_ends import RunTimes
 from boragetide.policy.fencing import make_fence
 from boragetide.policy.job_queue import JobQueue
 from boragetide.policy.overload import AdmissionControl
+from boragetide.policy.reservations import Reservations
 from boragetide.policy.server_index import ServerIndex
 from boragetide.policy.start_window import StartWindow
 from boragetide.policy.submission_fence import SubmissionFence
 from boragetide.policy.transfer_table import is_undelivered
-from boragetide.settings import Settings
+from boragetide.settings import PlacementRule, Settings
 from boragetide.types import (
     BackendServerId,
     Configuration,
@@ -214,6 +216,8 @@
     suspects_by_job: dict[JobId, dict[int, Step]] = field(default_factory=dict)
     isolated_servers: set[BackendServerId] = field(default_factory=set)
     transfers: TransferState = field(default_factory=TransferState)
+    run_times: RunTimes = field(default_factory=RunTimes)
+    reservations: Reservations = field(default_factory=Reservations)
     next_command: int = 1
     process_count: int = 0
     next_review: Seconds = 0.0
@@ -232,6 +236,11 @@
         for key in [key for key in self.run_number_by_task if key[0] not in known]:
             del self.run_number_by_task[key]
 
+    @property
+    def looks_ahead(self) -> bool:
+        """Whether placement takes waiting jobs and expected ends into account."""
+        return self.settings.dispatch.placement is PlacementRule.LOOK_AHEAD
+
     @property
     def other_members(self) -> tuple[InstanceId, ...]:
         """The other members of the log."""
@@ -288,6 +297,8 @@
     state.suspects_by_job.clear()
     state.isolated_servers.clear()
     state.transfers = TransferState()
+    state.run_times = RunTimes()
+    state.reservations = Reservations()
     for server in state.servers_by_id.values():
         server.clear_runs()
         update_server_index(state, server)
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
+from itertools import chain, islice
+from typing import Any
 
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
@@ -15,6 +17,14 @@
     is_registered,
     may_start,
 )
+from boragetide.controllers.reserving import (
+    explain_start,
+    may_reserve,
+    may_use,
+    reserve,
+    review_reservations,
+    settle_reservation,
+)
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
@@ -25,9 +35,10 @@
 )
 from boragetide.durable import DurableJob, JobPhase, JobRecord, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
+from boragetide.policy.best_fit import order_by_fit
 from boragetide.policy.crash_suspicion import find_suspects, holds_other_tasks
 from boragetide.policy.job_queue import WaitingJob
-from boragetide.policy.look_ahead import LookAhead
+from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.scheduling import (
     ServerCandidate,
     choose_server,
@@ -168,7 +179,15 @@
     max_free_by_pool: dict[PoolName, int] = {}
     look_ahead = LookAhead(state.index.rooms, partial(find_class_pool, state))
     unplaced = UnplacedNeeds()
-    for waiting in state.queue.iterate(now, look_ahead):
+    waiting_jobs = state.queue.iterate(now, look_ahead)
+    plan = None
+    if state.looks_ahead:
+        if state.start_window.is_full:
+            return []
+        effects += review_reservations(state, _make_check(state, now), now)
+        plan = _PassPlan(state, list(islice(waiting_jobs, LOOK_AHEAD)))
+        waiting_jobs = chain(plan.ordered, waiting_jobs)
+    for waiting in waiting_jobs:
         if state.start_window.is_full:
             break
         pool = find_pool(state, waiting.job)
@@ -176,13 +195,96 @@
             max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
         if waiting.least_needs.millicores > max_free_by_pool[pool]:
             continue
-        job_effects = _place_job(state, waiting, pool, unplaced, now)
+        overtaken = 0 if plan is None else plan.count_overtaken(waiting)
+        job_effects = _place_job(state, waiting, pool, unplaced, now, overtaken)
         if job_effects:
             del max_free_by_pool[pool]
             effects += job_effects
+            if plan is not None:
+                plan.started.append(waiting)
+    if plan is not None and plan.started:
+        effects += _reserve(state, plan.list_overtaken(), now)
     return effects
 
 
+def _make_check(state: DispatcherState, now: Seconds) -> Callable[[Server], bool]:
+    return lambda server: is_usable(state, server, now)
+
+
+class _PassPlan:
+    """The first jobs of a pass, in the order in which they are placed.
+
+    Parameters
+    ----------
+    first
+        The first waiting jobs, in scheduling order.
+
+    Attributes
+    ----------
+    ordered
+        Those for which a backend server has enough free cores, in order of placement.
+    started
+        Jobs of which tasks were started.
+    """
+
+    def __init__(self, state: DispatcherState, first: list[WaitingJob]):
+        self.first = first
+        self.started: list[WaitingJob] = []
+        max_free_by_pool: dict[PoolName, int] = {}
+        fitting: list[WaitingJob] = []
+        for waiting in first:
+            pool = find_pool(state, waiting.job)
+            if pool not in max_free_by_pool:
+                max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
+            if waiting.least_needs.millicores <= max_free_by_pool[pool]:
+                fitting.append(waiting)
+        self.ordered = order_by_fit(fitting)
+
+    def count_overtaken(self, waiting: WaitingJob) -> int:
+        """Return how many more urgent jobs that might fit are placed later."""
+        if waiting not in self.ordered:
+            return 0
+        after = self.ordered[self.ordered.index(waiting) + 1 :]
+        return sum(
+            other.lane is waiting.lane and other.entry < waiting.entry
+            for other in after
+        )
+
+    def list_overtaken(self) -> list[WaitingJob]:
+        """Return the jobs that a less urgent one with smaller needs has overtaken."""
+        return [
+            waiting
+            for waiting in self.first
+            if waiting.tasks
+            and any(
+                other.lane is waiting.lane
+                and other.entry > waiting.entry
+                and other.least_needs.millicores < waiting.least_needs.millicores
+                for other in self.started
+            )
+        ]
+
+
+def _reserve(
+    state: DispatcherState, overtaken: list[WaitingJob], now: Seconds
+) -> list[Effect]:
+    """Count the overtaken jobs, and reserve room for one of them if it is due."""
+    for waiting in overtaken:
+        waiting.times_overtaken += 1
+    if not overtaken or not state.reservations.may_search(now):
+        return []
+    due = [each for each in overtaken if may_reserve(state, each, now)]
+    if not due:
+        return []
+    pool = find_pool(state, due[0].job)
+    usable = (
+        server
+        for server in state.servers_by_id.values()
+        if server.report.pool == pool and is_usable(state, server, now)
+    )
+    return reserve(state, due[0], usable, now)
+
+
 def find_pool(state: DispatcherState, job: DurableJob) -> PoolName:
     """Return the current pool of the job's class, or the job's own if there is none."""
     return find_class_pool(state, job.class_name, job.starts.pool)
@@ -201,6 +303,7 @@
 
 def _find_candidates(
     state: DispatcherState,
+    waiting: WaitingJob,
     pool: PoolName,
     step: Step,
     slack: Seconds | None,
@@ -209,9 +312,12 @@
     """Yield the backend servers that may have capacity for a task, the best first."""
     millicores = max(step.needs.millicores, 1)
     min_speed = min_useful_speed(step, slack)
+    reserved = state.reservations.by_server
     for server_id in state.index.iterate(pool, millicores, min_speed):
         server = state.servers_by_id[server_id]
-        if is_usable(state, server, now):
+        if is_usable(state, server, now) and (
+            not reserved or may_use(state, server, waiting, step, now)
+        ):
             labels = server.report.labels
             yield ServerCandidate(
                 server_id, server.free_resources, server.speed, labels
@@ -247,6 +353,7 @@
     pool: PoolName,
     unplaced: UnplacedNeeds,
     now: Seconds,
+    overtaken: int,
 ) -> list[Effect]:
     counts_by_step: dict[int, Counter[str]] = {}
     unplaceable_step: Step | None = None
@@ -268,16 +375,26 @@
             counts = counts_by_step.setdefault(
                 id(step), _count_on_servers(state, waiting, step)
             )
-        candidates = _find_candidates(state, pool, step, slack, now)
+        candidates = _find_candidates(state, waiting, pool, step, slack, now)
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
             unplaceable_step = step
-            is_held_by_limit &= _is_held_by_limit(state, pool, step, slack, now)
-            if slack is None and not step.max_per_server:
+            is_held_by_limit &= _is_held_by_limit(
+                state, waiting, pool, step, slack, now
+            )
+            has_limit = step.max_per_server or state.reservations.by_server
+            if slack is None and not has_limit:
                 unplaced.add(pool, step)
             continue
         counts[chosen.id] += 1
-        effects += start_task(state, waiting.job, number, step, chosen, now)
+        reasons = None
+        if state.looks_ahead:
+            server = state.servers_by_id[chosen.id]
+            reasons = explain_start(state, waiting.job.id, server, overtaken)
+            effects += settle_reservation(state, waiting.job, server, now)
+        effects += start_task(
+            state, waiting.job, number, step, chosen, now, reasons=reasons
+        )
         del waiting.tasks[number]
     state.queue.put(waiting.job, waiting.tasks)
     waiting.is_held_by_limit = is_held_by_limit and bool(waiting.tasks)
@@ -286,6 +403,7 @@
 
 def _is_held_by_limit(
     state: DispatcherState,
+    waiting: WaitingJob,
     pool: PoolName,
     step: Step,
     slack: Seconds | None,
@@ -294,7 +412,7 @@
     """Return whether an unplaceable task could start but for ``max_per_server``."""
     if not step.max_per_server:
         return False
-    candidates = _find_candidates(state, pool, step, slack, now)
+    candidates = _find_candidates(state, waiting, pool, step, slack, now)
     return choose_server(step, candidates, {}, slack) is not None
 
 
@@ -320,6 +438,7 @@
     now: Seconds,
     *,
     alone: bool = False,
+    reasons: dict[str, Any] | None = None,
 ) -> list[Effect]:
     """Start a task on a backend server.
 
@@ -327,6 +446,8 @@
     ----------
     alone
         Whether the backend server is set apart for this task.
+    reasons
+        Further fields of the log line, which tell why this backend server was chosen.
     """
     server = state.servers_by_id[chosen.id]
     key = (job.id, number)
@@ -334,6 +455,10 @@
     run = Run(*key, task, assign_run_number(state, key), step.needs, now)
     run.estimate = step.estimate
     run.alone = alone
+    if state.looks_ahead:
+        run.expected_end = state.run_times.predict(
+            job.class_name, step.estimate, server.speed, now
+        )
     add_run(state, server, run)
     start = make_start(state, server, job, run, now)
     fields = {
@@ -347,6 +472,7 @@
         "speed": chosen.speed,
         "room_left": server.free_resources.millicores,
         "heard_ago": now - server.last_contact_at,
+        **(reasons or {}),
     }
     wait = Observe("run_wait_seconds", now - job.submitted_at)
     return [LogEvent("run_ordered", fields), Count("runs_ordered"), wait, start]
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -11,7 +11,11 @@
 from boragetide.controllers.lost_runs import describe_cleared
 from boragetide.controllers.orders import REASON_LISTED, free_run
 from boragetide.controllers.placing_runs import update_queue
-from boragetide.controllers.server_health import learn_speed, record_outcome
+from boragetide.controllers.server_health import (
+    learn_run_time,
+    learn_speed,
+    record_outcome,
+)
 from boragetide.controllers.server_state import Run, Server
 from boragetide.durable import (
     EndReason,
@@ -113,6 +117,8 @@
         server.end_run(run)
         record_outcome(server, failed, now)
         if ended_at is not None and not (failed or run.start_repeated):
+            if state.looks_ahead:
+                learn_run_time(state, server, run, record.job.class_name, ended_at)
             learn_speed(server, run, ended_at, now)
     elif not failed and _is_superseded(state, key, end.run):
         return None, [log]
--- a/boragetide/controllers/server_health.py
+++ b/boragetide/controllers/server_health.py
@@ -5,7 +5,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState, update_server_index
 from boragetide.controllers.server_state import Run, Server
 from boragetide.policy.exponential_wait import grow_wait
-from boragetide.types import Seconds
+from boragetide.types import ClassName, Seconds
 
 # After a failed run, a backend server gets no new runs for a while, so that the next
 # attempt goes elsewhere. The pause grows with each consecutive failure. The first pause
@@ -57,6 +57,20 @@
     server.speed_updated_at = now
 
 
+def learn_run_time(
+    state: DispatcherState,
+    server: Server,
+    run: Run,
+    class_name: ClassName,
+    ended_at: Seconds,
+) -> None:
+    """Learn the run time of a class from a completed run."""
+    if run.started_at is None or not run.estimate:
+        return
+    run_time = max(ended_at - run.started_at, 0.001)
+    state.run_times.observe(class_name, run.estimate, run_time, server.speed)
+
+
 def recover_speeds(state: DispatcherState, now: Seconds) -> None:
     """Move the speed of slow backend servers without recent runs back towards 1.
 
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -44,6 +44,9 @@
     is_held_by_limit
         Whether the tasks wait only because each backend server with room has as many of
         their step as it may run.
+    times_overtaken
+        Number of passes in which a less urgent job with smaller needs was started. Only
+        counted by placement that looks ahead.
     """
 
     job: DurableJob
@@ -56,6 +59,7 @@
     latest_start: Seconds
     expires_at: Seconds
     is_held_by_limit: bool = False
+    times_overtaken: int = 0
 
     def find_slack(self, now: Seconds) -> Seconds | None:
         """Return how much later the job can start and be in time; none if it cannot."""
