--- a/benchmarks/dispatch_baselines.py
+++ b/benchmarks/dispatch_baselines.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from benchmarks.dispatch_loads import BEGIN, KINDS, ClassOutcome, GeneratedJob, Load
+from benchmarks.dispatch_loads import BEGIN, ClassOutcome, GeneratedJob, Load
 from benchmarks.virtual_servers import (
     Clock,
     VirtualServer,
@@ -81,7 +81,7 @@
     def run(self) -> dict[str, ClassOutcome]:
         """Replay the load and return the outcomes by class."""
         self.clock.run(BEGIN + self.load.seconds + 10.0)
-        outcomes = {kind.name: ClassOutcome() for kind in KINDS}
+        outcomes = {kind.name: ClassOutcome() for kind in self.load.kinds}
         for generated in self.jobs:
             ended_at = self.ended_by_id.get(generated.job.id)
             outcomes[generated.kind.name].record(generated, ended_at)
--- a/benchmarks/product_run.py
+++ b/benchmarks/product_run.py
@@ -4,12 +4,12 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatch
 from typing import Any
 
-from benchmarks.dispatch_loads import BEGIN, KINDS, ClassOutcome, GeneratedJob, Load
+from benchmarks.dispatch_loads import BEGIN, ClassOutcome, GeneratedJob, Load
 from benchmarks.virtual_servers import (
-    SERVER_CORES,
     Clock,
     VirtualServer,
     make_servers,
@@ -33,7 +33,7 @@
     Tick,
 )
 from boragetide.policy.fencing import get_term
-from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
+from boragetide.settings import EMBEDDED_DEFAULT, DispatchSettings, parse_settings
 from boragetide.types import InstanceId, ReplyTo, Seconds
 
 ONE_WAY_DELAY: Seconds = 0.001
@@ -48,19 +48,32 @@
     """Replay with the product's dispatcher as the leader and simulated backend servers.
 
     Orders, answers and submissions each take `ONE_WAY_DELAY` seconds.
+
+    Parameters
+    ----------
+    dispatch
+        Order and placement of the jobs.
     """
 
     edges: tuple[InstanceId, ...] = (EDGE,)
 
-    def __init__(self, load: Load, jobs: list[GeneratedJob], seed: int):
+    def __init__(
+        self,
+        load: Load,
+        jobs: list[GeneratedJob],
+        seed: int,
+        dispatch: DispatchSettings | None = None,
+    ):
         self.load = load
         self.clock = Clock()
         self.generated_by_id = {generated.job.id: generated for generated in jobs}
         self.ended_by_id: dict[str, Seconds] = {}
+        self.refused_by_id: dict[str, Seconds] = {}
         self.servers_by_id = {each.id: each for each in make_servers(load)}
         servers = list(self.servers_by_id.values())
         schedule_slowdown(self.clock, servers, load, seed)
         settings = parse_settings(EMBEDDED_DEFAULT)
+        settings = replace(settings, dispatch=dispatch or settings.dispatch)
         self.state = DispatcherState(settings, int((BEGIN - 60.0) * 1000))
         self.requests: dict[int, str] = {}
         self.processor_time = 0.0
@@ -79,7 +92,7 @@
         self.announce(1)
         self.tick()
         self.clock.run(BEGIN + self.load.seconds + 10.0)
-        outcomes = {kind.name: ClassOutcome() for kind in KINDS}
+        outcomes = {kind.name: ClassOutcome() for kind in self.load.kinds}
         for job_id, generated in self.generated_by_id.items():
             outcomes[generated.kind.name].record(
                 generated, self.ended_by_id.get(job_id)
@@ -110,9 +123,11 @@
         self.handle(SubmitDurableJob(job=generated.job, age=0.0, reply_to=reply_to))
 
     def receive_reply(self, to: ReplyTo, reply: DispatcherReply) -> None:
-        """Record the end of a job."""
+        """Record the end or the refusal of a job."""
         if reply.status is ReplyStatus.ACCEPTED:
             self.ended_by_id[self.requests[to.request]] = self.clock.now
+        elif reply.status is ReplyStatus.REFUSED:
+            self.refused_by_id[self.requests[to.request]] = self.clock.now
 
     def append(self, message: AppendCommands) -> None:
         """Commit commands that change no job after `COMMIT_DELAY` seconds."""
@@ -129,7 +144,7 @@
                 address=server.id,
                 pool="pool",
                 zone="a",
-                capacity=Resources(SERVER_CORES, 262_144),
+                capacity=Resources(server.millicores, 262_144),
                 born=BORN,
                 sequence=sequence,
             )
--- a/benchmarks/virtual_servers.py
+++ b/benchmarks/virtual_servers.py
@@ -13,9 +13,6 @@
 from boragetide.effects import ReadRuns
 from boragetide.types import Seconds
 
-SERVER_CORES = 64_000  # thousandths of a core
-SPEEDS = (0.7, 0.7, 1.7)
-
 
 @dataclass
 class VirtualServer:
@@ -23,6 +20,8 @@
 
     Parameters
     ----------
+    millicores
+        Thousandths of a core.
     free_millicores
         Free thousandths of a core; used by the baselines only.
     unacknowledged_ends
@@ -35,7 +34,8 @@
 
     id: str
     speed: float
-    free_millicores: int = SERVER_CORES
+    millicores: int
+    free_millicores: int
     running: dict[tuple[str, int], ListedRun] = field(default_factory=dict)
     unacknowledged_ends: list[ListedEnd] = field(default_factory=list)
     end_count: int = 0
@@ -63,10 +63,12 @@
 
 def make_servers(load: Load) -> list[VirtualServer]:
     """Return the backend servers of a load."""
-    return [
-        VirtualServer(f"s{number}", SPEEDS[number % len(SPEEDS)])
-        for number in range(load.servers)
-    ]
+    servers: list[VirtualServer] = []
+    for number in range(load.servers):
+        speed = load.speeds[number % len(load.speeds)]
+        cores = load.server_cores[number % len(load.server_cores)]
+        servers.append(VirtualServer(f"s{number}", speed, cores, cores))
+    return servers
 
 
 def schedule_slowdown(
