Benchmarks: the placement is measured on the loads of the new installations

The measurement had a load of its own until the loads of the two installations existed. It now takes them, with bursts of 2 times.

--- a/benchmarks/packing.py
+++ b/benchmarks/packing.py
@@ -13,21 +13,24 @@
 import heapq
 import random
 
-from benchmarks.dispatch_loads import JobKind
-from benchmarks.placement_load import (
-    PlacementLoad,
-    generate_needs,
-    generate_placement_jobs,
-)
+from benchmarks.dispatch_loads import JobKind, Load, generate
 from benchmarks.placement_sizes import PlacementRun
 from boragetide.settings import PlacementRule
 
 CORES = 64_000
 MEAN_NEEDS = 32_000
 TASKS = 20_000
+NEEDS_DEVIATION = 0.2  # as in the replay
+MAX_NEEDS_FACTOR = 1.5
 CASES = ((1, False), (4, False), (24, False), (24, True))
 
 
+def generate_needs(cores: int, rng: random.Random) -> int:
+    """Return the need of a task, in thousandths of a core."""
+    factor = rng.lognormvariate(-0.5 * NEEDS_DEVIATION**2, NEEDS_DEVIATION)
+    return int(cores * min(factor, MAX_NEEDS_FACTOR))
+
+
 def model_used_share(examined: int, takes_largest: bool, seed: int) -> float:
     """Return the share of the cores in use on one server with a full queue.
 
@@ -61,12 +64,19 @@
 
 def replay_used_share(placement: PlacementRule, seed: int) -> float:
     """Return the same from a replay with three times the work that can be done."""
-    kind = JobKind("single", 1.0, 1, 0.2, 0.01)
-    load = PlacementLoad(
-        "saturated", MEAN_NEEDS, 3.0, (CORES,), (1.0,), servers=1, kinds=(kind,),
+    # The mean work of a job is 0.2 s on 32 cores, so that 10 a second fill the server.
+    kind = JobKind("single", 30.0, 1, 0.2, 0.01)
+    load = Load(
+        "saturated",
+        servers=1,
+        cores=MEAN_NEEDS,
+        rate=1.0,
         seconds=200.0,
-    )  # fmt: skip
-    jobs = generate_placement_jobs(load, seed)
+        kinds=(kind,),
+        server_cores=(CORES,),
+        speeds=(1.0,),
+    )
+    jobs = generate(load, seed)
     run = PlacementRun(load, jobs, seed, placement=placement)
     run.play()
     return run.used_share
--- a/benchmarks/placement_sizes.py
+++ b/benchmarks/placement_sizes.py
@@ -1,7 +1,7 @@
 """What callers get from the placement, by class and by size of their jobs.
 
 ``python -m benchmarks.placement_sizes`` replays the loads of
-`benchmarks.placement_load` through the dispatcher of the product on a virtual clock. It
+the new installations through the dispatcher of the product on a virtual clock. It
 prints for each class and size the jobs in time, late and refused, the mean and the 99th
 percentile of the response time over the ideal one, and the mean time until the last
 task is started; and for each load the cores in use and the processor time per start.
@@ -14,30 +14,41 @@
 from __future__ import annotations
 
 import argparse
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
-from benchmarks.dispatch_loads import BEGIN, GeneratedJob
-from benchmarks.placement_load import (
-    PLACEMENT_LOADS,
-    PlacementLoad,
-    generate_placement_jobs,
-)
-from benchmarks.product_run import (
-    ANNOUNCEMENT_INTERVAL,
-    BORN,
-    ONE_WAY_DELAY,
-    ProductRun,
+from benchmarks.dispatch_loads import (
+    BEGIN,
+    NARROW,
+    NARROW_70,
+    NARROW_95,
+    WIDE,
+    WIDE_70,
+    WIDE_95,
+    GeneratedJob,
+    Load,
+    generate,
 )
+from benchmarks.product_run import ONE_WAY_DELAY, ProductRun
 from benchmarks.virtual_servers import VirtualServer
-from boragetide.durable import EndReason, Resources, ServerReport
+from boragetide.durable import EndReason
 from boragetide.effects import Effect, LogEvent, StartRun
-from boragetide.messages import LeadershipGained, ReportServer
+from boragetide.messages import LeadershipGained
 from boragetide.policy.scheduling import LATE_LIMIT_FACTOR
-from boragetide.settings import PlacementRule
+from boragetide.settings import DispatchSettings, PlacementRule
 from boragetide.types import Seconds
 
+# In the bursts, the jobs need about 120% of what all cores can do.
+PLACEMENT_LOADS = (
+    replace(WIDE_70, name="wide, 70%"),
+    replace(WIDE_95, name="wide, 95%"),
+    replace(WIDE, name="wide, burst of 2", rate=1.6, burst=2.0),
+    replace(NARROW_70, name="narrow, 70%"),
+    replace(NARROW_95, name="narrow, 95%"),
+    replace(NARROW, name="narrow, burst of 2", rate=1.3, burst=2.0),
+)
 WARM_UP: Seconds = 2.0  # left out of the figures
 SIZES = ("largest", "below", "rest")
 LARGEST_SHARE, BELOW_SHARE = 0.1, 0.2
@@ -78,40 +89,33 @@
 
 
 class PlacementRun(ProductRun):
-    """Replay on backend servers of several sizes that measures waits and cores in use.
+    """Replay that measures waits and cores in use.
 
     Parameters
     ----------
-    events
-        Log lines of the dispatcher by name, if they are collected.
+    collects_events
+        Whether to keep the log lines of the dispatcher, by name in ``events``.
     """
 
     def __init__(
         self,
-        load: PlacementLoad,
+        load: Load,
         jobs: list[GeneratedJob],
         seed: int,
         *,
         placement: PlacementRule = PlacementRule.FIRST_FIT,
         collects_events: bool = False,
     ):
-        self.cores_by_id: dict[str, int] = {}
-        super().__init__(load, jobs, seed)
-        dispatch = replace(self.state.settings.dispatch, placement=placement)
-        self.state.settings = replace(self.state.settings, dispatch=dispatch)
-        self.servers_by_id.clear()
-        count = len(load.server_cores)
-        for number in range(load.servers):
-            speed = load.server_speeds[number % count]
-            server = VirtualServer(f"s{number}", speed)
-            self.servers_by_id[server.id] = server
-            self.cores_by_id[server.id] = load.server_cores[number % count]
+        super().__init__(load, jobs, seed, DispatchSettings(placement=placement))
+        servers = self.servers_by_id.values()
+        self.capacity = sum(each.millicores / 1000 * each.speed for each in servers)
         self.last_start_by_job: dict[str, Seconds] = {}
         self.core_seconds = 0.0
         self.collects_events = collects_events
         self.events: dict[str, list[dict[str, Any]]] = {}
         self.max_used_share = 0.0
-        self._used_by_id = dict.fromkeys(self.cores_by_id, 0)
+        self.starts_by_task: Counter[tuple[str, int]] = Counter()
+        self._used_by_id = dict.fromkeys(self.servers_by_id, 0)
 
     def play(self) -> None:
         """Replay the load."""
@@ -129,22 +133,6 @@
                     self.events.setdefault(effect.event, []).append(effect.fields)
         return effects
 
-    def announce(self, sequence: int) -> None:
-        """Announce all backend servers every `ANNOUNCEMENT_INTERVAL` seconds."""
-        for server in self.servers_by_id.values():
-            report = ServerReport(
-                id=server.id,
-                address=server.id,
-                pool="pool",
-                zone="a",
-                capacity=Resources(self.cores_by_id[server.id], 262_144),
-                born=BORN,
-                sequence=sequence,
-            )
-            self.handle(ReportServer(report=report, passed_on=True))
-        next_at = self.clock.now + ANNOUNCEMENT_INTERVAL
-        self.clock.schedule(next_at, lambda: self.announce(sequence + 1))
-
     def start(self, order: StartRun) -> None:
         """Start a run, and note its wait and the cores that it uses."""
         generated = self.generated_by_id[order.task.job_id]
@@ -155,8 +143,9 @@
         end = min(self.clock.now + seconds, BEGIN + self.load.seconds)
         self.core_seconds += needs * max(end - begin, 0.0)
         self._used_by_id[server.id] += needs
-        used_share = self._used_by_id[server.id] / self.cores_by_id[server.id]
+        used_share = self._used_by_id[server.id] / server.millicores
         self.max_used_share = max(self.max_used_share, used_share)
+        self.starts_by_task[generated.job.id, order.number] += 1
         self.last_start_by_job[generated.job.id] = self.clock.now
         super().start(order)
 
@@ -172,14 +161,15 @@
     @property
     def used_share(self) -> float:
         """Share of the cores that was in use while jobs arrived."""
-        total = sum(self.cores_by_id.values()) * (self.load.seconds - WARM_UP)
-        return self.core_seconds / total
+        servers = self.servers_by_id.values()
+        total = sum(server.millicores for server in servers)
+        return self.core_seconds / (total * (self.load.seconds - WARM_UP))
 
     def compute_ideal(self, generated: GeneratedJob) -> Seconds:
         """Return the response time of a job if nothing else were running."""
         needs = generated.job.steps[0].needs.millicores / 1000
-        longest = max(generated.work) / max(self.load.server_speeds)
-        spread = sum(generated.work) * needs / self.load.capacity
+        longest = max(generated.work) / max(self.load.speeds)
+        spread = sum(generated.work) * needs / self.capacity
         return max(longest, spread) + TRIPS * ONE_WAY_DELAY
 
     def summarize(self, jobs: Iterable[GeneratedJob]) -> SizeOutcome:
@@ -277,7 +267,7 @@
     for load in PLACEMENT_LOADS:
         if arguments.only is not None and arguments.only not in load.name:
             continue
-        jobs = generate_placement_jobs(load, arguments.seed)
+        jobs = generate(load, arguments.seed)
         placement = PlacementRule(arguments.placement)
         run = PlacementRun(load, jobs, arguments.seed, placement=placement)
         run.play()
