--- a/boragetide/policy/reservations.py
+++ b/boragetide/policy/reservations.py
@@ -18,9 +18,9 @@
 # Reservations at a time in a dispatcher. With 3, idle reserved room costs more jobs
 # than the large ones gain.
 MAX_RESERVATIONS = 1
-# A job gets a reservation once smaller ones have overtaken it this often. Most jobs
-# that are overtaken find room soon without one.
-MIN_TIMES_OVERTAKEN = 20
+# A job gets a reservation once smaller ones have overtaken it this often. With 20,
+# reservations cost 1% of the worth of the jobs under overload.
+MIN_TIMES_OVERTAKEN = 60
 # No room is reserved that is expected to be free later than this.
 MAX_HORIZON: Seconds = 0.1
 # A reservation is given up this long after the room was expected.
