Durable jobs: explain where a job would be placed, without submitting it

Operators could see that a job waits, but not which servers could take it or why they do not. POST /v1/durable-jobs/explain and boragetide job explain ask the leader, which answers by the functions that place jobs: the servers that would take its tasks now, and for how many of the others which reason holds. Nothing is stored or started.

--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -14,6 +14,7 @@
     HistoryHandler,
 )
 from boragetide.api.durable import (
+    DurableExplanationHandler,
     DurableJobHandler,
     DurableJobsHandler,
     RunServerHandler,
@@ -54,6 +55,7 @@
             (r"/v1/backend-servers", BackendServersHandler, shared),
             (r"/v1/backend-servers/([^/]+)", BackendServerHandler, announced),
             (r"/v1/durable-jobs", DurableJobsHandler, shared),
+            (r"/v1/durable-jobs/(explain)", DurableExplanationHandler, shared),
             (r"/v1/durable-jobs/(.+)", DurableJobHandler, shared),
             (r"/v1/run-servers/([^/]+)", RunServerHandler, announced),
             (r"/v1/configuration", ConfigurationHandler, shared),
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import asdict
 from typing import Any
 
 from boragetide.api.base import EntryHandler, Handler
@@ -15,12 +16,14 @@
 from boragetide.api.models import find_id_error, parse_body
 from boragetide.daemon.clock import read_clock
 from boragetide.daemon.runtime import Runtime
+from boragetide.durable import DurableJob
 from boragetide.errors import LinkError, RequestError
 from boragetide.filters.durable import DURABLE_CHAIN, DurableExchange
 from boragetide.limits import MAX_TIMESTAMP_MS
 from boragetide.messages import (
     CancelDurableJob,
     DispatcherReply,
+    ExplainDurableJob,
     FetchConfiguration,
     FindLeader,
     LookUpDurableJob,
@@ -94,44 +97,25 @@
             self.respond(error.http_status, body)
             return None
 
+    async def read_job(self) -> DurableJob | None:
+        """Return the job in the body of the request.
 
-class DurableJobsHandler(_DurableHandler):
-    """Accepts durable jobs."""
-
-    async def post(self) -> None:
-        """Submit a job.
-
-        Responds when a majority has stored the job, or, for a best-effort job, when the
-        job has ended.
+        If it is wrong, sends an error response and returns ``None``.
         """
         parsed = parse_body(DurableJobBody, self.request.body)
         if parsed.is_error():
             self.refuse(parsed.error.http_status, parsed.error.message)
-            return
+            return None
         body = parsed.ok
         limit = self.runtime.settings.limits.tasks_per_job
         count = sum(step.count for step in body.steps)
         if count > limit:
             self.refuse(413, f"steps: {count} tasks are more than {limit}")
-            return
+            return None
         target = await self._find_target(body.class_name)
         if target is None:
-            return
-        job = to_durable_job(body, target, read_clock())
-        reply = await self.ask_dispatcher(
-            "submit",
-            SubmitDurableJob(job=job),
-            job.id,
-            target.name,
-            expires_at(job) if job.best_effort else None,
-            BEST_EFFORT_TIMEOUT if job.best_effort else DECISION_TIMEOUT,
-        )
-        if reply is None:
-            return
-        if reply.status is ReplyStatus.REFUSED:
-            self.refuse(503, reply.reason, reply.retry_after)
-        else:
-            self.respond(200, {"id": job.id, "state": reply.state or "accepted"})
+            return None
+        return to_durable_job(body, target, read_clock())
 
     async def _find_target(self, class_name: str) -> ClassTarget | None:
         """Return the target of a durable class.
@@ -152,6 +136,34 @@
         return None
 
 
+class DurableJobsHandler(_DurableHandler):
+    """Accepts durable jobs."""
+
+    async def post(self) -> None:
+        """Submit a job.
+
+        Responds when a majority has stored the job, or, for a best-effort job, when the
+        job has ended.
+        """
+        job = await self.read_job()
+        if job is None:
+            return
+        reply = await self.ask_dispatcher(
+            "submit",
+            SubmitDurableJob(job=job),
+            job.id,
+            job.class_name,
+            expires_at(job) if job.best_effort else None,
+            BEST_EFFORT_TIMEOUT if job.best_effort else DECISION_TIMEOUT,
+        )
+        if reply is None:
+            return
+        if reply.status is ReplyStatus.REFUSED:
+            self.refuse(503, reply.reason, reply.retry_after)
+        else:
+            self.respond(200, {"id": job.id, "state": reply.state or "accepted"})
+
+
 class DurableJobHandler(_DurableHandler):
     """Shows or cancels one durable job."""
 
@@ -180,6 +192,21 @@
             self.respond(200, {"id": job_id, "state": state})
 
 
+class DurableExplanationHandler(DurableJobHandler):
+    """Explains where a job would be placed; also serves a job of the path's name."""
+
+    async def post(self, _: str) -> None:
+        """Explain where the job in the body would be placed now; nothing is stored."""
+        job = await self.read_job()
+        if job is None:
+            return
+        message = ExplainDurableJob(job=job)
+        reply = await self.ask_dispatcher("explain", message, job.id, job.class_name)
+        if reply is not None:
+            explained = {"id": job.id, "class": job.class_name, "term": reply.term}
+            self.respond(200, explained | asdict(reply.explanation))
+
+
 class RunServerHandler(EntryHandler):
     """Accepts announcements of backend servers that run durable tasks."""
 
--- a/boragetide/cli/__main__.py
+++ b/boragetide/cli/__main__.py
@@ -24,6 +24,7 @@
     jobs.JobSubmitCommand,
     jobs.JobShowCommand,
     jobs.JobCancelCommand,
+    durable.JobExplainCommand,
     durable.DurableSubmitCommand,
     durable.DurableShowCommand,
     durable.DurableCancelCommand,
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -16,6 +16,7 @@
     has_authority,
     store_record,
 )
+from boragetide.controllers.explaining import explain_job
 from boragetide.controllers.held_submissions import list_held_requests
 from boragetide.controllers.isolating import place_suspects
 from boragetide.controllers.job_records import apply_record
@@ -94,6 +95,7 @@
     DispatcherReply,
     Drain,
     DrainState,
+    ExplainDurableJob,
     FindRoom,
     JobsCommitted,
     JobsDelivered,
@@ -168,6 +170,13 @@
     return look_up_job(message, state)
 
 
+@handle.register
+def _(message: ExplainDurableJob, state: DispatcherState, now: Seconds) -> list[Effect]:
+    if not has_authority(state, now):
+        return [make_reply(message, ReplyStatus.NOT_LEADER)]
+    return explain_job(message, state, now)
+
+
 @handle.register
 def _(message: CountWaiting, state: DispatcherState, now: Seconds) -> list[Effect]:
     if not has_authority(state, now):
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -319,7 +319,7 @@
     return default
 
 
-def _find_candidates(
+def find_candidates(
     state: DispatcherState,
     waiting: WaitingJob,
     pool: PoolName,
@@ -393,7 +393,7 @@
             counts = counts_by_step.setdefault(
                 id(step), _count_on_servers(state, waiting, step)
             )
-        candidates = _find_candidates(state, waiting, pool, step, slack, now)
+        candidates = find_candidates(state, waiting, pool, step, slack, now)
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
             unplaceable_step = step
@@ -430,7 +430,7 @@
     """Return whether an unplaceable task could start but for ``max_per_server``."""
     if not step.max_per_server:
         return False
-    candidates = _find_candidates(state, waiting, pool, step, slack, now)
+    candidates = find_candidates(state, waiting, pool, step, slack, now)
     return choose_server(step, candidates, {}, slack) is not None
 
 
--- a/boragetide/messages/durable.py
+++ b/boragetide/messages/durable.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from boragetide.durable import (
@@ -10,10 +10,12 @@
 )
 from boragetide.messages.common import Request, add_arrival_time
 from boragetide.types import (
+    BackendServerId,
     ClassName,
     GroupId,
     InstanceId,
     JobId,
+    PoolName,
     Seconds,
 )
 
@@ -30,6 +32,50 @@
     UNDECIDED = "undecided"  # the job may have been stored or may have run
 
 
+@dataclass(frozen=True, slots=True)
+class StepExplanation:
+    """Where the tasks of a step would start now.
+
+    Parameters
+    ----------
+    count
+        Number of tasks.
+    tasks_by_server
+        Number of tasks that would start on each backend server.
+    servers_by_reason
+        Number of backend servers of the pool by the reason why they take no further
+        task; empty if all tasks would start.
+    waits_for
+        Positions of the steps whose tasks must be done first.
+    """
+
+    count: int
+    tasks_by_server: dict[BackendServerId, int] = field(default_factory=dict)
+    servers_by_reason: dict[str, int] = field(default_factory=dict)
+    waits_for: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class JobExplanation:
+    """Where a job would be placed now, if it were submitted.
+
+    Parameters
+    ----------
+    can_start
+        Whether the leader starts tasks at this moment.
+    slack
+        Seconds by which the job can start later and be in time by its declaration.
+    jobs_ahead
+        Number of waiting jobs that would be considered first.
+    """
+
+    pool: PoolName
+    can_start: bool
+    slack: Seconds
+    jobs_ahead: int
+    steps: tuple[StepExplanation, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class DispatcherReply:
     """Answer to a request about durable jobs.
@@ -48,6 +94,8 @@
         Term of the leader that answers; 0 if the next leader is to be asked.
     group, transfers
         Group that has a transferred job, and the ``transfers`` of the request to it.
+    explanation
+        Answer to `ExplainDurableJob`.
     """
 
     status: ReplyStatus
@@ -58,6 +106,7 @@
     term: int = 0
     group: GroupId = 0
     transfers: int = 0
+    explanation: JobExplanation | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,6 +217,13 @@
     withdrawn_at: Seconds | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ExplainDurableJob(JobRequest):
+    """Asks where a job would be placed now; the job is not submitted."""
+
+    job: DurableJob
+
+
 @dataclass(frozen=True, slots=True)
 class CountWaiting(Request):
     """Asks how many jobs of a class have not started any task."""
--- a/boragetide/messages/replies.py
+++ b/boragetide/messages/replies.py
@@ -45,6 +45,7 @@
     CancelDurableJob,
     CountWaiting,
     DispatcherReply,
+    ExplainDurableJob,
     LookUpDurableJob,
     SubmitDurableJob,
 )
@@ -78,6 +79,7 @@
     DescribeAcceptor: (AcceptorState,),
     DescribePool: (PoolDescription,),
     Drain: (DrainState,),
+    ExplainDurableJob: (DispatcherReply,),
     FetchConfiguration: (ConfigurationChanged,),
     FindLeader: (LeaderFound,),
     Flush: (Flushed,),
--- a/boragetide/tests/test_durable_api.py
+++ b/boragetide/tests/test_durable_api.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import sys
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -151,3 +153,29 @@
     assert run_cli(["durable", "cancel", "j9", server]) == 0
     assert "j9: cancelled" in capsys.readouterr().out
     assert run_cli(["durable", "show", "j404", server]) == 1
+
+
+def test_placement_is_explained_without_a_submission(
+    durable: DurableSystem, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against an explanation that runs the job, or hides a job of its name."""
+    steps = [{"count": 5, "cores": 27.0, "estimate": 0.1}]
+    body = {"id": "j1", "class": "proofs", "spec": "0.1", "steps": steps}
+    url = f"{durable.url}/v1/durable-jobs/explain"
+
+    def explain() -> dict[str, Any]:
+        return call("POST", url, body)[1]["steps"][0]
+
+    wait_for(lambda: len(explain()["tasks_by_server"]) == 2, "room on both servers")
+    explained = explain()
+    assert sum(explained["tasks_by_server"].values()) == 4
+    assert explained["servers_by_reason"] == {"busy": 2}
+    file = tmp_path / "job.json"
+    file.write_text(json.dumps(body))
+    assert run_cli(["job", "explain", str(file), f"--server={durable.url}"]) == 0
+    printed = capsys.readouterr().out
+    assert "step 0: 4 of 5 tasks would start now" in printed
+    assert durable.show("j1")[0] == 404
+    assert call("POST", url, {**body, "class": "plain"})[0] == 400
+    assert durable.submit("explain")[0] == 200
+    durable.wait_for_state("explain", "succeeded")
