--- a/boragetide/cli/__main__.py
+++ b/boragetide/cli/__main__.py
@@ -27,6 +27,7 @@
     jobs.JobSubmitCommand,
     jobs.JobShowCommand,
     jobs.JobCancelCommand,
+    durable.JobExplainCommand,
     durable.DurableSubmitCommand,
     durable.DurableShowCommand,
     durable.DurableCancelCommand,
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
+from itertools import chain, islice
+from typing import Any
 
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
@@ -15,6 +17,13 @@
     is_registered,
     may_start,
 )
+from boragetide.controllers.reserving import (
+    explain_start,
+    may_reserve,
+    may_use,
+    reserve,
+    review_reservations,
+)
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
@@ -26,9 +35,10 @@
 from boragetide.controllers.zone_service import may_start_on
 from boragetide.durable import DurableJob, JobPhase, JobRecord, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
+from boragetide.policy.best_fit import order_by_fit
 from boragetide.policy.crash_suspicion import find_suspects, holds_other_tasks
 from boragetide.policy.job_queue import WaitingJob
-from boragetide.policy.look_ahead import LookAhead
+from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.scheduling import (
     ServerCandidate,
     choose_server,
@@ -169,7 +179,17 @@
     max_free_by_pool: dict[PoolName, int] = {}
     look_ahead = LookAhead(state.index.rooms, partial(find_class_pool, state))
     unplaced = UnplacedNeeds()
-    for waiting in state.queue.iterate(now, look_ahead):
+    waiting_jobs = state.queue.iterate(now, look_ahead)
+    plan = None
+    if state.looks_ahead:
+        if state.start_window.is_full:
+            return []
+        if state.reservations.by_server:
+            effects += review_reservations(state, _make_check(state, now), now)
+        first = list(islice(waiting_jobs, LOOK_AHEAD))
+        plan = _PassPlan(state, first, max_free_by_pool)
+        waiting_jobs = chain(plan.ordered, waiting_jobs)
+    for position, waiting in enumerate(waiting_jobs):
         if state.start_window.is_full:
             break
         pool = find_pool(state, waiting.job)
@@ -177,13 +197,113 @@
             max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
         if waiting.least_needs.millicores > max_free_by_pool[pool]:
             continue
-        job_effects = _place_job(state, waiting, pool, unplaced, now)
+        overtaken = 0 if plan is None else plan.count_overtaken(position)
+        job_effects = _place_job(state, waiting, pool, unplaced, now, overtaken)
         if job_effects:
             del max_free_by_pool[pool]
             effects += job_effects
+            if plan is not None:
+                plan.started.append(waiting)
+    if plan is not None and plan.started:
+        effects += _reserve(state, plan.list_overtaken(), now)
     return effects
 
 
+def _make_check(state: DispatcherState, now: Seconds) -> Callable[[Server], bool]:
+    return lambda server: is_usable(state, server, now)
+
+
+class _PassPlan:
+    """The first jobs of a pass, in the order in which they are placed.
+
+    Parameters
+    ----------
+    first
+        The first waiting jobs, in scheduling order.
+    max_free_by_pool
+        Most free millicores on any server of each pool; pools are added.
+
+    Attributes
+    ----------
+    ordered
+        Those for which a backend server has enough free cores, in order of placement.
+    started
+        Jobs of which tasks were started.
+    """
+
+    def __init__(
+        self,
+        state: DispatcherState,
+        first: list[WaitingJob],
+        max_free_by_pool: dict[PoolName, int],
+    ):
+        self.first = first
+        self.started: list[WaitingJob] = []
+        max_free_by_class: dict[tuple[ClassName, PoolName], int] = {}
+        fitting: list[WaitingJob] = []
+        for waiting in first:
+            key = waiting.job.class_name, waiting.job.starts.pool
+            max_free = max_free_by_class.get(key)
+            if max_free is None:
+                pool = find_class_pool(state, *key)
+                if pool not in max_free_by_pool:
+                    max_free_by_pool[pool] = state.index.find_max_free_millicores(pool)
+                max_free = max_free_by_class[key] = max_free_by_pool[pool]
+            if waiting.least_needs.millicores <= max_free:
+                fitting.append(waiting)
+        self.ordered = order_by_fit(fitting)
+
+    def count_overtaken(self, position: int) -> int:
+        """Return how many more urgent jobs that might fit are placed later.
+
+        Parameters
+        ----------
+        position
+            Position of a job in the pass; those after the ordered ones overtake none.
+        """
+        after = self.ordered[position + 1 :]
+        if not after:
+            return 0
+        waiting = self.ordered[position]
+        return sum(
+            other.entry < waiting.entry and other.lane is waiting.lane
+            for other in after
+        )
+
+    def list_overtaken(self) -> list[WaitingJob]:
+        """Return the jobs that a less urgent one with smaller needs has overtaken."""
+        overtaken: dict[JobId, WaitingJob] = {}
+        for started in self.started:
+            millicores = started.least_needs.millicores
+            for waiting in self.first:
+                if waiting is started:
+                    break
+                is_larger = waiting.least_needs.millicores > millicores
+                if is_larger and waiting.tasks and waiting.lane is started.lane:
+                    overtaken[waiting.job.id] = waiting
+        return list(overtaken.values())
+
+
+def _reserve(
+    state: DispatcherState, overtaken: list[WaitingJob], now: Seconds
+) -> list[Effect]:
+    """Count the overtaken jobs, and reserve room for one of them if it is due."""
+    for waiting in overtaken:
+        waiting.times_overtaken += 1
+    if not overtaken or not state.reservations.may_search(now):
+        return []
+    due = [each for each in overtaken if may_reserve(state, each, now)]
+    if not due:
+        return []
+    pool = find_pool(state, due[0].job)
+    usable = (
+        server
+        for server in state.servers_by_id.values()
+        if server.report.pool == pool and is_usable(state, server, now)
+    )
+    return reserve(state, due[0], usable, now)
+
+
 def find_pool(state: DispatcherState, job: DurableJob) -> PoolName:
     """Return the current pool of the job's class, or the job's own if there is none."""
     return find_class_pool(state, job.class_name, job.starts.pool)
@@ -200,8 +320,9 @@
     return default
 
 
-def _find_candidates(
+def find_candidates(
     state: DispatcherState,
+    waiting: WaitingJob,
     pool: PoolName,
     step: Step,
     slack: Seconds | None,
@@ -210,9 +331,12 @@
     """Yield the backend servers that may have capacity for a task, the best first."""
     millicores = max(step.needs.millicores, 1)
     min_speed = min_useful_speed(step, slack)
+    reserved = state.reservations.by_server
     for server_id in state.index.iterate(pool, millicores, min_speed):
         server = state.servers_by_id[server_id]
-        if is_usable(state, server, now):
+        if is_usable(state, server, now) and (
+            not reserved or may_use(state, server, waiting, step, now)
+        ):
             labels = server.report.labels
             yield ServerCandidate(
                 server_id, server.free_resources, server.speed, labels
@@ -249,6 +373,7 @@
     pool: PoolName,
     unplaced: UnplacedNeeds,
     now: Seconds,
+    overtaken: int,
 ) -> list[Effect]:
     counts_by_step: dict[int, Counter[str]] = {}
     unplaceable_step: Step | None = None
@@ -270,17 +395,26 @@
             counts = counts_by_step.setdefault(
                 id(step), _count_on_servers(state, waiting, step)
             )
-        candidates = _find_candidates(state, pool, step, slack, now)
+        candidates = find_candidates(state, waiting, pool, step, slack, now)
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
             unplaceable_step = step
-            is_held_by_limit &= _is_held_by_limit(state, pool, step, slack, now)
-            if slack is None and not step.max_per_server:
+            is_held_by_limit &= _is_held_by_limit(
+                state, waiting, pool, step, slack, now
+            )
+            has_limit = step.max_per_server or state.reservations.by_server
+            if slack is None and not has_limit:
                 unplaced.add(pool, step)
             continue
         counts[chosen.id] += 1
+        reasons: dict[str, Any] = {}
+        if state.looks_ahead:
+            server = state.servers_by_id[chosen.id]
+            reasons, settled = explain_start(state, waiting.job, server, overtaken, now)
+            effects += settled
+        fields = {**waiting.describe_order(now), **reasons}
         effects += start_task(
-            state, waiting.job, number, step, chosen, now, waiting=waiting
+            state, waiting.job, number, step, chosen, now, reasons=fields
         )
         del waiting.tasks[number]
     has_started = waiting.job.id in state.started
@@ -291,6 +425,7 @@
 
 def _is_held_by_limit(
     state: DispatcherState,
+    waiting: WaitingJob,
     pool: PoolName,
     step: Step,
     slack: Seconds | None,
@@ -299,7 +434,7 @@
     """Return whether an unplaceable task could start but for ``max_per_server``."""
     if not step.max_per_server:
         return False
-    candidates = _find_candidates(state, pool, step, slack, now)
+    candidates = find_candidates(state, waiting, pool, step, slack, now)
     return choose_server(step, candidates, {}, slack) is not None
 
 
@@ -325,16 +460,17 @@
     now: Seconds,
     *,
     alone: bool = False,
-    waiting: WaitingJob | None = None,
+    reasons: dict[str, Any] | None = None,
 ) -> list[Effect]:
     """Start a task on a backend server.
 
     Parameters
     ----------
-    waiting
-        The job in the queue; ``None`` if the task waited elsewhere.
     alone
         Whether the backend server is set apart for this task.
+    reasons
+        Further fields of the log line, which tell why the task starts now and why on
+        this backend server.
     """
     server = state.servers_by_id[chosen.id]
     key = (job.id, number)
@@ -355,9 +491,8 @@
         "speed": chosen.speed,
         "room_left": server.free_resources.millicores,
         "heard_ago": now - server.last_contact_at,
+        **(reasons or {}),
     }
-    if waiting is not None:
-        fields |= waiting.describe_order(now)
     wait = Observe("run_wait_seconds", now - job.submitted_at)
     return [LogEvent("run_ordered", fields), Count("runs_ordered"), wait, start]
 
