Drop no unfinished body for a complete one that is refused

Cause: when bodies that are being handled use up the budget, a complete body dropped all unfinished ones first and was then refused itself.

Change: whether room can be made is decided before any body is dropped.

--- a/boragetide/policy/body_budget.py
+++ b/boragetide/policy/body_budget.py
@@ -131,12 +131,11 @@
     is_large = size > SMALL_BODY
     charged = size * HANDED_OVER_FACTOR
     _charge(budget, charged, is_large)
-    dropped = _make_room(budget, is_large)
-    if _has_excess(budget, is_large):
+    if not _can_make_room(budget, is_large):
         _charge(budget, -charged, is_large)
-        return False, dropped
+        return False, []
     budget.handed_over_by_id[body_id] = charged
-    return True, dropped
+    return True, _make_room(budget, is_large)
 
 
 def release(budget: BodyBudget, body_id: BodyId) -> None:
@@ -201,6 +200,17 @@
     return budget.used > budget.limit
 
 
+def _can_make_room(budget: BodyBudget, is_large: bool) -> bool:
+    """Return whether the budget suffices, at least without any unfinished body."""
+    if not _has_excess(budget, is_large):
+        return True
+    large = sum(body.received for body in budget.large_by_id.values())
+    small = sum(body.received for body in budget.small_by_id.values())
+    if is_large and budget.used_by_large - large > budget.limit_of_large:
+        return False
+    return budget.used - large - small <= budget.limit
+
+
 def _make_room(budget: BodyBudget, is_large: bool) -> list[BodyId]:
     """Drop unfinished bodies until the budget suffices, or none is left to drop."""
     dropped: list[BodyId] = []
--- a/boragetide/tests/test_body_budget.py
+++ b/boragetide/tests/test_body_budget.py
@@ -131,3 +131,14 @@
     assert budget.used == budget.used_by_large == 0
     assert find_stalest(budget) == "above"
     assert find_overdue(budget, timeout=5.0, now=6.0) == ["above"]
+
+
+def test_body_that_cannot_be_handled_costs_no_other_body() -> None:
+    """Guards against unfinished bodies that are dropped for one that is refused."""
+    budget = BodyBudget(LIMIT)
+    hand_over(budget, "handled", 5 * SMALL_BODY)
+    receive(budget, "unfinished", 2 * SMALL_BODY, now=0.0)
+    assert hand_over(budget, "complete", 3 * SMALL_BODY) == (False, [])
+    assert find_stalest(budget) == "unfinished"
+    assert hand_over(budget, "smaller", 2 * SMALL_BODY) == (True, ["unfinished"])
+    assert budget.used == 14 * SMALL_BODY
