--- a/benchmarks/dispatch.py
+++ b/benchmarks/dispatch.py
@@ -14,6 +14,7 @@
 from benchmarks.dispatch_baselines import BASELINES, BaselineRun
 from benchmarks.dispatch_loads import LOADS, ClassOutcome, generate
 from benchmarks.product_run import ProductRun
+from boragetide.settings import DispatchSettings, PlacementRule
 
 
 def summarize(name: str, outcomes: dict[str, ClassOutcome]) -> str:
@@ -35,6 +36,8 @@
     parser.add_argument("--only", help="replay loads whose name contains this")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--product-only", action="store_true")
+    rules = [rule.value for rule in PlacementRule]
+    parser.add_argument("--placement", choices=rules, default=rules[0])
     arguments = parser.parse_args()
     for load in LOADS:
         if arguments.only is not None and arguments.only not in load.name:
@@ -42,7 +45,8 @@
         jobs = generate(load, arguments.seed)
         tasks = sum(len(generated.work) for generated in jobs)
         print(f"-- {load.name}: {len(jobs)} jobs, {tasks} tasks")
-        product = ProductRun(load, jobs, arguments.seed)
+        dispatch = DispatchSettings(placement=PlacementRule(arguments.placement))
+        product = ProductRun(load, jobs, arguments.seed, dispatch)
         print(summarize("product", product.run()))
         us_per_start = product.processor_time / max(product.starts, 1) * 1e6
         print(
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -225,7 +225,8 @@
     Attributes
     ----------
     ordered
-        Those for which a backend server has enough free cores, in order of placement.
+        Those for which a backend server has enough free cores, in order of placement;
+        a single job is not looked at.
     started
         Jobs of which tasks were started.
     """
@@ -238,6 +239,9 @@
     ):
         self.first = first
         self.started: list[WaitingJob] = []
+        if len(first) < 2:
+            self.ordered = first
+            return
         max_free_by_class: dict[tuple[ClassName, PoolName], int] = {}
         fitting: list[WaitingJob] = []
         for waiting in first:
--- a/boragetide/policy/best_fit.py
+++ b/boragetide/policy/best_fit.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from itertools import groupby
 
 from boragetide.policy.job_queue import WaitingJob
@@ -28,12 +28,19 @@
         return list(waiting_jobs)
     largest = max([waiting.least_needs.millicores for waiting in waiting_jobs])
     advance = FIT_ADVANCE / max(largest, 1)
+    if waiting_jobs[0].lane is waiting_jobs[-1].lane:
+        return _sort(waiting_jobs, advance)
     ordered: list[WaitingJob] = []
     for _, of_lane in groupby(waiting_jobs, key=lambda waiting: id(waiting.lane)):
-        ordered += sorted(
-            of_lane,
-            key=lambda waiting: (
-                waiting.entry[0] - advance * waiting.least_needs.millicores
-            ),
-        )
+        ordered += _sort(of_lane, advance)
     return ordered
+
+
+def _sort(waiting_jobs: Iterable[WaitingJob], advance: float) -> list[WaitingJob]:
+    """Return jobs of one lane by their rank less what their needs advance it."""
+    ranked = [
+        (waiting.entry[0] - advance * waiting.least_needs.millicores, number, waiting)
+        for number, waiting in enumerate(waiting_jobs)
+    ]
+    ranked.sort()
+    return [waiting for _, _, waiting in ranked]
