Properties: jobs run once and finish beside reservations

The fuzz of the dispatcher did not cover placement that looks ahead. It now also plays it with reservations of any server for any job.

--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -51,7 +51,13 @@
 )
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.fencing import get_term
-from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
+from boragetide.policy.reservations import Reservation
+from boragetide.settings import (
+    EMBEDDED_DEFAULT,
+    DispatchSettings,
+    PlacementRule,
+    parse_settings,
+)
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
 from boragetide.types import ReplyTo, Seconds
 from properties.simulated_server import CAPACITY, FAILING_SPEC, SimulatedServer
@@ -117,6 +123,7 @@
     """
 
     best_effort = False
+    placement = PlacementRule.FIRST_FIT
 
     def __init__(self) -> None:
         super().__init__()
@@ -150,7 +157,8 @@
         """Return the state of a process that started ``age`` seconds ago."""
         started_at = int((self.now - age) * 1000)
         embedded = parse_settings(EMBEDDED_DEFAULT)
-        return DispatcherState(embedded, started_at, members=("local", "standby"))
+        own = replace(embedded, dispatch=DispatchSettings(placement=self.placement))
+        return DispatcherState(own, started_at, members=("local", "standby"))
 
     def start_leader(self, predecessor_until: Seconds) -> None:
         """Start the next leader.
@@ -861,6 +869,33 @@
         self.handle(WithdrawSubmissions(job_id, "e1", self.now))
 
 
+class ReservingDispatch(Dispatch):
+    """Placement that looks ahead, with reservations of any server for any job.
+
+    All jobs need the same here, so that none gets a reservation by itself.
+    """
+
+    placement = PlacementRule.LOOK_AHEAD
+
+    @rule(
+        server=st.sampled_from(SERVERS),
+        number=st.integers(0, 99),
+        wait=st.floats(0.0, 0.1),
+    )
+    def reserve(self, server: str, number: int, wait: float) -> None:
+        """Reserve a server for a job that waits, or that does not any more."""
+        self.state.reservations.by_server[server] = Reservation(
+            job_id=f"j{number % (len(self.jobs) + 1)}",
+            server=server,
+            needs=NEEDS,
+            latest_start=self.now - 100.0,
+            in_time_until=self.now + 1.0,
+            expected_at=self.now + wait,
+            made_at=self.now,
+        )
+        self.run_for(0.05)
+
+
 def test_durable_jobs_run_once_and_finish() -> None:
     """Guards against tasks of durable jobs that run twice, are lost or never end."""
     run_state_machine_as_test(Dispatch, settings=PROFILE)
@@ -869,3 +904,8 @@
 def test_best_effort_jobs_run_once_at_a_time() -> None:
     """Guards against two concurrent runs of a task after a change of the leader."""
     run_state_machine_as_test(BestEffortDispatch, settings=PROFILE)
+
+
+def test_jobs_run_once_and_finish_beside_reservations() -> None:
+    """Guards against reservations that strand a job, or that let a task run twice."""
+    run_state_machine_as_test(ReservingDispatch, settings=PROFILE)
