--- a/boragetide/controllers/explaining.py
+++ b/boragetide/controllers/explaining.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
+from copy import deepcopy
 from dataclasses import replace
 
 from boragetide.controllers.dispatch_state import DispatcherState
@@ -42,8 +43,12 @@
     # The clocks of the two instances may differ.
     job = replace(message.job, submitted_at=now)
     tasks = dict(find_ready_tasks(JobRecord(job)))
-    # A queue of its own ranks the job without a change of the mean work of its class.
-    queue = JobQueue(mean_work_by_class=dict(state.queue.mean_work_by_class))
+    # A queue of its own ranks the job without a change of what is known of its class.
+    queue = JobQueue(
+        order=state.queue.order,
+        mean_work_by_class=dict(state.queue.mean_work_by_class),
+        levels=deepcopy(state.queue.levels),
+    )
     queue.put(job, tasks)
     waiting = queue.waiting_by_id[job.id]
     pool = find_pool(state, job)
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -53,8 +53,14 @@
 )
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.fencing import get_term
+from boragetide.policy.reservations import Reservation
 from boragetide.policy.zones import MAX_VIEW_AGE, RETURN_SPREAD
-from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
+from boragetide.settings import (
+    EMBEDDED_DEFAULT,
+    DispatchSettings,
+    PlacementRule,
+    parse_settings,
+)
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
 from boragetide.types import Configuration, ReplyTo, Seconds
 from properties.simulated_server import CAPACITY, FAILING_SPEC, SimulatedServer
@@ -126,6 +132,7 @@
     """
 
     best_effort = False
+    placement = PlacementRule.FIRST_FIT
 
     def __init__(self) -> None:
         super().__init__()
@@ -163,7 +170,11 @@
     def make_state(self, age: Seconds) -> DispatcherState:
         """Return the state of a process that started ``age`` seconds ago."""
         started_at = int((self.now - age) * 1000)
-        settings = replace(parse_settings(EMBEDDED_DEFAULT), evacuation=True)
+        settings = replace(
+            parse_settings(EMBEDDED_DEFAULT),
+            evacuation=True,
+            dispatch=DispatchSettings(placement=self.placement),
+        )
         made = DispatcherState(settings, started_at, members=("local", "standby"))
         dispatcher.handle(ConfigurationChanged(self.configuration), made, self.now)
         return made
@@ -939,6 +950,33 @@
         self.handle(WithdrawSubmissions(job_id, "e1", self.now))
 
 
+class ReservingDispatch(Dispatch):
+    """Placement that looks ahead, with reservations of any server for any job.
+
+    All jobs need the same here, so that none gets a reservation by itself.
+    """
+
+    placement = PlacementRule.LOOK_AHEAD
+
+    @rule(
+        server=st.sampled_from(SERVERS),
+        number=st.integers(0, 99),
+        wait=st.floats(0.0, 0.1),
+    )
+    def reserve(self, server: str, number: int, wait: float) -> None:
+        """Reserve a server for a job that waits, or that does not any more."""
+        self.state.reservations.by_server[server] = Reservation(
+            job_id=f"j{number % (len(self.jobs) + 1)}",
+            server=server,
+            needs=NEEDS,
+            latest_start=self.now - 100.0,
+            in_time_until=self.now + 1.0,
+            expected_at=self.now + wait,
+            made_at=self.now,
+        )
+        self.run_for(0.05)
+
+
 def test_durable_jobs_run_once_and_finish() -> None:
     """Guards against tasks of durable jobs that run twice, are lost or never end."""
     run_state_machine_as_test(Dispatch, settings=PROFILE)
@@ -947,3 +985,8 @@
 def test_best_effort_jobs_run_once_at_a_time() -> None:
     """Guards against two concurrent runs of a task after a change of the leader."""
     run_state_machine_as_test(BestEffortDispatch, settings=PROFILE)
+
+
+def test_jobs_run_once_and_finish_beside_reservations() -> None:
+    """Guards against reservations that strand a job, or that let a task run twice."""
+    run_state_machine_as_test(ReservingDispatch, settings=PROFILE)
