Tests of the interfaces for evacuation, and of a leader that is cut off

A property of the members did not show a leader that confirms its view after its authority has expired; a test without a network now does.

--- a/boragetide/tests/test_api.py
+++ b/boragetide/tests/test_api.py
@@ -121,6 +121,20 @@
             400,
             "command",
         ),
+        (
+            "POST",
+            "/v1/configuration/commands",
+            COMMAND | {"command": {"kind": "evacuate_zone", "zone": "b"}},
+            400,
+            "zone: unknown availability zone 'b'; known are a",
+        ),
+        (
+            "POST",
+            "/v1/configuration/commands",
+            COMMAND | {"command": {"kind": "return_zone", "zone": "a b"}},
+            400,
+            "command.return_zone.zone: ",
+        ),
         (
             "GET",
             "/v1/configuration/history?limit=" + "9" * 5000,
--- a/boragetide/tests/test_cli.py
+++ b/boragetide/tests/test_cli.py
@@ -30,6 +30,7 @@
 from boragetide.tests.stream_server import ScriptedServer, serve_streams
 
 CLOSE_CONNECTION = object()  # scripted answer: close the connection without a response
+EVACUATION = "[evacuation]\nenabled = yes\n"
 CONFIGURATION = {
     "version": 7,
     "classes": [{"name": "default", "response_time": 10.0, "busy_share": 1.0}],
@@ -373,3 +374,71 @@
     """Return whether the configuration in force at a daemon drains a server."""
     configuration = call("GET", f"{daemon.url}/v1/configuration")[1]
     return server_id in configuration["drained"]
+
+
+@pytest.mark.parametrize("action", ["evacuate", "return"])
+def test_zone_is_changed_with_the_version_that_was_read(
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str], action: str
+) -> None:
+    """Guards against a command that names no version, or the wrong zone."""
+    script.set_answers(PROPOSE, (200, {"status": "accepted", "version": 8}))
+    arguments = ["zone", action, "b", "--command-id=c1", "--json"]
+    assert run([*arguments, f"--server={script.url}"]) == 0
+    (sent,) = script.bodies(PROPOSE)
+    assert sent["command"] == {"kind": f"{action}_zone", "zone": "b"}
+    assert (sent["command_id"], sent["expected_version"]) == ("c1", 7)
+    assert json.loads(capsys.readouterr().out)["version"] == 8
+
+
+def test_zones_are_listed_with_those_that_the_settings_have_dropped(
+    script: ScriptedDaemon, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against an evacuated zone that no list shows."""
+    status = {
+        "configuration_version": 8,
+        "availability_zones": ["a", "b"],
+        "evacuated_zones": ["b", "old"],
+    }
+    script.set_answers("GET /v1/status", (200, status))
+    assert run(["zone", "list", "--json", f"--server={script.url}"]) == 0
+    listed = json.loads(capsys.readouterr().out)["zones"]
+    states = {each["zone"]: each["evacuated"] for each in listed}
+    assert states == {"a": False, "b": True, "old": True}
+
+
+def test_operator_evacuates_a_zone_of_real_daemons(
+    system: System, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against at-most-once tasks in an evacuated zone, and jobs that wait."""
+    system.start({"a1": "a", "a2": "a", "a3": "a"}, timing=EVACUATION)
+    system.add_server("s1", "a")
+    assert system.submit("a2", make_job("job-1", tasks=2))[1]["status"] == "complete"
+    before = call("GET", f"{system.servers_by_id['s1']}/starts")
+    server = f"--server={system.daemons_by_id['a3'].url}"
+    for action in ("evacuate", "return"):
+        assert run(["zone", action, "nowhere", server]) == 1
+        assert "known are a" in capsys.readouterr().err
+    assert run(["zone", "evacuate", "a", server]) == 0
+    assert run(["zone", "evacuate", "a", server]) == 0
+    capsys.readouterr()
+    assert run(["status", "--json", server]) == 0
+    assert json.loads(capsys.readouterr().out)["evacuated_zones"] == ["a"]
+    for daemon in system.daemons_by_id.values():
+        wait_for(lambda daemon=daemon: has_evacuated(daemon, "a"), "the zones", 5.0)
+    status, answer = system.submit("a2", make_job("job-2"))
+    assert (status, answer["status"]) == (503, "not_run")
+    assert call("GET", f"{system.servers_by_id['s1']}/starts") == before
+    assert run(["zone", "return", "a", server]) == 0
+    numbers = iter(range(100))
+
+    def is_served() -> bool:
+        _, answer = system.submit("a2", make_job(f"job-r{next(numbers)}"))
+        return answer["status"] == "complete"
+
+    wait_for(is_served, "service after the return")
+
+
+def has_evacuated(daemon: Daemon, zone: str) -> bool:
+    """Return whether the configuration in force at a daemon evacuates a zone."""
+    configuration = call("GET", f"{daemon.url}/v1/configuration")[1]
+    return zone in configuration["evacuated_zones"]
--- a/boragetide/tests/test_confirmations.py
+++ b/boragetide/tests/test_confirmations.py
@@ -20,7 +20,7 @@
     VersionConfirmed,
     WokeUp,
 )
-from boragetide.policy.replica import Role
+from boragetide.policy.replica import AUTHORITY_DURATION, Role
 from boragetide.policy.zones import MAX_VIEW_AGE
 from boragetide.settings import Peer, Settings
 from boragetide.types import ReplyTo
@@ -282,3 +282,30 @@
     leader = members.find_leader()
     members.handle(leader, ReadZone(zone=ZONE, reply_to=ReplyTo(leader, 1)))
     assert members.replies[1].order == 1
+
+
+def test_cut_off_leader_confirms_nothing_once_another_may_lead(
+    members: Members,
+) -> None:
+    """Guards against confirmations by a leader that does not know that it was replaced.
+
+    It goes on as a leader for longer than it has authority.
+    """
+    leader = members.find_leader()
+    members.cut = frozenset({leader})
+    cut_at = members.now
+    replica = members.states_by_id[leader].replica
+    while replica.role is Role.LEADER:
+        members.run_for(STEP)
+        members.network.clear()
+        members.handle(leader, AskConfirmation("x0", 1))
+        answers = [
+            each
+            for _, each in members.network
+            if isinstance(each.message, VersionConfirmed)
+        ]
+        has_expired = members.now > cut_at + AUTHORITY_DURATION
+        assert not (has_expired and answers)
+    assert members.now > cut_at + AUTHORITY_DURATION
+    confirmed = members.confirmed_by_id[leader]
+    assert confirmed.confirmed_at <= cut_at + AUTHORITY_DURATION
