Confirmations count once the named version is in force

Cause: under frequent changes an answer may name a version that arrives just after it, and did not count. Change: such answers are kept until their version is in force.

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -165,7 +165,10 @@
     if _has_authority(state, now):
         return confirmations.confirm_own(state.confirmations, in_force, now)
     leader = None if state.member is None else state.member.leader
-    return confirmations.ask_leader(state.confirmations, in_force, leader, now)
+    return [
+        *confirmations.confirm_met(state.confirmations, in_force),
+        *confirmations.ask_leader(state.confirmations, in_force, leader, now),
+    ]
 
 
 def _has_authority(state: ConfigurationState, now: Seconds) -> bool:
--- a/boragetide/policy/confirmations.py
+++ b/boragetide/policy/confirmations.py
@@ -41,6 +41,9 @@
         Newest time as of which the configuration in force was the newest.
     asked_at_by_number
         Time of each question that has no answer yet, oldest first.
+    unmet
+        Answers that named a newer version than the one in force, as pairs of the
+        version and the time of the question, oldest first.
     next_number
         Number of the next question. No other process of this instance uses it.
     leader, leader_answered_at
@@ -50,6 +53,7 @@
     settings: Settings
     confirmed_at: Seconds = 0.0
     asked_at_by_number: OrderedDict[int, Seconds] = field(default_factory=OrderedDict)
+    unmet: list[tuple[int, Seconds]] = field(default_factory=list)
     next_number: int = field(default_factory=choose_first_number)
     next_ask_at: Seconds = 0.0
     leader: InstanceId | None = None
@@ -138,16 +142,24 @@
     in_force: Configuration | None,
     now: Seconds,
 ) -> list[Effect]:
-    """Record an answer, which confirms nothing if it names a newer version."""
-    asked_at = state.asked_at_by_number.get(message.number)
+    """Record an answer, which counts once the version that it names is in force."""
+    asked_at = state.asked_at_by_number.pop(message.number, None)
     if asked_at is None:
         return []
     state.leader, state.leader_answered_at = message.sender, now
+    state.unmet = [*state.unmet, (message.version, asked_at)][-MAX_OPEN_QUESTIONS:]
+    return confirm_met(state, in_force)
+
+
+def confirm_met(state: Confirmations, in_force: Configuration | None) -> list[Effect]:
+    """Confirm the view by the answers whose version is in force by now.
+
+    Under frequent changes, each answer may name a version that arrives just after it.
+    """
     version = -1 if in_force is None else in_force.version
-    if message.version > version:
-        return []
-    del state.asked_at_by_number[message.number]
-    if asked_at <= state.confirmed_at:
+    met = [asked_at for named, asked_at in state.unmet if named <= version]
+    state.unmet = [each for each in state.unmet if each[0] > version]
+    if not met or max(met) <= state.confirmed_at:
         return []
-    state.confirmed_at = asked_at
+    state.confirmed_at = max(met)
     return state.inform(in_force)
--- a/boragetide/tests/test_confirmations.py
+++ b/boragetide/tests/test_confirmations.py
@@ -309,3 +309,13 @@
     assert members.now > cut_at + AUTHORITY_DURATION
     confirmed = members.confirmed_by_id[leader]
     assert confirmed.confirmed_at <= cut_at + AUTHORITY_DURATION
+
+
+def test_views_stay_recent_under_frequent_changes(members: Members) -> None:
+    """Guards against answers that never count as each names the next version."""
+    for number in range(60):
+        leader = members.find_leader()
+        kind = ReturnZone if number % 2 else EvacuateZone
+        members.propose(leader, kind(ZONE), f"c{number}")
+        members.run_for(0.1)
+        assert max(members.age(id_) for id_ in members.states_by_id) < 1.5
