--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -765,7 +765,7 @@
         else:
             self.evacuated_at_by_zone.pop(zone, None)
         self.submit(4, chained=False)
-        self.run_for(seconds)
+        self.run_with_announcements(seconds)
         self.submit(4, chained=False)
         self.run_for(STEP)
 
