Tests with crowds of clients run alone

They measure the memory and the descriptors of processes, so that make test runs them one at a time after all others. Crowds and bounds are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,10 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 
+# Tests with crowds of clients measure the memory of processes, and run alone.
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not crowd"
+	$(BIN)/python -m pytest -n 0 -m crowd
 
 demo: setup
 	$(BIN)/python -m examples.demo
--- a/boragetide/tests/test_crowds.py
+++ b/boragetide/tests/test_crowds.py
@@ -30,6 +30,7 @@
 
 # The daemon's settings do not name the memory of its machine. With a body limit of
 # 1 MiB, a machine with this much must suffice.
+pytestmark = pytest.mark.crowd
 MEMORY_MB = 128
 MAX_FDS = 512
 BODY_BYTES = MIB
