Directory: confirmations count once the named version is in force

Callers of an entry instance on a slow link got 503 for seconds while the configuration changed 2.5 to 10 times a second. Cause: an answer that named a version which was still being fetched was dropped. Each version takes 30 to 75 ms, so that most answers name one that is not in force yet. Change: such answers are kept (at most 16) and evaluated with each confirmation and with each version put in force. The list is shared with the confirmations of the dispatchers. The time of the question is still the one that counts, and nothing newer existed then.

--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -32,6 +32,7 @@
     end_if_obsolete,
     receive_piece,
 )
+from boragetide.policy.confirmations import UnmetAnswers
 from boragetide.policy.link_health import LinkHealth
 from boragetide.policy.overload import (
     Pacer,
@@ -93,6 +94,8 @@
     confirmed_at
         Newest time as of which a leader confirmed that no newer configuration had been
         accepted.
+    unmet
+        Confirmations that named a newer version than the one in force.
     next_request_at, asked_count
         Time at which the contacts are asked again, and how often they were asked.
     asking_since
@@ -117,6 +120,7 @@
     refusals: RefusalBatches = field(default_factory=RefusalBatches)
     configuration: Configuration | None = None
     confirmed_at: Seconds = 0.0
+    unmet: UnmetAnswers = field(default_factory=UnmetAnswers)
     next_request_at: Seconds = 0.0
     asked_count: int = 0
     asking_since: Seconds = 0.0
@@ -246,8 +250,9 @@
     silence = now - state.leader_heard_at if state.leader_heard_at else None
     effects = _follow_leader(message, state, now)
     effects += _learn_version(message, state, silence, now)
-    if _confirms_configuration(message, state, now):
-        state.confirmed_at = max(state.confirmed_at, message.asked_at)
+    if _confirms_version(message, state, now):
+        state.unmet.add(message.version, message.asked_at)
+        _confirm_met(state)
     return effects
 
 
@@ -322,6 +327,7 @@
     if offered.version <= state.version:
         return []
     state.configuration = offered
+    _confirm_met(state)
     end_if_obsolete(state.transfer, state.version)
     fields = {
         "version": offered.version,
@@ -346,10 +352,10 @@
     return effects + _put_in_force(completed, state, message.sender, silence)
 
 
-def _confirms_configuration(
+def _confirms_version(
     message: LeaderNotice, state: DirectoryState, now: Seconds
 ) -> bool:
-    """Return whether this instance had the newest configuration when it asked.
+    """Return whether no version newer than the named one existed at the question.
 
     An answer to an earlier process of this instance does not count, because its times
     are those of another clock.
@@ -358,10 +364,16 @@
         message.has_authority
         and message.asked_at is not None
         and state.asking_since <= message.asked_at <= now
-        and message.version <= state.version
     )
 
 
+def _confirm_met(state: DirectoryState) -> None:
+    """Confirm the configuration by the answers whose version is in force by now."""
+    met_at = state.unmet.take_met(state.version)
+    if met_at is not None:
+        state.confirmed_at = max(state.confirmed_at, met_at)
+
+
 @handle.register
 def _(message: ContactsChanged, state: DirectoryState, now: Seconds) -> list[Effect]:
     state.seeds = message.contacts
--- a/boragetide/policy/confirmations.py
+++ b/boragetide/policy/confirmations.py
@@ -28,9 +28,36 @@
 # Without an answer for this long, an instance asks all members that it knows.
 LEADER_SILENCE: Seconds = 0.7
 MAX_OPEN_QUESTIONS = 16
+# Answers kept for versions that are not in force yet; the oldest is dropped first.
+MAX_UNMET_ANSWERS = 16
 INFORMED_CONTROLLERS = frozenset({"backend_servers", "dispatcher"})
 
 
+@dataclass(slots=True)
+class UnmetAnswers:
+    """Answers that named a version which was not in force when they arrived.
+
+    Under frequent changes, each answer may name a version that arrives just after it.
+
+    Parameters
+    ----------
+    entries
+        Pairs of the version and the time of the question, oldest first.
+    """
+
+    entries: list[tuple[int, Seconds]] = field(default_factory=list)
+
+    def add(self, version: int, asked_at: Seconds) -> None:
+        """Keep an answer until its version is in force."""
+        self.entries = [*self.entries, (version, asked_at)][-MAX_UNMET_ANSWERS:]
+
+    def take_met(self, version: int) -> Seconds | None:
+        """Remove the answers that a version meets; return when the newest was asked."""
+        met = [asked_at for named, asked_at in self.entries if named <= version]
+        self.entries = [each for each in self.entries if each[0] > version]
+        return max(met, default=None)
+
+
 @dataclass(slots=True)
 class Confirmations:
     """State of the questions of one instance.
@@ -42,8 +69,7 @@
     asked_at_by_number
         Time of each question that has no answer yet, oldest first.
     unmet
-        Answers that named a newer version than the one in force, as pairs of the
-        version and the time of the question, oldest first.
+        Answers that named a newer version than the one in force.
     next_number
         Number of the next question. No other process of this instance uses it.
     leader, leader_answered_at
@@ -53,7 +79,7 @@
     settings: Settings
     confirmed_at: Seconds = 0.0
     asked_at_by_number: OrderedDict[int, Seconds] = field(default_factory=OrderedDict)
-    unmet: list[tuple[int, Seconds]] = field(default_factory=list)
+    unmet: UnmetAnswers = field(default_factory=UnmetAnswers)
     next_number: int = field(default_factory=choose_first_number)
     next_ask_at: Seconds = 0.0
     leader: InstanceId | None = None
@@ -147,19 +173,14 @@
     if asked_at is None:
         return []
     state.leader, state.leader_answered_at = message.sender, now
-    state.unmet = [*state.unmet, (message.version, asked_at)][-MAX_OPEN_QUESTIONS:]
+    state.unmet.add(message.version, asked_at)
     return confirm_met(state, in_force)
 
 
 def confirm_met(state: Confirmations, in_force: Configuration | None) -> list[Effect]:
-    """Confirm the view by the answers whose version is in force by now.
-
-    Under frequent changes, each answer may name a version that arrives just after it.
-    """
-    version = -1 if in_force is None else in_force.version
-    met = [asked_at for named, asked_at in state.unmet if named <= version]
-    state.unmet = [each for each in state.unmet if each[0] > version]
-    if not met or max(met) <= state.confirmed_at:
+    """Confirm the view by the answers whose version is in force by now."""
+    met_at = state.unmet.take_met(-1 if in_force is None else in_force.version)
+    if met_at is None or met_at <= state.confirmed_at:
         return []
-    state.confirmed_at = max(met)
+    state.confirmed_at = met_at
     return state.inform(in_force)
--- a/boragetide/tests/test_large_configuration.py
+++ b/boragetide/tests/test_large_configuration.py
@@ -12,6 +12,7 @@
 SIZE = 290_000  # characters of the document
 ROUTES = 1400
 IN_FORCE_BOUND = 2.5  # seconds after the acknowledgement
+CHANGE_PERIOD = 6.0  # seconds of frequent changes
 RECOVERY = 2.0  # seconds after the last change
 
 
@@ -51,6 +52,21 @@
     assert site.list_events("link_silent") == []
 
 
+@pytest.mark.parametrize("phase", [0.0, 0.03, 0.07, 0.13, 0.21, 0.3])
+@pytest.mark.parametrize("interval", [0.4, 0.2, 0.1])
+def test_frequent_changes_do_not_end_service(
+    site: SlowSite, interval: float, phase: float
+) -> None:
+    """Guards against confirmations that are lost while their version is fetched."""
+    site.run_for(phase)
+    for version in range(2, 2 + round(CHANGE_PERIOD / interval)):
+        site.publish(version, SIZE, ROUTES)
+        site.run_for(interval)
+    site.run_for(RECOVERY)
+    assert site.unready_at == []
+    assert list_late(site) == {}
+
+
 def test_configuration_is_sent_once_for_each_version(site: SlowSite) -> None:
     """Guards against copies from several members, or with several questions."""
     before = site.bytes_to_edge_by_kind.get("ConfigurationPiece", 0)
