Pool: the first evacuation of another zone ends no waiting jobs

Callers in all zones got refusals, and waiting at-most-once jobs were ended, with the first evacuation of any zone where the settings do not enable evacuation. Cause: such a view has never been confirmed (confirmed_at is 0), so that it seemed to be old since the beginning of the clock. Change: the age counts from when this pool first saw the view as old. New jobs are queued for one second (OLD_VIEW_TOLERANCE), in which the first confirmation arrives; nothing starts meanwhile.

--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -14,7 +14,11 @@
     refresh_server,
 )
 from boragetide.controllers.queueing import ClassQueue, QueuedJob, add_waiting
-from boragetide.controllers.zone_pool import apply_zones, refuse_for_zones
+from boragetide.controllers.zone_pool import (
+    apply_zones,
+    check_view,
+    refuse_for_zones,
+)
 from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
     AnnounceBackendServer,
@@ -206,6 +210,7 @@
 ) -> list[Effect]:
     was_recent = state.zones.is_recent(now)
     state.zones.confirm(message.version, message.confirmed_at)
+    check_view(state, now)
     return [] if was_recent else place_tasks(state, now)
 
 
--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -138,6 +138,8 @@
         lost that role, if it had it.
     zones
         What this instance knows of the evacuated zones.
+    old_view_since
+        Time since which this pool has seen that view as too old for starts, if it is.
     returned_at_by_zone
         Time at which this instance learned that a zone has returned to service.
     """
@@ -178,6 +180,7 @@
     role_lost_at: Seconds | None = None
     stopping: bool = False
     zones: ZoneView = field(init=False)
+    old_view_since: Seconds | None = None
     returned_at_by_zone: dict[ZoneId, Seconds] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -17,10 +17,10 @@
     refresh_server,
 )
 from boragetide.controllers.queueing import QueuedJob, put_job, remove_job
+from boragetide.controllers.zone_pool import check_view
 from boragetide.effects import Effect, Send
 from boragetide.messages import TaskEnded
 from boragetide.policy import admission, ejection, learning, ordering
-from boragetide.policy.zones import MAX_VIEW_AGE
 from boragetide.types import Address, Seconds, TaskOutcome, TaskStatus
 
 REVIEW_INTERVAL: Seconds = 1.0
@@ -80,8 +80,9 @@
     A pool that has just lost its last server waits for the length of a lease, because
     servers that moved to another placer come back within that time.
     """
-    if not state.zones.is_recent(now):
-        unavailable_since = state.zones.confirmed_at + MAX_VIEW_AGE
+    check_view(state, now)
+    if state.old_view_since is not None:
+        unavailable_since = state.old_view_since
     elif state.total_slots:
         return []
     else:
--- a/boragetide/controllers/zone_pool.py
+++ b/boragetide/controllers/zone_pool.py
@@ -10,10 +10,26 @@
 from boragetide.policy.zones import MAX_TRIAL_TIME, begin_trial
 from boragetide.types import Seconds
 
+# Jobs are queued for this long while the view of the zones is too old for starts. The
+# first evacuation of an installation makes the view of each pool old until the first
+# confirmation, which takes about 0.3 s and a round trip.
+OLD_VIEW_TOLERANCE: Seconds = 1.0
+
+
+def check_view(state: BackendServersState, now: Seconds) -> Seconds | None:
+    """Return for how long the view has been seen as old, or ``None`` if it is not."""
+    if state.zones.is_recent(now):
+        state.old_view_since = None
+        return None
+    if state.old_view_since is None:
+        state.old_view_since = now
+    return now - state.old_view_since
+
 
 def refuse_for_zones(state: BackendServersState, now: Seconds) -> str | None:
     """Return why no job is accepted, as far as the evacuated zones go."""
-    if not state.zones.is_recent(now):
+    old_for = check_view(state, now)
+    if old_for is not None and old_for > OLD_VIEW_TOLERANCE:
         return "this instance cannot confirm which availability zones are evacuated"
     servers = state.servers_by_id.values()
     if servers and all(is_evacuated(state, leased) for leased in servers):
