Explanations: evacuated zones and starts that are withheld

Callers of explain were told that a job can start while the leader withheld all starts, and that servers of an evacuated zone were out of service. Cause: can_start did not include the age of the view of the zones, and no reason named the evacuation. Change: can_start requires a recent view, as place_runs does; the reason evacuated is checked first. Both new tests of test_explaining fail without the change; test_explaining and test_cli pass with it.

--- a/boragetide/controllers/explaining.py
+++ b/boragetide/controllers/explaining.py
@@ -60,7 +60,11 @@
     ahead = state.queue.in_time.entries.bisect_left(waiting.entry)
     explanation = JobExplanation(
         pool=pool,
-        can_start=state.takeover_complete and not state.start_window.is_full,
+        can_start=(
+            state.takeover_complete
+            and not state.start_window.is_full
+            and state.zones.is_recent(now)
+        ),
         slack=waiting.latest_start - now,
         jobs_ahead=ahead,
         steps=steps,
@@ -125,6 +129,8 @@
 ) -> str:
     """Return why another task of a step does not start on a backend server."""
     labels = server.report.labels
+    if server.report.zone in state.zones.evacuated:
+        return "evacuated"
     if not is_usable(state, server, now) or server.isolated:
         return "out_of_service"
     if step.required_label and step.required_label not in labels:
--- a/boragetide/tests/test_explaining.py
+++ b/boragetide/tests/test_explaining.py
@@ -11,6 +11,8 @@
 from boragetide.controllers.dispatch_state import update_server_index
 from boragetide.durable import DurableJob, Resources, Step
 from boragetide.messages import (
+    ConfigurationChanged,
+    ConfigurationConfirmed,
     ExplainDurableJob,
     JobExplanation,
     LeadershipLost,
@@ -26,6 +28,7 @@
     Leader,
     make_durable_job,
 )
+from boragetide.types import Configuration
 
 STEP = Step(3, NEEDS, 0.2)
 
@@ -104,6 +107,32 @@
     }
 
 
+def test_servers_of_evacuated_zones_are_explained(leader: Leader) -> None:
+    """Guards against an evacuation that is shown as a fault of the servers."""
+    leader.join("s2", zone="b")
+    evacuated = Configuration(
+        version=2, evacuated_zones=frozenset({"b"}), evacuation_used=True
+    )
+    leader.handle(ConfigurationChanged(evacuated))
+    leader.handle(ConfigurationConfirmed(evacuated.version, BEGIN))
+    explained = explain(leader, STEP)
+    assert explained.can_start
+    assert explained.steps[0].tasks_by_server == {"s1": 2}
+    assert explained.steps[0].servers_by_reason == {"busy": 1, "evacuated": 1}
+
+
+def test_nothing_is_shown_to_start_with_an_old_view_of_the_zones(
+    leader: Leader,
+) -> None:
+    """Guards against a job that is shown to start while starts are withheld."""
+    changed = Configuration(version=2, evacuation_used=True)
+    assert explain(leader, STEP).can_start
+    leader.handle(ConfigurationChanged(changed))
+    assert not explain(leader, STEP).can_start
+    leader.handle(ConfigurationConfirmed(changed.version, BEGIN))
+    assert explain(leader, STEP).can_start
+
+
 def test_limit_by_server_is_explained(leader: Leader) -> None:
     """Guards against a limit of the job itself that is shown as a full server."""
     (step,) = explain(leader, replace(STEP, max_per_server=1)).steps
