Reservations: none on a server in its trial after a return

Callers with large needs lost their turn for a second: a reservation on a server whose zone had just returned was given up as server_out_of_service. Cause: is_usable includes the limit of runs of the trial, which small tasks beside the reservation reach. Change: no room is reserved on a server in its trial. The limit could keep the job from its room also where the reservation were kept. The new test of test_placing_ahead fails without the change; test_reservations and test_zone_service pass with it.

--- a/boragetide/controllers/reserving.py
+++ b/boragetide/controllers/reserving.py
@@ -109,6 +109,9 @@
 ) -> list[Effect]:
     """Reserve room for a job that may have a reservation, if some will be free soon.
 
+    None is reserved on a server whose zone has just returned: its runs are limited for
+    a while, so that the job may not start there although the room is free.
+
     Parameters
     ----------
     usable
@@ -123,6 +126,7 @@
         for server in usable
         if server.report.id not in reservations.by_server
         and not server.isolated
+        and server.trial is None
         and server.kind.could_run(step)
     )
     chosen = choose_reservation(step, slack, outlooks, now)
--- a/boragetide/tests/test_placing_ahead.py
+++ b/boragetide/tests/test_placing_ahead.py
@@ -18,6 +18,7 @@
     Tick,
 )
 from boragetide.policy.reservations import MAX_DELAY, MIN_TIMES_OVERTAKEN
+from boragetide.policy.zones import Trial
 from boragetide.settings import DispatchSettings, PlacementRule, Settings
 from boragetide.tests.durable_fixtures import (
     BEGIN,
@@ -233,6 +234,22 @@
     assert given_up["reason"] == "not_waiting"
 
 
+def test_no_room_is_reserved_on_a_server_that_returns(busy: Busy) -> None:
+    """Guards against reservations given up because a trial limits the runs."""
+    server = busy.state.servers_by_id["s1"]
+    overtaking = MIN_TIMES_OVERTAKEN + 1
+    server.trial = Trial(BEGIN, max_runs=len(server.runs_by_task) + overtaking)
+    busy.overtake(overtaking)
+    assert not busy.send("tiny-last", TINY, OVERTAKEN_AT)
+    busy.handle(Tick(), OVERTAKEN_AT + 0.001)
+    assert not busy.take_events("reservation_given_up")
+    assert not busy.take_events("reservation_made")
+    server.trial = None
+    busy.send("tiny-next", TINY, OVERTAKEN_AT + 0.02)
+    (made,) = busy.take_events("reservation_made")
+    assert made["job"] == "big"
+
+
 def test_new_leader_reserves_nothing_behind_runs_that_it_adopted(busy: Busy) -> None:
     """Guards against ends that a leader expects of runs whose begin it has not seen."""
     busy.overtake()
