Usual terms in the parts for zones and large configurations

Renames ConfigurationTransfer.is_under_way to is_on_time and explaining._find_obstacle to _find_reason, and counts the active runs of a server in one place, Server.active_runs.

--- a/boragetide/controllers/explaining.py
+++ b/boragetide/controllers/explaining.py
@@ -101,7 +101,7 @@
         for server in state.servers_by_id.values():
             if server.report.pool == pool:
                 reasons[
-                    _find_obstacle(state, server, waiting, step, slack, counts, now)
+                    _find_reason(state, server, waiting, step, slack, counts, now)
                 ] += 1
     return StepExplanation(step.count, dict(counts), dict(reasons))
 
@@ -118,7 +118,7 @@
         yield candidate
 
 
-def _find_obstacle(
+def _find_reason(
     state: DispatcherState,
     server: Server,
     waiting: WaitingJob,
--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -13,7 +13,7 @@
 )
 from boragetide.controllers.placing_runs import find_pool, is_usable, start_task
 from boragetide.controllers.runs import read_runs
-from boragetide.controllers.server_state import RunPhase, Server
+from boragetide.controllers.server_state import Server
 from boragetide.durable import DurableJob, RunLoss, Step
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy.crash_suspicion import (
@@ -153,7 +153,7 @@
         server
         for server in state.servers_by_id.values()
         if not server.isolated
-        and _count_active_runs(server) <= max_runs
+        and server.active_runs <= max_runs
         and is_usable(state, server, now)
     ]
     chosen = choose_server(step, _make_candidates(_sort_by_load(usable), kinds), {})
@@ -224,9 +224,7 @@
 
 def _sort_by_load(servers: list[Server]) -> list[Server]:
     """Return the servers that are empty or will soon be empty first."""
-    return sorted(
-        servers, key=lambda server: (_count_active_runs(server), -server.speed)
-    )
+    return sorted(servers, key=lambda server: (server.active_runs, -server.speed))
 
 
 def _max_runs_to_isolate(
@@ -265,13 +263,8 @@
     return server is None or server.report.pool == pool
 
 
-def _count_active_runs(server: Server) -> int:
-    """Return the number of runs that have not ended on a backend server."""
-    return sum(run.phase is not RunPhase.ENDED for run in server.runs_by_task.values())
-
-
 def _is_empty(server: Server) -> bool:
-    return _count_active_runs(server) == 0
+    return server.active_runs == 0
 
 
 def _isolate(state: DispatcherState, server: Server) -> None:
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -340,6 +340,13 @@
         report = self.report
         return ServerKind(report.pool, report.labels, report.capacity)
 
+    @property
+    def active_runs(self) -> int:
+        """Number of runs that have not ended."""
+        return sum(
+            run.phase is not RunPhase.ENDED for run in self.runs_by_task.values()
+        )
+
     @property
     def free_resources(self) -> Resources:
         """Capacity that no run uses; none if the server is set apart or evacuated."""
--- a/boragetide/controllers/zone_service.py
+++ b/boragetide/controllers/zone_service.py
@@ -9,7 +9,7 @@
     has_authority,
     update_server_index,
 )
-from boragetide.controllers.server_state import RunPhase, Server
+from boragetide.controllers.server_state import Server
 from boragetide.effects import Count, Effect, LogEvent, SetGauge
 from boragetide.policy.zones import (
     MAX_TRIAL_TIME,
@@ -31,11 +31,7 @@
         return False
     if server.trial is None:
         return True
-    return may_take_run(server.trial, _count_active_runs(server), now)
-
-
-def _count_active_runs(server: Server) -> int:
-    return sum(run.phase is not RunPhase.ENDED for run in server.runs_by_task.values())
+    return may_take_run(server.trial, server.active_runs, now)
 
 
 def apply_zones(
@@ -78,7 +74,7 @@
         "version": state.zones.version,
         "evacuated": len(state.zones.evacuated),
         "servers": len(servers),
-        "runs": sum(map(_count_active_runs, servers)),
+        "runs": sum(server.active_runs for server in servers),
         "term": state.term,
     }
 
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -141,7 +141,7 @@
 
 
 def _is_superseded(command: Command, current: Configuration) -> bool:
-    """Return whether a command asks for what is in force, or for less than that.
+    """Return whether a command asks for what is in force, or for an older revision.
 
     The configuration with the highest revision stays in force. A zone that is evacuated
     already stays evacuated, and one that is in service stays in service.
--- a/boragetide/policy/configuration_transfer.py
+++ b/boragetide/policy/configuration_transfer.py
@@ -94,7 +94,7 @@
         return self.version >= 0
 
     @property
-    def is_under_way(self) -> bool:
+    def is_on_time(self) -> bool:
         """Whether a configuration is being fetched and its pieces arrive in time."""
         return self.in_progress and self.attempts == 0
 
--- a/boragetide/policy/distribution.py
+++ b/boragetide/policy/distribution.py
@@ -110,7 +110,7 @@
     One that is on its way is not requested again while pieces of it arrive.
     """
     known = state.version
-    if state.transfer.is_under_way:
+    if state.transfer.is_on_time:
         known = max(known, state.transfer.version)
     if state.in_force is None or version <= known or now < state.next_fetch:
         return []
