No refusal before the takeover is complete

Callers of best-effort jobs got 503 with `not_run` from a new leader for jobs of which its predecessor had started tasks. `refuse_expired` and `refuse_if_late` looked only at the jobs started by this leader and at the lists of runs read so far, although any job may be on a backend server whose list is still missing.

Until the takeover is complete nothing expired is refused: a late submission is queued, as those in time are. When the last list arrives, its runs are adopted first and what has then expired is refused at once, before tasks are placed, so that none of it is started for nothing. A copy whose job may have ended long ago is left undecided as before. Undecided with a term would have ended the request with `unknown`, although the takeover mostly takes less time than it has left.

The other places that answer REFUSED: - refusals.refuse_void_submission: a note of an earlier term of the same instance could refuse a copy that ran in between: undecided until the takeover is over. - job_requests.submit_job (too large): same cause, for a server not yet heard of. Undecided without a term, so that the edge asks again. After the takeover, a job whose run is listed is accepted also if its server leaves: its run is adopted. - held_submissions.settle_held: best-effort jobs are now held only after the takeover; unaccepted durable jobs have never run. - overload.refuse_submissions: already waits for the takeover. - stranded_jobs: answers nothing itself. - directory (admission): refuses what overload.refuse_submissions has voided.

What remains: a takeover that ends by expired leases instead of by lists also counts a task as not running that ran at an unread server until its lease ended.

--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -92,7 +92,8 @@
     """Refuse a job that has waited too long; return no effects if it has not.
 
     A leader that is overloaded accepts no job that can only be late, because it would
-    make others late that can still be in time.
+    make others late that can still be in time. Before the takeover is complete, a late
+    job is queued, because it may run under an earlier leader.
     """
     overloaded = state.takeover_complete and state.admission.is_overloaded
     limit = latest_start(job) if overloaded else expires_at(job)
@@ -103,6 +104,8 @@
     was_accepted = job.id in state.records_by_id
     if was_accepted or may_have_ended(message, now):
         return leave_undecided(message, state, arrival)
+    if not state.takeover_complete:
+        return []
     return refuse_job(
         state,
         job,
@@ -208,7 +211,12 @@
 
 
 def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Refuse expired best-effort jobs of which no task was started."""
+    """Refuse expired best-effort jobs of which no task was started.
+
+    Before the takeover is complete, an earlier leader may have started any of them.
+    """
+    if not state.takeover_complete:
+        return []
     effects: list[Effect] = []
     for waiting in state.queue.list_expired(now):
         job = waiting.job
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -324,6 +324,9 @@
     takeover = check_takeover(state, now)
     effects += takeover
     server = state.servers_by_id.get(message.server)
+    if takeover:
+        # Jobs that expired during the takeover would be started below.
+        effects += refuse_expired(state, now)
     if takeover or (server is not None and needs_registration(state, server)):
         effects += register_servers(state, now)
     if settled or (server is not None and server.isolated):
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -21,6 +21,7 @@
 from boragetide.controllers.held_submissions import fits_elsewhere, hold_submission
 from boragetide.controllers.job_records import append_command, make_transfer_reply
 from boragetide.controllers.refusals import (
+    has_earlier_run,
     refuse_misfit,
     refuse_void_submission,
 )
@@ -63,7 +64,11 @@
     refused = refused or refuse_if_late(message, job, state, arrival, now)
     if refused:
         return refused
-    if not _can_ever_fit(job, state):
+    if not _can_ever_fit(job, state) and not has_earlier_run(state, job.id):
+        if job.best_effort and not state.takeover_complete:
+            # An earlier leader may have started the job on a backend server that this
+            # one does not know yet. Without a term, the edge asks again.
+            return [make_reply(message, ReplyStatus.UNDECIDED)]
         elsewhere = fits_elsewhere(state, job, RoomTable(state, now), now)
         if elsewhere is None:
             hold_submission(message, state, now)
--- a/boragetide/controllers/refusals.py
+++ b/boragetide/controllers/refusals.py
@@ -119,10 +119,11 @@
     the meantime. A copy of a cancelled job is answered with that state. One that was on
     its way for so long that a refusal may be forgotten, or the note by which another
     group directed it, is left undecided, and so is one whose job runs under an earlier
-    leader.
+    leader, or may do so because the takeover is not complete.
     """
     is_void = state.fence.is_void(job.id, message.submitted_at)
-    if is_void and not has_earlier_run(state, job.id):
+    has_not_run = state.takeover_complete and not has_earlier_run(state, job.id)
+    if is_void and has_not_run:
         waiters = [message.reply_to]
         return _refuse(state, job, waiters, REASON_VOID, now, RETRY_AFTER, arrival)
     if job.id in state.cancelled_at_by_job:
--- a/boragetide/tests/test_takeovers.py
+++ b/boragetide/tests/test_takeovers.py
@@ -12,6 +12,7 @@
     JobRecord,
     ListedEnd,
     ListedRun,
+    Resources,
     Step,
 )
 from boragetide.messages import (
@@ -257,3 +258,86 @@
 
 def list_end_of(job_id: str) -> ListedEnd:
     return ListedEnd(1, make_task_ref(job_id, 0), 1, EndReason.DONE)
+
+
+def begin_takeover(settings: Settings) -> Leader:
+    """Return a new leader that has read the runs of one of its two backend servers."""
+    leader = Leader(settings, term=2)
+    for server_id in ("s1", "s2"):
+        leader.handle(ReportServer(report=make_report(server_id)))
+    leader.lead()
+    leader.list_runs("s1")
+    return leader
+
+
+@pytest.mark.parametrize("is_queued", [True, False], ids=["queued", "arrives_late"])
+def test_expired_job_is_not_refused_before_all_earlier_runs_are_known(
+    settings: Settings, is_queued: bool
+) -> None:
+    """Guards against a refusal of a job that an earlier leader has started."""
+    leader = begin_takeover(settings)
+    job = make_durable_job(best_effort=True)
+    now = expires_at(job) + 0.1
+    sent_at = BEGIN if is_queued else now
+    age = sent_at - BEGIN
+    message = SubmitDurableJob(job=job, age=age, attempt=2, reply_to=CALLER)
+    leader.handle(message, sent_at)
+    assert leader.replies() == []
+    leader.handle(Tick(), now)
+    assert leader.replies() == []
+    listed = ListedRun(make_task_ref(job.id, 0), 1)
+    leader.list_runs("s2", running=(listed,), now=now + 0.1)
+    leader.handle(Tick(), now + 0.2)
+    assert leader.replies() == []
+    assert job.id in leader.state.started
+
+
+def test_expired_job_is_refused_once_no_earlier_leader_runs_it(
+    settings: Settings,
+) -> None:
+    """Guards against a caller that waits for an expired job after the takeover."""
+    leader = begin_takeover(settings)
+    job = make_durable_job(best_effort=True)
+    now = expires_at(job) + 0.1
+    age = now - BEGIN
+    leader.handle(SubmitDurableJob(job=job, age=age, reply_to=CALLER), now)
+    leader.list_runs("s2", now=now + 0.1)
+    assert [reply.status for reply in leader.replies()] == [ReplyStatus.REFUSED]
+    assert leader.starts() == []
+
+
+def test_job_that_fits_no_known_server_is_not_refused_during_a_takeover(
+    settings: Settings,
+) -> None:
+    """Guards against a refusal of a job that runs on a server not yet heard of."""
+    leader = begin_takeover(settings)
+    large = Step(1, Resources(70_000, 64), 0.2)
+    job = make_durable_job("j1", large, best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, attempt=2, reply_to=CALLER))
+    (reply,) = leader.replies()
+    # The edge asks again only without a term.
+    assert (reply.status, reply.term) == (ReplyStatus.UNDECIDED, 0)
+
+
+def test_void_copy_is_undecided_during_a_takeover(settings: Settings) -> None:
+    """Guards against a refusal by a note from an earlier term of the same instance."""
+    leader = begin_takeover(settings)
+    leader.state.fence.void("j1", BEGIN)
+    job = make_durable_job(best_effort=True)
+    copy = SubmitDurableJob(job=job, submitted_at=BEGIN - 0.1, reply_to=CALLER)
+    leader.handle(copy, BEGIN + 0.1)
+    assert [reply.status for reply in leader.replies()] == [ReplyStatus.UNDECIDED]
+    assert "j1" not in leader.state.records_by_id
+
+
+def test_job_whose_run_is_known_is_not_refused_because_its_server_leaves(
+    successor: Leader,
+) -> None:
+    """Guards against a refusal of a job that runs in an evacuated zone."""
+    successor.state.servers_by_id["s1"].evacuated = True
+    assert successor.state.takeover_complete
+    large = Step(1, Resources(70_000, 64), 0.2)
+    job = make_durable_job("j1", large, best_effort=True)
+    successor.handle(SubmitDurableJob(job=job, attempt=2, reply_to=CALLER))
+    assert successor.replies() == []
+    assert "j1" in successor.state.started
