Late jobs leave reserved room to the job in time

Placement that looks ahead: a large job that could still be in time lost its reserved room to jobs that were late already. A reservation lets jobs pass whose latest start is earlier, and that of each late or expired job is. Lateness is not urgency: the order puts such jobs behind all that can be in time.

`may_use` now passes no latest start for a late job, and `admits` then admits its task only if it delays nothing, as for less urgent jobs.

Evidence: test_late_job_does_not_take_reserved_room fails before (the late job starts in the reserved room) and passes now. First fit makes no reservations.

--- a/boragetide/controllers/reserving.py
+++ b/boragetide/controllers/reserving.py
@@ -52,8 +52,9 @@
     expected = state.run_times.predict(
         job.job.class_name, step.estimate, server.speed, now
     )
+    starts_by = None if job.find_slack(now) is None else job.latest_start
     return reservation.admits(
-        step, job.latest_start, expected.at, make_outlook(state, server, now)
+        step, starts_by, expected.at, make_outlook(state, server, now)
     )
 
 
--- a/boragetide/policy/reservations.py
+++ b/boragetide/policy/reservations.py
@@ -56,7 +56,8 @@
     Parameters
     ----------
     latest_start
-        Latest start of the job; more urgent jobs are not kept from the server.
+        Latest start of the job; more urgent jobs that can be in time are not kept from
+        the server.
     in_time_until
         Time after which a start on this server is too late for the job.
     expected_at
@@ -80,18 +81,24 @@
         return None
 
     def admits(
-        self, step: Step, latest_start: Seconds, end: Seconds, outlook: ServerOutlook
+        self,
+        step: Step,
+        latest_start: Seconds | None,
+        end: Seconds,
+        outlook: ServerOutlook,
     ) -> bool:
         """Return whether a task of another job may start on the server.
 
         Parameters
         ----------
         latest_start
-            Latest start of the other job.
+            Latest start of the other job; ``None`` if it is late, so that it is less
+            urgent than the job that has the reservation.
         end
             Expected end of the task.
         """
-        if latest_start < self.latest_start or end <= self.expected_at:
+        is_more_urgent = latest_start is not None and latest_start < self.latest_start
+        if is_more_urgent or end <= self.expected_at:
             return True
         free = outlook.free
         for at, used in outlook.ends:
--- a/boragetide/tests/test_placing_ahead.py
+++ b/boragetide/tests/test_placing_ahead.py
@@ -18,6 +18,7 @@
     Tick,
 )
 from boragetide.policy.reservations import MAX_DELAY, MIN_TIMES_OVERTAKEN
+from boragetide.policy.scheduling import latest_start
 from boragetide.settings import DispatchSettings, PlacementRule, Settings
 from boragetide.tests.durable_fixtures import (
     BEGIN,
@@ -163,6 +164,19 @@
     assert ordered["reserved_for"] == "big"
 
 
+def test_late_job_does_not_take_reserved_room(busy: Busy) -> None:
+    """Guards against late jobs that count as more urgent than one that is in time."""
+    busy.overtake()
+    busy.end(busy.first, EXPECTED_AT - 0.02)
+    now, age = EXPECTED_AT - 0.01, 0.5
+    job = make_durable_job("late", HALF, best_effort=True, submitted_at=now - age)
+    assert latest_start(job) < now
+    busy.handle(SubmitDurableJob(job=job, age=age, reply_to=CALLER), now)
+    assert not busy.starts()
+    (start,) = busy.end(busy.second, EXPECTED_AT)
+    assert start.task.job_id == "big"
+
+
 def test_reservation_is_given_up_if_an_end_is_late(busy: Busy) -> None:
     """Guards against a server that stays idle behind a run of the long tail."""
     busy.overtake()
--- a/boragetide/tests/test_reservations.py
+++ b/boragetide/tests/test_reservations.py
@@ -88,6 +88,7 @@
     outlook = make_outlook("s1", free=60_000)
     urgent = reservation.latest_start - 0.01
     assert reservation.admits(BIG, urgent, NOW + 9.0, outlook)
+    assert not reservation.admits(BIG, None, NOW + 9.0, outlook)
 
 
 def test_reservation_ends_when_it_is_not_kept() -> None:
