Reservations end with their job although nothing waits

Placement that looks ahead: after the withdrawal of the last waiting job its reservation stayed until the next job arrived, and `job explain` answered `reserved` for a free server for as long.

`place_runs` returned for an empty queue before it reviewed the reservations. It now reviews them first, also while the window of starts is full.

Evidence: test_reservation_ends_with_its_job_although_nothing_waits fails before (no reservation_given_up at the tick) and passes now.

--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -171,11 +171,18 @@
 
 def place_runs(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Start as many waiting tasks as the free capacity allows."""
-    if not has_authority(state, now) or not state.queue.waiting_by_id:
+    has_reservations = bool(state.reservations.by_server)
+    if not (state.queue.waiting_by_id or has_reservations):
         return []
-    if not state.takeover_complete or not state.zones.is_recent(now):
+    if not has_authority(state, now) or not state.takeover_complete:
+        return []
+    if not state.zones.is_recent(now):
         return []
     effects: list[Effect] = []
+    if has_reservations:
+        effects += review_reservations(state, _make_check(state, now), now)
+    if not state.queue.waiting_by_id:
+        return effects
     max_free_by_pool: dict[PoolName, int] = {}
     look_ahead = LookAhead(state.index.rooms, partial(find_class_pool, state))
     unplaced = UnplacedNeeds()
@@ -183,9 +190,7 @@
     plan = None
     if state.looks_ahead:
         if state.start_window.is_full:
-            return []
-        if state.reservations.by_server:
-            effects += review_reservations(state, _make_check(state, now), now)
+            return effects
         first = list(islice(waiting_jobs, LOOK_AHEAD))
         plan = _PassPlan(state, first, max_free_by_pool)
         waiting_jobs = chain(plan.ordered, waiting_jobs)
--- a/boragetide/tests/test_placing_ahead.py
+++ b/boragetide/tests/test_placing_ahead.py
@@ -11,11 +11,13 @@
 from boragetide.durable import JobRecord, Resources, Step
 from boragetide.effects import Count, LogEvent, StartRun
 from boragetide.messages import (
+    ExplainDurableJob,
     LeadershipLost,
     RemoveServer,
     ReportServer,
     SubmitDurableJob,
     Tick,
+    WithdrawSubmissions,
 )
 from boragetide.policy.reservations import MAX_DELAY, MIN_TIMES_OVERTAKEN
 from boragetide.policy.scheduling import latest_start
@@ -247,6 +249,20 @@
     assert given_up["reason"] == "not_waiting"
 
 
+def test_reservation_ends_with_its_job_although_nothing_waits(busy: Busy) -> None:
+    """Guards against a server that stays reserved for a job that was withdrawn."""
+    busy.overtake()
+    busy.handle(WithdrawSubmissions("big", CALLER.instance), EXPECTED_AT - 0.04)
+    assert not busy.state.queue.waiting_by_id
+    busy.handle(Tick(), EXPECTED_AT - 0.03)
+    (given_up,) = busy.take_events("reservation_given_up")
+    assert (given_up["job"], given_up["reason"]) == ("big", "not_waiting")
+    job = make_durable_job("asked", replace(TINY, estimate=9.0), best_effort=True)
+    busy.handle(ExplainDurableJob(job=job, reply_to=CALLER), EXPECTED_AT - 0.02)
+    (reply,) = busy.replies()
+    assert reply.explanation.steps[0].tasks_by_server == {"s1": 1}
+
+
 def test_new_leader_reserves_nothing_behind_runs_that_it_adopted(busy: Busy) -> None:
     """Guards against ends that a leader expects of runs whose begin it has not seen."""
     busy.overtake()
