Order by fit leaves late begun jobs in their order

With the order by priority and placement that looks ahead, late jobs that had begun were not completed in the order of what was left of them: one with 15% left went before one with 5% left because its tasks were larger.

Their rank is a share of work less 1, from which `order_by_fit` subtracted an advance of up to 0.15 in seconds. Ranks that are no times are now left as they are. Ranks that are times stay the same numbers, so nothing changes in the order by latest start.

Evidence: test_late_begun_jobs_stay_in_the_order_of_what_is_left fails before and passes now.

--- a/boragetide/policy/best_fit.py
+++ b/boragetide/policy/best_fit.py
@@ -39,8 +39,15 @@
 def _sort(waiting_jobs: Iterable[WaitingJob], advance: float) -> list[WaitingJob]:
     """Return jobs of one lane by their rank less what their needs advance it."""
     ranked = [
-        (waiting.entry[0] - advance * waiting.least_needs.millicores, number, waiting)
+        (_find_rank(waiting, advance), number, waiting)
         for number, waiting in enumerate(waiting_jobs)
     ]
     ranked.sort()
     return [waiting for _, _, waiting in ranked]
+
+
+def _find_rank(waiting: WaitingJob, advance: float) -> float:
+    """Return a rank that is advanced by the needs, unless it is a share of the work."""
+    if not waiting.is_ranked_by_time:
+        return waiting.entry[0]
+    return waiting.entry[0] - advance * waiting.least_needs.millicores
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -81,6 +81,11 @@
         """Return how much later the job can start and be in time; none if it cannot."""
         return self.latest_start - now if now < self.latest_start else None
 
+    @property
+    def is_ranked_by_time(self) -> bool:
+        """Whether the rank is a time and not what is left of a late job."""
+        return self.entry[0] > 0
+
     def find_remaining_share(self) -> float:
         """Return the share of the job's declared work that waits to be started."""
         total = find_declared_work(self.job)
@@ -94,9 +99,9 @@
 
         A late job is ranked by its latest start, or by what is left of it.
         """
-        is_by_time = self.entry[0] > 0
+        rank = self.entry[0] if self.is_ranked_by_time else self.latest_start
         return {
-            "rank": self.entry[0] - now if is_by_time else self.latest_start - now,
+            "rank": rank - now,
             "priority": self.job.starts.priority,
             "given_up": self.given_up,
             "begun": self.has_started,
--- a/boragetide/tests/test_reservations.py
+++ b/boragetide/tests/test_reservations.py
@@ -16,6 +16,8 @@
     ServerOutlook,
     choose_reservation,
 )
+from boragetide.policy.scheduling import latest_start
+from boragetide.settings import JobOrder
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
 
 NOW = 100.0
@@ -152,3 +154,17 @@
     queue = JobQueue()
     late.lane = queue.late
     assert order_by_fit([in_time, late]) == [in_time, late]
+
+
+def test_late_begun_jobs_stay_in_the_order_of_what_is_left() -> None:
+    """Guards against an advance in seconds that is subtracted from shares of work."""
+    queue = JobQueue(JobOrder.PRIORITY)
+    small, large = (replace(each, count=20) for each in (SMALL, BIG))
+    nearly = make_durable_job("nearly", small)
+    queue.put(nearly, {0: small}, has_started=True)
+    waiting = dict.fromkeys(range(3), large)
+    queue.put(make_durable_job("more", large), waiting, has_started=True)
+    queue.list_expired(latest_start(nearly) + 0.1)
+    late = [queue.waiting_by_id[job_id] for _, job_id in queue.late]
+    assert [each.job.id for each in late] == ["nearly", "more"]
+    assert order_by_fit(late) == late
