Questions store no classes, and priorities are forgotten with the leadership

A request to explain a job of an unknown class beside a reservation left a model of that class in the leader, also for names that were made up: `predict` stored what it did not find. It now uses one model without observations.

With the order by priority, classes that had been removed kept their place among the levels for as long as the process ran, and made the others give up more or less of their slack. `JobQueue.clear`, which is called when the leadership changes, now forgets them; queued jobs teach them again.

Evidence: test_question_about_a_class_stores_nothing and test_classes_are_forgotten_with_the_leadership fail before and pass now.

--- a/boragetide/policy/expected_ends.py
+++ b/boragetide/policy/expected_ends.py
@@ -27,6 +27,9 @@
 ALWAYS_OBSERVED = 200
 OBSERVED_EVERY = 8
 
+# Model of a class of which no run was observed. It is never changed.
+_UNOBSERVED = SizeModel()
+
 
 @dataclass(frozen=True, slots=True)
 class ExpectedEnd:
@@ -80,9 +83,7 @@
         self, class_name: ClassName, declared: Seconds, speed: float, begin: Seconds
     ) -> ExpectedEnd:
         """Return the expected end of a run on a backend server of a speed."""
-        model = self.model_by_class.get(class_name)
-        if model is None:
-            model = self.model_by_class[class_name] = SizeModel()
+        model = self.model_by_class.get(class_name, _UNOBSERVED)
         seconds = predict_size(model, declared) / speed
         factor = math.exp(LATE_DEVIATIONS * math.sqrt(model.error_variance))
         return ExpectedEnd(seconds, begin + seconds, begin + factor * seconds)
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -327,7 +327,8 @@
             self.moves.discard((waiting.leaves_at, job_id))
 
     def clear(self) -> None:
-        """Remove all jobs."""
+        """Remove all jobs, and forget the priorities of their classes."""
+        self.levels = PriorityLevels()
         self.waiting_by_id.clear()
         for jobs in (self.in_time, self.moves, self.late, self.expired):
             jobs.clear()
--- a/boragetide/tests/test_expected_ends.py
+++ b/boragetide/tests/test_expected_ends.py
@@ -17,6 +17,15 @@
     assert expected.known_until > expected.at
 
 
+def test_question_about_a_class_stores_nothing() -> None:
+    """Guards against memory that grows with the names in requests to explain jobs."""
+    run_times = RunTimes()
+    unknown = run_times.predict("checks", 0.4, 1.0, 0.0)
+    run_times.observe("others", 0.1, 0.3, 1.0)
+    assert run_times.predict("checks", 0.4, 1.0, 0.0) == unknown
+    assert list(run_times.model_by_class) == ["others"]
+
+
 def test_run_times_are_learned_by_class() -> None:
     """Guards against expected ends that repeat a wrong declaration for ever."""
     run_times = RunTimes()
--- a/boragetide/tests/test_queue_order.py
+++ b/boragetide/tests/test_queue_order.py
@@ -153,6 +153,15 @@
     assert levels.priorities == [0]
 
 
+def test_classes_are_forgotten_with_the_leadership(queue: JobQueue) -> None:
+    """Guards against levels by the priorities of classes that are long gone."""
+    queue.put(make_job("gone", SHORT, priority=-1), {0: SHORT})
+    queue.clear()
+    queue.put(make_job("highest", SHORT, priority=0), {0: SHORT})
+    assert queue.levels.priorities == [0]
+    assert queue.waiting_by_id["highest"].given_up == 0.0
+
+
 def test_priority_gives_way_only_within_the_slack(queue: JobQueue) -> None:
     """Guards against a low priority that waits while higher ones keep arriving."""
     queue.put(make_job("urgent", SHORT, priority=0), {0: SHORT})
