The log line of a start sums up the waiting tasks once per job

The start of each task of a job that had begun cost processor time in proportion to its waiting tasks, because the field `left` of the log line was summed up for each. It is now computed once per job in a pass, with the other fields of the order, and tells what was left when the pass came to the job.

Evidence: test_log_lines_of_a_wide_job_sum_up_its_tasks_once counts the sums: one for each start before, at most four for all of them now.

--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -389,6 +389,7 @@
     is_held_by_limit = True
     effects: list[Effect] = []
     slack = waiting.find_slack(now)
+    order: dict[str, float | bool] | None = None
     for number, step in list(waiting.tasks.items()):
         if state.start_window.is_full:
             is_held_by_limit = False
@@ -421,7 +422,10 @@
             server = state.servers_by_id[chosen.id]
             reasons, settled = explain_start(state, waiting.job, server, overtaken, now)
             effects += settled
-        fields = {**waiting.describe_order(now), **reasons}
+        if order is None:
+            # To sum up the waiting tasks for each start would be slow for wide jobs.
+            order = waiting.describe_order(now)
+        fields = {**order, **reasons}
         effects += start_task(
             state, waiting.job, number, step, chosen, now, reasons=fields
         )
--- a/boragetide/tests/test_queue_order.py
+++ b/boragetide/tests/test_queue_order.py
@@ -13,7 +13,7 @@
 from boragetide.durable import DurableJob, Resources, Step
 from boragetide.effects import Count, LogEvent, StartRun
 from boragetide.messages import DispatcherReply, ReplyStatus, SubmitDurableJob, Tick
-from boragetide.policy.job_queue import JobQueue
+from boragetide.policy.job_queue import JobQueue, WaitingJob
 from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.queue_order import (
     BEGUN_LEAD,
@@ -307,6 +307,30 @@
     assert fields["rank"] == pytest.approx(rank)
 
 
+def test_log_lines_of_a_wide_job_sum_up_its_tasks_once(
+    leader: Leader, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against starts that cost more, the more tasks of the job wait."""
+    step = Step(50, Resources(1_000, 1), 0.2)
+    job = make_job("wide", step, at=BEGIN)
+    leader.state.started.add(job.id)
+    counted: list[float] = []
+    count = WaitingJob.find_remaining_share
+
+    def find_remaining_share(waiting: WaitingJob) -> float:
+        counted.append(count(waiting))
+        return counted[-1]
+
+    monkeypatch.setattr(WaitingJob, "find_remaining_share", find_remaining_share)
+    effects = leader.handle(SubmitDurableJob(job=job, age=0.0, reply_to=CALLER))
+    orders = [each for each in effects if isinstance(each, LogEvent)]
+    lefts = [each.fields["left"] for each in orders if each.event == "run_ordered"]
+    assert len(lefts) > 20
+    assert set(lefts) == {1.0}
+    # Once each to rank the job when it is queued, for the log, and after the starts.
+    assert len(counted) <= 4
+
+
 def list_outcomes(leader: Leader) -> list[dict[str, str]]:
     return [
         effect.labels
