Explanations count earlier tasks of the job against all limits

`job explain` showed more starts than a submission then had: three tasks instead of two beside a reservation, and all tasks on a server that returns with its zone and may take two. Each task was checked against the reservation and the trial as if the earlier ones of the job had not been placed; only the room was reduced.

`may_use` and `may_start_on` take what is planned, and the explanation passes it. The placement itself calls both as before.

Evidence: test_job_starts_beside_a_reservation_as_it_was_explained and test_returning_server_gets_as_many_runs_as_explained compare the answer with the starts; both fail before and pass now.

--- a/boragetide/controllers/explaining.py
+++ b/boragetide/controllers/explaining.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from copy import deepcopy
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.placing_runs import (
@@ -15,6 +15,7 @@
 )
 from boragetide.controllers.reserving import may_use
 from boragetide.controllers.server_state import Server
+from boragetide.controllers.zone_service import may_start_on
 from boragetide.durable import JobRecord, Resources, Step
 from boragetide.effects import Effect, Reply
 from boragetide.messages import (
@@ -33,6 +34,14 @@
 from boragetide.types import BackendServerId, PoolName, Seconds
 
 
+@dataclass(slots=True)
+class _Planned:
+    """Runs that earlier tasks of the job would have on a backend server."""
+
+    runs: int = 0
+    used: Resources = field(default_factory=Resources)
+
+
 def explain_job(
     message: ExplainDurableJob, state: DispatcherState, now: Seconds
 ) -> list[Effect]:
@@ -52,9 +61,9 @@
     queue.put(job, tasks)
     waiting = queue.waiting_by_id[job.id]
     pool = find_pool(state, job)
-    used_by_server: dict[BackendServerId, Resources] = {}
+    planned_by_server: dict[BackendServerId, _Planned] = {}
     steps = tuple(
-        _explain_step(state, waiting, pool, position, used_by_server, now)
+        _explain_step(state, waiting, pool, position, planned_by_server, now)
         for position in range(len(job.steps))
     )
     ahead = state.queue.in_time.entries.bisect_left(waiting.entry)
@@ -74,7 +83,7 @@
     waiting: WaitingJob,
     pool: PoolName,
     position: int,
-    used_by_server: dict[BackendServerId, Resources],
+    planned_by_server: dict[BackendServerId, _Planned],
     now: Seconds,
 ) -> StepExplanation:
     step = waiting.job.steps[position]
@@ -83,15 +92,17 @@
     slack = waiting.find_slack(now)
     counts: Counter[BackendServerId] = Counter()
     for _ in range(step.count):
-        candidates = _reduce_room(
-            find_candidates(state, waiting, pool, step, slack, now), used_by_server
+        found = find_candidates(state, waiting, pool, step, slack, now)
+        candidates = _leave_out_planned(
+            state, waiting, step, found, planned_by_server, now
         )
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
             break
         counts[chosen.id] += 1
-        used = used_by_server.get(chosen.id, Resources())
-        used_by_server[chosen.id] = used.plus(step.needs)
+        planned = planned_by_server.setdefault(chosen.id, _Planned())
+        planned.runs += 1
+        planned.used = planned.used.plus(step.needs)
     reasons: Counter[str] = Counter()
     if counts.total() < step.count:
         for server in state.servers_by_id.values():
@@ -102,15 +113,24 @@
     return StepExplanation(step.count, dict(counts), dict(reasons))
 
 
-def _reduce_room(
+def _leave_out_planned(
+    state: DispatcherState,
+    waiting: WaitingJob,
+    step: Step,
     candidates: Iterator[ServerCandidate],
-    used_by_server: dict[BackendServerId, Resources],
+    planned_by_server: dict[BackendServerId, _Planned],
+    now: Seconds,
 ) -> Iterator[ServerCandidate]:
-    """Yield the candidates without the room that earlier tasks of the job would use."""
+    """Yield the candidates as if the earlier tasks of the job had started."""
     for candidate in candidates:
-        used = used_by_server.get(candidate.id)
-        if used is not None:
-            candidate.room = candidate.room.minus(used)
+        planned = planned_by_server.get(candidate.id)
+        if planned is not None:
+            server = state.servers_by_id[candidate.id]
+            if not may_start_on(state, server, now, planned.runs):
+                continue
+            if not may_use(state, server, waiting, step, now, planned.used):
+                continue
+            candidate.room = candidate.room.minus(planned.used)
         yield candidate
 
 
--- a/boragetide/controllers/reserving.py
+++ b/boragetide/controllers/reserving.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Any
 
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.server_state import RunPhase, Server
-from boragetide.durable import DurableJob, Step
+from boragetide.durable import DurableJob, Resources, Step
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy.job_queue import WaitingJob
 from boragetide.policy.reservations import (
@@ -43,9 +44,20 @@
 
 
 def may_use(
-    state: DispatcherState, server: Server, job: WaitingJob, step: Step, now: Seconds
+    state: DispatcherState,
+    server: Server,
+    job: WaitingJob,
+    step: Step,
+    now: Seconds,
+    planned: Resources | None = None,
 ) -> bool:
-    """Return whether reservations leave a backend server to a task of a job."""
+    """Return whether reservations leave a backend server to a task of a job.
+
+    Parameters
+    ----------
+    planned
+        Resources that earlier tasks of the job would use there, if any.
+    """
     reservation = state.reservations.by_server.get(server.report.id)
     if reservation is None or reservation.job_id == job.job.id:
         return True
@@ -53,9 +65,10 @@
         job.job.class_name, step.estimate, server.speed, now
     )
     starts_by = None if job.find_slack(now) is None else job.latest_start
-    return reservation.admits(
-        step, starts_by, expected.at, make_outlook(state, server, now)
-    )
+    outlook = make_outlook(state, server, now)
+    if planned is not None:
+        outlook = replace(outlook, free=outlook.free.minus(planned))
+    return reservation.admits(step, starts_by, expected.at, outlook)
 
 
 def review_reservations(
--- a/boragetide/controllers/zone_service.py
+++ b/boragetide/controllers/zone_service.py
@@ -25,13 +25,21 @@
     return find_obstacle(server.report.zone, state.zones, now) is None
 
 
-def may_start_on(state: DispatcherState, server: Server, now: Seconds) -> bool:
-    """Return whether a backend server may get another run as far as its zone goes."""
+def may_start_on(
+    state: DispatcherState, server: Server, now: Seconds, planned: int = 0
+) -> bool:
+    """Return whether a backend server may get another run as far as its zone goes.
+
+    Parameters
+    ----------
+    planned
+        Number of runs that it would have got before.
+    """
     if not is_open(state, server, now):
         return False
     if server.trial is None:
         return True
-    return may_take_run(server.trial, _count_active_runs(server), now)
+    return may_take_run(server.trial, _count_active_runs(server) + planned, now)
 
 
 def _count_active_runs(server: Server) -> int:
--- a/boragetide/tests/test_explaining.py
+++ b/boragetide/tests/test_explaining.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from boragetide.controllers import placing_runs
 from boragetide.controllers.dispatch_state import update_server_index
 from boragetide.durable import DurableJob, Resources, Step
 from boragetide.messages import (
@@ -18,6 +19,7 @@
     SubmitDurableJob,
 )
 from boragetide.policy.reservations import Reservation
+from boragetide.policy.zones import FIRST_TRIAL_RUNS, Trial
 from boragetide.settings import DispatchSettings, PlacementRule, Settings
 from boragetide.tests.durable_fixtures import (
     BEGIN,
@@ -130,6 +132,45 @@
     assert (step.tasks_by_server, step.servers_by_reason) == ({}, {"reserved": 1})
 
 
+def test_job_starts_beside_a_reservation_as_it_was_explained(
+    settings: Settings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against more tasks in the answer than fit beside a reservation."""
+    dispatch = DispatchSettings(placement=PlacementRule.LOOK_AHEAD)
+    leader = Leader(replace(settings, dispatch=dispatch))
+    leader.lead()
+    leader.join()
+    leader.state.reservations.by_server["s1"] = Reservation(
+        job_id="big",
+        server="s1",
+        needs=Resources(20_000, 64),
+        latest_start=BEGIN,
+        in_time_until=BEGIN + 1.0,
+        expected_at=BEGIN + 0.1,
+        made_at=BEGIN,
+    )
+    # The job of the reservation is not known, so that a review would give it up.
+    monkeypatch.setattr(placing_runs, "review_reservations", lambda *_: [])
+    step = Step(3, Resources(20_000, 64), 0.2)
+    (explained,) = explain(leader, step).steps
+    assert explained.tasks_by_server == {"s1": 2}
+    job = make_durable_job("j1", step, best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, age=0.0, reply_to=CALLER))
+    assert len(leader.starts()) == 2
+
+
+def test_returning_server_gets_as_many_runs_as_explained(leader: Leader) -> None:
+    """Guards against more tasks in the answer than a returning server may run."""
+    leader.state.servers_by_id["s1"].trial = Trial(BEGIN - 1.0)
+    step = Step(4, Resources(10_000, 64), 0.2)
+    first, second = explain(leader, step, step).steps
+    assert first.tasks_by_server == {"s1": FIRST_TRIAL_RUNS}
+    assert second.tasks_by_server == {}
+    job = make_durable_job("j1", step, step, best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, age=0.0, reply_to=CALLER))
+    assert len(leader.starts()) == FIRST_TRIAL_RUNS
+
+
 def test_later_steps_wait_for_earlier_ones(leader: Leader) -> None:
     """Guards against tasks that are shown to start before what they depend on."""
     first, second = explain(leader, STEP, replace(STEP, depends_on=(0,))).steps
