One rule for the timeliness of an end, and names that say what they do

The benchmarks who_pays, placement_sizes and the outcome of the dispatch loads repeated the rule of `scheduling.find_timeliness`. It is now in `classify_end`, which they call with the true due time. Their columns "never" and "refused" also counted jobs that had ended too late, and are now "of no use" and "no use".

- reserving.explain_start removes a reservation: settle_reservation
- placing_runs `has_limit` is also set by reservations: depends_on_job
- JobQueue._move also moves within a lane: its docstring says so
- a comment of test_placing_ahead.py is on its own line

No regression test: nothing that callers see has changed.

--- a/benchmarks/dispatch_loads.py
+++ b/benchmarks/dispatch_loads.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, replace
 
 from boragetide.durable import DurableJob, Resources, Step
-from boragetide.policy.scheduling import LATE_LIMIT_FACTOR
+from boragetide.policy.scheduling import Timeliness, classify_end
 from boragetide.types import DurableStarts, Seconds
 
 BEGIN: Seconds = 1_000_000.0
@@ -188,6 +188,12 @@
         allowed = self.job.starts.stretch * max(self.work) + self.job.response_time
         return self.job.submitted_at + allowed
 
+    def find_timeliness(self, ended_at: Seconds | None) -> Timeliness:
+        """Return what an end is worth to the caller; ``None`` if there was no end."""
+        if ended_at is None:
+            return Timeliness.TOO_LATE
+        return classify_end(self.job.submitted_at, self.due_at, ended_at)
+
 
 def generate(load: Load, seed: int) -> list[GeneratedJob]:
     """Generate the jobs of a load at random, in order of arrival."""
@@ -253,14 +259,11 @@
         work = sum(generated.work) / (generated.kind.width * generated.kind.work)
         worth = generated.kind.worth * min(4.0, 0.3 + 0.7 * work)
         self.total_worth += worth
-        due = generated.due_at
-        limit = generated.job.submitted_at + LATE_LIMIT_FACTOR * (
-            due - generated.job.submitted_at
-        )
-        if ended_at is not None and ended_at <= due:
+        timeliness = generated.find_timeliness(ended_at)
+        if timeliness is Timeliness.IN_TIME:
             self.in_time += 1
             self.earned_worth += worth
-        elif ended_at is not None and ended_at <= limit:
+        elif timeliness is Timeliness.LATE:
             self.late += 1
             self.earned_worth += worth * LATE_WORTH_SHARE
         else:
--- a/benchmarks/placement_sizes.py
+++ b/benchmarks/placement_sizes.py
@@ -1,14 +1,13 @@
 """What callers get from the placement, by class and by size of their jobs.
 
-``python -m benchmarks.placement_sizes`` replays the loads of
-the new installations through the dispatcher of the product on a virtual clock. It
-prints for each class and size the jobs in time, late and refused, the mean and the 99th
-percentile of the response time over the ideal one, and the mean time until the last
-task is started; and for each load the cores in use and the processor time per start.
-The ideal response is that of an idle installation. Refused jobs have no response time,
-so the means of two runs are comparable only where about as many jobs are served. The
-column ``all`` has the mean with each unserved job counted as if it had ended at three
-times its target.
+``python -m benchmarks.placement_sizes`` replays the loads of the new installations
+through the dispatcher of the product on a virtual clock. It prints for each class and
+size the jobs in time, late and of no use, the mean and the 99th percentile of the
+response time over the ideal one, and the mean time until the last task is started; and
+for each load the cores in use and the processor time per start. The ideal response is
+that of an idle installation. Refused jobs have no response time, so the means of two
+runs are comparable only where about as many jobs are served. The column ``all`` has the
+mean with each job of no use counted as if it had ended at three times its target.
 """
 
 from __future__ import annotations
@@ -36,7 +35,7 @@
 from boragetide.durable import EndReason
 from boragetide.effects import Effect, LogEvent, StartRun
 from boragetide.messages import LeadershipGained
-from boragetide.policy.scheduling import LATE_LIMIT_FACTOR
+from boragetide.policy.scheduling import LATE_LIMIT_FACTOR, Timeliness
 from boragetide.settings import DispatchSettings, PlacementRule
 from boragetide.types import Seconds
 
@@ -61,14 +60,15 @@
 
     Parameters
     ----------
-    in_time, late, unserved
-        Numbers of jobs; a job that ended after three times its target is unserved.
+    in_time, late, of_no_use
+        Numbers of jobs; of no use are those that were refused or not answered, and
+        those that ended after three times their target.
     response
         Mean response time over the ideal one, of the jobs in time or late.
     p99
         The 99th percentile of the same.
     bounded_response
-        Mean over all jobs, where an unserved job counts as ended at three times its
+        Mean over all jobs, where one of no use counts as ended at three times its
         target.
     wait
         Mean time from the submission until the last task was started.
@@ -76,7 +76,7 @@
 
     in_time: int = 0
     late: int = 0
-    unserved: int = 0
+    of_no_use: int = 0
     response: float = 0.0
     p99: float = 0.0
     bounded_response: float = 0.0
@@ -85,7 +85,7 @@
     @property
     def total(self) -> int:
         """Number of jobs."""
-        return self.in_time + self.late + self.unserved
+        return self.in_time + self.late + self.of_no_use
 
 
 class PlacementRun(ProductRun):
@@ -182,12 +182,13 @@
             submitted_at = generated.job.submitted_at
             ended_at = self.ended_by_id.get(generated.job.id)
             ideal = self.compute_ideal(generated)
-            bound = LATE_LIMIT_FACTOR * (generated.due_at - submitted_at)
-            if ended_at is None or ended_at > submitted_at + bound:
-                outcome.unserved += 1
+            timeliness = generated.find_timeliness(ended_at)
+            if timeliness is Timeliness.TOO_LATE:
+                bound = LATE_LIMIT_FACTOR * (generated.due_at - submitted_at)
+                outcome.of_no_use += 1
                 bounds.append(bound / ideal)
                 continue
-            if ended_at <= generated.due_at:
+            if timeliness is Timeliness.IN_TIME:
                 outcome.in_time += 1
             else:
                 outcome.late += 1
@@ -246,7 +247,7 @@
     """Return a line of the table."""
     shares = " ".join(
         f"{count / max(outcome.total, 1):6.3f}"
-        for count in (outcome.in_time, outcome.late, outcome.unserved)
+        for count in (outcome.in_time, outcome.late, outcome.of_no_use)
     )
     return (
         f"{kind:6} {title:5} {size:8} {outcome.total:6} {shares} "
@@ -277,7 +278,7 @@
             f"cores in use {run.used_share:.3f}, {us_per_start:.0f} us a start"
         )
         print(
-            "class  by    size       jobs in time   late refused "
+            "class  by    size       jobs in time   late  no use "
             "response     p99     all  wait ms"
         )
         for row in list_rows(run, jobs):
--- a/benchmarks/who_pays.py
+++ b/benchmarks/who_pays.py
@@ -2,7 +2,7 @@
 
 ``python -m benchmarks.who_pays`` prints, for each class and for its largest jobs, how
 many jobs were owed, served in time, served late, refused at once, refused after a wait,
-and never answered.
+and of no use to their callers, because they ended too late or were not answered.
 """
 
 from __future__ import annotations
@@ -20,11 +20,17 @@
     generate,
 )
 from benchmarks.product_run import ONE_WAY_DELAY, ProductRun
-from boragetide.policy.scheduling import LATE_LIMIT_FACTOR
+from boragetide.policy.scheduling import Timeliness
 from boragetide.settings import DispatchSettings, JobOrder, PlacementRule
 from boragetide.types import Seconds
 
-OUTCOMES = ("in time", "late", "refused at once", "refused late", "never")
+OF_NO_USE = "of no use"  # ended too late, or not answered
+OUTCOMES = ("in time", "late", "refused at once", "refused late", OF_NO_USE)
+OUTCOME_BY_TIMELINESS = {
+    Timeliness.IN_TIME: "in time",
+    Timeliness.LATE: "late",
+    Timeliness.TOO_LATE: OF_NO_USE,
+}
 # A refusal that took longer than a round trip and this waited in the queue.
 AT_ONCE: Seconds = 0.005
 
@@ -63,18 +69,11 @@
 
 def classify(run: ProductRun, generated: GeneratedJob) -> str:
     """Return the outcome of a job, as its caller sees it."""
-    submitted_at = generated.job.submitted_at
     ended_at = run.ended_by_id.get(generated.job.id)
-    if ended_at is not None:
-        allowed = generated.due_at - submitted_at
-        if ended_at <= generated.due_at:
-            return "in time"
-        is_late = ended_at <= submitted_at + LATE_LIMIT_FACTOR * allowed
-        return "late" if is_late else "never"
     refused_at = run.refused_by_id.get(generated.job.id)
-    if refused_at is None:
-        return "never"
-    at_once = refused_at <= submitted_at + 2 * ONE_WAY_DELAY + AT_ONCE
+    if ended_at is not None or refused_at is None:
+        return OUTCOME_BY_TIMELINESS[generated.find_timeliness(ended_at)]
+    at_once = refused_at <= generated.job.submitted_at + 2 * ONE_WAY_DELAY + AT_ONCE
     return "refused at once" if at_once else "refused late"
 
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -18,11 +18,11 @@
     may_start,
 )
 from boragetide.controllers.reserving import (
-    explain_start,
     may_reserve,
     may_use,
     reserve,
     review_reservations,
+    settle_reservation,
 )
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
@@ -412,15 +412,18 @@
             is_held_by_limit &= _is_held_by_limit(
                 state, waiting, pool, step, slack, now
             )
-            has_limit = step.max_per_server or state.reservations.by_server
-            if slack is None and not has_limit:
+            # Another job with the same needs may still find room.
+            depends_on_job = step.max_per_server or state.reservations.by_server
+            if slack is None and not depends_on_job:
                 unplaced.add(pool, step)
             continue
         counts[chosen.id] += 1
         reasons: dict[str, Any] = {}
         if state.looks_ahead:
             server = state.servers_by_id[chosen.id]
-            reasons, settled = explain_start(state, waiting.job, server, overtaken, now)
+            reasons, settled = settle_reservation(
+                state, waiting.job, server, overtaken, now
+            )
             effects += settled
         if order is None:
             # To sum up the waiting tasks for each start would be slow for wide jobs.
--- a/boragetide/controllers/reserving.py
+++ b/boragetide/controllers/reserving.py
@@ -156,14 +156,14 @@
     return _report(reservation, "made", now, slack=slack, room_in=at - now)
 
 
-def explain_start(
+def settle_reservation(
     state: DispatcherState,
     job: DurableJob,
     server: Server,
     overtaken: int,
     now: Seconds,
 ) -> tuple[dict[str, Any], list[Effect]]:
-    """Return why a task starts on the server; its job's reservation there is kept.
+    """Remove the reservation that a start on the server uses, which is thereby kept.
 
     Parameters
     ----------
@@ -173,7 +173,8 @@
     Returns
     -------
     tuple
-        Fields for the log line of the start, and the effects of a kept reservation.
+        Fields for the log line of the start, which tell why the task starts there, and
+        the effects of a kept reservation.
     """
     reservation = state.reservations.by_server.get(server.report.id)
     if reservation is None:
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -447,7 +447,7 @@
 
 
 def _move(waiting: WaitingJob, lane: Lane, entry: Entry) -> None:
-    """Move a job to another lane."""
+    """Queue a job again with another entry, in the same lane or another one."""
     waiting.lane.remove(waiting)
     waiting.lane, waiting.entry = lane, entry
     lane.add(waiting)
--- a/boragetide/policy/scheduling.py
+++ b/boragetide/policy/scheduling.py
@@ -76,10 +76,14 @@
 
 def find_timeliness(job: DurableJob, ended_at: Seconds) -> Timeliness:
     """Return what the end of a job at a time is worth to its caller."""
-    allowed = due_at(job) - job.submitted_at
-    if ended_at <= job.submitted_at + allowed:
+    return classify_end(job.submitted_at, due_at(job), ended_at)
+
+
+def classify_end(submitted_at: Seconds, due: Seconds, ended_at: Seconds) -> Timeliness:
+    """Return what an end is worth to a caller whose job should be done by ``due``."""
+    if ended_at <= due:
         return Timeliness.IN_TIME
-    if ended_at <= job.submitted_at + LATE_LIMIT_FACTOR * allowed:
+    if ended_at <= submitted_at + LATE_LIMIT_FACTOR * (due - submitted_at):
         return Timeliness.LATE
     return Timeliness.TOO_LATE
 
--- a/boragetide/tests/test_dispatch_load.py
+++ b/boragetide/tests/test_dispatch_load.py
@@ -19,7 +19,7 @@
     generate,
 )
 from benchmarks.product_run import ProductRun
-from benchmarks.who_pays import replay
+from benchmarks.who_pays import OF_NO_USE, replay
 from boragetide.settings import DispatchSettings, JobOrder
 
 SEED = 1
@@ -129,7 +129,7 @@
         key = highest.name, part
         share = compute_share(after[key], "in time")
         assert share > compute_share(before[key], "in time"), part
-    never_before = {kind.name: before[kind.name, "all"]["never"] for kind in KINDS}
-    never_after = {kind.name: after[kind.name, "all"]["never"] for kind in KINDS}
-    assert sum(never_after.values()) < sum(never_before.values())
-    assert all(never_after[name] <= never_before[name] for name in never_before)
+    lost_before = {kind.name: before[kind.name, "all"][OF_NO_USE] for kind in KINDS}
+    lost_after = {kind.name: after[kind.name, "all"][OF_NO_USE] for kind in KINDS}
+    assert sum(lost_after.values()) < sum(lost_before.values())
+    assert all(lost_after[name] <= lost_before[name] for name in lost_before)
--- a/boragetide/tests/test_placing_ahead.py
+++ b/boragetide/tests/test_placing_ahead.py
@@ -38,9 +38,8 @@
 BIG = Step(1, Resources(50_000, 64), 0.2)
 TINY = Step(1, Resources(10, 1), 0.2)
 BIG_AT = BEGIN + 0.19
-OVERTAKEN_AT = (
-    BEGIN + 0.25
-)  # small jobs are ranked up to 0.05 s earlier than large ones
+# Small jobs are ranked up to 0.05 s earlier than large ones.
+OVERTAKEN_AT = BEGIN + 0.25
 EXPECTED_AT = BEGIN + 0.3  # end of the runs that occupy the server
 
 
