--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -18,11 +18,11 @@
     may_start,
 )
 from boragetide.controllers.reserving import (
-    explain_start,
     may_reserve,
     may_use,
     reserve,
     review_reservations,
+    settle_reservation,
 )
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
@@ -171,11 +171,18 @@
 
 def place_runs(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Start as many waiting tasks as the free capacity allows."""
-    if not has_authority(state, now) or not state.queue.waiting_by_id:
+    has_reservations = bool(state.reservations.by_server)
+    if not (state.queue.waiting_by_id or has_reservations):
         return []
-    if not state.takeover_complete or not state.zones.is_recent(now):
+    if not has_authority(state, now) or not state.takeover_complete:
+        return []
+    if not state.zones.is_recent(now):
         return []
     effects: list[Effect] = []
+    if has_reservations:
+        effects += review_reservations(state, _make_check(state, now), now)
+    if not state.queue.waiting_by_id:
+        return effects
     max_free_by_pool: dict[PoolName, int] = {}
     look_ahead = LookAhead(state.index.rooms, partial(find_class_pool, state))
     unplaced = UnplacedNeeds()
@@ -183,9 +190,7 @@
     plan = None
     if state.looks_ahead:
         if state.start_window.is_full:
-            return []
-        if state.reservations.by_server:
-            effects += review_reservations(state, _make_check(state, now), now)
+            return effects
         first = list(islice(waiting_jobs, LOOK_AHEAD))
         plan = _PassPlan(state, first, max_free_by_pool)
         waiting_jobs = chain(plan.ordered, waiting_jobs)
@@ -384,6 +389,7 @@
     is_held_by_limit = True
     effects: list[Effect] = []
     slack = waiting.find_slack(now)
+    order: dict[str, float | bool] | None = None
     for number, step in list(waiting.tasks.items()):
         if state.start_window.is_full:
             is_held_by_limit = False
@@ -406,17 +412,23 @@
             is_held_by_limit &= _is_held_by_limit(
                 state, waiting, pool, step, slack, now
             )
-            has_limit = step.max_per_server or state.reservations.by_server
-            if slack is None and not has_limit:
+            # Another job with the same needs may still find room.
+            depends_on_job = step.max_per_server or state.reservations.by_server
+            if slack is None and not depends_on_job:
                 unplaced.add(pool, step)
             continue
         counts[chosen.id] += 1
         reasons: dict[str, Any] = {}
         if state.looks_ahead:
             server = state.servers_by_id[chosen.id]
-            reasons, settled = explain_start(state, waiting.job, server, overtaken, now)
+            reasons, settled = settle_reservation(
+                state, waiting.job, server, overtaken, now
+            )
             effects += settled
-        fields = {**waiting.describe_order(now), **reasons}
+        if order is None:
+            # To sum up the waiting tasks for each start would be slow for wide jobs.
+            order = waiting.describe_order(now)
+        fields = {**order, **reasons}
         effects += start_task(
             state, waiting.job, number, step, chosen, now, reasons=fields
         )
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -81,6 +81,11 @@
         """Return how much later the job can start and be in time; none if it cannot."""
         return self.latest_start - now if now < self.latest_start else None
 
+    @property
+    def is_ranked_by_time(self) -> bool:
+        """Whether the rank is a time and not what is left of a late job."""
+        return self.entry[0] > 0
+
     def find_remaining_share(self) -> float:
         """Return the share of the job's declared work that waits to be started."""
         total = find_declared_work(self.job)
@@ -94,9 +99,9 @@
 
         A late job is ranked by its latest start, or by what is left of it.
         """
-        is_by_time = self.entry[0] > 0
+        rank = self.entry[0] if self.is_ranked_by_time else self.latest_start
         return {
-            "rank": self.entry[0] - now if is_by_time else self.latest_start - now,
+            "rank": rank - now,
             "priority": self.job.starts.priority,
             "given_up": self.given_up,
             "begun": self.has_started,
@@ -322,7 +327,8 @@
             self.moves.discard((waiting.leaves_at, job_id))
 
     def clear(self) -> None:
-        """Remove all jobs."""
+        """Remove all jobs, and forget the priorities of their classes."""
+        self.levels = PriorityLevels()
         self.waiting_by_id.clear()
         for jobs in (self.in_time, self.moves, self.late, self.expired):
             jobs.clear()
@@ -441,7 +447,7 @@
 
 
 def _move(waiting: WaitingJob, lane: Lane, entry: Entry) -> None:
-    """Move a job to another lane."""
+    """Queue a job again with another entry, in the same lane or another one."""
     waiting.lane.remove(waiting)
     waiting.lane, waiting.entry = lane, entry
     lane.add(waiting)
--- a/boragetide/tests/test_placing_ahead.py
+++ b/boragetide/tests/test_placing_ahead.py
@@ -11,13 +11,16 @@
 from boragetide.durable import JobRecord, Resources, Step
 from boragetide.effects import Count, LogEvent, StartRun
 from boragetide.messages import (
+    ExplainDurableJob,
     LeadershipLost,
     RemoveServer,
     ReportServer,
     SubmitDurableJob,
     Tick,
+    WithdrawSubmissions,
 )
 from boragetide.policy.reservations import MAX_DELAY, MIN_TIMES_OVERTAKEN
+from boragetide.policy.scheduling import latest_start
 from boragetide.policy.zones import Trial
 from boragetide.settings import DispatchSettings, PlacementRule, Settings
 from boragetide.tests.durable_fixtures import (
@@ -36,9 +39,8 @@
 BIG = Step(1, Resources(50_000, 64), 0.2)
 TINY = Step(1, Resources(10, 1), 0.2)
 BIG_AT = BEGIN + 0.19
-OVERTAKEN_AT = (
-    BEGIN + 0.25
-)  # small jobs are ranked up to 0.05 s earlier than large ones
+# Small jobs are ranked up to 0.05 s earlier than large ones.
+OVERTAKEN_AT = BEGIN + 0.25
 EXPECTED_AT = BEGIN + 0.3  # end of the runs that occupy the server
 
 
@@ -164,6 +166,19 @@
     assert ordered["reserved_for"] == "big"
 
 
+def test_late_job_does_not_take_reserved_room(busy: Busy) -> None:
+    """Guards against late jobs that count as more urgent than one that is in time."""
+    busy.overtake()
+    busy.end(busy.first, EXPECTED_AT - 0.02)
+    now, age = EXPECTED_AT - 0.01, 0.5
+    job = make_durable_job("late", HALF, best_effort=True, submitted_at=now - age)
+    assert latest_start(job) < now
+    busy.handle(SubmitDurableJob(job=job, age=age, reply_to=CALLER), now)
+    assert not busy.starts()
+    (start,) = busy.end(busy.second, EXPECTED_AT)
+    assert start.task.job_id == "big"
+
+
 def test_reservation_is_given_up_if_an_end_is_late(busy: Busy) -> None:
     """Guards against a server that stays idle behind a run of the long tail."""
     busy.overtake()
@@ -250,6 +265,20 @@
     assert made["job"] == "big"
 
 
+def test_reservation_ends_with_its_job_although_nothing_waits(busy: Busy) -> None:
+    """Guards against a server that stays reserved for a job that was withdrawn."""
+    busy.overtake()
+    busy.handle(WithdrawSubmissions("big", CALLER.instance), EXPECTED_AT - 0.04)
+    assert not busy.state.queue.waiting_by_id
+    busy.handle(Tick(), EXPECTED_AT - 0.03)
+    (given_up,) = busy.take_events("reservation_given_up")
+    assert (given_up["job"], given_up["reason"]) == ("big", "not_waiting")
+    job = make_durable_job("asked", replace(TINY, estimate=9.0), best_effort=True)
+    busy.handle(ExplainDurableJob(job=job, reply_to=CALLER), EXPECTED_AT - 0.02)
+    (reply,) = busy.replies()
+    assert reply.explanation.steps[0].tasks_by_server == {"s1": 1}
+
+
 def test_new_leader_reserves_nothing_behind_runs_that_it_adopted(busy: Busy) -> None:
     """Guards against ends that a leader expects of runs whose begin it has not seen."""
     busy.overtake()
