Refuse HEAD requests without a body in the answer

One HEAD request that stopped within its body ended the process after body-timeout. Dropped for the budget or at the connection limit it cut off another client instead, and a HEAD request with a body above the limit got no 413.

Cause: the refusal was written with a JSON body, which tornado rejects for HEAD. The error left refuse and ended the required task that checks all connections, or the request of the client for which room was made.

The answer to HEAD has no body. An answer that cannot be written is logged (refusal_failed) and closes its own connection only. All dropped bodies are rejected before any is answered.

--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -4,7 +4,7 @@
 
 import resource
 import time
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -157,12 +157,20 @@
         accepted, dropped = body_budget.hand_over(
             self.bodies, request, request.received
         )
-        for other in dropped:
-            other.refuse("budget")
         if accepted:
             self._handed_over[connection] = request
+        self.refuse_all(dropped, "budget")
         return accepted
 
+    def refuse_all(self, requests: Iterable[Any], reason: str) -> None:
+        """Refuse requests whose bodies are dropped."""
+        requests = list(requests)
+        # What one answer causes must find none of the others in use.
+        for request in requests:
+            request.reject()
+        for request in requests:
+            request.refuse(reason)
+
     def end_request(self, connection: HTTPConnection) -> None:
         """Stop charging the body of a request that has been answered."""
         request = self._handed_over.pop(connection, None)
@@ -187,8 +195,7 @@
         for stream in streams:
             self.close_connection(stream, "unread_answer_timeout")
         requests: Any = body_budget.find_overdue(self.bodies, timeout, now)
-        for request in requests:
-            request.refuse("timeout")
+        self.refuse_all(requests, "timeout")
         streams = connection_limit.find_idle_for_too_long(
             self.connections, self.settings.idle_timeout, now
         )
@@ -208,6 +215,16 @@
             **fields,
         )
 
+    def log_failed_answer(self, stream: IOStream, error: Exception) -> None:
+        """Log that the answer to a refused request could not be sent."""
+        peer = self._peers_by_stream.get(stream)
+        self._log.record(
+            "refusal_failed",
+            server="" if peer is None else peer.server,
+            peer="" if peer is None else peer.address,
+            error=repr(error),
+        )
+
     def _count_closed(self, reason: str, peer: Peer, age: Seconds) -> None:
         self.metrics.count("connections_closed", {"reason": reason})
         self._log.record(
@@ -340,6 +357,7 @@
         self.received = 0
         self._announced = 0
         self._began: Seconds = 0.0
+        self._method = ""
         self._rejected = False
 
     def headers_received(
@@ -347,6 +365,7 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
+        self._method = getattr(start_line, "method", "")
         length = headers.get("Content-Length", "")
         self._announced = int(length[:MAX_DIGITS]) if length.isdecimal() else 0
         if self._announced <= self._limit:
@@ -377,8 +396,7 @@
             self._inner.on_connection_close()
             return None
         dropped: Any = body_budget.receive(limits.bodies, self, len(chunk), now)
-        for request in dropped:
-            request.refuse("budget")
+        limits.refuse_all(dropped, "budget")
         return None if self._rejected else self._inner.data_received(chunk)
 
     def finish(self) -> None:
@@ -400,17 +418,25 @@
         if not self._is_too_large():
             self._inner.on_connection_close()
 
+    def reject(self) -> None:
+        """Drop the body, of which nothing more is passed on."""
+        body_budget.drop(self._limits.bodies, self)
+        self._rejected = True
+
     def refuse(self, reason: str) -> None:
         """Drop the body, answer that nothing has run, and close the connection.
 
         The connection is closed once the answer is written, because the rest of the
-        body is not read.
+        body is not read. It is also closed if the answer cannot be written: an error
+        must not reach the caller, which acts for all connections.
         """
-        body_budget.drop(self._limits.bodies, self)
-        self._rejected = True
+        self.reject()
         self._log_refused(reason)
-        if not self._is_too_large():
-            self._inner.on_connection_close()
+        try:
+            if not self._is_too_large():
+                self._inner.on_connection_close()
+        except Exception as error:
+            self._limits.log_failed_answer(self.stream, error)
         message = _MESSAGES_BY_REASON[reason]
         headers = HTTPHeaders({"Connection": "close", "Retry-After": str(RETRY_AFTER)})
         self._respond(503, "Service Unavailable", message, headers)
@@ -422,8 +448,7 @@
         return self.received > self._limit
 
     def _reject_too_large(self, unread: bool = False) -> None:
-        self._rejected = True
-        body_budget.drop(self._limits.bodies, self)
+        self.reject()
         self._log_refused("too_large")
         headers = HTTPHeaders({"Connection": "close"} if unread else {})
         message = f"body: larger than {self._limit} bytes"
@@ -445,8 +470,15 @@
         headers["Content-Type"] = "application/json"
         headers["Content-Length"] = str(len(body))
         start_line = ResponseStartLine("", status, phrase)
-        self._connection.write_headers(start_line, headers, body)
-        self._connection.finish()
+        # tornado raises an error if an answer to `HEAD` has a body.
+        chunk = None if self._method == "HEAD" else body
+        try:
+            self._connection.write_headers(start_line, headers, chunk)
+            self._connection.finish()
+        except Exception as error:
+            self._limits.log_failed_answer(self.stream, error)
+            self.stream.close()
+            return
         if self.stream.writing():
             self._limits.add_answer(self.stream, len(body))
 
--- a/boragetide/tests/test_server_limits.py
+++ b/boragetide/tests/test_server_limits.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import pytest
+from tornado.http1connection import HTTP1Connection
 from tornado.web import Application
 
 from boragetide.api.base import Handler
@@ -347,3 +348,90 @@
             assert (await read_answer(reader))[1] == {"size": 10}
 
     run(scenario)
+
+
+async def begin_head(process: Process, sent: int, length: int = BODY) -> Any:
+    """Send a `HEAD` request with a part of a body on a new connection."""
+    reader, writer = await process.open()
+    head = f"HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n"
+    writer.write(head.encode() + b" " * sent)
+    return reader, writer
+
+
+def test_head_request_with_an_unfinished_body_is_refused_when_overdue() -> None:
+    """Guards against a HEAD request whose refusal ends the check of all connections."""
+
+    async def scenario(process: Process) -> None:
+        reader, _ = await begin_head(process, 100)
+        await until(lambda: process.limits.bodies.used == 100)
+        await asyncio.sleep(0.06)
+        process.limits.close_overdue()
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert answer.endswith(b"\r\n\r\n")
+
+    run(scenario, body_timeout=0.05)
+
+
+def test_head_requests_dropped_for_another_client_do_not_affect_it() -> None:
+    """Guards against a caller that is cut off by the refusal of a HEAD request."""
+
+    async def scenario(process: Process) -> None:
+        bodies = process.limits.bodies
+        for number in range(1, 4):
+            await begin_head(process, BODY - 1)
+            await until(lambda used=number * (BODY - 1): bodies.used == used)
+        reader, writer = await process.send(BODY - 1)
+        await until(lambda: process.count("bodies_refused", reason="budget") == 1)
+        writer.write(b" ")
+        assert (await read_answer(reader))[1] == {"size": BODY}
+
+    run(scenario)
+
+
+def test_head_request_makes_room_for_a_new_connection() -> None:
+    """Guards against a new caller that is cut off by the refusal of a HEAD request."""
+
+    async def scenario(process: Process) -> None:
+        for _ in range(USABLE_CONNECTIONS):
+            await begin_head(process, 100)
+        active = process.limits.connections.active
+        await until(lambda: len(active) == USABLE_CONNECTIONS)
+        reader, _ = await process.send(10, 10)
+        assert (await read_answer(reader))[1] == {"size": 10}
+
+    run(scenario)
+
+
+def test_head_request_with_a_body_above_the_limit_gets_413() -> None:
+    """Guards against a HEAD request that is cut off instead of being refused."""
+
+    async def scenario(process: Process) -> None:
+        reader, _ = await begin_head(process, BODY + 1, BODY + 1)
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 413 ")
+
+    run(scenario)
+
+
+def test_refusal_that_cannot_be_written_affects_no_other_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a failed answer that keeps other overdue connections open."""
+
+    def fail(*args: Any) -> None:
+        raise RuntimeError("cannot write")
+
+    async def scenario(process: Process) -> None:
+        clients = [await process.send(10) for _ in range(2)]
+        idle, _ = await process.open()
+        await until(lambda: process.limits.bodies.used == 20)
+        await until(lambda: count_open(process) == 3)
+        await asyncio.sleep(0.06)
+        monkeypatch.setattr(HTTP1Connection, "write_headers", fail)
+        process.limits.close_overdue()
+        for reader in (clients[0][0], clients[1][0], idle):
+            assert await reader.read() == b""
+        assert process.limits.bodies.used == 0
+
+    run(scenario, body_timeout=0.05, idle_timeout=0.05)
