--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import resource
 import time
-from collections.abc import Awaitable
+from asyncio import Future
+from collections import deque
+from collections.abc import Awaitable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,6 +24,7 @@
 )
 from tornado.iostream import IOStream
 
+from boragetide.api.base import RETRY_AFTER
 from boragetide.daemon.metrics import Metrics
 from boragetide.daemon.repeated_logs import RateLimitedLog
 from boragetide.policy import body_budget, connection_limit
@@ -42,7 +47,6 @@
 READ_BYTES = 16 * 1024
 # Must exceed what tornado reads ahead of a request; bodies are not collected there.
 MAX_STREAM_BUFFER = 128 * 1024
-RETRY_AFTER = 1  # seconds
 _MESSAGES_BY_REASON = {
     "budget": "too many request bodies wait at this instance",
     "connections": "too many connections are open at this instance",
@@ -84,6 +88,8 @@
         self.answers = UnreadAnswers(limits.get_unread_answer_bytes())
         self._handed_over: dict[HTTPConnection, _LimitedRequest] = {}
         self._peers_by_stream: dict[IOStream, Peer] = {}
+        # Callers of `wait_for_room`, in the order of their arrival.
+        self._waiters: deque[Future[None]] = deque()
         self._log = RateLimitedLog()
 
     def set_gauges(self) -> None:
@@ -105,7 +111,7 @@
         if self.connections.is_full(essential) and not self._close_one():
             self._count_closed("limit", peer, 0.0)
             return False
-        connection_limit.rest(self.connections, stream, now)
+        connection_limit.mark_idle(self.connections, stream, now)
         self._peers_by_stream[stream] = peer
         return True
 
@@ -143,11 +149,11 @@
         """Remove a connection that is closed."""
         self._peers_by_stream.pop(stream, None)
         connection_limit.forget(self.connections, stream)
-        connection_limit.remove_answer(self.answers, stream)
+        self.remove_answer(stream)
 
     def begin_request(self, stream: IOStream) -> None:
-        """Record that a connection waits for the headers of its next request."""
-        connection_limit.rest(self.connections, stream, time.monotonic())
+        """Record that a connection waits for a request, or for the body of one."""
+        connection_limit.mark_idle(self.connections, stream, time.monotonic())
 
     def hand_over(self, connection: HTTPConnection, request: _LimitedRequest) -> bool:
         """Return whether a complete body can be handled, and charge it if so.
@@ -157,12 +163,25 @@
         accepted, dropped = body_budget.hand_over(
             self.bodies, request, request.received
         )
-        for other in dropped:
-            other.refuse("budget")
         if accepted:
             self._handed_over[connection] = request
+        self.drop_all(dropped)
         return accepted
 
+    def drop_all(self, requests: Iterable[Any]) -> None:
+        """Discard the unfinished bodies that the budget has no room for."""
+        for request in requests:
+            request.discard()
+
+    def refuse_all(self, requests: Iterable[Any], reason: str) -> None:
+        """Refuse requests whose bodies are dropped."""
+        requests = list(requests)
+        # What one answer causes must find none of the others in use.
+        for request in requests:
+            request.reject()
+        for request in requests:
+            request.refuse(reason)
+
     def end_request(self, connection: HTTPConnection) -> None:
         """Stop charging the body of a request that has been answered."""
         request = self._handed_over.pop(connection, None)
@@ -179,6 +198,31 @@
     def remove_answer(self, stream: IOStream) -> None:
         """Stop charging an answer that was read."""
         connection_limit.remove_answer(self.answers, stream)
+        self._wake_next()
+
+    async def wait_for_room(self, size: int, timeout: Seconds) -> None:
+        """Wait until a large answer fits beside the unread ones, or the time is over.
+
+        Otherwise answers that are written together close the connections of clients
+        that read them at full speed. After the time limit the answers that have waited
+        for longest are given up, as without a wait.
+        """
+        loop = asyncio.get_running_loop()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while not connection_limit.has_room(self.answers, size):
+                    waiter = loop.create_future()
+                    self._waiters.append(waiter)
+                    await waiter
+        # There may be room for the next one when this answer has been written.
+        loop.call_soon(self._wake_next)
+
+    def _wake_next(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
 
     def close_overdue(self) -> None:
         """Close the connections of clients that exceed a time limit."""
@@ -187,8 +231,7 @@
         for stream in streams:
             self.close_connection(stream, "unread_answer_timeout")
         requests: Any = body_budget.find_overdue(self.bodies, timeout, now)
-        for request in requests:
-            request.refuse("timeout")
+        self.refuse_all(requests, "timeout")
         streams = connection_limit.find_idle_for_too_long(
             self.connections, self.settings.idle_timeout, now
         )
@@ -208,6 +251,16 @@
             **fields,
         )
 
+    def log_failed_answer(self, stream: IOStream, error: Exception) -> None:
+        """Log that the answer to a refused request could not be sent."""
+        peer = self._peers_by_stream.get(stream)
+        self._log.record(
+            "refusal_failed",
+            server="" if peer is None else peer.server,
+            peer="" if peer is None else peer.address,
+            error=repr(error),
+        )
+
     def _count_closed(self, reason: str, peer: Peer, age: Seconds) -> None:
         self.metrics.count("connections_closed", {"reason": reason})
         self._log.record(
@@ -311,16 +364,47 @@
         self, server_conn: Any, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Create the delegate that limits the body of one request."""
-        inner = self._inner.start_request(server_conn, request_conn)
         stream = server_conn.stream
         self._limits.begin_request(stream)
-        return _LimitedRequest(inner, request_conn, stream, self._limit, self._limits)
+        connection = _ChargedConnection(request_conn, self._limits)
+        inner = self._inner.start_request(server_conn, connection)
+        return _LimitedRequest(inner, connection, stream, self._limit, self._limits)
 
     def on_close(self, server_conn: object) -> None:
         """Notify the inner delegate that a connection was closed."""
         self._inner.on_close(server_conn)
 
 
+class _ChargedConnection(HTTPConnection):
+    """Connection of one request, whose charge ends when its response is finished.
+
+    Handlers of tornado itself, as for paths without a route, do not end the charge, and
+    all of them finish their response here.
+    """
+
+    def __init__(self, connection: HTTPConnection, limits: ServerLimits):
+        self._connection = connection
+        self._limits = limits
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._connection, name)
+
+    def write_headers(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+        chunk: bytes | None = None,
+    ) -> Future[None]:
+        return self._connection.write_headers(start_line, headers, chunk)
+
+    def write(self, chunk: bytes) -> Future[None]:
+        return self._connection.write(chunk)
+
+    def finish(self) -> None:
+        self._limits.end_request(self)
+        self._connection.finish()
+
+
 class _LimitedRequest(HTTPMessageDelegate):
     """Passes one request on, and charges its body until it is answered."""
 
@@ -340,6 +424,8 @@
         self.received = 0
         self._announced = 0
         self._began: Seconds = 0.0
+        self._method = ""
+        self._discards = False
         self._rejected = False
 
     def headers_received(
@@ -347,6 +433,9 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
+        self._method = getattr(start_line, "method", "")
+        # Otherwise a request whose body follows counts as idle since the last answer.
+        self._limits.begin_request(self.stream)
         length = headers.get("Content-Length", "")
         self._announced = int(length[:MAX_DIGITS]) if length.isdecimal() else 0
         if self._announced <= self._limit:
@@ -360,8 +449,10 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         if self._rejected:
             return None
-        if self._is_too_large():
-            connection_limit.work(self._limits.connections, self.stream)
+        if self._discards:
+            self.received += len(chunk)
+        if self._discards or self._is_too_large():
+            connection_limit.mark_active(self._limits.connections, self.stream)
             body_budget.discard(self._limits.bodies, self, time.monotonic())
             return None
         self.received += len(chunk)
@@ -371,59 +462,88 @@
         limits, now = self._limits, time.monotonic()
         if not self._began:
             self._began = now
-        connection_limit.work(limits.connections, self.stream)
+        connection_limit.mark_active(limits.connections, self.stream)
         if self._is_too_large():
             body_budget.discard(limits.bodies, self, now)
             self._inner.on_connection_close()
             return None
         dropped: Any = body_budget.receive(limits.bodies, self, len(chunk), now)
-        for request in dropped:
-            request.refuse("budget")
-        return None if self._rejected else self._inner.data_received(chunk)
+        limits.drop_all(dropped)
+        return None if self._discards else self._inner.data_received(chunk)
 
     def finish(self) -> None:
         if self._rejected:
             return
-        connection_limit.work(self._limits.connections, self.stream)
+        connection_limit.mark_active(self._limits.connections, self.stream)
         if self._is_too_large():
             self._reject_too_large()
             return
+        if self._discards:
+            self.refuse("budget")
+            return
         if self.received and not self._limits.hand_over(self._connection, self):
             self.refuse("budget")
             return
-        self._inner.finish()
+        try:
+            self._inner.finish()
+        except BaseException:
+            # No handler remains that could end the charge.
+            self._limits.end_request(self._connection)
+            raise
 
     def on_connection_close(self) -> None:
         body_budget.drop(self._limits.bodies, self)
         if self._rejected:
             return
-        if not self._is_too_large():
+        if not self._discards and not self._is_too_large():
             self._inner.on_connection_close()
 
+    def discard(self) -> None:
+        """Hold nothing of the body, and refuse it when it ends or is overdue.
+
+        A client that is still sending when the connection closes may not receive the
+        response.
+        """
+        self._discards = True
+        self._log_refused("budget")
+        now = time.monotonic()
+        body_budget.discard(self._limits.bodies, self, now, self._began)
+        self._end_inner()
+
+    def _end_inner(self) -> None:
+        try:
+            self._inner.on_connection_close()
+        except Exception as error:
+            self._limits.log_failed_answer(self.stream, error)
+
+    def reject(self) -> None:
+        """Drop the body, of which nothing more is passed on."""
+        body_budget.drop(self._limits.bodies, self)
+        self._rejected = True
+
     def refuse(self, reason: str) -> None:
         """Drop the body, answer that nothing has run, and close the connection.
 
         The connection is closed once the answer is written, because the rest of the
-        body is not read.
+        body is not read. It is also closed if the answer cannot be written: an error
+        must not reach the caller, which acts for all connections.
         """
-        body_budget.drop(self._limits.bodies, self)
-        self._rejected = True
-        self._log_refused(reason)
-        if not self._is_too_large():
-            self._inner.on_connection_close()
+        self.reject()
+        if self._discards:
+            reason = "budget"
+        else:
+            self._log_refused(reason)
+            if not self._is_too_large():
+                self._end_inner()
         message = _MESSAGES_BY_REASON[reason]
         headers = HTTPHeaders({"Connection": "close", "Retry-After": str(RETRY_AFTER)})
         self._respond(503, "Service Unavailable", message, headers)
-        # tornado closes the connection by itself only if the body is unfinished.
-        if not self.stream.writing():
-            self.stream.close()
 
     def _is_too_large(self) -> bool:
         return self.received > self._limit
 
     def _reject_too_large(self, unread: bool = False) -> None:
-        self._rejected = True
-        body_budget.drop(self._limits.bodies, self)
+        self.reject()
         self._log_refused("too_large")
         headers = HTTPHeaders({"Connection": "close"} if unread else {})
         message = f"body: larger than {self._limit} bytes"
@@ -445,10 +565,28 @@
         headers["Content-Type"] = "application/json"
         headers["Content-Length"] = str(len(body))
         start_line = ResponseStartLine("", status, phrase)
-        self._connection.write_headers(start_line, headers, body)
-        self._connection.finish()
-        if self.stream.writing():
-            self._limits.add_answer(self.stream, len(body))
+        # tornado raises an error if an answer to `HEAD` has a body.
+        chunk = None if self._method == "HEAD" else body
+        closes = headers.get("Connection") == "close"
+        try:
+            written = self._connection.write_headers(start_line, headers, chunk)
+            self._connection.finish()
+        except Exception as error:
+            self._limits.log_failed_answer(self.stream, error)
+            self.stream.close()
+            return
+        if written.done():
+            self._end_answer(closes)
+            return
+        self._limits.add_answer(self.stream, len(body))
+        written.add_done_callback(lambda _: self._end_answer(closes))
+
+    def _end_answer(self, closes: bool) -> None:
+        """Stop charging an answer that is written, and close the connection if due."""
+        self._limits.remove_answer(self.stream)
+        # tornado closes the connection by itself only if the body is unfinished.
+        if closes:
+            self.stream.close()
 
 
 def _count_usable_descriptors() -> int:
