End the charge of a body whose request has no route

Bodies sent to unknown paths, to the target * or in absolute form stayed charged for ever on the platform's servers, until the budget was used up and bodies got 503 until a restart.

Cause: only Handler.finish ended the charge, and tornado's own handler answers paths without a route unless the application names another. An application that raised an error at the end of a body left its charge as well.

The charge ends when the response of the request is finished, by whichever handler, or when the application raises an error. A client that leaves does not end the charge while a handler still has the body, as before.

--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -4,6 +4,7 @@
 
 import resource
 import time
+from asyncio import Future
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -328,16 +329,47 @@
         self, server_conn: Any, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Create the delegate that limits the body of one request."""
-        inner = self._inner.start_request(server_conn, request_conn)
         stream = server_conn.stream
         self._limits.begin_request(stream)
-        return _LimitedRequest(inner, request_conn, stream, self._limit, self._limits)
+        connection = _ChargedConnection(request_conn, self._limits)
+        inner = self._inner.start_request(server_conn, connection)
+        return _LimitedRequest(inner, connection, stream, self._limit, self._limits)
 
     def on_close(self, server_conn: object) -> None:
         """Notify the inner delegate that a connection was closed."""
         self._inner.on_close(server_conn)
 
 
+class _ChargedConnection(HTTPConnection):
+    """Connection of one request, whose charge ends when its response is finished.
+
+    Handlers of tornado itself, as for paths without a route, do not end the charge, and
+    all of them finish their response here.
+    """
+
+    def __init__(self, connection: HTTPConnection, limits: ServerLimits):
+        self._connection = connection
+        self._limits = limits
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._connection, name)
+
+    def write_headers(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+        chunk: bytes | None = None,
+    ) -> Future[None]:
+        return self._connection.write_headers(start_line, headers, chunk)
+
+    def write(self, chunk: bytes) -> Future[None]:
+        return self._connection.write(chunk)
+
+    def finish(self) -> None:
+        self._limits.end_request(self)
+        self._connection.finish()
+
+
 class _LimitedRequest(HTTPMessageDelegate):
     """Passes one request on, and charges its body until it is answered."""
 
@@ -409,7 +441,12 @@
         if self.received and not self._limits.hand_over(self._connection, self):
             self.refuse("budget")
             return
-        self._inner.finish()
+        try:
+            self._inner.finish()
+        except BaseException:
+            # No handler remains that could end the charge.
+            self._limits.end_request(self._connection)
+            raise
 
     def on_connection_close(self) -> None:
         body_budget.drop(self._limits.bodies, self)
--- a/boragetide/tests/test_server_limits.py
+++ b/boragetide/tests/test_server_limits.py
@@ -48,6 +48,14 @@
         self.finish("x" * LARGE_ANSWER)
 
 
+class FailingHandler(Handler):
+    """Cannot be created."""
+
+    def initialize(self, runtime: Any) -> None:
+        """Raise an error."""
+        raise RuntimeError("cannot be created")
+
+
 class Process:
     """HTTP servers that share their limits, one of them essential, and clients."""
 
@@ -67,7 +75,9 @@
         self.ports = []
         self.servers = []
         for name, essential in (("one", False), ("two", False), ("checks", True)):
-            application = Application([(r"/", EchoHandler, {"runtime": self.runtime})])
+            shared = {"runtime": self.runtime}
+            routes = [(r"/", EchoHandler, shared), (r"/fails", FailingHandler, shared)]
+            application = Application(routes)
             server = LimitedServer(
                 application,
                 name=name,
@@ -350,6 +360,36 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("target", ["/unknown", "*", "http://a/unknown"])
+def test_body_to_a_path_without_a_route_is_released(target: str) -> None:
+    """Guards against a budget that shrinks with each body that no handler takes."""
+
+    async def scenario(process: Process) -> None:
+        for size in (100, BODY):
+            reader, writer = await process.open()
+            head = (
+                f"POST {target} HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+            )
+            writer.write(head.encode() + b" " * size)
+            assert b" 404 " in await reader.readline()
+            await until(lambda: process.limits.bodies.used == 0)
+
+    run(scenario)
+
+
+def test_body_whose_handler_cannot_be_made_is_released() -> None:
+    """Guards against a charge that stays because the application raises an error."""
+
+    async def scenario(process: Process) -> None:
+        reader, writer = await process.open()
+        head = b"POST /fails HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n"
+        writer.write(head + b" " * 100)
+        assert await reader.read() == b""
+        assert process.limits.bodies.used == 0
+
+    run(scenario)
+
+
 async def begin_head(process: Process, sent: int, length: int = BODY) -> Any:
     """Send a `HEAD` request with a part of a body on a new connection."""
     reader, writer = await process.open()
