Refuse a dropped body when it has ended

A client that had sent a legal body completely, and whose body was dropped meanwhile because the budget was used up, usually got a reset instead of the 503 with not_run.

Cause: the connection was closed with the answer while the client was still sending.

What still arrives of a dropped body is discarded, as for bodies above the limit, and the answer is sent when the body ends or is overdue. Bodies that hold nothing have a table of their own, so that they are not dropped again to make room. The refusal is logged and counted when it is decided. test_stalest_body_of_any_server_is_refused_and_closed now completes the dropped body before it reads the same answer, and the test for bodies above the limit waits for the new table.

--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -160,9 +160,14 @@
         )
         if accepted:
             self._handed_over[connection] = request
-        self.refuse_all(dropped, "budget")
+        self.drop_all(dropped)
         return accepted
 
+    def drop_all(self, requests: Iterable[Any]) -> None:
+        """Discard the unfinished bodies that the budget has no room for."""
+        for request in requests:
+            request.discard()
+
     def refuse_all(self, requests: Iterable[Any], reason: str) -> None:
         """Refuse requests whose bodies are dropped."""
         requests = list(requests)
@@ -390,6 +395,7 @@
         self._announced = 0
         self._began: Seconds = 0.0
         self._method = ""
+        self._discards = False
         self._rejected = False
 
     def headers_received(
@@ -411,7 +417,9 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         if self._rejected:
             return None
-        if self._is_too_large():
+        if self._discards:
+            self.received += len(chunk)
+        if self._discards or self._is_too_large():
             connection_limit.work(self._limits.connections, self.stream)
             body_budget.discard(self._limits.bodies, self, time.monotonic())
             return None
@@ -428,8 +436,8 @@
             self._inner.on_connection_close()
             return None
         dropped: Any = body_budget.receive(limits.bodies, self, len(chunk), now)
-        limits.refuse_all(dropped, "budget")
-        return None if self._rejected else self._inner.data_received(chunk)
+        limits.drop_all(dropped)
+        return None if self._discards else self._inner.data_received(chunk)
 
     def finish(self) -> None:
         if self._rejected:
@@ -438,6 +446,9 @@
         if self._is_too_large():
             self._reject_too_large()
             return
+        if self._discards:
+            self.refuse("budget")
+            return
         if self.received and not self._limits.hand_over(self._connection, self):
             self.refuse("budget")
             return
@@ -452,8 +463,26 @@
         body_budget.drop(self._limits.bodies, self)
         if self._rejected:
             return
-        if not self._is_too_large():
+        if not self._discards and not self._is_too_large():
+            self._inner.on_connection_close()
+
+    def discard(self) -> None:
+        """Hold nothing of the body, and refuse it when it ends or is overdue.
+
+        A client that is still sending when the connection closes may not receive the
+        response.
+        """
+        self._discards = True
+        self._log_refused("budget")
+        now = time.monotonic()
+        body_budget.discard(self._limits.bodies, self, now, self._began)
+        self._end_inner()
+
+    def _end_inner(self) -> None:
+        try:
             self._inner.on_connection_close()
+        except Exception as error:
+            self._limits.log_failed_answer(self.stream, error)
 
     def reject(self) -> None:
         """Drop the body, of which nothing more is passed on."""
@@ -468,12 +497,12 @@
         must not reach the caller, which acts for all connections.
         """
         self.reject()
-        self._log_refused(reason)
-        try:
+        if self._discards:
+            reason = "budget"
+        else:
+            self._log_refused(reason)
             if not self._is_too_large():
-                self._inner.on_connection_close()
-        except Exception as error:
-            self._limits.log_failed_answer(self.stream, error)
+                self._end_inner()
         message = _MESSAGES_BY_REASON[reason]
         headers = HTTPHeaders({"Connection": "close", "Retry-After": str(RETRY_AFTER)})
         self._respond(503, "Service Unavailable", message, headers)
--- a/boragetide/policy/body_budget.py
+++ b/boragetide/policy/body_budget.py
@@ -34,7 +34,7 @@
     Parameters
     ----------
     received
-        Bytes that are held; 0 if what arrives is discarded.
+        Bytes that are held.
     began_at, progressed_at
         Times at which the first and the last bytes arrived.
     """
@@ -55,6 +55,10 @@
     small_by_id, large_by_id
         Unfinished bodies up to `SMALL_BODY` and above it. Those without progress for
         longest come first.
+    discarded_by_id
+        Unfinished bodies of which nothing is held, because they are too large or were
+        dropped; those without progress for longest come first. What still arrives is
+        discarded.
     handed_over_by_id
         Bytes charged for bodies that are being handled.
     used
@@ -70,6 +74,9 @@
     large_by_id: OrderedDict[BodyId, UnfinishedBody] = field(
         default_factory=OrderedDict
     )
+    discarded_by_id: OrderedDict[BodyId, UnfinishedBody] = field(
+        default_factory=OrderedDict
+    )
     handed_over_by_id: dict[BodyId, int] = field(default_factory=dict)
     used: int = 0
     used_by_large: int = 0
@@ -103,11 +110,22 @@
     return _make_room(budget, is_large)
 
 
-def discard(budget: BodyBudget, body_id: BodyId, now: Seconds) -> None:
-    """Record that bytes arrived of a body that is too large and not kept."""
+def discard(
+    budget: BodyBudget, body_id: BodyId, now: Seconds, began_at: Seconds | None = None
+) -> None:
+    """Hold nothing of a body, and discard what arrives of it.
+
+    Parameters
+    ----------
+    began_at
+        Time at which its first bytes arrived, if the budget has no record of it.
+    """
     body = _take_unfinished(budget, body_id)
-    began_at = now if body is None else body.began_at
-    budget.small_by_id[body_id] = UnfinishedBody(0, began_at, now)
+    if body is not None:
+        began_at = body.began_at
+    elif began_at is None:
+        began_at = now
+    budget.discarded_by_id[body_id] = UnfinishedBody(0, began_at, now)
 
 
 def hand_over(
@@ -149,9 +167,13 @@
 
 def find_stalest(budget: BodyBudget) -> BodyId | None:
     """Return the unfinished body without progress for longest, if there is one."""
+    return _find_stalest(budget.small_by_id, budget.large_by_id, budget.discarded_by_id)
+
+
+def _find_stalest(*tables: OrderedDict[BodyId, UnfinishedBody]) -> BodyId | None:
     heads = [
         (body.progressed_at, body_id)
-        for by_id in (budget.small_by_id, budget.large_by_id)
+        for by_id in tables
         for body_id, body in _get_first(by_id)
     ]
     return min(heads, key=lambda head: head[0])[1] if heads else None
@@ -161,7 +183,7 @@
     """Return the unfinished bodies whose first byte arrived over ``timeout`` ago."""
     return [
         body_id
-        for by_id in (budget.small_by_id, budget.large_by_id)
+        for by_id in (budget.small_by_id, budget.large_by_id, budget.discarded_by_id)
         for body_id, body in by_id.items()
         if now - body.began_at > timeout
     ]
@@ -180,7 +202,11 @@
 
 def _take_unfinished(budget: BodyBudget, body_id: BodyId) -> UnfinishedBody | None:
     """Remove an unfinished body, which is no longer charged, and return it."""
-    for by_id, is_large in ((budget.small_by_id, False), (budget.large_by_id, True)):
+    for by_id, is_large in (
+        (budget.small_by_id, False),
+        (budget.large_by_id, True),
+        (budget.discarded_by_id, False),
+    ):
         body = by_id.pop(body_id, None)
         if body is not None:
             _charge(budget, -body.received, is_large)
@@ -218,7 +244,7 @@
         if is_large and budget.used_by_large > budget.limit_of_large:
             stalest = next(iter(budget.large_by_id), None)
         else:
-            stalest = find_stalest(budget)
+            stalest = _find_stalest(budget.small_by_id, budget.large_by_id)
         if stalest is None:
             break
         drop(budget, stalest)
--- a/boragetide/tests/test_body_budget.py
+++ b/boragetide/tests/test_body_budget.py
@@ -133,6 +133,16 @@
     assert find_overdue(budget, timeout=5.0, now=6.0) == ["above"]
 
 
+def test_discarded_body_is_not_dropped_to_make_room() -> None:
+    """Guards against the loss of refusals of bodies that hold nothing."""
+    budget = BodyBudget(LIMIT)
+    discard(budget, "discarded", now=1.0, began_at=0.0)
+    for number in range(LIMIT // SMALL_BODY):
+        assert receive(budget, number, SMALL_BODY, now=2.0) == []
+    assert receive(budget, "new", SMALL_BODY, now=3.0) == [0]
+    assert find_overdue(budget, timeout=1.5, now=2.0) == ["discarded"]
+
+
 def test_body_that_cannot_be_handled_costs_no_other_body() -> None:
     """Guards against unfinished bodies that are dropped for one that is refused."""
     budget = BodyBudget(LIMIT)
--- a/boragetide/tests/test_server_limits.py
+++ b/boragetide/tests/test_server_limits.py
@@ -166,6 +166,7 @@
             held.append(await process.send(BODY - 1, server=number % 2))
             expected = (BODY - 1) * min(number + 1, 3)
             await until(lambda expected=expected: bodies.used == expected)
+        held[0][1].write(b" ")
         status, answer, head = await read_answer(held[0][0])
         assert (status, answer["status"]) == (503, "not_run")
         assert b"Retry-After: 1" in head
@@ -178,6 +179,51 @@
     run(scenario)
 
 
+def test_client_that_sends_its_whole_body_learns_that_it_was_dropped() -> None:
+    """Guards against a reset instead of the refusal that says `not_run`."""
+
+    async def scenario(process: Process) -> None:
+        bodies = process.limits.bodies
+        dropped = await process.send(BODY * 3 // 4)
+        await until(lambda: bodies.used == BODY * 3 // 4)
+        for number in range(1, 4):
+            await process.send(BODY - 1)
+            if number < 3:
+                used = BODY * 3 // 4 + number * (BODY - 1)
+                await until(lambda used=used: bodies.used == used)
+        await until(lambda: bodies.used == 3 * (BODY - 1))
+        # Sent without reading, as clients do that write a whole request first.
+        for _ in range(4):
+            dropped[1].write(b" " * (BODY // 16))
+            await dropped[1].drain()
+            await asyncio.sleep(0.02)
+        status, answer, _ = await read_answer(dropped[0])
+        assert (status, answer["status"]) == (503, "not_run")
+        assert await dropped[0].read() == b""
+        assert process.count("bodies_refused", reason="budget") == 1
+        assert bodies.used == 3 * (BODY - 1)
+
+    run(scenario)
+
+
+def test_dropped_body_that_does_not_end_is_refused_when_overdue() -> None:
+    """Guards against dropped bodies whose connections are held for ever."""
+
+    async def scenario(process: Process) -> None:
+        bodies = process.limits.bodies
+        dropped = await process.send(BODY - 1)
+        await until(lambda: bodies.used == BODY - 1)
+        for _ in range(3):
+            await process.send(BODY - 1)
+        await until(lambda: bodies.discarded_by_id)
+        await asyncio.sleep(0.21)
+        process.limits.close_overdue()
+        assert (await read_answer(dropped[0]))[0] == 503
+        await until(lambda: bodies.used == 0 and not bodies.discarded_by_id)
+
+    run(scenario, body_timeout=0.2)
+
+
 def test_small_body_is_served_while_large_ones_fill_the_budget() -> None:
     """Guards against ordinary callers that a crowd keeps from being served."""
 
@@ -256,7 +302,7 @@
 
     async def scenario(process: Process) -> None:
         reader, _ = await process.send(2 * BODY, 3 * BODY)
-        await until(lambda: process.limits.bodies.small_by_id)
+        await until(lambda: process.limits.bodies.discarded_by_id)
         assert process.limits.bodies.used == 0
         await asyncio.sleep(0.06)
         process.limits.close_overdue()
