Count a connection as idle since its last headers, not its last answer

A client that reused a connection and sent headers and body separately could lose the connection between them, at the connection limit or after idle-timeout, though others were idle for longer.

Cause: the time since which it was idle was set with the last answer and not by the headers.

The time is set again when headers arrive. Such a connection stays among those that can be closed, since a crowd may announce bodies and never send them (test_headers_without_a_body_count_as_idle).

--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -147,7 +147,7 @@
         connection_limit.remove_answer(self.answers, stream)
 
     def begin_request(self, stream: IOStream) -> None:
-        """Record that a connection waits for the headers of its next request."""
+        """Record that a connection waits for a request, or for the body of one."""
         connection_limit.rest(self.connections, stream, time.monotonic())
 
     def hand_over(self, connection: HTTPConnection, request: _LimitedRequest) -> bool:
@@ -404,6 +404,8 @@
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
         self._method = getattr(start_line, "method", "")
+        # Otherwise a request whose body follows counts as idle since the last answer.
+        self._limits.begin_request(self.stream)
         length = headers.get("Content-Length", "")
         self._announced = int(length[:MAX_DIGITS]) if length.isdecimal() else 0
         if self._announced <= self._limit:
--- a/boragetide/policy/connection_limit.py
+++ b/boragetide/policy/connection_limit.py
@@ -64,7 +64,7 @@
 
 
 def rest(table: ConnectionTable, connection: ConnectionId, now: Seconds) -> None:
-    """Record that a new connection, or one that was answered, has no request."""
+    """Record that a connection is new, was answered, or has sent headers only."""
     table.active.discard(connection)
     table.idle_since_by_id[connection] = now
     table.idle_since_by_id.move_to_end(connection)
--- a/boragetide/tests/test_server_limits.py
+++ b/boragetide/tests/test_server_limits.py
@@ -6,6 +6,7 @@
 import json
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
@@ -346,6 +347,29 @@
     run(scenario)
 
 
+def test_request_whose_headers_have_arrived_is_not_idle_since_the_last_answer() -> None:
+    """Guards against a reused connection that is closed between headers and body."""
+
+    async def scenario(process: Process) -> None:
+        reader, writer = await process.send(1, 1)
+        await read_answer(reader)
+        for number in range(2, USABLE_CONNECTIONS + 1):
+            await process.open()
+            await until(lambda number=number: count_open(process) == number)
+        idle = process.limits.connections.idle_since_by_id
+        first = next(iter(idle))
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n")
+        with suppress(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await until(lambda: next(iter(idle)) is not first)
+        await process.open()
+        await until(lambda: process.count("connections_closed", reason="limit") == 1)
+        writer.write(b"x")
+        assert (await read_answer(reader))[1] == {"size": 1}
+
+    run(scenario)
+
+
 def test_idle_connection_is_closed_after_the_time_limit() -> None:
     """Guards against headers that stay unfinished for ever."""
 
