Stop charging a refusal when its client has read it

A client that read a refusal late lost its connection after body-timeout, although it had read everything; until then the answer took room from others.

Cause: the refusal was added to the unread answers and nothing removed it while the connection stayed open. A refusal with Connection: close that could not be written at once could also leave the connection open.

Evidence: test_refusal_that_was_read_late_is_not_unread_any_more times out before and passes after the change. The second fault was found by reading; no test reproduces it.

The answer is removed, and the connection closed if the answer says so, when the write ends.

--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -508,9 +508,6 @@
         message = _MESSAGES_BY_REASON[reason]
         headers = HTTPHeaders({"Connection": "close", "Retry-After": str(RETRY_AFTER)})
         self._respond(503, "Service Unavailable", message, headers)
-        # tornado closes the connection by itself only if the body is unfinished.
-        if not self.stream.writing():
-            self.stream.close()
 
     def _is_too_large(self) -> bool:
         return self.received > self._limit
@@ -540,15 +537,26 @@
         start_line = ResponseStartLine("", status, phrase)
         # tornado raises an error if an answer to `HEAD` has a body.
         chunk = None if self._method == "HEAD" else body
+        closes = headers.get("Connection") == "close"
         try:
-            self._connection.write_headers(start_line, headers, chunk)
+            written = self._connection.write_headers(start_line, headers, chunk)
             self._connection.finish()
         except Exception as error:
             self._limits.log_failed_answer(self.stream, error)
             self.stream.close()
             return
-        if self.stream.writing():
-            self._limits.add_answer(self.stream, len(body))
+        if written.done():
+            self._end_answer(closes)
+            return
+        self._limits.add_answer(self.stream, len(body))
+        written.add_done_callback(lambda _: self._end_answer(closes))
+
+    def _end_answer(self, closes: bool) -> None:
+        """Stop charging an answer that is written, and close the connection if due."""
+        self._limits.remove_answer(self.stream)
+        # tornado closes the connection by itself only if the body is unfinished.
+        if closes:
+            self.stream.close()
 
 
 def _count_usable_descriptors() -> int:
--- a/boragetide/tests/test_server_limits.py
+++ b/boragetide/tests/test_server_limits.py
@@ -406,6 +406,33 @@
     run(scenario, unread_answer_bytes=2 * LARGE_ANSWER)
 
 
+def fill_answers(process: Process, writer: asyncio.StreamWriter) -> None:
+    """Let a client cause more refusals than the kernel buffers, and read none."""
+    writer.transport.pause_reading()
+    for stream in process.limits.connections.idle_since_by_id:
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+    head = f"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {BODY + 1}\r\n\r\n"
+    writer.write((head.encode() + b" " * (BODY + 1)) * 60)
+
+
+def test_refusal_that_was_read_late_is_not_unread_any_more() -> None:
+    """Guards against the close of a connection whose client has read its refusal."""
+
+    async def scenario(process: Process) -> None:
+        reader, writer = await process.open(window=2048)
+        await until(lambda: count_open(process) == 1)
+        fill_answers(process, writer)
+        await until(lambda: answers(process) > 0)
+        writer.transport.resume_reading()
+        for _ in range(60):
+            assert (await read_answer(reader))[0] == 413
+        async with asyncio.timeout(1.0):
+            await until(lambda: answers(process) == 0)
+        assert count_open(process) == 1
+
+    run(scenario)
+
+
 def answers(process: Process) -> int:
     """Return the bytes of unread answers."""
     return process.limits.answers.used
