Let answers with the configuration wait for room

When 60 callers read a configuration of 290 KB at full speed at a time, most got a part of it and a closed connection.

Cause: answers written together were each charged in full, and the oldest were closed for the others however fast they were read.

--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import resource
 import time
 from asyncio import Future
+from collections import deque
 from collections.abc import Awaitable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -85,6 +88,8 @@
         self.answers = UnreadAnswers(limits.get_unread_answer_bytes())
         self._handed_over: dict[HTTPConnection, _LimitedRequest] = {}
         self._peers_by_stream: dict[IOStream, Peer] = {}
+        # Callers of `wait_for_room`, in the order of their arrival.
+        self._waiters: deque[Future[None]] = deque()
         self._log = RateLimitedLog()
 
     def set_gauges(self) -> None:
@@ -144,7 +149,7 @@
         """Remove a connection that is closed."""
         self._peers_by_stream.pop(stream, None)
         connection_limit.forget(self.connections, stream)
-        connection_limit.remove_answer(self.answers, stream)
+        self.remove_answer(stream)
 
     def begin_request(self, stream: IOStream) -> None:
         """Record that a connection waits for a request, or for the body of one."""
@@ -193,6 +198,31 @@
     def remove_answer(self, stream: IOStream) -> None:
         """Stop charging an answer that was read."""
         connection_limit.remove_answer(self.answers, stream)
+        self._wake_next()
+
+    async def wait_for_room(self, size: int, timeout: Seconds) -> None:
+        """Wait until a large answer fits beside the unread ones, or the time is over.
+
+        Otherwise answers that are written together close the connections of clients
+        that read them at full speed. After the time limit the answers that have waited
+        for longest are given up, as without a wait.
+        """
+        loop = asyncio.get_running_loop()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while not connection_limit.has_room(self.answers, size):
+                    waiter = loop.create_future()
+                    self._waiters.append(waiter)
+                    await waiter
+        # There may be room for the next one when this answer has been written.
+        loop.call_soon(self._wake_next)
+
+    def _wake_next(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
 
     def close_overdue(self) -> None:
         """Close the connections of clients that exceed a time limit."""
--- a/boragetide/policy/connection_limit.py
+++ b/boragetide/policy/connection_limit.py
@@ -154,6 +154,11 @@
     return closed
 
 
+def has_room(answers: UnreadAnswers, size: int) -> bool:
+    """Return whether an answer can be added without closing a connection."""
+    return not answers.by_connection or answers.used + size <= answers.limit
+
+
 def remove_answer(answers: UnreadAnswers, connection: ConnectionId) -> None:
     """Remove an answer that was read, or whose connection is closed."""
     answer = answers.by_connection.pop(connection, None)
