Charge unread text by its bytes, and plainer names

A text answer with characters outside ASCII was charged by its characters, so that unread answers could exceed unread-answer-bytes several times.

Cause: Handler.finish took the length of the str. The text is encoded first.

Also rest and work of connection_limit are mark_idle and mark_active, RETRY_AFTER is defined once, and the docstrings of body_budget.release and _close_overdue_connections say what they do.

--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -35,6 +35,8 @@
 
     def finish(self, chunk: Any = None) -> Future[None]:
         """Send the response; the request counts as open until it is written."""
+        if isinstance(chunk, str):
+            chunk = chunk.encode()
         limits = self.runtime.server_limits
         stream = self.request.connection.stream
         if limits is not None:
@@ -45,7 +47,7 @@
             self.runtime.open_requests.discard(self)
             raise
         if limits is not None and not written.done():
-            size = len(chunk) if isinstance(chunk, str | bytes) else 0
+            size = len(chunk) if isinstance(chunk, bytes) else 0
             limits.add_answer(stream, size)
             written.add_done_callback(lambda _: limits.remove_answer(stream))
         written.add_done_callback(self._close_request)
--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -24,6 +24,7 @@
 )
 from tornado.iostream import IOStream
 
+from boragetide.api.base import RETRY_AFTER
 from boragetide.daemon.metrics import Metrics
 from boragetide.daemon.repeated_logs import RateLimitedLog
 from boragetide.policy import body_budget, connection_limit
@@ -46,7 +47,6 @@
 READ_BYTES = 16 * 1024
 # Must exceed what tornado reads ahead of a request; bodies are not collected there.
 MAX_STREAM_BUFFER = 128 * 1024
-RETRY_AFTER = 1  # seconds
 _MESSAGES_BY_REASON = {
     "budget": "too many request bodies wait at this instance",
     "connections": "too many connections are open at this instance",
@@ -111,7 +111,7 @@
         if self.connections.is_full(essential) and not self._close_one():
             self._count_closed("limit", peer, 0.0)
             return False
-        connection_limit.rest(self.connections, stream, now)
+        connection_limit.mark_idle(self.connections, stream, now)
         self._peers_by_stream[stream] = peer
         return True
 
@@ -153,7 +153,7 @@
 
     def begin_request(self, stream: IOStream) -> None:
         """Record that a connection waits for a request, or for the body of one."""
-        connection_limit.rest(self.connections, stream, time.monotonic())
+        connection_limit.mark_idle(self.connections, stream, time.monotonic())
 
     def hand_over(self, connection: HTTPConnection, request: _LimitedRequest) -> bool:
         """Return whether a complete body can be handled, and charge it if so.
@@ -452,7 +452,7 @@
         if self._discards:
             self.received += len(chunk)
         if self._discards or self._is_too_large():
-            connection_limit.work(self._limits.connections, self.stream)
+            connection_limit.mark_active(self._limits.connections, self.stream)
             body_budget.discard(self._limits.bodies, self, time.monotonic())
             return None
         self.received += len(chunk)
@@ -462,7 +462,7 @@
         limits, now = self._limits, time.monotonic()
         if not self._began:
             self._began = now
-        connection_limit.work(limits.connections, self.stream)
+        connection_limit.mark_active(limits.connections, self.stream)
         if self._is_too_large():
             body_budget.discard(limits.bodies, self, now)
             self._inner.on_connection_close()
@@ -474,7 +474,7 @@
     def finish(self) -> None:
         if self._rejected:
             return
-        connection_limit.work(self._limits.connections, self.stream)
+        connection_limit.mark_active(self._limits.connections, self.stream)
         if self._is_too_large():
             self._reject_too_large()
             return
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -138,7 +138,7 @@
 
 
 async def _close_overdue_connections(runtime: Runtime) -> None:
-    """Close the connections of clients that do not read their answers in time."""
+    """Close connections whose headers, body or reading of an answer is overdue."""
     limits = get_server_limits(runtime)
     while True:
         await asyncio.sleep(OVERDUE_CHECK_PERIOD)
--- a/boragetide/policy/body_budget.py
+++ b/boragetide/policy/body_budget.py
@@ -157,7 +157,7 @@
 
 
 def release(budget: BodyBudget, body_id: BodyId) -> None:
-    """Stop charging a body that was handled or that its client has left."""
+    """Stop charging a body whose request was answered, or an unfinished one."""
     charged = budget.handed_over_by_id.pop(body_id, None)
     if charged is None:
         _take_unfinished(budget, body_id)
--- a/boragetide/policy/connection_limit.py
+++ b/boragetide/policy/connection_limit.py
@@ -63,14 +63,14 @@
         return self.count >= self.limit - (0 if essential else self.reserved)
 
 
-def rest(table: ConnectionTable, connection: ConnectionId, now: Seconds) -> None:
+def mark_idle(table: ConnectionTable, connection: ConnectionId, now: Seconds) -> None:
     """Record that a connection is new, was answered, or has sent headers only."""
     table.active.discard(connection)
     table.idle_since_by_id[connection] = now
     table.idle_since_by_id.move_to_end(connection)
 
 
-def work(table: ConnectionTable, connection: ConnectionId) -> None:
+def mark_active(table: ConnectionTable, connection: ConnectionId) -> None:
     """Record that a part of a body, or a complete request, has arrived."""
     if table.idle_since_by_id.pop(connection, None) is not None:
         table.active.add(connection)
--- a/boragetide/tests/test_connection_limit.py
+++ b/boragetide/tests/test_connection_limit.py
@@ -10,9 +10,9 @@
     find_longest_idle,
     find_overdue,
     forget,
+    mark_active,
+    mark_idle,
     remove_answer,
-    rest,
-    work,
 )
 
 
@@ -20,11 +20,11 @@
     """Guards against the close of a connection that has just been used."""
     table = ConnectionTable(limit=3)
     for number in range(3):
-        rest(table, number, now=number)
+        mark_idle(table, number, now=number)
     assert table.is_full()
-    work(table, 0)
+    mark_active(table, 0)
     assert find_longest_idle(table) == 1
-    rest(table, 0, now=5.0)
+    mark_idle(table, 0, now=5.0)
     assert forget(table, 1) == 1.0
     assert find_longest_idle(table) == 2
     assert table.count == 2
@@ -35,8 +35,8 @@
     """Guards against the close of a connection whose request is being handled."""
     table = ConnectionTable(limit=2)
     for number in range(2):
-        rest(table, number, now=number)
-        work(table, number)
+        mark_idle(table, number, now=number)
+        mark_active(table, number)
     assert find_longest_idle(table) is None
     assert table.is_full()
     assert forget(table, 0) is None
@@ -46,9 +46,9 @@
 def test_closed_connection_does_not_become_active() -> None:
     """Guards against a count that grows with each connection that was closed."""
     table = ConnectionTable(limit=2)
-    rest(table, 1, now=0.0)
+    mark_idle(table, 1, now=0.0)
     forget(table, 1)
-    work(table, 1)
+    mark_active(table, 1)
     assert table.count == 0
 
 
@@ -85,8 +85,8 @@
     """Guards against idle connections that stay open for ever."""
     table = ConnectionTable(limit=3)
     for number in range(3):
-        rest(table, number, now=number)
-    work(table, 0)
+        mark_idle(table, number, now=number)
+    mark_active(table, 0)
     assert find_idle_for_too_long(table, timeout=5.0, now=6.5) == [1]
     assert find_idle_for_too_long(table, timeout=5.0, now=7.5) == [1, 2]
 
@@ -95,11 +95,11 @@
     """Guards against readiness checks that wait behind the requests of callers."""
     table = ConnectionTable(limit=20)
     for number in range(18):
-        rest(table, number, now=number)
-        work(table, number)
+        mark_idle(table, number, now=number)
+        mark_active(table, number)
     assert table.is_full()
     assert not table.is_full(essential=True)
     for number in range(18, 20):
-        rest(table, number, now=number)
+        mark_idle(table, number, now=number)
     assert table.is_full(essential=True)
     assert ConnectionTable(limit=10_000).reserved == 8
--- a/boragetide/tests/test_server_limits.py
+++ b/boragetide/tests/test_server_limits.py
@@ -45,8 +45,11 @@
         self.respond(200, {"size": size})
 
     def get(self) -> None:
-        """Respond with a large answer."""
-        self.finish("x" * LARGE_ANSWER)
+        """Respond with a large answer, of wide characters if asked to."""
+        if self.get_query_argument("wide", ""):
+            self.finish("\u00e9" * (LARGE_ANSWER // 2))
+        else:
+            self.finish("x" * LARGE_ANSWER)
 
 
 class FailingHandler(Handler):
@@ -406,6 +409,18 @@
     run(scenario, unread_answer_bytes=2 * LARGE_ANSWER)
 
 
+def test_unread_text_is_charged_by_its_bytes() -> None:
+    """Guards against answers with wide characters that exceed the limit."""
+
+    async def scenario(process: Process) -> None:
+        _, writer = await process.open(window=4096)
+        writer.write(b"GET /?wide=1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        await until(lambda: answers(process) > 0)
+        assert answers(process) == LARGE_ANSWER
+
+    run(scenario)
+
+
 def fill_answers(process: Process, writer: asyncio.StreamWriter) -> None:
     """Let a client cause more refusals than the kernel buffers, and read none."""
     writer.transport.pause_reading()
