Elections: a vote request lost before the last leader is no silence

Callers waited for an election that took 0.7 s longer than it needs. A follower asks the other members nothing, so that it forgets these waits once it hears a leader. The new test fails before.

--- a/boragetide/policy/link_health.py
+++ b/boragetide/policy/link_health.py
@@ -47,6 +47,10 @@
         """Record a message from a peer."""
         self.waiting_since_by_id.pop(peer, None)
 
+    def forget_waits(self) -> None:
+        """Forget the unanswered messages, because no answer to them is due any more."""
+        self.waiting_since_by_id.clear()
+
     def record_answer(self, peer: InstanceId, asked_at: Seconds, now: Seconds) -> None:
         """Record the answer to the question that was sent at ``asked_at``.
 
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -268,7 +268,9 @@
     if replica.role is not Role.FOLLOWER or replica.leader != leader:
         become_follower(replica, leader)
     replica.leader_heard_at = now
-    replica.links.record_received(leader)
+    # A follower asks the other members nothing. A request for a vote that was lost
+    # earlier would count as silence in the next election, and cost its first requests.
+    replica.links.forget_waits()
     schedule_election(replica, now)
     return effects
 
--- a/boragetide/tests/test_elections.py
+++ b/boragetide/tests/test_elections.py
@@ -6,7 +6,12 @@
 
 from boragetide.commands import Ballot
 from boragetide.effects import Reconnect, Send
-from boragetide.messages import RequestVote, StandForElection, VoteReply
+from boragetide.messages import (
+    AppendEntries,
+    RequestVote,
+    StandForElection,
+    VoteReply,
+)
 from boragetide.policy import elections, replication
 from boragetide.policy.replica import (
     AUTHORITY_DURATION,
@@ -136,3 +141,24 @@
     (reply,) = [each.message for each in effects if isinstance(each, Send)]
     assert reply.granted
     assert reply.leader_heard_ago == pytest.approx(0.1)
+
+
+def test_vote_request_that_was_lost_before_the_last_leader_is_no_silence(
+    replica: Replica,
+) -> None:
+    """Guards against working links that are replaced as an election begins."""
+    stand_for_election(replica, BEGIN)
+    heard = AppendEntries(
+        term=replica.ballot.term,
+        leader="a2",
+        previous_index=0,
+        previous_term=0,
+        entries=(),
+        commit=0,
+        sent_at=BEGIN,
+        waits=0.0,
+    )
+    step(heard, replica, BEGIN + 10.0)
+    effects = elections.check_election(replica, replica.election_at + 0.1)
+    assert any(isinstance(each, Send) for each in effects)
+    assert not any(isinstance(each, Reconnect) for each in effects)
