--- a/boragetide/api/application.py
+++ b/boragetide/api/application.py
@@ -7,7 +7,7 @@
 
 from boragetide.api.backend_servers import BackendServerHandler, BackendServersHandler
 from boragetide.api.base import NotFoundHandler
-from boragetide.api.body_limit import LimitedServer, get_server_limits
+from boragetide.api.body_limit import LimitedServer
 from boragetide.api.configuration import (
     CommandHandler,
     ConfigurationHandler,
@@ -27,6 +27,7 @@
     ReadinessHandler,
     StatusHandler,
 )
+from boragetide.api.server_limits import get_server_limits
 from boragetide.api.submissions import SubmissionHandler
 from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.daemon.runtime import Runtime
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -13,7 +13,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from boragetide.api.body_limit import get_server_limits
+from boragetide.api.server_limits import get_server_limits
 from boragetide.daemon.effect_execution import EffectContext, bind_execute_effect
 from boragetide.daemon.logs import log_event, log_uncaught
 from boragetide.daemon.runtime import (
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -76,7 +76,7 @@
     make_link
         Makes and starts the link to an instance that is not named in the settings.
     server_limits
-        Limits that all HTTP servers share (`boragetide.api.body_limit`), once made.
+        Limits that all HTTP servers share (`boragetide.api.server_limits`), once made.
     """
 
     settings: Settings
--- a/boragetide/tests/test_server_limits.py
+++ b/boragetide/tests/test_server_limits.py
@@ -16,8 +16,8 @@
 from tornado.web import Application
 
 from boragetide.api.base import Handler
-from boragetide.api.body_limit import (
-    LimitedServer,
+from boragetide.api.body_limit import LimitedServer
+from boragetide.api.server_limits import (
     ServerLimits,
     get_server_limits,
 )
