--- a/benchmarks/placement_sizes.py
+++ b/benchmarks/placement_sizes.py
@@ -205,12 +205,12 @@
 
 
 def find_work_size(generated: GeneratedJob) -> float:
-    """Return the core-seconds of a job."""
+    """Return the work of a job, in seconds of one thousandth of a core."""
     return sum(generated.work) * generated.job.steps[0].needs.millicores
 
 
 def find_needs(generated: GeneratedJob) -> float:
-    """Return the cores that each task of a job needs."""
+    """Return the need of each task of a job, in thousandths of a core."""
     return generated.job.steps[0].needs.millicores
 
 
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -193,7 +193,7 @@
 
 
 class DurableExplanationHandler(DurableJobHandler):
-    """Explains where a job would be placed; also serves a job of the path's name."""
+    """Explains where a job would be placed; other methods serve the job ``explain``."""
 
     async def post(self, _: str) -> None:
         """Explain where the job in the body would be placed now; nothing is stored."""
--- a/boragetide/api/server_limits.py
+++ b/boragetide/api/server_limits.py
@@ -150,7 +150,8 @@
     def refuse_all(self, requests: Iterable[Any], reason: str) -> None:
         """Refuse requests whose bodies are dropped."""
         requests = list(requests)
-        # What one answer causes must find none of the others in use.
+        # Refusing one request can close connections, so that no other one may still be
+        # charged.
         for request in requests:
             request.reject()
         for request in requests:
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -226,13 +226,13 @@
     first
         The first waiting jobs, in scheduling order.
     max_free_by_pool
-        Most free millicores on any server of each pool; pools are added.
+        Most free millicores on any server of each pool; further pools are added.
 
     Attributes
     ----------
     ordered
-        Those for which a backend server has enough free cores, in order of placement;
-        a single job is not looked at.
+        Those for which a backend server has enough free cores, in order of placement.
+        A single job is kept without this check.
     started
         Jobs of which tasks were started.
     """
--- a/boragetide/controllers/zone_service.py
+++ b/boragetide/controllers/zone_service.py
@@ -97,7 +97,7 @@
 def continue_trial(
     state: DispatcherState, server: Server, previous: Server | None, now: Seconds
 ) -> None:
-    """Give a process that joins a zone which has just returned a trial of its own."""
+    """Continue the trial of the previous process, or begin one after a return."""
     if previous is not None and previous.trial is not None:
         server.trial = previous.trial
         return
--- a/boragetide/policy/configuration_transfer.py
+++ b/boragetide/policy/configuration_transfer.py
@@ -29,8 +29,8 @@
 # boundary accepts, takes less unless it can hardly be compressed.
 MAX_COMPRESSED = 16 * 1024 * 1024  # bytes
 # Another instance is asked after this time without a piece. Two losses in a row, or
-# three at different pieces, take 1.2 s (1.44 s with the jitter), less than the 2 s
-# within which a configuration must take effect everywhere.
+# three at different pieces, take 1.2 s (1.44 s with the jitter), less than the 1.5 s
+# for which an earlier confirmation holds.
 PIECE_WAIT: Seconds = 0.4
 MAX_PIECE_WAIT: Seconds = 2.0
 WAIT_JITTER = 0.2  # share of a wait
