--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -538,3 +538,17 @@
     monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
     monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
     run_state_machine_as_test(AgreementOfFive, settings=make_profile())
+
+
+def test_leader_is_elected_after_a_loss_during_a_change_of_members(
+    monkeypatch: Any,
+) -> None:
+    """Guards against members that can never elect a leader again after one loss."""
+    monkeypatch.setattr(replica_module, "SNAPSHOT_ENTRIES", 6)
+    monkeypatch.setattr(replica_module, "TRAILING_ENTRIES", 2)
+    members = AgreementWithSpare()
+    members.start(seed=0)
+    members.lose_disk_apart(away=0, later=1, lost=3)
+    members.take_away(number=0, seconds=1.0)
+    members.partition(set())
+    members.teardown()
