Add the replacement of a silent member before its removal

Cause: the leader removed a silent member first and added the learner afterwards. With three members, the two left needed each other for the commit. If the other one was lost for good at that moment, no set had a majority any more, although the silent member was only cut off and came back. Change: choose_members adds the learner first; the log has one more member until the silent one is removed, and the majority of that set can spare one. If the silent member answers again meanwhile, another one than the leader is removed, so that the number of the settings is kept.

--- a/boragetide/policy/member_changes.py
+++ b/boragetide/policy/member_changes.py
@@ -2,7 +2,11 @@
 
 An instance with a disk that is not a member follows the leader as a learner: it
 receives the log and has no vote. The leader adds learners up to the number of members
-that the settings ask for, and removes a silent member if a learner can take its place.
+that the settings ask for. To replace a silent member, it first adds a learner and then
+removes the silent member. In the reverse order, the members left could not spare one:
+if another one were lost before the removal is committed, no leader would be elected
+even after the silent member is back.
+
 Each change is a log entry and takes effect as soon as it is appended. The next change
 waits until this entry is committed, so that majorities of successive memberships always
 overlap (Ongaro, "Consensus: Bridging Theory and Practice", section 4.1).
@@ -78,7 +82,7 @@
         if replica.progress_by_id[learner].match_index >= replica.commit
     ]
     members = choose_members(
-        replica.members, replica.settings.member_count, silent, ready
+        replica.members, replica.settings.member_count, silent, ready, replica.id
     )
     # The first change records the members of the settings, because an instance that
     # loses its disk may by then find other instances named in its settings.
@@ -98,35 +102,48 @@
     count: int,
     silent: Collection[InstanceId],
     ready: Collection[InstanceId],
+    leader: InstanceId,
 ) -> tuple[InstanceId, ...]:
     """Return the members after the next change, which differ by one member at most.
 
     Parameters
     ----------
     count
-        Number of members that the log should have.
+        Number of members that the log should have. It has one more between the two
+        changes that replace a silent member.
     silent
         Members that have not answered for `MEMBER_SILENCE`.
     ready
         Learners that have all committed entries.
+    leader
+        Member that is never removed.
 
     Examples
     --------
-    >>> choose_members(("a", "b", "c"), 3, ["c"], ["d"])
-    ('a', 'b')
-    >>> choose_members(("a", "b"), 3, [], ["d"])
+    >>> choose_members(("a", "b", "c"), 3, ["c"], ["d"], "a")
+    ('a', 'b', 'c', 'd')
+    >>> choose_members(("a", "b", "c", "d"), 3, ["c"], [], "a")
     ('a', 'b', 'd')
     """
-    if not ready:
-        return members
-    if len(members) < count:
+    if len(members) > count:
+        surplus = _choose_surplus(members, silent, leader)
+        return tuple(member for member in members if member != surplus)
+    if ready and (silent or len(members) < count):
         return tuple(sorted((*members, next(iter(ready)))))
-    if silent:
-        removed = next(iter(silent))
-        return tuple(member for member in members if member != removed)
     return members
 
 
+def _choose_surplus(
+    members: tuple[InstanceId, ...],
+    silent: Collection[InstanceId],
+    leader: InstanceId,
+) -> InstanceId:
+    """Return the member to remove: a silent one, or any other than the leader."""
+    if silent:
+        return next(iter(silent))
+    return max(member for member in members if member != leader)
+
+
 def _is_change_pending(replica: Replica) -> bool:
     """Return whether the last change or the first entry of the term is uncommitted."""
     if replica.commit < replica.log_start:
