--- a/boragetide/controllers/pool.py
+++ b/boragetide/controllers/pool.py
@@ -12,7 +12,7 @@
 from boragetide.policy.ejection import ServerHealth, Tally, start_probing
 from boragetide.policy.learning import SizeModel, SpeedModel, predict_speed
 from boragetide.policy.retries import RetryBudget
-from boragetide.policy.zones import MAX_TRIAL_TIME, ZoneView
+from boragetide.policy.zones import ZoneView, has_returned_recently
 from boragetide.settings import Settings
 from boragetide.types import (
     BackendServer,
@@ -211,8 +211,7 @@
     state.lease_count += 1
     lease = f"{state.settings.id}/{state.incarnation}/{state.lease_count}"
     leased = state.servers_by_id[server.id] = LeasedServer(server, lease, now)
-    returned_at = state.returned_at_by_zone.get(server.zone)
-    if returned_at is not None and now - returned_at <= MAX_TRIAL_TIME:
+    if has_returned_recently(state.returned_at_by_zone.get(server.zone), now):
         start_probing(leased.health)
     return leased
 
--- a/boragetide/controllers/zone_pool.py
+++ b/boragetide/controllers/zone_pool.py
@@ -7,7 +7,7 @@
 from boragetide.effects import Effect, LogEvent, SetGauge
 from boragetide.policy import ejection
 from boragetide.policy.learning import SpeedModel
-from boragetide.policy.zones import MAX_TRIAL_TIME, begin_trial
+from boragetide.policy.zones import begin_trial, has_returned_recently
 from boragetide.types import Seconds
 
 # Jobs are queued for this long while the view of the zones is too old for starts. The
@@ -50,7 +50,7 @@
         return []
     returned = state.returned_at_by_zone
     for zone, returned_at in list(returned.items()):
-        if zone in after or now - returned_at > MAX_TRIAL_TIME:
+        if zone in after or not has_returned_recently(returned_at, now):
             del returned[zone]
     returned |= dict.fromkeys(before - after, now)
     for server_id, leased in state.servers_by_id.items():
--- a/boragetide/controllers/zone_service.py
+++ b/boragetide/controllers/zone_service.py
@@ -12,9 +12,9 @@
 from boragetide.controllers.server_state import Server
 from boragetide.effects import Count, Effect, LogEvent, SetGauge
 from boragetide.policy.zones import (
-    MAX_TRIAL_TIME,
     begin_trial,
     find_obstacle,
+    has_returned_recently,
     may_take_run,
 )
 from boragetide.types import Configuration, Seconds, ZoneId
@@ -102,7 +102,7 @@
         server.trial = previous.trial
         return
     returned_at = state.returned_at_by_zone.get(server.report.zone)
-    if returned_at is not None and now - returned_at <= MAX_TRIAL_TIME:
+    if has_returned_recently(returned_at, now):
         _begin_trial(server, returned_at)
 
 
@@ -110,7 +110,7 @@
     """Forget the trials that are over and the returns that are long ago."""
     returned = state.returned_at_by_zone
     for zone, returned_at in list(returned.items()):
-        if now - returned_at > MAX_TRIAL_TIME:
+        if not has_returned_recently(returned_at, now):
             del returned[zone]
     for server in state.servers_by_id.values():
         if server.trial is not None and server.trial.is_over(now):
--- a/boragetide/policy/zones.py
+++ b/boragetide/policy/zones.py
@@ -112,6 +112,17 @@
         return is_old or self.runs_done >= TRIAL_RUNS
 
 
+def has_returned_recently(returned_at: Seconds | None, now: Seconds) -> bool:
+    """Return whether a zone returned so lately that its servers are still on trial.
+
+    Parameters
+    ----------
+    returned_at
+        Time at which its last return was learned, or ``None`` if none is known.
+    """
+    return returned_at is not None and now - returned_at <= MAX_TRIAL_TIME
+
+
 def begin_trial(server: BackendServerId, now: Seconds) -> Trial:
     """Return the trial of a server whose zone has returned just now."""
     digest = hashlib.blake2b(server.encode(), digest_size=2).digest()
