Use one function to end the charge of a request body

body_budget.drop did part of what release does, and the code had six verbs for the end of a body: drop, discard, reject, refuse, end and release. Two remain: release ends the charge, and refuse answers the client. discard is the state in between, of a body that is still read but not kept.

No caller of the former drop has a body that was handed over: tornado reports a closed connection only before the request is finished, or after a finish that raised, whose charge has ended already. test_body_budget.py calls release where it called drop; its checks are unchanged.

--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -40,7 +40,7 @@
         limits = self.runtime.server_limits
         stream = self.request.connection.stream
         if limits is not None:
-            limits.end_request(self.request.connection)
+            limits.release(self.request.connection)
         try:
             written = super().finish(chunk)
         except BaseException:
--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -171,7 +171,7 @@
         return self._connection.write(chunk)
 
     def finish(self) -> None:
-        self._limits.end_request(self)
+        self._limits.release(self)
         self._connection.finish()
 
 
@@ -196,7 +196,7 @@
         self._began: Seconds = 0.0
         self._method = ""
         self._discards = False
-        self._rejected = False
+        self._released = False
 
     def headers_received(
         self,
@@ -214,12 +214,12 @@
         self.received = self._announced
         expects = headers.get("Expect", "").lower() == "100-continue"
         if expects or self._announced > self._limit * DISCARD_FACTOR:
-            self._reject_too_large(unread=True)
+            self._refuse_too_large(unread=True)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Charge a chunk and pass it on, unless the body is refused."""
-        if self._rejected:
+        if self._released:
             return None
         if self._discards:
             self.received += len(chunk)
@@ -239,17 +239,17 @@
             body_budget.discard(limits.bodies, self, now)
             self._inner.on_connection_close()
             return None
-        dropped: Any = body_budget.receive(limits.bodies, self, len(chunk), now)
-        limits.drop_all(dropped)
+        displaced: Any = body_budget.receive(limits.bodies, self, len(chunk), now)
+        limits.discard_all(displaced)
         return None if self._discards else self._inner.data_received(chunk)
 
     def finish(self) -> None:
         """Pass a whole body on, or answer why it is refused."""
-        if self._rejected:
+        if self._released:
             return
         connection_limit.mark_active(self._limits.connections, self.stream)
         if self._is_too_large():
-            self._reject_too_large()
+            self._refuse_too_large()
             return
         if self._discards:
             self.refuse("budget")
@@ -261,13 +261,13 @@
             self._inner.finish()
         except BaseException:
             # No handler remains that could end the charge.
-            self._limits.end_request(self._connection)
+            self._limits.release(self._connection)
             raise
 
     def on_connection_close(self) -> None:
         """End the charge of a body that will not be complete."""
-        body_budget.drop(self._limits.bodies, self)
-        if self._rejected:
+        body_budget.release(self._limits.bodies, self)
+        if self._released:
             return
         if not self._discards and not self._is_too_large():
             self._inner.on_connection_close()
@@ -282,33 +282,33 @@
         self._log_refused("budget")
         now = time.monotonic()
         body_budget.discard(self._limits.bodies, self, now, self._began)
-        self._end_inner()
+        self._close_inner()
 
-    def _end_inner(self) -> None:
+    def _close_inner(self) -> None:
         try:
             self._inner.on_connection_close()
         except Exception as error:
             self._limits.log_failed_answer(self.stream, error)
 
-    def reject(self) -> None:
-        """Drop the body, of which nothing more is passed on."""
-        body_budget.drop(self._limits.bodies, self)
-        self._rejected = True
+    def release(self) -> None:
+        """Stop charging the body, of which nothing more is passed on."""
+        body_budget.release(self._limits.bodies, self)
+        self._released = True
 
     def refuse(self, reason: str) -> None:
-        """Drop the body, answer that nothing has run, and close the connection.
+        """Release the body, answer that nothing has run, and close the connection.
 
         The connection is closed once the answer is written, because the rest of the
         body is not read. It is also closed if the answer cannot be written: an error
         must not reach the caller, which acts for all connections.
         """
-        self.reject()
+        self.release()
         if self._discards:
             reason = "budget"
         else:
             self._log_refused(reason)
             if not self._is_too_large():
-                self._end_inner()
+                self._close_inner()
         message = _MESSAGES_BY_REASON[reason]
         headers = HTTPHeaders({"Connection": "close", "Retry-After": str(RETRY_AFTER)})
         self._respond(503, "Service Unavailable", message, headers)
@@ -316,8 +316,8 @@
     def _is_too_large(self) -> bool:
         return self.received > self._limit
 
-    def _reject_too_large(self, unread: bool = False) -> None:
-        self.reject()
+    def _refuse_too_large(self, unread: bool = False) -> None:
+        self.release()
         self._log_refused("too_large")
         headers = HTTPHeaders({"Connection": "close"} if unread else {})
         message = f"body: larger than {self._limit} bytes"
--- a/boragetide/api/server_limits.py
+++ b/boragetide/api/server_limits.py
@@ -134,30 +134,30 @@
 
         It is charged until its handler has responded, also if its client has left.
         """
-        accepted, dropped = body_budget.hand_over(
+        accepted, displaced = body_budget.hand_over(
             self.bodies, request, request.received
         )
         if accepted:
             self._handed_over[connection] = request
-        self.drop_all(dropped)
+        self.discard_all(displaced)
         return accepted
 
-    def drop_all(self, requests: Iterable[Any]) -> None:
+    def discard_all(self, requests: Iterable[Any]) -> None:
         """Discard the unfinished bodies that the budget has no room for."""
         for request in requests:
             request.discard()
 
     def refuse_all(self, requests: Iterable[Any], reason: str) -> None:
-        """Refuse requests whose bodies are dropped."""
+        """Refuse requests whose bodies are unfinished."""
         requests = list(requests)
         # Refusing one request can close connections, so that no other one may still be
         # charged.
         for request in requests:
-            request.reject()
+            request.release()
         for request in requests:
             request.refuse(reason)
 
-    def end_request(self, connection: HTTPConnection) -> None:
+    def release(self, connection: HTTPConnection) -> None:
         """Stop charging the body of a request that has been answered."""
         request = self._handed_over.pop(connection, None)
         if request is not None:
--- a/boragetide/policy/body_budget.py
+++ b/boragetide/policy/body_budget.py
@@ -1,10 +1,13 @@
-"""Decides which request bodies a process holds, and which it drops when they are many.
+"""Decides which request bodies a process holds, and which it discards when full.
 
 All HTTP servers of a process share one budget. Bodies above a certain size may not
 use the part that is reserved for small ones, so that ordinary callers are served while
 large bodies compete for the rest. When the budget is used up, the unfinished body that
-has gone longest without progress is dropped first. A body that was handed over to be
-handled is never dropped, because its job may have started.
+has gone longest without progress is discarded first. A body that was handed over to be
+handled is never discarded, because its job may have started.
+
+A body is charged from `receive` or `hand_over` until `release`. In between, `discard`
+ends the charge of a body whose remaining bytes still have to be read.
 """
 
 from __future__ import annotations
@@ -56,9 +59,9 @@
         Unfinished bodies up to `SMALL_BODY` and above it. Those without progress for
         longest come first.
     discarded_by_id
-        Unfinished bodies of which nothing is held, because they are too large or were
-        dropped; those without progress for longest come first. What still arrives is
-        discarded.
+        Unfinished bodies of which nothing is held, because they are too large or there
+        was no room for them; those without progress for longest come first. What still
+        arrives is not kept.
     handed_over_by_id
         Bytes charged for bodies that are being handled.
     used
@@ -95,10 +98,10 @@
 def receive(
     budget: BodyBudget, body_id: BodyId, size: int, now: Seconds
 ) -> list[BodyId]:
-    """Charge bytes that arrived, and return the bodies that must be dropped for them.
+    """Charge bytes that arrived, and return the bodies to discard for them.
 
-    The dropped bodies are no longer charged. The list contains ``body_id`` itself if no
-    other body can make room for it.
+    These are no longer charged. The list contains ``body_id`` itself if no other body
+    can make room for it.
     """
     body = _take_unfinished(budget, body_id)
     received = size + (0 if body is None else body.received)
@@ -143,7 +146,7 @@
     bool
         Whether it can be handled. If not, it is no longer charged and must be refused.
     list[BodyId]
-        Unfinished bodies that must be dropped for it.
+        Unfinished bodies to discard for it, which are no longer charged.
     """
     _take_unfinished(budget, body_id)
     is_large = size > SMALL_BODY
@@ -157,7 +160,7 @@
 
 
 def release(budget: BodyBudget, body_id: BodyId) -> None:
-    """Stop charging a body whose request was answered, or an unfinished one."""
+    """Stop charging a body, whether it is unfinished or was handed over."""
     charged = budget.handed_over_by_id.pop(body_id, None)
     if charged is None:
         _take_unfinished(budget, body_id)
@@ -189,11 +192,6 @@
     ]
 
 
-def drop(budget: BodyBudget, body_id: BodyId) -> None:
-    """Stop charging an unfinished body."""
-    _take_unfinished(budget, body_id)
-
-
 def _get_first(
     by_id: OrderedDict[BodyId, UnfinishedBody],
 ) -> list[tuple[BodyId, UnfinishedBody]]:
@@ -238,8 +236,8 @@
 
 
 def _make_room(budget: BodyBudget, is_large: bool) -> list[BodyId]:
-    """Drop unfinished bodies until the budget suffices, or none is left to drop."""
-    dropped: list[BodyId] = []
+    """Release unfinished bodies until the budget suffices, or none is left."""
+    released: list[BodyId] = []
     while _has_excess(budget, is_large):
         if is_large and budget.used_by_large > budget.limit_of_large:
             stalest = next(iter(budget.large_by_id), None)
@@ -247,6 +245,6 @@
             stalest = _find_stalest(budget.small_by_id, budget.large_by_id)
         if stalest is None:
             break
-        drop(budget, stalest)
-        dropped.append(stalest)
-    return dropped
+        release(budget, stalest)
+        released.append(stalest)
+    return released
--- a/boragetide/tests/test_body_budget.py
+++ b/boragetide/tests/test_body_budget.py
@@ -8,7 +8,6 @@
     BodyBudget,
     compute_smallest_limit,
     discard,
-    drop,
     find_overdue,
     find_stalest,
     hand_over,
@@ -73,7 +72,7 @@
     assert budget.used <= LIMIT
     release(budget, "handled")
     for number in list(budget.large_by_id):
-        drop(budget, number)
+        release(budget, number)
     assert budget.used == budget.used_by_large == 0
 
 
