--- a/boragetide/api/server_limits.py
+++ b/boragetide/api/server_limits.py
@@ -19,18 +19,19 @@
 from boragetide.daemon.repeated_logs import RateLimitedLog
 from boragetide.policy import body_budget, connection_limit
 from boragetide.policy.body_budget import BodyBudget
-from boragetide.policy.connection_limit import ConnectionTable, UnreadAnswers
+from boragetide.policy.connection_limit import (
+    ConnectionTable,
+    UnreadAnswers,
+    compute_connection_limit,
+)
 from boragetide.settings import Limits
 from boragetide.types import Seconds
 
 if TYPE_CHECKING:
     from boragetide.api.body_limit import LimitedRequest
 
-# File descriptors that remain for files.
-RESERVED_DESCRIPTORS = 200
-# Part of the other descriptors that connections of clients may use. The rest is for
-# links to other instances and for calls to backend servers.
-CONNECTIONS_SHARE = 0.5
+# Open files that are assumed for a process without a limit.
+UNLIMITED_FILES = 1 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +58,7 @@
         self.metrics = metrics
         self.bodies = BodyBudget(limits.get_held_body_bytes())
         self.connections = ConnectionTable(
-            min(limits.connections, _count_usable_descriptors())
+            min(limits.connections, compute_connection_limit(_read_max_files()))
         )
         self.answers = UnreadAnswers(limits.get_unread_answer_bytes())
         self._handed_over: dict[HTTPConnection, LimitedRequest] = {}
@@ -250,12 +251,10 @@
         )
 
 
-def _count_usable_descriptors() -> int:
-    """Return how many connections the limit on open files of the process allows."""
+def _read_max_files() -> int:
+    """Return how many files the process may have open."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft == resource.RLIM_INFINITY:
-        soft = 1 << 20
-    return max(int((soft - RESERVED_DESCRIPTORS) * CONNECTIONS_SHARE), 1)
+    return UNLIMITED_FILES if soft == resource.RLIM_INFINITY else soft
 
 
 def get_server_limits(runtime: Any) -> ServerLimits:
--- a/boragetide/policy/connection_limit.py
+++ b/boragetide/policy/connection_limit.py
@@ -19,6 +19,16 @@
 # open, so that they are answered while all others are in use.
 RESERVED_SHARE = 0.1
 MAX_RESERVED = 8
+# File descriptors that remain for files.
+RESERVED_DESCRIPTORS = 200
+# Part of the other descriptors that connections of clients may use. The rest is for
+# links to other instances and for calls to backend servers.
+CONNECTIONS_SHARE = 0.5
+
+
+def compute_connection_limit(descriptors: int) -> int:
+    """Return how many connections a limit on the open files of a process allows."""
+    return max(int((descriptors - RESERVED_DESCRIPTORS) * CONNECTIONS_SHARE), 1)
 
 
 @dataclass(slots=True)
