Share the crowds and the bounds of both test_crowds.py

Both files defined the same machine, the same sizes of the crowds, the same lock and nearly the same check. These are now in tests/crowds.py, with the fixture one_crowd_at_a_time, which the root conftest.py loads for both directories. The crowds, the bounds and the test ids are unchanged.

--- a/boragetide/tests/crowds.py
+++ b/boragetide/tests/crowds.py
@@ -20,6 +20,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import pytest
+
 SEND_LIMIT = 90.0  # seconds in which a crowd sends all that the process accepts
 STALL_LIMIT = 4.0  # seconds without any progress, after which a crowd stops sending
 ANSWER_LIMIT = 30.0  # seconds to wait for an answer before the test fails
@@ -30,14 +32,20 @@
 TINY_CHUNK = 16  # bytes
 SMALL_WINDOW = 4096  # bytes that a client which does not read accepts
 MIB = 1024 * 1024
+# The small machine on which a process must bear a crowd.
+MEMORY_MIB = 128
+MAX_FILES = 512
 # Files that a process may have open besides its connections; by the operators' sizes.
 RESERVED_FILES = 200
+# What a crowd sends together, or the number of connections that it holds.
+CROWD_BYTES = 120 * MIB
+CROWD_CONNECTIONS = 600
 
 _LOCK = Path(tempfile.gettempdir()) / "boragetide-test-crowds.lock"
 
 
-@contextlib.contextmanager
-def one_at_a_time() -> Iterator[None]:
+@pytest.fixture
+def one_crowd_at_a_time() -> Iterator[None]:
     """Hold a lock that all tests with crowds share, across the test processes."""
     with _LOCK.open("ab") as lock:
         fcntl.flock(lock, fcntl.LOCK_EX)
@@ -45,10 +53,10 @@
 
 
 @contextlib.contextmanager
-def file_descriptor_limit(limit: int) -> Iterator[None]:
-    """Let processes that are started meanwhile open at most ``limit`` files."""
+def few_file_descriptors() -> Iterator[None]:
+    """Let processes that are started meanwhile open at most `MAX_FILES` files."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FILES, hard))
     try:
         yield
     finally:
@@ -186,17 +194,15 @@
     window: int = 0
 
 
-def make_body_crowds(legal: int, total: int) -> dict[str, Sending]:
+def make_body_crowds(legal: int) -> dict[str, Sending]:
     """Return the crowds that send bodies, by name.
 
     Parameters
     ----------
     legal
         Size of the largest legal body, in bytes.
-    total
-        Bytes that a crowd sends together.
     """
-    count = total // legal
+    count = CROWD_BYTES // legal
     last_short = b" " * (legal - 1)
     tiny_total = min(legal - TINY_CHUNK, 256 * 1024)
     return {
@@ -228,14 +234,20 @@
     }
 
 
-def make_connection_crowds(count: int) -> dict[str, Sending]:
+def make_connection_crowds() -> dict[str, Sending]:
     """Return the crowds that hold connections without a whole request, by name."""
+    fill = b"X-Fill: " + b"x" * (60 * 1024)
     return {
-        "idle": Sending(lambda s: b"", count),
-        "headers": Sending(lambda s: s.head + b"X-Fill: " + b"x" * (60 * 1024), count),
+        "idle": Sending(lambda s: b"", CROWD_CONNECTIONS),
+        "headers": Sending(lambda s: s.head + fill, CROWD_CONNECTIONS),
     }
 
 
+def make_unread_crowd(count: int) -> Sending:
+    """Return a crowd that sends whole requests and reads no answer."""
+    return Sending(lambda s: s.head + b"\r\n", count, window=SMALL_WINDOW)
+
+
 @contextlib.contextmanager
 def crowd(server: Server, sending: Sending) -> Iterator[Crowd]:
     """Keep a crowd connected that has sent all that was accepted."""
@@ -319,19 +331,33 @@
     return json.dumps(body).encode()
 
 
-def check_crowd(
+def check_with_crowd(
+    server: Server,
+    sending: Sending,
     pid: int,
     ports: set[int],
-    memory_mib: int,
-    max_descriptors: int,
     is_answered: Callable[[], bool],
-    present: Crowd,
 ) -> None:
-    """Check a process while a crowd is connected.
+    """Let a crowd connect to a server of a process, and check the process meanwhile.
 
     It lives, an ordinary request is answered, and the memory and the descriptors are
-    within the bounds, which the settings of the machine give.
+    within the bounds of the small machine.
+
+    Parameters
+    ----------
+    ports
+        Ports of the process, to find its connections.
+    is_answered
+        Sends an ordinary request and returns whether it is answered.
     """
+    with crowd(server, sending) as present:
+        _check_process(pid, ports, is_answered, present)
+
+
+def _check_process(
+    pid: int, ports: set[int], is_answered: Callable[[], bool], present: Crowd
+) -> None:
+    max_descriptors = MAX_FILES - RESERVED_FILES
     deadline = time.monotonic() + ANSWER_LIMIT
     answered = is_answered()
     while not answered and time.monotonic() < deadline:
@@ -344,7 +370,7 @@
     except (OSError, ValueError) as error:
         raise AssertionError("the process has ended") from error
     seen = (
-        f"memory {figures.memory_mib:.0f} of {memory_mib} MiB "
+        f"memory {figures.memory_mib:.0f} of {MEMORY_MIB} MiB "
         f"({figures.unread_bytes / MIB:.0f} in the kernel), descriptors "
         f"{figures.descriptors} of {max_descriptors}, answered {answered}, "
         f"sent {sum(present.sent_by_socket.values()) / MIB:.0f} MiB on "
@@ -352,5 +378,5 @@
     )
     print(seen)
     assert answered, seen
-    assert figures.memory_mib <= memory_mib, seen
+    assert figures.memory_mib <= MEMORY_MIB, seen
     assert figures.descriptors <= max_descriptors, seen
--- a/boragetide/tests/test_crowds.py
+++ b/boragetide/tests/test_crowds.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from uuid import uuid4
 
 import pytest
@@ -14,47 +13,31 @@
 from boragetide.tests.conftest import System, make_job, wait_for
 from boragetide.tests.crowds import (
     MIB,
-    RESERVED_FILES,
-    SMALL_WINDOW,
     Sending,
     Server,
-    check_crowd,
-    crowd,
+    check_with_crowd,
     encode,
     fetch,
-    file_descriptor_limit,
+    few_file_descriptors,
     make_body_crowds,
     make_connection_crowds,
-    one_at_a_time,
+    make_unread_crowd,
 )
 
-# The daemon's settings do not name the memory of its machine. With a body limit of
-# 1 MiB, a machine with this much must suffice.
-pytestmark = pytest.mark.crowd
-MEMORY_MB = 128
-MAX_FDS = 512
+pytestmark = [pytest.mark.crowd, pytest.mark.usefixtures("one_crowd_at_a_time")]
+# The daemon's settings do not name the memory of its machine. With this body limit,
+# that of the small machine must suffice.
 BODY_BYTES = MIB
 SETTINGS = f"[limits]\nbody-bytes = {BODY_BYTES}\n"
-CROWD_BYTES = 120 * MIB
-CROWD_CONNECTIONS = 600
 UNREAD_CONNECTIONS = 100
 RESULT_BYTES = 800 * 1024
-CROWDS = {
-    **make_body_crowds(BODY_BYTES, CROWD_BYTES),
-    **make_connection_crowds(CROWD_CONNECTIONS),
-}
-
-
-@pytest.fixture(autouse=True)
-def _alone() -> Iterator[None]:
-    with one_at_a_time():
-        yield
+CROWDS = {**make_body_crowds(BODY_BYTES), **make_connection_crowds()}
 
 
 @pytest.fixture
 def small_system(system: System) -> System:
     """Start one daemon with few descriptors, and a backend server."""
-    with file_descriptor_limit(MAX_FDS):
+    with few_file_descriptors():
         system.start({"a1": "a"}, timing=SETTINGS)
     system.add_server("b1", "a")
     return system
@@ -77,15 +60,8 @@
 
 def check(system: System, server: Server, sending: Sending) -> None:
     """Let a crowd connect to the daemon, and check the daemon."""
-    with crowd(server, sending) as present:
-        check_crowd(
-            system.daemons_by_id["a1"].process.pid,
-            {server.port},
-            MEMORY_MB,
-            MAX_FDS - RESERVED_FILES,
-            lambda: is_served(system),
-            present,
-        )
+    pid = system.daemons_by_id["a1"].process.pid
+    check_with_crowd(server, sending, pid, {server.port}, lambda: is_served(system))
 
 
 @pytest.mark.parametrize("kind", CROWDS)
@@ -109,7 +85,4 @@
     wait_for(lambda: fetch(jobs, encode(job))[0] == 200, "the large job")
     get = find_server(small_system, "/v1/jobs/large", "GET")
     assert len(fetch(get)[1]) > RESULT_BYTES
-    sending = Sending(
-        lambda s: s.head + b"\r\n", UNREAD_CONNECTIONS, window=SMALL_WINDOW
-    )
-    check(small_system, get, sending)
+    check(small_system, get, make_unread_crowd(UNREAD_CONNECTIONS))
--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,7 @@
-"""Passes over the tests that ``KNOWN-RED.txt`` lists, and prints them."""
+"""Passes over the tests that ``KNOWN-RED.txt`` lists, and prints them.
+
+Loads the fixture that all tests with crowds of clients share.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +9,7 @@
 
 import pytest
 
+pytest_plugins = ("boragetide.tests.crowds",)
 KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 TEST_FIELD = "test: "
 
