--- a/boragetide/tests/test_explaining.py
+++ b/boragetide/tests/test_explaining.py
@@ -51,6 +51,24 @@
     update_server_index(leader.state, server)
 
 
+def lead_with_reservation(settings: Settings, needs: Resources) -> Leader:
+    """Return a leader whose only backend server has a reservation."""
+    dispatch = DispatchSettings(placement=PlacementRule.LOOK_AHEAD)
+    leader = Leader(replace(settings, dispatch=dispatch))
+    leader.lead()
+    leader.join()
+    leader.state.reservations.by_server["s1"] = Reservation(
+        job_id="big",
+        server="s1",
+        needs=needs,
+        latest_start=BEGIN,
+        in_time_until=BEGIN + 1.0,
+        expected_at=BEGIN + 0.1,
+        made_at=BEGIN,
+    )
+    return leader
+
+
 def test_explanation_starts_and_stores_nothing(leader: Leader) -> None:
     """Guards against a question that runs the job, or that holds its room."""
     explained = explain(leader, STEP)
@@ -144,19 +162,7 @@
 
 def test_reserved_server_is_explained(settings: Settings) -> None:
     """Guards against reserved room that is shown as free or as in use."""
-    dispatch = DispatchSettings(placement=PlacementRule.LOOK_AHEAD)
-    leader = Leader(replace(settings, dispatch=dispatch))
-    leader.lead()
-    leader.join()
-    leader.state.reservations.by_server["s1"] = Reservation(
-        job_id="big",
-        server="s1",
-        needs=Resources(50_000, 64),
-        latest_start=BEGIN,
-        in_time_until=BEGIN + 1.0,
-        expected_at=BEGIN + 0.1,
-        made_at=BEGIN,
-    )
+    leader = lead_with_reservation(settings, Resources(50_000, 64))
     (step,) = explain(leader, STEP).steps
     assert (step.tasks_by_server, step.servers_by_reason) == ({}, {"reserved": 1})
 
@@ -165,19 +171,7 @@
     settings: Settings, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against more tasks in the answer than fit beside a reservation."""
-    dispatch = DispatchSettings(placement=PlacementRule.LOOK_AHEAD)
-    leader = Leader(replace(settings, dispatch=dispatch))
-    leader.lead()
-    leader.join()
-    leader.state.reservations.by_server["s1"] = Reservation(
-        job_id="big",
-        server="s1",
-        needs=Resources(20_000, 64),
-        latest_start=BEGIN,
-        in_time_until=BEGIN + 1.0,
-        expected_at=BEGIN + 0.1,
-        made_at=BEGIN,
-    )
+    leader = lead_with_reservation(settings, Resources(20_000, 64))
     # The job of the reservation is not known, so that a review would give it up.
     monkeypatch.setattr(placing_runs, "review_reservations", lambda *_: [])
     step = Step(3, Resources(20_000, 64), 0.2)
