Name the functions on the pool's view of its zone by what they do

check_view recorded since when the view is old, and refuse_for_zones returned the reason of a refusal. They are track_old_view and find_zone_refusal now.

Tests: test_zone_service.py, test_confirmations.py and the tests that import the controllers backend_servers or reviewing (56 passed).

--- a/boragetide/controllers/backend_servers.py
+++ b/boragetide/controllers/backend_servers.py
@@ -16,8 +16,8 @@
 from boragetide.controllers.queueing import ClassQueue, QueuedJob, add_waiting
 from boragetide.controllers.zone_pool import (
     apply_zones,
-    check_view,
-    refuse_for_zones,
+    find_zone_refusal,
+    track_old_view,
 )
 from boragetide.effects import Count, Effect, LogEvent, Reply, Send
 from boragetide.messages import (
@@ -89,7 +89,7 @@
     now: Seconds,
 ) -> tuple[str, str | None]:
     """Return the label and reason of a refusal; an accepted job has no reason."""
-    reason = refuse_for_zones(state, now)
+    reason = find_zone_refusal(state, now)
     if reason is not None:
         return "evacuation", reason
     if state.queued_tasks + len(message.tasks) > state.settings.limits.queued_tasks:
@@ -210,7 +210,7 @@
 ) -> list[Effect]:
     was_recent = state.zones.is_recent(now)
     state.zones.confirm(message.version, message.confirmed_at)
-    check_view(state, now)
+    track_old_view(state, now)
     return [] if was_recent else place_tasks(state, now)
 
 
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -17,7 +17,7 @@
     refresh_server,
 )
 from boragetide.controllers.queueing import QueuedJob, put_job, remove_job
-from boragetide.controllers.zone_pool import check_view
+from boragetide.controllers.zone_pool import track_old_view
 from boragetide.effects import Effect, Send
 from boragetide.messages import TaskEnded
 from boragetide.policy import admission, ejection, learning, ordering
@@ -80,7 +80,7 @@
     A pool that has just lost its last server waits for the length of a lease, because
     servers that moved to another placer come back within that time.
     """
-    check_view(state, now)
+    track_old_view(state, now)
     if state.old_view_since is not None:
         unavailable_since = state.old_view_since
     elif state.total_slots:
--- a/boragetide/controllers/zone_pool.py
+++ b/boragetide/controllers/zone_pool.py
@@ -16,8 +16,11 @@
 OLD_VIEW_TOLERANCE: Seconds = 1.0
 
 
-def check_view(state: BackendServersState, now: Seconds) -> Seconds | None:
-    """Return for how long the view has been seen as old, or ``None`` if it is not."""
+def track_old_view(state: BackendServersState, now: Seconds) -> Seconds | None:
+    """Record since when the view of the zones has been old, and return for how long.
+
+    Returns ``None`` if it is recent.
+    """
     if state.zones.is_recent(now):
         state.old_view_since = None
         return None
@@ -26,9 +29,9 @@
     return now - state.old_view_since
 
 
-def refuse_for_zones(state: BackendServersState, now: Seconds) -> str | None:
-    """Return why no job is accepted, as far as the evacuated zones go."""
-    old_for = check_view(state, now)
+def find_zone_refusal(state: BackendServersState, now: Seconds) -> str | None:
+    """Return why evacuated zones rule out any new job, or ``None`` if they do not."""
+    old_for = track_old_view(state, now)
     if old_for is not None and old_for > OLD_VIEW_TOLERANCE:
         return "this instance cannot confirm which availability zones are evacuated"
     servers = state.servers_by_id.values()
