Name the benchmark of outcomes and the units of cores

who_pays.py is outcomes_by_size.py, after what it prints. Values in thousandths of a core are named millicores; they were named cores, as if in cores. The sum of the capacities in cores is capacity_cores.

--- a/benchmarks/dispatch_baselines.py
+++ b/benchmarks/dispatch_baselines.py
@@ -100,7 +100,7 @@
         """Start as many queued tasks as fit on the backend servers."""
         now = self.clock.now
         candidates = [
-            m for m in self.servers if m.free_millicores >= self.load.cores * 0.6
+            m for m in self.servers if m.free_millicores >= self.load.millicores * 0.6
         ]
         if not candidates:
             return
@@ -120,27 +120,28 @@
         self, generated: GeneratedJob, tasks: list[int], candidates: list[VirtualServer]
     ) -> None:
         """Start the tasks of one job that fit; remove the job once all have started."""
-        cores = generated.job.steps[0].needs.millicores
+        millicores = generated.job.steps[0].needs.millicores
         for task in list(tasks):
             server = next(
-                (each for each in candidates if each.free_millicores >= cores), None
+                (each for each in candidates if each.free_millicores >= millicores),
+                None,
             )
             if server is None:
                 return
-            server.free_millicores -= cores
+            server.free_millicores -= millicores
             tasks.remove(task)
             seconds = generated.work[task] / server.speed
             self.clock.schedule(
                 self.clock.now + seconds,
-                lambda m=server: self.end_task(generated, m, cores),
+                lambda m=server: self.end_task(generated, m, millicores),
             )
         self.queued_by_id.pop(generated.job.id, None)
 
     def end_task(
-        self, generated: GeneratedJob, server: VirtualServer, cores: int
+        self, generated: GeneratedJob, server: VirtualServer, millicores: int
     ) -> None:
         """End one task, free its cores and start queued tasks."""
-        server.free_millicores += cores
+        server.free_millicores += millicores
         self.remaining_by_id[generated.job.id] -= 1
         if not self.remaining_by_id[generated.job.id]:
             self.ended_by_id[generated.job.id] = self.clock.now
--- a/benchmarks/dispatch_loads.py
+++ b/benchmarks/dispatch_loads.py
@@ -64,8 +64,8 @@
 
     Parameters
     ----------
-    cores
-        Typical need of a task, in thousandths of a core.
+    millicores
+        Typical need of a task.
     rate
         Factor applied to the rates of the kinds.
     burst
@@ -79,8 +79,8 @@
         Time during which jobs arrive.
     kinds
         Classes of the jobs.
-    server_cores, speeds
-        Thousandths of a core and speeds of the backend servers, in turn.
+    server_millicores, speeds
+        Capacities and speeds of the backend servers, in turn.
     response_time
         Part of the response time target that is the same for all jobs.
     tail_share, tail_factor
@@ -90,7 +90,7 @@
 
     name: str
     servers: int = 24
-    cores: int = 27_000
+    millicores: int = 27_000
     rate: float = 0.45
     burst: float = 1.0
     slow_share: float = 0.0
@@ -98,7 +98,7 @@
     seconds: Seconds = 20.0
     kinds: tuple[JobKind, ...] = KINDS
     burst_by_kind: tuple[tuple[str, float], ...] = ()
-    server_cores: tuple[int, ...] = (64_000,)
+    server_millicores: tuple[int, ...] = (64_000,)
     speeds: tuple[float, ...] = (0.7, 0.7, 1.7)
     response_time: Seconds = 0.06
     tail_share: float = 0.0
@@ -117,26 +117,26 @@
     Load("burst of 1.8", burst=1.8),
     Load("overload of 3", burst=3.0),
     Load("slow backend servers", slow_share=0.17),
-    Load("grown", servers=176, cores=32_000, rate=3.0),
-    Load("grown, burst of 1.5", servers=176, cores=32_000, rate=3.0, burst=1.5),
+    Load("grown", servers=176, millicores=32_000, rate=3.0),
+    Load("grown, burst of 1.5", servers=176, millicores=32_000, rate=3.0, burst=1.5),
 )
 WIDE = Load(
     "wide",
     servers=35,
-    cores=32_000,
+    millicores=32_000,
     rate=1.0,
     kinds=WIDE_KINDS,
-    server_cores=(64_000, 64_000, 96_000),
+    server_millicores=(64_000, 64_000, 96_000),
     speeds=(1.0, 1.0, 2.4),
     response_time=0.064,
 )
 NARROW = Load(
     "narrow",
     servers=35,
-    cores=16_000,
+    millicores=16_000,
     rate=1.0,
     kinds=NARROW_KINDS,
-    server_cores=(32_000, 32_000, 48_000),
+    server_millicores=(32_000, 32_000, 48_000),
     speeds=(1.0, 1.0, 1.3),
     response_time=0.064,
     tail_share=0.03,
@@ -212,7 +212,8 @@
 ) -> GeneratedJob:
     width = max(1, round(kind.width * rng.lognormvariate(-0.08, 0.4)))
     mean = kind.work * rng.lognormvariate(-0.08, 0.4)
-    cores = min(int(load.cores * rng.lognormvariate(-0.02, 0.2)), int(load.cores * 1.5))
+    needs = int(load.millicores * rng.lognormvariate(-0.02, 0.2))
+    needs = min(needs, int(load.millicores * 1.5))
     work = tuple(mean * rng.uniform(0.85, 1.15) for _ in range(width))
     if load.tail_share > 0:
         work = tuple(
@@ -224,7 +225,7 @@
         id=f"{kind.name}-{number}",
         class_name=kind.name,
         spec="",
-        steps=(Step(width, Resources(cores, 64), declared),),
+        steps=(Step(width, Resources(needs, 64), declared),),
         starts=DurableStarts("pool", attempts=4, priority=kind.priority, stretch=1.6),
         submitted_at=at,
         response_time=load.response_time,
--- a/benchmarks/who_pays.py
+++ b/benchmarks/outcomes_by_size.py
@@ -1,8 +1,9 @@
 """Outcomes of a replayed load by class and by the size of the jobs within their class.
 
-``python -m benchmarks.who_pays`` prints, for each class and for its largest jobs, how
-many jobs were owed, served in time, served late, refused at once, refused after a wait,
-and of no use to their callers, because they ended too late or were not answered.
+``python -m benchmarks.outcomes_by_size`` prints, for each class and for its largest
+jobs, how many jobs were owed, served in time, served late, refused at once, refused
+after a wait, and of no use to their callers, because they ended too late or were not
+answered.
 """
 
 from __future__ import annotations
--- a/benchmarks/packing.py
+++ b/benchmarks/packing.py
@@ -17,18 +17,18 @@
 from benchmarks.placement_sizes import PlacementRun
 from boragetide.settings import PlacementRule
 
-CORES = 64_000
-MEAN_NEEDS = 32_000
-TASKS = 20_000
+SERVER_MILLICORES = 64_000
+MEAN_MILLICORES = 32_000
+TASK_COUNT = 20_000
 NEEDS_DEVIATION = 0.2  # as in the replay
 MAX_NEEDS_FACTOR = 1.5
 CASES = ((1, False), (4, False), (24, False), (24, True))
 
 
-def generate_needs(cores: int, rng: random.Random) -> int:
-    """Return the need of a task, in thousandths of a core."""
+def generate_needs(mean: int, rng: random.Random) -> int:
+    """Return the need of a task in millicores, the unit of ``mean``."""
     factor = rng.lognormvariate(-0.5 * NEEDS_DEVIATION**2, NEEDS_DEVIATION)
-    return int(cores * min(factor, MAX_NEEDS_FACTOR))
+    return int(mean * min(factor, MAX_NEEDS_FACTOR))
 
 
 def model_used_share(examined: int, takes_largest: bool, seed: int) -> float:
@@ -42,24 +42,24 @@
         Whether the largest examined task that fits is started, and not the first.
     """
     rng = random.Random(seed)
-    queue = [generate_needs(MEAN_NEEDS, rng) for _ in range(examined)]
+    queue = [generate_needs(MEAN_MILLICORES, rng) for _ in range(examined)]
     running: list[tuple[float, int]] = []
-    now, free, used = 0.0, CORES, 0.0
-    for _ in range(TASKS):
+    now, free, used = 0.0, SERVER_MILLICORES, 0.0
+    for _ in range(TASK_COUNT):
         while True:
             fitting = [needs for needs in queue if needs <= free]
             if not fitting:
                 break
             needs = max(fitting) if takes_largest else fitting[0]
             queue.remove(needs)
-            queue.append(generate_needs(MEAN_NEEDS, rng))
+            queue.append(generate_needs(MEAN_MILLICORES, rng))
             free -= needs
             seconds = 0.2 * rng.lognormvariate(-0.08, 0.4)
             used += needs * seconds
             heapq.heappush(running, (now + seconds, needs))
         now, needs = heapq.heappop(running)
         free += needs
-    return used / (now * CORES)
+    return used / (now * SERVER_MILLICORES)
 
 
 def replay_used_share(placement: PlacementRule, seed: int) -> float:
@@ -69,11 +69,11 @@
     load = Load(
         "saturated",
         servers=1,
-        cores=MEAN_NEEDS,
+        millicores=MEAN_MILLICORES,
         rate=1.0,
         seconds=200.0,
         kinds=(kind,),
-        server_cores=(CORES,),
+        server_millicores=(SERVER_MILLICORES,),
         speeds=(1.0,),
     )
     jobs = generate(load, seed)
--- a/benchmarks/placement_sizes.py
+++ b/benchmarks/placement_sizes.py
@@ -108,9 +108,12 @@
     ):
         super().__init__(load, jobs, seed, DispatchSettings(placement=placement))
         servers = self.servers_by_id.values()
-        self.capacity = sum(each.millicores / 1000 * each.speed for each in servers)
+        # Cores of speed 1 that can do the same work.
+        self.capacity_cores = sum(
+            each.millicores / 1000 * each.speed for each in servers
+        )
         self.last_start_by_job: dict[str, Seconds] = {}
-        self.core_seconds = 0.0
+        self.millicore_seconds = 0.0
         self.collects_events = collects_events
         self.events: dict[str, list[dict[str, Any]]] = {}
         self.max_used_share = 0.0
@@ -141,7 +144,7 @@
         needs = generated.job.steps[0].needs.millicores
         begin = max(self.clock.now, BEGIN + WARM_UP)
         end = min(self.clock.now + seconds, BEGIN + self.load.seconds)
-        self.core_seconds += needs * max(end - begin, 0.0)
+        self.millicore_seconds += needs * max(end - begin, 0.0)
         self._used_by_id[server.id] += needs
         used_share = self._used_by_id[server.id] / server.millicores
         self.max_used_share = max(self.max_used_share, used_share)
@@ -163,13 +166,13 @@
         """Share of the cores that was in use while jobs arrived."""
         servers = self.servers_by_id.values()
         total = sum(server.millicores for server in servers)
-        return self.core_seconds / (total * (self.load.seconds - WARM_UP))
+        return self.millicore_seconds / (total * (self.load.seconds - WARM_UP))
 
     def compute_ideal(self, generated: GeneratedJob) -> Seconds:
         """Return the response time of a job if nothing else were running."""
         needs = generated.job.steps[0].needs.millicores / 1000
         longest = max(generated.work) / max(self.load.speeds)
-        spread = sum(generated.work) * needs / self.capacity
+        spread = sum(generated.work) * needs / self.capacity_cores
         return max(longest, spread) + TRIPS * ONE_WAY_DELAY
 
     def summarize(self, jobs: Iterable[GeneratedJob]) -> SizeOutcome:
@@ -205,12 +208,12 @@
 
 
 def find_work_size(generated: GeneratedJob) -> float:
-    """Return the work of a job, in seconds of one thousandth of a core."""
+    """Return the work of a job, in millicore-seconds at speed 1."""
     return sum(generated.work) * generated.job.steps[0].needs.millicores
 
 
 def find_needs(generated: GeneratedJob) -> float:
-    """Return the need of each task of a job, in thousandths of a core."""
+    """Return the need of each task of a job, in millicores."""
     return generated.job.steps[0].needs.millicores
 
 
--- a/benchmarks/virtual_servers.py
+++ b/benchmarks/virtual_servers.py
@@ -66,8 +66,8 @@
     servers: list[VirtualServer] = []
     for number in range(load.servers):
         speed = load.speeds[number % len(load.speeds)]
-        cores = load.server_cores[number % len(load.server_cores)]
-        servers.append(VirtualServer(f"s{number}", speed, cores, cores))
+        millicores = load.server_millicores[number % len(load.server_millicores)]
+        servers.append(VirtualServer(f"s{number}", speed, millicores, millicores))
     return servers
 
 
--- a/boragetide/tests/test_dispatch_load.py
+++ b/boragetide/tests/test_dispatch_load.py
@@ -18,8 +18,8 @@
     Load,
     generate,
 )
+from benchmarks.outcomes_by_size import OF_NO_USE, replay
 from benchmarks.product_run import ProductRun
-from benchmarks.who_pays import OF_NO_USE, replay
 from boragetide.settings import DispatchSettings, JobOrder
 
 SEED = 1
