Name the largest body in body_limit.py body_bytes

limit was the size of the largest body and limits the limits of the process. The size is body_bytes now, as in LimitedServer and in the settings.

Tests: test_server_limits.py, test_api.py, platform test_control.py (75 passed).

--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -103,13 +103,13 @@
 
 
 class BodyLimit(HTTPServerConnectionDelegate):
-    """Forwards requests to ``inner`` unless their body exceeds a limit.
+    """Forwards requests to ``inner`` unless their body is too large.
 
     Parameters
     ----------
     inner
         Application.
-    limit
+    body_bytes
         Size of the largest body, in bytes.
     limits
         Limits of the process.
@@ -118,17 +118,17 @@
     def __init__(
         self,
         inner: HTTPServerConnectionDelegate,
-        limit: int,
+        body_bytes: int,
         limits: ServerLimits,
     ):
         self._inner = inner
-        self._limit = limit
+        self._body_bytes = body_bytes
         self._limits = limits
 
     @property
     def max_read_bytes(self) -> int:
         """Size in bytes of the largest body that the server must read."""
-        return self._limit * DISCARD_FACTOR
+        return self._body_bytes * DISCARD_FACTOR
 
     def start_request(
         self, server_conn: Any, request_conn: HTTPConnection
@@ -138,7 +138,7 @@
         self._limits.begin_request(stream)
         connection = _ChargedConnection(request_conn, self._limits)
         inner = self._inner.start_request(server_conn, connection)
-        return LimitedRequest(inner, connection, stream, self._limit, self._limits)
+        return LimitedRequest(inner, connection, stream, self._body_bytes, self._limits)
 
     def on_close(self, server_conn: object) -> None:
         """Notify the inner delegate that a connection was closed."""
@@ -183,13 +183,13 @@
         inner: HTTPMessageDelegate,
         connection: HTTPConnection,
         stream: IOStream,
-        limit: int,
+        body_bytes: int,
         limits: ServerLimits,
     ):
         self._inner = inner
         self._connection = connection
         self.stream = stream
-        self._limit = limit
+        self._body_bytes = body_bytes
         self._limits = limits
         self.received = 0
         self._announced = 0
@@ -209,11 +209,11 @@
         self._limits.begin_request(self.stream)
         length = headers.get("Content-Length", "")
         self._announced = int(length[:MAX_DIGITS]) if length.isdecimal() else 0
-        if self._announced <= self._limit:
+        if self._announced <= self._body_bytes:
             return self._inner.headers_received(start_line, headers)
         self.received = self._announced
         expects = headers.get("Expect", "").lower() == "100-continue"
-        if expects or self._announced > self._limit * DISCARD_FACTOR:
+        if expects or self._announced > self._body_bytes * DISCARD_FACTOR:
             self._refuse_too_large(unread=True)
         return None
 
@@ -314,13 +314,13 @@
         self._respond(503, "Service Unavailable", message, headers)
 
     def _is_too_large(self) -> bool:
-        return self.received > self._limit
+        return self.received > self._body_bytes
 
     def _refuse_too_large(self, unread: bool = False) -> None:
         self.release()
         self._log_refused("too_large")
         headers = HTTPHeaders({"Connection": "close"} if unread else {})
-        message = f"body: larger than {self._limit} bytes"
+        message = f"body: larger than {self._body_bytes} bytes"
         self._respond(413, "Content Too Large", message, headers)
 
     def _log_refused(self, reason: str) -> None:
