--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -6,15 +6,11 @@
 from functools import singledispatch
 from typing import Any
 
-from boragetide.commands import (
-    FetchedConfiguration,
-    InternalCommand,
-    Outcome,
-    Proposal,
-)
+from boragetide.commands import InternalCommand, Outcome, Proposal
 from boragetide.configuration_content import ContentCache
 from boragetide.effects import Effect, LogEvent, Persist, Reply, Send
 from boragetide.errors import ContentError
+from boragetide.log_records import FetchedConfiguration
 from boragetide.messages import (
     AdmissionChanged,
     AppendCommands,
--- a/boragetide/daemon/__main__.py
+++ b/boragetide/daemon/__main__.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from boragetide import commands
+from boragetide import log_records
 from boragetide.api.application import make_server
 from boragetide.controllers import (
     backend_servers,
@@ -40,7 +40,7 @@
 EXIT_SETTINGS = 2
 
 RECORD_TYPES_BY_CONTROLLER = {
-    "configuration": commands.RECORD_TYPES,
+    "configuration": log_records.RECORD_TYPES,
     "claims": (SavedClaims, Claim),
 }
 
--- a/boragetide/messages/configuration.py
+++ b/boragetide/messages/configuration.py
@@ -4,16 +4,8 @@
 
 from dataclasses import dataclass
 
-from boragetide.commands import (
-    Catalogue,
-    Command,
-    CommandStatus,
-    HistoryEntry,
-    LogEntry,
-    Outcome,
-    Proposal,
-    Snapshot,
-)
+from boragetide.commands import Command, CommandStatus, Outcome, Proposal
+from boragetide.log_records import Catalogue, HistoryEntry, LogEntry, Snapshot
 from boragetide.messages.common import Request
 from boragetide.types import Configuration, InstanceId, Seconds, ZoneId
 
--- a/boragetide/policy/catalogue.py
+++ b/boragetide/policy/catalogue.py
@@ -10,7 +10,6 @@
     AcceptJob,
     AdoptJobs,
     CancelJobs,
-    Catalogue,
     ChangeMembers,
     Command,
     CommandStatus,
@@ -18,9 +17,7 @@
     DrainBackendServer,
     DropTransfers,
     EvacuateZone,
-    HistoryEntry,
     JobCommand,
-    LogEntry,
     Outcome,
     Proposal,
     PublishConfiguration,
@@ -37,6 +34,7 @@
     ZoneCommand,
 )
 from boragetide.durable import JobPhase
+from boragetide.log_records import Catalogue, HistoryEntry, LogEntry
 from boragetide.policy import job_table, transfer_table
 from boragetide.types import ClassTarget, Configuration, JobId, Seconds
 
--- a/boragetide/policy/catch_up.py
+++ b/boragetide/policy/catch_up.py
@@ -11,8 +11,8 @@
 
 from dataclasses import replace
 
-from boragetide.commands import Ballot, Snapshot
 from boragetide.effects import Effect, LogEvent, Persist, SaveSnapshot, Send
+from boragetide.log_records import Ballot, Snapshot
 from boragetide.messages import (
     CatchUpState,
     FollowLeader,
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -8,20 +8,18 @@
 from functools import singledispatch
 from typing import Any
 
-from boragetide.commands import (
+from boragetide.commands import InternalCommand, Proposal, PublishConfiguration
+from boragetide.durable import JobRecord
+from boragetide.effects import Effect, Persist, SaveSnapshot
+from boragetide.groups import find_rank
+from boragetide.log_records import (
     Ballot,
     Catalogue,
     CommitIndex,
     FetchedConfiguration,
-    InternalCommand,
     LogEntry,
-    Proposal,
-    PublishConfiguration,
     Snapshot,
 )
-from boragetide.durable import JobRecord
-from boragetide.effects import Effect, Persist, SaveSnapshot
-from boragetide.groups import find_rank
 from boragetide.messages import CatchUpState
 from boragetide.policy.catalogue import apply_entry, copy_catalogue
 from boragetide.policy.link_health import LinkHealth
--- a/boragetide/policy/replication.py
+++ b/boragetide/policy/replication.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable
 
-from boragetide.commands import CommitIndex, LogEntry, Proposal
+from boragetide.commands import Proposal
 from boragetide.effects import Effect, LogEvent, Persist, SaveSnapshot, Send
+from boragetide.log_records import CommitIndex, LogEntry
 from boragetide.messages import (
     AppendEntries,
     AppendReply,
--- a/boragetide/tests/durable_fixtures.py
+++ b/boragetide/tests/durable_fixtures.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from boragetide.commands import (
-    Catalogue,
     RecordUnansweredStarts,
     RegisterBackendServers,
     UnregisterBackendServers,
@@ -23,6 +22,7 @@
     TaskRef,
 )
 from boragetide.effects import Effect, ReadRuns, Reply, Send, StartRun, StopRun
+from boragetide.log_records import Catalogue
 from boragetide.messages import (
     AppendCommands,
     JobsCommitted,
--- a/boragetide/tests/test_adopted_runs.py
+++ b/boragetide/tests/test_adopted_runs.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from boragetide.commands import Catalogue
 from boragetide.controllers.server_state import (
     LATE_RUN_WAIT,
     LONGEST_LEASE,
@@ -15,6 +14,7 @@
 )
 from boragetide.durable import JobRecord, ListedRun, Step, UnansweredStart
 from boragetide.effects import StartRun
+from boragetide.log_records import Catalogue
 from boragetide.messages import (
     ReadFailed,
     RemoveServer,
--- a/boragetide/tests/test_cancellations.py
+++ b/boragetide/tests/test_cancellations.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from boragetide.commands import CancelJobs, Catalogue, LogEntry, Proposal
+from boragetide.commands import CancelJobs, Proposal
 from boragetide.durable import EndReason, ListedRun
 from boragetide.effects import Send
+from boragetide.log_records import Catalogue, LogEntry
 from boragetide.messages import (
     CancelDurableJob,
     LeadershipLost,
--- a/boragetide/tests/test_catch_up.py
+++ b/boragetide/tests/test_catch_up.py
@@ -4,14 +4,9 @@
 
 from dataclasses import replace
 
-from boragetide.commands import (
-    Ballot,
-    ChangeMembers,
-    LogEntry,
-    Proposal,
-    Snapshot,
-)
+from boragetide.commands import ChangeMembers, Proposal
 from boragetide.effects import Effect, Persist, Send
+from boragetide.log_records import Ballot, LogEntry, Snapshot
 from boragetide.messages import (
     AppendReply,
     CatchUpState,
--- a/boragetide/tests/test_configuration_transfer.py
+++ b/boragetide/tests/test_configuration_transfer.py
@@ -10,7 +10,6 @@
 import pytest
 
 from boragetide import configuration_content
-from boragetide.commands import Ballot
 from boragetide.configuration_content import (
     MAX_NOTICE_CONTENT,
     ContentCache,
@@ -21,6 +20,7 @@
 from boragetide.controllers.directory import ASK_INTERVAL
 from boragetide.effects import Effect, LogEvent, Reconnect, Send
 from boragetide.errors import ContentError
+from boragetide.log_records import Ballot
 from boragetide.messages import (
     ConfigurationOffered,
     ConfigurationPiece,
--- a/boragetide/tests/test_elections.py
+++ b/boragetide/tests/test_elections.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from boragetide.commands import Ballot
 from boragetide.effects import Reconnect, Send
+from boragetide.log_records import Ballot
 from boragetide.messages import (
     AppendEntries,
     RequestVote,
--- a/boragetide/tests/test_groups.py
+++ b/boragetide/tests/test_groups.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from boragetide.commands import Ballot
 from boragetide.daemon.effect_execution import EffectContext, execute_effect
 from boragetide.daemon.runtime import Runtime
 from boragetide.effects import AbandonRequests, Effect, Send
@@ -22,6 +21,7 @@
     resolve_address,
 )
 from boragetide.links.peers import PeerLink, request_reconnect
+from boragetide.log_records import Ballot
 from boragetide.messages import ReadConfiguration, StandForElection
 from boragetide.policy.leader_balance import READY_TIME, balance_leadership
 from boragetide.policy.replica import (
--- a/boragetide/tests/test_job_table.py
+++ b/boragetide/tests/test_job_table.py
@@ -9,9 +9,7 @@
 
 from boragetide.commands import (
     AcceptJob,
-    Catalogue,
     Command,
-    LogEntry,
     Proposal,
     PublishConfiguration,
     RecordEnds,
@@ -19,6 +17,7 @@
 )
 from boragetide.durable import JobPhase, JobRecord, LossFate, RunEnd, RunLoss
 from boragetide.encoding import decode_command
+from boragetide.log_records import Catalogue, LogEntry
 from boragetide.policy import job_table
 from boragetide.policy.catalogue import apply_entry
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
--- a/boragetide/tests/test_journal.py
+++ b/boragetide/tests/test_journal.py
@@ -10,18 +10,17 @@
 import msgspec
 import pytest
 
-from boragetide.commands import (
+from boragetide.commands import Proposal, SetClass
+from boragetide.errors import LinkError, StorageError
+from boragetide.links.codec import Envelope, decode_body
+from boragetide.log_records import (
     RECORD_TYPES,
     Ballot,
     Catalogue,
     CommitIndex,
     LogEntry,
-    Proposal,
-    SetClass,
     Snapshot,
 )
-from boragetide.errors import LinkError, StorageError
-from boragetide.links.codec import Envelope, decode_body
 from boragetide.storage import journal
 from boragetide.storage.journal import (
     Journals,
--- a/boragetide/tests/test_leadership.py
+++ b/boragetide/tests/test_leadership.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from boragetide.commands import Ballot
 from boragetide.effects import Send
+from boragetide.log_records import Ballot
 from boragetide.messages import AppendReply, LeaderNotice
 from boragetide.policy import leadership
 from boragetide.policy.leadership import LeadershipNotices
--- a/boragetide/tests/test_lost_runs.py
+++ b/boragetide/tests/test_lost_runs.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from boragetide.commands import AcceptJob, Catalogue, JobCommand, RecordLosses
+from boragetide.commands import AcceptJob, JobCommand, RecordLosses
 from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.durable import JobPhase, LossFate, Resources, Step
 from boragetide.effects import LogEvent, Reply, Send, StartRun
+from boragetide.log_records import Catalogue
 from boragetide.messages import (
     AppendCommands,
     DispatcherReply,
--- a/boragetide/tests/test_member_changes.py
+++ b/boragetide/tests/test_member_changes.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from boragetide.commands import Ballot, ChangeMembers, LogEntry, Proposal
+from boragetide.commands import ChangeMembers, Proposal
 from boragetide.effects import Effect, Send
+from boragetide.log_records import Ballot, LogEntry
 from boragetide.messages import AppendReply, JoinRequest, RequestVote
 from boragetide.policy import elections, member_changes
 from boragetide.policy.member_changes import (
--- a/boragetide/tests/test_registrations.py
+++ b/boragetide/tests/test_registrations.py
@@ -5,14 +5,7 @@
 import msgspec
 import pytest
 
-from boragetide.commands import (
-    Ballot,
-    Catalogue,
-    LogEntry,
-    RegisterBackendServers,
-    Snapshot,
-    UnregisterBackendServers,
-)
+from boragetide.commands import RegisterBackendServers, UnregisterBackendServers
 from boragetide.controllers import placing_runs
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
@@ -25,6 +18,7 @@
 from boragetide.durable import Step
 from boragetide.effects import LogEvent, Send
 from boragetide.encoding import decode_command
+from boragetide.log_records import Ballot, Catalogue, LogEntry, Snapshot
 from boragetide.messages import (
     JobsCommitted,
     LeadershipGained,
--- a/boragetide/tests/test_transfer_table.py
+++ b/boragetide/tests/test_transfer_table.py
@@ -6,13 +6,13 @@
     AcceptJob,
     AdoptJobs,
     CancelJobs,
-    Catalogue,
     ConfirmTransfers,
     DropTransfers,
     RecordEnds,
     TransferJobs,
 )
 from boragetide.durable import JobPhase, JobRecord, RunEnd, Transfer
+from boragetide.log_records import Catalogue
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.job_table import RETENTION, drop_ended_jobs
 from boragetide.policy.transfer_table import make_note
--- a/boragetide/tests/test_uncommitted_ends.py
+++ b/boragetide/tests/test_uncommitted_ends.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from boragetide.commands import Catalogue
 from boragetide.durable import (
     EndReason,
     JobPhase,
@@ -16,6 +15,7 @@
     Step,
 )
 from boragetide.effects import Send
+from boragetide.log_records import Catalogue
 from boragetide.messages import ReportServer
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import (
--- a/boragetide/tests/test_zones.py
+++ b/boragetide/tests/test_zones.py
@@ -9,19 +9,15 @@
 import pytest
 
 from boragetide.commands import (
-    RECORD_TYPES,
-    Ballot,
-    Catalogue,
     Command,
     CommandStatus,
     EvacuateZone,
-    LogEntry,
     Outcome,
     Proposal,
     PublishConfiguration,
     ReturnZone,
-    Snapshot,
 )
+from boragetide.log_records import RECORD_TYPES, Ballot, Catalogue, LogEntry, Snapshot
 from boragetide.policy.catalogue import apply_entry, copy_catalogue
 from boragetide.storage.journal import encode_record, open_journal
 from boragetide.types import Configuration
--- a/properties/group_site.py
+++ b/properties/group_site.py
@@ -11,13 +11,14 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from boragetide.commands import Catalogue, JobCommand
+from boragetide.commands import JobCommand
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.durable import DurableJob, JobPhase, JobRecord
 from boragetide.effects import LogEvent, ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.filters.durable import DIRECTION_LIFETIME
 from boragetide.groups import find_group, name_controller, resolve_address
+from boragetide.log_records import Catalogue
 from boragetide.messages import (
     AppendCommands,
     CancelDurableJob,
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from boragetide import commands, durable, messages, types
+from boragetide import commands, durable, log_records, messages, types
 from boragetide.errors import LinkError
 from boragetide.links.codec import (
     Envelope,
@@ -42,7 +42,8 @@
 
 def build(type_: type) -> st.SearchStrategy[Any]:
     """Build a strategy for a data class; fields of type `Any` get JSON values."""
-    names = vars(types) | vars(durable) | vars(commands) | vars(messages)
+    modules = (types, durable, commands, log_records, messages)
+    names = {name: value for each in modules for name, value in vars(each).items()}
     hints = typing.get_type_hints(type_, names)
     return st.builds(
         type_, **{name: _build_field(hint) for name, hint in hints.items()}
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -18,7 +18,6 @@
 )
 
 from boragetide.commands import (
-    RECORD_TYPES,
     CommandStatus,
     DrainBackendServer,
     EvacuateZone,
@@ -31,6 +30,7 @@
 from boragetide.effects import Effect, LogEvent, Persist, Reply, SaveSnapshot, Send
 from boragetide.encoding import decode_command
 from boragetide.links.codec import Envelope, decode_body, encode_body
+from boragetide.log_records import RECORD_TYPES
 from boragetide.messages import (
     ConfigurationChanged,
     ConfigurationConfirmed,
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -24,7 +24,7 @@
     run_state_machine_as_test,
 )
 
-from boragetide.commands import Catalogue, JobCommand
+from boragetide.commands import JobCommand
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.runs import READ_MAX_WAIT
@@ -32,6 +32,7 @@
 from boragetide.controllers.server_state import RunPhase
 from boragetide.durable import JobPhase, Resources, Step, TaskRef, UnansweredStart
 from boragetide.effects import ReadRuns, Reply, Send, StartRun, StopRun
+from boragetide.log_records import Catalogue
 from boragetide.messages import (
     AppendCommands,
     CancelDurableJob,
