Split the controller of the configuration by topic

Its state is in configuration_state.py, the way of a proposal from the proposer to the log in configuration_proposals.py, what a commit changes in committed_changes.py, and the answers to questions in configuration_reads.py. The moved handlers are functions with names, which configuration.py registers; two of them called each other through handle and now do so directly. _has_authority is is_current_leader. A comparison of the syntax trees shows no other difference.

Tests: those of the controller without processes and the properties of the configuration: 136 passed, 1 known red not run, and properties/test_configuration.py::test_spare_takes_the_place_of_a_member failed: the random run was shrunk to the steps of the known red test_leader_is_elected_after_a_loss_during_a_change_of_members. Hypothesis draws constants from the sources, so that moved code gives other examples. properties/test_configuration.py alone then passed. Tests with processes: test_configuration_processes.py, test_large_configuration.py, test_journal.py, test_leader_calls.py, platform test_zone_orders.py and test_configuration_reads.py (90 passed, 1 known red not run).

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -2,14 +2,31 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
 from functools import singledispatch
 from typing import Any
 
-from boragetide.commands import InternalCommand, Outcome, Proposal
 from boragetide.configuration_content import ContentCache
+from boragetide.controllers.committed_changes import apply_committed_changes
+from boragetide.controllers.configuration_proposals import (
+    answer_decided,
+    append_commands,
+    forward_proposal,
+    propose,
+    propose_packed,
+    send_due,
+)
+from boragetide.controllers.configuration_reads import (
+    confirm_version,
+    fetch_configuration,
+    list_history,
+    read_configuration,
+    read_zone,
+)
+from boragetide.controllers.configuration_state import (
+    ConfigurationState,
+    is_current_leader,
+)
 from boragetide.effects import Effect, LogEvent, Persist, Reply, Send
-from boragetide.errors import ContentError
 from boragetide.log_records import FetchedConfiguration
 from boragetide.messages import (
     AdmissionChanged,
@@ -18,10 +35,8 @@
     AppendReply,
     AskConfirmation,
     CatchUpState,
-    ConfigurationChanged,
     ConfigurationOffered,
     ConfigurationPiece,
-    ConfigurationRead,
     ContactsChanged,
     Drain,
     DrainState,
@@ -29,7 +44,6 @@
     FetchConfigurationPiece,
     FollowLeader,
     ForwardProposal,
-    History,
     InstallSnapshot,
     JoinRequest,
     LeaderNotice,
@@ -49,9 +63,7 @@
     VersionConfirmed,
     VoteReply,
     WokeUp,
-    ZoneRead,
 )
-from boragetide.packed_proposals import unpack_proposal
 from boragetide.policy import (
     catch_up,
     confirmations,
@@ -61,7 +73,6 @@
     proposals,
     replication,
 )
-from boragetide.policy.catalogue import find_outcome
 from boragetide.policy.configuration_transfer import receive_piece, send_piece
 from boragetide.policy.confirmations import Confirmations
 from boragetide.policy.distribution import (
@@ -80,50 +91,13 @@
     ELECTION_MIN,
     Replica,
     Role,
-    apply_committed,
     become_follower,
-    compact,
     restore_replica,
     schedule_election,
     step,
 )
 from boragetide.settings import Settings
-from boragetide.types import Address, Configuration, InstanceId, Seconds
-
-
-@dataclass(slots=True)
-class ConfigurationState:
-    """State of the controller.
-
-    Parameters
-    ----------
-    distribution
-        The configuration in force on this instance.
-    proposals
-        Commands whose outcome this instance awaits.
-    confirmations
-        Confirmations that this instance has the newest configuration.
-    replica
-        Member of the consensus group, on an instance with a disk.
-    contact_counter
-        Counter that selects the initial members in turn; used while this instance is
-        not a member itself.
-    """
-
-    settings: Settings
-    distribution: DistributionState
-    proposals: Proposals
-    leadership: LeadershipNotices
-    confirmations: Confirmations
-    replica: Replica | None = None
-    contact_counter: int = 0
-
-    @property
-    def member(self) -> Replica | None:
-        """The replica, if it takes part in the consensus."""
-        if self.replica is None or self.replica.role is Role.BLANK:
-            return None
-        return self.replica
+from boragetide.types import Address, Configuration, Seconds
 
 
 def make_state(
@@ -154,7 +128,7 @@
     effects: list[Effect] = []
     if state.replica is not None:
         effects += _tick_replica(state.replica, now)
-    effects += _apply_committed_changes(state, now)
+    effects += apply_committed_changes(state, now)
     effects += request_configuration(state.distribution, now)
     effects += _take_offer(state, now)
     effects += check_fetch(state.distribution, now)
@@ -163,13 +137,13 @@
     effects += proposals.expire_requests(
         state.proposals, state.distribution.version, now
     )
-    return effects + _send_due(state, now)
+    return effects + send_due(state, now)
 
 
 def _confirm_view(state: ConfigurationState, now: Seconds) -> list[Effect]:
     """Confirm the configuration in force here, or ask the leader to do so."""
     in_force = state.distribution.in_force
-    if _has_authority(state, now):
+    if is_current_leader(state, now):
         return confirmations.confirm_own(state.confirmations, in_force, now)
     leader = None if state.member is None else state.member.leader
     return [
@@ -178,16 +152,6 @@
     ]
 
 
-def _has_authority(state: ConfigurationState, now: Seconds) -> bool:
-    """Return whether this instance leads and has all that any leader has committed."""
-    member = state.member
-    return (
-        member is not None
-        and confirmations.has_authority(member, now)
-        and state.distribution.version >= member.catalogue.configuration.version
-    )
-
-
 def _tick_replica(replica: Replica, now: Seconds) -> list[Effect]:
     if replica.role is Role.BLANK:
         return catch_up.check_catch_up(replica, now)
@@ -210,7 +174,7 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.member is None:
         return []
-    return step(message, state.member, now) + _apply_committed_changes(state, now)
+    return step(message, state.member, now) + apply_committed_changes(state, now)
 
 
 @handle.register(RequestCatchUp)
@@ -219,229 +183,7 @@
 def _(message: Any, state: ConfigurationState, now: Seconds) -> list[Effect]:
     if state.replica is None:
         return []
-    return step(message, state.replica, now) + _apply_committed_changes(state, now)
-
-
-def _apply_committed_changes(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Put the committed configuration in force, and answer waiting proposers."""
-    replica = state.replica
-    if replica is None:
-        return []
-    applied = apply_committed(replica)
-    effects = _put_newest_in_force(state, replica, now)
-    led_before = state.leadership.announced_term
-    effects += leadership.announce(state.leadership, replica, applied, now)
-    if state.leadership.announced_term not in (0, led_before):
-        effects += leadership.notify_all(
-            state.leadership, replica, state.distribution.in_force, now
-        )
-    for proposal in applied.proposals:
-        if isinstance(proposal.command, InternalCommand):
-            continue
-        outcome = find_outcome(proposal, replica.catalogue)
-        waiting = replica.proposers_by_command.pop(proposal.command_id, set())
-        effects += [
-            _send_outcome(state, proposal, outcome, proposer)
-            for proposer in sorted(waiting - {state.settings.id})
-        ]
-        effects += proposals.answer_waiters(
-            state.proposals, proposal.command_id, outcome
-        )
-    return effects + compact(replica)
-
-
-def _put_newest_in_force(
-    state: ConfigurationState, replica: Replica, now: Seconds
-) -> list[Effect]:
-    known = [] if replica.fetched is None else [replica.fetched]
-    if replica.role is not Role.BLANK and replica.commit >= replica.floor:
-        known.append(replica.catalogue.configuration)
-    if not known:
-        return []
-    newest = max(known, key=lambda configuration: configuration.version)
-    effects = put_in_force(state.distribution, newest)
-    if effects:
-        effects += leadership.notify_all(
-            state.leadership, replica, state.distribution.in_force, now
-        )
-    return effects
-
-
-@handle.register
-def _(message: Propose, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    proposal = proposals.make_proposal(message)
-    if state.member is not None:
-        outcome = find_outcome(proposal, state.member.catalogue)
-        if outcome is not None:
-            return [proposals.make_reply(state.proposals, message.reply_to, outcome)]
-    proposals.add_waiter(state.proposals, proposal, message.reply_to, now)
-    return _send_due(state, now)
-
-
-@handle.register
-def _(message: PackedProposal, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    try:
-        proposal = unpack_proposal(message)
-    except ContentError as error:
-        return [LogEvent("proposal_refused", {"error": str(error)})]
-    return handle(replace(proposal, reply_to=message.reply_to), state, now)
-
-
-def _send_due(state: ConfigurationState, now: Seconds) -> list[Effect]:
-    effects: list[Effect] = []
-    for proposal in proposals.take_due(state.proposals, now):
-        forwarded = ForwardProposal(proposal, state.settings.id)
-        if state.member is not None and state.member.role is Role.LEADER:
-            effects += handle(forwarded, state, now)
-            continue
-        to = _choose_contact(state)
-        if to is not None:
-            effects.append(Send(Address(to, "configuration"), forwarded))
-    return effects
-
-
-def _choose_contact(state: ConfigurationState) -> InstanceId | None:
-    if state.member is not None:
-        return state.member.leader
-    first = state.settings.initial_members
-    members = [id_ for id_ in first if id_ != state.settings.id]
-    if not members:
-        return None
-    state.contact_counter += 1
-    return members[state.contact_counter % len(members)]
-
-
-@handle.register
-def _(
-    message: ForwardProposal, state: ConfigurationState, now: Seconds
-) -> list[Effect]:
-    replica, proposal = state.member, message.proposal
-    if replica is None:
-        return []
-    outcome = find_outcome(proposal, replica.catalogue)
-    if outcome is not None:
-        return [_send_outcome(state, proposal, outcome, message.sender)]
-    if replica.role is Role.LEADER:
-        proposers = replica.proposers_by_command.setdefault(proposal.command_id, set())
-        proposers.add(message.sender)
-        if _is_in_log(replica, proposal):
-            return []
-        appended = replication.append_proposals(replica, (proposal,), now)
-        return appended + _apply_committed_changes(state, now)
-    if replica.leader is None or message.to_leader:
-        return []
-    onward = ForwardProposal(proposal, message.sender, to_leader=True)
-    return [Send(Address(replica.leader, "configuration"), onward)]
-
-
-@handle.register
-def _(message: AppendCommands, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Append commands of the dispatcher, unless its term is over by now."""
-    replica = state.member
-    if (
-        replica is None
-        or replica.role is not Role.LEADER
-        or replica.ballot.term != message.term
-    ):
-        return []
-    appended = [
-        Proposal(command_id, command)
-        for command_id, command in message.commands_by_id.items()
-    ]
-    effects = replication.append_proposals(replica, appended, now)
-    return effects + _apply_committed_changes(state, now)
-
-
-def _is_in_log(replica: Replica, proposal: Proposal) -> bool:
-    uncommitted = replica.log[replica.commit - replica.log_start :]
-    return any(
-        entry.proposal is not None and entry.proposal.command_id == proposal.command_id
-        for entry in uncommitted
-    )
-
-
-def _send_outcome(
-    state: ConfigurationState, proposal: Proposal, outcome: Outcome, to: InstanceId
-) -> Send:
-    decided = ProposalDecided(proposal.command_id, outcome)
-    return Send(Address(to, "configuration"), decided)
-
-
-@handle.register
-def _(
-    message: ProposalDecided, state: ConfigurationState, now: Seconds
-) -> list[Effect]:
-    return proposals.answer_waiters(
-        state.proposals, message.command_id, message.outcome
-    )
-
-
-@handle.register
-def _(
-    message: FetchConfiguration, state: ConfigurationState, now: Seconds
-) -> list[Effect]:
-    in_force = state.distribution.in_force
-    changed = ConfigurationChanged(in_force or Configuration(), in_force is not None)
-    return [Reply(message.reply_to, changed)]
-
-
-@handle.register
-def _(
-    message: ReadConfiguration, state: ConfigurationState, now: Seconds
-) -> list[Effect]:
-    """Answer with the configuration only if no other leader can have a newer one."""
-    replica = state.member
-    if replica is None:
-        return [Reply(message.reply_to, ConfigurationRead(None))]
-    newest = None
-    if state.leadership.announced_term and now < replica.authority_until(now):
-        newest = state.distribution.in_force
-    if newest is None:
-        return [Reply(message.reply_to, ConfigurationRead(None, replica.leader))]
-    content: Configuration | None = newest
-    if message.held is not None and (
-        message.held == newest.version or not state.leadership.content.is_small(newest)
-    ):
-        content = None
-    read = ConfigurationRead(content, replica.leader, newest.version)
-    return [Reply(message.reply_to, read)]
-
-
-@handle.register
-def _(message: ReadZone, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    """Answer with the state of a zone only if no other leader can have a newer one."""
-    replica = state.member
-    if replica is None or not _has_authority(state, now):
-        leader = None if replica is None else replica.leader
-        return [Reply(message.reply_to, ZoneRead(None, leader=leader))]
-    catalogue = replica.catalogue
-    read = ZoneRead(
-        catalogue.order_by_zone.get(message.zone, 0),
-        message.zone in catalogue.configuration.evacuated_zones,
-        replica.leader,
-    )
-    return [Reply(message.reply_to, read)]
-
-
-@handle.register
-def _(
-    message: AskConfirmation, state: ConfigurationState, now: Seconds
-) -> list[Effect]:
-    if not _has_authority(state, now):
-        return _forward_question(message, state)
-    version = state.distribution.version
-    answer = VersionConfirmed(state.settings.id, message.number, version)
-    return [Send(Address(message.sender, "configuration"), answer)]
-
-
-def _forward_question(
-    message: AskConfirmation, state: ConfigurationState
-) -> list[Effect]:
-    leader = None if state.member is None else state.member.leader
-    if message.forwarded or leader in (None, state.settings.id):
-        return []
-    onward = replace(message, forwarded=True)
-    return [Send(Address(leader, "configuration"), onward)]
+    return step(message, state.replica, now) + apply_committed_changes(state, now)
 
 
 @handle.register
@@ -502,15 +244,6 @@
     return leadership.announce_share(state.leadership, state.member, message.share, now)
 
 
-@handle.register
-def _(message: ListHistory, state: ConfigurationState, now: Seconds) -> list[Effect]:
-    if state.replica is None:
-        return [Reply(message.reply_to, History(-1, ()))]
-    catalogue = state.replica.catalogue
-    newest = tuple(reversed(catalogue.history[-message.limit :]))
-    return [Reply(message.reply_to, History(catalogue.configuration.version, newest))]
-
-
 @handle.register
 def _(
     message: NewerConfiguration, state: ConfigurationState, now: Seconds
@@ -601,4 +334,16 @@
     if state.member is None:
         return []
     effects = replication.transfer_leadership(state.member, now)
-    return effects + _apply_committed_changes(state, now)
+    return effects + apply_committed_changes(state, now)
+
+
+handle.register(Propose, propose)
+handle.register(PackedProposal, propose_packed)
+handle.register(ForwardProposal, forward_proposal)
+handle.register(AppendCommands, append_commands)
+handle.register(ProposalDecided, answer_decided)
+handle.register(FetchConfiguration, fetch_configuration)
+handle.register(ReadConfiguration, read_configuration)
+handle.register(ReadZone, read_zone)
+handle.register(AskConfirmation, confirm_version)
+handle.register(ListHistory, list_history)
--- a/boragetide/tests/test_confirmations.py
+++ b/boragetide/tests/test_confirmations.py
@@ -9,7 +9,8 @@
 import pytest
 
 from boragetide.commands import CommandStatus, EvacuateZone, ReturnZone
-from boragetide.controllers.configuration import ConfigurationState, handle, make_state
+from boragetide.controllers.configuration import handle, make_state
+from boragetide.controllers.configuration_state import ConfigurationState
 from boragetide.effects import Effect, Persist, Reply, SaveSnapshot, Send
 from boragetide.messages import (
     AskConfirmation,
--- a/boragetide/tests/test_subscribers.py
+++ b/boragetide/tests/test_subscribers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from boragetide.controllers import configuration
-from boragetide.controllers.configuration import ConfigurationState
+from boragetide.controllers.configuration_state import ConfigurationState
 from boragetide.effects import Reconnect
 from boragetide.messages import FollowLeader
 from boragetide.policy import leadership
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -26,7 +26,8 @@
     SetClass,
     ZoneCommand,
 )
-from boragetide.controllers.configuration import ConfigurationState, handle, make_state
+from boragetide.controllers.configuration import handle, make_state
+from boragetide.controllers.configuration_state import ConfigurationState
 from boragetide.effects import Effect, LogEvent, Persist, Reply, SaveSnapshot, Send
 from boragetide.encoding import decode_command
 from boragetide.links.codec import Envelope, decode_body, encode_body
