--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -20,7 +20,7 @@
 from tornado.iostream import IOStream
 
 from boragetide.api.base import RETRY_AFTER
-from boragetide.api.server_limits import Peer, ServerLimits
+from boragetide.api.server_limits import Client, ServerLimits
 from boragetide.policy import body_budget, connection_limit
 from boragetide.types import Seconds, Status
 
@@ -90,8 +90,8 @@
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection, unless there are too many."""
-        peer = Peer(self._name, f"{address[0]}:{address[1]}")
-        if self._limits.open_connection(stream, peer, self._essential):
+        client = Client(self._name, f"{address[0]}:{address[1]}")
+        if self._limits.open_connection(stream, client, self._essential):
             super().handle_stream(stream, address)
         else:
             stream.close()
--- a/boragetide/api/server_limits.py
+++ b/boragetide/api/server_limits.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Peer:
+class Client:
     """Client of a connection, in logs.
 
     Parameters
@@ -62,7 +62,7 @@
         )
         self.answers = UnreadAnswers(limits.get_unread_answer_bytes())
         self._handed_over: dict[HTTPConnection, LimitedRequest] = {}
-        self._peers_by_stream: dict[IOStream, Peer] = {}
+        self._clients_by_stream: dict[IOStream, Client] = {}
         # Callers of `wait_for_room`, in the order of their arrival.
         self._waiters: deque[Future[None]] = deque()
         self._log = RateLimitedLog()
@@ -74,7 +74,9 @@
         metrics.set_gauge("unread_answer_bytes", {}, self.answers.used)
         metrics.set_gauge("open_connections", {}, self.connections.count)
 
-    def open_connection(self, stream: IOStream, peer: Peer, essential: bool) -> bool:
+    def open_connection(
+        self, stream: IOStream, client: Client, essential: bool
+    ) -> bool:
         """Return whether a new connection is kept; another one may be closed for it.
 
         Parameters
@@ -84,10 +86,10 @@
         """
         now = time.monotonic()
         if self.connections.is_full(essential) and not self._close_one():
-            self._count_closed("limit", peer, 0.0)
+            self._count_closed("limit", client, 0.0)
             return False
         connection_limit.mark_idle(self.connections, stream, now)
-        self._peers_by_stream[stream] = peer
+        self._clients_by_stream[stream] = client
         return True
 
     def _close_one(self) -> bool:
@@ -114,15 +116,15 @@
         if answer is not None:
             since = answer.since
         age = 0.0 if since is None else time.monotonic() - since
-        peer = self._peers_by_stream.get(stream)
-        if peer is not None:
-            self._count_closed(reason, peer, age)
+        client = self._clients_by_stream.get(stream)
+        if client is not None:
+            self._count_closed(reason, client, age)
         self.forget_connection(stream)
         stream.close()
 
     def forget_connection(self, stream: IOStream) -> None:
         """Remove a connection that is closed."""
-        self._peers_by_stream.pop(stream, None)
+        self._clients_by_stream.pop(stream, None)
         connection_limit.forget(self.connections, stream)
         self.remove_answer(stream)
 
@@ -217,11 +219,11 @@
     def count_refused(self, reason: str, stream: IOStream, **fields: Any) -> None:
         """Count and log a body that is refused."""
         self.metrics.count("bodies_refused", {"reason": reason})
-        peer = self._peers_by_stream.get(stream)
+        client = self._clients_by_stream.get(stream)
         self._log.record(
             "body_refused",
-            server="" if peer is None else peer.server,
-            peer="" if peer is None else peer.address,
+            server="" if client is None else client.server,
+            peer="" if client is None else client.address,
             reason=reason,
             budget_left=self.bodies.limit - self.bodies.used,
             **fields,
@@ -229,20 +231,20 @@
 
     def log_failed_answer(self, stream: IOStream, error: Exception) -> None:
         """Log that the answer to a refused request could not be sent."""
-        peer = self._peers_by_stream.get(stream)
+        client = self._clients_by_stream.get(stream)
         self._log.record(
             "refusal_failed",
-            server="" if peer is None else peer.server,
-            peer="" if peer is None else peer.address,
+            server="" if client is None else client.server,
+            peer="" if client is None else client.address,
             error=repr(error),
         )
 
-    def _count_closed(self, reason: str, peer: Peer, age: Seconds) -> None:
+    def _count_closed(self, reason: str, client: Client, age: Seconds) -> None:
         self.metrics.count("connections_closed", {"reason": reason})
         self._log.record(
             "connection_closed",
-            server=peer.server,
-            peer=peer.address,
+            server=client.server,
+            peer=client.address,
             reason=reason,
             age=age,
             connections=self.connections.count,
--- a/boragetide/controllers/reserving.py
+++ b/boragetide/controllers/reserving.py
@@ -35,7 +35,7 @@
         expected = state.run_times.predict(
             record.job.class_name, run.estimate, server.speed, begin
         )
-        at = expected.find(now)
+        at = expected.find_end(now)
         if at is not None:
             ends.append((at, run.needs))
     return ServerOutlook(
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -75,9 +75,8 @@
 def _end_jobs_without_servers(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Refuse or end all waiting jobs of a pool that has no available server.
 
-    A pool whose view of the evacuated zones is too old for starts counts as one.
-
-    A pool that has just lost its last server waits for the length of a lease, because
+    A pool whose view of the evacuated zones is too old for starts counts as one. A pool
+    that has just lost its last server waits for the length of a lease, because
     servers that moved to another placer come back within that time.
     """
     track_old_view(state, now)
--- a/boragetide/controllers/zone_pool.py
+++ b/boragetide/controllers/zone_pool.py
@@ -1,4 +1,7 @@
-"""Evacuation and return of the pool's availability zone."""
+"""Evacuation and return of the availability zone of a placer's pool.
+
+The counterpart for durable jobs is `controllers.zone_service`.
+"""
 
 from __future__ import annotations
 
--- a/boragetide/controllers/zone_service.py
+++ b/boragetide/controllers/zone_service.py
@@ -1,4 +1,7 @@
-"""Service of the backend servers by availability zone: evacuation and return."""
+"""Evacuation and return of availability zones, for the dispatcher of durable jobs.
+
+The counterpart for the pool of a placer is `controllers.zone_pool`.
+"""
 
 from __future__ import annotations
 
--- a/boragetide/policy/expected_ends.py
+++ b/boragetide/policy/expected_ends.py
@@ -37,7 +37,7 @@
 
     Parameters
     ----------
-    seconds
+    run_time
         Expected run time on its backend server.
     at
         Expected end.
@@ -45,17 +45,17 @@
         Time after which a run that goes on has no expected end.
     """
 
-    seconds: Seconds
+    run_time: Seconds
     at: Seconds
     known_until: Seconds
 
-    def find(self, now: Seconds) -> Seconds | None:
+    def find_end(self, now: Seconds) -> Seconds | None:
         """Return the end that is expected now, or ``None`` if none is."""
         if now < self.at:
             return self.at
         if now > self.known_until:
             return None
-        return now + OVERRUN_SHARE * self.seconds
+        return now + OVERRUN_SHARE * self.run_time
 
 
 @dataclass(slots=True)
@@ -84,9 +84,9 @@
     ) -> ExpectedEnd:
         """Return the expected end of a run on a backend server of a speed."""
         model = self.model_by_class.get(class_name, _UNOBSERVED)
-        seconds = predict_size(model, declared) / speed
+        run_time = predict_size(model, declared) / speed
         factor = math.exp(LATE_DEVIATIONS * math.sqrt(model.error_variance))
-        return ExpectedEnd(seconds, begin + seconds, begin + factor * seconds)
+        return ExpectedEnd(run_time, begin + run_time, begin + factor * run_time)
 
 
 def find_room_at(
--- a/boragetide/policy/queue_order.py
+++ b/boragetide/policy/queue_order.py
@@ -94,7 +94,7 @@
 
 
 def find_declared_work(job: DurableJob) -> float:
-    """Return the declared work of a job, in seconds of one thousandth of a core."""
+    """Return the declared work of a job, in millicore-seconds at speed 1."""
     return sum(step.count * step.estimate * step.needs.millicores for step in job.steps)
 
 
@@ -112,7 +112,10 @@
     priorities: list[int] = field(default_factory=list)
 
     def find_level(self, class_name: ClassName, priority: int) -> float:
-        """Return the position of a priority, from 0 for the highest to 1."""
+        """Record the priority of a class, and return its position among the known ones.
+
+        The position is 0 for the highest and 1 for the lowest priority.
+        """
         if self.priority_by_class.get(class_name) != priority:
             self.priority_by_class[class_name] = priority
             self.priorities = sorted(set(self.priority_by_class.values()))
--- a/boragetide/tests/test_expected_ends.py
+++ b/boragetide/tests/test_expected_ends.py
@@ -34,17 +34,17 @@
         true = 0.2 * rng.lognormvariate(0.0, 0.1)
         run_times.observe("checks", 0.1 * rng.lognormvariate(0.0, 0.4), true / 2, 2.0)
     expected = run_times.predict("checks", 0.1, 1.0, 0.0)
-    assert expected.seconds == pytest.approx(0.2, rel=0.15)
-    assert run_times.predict("others", 0.1, 1.0, 0.0).seconds == pytest.approx(0.1)
+    assert expected.run_time == pytest.approx(0.2, rel=0.15)
+    assert run_times.predict("others", 0.1, 1.0, 0.0).run_time == pytest.approx(0.1)
 
 
 def test_late_run_has_no_expected_end() -> None:
     """Guards against waiting for a run of the long tail as if it were about to end."""
     expected = RunTimes().predict("checks", 0.4, 1.0, 0.0)
-    assert expected.find(0.1) == expected.at
+    assert expected.find_end(0.1) == expected.at
     late = expected.at + 0.01
-    assert late < expected.find(late) < late + 0.4
-    assert expected.find(expected.known_until + 0.01) is None
+    assert late < expected.find_end(late) < late + 0.4
+    assert expected.find_end(expected.known_until + 0.01) is None
 
 
 def test_room_is_expected_once_enough_runs_end() -> None:
