--- a/boragetide/api/body_limit.py
+++ b/boragetide/api/body_limit.py
@@ -20,7 +20,7 @@
 from tornado.iostream import IOStream
 
 from boragetide.api.base import RETRY_AFTER
-from boragetide.api.server_limits import Peer, ServerLimits
+from boragetide.api.server_limits import Client, ServerLimits
 from boragetide.policy import body_budget, connection_limit
 from boragetide.types import Seconds, Status
 
@@ -90,8 +90,8 @@
 
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serve a new connection, unless there are too many."""
-        peer = Peer(self._name, f"{address[0]}:{address[1]}")
-        if self._limits.open_connection(stream, peer, self._essential):
+        client = Client(self._name, f"{address[0]}:{address[1]}")
+        if self._limits.open_connection(stream, client, self._essential):
             super().handle_stream(stream, address)
         else:
             stream.close()
@@ -103,13 +103,13 @@
 
 
 class BodyLimit(HTTPServerConnectionDelegate):
-    """Forwards requests to ``inner`` unless their body exceeds a limit.
+    """Forwards requests to ``inner`` unless their body is too large.
 
     Parameters
     ----------
     inner
         Application.
-    limit
+    body_bytes
         Size of the largest body, in bytes.
     limits
         Limits of the process.
@@ -118,17 +118,17 @@
     def __init__(
         self,
         inner: HTTPServerConnectionDelegate,
-        limit: int,
+        body_bytes: int,
         limits: ServerLimits,
     ):
         self._inner = inner
-        self._limit = limit
+        self._body_bytes = body_bytes
         self._limits = limits
 
     @property
     def max_read_bytes(self) -> int:
         """Size in bytes of the largest body that the server must read."""
-        return self._limit * DISCARD_FACTOR
+        return self._body_bytes * DISCARD_FACTOR
 
     def start_request(
         self, server_conn: Any, request_conn: HTTPConnection
@@ -138,7 +138,7 @@
         self._limits.begin_request(stream)
         connection = _ChargedConnection(request_conn, self._limits)
         inner = self._inner.start_request(server_conn, connection)
-        return LimitedRequest(inner, connection, stream, self._limit, self._limits)
+        return LimitedRequest(inner, connection, stream, self._body_bytes, self._limits)
 
     def on_close(self, server_conn: object) -> None:
         """Notify the inner delegate that a connection was closed."""
@@ -171,7 +171,7 @@
         return self._connection.write(chunk)
 
     def finish(self) -> None:
-        self._limits.end_request(self)
+        self._limits.release(self)
         self._connection.finish()
 
 
@@ -183,20 +183,20 @@
         inner: HTTPMessageDelegate,
         connection: HTTPConnection,
         stream: IOStream,
-        limit: int,
+        body_bytes: int,
         limits: ServerLimits,
     ):
         self._inner = inner
         self._connection = connection
         self.stream = stream
-        self._limit = limit
+        self._body_bytes = body_bytes
         self._limits = limits
         self.received = 0
         self._announced = 0
         self._began: Seconds = 0.0
         self._method = ""
         self._discards = False
-        self._rejected = False
+        self._released = False
 
     def headers_received(
         self,
@@ -209,17 +209,17 @@
         self._limits.begin_request(self.stream)
         length = headers.get("Content-Length", "")
         self._announced = int(length[:MAX_DIGITS]) if length.isdecimal() else 0
-        if self._announced <= self._limit:
+        if self._announced <= self._body_bytes:
             return self._inner.headers_received(start_line, headers)
         self.received = self._announced
         expects = headers.get("Expect", "").lower() == "100-continue"
-        if expects or self._announced > self._limit * DISCARD_FACTOR:
-            self._reject_too_large(unread=True)
+        if expects or self._announced > self._body_bytes * DISCARD_FACTOR:
+            self._refuse_too_large(unread=True)
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Charge a chunk and pass it on, unless the body is refused."""
-        if self._rejected:
+        if self._released:
             return None
         if self._discards:
             self.received += len(chunk)
@@ -239,17 +239,17 @@
             body_budget.discard(limits.bodies, self, now)
             self._inner.on_connection_close()
             return None
-        dropped: Any = body_budget.receive(limits.bodies, self, len(chunk), now)
-        limits.drop_all(dropped)
+        displaced: Any = body_budget.receive(limits.bodies, self, len(chunk), now)
+        limits.discard_all(displaced)
         return None if self._discards else self._inner.data_received(chunk)
 
     def finish(self) -> None:
         """Pass a whole body on, or answer why it is refused."""
-        if self._rejected:
+        if self._released:
             return
         connection_limit.mark_active(self._limits.connections, self.stream)
         if self._is_too_large():
-            self._reject_too_large()
+            self._refuse_too_large()
             return
         if self._discards:
             self.refuse("budget")
@@ -261,13 +261,13 @@
             self._inner.finish()
         except BaseException:
             # No handler remains that could end the charge.
-            self._limits.end_request(self._connection)
+            self._limits.release(self._connection)
             raise
 
     def on_connection_close(self) -> None:
         """End the charge of a body that will not be complete."""
-        body_budget.drop(self._limits.bodies, self)
-        if self._rejected:
+        body_budget.release(self._limits.bodies, self)
+        if self._released:
             return
         if not self._discards and not self._is_too_large():
             self._inner.on_connection_close()
@@ -282,45 +282,45 @@
         self._log_refused("budget")
         now = time.monotonic()
         body_budget.discard(self._limits.bodies, self, now, self._began)
-        self._end_inner()
+        self._close_inner()
 
-    def _end_inner(self) -> None:
+    def _close_inner(self) -> None:
         try:
             self._inner.on_connection_close()
         except Exception as error:
             self._limits.log_failed_answer(self.stream, error)
 
-    def reject(self) -> None:
-        """Drop the body, of which nothing more is passed on."""
-        body_budget.drop(self._limits.bodies, self)
-        self._rejected = True
+    def release(self) -> None:
+        """Stop charging the body, of which nothing more is passed on."""
+        body_budget.release(self._limits.bodies, self)
+        self._released = True
 
     def refuse(self, reason: str) -> None:
-        """Drop the body, answer that nothing has run, and close the connection.
+        """Release the body, answer that nothing has run, and close the connection.
 
         The connection is closed once the answer is written, because the rest of the
         body is not read. It is also closed if the answer cannot be written: an error
         must not reach the caller, which acts for all connections.
         """
-        self.reject()
+        self.release()
         if self._discards:
             reason = "budget"
         else:
             self._log_refused(reason)
             if not self._is_too_large():
-                self._end_inner()
+                self._close_inner()
         message = _MESSAGES_BY_REASON[reason]
         headers = HTTPHeaders({"Connection": "close", "Retry-After": str(RETRY_AFTER)})
         self._respond(503, "Service Unavailable", message, headers)
 
     def _is_too_large(self) -> bool:
-        return self.received > self._limit
+        return self.received > self._body_bytes
 
-    def _reject_too_large(self, unread: bool = False) -> None:
-        self.reject()
+    def _refuse_too_large(self, unread: bool = False) -> None:
+        self.release()
         self._log_refused("too_large")
         headers = HTTPHeaders({"Connection": "close"} if unread else {})
-        message = f"body: larger than {self._limit} bytes"
+        message = f"body: larger than {self._body_bytes} bytes"
         self._respond(413, "Content Too Large", message, headers)
 
     def _log_refused(self, reason: str) -> None:
--- a/boragetide/api/server_limits.py
+++ b/boragetide/api/server_limits.py
@@ -19,22 +19,23 @@
 from boragetide.daemon.repeated_logs import RateLimitedLog
 from boragetide.policy import body_budget, connection_limit
 from boragetide.policy.body_budget import BodyBudget
-from boragetide.policy.connection_limit import ConnectionTable, UnreadAnswers
+from boragetide.policy.connection_limit import (
+    ConnectionTable,
+    UnreadAnswers,
+    compute_connection_limit,
+)
 from boragetide.settings import Limits
 from boragetide.types import Seconds
 
 if TYPE_CHECKING:
     from boragetide.api.body_limit import LimitedRequest
 
-# File descriptors that remain for files.
-RESERVED_DESCRIPTORS = 200
-# Part of the other descriptors that connections of clients may use. The rest is for
-# links to other instances and for calls to backend servers.
-CONNECTIONS_SHARE = 0.5
+# Open files that are assumed for a process without a limit.
+UNLIMITED_FILES = 1 << 20
 
 
 @dataclass(frozen=True, slots=True)
-class Peer:
+class Client:
     """Client of a connection, in logs.
 
     Parameters
@@ -57,11 +58,11 @@
         self.metrics = metrics
         self.bodies = BodyBudget(limits.get_held_body_bytes())
         self.connections = ConnectionTable(
-            min(limits.connections, _count_usable_descriptors())
+            min(limits.connections, compute_connection_limit(_read_max_files()))
         )
         self.answers = UnreadAnswers(limits.get_unread_answer_bytes())
         self._handed_over: dict[HTTPConnection, LimitedRequest] = {}
-        self._peers_by_stream: dict[IOStream, Peer] = {}
+        self._clients_by_stream: dict[IOStream, Client] = {}
         # Callers of `wait_for_room`, in the order of their arrival.
         self._waiters: deque[Future[None]] = deque()
         self._log = RateLimitedLog()
@@ -73,7 +74,9 @@
         metrics.set_gauge("unread_answer_bytes", {}, self.answers.used)
         metrics.set_gauge("open_connections", {}, self.connections.count)
 
-    def open_connection(self, stream: IOStream, peer: Peer, essential: bool) -> bool:
+    def open_connection(
+        self, stream: IOStream, client: Client, essential: bool
+    ) -> bool:
         """Return whether a new connection is kept; another one may be closed for it.
 
         Parameters
@@ -83,10 +86,10 @@
         """
         now = time.monotonic()
         if self.connections.is_full(essential) and not self._close_one():
-            self._count_closed("limit", peer, 0.0)
+            self._count_closed("limit", client, 0.0)
             return False
         connection_limit.mark_idle(self.connections, stream, now)
-        self._peers_by_stream[stream] = peer
+        self._clients_by_stream[stream] = client
         return True
 
     def _close_one(self) -> bool:
@@ -113,15 +116,15 @@
         if answer is not None:
             since = answer.since
         age = 0.0 if since is None else time.monotonic() - since
-        peer = self._peers_by_stream.get(stream)
-        if peer is not None:
-            self._count_closed(reason, peer, age)
+        client = self._clients_by_stream.get(stream)
+        if client is not None:
+            self._count_closed(reason, client, age)
         self.forget_connection(stream)
         stream.close()
 
     def forget_connection(self, stream: IOStream) -> None:
         """Remove a connection that is closed."""
-        self._peers_by_stream.pop(stream, None)
+        self._clients_by_stream.pop(stream, None)
         connection_limit.forget(self.connections, stream)
         self.remove_answer(stream)
 
@@ -134,30 +137,30 @@
 
         It is charged until its handler has responded, also if its client has left.
         """
-        accepted, dropped = body_budget.hand_over(
+        accepted, displaced = body_budget.hand_over(
             self.bodies, request, request.received
         )
         if accepted:
             self._handed_over[connection] = request
-        self.drop_all(dropped)
+        self.discard_all(displaced)
         return accepted
 
-    def drop_all(self, requests: Iterable[Any]) -> None:
+    def discard_all(self, requests: Iterable[Any]) -> None:
         """Discard the unfinished bodies that the budget has no room for."""
         for request in requests:
             request.discard()
 
     def refuse_all(self, requests: Iterable[Any], reason: str) -> None:
-        """Refuse requests whose bodies are dropped."""
+        """Refuse requests whose bodies are unfinished."""
         requests = list(requests)
         # Refusing one request can close connections, so that no other one may still be
         # charged.
         for request in requests:
-            request.reject()
+            request.release()
         for request in requests:
             request.refuse(reason)
 
-    def end_request(self, connection: HTTPConnection) -> None:
+    def release(self, connection: HTTPConnection) -> None:
         """Stop charging the body of a request that has been answered."""
         request = self._handed_over.pop(connection, None)
         if request is not None:
@@ -216,11 +219,11 @@
     def count_refused(self, reason: str, stream: IOStream, **fields: Any) -> None:
         """Count and log a body that is refused."""
         self.metrics.count("bodies_refused", {"reason": reason})
-        peer = self._peers_by_stream.get(stream)
+        client = self._clients_by_stream.get(stream)
         self._log.record(
             "body_refused",
-            server="" if peer is None else peer.server,
-            peer="" if peer is None else peer.address,
+            server="" if client is None else client.server,
+            peer="" if client is None else client.address,
             reason=reason,
             budget_left=self.bodies.limit - self.bodies.used,
             **fields,
@@ -228,20 +231,20 @@
 
     def log_failed_answer(self, stream: IOStream, error: Exception) -> None:
         """Log that the answer to a refused request could not be sent."""
-        peer = self._peers_by_stream.get(stream)
+        client = self._clients_by_stream.get(stream)
         self._log.record(
             "refusal_failed",
-            server="" if peer is None else peer.server,
-            peer="" if peer is None else peer.address,
+            server="" if client is None else client.server,
+            peer="" if client is None else client.address,
             error=repr(error),
         )
 
-    def _count_closed(self, reason: str, peer: Peer, age: Seconds) -> None:
+    def _count_closed(self, reason: str, client: Client, age: Seconds) -> None:
         self.metrics.count("connections_closed", {"reason": reason})
         self._log.record(
             "connection_closed",
-            server=peer.server,
-            peer=peer.address,
+            server=client.server,
+            peer=client.address,
             reason=reason,
             age=age,
             connections=self.connections.count,
@@ -250,12 +253,10 @@
         )
 
 
-def _count_usable_descriptors() -> int:
-    """Return how many connections the limit on open files of the process allows."""
+def _read_max_files() -> int:
+    """Return how many files the process may have open."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft == resource.RLIM_INFINITY:
-        soft = 1 << 20
-    return max(int((soft - RESERVED_DESCRIPTORS) * CONNECTIONS_SHARE), 1)
+    return UNLIMITED_FILES if soft == resource.RLIM_INFINITY else soft
 
 
 def get_server_limits(runtime: Any) -> ServerLimits:
--- a/boragetide/controllers/reviewing.py
+++ b/boragetide/controllers/reviewing.py
@@ -17,7 +17,7 @@
     refresh_server,
 )
 from boragetide.controllers.queueing import QueuedJob, put_job, remove_job
-from boragetide.controllers.zone_pool import check_view
+from boragetide.controllers.zone_pool import track_old_view
 from boragetide.effects import Effect, Send
 from boragetide.messages import TaskEnded
 from boragetide.policy import admission, ejection, learning, ordering
@@ -75,12 +75,11 @@
 def _end_jobs_without_servers(state: BackendServersState, now: Seconds) -> list[Effect]:
     """Refuse or end all waiting jobs of a pool that has no available server.
 
-    A pool whose view of the evacuated zones is too old for starts counts as one.
-
-    A pool that has just lost its last server waits for the length of a lease, because
+    A pool whose view of the evacuated zones is too old for starts counts as one. A pool
+    that has just lost its last server waits for the length of a lease, because
     servers that moved to another placer come back within that time.
     """
-    check_view(state, now)
+    track_old_view(state, now)
     if state.old_view_since is not None:
         unavailable_since = state.old_view_since
     elif state.total_slots:
--- a/boragetide/controllers/zone_pool.py
+++ b/boragetide/controllers/zone_pool.py
@@ -1,4 +1,7 @@
-"""Evacuation and return of the pool's availability zone."""
+"""Evacuation and return of the availability zone of a placer's pool.
+
+The counterpart for durable jobs is `controllers.zone_service`.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +10,7 @@
 from boragetide.effects import Effect, LogEvent, SetGauge
 from boragetide.policy import ejection
 from boragetide.policy.learning import SpeedModel
-from boragetide.policy.zones import MAX_TRIAL_TIME, begin_trial
+from boragetide.policy.zones import begin_trial, has_returned_recently
 from boragetide.types import Seconds
 
 # Jobs are queued for this long while the view of the zones is too old for starts. The
@@ -16,8 +19,11 @@
 OLD_VIEW_TOLERANCE: Seconds = 1.0
 
 
-def check_view(state: BackendServersState, now: Seconds) -> Seconds | None:
-    """Return for how long the view has been seen as old, or ``None`` if it is not."""
+def track_old_view(state: BackendServersState, now: Seconds) -> Seconds | None:
+    """Record since when the view of the zones has been old, and return for how long.
+
+    Returns ``None`` if it is recent.
+    """
     if state.zones.is_recent(now):
         state.old_view_since = None
         return None
@@ -26,9 +32,9 @@
     return now - state.old_view_since
 
 
-def refuse_for_zones(state: BackendServersState, now: Seconds) -> str | None:
-    """Return why no job is accepted, as far as the evacuated zones go."""
-    old_for = check_view(state, now)
+def find_zone_refusal(state: BackendServersState, now: Seconds) -> str | None:
+    """Return why evacuated zones rule out any new job, or ``None`` if they do not."""
+    old_for = track_old_view(state, now)
     if old_for is not None and old_for > OLD_VIEW_TOLERANCE:
         return "this instance cannot confirm which availability zones are evacuated"
     servers = state.servers_by_id.values()
@@ -50,7 +56,7 @@
         return []
     returned = state.returned_at_by_zone
     for zone, returned_at in list(returned.items()):
-        if zone in after or now - returned_at > MAX_TRIAL_TIME:
+        if zone in after or not has_returned_recently(returned_at, now):
             del returned[zone]
     returned |= dict.fromkeys(before - after, now)
     for server_id, leased in state.servers_by_id.items():
