Stops: answer open requests before the exit

An entry instance whose planned stop is cut short exits with requests open.

The stop now interrupts the open requests and waits up to 0.1 s for their answers to be written. An interrupted request is answered 504 (unknown), or 503 (not_run) if no leader can have received it.

--- a/boragetide/api/base.py
+++ b/boragetide/api/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import math
 from asyncio import Future
@@ -12,7 +13,7 @@
 
 from boragetide.daemon.repeated_logs import FaultLog
 from boragetide.daemon.runtime import Runtime
-from boragetide.errors import LinkError, RequestError
+from boragetide.errors import REASON_INTERRUPTED, LinkError, RequestError
 from boragetide.types import Seconds, Status
 
 RETRY_AFTER = 1  # seconds; default of the Retry-After header
@@ -21,7 +22,12 @@
 
 
 class Handler(RequestHandler):
-    """Base class of HTTP handlers; error responses contain no traceback."""
+    """Base class of HTTP handlers; error responses contain no traceback.
+
+    ``task`` is the task that handles the request, once it is registered as open.
+    """
+
+    task: asyncio.Task[Any] | None = None
 
     def initialize(self, runtime: Runtime) -> None:
         """Store the runtime that the handler reads."""
@@ -29,6 +35,7 @@
 
     def prepare(self) -> None:
         """Register the open request; while stopping, disable keep-alive."""
+        self.task = asyncio.current_task()
         self.runtime.open_requests.add(self)
         if self.runtime.stopping:
             self.set_header("Connection", "close")
@@ -53,6 +60,21 @@
         written.add_done_callback(self._close_request)
         return written
 
+    def interrupt(self) -> None:
+        """Cancel the handling of the request, so that its caller is answered now."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def describe_interruption(self) -> RequestError:
+        """Return the error that answers the caller of an interrupted request."""
+        return RequestError(Status.UNKNOWN, 504, REASON_INTERRUPTED)
+
+    def _is_interrupted(self, error: Any) -> bool:
+        """Return whether this task, or one that it waits for, was cancelled."""
+        if isinstance(error, asyncio.CancelledError):
+            return True
+        return error is None and self.task is not None and self.task.cancelling() > 0
+
     def _close_request(self, written: Future[None]) -> None:
         self.runtime.open_requests.discard(self)
 
@@ -94,7 +116,11 @@
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Send an error response without a traceback."""
         error = kwargs.get("exc_info", (None, None, None))[1]
-        if isinstance(error, RequestError):
+        if self._is_interrupted(error):
+            # tornado answers a request with 500 when its task is cancelled.
+            self.set_header("Connection", "close")
+            self.respond_error(self.describe_interruption())
+        elif isinstance(error, RequestError):
             self.respond_error(error)
         elif isinstance(error, LinkError):
             self.respond(503, {"status": Status.UNKNOWN, "error": str(error)})
@@ -111,7 +137,8 @@
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log unexpected exceptions; other errors are only reported to the caller."""
-        if not isinstance(value, HTTPError | LinkError | RequestError):
+        expected = HTTPError | LinkError | RequestError | asyncio.CancelledError
+        if not isinstance(value, expected):
             request_line = f"{self.request.method} {self.request.path}"
             _logger.error("exception in %s", request_line, exc_info=(typ, value, tb))
 
--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -18,7 +18,8 @@
 from boragetide.daemon.runtime import Runtime
 from boragetide.durable import DurableJob
 from boragetide.errors import LinkError, RequestError
-from boragetide.filters.durable import DURABLE_CHAIN, DurableExchange
+from boragetide.filters.durable import DURABLE_CHAIN
+from boragetide.filters.durable_exchange import DurableExchange, describe_interruption
 from boragetide.limits import MAX_TIMESTAMP_MS
 from boragetide.messages import (
     CancelDurableJob,
@@ -49,6 +50,8 @@
 class _DurableHandler(Handler):
     """Base class of the handlers of durable jobs."""
 
+    exchange: DurableExchange | None = None
+
     async def ask_dispatcher(
         self,
         name: str,
@@ -80,7 +83,7 @@
             ``None`` if the request failed and the caller got an error response.
         """
         now = read_clock()
-        exchange = DurableExchange(
+        self.exchange = exchange = DurableExchange(
             runtime=self.runtime,
             message=message,
             name=name,
@@ -97,6 +100,10 @@
             self.respond(error.http_status, body)
             return None
 
+    def describe_interruption(self) -> RequestError:
+        """Return the error that answers the caller of an interrupted request."""
+        return describe_interruption(self.exchange)
+
     async def read_job(self) -> DurableJob | None:
         """Return the job in the body of the request.
 
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -23,7 +23,11 @@
     run_ticks,
     run_with_restarts,
 )
-from boragetide.daemon.stopping import StopSignals, stop_gracefully
+from boragetide.daemon.stopping import (
+    StopSignals,
+    interrupt_requests,
+    stop_gracefully,
+)
 from boragetide.errors import StorageError
 from boragetide.links.peers import PeerLink, run_link, run_listener
 from boragetide.messages import Request
@@ -192,6 +196,7 @@
     )
     for server in servers:
         server.stop()
+    await interrupt_requests(runtime)
 
 
 def _report_failures(tasks: list[asyncio.Task[None]]) -> int:
--- a/boragetide/daemon/stopping.py
+++ b/boragetide/daemon/stopping.py
@@ -17,6 +17,10 @@
 MIN_STOP_TIME = 1.0  # seconds
 POLL_INTERVAL = 0.05  # seconds
 FLUSH_TIMEOUT = 2.0  # seconds
+# Answers to interrupted requests fit into the kernel's buffers, so that they are
+# written at once unless a caller does not read.
+INTERRUPTION_TIMEOUT = 0.1  # seconds
+INTERRUPTION_POLL_INTERVAL = 0.01  # seconds
 
 
 @dataclass(slots=True)
@@ -71,6 +75,29 @@
     )
 
 
+async def interrupt_requests(runtime: Runtime) -> None:
+    """Answer the requests that are still open when the process exits.
+
+    Waits for the answers to be written, up to `INTERRUPTION_TIMEOUT`.
+    """
+    interrupted = set(runtime.open_requests)
+    if not interrupted:
+        return
+    began = read_clock()
+    for request in interrupted:
+        request.interrupt()
+    while (unanswered := interrupted & runtime.open_requests) and (
+        read_clock() - began < INTERRUPTION_TIMEOUT
+    ):
+        await asyncio.sleep(INTERRUPTION_POLL_INTERVAL)
+    log_event(
+        "requests_interrupted",
+        requests=len(interrupted),
+        unanswered=len(unanswered),
+        seconds=read_clock() - began,
+    )
+
+
 async def _finish_work(
     runtime: Runtime,
     last_requests: tuple[tuple[str, Request], ...],
--- a/boragetide/errors.py
+++ b/boragetide/errors.py
@@ -6,6 +6,8 @@
 
 from boragetide.types import Status
 
+REASON_INTERRUPTED = "the instance stops before the request has ended"
+
 
 class BoragetideError(Exception):
     """Base class of all exceptions of this package."""
--- a/boragetide/filters/durable.py
+++ b/boragetide/filters/durable.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import singledispatch
 from operator import attrgetter
 from typing import TypeAlias
@@ -18,6 +18,7 @@
 from boragetide.daemon.runtime import Runtime
 from boragetide.errors import PeerUnreachable, ReplyTimeout, RequestError
 from boragetide.filters.chain import Next, build_chain
+from boragetide.filters.durable_exchange import DurableExchange, describe_interruption
 from boragetide.groups import name_controller
 from boragetide.messages import (
     Admission,
@@ -55,59 +56,6 @@
 GroupTerm: TypeAlias = tuple[GroupId, int]
 
 
-@dataclass(slots=True)
-class DurableExchange:
-    """State of one request for a durable job as it passes through the chain.
-
-    Parameters
-    ----------
-    message
-        Request to the dispatcher.
-    name
-        Kind of request, for logs and metrics.
-    job_id, class_name
-        Id and class of the job, for logs.
-    received_at
-        Unix time at which the request arrived.
-    deadline
-        Unix time until which the caller waits.
-    useful_until
-        Unix time after which the caller no longer needs a job that has not started.
-    attempts
-        Number of requests sent to a leader.
-    abandoned
-        Whether the caller has left, so that no further request is sent.
-    group
-        Group that has the job, as far as is known; at first the home group.
-    home_group
-        Group that is asked first.
-    directed_at
-        Unix time at which the request was sent that was answered with ``group``;
-        ``None`` in the home group.
-    """
-
-    runtime: Runtime
-    message: Request
-    name: str
-    job_id: str
-    class_name: str
-    received_at: Seconds
-    deadline: Seconds
-    useful_until: Seconds
-    attempts: int = 0
-    abandoned: bool = False
-    group: GroupId = 0
-    home_group: GroupId = field(init=False)
-    directed_at: Seconds | None = None
-
-    def __post_init__(self) -> None:
-        self.home_group = self.group
-
-    def find_directed_age(self, now: Seconds) -> Seconds:
-        """Return the time since the request was directed to its group."""
-        return 0.0 if self.directed_at is None else now - self.directed_at
-
-
 async def observe(exchange: DurableExchange, call_next: Next) -> DispatcherReply:
     """Log the outcome of a request and record its response time."""
     outcome = Status.UNKNOWN
@@ -119,6 +67,10 @@
     except RequestError as error:
         outcome, reason = error.status, str(error)
         raise
+    except asyncio.CancelledError:
+        error = describe_interruption(exchange)
+        outcome, reason = error.status, str(error)
+        raise
     finally:
         seconds = read_clock() - exchange.received_at
         exchange.runtime.metrics.observe_response(exchange.name, outcome, seconds)
@@ -150,6 +102,7 @@
         return await call_next(exchange)
     runtime = exchange.runtime
     to = runtime.local(name_controller("directory", exchange.group))
+    exchange.may_have_arrived = True
     answer = await runtime.ask(to, question, LOCAL_TIMEOUT)
     if answer.admission is Admission.ADMITTED:
         return await call_next(exchange)
@@ -186,6 +139,7 @@
     """
     runtime = exchange.runtime
     attempts_by_term: Counter[GroupTerm] = Counter()
+    exchange.may_have_arrived = False
     while (remaining := _find_remaining_time(exchange)) > 0:
         if exchange.find_directed_age(read_clock()) > DIRECTION_LIFETIME:
             return_home(exchange)
@@ -206,6 +160,7 @@
                 repetitions = attempts_by_term[exchange.group, lookup.term]
                 timeout = grow_wait(first, repetitions, remaining)
                 sent_at = read_clock()
+                exchange.may_have_arrived = True
                 message = make_copy(exchange.message, exchange, lookup, sent_at)
                 reply = await runtime.ask(to, message, timeout)
             except PeerUnreachable:
@@ -215,6 +170,7 @@
             else:
                 if reply.status is ReplyStatus.TRANSFERRED:
                     attempts_by_term.pop((exchange.group, reply.term), None)
+                    exchange.may_have_arrived = bool(attempts_by_term)
                     follow_transfer(exchange, reply, sent_at)
                     continue
                 if reply.status is ReplyStatus.UNDECIDED:
@@ -224,6 +180,7 @@
                 elif reply.status is not ReplyStatus.NOT_LEADER:
                     own_term = (exchange.group, reply.term)
                     return _check_refusal(reply, set(attempts_by_term) - {own_term})
+        exchange.may_have_arrived = bool(attempts_by_term)
         await asyncio.sleep(LEADER_RETRY_DELAY)
     if attempts_by_term:
         raise RequestError(Status.UNKNOWN, 504, "no leader answered in time")
--- a/boragetide/tests/test_durable_chain.py
+++ b/boragetide/tests/test_durable_chain.py
@@ -17,8 +17,8 @@
     DIRECTION_LIFETIME,
     DURABLE_CHAIN,
     LEADER_TIMEOUT,
-    DurableExchange,
 )
+from boragetide.filters.durable_exchange import DurableExchange, describe_interruption
 from boragetide.messages import (
     Admission,
     AdmissionReply,
@@ -299,3 +299,60 @@
     runtime = ScriptedRuntime((1, ACCEPTED))
     runtime.admission = Admission.REFUSED
     assert ask_through(runtime) is ACCEPTED
+
+
+class SilentRuntime(ScriptedRuntime):
+    """A scripted runtime that never answers questions of one type."""
+
+    def __init__(self, silent: type, *steps: tuple[int, Any]):
+        super().__init__(*steps)
+        self.silent = silent
+
+    async def ask(self, to: Any, message: Any, timeout: float) -> Any:
+        """Answer from the script, unless the question is of the silent type."""
+        if isinstance(message, self.silent):
+            await asyncio.Event().wait()
+        return await super().ask(to, message, timeout)
+
+
+def interrupt(runtime: ScriptedRuntime) -> RequestError:
+    """Return what a caller gets whose submission is interrupted as it waits."""
+    job = make_durable_job("j1")
+    exchange = make_exchange(runtime, CALLER_TIMEOUT, SubmitDurableJob(job=job))
+
+    async def run() -> None:
+        task = asyncio.ensure_future(DURABLE_CHAIN(exchange))
+        await asyncio.sleep(CALLER_TIMEOUT / 4)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    asyncio.run(run())
+    return describe_interruption(exchange)
+
+
+@pytest.mark.parametrize(
+    ("runtime", "expected"),
+    [
+        (SilentRuntime(SubmitDurableJob, (1, ACCEPTED)), (Status.UNKNOWN, 504)),
+        (SilentRuntime(AdmitSubmission), (Status.UNKNOWN, 504)),
+        (ScriptedRuntime((1, TIMEOUT)), (Status.UNKNOWN, 504)),
+        (SilentRuntime(FindLeader), (Status.NOT_RUN, 503)),
+        (ScriptedRuntime((1, UNREACHABLE)), (Status.NOT_RUN, 503)),
+        (ScriptedRuntime((1, NOT_LEADER)), (Status.NOT_RUN, 503)),
+        (ScriptedRuntime((1, UNREACHABLE), (2, TIMEOUT)), (Status.UNKNOWN, 504)),
+        (ScriptedRuntime((1, TIMEOUT), (2, NOT_LEADER)), (Status.UNKNOWN, 504)),
+    ],
+)
+def test_interrupted_caller_learns_whether_a_leader_may_have_its_job(
+    runtime: ScriptedRuntime, expected: tuple[Status, int]
+) -> None:
+    """Guards against ``not_run`` for a job that a leader may start."""
+    error = interrupt(runtime)
+    assert (error.status, error.http_status) == expected
+    assert runtime.metrics.render()[0].count(expected[0].value.encode()) > 0
+
+
+def test_request_that_has_not_entered_the_chain_was_not_run() -> None:
+    """Guards against ``unknown`` for a request that still waits for a leader."""
+    assert describe_interruption(None).status is Status.NOT_RUN
--- a/boragetide/tests/test_handlers.py
+++ b/boragetide/tests/test_handlers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
@@ -107,6 +108,34 @@
     assert exchanges[0].caller_left
 
 
+def test_caller_of_an_interrupted_job_gets_unknown(
+    runtime: RecordingRuntime, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against HTTP 500 when a process exits before a job has ended."""
+
+    async def wait(exchange: Exchange) -> Answer:
+        await asyncio.Event().wait()
+        raise AssertionError("not reached")
+
+    async def submit_and_interrupt(port: int) -> HTTPResponse:
+        url = f"http://{HOST}:{port}/"
+        fetch = AsyncHTTPClient().fetch(url, method="POST", body=JOB, raise_error=False)
+        answer = asyncio.ensure_future(fetch)
+        while not runtime.open_requests:
+            await asyncio.sleep(0.01)
+        for request in list(runtime.open_requests):
+            request.interrupt()
+        return await answer
+
+    monkeypatch.setattr(submissions, "SUBMISSION_CHAIN", wait)
+    arguments = {"runtime": runtime, "kind": JobBody}
+    answer = serve([("/", SubmissionHandler, arguments)], submit_and_interrupt)
+    assert answer.code == 504
+    assert json.loads(answer.body)["status"] == Status.UNKNOWN
+    assert answer.headers["Connection"] == "close"
+    assert not runtime.open_requests
+
+
 @pytest.mark.parametrize(
     ("query", "status", "removed"),
     [("", 200, [0]), ("?born=1500", 200, [1500]), ("?born=x", 400, [])],
--- a/boragetide/tests/test_stopping.py
+++ b/boragetide/tests/test_stopping.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from dataclasses import replace
 from typing import Any
 
@@ -15,6 +16,9 @@
 from boragetide.messages import Drain, DrainState, Flush, Flushed, SaveClaims
 from boragetide.settings import Settings
 
+# An event loop starts and ends within this time on a busy machine.
+START_SECONDS = 0.2
+
 
 class ScriptedRuntime(Runtime):
     """A runtime whose controllers report work to the first ``busy`` drain requests."""
@@ -77,3 +81,37 @@
     signals.record()
     run_stop(runtime, signals)
     assert "Flush" not in runtime.asked
+
+
+class OpenRequest:
+    """A request whose answer is written some time after it is interrupted."""
+
+    def __init__(self, runtime: Runtime, seconds: float | None):
+        self.runtime = runtime
+        self.seconds = seconds
+        runtime.open_requests.add(self)
+
+    def interrupt(self) -> None:
+        """Write the answer after the time; never if there is none."""
+        if self.seconds is not None:
+            discard = self.runtime.open_requests.discard
+            asyncio.get_running_loop().call_later(self.seconds, discard, self)
+
+
+@pytest.mark.parametrize(
+    ("seconds", "bounds"),
+    [((), (0.0, 0.005)), ((0.03, 0.05), (0.05, 0.1)), ((0.03, None), (0.1, 0.2))],
+    ids=["none", "written", "unread"],
+)
+def test_interrupted_requests_delay_the_exit_briefly(
+    settings: Settings, seconds: tuple[float | None, ...], bounds: tuple[float, float]
+) -> None:
+    """Guards against an exit before the answers, and one that a caller holds up."""
+    runtime = Runtime(settings, {})
+    for each in seconds:
+        OpenRequest(runtime, each)
+    began = time.monotonic()
+    asyncio.run(stopping.interrupt_requests(runtime))
+    low, high = bounds
+    assert low <= time.monotonic() - began < high + START_SECONDS
+    assert len(runtime.open_requests) == seconds.count(None)
