Links: replace a connection without dropping messages

A link that was replaced closed its socket and sent the next messages into one that was not connected yet, which drops them. A member that replaced its link to an entry instance right before it answered lost this answer, so that the entry instance had no confirmed leader for another 0.4 s (trace of test_jobs_of_all_groups_are_served_by_several_leaders).

The former socket now sends until the new one is connected, and is closed 0.5 s later. If the new one is not connected within 0.25 s it is used nevertheless, so that messages to a peer that is out of reach fail at once, as before.

--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -24,9 +24,13 @@
 # Bounds the time for which frames hold back the other events of an iteration.
 MAX_FRAMES_PER_ITERATION = 64
 MAX_OUTBOX_ENVELOPES = 20_000
-# A new socket gets this long to show that the link works. What is sent before it is
-# connected is dropped, so that a link that is replaced more often carries nothing.
+# A new socket gets this long to show that the link works. Only a connected one carries
+# messages, so that a link whose connections are replaced more often may carry nothing.
 MIN_RECONNECT_INTERVAL = 1.0  # seconds
+# Many round trips of 1 ms, and short beside the silence for which a link is replaced.
+CONNECTION_TIME = 0.25  # seconds
+# pynng drops what a socket has accepted and not yet written when the socket is closed.
+RETIREMENT_TIME = 0.5  # seconds
 
 OnUnsent: TypeAlias = Callable[[Envelope], None]
 CountBytes: TypeAlias = Callable[[str, dict[str, str], float], None]
@@ -92,15 +96,73 @@
     count
         Adds to a counter metric; called with the number of bytes sent.
     """
-    while True:
-        with _open_push_socket(link.peer) as socket:
-            link.reconnect_requested = False
-            while not link.reconnect_requested:
-                if link.outbox:
-                    await _send_batch(link, socket, on_unsent, count)
-                else:
-                    link.wake.clear()
-                    await link.wake.wait()
+    with _LinkSockets(link.peer) as sockets:
+        while True:
+            if link.reconnect_requested:
+                link.reconnect_requested = False
+                sockets.replace()
+            if link.outbox:
+                await _send_batch(link, sockets.choose(), on_unsent, count)
+            else:
+                link.wake.clear()
+                await link.wake.wait()
+
+
+class _LinkSockets:
+    """Sockets of one link: one that sends, and at times its successor.
+
+    A socket that is replaced sends until its successor is connected, and is then kept
+    for `RETIREMENT_TIME`, so that the replacement drops nothing that is being sent. If
+    the successor is not connected within `CONNECTION_TIME`, it is used nevertheless, so
+    that messages fail at once while the peer is out of reach.
+    """
+
+    def __init__(self, peer: Peer):
+        self._peer = peer
+        self._current = _open_push_socket(peer)
+        self._successor: pynng.Push0 | None = None
+        self._replaced_at = -math.inf
+        self._retired: set[pynng.Push0] = set()
+
+    def __enter__(self) -> _LinkSockets:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._drop_successor()
+        for socket in (self._current, *self._retired):
+            socket.close()
+
+    def replace(self) -> None:
+        """Open a new socket, which begins to connect."""
+        self._drop_successor()
+        self._successor = _open_push_socket(self._peer)
+        self._replaced_at = time.monotonic()
+
+    def choose(self) -> pynng.Push0:
+        """Return the socket to send with."""
+        if self._successor is None:
+            return self._current
+        is_due = time.monotonic() - self._replaced_at >= CONNECTION_TIME
+        if self._current.pipes and not (self._successor.pipes or is_due):
+            return self._current
+        self._retire(self._current)
+        self._current, self._successor = self._successor, None
+        return self._current
+
+    def _drop_successor(self) -> None:
+        if self._successor is not None:
+            self._successor.close()
+            self._successor = None
+
+    def _retire(self, socket: pynng.Push0) -> None:
+        self._retired.add(socket)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RETIREMENT_TIME, self._close_retired, socket)
+
+    def _close_retired(self, socket: pynng.Push0) -> None:
+        if socket in self._retired:
+            self._retired.remove(socket)
+            socket.close()
 
 
 def _open_push_socket(peer: Peer) -> pynng.Push0:
