Links: report waits from questions that were sent

An entry instance that started before a member counted its wait for an answer from its first question, which was dropped without a connection. The member read a wait of over 1.2 s in the first question that arrived, and replaced its link as it answered: in a trace peer_waits was 1.87 s, 1.54 s after the start of the member.

A link now tells the controller that a question was certainly not sent, and the reported wait begins with the next one. The own link is still replaced by the time since the first question, since an attempt to connect may hang; that drops no message.

--- a/boragetide/controllers/configuration.py
+++ b/boragetide/controllers/configuration.py
@@ -42,6 +42,7 @@
     PackedProposal,
     ProposalDecided,
     Propose,
+    QuestionUnsent,
     ReadConfiguration,
     ReadZone,
     RequestCatchUp,
@@ -489,6 +490,13 @@
     return send_piece(content, in_force, message, state.settings.id)
 
 
+@handle.register
+def _(message: QuestionUnsent, state: ConfigurationState, now: Seconds) -> list[Effect]:
+    if state.replica is not None:
+        state.replica.links.record_unsent(message.peer)
+    return []
+
+
 @handle.register
 def _(
     message: ContactsChanged, state: ConfigurationState, now: Seconds
--- a/boragetide/controllers/directory.py
+++ b/boragetide/controllers/directory.py
@@ -19,6 +19,7 @@
     FollowLeader,
     LeaderFound,
     LeaderNotice,
+    QuestionUnsent,
     RefuseSubmissions,
     StopRequested,
     SubmissionsRefused,
@@ -374,6 +375,12 @@
         state.confirmed_at = max(state.confirmed_at, met_at)
 
 
+@handle.register
+def _(message: QuestionUnsent, state: DirectoryState, now: Seconds) -> list[Effect]:
+    state.links.record_unsent(message.peer)
+    return []
+
+
 @handle.register
 def _(message: ContactsChanged, state: DirectoryState, now: Seconds) -> list[Effect]:
     state.seeds = message.contacts
--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -226,13 +226,16 @@
         )
 
     links = {
-        f"link {peer_id}": partial(run_link, link, runtime.fail_unsent_request, count)
+        f"link {peer_id}": partial(
+            run_link, link, partial(runtime.report_unsent, peer_id), count
+        )
         for peer_id, link in runtime.links_by_id.items()
     }
 
     def make_link(instance: InstanceId) -> PeerLink:
         link = PeerLink(_make_peer_from_address(instance, runtime.settings))
-        run = partial(run_link, link, runtime.fail_unsent_request, count)
+        on_unsent = partial(runtime.report_unsent, instance)
+        run = partial(run_link, link, on_unsent, count)
         on_demand_tasks.add(
             asyncio.create_task(run_with_restarts(f"link {instance}", run))
         )
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -18,7 +18,7 @@
 from boragetide.daemon.metrics import Metrics
 from boragetide.effects import Effect
 from boragetide.errors import LinkError, PeerUnreachable, ReplyTimeout
-from boragetide.groups import find_group
+from boragetide.groups import find_group, name_controller
 from boragetide.links.codec import (
     REPLY_CONTROLLER,
     Envelope,
@@ -26,7 +26,15 @@
     encode_body,
 )
 from boragetide.links.peers import PeerLink, enqueue
-from boragetide.messages import Request, Tick, WokeUp
+from boragetide.messages import (
+    AppendEntries,
+    FollowLeader,
+    QuestionUnsent,
+    Request,
+    RequestVote,
+    Tick,
+    WokeUp,
+)
 from boragetide.messages.common import add_arrival_time
 from boragetide.messages.replies import can_answer
 from boragetide.policy.process_numbers import choose_first_number
@@ -40,6 +48,13 @@
 # A link of 9.5 Mbit/s needs 55 ms for this many bytes.
 LARGE_MESSAGE_BYTES = 64 * 1024
 
+# Controllers that send questions of these kinds and measure the wait for the answer.
+WAITING_CONTROLLER_BY_KIND = {
+    AppendEntries.__name__: "configuration",
+    FollowLeader.__name__: "directory",
+    RequestVote.__name__: "configuration",
+}
+
 MessageHandler: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
 
@@ -181,6 +196,16 @@
             PeerUnreachable("link did not send the message"),
         )
 
+    def report_unsent(self, peer: InstanceId, envelope: Envelope) -> None:
+        """Tell those who wait for an answer that an envelope was certainly not sent."""
+        self.fail_unsent_request(envelope)
+        controller = WAITING_CONTROLLER_BY_KIND.get(envelope.kind)
+        if controller is None:
+            return
+        name = name_controller(controller, find_group(envelope.controller))
+        if name in self.mailboxes_by_controller:
+            self.mailboxes_by_controller[name].put_nowait(QuestionUnsent(peer))
+
     def abandon_requests(self, instance: InstanceId, group: int) -> None:
         """Fail all pending requests of a group to a lost instance."""
         for request, pending in list(self._pending_by_request.items()):
--- a/boragetide/messages/directory.py
+++ b/boragetide/messages/directory.py
@@ -244,6 +244,16 @@
     contacts: tuple[InstanceId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QuestionUnsent:
+    """A question of this controller was certainly not sent: there was no connection.
+
+    Reported by the link to ``peer``, for messages that name a waiting time.
+    """
+
+    peer: InstanceId
+
+
 @dataclass(frozen=True, slots=True)
 class ReadConfiguration(Request):
     """Asks for a linearizable read of the configuration.
--- a/boragetide/policy/link_health.py
+++ b/boragetide/policy/link_health.py
@@ -2,7 +2,9 @@
 
 Only an answer shows that a link works. The side that waits for an answer reconnects. It
 also reports its waiting time to the other side, because the answers may be what is
-lost.
+lost. The reported time begins with a message that the other side could have received:
+one that was certainly not sent, as there was no connection, says nothing about answers.
+The own link is replaced in this case as well, because an attempt to connect may hang.
 """
 
 from __future__ import annotations
@@ -25,6 +27,8 @@
     ----------
     waiting_since_by_id
         Time of the first message to a peer that has not been answered.
+    receivable_since_by_id
+        Time of the first of these messages that the peer could have received.
     reconnected_at_by_id
         Time at which the link to a peer was last replaced.
     answered_by_id
@@ -32,12 +36,22 @@
     """
 
     waiting_since_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
+    receivable_since_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
     reconnected_at_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
     answered_by_id: dict[InstanceId, Seconds] = field(default_factory=dict)
 
     def record_sent(self, peer: InstanceId, now: Seconds) -> Seconds:
-        """Record a sent message; return the wait for an answer so far, in seconds."""
-        return now - self.waiting_since_by_id.setdefault(peer, now)
+        """Record a sent message; return the time in seconds to report to the peer.
+
+        This is how long this side has waited for an answer since it sent a message that
+        the peer could have received.
+        """
+        self.waiting_since_by_id.setdefault(peer, now)
+        return now - self.receivable_since_by_id.setdefault(peer, now)
+
+    def record_unsent(self, peer: InstanceId) -> None:
+        """Record that the last messages to a peer were certainly not sent."""
+        self.receivable_since_by_id.pop(peer, None)
 
     def waits_for(self, peer: InstanceId) -> bool:
         """Return whether a peer has yet to answer."""
@@ -46,10 +60,12 @@
     def record_received(self, peer: InstanceId) -> None:
         """Record a message from a peer."""
         self.waiting_since_by_id.pop(peer, None)
+        self.receivable_since_by_id.pop(peer, None)
 
     def forget_waits(self) -> None:
         """Forget the unanswered messages, because no answer to them is due any more."""
         self.waiting_since_by_id.clear()
+        self.receivable_since_by_id.clear()
 
     def record_answer(self, peer: InstanceId, asked_at: Seconds, now: Seconds) -> None:
         """Record the answer to the question that was sent at ``asked_at``.
--- a/boragetide/tests/test_directory.py
+++ b/boragetide/tests/test_directory.py
@@ -24,6 +24,7 @@
     FindLeader,
     FollowLeader,
     LeaderNotice,
+    QuestionUnsent,
     RefuseSubmissions,
     SubmissionsRefused,
     Tick,
@@ -432,3 +433,23 @@
         effects += directory.handle(question, state, BEGIN)
     sent = (each.message for each in effects if isinstance(each, Send))
     return state, next(sent)
+
+
+def test_questions_that_were_not_sent_count_as_no_wait(state: DirectoryState) -> None:
+    """Guards against a member that replaces its link as it answers for the first time.
+
+    The member has started after the first questions, which were dropped.
+    """
+    waits: list[float] = []
+    for number in range(5):
+        now = BEGIN + number * PERIOD
+        effects = directory.handle(Tick(), state, now)
+        sent = [each for each in effects if isinstance(each, Send)]
+        waits += [
+            each.message.waits
+            for each in sent
+            if each.to.instance == "a2" and isinstance(each.message, FollowLeader)
+        ]
+        if number < 3:
+            directory.handle(QuestionUnsent("a2"), state, now)
+    assert waits == [0.0, 0.0, 0.0, 0.0, pytest.approx(PERIOD)]
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -18,7 +18,7 @@
 from boragetide.errors import PeerUnreachable
 from boragetide.links.codec import Envelope, encode_body
 from boragetide.links.peers import PeerLink, enqueue, request_reconnect, run_link
-from boragetide.messages import ReportServer, Tick
+from boragetide.messages import QuestionUnsent, ReportServer, Tick
 from boragetide.settings import parse_settings
 from boragetide.tests.conftest import free_port, make_settings
 from boragetide.tests.durable_fixtures import make_report
@@ -171,6 +171,33 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("kind", "to", "told"),
+    [
+        ("FollowLeader", "configuration.2", "directory.2"),
+        ("FollowLeader", "directory", "directory"),
+        ("AppendEntries", "configuration.2", "configuration.2"),
+        ("RequestVote", "configuration", "configuration"),
+        ("Tick", "configuration", None),
+    ],
+)
+def test_controller_learns_that_its_question_was_not_sent(
+    kind: str, to: str, told: str | None
+) -> None:
+    """Guards against a wait for the answer to a question that nobody received."""
+    runtime = make_runtime()
+    names = ("configuration", "configuration.2", "directory", "directory.2")
+    mailboxes = {name: asyncio.Queue() for name in names}
+    runtime.mailboxes_by_controller = mailboxes
+    envelope = Envelope("a1", 1, to, 0, kind, encode_body(None))
+    runtime.report_unsent("a2", envelope)
+    assert [name for name in names if not mailboxes[name].empty()] == (
+        [] if told is None else [told]
+    )
+    if told is not None:
+        assert mailboxes[told].get_nowait() == QuestionUnsent("a2")
+
+
 def test_failed_controller_ends_the_process(monkeypatch: Any, tmp_path: Path) -> None:
     """Guards against a daemon that keeps running without one of its controllers.
 
