--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -23,7 +23,11 @@
     run_ticks,
     run_with_restarts,
 )
-from boragetide.daemon.stopping import StopSignals, stop_gracefully
+from boragetide.daemon.stopping import (
+    StopSignals,
+    interrupt_requests,
+    stop_gracefully,
+)
 from boragetide.errors import StorageError
 from boragetide.links.peers import PeerLink, run_link, run_listener
 from boragetide.messages import Request
@@ -192,6 +196,7 @@
     )
     for server in servers:
         server.stop()
+    await interrupt_requests(runtime)
 
 
 def _report_failures(tasks: list[asyncio.Task[None]]) -> int:
@@ -221,13 +226,16 @@
         )
 
     links = {
-        f"link {peer_id}": partial(run_link, link, runtime.fail_unsent_request, count)
+        f"link {peer_id}": partial(
+            run_link, link, partial(runtime.report_unsent, peer_id), count
+        )
         for peer_id, link in runtime.links_by_id.items()
     }
 
     def make_link(instance: InstanceId) -> PeerLink:
         link = PeerLink(_make_peer_from_address(instance, runtime.settings))
-        run = partial(run_link, link, runtime.fail_unsent_request, count)
+        on_unsent = partial(runtime.report_unsent, instance)
+        run = partial(run_link, link, on_unsent, count)
         on_demand_tasks.add(
             asyncio.create_task(run_with_restarts(f"link {instance}", run))
         )
