Report orders to backend servers as unanswered before their connection ends

An order counted as unanswered when its connection was given up after 0.2 s, and an answer after that was lost. An order may now carry a timeout: the client reports it as unanswered then, and an answer to a start or stop that still arrives is reported as what it is. No order has a timeout yet, so that nothing changes.

--- a/boragetide/daemon/effect_execution.py
+++ b/boragetide/daemon/effect_execution.py
@@ -15,6 +15,7 @@
 from boragetide.errors import StorageError
 from boragetide.groups import find_group, resolve_address
 from boragetide.links import backend_client
+from boragetide.links.order_timeouts import send_order
 from boragetide.links.peers import request_reconnect
 from boragetide.links.run_client import RunClient
 from boragetide.messages import TaskReport
@@ -140,9 +141,11 @@
     context: EffectContext,
     controller: str,
 ) -> None:
-    """Send an order to a backend server and pass the answer to the controller."""
-    answer = await context.durable_client(effect)
-    context.runtime.send(context.runtime.local(controller), answer)
+    """Send an order to a backend server and pass its results to the controller."""
+    to = context.runtime.local(controller)
+    await send_order(
+        context.durable_client, effect, lambda result: context.runtime.send(to, result)
+    )
 
 
 @execute_effect.register
--- a/boragetide/effects.py
+++ b/boragetide/effects.py
@@ -80,6 +80,9 @@
         Time on the backend server's clock at which its leases expire.
     target_born
         Start of the process that the order is meant for, in Unix milliseconds.
+    timeout
+        Seconds after which the order counts as unanswered; ``None`` for the limit of
+        the client. An answer that comes later is still reported.
     """
 
     server: BackendServerId
@@ -91,6 +94,7 @@
     fence: int
     lease_until: Seconds
     target_born: int = 0
+    timeout: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +105,8 @@
     ----------
     target_born
         Start of the process that the order is meant for, in Unix milliseconds.
+    timeout
+        As for `StartRun`.
     """
 
     server: BackendServerId
@@ -110,6 +116,7 @@
     run: int
     fence: int
     target_born: int = 0
+    timeout: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +135,9 @@
         How long the backend server holds its answer until a run ends, in seconds.
     target_born
         Start of the process that the request is meant for, in Unix milliseconds.
+    timeout
+        Seconds, including the wait, after which the request counts as failed; ``None``
+        for the limit of the client. A list that comes later is dropped.
     """
 
     server: BackendServerId
@@ -137,6 +147,7 @@
     lease_until: Seconds | None
     wait: Seconds
     target_born: int = 0
+    timeout: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragetide/links/durable_client.py
+++ b/boragetide/links/durable_client.py
@@ -188,7 +188,7 @@
         return make_fenced_read(order, sent_at)
     if response.status != 200:
         other_life = response.status == HTTP_MISDIRECTED_REQUEST
-        return make_failed_read(order, other_life=other_life)
+        return make_failed_read(order, sent_at, other_life=other_life)
     return _read_list(order, response.body, sent_at, faults)
 
 
@@ -199,6 +199,6 @@
         listed = _decode(body, _Runs)
     except LinkError as error:
         faults.record("list_unreadable", order.server, str(error))
-        return make_failed_read(order)
+        return make_failed_read(order, sent_at)
     lists = read_run_lists(listed.running, listed.ended, _ROW_TYPES)
     return make_runs_read(order, sent_at, listed.clock, listed.born, lists, faults)
--- a/boragetide/links/order_results.py
+++ b/boragetide/links/order_results.py
@@ -61,13 +61,16 @@
     )
 
 
-def make_failed_read(order: ReadRuns, *, other_life: bool = False) -> ReadFailed:
+def make_failed_read(
+    order: ReadRuns, sent_at: Seconds, *, other_life: bool = False
+) -> ReadFailed:
     """Return the result of a request that has no answer that can be read."""
     return ReadFailed(
         order.server,
         get_term(order.fence),
         other_life=other_life,
         target_born=order.target_born,
+        sent_at=sent_at,
     )
 
 
--- a/boragetide/messages/dispatcher.py
+++ b/boragetide/messages/dispatcher.py
@@ -255,9 +255,12 @@
         Whether another backend server answered at the address.
     target_born
         Start of the process that the request was meant for, or 0 if it was not known.
+    sent_at
+        Time at which the request was sent, by the clock of this instance, if known.
     """
 
     server: BackendServerId
     term: int
     other_life: bool = False
     target_born: int = 0
+    sent_at: Seconds | None = None
--- a/properties/unanswered_site.py
+++ b/properties/unanswered_site.py
@@ -10,7 +10,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from itertools import count
 from typing import Any
@@ -38,7 +38,12 @@
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.fencing import get_term
 from boragetide.policy.scheduling import LATE_LIMIT_FACTOR, due_at
-from boragetide.settings import EMBEDDED_DEFAULT, parse_settings
+from boragetide.settings import (
+    EMBEDDED_DEFAULT,
+    DispatchSettings,
+    JobOrder,
+    parse_settings,
+)
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
 from boragetide.types import ReplyTo, Seconds
 from properties.simulated_server import SimulatedServer
@@ -141,7 +146,10 @@
         self.events: list[tuple[Seconds, int, Callable[[], None]]] = []
         self.numbers = count()
         self.catalogue = Catalogue()
-        settings = parse_settings(EMBEDDED_DEFAULT)
+        settings = replace(
+            parse_settings(EMBEDDED_DEFAULT),
+            dispatch=DispatchSettings(order=JobOrder.PRIORITY),
+        )
         self.state = DispatcherState(settings, int((BEGIN - 60.0) * 1000))
         self.requests: dict[str, Request] = {}
         self.servers = {
@@ -214,9 +222,7 @@
         )
         self.requests[job.id] = Request(job)
         caller = ReplyTo("e1", len(self.requests) - 1)
-        self.handle(
-            SubmitDurableJob(job=job, submitted_at=self.now, reply_to=caller)
-        )
+        self.handle(SubmitDurableJob(job=job, submitted_at=self.now, reply_to=caller))
         useful = LATE_LIMIT_FACTOR * (due_at(job) - job.submitted_at)
         self.after(useful + PATIENCE, lambda: self._withdraw(job.id))
         pause = self.arrivals.expovariate(load.jobs_per_second)
