Repeat unanswered calls after some round trips instead of 0.2 s

Cause: with 30% of the calls unanswered, the end of a run was known 171 ms late in the mean, because a lost list hides all ends for 0.45 s and a second loss waits for pauses and ticks; a lost start cost 0.2 s; and leases lapsed after two lost lists.

Change: orders time out after 0.04 to 0.2 s by the response times of their server. A start has up to four copies with the same run number, a list that timed out is asked for again at once, both within a budget of one repetition for each call. Lists wait for 0.05 or 0.1 s while calls go unanswered, and renew leases until 0.3 s after the first loss. A server that has answered another call since a list was asked for is not silent. No run is freed by a timeout: a task starts elsewhere by the same proofs as before.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -7,7 +7,8 @@
 
 from sortedcontainers import SortedDict
 
-from boragetide.controllers.server_state import FreedRun, LostRun, Run, Server
+from boragetide.controllers.run_state import FreedRun, LostRun, Run
+from boragetide.controllers.server_state import Server
 from boragetide.controllers.transfer_state import TransferState
 from boragetide.durable import (
     JobPhase,
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -17,6 +17,7 @@
     store_record,
 )
 from boragetide.controllers.explaining import explain_job
+from boragetide.controllers.failed_lists import record_failed_read
 from boragetide.controllers.held_submissions import list_held_requests
 from boragetide.controllers.isolating import place_suspects
 from boragetide.controllers.job_records import apply_record
@@ -39,7 +40,6 @@
 from boragetide.controllers.orders import (
     apply_order_result,
     free_expired_runs,
-    record_failed_read,
     repeat_stops,
     stop_overdue,
 )
--- /dev/null
+++ b/boragetide/controllers/failed_lists.py
@@ -0,0 +1,49 @@
+"""Requests for lists of runs that get no answer."""
+
+from __future__ import annotations
+
+from boragetide.controllers.dispatch_state import DispatcherState
+from boragetide.controllers.server_state import MAX_FAILED_LISTS, Server
+from boragetide.effects import Effect, LogEvent
+from boragetide.messages import ReadFailed
+from boragetide.policy.call_timeouts import MIN_CALL_TIMEOUT
+from boragetide.types import Seconds
+
+# Pauses before an unanswered `ReadRuns` is repeated. The first repetition follows at
+# once, because only the answer may have been lost; the pauses before later ones double.
+READ_RETRY_DELAYS: tuple[Seconds, ...] = (0.0, 0.1, 0.2, 0.4)
+
+
+def record_failed_read(
+    state: DispatcherState, message: ReadFailed, now: Seconds
+) -> list[Effect]:
+    """Record that a `ReadRuns` has no answer, and when it is repeated."""
+    server = state.servers_by_id.get(message.server)
+    if server is None or message.term != state.term:
+        return []
+    server.reading = False
+    if not server.is_target(message.target_born):
+        return []
+    server.acknowledged_sent = 0
+    if message.other_life:
+        server.departed = True
+    was_silent = server.silent
+    server.next_read_at = now + _find_pause(server, message.sent_at, now)
+    server.record_failed_list(now if message.sent_at is None else message.sent_at, now)
+    if was_silent or not server.silent:
+        return []
+    fields = {"server": message.server, "heard_ago": now - server.last_contact_at}
+    return [LogEvent("backend_server_silent", fields)]
+
+
+def _find_pause(server: Server, sent_at: Seconds | None, now: Seconds) -> Seconds:
+    """Return the pause before a list is asked for again.
+
+    A request that has timed out has waited already, so that several of them are
+    repeated without a pause, within the budget. One that fails at once is not.
+    """
+    failures = server.unanswered
+    has_timed_out = sent_at is not None and now - sent_at >= MIN_CALL_TIMEOUT
+    if has_timed_out and server.calls.take_repetition():
+        failures = max(failures - MAX_FAILED_LISTS, 0)
+    return READ_RETRY_DELAYS[min(failures, len(READ_RETRY_DELAYS) - 1)]
--- a/boragetide/controllers/freed_runs.py
+++ b/boragetide/controllers/freed_runs.py
@@ -11,7 +11,8 @@
 from functools import singledispatch
 
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.controllers.server_state import FreedRun, Run, Server
+from boragetide.controllers.run_state import FreedRun, Run
+from boragetide.controllers.server_state import Server
 from boragetide.durable import ListedEnd, ListedRun
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.messages import RunsRead
--- a/boragetide/controllers/lost_runs.py
+++ b/boragetide/controllers/lost_runs.py
@@ -14,7 +14,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState, has_authority
 from boragetide.controllers.job_records import append_command, apply_record
 from boragetide.controllers.placing_runs import update_queue
-from boragetide.controllers.server_state import LostRun
+from boragetide.controllers.run_state import LostRun
 from boragetide.durable import JobPhase, JobRecord, LossFate, RunLoss, ServerReport
 from boragetide.effects import Count, Effect, LogEvent
 from boragetide.policy import job_table
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -9,7 +9,12 @@
     update_server_index,
 )
 from boragetide.controllers.freed_runs import remember_freed_run
-from boragetide.controllers.placing_runs import make_start, update_queue
+from boragetide.controllers.placing_runs import (
+    MAX_START_COPIES,
+    make_start,
+    update_queue,
+)
+from boragetide.controllers.run_state import LostRun, Run, RunPhase
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
     LATE_RUN_WAIT,
@@ -17,21 +22,16 @@
     MAX_LEASE_DURATION,
     MAX_ORDER_DELAY,
     MIN_CLOCK_RATE,
-    LostRun,
-    Run,
-    RunPhase,
     Server,
 )
 from boragetide.controllers.zone_service import is_open
 from boragetide.durable import TaskRef
 from boragetide.effects import Effect, LogEvent, StopRun
-from boragetide.messages import OrderResult, ReadFailed, RunOrdered
+from boragetide.messages import OrderResult, RunOrdered
+from boragetide.policy.call_timeouts import MIN_CALL_TIMEOUT
 from boragetide.types import BackendServerId, Seconds
 
-# Pauses before an unanswered `ReadRuns` is repeated. The first repetition follows at
-# once, because only the answer may have been lost; the pauses before later ones double.
-READ_RETRY_DELAYS: tuple[Seconds, ...] = (0.0, 0.1, 0.2, 0.4)
-STOP_RETRY_DELAY: Seconds = 0.1
+STOP_RETRY_DELAY: Seconds = 0.05
 REASON_LISTED = "listed"  # reason of a run that is over because its end was listed
 REASON_LEASE_LAPSED = "lease_lapsed"
 REASON_NOT_LISTED = "not_listed"
@@ -67,15 +67,27 @@
     answered_at = now
     if message.clock is not None and is_current:
         answered_at = server.record_answer(message.clock, message.sent_at, now)
+    if is_current:
+        _note_response(server, message, answered_at, now)
     if message.result is OrderResult.OTHER_LIFE and is_current:
         server.departed = True
     if message.started:
         _note_start_answer(run, message)
         run.began |= _shows_begin(run, message.result)
-        return _apply_start_result(state, server, run, message.result, answered_at, now)
+        return _apply_start_result(state, server, run, message, answered_at, now)
     return _apply_stop_result(run, message.result, now)
 
 
+def _note_response(
+    server: Server, message: RunOrdered, answered_at: Seconds, now: Seconds
+) -> None:
+    """Note that the process has answered an order, or that it has not."""
+    if message.result is OrderResult.UNANSWERED:
+        server.calls.unanswered_at = now
+    elif message.result is not OrderResult.OTHER_LIFE:
+        server.record_response(answered_at, message.sent_at, now)
+
+
 def _note_start_answer(run: Run, message: RunOrdered) -> None:
     """Note when an unanswered start was sent, which may be after its decision."""
     if message.result is OrderResult.UNANSWERED:
@@ -103,10 +115,11 @@
     state: DispatcherState,
     server: Server,
     run: Run,
-    result: OrderResult,
+    message: RunOrdered,
     answered_at: Seconds,
     now: Seconds,
 ) -> list[Effect]:
+    result = message.result
     if result is OrderResult.DONE:
         if run.phase is RunPhase.ORDERED:
             run.phase, run.started_at = RunPhase.RUNNING, answered_at
@@ -123,10 +136,9 @@
         return [log]
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.cooldown_until = now + REFUSAL_COOLDOWN
-    may_repeat = not run.start_repeated and _was_ordered_in_this_life(server, run)
-    # A repeated start may be the first to arrive.
-    may_repeat = may_repeat and is_open(state, server, now)
-    if result is OrderResult.UNANSWERED and may_repeat:
+    if result is OrderResult.UNANSWERED and _may_repeat_start(
+        state, server, run, message.sent_at, now
+    ):
         return [log, *_repeat_start(state, server, run, now)]
     if result is OrderResult.OLD_RUN and run.start_repeated:
         # The first order was carried out: either the end of the run is listed next, or
@@ -139,6 +151,31 @@
     return [log, *free_run(state, server, run, result.value)]
 
 
+def _may_repeat_start(
+    state: DispatcherState, server: Server, run: Run, sent_at: Seconds, now: Seconds
+) -> bool:
+    """Return whether a start without an answer is ordered again.
+
+    A repeated start may be the first to arrive, so the zone must be open. The second
+    repetition is for calls that are lost on the way: not for those that fail at once,
+    nor at a server that answers nothing else.
+
+    Parameters
+    ----------
+    sent_at
+        Time at which the unanswered copy was sent.
+    """
+    if run.start_copies >= MAX_START_COPIES or not is_open(state, server, now):
+        return False
+    if not _was_ordered_in_this_life(server, run):
+        return False
+    if run.start_repeated:
+        has_timed_out = now - sent_at >= MIN_CALL_TIMEOUT
+        if not has_timed_out or server.silent or server.departed:
+            return False
+    return server.calls.take_repetition()
+
+
 def _repeat_start(
     state: DispatcherState, server: Server, run: Run, now: Seconds
 ) -> list[Effect]:
@@ -160,7 +197,9 @@
         # The run stays in the list until its end is listed. If its start has not
         # arrived yet, the run will never begin.
         run.order_answered_at = now
-    else:
+        run.stop_answered = True
+        run.next_stop_at = None
+    elif not run.stop_answered:
         run.next_stop_at = now + STOP_RETRY_DELAY
     return []
 
@@ -174,6 +213,7 @@
     run.phase = RunPhase.STOPPING
     run.order_answered_at = None
     run.next_stop_at = None
+    run.stop_answered = False
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "reason": reason}
     return [
@@ -213,34 +253,10 @@
         run=run,
         fence=get_fence(state, server),
         target_born=report.born,
+        timeout=server.calls.find_timeout(),
     )
 
 
-def record_failed_read(
-    state: DispatcherState, message: ReadFailed, now: Seconds
-) -> list[Effect]:
-    """Mark a backend server as silent until it answers another `ReadRuns`.
-
-    Nothing is started there in the meantime.
-    """
-    server = state.servers_by_id.get(message.server)
-    if server is None or message.term != state.term:
-        return []
-    server.reading = False
-    if not server.is_target(message.target_born):
-        return []
-    server.acknowledged_sent = 0
-    if message.other_life:
-        server.departed = True
-    pause = READ_RETRY_DELAYS[min(server.unanswered, len(READ_RETRY_DELAYS) - 1)]
-    server.next_read_at = now + pause
-    server.unanswered += 1
-    if server.unanswered > 1:
-        return []
-    fields = {"server": message.server, "heard_ago": now - server.last_contact_at}
-    return [LogEvent("backend_server_silent", fields)]
-
-
 def stop_overdue(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Stop runs that appear to make no progress, so that their tasks start elsewhere.
 
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -60,6 +60,12 @@
 MAX_ANNOUNCEMENT_AGE: Seconds = 3.5
 # All backend servers have announced themselves to a process of this age.
 DISCOVERY_PERIOD: Seconds = 3.5
+# Copies of a start with the same run number. With 30% of the calls lost, 3% of the
+# starts lose all of three.
+MAX_START_COPIES = 4
+# Multiple of the usual timeout after which the last copy counts as unanswered, so that
+# a server that pauses for less than six timeouts keeps its runs.
+LAST_COPY_FACTOR = 4.0
 # Leases that an earlier leader granted have expired this long after its last order,
 # also at a process whose clock it did not know.
 LEASE_EXPIRY_WAIT: Seconds = LONGEST_LEASE + LEASE_EXPIRY_MARGIN
@@ -518,6 +524,10 @@
 ) -> StartRun:
     """Return the order that starts a run; repeating it does not start a second run."""
     run.start_unanswered_at = now
+    run.start_copies += 1
+    if run.start_copies == 1:
+        server.calls.add_call()
+    is_last = run.start_copies >= MAX_START_COPIES
     state.start_window.add((server.report.id, *run.key, run.number), now)
     return StartRun(
         server=server.report.id,
@@ -529,6 +539,7 @@
         fence=get_fence(state, server),
         lease_until=extend_lease(server, now),
         target_born=server.report.born,
+        timeout=server.calls.find_timeout(LAST_COPY_FACTOR if is_last else 1.0),
     )
 
 
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -13,6 +13,12 @@
     remember_freed_run,
     report_listed_freed_runs,
 )
+from boragetide.controllers.list_timing import (
+    READ_MAX_WAIT,
+    find_list_timeout,
+    find_wait,
+    may_renew,
+)
 from boragetide.controllers.orders import (
     REASON_NOT_LISTED,
     free_run,
@@ -38,9 +44,6 @@
 from boragetide.messages import RunsRead
 from boragetide.types import JobId, Seconds
 
-# A backend server delays its answer to a `ReadRuns` by up to this long until a run
-# ends. A lease of `LEASE_DURATION` is thus renewed twice even if one answer is lost.
-READ_MAX_WAIT: Seconds = 0.25
 # While ends wait to be committed, a lease is renewed only if less than this is left.
 RENEWAL_THRESHOLD: Seconds = 0.4
 # Pause after a list that does not hold all ends, in which these may be committed.
@@ -73,26 +76,27 @@
     # Each process numbers its ends from 1. An acknowledgement that reaches the next
     # process makes it forget its own ends. A number is therefore sent only once, and
     # only after an answer has shown which process it is.
-    acknowledges = server.acknowledged > server.acknowledged_sent and not server.silent
+    may_acknowledge = not server.list_failed
+    acknowledges = server.acknowledged > server.acknowledged_sent and may_acknowledge
     # A silent backend server is used again only after an answer.
-    is_back = server.silent and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
+    is_back = server.list_failed and now - server.last_contact_at < ANNOUNCEMENT_TIMEOUT
     has_reason = wanted or is_first or has_runs or acknowledges or is_back
     has_reason = has_reason or _has_old_clock(server, now)
     if not (has_reason or server.unexpected_runs):
         return []
     if server.uncommitted_ends and now < server.leases_expired_at - RENEWAL_THRESHOLD:
         return []
-    server.reading = True
     if acknowledges:
         server.acknowledged_sent = server.acknowledged
-    # An unanswered renewal may have arrived. After two unanswered requests no further
-    # renewal is sent, so that the lease certainly expires if the backend server stays
-    # unreachable.
     holds_runs = has_runs or bool(server.unexpected_runs)
-    renews = server.clock.offset is not None and holds_runs and server.unanswered <= 1
-    waits = has_runs and not (is_first or server.uncommitted_ends or server.silent)
+    renews = server.clock.offset is not None and holds_runs and may_renew(server, now)
+    waits = has_runs and not (is_first or server.uncommitted_ends or server.list_failed)
     # Ends that are not acknowledged are listed at once, each time.
     waits = waits and server.acknowledge_until is None
+    wait = find_wait(server, now) if waits else 0.0
+    server.reading, server.read_waits = True, wait > 0.0
+    if not server.list_failed:
+        server.calls.add_call()
     return [
         ReadRuns(
             server=server.report.id,
@@ -100,8 +104,9 @@
             fence=get_fence(state, server),
             acknowledged=server.acknowledged if acknowledges else 0,
             lease_until=extend_lease(server, now) if renews else None,
-            wait=READ_MAX_WAIT if waits else 0.0,
+            wait=wait,
             target_born=server.report.born,
+            timeout=wait + find_list_timeout(server),
         )
     ]
 
@@ -115,7 +120,10 @@
     age = server.clock.find_age(now)
     is_announced = now - server.announced_at < ANNOUNCEMENT_TIMEOUT
     return (
-        age is not None and age > MAX_CLOCK_AGE and is_announced and not server.silent
+        age is not None
+        and age > MAX_CLOCK_AGE
+        and is_announced
+        and not server.list_failed
     )
 
 
@@ -138,8 +146,10 @@
         server = state.servers_by_id[message.server]
         is_current = False
     listed_at = server.record_answer(message.clock, message.sent_at, now)
+    if not server.read_waits:
+        server.calls.record_response(now - message.sent_at)
     # An end that was listed late, after unanswered requests, does not show the speed.
-    may_learn = not server.silent
+    may_learn = not server.list_failed
     server.unanswered = 0
     server.runs_requested_at, server.runs_listed_at = message.sent_at, listed_at
     is_first = server.read_term != state.term
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import StrEnum
 
-from boragetide.durable import ListedRun, Resources, ServerReport, TaskRef
+from boragetide.controllers.run_state import Run, RunPhase
+from boragetide.durable import ListedRun, Resources, ServerReport
+from boragetide.policy.call_timeouts import CallRecord
 from boragetide.policy.peer_clock import MAX_CLOCK_DRIFT, PeerClock
 from boragetide.policy.room_index import ServerKind
 from boragetide.policy.zones import Trial
-from boragetide.types import BackendServerId, JobId, Seconds
+from boragetide.types import JobId, Seconds
 
 # A lease is renewed about three times before it expires.
 LEASE_DURATION: Seconds = 0.8
@@ -25,81 +26,13 @@
 LONGEST_LEASE: Seconds = MAX_LEASE_DURATION / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN
 # Time from an order without an answer until the lease that it grants has expired.
 LATE_RUN_WAIT: Seconds = MAX_ORDER_DELAY + LONGEST_LEASE
+# A backend server of which so many lists in a row have failed counts as silent, also
+# if it answers other calls: the ends of its runs are not known.
+MAX_FAILED_LISTS = 6
 # Sequence number of the report of a process that has not announced itself yet.
 UNANNOUNCED_SEQUENCE = -1
 
 
-class RunPhase(StrEnum):
-    """Phase of a run that occupies its task, as far as the leader knows."""
-
-    ORDERED = "ordered"
-    RUNNING = "running"
-    STOPPING = "stopping"
-    ENDED = "ended"  # listed as done or failed; the end is not committed yet
-
-
-@dataclass(slots=True)
-class Run:
-    """One run of a task.
-
-    Parameters
-    ----------
-    ref
-        Reference of the task; the record of its job may be dropped before the run is
-        over.
-    ordered_at
-        Time at which the run was ordered or first listed.
-    started_at
-        Time at which the run was first known to be running.
-    order_answered_at
-        Time at which the last order for the run was answered. A list of runs that is
-        requested later contains the run, unless the run is over.
-    next_stop_at
-        Time at which the stop is ordered again, because the last stop order may not
-        have arrived.
-    start_repeated
-        Whether the start was ordered twice, because the first order was not answered.
-    start_unanswered_at
-        Latest time at which a start was ordered that has no answer, if there is one. It
-        may begin the run at the next process of the backend server.
-    server_born
-        Start of the backend server's process that was known when the run was ordered or
-        first listed, in Unix milliseconds.
-    seen_born
-        Start of the process that listed the run last, or to which it was ordered.
-    alone
-        Whether nothing else is started on the backend server while the run is there.
-    adopted
-        Whether an earlier leader ordered the run.
-    began
-        Whether the backend server has shown that the run began.
-    """
-
-    job_id: JobId
-    task: int
-    ref: TaskRef
-    number: int
-    needs: Resources
-    ordered_at: Seconds
-    phase: RunPhase = RunPhase.ORDERED
-    started_at: Seconds | None = None
-    order_answered_at: Seconds | None = None
-    next_stop_at: Seconds | None = None
-    start_repeated: bool = False
-    start_unanswered_at: Seconds | None = None
-    estimate: Seconds = 0.0
-    server_born: int = 0
-    seen_born: int = 0
-    alone: bool = False
-    adopted: bool = False
-    began: bool = False
-
-    @property
-    def key(self) -> tuple[JobId, int]:
-        """The task that this run occupies."""
-        return self.job_id, self.task
-
-
 def make_server_clock() -> PeerClock:
     """Make the bound of a backend server's clock, before its first reading."""
     return PeerClock(max_drift=MAX_SERVER_CLOCK_DRIFT)
@@ -125,12 +58,19 @@
         fencing token. Nothing is started there before it has done so in the current
         term. From then on it carries out no order that an earlier leader gave or that
         was meant for an earlier process.
-    reading
-        Whether a `ReadRuns` is in progress.
+    reading, read_waits
+        Whether a `ReadRuns` is in progress, and whether the last one allowed a wait for
+        the end of a run, so that its answer shows no response time.
     next_read_at
         Earliest time of the next `ReadRuns`.
+    calls
+        Response times of the process, and the repetitions of calls that are left.
+    answered_at
+        Latest time at which the process can have answered a start or a stop.
     unanswered
         Number of consecutive `ReadRuns` requests that were not answered.
+    failing_since, first_failed_sent_at
+        Time at which the first of them was found unanswered, and at which it was sent.
     leases_expired_at
         Time on this instance's clock at which the last lease that was granted by the
         clock of the known process has certainly expired.
@@ -198,8 +138,13 @@
     process: int = 0
     read_term: int = 0
     reading: bool = False
+    read_waits: bool = False
     next_read_at: Seconds = 0.0
+    calls: CallRecord = field(default_factory=CallRecord)
+    answered_at: Seconds = 0.0
     unanswered: int = 0
+    failing_since: Seconds = 0.0
+    first_failed_sent_at: Seconds = 0.0
     leases_expired_at: Seconds = 0.0
     unknown_leases_expired_at: Seconds = 0.0
     runs_by_task: dict[tuple[JobId, int], Run] = field(default_factory=dict)
@@ -257,6 +202,20 @@
         self.last_contact_at = max(self.last_contact_at, answered_at)
         return answered_at
 
+    def record_response(
+        self, answered_at: Seconds, sent_at: Seconds, now: Seconds
+    ) -> None:
+        """Record that a start or a stop was answered, and after which time."""
+        self.answered_at = max(self.answered_at, answered_at)
+        self.calls.record_response(now - sent_at)
+
+    def record_failed_list(self, sent_at: Seconds, now: Seconds) -> None:
+        """Record that a `ReadRuns` that was sent at ``sent_at`` is unanswered."""
+        if not self.unanswered:
+            self.failing_since, self.first_failed_sent_at = now, sent_at
+        self.unanswered += 1
+        self.calls.unanswered_at = now
+
     def bound_unknown_leases(self, now: Seconds) -> None:
         """Bound the leases that another leader granted, or that an earlier process got.
 
@@ -320,13 +279,24 @@
         return self.report.sequence != UNANNOUNCED_SEQUENCE
 
     @property
-    def silent(self) -> bool:
+    def list_failed(self) -> bool:
         """Whether the last `ReadRuns` was not answered."""
         return self.unanswered > 0
 
+    @property
+    def silent(self) -> bool:
+        """Whether the process counts as unreachable, so that nothing starts there.
+
+        A failed list says nothing about a process that has answered another call since
+        it was asked for, unless further lists fail as well.
+        """
+        if self.unanswered >= MAX_FAILED_LISTS:
+            return True
+        return self.list_failed and self.answered_at <= self.first_failed_sent_at
+
     def has_answered_since(self, moment: Seconds) -> bool:
         """Return whether the process has certainly listed its runs after a time."""
-        is_lost = self.silent or self.departed
+        is_lost = self.list_failed or self.departed
         return not is_lost and self.runs_requested_at >= moment
 
     @property
@@ -353,33 +323,3 @@
         if self.isolated or self.evacuated:
             return Resources()
         return self.report.capacity.minus(self.used)
-
-
-@dataclass(frozen=True, slots=True)
-class FreedRun:
-    """A run that was counted as over although its end was not listed.
-
-    Parameters
-    ----------
-    reason
-        Why the run was counted as over.
-    born
-        Start of the process that listed the run last, or to which it was ordered.
-    may_have_ended
-        Whether the run may have ended unnoticed, so that its end may be listed later.
-    """
-
-    task: int
-    reason: str
-    freed_at: Seconds
-    born: int
-    may_have_ended: bool
-
-
-@dataclass(slots=True)
-class LostRun:
-    """A run that was lost with the process of its backend server."""
-
-    run: Run
-    server: BackendServerId
-    address: str
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -129,7 +129,8 @@
 
 def _may_be_replaced(state: DispatcherState, server: Server) -> bool:
     """Return whether the next process of a server may be there, not yet called."""
-    return server.silent or server.departed or server.read_term != state.term
+    is_lost = server.list_failed or server.departed
+    return is_lost or server.read_term != state.term
 
 
 def confirm_record(state: DispatcherState, command_ids: Collection[str]) -> None:
--- /dev/null
+++ b/boragetide/tests/test_unanswered_calls.py
@@ -0,0 +1,294 @@
+"""The dispatcher and backend servers of which some calls get no answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from boragetide.controllers.list_timing import (
+    LOSSY_READ_WAIT,
+    READ_MAX_WAIT,
+    RENEWAL_PERIOD,
+    SHORT_READ_WAIT,
+)
+from boragetide.controllers.placing_runs import MAX_START_COPIES
+from boragetide.controllers.server_state import MAX_FAILED_LISTS, Server
+from boragetide.durable import Step
+from boragetide.effects import LogEvent, ReadRuns, StartRun, StopRun
+from boragetide.messages import (
+    OrderResult,
+    ReadFailed,
+    RemoveServer,
+    SubmitDurableJob,
+    Tick,
+)
+from boragetide.policy.call_timeouts import LOSS_MEMORY, MIN_CALL_TIMEOUT
+from boragetide.tests.durable_fixtures import (
+    BEGIN,
+    CALLER,
+    NEEDS,
+    Leader,
+    list_run,
+    make_durable_job,
+)
+
+
+def start_one(
+    leader: Leader, job_id: str = "j1", now: float = BEGIN, estimate: float = 4.0
+) -> StartRun:
+    """Start a task of a best-effort job, and return the order."""
+    step = Step(1, NEEDS, estimate)
+    job = make_durable_job(job_id, step, best_effort=True, submitted_at=now)
+    leader.handle(SubmitDurableJob(job=job, submitted_at=now, reply_to=CALLER), now)
+    (start,) = leader.starts()
+    return start
+
+
+def time_out(leader: Leader, order: StartRun | StopRun, sent_at: float) -> float:
+    """Let an order time out; return the time at which it does."""
+    now = sent_at + MIN_CALL_TIMEOUT
+    leader.answer(order, OrderResult.UNANSWERED, now=now, sent_at=sent_at)
+    return now
+
+
+def fail_list(leader: Leader, now: float, sent_at: float | None = None) -> None:
+    """Let a list fail that was sent long enough before to have timed out."""
+    sent_at = now - MIN_CALL_TIMEOUT if sent_at is None else sent_at
+    leader.handle(ReadFailed("s1", leader.term, sent_at=sent_at), now)
+
+
+def get_server(leader: Leader, server_id: str = "s1") -> Server:
+    return leader.state.servers_by_id[server_id]
+
+
+def lose_copies(leader: Leader, start: StartRun, count: int) -> float:
+    """Let copies of a start time out; return the time of the last timeout."""
+    now = BEGIN
+    for number in range(count):
+        now = time_out(leader, start, now)
+        if number < MAX_START_COPIES - 1:
+            (again,) = leader.starts()
+            assert (again.run, again.server) == (start.run, start.server)
+    return now
+
+
+def read_once(leader: Leader, now: float) -> ReadRuns:
+    """Return the request for a list that the leader sends at a tick."""
+    leader.handle(Tick(), now)
+    (request,) = leader.reads()
+    return request
+
+
+def test_list_counts_as_lost_soon_after_its_wait(leader: Leader) -> None:
+    """Guards against ends that stay unknown for half a second."""
+    start = start_one(leader)
+    leader.answer(start)
+    (request,) = leader.reads()
+    assert request.wait == READ_MAX_WAIT
+    assert request.timeout == pytest.approx(READ_MAX_WAIT + MIN_CALL_TIMEOUT)
+
+
+def test_lists_wait_for_less_while_calls_go_unanswered(leader: Leader) -> None:
+    """Guards against lost lists that hide the ends of all runs for long."""
+    start = start_one(leader)
+    leader.answer(start)
+    lost_at = BEGIN + 0.3
+    fail_list(leader, lost_at)
+    running = (list_run(start),)
+    leader.list_runs(running=running, now=lost_at + 0.01)
+    (request,) = leader.reads()
+    assert request.wait == LOSSY_READ_WAIT
+    leader.list_runs(running=running, now=lost_at + LOSS_MEMORY + 0.01)
+    (request,) = leader.reads()
+    assert request.wait == READ_MAX_WAIT
+
+
+def test_lists_wait_for_least_when_a_run_is_about_to_end(leader: Leader) -> None:
+    """Guards against short runs whose ends are learned too late to be of use."""
+    start = start_one(leader, estimate=0.3)
+    leader.answer(start)
+    fail_list(leader, BEGIN + 0.05)
+    leader.list_runs(running=(list_run(start),), now=BEGIN + 0.25)
+    (request,) = leader.reads()
+    assert request.wait == SHORT_READ_WAIT
+
+
+def test_list_that_times_out_is_asked_for_again_at_once(leader: Leader) -> None:
+    """Guards against pauses that add to the timeouts of several lost lists."""
+    leader.answer(start_one(leader))
+    for number in range(1, MAX_FAILED_LISTS + 1):
+        fail_list(leader, BEGIN + 0.1 * number)
+        (request,) = leader.reads()
+        assert request.wait == 0.0
+    fail_list(leader, BEGIN + 0.1 * MAX_FAILED_LISTS + 0.1)
+    fail_list(leader, BEGIN + 0.1 * MAX_FAILED_LISTS + 0.2)
+    assert leader.reads() == []
+
+
+def test_list_of_a_server_that_becomes_slow_gets_more_time(leader: Leader) -> None:
+    """Guards against a server that is lost because its answers take longer."""
+    leader.answer(start_one(leader))
+    timeouts = []
+    for number in range(1, MAX_FAILED_LISTS):
+        fail_list(leader, BEGIN + 0.2 * number)
+        timeouts += [request.timeout for request in leader.reads()]
+    assert timeouts[0] == MIN_CALL_TIMEOUT
+    assert timeouts[-1] > 4 * MIN_CALL_TIMEOUT
+
+
+def test_server_that_answers_other_calls_takes_tasks_although_a_list_is_lost(
+    leader: Leader,
+) -> None:
+    """Guards against servers that are out of use for a lost list."""
+    start = start_one(leader)
+    leader.answer(start, now=BEGIN + 0.1)
+    fail_list(leader, BEGIN + 0.3, sent_at=BEGIN + 0.05)
+    assert not get_server(leader).silent
+    assert start_one(leader, "j2", BEGIN + 0.31).server == "s1"
+
+
+def test_server_that_answers_nothing_gets_no_task(leader: Leader) -> None:
+    """Guards against starts at a server that is gone."""
+    leader.answer(start_one(leader), now=BEGIN + 0.01)
+    fail_list(leader, BEGIN + 0.3, sent_at=BEGIN + 0.02)
+    logged = [each.event for each in leader.effects if isinstance(each, LogEvent)]
+    assert "backend_server_silent" in logged
+    leader.join("s2", now=BEGIN + 0.3)
+    assert start_one(leader, "j2", BEGIN + 0.31).server == "s2"
+
+
+def test_server_whose_lists_all_fail_is_silent_although_it_answers_starts(
+    leader: Leader,
+) -> None:
+    """Guards against starts at a server of which no end would be learned."""
+    start = start_one(leader)
+    for number in range(1, MAX_FAILED_LISTS + 1):
+        now = BEGIN + 0.1 * number
+        leader.answer(start, now=now)
+        assert not get_server(leader).silent
+        fail_list(leader, now + 0.05)
+    assert get_server(leader).silent
+
+
+def test_leases_are_renewed_while_some_lists_are_lost(leader: Leader) -> None:
+    """Guards against runs that are killed because a list and its copy were lost."""
+    leader.answer(start_one(leader))
+    fail_list(leader, BEGIN + 0.3)
+    fail_list(leader, BEGIN + 0.4)
+    fail_list(leader, BEGIN + 0.5)
+    (request,) = leader.reads()
+    assert request.lease_until is not None
+
+
+def test_leases_of_a_server_that_stays_silent_end(leader: Leader) -> None:
+    """Guards against tasks of a lost server that never start again."""
+    leader.answer(start_one(leader))
+    fail_list(leader, BEGIN + 0.3)
+    fail_list(leader, BEGIN + 0.4)
+    fail_list(leader, BEGIN + 0.3 + RENEWAL_PERIOD)
+    (request,) = leader.reads()
+    assert request.lease_until is None
+
+
+def test_start_is_repeated_several_times_before_its_run_is_stopped(
+    leader: Leader,
+) -> None:
+    """Guards against runs that are given up for two lost calls."""
+    start = start_one(leader)
+    leader.list_runs()
+    leader.join("s2", now=BEGIN + 0.001)
+    now = lose_copies(leader, start, MAX_START_COPIES)
+    (stop,) = leader.stops()
+    assert leader.starts() == []
+    leader.handle(Tick(), now + 0.01)
+    assert leader.starts() == []
+    leader.answer(stop, now=now + 0.02)
+    assert leader.starts() == []
+    leader.list_runs(now=now + 0.04, sent_at=now + 0.03)
+    (elsewhere,) = leader.starts()
+    assert (elsewhere.task, elsewhere.run) == (start.task, start.run + 1)
+
+
+def test_last_copy_of_a_start_has_more_time(leader: Leader) -> None:
+    """Guards against runs that are stopped because their server pauses for a moment."""
+    leader.answer(start_one(leader, "j0"))
+    start = start_one(leader)
+    assert start.timeout == MIN_CALL_TIMEOUT
+    lose_copies(leader, start, MAX_START_COPIES - 1)
+    (last,) = leader.starts()
+    assert last.timeout > 3 * MIN_CALL_TIMEOUT
+
+
+def test_start_is_not_repeated_often_at_a_silent_server(leader: Leader) -> None:
+    """Guards against messages to a server that is gone."""
+    start = start_one(leader)
+    now = time_out(leader, start, BEGIN)
+    fail_list(leader, now, sent_at=BEGIN)
+    time_out(leader, start, now)
+    assert leader.starts() == []
+    assert [stop.run for stop in leader.stops()] == [start.run]
+
+
+def test_start_is_not_repeated_when_the_budget_is_used_up(leader: Leader) -> None:
+    """Guards against a fault that multiplies the messages."""
+    start = start_one(leader)
+    get_server(leader).calls.repetitions = 0.0
+    time_out(leader, start, BEGIN)
+    assert leader.starts() == []
+    assert [stop.run for stop in leader.stops()] == [start.run]
+
+
+def test_late_answer_to_the_first_copy_shows_that_the_run_began(leader: Leader) -> None:
+    """Guards against stopping a run at a server that is slow to answer."""
+    start = start_one(leader)
+    now = lose_copies(leader, start, MAX_START_COPIES - 1)
+    leader.answer(start, now=now + 0.01, sent_at=BEGIN)
+    time_out(leader, start, now)
+    assert (leader.starts(), leader.stops()) == ([], [])
+    assert get_server(leader).calls.find_timeout() > MIN_CALL_TIMEOUT
+
+
+@pytest.mark.parametrize("refusal", [OrderResult.NO_ROOM, OrderResult.LATE])
+def test_late_refusal_of_one_copy_does_not_free_the_task(
+    leader: Leader, refusal: OrderResult
+) -> None:
+    """Guards against two runs: another copy of the start may still be carried out."""
+    start = start_one(leader)
+    leader.join("s2", now=BEGIN + 0.001)
+    now = time_out(leader, start, BEGIN)
+    leader.answer(start, refusal, now=now + 0.01, sent_at=BEGIN)
+    leader.handle(Tick(), now + 0.02)
+    assert leader.starts() == []
+    assert leader.state.server_by_task["j1", 0] == "s1"
+
+
+def test_stop_with_a_late_answer_is_not_repeated(leader: Leader) -> None:
+    """Guards against a task that waits for the answer to a needless stop."""
+    start = start_one(leader)
+    now = lose_copies(leader, start, MAX_START_COPIES)
+    (stop,) = leader.stops()
+    late = time_out(leader, stop, now)
+    leader.answer(stop, now=late + 0.01, sent_at=now)
+    leader.handle(Tick(), late + 0.2)
+    assert leader.stops() == []
+
+
+def test_answer_to_a_start_does_not_end_the_repetition_of_a_stop(
+    leader: Leader,
+) -> None:
+    """Guards against a run that goes on because its start was answered late."""
+    start = start_one(leader)
+    now = lose_copies(leader, start, MAX_START_COPIES)
+    (stop,) = leader.stops()
+    leader.answer(start, now=now + 0.01, sent_at=BEGIN)
+    late = time_out(leader, stop, now)
+    leader.handle(Tick(), late + 0.2)
+    assert [each.run for each in leader.stops()] == [start.run]
+
+
+def test_start_at_a_server_that_has_left_is_not_repeated_again(leader: Leader) -> None:
+    """Guards against copies to a process that may be replaced at any moment."""
+    start = start_one(leader)
+    now = time_out(leader, start, BEGIN)
+    leader.handle(RemoveServer("s1", passed_on=True), now)
+    time_out(leader, start, now)
+    assert leader.starts() == []
--- a/properties/unanswered_site.py
+++ b/properties/unanswered_site.py
@@ -21,15 +21,14 @@
 from boragetide.durable import DurableJob, JobPhase, Resources, Step, TaskRef
 from boragetide.effects import LogEvent, ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.links.order_call import ORDER_TIMEOUT, READ_MARGIN
+from boragetide.links.order_results import make_failed_read, make_run_ordered
 from boragetide.messages import (
     AppendCommands,
     JobsCommitted,
     LeadershipGained,
     OrderResult,
-    ReadFailed,
     ReplyStatus,
     ReportServer,
-    RunOrdered,
     RunsRead,
     SubmitDurableJob,
     Tick,
@@ -309,7 +308,7 @@
 
     @singledispatchmethod
     def _time_out(self, effect: Any, sent_at: Seconds) -> None:
-        result = self._make_result(effect, sent_at, OrderResult.UNANSWERED, None)
+        result = make_run_ordered(effect, sent_at, OrderResult.UNANSWERED, None)
         self.handle(result)
 
     @_time_out.register
@@ -376,29 +375,9 @@
         if pending is None:
             return
         clock = server.read_clock(self.now)
-        answer = self._make_result(effect, sent_at, result, clock)
+        answer = make_run_ordered(effect, sent_at, result, clock)
         self.after(TRANSIT, lambda: self.handle(answer))
 
-    def _make_result(
-        self,
-        effect: StartRun | StopRun,
-        sent_at: Seconds,
-        result: OrderResult,
-        clock: Seconds | None,
-    ) -> RunOrdered:
-        return RunOrdered(
-            server=effect.server,
-            term=get_term(effect.fence),
-            job_id=effect.task.job_id,
-            task=effect.number,
-            run=effect.run,
-            result=result,
-            started=isinstance(effect, StartRun),
-            clock=clock,
-            sent_at=sent_at,
-            target_born=effect.target_born,
-        )
-
     def _answer_hold(self, pending: Pending, server: SimulatedServer) -> None:
         if pending.answered:
             return
@@ -447,16 +426,9 @@
 
 def find_timeout(order: StartRun | StopRun | ReadRuns) -> Seconds:
     """Return the time after which an order counts as unanswered."""
-    if isinstance(order, ReadRuns):
-        return order.wait + READ_MARGIN
-    return ORDER_TIMEOUT
-
-
-def make_failed_read(order: ReadRuns, sent_at: Seconds) -> ReadFailed:
-    """Return the result of a request for a list that has no answer."""
-    return ReadFailed(
-        order.server, get_term(order.fence), target_born=order.target_born
-    )
+    if order.timeout is not None:
+        return order.timeout
+    return order.wait + READ_MARGIN if isinstance(order, ReadRuns) else ORDER_TIMEOUT
 
 
 def list_tasks(site: Site) -> list[TaskRef]:
