Refuse expired jobs whose runs never began

Cause: a job of which a start was ordered counted as started for ever, also if the server refused the start or the run was stopped before it began, so that its caller got 504 when its time was over.

Change: each ordered run counts as possible until its only start is refused, or its stop is answered and a later list of the same process does not hold it. A best-effort job without possible runs, ends and failures is refused with 503 once it has expired. Queue order and transfers to other groups are as before.

Two of the new tests in test_unanswered_calls.py failed before.

--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -13,6 +13,7 @@
 )
 from boragetide.controllers.lost_runs import apply_known_losses
 from boragetide.controllers.placing_runs import place_runs
+from boragetide.controllers.possible_runs import has_certainly_not_begun
 from boragetide.controllers.refusals import (
     REASON_TOO_LATE,
     RETRY_AFTER,
@@ -211,7 +212,7 @@
 
 
 def refuse_expired(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Refuse expired best-effort jobs of which no task was started.
+    """Refuse expired best-effort jobs of which no task has begun.
 
     Before the takeover is complete, an earlier leader may have started any of them.
     """
@@ -220,7 +221,7 @@
     effects: list[Effect] = []
     for waiting in state.queue.list_expired(now):
         job = waiting.job
-        if not job.best_effort or job.id in state.started:
+        if not job.best_effort or not _has_not_begun(state, job.id):
             continue
         waiters = state.waiters_by_job.pop(job.id, [])
         effects += refuse_job(
@@ -230,6 +231,13 @@
     return effects
 
 
+def _has_not_begun(state: DispatcherState, job_id: JobId) -> bool:
+    """Return whether no task of a waiting job has begun, or may begin late."""
+    if job_id not in state.started:
+        return True
+    return has_certainly_not_begun(state, state.records_by_id[job_id])
+
+
 def adopt_earlier_runs(
     state: DispatcherState, record: JobRecord, now: Seconds
 ) -> list[Effect]:
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -106,6 +106,9 @@
         Free capacity and speed of the backend servers.
     started
         Jobs of which a task was started or has ended.
+    possible_runs_by_job
+        Runs of each job that were ordered or adopted and are not known never to have
+        begun, by task and run number.
     run_number_by_task
         Newest run number of each task that was started or adopted in this term.
     replies_by_command, pending_ends_by_command
@@ -196,6 +199,9 @@
     queue: JobQueue = field(init=False)
     index: ServerIndex = field(default_factory=ServerIndex)
     started: set[JobId] = field(default_factory=set)
+    possible_runs_by_job: dict[JobId, set[tuple[int, int]]] = field(
+        default_factory=dict
+    )
     run_number_by_task: dict[tuple[JobId, int], int] = field(default_factory=dict)
     replies_by_command: dict[str, list[ReplyTo | None]] = field(default_factory=dict)
     cancel_replies_by_command: dict[str, Reply] = field(default_factory=dict)
@@ -244,6 +250,7 @@
         self.records_by_id.pop(job_id, None)
         self.active.pop(job_id, None)
         self.started.discard(job_id)
+        self.possible_runs_by_job.pop(job_id, None)
         self.suspects_by_job.pop(job_id, None)
         self.queue.remove(job_id)
 
@@ -291,6 +298,7 @@
     state.server_by_task.clear()
     state.uncommitted_ends_by_task.clear()
     state.started.clear()
+    state.possible_runs_by_job.clear()
     state.takeover_complete = False
     state.waiters_by_job.clear()
     state.admission = AdmissionControl()
@@ -333,6 +341,8 @@
     server.put_run(run)
     state.server_by_task[run.key] = server.report.id
     state.started.add(run.job_id)
+    possible = state.possible_runs_by_job.setdefault(run.job_id, set())
+    possible.add((run.task, run.number))
     update_server_index(state, server)
 
 
@@ -370,6 +380,7 @@
         return
     state.active.pop(job_id, None)
     state.started.discard(job_id)
+    state.possible_runs_by_job.pop(job_id, None)
     state.queue.remove(job_id)
     state.overdue_stopped_tasks.difference_update(
         (job_id, number) for number in range(record.job.task_count)
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -14,6 +14,7 @@
     make_start,
     update_queue,
 )
+from boragetide.controllers.possible_runs import note_never_begun
 from boragetide.controllers.run_state import LostRun, Run, RunPhase
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
@@ -148,6 +149,7 @@
     if result is OrderResult.UNANSWERED or run.start_repeated:
         return [log, *stop_run(state, server, run, result.value)]
     remember_freed_run(state, server, run, result.value, now)
+    note_never_begun(state, run)
     return [log, *free_run(state, server, run, result.value)]
 
 
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -30,6 +30,7 @@
     extend_lease,
     update_queue,
 )
+from boragetide.controllers.possible_runs import note_never_begun
 from boragetide.controllers.run_ends import apply_ends
 from boragetide.controllers.server_state import Run, RunPhase, Server
 from boragetide.controllers.server_table import replace_process
@@ -323,6 +324,8 @@
         if (run.ref, run.number) in listed or run.ref in message.unreadable:
             continue
         remember_freed_run(state, server, run, REASON_NOT_LISTED, now)
+        if run.stop_answered and not run.began and not run.adopted:
+            note_never_begun(state, run)
         effects += free_run(state, server, run, REASON_NOT_LISTED)
     return effects
 
--- a/boragetide/tests/test_unanswered_calls.py
+++ b/boragetide/tests/test_unanswered_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from boragetide.controllers.list_timing import (
@@ -12,21 +14,25 @@
 )
 from boragetide.controllers.placing_runs import MAX_START_COPIES
 from boragetide.controllers.server_state import MAX_FAILED_LISTS, Server
-from boragetide.durable import Step
+from boragetide.durable import EndReason, Step
 from boragetide.effects import LogEvent, ReadRuns, StartRun, StopRun
 from boragetide.messages import (
     OrderResult,
     ReadFailed,
     RemoveServer,
+    ReplyStatus,
     SubmitDurableJob,
     Tick,
+    WithdrawSubmissions,
 )
 from boragetide.policy.call_timeouts import LOSS_MEMORY, MIN_CALL_TIMEOUT
+from boragetide.policy.scheduling import expires_at
 from boragetide.tests.durable_fixtures import (
     BEGIN,
     CALLER,
     NEEDS,
     Leader,
+    list_end,
     list_run,
     make_durable_job,
 )
@@ -292,3 +298,87 @@
     leader.handle(RemoveServer("s1", passed_on=True), now)
     time_out(leader, start, now)
     assert leader.starts() == []
+
+
+def expire(leader: Leader, job_id: str, now: float) -> list[Any]:
+    """Return the answers to the callers of a job once it has expired."""
+    late = expires_at(leader.state.records_by_id[job_id].job) + 0.01
+    assert late > now
+    leader.state.authority_until = late + 1.0
+    leader.handle(Tick(), late)
+    return leader.replies()
+
+
+def stop_before_it_begins(leader: Leader, start: StartRun) -> float:
+    """Lose all copies of a start, and answer the stop; return the time of a list."""
+    now = lose_copies(leader, start, MAX_START_COPIES)
+    (stop,) = leader.stops()
+    get_server(leader).cooldown_until = BEGIN + 100.0
+    leader.answer(stop, now=now + 0.01)
+    leader.list_runs(now=now + 0.03, sent_at=now + 0.02)
+    return now + 0.03
+
+
+def test_job_whose_run_was_stopped_before_it_began_is_refused(leader: Leader) -> None:
+    """Guards against an answer of 504 for a job of which nothing has run."""
+    start = start_one(leader)
+    now = stop_before_it_begins(leader, start)
+    (reply,) = expire(leader, "j1", now)
+    assert reply.status is ReplyStatus.REFUSED
+
+
+def test_job_whose_only_start_was_refused_is_refused(leader: Leader) -> None:
+    """Guards against an answer of 504 for a job that its server has refused."""
+    start = start_one(leader)
+    get_server(leader).cooldown_until = BEGIN + 100.0
+    leader.answer(start, OrderResult.LATE, now=BEGIN + 0.01)
+    (reply,) = expire(leader, "j1", BEGIN + 0.01)
+    assert reply.status is ReplyStatus.REFUSED
+
+
+def test_job_with_a_stop_without_an_answer_is_not_refused(leader: Leader) -> None:
+    """Guards against a refusal of a job that may still begin."""
+    lose_copies(leader, start_one(leader), MAX_START_COPIES)
+    assert expire(leader, "j1", BEGIN + 1.0) == []
+
+
+def test_job_whose_run_was_listed_is_not_refused(leader: Leader) -> None:
+    """Guards against a refusal of a job of which a task has run."""
+    start = start_one(leader)
+    now = time_out(leader, start, BEGIN)
+    leader.list_runs(running=(list_run(start),), now=now + 0.01)
+    get_server(leader).cooldown_until = BEGIN + 100.0
+    leader.answer(start, now=now + 0.02)
+    leader.list_runs(now=now + 0.04, sent_at=now + 0.03)
+    assert ("j1", 0) not in leader.state.server_by_task
+    assert expire(leader, "j1", now) == []
+
+
+def test_run_of_an_earlier_submission_does_not_speak_for_the_next(
+    leader: Leader,
+) -> None:
+    """Guards against a refusal of a job whose other task has begun.
+
+    The job was withdrawn and submitted again while its first run was being stopped.
+    """
+    leader.join("s2")
+    step = Step(2, NEEDS, 4.0, max_per_server=1)
+    job = make_durable_job("j1", step, best_effort=True)
+    leader.handle(SubmitDurableJob(job=job, submitted_at=BEGIN, reply_to=CALLER))
+    starts = {start.server: start for start in leader.starts()}
+    first, other = starts["s1"], starts["s2"]
+    leader.answer(other)
+    now = lose_copies(leader, first, MAX_START_COPIES)
+    leader.handle(WithdrawSubmissions("j1", CALLER.instance, now), now)
+    stops = {stop.server: stop for stop in leader.stops()}
+    leader.answer(stops["s2"], now=now)
+    ended = (list_end(other, 1, EndReason.STOPPED),)
+    leader.list_runs("s2", ended=ended, now=now + 0.01)
+    again = SubmitDurableJob(job=job, submitted_at=now + 0.02, reply_to=CALLER)
+    leader.handle(again, now + 0.02)
+    assert {start.server for start in leader.starts()} == {"s2"}
+    for server in leader.state.servers_by_id.values():
+        server.cooldown_until = BEGIN + 100.0
+    leader.answer(stops["s1"], now=now + 0.03)
+    leader.list_runs("s1", now=now + 0.05, sent_at=now + 0.04)
+    assert expire(leader, "j1", now) == []
