Record starts that have had no result for 0.1 s for the next leader

Cause: a start without an answer was recorded in the log only once its timeout had been reported, so that a leader that was lost within 0.35 s of the start left its successor without it.

Change: at each tick, starts that were ordered 0.1 s ago and have no result are recorded like those that were ordered again. Repetitions follow after 0.04 to 0.2 s, so that the starts of the last 0.1 s and up to the next tick are still missing.

--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -15,13 +15,19 @@
 from boragetide.controllers.job_records import append_command
 from boragetide.controllers.orders import may_begin_late
 from boragetide.controllers.placing_runs import update_queue
-from boragetide.controllers.server_state import LATE_RUN_WAIT, RunPhase, Server
+from boragetide.controllers.run_state import Run, RunPhase
+from boragetide.controllers.server_state import LATE_RUN_WAIT, Server
 from boragetide.durable import JobPhase, JobRecord, UnansweredStart
 from boragetide.effects import Effect, LogEvent
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import BackendServerId, JobId, Seconds
 
 
+# A start without any result for this long is recorded as well. Usual answers come within
+# milliseconds, so that nothing is recorded while all starts are answered.
+RECORDED_AFTER: Seconds = 0.1
+
+
 def load_unanswered_starts(
     state: DispatcherState, starts: Collection[UnansweredStart]
 ) -> None:
@@ -58,7 +64,7 @@
     """Release the blocked tasks whose time has passed, and record what changed."""
     if now >= find_release_time(state):
         _release(state, list(state.server_by_blocked_task))
-    return [*_leave_blocked_jobs(state, now), *_record_starts(state)]
+    return [*_leave_blocked_jobs(state, now), *_record_starts(state, now)]
 
 
 def find_release_time(state: DispatcherState) -> Seconds:
@@ -91,11 +97,11 @@
     return list(records_by_id.values())
 
 
-def _record_starts(state: DispatcherState) -> list[Effect]:
+def _record_starts(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Append the starts without an answer if the log does not name all of them."""
     if state.pending_record is not None:
         return []
-    starts = _list_unanswered_starts(state)
+    starts = _list_unanswered_starts(state, now)
     is_complete = starts <= state.recorded_starts
     if is_complete and (starts or not state.recorded_starts):
         return []
@@ -107,7 +113,9 @@
     return [LogEvent("unanswered_starts_recorded", fields), append]
 
 
-def _list_unanswered_starts(state: DispatcherState) -> frozenset[UnansweredStart]:
+def _list_unanswered_starts(
+    state: DispatcherState, now: Seconds
+) -> frozenset[UnansweredStart]:
     """Return the starts that may be carried out, of this and of earlier leaders.
 
     A run of which one of two starts has no answer is one of them although its server
@@ -121,12 +129,22 @@
         UnansweredStart(run.job_id, run.task, server_id)
         for server_id, server in state.servers_by_id.items()
         for run in server.runs_by_task.values()
-        if run.start_repeated or _may_be_replaced(state, server)
+        if (
+            run.start_repeated
+            or _has_no_answer(run, now)
+            or _may_be_replaced(state, server)
+        )
         if run.phase is not RunPhase.ENDED and may_begin_late(server, run)
     }
     return frozenset(earlier | own)
 
 
+def _has_no_answer(run: Run, now: Seconds) -> bool:
+    """Return whether the only start of a run should have been answered by now."""
+    ordered_at = run.start_unanswered_at
+    return ordered_at is not None and now >= ordered_at + RECORDED_AFTER
+
+
 def _may_be_replaced(state: DispatcherState, server: Server) -> bool:
     """Return whether the next process of a server may be there, not yet called."""
     is_lost = server.list_failed or server.departed
