--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -7,6 +7,7 @@
 
 from sortedcontainers import SortedDict
 
+from boragetide.controllers.call_counts import UnansweredCalls
 from boragetide.controllers.run_state import FreedRun, LostRun, Run
 from boragetide.controllers.server_state import Server
 from boragetide.controllers.transfer_state import TransferState
@@ -146,6 +147,8 @@
     recorded_starts, pending_record
         Starts without an answer that the log names or will name, and the command that
         records them, if it is not committed yet.
+    unanswered_calls
+        Calls without an answer since the last report of them.
     freed_runs
         Runs of this term that were counted as over although their ends were not listed,
         by backend server, task and run number, oldest first.
@@ -222,6 +225,7 @@
     )
     recorded_starts: frozenset[UnansweredStart] = frozenset()
     pending_record: str | None = None
+    unanswered_calls: UnansweredCalls = field(default_factory=UnansweredCalls)
     freed_runs: OrderedDict[tuple[BackendServerId, TaskRef, int], FreedRun] = field(
         default_factory=OrderedDict
     )
@@ -318,6 +322,7 @@
     state.pending_record = None
     state.process_count = 0
     state.queue.clear()
+    state.unanswered_calls = UnansweredCalls()
     state.freed_runs.clear()
     state.lost_runs.clear()
     state.start_window = StartWindow()
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -78,6 +78,7 @@
     drop_reviewed,
     review_transfers,
 )
+from boragetide.controllers.unanswered_calls import report_unanswered_calls
 from boragetide.controllers.unanswered_starts import (
     confirm_record,
     load_unanswered_starts,
@@ -411,6 +412,7 @@
             effects += pass_on_servers(state, now)
             effects += unregister_servers(state, now)
             effects += register_servers(state, now)
+            effects += report_unanswered_calls(state)
         end_trials(state, now)
     effects += check_zone_view(state, now)
     if not has_authority(state, now):
--- a/boragetide/controllers/failed_lists.py
+++ b/boragetide/controllers/failed_lists.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from boragetide.controllers.call_counts import Call, Reaction
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.server_state import MAX_FAILED_LISTS, Server
+from boragetide.controllers.unanswered_calls import count_unanswered
 from boragetide.effects import Effect, LogEvent
 from boragetide.messages import ReadFailed
 from boragetide.policy.call_timeouts import MIN_CALL_TIMEOUT
@@ -28,12 +30,15 @@
     if message.other_life:
         server.departed = True
     was_silent = server.silent
-    server.next_read_at = now + _find_pause(server, message.sent_at, now)
+    pause = _find_pause(server, message.sent_at, now)
+    server.next_read_at = now + pause
     server.record_failed_list(now if message.sent_at is None else message.sent_at, now)
+    reaction = Reaction.DELAYED if pause else Reaction.REPEATED
+    counted = count_unanswered(state, message.server, Call.LIST, reaction)
     if was_silent or not server.silent:
-        return []
+        return [counted]
     fields = {"server": message.server, "heard_ago": now - server.last_contact_at}
-    return [LogEvent("backend_server_silent", fields)]
+    return [LogEvent("backend_server_silent", fields), counted]
 
 
 def _find_pause(server: Server, sent_at: Seconds | None, now: Seconds) -> Seconds:
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from boragetide.controllers.call_counts import Call, Reaction
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
     get_fence,
@@ -25,6 +26,7 @@
     MIN_CLOCK_RATE,
     Server,
 )
+from boragetide.controllers.unanswered_calls import count_unanswered, find_reaction
 from boragetide.controllers.zone_service import is_open
 from boragetide.durable import TaskRef
 from boragetide.effects import Effect, LogEvent, StopRun
@@ -72,11 +74,19 @@
         _note_response(server, message, answered_at, now)
     if message.result is OrderResult.OTHER_LIFE and is_current:
         server.departed = True
+    is_unanswered = message.result is OrderResult.UNANSWERED
     if message.started:
         _note_start_answer(run, message)
         run.began |= _shows_begin(run, message.result)
-        return _apply_start_result(state, server, run, message, answered_at, now)
-    return _apply_stop_result(run, message.result, now)
+        effects = _apply_start_result(state, server, run, message, answered_at, now)
+        call, reaction = Call.START, find_reaction(effects)
+    else:
+        effects = _apply_stop_result(run, message.result, now)
+        is_repeated = run.next_stop_at is not None
+        call, reaction = Call.STOP, Reaction.DELAYED if is_repeated else Reaction.NONE
+    if is_unanswered:
+        effects.append(count_unanswered(state, message.server, call, reaction))
+    return effects
 
 
 def _note_response(
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -22,9 +22,8 @@
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import BackendServerId, JobId, Seconds
 
-
-# A start without any result for this long is recorded as well. Usual answers come within
-# milliseconds, so that nothing is recorded while all starts are answered.
+# A start without any result for this long is recorded as well. Usual answers come
+# within milliseconds, so that nothing is recorded while all starts are answered.
 RECORDED_AFTER: Seconds = 0.1
 
 
--- a/boragetide/tests/test_unanswered_calls.py
+++ b/boragetide/tests/test_unanswered_calls.py
@@ -15,7 +15,7 @@
 from boragetide.controllers.placing_runs import MAX_START_COPIES
 from boragetide.controllers.server_state import MAX_FAILED_LISTS, Server
 from boragetide.durable import EndReason, Step
-from boragetide.effects import LogEvent, ReadRuns, StartRun, StopRun
+from boragetide.effects import Count, LogEvent, ReadRuns, StartRun, StopRun
 from boragetide.messages import (
     OrderResult,
     ReadFailed,
@@ -382,3 +382,30 @@
     leader.answer(stops["s1"], now=now + 0.03)
     leader.list_runs("s1", now=now + 0.05, sent_at=now + 0.04)
     assert expire(leader, "j1", now) == []
+
+
+def test_operators_see_which_calls_go_unanswered(leader: Leader) -> None:
+    """Guards against a fault of the network that only the callers notice."""
+    leader.handle(Tick(), BEGIN)
+    start = start_one(leader)
+    now = lose_copies(leader, start, MAX_START_COPIES)
+    fail_list(leader, now)
+    counted = [each for each in leader.effects if isinstance(each, Count)]
+    labels = {"call": "list", "reaction": "repeated"}
+    assert Count("calls_unanswered", labels) in counted
+    leader.handle(Tick(), BEGIN + 1.1)
+    (line,) = list_reports(leader)
+    assert line["count"] == MAX_START_COPIES + 1
+    assert (line["start"], line["list"]) == (MAX_START_COPIES, 1)
+    assert (line["repeated"], line["stopped"]) == (MAX_START_COPIES, 1)
+    assert line["most"] == f"s1:{MAX_START_COPIES + 1}"
+    leader.handle(Tick(), BEGIN + 2.2)
+    assert list_reports(leader) == []
+
+
+def list_reports(leader: Leader) -> list[dict[str, Any]]:
+    return [
+        each.fields
+        for each in leader.effects
+        if isinstance(each, LogEvent) and each.event == "calls_unanswered"
+    ]
--- a/properties/unanswered_site.py
+++ b/properties/unanswered_site.py
@@ -18,7 +18,7 @@
 from boragetide.commands import Catalogue, JobCommand
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.durable import DurableJob, JobPhase, Resources, Step, TaskRef
+from boragetide.durable import DurableJob, JobPhase, Resources, Step
 from boragetide.effects import LogEvent, ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.links.order_call import ORDER_TIMEOUT, READ_MARGIN
 from boragetide.links.order_results import make_failed_read, make_run_ordered
@@ -164,6 +164,9 @@
         self.begun_jobs: set[str] = set()
         self.refused_jobs: set[str] = set()
         self.begin_count = 0
+        self.starts: list[tuple[Seconds, StartRun]] = []
+        self.lost_at = BEGIN + self.fault.begins_after
+        self.back_at = self.lost_at + self.fault.duration
         self._begin()
 
     def _begin(self) -> None:
@@ -286,6 +289,7 @@
         self.messages[type(effect).__name__] += 1
         if isinstance(effect, StartRun):
             self.ordered_jobs.add(effect.task.job_id)
+            self.starts.append((self.now, effect))
         sent_at = self.now
         if self._is_lost(effect):
             self.after(
@@ -298,8 +302,7 @@
             self.after(TRANSIT, lambda: self._carry_out(effect, sent_at, pending))
 
     def _is_lost(self, effect: Any) -> bool:
-        begin = BEGIN + self.fault.begins_after
-        if not begin <= self.now < begin + self.fault.duration:
+        if not self.lost_at <= self.now < self.back_at:
             return False
         if effect.server in self.fault.silent:
             return True
@@ -429,8 +432,3 @@
     if order.timeout is not None:
         return order.timeout
     return order.wait + READ_MARGIN if isinstance(order, ReadRuns) else ORDER_TIMEOUT
-
-
-def list_tasks(site: Site) -> list[TaskRef]:
-    """Return the tasks of all runs in progress."""
-    return [task for each in site.servers.values() for task in each.running]
