Clear a late start once all copies of it have been answered

Cause: a start that was ordered again counted as possibly carried out late, for 13 s, also after every copy had been answered. With timeouts of some round trips this would hold the tasks of a lost server that had been slow to answer.

Change: the run counts its copies and their answers. An answered copy has been carried out or refused, and is not carried out again.

--- a/boragetide/controllers/list_timing.py
+++ b/boragetide/controllers/list_timing.py
@@ -50,7 +50,10 @@
 def find_list_timeout(server: Server) -> Seconds:
     """Return how long after its wait a list counts as unanswered.
 
-    It grows if several fail in a row, because the server may have become slow.
+    It grows if several fail in a row at a server that answers nothing else, because it
+    may have become slow.
     """
-    doublings = max(server.unanswered - LISTS_WITH_USUAL_TIMEOUT, 0)
+    doublings = 0
+    if server.silent:
+        doublings = max(server.unanswered - LISTS_WITH_USUAL_TIMEOUT, 0)
     return server.calls.find_timeout(2.0**doublings)
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -100,11 +100,16 @@
 
 
 def _note_start_answer(run: Run, message: RunOrdered) -> None:
-    """Note when an unanswered start was sent, which may be after its decision."""
+    """Note when an unanswered start was sent, which may be after its decision.
+
+    Once all copies of a start have been answered, none of them is carried out late.
+    """
     if message.result is OrderResult.UNANSWERED:
         known = run.start_unanswered_at or 0.0
         run.start_unanswered_at = max(known, message.sent_at)
-    elif not run.start_repeated:
+        return
+    run.answered_copies += 1
+    if run.answered_copies == run.start_copies:
         run.start_unanswered_at = None
 
 
--- a/boragetide/controllers/run_state.py
+++ b/boragetide/controllers/run_state.py
@@ -42,8 +42,9 @@
         does not begin any more at this process.
     start_repeated
         Whether the start was ordered again, because an order was not answered.
-    start_copies
-        Number of orders that this leader gave to start the run.
+    start_copies, answered_copies
+        Number of orders that this leader gave to start the run, and of those that were
+        answered, in time or late.
     start_unanswered_at
         Latest time at which a start was ordered that has no answer, if there is one. It
         may begin the run at the next process of the backend server.
@@ -73,6 +74,7 @@
     stop_answered: bool = False
     start_repeated: bool = False
     start_copies: int = 0
+    answered_copies: int = 0
     start_unanswered_at: Seconds | None = None
     estimate: Seconds = 0.0
     server_born: int = 0
--- a/boragetide/tests/test_unanswered_calls.py
+++ b/boragetide/tests/test_unanswered_calls.py
@@ -409,3 +409,20 @@
         for each in leader.effects
         if isinstance(each, LogEvent) and each.event == "calls_unanswered"
     ]
+
+
+@pytest.mark.parametrize("answers", [1, 2])
+def test_start_with_late_answers_to_all_copies_is_not_carried_out_late(
+    leader: Leader, answers: int
+) -> None:
+    """Guards against a task that waits 13 s for the late start of a lost server."""
+    start = start_one(leader)
+    now = time_out(leader, start, BEGIN)
+    for number in range(answers):
+        leader.answer(start, now=now + 0.01, sent_at=BEGIN + number * MIN_CALL_TIMEOUT)
+    fail_list(leader, now + 0.3)
+    fail_list(leader, now + 0.4)
+    lapsed_at = get_server(leader).leases_expired_at + 0.01
+    leader.state.authority_until = lapsed_at + 1.0
+    leader.handle(Tick(), lapsed_at)
+    assert (("j1", 0) in leader.state.server_by_task) == (answers == 1)
