Use a late list of runs unless a newer one has been applied

Cause: a list that came after its timeout was dropped, so that a server that answers within 0.2 s, but not within its timeout, could count as silent and lose its runs.

Change: a late list is reported and marked. It counts unless a list that was asked for later has been applied, and leaves the newer request in progress. Its age is bounded as before by the 0.2 s for which the connection stays open.

--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -95,7 +95,7 @@
     # Ends that are not acknowledged are listed at once, each time.
     waits = waits and server.acknowledge_until is None
     wait = find_wait(server, now) if waits else 0.0
-    server.reading, server.read_waits = True, wait > 0.0
+    server.reading = True
     if not server.list_failed:
         server.calls.add_call()
     return [
@@ -135,7 +135,11 @@
     server = state.servers_by_id.get(message.server)
     if server is None or message.term != state.term:
         return []
-    server.reading = False
+    if message.late and message.sent_at <= server.runs_requested_at:
+        # A list that was asked for later has been applied.
+        return []
+    # While a late list arrives, a newer one is in progress.
+    server.reading &= message.late
     is_current = server.is_target(message.target_born)
     if message.fenced:
         return [lose_authority(state, server.report.id)] if is_current else []
@@ -147,7 +151,7 @@
         server = state.servers_by_id[message.server]
         is_current = False
     listed_at = server.record_answer(message.clock, message.sent_at, now)
-    if not server.read_waits:
+    if not message.waited:
         server.calls.record_response(now - message.sent_at)
     # An end that was listed late, after unanswered requests, does not show the speed.
     may_learn = not server.list_failed
--- a/boragetide/controllers/server_state.py
+++ b/boragetide/controllers/server_state.py
@@ -58,9 +58,8 @@
         fencing token. Nothing is started there before it has done so in the current
         term. From then on it carries out no order that an earlier leader gave or that
         was meant for an earlier process.
-    reading, read_waits
-        Whether a `ReadRuns` is in progress, and whether the last one allowed a wait for
-        the end of a run, so that its answer shows no response time.
+    reading
+        Whether a `ReadRuns` is in progress.
     next_read_at
         Earliest time of the next `ReadRuns`.
     calls
@@ -138,7 +137,6 @@
     process: int = 0
     read_term: int = 0
     reading: bool = False
-    read_waits: bool = False
     next_read_at: Seconds = 0.0
     calls: CallRecord = field(default_factory=CallRecord)
     answered_at: Seconds = 0.0
--- a/boragetide/effects.py
+++ b/boragetide/effects.py
@@ -137,7 +137,7 @@
         Start of the process that the request is meant for, in Unix milliseconds.
     timeout
         Seconds, including the wait, after which the request counts as failed; ``None``
-        for the limit of the client. A list that comes later is dropped.
+        for the limit of the client. A list that comes later is still reported.
     """
 
     server: BackendServerId
--- a/boragetide/links/order_results.py
+++ b/boragetide/links/order_results.py
@@ -118,4 +118,5 @@
         ended=lists.ended,
         acknowledge_until=lists.acknowledge_until,
         is_partial=lists.is_partial,
+        waited=order.wait > 0.0,
     )
--- a/boragetide/links/order_timeouts.py
+++ b/boragetide/links/order_timeouts.py
@@ -1,13 +1,14 @@
 """Reports an order as unanswered before its connection is given up.
 
-The answer may still arrive afterwards. That to a start or a stop is reported, too; a
-late list is dropped, because a newer one has been asked for meanwhile.
+The answer may still arrive afterwards, and is reported then. A late list is marked,
+because a newer one has been asked for meanwhile.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatch
 from typing import Any
 
@@ -15,7 +16,7 @@
 from boragetide.effects import ReadRuns, StartRun, StopRun
 from boragetide.links.order_results import make_failed_read, make_run_ordered
 from boragetide.links.run_client import RunClient
-from boragetide.messages import OrderResult, RunOrdered
+from boragetide.messages import OrderResult, RunOrdered, RunsRead
 from boragetide.types import Seconds
 
 
@@ -45,8 +46,10 @@
     finally:
         is_answered = True
         timer.cancel()
-    if not is_late or is_late_answer(result):
+    if not is_late:
         report(result)
+    elif (late := make_late(result)) is not None:
+        report(late)
 
 
 @singledispatch
@@ -67,11 +70,16 @@
 
 
 @singledispatch
-def is_late_answer(result: Any) -> bool:
-    """Return whether a result counts that comes after its order was given up."""
-    return False
+def make_late(result: Any) -> Any | None:
+    """Return what to report of a result that comes after its order was given up."""
+    return None
 
 
-@is_late_answer.register
-def _(result: RunOrdered) -> bool:
-    return result.result is not OrderResult.UNANSWERED
+@make_late.register
+def _(result: RunOrdered) -> RunOrdered | None:
+    return None if result.result is OrderResult.UNANSWERED else result
+
+
+@make_late.register
+def _(result: RunsRead) -> RunsRead:
+    return replace(result, late=True)
--- a/boragetide/messages/dispatcher.py
+++ b/boragetide/messages/dispatcher.py
@@ -185,6 +185,12 @@
         that it fills in are not set.
     target_born
         Start of the process that the request was meant for, or 0 if it was not known.
+    waited
+        Whether the backend server was allowed to wait for the end of a run, so that the
+        answer shows no response time.
+    late
+        Whether the request has been found unanswered before, so that a newer one may
+        have been sent.
     """
 
     server: BackendServerId
@@ -199,6 +205,8 @@
     is_partial: bool = False
     fenced: bool = False
     target_born: int = 0
+    waited: bool = True
+    late: bool = False
 
 
 class OrderResult(StrEnum):
--- a/boragetide/tests/test_order_timeouts.py
+++ b/boragetide/tests/test_order_timeouts.py
@@ -67,9 +67,16 @@
     assert result.result is OrderResult.UNANSWERED
 
 
-def test_late_list_is_dropped() -> None:
+def test_late_list_is_marked() -> None:
     """Guards against an old list that is taken for newer than the next one."""
-    (result,) = send(READ, LIST, LATE)
+    failed, late = send(READ, LIST, LATE)
+    assert isinstance(failed, ReadFailed)
+    assert late == replace(LIST, late=True)
+
+
+def test_list_without_any_answer_is_reported_once() -> None:
+    """Guards against two lists that are asked for instead of one."""
+    (result,) = send(READ, ReadFailed("s1", 2), LATE)
     assert isinstance(result, ReadFailed)
 
 
--- a/boragetide/tests/test_unanswered_calls.py
+++ b/boragetide/tests/test_unanswered_calls.py
@@ -426,3 +426,33 @@
     leader.state.authority_until = lapsed_at + 1.0
     leader.handle(Tick(), lapsed_at)
     assert (("j1", 0) in leader.state.server_by_task) == (answers == 1)
+
+
+def test_late_list_counts_for_the_runs_that_it_shows(leader: Leader) -> None:
+    """Guards against a slow server whose runs are lost for want of a timely list."""
+    start = start_one(leader)
+    leader.answer(start)
+    fail_list(leader, BEGIN + 0.3, sent_at=BEGIN + 0.01)
+    assert get_server(leader).silent
+    ended = (list_end(start, 1),)
+    leader.list_runs(ended=ended, now=BEGIN + 0.31, sent_at=BEGIN + 0.01, late=True)
+    server = get_server(leader)
+    assert not server.silent
+    assert server.runs_by_task == {}
+    assert server.reading
+
+
+def test_late_list_is_dropped_once_a_newer_one_has_been_applied(
+    leader: Leader,
+) -> None:
+    """Guards against a run that is adopted again after its end."""
+    start = start_one(leader)
+    leader.answer(start)
+    fail_list(leader, BEGIN + 0.3, sent_at=BEGIN + 0.01)
+    failure = list_end(start, 1, EndReason.FAILED)
+    leader.list_runs(ended=(failure,), now=BEGIN + 0.31, sent_at=BEGIN + 0.3)
+    get_server(leader).cooldown_until = BEGIN + 100.0
+    running = (list_run(start),)
+    leader.list_runs(running=running, now=BEGIN + 0.32, sent_at=BEGIN + 0.01, late=True)
+    assert ("j1", 0) not in leader.state.server_by_task
+    assert get_server(leader).unexpected_runs == {}
--- a/properties/test_late_answers.py
+++ b/properties/test_late_answers.py
@@ -1,14 +1,15 @@
-"""The dispatcher if orders are reported as unanswered and answered afterwards."""
+"""The dispatcher if calls are reported as unanswered and answered afterwards."""
 
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import singledispatch
 from typing import Any
 
 from hypothesis import settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from boragetide.messages import OrderResult, RunOrdered
+from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
 from boragetide.types import Seconds
 from properties.test_dispatcher import (
     ORDER_TIMEOUT,
@@ -22,17 +23,38 @@
 SHORT_PROFILE = settings(PROFILE, max_examples=max(EXAMPLES, PROFILE.max_examples // 2))
 
 
+@singledispatch
+def split_answer(answer: Any) -> tuple[Any, Any] | None:
+    """Return the time-out before an answer, and the answer; none if there is none."""
+    return None
+
+
+@split_answer.register
+def _(answer: RunOrdered) -> tuple[RunOrdered, RunOrdered] | None:
+    if answer.result is OrderResult.UNANSWERED:
+        return None
+    return replace(answer, result=OrderResult.UNANSWERED, clock=None), answer
+
+
+@split_answer.register
+def _(answer: RunsRead) -> tuple[ReadFailed, RunsRead]:
+    failed = ReadFailed(
+        answer.server,
+        answer.term,
+        target_born=answer.target_born,
+        sent_at=answer.sent_at,
+    )
+    return failed, replace(answer, late=True)
+
+
 class LateAnswers(Dispatch):
-    """Answers that are handled late come after the order has timed out."""
+    """Answers that are handled late come after the call has timed out."""
 
     def schedule_answer(self, answer: Any, arrives_at: Seconds, fate: str) -> None:
         """Schedule a time-out before an answer that is handled late."""
-        is_answer = (
-            isinstance(answer, RunOrdered)
-            and answer.result is not OrderResult.UNANSWERED
-        )
-        if is_answer and fate.endswith("handled_late"):
-            timed_out = replace(answer, result=OrderResult.UNANSWERED, clock=None)
+        split = split_answer(answer) if fate.endswith("handled_late") else None
+        if split is not None:
+            timed_out, answer = split
             times_out_at = self.now + ORDER_TIMEOUT - STEP
             self.scheduled.append((times_out_at, lambda: self.handle(timed_out)))
         super().schedule_answer(answer, arrives_at, fate)
--- a/properties/unanswered_site.py
+++ b/properties/unanswered_site.py
@@ -397,6 +397,7 @@
             born=listed.born,
             running=listed.running,
             ended=listed.ended,
+            waited=order.wait > 0.0,
         )
         self.after(TRANSIT, lambda: self.handle(answer))
 
