--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -17,6 +17,7 @@
     store_record,
 )
 from boragetide.controllers.explaining import explain_job
+from boragetide.controllers.failed_lists import record_failed_read
 from boragetide.controllers.held_submissions import list_held_requests
 from boragetide.controllers.isolating import place_suspects
 from boragetide.controllers.job_records import apply_record
@@ -39,7 +40,6 @@
 from boragetide.controllers.orders import (
     apply_order_result,
     free_expired_runs,
-    record_failed_read,
     repeat_stops,
     stop_overdue,
 )
@@ -78,6 +78,7 @@
     drop_reviewed,
     review_transfers,
 )
+from boragetide.controllers.unanswered_calls import report_unanswered_calls
 from boragetide.controllers.unanswered_starts import (
     confirm_record,
     load_unanswered_starts,
@@ -411,6 +412,7 @@
             effects += pass_on_servers(state, now)
             effects += unregister_servers(state, now)
             effects += register_servers(state, now)
+            effects += report_unanswered_calls(state)
         end_trials(state, now)
     effects += check_zone_view(state, now)
     if not has_authority(state, now):
