Split the leadership and the announcements off the dispatcher

The beginning and end of a leadership are in leadership_changes.py, and the announcements of backend servers in server_announcements.py; dispatcher.py registers them.

Tests: the 18 files of tests of the dispatcher without processes (264 passed, 2 known red not run), properties/test_dispatcher.py and test_takeovers.py (8 passed).

--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -12,12 +12,9 @@
 from boragetide.controllers.best_effort import refuse_expired, withdraw_submissions
 from boragetide.controllers.dispatch_state import (
     DispatcherState,
-    clear_leader_state,
     has_authority,
-    store_record,
 )
 from boragetide.controllers.explaining import explain_job
-from boragetide.controllers.held_submissions import list_held_requests
 from boragetide.controllers.isolating import place_suspects
 from boragetide.controllers.job_records import apply_record
 from boragetide.controllers.job_requests import (
@@ -27,12 +24,16 @@
     make_reply,
     submit_job,
 )
+from boragetide.controllers.leadership_changes import (
+    gain_leadership,
+    list_pending_requests,
+    lose_leadership,
+    read_all_servers,
+)
 from boragetide.controllers.lost_runs import (
     adopt_losses,
     assess_lost_runs,
-    load_losses,
     remove_old_losses,
-    settle_announced,
     settle_crashes,
     settle_survival,
 )
@@ -52,7 +53,6 @@
 from boragetide.controllers.placing_runs import (
     check_takeover,
     place_runs,
-    update_queue,
 )
 from boragetide.controllers.registrations import (
     apply_registration,
@@ -63,11 +63,13 @@
 from boragetide.controllers.room_questions import answer_room_question, record_room
 from boragetide.controllers.run_ends import acknowledge_ends
 from boragetide.controllers.runs import read_runs, reconcile_runs
+from boragetide.controllers.server_announcements import (
+    deregister_server,
+    report_server,
+)
 from boragetide.controllers.server_health import recover_speeds
 from boragetide.controllers.server_table import (
-    apply_report,
     pass_on_servers,
-    remove_server,
     remove_stale_servers,
 )
 from boragetide.controllers.transfers import (
@@ -80,7 +82,6 @@
 )
 from boragetide.controllers.unanswered_starts import (
     confirm_record,
-    load_unanswered_starts,
     release_read_server,
     review_unanswered_starts,
 )
@@ -90,7 +91,7 @@
     end_trials,
 )
 from boragetide.durable import JobPhase
-from boragetide.effects import Effect, LogEvent, Reply, Send, SetGauge
+from boragetide.effects import Effect, Reply
 from boragetide.messages import (
     AuthorityExtended,
     CancelDurableJob,
@@ -114,12 +115,10 @@
     RemoveServer,
     ReplyStatus,
     ReportServer,
-    Request,
     ReviewTransfers,
     RoomFound,
     RunOrdered,
     RunsRead,
-    ServerReported,
     StopRequested,
     SubmitDurableJob,
     Tick,
@@ -128,7 +127,7 @@
     WokeUp,
 )
 from boragetide.policy import job_table
-from boragetide.types import Address, ReplyTo, Seconds
+from boragetide.types import Seconds
 
 REVIEW_INTERVAL: Seconds = 1.0
 UNKNOWN_TASK_RETENTION: Seconds = 3.0
@@ -221,53 +220,6 @@
     return [*effects, *_place_and_read(state, now)]
 
 
-@handle.register
-def _(message: LeadershipGained, state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Load the committed jobs and read the runs of every backend server."""
-    clear_leader_state(state)
-    state.term = message.term
-    state.authority_until = message.authority_until
-    state.leader_since = now
-    state.predecessor_until = message.predecessor_until
-    state.missed_predecessor = message.missed_predecessor
-    state.server_born_by_id = dict(message.server_born_by_id)
-    load_unanswered_starts(state, message.unanswered_starts)
-    state.cancelled_at_by_job = dict(message.cancelled_at_by_job)
-    for record in message.records:
-        store_record(state, record)
-    state.started = {
-        job_id
-        for job_id in state.active
-        if state.records_by_id[job_id].done or state.records_by_id[job_id].failures
-    }
-    effects = load_losses(state, message.records, now)
-    for job_id in state.active:
-        update_queue(state, job_id)
-    fields = {
-        "term": state.term,
-        "jobs": len(state.active),
-        "servers": len(state.servers_by_id),
-        "registered": len(state.server_born_by_id),
-        "missed_predecessor": state.missed_predecessor,
-    }
-    began = LogEvent("dispatch_began", fields)
-    return [began, *effects, *_read_all_servers(state, now)]
-
-
-@handle.register
-def _(message: LeadershipLost, state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Answer pending requests as undecided, so that callers ask the next leader."""
-    term = state.term
-    waiting = _list_pending_requests(state)
-    clear_leader_state(state)
-    undecided = DispatcherReply(ReplyStatus.UNDECIDED)
-    return [
-        LogEvent("dispatch_ended", {"term": term, "waiting": len(waiting)}),
-        SetGauge("stranded_jobs", 0),
-        *(Reply(reply_to, undecided) for reply_to in waiting),
-    ]
-
-
 @handle.register
 def _(message: AuthorityExtended, state: DispatcherState, now: Seconds) -> list[Effect]:
     if message.term == state.term and state.fenced_term != state.term:
@@ -281,40 +233,6 @@
     return []
 
 
-@handle.register
-def _(message: ReportServer, state: DispatcherState, now: Seconds) -> list[Effect]:
-    report, age = message.report, message.find_age(now)
-    effects = apply_report(state, report, age, now)
-    effects += settle_announced(state, report, now)
-    if not message.passed_on:
-        onward = ReportServer(report=report, passed_on=True, age=age)
-        effects += _forward_to_members(state, onward)
-    leads = has_authority(state, now)
-    effects.append(Reply(message.reply_to, ServerReported(leads)))
-    server = state.servers_by_id.get(report.id)
-    if leads and server is not None:
-        effects += read_runs(state, server, now)
-    return effects
-
-
-def _forward_to_members(state: DispatcherState, message: Request) -> list[Effect]:
-    return [
-        Send(Address(other, "dispatcher"), message) for other in state.other_members
-    ]
-
-
-@handle.register
-def _(message: RemoveServer, state: DispatcherState, now: Seconds) -> list[Effect]:
-    effects = remove_server(state, message.id, message.born)
-    if has_authority(state, now):
-        effects += settle_survival(state, message.id, message.born, now)
-    if not message.passed_on:
-        onward = RemoveServer(id=message.id, born=message.born, passed_on=True)
-        effects += _forward_to_members(state, onward)
-    known = ServerReported(has_authority(state, now))
-    return [*effects, Reply(message.reply_to, known)]
-
-
 @handle.register
 def _(message: RunsRead, state: DispatcherState, now: Seconds) -> list[Effect]:
     effects = reconcile_runs(state, message, now)
@@ -437,33 +355,18 @@
 
 
 def _place_and_read(state: DispatcherState, now: Seconds) -> list[Effect]:
-    return [*place_runs(state, now), *_read_all_servers(state, now)]
-
-
-def _read_all_servers(state: DispatcherState, now: Seconds) -> list[Effect]:
-    effects: list[Effect] = []
-    for server in state.servers_by_id.values():
-        effects += read_runs(state, server, now)
-    return effects
+    return [*place_runs(state, now), *read_all_servers(state, now)]
 
 
 @handle.register
 def _(message: Drain, state: DispatcherState, now: Seconds) -> list[Effect]:
-    return [Reply(message.reply_to, DrainState(len(_list_pending_requests(state))))]
-
-
-def _list_pending_requests(state: DispatcherState) -> list[ReplyTo | None]:
-    """Return all requests that have no answer yet."""
-    waiting = [
-        reply_to
-        for waiting in (state.replies_by_command, state.waiters_by_job)
-        for each in waiting.values()
-        for reply_to in each
-    ]
-    waiting += [reply.to for reply in state.cancel_replies_by_command.values()]
-    return [*waiting, *list_held_requests(state)]
+    return [Reply(message.reply_to, DrainState(len(list_pending_requests(state))))]
 
 
+handle.register(LeadershipGained, gain_leadership)
+handle.register(LeadershipLost, lose_leadership)
+handle.register(ReportServer, report_server)
+handle.register(RemoveServer, deregister_server)
 handle.register(FindRoom, answer_room_question)
 handle.register(RoomFound, record_room)
 handle.register(DeliverJobs, adopt_delivered)
