--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -33,6 +33,7 @@
     "peer_messages_received": "Messages from other instances, by message.",
     "peer_messages_sent": "Messages to other instances, by message.",
     "peer_message_bytes_sent": "Bytes of messages to other instances, by message.",
+    "ready": "Whether the last readiness check of this instance succeeded.",
     "submissions_shed": "Submissions refused because the leader is overloaded.",
     "submission_delay_seconds": "Delay of a submission before the leader, by stage.",
     "refusals_for_evacuation": "Jobs refused that may fit an evacuated zone.",
