Links: close retired sockets once

Cause: the sockets of a link that ends were closed, and their timers closed them again. Change: the end of a link takes them from the set, as the timers do.

--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -129,8 +129,9 @@
 
     def __exit__(self, *_: object) -> None:
         self._drop_successor()
-        for socket in (self._current, *self._retired):
-            socket.close()
+        self._current.close()
+        for socket in set(self._retired):
+            self._close_retired(socket)
 
     def replace(self) -> None:
         """Open a new socket, which begins to connect."""
