Shorter timeouts while calls to a backend server go unanswered

Cause: with half of the calls lost, 0.04 s for each lost copy of a start or a list is more than half of what a short task may take in all.

Change: for 2 s after a call went unanswered, the least timeout is 0.02 s instead of 0.04 s; the response times still raise it at a slow server or a busy leader. The last copy of a start keeps 0.16 s.

--- a/boragetide/controllers/failed_lists.py
+++ b/boragetide/controllers/failed_lists.py
@@ -8,7 +8,7 @@
 from boragetide.controllers.unanswered_calls import count_unanswered
 from boragetide.effects import Effect, LogEvent
 from boragetide.messages import ReadFailed
-from boragetide.policy.call_timeouts import MIN_CALL_TIMEOUT
+from boragetide.policy.call_timeouts import MIN_LOSSY_TIMEOUT
 from boragetide.types import Seconds
 
 # Pauses before an unanswered `ReadRuns` is repeated. The first repetition follows at
@@ -48,7 +48,7 @@
     repeated without a pause, within the budget. One that fails at once is not.
     """
     failures = server.unanswered
-    has_timed_out = sent_at is not None and now - sent_at >= MIN_CALL_TIMEOUT
+    has_timed_out = sent_at is not None and now - sent_at >= MIN_LOSSY_TIMEOUT
     if has_timed_out and server.calls.take_repetition():
         failures = max(failures - MAX_FAILED_LISTS, 0)
     return READ_RETRY_DELAYS[min(failures, len(READ_RETRY_DELAYS) - 1)]
--- a/boragetide/controllers/list_timing.py
+++ b/boragetide/controllers/list_timing.py
@@ -47,7 +47,7 @@
     return run.started_at + run.estimate / server.speed < until
 
 
-def find_list_timeout(server: Server) -> Seconds:
+def find_list_timeout(server: Server, now: Seconds) -> Seconds:
     """Return how long after its wait a list counts as unanswered.
 
     It grows if several fail in a row at a server that answers nothing else, because it
@@ -56,4 +56,5 @@
     doublings = 0
     if server.silent:
         doublings = max(server.unanswered - LISTS_WITH_USUAL_TIMEOUT, 0)
-    return server.calls.find_timeout(2.0**doublings)
+    lossy = server.calls.expects_losses(now)
+    return server.calls.find_timeout(2.0**doublings, lossy=lossy)
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -31,7 +31,7 @@
 from boragetide.durable import TaskRef
 from boragetide.effects import Effect, LogEvent, StopRun
 from boragetide.messages import OrderResult, RunOrdered
-from boragetide.policy.call_timeouts import MIN_CALL_TIMEOUT
+from boragetide.policy.call_timeouts import MIN_LOSSY_TIMEOUT
 from boragetide.types import BackendServerId, Seconds
 
 STOP_RETRY_DELAY: Seconds = 0.05
@@ -187,7 +187,7 @@
     if not _was_ordered_in_this_life(server, run):
         return False
     if run.start_repeated:
-        has_timed_out = now - sent_at >= MIN_CALL_TIMEOUT
+        has_timed_out = now - sent_at >= MIN_LOSSY_TIMEOUT
         if not has_timed_out or server.silent or server.departed:
             return False
     return server.calls.take_repetition()
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -64,8 +64,8 @@
 # starts lose all of three.
 MAX_START_COPIES = 4
 # Multiple of the usual timeout after which the last copy counts as unanswered, so that
-# a server that pauses for less than six timeouts keeps its runs.
-LAST_COPY_FACTOR = 4.0
+# a server that pauses for 0.2 s keeps its runs.
+LAST_COPY_FACTOR = 8.0
 # Leases that an earlier leader granted have expired this long after its last order,
 # also at a process whose clock it did not know.
 LEASE_EXPIRY_WAIT: Seconds = LONGEST_LEASE + LEASE_EXPIRY_MARGIN
@@ -527,7 +527,8 @@
     run.start_copies += 1
     if run.start_copies == 1:
         server.calls.add_call()
-    is_last = run.start_copies >= MAX_START_COPIES
+    factor = LAST_COPY_FACTOR if run.start_copies >= MAX_START_COPIES else 1.0
+    lossy = server.calls.expects_losses(now)
     state.start_window.add((server.report.id, *run.key, run.number), now)
     return StartRun(
         server=server.report.id,
@@ -539,7 +540,7 @@
         fence=get_fence(state, server),
         lease_until=extend_lease(server, now),
         target_born=server.report.born,
-        timeout=server.calls.find_timeout(LAST_COPY_FACTOR if is_last else 1.0),
+        timeout=server.calls.find_timeout(factor, lossy=lossy),
     )
 
 
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -107,7 +107,7 @@
             lease_until=extend_lease(server, now) if renews else None,
             wait=wait,
             target_born=server.report.born,
-            timeout=wait + find_list_timeout(server),
+            timeout=wait + find_list_timeout(server, now),
         )
     ]
 
--- a/boragetide/policy/call_timeouts.py
+++ b/boragetide/policy/call_timeouts.py
@@ -10,6 +10,9 @@
 # Twice the delay at which a leader counts as overloaded, so that waits in its own
 # queues are not taken for lost calls.
 MIN_CALL_TIMEOUT: Seconds = 2 * DELAY_TARGET
+# The same while calls go unanswered, when a needless repetition costs less than a wait
+# for an answer that does not come.
+MIN_LOSSY_TIMEOUT: Seconds = DELAY_TARGET
 # Also the timeout before the first answer.
 MAX_CALL_TIMEOUT: Seconds = 0.2
 # Weights of a new observation, and the number of deviations above the mean, as for
@@ -55,17 +58,20 @@
         self.deviation += DEVIATION_GAIN * (abs(error) - self.deviation)
         self.mean += MEAN_GAIN * error
 
-    def find_timeout(self, factor: float = 1.0) -> Seconds:
+    def find_timeout(self, factor: float = 1.0, *, lossy: bool = False) -> Seconds:
         """Return the time after which a call counts as unanswered.
 
         Parameters
         ----------
         factor
             Multiple of the usual timeout that is allowed, within the upper bound.
+        lossy
+            Whether losses are expected.
         """
         if self.mean is None:
             return MAX_CALL_TIMEOUT
-        usual = max(self.mean + DEVIATIONS * self.deviation, MIN_CALL_TIMEOUT)
+        least = MIN_LOSSY_TIMEOUT if lossy else MIN_CALL_TIMEOUT
+        usual = max(self.mean + DEVIATIONS * self.deviation, least)
         return min(factor * usual, MAX_CALL_TIMEOUT)
 
     def add_call(self) -> None:
--- a/boragetide/tests/test_call_timeouts.py
+++ b/boragetide/tests/test_call_timeouts.py
@@ -9,6 +9,7 @@
     MAX_CALL_TIMEOUT,
     MAX_SAVED_REPETITIONS,
     MIN_CALL_TIMEOUT,
+    MIN_LOSSY_TIMEOUT,
     CallRecord,
 )
 from boragetide.tests.durable_fixtures import BEGIN
@@ -72,3 +73,10 @@
     record.unanswered_at = BEGIN
     assert record.expects_losses(BEGIN + LOSS_MEMORY - 0.01)
     assert not record.expects_losses(BEGIN + LOSS_MEMORY)
+
+
+def test_timeout_is_shorter_while_losses_are_expected() -> None:
+    """Guards against short tasks that are late for each lost call."""
+    fast, slow = make_record(*[0.001] * 20), make_record(*[0.05, 0.06] * 20)
+    assert fast.find_timeout(lossy=True) == MIN_LOSSY_TIMEOUT
+    assert slow.find_timeout(lossy=True) == slow.find_timeout()
