--- a/boragetide/links/order_call.py
+++ b/boragetide/links/order_call.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from boragetide.daemon.logs import log_event
+from boragetide.daemon.repeated_logs import RateLimitedLog
 from boragetide.errors import LinkError
 from boragetide.links.order_client import CallResponse, OrderClient
 from boragetide.types import BackendServerId, Seconds
@@ -20,6 +20,9 @@
 READ_MARGIN: Seconds = 0.2
 NO_RESPONSE = 0
 _JSON_HEADER = b"Content-Type: application/json"
+# A fault of the network can leave hundreds of calls a second unanswered. The dispatcher
+# counts all of them.
+_UNANSWERED_CALLS = RateLimitedLog()
 
 
 def make_order_client() -> OrderClient:
@@ -37,7 +40,7 @@
     *,
     idempotent: bool = False,
 ) -> CallResponse:
-    """Make one call; a call without a response is logged, and no error is raised.
+    """Make one call; one without a response is logged, and no error is raised.
 
     Parameters
     ----------
@@ -55,5 +58,7 @@
         )
     except LinkError as error:
         path = url.rpartition("/")[2]
-        log_event("call_unanswered", server=server, path=path, error=str(error))
+        _UNANSWERED_CALLS.record(
+            "call_unanswered", server=server, path=path, error=str(error)
+        )
         return CallResponse(NO_RESPONSE, b"")
--- a/boragetide/tests/test_order_timeouts.py
+++ b/boragetide/tests/test_order_timeouts.py
@@ -9,8 +9,11 @@
 
 import pytest
 
+from boragetide.daemon import repeated_logs
 from boragetide.durable import TaskRef
 from boragetide.effects import ReadRuns, StartRun, StopRun
+from boragetide.errors import LinkError
+from boragetide.links.order_call import NO_RESPONSE, call_server
 from boragetide.links.order_results import make_run_ordered
 from boragetide.links.order_timeouts import send_order
 from boragetide.messages import OrderResult, ReadFailed, RunOrdered, RunsRead
@@ -96,3 +99,31 @@
     """Guards against a result that is reported before the client has given up."""
     order = replace(START, timeout=None)
     assert send(order, make_result(), LATE) == [make_result()]
+
+
+class _DeadClient:
+    """A client whose calls all end without a response."""
+
+    def post(self, *args: Any, **options: Any) -> Any:
+        raise LinkError("28: timed out")
+
+
+def test_lines_about_unanswered_calls_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against hundreds of lines a second while calls go unanswered."""
+    events: list[str] = []
+    monkeypatch.setattr(
+        repeated_logs, "log_event", lambda event, **fields: events.append(event)
+    )
+
+    async def run() -> None:
+        for _ in range(100):
+            response = await call_server(_DeadClient(), "s1", "http://s1/hold", {}, 0.1)
+            assert response.status == NO_RESPONSE
+
+    asyncio.run(run())
+    # The calls may fall into two seconds.
+    assert (
+        1 <= events.count("call_unanswered") <= 2 * repeated_logs.MAX_LINES_PER_SECOND
+    )
