--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -10,6 +10,11 @@
     update_server_index,
 )
 from boragetide.controllers.freed_runs import remember_freed_run
+from boragetide.controllers.order_answers import (
+    note_response,
+    note_start_answer,
+    shows_begin,
+)
 from boragetide.controllers.placing_runs import (
     MAX_START_COPIES,
     make_start,
@@ -71,13 +76,13 @@
     if message.clock is not None and is_current:
         answered_at = server.record_answer(message.clock, message.sent_at, now)
     if is_current:
-        _note_response(server, message, answered_at, now)
+        note_response(server, message, answered_at, now)
     if message.result is OrderResult.OTHER_LIFE and is_current:
         server.departed = True
     is_unanswered = message.result is OrderResult.UNANSWERED
     if message.started:
-        _note_start_answer(run, message)
-        run.began |= _shows_begin(run, message.result)
+        note_start_answer(run, message)
+        run.began |= shows_begin(run, message.result)
         effects = _apply_start_result(state, server, run, message, answered_at, now)
         call, reaction = Call.START, find_reaction(effects)
     else:
@@ -89,39 +94,6 @@
     return effects
 
 
-def _note_response(
-    server: Server, message: RunOrdered, answered_at: Seconds, now: Seconds
-) -> None:
-    """Note that the process has answered an order, or that it has not."""
-    if message.result is OrderResult.UNANSWERED:
-        server.calls.unanswered_at = now
-    elif message.result is not OrderResult.OTHER_LIFE:
-        server.record_response(answered_at, message.sent_at, now)
-
-
-def _note_start_answer(run: Run, message: RunOrdered) -> None:
-    """Note when an unanswered start was sent, which may be after its decision.
-
-    Once all copies of a start have been answered, none of them is carried out late.
-    """
-    if message.result is OrderResult.UNANSWERED:
-        known = run.start_unanswered_at or 0.0
-        run.start_unanswered_at = max(known, message.sent_at)
-        return
-    run.answered_copies += 1
-    if run.answered_copies == run.start_copies:
-        run.start_unanswered_at = None
-
-
-def _shows_begin(run: Run, result: OrderResult) -> bool:
-    """Return whether the answer to a start shows that the run has begun.
-
-    A repeated start is refused as old because the first one was carried out.
-    """
-    is_repeated = run.start_repeated and result is OrderResult.OLD_RUN
-    return result is OrderResult.DONE or is_repeated
-
-
 def _was_ordered_in_this_life(server: Server, run: Run) -> bool:
     """Return whether the backend server is still the process that got the order."""
     return run.server_born == server.report.born
--- a/properties/test_unanswered_load.py
+++ b/properties/test_unanswered_load.py
@@ -11,7 +11,8 @@
 import pytest
 
 from boragetide.effects import ReadRuns, StartRun, StopRun
-from properties.unanswered_site import CALL_KINDS, WARM_UP, Fault, Site
+from properties.unanswered_plays import CALL_KINDS, WARM_UP, Fault
+from properties.unanswered_site import Site
 
 SEEDS = (1, 2, 3)
 DURATION = 8.0  # seconds for which calls go unanswered
--- a/properties/unanswered_site.py
+++ b/properties/unanswered_site.py
@@ -18,7 +18,7 @@
 from boragetide.commands import Catalogue, JobCommand
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.durable import DurableJob, JobPhase, Resources, Step
+from boragetide.durable import JobPhase, Resources, Step
 from boragetide.effects import LogEvent, ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.links.order_call import ORDER_TIMEOUT, READ_MARGIN
 from boragetide.links.order_results import make_failed_read, make_run_ordered
@@ -46,6 +46,7 @@
 from boragetide.tests.durable_fixtures import BEGIN, make_durable_job
 from boragetide.types import ReplyTo, Seconds
 from properties.simulated_server import SimulatedServer
+from properties.unanswered_plays import Fault, Load, Request, classify
 
 TRANSIT: Seconds = 0.0005  # one way between the leader and a backend server
 COMMIT_DURATION: Seconds = 0.015
@@ -57,68 +58,6 @@
 LATE_AFTER: tuple[Seconds, Seconds] = (2.0, 12.0)
 # A caller waits this long for a job that is of no use any more.
 PATIENCE: Seconds = 0.5
-WARM_UP: Seconds = 2.0
-CALL_KINDS = (StartRun, StopRun, ReadRuns)
-
-
-@dataclass(frozen=True)
-class Load:
-    """What callers submit.
-
-    Parameters
-    ----------
-    servers
-        Number of backend servers, each with room for two tasks.
-    estimates
-        Run times of the tasks of a job, one of which is drawn for each job.
-    widths
-        Numbers of tasks of a job, likewise.
-    utilization
-        Share of the capacity that the jobs need.
-    """
-
-    servers: int = 12
-    estimates: tuple[Seconds, ...] = (0.06, 0.06, 0.2, 0.9)
-    widths: tuple[int, ...] = (1, 1, 2, 4)
-    utilization: float = 0.5
-    millicores: int = 27_000
-
-    @property
-    def jobs_per_second(self) -> float:
-        """Rate of the submissions."""
-        mean_estimate = sum(self.estimates) / len(self.estimates)
-        mean_width = sum(self.widths) / len(self.widths)
-        return self.utilization * 2 * self.servers / (mean_estimate * mean_width)
-
-
-@dataclass(frozen=True)
-class Fault:
-    """Calls that get no answer, at all backend servers.
-
-    Parameters
-    ----------
-    share
-        Share of the calls without an answer.
-    kinds
-        Types of the orders that are concerned.
-    silent
-        Backend servers that answer nothing at all meanwhile.
-    """
-
-    share: float = 0.0
-    kinds: tuple[type, ...] = CALL_KINDS
-    begins_after: Seconds = WARM_UP
-    duration: Seconds = 8.0
-    silent: frozenset[str] = frozenset()
-
-
-@dataclass
-class Request:
-    """A submission and what became of it."""
-
-    job: DurableJob
-    outcome: str = ""
-    answered_at: Seconds = 0.0
 
 
 @dataclass
@@ -421,13 +360,6 @@
         return counts
 
 
-def classify(request: Request) -> str:
-    """Return what a caller got: in time, late, or without a result."""
-    if request.outcome != "succeeded":
-        return request.outcome
-    return "in_time" if request.answered_at <= due_at(request.job) else "late"
-
-
 def find_timeout(order: StartRun | StopRun | ReadRuns) -> Seconds:
     """Return the time after which an order counts as unanswered."""
     if order.timeout is not None:
