--- a/boragetide/controllers/possible_runs.py
+++ b/boragetide/controllers/possible_runs.py
@@ -14,8 +14,8 @@
 def note_never_begun(state: DispatcherState, run: Run) -> None:
     """Note that an ordered run has not begun, and that no copy of it will.
 
-    Either its only start was refused, or its stop was answered and a later list of the
-    same process does not hold it.
+    Either its only start was refused, or all copies of its start and its stop were
+    answered and a later list of the same process does not hold it.
     """
     possible = state.possible_runs_by_job.get(run.job_id)
     if possible is not None:
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -24,6 +24,7 @@
     free_run,
     lose_authority,
     make_stop,
+    may_begin_late,
 )
 from boragetide.controllers.placing_runs import (
     ANNOUNCEMENT_TIMEOUT,
@@ -312,6 +313,16 @@
     }
 
 
+def _has_never_begun(server: Server, run: Run) -> bool:
+    """Return whether a run that is not listed has not begun, and never will.
+
+    A copy of its start without an answer may still begin it at the next process of the
+    backend server.
+    """
+    is_known = not (run.began or run.adopted)
+    return run.stop_answered and is_known and not may_begin_late(server, run)
+
+
 def _free_unlisted_runs(
     state: DispatcherState, server: Server, message: RunsRead, now: Seconds
 ) -> list[Effect]:
@@ -328,7 +339,7 @@
         if (run.ref, run.number) in listed or run.ref in message.unreadable:
             continue
         remember_freed_run(state, server, run, REASON_NOT_LISTED, now)
-        if run.stop_answered and not run.began and not run.adopted:
+        if _has_never_begun(server, run):
             note_never_begun(state, run)
         effects += free_run(state, server, run, REASON_NOT_LISTED)
     return effects
