--- a/boragetide/controllers/best_effort.py
+++ b/boragetide/controllers/best_effort.py
@@ -13,7 +13,7 @@
 )
 from boragetide.controllers.lost_runs import apply_known_losses
 from boragetide.controllers.placing_runs import place_runs
-from boragetide.controllers.possible_runs import has_certainly_not_begun
+from boragetide.controllers.possible_runs import has_no_possible_run
 from boragetide.controllers.refusals import (
     REASON_TOO_LATE,
     RETRY_AFTER,
@@ -221,7 +221,7 @@
     effects: list[Effect] = []
     for waiting in state.queue.list_expired(now):
         job = waiting.job
-        if not job.best_effort or not _has_not_begun(state, job.id):
+        if not job.best_effort or not _has_no_begun_task(state, job.id):
             continue
         waiters = state.waiters_by_job.pop(job.id, [])
         effects += refuse_job(
@@ -231,11 +231,11 @@
     return effects
 
 
-def _has_not_begun(state: DispatcherState, job_id: JobId) -> bool:
+def _has_no_begun_task(state: DispatcherState, job_id: JobId) -> bool:
     """Return whether no task of a waiting job has begun, or may begin late."""
     if job_id not in state.started:
         return True
-    return has_certainly_not_begun(state, state.records_by_id[job_id])
+    return has_no_possible_run(state, state.records_by_id[job_id])
 
 
 def adopt_earlier_runs(
--- a/boragetide/controllers/committed_changes.py
+++ b/boragetide/controllers/committed_changes.py
@@ -20,9 +20,9 @@
         return []
     applied = apply_committed(replica)
     effects = _put_newest_in_force(state, replica, now)
-    led_before = state.leadership.announced_term
+    previous_term = state.leadership.announced_term
     effects += leadership.announce(state.leadership, replica, applied, now)
-    if state.leadership.announced_term not in (0, led_before):
+    if state.leadership.announced_term not in (0, previous_term):
         effects += leadership.notify_all(
             state.leadership, replica, state.distribution.in_force, now
         )
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -108,8 +108,7 @@
     started
         Jobs of which a task was started or has ended.
     possible_runs_by_job
-        Runs of each job that were ordered or adopted and are not known never to have
-        begun, by task and run number.
+        Runs of each job that may have begun or may still begin, by task and run number.
     run_number_by_task
         Newest run number of each task that was started or adopted in this term.
     replies_by_command, pending_ends_by_command
--- a/boragetide/controllers/failed_lists.py
+++ b/boragetide/controllers/failed_lists.py
@@ -30,7 +30,7 @@
     if message.other_life:
         server.departed = True
     was_silent = server.silent
-    pause = _find_pause(server, message.sent_at, now)
+    pause = _choose_pause(server, message.sent_at, now)
     server.next_read_at = now + pause
     server.record_failed_list(now if message.sent_at is None else message.sent_at, now)
     reaction = Reaction.DELAYED if pause else Reaction.REPEATED
@@ -41,11 +41,12 @@
     return [LogEvent("backend_server_silent", fields), counted]
 
 
-def _find_pause(server: Server, sent_at: Seconds | None, now: Seconds) -> Seconds:
-    """Return the pause before a list is asked for again.
+def _choose_pause(server: Server, sent_at: Seconds | None, now: Seconds) -> Seconds:
+    """Return the pause before a list is requested again.
 
     A request that has timed out has waited already, so that several of them are
-    repeated without a pause, within the budget. One that fails at once is not.
+    repeated without a pause. Each of these uses one repetition of the budget. A request
+    that fails at once is repeated after a pause.
     """
     failures = server.unanswered
     has_timed_out = sent_at is not None and now - sent_at >= MIN_LOSSY_TIMEOUT
--- a/boragetide/controllers/list_timing.py
+++ b/boragetide/controllers/list_timing.py
@@ -9,13 +9,13 @@
 # A backend server delays its answer to a `ReadRuns` by up to this long until a run
 # ends. A lease of `LEASE_DURATION` is thus renewed twice even if one answer is lost.
 READ_MAX_WAIT: Seconds = 0.25
-# The same while calls to the backend server go unanswered: a list that is lost hides
-# the ends of all runs until it is given up.
+# The same while calls to the backend server go unanswered: a lost list delays the
+# ends of all runs until it times out.
 LOSSY_READ_WAIT: Seconds = 0.1
 # The same if a run is expected to end within `LOSSY_READ_WAIT`.
 SHORT_READ_WAIT: Seconds = 0.05
-# Leases are renewed for this long after a list was first found unanswered. A server
-# that answers nothing keeps its leases for 0.14 s longer than with one renewal.
+# Leases are renewed for this long after a list was first found unanswered. This bounds
+# the delay until the leases of a silent server expire.
 RENEWAL_PERIOD: Seconds = 0.3
 # Lists in a row that may fail before the next one gets a longer timeout.
 LISTS_WITH_USUAL_TIMEOUT = 2
--- a/boragetide/controllers/order_answers.py
+++ b/boragetide/controllers/order_answers.py
@@ -8,7 +8,7 @@
 from boragetide.types import Seconds
 
 
-def note_response(
+def record_order_response(
     server: Server, message: RunOrdered, answered_at: Seconds, now: Seconds
 ) -> None:
     """Note that the process has answered an order, or that it has not."""
@@ -18,7 +18,7 @@
         server.record_response(answered_at, message.sent_at, now)
 
 
-def note_start_answer(run: Run, message: RunOrdered) -> None:
+def record_start_answer(run: Run, message: RunOrdered) -> None:
     """Note when an unanswered start was sent, which may be after its decision.
 
     Once all copies of a start have been answered, none of them is carried out late.
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -11,8 +11,8 @@
 )
 from boragetide.controllers.freed_runs import remember_freed_run
 from boragetide.controllers.order_answers import (
-    note_response,
-    note_start_answer,
+    record_order_response,
+    record_start_answer,
     shows_begin,
 )
 from boragetide.controllers.placing_runs import (
@@ -20,7 +20,7 @@
     make_start,
     update_queue,
 )
-from boragetide.controllers.possible_runs import note_never_begun
+from boragetide.controllers.possible_runs import discard_possible_run
 from boragetide.controllers.run_state import LostRun, Run, RunPhase
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
@@ -76,12 +76,12 @@
     if message.clock is not None and is_current:
         answered_at = server.record_answer(message.clock, message.sent_at, now)
     if is_current:
-        note_response(server, message, answered_at, now)
+        record_order_response(server, message, answered_at, now)
     if message.result is OrderResult.OTHER_LIFE and is_current:
         server.departed = True
     is_unanswered = message.result is OrderResult.UNANSWERED
     if message.started:
-        note_start_answer(run, message)
+        record_start_answer(run, message)
         run.began |= shows_begin(run, message.result)
         effects = _apply_start_result(state, server, run, message, answered_at, now)
         call, reaction = Call.START, find_reaction(effects)
@@ -124,7 +124,7 @@
         return [log]
     if result in (OrderResult.UNHEALTHY, OrderResult.NO_ROOM):
         server.cooldown_until = now + REFUSAL_COOLDOWN
-    if result is OrderResult.UNANSWERED and _may_repeat_start(
+    if result is OrderResult.UNANSWERED and _take_start_repetition(
         state, server, run, message.sent_at, now
     ):
         return [log, *_repeat_start(state, server, run, now)]
@@ -136,14 +136,14 @@
     if result is OrderResult.UNANSWERED or run.start_repeated:
         return [log, *stop_run(state, server, run, result.value)]
     remember_freed_run(state, server, run, result.value, now)
-    note_never_begun(state, run)
+    discard_possible_run(state, run)
     return [log, *free_run(state, server, run, result.value)]
 
 
-def _may_repeat_start(
+def _take_start_repetition(
     state: DispatcherState, server: Server, run: Run, sent_at: Seconds, now: Seconds
 ) -> bool:
-    """Return whether a start without an answer is ordered again.
+    """Return whether a start without an answer is ordered again, and count this.
 
     A repeated start may be the first to arrive, so the zone must be open. The second
     repetition is for calls that are lost on the way: not for those that fail at once,
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -60,11 +60,11 @@
 MAX_ANNOUNCEMENT_AGE: Seconds = 3.5
 # All backend servers have announced themselves to a process of this age.
 DISCOVERY_PERIOD: Seconds = 3.5
-# Copies of a start with the same run number. With 30% of the calls lost, 3% of the
-# starts lose all of three.
+# Most copies of a start, with the same run number. With 30% of the calls lost, less
+# than 1% of the starts lose all of them.
 MAX_START_COPIES = 4
 # Multiple of the usual timeout after which the last copy counts as unanswered, so that
-# a server that pauses for 0.2 s keeps its runs.
+# a server that pauses for a moment keeps its runs.
 LAST_COPY_FACTOR = 8.0
 # Leases that an earlier leader granted have expired this long after its last order,
 # also at a process whose clock it did not know.
--- a/boragetide/controllers/possible_runs.py
+++ b/boragetide/controllers/possible_runs.py
@@ -11,7 +11,7 @@
 from boragetide.durable import JobRecord
 
 
-def note_never_begun(state: DispatcherState, run: Run) -> None:
+def discard_possible_run(state: DispatcherState, run: Run) -> None:
     """Note that an ordered run has not begun, and that no copy of it will.
 
     Either its only start was refused, or all copies of its start and its stop were
@@ -22,7 +22,7 @@
         possible.discard((run.task, run.number))
 
 
-def has_certainly_not_begun(state: DispatcherState, record: JobRecord) -> bool:
+def has_no_possible_run(state: DispatcherState, record: JobRecord) -> bool:
     """Return whether no task of a job has begun or will begin by an earlier order."""
     if record.done or record.failures:
         return False
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -31,7 +31,7 @@
     extend_lease,
     update_queue,
 )
-from boragetide.controllers.possible_runs import note_never_begun
+from boragetide.controllers.possible_runs import discard_possible_run
 from boragetide.controllers.run_ends import apply_ends
 from boragetide.controllers.server_state import Run, RunPhase, Server
 from boragetide.controllers.server_table import replace_process
@@ -139,8 +139,10 @@
     if message.late and message.sent_at <= server.runs_requested_at:
         # A list that was asked for later has been applied.
         return []
-    # While a late list arrives, a newer one is in progress.
-    server.reading &= message.late
+    if not message.late:
+        # A late list belongs to a request that was given up; a newer one may be under
+        # way.
+        server.reading = False
     is_current = server.is_target(message.target_born)
     if message.fenced:
         return [lose_authority(state, server.report.id)] if is_current else []
@@ -313,14 +315,14 @@
     }
 
 
-def _has_never_begun(server: Server, run: Run) -> bool:
+def _can_no_longer_begin(server: Server, run: Run) -> bool:
     """Return whether a run that is not listed has not begun, and never will.
 
     A copy of its start without an answer may still begin it at the next process of the
     backend server.
     """
-    is_known = not (run.began or run.adopted)
-    return run.stop_answered and is_known and not may_begin_late(server, run)
+    may_have_begun = run.began or run.adopted or may_begin_late(server, run)
+    return run.stop_answered and not may_have_begun
 
 
 def _free_unlisted_runs(
@@ -339,8 +341,8 @@
         if (run.ref, run.number) in listed or run.ref in message.unreadable:
             continue
         remember_freed_run(state, server, run, REASON_NOT_LISTED, now)
-        if _has_never_begun(server, run):
-            note_never_begun(state, run)
+        if _can_no_longer_begin(server, run):
+            discard_possible_run(state, run)
         effects += free_run(state, server, run, REASON_NOT_LISTED)
     return effects
 
--- a/boragetide/controllers/server_announcements.py
+++ b/boragetide/controllers/server_announcements.py
@@ -39,8 +39,8 @@
     if not message.passed_on:
         onward = RemoveServer(id=message.id, born=message.born, passed_on=True)
         effects += _forward_to_members(state, onward)
-    known = ServerReported(has_authority(state, now))
-    return [*effects, Reply(message.reply_to, known)]
+    reply = ServerReported(has_authority(state, now))
+    return [*effects, Reply(message.reply_to, reply)]
 
 
 def _forward_to_members(state: DispatcherState, message: Request) -> list[Effect]:
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -22,9 +22,9 @@
 from boragetide.policy.scheduling import expires_at
 from boragetide.types import BackendServerId, JobId, Seconds
 
-# A start without any result for this long is recorded as well. Usual answers come
-# within milliseconds, so that nothing is recorded while all starts are answered.
-RECORDED_AFTER: Seconds = 0.1
+# A start without any result is recorded in the log after this time, before it is
+# repeated. Answers usually come within milliseconds.
+RECORD_DELAY: Seconds = 0.1
 
 
 def load_unanswered_starts(
@@ -141,7 +141,7 @@
 def _has_no_answer(run: Run, now: Seconds) -> bool:
     """Return whether the only start of a run should have been answered by now."""
     ordered_at = run.start_unanswered_at
-    return ordered_at is not None and now >= ordered_at + RECORDED_AFTER
+    return ordered_at is not None and now >= ordered_at + RECORD_DELAY
 
 
 def _may_be_replaced(state: DispatcherState, server: Server) -> bool:
--- a/boragetide/daemon/metrics.py
+++ b/boragetide/daemon/metrics.py
@@ -15,8 +15,8 @@
 _DESCRIPTIONS_BY_NAME = {
     "admitted_share": "Share of the submissions that this leader admits.",
     "announcements": "Announcements of backend servers received here.",
-    "calls_unanswered": "Calls to backend servers without an answer, by reaction.",
     "bodies_refused": "Request bodies that were refused or dropped, by reason.",
+    "calls_unanswered": "Unanswered calls to backend servers, by call and reaction.",
     "cancellations": "Cancellations of tasks sent, by backend server.",
     "configuration_bytes_sent": "Compressed bytes of configurations, by receiver.",
     "configuration_pieces_dropped": "Pieces of a configuration not used, by reason.",
--- a/boragetide/links/order_call.py
+++ b/boragetide/links/order_call.py
@@ -22,7 +22,7 @@
 _JSON_HEADER = b"Content-Type: application/json"
 # A fault of the network can leave hundreds of calls a second unanswered. The dispatcher
 # counts all of them.
-_UNANSWERED_CALLS = RateLimitedLog()
+_unanswered_call_log = RateLimitedLog()
 
 
 def make_order_client() -> OrderClient:
@@ -40,7 +40,7 @@
     *,
     idempotent: bool = False,
 ) -> CallResponse:
-    """Make one call; one without a response is logged, and no error is raised.
+    """Call a backend server; a missing response is logged and is no error.
 
     Parameters
     ----------
@@ -58,7 +58,7 @@
         )
     except LinkError as error:
         path = url.rpartition("/")[2]
-        _UNANSWERED_CALLS.record(
+        _unanswered_call_log.record(
             "call_unanswered", server=server, path=path, error=str(error)
         )
         return CallResponse(NO_RESPONSE, b"")
--- a/boragetide/links/peers.py
+++ b/boragetide/links/peers.py
@@ -27,10 +27,11 @@
 # A new socket gets this long to show that the link works. Only a connected one carries
 # messages, so that a link whose connections are replaced more often may carry nothing.
 MIN_RECONNECT_INTERVAL = 1.0  # seconds
-# Many round trips of 1 ms, and short beside the silence for which a link is replaced.
-CONNECTION_TIME = 0.25  # seconds
+# Longer than it takes to connect, and shorter than the silence after which a link is
+# replaced.
+CONNECT_TIMEOUT = 0.25  # seconds
 # pynng drops what a socket has accepted and not yet written when the socket is closed.
-RETIREMENT_TIME = 0.5  # seconds
+CLOSE_DELAY = 0.5  # seconds
 
 OnUnsent: TypeAlias = Callable[[Envelope], None]
 CountBytes: TypeAlias = Callable[[str, dict[str, str], float], None]
@@ -112,8 +113,8 @@
     """Sockets of one link: one that sends, and at times its successor.
 
     A socket that is replaced sends until its successor is connected, and is then kept
-    for `RETIREMENT_TIME`, so that the replacement drops nothing that is being sent. If
-    the successor is not connected within `CONNECTION_TIME`, it is used nevertheless, so
+    for `CLOSE_DELAY`, so that the replacement drops nothing that is being sent. If
+    the successor is not connected within `CONNECT_TIMEOUT`, it is used nevertheless, so
     that messages fail at once while the peer is out of reach.
     """
 
@@ -143,7 +144,7 @@
         """Return the socket to send with."""
         if self._successor is None:
             return self._current
-        is_due = time.monotonic() - self._replaced_at >= CONNECTION_TIME
+        is_due = time.monotonic() - self._replaced_at >= CONNECT_TIMEOUT
         if self._current.pipes and not (self._successor.pipes or is_due):
             return self._current
         self._retire(self._current)
@@ -158,7 +159,7 @@
     def _retire(self, socket: pynng.Push0) -> None:
         self._retired.add(socket)
         loop = asyncio.get_running_loop()
-        loop.call_later(RETIREMENT_TIME, self._close_retired, socket)
+        loop.call_later(CLOSE_DELAY, self._close_retired, socket)
 
     def _close_retired(self, socket: pynng.Push0) -> None:
         if socket in self._retired:
--- a/boragetide/policy/call_timeouts.py
+++ b/boragetide/policy/call_timeouts.py
@@ -20,12 +20,12 @@
 MEAN_GAIN = 1 / 8
 DEVIATION_GAIN = 1 / 4
 DEVIATIONS = 4.0
-# Repetitions that a call earns its backend server, so that a fault at most doubles the
-# messages to it, and repetitions that can be saved up.
+# Retry budget of a backend server: each first call adds to it, up to a bound, so that a
+# fault at most doubles the messages.
 REPETITIONS_PER_CALL = 1.0
 MAX_SAVED_REPETITIONS = 32.0
 # Time after an unanswered call in which more of them are expected.
-LOSS_MEMORY: Seconds = 2.0
+LOSSY_PERIOD: Seconds = 2.0
 
 
 @dataclass(slots=True)
@@ -88,4 +88,6 @@
 
     def expects_losses(self, now: Seconds) -> bool:
         """Return whether a call went unanswered a short while ago."""
-        return self.unanswered_at is not None and now < self.unanswered_at + LOSS_MEMORY
+        return (
+            self.unanswered_at is not None and now < self.unanswered_at + LOSSY_PERIOD
+        )
--- a/boragetide/tests/test_call_timeouts.py
+++ b/boragetide/tests/test_call_timeouts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from boragetide.policy.call_timeouts import (
-    LOSS_MEMORY,
+    LOSSY_PERIOD,
     MAX_CALL_TIMEOUT,
     MAX_SAVED_REPETITIONS,
     MIN_CALL_TIMEOUT,
@@ -71,8 +71,8 @@
     record = CallRecord()
     assert not record.expects_losses(BEGIN)
     record.unanswered_at = BEGIN
-    assert record.expects_losses(BEGIN + LOSS_MEMORY - 0.01)
-    assert not record.expects_losses(BEGIN + LOSS_MEMORY)
+    assert record.expects_losses(BEGIN + LOSSY_PERIOD - 0.01)
+    assert not record.expects_losses(BEGIN + LOSSY_PERIOD)
 
 
 def test_timeout_is_shorter_while_losses_are_expected() -> None:
--- a/boragetide/tests/test_unanswered_calls.py
+++ b/boragetide/tests/test_unanswered_calls.py
@@ -26,7 +26,7 @@
     WithdrawSubmissions,
 )
 from boragetide.policy.call_timeouts import (
-    LOSS_MEMORY,
+    LOSSY_PERIOD,
     MIN_CALL_TIMEOUT,
     MIN_LOSSY_TIMEOUT,
 )
@@ -107,7 +107,7 @@
     leader.list_runs(running=running, now=lost_at + 0.01)
     (request,) = leader.reads()
     assert request.wait == LOSSY_READ_WAIT
-    leader.list_runs(running=running, now=lost_at + LOSS_MEMORY + 0.01)
+    leader.list_runs(running=running, now=lost_at + LOSSY_PERIOD + 0.01)
     (request,) = leader.reads()
     assert request.wait == READ_MAX_WAIT
 
@@ -376,7 +376,7 @@
     assert expire(leader, "j1", now) == []
 
 
-def test_run_of_an_earlier_submission_does_not_speak_for_the_next(
+def test_run_of_an_earlier_submission_is_not_counted_for_the_next(
     leader: Leader,
 ) -> None:
     """Guards against a refusal of a job whose other task has begun.
--- a/boragetide/tests/test_zone_division.py
+++ b/boragetide/tests/test_zone_division.py
@@ -29,8 +29,8 @@
     WIDE_70, servers=3 * 35, rate=3 * WIDE_70.rate, seconds=6.0, burst_by_kind=BURSTS
 )
 TWICE = 2.0
-LARGEST_COST = 0.01  # of the share of the jobs in time, in a burst
-LEAST_COST_OF_DIVISION = 0.02
+MAX_SHARE_LOSS = 0.01  # of the share of the jobs in time, in a burst
+MIN_SHARE_LOSS_WHEN_DIVIDED = 0.02
 
 
 @cache
@@ -45,14 +45,14 @@
 @pytest.mark.parametrize("name", ["notices", "zone first"])
 def test_preference_for_the_home_zone_costs_next_to_nothing(name: str) -> None:
     """Guards against a preference that leaves servers idle while jobs wait."""
-    assert replay(name).share() >= replay("no zones").share() - LARGEST_COST
+    assert replay(name).share() >= replay("no zones").share() - MAX_SHARE_LOSS
 
 
 def test_divided_zones_serve_the_one_with_the_most_demand_worse() -> None:
     """Guards against a replay whose dispatchers share backend servers after all."""
     divided, undivided = replay("zones divided"), replay("no zones")
     assert divided.outside_starts == 0
-    assert divided.share("a") <= undivided.share("a") - LEAST_COST_OF_DIVISION
+    assert divided.share("a") <= undivided.share("a") - MIN_SHARE_LOSS_WHEN_DIVIDED
     assert divided.share("a") < divided.share("c")
 
 
--- a/properties/test_unanswered_load.py
+++ b/properties/test_unanswered_load.py
@@ -17,14 +17,14 @@
 SEEDS = (1, 2, 3)
 DURATION = 8.0  # seconds for which calls go unanswered
 PLAY_DURATION = 26.0  # seconds; the last late call is carried out before the end
-LEFT_ALONE_AFTER = 1.0  # seconds
-# Messages for each run that began, without a fault, on 2b3114b.
+NO_START_AFTER = 1.0  # seconds
+# Messages for each run that began, without a fault, before calls were repeated early.
 USUAL_LISTS_PER_RUN = 1.460
 USUAL_STARTS_PER_RUN = 1.0
 MESSAGE_TOLERANCE = 0.02
 # Least share of the jobs that end in time and not later than of use, by the share of
-# the calls without an answer. Measured: 0.96, 0.93 and 0.75 in time if all kinds are
-# concerned (2b3114b: 0.71, 0.33 and 0.12), and 1.0, 1.0 and 0.98 of use.
+# the calls without an answer. Usual outcomes are some points higher, so that one seed
+# does not decide.
 IN_TIME_BY_SHARE = {0.1: 0.92, 0.3: 0.85, 0.5: 0.62}
 OF_USE_BY_SHARE = {0.1: 0.99, 0.3: 0.98, 0.5: 0.94}
 # All kinds of calls lose half of their answers: each start and each list is sent twice
@@ -90,11 +90,11 @@
     of_use = outcomes["in_time"] + outcomes["late"]
     assert of_use >= 0.97 * outcomes["all"]
     for site in sites:
-        left_alone_from = site.lost_at + LEFT_ALONE_AFTER
+        no_starts_from = site.lost_at + NO_START_AFTER
         assert not [
             order
             for at, order in site.starts
-            if order.server == silent and left_alone_from < at < site.back_at
+            if order.server == silent and no_starts_from < at < site.back_at
         ]
 
 
--- a/properties/unanswered_site.py
+++ b/properties/unanswered_site.py
@@ -58,7 +58,7 @@
 # Bounds of the delay after which a call without an answer is carried out.
 LATE_AFTER: tuple[Seconds, Seconds] = (2.0, 12.0)
 # A caller waits this long for a job that is of no use any more.
-PATIENCE: Seconds = 0.5
+CALLER_GRACE_PERIOD: Seconds = 0.5
 
 
 @dataclass
@@ -166,7 +166,7 @@
         caller = ReplyTo("e1", len(self.requests) - 1)
         self.handle(SubmitDurableJob(job=job, submitted_at=self.now, reply_to=caller))
         useful = LATE_LIMIT_FACTOR * (due_at(job) - job.submitted_at)
-        self.after(useful + PATIENCE, lambda: self._withdraw(job.id))
+        self.after(useful + CALLER_GRACE_PERIOD, lambda: self._withdraw(job.id))
         pause = self.arrivals.expovariate(load.jobs_per_second)
         self.after(pause, self._submit)
 
