Decide in one place whether a leader has authority

Cause: confirmations.has_authority, added with evacuations, repeated leadership._has_authority, and the check that an entry of the own term is committed stood in both and in member_changes._is_change_pending. Change: Replica.knows_committed and replica.has_authority serve all three. The conditions are the same; no test is changed. Measured: test_leadership, test_confirmations, test_member_changes and properties/test_configuration.py pass.

--- a/boragetide/controllers/configuration_state.py
+++ b/boragetide/controllers/configuration_state.py
@@ -4,12 +4,11 @@
 
 from dataclasses import dataclass
 
-from boragetide.policy import confirmations
 from boragetide.policy.confirmations import Confirmations
 from boragetide.policy.distribution import DistributionState
 from boragetide.policy.leadership import LeadershipNotices
 from boragetide.policy.proposals import Proposals
-from boragetide.policy.replica import Replica, Role
+from boragetide.policy.replica import Replica, Role, has_authority
 from boragetide.settings import Settings
 from boragetide.types import Seconds
 
@@ -54,6 +53,6 @@
     member = state.member
     return (
         member is not None
-        and confirmations.has_authority(member, now)
+        and has_authority(member, now)
         and state.distribution.version >= member.catalogue.configuration.version
     )
--- a/boragetide/policy/confirmations.py
+++ b/boragetide/policy/confirmations.py
@@ -18,7 +18,6 @@
     VersionConfirmed,
 )
 from boragetide.policy.process_numbers import choose_first_number
-from boragetide.policy.replica import Replica, Role
 from boragetide.settings import Settings
 from boragetide.types import Address, Configuration, InstanceId, Seconds
 
@@ -107,14 +106,6 @@
         ]
 
 
-def has_authority(replica: Replica, now: Seconds) -> bool:
-    """Return whether a member leads and has applied all that any leader committed."""
-    is_leader = replica.role is Role.LEADER and now < replica.authority_until(now)
-    if not is_leader or replica.commit < replica.log_start:
-        return False
-    return replica.term_at(replica.commit) == replica.ballot.term
-
-
 def confirm_own(
     state: Confirmations, in_force: Configuration | None, now: Seconds
 ) -> list[Effect]:
--- a/boragetide/policy/leadership.py
+++ b/boragetide/policy/leadership.py
@@ -15,7 +15,7 @@
     MembersChanged,
 )
 from boragetide.policy.link_health import LinkHealth
-from boragetide.policy.replica import Applied, Replica, Role
+from boragetide.policy.replica import Applied, Replica, Role, has_authority
 from boragetide.policy.submission_fence import MAX_DELIVERY_TIME
 from boragetide.settings import Settings
 from boragetide.types import Address, Configuration, InstanceId, Seconds
@@ -114,15 +114,8 @@
 
 def _leading_term(replica: Replica) -> int:
     """Return the term of this leader once all earlier entries are committed, or 0."""
-    term = replica.ballot.term
-    if replica.role is not Role.LEADER or replica.commit < replica.log_start:
-        return 0
-    return term if replica.term_at(replica.commit) == term else 0
-
-
-def _has_authority(replica: Replica, now: Seconds) -> bool:
-    """Return whether this leader knows all that any leader has committed."""
-    return _leading_term(replica) > 0 and now < replica.authority_until(now)
+    leads = replica.role is Role.LEADER and replica.knows_committed
+    return replica.ballot.term if leads else 0
 
 
 def record_subscriber(
@@ -203,7 +196,7 @@
         leader=None if replica is None else replica.leader,
         members=state.settings.initial_members if replica is None else replica.members,
         configuration=in_force if is_small else None,
-        has_authority=replica is not None and _has_authority(replica, now),
+        has_authority=replica is not None and has_authority(replica, now),
         clock=now,
         asked_at=asked_at,
         admitted_share=state.admitted_share,
--- a/boragetide/policy/member_changes.py
+++ b/boragetide/policy/member_changes.py
@@ -170,9 +170,7 @@
 
 def _is_change_pending(replica: Replica) -> bool:
     """Return whether the last change or the first entry of the term is uncommitted."""
-    if replica.commit < replica.log_start:
-        return True
-    if replica.term_at(replica.commit) != replica.ballot.term:
+    if not replica.knows_committed:
         return True
     uncommitted = replica.log[replica.commit - replica.log_start :]
     return any(entry.changes_members for entry in uncommitted)
--- a/boragetide/policy/replica.py
+++ b/boragetide/policy/replica.py
@@ -208,6 +208,16 @@
             return self.log_start_term
         return self.log[index - self.log_start - 1].term
 
+    @property
+    def knows_committed(self) -> bool:
+        """Whether this leader knows all that earlier leaders have committed.
+
+        It does once an entry of its own term is committed.
+        """
+        if self.commit < self.log_start:
+            return False
+        return self.term_at(self.commit) == self.ballot.term
+
     @property
     def missed_predecessor(self) -> bool:
         """Whether another voter heard the earlier leader later than this member.
@@ -238,6 +248,12 @@
         return newest_first[self.quorum - 1] + AUTHORITY_DURATION
 
 
+def has_authority(replica: Replica, now: Seconds) -> bool:
+    """Return whether a member leads and knows all that any leader has committed."""
+    is_leader = replica.role is Role.LEADER and now < replica.authority_until(now)
+    return is_leader and replica.knows_committed
+
+
 def majority_size(member_count: int) -> int:
     """Return the number of members that form a majority."""
     return member_count // 2 + 1
