Start links in one function

Cause: the links of the settings and those that are made on demand built the same task twice, since each link reports what it could not send. Change: start_link makes the task for both. Order and names are the same. Measured: test_peers, test_runtime and test_groups pass.

--- a/boragetide/daemon/process.py
+++ b/boragetide/daemon/process.py
@@ -225,20 +225,14 @@
             listening,
         )
 
-    links = {
-        f"link {peer_id}": partial(
-            run_link, link, partial(runtime.report_unsent, peer_id), count
-        )
-        for peer_id, link in runtime.links_by_id.items()
-    }
+    def start_link(instance: InstanceId, link: PeerLink) -> asyncio.Task[None]:
+        on_unsent = partial(runtime.report_unsent, instance)
+        run = partial(run_link, link, on_unsent, count)
+        return asyncio.create_task(run_with_restarts(f"link {instance}", run))
 
     def make_link(instance: InstanceId) -> PeerLink:
         link = PeerLink(_make_peer_from_address(instance, runtime.settings))
-        on_unsent = partial(runtime.report_unsent, instance)
-        run = partial(run_link, link, on_unsent, count)
-        on_demand_tasks.add(
-            asyncio.create_task(run_with_restarts(f"link {instance}", run))
-        )
+        on_demand_tasks.add(start_link(instance, link))
         return link
 
     on_demand_tasks: set[asyncio.Task[None]] = set()
@@ -246,10 +240,7 @@
         runtime.make_link = make_link
     return [
         asyncio.create_task(run_with_restarts("listener", listen, started=listening)),
-        *(
-            asyncio.create_task(run_with_restarts(name, run))
-            for name, run in links.items()
-        ),
+        *(start_link(peer, link) for peer, link in runtime.links_by_id.items()),
     ]
 
 
