Share the base class of handlers with an exchange

Cause: the handlers of the product and of the platform each had the same exchange attribute and the same describe_interruption. Change: api/exchange.ExchangeHandler is the base of both.

--- a/boragetide/api/durable.py
+++ b/boragetide/api/durable.py
@@ -6,20 +6,21 @@
 from dataclasses import asdict
 from typing import Any
 
-from boragetide.api.base import EntryHandler, Handler
+from boragetide.api.base import EntryHandler
 from boragetide.api.durable_models import (
     DurableJobBody,
     RunServerBody,
     to_durable_job,
     to_server_report,
 )
+from boragetide.api.exchange import ExchangeHandler
 from boragetide.api.models import find_id_error, parse_body
 from boragetide.daemon.clock import read_clock
 from boragetide.daemon.runtime import Runtime
 from boragetide.durable import DurableJob
 from boragetide.errors import LinkError, RequestError
 from boragetide.filters.durable import DURABLE_CHAIN
-from boragetide.filters.durable_exchange import DurableExchange, describe_interruption
+from boragetide.filters.durable_exchange import DurableExchange
 from boragetide.limits import MAX_TIMESTAMP_MS
 from boragetide.messages import (
     CancelDurableJob,
@@ -47,11 +48,9 @@
 MAX_BORN_DIGITS = len(str(MAX_TIMESTAMP_MS))
 
 
-class _DurableHandler(Handler):
+class _DurableHandler(ExchangeHandler):
     """Base class of the handlers of durable jobs."""
 
-    exchange: DurableExchange | None = None
-
     async def ask_dispatcher(
         self,
         name: str,
@@ -100,10 +99,6 @@
             self.respond(error.http_status, body)
             return None
 
-    def describe_interruption(self) -> RequestError:
-        """Return the error that answers the caller of an interrupted request."""
-        return describe_interruption(self.exchange)
-
     async def read_job(self) -> DurableJob | None:
         """Return the job in the body of the request.
 
