Tell in one place whether a call has timed out

Cause: lists and starts compared the time since the sending with MIN_LOSSY_TIMEOUT, each for itself. Change: call_timeouts.has_timed_out, with the same bound. Measured: test_unanswered_calls, test_call_timeouts and properties/test_unanswered_load.py pass.

--- a/boragetide/controllers/failed_lists.py
+++ b/boragetide/controllers/failed_lists.py
@@ -8,7 +8,7 @@
 from boragetide.controllers.unanswered_calls import count_unanswered
 from boragetide.effects import Effect, LogEvent
 from boragetide.messages import ReadFailed
-from boragetide.policy.call_timeouts import MIN_LOSSY_TIMEOUT
+from boragetide.policy.call_timeouts import has_timed_out
 from boragetide.types import Seconds
 
 # Pauses before an unanswered `ReadRuns` is repeated. The first repetition follows at
@@ -49,7 +49,7 @@
     that fails at once is repeated after a pause.
     """
     failures = server.unanswered
-    has_timed_out = sent_at is not None and now - sent_at >= MIN_LOSSY_TIMEOUT
-    if has_timed_out and server.calls.take_repetition():
+    has_waited = sent_at is not None and has_timed_out(sent_at, now)
+    if has_waited and server.calls.take_repetition():
         failures = max(failures - MAX_FAILED_LISTS, 0)
     return READ_RETRY_DELAYS[min(failures, len(READ_RETRY_DELAYS) - 1)]
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -36,7 +36,7 @@
 from boragetide.durable import TaskRef
 from boragetide.effects import Effect, LogEvent, StopRun
 from boragetide.messages import OrderResult, RunOrdered
-from boragetide.policy.call_timeouts import MIN_LOSSY_TIMEOUT
+from boragetide.policy.call_timeouts import has_timed_out
 from boragetide.types import BackendServerId, Seconds
 
 STOP_RETRY_DELAY: Seconds = 0.05
@@ -159,8 +159,8 @@
     if not _was_ordered_in_this_life(server, run):
         return False
     if run.start_repeated:
-        has_timed_out = now - sent_at >= MIN_LOSSY_TIMEOUT
-        if not has_timed_out or server.silent or server.departed:
+        is_lost = server.silent or server.departed
+        if is_lost or not has_timed_out(sent_at, now):
             return False
     return server.calls.take_repetition()
 
--- a/boragetide/policy/call_timeouts.py
+++ b/boragetide/policy/call_timeouts.py
@@ -28,6 +28,11 @@
 LOSSY_PERIOD: Seconds = 2.0
 
 
+def has_timed_out(sent_at: Seconds, now: Seconds) -> bool:
+    """Return whether an unanswered call has waited, rather than failed at once."""
+    return now - sent_at >= MIN_LOSSY_TIMEOUT
+
+
 @dataclass(slots=True)
 class CallRecord:
     """What the calls to one process of a backend server have shown.
