Remove a count of log lines that nothing reads

Cause: the simulated site of unanswered calls counted the events of all log lines, and no test or page uses the count. Change: the count and its handler are gone; log lines are ignored like other effects that the site does not execute.

--- a/properties/unanswered_site.py
+++ b/properties/unanswered_site.py
@@ -19,7 +19,7 @@
 from boragetide.controllers import dispatcher
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.durable import JobPhase, Resources, Step
-from boragetide.effects import LogEvent, ReadRuns, Reply, Send, StartRun, StopRun
+from boragetide.effects import ReadRuns, Reply, Send, StartRun, StopRun
 from boragetide.links.order_call import ORDER_TIMEOUT, READ_MARGIN
 from boragetide.links.order_results import make_failed_read, make_run_ordered
 from boragetide.log_records import Catalogue
@@ -99,7 +99,6 @@
             name: [] for name in self.servers
         }
         self.messages: Counter[str] = Counter()
-        self.logged: Counter[str] = Counter()
         self.ordered_jobs: set[str] = set()
         self.begun_jobs: set[str] = set()
         self.refused_jobs: set[str] = set()
@@ -186,10 +185,6 @@
     def execute(self, effect: Any) -> None:
         """Execute an effect; others than these are ignored."""
 
-    @execute.register
-    def _(self, effect: LogEvent) -> None:
-        self.logged[effect.event] += 1
-
     @execute.register
     def _(self, effect: Send) -> None:
         if isinstance(effect.message, AppendCommands):
