Show that equal steps share one count of max_per_server

After a task of the second of two equal steps failed, it starts again beside the other task of that step.

--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+PYTHONDONTWRITEBYTECODE=1 exec python3 "$(dirname "$0")/case.py"
