Show that the jobs of one lost worker start again one by one

LOST. 200 small jobs run on one of 24 workers, which crashes for good; 14 s later 152 of them run nothing, beside 23 idle workers.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A worker fails a task of one of two equal steps that both have ``max_per_server``."""
+"""A worker crashes for good under many small jobs, which start again one by one."""
 
 from __future__ import annotations
 
@@ -12,43 +12,41 @@
 
 from case_runner import BROKEN, HELD, NOT_RUN, System, play  # noqa: E402
 from clients import make_job_id  # noqa: E402
-from workers import Ledger  # noqa: E402
+from workers import CPU  # noqa: E402
 
 PREFIX = "/fit/"
-LIMIT = 1
+JOBS = 200
+TASK_CPU = 250
 WORK_MS = 5000
+FINISH_SECONDS = 14.0
+WATCHED_SECONDS = 4.0
+MAX_USED_SHARE = 0.5
 
 
 def make_job() -> dict:
-    """Return a job of two equal steps that do not wait for each other."""
-    step = {
-        "count": 2,
-        "cpu": 8000,
-        "mem_mb": 64,
-        "estimate_ms": WORK_MS,
-        "max_per_server": LIMIT,
-    }
-    return {"spec": json.dumps({"work_ms": WORK_MS}), "steps": [step, dict(step)]}
+    """Return a job of one small task, whose estimate is right."""
+    step = {"count": 1, "cpu": TASK_CPU, "mem_mb": 64, "estimate_ms": WORK_MS}
+    return {"spec": json.dumps({"work_ms": WORK_MS}), "steps": [step]}
 
 
-def find_most_on_one_worker(ledger: Ledger, job_id: str) -> tuple[int, str]:
-    """Return how many tasks of one step ran on one worker at a time, and where."""
-    most, where = 0, ""
-    for start in ledger.starts:
-        if not start.task.startswith(job_id):
-            continue
-        step = start.task.split(".")[2]
-        beside = {
-            other.task
-            for other in ledger.starts
-            if other.task.startswith(f"{job_id}.0.{step}.")
-            and (other.worker, other.life) == (start.worker, start.life)
-            and other.began_at <= start.began_at
-            and (other.ended_at is None or other.ended_at > start.began_at)
-        }
-        if len(beside) > most:
-            most, where = len(beside), f"step {step} on {start.worker}"
-    return most, where
+async def find_idle_jobs(system: System, job_ids: set[str]) -> tuple[set[str], float]:
+    """Return the jobs that run nothing for a while, and the share in use meanwhile."""
+    began, used = system.record.now(), 0.0
+    while system.record.now() < began + WATCHED_SECONDS:
+        running = sum(len(worker.running) for worker in system.workers)
+        used = max(used, running * TASK_CPU / (CPU * len(system.workers)))
+        await asyncio.sleep(0.05)
+    active = {
+        start.task.split(".")[0]
+        for start in system.ledger.starts
+        if start.ended_at is None or start.ended_at > began
+    }
+    done = {
+        start.task.split(".")[0]
+        for start in system.ledger.starts
+        if start.how == "done"
+    }
+    return job_ids - active - done, used
 
 
 async def run(system: System, trouble: bool) -> int:
@@ -57,28 +55,31 @@
     if not await system.start([{"name": "r-1", "path_prefix": PREFIX}]):
         return NOT_RUN
     client = system.make_client(PREFIX, "client")
-    job_id = make_job_id()
-    if await client.submit(job_id, make_job()) != 200:
-        return NOT_RUN
-    await asyncio.sleep(1.5)
-    of_second_step = [
-        start
-        for start in system.ledger.starts
-        if start.task.startswith(f"{job_id}.0.1.") and start.ended_at is None
-    ]
-    if len(of_second_step) != 2:
+    ids = [make_job_id() for _ in range(JOBS)]
+    sent = [client.submit(job_id, make_job()) for job_id in ids]
+    statuses = await asyncio.gather(*sent)
+    accepted = {id_ for id_, each in zip(ids, statuses, strict=True) if each == 200}
+    await asyncio.sleep(1.0)
+    fullest = max(system.workers, key=lambda worker: len(worker.running))
+    record.note(
+        f"{len(accepted)} of {JOBS} jobs were accepted; {fullest.id} runs"
+        f" {len(fullest.running)} of their tasks"
+    )
+    if not accepted:
         return NOT_RUN
     if trouble:
-        name, task = of_second_step[0].worker, of_second_step[0].task
-        record.note(f"trouble: worker {name} fails {task}")
-        next(each for each in system.workers if each.id == name).fail(task)
-    state = await client.wait_for_end(job_id, 40.0)
-    most, where = find_most_on_one_worker(system.ledger, job_id)
-    record.note(f"judge: job {state}; at most {most} tasks of a step, {where}")
-    if most > LIMIT:
-        record.note("judge: a start beyond max_per_server")
-        return BROKEN
-    return HELD if state == "succeeded" else NOT_RUN
+        record.note(f"trouble: worker {fullest.id} crashes and is lost for good")
+        await fullest.crash()
+    await asyncio.sleep(FINISH_SECONDS)
+    idle, used = await find_idle_jobs(system, accepted)
+    asked = [client.find_state(job_id, 10.0) for job_id in sorted(idle)]
+    states = sorted({state for _, state in await asyncio.gather(*asked)})
+    record.note(
+        f"judge: {len(idle)} of {len(accepted)} accepted jobs have run nothing from"
+        f" {FINISH_SECONDS:.0f} s after the traffic for {WATCHED_SECONDS:.0f} s more"
+        f" and are not done, shown as {states}; {used:.1%} of the capacity is in use"
+    )
+    return BROKEN if idle and used < MAX_USED_SHARE else HELD
 
 
 if __name__ == "__main__":
