Suspects: start the tasks of a lost server again in groups

A wide job that lost two servers ran 12 tasks at a time, and its tasks that were not lost waited for the end of all others.

Cause: a loss of N runs made N suspects, and each of them was treated as if it were the only one: it started again only alone on a server set apart. The time until all ran again was N run times divided by the few servers set apart. The pass itself compared each suspect with all losses of all jobs, and each loss of a job with all others of it.

Change: suspects are tested in groups on servers that run nothing but suspects. A group that ends well clears all its tasks; one that is lost leaves fewer suspects, which run in smaller groups. The size follows from what was lost together, n ** (2/3) and then n ** (1/2), so that the third further loss is one of a run alone, however large n is: a guilty task is started four times, five if a new leader does not know of one loss, which is what BUDGET allows. A small loss runs alone at once, as before, if there are servers for it. Tasks of a job that lost two servers run as its suspects do in place of waiting. A suspect without a host claims one of them, and no longer keeps a whole kind of servers from all after it. A new leader keeps the servers apart on which suspects run. Losses are indexed by job, task and process (LossTable); a command of many losses is merged once.

The tests of the number of lost runs in the log line stay; test_suspect_starts_at_no_ server_that_is_draining uses five smaller tasks, as three of its size no longer wait, and the test of the tasks that waited for the suspects of their job now asks for what replaced the wait. test_zone_service gives its suspect a loss, which every suspect has.

--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -15,7 +15,6 @@
     JobPhase,
     JobRecord,
     RunEnd,
-    RunLoss,
     Step,
     TaskRef,
     UnansweredStart,
@@ -24,6 +23,7 @@
 from boragetide.policy.expected_ends import RunTimes
 from boragetide.policy.fencing import make_fence
 from boragetide.policy.job_queue import JobQueue
+from boragetide.policy.loss_table import LossTable
 from boragetide.policy.overload import AdmissionControl
 from boragetide.policy.reservations import Reservations
 from boragetide.policy.server_index import ServerIndex
@@ -153,11 +153,9 @@
         by backend server, task and run number, oldest first.
     lost_runs
         Runs that were lost since the last `assess_lost_runs`.
-    losses_by_job
+    losses
         Losses of runs that count for the suspicion of their tasks. Those of durable
         jobs are also stored in the log.
-    lost_servers
-        Backend servers with which runs were lost and whose fate is not known.
     suspects_by_job
         Jobs with suspects, and those of the suspects that wait for a start.
     isolated_servers
@@ -229,8 +227,7 @@
         default_factory=OrderedDict
     )
     lost_runs: list[LostRun] = field(default_factory=list)
-    losses_by_job: dict[JobId, tuple[RunLoss, ...]] = field(default_factory=dict)
-    lost_servers: set[BackendServerId] = field(default_factory=set)
+    losses: LossTable = field(default_factory=LossTable)
     suspects_by_job: dict[JobId, dict[int, Step]] = field(default_factory=dict)
     isolated_servers: set[BackendServerId] = field(default_factory=set)
     transfers: TransferState = field(default_factory=TransferState)
@@ -325,8 +322,7 @@
     state.freed_runs.clear()
     state.lost_runs.clear()
     state.start_window = StartWindow()
-    state.losses_by_job.clear()
-    state.lost_servers.clear()
+    state.losses.clear()
     state.suspects_by_job.clear()
     state.isolated_servers.clear()
     state.transfers = TransferState()
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -262,7 +262,7 @@
     """Settle the losses whose fate a list of runs shows."""
     effects = assess_lost_runs(state, now)
     server = state.servers_by_id.get(message.server)
-    if message.server not in state.lost_servers or not has_authority(state, now):
+    if not (state.losses.has_open(message.server) and has_authority(state, now)):
         return effects
     if server is None or message.born < server.report.born:
         return effects
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -36,7 +36,7 @@
 from boragetide.durable import DurableJob, JobPhase, JobRecord, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
 from boragetide.policy.best_fit import order_by_fit
-from boragetide.policy.crash_suspicion import find_suspects, holds_other_tasks
+from boragetide.policy.crash_suspicion import find_suspects
 from boragetide.policy.job_queue import WaitingJob
 from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.scheduling import (
@@ -84,7 +84,7 @@
         for number, step in find_ready_tasks(record)
         if may_start(state, (job_id, number))
     }
-    if job_id in state.losses_by_job or job_id in state.suspects_by_job:
+    if job_id in state.losses.by_job or job_id in state.suspects_by_job:
         tasks = _hold_suspects(state, record, tasks)
     state.queue.put(record.job, tasks, has_started=job_id in state.started)
 
@@ -92,18 +92,18 @@
 def _hold_suspects(
     state: DispatcherState, record: JobRecord, tasks: dict[int, Step]
 ) -> dict[int, Step]:
-    """Keep the suspects out of the queue; return the tasks that need not wait."""
+    """Keep the suspects out of the queue; return the tasks that are none."""
     job_id = record.job.id
-    losses = state.losses_by_job.get(job_id, ())
-    suspects = find_suspects(losses, record.done)
-    if not suspects:
+    of_job = state.losses.by_job.get(job_id)
+    if of_job is None or not find_suspects(of_job.losses, record.done):
         state.suspects_by_job.pop(job_id, None)
         return tasks
-    state.suspects_by_job[job_id] = {
-        number: step for number, step in tasks.items() if number in suspects
+    suspects = {
+        number: step
+        for number, step in tasks.items()
+        if of_job.is_suspect or number in of_job.by_task
     }
-    if holds_other_tasks(losses):
-        return {}
+    state.suspects_by_job[job_id] = suspects
     return {number: step for number, step in tasks.items() if number not in suspects}
 
 
@@ -481,15 +481,16 @@
     chosen: ServerCandidate,
     now: Seconds,
     *,
-    alone: bool = False,
+    group_size: int = 0,
     reasons: dict[str, Any] | None = None,
 ) -> list[Effect]:
     """Start a task on a backend server.
 
     Parameters
     ----------
-    alone
-        Whether the backend server is set apart for this task.
+    group_size
+        Most suspects that run on the backend server while this one does; 0 if the task
+        is no suspect.
     reasons
         Further fields of the log line, which tell why the task starts now and why on
         this backend server.
@@ -499,7 +500,7 @@
     task = get_task_ref(job, number)
     run = Run(*key, task, assign_run_number(state, key), step.needs, now)
     run.estimate = step.estimate
-    run.alone = alone
+    run.group_size = group_size
     add_run(state, server, run)
     start = make_start(state, server, job, run, now)
     fields = {
--- a/boragetide/controllers/run_state.py
+++ b/boragetide/controllers/run_state.py
@@ -53,8 +53,9 @@
         first listed, in Unix milliseconds.
     seen_born
         Start of the process that listed the run last, or to which it was ordered.
-    alone
-        Whether nothing else is started on the backend server while the run is there.
+    group_size
+        Most suspects, this one included, that run on the backend server while the run
+        is there, and nothing else does; 0 if the run is none of a suspect.
     adopted
         Whether an earlier leader ordered the run.
     began
@@ -79,7 +80,7 @@
     estimate: Seconds = 0.0
     server_born: int = 0
     seen_born: int = 0
-    alone: bool = False
+    group_size: int = 0
     adopted: bool = False
     began: bool = False
 
@@ -88,6 +89,11 @@
         """The task that this run occupies."""
         return self.job_id, self.task
 
+    @property
+    def alone(self) -> bool:
+        """Whether nothing else is started on the backend server beside the run."""
+        return self.group_size == 1
+
 
 @dataclass(frozen=True, slots=True)
 class FreedRun:
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -34,6 +34,7 @@
 from boragetide.controllers.run_ends import apply_ends
 from boragetide.controllers.server_state import Run, RunPhase, Server
 from boragetide.controllers.server_table import replace_process
+from boragetide.controllers.suspect_hosts import isolate
 from boragetide.durable import (
     JobPhase,
     JobRecord,
@@ -51,6 +52,8 @@
 PARTIAL_LIST_PAUSE: Seconds = 0.05
 # In this time, a lease becomes about 0.1 s shorter if the clock is not read.
 MAX_CLOCK_AGE: Seconds = 5.0
+# Most suspects on a backend server that runs one of an earlier leader.
+ADOPTED_GROUP_SIZE = 2
 # A run of an unknown job is stopped after this time. Callers submit their jobs again to
 # a new leader within some tenths of a second.
 UNKNOWN_JOB_GRACE_PERIOD: Seconds = 1.0
@@ -278,6 +281,11 @@
         run.start_repeated = True
     server.unexpected_runs.pop(listed, None)
     add_run(state, server, run)
+    if state.losses.get_of_task(*key):
+        # The earlier leader may have started others beside it, so that a crash does
+        # not count as one under this run alone.
+        run.group_size = ADOPTED_GROUP_SIZE
+        isolate(state, server)
     state.run_number_by_task[key] = max(
         state.run_number_by_task.get(key, 0), listed.run
     )
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -236,6 +236,20 @@
     server: BackendServerId
 
 
+@dataclass(frozen=True, slots=True)
+class ServerProcess:
+    """One process of a backend server.
+
+    Parameters
+    ----------
+    born
+        Unix time of its start, in milliseconds.
+    """
+
+    server: BackendServerId
+    born: int
+
+
 @dataclass(frozen=True, slots=True)
 class RunLoss:
     """A run that was lost with its backend server.
@@ -249,7 +263,7 @@
     lost_at
         Unix time at which the run was known to be over.
     alone
-        Whether nothing else ran on the backend server.
+        Whether the backend server was set apart for this run alone.
     began
         Whether the run is known to have begun. If not, the process may have ended
         before the order arrived.
@@ -270,6 +284,11 @@
         """Identifies the loss among those of its job."""
         return self.task, self.server, self.born
 
+    @property
+    def process(self) -> ServerProcess:
+        """Process of the backend server with which the run was lost."""
+        return ServerProcess(self.server, self.born)
+
 
 @dataclass(frozen=True, slots=True)
 class JobRecord:
--- a/boragetide/policy/crash_suspicion.py
+++ b/boragetide/policy/crash_suspicion.py
@@ -1,7 +1,10 @@
 """Which tasks are suspected of crashing the backend servers that run them.
 
-A crash puts all tasks that ran on the backend server under suspicion. A suspect runs
-next alone on a backend server, so that the next crash shows whether it is to blame.
+A crash puts all tasks that ran on the backend server under suspicion. Most of them, or
+all, are innocent. They are divided among backend servers on which only suspects run,
+as in adaptive group testing: whatever ends there is cleared, and the next crash leaves
+fewer suspects, which run in smaller groups, and in the end alone. A task is given up
+only after a crash under it alone.
 
 A run whose start was neither answered nor listed may not have begun: the backend server
 may have been down already. A crash under such a run is possible, but not certain. A
@@ -12,9 +15,10 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Iterable
 
-from boragetide.durable import JobRecord, LossFate, RunLoss
+from boragetide.durable import LossFate, RunLoss
 from boragetide.policy.exponential_wait import grow_wait
 from boragetide.types import Seconds
 
@@ -25,18 +29,26 @@
 MAX_CRASHES = 2
 # It is also given up after this many crashes, certain or possible.
 MAX_POSSIBLE_CRASHES = 4
+# A suspect runs beside others until runs of it were lost with this many backend
+# servers, so that a task that crashes them is started five times at most, although a
+# new leader may not know of one loss.
+MAX_SHARED_LOSSES = 3
 # A suspect that was lost while it ran alone starts again only when the fate of that
 # backend server is known, or after this time. The wait doubles with each such loss.
 FATE_WAIT: Seconds = 10.0
 MAX_FATE_WAIT: Seconds = 3600.0
 # Share of the backend servers of a pool that may be set apart for suspects.
 MAX_ISOLATED_SHARE = 0.15
-# As long as no suspect was lost alone, it may be this share if the servers are empty,
-# because most suspects are innocent.
+# As long as no lost group awaits its fate, it may be this share if the servers are
+# empty, because most suspects are innocent.
 MAX_EMPTY_ISOLATED_SHARE = 0.5
-# The ready tasks of a job that are not suspected wait once runs of the job were lost
-# with this many backend servers.
-HOLDING_SERVER_COUNT = 2
+# All tasks of a job run as its suspects do once runs of it were lost with this many
+# backend servers.
+SUSPECT_JOB_SERVER_COUNT = 2
+# The suspects of a job run alone once this many groups of them were lost and none of
+# its tasks has been done.
+MAX_LOST_GROUPS = 2
+_ROUNDING_MARGIN = 1e-9  # absolute error of a computed group size
 
 
 def merge_losses(known: Losses, new: Iterable[RunLoss]) -> Losses:
@@ -85,12 +97,6 @@
     return [crash for crash in crashes if crash.began]
 
 
-def find_guilty(record: JobRecord) -> int | None:
-    """Return a task of a job that is to blame for crashes, or ``None``."""
-    suspects = find_suspects(record.losses, record.done)
-    return next((task for task in suspects if is_guilty(record.losses, task)), None)
-
-
 def _list_crashes(losses: Losses, task: int) -> list[RunLoss]:
     return [
         loss for loss in losses if loss.task == task and loss.fate is LossFate.CRASHED
@@ -117,12 +123,39 @@
     return open_losses[-1].lost_at + wait
 
 
-def holds_other_tasks(losses: Losses) -> bool:
-    """Return whether the other tasks of a job wait for its suspects.
+def group_by_task(losses: Losses) -> dict[int, Losses]:
+    """Return the losses of each task, oldest first."""
+    by_task: defaultdict[int, list[RunLoss]] = defaultdict(list)
+    for loss in losses:
+        by_task[loss.task].append(loss)
+    return {task: tuple(of_task) for task, of_task in by_task.items()}
+
+
+def is_suspect_job(losses: Losses) -> bool:
+    """Return whether all tasks of a job are treated as its suspects are.
 
     Several tasks of such a job may crash their backend servers.
     """
-    return len({(loss.server, loss.born) for loss in losses}) >= HOLDING_SERVER_COUNT
+    return len({loss.process for loss in losses}) >= SUSPECT_JOB_SERVER_COUNT
+
+
+def max_group_size(loss_count: int, lost_together: int) -> int:
+    """Return how many suspects may run together with a suspect, itself included.
+
+    With ``n`` tasks lost together and ``k`` further groups until a suspect runs alone,
+    groups of ``n ** (k / (k + 1))`` tasks shrink by the same factor each time. The
+    number of crashes that one guilty task causes is thus bounded, whatever ``n`` is.
+
+    Parameters
+    ----------
+    loss_count
+        Number of backend servers with which runs of the suspect were lost.
+    lost_together
+        Number of suspects that were lost with the last of them.
+    """
+    groups_left = max(MAX_SHARED_LOSSES - loss_count, 0)
+    size = lost_together ** (groups_left / (groups_left + 1))
+    return max(1, math.floor(size + _ROUNDING_MARGIN))
 
 
 def max_isolated_servers(pool_size: int) -> int:
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import replace
 
 from boragetide.durable import DurableJob, JobPhase, JobRecord, RunEnd, RunLoss
-from boragetide.policy.crash_suspicion import find_guilty, merge_losses
+from boragetide.policy.crash_suspicion import group_by_task, is_guilty, merge_losses
 from boragetide.types import JobId, Seconds
 
 # The state of an ended job may be requested for 120 s after its end.
@@ -86,22 +87,34 @@
     set
         Ids of the jobs that changed.
     """
-    changed = set()
+    by_job: defaultdict[JobId, list[RunLoss]] = defaultdict(list)
     for loss in losses:
-        record = jobs_by_id.get(loss.job_id)
+        by_job[loss.job_id].append(loss)
+    changed = set()
+    for job_id, of_job in by_job.items():
+        record = jobs_by_id.get(job_id)
         if record is None or record.phase is not JobPhase.ACTIVE:
             continue
-        merged = merge_losses(record.losses, (loss,))
+        merged = merge_losses(record.losses, of_job)
         if merged == record.losses:
             continue
         updated = replace(record, losses=merged, changed_at=now)
-        if find_guilty(updated) is not None:
+        if _has_guilty_task(updated, of_job):
             updated = _finish(updated, JobPhase.FAILED, now, updated.done)
-        jobs_by_id[loss.job_id] = updated
-        changed.add(loss.job_id)
+        jobs_by_id[job_id] = updated
+        changed.add(job_id)
     return changed
 
 
+def _has_guilty_task(record: JobRecord, losses: list[RunLoss]) -> bool:
+    """Return whether one of the tasks with new losses is to blame for crashes."""
+    by_task = group_by_task(record.losses)
+    return any(
+        is_guilty(by_task.get(task, ()), task)
+        for task in {loss.task for loss in losses} - record.done
+    )
+
+
 def count_failures(record: JobRecord, task: int) -> int:
     """Return the number of failed runs of a task."""
     return sum(number == task for number, _ in record.failures)
--- a/boragetide/tests/test_crash_suspicion.py
+++ b/boragetide/tests/test_crash_suspicion.py
@@ -10,9 +10,11 @@
 from boragetide.policy.crash_suspicion import (
     FATE_WAIT,
     MAX_FATE_WAIT,
+    MAX_SHARED_LOSSES,
     find_suspects,
-    holds_other_tasks,
     is_guilty,
+    is_suspect_job,
+    max_group_size,
     max_isolated_servers,
     may_start_at,
     merge_losses,
@@ -108,10 +110,31 @@
     assert may_start_at(losses, 0) == math.inf
 
 
-def test_other_tasks_wait_after_the_loss_of_two_servers() -> None:
+def test_other_tasks_are_suspects_after_the_loss_of_two_servers() -> None:
     """Guards against a job whose tasks take a server each, and against idle ones."""
-    assert not holds_other_tasks((make_loss("s1"), make_loss("s1", task=1)))
-    assert holds_other_tasks((make_loss("s1"), make_loss("s2", task=1)))
+    assert not is_suspect_job((make_loss("s1"), make_loss("s1", task=1)))
+    assert is_suspect_job((make_loss("s1"), make_loss("s2", task=1)))
+
+
+@pytest.mark.parametrize("lost_together", [*range(1, 300), 1_000, 10_000])
+def test_lost_groups_shrink_until_a_suspect_runs_alone(lost_together: int) -> None:
+    """Guards against a guilty task that crashes more servers than BUDGET allows.
+
+    The worst case is a group that is lost whole each time.
+    """
+    size, losses = lost_together, 0
+    while size > 1:
+        losses += 1
+        assert max_group_size(losses, size) < size
+        size = max_group_size(losses, size)
+    assert losses <= MAX_SHARED_LOSSES
+
+
+def test_group_of_a_wide_loss_is_a_part_that_grows_with_it() -> None:
+    """Guards against tasks of a lost server that start again one at a time."""
+    assert [max_group_size(1, count) for count in (2, 8, 64, 256)] == [1, 4, 16, 40]
+    assert [max_group_size(2, count) for count in (2, 16, 40)] == [1, 4, 6]
+    assert max_group_size(MAX_SHARED_LOSSES, 10_000) == 1
 
 
 @pytest.mark.parametrize(("size", "limit"), [(1, 1), (3, 1), (24, 3), (176, 26)])
--- a/boragetide/tests/test_lost_runs.py
+++ b/boragetide/tests/test_lost_runs.py
@@ -3,195 +3,38 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import Any
 
 import pytest
 
-from boragetide.commands import AcceptJob, JobCommand, RecordLosses
-from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
+from boragetide.commands import AcceptJob, RecordLosses
 from boragetide.durable import JobPhase, LossFate, Resources, Step
-from boragetide.effects import LogEvent, Reply, Send, StartRun
-from boragetide.log_records import Catalogue
 from boragetide.messages import (
-    AppendCommands,
-    DispatcherReply,
-    JobsCommitted,
     LeadershipLost,
     ReadFailed,
     RemoveServer,
     ReplyStatus,
     ReportServer,
-    SubmitDurableJob,
-    Tick,
     WithdrawSubmissions,
 )
 from boragetide.policy.catalogue import apply_job_command
 from boragetide.policy.crash_suspicion import FATE_WAIT
 from boragetide.settings import Settings
+from boragetide.tests.crash_site import LOST_AFTER, SERVERS, Site
 from boragetide.tests.durable_fixtures import (
-    BEGIN,
     BORN,
-    CAPACITY,
     NEEDS,
-    Leader,
     list_end,
     list_run,
-    make_durable_job,
     make_report,
 )
-from boragetide.types import ReplyTo
 
-CALLER = ReplyTo("e1", 7)
 NEXT_BORN = BORN + 5000
-SERVERS = ("s1", "s2", "s3", "s4")
 # After three crashes under a task, it may be started twice more.
 MAX_STARTS = 5
-# Time after which a run that was lost with a silent server is certainly over.
-LOST_AFTER = LEASE_EXPIRY_WAIT + 0.1
-LONG_STEP = Step(1, NEEDS, 5.0)
 WHOLE_SERVER = Resources(60_000, 64)
 LARGE_CAPACITY = Resources(96_000, 100_000)
 
 
-class Site:
-    """A leader, its log, and backend servers that crash at command."""
-
-    def __init__(self, settings: Settings):
-        self.leader = Leader(settings)
-        self.catalogue = Catalogue()
-        self.now = BEGIN
-        self.born = dict.fromkeys(SERVERS, BORN)
-        self.capacity = dict.fromkeys(SERVERS, CAPACITY)
-        self.pool = dict.fromkeys(SERVERS, "pool")
-        self.sequence = 1
-        self.starts: list[StartRun] = []
-        self.down: set[str] = set()
-        self.log_is_held_up = False
-        self.replies: list[Any] = []
-        self.events: list[LogEvent] = []
-        self.leader.lead()
-        for server in SERVERS:
-            self.leader.join(server)
-
-    def handle(self, message: Any) -> None:
-        """Handle a message; commit what it appends."""
-        effects = self.leader.handle(message, self.now)
-        self.take(effects)
-
-    def take(self, effects: list[Any]) -> None:
-        """Collect effects; commit what they append."""
-        self.starts += [each for each in effects if isinstance(each, StartRun)]
-        self.replies += [
-            each.message
-            for each in effects
-            if isinstance(each, Reply) and isinstance(each.message, DispatcherReply)
-        ]
-        self.events += [each for each in effects if isinstance(each, LogEvent)]
-        for effect in effects:
-            if not self.log_is_held_up and _is_append(effect):
-                self.commit(effect.message)
-            if isinstance(effect, LogEvent) and effect.event == "suspect_server_asked":
-                self.answer_question(effect.fields["server"])
-
-    def answer_question(self, server: str) -> None:
-        """Answer the question to an empty server, if it is up."""
-        if server not in self.down:
-            born = self.born[server]
-            self.take(self.leader.list_runs(server, born=born, now=self.now))
-
-    def commit(self, message: AppendCommands) -> None:
-        """Apply commands as the log does and notify the dispatcher."""
-        changed: set[str] = set()
-        for command in message.commands_by_id.values():
-            assert isinstance(command, JobCommand)
-            changed |= apply_job_command(command, self.catalogue, self.now)
-        records = tuple(self.catalogue.jobs_by_id[each] for each in sorted(changed))
-        self.handle(JobsCommitted(tuple(message.commands_by_id), records))
-
-    def submit(
-        self,
-        job_id: str,
-        *steps: Step,
-        best_effort: bool = True,
-        pool: str = "pool",
-    ) -> None:
-        """Submit a job, by default one of a single long task."""
-        job = make_durable_job(
-            job_id,
-            *(steps or (LONG_STEP,)),
-            best_effort=best_effort,
-            submitted_at=self.now,
-        )
-        job = replace(job, starts=replace(job.starts, pool=pool))
-        message = SubmitDurableJob(job=job, submitted_at=self.now, reply_to=CALLER)
-        self.handle(message)
-
-    def take_start(self) -> StartRun:
-        """Return the only start since the last call, and answer it."""
-        (start,) = self.take_starts()
-        return start
-
-    def take_unanswered_start(self) -> StartRun:
-        """Return the only start since the last call, and leave it without an answer."""
-        (start,), self.starts = self.starts, []
-        return start
-
-    def take_starts(self) -> list[StartRun]:
-        """Return the starts since the last call, and answer them."""
-        starts, self.starts = self.starts, []
-        for start in starts:
-            self.take(self.leader.answer(start, now=self.now))
-        return starts
-
-    def answer_stops(self) -> None:
-        """Answer the stops that the last message ordered."""
-        for stop in self.leader.stops():
-            self.take(self.leader.answer(stop, now=self.now))
-
-    def pass_time(self, seconds: float) -> None:
-        """Advance the clock; servers that are up announce themselves."""
-        self.now += seconds
-        self.handle(Tick())
-
-    def lose(self, server: str) -> None:
-        """Let a server answer nothing until the leases of its runs have lapsed."""
-        self.down.add(server)
-        self.handle(ReadFailed(server, 1))
-        for other in SERVERS:
-            if other != server and not self.leader.state.servers_by_id[other].silent:
-                self.announce(other)
-        self.pass_time(LOST_AFTER)
-
-    def announce(self, server: str, **fields: Any) -> None:
-        """Announce the current process of a server."""
-        self.sequence += 1
-        fields = {"born": self.born[server], "sequence": self.sequence} | fields
-        fields = {"capacity": self.capacity[server], "pool": self.pool[server]} | fields
-        self.handle(ReportServer(report=make_report(server, **fields), passed_on=True))
-
-    def return_server(self, server: str, *, crashed: bool) -> None:
-        """Let a server answer again, as a new process if it has crashed."""
-        self.down.discard(server)
-        if crashed:
-            self.born[server] += 5000
-        self.announce(server)
-        born = self.born[server]
-        self.take(self.leader.list_runs(server, born=born, now=self.now))
-
-    def crash(self, start: StartRun) -> None:
-        """Let the server of a run crash and return."""
-        self.lose(start.server)
-        self.return_server(start.server, crashed=True)
-
-    def find_events(self, name: str) -> list[dict[str, Any]]:
-        """Return the fields of the log lines of an event."""
-        return [each.fields for each in self.events if each.event == name]
-
-
-def _is_append(effect: Any) -> bool:
-    return isinstance(effect, Send) and isinstance(effect.message, AppendCommands)
-
-
 @pytest.fixture
 def site(settings: Settings) -> Site:
     """A leader with four backend servers for two tasks each."""
@@ -279,14 +122,15 @@
 
     The server stays set apart while the end of the suspect before is not committed.
     """
-    small = Step(1, Resources(20_000, 64), 5.0)
-    for number in range(3):
+    small = Step(1, Resources(12_000, 64), 5.0)
+    for number in range(5):
         site.submit(f"j{number}", small, best_effort=False)
     lost = site.take_starts()
     assert len({start.server for start in lost}) == 1
     site.crash(lost[0])
-    # Suspects may use two of the four servers, so that the third one waits.
-    suspect, _ = site.take_starts()
+    # Suspects may use two of the four servers in groups of two, so that one waits.
+    suspect, *others = site.take_starts()
+    assert len(others) == 3
     site.announce(suspect.server, draining=True)
     site.log_is_held_up = True
     ends, born = (list_end(suspect, 1),), site.born[suspect.server]
@@ -377,7 +221,7 @@
         site.return_server(start.server, crashed=end != "survived")
         site.pass_time(0.1)
     assert site.leader.state.records_by_id["j1"].phase is JobPhase.ACTIVE
-    assert site.leader.state.losses_by_job == {}
+    assert not site.leader.state.losses.by_job
 
 
 def test_suspect_lost_alone_waits_for_the_fate_of_its_server(site: Site) -> None:
--- a/boragetide/tests/test_zone_service.py
+++ b/boragetide/tests/test_zone_service.py
@@ -10,7 +10,7 @@
 from boragetide.controllers.placing import place_tasks
 from boragetide.controllers.stranded_jobs import RoomTable, list_needs
 from boragetide.controllers.zone_pool import OLD_VIEW_TOLERANCE
-from boragetide.durable import Fit, JobRecord, Resources, Step
+from boragetide.durable import Fit, JobRecord, Resources, RunLoss, Step
 from boragetide.effects import Count, Effect, LogEvent, Send, StartRun, StartTasks
 from boragetide.messages import (
     AnnounceBackendServer,
@@ -43,6 +43,7 @@
 from boragetide.settings import Settings
 from boragetide.tests.durable_fixtures import (
     BEGIN,
+    BORN,
     CALLER,
     CAPACITY,
     NEEDS,
@@ -142,7 +143,7 @@
     job = make_durable_job("j1", steps_for_suspect(), best_effort=True)
     state = leader.state
     state.records_by_id["j1"] = JobRecord(job)
-    state.losses_by_job["j1"] = ()
+    state.losses.put("j1", (RunLoss("j1", 0, "s0", "s0:80", BORN, BEGIN),))
     apply(leader, EVACUATED)
     state.suspects_by_job["j1"] = {0: job.steps[0]}
     isolating.place_suspects(state, BEGIN)
