--- a/benchmarks/zone_lease_rules.py
+++ b/benchmarks/zone_lease_rules.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
     MIN_CLOCK_RATE,
 )
+from boragetide.controllers.takeover import LEASE_EXPIRY_WAIT
 from boragetide.policy.replica import AUTHORITY_DURATION, ELECTION_MIN
 from boragetide.types import Seconds
 
--- a/boragetide/controllers/dispatch_state.py
+++ b/boragetide/controllers/dispatch_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 
 from sortedcontainers import SortedDict
@@ -22,12 +22,13 @@
 from boragetide.effects import Reply
 from boragetide.policy.expected_ends import RunTimes
 from boragetide.policy.fencing import make_fence
+from boragetide.policy.job_progress import JobProgress
 from boragetide.policy.job_queue import JobQueue
 from boragetide.policy.loss_table import LossTable
+from boragetide.policy.order_window import OrderWindow
 from boragetide.policy.overload import AdmissionControl
 from boragetide.policy.reservations import Reservations
 from boragetide.policy.server_index import ServerIndex
-from boragetide.policy.start_window import StartWindow
 from boragetide.policy.submission_fence import SubmissionFence
 from boragetide.policy.transfer_table import is_undelivered
 from boragetide.policy.zones import ZoneView
@@ -95,7 +96,10 @@
         Jobs that have not ended, oldest first.
     server_by_task
         Backend server of each task that may be running or whose end is not committed
-        yet.
+        yet. Changed only by `occupy_task` and `vacate_task`.
+    counts_by_step
+        Number of these tasks on each backend server, for each step with a limit, by the
+        job and the position of the step.
     uncommitted_ends_by_task
         Listed ends that are not committed yet. Their tasks are not started.
     takeover_complete
@@ -105,6 +109,10 @@
         Jobs with tasks that are ready to start.
     index
         Free capacity and speed of the backend servers.
+    progress_by_id
+        Tasks of the queued jobs that may run, by what is done.
+    unqueued
+        Jobs that this leader has loaded and not queued yet.
     started
         Jobs of which a task was started or has ended.
     possible_runs_by_job
@@ -129,8 +137,8 @@
         Share of the submissions that this leader admits.
     overdue_stopped_tasks
         Tasks of which a run was stopped because it appeared to make no progress.
-    start_window
-        Starts in progress, whose number is bounded.
+    start_window, stop_window
+        Starts and stops in progress, whose number is bounded.
     done_tasks_of_unknown_jobs
         Tasks that were listed as done but whose jobs are not known here, with the time
         of the list.
@@ -192,12 +200,17 @@
     server_by_task: dict[tuple[JobId, int], BackendServerId] = field(
         default_factory=dict
     )
+    counts_by_step: dict[tuple[JobId, int], Counter[BackendServerId]] = field(
+        default_factory=dict
+    )
     uncommitted_ends_by_task: dict[tuple[JobId, int], list[RunEnd]] = field(
         default_factory=dict
     )
     takeover_complete: bool = False
     queue: JobQueue = field(init=False)
     index: ServerIndex = field(default_factory=ServerIndex)
+    progress_by_id: dict[JobId, JobProgress] = field(default_factory=dict)
+    unqueued: deque[JobId] = field(default_factory=deque)
     started: set[JobId] = field(default_factory=set)
     possible_runs_by_job: dict[JobId, set[tuple[int, int]]] = field(
         default_factory=dict
@@ -211,7 +224,8 @@
     cancelled_at_by_job: dict[JobId, Seconds] = field(default_factory=dict)
     admission: AdmissionControl = field(default_factory=AdmissionControl)
     overdue_stopped_tasks: set[tuple[JobId, int]] = field(default_factory=set)
-    start_window: StartWindow = field(default_factory=StartWindow)
+    start_window: OrderWindow = field(default_factory=OrderWindow)
+    stop_window: OrderWindow = field(default_factory=OrderWindow)
     done_tasks_of_unknown_jobs: dict[TaskRef, Seconds] = field(default_factory=dict)
     pending_ends_by_command: dict[str, PendingEnds] = field(default_factory=dict)
     server_born_by_id: dict[BackendServerId, int] = field(default_factory=dict)
@@ -252,6 +266,7 @@
         self.started.discard(job_id)
         self.possible_runs_by_job.pop(job_id, None)
         self.suspects_by_job.pop(job_id, None)
+        self.progress_by_id.pop(job_id, None)
         self.queue.remove(job_id)
 
     def remove_unused_run_numbers(self) -> None:
@@ -296,6 +311,9 @@
     state.records_by_id.clear()
     state.active.clear()
     state.server_by_task.clear()
+    state.counts_by_step.clear()
+    state.progress_by_id.clear()
+    state.unqueued.clear()
     state.uncommitted_ends_by_task.clear()
     state.started.clear()
     state.possible_runs_by_job.clear()
@@ -321,7 +339,8 @@
     state.unanswered_calls = UnansweredCalls()
     state.freed_runs.clear()
     state.lost_runs.clear()
-    state.start_window = StartWindow()
+    state.start_window = OrderWindow()
+    state.stop_window = OrderWindow()
     state.losses.clear()
     state.suspects_by_job.clear()
     state.isolated_servers.clear()
@@ -339,13 +358,41 @@
     # A best-effort job that was forgotten and begins anew gets the same run numbers.
     state.freed_runs.pop((server.report.id, run.ref, run.number), None)
     server.put_run(run)
-    state.server_by_task[run.key] = server.report.id
+    occupy_task(state, run, server.report.id)
     state.started.add(run.job_id)
     possible = state.possible_runs_by_job.setdefault(run.job_id, set())
     possible.add((run.task, run.number))
     update_server_index(state, server)
 
 
+def occupy_task(state: DispatcherState, run: Run, server: BackendServerId) -> None:
+    """Note the backend server on which the task of a run may be running."""
+    vacate_task(state, run)
+    state.server_by_task[run.key] = server
+    if _has_limit(state, run):
+        step = (run.job_id, run.ref.step)
+        state.counts_by_step.setdefault(step, Counter())[server] += 1
+
+
+def vacate_task(state: DispatcherState, run: Run) -> None:
+    """Note that the task of a run is not running."""
+    server = state.server_by_task.pop(run.key, None)
+    step = (run.job_id, run.ref.step)
+    counts = state.counts_by_step.get(step)
+    if server is None or counts is None:
+        return
+    counts[server] -= 1
+    if counts[server] <= 0:
+        del counts[server]
+    if not counts:
+        del state.counts_by_step[step]
+
+
+def _has_limit(state: DispatcherState, run: Run) -> bool:
+    record = state.records_by_id.get(run.job_id)
+    return record is not None and record.job.steps[run.ref.step].max_per_server > 0
+
+
 def is_occupied(state: DispatcherState, key: tuple[JobId, int]) -> bool:
     """Return whether a task may be running, so that no other run of it may start."""
     return key in state.server_by_task or key in state.server_by_blocked_task
@@ -381,6 +428,7 @@
     state.active.pop(job_id, None)
     state.started.discard(job_id)
     state.possible_runs_by_job.pop(job_id, None)
+    state.progress_by_id.pop(job_id, None)
     state.queue.remove(job_id)
     state.overdue_stopped_tasks.difference_update(
         (job_id, number) for number in range(record.job.task_count)
--- a/boragetide/controllers/dispatcher.py
+++ b/boragetide/controllers/dispatcher.py
@@ -50,10 +50,7 @@
     measure_submission,
     refuse_submissions,
 )
-from boragetide.controllers.placing_runs import (
-    check_takeover,
-    place_runs,
-)
+from boragetide.controllers.placing_runs import place_runs
 from boragetide.controllers.registrations import (
     apply_registration,
     needs_registration,
@@ -72,6 +69,7 @@
     pass_on_servers,
     remove_stale_servers,
 )
+from boragetide.controllers.takeover import check_takeover
 from boragetide.controllers.transfers import (
     adopt_delivered,
     answer_review,
@@ -283,9 +281,11 @@
 @handle.register
 def _(message: RunOrdered, state: DispatcherState, now: Seconds) -> list[Effect]:
     measured = measure_order(message, state, now)
-    start = (message.server, message.job_id, message.task, message.run)
-    goes_on = message.started and state.start_window.remove(start)
+    order = (message.server, message.job_id, message.task, message.run)
+    goes_on = message.started and state.start_window.remove(order)
     effects = apply_order_result(state, message, now)
+    if not message.started and state.stop_window.remove(order):
+        effects += repeat_stops(state, now)
     server = state.servers_by_id.get(message.server)
     if server is not None:
         effects += read_runs(state, server, now)
@@ -321,6 +321,7 @@
         state.remove_unused_run_numbers()
         state.fence.remove_old(now)
         state.start_window.remove_old(now)
+        state.stop_window.remove_old(now)
         job_table.drop_old_notes(state.cancelled_at_by_job, now)
         remove_stale_servers(state, now)
         recover_speeds(state, now)
--- a/boragetide/controllers/explaining.py
+++ b/boragetide/controllers/explaining.py
@@ -25,11 +25,11 @@
     ReplyStatus,
     StepExplanation,
 )
+from boragetide.policy.job_progress import find_ready_tasks
 from boragetide.policy.job_queue import JobQueue, WaitingJob
 from boragetide.policy.scheduling import (
     ServerCandidate,
     choose_server,
-    find_ready_tasks,
 )
 from boragetide.types import BackendServerId, PoolName, Seconds
 
@@ -51,7 +51,7 @@
     """
     # The clocks of the two instances may differ.
     job = replace(message.job, submitted_at=now)
-    tasks = dict(find_ready_tasks(JobRecord(job)))
+    tasks = [number for number, _ in find_ready_tasks(JobRecord(job))]
     # A queue of its own ranks the job without a change of what is known of its class.
     queue = JobQueue(
         order=state.queue.order,
--- a/boragetide/controllers/job_records.py
+++ b/boragetide/controllers/job_records.py
@@ -12,7 +12,7 @@
     store_record,
 )
 from boragetide.controllers.orders import stop_run
-from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.queue_updates import update_tasks
 from boragetide.durable import JobPhase, JobRecord
 from boragetide.effects import Count, Effect, LogEvent, Observe, Reply, Send
 from boragetide.messages import AppendCommands, DispatcherReply, ReplyStatus
@@ -54,7 +54,7 @@
     job_id = record.job.id
     store_record(state, record)
     state.command_by_job.pop(job_id, None)
-    update_queue(state, job_id)
+    update_tasks(state, job_id)
     if record.phase is JobPhase.TRANSFERRED:
         return _apply_transfer(state, record)
     age = now - record.job.submitted_at
@@ -77,7 +77,7 @@
         Observe("durable_job_seconds", age, {"phase": record.phase.value}),
         _count_outcome(record, now),
         *(Reply(to, ended) for to in state.waiters_by_job.pop(job_id, ())),
-        *_stop_runs(state, job_id),
+        *_stop_runs(state, job_id, now),
     ]
 
 
@@ -120,7 +120,7 @@
     )
 
 
-def _stop_runs(state: DispatcherState, job_id: JobId) -> list[Effect]:
+def _stop_runs(state: DispatcherState, job_id: JobId, now: Seconds) -> list[Effect]:
     effects: list[Effect] = []
     record = state.records_by_id[job_id]
     for number in range(record.job.task_count):
@@ -129,6 +129,6 @@
             continue
         server = state.servers_by_id[server_id]
         effects += stop_run(
-            state, server, server.runs_by_task[job_id, number], "job_ended"
+            state, server, server.runs_by_task[job_id, number], "job_ended", now
         )
     return effects
--- a/boragetide/controllers/job_requests.py
+++ b/boragetide/controllers/job_requests.py
@@ -134,19 +134,20 @@
     do not count.
     """
     servers = state.servers_by_id
-    server_by_step = {
-        step: next(state.index.iterate(job.starts.pool, step.needs.millicores), None)
-        for step in job.steps
+    pool = job.starts.pool
+    server_by_needs = {
+        needs: next(state.index.iterate(pool, needs.millicores), None)
+        for needs in job.shape.needs
     }
     if all(
-        server is not None and step.needs.fits_in(servers[server].free_resources)
-        for step, server in server_by_step.items()
+        server is not None and needs.fits_in(servers[server].free_resources)
+        for needs, server in server_by_needs.items()
     ):
         return True
     known = [
         server
         for server in servers.values()
-        if server.report.pool == job.starts.pool and not server.departed
+        if server.report.pool == pool and not server.departed
     ]
     in_service = [server for server in known if not server.evacuated]
     if known and not in_service:
--- a/boragetide/controllers/leadership_changes.py
+++ b/boragetide/controllers/leadership_changes.py
@@ -9,7 +9,7 @@
 )
 from boragetide.controllers.held_submissions import list_held_requests
 from boragetide.controllers.lost_runs import load_losses
-from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.queue_updates import queue_loaded_jobs
 from boragetide.controllers.runs import read_runs
 from boragetide.controllers.unanswered_starts import load_unanswered_starts
 from boragetide.effects import Effect, LogEvent, Reply, SetGauge
@@ -43,8 +43,8 @@
         if state.records_by_id[job_id].done or state.records_by_id[job_id].failures
     }
     effects = load_losses(state, message.records, now)
-    for job_id in state.active:
-        update_queue(state, job_id)
+    state.unqueued.extend(state.active)
+    queue_loaded_jobs(state)
     fields = {
         "term": state.term,
         "jobs": len(state.active),
--- a/boragetide/controllers/lost_runs.py
+++ b/boragetide/controllers/lost_runs.py
@@ -13,7 +13,7 @@
 from boragetide.commands import RecordLosses
 from boragetide.controllers.dispatch_state import DispatcherState, has_authority
 from boragetide.controllers.job_records import append_command, apply_record
-from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.queue_updates import update_queue
 from boragetide.controllers.run_state import LostRun
 from boragetide.durable import (
     JobPhase,
--- a/boragetide/controllers/orders.py
+++ b/boragetide/controllers/orders.py
@@ -8,6 +8,7 @@
     get_fence,
     has_authority,
     update_server_index,
+    vacate_task,
 )
 from boragetide.controllers.freed_runs import remember_freed_run
 from boragetide.controllers.order_answers import (
@@ -15,12 +16,9 @@
     record_start_answer,
     shows_begin,
 )
-from boragetide.controllers.placing_runs import (
-    MAX_START_COPIES,
-    make_start,
-    update_queue,
-)
+from boragetide.controllers.placing_runs import MAX_START_COPIES, make_start
 from boragetide.controllers.possible_runs import discard_possible_run
+from boragetide.controllers.queue_updates import update_tasks
 from boragetide.controllers.run_state import LostRun, Run, RunPhase
 from boragetide.controllers.server_health import MIN_SPEED
 from boragetide.controllers.server_state import (
@@ -40,6 +38,8 @@
 from boragetide.types import BackendServerId, Seconds
 
 STOP_RETRY_DELAY: Seconds = 0.05
+# Time of the next stop of a run whose first one waits for others to be answered.
+STOP_POSTPONED: Seconds = 0.0
 REASON_LISTED = "listed"  # reason of a run that is over because its end was listed
 REASON_LEASE_LAPSED = "lease_lapsed"
 REASON_NOT_LISTED = "not_listed"
@@ -134,7 +134,7 @@
         run.order_answered_at = now
         return [log]
     if result is OrderResult.UNANSWERED or run.start_repeated:
-        return [log, *stop_run(state, server, run, result.value)]
+        return [log, *stop_run(state, server, run, result.value, now)]
     remember_freed_run(state, server, run, result.value, now)
     discard_possible_run(state, run)
     return [log, *free_run(state, server, run, result.value)]
@@ -194,15 +194,22 @@
 
 
 def stop_run(
-    state: DispatcherState, server: Server, run: Run, reason: str
+    state: DispatcherState, server: Server, run: Run, reason: str, now: Seconds
 ) -> list[Effect]:
-    """Order the stop of a run; it occupies its task until it is certainly over."""
+    """Order the stop of a run; it occupies its task until it is certainly over.
+
+    While many stops are in progress, `repeat_stops` orders it later.
+    """
     if run.phase is RunPhase.ENDED:
         return []
     run.phase = RunPhase.STOPPING
     run.order_answered_at = None
-    run.next_stop_at = None
     run.stop_answered = False
+    if state.stop_window.is_full:
+        run.next_stop_at = STOP_POSTPONED
+        return []
+    run.next_stop_at = None
+    state.stop_window.add((server.report.id, *run.key, run.number), now)
     fields = {"job": run.job_id, "task": run.task, "run": run.number}
     fields |= {"server": server.report.id, "reason": reason}
     return [
@@ -212,7 +219,9 @@
 
 
 def repeat_stops(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Repeat stop orders that may not have arrived, on backend servers that answer.
+    """Order the stops that were postponed, or that may not have arrived.
+
+    Only backend servers that answer are called.
 
     Without an answer to the stop, the run may still begin. On a backend server that
     answers nothing at all, the expiry of the lease ends the run.
@@ -222,10 +231,14 @@
         if server.silent or server.departed:
             continue
         for run in list(server.runs_by_task.values()):
+            if state.stop_window.is_full:
+                return effects
             if run.phase is not RunPhase.STOPPING or run.next_stop_at is None:
                 continue
             if now >= run.next_stop_at:
-                effects += stop_run(state, server, run, "stop_unanswered")
+                is_first = run.next_stop_at == STOP_POSTPONED
+                reason = "stop_postponed" if is_first else "stop_unanswered"
+                effects += stop_run(state, server, run, reason, now)
     return effects
 
 
@@ -265,7 +278,7 @@
             update_server_index(state, server)
         for run in overdue:
             state.overdue_stopped_tasks.add(run.key)
-            effects += stop_run(state, server, run, "overdue")
+            effects += stop_run(state, server, run, "overdue", now)
     return effects
 
 
@@ -340,11 +353,11 @@
     server.remove_run(run.key)
     update_server_index(state, server)
     if state.server_by_task.get(run.key) == server.report.id:
-        del state.server_by_task[run.key]
+        vacate_task(state, run)
     if _was_lost_with_server(server, run, reason):
         report = server.report
         state.lost_runs.append(LostRun(run, report.id, report.address))
-    update_queue(state, run.job_id)
+    update_tasks(state, run.job_id, (run.task,))
     if reason == REASON_LISTED:
         # The end was already logged when it was listed.
         return []
--- a/boragetide/controllers/placing_runs.py
+++ b/boragetide/controllers/placing_runs.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from bisect import bisect_left
 from collections.abc import Callable, Iterator
 from functools import partial
 from itertools import chain, islice
+from operator import attrgetter
 from typing import Any
 
 from boragetide.controllers.dispatch_state import (
@@ -15,8 +16,8 @@
     get_fence,
     has_authority,
     is_registered,
-    may_start,
 )
+from boragetide.controllers.queue_updates import queue_loaded_jobs
 from boragetide.controllers.reserving import (
     may_reserve,
     may_use,
@@ -27,27 +28,25 @@
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
     LEASE_EXPIRY_MARGIN,
-    LONGEST_LEASE,
     MIN_CLOCK_RATE,
     Run,
     Server,
 )
 from boragetide.controllers.zone_service import may_start_on
-from boragetide.durable import DurableJob, JobPhase, JobRecord, Step, get_task_ref
+from boragetide.durable import DurableJob, Step, get_task_ref
 from boragetide.effects import Count, Effect, LogEvent, Observe, StartRun
 from boragetide.policy.best_fit import order_by_fit
-from boragetide.policy.crash_suspicion import find_suspects
 from boragetide.policy.job_queue import WaitingJob
 from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.scheduling import (
     ServerCandidate,
     choose_server,
-    find_ready_tasks,
     latest_start,
     min_useful_speed,
 )
 from boragetide.policy.unplaced_needs import UnplacedNeeds
-from boragetide.types import BackendServerId, ClassName, JobId, PoolName, Seconds
+from boragetide.policy.waiting_tasks import TaskGroup
+from boragetide.types import ClassName, JobId, PoolName, Seconds
 
 # A backend server lists up to 500 ends. One that holds more than this number of them
 # gets no new runs, so that the ends of all its runs are still listed.
@@ -58,125 +57,19 @@
 # A capacity may have shrunk since it was announced, and must not be relied upon 4.5 s
 # later. The announcement and the order may have been under way for some of that time.
 MAX_ANNOUNCEMENT_AGE: Seconds = 3.5
-# All backend servers have announced themselves to a process of this age.
-DISCOVERY_PERIOD: Seconds = 3.5
+# Most groups of tasks of one job that a pass looks at.
+MAX_GROUPS_PER_PASS = 32
 # Most copies of a start, with the same run number. With 30% of the calls lost, less
 # than 1% of the starts lose all of them.
 MAX_START_COPIES = 4
 # Multiple of the usual timeout after which the last copy counts as unanswered, so that
 # a server that pauses for a moment keeps its runs.
 LAST_COPY_FACTOR = 8.0
-# Leases that an earlier leader granted have expired this long after its last order,
-# also at a process whose clock it did not know.
-LEASE_EXPIRY_WAIT: Seconds = LONGEST_LEASE + LEASE_EXPIRY_MARGIN
-
-
-def update_queue(state: DispatcherState, job_id: JobId) -> None:
-    """Update the queue with the tasks of a job that are ready to start."""
-    record = state.records_by_id.get(job_id)
-    is_leaving = job_id in state.transfers.command_by_job
-    if record is None or record.phase is not JobPhase.ACTIVE or is_leaving:
-        state.queue.remove(job_id)
-        state.suspects_by_job.pop(job_id, None)
-        return
-    tasks = {
-        number: step
-        for number, step in find_ready_tasks(record)
-        if may_start(state, (job_id, number))
-    }
-    if job_id in state.losses.by_job or job_id in state.suspects_by_job:
-        tasks = _hold_suspects(state, record, tasks)
-    state.queue.put(record.job, tasks, has_started=job_id in state.started)
-
-
-def _hold_suspects(
-    state: DispatcherState, record: JobRecord, tasks: dict[int, Step]
-) -> dict[int, Step]:
-    """Keep the suspects out of the queue; return the tasks that are none."""
-    job_id = record.job.id
-    of_job = state.losses.by_job.get(job_id)
-    if of_job is None or not find_suspects(of_job.losses, record.done):
-        state.suspects_by_job.pop(job_id, None)
-        return tasks
-    suspects = {
-        number: step
-        for number, step in tasks.items()
-        if of_job.is_suspect or number in of_job.by_task
-    }
-    state.suspects_by_job[job_id] = suspects
-    return {number: step for number, step in tasks.items() if number not in suspects}
-
-
-def is_takeover_complete(state: DispatcherState, now: Seconds) -> bool:
-    """Return whether a task that no backend server lists is certainly not running.
-
-    No run is started before the takeover is complete, because an earlier leader may
-    have started any job that is submitted again.
-    """
-    if have_predecessor_leases_expired(state, now):
-        return True
-    if is_young(state, now) or state.missed_predecessor:
-        return False
-    has_unread_registered = any(
-        not _is_read(state, server_id, born)
-        for server_id, born in state.server_born_by_id.items()
-    )
-    if has_unread_registered:
-        return False
-    return all(
-        server.read_term == state.term
-        for server in state.servers_by_id.values()
-        if not server.departed
-    )
-
-
-def is_young(state: DispatcherState, now: Seconds) -> bool:
-    """Return whether backend servers may not have announced themselves here yet."""
-    return now - state.incarnation / 1000 < DISCOVERY_PERIOD
-
-
-def have_predecessor_leases_expired(state: DispatcherState, now: Seconds) -> bool:
-    """Return whether all leases that earlier leaders granted have expired."""
-    return now >= state.predecessor_until + LEASE_EXPIRY_WAIT
-
-
-def count_unread_registered(state: DispatcherState) -> int:
-    """Count the registered backend servers that have not listed their runs.
-
-    A process that leaves may go on with its runs for a while, so it counts as well.
-    """
-    return sum(
-        not _is_read(state, server_id, born)
-        for server_id, born in state.server_born_by_id.items()
-    )
-
-
-def _is_read(state: DispatcherState, server_id: BackendServerId, born: int) -> bool:
-    """Return whether the registered process or a later one has listed its runs."""
-    server = state.servers_by_id.get(server_id)
-    if server is None or server.report.born < born:
-        return False
-    return server.read_term == state.term
-
-
-def check_takeover(state: DispatcherState, now: Seconds) -> list[Effect]:
-    """Allow starts once every run of an earlier leader is known or over."""
-    if state.takeover_complete or not has_authority(state, now):
-        return []
-    if not is_takeover_complete(state, now):
-        return []
-    state.takeover_complete = True
-    fields = {
-        "term": state.term,
-        "after": now - state.leader_since,
-        "registered": len(state.server_born_by_id),
-        "unread": count_unread_registered(state),
-    }
-    return [LogEvent("takeover_done", fields)]
 
 
 def place_runs(state: DispatcherState, now: Seconds) -> list[Effect]:
     """Start as many waiting tasks as the free capacity allows."""
+    queue_loaded_jobs(state)
     has_reservations = bool(state.reservations.by_server)
     if not (state.queue.waiting_by_id or has_reservations):
         return []
@@ -390,59 +283,86 @@
     now: Seconds,
     overtaken: int,
 ) -> list[Effect]:
-    counts_by_step: dict[int, Counter[str]] = {}
-    unplaceable_step: Step | None = None
-    is_held_by_limit = True
+    """Start the tasks of a job for which there is room, group by group."""
     effects: list[Effect] = []
-    slack = waiting.find_slack(now)
+    groups = waiting.tasks.list_groups(state.index.rooms.count_by_label)
+    is_held_by_limit = len(groups) == len(waiting.tasks.group_by_position)
     order: dict[str, float | bool] | None = None
-    for number, step in list(waiting.tasks.items()):
+    for group in _take_turn(waiting, groups):
         if state.start_window.is_full:
             is_held_by_limit = False
             break
-        if step is unplaceable_step:
-            continue
-        if unplaced.cover(pool, step):
-            unplaceable_step = step
+        if unplaced.cover(pool, group.step):
             is_held_by_limit = False
             continue
-        counts = Counter()
-        if step.max_per_server:
-            counts = counts_by_step.setdefault(
-                id(step), _count_on_servers(state, waiting, step)
-            )
+        if order is None:
+            # To sum up the waiting tasks for each start would be slow for wide jobs.
+            order = waiting.describe_order(now)
+        started, is_held = _place_group(
+            state, waiting, group, pool, unplaced, order, now, overtaken
+        )
+        effects += started
+        is_held_by_limit &= is_held
+    state.queue.finish_pass(waiting, has_started=waiting.job.id in state.started)
+    waiting.is_held_by_limit = is_held_by_limit and bool(waiting.tasks)
+    return effects
+
+
+def _take_turn(waiting: WaitingJob, groups: list[TaskGroup]) -> list[TaskGroup]:
+    """Return the groups of a job that a pass looks at.
+
+    If there are many, the next pass begins after the last of them.
+    """
+    if len(groups) <= MAX_GROUPS_PER_PASS:
+        return groups
+    begin = bisect_left(groups, waiting.next_position, key=attrgetter("position"))
+    turn = (groups[begin:] + groups[:begin])[:MAX_GROUPS_PER_PASS]
+    waiting.next_position = turn[-1].position + 1
+    return turn
+
+
+def _place_group(
+    state: DispatcherState,
+    waiting: WaitingJob,
+    group: TaskGroup,
+    pool: PoolName,
+    unplaced: UnplacedNeeds,
+    order: dict[str, float | bool],
+    now: Seconds,
+    overtaken: int,
+) -> tuple[list[Effect], bool]:
+    """Start the tasks of a group for which there is room.
+
+    Returns
+    -------
+    tuple
+        The effects, and whether the other tasks wait only because each backend server
+        with room has as many tasks of their step as it may run.
+    """
+    effects: list[Effect] = []
+    step, job = group.step, waiting.job
+    slack = waiting.find_slack(now)
+    while group.numbers:
+        if state.start_window.is_full:
+            return effects, False
+        counts = state.counts_by_step.get((job.id, group.position), {})
         candidates = find_candidates(state, waiting, pool, step, slack, now)
         chosen = choose_server(step, candidates, counts, slack)
         if chosen is None:
-            unplaceable_step = step
-            is_held_by_limit &= _is_held_by_limit(
-                state, waiting, pool, step, slack, now
-            )
             # Another job with the same needs may still find room.
             depends_on_job = step.max_per_server or state.reservations.by_server
             if slack is None and not depends_on_job:
                 unplaced.add(pool, step)
-            continue
-        counts[chosen.id] += 1
+            return effects, _is_held_by_limit(state, waiting, pool, step, slack, now)
         reasons: dict[str, Any] = {}
         if state.looks_ahead:
             server = state.servers_by_id[chosen.id]
-            reasons, settled = settle_reservation(
-                state, waiting.job, server, overtaken, now
-            )
+            reasons, settled = settle_reservation(state, job, server, overtaken, now)
             effects += settled
-        if order is None:
-            # To sum up the waiting tasks for each start would be slow for wide jobs.
-            order = waiting.describe_order(now)
+        number = waiting.tasks.take_first(group)
         fields = {**order, **reasons}
-        effects += start_task(
-            state, waiting.job, number, step, chosen, now, reasons=fields
-        )
-        del waiting.tasks[number]
-    has_started = waiting.job.id in state.started
-    state.queue.put(waiting.job, waiting.tasks, has_started=has_started)
-    waiting.is_held_by_limit = is_held_by_limit and bool(waiting.tasks)
-    return effects
+        effects += start_task(state, job, number, step, chosen, now, reasons=fields)
+    return effects, True
 
 
 def _is_held_by_limit(
@@ -460,19 +380,6 @@
     return choose_server(step, candidates, {}, slack) is not None
 
 
-def _count_on_servers(
-    state: DispatcherState, waiting: WaitingJob, step: Step
-) -> Counter[str]:
-    """Count the runs of a step on each backend server."""
-    position = waiting.job.steps.index(step)
-    first = sum(earlier.count for earlier in waiting.job.steps[:position])
-    return Counter(
-        state.server_by_task[waiting.job.id, number]
-        for number in range(first, first + step.count)
-        if (waiting.job.id, number) in state.server_by_task
-    )
-
-
 def start_task(
     state: DispatcherState,
     job: DurableJob,
--- a/boragetide/controllers/registrations.py
+++ b/boragetide/controllers/registrations.py
@@ -14,8 +14,8 @@
     is_registered,
 )
 from boragetide.controllers.job_records import append_command
-from boragetide.controllers.placing_runs import have_predecessor_leases_expired
 from boragetide.controllers.server_state import Server
+from boragetide.controllers.takeover import have_predecessor_leases_expired
 from boragetide.effects import Effect, LogEvent
 from boragetide.types import BackendServerId, Seconds
 
--- a/boragetide/controllers/reserving.py
+++ b/boragetide/controllers/reserving.py
@@ -108,7 +108,8 @@
     """
     if waiting.times_overtaken < MIN_TIMES_OVERTAKEN:
         return False
-    if len(waiting.steps) != 1 or waiting.steps[0].max_per_server:
+    steps = waiting.steps.steps
+    if len(steps) != 1 or steps[0].max_per_server:
         return False
     if waiting.find_slack(now) is None:
         return False
@@ -134,7 +135,7 @@
     reservations = state.reservations
     reservations.next_search_at = now + SEARCH_INTERVAL
     slack = waiting.find_slack(now)
-    (step,) = waiting.steps
+    (step,) = waiting.steps.steps
     outlooks = (
         make_outlook(state, server, now)
         for server in usable
--- a/boragetide/controllers/room_questions.py
+++ b/boragetide/controllers/room_questions.py
@@ -23,13 +23,13 @@
     settle_held,
 )
 from boragetide.controllers.job_records import append_command
-from boragetide.controllers.placing_runs import is_young
 from boragetide.controllers.stranded_jobs import (
     RoomTable,
     find_stranded,
     is_settled,
     update_stranded,
 )
+from boragetide.controllers.takeover import is_young
 from boragetide.controllers.transfer_state import KnownFit, RoomQuestion
 from boragetide.durable import Fit, Need, Offer
 from boragetide.effects import Effect, LogEvent, Send, SetGauge
@@ -203,6 +203,7 @@
     """Start nothing of a job from now on."""
     state.queue.remove(job_id)
     state.suspects_by_job.pop(job_id, None)
+    state.progress_by_id.pop(job_id, None)
     del state.transfers.stranded_by_id[job_id]
 
 
--- a/boragetide/controllers/run_ends.py
+++ b/boragetide/controllers/run_ends.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 from boragetide.commands import RecordEnds
@@ -10,7 +10,7 @@
 from boragetide.controllers.job_records import append_command, apply_record
 from boragetide.controllers.lost_runs import describe_cleared
 from boragetide.controllers.orders import REASON_LISTED, free_run
-from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.queue_updates import update_tasks
 from boragetide.controllers.server_health import (
     learn_run_time,
     learn_speed,
@@ -190,8 +190,11 @@
 
 
 def _update_queue(state: DispatcherState, ends: Iterable[RunEnd]) -> None:
-    for job_id in {end.job_id for end in ends}:
-        update_queue(state, job_id)
+    numbers_by_job: defaultdict[JobId, set[int]] = defaultdict(set)
+    for end in ends:
+        numbers_by_job[end.job_id].add(end.task)
+    for job_id, numbers in numbers_by_job.items():
+        update_tasks(state, job_id, numbers)
 
 
 def _advance_acknowledged(server: Server) -> None:
--- a/boragetide/controllers/runs.py
+++ b/boragetide/controllers/runs.py
@@ -25,12 +25,9 @@
     lose_authority,
     make_stop,
 )
-from boragetide.controllers.placing_runs import (
-    ANNOUNCEMENT_TIMEOUT,
-    extend_lease,
-    update_queue,
-)
+from boragetide.controllers.placing_runs import ANNOUNCEMENT_TIMEOUT, extend_lease
 from boragetide.controllers.possible_runs import discard_possible_run
+from boragetide.controllers.queue_updates import update_tasks
 from boragetide.controllers.run_ends import apply_ends
 from boragetide.controllers.server_state import Run, RunPhase, Server
 from boragetide.controllers.server_table import replace_process
@@ -289,7 +286,7 @@
     state.run_number_by_task[key] = max(
         state.run_number_by_task.get(key, 0), listed.run
     )
-    update_queue(state, key[0])
+    update_tasks(state, key[0], (number,))
     fields = {"job": key[0], "task": number, "run": listed.run}
     return [LogEvent("run_adopted", {**fields, "server": server.report.id})]
 
--- a/boragetide/controllers/stranded_jobs.py
+++ b/boragetide/controllers/stranded_jobs.py
@@ -107,11 +107,14 @@
 ) -> StrandedJob | None:
     waiting = state.queue.waiting_by_id.get(job_id)
     suspects = state.suspects_by_job.get(job_id, {})
-    tasks = suspects if waiting is None else {**waiting.tasks, **suspects}
     record = state.records_by_id.get(job_id)
-    if record is None or not tasks:
+    if record is None or not (waiting or suspects):
         return None
-    counts = _count_by_need(state, record.job, tasks.values())
+    counts = _count_by_need(state, record.job, suspects.values())
+    if waiting is not None:
+        pool = find_pool(state, record.job)
+        for group in waiting.tasks.group_by_position.values():
+            counts[make_need(pool, group.step)] += len(group.numbers)
     fit = max(rooms.find_offer(need).fit for need in counts)
     # A suspect waits until a backend server is set apart for it, whatever is free.
     if fit is Fit.FREE or (suspects and fit is Fit.BUSY):
--- a/boragetide/controllers/unanswered_starts.py
+++ b/boragetide/controllers/unanswered_starts.py
@@ -14,7 +14,7 @@
 from boragetide.controllers.dispatch_state import DispatcherState
 from boragetide.controllers.job_records import append_command
 from boragetide.controllers.orders import may_begin_late
-from boragetide.controllers.placing_runs import update_queue
+from boragetide.controllers.queue_updates import update_tasks
 from boragetide.controllers.run_state import Run, RunPhase
 from boragetide.controllers.server_state import LATE_RUN_WAIT, Server
 from boragetide.durable import JobPhase, JobRecord, UnansweredStart
@@ -56,7 +56,7 @@
 def _release(state: DispatcherState, keys: Collection[tuple[JobId, int]]) -> None:
     for key in keys:
         del state.server_by_blocked_task[key]
-        update_queue(state, key[0])
+        update_tasks(state, key[0], key[1:])
 
 
 def review_unanswered_starts(state: DispatcherState, now: Seconds) -> list[Effect]:
--- a/boragetide/daemon/effect_queue.py
+++ b/boragetide/daemon/effect_queue.py
@@ -1,4 +1,8 @@
-"""Executes the effects of one controller in order and groups journal syncs."""
+"""Executes the effects of one controller in order and groups journal syncs.
+
+One message may cause thousands of effects. They are executed in parts, so that the
+event loop sends the heartbeats of the log and receives messages in between.
+"""
 
 from __future__ import annotations
 
@@ -7,9 +11,26 @@
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
-from boragetide.effects import Effect, Persist, SaveSnapshot
+from boragetide.daemon.clock import read_clock
+from boragetide.effects import (
+    CancelTasks,
+    Effect,
+    Persist,
+    ReadRuns,
+    SaveSnapshot,
+    StartRun,
+    StartTasks,
+    StopRun,
+)
+from boragetide.types import Seconds
 
 _DURABLE_EFFECTS = (Persist, SaveSnapshot)
+# Each of them begins an HTTP call in the next turn of the event loop.
+_CALL_EFFECTS = (StartRun, StopRun, ReadRuns, StartTasks, CancelTasks)
+# Most calls that begin in one turn of the event loop. Each takes about a millisecond.
+MAX_CALLS_PER_TURN = 16
+# Time after which the execution of effects goes on in the next turn.
+MAX_TURN: Seconds = 0.01
 
 
 @dataclass(slots=True)
@@ -24,28 +45,42 @@
         Task group for the tasks that await syncs.
     waiting
         Effects that have not been executed, in order.
-    is_syncing
-        Whether a task is awaiting a sync.
+    is_waiting
+        Whether a task is awaiting a sync, or the next turn of the event loop.
     """
 
     execute: Callable[[Effect], Awaitable[None] | None]
     task_group: asyncio.TaskGroup
     waiting: deque[Effect] = field(default_factory=deque)
-    is_syncing: bool = False
+    is_waiting: bool = False
 
     def put(self, effects: Iterable[Effect]) -> None:
         """Execute effects after all earlier ones, at once if none of these waits."""
         self.waiting.extend(effects)
-        if not self.is_syncing:
-            self._execute_until_sync()
+        if not self.is_waiting:
+            self._execute_part()
 
-    def _execute_until_sync(self) -> None:
+    def _execute_part(self) -> None:
+        """Execute effects up to the next sync, or as many as one turn may have."""
+        calls = 0
+        began = read_clock()
         while self.waiting:
             if isinstance(self.waiting[0], _DURABLE_EFFECTS):
-                self.is_syncing = True
+                self.is_waiting = True
                 self.task_group.create_task(self._await_syncs(self._write_records()))
                 return
-            self.execute(self.waiting.popleft())
+            if calls >= MAX_CALLS_PER_TURN or read_clock() - began > MAX_TURN:
+                self.is_waiting = True
+                self.task_group.create_task(self._await_turn())
+                return
+            effect = self.waiting.popleft()
+            calls += isinstance(effect, _CALL_EFFECTS)
+            self.execute(effect)
+
+    async def _await_turn(self) -> None:
+        await asyncio.sleep(0)
+        self.is_waiting = False
+        self._execute_part()
 
     def _write_records(self) -> list[Awaitable[None]]:
         """Write all waiting records up to the next snapshot, so that they share a sync.
@@ -67,5 +102,5 @@
     async def _await_syncs(self, syncs: list[Awaitable[None]]) -> None:
         for sync in syncs:
             await sync
-        self.is_syncing = False
-        self._execute_until_sync()
+        self.is_waiting = False
+        self._execute_part()
--- a/boragetide/daemon/runtime.py
+++ b/boragetide/daemon/runtime.py
@@ -13,9 +13,10 @@
 from typing import Any, TypeAlias
 
 from boragetide.daemon.clock import read_clock, read_incarnation
-from boragetide.daemon.effect_queue import EffectQueue
+from boragetide.daemon.effect_queue import MAX_TURN, EffectQueue
 from boragetide.daemon.logs import log_event
 from boragetide.daemon.metrics import Metrics
+from boragetide.daemon.repeated_logs import RateLimitedLog
 from boragetide.effects import Effect
 from boragetide.errors import LinkError, PeerUnreachable, ReplyTimeout
 from boragetide.groups import find_group, name_controller
@@ -55,6 +56,10 @@
     RequestVote.__name__: "configuration",
 }
 
+# A message that is handled for longer is logged: it delays the heartbeats of the log.
+SLOW_MESSAGE: Seconds = 0.1
+_slow_message_log = RateLimitedLog()
+
 MessageHandler: TypeAlias = Callable[[Any, Any, Seconds], Iterable[Effect]]
 
 
@@ -285,6 +290,29 @@
     return reply_to is not None and reply_to.instance == runtime.settings.id
 
 
+class Receiver:
+    """Takes the messages of a mailbox, with pauses in which other tasks run.
+
+    A mailbox that is never empty would otherwise be read in one turn of the event loop,
+    without a heartbeat or a new message in between.
+    """
+
+    def __init__(self, mailbox: asyncio.Queue[Any]):
+        self._mailbox = mailbox
+        self._turn_began = 0.0
+
+    async def receive(self) -> Any:
+        """Return the next message."""
+        if self._mailbox.empty():
+            message = await self._mailbox.get()
+            self._turn_began = read_clock()
+            return message
+        if read_clock() - self._turn_began > MAX_TURN:
+            await asyncio.sleep(0)
+            self._turn_began = read_clock()
+        return self._mailbox.get_nowait()
+
+
 async def run_controller(
     runtime: Runtime,
     name: str,
@@ -313,13 +341,13 @@
     the order in which they were returned, so a message's effects become visible to
     others only after the records that they depend on are durable.
     """
-    mailbox = runtime.mailboxes_by_controller[name]
+    receiver = Receiver(runtime.mailboxes_by_controller[name])
     suspension_threshold = runtime.settings.timing.instance_silence
     last_handled = read_clock()
     async with asyncio.TaskGroup() as group:
         effects = EffectQueue(partial(execute_effect, controller=name), group)
         while True:
-            message = await mailbox.get()
+            message = await receiver.receive()
             if handle.dispatch(type(message)) is handle.dispatch(object):
                 log_event("message_dropped", error=f"{name} cannot handle {message!r}")
                 continue
@@ -333,6 +361,20 @@
                 # Ends the process: the state may hold a part of the change only.
                 _log_failure(name, message, error)
                 raise
+            seconds = read_clock() - now
+            if seconds > SLOW_MESSAGE:
+                _report_slow_message(runtime, name, message, seconds)
+
+
+def _report_slow_message(
+    runtime: Runtime, name: str, message: Any, seconds: Seconds
+) -> None:
+    """Log and count a message that kept the event loop from everything else."""
+    kind = type(message).__name__
+    runtime.metrics.count("slow_messages", {"controller": name, "kind": kind})
+    _slow_message_log.record(
+        "message_slow", controller=name, kind=kind, seconds=round(seconds, 3)
+    )
 
 
 def _log_failure(controller: str, message: Any, error: Exception) -> None:
--- a/boragetide/durable.py
+++ b/boragetide/durable.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
+from functools import cached_property
 
+from boragetide.job_shape import JobShape, make_shape
+from boragetide.task_set import EMPTY, TaskSet
 from boragetide.types import (
     BackendServerId,
     ClassName,
@@ -107,7 +110,7 @@
     max_per_server: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class DurableJob:
     """A job whose tasks may run again after a loss.
 
@@ -138,10 +141,15 @@
     response_time: Seconds = 0.0
     best_effort: bool = False
 
+    @cached_property
+    def shape(self) -> JobShape:
+        """What follows from the steps alone."""
+        return make_shape(self.steps)
+
     @property
     def task_count(self) -> int:
         """Total number of tasks over all steps."""
-        return sum(step.count for step in self.steps)
+        return self.shape.task_count
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,7 +324,7 @@
 
     job: DurableJob
     phase: JobPhase = JobPhase.ACTIVE
-    done: frozenset[int] = frozenset()
+    done: TaskSet = EMPTY
     failures: tuple[tuple[int, int], ...] = ()
     changed_at: Seconds = 0.0
     losses: tuple[RunLoss, ...] = ()
@@ -416,7 +424,7 @@
         return None
     if not 0 <= task.index < job.steps[task.step].count:
         return None
-    return sum(step.count for step in job.steps[: task.step]) + task.index
+    return job.shape.first_tasks[task.step] + task.index
 
 
 def get_task_ref(job: DurableJob, number: int) -> TaskRef:
@@ -427,8 +435,5 @@
     ValueError
         If the job has no task of this number.
     """
-    for position, step in enumerate(job.steps):
-        if number < step.count:
-            return TaskRef(job.id, position, number)
-        number -= step.count
-    raise ValueError(f"job {job.id!r} has no task {number!r}")
+    position = job.shape.find_step(number)
+    return TaskRef(job.id, position, number - job.shape.first_tasks[position])
--- a/boragetide/links/codec.py
+++ b/boragetide/links/codec.py
@@ -10,7 +10,7 @@
 from msgspec import Meta
 
 from boragetide import messages
-from boragetide.encoding import decode_command
+from boragetide.encoding import decode_value, encode_value
 from boragetide.errors import LinkError
 from boragetide.limits import MAX_NAME_LENGTH
 
@@ -53,11 +53,11 @@
     and value.__module__.startswith(messages.__name__)
 }
 _DECODERS_BY_KIND = {
-    kind: msgspec.msgpack.Decoder(type_, dec_hook=decode_command)
+    kind: msgspec.msgpack.Decoder(type_, dec_hook=decode_value)
     for kind, type_ in _TYPES_BY_KIND.items()
 }
 _FRAME_DECODER = msgspec.msgpack.Decoder(list[Envelope])
-_ENCODER = msgspec.msgpack.Encoder()
+_ENCODER = msgspec.msgpack.Encoder(enc_hook=encode_value)
 # Integers above 64 bits, lone surrogates, other types, and values nested too deeply.
 _ENCODE_ERRORS = (OverflowError, ValueError, TypeError, RecursionError)
 
--- a/boragetide/packed_proposals.py
+++ b/boragetide/packed_proposals.py
@@ -17,12 +17,12 @@
     MAX_CONTENT,
     MAX_NOTICE_CONTENT,
 )
-from boragetide.encoding import decode_command
+from boragetide.encoding import decode_value, encode_value
 from boragetide.errors import ContentError
 from boragetide.messages import PackedProposal, Propose, Request
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Propose, dec_hook=decode_command)
+_ENCODER = msgspec.msgpack.Encoder(enc_hook=encode_value)
+_DECODER = msgspec.msgpack.Decoder(Propose, dec_hook=decode_value)
 
 
 def pack_large_proposal(request: Request) -> Request:
--- a/boragetide/policy/crash_suspicion.py
+++ b/boragetide/policy/crash_suspicion.py
@@ -16,7 +16,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from boragetide.durable import LossFate, RunLoss
 from boragetide.policy.exponential_wait import grow_wait
@@ -65,9 +65,9 @@
     return tuple(loss for loss in by_key.values() if loss.fate is not LossFate.SURVIVED)
 
 
-def find_suspects(losses: Losses, done: frozenset[int]) -> set[int]:
+def find_suspects(losses: Losses, done: Set[int]) -> set[int]:
     """Return the tasks that are not done and of which a run was lost."""
-    return {loss.task for loss in losses} - done
+    return {loss.task for loss in losses if loss.task not in done}
 
 
 def count_crashes(losses: Losses, task: int) -> int:
--- a/boragetide/policy/job_queue.py
+++ b/boragetide/policy/job_queue.py
@@ -25,12 +25,17 @@
     rank_by_priority,
     rank_late_begun,
 )
+from boragetide.policy.room_index import StepSet
 from boragetide.policy.scheduling import expires_at, latest_start
+from boragetide.policy.waiting_tasks import WaitingTasks
 from boragetide.settings import JobOrder
 from boragetide.types import ClassName, JobId, Seconds
 
 # Weight of a new job in the moving mean of the work of its class.
 MEAN_WORK_GAIN = 0.02
+# Groups of tasks that have gone may be one in this many of those that a job is listed
+# by.
+MAX_KEPT_SHARE = 16
 
 
 @dataclass(slots=True)
@@ -39,8 +44,11 @@
 
     Parameters
     ----------
+    tasks
+        The tasks.
     steps
-        Steps of the tasks.
+        A step for each group of them; also those of groups that are gone for a while,
+        if there are many.
     demand, least_needs
         What the job is listed by, and the least resources that any of its tasks needs.
     lane, entry
@@ -56,14 +64,17 @@
     is_held_by_limit
         Whether the tasks wait only because each backend server with room has as many of
         their step as it may run.
+    next_position
+        Position of the step at which the next pass begins, if there are too many groups
+        to look at in one pass.
     times_overtaken
         Number of passes in which a less urgent job with smaller needs was started. Only
         counted by placement that looks ahead.
     """
 
     job: DurableJob
-    tasks: dict[int, Step]
-    steps: tuple[Step, ...]
+    tasks: WaitingTasks
+    steps: StepSet
     demand: Demand
     least_needs: Resources
     lane: Lane
@@ -75,6 +86,7 @@
     has_started: bool
     leaves_at: Seconds
     is_held_by_limit: bool = False
+    next_position: int = 0
     times_overtaken: int = 0
 
     def find_slack(self, now: Seconds) -> Seconds | None:
@@ -89,10 +101,7 @@
     def find_remaining_share(self) -> float:
         """Return the share of the job's declared work that waits to be started."""
         total = find_declared_work(self.job)
-        waiting = sum(
-            step.estimate * step.needs.millicores for step in self.tasks.values()
-        )
-        return waiting / total if total > 0 else 1.0
+        return self.tasks.work / total if total > 0 else 1.0
 
     def describe_order(self, now: Seconds) -> dict[str, float | bool]:
         """Return the fields of a log line that tell why the job is where it is.
@@ -234,27 +243,69 @@
     levels: PriorityLevels = field(default_factory=PriorityLevels)
 
     def put(
-        self, job: DurableJob, tasks: dict[int, Step], *, has_started: bool = False
+        self, job: DurableJob, numbers: Iterable[int], *, has_started: bool = False
     ) -> None:
         """Replace the waiting tasks of a job; without tasks the job is removed.
 
         Parameters
         ----------
+        numbers
+            Numbers of the tasks.
         has_started
             Whether a task of the job was started or has ended.
         """
         waiting = self.waiting_by_id.get(job.id)
+        tasks = WaitingTasks(job, numbers)
         if not tasks:
             self.remove(job.id)
         elif waiting is not None:
-            _replace_tasks(waiting, tasks)
-            waiting.has_started |= has_started
-            if self.order is JobOrder.PRIORITY and waiting.has_started:
-                self._update_rank(waiting)
+            waiting.tasks = tasks
+            self._record_change(waiting, has_started)
         else:
             self._add(job, tasks, has_started)
 
-    def _add(self, job: DurableJob, tasks: dict[int, Step], has_started: bool) -> None:
+    def update(
+        self,
+        job: DurableJob,
+        added: Iterable[int],
+        removed: Iterable[int],
+        *,
+        has_started: bool = False,
+    ) -> None:
+        """Change the waiting tasks of a job, which is queued if it has any.
+
+        Parameters
+        ----------
+        added, removed
+            Numbers of tasks.
+        has_started
+            As for `put`.
+        """
+        waiting = self.waiting_by_id.get(job.id)
+        if waiting is None:
+            self.put(job, added, has_started=has_started)
+            return
+        for number in removed:
+            waiting.tasks.discard(number)
+        for number in added:
+            waiting.tasks.add(number)
+        self._record_change(waiting, has_started)
+
+    def finish_pass(self, waiting: WaitingJob, *, has_started: bool) -> None:
+        """Record that the tasks of a job were looked at and some may have started."""
+        self._record_change(waiting, has_started)
+
+    def _record_change(self, waiting: WaitingJob, has_started: bool) -> None:
+        if not waiting.tasks:
+            self.remove(waiting.job.id)
+            return
+        waiting.is_held_by_limit = False
+        _update_steps(waiting)
+        waiting.has_started |= has_started
+        if self.order is JobOrder.PRIORITY and waiting.has_started:
+            self._update_rank(waiting)
+
+    def _add(self, job: DurableJob, tasks: WaitingTasks, has_started: bool) -> None:
         steps = _list_steps(tasks)
         relative_work = self._relative_work(job)
         starts_by = latest_start(job)
@@ -265,7 +316,7 @@
         waiting = WaitingJob(
             job=job,
             tasks=tasks,
-            steps=steps,
+            steps=StepSet(steps),
             demand=_make_demand(job, steps),
             least_needs=_find_least_needs(steps),
             lane=self.in_time,
@@ -419,9 +470,11 @@
         return self.waiting_by_id[job_id].expires_at < now
 
 
-def _list_steps(tasks: dict[int, Step]) -> tuple[Step, ...]:
-    """Return each step of the tasks once."""
-    return tuple({id(step): step for step in tasks.values()}.values())
+def _list_steps(tasks: WaitingTasks) -> tuple[Step, ...]:
+    """Return a step for each group of tasks, in the order of the steps."""
+    tasks.has_new_groups, tasks.removed_groups = False, 0
+    groups = tasks.group_by_position
+    return tuple(groups[position].step for position in sorted(groups))
 
 
 def _make_demand(job: DurableJob, steps: tuple[Step, ...]) -> Demand:
@@ -433,14 +486,21 @@
     return reduce(Resources.minimum, (step.needs for step in steps))
 
 
-def _replace_tasks(waiting: WaitingJob, tasks: dict[int, Step]) -> None:
-    waiting.tasks = tasks
-    waiting.is_held_by_limit = False
+def _update_steps(waiting: WaitingJob) -> None:
+    """Queue a job again if its groups of tasks have changed.
+
+    Groups that have gone are only left out once they are many, so that each of a
+    thousand of them does not cost a pass through the others.
+    """
+    tasks = waiting.tasks
+    few_removed = tasks.removed_groups < len(tasks.group_by_position) // MAX_KEPT_SHARE
+    if not tasks.has_new_groups and few_removed:
+        return
     steps = _list_steps(tasks)
-    if steps == waiting.steps:
+    if steps == waiting.steps.steps:
         return
     waiting.lane.remove(waiting)
-    waiting.steps = steps
+    waiting.steps = StepSet(steps)
     waiting.demand = _make_demand(waiting.job, steps)
     waiting.least_needs = _find_least_needs(steps)
     waiting.lane.add(waiting)
--- a/boragetide/policy/job_table.py
+++ b/boragetide/policy/job_table.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import replace
+from operator import itemgetter
 
 from boragetide.durable import DurableJob, JobPhase, JobRecord, RunEnd, RunLoss
 from boragetide.policy.crash_suspicion import group_by_task, is_guilty, merge_losses
+from boragetide.task_set import TaskSet
 from boragetide.types import JobId, Seconds
 
 # The state of an ended job may be requested for 120 s after its end.
@@ -41,38 +43,76 @@
     jobs_by_id: dict[JobId, JobRecord], ends: tuple[RunEnd, ...], now: Seconds
 ) -> set[JobId]:
     """Record the ends of runs and return the ids of the jobs that they changed."""
-    changed = set()
+    by_job: defaultdict[JobId, list[RunEnd]] = defaultdict(list)
     for end in ends:
-        record = jobs_by_id.get(end.job_id)
+        by_job[end.job_id].append(end)
+    changed = set()
+    for job_id, of_job in by_job.items():
+        record = jobs_by_id.get(job_id)
         if record is None or record.phase is not JobPhase.ACTIVE:
             continue
-        updated = _record_end(record, end, now)
+        updated = _record_ends(record, of_job, now)
         if updated is not record:
-            jobs_by_id[end.job_id] = updated
-            changed.add(end.job_id)
+            jobs_by_id[job_id] = updated
+            changed.add(job_id)
     return changed
 
 
-def _record_end(record: JobRecord, end: RunEnd, now: Seconds) -> JobRecord:
-    if end.task in record.done:
+def _record_ends(record: JobRecord, ends: list[RunEnd], now: Seconds) -> JobRecord:
+    """Return the record of a job after ends, which count until the job has ended."""
+    done = record.done
+    failures = _Failures(record.failures)
+    phase = JobPhase.ACTIVE
+    for end in ends:
+        if end.task in done:
+            continue
+        if end.failed:
+            if failures.add((end.task, end.run)) >= record.job.starts.attempts:
+                phase = JobPhase.FAILED
+                break
+            continue
+        done = done.add(end.task)
+        if len(done) == record.job.task_count:
+            phase = JobPhase.SUCCEEDED
+            break
+    if done is record.done and not failures.new:
         return record
-    if end.failed:
-        return _record_failure(record, end, now)
-    done = record.done | {end.task}
-    if len(done) == record.job.task_count:
-        return _finish(record, JobPhase.SUCCEEDED, now, done)
-    return replace(record, done=done, changed_at=now)
+    all_failures = (*record.failures, *failures.new)
+    updated = replace(record, done=done, failures=all_failures, changed_at=now)
+    if phase is JobPhase.ACTIVE:
+        return updated
+    return _finish(updated, phase, now, done)
 
 
-def _record_failure(record: JobRecord, end: RunEnd, now: Seconds) -> JobRecord:
-    attempt = (end.task, end.run)
-    if attempt in record.failures:
-        return record
-    failures = (*record.failures, attempt)
-    record = replace(record, failures=failures, changed_at=now)
-    if count_failures(record, end.task) >= record.job.starts.attempts:
-        return _finish(record, JobPhase.FAILED, now, record.done)
-    return record
+class _Failures:
+    """Failed attempts of one job, which are counted once for all ends of a command.
+
+    Parameters
+    ----------
+    known
+        Task number and run number of each earlier failure.
+    """
+
+    def __init__(self, known: tuple[tuple[int, int], ...]):
+        self.new: list[tuple[int, int]] = []
+        self._known = known
+        self._all: set[tuple[int, int]] | None = None
+        self._count_by_task: Counter[int] = Counter()
+
+    def add(self, attempt: tuple[int, int]) -> int:
+        """Record a failed attempt; return how often its task has failed.
+
+        One that is known already counts as none.
+        """
+        if self._all is None:
+            self._all = set(self._known)
+            self._count_by_task.update(map(itemgetter(0), self._known))
+        if attempt in self._all:
+            return 0
+        self._all.add(attempt)
+        self.new.append(attempt)
+        self._count_by_task[attempt[0]] += 1
+        return self._count_by_task[attempt[0]]
 
 
 def record_losses(
@@ -115,11 +155,6 @@
     )
 
 
-def count_failures(record: JobRecord, task: int) -> int:
-    """Return the number of failed runs of a task."""
-    return sum(number == task for number, _ in record.failures)
-
-
 def cancel_job(
     jobs_by_id: dict[JobId, JobRecord], job_id: JobId, now: Seconds
 ) -> set[JobId]:
@@ -167,7 +202,7 @@
 
 
 def _finish(
-    record: JobRecord, phase: JobPhase, now: Seconds, done: frozenset[int]
+    record: JobRecord, phase: JobPhase, now: Seconds, done: TaskSet
 ) -> JobRecord:
     """Return a record of the ended job."""
     return replace(without_spec(record), phase=phase, done=done, changed_at=now)
--- a/boragetide/policy/look_ahead.py
+++ b/boragetide/policy/look_ahead.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-from boragetide.durable import Resources, Step
-from boragetide.policy.room_index import KindRooms, RoomIndex, ServerKind
+from boragetide.durable import Resources
+from boragetide.policy.room_index import KindRooms, RoomIndex, ServerKind, StepSet
 from boragetide.types import ClassName, PoolName
 
 # Number of jobs that could run on a kind of backend server and are examined in a pass.
@@ -56,8 +56,7 @@
 
     def list_labels(self) -> Sequence[str]:
         """Return the labels of the backend servers with room, and the empty one."""
-        kinds = self._rooms.rooms_by_kind
-        return sorted({"", *(label for kind in kinds for label in kind.labels)})
+        return sorted(self._rooms.count_by_label)
 
     def open_kinds(self, millicores: float) -> None:
         """Open the kinds with a backend server that has this many millicores free."""
@@ -76,9 +75,7 @@
             {kind.capacity: None for kind in kinds if _has_label(kind, demand.labels)}
         )
 
-    def find_rooms(
-        self, demand: Demand, steps: tuple[Step, ...]
-    ) -> Sequence[KindRooms]:
+    def find_rooms(self, demand: Demand, steps: StepSet) -> Sequence[KindRooms]:
         """Return the open kinds that could run a task of any of the steps."""
         return _find_rooms(self._find_open(demand), steps)
 
@@ -90,7 +87,7 @@
             if counts[rooms] == LOOK_AHEAD:
                 self._open_by_pool[rooms.kind.pool].remove(rooms)
 
-    def record_all(self, examined: Iterable[tuple[Demand, tuple[Step, ...]]]) -> None:
+    def record_all(self, examined: Iterable[tuple[Demand, StepSet]]) -> None:
         """Count jobs that were examined before any kind was closed."""
         open_by_class: dict[tuple[ClassName, PoolName], list[KindRooms]] = {}
         for demand, steps in examined:
@@ -108,9 +105,5 @@
     return "" in labels or not labels.isdisjoint(kind.labels)
 
 
-def _find_rooms(
-    open_rooms: Sequence[KindRooms], steps: tuple[Step, ...]
-) -> Sequence[KindRooms]:
-    if len(steps) == 1:
-        return [each for each in open_rooms if each.kind.could_run(steps[0])]
-    return [each for each in open_rooms if any(map(each.kind.could_run, steps))]
+def _find_rooms(open_rooms: Sequence[KindRooms], steps: StepSet) -> Sequence[KindRooms]:
+    return [each for each in open_rooms if steps.could_run_on(each.kind)]
--- a/boragetide/policy/loss_table.py
+++ b/boragetide/policy/loss_table.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -18,7 +18,7 @@
 TaskKey: TypeAlias = tuple[JobId, int]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class JobLosses:
     """Losses of one job.
 
@@ -33,19 +33,42 @@
     lost_groups
         Number of backend servers that were lost while they ran only suspects, among
         them some of this job.
+    open_tasks
+        Tasks with losses that are not known to be done.
     """
 
     losses: Losses
     by_task: dict[int, Losses]
     is_suspect: bool
     lost_groups: int
+    open_tasks: set[int]
+
+    def suspects(self, task: int) -> bool:
+        """Return whether a task that is not done is a suspect."""
+        return bool(self.open_tasks) and (self.is_suspect or task in self.open_tasks)
+
+    def forget_done(self, done: Set[int], changed: Iterable[int] | None = None) -> bool:
+        """Clear the tasks that are done; return whether the last one was cleared now.
+
+        Parameters
+        ----------
+        changed
+            Tasks that may have been done since the last call; all if not given.
+        """
+        if not self.open_tasks:
+            return False
+        candidates = list(self.open_tasks if changed is None else changed)
+        self.open_tasks.difference_update(task for task in candidates if task in done)
+        return not self.open_tasks
 
 
 def make_job_losses(losses: Losses) -> JobLosses:
     """Index the losses of a job."""
     by_task = group_by_task(losses)
     groups = {loss.process for of_task in by_task.values() for loss in of_task[1:]}
-    return JobLosses(losses, by_task, is_suspect_job(losses), len(groups))
+    return JobLosses(
+        losses, by_task, is_suspect_job(losses), len(groups), open_tasks=set(by_task)
+    )
 
 
 @dataclass(slots=True)
--- a/boragetide/policy/queue_order.py
+++ b/boragetide/policy/queue_order.py
@@ -95,7 +95,7 @@
 
 def find_declared_work(job: DurableJob) -> float:
     """Return the declared work of a job, in millicore-seconds at speed 1."""
-    return sum(step.count * step.estimate * step.needs.millicores for step in job.steps)
+    return job.shape.work
 
 
 @dataclass(slots=True)
--- a/boragetide/policy/scheduling.py
+++ b/boragetide/policy/scheduling.py
@@ -1,4 +1,4 @@
-"""Ready tasks and time limits of durable jobs, and the choice of a backend server.
+"""Time limits of durable jobs, and the choice of a backend server.
 
 The rules are designed for the load of the two sites: jobs of many parallel large tasks,
 of which two or three fill a backend server, in bursts of up to 1.8 times the usual
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from boragetide.durable import DurableJob, JobRecord, Resources, Step
+from boragetide.durable import DurableJob, Resources, Step
 from boragetide.types import BackendServerId, Seconds
 
 # A late job is still of value to its caller if it ends within this many times its
@@ -50,11 +50,7 @@
 
 def longest_chain(job: DurableJob) -> Seconds:
     """Return the declared run time of the longest chain of dependent steps."""
-    ends: list[Seconds] = []
-    for step in job.steps:
-        begin = max((ends[position] for position in step.depends_on), default=0.0)
-        ends.append(begin + step.estimate)
-    return max(ends, default=0.0)
+    return job.shape.longest_chain
 
 
 def due_at(job: DurableJob) -> Seconds:
@@ -88,32 +84,6 @@
     return Timeliness.TOO_LATE
 
 
-def find_ready_tasks(record: JobRecord) -> list[tuple[int, Step]]:
-    """Return the tasks that are not done and whose dependencies are all done.
-
-    Each task is a pair of its number, counted through all steps, and its step.
-    """
-    ready: list[tuple[int, Step]] = []
-    first_by_step: list[int] = []
-    first = 0
-    for step in record.job.steps:
-        first_by_step.append(first)
-        if all(_is_done(record, first_by_step, p) for p in step.depends_on):
-            ready += [
-                (number, step)
-                for number in range(first, first + step.count)
-                if number not in record.done
-            ]
-        first += step.count
-    return ready
-
-
-def _is_done(record: JobRecord, first_by_step: list[int], position: int) -> bool:
-    first = first_by_step[position]
-    count = record.job.steps[position].count
-    return all(number in record.done for number in range(first, first + count))
-
-
 def rank_speed(speed: float) -> int:
     """Return the speed class of a backend server; a higher class is faster."""
     return round(speed / SPEED_STEP)
@@ -185,7 +155,7 @@
 
     The result is true while no backend server is known.
     """
-    known = list(capacities)
+    known = set(capacities)
     return not known or all(
-        any(step.needs.fits_in(capacity) for capacity in known) for step in job.steps
+        any(needs.fits_in(capacity) for capacity in known) for needs in job.shape.needs
     )
--- a/boragetide/storage/journal.py
+++ b/boragetide/storage/journal.py
@@ -17,14 +17,14 @@
 
 import msgspec
 
-from boragetide.encoding import decode_command
+from boragetide.encoding import decode_value, encode_value
 from boragetide.errors import StorageError
 
 _HEADER = struct.Struct("<II")  # length of the body, CRC-32
 _LENGTH = struct.Struct("<I")
 GROUP_REQUESTS = 64  # maximum number of requests that share one sync
 
-_ENCODER = msgspec.msgpack.Encoder()
+_ENCODER = msgspec.msgpack.Encoder(enc_hook=encode_value)
 _TAG_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
 
 
@@ -171,7 +171,7 @@
     try:
         name, raw = _TAG_DECODER.decode(body)
         return msgspec.msgpack.decode(
-            raw, type=types_by_name[name], dec_hook=decode_command
+            raw, type=types_by_name[name], dec_hook=decode_value
         )
     except (msgspec.DecodeError, RecursionError, KeyError) as error:
         raise StorageError(
--- a/boragetide/tests/crash_site.py
+++ b/boragetide/tests/crash_site.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from boragetide.commands import JobCommand
-from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
+from boragetide.controllers.takeover import LEASE_EXPIRY_WAIT
 from boragetide.durable import JobPhase, Step
 from boragetide.effects import LogEvent, Reply, Send, StartRun, StopRun
 from boragetide.log_records import Catalogue
--- a/boragetide/tests/test_effect_queue.py
+++ b/boragetide/tests/test_effect_queue.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 from typing import Any
 
-from boragetide.daemon.effect_queue import EffectQueue
-from boragetide.effects import LogEvent, Persist, SaveSnapshot
+from boragetide.daemon.effect_queue import MAX_CALLS_PER_TURN, EffectQueue
+from boragetide.effects import CancelTasks, LogEvent, Persist, SaveSnapshot
 
 
 class FakeDisk:
@@ -89,3 +90,41 @@
         await disk.finish_syncs()
 
     run(scenario)
+
+
+def make_calls(count: int) -> list[CancelTasks]:
+    """Build effects that each begin a call."""
+    return [CancelTasks(f"s{number}", "", ()) for number in range(count)]
+
+
+def test_calls_of_one_message_begin_in_several_turns() -> None:
+    """Guards against hundreds of calls between two heartbeats of the log."""
+    calls = make_calls(3 * MAX_CALLS_PER_TURN)
+
+    async def scenario(disk: FakeDisk, queue: EffectQueue) -> None:
+        queue.put([*calls, SENT[0]])
+        queue.put([SENT[1]])
+        sizes = [len(disk.executed)]
+        while len(disk.executed) < len(calls) + 2:
+            await asyncio.sleep(0)
+            sizes.append(len(disk.executed))
+        steps = [after - before for before, after in pairwise([0, *sizes])]
+        assert max(steps) <= MAX_CALLS_PER_TURN + 2
+        assert disk.executed == [*calls, SENT[0], SENT[1]]
+
+    run(scenario)
+
+
+def test_records_are_written_after_effects_that_take_several_turns() -> None:
+    """Guards against a record that overtakes the effects before it, or is lost."""
+    calls = make_calls(2 * MAX_CALLS_PER_TURN)
+
+    async def scenario(disk: FakeDisk, queue: EffectQueue) -> None:
+        queue.put([*calls, RECORDS[0], SENT[0]])
+        while len(disk.executed) <= len(calls):
+            await asyncio.sleep(0)
+        assert disk.executed == [*calls, RECORDS[0]]
+        await disk.finish_syncs()
+        assert disk.executed == [*calls, RECORDS[0], SENT[0]]
+
+    run(scenario)
--- a/boragetide/tests/test_job_table.py
+++ b/boragetide/tests/test_job_table.py
@@ -16,7 +16,7 @@
     RecordLosses,
 )
 from boragetide.durable import JobPhase, JobRecord, LossFate, RunEnd, RunLoss
-from boragetide.encoding import decode_command
+from boragetide.encoding import decode_value, encode_value
 from boragetide.log_records import Catalogue, LogEntry
 from boragetide.policy import job_table
 from boragetide.policy.catalogue import apply_entry
@@ -135,9 +135,9 @@
 
 def test_record_that_was_stored_before_losses_were_is_read(jobs: Jobs) -> None:
     """Guards against an instance that cannot read its own disk after an upgrade."""
-    stored = msgspec.to_builtins(jobs["j1"])
+    stored = msgspec.to_builtins(jobs["j1"], enc_hook=encode_value)
     del stored["losses"]
-    assert msgspec.convert(stored, JobRecord) == jobs["j1"]
+    assert msgspec.convert(stored, JobRecord, dec_hook=decode_value) == jobs["j1"]
 
 
 def test_stored_losses_are_read_again(jobs: Jobs) -> None:
@@ -145,10 +145,10 @@
     lose_run(jobs, "s1", LossFate.UNKNOWN, alone=True)
     command = RecordLosses(jobs["j1"].losses)
     encoded = msgspec.msgpack.encode(command)
-    decoded = msgspec.msgpack.decode(encoded, type=Command, dec_hook=decode_command)
+    decoded = msgspec.msgpack.decode(encoded, type=Command, dec_hook=decode_value)
     assert decoded == command
-    stored = msgspec.to_builtins(jobs["j1"])
-    assert msgspec.convert(stored, JobRecord) == jobs["j1"]
+    stored = msgspec.to_builtins(jobs["j1"], enc_hook=encode_value)
+    assert msgspec.convert(stored, JobRecord, dec_hook=decode_value) == jobs["j1"]
 
 
 class CountedNotes(dict[JobId, Seconds]):
--- a/boragetide/tests/test_queue_order.py
+++ b/boragetide/tests/test_queue_order.py
@@ -235,7 +235,7 @@
     yielded: list[str] = []
     for waiting in queue.iterate(BEGIN, LookAhead(index.rooms, lambda _, pool: pool)):
         yielded.append(waiting.job.id)
-        if waiting.steps == (other,):
+        if waiting.steps.steps == (other,):
             queue.put(waiting.job, {3: other}, has_started=True)
     assert yielded == [f"j{number:02}" for number in range(LOOK_AHEAD + 1)]
     assert list_order(queue)[0] == f"j{LOOK_AHEAD - 1:02}"
@@ -369,7 +369,8 @@
         now += rng.uniform(0.0, 0.005)
         job = rng.choice(jobs)
         (step,) = job.steps
-        tasks = dict.fromkeys(rng.sample(range(4), rng.randrange(5)), step)
+        count = rng.randrange(step.count + 1)
+        tasks = dict.fromkeys(rng.sample(range(step.count), count), step)
         queue.put(job, tasks, has_started=rng.random() < 0.3)
         listed = list_order(queue, now)
         assert len(listed) == len(set(listed))
--- a/boragetide/tests/test_registrations.py
+++ b/boragetide/tests/test_registrations.py
@@ -6,18 +6,18 @@
 import pytest
 
 from boragetide.commands import RegisterBackendServers, UnregisterBackendServers
-from boragetide.controllers import placing_runs
+from boragetide.controllers import takeover
 from boragetide.controllers.dispatch_state import DispatcherState
-from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.registrations import MAX_LOGGED_IDS
 from boragetide.controllers.server_state import (
     LEASE_DURATION,
     MAX_LEASE_DURATION,
     MIN_CLOCK_RATE,
 )
+from boragetide.controllers.takeover import LEASE_EXPIRY_WAIT
 from boragetide.durable import Step
 from boragetide.effects import LogEvent, Send
-from boragetide.encoding import decode_command
+from boragetide.encoding import decode_value, encode_value
 from boragetide.log_records import Ballot, Catalogue, LogEntry, Snapshot
 from boragetide.messages import (
     JobsCommitted,
@@ -310,13 +310,13 @@
     successor = make_successor(predecessor)
     successor.lead()
     examined: list[str] = []
-    is_read = placing_runs._is_read
+    is_read = takeover._is_read
 
     def count_examined(state: DispatcherState, server_id: str, born: int) -> bool:
         examined.append(server_id)
         return is_read(state, server_id, born)
 
-    monkeypatch.setattr(placing_runs, "_is_read", count_examined)
+    monkeypatch.setattr(takeover, "_is_read", count_examined)
     successor.list_runs("s2")
     assert not successor.state.takeover_complete
     assert len(examined) <= 2
@@ -393,9 +393,9 @@
 
 def test_snapshot_of_an_earlier_build_is_read() -> None:
     """Guards against a member that cannot read its own journal after an update."""
-    stored = msgspec.to_builtins(Catalogue(index=7))
+    stored = msgspec.to_builtins(Catalogue(index=7), enc_hook=encode_value)
     del stored["server_born_by_id"]
-    restored = msgspec.convert(stored, Catalogue, dec_hook=decode_command)
+    restored = msgspec.convert(stored, Catalogue, dec_hook=decode_value)
     assert (restored.index, restored.server_born_by_id) == (7, {})
 
 
--- a/boragetide/tests/test_runtime.py
+++ b/boragetide/tests/test_runtime.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from functools import singledispatch
 from pathlib import Path
 from typing import Any
@@ -12,8 +13,9 @@
 
 from boragetide.daemon.__main__ import run_daemon
 from boragetide.daemon.effect_execution import EffectContext, bind_execute_effect
+from boragetide.daemon.effect_queue import MAX_TURN
 from boragetide.daemon.process import EXIT_FAILURE, end_tasks
-from boragetide.daemon.runtime import Runtime, run_controller
+from boragetide.daemon.runtime import Receiver, Runtime, run_controller
 from boragetide.effects import Reply, Send
 from boragetide.errors import PeerUnreachable
 from boragetide.links.codec import Envelope, encode_body
@@ -230,3 +232,29 @@
     assert failed["controller"] == "jobs"
     assert (failed["kind"], failed["message"]) == ("Tick", "Tick()")
     assert failed["error"] == "ValueError('unexpected')"
+
+
+def test_long_mailbox_is_read_in_several_turns() -> None:
+    """Guards against messages that keep the heartbeats of the log from being sent."""
+    turns = 0
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            await asyncio.sleep(0)
+            turns += 1
+
+    async def scenario() -> None:
+        mailbox: asyncio.Queue[int] = asyncio.Queue()
+        for number in range(40):
+            mailbox.put_nowait(number)
+        receiver = Receiver(mailbox)
+        counter = asyncio.create_task(count_turns())
+        for number in range(40):
+            assert await receiver.receive() == number
+            # Stands for a message that takes a while to handle.
+            time.sleep(MAX_TURN / 4)
+        counter.cancel()
+
+    asyncio.run(scenario())
+    assert turns >= 5
--- a/boragetide/tests/test_scheduling.py
+++ b/boragetide/tests/test_scheduling.py
@@ -9,6 +9,7 @@
 import pytest
 
 from boragetide.durable import JobRecord, Resources, Step
+from boragetide.policy.job_progress import find_ready_tasks
 from boragetide.policy.job_queue import JobQueue, WaitingJob
 from boragetide.policy.look_ahead import LOOK_AHEAD, LookAhead
 from boragetide.policy.queue_order import SIZE_DELAY
@@ -16,13 +17,13 @@
     ServerCandidate,
     can_ever_fit,
     choose_server,
-    find_ready_tasks,
     latest_start,
     longest_chain,
     min_useful_speed,
 )
 from boragetide.policy.server_index import ServerIndex
 from boragetide.policy.unplaced_needs import UnplacedNeeds
+from boragetide.task_set import TaskSet
 from boragetide.tests.durable_fixtures import BEGIN, NEEDS, make_durable_job
 
 STEP = Step(2, NEEDS, 0.2)
@@ -48,9 +49,9 @@
     job = make_durable_job("j1", STEP, replace(STEP, depends_on=(0,)))
     record = JobRecord(job)
     assert [number for number, _ in find_ready_tasks(record)] == [0, 1]
-    record = replace(record, done=frozenset({0}))
+    record = replace(record, done=TaskSet({0}))
     assert [number for number, _ in find_ready_tasks(record)] == [1]
-    record = replace(record, done=frozenset({0, 1}))
+    record = replace(record, done=TaskSet({0, 1}))
     assert [number for number, _ in find_ready_tasks(record)] == [2, 3]
 
 
--- a/boragetide/tests/test_successive_leaders.py
+++ b/boragetide/tests/test_successive_leaders.py
@@ -9,8 +9,8 @@
 import pytest
 
 from boragetide.commands import Proposal, SetClass
-from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
 from boragetide.controllers.server_state import LEASE_DURATION, MIN_CLOCK_RATE
+from boragetide.controllers.takeover import LEASE_EXPIRY_WAIT
 from boragetide.effects import Effect, Send
 from boragetide.log_records import Ballot
 from boragetide.policy import elections, replication
--- a/boragetide/tests/test_takeovers.py
+++ b/boragetide/tests/test_takeovers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
+from boragetide.controllers.takeover import LEASE_EXPIRY_WAIT
 from boragetide.durable import (
     EndReason,
     JobRecord,
--- a/boragetide/tests/test_unanswered_starts.py
+++ b/boragetide/tests/test_unanswered_starts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from boragetide.controllers.placing_runs import LEASE_EXPIRY_WAIT
+from boragetide.controllers.takeover import LEASE_EXPIRY_WAIT
 from boragetide.controllers.unanswered_starts import LATE_RUN_WAIT
 from boragetide.durable import DurableJob, EndReason, ListedEnd, ListedRun, Step
 from boragetide.effects import Send, StartRun
--- a/properties/test_dispatcher.py
+++ b/properties/test_dispatcher.py
@@ -416,7 +416,7 @@
         first = sum(step.count for step in job.steps[:position])
         record = self.state.records_by_id[job_id]
         numbers = range(first, first + job.steps[position].count)
-        return len(record.done.intersection(numbers))
+        return len(record.done & set(numbers))
 
     @execute_effect.register
     def _(self, effect: ReadRuns) -> None:
