Codec: refuse a value that cannot be encoded as before

An encoder with a hook calls it for each unknown type, and let the hook raise NotImplementedError, which encode_body does not expect: a message with such a value would have ended its process. The hook raises TypeError now. test_codec.py found it; it and the random run of the log use the hooks and draw sets of tasks.

--- a/boragetide/encoding.py
+++ b/boragetide/encoding.py
@@ -15,12 +15,12 @@
 
     Raises
     ------
-    NotImplementedError
+    TypeError
         If the value is of another type.
     """
     if isinstance(value, TaskSet):
         return list(value)
-    raise NotImplementedError(f"cannot encode {type(value)!r}")
+    raise TypeError(f"cannot encode {type(value)!r}")
 
 
 def decode_value(declared: type, value: Any) -> Any:
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -14,6 +14,7 @@
 
 from boragetide import commands, durable, log_records, messages, types
 from boragetide.errors import LinkError
+from boragetide.limits import MAX_TASKS
 from boragetide.links.codec import (
     Envelope,
     decode_body,
@@ -21,6 +22,7 @@
     encode_body,
     encode_frame,
 )
+from boragetide.task_set import TaskSet
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**40), 2**40) | st.text(max_size=8),
@@ -72,6 +74,8 @@
     if origin is dict:
         keys, values = map(_build_field, arguments)
         return st.dictionaries(keys, values, max_size=3)
+    if hint is TaskSet:
+        return st.frozensets(st.integers(0, MAX_TASKS - 1), max_size=3).map(TaskSet)
     if origin is frozenset:
         return st.frozensets(_build_field(arguments[0]), max_size=3)
     if arguments:
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -29,7 +29,7 @@
 from boragetide.controllers.configuration import handle, make_state
 from boragetide.controllers.configuration_state import ConfigurationState
 from boragetide.effects import Effect, LogEvent, Persist, Reply, SaveSnapshot, Send
-from boragetide.encoding import decode_command
+from boragetide.encoding import decode_value, encode_value
 from boragetide.links.codec import Envelope, decode_body, encode_body
 from boragetide.log_records import RECORD_TYPES
 from boragetide.messages import (
@@ -118,7 +118,7 @@
     def decode_record(data: bytes) -> Any:
         name, raw = msgspec.msgpack.decode(data, type=tuple[str, msgspec.Raw])
         return msgspec.msgpack.decode(
-            raw, type=TYPES_BY_NAME[name], dec_hook=decode_command
+            raw, type=TYPES_BY_NAME[name], dec_hook=decode_value
         )
 
     def handle(self, node: Node, message: Any) -> None:
@@ -162,7 +162,8 @@
 
     @staticmethod
     def encode_record(record: Any) -> bytes:
-        return msgspec.msgpack.encode((type(record).__name__, record))
+        tagged = (type(record).__name__, record)
+        return msgspec.msgpack.encode(tagged, enc_hook=encode_value)
 
     def check_in_force(self, node: Node, configuration: Any) -> None:
         assert configuration.version >= node.version
