Decode the tasks of records that a command holds

Cause: a command is decoded by a hook, and what it holds was decoded without one, so that "Expected TaskSet, got list" refused each AppendEntries with records of jobs. Change: the hook is passed on.

--- a/boragetide/encoding.py
+++ b/boragetide/encoding.py
@@ -40,4 +40,4 @@
     kind = value.get("kind") if isinstance(value, dict) else None
     if kind not in COMMANDS_BY_KIND:
         raise ValueError(f"unknown command kind {kind!r}")
-    return msgspec.convert(value, COMMANDS_BY_KIND[kind])
+    return msgspec.convert(value, COMMANDS_BY_KIND[kind], dec_hook=decode_value)
--- a/boragetide/tests/test_large_jobs.py
+++ b/boragetide/tests/test_large_jobs.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 
-from boragetide.commands import RecordEnds
+from boragetide.commands import AdoptJobs, Command, RecordEnds
 from boragetide.controllers.queue_updates import MAX_QUEUED_TASKS
 from boragetide.durable import JobRecord, Resources, RunEnd, Step
 from boragetide.effects import StartRun
@@ -299,3 +299,12 @@
     encoded = msgspec.msgpack.encode(read, enc_hook=encode_value)
     decoded = msgspec.msgpack.decode(encoded, type=JobRecord, dec_hook=decode_value)
     assert decoded == read
+
+
+def test_command_that_holds_records_is_read() -> None:
+    """Guards against members that cannot follow the log after a transfer of a job."""
+    job = make_durable_job("large", *make_references(100))
+    command = AdoptJobs(group=1, records=(JobRecord(job, done=TaskSet({3})),))
+    encoded = msgspec.msgpack.encode(command, enc_hook=encode_value)
+    decoded = msgspec.msgpack.decode(encoded, type=Command, dec_hook=decode_value)
+    assert decoded == command
