--- a/boragetide/tests/test_large_jobs.py
+++ b/boragetide/tests/test_large_jobs.py
@@ -304,7 +304,7 @@
 def test_command_that_holds_records_is_read() -> None:
     """Guards against members that cannot follow the log after a transfer of a job."""
     job = make_durable_job("large", *make_references(100))
-    command = AdoptJobs(group=1, records=(JobRecord(job, done=TaskSet({3})),))
+    command = AdoptJobs(1, (JobRecord(job, done=TaskSet({3})),))
     encoded = msgspec.msgpack.encode(command, enc_hook=encode_value)
     decoded = msgspec.msgpack.decode(encoded, type=Command, dec_hook=decode_value)
     assert decoded == command
