Suspects: forget a waiting suspect once it is done

What callers saw: nothing yet, by reading. Cause: a task that was done while it waited as a suspect is none any more, so that the update of single tasks took it from the queue, where it was not, and left it among the waiting suspects: it could have been started a second time (TWICE), if nothing else made the job's suspects be listed anew. Change: a task that does not wait leaves both. test_suspect_that_is_done_does_not_wait_any_more fails before ({0, 1, 2} in place of {0, 2}).

--- a/boragetide/controllers/queue_updates.py
+++ b/boragetide/controllers/queue_updates.py
@@ -68,11 +68,14 @@
     removed: list[int] = []
     for number in {*numbers, *changed} if changed else numbers:
         is_waiting = progress.is_ready(number) and may_start(state, (job_id, number))
-        if _is_suspect(state, job_id, number):
+        if not is_waiting:
             removed.append(number)
-            _move_suspect(state, job_id, number, progress, is_waiting=is_waiting)
+            state.suspects_by_job.get(job_id, {}).pop(number, None)
+        elif _is_suspect(state, job_id, number):
+            suspects = state.suspects_by_job.setdefault(job_id, {})
+            suspects[number] = progress.find_step(number)
         else:
-            (added if is_waiting else removed).append(number)
+            added.append(number)
     has_started = job_id in state.started
     state.queue.update(record.job, added, removed, has_started=has_started)
 
@@ -121,18 +124,3 @@
         state.suspects_by_job[job_id] = suspects
     else:
         state.suspects_by_job.pop(job_id, None)
-
-
-def _move_suspect(
-    state: DispatcherState,
-    job_id: JobId,
-    number: int,
-    progress: JobProgress,
-    *,
-    is_waiting: bool,
-) -> None:
-    suspects = state.suspects_by_job.setdefault(job_id, {})
-    if is_waiting:
-        suspects[number] = progress.find_step(number)
-    else:
-        suspects.pop(number, None)
--- a/boragetide/tests/test_lost_groups.py
+++ b/boragetide/tests/test_lost_groups.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
+from boragetide.controllers.queue_updates import update_tasks
 from boragetide.durable import Resources, Step
 from boragetide.messages import WithdrawSubmissions
 from boragetide.settings import Settings
+from boragetide.task_set import TaskSet
 from boragetide.tests.crash_site import Fleet
 
 FLEET_SIZE = 24
@@ -216,3 +219,21 @@
     fleet.run_for(DETECTION)
     assert not fleet.leader.state.suspects_by_job
     assert not fleet.leader.state.isolated_servers
+
+
+def test_suspect_that_is_done_does_not_wait_any_more(make_fleet: MakeFleet) -> None:
+    """Guards against a second run of a task whose late end was applied (TWICE).
+
+    Another task of the job is a suspect still.
+    """
+    fleet = make_fleet(size=2)
+    fleet.submit("wide", Step(3, Resources(21_000, 64), RUN_TIME))
+    fleet.run_for(0.5)
+    state = fleet.leader.state
+    fleet.down |= set(fleet.servers)
+    fleet.run_for(DETECTION)
+    assert set(state.suspects_by_job["wide"]) == {0, 1, 2}
+    record = replace(state.records_by_id["wide"], done=TaskSet({1}))
+    state.records_by_id["wide"] = record
+    update_tasks(state, "wide")
+    assert set(state.suspects_by_job["wide"]) == {0, 2}
