Suspects: name no log field that the log adds itself

Cause: suspect_placed has a field "group", which the log adds to each line of a grouped controller ("got multiple values for keyword argument 'group'"). Change: the field is called "together". All tests of the crash site refuse the fields that the log adds: they fail before.

--- a/boragetide/controllers/isolating.py
+++ b/boragetide/controllers/isolating.py
@@ -189,7 +189,7 @@
     fields = {"job": job.id, "task": number, "server": report.id}
     fields |= {"born": report.born}
     fields["losses"] = len(state.losses.get_of_task(job.id, number))
-    fields |= {"group": host.runs, "group_size": suspect.group_size}
+    fields |= {"together": host.runs, "group_size": suspect.group_size}
     fields["answered_ago"] = now - server.runs_requested_at
     return [LogEvent("suspect_placed", fields), Count("suspects_placed"), *start]
 
--- a/boragetide/tests/crash_site.py
+++ b/boragetide/tests/crash_site.py
@@ -36,6 +36,8 @@
     make_report,
 )
 
+# Fields that the log adds to each line itself; an event with one ends its process.
+RESERVED_FIELDS = frozenset({"time", "event", "instance", "group"})
 SERVERS = ("s1", "s2", "s3", "s4")
 # Time after which a run that was lost with a silent server is certainly over.
 LOST_AFTER = LEASE_EXPIRY_WAIT + 0.1
@@ -76,7 +78,9 @@
             for each in effects
             if isinstance(each, Reply) and isinstance(each.message, DispatcherReply)
         ]
-        self.events += [each for each in effects if isinstance(each, LogEvent)]
+        events = [each for each in effects if isinstance(each, LogEvent)]
+        assert not any(RESERVED_FIELDS & each.fields.keys() for each in events)
+        self.events += events
         for effect in effects:
             if not self.log_is_held_up and _is_append(effect):
                 self.commit(effect.message)
